--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -7,6 +7,9 @@
 #include "HttpCall.h"
 #include "SseParser.h"
 
+/* A refusal's body is short; what is longer is not read on. */
+#define REFUSAL_MAX 65536
+
 struct Attempt {
     struct event_base *base;
     Upstream_t *upstream;
@@ -17,6 +20,7 @@
     struct evhttp_connection *connection;
     struct evbuffer_cb_entry *output_watch;
     SseParser_t *parser;
+    GString *refusal;     /* body of an answer that is no stream */
     struct event *watch;  /* the engine must not be silent */
     struct event *reaper; /* frees us outside of evhttp's callbacks */
     EngineHead_t head;
@@ -52,6 +56,7 @@
     event_free(this->watch);
     event_free(this->reaper);
     SseParser_destroy(this->parser);
+    g_string_free(this->refusal, TRUE);
     g_string_free(this->head.attempt, TRUE);
     Upstream_unref(this->upstream);
     g_free(this);
@@ -146,7 +151,10 @@
         return set_fault(this, ATTEMPT_BAD_ANSWER);
     }
     this->next_index++;
-    this->has_token = TRUE;
+    if (!this->has_token) {
+        this->has_token = TRUE;
+        Clock_arm(this->watch, this->token_ms);
+    }
     this->events->token(this->owner, token);
     return !this->over;
 }
@@ -165,15 +173,30 @@
     return go_on;
 }
 
+/* evhttp throws away what a chunk callback leaves. */
+static void
+keep_refusal(Attempt_t *this, struct evbuffer *input)
+{
+    gsize length = evbuffer_get_length(input);
+    if (length > 0 && this->refusal->len + length <= REFUSAL_MAX) {
+        g_string_append_len(this->refusal, (char *)evbuffer_pullup(input, -1),
+                            (gssize)length);
+    }
+}
+
 static void
 on_chunk(struct evhttp_request *request, void *data)
 {
     Attempt_t *this = data;
-    if (this->over || !this->has_head || this->has_fault || this->whole) {
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    if (this->over || this->has_fault || this->whole) {
         return;
     }
     this->last_heard_ms = Clock_nowMs();
-    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    if (!this->has_head) {
+        keep_refusal(this, input);
+        return;
+    }
     if (!SseParser_feed(this->parser, input) && !this->over && !this->whole) {
         end_attempt(this, this->has_fault ? this->fault : ATTEMPT_BAD_ANSWER,
                     NULL);
@@ -208,12 +231,9 @@
 static void
 end_refused(Attempt_t *this, struct evhttp_request *request)
 {
-    struct evbuffer *body = evhttp_request_get_input_buffer(request);
-    gsize length = evbuffer_get_length(body);
     EngineRefusal_t refusal;
-    this->wire->read_refusal(
-        evhttp_request_get_response_code(request),
-        length > 0 ? (char *)evbuffer_pullup(body, -1) : "", length, &refusal);
+    this->wire->read_refusal(evhttp_request_get_response_code(request),
+                             this->refusal->str, this->refusal->len, &refusal);
     const char *attempt = evhttp_find_header(
         evhttp_request_get_input_headers(request), ATTEMPT_HEADER);
     if (g_strcmp0(attempt, this->id) != 0) {
@@ -280,6 +300,7 @@
     this->token_ms = spec->token_ms;
     this->last_heard_ms = Clock_nowMs();
     this->head.attempt = g_string_new(NULL);
+    this->refusal = g_string_new(NULL);
     Random_id(this->id);
     this->parser = SseParser_create(on_event, this);
     this->watch = Clock_timer(base, on_watch, this);
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -352,6 +352,7 @@
     Answer_token(this->answer, token->text, token->length, token->finish,
                  this->first_token + this->tokens);
     if (Answer_isFull(this->answer)) {
+        Counters_add(this->context->counters, "streams_held_total", NULL, 1);
         Attempt_hold(this->attempt);
     }
 }
@@ -437,6 +438,9 @@
 {
     RecoveryFacts_t facts = facts_of(this, end);
     RecoveryPlan_t plan = Recovery_decide(&facts);
+    if (plan.step != RECOVERY_RESUME) {
+        cancel_stream(this);
+    }
     if (plan.step == RECOVERY_GIVE_UP) {
         if (this->resume && facts.time_left) {
             plan.refusal = REFUSAL_RESUME_GONE;
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -24,5 +24,19 @@
     if (upstream == placement->avoid && placement->serving->len > 1) {
         return FALSE;
     }
-    return Upstream_isUsable(upstream, placement->now_ms);
+    return placement->desperate
+               ? Upstream_takesWork(upstream)
+               : Upstream_isUsable(upstream, placement->now_ms);
+}
+
+Choice_t
+Policy_choose(Policy_t *this, const Placement_t *placement)
+{
+    Choice_t choice = this->class->choose(this, placement);
+    if (choice.upstream) {
+        return choice;
+    }
+    Placement_t again = *placement;
+    again.desperate = TRUE;
+    return this->class->choose(this, &again);
 }
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -25,6 +25,7 @@
  * @hall: the router's own
  * @region: the router's own
  * @avoid: upstream of the last attempt that failed, or NULL
+ * @desperate: nothing else is left, so that an ejected one will do
  * @now_ms: monotonic
  */
 typedef struct {
@@ -38,6 +39,7 @@
     const char *hall;
     const char *region;
     const Upstream_t *avoid;
+    gboolean desperate;
     gint64 now_ms;
 } Placement_t;
 
@@ -86,12 +88,13 @@
     this->class->destroy(this);
 }
 
-/** Policy_choose() - choose an upstream */
-static inline Choice_t
-Policy_choose(Policy_t *this, const Placement_t *placement)
-{
-    return this->class->choose(this, placement);
-}
+/**
+ * Policy_choose() - choose an upstream
+ *
+ * An ejected one is chosen only where no other is left: that it failed a
+ * while ago is no proof that it would fail again.
+ */
+Choice_t Policy_choose(Policy_t *this, const Placement_t *placement);
 
 /**
  * Policy_learn() - learn from an engine's answer
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -72,10 +72,16 @@
     return FALSE;
 }
 
+gboolean
+Upstream_takesWork(const Upstream_t *this)
+{
+    return !this->leaving && !this->removed && this->in_flight < this->slots;
+}
+
 gboolean
 Upstream_isUsable(const Upstream_t *this, gint64 now_ms)
 {
-    if (this->leaving || this->removed || this->in_flight >= this->slots) {
+    if (!Upstream_takesWork(this)) {
         return FALSE;
     }
     if (this->ejections == 0) {
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -85,8 +85,13 @@
 /** Upstream_serves() - whether it has a model or service */
 gboolean Upstream_serves(const Upstream_t *this, const char *target);
 
+/** Upstream_takesWork() - whether it is declared, not leaving and has slots */
+gboolean Upstream_takesWork(const Upstream_t *this);
+
 /**
- * Upstream_isUsable() - whether new work may go to it now
+ * Upstream_isUsable() - whether new work should go to it now
+ *
+ * It takes work and is not ejected, or may be probed again.
  */
 gboolean Upstream_isUsable(const Upstream_t *this, gint64 now_ms);
 
--- a/standins/EngineStandin.c
+++ b/standins/EngineStandin.c
@@ -189,6 +189,11 @@
     if (!evhttp_request_get_connection(reader)) {
         evhttp_send_reply_end(reader);
     }
+    /* Nobody was told of the stream yet, so nobody can come back for it. */
+    if (stream->state == WAITING && stream != computing) {
+        g_ptr_array_remove(waiting, stream);
+        g_hash_table_remove(streams, stream->id);
+    }
 }
 
 static void
--- a/standins/Server.c
+++ b/standins/Server.c
@@ -22,7 +22,11 @@
 Server_listen(Server_t *this, guint16 port,
               void (*handle)(struct evhttp_request *, void *), void *data)
 {
-    this->base = event_base_new();
+    /* Without it, waits are rounded up to the kernel's tick. */
+    struct event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    this->base = event_base_new_with_config(config);
+    event_config_free(config);
     this->http = evhttp_new(this->base);
     evhttp_set_gencb(this->http, handle, data);
     evhttp_set_max_body_size(this->http, MAX_BODY);
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,6 +9,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -70,14 +71,20 @@
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
+        self._close()
+
+    def _close(self):
         self.reader.join()
+        self.process.stderr.close()
+        if self.process.stdout:
+            self.process.stdout.close()
 
     def stop(self):
         """SIGTERM, and the exit code."""
         if self.process.poll() is None:
             self.process.terminate()
         code = self.process.wait(HANG_LIMIT)
-        self.reader.join()
+        self._close()
         return code
 
 
@@ -134,9 +141,17 @@
 class Stream:
     """A streamed answer, read event by event."""
 
-    def __init__(self, port, path, body, headers, method="POST"):
+    def __init__(self, port, path, body, headers, method="POST",
+                 receive_buffer=None):
         self.connection = http.client.HTTPConnection("127.0.0.1", port,
                                                      timeout=HANG_LIMIT)
+        if receive_buffer:
+            small = socket.socket()
+            small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                             receive_buffer)
+            small.settimeout(HANG_LIMIT)
+            small.connect(("127.0.0.1", port))
+            self.connection.sock = small
         text = json.dumps(body) if body is not None else None
         self.connection.request(method, path, text, headers)
         self.response = self.connection.getresponse()
@@ -152,10 +167,11 @@
         while True:
             try:
                 line = self.response.readline()
-            except (http.client.HTTPException, OSError):
+            except OSError:
                 line = b""
-                self.broken = True
             if line == b"":
+                # The library closes only what ended with its last chunk.
+                self.broken = not self.response.isclosed()
                 return None
             line = line.decode().rstrip("\n")
             if line == "":
@@ -173,6 +189,7 @@
         """Read so many tokens, or all."""
         while count is None or len(self.tokens()) < count:
             if self.read_event() is None:
+                self.close()
                 break
         return self
 
@@ -196,8 +213,9 @@
         return [e["id"] for e in self.events if "id" in e][-1]
 
     def close(self):
-        self.connection.close()
+        """A clean close of both ends, as a caller that leaves."""
         self.response.close()
+        self.connection.close()
 
 
 def places(tokens):
@@ -258,9 +276,10 @@
                        self.headers(customer, **headers))
 
     def stream(self, body, customer="acme", path="/v1/completions",
-               **headers):
+               receive_buffer=None, **headers):
         body = dict(body, stream=True) if body is not None else None
-        return Stream(self.port, path, body, self.headers(customer, **headers))
+        return Stream(self.port, path, body, self.headers(customer, **headers),
+                      receive_buffer=receive_buffer)
 
     def counters(self, prefix=""):
         text = request(self.operator_port, "GET", "/metrics").body.decode()
--- /dev/null
+++ b/tests/golden.py
@@ -0,0 +1,77 @@
+"""Transcripts of whole sessions, compared with files in tests/golden/.
+
+Ids, tokens, times and numbers of processes are replaced by names in the
+order of their first sight. WT_GOLDEN=write writes the files anew.
+"""
+import json
+import os
+import re
+
+FOLDER = os.path.join(os.path.dirname(os.path.abspath(__file__)), "golden")
+PATTERNS = [
+    ("token", re.compile(r"[A-Za-z0-9_-]{120,}")),
+    ("id", re.compile(r"\b[0-9a-f]{32}\b")),
+    ("incarnation", re.compile(r"\b1\d{12}\b")),
+]
+KEPT_HEADERS = ("Content-Type", "Retry-After", "X-Request-Id")
+
+
+class Transcript:
+    def __init__(self, name):
+        self.name = name
+        self.lines = []
+        self.names = {}
+
+    def add(self, line):
+        line = re.sub(r'"created":\d+', '"created":T', line)
+        for kind, pattern in PATTERNS:
+            line = pattern.sub(lambda found, kind=kind:
+                               self._name(kind, found[0]), line)
+        self.lines.append(line)
+
+    def _name(self, kind, text):
+        if text not in self.names:
+            number = sum(n.startswith(kind) for n in self.names.values()) + 1
+            self.names[text] = "%s%d" % (kind, number)
+        return "<%s>" % self.names[text]
+
+    def ask(self, what):
+        self.add("> " + what)
+
+    def answer(self, answer):
+        self.add("< %d" % answer.status)
+        for name in KEPT_HEADERS:
+            if name in answer.headers:
+                self.add("< %s: %s" % (name, answer.headers[name]))
+        self.add("< " + answer.body.decode())
+
+    def stream(self, stream, first=0):
+        if first == 0:
+            self.add("< %d" % stream.status)
+            for name in KEPT_HEADERS:
+                if name in stream.headers:
+                    self.add("< %s: %s" % (name, stream.headers[name]))
+        for event in stream.events[first:]:
+            for name, value in event.items():
+                if not isinstance(value, str):
+                    value = json.dumps(value, separators=(",", ":"))
+                self.add("< %s: %s" % (name, value))
+        if stream.broken:
+            self.add("< (transfer broken off)")
+
+    def logs(self, router, *events):
+        for pairs in router.events():
+            if pairs["event"] in events:
+                self.add("log %s %s" % (router.name, " ".join(
+                    "%s=%s" % pair for pair in pairs.items())))
+
+    def check(self, case):
+        path = os.path.join(FOLDER, self.name + ".txt")
+        text = "\n".join(self.lines) + "\n"
+        if os.environ.get("WT_GOLDEN") == "write":
+            os.makedirs(FOLDER, exist_ok=True)
+            with open(path, "w") as file:
+                file.write(text)
+        with open(path) as file:
+            case.maxDiff = None
+            case.assertEqual(text, file.read())
--- a/tests/run.py
+++ b/tests/run.py
@@ -6,6 +6,7 @@
 import re
 import subprocess
 import sys
+import time
 import unittest
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -41,12 +42,26 @@
     return passed, failed
 
 
+class TimedResult(unittest.TextTestResult):
+    """Says how long each test took."""
+
+    def startTest(self, test):
+        self.began = time.monotonic()
+        super().startTest(test)
+
+    def addSuccess(self, test):
+        self.stream.write("(%.1f s) " % (time.monotonic() - self.began))
+        super().addSuccess(test)
+
+
 def run_sessions():
     os.environ["WT_BUILD"] = "build-asan"
     os.environ.update(ENVIRONMENT)
     sys.path[:0] = [os.path.join(ROOT, "tests"), SESSIONS]
-    suite = unittest.defaultTestLoader.discover(SESSIONS)
-    result = unittest.TextTestRunner(stream=sys.stdout, verbosity=2).run(suite)
+    suite = unittest.defaultTestLoader.discover(
+        SESSIONS, pattern=sys.argv[1] if len(sys.argv) > 1 else "test_*.py")
+    result = unittest.TextTestRunner(stream=sys.stdout, verbosity=2,
+                                     resultclass=TimedResult).run(suite)
     failed = len(result.failures) + len(result.errors)
     return result.testsRun - failed, failed
 
