Golden sessions tell a broken transfer from an ended one

Cause: the tests' HTTP client reports both as the end of the body, so that the transcript of a cut stream showed no sign of the cut and the assertion that it was broken off failed.

Change: the reader looks at whether the last chunk came.

Conclusion: a stream that could not go on is seen as broken by its caller.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -170,8 +170,9 @@
             except OSError:
                 line = b""
             if line == b"":
-                # The library closes only what ended with its last chunk.
-                self.broken = not self.response.isclosed()
+                # The library clears this only after the last chunk.
+                self.broken = (self.response.chunked
+                               and self.response.chunk_left is not None)
                 return None
             line = line.decode().rstrip("\n")
             if line == "":
