--- a/src/Answer.c
+++ b/src/Answer.c
@@ -2,8 +2,10 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <string.h>
 
 #include "Clock.h"
+#include "HttpCall.h"
 #include "Json.h"
 #include "PendingReply.h"
 
@@ -26,10 +28,12 @@
     GString *sealed;
     GString *text; /* of a plain answer, as JSON without its quotes */
     GString *last_finish;
-    GString *line; /* scratch */
+    GString *head; /* of each event, the same for all of a stream */
+    GString *line; /* events of this turn, or scratch */
     struct evbuffer *chunk;
     struct event *closed; /* the caller's half of the connection ended */
     gsize buffer_max;
+    TurnEnd_t *turn_end;
     gint64 created_s;
     gboolean begun;
     gboolean full;
@@ -126,24 +130,50 @@
 }
 
 static void
-send_line(Answer_t *this)
+note_fullness(Answer_t *this)
 {
-    evbuffer_add(this->chunk, this->line->str, this->line->len);
-    g_string_truncate(this->line, 0);
     struct bufferevent *stream = stream_of(this);
-    if (!stream) {
-        return;
-    }
-    gsize waiting = evbuffer_get_length(bufferevent_get_output(stream));
-    if (waiting > this->buffer_max) {
+    gsize waiting =
+        stream ? evbuffer_get_length(bufferevent_get_output(stream)) : 0;
+    if (waiting + this->line->len > this->buffer_max) {
         this->full = TRUE;
     }
+}
+
+/* One chunk for all events of this turn. */
+static void
+send_lines(Answer_t *this)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(this->request);
+    evbuffer_add(this->chunk, this->line->str, this->line->len);
+    g_string_truncate(this->line, 0);
     if (this->full) {
         evhttp_send_reply_chunk_with_cb(this->request, this->chunk, on_drained,
                                         this);
-        return;
     }
-    evhttp_send_reply_chunk(this->request, this->chunk);
+    else if (connection) {
+        evhttp_send_reply_chunk(this->request, this->chunk);
+        Http_flush(connection);
+    }
+}
+
+static void
+on_turn_end(void *data)
+{
+    Answer_t *this = data;
+    if (this->request && this->line->len > 0) {
+        send_lines(this);
+    }
+}
+
+static void
+send_later(Answer_t *this, gsize length_before)
+{
+    if (length_before == 0) {
+        TurnEnd_add(this->turn_end, on_turn_end, this);
+    }
+    note_fullness(this);
 }
 
 static void
@@ -168,25 +198,38 @@
     }
 }
 
+/* Made once for all tokens of a stream. */
+static void
+make_head(Answer_t *this)
+{
+    if (this->head->len == 0) {
+        g_string_append(this->head, "\ndata: ");
+        append_head(this, this->head,
+                    this->chat ? "chat.completion.chunk" : "text_completion");
+        g_string_append(this->head,
+                        this->chat ? "\"delta\":{\"content\":" : "\"text\":");
+    }
+}
+
 static void
 stream_token(Answer_t *this, const char *text, gsize length,
              const char *finish, guint64 next_offset)
 {
     begin_stream(this);
+    make_head(this);
     GString *line = this->line;
-    g_string_append_printf(line, "id: %s.%" G_GUINT64_FORMAT "\ndata: ",
-                           this->sealed->str, next_offset);
-    append_head(this, line,
-                this->chat ? "chat.completion.chunk" : "text_completion");
-    g_string_append(line,
-                    this->chat ? "\"delta\":{\"content\":" : "\"text\":");
+    gsize length_before = line->len;
+    g_string_append_len(line, "id: ", strlen("id: "));
+    g_string_append_len(line, this->sealed->str, (gssize)this->sealed->len);
+    g_string_append_printf(line, ".%" G_GUINT64_FORMAT, next_offset);
+    g_string_append_len(line, this->head->str, (gssize)this->head->len);
     Json_appendString(line, text, (gssize)length);
     if (this->chat) {
         g_string_append_c(line, '}');
     }
     append_finish(line, finish);
     g_string_append(line, "}]}\n\n");
-    send_line(this);
+    send_later(this, length_before);
 }
 
 static void
@@ -198,7 +241,7 @@
     (void)cached_tokens;
     begin_stream(this);
     g_string_append(this->line, "data: [DONE]\n\n");
-    send_line(this);
+    send_lines(this);
     struct evhttp_request *request = let_go(this);
     PendingReply_watch(request);
     evhttp_send_reply_end(request);
@@ -267,9 +310,11 @@
     this->sealed = g_string_new(NULL);
     this->text = g_string_new(NULL);
     this->last_finish = g_string_new(NULL);
+    this->head = g_string_new(NULL);
     this->line = g_string_sized_new(512);
     this->chunk = evbuffer_new();
     this->buffer_max = spec->buffer_max;
+    this->turn_end = spec->turn_end;
     this->created_s = Clock_wallMs() / 1000;
     watch_caller(this);
     return this;
@@ -279,11 +324,13 @@
 Answer_destroy(Answer_t *this)
 {
     g_assert(!this->request);
+    TurnEnd_remove(this->turn_end, this);
     g_string_free(this->id, TRUE);
     g_string_free(this->model_json, TRUE);
     g_string_free(this->sealed, TRUE);
     g_string_free(this->text, TRUE);
     g_string_free(this->last_finish, TRUE);
+    g_string_free(this->head, TRUE);
     g_string_free(this->line, TRUE);
     evbuffer_free(this->chunk);
     g_free(this);
--- a/src/Answer.h
+++ b/src/Answer.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "Refusal.h"
+#include "TurnEnd.h"
 
 /**
  * struct AnswerEvents_t - what the caller's side tells its owner
@@ -31,6 +32,7 @@
  * @id: the request's id
  * @model: as the caller named it
  * @buffer_max: bytes that may wait for the caller
+ * @turn_end: tokens of one turn are written together at its end
  */
 typedef struct {
     struct evhttp_request *request;
@@ -39,6 +41,7 @@
     const char *id;
     const char *model;
     gsize buffer_max;
+    TurnEnd_t *turn_end;
 } AnswerSpec_t;
 
 /** struct Answer_t - opaque */
--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -24,6 +24,7 @@
     struct event *watch;  /* the engine must not be silent */
     struct event *reaper; /* frees us outside of evhttp's callbacks */
     EngineHead_t head;
+    EngineForm_t form;
     guint64 next_index;
     gint64 last_heard_ms;
     gint64 connect_ms;
@@ -58,6 +59,8 @@
     SseParser_destroy(this->parser);
     g_string_free(this->refusal, TRUE);
     g_string_free(this->head.attempt, TRUE);
+    g_string_free(this->form.prefix, TRUE);
+    g_string_free(this->form.suffix, TRUE);
     Upstream_unref(this->upstream);
     g_free(this);
 }
@@ -165,8 +168,8 @@
     Attempt_t *this = user;
     EngineToken_t token;
     json_t *keep = NULL;
-    gboolean good =
-        this->wire->read_event(&this->head, id, data, length, &token, &keep);
+    gboolean good = this->wire->read_event(&this->head, &this->form, id, data,
+                                           length, &token, &keep);
     gboolean go_on =
         good ? take_token(this, &token) : set_fault(this, ATTEMPT_MISMATCH);
     json_decref(keep);
@@ -300,6 +303,8 @@
     this->token_ms = spec->token_ms;
     this->last_heard_ms = Clock_nowMs();
     this->head.attempt = g_string_new(NULL);
+    this->form.prefix = g_string_new(NULL);
+    this->form.suffix = g_string_new(NULL);
     this->refusal = g_string_new(NULL);
     Random_id(this->id);
     this->parser = SseParser_create(on_event, this);
@@ -341,6 +346,12 @@
     }
 }
 
+gboolean
+Attempt_isHeld(const Attempt_t *this)
+{
+    return this->held;
+}
+
 void
 Attempt_release(Attempt_t *this)
 {
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -70,6 +70,9 @@
 /** Attempt_hold() - read no more from the engine for now */
 void Attempt_hold(Attempt_t *this);
 
+/** Attempt_isHeld() - whether it is held back */
+gboolean Attempt_isHeld(const Attempt_t *this);
+
 /** Attempt_release() - read on */
 void Attempt_release(Attempt_t *this);
 
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -5,6 +5,7 @@
 #include <event2/keyvalq_struct.h>
 #include <sodium.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "Answer.h"
 #include "Clock.h"
@@ -384,12 +385,17 @@
     }
 }
 
+/* The kernel would buffer megabytes for a caller that does not read. */
 static void
-prepare_connection(struct evhttp_request *request)
+prepare_connection(const Call_t *call)
 {
     struct evhttp_connection *connection =
-        evhttp_request_get_connection(request);
+        evhttp_request_get_connection(call->http);
+    int size = (int)call->context->settings->limits.stream_buffer;
     Http_noDelay(connection);
+    setsockopt(
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+        SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
     bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
                              EV_READ, 0, INPUT_WATERMARK);
 }
@@ -401,7 +407,7 @@
                    .http = request,
                    .headers = evhttp_request_get_input_headers(request)};
     Random_id(call.id);
-    prepare_connection(request);
+    prepare_connection(&call);
     Counters_add(call.context->counters, "requests_total", NULL, 1);
     const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
     const char *path = uri ? evhttp_uri_get_path(uri) : NULL;
--- a/src/Context.h
+++ b/src/Context.h
@@ -17,6 +17,7 @@
 #include "RetryBudget.h"
 #include "Settings.h"
 #include "Trace.h"
+#include "TurnEnd.h"
 #include "UpstreamSet.h"
 
 /**
@@ -38,6 +39,7 @@
     CustomerLimits_t *limits;
     RetryBudget_t *budget;
     Traces_t *traces;
+    TurnEnd_t *turn_end;
     gboolean stopping;
     gboolean refusing;
     guint open_requests;
--- a/src/EngineHttp.c
+++ b/src/EngineHttp.c
@@ -100,20 +100,12 @@
 }
 
 static gboolean
-read_event(const EngineHead_t *head, const char *id, const char *data,
-           gsize length, EngineToken_t *token, json_t **keep)
+read_in_full(const EngineHead_t *head, const char *data, gsize length,
+             EngineToken_t *token, json_t **keep)
 {
-    memset(token, 0, sizeof(*token));
-    *keep = NULL;
-    if (strcmp(data, "[DONE]") == 0) {
-        token->end = TRUE;
-        return TRUE;
-    }
-    *keep = Json_parse(data, length, NULL);
+    *keep = json_loadb(data, length, 0, NULL);
     const char *stream = Json_text(*keep, "id");
-    if (!stream || strcmp(stream, head->stream) != 0 || !id ||
-        !g_ascii_string_to_unsigned(id, 10, 0, G_MAXUINT32, &token->index,
-                                    NULL)) {
+    if (!stream || strcmp(stream, head->stream) != 0) {
         return FALSE;
     }
     const json_t *choice =
@@ -123,6 +115,100 @@
     return token->text != NULL;
 }
 
+static gboolean
+is_plain(const char *text, gsize length)
+{
+    for (gsize i = 0; i < length; i++) {
+        if ((guchar)text[i] < ' ' || text[i] == '"' || text[i] == '\\') {
+            return FALSE;
+        }
+    }
+    return g_utf8_validate_len(text, length, NULL);
+}
+
+/* A form is true if another text put into it is read as the text. */
+static gboolean
+is_true_form(const EngineHead_t *head, const EngineForm_t *form)
+{
+    static const char mark[] = "another text";
+    GString *data =
+        g_string_new_len(form->prefix->str, (gssize)form->prefix->len);
+    g_string_append(data, mark);
+    g_string_append_len(data, form->suffix->str, (gssize)form->suffix->len);
+    EngineToken_t token = {0};
+    json_t *keep = NULL;
+    gboolean is_true =
+        read_in_full(head, data->str, data->len, &token, &keep) &&
+        strcmp(token.text, mark) == 0 && !token.finish;
+    json_decref(keep);
+    g_string_free(data, TRUE);
+    return is_true;
+}
+
+static void
+learn_form(const EngineHead_t *head, const EngineToken_t *token,
+           const char *data, gsize length, EngineForm_t *form)
+{
+    if (token->finish || !is_plain(token->text, token->length)) {
+        return;
+    }
+    g_autofree char *quoted = g_strdup_printf(":\"%s\"", token->text);
+    const char *found = strstr(data, quoted);
+    if (!found) {
+        return;
+    }
+    const char *text = found + strlen(":\"");
+    const char *behind = text + token->length;
+    g_string_truncate(form->prefix, 0);
+    g_string_append_len(form->prefix, data, (gssize)(text - data));
+    g_string_truncate(form->suffix, 0);
+    g_string_append_len(form->suffix, behind,
+                        (gssize)(data + length - behind));
+    form->known = is_true_form(head, form);
+}
+
+static gboolean
+read_by_form(const EngineForm_t *form, const char *data, gsize length,
+             EngineToken_t *token)
+{
+    gsize around = form->prefix->len + form->suffix->len;
+    if (!form->known || length < around ||
+        memcmp(data, form->prefix->str, form->prefix->len) != 0 ||
+        memcmp(data + length - form->suffix->len, form->suffix->str,
+               form->suffix->len) != 0) {
+        return FALSE;
+    }
+    token->text = data + form->prefix->len;
+    token->length = length - around;
+    return is_plain(token->text, token->length);
+}
+
+static gboolean
+read_event(const EngineHead_t *head, EngineForm_t *form, const char *id,
+           const char *data, gsize length, EngineToken_t *token, json_t **keep)
+{
+    *token = (EngineToken_t){0};
+    *keep = NULL;
+    if (strcmp(data, "[DONE]") == 0) {
+        token->end = TRUE;
+        return TRUE;
+    }
+    if (!id || !g_ascii_string_to_unsigned(id, 10, 0, G_MAXUINT32,
+                                           &token->index, NULL)) {
+        return FALSE;
+    }
+    if (read_by_form(form, data, length, token)) {
+        return TRUE;
+    }
+    if (!read_in_full(head, data, length, token, keep)) {
+        return FALSE;
+    }
+    if (!form->known) {
+        learn_form(head, token, data, length, form);
+    }
+    return TRUE;
+}
+
 static void
 read_refusal(int status, const char *body, gsize length,
              EngineRefusal_t *refusal)
--- a/src/EngineWire.h
+++ b/src/EngineWire.h
@@ -74,6 +74,21 @@
     const char *finish;
 } EngineToken_t;
 
+/**
+ * struct EngineForm_t - what all events of one stream look like
+ * @prefix: bytes before the text
+ * @suffix: bytes behind the text
+ * @known: both were learned, from an event that was read in full
+ *
+ * Events of a stream differ in their text alone, so that most need not be
+ * read as JSON each.
+ */
+typedef struct {
+    GString *prefix;
+    GString *suffix;
+    gboolean known;
+} EngineForm_t;
+
 /**
  * struct EngineRefusal_t - an answer that is not a stream
  * @not_run: the engine says that it did not run
@@ -99,8 +114,8 @@
  * @cancel_path: where a stream is ended
  * @cancel_body: the request to end it, if @attempt was the last to read it
  * @read_head: FALSE where something is missing
- * @read_event: FALSE where it is no event of this stream; @keep gets what
- *     @token points into and is freed with json_decref()
+ * @read_event: FALSE where it is no event of this stream; @form is learned;
+ *     @keep gets what @token points into and is freed with json_decref()
  * @read_refusal: what a status other than 200 means
  */
 typedef struct {
@@ -111,8 +126,8 @@
     const char *cancel_path;
     GBytes *(*cancel_body)(const char *stream, const char *attempt);
     gboolean (*read_head)(struct evkeyvalq *headers, EngineHead_t *head);
-    gboolean (*read_event)(const EngineHead_t *head, const char *id,
-                           const char *data, gsize length,
+    gboolean (*read_event)(const EngineHead_t *head, EngineForm_t *form,
+                           const char *id, const char *data, gsize length,
                            EngineToken_t *token, json_t **keep);
     void (*read_refusal)(int status, const char *body, gsize length,
                          EngineRefusal_t *refusal);
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -351,7 +351,7 @@
     }
     Answer_token(this->answer, token->text, token->length, token->finish,
                  this->first_token + this->tokens);
-    if (Answer_isFull(this->answer)) {
+    if (Answer_isFull(this->answer) && !Attempt_isHeld(this->attempt)) {
         Counters_add(this->context->counters, "streams_held_total", NULL, 1);
         Attempt_hold(this->attempt);
     }
@@ -682,6 +682,7 @@
         .id = spec->id,
         .model = this->target->str,
         .buffer_max = (gsize)context->settings->limits.stream_buffer,
+        .turn_end = context->turn_end,
     };
     this->answer = Answer_create(context->base, &form, &answer_events, this);
     context->open_requests++;
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -29,6 +29,20 @@
                sizeof(on));
 }
 
+void
+Http_flush(struct evhttp_connection *connection)
+{
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    struct evbuffer *output = bufferevent_get_output(stream);
+    /* The bufferevent keeps its output frozen but for its own writes. */
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(stream));
+    evbuffer_freeze(output, 1);
+    if (evbuffer_get_length(output) == 0) {
+        bufferevent_disable(stream, EV_WRITE);
+    }
+}
+
 static void
 HttpCall_destroy(HttpCall_t *this)
 {
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -84,4 +84,12 @@
  */
 void Http_noDelay(struct evhttp_connection *connection);
 
+/**
+ * Http_flush() - write what waits now, rather than once the loop comes by
+ *
+ * It saves each token of a stream two changes of the event set and a turn of
+ * the loop. What the kernel does not take stays and goes out as usual.
+ */
+void Http_flush(struct evhttp_connection *connection);
+
 #endif
--- a/src/Router.c
+++ b/src/Router.c
@@ -20,6 +20,8 @@
 
 #define LOG_RETRY_MS 500
 #define STOP_CHECK_MS 50
+/* Unknown ones as well, so that each is refused with a typed error. */
+#define ALL_METHODS G_MAXUINT16
 
 typedef struct {
     const Settings_t *settings;
@@ -63,6 +65,7 @@
     context->budget =
         RetryBudget_create((guint)settings->limits.retry_percent);
     context->traces = Traces_create();
+    context->turn_end = TurnEnd_create(context->base);
     context->incarnation = (guint64)Clock_wallMs();
 }
 
@@ -129,10 +132,7 @@
     if (!this->callers) {
         return FALSE;
     }
-    evhttp_set_allowed_methods(this->callers,
-                               EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                   EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                   EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH);
+    evhttp_set_allowed_methods(this->callers, ALL_METHODS);
     this->operators =
         listen_on(this, &settings->operator_listen, OperatorApi_handle,
                   &this->operator_port, error);
@@ -208,6 +208,7 @@
     event_base_loop(context->base, EVLOOP_NONBLOCK);
     ConfigLog_destroy(context->config_log);
     Traces_destroy(context->traces);
+    TurnEnd_destroy(context->turn_end);
     RetryBudget_destroy(context->budget);
     CustomerLimits_destroy(context->limits);
     Policy_destroy(context->service_policy);
@@ -231,12 +232,24 @@
     Log_end();
 }
 
+/* The changelist gathers changes of the event set between two waits, so
+ * that those which undo each other never reach the kernel. */
+static struct event_base *
+create_base(void)
+{
+    struct event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    struct event_base *base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
 gboolean
 Router_run(const Settings_t *settings, GError **error)
 {
     Router_t this = {.settings = settings};
     Random_seed((guint32)settings->router.seed);
-    this.context.base = event_base_new();
+    this.context.base = create_base();
     create_parts(&this);
     create_signals(&this);
     create_platform(&this);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -92,9 +92,10 @@
      "Retries may be so many of 100 requests."},
     {"backoff", KEY_DURATION, FALSE, "20ms", 0, HOUR_MS, NULL, L(backoff_ms),
      "Mean wait before the first retry; doubled for each further one."},
-    {"stream_buffer", KEY_SIZE, FALSE, "256KiB", 1024, 1 << 30, NULL,
+    {"stream_buffer", KEY_SIZE, FALSE, "256KiB", 1024, 1 << 28, NULL,
      L(stream_buffer),
-     "Bytes that wait for a slow caller before its upstream is held back."},
+     "Bytes that wait for a slow caller, in the router and as much again in "
+     "the kernel, before its upstream is held back."},
     {"resume_grace", KEY_DURATION, FALSE, "3s", 0, HOUR_MS, NULL,
      L(resume_grace_ms),
      "How long a stream goes on after its caller left, so that the caller "
--- a/src/SseParser.c
+++ b/src/SseParser.c
@@ -1,6 +1,5 @@
 #include "SseParser.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 struct SseParser {
@@ -47,20 +46,20 @@
 
 /* The value of "name: value", or NULL where the line is another field. */
 static const char *
-value_of(const char *line, const char *name)
+value_of(const char *line, gsize length, const char *name, gsize name_length)
 {
-    size_t length = strlen(name);
-    if (strncmp(line, name, length) != 0 || line[length] != ':') {
+    if (length <= name_length || line[name_length] != ':' ||
+        memcmp(line, name, name_length) != 0) {
         return NULL;
     }
-    const char *value = line + length + 1;
-    return *value == ' ' ? value + 1 : value;
+    const char *value = line + name_length + 1;
+    return value < line + length && *value == ' ' ? value + 1 : value;
 }
 
 static void
-take_field(SseParser_t *this, const char *line, size_t length)
+take_field(SseParser_t *this, const char *line, gsize length)
 {
-    const char *value = value_of(line, "data");
+    const char *value = value_of(line, length, "data", strlen("data"));
     if (value) {
         if (this->has_data) {
             g_string_append_c(this->data, '\n');
@@ -70,15 +69,16 @@
         this->has_data = TRUE;
         return;
     }
-    value = value_of(line, "id");
+    value = value_of(line, length, "id", strlen("id"));
     if (value) {
-        g_string_assign(this->id, value);
+        g_string_truncate(this->id, 0);
+        g_string_append_len(this->id, value, (gssize)(line + length - value));
         this->has_id = TRUE;
     }
 }
 
 static gboolean
-take_line(SseParser_t *this, const char *line, size_t length)
+take_line(SseParser_t *this, const char *line, gsize length)
 {
     if (length == 0) {
         return end_event(this);
@@ -87,17 +87,29 @@
     return this->data->len <= SSE_LINE_MAX;
 }
 
+/* Takes whole lines where they lie, without a copy of each. */
+static gsize
+take_lines(SseParser_t *this, const char *data, gsize length, gboolean *go_on)
+{
+    gsize done = 0;
+    const char *end = NULL;
+    while (*go_on && (end = memchr(data + done, '\n', length - done))) {
+        gsize size = (gsize)(end - (data + done));
+        gboolean has_return = size > 0 && end[-1] == '\r';
+        *go_on = take_line(this, data + done, size - (has_return ? 1 : 0));
+        done += size + 1;
+    }
+    return done;
+}
+
 gboolean
 SseParser_feed(SseParser_t *this, struct evbuffer *input)
 {
-    size_t length = 0;
-    char *line = NULL;
-    while ((line = evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF))) {
-        gboolean go_on = take_line(this, line, length);
-        free(line);
-        if (!go_on) {
-            return FALSE;
-        }
+    gboolean go_on = TRUE;
+    gsize length = evbuffer_get_length(input);
+    if (length > 0) {
+        const char *data = (const char *)evbuffer_pullup(input, -1);
+        evbuffer_drain(input, take_lines(this, data, length, &go_on));
     }
-    return evbuffer_get_length(input) <= SSE_LINE_MAX;
+    return go_on && evbuffer_get_length(input) <= SSE_LINE_MAX;
 }
--- a/tests/sessions/test_golden.py
+++ b/tests/sessions/test_golden.py
@@ -22,7 +22,9 @@
             "test_"))
 
     def finish(self, *routers):
+        """Stopped first, so that all of their log lines are there."""
         for router in routers:
+            self.assertEqual(router.stop(), 0)
             self.transcript.logs(router, *EVENTS)
         self.transcript.check(self)
 
@@ -192,7 +194,6 @@
         self.transcript.answer(request(router.port, "GET", "/healthz"))
         stream.read()
         self.assertTrue(stream.whole)
-        self.assertEqual(router.stop(), 0)
         self.finish(router)
 
     def test_plain_service(self):
--- /dev/null
+++ b/tests/test_Limits.c
@@ -0,0 +1,186 @@
+#include "testing.h"
+
+#include "Counters.h"
+#include "CustomerLimits.h"
+#include "Histogram.h"
+#include "RetryBudget.h"
+#include "Trace.h"
+#include "Upstream.h"
+
+static Customer_t
+customer(gint64 rate, gint64 burst, gint64 concurrency)
+{
+    return (Customer_t){
+        .rate = rate, .burst = burst, .concurrency = concurrency};
+}
+
+START_TEST(rate_is_held_over_time)
+{
+    CustomerLimits_t *limits = CustomerLimits_create();
+    Customer_t spec = customer(10, 5, 1000);
+    Refusal_t refusal = REFUSAL_COUNT;
+    guint entered = 0;
+    for (gint64 now = 0; now <= 10000; now += 10) {
+        if (CustomerLimits_enter(limits, "c", &spec, now, &refusal)) {
+            CustomerLimits_leave(limits, "c");
+            entered++;
+        }
+    }
+    ck_assert_int_eq(refusal, REFUSAL_RATE_LIMITED);
+    ck_assert_uint_ge(entered, 104);
+    ck_assert_uint_le(entered, 105);
+    CustomerLimits_destroy(limits);
+}
+END_TEST
+
+START_TEST(open_requests_are_held)
+{
+    CustomerLimits_t *limits = CustomerLimits_create();
+    Customer_t spec = customer(1000, 1000, 2);
+    Refusal_t refusal = REFUSAL_COUNT;
+    ck_assert(CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
+    ck_assert(CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
+    ck_assert(!CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
+    ck_assert_int_eq(refusal, REFUSAL_CONCURRENCY_LIMITED);
+    ck_assert(CustomerLimits_enter(limits, "other", &spec, 0, &refusal));
+    CustomerLimits_leave(limits, "c");
+    ck_assert(CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
+    ck_assert_uint_eq(CustomerLimits_open(limits, "c"), 2);
+    CustomerLimits_destroy(limits);
+}
+END_TEST
+
+START_TEST(retries_are_a_share_of_requests)
+{
+    RetryBudget_t *budget = RetryBudget_create(20);
+    guint retries = 0;
+    for (int i = 0; i < 1000; i++) {
+        RetryBudget_deposit(budget);
+        if (RetryBudget_hasOne(budget)) {
+            RetryBudget_withdraw(budget);
+            retries++;
+        }
+    }
+    ck_assert_uint_ge(retries, 200);
+    ck_assert_uint_le(retries, 210);
+    RetryBudget_destroy(budget);
+    budget = RetryBudget_create(0);
+    RetryBudget_deposit(budget);
+    ck_assert(!RetryBudget_hasOne(budget));
+    RetryBudget_destroy(budget);
+}
+END_TEST
+
+START_TEST(quantiles_are_close)
+{
+    Histogram_t histogram = {{0}, 0, 0};
+    ck_assert_uint_eq(Histogram_quantile(&histogram, 0.5), 0);
+    for (guint64 i = 1; i <= 100000; i++) {
+        Histogram_record(&histogram, i);
+    }
+    guint64 middle = Histogram_quantile(&histogram, 0.5);
+    guint64 late = Histogram_quantile(&histogram, 0.99);
+    ck_assert_uint_ge(middle, 50000);
+    ck_assert_uint_le(middle, 50000 + 50000 / HISTOGRAM_STEPS);
+    ck_assert_uint_ge(late, 99000);
+    ck_assert_uint_le(late, 99000 + 99000 / HISTOGRAM_STEPS);
+    Histogram_record(&histogram, G_MAXUINT64);
+    ck_assert_uint_gt(Histogram_quantile(&histogram, 1.0), 100000);
+}
+END_TEST
+
+static void
+sum_up(const char *name, guint64 value, void *data)
+{
+    (void)name;
+    *(guint64 *)data += value;
+}
+
+START_TEST(counters_are_bounded_and_lose_nothing)
+{
+    Counters_t *counters = Counters_create();
+    for (guint i = 0; i < COUNTERS_MAX * 2; i++) {
+        g_autofree char *labels = g_strdup_printf("n=\"%u\"", i);
+        Counters_add(counters, "many", labels, 1);
+    }
+    guint64 sum = 0;
+    Counters_forEach(counters, "", sum_up, &sum);
+    ck_assert_uint_eq(sum, COUNTERS_MAX * 2);
+    ck_assert_uint_eq(Counters_value(counters, "many", "n=\"0\""), 1);
+    Counters_destroy(counters);
+}
+END_TEST
+
+START_TEST(traces_are_bounded)
+{
+    Traces_t *traces = Traces_create();
+    for (guint i = 0; i < TRACES_KEPT + 1; i++) {
+        g_autofree char *id = g_strdup_printf("r%u", i);
+        Trace_t *trace = Trace_create(id, "c", "m");
+        for (int k = 0; k < TRACE_ATTEMPTS_MAX + 2; k++) {
+            Trace_addAttempt(trace, "e1", "hashed");
+        }
+        Traces_keep(traces, trace);
+    }
+    ck_assert_ptr_null(Traces_find(traces, "r0"));
+    ck_assert_uint_eq(Traces_find(traces, "r1")->attempt_count,
+                      TRACE_ATTEMPTS_MAX);
+    Traces_destroy(traces);
+}
+END_TEST
+
+static Upstream_t *
+create_upstream(void)
+{
+    UpstreamSpec_t spec = {.hall = g_string_new("h"),
+                           .region = g_string_new("r"),
+                           .serves = g_ptr_array_new(),
+                           .slots = 1};
+    Upstream_t *upstream = Upstream_create(NULL, "u", &spec, 0);
+    g_string_free(spec.hall, TRUE);
+    g_string_free(spec.region, TRUE);
+    g_ptr_array_unref(spec.serves);
+    return upstream;
+}
+
+START_TEST(ejected_upstream_returns_by_one_probe)
+{
+    Upstream_t *upstream = create_upstream();
+    ck_assert(!Upstream_noteFailure(upstream, 2, 100, 0));
+    ck_assert(Upstream_isUsable(upstream, 0));
+    ck_assert(Upstream_noteFailure(upstream, 2, 100, 0));
+    ck_assert(!Upstream_isUsable(upstream, 99));
+    ck_assert(Upstream_isUsable(upstream, 100));
+    upstream->probing = TRUE;
+    ck_assert(!Upstream_isUsable(upstream, 100));
+    ck_assert(Upstream_noteFailure(upstream, 2, 100, 100));
+    ck_assert(!Upstream_isUsable(upstream, 299));
+    ck_assert(Upstream_isUsable(upstream, 300));
+    Upstream_noteSuccess(upstream);
+    ck_assert(Upstream_isUsable(upstream, 0));
+    Upstream_unref(upstream);
+}
+END_TEST
+
+START_TEST(leaving_holds_for_its_incarnation_only)
+{
+    Upstream_t *upstream = create_upstream();
+    Upstream_noteIncarnation(upstream, 5, 0);
+    Upstream_noteLeaving(upstream, 4);
+    ck_assert(Upstream_isUsable(upstream, 0));
+    Upstream_noteLeaving(upstream, 5);
+    ck_assert(!Upstream_isUsable(upstream, 0));
+    ck_assert(!Upstream_noteIncarnation(upstream, 4, 0));
+    ck_assert(!Upstream_noteIncarnation(upstream, 5, 0));
+    ck_assert(!Upstream_isUsable(upstream, 0));
+    ck_assert(Upstream_noteIncarnation(upstream, 6, 0));
+    ck_assert(Upstream_isUsable(upstream, 0));
+    Upstream_unref(upstream);
+}
+END_TEST
+
+TESTING_MAIN("Limits", rate_is_held_over_time, open_requests_are_held,
+             retries_are_a_share_of_requests, quantiles_are_close,
+             counters_are_bounded_and_lose_nothing, traces_are_bounded,
+             ejected_upstream_returns_by_one_probe,
+             leaving_holds_for_its_incarnation_only)
--- /dev/null
+++ b/tests/test_Policy.c
@@ -0,0 +1,266 @@
+#include "testing.h"
+
+#include <string.h>
+
+#include "PrefixPolicy.h"
+#include "Residency.h"
+#include "Ring.h"
+
+#define ENGINES 10
+#define PROMPT_TOKENS 2000
+
+static GPtrArray *engines;
+
+static void
+unref_engine(gpointer engine)
+{
+    Upstream_unref(engine);
+}
+
+static GPtrArray *
+create_engines(guint count)
+{
+    GPtrArray *list = g_ptr_array_new_with_free_func(unref_engine);
+    UpstreamSpec_t spec = {.hall = g_string_new("h"),
+                           .region = g_string_new("r"),
+                           .serves = g_ptr_array_new(),
+                           .slots = 100};
+    for (guint i = 0; i < count; i++) {
+        g_autofree char *name = g_strdup_printf("engine-%u", i);
+        Upstream_t *engine = Upstream_create(NULL, name, &spec, 0);
+        engine->incarnation = 1;
+        g_ptr_array_add(list, engine);
+    }
+    g_string_free(spec.hall, TRUE);
+    g_string_free(spec.region, TRUE);
+    g_ptr_array_unref(spec.serves);
+    return list;
+}
+
+static Placement_t
+placement(guint64 history)
+{
+    return (Placement_t){.target = "m",
+                         .serving = engines,
+                         .generation = 1,
+                         .level_count = 2,
+                         .levels = {77, history},
+                         .level_tokens = {500, 1900},
+                         .prompt_tokens = PROMPT_TOKENS,
+                         .hall = "h",
+                         .region = "r",
+                         .now_ms = 1000};
+}
+
+static Upstream_t *
+engine_at(guint i)
+{
+    return g_ptr_array_index(engines, i);
+}
+
+START_TEST(round_robin_takes_each_in_turn)
+{
+    engines = create_engines(3);
+    Policy_t *policy = Policy_create(POLICY_ROUND_ROBIN);
+    Placement_t request = placement(1);
+    Upstream_t *first = Policy_choose(policy, &request).upstream;
+    Upstream_t *second = Policy_choose(policy, &request).upstream;
+    ck_assert_ptr_ne(first, second);
+    Policy_choose(policy, &request);
+    ck_assert_ptr_eq(Policy_choose(policy, &request).upstream, first);
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(least_loaded_takes_the_least_loaded)
+{
+    engines = create_engines(3);
+    Policy_t *policy = Policy_create(POLICY_LEAST_LOADED);
+    Placement_t request = placement(1);
+    engine_at(0)->in_flight = 2;
+    engine_at(1)->reported_running = 1;
+    engine_at(2)->in_flight = 3;
+    ck_assert_ptr_eq(Policy_choose(policy, &request).upstream, engine_at(1));
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(every_policy_leaves_out_the_unusable)
+{
+    for (int name = POLICY_PREFIX; name <= POLICY_ROUND_ROBIN; name++) {
+        engines = create_engines(4);
+        Policy_t *policy = Policy_create((PolicyName_t)name);
+        engine_at(0)->leaving = TRUE;
+        engine_at(1)->in_flight = 100;
+        engine_at(2)->ejections = 1;
+        engine_at(2)->ejected_until_ms = 5000;
+        for (guint64 i = 0; i < 50; i++) {
+            Placement_t request = placement(i);
+            ck_assert_ptr_eq(Policy_choose(policy, &request).upstream,
+                             engine_at(3));
+        }
+        engine_at(3)->removed = TRUE;
+        Placement_t request = placement(0);
+        ck_assert_ptr_eq(Policy_choose(policy, &request).upstream,
+                         engine_at(2));
+        engine_at(2)->leaving = TRUE;
+        ck_assert_ptr_null(Policy_choose(policy, &request).upstream);
+        Policy_destroy(policy);
+        g_ptr_array_unref(engines);
+    }
+}
+END_TEST
+
+START_TEST(two_routers_agree_on_a_cold_prefix)
+{
+    engines = create_engines(ENGINES);
+    Policy_t *one = Policy_create(POLICY_PREFIX);
+    Policy_t *two = Policy_create(POLICY_PREFIX);
+    for (guint64 history = 1; history < 100; history++) {
+        Placement_t request = placement(history * 1000003);
+        ck_assert_ptr_eq(Policy_choose(one, &request).upstream,
+                         Policy_choose(two, &request).upstream);
+    }
+    Policy_destroy(one);
+    Policy_destroy(two);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(holder_is_kept_until_its_wait_costs_more)
+{
+    engines = create_engines(ENGINES);
+    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Placement_t request = placement(5);
+    Upstream_t *holder = engine_at(7);
+    Policy_learn(policy, &request, holder, 0, 0);
+    Choice_t choice = Policy_choose(policy, &request);
+    ck_assert_ptr_eq(choice.upstream, holder);
+    ck_assert_uint_eq(choice.expected_cached, 1900);
+    holder->pending_tokens = PROMPT_TOKENS / 2;
+    ck_assert_ptr_eq(Policy_choose(policy, &request).upstream, holder);
+    holder->pending_tokens = PROMPT_TOKENS * 2;
+    ck_assert_ptr_ne(Policy_choose(policy, &request).upstream, holder);
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(restarted_engine_holds_nothing)
+{
+    engines = create_engines(ENGINES);
+    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Placement_t request = placement(5);
+    Policy_learn(policy, &request, engine_at(7), 0, 0);
+    Upstream_noteIncarnation(engine_at(7), 2, 1000);
+    ck_assert_uint_eq(Policy_choose(policy, &request).expected_cached, 0);
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(evicting_engine_is_trusted_for_less_time)
+{
+    engines = create_engines(ENGINES);
+    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Placement_t request = placement(5);
+    Policy_learn(policy, &request, engine_at(7), 0, 0);
+    for (int i = 0; i < 12; i++) {
+        request.now_ms += 3000;
+        Policy_learn(policy, &request, engine_at(7), 1900, 0);
+    }
+    request.now_ms += 4000;
+    ck_assert_uint_eq(Policy_choose(policy, &request).expected_cached, 0);
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(residency_is_bounded_and_forgets_the_oldest)
+{
+    engines = create_engines(ENGINES);
+    Residency_t *table = Residency_create(100);
+    for (guint64 prefix = 0; prefix < 1000; prefix++) {
+        Residency_note(table, prefix, engine_at(0), 1);
+    }
+    guint count = 0;
+    ck_assert_uint_eq(Residency_size(table), 100);
+    Residency_holders(table, 0, &count);
+    ck_assert_uint_eq(count, 0);
+    for (guint i = 0; i < ENGINES; i++) {
+        Residency_note(table, 999, engine_at(i), i);
+    }
+    Residency_holders(table, 999, &count);
+    ck_assert_uint_eq(count, RESIDENCY_HOLDERS);
+    Residency_forget(table, 999, engine_at(ENGINES - 1));
+    Residency_holders(table, 999, &count);
+    ck_assert_uint_eq(count, RESIDENCY_HOLDERS - 1);
+    Residency_destroy(table);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+static gboolean
+take_first(Upstream_t *upstream, void *data)
+{
+    *(Upstream_t **)data = upstream;
+    return FALSE;
+}
+
+START_TEST(ring_moves_only_the_keys_of_what_left)
+{
+    engines = create_engines(ENGINES);
+    Ring_t *all = Ring_create(engines, NULL);
+    Upstream_t *gone = engine_at(3);
+    GPtrArray *rest = g_ptr_array_new();
+    for (guint i = 0; i < ENGINES; i++) {
+        if (engine_at(i) != gone) {
+            g_ptr_array_add(rest, engine_at(i));
+        }
+    }
+    Ring_t *fewer = Ring_create(rest, NULL);
+    guint shares[ENGINES] = {0};
+    for (guint64 key = 0; key < 10000; key++) {
+        Upstream_t *before = NULL;
+        Upstream_t *after = NULL;
+        guint64 place = key * 0x9e3779b97f4a7c15U;
+        Ring_walk(all, place, 1, take_first, &before);
+        Ring_walk(fewer, place, 1, take_first, &after);
+        ck_assert(before == gone || before == after);
+        guint index = 0;
+        ck_assert(g_ptr_array_find(engines, before, &index));
+        shares[index]++;
+    }
+    for (guint i = 0; i < ENGINES; i++) {
+        ck_assert_uint_gt(shares[i], 400);
+    }
+    Ring_destroy(all);
+    Ring_destroy(fewer);
+    g_ptr_array_unref(rest);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(empty_ring_and_empty_set_choose_nothing)
+{
+    engines = create_engines(0);
+    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Placement_t request = placement(1);
+    ck_assert_ptr_null(Policy_choose(policy, &request).upstream);
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+TESTING_MAIN("Policy", round_robin_takes_each_in_turn,
+             least_loaded_takes_the_least_loaded,
+             every_policy_leaves_out_the_unusable,
+             two_routers_agree_on_a_cold_prefix,
+             holder_is_kept_until_its_wait_costs_more,
+             restarted_engine_holds_nothing,
+             evicting_engine_is_trusted_for_less_time,
+             residency_is_bounded_and_forgets_the_oldest,
+             ring_moves_only_the_keys_of_what_left,
+             empty_ring_and_empty_set_choose_nothing)
--- /dev/null
+++ b/tests/test_Settings.c
@@ -0,0 +1,194 @@
+#include "testing.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "Declarations.h"
+#include "Problem.h"
+#include "Settings.h"
+
+#define KEY "1111111111111111111111111111111111111111111111111111111111111111"
+#define GOOD                                                                  \
+    "[router]\nname = r1\nhall = h\nregion = r\nlisten = 127.0.0.1:80\n"      \
+    "operator_listen = 127.0.0.1:81\n[keys]\nseal = " KEY "\nsalt = " KEY     \
+    "\noperator_hash = " KEY "\n[platform]\nlog = 127.0.0.1:82\n"             \
+    "instances = 127.0.0.1:83\n"
+
+static char *
+write_file(const char *text)
+{
+    char *path = NULL;
+    gint fd = g_file_open_tmp("wt-test-XXXXXX.ini", &path, NULL);
+    ck_assert_int_ge(fd, 0);
+    g_close(fd, NULL);
+    ck_assert(g_file_set_contents(path, text, -1, NULL));
+    return path;
+}
+
+static GPtrArray *
+problems_of(const char *text)
+{
+    GPtrArray *problems = Problems_create();
+    char *path = write_file(text);
+    Settings_t *settings = Settings_create(path, problems);
+    ck_assert_int_eq(settings == NULL, problems->len > 0);
+    if (settings) {
+        Settings_destroy(settings);
+    }
+    g_unlink(path);
+    g_free(path);
+    return problems;
+}
+
+static void
+assert_problem(const char *text, ProblemKind_t kind, guint line,
+               const char *section, const char *key)
+{
+    g_autoptr(GPtrArray) problems = problems_of(text);
+    ck_assert_uint_eq(problems->len, 1);
+    const Problem_t *problem = g_ptr_array_index(problems, 0);
+    ck_assert_str_eq(Problem_kindName(problem->kind), Problem_kindName(kind));
+    ck_assert_uint_eq(problem->line, line);
+    ck_assert_str_eq(problem->section->str, section);
+    ck_assert_str_eq(problem->key->str, key);
+}
+
+START_TEST(good_settings_have_values_and_defaults)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    char *path = write_file(GOOD "[limits]\nbackoff = 2s\nmax_body = 8KiB\n");
+    Settings_t *settings = Settings_create(path, problems);
+    ck_assert_ptr_nonnull(settings);
+    ck_assert_str_eq(settings->router.name->str, "r1");
+    ck_assert_uint_eq(settings->router.listen.port, 80);
+    ck_assert_int_eq(settings->limits.backoff_ms, 2000);
+    ck_assert_int_eq(settings->limits.max_body, 8192);
+    ck_assert_int_eq(settings->limits.max_attempts, 4);
+    ck_assert_uint_eq(g_bytes_get_size(settings->keys.seal), 32);
+    Settings_destroy(settings);
+    g_unlink(path);
+    g_free(path);
+}
+END_TEST
+
+START_TEST(each_fault_has_its_type_and_place)
+{
+    assert_problem(GOOD "[limits]\nfoo = 1\n", PROBLEM_UNKNOWN_KEY, 15,
+                   "limits", "foo");
+    assert_problem(GOOD "[limits]\nbackoff = soon\n", PROBLEM_BAD_VALUE, 15,
+                   "limits", "backoff");
+    assert_problem(GOOD "[limits]\nbackoff = 5 parsecs\n", PROBLEM_BAD_UNIT,
+                   15, "limits", "backoff");
+    assert_problem(GOOD "[limits]\nmax_body = 1B\n", PROBLEM_OUT_OF_RANGE, 15,
+                   "limits", "max_body");
+    assert_problem(GOOD "[limits]\nbackoff = 1s\nbackoff = 2s\n",
+                   PROBLEM_DUPLICATE_KEY, 16, "limits", "backoff");
+    assert_problem(GOOD "[limits]\nbackoff = 1s\n[limits]\n",
+                   PROBLEM_DUPLICATE_SECTION, 16, "limits", "");
+    assert_problem(GOOD "[nonsense]\n", PROBLEM_UNKNOWN_SECTION, 14,
+                   "nonsense", "");
+    assert_problem(GOOD "[limits]\nnonsense\n", PROBLEM_SYNTAX, 15, "limits",
+                   "");
+}
+END_TEST
+
+START_TEST(missing_key_and_bad_address_are_told)
+{
+    GString *text = g_string_new(GOOD);
+    g_string_erase(text, (gssize)(strstr(text->str, "name") - text->str),
+                   (gssize)strlen("name = r1\n"));
+    assert_problem(text->str, PROBLEM_MISSING_KEY, 1, "router", "name");
+    g_string_assign(text, GOOD);
+    char *port = strstr(text->str, "127.0.0.1:80");
+    memcpy(port, "127.0.0.x:80", strlen("127.0.0.x:80"));
+    assert_problem(text->str, PROBLEM_BAD_VALUE, 5, "router", "listen");
+    g_string_free(text, TRUE);
+}
+END_TEST
+
+START_TEST(all_faults_are_told_at_once)
+{
+    g_autoptr(GPtrArray) problems =
+        problems_of(GOOD "[limits]\nfoo = 1\nbackoff = x\n[bar]\n");
+    ck_assert_uint_eq(problems->len, 3);
+}
+END_TEST
+
+START_TEST(unreadable_file_is_told)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    ck_assert_ptr_null(Settings_create("/nonexistent/x.ini", problems));
+    ck_assert_uint_eq(problems->len, 1);
+    const Problem_t *problem = g_ptr_array_index(problems, 0);
+    ck_assert_int_eq((int)problem->kind, PROBLEM_UNREADABLE);
+}
+END_TEST
+
+static GPtrArray *
+load(const char *text, GPtrArray *problems)
+{
+    char *path = write_file(text);
+    char *paths[] = {path, NULL};
+    GPtrArray *objects = Declarations_load(paths, problems);
+    g_unlink(path);
+    g_free(path);
+    return objects;
+}
+
+START_TEST(declarations_come_in_the_order_of_their_kinds)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    g_autoptr(GPtrArray) objects =
+        load("[upstream u]\naddress = 127.0.0.1:1\nhall = h\nregion = r\n"
+             "serves = m\n[model m]\nweights = v1\n; a comment\n",
+             problems);
+    ck_assert_uint_eq(problems->len, 0);
+    ck_assert_uint_eq(objects->len, 2);
+    const Object_t *first = g_ptr_array_index(objects, 0);
+    ck_assert_str_eq(first->name->str, "m");
+}
+END_TEST
+
+START_TEST(declarations_that_point_to_nothing_are_told)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    g_autoptr(GPtrArray) objects =
+        load("[adapter a]\nmodel = m\nweights = v1\n", problems);
+    ck_assert_uint_eq(problems->len, 1);
+    const Problem_t *problem = g_ptr_array_index(problems, 0);
+    ck_assert_int_eq((int)problem->kind, PROBLEM_BAD_REFERENCE);
+    ck_assert_uint_eq(objects->len, 1);
+}
+END_TEST
+
+START_TEST(declarations_with_bad_heads_and_times_are_told)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    g_autoptr(GPtrArray) objects =
+        load("[model]\nweights = v1\n[gadget g]\n[model b@d]\nweights = v1\n"
+             "[stop-plan p]\nupstream = u\nby = tomorrow\n",
+             problems);
+    ck_assert_uint_eq(objects->len, 0);
+    ck_assert_uint_eq(problems->len, 4);
+}
+END_TEST
+
+START_TEST(reference_names_every_section)
+{
+    GString *text = g_string_new(NULL);
+    Settings_reference(text);
+    Declarations_reference(text);
+    ck_assert_ptr_nonnull(strstr(text->str, "## [limits]"));
+    ck_assert_ptr_nonnull(strstr(text->str, "| `weights` | name |"));
+    g_string_free(text, TRUE);
+}
+END_TEST
+
+TESTING_MAIN("Settings", good_settings_have_values_and_defaults,
+             each_fault_has_its_type_and_place,
+             missing_key_and_bad_address_are_told, all_faults_are_told_at_once,
+             unreadable_file_is_told,
+             declarations_come_in_the_order_of_their_kinds,
+             declarations_that_point_to_nothing_are_told,
+             declarations_with_bad_heads_and_times_are_told,
+             reference_names_every_section)
