--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	standins/*.[ch] bench/*.[ch] tests/*.[ch]))
 
 .PHONY: demo test install format lint bench generate packages build \
-	build-asan reference
+	build-asan reference slopes
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
@@ -53,5 +53,8 @@
 generate:
 	cd proto && protoc-c --c_out=../src *.proto
 
+slopes: build
+	@build/wt-slopes
+
 reference: build
 	build/wheattiller reference > docs/REFERENCE.md
--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,273 @@
+/**
+ * DOC: slopes
+ *
+ * Measures what each unit of state and each decision costs, for
+ * docs/CAPACITY.md: memory by the allocator's own count, processor time by
+ * the process's clock.
+ */
+#include <malloc.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "ConfigStore.h"
+#include "CustomerLimits.h"
+#include "Policy.h"
+#include "Random.h"
+#include "Residency.h"
+#include "Salt.h"
+#include "Trace.h"
+#include "UpstreamSet.h"
+
+#define CUSTOMERS 14000
+#define PREFIXES 65536
+#define DECISIONS 20000
+#define PARSES 2000
+#define HALLS 27
+#define REGIONS 12
+
+static double
+cpu_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
+}
+
+static size_t
+memory(void)
+{
+    struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+static void
+report(const char *what, double value, const char *unit)
+{
+    printf("%-58s %10.2f %s\n", what, value, unit);
+}
+
+static void
+fold(ConfigStore_t *store, guint64 offset, const char *kind, const char *name,
+     const char *const *pairs)
+{
+    Wt__Field fields[8];
+    Wt__Field *list[8];
+    Wt__Change change = WT__CHANGE__INIT;
+    Wt__Change *changes[] = {&change};
+    Wt__ConfigRecord record = WT__CONFIG_RECORD__INIT;
+    for (guint i = 0; pairs[2 * i]; i++) {
+        wt__field__init(&fields[i]);
+        fields[i].key = (char *)pairs[2 * i];
+        fields[i].value = (char *)pairs[2 * i + 1];
+        list[i] = &fields[i];
+        change.n_fields = i + 1;
+    }
+    change.fields = list;
+    change.kind = (char *)kind;
+    change.name = (char *)name;
+    record.command_id.data = (guint8 *)&offset;
+    record.command_id.len = sizeof(offset);
+    record.n_changes = 1;
+    record.changes = changes;
+    gsize size = wt__config_record__get_packed_size(&record);
+    guint8 *bytes = g_malloc(size);
+    wt__config_record__pack(&record, bytes);
+    GBytes *packed = g_bytes_new_take(bytes, size);
+    ConfigStore_fold(store, offset, packed);
+    g_bytes_unref(packed);
+}
+
+static void
+measure_customers(void)
+{
+    ConfigStore_t *store = ConfigStore_create(NULL, NULL);
+    size_t before = memory();
+    double began = cpu_us();
+    for (guint64 i = 0; i < CUSTOMERS; i++) {
+        g_autofree char *name = g_strdup_printf("customer-%u", (guint)i);
+        g_autofree char *hash = g_strdup_printf("%064x", (guint)i);
+        const char *pairs[] = {"key_hash", hash,           "rate",
+                               "100",      "max_priority", "high",
+                               "class",    "standard",     NULL};
+        fold(store, i, "customer", name, pairs);
+    }
+    report("a declared customer", (double)(memory() - before) / CUSTOMERS,
+           "bytes");
+    report("folding one configuration change", (cpu_us() - began) / CUSTOMERS,
+           "us");
+    guint8 digest[16];
+    began = cpu_us();
+    ConfigStore_digest(store, digest);
+    report("digest over 14,000 customers", (cpu_us() - began) / 1000, "ms");
+    ConfigStore_destroy(store);
+}
+
+static void
+measure_usage(void)
+{
+    CustomerLimits_t *limits = CustomerLimits_create();
+    Customer_t spec = {.rate = 100, .burst = 100, .concurrency = 100};
+    Refusal_t refusal = REFUSAL_COUNT;
+    size_t before = memory();
+    double began = cpu_us();
+    for (guint i = 0; i < CUSTOMERS; i++) {
+        g_autofree char *name = g_strdup_printf("customer-%u", i);
+        CustomerLimits_enter(limits, name, &spec, 0, &refusal);
+    }
+    report("usage of an active customer",
+           (double)(memory() - before) / CUSTOMERS, "bytes");
+    report("admitting one request", (cpu_us() - began) / CUSTOMERS, "us");
+    CustomerLimits_destroy(limits);
+}
+
+static GPtrArray *
+create_upstreams(guint count)
+{
+    GPtrArray *list = g_ptr_array_new();
+    for (guint i = 0; i < count; i++) {
+        g_autofree char *name = g_strdup_printf("engine-%u", i);
+        UpstreamSpec_t spec = {.hall = g_string_new(NULL),
+                               .region = g_string_new(NULL),
+                               .serves = g_ptr_array_new(),
+                               .slots = 100};
+        g_string_printf(spec.hall, "hall-%u", i % HALLS);
+        g_string_printf(spec.region, "region-%u", i % HALLS % REGIONS);
+        g_ptr_array_add(list, Upstream_create(NULL, name, &spec, 0));
+        g_string_free(spec.hall, TRUE);
+        g_string_free(spec.region, TRUE);
+        g_ptr_array_unref(spec.serves);
+    }
+    return list;
+}
+
+static Placement_t
+placement(const GPtrArray *upstreams, guint64 request)
+{
+    guint64 history = (request % 5000) * 0x9e3779b97f4a7c15U;
+    return (Placement_t){.target = "m",
+                         .serving = upstreams,
+                         .generation = 1,
+                         .level_count = 2,
+                         .levels = {history & 0xff, history},
+                         .level_tokens = {1500, 5500},
+                         .prompt_tokens = 5560,
+                         .hall = "hall-0",
+                         .region = "region-0",
+                         .now_ms = 1000};
+}
+
+static void
+measure_decisions(guint count)
+{
+    size_t before = memory();
+    GPtrArray *upstreams = create_upstreams(count);
+    double each = (double)(memory() - before) / count;
+    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    double began = cpu_us();
+    Placement_t first = placement(upstreams, 0);
+    Policy_choose(policy, &first);
+    double ring = cpu_us() - began;
+    began = cpu_us();
+    for (guint64 i = 0; i < DECISIONS; i++) {
+        Placement_t request = placement(upstreams, i);
+        Choice_t choice = Policy_choose(policy, &request);
+        Policy_learn(policy, &request, choice.upstream, 0, 0);
+    }
+    g_autofree char *what =
+        g_strdup_printf("a decision among %u upstreams, with learning", count);
+    report(what, (cpu_us() - began) / DECISIONS, "us");
+    g_autofree char *rings = g_strdup_printf("rings of %u upstreams", count);
+    report(rings, ring / 1000, "ms");
+    report("an upstream", each, "bytes");
+    Policy_destroy(policy);
+    for (guint i = 0; i < count; i++) {
+        Upstream_unref(g_ptr_array_index(upstreams, i));
+    }
+    g_ptr_array_unref(upstreams);
+}
+
+static void
+measure_prefixes(void)
+{
+    GPtrArray *upstreams = create_upstreams(1);
+    Residency_t *table = Residency_create(PREFIXES);
+    size_t before = memory();
+    for (guint64 i = 0; i < PREFIXES; i++) {
+        Residency_note(table, i, g_ptr_array_index(upstreams, 0), 1);
+    }
+    report("a remembered prefix", (double)(memory() - before) / PREFIXES,
+           "bytes");
+    Residency_destroy(table);
+    Upstream_unref(g_ptr_array_index(upstreams, 0));
+    g_ptr_array_unref(upstreams);
+}
+
+static void
+measure_prompts(void)
+{
+    GString *text = g_string_new("{\"model\":\"m\",\"messages\":["
+                                 "{\"role\":\"system\",\"content\":\"");
+    for (guint i = 0; i < 6000; i++) {
+        g_string_append_c(text, 'x');
+    }
+    g_string_append(text, "\"},{\"role\":\"user\",\"content\":\"");
+    for (guint i = 0; i < 16000; i++) {
+        g_string_append_c(text, 'y');
+    }
+    g_string_append(text, "\"},{\"role\":\"user\",\"content\":\"z\"}]}");
+    gboolean bad_json = FALSE;
+    double began = cpu_us();
+    for (guint i = 0; i < PARSES; i++) {
+        Prompt_destroy(
+            Prompt_create(TRUE, text->str, text->len, &bad_json, NULL));
+    }
+    report("reading a prompt of 22 KB", (cpu_us() - began) / PARSES, "us");
+    guint8 key[32] = {0};
+    GBytes *bytes = g_bytes_new(key, sizeof(key));
+    SaltInput_t input = {"customer", "model", "v1", "", ""};
+    char salt[SALT_LENGTH + 1];
+    began = cpu_us();
+    for (guint i = 0; i < PARSES; i++) {
+        Salt_make(&input, bytes, salt);
+    }
+    report("making a cache salt", (cpu_us() - began) / PARSES, "us");
+    g_bytes_unref(bytes);
+    g_string_free(text, TRUE);
+}
+
+static void
+measure_traces(void)
+{
+    Traces_t *traces = Traces_create();
+    size_t before = memory();
+    for (guint i = 0; i < TRACES_KEPT; i++) {
+        Trace_t *trace =
+            Trace_create("0123456789abcdef0123456789abcdef", "customer", "m");
+        Trace_addAttempt(trace, "engine-1", "holder");
+        Traces_keep(traces, trace);
+    }
+    report("the trace of an ended request",
+           (double)(memory() - before) / TRACES_KEPT, "bytes");
+    Traces_destroy(traces);
+}
+
+int
+main(void)
+{
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    Random_seed(1);
+    measure_customers();
+    measure_usage();
+    measure_decisions(10);
+    measure_decisions(100);
+    measure_decisions(1000);
+    measure_decisions(12000);
+    measure_prefixes();
+    measure_prompts();
+    measure_traces();
+    return 0;
+}
--- a/src/ConfigStore.c
+++ b/src/ConfigStore.c
@@ -11,6 +11,7 @@
     GHashTable *outcomes;                   /* command id -> outcome */
     GQueue outcome_order;                   /* command ids, oldest first */
     guint64 fold_offset;
+    guint64 kind_revisions[OBJECT_KIND_COUNT];
     ConfigChanged_t changed;
     void *data;
 };
@@ -132,6 +133,7 @@
 {
     ObjectKind_t kind = OBJECT_PRIORITY;
     Declarations_parseKind(change->kind, &kind);
+    this->kind_revisions[kind] = revision;
     Object_t *old = g_hash_table_lookup(this->objects[kind], change->name);
     if (old && kind == OBJECT_CUSTOMER) {
         forget_customer(this, old);
@@ -220,6 +222,12 @@
     return this->fold_offset;
 }
 
+guint64
+ConfigStore_kindRevision(const ConfigStore_t *this, ObjectKind_t kind)
+{
+    return this->kind_revisions[kind];
+}
+
 static gint
 compare_names(gconstpointer a, gconstpointer b)
 {
--- a/src/ConfigStore.h
+++ b/src/ConfigStore.h
@@ -62,6 +62,9 @@
  */
 guint64 ConfigStore_foldOffset(const ConfigStore_t *this);
 
+/** ConfigStore_kindRevision() - of the last change of any object of a kind */
+guint64 ConfigStore_kindRevision(const ConfigStore_t *this, ObjectKind_t kind);
+
 /**
  * ConfigStore_digest() - hash over all objects and their revisions
  * @out: 16 bytes
--- a/src/PrefixPolicy.c
+++ b/src/PrefixPolicy.c
@@ -32,10 +32,10 @@
     const char *reason;
 } Candidate_t;
 
+/* The ring of all regions is made only where the router's own has none. */
 typedef struct {
     Ring_t *region;
     Ring_t *all;
-    guint64 generation;
 } Rings_t;
 
 /* What was learned of one engine's cache. */
@@ -64,7 +64,9 @@
 {
     Rings_t *rings = data;
     Ring_destroy(rings->region);
-    Ring_destroy(rings->all);
+    if (rings->all) {
+        Ring_destroy(rings->all);
+    }
     g_free(rings);
 }
 
@@ -72,13 +74,11 @@
 rings_of(PrefixPolicy_t *this, const Placement_t *placement)
 {
     Rings_t *rings = g_hash_table_lookup(this->rings, placement->target);
-    if (rings && rings->generation == placement->generation) {
+    if (rings) {
         return rings;
     }
     rings = g_new0(Rings_t, 1);
     rings->region = Ring_create(placement->serving, placement->region);
-    rings->all = Ring_create(placement->serving, NULL);
-    rings->generation = placement->generation;
     g_hash_table_replace(this->rings, g_strdup(placement->target), rings);
     for (guint i = 0; i < placement->serving->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
@@ -178,7 +178,7 @@
 }
 
 static void
-add_hashed(const Rings_t *rings, Weighing_t *weighing)
+add_hashed(Rings_t *rings, Weighing_t *weighing)
 {
     const Placement_t *placement = weighing->placement;
     if (placement->level_count == 0) {
@@ -189,6 +189,9 @@
     Ring_walk(rings->region, placement->levels[level], RING_POINTS_MAX,
               on_ring, weighing);
     if (weighing->count == 0) {
+        if (!rings->all) {
+            rings->all = Ring_create(placement->serving, NULL);
+        }
         Ring_walk(rings->all, placement->levels[level], RING_POINTS_MAX,
                   on_ring, weighing);
     }
@@ -272,7 +275,7 @@
     PrefixPolicy_t *this = (PrefixPolicy_t *)super;
     Weighing_t weighing = {.placement = placement};
     follow_generation(this, placement);
-    const Rings_t *rings = rings_of(this, placement);
+    Rings_t *rings = rings_of(this, placement);
     add_holders(this, &weighing);
     add_hashed(rings, &weighing);
     add_by_chance(&weighing);
--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -6,6 +6,7 @@
     struct event_base *base;
     guint idle_max;
     guint64 generation;
+    guint64 revision;    /* of the declarations that were taken */
     GHashTable *by_name; /* name -> Upstream_t, one reference each */
     GPtrArray *all;
     GHashTable *serving; /* "role/target" -> GPtrArray of Upstream_t */
@@ -125,6 +126,11 @@
 void
 UpstreamSet_follow(UpstreamSet_t *this, const ConfigStore_t *config)
 {
+    guint64 revision = ConfigStore_kindRevision(config, OBJECT_UPSTREAM);
+    if (revision == this->revision) {
+        return;
+    }
+    this->revision = revision;
     this->generation++;
     g_ptr_array_set_size(this->all, 0);
     g_hash_table_remove_all(this->serving);
--- a/src/UpstreamSet.h
+++ b/src/UpstreamSet.h
@@ -24,7 +24,7 @@
 /** UpstreamSet_destroy() - drop its references */
 void UpstreamSet_destroy(UpstreamSet_t *this);
 
-/** UpstreamSet_follow() - take the declarations in force */
+/** UpstreamSet_follow() - take the declarations in force, if they changed */
 void UpstreamSet_follow(UpstreamSet_t *this, const ConfigStore_t *config);
 
 /** UpstreamSet_find() - by name, or NULL */
@@ -42,7 +42,7 @@
 /** UpstreamSet_all() - Upstream_t * by name, owned by the set */
 const GPtrArray *UpstreamSet_all(const UpstreamSet_t *this);
 
-/** UpstreamSet_generation() - grows with each UpstreamSet_follow() */
+/** UpstreamSet_generation() - grows with each change of the upstreams */
 guint64 UpstreamSet_generation(const UpstreamSet_t *this);
 
 #endif
