--- a/Makefile
+++ b/Makefile
@@ -41,8 +41,8 @@
 	clang-format --dry-run -Werror $(HAND_WRITTEN)
 	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 		--enable=warning,performance,portability \
-		--suppress=missingIncludeSystem -i src/config.pb-c.c \
-		-i src/operator.pb-c.c src standins bench
+		--suppress=missingIncludeSystem $(addprefix -i ,$(wildcard src/*.pb-c.c)) \
+		src standins bench
 	@ls src/*.c standins/*.c bench/*.c | grep -v pb-c | \
 		xargs -P 8 -n 4 clang-tidy --quiet -p build
 
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -57,7 +57,7 @@
     Wt__Change change = WT__CHANGE__INIT;
     Wt__Change *changes[] = {&change};
     Wt__ConfigRecord record = WT__CONFIG_RECORD__INIT;
-    for (guint i = 0; pairs[2 * i]; i++) {
+    for (gsize i = 0; pairs[2 * i]; i++) {
         wt__field__init(&fields[i]);
         fields[i].key = (char *)pairs[2 * i];
         fields[i].value = (char *)pairs[2 * i + 1];
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -290,7 +290,7 @@
     if (call->context->stopping) {
         refuse(call, REFUSAL_STOPPING, NULL);
     }
-    else if (ConfigStore_foldOffset(call->context->config) == 0) {
+    else if (!ConfigStore_isUsable(call->context->config)) {
         refuse(call, REFUSAL_NOT_CONFIGURED, NULL);
     }
     else {
@@ -343,7 +343,7 @@
         refuse(call, REFUSAL_STOPPING, NULL);
         return FALSE;
     }
-    if (ConfigStore_foldOffset(call->context->config) == 0) {
+    if (!ConfigStore_isUsable(call->context->config)) {
         refuse(call, REFUSAL_NOT_CONFIGURED, NULL);
         return FALSE;
     }
--- a/src/ConfigLog.c
+++ b/src/ConfigLog.c
@@ -14,6 +14,12 @@
     GPtrArray *waiting; /* Command_t, not yet folded */
     gboolean reachable;
     gboolean went_back;
+    gboolean reading;
+    gboolean read_open;
+    GPtrArray *expired;    /* records read while a snapshot is looked for */
+    guint64 expired_first; /* offset of the first of them */
+    ConfigLogFolded_t folded;
+    void *folded_data;
 };
 
 typedef struct {
@@ -102,12 +108,98 @@
     this->went_back = back;
 }
 
+static void
+fold_one(ConfigLog_t *this, guint64 offset, GBytes *record)
+{
+    if (offset < ConfigStore_foldOffset(this->store)) {
+        return;
+    }
+    ConfigStore_fold(this->store, offset, record);
+    if (this->folded) {
+        this->folded(offset, record, this->folded_data);
+    }
+}
+
+static Wt__ConfigRecord *
+unpack(GBytes *record)
+{
+    gsize size = 0;
+    const guint8 *bytes = g_bytes_get_data(record, &size);
+    return wt__config_record__unpack(NULL, size, bytes);
+}
+
+/* A snapshot is of use only if all that follows it is still there. */
+static gboolean
+load_snapshot(ConfigLog_t *this, GBytes *record)
+{
+    Wt__ConfigRecord *message = unpack(record);
+    gboolean loaded = message && message->snapshot &&
+                      message->snapshot->fold_offset >= this->expired_first &&
+                      ConfigStore_load(this->store, message->snapshot);
+    if (message) {
+        wt__config_record__free_unpacked(message, NULL);
+    }
+    return loaded;
+}
+
+static void
+end_search(ConfigLog_t *this)
+{
+    for (guint i = 0; i < this->expired->len; i++) {
+        fold_one(this, this->expired_first + i,
+                 g_ptr_array_index(this->expired, i));
+    }
+    g_clear_pointer(&this->expired, g_ptr_array_unref);
+    Log_begin(LOG_LEVEL_INFO, "snapshot_loaded");
+    Log_number("fold_offset", (gint64)ConfigStore_foldOffset(this->store));
+    Log_end();
+}
+
+static void
+search_snapshot(ConfigLog_t *this, const LogRecords_t *records)
+{
+    gboolean loaded =
+        ConfigStore_foldOffset(this->store) >= this->expired_first;
+    for (guint i = 0; i < records->records->len; i++) {
+        GBytes *record = g_ptr_array_index(records->records, i);
+        g_ptr_array_add(this->expired, g_bytes_ref(record));
+        loaded = load_snapshot(this, record) || loaded;
+    }
+    if (loaded) {
+        end_search(this);
+    }
+}
+
+static void
+free_bytes(gpointer bytes)
+{
+    g_bytes_unref(bytes);
+}
+
+static void
+begin_search(ConfigLog_t *this, guint64 start)
+{
+    Log_begin(LOG_LEVEL_WARNING, "records_expired");
+    Log_number("fold_offset", (gint64)ConfigStore_foldOffset(this->store));
+    Log_number("start", (gint64)start);
+    Log_end();
+    if (this->expired) {
+        g_ptr_array_unref(this->expired);
+    }
+    this->expired = g_ptr_array_new_with_free_func(free_bytes);
+    this->expired_first = start;
+}
+
 static void
 fold_records(ConfigLog_t *this, const LogRecords_t *records)
 {
+    if (this->expired) {
+        search_snapshot(this, records);
+        return;
+    }
     for (guint i = 0; i < records->records->len; i++) {
-        ConfigStore_fold(this->store, records->first + i,
-                         g_ptr_array_index(records->records, i));
+        fold_one(this, records->first + i,
+                 g_ptr_array_index(records->records, i));
     }
 }
 
@@ -122,7 +214,13 @@
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
     ConfigLog_t *this = data;
-    if (error) {
+    this->read_open = FALSE;
+    if (records && error) {
+        begin_search(this, records->start);
+        read_next(this);
+        return;
+    }
+    if (!records) {
         note_reachable(this, FALSE, error->message);
         read_later(this);
         return;
@@ -138,12 +236,44 @@
     read_next(this);
 }
 
+static guint64
+next_offset(const ConfigLog_t *this)
+{
+    return this->expired ? this->expired_first + this->expired->len
+                         : ConfigStore_foldOffset(this->store);
+}
+
 static void
 read_next(ConfigLog_t *this)
 {
-    LogClient_read(this->log, CONFIG_STREAM,
-                   ConfigStore_foldOffset(this->store), this->limits.poll_ms,
-                   on_read, this);
+    if (!this->reading) {
+        return;
+    }
+    this->read_open = TRUE;
+    LogClient_read(this->log, CONFIG_STREAM, next_offset(this),
+                   this->limits.poll_ms, on_read, this);
+}
+
+void
+ConfigLog_setReading(ConfigLog_t *this, gboolean reading)
+{
+    this->reading = reading;
+    if (reading && !this->read_open && !evtimer_pending(this->retry, NULL)) {
+        read_next(this);
+    }
+}
+
+void
+ConfigLog_onFolded(ConfigLog_t *this, ConfigLogFolded_t folded, void *data)
+{
+    this->folded = folded;
+    this->folded_data = data;
+}
+
+void
+ConfigLog_settle(ConfigLog_t *this)
+{
+    end_folded_commands(this);
 }
 
 static void
@@ -164,6 +294,7 @@
     this->store = store;
     this->limits = *limits;
     this->reachable = TRUE;
+    this->reading = TRUE;
     this->retry = Clock_timer(base, on_retry, this);
     this->waiting = g_ptr_array_new();
     read_next(this);
@@ -178,6 +309,9 @@
         Command_destroy(g_ptr_array_index(this->waiting, i));
     }
     g_ptr_array_unref(this->waiting);
+    if (this->expired) {
+        g_ptr_array_unref(this->expired);
+    }
     g_free(this);
 }
 
@@ -239,3 +373,41 @@
     command->append_open = TRUE;
     LogClient_append(this->log, CONFIG_STREAM, record, on_appended, command);
 }
+
+static void
+on_snapshot_appended(guint64 offset, const GError *error, void *data)
+{
+    (void)data;
+    if (!error) {
+        Log_begin(LOG_LEVEL_INFO, "snapshot_appended");
+        Log_number("offset", (gint64)offset);
+        Log_end();
+    }
+}
+
+void
+ConfigLog_appendSnapshot(ConfigLog_t *this)
+{
+    if (this->went_back || this->expired) {
+        return;
+    }
+    GBytes *packed = ConfigStore_pack(this->store);
+    gsize size = 0;
+    const guint8 *bytes = g_bytes_get_data(packed, &size);
+    Wt__ConfigRecord record = WT__CONFIG_RECORD__INIT;
+    char id[RANDOM_ID_LENGTH + 1];
+    Random_id(id);
+    record.command_id.data = (guint8 *)id;
+    record.command_id.len = RANDOM_ID_LENGTH;
+    record.appended_ms = Clock_wallMs();
+    record.snapshot = wt__snapshot__unpack(NULL, size, bytes);
+    gsize record_size = wt__config_record__get_packed_size(&record);
+    guint8 *record_bytes = g_malloc(record_size);
+    wt__config_record__pack(&record, record_bytes);
+    GBytes *packed_record = g_bytes_new_take(record_bytes, record_size);
+    LogClient_append(this->log, CONFIG_STREAM, packed_record,
+                     on_snapshot_appended, NULL);
+    wt__snapshot__free_unpacked(record.snapshot, NULL);
+    g_bytes_unref(packed_record);
+    g_bytes_unref(packed);
+}
--- a/src/ConfigLog.h
+++ b/src/ConfigLog.h
@@ -4,8 +4,10 @@
  * DOC: ConfigLog
  *
  * Follows the log stream "config" into a ConfigStore, and appends operators'
- * commands to it. A command is answered only after its own record was read
- * back and folded, so an answer that was lost on the way does no harm.
+ * commands and snapshots to it. Where the records that follow the fold have
+ * expired, it goes on from the newest snapshot in the log. A command is
+ * answered only after its own record was read back and folded, so an answer
+ * that was lost on the way does no harm.
  */
 #include <event2/event.h>
 #include <glib.h>
@@ -67,6 +69,26 @@
 /** ConfigLog_destroy() - free it; the log client must be freed first */
 void ConfigLog_destroy(ConfigLog_t *this);
 
+/**
+ * ConfigLogFolded_t - called for each record that was folded from the log
+ */
+typedef void (*ConfigLogFolded_t)(guint64 offset, GBytes *record, void *data);
+
+/** ConfigLog_onFolded() - whom to tell of records from the log */
+void ConfigLog_onFolded(ConfigLog_t *this, ConfigLogFolded_t folded,
+                        void *data);
+
+/** ConfigLog_settle() - answer commands whose record came another way */
+void ConfigLog_settle(ConfigLog_t *this);
+
+/** ConfigLog_appendSnapshot() - append what is in force; its fate is left to
+ * the next one */
+void ConfigLog_appendSnapshot(ConfigLog_t *this);
+
+/** ConfigLog_setReading() - whether to follow the log at all; records come
+ * from peers where not */
+void ConfigLog_setReading(ConfigLog_t *this, gboolean reading);
+
 /** ConfigLog_isReachable() - whether the last read was answered */
 gboolean ConfigLog_isReachable(const ConfigLog_t *this);
 
--- a/src/ConfigStore.c
+++ b/src/ConfigStore.c
@@ -11,6 +11,8 @@
     GHashTable *outcomes;                   /* command id -> outcome */
     GQueue outcome_order;                   /* command ids, oldest first */
     guint64 fold_offset;
+    guint64 snapshot_offset;
+    gboolean bootstrapped; /* all objects are those of a file */
     guint64 kind_revisions[OBJECT_KIND_COUNT];
     ConfigChanged_t changed;
     void *data;
@@ -171,6 +173,90 @@
     }
 }
 
+static void
+forget_all(ConfigStore_t *this, guint64 revision)
+{
+    this->bootstrapped = FALSE;
+    g_hash_table_remove_all(this->customers);
+    for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+        g_hash_table_remove_all(this->objects[i]);
+        this->kind_revisions[i] = revision;
+    }
+    g_queue_clear(&this->outcome_order);
+    g_hash_table_remove_all(this->outcomes);
+}
+
+static void
+load_object(ConfigStore_t *this, const Wt__DeclaredObject *object)
+{
+    Wt__Change change = WT__CHANGE__INIT;
+    g_autoptr(GPtrArray) problems = Problems_create();
+    change.kind = object->kind;
+    change.name = object->name;
+    change.n_fields = object->n_fields;
+    change.fields = object->fields;
+    /* A kind that an older program does not know is left out. */
+    if (ConfigStore_checkChange(&change, problems)) {
+        take_change(this, &change, object->revision);
+    }
+}
+
+gboolean
+ConfigStore_load(ConfigStore_t *this, const Wt__Snapshot *snapshot)
+{
+    if (snapshot->fold_offset <= this->fold_offset) {
+        return FALSE;
+    }
+    forget_all(this, snapshot->fold_offset);
+    for (size_t i = 0; i < snapshot->n_objects; i++) {
+        load_object(this, snapshot->objects[i]);
+    }
+    for (int i = 0; i < OBJECT_KIND_COUNT; i++) {
+        this->kind_revisions[i] = snapshot->fold_offset;
+    }
+    for (size_t i = 0; i < snapshot->n_outcomes; i++) {
+        const Wt__CommandOutcome *kept = snapshot->outcomes[i];
+        Wt__ConfigRecord record = WT__CONFIG_RECORD__INIT;
+        record.command_id = kept->command_id;
+        keep_outcome(this, &record,
+                     (ConfigOutcome_t){kept->taken, kept->revision});
+    }
+    this->fold_offset = snapshot->fold_offset;
+    if (this->changed) {
+        this->changed(this->data);
+    }
+    return TRUE;
+}
+
+void
+ConfigStore_bootstrap(ConfigStore_t *this, GPtrArray *objects)
+{
+    g_assert(this->fold_offset == 0);
+    this->bootstrapped = TRUE;
+    g_ptr_array_set_free_func(objects, NULL);
+    for (guint i = 0; i < objects->len; i++) {
+        Object_t *object = g_ptr_array_index(objects, i);
+        g_hash_table_replace(this->objects[object->kind],
+                             g_strdup(object->name->str), object);
+        /* Differs from that of nothing, so that followers look. */
+        this->kind_revisions[object->kind] = G_MAXUINT64;
+        if (object->kind == OBJECT_CUSTOMER) {
+            const Customer_t *spec = object->spec;
+            g_hash_table_replace(this->customers, spec->key_hash, object);
+        }
+    }
+    g_ptr_array_unref(objects);
+    if (this->changed) {
+        this->changed(this->data);
+    }
+}
+
+gboolean
+ConfigStore_isUsable(const ConfigStore_t *this)
+{
+    return this->fold_offset > 0 || this->bootstrapped;
+}
+
 /* A command that was appended twice (an answer was lost) counts once. */
 static gboolean
 is_repeat(const ConfigStore_t *this, const Wt__ConfigRecord *record)
@@ -202,6 +288,9 @@
     if (offset < this->fold_offset) {
         return;
     }
+    if (this->bootstrapped) {
+        forget_all(this, offset + 1);
+    }
     this->fold_offset = offset + 1;
     gsize size = 0;
     const guint8 *data = g_bytes_get_data(record, &size);
@@ -209,6 +298,9 @@
     if (!message) {
         return;
     }
+    if (message->snapshot) {
+        this->snapshot_offset = offset + 1;
+    }
     gboolean taken = fold_record(this, message, offset + 1);
     wt__config_record__free_unpacked(message, NULL);
     if (taken && this->changed) {
@@ -216,6 +308,88 @@
     }
 }
 
+static void
+pack_fields(const Object_t *object, Wt__DeclaredObject *message,
+            GPtrArray *arena)
+{
+    GHashTableIter iter;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    message->fields = g_new0(Wt__Field *, g_hash_table_size(object->fields));
+    g_ptr_array_add(arena, message->fields);
+    g_hash_table_iter_init(&iter, object->fields);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        Wt__Field *field = g_new0(Wt__Field, 1);
+        g_ptr_array_add(arena, field);
+        wt__field__init(field);
+        field->key = key;
+        field->value = value;
+        message->fields[message->n_fields++] = field;
+    }
+}
+
+static void
+pack_objects(const ConfigStore_t *this, GPtrArray *messages, GPtrArray *arena)
+{
+    for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++) {
+        g_autoptr(GPtrArray) list = ConfigStore_list(this, (ObjectKind_t)kind);
+        for (guint i = 0; i < list->len; i++) {
+            const Object_t *object = g_ptr_array_index(list, i);
+            Wt__DeclaredObject *message = g_new0(Wt__DeclaredObject, 1);
+            g_ptr_array_add(arena, message);
+            wt__declared_object__init(message);
+            message->kind = (char *)Declarations_kindName(object->kind);
+            message->name = object->name->str;
+            message->revision = object->revision;
+            pack_fields(object, message, arena);
+            g_ptr_array_add(messages, message);
+        }
+    }
+}
+
+static void
+pack_outcomes(const ConfigStore_t *this, GPtrArray *messages, GPtrArray *arena)
+{
+    for (GList *at = this->outcome_order.head; at; at = at->next) {
+        const ConfigOutcome_t *outcome =
+            g_hash_table_lookup(this->outcomes, at->data);
+        Wt__CommandOutcome *message = g_new0(Wt__CommandOutcome, 1);
+        g_ptr_array_add(arena, message);
+        wt__command_outcome__init(message);
+        message->command_id.data =
+            (guint8 *)g_bytes_get_data(at->data, &message->command_id.len);
+        message->taken = outcome->taken;
+        message->revision = outcome->revision;
+        g_ptr_array_add(messages, message);
+    }
+}
+
+GBytes *
+ConfigStore_pack(const ConfigStore_t *this)
+{
+    g_autoptr(GPtrArray) arena = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) objects = g_ptr_array_new();
+    g_autoptr(GPtrArray) outcomes = g_ptr_array_new();
+    pack_objects(this, objects, arena);
+    pack_outcomes(this, outcomes, arena);
+    Wt__Snapshot snapshot = WT__SNAPSHOT__INIT;
+    snapshot.fold_offset = this->fold_offset;
+    snapshot.n_objects = objects->len;
+    snapshot.objects = (Wt__DeclaredObject **)objects->pdata;
+    snapshot.n_outcomes = outcomes->len;
+    snapshot.outcomes = (Wt__CommandOutcome **)outcomes->pdata;
+    gsize size = wt__snapshot__get_packed_size(&snapshot);
+    guint8 *bytes = g_malloc(size + 1);
+    wt__snapshot__pack(&snapshot, bytes);
+    return g_bytes_new_take(bytes, size);
+}
+
+guint64
+ConfigStore_snapshotOffset(const ConfigStore_t *this)
+{
+    return this->snapshot_offset;
+}
+
 guint64
 ConfigStore_foldOffset(const ConfigStore_t *this)
 {
--- a/src/ConfigStore.h
+++ b/src/ConfigStore.h
@@ -57,6 +57,38 @@
  */
 void ConfigStore_fold(ConfigStore_t *this, guint64 offset, GBytes *record);
 
+/**
+ * ConfigStore_pack() - all that was folded, as a message
+ *
+ * Return: bytes of a Snapshot
+ */
+GBytes *ConfigStore_pack(const ConfigStore_t *this);
+
+/**
+ * ConfigStore_load() - take a snapshot over
+ *
+ * Only one with a larger fold offset is taken, so that nothing reverts.
+ *
+ * Return: whether it was taken
+ */
+gboolean ConfigStore_load(ConfigStore_t *this, const Wt__Snapshot *snapshot);
+
+/**
+ * ConfigStore_bootstrap() - serve from declarations of a file until the log
+ * or a peer answers
+ * @objects: Object_t, with revision 0; taken over
+ *
+ * The first thing that is folded or loaded takes the place of all of them.
+ */
+void ConfigStore_bootstrap(ConfigStore_t *this, GPtrArray *objects);
+
+/** ConfigStore_isUsable() - whether anything is declared to serve from */
+gboolean ConfigStore_isUsable(const ConfigStore_t *this);
+
+/** ConfigStore_snapshotOffset() - offset of the last snapshot's record, plus
+ * one; 0 for none */
+guint64 ConfigStore_snapshotOffset(const ConfigStore_t *this);
+
 /**
  * ConfigStore_foldOffset() - records below it were folded
  */
--- /dev/null
+++ b/src/ConfigSync.c
@@ -0,0 +1,253 @@
+#include "ConfigSync.h"
+
+#include "Clock.h"
+#include "Log.h"
+
+/* Records kept for peers that lag by a little; others get the whole state. */
+#define RECORDS_KEPT 256
+#define TICK_MS 50
+/* A pull without an answer is made again, of another peer perhaps. */
+#define PULL_TIMEOUT_MS 1000
+/* One who reads the log gives it this long before asking a peer. */
+#define READER_PATIENCE_MS 500
+/* Each router waits for those before it in the order to append a snapshot. */
+#define SNAPSHOT_TURN_MS 2000
+
+struct ConfigSync {
+    const Settings_t *settings;
+    ConfigStore_t *store;
+    ConfigLog_t *log;
+    Membership_t *membership;
+    struct event *tick;
+    GQueue records; /* GBytes at consecutive offsets */
+    guint64 records_end;
+    gint64 behind_since_ms;
+    gint64 pulled_ms;
+    gint64 snapshot_due_ms;
+};
+
+static void
+drop_record(gpointer record)
+{
+    g_bytes_unref(record);
+}
+
+static void
+keep_record(guint64 offset, GBytes *record, void *data)
+{
+    ConfigSync_t *this = data;
+    if (offset != this->records_end) {
+        g_queue_clear_full(&this->records, drop_record);
+    }
+    g_queue_push_tail(&this->records, g_bytes_ref(record));
+    this->records_end = offset + 1;
+    if (g_queue_get_length(&this->records) > RECORDS_KEPT) {
+        g_bytes_unref(g_queue_pop_head(&this->records));
+    }
+}
+
+static void
+send_push(ConfigSync_t *this, Member_t *member, Wt__ConfigPush *push)
+{
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_PUSH;
+    message.config_push = push;
+    Membership_send(this->membership, member, &message);
+}
+
+static void
+send_state(ConfigSync_t *this, Member_t *member)
+{
+    GBytes *packed = ConfigStore_pack(this->store);
+    gsize size = 0;
+    const guint8 *bytes = g_bytes_get_data(packed, &size);
+    Wt__ConfigPush push = WT__CONFIG_PUSH__INIT;
+    push.snapshot = wt__snapshot__unpack(NULL, size, bytes);
+    send_push(this, member, &push);
+    wt__snapshot__free_unpacked(push.snapshot, NULL);
+    g_bytes_unref(packed);
+}
+
+static void
+send_records(ConfigSync_t *this, Member_t *member, guint64 from)
+{
+    guint length = g_queue_get_length(&this->records);
+    guint64 first = this->records_end - length;
+    g_autofree ProtobufCBinaryData *list =
+        g_new0(ProtobufCBinaryData, length + 1);
+    Wt__ConfigPush push = WT__CONFIG_PUSH__INIT;
+    push.first = from;
+    push.records = list;
+    for (GList *at =
+             g_queue_peek_nth_link(&this->records, (guint)(from - first));
+         at; at = at->next) {
+        ProtobufCBinaryData *entry = &list[push.n_records++];
+        entry->data = (guint8 *)g_bytes_get_data(at->data, &entry->len);
+    }
+    send_push(this, member, &push);
+}
+
+static void
+take_pull(ConfigSync_t *this, Member_t *from, guint64 offset)
+{
+    guint64 end = ConfigStore_foldOffset(this->store);
+    guint64 first = this->records_end - g_queue_get_length(&this->records);
+    if (offset >= end) {
+        return;
+    }
+    if (this->records_end == end && offset >= first) {
+        send_records(this, from, offset);
+        return;
+    }
+    send_state(this, from);
+}
+
+static void
+take_push(ConfigSync_t *this, const Wt__ConfigPush *push)
+{
+    this->pulled_ms = 0;
+    if (push->snapshot) {
+        ConfigStore_load(this->store, push->snapshot);
+    }
+    for (size_t i = 0; i < push->n_records; i++) {
+        guint64 offset = push->first + i;
+        if (offset == ConfigStore_foldOffset(this->store)) {
+            GBytes *record =
+                g_bytes_new(push->records[i].data, push->records[i].len);
+            ConfigStore_fold(this->store, offset, record);
+            keep_record(offset, record, this);
+            g_bytes_unref(record);
+        }
+    }
+    ConfigLog_settle(this->log);
+}
+
+void
+ConfigSync_take(ConfigSync_t *this, Member_t *from,
+                const Wt__PeerMessage *message)
+{
+    if (message->body_case == WT__PEER_MESSAGE__BODY_CONFIG_PULL) {
+        take_pull(this, from, message->config_pull->from);
+    }
+    else {
+        take_push(this, message->config_push);
+    }
+}
+
+static Member_t *
+find_ahead(const ConfigSync_t *this)
+{
+    const GPtrArray *members = Membership_members(this->membership);
+    guint64 own = ConfigStore_foldOffset(this->store);
+    for (guint i = 0; i < members->len; i++) {
+        Member_t *member = g_ptr_array_index(members, i);
+        if (member->link && member->fold_offset > own) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+static gboolean
+is_reader(const ConfigSync_t *this)
+{
+    return Membership_rank(this->membership, "config-reader",
+                           this->settings->router.hall->str) < CONFIG_READERS;
+}
+
+static void
+pull(ConfigSync_t *this, Member_t *member, gint64 now_ms)
+{
+    Wt__ConfigPull body = WT__CONFIG_PULL__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    body.from = ConfigStore_foldOffset(this->store);
+    message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_PULL;
+    message.config_pull = &body;
+    this->pulled_ms = now_ms;
+    Membership_send(this->membership, member, &message);
+}
+
+/* A start has no time to lose, whatever the log does. */
+static gint64
+patience_ms(const ConfigSync_t *this)
+{
+    gboolean waits = ConfigStore_foldOffset(this->store) > 0 &&
+                     ConfigLog_isReachable(this->log) && is_reader(this);
+    return waits ? READER_PATIENCE_MS : 0;
+}
+
+static void
+pull_if_behind(ConfigSync_t *this, gint64 now_ms)
+{
+    Member_t *ahead = find_ahead(this);
+    if (!ahead) {
+        this->behind_since_ms = now_ms;
+        return;
+    }
+    if (now_ms - this->behind_since_ms >= patience_ms(this) &&
+        now_ms - this->pulled_ms >= PULL_TIMEOUT_MS) {
+        pull(this, ahead, now_ms);
+    }
+}
+
+/* Any router may append one and a second one does no harm; the order only
+ * keeps all of them from doing it at once. */
+static void
+snapshot_if_due(ConfigSync_t *this, gint64 now_ms)
+{
+    guint64 since = ConfigStore_foldOffset(this->store) -
+                    MIN(ConfigStore_snapshotOffset(this->store),
+                        ConfigStore_foldOffset(this->store));
+    if (since < (guint64)this->settings->platform.snapshot_records) {
+        this->snapshot_due_ms = 0;
+        return;
+    }
+    if (this->snapshot_due_ms == 0) {
+        guint rank = Membership_rank(this->membership, "snapshot", NULL);
+        this->snapshot_due_ms = now_ms + (gint64)rank * SNAPSHOT_TURN_MS;
+    }
+    if (now_ms >= this->snapshot_due_ms) {
+        this->snapshot_due_ms = now_ms + SNAPSHOT_TURN_MS;
+        ConfigLog_appendSnapshot(this->log);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    ConfigSync_t *this = data;
+    gint64 now_ms = Clock_nowMs();
+    Membership_setOffset(this->membership,
+                         ConfigStore_foldOffset(this->store));
+    ConfigLog_setReading(this->log, is_reader(this));
+    pull_if_behind(this, now_ms);
+    snapshot_if_due(this, now_ms);
+    Clock_arm(this->tick, TICK_MS);
+}
+
+ConfigSync_t *
+ConfigSync_create(struct event_base *base, const Settings_t *settings,
+                  ConfigStore_t *store, ConfigLog_t *log,
+                  Membership_t *membership)
+{
+    ConfigSync_t *this = g_new0(ConfigSync_t, 1);
+    this->settings = settings;
+    this->store = store;
+    this->log = log;
+    this->membership = membership;
+    this->tick = Clock_timer(base, on_tick, this);
+    g_queue_init(&this->records);
+    ConfigLog_onFolded(log, keep_record, this);
+    Clock_arm(this->tick, TICK_MS);
+    return this;
+}
+
+void
+ConfigSync_destroy(ConfigSync_t *this)
+{
+    event_free(this->tick);
+    g_queue_clear_full(&this->records, drop_record);
+    g_free(this);
+}
--- a/src/Context.h
+++ b/src/Context.h
@@ -9,10 +9,12 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "Claims.h"
 #include "ConfigLog.h"
 #include "ConfigStore.h"
 #include "Counters.h"
 #include "CustomerLimits.h"
+#include "Membership.h"
 #include "Policy.h"
 #include "RetryBudget.h"
 #include "Settings.h"
@@ -33,6 +35,8 @@
     Counters_t *counters;
     ConfigStore_t *config;
     ConfigLog_t *config_log;
+    Membership_t *membership;
+    Claims_t *claims;
     UpstreamSet_t *upstreams;
     Policy_t *policy;
     Policy_t *service_policy;
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -8,6 +8,7 @@
 #include "EngineHttp.h"
 #include "HttpCall.h"
 #include "Log.h"
+#include "OnceGuard.h"
 #include "Random.h"
 #include "Recovery.h"
 #include "Salt.h"
@@ -28,6 +29,7 @@
     gint64 started_us;
     gint64 deadline_ms;
     gboolean repeatable;
+    OnceGuard_t *guard; /* of a request that may run only once */
     struct event *deadline;
     struct event *backoff;
     Trace_t *trace;
@@ -54,6 +56,7 @@
     guint cached_tokens;
     guint attempts;
     gboolean sent;
+    gboolean left; /* the caller is gone */
     gboolean over;
 };
 
@@ -144,9 +147,12 @@
 }
 
 static void
-end_exchange(Exchange_t *this, const char *outcome)
+end_exchange(Exchange_t *this, const char *outcome, RunState_t run)
 {
     this->over = TRUE;
+    if (this->guard) {
+        OnceGuard_end(this->guard, run);
+    }
     this->context->open_requests--;
     CustomerLimits_leave(this->context->limits, this->customer->str);
     log_end(this, outcome);
@@ -191,7 +197,7 @@
     Context_countRefusal(this->context, refusal, run, this->id->str,
                          this->target->str, this->customer_class->str);
     Answer_refuse(this->answer, refusal, run, detail);
-    end_exchange(this, Refusal_spec(refusal)->code);
+    end_exchange(this, Refusal_spec(refusal)->code, run);
 }
 
 static RunState_t
@@ -227,7 +233,7 @@
     (void)what;
     Exchange_t *this = data;
     cancel_stream(this);
-    end_exchange(this, "caller_left");
+    end_exchange(this, "caller_left", run_state(this));
 }
 
 /* The engine goes on for a while, so that the caller may resume at any
@@ -239,11 +245,13 @@
     if (this->over) {
         return;
     }
+    this->left = TRUE;
     Context_countRefusal(this->context, REFUSAL_CALLER_LEFT, run_state(this),
                          this->id->str, this->target->str,
                          this->customer_class->str);
     if (this->attempt) {
         Attempt_cancel(this->attempt);
+        this->sent = this->sent || Attempt_wasSent(this->attempt);
         drop_attempt(this, "caller_left");
     }
     event_free(this->backoff);
@@ -288,10 +296,20 @@
 }
 
 static void
-note_head(Upstream_t *upstream, const EngineHead_t *head)
+note_incarnation(const Exchange_t *this, guint64 incarnation)
 {
+    if (Upstream_noteIncarnation(this->upstream, incarnation, Clock_nowMs())) {
+        Membership_noteUpstream(this->context->membership,
+                                this->upstream->name->str);
+    }
+}
+
+static void
+note_head(const Exchange_t *this, const EngineHead_t *head)
+{
+    Upstream_t *upstream = this->upstream;
     gint64 now_ms = Clock_nowMs();
-    Upstream_noteIncarnation(upstream, head->incarnation, now_ms);
+    note_incarnation(this, head->incarnation);
     Upstream_noteWeights(upstream, head->weights);
     Upstream_noteSuccess(upstream);
     upstream->reported_tokens = head->waiting_tokens;
@@ -303,7 +321,7 @@
 on_started(void *owner, const EngineHead_t *head)
 {
     Exchange_t *this = owner;
-    note_head(this->upstream, head);
+    note_head(this, head);
     set_upstream(&this->stream_upstream, this->upstream);
     g_strlcpy(this->stream, head->stream, sizeof(this->stream));
     g_strlcpy(this->stream_attempt, Attempt_id(this->attempt),
@@ -363,7 +381,7 @@
     Answer_finish(this->answer, this->prompt_tokens, this->tokens,
                   this->cached_tokens);
     Counters_add(this->context->counters, "answers_total", NULL, 1);
-    end_exchange(this, "whole");
+    end_exchange(this, "whole", RUN_DONE);
 }
 
 static RecoveryFacts_t
@@ -373,6 +391,7 @@
     return (RecoveryFacts_t){
         .end = end,
         .was_resume = this->is_resume,
+        .progressed = this->attempt_trace->tokens > 0,
         .stream_known = this->stream_upstream != NULL,
         .resumes = this->resumes,
         .tokens = this->tokens,
@@ -468,11 +487,18 @@
 
 /* What an engine says of itself as it refuses is news as well. */
 static void
-note_refusal(Upstream_t *upstream, const EngineRefusal_t *refusal)
+note_refusal(const Exchange_t *this, const EngineRefusal_t *refusal)
 {
-    Upstream_noteIncarnation(upstream, refusal->incarnation, Clock_nowMs());
-    if (refusal->leaving) {
+    Upstream_t *upstream = this->upstream;
+    note_incarnation(this, refusal->incarnation);
+    if (refusal->leaving && !upstream->leaving) {
         Upstream_noteLeaving(upstream, upstream->incarnation);
+        Membership_noteUpstream(this->context->membership,
+                                upstream->name->str);
+        Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
+        Log_text("upstream", upstream->name->str);
+        Log_text("source", "upstream");
+        Log_end();
     }
 }
 
@@ -486,7 +512,7 @@
         this->sent = TRUE;
     }
     if (refusal) {
-        note_refusal(this->upstream, refusal);
+        note_refusal(this, refusal);
     }
     gboolean is_stale = refusal && refusal->incarnation != 0;
     set_upstream(&this->avoid, is_stale ? NULL : this->upstream);
@@ -671,9 +697,44 @@
     return this;
 }
 
+static void
+on_claimed(gboolean granted, Refusal_t refusal, RunState_t run, void *data)
+{
+    Exchange_t *this = data;
+    if (this->left) {
+        return; /* about to end, which releases the claim */
+    }
+    if (granted) {
+        place(this);
+        return;
+    }
+    refuse(this, refusal, run, NULL);
+}
+
+static void
+claim(Exchange_t *this, const char *key)
+{
+    Refusal_t refusal = REFUSAL_KEY_REQUIRED;
+    OnceGuardSpec_t spec = {
+        .claims = this->context->claims,
+        .customer = this->customer->str,
+        .target = this->target->str,
+        .key = key,
+        .horizon_ms = this->context->settings->platform.claim_horizon_ms,
+        .deadline_ms = this->deadline_ms,
+    };
+    this->guard = OnceGuard_create(&spec, &refusal);
+    if (!this->guard) {
+        refuse(this, refusal, RUN_NOT, NULL);
+        return;
+    }
+    OnceGuard_claim(this->guard, on_claimed, this);
+}
+
 void
 Exchange_start(Context_t *context, const ExchangeSpec_t *spec)
 {
+    const Caller_t *caller = spec->caller;
     Exchange_t *this = create(context, spec);
     AnswerSpec_t form = {
         .request = spec->request,
@@ -691,7 +752,10 @@
     if (this->resume) {
         place_resume(this);
     }
-    else {
+    else if (this->repeatable) {
         place(this);
     }
+    else {
+        claim(this, caller->key);
+    }
 }
--- a/src/InstanceList.c
+++ b/src/InstanceList.c
@@ -15,12 +15,13 @@
     Address_t address;
     gint64 poll_ms;
     UpstreamSet_t *upstreams;
+    Membership_t *membership;
     struct event *timer;
     HttpCall_t *call;
 };
 
 static void
-note_leaving(Upstream_t *upstream, guint64 incarnation)
+note_leaving(InstanceList_t *this, Upstream_t *upstream, guint64 incarnation)
 {
     if (upstream->leaving) {
         return;
@@ -31,9 +32,24 @@
         Log_text("upstream", upstream->name->str);
         Log_text("source", "instance_list");
         Log_end();
+        Membership_noteUpstream(this->membership, upstream->name->str);
     }
 }
 
+/* A router's entry says where it listens for peers. */
+static void
+take_router(InstanceList_t *this, const char *peer)
+{
+    Address_t address = {{0}, 0};
+    const char *colon = peer ? strrchr(peer, ':') : NULL;
+    if (!colon || (gsize)(colon - peer) >= sizeof(address.host)) {
+        return;
+    }
+    g_strlcpy(address.host, peer, (gsize)(colon - peer) + 1);
+    address.port = (guint16)g_ascii_strtoull(colon + 1, NULL, 10);
+    Membership_addSeed(this->membership, &address);
+}
+
 static void
 take_entry(InstanceList_t *this, const json_t *entry)
 {
@@ -41,13 +57,16 @@
     const char *state = Json_text(entry, "state");
     Upstream_t *upstream =
         name ? UpstreamSet_find(this->upstreams, name) : NULL;
+    take_router(this, Json_text(entry, "peer"));
     if (!upstream || !state) {
         return;
     }
     guint64 incarnation = (guint64)Json_integer(entry, "incarnation", 0);
-    Upstream_noteIncarnation(upstream, incarnation, Clock_nowMs());
+    if (Upstream_noteIncarnation(upstream, incarnation, Clock_nowMs())) {
+        Membership_noteUpstream(this->membership, name);
+    }
     if (strcmp(state, "leaving") == 0) {
-        note_leaving(upstream, incarnation);
+        note_leaving(this, upstream, incarnation);
     }
 }
 
@@ -92,13 +111,15 @@
 
 InstanceList_t *
 InstanceList_create(struct event_base *base, const Address_t *address,
-                    gint64 poll_ms, UpstreamSet_t *upstreams)
+                    gint64 poll_ms, UpstreamSet_t *upstreams,
+                    Membership_t *membership)
 {
     InstanceList_t *this = g_new0(InstanceList_t, 1);
     this->base = base;
     this->address = *address;
     this->poll_ms = poll_ms;
     this->upstreams = upstreams;
+    this->membership = membership;
     this->timer = Clock_timer(base, on_timer, this);
     Clock_arm(this->timer, 0);
     return this;
--- a/src/KeyTable.c
+++ b/src/KeyTable.c
@@ -140,28 +140,55 @@
 }
 
 static gboolean
-parse_address(Parse_t *parse)
+read_address(const char *text, Address_t *address)
 {
-    Address_t *address = parse->slot;
     unsigned char ignored[sizeof(struct in6_addr)];
-    const char *colon = strrchr(parse->value, ':');
-    size_t length = colon ? (size_t)(colon - parse->value) : 0;
+    const char *colon = strrchr(text, ':');
+    size_t length = colon ? (size_t)(colon - text) : 0;
+    guint64 port = 0;
     if (length == 0 || length >= sizeof(address->host)) {
-        return fail(parse, PROBLEM_BAD_VALUE, "expected IP:PORT");
+        return FALSE;
     }
-    memcpy(address->host, parse->value, length);
+    memcpy(address->host, text, length);
     address->host[length] = '\0';
-    guint64 port = 0;
     if (inet_pton(AF_INET, address->host, ignored) != 1 ||
         !g_ascii_string_to_unsigned(colon + 1, 10, 0, G_MAXUINT16, &port,
                                     NULL)) {
-        return fail(parse, PROBLEM_BAD_VALUE,
-                    "expected an IP number and a port");
+        return FALSE;
     }
     address->port = (guint16)port;
     return TRUE;
 }
 
+static gboolean
+parse_address(Parse_t *parse)
+{
+    return read_address(parse->value, parse->slot) ||
+           fail(parse, PROBLEM_BAD_VALUE,
+                "expected an IP number and a port, IP:PORT");
+}
+
+static gboolean
+parse_addresses(Parse_t *parse)
+{
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(Address_t));
+    *(GArray **)parse->slot = addresses;
+    g_auto(GStrv) parts = g_strsplit(parse->value, ",", -1);
+    for (guint i = 0; parts[i]; i++) {
+        Address_t address = {{0}, 0};
+        const char *part = g_strstrip(parts[i]);
+        if (*part == '\0') {
+            continue;
+        }
+        if (!read_address(part, &address)) {
+            return fail(parse, PROBLEM_BAD_VALUE,
+                        "expected IP:PORT with commas between");
+        }
+        g_array_append_val(addresses, address);
+    }
+    return TRUE;
+}
+
 static gboolean
 parse_hex(Parse_t *parse)
 {
@@ -205,16 +232,16 @@
     [KEY_TEXT] = parse_text,         [KEY_NAME] = parse_name,
     [KEY_NAMES] = parse_names,       [KEY_INTEGER] = parse_integer,
     [KEY_DURATION] = parse_duration, [KEY_SIZE] = parse_size,
-    [KEY_ADDRESS] = parse_address,   [KEY_HEX] = parse_hex,
-    [KEY_CHOICE] = parse_choice,
+    [KEY_ADDRESS] = parse_address,   [KEY_ADDRESSES] = parse_addresses,
+    [KEY_HEX] = parse_hex,           [KEY_CHOICE] = parse_choice,
 };
 
 static const char *const type_names[] = {
     [KEY_TEXT] = "text",         [KEY_NAME] = "name",
     [KEY_NAMES] = "names",       [KEY_INTEGER] = "integer",
     [KEY_DURATION] = "duration", [KEY_SIZE] = "size",
-    [KEY_ADDRESS] = "address",   [KEY_HEX] = "hex",
-    [KEY_CHOICE] = "choice",
+    [KEY_ADDRESS] = "address",   [KEY_ADDRESSES] = "addresses",
+    [KEY_HEX] = "hex",           [KEY_CHOICE] = "choice",
 };
 
 static void
@@ -293,6 +320,9 @@
     case KEY_NAMES:
         g_clear_pointer((GPtrArray **)slot, g_ptr_array_unref);
         break;
+    case KEY_ADDRESSES:
+        g_clear_pointer((GArray **)slot, g_array_unref);
+        break;
     case KEY_HEX:
         g_clear_pointer((GBytes **)slot, g_bytes_unref);
         break;
--- a/src/KeyTable.h
+++ b/src/KeyTable.h
@@ -18,6 +18,7 @@
  * @KEY_DURATION: number with ms, s, m or h; gint64 in milliseconds
  * @KEY_SIZE: number with B, KiB, MiB or GiB; gint64 in bytes
  * @KEY_ADDRESS: IP number and port; Address_t
+ * @KEY_ADDRESSES: addresses with commas between; GArray * of Address_t
  * @KEY_HEX: an even count of hex digits; GBytes *
  * @KEY_CHOICE: one of the words in choices; gint64, its place from 0
  */
@@ -29,6 +30,7 @@
     KEY_DURATION,
     KEY_SIZE,
     KEY_ADDRESS,
+    KEY_ADDRESSES,
     KEY_HEX,
     KEY_CHOICE,
 } KeyType_t;
--- a/src/LogClient.h
+++ b/src/LogClient.h
@@ -32,7 +32,8 @@
 
 /**
  * LogRead_t - called once for each read
- * @records: NULL where there is an error
+ * @records: NULL where there is an error, but for WT_ERROR_TRUNCATED: then
+ *     only @start is set
  * @error: WT_ERROR_TRUNCATED where the offset is older than the log keeps
  */
 typedef void (*LogRead_t)(const LogRecords_t *records, const GError *error,
--- a/src/LogHttp.c
+++ b/src/LogHttp.c
@@ -92,17 +92,32 @@
 }
 
 static void
-on_read(const HttpAnswer_t *answer, const GError *error, void *data)
+answer_truncated(LogCall_t *call, const HttpAnswer_t *answer,
+                 const GError *fault)
 {
-    LogCall_t *call = data;
-    g_autoptr(GError) fault = error ? g_error_copy(error) : NULL;
-    json_t *body = NULL;
-    if (answer && answer->status != HTTP_OK) {
-        fault = refusal(answer);
+    json_t *body = Json_parse(answer->body, answer->length, NULL);
+    LogRecords_t records = {.start = (guint64)Json_integer(body, "start", 0)};
+    call->read(body ? &records : NULL, fault, call->data);
+    json_decref(body);
+}
+
+static void
+answer_refused(LogCall_t *call, const HttpAnswer_t *answer)
+{
+    g_autoptr(GError) fault = refusal(answer);
+    if (answer->status == STATUS_GONE) {
+        answer_truncated(call, answer, fault);
     }
-    else if (answer) {
-        body = Json_parse(answer->body, answer->length, &fault);
+    else {
+        call->read(NULL, fault, call->data);
     }
+}
+
+static void
+answer_body(LogCall_t *call, const HttpAnswer_t *answer)
+{
+    g_autoptr(GError) fault = NULL;
+    json_t *body = Json_parse(answer->body, answer->length, &fault);
     if (body) {
         answer_read(call, body);
         json_decref(body);
@@ -110,6 +125,21 @@
     else {
         call->read(NULL, fault, call->data);
     }
+}
+
+static void
+on_read(const HttpAnswer_t *answer, const GError *error, void *data)
+{
+    LogCall_t *call = data;
+    if (!answer) {
+        call->read(NULL, error, call->data);
+    }
+    else if (answer->status != HTTP_OK) {
+        answer_refused(call, answer);
+    }
+    else {
+        answer_body(call, answer);
+    }
     end_call(call);
 }
 
--- /dev/null
+++ b/src/Membership.h
@@ -0,0 +1,113 @@
+#ifndef HEADER_Membership
+#define HEADER_Membership
+/**
+ * DOC: Membership
+ *
+ * Which routers there are, the links to them, and the gossip over those
+ * links: members, upstreams' incarnations and leaving, configuration
+ * offsets, load. It is a hint throughout: no promise rests on it, only how
+ * soon and how cheaply things happen.
+ */
+#include <event2/event.h>
+#include <glib.h>
+
+#include "Counters.h"
+#include "PeerLink.h"
+#include "Settings.h"
+#include "UpstreamSet.h"
+
+/**
+ * struct Member_t - one router
+ * @name: its name
+ * @incarnation: newest that was heard of
+ * @address: where it listens for peers
+ * @hall: where it stands
+ * @heartbeat: newest that was heard of
+ * @heard_ms: when @heartbeat last grew
+ * @leaving: it stops; never taken back for an incarnation
+ * @fold_offset: configuration in force there
+ * @link: open link, or NULL
+ */
+typedef struct {
+    GString *name;
+    guint64 incarnation;
+    Address_t address;
+    GString *hall;
+    guint64 heartbeat;
+    gint64 heard_ms;
+    gboolean leaving;
+    guint64 fold_offset;
+    PeerLink_t *link;
+} Member_t;
+
+/**
+ * struct MembershipSpec_t - what it needs
+ * @settings: of this router
+ * @incarnation: of this process
+ * @upstreams: learns from gossip, and is read for it
+ * @counters: for bytes sent
+ * @message: called for each message that is not about membership
+ * @data: for @message
+ */
+typedef struct {
+    const Settings_t *settings;
+    guint64 incarnation;
+    UpstreamSet_t *upstreams;
+    Counters_t *counters;
+    void (*message)(void *data, Member_t *from,
+                    const Wt__PeerMessage *message);
+    void *data;
+} MembershipSpec_t;
+
+/** struct Membership_t - opaque */
+typedef struct Membership Membership_t;
+
+/** Membership_create() - listen and start to look for peers */
+Membership_t *Membership_create(struct event_base *base,
+                                const MembershipSpec_t *spec, GError **error);
+
+/** Membership_destroy() - close all links and free it */
+void Membership_destroy(Membership_t *this);
+
+/** Membership_port() - where it listens */
+guint16 Membership_port(const Membership_t *this);
+
+/** Membership_addSeed() - an address where a router may listen */
+void Membership_addSeed(Membership_t *this, const Address_t *address);
+
+/** Membership_setOffset() - the configuration in force here */
+void Membership_setOffset(Membership_t *this, guint64 fold_offset);
+
+/** Membership_setLeaving() - this router stops */
+void Membership_setLeaving(Membership_t *this);
+
+/** Membership_noteUpstream() - there is news of an upstream here */
+void Membership_noteUpstream(Membership_t *this, const char *name);
+
+/** Membership_members() - Member_t of all others that are alive, by name */
+const GPtrArray *Membership_members(const Membership_t *this);
+
+/** Membership_live() - routers that are alive and not leaving, this one
+ * included */
+guint Membership_live(const Membership_t *this);
+
+/**
+ * Membership_owner() - the router that rendezvous hashing puts first
+ * @key: of what is owned
+ *
+ * Return: NULL for this one
+ */
+Member_t *Membership_owner(const Membership_t *this, const char *key);
+
+/**
+ * Membership_rank() - this router's place in a key's order
+ * @hall: among those of this hall only; NULL for all
+ */
+guint Membership_rank(const Membership_t *this, const char *key,
+                      const char *hall);
+
+/** Membership_send() - send to a member; FALSE where there is no link */
+gboolean Membership_send(Membership_t *this, Member_t *member,
+                         const Wt__PeerMessage *message);
+
+#endif
--- a/src/OperatorQueries.c
+++ b/src/OperatorQueries.c
@@ -134,6 +134,20 @@
     return message;
 }
 
+static Wt__PeerStatus *
+message_of_member(GPtrArray *arena, const Member_t *member)
+{
+    Wt__PeerStatus *message = arena_alloc(arena, sizeof(*message));
+    wt__peer_status__init(message);
+    message->name = member->name->str;
+    message->hall = member->hall->str;
+    message->incarnation = member->incarnation;
+    message->fold_offset = member->fold_offset;
+    message->state = (char *)(member->leaving ? "leaving" : "live");
+    message->linked = member->link != NULL;
+    return message;
+}
+
 static void
 fill_router(Wt__RouterStatus *router, guint8 digest[DIGEST_BYTES])
 {
@@ -145,7 +159,8 @@
     router->fold_offset = ConfigStore_foldOffset(the_context->config);
     router->digest.data = digest;
     router->digest.len = DIGEST_BYTES;
-    router->ready = router->fold_offset > 0 && !the_context->stopping;
+    router->ready =
+        ConfigStore_isUsable(the_context->config) && !the_context->stopping;
     router->log_reachable = ConfigLog_isReachable(the_context->config_log);
     router->open_requests = the_context->open_requests;
 }
@@ -167,7 +182,15 @@
         g_ptr_array_add(messages,
                         message_of_upstream(arena, g_ptr_array_index(all, i)));
     }
+    g_autoptr(GPtrArray) peers = g_ptr_array_new();
+    const GPtrArray *members = Membership_members(the_context->membership);
+    for (guint i = 0; i < members->len; i++) {
+        g_ptr_array_add(
+            peers, message_of_member(arena, g_ptr_array_index(members, i)));
+    }
     Wt__StatusResponse response = WT__STATUS_RESPONSE__INIT;
+    response.n_peers = peers->len;
+    response.peers = (Wt__PeerStatus **)peers->pdata;
     response.router = &router;
     response.n_upstreams = messages->len;
     response.upstreams = (Wt__UpstreamStatus **)messages->pdata;
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -50,10 +50,14 @@
     return plan;
 }
 
-/* A resume is no repeat: the engine runs nothing for it again. */
+/* A resume is no repeat: the engine runs nothing for it again. One that
+ * brought nothing is not tried again where another engine may go on. */
 static gboolean
 may_resume(const RecoveryFacts_t *facts)
 {
+    if (facts->was_resume && !facts->progressed && facts->repeatable) {
+        return FALSE;
+    }
     gboolean let_go =
         facts->end == ATTEMPT_CUT || facts->end == ATTEMPT_SILENT;
     return let_go && facts->stream_known && facts->resumes < MAX_RESUMES;
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -38,6 +38,7 @@
  * struct RecoveryFacts_t - what the decision rests on
  * @end: how the attempt ended
  * @was_resume: the attempt asked for the rest of a known stream
+ * @progressed: the attempt brought at least one token
  * @stream_known: an engine has the stream and can be asked for its rest
  * @resumes: resumes of this stream so far
  * @tokens: tokens that the caller has
@@ -51,6 +52,7 @@
 typedef struct {
     AttemptEnd_t end;
     gboolean was_resume;
+    gboolean progressed;
     gboolean stream_known;
     guint resumes;
     guint64 tokens;
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -34,8 +34,20 @@
                               "Idempotency-Key.",
                               400, 0, RUN_NOT},
     [REFUSAL_BAD_KEY] = {"idempotency_key_bad", "invalid_request_error",
-                         "The Idempotency-Key is not a UUID of version 7.",
+                         "The Idempotency-Key is not a UUID of version 7, "
+                         "or its time is too old or in the future.",
                          400, 0, RUN_NOT},
+    [REFUSAL_ALREADY_RAN] = {"already_ran", "conflict_error",
+                             "The request of this key has run.", 409, 0,
+                             RUN_DONE},
+    [REFUSAL_IN_DOUBT] = {"repeat_in_doubt", "conflict_error",
+                          "The request of this key is under way, or its "
+                          "outcome is unknown.",
+                          409, 1, RUN_MAYBE},
+    [REFUSAL_CLAIM_UNDECIDED] = {"claim_undecided", "overloaded_error",
+                                 "It could not be made sure that the "
+                                 "request runs only once.",
+                                 503, 1, RUN_NOT},
     [REFUSAL_RATE_LIMITED] = {"rate_limited", "rate_limit_error",
                               "The customer is over its request rate.", 429, 1,
                               RUN_NOT},
--- a/src/Router.c
+++ b/src/Router.c
@@ -9,6 +9,7 @@
 
 #include "CallerApi.h"
 #include "Clock.h"
+#include "ConfigSync.h"
 #include "Context.h"
 #include "Errors.h"
 #include "InstanceList.h"
@@ -16,10 +17,13 @@
 #include "LogHttp.h"
 #include "OperatorApi.h"
 #include "PendingReply.h"
+#include "Problem.h"
 #include "Random.h"
 
 #define LOG_RETRY_MS 500
 #define STOP_CHECK_MS 50
+/* How long a stopping router goes on to record outcomes of claims. */
+#define CLAIMS_LIMIT_MS 5000
 /* Unknown ones as well, so that each is refused with a typed error. */
 #define ALL_METHODS G_MAXUINT16
 
@@ -28,6 +32,7 @@
     Context_t context;
     LogClient_t *log;
     InstanceList_t *instances;
+    ConfigSync_t *sync;
     struct evhttp *callers;
     struct evhttp *operators;
     guint16 port;
@@ -69,6 +74,64 @@
     context->incarnation = (guint64)Clock_wallMs();
 }
 
+/* Faults were shown by `check`; at a start they only leave objects out. */
+static void
+load_bootstrap(Router_t *this)
+{
+    const GString *path = this->settings->router.bootstrap;
+    if (!path) {
+        return;
+    }
+    char *paths[] = {path->str, NULL};
+    g_autoptr(GPtrArray) problems = Problems_create();
+    GPtrArray *objects = Declarations_load(paths, problems);
+    Log_begin(problems->len > 0 ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+              "bootstrap_loaded");
+    Log_number("objects", objects->len);
+    Log_number("problems", problems->len);
+    Log_end();
+    if (objects->len > 0) {
+        ConfigStore_bootstrap(this->context.config, objects);
+    }
+    else {
+        g_ptr_array_unref(objects);
+    }
+}
+
+static void
+on_peer_message(void *data, Member_t *from, const Wt__PeerMessage *message)
+{
+    Router_t *this = data;
+    switch (message->body_case) {
+    case WT__PEER_MESSAGE__BODY_CONFIG_PULL:
+    case WT__PEER_MESSAGE__BODY_CONFIG_PUSH:
+        ConfigSync_take(this->sync, from, message);
+        break;
+    case WT__PEER_MESSAGE__BODY_CLAIM_CALL:
+    case WT__PEER_MESSAGE__BODY_CLAIM_REPLY:
+        Claims_take(this->context.claims, from, message);
+        break;
+    default:
+        break;
+    }
+}
+
+static gboolean
+create_peers(Router_t *this, GError **error)
+{
+    Context_t *context = &this->context;
+    MembershipSpec_t spec = {
+        .settings = this->settings,
+        .incarnation = context->incarnation,
+        .upstreams = context->upstreams,
+        .counters = context->counters,
+        .message = on_peer_message,
+        .data = this,
+    };
+    context->membership = Membership_create(context->base, &spec, error);
+    return context->membership != NULL;
+}
+
 static void
 create_platform(Router_t *this)
 {
@@ -82,9 +145,19 @@
     this->log = LogHttp_create(base, &platform->log, platform->log_timeout_ms);
     this->context.config_log =
         ConfigLog_create(base, this->log, this->context.config, &limits);
-    this->instances = InstanceList_create(base, &platform->instances,
-                                          platform->instances_poll_ms,
-                                          this->context.upstreams);
+    this->instances = InstanceList_create(
+        base, &platform->instances, platform->instances_poll_ms,
+        this->context.upstreams, this->context.membership);
+    ClaimsSpec_t claims = {
+        .settings = this->settings,
+        .log = this->log,
+        .membership = this->context.membership,
+        .counters = this->context.counters,
+    };
+    this->context.claims = Claims_create(base, &claims);
+    this->sync =
+        ConfigSync_create(base, this->settings, this->context.config,
+                          this->context.config_log, this->context.membership);
 }
 
 /* Port 0 in the settings lets the system choose. */
@@ -150,7 +223,9 @@
     this->context.refusing = passed >= settings->stop_grace_ms;
     gboolean empty = this->context.refusing &&
                      this->context.open_requests == 0 &&
-                     PendingReply_count() == 0;
+                     PendingReply_count() == 0 &&
+                     (Claims_open(this->context.claims) == 0 ||
+                      passed >= settings->stop_grace_ms + CLAIMS_LIMIT_MS);
     if (empty || passed >= settings->stop_limit_ms) {
         event_base_loopbreak(this->context.base);
         return;
@@ -168,6 +243,7 @@
     }
     this->context.stopping = TRUE;
     this->stop_began_ms = Clock_nowMs();
+    Membership_setLeaving(this->context.membership);
     Log_begin(LOG_LEVEL_INFO, "router_stopping");
     Log_number("signal", fd);
     Log_number("open_requests", this->context.open_requests);
@@ -198,15 +274,24 @@
     }
 }
 
+/* Calls and links that were closed free themselves in the loop. */
 static void
-free_parts(Router_t *this)
+free_platform(Router_t *this)
 {
     Context_t *context = &this->context;
     LogClient_destroy(this->log);
     InstanceList_destroy(this->instances);
-    /* Calls that were cancelled free themselves in the loop. */
-    event_base_loop(context->base, EVLOOP_NONBLOCK);
+    ConfigSync_destroy(this->sync);
+    Claims_destroy(context->claims);
     ConfigLog_destroy(context->config_log);
+    Membership_destroy(context->membership);
+    event_base_loop(context->base, EVLOOP_NONBLOCK);
+}
+
+static void
+free_parts(Router_t *this)
+{
+    Context_t *context = &this->context;
     Traces_destroy(context->traces);
     TurnEnd_destroy(context->turn_end);
     RetryBudget_destroy(context->budget);
@@ -229,6 +314,7 @@
     Log_text("hall", this->settings->router.hall->str);
     Log_number("port", this->port);
     Log_number("operator_port", this->operator_port);
+    Log_number("peer_port", Membership_port(this->context.membership));
     Log_end();
 }
 
@@ -252,12 +338,15 @@
     this.context.base = create_base();
     create_parts(&this);
     create_signals(&this);
-    create_platform(&this);
-    gboolean started = create_listeners(&this, error);
+    gboolean started =
+        create_listeners(&this, error) && create_peers(&this, error);
     if (started) {
+        load_bootstrap(&this);
+        create_platform(&this);
         log_event(&this, "router_started");
         event_base_dispatch(this.context.base);
         log_event(&this, "router_stopped");
+        free_platform(&this);
     }
     free_listeners(&this);
     free_parts(&this);
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -10,6 +10,7 @@
 #include "Errors.h"
 #include "HttpCall.h"
 #include "Log.h"
+#include "OnceGuard.h"
 #include "PendingReply.h"
 #include "Random.h"
 #include "Recovery.h"
@@ -28,6 +29,7 @@
     enum evhttp_cmd_type method;
     gint64 deadline_ms;
     gboolean repeatable;
+    OnceGuard_t *guard; /* of a call that may run only once */
     Trace_t *trace;
     TraceAttempt_t *attempt_trace;
     HttpCall_t *call;
@@ -61,8 +63,11 @@
 }
 
 static void
-end_exchange(ServiceExchange_t *this, const char *outcome)
+end_exchange(ServiceExchange_t *this, const char *outcome, RunState_t run)
 {
+    if (this->guard) {
+        OnceGuard_end(this->guard, run);
+    }
     this->context->open_requests--;
     CustomerLimits_leave(this->context->limits, this->customer->str);
     Log_begin(LOG_LEVEL_INFO, "request_done");
@@ -109,15 +114,21 @@
 }
 
 static void
-refuse(ServiceExchange_t *this, Refusal_t refusal, const char *detail)
+refuse_as(ServiceExchange_t *this, Refusal_t refusal, RunState_t run,
+          const char *detail)
 {
-    RunState_t run = run_state(this);
     Context_countRefusal(this->context, refusal, run, this->id->str,
                          this->service->str, this->customer_class->str);
     if (this->request) {
         Http_refuse(let_go(this), this->id->str, refusal, run, detail);
     }
-    end_exchange(this, Refusal_spec(refusal)->code);
+    end_exchange(this, Refusal_spec(refusal)->code, run);
+}
+
+static void
+refuse(ServiceExchange_t *this, Refusal_t refusal, const char *detail)
+{
+    refuse_as(this, refusal, run_state(this), detail);
 }
 
 static void
@@ -160,7 +171,7 @@
         evbuffer_free(body);
     }
     Counters_add(this->context->counters, "answers_total", NULL, 1);
-    end_exchange(this, "whole");
+    end_exchange(this, "whole", RUN_DONE);
 }
 
 static AttemptEnd_t
@@ -371,6 +382,37 @@
     return this;
 }
 
+static void
+on_claimed(gboolean granted, Refusal_t refusal, RunState_t run, void *data)
+{
+    ServiceExchange_t *this = data;
+    if (granted) {
+        place(this);
+        return;
+    }
+    refuse_as(this, refusal, run, NULL);
+}
+
+static void
+claim(ServiceExchange_t *this)
+{
+    Refusal_t refusal = REFUSAL_KEY_REQUIRED;
+    OnceGuardSpec_t spec = {
+        .claims = this->context->claims,
+        .customer = this->customer->str,
+        .target = this->service->str,
+        .key = this->key->str,
+        .horizon_ms = this->context->settings->platform.claim_horizon_ms,
+        .deadline_ms = this->deadline_ms,
+    };
+    this->guard = OnceGuard_create(&spec, &refusal);
+    if (!this->guard) {
+        refuse(this, refusal, NULL);
+        return;
+    }
+    OnceGuard_claim(this->guard, on_claimed, this);
+}
+
 void
 ServiceExchange_start(Context_t *context, const ServiceExchangeSpec_t *spec)
 {
@@ -380,9 +422,10 @@
     context->open_requests++;
     RetryBudget_deposit(context->budget);
     Clock_arm(this->deadline, this->deadline_ms - Clock_nowMs());
-    if (!this->repeatable && this->key->len == 0) {
-        refuse(this, REFUSAL_KEY_REQUIRED, NULL);
-        return;
+    if (this->repeatable) {
+        place(this);
+    }
+    else {
+        claim(this);
     }
-    place(this);
 }
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -29,6 +29,9 @@
      "After SIGTERM: not ready, but still taking requests, for so long."},
     {"stop_limit", KEY_DURATION, FALSE, "10m", 0, HOUR_MS, NULL,
      R(stop_limit_ms), "After SIGTERM: open streams may go on for so long."},
+    {"bootstrap", KEY_TEXT, FALSE, NULL, 0, 0, NULL, R(bootstrap),
+     "File or directory of declarations to serve from while neither the log "
+     "nor a peer has answered."},
     {"seed", KEY_INTEGER, FALSE, "0", 0, G_MAXINT32, NULL, R(seed),
      "Seed of jitter and choice; 0 takes one from the system."},
     {NULL},
@@ -48,6 +51,18 @@
 };
 #undef K
 
+#define E(member) offsetof(PeersSection_t, member)
+static const KeySpec_t peers_keys[] = {
+    {"listen", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, E(listen),
+     "Where other routers connect."},
+    {"seeds", KEY_ADDRESSES, FALSE, "", 0, 0, NULL, E(seeds),
+     "Where other routers may listen; one that answers tells of the rest."},
+    {"gossip_budget", KEY_SIZE, FALSE, "3000B", 500, 1 << 20, NULL,
+     E(gossip_budget), "Most bytes of gossip sent in a second."},
+    {NULL},
+};
+#undef E
+
 #define P(member) offsetof(PlatformSection_t, member)
 static const KeySpec_t platform_keys[] = {
     {"log", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, P(log),
@@ -64,6 +79,13 @@
      P(command_timeout_ms),
      "How long an operator's command may take before its outcome is said to "
      "be unknown."},
+    {"snapshot_records", KEY_INTEGER, FALSE, "500", 2, 1 << 20, NULL,
+     P(snapshot_records),
+     "After so many records of the configuration a snapshot is appended; the "
+     "log must keep several times as many."},
+    {"claim_horizon", KEY_DURATION, FALSE, "30m", 1000, HOUR_MS, NULL,
+     P(claim_horizon_ms),
+     "How old an Idempotency-Key may be; the log must keep claims longer."},
     {NULL},
 };
 #undef P
@@ -121,6 +143,8 @@
     {{"keys", keys_keys, sizeof(KeysSection_t),
       "Keys that all routers of a team share, as hex digits."},
      offsetof(Settings_t, keys)},
+    {{"peers", peers_keys, sizeof(PeersSection_t), "The other routers."},
+     offsetof(Settings_t, peers)},
     {{"platform", platform_keys, sizeof(PlatformSection_t),
       "Where the platform's services are."},
      offsetof(Settings_t, platform)},
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -33,6 +33,7 @@
     gint64 policy;
     gint64 stop_grace_ms;
     gint64 stop_limit_ms;
+    GString *bootstrap;
     gint64 seed;
 } RouterSection_t;
 
@@ -45,6 +46,15 @@
     GBytes *operator_hash;
 } KeysSection_t;
 
+/**
+ * struct PeersSection_t - [peers]; @gossip_budget in bytes a second
+ */
+typedef struct {
+    Address_t listen;
+    GArray *seeds;
+    gint64 gossip_budget;
+} PeersSection_t;
+
 /**
  * struct PlatformSection_t - [platform]
  */
@@ -55,6 +65,8 @@
     gint64 log_poll_ms;
     gint64 instances_poll_ms;
     gint64 command_timeout_ms;
+    gint64 snapshot_records;
+    gint64 claim_horizon_ms;
 } PlatformSection_t;
 
 /**
@@ -84,6 +96,7 @@
 typedef struct {
     RouterSection_t router;
     KeysSection_t keys;
+    PeersSection_t peers;
     PlatformSection_t platform;
     LimitsSection_t limits;
 } Settings_t;
--- a/src/config.pb-c.c
+++ b/src/config.pb-c.c
@@ -97,6 +97,141 @@
   assert(message->base.descriptor == &wt__change__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__declared_object__init
+                     (Wt__DeclaredObject         *message)
+{
+  static const Wt__DeclaredObject init_value = WT__DECLARED_OBJECT__INIT;
+  *message = init_value;
+}
+size_t wt__declared_object__get_packed_size
+                     (const Wt__DeclaredObject *message)
+{
+  assert(message->base.descriptor == &wt__declared_object__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__declared_object__pack
+                     (const Wt__DeclaredObject *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__declared_object__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__declared_object__pack_to_buffer
+                     (const Wt__DeclaredObject *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__declared_object__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__DeclaredObject *
+       wt__declared_object__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__DeclaredObject *)
+     protobuf_c_message_unpack (&wt__declared_object__descriptor,
+                                allocator, len, data);
+}
+void   wt__declared_object__free_unpacked
+                     (Wt__DeclaredObject *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__declared_object__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__command_outcome__init
+                     (Wt__CommandOutcome         *message)
+{
+  static const Wt__CommandOutcome init_value = WT__COMMAND_OUTCOME__INIT;
+  *message = init_value;
+}
+size_t wt__command_outcome__get_packed_size
+                     (const Wt__CommandOutcome *message)
+{
+  assert(message->base.descriptor == &wt__command_outcome__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__command_outcome__pack
+                     (const Wt__CommandOutcome *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__command_outcome__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__command_outcome__pack_to_buffer
+                     (const Wt__CommandOutcome *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__command_outcome__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__CommandOutcome *
+       wt__command_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__CommandOutcome *)
+     protobuf_c_message_unpack (&wt__command_outcome__descriptor,
+                                allocator, len, data);
+}
+void   wt__command_outcome__free_unpacked
+                     (Wt__CommandOutcome *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__command_outcome__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__snapshot__init
+                     (Wt__Snapshot         *message)
+{
+  static const Wt__Snapshot init_value = WT__SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t wt__snapshot__get_packed_size
+                     (const Wt__Snapshot *message)
+{
+  assert(message->base.descriptor == &wt__snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__snapshot__pack
+                     (const Wt__Snapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__snapshot__pack_to_buffer
+                     (const Wt__Snapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__Snapshot *
+       wt__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__Snapshot *)
+     protobuf_c_message_unpack (&wt__snapshot__descriptor,
+                                allocator, len, data);
+}
+void   wt__snapshot__free_unpacked
+                     (Wt__Snapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__config_record__init
                      (Wt__ConfigRecord         *message)
 {
@@ -283,7 +418,212 @@
   (ProtobufCMessageInit) wt__change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__config_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__declared_object__field_descriptors[4] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__DeclaredObject, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__DeclaredObject, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__DeclaredObject, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fields",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__DeclaredObject, n_fields),
+    offsetof(Wt__DeclaredObject, fields),
+    &wt__field__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__declared_object__field_indices_by_name[] = {
+  3,   /* field[3] = fields */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = name */
+  2,   /* field[2] = revision */
+};
+static const ProtobufCIntRange wt__declared_object__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wt__declared_object__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.DeclaredObject",
+  "DeclaredObject",
+  "Wt__DeclaredObject",
+  "wt",
+  sizeof(Wt__DeclaredObject),
+  4,
+  wt__declared_object__field_descriptors,
+  wt__declared_object__field_indices_by_name,
+  1,  wt__declared_object__number_ranges,
+  (ProtobufCMessageInit) wt__declared_object__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__command_outcome__field_descriptors[3] =
+{
+  {
+    "command_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CommandOutcome, command_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CommandOutcome, taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CommandOutcome, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__command_outcome__field_indices_by_name[] = {
+  0,   /* field[0] = command_id */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = taken */
+};
+static const ProtobufCIntRange wt__command_outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__command_outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.CommandOutcome",
+  "CommandOutcome",
+  "Wt__CommandOutcome",
+  "wt",
+  sizeof(Wt__CommandOutcome),
+  3,
+  wt__command_outcome__field_descriptors,
+  wt__command_outcome__field_indices_by_name,
+  1,  wt__command_outcome__number_ranges,
+  (ProtobufCMessageInit) wt__command_outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__snapshot__field_descriptors[3] =
+{
+  {
+    "fold_offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Snapshot, fold_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__Snapshot, n_objects),
+    offsetof(Wt__Snapshot, objects),
+    &wt__declared_object__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcomes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__Snapshot, n_outcomes),
+    offsetof(Wt__Snapshot, outcomes),
+    &wt__command_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__snapshot__field_indices_by_name[] = {
+  0,   /* field[0] = fold_offset */
+  1,   /* field[1] = objects */
+  2,   /* field[2] = outcomes */
+};
+static const ProtobufCIntRange wt__snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.Snapshot",
+  "Snapshot",
+  "Wt__Snapshot",
+  "wt",
+  sizeof(Wt__Snapshot),
+  3,
+  wt__snapshot__field_descriptors,
+  wt__snapshot__field_indices_by_name,
+  1,  wt__snapshot__number_ranges,
+  (ProtobufCMessageInit) wt__snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__config_record__field_descriptors[4] =
 {
   {
     "command_id",
@@ -321,16 +661,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ConfigRecord, snapshot),
+    &wt__snapshot__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__config_record__field_indices_by_name[] = {
   2,   /* field[2] = appended_ms */
   1,   /* field[1] = changes */
   0,   /* field[0] = command_id */
+  3,   /* field[3] = snapshot */
 };
 static const ProtobufCIntRange wt__config_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wt__config_record__descriptor =
 {
@@ -340,7 +693,7 @@
   "Wt__ConfigRecord",
   "wt",
   sizeof(Wt__ConfigRecord),
-  3,
+  4,
   wt__config_record__field_descriptors,
   wt__config_record__field_indices_by_name,
   1,  wt__config_record__number_ranges,
--- a/src/config.pb-c.h
+++ b/src/config.pb-c.h
@@ -17,6 +17,9 @@
 
 typedef struct Wt__Field Wt__Field;
 typedef struct Wt__Change Wt__Change;
+typedef struct Wt__DeclaredObject Wt__DeclaredObject;
+typedef struct Wt__CommandOutcome Wt__CommandOutcome;
+typedef struct Wt__Snapshot Wt__Snapshot;
 typedef struct Wt__ConfigRecord Wt__ConfigRecord;
 
 
@@ -61,7 +64,61 @@
 
 
 /*
- * One record of the stream: all of its changes are taken, or none.
+ * One object as it is in force.
+ */
+struct  Wt__DeclaredObject
+{
+  ProtobufCMessage base;
+  char *kind;
+  char *name;
+  uint64_t revision;
+  size_t n_fields;
+  Wt__Field **fields;
+};
+#define WT__DECLARED_OBJECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__declared_object__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * What became of a command.
+ */
+struct  Wt__CommandOutcome
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData command_id;
+  protobuf_c_boolean taken;
+  uint64_t revision;
+};
+#define WT__COMMAND_OUTCOME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__command_outcome__descriptor) \
+    , {0,NULL}, 0, 0 }
+
+
+/*
+ * All that a fold up to an offset came to.
+ */
+struct  Wt__Snapshot
+{
+  ProtobufCMessage base;
+  /*
+   * Records below it are in it.
+   */
+  uint64_t fold_offset;
+  size_t n_objects;
+  Wt__DeclaredObject **objects;
+  size_t n_outcomes;
+  Wt__CommandOutcome **outcomes;
+};
+#define WT__SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__snapshot__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
+/*
+ * One record of the stream: all of its changes are taken, or none. A record
+ * with a snapshot changes nothing; it is there for those who start when older
+ * records have expired.
  */
 struct  Wt__ConfigRecord
 {
@@ -77,10 +134,11 @@
    * Wall-clock time of the append in milliseconds; for people only.
    */
   int64_t appended_ms;
+  Wt__Snapshot *snapshot;
 };
 #define WT__CONFIG_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__config_record__descriptor) \
-    , {0,NULL}, 0,NULL, 0 }
+    , {0,NULL}, 0,NULL, 0, NULL }
 
 
 /* Wt__Field methods */
@@ -121,6 +179,63 @@
 void   wt__change__free_unpacked
                      (Wt__Change *message,
                       ProtobufCAllocator *allocator);
+/* Wt__DeclaredObject methods */
+void   wt__declared_object__init
+                     (Wt__DeclaredObject         *message);
+size_t wt__declared_object__get_packed_size
+                     (const Wt__DeclaredObject   *message);
+size_t wt__declared_object__pack
+                     (const Wt__DeclaredObject   *message,
+                      uint8_t             *out);
+size_t wt__declared_object__pack_to_buffer
+                     (const Wt__DeclaredObject   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__DeclaredObject *
+       wt__declared_object__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__declared_object__free_unpacked
+                     (Wt__DeclaredObject *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__CommandOutcome methods */
+void   wt__command_outcome__init
+                     (Wt__CommandOutcome         *message);
+size_t wt__command_outcome__get_packed_size
+                     (const Wt__CommandOutcome   *message);
+size_t wt__command_outcome__pack
+                     (const Wt__CommandOutcome   *message,
+                      uint8_t             *out);
+size_t wt__command_outcome__pack_to_buffer
+                     (const Wt__CommandOutcome   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__CommandOutcome *
+       wt__command_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__command_outcome__free_unpacked
+                     (Wt__CommandOutcome *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__Snapshot methods */
+void   wt__snapshot__init
+                     (Wt__Snapshot         *message);
+size_t wt__snapshot__get_packed_size
+                     (const Wt__Snapshot   *message);
+size_t wt__snapshot__pack
+                     (const Wt__Snapshot   *message,
+                      uint8_t             *out);
+size_t wt__snapshot__pack_to_buffer
+                     (const Wt__Snapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__Snapshot *
+       wt__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__snapshot__free_unpacked
+                     (Wt__Snapshot *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__ConfigRecord methods */
 void   wt__config_record__init
                      (Wt__ConfigRecord         *message);
@@ -148,6 +263,15 @@
 typedef void (*Wt__Change_Closure)
                  (const Wt__Change *message,
                   void *closure_data);
+typedef void (*Wt__DeclaredObject_Closure)
+                 (const Wt__DeclaredObject *message,
+                  void *closure_data);
+typedef void (*Wt__CommandOutcome_Closure)
+                 (const Wt__CommandOutcome *message,
+                  void *closure_data);
+typedef void (*Wt__Snapshot_Closure)
+                 (const Wt__Snapshot *message,
+                  void *closure_data);
 typedef void (*Wt__ConfigRecord_Closure)
                  (const Wt__ConfigRecord *message,
                   void *closure_data);
@@ -159,6 +283,9 @@
 
 extern const ProtobufCMessageDescriptor wt__field__descriptor;
 extern const ProtobufCMessageDescriptor wt__change__descriptor;
+extern const ProtobufCMessageDescriptor wt__declared_object__descriptor;
+extern const ProtobufCMessageDescriptor wt__command_outcome__descriptor;
+extern const ProtobufCMessageDescriptor wt__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor wt__config_record__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/operator.pb-c.c
+++ b/src/operator.pb-c.c
@@ -322,51 +322,6 @@
   assert(message->base.descriptor == &wt__get_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wt__declared_object__init
-                     (Wt__DeclaredObject         *message)
-{
-  static const Wt__DeclaredObject init_value = WT__DECLARED_OBJECT__INIT;
-  *message = init_value;
-}
-size_t wt__declared_object__get_packed_size
-                     (const Wt__DeclaredObject *message)
-{
-  assert(message->base.descriptor == &wt__declared_object__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t wt__declared_object__pack
-                     (const Wt__DeclaredObject *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &wt__declared_object__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t wt__declared_object__pack_to_buffer
-                     (const Wt__DeclaredObject *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &wt__declared_object__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Wt__DeclaredObject *
-       wt__declared_object__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wt__DeclaredObject *)
-     protobuf_c_message_unpack (&wt__declared_object__descriptor,
-                                allocator, len, data);
-}
-void   wt__declared_object__free_unpacked
-                     (Wt__DeclaredObject *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wt__declared_object__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   wt__get_response__init
                      (Wt__GetResponse         *message)
 {
@@ -547,6 +502,51 @@
   assert(message->base.descriptor == &wt__upstream_status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__peer_status__init
+                     (Wt__PeerStatus         *message)
+{
+  static const Wt__PeerStatus init_value = WT__PEER_STATUS__INIT;
+  *message = init_value;
+}
+size_t wt__peer_status__get_packed_size
+                     (const Wt__PeerStatus *message)
+{
+  assert(message->base.descriptor == &wt__peer_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__peer_status__pack
+                     (const Wt__PeerStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__peer_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__peer_status__pack_to_buffer
+                     (const Wt__PeerStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__peer_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__PeerStatus *
+       wt__peer_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__PeerStatus *)
+     protobuf_c_message_unpack (&wt__peer_status__descriptor,
+                                allocator, len, data);
+}
+void   wt__peer_status__free_unpacked
+                     (Wt__PeerStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__peer_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__status_response__init
                      (Wt__StatusResponse         *message)
 {
@@ -1284,83 +1284,6 @@
   (ProtobufCMessageInit) wt__get_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__declared_object__field_descriptors[4] =
-{
-  {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wt__DeclaredObject, kind),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "name",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wt__DeclaredObject, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "revision",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wt__DeclaredObject, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fields",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wt__DeclaredObject, n_fields),
-    offsetof(Wt__DeclaredObject, fields),
-    &wt__field__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wt__declared_object__field_indices_by_name[] = {
-  3,   /* field[3] = fields */
-  0,   /* field[0] = kind */
-  1,   /* field[1] = name */
-  2,   /* field[2] = revision */
-};
-static const ProtobufCIntRange wt__declared_object__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wt__declared_object__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wt.DeclaredObject",
-  "DeclaredObject",
-  "Wt__DeclaredObject",
-  "wt",
-  sizeof(Wt__DeclaredObject),
-  4,
-  wt__declared_object__field_descriptors,
-  wt__declared_object__field_indices_by_name,
-  1,  wt__declared_object__number_ranges,
-  (ProtobufCMessageInit) wt__declared_object__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor wt__get_response__field_descriptors[3] =
 {
   {
@@ -1701,7 +1624,110 @@
   (ProtobufCMessageInit) wt__upstream_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__status_response__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__peer_status__field_descriptors[6] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerStatus, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hall",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerStatus, hall),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerStatus, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fold_offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerStatus, fold_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerStatus, state),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "linked",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerStatus, linked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__peer_status__field_indices_by_name[] = {
+  3,   /* field[3] = fold_offset */
+  1,   /* field[1] = hall */
+  2,   /* field[2] = incarnation */
+  5,   /* field[5] = linked */
+  0,   /* field[0] = name */
+  4,   /* field[4] = state */
+};
+static const ProtobufCIntRange wt__peer_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wt__peer_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.PeerStatus",
+  "PeerStatus",
+  "Wt__PeerStatus",
+  "wt",
+  sizeof(Wt__PeerStatus),
+  6,
+  wt__peer_status__field_descriptors,
+  wt__peer_status__field_indices_by_name,
+  1,  wt__peer_status__number_ranges,
+  (ProtobufCMessageInit) wt__peer_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__status_response__field_descriptors[4] =
 {
   {
     "error",
@@ -1739,16 +1765,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__StatusResponse, n_peers),
+    offsetof(Wt__StatusResponse, peers),
+    &wt__peer_status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__status_response__field_indices_by_name[] = {
   0,   /* field[0] = error */
+  3,   /* field[3] = peers */
   1,   /* field[1] = router */
   2,   /* field[2] = upstreams */
 };
 static const ProtobufCIntRange wt__status_response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wt__status_response__descriptor =
 {
@@ -1758,7 +1797,7 @@
   "Wt__StatusResponse",
   "wt",
   sizeof(Wt__StatusResponse),
-  3,
+  4,
   wt__status_response__field_descriptors,
   wt__status_response__field_indices_by_name,
   1,  wt__status_response__number_ranges,
--- a/src/operator.pb-c.h
+++ b/src/operator.pb-c.h
@@ -23,11 +23,11 @@
 typedef struct Wt__ApplyResponse Wt__ApplyResponse;
 typedef struct Wt__CommandResultRequest Wt__CommandResultRequest;
 typedef struct Wt__GetRequest Wt__GetRequest;
-typedef struct Wt__DeclaredObject Wt__DeclaredObject;
 typedef struct Wt__GetResponse Wt__GetResponse;
 typedef struct Wt__StatusRequest Wt__StatusRequest;
 typedef struct Wt__RouterStatus Wt__RouterStatus;
 typedef struct Wt__UpstreamStatus Wt__UpstreamStatus;
+typedef struct Wt__PeerStatus Wt__PeerStatus;
 typedef struct Wt__StatusResponse Wt__StatusResponse;
 typedef struct Wt__CountersRequest Wt__CountersRequest;
 typedef struct Wt__Counter Wt__Counter;
@@ -167,20 +167,6 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
-struct  Wt__DeclaredObject
-{
-  ProtobufCMessage base;
-  char *kind;
-  char *name;
-  uint64_t revision;
-  size_t n_fields;
-  Wt__Field **fields;
-};
-#define WT__DECLARED_OBJECT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wt__declared_object__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
-
-
 struct  Wt__GetResponse
 {
   ProtobufCMessage base;
@@ -243,6 +229,24 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Another router as the one that is asked sees it.
+ */
+struct  Wt__PeerStatus
+{
+  ProtobufCMessage base;
+  char *name;
+  char *hall;
+  uint64_t incarnation;
+  uint64_t fold_offset;
+  char *state;
+  protobuf_c_boolean linked;
+};
+#define WT__PEER_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__peer_status__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Wt__StatusResponse
 {
   ProtobufCMessage base;
@@ -250,10 +254,12 @@
   Wt__RouterStatus *router;
   size_t n_upstreams;
   Wt__UpstreamStatus **upstreams;
+  size_t n_peers;
+  Wt__PeerStatus **peers;
 };
 #define WT__STATUS_RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__status_response__descriptor) \
-    , NULL, NULL, 0,NULL }
+    , NULL, NULL, 0,NULL, 0,NULL }
 
 
 struct  Wt__CountersRequest
@@ -472,25 +478,6 @@
 void   wt__get_request__free_unpacked
                      (Wt__GetRequest *message,
                       ProtobufCAllocator *allocator);
-/* Wt__DeclaredObject methods */
-void   wt__declared_object__init
-                     (Wt__DeclaredObject         *message);
-size_t wt__declared_object__get_packed_size
-                     (const Wt__DeclaredObject   *message);
-size_t wt__declared_object__pack
-                     (const Wt__DeclaredObject   *message,
-                      uint8_t             *out);
-size_t wt__declared_object__pack_to_buffer
-                     (const Wt__DeclaredObject   *message,
-                      ProtobufCBuffer     *buffer);
-Wt__DeclaredObject *
-       wt__declared_object__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   wt__declared_object__free_unpacked
-                     (Wt__DeclaredObject *message,
-                      ProtobufCAllocator *allocator);
 /* Wt__GetResponse methods */
 void   wt__get_response__init
                      (Wt__GetResponse         *message);
@@ -567,6 +554,25 @@
 void   wt__upstream_status__free_unpacked
                      (Wt__UpstreamStatus *message,
                       ProtobufCAllocator *allocator);
+/* Wt__PeerStatus methods */
+void   wt__peer_status__init
+                     (Wt__PeerStatus         *message);
+size_t wt__peer_status__get_packed_size
+                     (const Wt__PeerStatus   *message);
+size_t wt__peer_status__pack
+                     (const Wt__PeerStatus   *message,
+                      uint8_t             *out);
+size_t wt__peer_status__pack_to_buffer
+                     (const Wt__PeerStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__PeerStatus *
+       wt__peer_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__peer_status__free_unpacked
+                     (Wt__PeerStatus *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__StatusResponse methods */
 void   wt__status_response__init
                      (Wt__StatusResponse         *message);
@@ -723,9 +729,6 @@
 typedef void (*Wt__GetRequest_Closure)
                  (const Wt__GetRequest *message,
                   void *closure_data);
-typedef void (*Wt__DeclaredObject_Closure)
-                 (const Wt__DeclaredObject *message,
-                  void *closure_data);
 typedef void (*Wt__GetResponse_Closure)
                  (const Wt__GetResponse *message,
                   void *closure_data);
@@ -738,6 +741,9 @@
 typedef void (*Wt__UpstreamStatus_Closure)
                  (const Wt__UpstreamStatus *message,
                   void *closure_data);
+typedef void (*Wt__PeerStatus_Closure)
+                 (const Wt__PeerStatus *message,
+                  void *closure_data);
 typedef void (*Wt__StatusResponse_Closure)
                  (const Wt__StatusResponse *message,
                   void *closure_data);
@@ -851,11 +857,11 @@
 extern const ProtobufCMessageDescriptor wt__apply_response__descriptor;
 extern const ProtobufCMessageDescriptor wt__command_result_request__descriptor;
 extern const ProtobufCMessageDescriptor wt__get_request__descriptor;
-extern const ProtobufCMessageDescriptor wt__declared_object__descriptor;
 extern const ProtobufCMessageDescriptor wt__get_response__descriptor;
 extern const ProtobufCMessageDescriptor wt__status_request__descriptor;
 extern const ProtobufCMessageDescriptor wt__router_status__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_status__descriptor;
+extern const ProtobufCMessageDescriptor wt__peer_status__descriptor;
 extern const ProtobufCMessageDescriptor wt__status_response__descriptor;
 extern const ProtobufCMessageDescriptor wt__counters_request__descriptor;
 extern const ProtobufCMessageDescriptor wt__counter__descriptor;
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -14,6 +15,7 @@
 import tempfile
 import threading
 import time
+import uuid
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.path.join(ROOT, os.environ.get("WT_BUILD", "build"))
@@ -25,6 +27,14 @@
     return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
 
 
+def uuid7(age_seconds=0):
+    """A UUID of version 7, its time so long ago."""
+    now = int((time.time() - age_seconds) * 1000)
+    number = (now << 80) | (7 << 76) | (random.getrandbits(12) << 64)
+    number |= (2 << 62) | random.getrandbits(62)
+    return str(uuid.UUID(int=number))
+
+
 def wait_for(condition, what, limit=HANG_LIMIT):
     end = time.monotonic() + limit
     while True:
@@ -234,6 +244,8 @@
                        "stop_grace": "200ms", "seed": "1"},
             "keys": {"seal": "11" * 32, "salt": "22" * 32,
                      "operator_hash": key_hash(OPERATOR_KEY)},
+            "peers": {"listen": "127.0.0.1:0",
+                      "seeds": ", ".join(cluster.peers)},
             "platform": {"log": cluster.log_address,
                          "instances": cluster.instances.address,
                          "instances_poll": "50ms"},
@@ -245,8 +257,13 @@
                     section[name_] = value
                     break
             else:
-                section = "platform" if name_.startswith(
-                    ("log", "command")) else "limits"
+                section = "limits"
+                if name_.startswith(("log", "command", "snapshot", "claim")):
+                    section = "platform"
+                if name_ == "bootstrap":
+                    section = "router"
+                if name_.startswith("gossip"):
+                    section = "peers"
                 values[section][name_] = value
         self.path = os.path.join(cluster.folder, name + ".ini")
         with open(self.path, "w") as file:
@@ -259,6 +276,8 @@
         started = self.wait_event("router_started")[0]
         self.port = int(started["port"])
         self.operator_port = int(started["operator_port"])
+        self.peer_address = "127.0.0.1:" + started["peer_port"]
+        cluster.peers.append(self.peer_address)
 
     def wait_ready(self):
         wait_for(lambda: request(self.port, "GET", "/readyz").status == 200,
@@ -330,6 +349,7 @@
     def __init__(self):
         self.folder = tempfile.mkdtemp(prefix="wt-")
         self.processes = []
+        self.peers = []
         self.log = self.add(StandIn("log"))
         self.log_address = self.log.address
         self.instances = self.add(StandIn("instances"))
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -10,6 +10,7 @@
 FOLDER = os.path.join(os.path.dirname(os.path.abspath(__file__)), "golden")
 PATTERNS = [
     ("token", re.compile(r"[A-Za-z0-9_-]{120,}")),
+    ("key", re.compile(r"\b[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f-]{21}")),
     ("id", re.compile(r"\b[0-9a-f]{32}\b")),
     ("incarnation", re.compile(r"\b1\d{12}\b")),
 ]
--- a/tests/sessions/test_golden.py
+++ b/tests/sessions/test_golden.py
@@ -2,7 +2,7 @@
 import unittest
 
 from cluster import (BASE_DECLARATIONS, Cluster, key_hash, places, request,
-                     wait_for)
+                     uuid7, wait_for)
 from golden import Transcript
 
 PROMPT = {"model": "m", "prompt": "the renewal policy " * 10, "max_tokens": 6}
@@ -11,7 +11,6 @@
     {"role": "user", "content": "May I freeze my plan?"}]}
 EVENTS = ("request_done", "request_refused", "stream_resumed",
           "request_placed_again", "upstream_ejected", "upstream_leaving")
-UUID7 = "01936f3e-6f5a-7cc0-8000-00000000000"
 
 
 class GoldenTest(unittest.TestCase):
@@ -200,17 +199,25 @@
         service = self.cluster.service("l1", "ledger")
         self.cluster.service("n1", "notes")
         router = self.cluster.start()
-        self.ask_plain(router, {"member": 7}, "/v1/services/ledger/renew?x=1")
-        self.ask_plain(router, {"member": 7}, "/v1/services/ledger/renew?x=1",
-                       Idempotency_Key=UUID7 + "1")
+        renew = "/v1/services/ledger/renew"
+        first, lost, refused = uuid7(), uuid7(), uuid7()
+        self.ask_plain(router, {"member": 7}, renew + "?x=1")
+        self.ask_plain(router, {"member": 7}, renew, Idempotency_Key="x")
+        self.ask_plain(router, {"member": 7}, renew,
+                       Idempotency_Key=uuid7(age_seconds=7200))
+        self.ask_plain(router, {"member": 7}, renew + "?x=1",
+                       Idempotency_Key=first)
+        self.ask_plain(router, {"member": 7}, renew, Idempotency_Key=first)
         service.control(lose_answers=1)
-        self.ask_plain(router, {"member": 8}, "/v1/services/ledger/renew",
-                       Idempotency_Key=UUID7 + "2")
+        self.ask_plain(router, {"member": 8}, renew, Idempotency_Key=lost)
+        self.ask_plain(router, {"member": 8}, renew, Idempotency_Key=lost)
         service.control(refuse=1)
-        self.ask_plain(router, {"member": 9}, "/v1/services/ledger/renew",
-                       Idempotency_Key=UUID7 + "3")
+        self.ask_plain(router, {"member": 9}, renew, Idempotency_Key=refused)
+        self.cluster.log.control(down=1)
+        self.ask_plain(router, {"member": 9}, renew, Idempotency_Key=uuid7(),
+                       X_Request_Deadline_Ms="300")
         self.ask_plain(router, {"note": 1}, "/v1/services/notes/add")
-        self.assertEqual(service.call("GET", "/records")[UUID7 + "2"], 1)
+        self.assertEqual(set(service.call("GET", "/records").values()), {1})
         self.finish(router)
 
 
--- a/tests/sessions/test_operators.py
+++ b/tests/sessions/test_operators.py
@@ -161,6 +161,7 @@
         one = self.cluster.start("r1")
         proxy = self.cluster.add(FaultProxy(self.cluster.log.port))
         self.cluster.log_address = proxy.address
+        self.cluster.peers.clear()  # or it would follow the first router
         two = self.cluster.router("r2").wait_ready()
         proxy.refuse = True
         proxy.cut_all()
--- a/tests/sessions/test_streams.py
+++ b/tests/sessions/test_streams.py
@@ -3,7 +3,7 @@
 import threading
 import unittest
 
-from cluster import BASE_DECLARATIONS, Cluster, places, request, wait_for
+from cluster import BASE_DECLARATIONS, Cluster, places, request, uuid7, wait_for
 from faultproxy import FaultProxy
 
 
@@ -55,7 +55,8 @@
         self.assert_whole(router.stream(question("one " * 20)).read())
         runs = engine.state()["runs"]
         proxy.cut_after_request = 1
-        answer = router.complete(question("two " * 20), X_Repeatable="no")
+        answer = router.complete(question("two " * 20), X_Repeatable="no",
+                                 Idempotency_Key=uuid7())
         self.assertEqual(answer.status, 502)
         self.assertEqual(answer.error()["run"], "may_have_run")
         self.assertEqual(engine.state()["runs"], runs + 1)
@@ -82,7 +83,8 @@
 
         def ask(n):
             answers[n] = router.complete(question("q%d " % n * 20),
-                                         X_Repeatable="no")
+                                         X_Repeatable="no",
+                                         Idempotency_Key=uuid7())
 
         threads = [threading.Thread(target=ask, args=(n,)) for n in range(2)]
         for thread in threads:
@@ -119,7 +121,8 @@
         engine.kill()
         for number in range(4):
             answer = router.complete(question("gone %d " % number * 20),
-                                     X_Repeatable="no")
+                                     X_Repeatable="no",
+                                     Idempotency_Key=uuid7())
             self.assertEqual(answer.status, 200)
 
     def test_missing_end_mark_is_not_taken_for_the_end(self):
--- a/tests/test_Recovery.c
+++ b/tests/test_Recovery.c
@@ -63,6 +63,24 @@
 }
 END_TEST
 
+START_TEST(resume_without_progress_is_left_for_another_engine)
+{
+    RecoveryFacts_t known = facts(ATTEMPT_CUT);
+    known.sent = TRUE;
+    known.stream_known = TRUE;
+    known.tokens = 3;
+    known.was_resume = TRUE;
+    known.resumes = 1;
+    known.repeatable = TRUE;
+    ck_assert_int_eq(Recovery_decide(&known).step, RECOVERY_ELSEWHERE);
+    known.progressed = TRUE;
+    ck_assert_int_eq(Recovery_decide(&known).step, RECOVERY_RESUME);
+    known.progressed = FALSE;
+    known.repeatable = FALSE;
+    ck_assert_int_eq(Recovery_decide(&known).step, RECOVERY_RESUME);
+}
+END_TEST
+
 START_TEST(resumes_are_bounded)
 {
     RecoveryFacts_t known = facts(ATTEMPT_CUT);
@@ -111,6 +129,7 @@
              sent_and_not_repeatable_is_given_up_as_maybe_run,
              sent_before_bars_a_repeat_after_a_refusal,
              known_stream_is_resumed_even_if_not_repeatable,
+             resume_without_progress_is_left_for_another_engine,
              resumes_are_bounded,
              rejected_is_final_but_a_rejected_resume_is_not,
              budget_attempts_and_time_end_it)
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -12,7 +12,7 @@
     "[router]\nname = r1\nhall = h\nregion = r\nlisten = 127.0.0.1:80\n"      \
     "operator_listen = 127.0.0.1:81\n[keys]\nseal = " KEY "\nsalt = " KEY     \
     "\noperator_hash = " KEY "\n[platform]\nlog = 127.0.0.1:82\n"             \
-    "instances = 127.0.0.1:83\n"
+    "instances = 127.0.0.1:83\n[peers]\nlisten = 127.0.0.1:84\n"
 
 static char *
 write_file(const char *text)
@@ -73,21 +73,21 @@
 
 START_TEST(each_fault_has_its_type_and_place)
 {
-    assert_problem(GOOD "[limits]\nfoo = 1\n", PROBLEM_UNKNOWN_KEY, 15,
+    assert_problem(GOOD "[limits]\nfoo = 1\n", PROBLEM_UNKNOWN_KEY, 17,
                    "limits", "foo");
-    assert_problem(GOOD "[limits]\nbackoff = soon\n", PROBLEM_BAD_VALUE, 15,
+    assert_problem(GOOD "[limits]\nbackoff = soon\n", PROBLEM_BAD_VALUE, 17,
                    "limits", "backoff");
     assert_problem(GOOD "[limits]\nbackoff = 5 parsecs\n", PROBLEM_BAD_UNIT,
-                   15, "limits", "backoff");
-    assert_problem(GOOD "[limits]\nmax_body = 1B\n", PROBLEM_OUT_OF_RANGE, 15,
+                   17, "limits", "backoff");
+    assert_problem(GOOD "[limits]\nmax_body = 1B\n", PROBLEM_OUT_OF_RANGE, 17,
                    "limits", "max_body");
     assert_problem(GOOD "[limits]\nbackoff = 1s\nbackoff = 2s\n",
-                   PROBLEM_DUPLICATE_KEY, 16, "limits", "backoff");
+                   PROBLEM_DUPLICATE_KEY, 18, "limits", "backoff");
     assert_problem(GOOD "[limits]\nbackoff = 1s\n[limits]\n",
-                   PROBLEM_DUPLICATE_SECTION, 16, "limits", "");
-    assert_problem(GOOD "[nonsense]\n", PROBLEM_UNKNOWN_SECTION, 14,
+                   PROBLEM_DUPLICATE_SECTION, 18, "limits", "");
+    assert_problem(GOOD "[nonsense]\n", PROBLEM_UNKNOWN_SECTION, 16,
                    "nonsense", "");
-    assert_problem(GOOD "[limits]\nnonsense\n", PROBLEM_SYNTAX, 15, "limits",
+    assert_problem(GOOD "[limits]\nnonsense\n", PROBLEM_SYNTAX, 17, "limits",
                    "");
 }
 END_TEST
