Smaller files: members, gossip, placing, stream identity, engine orders

Change: MemberTable (who there is and the order of hashing), Gossip (facts in and out under the budget) and Membership (links); Placer and StreamHandle out of Exchange; EngineOrders out of the engine stand-in. No behaviour changes.

--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -6,12 +6,12 @@
 #include "Attempt.h"
 #include "Clock.h"
 #include "EngineHttp.h"
-#include "HttpCall.h"
 #include "Log.h"
 #include "OnceGuard.h"
+#include "Placer.h"
 #include "Random.h"
 #include "Recovery.h"
-#include "Salt.h"
+#include "StreamHandle.h"
 
 #define MAX_BACKOFF_DOUBLINGS 6
 
@@ -43,10 +43,7 @@
     Upstream_t *avoid;
     gboolean is_resume; /* the attempt under way asks for a rest */
 
-    Upstream_t *stream_upstream; /* engine that has the stream */
-    char stream[STREAM_ID_MAX + 1];
-    char stream_attempt[RANDOM_ID_LENGTH + 1];
-    guint64 stream_incarnation;
+    StreamHandle_t stream;
     guint resumes;
 
     GString *text;       /* tokens that the caller has */
@@ -89,7 +86,7 @@
     event_free(this->backoff);
     set_upstream(&this->upstream, NULL);
     set_upstream(&this->avoid, NULL);
-    set_upstream(&this->stream_upstream, NULL);
+    StreamHandle_clear(&this->stream);
     g_string_free(this->id, TRUE);
     g_string_free(this->customer, TRUE);
     g_string_free(this->customer_class, TRUE);
@@ -165,30 +162,10 @@
 }
 
 static void
-on_cancelled(const HttpAnswer_t *answer, const GError *error, void *data)
+cancel_stream(const Exchange_t *this)
 {
-    (void)answer;
-    (void)error;
-    (void)data;
-}
-
-/* The engine drops the order if another attempt has come to read since. */
-static void
-cancel_stream(Exchange_t *this)
-{
-    if (!this->stream_upstream) {
-        return;
-    }
-    GBytes *body = this->wire->cancel_body(this->stream, this->stream_attempt);
-    HttpCallSpec_t spec = {
-        .address = &this->stream_upstream->address,
-        .method = EVHTTP_REQ_POST,
-        .path = this->wire->cancel_path,
-        .body = body,
-        .timeout_ms = this->context->settings->limits.token_timeout_ms,
-    };
-    HttpCall_start(this->context->base, &spec, on_cancelled, NULL);
-    g_bytes_unref(body);
+    StreamHandle_cancel(&this->stream, this->context->base, this->wire,
+                        this->context->settings->limits.token_timeout_ms);
 }
 
 static void
@@ -258,7 +235,7 @@
     this->backoff = Clock_timer(this->context->base, on_grace_over, this);
     evtimer_del(this->deadline);
     gboolean may_return =
-        this->prompt && this->prompt->stream && this->stream_upstream;
+        this->prompt && this->prompt->stream && this->stream.upstream;
     Clock_arm(this->backoff,
               may_return ? this->context->settings->limits.resume_grace_ms
                          : 0);
@@ -281,18 +258,11 @@
 static void
 seal_token(Exchange_t *this)
 {
-    ResumePoint_t *point = ResumePoint_create();
-    g_string_assign(point->customer, this->customer->str);
-    g_string_assign(point->upstream, this->stream_upstream->name->str);
-    g_string_assign(point->stream, this->stream);
-    g_string_assign(point->request, this->id->str);
-    g_string_assign(point->model, this->target->str);
-    point->incarnation = this->stream_incarnation;
-    GString *sealed =
-        ResumeToken_seal(point, this->context->settings->keys.seal);
+    GString *sealed = StreamHandle_seal(
+        &this->stream, this->context->settings->keys.seal, this->customer->str,
+        this->id->str, this->target->str);
     Answer_setToken(this->answer, sealed);
     g_string_free(sealed, TRUE);
-    ResumePoint_destroy(point);
 }
 
 static void
@@ -322,11 +292,7 @@
 {
     Exchange_t *this = owner;
     note_head(this, head);
-    set_upstream(&this->stream_upstream, this->upstream);
-    g_strlcpy(this->stream, head->stream, sizeof(this->stream));
-    g_strlcpy(this->stream_attempt, Attempt_id(this->attempt),
-              sizeof(this->stream_attempt));
-    this->stream_incarnation = head->incarnation;
+    StreamHandle_set(&this->stream, this->upstream, head);
     seal_token(this);
     if (this->is_resume) {
         return;
@@ -392,7 +358,7 @@
         .end = end,
         .was_resume = this->is_resume,
         .progressed = this->attempt_trace->tokens > 0,
-        .stream_known = this->stream_upstream != NULL,
+        .stream_known = this->stream.upstream != NULL,
         .resumes = this->resumes,
         .tokens = this->tokens,
         .sent = this->sent,
@@ -481,7 +447,7 @@
         resume_stream(this);
         return;
     }
-    set_upstream(&this->stream_upstream, NULL);
+    StreamHandle_clear(&this->stream);
     place_later(this);
 }
 
@@ -563,61 +529,30 @@
 {
     this->is_resume = TRUE;
     this->resumes++;
-    GBytes *body = this->wire->resume_body(this->stream,
+    GBytes *body = this->wire->resume_body(this->stream.stream,
                                            this->first_token + this->tokens);
-    start_attempt(this, this->stream_upstream, this->wire->resume_path, body,
+    start_attempt(this, this->stream.upstream, this->wire->resume_path, body,
                   "resume");
 }
 
-static const char *
-adapter_weights(const Exchange_t *this)
-{
-    const Object_t *adapter = ConfigStore_find(
-        this->context->config, OBJECT_ADAPTER, this->prompt->adapter->str);
-    return adapter ? ((const Adapter_t *)adapter->spec)->weights->str : "";
-}
-
 static void
-fill_placement(Exchange_t *this, guint64 seed)
-{
-    const Context_t *context = this->context;
-    Placement_t *placement = &this->placement;
-    placement->target = this->target->str;
-    placement->serving = UpstreamSet_serving(context->upstreams, ROLE_ENGINE,
-                                             this->target->str);
-    placement->generation = UpstreamSet_generation(context->upstreams);
-    placement->hall = context->settings->router.hall->str;
-    placement->region = context->settings->router.region->str;
-    placement->avoid = this->avoid;
-    placement->now_ms = Clock_nowMs();
-    placement->prompt_tokens = Prompt_tokens(this->prompt);
-    placement->level_count = this->prompt->level_count;
-    for (guint i = 0; i < placement->level_count; i++) {
-        const PromptLevel_t *level = &this->prompt->levels[i];
-        placement->levels[i] = level->hash ^ seed;
-        placement->level_tokens[i] =
-            (guint)(level->end / PROMPT_BYTES_PER_TOKEN);
-    }
-}
-
-static void
-start_new_stream(Exchange_t *this, const Choice_t *choice, const char *salt,
-                 const char *weights)
+start_new_stream(Exchange_t *this, const Placing_t *placing)
 {
+    const Choice_t *choice = &placing->choice;
     EngineOrder_t order = {
         .prompt = this->prompt,
-        .salt = salt,
+        .salt = placing->salt,
         .priority = this->priority,
         .incarnation = choice->upstream->incarnation,
-        .weights = weights,
+        .weights = placing->weights,
         .sent_text = this->text,
         .sent_tokens = this->tokens,
     };
+    guint tokens = placing->placement.prompt_tokens;
     this->is_resume = FALSE;
+    this->placement = placing->placement;
     this->expected_cached = choice->expected_cached;
-    this->missing_tokens =
-        this->placement.prompt_tokens -
-        MIN(choice->expected_cached, this->placement.prompt_tokens);
+    this->missing_tokens = tokens - MIN(choice->expected_cached, tokens);
     choice->upstream->pending_tokens += this->missing_tokens;
     start_attempt(this, choice->upstream, this->wire->start_path(this->prompt),
                   this->wire->start_body(&order), choice->reason);
@@ -627,30 +562,17 @@
 static void
 place(Exchange_t *this)
 {
-    const Object_t *model = ConfigStore_find(this->context->config,
-                                             OBJECT_MODEL, this->target->str);
-    if (!model) {
+    Placing_t placing;
+    if (!Placer_place(this->context, this->prompt, this->customer->str,
+                      this->avoid, &placing)) {
         refuse(this, REFUSAL_UNKNOWN_MODEL, run_state(this), NULL);
-        return;
     }
-    const char *weights = ((const Model_t *)model->spec)->weights->str;
-    SaltInput_t input = {
-        .customer = this->customer->str,
-        .model = this->target->str,
-        .weights = weights,
-        .adapter = this->prompt->adapter->str,
-        .adapter_weights = adapter_weights(this),
-    };
-    char salt[SALT_LENGTH + 1];
-    guint64 seed = Salt_make(&input, this->context->settings->keys.salt, salt);
-    fill_placement(this, seed);
-    this->placement.weights = weights;
-    Choice_t choice = Policy_choose(this->context->policy, &this->placement);
-    if (!choice.upstream) {
+    else if (!placing.choice.upstream) {
         refuse(this, REFUSAL_NO_UPSTREAM, run_state(this), NULL);
-        return;
     }
-    start_new_stream(this, &choice, salt, weights);
+    else {
+        start_new_stream(this, &placing);
+    }
 }
 
 /* A resume goes to the engine that has the stream, or nowhere. */
@@ -665,9 +587,7 @@
     }
     this->sent = TRUE;
     this->first_token = this->resume->offset;
-    set_upstream(&this->stream_upstream, upstream);
-    g_strlcpy(this->stream, this->resume->stream->str, sizeof(this->stream));
-    this->stream_incarnation = this->resume->incarnation;
+    StreamHandle_restore(&this->stream, upstream, this->resume);
     resume_stream(this);
 }
 
--- /dev/null
+++ b/src/Gossip.c
@@ -0,0 +1,353 @@
+#include "Gossip.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "Clock.h"
+#include "Log.h"
+#include "Random.h"
+
+/* Peers that get a message each tick. */
+#define FANOUT 2
+/* What one message holds beside its facts. */
+#define FRAME_OVERHEAD 32
+#define LEAST_MESSAGE 100
+
+struct Gossip {
+    MemberTable_t *table;
+    UpstreamSet_t *upstreams;
+    Counters_t *counters;
+    gint64 bytes_a_second;
+    GossipQueue_t *queue;
+    double budget; /* bytes that may be sent now */
+};
+
+typedef struct {
+    Gossip_t *owner;
+    gsize room;
+    GPtrArray *members;
+    GPtrArray *upstreams;
+} Message_t;
+
+Gossip_t *
+Gossip_create(MemberTable_t *table, UpstreamSet_t *upstreams,
+              Counters_t *counters, gint64 bytes_a_second)
+{
+    Gossip_t *this = g_new0(Gossip_t, 1);
+    this->table = table;
+    this->upstreams = upstreams;
+    this->counters = counters;
+    this->bytes_a_second = bytes_a_second;
+    this->queue = GossipQueue_create();
+    return this;
+}
+
+void
+Gossip_destroy(Gossip_t *this)
+{
+    GossipQueue_destroy(this->queue);
+    g_free(this);
+}
+
+static guint
+sends_wanted(const Gossip_t *this)
+{
+    return 2 + (guint)ceil(2.0 * log2((double)this->table->live->len + 1.0));
+}
+
+void
+Gossip_spread(Gossip_t *this, FactKind_t kind, const char *name)
+{
+    GossipQueue_add(this->queue, kind, name, sends_wanted(this));
+}
+
+void
+Gossip_introduce(Gossip_t *this)
+{
+    Gossip_spread(this, FACT_MEMBER_NEWS, this->table->self.name->str);
+    for (guint i = 0; i < this->table->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->table->live, i);
+        GossipQueue_add(this->queue, FACT_HEARTBEAT, member->name->str, 1);
+    }
+    const GPtrArray *upstreams = UpstreamSet_all(this->upstreams);
+    for (guint i = 0; i < upstreams->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(upstreams, i);
+        if (upstream->leaving) {
+            GossipQueue_add(this->queue, FACT_UPSTREAM_NEWS,
+                            upstream->name->str, 2);
+        }
+    }
+}
+
+static gboolean
+is_newer(const Member_t *member, const Wt__MemberFact *fact)
+{
+    if (fact->incarnation != member->incarnation) {
+        return fact->incarnation > member->incarnation;
+    }
+    return fact->heartbeat > member->heartbeat ||
+           (fact->leaving && !member->leaving) ||
+           fact->fold_offset > member->fold_offset;
+}
+
+static void
+read_address(Address_t *address, const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    if (colon && (gsize)(colon - text) < sizeof(address->host)) {
+        g_strlcpy(address->host, text, (gsize)(colon - text) + 1);
+        address->port = (guint16)g_ascii_strtoull(colon + 1, NULL, 10);
+    }
+}
+
+static void
+take_member(Gossip_t *this, const Wt__MemberFact *fact)
+{
+    if (strcmp(fact->name, this->table->self.name->str) == 0) {
+        return;
+    }
+    Member_t *member = MemberTable_findOrMake(this->table, fact->name);
+    if (!is_newer(member, fact)) {
+        return;
+    }
+    gboolean reborn = fact->incarnation > member->incarnation;
+    gboolean news = reborn || fact->leaving != member->leaving ||
+                    fact->fold_offset > member->fold_offset;
+    member->leaving = fact->leaving || (member->leaving && !reborn);
+    member->incarnation = fact->incarnation;
+    member->heartbeat =
+        reborn ? fact->heartbeat : MAX(member->heartbeat, fact->heartbeat);
+    member->fold_offset = MAX(member->fold_offset, fact->fold_offset);
+    member->heard_ms = Clock_nowMs();
+    read_address(&member->address, fact->address);
+    g_string_assign(member->hall, fact->hall);
+    Gossip_spread(this, news ? FACT_MEMBER_NEWS : FACT_HEARTBEAT, fact->name);
+}
+
+/* Returns whether the weights are news; what is older than what is known
+ * here is passed over. */
+static gboolean
+take_report(Upstream_t *upstream, const Wt__UpstreamFact *fact, gint64 now_ms)
+{
+    gint64 at_ms = now_ms - fact->age_ms;
+    if (fact->incarnation != upstream->incarnation ||
+        at_ms <= upstream->reported_at_ms) {
+        return FALSE;
+    }
+    gboolean news =
+        *fact->weights && strcmp(upstream->weights->str, fact->weights) != 0;
+    if (news) {
+        Upstream_noteWeights(upstream, fact->weights);
+    }
+    upstream->reported_at_ms = at_ms;
+    upstream->reported_running = fact->running;
+    upstream->reported_tokens = (gint64)fact->waiting_tokens;
+    return news;
+}
+
+static void
+take_upstream(Gossip_t *this, const Wt__UpstreamFact *fact)
+{
+    Upstream_t *upstream = UpstreamSet_find(this->upstreams, fact->name);
+    if (!upstream) {
+        return;
+    }
+    gint64 now_ms = Clock_nowMs();
+    gboolean was_leaving = upstream->leaving;
+    gboolean news =
+        Upstream_noteIncarnation(upstream, fact->incarnation, now_ms);
+    if (fact->leaving) {
+        Upstream_noteLeaving(upstream, fact->incarnation);
+    }
+    news = take_report(upstream, fact, now_ms) || news;
+    if (upstream->leaving && !was_leaving) {
+        Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
+        Log_text("upstream", fact->name);
+        Log_text("source", "peer");
+        Log_end();
+        news = TRUE;
+    }
+    if (news) {
+        Gossip_spread(this, FACT_UPSTREAM_NEWS, fact->name);
+    }
+}
+
+void
+Gossip_take(Gossip_t *this, const Wt__Gossip *message)
+{
+    for (size_t i = 0; i < message->n_members; i++) {
+        take_member(this, message->members[i]);
+    }
+    for (size_t i = 0; i < message->n_upstreams; i++) {
+        take_upstream(this, message->upstreams[i]);
+    }
+}
+
+static Wt__MemberFact *
+make_member_fact(const Member_t *member)
+{
+    Wt__MemberFact *fact = g_new0(Wt__MemberFact, 1);
+    wt__member_fact__init(fact);
+    fact->name = member->name->str;
+    fact->incarnation = member->incarnation;
+    fact->address =
+        g_strdup_printf("%s:%u", member->address.host, member->address.port);
+    fact->hall = member->hall->str;
+    fact->heartbeat = member->heartbeat;
+    fact->leaving = member->leaving;
+    fact->fold_offset = member->fold_offset;
+    return fact;
+}
+
+static void
+free_member_fact(gpointer data)
+{
+    Wt__MemberFact *fact = data;
+    g_free(fact->address);
+    g_free(fact);
+}
+
+static Wt__UpstreamFact *
+make_upstream_fact(const Upstream_t *upstream)
+{
+    Wt__UpstreamFact *fact = g_new0(Wt__UpstreamFact, 1);
+    wt__upstream_fact__init(fact);
+    fact->name = upstream->name->str;
+    fact->incarnation = upstream->incarnation;
+    fact->leaving = upstream->leaving;
+    fact->weights = upstream->weights->str;
+    fact->running = upstream->reported_running;
+    fact->waiting_tokens = (guint64)upstream->reported_tokens;
+    fact->age_ms =
+        (guint32)MIN(Clock_nowMs() - upstream->reported_at_ms, G_MAXINT32);
+    return fact;
+}
+
+static gboolean
+add_fact(Message_t *message, GPtrArray *list, gpointer fact, gsize size)
+{
+    if (size > message->room) {
+        return FALSE;
+    }
+    message->room -= size;
+    g_ptr_array_add(list, fact);
+    return TRUE;
+}
+
+static gboolean
+take_member_fact(Message_t *message, const char *name)
+{
+    const Gossip_t *this = message->owner;
+    const Member_t *member = strcmp(name, this->table->self.name->str) == 0
+                                 ? &this->table->self
+                                 : MemberTable_find(this->table, name);
+    if (!member || member->address.port == 0) {
+        return TRUE;
+    }
+    Wt__MemberFact *fact = make_member_fact(member);
+    gsize size = wt__member_fact__get_packed_size(fact) + 2;
+    if (!add_fact(message, message->members, fact, size)) {
+        free_member_fact(fact);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static gboolean
+take_upstream_fact(Message_t *message, const char *name)
+{
+    const Upstream_t *upstream =
+        UpstreamSet_find(message->owner->upstreams, name);
+    if (!upstream) {
+        return TRUE;
+    }
+    Wt__UpstreamFact *fact = make_upstream_fact(upstream);
+    gsize size = wt__upstream_fact__get_packed_size(fact) + 2;
+    if (!add_fact(message, message->upstreams, fact, size)) {
+        g_free(fact);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static gboolean
+take_fact(FactKind_t kind, const char *name, void *data)
+{
+    gboolean is_member = kind == FACT_MEMBER_NEWS || kind == FACT_HEARTBEAT;
+    return is_member ? take_member_fact(data, name)
+                     : take_upstream_fact(data, name);
+}
+
+static void
+send_gossip(Gossip_t *this, Member_t *member, gsize room)
+{
+    Message_t message = {
+        .owner = this,
+        .room = room - FRAME_OVERHEAD,
+        .members = g_ptr_array_new_with_free_func(free_member_fact),
+        .upstreams = g_ptr_array_new_with_free_func(g_free),
+    };
+    GossipQueue_fill(this->queue, take_fact, &message);
+    if (message.members->len + message.upstreams->len > 0) {
+        Wt__Gossip gossip = WT__GOSSIP__INIT;
+        Wt__PeerMessage frame = WT__PEER_MESSAGE__INIT;
+        gossip.n_members = message.members->len;
+        gossip.members = (Wt__MemberFact **)message.members->pdata;
+        gossip.n_upstreams = message.upstreams->len;
+        gossip.upstreams = (Wt__UpstreamFact **)message.upstreams->pdata;
+        frame.body_case = WT__PEER_MESSAGE__BODY_GOSSIP;
+        frame.gossip = &gossip;
+        gsize bytes = PeerLink_send(member->link, &frame);
+        this->budget -= (double)bytes;
+        Counters_add(this->counters, "peer_bytes_sent_total",
+                     "kind=\"gossip\"", bytes);
+    }
+    g_ptr_array_unref(message.members);
+    g_ptr_array_unref(message.upstreams);
+}
+
+/* The budget is a hard limit: what it does not cover now waits. */
+static void
+send_to_some(Gossip_t *this)
+{
+    gint64 rate = this->bytes_a_second;
+    this->budget = MIN(this->budget + (double)rate * GOSSIP_TICK_MS / 1000.0,
+                       (double)rate);
+    guint links = MemberTable_links(this->table);
+    guint start =
+        this->table->live->len > 0 ? Random_below(this->table->live->len) : 0;
+    guint sent = 0;
+    for (guint i = 0; i < this->table->live->len && sent < MIN(FANOUT, links);
+         i++) {
+        Member_t *member = g_ptr_array_index(
+            this->table->live, (start + i) % this->table->live->len);
+        if (!member->link) {
+            continue;
+        }
+        sent++;
+        if (this->budget >= LEAST_MESSAGE) {
+            send_gossip(this, member, (gsize)this->budget);
+        }
+    }
+}
+
+/* Load is the least urgent; each tick offers what answers have reported. */
+static void
+offer_loads(Gossip_t *this, gint64 now_ms)
+{
+    const GPtrArray *upstreams = UpstreamSet_all(this->upstreams);
+    for (guint i = 0; i < upstreams->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(upstreams, i);
+        if (now_ms - upstream->reported_at_ms < GOSSIP_TICK_MS) {
+            GossipQueue_add(this->queue, FACT_UPSTREAM_LOAD,
+                            upstream->name->str, 1);
+        }
+    }
+}
+
+void
+Gossip_tick(Gossip_t *this)
+{
+    offer_loads(this, Clock_nowMs());
+    send_to_some(this);
+}
--- /dev/null
+++ b/src/Gossip.h
@@ -0,0 +1,48 @@
+#ifndef HEADER_Gossip
+#define HEADER_Gossip
+/**
+ * DOC: Gossip
+ *
+ * Facts between routers: members, upstreams' incarnations, leaving, weights
+ * and load, configuration offsets. Each tick a few linked peers get what is
+ * most urgent, under a byte budget that is a hard limit.
+ */
+#include <glib.h>
+
+#include "Counters.h"
+#include "GossipQueue.h"
+#include "MemberTable.h"
+#include "UpstreamSet.h"
+
+/** How often Gossip_tick() is to be called */
+#define GOSSIP_TICK_MS 100
+
+/** struct Gossip_t - opaque */
+typedef struct Gossip Gossip_t;
+
+/**
+ * Gossip_create() - nothing to tell yet
+ * @table: of routers
+ * @upstreams: learns from gossip, and is read for it
+ * @counters: for bytes sent
+ * @bytes_a_second: the budget
+ */
+Gossip_t *Gossip_create(MemberTable_t *table, UpstreamSet_t *upstreams,
+                        Counters_t *counters, gint64 bytes_a_second);
+
+/** Gossip_destroy() - free it */
+void Gossip_destroy(Gossip_t *this);
+
+/** Gossip_spread() - a fact has news for all */
+void Gossip_spread(Gossip_t *this, FactKind_t kind, const char *name);
+
+/** Gossip_introduce() - a new link learns of all, within the budget */
+void Gossip_introduce(Gossip_t *this);
+
+/** Gossip_take() - facts came */
+void Gossip_take(Gossip_t *this, const Wt__Gossip *message);
+
+/** Gossip_tick() - send what the budget allows */
+void Gossip_tick(Gossip_t *this);
+
+#endif
--- /dev/null
+++ b/src/MemberTable.c
@@ -0,0 +1,183 @@
+#include "MemberTable.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "Clock.h"
+#include "Log.h"
+
+static void
+Member_destroy(gpointer data)
+{
+    Member_t *member = data;
+    if (member->link) {
+        PeerLink_close(member->link);
+    }
+    g_string_free(member->name, TRUE);
+    g_string_free(member->hall, TRUE);
+    g_free(member);
+}
+
+static gint
+compare_members(gconstpointer a, gconstpointer b)
+{
+    const Member_t *left = *(Member_t *const *)a;
+    const Member_t *right = *(Member_t *const *)b;
+    return strcmp(left->name->str, right->name->str);
+}
+
+static void
+list_live(MemberTable_t *this)
+{
+    GHashTableIter iter;
+    gpointer member = NULL;
+    g_ptr_array_set_size(this->live, 0);
+    g_hash_table_iter_init(&iter, this->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &member)) {
+        g_ptr_array_add(this->live, member);
+    }
+    g_ptr_array_sort(this->live, compare_members);
+}
+
+MemberTable_t *
+MemberTable_create(const char *name, const char *hall, guint64 incarnation)
+{
+    MemberTable_t *this = g_new0(MemberTable_t, 1);
+    this->self.name = g_string_new(name);
+    this->self.hall = g_string_new(hall);
+    this->self.incarnation = incarnation;
+    this->by_name =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, Member_destroy);
+    this->live = g_ptr_array_new();
+    return this;
+}
+
+void
+MemberTable_destroy(MemberTable_t *this)
+{
+    g_ptr_array_unref(this->live);
+    g_hash_table_destroy(this->by_name);
+    g_string_free(this->self.name, TRUE);
+    g_string_free(this->self.hall, TRUE);
+    g_free(this);
+}
+
+Member_t *
+MemberTable_find(const MemberTable_t *this, const char *name)
+{
+    return g_hash_table_lookup(this->by_name, name);
+}
+
+Member_t *
+MemberTable_findOrMake(MemberTable_t *this, const char *name)
+{
+    Member_t *member = g_hash_table_lookup(this->by_name, name);
+    if (member) {
+        return member;
+    }
+    member = g_new0(Member_t, 1);
+    member->name = g_string_new(name);
+    member->hall = g_string_new(NULL);
+    member->heard_ms = Clock_nowMs();
+    g_hash_table_insert(this->by_name, member->name->str, member);
+    list_live(this);
+    Log_begin(LOG_LEVEL_INFO, "member_joined");
+    Log_text("member", name);
+    Log_number("members", this->live->len);
+    Log_end();
+    return member;
+}
+
+Member_t *
+MemberTable_findLink(const MemberTable_t *this, const PeerLink_t *link)
+{
+    for (guint i = 0; i < this->live->len; i++) {
+        Member_t *member = g_ptr_array_index(this->live, i);
+        if (member->link == link) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+static gboolean
+is_gone(gpointer name, gpointer value, gpointer before)
+{
+    const Member_t *member = value;
+    if (member->heard_ms > *(gint64 *)before) {
+        return FALSE;
+    }
+    Log_begin(LOG_LEVEL_WARNING, "member_gone");
+    Log_text("member", name);
+    Log_end();
+    return TRUE;
+}
+
+void
+MemberTable_expire(MemberTable_t *this, gint64 silence_ms)
+{
+    gint64 before_ms = Clock_nowMs() - silence_ms;
+    if (g_hash_table_foreach_remove(this->by_name, is_gone, &before_ms) > 0) {
+        list_live(this);
+    }
+}
+
+guint
+MemberTable_links(const MemberTable_t *this)
+{
+    guint links = 0;
+    for (guint i = 0; i < this->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->live, i);
+        links += member->link ? 1 : 0;
+    }
+    return links;
+}
+
+guint
+MemberTable_liveCount(const MemberTable_t *this)
+{
+    guint count = this->self.leaving ? 0 : 1;
+    for (guint i = 0; i < this->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->live, i);
+        count += member->leaving ? 0 : 1;
+    }
+    return MAX(count, 1);
+}
+
+static guint64
+weight_of(const Member_t *member, const char *key)
+{
+    guint64 seed = XXH3_64bits(key, strlen(key));
+    return XXH3_64bits_withSeed(member->name->str, member->name->len, seed);
+}
+
+Member_t *
+MemberTable_owner(const MemberTable_t *this, const char *key)
+{
+    Member_t *best = NULL;
+    guint64 most = this->self.leaving ? 0 : weight_of(&this->self, key);
+    for (guint i = 0; i < this->live->len; i++) {
+        Member_t *member = g_ptr_array_index(this->live, i);
+        guint64 weight = member->leaving ? 0 : weight_of(member, key);
+        if (weight > most) {
+            most = weight;
+            best = member;
+        }
+    }
+    return best;
+}
+
+guint
+MemberTable_rank(const MemberTable_t *this, const char *key, const char *hall)
+{
+    guint rank = 0;
+    guint64 own = weight_of(&this->self, key);
+    for (guint i = 0; i < this->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->live, i);
+        if ((!hall || strcmp(member->hall->str, hall) == 0) &&
+            !member->leaving && weight_of(member, key) > own) {
+            rank++;
+        }
+    }
+    return rank;
+}
--- /dev/null
+++ b/src/MemberTable.h
@@ -0,0 +1,85 @@
+#ifndef HEADER_MemberTable
+#define HEADER_MemberTable
+/**
+ * DOC: MemberTable
+ *
+ * This router and all others that are alive, as far as is known, and the
+ * order in which rendezvous hashing puts them for a key.
+ */
+#include <glib.h>
+
+#include "KeyTable.h"
+#include "PeerLink.h"
+
+/**
+ * struct Member_t - one router
+ * @name: its name
+ * @incarnation: newest that was heard of
+ * @address: where it listens for peers
+ * @hall: where it stands
+ * @heartbeat: newest that was heard of
+ * @heard_ms: when @heartbeat last grew
+ * @leaving: it stops; never taken back for an incarnation
+ * @fold_offset: configuration in force there
+ * @link: open link, or NULL
+ */
+typedef struct {
+    GString *name;
+    guint64 incarnation;
+    Address_t address;
+    GString *hall;
+    guint64 heartbeat;
+    gint64 heard_ms;
+    gboolean leaving;
+    guint64 fold_offset;
+    PeerLink_t *link;
+} Member_t;
+
+/**
+ * struct MemberTable_t - the routers
+ * @self: this one
+ * @by_name: name to Member_t of all others
+ * @live: the same, Member_t by name
+ */
+typedef struct {
+    Member_t self;
+    GHashTable *by_name;
+    GPtrArray *live;
+} MemberTable_t;
+
+/** MemberTable_create() - only this router */
+MemberTable_t *MemberTable_create(const char *name, const char *hall,
+                                  guint64 incarnation);
+
+/** MemberTable_destroy() - close all links and free it */
+void MemberTable_destroy(MemberTable_t *this);
+
+/** MemberTable_find() - another router, or NULL */
+Member_t *MemberTable_find(const MemberTable_t *this, const char *name);
+
+/** MemberTable_findOrMake() - another router, new where it was unknown */
+Member_t *MemberTable_findOrMake(MemberTable_t *this, const char *name);
+
+/** MemberTable_findLink() - whose link it is, or NULL */
+Member_t *MemberTable_findLink(const MemberTable_t *this,
+                               const PeerLink_t *link);
+
+/** MemberTable_expire() - forget who was not heard of for so long */
+void MemberTable_expire(MemberTable_t *this, gint64 silence_ms);
+
+/** MemberTable_links() - open links */
+guint MemberTable_links(const MemberTable_t *this);
+
+/** MemberTable_liveCount() - routers that are not leaving, this one included
+ */
+guint MemberTable_liveCount(const MemberTable_t *this);
+
+/** MemberTable_owner() - the first in a key's order; NULL for this router */
+Member_t *MemberTable_owner(const MemberTable_t *this, const char *key);
+
+/** MemberTable_rank() - this router's place in a key's order, of a hall or
+ * of all */
+guint MemberTable_rank(const MemberTable_t *this, const char *key,
+                       const char *hall);
+
+#endif
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -3,43 +3,19 @@
 /**
  * DOC: Membership
  *
- * Which routers there are, the links to them, and the gossip over those
- * links: members, upstreams' incarnations and leaving, configuration
- * offsets, load. It is a hint throughout: no promise rests on it, only how
- * soon and how cheaply things happen.
+ * The links to other routers: it finds them by seeds and by what others tell
+ * (MemberTable.h), and lets gossip flow (Gossip.h). It is a hint throughout:
+ * no promise rests on it, only how soon and how cheaply things happen.
  */
 #include <event2/event.h>
 #include <glib.h>
 
 #include "Counters.h"
+#include "MemberTable.h"
 #include "PeerLink.h"
 #include "Settings.h"
 #include "UpstreamSet.h"
 
-/**
- * struct Member_t - one router
- * @name: its name
- * @incarnation: newest that was heard of
- * @address: where it listens for peers
- * @hall: where it stands
- * @heartbeat: newest that was heard of
- * @heard_ms: when @heartbeat last grew
- * @leaving: it stops; never taken back for an incarnation
- * @fold_offset: configuration in force there
- * @link: open link, or NULL
- */
-typedef struct {
-    GString *name;
-    guint64 incarnation;
-    Address_t address;
-    GString *hall;
-    guint64 heartbeat;
-    gint64 heard_ms;
-    gboolean leaving;
-    guint64 fold_offset;
-    PeerLink_t *link;
-} Member_t;
-
 /**
  * struct MembershipSpec_t - what it needs
  * @settings: of this router
--- a/standins/EngineStandin.c
+++ b/standins/EngineStandin.c
@@ -21,6 +21,7 @@
 #include <xxhash.h>
 
 #include "EngineCache.h"
+#include "EngineOrders.h"
 #include "Options.h"
 #include "Server.h"
 #include "standins.h"
@@ -62,17 +63,13 @@
 
 static const char *name = "engine";
 static const char *models = "";
-static char weights[ID_MAX + 1] = "v1";
+static char weights[ENGINE_WEIGHTS_MAX + 1] = "v1";
 static const char *first_weights = "v1";
 
 static gint64 port, incarnation, blocks = 4096, prefill_rate = 20000;
 static gint64 decode_ms = 20, slots = 256, queue_max = 1024, hold_ms = 10000;
 static gint64 cut_after = -1, cuts, die_after = -1, mismatch, refuse, silent;
 static gint64 no_end, cross, leaving, cancelled, forget_streams;
-static gint64 ignore_fencing, load_ms, lose_orders, fenced, orders;
-static gint64 stale_orders;
-static char loading[ID_MAX + 1];
-static json_t *order_list; /* each order that was carried out */
 static gint64 runs, prompt_total, cached_total, made_total, resumed;
 
 static const Knob_t knobs[] = {
@@ -93,9 +90,11 @@
     {"no_end", &no_end},       /* next so many: no end mark */
     {"cross", &cross},         /* next so many: events of another stream */
     {"leaving", &leaving},
-    {"ignore_fencing", &ignore_fencing}, /* obey old fencing numbers too */
-    {"load_ms", &load_ms},               /* time to load weights */
-    {"lose_orders", &lose_orders}, /* next so many: carry out, no answer */
+    {"ignore_fencing",
+     &EngineOrders_knobs.ignore_fencing}, /* obey old fencing numbers too */
+    {"load_ms", &EngineOrders_knobs.load_ms}, /* time to load weights */
+    {"lose_orders", &EngineOrders_knobs.lose_answers}, /* next so many: carry
+                                                          out, no answer */
     {"forget_streams", &forget_streams}, /* keep none without a reader */
 };
 
@@ -610,66 +609,6 @@
     json_decref(body);
 }
 
-static void
-on_loaded(void *data)
-{
-    char *version = data;
-    /* A later order may have named another version meanwhile. */
-    if (strcmp(loading, version) == 0) {
-        g_strlcpy(weights, version, sizeof(weights));
-        loading[0] = '\0';
-    }
-    g_free(version);
-}
-
-static void
-carry_out(const char *version, gint64 number)
-{
-    orders++;
-    fenced = MAX(fenced, number);
-    json_array_append_new(order_list,
-                          json_pack("{s:I, s:s}", "fencing",
-                                    (json_int_t)number, "weights", version));
-    g_strlcpy(loading, version, sizeof(loading));
-    Server_after(&server, load_ms, on_loaded, g_strdup(version));
-}
-
-static void
-handle_order(struct evhttp_request *request)
-{
-    json_t *body = Server_body(request);
-    gint64 number = number_member(body, "fencing");
-    const char *version = text_member(body, "weights");
-    if (!version) {
-        Server_refuse(request, HTTP_BADREQUEST, "bad_order", "not_run", 0);
-    }
-    else if (number < fenced && !ignore_fencing) {
-        stale_orders++;
-        Server_refuse(request, 409, "stale_fencing", "not_run", 0);
-    }
-    else {
-        carry_out(version, number);
-        if (Server_spend(&lose_orders)) {
-            Server_drop(request);
-        }
-        else {
-            Server_reply(request, HTTP_OK, json_object());
-        }
-    }
-    json_decref(body);
-}
-
-static void
-handle_engine(struct evhttp_request *request)
-{
-    Server_reply(request, HTTP_OK,
-                 json_pack("{s:s, s:s, s:I, s:I, s:I, s:O}", "weights",
-                           weights, "loading", loading, "incarnation",
-                           (json_int_t)incarnation, "orders",
-                           (json_int_t)orders, "stale_orders",
-                           (json_int_t)stale_orders, "list", order_list));
-}
-
 static void
 handle(struct evhttp_request *request, void *data)
 {
@@ -688,10 +627,10 @@
         handle_cancel(request);
     }
     else if (strcmp(path, "/v1/orders") == 0) {
-        handle_order(request);
+        EngineOrders_handle(&server, request, weights);
     }
     else if (strcmp(path, "/v1/engine") == 0) {
-        handle_engine(request);
+        EngineOrders_show(request, weights, (guint64)incarnation);
     }
     else if (strcmp(path, "/control") == 0) {
         handle_control(request);
@@ -714,7 +653,6 @@
     cache = EngineCache_create((guint)blocks);
     streams =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, destroy_stream);
-    order_list = json_array();
     waiting = g_ptr_array_new();
     running = g_ptr_array_new();
     Server_listen(&server, (guint16)port, handle, NULL);
