--- a/src/Lease.c
+++ b/src/Lease.c
@@ -26,6 +26,7 @@
     LeaseTable_t *table;
     guint64 fold_offset;
     gboolean caught_up;
+    gboolean reading;
     gboolean wanted;
     gint64 patience_ms;
     guint64 seen_number; /* current lease, whoever has it */
@@ -146,9 +147,15 @@
     read_next(this);
 }
 
+/* Who does not want the lease need not follow the stream. */
 static void
 read_next(Lease_t *this)
 {
+    this->reading = this->wanted || this->number != 0;
+    if (!this->reading) {
+        this->caught_up = FALSE;
+        return;
+    }
     LogClient_read(this->spec.log, STREAM, this->fold_offset,
                    this->caught_up ? this->spec.poll_ms : 0, on_read, this);
 }
@@ -265,7 +272,6 @@
     this->tick = Clock_timer(base, on_tick, this);
     this->retry = Clock_timer(base, on_retry, this);
     Clock_arm(this->tick, TICK_MS);
-    read_next(this);
     return this;
 }
 
@@ -285,6 +291,9 @@
 {
     this->wanted = wanted;
     this->patience_ms = patience_ms;
+    if (wanted && !this->reading) {
+        read_next(this);
+    }
 }
 
 gint64
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -34,7 +34,7 @@
 /** struct Lease_t - opaque */
 typedef struct Lease Lease_t;
 
-/** Lease_create() - start to follow; it does not want the lease yet */
+/** Lease_create() - it does not want the lease yet and follows nothing */
 Lease_t *Lease_create(struct event_base *base, const LeaseSpec_t *spec);
 
 /** Lease_destroy() - free it; the log client must be freed first */
--- a/tests/sessions/test_golden.py
+++ b/tests/sessions/test_golden.py
@@ -9,6 +9,7 @@
 CHAT = {"model": "m", "max_tokens": 4, "messages": [
     {"role": "system", "content": "You answer at the desk."},
     {"role": "user", "content": "May I freeze my plan?"}]}
+LEVEL = 120  # of the prompt's bytes; hashing puts the engine e2 first
 EVENTS = ("request_done", "request_refused", "stream_resumed",
           "request_placed_again", "upstream_ejected", "upstream_leaving")
 
@@ -70,8 +71,10 @@
         second = self.cluster.engine("e2", refuse=1)
         router = self.cluster.start(eject_failures="1")
         first.control(die_after=3)
-        stream = self.ask_stream(router, PROMPT)
-        self.assertTrue(stream.whole)
+        # With a level, hashing puts one engine first, whatever was drawn.
+        body = dict(PROMPT, prompt_levels=[LEVEL])
+        stream = self.ask_stream(router, body)
+        self.assertTrue(stream.whole, (stream.error(), router.lines))
         self.assertEqual(places(stream.tokens()), list(range(6)))
         self.assertEqual(second.state()["runs"], 1)
         self.finish(router)
--- a/tests/sessions/test_streams.py
+++ b/tests/sessions/test_streams.py
@@ -66,7 +66,7 @@
         self.cluster.engine("e2")
         router = self.cluster.start(first_token_timeout="300ms")
         proxy.black_hole = True
-        for number in range(6):
+        for number in range(16):  # some of them go to the first engine
             self.assert_whole(router.stream(question("hole %d " % number * 20))
                               .read())
         self.assertGreater(proxy.injected, 0)
