--- a/src/Answer.c
+++ b/src/Answer.c
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <string.h>
 
+#include "CallerWatch.h"
 #include "Clock.h"
 #include "HttpCall.h"
 #include "Json.h"
@@ -18,8 +19,7 @@
 
 struct Answer {
     const AnswerClass_t *class;
-    struct event_base *base;
-    struct evhttp_request *request; /* NULL once ended or left */
+    CallerWatch_t *watch;
     const AnswerEvents_t *events;
     void *owner;
     gboolean chat;
@@ -31,7 +31,6 @@
     GString *head; /* of each event, the same for all of a stream */
     GString *line; /* events of this turn, or scratch */
     struct evbuffer *chunk;
-    struct event *closed; /* the caller's half of the connection ended */
     gsize buffer_max;
     TurnEnd_t *turn_end;
     gint64 created_s;
@@ -42,67 +41,17 @@
 static struct bufferevent *
 stream_of(const Answer_t *this)
 {
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(this->request);
+    struct evhttp_connection *connection = CallerWatch_connection(this->watch);
     return connection ? evhttp_connection_get_bufferevent(connection) : NULL;
 }
 
-/* Ends our watch over the connection; evhttp goes on with it alone. */
-static struct evhttp_request *
-let_go(Answer_t *this)
-{
-    struct evhttp_request *request = this->request;
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request);
-    if (connection) {
-        evhttp_connection_set_closecb(connection, NULL, NULL);
-    }
-    if (this->closed) {
-        event_free(this->closed);
-        this->closed = NULL;
-    }
-    this->request = NULL;
-    return request;
-}
-
-static void
-on_close(struct evhttp_connection *connection, void *data)
-{
-    (void)connection;
-    Answer_t *this = data;
-    struct evhttp_request *request = let_go(this);
-    if (!evhttp_request_get_connection(request)) {
-        evhttp_send_reply_end(request); /* only frees it then */
-    }
-    this->events->left(this->owner);
-}
-
 static void
-on_half_closed(evutil_socket_t fd, short what, void *data)
+on_left(void *owner)
 {
-    (void)fd;
-    (void)what;
-    Answer_t *this = data;
-    struct evhttp_request *request = let_go(this);
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request);
-    if (connection) {
-        evhttp_connection_free(connection);
-    }
+    const Answer_t *this = owner;
     this->events->left(this->owner);
 }
 
-static void
-watch_caller(Answer_t *this)
-{
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(this->request);
-    evhttp_connection_set_closecb(connection, on_close, this);
-    evutil_socket_t fd = bufferevent_getfd(stream_of(this));
-    this->closed = event_new(this->base, fd, EV_CLOSED, on_half_closed, this);
-    event_add(this->closed, NULL);
-}
-
 static void
 on_drained(struct evhttp_connection *connection, void *data)
 {
@@ -122,11 +71,11 @@
     }
     this->begun = TRUE;
     struct evkeyvalq *headers =
-        evhttp_request_get_output_headers(this->request);
+        evhttp_request_get_output_headers(CallerWatch_request(this->watch));
     evhttp_add_header(headers, "Content-Type", "text/event-stream");
     evhttp_add_header(headers, "Cache-Control", "no-store");
     evhttp_add_header(headers, "X-Request-Id", this->id->str);
-    evhttp_send_reply_start(this->request, HTTP_OK, "OK");
+    evhttp_send_reply_start(CallerWatch_request(this->watch), HTTP_OK, "OK");
 }
 
 static void
@@ -144,16 +93,15 @@
 static void
 send_lines(Answer_t *this)
 {
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(this->request);
+    struct evhttp_connection *connection = CallerWatch_connection(this->watch);
     evbuffer_add(this->chunk, this->line->str, this->line->len);
     g_string_truncate(this->line, 0);
     if (this->full) {
-        evhttp_send_reply_chunk_with_cb(this->request, this->chunk, on_drained,
-                                        this);
+        evhttp_send_reply_chunk_with_cb(CallerWatch_request(this->watch),
+                                        this->chunk, on_drained, this);
     }
     else if (connection) {
-        evhttp_send_reply_chunk(this->request, this->chunk);
+        evhttp_send_reply_chunk(CallerWatch_request(this->watch), this->chunk);
         Http_flush(connection);
     }
 }
@@ -162,7 +110,7 @@
 on_turn_end(void *data)
 {
     Answer_t *this = data;
-    if (this->request && this->line->len > 0) {
+    if (CallerWatch_request(this->watch) && this->line->len > 0) {
         send_lines(this);
     }
 }
@@ -242,7 +190,7 @@
     begin_stream(this);
     g_string_append(this->line, "data: [DONE]\n\n");
     send_lines(this);
-    struct evhttp_request *request = let_go(this);
+    struct evhttp_request *request = CallerWatch_end(this->watch);
     PendingReply_watch(request);
     evhttp_send_reply_end(request);
 }
@@ -281,11 +229,11 @@
         ",\"prompt_tokens_details\":{\"cached_tokens\":%u}}}",
         prompt_tokens, tokens, prompt_tokens + tokens, cached_tokens);
     struct evkeyvalq *headers =
-        evhttp_request_get_output_headers(this->request);
+        evhttp_request_get_output_headers(CallerWatch_request(this->watch));
     evhttp_add_header(headers, "Content-Type", "application/json");
     evhttp_add_header(headers, "X-Request-Id", this->id->str);
     evbuffer_add(this->chunk, body->str, body->len);
-    struct evhttp_request *request = let_go(this);
+    struct evhttp_request *request = CallerWatch_end(this->watch);
     PendingReply_watch(request);
     evhttp_send_reply(request, HTTP_OK, "OK", this->chunk);
 }
@@ -299,8 +247,6 @@
 {
     Answer_t *this = g_new0(Answer_t, 1);
     this->class = spec->stream ? &stream_class : &plain_class;
-    this->base = base;
-    this->request = spec->request;
     this->events = events;
     this->owner = owner;
     this->chat = spec->chat;
@@ -316,14 +262,14 @@
     this->buffer_max = spec->buffer_max;
     this->turn_end = spec->turn_end;
     this->created_s = Clock_wallMs() / 1000;
-    watch_caller(this);
+    this->watch = CallerWatch_create(base, spec->request, on_left, this);
     return this;
 }
 
 void
 Answer_destroy(Answer_t *this)
 {
-    g_assert(!this->request);
+    CallerWatch_destroy(this->watch);
     TurnEnd_remove(this->turn_end, this);
     g_string_free(this->id, TRUE);
     g_string_free(this->model_json, TRUE);
@@ -346,7 +292,7 @@
 Answer_token(Answer_t *this, const char *text, gsize length,
              const char *finish, guint64 next_offset)
 {
-    if (this->request) {
+    if (CallerWatch_request(this->watch)) {
         this->class->token(this, text, length, finish, next_offset);
     }
 }
@@ -355,7 +301,7 @@
 Answer_finish(Answer_t *this, guint prompt_tokens, guint64 tokens,
               guint cached_tokens)
 {
-    if (this->request) {
+    if (CallerWatch_request(this->watch)) {
         this->class->finish(this, prompt_tokens, tokens, cached_tokens);
     }
 }
@@ -378,7 +324,7 @@
                            body->str);
     g_string_free(body, TRUE);
     evbuffer_add(this->chunk, this->line->str, this->line->len);
-    struct evhttp_request *request = let_go(this);
+    struct evhttp_request *request = CallerWatch_end(this->watch);
     if (!evhttp_request_get_connection(request)) {
         evhttp_send_reply_end(request);
         return;
@@ -391,14 +337,15 @@
 Answer_refuse(Answer_t *this, Refusal_t refusal, RunState_t run,
               const char *detail)
 {
-    if (!this->request) {
+    if (!CallerWatch_request(this->watch)) {
         return;
     }
     if (this->begun) {
         break_off(this, refusal, run, detail);
         return;
     }
-    Http_refuse(let_go(this), this->id->str, refusal, run, detail);
+    Http_refuse(CallerWatch_end(this->watch), this->id->str, refusal, run,
+                detail);
 }
 
 gboolean
@@ -415,8 +362,9 @@
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", "application/json");
     evhttp_add_header(headers, "X-Request-Id", id);
-    if (spec->retry_after_s > 0) {
-        g_autofree char *wait = g_strdup_printf("%u", spec->retry_after_s);
+    if (spec->retry_after_ms > 0) {
+        g_autofree char *wait =
+            g_strdup_printf("%u", (spec->retry_after_ms + 999) / 1000);
         evhttp_add_header(headers, "Retry-After", wait);
     }
     GString *text = Refusal_body(refusal, run, detail);
--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -49,7 +49,8 @@
     evbuffer_remove_cb_entry(bufferevent_get_output(stream),
                              this->output_watch);
     if (this->keep && Upstream_canKeep(this->upstream)) {
-        Upstream_keepConnection(this->upstream, this->connection);
+        Upstream_keepConnection(this->upstream, this->connection,
+                                Clock_nowMs());
     }
     else {
         evhttp_connection_free(this->connection);
@@ -310,7 +311,9 @@
     this->parser = SseParser_create(on_event, this);
     this->watch = Clock_timer(base, on_watch, this);
     this->reaper = Clock_timer(base, on_reap, this);
-    this->connection = Upstream_takeConnection(this->upstream, spec->fresh);
+    this->connection = Upstream_takeConnection(
+        this->upstream, spec->fresh ? UPSTREAM_NO_IDLE : UPSTREAM_ANY_IDLE,
+        this->last_heard_ms);
     struct bufferevent *stream =
         evhttp_connection_get_bufferevent(this->connection);
     this->output_watch =
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -9,12 +9,12 @@
 
 #include "Answer.h"
 #include "Clock.h"
-#include "Exchange.h"
 #include "HttpCall.h"
 #include "Json.h"
 #include "PendingReply.h"
 #include "Random.h"
 #include "ServiceExchange.h"
+#include "StreamExchange.h"
 
 #define SERVICES_PATH "/v1/services/"
 #define KEY_HASH_BYTES 32
@@ -41,7 +41,7 @@
     enum evhttp_cmd_type method;
     gboolean needs_customer;
     Handler_t handle;
-} Route_t;
+} Endpoint_t;
 
 static void
 refuse(const Call_t *call, Refusal_t refusal, const char *detail)
@@ -52,7 +52,7 @@
         customer_class = spec->customer_class->str;
     }
     Context_countRefusal(call->context, refusal, RUN_NOT, call->id, "none",
-                         customer_class);
+                         customer_class, detail);
     Http_refuse(call->http, call->id, refusal, RUN_NOT, detail);
 }
 
@@ -177,12 +177,12 @@
         return;
     }
     g_strlcpy(call->id, point->request->str, sizeof(call->id));
-    ExchangeSpec_t spec = {.request = call->http,
-                           .id = call->id,
-                           .caller = &call->caller,
-                           .chat = chat,
-                           .resume = point};
-    Exchange_start(call->context, &spec);
+    StreamExchangeSpec_t spec = {.request = call->http,
+                                 .id = call->id,
+                                 .caller = &call->caller,
+                                 .chat = chat,
+                                 .resume = point};
+    StreamExchange_start(call->context, &spec);
 }
 
 static Prompt_t *
@@ -225,12 +225,12 @@
         Prompt_destroy(prompt);
         return;
     }
-    ExchangeSpec_t spec = {.request = call->http,
-                           .id = call->id,
-                           .caller = &call->caller,
-                           .chat = chat,
-                           .prompt = prompt};
-    Exchange_start(call->context, &spec);
+    StreamExchangeSpec_t spec = {.request = call->http,
+                                 .id = call->id,
+                                 .caller = &call->caller,
+                                 .chat = chat,
+                                 .prompt = prompt};
+    StreamExchange_start(call->context, &spec);
 }
 
 static void
@@ -300,7 +300,7 @@
     }
 }
 
-static const Route_t routes[] = {
+static const Endpoint_t endpoints[] = {
     {"/v1/completions", EVHTTP_REQ_POST, TRUE, handle_text},
     {"/v1/chat/completions", EVHTTP_REQ_POST, TRUE, handle_chat},
     {"/v1/models", EVHTTP_REQ_GET, TRUE, handle_models},
@@ -356,7 +356,7 @@
 }
 
 static void
-handle_route(Call_t *call, const Route_t *route)
+handle_route(Call_t *call, const Endpoint_t *route)
 {
     if (evhttp_request_get_command(call->http) != route->method) {
         refuse(call, REFUSAL_BAD_METHOD, NULL);
@@ -370,9 +370,9 @@
 static void
 dispatch(Call_t *call)
 {
-    for (gsize i = 0; i < G_N_ELEMENTS(routes); i++) {
-        if (strcmp(call->path, routes[i].path) == 0) {
-            handle_route(call, &routes[i]);
+    for (gsize i = 0; i < G_N_ELEMENTS(endpoints); i++) {
+        if (strcmp(call->path, endpoints[i].path) == 0) {
+            handle_route(call, &endpoints[i]);
             return;
         }
     }
--- /dev/null
+++ b/src/CallerWatch.c
@@ -0,0 +1,100 @@
+#include "CallerWatch.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+struct CallerWatch {
+    struct evhttp_request *request; /* NULL once ended or left */
+    struct event *closed; /* the caller's half of the connection ended */
+    CallerLeft_t left;
+    void *owner;
+};
+
+struct evhttp_request *
+CallerWatch_request(const CallerWatch_t *this)
+{
+    return this->request;
+}
+
+struct evhttp_connection *
+CallerWatch_connection(const CallerWatch_t *this)
+{
+    return this->request ? evhttp_request_get_connection(this->request) : NULL;
+}
+
+struct evhttp_request *
+CallerWatch_end(CallerWatch_t *this)
+{
+    struct evhttp_request *request = this->request;
+    struct evhttp_connection *connection = CallerWatch_connection(this);
+    if (connection) {
+        evhttp_connection_set_closecb(connection, NULL, NULL);
+    }
+    if (this->closed) {
+        event_free(this->closed);
+        this->closed = NULL;
+    }
+    this->request = NULL;
+    return request;
+}
+
+void
+CallerWatch_cut(CallerWatch_t *this)
+{
+    struct evhttp_request *request = CallerWatch_end(this);
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    if (connection) {
+        evhttp_connection_free(connection);
+    }
+    else {
+        evhttp_send_reply_end(request); /* only frees it then */
+    }
+}
+
+static void
+on_close(struct evhttp_connection *connection, void *data)
+{
+    (void)connection;
+    CallerWatch_t *this = data;
+    struct evhttp_request *request = CallerWatch_end(this);
+    if (!evhttp_request_get_connection(request)) {
+        evhttp_send_reply_end(request); /* only frees it then */
+    }
+    this->left(this->owner);
+}
+
+static void
+on_half_closed(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    CallerWatch_t *this = data;
+    CallerWatch_cut(this);
+    this->left(this->owner);
+}
+
+CallerWatch_t *
+CallerWatch_create(struct event_base *base, struct evhttp_request *request,
+                   CallerLeft_t left, void *owner)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    CallerWatch_t *this = g_new0(CallerWatch_t, 1);
+    this->request = request;
+    this->left = left;
+    this->owner = owner;
+    evhttp_connection_set_closecb(connection, on_close, this);
+    evutil_socket_t fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    this->closed = event_new(base, fd, EV_CLOSED, on_half_closed, this);
+    event_add(this->closed, NULL);
+    return this;
+}
+
+void
+CallerWatch_destroy(CallerWatch_t *this)
+{
+    g_assert(!this->request);
+    g_free(this);
+}
--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -31,6 +31,7 @@
 };
 
 typedef struct {
+    const PlatformForm_t *const *forms;
     char *settings;
     gboolean verbose;
     ClientOptions_t client;
@@ -194,6 +195,13 @@
     }
 }
 
+/* The settings name the form by its place; the native one needs none. */
+static const PlatformForm_t *
+form_of(const Arguments_t *arguments, const Settings_t *settings)
+{
+    return arguments->forms[settings->platform.form];
+}
+
 static ExitCode_t
 run_router(Arguments_t *arguments)
 {
@@ -210,7 +218,7 @@
     Log_open(settings->router.name->str,
              arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO);
     g_autoptr(GError) error = NULL;
-    gboolean good = Router_run(settings, &error);
+    gboolean good = Router_run(settings, form_of(arguments, settings), &error);
     if (!good) {
         Log_error("router_failed", error);
     }
@@ -387,13 +395,13 @@
 }
 
 ExitCode_t
-CommandLine_run(int argc, char **argv)
+CommandLine_run(const PlatformForm_t *const *forms, int argc, char **argv)
 {
     static const struct argp parser = {.options = options,
                                        .parser = parse_option,
                                        .args_doc = args_doc,
                                        .doc = usage_doc};
-    Arguments_t arguments = {.words = g_ptr_array_new()};
+    Arguments_t arguments = {.forms = forms, .words = g_ptr_array_new()};
     arguments.client.routers = g_array_new(FALSE, FALSE, sizeof(Address_t));
     arguments.client.timeout_ms = DEFAULT_TIMEOUT_MS;
     argp_err_exit_status = EXIT_USAGE;
--- a/src/CommandLine.h
+++ b/src/CommandLine.h
@@ -5,6 +5,7 @@
  *
  * The commands of the program, their options and exit codes.
  */
+#include "PlatformForm.h"
 
 /**
  * enum ExitCode_t - what a command returns to the shell
@@ -24,7 +25,11 @@
     EXIT_UNKNOWN = 5,
 } ExitCode_t;
 
-/** CommandLine_run() - parse the arguments and run the command */
-ExitCode_t CommandLine_run(int argc, char **argv);
+/**
+ * CommandLine_run() - parse the arguments and run the command
+ * @forms: of platforms, by PlatformName_t; NULL for the native one
+ */
+ExitCode_t CommandLine_run(const PlatformForm_t *const *forms, int argc,
+                           char **argv);
 
 #endif
--- a/src/Context.c
+++ b/src/Context.c
@@ -5,7 +5,7 @@
 void
 Context_countRefusal(Context_t *this, Refusal_t refusal, RunState_t run,
                      const char *request, const char *target,
-                     const char *customer_class)
+                     const char *customer_class, const char *detail)
 {
     const RefusalSpec_t *spec = Refusal_spec(refusal);
     g_autofree char *labels =
@@ -17,6 +17,9 @@
     Log_text("reason", spec->code);
     Log_text("run", Refusal_runName(run));
     Log_text("service", target);
+    if (detail) {
+        Log_text("detail", detail);
+    }
     Log_end();
 }
 
--- a/src/Context.h
+++ b/src/Context.h
@@ -17,13 +17,20 @@
 #include "Membership.h"
 #include "Policy.h"
 #include "RetryBudget.h"
+#include "RouteTable.h"
 #include "Settings.h"
 #include "Trace.h"
 #include "TurnEnd.h"
+#include "UpstreamListing.h"
 #include "UpstreamSet.h"
 
+struct PlatformForm;
+
 /**
  * struct Context_t - the parts
+ * @form: of the platform; NULL where it is the native one
+ * @routes: where the platform's form has routes, else NULL
+ * @listing: where the platform's form has one, else NULL
  * @stopping: SIGTERM came; new requests are refused after the grace
  * @refusing: the grace is over
  * @open_requests: callers' requests under way
@@ -32,6 +39,9 @@
 typedef struct {
     struct event_base *base;
     const Settings_t *settings;
+    const struct PlatformForm *form;
+    RouteTable_t *routes;
+    UpstreamListing_t *listing;
     Counters_t *counters;
     ConfigStore_t *config;
     ConfigLog_t *config_log;
@@ -66,10 +76,13 @@
     const char *key;
 } Caller_t;
 
-/** Context_countRefusal() - count and log a refusal */
+/**
+ * Context_countRefusal() - count and log a refusal
+ * @detail: more about this case, or NULL
+ */
 void Context_countRefusal(Context_t *this, Refusal_t refusal, RunState_t run,
                           const char *request, const char *target,
-                          const char *customer_class);
+                          const char *customer_class, const char *detail);
 
 /** Context_countRetry() - count a retry by the reason for it */
 void Context_countRetry(Context_t *this, const char *reason,
--- /dev/null
+++ b/src/EventPipe.c
@@ -0,0 +1,137 @@
+#include "EventPipe.h"
+
+#include <string.h>
+
+/* A line of an event that names its id. */
+#define ID_FIELD "id:"
+
+struct EventPipe {
+    struct evbuffer *rest; /* bytes of an event that is not whole yet */
+    GString *last_id;
+    guint64 passed;
+    gboolean restarted;
+};
+
+EventPipe_t *
+EventPipe_create(void)
+{
+    EventPipe_t *this = g_new0(EventPipe_t, 1);
+    this->rest = evbuffer_new();
+    this->last_id = g_string_new(NULL);
+    return this;
+}
+
+void
+EventPipe_destroy(EventPipe_t *this)
+{
+    evbuffer_free(this->rest);
+    g_string_free(this->last_id, TRUE);
+    g_free(this);
+}
+
+/* Bytes up to behind the empty line that ends an event, or 0. */
+static gsize
+event_length(struct evbuffer *buffer)
+{
+    struct evbuffer_ptr plain = evbuffer_search(buffer, "\n\n", 2, NULL);
+    struct evbuffer_ptr returns = evbuffer_search(buffer, "\r\n\r\n", 4, NULL);
+    if (returns.pos >= 0 && (plain.pos < 0 || returns.pos < plain.pos)) {
+        return (gsize)returns.pos + 4;
+    }
+    return plain.pos >= 0 ? (gsize)plain.pos + 2 : 0;
+}
+
+/* The value of the id line, without the space that may lead it. */
+static GString *
+find_id(const char *event, gsize length)
+{
+    const char *at = event;
+    const char *end = event + length;
+    while (at < end) {
+        const char *line_end = memchr(at, '\n', (gsize)(end - at));
+        gsize size = (gsize)((line_end ? line_end : end) - at);
+        gsize field = strlen(ID_FIELD);
+        if (size >= field && memcmp(at, ID_FIELD, field) == 0) {
+            GString *id = g_string_new_len(at + field, (gssize)(size - field));
+            g_strstrip(id->str);
+            id->len = strlen(id->str);
+            return id;
+        }
+        at += size + 1;
+    }
+    return NULL;
+}
+
+/* Ids rise; those that are no numbers can't be compared. */
+static gboolean
+has_passed(const EventPipe_t *this, const GString *id)
+{
+    guint64 last = 0;
+    guint64 now = 0;
+    return this->restarted && this->last_id->len > 0 &&
+           g_ascii_string_to_unsigned(this->last_id->str, 10, 0, G_MAXUINT64,
+                                      &last, NULL) &&
+           g_ascii_string_to_unsigned(id->str, 10, 0, G_MAXUINT64, &now,
+                                      NULL) &&
+           now <= last;
+}
+
+static gboolean
+pass_event(EventPipe_t *this, gsize length, struct evbuffer *out)
+{
+    const char *event =
+        (const char *)evbuffer_pullup(this->rest, (ev_ssize_t)length);
+    GString *id = find_id(event, length);
+    gboolean again = id && has_passed(this, id);
+    if (again) {
+        evbuffer_drain(this->rest, length);
+    }
+    else {
+        evbuffer_remove_buffer(this->rest, out, length);
+        this->passed++;
+    }
+    if (id && !again) {
+        g_string_assign(this->last_id, id->str);
+    }
+    if (id) {
+        g_string_free(id, TRUE);
+    }
+    return !again;
+}
+
+guint
+EventPipe_feed(EventPipe_t *this, struct evbuffer *in, struct evbuffer *out)
+{
+    guint count = 0;
+    gsize length = 0;
+    evbuffer_add_buffer(this->rest, in);
+    while ((length = event_length(this->rest)) > 0) {
+        count += pass_event(this, length, out) ? 1 : 0;
+    }
+    return count;
+}
+
+void
+EventPipe_restart(EventPipe_t *this)
+{
+    evbuffer_drain(this->rest, evbuffer_get_length(this->rest));
+    this->restarted = TRUE;
+}
+
+void
+EventPipe_flush(EventPipe_t *this, struct evbuffer *out)
+{
+    evbuffer_add_buffer(out, this->rest);
+}
+
+guint64
+EventPipe_passed(const EventPipe_t *this)
+{
+    return this->passed;
+}
+
+const char *
+EventPipe_lastId(const EventPipe_t *this)
+{
+    return this->last_id->len > 0 ? this->last_id->str : NULL;
+}
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -3,38 +3,170 @@
 /**
  * DOC: Exchange
  *
- * The life of one model request, from admission to its last byte: it places
- * the request, follows the attempt's stream to the caller, and after a
- * failure does what Recovery.h decides.
+ * The life of one admitted request, whatever its form: it is claimed where
+ * it may run only once, placed, attempted, placed again where Recovery.h
+ * allows, and answered or refused by its deadline at the latest. A form
+ * (StreamExchange.h, ServiceExchange.h, RelayExchange.h) extends it with how
+ * an attempt is made and how the caller is answered.
  */
-#include <event2/http.h>
-
 #include "Context.h"
-#include "Prompt.h"
-#include "ResumeToken.h"
+#include "OnceGuard.h"
+#include "Recovery.h"
+
+typedef struct Exchange Exchange_t;
+
+/**
+ * struct ExchangeClass_t - one form
+ * @destroy: free what the form added and the exchange itself
+ * @place: choose an upstream and start an attempt, or refuse
+ * @drop: close the attempt under way; whether its request may have been sent
+ * @refuse: answer the caller, unless it is gone
+ * @facts: add what only the form knows; may be NULL
+ * @resume: ask the same upstream for the rest; may be NULL
+ * @abandon: nothing is resumed any more; may be NULL
+ * @log_end: add pairs to the line of the end; may be NULL
+ */
+typedef struct {
+    void (*destroy)(Exchange_t *this);
+    void (*place)(Exchange_t *this);
+    gboolean (*drop)(Exchange_t *this);
+    void (*refuse)(Exchange_t *this, Refusal_t refusal, RunState_t run,
+                   const char *detail);
+    void (*facts)(const Exchange_t *this, RecoveryFacts_t *facts);
+    void (*resume)(Exchange_t *this);
+    void (*abandon)(Exchange_t *this);
+    void (*log_end)(const Exchange_t *this);
+} ExchangeClass_t;
+
+/**
+ * struct Exchange - extended by each form
+ * @id: of the request
+ * @customer: whose it is; empty for none
+ * @customer_class: for counters
+ * @target: model or service
+ * @priority: of the request
+ * @started_us: when it was admitted
+ * @deadline_ms: monotonic time by which the answer must be whole
+ * @repeatable: running it again does no harm
+ * @max_attempts: most attempts
+ * @trace: of the request
+ * @attempt_trace: of the last attempt
+ * @upstream: of the attempt under way, or NULL
+ * @avoid: of the attempt before, where it failed
+ * @attempts: so far
+ * @sent: an attempt was sent and not proved "not run"
+ * @left: the caller is gone
+ * @over: nothing follows
+ */
+struct Exchange {
+    const ExchangeClass_t *class;
+    Context_t *context;
+    GString *id;
+    GString *customer;
+    GString *customer_class;
+    GString *target;
+    gint64 priority;
+    gint64 started_us;
+    gint64 deadline_ms;
+    gboolean repeatable;
+    guint max_attempts;
+    OnceGuard_t *guard;
+    struct event *deadline;
+    struct event *later; /* the next attempt, the grace, or the end */
+    Trace_t *trace;
+    TraceAttempt_t *attempt_trace;
+    Upstream_t *upstream;
+    Upstream_t *avoid;
+    guint attempts;
+    gboolean sent;
+    gboolean left;
+    gboolean over;
+};
 
 /**
- * struct ExchangeSpec_t - an admitted request
- * @request: of evhttp; answered by the exchange
- * @id: the request's id
- * @caller: who asks
- * @chat: asked as a chat
- * @prompt: taken over; NULL for a resume without a body
- * @resume: taken over; NULL unless the caller resumes a stream
+ * struct ExchangeSpec_t - what every form knows at admission
  */
 typedef struct {
-    struct evhttp_request *request;
     const char *id;
-    const Caller_t *caller;
-    gboolean chat;
-    Prompt_t *prompt;
-    ResumePoint_t *resume;
+    const char *customer;
+    const char *customer_class;
+    const char *target;
+    gint64 priority;
+    gint64 deadline_ms;
+    gboolean repeatable;
+    guint max_attempts;
 } ExchangeSpec_t;
 
-/** struct Exchange_t - opaque; frees itself after its end */
-typedef struct Exchange Exchange_t;
+/** Exchange_init() - called by a form once it has made its struct */
+void Exchange_init(Exchange_t *this, const ExchangeClass_t *class,
+                   Context_t *context, const ExchangeSpec_t *spec);
+
+/** Exchange_clear() - called by a form's destroy() */
+void Exchange_clear(Exchange_t *this);
+
+/**
+ * Exchange_begin() - count the request and start its deadline
+ */
+void Exchange_begin(Exchange_t *this);
+
+/** Exchange_place() - place it, unless it is over */
+void Exchange_place(Exchange_t *this);
+
+/**
+ * Exchange_claim() - place it once its key is claimed
+ * @key: the Idempotency-Key as it came
+ */
+void Exchange_claim(Exchange_t *this, const char *key);
+
+/** Exchange_noteAttempt() - an attempt at an upstream starts now */
+void Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
+                          const char *reason);
+
+/**
+ * Exchange_dropAttempt() - the attempt no longer counts against its upstream
+ * @outcome: static text for the trace
+ */
+void Exchange_dropAttempt(Exchange_t *this, const char *outcome);
+
+/**
+ * Exchange_noteEnd() - an attempt ended by itself
+ *
+ * It counts for or against the upstream, and is dropped. The form goes on
+ * with Exchange_finish() or Exchange_recover().
+ */
+void Exchange_noteEnd(Exchange_t *this, AttemptEnd_t end);
+
+/** Exchange_avoidNone() - the upstream of the last attempt is as good as any:
+ * only what was known of it was out of date */
+void Exchange_avoidNone(Exchange_t *this);
+
+/**
+ * Exchange_recover() - do what Recovery.h decides after a failed attempt
+ * @detail: for a refusal, or NULL
+ */
+void Exchange_recover(Exchange_t *this, AttemptEnd_t end, const char *detail);
+
+/** Exchange_finish() - the caller has its whole answer */
+void Exchange_finish(Exchange_t *this);
+
+/** Exchange_refuse() - tell the caller that it gets no answer, and end */
+void Exchange_refuse(Exchange_t *this, Refusal_t refusal, RunState_t run,
+                     const char *detail);
+
+/**
+ * Exchange_leave() - the caller is gone
+ * @grace_ms: how long until what the form keeps up is abandoned
+ */
+void Exchange_leave(Exchange_t *this, gint64 grace_ms);
+
+/** Exchange_runState() - what is known of the request so far */
+RunState_t Exchange_runState(const Exchange_t *this);
 
-/** Exchange_start() - take a request on; it always gets an answer */
-void Exchange_start(Context_t *context, const ExchangeSpec_t *spec);
+/** Exchange_isOpen() - whether the caller still waits */
+static inline gboolean
+Exchange_isOpen(const Exchange_t *this)
+{
+    return !this->over && !this->left;
+}
 
 #endif
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -28,6 +28,7 @@
     gboolean caught_up;
     gboolean reading;
     gboolean wanted;
+    gboolean followed;
     gint64 patience_ms;
     guint64 seen_number; /* current lease, whoever has it */
     gint64 seen_ms;      /* when it was first read here */
@@ -147,11 +148,11 @@
     read_next(this);
 }
 
-/* Who does not want the lease need not follow the stream. */
+/* Who neither wants nor follows the lease need not read the stream. */
 static void
 read_next(Lease_t *this)
 {
-    this->reading = this->wanted || this->number != 0;
+    this->reading = this->wanted || this->followed || this->number != 0;
     if (!this->reading) {
         this->caught_up = FALSE;
         return;
@@ -234,9 +235,6 @@
         return;
     }
     const LeaseEntry_t *entry = LeaseTable_find(this->table, this->scope->str);
-    if (!this->wanted || !this->caught_up || this->append_open) {
-        return;
-    }
     if (this->number != 0) {
         gint64 age_ms = boot_ms() - this->began_ms;
         if (age_ms >= this->spec.duration_ms / 3) {
@@ -296,6 +294,15 @@
     }
 }
 
+void
+Lease_follow(Lease_t *this, gboolean followed)
+{
+    this->followed = followed;
+    if (followed && !this->reading) {
+        read_next(this);
+    }
+}
+
 gint64
 Lease_remainingMs(const Lease_t *this)
 {
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -46,6 +46,13 @@
  */
 void Lease_want(Lease_t *this, gboolean wanted, gint64 patience_ms);
 
+/**
+ * Lease_follow() - read the stream although the lease is not wanted now
+ *
+ * Who knows how long ago the last lease began can take one at once.
+ */
+void Lease_follow(Lease_t *this, gboolean followed);
+
 /** Lease_remainingMs() - how long it is surely ours, 0 where it is not */
 gint64 Lease_remainingMs(const Lease_t *this);
 
--- a/src/Log.h
+++ b/src/Log.h
@@ -3,9 +3,14 @@
 /**
  * DOC: Log
  *
- * Syslog-style lines on standard error, one for each event, as key=value
+ * Syslog-style lines on standard output, one for each event, as key=value
  * pairs. A line is built with Log_begin(), any number of Log_text() and
  * Log_number(), and Log_end(). Prompts, keys and tokens are never logged.
+ *
+ * Writing never blocks: a line that the reader has no room for is left out,
+ * and so is what exceeds the budget of bytes a second; the last part of the
+ * budget is kept for warnings and errors. How many were left out is told by
+ * a line of its own as soon as there is room.
  */
 #include <glib.h>
 
@@ -25,6 +30,9 @@
  */
 void Log_open(const char *name, LogLevel_t most);
 
+/** Log_setBudget() - most bytes a second; 0 for no bound */
+void Log_setBudget(gint64 bytes_a_second);
+
 /**
  * Log_begin() - start a line
  * @event: what happened, in snake_case
--- /dev/null
+++ b/src/NamedWeights.h
@@ -0,0 +1,36 @@
+#ifndef HEADER_NamedWeights
+#define HEADER_NamedWeights
+/**
+ * DOC: NamedWeights
+ *
+ * The newest version of weights that operators have named for each model.
+ * Versions are numbers that only grow.
+ */
+#include <glib.h>
+
+/** struct NamedWeights_t - opaque */
+typedef struct NamedWeights NamedWeights_t;
+
+/** NamedWeights_create() - none is named */
+NamedWeights_t *NamedWeights_create(void);
+
+/** NamedWeights_destroy() - free it */
+void NamedWeights_destroy(NamedWeights_t *this);
+
+/**
+ * NamedWeights_take() - a version was named
+ * @now_ms: monotonic
+ *
+ * Return: whether it is newer than the one known
+ */
+gboolean NamedWeights_take(NamedWeights_t *this, const char *model,
+                           guint64 version, gint64 now_ms);
+
+/** NamedWeights_find() - the version of a model as text, or NULL */
+const char *NamedWeights_find(const NamedWeights_t *this, const char *model);
+
+/** NamedWeights_ageMs() - how long ago a model's version was first known */
+gint64 NamedWeights_ageMs(const NamedWeights_t *this, const char *model,
+                          gint64 now_ms);
+
+#endif
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -3,19 +3,23 @@
 #include <string.h>
 
 #include "Clock.h"
-#include "HttpCall.h"
-#include "Json.h"
+#include "Errors.h"
 #include "Lease.h"
 #include "Log.h"
 
-#define TICK_MS 200
+#define TICK_MS 100
 /* Routers that may take the lease; each waits for those before it. */
 #define CANDIDATES 3
 /* An engine's state is read again after so long. */
 #define STATE_AGE_MS 1000
+/* One that loads is asked more often, but not before it can be done: what it
+ * says lags, and may still be of before the order. */
+#define LOADING_AGE_MS 250
+#define LEAST_LOAD_MS 600
+/* An order that was taken and not carried out in this time is given anew. */
+#define LOAD_PATIENCE_MS 6000
 /* What a time-out may be off by. */
 #define TIMER_MARGIN_MS 100
-#define STATUS_STALE 409
 
 /* What the holder knows of one engine under its own lease. */
 typedef struct {
@@ -23,7 +27,10 @@
     Upstream_t *upstream;
     guint64 read_under; /* number of the lease under which it was read */
     gint64 read_ms;
-    GString *weights; /* as read, not as heard of */
+    gint64 ordered_ms; /* when it took an order, 0 for none under way */
+    GString *weights;  /* as read, not as heard of */
+    GString *model;
+    guint64 sequence;
     gboolean loading;
     gboolean open; /* a call is under way */
 } Engine_t;
@@ -34,8 +41,9 @@
     Lease_t *lease;
     GString *scope;
     GHashTable *engines; /* upstream's name -> Engine_t */
-    GHashTable *calls;   /* set of HttpCall_t */
+    GHashTable *calls;   /* set of Call_t */
     struct event *tick;
+    gint64 stale_until_ms; /* a higher number was seen: order nothing */
 };
 
 typedef struct {
@@ -50,6 +58,7 @@
     Engine_t *engine = data;
     Upstream_unref(engine->upstream);
     g_string_free(engine->weights, TRUE);
+    g_string_free(engine->model, TRUE);
     g_free(engine);
 }
 
@@ -67,66 +76,116 @@
     engine->owner = this;
     engine->upstream = Upstream_ref(upstream);
     engine->weights = g_string_new(NULL);
+    engine->model = g_string_new(NULL);
     g_hash_table_replace(this->engines, g_strdup(upstream->name->str), engine);
     return engine;
 }
 
-/* The model that an engine serves decides; one engine has one version. */
-static const char *
-wanted_weights(const Orders_t *this, const Upstream_t *upstream)
+static gboolean
+wanted_of(const Orders_t *this, const Upstream_t *upstream,
+          WantedWeights_t *out)
 {
-    if (upstream->serves->len == 0) {
-        return NULL;
+    return this->spec.wanted(this->spec.wanted_data, upstream, out);
+}
+
+static void
+note_loaded(Engine_t *engine)
+{
+    if (engine->ordered_ms == 0) {
+        return;
     }
-    const GString *name = g_ptr_array_index(upstream->serves, 0);
-    const Object_t *model =
-        ConfigStore_find(this->spec.config, OBJECT_MODEL, name->str);
-    return model ? ((const Model_t *)model->spec)->weights->str : NULL;
+    Log_begin(LOG_LEVEL_INFO, "weights_loaded");
+    Log_text("upstream", engine->upstream->name->str);
+    Log_text("weights", engine->weights->str);
+    Log_number("after_ms", Clock_nowMs() - engine->ordered_ms);
+    Log_end();
+    engine->ordered_ms = 0;
 }
 
 static void
-take_state(Engine_t *engine, const HttpAnswer_t *answer)
+note_state(Engine_t *engine, const EngineState_t *state)
 {
     Orders_t *this = engine->owner;
     Upstream_t *upstream = engine->upstream;
-    json_t *body = Json_parse(answer->body, answer->length, NULL);
-    const char *weights = Json_text(body, "weights");
-    const char *loading = Json_text(body, "loading");
-    guint64 incarnation = (guint64)Json_integer(body, "incarnation", 0);
-    if (weights) {
-        gboolean news =
-            Upstream_noteIncarnation(upstream, incarnation, Clock_nowMs()) ||
-            strcmp(upstream->weights->str, weights) != 0;
-        Upstream_noteWeights(upstream, weights);
-        upstream->reported_at_ms = Clock_nowMs();
-        g_string_assign(engine->weights, weights);
-        engine->loading = loading && *loading != '\0';
-        engine->read_under = Lease_number(this->lease);
-        engine->read_ms = Clock_nowMs();
-        if (news) {
-            Membership_noteUpstream(this->spec.membership,
-                                    upstream->name->str);
+    gboolean news = (state->incarnation > 0 &&
+                     Upstream_noteIncarnation(upstream, state->incarnation,
+                                              Clock_nowMs())) ||
+                    strcmp(upstream->weights->str, state->weights->str) != 0;
+    Upstream_noteWeights(upstream, state->weights->str);
+    upstream->reported_at_ms = Clock_nowMs();
+    g_string_assign(engine->weights, state->weights->str);
+    engine->loading = state->loading;
+    engine->sequence = MAX(engine->sequence, state->sequence);
+    engine->read_under = Lease_number(this->lease);
+    engine->read_ms = Clock_nowMs();
+    if (news) {
+        Membership_noteUpstream(this->spec.membership, upstream->name->str);
+    }
+}
+
+static void
+take_state(Engine_t *engine, const HttpAnswer_t *answer)
+{
+    EngineState_t state = {.weights = g_string_new(NULL)};
+    WantedWeights_t wanted;
+    if (engine->owner->spec.form->read_state(answer, &state)) {
+        note_state(engine, &state);
+        if (wanted_of(engine->owner, engine->upstream, &wanted) &&
+            strcmp(wanted.weights, engine->weights->str) == 0) {
+            note_loaded(engine);
         }
     }
-    json_decref(body);
+    g_string_free(state.weights, TRUE);
 }
 
 static void
 take_order_answer(Engine_t *engine, const HttpAnswer_t *answer)
 {
-    const char *outcome = "accepted";
-    if (answer->status == HTTP_OK) {
+    static const char *const names[ORDER_OUTCOME_COUNT] = {
+        "taken", "in_force", "busy", "stale", "refused"};
+    Orders_t *this = engine->owner;
+    OrderOutcome_t outcome = this->spec.form->read_outcome(answer);
+    if (outcome == ORDER_TAKEN) {
         engine->loading = TRUE;
+        engine->ordered_ms = Clock_nowMs();
+        engine->sequence++;
     }
     else {
-        outcome = answer->status == STATUS_STALE ? "stale" : "refused";
+        engine->read_under = 0;
+    }
+    if (outcome == ORDER_STALE) {
+        this->stale_until_ms =
+            Clock_nowMs() + this->spec.settings->platform.lease_ms;
     }
-    g_autofree char *labels = g_strdup_printf("outcome=\"%s\"", outcome);
-    Counters_add(engine->owner->spec.counters, "orders_total", labels, 1);
+    Log_begin(LOG_LEVEL_INFO, "order_answered");
+    Log_text("upstream", engine->upstream->name->str);
+    Log_text("outcome", names[outcome]);
+    Log_number("status", answer->status);
+    Log_number("fencing", (gint64)Lease_number(this->lease));
+    Log_end();
+    g_autofree char *labels =
+        g_strdup_printf("outcome=\"%s\"", names[outcome]);
+    Counters_add(this->spec.counters, "orders_total", labels, 1);
 }
 
 /* An order whose answer was lost is not sent again before the engine's state
  * was read: it may have been carried out. */
+static void
+take_error(Engine_t *engine, const GError *error, gboolean is_order)
+{
+    engine->read_under = 0;
+    engine->read_ms = Clock_nowMs();
+    if (!is_order) {
+        return;
+    }
+    Log_begin(LOG_LEVEL_WARNING, "order_unanswered");
+    Log_text("upstream", engine->upstream->name->str);
+    Log_text("reason", error->message);
+    Log_end();
+    Counters_add(engine->owner->spec.counters, "orders_total",
+                 "outcome=\"unanswered\"", 1);
+}
+
 static void
 on_answer(const HttpAnswer_t *answer, const GError *error, void *data)
 {
@@ -135,7 +194,7 @@
     engine->open = FALSE;
     g_hash_table_remove(engine->owner->calls, call);
     if (error) {
-        engine->read_under = 0;
+        take_error(engine, error, call->is_order);
     }
     else if (call->is_order) {
         take_order_answer(engine, answer);
@@ -147,50 +206,64 @@
 }
 
 static void
-start_call(Engine_t *engine, const char *path, GBytes *body, gboolean is_order)
+start_call(Engine_t *engine, GBytes *body)
 {
     Orders_t *this = engine->owner;
-    Call_t *call = g_new0(Call_t, 1);
+    const OrderForm_t *form = this->spec.form;
+    HttpHeader_t headers[] = {
+        {form->instance_header, engine->upstream->name->str},
+        {NULL, NULL},
+    };
     HttpCallSpec_t spec = {
         .address = &engine->upstream->address,
-        .method = is_order ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
-        .path = path,
+        .method = body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+        .path = body ? form->order_path : form->state_path,
+        .headers = headers,
         .body = body,
         .timeout_ms = this->spec.settings->platform.order_timeout_ms,
     };
+    Call_t *call = g_new0(Call_t, 1);
     call->engine = engine;
-    call->is_order = is_order;
+    call->is_order = body != NULL;
     engine->open = TRUE;
     g_hash_table_add(this->calls, call);
     call->http = HttpCall_start(this->base, &spec, on_answer, call);
 }
 
 static void
-send_order(Engine_t *engine, const char *weights)
+send_order(Engine_t *engine, const WantedWeights_t *wanted)
 {
     Orders_t *this = engine->owner;
-    guint64 number = Lease_number(this->lease);
-    json_t *body = json_pack("{s:I, s:s}", "fencing", (json_int_t)number,
-                             "weights", weights);
-    char *text = json_dumps(body, JSON_COMPACT);
-    GBytes *bytes = g_bytes_new(text, strlen(text));
+    EngineOrderSpec_t order = {
+        .instance = engine->upstream->name->str,
+        .model = wanted->model,
+        .weights = wanted->weights,
+        .holder = this->spec.settings->router.name->str,
+        .number = Lease_number(this->lease),
+        .sequence = engine->sequence,
+    };
     Log_begin(LOG_LEVEL_INFO, "order_sent");
-    Log_text("upstream", engine->upstream->name->str);
-    Log_text("weights", weights);
-    Log_number("fencing", (gint64)number);
+    Log_text("upstream", order.instance);
+    Log_text("weights", wanted->weights);
+    Log_text("had", engine->weights->str);
+    Log_number("state_age_ms", Clock_nowMs() - engine->read_ms);
+    Log_number("sequence", (gint64)order.sequence);
+    Log_number("fencing", (gint64)order.number);
+    Log_number("lease_left_ms", Lease_remainingMs(this->lease));
     Log_end();
-    start_call(engine, "/v1/orders", bytes, TRUE);
-    g_bytes_unref(bytes);
-    free(text);
-    json_decref(body);
+    GBytes *body = this->spec.form->write_order(&order);
+    start_call(engine, body);
+    g_bytes_unref(body);
 }
 
 /* The whole time-out must lie within the lease. */
 static gboolean
 may_order(const Orders_t *this)
 {
-    return Lease_remainingMs(this->lease) >
-           this->spec.settings->platform.order_timeout_ms + TIMER_MARGIN_MS;
+    return Clock_nowMs() >= this->stale_until_ms &&
+           Lease_remainingMs(this->lease) >
+               this->spec.settings->platform.order_timeout_ms +
+                   TIMER_MARGIN_MS;
 }
 
 static guint
@@ -198,43 +271,73 @@
 {
     guint count = 0;
     GHashTableIter iter;
-    gpointer engine = NULL;
+    gpointer data = NULL;
     g_hash_table_iter_init(&iter, this->engines);
-    while (g_hash_table_iter_next(&iter, NULL, &engine)) {
-        count += ((const Engine_t *)engine)->loading ? 1 : 0;
+    while (g_hash_table_iter_next(&iter, NULL, &data)) {
+        const Engine_t *engine = data;
+        gboolean gone = engine->upstream->removed || engine->upstream->leaving;
+        count += engine->loading && !gone ? 1 : 0;
     }
     return count;
 }
 
+static gboolean
+is_state_old(const Orders_t *this, const Engine_t *engine)
+{
+    gint64 now_ms = Clock_nowMs();
+    gint64 age_ms = now_ms - engine->read_ms;
+    if (engine->read_under != Lease_number(this->lease)) {
+        return age_ms >= LOADING_AGE_MS || engine->read_ms == 0;
+    }
+    if (engine->loading) {
+        return now_ms - engine->ordered_ms >= LEAST_LOAD_MS &&
+               age_ms >= LOADING_AGE_MS;
+    }
+    return age_ms >= STATE_AGE_MS;
+}
+
+/* One that said it was loading and never ended has lost the order. */
+static gboolean
+is_loading(const Engine_t *engine)
+{
+    return engine->loading &&
+           (engine->ordered_ms == 0 ||
+            Clock_nowMs() - engine->ordered_ms < LOAD_PATIENCE_MS);
+}
+
 /* Returns TRUE where an order was sent. */
 static gboolean
 tend(Orders_t *this, Engine_t *engine, gboolean may_load)
 {
-    const char *wanted = wanted_weights(this, engine->upstream);
-    if (engine->open || !wanted) {
+    WantedWeights_t wanted;
+    if (engine->open || !wanted_of(this, engine->upstream, &wanted)) {
         return FALSE;
     }
     gboolean is_known = engine->read_under == Lease_number(this->lease);
-    gint64 age_ms = Clock_nowMs() - engine->read_ms;
-    if (!is_known || (engine->loading && age_ms >= STATE_AGE_MS / 4) ||
-        age_ms >= STATE_AGE_MS) {
-        start_call(engine, "/v1/engine", NULL, FALSE);
+    gboolean has_wanted = strcmp(engine->weights->str, wanted.weights) == 0;
+    if (this->spec.form->listed && is_known && has_wanted) {
         return FALSE;
     }
-    if (engine->loading || strcmp(engine->weights->str, wanted) == 0 ||
-        !may_load || !may_order(this)) {
+    if (is_state_old(this, engine)) {
+        start_call(engine, NULL);
         return FALSE;
     }
-    send_order(engine, wanted);
+    if (!is_known || is_loading(engine) || has_wanted || !may_load ||
+        !may_order(this)) {
+        return FALSE;
+    }
+    send_order(engine, &wanted);
     return TRUE;
 }
 
 static gboolean
 is_mine(const Orders_t *this, const Upstream_t *upstream)
 {
-    return upstream->role == ROLE_ENGINE && !upstream->leaving &&
+    WantedWeights_t wanted;
+    return !upstream->leaving &&
            strcmp(upstream->region->str,
-                  this->spec.settings->router.region->str) == 0;
+                  this->spec.settings->router.region->str) == 0 &&
+           wanted_of(this, upstream, &wanted);
 }
 
 static void
@@ -253,6 +356,24 @@
     }
 }
 
+/* With a list the lease is wanted only while some engine lacks what is
+ * wanted of it: each renewal is a call to the log. */
+static gboolean
+has_work(const Orders_t *this)
+{
+    const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
+    for (guint i = 0; i < all->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(all, i);
+        WantedWeights_t wanted;
+        if (is_mine(this, upstream) && wanted_of(this, upstream, &wanted) &&
+            (!this->spec.form->listed ||
+             strcmp(upstream->weights->str, wanted.weights) != 0)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
@@ -262,10 +383,11 @@
     guint rank =
         Membership_rank(this->spec.membership, this->scope->str, NULL);
     gint64 lasts_ms = this->spec.settings->platform.lease_ms;
-    Lease_want(this->lease,
-               rank < CANDIDATES && ConfigStore_foldOffset(this->spec.config),
-               (gint64)rank * lasts_ms);
-    if (Lease_remainingMs(this->lease) > 0) {
+    gboolean candidate = rank < CANDIDATES;
+    gboolean wanted = candidate && has_work(this);
+    Lease_follow(this->lease, candidate && this->spec.form->listed);
+    Lease_want(this->lease, wanted, (gint64)rank * lasts_ms);
+    if (wanted && Lease_remainingMs(this->lease) > 0) {
         tend_all(this);
     }
     Clock_arm(this->tick, TICK_MS);
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -3,7 +3,7 @@
 /**
  * DOC: Orders
  *
- * Brings the engines of this router's region to the declared weights. Only
+ * Brings the engines of this router's region to the wanted weights. Only
  * the holder of the region's lease gives orders, each with the lease's
  * number. An order names the state that is wanted, not a step towards it, and
  * is sent only while the lease outlasts its time-out, so that even an engine
@@ -11,20 +11,41 @@
  */
 #include <event2/event.h>
 
-#include "ConfigStore.h"
 #include "Counters.h"
 #include "LogClient.h"
 #include "Membership.h"
+#include "OrderForm.h"
 #include "Settings.h"
 
+/**
+ * struct WantedWeights_t - what an engine should have; texts of its owner
+ */
+typedef struct {
+    const char *model;
+    const char *weights;
+} WantedWeights_t;
+
+/**
+ * WantedWeightsOf_t - the weights that an engine should have
+ *
+ * Return: FALSE where it is no engine or nothing is wanted of it
+ */
+typedef gboolean (*WantedWeightsOf_t)(void *data, const Upstream_t *upstream,
+                                      WantedWeights_t *out);
+
 /**
  * struct OrdersSpec_t - what it needs; all must outlive it
+ * @form: how engines are spoken to
+ * @wanted: asked again at each step
+ * @wanted_data: for @wanted
  */
 typedef struct {
     const Settings_t *settings;
     guint64 incarnation;
     LogClient_t *log;
-    const ConfigStore_t *config;
+    const OrderForm_t *form;
+    WantedWeightsOf_t wanted;
+    void *wanted_data;
     UpstreamSet_t *upstreams;
     Membership_t *membership;
     Counters_t *counters;
--- /dev/null
+++ b/src/RecordFollower.c
@@ -0,0 +1,238 @@
+#include "RecordFollower.h"
+
+#include "Clock.h"
+#include "Errors.h"
+#include "Log.h"
+#include "Random.h"
+
+/* First pause after a failure, doubled with each further one up to the most:
+ * a herd of routers that starts at once must not outrun the store's rate. */
+#define FIRST_RETRY_MS 100
+#define MAX_RETRY_DOUBLINGS 3
+
+struct RecordFollower {
+    RecordFollowerSpec_t spec;
+    GString *topic;
+    const RecordFollowerEvents_t *events;
+    void *owner;
+    struct event *timer;
+    GHashTable *offsets; /* key -> guint64 *, of its newest record */
+    GHashTable *listed;  /* set of keys seen in the list under way */
+    GString *after;      /* last key of the page before */
+    guint64 next;        /* offset to read from */
+    gboolean listing;
+    gboolean first_page;
+    gint64 sent_ms;
+    guint failures;
+};
+
+static void call(RecordFollower_t *this);
+
+static void
+begin_list(RecordFollower_t *this)
+{
+    this->listing = TRUE;
+    this->first_page = TRUE;
+    g_string_truncate(this->after, 0);
+    g_hash_table_remove_all(this->listed);
+}
+
+static gboolean
+is_newer(const RecordFollower_t *this, const KeyedRecord_t *record)
+{
+    const guint64 *known =
+        g_hash_table_lookup(this->offsets, record->key->str);
+    return !known || record->offset > *known;
+}
+
+static void
+take_record(RecordFollower_t *this, const KeyedRecord_t *record)
+{
+    if (!is_newer(this, record)) {
+        return;
+    }
+    const char *key = record->key->str;
+    if (record->value) {
+        g_hash_table_replace(
+            this->offsets, g_strdup(key),
+            g_memdup2(&record->offset, sizeof(record->offset)));
+    }
+    else {
+        g_hash_table_remove(this->offsets, key);
+    }
+    this->events->record(this->owner, key, record->value);
+}
+
+/* A removal that fell into the gap was never read. */
+static void
+tell_removed(RecordFollower_t *this)
+{
+    GHashTableIter iter;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&iter, this->offsets);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (!g_hash_table_contains(this->listed, key)) {
+            this->events->record(this->owner, key, NULL);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static void
+take_list(RecordFollower_t *this, const KeyedPage_t *page)
+{
+    if (this->first_page) {
+        this->next = page->end;
+        this->first_page = FALSE;
+    }
+    for (guint i = 0; i < page->records->len; i++) {
+        const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
+        g_hash_table_add(this->listed, g_strdup(record->key->str));
+        g_string_assign(this->after, record->key->str);
+        take_record(this, record);
+    }
+    if (!page->more) {
+        this->listing = FALSE;
+        tell_removed(this);
+    }
+}
+
+/* Offsets of a topic have no gaps, so the last one tells where to go on. */
+static void
+take_tail(RecordFollower_t *this, const KeyedPage_t *page)
+{
+    for (guint i = 0; i < page->records->len; i++) {
+        const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
+        this->next = record->offset + 1;
+        take_record(this, record);
+    }
+}
+
+static void
+note_good(RecordFollower_t *this)
+{
+    if (this->failures > 0) {
+        this->failures = 0;
+        Log_begin(LOG_LEVEL_WARNING, "topic_regained");
+        Log_text("topic", this->topic->str);
+        Log_end();
+        this->events->regained(this->owner);
+    }
+}
+
+static void
+note_failed(RecordFollower_t *this, const GError *error)
+{
+    this->failures++;
+    if (this->failures == 1) {
+        Log_begin(LOG_LEVEL_WARNING, "topic_lost");
+        Log_text("topic", this->topic->str);
+        Log_text("reason", error->message);
+        Log_end();
+        this->events->lost(this->owner, error);
+    }
+    guint doublings = MIN(this->failures - 1, MAX_RETRY_DOUBLINGS);
+    gint64 most = FIRST_RETRY_MS << doublings;
+    Clock_arm(this->timer, most / 2 + Random_below((guint32)most));
+}
+
+static void
+go_on(RecordFollower_t *this)
+{
+    gint64 passed = Clock_nowMs() - this->sent_ms;
+    gint64 pause = this->listing ? 0 : this->spec.pause_ms - passed;
+    Clock_arm(this->timer, MAX(pause, 0));
+}
+
+static void
+on_page(const KeyedPage_t *page, const GError *error, void *data)
+{
+    RecordFollower_t *this = data;
+    if (g_error_matches(error, WT_ERROR, WT_ERROR_TRUNCATED)) {
+        Log_begin(LOG_LEVEL_WARNING, "topic_listed_anew");
+        Log_text("topic", this->topic->str);
+        Log_number("next", (gint64)this->next);
+        Log_end();
+        begin_list(this);
+        call(this);
+        return;
+    }
+    if (!page) {
+        note_failed(this, error);
+        return;
+    }
+    note_good(this);
+    gint64 sent_ms = this->sent_ms;
+    if (this->listing) {
+        take_list(this, page);
+    }
+    else {
+        take_tail(this, page);
+    }
+    if (!this->listing && this->next >= page->end) {
+        this->events->current(this->owner, sent_ms);
+    }
+    go_on(this);
+}
+
+static void
+call(RecordFollower_t *this)
+{
+    this->sent_ms = Clock_nowMs();
+    if (this->listing) {
+        const char *after = this->after->len > 0 ? this->after->str : NULL;
+        RecordSource_list(this->spec.source, this->topic->str, after, on_page,
+                          this);
+        return;
+    }
+    /* After a failure the answer must come at once, to tell of the return. */
+    gint64 wait_ms = this->failures > 0 ? 0 : this->spec.wait_ms;
+    RecordSource_read(this->spec.source, this->topic->str, this->next, wait_ms,
+                      on_page, this);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    call(data);
+}
+
+RecordFollower_t *
+RecordFollower_create(struct event_base *base,
+                      const RecordFollowerSpec_t *spec,
+                      const RecordFollowerEvents_t *events, void *owner)
+{
+    RecordFollower_t *this = g_new0(RecordFollower_t, 1);
+    this->spec = *spec;
+    this->topic = g_string_new(spec->topic);
+    this->events = events;
+    this->owner = owner;
+    this->timer = Clock_timer(base, on_timer, this);
+    this->offsets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->listed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    this->after = g_string_new(NULL);
+    begin_list(this);
+    Clock_arm(this->timer, 0);
+    return this;
+}
+
+void
+RecordFollower_destroy(RecordFollower_t *this)
+{
+    event_free(this->timer);
+    g_hash_table_destroy(this->offsets);
+    g_hash_table_destroy(this->listed);
+    g_string_free(this->after, TRUE);
+    g_string_free(this->topic, TRUE);
+    g_free(this);
+}
+
+gboolean
+RecordFollower_isLost(const RecordFollower_t *this)
+{
+    return this->failures > 0;
+}
--- /dev/null
+++ b/src/RecordFollower.h
@@ -0,0 +1,59 @@
+#ifndef HEADER_RecordFollower
+#define HEADER_RecordFollower
+/**
+ * DOC: RecordFollower
+ *
+ * Follows one keyed topic: it lists the newest record of each key, then
+ * reads on from there. Where the records that it needs next are gone, it
+ * lists anew and tells which keys are no longer there. A record older than
+ * the one known of its key is never told. After a failure it tries again
+ * with growing, jittered pauses.
+ */
+#include <event2/event.h>
+
+#include "RecordSource.h"
+
+/**
+ * struct RecordFollowerEvents_t - what it tells its owner
+ * @record: the newest record of a key; @value is NULL where it was removed
+ * @current: all records before the time @at_ms (monotonic) were told
+ * @lost: the first call failed after good ones
+ * @regained: a call succeeded after failed ones
+ */
+typedef struct {
+    void (*record)(void *owner, const char *key, GBytes *value);
+    void (*current)(void *owner, gint64 at_ms);
+    void (*lost)(void *owner, const GError *error);
+    void (*regained)(void *owner);
+} RecordFollowerEvents_t;
+
+/**
+ * struct RecordFollowerSpec_t - what it follows
+ * @source: must outlive it
+ * @topic: name of the topic
+ * @wait_ms: how long a read may be held until there is a record
+ * @pause_ms: least time from the start of one read to that of the next
+ */
+typedef struct {
+    RecordSource_t *source;
+    const char *topic;
+    gint64 wait_ms;
+    gint64 pause_ms;
+} RecordFollowerSpec_t;
+
+/** struct RecordFollower_t - opaque */
+typedef struct RecordFollower RecordFollower_t;
+
+/** RecordFollower_create() - start at once */
+RecordFollower_t *RecordFollower_create(struct event_base *base,
+                                        const RecordFollowerSpec_t *spec,
+                                        const RecordFollowerEvents_t *events,
+                                        void *owner);
+
+/** RecordFollower_destroy() - free it; its source must be freed first */
+void RecordFollower_destroy(RecordFollower_t *this);
+
+/** RecordFollower_isLost() - whether the last call failed */
+gboolean RecordFollower_isLost(const RecordFollower_t *this);
+
+#endif
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -16,6 +16,18 @@
     return names[end];
 }
 
+const char *
+Recovery_stepName(RecoveryStep_t step)
+{
+    static const char *const names[] = {
+        [RECOVERY_DONE] = "done",
+        [RECOVERY_RESUME] = "resume",
+        [RECOVERY_ELSEWHERE] = "elsewhere",
+        [RECOVERY_GIVE_UP] = "give_up",
+    };
+    return names[step];
+}
+
 static RunState_t
 run_state(const RecoveryFacts_t *facts)
 {
@@ -44,6 +56,9 @@
     if (!facts->time_left) {
         plan.refusal = REFUSAL_DEADLINE_PASSED;
     }
+    else if (facts->rest_only) {
+        plan.refusal = REFUSAL_RESUME_GONE;
+    }
     else if (facts->tokens > 0) {
         plan.refusal = REFUSAL_STREAM_CUT;
     }
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -46,6 +46,8 @@
  * @repeatable: running again does no harm
  * @attempts: so far
  * @max_attempts: most of them
+ * @rest_only: the caller asked for the rest of a stream that another request
+ *     began
  * @budget: the retry budget has something left
  * @time_left: the deadline has not passed
  */
@@ -60,6 +62,7 @@
     gboolean repeatable;
     guint attempts;
     guint max_attempts;
+    gboolean rest_only;
     gboolean budget;
     gboolean time_left;
 } RecoveryFacts_t;
@@ -93,6 +96,9 @@
 /** Recovery_decide() - decide from the facts */
 RecoveryPlan_t Recovery_decide(const RecoveryFacts_t *facts);
 
+/** Recovery_stepName() - stable name of a step, for logs */
+const char *Recovery_stepName(RecoveryStep_t step);
+
 /** Recovery_endName() - stable name of an end, for counters and traces */
 const char *Recovery_endName(AttemptEnd_t end);
 
--- a/src/Refusal.h
+++ b/src/Refusal.h
@@ -42,6 +42,7 @@
     REFUSAL_DEADLINE_PASSED,
     REFUSAL_STOPPING,
     REFUSAL_NOT_CONFIGURED,
+    REFUSAL_CONFIG_STALE,
     REFUSAL_UPSTREAM_REFUSED,
     REFUSAL_UPSTREAM_FAILED,
     REFUSAL_ANSWER_MISMATCH,
@@ -58,7 +59,7 @@
  * @type: group of reasons as callers of such APIs know it
  * @message: one sentence in English
  * @status: HTTP status
- * @retry_after_s: seconds after which a repeat may succeed, 0 for never
+ * @retry_after_ms: time after which a repeat may succeed, 0 for never
  * @run: whether the request ran, unless the place of refusal knows better
  */
 typedef struct {
@@ -66,7 +67,7 @@
     const char *type;
     const char *message;
     int status;
-    unsigned retry_after_s;
+    guint retry_after_ms;
     RunState_t run;
 } RefusalSpec_t;
 
--- /dev/null
+++ b/src/RelayApi.c
@@ -0,0 +1,183 @@
+#include "RelayApi.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <string.h>
+
+#include "Clock.h"
+#include "Errors.h"
+#include "HttpCall.h"
+#include "Log.h"
+#include "PlatformForm.h"
+#include "Random.h"
+#include "RelayAnswer.h"
+#include "RelayExchange.h"
+
+/* Input beyond it waits in the kernel, not in our memory. */
+#define INPUT_WATERMARK 65536
+
+/**
+ * struct Admission_t - one request while it is looked at
+ */
+typedef struct {
+    Context_t *context;
+    struct evhttp_request *http;
+    RelayRequest_t request;
+    const Route_t *route;
+    const RouteCustomer_t *customer;
+} Admission_t;
+
+static gboolean
+is_fresh(const Context_t *context)
+{
+    return RouteTable_ageMs(context->routes, Clock_nowMs()) <=
+           context->settings->relay.config_max_age_ms;
+}
+
+gboolean
+RelayApi_isReady(const Context_t *context)
+{
+    return !context->stopping && RouteTable_config(context->routes) &&
+           is_fresh(context) && UpstreamListing_isKnown(context->listing);
+}
+
+static void
+refuse(Admission_t *admission, Refusal_t refusal, const char *detail)
+{
+    Context_t *context = admission->context;
+    const RelayCallerForm_t *form = context->form->caller;
+    const char *id = admission->request.id;
+    Context_countRefusal(
+        context, refusal, RUN_NOT, id ? id : "none",
+        admission->route ? admission->route->name->str : "none", "none",
+        detail);
+    Relay_refuse(admission->http, form->id_header, id, refusal, RUN_NOT,
+                 detail, context->stopping);
+    form->clear_request(&admission->request);
+}
+
+/* Where a newer configuration may exist, nobody can say that a route or a
+ * key is unknown. */
+static void
+refuse_unknown(Admission_t *admission, Refusal_t refusal)
+{
+    gboolean sure = is_fresh(admission->context);
+    refuse(admission, sure ? refusal : REFUSAL_CONFIG_STALE, NULL);
+}
+
+static gboolean
+find_route(Admission_t *admission, const RouteConfig_t *config)
+{
+    const RelayRequest_t *request = &admission->request;
+    admission->route =
+        RouteConfig_findRoute(config, request->host, request->path->str);
+    if (!admission->route) {
+        refuse_unknown(admission, REFUSAL_UNKNOWN_PATH);
+    }
+    return admission->route != NULL;
+}
+
+static gboolean
+check_key(Admission_t *admission, const RouteConfig_t *config)
+{
+    const char *key = admission->request.key;
+    gboolean keyed = config->customers->len > 0;
+    if (!admission->route->needs_key || !keyed) {
+        return TRUE;
+    }
+    admission->customer = key ? RouteConfig_findCustomer(config, key) : NULL;
+    if (!admission->customer) {
+        refuse_unknown(admission, REFUSAL_UNAUTHENTICATED);
+        return FALSE;
+    }
+    if (!is_fresh(admission->context)) {
+        refuse(admission, REFUSAL_CONFIG_STALE, NULL);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static void
+start(Admission_t *admission, RouteConfig_t *config)
+{
+    const char *service =
+        Route_pickTarget(admission->route, Random_below(G_MAXINT32));
+    if (!service) {
+        refuse(admission, REFUSAL_NO_UPSTREAM, "The route has no service.");
+        return;
+    }
+    RelayExchangeSpec_t spec = {
+        .http = admission->http,
+        .config = config,
+        .route = admission->route,
+        .service = service,
+        .customer = admission->customer,
+        .request = &admission->request,
+    };
+    RelayExchange_start(admission->context, &spec);
+}
+
+static void
+admit(Admission_t *admission)
+{
+    Context_t *context = admission->context;
+    RouteConfig_t *config = RouteTable_config(context->routes);
+    if (!config) {
+        refuse(admission, REFUSAL_NOT_CONFIGURED, NULL);
+        return;
+    }
+    if (context->refusing) {
+        refuse(admission, REFUSAL_STOPPING, NULL);
+        return;
+    }
+    if (find_route(admission, config) && check_key(admission, config)) {
+        start(admission, config);
+    }
+}
+
+/* Both at once is how one request is hidden inside another. */
+static gboolean
+is_ambiguous(struct evhttp_request *request)
+{
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    return evhttp_find_header(headers, "Transfer-Encoding") &&
+           evhttp_find_header(headers, "Content-Length");
+}
+
+void
+RelayApi_handle(struct evhttp_request *request, void *data)
+{
+    Admission_t admission = {.context = data, .http = request};
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    g_autoptr(GError) error = NULL;
+    Http_noDelay(connection);
+    bufferevent_setwatermark(stream, EV_READ, 0, INPUT_WATERMARK);
+    Counters_add(admission.context->counters, "requests_total", NULL, 1);
+    if (!admission.context->form->caller->read_request(
+            request, &admission.request, &error)) {
+        refuse(&admission, REFUSAL_BAD_HEADER, error->message);
+        return;
+    }
+    if (is_ambiguous(request)) {
+        refuse(&admission, REFUSAL_BAD_HEADER,
+               "The body's length is given "
+               "twice.");
+        return;
+    }
+    admit(&admission);
+}
+
+void
+RelayApi_handleReady(struct evhttp_request *request, void *data)
+{
+    const Context_t *context = data;
+    const char *uri = evhttp_request_get_uri(request);
+    gboolean known = strcmp(uri, context->form->caller->ready_path) == 0;
+    int status = HTTP_NOTFOUND;
+    if (known) {
+        status = RelayApi_isReady(context) ? HTTP_OK : HTTP_SERVUNAVAIL;
+    }
+    evhttp_send_reply(request, status, NULL, NULL);
+}
--- /dev/null
+++ b/src/RelayParts.c
@@ -0,0 +1,114 @@
+#include "RelayParts.h"
+
+#include "Orders.h"
+#include "RouteSync.h"
+
+struct RelayParts {
+    Context_t *context;
+    LogClient_t *log;
+    RecordSource_t *records;
+    RouteSync_t *sync;
+    Orders_t *orders;
+    NamedWeights_t *weights;
+};
+
+/* The model of an upstream is that of its service; one engine has one. */
+static const char *
+model_of(const RelayParts_t *this, const Upstream_t *upstream)
+{
+    const RouteConfig_t *config = RouteTable_config(this->context->routes);
+    if (!config || upstream->serves->len == 0) {
+        return NULL;
+    }
+    const GString *name = g_ptr_array_index(upstream->serves, 0);
+    const RouteService_t *service = RouteConfig_findService(config, name->str);
+    if (!service || service->models->len == 0) {
+        return NULL;
+    }
+    const GString *model = g_ptr_array_index(service->models, 0);
+    return model->str;
+}
+
+static gboolean
+wanted_weights(void *data, const Upstream_t *upstream, WantedWeights_t *out)
+{
+    const RelayParts_t *this = data;
+    out->model = model_of(this, upstream);
+    out->weights =
+        out->model ? NamedWeights_find(this->weights, out->model) : NULL;
+    return out->weights != NULL;
+}
+
+static void
+create_followers(RelayParts_t *this, const PlatformForm_t *form)
+{
+    Context_t *context = this->context;
+    const Settings_t *settings = context->settings;
+    RouteSyncSpec_t sync = {
+        .source = this->records,
+        .form = form,
+        .routes = context->routes,
+        .weights = this->weights,
+        .wait_ms = settings->relay.config_wait_ms,
+    };
+    this->sync = RouteSync_create(context->base, &sync);
+    UpstreamListingSpec_t listing = {
+        .source = this->records,
+        .topic = form->listing_topic,
+        .decode = form->decode_upstream,
+        .upstreams = context->upstreams,
+        .membership = context->membership,
+        .region = settings->router.region->str,
+        .poll_ms = settings->platform.instances_poll_ms,
+        .return_ms = settings->relay.listing_return_ms,
+    };
+    context->listing = UpstreamListing_create(context->base, &listing);
+}
+
+static void
+create_orders(RelayParts_t *this, const PlatformForm_t *form)
+{
+    const Context_t *context = this->context;
+    OrdersSpec_t orders = {
+        .settings = context->settings,
+        .incarnation = context->incarnation,
+        .log = this->log,
+        .form = form->orders,
+        .wanted = wanted_weights,
+        .wanted_data = this,
+        .upstreams = context->upstreams,
+        .membership = context->membership,
+        .counters = context->counters,
+    };
+    this->orders = Orders_create(context->base, &orders);
+}
+
+RelayParts_t *
+RelayParts_create(Context_t *context, const PlatformForm_t *form)
+{
+    const PlatformSection_t *platform = &context->settings->platform;
+    RelayParts_t *this = g_new0(RelayParts_t, 1);
+    this->context = context;
+    context->routes = RouteTable_create();
+    this->weights = NamedWeights_create();
+    this->log = form->create_log(context->base, &platform->log,
+                                 platform->log_timeout_ms);
+    this->records = form->create_records(context->base, &platform->log,
+                                         platform->log_timeout_ms);
+    create_followers(this, form);
+    create_orders(this, form);
+    return this;
+}
+
+void
+RelayParts_destroy(RelayParts_t *this)
+{
+    LogClient_destroy(this->log);
+    RecordSource_destroy(this->records);
+    Orders_destroy(this->orders);
+    UpstreamListing_destroy(this->context->listing);
+    RouteSync_destroy(this->sync);
+    NamedWeights_destroy(this->weights);
+    RouteTable_destroy(this->context->routes);
+    g_free(this);
+}
--- /dev/null
+++ b/src/RelayParts.h
@@ -0,0 +1,22 @@
+#ifndef HEADER_RelayParts
+#define HEADER_RelayParts
+/**
+ * DOC: RelayParts
+ *
+ * The parts of a router that relays requests on a platform: what follows
+ * the platform's store, gives orders to engines, and answers the balancer.
+ */
+#include "Context.h"
+#include "PlatformForm.h"
+
+/** struct RelayParts_t - opaque */
+typedef struct RelayParts RelayParts_t;
+
+/** RelayParts_create() - start them; the context must outlive them */
+RelayParts_t *RelayParts_create(Context_t *context,
+                                const PlatformForm_t *form);
+
+/** RelayParts_destroy() - free them; open calls are never answered */
+void RelayParts_destroy(RelayParts_t *this);
+
+#endif
--- /dev/null
+++ b/src/RelayPlacer.h
@@ -0,0 +1,47 @@
+#ifndef HEADER_RelayPlacer
+#define HEADER_RelayPlacer
+/**
+ * DOC: RelayPlacer
+ *
+ * Chooses an upstream for a relayed request: by the parts of its prompt
+ * where its route says so, else by load. It also names the cache salt, which
+ * holds the customer, unless it shares, and the version of weights that the
+ * chosen engine has, so that no part of another wall or version is used.
+ */
+#include "Context.h"
+#include "RelayForm.h"
+#include "Salt.h"
+
+/**
+ * struct RelayWish_t - a request that wants an upstream
+ * @route: its route
+ * @service: of the route's targets
+ * @customer: whose it is, or NULL
+ * @request: what its head says
+ * @avoid: upstream of the attempt before, or NULL
+ */
+typedef struct {
+    const Route_t *route;
+    const char *service;
+    const RouteCustomer_t *customer;
+    const RelayRequest_t *request;
+    const Upstream_t *avoid;
+} RelayWish_t;
+
+/**
+ * struct RelayPlacing_t - where it goes; valid until the loop runs on
+ * @placement: what was weighed, for Policy_learn()
+ * @choice: the upstream, or none
+ * @salt: cache salt; empty for a plain service
+ */
+typedef struct {
+    Placement_t placement;
+    Choice_t choice;
+    char salt[SALT_LENGTH + 1];
+} RelayPlacing_t;
+
+/** RelayPlacer_place() - choose an upstream */
+void RelayPlacer_place(const Context_t *context, const RelayWish_t *wish,
+                       RelayPlacing_t *out);
+
+#endif
--- /dev/null
+++ b/src/RouteSync.c
@@ -0,0 +1,121 @@
+#include "RouteSync.h"
+
+#include <string.h>
+
+#include "Clock.h"
+#include "Log.h"
+#include "RecordFollower.h"
+
+struct RouteSync {
+    RouteSyncSpec_t spec;
+    RecordFollower_t *follower;
+};
+
+static void
+take_config(RouteSync_t *this, GBytes *value)
+{
+    g_autoptr(GError) error = NULL;
+    RouteConfig_t *config = this->spec.form->decode_config(value, &error);
+    if (!config) {
+        Log_error("config_unreadable", error);
+        return;
+    }
+    guint64 version = config->version;
+    gboolean taken = RouteTable_take(this->spec.routes, config);
+    Log_begin(LOG_LEVEL_INFO,
+              taken ? "config_in_force" : "config_passed_over");
+    Log_number("version", (gint64)version);
+    if (taken) {
+        Log_number("routes", config->routes->len);
+        Log_number("customers", config->customers->len);
+        Log_number("keys", g_hash_table_size(config->keys));
+    }
+    Log_end();
+}
+
+static void
+take_weights(RouteSync_t *this, GBytes *value)
+{
+    GString *model = g_string_new(NULL);
+    guint64 version = 0;
+    g_autoptr(GError) error = NULL;
+    if (!this->spec.form->decode_weights(value, model, &version, &error)) {
+        Log_error("weights_unreadable", error);
+    }
+    else if (NamedWeights_take(this->spec.weights, model->str, version,
+                               Clock_nowMs())) {
+        Log_begin(LOG_LEVEL_INFO, "weights_named");
+        Log_text("model", model->str);
+        Log_number("version", (gint64)version);
+        Log_end();
+    }
+    g_string_free(model, TRUE);
+}
+
+/* A configuration that was removed stays in force: nothing takes its place.
+ */
+static void
+on_record(void *owner, const char *key, GBytes *value)
+{
+    RouteSync_t *this = owner;
+    if (!value) {
+        Log_begin(LOG_LEVEL_WARNING, "operator_record_removed");
+        Log_text("key", key);
+        Log_end();
+    }
+    else if (strcmp(key, this->spec.form->config_key) == 0) {
+        take_config(this, value);
+    }
+    else if (g_str_has_prefix(key, this->spec.form->weights_prefix)) {
+        take_weights(this, value);
+    }
+}
+
+static void
+on_current(void *owner, gint64 at_ms)
+{
+    const RouteSync_t *this = owner;
+    RouteTable_noteCurrent(this->spec.routes, at_ms);
+}
+
+static void
+on_lost(void *owner, const GError *error)
+{
+    (void)owner;
+    (void)error;
+}
+
+static void
+on_regained(void *owner)
+{
+    (void)owner;
+}
+
+static const RecordFollowerEvents_t follower_events = {
+    .record = on_record,
+    .current = on_current,
+    .lost = on_lost,
+    .regained = on_regained,
+};
+
+RouteSync_t *
+RouteSync_create(struct event_base *base, const RouteSyncSpec_t *spec)
+{
+    RouteSync_t *this = g_new0(RouteSync_t, 1);
+    this->spec = *spec;
+    RecordFollowerSpec_t follow = {
+        .source = spec->source,
+        .topic = spec->form->config_topic,
+        .wait_ms = spec->wait_ms,
+    };
+    this->follower =
+        RecordFollower_create(base, &follow, &follower_events, this);
+    return this;
+}
+
+void
+RouteSync_destroy(RouteSync_t *this)
+{
+    RecordFollower_destroy(this->follower);
+    g_free(this);
+}
--- /dev/null
+++ b/src/RouteSync.h
@@ -0,0 +1,40 @@
+#ifndef HEADER_RouteSync
+#define HEADER_RouteSync
+/**
+ * DOC: RouteSync
+ *
+ * Follows the operators' records on the platform's store: the whole
+ * configuration and the named versions of weights.
+ */
+#include "NamedWeights.h"
+#include "PlatformForm.h"
+#include "RouteTable.h"
+
+/**
+ * struct RouteSyncSpec_t - what it needs; all must outlive it
+ * @source: of the records
+ * @form: of the platform
+ * @routes: gets each newer configuration
+ * @weights: gets each newer version
+ * @wait_ms: how long the store may hold a read: bounds how old the
+ *     knowledge that a configuration is the newest gets
+ */
+typedef struct {
+    RecordSource_t *source;
+    const PlatformForm_t *form;
+    RouteTable_t *routes;
+    NamedWeights_t *weights;
+    gint64 wait_ms;
+} RouteSyncSpec_t;
+
+/** struct RouteSync_t - opaque */
+typedef struct RouteSync RouteSync_t;
+
+/** RouteSync_create() - start to follow */
+RouteSync_t *RouteSync_create(struct event_base *base,
+                              const RouteSyncSpec_t *spec);
+
+/** RouteSync_destroy() - free it; its source must be freed first */
+void RouteSync_destroy(RouteSync_t *this);
+
+#endif
--- /dev/null
+++ b/src/RouteTable.c
@@ -0,0 +1,53 @@
+#include "RouteTable.h"
+
+struct RouteTable {
+    RouteConfig_t *config;
+    gint64 current_ms; /* 0 for never */
+};
+
+RouteTable_t *
+RouteTable_create(void)
+{
+    return g_new0(RouteTable_t, 1);
+}
+
+void
+RouteTable_destroy(RouteTable_t *this)
+{
+    if (this->config) {
+        RouteConfig_unref(this->config);
+    }
+    g_free(this);
+}
+
+gboolean
+RouteTable_take(RouteTable_t *this, RouteConfig_t *config)
+{
+    if (this->config && config->version <= this->config->version) {
+        RouteConfig_unref(config);
+        return FALSE;
+    }
+    if (this->config) {
+        RouteConfig_unref(this->config);
+    }
+    this->config = config;
+    return TRUE;
+}
+
+void
+RouteTable_noteCurrent(RouteTable_t *this, gint64 at_ms)
+{
+    this->current_ms = MAX(this->current_ms, at_ms);
+}
+
+RouteConfig_t *
+RouteTable_config(const RouteTable_t *this)
+{
+    return this->config;
+}
+
+gint64
+RouteTable_ageMs(const RouteTable_t *this, gint64 now_ms)
+{
+    return this->current_ms == 0 ? G_MAXINT64 : now_ms - this->current_ms;
+}
--- a/src/Router.c
+++ b/src/Router.c
@@ -20,6 +20,8 @@
 #include "PendingReply.h"
 #include "Problem.h"
 #include "Random.h"
+#include "RelayApi.h"
+#include "RelayParts.h"
 #include "StopPlans.h"
 
 #define LOG_RETRY_MS 500
@@ -37,8 +39,10 @@
     ConfigSync_t *sync;
     Orders_t *orders;
     StopPlans_t *plans;
+    RelayParts_t *relay; /* NULL on the native platform */
     struct evhttp *callers;
     struct evhttp *operators;
+    struct evhttp *readiness;
     guint16 port;
     guint16 operator_port;
     struct event *on_term;
@@ -106,6 +110,9 @@
 on_peer_message(void *data, Member_t *from, const Wt__PeerMessage *message)
 {
     Router_t *this = data;
+    if (this->relay) {
+        return; /* its configuration and claims are the platform's matter */
+    }
     switch (message->body_case) {
     case WT__PEER_MESSAGE__BODY_CONFIG_PULL:
     case WT__PEER_MESSAGE__BODY_CONFIG_PUSH:
@@ -136,8 +143,26 @@
     return context->membership != NULL;
 }
 
+static gboolean
+declared_weights(void *data, const Upstream_t *upstream, WantedWeights_t *out)
+{
+    const Router_t *this = data;
+    if (upstream->role != ROLE_ENGINE || upstream->serves->len == 0) {
+        return FALSE;
+    }
+    const GString *name = g_ptr_array_index(upstream->serves, 0);
+    const Object_t *model =
+        ConfigStore_find(this->context.config, OBJECT_MODEL, name->str);
+    if (!model) {
+        return FALSE;
+    }
+    out->model = name->str;
+    out->weights = ((const Model_t *)model->spec)->weights->str;
+    return TRUE;
+}
+
 static void
-create_platform(Router_t *this)
+create_native(Router_t *this)
 {
     const PlatformSection_t *platform = &this->settings->platform;
     struct event_base *base = this->context.base;
@@ -166,7 +191,9 @@
         .settings = this->settings,
         .incarnation = this->context.incarnation,
         .log = this->log,
-        .config = this->context.config,
+        .form = &OrderHttp_form,
+        .wanted = declared_weights,
+        .wanted_data = this,
         .upstreams = this->context.upstreams,
         .membership = this->context.membership,
         .counters = this->context.counters,
@@ -177,6 +204,17 @@
                          this->context.membership);
 }
 
+static void
+create_platform(Router_t *this)
+{
+    if (this->context.form) {
+        this->relay = RelayParts_create(&this->context, this->context.form);
+        return;
+    }
+    load_bootstrap(this);
+    create_native(this);
+}
+
 /* Port 0 in the settings lets the system choose. */
 static guint16
 port_of(struct evhttp_bound_socket *bound)
@@ -217,12 +255,22 @@
 create_listeners(Router_t *this, GError **error)
 {
     const RouterSection_t *settings = &this->settings->router;
-    this->callers = listen_on(this, &settings->listen, CallerApi_handle,
-                              &this->port, error);
+    this->callers =
+        listen_on(this, &settings->listen,
+                  this->context.form ? RelayApi_handle : CallerApi_handle,
+                  &this->port, error);
     if (!this->callers) {
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
+    if (this->context.form && settings->ready_listen.port != 0) {
+        guint16 port = 0;
+        this->readiness = listen_on(this, &settings->ready_listen,
+                                    RelayApi_handleReady, &port, error);
+        if (!this->readiness) {
+            return FALSE;
+        }
+    }
     this->operators =
         listen_on(this, &settings->operator_listen, OperatorApi_handle,
                   &this->operator_port, error);
@@ -238,11 +286,12 @@
     gint64 passed = Clock_nowMs() - this->stop_began_ms;
     const RouterSection_t *settings = &this->settings->router;
     this->context.refusing = passed >= settings->stop_grace_ms;
-    gboolean empty = this->context.refusing &&
-                     this->context.open_requests == 0 &&
-                     PendingReply_count() == 0 &&
-                     (Claims_open(this->context.claims) == 0 ||
-                      passed >= settings->stop_grace_ms + CLAIMS_LIMIT_MS);
+    guint claims =
+        this->context.claims ? Claims_open(this->context.claims) : 0;
+    gboolean empty =
+        this->context.refusing && this->context.open_requests == 0 &&
+        PendingReply_count() == 0 &&
+        (claims == 0 || passed >= settings->stop_grace_ms + CLAIMS_LIMIT_MS);
     if (empty || passed >= settings->stop_limit_ms) {
         event_base_loopbreak(this->context.base);
         return;
@@ -289,11 +338,13 @@
     if (this->operators) {
         evhttp_free(this->operators);
     }
+    if (this->readiness) {
+        evhttp_free(this->readiness);
+    }
 }
 
-/* Calls and links that were closed free themselves in the loop. */
 static void
-free_platform(Router_t *this)
+free_native(Router_t *this)
 {
     Context_t *context = &this->context;
     LogClient_destroy(this->log);
@@ -303,8 +354,20 @@
     ConfigSync_destroy(this->sync);
     Claims_destroy(context->claims);
     ConfigLog_destroy(context->config_log);
-    Membership_destroy(context->membership);
-    event_base_loop(context->base, EVLOOP_NONBLOCK);
+}
+
+/* Calls and links that were closed free themselves in the loop. */
+static void
+free_platform(Router_t *this)
+{
+    if (this->relay) {
+        RelayParts_destroy(this->relay);
+    }
+    else {
+        free_native(this);
+    }
+    Membership_destroy(this->context.membership);
+    event_base_loop(this->context.base, EVLOOP_NONBLOCK);
 }
 
 static void
@@ -350,9 +413,11 @@
 }
 
 gboolean
-Router_run(const Settings_t *settings, GError **error)
+Router_run(const Settings_t *settings, const PlatformForm_t *form,
+           GError **error)
 {
     Router_t this = {.settings = settings};
+    this.context.form = form;
     Random_seed((guint32)settings->router.seed);
     this.context.base = create_base();
     create_parts(&this);
@@ -360,7 +425,6 @@
     gboolean started =
         create_listeners(&this, error) && create_peers(&this, error);
     if (started) {
-        load_bootstrap(&this);
         create_platform(&this);
         log_event(&this, "router_started");
         event_base_dispatch(this.context.base);
--- a/src/Router.h
+++ b/src/Router.h
@@ -8,15 +8,18 @@
  */
 #include <glib.h>
 
+#include "PlatformForm.h"
 #include "Settings.h"
 
 /**
  * Router_run() - run until SIGTERM or SIGINT
  * @settings: must outlive it
+ * @form: of the platform that the settings name; NULL for the native one
  * @error: WT_ERROR_LISTEN
  *
  * Return: FALSE where it could not start
  */
-gboolean Router_run(const Settings_t *settings, GError **error);
+gboolean Router_run(const Settings_t *settings, const PlatformForm_t *form,
+                    GError **error);
 
 #endif
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -19,6 +19,9 @@
      "Region of the hall."},
     {"listen", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, R(listen),
      "Where callers and the balancer connect."},
+    {"ready_listen", KEY_ADDRESS, FALSE, NULL, 0, 0, NULL, R(ready_listen),
+     "Where a balancer asks for readiness, if not at listen; only where the "
+     "platform's form has routes."},
     {"operator_listen", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL,
      R(operator_listen), "Where operators' RPCs and /metrics are served."},
     {"policy", KEY_CHOICE, FALSE, "prefix", 0, 0,
@@ -65,6 +68,10 @@
 
 #define P(member) offsetof(PlatformSection_t, member)
 static const KeySpec_t platform_keys[] = {
+    {"form", KEY_CHOICE, FALSE, "native", 0, 0, "native,fleet", P(form),
+     "Which platform this is: native is spoken by the project's own stand-ins "
+     "and configured by declarations, fleet is the users' platform with its "
+     "own routes."},
     {"log", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, P(log),
      "The append-only log service."},
     {"instances", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, P(instances),
@@ -97,6 +104,25 @@
 };
 #undef P
 
+#define A(member) offsetof(RelaySection_t, member)
+static const KeySpec_t relay_keys[] = {
+    {"config_max_age", KEY_DURATION, FALSE, "3500ms", 100, HOUR_MS, NULL,
+     A(config_max_age_ms),
+     "Requests with a key are refused once it is longer ago that the "
+     "configuration was known to be the newest; well below the time in which "
+     "a revoked key must stop working."},
+    {"config_wait", KEY_DURATION, FALSE, "1s", 10, HOUR_MS, NULL,
+     A(config_wait_ms),
+     "How long the store may hold a read of the configuration; well below "
+     "config_max_age."},
+    {"listing_return", KEY_DURATION, FALSE, "2500ms", 0, HOUR_MS, NULL,
+     A(listing_return_ms),
+     "After the list of upstreams was out of reach: how long an entry that "
+     "has lapsed may take to come back."},
+    {NULL},
+};
+#undef A
+
 #define L(member) offsetof(LimitsSection_t, member)
 static const KeySpec_t limits_keys[] = {
     {"max_body", KEY_SIZE, FALSE, "4MiB", 1024, 1 << 30, NULL, L(max_body),
@@ -131,6 +157,12 @@
      "may resume it at any router."},
     {"idle_connections", KEY_INTEGER, FALSE, "32", 0, 4096, NULL,
      L(idle_connections), "Open idle connections kept for each upstream."},
+    {"idle_time", KEY_DURATION, FALSE, "4s", 0, HOUR_MS, NULL, L(idle_time_ms),
+     "Longest rest of a kept connection that takes a relayed request."},
+    {"once_idle_time", KEY_DURATION, FALSE, "300ms", 0, HOUR_MS, NULL,
+     L(once_idle_time_ms),
+     "The same for a request that may run only once, as its upstream may "
+     "have closed the connection in the meantime."},
     {"eject_failures", KEY_INTEGER, FALSE, "3", 1, 1000, NULL,
      L(eject_failures), "Failures in a row that eject an upstream."},
     {"eject_time", KEY_DURATION, FALSE, "2s", 10, HOUR_MS, NULL, L(eject_ms),
@@ -155,6 +187,9 @@
     {{"platform", platform_keys, sizeof(PlatformSection_t),
       "Where the platform's services are."},
      offsetof(Settings_t, platform)},
+    {{"relay", relay_keys, sizeof(RelaySection_t),
+      "Relayed requests, where the platform's form has routes."},
+     offsetof(Settings_t, relay)},
     {{"limits", limits_keys, sizeof(LimitsSection_t),
       "Sizes, times and counts that bound one router."},
      offsetof(Settings_t, limits)},
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -21,6 +21,14 @@
     POLICY_ROUND_ROBIN,
 } PolicyName_t;
 
+/**
+ * enum PlatformName_t - the words of [platform] form, in their order
+ */
+typedef enum {
+    PLATFORM_NATIVE,
+    PLATFORM_FLEET,
+} PlatformName_t;
+
 /**
  * struct RouterSection_t - [router]
  */
@@ -29,6 +37,7 @@
     GString *hall;
     GString *region;
     Address_t listen;
+    Address_t ready_listen;
     Address_t operator_listen;
     gint64 policy;
     gint64 stop_grace_ms;
@@ -59,6 +68,7 @@
  * struct PlatformSection_t - [platform]
  */
 typedef struct {
+    gint64 form;
     Address_t log;
     Address_t instances;
     gint64 log_timeout_ms;
@@ -72,6 +82,15 @@
     gint64 weight_loads;
 } PlatformSection_t;
 
+/**
+ * struct RelaySection_t - [relay]
+ */
+typedef struct {
+    gint64 config_max_age_ms;
+    gint64 config_wait_ms;
+    gint64 listing_return_ms;
+} RelaySection_t;
+
 /**
  * struct LimitsSection_t - [limits]
  */
@@ -89,6 +108,8 @@
     gint64 stream_buffer;
     gint64 resume_grace_ms;
     gint64 idle_connections;
+    gint64 idle_time_ms;
+    gint64 once_idle_time_ms;
     gint64 eject_failures;
     gint64 eject_ms;
 } LimitsSection_t;
@@ -101,6 +122,7 @@
     KeysSection_t keys;
     PeersSection_t peers;
     PlatformSection_t platform;
+    RelaySection_t relay;
     LimitsSection_t limits;
 } Settings_t;
 
--- /dev/null
+++ b/src/StreamExchange.c
@@ -0,0 +1,443 @@
+#include "StreamExchange.h"
+
+#include <string.h>
+
+#include "Answer.h"
+#include "Attempt.h"
+#include "Clock.h"
+#include "EngineHttp.h"
+#include "Exchange.h"
+#include "Log.h"
+#include "Placer.h"
+#include "StreamHandle.h"
+
+typedef struct {
+    Exchange_t super;
+    const EngineWire_t *wire;
+    Answer_t *answer;
+    Prompt_t *prompt;
+    ResumePoint_t *point; /* of a caller that asks for the rest */
+
+    Placement_t placement;
+    Attempt_t *attempt;
+    guint missing_tokens; /* counted in upstream->pending_tokens */
+    guint expected_cached;
+    gboolean is_resume; /* the attempt under way asks for a rest */
+
+    StreamHandle_t stream;
+    guint resumes;
+
+    GString *text;       /* tokens that the caller has */
+    guint64 first_token; /* place of the first of them in the whole answer */
+    guint64 tokens;
+    guint prompt_tokens;
+    guint cached_tokens;
+} StreamExchange_t;
+
+static void
+destroy(Exchange_t *super)
+{
+    StreamExchange_t *this = (StreamExchange_t *)super;
+    Answer_destroy(this->answer);
+    if (this->prompt) {
+        Prompt_destroy(this->prompt);
+    }
+    if (this->point) {
+        ResumePoint_destroy(this->point);
+    }
+    StreamHandle_clear(&this->stream);
+    g_string_free(this->text, TRUE);
+    Exchange_clear(super);
+    g_free(this);
+}
+
+static void
+settle_pending(StreamExchange_t *this)
+{
+    if (this->super.upstream) {
+        this->super.upstream->pending_tokens -= this->missing_tokens;
+    }
+    this->missing_tokens = 0;
+}
+
+static gboolean
+drop(Exchange_t *super)
+{
+    StreamExchange_t *this = (StreamExchange_t *)super;
+    gboolean sent = this->attempt && Attempt_wasSent(this->attempt);
+    if (this->attempt) {
+        Attempt_cancel(this->attempt);
+        this->attempt = NULL;
+    }
+    settle_pending(this);
+    return sent;
+}
+
+static void
+refuse(Exchange_t *super, Refusal_t refusal, RunState_t run,
+       const char *detail)
+{
+    const StreamExchange_t *this = (StreamExchange_t *)super;
+    Answer_refuse(this->answer, refusal, run, detail);
+}
+
+static void
+abandon(Exchange_t *super)
+{
+    StreamExchange_t *this = (StreamExchange_t *)super;
+    StreamHandle_cancel(&this->stream, super->context->base, this->wire,
+                        super->context->settings->limits.token_timeout_ms);
+    StreamHandle_clear(&this->stream);
+}
+
+static void
+add_facts(const Exchange_t *super, RecoveryFacts_t *facts)
+{
+    const StreamExchange_t *this = (const StreamExchange_t *)super;
+    facts->was_resume = this->is_resume;
+    facts->progressed =
+        super->attempt_trace && super->attempt_trace->tokens > 0;
+    facts->stream_known = this->stream.upstream != NULL;
+    facts->resumes = this->resumes;
+    facts->tokens = this->tokens;
+    facts->repeatable = super->repeatable && !this->point;
+    facts->rest_only = this->point != NULL;
+}
+
+static void
+log_end(const Exchange_t *super)
+{
+    const StreamExchange_t *this = (const StreamExchange_t *)super;
+    Log_number("resumes", this->resumes);
+    Log_number("tokens", (gint64)this->tokens);
+    Log_number("prompt_tokens", this->prompt_tokens);
+    Log_number("cached_tokens", this->cached_tokens);
+}
+
+/* The engine goes on for a while, so that the caller may resume at any
+ * router; a resume there takes the stream away from our cancel. */
+static void
+on_caller_left(void *owner)
+{
+    StreamExchange_t *this = owner;
+    Exchange_t *super = &this->super;
+    if (super->over) {
+        return;
+    }
+    gboolean may_return =
+        this->prompt && this->prompt->stream && this->stream.upstream;
+    Exchange_leave(
+        super,
+        may_return ? super->context->settings->limits.resume_grace_ms : 0);
+}
+
+static void
+on_caller_drained(void *owner)
+{
+    StreamExchange_t *this = owner;
+    if (this->attempt) {
+        Attempt_release(this->attempt);
+    }
+}
+
+static const AnswerEvents_t answer_events = {
+    .left = on_caller_left,
+    .drained = on_caller_drained,
+};
+
+static void
+seal_token(StreamExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    GString *sealed = StreamHandle_seal(
+        &this->stream, super->context->settings->keys.seal,
+        super->customer->str, super->id->str, super->target->str);
+    Answer_setToken(this->answer, sealed);
+    g_string_free(sealed, TRUE);
+}
+
+static void
+note_incarnation(const Exchange_t *super, guint64 incarnation)
+{
+    if (Upstream_noteIncarnation(super->upstream, incarnation,
+                                 Clock_nowMs())) {
+        Membership_noteUpstream(super->context->membership,
+                                super->upstream->name->str);
+    }
+}
+
+static void
+note_head(const Exchange_t *super, const EngineHead_t *head)
+{
+    Upstream_t *upstream = super->upstream;
+    note_incarnation(super, head->incarnation);
+    Upstream_noteWeights(upstream, head->weights);
+    Upstream_noteSuccess(upstream);
+    upstream->reported_tokens = head->waiting_tokens;
+    upstream->reported_running = head->running;
+    upstream->reported_at_ms = Clock_nowMs();
+}
+
+static void
+on_started(void *owner, const EngineHead_t *head)
+{
+    StreamExchange_t *this = owner;
+    Exchange_t *super = &this->super;
+    Counters_t *counters = super->context->counters;
+    note_head(super, head);
+    StreamHandle_set(&this->stream, super->upstream, head);
+    seal_token(this);
+    if (this->is_resume) {
+        return;
+    }
+    this->prompt_tokens = head->prompt_tokens;
+    this->cached_tokens = head->cached_tokens;
+    super->attempt_trace->prompt_tokens = head->prompt_tokens;
+    super->attempt_trace->cached_tokens = head->cached_tokens;
+    Counters_add(counters, "prompt_tokens_total", NULL, head->prompt_tokens);
+    Counters_add(counters, "cached_tokens_total", NULL, head->cached_tokens);
+    Policy_learn(super->context->policy, &this->placement, super->upstream,
+                 this->expected_cached, head->cached_tokens);
+}
+
+static void
+note_first_token(StreamExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    gint64 passed_us = Clock_nowUs() - super->started_us;
+    if (super->attempt_trace->first_token_us == 0) {
+        super->attempt_trace->first_token_us = passed_us;
+        settle_pending(this);
+    }
+    if (this->tokens == 0) {
+        Counters_observe(super->context->counters, "first_token_us",
+                         (guint64)passed_us);
+    }
+}
+
+static void
+on_token(void *owner, const EngineToken_t *token)
+{
+    StreamExchange_t *this = owner;
+    note_first_token(this);
+    this->tokens++;
+    this->super.attempt_trace->tokens++;
+    if (this->super.repeatable) {
+        g_string_append_len(this->text, token->text, (gssize)token->length);
+    }
+    Answer_token(this->answer, token->text, token->length, token->finish,
+                 this->first_token + this->tokens);
+    if (Answer_isFull(this->answer) && !Attempt_isHeld(this->attempt)) {
+        Counters_add(this->super.context->counters, "streams_held_total", NULL,
+                     1);
+        Attempt_hold(this->attempt);
+    }
+}
+
+/* What an engine says of itself as it refuses is news as well. */
+static void
+note_refusal(const Exchange_t *super, const EngineRefusal_t *refusal)
+{
+    Upstream_t *upstream = super->upstream;
+    note_incarnation(super, refusal->incarnation);
+    if (refusal->leaving && !upstream->leaving) {
+        Upstream_noteLeaving(upstream, upstream->incarnation);
+        Membership_noteUpstream(super->context->membership,
+                                upstream->name->str);
+        Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
+        Log_text("upstream", upstream->name->str);
+        Log_text("source", "upstream");
+        Log_end();
+    }
+}
+
+static void
+finish(StreamExchange_t *this)
+{
+    Answer_finish(this->answer, this->prompt_tokens, this->tokens,
+                  this->cached_tokens);
+    Exchange_finish(&this->super);
+}
+
+static void
+on_ended(void *owner, AttemptEnd_t end, const EngineRefusal_t *refusal)
+{
+    StreamExchange_t *this = owner;
+    Exchange_t *super = &this->super;
+    if (refusal) {
+        note_refusal(super, refusal);
+    }
+    this->attempt = NULL;
+    settle_pending(this);
+    Exchange_noteEnd(super, end);
+    if (refusal && refusal->incarnation != 0) {
+        Exchange_avoidNone(super);
+    }
+    if (end == ATTEMPT_WHOLE) {
+        finish(this);
+        return;
+    }
+    Exchange_recover(super, end, refusal ? refusal->code : NULL);
+}
+
+static const AttemptEvents_t attempt_events = {
+    .started = on_started,
+    .token = on_token,
+    .ended = on_ended,
+};
+
+static void
+start_attempt(StreamExchange_t *this, Upstream_t *upstream, const char *path,
+              GBytes *body, const char *reason)
+{
+    Exchange_t *super = &this->super;
+    const LimitsSection_t *limits = &super->context->settings->limits;
+    AttemptSpec_t spec = {
+        .upstream = upstream,
+        .wire = this->wire,
+        .path = path,
+        .body = body,
+        .first_index = this->first_token + this->tokens,
+        .fresh = !super->repeatable,
+        .connect_ms = limits->connect_timeout_ms,
+        .first_token_ms = limits->first_token_timeout_ms,
+        .token_ms = limits->token_timeout_ms,
+    };
+    Exchange_noteAttempt(super, upstream, reason);
+    this->attempt =
+        Attempt_start(super->context->base, &spec, &attempt_events, this);
+    g_bytes_unref(body);
+}
+
+static void
+resume(Exchange_t *super)
+{
+    StreamExchange_t *this = (StreamExchange_t *)super;
+    this->is_resume = TRUE;
+    this->resumes++;
+    GBytes *body = this->wire->resume_body(this->stream.stream,
+                                           this->first_token + this->tokens);
+    start_attempt(this, this->stream.upstream, this->wire->resume_path, body,
+                  "resume");
+}
+
+static void
+start_new_stream(StreamExchange_t *this, const Placing_t *placing)
+{
+    const Choice_t *choice = &placing->choice;
+    EngineOrder_t order = {
+        .prompt = this->prompt,
+        .salt = placing->salt,
+        .priority = this->super.priority,
+        .incarnation = choice->upstream->incarnation,
+        .weights = placing->weights,
+        .sent_text = this->text,
+        .sent_tokens = this->tokens,
+    };
+    guint tokens = placing->placement.prompt_tokens;
+    this->is_resume = FALSE;
+    this->placement = placing->placement;
+    this->expected_cached = choice->expected_cached;
+    this->missing_tokens = tokens - MIN(choice->expected_cached, tokens);
+    choice->upstream->pending_tokens += this->missing_tokens;
+    start_attempt(this, choice->upstream, this->wire->start_path(this->prompt),
+                  this->wire->start_body(&order), choice->reason);
+    this->super.attempt_trace->candidates = choice->candidates;
+}
+
+static void
+place(Exchange_t *super)
+{
+    StreamExchange_t *this = (StreamExchange_t *)super;
+    RunState_t run = Exchange_runState(super);
+    Placing_t placing;
+    if (!Placer_place(super->context, this->prompt, super->customer->str,
+                      super->avoid, &placing)) {
+        Exchange_refuse(super, REFUSAL_UNKNOWN_MODEL, run, NULL);
+    }
+    else if (!placing.choice.upstream) {
+        Exchange_refuse(super, REFUSAL_NO_UPSTREAM, run, NULL);
+    }
+    else {
+        start_new_stream(this, &placing);
+    }
+}
+
+static const ExchangeClass_t class = {
+    .destroy = destroy,
+    .place = place,
+    .drop = drop,
+    .refuse = refuse,
+    .facts = add_facts,
+    .resume = resume,
+    .abandon = abandon,
+    .log_end = log_end,
+};
+
+/* A caller's resume goes to the engine that has the stream, or nowhere. */
+static void
+place_resume(StreamExchange_t *this)
+{
+    Exchange_t *super = &this->super;
+    Upstream_t *upstream = UpstreamSet_find(super->context->upstreams,
+                                            this->point->upstream->str);
+    if (!upstream || upstream->incarnation > this->point->incarnation) {
+        Exchange_refuse(super, REFUSAL_RESUME_GONE, RUN_DONE, NULL);
+        return;
+    }
+    super->sent = TRUE;
+    this->first_token = this->point->offset;
+    StreamHandle_restore(&this->stream, upstream, this->point);
+    resume(super);
+}
+
+static StreamExchange_t *
+create(Context_t *context, const StreamExchangeSpec_t *spec)
+{
+    const Caller_t *caller = spec->caller;
+    const Customer_t *customer = caller->customer->spec;
+    StreamExchange_t *this = g_new0(StreamExchange_t, 1);
+    ExchangeSpec_t base = {
+        .id = spec->id,
+        .customer = caller->customer->name->str,
+        .customer_class = customer->customer_class->str,
+        .target =
+            spec->prompt ? spec->prompt->model->str : spec->resume->model->str,
+        .priority = caller->priority,
+        .deadline_ms = caller->deadline_ms,
+        .repeatable = caller->repeatable,
+        .max_attempts = (guint)context->settings->limits.max_attempts,
+    };
+    Exchange_init(&this->super, &class, context, &base);
+    this->wire = &EngineHttp_wire;
+    this->prompt = spec->prompt;
+    this->point = spec->resume;
+    this->text = g_string_new(NULL);
+    return this;
+}
+
+void
+StreamExchange_start(Context_t *context, const StreamExchangeSpec_t *spec)
+{
+    StreamExchange_t *this = create(context, spec);
+    AnswerSpec_t form = {
+        .request = spec->request,
+        .chat = spec->chat,
+        .stream = !spec->prompt || spec->prompt->stream,
+        .id = spec->id,
+        .model = this->super.target->str,
+        .buffer_max = (gsize)context->settings->limits.stream_buffer,
+        .turn_end = context->turn_end,
+    };
+    this->answer = Answer_create(context->base, &form, &answer_events, this);
+    Exchange_begin(&this->super);
+    if (this->point) {
+        place_resume(this);
+    }
+    else if (this->super.repeatable) {
+        Exchange_place(&this->super);
+    }
+    else {
+        Exchange_claim(&this->super, spec->caller->key);
+    }
+}
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -7,6 +7,11 @@
 #define FIRST_PREFILL_US_PER_TOKEN 50.0
 #define MAX_EJECTION_DOUBLINGS 5
 
+typedef struct {
+    struct evhttp_connection *connection;
+    gint64 since_ms;
+} IdleConnection_t;
+
 Upstream_t *
 Upstream_create(struct event_base *base, const char *name,
                 const UpstreamSpec_t *spec, guint idle_max)
@@ -39,9 +44,10 @@
 static void
 drop_idle(Upstream_t *this)
 {
-    struct evhttp_connection *connection = NULL;
-    while ((connection = g_queue_pop_head(&this->idle))) {
-        evhttp_connection_free(connection);
+    IdleConnection_t *idle = NULL;
+    while ((idle = g_queue_pop_head(&this->idle))) {
+        evhttp_connection_free(idle->connection);
+        g_free(idle);
     }
 }
 
@@ -136,6 +142,15 @@
     }
 }
 
+void
+Upstream_noteListedWeights(Upstream_t *this, const char *weights)
+{
+    guint64 known = g_ascii_strtoull(this->weights->str, NULL, 10);
+    if (g_ascii_strtoull(weights, NULL, 10) >= known) {
+        Upstream_noteWeights(this, weights);
+    }
+}
+
 void
 Upstream_noteSuccess(Upstream_t *this)
 {
@@ -163,12 +178,13 @@
 }
 
 struct evhttp_connection *
-Upstream_takeConnection(Upstream_t *this, gboolean fresh)
+Upstream_takeConnection(Upstream_t *this, gint64 idle_max_ms, gint64 now_ms)
 {
-    struct evhttp_connection *idle =
-        fresh ? NULL : g_queue_pop_tail(&this->idle);
-    if (idle) {
-        return idle;
+    IdleConnection_t *idle = g_queue_peek_tail(&this->idle);
+    if (idle && now_ms - idle->since_ms <= idle_max_ms) {
+        struct evhttp_connection *connection = idle->connection;
+        g_free(g_queue_pop_tail(&this->idle));
+        return connection;
     }
     return evhttp_connection_base_new(this->base, NULL, this->address.host,
                                       this->address.port);
@@ -182,7 +198,11 @@
 }
 
 void
-Upstream_keepConnection(Upstream_t *this, struct evhttp_connection *connection)
+Upstream_keepConnection(Upstream_t *this, struct evhttp_connection *connection,
+                        gint64 now_ms)
 {
-    g_queue_push_tail(&this->idle, connection);
+    IdleConnection_t *idle = g_new0(IdleConnection_t, 1);
+    idle->connection = connection;
+    idle->since_ms = now_ms;
+    g_queue_push_tail(&this->idle, idle);
 }
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -39,6 +39,8 @@
  * @ejected_until_ms: gets no work before, but for one probe after
  * @probing: a request after the ejection is under way
  * @live_since_ms: when this incarnation was first heard of, for slow start
+ * @warm_at_ms: when it will be past its slow start, as far as it said
+ * @proved_ms: when it last answered anything, 0 for never
  */
 typedef struct {
     GString *name;
@@ -65,9 +67,11 @@
     gint64 ejected_until_ms;
     gboolean probing;
     gint64 live_since_ms;
+    gint64 warm_at_ms;
+    gint64 proved_ms;
 
     struct event_base *base;
-    GQueue idle; /* struct evhttp_connection */
+    GQueue idle; /* IdleConnection_t, the one used last at the tail */
     guint idle_max;
     guint references;
 } Upstream_t;
@@ -115,6 +119,14 @@
 /** Upstream_noteWeights() - the version that it says it has */
 void Upstream_noteWeights(Upstream_t *this, const char *weights);
 
+/**
+ * Upstream_noteListedWeights() - the version that a lagging list tells
+ *
+ * It only ever raises a version that is a number: an answer of the upstream
+ * itself may have told of a newer one.
+ */
+void Upstream_noteListedWeights(Upstream_t *this, const char *weights);
+
 /** Upstream_noteSuccess() - it answered; ends an ejection */
 void Upstream_noteSuccess(Upstream_t *this);
 
@@ -128,12 +140,18 @@
 gboolean Upstream_noteFailure(Upstream_t *this, guint most, gint64 eject_ms,
                               gint64 now_ms);
 
+/** For Upstream_takeConnection(): however long a connection rested */
+#define UPSTREAM_ANY_IDLE G_MAXINT64
+/** For Upstream_takeConnection(): only a new connection will do */
+#define UPSTREAM_NO_IDLE (-1)
+
 /**
  * Upstream_takeConnection() - an idle connection or a new one
- * @fresh: never an idle one
+ * @idle_max_ms: an idle one must not have rested longer
+ * @now_ms: monotonic
  */
-struct evhttp_connection *Upstream_takeConnection(Upstream_t *this,
-                                                  gboolean fresh);
+struct evhttp_connection *
+Upstream_takeConnection(Upstream_t *this, gint64 idle_max_ms, gint64 now_ms);
 
 /**
  * Upstream_keepConnection() - give an idle connection back
@@ -142,7 +160,8 @@
  * certain that it is kept; see Upstream_canKeep().
  */
 void Upstream_keepConnection(Upstream_t *this,
-                             struct evhttp_connection *connection);
+                             struct evhttp_connection *connection,
+                             gint64 now_ms);
 
 /** Upstream_canKeep() - whether one more idle connection is wanted */
 gboolean Upstream_canKeep(const Upstream_t *this);
--- /dev/null
+++ b/src/UpstreamListing.h
@@ -0,0 +1,79 @@
+#ifndef HEADER_UpstreamListing
+#define HEADER_UpstreamListing
+/**
+ * DOC: UpstreamListing
+ *
+ * Keeps an UpstreamSet in step with the platform's list of live and leaving
+ * upstreams. An upstream that is gone from the list gets no new work, but
+ * for a while after the list itself was out of reach: entries lapse in an
+ * outage and come back soon after it.
+ */
+#include "Membership.h"
+#include "RecordSource.h"
+#include "UpstreamSet.h"
+
+/**
+ * struct ListedUpstream_t - one entry of the list
+ * @spec: where it is and what it serves
+ * @leaving: it takes no new work
+ * @warmup_ms: how much longer it is slow after its start
+ * @weights: version that it has; empty where it has none
+ */
+typedef struct {
+    UpstreamSpec_t spec;
+    gboolean leaving;
+    gint64 warmup_ms;
+    GString *weights;
+} ListedUpstream_t;
+
+/**
+ * ListedUpstreamDecode_t - read an entry
+ * @value: as the list has it
+ * @out: filled where it is good; cleared by ListedUpstream_clear()
+ */
+typedef gboolean (*ListedUpstreamDecode_t)(GBytes *value,
+                                           ListedUpstream_t *out,
+                                           GError **error);
+
+/**
+ * struct UpstreamListingSpec_t - what it needs; all must outlive it
+ * @source: of the list
+ * @topic: of the list
+ * @decode: reads an entry
+ * @upstreams: kept in step
+ * @membership: told of those that leave
+ * @region: of the upstreams
+ * @poll_ms: time between two reads
+ * @return_ms: how long after an outage a missing entry may still come back
+ */
+typedef struct {
+    RecordSource_t *source;
+    const char *topic;
+    ListedUpstreamDecode_t decode;
+    UpstreamSet_t *upstreams;
+    Membership_t *membership;
+    const char *region;
+    gint64 poll_ms;
+    gint64 return_ms;
+} UpstreamListingSpec_t;
+
+/** struct UpstreamListing_t - opaque */
+typedef struct UpstreamListing UpstreamListing_t;
+
+/** UpstreamListing_create() - start to follow the list */
+UpstreamListing_t *UpstreamListing_create(struct event_base *base,
+                                          const UpstreamListingSpec_t *spec);
+
+/** UpstreamListing_destroy() - free it; its source must be freed first */
+void UpstreamListing_destroy(UpstreamListing_t *this);
+
+/** UpstreamListing_isKnown() - whether the list was read at least once */
+gboolean UpstreamListing_isKnown(const UpstreamListing_t *this);
+
+/** ListedUpstream_init() - an empty entry that a decoder fills */
+void ListedUpstream_init(ListedUpstream_t *this);
+
+/** ListedUpstream_clear() - free what an entry holds */
+void ListedUpstream_clear(ListedUpstream_t *this);
+
+#endif
--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -68,21 +68,22 @@
     upstream->serves = g_ptr_array_ref(spec->serves);
 }
 
-static void
-follow_object(UpstreamSet_t *this, const Object_t *object)
+/* What is known of an upstream stays unless it is at another place now. */
+static Upstream_t *
+put_upstream(UpstreamSet_t *this, const char *name, const UpstreamSpec_t *spec)
 {
-    const char *name = object->name->str;
     Upstream_t *old = g_hash_table_lookup(this->by_name, name);
-    if (old && same_place(old, object->spec)) {
-        update_upstream(old, object->spec);
-        return;
+    if (old && same_place(old, spec)) {
+        update_upstream(old, spec);
+        return old;
     }
     if (old) {
         old->removed = TRUE;
     }
     Upstream_t *upstream =
-        Upstream_create(this->base, name, object->spec, this->idle_max);
+        Upstream_create(this->base, name, spec, this->idle_max);
     g_hash_table_replace(this->by_name, g_strdup(name), upstream);
+    return upstream;
 }
 
 static gboolean
@@ -139,9 +140,60 @@
     g_autoptr(GPtrArray) objects = ConfigStore_list(config, OBJECT_UPSTREAM);
     for (guint i = 0; i < objects->len; i++) {
         const Object_t *object = g_ptr_array_index(objects, i);
-        follow_object(this, object);
-        index_upstream(this, UpstreamSet_find(this, object->name->str));
+        index_upstream(this,
+                       put_upstream(this, object->name->str, object->spec));
+    }
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    const Upstream_t *const *left = a;
+    const Upstream_t *const *right = b;
+    return strcmp((*left)->name->str, (*right)->name->str);
+}
+
+static void
+index_listed(UpstreamSet_t *this)
+{
+    GHashTableIter iter;
+    gpointer upstream = NULL;
+    g_autoptr(GPtrArray) ordered = g_ptr_array_new();
+    g_hash_table_iter_init(&iter, this->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &upstream)) {
+        g_ptr_array_add(ordered, upstream);
+    }
+    g_ptr_array_sort(ordered, compare_names);
+    this->generation++;
+    g_ptr_array_set_size(this->all, 0);
+    g_hash_table_remove_all(this->serving);
+    for (guint i = 0; i < ordered->len; i++) {
+        index_upstream(this, g_ptr_array_index(ordered, i));
+    }
+}
+
+Upstream_t *
+UpstreamSet_put(UpstreamSet_t *this, const char *name,
+                const UpstreamSpec_t *spec)
+{
+    const Upstream_t *old = UpstreamSet_find(this, name);
+    Upstream_t *upstream = put_upstream(this, name, spec);
+    if (upstream != old) {
+        index_listed(this);
+    }
+    return upstream;
+}
+
+void
+UpstreamSet_drop(UpstreamSet_t *this, const char *name)
+{
+    Upstream_t *upstream = UpstreamSet_find(this, name);
+    if (!upstream) {
+        return;
     }
+    upstream->removed = TRUE;
+    g_hash_table_remove(this->by_name, name);
+    index_listed(this);
 }
 
 Upstream_t *
--- a/src/UpstreamSet.h
+++ b/src/UpstreamSet.h
@@ -3,8 +3,8 @@
 /**
  * DOC: UpstreamSet
  *
- * All declared upstreams, by name and by what they serve. It follows the
- * declarations and keeps what is known of an upstream over a change of them.
+ * All declared or listed upstreams, by name and by what they serve. It
+ * keeps what is known of an upstream over a change of its declaration.
  */
 #include <event2/event.h>
 #include <glib.h>
@@ -27,6 +27,17 @@
 /** UpstreamSet_follow() - take the declarations in force, if they changed */
 void UpstreamSet_follow(UpstreamSet_t *this, const ConfigStore_t *config);
 
+/**
+ * UpstreamSet_put() - an upstream that a listing tells of, new or changed
+ *
+ * A set follows either declarations or a listing, never both.
+ */
+Upstream_t *UpstreamSet_put(UpstreamSet_t *this, const char *name,
+                            const UpstreamSpec_t *spec);
+
+/** UpstreamSet_drop() - an upstream is no longer listed */
+void UpstreamSet_drop(UpstreamSet_t *this, const char *name);
+
 /** UpstreamSet_find() - by name, or NULL */
 Upstream_t *UpstreamSet_find(const UpstreamSet_t *this, const char *name);
 
--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,13 @@
 #include <stdio.h>
 
 #include "CommandLine.h"
+#include "Fleet.h"
+
+/* By the words of the setting [platform] form. */
+static const PlatformForm_t *const forms[] = {
+    [PLATFORM_NATIVE] = NULL,
+    [PLATFORM_FLEET] = &Fleet_form,
+};
 
 int
 main(int argc, char **argv)
@@ -15,5 +22,5 @@
         fputs("wheattiller: libsodium can't start\n", stderr);
         return EXIT_INVALID;
     }
-    return (int)CommandLine_run(argc, argv);
+    return (int)CommandLine_run(forms, argc, argv);
 }
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -25,6 +25,7 @@
 
     def add(self, line):
         line = re.sub(r'"created":\d+', '"created":T', line)
+        line = re.sub(r'\b(us|left_ms)=-?\d+', r'\1=T', line)
         for kind, pattern in PATTERNS:
             line = pattern.sub(lambda found, kind=kind:
                                self._name(kind, found[0]), line)
