--- /dev/null
+++ b/src/CacheStore.c
@@ -0,0 +1,104 @@
+#include "CacheStore.h"
+
+/* A prefix that nobody used for so long may have given way to others. */
+#define KEPT_MS 60000
+/* Another request may save it if the first one has not ended by then. */
+#define SAVING_MS 3000
+/* Prefixes that are remembered: more than such a store has room for. */
+#define PREFIXES_MAX 16384
+
+struct CacheStore {
+    Membership_t *membership;
+    GHashTable *kept; /* &prefix -> Entry_t */
+};
+
+typedef struct {
+    guint64 prefix;
+    gint64 kept_ms;   /* when it was saved, 0 for not yet */
+    gint64 saving_ms; /* when this router last began to save it */
+} Entry_t;
+
+CacheStore_t *
+CacheStore_create(Membership_t *membership)
+{
+    CacheStore_t *this = g_new0(CacheStore_t, 1);
+    this->membership = membership;
+    this->kept =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return this;
+}
+
+void
+CacheStore_destroy(CacheStore_t *this)
+{
+    g_hash_table_destroy(this->kept);
+    g_free(this);
+}
+
+static Entry_t *
+entry_of(CacheStore_t *this, guint64 prefix)
+{
+    Entry_t *entry = g_hash_table_lookup(this->kept, &prefix);
+    if (!entry) {
+        if (g_hash_table_size(this->kept) >= PREFIXES_MAX) {
+            g_hash_table_remove_all(this->kept);
+        }
+        entry = g_new0(Entry_t, 1);
+        entry->prefix = prefix;
+        g_hash_table_insert(this->kept, &entry->prefix, entry);
+    }
+    return entry;
+}
+
+gboolean
+CacheStore_isKept(const CacheStore_t *this, guint64 prefix, gint64 now_ms)
+{
+    const Entry_t *entry = g_hash_table_lookup(this->kept, &prefix);
+    return entry && entry->kept_ms != 0 && now_ms - entry->kept_ms < KEPT_MS;
+}
+
+gboolean
+CacheStore_beginSave(CacheStore_t *this, guint64 prefix, gint64 now_ms)
+{
+    if (CacheStore_isKept(this, prefix, now_ms)) {
+        return FALSE;
+    }
+    Entry_t *entry = entry_of(this, prefix);
+    if (entry->saving_ms != 0 && now_ms - entry->saving_ms < SAVING_MS) {
+        return FALSE;
+    }
+    entry->saving_ms = now_ms;
+    return TRUE;
+}
+
+static void
+tell_peers(const CacheStore_t *this, guint64 prefix)
+{
+    Wt__CacheSaved saved = WT__CACHE_SAVED__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    saved.n_prefixes = 1;
+    saved.prefixes = &prefix;
+    message.body_case = WT__PEER_MESSAGE__BODY_CACHE_SAVED;
+    message.cache_saved = &saved;
+    const GPtrArray *members = Membership_members(this->membership);
+    for (guint i = 0; i < members->len; i++) {
+        Membership_send(this->membership, g_ptr_array_index(members, i),
+                        &message);
+    }
+}
+
+void
+CacheStore_noteSaved(CacheStore_t *this, guint64 prefix, gint64 now_ms)
+{
+    entry_of(this, prefix)->kept_ms = now_ms;
+    tell_peers(this, prefix);
+}
+
+void
+CacheStore_take(CacheStore_t *this, const Wt__CacheSaved *message,
+                gint64 now_ms)
+{
+    for (size_t i = 0; i < message->n_prefixes; i++) {
+        entry_of(this, message->prefixes[i])->kept_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/src/CacheStore.h
@@ -0,0 +1,48 @@
+#ifndef HEADER_CacheStore
+#define HEADER_CacheStore
+/**
+ * DOC: CacheStore
+ *
+ * What is kept in the store of cached prefixes beside the engines, as far as
+ * the routers know: engines are told to save a shared prefix there when it
+ * is not known to be kept, and to take it from there when it is. Routers tell
+ * each other what was saved; nothing rests on it but time, as an engine
+ * computes what it does not find.
+ */
+#include <event2/event.h>
+#include <glib.h>
+
+#include "Membership.h"
+
+/** struct CacheStore_t - opaque */
+typedef struct CacheStore CacheStore_t;
+
+/** CacheStore_create() - nothing is known to be kept */
+CacheStore_t *CacheStore_create(Membership_t *membership);
+
+/** CacheStore_destroy() - free it */
+void CacheStore_destroy(CacheStore_t *this);
+
+/**
+ * CacheStore_isKept() - whether a prefix should be in the store
+ * @prefix: identity that holds the wall and the weights as well
+ */
+gboolean CacheStore_isKept(const CacheStore_t *this, guint64 prefix,
+                           gint64 now_ms);
+
+/**
+ * CacheStore_beginSave() - whether this request should save a prefix
+ *
+ * Return: FALSE where it is kept or another request of this router saves it
+ */
+gboolean CacheStore_beginSave(CacheStore_t *this, guint64 prefix,
+                              gint64 now_ms);
+
+/** CacheStore_noteSaved() - a request that saved a prefix has ended well */
+void CacheStore_noteSaved(CacheStore_t *this, guint64 prefix, gint64 now_ms);
+
+/** CacheStore_take() - a peer tells what was saved */
+void CacheStore_take(CacheStore_t *this, const Wt__CacheSaved *message,
+                     gint64 now_ms);
+
+#endif
--- a/src/Context.h
+++ b/src/Context.h
@@ -9,12 +9,14 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "CacheStore.h"
 #include "Claims.h"
 #include "ConfigLog.h"
 #include "ConfigStore.h"
 #include "Counters.h"
 #include "CustomerLimits.h"
 #include "Membership.h"
+#include "NamedWeights.h"
 #include "Policy.h"
 #include "RetryBudget.h"
 #include "RouteTable.h"
@@ -30,7 +32,9 @@
  * struct Context_t - the parts
  * @form: of the platform; NULL where it is the native one
  * @routes: where the platform's form has routes, else NULL
+ * @weights: versions that operators have named; NULL where they declare them
  * @listing: where the platform's form has one, else NULL
+ * @cache_store: where the platform's form has one, else NULL
  * @stopping: SIGTERM came; new requests are refused after the grace
  * @refusing: the grace is over
  * @open_requests: callers' requests under way
@@ -41,7 +45,9 @@
     const Settings_t *settings;
     const struct PlatformForm *form;
     RouteTable_t *routes;
+    NamedWeights_t *weights;
     UpstreamListing_t *listing;
+    CacheStore_t *cache_store;
     Counters_t *counters;
     ConfigStore_t *config;
     ConfigLog_t *config_log;
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -137,7 +137,10 @@
 Exchange_begin(Exchange_t *this)
 {
     this->context->open_requests++;
-    RetryBudget_deposit(this->context->budget);
+    RetryBudget_setRouters(this->context->budget,
+                           Membership_live(this->context->membership),
+                           Clock_nowMs());
+    RetryBudget_deposit(this->context->budget, this->target->str);
     Clock_arm(this->deadline, this->deadline_ms - Clock_nowMs());
 }
 
@@ -265,7 +268,8 @@
         .repeatable = this->repeatable,
         .attempts = this->attempts,
         .max_attempts = this->max_attempts,
-        .budget = RetryBudget_hasOne(this->context->budget),
+        .budget = end == ATTEMPT_NOT_SENT ||
+                  RetryBudget_hasOne(this->context->budget, this->target->str),
         .time_left = Clock_nowMs() < this->deadline_ms,
     };
     if (this->class->facts) {
@@ -320,7 +324,9 @@
         Exchange_refuse(this, plan.refusal, plan.run, detail);
         return;
     }
-    RetryBudget_withdraw(this->context->budget);
+    if (end != ATTEMPT_NOT_SENT) {
+        RetryBudget_withdraw(this->context->budget, this->target->str);
+    }
     Context_countRetry(this->context, Recovery_endName(end), this->target->str,
                        this->customer_class->str);
     if (plan.step == RECOVERY_RESUME) {
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -11,11 +11,14 @@
 #define FULL_MESH_MAX 16
 /* How often another's heartbeat is passed on where not all are linked. */
 #define HEARTBEAT_RELAYS 2
-/* Peers that get a message each tick. */
+/* Peers that get a message each tick; where all are linked, all of them do
+ * while there is news of upstreams. */
 #define FANOUT 2
 /* What one message holds beside its facts. */
 #define FRAME_OVERHEAD 32
 #define LEAST_MESSAGE 100
+/* An answer of an upstream is worth more than a peer's doubt for so long. */
+#define PROOF_AGE_MS 100
 
 struct Gossip {
     MemberTable_t *table;
@@ -176,6 +179,31 @@
     return news;
 }
 
+/* A pause is told with what is left of it, as clocks are not compared. Only
+ * other weights or time end it: a peer that has not heard of it says nothing
+ * of its end. */
+static gboolean
+take_pause(Upstream_t *upstream, const Wt__UpstreamFact *fact, gint64 now_ms)
+{
+    if (fact->pausing_ms == 0 || upstream->paused_until_ms > now_ms ||
+        strcmp(upstream->weights->str, fact->weights) != 0) {
+        return FALSE;
+    }
+    Upstream_notePause(upstream, fact->pausing_ms, now_ms);
+    return TRUE;
+}
+
+/* One that has answered here a moment ago need not be asked. */
+static void
+take_unreached(Upstream_t *upstream, const Wt__UpstreamFact *fact,
+               gint64 now_ms)
+{
+    if (fact->unreached && !upstream->suspect &&
+        now_ms - upstream->proved_ms >= PROOF_AGE_MS) {
+        Upstream_noteUnreached(upstream);
+    }
+}
+
 static void
 take_upstream(Gossip_t *this, const Wt__UpstreamFact *fact)
 {
@@ -191,6 +219,8 @@
         Upstream_noteLeaving(upstream, fact->incarnation);
     }
     news = take_report(upstream, fact, now_ms) || news;
+    news = take_pause(upstream, fact, now_ms) || news;
+    take_unreached(upstream, fact, now_ms);
     if (upstream->leaving && !was_leaving) {
         Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
         Log_text("upstream", fact->name);
@@ -250,6 +280,8 @@
     fact->incarnation = upstream->incarnation;
     fact->leaving = upstream->leaving;
     fact->weights = upstream->weights->str;
+    fact->pausing_ms =
+        (guint32)MAX(upstream->paused_until_ms - Clock_nowMs(), 0);
     fact->running = upstream->reported_running;
     fact->waiting_tokens = (guint64)upstream->reported_tokens;
     fact->age_ms =
@@ -348,11 +380,13 @@
     this->budget = MIN(this->budget + (double)rate * GOSSIP_TICK_MS / 1000.0,
                        (double)rate);
     guint links = MemberTable_links(this->table);
+    gboolean urgent = Gossip_isMesh(this) &&
+                      GossipQueue_has(this->queue, FACT_UPSTREAM_NEWS);
+    guint fanout = urgent ? links : MIN(FANOUT, links);
     guint start =
         this->table->live->len > 0 ? Random_below(this->table->live->len) : 0;
     guint sent = 0;
-    for (guint i = 0; i < this->table->live->len && sent < MIN(FANOUT, links);
-         i++) {
+    for (guint i = 0; i < this->table->live->len && sent < fanout; i++) {
         Member_t *member = g_ptr_array_index(
             this->table->live, (start + i) % this->table->live->len);
         if (!member->link) {
--- a/src/GossipQueue.c
+++ b/src/GossipQueue.c
@@ -80,6 +80,12 @@
     }
 }
 
+gboolean
+GossipQueue_has(const GossipQueue_t *this, FactKind_t kind)
+{
+    return !g_queue_is_empty((GQueue *)&this->facts[kind]);
+}
+
 guint
 GossipQueue_length(const GossipQueue_t *this)
 {
--- a/src/GossipQueue.h
+++ b/src/GossipQueue.h
@@ -57,6 +57,9 @@
  */
 void GossipQueue_fill(GossipQueue_t *this, GossipTake_t take, void *data);
 
+/** GossipQueue_has() - whether facts of a kind wait */
+gboolean GossipQueue_has(const GossipQueue_t *this, FactKind_t kind);
+
 /** GossipQueue_length() - facts that wait */
 guint GossipQueue_length(const GossipQueue_t *this);
 
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -34,6 +34,7 @@
     gint64 seen_ms;      /* when it was first read here */
     gint64 heard_ms;     /* when the last record of any lease was read */
     guint64 number;      /* of ours */
+    guint64 term;        /* number at which we took it */
     gint64 began_ms;     /* before its append was sent */
     gint64 sent_ms;      /* of the append under way or undecided */
     guint64 sent_expects;
@@ -90,6 +91,7 @@
     if (is_ours(this, entry)) {
         if (this->number == 0) {
             log_lease(this, "lease_taken", number);
+            this->term = number;
         }
         this->number = number;
         this->began_ms = this->sent_ms;
@@ -97,6 +99,7 @@
     else if (this->number != 0) {
         log_lease(this, "lease_lost", this->number);
         this->number = 0;
+        this->term = 0;
     }
 }
 
@@ -320,3 +323,9 @@
 {
     return this->number;
 }
+
+guint64
+Lease_term(const Lease_t *this)
+{
+    return this->term;
+}
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -56,6 +56,13 @@
 /** Lease_remainingMs() - how long it is surely ours, 0 where it is not */
 gint64 Lease_remainingMs(const Lease_t *this);
 
+/**
+ * Lease_term() - number at which this router took the lease
+ *
+ * It stays the same over renewals, and 0 stands for no lease.
+ */
+guint64 Lease_term(const Lease_t *this);
+
 /** Lease_number() - fencing number of the lease that is ours */
 guint64 Lease_number(const Lease_t *this);
 
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -14,17 +14,9 @@
 #include "Counters.h"
 #include "LogClient.h"
 #include "Membership.h"
-#include "OrderForm.h"
+#include "OrderedEngine.h"
 #include "Settings.h"
 
-/**
- * struct WantedWeights_t - what an engine should have; texts of its owner
- */
-typedef struct {
-    const char *model;
-    const char *weights;
-} WantedWeights_t;
-
 /**
  * WantedWeightsOf_t - the weights that an engine should have
  *
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "HomePolicy.h"
 #include "LeastLoadedPolicy.h"
 #include "PrefixPolicy.h"
 #include "RoundRobinPolicy.h"
@@ -12,6 +13,8 @@
     switch (name) {
     case POLICY_ROUND_ROBIN:
         return RoundRobinPolicy_create();
+    case POLICY_HOME:
+        return HomePolicy_create();
     case POLICY_LEAST_LOADED:
         return LeastLoadedPolicy_create();
     default:
@@ -35,8 +38,11 @@
     if (upstream == placement->avoid && placement->serving->len > 1) {
         return FALSE;
     }
+    if (placement->weights_only && !has_weights(placement, upstream)) {
+        return FALSE;
+    }
     return placement->desperate
-               ? Upstream_takesWork(upstream)
+               ? Upstream_takesWork(upstream) && !upstream->suspect
                : Upstream_isUsable(upstream, placement->now_ms) &&
                      has_weights(placement, upstream);
 }
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -25,6 +25,9 @@
  * @hall: the router's own
  * @region: the router's own
  * @weights: version that the answer must come from, or NULL
+ * @weights_only: not even as a last resort from another one
+ * @newest: version that is preferred, or NULL
+ * @newest_age_ms: how long ago it was named
  * @avoid: upstream of the last attempt that failed, or NULL
  * @desperate: nothing else is left, so that an ejected one will do
  * @now_ms: monotonic
@@ -40,6 +43,9 @@
     const char *hall;
     const char *region;
     const char *weights;
+    gboolean weights_only;
+    const char *newest;
+    gint64 newest_age_ms;
     const Upstream_t *avoid;
     gboolean desperate;
     gint64 now_ms;
@@ -51,12 +57,16 @@
  * @reason: why, a static text for traces
  * @candidates: how many were weighed
  * @expected_cached: prompt tokens that it should have in its cache
+ * @cost_us: expected time to the first token, and what was added to it
+ * @fetch_from: engine whose cached prefix it should take over, or NULL
  */
 typedef struct {
     Upstream_t *upstream;
     const char *reason;
     guint candidates;
     guint expected_cached;
+    gint64 cost_us;
+    const Upstream_t *fetch_from;
 } Choice_t;
 
 typedef struct Policy Policy_t;
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -47,10 +47,10 @@
     Context_t *context = admission->context;
     const RelayCallerForm_t *form = context->form->caller;
     const char *id = admission->request.id;
-    Context_countRefusal(
-        context, refusal, RUN_NOT, id ? id : "none",
-        admission->route ? admission->route->name->str : "none", "none",
-        detail);
+    Context_countRefusal(context, refusal, RUN_NOT, id ? id : "none",
+                         admission->route ? admission->route->name->str
+                                          : "none",
+                         "none", detail);
     Relay_refuse(admission->http, form->id_header, id, refusal, RUN_NOT,
                  detail, context->stopping);
     form->clear_request(&admission->request);
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -187,7 +187,7 @@
     }
     struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
     this->last_heard_ms = Clock_nowMs();
-    this->upstream->proved_ms = this->last_heard_ms;
+    Upstream_noteReached(this->upstream, this->last_heard_ms);
     this->form->read_head(evhttp_request_get_response_code(request), headers,
                           this->request_id->str, this->upstream->name->str,
                           &this->head);
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -11,6 +11,17 @@
 #include "RelayAttempt.h"
 #include "RelayPlacer.h"
 
+/* Attempts that are proved not to have run do not count against the route's
+ * most, up to so many: each costs a round trip and the retry budget. */
+#define UNRUN_MAX 6
+/* An upstream that sheds is left alone for so long; it has a queue of its
+ * own, which has to shrink first. */
+#define SHED_PAUSE_MS 250
+
+/* Where a request can't be repeated, silence is no reason to give it up
+ * before its deadline. */
+#define UNLIMITED_MS 3600000
+
 typedef struct {
     Exchange_t super;
     const PlatformForm_t *form;
@@ -25,6 +36,9 @@
     EventPipe_t *events;      /* of a stream, else NULL */
     struct evbuffer *body;    /* of a whole answer */
     struct evbuffer *passing; /* events on their way to the caller */
+    guint missing_tokens;     /* counted in upstream->pending_tokens */
+    guint64 saved_prefix;     /* that the attempt saves, 0 for none */
+    guint unrun;              /* attempts that did not run */
     gboolean is_stream;       /* the answer under way is a stream */
     gboolean has_answer;      /* a failure of the upstream to pass on */
 } RelayExchange_t;
@@ -46,10 +60,20 @@
     g_free(this);
 }
 
+static void
+settle_pending(RelayExchange_t *this)
+{
+    if (this->super.upstream) {
+        this->super.upstream->pending_tokens -= this->missing_tokens;
+    }
+    this->missing_tokens = 0;
+}
+
 static gboolean
 drop(Exchange_t *super)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
+    settle_pending(this);
     gboolean sent = RelayAttempt_wasSent(this->attempt);
     RelayAttempt_cancel(this->attempt);
     this->attempt = NULL;
@@ -81,6 +105,7 @@
 {
     const RelayExchange_t *this = (const RelayExchange_t *)super;
     facts->tokens = events_passed(this);
+    facts->attempts -= MIN(this->unrun, UNRUN_MAX);
 }
 
 static void
@@ -113,12 +138,16 @@
 }
 
 static void
-note_first_event(const RelayExchange_t *this)
+note_first_event(RelayExchange_t *this)
 {
     TraceAttempt_t *trace = this->super.attempt_trace;
     gint64 passed_us = Clock_nowUs() - this->super.started_us;
     if (trace->first_token_us == 0) {
         trace->first_token_us = passed_us;
+        Upstream_noteFirstToken(this->super.upstream,
+                                passed_us - trace->started_us,
+                                this->missing_tokens, Clock_nowMs());
+        settle_pending(this);
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
@@ -164,6 +193,10 @@
         Policy_learn(this->super.context->policy, &this->placement,
                      this->super.upstream, 0, this->placement.prompt_tokens);
     }
+    if (this->saved_prefix != 0) {
+        CacheStore_noteSaved(this->super.context->cache_store,
+                             this->saved_prefix, Clock_nowMs());
+    }
 }
 
 static void
@@ -185,6 +218,26 @@
     if (head->weights) {
         Upstream_noteWeights(upstream, head->weights);
     }
+    Upstream_notePause(upstream, SHED_PAUSE_MS, Clock_nowMs());
+}
+
+/* A connection that does not come up, or that breaks without an answer, puts
+ * all further work for this upstream in doubt. */
+static void
+note_reach(const RelayExchange_t *this, AttemptEnd_t end)
+{
+    Upstream_t *upstream = this->super.upstream;
+    gboolean unreached =
+        end == ATTEMPT_NOT_SENT || end == ATTEMPT_SILENT || end == ATTEMPT_CUT;
+    if (!unreached || !Upstream_noteUnreached(upstream)) {
+        return;
+    }
+    Log_begin(LOG_LEVEL_WARNING, "upstream_unreached");
+    Log_text("upstream", upstream->name->str);
+    Log_text("request", this->super.id->str);
+    Log_text("reason", Recovery_endName(end));
+    Log_number("proof_age_ms", Clock_nowMs() - upstream->proved_ms);
+    Log_end();
 }
 
 static void
@@ -197,9 +250,14 @@
     if (end == ATTEMPT_NOT_RUN && head) {
         note_refusal(this, head);
     }
+    if (end == ATTEMPT_NOT_RUN || end == ATTEMPT_NOT_SENT) {
+        this->unrun++;
+    }
     if (end == ATTEMPT_WHOLE) {
         learn(this);
     }
+    note_reach(this, end);
+    settle_pending(this);
     Exchange_noteEnd(super, end);
     if (end == ATTEMPT_WHOLE) {
         finish(this);
@@ -243,6 +301,12 @@
                                   : limits->once_idle_time_ms;
 }
 
+static const char *
+or_null(const char *text)
+{
+    return *text ? text : NULL;
+}
+
 static void
 start_attempt(RelayExchange_t *this, const RelayPlacing_t *placing)
 {
@@ -259,6 +323,8 @@
         .rank = rank_of(this),
         .weights = has_weights ? upstream->weights->str : NULL,
         .salt = is_engine ? placing->salt : NULL,
+        .fetch_from = or_null(placing->fetch_from),
+        .save_to = or_null(placing->save_to),
         .last_event_id = last_event_id(this),
     };
     RelayAttemptSpec_t spec = {
@@ -270,16 +336,36 @@
         .body = this->request_body,
         .idle_max_ms = idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
-        .first_ms = limits->first_token_timeout_ms,
-        .pause_ms = limits->token_timeout_ms,
+        .first_ms =
+            super->repeatable ? limits->first_token_timeout_ms : UNLIMITED_MS,
+        .pause_ms =
+            super->repeatable ? limits->token_timeout_ms : UNLIMITED_MS,
     };
     Exchange_noteAttempt(super, upstream, placing->choice.reason);
     super->attempt_trace->candidates = placing->choice.candidates;
     this->placement = placing->placement;
+    this->saved_prefix = order.save_to ? placing->saved_prefix : 0;
+    this->missing_tokens =
+        placing->placement.prompt_tokens -
+        MIN(placing->choice.expected_cached, placing->placement.prompt_tokens);
+    upstream->pending_tokens += this->missing_tokens;
     this->attempt =
         RelayAttempt_start(super->context->base, &spec, &attempt_events, this);
 }
 
+/* Identities of the parts of the prompt and their lengths. */
+static void
+log_parts(const RelayExchange_t *this)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    for (guint i = 0; i < this->request.part_count; i++) {
+        const RelayPart_t *part = &this->request.parts[i];
+        g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%u",
+                               i > 0 ? "," : "", part->id, part->tokens);
+    }
+    Log_text("parts", text->str);
+}
+
 static void
 log_placed(const RelayExchange_t *this, const RelayPlacing_t *placing)
 {
@@ -290,10 +376,17 @@
     Log_text("reason", placing->choice.reason);
     Log_number("candidates", placing->choice.candidates);
     Log_number("generation", (gint64)placing->placement.generation);
+    log_parts(this);
     if (upstream) {
         Log_number("in_flight", upstream->in_flight);
         Log_text("weights", upstream->weights->str);
+        Log_number("cost_us", placing->choice.cost_us);
+        Log_number("wait_us",
+                   Upstream_waitUs(upstream, placing->placement.now_ms));
+        Log_number("pending_tokens", upstream->pending_tokens);
     }
+    Log_text("fetch_from", placing->fetch_from);
+    Log_text("save_to", placing->save_to);
     Log_end();
 }
 
@@ -309,6 +402,11 @@
         .avoid = super->avoid,
     };
     RelayPlacing_t placing;
+    if (!RelayAnswer_request(this->answer)) {
+        Exchange_refuse(super, REFUSAL_CALLER_LEFT, Exchange_runState(super),
+                        NULL);
+        return;
+    }
     RelayPlacer_place(super->context, &wish, &placing);
     log_placed(this, &placing);
     if (!placing.choice.upstream) {
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -1,7 +1,9 @@
 #include "RelayParts.h"
 
+#include "Clock.h"
 #include "Orders.h"
 #include "RouteSync.h"
+#include "UpstreamProber.h"
 
 struct RelayParts {
     Context_t *context;
@@ -9,7 +11,7 @@
     RecordSource_t *records;
     RouteSync_t *sync;
     Orders_t *orders;
-    NamedWeights_t *weights;
+    UpstreamProber_t *prober;
 };
 
 /* The model of an upstream is that of its service; one engine has one. */
@@ -34,8 +36,9 @@
 {
     const RelayParts_t *this = data;
     out->model = model_of(this, upstream);
-    out->weights =
-        out->model ? NamedWeights_find(this->weights, out->model) : NULL;
+    out->weights = out->model
+                       ? NamedWeights_find(this->context->weights, out->model)
+                       : NULL;
     return out->weights != NULL;
 }
 
@@ -48,7 +51,7 @@
         .source = this->records,
         .form = form,
         .routes = context->routes,
-        .weights = this->weights,
+        .weights = context->weights,
         .wait_ms = settings->relay.config_wait_ms,
     };
     this->sync = RouteSync_create(context->base, &sync);
@@ -83,6 +86,20 @@
     this->orders = Orders_create(context->base, &orders);
 }
 
+static void
+create_prober(RelayParts_t *this)
+{
+    const Context_t *context = this->context;
+    UpstreamProberSpec_t prober = {
+        .upstreams = context->upstreams,
+        .routes = context->routes,
+        .membership = context->membership,
+        .counters = context->counters,
+        .timeout_ms = context->settings->limits.connect_timeout_ms,
+    };
+    this->prober = UpstreamProber_create(context->base, &prober);
+}
+
 RelayParts_t *
 RelayParts_create(Context_t *context, const PlatformForm_t *form)
 {
@@ -90,13 +107,15 @@
     RelayParts_t *this = g_new0(RelayParts_t, 1);
     this->context = context;
     context->routes = RouteTable_create();
-    this->weights = NamedWeights_create();
+    context->weights = NamedWeights_create();
+    context->cache_store = CacheStore_create(context->membership);
     this->log = form->create_log(context->base, &platform->log,
                                  platform->log_timeout_ms);
     this->records = form->create_records(context->base, &platform->log,
                                          platform->log_timeout_ms);
     create_followers(this, form);
     create_orders(this, form);
+    create_prober(this);
     return this;
 }
 
@@ -105,10 +124,22 @@
 {
     LogClient_destroy(this->log);
     RecordSource_destroy(this->records);
+    UpstreamProber_destroy(this->prober);
     Orders_destroy(this->orders);
     UpstreamListing_destroy(this->context->listing);
     RouteSync_destroy(this->sync);
-    NamedWeights_destroy(this->weights);
+    NamedWeights_destroy(this->context->weights);
+    CacheStore_destroy(this->context->cache_store);
     RouteTable_destroy(this->context->routes);
     g_free(this);
 }
+
+/* Configuration and claims are the platform's matter here. */
+void
+RelayParts_take(RelayParts_t *this, const Wt__PeerMessage *message)
+{
+    if (message->body_case == WT__PEER_MESSAGE__BODY_CACHE_SAVED) {
+        CacheStore_take(this->context->cache_store, message->cache_saved,
+                        Clock_nowMs());
+    }
+}
--- a/src/RelayParts.h
+++ b/src/RelayParts.h
@@ -19,4 +19,7 @@
 /** RelayParts_destroy() - free them; open calls are never answered */
 void RelayParts_destroy(RelayParts_t *this);
 
+/** RelayParts_take() - a message of a peer that is not about membership */
+void RelayParts_take(RelayParts_t *this, const Wt__PeerMessage *message);
+
 #endif
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -2,8 +2,13 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "Clock.h"
 
+/* Shorter shared prefixes are computed faster than they are moved. */
+#define STORED_TOKENS_MIN 1000
+
 /* Mixes the identity of the parts so far with the next one. */
 #define PART_MULTIPLIER G_GUINT64_CONSTANT(0x9E3779B97F4A7C15)
 
@@ -39,6 +44,78 @@
     placement->prompt_tokens = MAX(request->prompt_tokens, tokens);
 }
 
+/* Answers on weights that have been replaced lose their worth with time; in
+ * the end they must not be given at all. */
+static void
+prefer_newest(const Context_t *context, const RelayWish_t *wish,
+              Placement_t *placement)
+{
+    const char *model = wish->request->model;
+    if (!model) {
+        return;
+    }
+    placement->newest = NamedWeights_find(context->weights, model);
+    placement->newest_age_ms =
+        NamedWeights_ageMs(context->weights, model, placement->now_ms);
+    if (placement->newest_age_ms >= context->settings->relay.old_weights_ms) {
+        placement->weights = placement->newest;
+        placement->weights_only = placement->newest != NULL;
+    }
+}
+
+static void
+write_address(char *out, const Address_t *address)
+{
+    g_snprintf(out, RELAY_ADDRESS_SIZE, "%s:%u", address->host, address->port);
+}
+
+static const RouteKvStore_t *
+store_of(const Context_t *context)
+{
+    const RouteConfig_t *config = RouteTable_config(context->routes);
+    return config && config->kv_stores->len > 0
+               ? g_ptr_array_index(config->kv_stores, 0)
+               : NULL;
+}
+
+/* The last part is the request's own. */
+static guint
+shared_index(const Placement_t *placement)
+{
+    return placement->level_count > 1 ? placement->level_count - 2 : 0;
+}
+
+/* From the store where it should be kept there, else from an engine that has
+ * it; what is kept nowhere is saved by the request that computes it. */
+static void
+use_caches(const Context_t *context, const RelayWish_t *wish,
+           RelayPlacing_t *out)
+{
+    const Placement_t *placement = &out->placement;
+    const Upstream_t *upstream = out->choice.upstream;
+    const RouteKvStore_t *store = store_of(context);
+    (void)wish;
+    if (out->choice.fetch_from) {
+        write_address(out->fetch_from, &out->choice.fetch_from->address);
+    }
+    guint shared = shared_index(placement);
+    if (!store || placement->level_count < 2 ||
+        placement->level_tokens[shared] < STORED_TOKENS_MIN) {
+        return;
+    }
+    out->saved_prefix =
+        placement->levels[shared] ^
+        XXH3_64bits(upstream->weights->str, upstream->weights->len);
+    if (CacheStore_isKept(context->cache_store, out->saved_prefix,
+                          placement->now_ms)) {
+        write_address(out->fetch_from, &store->address);
+    }
+    else if (CacheStore_beginSave(context->cache_store, out->saved_prefix,
+                                  placement->now_ms)) {
+        write_address(out->save_to, &store->address);
+    }
+}
+
 void
 RelayPlacer_place(const Context_t *context, const RelayWish_t *wish,
                   RelayPlacing_t *out)
@@ -55,10 +132,13 @@
         .now_ms = Clock_nowMs(),
     };
     out->salt[0] = '\0';
+    out->fetch_from[0] = '\0';
+    out->save_to[0] = '\0';
     if (!wish->route->by_prefix) {
         out->choice = Policy_choose(context->service_policy, &out->placement);
         return;
     }
+    prefer_newest(context, wish, &out->placement);
     GBytes *key = context->settings->keys.salt;
     SaltInput_t input = salt_input(wish, "");
     guint64 seed = Salt_make(&input, key, out->salt);
@@ -67,5 +147,6 @@
     if (out->choice.upstream) {
         input = salt_input(wish, out->choice.upstream->weights->str);
         Salt_make(&input, key, out->salt);
+        use_caches(context, wish, out);
     }
 }
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -12,6 +12,9 @@
 #include "RelayForm.h"
 #include "Salt.h"
 
+/** Longest IP number, a colon and a port */
+#define RELAY_ADDRESS_SIZE (ADDRESS_HOST_SIZE + 6)
+
 /**
  * struct RelayWish_t - a request that wants an upstream
  * @route: its route
@@ -33,11 +36,17 @@
  * @placement: what was weighed, for Policy_learn()
  * @choice: the upstream, or none
  * @salt: cache salt; empty for a plain service
+ * @fetch_from: address to take cached prefixes from; empty for none
+ * @save_to: address to keep them at; empty for none
+ * @saved_prefix: identity of what is kept there
  */
 typedef struct {
     Placement_t placement;
     Choice_t choice;
     char salt[SALT_LENGTH + 1];
+    char fetch_from[RELAY_ADDRESS_SIZE];
+    char save_to[RELAY_ADDRESS_SIZE];
+    guint64 saved_prefix;
 } RelayPlacing_t;
 
 /** RelayPlacer_place() - choose an upstream */
--- a/src/Router.c
+++ b/src/Router.c
@@ -76,7 +76,8 @@
     context->service_policy = Policy_create(POLICY_LEAST_LOADED);
     context->limits = CustomerLimits_create();
     context->budget =
-        RetryBudget_create((guint)settings->limits.retry_percent);
+        RetryBudget_create((guint)settings->limits.retry_percent,
+                           (guint)settings->limits.retry_allowance);
     context->traces = Traces_create();
     context->turn_end = TurnEnd_create(context->base);
     context->incarnation = (guint64)Clock_wallMs();
@@ -111,7 +112,8 @@
 {
     Router_t *this = data;
     if (this->relay) {
-        return; /* its configuration and claims are the platform's matter */
+        RelayParts_take(this->relay, message);
+        return;
     }
     switch (message->body_case) {
     case WT__PEER_MESSAGE__BODY_CONFIG_PULL:
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -25,8 +25,9 @@
     {"operator_listen", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL,
      R(operator_listen), "Where operators' RPCs and /metrics are served."},
     {"policy", KEY_CHOICE, FALSE, "prefix", 0, 0,
-     "prefix,least_loaded,round_robin", R(policy),
-     "How an upstream is chosen; the last two are baselines."},
+     "prefix,least_loaded,round_robin,home", R(policy),
+     "How an upstream is chosen: prefix is for engines that report their "
+     "caches, home for those that don't; the others are baselines."},
     {"stop_grace", KEY_DURATION, FALSE, "2s", 0, HOUR_MS, NULL,
      R(stop_grace_ms),
      "After SIGTERM: not ready, but still taking requests, for so long."},
@@ -99,7 +100,9 @@
      P(order_timeout_ms),
      "How long an engine's answer to an order may take; well below lease."},
     {"weight_loads", KEY_INTEGER, FALSE, "2", 1, 10000, NULL, P(weight_loads),
-     "Engines of a region that load weights at once."},
+     "Engines of a region that load weights at once, at the least."},
+    {"load_percent", KEY_INTEGER, FALSE, "0", 0, 100, NULL, P(load_percent),
+     "So many of 100 engines may load at once where that is more."},
     {NULL},
 };
 #undef P
@@ -119,6 +122,10 @@
      A(listing_return_ms),
      "After the list of upstreams was out of reach: how long an entry that "
      "has lapsed may take to come back."},
+    {"old_weights", KEY_DURATION, FALSE, "8s", 0, HOUR_MS, NULL,
+     A(old_weights_ms),
+     "How long after a version of weights was named requests may still go to "
+     "engines that lack it; below the time that operators allow."},
     {NULL},
 };
 #undef A
@@ -144,7 +151,10 @@
     {"max_attempts", KEY_INTEGER, FALSE, "4", 1, 16, NULL, L(max_attempts),
      "Most attempts of one request."},
     {"retry_percent", KEY_INTEGER, FALSE, "20", 0, 100, NULL, L(retry_percent),
-     "Retries may be so many of 100 requests."},
+     "Retries may be so many of 100 requests for a target."},
+    {"retry_allowance", KEY_INTEGER, FALSE, "10", 0, 100000, NULL,
+     L(retry_allowance),
+     "Retries beyond that which all routers together may make at a target."},
     {"backoff", KEY_DURATION, FALSE, "20ms", 0, HOUR_MS, NULL, L(backoff_ms),
      "Mean wait before the first retry; doubled for each further one."},
     {"stream_buffer", KEY_SIZE, FALSE, "256KiB", 1024, 1 << 28, NULL,
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -19,6 +19,7 @@
     POLICY_PREFIX,
     POLICY_LEAST_LOADED,
     POLICY_ROUND_ROBIN,
+    POLICY_HOME,
 } PolicyName_t;
 
 /**
@@ -80,6 +81,7 @@
     gint64 lease_ms;
     gint64 order_timeout_ms;
     gint64 weight_loads;
+    gint64 load_percent;
 } PlatformSection_t;
 
 /**
@@ -89,6 +91,7 @@
     gint64 config_max_age_ms;
     gint64 config_wait_ms;
     gint64 listing_return_ms;
+    gint64 old_weights_ms;
 } RelaySection_t;
 
 /**
@@ -104,6 +107,7 @@
     gint64 default_deadline_ms;
     gint64 max_attempts;
     gint64 retry_percent;
+    gint64 retry_allowance;
     gint64 backoff_ms;
     gint64 stream_buffer;
     gint64 resume_grace_ms;
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -1,11 +1,19 @@
 #include "Upstream.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 /* Before anything was learned: a mid-sized engine. */
 #define FIRST_PREFILL_US_PER_TOKEN 50.0
 #define MAX_EJECTION_DOUBLINGS 5
+/* What was learned of a wait counts half after so long: a queue of requests
+ * that take a few hundred milliseconds each has changed by then. */
+#define WAIT_HALF_LIFE_MS 400.0
+/* Share of a new observation in what is known. */
+#define WAIT_GAIN 0.4
+/* First token of a request that nothing holds up, beside its computation. */
+#define LEAST_FIRST_TOKEN_US 20000.0
 
 typedef struct {
     struct evhttp_connection *connection;
@@ -87,7 +95,8 @@
 gboolean
 Upstream_isUsable(const Upstream_t *this, gint64 now_ms)
 {
-    if (!Upstream_takesWork(this)) {
+    if (!Upstream_takesWork(this) || this->suspect ||
+        now_ms < this->paused_until_ms) {
         return FALSE;
     }
     if (this->ejections == 0) {
@@ -126,6 +135,28 @@
     return TRUE;
 }
 
+void
+Upstream_notePause(Upstream_t *this, gint64 pause_ms, gint64 now_ms)
+{
+    this->paused_until_ms = MAX(this->paused_until_ms, now_ms + pause_ms);
+}
+
+gboolean
+Upstream_noteUnreached(Upstream_t *this)
+{
+    gboolean news = !this->suspect;
+    this->suspect = TRUE;
+    drop_idle(this);
+    return news;
+}
+
+void
+Upstream_noteReached(Upstream_t *this, gint64 now_ms)
+{
+    this->suspect = FALSE;
+    this->proved_ms = now_ms;
+}
+
 void
 Upstream_noteLeaving(Upstream_t *this, guint64 incarnation)
 {
@@ -137,18 +168,31 @@
 void
 Upstream_noteWeights(Upstream_t *this, const char *weights)
 {
-    if (strcmp(this->weights->str, weights) != 0) {
-        g_string_assign(this->weights, weights);
+    guint64 known = g_ascii_strtoull(this->weights->str, NULL, 10);
+    if (strcmp(this->weights->str, weights) == 0 ||
+        (this->weights_rise && g_ascii_strtoull(weights, NULL, 10) < known)) {
+        return;
     }
+    g_string_assign(this->weights, weights);
+    this->paused_until_ms = 0;
+}
+
+gint64
+Upstream_waitUs(const Upstream_t *this, gint64 now_ms)
+{
+    double age_ms = (double)(now_ms - this->wait_at_ms);
+    return (gint64)(this->wait_us * exp2(-age_ms / WAIT_HALF_LIFE_MS));
 }
 
 void
-Upstream_noteListedWeights(Upstream_t *this, const char *weights)
+Upstream_noteFirstToken(Upstream_t *this, gint64 waited_us, guint tokens,
+                        gint64 now_ms)
 {
-    guint64 known = g_ascii_strtoull(this->weights->str, NULL, 10);
-    if (g_ascii_strtoull(weights, NULL, 10) >= known) {
-        Upstream_noteWeights(this, weights);
-    }
+    double own_us = LEAST_FIRST_TOKEN_US + tokens * this->prefill_us_per_token;
+    double excess_us = MAX((double)waited_us - own_us, 0.0);
+    double known_us = (double)Upstream_waitUs(this, now_ms);
+    this->wait_us = known_us + (excess_us - known_us) * WAIT_GAIN;
+    this->wait_at_ms = now_ms;
 }
 
 void
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -40,6 +40,12 @@
  * @probing: a request after the ejection is under way
  * @live_since_ms: when this incarnation was first heard of, for slow start
  * @warm_at_ms: when it will be past its slow start, as far as it said
+ * @weights_rise: versions of its weights are numbers that only grow
+ * @paused_until_ms: it refuses work for now; an end of the pause that is known
+ *     takes it back
+ * @suspect: it was not reached; gets no work until it has answered a probe
+ * @wait_us: learned wait for a first token beyond its own computation
+ * @wait_at_ms: when that was learned; it fades
  * @proved_ms: when it last answered anything, 0 for never
  */
 typedef struct {
@@ -68,6 +74,11 @@
     gboolean probing;
     gint64 live_since_ms;
     gint64 warm_at_ms;
+    gboolean weights_rise;
+    gint64 paused_until_ms;
+    gboolean suspect;
+    double wait_us;
+    gint64 wait_at_ms;
     gint64 proved_ms;
 
     struct event_base *base;
@@ -95,7 +106,7 @@
 /**
  * Upstream_isUsable() - whether new work should go to it now
  *
- * It takes work and is not ejected, or may be probed again.
+ * It takes work, does not pause, and is not ejected or may be probed again.
  */
 gboolean Upstream_isUsable(const Upstream_t *this, gint64 now_ms);
 
@@ -113,19 +124,39 @@
 gboolean Upstream_noteIncarnation(Upstream_t *this, guint64 incarnation,
                                   gint64 now_ms);
 
+/** Upstream_notePause() - it refuses work for so long at the most */
+void Upstream_notePause(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
+
+/** Upstream_noteUnreached() - it gets no work until it has answered a probe
+ *
+ * Return: TRUE where that is news
+ */
+gboolean Upstream_noteUnreached(Upstream_t *this);
+
+/** Upstream_noteReached() - it answered something just now */
+void Upstream_noteReached(Upstream_t *this, gint64 now_ms);
+
 /** Upstream_noteLeaving() - no new work for this incarnation */
 void Upstream_noteLeaving(Upstream_t *this, guint64 incarnation);
 
-/** Upstream_noteWeights() - the version that it says it has */
+/**
+ * Upstream_noteWeights() - the version that it is said to have
+ *
+ * Where versions only rise, an older one is passed over: lists and peers lag
+ * behind the upstream's own answers. A change ends a pause.
+ */
 void Upstream_noteWeights(Upstream_t *this, const char *weights);
 
 /**
- * Upstream_noteListedWeights() - the version that a lagging list tells
- *
- * It only ever raises a version that is a number: an answer of the upstream
- * itself may have told of a newer one.
+ * Upstream_noteFirstToken() - learn how long a request waited there
+ * @waited_us: from the attempt's start to its first token
+ * @tokens: of its prompt that had to be computed
  */
-void Upstream_noteListedWeights(Upstream_t *this, const char *weights);
+void Upstream_noteFirstToken(Upstream_t *this, gint64 waited_us, guint tokens,
+                             gint64 now_ms);
+
+/** Upstream_waitUs() - the wait that was learned, faded with its age */
+gint64 Upstream_waitUs(const Upstream_t *this, gint64 now_ms);
 
 /** Upstream_noteSuccess() - it answered; ends an ejection */
 void Upstream_noteSuccess(Upstream_t *this);
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -6,6 +6,10 @@
 #include "Log.h"
 #include "RecordFollower.h"
 
+/* Time for one prompt token on an engine that does not report it: 57 tokens
+ * a millisecond, as the users' engines are rated. */
+#define LISTED_PREFILL_US_PER_TOKEN 17.6
+
 struct UpstreamListing {
     UpstreamListingSpec_t spec;
     RecordFollower_t *follower;
@@ -121,9 +125,11 @@
         log_upstream("upstream_listed", name,
                      entry->leaving ? "leaving" : "live");
         Upstream_noteIncarnation(upstream, 1, Clock_nowMs());
+        upstream->weights_rise = TRUE;
+        upstream->prefill_us_per_token = LISTED_PREFILL_US_PER_TOKEN;
     }
     if (entry->weights->len > 0) {
-        Upstream_noteListedWeights(upstream, entry->weights->str);
+        Upstream_noteWeights(upstream, entry->weights->str);
     }
     upstream->warm_at_ms = Clock_nowMs() + entry->warmup_ms;
     if (entry->leaving) {
--- /dev/null
+++ b/src/UpstreamProber.c
@@ -0,0 +1,162 @@
+#include "UpstreamProber.h"
+
+#include "Clock.h"
+#include "Errors.h"
+#include "HttpCall.h"
+#include "Log.h"
+
+#define TICK_MS 50
+/* A suspect that stays silent is asked again after a pause that doubles from
+ * the first to the last of these. */
+#define FIRST_PAUSE_MS 250
+#define MAX_PAUSE_DOUBLINGS 4
+
+struct UpstreamProber {
+    struct event_base *base;
+    UpstreamProberSpec_t spec;
+    GHashTable *probes; /* Upstream_t -> Probe_t */
+    struct event *tick;
+};
+
+typedef struct {
+    UpstreamProber_t *owner;
+    Upstream_t *upstream;
+    HttpCall_t *call; /* NULL during a pause */
+    gint64 next_ms;
+    guint asked;
+} Probe_t;
+
+static void
+free_probe(gpointer data)
+{
+    Probe_t *probe = data;
+    if (probe->call) {
+        HttpCall_cancel(probe->call);
+    }
+    Upstream_unref(probe->upstream);
+    g_free(probe);
+}
+
+static void
+log_probe(const Probe_t *probe, const char *event, const char *reason)
+{
+    Log_begin(LOG_LEVEL_INFO, event);
+    Log_text("upstream", probe->upstream->name->str);
+    Log_text("reason", reason);
+    Log_number("asked", probe->asked);
+    Log_end();
+}
+
+/* Any answer shows that it can be reached, which is all that was in doubt. */
+static void
+on_answer(const HttpAnswer_t *answer, const GError *error, void *data)
+{
+    Probe_t *probe = data;
+    probe->call = NULL;
+    if (answer) {
+        Upstream_noteReached(probe->upstream, Clock_nowMs());
+        log_probe(probe, "upstream_reached", "answered");
+        return;
+    }
+    guint doublings = MIN(probe->asked, MAX_PAUSE_DOUBLINGS);
+    probe->next_ms = Clock_nowMs() + (FIRST_PAUSE_MS << doublings);
+    if (probe->asked <= 1) {
+        log_probe(probe, "upstream_silent", error->message);
+    }
+}
+
+static const char *
+health_path(const UpstreamProber_t *this, const Upstream_t *upstream)
+{
+    const RouteConfig_t *config = RouteTable_config(this->spec.routes);
+    const GString *name = upstream->serves->len > 0
+                              ? g_ptr_array_index(upstream->serves, 0)
+                              : NULL;
+    const RouteService_t *service =
+        config && name ? RouteConfig_findService(config, name->str) : NULL;
+    return service ? service->health_path->str : "/health";
+}
+
+static void
+ask(UpstreamProber_t *this, Probe_t *probe)
+{
+    HttpCallSpec_t spec = {
+        .address = &probe->upstream->address,
+        .method = EVHTTP_REQ_GET,
+        .path = health_path(this, probe->upstream),
+        .timeout_ms = this->spec.timeout_ms,
+    };
+    probe->asked++;
+    Counters_add(this->spec.counters, "upstream_probes_total", NULL, 1);
+    probe->call = HttpCall_start(this->base, &spec, on_answer, probe);
+}
+
+static gboolean
+is_over(gpointer key, gpointer data, gpointer user)
+{
+    (void)key;
+    (void)user;
+    const Probe_t *probe = data;
+    return !probe->call &&
+           (!probe->upstream->suspect || probe->upstream->removed);
+}
+
+static void
+find_suspects(UpstreamProber_t *this)
+{
+    const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
+    for (guint i = 0; i < all->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(all, i);
+        if (!upstream->suspect ||
+            g_hash_table_contains(this->probes, upstream)) {
+            continue;
+        }
+        Probe_t *probe = g_new0(Probe_t, 1);
+        probe->owner = this;
+        probe->upstream = Upstream_ref(upstream);
+        g_hash_table_insert(this->probes, upstream, probe);
+        Membership_noteUpstream(this->spec.membership, upstream->name->str);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    UpstreamProber_t *this = data;
+    GHashTableIter iter;
+    gpointer value = NULL;
+    find_suspects(this);
+    g_hash_table_foreach_remove(this->probes, is_over, NULL);
+    g_hash_table_iter_init(&iter, this->probes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Probe_t *probe = value;
+        if (!probe->call && Clock_nowMs() >= probe->next_ms) {
+            ask(this, probe);
+        }
+    }
+    Clock_arm(this->tick, TICK_MS);
+}
+
+UpstreamProber_t *
+UpstreamProber_create(struct event_base *base,
+                      const UpstreamProberSpec_t *spec)
+{
+    UpstreamProber_t *this = g_new0(UpstreamProber_t, 1);
+    this->base = base;
+    this->spec = *spec;
+    this->probes =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_probe);
+    this->tick = Clock_timer(base, on_tick, this);
+    Clock_arm(this->tick, TICK_MS);
+    return this;
+}
+
+void
+UpstreamProber_destroy(UpstreamProber_t *this)
+{
+    event_free(this->tick);
+    g_hash_table_destroy(this->probes);
+    g_free(this);
+}
--- /dev/null
+++ b/src/UpstreamProber.h
@@ -0,0 +1,36 @@
+#ifndef HEADER_UpstreamProber
+#define HEADER_UpstreamProber
+/**
+ * DOC: UpstreamProber
+ *
+ * Asks upstreams that were not reached for their health before they get work
+ * again, so that no request has to find out. Peers are told of one that this
+ * router did not reach, and each of them asks for itself.
+ */
+#include "Membership.h"
+#include "RouteTable.h"
+#include "UpstreamSet.h"
+
+/**
+ * struct UpstreamProberSpec_t - what it needs; all must outlive it
+ * @timeout_ms: for one probe
+ */
+typedef struct {
+    UpstreamSet_t *upstreams;
+    const RouteTable_t *routes;
+    Membership_t *membership;
+    Counters_t *counters;
+    gint64 timeout_ms;
+} UpstreamProberSpec_t;
+
+/** struct UpstreamProber_t - opaque */
+typedef struct UpstreamProber UpstreamProber_t;
+
+/** UpstreamProber_create() - start to look for suspects */
+UpstreamProber_t *UpstreamProber_create(struct event_base *base,
+                                        const UpstreamProberSpec_t *spec);
+
+/** UpstreamProber_destroy() - cancel all probes and free it */
+void UpstreamProber_destroy(UpstreamProber_t *this);
+
+#endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &wt__claim_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__cache_saved__init
+                     (Wt__CacheSaved         *message)
+{
+  static const Wt__CacheSaved init_value = WT__CACHE_SAVED__INIT;
+  *message = init_value;
+}
+size_t wt__cache_saved__get_packed_size
+                     (const Wt__CacheSaved *message)
+{
+  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__cache_saved__pack
+                     (const Wt__CacheSaved *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__cache_saved__pack_to_buffer
+                     (const Wt__CacheSaved *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__CacheSaved *
+       wt__cache_saved__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__CacheSaved *)
+     protobuf_c_message_unpack (&wt__cache_saved__descriptor,
+                                allocator, len, data);
+}
+void   wt__cache_saved__free_unpacked
+                     (Wt__CacheSaved *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -579,7 +624,7 @@
   (ProtobufCMessageInit) wt__member_fact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__upstream_fact__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wt__upstream_fact__field_descriptors[9] =
 {
   {
     "name",
@@ -665,20 +710,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pausing_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamFact, pausing_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreached",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamFact, unreached),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__upstream_fact__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = leaving */
   0,   /* field[0] = name */
+  7,   /* field[7] = pausing_ms */
   3,   /* field[3] = running */
+  8,   /* field[8] = unreached */
   4,   /* field[4] = waiting_tokens */
   6,   /* field[6] = weights */
 };
 static const ProtobufCIntRange wt__upstream_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wt__upstream_fact__descriptor =
 {
@@ -688,7 +759,7 @@
   "Wt__UpstreamFact",
   "wt",
   sizeof(Wt__UpstreamFact),
-  7,
+  9,
   wt__upstream_fact__field_descriptors,
   wt__upstream_fact__field_indices_by_name,
   1,  wt__upstream_fact__number_ranges,
@@ -976,7 +1047,45 @@
   (ProtobufCMessageInit) wt__claim_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wt__cache_saved__field_descriptors[1] =
+{
+  {
+    "prefixes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wt__CacheSaved, n_prefixes),
+    offsetof(Wt__CacheSaved, prefixes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__cache_saved__field_indices_by_name[] = {
+  0,   /* field[0] = prefixes */
+};
+static const ProtobufCIntRange wt__cache_saved__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wt__cache_saved__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.CacheSaved",
+  "CacheSaved",
+  "Wt__CacheSaved",
+  "wt",
+  sizeof(Wt__CacheSaved),
+  1,
+  wt__cache_saved__field_descriptors,
+  wt__cache_saved__field_indices_by_name,
+  1,  wt__cache_saved__number_ranges,
+  (ProtobufCMessageInit) wt__cache_saved__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[7] =
 {
   {
     "hello",
@@ -1050,8 +1159,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cache_saved",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, cache_saved),
+    &wt__cache_saved__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
+  6,   /* field[6] = cache_saved */
   4,   /* field[4] = claim_call */
   5,   /* field[5] = claim_reply */
   2,   /* field[2] = config_pull */
@@ -1062,7 +1184,7 @@
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -1072,7 +1194,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  6,
+  7,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Wt__ConfigPush Wt__ConfigPush;
 typedef struct Wt__ClaimCall Wt__ClaimCall;
 typedef struct Wt__ClaimReply Wt__ClaimReply;
+typedef struct Wt__CacheSaved Wt__CacheSaved;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -116,10 +117,18 @@
    * Version of weights; empty where it is not known.
    */
   char *weights;
+  /*
+   * It changes its weights and refuses work for so long at the most.
+   */
+  uint32_t pausing_ms;
+  /*
+   * The sender did not reach it; who hears of it should ask for itself.
+   */
+  protobuf_c_boolean unreached;
 };
 #define WT__UPSTREAM_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__upstream_fact__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wt__Gossip
@@ -196,6 +205,21 @@
     , 0, WT__CLAIM_VERDICT__UNDECIDED, 0 }
 
 
+/*
+ * Prefixes that are in the store of cached prefixes now. Each number holds
+ * the identity of the prefix, its wall and its weights.
+ */
+struct  Wt__CacheSaved
+{
+  ProtobufCMessage base;
+  size_t n_prefixes;
+  uint64_t *prefixes;
+};
+#define WT__CACHE_SAVED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__cache_saved__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -203,7 +227,8 @@
   WT__PEER_MESSAGE__BODY_CONFIG_PULL = 3,
   WT__PEER_MESSAGE__BODY_CONFIG_PUSH = 4,
   WT__PEER_MESSAGE__BODY_CLAIM_CALL = 5,
-  WT__PEER_MESSAGE__BODY_CLAIM_REPLY = 6
+  WT__PEER_MESSAGE__BODY_CLAIM_REPLY = 6,
+  WT__PEER_MESSAGE__BODY_CACHE_SAVED = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -218,6 +243,7 @@
     Wt__ConfigPush *config_push;
     Wt__ClaimCall *claim_call;
     Wt__ClaimReply *claim_reply;
+    Wt__CacheSaved *cache_saved;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -377,6 +403,25 @@
 void   wt__claim_reply__free_unpacked
                      (Wt__ClaimReply *message,
                       ProtobufCAllocator *allocator);
+/* Wt__CacheSaved methods */
+void   wt__cache_saved__init
+                     (Wt__CacheSaved         *message);
+size_t wt__cache_saved__get_packed_size
+                     (const Wt__CacheSaved   *message);
+size_t wt__cache_saved__pack
+                     (const Wt__CacheSaved   *message,
+                      uint8_t             *out);
+size_t wt__cache_saved__pack_to_buffer
+                     (const Wt__CacheSaved   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__CacheSaved *
+       wt__cache_saved__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__cache_saved__free_unpacked
+                     (Wt__CacheSaved *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -422,6 +467,9 @@
 typedef void (*Wt__ClaimReply_Closure)
                  (const Wt__ClaimReply *message,
                   void *closure_data);
+typedef void (*Wt__CacheSaved_Closure)
+                 (const Wt__CacheSaved *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -440,6 +488,7 @@
 extern const ProtobufCMessageDescriptor wt__config_push__descriptor;
 extern const ProtobufCMessageDescriptor wt__claim_call__descriptor;
 extern const ProtobufCMessageDescriptor wt__claim_reply__descriptor;
+extern const ProtobufCMessageDescriptor wt__cache_saved__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/test_Limits.c
+++ b/tests/test_Limits.c
@@ -52,21 +52,51 @@
 
 START_TEST(retries_are_a_share_of_requests)
 {
-    RetryBudget_t *budget = RetryBudget_create(20);
+    RetryBudget_t *budget = RetryBudget_create(20, 10);
     guint retries = 0;
     for (int i = 0; i < 1000; i++) {
-        RetryBudget_deposit(budget);
-        if (RetryBudget_hasOne(budget)) {
-            RetryBudget_withdraw(budget);
+        RetryBudget_deposit(budget, "s");
+        if (RetryBudget_hasOne(budget, "s")) {
+            RetryBudget_withdraw(budget, "s");
             retries++;
         }
     }
     ck_assert_uint_ge(retries, 200);
     ck_assert_uint_le(retries, 210);
     RetryBudget_destroy(budget);
-    budget = RetryBudget_create(0);
-    RetryBudget_deposit(budget);
-    ck_assert(!RetryBudget_hasOne(budget));
+    budget = RetryBudget_create(0, 10);
+    RetryBudget_deposit(budget, "s");
+    ck_assert(!RetryBudget_hasOne(budget, "s"));
+    RetryBudget_destroy(budget);
+}
+END_TEST
+
+static guint
+spend_all(RetryBudget_t *budget, const char *target)
+{
+    guint spent = 0;
+    while (RetryBudget_hasOne(budget, target)) {
+        RetryBudget_withdraw(budget, target);
+        spent++;
+    }
+    return spent;
+}
+
+START_TEST(retry_allowance_is_shared_by_all_routers)
+{
+    RetryBudget_t *budget = RetryBudget_create(20, 40);
+    RetryBudget_setRouters(budget, 8, 1000);
+    ck_assert_uint_eq(spend_all(budget, "a"), 5);
+    ck_assert_uint_eq(spend_all(budget, "b"), 5);
+    for (int i = 0; i < 1000; i++) {
+        RetryBudget_deposit(budget, "a");
+    }
+    ck_assert_uint_le(spend_all(budget, "a"), 5);
+    /* One that is cut off from the others keeps to its share at first. */
+    RetryBudget_setRouters(budget, 1, 2000);
+    ck_assert_uint_eq(spend_all(budget, "c"), 5);
+    RetryBudget_setRouters(budget, 1, 100000);
+    ck_assert_uint_eq(spend_all(budget, "d"), 40);
     RetryBudget_destroy(budget);
 }
 END_TEST
@@ -180,7 +210,8 @@
 END_TEST
 
 TESTING_MAIN("Limits", rate_is_held_over_time, open_requests_are_held,
-             retries_are_a_share_of_requests, quantiles_are_close,
+             retries_are_a_share_of_requests,
+             retry_allowance_is_shared_by_all_routers, quantiles_are_close,
              counters_are_bounded_and_lose_nothing, traces_are_bounded,
              ejected_upstream_returns_by_one_probe,
              leaving_holds_for_its_incarnation_only)
