Read the settings again on SIGHUP

Change: [relay] and [limits] are taken from the file again, other sections keep their values, a faulty file changes nothing and is logged.

--- a/src/Router.c
+++ b/src/Router.c
@@ -32,7 +32,7 @@
 #define ALL_METHODS G_MAXUINT16
 
 typedef struct {
-    const Settings_t *settings;
+    Settings_t *settings;
     Context_t context;
     LogClient_t *log;
     InstanceList_t *instances;
@@ -47,6 +47,7 @@
     guint16 operator_port;
     struct event *on_term;
     struct event *on_int;
+    struct event *on_hup;
     struct event *stop_timer;
     gint64 stop_began_ms;
 } Router_t;
@@ -319,6 +320,21 @@
     on_stop_timer(-1, 0, this);
 }
 
+/* The platform changes the file before it sends the signal. */
+static void
+on_reload_signal(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    Router_t *this = data;
+    g_autoptr(GPtrArray) problems = Problems_create();
+    gboolean good = Settings_reload(this->settings, problems);
+    Log_begin(good ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, "settings_reloaded");
+    Log_text("outcome", good ? "taken" : "refused");
+    Log_number("problems", problems->len);
+    Log_end();
+}
+
 static void
 create_signals(Router_t *this)
 {
@@ -328,7 +344,9 @@
     this->on_term = evsignal_new(base, SIGTERM, on_stop_signal, this);
     this->on_int = evsignal_new(base, SIGINT, on_stop_signal, this);
     event_add(this->on_term, NULL);
+    this->on_hup = evsignal_new(base, SIGHUP, on_reload_signal, this);
     event_add(this->on_int, NULL);
+    event_add(this->on_hup, NULL);
 }
 
 static void
@@ -387,6 +405,7 @@
     Counters_destroy(context->counters);
     event_free(this->on_term);
     event_free(this->on_int);
+    event_free(this->on_hup);
     event_free(this->stop_timer);
 }
 
@@ -415,8 +434,7 @@
 }
 
 gboolean
-Router_run(const Settings_t *settings, const PlatformForm_t *form,
-           GError **error)
+Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
     Router_t this = {.settings = settings};
     this.context.form = form;
--- a/src/Router.h
+++ b/src/Router.h
@@ -13,13 +13,13 @@
 
 /**
  * Router_run() - run until SIGTERM or SIGINT
- * @settings: must outlive it
+ * @settings: must outlive it; read again after SIGHUP
  * @form: of the platform that the settings name; NULL for the native one
  * @error: WT_ERROR_LISTEN
  *
  * Return: FALSE where it could not start
  */
-gboolean Router_run(const Settings_t *settings, const PlatformForm_t *form,
+gboolean Router_run(Settings_t *settings, const PlatformForm_t *form,
                     GError **error);
 
 #endif
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -244,6 +244,7 @@
         return NULL;
     }
     Settings_t *this = g_new0(Settings_t, 1);
+    this->path = g_string_new(path);
     refuse_unknown_sections(ini, problems);
     for (gsize i = 0; i < G_N_ELEMENTS(places); i++) {
         const SectionSpec_t *spec = &places[i].spec;
@@ -261,9 +262,24 @@
     return this;
 }
 
+/* Both sections hold numbers alone, so that they can be copied. */
+gboolean
+Settings_reload(Settings_t *this, GPtrArray *problems)
+{
+    Settings_t *fresh = Settings_create(this->path->str, problems);
+    if (!fresh) {
+        return FALSE;
+    }
+    this->relay = fresh->relay;
+    this->limits = fresh->limits;
+    Settings_destroy(fresh);
+    return TRUE;
+}
+
 void
 Settings_destroy(Settings_t *this)
 {
+    g_string_free(this->path, TRUE);
     for (gsize i = 0; i < G_N_ELEMENTS(places); i++) {
         KeyTable_clear(&places[i].spec, (char *)this + places[i].offset);
     }
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -120,8 +120,10 @@
 
 /**
  * struct Settings_t - all sections
+ * @path: of the file that they were read from
  */
 typedef struct {
+    GString *path;
     RouterSection_t router;
     KeysSection_t keys;
     PeersSection_t peers;
@@ -139,6 +141,15 @@
  */
 Settings_t *Settings_create(const char *path, GPtrArray *problems);
 
+/**
+ * Settings_reload() - read the file again and take what may change while the
+ * router runs: the sections [relay] and [limits]
+ * @problems: gets every fault; where there is any, nothing is taken
+ *
+ * Return: FALSE where there is a fault
+ */
+gboolean Settings_reload(Settings_t *this, GPtrArray *problems);
+
 /**
  * Settings_destroy() - free them
  */
