Wait for busy engines, leave dead ones; large bodies are taken

Change: silence ends an attempt only once a probe was not answered either and a retry is allowed; the watermark holds the largest request; NamedWeights remembers when each version was named; an engine's queue is let to begin before its order.

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -19,8 +19,9 @@
 #define SERVICES_PATH "/v1/services/"
 #define KEY_HASH_BYTES 32
 #define DEADLINE_MAX_MS 86400000
-/* Input beyond it waits in the kernel, not in our memory. */
-#define INPUT_WATERMARK 262144
+/* Input beyond the largest request waits in the kernel, not in our memory.
+ * evhttp takes a body only once it is whole, so that less would stop it. */
+#define INPUT_MARGIN 65536
 
 /**
  * struct Call_t - one request while it is looked at
@@ -391,13 +392,15 @@
 {
     struct evhttp_connection *connection =
         evhttp_request_get_connection(call->http);
-    int size = (int)call->context->settings->limits.stream_buffer;
+    const LimitsSection_t *limits = &call->context->settings->limits;
+    int size = (int)limits->stream_buffer;
     Http_noDelay(connection);
     setsockopt(
         bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
         SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
-    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
-                             EV_READ, 0, INPUT_WATERMARK);
+    bufferevent_setwatermark(
+        evhttp_connection_get_bufferevent(connection), EV_READ, 0,
+        (size_t)(limits->max_body + limits->max_header + INPUT_MARGIN));
 }
 
 void
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -278,6 +278,15 @@
     return facts;
 }
 
+gboolean
+Exchange_mayRepeat(const Exchange_t *this)
+{
+    RecoveryFacts_t facts = facts_of(this, ATTEMPT_SILENT);
+    facts.sent = TRUE;
+    RecoveryPlan_t plan = Recovery_decide(&facts);
+    return plan.step != RECOVERY_GIVE_UP;
+}
+
 static void
 log_recovery(const Exchange_t *this, const RecoveryFacts_t *facts,
              const RecoveryPlan_t *plan)
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -146,6 +146,10 @@
  */
 void Exchange_recover(Exchange_t *this, AttemptEnd_t end, const char *detail);
 
+/** Exchange_mayRepeat() - whether an attempt that is given up now, after it
+ * was sent, could be followed by another one */
+gboolean Exchange_mayRepeat(const Exchange_t *this);
+
 /** Exchange_finish() - the caller has its whole answer */
 void Exchange_finish(Exchange_t *this);
 
--- a/src/NamedWeights.h
+++ b/src/NamedWeights.h
@@ -29,6 +29,15 @@
 /** NamedWeights_find() - the version of a model as text, or NULL */
 const char *NamedWeights_find(const NamedWeights_t *this, const char *model);
 
+/**
+ * NamedWeights_due() - the oldest version that may still be used
+ * @grace_ms: how long one may be used after a newer one was named
+ *
+ * Return: the newest version that was named at least @grace_ms ago, or 0
+ */
+guint64 NamedWeights_due(const NamedWeights_t *this, const char *model,
+                         gint64 grace_ms, gint64 now_ms);
+
 /** NamedWeights_ageMs() - how long ago a model's version was first known */
 gint64 NamedWeights_ageMs(const NamedWeights_t *this, const char *model,
                           gint64 now_ms);
--- a/src/OrderForm.h
+++ b/src/OrderForm.h
@@ -17,12 +17,14 @@
  * @weights: version that it has
  * @loading: it is changing its weights
  * @sequence: orders that it has taken, 0 where the form has none
+ * @queued: requests that it has not begun
  */
 typedef struct {
     guint64 incarnation;
     GString *weights;
     gboolean loading;
     guint64 sequence;
+    guint queued;
 } EngineState_t;
 
 /**
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -9,7 +9,7 @@
 /* Where no list tells of weights, the state is read again after so long. */
 #define STATE_AGE_MS 1000
 /* One that loads, or whose state could not be read, is asked this often. */
-#define READ_AGAIN_MS 250
+#define READ_AGAIN_MS 150
 /* Before a load can be done it is not asked: what it says lags, and may
  * still be of before the order. */
 #define LEAST_LOAD_MS 600
@@ -20,6 +20,10 @@
 #define LOAD_PATIENCE_MS 6000
 /* Peers hear of a pause in one or two ticks of gossip. */
 #define PAUSE_AHEAD_MS 120
+/* What waits in its queue would be refused with the order; it gets so long
+ * to begin. */
+#define QUEUE_PATIENCE_MS 1000
+#define QUEUE_READ_MS 100
 /* A pause ends with the news of the weights; this is in case none comes. */
 #define PAUSE_MOST_MS 2500
 /* What a time-out may be off by. */
@@ -36,6 +40,7 @@
     gint64 ordered_ms;   /* when it took an order, 0 for none under way */
     GString *weights;    /* as read, not as heard of */
     guint64 sequence;
+    guint queued;
     gboolean loading;
 };
 
@@ -130,6 +135,7 @@
     this->upstream->reported_at_ms = now_ms;
     this->loading = state->loading;
     this->sequence = state->sequence;
+    this->queued = state->queued;
     this->read_under = Lease_term(this->giver->lease);
     g_string_assign(this->weights, state->weights->str);
     if (!state->loading) {
@@ -286,6 +292,10 @@
     if (!is_state_known(this)) {
         return this->read_ms == 0 || age_ms >= READ_AGAIN_MS;
     }
+    if (this->announced_ms != 0) {
+        return now_ms - this->announced_ms >= PAUSE_AHEAD_MS &&
+               age_ms >= QUEUE_READ_MS;
+    }
     if (this->loading) {
         return now_ms - this->ordered_ms >= LEAST_LOAD_MS &&
                age_ms >= READ_AGAIN_MS;
@@ -311,6 +321,15 @@
     return TRUE;
 }
 
+/* Its queue is empty as it said after peers had heard of the pause. */
+static gboolean
+is_drained(const OrderedEngine_t *this)
+{
+    gint64 paused_ms = Clock_nowMs() - this->announced_ms;
+    gboolean is_read = this->read_ms - this->announced_ms >= PAUSE_AHEAD_MS;
+    return paused_ms >= QUEUE_PATIENCE_MS || (is_read && this->queued == 0);
+}
+
 gboolean
 OrderedEngine_tend(OrderedEngine_t *this, const WantedWeights_t *wanted,
                    gboolean may_load)
@@ -336,7 +355,7 @@
     if (this->announced_ms == 0) {
         return may_load && announce(this);
     }
-    if (Clock_nowMs() - this->announced_ms >= PAUSE_AHEAD_MS) {
+    if (is_drained(this)) {
         send_order(this, wanted);
     }
     return FALSE;
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -38,7 +38,9 @@
     if (upstream == placement->avoid && placement->serving->len > 1) {
         return FALSE;
     }
-    if (placement->weights_only && !has_weights(placement, upstream)) {
+    if (placement->least_weights > 0 &&
+        g_ascii_strtoull(upstream->weights->str, NULL, 10) <
+            placement->least_weights) {
         return FALSE;
     }
     return placement->desperate
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -25,7 +25,7 @@
  * @hall: the router's own
  * @region: the router's own
  * @weights: version that the answer must come from, or NULL
- * @weights_only: not even as a last resort from another one
+ * @least_weights: no version below it, not even as a last resort; 0 for any
  * @newest: version that is preferred, or NULL
  * @newest_age_ms: how long ago it was named
  * @avoid: upstream of the last attempt that failed, or NULL
@@ -43,7 +43,7 @@
     const char *hall;
     const char *region;
     const char *weights;
-    gboolean weights_only;
+    guint64 least_weights;
     const char *newest;
     gint64 newest_age_ms;
     const Upstream_t *avoid;
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -1,7 +1,6 @@
 #include "RelayApi.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <string.h>
 
 #include "Clock.h"
@@ -13,9 +12,6 @@
 #include "RelayAnswer.h"
 #include "RelayExchange.h"
 
-/* Input beyond it waits in the kernel, not in our memory. */
-#define INPUT_WATERMARK 65536
-
 /**
  * struct Admission_t - one request while it is looked at
  */
@@ -150,10 +146,8 @@
     Admission_t admission = {.context = data, .http = request};
     struct evhttp_connection *connection =
         evhttp_request_get_connection(request);
-    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
     g_autoptr(GError) error = NULL;
     Http_noDelay(connection);
-    bufferevent_setwatermark(stream, EV_READ, 0, INPUT_WATERMARK);
     Counters_add(admission.context->counters, "requests_total", NULL, 1);
     if (!admission.context->form->caller->read_request(
             request, &admission.request, &error)) {
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -17,6 +17,9 @@
 #define PROBE_EVERY_S 1
 #define PROBES 2
 
+/* A silent upstream that is not given up is looked at again after so long. */
+#define ASK_AGAIN_MS 100
+
 struct RelayAttempt {
     Upstream_t *upstream;
     const RelayUpstreamForm_t *form;
@@ -120,9 +123,16 @@
     }
     if (says_not_run(this)) {
         end_attempt(this, ATTEMPT_NOT_RUN);
-        return;
     }
-    end_attempt(this, this->sent ? ATTEMPT_SILENT : ATTEMPT_NOT_SENT);
+    else if (!this->sent) {
+        end_attempt(this, ATTEMPT_NOT_SENT);
+    }
+    else if (this->events->silent(this->owner)) {
+        end_attempt(this, ATTEMPT_SILENT);
+    }
+    else {
+        Clock_arm(this->watch, ASK_AGAIN_MS);
+    }
 }
 
 /* evhttp fills the output only once the connection stands. */
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -19,6 +19,7 @@
  * @head: the head of an answer to this request; not for one that says "not
  *     run"
  * @data: bytes of its body, to be taken out
+ * @silent: nothing has come for too long; whether to give it up
  * @ended: last call of all
  *
  * The owner may cancel the attempt from any of them.
@@ -27,6 +28,7 @@
     void (*head)(void *owner, const RelayHead_t *head,
                  const struct evkeyvalq *headers);
     void (*data)(void *owner, struct evbuffer *data);
+    gboolean (*silent)(void *owner);
     void (*ended)(void *owner, AttemptEnd_t end, const RelayHead_t *head);
 } RelayAttemptEvents_t;
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -18,9 +18,8 @@
  * own, which has to shrink first. */
 #define SHED_PAUSE_MS 250
 
-/* Where a request can't be repeated, silence is no reason to give it up
- * before its deadline. */
-#define UNLIMITED_MS 3600000
+/* An upstream that answered anything in this time is busy, not gone. */
+#define PROOF_AGE_MS 1000
 
 typedef struct {
     Exchange_t super;
@@ -114,6 +113,9 @@
     const RelayExchange_t *this = (const RelayExchange_t *)super;
     Log_text("route", this->route->name->str);
     Log_number("events", (gint64)events_passed(this));
+    if (super->attempt_trace) {
+        Log_number("first_us", super->attempt_trace->first_token_us);
+    }
     if (super->avoid) {
         Log_text("upstream", super->avoid->name->str);
     }
@@ -221,6 +223,18 @@
     Upstream_notePause(upstream, SHED_PAUSE_MS, Clock_nowMs());
 }
 
+static void
+log_unreached(const RelayExchange_t *this, const char *reason)
+{
+    const Upstream_t *upstream = this->super.upstream;
+    Log_begin(LOG_LEVEL_WARNING, "upstream_unreached");
+    Log_text("upstream", upstream->name->str);
+    Log_text("request", this->super.id->str);
+    Log_text("reason", reason);
+    Log_number("proof_age_ms", Clock_nowMs() - upstream->proved_ms);
+    Log_end();
+}
+
 /* A connection that does not come up, or that breaks without an answer, puts
  * all further work for this upstream in doubt. */
 static void
@@ -229,15 +243,9 @@
     Upstream_t *upstream = this->super.upstream;
     gboolean unreached =
         end == ATTEMPT_NOT_SENT || end == ATTEMPT_SILENT || end == ATTEMPT_CUT;
-    if (!unreached || !Upstream_noteUnreached(upstream)) {
-        return;
+    if (unreached && Upstream_noteUnreached(upstream)) {
+        log_unreached(this, Recovery_endName(end));
     }
-    Log_begin(LOG_LEVEL_WARNING, "upstream_unreached");
-    Log_text("upstream", upstream->name->str);
-    Log_text("request", this->super.id->str);
-    Log_text("reason", Recovery_endName(end));
-    Log_number("proof_age_ms", Clock_nowMs() - upstream->proved_ms);
-    Log_end();
 }
 
 static void
@@ -269,9 +277,28 @@
     Exchange_recover(super, end, NULL);
 }
 
+/* A silent upstream is given up only once a probe has stayed unanswered as
+ * well, and where the request may go elsewhere; a busy one is waited for, as
+ * the request would lose its place there. */
+static gboolean
+on_silent(void *owner)
+{
+    const RelayExchange_t *this = owner;
+    const Exchange_t *super = &this->super;
+    Upstream_t *upstream = super->upstream;
+    if (Clock_nowMs() - upstream->proved_ms < PROOF_AGE_MS) {
+        return FALSE;
+    }
+    if (Upstream_noteUnreached(upstream)) {
+        log_unreached(this, "silent");
+    }
+    return upstream->unanswered > 0 && Exchange_mayRepeat(super);
+}
+
 static const RelayAttemptEvents_t attempt_events = {
     .head = on_head,
     .data = on_data,
+    .silent = on_silent,
     .ended = on_ended,
 };
 
@@ -336,10 +363,8 @@
         .body = this->request_body,
         .idle_max_ms = idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
-        .first_ms =
-            super->repeatable ? limits->first_token_timeout_ms : UNLIMITED_MS,
-        .pause_ms =
-            super->repeatable ? limits->token_timeout_ms : UNLIMITED_MS,
+        .first_ms = limits->first_token_timeout_ms,
+        .pause_ms = limits->token_timeout_ms,
     };
     Exchange_noteAttempt(super, upstream, placing->choice.reason);
     super->attempt_trace->candidates = placing->choice.candidates;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -95,6 +95,7 @@
         .routes = context->routes,
         .membership = context->membership,
         .counters = context->counters,
+        .state_path = context->form->orders->state_path,
         .timeout_ms = context->settings->limits.connect_timeout_ms,
     };
     this->prober = UpstreamProber_create(context->base, &prober);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -57,10 +57,9 @@
     placement->newest = NamedWeights_find(context->weights, model);
     placement->newest_age_ms =
         NamedWeights_ageMs(context->weights, model, placement->now_ms);
-    if (placement->newest_age_ms >= context->settings->relay.old_weights_ms) {
-        placement->weights = placement->newest;
-        placement->weights_only = placement->newest != NULL;
-    }
+    placement->least_weights = NamedWeights_due(
+        context->weights, model, context->settings->relay.old_weights_ms,
+        placement->now_ms);
 }
 
 static void
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -154,6 +154,7 @@
 Upstream_noteReached(Upstream_t *this, gint64 now_ms)
 {
     this->suspect = FALSE;
+    this->unanswered = 0;
     this->proved_ms = now_ms;
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -44,6 +44,7 @@
  * @paused_until_ms: it refuses work for now; an end of the pause that is known
  *     takes it back
  * @suspect: it was not reached; gets no work until it has answered a probe
+ * @unanswered: probes since it was last reached
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
  * @proved_ms: when it last answered anything, 0 for never
@@ -77,6 +78,7 @@
     gboolean weights_rise;
     gint64 paused_until_ms;
     gboolean suspect;
+    guint unanswered;
     double wait_us;
     gint64 wait_at_ms;
     gint64 proved_ms;
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -58,6 +58,7 @@
         log_probe(probe, "upstream_reached", "answered");
         return;
     }
+    probe->upstream->unanswered++;
     guint doublings = MIN(probe->asked, MAX_PAUSE_DOUBLINGS);
     probe->next_ms = Clock_nowMs() + (FIRST_PAUSE_MS << doublings);
     if (probe->asked <= 1) {
@@ -65,8 +66,10 @@
     }
 }
 
+/* An engine tells its state without a place in its queue, which its health
+ * check would wait for. */
 static const char *
-health_path(const UpstreamProber_t *this, const Upstream_t *upstream)
+probe_path(const UpstreamProber_t *this, const Upstream_t *upstream)
 {
     const RouteConfig_t *config = RouteTable_config(this->spec.routes);
     const GString *name = upstream->serves->len > 0
@@ -74,7 +77,10 @@
                               : NULL;
     const RouteService_t *service =
         config && name ? RouteConfig_findService(config, name->str) : NULL;
-    return service ? service->health_path->str : "/health";
+    if (!service || service->models->len > 0) {
+        return this->spec.state_path;
+    }
+    return service->health_path->str;
 }
 
 static void
@@ -83,7 +89,7 @@
     HttpCallSpec_t spec = {
         .address = &probe->upstream->address,
         .method = EVHTTP_REQ_GET,
-        .path = health_path(this, probe->upstream),
+        .path = probe_path(this, probe->upstream),
         .timeout_ms = this->spec.timeout_ms,
     };
     probe->asked++;
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -13,6 +13,7 @@
 
 /**
  * struct UpstreamProberSpec_t - what it needs; all must outlive it
+ * @state_path: where an engine tells its state
  * @timeout_ms: for one probe
  */
 typedef struct {
@@ -20,6 +21,7 @@
     const RouteTable_t *routes;
     Membership_t *membership;
     Counters_t *counters;
+    const char *state_path;
     gint64 timeout_ms;
 } UpstreamProberSpec_t;
 
