Routers share their loads; leases are released at a stop

Cause: requests of different routers met at one engine while others were idle: each router saw its own load alone. A cold home was weighed as if it had the prefix.

--- a/src/CacheStore.c
+++ b/src/CacheStore.c
@@ -1,5 +1,7 @@
 #include "CacheStore.h"
 
+#include <xxhash.h>
+
 /* A prefix that nobody used for so long may have given way to others. */
 #define KEPT_MS 60000
 /* Another request may save it if the first one has not ended by then. */
@@ -50,6 +52,12 @@
     return entry;
 }
 
+guint64
+CacheStore_prefix(guint64 level, const GString *weights)
+{
+    return level ^ XXH3_64bits(weights->str, weights->len);
+}
+
 gboolean
 CacheStore_isKept(const CacheStore_t *this, guint64 prefix, gint64 now_ms)
 {
--- a/src/CacheStore.h
+++ b/src/CacheStore.h
@@ -23,6 +23,12 @@
 /** CacheStore_destroy() - free it */
 void CacheStore_destroy(CacheStore_t *this);
 
+/**
+ * CacheStore_prefix() - identity of a prefix under a version of weights
+ * @level: identity of the prefix, with its wall
+ */
+guint64 CacheStore_prefix(guint64 level, const GString *weights);
+
 /**
  * CacheStore_isKept() - whether a prefix should be in the store
  * @prefix: identity that holds the wall and the weights as well
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "CacheStore.h"
 #include "Random.h"
 #include "Residency.h"
 #include "Ring.h"
@@ -22,9 +23,9 @@
 #define OLD_WEIGHTS_GRACE_MS 1000
 /* A prefix that was used at an engine so long ago may have given way there. */
 #define HOLDER_AGE_MS 30000
-/* Requests of this router that an engine has not begun to answer stand for
- * those of the other routers as well; they are seen nowhere. */
-#define UNSEEN_FACTOR 2
+/* What each running request adds to the time of a step, over the steps that
+ * a first token takes. */
+#define RUNNING_COST_US 1000
 
 typedef struct {
     Policy_t super;
@@ -147,19 +148,45 @@
            strcmp(placement->newest, upstream->weights->str) != 0;
 }
 
+static gboolean
+is_stored(const Placement_t *placement, const Upstream_t *upstream)
+{
+    return placement->cache_store &&
+           CacheStore_isKept(
+               placement->cache_store,
+               CacheStore_prefix(shared_key(placement), upstream->weights),
+               placement->now_ms);
+}
+
+/* A prefix that has been read for these weights is at its home, or is taken
+ * from the store or from another engine. */
+static gboolean
+is_cached(const Walk_t *walk, const Upstream_t *upstream)
+{
+    const Placement_t *placement = walk->placement;
+    return shared_tokens(placement) > 0 &&
+           (is_stored(placement, upstream) ||
+            find_holder(walk->policy, placement, upstream) ||
+            find_source(walk->policy, placement, upstream));
+}
+
 static gint64
 cost_us(const Walk_t *walk, guint rank)
 {
     const Placement_t *placement = walk->placement;
     const Upstream_t *upstream = walk->list[rank];
-    double own = placement->prompt_tokens - shared_tokens(placement);
-    double ahead = (double)upstream->pending_tokens * UNSEEN_FACTOR;
+    guint cached = is_cached(walk, upstream) ? shared_tokens(placement) : 0;
+    double own = placement->prompt_tokens - cached;
+    double ahead =
+        (double)upstream->pending_tokens + (double)upstream->others_tokens;
     gint64 cost = Upstream_waitUs(upstream, placement->now_ms) +
-                  (gint64)((own + ahead) * upstream->prefill_us_per_token);
+                  (gint64)((own + ahead) * upstream->prefill_us_per_token) +
+                  RUNNING_COST_US * (gint64)(upstream->in_flight +
+                                             upstream->others_requests);
     if (rank > 0) {
         cost += SPILL_COST_US;
     }
-    if (rank > 0 && !find_holder(walk->policy, placement, upstream)) {
+    if (cached > 0 && !find_holder(walk->policy, placement, upstream)) {
         cost += FETCH_COST_US;
     }
     if (has_old_weights(placement, upstream)) {
@@ -195,7 +222,8 @@
     Choice_t choice = cheapest(&walk);
     if (choice.upstream) {
         gboolean holds = find_holder(this, placement, choice.upstream) != NULL;
-        choice.expected_cached = shared_tokens(placement);
+        choice.expected_cached =
+            is_cached(&walk, choice.upstream) ? shared_tokens(placement) : 0;
         choice.fetch_from =
             holds ? NULL : find_source(this, placement, choice.upstream);
     }
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -29,6 +29,7 @@
     gboolean reading;
     gboolean wanted;
     gboolean followed;
+    gboolean released; /* for good: the router stops */
     gint64 patience_ms;
     guint64 seen_number; /* current lease, whoever has it */
     gint64 seen_ms;      /* when it was first read here */
@@ -182,14 +183,14 @@
 }
 
 static void
-append(Lease_t *this, guint64 expects)
+append(Lease_t *this, guint64 expects, gint64 duration_ms)
 {
     Wt__LeaseRecord record = WT__LEASE_RECORD__INIT;
     record.scope = this->scope->str;
     record.holder = this->holder->str;
     record.incarnation = this->spec.incarnation;
     record.expects = expects;
-    record.duration_ms = (guint32)this->spec.duration_ms;
+    record.duration_ms = (guint32)duration_ms;
     gsize size = wt__lease_record__get_packed_size(&record);
     guint8 *bytes = g_malloc(size);
     wt__lease_record__pack(&record, bytes);
@@ -241,11 +242,11 @@
     if (this->number != 0) {
         gint64 age_ms = boot_ms() - this->began_ms;
         if (age_ms >= this->spec.duration_ms / 3) {
-            append(this, this->number);
+            append(this, this->number, this->spec.duration_ms);
         }
     }
     else if (is_waited_out(this, entry)) {
-        append(this, entry ? entry->number : 0);
+        append(this, entry ? entry->number : 0, this->spec.duration_ms);
     }
 }
 
@@ -297,6 +298,18 @@
     }
 }
 
+/* A record of no duration follows ours; nobody has to wait it out. */
+void
+Lease_release(Lease_t *this)
+{
+    this->wanted = FALSE;
+    this->released = TRUE;
+    if (this->number != 0 && !this->append_open) {
+        log_lease(this, "lease_released", this->number);
+        append(this, this->number, 0);
+    }
+}
+
 void
 Lease_follow(Lease_t *this, gboolean followed)
 {
@@ -309,7 +322,7 @@
 gint64
 Lease_remainingMs(const Lease_t *this)
 {
-    if (this->number == 0) {
+    if (this->number == 0 || this->released) {
         return 0;
     }
     gint64 duration_ms = this->spec.duration_ms;
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -53,6 +53,13 @@
  */
 void Lease_follow(Lease_t *this, gboolean followed);
 
+/**
+ * Lease_release() - let others take a lease that is ours at once
+ *
+ * It is wanted no more, and counts as lost from now on.
+ */
+void Lease_release(Lease_t *this);
+
 /** Lease_remainingMs() - how long it is surely ours, 0 where it is not */
 gint64 Lease_remainingMs(const Lease_t *this);
 
--- a/src/LeastLoadedPolicy.c
+++ b/src/LeastLoadedPolicy.c
@@ -8,7 +8,8 @@
 static guint64
 load_of(const Upstream_t *upstream)
 {
-    return (guint64)upstream->in_flight + upstream->reported_running;
+    return (guint64)upstream->in_flight + upstream->others_requests +
+           upstream->reported_running;
 }
 
 static Choice_t
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -14,6 +14,7 @@
     GString *scope;
     GHashTable *engines; /* upstream's name -> OrderedEngine_t */
     struct event *tick;
+    gboolean stopped;
 };
 
 /* An engine that lacks its wanted weights. */
@@ -176,7 +177,7 @@
     guint rank =
         Membership_rank(this->spec.membership, this->scope->str, NULL);
     gint64 lasts_ms = this->spec.settings->platform.lease_ms;
-    gboolean candidate = rank < CANDIDATES;
+    gboolean candidate = rank < CANDIDATES && !this->stopped;
     gboolean wanted =
         candidate && has_work(this) && this->giver.stale_until_ms == 0;
     Lease_follow(lease, candidate && this->spec.form->listed);
@@ -227,6 +228,15 @@
     return this;
 }
 
+void
+Orders_stop(Orders_t *this)
+{
+    this->stopped = TRUE;
+    if (this->spec.settings->platform.fencing) {
+        Lease_release(this->giver.lease);
+    }
+}
+
 void
 Orders_destroy(Orders_t *this)
 {
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -49,6 +49,14 @@
 /** Orders_create() - start to follow the lease */
 Orders_t *Orders_create(struct event_base *base, const OrdersSpec_t *spec);
 
+/**
+ * Orders_stop() - give no more orders
+ *
+ * Where all engines check fencing numbers the lease is released, so that
+ * another router goes on at once; else it has to lapse.
+ */
+void Orders_stop(Orders_t *this);
+
 /** Orders_destroy() - free it; the log client must be freed first */
 void Orders_destroy(Orders_t *this);
 
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -28,6 +28,7 @@
  * @least_weights: no version below it, not even as a last resort; 0 for any
  * @newest: version that is preferred, or NULL
  * @newest_age_ms: how long ago it was named
+ * @cache_store: what is kept beside the engines, or NULL
  * @avoid: upstream of the last attempt that failed, or NULL
  * @desperate: nothing else is left, so that an ejected one will do
  * @now_ms: monotonic
@@ -46,6 +47,7 @@
     guint64 least_weights;
     const char *newest;
     gint64 newest_age_ms;
+    const struct CacheStore *cache_store;
     const Upstream_t *avoid;
     gboolean desperate;
     gint64 now_ms;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -1,10 +1,15 @@
 #include "RelayParts.h"
 
 #include "Clock.h"
+#include "LoadShare.h"
 #include "Orders.h"
 #include "RouteSync.h"
 #include "UpstreamProber.h"
 
+/* A router that starts may use engines with older weights for so long, until
+ * a roll-out under way has gone on. */
+#define SETTLING_MS 2500
+
 struct RelayParts {
     Context_t *context;
     LogClient_t *log;
@@ -12,6 +17,7 @@
     RouteSync_t *sync;
     Orders_t *orders;
     UpstreamProber_t *prober;
+    LoadShare_t *load_share;
 };
 
 /* The model of an upstream is that of its service; one engine has one. */
@@ -53,6 +59,7 @@
         .routes = context->routes,
         .weights = context->weights,
         .wait_ms = settings->relay.config_wait_ms,
+        .unknown_age_ms = settings->relay.old_weights_ms - SETTLING_MS,
     };
     this->sync = RouteSync_create(context->base, &sync);
     UpstreamListingSpec_t listing = {
@@ -117,14 +124,23 @@
     create_followers(this, form);
     create_orders(this, form);
     create_prober(this);
+    this->load_share = LoadShare_create(context->base, context->upstreams,
+                                        context->membership);
     return this;
 }
 
+void
+RelayParts_stop(RelayParts_t *this)
+{
+    Orders_stop(this->orders);
+}
+
 void
 RelayParts_destroy(RelayParts_t *this)
 {
     LogClient_destroy(this->log);
     RecordSource_destroy(this->records);
+    LoadShare_destroy(this->load_share);
     UpstreamProber_destroy(this->prober);
     Orders_destroy(this->orders);
     UpstreamListing_destroy(this->context->listing);
@@ -137,10 +153,18 @@
 
 /* Configuration and claims are the platform's matter here. */
 void
-RelayParts_take(RelayParts_t *this, const Wt__PeerMessage *message)
+RelayParts_take(RelayParts_t *this, const Member_t *from,
+                const Wt__PeerMessage *message)
 {
-    if (message->body_case == WT__PEER_MESSAGE__BODY_CACHE_SAVED) {
+    switch (message->body_case) {
+    case WT__PEER_MESSAGE__BODY_CACHE_SAVED:
         CacheStore_take(this->context->cache_store, message->cache_saved,
                         Clock_nowMs());
+        break;
+    case WT__PEER_MESSAGE__BODY_LOADS:
+        LoadShare_take(this->load_share, from->name->str, message->loads);
+        break;
+    default:
+        break;
     }
 }
--- a/src/RelayParts.h
+++ b/src/RelayParts.h
@@ -16,10 +16,14 @@
 RelayParts_t *RelayParts_create(Context_t *context,
                                 const PlatformForm_t *form);
 
+/** RelayParts_stop() - the router stops: leave what others can take over */
+void RelayParts_stop(RelayParts_t *this);
+
 /** RelayParts_destroy() - free them; open calls are never answered */
 void RelayParts_destroy(RelayParts_t *this);
 
 /** RelayParts_take() - a message of a peer that is not about membership */
-void RelayParts_take(RelayParts_t *this, const Wt__PeerMessage *message);
+void RelayParts_take(RelayParts_t *this, const Member_t *from,
+                     const Wt__PeerMessage *message);
 
 #endif
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "Clock.h"
 
 /* Shorter shared prefixes are computed faster than they are moved. */
@@ -103,8 +101,7 @@
         return;
     }
     out->saved_prefix =
-        placement->levels[shared] ^
-        XXH3_64bits(upstream->weights->str, upstream->weights->len);
+        CacheStore_prefix(placement->levels[shared], upstream->weights);
     if (CacheStore_isKept(context->cache_store, out->saved_prefix,
                           placement->now_ms)) {
         write_address(out->fetch_from, &store->address);
@@ -138,6 +135,7 @@
         return;
     }
     prefer_newest(context, wish, &out->placement);
+    out->placement.cache_store = context->cache_store;
     GBytes *key = context->settings->keys.salt;
     SaltInput_t input = salt_input(wish, "");
     guint64 seed = Salt_make(&input, key, out->salt);
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -9,6 +9,7 @@
 struct RouteSync {
     RouteSyncSpec_t spec;
     RecordFollower_t *follower;
+    gboolean current; /* all that was there at the start has been read */
 };
 
 static void
@@ -33,6 +34,15 @@
     Log_end();
 }
 
+/* How long ago a version was named that was there at the start is not known;
+ * it is taken for nearly overdue. */
+static gint64
+named_ms(const RouteSync_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    return this->current ? now_ms : now_ms - this->spec.unknown_age_ms;
+}
+
 static void
 take_weights(RouteSync_t *this, GBytes *value)
 {
@@ -43,7 +53,7 @@
         Log_error("weights_unreadable", error);
     }
     else if (NamedWeights_take(this->spec.weights, model->str, version,
-                               Clock_nowMs())) {
+                               named_ms(this))) {
         Log_begin(LOG_LEVEL_INFO, "weights_named");
         Log_text("model", model->str);
         Log_number("version", (gint64)version);
@@ -74,7 +84,8 @@
 static void
 on_current(void *owner, gint64 at_ms)
 {
-    const RouteSync_t *this = owner;
+    RouteSync_t *this = owner;
+    this->current = TRUE;
     RouteTable_noteCurrent(this->spec.routes, at_ms);
 }
 
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -18,6 +18,7 @@
  * @weights: gets each newer version
  * @wait_ms: how long the store may hold a read: bounds how old the
  *     knowledge that a configuration is the newest gets
+ * @unknown_age_ms: age that is assumed of versions named before the start
  */
 typedef struct {
     RecordSource_t *source;
@@ -25,6 +26,7 @@
     RouteTable_t *routes;
     NamedWeights_t *weights;
     gint64 wait_ms;
+    gint64 unknown_age_ms;
 } RouteSyncSpec_t;
 
 /** struct RouteSync_t - opaque */
--- a/src/Router.c
+++ b/src/Router.c
@@ -113,7 +113,7 @@
 {
     Router_t *this = data;
     if (this->relay) {
-        RelayParts_take(this->relay, message);
+        RelayParts_take(this->relay, from, message);
         return;
     }
     switch (message->body_case) {
@@ -313,6 +313,9 @@
     this->context.stopping = TRUE;
     this->stop_began_ms = Clock_nowMs();
     Membership_setLeaving(this->context.membership);
+    if (this->relay) {
+        RelayParts_stop(this->relay);
+    }
     Log_begin(LOG_LEVEL_INFO, "router_stopping");
     Log_number("signal", fd);
     Log_number("open_requests", this->context.open_requests);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -103,6 +103,9 @@
      "Engines of a region that load weights at once, at the least."},
     {"load_percent", KEY_INTEGER, FALSE, "0", 0, 100, NULL, P(load_percent),
      "So many of 100 engines may load at once where that is more."},
+    {"fencing", KEY_CHOICE, FALSE, "false", 0, 0, "false,true", P(fencing),
+     "Whether all engines refuse an order with an old fencing number; a "
+     "router that stops then lets another one go on at once."},
     {NULL},
 };
 #undef P
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -82,6 +82,7 @@
     gint64 order_timeout_ms;
     gint64 weight_loads;
     gint64 load_percent;
+    gint64 fencing;
 } PlatformSection_t;
 
 /**
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -43,6 +43,8 @@
  * @weights_rise: versions of its weights are numbers that only grow
  * @paused_until_ms: it refuses work for now; an end of the pause that is known
  *     takes it back
+ * @others_tokens: like pending_tokens, of the other routers as they told
+ * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
  * @unanswered: probes since it was last reached
  * @wait_us: learned wait for a first token beyond its own computation
@@ -77,6 +79,8 @@
     gint64 warm_at_ms;
     gboolean weights_rise;
     gint64 paused_until_ms;
+    guint others_tokens;
+    guint others_requests;
     gboolean suspect;
     guint unanswered;
     double wait_us;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -412,6 +412,96 @@
   assert(message->base.descriptor == &wt__cache_saved__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__upstream_load__init
+                     (Wt__UpstreamLoad         *message)
+{
+  static const Wt__UpstreamLoad init_value = WT__UPSTREAM_LOAD__INIT;
+  *message = init_value;
+}
+size_t wt__upstream_load__get_packed_size
+                     (const Wt__UpstreamLoad *message)
+{
+  assert(message->base.descriptor == &wt__upstream_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__upstream_load__pack
+                     (const Wt__UpstreamLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__upstream_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__upstream_load__pack_to_buffer
+                     (const Wt__UpstreamLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__upstream_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__UpstreamLoad *
+       wt__upstream_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__UpstreamLoad *)
+     protobuf_c_message_unpack (&wt__upstream_load__descriptor,
+                                allocator, len, data);
+}
+void   wt__upstream_load__free_unpacked
+                     (Wt__UpstreamLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__upstream_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__upstream_loads__init
+                     (Wt__UpstreamLoads         *message)
+{
+  static const Wt__UpstreamLoads init_value = WT__UPSTREAM_LOADS__INIT;
+  *message = init_value;
+}
+size_t wt__upstream_loads__get_packed_size
+                     (const Wt__UpstreamLoads *message)
+{
+  assert(message->base.descriptor == &wt__upstream_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__upstream_loads__pack
+                     (const Wt__UpstreamLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__upstream_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__upstream_loads__pack_to_buffer
+                     (const Wt__UpstreamLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__upstream_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__UpstreamLoads *
+       wt__upstream_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__UpstreamLoads *)
+     protobuf_c_message_unpack (&wt__upstream_loads__descriptor,
+                                allocator, len, data);
+}
+void   wt__upstream_loads__free_unpacked
+                     (Wt__UpstreamLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__upstream_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -1085,7 +1175,109 @@
   (ProtobufCMessageInit) wt__cache_saved__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wt__upstream_load__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamLoad, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamLoad, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamLoad, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__upstream_load__field_indices_by_name[] = {
+  2,   /* field[2] = requests */
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange wt__upstream_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__upstream_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.UpstreamLoad",
+  "UpstreamLoad",
+  "Wt__UpstreamLoad",
+  "wt",
+  sizeof(Wt__UpstreamLoad),
+  3,
+  wt__upstream_load__field_descriptors,
+  wt__upstream_load__field_indices_by_name,
+  1,  wt__upstream_load__number_ranges,
+  (ProtobufCMessageInit) wt__upstream_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__upstream_loads__field_descriptors[1] =
+{
+  {
+    "loads",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__UpstreamLoads, n_loads),
+    offsetof(Wt__UpstreamLoads, loads),
+    &wt__upstream_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__upstream_loads__field_indices_by_name[] = {
+  0,   /* field[0] = loads */
+};
+static const ProtobufCIntRange wt__upstream_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wt__upstream_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.UpstreamLoads",
+  "UpstreamLoads",
+  "Wt__UpstreamLoads",
+  "wt",
+  sizeof(Wt__UpstreamLoads),
+  1,
+  wt__upstream_loads__field_descriptors,
+  wt__upstream_loads__field_indices_by_name,
+  1,  wt__upstream_loads__number_ranges,
+  (ProtobufCMessageInit) wt__upstream_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[8] =
 {
   {
     "hello",
@@ -1171,6 +1363,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, loads),
+    &wt__upstream_loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   6,   /* field[6] = cache_saved */
@@ -1180,11 +1384,12 @@
   3,   /* field[3] = config_push */
   1,   /* field[1] = gossip */
   0,   /* field[0] = hello */
+  7,   /* field[7] = loads */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -1194,7 +1399,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  7,
+  8,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct Wt__ClaimCall Wt__ClaimCall;
 typedef struct Wt__ClaimReply Wt__ClaimReply;
 typedef struct Wt__CacheSaved Wt__CacheSaved;
+typedef struct Wt__UpstreamLoad Wt__UpstreamLoad;
+typedef struct Wt__UpstreamLoads Wt__UpstreamLoads;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -220,6 +222,41 @@
     , 0,NULL }
 
 
+/*
+ * What a router has under way at an upstream.
+ */
+struct  Wt__UpstreamLoad
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the upstream's name.
+   */
+  uint64_t upstream;
+  /*
+   * Prompt tokens that are to be read before its first tokens come.
+   */
+  uint32_t tokens;
+  uint32_t requests;
+};
+#define WT__UPSTREAM_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__upstream_load__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * All that a router has under way; takes the place of what it told before.
+ */
+struct  Wt__UpstreamLoads
+{
+  ProtobufCMessage base;
+  size_t n_loads;
+  Wt__UpstreamLoad **loads;
+};
+#define WT__UPSTREAM_LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__upstream_loads__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -228,7 +265,8 @@
   WT__PEER_MESSAGE__BODY_CONFIG_PUSH = 4,
   WT__PEER_MESSAGE__BODY_CLAIM_CALL = 5,
   WT__PEER_MESSAGE__BODY_CLAIM_REPLY = 6,
-  WT__PEER_MESSAGE__BODY_CACHE_SAVED = 7
+  WT__PEER_MESSAGE__BODY_CACHE_SAVED = 7,
+  WT__PEER_MESSAGE__BODY_LOADS = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -244,6 +282,7 @@
     Wt__ClaimCall *claim_call;
     Wt__ClaimReply *claim_reply;
     Wt__CacheSaved *cache_saved;
+    Wt__UpstreamLoads *loads;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -422,6 +461,44 @@
 void   wt__cache_saved__free_unpacked
                      (Wt__CacheSaved *message,
                       ProtobufCAllocator *allocator);
+/* Wt__UpstreamLoad methods */
+void   wt__upstream_load__init
+                     (Wt__UpstreamLoad         *message);
+size_t wt__upstream_load__get_packed_size
+                     (const Wt__UpstreamLoad   *message);
+size_t wt__upstream_load__pack
+                     (const Wt__UpstreamLoad   *message,
+                      uint8_t             *out);
+size_t wt__upstream_load__pack_to_buffer
+                     (const Wt__UpstreamLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__UpstreamLoad *
+       wt__upstream_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__upstream_load__free_unpacked
+                     (Wt__UpstreamLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__UpstreamLoads methods */
+void   wt__upstream_loads__init
+                     (Wt__UpstreamLoads         *message);
+size_t wt__upstream_loads__get_packed_size
+                     (const Wt__UpstreamLoads   *message);
+size_t wt__upstream_loads__pack
+                     (const Wt__UpstreamLoads   *message,
+                      uint8_t             *out);
+size_t wt__upstream_loads__pack_to_buffer
+                     (const Wt__UpstreamLoads   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__UpstreamLoads *
+       wt__upstream_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__upstream_loads__free_unpacked
+                     (Wt__UpstreamLoads *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -470,6 +547,12 @@
 typedef void (*Wt__CacheSaved_Closure)
                  (const Wt__CacheSaved *message,
                   void *closure_data);
+typedef void (*Wt__UpstreamLoad_Closure)
+                 (const Wt__UpstreamLoad *message,
+                  void *closure_data);
+typedef void (*Wt__UpstreamLoads_Closure)
+                 (const Wt__UpstreamLoads *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -489,6 +572,8 @@
 extern const ProtobufCMessageDescriptor wt__claim_call__descriptor;
 extern const ProtobufCMessageDescriptor wt__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor wt__cache_saved__descriptor;
+extern const ProtobufCMessageDescriptor wt__upstream_load__descriptor;
+extern const ProtobufCMessageDescriptor wt__upstream_loads__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
