Three routers ask how fresh the configuration is; the others hear it from peers

Change: FreshnessRelay passes on the end of the operators' records and its age; who has read to the same end counts it as its own knowledge. The others hold a read of 8 s, which still brings a change at once. A key is checked again at each placement.

--- /dev/null
+++ b/src/FreshnessRelay.c
@@ -0,0 +1,108 @@
+#include "FreshnessRelay.h"
+
+#include "Clock.h"
+
+/* Routers that ask often: one may be gone and one cut off. */
+#define READERS 3
+/* Name under which routers are ranked for it. */
+#define RANK_KEY "freshness"
+/* How often news is passed on. With links to six peers each, it reaches some
+ * hundred routers in three or four such steps. */
+#define TICK_MS 200
+/* What a message is on its way at the most; added to the age it tells. */
+#define TRANSIT_MS 50
+
+struct FreshnessRelay {
+    Membership_t *membership;
+    const FreshnessRelayEvents_t *events;
+    void *owner;
+    struct event *tick;
+    guint64 offset;
+    gint64 at_ms;   /* 0 for never */
+    gint64 told_ms; /* the time that was told last */
+};
+
+static void
+send_to_linked(FreshnessRelay_t *this)
+{
+    Wt__ConfigCurrent current = WT__CONFIG_CURRENT__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    current.offset = this->offset;
+    current.age_ms = (guint32)(Clock_nowMs() - this->at_ms);
+    message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
+    message.config_current = &current;
+    const GPtrArray *members = Membership_members(this->membership);
+    for (guint i = 0; i < members->len; i++) {
+        Membership_send(this->membership, g_ptr_array_index(members, i),
+                        &message);
+    }
+    this->told_ms = this->at_ms;
+}
+
+/* Where all are linked with all, the readers' own word is enough. */
+static gboolean
+is_to_tell(const FreshnessRelay_t *this)
+{
+    if (this->at_ms < this->told_ms + TICK_MS) {
+        return FALSE;
+    }
+    return FreshnessRelay_isReader(this) ||
+           !Membership_isMesh(this->membership);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    FreshnessRelay_t *this = data;
+    if (is_to_tell(this)) {
+        send_to_linked(this);
+    }
+    Clock_arm(this->tick, TICK_MS);
+}
+
+FreshnessRelay_t *
+FreshnessRelay_create(struct event_base *base, Membership_t *membership,
+                      const FreshnessRelayEvents_t *events, void *owner)
+{
+    FreshnessRelay_t *this = g_new0(FreshnessRelay_t, 1);
+    this->membership = membership;
+    this->events = events;
+    this->owner = owner;
+    this->tick = Clock_timer(base, on_tick, this);
+    Clock_arm(this->tick, TICK_MS);
+    return this;
+}
+
+void
+FreshnessRelay_destroy(FreshnessRelay_t *this)
+{
+    event_free(this->tick);
+    g_free(this);
+}
+
+gboolean
+FreshnessRelay_isReader(const FreshnessRelay_t *this)
+{
+    return Membership_rank(this->membership, RANK_KEY, NULL) < READERS;
+}
+
+void
+FreshnessRelay_note(FreshnessRelay_t *this, guint64 offset, gint64 at_ms)
+{
+    if (at_ms > this->at_ms) {
+        this->offset = offset;
+        this->at_ms = at_ms;
+    }
+}
+
+void
+FreshnessRelay_take(FreshnessRelay_t *this, const Wt__ConfigCurrent *message)
+{
+    gint64 at_ms = Clock_nowMs() - message->age_ms - TRANSIT_MS;
+    if (at_ms > this->at_ms) {
+        FreshnessRelay_note(this, message->offset, at_ms);
+        this->events->fresh(this->owner, message->offset, at_ms);
+    }
+}
--- /dev/null
+++ b/src/FreshnessRelay.h
@@ -0,0 +1,44 @@
+#ifndef HEADER_FreshnessRelay
+#define HEADER_FreshnessRelay
+/**
+ * DOC: FreshnessRelay
+ *
+ * A few routers ask the store often whether the operators' records have an
+ * end that is known; they tell the others the offset of that end and how old
+ * the knowledge is. Who has read up to the same offset knows that nothing
+ * newer existed then, without a call of its own. Ages are counted by the
+ * monotonic clock and only grow on the way.
+ */
+#include "Membership.h"
+
+/**
+ * struct FreshnessRelayEvents_t - what it tells its owner
+ * @fresh: the topic ended at @offset at the time @at_ms (monotonic)
+ */
+typedef struct {
+    void (*fresh)(void *owner, guint64 offset, gint64 at_ms);
+} FreshnessRelayEvents_t;
+
+/** struct FreshnessRelay_t - opaque */
+typedef struct FreshnessRelay FreshnessRelay_t;
+
+/** FreshnessRelay_create() - knows nothing yet */
+FreshnessRelay_t *FreshnessRelay_create(struct event_base *base,
+                                        Membership_t *membership,
+                                        const FreshnessRelayEvents_t *events,
+                                        void *owner);
+
+/** FreshnessRelay_destroy() - free it */
+void FreshnessRelay_destroy(FreshnessRelay_t *this);
+
+/** FreshnessRelay_isReader() - whether this router is to ask often */
+gboolean FreshnessRelay_isReader(const FreshnessRelay_t *this);
+
+/** FreshnessRelay_note() - this router has asked the store itself */
+void FreshnessRelay_note(FreshnessRelay_t *this, guint64 offset, gint64 at_ms);
+
+/** FreshnessRelay_take() - a peer's message */
+void FreshnessRelay_take(FreshnessRelay_t *this,
+                         const Wt__ConfigCurrent *message);
+
+#endif
--- a/src/LoadShare.c
+++ b/src/LoadShare.c
@@ -6,9 +6,6 @@
 #define TICK_MS 50
 /* What a router that falls silent has told counts for so long. */
 #define EXPIRY_MS 1000
-/* With more routers than that, messages would cost more than they are worth.
- */
-#define ROUTERS_MAX 16
 
 struct LoadShare {
     UpstreamSet_t *upstreams;
@@ -142,7 +139,7 @@
     if (g_hash_table_foreach_remove(this->reports, is_old, &now_ms) > 0) {
         add_up(this);
     }
-    if (Membership_live(this->membership) <= ROUTERS_MAX) {
+    if (Membership_isMesh(this->membership)) {
         GPtrArray *busy = find_busy(this);
         if (busy->len > 0 || this->was_busy) {
             send_loads(this, busy);
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -379,6 +379,12 @@
     return MemberTable_liveCount(this->table);
 }
 
+gboolean
+Membership_isMesh(const Membership_t *this)
+{
+    return Gossip_isMesh(this->gossip);
+}
+
 Member_t *
 Membership_owner(const Membership_t *this, const char *key)
 {
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -67,6 +67,9 @@
  * included */
 guint Membership_live(const Membership_t *this);
 
+/** Membership_isMesh() - whether all routers are linked with all */
+gboolean Membership_isMesh(const Membership_t *this);
+
 /**
  * Membership_owner() - the router that rendezvous hashing puts first
  * @key: of what is owned
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -170,7 +170,7 @@
         take_tail(this, page);
     }
     if (!this->listing && this->next >= page->end) {
-        this->events->current(this->owner, sent_ms);
+        this->events->current(this->owner, this->next, sent_ms);
     }
     go_on(this);
 }
@@ -231,6 +231,18 @@
     g_free(this);
 }
 
+void
+RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms)
+{
+    this->spec.wait_ms = wait_ms;
+}
+
+guint64
+RecordFollower_offset(const RecordFollower_t *this)
+{
+    return this->listing ? 0 : this->next;
+}
+
 gboolean
 RecordFollower_isLost(const RecordFollower_t *this)
 {
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -16,13 +16,14 @@
 /**
  * struct RecordFollowerEvents_t - what it tells its owner
  * @record: the newest record of a key; @value is NULL where it was removed
- * @current: all records before the time @at_ms (monotonic) were told
+ * @current: the topic ended at @offset at the time @at_ms (monotonic), and
+ *     all records before it were told
  * @lost: the first call failed after good ones
  * @regained: a call succeeded after failed ones
  */
 typedef struct {
     void (*record)(void *owner, const char *key, GBytes *value);
-    void (*current)(void *owner, gint64 at_ms);
+    void (*current)(void *owner, guint64 offset, gint64 at_ms);
     void (*lost)(void *owner, const GError *error);
     void (*regained)(void *owner);
 } RecordFollowerEvents_t;
@@ -53,6 +54,12 @@
 /** RecordFollower_destroy() - free it; its source must be freed first */
 void RecordFollower_destroy(RecordFollower_t *this);
 
+/** RecordFollower_setWait() - how long further reads may be held */
+void RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms);
+
+/** RecordFollower_offset() - records below it were told; 0 during a list */
+guint64 RecordFollower_offset(const RecordFollower_t *this);
+
 /** RecordFollower_isLost() - whether the last call failed */
 gboolean RecordFollower_isLost(const RecordFollower_t *this);
 
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -26,8 +26,8 @@
 static gboolean
 is_fresh(const Context_t *context)
 {
-    return RouteTable_ageMs(context->routes, Clock_nowMs()) <=
-           context->settings->relay.config_max_age_ms;
+    return RouteTable_isFresh(context->routes,
+                              context->settings->relay.config_max_age_ms);
 }
 
 gboolean
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -415,6 +415,20 @@
     Log_end();
 }
 
+/* A key may be revoked while its request waits for another attempt. */
+static gboolean
+is_still_allowed(const RelayExchange_t *this)
+{
+    const Context_t *context = this->super.context;
+    const RouteConfig_t *config = RouteTable_config(context->routes);
+    if (!this->customer) {
+        return TRUE;
+    }
+    return RouteTable_isFresh(context->routes,
+                              context->settings->relay.config_max_age_ms) &&
+           RouteConfig_findCustomer(config, this->request.key);
+}
+
 static void
 place(Exchange_t *super)
 {
@@ -432,6 +446,11 @@
                         NULL);
         return;
     }
+    if (!is_still_allowed(this)) {
+        Exchange_refuse(super, REFUSAL_CONFIG_STALE, Exchange_runState(super),
+                        "The key was revoked, or that can't be told.");
+        return;
+    }
     RelayPlacer_place(super->context, &wish, &placing);
     log_placed(this, &placing);
     if (!placing.choice.upstream) {
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -58,6 +58,8 @@
         .form = form,
         .routes = context->routes,
         .weights = context->weights,
+        .membership = context->membership,
+        .reader_wait_ms = settings->relay.reader_wait_ms,
         .wait_ms = settings->relay.config_wait_ms,
         .unknown_age_ms = settings->relay.old_weights_ms - SETTLING_MS,
     };
@@ -164,6 +166,9 @@
     case WT__PEER_MESSAGE__BODY_LOADS:
         LoadShare_take(this->load_share, from->name->str, message->loads);
         break;
+    case WT__PEER_MESSAGE__BODY_CONFIG_CURRENT:
+        RouteSync_take(this->sync, message->config_current);
+        break;
     default:
         break;
     }
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "FreshnessRelay.h"
 #include "Log.h"
 #include "RecordFollower.h"
 
 struct RouteSync {
     RouteSyncSpec_t spec;
     RecordFollower_t *follower;
+    FreshnessRelay_t *relay;
     gboolean current; /* all that was there at the start has been read */
 };
 
@@ -82,13 +84,29 @@
 }
 
 static void
-on_current(void *owner, gint64 at_ms)
+on_current(void *owner, guint64 offset, gint64 at_ms)
 {
     RouteSync_t *this = owner;
     this->current = TRUE;
     RouteTable_noteCurrent(this->spec.routes, at_ms);
+    FreshnessRelay_note(this->relay, offset, at_ms);
+    RecordFollower_setWait(this->follower, FreshnessRelay_isReader(this->relay)
+                                               ? this->spec.reader_wait_ms
+                                               : this->spec.wait_ms);
 }
 
+/* Only who has read to the same end knows that nothing newer existed. */
+static void
+on_fresh(void *owner, guint64 offset, gint64 at_ms)
+{
+    const RouteSync_t *this = owner;
+    if (RecordFollower_offset(this->follower) == offset) {
+        RouteTable_noteCurrent(this->spec.routes, at_ms);
+    }
+}
+
+static const FreshnessRelayEvents_t relay_events = {.fresh = on_fresh};
+
 static void
 on_lost(void *owner, const GError *error)
 {
@@ -117,8 +135,10 @@
     RecordFollowerSpec_t follow = {
         .source = spec->source,
         .topic = spec->form->config_topic,
-        .wait_ms = spec->wait_ms,
+        .wait_ms = spec->reader_wait_ms,
     };
+    this->relay =
+        FreshnessRelay_create(base, spec->membership, &relay_events, this);
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
     return this;
@@ -128,5 +148,12 @@
 RouteSync_destroy(RouteSync_t *this)
 {
     RecordFollower_destroy(this->follower);
+    FreshnessRelay_destroy(this->relay);
     g_free(this);
 }
+
+void
+RouteSync_take(RouteSync_t *this, const Wt__ConfigCurrent *message)
+{
+    FreshnessRelay_take(this->relay, message);
+}
--- a/src/RouteTable.c
+++ b/src/RouteTable.c
@@ -1,5 +1,7 @@
 #include "RouteTable.h"
 
+#include "Clock.h"
+
 struct RouteTable {
     RouteConfig_t *config;
     gint64 current_ms; /* 0 for never */
@@ -51,3 +53,9 @@
 {
     return this->current_ms == 0 ? G_MAXINT64 : now_ms - this->current_ms;
 }
+
+gboolean
+RouteTable_isFresh(const RouteTable_t *this, gint64 max_age_ms)
+{
+    return RouteTable_ageMs(this, Clock_nowMs()) <= max_age_ms;
+}
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -117,10 +117,14 @@
      "Requests with a key are refused once it is longer ago that the "
      "configuration was known to be the newest; well below the time in which "
      "a revoked key must stop working."},
-    {"config_wait", KEY_DURATION, FALSE, "1s", 10, HOUR_MS, NULL,
+    {"reader_wait", KEY_DURATION, FALSE, "700ms", 10, HOUR_MS, NULL,
+     A(reader_wait_ms),
+     "How long the store may hold a read of the configuration by one of the "
+     "few routers that ask for all; well below config_max_age."},
+    {"config_wait", KEY_DURATION, FALSE, "8s", 10, HOUR_MS, NULL,
      A(config_wait_ms),
-     "How long the store may hold a read of the configuration; well below "
-     "config_max_age."},
+     "The same for the other routers; they hear from peers how fresh their "
+     "configuration is."},
     {"listing_return", KEY_DURATION, FALSE, "2500ms", 0, HOUR_MS, NULL,
      A(listing_return_ms),
      "After the list of upstreams was out of reach: how long an entry that "
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -160,8 +160,9 @@
 }
 
 static void
-on_current(void *owner, gint64 at_ms)
+on_current(void *owner, guint64 offset, gint64 at_ms)
 {
+    (void)offset;
     (void)at_ms;
     UpstreamListing_t *this = owner;
     this->known = TRUE;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &wt__upstream_loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__config_current__init
+                     (Wt__ConfigCurrent         *message)
+{
+  static const Wt__ConfigCurrent init_value = WT__CONFIG_CURRENT__INIT;
+  *message = init_value;
+}
+size_t wt__config_current__get_packed_size
+                     (const Wt__ConfigCurrent *message)
+{
+  assert(message->base.descriptor == &wt__config_current__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__config_current__pack
+                     (const Wt__ConfigCurrent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__config_current__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__config_current__pack_to_buffer
+                     (const Wt__ConfigCurrent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__config_current__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__ConfigCurrent *
+       wt__config_current__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__ConfigCurrent *)
+     protobuf_c_message_unpack (&wt__config_current__descriptor,
+                                allocator, len, data);
+}
+void   wt__config_current__free_unpacked
+                     (Wt__ConfigCurrent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__config_current__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -1277,7 +1322,58 @@
   (ProtobufCMessageInit) wt__upstream_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[2] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ConfigCurrent, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ConfigCurrent, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__config_current__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange wt__config_current__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__config_current__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.ConfigCurrent",
+  "ConfigCurrent",
+  "Wt__ConfigCurrent",
+  "wt",
+  sizeof(Wt__ConfigCurrent),
+  2,
+  wt__config_current__field_descriptors,
+  wt__config_current__field_indices_by_name,
+  1,  wt__config_current__number_ranges,
+  (ProtobufCMessageInit) wt__config_current__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[9] =
 {
   {
     "hello",
@@ -1375,11 +1471,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_current",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, config_current),
+    &wt__config_current__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   6,   /* field[6] = cache_saved */
   4,   /* field[4] = claim_call */
   5,   /* field[5] = claim_reply */
+  8,   /* field[8] = config_current */
   2,   /* field[2] = config_pull */
   3,   /* field[3] = config_push */
   1,   /* field[1] = gossip */
@@ -1389,7 +1498,7 @@
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -1399,7 +1508,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  8,
+  9,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Wt__CacheSaved Wt__CacheSaved;
 typedef struct Wt__UpstreamLoad Wt__UpstreamLoad;
 typedef struct Wt__UpstreamLoads Wt__UpstreamLoads;
+typedef struct Wt__ConfigCurrent Wt__ConfigCurrent;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -257,6 +258,20 @@
     , 0,NULL }
 
 
+/*
+ * The operators' records ended at an offset so long ago.
+ */
+struct  Wt__ConfigCurrent
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t age_ms;
+};
+#define WT__CONFIG_CURRENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__config_current__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -266,7 +281,8 @@
   WT__PEER_MESSAGE__BODY_CLAIM_CALL = 5,
   WT__PEER_MESSAGE__BODY_CLAIM_REPLY = 6,
   WT__PEER_MESSAGE__BODY_CACHE_SAVED = 7,
-  WT__PEER_MESSAGE__BODY_LOADS = 8
+  WT__PEER_MESSAGE__BODY_LOADS = 8,
+  WT__PEER_MESSAGE__BODY_CONFIG_CURRENT = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -283,6 +299,7 @@
     Wt__ClaimReply *claim_reply;
     Wt__CacheSaved *cache_saved;
     Wt__UpstreamLoads *loads;
+    Wt__ConfigCurrent *config_current;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -499,6 +516,25 @@
 void   wt__upstream_loads__free_unpacked
                      (Wt__UpstreamLoads *message,
                       ProtobufCAllocator *allocator);
+/* Wt__ConfigCurrent methods */
+void   wt__config_current__init
+                     (Wt__ConfigCurrent         *message);
+size_t wt__config_current__get_packed_size
+                     (const Wt__ConfigCurrent   *message);
+size_t wt__config_current__pack
+                     (const Wt__ConfigCurrent   *message,
+                      uint8_t             *out);
+size_t wt__config_current__pack_to_buffer
+                     (const Wt__ConfigCurrent   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__ConfigCurrent *
+       wt__config_current__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__config_current__free_unpacked
+                     (Wt__ConfigCurrent *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -553,6 +589,9 @@
 typedef void (*Wt__UpstreamLoads_Closure)
                  (const Wt__UpstreamLoads *message,
                   void *closure_data);
+typedef void (*Wt__ConfigCurrent_Closure)
+                 (const Wt__ConfigCurrent *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -574,6 +613,7 @@
 extern const ProtobufCMessageDescriptor wt__cache_saved__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_load__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_loads__descriptor;
+extern const ProtobufCMessageDescriptor wt__config_current__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
