Hints reach all routers by a flood; prefixes are spread over all stores

Change: HintFlood passes short-lived news on over all links, each router what is news to it; a doubt is told and taken once in three seconds; a prefix has one of the stores by its identity; the list is read as often as the bound on leaving upstreams needs.

--- a/src/CacheStore.c
+++ b/src/CacheStore.c
@@ -10,7 +10,7 @@
 #define PREFIXES_MAX 16384
 
 struct CacheStore {
-    Membership_t *membership;
+    HintFlood_t *hints;
     GHashTable *kept; /* &prefix -> Entry_t */
 };
 
@@ -21,10 +21,10 @@
 } Entry_t;
 
 CacheStore_t *
-CacheStore_create(Membership_t *membership)
+CacheStore_create(HintFlood_t *hints)
 {
     CacheStore_t *this = g_new0(CacheStore_t, 1);
-    this->membership = membership;
+    this->hints = hints;
     this->kept =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     return this;
@@ -79,34 +79,18 @@
     return TRUE;
 }
 
-static void
-tell_peers(const CacheStore_t *this, guint64 prefix)
-{
-    Wt__CacheSaved saved = WT__CACHE_SAVED__INIT;
-    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
-    saved.n_prefixes = 1;
-    saved.prefixes = &prefix;
-    message.body_case = WT__PEER_MESSAGE__BODY_CACHE_SAVED;
-    message.cache_saved = &saved;
-    const GPtrArray *members = Membership_members(this->membership);
-    for (guint i = 0; i < members->len; i++) {
-        Membership_send(this->membership, g_ptr_array_index(members, i),
-                        &message);
-    }
-}
-
 void
 CacheStore_noteSaved(CacheStore_t *this, guint64 prefix, gint64 now_ms)
 {
+    Hint_t hint = {.kind = HINT_SAVED, .subject = prefix};
     entry_of(this, prefix)->kept_ms = now_ms;
-    tell_peers(this, prefix);
+    HintFlood_tell(this->hints, &hint);
 }
 
-void
-CacheStore_take(CacheStore_t *this, const Wt__CacheSaved *message,
-                gint64 now_ms)
+gboolean
+CacheStore_take(CacheStore_t *this, guint64 prefix, gint64 now_ms)
 {
-    for (size_t i = 0; i < message->n_prefixes; i++) {
-        entry_of(this, message->prefixes[i])->kept_ms = now_ms;
-    }
+    gboolean news = !CacheStore_isKept(this, prefix, now_ms);
+    entry_of(this, prefix)->kept_ms = now_ms;
+    return news;
 }
--- a/src/CacheStore.h
+++ b/src/CacheStore.h
@@ -12,13 +12,16 @@
 #include <event2/event.h>
 #include <glib.h>
 
-#include "Membership.h"
+#include "HintFlood.h"
 
 /** struct CacheStore_t - opaque */
 typedef struct CacheStore CacheStore_t;
 
-/** CacheStore_create() - nothing is known to be kept */
-CacheStore_t *CacheStore_create(Membership_t *membership);
+/**
+ * CacheStore_create() - nothing is known to be kept
+ * @hints: through which routers tell each other; must outlive it
+ */
+CacheStore_t *CacheStore_create(HintFlood_t *hints);
 
 /** CacheStore_destroy() - free it */
 void CacheStore_destroy(CacheStore_t *this);
@@ -47,8 +50,11 @@
 /** CacheStore_noteSaved() - a request that saved a prefix has ended well */
 void CacheStore_noteSaved(CacheStore_t *this, guint64 prefix, gint64 now_ms);
 
-/** CacheStore_take() - a peer tells what was saved */
-void CacheStore_take(CacheStore_t *this, const Wt__CacheSaved *message,
-                     gint64 now_ms);
+/**
+ * CacheStore_take() - a peer tells that a prefix was saved
+ *
+ * Return: whether that is news
+ */
+gboolean CacheStore_take(CacheStore_t *this, guint64 prefix, gint64 now_ms);
 
 #endif
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -17,8 +17,6 @@
 /* What one message holds beside its facts. */
 #define FRAME_OVERHEAD 32
 #define LEAST_MESSAGE 100
-/* An answer of an upstream is worth more than a peer's doubt for so long. */
-#define PROOF_AGE_MS 100
 
 struct Gossip {
     MemberTable_t *table;
@@ -193,17 +191,6 @@
     return TRUE;
 }
 
-/* One that has answered here a moment ago need not be asked. */
-static void
-take_unreached(Upstream_t *upstream, const Wt__UpstreamFact *fact,
-               gint64 now_ms)
-{
-    if (fact->unreached && !upstream->suspect &&
-        now_ms - upstream->proved_ms >= PROOF_AGE_MS) {
-        Upstream_noteUnreached(upstream);
-    }
-}
-
 static void
 take_upstream(Gossip_t *this, const Wt__UpstreamFact *fact)
 {
@@ -220,7 +207,6 @@
     }
     news = take_report(upstream, fact, now_ms) || news;
     news = take_pause(upstream, fact, now_ms) || news;
-    take_unreached(upstream, fact, now_ms);
     if (upstream->leaving && !was_leaving) {
         Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
         Log_text("upstream", fact->name);
--- /dev/null
+++ b/src/HintFlood.c
@@ -0,0 +1,101 @@
+#include "HintFlood.h"
+
+#include "Clock.h"
+
+/* Batches keep the messages few; a hint is worth little after seconds. */
+#define TICK_MS 50
+/* Hints of one batch at the most; what exceeds it is left out. */
+#define BATCH_MAX 512
+
+struct HintFlood {
+    Membership_t *membership;
+    HintTake_t take;
+    void *owner;
+    GArray *batch; /* Hint_t */
+    struct event *tick;
+};
+
+static void
+send_batch(const HintFlood_t *this)
+{
+    Wt__Hint *hints = g_new(Wt__Hint, this->batch->len);
+    Wt__Hint **list = g_new(Wt__Hint *, this->batch->len);
+    for (guint i = 0; i < this->batch->len; i++) {
+        const Hint_t *hint = &g_array_index(this->batch, Hint_t, i);
+        wt__hint__init(&hints[i]);
+        hints[i].kind = hint->kind;
+        hints[i].subject = hint->subject;
+        hints[i].value = hint->value;
+        list[i] = &hints[i];
+    }
+    Wt__Hints body = WT__HINTS__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    body.n_hints = this->batch->len;
+    body.hints = list;
+    message.body_case = WT__PEER_MESSAGE__BODY_HINTS;
+    message.hints = &body;
+    const GPtrArray *members = Membership_members(this->membership);
+    for (guint i = 0; i < members->len; i++) {
+        Membership_send(this->membership, g_ptr_array_index(members, i),
+                        &message);
+    }
+    g_free(list);
+    g_free(hints);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    HintFlood_t *this = data;
+    if (this->batch->len > 0) {
+        send_batch(this);
+        g_array_set_size(this->batch, 0);
+    }
+    Clock_arm(this->tick, TICK_MS);
+}
+
+HintFlood_t *
+HintFlood_create(struct event_base *base, Membership_t *membership,
+                 HintTake_t take, void *owner)
+{
+    HintFlood_t *this = g_new0(HintFlood_t, 1);
+    this->membership = membership;
+    this->take = take;
+    this->owner = owner;
+    this->batch = g_array_new(FALSE, FALSE, sizeof(Hint_t));
+    this->tick = Clock_timer(base, on_tick, this);
+    Clock_arm(this->tick, TICK_MS);
+    return this;
+}
+
+void
+HintFlood_destroy(HintFlood_t *this)
+{
+    event_free(this->tick);
+    g_array_unref(this->batch);
+    g_free(this);
+}
+
+void
+HintFlood_tell(HintFlood_t *this, const Hint_t *hint)
+{
+    if (this->batch->len < BATCH_MAX) {
+        g_array_append_val(this->batch, *hint);
+    }
+}
+
+/* Where all are linked with all, everyone has it from its source. */
+void
+HintFlood_take(HintFlood_t *this, const Wt__Hints *message)
+{
+    gboolean pass_on = !Membership_isMesh(this->membership);
+    for (size_t i = 0; i < message->n_hints; i++) {
+        Hint_t hint = {(HintKind_t)message->hints[i]->kind,
+                       message->hints[i]->subject, message->hints[i]->value};
+        if (this->take(this->owner, &hint) && pass_on) {
+            HintFlood_tell(this, &hint);
+        }
+    }
+}
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -97,6 +97,15 @@
                             this->upstream->name->str);
 }
 
+static void
+hint(const OrderedEngine_t *this, HintKind_t kind, guint value)
+{
+    Hint_t news = {kind, this->upstream->hash, value};
+    if (this->giver->hints) {
+        HintFlood_tell(this->giver->hints, &news);
+    }
+}
+
 static void
 note_loaded(OrderedEngine_t *this)
 {
@@ -142,6 +151,7 @@
         note_loaded(this);
     }
     if (reborn || strcmp(before, known->str) != 0) {
+        hint(this, HINT_LOADED, (guint)g_ascii_strtoull(known->str, NULL, 10));
         spread(this);
     }
 }
@@ -317,6 +327,7 @@
 {
     this->announced_ms = Clock_nowMs();
     Upstream_notePause(this->upstream, PAUSE_MOST_MS, this->announced_ms);
+    hint(this, HINT_PAUSED, PAUSE_MOST_MS);
     spread(this);
     return TRUE;
 }
--- a/src/OrderedEngine.h
+++ b/src/OrderedEngine.h
@@ -9,12 +9,14 @@
  * that it would refuse.
  */
 #include "Counters.h"
+#include "HintFlood.h"
 #include "Lease.h"
 #include "Membership.h"
 #include "OrderForm.h"
 
 /**
  * struct OrderGiver_t - what all engines of a giver share
+ * @hints: tells all routers of pauses and loads; NULL for gossip alone
  * @lease: under which it orders
  * @holder: its name
  * @timeout_ms: for each call
@@ -25,6 +27,7 @@
     const OrderForm_t *form;
     Lease_t *lease;
     Membership_t *membership;
+    HintFlood_t *hints;
     Counters_t *counters;
     const char *holder;
     gint64 timeout_ms;
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -217,6 +217,7 @@
         .form = spec->form,
         .lease = create_lease(this, base),
         .membership = spec->membership,
+        .hints = spec->hints,
         .counters = spec->counters,
         .holder = settings->router.name->str,
         .timeout_ms = settings->platform.order_timeout_ms,
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -27,6 +27,7 @@
 
 /**
  * struct OrdersSpec_t - what it needs; all must outlive it
+ * @hints: tells all routers of pauses and loads; NULL for gossip alone
  * @form: how engines are spoken to
  * @wanted: asked again at each step
  * @wanted_data: for @wanted
@@ -40,6 +41,7 @@
     void *wanted_data;
     UpstreamSet_t *upstreams;
     Membership_t *membership;
+    HintFlood_t *hints;
     Counters_t *counters;
 } OrdersSpec_t;
 
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -10,6 +10,10 @@
  * a roll-out under way has gone on. */
 #define SETTLING_MS 2500
 
+/* What is left of the time in which leaving must be known: for a slow answer
+ * and one repeated read. */
+#define LIST_MARGIN_MS 600
+
 struct RelayParts {
     Context_t *context;
     LogClient_t *log;
@@ -18,6 +22,7 @@
     Orders_t *orders;
     UpstreamProber_t *prober;
     LoadShare_t *load_share;
+    HintFlood_t *hints;
 };
 
 /* The model of an upstream is that of its service; one engine has one. */
@@ -71,7 +76,8 @@
         .upstreams = context->upstreams,
         .membership = context->membership,
         .region = settings->router.region->str,
-        .poll_ms = settings->platform.instances_poll_ms,
+        .poll_ms = MAX(settings->relay.leaving_limit_ms - LIST_MARGIN_MS,
+                       LIST_MARGIN_MS),
         .return_ms = settings->relay.listing_return_ms,
     };
     context->listing = UpstreamListing_create(context->base, &listing);
@@ -90,6 +96,7 @@
         .wanted_data = this,
         .upstreams = context->upstreams,
         .membership = context->membership,
+        .hints = this->hints,
         .counters = context->counters,
     };
     this->orders = Orders_create(context->base, &orders);
@@ -103,6 +110,7 @@
         .upstreams = context->upstreams,
         .routes = context->routes,
         .membership = context->membership,
+        .hints = this->hints,
         .counters = context->counters,
         .state_path = context->form->orders->state_path,
         .timeout_ms = context->settings->limits.connect_timeout_ms,
@@ -110,6 +118,61 @@
     this->prober = UpstreamProber_create(context->base, &prober);
 }
 
+/* An answer of an upstream is worth more than a peer's doubt for so long. */
+#define PROOF_AGE_MS 300
+/* A peer's doubt is not taken again for so long. */
+#define DOUBT_AGE_MS 3000
+
+/* One doubt is enough for a while: the probe that it starts here tells more
+ * than the same doubt on another way. */
+static gboolean
+take_doubt(Upstream_t *upstream, gint64 now_ms)
+{
+    if (now_ms - upstream->proved_ms < PROOF_AGE_MS ||
+        (upstream->hinted_ms != 0 &&
+         now_ms - upstream->hinted_ms < DOUBT_AGE_MS)) {
+        return FALSE;
+    }
+    upstream->hinted_ms = now_ms;
+    Upstream_noteUnreached(upstream);
+    return TRUE;
+}
+
+static gboolean
+take_upstream_hint(Upstream_t *upstream, const Hint_t *hint, gint64 now_ms)
+{
+    g_autofree char *weights = NULL;
+    switch (hint->kind) {
+    case HINT_PAUSED:
+        if (upstream->paused_until_ms > now_ms) {
+            return FALSE;
+        }
+        Upstream_notePause(upstream, hint->value, now_ms);
+        return TRUE;
+    case HINT_LOADED:
+        weights = g_strdup_printf("%u", hint->value);
+        return Upstream_noteWeights(upstream, weights);
+    case HINT_UNREACHED:
+        return take_doubt(upstream, now_ms);
+    default:
+        return FALSE;
+    }
+}
+
+static gboolean
+take_hint(void *owner, const Hint_t *hint)
+{
+    const RelayParts_t *this = owner;
+    gint64 now_ms = Clock_nowMs();
+    if (hint->kind == HINT_SAVED) {
+        return CacheStore_take(this->context->cache_store, hint->subject,
+                               now_ms);
+    }
+    Upstream_t *upstream =
+        UpstreamSet_findHash(this->context->upstreams, hint->subject);
+    return upstream && take_upstream_hint(upstream, hint, now_ms);
+}
+
 RelayParts_t *
 RelayParts_create(Context_t *context, const PlatformForm_t *form)
 {
@@ -118,7 +181,9 @@
     this->context = context;
     context->routes = RouteTable_create();
     context->weights = NamedWeights_create();
-    context->cache_store = CacheStore_create(context->membership);
+    this->hints =
+        HintFlood_create(context->base, context->membership, take_hint, this);
+    context->cache_store = CacheStore_create(this->hints);
     this->log = form->create_log(context->base, &platform->log,
                                  platform->log_timeout_ms);
     this->records = form->create_records(context->base, &platform->log,
@@ -149,6 +214,7 @@
     RouteSync_destroy(this->sync);
     NamedWeights_destroy(this->context->weights);
     CacheStore_destroy(this->context->cache_store);
+    HintFlood_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
     g_free(this);
 }
@@ -159,9 +225,8 @@
                 const Wt__PeerMessage *message)
 {
     switch (message->body_case) {
-    case WT__PEER_MESSAGE__BODY_CACHE_SAVED:
-        CacheStore_take(this->context->cache_store, message->cache_saved,
-                        Clock_nowMs());
+    case WT__PEER_MESSAGE__BODY_HINTS:
+        HintFlood_take(this->hints, message->hints);
         break;
     case WT__PEER_MESSAGE__BODY_LOADS:
         LoadShare_take(this->load_share, from->name->str, message->loads);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -66,13 +66,14 @@
     g_snprintf(out, RELAY_ADDRESS_SIZE, "%s:%u", address->host, address->port);
 }
 
+/* Each prefix has one store, the same for all routers. */
 static const RouteKvStore_t *
-store_of(const Context_t *context)
+store_of(const Context_t *context, guint64 prefix)
 {
     const RouteConfig_t *config = RouteTable_config(context->routes);
-    return config && config->kv_stores->len > 0
-               ? g_ptr_array_index(config->kv_stores, 0)
-               : NULL;
+    guint count = config ? config->kv_stores->len : 0;
+    return count > 0 ? g_ptr_array_index(config->kv_stores, prefix % count)
+                     : NULL;
 }
 
 /* The last part is the request's own. */
@@ -85,23 +86,24 @@
 /* From the store where it should be kept there, else from an engine that has
  * it; what is kept nowhere is saved by the request that computes it. */
 static void
-use_caches(const Context_t *context, const RelayWish_t *wish,
-           RelayPlacing_t *out)
+use_caches(const Context_t *context, RelayPlacing_t *out)
 {
     const Placement_t *placement = &out->placement;
     const Upstream_t *upstream = out->choice.upstream;
-    const RouteKvStore_t *store = store_of(context);
-    (void)wish;
     if (out->choice.fetch_from) {
         write_address(out->fetch_from, &out->choice.fetch_from->address);
     }
     guint shared = shared_index(placement);
-    if (!store || placement->level_count < 2 ||
+    if (placement->level_count < 2 ||
         placement->level_tokens[shared] < STORED_TOKENS_MIN) {
         return;
     }
     out->saved_prefix =
         CacheStore_prefix(placement->levels[shared], upstream->weights);
+    const RouteKvStore_t *store = store_of(context, out->saved_prefix);
+    if (!store) {
+        return;
+    }
     if (CacheStore_isKept(context->cache_store, out->saved_prefix,
                           placement->now_ms)) {
         write_address(out->fetch_from, &store->address);
@@ -144,6 +146,6 @@
     if (out->choice.upstream) {
         input = salt_input(wish, out->choice.upstream->weights->str);
         Salt_make(&input, key, out->salt);
-        use_caches(context, wish, out);
+        use_caches(context, out);
     }
 }
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -125,6 +125,10 @@
      A(config_wait_ms),
      "The same for the other routers; they hear from peers how fresh their "
      "configuration is."},
+    {"leaving_limit", KEY_DURATION, FALSE, "2s", 200, HOUR_MS, NULL,
+     A(leaving_limit_ms),
+     "How soon after the list says so an upstream must get no new work; sets "
+     "how often the list is read."},
     {"listing_return", KEY_DURATION, FALSE, "2500ms", 0, HOUR_MS, NULL,
      A(listing_return_ms),
      "After the list of upstreams was out of reach: how long an entry that "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -92,6 +92,7 @@
     gint64 config_max_age_ms;
     gint64 reader_wait_ms;
     gint64 config_wait_ms;
+    gint64 leaving_limit_ms;
     gint64 listing_return_ms;
     gint64 old_weights_ms;
 } RelaySection_t;
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -166,16 +166,17 @@
     }
 }
 
-void
+gboolean
 Upstream_noteWeights(Upstream_t *this, const char *weights)
 {
     guint64 known = g_ascii_strtoull(this->weights->str, NULL, 10);
     if (strcmp(this->weights->str, weights) == 0 ||
         (this->weights_rise && g_ascii_strtoull(weights, NULL, 10) < known)) {
-        return;
+        return FALSE;
     }
     g_string_assign(this->weights, weights);
     this->paused_until_ms = 0;
+    return TRUE;
 }
 
 gint64
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -46,6 +46,7 @@
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
+ * @hinted_ms: when a peer last said that it did not reach it, 0 for never
  * @unanswered: probes since it was last reached
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
@@ -82,6 +83,7 @@
     guint others_tokens;
     guint others_requests;
     gboolean suspect;
+    gint64 hinted_ms;
     guint unanswered;
     double wait_us;
     gint64 wait_at_ms;
@@ -150,8 +152,10 @@
  *
  * Where versions only rise, an older one is passed over: lists and peers lag
  * behind the upstream's own answers. A change ends a pause.
+ *
+ * Return: whether that is news
  */
-void Upstream_noteWeights(Upstream_t *this, const char *weights);
+gboolean Upstream_noteWeights(Upstream_t *this, const char *weights);
 
 /**
  * Upstream_noteFirstToken() - learn how long a request waited there
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -11,6 +11,9 @@
 #define FIRST_PAUSE_MS 250
 #define MAX_PAUSE_DOUBLINGS 4
 
+/* How long after a doubt, a peer's or its own, a router tells none. */
+#define DOUBT_AGE_MS 3000
+
 struct UpstreamProber {
     struct event_base *base;
     UpstreamProberSpec_t spec;
@@ -107,6 +110,19 @@
            (!probe->upstream->suspect || probe->upstream->removed);
 }
 
+/* A doubt that came from a peer has been passed on already. */
+static void
+tell_peers(const UpstreamProber_t *this, Upstream_t *upstream)
+{
+    Hint_t hint = {.kind = HINT_UNREACHED, .subject = upstream->hash};
+    gint64 now_ms = Clock_nowMs();
+    if (upstream->hinted_ms == 0 ||
+        now_ms - upstream->hinted_ms >= DOUBT_AGE_MS) {
+        upstream->hinted_ms = now_ms;
+        HintFlood_tell(this->spec.hints, &hint);
+    }
+}
+
 static void
 find_suspects(UpstreamProber_t *this)
 {
@@ -121,7 +137,7 @@
         probe->owner = this;
         probe->upstream = Upstream_ref(upstream);
         g_hash_table_insert(this->probes, upstream, probe);
-        Membership_noteUpstream(this->spec.membership, upstream->name->str);
+        tell_peers(this, upstream);
     }
 }
 
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -7,6 +7,7 @@
  * again, so that no request has to find out. Peers are told of one that this
  * router did not reach, and each of them asks for itself.
  */
+#include "HintFlood.h"
 #include "Membership.h"
 #include "RouteTable.h"
 #include "UpstreamSet.h"
@@ -20,6 +21,7 @@
     UpstreamSet_t *upstreams;
     const RouteTable_t *routes;
     Membership_t *membership;
+    HintFlood_t *hints;
     Counters_t *counters;
     const char *state_path;
     gint64 timeout_ms;
--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -8,6 +8,7 @@
     guint64 generation;
     guint64 revision;    /* of the declarations that were taken */
     GHashTable *by_name; /* name -> Upstream_t, one reference each */
+    GHashTable *by_hash; /* &hash -> Upstream_t, of all */
     GPtrArray *all;
     GHashTable *serving; /* "role/target" -> GPtrArray of Upstream_t */
     GPtrArray *none;
@@ -33,6 +34,7 @@
     this->idle_max = idle_max;
     this->by_name =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_upstream);
+    this->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     this->all = g_ptr_array_new();
     this->serving =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_array);
@@ -44,6 +46,7 @@
 UpstreamSet_destroy(UpstreamSet_t *this)
 {
     g_hash_table_destroy(this->serving);
+    g_hash_table_destroy(this->by_hash);
     g_ptr_array_unref(this->all);
     g_ptr_array_unref(this->none);
     g_hash_table_destroy(this->by_name);
@@ -118,6 +121,7 @@
 index_upstream(UpstreamSet_t *this, Upstream_t *upstream)
 {
     g_ptr_array_add(this->all, upstream);
+    g_hash_table_insert(this->by_hash, &upstream->hash, upstream);
     for (guint i = 0; i < upstream->serves->len; i++) {
         const GString *target = g_ptr_array_index(upstream->serves, i);
         add_serving(this, upstream, target->str);
@@ -134,6 +138,7 @@
     this->revision = revision;
     this->generation++;
     g_ptr_array_set_size(this->all, 0);
+    g_hash_table_remove_all(this->by_hash);
     g_hash_table_remove_all(this->serving);
     g_hash_table_foreach_remove(this->by_name, drop_undeclared,
                                 (gpointer)config);
@@ -166,6 +171,7 @@
     g_ptr_array_sort(ordered, compare_names);
     this->generation++;
     g_ptr_array_set_size(this->all, 0);
+    g_hash_table_remove_all(this->by_hash);
     g_hash_table_remove_all(this->serving);
     for (guint i = 0; i < ordered->len; i++) {
         index_upstream(this, g_ptr_array_index(ordered, i));
@@ -202,6 +208,12 @@
     return g_hash_table_lookup(this->by_name, name);
 }
 
+Upstream_t *
+UpstreamSet_findHash(const UpstreamSet_t *this, guint64 hash)
+{
+    return g_hash_table_lookup(this->by_hash, &hash);
+}
+
 const GPtrArray *
 UpstreamSet_serving(const UpstreamSet_t *this, UpstreamRole_t role,
                     const char *target)
--- a/src/UpstreamSet.h
+++ b/src/UpstreamSet.h
@@ -41,6 +41,9 @@
 /** UpstreamSet_find() - by name, or NULL */
 Upstream_t *UpstreamSet_find(const UpstreamSet_t *this, const char *name);
 
+/** UpstreamSet_findHash() - by the hash of its name, or NULL */
+Upstream_t *UpstreamSet_findHash(const UpstreamSet_t *this, guint64 hash);
+
 /**
  * UpstreamSet_serving() - those that serve a model or service
  *
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -367,49 +367,94 @@
   assert(message->base.descriptor == &wt__claim_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wt__cache_saved__init
-                     (Wt__CacheSaved         *message)
+void   wt__hint__init
+                     (Wt__Hint         *message)
 {
-  static const Wt__CacheSaved init_value = WT__CACHE_SAVED__INIT;
+  static const Wt__Hint init_value = WT__HINT__INIT;
   *message = init_value;
 }
-size_t wt__cache_saved__get_packed_size
-                     (const Wt__CacheSaved *message)
+size_t wt__hint__get_packed_size
+                     (const Wt__Hint *message)
 {
-  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  assert(message->base.descriptor == &wt__hint__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wt__cache_saved__pack
-                     (const Wt__CacheSaved *message,
+size_t wt__hint__pack
+                     (const Wt__Hint *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  assert(message->base.descriptor == &wt__hint__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wt__cache_saved__pack_to_buffer
-                     (const Wt__CacheSaved *message,
+size_t wt__hint__pack_to_buffer
+                     (const Wt__Hint *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  assert(message->base.descriptor == &wt__hint__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wt__CacheSaved *
-       wt__cache_saved__unpack
+Wt__Hint *
+       wt__hint__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wt__CacheSaved *)
-     protobuf_c_message_unpack (&wt__cache_saved__descriptor,
+  return (Wt__Hint *)
+     protobuf_c_message_unpack (&wt__hint__descriptor,
                                 allocator, len, data);
 }
-void   wt__cache_saved__free_unpacked
-                     (Wt__CacheSaved *message,
+void   wt__hint__free_unpacked
+                     (Wt__Hint *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wt__cache_saved__descriptor);
+  assert(message->base.descriptor == &wt__hint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__hints__init
+                     (Wt__Hints         *message)
+{
+  static const Wt__Hints init_value = WT__HINTS__INIT;
+  *message = init_value;
+}
+size_t wt__hints__get_packed_size
+                     (const Wt__Hints *message)
+{
+  assert(message->base.descriptor == &wt__hints__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__hints__pack
+                     (const Wt__Hints *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__hints__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__hints__pack_to_buffer
+                     (const Wt__Hints *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__hints__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__Hints *
+       wt__hints__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__Hints *)
+     protobuf_c_message_unpack (&wt__hints__descriptor,
+                                allocator, len, data);
+}
+void   wt__hints__free_unpacked
+                     (Wt__Hints *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__hints__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   wt__upstream_load__init
@@ -759,7 +804,7 @@
   (ProtobufCMessageInit) wt__member_fact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__upstream_fact__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wt__upstream_fact__field_descriptors[8] =
 {
   {
     "name",
@@ -857,18 +902,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "unreached",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Wt__UpstreamFact, unreached),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wt__upstream_fact__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
@@ -877,14 +910,13 @@
   0,   /* field[0] = name */
   7,   /* field[7] = pausing_ms */
   3,   /* field[3] = running */
-  8,   /* field[8] = unreached */
   4,   /* field[4] = waiting_tokens */
   6,   /* field[6] = weights */
 };
 static const ProtobufCIntRange wt__upstream_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wt__upstream_fact__descriptor =
 {
@@ -894,7 +926,7 @@
   "Wt__UpstreamFact",
   "wt",
   sizeof(Wt__UpstreamFact),
-  9,
+  8,
   wt__upstream_fact__field_descriptors,
   wt__upstream_fact__field_indices_by_name,
   1,  wt__upstream_fact__number_ranges,
@@ -1182,42 +1214,106 @@
   (ProtobufCMessageInit) wt__claim_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__cache_saved__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wt__hint__field_descriptors[3] =
 {
   {
-    "prefixes",
+    "kind",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Hint, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subject",
+    2,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Wt__CacheSaved, n_prefixes),
-    offsetof(Wt__CacheSaved, prefixes),
+    0,   /* quantifier_offset */
+    offsetof(Wt__Hint, subject),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Hint, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__hint__field_indices_by_name[] = {
+  0,   /* field[0] = kind */
+  1,   /* field[1] = subject */
+  2,   /* field[2] = value */
+};
+static const ProtobufCIntRange wt__hint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__hint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.Hint",
+  "Hint",
+  "Wt__Hint",
+  "wt",
+  sizeof(Wt__Hint),
+  3,
+  wt__hint__field_descriptors,
+  wt__hint__field_indices_by_name,
+  1,  wt__hint__number_ranges,
+  (ProtobufCMessageInit) wt__hint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__hints__field_descriptors[1] =
+{
+  {
+    "hints",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__Hints, n_hints),
+    offsetof(Wt__Hints, hints),
+    &wt__hint__descriptor,
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wt__cache_saved__field_indices_by_name[] = {
-  0,   /* field[0] = prefixes */
+static const unsigned wt__hints__field_indices_by_name[] = {
+  0,   /* field[0] = hints */
 };
-static const ProtobufCIntRange wt__cache_saved__number_ranges[1 + 1] =
+static const ProtobufCIntRange wt__hints__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor wt__cache_saved__descriptor =
+const ProtobufCMessageDescriptor wt__hints__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wt.CacheSaved",
-  "CacheSaved",
-  "Wt__CacheSaved",
+  "wt.Hints",
+  "Hints",
+  "Wt__Hints",
   "wt",
-  sizeof(Wt__CacheSaved),
+  sizeof(Wt__Hints),
   1,
-  wt__cache_saved__field_descriptors,
-  wt__cache_saved__field_indices_by_name,
-  1,  wt__cache_saved__number_ranges,
-  (ProtobufCMessageInit) wt__cache_saved__init,
+  wt__hints__field_descriptors,
+  wt__hints__field_indices_by_name,
+  1,  wt__hints__number_ranges,
+  (ProtobufCMessageInit) wt__hints__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wt__upstream_load__field_descriptors[3] =
@@ -1448,13 +1544,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cache_saved",
+    "hints",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wt__PeerMessage, body_case),
-    offsetof(Wt__PeerMessage, cache_saved),
-    &wt__cache_saved__descriptor,
+    offsetof(Wt__PeerMessage, hints),
+    &wt__hints__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1485,7 +1581,6 @@
   },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
-  6,   /* field[6] = cache_saved */
   4,   /* field[4] = claim_call */
   5,   /* field[5] = claim_reply */
   8,   /* field[8] = config_current */
@@ -1493,6 +1588,7 @@
   3,   /* field[3] = config_push */
   1,   /* field[1] = gossip */
   0,   /* field[0] = hello */
+  6,   /* field[6] = hints */
   7,   /* field[7] = loads */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -25,7 +25,8 @@
 typedef struct Wt__ConfigPush Wt__ConfigPush;
 typedef struct Wt__ClaimCall Wt__ClaimCall;
 typedef struct Wt__ClaimReply Wt__ClaimReply;
-typedef struct Wt__CacheSaved Wt__CacheSaved;
+typedef struct Wt__Hint Wt__Hint;
+typedef struct Wt__Hints Wt__Hints;
 typedef struct Wt__UpstreamLoad Wt__UpstreamLoad;
 typedef struct Wt__UpstreamLoads Wt__UpstreamLoads;
 typedef struct Wt__ConfigCurrent Wt__ConfigCurrent;
@@ -124,14 +125,10 @@
    * It changes its weights and refuses work for so long at the most.
    */
   uint32_t pausing_ms;
-  /*
-   * The sender did not reach it; who hears of it should ask for itself.
-   */
-  protobuf_c_boolean unreached;
 };
 #define WT__UPSTREAM_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__upstream_fact__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Wt__Gossip
@@ -209,17 +206,28 @@
 
 
 /*
- * Prefixes that are in the store of cached prefixes now. Each number holds
- * the identity of the prefix, its wall and its weights.
+ * News that is of use for seconds only; HintFlood.h has the kinds.
  */
-struct  Wt__CacheSaved
+struct  Wt__Hint
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t subject;
+  uint32_t value;
+};
+#define WT__HINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__hint__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Wt__Hints
 {
   ProtobufCMessage base;
-  size_t n_prefixes;
-  uint64_t *prefixes;
+  size_t n_hints;
+  Wt__Hint **hints;
 };
-#define WT__CACHE_SAVED__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wt__cache_saved__descriptor) \
+#define WT__HINTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__hints__descriptor) \
     , 0,NULL }
 
 
@@ -280,7 +288,7 @@
   WT__PEER_MESSAGE__BODY_CONFIG_PUSH = 4,
   WT__PEER_MESSAGE__BODY_CLAIM_CALL = 5,
   WT__PEER_MESSAGE__BODY_CLAIM_REPLY = 6,
-  WT__PEER_MESSAGE__BODY_CACHE_SAVED = 7,
+  WT__PEER_MESSAGE__BODY_HINTS = 7,
   WT__PEER_MESSAGE__BODY_LOADS = 8,
   WT__PEER_MESSAGE__BODY_CONFIG_CURRENT = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
@@ -297,7 +305,7 @@
     Wt__ConfigPush *config_push;
     Wt__ClaimCall *claim_call;
     Wt__ClaimReply *claim_reply;
-    Wt__CacheSaved *cache_saved;
+    Wt__Hints *hints;
     Wt__UpstreamLoads *loads;
     Wt__ConfigCurrent *config_current;
   };
@@ -459,24 +467,43 @@
 void   wt__claim_reply__free_unpacked
                      (Wt__ClaimReply *message,
                       ProtobufCAllocator *allocator);
-/* Wt__CacheSaved methods */
-void   wt__cache_saved__init
-                     (Wt__CacheSaved         *message);
-size_t wt__cache_saved__get_packed_size
-                     (const Wt__CacheSaved   *message);
-size_t wt__cache_saved__pack
-                     (const Wt__CacheSaved   *message,
+/* Wt__Hint methods */
+void   wt__hint__init
+                     (Wt__Hint         *message);
+size_t wt__hint__get_packed_size
+                     (const Wt__Hint   *message);
+size_t wt__hint__pack
+                     (const Wt__Hint   *message,
                       uint8_t             *out);
-size_t wt__cache_saved__pack_to_buffer
-                     (const Wt__CacheSaved   *message,
+size_t wt__hint__pack_to_buffer
+                     (const Wt__Hint   *message,
                       ProtobufCBuffer     *buffer);
-Wt__CacheSaved *
-       wt__cache_saved__unpack
+Wt__Hint *
+       wt__hint__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wt__cache_saved__free_unpacked
-                     (Wt__CacheSaved *message,
+void   wt__hint__free_unpacked
+                     (Wt__Hint *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__Hints methods */
+void   wt__hints__init
+                     (Wt__Hints         *message);
+size_t wt__hints__get_packed_size
+                     (const Wt__Hints   *message);
+size_t wt__hints__pack
+                     (const Wt__Hints   *message,
+                      uint8_t             *out);
+size_t wt__hints__pack_to_buffer
+                     (const Wt__Hints   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__Hints *
+       wt__hints__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__hints__free_unpacked
+                     (Wt__Hints *message,
                       ProtobufCAllocator *allocator);
 /* Wt__UpstreamLoad methods */
 void   wt__upstream_load__init
@@ -580,8 +607,11 @@
 typedef void (*Wt__ClaimReply_Closure)
                  (const Wt__ClaimReply *message,
                   void *closure_data);
-typedef void (*Wt__CacheSaved_Closure)
-                 (const Wt__CacheSaved *message,
+typedef void (*Wt__Hint_Closure)
+                 (const Wt__Hint *message,
+                  void *closure_data);
+typedef void (*Wt__Hints_Closure)
+                 (const Wt__Hints *message,
                   void *closure_data);
 typedef void (*Wt__UpstreamLoad_Closure)
                  (const Wt__UpstreamLoad *message,
@@ -610,7 +640,8 @@
 extern const ProtobufCMessageDescriptor wt__config_push__descriptor;
 extern const ProtobufCMessageDescriptor wt__claim_call__descriptor;
 extern const ProtobufCMessageDescriptor wt__claim_reply__descriptor;
-extern const ProtobufCMessageDescriptor wt__cache_saved__descriptor;
+extern const ProtobufCMessageDescriptor wt__hint__descriptor;
+extern const ProtobufCMessageDescriptor wt__hints__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_load__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_loads__descriptor;
 extern const ProtobufCMessageDescriptor wt__config_current__descriptor;
