--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -79,6 +79,15 @@
     return sent;
 }
 
+/* Said as late as the head goes out: the stop may begin before that. */
+static void
+close_if_stopping(const RelayExchange_t *this)
+{
+    if (this->super.context->stopping && RelayAnswer_request(this->answer)) {
+        RelayAnswer_setClosing(this->answer);
+    }
+}
+
 /* An upstream's own failure says more than ours would. */
 static void
 refuse(Exchange_t *super, Refusal_t refusal, RunState_t run,
@@ -87,9 +96,11 @@
     RelayExchange_t *this = (RelayExchange_t *)super;
     if (this->has_answer && run != RUN_NOT &&
         !RelayAnswer_isBegun(this->answer)) {
+        close_if_stopping(this);
         RelayAnswer_whole(this->answer, this->body);
         return;
     }
+    close_if_stopping(this);
     RelayAnswer_refuse(this->answer, refusal, run, detail);
 }
 
@@ -134,9 +145,6 @@
     if (head->status < HTTP_INTERNAL || !RelayAnswer_isBegun(this->answer)) {
         RelayAnswer_setHead(this->answer, head->status, headers);
     }
-    if (this->super.context->stopping && RelayAnswer_request(this->answer)) {
-        RelayAnswer_setClosing(this->answer);
-    }
 }
 
 static void
@@ -167,6 +175,7 @@
         return;
     }
     note_first_event(this);
+    close_if_stopping(this);
     RelayAnswer_send(this->answer, this->passing);
     if (RelayAnswer_isFull(this->answer)) {
         RelayAttempt_hold(this->attempt, TRUE);
@@ -176,6 +185,7 @@
 static void
 finish(RelayExchange_t *this)
 {
+    close_if_stopping(this);
     if (this->is_stream) {
         EventPipe_flush(this->events, this->passing);
         RelayAnswer_send(this->answer, this->passing);
@@ -563,9 +573,6 @@
     };
     this->answer =
         RelayAnswer_create(context->base, &answer, &answer_events, this);
-    if (context->stopping) {
-        RelayAnswer_setClosing(this->answer);
-    }
     Exchange_begin(&this->super);
     Exchange_place(&this->super);
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -45,6 +45,7 @@
     struct evhttp *readiness;
     guint16 port;
     guint16 operator_port;
+    guint16 ready_port;
     struct event *on_term;
     struct event *on_int;
     struct event *on_hup;
@@ -266,10 +267,10 @@
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
-    if (this->context.form && settings->ready_listen.port != 0) {
-        guint16 port = 0;
-        this->readiness = listen_on(this, &settings->ready_listen,
-                                    RelayApi_handleReady, &port, error);
+    if (this->context.form && settings->ready_listen.host[0] != '\0') {
+        this->readiness =
+            listen_on(this, &settings->ready_listen, RelayApi_handleReady,
+                      &this->ready_port, error);
         if (!this->readiness) {
             return FALSE;
         }
@@ -420,6 +421,9 @@
     Log_text("hall", this->settings->router.hall->str);
     Log_number("port", this->port);
     Log_number("operator_port", this->operator_port);
+    if (this->readiness) {
+        Log_number("ready_port", this->ready_port);
+    }
     Log_number("peer_port", Membership_port(this->context.membership));
     Log_end();
 }
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,420 @@
+"""Stand-ins that speak the users' platform: its store, engines and plain
+services, in this process, with faults to switch on; and a router on them."""
+import base64
+import http.client
+import json
+import os
+import socket
+import struct
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+from cluster import BUILD, Process, wait_for
+
+HEARTBEAT_S = 0.2
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *arguments):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status, body=b"", **headers):
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def cut(self):
+        """Reset the connection, as a process that dies."""
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                   struct.pack("ii", 1, 0))
+        self.connection.close()
+        self.close_connection = True
+
+    def do_GET(self):
+        try:
+            self.server.owner.handle(self)
+        except (BrokenPipeError, ConnectionResetError, ValueError):
+            self.close_connection = True
+
+    do_POST = do_GET
+
+
+class Server:
+    """One HTTP server on a port that the system chooses."""
+
+    def __init__(self):
+        class Quiet(ThreadingHTTPServer):
+            daemon_threads = True
+            request_queue_size = 128
+
+            def handle_error(self, request, client_address):
+                pass
+        self.http = Quiet(("127.0.0.1", 0), Handler)
+        self.http.owner = self
+        self.address = "127.0.0.1:%d" % self.http.server_port
+        self.thread = threading.Thread(
+            target=self.http.serve_forever, args=(0.05,), daemon=True)
+        self.thread.start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class Store(Server):
+    """The platform's log and its keyed topics."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.topics = {}  # name -> [bytes]
+        self.down = False
+        self.calls = 0
+        super().__init__()
+
+    def append(self, topic, *records):
+        with self.lock:
+            self.topics.setdefault(topic, []).extend(records)
+            self.lock.notify_all()
+            return len(self.topics[topic]) - len(records)
+
+    def put(self, topic, key, value):
+        """The newest record of a key; None drops the key."""
+        text = b"" if value is None else json.dumps(value).encode()
+        return self.append(topic, bytes([len(key)]) + key.encode() + text)
+
+    def records(self, topic):
+        with self.lock:
+            return list(self.topics.get(topic, []))
+
+    def handle(self, call):
+        url = urlparse(call.path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        body = call.body()
+        self.calls += 1
+        if self.down:
+            call.reply(503)
+        elif url.path == "/v1/log-append":
+            records = []
+            while body:
+                size = struct.unpack(">I", body[:4])[0]
+                records.append(body[4:4 + size])
+                body = body[4 + size:]
+            offset = self.append(query["topic"], *records)
+            call.reply(200, {"offset": offset, "end": offset + len(records)})
+        elif url.path == "/v1/log-read":
+            self.read(call, query["topic"], int(query["from"]),
+                      int(query.get("wait_ms", 0)))
+        elif url.path == "/v1/log-newest":
+            self.newest(call, query["topic"])
+        else:
+            call.reply(404)
+
+    def read(self, call, topic, start, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        with self.lock:
+            while (len(self.topics.get(topic, [])) <= start and not self.down
+                   and time.monotonic() < end):
+                self.lock.wait(max(end - time.monotonic(), 0.001))
+            all_records = list(self.topics.get(topic, []))
+        out = struct.pack(">QQ", len(all_records), 0)
+        for record in all_records[start:]:
+            out += struct.pack(">I", len(record)) + record
+        call.reply(503 if self.down else 200, b"" if self.down else out)
+
+    def newest(self, call, topic):
+        found = {}
+        records = self.records(topic)
+        for offset, record in enumerate(records):
+            key = record[1:1 + record[0]].decode()
+            value = record[1 + record[0]:]
+            found.pop(key, None)
+            if value:
+                found[key] = {"key": key, "offset": offset,
+                              "value": base64.b64encode(value).decode()}
+        call.reply(200, {"items": list(found.values()), "has_more": False,
+                         "end": len(records)})
+
+
+class Upstream(Server):
+    """An engine or a plain service; faults are attributes."""
+
+    def __init__(self, store, name, service, model=None, pieces=5):
+        self.store = store
+        self.name = name
+        self.service = service
+        self.model = model
+        self.version = 1
+        self.sequence = 0
+        self.pieces = pieces
+        self.seen = []      # headers of each request that ran
+        self.orders = []
+        self.shed = False   # refuse as not run
+        self.cut_after = None  # events after which the stream is reset
+        self.cut_calls = False  # run a call and reset the connection
+        self.status = 200
+        self.pause_s = 0
+        self.gate = None    # an Event to wait for before each piece
+        self.state = "ready"
+        self.sealed = True
+        super().__init__()
+        self.list()
+
+    def list(self):
+        entry = {"service": self.service, "address": self.address,
+                 "zone": "hall-a", "version": "v1", "slots": 64,
+                 "state": self.state, "cold_left_ms": 0,
+                 "call_seq": self.sequence}
+        if self.model:
+            entry["models"] = [{"name": self.model, "version": self.version,
+                                "adapters": []}]
+        self.store.put("keyed.servers", self.name, entry)
+
+    def unlist(self):
+        self.store.put("keyed.servers", self.name, None)
+
+    def handle(self, call):
+        body = call.body()
+        if call.path == "/v1/report":
+            call.reply(200, {"models": [{"name": self.model,
+                                         "version": self.version}],
+                             "busy": False, "call_seq": self.sequence,
+                             "queued": 0, "running": 0})
+        elif call.path == "/v1/order":
+            self.order(call, json.loads(body))
+        elif call.path == "/health":
+            call.reply(200, X_Instance_Id=self.name)
+        else:
+            self.serve(call, body)
+
+    def order(self, call, order):
+        self.orders.append(order)
+        if order["expected"] != self.sequence:
+            call.reply(409)
+            return
+        self.sequence += 1
+        self.version = order["version"]
+        call.reply(202)
+        self.list()
+
+    def serve(self, call, body):
+        request = call.headers["X-Request-Id"]
+        wanted = call.headers.get("X-Expect-Version")
+        if call.headers.get("X-Expect-Instance") != self.name:
+            call.reply(421, X_Instance_Id=self.name, X_Request_Id=request)
+        elif wanted and int(wanted) != self.version:
+            call.reply(421, X_Instance_Id=self.name, X_Request_Id=request)
+        elif self.shed:
+            call.reply(503, X_Not_Executed="1", X_Request_Id=request)
+        else:
+            self.seen.append(dict(call.headers))
+            self.run(call, body, request)
+
+    def run(self, call, body, request):
+        time.sleep(self.pause_s)
+        if self.cut_calls:
+            call.cut()
+            return
+        headers = {"X_Request_Id": request, "Content_Type": "text/plain"}
+        if self.sealed:
+            headers["X_Server_Seal"] = "seal-" + self.name
+        if self.model is None:
+            call.reply(self.status, b"%s %s %d bytes" % (
+                call.command.encode(), call.path.encode(), len(body)),
+                **headers)
+            return
+        headers["X_Weight_Versions"] = str(self.version)
+        self.stream(call, headers)
+
+    def stream(self, call, headers):
+        call.send_response(200)
+        for name, value in headers.items():
+            call.send_header(name.replace("_", "-"), value)
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        last = int(call.headers.get("Last-Event-Id", -1))
+        sent = 0
+        for place in range(last + 1, self.pieces):
+            if self.gate:
+                self.gate.wait(60)
+            if self.cut_after is not None and sent >= self.cut_after:
+                call.wfile.write(b"6\r\nid: 99\r\n")  # inside an event
+                call.cut()
+                return
+            piece = b"id: %d\ndata: piece-%d\n\n" % (place, place)
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            sent += 1
+        call.wfile.write(b"0\r\n\r\n")
+
+
+class Answer:
+    def __init__(self, response, body):
+        self.status = response.status
+        self.headers = response.headers
+        self.body = body
+
+
+class Fleet:
+    """A store, upstreams and routers; closed at the end of a test."""
+
+    def __init__(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.parts = [self.store]
+        self.routers = []
+        self.version = 0
+        self.numbers = 0
+
+    def add(self, part):
+        self.parts.append(part)
+        return part
+
+    def engine(self, name, **more):
+        return self.add(Upstream(self.store, name, "engines", "m", **more))
+
+    def plain(self, name):
+        return self.add(Upstream(self.store, name, "plain"))
+
+    def config(self, version=None, routes=None, customers=None):
+        self.version = version or self.version + 1
+        self.store.put("keyed.op", "config", {
+            "version": self.version,
+            "routes": ROUTES if routes is None else routes,
+            "services": [
+                {"name": "engines", "health_path": "/health",
+                 "max_connections": 100,
+                 "engine": {"slots": 64, "kv_capacity": 100000,
+                            "models": [{"name": "m"}]}},
+                {"name": "plain", "health_path": "/health",
+                 "max_connections": 100}],
+            "limits": {},
+            "tenants": CUSTOMERS if customers is None else customers})
+
+    def router(self, name="r1", **settings):
+        values = {"relay": {"config_max_age": "60s", "reader_wait": "100ms",
+                            "config_wait": "100ms", "leaving_limit": "800ms",
+                            "listing_return": "600ms"},
+                  "limits": {"retry_allowance": "100",
+                             "connect_timeout": "2s"}}
+        for key, value in settings.items():
+            section = "relay" if key in values["relay"] else "limits"
+            values[section][key] = value
+        path = os.path.join(self.folder.name, name + ".ini")
+        with open(path, "w") as file:
+            file.write(SETTINGS % (name, self.store.address,
+                                   self.store.address))
+            for section, keys in values.items():
+                file.write("[%s]\n" % section)
+                for key, value in keys.items():
+                    file.write("%s = %s\n" % (key, value))
+        router = Process([os.path.join(BUILD, "wheattiller"), "router",
+                          "--settings", path])
+        router.path = path
+        self.routers.append(router)
+        started = router.wait_event("router_started")[0]
+        router.port = int(started["port"])
+        router.ready_port = int(started["ready_port"])
+        return router
+
+    def start(self, **settings):
+        """A router that knows a configuration and all upstreams."""
+        if self.version == 0:
+            self.config()
+        router = self.router(**settings)
+        wait_for(lambda: self.is_ready(router), "ready")
+        return router
+
+    def is_ready(self, router):
+        return self.get(router.ready_port, "/v1/ready").status == 200
+
+    def get(self, port, path):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=60)
+        connection.request("GET", path)
+        response = connection.getresponse()
+        answer = Answer(response, response.read())
+        connection.close()
+        return answer
+
+    def request(self, router, path, body=b"x", method="POST", key="key-a",
+                wait_ms=20000, **headers):
+        """Open a request; its response is not read yet."""
+        self.numbers += 1
+        sent = {"Host": "shop.example", "X-Request-Id": "id%d" % self.numbers,
+                "X-Deadline-Ms": str(wait_ms)}
+        if key:
+            sent["Api-Key"] = key
+        if path.startswith("/ask"):
+            sent.update({"X-Model": "m", "X-Token-Usage": "300,10",
+                         "X-Prompt-Prefix": "ab:100,cd:100,%x:100"
+                                            % self.numbers})
+        sent.update({k.replace("_", "-"): v for k, v in headers.items()})
+        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+                                                timeout=60)
+        connection.request(method, path, body, sent)
+        return connection.getresponse()
+
+    def ask(self, *arguments, **more):
+        response = self.request(*arguments, **more)
+        return Answer(response, response.read())
+
+    def close(self):
+        for router in self.routers:
+            router.kill()
+        for part in self.parts:
+            part.close()
+        self.folder.cleanup()
+
+
+def route(name, path, kind, service, **more):
+    found = {"name": name, "hostname": "shop.example", "path_prefix": path,
+             "kind": kind, "timeout_ms": 20000, "target_latency_ms": 500,
+             "priority": 1, "service": service, "max_attempts": 2,
+             "public": False, "sticky": kind == "stream", "resumable": False,
+             "gap_aim_ms": 500}
+    found.update(more)
+    return found
+
+
+ROUTES = [route("asks", "/ask/", "stream", "engines", resumable=True),
+          route("asks-once", "/ask/once/", "stream", "engines"),
+          route("reads", "/read/", "idempotent", "plain"),
+          route("writes", "/write/", "non_idempotent", "plain")]
+CUSTOMERS = [{"name": "a", "api_keys": ["key-a"]},
+             {"name": "b", "api_keys": ["key-b"], "isolated": True}]
+SETTINGS = """
+[router]
+name = %s
+hall = hall-a
+region = region-a
+listen = 127.0.0.1:0
+ready_listen = 127.0.0.1:0
+operator_listen = 127.0.0.1:0
+policy = home
+stop_grace = 300ms
+seed = 1
+[keys]
+seal = 1111111111111111111111111111111111111111111111111111111111111111
+salt = 2222222222222222222222222222222222222222222222222222222222222222
+operator_hash = 3333333333333333333333333333333333333333333333333333333333333333
+[peers]
+listen = 127.0.0.1:0
+[platform]
+form = fleet
+log = %s
+instances = %s
+lease = 600ms
+order_timeout = 100ms
+load_percent = 50
+"""
--- /dev/null
+++ b/tests/sessions/test_fleet.py
@@ -0,0 +1,320 @@
+"""Requests relayed on the users' platform, with faults of its parts."""
+import signal
+import socket
+import threading
+import unittest
+
+from cluster import wait_for
+from fleet import CUSTOMERS, Fleet
+
+EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def wait_listed(self, router, count):
+        wait_for(lambda: len(router.events("upstream_listed")) >= count,
+                 "%d upstreams listed" % count)
+
+    def two_engines(self):
+        return [self.fleet.engine("e1"), self.fleet.engine("e2")]
+
+
+class PassingTest(FleetTest):
+    def test_a_call_passes_through_unchanged(self):
+        plain = self.fleet.plain("p1")
+        router = self.fleet.start()
+        answer = self.fleet.ask(router, "/write/x?y=1", body=b"abc",
+                                X_Other="kept", X_Tenant="forged",
+                                X_Hold="forged")
+        self.assertEqual((answer.status, answer.body),
+                         (200, b"POST /write/x?y=1 3 bytes"))
+        self.assertEqual(answer.headers["X-Server-Seal"], "seal-p1")
+        seen = plain.seen[0]
+        self.assertEqual((seen["X-Tenant"], seen["X-Other"]), ("a", "kept"))
+        self.assertEqual(seen["X-Expect-Instance"], "p1")
+        self.assertLessEqual(int(seen["X-Deadline-Ms"]), 20000)
+        self.assertNotIn("Api-Key", seen)
+        self.assertNotIn("X-Hold", seen)
+
+    def test_a_body_beyond_any_watermark_passes_through(self):
+        self.fleet.plain("p1")
+        router = self.fleet.start()
+        answer = self.fleet.ask(router, "/write/x", body=b"z" * 1500000)
+        self.assertEqual(answer.body, b"POST /write/x 1500000 bytes")
+
+    def test_a_stream_passes_through_with_salt_and_weights(self):
+        engine = self.fleet.engine("e1")
+        router = self.fleet.start()
+        answer = self.fleet.ask(router, "/ask/x")
+        other = self.fleet.ask(router, "/ask/x", key="key-b")
+        self.assertEqual((answer.body, other.body), (EVENTS, EVENTS))
+        first, second = engine.seen
+        self.assertEqual(first["X-Expect-Version"], "1")
+        self.assertNotEqual(first["X-Cache-Salt"], second["X-Cache-Salt"])
+
+    def test_an_own_failure_of_the_service_is_passed_on(self):
+        plain = self.fleet.plain("p1")
+        plain.status = 500
+        router = self.fleet.start()
+        answer = self.fleet.ask(router, "/write/x")
+        self.assertEqual((answer.status, answer.headers["X-Server-Seal"]),
+                         (500, "seal-p1"))
+        self.assertEqual(len(plain.seen), 1)
+
+    def test_a_success_without_a_signature_is_none(self):
+        self.fleet.plain("p1").sealed = False
+        router = self.fleet.start()
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 502)
+
+
+class AdmissionTest(FleetTest):
+    def test_nothing_is_denied_before_a_configuration_is_known(self):
+        router = self.fleet.router()
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 503)
+        self.assertFalse(self.fleet.is_ready(router))
+
+    def test_unknown_routes_and_keys_are_told_apart(self):
+        self.fleet.plain("p1")
+        router = self.fleet.start()
+        self.assertEqual(self.fleet.ask(router, "/none/x").status, 404)
+        self.assertEqual(
+            self.fleet.ask(router, "/write/x", key="other").status, 401)
+        self.assertEqual(self.fleet.ask(router, "/write/x", key=None).status,
+                         401)
+
+    def test_a_length_beside_chunks_is_refused(self):
+        plain = self.fleet.plain("p1")
+        router = self.fleet.start()
+        with socket.create_connection(("127.0.0.1", router.port)) as raw:
+            raw.sendall(b"POST /write/x HTTP/1.1\r\nHost: shop.example\r\n"
+                        b"X-Request-Id: s1\r\nApi-Key: key-a\r\n"
+                        b"Content-Length: 5\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+            self.assertIn(b" 400 ", raw.recv(4096))
+        self.assertEqual(plain.seen, [])
+
+    def test_a_revoked_key_stops_working_and_versions_never_go_back(self):
+        self.fleet.plain("p1")
+        router = self.fleet.start()
+        self.fleet.config(5, customers=[CUSTOMERS[1]])
+        wait_for(lambda: self.fleet.ask(router, "/write/x").status == 401,
+                 "revoked")
+        self.fleet.config(4)
+        router.wait_event("config_passed_over")
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 401)
+
+    def test_without_the_store_keys_stop_working_in_time(self):
+        plain = self.fleet.plain("p1")
+        router = self.fleet.start(config_max_age="700ms")
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        self.fleet.store.down = True
+        wait_for(lambda: self.fleet.ask(router, "/write/x").status == 503,
+                 "fails closed")
+        ran = len(plain.seen)
+        answer = self.fleet.ask(router, "/none/x")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertFalse(self.fleet.is_ready(router))
+        self.assertEqual(len(plain.seen), ran)
+        self.fleet.store.down = False
+        wait_for(lambda: self.fleet.ask(router, "/write/x").status == 200,
+                 "serves again")
+
+
+class RecoveryTest(FleetTest):
+    def test_a_broken_stream_goes_on_behind_its_last_event(self):
+        for engine in self.two_engines():
+            engine.cut_after = 3
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        answer = self.fleet.ask(router, "/ask/x")
+        self.assertEqual(answer.body, EVENTS)
+        failed = router.events("attempt_failed")
+        self.assertEqual([f["next"] for f in failed], ["elsewhere"])
+
+    def test_a_stream_that_must_not_run_again_is_cut(self):
+        engines = self.two_engines()
+        for engine in engines:
+            engine.cut_after = 2
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        response = self.fleet.request(router, "/ask/once/x")
+        body = b""
+        with self.assertRaises(Exception):
+            while True:
+                piece = response.read1(1000)
+                if not piece:
+                    break
+                body += piece
+        self.assertTrue(EVENTS.startswith(body))
+        self.assertEqual(sum(len(e.seen) for e in engines), 1)
+
+    def test_a_refused_call_goes_elsewhere_without_counting(self):
+        first, second = self.fleet.plain("p1"), self.fleet.plain("p2")
+        first.shed = True
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        for _ in range(4):
+            self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        self.assertEqual((len(first.seen), len(second.seen)), (0, 4))
+
+    def test_a_call_refused_by_all_is_truly_not_run(self):
+        upstreams = [self.fleet.plain("p1"), self.fleet.plain("p2")]
+        for upstream in upstreams:
+            upstream.shed = True
+        router = self.fleet.start()
+        answer = self.fleet.ask(router, "/write/x")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual([u.seen for u in upstreams], [[], []])
+
+    def test_a_call_that_may_have_run_is_not_repeated(self):
+        upstreams = [self.fleet.plain("p1"), self.fleet.plain("p2")]
+        for upstream in upstreams:
+            upstream.cut_calls = True
+        router = self.fleet.start()
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 502)
+        self.assertEqual(sum(len(u.seen) for u in upstreams), 1)
+
+    def test_a_read_is_repeated_elsewhere(self):
+        first, second = self.fleet.plain("p1"), self.fleet.plain("p2")
+        first.cut_calls = True
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        for _ in range(3):
+            self.assertEqual(self.fleet.ask(router, "/read/x").status, 200)
+
+    def test_a_caller_that_leaves_ends_its_stream(self):
+        engine = self.fleet.engine("e1")
+        engine.gate = threading.Event()
+        router = self.fleet.start()
+        with socket.create_connection(("127.0.0.1", router.port)) as raw:
+            raw.sendall(b"POST /ask/x HTTP/1.1\r\nHost: shop.example\r\n"
+                        b"X-Request-Id: left\r\nApi-Key: key-a\r\n"
+                        b"X-Model: m\r\nContent-Length: 0\r\n\r\n")
+            wait_for(lambda: engine.seen, "running")
+        done = router.wait_event("request_done")[0]
+        self.assertEqual(done["outcome"], "caller_left")
+        engine.gate.set()
+
+
+class ListTest(FleetTest):
+    def test_a_leaving_upstream_gets_no_new_work(self):
+        first, second = self.fleet.plain("p1"), self.fleet.plain("p2")
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        first.state = "draining"
+        first.list()
+        router.wait_event("upstream_leaving")
+        ran = len(first.seen)
+        for _ in range(4):
+            self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        self.assertEqual((len(first.seen), len(second.seen)), (ran, 4))
+
+    def test_another_upstream_at_the_address_is_not_used(self):
+        first, second = self.fleet.plain("p1"), self.fleet.plain("p2")
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        first.name = "someone-else"
+        for _ in range(4):
+            self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        self.assertEqual((len(first.seen), len(second.seen)), (0, 4))
+
+    def test_entries_that_lapse_in_an_outage_may_come_back(self):
+        plain = self.fleet.plain("p1")
+        router = self.fleet.start(listing_return="30s")
+        self.fleet.store.down = True
+        router.wait_event("topic_lost", 2)
+        plain.unlist()
+        self.fleet.store.down = False
+        router.wait_event("upstream_missing")
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        plain.list()
+        self.assertEqual(router.events("upstream_gone"), [])
+
+    def test_an_entry_that_does_not_come_back_is_gone(self):
+        plain = self.fleet.plain("p1")
+        router = self.fleet.start(listing_return="300ms")
+        self.fleet.store.down = True
+        router.wait_event("topic_lost", 2)
+        plain.unlist()
+        self.fleet.store.down = False
+        gone = router.wait_event("upstream_gone")[0]
+        self.assertEqual(gone["reason"], "not_back_after_outage")
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 503)
+
+
+class WeightsTest(FleetTest):
+    def test_named_weights_reach_all_engines_and_change_the_salt(self):
+        engines = self.two_engines()
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        self.fleet.ask(router, "/ask/x")
+        before = [s["X-Cache-Salt"] for e in engines for s in e.seen][0]
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 3})
+        wait_for(lambda: all(e.version == 3 for e in engines), "loaded")
+
+        def on_new_weights():
+            self.fleet.ask(router, "/ask/x")
+            return [s for e in engines for s in e.seen
+                    if s["X-Expect-Version"] == "3"]
+        seen = wait_for(on_new_weights, "an answer on the new weights")
+        self.assertNotEqual(seen[0]["X-Cache-Salt"], before)
+        orders = [o for e in engines for o in e.orders]
+        self.assertEqual({o["mode"] for o in orders}, {"defer"})
+        self.assertEqual(len({o["holder"] for o in orders}), 1)
+
+    def test_two_routers_give_orders_under_one_lease(self):
+        engines = self.two_engines()
+        self.fleet.start()
+        self.fleet.router("r2")
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+        wait_for(lambda: all(e.version == 2 for e in engines), "loaded")
+        fences = {}
+        for engine in engines:
+            for order in engine.orders:
+                fences.setdefault(order["fence"], set()).add(order["holder"])
+        self.assertTrue(all(len(h) == 1 for h in fences.values()), fences)
+
+
+class StopTest(FleetTest):
+    def test_a_stop_ends_open_streams_whole(self):
+        engine = self.fleet.engine("e1")
+        engine.gate = threading.Event()
+        router = self.fleet.start()
+        response = []
+        thread = threading.Thread(target=lambda: response.append(
+            self.fleet.ask(router, "/ask/x")))
+        thread.start()
+        wait_for(lambda: engine.seen, "running")
+        router.signal(signal.SIGTERM)
+        router.wait_event("router_stopping")
+        self.assertFalse(self.fleet.is_ready(router))
+        engine.gate.set()
+        thread.join()
+        self.assertEqual(response[0].body, EVENTS)
+        self.assertEqual(response[0].headers["Connection"], "close")
+        self.assertEqual(router.process.wait(60), 0)
+
+    def test_settings_are_read_again(self):
+        self.fleet.plain("p1")
+        router = self.fleet.start()
+        router.signal(signal.SIGHUP)
+        told = router.wait_event("settings_reloaded")[0]
+        self.assertEqual(told["outcome"], "taken")
+        with open(router.path, "a") as file:
+            file.write("[limits]\nmax_body = nonsense\n")
+        router.signal(signal.SIGHUP)
+        told = router.wait_event("settings_reloaded", 2)[1]
+        self.assertEqual(told["outcome"], "refused")
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
