--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 	platform/*.[ch] standins/*.[ch] bench/*.[ch] tests/*.[ch]))
 
 .PHONY: demo test install format lint bench generate packages build \
-	build-asan reference slopes soak
+	build-asan reference slopes soak \
+	check-deploy
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
@@ -46,6 +47,10 @@
 	@ls src/*.c platform/*.c standins/*.c bench/*.c | grep -v pb-c | \
 		xargs -P 8 -n 4 clang-tidy --quiet -p build
 
+# What the users' platform needs of this repository.
+check-deploy: packages
+	@python3 tools/check_deploy.py
+
 # Or one by name: make bench EXPERIMENTS="placement shift overload".
 bench: build
 	@python3 bench/run.py $(EXPERIMENTS)
--- /dev/null
+++ b/tests/test_Fleet.c
@@ -0,0 +1,182 @@
+#include "testing.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "Fleet.h"
+#include "FleetStore.h"
+
+static GBytes *
+bytes(const char *text)
+{
+    return g_bytes_new(text, strlen(text));
+}
+
+START_TEST(a_configuration_is_read)
+{
+    GBytes *value = bytes(
+        "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+        "\"path_prefix\":\"/p/\",\"kind\":\"stream\",\"timeout_ms\":4000.0,"
+        "\"target_latency_ms\":600,\"priority\":1,\"traffic_split\":["
+        "{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
+        "\"max_attempts\":2,\"sticky\":true,\"resumable\":true},"
+        "{\"name\":\"q\",\"hostname\":\"h\",\"path_prefix\":\"/\","
+        "\"kind\":\"non_idempotent\",\"service\":\"s\",\"public\":true}],"
+        "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":64,"
+        "\"models\":[{\"name\":\"m\"}]}},{\"name\":\"k\","
+        "\"kv_store_addr\":\"10.0.0.1:80\",\"zone\":\"z\"}],"
+        "\"tenants\":[{\"name\":\"c\",\"api_keys\":[\"k1\",\"k2\"],"
+        "\"priority\":0,\"isolated\":true}]}");
+    RouteConfig_t *config = Fleet_form.decode_config(value, NULL);
+    ck_assert_ptr_nonnull(config);
+    const Route_t *route = RouteConfig_findRoute(config, "h", "/p/1");
+    ck_assert_int_eq(route->kind, ROUTE_STREAM);
+    ck_assert(route->resumable && route->needs_key && route->by_prefix);
+    ck_assert_int_eq(route->time_limit_ms, 4000);
+    ck_assert_uint_eq(route->weight_sum, 100);
+    route = RouteConfig_findRoute(config, "h", "/x");
+    ck_assert_int_eq(route->kind, ROUTE_ONCE);
+    ck_assert(!route->needs_key);
+    const RouteCustomer_t *customer = RouteConfig_findCustomer(config, "k2");
+    ck_assert(!customer->shares_cache);
+    ck_assert_uint_eq(customer->rank, 0);
+    ck_assert_uint_eq(config->kv_stores->len, 1);
+    ck_assert_uint_eq(RouteConfig_findService(config, "s")->models->len, 1);
+    RouteConfig_unref(config);
+    g_bytes_unref(value);
+}
+END_TEST
+
+START_TEST(a_bad_configuration_is_a_typed_error)
+{
+    static const char *const texts[] = {"", "[]", "{\"routes\":[]}", "{"};
+    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+        g_autoptr(GError) error = NULL;
+        GBytes *value = bytes(texts[i]);
+        ck_assert_ptr_null(Fleet_form.decode_config(value, &error));
+        ck_assert_ptr_nonnull(error);
+        g_bytes_unref(value);
+    }
+}
+END_TEST
+
+START_TEST(an_entry_of_the_list_is_read)
+{
+    ListedUpstream_t entry;
+    GBytes *value = bytes(
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+        "\"slots\":64,\"state\":\"draining\",\"cold_left_ms\":250,"
+        "\"models\":[{\"name\":\"m\",\"version\":4}]}");
+    ListedUpstream_init(&entry);
+    ck_assert(Fleet_form.decode_upstream(value, &entry, NULL));
+    ck_assert_str_eq(entry.spec.address.host, "10.0.0.9");
+    ck_assert_uint_eq(entry.spec.address.port, 8080);
+    ck_assert(entry.leaving);
+    ck_assert_str_eq(entry.weights->str, "4");
+    ListedUpstream_clear(&entry);
+    g_bytes_unref(value);
+}
+END_TEST
+
+START_TEST(framed_records_come_back)
+{
+    g_autoptr(GByteArray) body = g_byte_array_new();
+    guint64 offsets[] = {GUINT64_TO_BE(7), GUINT64_TO_BE(5)};
+    g_byte_array_append(body, (guint8 *)offsets, sizeof(offsets));
+    static const char *const texts[] = {"ab", "", "c"};
+    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+        GBytes *record = bytes(texts[i]);
+        GBytes *framed = FleetStore_frame(record);
+        gsize size = 0;
+        const guint8 *data = g_bytes_get_data(framed, &size);
+        g_byte_array_append(body, data, (guint)size);
+        g_bytes_unref(framed);
+        g_bytes_unref(record);
+    }
+    HttpAnswer_t answer = {.status = 200, .body = (char *)body->data};
+    FleetRead_t read;
+    answer.length = body->len;
+    ck_assert(FleetStore_unframe(&answer, &read, NULL));
+    ck_assert_uint_eq(read.end, 7);
+    ck_assert_uint_eq(read.start, 5);
+    ck_assert_uint_eq(read.records->len, 3);
+    g_ptr_array_unref(read.records);
+    for (gsize cut = 0; cut < body->len; cut++) {
+        g_autoptr(GError) error = NULL;
+        answer.length = cut;
+        if (FleetStore_unframe(&answer, &read, &error)) {
+            g_ptr_array_unref(read.records); /* cut between two records */
+        }
+        else {
+            ck_assert_ptr_nonnull(error);
+        }
+    }
+}
+END_TEST
+
+static RelayHead_t
+read_head(int status, const char *name, const char *value)
+{
+    struct evkeyvalq headers;
+    RelayHead_t head;
+    TAILQ_INIT(&headers);
+    evhttp_add_header(&headers, "X-Request-Id", "q1");
+    if (name) {
+        evhttp_add_header(&headers, name, value);
+    }
+    Fleet_form.upstream->read_head(status, &headers, "q1", "i-1", &head);
+    evhttp_clear_headers(&headers);
+    return head;
+}
+
+START_TEST(only_a_mark_proves_that_nothing_ran)
+{
+    ck_assert(!read_head(503, NULL, NULL).not_run);
+    ck_assert(!read_head(500, NULL, NULL).not_run);
+    ck_assert(read_head(503, "X-Not-Executed", "1").not_run);
+    ck_assert(read_head(421, "X-Instance-Id", "i-1").not_run);
+    ck_assert(!read_head(421, "X-Instance-Id", "i-1").other_instance);
+    ck_assert(read_head(421, "X-Instance-Id", "i-2").other_instance);
+    ck_assert(read_head(200, "X-Server-Seal", "s").sealed);
+    ck_assert(read_head(200, "Connection", "close").leaving);
+}
+END_TEST
+
+START_TEST(callers_cannot_set_what_is_ours)
+{
+    struct evkeyvalq caller;
+    struct evkeyvalq out;
+    static const char *const ours[] = {
+        "X-Tenant",         "Api-Key",
+        "X-Cache-Salt",     "X-Hold",
+        "X-Pin-Ms",         "Kv-From",
+        "X-Kv-Backup",      "X-Kv-Fetch",
+        "X-Kv-Save",        "X-Request-Priority",
+        "Transfer-Encoding"};
+    TAILQ_INIT(&caller);
+    TAILQ_INIT(&out);
+    for (gsize i = 0; i < G_N_ELEMENTS(ours); i++) {
+        evhttp_add_header(&caller, ours[i], "forged");
+    }
+    evhttp_add_header(&caller, "X-Length-Hint", "12");
+    RelayOrder_t order = {.instance = "i-1", .wait_ms = 250};
+    Fleet_form.upstream->write_head(&caller, &order, &out);
+    ck_assert_str_eq(evhttp_find_header(&out, "X-Length-Hint"), "12");
+    ck_assert_str_eq(evhttp_find_header(&out, "X-Expect-Instance"), "i-1");
+    ck_assert_str_eq(evhttp_find_header(&out, "X-Deadline-Ms"), "250");
+    for (gsize i = 0; i < G_N_ELEMENTS(ours); i++) {
+        ck_assert_ptr_null(evhttp_find_header(&out, ours[i]));
+    }
+    evhttp_clear_headers(&caller);
+    evhttp_clear_headers(&out);
+}
+END_TEST
+
+TESTING_MAIN("Fleet", a_configuration_is_read,
+             a_bad_configuration_is_a_typed_error,
+             an_entry_of_the_list_is_read, framed_records_come_back,
+             only_a_mark_proves_that_nothing_ran,
+             callers_cannot_set_what_is_ours)
--- /dev/null
+++ b/tests/test_HomePolicy.c
@@ -0,0 +1,168 @@
+#include "testing.h"
+
+#include "HomePolicy.h"
+
+#define ENGINES 9
+#define NOW_MS 100000
+
+static GPtrArray *engines;
+static Policy_t *policy;
+
+static void
+unref_engine(gpointer engine)
+{
+    Upstream_unref(engine);
+}
+
+static void
+begin(void)
+{
+    UpstreamSpec_t spec = {.hall = g_string_new("h"),
+                           .region = g_string_new("r"),
+                           .serves = g_ptr_array_new(),
+                           .slots = 64};
+    engines = g_ptr_array_new_with_free_func(unref_engine);
+    for (guint i = 0; i < ENGINES; i++) {
+        g_autofree char *name = g_strdup_printf("i-%u", i);
+        Upstream_t *engine = Upstream_create(NULL, name, &spec, 0);
+        engine->prefill_us_per_token = 17.6;
+        engine->weights_rise = TRUE;
+        Upstream_noteWeights(engine, "1");
+        g_ptr_array_add(engines, engine);
+    }
+    g_string_free(spec.hall, TRUE);
+    g_string_free(spec.region, TRUE);
+    g_ptr_array_unref(spec.serves);
+    policy = HomePolicy_create();
+}
+
+static void
+end(void)
+{
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+
+static Placement_t
+placement(guint64 shared, guint64 own)
+{
+    return (Placement_t){.target = "s",
+                         .serving = engines,
+                         .generation = 1,
+                         .level_count = 3,
+                         .levels = {1, shared, own},
+                         .level_tokens = {2500, 6300, 9000},
+                         .prompt_tokens = 9000,
+                         .hall = "h",
+                         .region = "r",
+                         .now_ms = NOW_MS};
+}
+
+static Choice_t
+choose(guint64 shared, guint64 own)
+{
+    Placement_t wish = placement(shared, own);
+    return Policy_choose(policy, &wish);
+}
+
+START_TEST(a_shared_prefix_has_one_home_for_all_routers)
+{
+    begin();
+    Policy_t *other = HomePolicy_create();
+    for (guint64 key = 1; key < 200; key++) {
+        Placement_t wish = placement(key * 7919, key);
+        Upstream_t *home = choose(key * 7919, key + 1).upstream;
+        ck_assert_ptr_eq(home, Policy_choose(other, &wish).upstream);
+        ck_assert_ptr_eq(home, choose(key * 7919, key + 2).upstream);
+    }
+    Policy_destroy(other);
+    end();
+}
+END_TEST
+
+START_TEST(a_busy_home_is_left_and_its_cache_taken_along)
+{
+    begin();
+    Choice_t first = choose(42, 1);
+    Placement_t wish = placement(42, 1);
+    Policy_learn(policy, &wish, first.upstream, 0, 9000);
+    first.upstream->others_tokens = 30000;
+    Choice_t second = choose(42, 2);
+    ck_assert_ptr_ne(second.upstream, first.upstream);
+    ck_assert_ptr_eq(second.fetch_from, first.upstream);
+    first.upstream->others_tokens = 0;
+    ck_assert_ptr_eq(choose(42, 3).upstream, first.upstream);
+    end();
+}
+END_TEST
+
+START_TEST(a_paused_home_is_left_and_gives_no_cache)
+{
+    begin();
+    Choice_t first = choose(42, 1);
+    Placement_t wish = placement(42, 1);
+    Policy_learn(policy, &wish, first.upstream, 0, 9000);
+    Upstream_notePause(first.upstream, 1000, NOW_MS);
+    Choice_t second = choose(42, 2);
+    ck_assert_ptr_ne(second.upstream, first.upstream);
+    ck_assert_ptr_null(second.fetch_from);
+    end();
+}
+END_TEST
+
+START_TEST(overdue_weights_are_no_last_resort)
+{
+    begin();
+    Placement_t wish = placement(42, 1);
+    wish.least_weights = 2;
+    ck_assert_ptr_null(Policy_choose(policy, &wish).upstream);
+    Upstream_t *newer = g_ptr_array_index(engines, 3);
+    Upstream_noteWeights(newer, "2");
+    ck_assert_ptr_eq(Policy_choose(policy, &wish).upstream, newer);
+    end();
+}
+END_TEST
+
+START_TEST(a_suspect_gets_nothing_even_as_the_last_one)
+{
+    begin();
+    for (guint i = 0; i < ENGINES; i++) {
+        Upstream_noteUnreached(g_ptr_array_index(engines, i));
+    }
+    ck_assert_ptr_null(choose(42, 1).upstream);
+    Upstream_t *back = g_ptr_array_index(engines, 4);
+    Upstream_noteReached(back, NOW_MS);
+    ck_assert_ptr_eq(choose(42, 1).upstream, back);
+    end();
+}
+END_TEST
+
+START_TEST(lagging_news_of_weights_change_nothing)
+{
+    begin();
+    Upstream_t *engine = g_ptr_array_index(engines, 0);
+    ck_assert(Upstream_noteWeights(engine, "10"));
+    ck_assert(!Upstream_noteWeights(engine, "9"));
+    ck_assert_str_eq(engine->weights->str, "10");
+    end();
+}
+END_TEST
+
+START_TEST(a_learned_wait_fades)
+{
+    begin();
+    Upstream_t *engine = g_ptr_array_index(engines, 0);
+    Upstream_noteFirstToken(engine, 1000000, 0, NOW_MS);
+    gint64 wait = Upstream_waitUs(engine, NOW_MS);
+    ck_assert_int_gt(wait, 300000);
+    ck_assert_int_lt(Upstream_waitUs(engine, NOW_MS + 4000), wait / 500);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("HomePolicy", a_shared_prefix_has_one_home_for_all_routers,
+             a_busy_home_is_left_and_its_cache_taken_along,
+             a_paused_home_is_left_and_gives_no_cache,
+             overdue_weights_are_no_last_resort,
+             a_suspect_gets_nothing_even_as_the_last_one,
+             lagging_news_of_weights_change_nothing, a_learned_wait_fades)
