Take requests back from queues of engines whose weights are overdue

Change: [relay] weights_limit comes from the operators' bound; requests are placed on older weights until 2 s before it and taken back from a queue 0.5 s before it.

--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -234,10 +234,10 @@
 }
 
 static void
-log_unreached(const RelayExchange_t *this, const char *reason)
+log_doubt(const RelayExchange_t *this, const char *reason)
 {
     const Upstream_t *upstream = this->super.upstream;
-    Log_begin(LOG_LEVEL_WARNING, "upstream_unreached");
+    Log_begin(LOG_LEVEL_WARNING, "upstream_doubted");
     Log_text("upstream", upstream->name->str);
     Log_text("request", this->super.id->str);
     Log_text("reason", reason);
@@ -254,7 +254,7 @@
     gboolean unreached =
         end == ATTEMPT_NOT_SENT || end == ATTEMPT_SILENT || end == ATTEMPT_CUT;
     if (unreached && Upstream_noteUnreached(upstream)) {
-        log_unreached(this, Recovery_endName(end));
+        log_doubt(this, Recovery_endName(end));
     }
 }
 
@@ -296,11 +296,17 @@
     const RelayExchange_t *this = owner;
     const Exchange_t *super = &this->super;
     Upstream_t *upstream = super->upstream;
+    gboolean has_caller = RelayAnswer_request(this->answer) != NULL;
+    if (has_caller && super->attempt_trace->first_token_us == 0 &&
+        RelayPlacer_isOverdue(super->context, this->request.model, upstream)) {
+        log_doubt(this, "overdue_weights");
+        return TRUE;
+    }
     if (Clock_nowMs() - upstream->proved_ms < PROOF_AGE_MS) {
         return FALSE;
     }
     if (Upstream_noteUnreached(upstream)) {
-        log_unreached(this, "silent");
+        log_doubt(this, "silent");
     }
     return upstream->unanswered > 0 && Exchange_mayRepeat(super);
 }
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -8,7 +8,7 @@
 
 /* A router that starts may use engines with older weights for so long, until
  * a roll-out under way has gone on. */
-#define SETTLING_MS 2500
+#define SETTLING_MS 4500
 
 /* What is left of the time in which leaving must be known: for a slow answer
  * and one repeated read. */
@@ -66,7 +66,7 @@
         .membership = context->membership,
         .reader_wait_ms = settings->relay.reader_wait_ms,
         .wait_ms = settings->relay.config_wait_ms,
-        .unknown_age_ms = settings->relay.old_weights_ms - SETTLING_MS,
+        .unknown_age_ms = settings->relay.weights_limit_ms - SETTLING_MS,
     };
     this->sync = RouteSync_create(context->base, &sync);
     UpstreamListingSpec_t listing = {
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -4,6 +4,11 @@
 
 #include "Clock.h"
 
+/* No request is placed on older weights so long before it must not begin
+ * there: it waits in the engine's queue first. */
+#define PLACE_MARGIN_MS 2000
+/* One that still waits there is taken back so long before. */
+#define QUEUE_MARGIN_MS 500
 /* Shorter shared prefixes are computed faster than they are moved. */
 #define STORED_TOKENS_MIN 1000
 
@@ -56,10 +61,25 @@
     placement->newest_age_ms =
         NamedWeights_ageMs(context->weights, model, placement->now_ms);
     placement->least_weights = NamedWeights_due(
-        context->weights, model, context->settings->relay.old_weights_ms,
+        context->weights, model,
+        context->settings->relay.weights_limit_ms - PLACE_MARGIN_MS,
         placement->now_ms);
 }
 
+gboolean
+RelayPlacer_isOverdue(const Context_t *context, const char *model,
+                      const Upstream_t *upstream)
+{
+    if (!model) {
+        return FALSE;
+    }
+    guint64 least = NamedWeights_due(
+        context->weights, model,
+        context->settings->relay.weights_limit_ms - QUEUE_MARGIN_MS,
+        Clock_nowMs());
+    return g_ascii_strtoull(upstream->weights->str, NULL, 10) < least;
+}
+
 static void
 write_address(char *out, const Address_t *address)
 {
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -49,6 +49,15 @@
     guint64 saved_prefix;
 } RelayPlacing_t;
 
+/**
+ * RelayPlacer_isOverdue() - whether an answer must not begin there any more
+ * @model: that is asked for, or NULL
+ *
+ * A request that waits in an engine's queue may still be taken back then.
+ */
+gboolean RelayPlacer_isOverdue(const Context_t *context, const char *model,
+                               const Upstream_t *upstream);
+
 /** RelayPlacer_place() - choose an upstream */
 void RelayPlacer_place(const Context_t *context, const RelayWish_t *wish,
                        RelayPlacing_t *out);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -133,10 +133,10 @@
      A(listing_return_ms),
      "After the list of upstreams was out of reach: how long an entry that "
      "has lapsed may take to come back."},
-    {"old_weights", KEY_DURATION, FALSE, "8s", 0, HOUR_MS, NULL,
-     A(old_weights_ms),
-     "How long after a version of weights was named requests may still go to "
-     "engines that lack it; below the time that operators allow."},
+    {"weights_limit", KEY_DURATION, FALSE, "10s", 3000, HOUR_MS, NULL,
+     A(weights_limit_ms),
+     "How long after a version of weights was named a request may still begin "
+     "on an older one."},
     {NULL},
 };
 #undef A
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -94,7 +94,7 @@
     gint64 config_wait_ms;
     gint64 leaving_limit_ms;
     gint64 listing_return_ms;
-    gint64 old_weights_ms;
+    gint64 weights_limit_ms;
 } RelaySection_t;
 
 /**
--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -17,6 +17,7 @@
     "listen.control": "127.0.0.1:8783",
     "seeds": "127.0.0.1:8783,127.0.0.2:8783",
     "provider.address": "127.0.0.1:8784", "bounds.lease_ms": "3000",
+    "bounds.version_ms": "10000",
     "bounds.fencing_required": "true", "bounds.drain_ms": "2000",
     "bounds.retry_slack": "56",
 }
