A prefix counts as kept from the first event of the run that saves it, for 20 s

Cause: under congestion a run that saves ends seconds after its parts were sent; and the store turns over sooner than the minute that was assumed.

--- a/src/CacheStore.c
+++ b/src/CacheStore.c
@@ -3,7 +3,7 @@
 #include <xxhash.h>
 
 /* A prefix that nobody used for so long may have given way to others. */
-#define KEPT_MS 60000
+#define KEPT_MS 20000
 /* Another request may save it if the first one has not ended by then. */
 #define SAVING_MS 3000
 /* Prefixes that are remembered: more than such a store has room for. */
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -147,6 +147,18 @@
     }
 }
 
+/* Parts are sent to the store once they are read, which is before the first
+ * event. */
+static void
+note_saved(RelayExchange_t *this)
+{
+    if (this->saved_prefix != 0) {
+        CacheStore_noteSaved(this->super.context->cache_store,
+                             this->saved_prefix, Clock_nowMs());
+        this->saved_prefix = 0;
+    }
+}
+
 static void
 note_first_event(RelayExchange_t *this)
 {
@@ -158,6 +170,7 @@
                                 passed_us - trace->started_us,
                                 this->missing_tokens, Clock_nowMs());
         settle_pending(this);
+        note_saved(this);
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
@@ -205,10 +218,6 @@
         Policy_learn(this->super.context->policy, &this->placement,
                      this->super.upstream, 0, this->placement.prompt_tokens);
     }
-    if (this->saved_prefix != 0) {
-        CacheStore_noteSaved(this->super.context->cache_store,
-                             this->saved_prefix, Clock_nowMs());
-    }
 }
 
 static void
