Any router steps in where nobody gives orders; freshness is asked for when untold

Change: who sees no progress of a roll-out for 2.5 s and more steps in and stays until it is done; a router that has heard nothing fresh for 1.8 s asks the store beside its held read.

--- a/src/Orders.c
+++ b/src/Orders.c
@@ -5,8 +5,13 @@
 #include "Clock.h"
 
 #define TICK_MS 50
-/* Routers that may take the lease; each waits for those before it. */
+/* Routers that may take the lease at once; each waits for those before it. */
 #define CANDIDATES 3
+/* Where nothing has come of wanted weights for so long, those may all be gone
+ * or cut off, and any router may; spread out, so that few of them try. */
+#define STALLED_MS 2500
+#define SPREAD_MS 100
+#define SPREADS 20
 
 struct Orders {
     OrdersSpec_t spec;
@@ -15,6 +20,9 @@
     GHashTable *engines; /* upstream's name -> OrderedEngine_t */
     struct event *tick;
     gboolean stopped;
+    guint news;          /* engines that lack weights or pause, as last seen */
+    gint64 progress_ms;  /* when that last changed */
+    gboolean stepped_in; /* for candidates that do nothing */
 };
 
 /* An engine that lacks its wanted weights. */
@@ -157,6 +165,44 @@
     return FALSE;
 }
 
+static gboolean
+is_lagging(const Orders_t *this, const Upstream_t *upstream)
+{
+    WantedWeights_t wanted;
+    return is_mine(this, upstream, &wanted) &&
+           strcmp(upstream->weights->str, wanted.weights) != 0;
+}
+
+/* Whoever gives orders makes engines pause and change their weights, which
+ * all routers hear of. */
+static void
+note_progress(Orders_t *this)
+{
+    const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
+    gint64 now_ms = Clock_nowMs();
+    guint news = 0;
+    for (guint i = 0; i < all->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(all, i);
+        news += is_lagging(this, upstream) ? 1 : 0;
+        news += upstream->paused_until_ms > now_ms ? all->len + 1 : 0;
+    }
+    if (news != this->news || news == 0) {
+        this->news = news;
+        this->progress_ms = now_ms;
+    }
+}
+
+/* Who has stepped in stays until the work is done. */
+static gboolean
+is_candidate(Orders_t *this, guint rank)
+{
+    gint64 stalled_ms = Clock_nowMs() - this->progress_ms;
+    gint64 patience_ms = STALLED_MS + (gint64)(rank % SPREADS) * SPREAD_MS;
+    this->stepped_in =
+        this->news > 0 && (this->stepped_in || stalled_ms >= patience_ms);
+    return !this->stopped && (rank < CANDIDATES || this->stepped_in);
+}
+
 /* A number that an engine found stale is that of a lease that was lost; the
  * next one is higher. */
 static void
@@ -177,11 +223,12 @@
     guint rank =
         Membership_rank(this->spec.membership, this->scope->str, NULL);
     gint64 lasts_ms = this->spec.settings->platform.lease_ms;
-    gboolean candidate = rank < CANDIDATES && !this->stopped;
+    note_progress(this);
+    gboolean candidate = is_candidate(this, rank);
     gboolean wanted =
         candidate && has_work(this) && this->giver.stale_until_ms == 0;
     Lease_follow(lease, candidate && this->spec.form->listed);
-    Lease_want(lease, wanted, (gint64)rank * lasts_ms);
+    Lease_want(lease, wanted, (gint64)MIN(rank, CANDIDATES) * lasts_ms);
     if (wanted && Lease_remainingMs(lease) > 0) {
         tend_all(this);
     }
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -23,6 +23,8 @@
     gboolean listing;
     gboolean first_page;
     gint64 sent_ms;
+    gint64 asked_ms;
+    gboolean asking;
     guint failures;
 };
 
@@ -103,7 +105,7 @@
 {
     for (guint i = 0; i < page->records->len; i++) {
         const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
-        this->next = record->offset + 1;
+        this->next = MAX(this->next, record->offset + 1);
         take_record(this, record);
     }
 }
@@ -231,6 +233,33 @@
     g_free(this);
 }
 
+static void
+on_asked(const KeyedPage_t *page, const GError *error, void *data)
+{
+    (void)error;
+    RecordFollower_t *this = data;
+    this->asking = FALSE;
+    if (!page || this->listing) {
+        return;
+    }
+    take_tail(this, page);
+    if (this->next >= page->end) {
+        this->events->current(this->owner, this->next, this->asked_ms);
+    }
+}
+
+void
+RecordFollower_ask(RecordFollower_t *this)
+{
+    if (this->asking || this->listing) {
+        return;
+    }
+    this->asking = TRUE;
+    this->asked_ms = Clock_nowMs();
+    RecordSource_read(this->spec.source, this->topic->str, this->next, 0,
+                      on_asked, this);
+}
+
 void
 RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms)
 {
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -57,6 +57,14 @@
 /** RecordFollower_setWait() - how long further reads may be held */
 void RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms);
 
+/**
+ * RecordFollower_ask() - read once more beside a read that may be held
+ *
+ * For an owner that must know soon whether the topic has ended. Nothing
+ * happens while such a question is open; its failure is not told.
+ */
+void RecordFollower_ask(RecordFollower_t *this);
+
 /** RecordFollower_offset() - records below it were told; 0 during a list */
 guint64 RecordFollower_offset(const RecordFollower_t *this);
 
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -7,10 +7,19 @@
 #include "Log.h"
 #include "RecordFollower.h"
 
+#define TICK_MS 200
+/* Where peers have told nothing for so long, a router asks for itself, as
+ * those that ask for all may be gone or cut off; not more often than once in
+ * the second time. */
+#define UNTOLD_MS 1800
+#define ASK_EVERY_MS 1000
+
 struct RouteSync {
     RouteSyncSpec_t spec;
     RecordFollower_t *follower;
     FreshnessRelay_t *relay;
+    struct event *tick;
+    gint64 asked_ms;
     gboolean current; /* all that was there at the start has been read */
 };
 
@@ -127,6 +136,21 @@
     .regained = on_regained,
 };
 
+static void
+on_tick(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    RouteSync_t *this = data;
+    gint64 now_ms = Clock_nowMs();
+    if (!RouteTable_isFresh(this->spec.routes, UNTOLD_MS) &&
+        now_ms - this->asked_ms >= ASK_EVERY_MS) {
+        this->asked_ms = now_ms;
+        RecordFollower_ask(this->follower);
+    }
+    Clock_arm(this->tick, TICK_MS);
+}
+
 RouteSync_t *
 RouteSync_create(struct event_base *base, const RouteSyncSpec_t *spec)
 {
@@ -141,6 +165,8 @@
         FreshnessRelay_create(base, spec->membership, &relay_events, this);
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
+    this->tick = Clock_timer(base, on_tick, this);
+    Clock_arm(this->tick, TICK_MS);
     return this;
 }
 
@@ -149,6 +175,7 @@
 {
     RecordFollower_destroy(this->follower);
     FreshnessRelay_destroy(this->relay);
+    event_free(this->tick);
     g_free(this);
 }
 
