--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -52,13 +52,26 @@
     form->clear_request(&admission->request);
 }
 
+static void
+refuse_stale(Admission_t *admission)
+{
+    g_autofree char *detail = g_strdup_printf(
+        "It was known to be the newest %" G_GINT64_FORMAT " ms ago.",
+        RouteTable_ageMs(admission->context->routes, Clock_nowMs()));
+    refuse(admission, REFUSAL_CONFIG_STALE, detail);
+}
+
 /* Where a newer configuration may exist, nobody can say that a route or a
  * key is unknown. */
 static void
 refuse_unknown(Admission_t *admission, Refusal_t refusal)
 {
-    gboolean sure = is_fresh(admission->context);
-    refuse(admission, sure ? refusal : REFUSAL_CONFIG_STALE, NULL);
+    if (is_fresh(admission->context)) {
+        refuse(admission, refusal, NULL);
+    }
+    else {
+        refuse_stale(admission);
+    }
 }
 
 static gboolean
@@ -87,7 +100,7 @@
         return FALSE;
     }
     if (!is_fresh(admission->context)) {
-        refuse(admission, REFUSAL_CONFIG_STALE, NULL);
+        refuse_stale(admission);
         return FALSE;
     }
     return TRUE;
--- a/tests/sessions/test_streams.py
+++ b/tests/sessions/test_streams.py
@@ -260,6 +260,12 @@
         self.assertEqual(engine.state()["cached_tokens"], before)
         self.assertEqual(engine.state()["violations"], 0)
 
+    def test_prompt_beyond_any_watermark_is_taken(self):
+        self.cluster.engine("e1")
+        router = self.cluster.start()
+        answer = router.complete(question("history " * 80000))
+        self.assertEqual(answer.status, 200)
+
     def test_leaving_engine_gets_no_new_work(self):
         first = self.cluster.engine("e1")
         self.cluster.engine("e2")
