wheattiller story: a request's lines from saved logs; a budget for logs

A request's id leads to its lines on all instances and to what was believed of the upstreams that it met. [limits] log_budget bounds bytes a second and keeps a quarter for warnings; sessions show that a log which nobody reads stops nothing, and that a flood leaves room for warnings.

--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -11,6 +11,7 @@
 #include "Errors.h"
 #include "IniFile.h"
 #include "Log.h"
+#include "LogStory.h"
 #include "Problem.h"
 #include "Router.h"
 #include "Settings.h"
@@ -59,6 +60,7 @@
     "  status                   routers, and upstreams as they see them\n"
     "  counters [PREFIX]        counters of a router\n"
     "  explain REQUEST-ID       why a recent request went where it did\n"
+    "  story REQUEST-ID LOG...  what became of a request, from saved logs\n"
     "  hash-key                 hash a key read from standard input\n"
     "  reference                the reference of all settings, in Markdown\n"
     "\n"
@@ -217,6 +219,7 @@
     }
     Log_open(settings->router.name->str,
              arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO);
+    Log_setBudget(settings->limits.log_budget);
     g_autoptr(GError) error = NULL;
     gboolean good = Router_run(settings, form_of(arguments, settings), &error);
     if (!good) {
@@ -268,6 +271,25 @@
     return problems->len > 0 ? EXIT_INVALID : EXIT_OK;
 }
 
+static ExitCode_t
+run_story(Arguments_t *arguments)
+{
+    char **words = arguments->client.words;
+    if (!words[0] || !words[1]) {
+        fputs("wheattiller: story needs a request's id and files\n", stderr);
+        return EXIT_USAGE;
+    }
+    g_autoptr(GError) error = NULL;
+    GString *story = LogStory_tell(words[0], words + 1, &error);
+    if (!story) {
+        fprintf(stderr, "wheattiller: %s\n", error->message);
+        return EXIT_INVALID;
+    }
+    fputs(story->str, stdout);
+    g_string_free(story, TRUE);
+    return EXIT_OK;
+}
+
 static ExitCode_t
 run_hash_key(Arguments_t *arguments)
 {
@@ -367,7 +389,7 @@
     {"result", run_result},       {"get", run_get},
     {"status", run_status},       {"counters", run_counters},
     {"explain", run_explain},     {"hash-key", run_hash_key},
-    {"reference", run_reference},
+    {"reference", run_reference}, {"story", run_story},
 };
 
 static ExitCode_t
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -188,6 +188,9 @@
      L(eject_failures), "Failures in a row that eject an upstream."},
     {"eject_time", KEY_DURATION, FALSE, "2s", 10, HOUR_MS, NULL, L(eject_ms),
      "How long an ejected upstream gets no work; doubled each time."},
+    {"log_budget", KEY_SIZE, FALSE, "64KiB", 0, 1 << 30, NULL, L(log_budget),
+     "Most bytes of log lines written in a second, over four seconds; a "
+     "quarter is kept for warnings and errors. 0 for no bound."},
     {NULL},
 };
 #undef L
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -119,6 +119,7 @@
     gint64 once_idle_time_ms;
     gint64 eject_failures;
     gint64 eject_ms;
+    gint64 log_budget;
 } LimitsSection_t;
 
 /**
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -320,7 +320,7 @@
                 for key, value in keys.items():
                     file.write("%s = %s\n" % (key, value))
         router = Process([os.path.join(BUILD, "wheattiller"), "router",
-                          "--settings", path])
+                          "--verbose", "--settings", path])
         router.path = path
         self.routers.append(router)
         started = router.wait_event("router_started")[0]
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -1,10 +1,12 @@
 """Requests relayed on the users' platform, with faults of its parts."""
+import os
 import signal
 import socket
+import subprocess
 import threading
 import unittest
 
-from cluster import wait_for
+from cluster import BUILD, wait_for
 from fleet import CUSTOMERS, Fleet
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
@@ -283,6 +285,51 @@
         self.assertTrue(all(len(h) == 1 for h in fences.values()), fences)
 
 
+class LogTest(FleetTest):
+    def start_unread(self, **settings):
+        """A router of whose output only the start is read."""
+        router = self.fleet.start(**settings)
+        path, port = router.path, router.port
+        router.kill()
+        with open(path) as file:
+            text = file.read().replace("listen = 127.0.0.1:0",
+                                       "listen = 127.0.0.1:%d" % port, 1)
+        with open(path, "w") as file:
+            file.write(text)
+        unread = subprocess.Popen(
+            [os.path.join(BUILD, "wheattiller"), "router", "--verbose",
+             "--settings", path], stdout=subprocess.PIPE)
+        self.addCleanup(unread.stdout.close)
+        self.addCleanup(unread.wait)
+        self.addCleanup(unread.kill)
+        return router, unread
+
+    def test_a_log_that_nobody_reads_stops_nothing(self):
+        self.fleet.engine("e1")
+        router, unread = self.start_unread(log_budget="0B")
+        wait_for(lambda: self.status(router) == 200, "serving again")
+        for _ in range(400):
+            self.assertEqual(self.fleet.ask(router, "/ask/x").body, EVENTS)
+        os.set_blocking(unread.stdout.fileno(), False)
+        self.assertGreater(len(unread.stdout.read()), 60000)
+
+    def status(self, router):
+        try:
+            return self.fleet.ask(router, "/ask/x").status
+        except OSError:
+            return 0
+
+    def test_a_flood_leaves_room_for_warnings(self):
+        self.fleet.engine("e1")
+        router = self.fleet.start(log_budget="1KiB")
+        for _ in range(60):
+            self.fleet.ask(router, "/ask/x")
+        self.assertLess(len(router.events("request_placed")), 30)
+        self.fleet.store.down = True
+        router.wait_event("topic_lost")
+        router.wait_event("log_lines_left_out")
+
+
 class StopTest(FleetTest):
     def test_a_stop_ends_open_streams_whole(self):
         engine = self.fleet.engine("e1")
