A fault soak of relayed requests

Three routers as processes on stand-ins of the platform, with fourteen kinds of faults in series; callers and upstreams check whole streams, truth of refusals, single runs, walls of salts and revoked keys.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 .PHONY: demo test install format lint bench generate packages build \
 	build-asan reference slopes soak \
-	check-deploy
+	check-deploy fleet-soak
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
@@ -65,6 +65,10 @@
 soak: build
 	@python3 tools/soak.py $(SEED) $(DURATION)
 
+# The same on stand-ins of the users' platform.
+fleet-soak: build
+	@python3 tools/fleet_soak.py $(SEED) $(DURATION)
+
 slopes: build
 	@build/wt-slopes
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -219,7 +219,7 @@
         elif self.shed:
             call.reply(503, X_Not_Executed="1", X_Request_Id=request)
         else:
-            self.seen.append(dict(call.headers))
+            self.seen.append(dict(call.headers, **{":path": call.path}))
             self.run(call, body, request)
 
     def run(self, call, body, request):
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -3,10 +3,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 import unittest
 
-from cluster import BUILD, wait_for
+from cluster import BUILD, ROOT, wait_for
 from fleet import CUSTOMERS, Fleet
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
@@ -330,6 +331,14 @@
         router.wait_event("log_lines_left_out")
 
 
+class SoakTest(unittest.TestCase):
+    def test_a_short_soak_breaks_no_promise(self):
+        done = subprocess.run(
+            [sys.executable, os.path.join(ROOT, "tools", "fleet_soak.py"),
+             "7", "8"], capture_output=True, text=True)
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+
+
 class StopTest(FleetTest):
     def test_a_stop_ends_open_streams_whole(self):
         engine = self.fleet.engine("e1")
--- /dev/null
+++ b/tools/fleet_soak.py
@@ -0,0 +1,237 @@
+#!/usr/bin/env python3
+"""A seeded soak of relayed requests: routers as processes on stand-ins of
+the users' platform, with faults drawn at random, while callers check what
+the project promises. Exits with 1 on any violation.
+
+    fleet_soak.py SEED SECONDS
+"""
+import http.client
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "tests"))
+from fleet import CUSTOMERS, Fleet  # noqa: E402
+
+ROUTERS = 3
+CALLERS = 8
+PIECES = 5
+EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i)
+                  for i in range(PIECES))
+REVOKED_S = 1.5  # config_max_age of these routers, and what is on its way
+GONE = (OSError, http.client.HTTPException)
+
+
+class Soak:
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.fleet = Fleet()
+        self.over = False
+        self.lock = threading.Lock()
+        self.violations = []
+        self.counts = {}
+        self.not_run = set()   # ids that were refused as not run
+        self.answered = {}     # id -> body of a whole write
+        self.revoked_at = None
+        self.engines = [self.fleet.engine("e%d" % i, pieces=PIECES)
+                        for i in range(4)]
+        self.plains = [self.fleet.plain("p%d" % i) for i in range(3)]
+        self.fleet.config()
+        self.routers = []
+        for i in range(ROUTERS):
+            self.routers.append(self.fleet.router(
+                "r%d" % i, config_max_age="1s", connect_timeout="300ms"))
+        self.weights = 1
+
+    def count(self, what):
+        with self.lock:
+            self.counts[what] = self.counts.get(what, 0) + 1
+
+    def violate(self, text):
+        with self.lock:
+            self.violations.append(text)
+        print("violation: " + text, flush=True)
+
+    # Callers.
+
+    def one_request(self, rng, number):
+        router = rng.choice(self.routers)
+        path = rng.choice(["/ask/x", "/ask/once/x", "/write/x", "/read/x"])
+        name = "s%d" % number
+        key = rng.choice(["key-a", "key-b", "key-r"])
+        status, body, whole = 0, b"", False
+        try:
+            response = self.fleet.request(
+                router, path, key=key, wait_ms=8000, X_Request_Id=name,
+                method="POST")
+            status = response.status
+            body = response.read()
+            whole = True
+        except http.client.IncompleteRead as error:
+            body = error.partial
+        except GONE:
+            pass
+        self.check(path, name, status, body, whole)
+
+    def check(self, path, name, status, body, whole):
+        self.count("%s %s" % (path, status if whole else "cut"))
+        if status in (429, 503) and whole:
+            with self.lock:
+                self.not_run.add(name)
+        if status != 200:
+            return
+        if path.startswith("/ask"):
+            good = body == EVENTS if whole else EVENTS.startswith(body)
+        else:
+            good = not whole or body.startswith(b"POST " + path.encode())
+        if not good:
+            self.violate("%s of %s: %r" % (path, name, body[:200]))
+
+    def call(self, number):
+        rng = random.Random(self.rng.random())
+        at = number * 10 ** 6
+        while not self.over:
+            at += 1
+            self.one_request(rng, at)
+
+    # Faults.
+
+    def restart(self, index, how):
+        router = self.routers[index]
+        router.signal(how)
+        router.process.wait()
+        router.kill()
+        self.routers[index] = self.fleet.router(
+            "r%d" % index, config_max_age="1s", connect_timeout="300ms")
+
+    def fault(self):
+        rng = self.rng
+        kind = rng.choice(["shed", "cut_stream", "cut_call", "slow", "store",
+                           "kill", "term", "freeze", "hup", "leave",
+                           "weights", "config", "revoke", "lapse"])
+        self.count("fault " + kind)
+        upstream = rng.choice(self.engines + self.plains)
+        index = rng.randrange(ROUTERS)
+        hold = rng.uniform(0.2, 1.2)
+        if kind == "shed":
+            self.switch(upstream, "shed", True, False, hold)
+        elif kind == "cut_stream":
+            self.switch(rng.choice(self.engines), "cut_after",
+                        rng.randrange(PIECES), None, hold)
+        elif kind == "cut_call":
+            self.switch(upstream, "cut_calls", True, False, hold)
+        elif kind == "slow":
+            self.switch(upstream, "pause_s", 0.3, 0, hold)
+        elif kind == "store":
+            self.switch(self.fleet.store, "down", True, False, hold * 2)
+        elif kind in ("kill", "term"):
+            self.restart(index, signal.SIGKILL if kind == "kill"
+                         else signal.SIGTERM)
+        elif kind == "freeze":
+            self.routers[index].signal(signal.SIGSTOP)
+            time.sleep(hold)
+            self.routers[index].signal(signal.SIGCONT)
+        elif kind == "hup":
+            self.routers[index].signal(signal.SIGHUP)
+        elif kind == "leave":
+            self.switch_state(upstream, hold)
+        elif kind == "weights":
+            self.weights += 1
+            self.fleet.store.put("keyed.op", "version/m",
+                                 {"model": "m", "version": self.weights})
+        elif kind == "config":
+            self.fleet.config()
+        elif kind == "revoke":
+            self.revoke()
+        elif kind == "lapse":
+            self.fleet.store.down = True
+            time.sleep(hold)
+            upstream.unlist()
+            self.fleet.store.down = False
+            upstream.list()
+
+    @staticmethod
+    def switch(target, name, on, off, hold):
+        setattr(target, name, on)
+        time.sleep(hold)
+        setattr(target, name, off)
+
+    @staticmethod
+    def switch_state(upstream, hold):
+        upstream.state = "draining"
+        upstream.list()
+        time.sleep(hold)
+        upstream.state = "ready"
+        upstream.list()
+
+    def revoke(self):
+        """key-r works, is taken away, and must not run anything later."""
+        self.fleet.config(customers=CUSTOMERS + [
+            {"name": "r", "api_keys": ["key-r"]}])
+        time.sleep(0.5)
+        self.fleet.config()
+        time.sleep(REVOKED_S)
+        before = self.runs_of("r")
+        time.sleep(0.5)
+        if self.runs_of("r") > before:
+            self.violate("a revoked key still runs requests")
+
+    def runs_of(self, customer):
+        return sum(seen["X-Tenant"] == customer
+                   for part in self.engines + self.plains
+                   for seen in list(part.seen))
+
+    # What upstreams saw.
+
+    def check_upstreams(self):
+        runs = {}
+        walls = {}
+        for part in self.engines + self.plains:
+            for seen in part.seen:
+                name = seen["X-Request-Id"]
+                runs.setdefault(name, []).append((part, seen))
+                salt = seen.get("X-Cache-Salt")
+                if salt:
+                    mark = (seen["X-Tenant"] == "b", seen["X-Expect-Version"])
+                    if walls.setdefault(salt, mark) != mark:
+                        self.violate("salt %s of %s and %s" % (
+                            salt, walls[salt], mark))
+        for name in self.not_run & set(runs):
+            self.violate("%s was refused as not run, but ran" % name)
+        for name, list_ in runs.items():
+            once = any(seen[":path"].startswith(("/write/", "/ask/once/"))
+                       for part, seen in list_)
+            if once and len(list_) > 1:
+                self.violate("%s ran %d times" % (name, len(list_)))
+
+    def run(self, seconds):
+        threads = [threading.Thread(target=self.call, args=(i + 1,))
+                   for i in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.fault()
+        self.over = True
+        for thread in threads:
+            thread.join()
+        self.check_upstreams()
+        self.fleet.close()
+        for what in sorted(self.counts):
+            print("%-28s %d" % (what, self.counts[what]))
+        print("violations: %d" % len(self.violations))
+        return 1 if self.violations else 0
+
+
+def main():
+    seed, seconds = int(sys.argv[1]), float(sys.argv[2])
+    print("seed %d, %d s" % (seed, seconds), flush=True)
+    return Soak(seed).run(seconds)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
