Ask the likely holder for a prefix where none is known

Cause: each router knows only the engines that it used itself; a request that was spilled, or whose home had been away, read its shared parts again though the home or the next engine on the ring had them.

Change: without a known holder the home, or for the home itself the next engine, is named as the source; a miss costs a millisecond.

--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -212,6 +212,19 @@
     return choice;
 }
 
+/* Where this router knows of no holder, other routers may: the home has most
+ * likely read what is asked for, or while it was away the next one. */
+static Upstream_t *
+likely_source(const Walk_t *walk, const Upstream_t *to)
+{
+    for (guint rank = 0; rank < walk->count; rank++) {
+        if (can_give(walk->placement, walk->list[rank], to)) {
+            return walk->list[rank];
+        }
+    }
+    return NULL;
+}
+
 static Choice_t
 choose(Policy_t *super, const Placement_t *placement)
 {
@@ -226,6 +239,9 @@
             is_cached(&walk, choice.upstream) ? shared_tokens(placement) : 0;
         choice.fetch_from =
             holds ? NULL : find_source(this, placement, choice.upstream);
+        if (!holds && !choice.fetch_from) {
+            choice.fetch_from = likely_source(&walk, choice.upstream);
+        }
     }
     return choice;
 }
