More engines load at once when weights are about to be overdue

Change: past 90 % of the allowed time 60 of 100 engines may load at once: no request is placed on them by then. An order's answer may take 0.5 s, as one that comes does so in some milliseconds.

--- a/src/NamedWeights.c
+++ b/src/NamedWeights.c
@@ -92,6 +92,20 @@
     return 0;
 }
 
+gint64
+NamedWeights_lagMs(const NamedWeights_t *this, const char *name,
+                   guint64 version, gint64 now_ms)
+{
+    const Model_t *model = g_hash_table_lookup(this->models, name);
+    gint64 lag_ms = 0;
+    for (guint i = 0; model && i < model->count; i++) {
+        if (model->names[i].number > version) {
+            lag_ms = now_ms - model->names[i].known_ms;
+        }
+    }
+    return lag_ms;
+}
+
 gint64
 NamedWeights_ageMs(const NamedWeights_t *this, const char *name, gint64 now_ms)
 {
--- a/src/NamedWeights.h
+++ b/src/NamedWeights.h
@@ -38,6 +38,14 @@
 guint64 NamedWeights_due(const NamedWeights_t *this, const char *model,
                          gint64 grace_ms, gint64 now_ms);
 
+/**
+ * NamedWeights_lagMs() - how long a version has not been the newest
+ *
+ * Return: since the first newer name, 0 for the newest version
+ */
+gint64 NamedWeights_lagMs(const NamedWeights_t *this, const char *model,
+                          guint64 version, gint64 now_ms);
+
 /** NamedWeights_ageMs() - how long ago a model's version was first known */
 gint64 NamedWeights_ageMs(const NamedWeights_t *this, const char *model,
                           gint64 now_ms);
--- a/src/OrderedEngine.h
+++ b/src/OrderedEngine.h
@@ -36,10 +36,14 @@
 
 /**
  * struct WantedWeights_t - what an engine should have; texts of its owner
+ * @model: whose weights
+ * @weights: the version
+ * @lag_ms: how long the engine has lacked a newer version; 0 where unknown
  */
 typedef struct {
     const char *model;
     const char *weights;
+    gint64 lag_ms;
 } WantedWeights_t;
 
 /** struct OrderedEngine_t - opaque */
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -13,6 +13,11 @@
 #define SPREAD_MS 100
 #define SPREADS 20
 
+/* When the longest lag is past this share of what is allowed, so many of 100
+ * engines may load at once. */
+#define LATE_PERCENT 90
+#define LATE_LOAD_PERCENT 60
+
 struct Orders {
     OrdersSpec_t spec;
     OrderGiver_t giver;
@@ -116,15 +121,22 @@
 }
 
 /* A share of those that can serve, so that enough are left for the requests
- * also when others are out of reach. */
+ * also when others are out of reach. It grows once the longest lag uses up
+ * the time that operators allow: requests can't go to the laggards then. */
 static guint
 places(const Orders_t *this, const GArray *engines)
 {
     guint percent = (guint)this->spec.settings->platform.load_percent;
+    gint64 limit_ms = this->spec.settings->relay.weights_limit_ms;
+    gint64 lag_ms = 0;
     guint serving = 0;
     for (guint i = 0; i < engines->len; i++) {
         const Laggard_t *laggard = &g_array_index(engines, Laggard_t, i);
         serving += OrderedEngine_upstream(laggard->engine)->suspect ? 0 : 1;
+        lag_ms = MAX(lag_ms, laggard->wanted.lag_ms);
+    }
+    if (lag_ms >= limit_ms * LATE_PERCENT / 100) {
+        percent = MAX(percent, LATE_LOAD_PERCENT);
     }
     return MAX((guint)this->spec.settings->platform.weight_loads,
                serving * percent / 100);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -50,7 +50,13 @@
     out->weights = out->model
                        ? NamedWeights_find(this->context->weights, out->model)
                        : NULL;
-    return out->weights != NULL;
+    if (!out->weights) {
+        return FALSE;
+    }
+    out->lag_ms = NamedWeights_lagMs(
+        this->context->weights, out->model,
+        g_ascii_strtoull(upstream->weights->str, NULL, 10), Clock_nowMs());
+    return TRUE;
 }
 
 static void
--- a/tests/test_NamedWeights.c
+++ b/tests/test_NamedWeights.c
@@ -31,6 +31,18 @@
 }
 END_TEST
 
+START_TEST(a_lag_counts_from_the_first_newer_name)
+{
+    NamedWeights_t *weights = NamedWeights_create();
+    NamedWeights_take(weights, "m", 2, 2000);
+    NamedWeights_take(weights, "m", 4, 6000);
+    ck_assert_int_eq(NamedWeights_lagMs(weights, "m", 1, 7000), 5000);
+    ck_assert_int_eq(NamedWeights_lagMs(weights, "m", 2, 7000), 1000);
+    ck_assert_int_eq(NamedWeights_lagMs(weights, "m", 4, 7000), 0);
+    NamedWeights_destroy(weights);
+}
+END_TEST
+
 START_TEST(many_names_in_a_row_keep_the_newest)
 {
     NamedWeights_t *weights = NamedWeights_create();
@@ -45,4 +57,5 @@
 
 TESTING_MAIN("NamedWeights", only_newer_versions_are_taken,
              each_version_is_due_by_its_own_name,
+             a_lag_counts_from_the_first_newer_name,
              many_names_in_a_row_keep_the_newest)
