What attempts tell of their upstreams has a file of its own

Change: RelayFeedback.c notes pending tokens, first events, saved prefixes, refusals and doubts; RelayPlacing_log() stands with the placer; the order to the upstream is made in a function of its own. Log lines, their order and all constants are as before.

--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -9,17 +9,12 @@
 #include "PlatformForm.h"
 #include "RelayAnswer.h"
 #include "RelayAttempt.h"
+#include "RelayFeedback.h"
 #include "RelayPlacer.h"
 
 /* Attempts that are proved not to have run do not count against the route's
  * most, up to so many: each costs a round trip and the retry budget. */
 #define UNRUN_MAX 6
-/* An upstream that sheds is left alone for so long; it has a queue of its
- * own, which has to shrink first. */
-#define SHED_PAUSE_MS 250
-
-/* An upstream that answered anything in this time is busy, not gone. */
-#define PROOF_AGE_MS 1000
 
 typedef struct {
     Exchange_t super;
@@ -31,12 +26,10 @@
     GBytes *request_body;
     RelayAnswer_t *answer;
     RelayAttempt_t *attempt;
-    Placement_t placement;
+    RelayFeedback_t feedback;
     EventPipe_t *events;      /* of a stream, else NULL */
     struct evbuffer *body;    /* of a whole answer */
     struct evbuffer *passing; /* events on their way to the caller */
-    guint missing_tokens;     /* counted in upstream->pending_tokens */
-    guint64 saved_prefix;     /* that the attempt saves, 0 for none */
     guint unrun;              /* attempts that did not run */
     gboolean is_stream;       /* the answer under way is a stream */
     gboolean has_answer;      /* a failure of the upstream to pass on */
@@ -59,20 +52,11 @@
     g_free(this);
 }
 
-static void
-settle_pending(RelayExchange_t *this)
-{
-    if (this->super.upstream) {
-        this->super.upstream->pending_tokens -= this->missing_tokens;
-    }
-    this->missing_tokens = 0;
-}
-
 static gboolean
 drop(Exchange_t *super)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
-    settle_pending(this);
+    RelayFeedback_settle(&this->feedback);
     gboolean sent = RelayAttempt_wasSent(this->attempt);
     RelayAttempt_cancel(this->attempt);
     this->attempt = NULL;
@@ -136,10 +120,7 @@
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
 {
     RelayExchange_t *this = owner;
-    Upstream_t *upstream = this->super.upstream;
-    if (head->weights) {
-        Upstream_noteWeights(upstream, head->weights);
-    }
+    RelayFeedback_noteWeights(&this->feedback, head);
     this->is_stream = this->events && head->status < HTTP_MOVEPERM;
     evbuffer_drain(this->body, evbuffer_get_length(this->body));
     if (head->status < HTTP_INTERNAL || !RelayAnswer_isBegun(this->answer)) {
@@ -147,18 +128,6 @@
     }
 }
 
-/* Parts are sent to the store once they are read, which is before the first
- * event. */
-static void
-note_saved(RelayExchange_t *this)
-{
-    if (this->saved_prefix != 0) {
-        CacheStore_noteSaved(this->super.context->cache_store,
-                             this->saved_prefix, Clock_nowMs());
-        this->saved_prefix = 0;
-    }
-}
-
 static void
 note_first_event(RelayExchange_t *this)
 {
@@ -166,11 +135,8 @@
     gint64 passed_us = Clock_nowUs() - this->super.started_us;
     if (trace->first_token_us == 0) {
         trace->first_token_us = passed_us;
-        Upstream_noteFirstToken(this->super.upstream,
-                                passed_us - trace->started_us,
-                                this->missing_tokens, Clock_nowMs());
-        settle_pending(this);
-        note_saved(this);
+        RelayFeedback_noteFirstEvent(&this->feedback,
+                                     passed_us - trace->started_us);
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
@@ -210,63 +176,6 @@
     Exchange_finish(&this->super);
 }
 
-/* What was read of the prompt is in the upstream's cache now. */
-static void
-learn(RelayExchange_t *this)
-{
-    if (this->route->by_prefix) {
-        Policy_learn(this->super.context->policy, &this->placement,
-                     this->super.upstream, 0, this->placement.prompt_tokens);
-    }
-}
-
-static void
-note_refusal(const RelayExchange_t *this, const RelayHead_t *head)
-{
-    Upstream_t *upstream = this->super.upstream;
-    Log_begin(LOG_LEVEL_INFO, "upstream_refused");
-    Log_text("request", this->super.id->str);
-    Log_text("upstream", upstream->name->str);
-    Log_number("status", head->status);
-    Log_number("other_instance", head->other_instance);
-    Log_text("weights", head->weights ? head->weights : "unknown");
-    Log_end();
-    if (head->other_instance && !upstream->leaving) {
-        Upstream_noteLeaving(upstream, upstream->incarnation);
-        Membership_noteUpstream(this->super.context->membership,
-                                upstream->name->str);
-    }
-    if (head->weights) {
-        Upstream_noteWeights(upstream, head->weights);
-    }
-    Upstream_notePause(upstream, SHED_PAUSE_MS, Clock_nowMs());
-}
-
-static void
-log_doubt(const RelayExchange_t *this, const char *reason)
-{
-    const Upstream_t *upstream = this->super.upstream;
-    Log_begin(LOG_LEVEL_WARNING, "upstream_doubted");
-    Log_text("upstream", upstream->name->str);
-    Log_text("request", this->super.id->str);
-    Log_text("reason", reason);
-    Log_number("proof_age_ms", Clock_nowMs() - upstream->proved_ms);
-    Log_end();
-}
-
-/* A connection that does not come up, or that breaks without an answer, puts
- * all further work for this upstream in doubt. */
-static void
-note_reach(const RelayExchange_t *this, AttemptEnd_t end)
-{
-    Upstream_t *upstream = this->super.upstream;
-    gboolean unreached =
-        end == ATTEMPT_NOT_SENT || end == ATTEMPT_SILENT || end == ATTEMPT_CUT;
-    if (unreached && Upstream_noteUnreached(upstream)) {
-        log_doubt(this, Recovery_endName(end));
-    }
-}
-
 static void
 on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
 {
@@ -275,16 +184,16 @@
     this->attempt = NULL;
     this->has_answer = end == ATTEMPT_FAILED;
     if (end == ATTEMPT_NOT_RUN && head) {
-        note_refusal(this, head);
+        RelayFeedback_noteRefusal(&this->feedback, head);
     }
     if (end == ATTEMPT_NOT_RUN || end == ATTEMPT_NOT_SENT) {
         this->unrun++;
     }
-    if (end == ATTEMPT_WHOLE) {
-        learn(this);
+    if (end == ATTEMPT_WHOLE && this->route->by_prefix) {
+        RelayFeedback_noteWhole(&this->feedback);
     }
-    note_reach(this, end);
-    settle_pending(this);
+    RelayFeedback_noteReach(&this->feedback, end);
+    RelayFeedback_settle(&this->feedback);
     Exchange_noteEnd(super, end);
     if (end == ATTEMPT_WHOLE) {
         finish(this);
@@ -304,20 +213,15 @@
 {
     const RelayExchange_t *this = owner;
     const Exchange_t *super = &this->super;
-    Upstream_t *upstream = super->upstream;
     gboolean has_caller = RelayAnswer_request(this->answer) != NULL;
     if (has_caller && super->attempt_trace->first_token_us == 0 &&
-        RelayPlacer_isOverdue(super->context, this->request.model, upstream)) {
-        log_doubt(this, "overdue_weights");
+        RelayPlacer_isOverdue(super->context, this->request.model,
+                              super->upstream)) {
+        RelayFeedback_noteOverdue(&this->feedback);
         return TRUE;
     }
-    if (Clock_nowMs() - upstream->proved_ms < PROOF_AGE_MS) {
-        return FALSE;
-    }
-    if (Upstream_noteUnreached(upstream)) {
-        log_doubt(this, "silent");
-    }
-    return upstream->unanswered > 0 && Exchange_mayRepeat(super);
+    return RelayFeedback_noteSilence(&this->feedback) &&
+           Exchange_mayRepeat(super);
 }
 
 static const RelayAttemptEvents_t attempt_events = {
@@ -359,28 +263,34 @@
     return *text ? text : NULL;
 }
 
-static void
-start_attempt(RelayExchange_t *this, const RelayPlacing_t *placing)
+static RelayOrder_t
+order_of(const RelayExchange_t *this, const RelayPlacing_t *placing,
+         gint64 left_ms)
 {
-    Exchange_t *super = &this->super;
-    const LimitsSection_t *limits = &super->context->settings->limits;
-    Upstream_t *upstream = placing->choice.upstream;
+    const Upstream_t *upstream = placing->choice.upstream;
     gboolean is_engine = placing->salt[0] != '\0';
-    gboolean has_weights = is_engine && upstream->weights->len > 0;
-    gint64 left_ms = super->deadline_ms - Clock_nowMs();
-    RelayOrder_t order = {
+    return (RelayOrder_t){
         .instance = upstream->name->str,
         .customer = this->customer ? this->customer->name->str : NULL,
         .wait_ms = left_ms,
         .rank = rank_of(this),
-        .weights = has_weights ? upstream->weights->str : NULL,
-        .salt = is_engine ? placing->salt : NULL,
+        .weights = is_engine ? or_null(upstream->weights->str) : NULL,
+        .salt = or_null(placing->salt),
         .fetch_from = or_null(placing->fetch_from),
         .save_to = or_null(placing->save_to),
         .last_event_id = last_event_id(this),
     };
+}
+
+static void
+start_attempt(RelayExchange_t *this, const RelayPlacing_t *placing)
+{
+    Exchange_t *super = &this->super;
+    const LimitsSection_t *limits = &super->context->settings->limits;
+    gint64 left_ms = super->deadline_ms - Clock_nowMs();
+    RelayOrder_t order = order_of(this, placing, left_ms);
     RelayAttemptSpec_t spec = {
-        .upstream = upstream,
+        .upstream = placing->choice.upstream,
         .form = this->form->upstream,
         .request = RelayAnswer_request(this->answer),
         .request_id = super->id->str,
@@ -391,55 +301,14 @@
         .first_ms = limits->first_token_timeout_ms,
         .pause_ms = limits->token_timeout_ms,
     };
-    Exchange_noteAttempt(super, upstream, placing->choice.reason);
+    Exchange_noteAttempt(super, spec.upstream, placing->choice.reason);
     super->attempt_trace->candidates = placing->choice.candidates;
-    this->placement = placing->placement;
-    this->saved_prefix = order.save_to ? placing->saved_prefix : 0;
-    this->missing_tokens =
-        placing->placement.prompt_tokens -
-        MIN(placing->choice.expected_cached, placing->placement.prompt_tokens);
-    upstream->pending_tokens += this->missing_tokens;
+    RelayFeedback_begin(&this->feedback, super->context, super->id->str,
+                        placing);
     this->attempt =
         RelayAttempt_start(super->context->base, &spec, &attempt_events, this);
 }
 
-/* Identities of the parts of the prompt and their lengths. */
-static void
-log_parts(const RelayExchange_t *this)
-{
-    g_autoptr(GString) text = g_string_new(NULL);
-    for (guint i = 0; i < this->request.part_count; i++) {
-        const RelayPart_t *part = &this->request.parts[i];
-        g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%u",
-                               i > 0 ? "," : "", part->id, part->tokens);
-    }
-    Log_text("parts", text->str);
-}
-
-static void
-log_placed(const RelayExchange_t *this, const RelayPlacing_t *placing)
-{
-    const Upstream_t *upstream = placing->choice.upstream;
-    Log_begin(LOG_LEVEL_DEBUG, "request_placed");
-    Log_text("request", this->super.id->str);
-    Log_text("upstream", upstream ? upstream->name->str : "none");
-    Log_text("reason", placing->choice.reason);
-    Log_number("candidates", placing->choice.candidates);
-    Log_number("generation", (gint64)placing->placement.generation);
-    log_parts(this);
-    if (upstream) {
-        Log_number("in_flight", upstream->in_flight);
-        Log_text("weights", upstream->weights->str);
-        Log_number("cost_us", placing->choice.cost_us);
-        Log_number("wait_us",
-                   Upstream_waitUs(upstream, placing->placement.now_ms));
-        Log_number("pending_tokens", upstream->pending_tokens);
-    }
-    Log_text("fetch_from", placing->fetch_from);
-    Log_text("save_to", placing->save_to);
-    Log_end();
-}
-
 /* A key may be revoked while its request waits for another attempt. */
 static gboolean
 is_still_allowed(const RelayExchange_t *this)
@@ -477,7 +346,7 @@
         return;
     }
     RelayPlacer_place(super->context, &wish, &placing);
-    log_placed(this, &placing);
+    RelayPlacing_log(&placing, super->id->str, &this->request);
     if (!placing.choice.upstream) {
         Exchange_refuse(super, REFUSAL_NO_UPSTREAM, Exchange_runState(super),
                         NULL);
--- /dev/null
+++ b/src/RelayFeedback.c
@@ -0,0 +1,144 @@
+#include "RelayFeedback.h"
+
+#include "Clock.h"
+#include "Log.h"
+
+/* An upstream that sheds is left alone for so long; it has a queue of its
+ * own, which has to shrink first. */
+#define SHED_PAUSE_MS 250
+
+/* An upstream that answered anything in this time is busy, not gone. */
+#define PROOF_AGE_MS 1000
+
+void
+RelayFeedback_begin(RelayFeedback_t *this, const Context_t *context,
+                    const char *request_id, const RelayPlacing_t *placing)
+{
+    guint prompt_tokens = placing->placement.prompt_tokens;
+    this->context = context;
+    this->request_id = request_id;
+    this->upstream = placing->choice.upstream;
+    this->placement = placing->placement;
+    this->saved_prefix =
+        placing->save_to[0] != '\0' ? placing->saved_prefix : 0;
+    this->missing_tokens =
+        prompt_tokens - MIN(placing->choice.expected_cached, prompt_tokens);
+    this->upstream->pending_tokens += this->missing_tokens;
+}
+
+void
+RelayFeedback_settle(RelayFeedback_t *this)
+{
+    if (this->missing_tokens > 0) {
+        this->upstream->pending_tokens -= this->missing_tokens;
+    }
+    this->missing_tokens = 0;
+}
+
+/* Parts are sent to the store once they are read, which is before the first
+ * event. */
+static void
+note_saved(RelayFeedback_t *this)
+{
+    if (this->saved_prefix != 0) {
+        CacheStore_noteSaved(this->context->cache_store, this->saved_prefix,
+                             Clock_nowMs());
+        this->saved_prefix = 0;
+    }
+}
+
+void
+RelayFeedback_noteFirstEvent(RelayFeedback_t *this, gint64 waited_us)
+{
+    Upstream_noteFirstToken(this->upstream, waited_us, this->missing_tokens,
+                            Clock_nowMs());
+    RelayFeedback_settle(this);
+    note_saved(this);
+}
+
+void
+RelayFeedback_noteWeights(const RelayFeedback_t *this, const RelayHead_t *head)
+{
+    if (head->weights) {
+        Upstream_noteWeights(this->upstream, head->weights);
+    }
+}
+
+void
+RelayFeedback_noteWhole(const RelayFeedback_t *this)
+{
+    Policy_learn(this->context->policy, &this->placement, this->upstream, 0,
+                 this->placement.prompt_tokens);
+}
+
+static void
+log_refusal(const RelayFeedback_t *this, const RelayHead_t *head)
+{
+    Log_begin(LOG_LEVEL_INFO, "upstream_refused");
+    Log_text("request", this->request_id);
+    Log_text("upstream", this->upstream->name->str);
+    Log_number("status", head->status);
+    Log_number("other_instance", head->other_instance);
+    Log_text("weights", head->weights ? head->weights : "unknown");
+    Log_end();
+}
+
+void
+RelayFeedback_noteRefusal(const RelayFeedback_t *this, const RelayHead_t *head)
+{
+    Upstream_t *upstream = this->upstream;
+    log_refusal(this, head);
+    if (head->other_instance && !upstream->leaving) {
+        Upstream_noteLeaving(upstream, upstream->incarnation);
+        Membership_noteUpstream(this->context->membership,
+                                upstream->name->str);
+    }
+    RelayFeedback_noteWeights(this, head);
+    Upstream_notePause(upstream, SHED_PAUSE_MS, Clock_nowMs());
+}
+
+static void
+log_doubt(const RelayFeedback_t *this, const char *reason)
+{
+    Log_begin(LOG_LEVEL_WARNING, "upstream_doubted");
+    Log_text("upstream", this->upstream->name->str);
+    Log_text("request", this->request_id);
+    Log_text("reason", reason);
+    Log_number("proof_age_ms", Clock_nowMs() - this->upstream->proved_ms);
+    Log_end();
+}
+
+static void
+note_unreached(const RelayFeedback_t *this, const char *reason)
+{
+    if (Upstream_noteUnreached(this->upstream)) {
+        log_doubt(this, reason);
+    }
+}
+
+/* A connection that does not come up, or that breaks without an answer, puts
+ * all further work for this upstream in doubt. */
+void
+RelayFeedback_noteReach(const RelayFeedback_t *this, AttemptEnd_t end)
+{
+    if (end == ATTEMPT_NOT_SENT || end == ATTEMPT_SILENT ||
+        end == ATTEMPT_CUT) {
+        note_unreached(this, Recovery_endName(end));
+    }
+}
+
+void
+RelayFeedback_noteOverdue(const RelayFeedback_t *this)
+{
+    log_doubt(this, "overdue_weights");
+}
+
+gboolean
+RelayFeedback_noteSilence(const RelayFeedback_t *this)
+{
+    if (Clock_nowMs() - this->upstream->proved_ms < PROOF_AGE_MS) {
+        return FALSE;
+    }
+    note_unreached(this, "silent");
+    return this->upstream->unanswered > 0;
+}
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "Log.h"
 
 /* No request is placed on older weights so long before it must not begin
  * there: it waits in the engine's queue first. */
@@ -169,3 +170,47 @@
         use_caches(context, out);
     }
 }
+
+/* Identities of the parts of the prompt and their lengths. */
+static void
+log_parts(const RelayRequest_t *request)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    for (guint i = 0; i < request->part_count; i++) {
+        const RelayPart_t *part = &request->parts[i];
+        g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x:%u",
+                               i > 0 ? "," : "", part->id, part->tokens);
+    }
+    Log_text("parts", text->str);
+}
+
+static void
+log_upstream(const RelayPlacing_t *this)
+{
+    const Upstream_t *upstream = this->choice.upstream;
+    Log_number("in_flight", upstream->in_flight);
+    Log_text("weights", upstream->weights->str);
+    Log_number("cost_us", this->choice.cost_us);
+    Log_number("wait_us", Upstream_waitUs(upstream, this->placement.now_ms));
+    Log_number("pending_tokens", upstream->pending_tokens);
+}
+
+void
+RelayPlacing_log(const RelayPlacing_t *this, const char *request_id,
+                 const RelayRequest_t *request)
+{
+    const Upstream_t *upstream = this->choice.upstream;
+    Log_begin(LOG_LEVEL_DEBUG, "request_placed");
+    Log_text("request", request_id);
+    Log_text("upstream", upstream ? upstream->name->str : "none");
+    Log_text("reason", this->choice.reason);
+    Log_number("candidates", this->choice.candidates);
+    Log_number("generation", (gint64)this->placement.generation);
+    log_parts(request);
+    if (upstream) {
+        log_upstream(this);
+    }
+    Log_text("fetch_from", this->fetch_from);
+    Log_text("save_to", this->save_to);
+    Log_end();
+}
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -62,4 +62,8 @@
 void RelayPlacer_place(const Context_t *context, const RelayWish_t *wish,
                        RelayPlacing_t *out);
 
+/** RelayPlacing_log() - a line of what was chosen and why, at level debug */
+void RelayPlacing_log(const RelayPlacing_t *this, const char *request_id,
+                      const RelayRequest_t *request);
+
 #endif
