Both kinds of attempts share the care for their connection

Cause: Attempt.c and RelayAttempt.c each had their own copy of the same clean-up (connection kept or closed, reaper, watch, output callback) and of the same three limits on an upstream's silence.

Change: AttemptConnection.c holds what both do alike; what differs stays with them (the relay gives back no connection that is closed already; the least time of the watch, which has a name now). No limit and no order of steps is changed. An unused field of Attempt is gone.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -1,68 +1,43 @@
 #include "Attempt.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 
+#include "AttemptConnection.h"
 #include "Clock.h"
 #include "HttpCall.h"
 #include "SseParser.h"
 
 /* A refusal's body is short; what is longer is not read on. */
 #define REFUSAL_MAX 65536
+/* The watch is not armed for less while there is time left. */
+#define WATCH_LEAST_MS 1000
 
 struct Attempt {
-    struct event_base *base;
-    Upstream_t *upstream;
+    AttemptConnection_t connection;
     const EngineWire_t *wire;
     const AttemptEvents_t *events;
     void *owner;
     char id[RANDOM_ID_LENGTH + 1];
-    struct evhttp_connection *connection;
-    struct evbuffer_cb_entry *output_watch;
     SseParser_t *parser;
-    GString *refusal;     /* body of an answer that is no stream */
-    struct event *watch;  /* the engine must not be silent */
-    struct event *reaper; /* frees us outside of evhttp's callbacks */
+    GString *refusal; /* body of an answer that is no stream */
     EngineHead_t head;
     EngineForm_t form;
     guint64 next_index;
-    gint64 last_heard_ms;
-    gint64 connect_ms;
-    gint64 first_token_ms;
-    gint64 token_ms;
     AttemptEnd_t fault;
     gboolean has_fault;
-    gboolean sent;
     gboolean has_head;
-    gboolean has_token;
     gboolean whole;
-    gboolean held;
-    gboolean over;
-    gboolean keep; /* the connection ended cleanly and can be used again */
 };
 
 static void
 Attempt_destroy(Attempt_t *this)
 {
-    struct bufferevent *stream =
-        evhttp_connection_get_bufferevent(this->connection);
-    evbuffer_remove_cb_entry(bufferevent_get_output(stream),
-                             this->output_watch);
-    if (this->keep && Upstream_canKeep(this->upstream)) {
-        Upstream_keepConnection(this->upstream, this->connection,
-                                Clock_nowMs());
-    }
-    else {
-        evhttp_connection_free(this->connection);
-    }
-    event_free(this->watch);
-    event_free(this->reaper);
+    AttemptConnection_clear(&this->connection);
     SseParser_destroy(this->parser);
     g_string_free(this->refusal, TRUE);
     g_string_free(this->head.attempt, TRUE);
     g_string_free(this->form.prefix, TRUE);
     g_string_free(this->form.suffix, TRUE);
-    Upstream_unref(this->upstream);
     g_free(this);
 }
 
@@ -74,36 +49,14 @@
     Attempt_destroy(data);
 }
 
-/* Returns FALSE where it was over already. */
-static gboolean
-close_attempt(Attempt_t *this)
-{
-    if (this->over) {
-        return FALSE;
-    }
-    this->over = TRUE;
-    evtimer_del(this->watch);
-    Clock_arm(this->reaper, 0);
-    return TRUE;
-}
-
 static void
 end_attempt(Attempt_t *this, AttemptEnd_t end, const EngineRefusal_t *refusal)
 {
-    if (close_attempt(this)) {
+    if (AttemptConnection_close(&this->connection)) {
         this->events->ended(this->owner, end, refusal);
     }
 }
 
-static gint64
-patience(const Attempt_t *this)
-{
-    if (!this->sent) {
-        return this->connect_ms;
-    }
-    return this->has_token ? this->token_ms : this->first_token_ms;
-}
-
 /* Armed again only when it fires, since a token comes far more often. */
 static void
 on_watch(evutil_socket_t fd, short what, void *data)
@@ -111,26 +64,14 @@
     (void)fd;
     (void)what;
     Attempt_t *this = data;
-    gint64 left = this->last_heard_ms + patience(this) - Clock_nowMs();
-    if (left > 0 || this->held) {
-        Clock_arm(this->watch, MAX(left, 1000));
+    AttemptConnection_t *connection = &this->connection;
+    gint64 left_ms = AttemptConnection_leftMs(connection);
+    if (left_ms > 0 || connection->held) {
+        Clock_arm(connection->watch, MAX(left_ms, WATCH_LEAST_MS));
         return;
     }
-    end_attempt(this, this->sent ? ATTEMPT_SILENT : ATTEMPT_NOT_SENT, NULL);
-}
-
-/* evhttp fills the output only once the connection stands. */
-static void
-on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
-          void *data)
-{
-    (void)buffer;
-    Attempt_t *this = data;
-    if (info->n_added > 0 && !this->sent) {
-        this->sent = TRUE;
-        this->last_heard_ms = Clock_nowMs();
-        Clock_arm(this->watch, this->first_token_ms);
-    }
+    end_attempt(this, connection->sent ? ATTEMPT_SILENT : ATTEMPT_NOT_SENT,
+                NULL);
 }
 
 static gboolean
@@ -155,12 +96,9 @@
         return set_fault(this, ATTEMPT_BAD_ANSWER);
     }
     this->next_index++;
-    if (!this->has_token) {
-        this->has_token = TRUE;
-        Clock_arm(this->watch, this->token_ms);
-    }
+    AttemptConnection_noteData(&this->connection);
     this->events->token(this->owner, token);
-    return !this->over;
+    return !this->connection.over;
 }
 
 static gboolean
@@ -193,15 +131,16 @@
 {
     Attempt_t *this = data;
     struct evbuffer *input = evhttp_request_get_input_buffer(request);
-    if (this->over || this->has_fault || this->whole) {
+    if (this->connection.over || this->has_fault || this->whole) {
         return;
     }
-    this->last_heard_ms = Clock_nowMs();
+    this->connection.last_heard_ms = Clock_nowMs();
     if (!this->has_head) {
         keep_refusal(this, input);
         return;
     }
-    if (!SseParser_feed(this->parser, input) && !this->over && !this->whole) {
+    if (!SseParser_feed(this->parser, input) && !this->connection.over &&
+        !this->whole) {
         end_attempt(this, this->has_fault ? this->fault : ATTEMPT_BAD_ANSWER,
                     NULL);
     }
@@ -211,11 +150,12 @@
 on_headers(struct evhttp_request *request, void *data)
 {
     Attempt_t *this = data;
-    if (this->over || evhttp_request_get_response_code(request) != HTTP_OK) {
+    if (this->connection.over ||
+        evhttp_request_get_response_code(request) != HTTP_OK) {
         return 0;
     }
-    this->last_heard_ms = Clock_nowMs();
-    Http_noDelay(this->connection);
+    this->connection.last_heard_ms = Clock_nowMs();
+    Http_noDelay(this->connection.evhttp);
     gboolean good = this->wire->read_head(
         evhttp_request_get_input_headers(request), &this->head);
     if (g_strcmp0(this->head.attempt->str, this->id) != 0) {
@@ -257,14 +197,16 @@
 {
     Attempt_t *this = data;
     int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (this->over) {
+    if (this->connection.over) {
         return;
     }
     if (status == 0) {
-        end_attempt(this, this->sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT, NULL);
+        end_attempt(this,
+                    this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT,
+                    NULL);
         return;
     }
-    this->keep = status != HTTP_OK || this->whole;
+    this->connection.keep = status != HTTP_OK || this->whole;
     if (status != HTTP_OK) {
         end_refused(this, request);
         return;
@@ -279,7 +221,8 @@
     evhttp_request_set_header_cb(request, on_headers);
     evhttp_request_set_chunked_cb(request, on_chunk);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", this->upstream->address.host);
+    evhttp_add_header(headers, "Host",
+                      this->connection.upstream->address.host);
     evhttp_add_header(headers, "Content-Type", "application/json");
     evhttp_add_header(headers, ATTEMPT_HEADER, this->id);
     gsize length = 0;
@@ -293,44 +236,34 @@
               const AttemptEvents_t *events, void *owner)
 {
     Attempt_t *this = g_new0(Attempt_t, 1);
-    this->base = base;
-    this->upstream = Upstream_ref(spec->upstream);
+    AttemptConnectionSpec_t connection = {
+        .upstream = spec->upstream,
+        .idle_max_ms = spec->fresh ? UPSTREAM_NO_IDLE : UPSTREAM_ANY_IDLE,
+        .patience = {spec->connect_ms, spec->first_token_ms, spec->token_ms},
+        .on_watch = on_watch,
+        .on_reap = on_reap,
+        .attempt = this,
+    };
     this->wire = spec->wire;
     this->events = events;
     this->owner = owner;
     this->next_index = spec->first_index;
-    this->connect_ms = spec->connect_ms;
-    this->first_token_ms = spec->first_token_ms;
-    this->token_ms = spec->token_ms;
-    this->last_heard_ms = Clock_nowMs();
     this->head.attempt = g_string_new(NULL);
     this->form.prefix = g_string_new(NULL);
     this->form.suffix = g_string_new(NULL);
     this->refusal = g_string_new(NULL);
     Random_id(this->id);
     this->parser = SseParser_create(on_event, this);
-    this->watch = Clock_timer(base, on_watch, this);
-    this->reaper = Clock_timer(base, on_reap, this);
-    this->connection = Upstream_takeConnection(
-        this->upstream, spec->fresh ? UPSTREAM_NO_IDLE : UPSTREAM_ANY_IDLE,
-        this->last_heard_ms);
-    struct bufferevent *stream =
-        evhttp_connection_get_bufferevent(this->connection);
-    this->output_watch =
-        evbuffer_add_cb(bufferevent_get_output(stream), on_output, this);
-    Clock_arm(this->watch, this->connect_ms);
-    if (evhttp_make_request(this->connection, make_request(this, spec->body),
-                            EVHTTP_REQ_POST, spec->path) != 0) {
-        this->last_heard_ms = 0;
-        Clock_arm(this->watch, 0);
-    }
+    AttemptConnection_init(&this->connection, base, &connection);
+    AttemptConnection_send(&this->connection, make_request(this, spec->body),
+                           EVHTTP_REQ_POST, spec->path);
     return this;
 }
 
 void
 Attempt_cancel(Attempt_t *this)
 {
-    close_attempt(this);
+    AttemptConnection_close(&this->connection);
 }
 
 const char *
@@ -342,32 +275,28 @@
 void
 Attempt_hold(Attempt_t *this)
 {
-    if (!this->held && !this->over) {
-        this->held = TRUE;
-        bufferevent_disable(
-            evhttp_connection_get_bufferevent(this->connection), EV_READ);
+    if (!this->connection.held && !this->connection.over) {
+        AttemptConnection_hold(&this->connection, TRUE);
     }
 }
 
 gboolean
 Attempt_isHeld(const Attempt_t *this)
 {
-    return this->held;
+    return this->connection.held;
 }
 
 void
 Attempt_release(Attempt_t *this)
 {
-    if (this->held && !this->over) {
-        this->held = FALSE;
-        this->last_heard_ms = Clock_nowMs();
-        bufferevent_enable(evhttp_connection_get_bufferevent(this->connection),
-                           EV_READ);
+    if (this->connection.held && !this->connection.over) {
+        AttemptConnection_hold(&this->connection, FALSE);
+        this->connection.last_heard_ms = Clock_nowMs();
     }
 }
 
 gboolean
 Attempt_wasSent(const Attempt_t *this)
 {
-    return this->sent;
+    return this->connection.sent;
 }
