Followers of a topic need not hear of losses

Cause: RouteSync and UpstreamListing had callbacks that did nothing, as RecordFollower called lost and regained without asking.

Change: both callbacks may be NULL and the empty ones are gone.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -118,7 +118,9 @@
         Log_begin(LOG_LEVEL_WARNING, "topic_regained");
         Log_text("topic", this->topic->str);
         Log_end();
-        this->events->regained(this->owner);
+        if (this->events->regained) {
+            this->events->regained(this->owner);
+        }
     }
 }
 
@@ -131,7 +133,9 @@
         Log_text("topic", this->topic->str);
         Log_text("reason", error->message);
         Log_end();
-        this->events->lost(this->owner, error);
+        if (this->events->lost) {
+            this->events->lost(this->owner, error);
+        }
     }
     guint doublings = MIN(this->failures - 1, MAX_RETRY_DOUBLINGS);
     gint64 most = FIRST_RETRY_MS << doublings;
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -18,8 +18,8 @@
  * @record: the newest record of a key; @value is NULL where it was removed
  * @current: the topic ended at @offset at the time @at_ms (monotonic), and
  *     all records before it were told
- * @lost: the first call failed after good ones
- * @regained: a call succeeded after failed ones
+ * @lost: the first call failed after good ones; may be NULL
+ * @regained: a call succeeded after failed ones; may be NULL
  */
 typedef struct {
     void (*record)(void *owner, const char *key, GBytes *value);
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -116,24 +116,9 @@
 
 static const FreshnessRelayEvents_t relay_events = {.fresh = on_fresh};
 
-static void
-on_lost(void *owner, const GError *error)
-{
-    (void)owner;
-    (void)error;
-}
-
-static void
-on_regained(void *owner)
-{
-    (void)owner;
-}
-
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
-    .lost = on_lost,
-    .regained = on_regained,
 };
 
 static void
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -168,13 +168,6 @@
     this->known = TRUE;
 }
 
-static void
-on_lost(void *owner, const GError *error)
-{
-    (void)owner;
-    (void)error;
-}
-
 static void
 on_regained(void *owner)
 {
@@ -185,7 +178,6 @@
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
-    .lost = on_lost,
     .regained = on_regained,
 };
 
