One place each for sending to all peers, doubts and versions as numbers

Cause: three files looped over all members to send one message; two files had the same limit on doubts that routers tell each other; six places read weights as a number; Orders asked in two ways whether an engine lags.

Change: Membership_sendAll(), Upstream_noteDoubt() (its limit of 3 s unchanged) and Upstream_version() stand for them; Laggard_t is Ordered_t, as it holds engines that have their weights too.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -31,11 +31,7 @@
     current.age_ms = (guint32)(Clock_nowMs() - this->at_ms);
     message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
     message.config_current = &current;
-    const GPtrArray *members = Membership_members(this->membership);
-    for (guint i = 0; i < members->len; i++) {
-        Membership_send(this->membership, g_ptr_array_index(members, i),
-                        &message);
-    }
+    Membership_sendAll(this->membership, &message);
     this->told_ms = this->at_ms;
 }
 
--- a/src/HintFlood.c
+++ b/src/HintFlood.c
@@ -34,11 +34,7 @@
     body.hints = list;
     message.body_case = WT__PEER_MESSAGE__BODY_HINTS;
     message.hints = &body;
-    const GPtrArray *members = Membership_members(this->membership);
-    for (guint i = 0; i < members->len; i++) {
-        Membership_send(this->membership, g_ptr_array_index(members, i),
-                        &message);
-    }
+    Membership_sendAll(this->membership, &message);
     g_free(list);
     g_free(hints);
 }
--- a/src/LoadShare.c
+++ b/src/LoadShare.c
@@ -120,11 +120,7 @@
     message.loads = list;
     frame.body_case = WT__PEER_MESSAGE__BODY_LOADS;
     frame.loads = &message;
-    const GPtrArray *members = Membership_members(this->membership);
-    for (guint i = 0; i < members->len; i++) {
-        Membership_send(this->membership, g_ptr_array_index(members, i),
-                        &frame);
-    }
+    Membership_sendAll(this->membership, &frame);
     g_free(list);
     g_free(loads);
 }
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -408,3 +408,12 @@
                  "kind=\"calls\"", PeerLink_send(member->link, message));
     return TRUE;
 }
+
+void
+Membership_sendAll(Membership_t *this, const Wt__PeerMessage *message)
+{
+    const GPtrArray *live = this->table->live;
+    for (guint i = 0; i < live->len; i++) {
+        Membership_send(this, g_ptr_array_index(live, i), message);
+    }
+}
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -151,7 +151,7 @@
         note_loaded(this);
     }
     if (reborn || strcmp(before, known->str) != 0) {
-        hint(this, HINT_LOADED, (guint)g_ascii_strtoull(known->str, NULL, 10));
+        hint(this, HINT_LOADED, (guint)Upstream_version(this->upstream));
         spread(this);
     }
 }
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -25,12 +25,12 @@
     gboolean stepped_in; /* for candidates that do nothing */
 };
 
-/* An engine that lacks its wanted weights. */
+/* An engine of which some weights are wanted, whether it has them or not. */
 typedef struct {
     OrderedEngine_t *engine;
     WantedWeights_t wanted;
     guint64 version; /* that it has, as a number; 0 where it is none */
-} Laggard_t;
+} Ordered_t;
 
 static void
 free_engine(gpointer data)
@@ -86,10 +86,10 @@
 }
 
 static gint
-compare_laggards(gconstpointer a, gconstpointer b)
+compare_ordereds(gconstpointer a, gconstpointer b)
 {
-    const Laggard_t *left = a;
-    const Laggard_t *right = b;
+    const Ordered_t *left = a;
+    const Ordered_t *right = b;
     return (left->version > right->version) - (left->version < right->version);
 }
 
@@ -99,19 +99,18 @@
 find_engines(Orders_t *this)
 {
     const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
-    GArray *found = g_array_new(FALSE, FALSE, sizeof(Laggard_t));
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(Ordered_t));
     for (guint i = 0; i < all->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(all, i);
-        Laggard_t laggard = {
-            .version = g_ascii_strtoull(upstream->weights->str, NULL, 10)};
-        if (is_mine(this, upstream, &laggard.wanted)) {
-            laggard.engine = engine_of(this, upstream);
-            if (laggard.engine) {
-                g_array_append_val(found, laggard);
+        Ordered_t ordered = {.version = Upstream_version(upstream)};
+        if (is_mine(this, upstream, &ordered.wanted)) {
+            ordered.engine = engine_of(this, upstream);
+            if (ordered.engine) {
+                g_array_append_val(found, ordered);
             }
         }
     }
-    g_array_sort(found, compare_laggards);
+    g_array_sort(found, compare_ordereds);
     return found;
 }
 
@@ -123,8 +122,8 @@
     guint percent = (guint)this->spec.settings->platform.load_percent;
     guint serving = 0;
     for (guint i = 0; i < engines->len; i++) {
-        const Laggard_t *laggard = &g_array_index(engines, Laggard_t, i);
-        serving += OrderedEngine_upstream(laggard->engine)->suspect ? 0 : 1;
+        const Ordered_t *ordered = &g_array_index(engines, Ordered_t, i);
+        serving += OrderedEngine_upstream(ordered->engine)->suspect ? 0 : 1;
     }
     return MAX((guint)this->spec.settings->platform.weight_loads,
                serving * percent / 100);
@@ -138,8 +137,8 @@
     guint most = places(this, engines);
     guint loading = count_loading(this);
     for (guint i = 0; i < engines->len; i++) {
-        const Laggard_t *laggard = &g_array_index(engines, Laggard_t, i);
-        if (OrderedEngine_tend(laggard->engine, &laggard->wanted,
+        const Ordered_t *ordered = &g_array_index(engines, Ordered_t, i);
+        if (OrderedEngine_tend(ordered->engine, &ordered->wanted,
                                loading < most)) {
             loading++;
         }
@@ -147,6 +146,14 @@
     g_array_unref(engines);
 }
 
+static gboolean
+is_lagging(const Orders_t *this, const Upstream_t *upstream)
+{
+    WantedWeights_t wanted;
+    return is_mine(this, upstream, &wanted) &&
+           strcmp(upstream->weights->str, wanted.weights) != 0;
+}
+
 /* With a list the lease is wanted only while some engine lacks what is
  * wanted of it: each renewal is a call to the log. */
 static gboolean
@@ -156,23 +163,14 @@
     for (guint i = 0; i < all->len; i++) {
         const Upstream_t *upstream = g_ptr_array_index(all, i);
         WantedWeights_t wanted;
-        if (is_mine(this, upstream, &wanted) &&
-            (!this->spec.form->listed ||
-             strcmp(upstream->weights->str, wanted.weights) != 0)) {
+        if (this->spec.form->listed ? is_lagging(this, upstream)
+                                    : is_mine(this, upstream, &wanted)) {
             return TRUE;
         }
     }
     return FALSE;
 }
 
-static gboolean
-is_lagging(const Orders_t *this, const Upstream_t *upstream)
-{
-    WantedWeights_t wanted;
-    return is_mine(this, upstream, &wanted) &&
-           strcmp(upstream->weights->str, wanted.weights) != 0;
-}
-
 /* Whoever gives orders makes engines pause and change their weights, which
  * all routers hear of. */
 static void
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -39,8 +39,7 @@
         return FALSE;
     }
     if (placement->least_weights > 0 &&
-        g_ascii_strtoull(upstream->weights->str, NULL, 10) <
-            placement->least_weights) {
+        Upstream_version(upstream) < placement->least_weights) {
         return FALSE;
     }
     return placement->desperate
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -14,6 +14,9 @@
  * and one repeated read. */
 #define LIST_MARGIN_MS 600
 
+/* An answer of an upstream is worth more than a peer's doubt for so long. */
+#define PROOF_AGE_MS 300
+
 struct RelayParts {
     Context_t *context;
     LogClient_t *log;
@@ -118,22 +121,15 @@
     this->prober = UpstreamProber_create(context->base, &prober);
 }
 
-/* An answer of an upstream is worth more than a peer's doubt for so long. */
-#define PROOF_AGE_MS 300
-/* A peer's doubt is not taken again for so long. */
-#define DOUBT_AGE_MS 3000
-
 /* One doubt is enough for a while: the probe that it starts here tells more
  * than the same doubt on another way. */
 static gboolean
 take_doubt(Upstream_t *upstream, gint64 now_ms)
 {
     if (now_ms - upstream->proved_ms < PROOF_AGE_MS ||
-        (upstream->hinted_ms != 0 &&
-         now_ms - upstream->hinted_ms < DOUBT_AGE_MS)) {
+        !Upstream_noteDoubt(upstream, now_ms)) {
         return FALSE;
     }
-    upstream->hinted_ms = now_ms;
     Upstream_noteUnreached(upstream);
     return TRUE;
 }
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -1,7 +1,5 @@
 #include "RelayPlacer.h"
 
-#include <string.h>
-
 #include "Clock.h"
 #include "Log.h"
 
@@ -78,7 +76,7 @@
         context->weights, model,
         context->settings->relay.weights_limit_ms - QUEUE_MARGIN_MS,
         Clock_nowMs());
-    return g_ascii_strtoull(upstream->weights->str, NULL, 10) < least;
+    return Upstream_version(upstream) < least;
 }
 
 static void
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -12,6 +12,9 @@
 #define WAIT_HALF_LIFE_MS 400.0
 /* Share of a new observation in what is known. */
 #define WAIT_GAIN 0.4
+/* A doubt that routers tell each other is not told or taken again for so
+ * long. */
+#define DOUBT_AGE_MS 3000
 /* First token of a request that nothing holds up, beside its computation. */
 #define LEAST_FIRST_TOKEN_US 20000.0
 
@@ -150,6 +153,16 @@
     return news;
 }
 
+gboolean
+Upstream_noteDoubt(Upstream_t *this, gint64 now_ms)
+{
+    if (this->hinted_ms != 0 && now_ms - this->hinted_ms < DOUBT_AGE_MS) {
+        return FALSE;
+    }
+    this->hinted_ms = now_ms;
+    return TRUE;
+}
+
 void
 Upstream_noteReached(Upstream_t *this, gint64 now_ms)
 {
@@ -166,12 +179,23 @@
     }
 }
 
+static guint64
+number_of(const char *weights)
+{
+    return g_ascii_strtoull(weights, NULL, 10);
+}
+
+guint64
+Upstream_version(const Upstream_t *this)
+{
+    return number_of(this->weights->str);
+}
+
 gboolean
 Upstream_noteWeights(Upstream_t *this, const char *weights)
 {
-    guint64 known = g_ascii_strtoull(this->weights->str, NULL, 10);
     if (strcmp(this->weights->str, weights) == 0 ||
-        (this->weights_rise && g_ascii_strtoull(weights, NULL, 10) < known)) {
+        (this->weights_rise && number_of(weights) < Upstream_version(this))) {
         return FALSE;
     }
     g_string_assign(this->weights, weights);
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -46,7 +46,8 @@
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
- * @hinted_ms: when a peer last said that it did not reach it, 0 for never
+ * @hinted_ms: when routers last told each other that it was not reached, by
+ *     Upstream_noteDoubt(); 0 for never
  * @unanswered: probes since it was last reached
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
@@ -141,6 +142,13 @@
  */
 gboolean Upstream_noteUnreached(Upstream_t *this);
 
+/**
+ * Upstream_noteDoubt() - a doubt whether it is reached is told or heard
+ *
+ * Return: FALSE where another one was a short while ago; it says no more then
+ */
+gboolean Upstream_noteDoubt(Upstream_t *this, gint64 now_ms);
+
 /** Upstream_noteReached() - it answered something just now */
 void Upstream_noteReached(Upstream_t *this, gint64 now_ms);
 
@@ -157,6 +165,13 @@
  */
 gboolean Upstream_noteWeights(Upstream_t *this, const char *weights);
 
+/**
+ * Upstream_version() - the version of its weights as a number
+ *
+ * Return: 0 where it has none or it is no number
+ */
+guint64 Upstream_version(const Upstream_t *this);
+
 /**
  * Upstream_noteFirstToken() - learn how long a request waited there
  * @waited_us: from the attempt's start to its first token
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -1,7 +1,6 @@
 #include "UpstreamProber.h"
 
 #include "Clock.h"
-#include "Errors.h"
 #include "HttpCall.h"
 #include "Log.h"
 
@@ -11,9 +10,6 @@
 #define FIRST_PAUSE_MS 250
 #define MAX_PAUSE_DOUBLINGS 4
 
-/* How long after a doubt, a peer's or its own, a router tells none. */
-#define DOUBT_AGE_MS 3000
-
 struct UpstreamProber {
     struct event_base *base;
     UpstreamProberSpec_t spec;
@@ -115,10 +111,7 @@
 tell_peers(const UpstreamProber_t *this, Upstream_t *upstream)
 {
     Hint_t hint = {.kind = HINT_UNREACHED, .subject = upstream->hash};
-    gint64 now_ms = Clock_nowMs();
-    if (upstream->hinted_ms == 0 ||
-        now_ms - upstream->hinted_ms >= DOUBT_AGE_MS) {
-        upstream->hinted_ms = now_ms;
+    if (Upstream_noteDoubt(upstream, Clock_nowMs())) {
         HintFlood_tell(this->spec.hints, &hint);
     }
 }
