--- a/src/CacheStore.h
+++ b/src/CacheStore.h
@@ -9,7 +9,6 @@
  * each other what was saved; nothing rests on it but time, as an engine
  * computes what it does not find.
  */
-#include <event2/event.h>
 #include <glib.h>
 
 #include "HintFlood.h"
@@ -47,7 +46,8 @@
 gboolean CacheStore_beginSave(CacheStore_t *this, guint64 prefix,
                               gint64 now_ms);
 
-/** CacheStore_noteSaved() - a request that saved a prefix has ended well */
+/** CacheStore_noteSaved() - a request that saves a prefix has its first event,
+ * so that the prefix is in the store */
 void CacheStore_noteSaved(CacheStore_t *this, guint64 prefix, gint64 now_ms);
 
 /**
--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -3,12 +3,10 @@
 #include <argp.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "ClientCommands.h"
 #include "Declarations.h"
-#include "Errors.h"
 #include "IniFile.h"
 #include "Log.h"
 #include "Problem.h"
--- a/src/Context.h
+++ b/src/Context.h
@@ -30,11 +30,25 @@
 
 /**
  * struct Context_t - the parts
+ * @base: the event loop
+ * @settings: of this router
  * @form: of the platform; NULL where it is the native one
  * @routes: where the platform's form has routes, else NULL
  * @weights: versions that operators have named; NULL where they declare them
  * @listing: where the platform's form has one, else NULL
  * @cache_store: where the platform's form has one, else NULL
+ * @counters: of this router
+ * @config: the declarations in force
+ * @config_log: where they are kept; NULL where the platform's form has routes
+ * @membership: the other routers
+ * @claims: of keys; NULL where the platform's form has routes
+ * @upstreams: declared or listed
+ * @policy: by which engines are chosen
+ * @service_policy: by which plain services' instances are chosen
+ * @limits: of customers
+ * @budget: of retries
+ * @traces: of recent requests
+ * @turn_end: what is done at the end of a turn of the loop
  * @stopping: SIGTERM came; new requests are refused after the grace
  * @refusing: the grace is over
  * @open_requests: callers' requests under way
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -40,6 +40,8 @@
 
 /**
  * struct Exchange - extended by each form
+ * @class: the form
+ * @context: parts of the router
  * @id: of the request
  * @customer: whose it is; empty for none
  * @customer_class: for counters
@@ -49,6 +51,9 @@
  * @deadline_ms: monotonic time by which the answer must be whole
  * @repeatable: running it again does no harm
  * @max_attempts: most attempts
+ * @guard: its claim, or NULL
+ * @deadline: its timer
+ * @later: timer of the next attempt, the grace, or the end
  * @trace: of the request
  * @attempt_trace: of the last attempt
  * @upstream: of the attempt under way, or NULL
@@ -72,7 +77,7 @@
     guint max_attempts;
     OnceGuard_t *guard;
     struct event *deadline;
-    struct event *later; /* the next attempt, the grace, or the end */
+    struct event *later;
     Trace_t *trace;
     TraceAttempt_t *attempt_trace;
     Upstream_t *upstream;
@@ -84,7 +89,15 @@
 };
 
 /**
- * struct ExchangeSpec_t - what every form knows at admission
+ * struct ExchangeSpec_t - what every form knows at admission; see Exchange_t
+ * @id: of the request
+ * @customer: whose it is; empty for none
+ * @customer_class: for counters
+ * @target: model or service
+ * @priority: of the request
+ * @deadline_ms: monotonic
+ * @repeatable: running it again does no harm
+ * @max_attempts: most attempts
  */
 typedef struct {
     const char *id;
@@ -136,8 +149,11 @@
  */
 void Exchange_noteEnd(Exchange_t *this, AttemptEnd_t end);
 
-/** Exchange_avoidNone() - the upstream of the last attempt is as good as any:
- * only what was known of it was out of date */
+/**
+ * Exchange_avoidNone() - the upstream of the last attempt is as good as any
+ *
+ * Only what was known of it was out of date.
+ */
 void Exchange_avoidNone(Exchange_t *this);
 
 /**
@@ -146,8 +162,10 @@
  */
 void Exchange_recover(Exchange_t *this, AttemptEnd_t end, const char *detail);
 
-/** Exchange_mayRepeat() - whether an attempt that is given up now, after it
- * was sent, could be followed by another one */
+/**
+ * Exchange_mayRepeat() - whether an attempt that is given up now, after it
+ * was sent, could be followed by another one
+ */
 gboolean Exchange_mayRepeat(const Exchange_t *this);
 
 /** Exchange_finish() - the caller has its whole answer */
--- a/src/HintFlood.h
+++ b/src/HintFlood.h
@@ -15,8 +15,10 @@
  *     its identity
  * @HINT_PAUSED: an upstream refuses work; the subject is the hash of its
  *     name, the value how many milliseconds that lasts at the most
- * @HINT_LOADED: an upstream has other weights; the value is their version
- * @HINT_UNREACHED: an upstream was not reached and should be probed
+ * @HINT_LOADED: an upstream has other weights; the subject is the hash of its
+ *     name, the value their version
+ * @HINT_UNREACHED: an upstream was not reached and should be probed; the
+ *     subject is the hash of its name
  */
 typedef enum {
     HINT_SAVED = 1,
@@ -25,7 +27,12 @@
     HINT_UNREACHED = 4,
 } HintKind_t;
 
-/** struct Hint_t - one hint */
+/**
+ * struct Hint_t - one hint
+ * @kind: what it tells
+ * @subject: what it is about; see HintKind_t
+ * @value: see HintKind_t, 0 where the kind has none
+ */
 typedef struct {
     HintKind_t kind;
     guint64 subject;
@@ -42,7 +49,11 @@
 /** struct HintFlood_t - opaque */
 typedef struct HintFlood HintFlood_t;
 
-/** HintFlood_create() - nothing to tell yet */
+/**
+ * HintFlood_create() - nothing to tell yet
+ * @membership: whose links are used; must outlive it
+ * @take: called for each hint of a peer
+ */
 HintFlood_t *HintFlood_create(struct event_base *base,
                               Membership_t *membership, HintTake_t take,
                               void *owner);
@@ -50,10 +61,11 @@
 /** HintFlood_destroy() - free it */
 void HintFlood_destroy(HintFlood_t *this);
 
-/** HintFlood_tell() - a hint of this router */
+/** HintFlood_tell() - tell a hint; left out where too many wait already */
 void HintFlood_tell(HintFlood_t *this, const Hint_t *hint);
 
-/** HintFlood_take() - a peer's message */
+/** HintFlood_take() - a peer's message; what is news here is passed on where
+ * not all routers are linked with all */
 void HintFlood_take(HintFlood_t *this, const Wt__Hints *message);
 
 #endif
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -4,7 +4,6 @@
 #include <time.h>
 
 #include "Clock.h"
-#include "Errors.h"
 #include "LeaseTable.h"
 #include "Log.h"
 #include "Random.h"
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -8,7 +8,6 @@
 #include "Clock.h"
 #include "Errors.h"
 #include "Gossip.h"
-#include "Log.h"
 #include "Random.h"
 
 #define HEARTBEAT_MS 1000
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "Clock.h"
-#include "Errors.h"
 #include "Log.h"
 
 /* Where no list tells of weights, the state is read again after so long. */
@@ -18,7 +17,7 @@
 #define LOAD_PLACE_MS 2500
 /* An order that was taken and not carried out in this time is given anew. */
 #define LOAD_PATIENCE_MS 6000
-/* Peers hear of a pause in one or two ticks of gossip. */
+/* Peers hear of a pause in one or two ticks of hints or gossip. */
 #define PAUSE_AHEAD_MS 120
 /* What waits in its queue would be refused with the order; it gets so long
  * to begin. */
--- a/src/OrderedEngine.h
+++ b/src/OrderedEngine.h
@@ -16,8 +16,12 @@
 
 /**
  * struct OrderGiver_t - what all engines of a giver share
- * @hints: tells all routers of pauses and loads; NULL for gossip alone
+ * @base: of its calls
+ * @form: how engines are spoken to
  * @lease: under which it orders
+ * @membership: told of pauses and loads, for gossip
+ * @hints: tells all routers of pauses and loads; NULL for gossip alone
+ * @counters: for orders
  * @holder: its name
  * @timeout_ms: for each call
  * @stale_until_ms: an engine has seen a higher number; no order until then
@@ -36,6 +40,8 @@
 
 /**
  * struct WantedWeights_t - what an engine should have; texts of its owner
+ * @model: whose weights
+ * @weights: version of them
  */
 typedef struct {
     const char *model;
@@ -58,8 +64,10 @@
 /** OrderedEngine_isOpen() - whether a call to it is under way */
 gboolean OrderedEngine_isOpen(const OrderedEngine_t *this);
 
-/** OrderedEngine_isLoading() - whether it holds one of the places of those
- * that load at once */
+/**
+ * OrderedEngine_isLoading() - whether it holds one of the places of those
+ * that load at once
+ */
 gboolean OrderedEngine_isLoading(const OrderedEngine_t *this);
 
 /**
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -86,7 +86,7 @@
 }
 
 static gint
-compare_ordereds(gconstpointer a, gconstpointer b)
+compare_versions(gconstpointer a, gconstpointer b)
 {
     const Ordered_t *left = a;
     const Ordered_t *right = b;
@@ -110,7 +110,7 @@
             }
         }
     }
-    g_array_sort(found, compare_ordereds);
+    g_array_sort(found, compare_versions);
     return found;
 }
 
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -5,9 +5,11 @@
  *
  * Brings the engines of this router's region to the wanted weights. Only
  * the holder of the region's lease gives orders, each with the lease's
- * number. An order names the state that is wanted, not a step towards it, and
- * is sent only while the lease outlasts its time-out, so that even an engine
- * that ignores the number never gets an order of a holder that has lost it.
+ * number. A few routers may take the lease; any other steps in once nothing
+ * has come of wanted weights for a while. An order names the state that is
+ * wanted, not a step towards it, and is sent only while the lease outlasts its
+ * time-out, so that even an engine that ignores the number never gets an order
+ * of a holder that has lost it.
  */
 #include <event2/event.h>
 
@@ -27,10 +29,16 @@
 
 /**
  * struct OrdersSpec_t - what it needs; all must outlive it
- * @hints: tells all routers of pauses and loads; NULL for gossip alone
+ * @settings: of this router
+ * @incarnation: of this process
+ * @log: that holds the lease
  * @form: how engines are spoken to
  * @wanted: asked again at each step
  * @wanted_data: for @wanted
+ * @upstreams: those that are engines of the region get orders
+ * @membership: tells who may take the lease; told of new weights
+ * @hints: tells all routers of pauses and loads; NULL for gossip alone
+ * @counters: for orders
  */
 typedef struct {
     const Settings_t *settings;
--- a/src/PlatformForm.h
+++ b/src/PlatformForm.h
@@ -13,6 +13,7 @@
 #include "OrderForm.h"
 #include "RecordSource.h"
 #include "RelayForm.h"
+#include "RouteConfig.h"
 #include "UpstreamListing.h"
 
 /**
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -75,9 +75,11 @@
 
 /**
  * struct PolicyClass_t - one policy
+ * @name: as the setting has it
  * @destroy: free it
  * @choose: weigh the candidates
- * @learn: an engine said what it had in its cache; may be NULL
+ * @learn: an engine said what it had in its cache, or has read the whole
+ *     prompt; may be NULL
  */
 typedef struct {
     const char *name;
@@ -124,9 +126,7 @@
     }
 }
 
-/**
- * Policy_mayUse() - whether an upstream may be chosen at all
- */
+/** Policy_mayUse() - whether an upstream may be chosen at all */
 gboolean Policy_mayUse(const Placement_t *placement,
                        const Upstream_t *upstream);
 
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -18,7 +18,7 @@
  * @record: the newest record of a key; @value is NULL where it was removed
  * @current: the topic ended at @offset at the time @at_ms (monotonic), and
  *     all records before it were told
- * @lost: the first call failed after good ones; may be NULL
+ * @lost: a call failed for the first time, or after a good one; may be NULL
  * @regained: a call succeeded after failed ones; may be NULL
  */
 typedef struct {
@@ -54,7 +54,7 @@
 /** RecordFollower_destroy() - free it; its source must be freed first */
 void RecordFollower_destroy(RecordFollower_t *this);
 
-/** RecordFollower_setWait() - how long further reads may be held */
+/** RecordFollower_setWait() - how long further reads may be held, in ms */
 void RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms);
 
 /**
--- a/src/RecordSource.h
+++ b/src/RecordSource.h
@@ -43,7 +43,12 @@
 
 typedef struct RecordSource RecordSource_t;
 
-/** struct RecordSourceClass_t - one wire form */
+/**
+ * struct RecordSourceClass_t - one wire form
+ * @destroy: see RecordSource_destroy()
+ * @list: see RecordSource_list()
+ * @read: see RecordSource_read()
+ */
 typedef struct {
     void (*destroy)(RecordSource_t *this);
     void (*list)(RecordSource_t *this, const char *topic, const char *after,
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -2,7 +2,6 @@
 
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
-#include <string.h>
 #include <sys/queue.h>
 
 #include "CallerWatch.h"
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -1,20 +1,14 @@
 #include "RelayApi.h"
 
-#include <event2/buffer.h>
 #include <string.h>
 
-#include "Clock.h"
-#include "Errors.h"
 #include "HttpCall.h"
-#include "Log.h"
 #include "PlatformForm.h"
 #include "Random.h"
 #include "RelayAnswer.h"
 #include "RelayExchange.h"
 
-/**
- * struct Admission_t - one request while it is looked at
- */
+/* One request while it is looked at. */
 typedef struct {
     Context_t *context;
     struct evhttp_request *http;
@@ -30,8 +24,9 @@
                               context->settings->relay.config_max_age_ms);
 }
 
-gboolean
-RelayApi_isReady(const Context_t *context)
+/* Whether new connections are welcome. */
+static gboolean
+is_ready(const Context_t *context)
 {
     return !context->stopping && RouteTable_config(context->routes) &&
            is_fresh(context) && UpstreamListing_isKnown(context->listing);
@@ -171,7 +166,7 @@
     gboolean known = strcmp(uri, context->form->caller->ready_path) == 0;
     int status = HTTP_NOTFOUND;
     if (known) {
-        status = RelayApi_isReady(context) ? HTTP_OK : HTTP_SERVUNAVAIL;
+        status = is_ready(context) ? HTTP_OK : HTTP_SERVUNAVAIL;
     }
     evhttp_send_reply(request, status, NULL, NULL);
 }
--- a/src/RelayApi.h
+++ b/src/RelayApi.h
@@ -17,7 +17,4 @@
 /** RelayApi_handleReady() - the same for the readiness address */
 void RelayApi_handleReady(struct evhttp_request *request, void *data);
 
-/** RelayApi_isReady() - whether new connections are welcome */
-gboolean RelayApi_isReady(const Context_t *context);
-
 #endif
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -11,7 +11,6 @@
 #include <glib.h>
 
 #include "Prompt.h"
-#include "RouteConfig.h"
 
 /** Longest id of a request that is taken */
 #define RELAY_ID_MAX 128
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -112,7 +112,6 @@
     UpstreamProberSpec_t prober = {
         .upstreams = context->upstreams,
         .routes = context->routes,
-        .membership = context->membership,
         .hints = this->hints,
         .counters = context->counters,
         .state_path = context->form->orders->state_path,
--- a/src/RouteConfig.h
+++ b/src/RouteConfig.h
@@ -80,6 +80,7 @@
     gboolean shares_cache;
 } RouteCustomer_t;
 
+/** Rank of a customer that has none of its own */
 #define ROUTE_NO_RANK G_MAXUINT
 
 /**
@@ -126,6 +127,7 @@
  * @max_body: largest body of a request, in bytes
  * @header_timeout_ms: longest time that a head may take to come
  * @idle_timeout_ms: longest rest of a caller's connection
+ * @references: by which it is held
  */
 typedef struct {
     guint64 version;
--- a/src/Router.c
+++ b/src/Router.c
@@ -4,7 +4,6 @@
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <signal.h>
-#include <string.h>
 #include <sys/socket.h>
 
 #include "CallerApi.h"
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -2,7 +2,6 @@
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
-#include <string.h>
 
 #include "Answer.h"
 #include "Clock.h"
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -32,6 +32,17 @@
 
 /**
  * struct RouterSection_t - [router]
+ * @name: unlike any other router's
+ * @hall: that this router stands in
+ * @region: of the hall
+ * @listen: where callers connect
+ * @ready_listen: where readiness is asked for besides; no host for none
+ * @operator_listen: where operators connect
+ * @policy: a PolicyName_t
+ * @stop_grace_ms: how long requests are still taken after SIGTERM
+ * @stop_limit_ms: how long open streams may go on after SIGTERM
+ * @bootstrap: path of declarations to start from, or NULL
+ * @seed: of all random choices; 0 for one of the system
  */
 typedef struct {
     GString *name;
@@ -49,6 +60,9 @@
 
 /**
  * struct KeysSection_t - [keys]
+ * @seal: of resume tokens
+ * @salt: of cache salts
+ * @operator_hash: of the operators' key
  */
 typedef struct {
     GBytes *seal;
@@ -57,7 +71,10 @@
 } KeysSection_t;
 
 /**
- * struct PeersSection_t - [peers]; @gossip_budget in bytes a second
+ * struct PeersSection_t - [peers]
+ * @listen: where other routers connect
+ * @seeds: Address_t, where other routers may listen
+ * @gossip_budget: in bytes a second
  */
 typedef struct {
     Address_t listen;
@@ -67,6 +84,20 @@
 
 /**
  * struct PlatformSection_t - [platform]
+ * @form: a PlatformName_t
+ * @log: the append-only log
+ * @instances: the list of instances of the native form
+ * @log_timeout_ms: for an answer of the log
+ * @log_poll_ms: how long the log may hold a read
+ * @instances_poll_ms: time between two reads of the list of instances
+ * @command_timeout_ms: for an operator's command
+ * @snapshot_records: records of the configuration between two snapshots
+ * @claim_horizon_ms: oldest age of an Idempotency-Key
+ * @lease_ms: how long the right to give orders lasts without a renewal
+ * @order_timeout_ms: for an engine's answer to an order
+ * @weight_loads: engines of a region that load weights at once, at the least
+ * @load_percent: share of the engines that may load at once, where it is more
+ * @fencing: all engines refuse an order with an old fencing number
  */
 typedef struct {
     gint64 form;
@@ -86,7 +117,18 @@
 } PlatformSection_t;
 
 /**
- * struct RelaySection_t - [relay]
+ * struct RelaySection_t - [relay], for platforms with routes
+ * @config_max_age_ms: requests with a key are refused once it is longer ago
+ *     that the configuration was known to be the newest
+ * @reader_wait_ms: how long the store may hold a read of the configuration by
+ *     a router that asks for the others
+ * @config_wait_ms: the same for all other routers
+ * @leaving_limit_ms: how soon after the list says that an upstream leaves it
+ *     must get no new work
+ * @listing_return_ms: how long after an outage of the list an entry that has
+ *     lapsed may take to come back
+ * @weights_limit_ms: how long after a version was named a request may still
+ *     begin on an older one
  */
 typedef struct {
     gint64 config_max_age_ms;
@@ -99,6 +141,24 @@
 
 /**
  * struct LimitsSection_t - [limits]
+ * @max_body: of a caller's request
+ * @max_header: of a caller's request
+ * @read_timeout_ms: how long a caller may pause while it sends or is sent to
+ * @connect_timeout_ms: for a connection to an upstream
+ * @first_token_timeout_ms: for an upstream's first token or answer
+ * @token_timeout_ms: for each further token
+ * @default_deadline_ms: of a request that names none
+ * @max_attempts: of one request
+ * @retry_percent: retries for each 100 requests for a target
+ * @retry_allowance: retries beyond that, of all routers together
+ * @backoff_ms: mean wait before the first retry; doubled for each further one
+ * @stream_buffer: that waits for a slow caller before its upstream is held
+ * @resume_grace_ms: how long a stream goes on after its caller left
+ * @idle_connections: kept for each upstream
+ * @idle_time_ms: longest rest of a connection that takes a relayed request
+ * @once_idle_time_ms: the same for a request that may run only once
+ * @eject_failures: in a row
+ * @eject_ms: length of the first ejection
  */
 typedef struct {
     gint64 max_body;
@@ -124,6 +184,12 @@
 /**
  * struct Settings_t - all sections
  * @path: of the file that they were read from
+ * @router: see RouterSection_t, and so on
+ * @keys: secrets
+ * @peers: the other routers
+ * @platform: where it is and how it is spoken to
+ * @relay: read again by Settings_reload()
+ * @limits: read again by Settings_reload()
  */
 typedef struct {
     GString *path;
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -1,7 +1,5 @@
 #include "StreamExchange.h"
 
-#include <string.h>
-
 #include "Answer.h"
 #include "Attempt.h"
 #include "Clock.h"
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -39,10 +39,8 @@
  * @ejected_until_ms: gets no work before, but for one probe after
  * @probing: a request after the ejection is under way
  * @live_since_ms: when this incarnation was first heard of, for slow start
- * @warm_at_ms: when it will be past its slow start, as far as it said
  * @weights_rise: versions of its weights are numbers that only grow
- * @paused_until_ms: it refuses work for now; an end of the pause that is known
- *     takes it back
+ * @paused_until_ms: it refuses work until then, or until it has other weights
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
@@ -52,6 +50,10 @@
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
  * @proved_ms: when it last answered anything, 0 for never
+ * @base: of its connections
+ * @idle: IdleConnection_t, the one used last at the tail
+ * @idle_max: most of them
+ * @references: by which it is held
  */
 typedef struct {
     GString *name;
@@ -78,7 +80,6 @@
     gint64 ejected_until_ms;
     gboolean probing;
     gint64 live_since_ms;
-    gint64 warm_at_ms;
     gboolean weights_rise;
     gint64 paused_until_ms;
     guint others_tokens;
@@ -91,7 +92,7 @@
     gint64 proved_ms;
 
     struct event_base *base;
-    GQueue idle; /* IdleConnection_t, the one used last at the tail */
+    GQueue idle;
     guint idle_max;
     guint references;
 } Upstream_t;
@@ -115,7 +116,8 @@
 /**
  * Upstream_isUsable() - whether new work should go to it now
  *
- * It takes work, does not pause, and is not ejected or may be probed again.
+ * It takes work, was reached, does not pause, and is not ejected or may be
+ * probed again.
  */
 gboolean Upstream_isUsable(const Upstream_t *this, gint64 now_ms);
 
@@ -136,7 +138,10 @@
 /** Upstream_notePause() - it refuses work for so long at the most */
 void Upstream_notePause(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
 
-/** Upstream_noteUnreached() - it gets no work until it has answered a probe
+/**
+ * Upstream_noteUnreached() - it gets no work until it has answered a probe
+ *
+ * Its idle connections are closed.
  *
  * Return: TRUE where that is news
  */
@@ -211,6 +216,7 @@
 
 /**
  * Upstream_keepConnection() - give an idle connection back
+ * @now_ms: monotonic, when its rest begins
  *
  * Must not be called from within a callback of the connection unless it is
  * certain that it is kept; see Upstream_canKeep().
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -1,7 +1,5 @@
 #include "UpstreamListing.h"
 
-#include <string.h>
-
 #include "Clock.h"
 #include "Log.h"
 #include "RecordFollower.h"
@@ -131,7 +129,6 @@
     if (entry->weights->len > 0) {
         Upstream_noteWeights(upstream, entry->weights->str);
     }
-    upstream->warm_at_ms = Clock_nowMs() + entry->warmup_ms;
     if (entry->leaving) {
         note_leaving(this, upstream);
     }
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -16,13 +16,11 @@
  * struct ListedUpstream_t - one entry of the list
  * @spec: where it is and what it serves
  * @leaving: it takes no new work
- * @warmup_ms: how much longer it is slow after its start
  * @weights: version that it has; empty where it has none
  */
 typedef struct {
     UpstreamSpec_t spec;
     gboolean leaving;
-    gint64 warmup_ms;
     GString *weights;
 } ListedUpstream_t;
 
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -8,19 +8,21 @@
  * router did not reach, and each of them asks for itself.
  */
 #include "HintFlood.h"
-#include "Membership.h"
 #include "RouteTable.h"
 #include "UpstreamSet.h"
 
 /**
  * struct UpstreamProberSpec_t - what it needs; all must outlive it
+ * @upstreams: that are looked through for suspects
+ * @routes: tell where a service's upstreams answer for their health
+ * @hints: tells peers of suspects
+ * @counters: for probes
  * @state_path: where an engine tells its state
  * @timeout_ms: for one probe
  */
 typedef struct {
     UpstreamSet_t *upstreams;
     const RouteTable_t *routes;
-    Membership_t *membership;
     HintFlood_t *hints;
     Counters_t *counters;
     const char *state_path;
--- a/src/main.c
+++ b/src/main.c
@@ -4,7 +4,6 @@
  * The program wheattiller; see CommandLine.h.
  */
 #include <sodium.h>
-#include <stdio.h>
 
 #include "CommandLine.h"
 #include "Fleet.h"
