--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,7 @@
 	platform/*.[ch] standins/*.[ch] bench/*.[ch] tests/*.[ch]))
 
 .PHONY: demo test install format lint bench generate packages build \
-	build-asan reference slopes soak \
-	check-deploy
+	build-asan reference slopes soak check-deploy
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
