Functions that nobody calls are gone, and those of one file are its own

Cause: Attempt_id(), Object_sameFields() and Upstream_serves() had no caller left; Exchange_dropAttempt(), Exchange_isOpen() and PrefixPolicy_waitUs() were public and used in their own file only; Router's create_native() was the longest function of its file.

Change: the first three are removed, the others are private; the giver of orders is created by a function of its own, at the same point as before.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -266,12 +266,6 @@
     AttemptConnection_close(&this->connection);
 }
 
-const char *
-Attempt_id(const Attempt_t *this)
-{
-    return this->id;
-}
-
 void
 Attempt_hold(Attempt_t *this)
 {
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -64,9 +64,6 @@
 /** Attempt_cancel() - close the connection; no event comes any more */
 void Attempt_cancel(Attempt_t *this);
 
-/** Attempt_id() - its unguessable id */
-const char *Attempt_id(const Attempt_t *this);
-
 /** Attempt_hold() - read no more from the engine for now */
 void Attempt_hold(Attempt_t *this);
 
--- a/src/Declarations.c
+++ b/src/Declarations.c
@@ -186,24 +186,6 @@
     g_free(this);
 }
 
-gboolean
-Object_sameFields(const Object_t *a, const Object_t *b)
-{
-    if (g_hash_table_size(a->fields) != g_hash_table_size(b->fields)) {
-        return FALSE;
-    }
-    GHashTableIter iter;
-    gpointer key = NULL;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, a->fields);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        if (g_strcmp0(g_hash_table_lookup(b->fields, key), value) != 0) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 static gboolean
 has_object(const GPtrArray *objects, ObjectKind_t kind, const char *name)
 {
--- a/src/Declarations.h
+++ b/src/Declarations.h
@@ -114,11 +114,6 @@
  */
 void Object_destroy(Object_t *this);
 
-/**
- * Object_sameFields() - whether two objects declare the same
- */
-gboolean Object_sameFields(const Object_t *a, const Object_t *b);
-
 /**
  * Declarations_kindName() - the word in a section's head
  */
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -85,6 +85,19 @@
     }
 }
 
+/* The attempt no longer counts against its upstream. */
+static void
+drop_attempt(Exchange_t *this, const char *outcome)
+{
+    if (!this->upstream) {
+        return;
+    }
+    this->upstream->in_flight--;
+    this->upstream->probing = FALSE;
+    this->attempt_trace->outcome = outcome;
+    set_upstream(&this->upstream, NULL);
+}
+
 static void
 on_deadline(evutil_socket_t fd, short what, void *data)
 {
@@ -93,7 +106,7 @@
     Exchange_t *this = data;
     if (this->upstream) {
         this->sent = this->class->drop(this) || this->sent;
-        Exchange_dropAttempt(this, "deadline");
+        drop_attempt(this, "deadline");
     }
     abandon(this);
     Exchange_refuse(this, REFUSAL_DEADLINE_PASSED, Exchange_runState(this),
@@ -147,7 +160,7 @@
 void
 Exchange_place(Exchange_t *this)
 {
-    if (Exchange_isOpen(this)) {
+    if (!this->over && !this->left) {
         this->class->place(this);
     }
 }
@@ -199,18 +212,6 @@
     upstream->probing = upstream->ejections > 0;
 }
 
-void
-Exchange_dropAttempt(Exchange_t *this, const char *outcome)
-{
-    if (!this->upstream) {
-        return;
-    }
-    this->upstream->in_flight--;
-    this->upstream->probing = FALSE;
-    this->attempt_trace->outcome = outcome;
-    set_upstream(&this->upstream, NULL);
-}
-
 static gboolean
 is_upstream_fault(AttemptEnd_t end)
 {
@@ -250,7 +251,7 @@
         this->sent = TRUE;
     }
     set_upstream(&this->avoid, this->upstream);
-    Exchange_dropAttempt(this, Recovery_endName(end));
+    drop_attempt(this, Recovery_endName(end));
 }
 
 void
@@ -384,7 +385,7 @@
                          this->target->str, this->customer_class->str, NULL);
     if (this->upstream) {
         this->sent = this->class->drop(this) || this->sent;
-        Exchange_dropAttempt(this, "caller_left");
+        drop_attempt(this, "caller_left");
     }
     evtimer_del(this->deadline);
     run_later(this, on_grace_over, grace_ms);
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -135,12 +135,6 @@
 void Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
                           const char *reason);
 
-/**
- * Exchange_dropAttempt() - the attempt no longer counts against its upstream
- * @outcome: static text for the trace
- */
-void Exchange_dropAttempt(Exchange_t *this, const char *outcome);
-
 /**
  * Exchange_noteEnd() - an attempt ended by itself
  *
@@ -184,11 +178,4 @@
 /** Exchange_runState() - what is known of the request so far */
 RunState_t Exchange_runState(const Exchange_t *this);
 
-/** Exchange_isOpen() - whether the caller still waits */
-static inline gboolean
-Exchange_isOpen(const Exchange_t *this)
-{
-    return !this->over && !this->left;
-}
-
 #endif
--- a/src/PrefixPolicy.c
+++ b/src/PrefixPolicy.c
@@ -219,8 +219,9 @@
     }
 }
 
-gint64
-PrefixPolicy_waitUs(const Upstream_t *upstream, gint64 now_ms)
+/* Expected wait for an engine's prefill. */
+static gint64
+wait_us(const Upstream_t *upstream, gint64 now_ms)
 {
     double done = (double)(now_ms - upstream->reported_at_ms) * 1000.0 /
                   upstream->prefill_us_per_token;
@@ -246,7 +247,7 @@
     const Upstream_t *upstream = candidate->upstream;
     guint missing = placement->prompt_tokens -
                     MIN(candidate->cached, placement->prompt_tokens);
-    return PrefixPolicy_waitUs(upstream, placement->now_ms) +
+    return wait_us(upstream, placement->now_ms) +
            (gint64)(missing * upstream->prefill_us_per_token) +
            distance_us(placement, upstream) + candidate->extra_us;
 }
--- a/src/PrefixPolicy.h
+++ b/src/PrefixPolicy.h
@@ -14,10 +14,4 @@
 /** PrefixPolicy_create() - nothing learned yet */
 Policy_t *PrefixPolicy_create(void);
 
-/**
- * PrefixPolicy_waitUs() - expected wait for an engine's prefill
- * @now_ms: monotonic
- */
-gint64 PrefixPolicy_waitUs(const Upstream_t *upstream, gint64 now_ms);
-
 #endif
--- a/src/Router.c
+++ b/src/Router.c
@@ -164,6 +164,23 @@
     return TRUE;
 }
 
+static void
+create_orders(Router_t *this)
+{
+    OrdersSpec_t orders = {
+        .settings = this->settings,
+        .incarnation = this->context.incarnation,
+        .log = this->log,
+        .form = &OrderHttp_form,
+        .wanted = declared_weights,
+        .wanted_data = this,
+        .upstreams = this->context.upstreams,
+        .membership = this->context.membership,
+        .counters = this->context.counters,
+    };
+    this->orders = Orders_create(this->context.base, &orders);
+}
+
 static void
 create_native(Router_t *this)
 {
@@ -190,18 +207,7 @@
     this->sync =
         ConfigSync_create(base, this->settings, this->context.config,
                           this->context.config_log, this->context.membership);
-    OrdersSpec_t orders = {
-        .settings = this->settings,
-        .incarnation = this->context.incarnation,
-        .log = this->log,
-        .form = &OrderHttp_form,
-        .wanted = declared_weights,
-        .wanted_data = this,
-        .upstreams = this->context.upstreams,
-        .membership = this->context.membership,
-        .counters = this->context.counters,
-    };
-    this->orders = Orders_create(base, &orders);
+    create_orders(this);
     this->plans =
         StopPlans_create(base, this->context.config, this->context.upstreams,
                          this->context.membership);
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -77,18 +77,6 @@
     g_free(this);
 }
 
-gboolean
-Upstream_serves(const Upstream_t *this, const char *target)
-{
-    for (guint i = 0; i < this->serves->len; i++) {
-        const GString *name = g_ptr_array_index(this->serves, i);
-        if (strcmp(name->str, target) == 0) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
 gboolean
 Upstream_takesWork(const Upstream_t *this)
 {
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -107,9 +107,6 @@
 /** Upstream_unref() - free it with its last reference */
 void Upstream_unref(Upstream_t *this);
 
-/** Upstream_serves() - whether it has a model or service */
-gboolean Upstream_serves(const Upstream_t *this, const char *target);
-
 /** Upstream_takesWork() - whether it is declared, not leaving and has slots */
 gboolean Upstream_takesWork(const Upstream_t *this);
 
