--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "Clock.h"
-#include "Errors.h"
 #include "Log.h"
 
 /* Where no list tells of weights, the state is read again after so long. */
@@ -18,7 +17,7 @@
 #define LOAD_PLACE_MS 2500
 /* An order that was taken and not carried out in this time is given anew. */
 #define LOAD_PATIENCE_MS 6000
-/* Peers hear of a pause in one or two ticks of gossip. */
+/* Peers hear of a pause in one or two ticks of hints or gossip. */
 #define PAUSE_AHEAD_MS 120
 /* What waits in its queue would be refused with the order; it gets so long
  * to begin. */
@@ -151,7 +150,7 @@
         note_loaded(this);
     }
     if (reborn || strcmp(before, known->str) != 0) {
-        hint(this, HINT_LOADED, (guint)g_ascii_strtoull(known->str, NULL, 10));
+        hint(this, HINT_LOADED, (guint)Upstream_version(this->upstream));
         spread(this);
     }
 }
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -39,18 +39,21 @@
  * @ejected_until_ms: gets no work before, but for one probe after
  * @probing: a request after the ejection is under way
  * @live_since_ms: when this incarnation was first heard of, for slow start
- * @warm_at_ms: when it will be past its slow start, as far as it said
  * @weights_rise: versions of its weights are numbers that only grow
- * @paused_until_ms: it refuses work for now; an end of the pause that is known
- *     takes it back
+ * @paused_until_ms: it refuses work until then, or until it has other weights
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
- * @hinted_ms: when a peer last said that it did not reach it, 0 for never
+ * @hinted_ms: when routers last told each other that it was not reached, by
+ *     Upstream_noteDoubt(); 0 for never
  * @unanswered: probes since it was last reached
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
  * @proved_ms: when it last answered anything, 0 for never
+ * @base: of its connections
+ * @idle: IdleConnection_t, the one used last at the tail
+ * @idle_max: most of them
+ * @references: by which it is held
  */
 typedef struct {
     GString *name;
@@ -77,7 +80,6 @@
     gint64 ejected_until_ms;
     gboolean probing;
     gint64 live_since_ms;
-    gint64 warm_at_ms;
     gboolean weights_rise;
     gint64 paused_until_ms;
     guint others_tokens;
@@ -90,7 +92,7 @@
     gint64 proved_ms;
 
     struct event_base *base;
-    GQueue idle; /* IdleConnection_t, the one used last at the tail */
+    GQueue idle;
     guint idle_max;
     guint references;
 } Upstream_t;
@@ -105,16 +107,14 @@
 /** Upstream_unref() - free it with its last reference */
 void Upstream_unref(Upstream_t *this);
 
-/** Upstream_serves() - whether it has a model or service */
-gboolean Upstream_serves(const Upstream_t *this, const char *target);
-
 /** Upstream_takesWork() - whether it is declared, not leaving and has slots */
 gboolean Upstream_takesWork(const Upstream_t *this);
 
 /**
  * Upstream_isUsable() - whether new work should go to it now
  *
- * It takes work, does not pause, and is not ejected or may be probed again.
+ * It takes work, was reached, does not pause, and is not ejected or may be
+ * probed again.
  */
 gboolean Upstream_isUsable(const Upstream_t *this, gint64 now_ms);
 
@@ -135,12 +135,22 @@
 /** Upstream_notePause() - it refuses work for so long at the most */
 void Upstream_notePause(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
 
-/** Upstream_noteUnreached() - it gets no work until it has answered a probe
+/**
+ * Upstream_noteUnreached() - it gets no work until it has answered a probe
+ *
+ * Its idle connections are closed.
  *
  * Return: TRUE where that is news
  */
 gboolean Upstream_noteUnreached(Upstream_t *this);
 
+/**
+ * Upstream_noteDoubt() - a doubt whether it is reached is told or heard
+ *
+ * Return: FALSE where another one was a short while ago; it says no more then
+ */
+gboolean Upstream_noteDoubt(Upstream_t *this, gint64 now_ms);
+
 /** Upstream_noteReached() - it answered something just now */
 void Upstream_noteReached(Upstream_t *this, gint64 now_ms);
 
@@ -157,6 +167,13 @@
  */
 gboolean Upstream_noteWeights(Upstream_t *this, const char *weights);
 
+/**
+ * Upstream_version() - the version of its weights as a number
+ *
+ * Return: 0 where it has none or it is no number
+ */
+guint64 Upstream_version(const Upstream_t *this);
+
 /**
  * Upstream_noteFirstToken() - learn how long a request waited there
  * @waited_us: from the attempt's start to its first token
@@ -196,6 +213,7 @@
 
 /**
  * Upstream_keepConnection() - give an idle connection back
+ * @now_ms: monotonic, when its rest begins
  *
  * Must not be called from within a callback of the connection unless it is
  * certain that it is kept; see Upstream_canKeep().
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -1,7 +1,5 @@
 #include "UpstreamListing.h"
 
-#include <string.h>
-
 #include "Clock.h"
 #include "Log.h"
 #include "RecordFollower.h"
@@ -131,7 +129,6 @@
     if (entry->weights->len > 0) {
         Upstream_noteWeights(upstream, entry->weights->str);
     }
-    upstream->warm_at_ms = Clock_nowMs() + entry->warmup_ms;
     if (entry->leaving) {
         note_leaving(this, upstream);
     }
@@ -168,13 +165,6 @@
     this->known = TRUE;
 }
 
-static void
-on_lost(void *owner, const GError *error)
-{
-    (void)owner;
-    (void)error;
-}
-
 static void
 on_regained(void *owner)
 {
@@ -185,7 +175,6 @@
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
-    .lost = on_lost,
     .regained = on_regained,
 };
 
