Mend what reading the relay as a newcomer brought up

Cause, found by reading: a plain service's call that names a model could be given up for overdue weights; a probe's failure counted although the upstream had answered meanwhile; an unreadable state was asked for at each tick; a short weights_limit made ages negative.

Change: each is guarded.

--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -159,6 +159,7 @@
 take_state(OrderedEngine_t *this, const HttpAnswer_t *answer)
 {
     EngineState_t state = {.weights = g_string_new(NULL)};
+    this->read_ms = Clock_nowMs();
     if (this->giver->form->read_state(answer, &state)) {
         note_state(this, &state);
     }
@@ -224,7 +225,7 @@
     else if (this->call_is_order) {
         take_outcome(this, answer);
     }
-    else if (answer->status == HTTP_OK) {
+    else {
         take_state(this, answer);
     }
 }
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "Clock.h"
 #include "HttpCall.h"
 #include "PlatformForm.h"
 #include "Random.h"
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -213,8 +213,10 @@
 {
     const RelayExchange_t *this = owner;
     const Exchange_t *super = &this->super;
-    gboolean has_caller = RelayAnswer_request(this->answer) != NULL;
-    if (has_caller && super->attempt_trace->first_token_us == 0 &&
+    gboolean awaits_engine = this->events && this->route->by_prefix &&
+                             RelayAnswer_request(this->answer) &&
+                             super->attempt_trace->first_token_us == 0;
+    if (awaits_engine &&
         RelayPlacer_isOverdue(super->context, this->request.model,
                               super->upstream)) {
         RelayFeedback_noteOverdue(&this->feedback);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -75,7 +75,8 @@
         .membership = context->membership,
         .reader_wait_ms = settings->relay.reader_wait_ms,
         .wait_ms = settings->relay.config_wait_ms,
-        .unknown_age_ms = settings->relay.weights_limit_ms - SETTLING_MS,
+        .unknown_age_ms =
+            MAX(settings->relay.weights_limit_ms - SETTLING_MS, 0),
     };
     this->sync = RouteSync_create(context->base, &sync);
     UpstreamListingSpec_t listing = {
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -57,7 +57,8 @@
         log_probe(probe, "upstream_reached", "answered");
         return;
     }
-    probe->upstream->unanswered++;
+    /* It may have answered a request in the meantime. */
+    probe->upstream->unanswered += probe->upstream->suspect ? 1 : 0;
     guint doublings = MIN(probe->asked, MAX_PAUSE_DOUBLINGS);
     probe->next_ms = Clock_nowMs() + (FIRST_PAUSE_MS << doublings);
     if (probe->asked <= 1) {
