Read repeated heartbeats by their hash and index the upstreams once

Each entry of the listing put the whole set in order again (quadratic at the start), each heartbeat was parsed though it said the same, and two timers walked over all engines twenty times a second. Ruled out: the requests themselves; at 100 machines most of the routers' time went with the number of upstreams, not with the calls. Change: UpstreamSet puts itself in order when it is asked; UpstreamListing leaves an entry alone whose bytes are the same as before; Orders looks over the engines four times a second without the lease; UpstreamProber ticks every 100 ms.

--- a/src/Orders.c
+++ b/src/Orders.c
@@ -5,6 +5,9 @@
 #include "Clock.h"
 
 #define TICK_MS 50
+/* How often a router without the lease looks over all engines: soon enough to
+ * take a free one, and a small cost where there are thousands. */
+#define LOOK_MS 250
 /* Routers that may take the lease at once; each waits for those before it. */
 #define CANDIDATES 3
 /* Where nothing has come of wanted weights for so long, those may all be gone
@@ -243,7 +246,7 @@
         tend_all(this);
     }
     forgive_stale(this);
-    Clock_arm(this->tick, TICK_MS);
+    Clock_arm(this->tick, Lease_term(lease) > 0 ? TICK_MS : LOOK_MS);
 }
 
 static Lease_t *
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -1,5 +1,7 @@
 #include "UpstreamListing.h"
 
+#include <xxhash.h>
+
 #include "Clock.h"
 #include "Log.h"
 #include "RecordFollower.h"
@@ -12,6 +14,7 @@
     UpstreamListingSpec_t spec;
     RecordFollower_t *follower;
     GHashTable *missing; /* set of names that may come back */
+    GHashTable *seen;    /* name -> guint64 *, hash of its last entry */
     struct event *return_over;
     gint64 regained_ms; /* 0 where the list was never out of reach */
     gboolean known;
@@ -88,6 +91,7 @@
 static void
 take_removal(UpstreamListing_t *this, const char *name)
 {
+    g_hash_table_remove(this->seen, name);
     if (!UpstreamSet_find(this->spec.upstreams, name)) {
         return;
     }
@@ -134,6 +138,24 @@
     }
 }
 
+/* Most entries are heartbeats that say the same again; with thousands of
+ * upstreams it counts that they are not read. */
+static gboolean
+is_unchanged(UpstreamListing_t *this, const char *name, GBytes *value)
+{
+    gsize length = 0;
+    const void *bytes = g_bytes_get_data(value, &length);
+    guint64 hash = XXH3_64bits(bytes, length);
+    const guint64 *known = g_hash_table_lookup(this->seen, name);
+    if (known && *known == hash &&
+        UpstreamSet_find(this->spec.upstreams, name)) {
+        return TRUE;
+    }
+    g_hash_table_replace(this->seen, g_strdup(name),
+                         g_memdup2(&hash, sizeof(hash)));
+    return FALSE;
+}
+
 static void
 on_record(void *owner, const char *key, GBytes *value)
 {
@@ -143,6 +165,9 @@
         return;
     }
     g_hash_table_remove(this->missing, key);
+    if (is_unchanged(this, key, value)) {
+        return;
+    }
     ListedUpstream_t entry;
     ListedUpstream_init(&entry);
     g_string_assign(entry.spec.region, this->spec.region);
@@ -186,6 +211,8 @@
     this->spec = *spec;
     this->missing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    this->seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->return_over = Clock_timer(base, on_return_over, this);
     RecordFollowerSpec_t follow = {
         .source = spec->source,
@@ -203,6 +230,7 @@
     RecordFollower_destroy(this->follower);
     event_free(this->return_over);
     g_hash_table_destroy(this->missing);
+    g_hash_table_destroy(this->seen);
     g_free(this);
 }
 
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -4,7 +4,7 @@
 #include "HttpCall.h"
 #include "Log.h"
 
-#define TICK_MS 50
+#define TICK_MS 100
 /* A suspect that stays silent is asked again after a pause that doubles from
  * the first to the last of these. */
 #define FIRST_PAUSE_MS 250
--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -9,6 +9,7 @@
     guint64 revision;    /* of the declarations that were taken */
     GHashTable *by_name; /* name -> Upstream_t, one reference each */
     GHashTable *by_hash; /* &hash -> Upstream_t, of all */
+    gboolean is_stale;   /* a listing has changed since the last index */
     GPtrArray *all;
     GHashTable *serving; /* "role/target" -> GPtrArray of Upstream_t */
     GPtrArray *none;
@@ -178,15 +179,26 @@
     }
 }
 
+/* A list of thousands comes entry by entry: it is put in order once, when it
+ * is asked for; until then what is in order may name upstreams that are
+ * freed. The set seems the same to who asks, so that it is const. */
+static void
+refresh(const UpstreamSet_t *set)
+{
+    UpstreamSet_t *this = (UpstreamSet_t *)set;
+    if (this->is_stale) {
+        this->is_stale = FALSE;
+        index_listed(this);
+    }
+}
+
 Upstream_t *
 UpstreamSet_put(UpstreamSet_t *this, const char *name,
                 const UpstreamSpec_t *spec)
 {
     const Upstream_t *old = UpstreamSet_find(this, name);
     Upstream_t *upstream = put_upstream(this, name, spec);
-    if (upstream != old) {
-        index_listed(this);
-    }
+    this->is_stale = this->is_stale || upstream != old;
     return upstream;
 }
 
@@ -199,7 +211,7 @@
     }
     upstream->removed = TRUE;
     g_hash_table_remove(this->by_name, name);
-    index_listed(this);
+    this->is_stale = TRUE;
 }
 
 Upstream_t *
@@ -211,6 +223,7 @@
 Upstream_t *
 UpstreamSet_findHash(const UpstreamSet_t *this, guint64 hash)
 {
+    refresh(this);
     return g_hash_table_lookup(this->by_hash, &hash);
 }
 
@@ -218,6 +231,7 @@
 UpstreamSet_serving(const UpstreamSet_t *this, UpstreamRole_t role,
                     const char *target)
 {
+    refresh(this);
     g_autofree char *key = serving_key(role, target);
     const GPtrArray *list = g_hash_table_lookup(this->serving, key);
     return list ? list : this->none;
@@ -226,11 +240,13 @@
 const GPtrArray *
 UpstreamSet_all(const UpstreamSet_t *this)
 {
+    refresh(this);
     return this->all;
 }
 
 guint64
 UpstreamSet_generation(const UpstreamSet_t *this)
 {
+    refresh(this);
     return this->generation;
 }
