An upstream whose entry names other targets is found for those at once

Cause, found by reading: UpstreamSet was put in order again for new upstreams and new places only; one that came to serve another target at the same address was still chosen for the old one until any upstream came or went. test_UpstreamListing failed on it before the change.

Change: a put that changes the targets counts as a change. test_UpstreamListing is new; it covers the entries that are not read again as well.

--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -62,6 +62,20 @@
            upstream->role == (UpstreamRole_t)spec->role;
 }
 
+static gboolean
+same_targets(const GPtrArray *one, const GPtrArray *other)
+{
+    if (one->len != other->len) {
+        return FALSE;
+    }
+    for (guint i = 0; i < one->len; i++) {
+        if (!g_string_equal(one->pdata[i], other->pdata[i])) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 static void
 update_upstream(Upstream_t *upstream, const UpstreamSpec_t *spec)
 {
@@ -197,9 +211,10 @@
                 const UpstreamSpec_t *spec)
 {
     const Upstream_t *old = UpstreamSet_find(this, name);
-    Upstream_t *upstream = put_upstream(this, name, spec);
-    this->is_stale = this->is_stale || upstream != old;
-    return upstream;
+    gboolean same = old && same_place(old, spec) &&
+                    same_targets(old->serves, spec->serves);
+    this->is_stale = this->is_stale || !same;
+    return put_upstream(this, name, spec);
 }
 
 void
--- /dev/null
+++ b/tests/test_UpstreamListing.c
@@ -0,0 +1,161 @@
+#include "testing.h"
+
+#include <event2/event.h>
+#include <string.h>
+
+#include "UpstreamListing.h"
+
+/* A source whose calls a test answers. */
+typedef struct {
+    RecordSource_t super;
+    KeyedDone_t done;
+    void *data;
+} Source_t;
+
+static Source_t source;
+static struct event_base *base;
+static UpstreamSet_t *upstreams;
+static guint decoded;
+
+static void
+list(RecordSource_t *super, const char *topic, const char *after,
+     KeyedDone_t done, void *data)
+{
+    (void)super;
+    (void)topic;
+    (void)after;
+    source.done = done;
+    source.data = data;
+}
+
+static void
+read_from(RecordSource_t *super, const char *topic, guint64 from,
+          gint64 wait_ms, KeyedDone_t done, void *data)
+{
+    (void)super;
+    (void)topic;
+    (void)from;
+    (void)wait_ms;
+    source.done = done;
+    source.data = data;
+}
+
+static const RecordSourceClass_t source_class = {.list = list,
+                                                 .read = read_from};
+
+/* An entry's value is the target that the upstream serves. */
+static gboolean
+decode(GBytes *value, ListedUpstream_t *out, GError **error)
+{
+    (void)error;
+    decoded++;
+    gsize length = 0;
+    const char *text = g_bytes_get_data(value, &length);
+    g_ptr_array_add(out->spec.serves, g_string_new_len(text, (gssize)length));
+    return TRUE;
+}
+
+static UpstreamListing_t *
+begin(void)
+{
+    memset(&source, 0, sizeof(source));
+    source.super.class = &source_class;
+    decoded = 0;
+    base = event_base_new();
+    upstreams = UpstreamSet_create(base, 1);
+    UpstreamListingSpec_t spec = {.source = &source.super,
+                                  .topic = "t",
+                                  .decode = decode,
+                                  .upstreams = upstreams,
+                                  .region = "r"};
+    return UpstreamListing_create(base, &spec);
+}
+
+static void
+end(UpstreamListing_t *listing)
+{
+    UpstreamListing_destroy(listing);
+    UpstreamSet_destroy(upstreams);
+    event_base_free(base);
+}
+
+/* Answers the next call with one record; @value is NULL for a removal. */
+static void
+answer(guint64 offset, const char *key, const char *value)
+{
+    while (!source.done) {
+        event_base_loop(base, EVLOOP_ONCE);
+    }
+    KeyedPage_t page = {.records =
+                            g_ptr_array_new_with_free_func(KeyedRecord_free),
+                        .end = offset + 1};
+    KeyedRecord_t *record = g_new0(KeyedRecord_t, 1);
+    record->key = g_string_new(key);
+    record->value = value ? g_bytes_new(value, strlen(value)) : NULL;
+    record->offset = offset;
+    g_ptr_array_add(page.records, record);
+    KeyedDone_t done = source.done;
+    source.done = NULL;
+    done(&page, NULL, source.data);
+    g_ptr_array_unref(page.records);
+}
+
+static guint
+serving(const char *target)
+{
+    return UpstreamSet_serving(upstreams, 0, target)->len;
+}
+
+START_TEST(an_entry_that_says_the_same_is_not_read_again)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    answer(2, "a", "m");
+    answer(3, "a", "m");
+    ck_assert_uint_eq(decoded, 1);
+    ck_assert_uint_eq(serving("m"), 1);
+    end(listing);
+}
+END_TEST
+
+START_TEST(entries_are_known_by_their_own_names)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    answer(2, "b", "m");
+    ck_assert_uint_eq(decoded, 2);
+    ck_assert_uint_eq(serving("m"), 2);
+    end(listing);
+}
+END_TEST
+
+START_TEST(an_upstream_that_comes_back_with_the_same_entry_serves)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    answer(2, "a", NULL);
+    ck_assert_uint_eq(serving("m"), 0);
+    ck_assert_uint_eq(UpstreamSet_all(upstreams)->len, 0);
+    answer(3, "a", "m");
+    ck_assert_uint_eq(decoded, 2);
+    ck_assert_uint_eq(serving("m"), 1);
+    end(listing);
+}
+END_TEST
+
+START_TEST(an_upstream_that_serves_another_target_is_found_for_that_only)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    ck_assert_uint_eq(serving("m"), 1);
+    answer(2, "a", "n");
+    ck_assert_uint_eq(serving("m"), 0);
+    ck_assert_uint_eq(serving("n"), 1);
+    end(listing);
+}
+END_TEST
+
+TESTING_MAIN("UpstreamListing", an_entry_that_says_the_same_is_not_read_again,
+             entries_are_known_by_their_own_names,
+             an_upstream_that_comes_back_with_the_same_entry_serves,
+             an_upstream_that_serves_another_target_is_found_for_that_only)
