A prefix that is not known to be kept is asked of the store

Of the requests that could have found a part elsewhere, 1,482 (4.2 M tokens) needed only the first part of a prompt whose history was new: the router then named an engine that most likely, but not certainly, had read something for it, and the time to the first event showed that the engine read all of it (183 ms; 96 ms where the store was named). After all routers were restarted they no longer knew what the store keeps and named engines as well.

Ruled out: takes from the store that fail (known prefixes come in 62 to 92 ms, read ones in 126 to 191 ms); parts pushed out of engines (those that were used less than 2 s before come in 45 ms).

Change: the store is named unless an engine was seen to read the prefix and the store is not known to keep it. A miss costs a millisecond.

--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -239,6 +239,7 @@
             is_cached(&walk, choice.upstream) ? shared_tokens(placement) : 0;
         choice.fetch_from =
             holds ? NULL : find_source(this, placement, choice.upstream);
+        choice.source_seen = choice.fetch_from != NULL;
         if (!holds && !choice.fetch_from) {
             choice.fetch_from = likely_source(&walk, choice.upstream);
         }
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -61,6 +61,8 @@
  * @expected_cached: prompt tokens that it should have in its cache
  * @cost_us: expected time to the first token, and what was added to it
  * @fetch_from: engine whose cached prefix it should take over, or NULL
+ * @source_seen: @fetch_from was seen to read the prefix; else it is only
+ *     likely to have done so
  */
 typedef struct {
     Upstream_t *upstream;
@@ -69,6 +71,7 @@
     guint expected_cached;
     gint64 cost_us;
     const Upstream_t *fetch_from;
+    gboolean source_seen;
 } Choice_t;
 
 typedef struct Policy Policy_t;
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -102,8 +102,10 @@
     return placement->level_count > 1 ? placement->level_count - 2 : 0;
 }
 
-/* From the store where it should be kept there, else from an engine that has
- * it; what is kept nowhere is saved by the request that computes it. */
+/* From an engine that was seen to read it, as long as the store is not known
+ * to keep it; else from the store: a miss there costs a millisecond, and even
+ * where the whole prefix is new the store keeps what it begins with. What is
+ * kept nowhere is saved by the request that computes it. */
 static void
 use_caches(const Context_t *context, RelayPlacing_t *out)
 {
@@ -123,12 +125,13 @@
     if (!store) {
         return;
     }
-    if (CacheStore_isKept(context->cache_store, out->saved_prefix,
-                          placement->now_ms)) {
+    gboolean kept = CacheStore_isKept(context->cache_store, out->saved_prefix,
+                                      placement->now_ms);
+    if (kept || !out->choice.source_seen) {
         write_address(out->fetch_from, &store->address);
     }
-    else if (CacheStore_beginSave(context->cache_store, out->saved_prefix,
-                                  placement->now_ms)) {
+    if (!kept && CacheStore_beginSave(context->cache_store, out->saved_prefix,
+                                      placement->now_ms)) {
         write_address(out->save_to, &store->address);
     }
 }
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -287,7 +287,7 @@
     def plain(self, name):
         return self.add(Upstream(self.store, name, "plain"))
 
-    def config(self, version=None, routes=None, customers=None):
+    def config(self, version=None, routes=None, customers=None, stores=()):
         self.version = version or self.version + 1
         self.store.put("keyed.op", "config", {
             "version": self.version,
@@ -298,7 +298,9 @@
                  "engine": {"slots": 64, "kv_capacity": 100000,
                             "models": [{"name": "m"}]}},
                 {"name": "plain", "health_path": "/health",
-                 "max_connections": 100}],
+                 "max_connections": 100}] + [
+                {"name": name, "kv_store_addr": address, "zone": "hall-a",
+                 "kv_capacity": 1000000} for name, address in stores],
             "limits": {},
             "tenants": CUSTOMERS if customers is None else customers})
 
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -251,6 +251,34 @@
         self.assertEqual(self.fleet.ask(router, "/write/x").status, 503)
 
 
+class CacheTest(FleetTest):
+    STORE = "127.0.0.1:9"
+
+    def ask(self, router, parts):
+        self.fleet.ask(router, "/ask/x", X_Prompt_Prefix=parts)
+
+    def test_a_new_prefix_takes_what_it_begins_with_from_the_store(self):
+        engines = self.two_engines()
+        self.fleet.config(stores=[("kept", self.STORE)])
+        router = self.fleet.start()
+        self.wait_listed(router, 2)
+        self.ask(router, "a1:2000,b1:2000,c1:10")
+        self.ask(router, "a1:2000,b2:2000,c2:10")
+        seen = [s for e in engines for s in e.seen]
+        self.assertEqual([s.get("X-Kv-Fetch") for s in seen],
+                         [self.STORE] * 2)
+        self.assertEqual([s.get("X-Kv-Save") for s in seen],
+                         [self.STORE] * 2)
+
+    def test_a_short_prefix_is_not_kept(self):
+        engine = self.fleet.engine("e1")
+        self.fleet.config(stores=[("kept", self.STORE)])
+        router = self.fleet.start()
+        self.ask(router, "a1:200,b1:200,c1:10")
+        self.assertNotIn("X-Kv-Fetch", engine.seen[0])
+        self.assertNotIn("X-Kv-Save", engine.seen[0])
+
+
 class WeightsTest(FleetTest):
     def test_named_weights_reach_all_engines_and_change_the_salt(self):
         engines = self.two_engines()
