A few routers probe for all; calls go where a connection is open

Change: on a peer's doubt the first three routers in rank ask and tell the others when the upstream answers (HINT_REACHED); the others ask after 2.5 s without news, and at once where a request of their own was not answered. Of upstreams with the same load the one with a warm connection is taken.

Ruled out: letting a doubt be told again once it is settled, as the wave of the first one may still be on its way (doubts went round for ever once).

--- a/src/HintFlood.h
+++ b/src/HintFlood.h
@@ -19,12 +19,15 @@
  *     name, the value their version
  * @HINT_UNREACHED: an upstream was not reached and should be probed; the
  *     subject is the hash of its name
+ * @HINT_REACHED: an upstream that was in doubt answered a probe; the subject
+ *     is the hash of its name
  */
 typedef enum {
     HINT_SAVED = 1,
     HINT_PAUSED = 2,
     HINT_LOADED = 3,
     HINT_UNREACHED = 4,
+    HINT_REACHED = 5,
 } HintKind_t;
 
 /**
--- a/src/LeastLoadedPolicy.c
+++ b/src/LeastLoadedPolicy.c
@@ -12,6 +12,20 @@
            upstream->reported_running;
 }
 
+/* Of two with the same load the one with an open connection: a new one takes
+ * time and work there. As each is used in turn, a router keeps connections to
+ * just so many upstreams as its requests keep open. */
+static gboolean
+is_better(const Placement_t *placement, const Upstream_t *upstream,
+          const Upstream_t *than)
+{
+    if (!than || load_of(upstream) != load_of(than)) {
+        return !than || load_of(upstream) < load_of(than);
+    }
+    return Upstream_isWarm(upstream, placement->warm_ms, placement->now_ms) &&
+           !Upstream_isWarm(than, placement->warm_ms, placement->now_ms);
+}
+
 static Choice_t
 choose(Policy_t *super, const Placement_t *placement)
 {
@@ -25,7 +39,7 @@
         if (!Policy_mayUse(placement, upstream)) {
             continue;
         }
-        if (!best.upstream || load_of(upstream) < load_of(best.upstream)) {
+        if (is_better(placement, upstream, best.upstream)) {
             best.upstream = upstream;
             best.reason = "least_loaded";
         }
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -29,6 +29,7 @@
  * @newest: version that is preferred, or NULL
  * @newest_age_ms: how long ago it was named
  * @cache_store: what is kept beside the engines, or NULL
+ * @warm_ms: longest rest of a connection that the request may use
  * @avoid: upstream of the last attempt that failed, or NULL
  * @desperate: nothing else is left, so that an ejected one will do
  * @now_ms: monotonic
@@ -48,6 +49,7 @@
     const char *newest;
     gint64 newest_age_ms;
     const struct CacheStore *cache_store;
+    gint64 warm_ms;
     const Upstream_t *avoid;
     gboolean desperate;
     gint64 now_ms;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -121,6 +121,7 @@
         .upstreams = context->upstreams,
         .routes = context->routes,
         .hints = this->hints,
+        .membership = context->membership,
         .counters = context->counters,
         .state_path = context->form->orders->state_path,
         .timeout_ms = context->settings->limits.connect_timeout_ms,
@@ -137,7 +138,7 @@
         !Upstream_noteDoubt(upstream, now_ms)) {
         return FALSE;
     }
-    Upstream_noteUnreached(upstream);
+    Upstream_noteHeardDoubt(upstream);
     return TRUE;
 }
 
@@ -157,6 +158,8 @@
         return Upstream_noteWeights(upstream, weights);
     case HINT_UNREACHED:
         return take_doubt(upstream, now_ms);
+    case HINT_REACHED:
+        return Upstream_settleDoubt(upstream);
     default:
         return FALSE;
     }
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -148,6 +148,7 @@
         .generation = UpstreamSet_generation(context->upstreams),
         .hall = router->hall->str,
         .region = router->region->str,
+        .warm_ms = context->settings->limits.once_idle_time_ms,
         .avoid = wish->avoid,
         .now_ms = Clock_nowMs(),
     };
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -137,10 +137,35 @@
 {
     gboolean news = !this->suspect;
     this->suspect = TRUE;
+    this->heard_doubt = FALSE;
     drop_idle(this);
     return news;
 }
 
+void
+Upstream_noteHeardDoubt(Upstream_t *this)
+{
+    if (!this->suspect) {
+        this->suspect = TRUE;
+        this->heard_doubt = TRUE;
+        drop_idle(this);
+    }
+}
+
+gboolean
+Upstream_settleDoubt(Upstream_t *this)
+{
+    if (this->hinted_ms == 0 || this->doubt_settled) {
+        return FALSE;
+    }
+    this->doubt_settled = TRUE;
+    if (this->heard_doubt) {
+        this->suspect = FALSE;
+        this->heard_doubt = FALSE;
+    }
+    return TRUE;
+}
+
 gboolean
 Upstream_noteDoubt(Upstream_t *this, gint64 now_ms)
 {
@@ -148,6 +173,7 @@
         return FALSE;
     }
     this->hinted_ms = now_ms;
+    this->doubt_settled = FALSE;
     return TRUE;
 }
 
@@ -155,6 +181,7 @@
 Upstream_noteReached(Upstream_t *this, gint64 now_ms)
 {
     this->suspect = FALSE;
+    this->heard_doubt = FALSE;
     this->unanswered = 0;
     this->proved_ms = now_ms;
 }
@@ -248,6 +275,13 @@
                                       this->address.port);
 }
 
+gboolean
+Upstream_isWarm(const Upstream_t *this, gint64 rest_ms, gint64 now_ms)
+{
+    const IdleConnection_t *idle = g_queue_peek_tail((GQueue *)&this->idle);
+    return idle && now_ms - idle->since_ms <= rest_ms;
+}
+
 gboolean
 Upstream_canKeep(const Upstream_t *this)
 {
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -44,8 +44,10 @@
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
+ * @heard_doubt: it is suspect only because a peer did not reach it
  * @hinted_ms: when routers last told each other that it was not reached, by
  *     Upstream_noteDoubt(); 0 for never
+ * @doubt_settled: routers have told each other since that it was reached
  * @unanswered: probes since it was last reached
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
@@ -85,7 +87,9 @@
     guint others_tokens;
     guint others_requests;
     gboolean suspect;
+    gboolean heard_doubt;
     gint64 hinted_ms;
+    gboolean doubt_settled;
     guint unanswered;
     double wait_us;
     gint64 wait_at_ms;
@@ -144,6 +148,18 @@
  */
 gboolean Upstream_noteUnreached(Upstream_t *this);
 
+/** Upstream_noteHeardDoubt() - the same where only a peer did not reach it */
+void Upstream_noteHeardDoubt(Upstream_t *this);
+
+/**
+ * Upstream_settleDoubt() - a peer that was to probe it has reached it
+ *
+ * What this router found out for itself stays.
+ *
+ * Return: FALSE where no doubt was told, or where this is known already
+ */
+gboolean Upstream_settleDoubt(Upstream_t *this);
+
 /**
  * Upstream_noteDoubt() - a doubt whether it is reached is told or heard
  *
@@ -222,6 +238,13 @@
                              struct evhttp_connection *connection,
                              gint64 now_ms);
 
+/**
+ * Upstream_isWarm() - whether a connection to it rested for a short while only
+ * @rest_ms: longest rest
+ */
+gboolean Upstream_isWarm(const Upstream_t *this, gint64 rest_ms,
+                         gint64 now_ms);
+
 /** Upstream_canKeep() - whether one more idle connection is wanted */
 gboolean Upstream_canKeep(const Upstream_t *this);
 
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -22,6 +22,7 @@
     Upstream_t *upstream;
     HttpCall_t *call; /* NULL during a pause */
     gint64 next_ms;
+    gint64 heard_until_ms; /* peers are to ask before, not this router */
     guint asked;
 } Probe_t;
 
@@ -46,6 +47,15 @@
     Log_end();
 }
 
+static void
+tell_reached(const Probe_t *probe)
+{
+    Hint_t hint = {.kind = HINT_REACHED, .subject = probe->upstream->hash};
+    if (Upstream_settleDoubt(probe->upstream)) {
+        HintFlood_tell(probe->owner->spec.hints, &hint);
+    }
+}
+
 /* Any answer shows that it can be reached, which is all that was in doubt. */
 static void
 on_answer(const HttpAnswer_t *answer, const GError *error, void *data)
@@ -54,6 +64,7 @@
     probe->call = NULL;
     if (answer) {
         Upstream_noteReached(probe->upstream, Clock_nowMs());
+        tell_reached(probe);
         log_probe(probe, "upstream_reached", "answered");
         return;
     }
@@ -117,6 +128,34 @@
     }
 }
 
+static gboolean
+is_prober(const UpstreamProber_t *this, const Upstream_t *upstream)
+{
+    return Membership_rank(this->spec.membership, upstream->name->str, NULL) <
+           PROBERS;
+}
+
+static Probe_t *
+create_probe(UpstreamProber_t *this, Upstream_t *upstream)
+{
+    Probe_t *probe = g_new0(Probe_t, 1);
+    probe->owner = this;
+    probe->upstream = Upstream_ref(upstream);
+    if (upstream->heard_doubt && !is_prober(this, upstream)) {
+        probe->heard_until_ms = Clock_nowMs() + PROBERS_PATIENCE_MS;
+    }
+    return probe;
+}
+
+static gboolean
+is_due(const Probe_t *probe)
+{
+    gint64 now_ms = Clock_nowMs();
+    gboolean left_to_peers =
+        probe->upstream->heard_doubt && now_ms < probe->heard_until_ms;
+    return !probe->call && !left_to_peers && now_ms >= probe->next_ms;
+}
+
 static void
 find_suspects(UpstreamProber_t *this)
 {
@@ -127,10 +166,8 @@
             g_hash_table_contains(this->probes, upstream)) {
             continue;
         }
-        Probe_t *probe = g_new0(Probe_t, 1);
-        probe->owner = this;
-        probe->upstream = Upstream_ref(upstream);
-        g_hash_table_insert(this->probes, upstream, probe);
+        g_hash_table_insert(this->probes, upstream,
+                            create_probe(this, upstream));
         tell_peers(this, upstream);
     }
 }
@@ -148,7 +185,7 @@
     g_hash_table_iter_init(&iter, this->probes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         Probe_t *probe = value;
-        if (!probe->call && Clock_nowMs() >= probe->next_ms) {
+        if (is_due(probe)) {
             ask(this, probe);
         }
     }
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -5,7 +5,8 @@
  *
  * Asks upstreams that were not reached for their health before they get work
  * again, so that no request has to find out. Peers are told of one that this
- * router did not reach, and each of them asks for itself.
+ * router did not reach; a few of them ask as well and tell the others when
+ * it answers. The others ask only if they are told nothing.
  */
 #include "HintFlood.h"
 #include "RouteTable.h"
@@ -16,6 +17,7 @@
  * @upstreams: that are looked through for suspects
  * @routes: tell where a service's upstreams answer for their health
  * @hints: tells peers of suspects
+ * @membership: tells who is to ask on a peer's word
  * @counters: for probes
  * @state_path: where an engine tells its state
  * @timeout_ms: for one probe
@@ -24,11 +26,20 @@
     UpstreamSet_t *upstreams;
     const RouteTable_t *routes;
     HintFlood_t *hints;
+    const Membership_t *membership;
     Counters_t *counters;
     const char *state_path;
     gint64 timeout_ms;
 } UpstreamProberSpec_t;
 
+/** Routers that ask an upstream which a peer did not reach: one of them may be
+ * gone and one cut off */
+#define PROBERS 3
+
+/** How long the others wait for the word of those, in ms: as long as three
+ * probes of them take, the first two of which were not answered */
+#define PROBERS_PATIENCE_MS 2500
+
 /** struct UpstreamProber_t - opaque */
 typedef struct UpstreamProber UpstreamProber_t;
 
--- a/tests/test_Policy.c
+++ b/tests/test_Policy.c
@@ -254,6 +254,29 @@
 }
 END_TEST
 
+START_TEST(least_loaded_prefers_an_open_connection_among_equals)
+{
+    engines = create_engines(3);
+    struct event_base *base = event_base_new();
+    Policy_t *policy = Policy_create(POLICY_LEAST_LOADED);
+    Placement_t request = placement(1);
+    request.warm_ms = 1000;
+    Upstream_t *warm = engine_at(1);
+    warm->idle_max = 1;
+    Upstream_keepConnection(
+        warm, evhttp_connection_base_new(base, NULL, "127.0.0.1", 9),
+        request.now_ms);
+    for (guint i = 0; i < 6; i++) {
+        ck_assert_ptr_eq(Policy_choose(policy, &request).upstream, warm);
+    }
+    warm->in_flight = 1;
+    ck_assert_ptr_ne(Policy_choose(policy, &request).upstream, warm);
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+    event_base_free(base);
+}
+END_TEST
+
 TESTING_MAIN("Policy", round_robin_takes_each_in_turn,
              least_loaded_takes_the_least_loaded,
              every_policy_leaves_out_the_unusable,
@@ -263,4 +286,5 @@
              evicting_engine_is_trusted_for_less_time,
              residency_is_bounded_and_forgets_the_oldest,
              ring_moves_only_the_keys_of_what_left,
-             empty_ring_and_empty_set_choose_nothing)
+             empty_ring_and_empty_set_choose_nothing,
+             least_loaded_prefers_an_open_connection_among_equals)
