Streams are moved from engines that are to load weights

Cause: an order waits for the running streams of its engine to end.

Ruled out: the orders of kind truncate and retain, which would cut the streams that must not run again, or devalue what they still make.

--- a/src/Context.h
+++ b/src/Context.h
@@ -21,6 +21,7 @@
 #include "RetryBudget.h"
 #include "RouteTable.h"
 #include "Settings.h"
+#include "StreamMover.h"
 #include "Trace.h"
 #include "TurnEnd.h"
 #include "UpstreamListing.h"
@@ -37,6 +38,7 @@
  * @weights: versions that operators have named; NULL where they declare them
  * @listing: where the platform's form has one, else NULL
  * @cache_store: where the platform's form has one, else NULL
+ * @mover: of streams whose engines pause; NULL on the native platform
  * @counters: of this router
  * @config: the declarations in force
  * @config_log: where they are kept; NULL where the platform's form has routes
@@ -62,6 +64,7 @@
     NamedWeights_t *weights;
     UpstreamListing_t *listing;
     CacheStore_t *cache_store;
+    StreamMover_t *mover;
     Counters_t *counters;
     ConfigStore_t *config;
     ConfigLog_t *config_log;
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -216,7 +216,7 @@
 is_upstream_fault(AttemptEnd_t end)
 {
     return end != ATTEMPT_WHOLE && end != ATTEMPT_NOT_RUN &&
-           end != ATTEMPT_REJECTED;
+           end != ATTEMPT_REJECTED && end != ATTEMPT_MOVED;
 }
 
 static void
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -326,7 +326,7 @@
 announce(OrderedEngine_t *this)
 {
     this->announced_ms = Clock_nowMs();
-    Upstream_notePause(this->upstream, PAUSE_MOST_MS, this->announced_ms);
+    Upstream_noteUnloading(this->upstream, PAUSE_MOST_MS, this->announced_ms);
     hint(this, HINT_PAUSED, PAUSE_MOST_MS);
     spread(this);
     return TRUE;
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -39,6 +39,7 @@
 destroy(Exchange_t *super)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
+    StreamMover_remove(super->context->mover, this);
     RelayAnswer_destroy(this->answer);
     this->form->caller->clear_request(&this->request);
     g_bytes_unref(this->request_body);
@@ -128,6 +129,49 @@
     }
 }
 
+static const Upstream_t *
+movable_upstream(const void *stream)
+{
+    const RelayExchange_t *this = stream;
+    return this->attempt ? this->super.upstream : NULL;
+}
+
+static const char *
+movable_target(const void *stream)
+{
+    const RelayExchange_t *this = stream;
+    return this->super.target->str;
+}
+
+static void
+move(void *stream)
+{
+    RelayExchange_t *this = stream;
+    RelayFeedback_settle(&this->feedback);
+    RelayAttempt_cancel(this->attempt);
+    this->attempt = NULL;
+    StreamMover_remove(this->super.context->mover, this);
+    Exchange_noteEnd(&this->super, ATTEMPT_MOVED);
+    EventPipe_restart(this->events);
+    Exchange_recover(&this->super, ATTEMPT_MOVED, NULL);
+}
+
+static const MovableClass_t movable_class = {
+    .upstream = movable_upstream,
+    .target = movable_target,
+    .move = move,
+};
+
+/* One that has begun: before that its engine would refuse it by itself. The
+ * last attempt is kept for failures. */
+static void
+note_movable(RelayExchange_t *this)
+{
+    if (this->route->by_prefix && Exchange_mayRepeat(&this->super)) {
+        StreamMover_add(this->super.context->mover, this, &movable_class);
+    }
+}
+
 static void
 note_first_event(RelayExchange_t *this)
 {
@@ -137,6 +181,7 @@
         trace->first_token_us = passed_us;
         RelayFeedback_noteFirstEvent(&this->feedback,
                                      passed_us - trace->started_us);
+        note_movable(this);
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
@@ -181,6 +226,7 @@
 {
     RelayExchange_t *this = owner;
     Exchange_t *super = &this->super;
+    StreamMover_remove(super->context->mover, this);
     this->attempt = NULL;
     this->has_answer = end == ATTEMPT_FAILED;
     if (end == ATTEMPT_NOT_RUN && head) {
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -151,7 +151,7 @@
         if (upstream->paused_until_ms > now_ms) {
             return FALSE;
         }
-        Upstream_notePause(upstream, hint->value, now_ms);
+        Upstream_noteUnloading(upstream, hint->value, now_ms);
         return TRUE;
     case HINT_LOADED:
         weights = g_strdup_printf("%u", hint->value);
@@ -190,6 +190,8 @@
     this->hints =
         HintFlood_create(context->base, context->membership, take_hint, this);
     context->cache_store = CacheStore_create(this->hints);
+    context->mover = StreamMover_create(context->base, context->upstreams,
+                                        context->budget);
     this->log = form->create_log(context->base, &platform->log,
                                  platform->log_timeout_ms);
     this->records = form->create_records(context->base, &platform->log,
@@ -219,6 +221,7 @@
     UpstreamListing_destroy(this->context->listing);
     RouteSync_destroy(this->sync);
     NamedWeights_destroy(this->context->weights);
+    StreamMover_destroy(this->context->mover);
     CacheStore_destroy(this->context->cache_store);
     HintFlood_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
--- a/src/RetryBudget.c
+++ b/src/RetryBudget.c
@@ -86,6 +86,13 @@
     return this->percent > 0 && *balance_of(this, target) >= ONE_RETRY;
 }
 
+gboolean
+RetryBudget_hasSpare(RetryBudget_t *this, const char *target)
+{
+    return this->percent > 0 &&
+           *balance_of(this, target) >= ONE_RETRY + share(this) / 2;
+}
+
 void
 RetryBudget_withdraw(RetryBudget_t *this, const char *target)
 {
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -37,6 +37,13 @@
 /** RetryBudget_hasOne() - whether a retry may be made at a target */
 gboolean RetryBudget_hasOne(RetryBudget_t *this, const char *target);
 
+/**
+ * RetryBudget_hasSpare() - whether a retry that is not needed may be made
+ *
+ * Half of what a target may hold is kept for failures.
+ */
+gboolean RetryBudget_hasSpare(RetryBudget_t *this, const char *target);
+
 /** RetryBudget_withdraw() - a retry is made */
 void RetryBudget_withdraw(RetryBudget_t *this, const char *target);
 
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -132,6 +132,24 @@
     this->paused_until_ms = MAX(this->paused_until_ms, now_ms + pause_ms);
 }
 
+void
+Upstream_noteUnloading(Upstream_t *this, gint64 pause_ms, gint64 now_ms)
+{
+    Upstream_notePause(this, pause_ms, now_ms);
+    if (this->unloading_since_ms == 0) {
+        this->unloading_since_ms = now_ms;
+    }
+}
+
+gint64
+Upstream_unloadingMs(const Upstream_t *this, gint64 now_ms)
+{
+    gboolean pauses = now_ms < this->paused_until_ms;
+    return pauses && this->unloading_since_ms != 0
+               ? now_ms - this->unloading_since_ms
+               : 0;
+}
+
 gboolean
 Upstream_noteUnreached(Upstream_t *this)
 {
@@ -215,6 +233,7 @@
     }
     g_string_assign(this->weights, weights);
     this->paused_until_ms = 0;
+    this->unloading_since_ms = 0;
     return TRUE;
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -41,6 +41,8 @@
  * @live_since_ms: when this incarnation was first heard of, for slow start
  * @weights_rise: versions of its weights are numbers that only grow
  * @paused_until_ms: it refuses work until then, or until it has other weights
+ * @unloading_since_ms: when it began to pause in order to change its weights,
+ *     0 where it does not
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @suspect: it was not reached; gets no work until it has answered a probe
@@ -84,6 +86,7 @@
     gint64 live_since_ms;
     gboolean weights_rise;
     gint64 paused_until_ms;
+    gint64 unloading_since_ms;
     guint others_tokens;
     guint others_requests;
     gboolean suspect;
@@ -139,6 +142,16 @@
 /** Upstream_notePause() - it refuses work for so long at the most */
 void Upstream_notePause(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
 
+/** Upstream_noteUnloading() - the same, as its weights are to change */
+void Upstream_noteUnloading(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
+
+/**
+ * Upstream_unloadingMs() - for how long it has paused to change its weights
+ *
+ * Return: 0 where it does not
+ */
+gint64 Upstream_unloadingMs(const Upstream_t *this, gint64 now_ms);
+
 /**
  * Upstream_noteUnreached() - it gets no work until it has answered a probe
  *
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -300,6 +300,54 @@
         self.assertEqual({o["mode"] for o in orders}, {"defer"})
         self.assertEqual(len({o["holder"] for o in orders}), 1)
 
+    def start_stream(self, router, path):
+        """A stream of which one event has passed, and its reader."""
+        self.steps = threading.Semaphore(1)
+        self.begun = threading.Event()
+        for engine in self.engines:
+            engine.gate = self
+        answers = []
+        reader = threading.Thread(target=lambda: answers.append(
+            self.fleet.ask(router, path)))
+        reader.start()
+        self.assertTrue(self.begun.wait(60))
+        return reader, answers
+
+    def wait(self, seconds):
+        """The gate of each piece."""
+        self.steps.acquire(timeout=seconds)
+        self.begun.set()
+
+    def test_a_stream_that_may_go_on_elsewhere_leaves_a_loading_engine(self):
+        self.engines = [self.fleet.engine("e%d" % i) for i in range(4)]
+        router = self.fleet.start()
+        self.wait_listed(router, 4)
+        reader, answers = self.start_stream(router, "/ask/x")
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+        failed = router.wait_event("attempt_failed")[0]
+        self.assertEqual((failed["reason"], failed["next"]),
+                         ("moved", "elsewhere"))
+        self.steps.release(100)
+        reader.join()
+        self.assertEqual(answers[0].body, EVENTS)
+        seen = sorted((s for e in self.engines for s in e.seen),
+                      key=lambda s: "Last-Event-Id" in s)
+        self.assertEqual([s.get("Last-Event-Id") for s in seen], [None, "0"])
+
+    def test_a_stream_that_must_not_run_again_stays(self):
+        self.engines = [self.fleet.engine("e%d" % i) for i in range(4)]
+        router = self.fleet.start()
+        self.wait_listed(router, 4)
+        reader, answers = self.start_stream(router, "/ask/once/x")
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+        wait_for(lambda: all(e.version == 2 for e in self.engines), "loaded")
+        self.steps.release(100)
+        reader.join()
+        self.assertEqual(answers[0].body, EVENTS)
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
+
     def test_two_routers_give_orders_under_one_lease(self):
         engines = self.two_engines()
         self.fleet.start()
