--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -190,8 +190,8 @@
     this->hints =
         HintFlood_create(context->base, context->membership, take_hint, this);
     context->cache_store = CacheStore_create(this->hints);
-    context->mover = StreamMover_create(context->base, context->upstreams,
-                                        context->budget);
+    context->mover =
+        StreamMover_create(context->base, context->upstreams, context->budget);
     this->log = form->create_log(context->base, &platform->log,
                                  platform->log_timeout_ms);
     this->records = form->create_records(context->base, &platform->log,
