--- a/src/Context.h
+++ b/src/Context.h
@@ -15,6 +15,7 @@
 #include "ConfigStore.h"
 #include "Counters.h"
 #include "CustomerLimits.h"
+#include "Dispatch.h"
 #include "Membership.h"
 #include "NamedWeights.h"
 #include "Policy.h"
@@ -39,6 +40,7 @@
  * @listing: where the platform's form has one, else NULL
  * @cache_store: where the platform's form has one, else NULL
  * @mover: of streams whose engines pause; NULL on the native platform
+ * @dispatch: places requests together with the other routers, or NULL
  * @counters: of this router
  * @config: the declarations in force
  * @config_log: where they are kept; NULL where the platform's form has routes
@@ -65,6 +67,7 @@
     UpstreamListing_t *listing;
     CacheStore_t *cache_store;
     StreamMover_t *mover;
+    Dispatch_t *dispatch;
     Counters_t *counters;
     ConfigStore_t *config;
     ConfigLog_t *config_log;
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -7,8 +7,6 @@
 #include "Log.h"
 #include "Random.h"
 
-/* With more routers than that, links go to a few of them only. */
-#define FULL_MESH_MAX 16
 /* How often another's heartbeat is passed on where not all are linked. */
 #define HEARTBEAT_RELAYS 2
 /* Peers that get a message each tick; where all are linked, all of them do
@@ -22,7 +20,7 @@
     MemberTable_t *table;
     UpstreamSet_t *upstreams;
     Counters_t *counters;
-    gint64 bytes_a_second;
+    const PeersSection_t *settings;
     GossipQueue_t *queue;
     double budget; /* bytes that may be sent now */
 };
@@ -36,13 +34,13 @@
 
 Gossip_t *
 Gossip_create(MemberTable_t *table, UpstreamSet_t *upstreams,
-              Counters_t *counters, gint64 bytes_a_second)
+              Counters_t *counters, const PeersSection_t *settings)
 {
     Gossip_t *this = g_new0(Gossip_t, 1);
     this->table = table;
     this->upstreams = upstreams;
     this->counters = counters;
-    this->bytes_a_second = bytes_a_second;
+    this->settings = settings;
     this->queue = GossipQueue_create();
     return this;
 }
@@ -69,7 +67,7 @@
 gboolean
 Gossip_isMesh(const Gossip_t *this)
 {
-    return this->table->live->len < FULL_MESH_MAX;
+    return this->table->live->len < (guint)this->settings->mesh_routers;
 }
 
 /* In a mesh each peer hears it from here; elsewhere it is passed on. */
@@ -362,7 +360,7 @@
 static void
 send_to_some(Gossip_t *this)
 {
-    gint64 rate = this->bytes_a_second;
+    gint64 rate = this->settings->gossip_budget;
     this->budget = MIN(this->budget + (double)rate * GOSSIP_TICK_MS / 1000.0,
                        (double)rate);
     guint links = MemberTable_links(this->table);
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -12,6 +12,7 @@
 #include "Counters.h"
 #include "GossipQueue.h"
 #include "MemberTable.h"
+#include "Settings.h"
 #include "UpstreamSet.h"
 
 /** How often Gossip_tick() is to be called */
@@ -25,10 +26,10 @@
  * @table: of routers
  * @upstreams: learns from gossip, and is read for it
  * @counters: for bytes sent
- * @bytes_a_second: the budget
+ * @settings: the budget, and up to how many routers all are linked
  */
 Gossip_t *Gossip_create(MemberTable_t *table, UpstreamSet_t *upstreams,
-                        Counters_t *counters, gint64 bytes_a_second);
+                        Counters_t *counters, const PeersSection_t *settings);
 
 /** Gossip_destroy() - free it */
 void Gossip_destroy(Gossip_t *this);
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -9,6 +9,8 @@
 
 /* Engines of the ring that are weighed, the home first. */
 #define CANDIDATES 4
+/* Engines of a group that are weighed: more than most groups have. */
+#define GROUP_CANDIDATES 24
 #define RING_POINTS_MAX 256
 /* How much later a first token may come at the home before the request goes
  * to the next engine: about the time to take a long prefix along. 10 and
@@ -17,12 +19,17 @@
 /* To take a cached prefix from another engine: its set-up and the transfer of
  * some thousand tokens. */
 #define FETCH_COST_US 8000
+/* The same from the store, whose link is slower and serves all engines. */
+#define STORE_COST_US 20000
 /* An engine that has not got the newest weights, once they have been named
  * for longer than answers on the old ones count in full. */
 #define OLD_WEIGHTS_COST_US 150000
 #define OLD_WEIGHTS_GRACE_MS 1000
 /* A prefix that was used at an engine so long ago may have given way there. */
 #define HOLDER_AGE_MS 30000
+/* One from which others take it must surely have it: a miss there costs the
+ * whole computation, and an engine's memory turns over in 5 to 12 s. */
+#define SOURCE_AGE_MS 3000
 /* What each running request adds to the time of a step, over the steps that
  * a first token takes. */
 #define RUNNING_COST_US 1000
@@ -37,10 +44,18 @@
 typedef struct {
     HomePolicy_t *policy;
     const Placement_t *placement;
-    Upstream_t *list[CANDIDATES];
+    Upstream_t *list[GROUP_CANDIDATES];
     guint count;
+    guint most;
 } Walk_t;
 
+/* How an engine comes by the shared part of a prompt. */
+typedef struct {
+    guint tokens; /* of it that need not be computed */
+    gint64 cost_us;
+    const Upstream_t *source; /* engine to take it from, or NULL */
+} Supply_t;
+
 static void
 free_ring(gpointer ring)
 {
@@ -62,26 +77,20 @@
     return ring;
 }
 
-/* The last part of a prompt is its own; what is before it is shared. */
-static guint
-shared_levels(const Placement_t *placement)
-{
-    return placement->level_count > 1 ? placement->level_count - 1
-                                      : placement->level_count;
-}
-
 static guint64
 shared_key(const Placement_t *placement)
 {
-    guint levels = shared_levels(placement);
-    return levels > 0 ? placement->levels[levels - 1] : Random_below(G_MAXINT);
+    return placement->level_count > 0
+               ? placement->levels[Placement_sharedLevel(placement)]
+               : Random_below(G_MAXINT);
 }
 
 static guint
 shared_tokens(const Placement_t *placement)
 {
-    guint levels = shared_levels(placement);
-    return levels > 0 ? placement->level_tokens[levels - 1] : 0;
+    return placement->level_count > 0
+               ? placement->level_tokens[Placement_sharedLevel(placement)]
+               : 0;
 }
 
 static gboolean
@@ -96,23 +105,58 @@
     if (Policy_mayUse(walk->placement, upstream)) {
         walk->list[walk->count++] = upstream;
     }
-    return walk->count < CANDIDATES;
+    return walk->count < walk->most;
 }
 
-static const Holder_t *
-find_holder(const HomePolicy_t *this, const Placement_t *placement,
-            const Upstream_t *upstream)
+static guint
+group_of(const Placement_t *placement, const Upstream_t *upstream)
+{
+    return placement->groups > 1 ? (guint)(upstream->hash % placement->groups)
+                                 : 0;
+}
+
+/* The others of the home's group, which one router places. */
+static void
+add_group(Walk_t *walk)
+{
+    const Placement_t *placement = walk->placement;
+    guint group = group_of(placement, walk->list[0]);
+    for (guint i = 0;
+         i < placement->serving->len && walk->count < GROUP_CANDIDATES; i++) {
+        Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
+        if (upstream != walk->list[0] &&
+            group_of(placement, upstream) == group &&
+            Policy_mayUse(placement, upstream)) {
+            walk->list[walk->count++] = upstream;
+        }
+    }
+}
+
+static void
+find_candidates(Walk_t *walk, const Ring_t *ring)
+{
+    const Placement_t *placement = walk->placement;
+    gboolean grouped = placement->groups > 1;
+    walk->most = grouped ? 1 : CANDIDATES;
+    Ring_walk(ring, shared_key(placement), RING_POINTS_MAX, on_ring, walk);
+    if (grouped && walk->count > 0) {
+        add_group(walk);
+    }
+}
+
+static gboolean
+holds(const HomePolicy_t *this, const Placement_t *placement,
+      const Upstream_t *upstream, gint64 age_ms)
 {
     guint count = 0;
     const Holder_t *holders =
         Residency_holders(this->residency, shared_key(placement), &count);
     for (guint i = 0; i < count; i++) {
-        if (holders[i].upstream == upstream->hash &&
-            placement->now_ms - holders[i].used_ms <= HOLDER_AGE_MS) {
-            return &holders[i];
+        if (holders[i].upstream == upstream->hash) {
+            return placement->now_ms - holders[i].used_ms <= age_ms;
         }
     }
-    return NULL;
+    return FALSE;
 }
 
 /* It need not take requests itself, but it must answer and have been read
@@ -133,7 +177,7 @@
     for (guint i = 0; i < placement->serving->len; i++) {
         Upstream_t *from = g_ptr_array_index(placement->serving, i);
         if (can_give(placement, from, to) &&
-            find_holder(this, placement, from)) {
+            holds(this, placement, from, SOURCE_AGE_MS)) {
             return from;
         }
     }
@@ -158,30 +202,49 @@
                placement->now_ms);
 }
 
-/* A prefix that has been read for these weights is at its home, or is taken
- * from the store or from another engine. */
-static gboolean
-is_cached(const Walk_t *walk, const Upstream_t *upstream)
+/* A prefix that has been read for these weights is there, or is taken from
+ * another engine or from the store, or has to be computed. */
+static Supply_t
+supply_of(const Walk_t *walk, const Upstream_t *upstream)
 {
     const Placement_t *placement = walk->placement;
-    return shared_tokens(placement) > 0 &&
-           (is_stored(placement, upstream) ||
-            find_holder(walk->policy, placement, upstream) ||
-            find_source(walk->policy, placement, upstream));
+    Supply_t supply = {.tokens = shared_tokens(placement)};
+    if (supply.tokens == 0 ||
+        holds(walk->policy, placement, upstream, HOLDER_AGE_MS)) {
+        return supply;
+    }
+    supply.source = find_source(walk->policy, placement, upstream);
+    if (supply.source) {
+        supply.cost_us = FETCH_COST_US;
+    }
+    else if (is_stored(placement, upstream)) {
+        supply.cost_us = STORE_COST_US;
+    }
+    else {
+        supply.tokens = 0;
+    }
+    return supply;
 }
 
-static guint
-cached_tokens(const Walk_t *walk, const Upstream_t *upstream)
+static gint64
+own_us(const Placement_t *placement, const Upstream_t *upstream,
+       const Supply_t *supply)
 {
-    return is_cached(walk, upstream) ? shared_tokens(walk->placement) : 0;
+    guint tokens = placement->prompt_tokens - supply->tokens;
+    return (gint64)(tokens * upstream->prefill_us_per_token);
 }
 
+/* What all routers have there, as far as it is known here. */
 static gint64
-own_us(const Walk_t *walk, const Upstream_t *upstream)
+load_us(const Upstream_t *upstream)
 {
-    guint tokens =
-        walk->placement->prompt_tokens - cached_tokens(walk, upstream);
-    return (gint64)(tokens * upstream->prefill_us_per_token);
+    double tokens = (double)upstream->pending_tokens +
+                    (double)upstream->others_tokens +
+                    (double)upstream->ticket_tokens;
+    gint64 requests = (gint64)upstream->in_flight + upstream->others_requests +
+                      upstream->ticket_requests;
+    return (gint64)(tokens * upstream->prefill_us_per_token) +
+           RUNNING_COST_US * requests;
 }
 
 static gint64
@@ -189,20 +252,13 @@
 {
     const Placement_t *placement = walk->placement;
     const Upstream_t *upstream = walk->list[rank];
-    guint cached = cached_tokens(walk, upstream);
-    double ahead =
-        (double)upstream->pending_tokens + (double)upstream->others_tokens;
-    gint64 cost =
-        Upstream_waitUs(upstream, placement->now_ms) + own_us(walk, upstream) +
-        (gint64)(ahead * upstream->prefill_us_per_token) +
-        RUNNING_COST_US *
-            (gint64)(upstream->in_flight + upstream->others_requests);
+    Supply_t supply = supply_of(walk, upstream);
+    gint64 cost = Upstream_waitUs(upstream, placement->now_ms) +
+                  load_us(upstream) + own_us(placement, upstream, &supply) +
+                  supply.cost_us;
     if (rank > 0) {
         cost += SPILL_COST_US;
     }
-    if (cached > 0 && !find_holder(walk->policy, placement, upstream)) {
-        cost += FETCH_COST_US;
-    }
     if (has_old_weights(placement, upstream)) {
         cost += OLD_WEIGHTS_COST_US;
     }
@@ -239,24 +295,29 @@
     return NULL;
 }
 
+static void
+fill_supply(const Walk_t *walk, Choice_t *choice)
+{
+    Supply_t supply = supply_of(walk, choice->upstream);
+    choice->expected_cached = supply.tokens;
+    choice->own_us = own_us(walk->placement, choice->upstream, &supply);
+    choice->fetch_from = supply.source;
+    choice->source_seen = supply.source != NULL;
+    if (supply.tokens == 0) {
+        choice->fetch_from = likely_source(walk, choice->upstream);
+    }
+}
+
 static Choice_t
 choose(Policy_t *super, const Placement_t *placement)
 {
     HomePolicy_t *this = (HomePolicy_t *)super;
     Walk_t walk = {.policy = this, .placement = placement};
-    Ring_walk(ring_of(this, placement), shared_key(placement), RING_POINTS_MAX,
-              on_ring, &walk);
+    find_candidates(&walk, ring_of(this, placement));
     Choice_t choice = cheapest(&walk);
+    choice.group = walk.count > 0 ? group_of(placement, walk.list[0]) : 0;
     if (choice.upstream) {
-        gboolean holds = find_holder(this, placement, choice.upstream) != NULL;
-        choice.expected_cached = cached_tokens(&walk, choice.upstream);
-        choice.own_us = own_us(&walk, choice.upstream);
-        choice.fetch_from =
-            holds ? NULL : find_source(this, placement, choice.upstream);
-        choice.source_seen = choice.fetch_from != NULL;
-        if (!holds && !choice.fetch_from) {
-            choice.fetch_from = likely_source(&walk, choice.upstream);
-        }
+        fill_supply(&walk, &choice);
     }
     return choice;
 }
--- a/src/MemberTable.c
+++ b/src/MemberTable.c
@@ -151,14 +151,17 @@
     return XXH3_64bits_withSeed(member->name->str, member->name->len, seed);
 }
 
-Member_t *
-MemberTable_owner(const MemberTable_t *this, const char *key)
+static Member_t *
+first_of(const MemberTable_t *this, const char *key, gint64 now_ms)
 {
     Member_t *best = NULL;
     guint64 most = this->self.leaving ? 0 : weight_of(&this->self, key);
     for (guint i = 0; i < this->live->len; i++) {
         Member_t *member = g_ptr_array_index(this->live, i);
-        guint64 weight = member->leaving ? 0 : weight_of(member, key);
+        if (member->leaving || member->unanswered_until_ms > now_ms) {
+            continue;
+        }
+        guint64 weight = weight_of(member, key);
         if (weight > most) {
             most = weight;
             best = member;
@@ -167,6 +170,19 @@
     return best;
 }
 
+Member_t *
+MemberTable_owner(const MemberTable_t *this, const char *key)
+{
+    return first_of(this, key, G_MAXINT64);
+}
+
+Member_t *
+MemberTable_answering(const MemberTable_t *this, const char *key,
+                      gint64 now_ms)
+{
+    return first_of(this, key, now_ms);
+}
+
 guint
 MemberTable_rank(const MemberTable_t *this, const char *key, const char *hall)
 {
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -22,6 +22,7 @@
  * @leaving: it stops; never taken back for an incarnation
  * @fold_offset: configuration in force there
  * @link: open link, or NULL
+ * @unanswered_until_ms: it did not answer a datagram; it is sent none before
  */
 typedef struct {
     GString *name;
@@ -33,6 +34,7 @@
     gboolean leaving;
     guint64 fold_offset;
     PeerLink_t *link;
+    gint64 unanswered_until_ms;
 } Member_t;
 
 /**
@@ -77,6 +79,10 @@
 /** MemberTable_owner() - the first in a key's order; NULL for this router */
 Member_t *MemberTable_owner(const MemberTable_t *this, const char *key);
 
+/** MemberTable_answering() - the same among those that answer datagrams */
+Member_t *MemberTable_answering(const MemberTable_t *this, const char *key,
+                                gint64 now_ms);
+
 /** MemberTable_rank() - this router's place in a key's order, of a hall or
  * of all */
 guint MemberTable_rank(const MemberTable_t *this, const char *key,
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -302,7 +302,7 @@
         MemberTable_create(settings->router.name->str,
                            settings->router.hall->str, spec->incarnation);
     this->gossip = Gossip_create(this->table, spec->upstreams, spec->counters,
-                                 settings->peers.gossip_budget);
+                                 &settings->peers);
     this->seeds = g_ptr_array_new_with_free_func(g_free);
     this->unknown = g_ptr_array_new();
     this->key = derive_key(settings->keys.seal);
@@ -390,6 +390,34 @@
     return MemberTable_owner(this->table, key);
 }
 
+Member_t *
+Membership_answering(const Membership_t *this, const char *key, gint64 now_ms)
+{
+    return MemberTable_answering(this->table, key, now_ms);
+}
+
+void
+Membership_noteUnanswered(Membership_t *this, const char *name,
+                          gint64 until_ms)
+{
+    Member_t *member = MemberTable_find(this->table, name);
+    if (member) {
+        member->unanswered_until_ms = until_ms;
+    }
+}
+
+const Address_t *
+Membership_address(const Membership_t *this)
+{
+    return &this->table->self.address;
+}
+
+GBytes *
+Membership_key(const Membership_t *this)
+{
+    return this->key;
+}
+
 guint
 Membership_rank(const Membership_t *this, const char *key, const char *hall)
 {
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -78,6 +78,20 @@
  */
 Member_t *Membership_owner(const Membership_t *this, const char *key);
 
+/** Membership_answering() - the same among those that answer datagrams */
+Member_t *Membership_answering(const Membership_t *this, const char *key,
+                               gint64 now_ms);
+
+/** Membership_noteUnanswered() - a member is sent no datagrams until then */
+void Membership_noteUnanswered(Membership_t *this, const char *name,
+                               gint64 until_ms);
+
+/** Membership_address() - where this router listens for peers */
+const Address_t *Membership_address(const Membership_t *this);
+
+/** Membership_key() - under which peers speak */
+GBytes *Membership_key(const Membership_t *this);
+
 /**
  * Membership_rank() - this router's place in a key's order
  * @hall: among those of this hall only; NULL for all
--- /dev/null
+++ b/src/PeerDatagrams.c
@@ -0,0 +1,140 @@
+#include "PeerDatagrams.h"
+
+#include <arpa/inet.h>
+#include <sodium.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Errors.h"
+
+#define HASH_BYTES 16
+/* Fits into one packet on any link between routers. */
+#define DATAGRAM_MAX 1200
+/* Datagrams read in one turn of the loop, so that others get theirs. */
+#define BURST_MAX 64
+
+struct PeerDatagrams {
+    evutil_socket_t fd;
+    struct event *readable;
+    GBytes *key;
+    PeerDatagramTake_t take;
+    void *owner;
+};
+
+struct sockaddr_in
+PeerDatagrams_address(const Address_t *address)
+{
+    struct sockaddr_in place = {.sin_family = AF_INET,
+                                .sin_port = htons(address->port)};
+    inet_pton(AF_INET, address->host, &place.sin_addr);
+    return place;
+}
+
+static void
+hash_of(const PeerDatagrams_t *this, const guint8 *bytes, gsize size,
+        guint8 out[HASH_BYTES])
+{
+    gsize key_size = 0;
+    const guint8 *key = g_bytes_get_data(this->key, &key_size);
+    crypto_generichash(out, HASH_BYTES, bytes, size, key, key_size);
+}
+
+/* What is not authentic is dropped without a word: anyone may send it. */
+static void
+take_datagram(const PeerDatagrams_t *this, const guint8 *bytes, gsize size,
+              const struct sockaddr_in *from)
+{
+    guint8 hash[HASH_BYTES];
+    if (size < HASH_BYTES) {
+        return;
+    }
+    hash_of(this, bytes + HASH_BYTES, size - HASH_BYTES, hash);
+    if (sodium_memcmp(hash, bytes, HASH_BYTES) != 0) {
+        return;
+    }
+    Wt__PeerMessage *message =
+        wt__peer_message__unpack(NULL, size - HASH_BYTES, bytes + HASH_BYTES);
+    if (message) {
+        this->take(this->owner, message, from);
+        wt__peer_message__free_unpacked(message, NULL);
+    }
+}
+
+static void
+on_readable(evutil_socket_t fd, short what, void *data)
+{
+    (void)what;
+    const PeerDatagrams_t *this = data;
+    guint8 bytes[DATAGRAM_MAX];
+    for (guint i = 0; i < BURST_MAX; i++) {
+        struct sockaddr_in from;
+        socklen_t length = sizeof(from);
+        ssize_t size = recvfrom(fd, bytes, sizeof(bytes), MSG_DONTWAIT,
+                                (struct sockaddr *)&from, &length);
+        if (size < 0) {
+            return;
+        }
+        take_datagram(this, bytes, (gsize)size, &from);
+    }
+}
+
+static evutil_socket_t
+open_socket(const Address_t *listen)
+{
+    struct sockaddr_in place = PeerDatagrams_address(listen);
+    evutil_socket_t fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (fd >= 0 && (evutil_make_socket_nonblocking(fd) != 0 ||
+                    bind(fd, (struct sockaddr *)&place, sizeof(place)) != 0)) {
+        close(fd);
+        fd = -1;
+    }
+    return fd;
+}
+
+PeerDatagrams_t *
+PeerDatagrams_create(struct event_base *base, const Address_t *listen,
+                     GBytes *key, PeerDatagramTake_t take, void *owner,
+                     GError **error)
+{
+    evutil_socket_t fd = open_socket(listen);
+    if (fd < 0) {
+        g_set_error(error, WT_ERROR, WT_ERROR_LISTEN,
+                    "no datagrams on %s:%u: %s", listen->host, listen->port,
+                    g_strerror(errno));
+        return NULL;
+    }
+    PeerDatagrams_t *this = g_new0(PeerDatagrams_t, 1);
+    this->fd = fd;
+    this->key = g_bytes_ref(key);
+    this->take = take;
+    this->owner = owner;
+    this->readable =
+        event_new(base, fd, EV_READ | EV_PERSIST, on_readable, this);
+    event_add(this->readable, NULL);
+    return this;
+}
+
+void
+PeerDatagrams_destroy(PeerDatagrams_t *this)
+{
+    event_free(this->readable);
+    close(this->fd);
+    g_bytes_unref(this->key);
+    g_free(this);
+}
+
+void
+PeerDatagrams_send(const PeerDatagrams_t *this, const struct sockaddr_in *to,
+                   const Wt__PeerMessage *message)
+{
+    guint8 bytes[DATAGRAM_MAX];
+    gsize size = wt__peer_message__get_packed_size(message);
+    if (size > DATAGRAM_MAX - HASH_BYTES) {
+        return;
+    }
+    wt__peer_message__pack(message, bytes + HASH_BYTES);
+    hash_of(this, bytes + HASH_BYTES, size, bytes);
+    /* A full buffer loses it, as the network may. */
+    (void)sendto(this->fd, bytes, HASH_BYTES + size, MSG_DONTWAIT,
+                 (const struct sockaddr *)to, sizeof(*to));
+}
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -31,6 +31,8 @@
  * @cache_store: what is kept beside the engines, or NULL
  * @warm_ms: longest rest of a connection that the request may use
  * @avoid: upstream of the last attempt that failed, or NULL
+ * @groups: the upstreams are divided into so many, and one is chosen of the
+ *     group of its home; 0 or 1 for no groups
  * @desperate: nothing else is left, so that an ejected one will do
  * @now_ms: monotonic
  */
@@ -51,6 +53,7 @@
     const struct CacheStore *cache_store;
     gint64 warm_ms;
     const Upstream_t *avoid;
+    guint groups;
     gboolean desperate;
     gint64 now_ms;
 } Placement_t;
@@ -64,6 +67,7 @@
  * @cost_us: expected time to the first token, and what was added to it
  * @own_us: the part of it that the prompt itself takes to compute
  * @fetch_from: engine whose cached prefix it should take over, or NULL
+ * @group: of the home, where there are groups
  * @source_seen: @fetch_from was seen to read the prefix; else it is only
  *     likely to have done so
  */
@@ -76,6 +80,7 @@
     gint64 own_us;
     const Upstream_t *fetch_from;
     gboolean source_seen;
+    guint group;
 } Choice_t;
 
 typedef struct Policy Policy_t;
@@ -133,6 +138,18 @@
     }
 }
 
+/**
+ * Placement_sharedLevel() - the last level of the part that prompts share
+ *
+ * The last part of a prompt is its own; what is before it is shared. There
+ * must be one level at least.
+ */
+static inline guint
+Placement_sharedLevel(const Placement_t *this)
+{
+    return this->level_count > 1 ? this->level_count - 2 : 0;
+}
+
 /** Policy_mayUse() - whether an upstream may be chosen at all */
 gboolean Policy_mayUse(const Placement_t *placement,
                        const Upstream_t *upstream);
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -32,6 +32,8 @@
     RelayAnswer_t *answer;
     RelayAttempt_t *attempt;
     RelayFeedback_t feedback;
+    DispatchAsk_t *ask;       /* under way, or NULL */
+    DispatchTicket_t ticket;  /* of the attempt */
     EventPipe_t *events;      /* of a stream, else NULL */
     struct evbuffer *body;    /* of a whole answer */
     struct evbuffer *passing; /* events on their way to the caller */
@@ -45,6 +47,9 @@
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
     StreamMover_remove(super->context->mover, this);
+    if (this->ask) {
+        Dispatch_cancel(this->ask);
+    }
     RelayAnswer_destroy(this->answer);
     this->form->caller->clear_request(&this->request);
     g_bytes_unref(this->request_body);
@@ -58,10 +63,19 @@
     g_free(this);
 }
 
+static void
+end_ticket(RelayExchange_t *this)
+{
+    if (this->super.context->dispatch) {
+        Dispatch_end(this->super.context->dispatch, &this->ticket);
+    }
+}
+
 static gboolean
 drop(Exchange_t *super)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
+    end_ticket(this);
     RelayFeedback_settle(&this->feedback);
     gboolean sent = RelayAttempt_wasSent(this->attempt);
     RelayAttempt_cancel(this->attempt);
@@ -155,6 +169,9 @@
         trace->first_token_us = passed_us;
         RelayFeedback_noteFirstEvent(&this->feedback,
                                      passed_us - trace->started_us);
+        if (this->super.context->dispatch) {
+            Dispatch_begin(this->super.context->dispatch, &this->ticket);
+        }
         note_movable(this);
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
@@ -201,6 +218,10 @@
     RelayExchange_t *this = owner;
     Exchange_t *super = &this->super;
     StreamMover_remove(super->context->mover, this);
+    if (end == ATTEMPT_NOT_RUN && super->context->dispatch) {
+        Dispatch_refused(super->context->dispatch, &this->ticket);
+    }
+    end_ticket(this);
     this->attempt = NULL;
     this->has_answer = end == ATTEMPT_FAILED;
     if (end == ATTEMPT_NOT_RUN && head) {
@@ -388,34 +409,93 @@
     Exchange_refuse(super, refusal, Exchange_runState(super), detail);
 }
 
+/* The dispatcher may not have heard yet of what this router knows. */
+static gboolean
+may_follow(const RelayPlacing_t *placing, const Choice_t *choice)
+{
+    return choice->upstream &&
+           Policy_mayUse(&placing->placement, choice->upstream);
+}
+
 static void
-place(Exchange_t *super)
+go_to(RelayExchange_t *this, const RelayWish_t *wish, RelayPlacing_t *placing)
 {
-    RelayExchange_t *this = (RelayExchange_t *)super;
-    RelayWish_t wish = wish_of(this);
-    RelayPlacing_t placing;
+    Exchange_t *super = &this->super;
+    if (is_shed(this, placing)) {
+        end_ticket(this);
+        refuse_now(super, REFUSAL_OVERLOADED, NULL);
+        return;
+    }
+    RelayPlacer_prepare(super->context, wish, placing);
+    RelayPlacing_log(placing, super->id->str, &this->request);
+    start_attempt(this, placing);
+}
+
+/* Where this router alone would send it; the caller is told where there is no
+ * such place. */
+static gboolean
+choose(RelayExchange_t *this, const RelayWish_t *wish, RelayPlacing_t *placing)
+{
+    Exchange_t *super = &this->super;
     if (!RelayAnswer_request(this->answer)) {
         refuse_now(super, REFUSAL_CALLER_LEFT, NULL);
-        return;
+        return FALSE;
     }
     if (!is_still_allowed(this)) {
         refuse_now(super, REFUSAL_CONFIG_STALE,
                    "The key was revoked, or that can't be told.");
-        return;
+        return FALSE;
     }
-    RelayPlacer_choose(super->context, &wish, &placing);
-    if (!placing.choice.upstream) {
-        RelayPlacing_log(&placing, super->id->str, &this->request);
+    RelayPlacer_choose(super->context, wish, placing);
+    if (!placing->choice.upstream) {
+        RelayPlacing_log(placing, super->id->str, &this->request);
         refuse_now(super, REFUSAL_NO_UPSTREAM, NULL);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static void
+on_dispatched(void *owner, const Choice_t *choice,
+              const DispatchTicket_t *ticket)
+{
+    RelayExchange_t *this = owner;
+    RelayWish_t wish = wish_of(this);
+    RelayPlacing_t placing;
+    this->ask = NULL;
+    this->ticket = *ticket;
+    if (this->super.over || this->super.left ||
+        !choose(this, &wish, &placing)) {
+        end_ticket(this);
         return;
     }
-    if (is_shed(this, &placing)) {
-        refuse_now(super, REFUSAL_OVERLOADED, NULL);
+    if (may_follow(&placing, choice)) {
+        placing.choice = *choice;
+    }
+    else {
+        end_ticket(this);
+    }
+    go_to(this, &wish, &placing);
+}
+
+static void
+place(Exchange_t *super)
+{
+    RelayExchange_t *this = (RelayExchange_t *)super;
+    RelayWish_t wish = wish_of(this);
+    RelayPlacing_t placing;
+    if (!choose(this, &wish, &placing)) {
         return;
     }
-    RelayPlacer_prepare(super->context, &wish, &placing);
-    RelayPlacing_log(&placing, super->id->str, &this->request);
-    start_attempt(this, &placing);
+    Dispatch_t *dispatch =
+        this->route->by_prefix ? super->context->dispatch : NULL;
+    this->ask = dispatch ? Dispatch_ask(dispatch, &placing.placement,
+                                        this->request.model, &placing.choice,
+                                        on_dispatched, this)
+                         : NULL;
+    if (!this->ask) {
+        go_to(this, &wish, &placing);
+    }
 }
 
 static const Upstream_t *
@@ -456,6 +536,7 @@
     RelayAttempt_cancel(this->attempt);
     this->attempt = NULL;
     StreamMover_remove(this->super.context->mover, this);
+    end_ticket(this);
     Exchange_noteEnd(&this->super, ATTEMPT_MOVED);
     EventPipe_restart(this->events);
     Exchange_recover(&this->super, ATTEMPT_MOVED, NULL);
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -3,10 +3,6 @@
 #include "Clock.h"
 #include "Log.h"
 
-/* An upstream that sheds is left alone for so long; it has a queue of its
- * own, which has to shrink first. */
-#define SHED_PAUSE_MS 250
-
 /* An upstream that answered anything in this time is busy, not gone. */
 #define PROOF_AGE_MS 1000
 
@@ -94,7 +90,7 @@
                                 upstream->name->str);
     }
     RelayFeedback_noteWeights(this, head);
-    Upstream_notePause(upstream, SHED_PAUSE_MS, Clock_nowMs());
+    Upstream_notePause(upstream, UPSTREAM_SHED_PAUSE_MS, Clock_nowMs());
 }
 
 static void
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -2,7 +2,9 @@
 
 #include "Clock.h"
 #include "LoadShare.h"
+#include "Log.h"
 #include "Orders.h"
+#include "RelayPlacer.h"
 #include "RouteSync.h"
 #include "UpstreamProber.h"
 
@@ -179,6 +181,32 @@
     return upstream && take_upstream_hint(upstream, hint, now_ms);
 }
 
+static void
+prefer_newest(const void *owner, const char *model, Placement_t *placement)
+{
+    RelayPlacer_preferNewest(owner, model, placement);
+}
+
+/* Without it each router chooses for itself. */
+static Dispatch_t *
+create_dispatch(const Context_t *context)
+{
+    g_autoptr(GError) error = NULL;
+    DispatchSpec_t spec = {
+        .membership = context->membership,
+        .upstreams = context->upstreams,
+        .policy = context->policy,
+        .counters = context->counters,
+        .prefer = prefer_newest,
+        .owner = context,
+    };
+    Dispatch_t *dispatch = Dispatch_create(context->base, &spec, &error);
+    if (!dispatch) {
+        Log_error("dispatch_unavailable", error);
+    }
+    return dispatch;
+}
+
 RelayParts_t *
 RelayParts_create(Context_t *context, const PlatformForm_t *form)
 {
@@ -192,6 +220,7 @@
     context->cache_store = CacheStore_create(this->hints);
     context->mover =
         StreamMover_create(context->base, context->upstreams, context->budget);
+    context->dispatch = create_dispatch(context);
     this->log = form->create_log(context->base, &platform->log,
                                  platform->log_timeout_ms);
     this->records = form->create_records(context->base, &platform->log,
@@ -222,6 +251,9 @@
     RouteSync_destroy(this->sync);
     NamedWeights_destroy(this->context->weights);
     StreamMover_destroy(this->context->mover);
+    if (this->context->dispatch) {
+        Dispatch_destroy(this->context->dispatch);
+    }
     CacheStore_destroy(this->context->cache_store);
     HintFlood_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -48,11 +48,11 @@
 
 /* Answers on weights that have been replaced lose their worth with time; in
  * the end they must not be given at all. */
-static void
-prefer_newest(const Context_t *context, const RelayWish_t *wish,
-              Placement_t *placement)
+void
+RelayPlacer_preferNewest(const Context_t *context, const char *model,
+                         Placement_t *placement)
 {
-    const char *model = wish->request->model;
+    placement->cache_store = context->cache_store;
     if (!model) {
         return;
     }
@@ -95,17 +95,11 @@
                      : NULL;
 }
 
-/* The last part is the request's own. */
-static guint
-shared_index(const Placement_t *placement)
-{
-    return placement->level_count > 1 ? placement->level_count - 2 : 0;
-}
-
-/* From an engine that was seen to read it, as long as the store is not known
- * to keep it; else from the store: a miss there costs a millisecond, and even
- * where the whole prefix is new the store keeps what it begins with. What is
- * kept nowhere is saved by the request that computes it. */
+/* From an engine that was seen to read it a moment ago: the links of engines
+ * are faster than those of the few stores. Else from the store: a miss there
+ * costs a millisecond, and even where the whole prefix is new the store keeps
+ * what it begins with. What is kept nowhere is saved by the request that
+ * computes it. */
 static void
 use_caches(const Context_t *context, RelayPlacing_t *out)
 {
@@ -114,7 +108,7 @@
     if (out->choice.fetch_from) {
         write_address(out->fetch_from, &out->choice.fetch_from->address);
     }
-    guint shared = shared_index(placement);
+    guint shared = Placement_sharedLevel(placement);
     if (placement->level_count < 2 ||
         placement->level_tokens[shared] < STORED_TOKENS_MIN) {
         return;
@@ -127,7 +121,7 @@
     }
     gboolean kept = CacheStore_isKept(context->cache_store, out->saved_prefix,
                                       placement->now_ms);
-    if (kept || !out->choice.source_seen) {
+    if (!out->choice.source_seen) {
         write_address(out->fetch_from, &store->address);
     }
     if (!kept && CacheStore_beginSave(context->cache_store, out->saved_prefix,
@@ -142,10 +136,13 @@
 {
     GBytes *key = context->settings->keys.salt;
     SaltInput_t input = salt_input(wish, "");
-    prefer_newest(context, wish, &out->placement);
-    out->placement.cache_store = context->cache_store;
+    RelayPlacer_preferNewest(context, wish->request->model, &out->placement);
     guint64 seed = Salt_make(&input, key, out->salt);
     fill_levels(&out->placement, wish->request, seed);
+    out->placement.groups =
+        context->dispatch
+            ? Dispatch_groups(context->dispatch, out->placement.serving->len)
+            : 1;
     out->choice = Policy_choose(context->policy, &out->placement);
 }
 
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -58,6 +58,11 @@
 gboolean RelayPlacer_isOverdue(const Context_t *context, const char *model,
                                const Upstream_t *upstream);
 
+/** RelayPlacer_preferNewest() - fill in which weights are wanted of a model,
+ * and what is kept beside the engines; @model may be NULL */
+void RelayPlacer_preferNewest(const Context_t *context, const char *model,
+                              Placement_t *placement);
+
 /** RelayPlacer_choose() - choose an upstream; nothing else is filled in */
 void RelayPlacer_choose(const Context_t *context, const RelayWish_t *wish,
                         RelayPlacing_t *out);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -63,6 +63,10 @@
      "Where other routers may listen; one that answers tells of the rest."},
     {"gossip_budget", KEY_SIZE, FALSE, "3000B", 500, 1 << 20, NULL,
      E(gossip_budget), "Most bytes of gossip sent in a second."},
+    {"mesh_routers", KEY_INTEGER, FALSE, "16", 1, 1000, NULL, E(mesh_routers),
+     "Up to so many routers are linked with all others and tell each other "
+     "their loads; more of them are linked with a few, and one places for "
+     "each group of engines."},
     {NULL},
 };
 #undef E
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -75,11 +75,13 @@
  * @listen: where other routers connect
  * @seeds: Address_t, where other routers may listen
  * @gossip_budget: in bytes a second
+ * @mesh_routers: up to so many routers all are linked with all
  */
 typedef struct {
     Address_t listen;
     GArray *seeds;
     gint64 gossip_budget;
+    gint64 mesh_routers;
 } PeersSection_t;
 
 /**
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -45,6 +45,8 @@
  *     0 where it does not
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
+ * @ticket_tokens: like pending_tokens, of what was placed here for others
+ * @ticket_requests: those requests that are open
  * @suspect: it was not reached; gets no work until it has answered a probe
  * @heard_doubt: it is suspect only because a peer did not reach it
  * @hinted_ms: when routers last told each other that it was not reached, by
@@ -89,6 +91,8 @@
     gint64 unloading_since_ms;
     guint others_tokens;
     guint others_requests;
+    guint64 ticket_tokens;
+    guint ticket_requests;
     gboolean suspect;
     gboolean heard_doubt;
     gint64 hinted_ms;
@@ -139,6 +143,10 @@
 gboolean Upstream_noteIncarnation(Upstream_t *this, guint64 incarnation,
                                   gint64 now_ms);
 
+/** An upstream that sheds is left alone for so long, in ms; it has a queue of
+ * its own, which has to shrink first */
+#define UPSTREAM_SHED_PAUSE_MS 250
+
 /** Upstream_notePause() - it refuses work for so long at the most */
 void Upstream_notePause(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -682,6 +682,141 @@
   assert(message->base.descriptor == &wt__topic_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__place_ask__init
+                     (Wt__PlaceAsk         *message)
+{
+  static const Wt__PlaceAsk init_value = WT__PLACE_ASK__INIT;
+  *message = init_value;
+}
+size_t wt__place_ask__get_packed_size
+                     (const Wt__PlaceAsk *message)
+{
+  assert(message->base.descriptor == &wt__place_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__place_ask__pack
+                     (const Wt__PlaceAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__place_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__place_ask__pack_to_buffer
+                     (const Wt__PlaceAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__place_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__PlaceAsk *
+       wt__place_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__PlaceAsk *)
+     protobuf_c_message_unpack (&wt__place_ask__descriptor,
+                                allocator, len, data);
+}
+void   wt__place_ask__free_unpacked
+                     (Wt__PlaceAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__place_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__place_answer__init
+                     (Wt__PlaceAnswer         *message)
+{
+  static const Wt__PlaceAnswer init_value = WT__PLACE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wt__place_answer__get_packed_size
+                     (const Wt__PlaceAnswer *message)
+{
+  assert(message->base.descriptor == &wt__place_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__place_answer__pack
+                     (const Wt__PlaceAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__place_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__place_answer__pack_to_buffer
+                     (const Wt__PlaceAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__place_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__PlaceAnswer *
+       wt__place_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__PlaceAnswer *)
+     protobuf_c_message_unpack (&wt__place_answer__descriptor,
+                                allocator, len, data);
+}
+void   wt__place_answer__free_unpacked
+                     (Wt__PlaceAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__place_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__place_news__init
+                     (Wt__PlaceNews         *message)
+{
+  static const Wt__PlaceNews init_value = WT__PLACE_NEWS__INIT;
+  *message = init_value;
+}
+size_t wt__place_news__get_packed_size
+                     (const Wt__PlaceNews *message)
+{
+  assert(message->base.descriptor == &wt__place_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__place_news__pack
+                     (const Wt__PlaceNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__place_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__place_news__pack_to_buffer
+                     (const Wt__PlaceNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__place_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__PlaceNews *
+       wt__place_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__PlaceNews *)
+     protobuf_c_message_unpack (&wt__place_news__descriptor,
+                                allocator, len, data);
+}
+void   wt__place_news__free_unpacked
+                     (Wt__PlaceNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__place_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -1713,7 +1848,290 @@
   (ProtobufCMessageInit) wt__topic_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[7] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, prefix_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, prompt_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "avoid",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, avoid),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__place_ask__field_indices_by_name[] = {
+  6,   /* field[6] = avoid */
+  2,   /* field[2] = model */
+  3,   /* field[3] = prefix */
+  4,   /* field[4] = prefix_tokens */
+  5,   /* field[5] = prompt_tokens */
+  1,   /* field[1] = target */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wt__place_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wt__place_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.PlaceAsk",
+  "PlaceAsk",
+  "Wt__PlaceAsk",
+  "wt",
+  sizeof(Wt__PlaceAsk),
+  7,
+  wt__place_ask__field_descriptors,
+  wt__place_ask__field_indices_by_name,
+  1,  wt__place_ask__number_ranges,
+  (ProtobufCMessageInit) wt__place_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__place_answer__field_descriptors[7] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fetch_from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, fetch_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "source_seen",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, source_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cached_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, cached_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, cost_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, own_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__place_answer__field_indices_by_name[] = {
+  4,   /* field[4] = cached_tokens */
+  5,   /* field[5] = cost_us */
+  2,   /* field[2] = fetch_from */
+  6,   /* field[6] = own_us */
+  3,   /* field[3] = source_seen */
+  0,   /* field[0] = ticket */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange wt__place_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wt__place_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.PlaceAnswer",
+  "PlaceAnswer",
+  "Wt__PlaceAnswer",
+  "wt",
+  sizeof(Wt__PlaceAnswer),
+  7,
+  wt__place_answer__field_descriptors,
+  wt__place_answer__field_indices_by_name,
+  1,  wt__place_answer__number_ranges,
+  (ProtobufCMessageInit) wt__place_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__place_news__field_descriptors[2] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceNews, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceNews, state),
+    &wt__place_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__place_news__field_indices_by_name[] = {
+  1,   /* field[1] = state */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wt__place_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__place_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.PlaceNews",
+  "PlaceNews",
+  "Wt__PlaceNews",
+  "wt",
+  sizeof(Wt__PlaceNews),
+  2,
+  wt__place_news__field_descriptors,
+  wt__place_news__field_indices_by_name,
+  1,  wt__place_news__number_ranges,
+  (ProtobufCMessageInit) wt__place_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[13] =
 {
   {
     "hello",
@@ -1835,6 +2253,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "place_ask",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, place_ask),
+    &wt__place_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place_answer",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, place_answer),
+    &wt__place_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place_news",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, place_news),
+    &wt__place_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -1846,12 +2300,15 @@
   0,   /* field[0] = hello */
   6,   /* field[6] = hints */
   7,   /* field[7] = loads */
+  11,   /* field[11] = place_answer */
+  10,   /* field[10] = place_ask */
+  12,   /* field[12] = place_news */
   9,   /* field[9] = topic_part */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -1861,7 +2318,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  10,
+  13,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
@@ -1904,3 +2361,33 @@
   wt__claim_verdict__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue wt__place_state__enum_values_by_number[3] =
+{
+  { "BEGUN", "WT__PLACE_STATE__BEGUN", 0 },
+  { "ENDED", "WT__PLACE_STATE__ENDED", 1 },
+  { "REFUSED", "WT__PLACE_STATE__REFUSED", 2 },
+};
+static const ProtobufCIntRange wt__place_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex wt__place_state__enum_values_by_name[3] =
+{
+  { "BEGUN", 0 },
+  { "ENDED", 1 },
+  { "REFUSED", 2 },
+};
+const ProtobufCEnumDescriptor wt__place_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wt.PlaceState",
+  "PlaceState",
+  "Wt__PlaceState",
+  "wt",
+  3,
+  wt__place_state__enum_values_by_number,
+  3,
+  wt__place_state__enum_values_by_name,
+  1,
+  wt__place_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -32,6 +32,9 @@
 typedef struct Wt__ConfigCurrent Wt__ConfigCurrent;
 typedef struct Wt__TopicRecord Wt__TopicRecord;
 typedef struct Wt__TopicPart Wt__TopicPart;
+typedef struct Wt__PlaceAsk Wt__PlaceAsk;
+typedef struct Wt__PlaceAnswer Wt__PlaceAnswer;
+typedef struct Wt__PlaceNews Wt__PlaceNews;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -61,6 +64,21 @@
   WT__CLAIM_VERDICT__NOT_COVERED = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__CLAIM_VERDICT)
 } Wt__ClaimVerdict;
+typedef enum _Wt__PlaceState {
+  /*
+   * Its first token came.
+   */
+  WT__PLACE_STATE__BEGUN = 0,
+  /*
+   * It is over, or was not placed there after all.
+   */
+  WT__PLACE_STATE__ENDED = 1,
+  /*
+   * Its upstream refused it, which it will do again for a moment.
+   */
+  WT__PLACE_STATE__REFUSED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PLACE_STATE)
+} Wt__PlaceState;
 
 /* --- messages --- */
 
@@ -322,6 +340,64 @@
     , 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Asks the dispatcher of a group of engines where a request is to go.
+ */
+struct  Wt__PlaceAsk
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  char *target;
+  char *model;
+  /*
+   * Identity and length of the shared part of the prompt.
+   */
+  uint64_t prefix;
+  uint32_t prefix_tokens;
+  uint32_t prompt_tokens;
+  /*
+   * Hash of the name of the upstream that has just failed it; 0 for none.
+   */
+  uint64_t avoid;
+};
+#define WT__PLACE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__place_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Wt__PlaceAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  /*
+   * Hashes of upstreams' names; 0 for none.
+   */
+  uint64_t upstream;
+  uint64_t fetch_from;
+  protobuf_c_boolean source_seen;
+  uint32_t cached_tokens;
+  /*
+   * Expected until the first token, and the prompt's own part of it.
+   */
+  uint32_t cost_us;
+  uint32_t own_us;
+};
+#define WT__PLACE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__place_answer__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Wt__PlaceNews
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  Wt__PlaceState state;
+};
+#define WT__PLACE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__place_news__descriptor) \
+    , 0, WT__PLACE_STATE__BEGUN }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -333,7 +409,10 @@
   WT__PEER_MESSAGE__BODY_HINTS = 7,
   WT__PEER_MESSAGE__BODY_LOADS = 8,
   WT__PEER_MESSAGE__BODY_CONFIG_CURRENT = 9,
-  WT__PEER_MESSAGE__BODY_TOPIC_PART = 10
+  WT__PEER_MESSAGE__BODY_TOPIC_PART = 10,
+  WT__PEER_MESSAGE__BODY_PLACE_ASK = 11,
+  WT__PEER_MESSAGE__BODY_PLACE_ANSWER = 12,
+  WT__PEER_MESSAGE__BODY_PLACE_NEWS = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -352,6 +431,9 @@
     Wt__UpstreamLoads *loads;
     Wt__ConfigCurrent *config_current;
     Wt__TopicPart *topic_part;
+    Wt__PlaceAsk *place_ask;
+    Wt__PlaceAnswer *place_answer;
+    Wt__PlaceNews *place_news;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -644,6 +726,63 @@
 void   wt__topic_part__free_unpacked
                      (Wt__TopicPart *message,
                       ProtobufCAllocator *allocator);
+/* Wt__PlaceAsk methods */
+void   wt__place_ask__init
+                     (Wt__PlaceAsk         *message);
+size_t wt__place_ask__get_packed_size
+                     (const Wt__PlaceAsk   *message);
+size_t wt__place_ask__pack
+                     (const Wt__PlaceAsk   *message,
+                      uint8_t             *out);
+size_t wt__place_ask__pack_to_buffer
+                     (const Wt__PlaceAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__PlaceAsk *
+       wt__place_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__place_ask__free_unpacked
+                     (Wt__PlaceAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__PlaceAnswer methods */
+void   wt__place_answer__init
+                     (Wt__PlaceAnswer         *message);
+size_t wt__place_answer__get_packed_size
+                     (const Wt__PlaceAnswer   *message);
+size_t wt__place_answer__pack
+                     (const Wt__PlaceAnswer   *message,
+                      uint8_t             *out);
+size_t wt__place_answer__pack_to_buffer
+                     (const Wt__PlaceAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__PlaceAnswer *
+       wt__place_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__place_answer__free_unpacked
+                     (Wt__PlaceAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__PlaceNews methods */
+void   wt__place_news__init
+                     (Wt__PlaceNews         *message);
+size_t wt__place_news__get_packed_size
+                     (const Wt__PlaceNews   *message);
+size_t wt__place_news__pack
+                     (const Wt__PlaceNews   *message,
+                      uint8_t             *out);
+size_t wt__place_news__pack_to_buffer
+                     (const Wt__PlaceNews   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__PlaceNews *
+       wt__place_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__place_news__free_unpacked
+                     (Wt__PlaceNews *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -710,6 +849,15 @@
 typedef void (*Wt__TopicPart_Closure)
                  (const Wt__TopicPart *message,
                   void *closure_data);
+typedef void (*Wt__PlaceAsk_Closure)
+                 (const Wt__PlaceAsk *message,
+                  void *closure_data);
+typedef void (*Wt__PlaceAnswer_Closure)
+                 (const Wt__PlaceAnswer *message,
+                  void *closure_data);
+typedef void (*Wt__PlaceNews_Closure)
+                 (const Wt__PlaceNews *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -720,6 +868,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCEnumDescriptor    wt__claim_verdict__descriptor;
+extern const ProtobufCEnumDescriptor    wt__place_state__descriptor;
 extern const ProtobufCMessageDescriptor wt__hello__descriptor;
 extern const ProtobufCMessageDescriptor wt__member_fact__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_fact__descriptor;
@@ -735,6 +884,9 @@
 extern const ProtobufCMessageDescriptor wt__config_current__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_part__descriptor;
+extern const ProtobufCMessageDescriptor wt__place_ask__descriptor;
+extern const ProtobufCMessageDescriptor wt__place_answer__descriptor;
+extern const ProtobufCMessageDescriptor wt__place_news__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -304,8 +304,9 @@
             "limits": {},
             "tenants": CUSTOMERS if customers is None else customers})
 
-    def router(self, name="r1", **settings):
-        values = {"relay": {"config_max_age": "60s", "reader_wait": "100ms",
+    def router(self, name="r1", peers=(), **settings):
+        values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
+                  "relay": {"config_max_age": "60s", "reader_wait": "100ms",
                             "config_wait": "100ms", "leaving_limit": "800ms",
                             "listing_return": "600ms",
                             "shed_percent": "0"},
@@ -329,6 +330,7 @@
         started = router.wait_event("router_started")[0]
         router.port = int(started["port"])
         router.ready_port = int(started["ready_port"])
+        router.peer_address = "127.0.0.1:" + started["peer_port"]
         return router
 
     def start(self, **settings):
@@ -411,8 +413,6 @@
 seal = 1111111111111111111111111111111111111111111111111111111111111111
 salt = 2222222222222222222222222222222222222222222222222222222222222222
 operator_hash = 3333333333333333333333333333333333333333333333333333333333333333
-[peers]
-listen = 127.0.0.1:0
 [platform]
 form = fleet
 log = %s
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -392,6 +392,53 @@
         self.assertTrue(all(len(h) == 1 for h in fences.values()), fences)
 
 
+class DispatchTest(FleetTest):
+    """Two routers that take themselves for too many to share all loads."""
+
+    ENGINES = 16  # the fewest that are divided into groups
+
+    def setUp(self):
+        super().setUp()
+        self.engines = [self.fleet.engine("e%d" % i)
+                        for i in range(self.ENGINES)]
+        self.one = self.fleet.start(peers={"mesh_routers": "1"})
+        self.two = self.fleet.router("r2", peers={
+            "mesh_routers": "1", "seeds": self.one.peer_address})
+        wait_for(lambda: self.fleet.is_ready(self.two), "ready")
+        for router in (self.one, self.two):
+            self.wait_listed(router, self.ENGINES)
+            router.wait_event("member_joined")
+
+    def ask_all(self, router, count=24):
+        for i in range(count):
+            answer = self.fleet.ask(
+                router, "/ask/x", X_Prompt_Prefix="%x:2000,%x:10" % (i, i))
+            self.assertEqual(answer.body, EVENTS)
+
+    def reasons(self, router):
+        return {p["reason"] for p in router.events("request_placed")}
+
+    def test_each_router_places_for_its_groups(self):
+        wait_for(lambda: self.ask_all(self.one) or
+                 "dispatched" in self.reasons(self.one), "dispatched")
+        wait_for(lambda: self.ask_all(self.two) or
+                 "home" in self.reasons(self.two), "placed by itself")
+
+    def test_without_its_dispatcher_a_router_places_by_itself(self):
+        wait_for(lambda: self.ask_all(self.one) or
+                 "dispatched" in self.reasons(self.one), "dispatched")
+        self.two.kill()
+        self.ask_all(self.one)
+
+    def test_a_dispatcher_that_stands_still_holds_up_nothing(self):
+        wait_for(lambda: self.ask_all(self.one) or
+                 "dispatched" in self.reasons(self.one), "dispatched")
+        self.two.signal(signal.SIGSTOP)
+        self.ask_all(self.one)
+        self.two.signal(signal.SIGCONT)
+        self.ask_all(self.two)
+
+
 class LogTest(FleetTest):
     def start_unread(self, **settings):
         """A router of whose output only the start is read."""
--- a/tests/test_HomePolicy.c
+++ b/tests/test_HomePolicy.c
@@ -80,6 +80,46 @@
 }
 END_TEST
 
+START_TEST(with_groups_all_of_the_homes_group_are_weighed)
+{
+    begin();
+    Placement_t wish = placement(42, 1);
+    wish.groups = 2;
+    Choice_t first = Policy_choose(policy, &wish);
+    ck_assert_uint_eq(first.group, first.upstream->hash % 2);
+    guint members = 0;
+    for (guint i = 0; i < engines->len; i++) {
+        Upstream_t *engine = g_ptr_array_index(engines, i);
+        gboolean member = engine->hash % 2 == first.group;
+        members += member ? 1 : 0;
+        engine->ticket_tokens = member ? 90000 : 0;
+    }
+    ck_assert_uint_eq(first.candidates, members);
+    first.upstream->ticket_tokens = 0;
+    ck_assert_ptr_eq(Policy_choose(policy, &wish).upstream, first.upstream);
+    first.upstream->ticket_tokens = 180000;
+    Choice_t second = Policy_choose(policy, &wish);
+    ck_assert_ptr_ne(second.upstream, first.upstream);
+    ck_assert_uint_eq(second.upstream->hash % 2, first.group);
+    end();
+}
+END_TEST
+
+START_TEST(a_source_that_may_have_dropped_it_is_not_asked)
+{
+    begin();
+    Choice_t first = choose(42, 1);
+    Placement_t wish = placement(42, 1);
+    Policy_learn(policy, &wish, first.upstream, 0, 9000);
+    first.upstream->others_tokens = 30000;
+    wish.now_ms = NOW_MS + 3000;
+    ck_assert(Policy_choose(policy, &wish).source_seen);
+    wish.now_ms = NOW_MS + 3001;
+    ck_assert(!Policy_choose(policy, &wish).source_seen);
+    end();
+}
+END_TEST
+
 START_TEST(a_busy_home_is_left_and_its_cache_taken_along)
 {
     begin();
@@ -176,6 +216,8 @@
 
 TESTING_MAIN("HomePolicy", a_shared_prefix_has_one_home_for_all_routers,
              a_busy_home_is_left_and_its_cache_taken_along,
+             with_groups_all_of_the_homes_group_are_weighed,
+             a_source_that_may_have_dropped_it_is_not_asked,
              a_paused_home_is_left_and_gives_no_cache,
              an_unknown_home_is_a_likely_source,
              overdue_weights_are_no_last_resort,
