--- a/tests/test_Tickets.c
+++ b/tests/test_Tickets.c
@@ -94,8 +94,7 @@
     Tickets_refused(tickets, 1, NOW_MS);
     ck_assert_uint_eq(upstream->ticket_requests, 0);
     ck_assert(!Upstream_isUsable(upstream, NOW_MS));
-    ck_assert(
-        Upstream_isUsable(upstream, NOW_MS + UPSTREAM_SHED_PAUSE_MS));
+    ck_assert(Upstream_isUsable(upstream, NOW_MS + UPSTREAM_SHED_PAUSE_MS));
     Tickets_refused(tickets, 7, NOW_MS);
     end();
 }
