The fleet soak checks leaving and planned stops, and plays dispatch

Cause: the soak made upstreams leave and sent SIGTERM, but took work after a leaving and answers cut by a stop for legal, and its routers knew nothing of each other.

Change: routers are linked; every second seed has 16 engines and routers that place for groups; an upstream that left must get no more work after 3 s; an answer must not be cut by a planned stop of its router; SIGHUP, names of weights and configurations come beside the faults.

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -23,6 +23,10 @@
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i)
                   for i in range(PIECES))
 REVOKED_S = 1.5  # config_max_age of these routers, and what is on its way
+LEFT_S = 3.0  # several times their leaving_limit, for a busy machine
+# Of every two seeds one plays routers that place for groups of engines, for
+# which there must be so many of them.
+GROUPED_ENGINES = 16
 GONE = (OSError, http.client.HTTPException)
 
 
@@ -37,16 +41,28 @@
         self.not_run = set()   # ids that were refused as not run
         self.answered = {}     # id -> body of a whole write
         self.revoked_at = None
+        self.stopping = None   # a router that was sent SIGTERM
+        self.changes = threading.Lock()
+        grouped = seed % 2 == 0
+        self.mesh_routers = "1" if grouped else "16"
         self.engines = [self.fleet.engine("e%d" % i, pieces=PIECES)
-                        for i in range(4)]
+                        for i in range(GROUPED_ENGINES if grouped else 4)]
         self.plains = [self.fleet.plain("p%d" % i) for i in range(3)]
         self.fleet.config()
         self.routers = []
         for i in range(ROUTERS):
-            self.routers.append(self.fleet.router(
-                "r%d" % i, config_max_age="1s", connect_timeout="300ms"))
+            self.routers.append(self.start_router(i))
         self.weights = 1
 
+    def start_router(self, index):
+        others = [r.peer_address for i, r in enumerate(self.routers)
+                  if i != index]
+        return self.fleet.router(
+            "r%d" % index, config_max_age="1s", connect_timeout="300ms",
+            shed_percent="80",
+            peers={"mesh_routers": self.mesh_routers,
+                   "seeds": ",".join(others)})
+
     def count(self, what):
         with self.lock:
             self.counts[what] = self.counts.get(what, 0) + 1
@@ -75,6 +91,8 @@
             body = error.partial
         except GONE:
             pass
+        if status == 200 and not whole and router is self.stopping:
+            self.violate("%s was cut by a planned stop" % name)
         self.check(path, name, status, body, whole)
 
     def check(self, path, name, status, body, whole):
@@ -102,11 +120,13 @@
 
     def restart(self, index, how):
         router = self.routers[index]
+        if how == signal.SIGTERM:
+            self.stopping = router
         router.signal(how)
         router.process.wait()
+        self.stopping = None
         router.kill()
-        self.routers[index] = self.fleet.router(
-            "r%d" % index, config_max_age="1s", connect_timeout="300ms")
+        self.routers[index] = self.start_router(index)
 
     def fault(self):
         rng = self.rng
@@ -140,11 +160,9 @@
         elif kind == "leave":
             self.switch_state(upstream, hold)
         elif kind == "weights":
-            self.weights += 1
-            self.fleet.store.put("keyed.op", "version/m",
-                                 {"model": "m", "version": self.weights})
+            self.name_weights()
         elif kind == "config":
-            self.fleet.config()
+            self.configure()
         elif kind == "revoke":
             self.revoke()
         elif kind == "lapse":
@@ -154,26 +172,55 @@
             self.fleet.store.down = False
             upstream.list()
 
+    def change(self):
+        """What comes beside the faults and spoils none of their checks."""
+        rng = random.Random(self.rng.random())
+        while not self.over:
+            time.sleep(rng.uniform(0.2, 1.0))
+            kind = rng.choice(["hup", "weights", "config"])
+            self.count("beside " + kind)
+            if kind == "hup":
+                router = rng.choice(self.routers)
+                if router.process.poll() is None:
+                    router.signal(signal.SIGHUP)
+            elif kind == "weights":
+                self.name_weights()
+            else:
+                self.configure()
+
+    def name_weights(self):
+        with self.changes:
+            self.weights += 1
+            self.fleet.store.put("keyed.op", "version/m",
+                                 {"model": "m", "version": self.weights})
+
+    def configure(self, customers=None):
+        with self.changes:
+            self.fleet.config(customers=customers)
+
     @staticmethod
     def switch(target, name, on, off, hold):
         setattr(target, name, on)
         time.sleep(hold)
         setattr(target, name, off)
 
-    @staticmethod
-    def switch_state(upstream, hold):
+    def switch_state(self, upstream, hold):
+        """It gets no new work once its leaving must be known."""
         upstream.state = "draining"
         upstream.list()
+        time.sleep(LEFT_S)
+        before = len(upstream.seen)
         time.sleep(hold)
+        if len(upstream.seen) > before:
+            self.violate("%s got work after it left" % upstream.name)
         upstream.state = "ready"
         upstream.list()
 
     def revoke(self):
         """key-r works, is taken away, and must not run anything later."""
-        self.fleet.config(customers=CUSTOMERS + [
-            {"name": "r", "api_keys": ["key-r"]}])
+        self.configure(CUSTOMERS + [{"name": "r", "api_keys": ["key-r"]}])
         time.sleep(0.5)
-        self.fleet.config()
+        self.configure()
         time.sleep(REVOKED_S)
         before = self.runs_of("r")
         time.sleep(0.5)
@@ -211,6 +258,7 @@
     def run(self, seconds):
         threads = [threading.Thread(target=self.call, args=(i + 1,))
                    for i in range(CALLERS)]
+        threads.append(threading.Thread(target=self.change))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
