Split the relayed request's exchange by its jobs

Change: RelayDispatch places, RelayRun has the attempts, RelayMove the moves; RelayExchangeState.h is what they share. Module tests and test_fleet (36) pass.

--- /dev/null
+++ b/src/RelayExchangeState.h
@@ -0,0 +1,72 @@
+#ifndef HEADER_RelayExchangeState
+#define HEADER_RelayExchangeState
+/**
+ * DOC: RelayExchangeState
+ *
+ * What the parts of a relayed request's life share, for them alone: its
+ * beginning and end (RelayExchange.c), where it goes (RelayDispatch.h), its
+ * attempts (RelayRun.h) and its moves to other engines (RelayMove.h).
+ */
+#include "EventPipe.h"
+#include "Exchange.h"
+#include "PlatformForm.h"
+#include "RelayAnswer.h"
+#include "RelayAttempt.h"
+#include "RelayFeedback.h"
+#include "RelayPlacer.h"
+
+/**
+ * struct RelayExchange_t - a request under way
+ * @super: of every request
+ * @form: of the platform
+ * @config: version that it was admitted under; held
+ * @route: of @config
+ * @customer: of @config, or NULL
+ * @request: what its head says
+ * @request_body: its bytes
+ * @answer: to the caller
+ * @attempt: under way, or NULL
+ * @feedback: what the attempt tells of its upstream
+ * @ask: question to the dispatcher under way, or NULL
+ * @ticket: of the attempt
+ * @events: of a stream, else NULL
+ * @body: of a whole answer
+ * @passing: events on their way to the caller
+ * @unrun: attempts that did not run
+ * @is_stream: the answer under way is a stream
+ * @has_answer: a failure of the upstream to pass on
+ */
+typedef struct {
+    Exchange_t super;
+    const PlatformForm_t *form;
+    RouteConfig_t *config;
+    const Route_t *route;
+    const RouteCustomer_t *customer;
+    RelayRequest_t request;
+    GBytes *request_body;
+    RelayAnswer_t *answer;
+    RelayAttempt_t *attempt;
+    RelayFeedback_t feedback;
+    DispatchAsk_t *ask;
+    DispatchTicket_t ticket;
+    EventPipe_t *events;
+    struct evbuffer *body;
+    struct evbuffer *passing;
+    guint unrun;
+    gboolean is_stream;
+    gboolean has_answer;
+} RelayExchange_t;
+
+/** RelayExchange_wish() - what it asks of an upstream; valid as long as it */
+RelayWish_t RelayExchange_wish(const RelayExchange_t *this);
+
+/** RelayExchange_endTicket() - its dispatcher need not count it any more;
+ * may be called again */
+void RelayExchange_endTicket(RelayExchange_t *this);
+
+/** RelayExchange_closeIfStopping() - tell the caller to come back elsewhere
+ * where the router stops; called as late as the head goes out, as the stop
+ * may begin before that */
+void RelayExchange_closeIfStopping(const RelayExchange_t *this);
+
+#endif
--- /dev/null
+++ b/src/RelayRun.c
@@ -0,0 +1,210 @@
+#include "RelayRun.h"
+
+#include <event2/buffer.h>
+
+#include "Clock.h"
+#include "RelayMove.h"
+
+static void
+on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
+{
+    RelayExchange_t *this = owner;
+    RelayFeedback_noteWeights(&this->feedback, head);
+    this->is_stream = this->events && head->status < HTTP_MOVEPERM;
+    evbuffer_drain(this->body, evbuffer_get_length(this->body));
+    if (head->status < HTTP_INTERNAL || !RelayAnswer_isBegun(this->answer)) {
+        RelayAnswer_setHead(this->answer, head->status, headers);
+    }
+}
+
+static void
+note_first_event(RelayExchange_t *this)
+{
+    TraceAttempt_t *trace = this->super.attempt_trace;
+    gint64 passed_us = Clock_nowUs() - this->super.started_us;
+    if (trace->first_token_us == 0) {
+        trace->first_token_us = passed_us;
+        RelayFeedback_noteFirstEvent(&this->feedback,
+                                     passed_us - trace->started_us);
+        if (this->super.context->dispatch) {
+            Dispatch_begin(this->super.context->dispatch, &this->ticket);
+        }
+        RelayMove_allow(this);
+        Counters_observe(this->super.context->counters, "first_token_us",
+                         (guint64)passed_us);
+    }
+}
+
+static void
+on_data(void *owner, struct evbuffer *data)
+{
+    RelayExchange_t *this = owner;
+    if (!this->is_stream) {
+        evbuffer_add_buffer(this->body, data);
+        return;
+    }
+    if (EventPipe_feed(this->events, data, this->passing) == 0) {
+        return;
+    }
+    note_first_event(this);
+    RelayExchange_closeIfStopping(this);
+    RelayAnswer_send(this->answer, this->passing);
+    if (RelayAnswer_isFull(this->answer)) {
+        RelayAttempt_hold(this->attempt, TRUE);
+    }
+}
+
+static void
+finish(RelayExchange_t *this)
+{
+    RelayExchange_closeIfStopping(this);
+    if (this->is_stream) {
+        EventPipe_flush(this->events, this->passing);
+        RelayAnswer_send(this->answer, this->passing);
+        RelayAnswer_finish(this->answer);
+    }
+    else {
+        RelayAnswer_whole(this->answer, this->body);
+    }
+    Exchange_finish(&this->super);
+}
+
+static void
+on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
+{
+    RelayExchange_t *this = owner;
+    Exchange_t *super = &this->super;
+    RelayMove_forbid(this);
+    if (end == ATTEMPT_NOT_RUN && super->context->dispatch) {
+        Dispatch_refused(super->context->dispatch, &this->ticket);
+    }
+    RelayExchange_endTicket(this);
+    this->attempt = NULL;
+    this->has_answer = end == ATTEMPT_FAILED;
+    if (end == ATTEMPT_NOT_RUN && head) {
+        RelayFeedback_noteRefusal(&this->feedback, head);
+    }
+    if (end == ATTEMPT_NOT_RUN || end == ATTEMPT_NOT_SENT) {
+        this->unrun++;
+    }
+    if (end == ATTEMPT_WHOLE && this->route->by_prefix) {
+        RelayFeedback_noteWhole(&this->feedback);
+    }
+    RelayFeedback_noteReach(&this->feedback, end);
+    RelayFeedback_settle(&this->feedback);
+    Exchange_noteEnd(super, end);
+    if (end == ATTEMPT_WHOLE) {
+        finish(this);
+        return;
+    }
+    if (this->events) {
+        EventPipe_restart(this->events);
+    }
+    Exchange_recover(super, end, NULL);
+}
+
+/* A silent upstream is given up only once a probe has stayed unanswered as
+ * well, and where the request may go elsewhere; a busy one is waited for, as
+ * the request would lose its place there. */
+static gboolean
+on_silent(void *owner)
+{
+    const RelayExchange_t *this = owner;
+    const Exchange_t *super = &this->super;
+    gboolean awaits_engine = this->events && this->route->by_prefix &&
+                             RelayAnswer_request(this->answer) &&
+                             super->attempt_trace->first_token_us == 0;
+    if (awaits_engine &&
+        RelayPlacer_isOverdue(super->context, this->request.model,
+                              super->upstream)) {
+        RelayFeedback_noteOverdue(&this->feedback);
+        return TRUE;
+    }
+    return RelayFeedback_noteSilence(&this->feedback) &&
+           Exchange_mayRepeat(super);
+}
+
+static const RelayAttemptEvents_t attempt_events = {
+    .head = on_head,
+    .data = on_data,
+    .silent = on_silent,
+    .ended = on_ended,
+};
+
+static const char *
+last_event_id(const RelayExchange_t *this)
+{
+    const char *last = this->events ? EventPipe_lastId(this->events) : NULL;
+    return last ? last : this->request.last_event_id;
+}
+
+static guint
+rank_of(const RelayExchange_t *this)
+{
+    return this->customer && this->customer->rank != ROUTE_NO_RANK
+               ? this->customer->rank
+               : this->route->rank;
+}
+
+/* A request that may run only once goes on a connection that was proved
+ * alive a moment ago, or on a new one: a kept one that the upstream has
+ * dropped would leave it unknown whether it ran. */
+static gint64
+idle_limit(const RelayExchange_t *this)
+{
+    const LimitsSection_t *limits = &this->super.context->settings->limits;
+    return this->super.repeatable ? limits->idle_time_ms
+                                  : limits->once_idle_time_ms;
+}
+
+static const char *
+or_null(const char *text)
+{
+    return *text ? text : NULL;
+}
+
+static RelayOrder_t
+order_of(const RelayExchange_t *this, const RelayPlacing_t *placing,
+         gint64 left_ms)
+{
+    const Upstream_t *upstream = placing->choice.upstream;
+    gboolean is_engine = placing->salt[0] != '\0';
+    return (RelayOrder_t){
+        .instance = upstream->name->str,
+        .customer = this->customer ? this->customer->name->str : NULL,
+        .wait_ms = left_ms,
+        .rank = rank_of(this),
+        .weights = is_engine ? or_null(upstream->weights->str) : NULL,
+        .salt = or_null(placing->salt),
+        .fetch_from = or_null(placing->fetch_from),
+        .save_to = or_null(placing->save_to),
+        .last_event_id = last_event_id(this),
+    };
+}
+
+void
+RelayRun_start(RelayExchange_t *this, const RelayPlacing_t *placing)
+{
+    Exchange_t *super = &this->super;
+    const LimitsSection_t *limits = &super->context->settings->limits;
+    gint64 left_ms = super->deadline_ms - Clock_nowMs();
+    RelayOrder_t order = order_of(this, placing, left_ms);
+    RelayAttemptSpec_t spec = {
+        .upstream = placing->choice.upstream,
+        .form = this->form->upstream,
+        .request = RelayAnswer_request(this->answer),
+        .request_id = super->id->str,
+        .order = &order,
+        .body = this->request_body,
+        .idle_max_ms = idle_limit(this),
+        .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
+        .first_ms = limits->first_token_timeout_ms,
+        .pause_ms = limits->token_timeout_ms,
+    };
+    Exchange_noteAttempt(super, spec.upstream, placing->choice.reason);
+    super->attempt_trace->candidates = placing->choice.candidates;
+    RelayFeedback_begin(&this->feedback, super->context, super->id->str,
+                        placing);
+    this->attempt =
+        RelayAttempt_start(super->context->base, &spec, &attempt_events, this);
+}
