Keep the ages that routers tell each other in one place

Cause: FreshnessRelay and RecordRelay each had TRANSIT_MS and the sums with it. Result: one copy; no behaviour changed. Module tests and test_fleet (36) pass.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -1,6 +1,7 @@
 #include "FreshnessRelay.h"
 
 #include "Clock.h"
+#include "PeerAge.h"
 
 /* Routers that ask often: one may be gone and one cut off. */
 #define READERS 3
@@ -9,8 +10,6 @@
 /* How often news is passed on. With links to six peers each, it reaches some
  * hundred routers in three or four such steps. */
 #define TICK_MS 200
-/* What a message is on its way at the most; added to the age it tells. */
-#define TRANSIT_MS 50
 
 struct FreshnessRelay {
     Membership_t *membership;
@@ -28,7 +27,7 @@
     Wt__ConfigCurrent current = WT__CONFIG_CURRENT__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     current.offset = this->offset;
-    current.age_ms = (guint32)(Clock_nowMs() - this->at_ms);
+    current.age_ms = PeerAge_of(this->at_ms);
     message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
     message.config_current = &current;
     Membership_sendAll(this->membership, &message);
@@ -96,7 +95,7 @@
 void
 FreshnessRelay_take(FreshnessRelay_t *this, const Wt__ConfigCurrent *message)
 {
-    gint64 at_ms = Clock_nowMs() - message->age_ms - TRANSIT_MS;
+    gint64 at_ms = PeerAge_atMs(message->age_ms);
     if (at_ms > this->at_ms) {
         FreshnessRelay_note(this, message->offset, at_ms);
         this->events->fresh(this->owner, message->offset, at_ms);
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -1,9 +1,6 @@
 #include "RecordRelay.h"
 
-#include "Clock.h"
-
-/* What a message is on its way at the most; added to the age it tells. */
-#define TRANSIT_MS 50
+#include "PeerAge.h"
 
 struct RecordRelay {
     Membership_t *membership;
@@ -58,12 +55,6 @@
     }
 }
 
-static guint32
-age_of(gint64 at_ms)
-{
-    return (guint32)MAX(Clock_nowMs() - at_ms, 0);
-}
-
 static void
 send_news(const RecordRelay_t *this, guint64 end, gint64 at_ms,
           gint64 regained_ms)
@@ -79,8 +70,9 @@
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     part.from = this->known;
     part.end = end;
-    part.age_ms = age_of(at_ms);
-    part.regained_age_ms = regained_ms > 0 ? MAX(age_of(regained_ms), 1) : 0;
+    part.age_ms = PeerAge_of(at_ms);
+    part.regained_age_ms =
+        regained_ms > 0 ? MAX(PeerAge_of(regained_ms), 1) : 0;
     part.n_records = count;
     part.records = list;
     message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_PART;
@@ -118,9 +110,3 @@
     }
     return page;
 }
-
-gint64
-RecordRelay_atMs(guint32 age_ms)
-{
-    return Clock_nowMs() - age_ms - TRANSIT_MS;
-}
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -5,8 +5,7 @@
  *
  * Passes what one router has read of a keyed topic on to the others, so that
  * each record is read from the store by few of them. Only records that say
- * something new are passed on. Ages are counted by the monotonic clock and
- * only grow on the way.
+ * something new are passed on, with the age of what is known (PeerAge.h).
  */
 #include "Membership.h"
 #include "RecordSource.h"
@@ -47,7 +46,4 @@
  */
 KeyedPage_t RecordRelay_read(const Wt__TopicPart *message);
 
-/** RecordRelay_atMs() - since when a message's age counts, monotonic */
-gint64 RecordRelay_atMs(guint32 age_ms);
-
 #endif
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "PeerAge.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
 
@@ -269,12 +270,12 @@
 {
     KeyedPage_t page = RecordRelay_read(message);
     if (message->regained_age_ms > 0) {
-        gint64 regained_ms = RecordRelay_atMs(message->regained_age_ms);
+        gint64 regained_ms = PeerAge_atMs(message->regained_age_ms);
         this->regained_ms = MAX(this->regained_ms, regained_ms);
     }
     this->feeding = TRUE;
     RecordFollower_feed(this->follower, message->from, &page,
-                        RecordRelay_atMs(message->age_ms));
+                        PeerAge_atMs(message->age_ms));
     this->feeding = FALSE;
     g_ptr_array_unref(page.records);
 }
