Keep the keyed hash of messages between routers in one place

Cause: PeerLink and PeerDatagrams each had its length, its making and its comparison. Change: PeerMac has them; MAC is the field's word for it. Result: one copy; no behaviour changed.

--- a/src/PeerDatagrams.c
+++ b/src/PeerDatagrams.c
@@ -1,13 +1,12 @@
 #include "PeerDatagrams.h"
 
 #include <arpa/inet.h>
-#include <sodium.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "Errors.h"
+#include "PeerMac.h"
 
-#define HASH_BYTES 16
 /* Fits into one packet on any link between routers. */
 #define DATAGRAM_MAX 1200
 /* Datagrams read in one turn of the loop, so that others get theirs. */
@@ -30,30 +29,20 @@
     return place;
 }
 
-static void
-hash_of(const PeerDatagrams_t *this, const guint8 *bytes, gsize size,
-        guint8 out[HASH_BYTES])
-{
-    gsize key_size = 0;
-    const guint8 *key = g_bytes_get_data(this->key, &key_size);
-    crypto_generichash(out, HASH_BYTES, bytes, size, key, key_size);
-}
-
 /* What is not authentic is dropped without a word: anyone may send it. */
 static void
 take_datagram(const PeerDatagrams_t *this, const guint8 *bytes, gsize size,
               const struct sockaddr_in *from)
 {
-    guint8 hash[HASH_BYTES];
-    if (size < HASH_BYTES) {
+    if (size < PEER_MAC_BYTES) {
         return;
     }
-    hash_of(this, bytes + HASH_BYTES, size - HASH_BYTES, hash);
-    if (sodium_memcmp(hash, bytes, HASH_BYTES) != 0) {
+    const guint8 *payload = bytes + PEER_MAC_BYTES;
+    size -= PEER_MAC_BYTES;
+    if (!PeerMac_isGood(this->key, payload, size, bytes)) {
         return;
     }
-    Wt__PeerMessage *message =
-        wt__peer_message__unpack(NULL, size - HASH_BYTES, bytes + HASH_BYTES);
+    Wt__PeerMessage *message = wt__peer_message__unpack(NULL, size, payload);
     if (message) {
         this->take(this->owner, message, from);
         wt__peer_message__free_unpacked(message, NULL);
@@ -129,12 +118,12 @@
 {
     guint8 bytes[DATAGRAM_MAX];
     gsize size = wt__peer_message__get_packed_size(message);
-    if (size > DATAGRAM_MAX - HASH_BYTES) {
+    if (size > DATAGRAM_MAX - PEER_MAC_BYTES) {
         return;
     }
-    wt__peer_message__pack(message, bytes + HASH_BYTES);
-    hash_of(this, bytes + HASH_BYTES, size, bytes);
+    wt__peer_message__pack(message, bytes + PEER_MAC_BYTES);
+    PeerMac_make(this->key, bytes + PEER_MAC_BYTES, size, bytes);
     /* A full buffer loses it, as the network may. */
-    (void)sendto(this->fd, bytes, HASH_BYTES + size, MSG_DONTWAIT,
+    (void)sendto(this->fd, bytes, PEER_MAC_BYTES + size, MSG_DONTWAIT,
                  (const struct sockaddr *)to, sizeof(*to));
 }
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -4,13 +4,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
-#include <sodium.h>
 #include <string.h>
 
 #include "Clock.h"
+#include "PeerMac.h"
 
-#define HASH_BYTES 16
-#define HEAD_BYTES (sizeof(guint32) + HASH_BYTES)
+#define HEAD_BYTES (sizeof(guint32) + PEER_MAC_BYTES)
 /* A peer that reads nothing for so much is given up. */
 #define OUTPUT_MAX (64U << 20)
 
@@ -55,22 +54,11 @@
     }
 }
 
-static void
-hash_of(const PeerLink_t *this, const guint8 *bytes, gsize size,
-        guint8 out[HASH_BYTES])
-{
-    gsize key_size = 0;
-    const guint8 *key = g_bytes_get_data(this->key, &key_size);
-    crypto_generichash(out, HASH_BYTES, bytes, size, key, key_size);
-}
-
 static gboolean
 take_message(PeerLink_t *this, const guint8 *frame, gsize size)
 {
-    guint8 hash[HASH_BYTES];
     const guint8 *payload = frame + HEAD_BYTES;
-    hash_of(this, payload, size, hash);
-    if (sodium_memcmp(hash, frame + sizeof(guint32), HASH_BYTES) != 0) {
+    if (!PeerMac_isGood(this->key, payload, size, frame + sizeof(guint32))) {
         return FALSE;
     }
     Wt__PeerMessage *message = wt__peer_message__unpack(NULL, size, payload);
@@ -170,7 +158,7 @@
     guint32 length = htonl((guint32)size);
     memcpy(frame, &length, sizeof(length));
     wt__peer_message__pack(message, frame + HEAD_BYTES);
-    hash_of(this, frame + HEAD_BYTES, size, frame + sizeof(length));
+    PeerMac_make(this->key, frame + HEAD_BYTES, size, frame + sizeof(length));
     bufferevent_write(this->stream, frame, HEAD_BYTES + size);
     struct evbuffer *output = bufferevent_get_output(this->stream);
     if (evbuffer_get_length(output) > OUTPUT_MAX) {
