Share one record source between the module tests that answer its calls

Cause: test_RecordFollower and test_UpstreamListing each had a source, its class and its answers. Change: FakeSource has them; what the tests assert is as before.

--- /dev/null
+++ b/tests/FakeSource.c
@@ -0,0 +1,89 @@
+#include "FakeSource.h"
+
+#include <string.h>
+
+#include "Errors.h"
+
+static void
+list(RecordSource_t *super, const char *topic, const char *after,
+     KeyedDone_t done, void *data)
+{
+    (void)topic;
+    (void)after;
+    FakeSource_t *this = (FakeSource_t *)super;
+    this->done = done;
+    this->data = data;
+}
+
+static void
+read_from(RecordSource_t *super, const char *topic, guint64 from,
+          gint64 wait_ms, KeyedDone_t done, void *data)
+{
+    (void)topic;
+    (void)wait_ms;
+    FakeSource_t *this = (FakeSource_t *)super;
+    this->read_from = from;
+    this->done = done;
+    this->data = data;
+}
+
+static const RecordSourceClass_t class = {.list = list, .read = read_from};
+
+void
+FakeSource_init(FakeSource_t *this, struct event_base *base)
+{
+    *this = (FakeSource_t){.super = {.class = &class}, .base = base};
+}
+
+void
+FakeSource_await(FakeSource_t *this)
+{
+    while (!this->done) {
+        event_base_loop(this->base, EVLOOP_ONCE);
+    }
+}
+
+static void
+end_call(FakeSource_t *this, const KeyedPage_t *page, const GError *error)
+{
+    KeyedDone_t done = this->done;
+    this->done = NULL;
+    done(page, error, this->data);
+}
+
+void
+FakeSource_answer(FakeSource_t *this, KeyedPage_t *page)
+{
+    FakeSource_await(this);
+    end_call(this, page, NULL);
+    g_ptr_array_unref(page->records);
+}
+
+void
+FakeSource_fail(FakeSource_t *this, int code)
+{
+    g_autoptr(GError) error = g_error_new_literal(WT_ERROR, code, "x");
+    FakeSource_await(this);
+    end_call(this, NULL, error);
+}
+
+KeyedPage_t
+FakePage_make(guint64 end, gboolean more)
+{
+    return (KeyedPage_t){
+        .records = g_ptr_array_new_with_free_func(KeyedRecord_free),
+        .end = end,
+        .more = more,
+    };
+}
+
+void
+FakePage_add(KeyedPage_t *page, const char *key, const char *value,
+             guint64 offset)
+{
+    KeyedRecord_t *record = g_new0(KeyedRecord_t, 1);
+    record->key = g_string_new(key);
+    record->value = value ? g_bytes_new(value, strlen(value)) : NULL;
+    record->offset = offset;
+    g_ptr_array_add(page->records, record);
+}
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <string.h>
 
+#include "FakeSource.h"
 #include "UpstreamListing.h"
 
 /* So short that a test need not wait for the next read. */
@@ -10,44 +11,11 @@
 /* So long that no test sees its end. */
 #define RETURN_MS 600000
 
-/* A source whose calls a test answers. */
-typedef struct {
-    RecordSource_t super;
-    KeyedDone_t done;
-    void *data;
-} Source_t;
-
-static Source_t source;
+static FakeSource_t source;
 static struct event_base *base;
 static UpstreamSet_t *upstreams;
 static guint decoded;
 
-static void
-list(RecordSource_t *super, const char *topic, const char *after,
-     KeyedDone_t done, void *data)
-{
-    (void)super;
-    (void)topic;
-    (void)after;
-    source.done = done;
-    source.data = data;
-}
-
-static void
-read_from(RecordSource_t *super, const char *topic, guint64 from,
-          gint64 wait_ms, KeyedDone_t done, void *data)
-{
-    (void)super;
-    (void)topic;
-    (void)from;
-    (void)wait_ms;
-    source.done = done;
-    source.data = data;
-}
-
-static const RecordSourceClass_t source_class = {.list = list,
-                                                 .read = read_from};
-
 /* An entry's value is the target that the upstream serves. */
 static gboolean
 decode(GBytes *value, ListedUpstream_t *out, GError **error)
@@ -63,10 +31,9 @@
 static UpstreamListing_t *
 begin(void)
 {
-    memset(&source, 0, sizeof(source));
-    source.super.class = &source_class;
     decoded = 0;
     base = event_base_new();
+    FakeSource_init(&source, base);
     upstreams = UpstreamSet_create(base, 1);
     UpstreamListingSpec_t spec = {.source = &source.super,
                                   .topic = "t",
@@ -90,21 +57,9 @@
 static void
 answer(guint64 offset, const char *key, const char *value)
 {
-    while (!source.done) {
-        event_base_loop(base, EVLOOP_ONCE);
-    }
-    KeyedPage_t page = {.records =
-                            g_ptr_array_new_with_free_func(KeyedRecord_free),
-                        .end = offset + 1};
-    KeyedRecord_t *record = g_new0(KeyedRecord_t, 1);
-    record->key = g_string_new(key);
-    record->value = value ? g_bytes_new(value, strlen(value)) : NULL;
-    record->offset = offset;
-    g_ptr_array_add(page.records, record);
-    KeyedDone_t done = source.done;
-    source.done = NULL;
-    done(&page, NULL, source.data);
-    g_ptr_array_unref(page.records);
+    KeyedPage_t page = FakePage_make(offset + 1, FALSE);
+    FakePage_add(&page, key, value, offset);
+    FakeSource_answer(&source, &page);
 }
 
 static guint
