Name what Dispatch counts and share how its questions and tickets end

Cause: the end of a question and of a ticket stood twice; 40 and 64 had no word on where they come from; Dispatch_ask and Dispatch_create did two jobs. Change: finish_ask, end_ticket, create_ask and first_id; constants with their reasons; headers say when nothing happens. Result: no behaviour changed.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -9,8 +9,10 @@
 /* A dispatcher that did not answer is not asked again for so long; its own
  * restart takes less. */
 #define SILENCE_MS 500
-/* Longest name of a group. */
-#define GROUP_NAME_SIZE 64
+/* Name of a group: its target's, cut to so many characters, a slash, the
+ * digits of a number and the end. All routers must cut it alike. */
+#define GROUP_TARGET_MAX 40
+#define GROUP_NAME_SIZE (GROUP_TARGET_MAX + 12)
 
 struct Dispatch {
     struct event_base *base;
@@ -22,11 +24,11 @@
 };
 
 struct DispatchAsk {
-    Dispatch_t *owner;
+    Dispatch_t *dispatch;
     DispatchTicket_t ticket;
     GString *dispatcher; /* its name, as it may be forgotten meanwhile */
     DispatchDone_t done;
-    void *asker;
+    void *owner; /* for @done */
     struct event *timeout;
 };
 
@@ -58,6 +60,12 @@
     return upstream ? upstream->hash : 0;
 }
 
+static guint32
+to_32_bits(gint64 us)
+{
+    return (guint32)MIN(us, G_MAXINT32);
+}
+
 static void
 send_answer(const Dispatch_t *this, guint64 ticket, const Choice_t *choice,
             const struct sockaddr_in *to)
@@ -69,13 +77,15 @@
     answer.fetch_from = hash_or_zero(choice->fetch_from);
     answer.source_seen = choice->source_seen;
     answer.cached_tokens = choice->expected_cached;
-    answer.cost_us = (guint32)MIN(choice->cost_us, G_MAXINT32);
-    answer.own_us = (guint32)MIN(choice->own_us, G_MAXINT32);
+    answer.cost_us = to_32_bits(choice->cost_us);
+    answer.own_us = to_32_bits(choice->own_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ANSWER;
     message.place_answer = &answer;
     PeerDatagrams_send(this->datagrams, to, &message);
 }
 
+/* The asker tells of the shared part of the prompt alone; the request's own
+ * part is the last level and has no identity here. */
 static Placement_t
 placement_of(const Dispatch_t *this, const Wt__PlaceAsk *ask)
 {
@@ -126,6 +136,17 @@
     };
 }
 
+/* The question is gone before its asker hears, who may ask again. */
+static void
+finish_ask(DispatchAsk_t *ask, const Choice_t *choice,
+           const DispatchTicket_t *ticket)
+{
+    DispatchDone_t done = ask->done;
+    void *owner = ask->owner;
+    g_hash_table_remove(ask->dispatch->asks, &ask->ticket.id);
+    done(owner, choice, ticket);
+}
+
 /* The asker may be gone, or may have chosen for itself by now. */
 static void
 take_answer(Dispatch_t *this, const Wt__PlaceAnswer *answer,
@@ -138,10 +159,7 @@
         return;
     }
     Choice_t choice = choice_of(this, answer);
-    DispatchDone_t done = ask->done;
-    void *asker = ask->asker;
-    g_hash_table_remove(this->asks, &answer->ticket);
-    done(asker, &choice, &ticket);
+    finish_ask(ask, &choice, &ticket);
 }
 
 static void
@@ -187,17 +205,24 @@
     (void)fd;
     (void)what;
     DispatchAsk_t *ask = data;
-    Dispatch_t *this = ask->owner;
-    DispatchDone_t done = ask->done;
-    void *asker = ask->asker;
+    Dispatch_t *this = ask->dispatch;
     DispatchTicket_t none = {0};
     Choice_t nothing = {.reason = "unanswered"};
     Membership_noteUnanswered(this->spec.membership, ask->dispatcher->str,
                               Clock_nowMs() + SILENCE_MS);
     Counters_add(this->spec.counters, "places_unanswered_total", NULL, 1);
     send_news(this, &ask->ticket, WT__PLACE_STATE__ENDED);
-    g_hash_table_remove(this->asks, &ask->ticket.id);
-    done(asker, &nothing, &none);
+    finish_ask(ask, &nothing, &none);
+}
+
+/* Tickets of all routers lie in one table of their dispatcher, so that each
+ * process counts on from a number of its own. */
+static guint64
+first_id(const Address_t *listen)
+{
+    g_autofree char *process = g_strdup_printf(
+        "%s:%u %" G_GINT64_FORMAT, listen->host, listen->port, Clock_wallMs());
+    return XXH3_64bits(process, strlen(process));
 }
 
 Dispatch_t *
@@ -218,9 +243,7 @@
     this->tickets = Tickets_create(base);
     this->asks =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_ask);
-    g_autofree char *place = g_strdup_printf(
-        "%s:%u %" G_GINT64_FORMAT, listen->host, listen->port, Clock_wallMs());
-    this->next_id = XXH3_64bits(place, strlen(place));
+    this->next_id = first_id(listen);
     return this;
 }
 
@@ -241,7 +264,7 @@
     if (Membership_isMesh(this->spec.membership)) {
         return groups;
     }
-    while (groups * 2 * DISPATCH_GROUP <= engines) {
+    while (groups * 2 * DISPATCH_GROUP_SIZE <= engines) {
         groups *= 2;
     }
     return groups;
@@ -271,11 +294,25 @@
                 const Choice_t *choice)
 {
     char group[GROUP_NAME_SIZE];
-    g_snprintf(group, sizeof(group), "%.40s/%u", placement->target,
-               choice->group);
+    g_snprintf(group, sizeof(group), "%.*s/%u", GROUP_TARGET_MAX,
+               placement->target, choice->group);
     return Membership_answering(this->spec.membership, group, Clock_nowMs());
 }
 
+static DispatchAsk_t *
+create_ask(Dispatch_t *this, const Member_t *dispatcher)
+{
+    DispatchAsk_t *ask = g_new0(DispatchAsk_t, 1);
+    ask->dispatch = this;
+    ask->ticket.id = ++this->next_id;
+    ask->ticket.dispatcher = PeerDatagrams_address(&dispatcher->address);
+    ask->dispatcher = g_string_new(dispatcher->name->str);
+    ask->timeout = Clock_timer(this->base, on_timeout, ask);
+    Clock_arm(ask->timeout, DISPATCH_WAIT_MS);
+    g_hash_table_insert(this->asks, &ask->ticket.id, ask);
+    return ask;
+}
+
 DispatchAsk_t *
 Dispatch_ask(Dispatch_t *this, const Placement_t *placement, const char *model,
              const Choice_t *choice, DispatchDone_t done, void *owner)
@@ -286,16 +323,9 @@
     if (!dispatcher) {
         return NULL;
     }
-    DispatchAsk_t *ask = g_new0(DispatchAsk_t, 1);
-    ask->owner = this;
-    ask->ticket.id = ++this->next_id;
-    ask->ticket.dispatcher = PeerDatagrams_address(&dispatcher->address);
-    ask->dispatcher = g_string_new(dispatcher->name->str);
+    DispatchAsk_t *ask = create_ask(this, dispatcher);
     ask->done = done;
-    ask->asker = owner;
-    ask->timeout = Clock_timer(this->base, on_timeout, ask);
-    Clock_arm(ask->timeout, DISPATCH_WAIT_MS);
-    g_hash_table_insert(this->asks, &ask->ticket.id, ask);
+    ask->owner = owner;
     send_ask(this, ask, placement, model);
     return ask;
 }
@@ -303,7 +333,7 @@
 void
 Dispatch_cancel(DispatchAsk_t *ask)
 {
-    Dispatch_t *this = ask->owner;
+    Dispatch_t *this = ask->dispatch;
     send_news(this, &ask->ticket, WT__PLACE_STATE__ENDED);
     g_hash_table_remove(this->asks, &ask->ticket.id);
 }
@@ -316,20 +346,24 @@
     }
 }
 
-void
-Dispatch_refused(const Dispatch_t *this, DispatchTicket_t *ticket)
+static void
+end_ticket(const Dispatch_t *this, DispatchTicket_t *ticket,
+           Wt__PlaceState state)
 {
     if (ticket->id != 0) {
-        send_news(this, ticket, WT__PLACE_STATE__REFUSED);
+        send_news(this, ticket, state);
         ticket->id = 0;
     }
 }
 
+void
+Dispatch_refused(const Dispatch_t *this, DispatchTicket_t *ticket)
+{
+    end_ticket(this, ticket, WT__PLACE_STATE__REFUSED);
+}
+
 void
 Dispatch_end(const Dispatch_t *this, DispatchTicket_t *ticket)
 {
-    if (ticket->id != 0) {
-        send_news(this, ticket, WT__PLACE_STATE__ENDED);
-        ticket->id = 0;
-    }
+    end_ticket(this, ticket, WT__PLACE_STATE__ENDED);
 }
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -22,7 +22,7 @@
 
 /** Engines of a group, about: enough to choose from, and few enough for one
  * router to place all of their requests */
-#define DISPATCH_GROUP 8
+#define DISPATCH_GROUP_SIZE 8
 
 /**
  * struct DispatchTicket_t - a request that a dispatcher has placed
@@ -84,9 +84,11 @@
 
 /**
  * Dispatch_ask() - ask the dispatcher of the group of what was chosen here
- * @placement: with at least one level; what is weighed
+ * @placement: what is weighed; without a prefix level nothing is asked
  * @model: whose weights are wanted, or NULL
  * @choice: of this router alone
+ * @done: called once, unless the question is cancelled; not before the return
+ * @owner: for @done
  *
  * Return: NULL where this router's choice stands
  */
@@ -94,10 +96,11 @@
                             const char *model, const Choice_t *choice,
                             DispatchDone_t done, void *owner);
 
-/** Dispatch_cancel() - forget a question; @done is not called */
+/** Dispatch_cancel() - forget a question; its @done is not called */
 void Dispatch_cancel(DispatchAsk_t *ask);
 
-/** Dispatch_begin() - the first token of a ticket's request came */
+/** Dispatch_begin() - the first token of a ticket's request came; nothing
+ * where the ticket is none, as with the next two */
 void Dispatch_begin(const Dispatch_t *this, const DispatchTicket_t *ticket);
 
 /** Dispatch_refused() - its upstream refused a ticket's request, as not run */
--- a/src/StreamMover.c
+++ b/src/StreamMover.c
@@ -2,12 +2,14 @@
 
 #include "Clock.h"
 
+/* How often streams are looked through: adds so much to MOVE_AFTER_MS at the
+ * most. */
 #define TICK_MS 50
 
 struct StreamMover {
     const UpstreamSet_t *upstreams;
     RetryBudget_t *budget;
-    GHashTable *streams; /* stream -> MovableClass_t */
+    GHashTable *streams; /* stream -> MovableClass_t, which is not owned */
     struct event *tick;
 };
 
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -2,6 +2,8 @@
 
 #include "Clock.h"
 
+/* How often tickets are looked through for those that have lapsed: a tenth of
+ * the shorter of their times. */
 #define TICK_MS 500
 
 struct Tickets {
@@ -19,7 +21,6 @@
     gint64 placed_ms;
 } Ticket_t;
 
-/* The upstream counts what is not known to be over. */
 static void
 drop_tokens(Ticket_t *ticket)
 {
