Name the microseconds of a millisecond

Cause: sums of times of two units had a bare 1000 in them. Change: CLOCK_US_PER_MS, used by Clock and LoadShed. Result: no behaviour changed. Module tests and test_fleet (36) pass.

--- a/src/Clock.c
+++ b/src/Clock.c
@@ -9,13 +9,13 @@
 gint64
 Clock_nowMs(void)
 {
-    return g_get_monotonic_time() / 1000;
+    return g_get_monotonic_time() / CLOCK_US_PER_MS;
 }
 
 gint64
 Clock_wallMs(void)
 {
-    return g_get_real_time() / 1000;
+    return g_get_real_time() / CLOCK_US_PER_MS;
 }
 
 struct event *
--- a/src/Clock.h
+++ b/src/Clock.h
@@ -8,6 +8,9 @@
 #include <event2/event.h>
 #include <glib.h>
 
+/** Microseconds of a millisecond */
+#define CLOCK_US_PER_MS 1000
+
 /** Clock_nowUs() - monotonic microseconds */
 gint64 Clock_nowUs(void);
 
--- a/src/LoadShed.c
+++ b/src/LoadShed.c
@@ -1,5 +1,6 @@
 #include "LoadShed.h"
 
+#include "Clock.h"
 #include "Log.h"
 
 /* A caller that comes with less than this share of the route's time has most
@@ -39,14 +40,14 @@
 is_queued(const LoadShedFacts_t *facts)
 {
     gint64 ahead_us = facts->expected_us - facts->own_us;
-    return ahead_us * QUEUE_PARTS > facts->objective_ms * 1000;
+    return ahead_us * QUEUE_PARTS > facts->objective_ms * CLOCK_US_PER_MS;
 }
 
 static guint
 retry_after_ms(const LoadShedFacts_t *facts)
 {
     gint64 calm_ms = facts->objective_ms * CALM_PERCENT / 100;
-    gint64 wait_ms = facts->expected_us / 1000 - calm_ms;
+    gint64 wait_ms = facts->expected_us / CLOCK_US_PER_MS - calm_ms;
     gint64 most_ms = MAX(facts->left_ms / WAIT_PARTS, RETRY_LEAST_MS);
     return (guint)CLAMP(wait_ms, RETRY_LEAST_MS, most_ms);
 }
@@ -56,7 +57,7 @@
 {
     LoadShedPlan_t plan = {.admitted = TRUE};
     if (facts->percent == 0 || facts->objective_ms == 0 || !is_queued(facts) ||
-        facts->expected_us <= longest_wait_ms(facts) * 1000) {
+        facts->expected_us <= longest_wait_ms(facts) * CLOCK_US_PER_MS) {
         return plan;
     }
     plan.admitted = FALSE;
