End a relayed attempt early in one place

Cause: a drop and a move each ended the ticket, the feedback and the attempt; on_ended had 34 lines; refuse closed in both of its branches. Change: RelayRun_cancel; on_ended in three steps; refuse closes once. Result: no behaviour changed.

--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -7,6 +7,7 @@
 #include "RelayDispatch.h"
 #include "RelayExchangeState.h"
 #include "RelayMove.h"
+#include "RelayRun.h"
 
 /* Attempts that are proved not to have run do not count against the route's
  * most, up to so many: each costs a round trip and the retry budget. */
@@ -70,13 +71,7 @@
 static gboolean
 drop(Exchange_t *super)
 {
-    RelayExchange_t *this = (RelayExchange_t *)super;
-    RelayExchange_endTicket(this);
-    RelayFeedback_settle(&this->feedback);
-    gboolean sent = RelayAttempt_wasSent(this->attempt);
-    RelayAttempt_cancel(this->attempt);
-    this->attempt = NULL;
-    return sent;
+    return RelayRun_cancel((RelayExchange_t *)super);
 }
 
 /* An upstream's own failure says more than ours would. */
@@ -85,13 +80,12 @@
        const char *detail)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
+    RelayExchange_closeIfStopping(this);
     if (this->has_answer && run != RUN_NOT &&
         !RelayAnswer_isBegun(this->answer)) {
-        RelayExchange_closeIfStopping(this);
         RelayAnswer_whole(this->answer, this->body);
         return;
     }
-    RelayExchange_closeIfStopping(this);
     RelayAnswer_refuse(this->answer, refusal, run, detail);
 }
 
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -1,5 +1,8 @@
 #include "RelayMove.h"
 
+#include "Clock.h"
+#include "RelayRun.h"
+
 /* A stream is moved if its next event is expected within this share of the
  * pause that its route aims at; the rest is for what is not foreseen. */
 #define MOVE_PAUSE_PERCENT 50
@@ -27,8 +30,8 @@
     wish.avoid = this->super.upstream;
     RelayPlacer_choose(this->super.context, &wish, &placing);
     return placing.choice.upstream &&
-           placing.choice.cost_us <=
-               this->route->pause_ms * 1000 * MOVE_PAUSE_PERCENT / 100;
+           placing.choice.cost_us <= this->route->pause_ms * CLOCK_US_PER_MS *
+                                         MOVE_PAUSE_PERCENT / 100;
 }
 
 static void
@@ -38,11 +41,8 @@
     if (!is_near(this)) {
         return;
     }
-    RelayFeedback_settle(&this->feedback);
-    RelayAttempt_cancel(this->attempt);
-    this->attempt = NULL;
+    RelayRun_cancel(this);
     RelayMove_forbid(this);
-    RelayExchange_endTicket(this);
     Exchange_noteEnd(&this->super, ATTEMPT_MOVED);
     EventPipe_restart(this->events);
     Exchange_recover(&this->super, ATTEMPT_MOVED, NULL);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -70,17 +70,18 @@
 }
 
 static void
-on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
+tell_dispatcher(RelayExchange_t *this, AttemptEnd_t end)
 {
-    RelayExchange_t *this = owner;
-    Exchange_t *super = &this->super;
-    RelayMove_forbid(this);
-    if (end == ATTEMPT_NOT_RUN && super->context->dispatch) {
-        Dispatch_refused(super->context->dispatch, &this->ticket);
+    Dispatch_t *dispatch = this->super.context->dispatch;
+    if (end == ATTEMPT_NOT_RUN && dispatch) {
+        Dispatch_refused(dispatch, &this->ticket);
     }
     RelayExchange_endTicket(this);
-    this->attempt = NULL;
-    this->has_answer = end == ATTEMPT_FAILED;
+}
+
+static void
+note_end(RelayExchange_t *this, AttemptEnd_t end, const RelayHead_t *head)
+{
     if (end == ATTEMPT_NOT_RUN && head) {
         RelayFeedback_noteRefusal(&this->feedback, head);
     }
@@ -92,7 +93,18 @@
     }
     RelayFeedback_noteReach(&this->feedback, end);
     RelayFeedback_settle(&this->feedback);
-    Exchange_noteEnd(super, end);
+    Exchange_noteEnd(&this->super, end);
+}
+
+static void
+on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
+{
+    RelayExchange_t *this = owner;
+    RelayMove_forbid(this);
+    tell_dispatcher(this, end);
+    this->attempt = NULL;
+    this->has_answer = end == ATTEMPT_FAILED;
+    note_end(this, end, head);
     if (end == ATTEMPT_WHOLE) {
         finish(this);
         return;
@@ -100,7 +112,7 @@
     if (this->events) {
         EventPipe_restart(this->events);
     }
-    Exchange_recover(super, end, NULL);
+    Exchange_recover(&this->super, end, NULL);
 }
 
 /* A silent upstream is given up only once a probe has stayed unanswered as
@@ -208,3 +220,14 @@
     this->attempt =
         RelayAttempt_start(super->context->base, &spec, &attempt_events, this);
 }
+
+gboolean
+RelayRun_cancel(RelayExchange_t *this)
+{
+    gboolean sent = RelayAttempt_wasSent(this->attempt);
+    RelayExchange_endTicket(this);
+    RelayFeedback_settle(&this->feedback);
+    RelayAttempt_cancel(this->attempt);
+    this->attempt = NULL;
+    return sent;
+}
--- a/src/RelayRun.h
+++ b/src/RelayRun.h
@@ -12,4 +12,11 @@
 /** RelayRun_start() - begin an attempt at the upstream that was chosen */
 void RelayRun_start(RelayExchange_t *this, const RelayPlacing_t *placing);
 
+/**
+ * RelayRun_cancel() - end the attempt under way
+ *
+ * Return: whether any of its request was sent
+ */
+gboolean RelayRun_cancel(RelayExchange_t *this);
+
 #endif
