Name the time of a doubt and keep the prober's numbers beside their use

Cause: hinted_ms said nothing of what was hinted; two constants that only the prober's code uses stood in its header; Upstream_settleDoubt's comment left out this router's own probes. Change: doubted_ms; the constants moved; the comment says whose probe. Result: no behaviour changed. Module tests and test_fleet (36) pass.

--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -173,7 +173,7 @@
 gboolean
 Upstream_settleDoubt(Upstream_t *this)
 {
-    if (this->hinted_ms == 0 || this->doubt_settled) {
+    if (this->doubted_ms == 0 || this->doubt_settled) {
         return FALSE;
     }
     this->doubt_settled = TRUE;
@@ -187,10 +187,10 @@
 gboolean
 Upstream_noteDoubt(Upstream_t *this, gint64 now_ms)
 {
-    if (this->hinted_ms != 0 && now_ms - this->hinted_ms < DOUBT_AGE_MS) {
+    if (this->doubted_ms != 0 && now_ms - this->doubted_ms < DOUBT_AGE_MS) {
         return FALSE;
     }
-    this->hinted_ms = now_ms;
+    this->doubted_ms = now_ms;
     this->doubt_settled = FALSE;
     return TRUE;
 }
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -49,7 +49,7 @@
  * @ticket_requests: those requests that are open
  * @suspect: it was not reached; gets no work until it has answered a probe
  * @heard_doubt: it is suspect only because a peer did not reach it
- * @hinted_ms: when routers last told each other that it was not reached, by
+ * @doubted_ms: when routers last told each other that it was not reached, by
  *     Upstream_noteDoubt(); 0 for never
  * @doubt_settled: routers have told each other since that it was reached
  * @unanswered: probes since it was last reached
@@ -95,7 +95,7 @@
     guint ticket_requests;
     gboolean suspect;
     gboolean heard_doubt;
-    gint64 hinted_ms;
+    gint64 doubted_ms;
     gboolean doubt_settled;
     guint unanswered;
     double wait_us;
@@ -173,9 +173,10 @@
 void Upstream_noteHeardDoubt(Upstream_t *this);
 
 /**
- * Upstream_settleDoubt() - a peer that was to probe it has reached it
+ * Upstream_settleDoubt() - a router that probed it has reached it
  *
- * What this router found out for itself stays.
+ * It gets work again where only a peer had not reached it; what this router
+ * found out for itself stays.
  *
  * Return: FALSE where no doubt was told, or where this is known already
  */
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -4,7 +4,14 @@
 #include "HttpCall.h"
 #include "Log.h"
 
+/* How often upstreams are looked through for suspects. */
 #define TICK_MS 100
+/* Routers that ask an upstream which a peer did not reach: one of them may be
+ * gone and one cut off. */
+#define PROBERS 3
+/* How long the others wait for the word of those: as long as three probes of
+ * them take, the first two of which were not answered. */
+#define PROBERS_PATIENCE_MS 2500
 /* A suspect that stays silent is asked again after a pause that doubles from
  * the first to the last of these. */
 #define FIRST_PAUSE_MS 250
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -32,14 +32,6 @@
     gint64 timeout_ms;
 } UpstreamProberSpec_t;
 
-/** Routers that ask an upstream which a peer did not reach: one of them may be
- * gone and one cut off */
-#define PROBERS 3
-
-/** How long the others wait for the word of those, in ms: as long as three
- * probes of them take, the first two of which were not answered */
-#define PROBERS_PATIENCE_MS 2500
-
 /** struct UpstreamProber_t - opaque */
 typedef struct UpstreamProber UpstreamProber_t;
 
