Split how RecordFollower takes a page

Cause: on_page had 35 lines and three outcomes; the times of calls had no word on which is which. Change: list_anew and take_page; the fields stand with what they belong to. Result: no behaviour changed. Module tests and test_fleet (36) pass.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -24,12 +24,12 @@
     guint64 next;        /* offset to read from */
     gboolean listing;
     gboolean first_page;
-    gint64 sent_ms;
-    gint64 current_ms; /* when the end was last known, 0 for never */
     gboolean calling;
-    gint64 asked_ms;
+    gint64 sent_ms; /* when the call under way was made */
     gboolean asking;
-    guint failures;
+    gint64 asked_ms;   /* the same of the question beside it */
+    gint64 current_ms; /* when the end was last known, 0 for never */
+    guint failures;    /* in a row */
 };
 
 static void call(RecordFollower_t *this);
@@ -177,18 +177,40 @@
     Clock_arm(this->timer, at_end ? pause_left_ms(this) : 0);
 }
 
+static void
+list_anew(RecordFollower_t *this)
+{
+    Log_begin(LOG_LEVEL_WARNING, "topic_listed_anew");
+    Log_text("topic", this->topic->str);
+    Log_number("next", (gint64)this->next);
+    Log_end();
+    begin_list(this);
+    call(this);
+}
+
+static void
+take_page(RecordFollower_t *this, const KeyedPage_t *page)
+{
+    if (this->listing) {
+        take_list(this, page);
+    }
+    else {
+        take_tail(this, page);
+    }
+    gboolean at_end = !this->listing && this->next >= page->end;
+    if (at_end) {
+        note_current(this, this->sent_ms);
+    }
+    go_on(this, at_end);
+}
+
 static void
 on_page(const KeyedPage_t *page, const GError *error, void *data)
 {
     RecordFollower_t *this = data;
     this->calling = FALSE;
     if (g_error_matches(error, WT_ERROR, WT_ERROR_TRUNCATED)) {
-        Log_begin(LOG_LEVEL_WARNING, "topic_listed_anew");
-        Log_text("topic", this->topic->str);
-        Log_number("next", (gint64)this->next);
-        Log_end();
-        begin_list(this);
-        call(this);
+        list_anew(this);
         return;
     }
     if (!page) {
@@ -196,18 +218,7 @@
         return;
     }
     note_good(this);
-    gint64 sent_ms = this->sent_ms;
-    if (this->listing) {
-        take_list(this, page);
-    }
-    else {
-        take_tail(this, page);
-    }
-    gboolean at_end = !this->listing && this->next >= page->end;
-    if (at_end) {
-        note_current(this, sent_ms);
-    }
-    go_on(this, at_end);
+    take_page(this, page);
 }
 
 static void
