Share how RouteSync keeps its questions apart

Cause: on_fresh and on_tick each compared and set the time of the last one. Change: ask_store does, given the least time between two. Result: no behaviour changed. Module tests and test_fleet (36) pass.

--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -7,6 +7,7 @@
 #include "Log.h"
 #include "RecordFollower.h"
 
+/* How often it is checked whether peers still tell something. */
 #define TICK_MS 200
 /* Where peers have told nothing for so long, a router asks for itself, as
  * those that ask for all may be gone or cut off; not more often than once in
@@ -108,6 +109,16 @@
                                                : this->spec.wait_ms);
 }
 
+static void
+ask_store(RouteSync_t *this, gint64 least_ms)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (now_ms - this->asked_ms >= least_ms) {
+        this->asked_ms = now_ms;
+        RecordFollower_ask(this->follower);
+    }
+}
+
 /* Only who has read to the same end knows that nothing newer existed. Who has
  * not reads at once: the read that is held may hang on a link that was cut. */
 static void
@@ -115,13 +126,11 @@
 {
     RouteSync_t *this = owner;
     guint64 known = RecordFollower_offset(this->follower);
-    gint64 now_ms = Clock_nowMs();
     if (known == offset) {
         RouteTable_noteCurrent(this->spec.routes, at_ms);
     }
-    else if (known < offset && now_ms - this->asked_ms >= ASK_BEHIND_MS) {
-        this->asked_ms = now_ms;
-        RecordFollower_ask(this->follower);
+    else if (known < offset) {
+        ask_store(this, ASK_BEHIND_MS);
     }
 }
 
@@ -138,11 +147,8 @@
     (void)fd;
     (void)what;
     RouteSync_t *this = data;
-    gint64 now_ms = Clock_nowMs();
-    if (!RouteTable_isFresh(this->spec.routes, UNTOLD_MS) &&
-        now_ms - this->asked_ms >= ASK_EVERY_MS) {
-        this->asked_ms = now_ms;
-        RecordFollower_ask(this->follower);
+    if (!RouteTable_isFresh(this->spec.routes, UNTOLD_MS)) {
+        ask_store(this, ASK_EVERY_MS);
     }
     Clock_arm(this->tick, TICK_MS);
 }
