Derive a test's wait from the transit that it has to outlast

Cause: test_UpstreamListing slept 60000 us, because of a constant elsewhere. Change: PEER_TRANSIT_MS is public and the wait is counted from it. Result: the same wait and assertions; module tests pass.

--- a/src/PeerAge.c
+++ b/src/PeerAge.c
@@ -2,9 +2,6 @@
 
 #include "Clock.h"
 
-/* What a message is on its way at the most. */
-#define TRANSIT_MS 50
-
 guint32
 PeerAge_of(gint64 at_ms)
 {
@@ -14,5 +11,5 @@
 gint64
 PeerAge_atMs(guint32 age_ms)
 {
-    return Clock_nowMs() - age_ms - TRANSIT_MS;
+    return Clock_nowMs() - age_ms - PEER_TRANSIT_MS;
 }
--- a/src/PeerAge.h
+++ b/src/PeerAge.h
@@ -9,6 +9,9 @@
  */
 #include <glib.h>
 
+/** What a message is on its way at the most, in ms */
+#define PEER_TRANSIT_MS 50
+
 /** PeerAge_of() - the age to tell of a monotonic time, in ms */
 guint32 PeerAge_of(gint64 at_ms);
 
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -3,13 +3,17 @@
 #include <event2/event.h>
 #include <string.h>
 
+#include "Clock.h"
 #include "FakeSource.h"
+#include "PeerAge.h"
 #include "UpstreamListing.h"
 
 /* So short that a test need not wait for the next read. */
 #define POLL_MS 1
 /* So long that no test sees its end. */
 #define RETURN_MS 600000
+/* More than a message's transit, which adds to its age. */
+#define TOLD_AFTER_US ((PEER_TRANSIT_MS + 10) * CLOCK_US_PER_MS)
 
 static FakeSource_t source;
 static struct event_base *base;
@@ -134,7 +138,7 @@
     part.regained_age_ms = regained_age_ms;
     part.n_records = 1;
     part.records = &records;
-    g_usleep(60000); /* more than a message's transit, which adds to its age */
+    g_usleep(TOLD_AFTER_US);
     UpstreamListing_take(listing, &part);
 }
 
