Say what the walk, the spare part and the listing's membership are

Change: comments, and SPARE_PARTS for the 2. Result: no behaviour changed. Module tests and test_fleet (36) pass.

--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -11,6 +11,8 @@
 #define CANDIDATES 4
 /* Engines of a group that are weighed: more than most groups have. */
 #define GROUP_CANDIDATES 24
+/* Points of the ring that are passed until enough are found that may be used.
+ */
 #define RING_POINTS_MAX 256
 /* How much later a first token may come at the home before the request goes
  * to the next engine: about the time to take a long prefix along. 10 and
@@ -41,12 +43,13 @@
     guint64 generation;
 } HomePolicy_t;
 
+/* The engines that are weighed for one request. */
 typedef struct {
     HomePolicy_t *policy;
     const Placement_t *placement;
-    Upstream_t *list[GROUP_CANDIDATES];
+    Upstream_t *list[GROUP_CANDIDATES]; /* the home first */
     guint count;
-    guint most;
+    guint most; /* to take from the ring */
 } Walk_t;
 
 /* How an engine comes by the shared part of a prompt. */
--- a/src/RetryBudget.c
+++ b/src/RetryBudget.c
@@ -2,6 +2,8 @@
 
 /* Balances are in hundredths of a retry. */
 #define ONE_RETRY 100
+/* Of what a target may hold, this part is kept for failures. */
+#define SPARE_PARTS 2
 /* How long a smaller share is kept after routers have gone out of sight. */
 #define SHARE_MEMORY_MS 60000
 /* Targets remembered; a configuration has far fewer. */
@@ -90,7 +92,7 @@
 RetryBudget_hasSpare(RetryBudget_t *this, const char *target)
 {
     return this->percent > 0 &&
-           *balance_of(this, target) >= ONE_RETRY + share(this) / 2;
+           *balance_of(this, target) >= ONE_RETRY + share(this) / SPARE_PARTS;
 }
 
 void
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -34,8 +34,8 @@
     RecordRelay_t *relay;
     struct event *return_over;
     gint64 regained_ms; /* 0 where the list was never out of reach */
-    gboolean known;
-    gboolean feeding; /* what is told now comes from a peer */
+    gboolean known;     /* it was read at least once */
+    gboolean feeding;   /* what is told now comes from a peer */
 };
 
 static void
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -41,7 +41,8 @@
  * @topic: of the list
  * @decode: reads an entry
  * @upstreams: kept in step
- * @membership: told of those that leave
+ * @membership: told of what is read and of those that leave; NULL for none,
+ *     as in module tests
  * @hints: by which routers hear of weights; NULL for none, as in module tests
  * @region: of the upstreams
  * @poll_ms: oldest that the knowledge of the list may be when it is read
