--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -95,38 +95,44 @@
                      : NULL;
 }
 
+/* What is kept nowhere is saved by the request that computes it. */
+static void
+use_store(const Context_t *context, const RouteKvStore_t *store,
+          RelayPlacing_t *out)
+{
+    CacheStore_t *cache = context->cache_store;
+    gint64 now_ms = out->placement.now_ms;
+    gboolean kept = CacheStore_isKept(cache, out->saved_prefix, now_ms);
+    if (!out->choice.source_seen) {
+        write_address(out->fetch_from, &store->address);
+    }
+    if (!kept && CacheStore_beginSave(cache, out->saved_prefix, now_ms)) {
+        write_address(out->save_to, &store->address);
+    }
+}
+
 /* From an engine that was seen to read it a moment ago: the links of engines
  * are faster than those of the few stores. Else from the store: a miss there
  * costs a millisecond, and even where the whole prefix is new the store keeps
- * what it begins with. What is kept nowhere is saved by the request that
- * computes it. */
+ * what it begins with. */
 static void
 use_caches(const Context_t *context, RelayPlacing_t *out)
 {
     const Placement_t *placement = &out->placement;
-    const Upstream_t *upstream = out->choice.upstream;
-    if (out->choice.fetch_from) {
-        write_address(out->fetch_from, &out->choice.fetch_from->address);
+    const Choice_t *choice = &out->choice;
+    if (choice->fetch_from) {
+        write_address(out->fetch_from, &choice->fetch_from->address);
     }
     guint shared = Placement_sharedLevel(placement);
     if (placement->level_count < 2 ||
         placement->level_tokens[shared] < STORED_TOKENS_MIN) {
         return;
     }
-    out->saved_prefix =
-        CacheStore_prefix(placement->levels[shared], upstream->weights);
+    out->saved_prefix = CacheStore_prefix(placement->levels[shared],
+                                          choice->upstream->weights);
     const RouteKvStore_t *store = store_of(context, out->saved_prefix);
-    if (!store) {
-        return;
-    }
-    gboolean kept = CacheStore_isKept(context->cache_store, out->saved_prefix,
-                                      placement->now_ms);
-    if (!out->choice.source_seen) {
-        write_address(out->fetch_from, &store->address);
-    }
-    if (!kept && CacheStore_beginSave(context->cache_store, out->saved_prefix,
-                                      placement->now_ms)) {
-        write_address(out->save_to, &store->address);
+    if (store) {
+        use_store(context, store, out);
     }
 }
 
