--- /dev/null
+++ b/src/PeerAge.c
@@ -0,0 +1,15 @@
+#include "PeerAge.h"
+
+#include "Clock.h"
+
+guint32
+PeerAge_of(gint64 at_ms)
+{
+    return (guint32)MAX(Clock_nowMs() - at_ms, 0);
+}
+
+gint64
+PeerAge_atMs(guint32 age_ms)
+{
+    return Clock_nowMs() - age_ms - PEER_TRANSIT_MS;
+}
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "PeerAge.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
 
@@ -33,8 +34,8 @@
     RecordRelay_t *relay;
     struct event *return_over;
     gint64 regained_ms; /* 0 where the list was never out of reach */
-    gboolean known;
-    gboolean feeding; /* what is told now comes from a peer */
+    gboolean known;     /* it was read at least once */
+    gboolean feeding;   /* what is told now comes from a peer */
 };
 
 static void
@@ -269,12 +270,12 @@
 {
     KeyedPage_t page = RecordRelay_read(message);
     if (message->regained_age_ms > 0) {
-        gint64 regained_ms = RecordRelay_atMs(message->regained_age_ms);
+        gint64 regained_ms = PeerAge_atMs(message->regained_age_ms);
         this->regained_ms = MAX(this->regained_ms, regained_ms);
     }
     this->feeding = TRUE;
     RecordFollower_feed(this->follower, message->from, &page,
-                        RecordRelay_atMs(message->age_ms));
+                        PeerAge_atMs(message->age_ms));
     this->feeding = FALSE;
     g_ptr_array_unref(page.records);
 }
