The same end of the list by another way is passed on no more

A part of the list that says nothing new was taken again, and passed on to all links, whenever its age came out a millisecond lower on another way.

Change: the same end counts as news only if it was known 200 ms later (the test failed first). A question to a dispatcher whose prefix is longer than its prompt is read as one whose prompt is the prefix, by reading.

Ruled out for the bytes: changed entries (only place and state are passed on).

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -98,7 +98,7 @@
         .level_count = 2,
         .levels = {ask->prefix, 0},
         .level_tokens = {ask->prefix_tokens, ask->prompt_tokens},
-        .prompt_tokens = ask->prompt_tokens,
+        .prompt_tokens = MAX(ask->prompt_tokens, ask->prefix_tokens),
         .groups = Dispatch_groups(this, serving->len),
         .avoid = UpstreamSet_findHash(this->spec.upstreams, ask->avoid),
         .now_ms = Clock_nowMs(),
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -11,6 +11,9 @@
  * a herd of routers that starts at once must not outrun the store's rate. */
 #define FIRST_RETRY_MS 100
 #define MAX_RETRY_DOUBLINGS 3
+/* The same end of a topic, told by several peers, has ages that differ by the
+ * ways that it came: only one that is newer by so much is passed on. */
+#define NEWS_LEAST_MS 200
 
 struct RecordFollower {
     RecordFollowerSpec_t spec;
@@ -298,7 +301,8 @@
                     const KeyedPage_t *page, gint64 at_ms)
 {
     gboolean follows = from <= this->next && page->end >= this->next;
-    if (this->listing || !follows || at_ms <= this->current_ms) {
+    gint64 least_ms = page->end > this->next ? 1 : NEWS_LEAST_MS;
+    if (this->listing || !follows || at_ms < this->current_ms + least_ms) {
         return FALSE;
     }
     take_tail(this, page);
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -206,6 +206,20 @@
 }
 END_TEST
 
+START_TEST(the_same_end_by_another_way_is_no_news)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3");
+    gint64 at_ms = seen.current_at_ms + 1000;
+    ck_assert(feed(follower, 10, 20, "b:12", at_ms));
+    ck_assert(!feed(follower, 10, 20, "b:12", at_ms + 1));
+    ck_assert(!feed(follower, 10, 20, "b:12", at_ms + 199));
+    ck_assert(feed(follower, 10, 20, "b:12", at_ms + 200));
+    ck_assert_str_eq(seen.told->str, "a b ");
+    end(follower);
+}
+END_TEST
+
 START_TEST(an_answer_that_is_older_than_a_peers_word_changes_nothing)
 {
     RecordFollower_t *follower = begin();
@@ -240,5 +254,6 @@
              what_a_peer_has_read_is_not_read_again,
              a_peer_is_not_taken_where_records_are_missing,
              a_peer_that_knew_it_earlier_is_not_taken,
+             the_same_end_by_another_way_is_no_news,
              an_answer_that_is_older_than_a_peers_word_changes_nothing,
              a_removal_found_by_a_list_is_newer_than_what_peers_know)
