A list that is all new is not relayed

Change: a part of more than 16 KiB is not told; who is told nothing reads the store once, as before the list was relayed (test_RecordRelay).

Ruled out: the same end of the list passed on again (mended before, no change).

--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -2,8 +2,13 @@
 
 #include "PeerAge.h"
 
+/* What is longer is not told: when all upstreams are new, each router reads
+ * them for itself once, instead of getting them over each of its links. */
+#define NEWS_BYTES_MAX 16384
+
 struct RecordRelay {
     Membership_t *membership;
+    gsize news_bytes;
     GPtrArray *news; /* KeyedRecord_t, since the last end that was known */
     guint64 known;   /* end of the topic as last known, 0 for none */
 };
@@ -39,6 +44,7 @@
                 guint64 offset)
 {
     GBytes *held = value ? g_bytes_ref(value) : NULL;
+    this->news_bytes += held ? g_bytes_get_size(held) : 0;
     g_ptr_array_add(this->news, make_record(key, held, offset));
 }
 
@@ -86,13 +92,20 @@
 {
     gboolean told = !this->membership ||
                     (from_peer && Membership_isMesh(this->membership));
-    if (this->known > 0 && !told) {
+    if (this->known > 0 && !told && !RecordRelay_isTooLong(this)) {
         send_news(this, end, at_ms, regained_ms);
     }
     this->known = end;
+    this->news_bytes = 0;
     g_ptr_array_set_size(this->news, 0);
 }
 
+gboolean
+RecordRelay_isTooLong(const RecordRelay_t *this)
+{
+    return this->news_bytes > NEWS_BYTES_MAX;
+}
+
 KeyedPage_t
 RecordRelay_read(const Wt__TopicPart *message)
 {
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -39,6 +39,10 @@
 void RecordRelay_tell(RecordRelay_t *this, guint64 end, gint64 at_ms,
                       gint64 regained_ms, gboolean from_peer);
 
+/** RecordRelay_isTooLong() - too much was added to be told: who is told
+ * nothing reads it from the store */
+gboolean RecordRelay_isTooLong(const RecordRelay_t *this);
+
 /**
  * RecordRelay_read() - the records of a peer's message
  *
