A moved stream keeps its engine until the next one has begun

Change: the move is a second attempt beside the first, which is given up at the second one's first event. A refusal, a failure or 350 ms of silence leave the stream where it is; if its engine dies meanwhile it goes on where it was to move. The move may cost the whole pause that the route allows, as nothing is lost by trying.

--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -41,6 +41,12 @@
     return plain.pos >= 0 ? (gsize)plain.pos + 2 : 0;
 }
 
+gboolean
+EventPipe_hasEvent(struct evbuffer *bytes)
+{
+    return event_length(bytes) > 0;
+}
+
 /* The value of the id line, without the space that may lead it. */
 static GString *
 find_id(const char *event, gsize length)
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -19,6 +19,9 @@
 /** EventPipe_destroy() - free it */
 void EventPipe_destroy(EventPipe_t *this);
 
+/** EventPipe_hasEvent() - whether the bytes begin with a whole event */
+gboolean EventPipe_hasEvent(struct evbuffer *bytes);
+
 /**
  * EventPipe_feed() - take bytes
  * @in: emptied
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -255,6 +255,14 @@
     return this;
 }
 
+void
+RelayAttempt_hand(RelayAttempt_t *this, const RelayAttemptEvents_t *events,
+                  void *owner)
+{
+    this->events = events;
+    this->owner = owner;
+}
+
 void
 RelayAttempt_cancel(RelayAttempt_t *this)
 {
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -67,6 +67,10 @@
                                    const RelayAttemptEvents_t *events,
                                    void *owner);
 
+/** RelayAttempt_hand() - from now on @owner hears of it, by @events */
+void RelayAttempt_hand(RelayAttempt_t *this,
+                       const RelayAttemptEvents_t *events, void *owner);
+
 /** RelayAttempt_cancel() - close the connection; no event comes any more */
 void RelayAttempt_cancel(RelayAttempt_t *this);
 
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -5,8 +5,8 @@
 #include "RelayRun.h"
 
 /* A key may be revoked while its request waits for another attempt. */
-static gboolean
-is_still_allowed(const RelayExchange_t *this)
+gboolean
+RelayDispatch_isAllowed(const RelayExchange_t *this)
 {
     const Context_t *context = this->super.context;
     const RouteConfig_t *config = RouteTable_config(context->routes);
@@ -81,7 +81,7 @@
         refuse_now(super, REFUSAL_CALLER_LEFT, NULL);
         return FALSE;
     }
-    if (!is_still_allowed(this)) {
+    if (!RelayDispatch_isAllowed(this)) {
         refuse_now(super, REFUSAL_CONFIG_STALE,
                    "The key was revoked, or that can't be told.");
         return FALSE;
--- a/src/RelayDispatch.h
+++ b/src/RelayDispatch.h
@@ -10,6 +10,10 @@
  */
 #include "RelayExchangeState.h"
 
+/** RelayDispatch_isAllowed() - its key is still in force; it may have been
+ * revoked since the request came */
+gboolean RelayDispatch_isAllowed(const RelayExchange_t *this);
+
 /** RelayDispatch_place() - start the next attempt or refuse; at once, or when
  * the dispatcher has answered */
 void RelayDispatch_place(RelayExchange_t *this);
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -71,7 +71,9 @@
 static gboolean
 drop(Exchange_t *super)
 {
-    return RelayRun_cancel((RelayExchange_t *)super);
+    RelayExchange_t *this = (RelayExchange_t *)super;
+    RelayMove_forbid(this);
+    return RelayRun_cancel(this);
 }
 
 /* An upstream's own failure says more than ours would. */
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -15,6 +15,9 @@
 #include "RelayFeedback.h"
 #include "RelayPlacer.h"
 
+/** struct RelayMove_t - opaque; see RelayMove.h */
+typedef struct RelayMove RelayMove_t;
+
 /**
  * struct RelayExchange_t - a request under way
  * @super: of every request
@@ -27,6 +30,7 @@
  * @answer: to the caller
  * @attempt: under way, or NULL
  * @feedback: what the attempt tells of its upstream
+ * @move: to another engine, under way beside @attempt, or NULL
  * @ask: question to the dispatcher under way, or NULL
  * @ticket: of the attempt
  * @events: of a stream, else NULL
@@ -47,6 +51,7 @@
     RelayAnswer_t *answer;
     RelayAttempt_t *attempt;
     RelayFeedback_t feedback;
+    RelayMove_t *move;
     DispatchAsk_t *ask;
     DispatchTicket_t ticket;
     EventPipe_t *events;
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -1,57 +1,292 @@
 #include "RelayMove.h"
 
+#include <event2/buffer.h>
+
 #include "Clock.h"
+#include "Log.h"
+#include "RelayDispatch.h"
 #include "RelayRun.h"
 
-/* A stream is moved if its next event is expected within this share of the
- * pause that its route aims at; the rest is for what is not foreseen. */
-#define MOVE_PAUSE_PERCENT 50
+struct RelayMove {
+    RelayExchange_t *exchange;
+    DispatchAsk_t *ask; /* question to the dispatcher, or NULL */
+    DispatchTicket_t ticket;
+    RelayAttempt_t *attempt; /* at the next engine, or NULL */
+    RelayFeedback_t feedback;
+    Upstream_t *upstream; /* of @attempt; held, and counts it */
+    gint64 started_us;
+    struct evbuffer *data; /* of its answer */
+    struct event *timeout;
+};
 
-static const Upstream_t *
-movable_upstream(const void *stream)
+static Context_t *
+context_of(const RelayMove_t *this)
 {
-    const RelayExchange_t *this = stream;
-    return this->attempt ? this->super.upstream : NULL;
+    return this->exchange->super.context;
 }
 
-static const char *
-movable_target(const void *stream)
+static void
+log_move(const RelayMove_t *this, const char *event, const char *reason)
 {
-    const RelayExchange_t *this = stream;
-    return this->super.target->str;
+    const Exchange_t *super = &this->exchange->super;
+    const Upstream_t *from = super->upstream ? super->upstream : super->avoid;
+    Log_begin(LOG_LEVEL_INFO, event);
+    Log_text("request", super->id->str);
+    Log_text("reason", reason);
+    Log_text("from", from->name->str);
+    Log_text("to", this->upstream ? this->upstream->name->str : "none");
+    Log_number("us", Clock_nowUs() - this->started_us);
+    Log_end();
+}
+
+static void
+free_move(RelayMove_t *this)
+{
+    this->exchange->move = NULL;
+    if (this->upstream) {
+        this->upstream->in_flight--;
+        Upstream_unref(this->upstream);
+    }
+    event_free(this->timeout);
+    evbuffer_free(this->data);
+    g_free(this);
+}
+
+/* The stream stays where it is. */
+static void
+take_back(RelayMove_t *this, const char *reason)
+{
+    log_move(this, "stream_stays", reason);
+    if (this->ask) {
+        Dispatch_cancel(this->ask);
+    }
+    if (this->attempt) {
+        RelayFeedback_settle(&this->feedback);
+        RelayAttempt_cancel(this->attempt);
+    }
+    if (context_of(this)->dispatch) {
+        Dispatch_end(context_of(this)->dispatch, &this->ticket);
+    }
+    free_move(this);
+}
+
+/* The attempt before it must be over. */
+static void
+hand_over(RelayMove_t *this)
+{
+    RelayExchange_t *exchange = this->exchange;
+    struct evbuffer *data = evbuffer_new();
+    log_move(this, "stream_moved", "unloading");
+    evbuffer_add_buffer(data, this->data);
+    RelayRun_adopt(exchange, this->attempt, &this->feedback, &this->ticket,
+                   "moved", this->started_us);
+    free_move(this);
+    if (evbuffer_get_length(data) > 0) {
+        RelayRun_feed(exchange, data);
+    }
+    evbuffer_free(data);
+}
+
+static void
+on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
+{
+    (void)headers;
+    RelayMove_t *this = owner;
+    RelayFeedback_noteWeights(&this->feedback, head);
+    if (head->status >= HTTP_MOVEPERM) {
+        take_back(this, "failed");
+    }
+}
+
+static void
+on_data(void *owner, struct evbuffer *data)
+{
+    RelayMove_t *this = owner;
+    RelayExchange_t *exchange = this->exchange;
+    evbuffer_add_buffer(this->data, data);
+    if (!EventPipe_hasEvent(this->data)) {
+        return;
+    }
+    StreamMover_remove(context_of(this)->mover, exchange);
+    RelayRun_cancel(exchange);
+    Exchange_noteEnd(&exchange->super, ATTEMPT_MOVED);
+    hand_over(this);
+}
+
+static gboolean
+on_silent(void *owner)
+{
+    (void)owner;
+    return TRUE;
+}
+
+/* It ended without an event. */
+static void
+on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
+{
+    RelayMove_t *this = owner;
+    this->attempt = NULL;
+    RelayFeedback_settle(&this->feedback);
+    if (end == ATTEMPT_NOT_RUN && head) {
+        RelayFeedback_noteRefusal(&this->feedback, head);
+        if (context_of(this)->dispatch) {
+            Dispatch_refused(context_of(this)->dispatch, &this->ticket);
+        }
+    }
+    else if (end != ATTEMPT_SILENT) {
+        RelayFeedback_noteReach(&this->feedback, end);
+    }
+    take_back(this, Recovery_endName(end));
+}
+
+static const RelayAttemptEvents_t attempt_events = {
+    .head = on_head,
+    .data = on_data,
+    .silent = on_silent,
+    .ended = on_ended,
+};
+
+static void
+on_timeout(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    take_back(data, "silent");
+}
+
+static void
+send_request(RelayMove_t *this, const RelayWish_t *wish,
+             RelayPlacing_t *placing)
+{
+    RelayExchange_t *exchange = this->exchange;
+    Exchange_t *super = &exchange->super;
+    this->upstream = Upstream_ref(placing->choice.upstream);
+    this->upstream->in_flight++;
+    this->started_us = Clock_nowUs();
+    RetryBudget_withdraw(super->context->budget, super->target->str);
+    Context_countRetry(super->context, Recovery_endName(ATTEMPT_MOVED),
+                       super->target->str, super->customer_class->str);
+    RelayPlacer_prepare(super->context, wish, placing);
+    RelayPlacing_log(placing, super->id->str, &exchange->request);
+    RelayFeedback_begin(&this->feedback, super->context, super->id->str,
+                        placing);
+    this->attempt = RelayRun_send(exchange, placing, &attempt_events, this);
+    Clock_arm(this->timeout, super->context->settings->relay.move_wait_ms);
 }
 
 /* The pause until its next event must stay one that goes unnoticed. */
 static gboolean
-is_near(const RelayExchange_t *this)
+is_near(const RelayExchange_t *exchange, const Choice_t *choice)
+{
+    return choice->upstream &&
+           choice->cost_us <= exchange->route->pause_ms * CLOCK_US_PER_MS;
+}
+
+static void
+choose(const RelayExchange_t *exchange, RelayWish_t *wish,
+       RelayPlacing_t *placing)
+{
+    const Exchange_t *super = &exchange->super;
+    *wish = RelayExchange_wish(exchange);
+    wish->avoid = super->upstream;
+    RelayPlacer_choose(super->context, wish, placing);
+}
+
+static void
+send_or_stay(RelayMove_t *this, const RelayWish_t *wish,
+             RelayPlacing_t *placing)
 {
-    RelayWish_t wish = RelayExchange_wish(this);
+    if (!RelayAnswer_request(this->exchange->answer)) {
+        take_back(this, "caller_left");
+    }
+    else if (!RelayDispatch_isAllowed(this->exchange)) {
+        take_back(this, "key_not_in_force");
+    }
+    else if (!is_near(this->exchange, &placing->choice)) {
+        take_back(this, "far");
+    }
+    else {
+        send_request(this, wish, placing);
+    }
+}
+
+static void
+on_dispatched(void *owner, const Choice_t *choice,
+              const DispatchTicket_t *ticket)
+{
+    RelayMove_t *this = owner;
+    RelayWish_t wish;
     RelayPlacing_t placing;
-    wish.avoid = this->super.upstream;
-    RelayPlacer_choose(this->super.context, &wish, &placing);
-    return placing.choice.upstream &&
-           placing.choice.cost_us <= this->route->pause_ms * CLOCK_US_PER_MS *
-                                         MOVE_PAUSE_PERCENT / 100;
+    this->ask = NULL;
+    this->ticket = *ticket;
+    choose(this->exchange, &wish, &placing);
+    if (choice->upstream &&
+        Policy_mayUse(&placing.placement, choice->upstream)) {
+        placing.choice = *choice;
+    }
+    else if (context_of(this)->dispatch) {
+        Dispatch_end(context_of(this)->dispatch, &this->ticket);
+    }
+    send_or_stay(this, &wish, &placing);
 }
 
+static RelayMove_t *
+create_move(RelayExchange_t *exchange)
+{
+    RelayMove_t *this = g_new0(RelayMove_t, 1);
+    this->exchange = exchange;
+    this->started_us = Clock_nowUs();
+    this->data = evbuffer_new();
+    this->timeout =
+        Clock_timer(exchange->super.context->base, on_timeout, this);
+    return this;
+}
+
+/* One that is far is looked at again; else there is one try for each attempt:
+ * where the next engine would not have it, it most likely ends before another
+ * one would. */
 static void
-move(void *stream)
+begin(void *stream)
 {
-    RelayExchange_t *this = stream;
-    if (!is_near(this)) {
+    RelayExchange_t *exchange = stream;
+    Context_t *context = exchange->super.context;
+    RelayWish_t wish;
+    RelayPlacing_t placing;
+    choose(exchange, &wish, &placing);
+    if (!is_near(exchange, &placing.choice)) {
         return;
     }
-    RelayRun_cancel(this);
-    RelayMove_forbid(this);
-    Exchange_noteEnd(&this->super, ATTEMPT_MOVED);
-    EventPipe_restart(this->events);
-    Exchange_recover(&this->super, ATTEMPT_MOVED, NULL);
+    StreamMover_remove(context->mover, exchange);
+    RelayMove_t *this = create_move(exchange);
+    exchange->move = this;
+    this->ask = context->dispatch
+                    ? Dispatch_ask(context->dispatch, &placing.placement,
+                                   exchange->request.model, &placing.choice,
+                                   on_dispatched, this)
+                    : NULL;
+    if (!this->ask) {
+        send_or_stay(this, &wish, &placing);
+    }
+}
+
+static const Upstream_t *
+movable_upstream(const void *stream)
+{
+    const RelayExchange_t *this = stream;
+    return this->attempt ? this->super.upstream : NULL;
+}
+
+static const char *
+movable_target(const void *stream)
+{
+    const RelayExchange_t *this = stream;
+    return this->super.target->str;
 }
 
 static const MovableClass_t movable_class = {
     .upstream = movable_upstream,
     .target = movable_target,
-    .move = move,
+    .move = begin,
 };
 
 /* One that has begun: before that its engine would refuse it by itself. The
@@ -68,4 +303,19 @@
 RelayMove_forbid(RelayExchange_t *this)
 {
     StreamMover_remove(this->super.context->mover, this);
+    if (this->move) {
+        take_back(this->move, "over");
+    }
+}
+
+gboolean
+RelayMove_complete(RelayExchange_t *this)
+{
+    if (!this->move || !this->move->attempt || this->super.left ||
+        this->super.over) {
+        return FALSE;
+    }
+    StreamMover_remove(this->super.context->mover, this);
+    hand_over(this->move);
+    return TRUE;
 }
--- a/src/RelayMove.h
+++ b/src/RelayMove.h
@@ -4,7 +4,10 @@
  * DOC: RelayMove
  *
  * Takes a relayed stream from an engine that is to load weights to another
- * one (StreamMover.h), where its next event is expected soon enough.
+ * one (StreamMover.h), where its next event is expected soon enough. The
+ * request is sent to the other engine beside the attempt under way, which is
+ * given up only once the first event of the other one is there. A stream
+ * whose next engine refuses it or says nothing stays where it is.
  */
 #include "RelayExchangeState.h"
 
@@ -12,7 +15,16 @@
  * or the attempts that it has left are against it */
 void RelayMove_allow(RelayExchange_t *this);
 
-/** RelayMove_forbid() - the stream stays where it is; may be called again */
+/** RelayMove_forbid() - the stream stays where it is, and a move under way is
+ * taken back; may be called again */
 void RelayMove_forbid(RelayExchange_t *this);
 
+/**
+ * RelayMove_complete() - the attempt under way is over and was not whole: go
+ * on with the one that was sent beside it
+ *
+ * Return: FALSE where there is none
+ */
+gboolean RelayMove_complete(RelayExchange_t *this);
+
 #endif
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -100,11 +100,14 @@
 on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
 {
     RelayExchange_t *this = owner;
-    RelayMove_forbid(this);
     tell_dispatcher(this, end);
     this->attempt = NULL;
     this->has_answer = end == ATTEMPT_FAILED;
     note_end(this, end, head);
+    if (end != ATTEMPT_WHOLE && RelayMove_complete(this)) {
+        return;
+    }
+    RelayMove_forbid(this);
     if (end == ATTEMPT_WHOLE) {
         finish(this);
         return;
@@ -194,10 +197,11 @@
     };
 }
 
-void
-RelayRun_start(RelayExchange_t *this, const RelayPlacing_t *placing)
+RelayAttempt_t *
+RelayRun_send(const RelayExchange_t *this, const RelayPlacing_t *placing,
+              const RelayAttemptEvents_t *events, void *owner)
 {
-    Exchange_t *super = &this->super;
+    const Exchange_t *super = &this->super;
     const LimitsSection_t *limits = &super->context->settings->limits;
     gint64 left_ms = super->deadline_ms - Clock_nowMs();
     RelayOrder_t order = order_of(this, placing, left_ms);
@@ -213,12 +217,41 @@
         .first_ms = limits->first_token_timeout_ms,
         .pause_ms = limits->token_timeout_ms,
     };
-    Exchange_noteAttempt(super, spec.upstream, placing->choice.reason);
+    return RelayAttempt_start(super->context->base, &spec, events, owner);
+}
+
+void
+RelayRun_start(RelayExchange_t *this, const RelayPlacing_t *placing)
+{
+    Exchange_t *super = &this->super;
+    Exchange_noteAttempt(super, placing->choice.upstream,
+                         placing->choice.reason);
     super->attempt_trace->candidates = placing->choice.candidates;
     RelayFeedback_begin(&this->feedback, super->context, super->id->str,
                         placing);
-    this->attempt =
-        RelayAttempt_start(super->context->base, &spec, &attempt_events, this);
+    this->attempt = RelayRun_send(this, placing, &attempt_events, this);
+}
+
+void
+RelayRun_adopt(RelayExchange_t *this, RelayAttempt_t *attempt,
+               const RelayFeedback_t *feedback, const DispatchTicket_t *ticket,
+               const char *reason, gint64 started_us)
+{
+    Exchange_t *super = &this->super;
+    EventPipe_restart(this->events);
+    Exchange_noteAttempt(super, feedback->upstream, reason);
+    super->attempt_trace->started_us = started_us - super->started_us;
+    this->is_stream = TRUE;
+    this->feedback = *feedback;
+    this->ticket = *ticket;
+    this->attempt = attempt;
+    RelayAttempt_hand(attempt, &attempt_events, this);
+}
+
+void
+RelayRun_feed(RelayExchange_t *this, struct evbuffer *data)
+{
+    on_data(this, data);
 }
 
 gboolean
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -141,6 +141,11 @@
      A(weights_limit_ms),
      "How long after a version of weights was named a request may still begin "
      "on an older one."},
+    {"move_wait", KEY_DURATION, FALSE, "350ms", 10, HOUR_MS, NULL,
+     A(move_wait_ms),
+     "How long the engine that a stream is moved to may take to its first "
+     "event, or the stream stays; below the time in which two engines may "
+     "both go on with it."},
     {"shed_percent", KEY_INTEGER, FALSE, "0", 0, 10000, NULL, A(shed_percent),
      "A request is refused at once where no engine is expected to begin its "
      "answer within so many hundredths of its route's objective. 0 for "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -131,6 +131,8 @@
  *     lapsed may take to come back
  * @weights_limit_ms: how long after a version was named a request may still
  *     begin on an older one
+ * @move_wait_ms: how long the engine that a stream is moved to may take to its
+ *     first event
  * @shed_percent: a request is refused where its answer would begin later than
  *     after this share of its route's objective, 0 for never
  */
@@ -141,6 +143,7 @@
     gint64 leaving_limit_ms;
     gint64 listing_return_ms;
     gint64 weights_limit_ms;
+    gint64 move_wait_ms;
     gint64 shed_percent;
 } RelaySection_t;
 
