The lease of orders is taken anew soon while routers lose the store

Versions piled up and then five engines loaded at once. Change: eight candidates, 180 ms apart, of whom three follow the lease also while there is nothing to order (OrderTurn). Two who take it at once cost a call: the second record has no effect. Ruled out: telling each other who reaches the store: a router that is cut off from its peers as well stays in their ranks for ten heartbeats.

--- a/src/Orders.c
+++ b/src/Orders.c
@@ -3,19 +3,12 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "OrderTurn.h"
 
 #define TICK_MS 50
 /* How often a router without the lease looks over all engines: soon enough to
  * take a free one, and a small cost where there are thousands. */
 #define LOOK_MS 250
-/* Routers that may take the lease at once; each waits for those before it. */
-#define CANDIDATES 3
-/* Where nothing has come of wanted weights for so long, those may all be gone
- * or cut off, and any router may; spread out, so that few of them try. */
-#define STALLED_MS 2500
-#define SPREAD_MS 100
-#define SPREADS 20
-
 /* When the longest lag is past this share of what is allowed, so many of 100
  * engines may load at once. */
 #define LATE_PERCENT 90
@@ -209,11 +202,12 @@
 static gboolean
 is_candidate(Orders_t *this, guint rank)
 {
-    gint64 stalled_ms = Clock_nowMs() - this->progress_ms;
-    gint64 patience_ms = STALLED_MS + (gint64)(rank % SPREADS) * SPREAD_MS;
-    this->stepped_in =
-        this->news > 0 && (this->stepped_in || stalled_ms >= patience_ms);
-    return !this->stopped && (rank < CANDIDATES || this->stepped_in);
+    gint64 stalled_ms = this->news > 0 ? Clock_nowMs() - this->progress_ms : 0;
+    gboolean steps_in = rank >= ORDER_TURN_CANDIDATES &&
+                        OrderTurn_isCandidate(rank, stalled_ms);
+    this->stepped_in = this->news > 0 && (this->stepped_in || steps_in);
+    return !this->stopped &&
+           (OrderTurn_isCandidate(rank, 0) || this->stepped_in);
 }
 
 /* A number that an engine found stale is that of a lease that was lost; the
@@ -235,13 +229,14 @@
     Lease_t *lease = this->giver.lease;
     guint rank =
         Membership_rank(this->spec.membership, this->scope->str, NULL);
-    gint64 lasts_ms = this->spec.settings->platform.lease_ms;
     note_progress(this);
     gboolean candidate = is_candidate(this, rank);
     gboolean wanted =
         candidate && has_work(this) && this->giver.stale_until_ms == 0;
-    Lease_follow(lease, candidate && this->spec.form->listed);
-    Lease_want(lease, wanted, (gint64)MIN(rank, CANDIDATES) * lasts_ms);
+    gboolean followed = !this->stopped && this->spec.form->listed &&
+                        rank < ORDER_TURN_FOLLOWERS;
+    Lease_follow(lease, followed);
+    Lease_want(lease, wanted, OrderTurn_patienceMs(rank));
     if (wanted && Lease_remainingMs(lease) > 0) {
         tend_all(this);
     }
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -305,7 +305,7 @@
             "limits": {},
             "tenants": CUSTOMERS if customers is None else customers})
 
-    def router(self, name="r1", peers=(), **settings):
+    def router(self, name="r1", peers=(), store_address=None, **settings):
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
                             "config_wait": "100ms", "leaving_limit": "800ms",
@@ -319,8 +319,8 @@
             values[section][key] = value
         path = os.path.join(self.folder.name, name + ".ini")
         with open(path, "w") as file:
-            file.write(SETTINGS % (name, self.store.address,
-                                   self.store.address))
+            address = store_address or self.store.address
+            file.write(SETTINGS % (name, address, address))
             for section, keys in values.items():
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -8,6 +8,7 @@
 import unittest
 
 from cluster import BUILD, ROOT, wait_for
+from faultproxy import FaultProxy
 from fleet import CUSTOMERS, Fleet
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
@@ -344,6 +345,47 @@
         self.assertTrue(all(len(h) == 1 for h in fences.values()), fences)
 
 
+class OutageTest(FleetTest):
+    """Routers that lose the store one after the other."""
+
+    ROUTERS = 5
+
+    def setUp(self):
+        super().setUp()
+        self.engines = self.two_engines()
+        self.fleet.config()
+        self.paths = {}
+        seeds = {}
+        for i in range(self.ROUTERS):
+            name = "r%d" % i
+            self.paths[name] = FaultProxy(int(
+                self.fleet.store.address.rpartition(":")[2]))
+            self.addCleanup(self.paths[name].kill)
+            router = self.fleet.router(
+                name, peers=seeds, store_address=self.paths[name].address)
+            self.wait_listed(router, 2)
+            seeds = {"seeds": self.fleet.routers[0].peer_address}
+
+    def name_weights(self, version):
+        """The router that gives the orders for them."""
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": version})
+        wait_for(lambda: all(e.version == version for e in self.engines),
+                 "version %d loaded" % version)
+        return self.engines[0].orders[-1]["holder"]
+
+    def test_orders_go_on_while_routers_lose_the_store(self):
+        holders = []
+        for version in range(2, 2 + self.ROUTERS - 1):
+            holder = self.name_weights(version)
+            self.assertNotIn(holder, holders)
+            holders.append(holder)
+            self.paths[holder].refuse = True
+            self.paths[holder].black_hole = True
+            self.paths[holder].cut_all()
+        self.name_weights(2 + self.ROUTERS - 1)
+
+
 class Gate:
     """Lets through as many pieces of an engine's streams as it is told."""
 
