What is missing before a peer's records is read at once

Change: a part that begins beyond what is known makes the router read now. Result: test_RecordFollower (what_is_missing_before_a_peers_records...), which waits for ever on the code before.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -296,13 +296,27 @@
     }
 }
 
+/* Records are missing before what a peer tells. Its own pause may be as long
+ * as the time in which an upstream that leaves must get no new work. */
+static void
+read_gap(RecordFollower_t *this, guint64 from)
+{
+    if (from > this->next && !this->calling && this->failures == 0) {
+        Clock_arm(this->timer, 0);
+    }
+}
+
 gboolean
 RecordFollower_feed(RecordFollower_t *this, guint64 from,
                     const KeyedPage_t *page, gint64 at_ms)
 {
     gboolean follows = from <= this->next && page->end >= this->next;
     gint64 least_ms = page->end > this->next ? 1 : NEWS_LEAST_MS;
-    if (this->listing || !follows || at_ms < this->current_ms + least_ms) {
+    if (this->listing || at_ms < this->current_ms + least_ms) {
+        return FALSE;
+    }
+    if (!follows) {
+        read_gap(this, from);
         return FALSE;
     }
     take_tail(this, page);
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -8,6 +8,9 @@
 #include "FakeSource.h"
 #include "RecordFollower.h"
 
+/* Beyond any that a test waits for. */
+#define LONG_PAUSE_MS 3600000
+
 typedef struct {
     GString *told;
     guint64 current;
@@ -193,6 +196,24 @@
 }
 END_TEST
 
+START_TEST(what_is_missing_before_a_peers_records_is_read_at_once)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3");
+    FakeSource_await(&source);
+    answer(10, FALSE, "");
+    RecordFollower_setPause(follower, LONG_PAUSE_MS);
+    ck_assert(feed(follower, 10, 11, "b:10", Clock_nowMs() + 1000));
+    source.read_from = 0;
+    ck_assert(!feed(follower, 12, 20, "d:19", Clock_nowMs() + 2000));
+    FakeSource_await(&source);
+    ck_assert_uint_eq(source.read_from, 11);
+    answer(20, FALSE, "c:11 d:19");
+    ck_assert_str_eq(seen.told->str, "a b c d ");
+    end(follower);
+}
+END_TEST
+
 START_TEST(a_peer_that_knew_it_earlier_is_not_taken)
 {
     RecordFollower_t *follower = begin();
@@ -253,6 +274,7 @@
              an_outage_is_told_once_and_its_end,
              what_a_peer_has_read_is_not_read_again,
              a_peer_is_not_taken_where_records_are_missing,
+             what_is_missing_before_a_peers_records_is_read_at_once,
              a_peer_that_knew_it_earlier_is_not_taken,
              the_same_end_by_another_way_is_no_news,
              an_answer_that_is_older_than_a_peers_word_changes_nothing,
