--- a/src/CacheStore.c
+++ b/src/CacheStore.c
@@ -12,6 +12,7 @@
 struct CacheStore {
     HintFlood_t *hints;
     GHashTable *kept; /* &prefix -> Entry_t */
+    Link_t link;
 };
 
 typedef struct {
@@ -94,3 +95,9 @@
     entry_of(this, prefix)->kept_ms = now_ms;
     return news;
 }
+
+Link_t *
+CacheStore_link(CacheStore_t *this)
+{
+    return &this->link;
+}
--- a/src/CacheStore.h
+++ b/src/CacheStore.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "HintFlood.h"
+#include "Link.h"
 
 /** struct CacheStore_t - opaque */
 typedef struct CacheStore CacheStore_t;
@@ -57,4 +58,7 @@
  */
 gboolean CacheStore_take(CacheStore_t *this, guint64 prefix, gint64 now_ms);
 
+/** CacheStore_link() - over which prefixes come from the store and go there */
+Link_t *CacheStore_link(CacheStore_t *this);
+
 #endif
--- a/src/Context.h
+++ b/src/Context.h
@@ -39,6 +39,9 @@
  * @weights: versions that operators have named; NULL where they declare them
  * @listing: where the platform's form has one, else NULL
  * @cache_store: where the platform's form has one, else NULL
+ * @speeds: EngineSpeed_t * by the name of the service, where engines don't
+ *     report theirs; else NULL
+ * @load_share: tells the other routers of loads, or NULL
  * @mover: of streams whose engines pause; NULL on the native platform
  * @dispatch: places requests together with the other routers, or NULL
  * @counters: of this router
@@ -66,6 +69,8 @@
     NamedWeights_t *weights;
     UpstreamListing_t *listing;
     CacheStore_t *cache_store;
+    GHashTable *speeds;
+    struct LoadShare *load_share;
     StreamMover_t *mover;
     Dispatch_t *dispatch;
     Counters_t *counters;
--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -74,8 +74,10 @@
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     answer.ticket = ticket;
     answer.upstream = hash_or_zero(choice->upstream);
-    answer.fetch_from = hash_or_zero(choice->fetch_from);
-    answer.source_seen = choice->source_seen;
+    answer.fetch_from = hash_or_zero(choice->supply.source);
+    answer.supply = choice->supply.kind;
+    answer.move_us = to_32_bits(choice->supply.move_us);
+    answer.move_wait_us = to_32_bits(choice->supply.wait_us);
     answer.cached_tokens = choice->expected_cached;
     answer.cost_us = to_32_bits(choice->cost_us);
     answer.own_us = to_32_bits(choice->own_us);
@@ -116,6 +118,7 @@
     Choice_t choice = Policy_choose(this->spec.policy, &placement);
     if (choice.upstream) {
         Tickets_add(this->tickets, ask->ticket, &placement, &choice);
+        Policy_begin(this->spec.policy, &placement, &choice);
     }
     Counters_add(this->spec.counters, "places_answered_total", NULL, 1);
     send_answer(this, ask->ticket, &choice, from);
@@ -131,8 +134,14 @@
         .expected_cached = answer->cached_tokens,
         .cost_us = answer->cost_us,
         .own_us = answer->own_us,
-        .fetch_from = UpstreamSet_findHash(upstreams, answer->fetch_from),
-        .source_seen = answer->source_seen,
+        .supply =
+            {
+                .kind = (SupplyKind_t)answer->supply,
+                .tokens = answer->cached_tokens,
+                .move_us = answer->move_us,
+                .wait_us = answer->move_wait_us,
+                .source = UpstreamSet_findHash(upstreams, answer->fetch_from),
+            },
     };
 }
 
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-#include "CacheStore.h"
-#include "Random.h"
+#include "PrefixSupply.h"
 #include "Residency.h"
 #include "Ring.h"
 
@@ -18,20 +17,10 @@
  * to the next engine: about the time to take a long prefix along. 10 and
  * 40 ms did worse (docs/MEASUREMENTS.md). */
 #define SPILL_COST_US 20000
-/* To take a cached prefix from another engine: its set-up and the transfer of
- * some thousand tokens. */
-#define FETCH_COST_US 8000
-/* The same from the store, whose link is slower and serves all engines. */
-#define STORE_COST_US 20000
 /* An engine that has not got the newest weights, once they have been named
  * for longer than answers on the old ones count in full. */
 #define OLD_WEIGHTS_COST_US 150000
 #define OLD_WEIGHTS_GRACE_MS 1000
-/* A prefix that was used at an engine so long ago may have given way there. */
-#define HOLDER_AGE_MS 30000
-/* One from which others take it must surely have it: a miss there costs the
- * whole computation, and an engine's memory turns over in 5 to 12 s. */
-#define SOURCE_AGE_MS 3000
 /* What each running request adds to the time of a step, over the steps that
  * a first token takes. */
 #define RUNNING_COST_US 1000
@@ -52,13 +41,6 @@
     guint most; /* to take from the ring */
 } Walk_t;
 
-/* How an engine comes by the shared part of a prompt. */
-typedef struct {
-    guint tokens; /* of it that need not be computed */
-    gint64 cost_us;
-    const Upstream_t *source; /* engine to take it from, or NULL */
-} Supply_t;
-
 static void
 free_ring(gpointer ring)
 {
@@ -80,30 +62,23 @@
     return ring;
 }
 
-static guint64
-shared_key(const Placement_t *placement)
-{
-    return placement->level_count > 0
-               ? placement->levels[Placement_sharedLevel(placement)]
-               : Random_below(G_MAXINT);
-}
-
-static guint
-shared_tokens(const Placement_t *placement)
+static gboolean
+is_listed(const Walk_t *walk, const Upstream_t *upstream)
 {
-    return placement->level_count > 0
-               ? placement->level_tokens[Placement_sharedLevel(placement)]
-               : 0;
+    for (guint i = 0; i < walk->count; i++) {
+        if (walk->list[i] == upstream) {
+            return TRUE;
+        }
+    }
+    return FALSE;
 }
 
 static gboolean
 on_ring(Upstream_t *upstream, void *data)
 {
     Walk_t *walk = data;
-    for (guint i = 0; i < walk->count; i++) {
-        if (walk->list[i] == upstream) {
-            return TRUE;
-        }
+    if (is_listed(walk, upstream)) {
+        return TRUE;
     }
     if (Policy_mayUse(walk->placement, upstream)) {
         walk->list[walk->count++] = upstream;
@@ -135,56 +110,36 @@
     }
 }
 
+/* Those that hold the prefix, as a request needs no move there. */
+static void
+add_holders(Walk_t *walk)
+{
+    const Placement_t *placement = walk->placement;
+    for (guint i = 0;
+         i < placement->serving->len && walk->count < GROUP_CANDIDATES; i++) {
+        Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
+        if (PrefixSupply_isHeld(walk->policy->residency, placement,
+                                upstream) &&
+            Policy_mayUse(placement, upstream) && !is_listed(walk, upstream)) {
+            walk->list[walk->count++] = upstream;
+        }
+    }
+}
+
 static void
 find_candidates(Walk_t *walk, const Ring_t *ring)
 {
     const Placement_t *placement = walk->placement;
     gboolean grouped = placement->groups > 1;
     walk->most = grouped ? 1 : CANDIDATES;
-    Ring_walk(ring, shared_key(placement), RING_POINTS_MAX, on_ring, walk);
+    Ring_walk(ring, PrefixSupply_key(placement), RING_POINTS_MAX, on_ring,
+              walk);
     if (grouped && walk->count > 0) {
         add_group(walk);
     }
-}
-
-static gboolean
-holds(const HomePolicy_t *this, const Placement_t *placement,
-      const Upstream_t *upstream, gint64 age_ms)
-{
-    guint count = 0;
-    const Holder_t *holders =
-        Residency_holders(this->residency, shared_key(placement), &count);
-    for (guint i = 0; i < count; i++) {
-        if (holders[i].upstream == upstream->hash) {
-            return placement->now_ms - holders[i].used_ms <= age_ms;
-        }
+    else if (!grouped && placement->level_count > 0) {
+        add_holders(walk);
     }
-    return FALSE;
-}
-
-/* It need not take requests itself, but it must answer and have been read
- * for the same weights. */
-static gboolean
-can_give(const Placement_t *placement, const Upstream_t *from,
-         const Upstream_t *to)
-{
-    return from != to && !from->removed && from->ejections == 0 &&
-           from->paused_until_ms <= placement->now_ms &&
-           strcmp(from->weights->str, to->weights->str) == 0;
-}
-
-static Upstream_t *
-find_source(const HomePolicy_t *this, const Placement_t *placement,
-            const Upstream_t *to)
-{
-    for (guint i = 0; i < placement->serving->len; i++) {
-        Upstream_t *from = g_ptr_array_index(placement->serving, i);
-        if (can_give(placement, from, to) &&
-            holds(this, placement, from, SOURCE_AGE_MS)) {
-            return from;
-        }
-    }
-    return NULL;
 }
 
 static gboolean
@@ -195,40 +150,6 @@
            strcmp(placement->newest, upstream->weights->str) != 0;
 }
 
-static gboolean
-is_stored(const Placement_t *placement, const Upstream_t *upstream)
-{
-    return placement->cache_store &&
-           CacheStore_isKept(
-               placement->cache_store,
-               CacheStore_prefix(shared_key(placement), upstream->weights),
-               placement->now_ms);
-}
-
-/* A prefix that has been read for these weights is there, or is taken from
- * another engine or from the store, or has to be computed. */
-static Supply_t
-supply_of(const Walk_t *walk, const Upstream_t *upstream)
-{
-    const Placement_t *placement = walk->placement;
-    Supply_t supply = {.tokens = shared_tokens(placement)};
-    if (supply.tokens == 0 ||
-        holds(walk->policy, placement, upstream, HOLDER_AGE_MS)) {
-        return supply;
-    }
-    supply.source = find_source(walk->policy, placement, upstream);
-    if (supply.source) {
-        supply.cost_us = FETCH_COST_US;
-    }
-    else if (is_stored(placement, upstream)) {
-        supply.cost_us = STORE_COST_US;
-    }
-    else {
-        supply.tokens = 0;
-    }
-    return supply;
-}
-
 static gint64
 own_us(const Placement_t *placement, const Upstream_t *upstream,
        const Supply_t *supply)
@@ -250,22 +171,39 @@
            RUNNING_COST_US * requests;
 }
 
+/* Of the shared part alone. */
 static gint64
-cost_us(const Walk_t *walk, guint rank)
+computed_us(const Placement_t *placement, const Upstream_t *upstream)
+{
+    return PrefixSupply_computeUs(placement, upstream) /
+           PREFIX_SUPPLY_COMPUTE_TIMES;
+}
+
+/* Time to the first token there. */
+static gint64
+expected_us(const Placement_t *placement, const Upstream_t *upstream,
+            const Supply_t *supply)
+{
+    return Upstream_waitUs(upstream, placement->now_ms) + load_us(upstream) +
+           own_us(placement, upstream, supply) + supply->move_us +
+           supply->wait_us;
+}
+
+/* What speaks against an engine besides, in terms of time. */
+static gint64
+drawback_us(const Walk_t *walk, guint rank, const Supply_t *supply)
 {
     const Placement_t *placement = walk->placement;
     const Upstream_t *upstream = walk->list[rank];
-    Supply_t supply = supply_of(walk, upstream);
-    gint64 cost = Upstream_waitUs(upstream, placement->now_ms) +
-                  load_us(upstream) + own_us(placement, upstream, &supply) +
-                  supply.cost_us;
-    if (rank > 0) {
-        cost += SPILL_COST_US;
+    gint64 drawback = rank > 0 ? SPILL_COST_US : 0;
+    if (supply->tokens == 0) {
+        drawback += PrefixSupply_computeUs(placement, upstream) -
+                    computed_us(placement, upstream);
     }
     if (has_old_weights(placement, upstream)) {
-        cost += OLD_WEIGHTS_COST_US;
+        drawback += OLD_WEIGHTS_COST_US;
     }
-    return cost;
+    return drawback;
 }
 
 static Choice_t
@@ -274,12 +212,17 @@
     Choice_t choice = {.reason = "none_usable", .candidates = walk->count};
     gint64 least = G_MAXINT64;
     for (guint rank = 0; rank < walk->count; rank++) {
-        gint64 cost = cost_us(walk, rank);
+        Upstream_t *upstream = walk->list[rank];
+        Supply_t supply = PrefixSupply_find(walk->policy->residency,
+                                            walk->placement, upstream);
+        gint64 expected = expected_us(walk->placement, upstream, &supply);
+        gint64 cost = expected + drawback_us(walk, rank, &supply);
         if (cost < least) {
             least = cost;
-            choice.upstream = walk->list[rank];
+            choice.upstream = upstream;
             choice.reason = rank == 0 ? "home" : "spilled";
-            choice.cost_us = cost;
+            choice.cost_us = expected;
+            choice.supply = supply;
         }
     }
     return choice;
@@ -291,8 +234,10 @@
 likely_source(const Walk_t *walk, const Upstream_t *to)
 {
     for (guint rank = 0; rank < walk->count; rank++) {
-        if (can_give(walk->placement, walk->list[rank], to)) {
-            return walk->list[rank];
+        Upstream_t *from = walk->list[rank];
+        if (from != to && from->ejections == 0 &&
+            strcmp(from->weights->str, to->weights->str) == 0) {
+            return from;
         }
     }
     return NULL;
@@ -301,13 +246,11 @@
 static void
 fill_supply(const Walk_t *walk, Choice_t *choice)
 {
-    Supply_t supply = supply_of(walk, choice->upstream);
-    choice->expected_cached = supply.tokens;
-    choice->own_us = own_us(walk->placement, choice->upstream, &supply);
-    choice->fetch_from = supply.source;
-    choice->source_seen = supply.source != NULL;
-    if (supply.tokens == 0) {
-        choice->fetch_from = likely_source(walk, choice->upstream);
+    choice->expected_cached = choice->supply.tokens;
+    choice->own_us =
+        own_us(walk->placement, choice->upstream, &choice->supply);
+    if (choice->supply.kind == SUPPLY_UNKNOWN) {
+        choice->supply.source = likely_source(walk, choice->upstream);
     }
 }
 
@@ -333,11 +276,18 @@
     (void)cached;
     HomePolicy_t *this = (HomePolicy_t *)super;
     if (placement->level_count > 0) {
-        Residency_note(this->residency, shared_key(placement), upstream,
+        Residency_note(this->residency, PrefixSupply_key(placement), upstream,
                        placement->now_ms);
     }
 }
 
+static void
+begin(Policy_t *super, const Placement_t *placement, const Choice_t *choice)
+{
+    (void)super;
+    PrefixSupply_begin(placement, choice);
+}
+
 static void
 destroy(Policy_t *super)
 {
@@ -348,7 +298,12 @@
 }
 
 static const PolicyClass_t class = {
-    .name = "home", .destroy = destroy, .choose = choose, .learn = learn};
+    .name = "home",
+    .destroy = destroy,
+    .choose = choose,
+    .learn = learn,
+    .begin = begin,
+};
 
 Policy_t *
 HomePolicy_create(void)
--- a/src/LoadShare.c
+++ b/src/LoadShare.c
@@ -7,10 +7,13 @@
 /* What a router that falls silent has told counts for so long. */
 #define EXPIRY_MS 1000
 
+/* Prefixes told in one message; more are left out, which costs a move. */
+#define READS_MAX 256
+
 struct LoadShare {
-    UpstreamSet_t *upstreams;
-    Membership_t *membership;
+    LoadShareSpec_t spec;
     GHashTable *reports; /* member's name -> Report_t */
+    GArray *reads;       /* Read_t, since the last message */
     gboolean was_busy;   /* as it was last told */
     struct event *tick;
 };
@@ -19,12 +22,19 @@
     guint64 upstream; /* hash of its name */
     guint tokens;
     guint requests;
+    guint link_us;
 } Load_t;
 
+typedef struct {
+    guint64 prefix;
+    guint64 upstream; /* hash of its name */
+} Read_t;
+
 /* The last message of one member. */
 typedef struct {
     gint64 heard_ms;
     GArray *loads; /* Load_t */
+    guint store_link_us;
 } Report_t;
 
 static void
@@ -36,50 +46,106 @@
 }
 
 static void
-add_up(LoadShare_t *this)
+clear_sums(LoadShare_t *this)
 {
-    const GPtrArray *all = UpstreamSet_all(this->upstreams);
-    g_autoptr(GHashTable) by_hash =
-        g_hash_table_new(g_int64_hash, g_int64_equal);
+    const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
     for (guint i = 0; i < all->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(all, i);
         upstream->others_tokens = 0;
         upstream->others_requests = 0;
-        g_hash_table_insert(by_hash, &upstream->hash, upstream);
+        upstream->link.others_us = 0;
     }
+    this->spec.store_link->others_us = 0;
+}
+
+static void
+add_load(const LoadShare_t *this, const Load_t *load)
+{
+    Upstream_t *upstream =
+        UpstreamSet_findHash(this->spec.upstreams, load->upstream);
+    if (upstream) {
+        upstream->others_tokens += load->tokens;
+        upstream->others_requests += load->requests;
+        upstream->link.others_us += load->link_us;
+    }
+}
+
+static void
+add_up(LoadShare_t *this)
+{
+    clear_sums(this);
     GHashTableIter iter;
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, this->reports);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const Report_t *report = value;
         for (guint i = 0; i < report->loads->len; i++) {
-            const Load_t *load = &g_array_index(report->loads, Load_t, i);
-            Upstream_t *upstream =
-                g_hash_table_lookup(by_hash, &load->upstream);
-            if (upstream) {
-                upstream->others_tokens += load->tokens;
-                upstream->others_requests += load->requests;
-            }
+            add_load(this, &g_array_index(report->loads, Load_t, i));
         }
+        this->spec.store_link->others_us += report->store_link_us;
     }
 }
 
-void
-LoadShare_take(LoadShare_t *this, const char *member,
-               const Wt__UpstreamLoads *message)
+static Report_t *
+make_report(const Wt__UpstreamLoads *message)
 {
     Report_t *report = g_new0(Report_t, 1);
     report->heard_ms = Clock_nowMs();
+    report->store_link_us = message->store_link_us;
     report->loads = g_array_new(FALSE, FALSE, sizeof(Load_t));
     for (size_t i = 0; i < message->n_loads; i++) {
-        Load_t load = {message->loads[i]->upstream, message->loads[i]->tokens,
-                       message->loads[i]->requests};
+        const Wt__UpstreamLoad *told = message->loads[i];
+        Load_t load = {told->upstream, told->tokens, told->requests,
+                       told->link_us};
         g_array_append_val(report->loads, load);
     }
-    g_hash_table_replace(this->reports, g_strdup(member), report);
+    return report;
+}
+
+/* What has changed since a peer's last message. */
+static void
+take_changes(const LoadShare_t *this, const Wt__UpstreamLoads *message)
+{
+    gint64 now_ms = Clock_nowMs();
+    for (size_t i = 0; i < message->n_loads; i++) {
+        const Wt__UpstreamLoad *told = message->loads[i];
+        Upstream_t *upstream =
+            UpstreamSet_findHash(this->spec.upstreams, told->upstream);
+        if (upstream) {
+            EngineMemory_takeTold(&upstream->memory, told->taken_tokens);
+        }
+    }
+    for (size_t i = 0; i < message->n_reads; i++) {
+        const Wt__PrefixRead *read = message->reads[i];
+        Upstream_t *upstream =
+            UpstreamSet_findHash(this->spec.upstreams, read->upstream);
+        if (upstream) {
+            Policy_learnPrefix(this->spec.policy, read->prefix, 0, upstream,
+                               now_ms);
+        }
+    }
+}
+
+void
+LoadShare_take(LoadShare_t *this, const char *member,
+               const Wt__UpstreamLoads *message)
+{
+    g_hash_table_replace(this->reports, g_strdup(member),
+                         make_report(message));
+    take_changes(this, message);
     add_up(this);
 }
 
+void
+LoadShare_noteRead(LoadShare_t *this, guint64 prefix,
+                   const Upstream_t *upstream)
+{
+    Read_t read = {prefix, upstream->hash};
+    if (this->reads->len < READS_MAX) {
+        g_array_append_val(this->reads, read);
+    }
+}
+
 static gboolean
 is_old(gpointer member, gpointer data, gpointer now_ms)
 {
@@ -87,42 +153,79 @@
     return *(gint64 *)now_ms - ((Report_t *)data)->heard_ms >= EXPIRY_MS;
 }
 
+static gboolean
+is_busy(const Upstream_t *upstream, gint64 now_us)
+{
+    return upstream->in_flight > 0 || upstream->pending_tokens > 0 ||
+           upstream->memory.untold > 0 ||
+           Link_ownUs(&upstream->link, now_us) > 0;
+}
+
 static GPtrArray *
 find_busy(const LoadShare_t *this)
 {
-    const GPtrArray *all = UpstreamSet_all(this->upstreams);
+    const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
     GPtrArray *busy = g_ptr_array_new();
+    gint64 now_us = Clock_nowUs();
     for (guint i = 0; i < all->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(all, i);
-        if (upstream->in_flight > 0 || upstream->pending_tokens > 0) {
+        if (is_busy(upstream, now_us)) {
             g_ptr_array_add(busy, upstream);
         }
     }
     return busy;
 }
 
+static void
+fill_load(Wt__UpstreamLoad *load, Upstream_t *upstream, gint64 now_us)
+{
+    wt__upstream_load__init(load);
+    load->upstream = upstream->hash;
+    load->tokens = (guint32)MAX(upstream->pending_tokens, 0);
+    load->requests = upstream->in_flight;
+    load->link_us = (guint32)Link_ownUs(&upstream->link, now_us);
+    load->taken_tokens = upstream->memory.untold;
+    upstream->memory.untold = 0;
+}
+
+static void
+fill_read(Wt__PrefixRead *out, const Read_t *read)
+{
+    wt__prefix_read__init(out);
+    out->prefix = read->prefix;
+    out->upstream = read->upstream;
+}
+
 static void
 send_loads(LoadShare_t *this, const GPtrArray *busy)
 {
-    Wt__UpstreamLoad *loads = g_new(Wt__UpstreamLoad, busy->len + 1);
-    Wt__UpstreamLoad **list = g_new(Wt__UpstreamLoad *, busy->len + 1);
+    gint64 now_us = Clock_nowUs();
+    guint read_count = this->reads->len;
+    g_autofree Wt__UpstreamLoad *loads = g_new(Wt__UpstreamLoad, busy->len);
+    g_autofree Wt__UpstreamLoad **load_list =
+        g_new(Wt__UpstreamLoad *, busy->len);
+    g_autofree Wt__PrefixRead *reads = g_new(Wt__PrefixRead, read_count);
+    g_autofree Wt__PrefixRead **read_list =
+        g_new(Wt__PrefixRead *, read_count);
     for (guint i = 0; i < busy->len; i++) {
-        const Upstream_t *upstream = g_ptr_array_index(busy, i);
-        wt__upstream_load__init(&loads[i]);
-        loads[i].upstream = upstream->hash;
-        loads[i].tokens = (guint32)MAX(upstream->pending_tokens, 0);
-        loads[i].requests = upstream->in_flight;
-        list[i] = &loads[i];
+        fill_load(&loads[i], g_ptr_array_index(busy, i), now_us);
+        load_list[i] = &loads[i];
+    }
+    for (guint i = 0; i < read_count; i++) {
+        fill_read(&reads[i], &g_array_index(this->reads, Read_t, i));
+        read_list[i] = &reads[i];
     }
     Wt__UpstreamLoads message = WT__UPSTREAM_LOADS__INIT;
     Wt__PeerMessage frame = WT__PEER_MESSAGE__INIT;
     message.n_loads = busy->len;
-    message.loads = list;
+    message.loads = load_list;
+    message.n_reads = read_count;
+    message.reads = read_list;
+    message.store_link_us = (guint32)Link_ownUs(this->spec.store_link, now_us);
     frame.body_case = WT__PEER_MESSAGE__BODY_LOADS;
     frame.loads = &message;
-    Membership_sendAll(this->membership, &frame);
-    g_free(list);
-    g_free(loads);
+    Membership_sendAll(this->spec.membership, &frame);
+    g_array_set_size(this->reads, 0);
 }
 
 static void
@@ -135,7 +238,7 @@
     if (g_hash_table_foreach_remove(this->reports, is_old, &now_ms) > 0) {
         add_up(this);
     }
-    if (Membership_isMesh(this->membership)) {
+    if (Membership_isMesh(this->spec.membership)) {
         GPtrArray *busy = find_busy(this);
         if (busy->len > 0 || this->was_busy) {
             send_loads(this, busy);
@@ -147,12 +250,11 @@
 }
 
 LoadShare_t *
-LoadShare_create(struct event_base *base, UpstreamSet_t *upstreams,
-                 Membership_t *membership)
+LoadShare_create(struct event_base *base, const LoadShareSpec_t *spec)
 {
     LoadShare_t *this = g_new0(LoadShare_t, 1);
-    this->upstreams = upstreams;
-    this->membership = membership;
+    this->spec = *spec;
+    this->reads = g_array_new(FALSE, FALSE, sizeof(Read_t));
     this->reports =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_report);
     this->tick = Clock_timer(base, on_tick, this);
@@ -164,6 +266,7 @@
 LoadShare_destroy(LoadShare_t *this)
 {
     event_free(this->tick);
+    g_array_unref(this->reads);
     g_hash_table_destroy(this->reports);
     g_free(this);
 }
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -59,3 +59,17 @@
     again.desperate = TRUE;
     return this->class->choose(this, &again);
 }
+
+void
+Policy_learnPrefix(Policy_t *this, guint64 prefix, guint tokens,
+                   const Upstream_t *upstream, gint64 now_ms)
+{
+    Placement_t placement = {
+        .level_count = 1,
+        .levels = {prefix},
+        .level_tokens = {tokens},
+        .prompt_tokens = tokens,
+        .now_ms = now_ms,
+    };
+    Policy_learn(this, &placement, upstream, 0, tokens);
+}
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -29,6 +29,10 @@
  * @newest: version that is preferred, or NULL
  * @newest_age_ms: how long ago it was named
  * @cache_store: what is kept beside the engines, or NULL
+ * @cache_tokens: that an engine's memory holds, 0 for unknown
+ * @move_us_per_token: over an engine's link, 0 for unknown
+ * @store_us_per_token: over the store's link, 0 for unknown
+ * @store_hall: where the store stands, or NULL
  * @warm_ms: longest rest of a connection that the request may use
  * @avoid: upstream of the last attempt that failed, or NULL
  * @groups: the upstreams are divided into so many, and one is chosen of the
@@ -50,7 +54,11 @@
     guint64 least_weights;
     const char *newest;
     gint64 newest_age_ms;
-    const struct CacheStore *cache_store;
+    struct CacheStore *cache_store;
+    guint cache_tokens;
+    double move_us_per_token;
+    double store_us_per_token;
+    const char *store_hall;
     gint64 warm_ms;
     const Upstream_t *avoid;
     guint groups;
@@ -58,18 +66,49 @@
     gint64 now_ms;
 } Placement_t;
 
+/**
+ * enum SupplyKind_t - how an engine comes by the shared part of a prompt
+ * @SUPPLY_UNKNOWN: nobody is known to have it
+ * @SUPPLY_HELD: it should hold it
+ * @SUPPLY_ENGINE: another engine that should hold it gives it
+ * @SUPPLY_STORE: the store of cached prefixes gives it
+ * @SUPPLY_COMPUTED: it computes it, as that is soonest
+ */
+typedef enum {
+    SUPPLY_UNKNOWN,
+    SUPPLY_HELD,
+    SUPPLY_ENGINE,
+    SUPPLY_STORE,
+    SUPPLY_COMPUTED,
+} SupplyKind_t;
+
+/**
+ * struct Supply_t - the same in detail
+ * @kind: how
+ * @tokens: of the prompt, that need not be computed
+ * @move_us: what the move takes once it has begun
+ * @wait_us: until it begins
+ * @source: engine that gives it, or may have it where nobody is known to;
+ *     else NULL
+ */
+typedef struct {
+    SupplyKind_t kind;
+    guint tokens;
+    gint64 move_us;
+    gint64 wait_us;
+    Upstream_t *source;
+} Supply_t;
+
 /**
  * struct Choice_t - the upstream chosen
  * @upstream: NULL where none is usable
  * @reason: why, a static text for traces
  * @candidates: how many were weighed
  * @expected_cached: prompt tokens that it should have in its cache
- * @cost_us: expected time to the first token, and what was added to it
+ * @cost_us: expected time to the first token
  * @own_us: the part of it that the prompt itself takes to compute
- * @fetch_from: engine whose cached prefix it should take over, or NULL
+ * @supply: how it comes by the shared part of the prompt
  * @group: of the home, where there are groups
- * @source_seen: @fetch_from was seen to read the prefix; else it is only
- *     likely to have done so
  */
 typedef struct {
     Upstream_t *upstream;
@@ -78,8 +117,7 @@
     guint expected_cached;
     gint64 cost_us;
     gint64 own_us;
-    const Upstream_t *fetch_from;
-    gboolean source_seen;
+    Supply_t supply;
     guint group;
 } Choice_t;
 
@@ -92,6 +130,7 @@
  * @choose: weigh the candidates
  * @learn: an engine said what it had in its cache, or has read the whole
  *     prompt; may be NULL
+ * @begin: a choice is carried out; may be NULL
  */
 typedef struct {
     const char *name;
@@ -99,6 +138,8 @@
     Choice_t (*choose)(Policy_t *this, const Placement_t *placement);
     void (*learn)(Policy_t *this, const Placement_t *placement,
                   const Upstream_t *upstream, guint expected, guint cached);
+    void (*begin)(Policy_t *this, const Placement_t *placement,
+                  const Choice_t *choice);
 } PolicyClass_t;
 
 /** struct Policy_t - extended by each class */
@@ -154,4 +195,22 @@
 gboolean Policy_mayUse(const Placement_t *placement,
                        const Upstream_t *upstream);
 
+/** Policy_begin() - a request is sent where it was chosen to go */
+static inline void
+Policy_begin(Policy_t *this, const Placement_t *placement,
+             const Choice_t *choice)
+{
+    if (this->class->begin) {
+        this->class->begin(this, placement, choice);
+    }
+}
+
+/**
+ * Policy_learnPrefix() - an engine has read the shared part of a prompt
+ * @prefix: its identity
+ * @tokens: its length
+ */
+void Policy_learnPrefix(Policy_t *this, guint64 prefix, guint tokens,
+                        const Upstream_t *upstream, gint64 now_ms);
+
 #endif
--- /dev/null
+++ b/src/PrefixSupply.c
@@ -0,0 +1,237 @@
+#include "PrefixSupply.h"
+
+#include <string.h>
+
+#include "CacheStore.h"
+#include "Clock.h"
+#include "Random.h"
+
+/* What a move takes besides its transfer: its set-up and a round trip. */
+#define MOVE_SETUP_US 6000
+/* A link between halls moves at half the speed, as the users rate theirs. */
+#define OTHER_HALL_TIMES 2
+/* Where the configuration has no sizes or link speeds: a move of some thousand
+ * tokens from an engine, and from a store that serves all engines. */
+#define UNKNOWN_MOVE_US 8000
+#define UNKNOWN_STORE_US 20000
+/* The same of its memory: a prefix may have given way after so long. */
+#define UNKNOWN_ROOM_MS 10000
+
+guint64
+PrefixSupply_key(const Placement_t *placement)
+{
+    return placement->level_count > 0
+               ? placement->levels[Placement_sharedLevel(placement)]
+               : Random_below(G_MAXINT);
+}
+
+static guint
+shared_tokens(const Placement_t *placement)
+{
+    return placement->level_count > 0
+               ? placement->level_tokens[Placement_sharedLevel(placement)]
+               : 0;
+}
+
+static guint
+requests_at(const Upstream_t *upstream)
+{
+    return upstream->in_flight + upstream->others_requests +
+           upstream->ticket_requests;
+}
+
+static gboolean
+keeps(const Placement_t *placement, const Upstream_t *upstream,
+      const Holder_t *holder)
+{
+    if (placement->cache_tokens == 0) {
+        return holder->mark.epoch == upstream->memory.epoch &&
+               placement->now_ms - holder->used_ms <= UNKNOWN_ROOM_MS;
+    }
+    return EngineMemory_keeps(&upstream->memory, &holder->mark,
+                              placement->cache_tokens, requests_at(upstream));
+}
+
+gboolean
+PrefixSupply_isHeld(const Residency_t *residency, const Placement_t *placement,
+                    const Upstream_t *upstream)
+{
+    guint count = 0;
+    const Holder_t *holders =
+        Residency_holders(residency, PrefixSupply_key(placement), &count);
+    for (guint i = 0; i < count; i++) {
+        if (holders[i].upstream == upstream->hash) {
+            return keeps(placement, upstream, &holders[i]);
+        }
+    }
+    return FALSE;
+}
+
+/* It need not take requests itself, but it must answer and have been read
+ * for the same weights. */
+static gboolean
+can_give(const Placement_t *placement, const Upstream_t *from,
+         const Upstream_t *to)
+{
+    return from != to && !from->removed && from->ejections == 0 &&
+           !from->suspect && from->paused_until_ms <= placement->now_ms &&
+           strcmp(from->weights->str, to->weights->str) == 0;
+}
+
+static gint64
+transfer_us(double us_per_token, guint tokens, const char *from_hall,
+            const char *to_hall)
+{
+    double times = strcmp(from_hall, to_hall) == 0 ? 1 : OTHER_HALL_TIMES;
+    return MOVE_SETUP_US + (gint64)(us_per_token * times * tokens);
+}
+
+static gint64
+move_us(const Placement_t *placement, const Upstream_t *from,
+        const Upstream_t *to)
+{
+    if (placement->move_us_per_token <= 0) {
+        return UNKNOWN_MOVE_US;
+    }
+    return transfer_us(placement->move_us_per_token, shared_tokens(placement),
+                       from->hall->str, to->hall->str);
+}
+
+static gint64
+store_us(const Placement_t *placement, const Upstream_t *to)
+{
+    if (placement->store_us_per_token <= 0) {
+        return UNKNOWN_STORE_US;
+    }
+    return transfer_us(placement->store_us_per_token, shared_tokens(placement),
+                       placement->store_hall, to->hall->str);
+}
+
+/* A move runs over both links, one after the other on each. */
+static gint64
+wait_us(const Link_t *giver, const Link_t *taker, gint64 now_us)
+{
+    return MAX(Link_waitUs(giver, now_us), Link_waitUs(taker, now_us));
+}
+
+static gint64
+cost_us(const Supply_t *supply)
+{
+    return supply->move_us + supply->wait_us;
+}
+
+static gboolean
+is_better(const Supply_t *supply, const Supply_t *than)
+{
+    return than->kind != SUPPLY_ENGINE || cost_us(supply) < cost_us(than);
+}
+
+static Supply_t
+from_engine(const Residency_t *residency, const Placement_t *placement,
+            const Upstream_t *to, gint64 now_us)
+{
+    Supply_t best = {.kind = SUPPLY_UNKNOWN};
+    for (guint i = 0; i < placement->serving->len; i++) {
+        Upstream_t *from = g_ptr_array_index(placement->serving, i);
+        if (!can_give(placement, from, to) ||
+            !PrefixSupply_isHeld(residency, placement, from)) {
+            continue;
+        }
+        Supply_t supply = {
+            .kind = SUPPLY_ENGINE,
+            .tokens = shared_tokens(placement),
+            .move_us = move_us(placement, from, to),
+            .wait_us = wait_us(&from->link, &to->link, now_us),
+            .source = from,
+        };
+        if (is_better(&supply, &best)) {
+            best = supply;
+        }
+    }
+    return best;
+}
+
+static gboolean
+is_stored(const Placement_t *placement, const Upstream_t *upstream)
+{
+    guint64 key = PrefixSupply_key(placement);
+    return placement->cache_store &&
+           CacheStore_isKept(placement->cache_store,
+                             CacheStore_prefix(key, upstream->weights),
+                             placement->now_ms);
+}
+
+static Supply_t
+from_store(const Placement_t *placement, const Upstream_t *to, gint64 now_us)
+{
+    if (!is_stored(placement, to)) {
+        return (Supply_t){.kind = SUPPLY_UNKNOWN};
+    }
+    const Link_t *link = CacheStore_link(placement->cache_store);
+    return (Supply_t){
+        .kind = SUPPLY_STORE,
+        .tokens = shared_tokens(placement),
+        .move_us = store_us(placement, to),
+        .wait_us = wait_us(link, &to->link, now_us),
+    };
+}
+
+gint64
+PrefixSupply_computeUs(const Placement_t *placement,
+                       const Upstream_t *upstream)
+{
+    return (gint64)(PREFIX_SUPPLY_COMPUTE_TIMES * shared_tokens(placement) *
+                    upstream->prefill_us_per_token);
+}
+
+static Supply_t
+least(const Placement_t *placement, const Upstream_t *to,
+      const Supply_t *engine, const Supply_t *store)
+{
+    const Supply_t *best = engine;
+    if (engine->kind == SUPPLY_UNKNOWN ||
+        (store->kind != SUPPLY_UNKNOWN && cost_us(store) < cost_us(engine))) {
+        best = store;
+    }
+    if (best->kind != SUPPLY_UNKNOWN &&
+        cost_us(best) > PrefixSupply_computeUs(placement, to)) {
+        return (Supply_t){.kind = SUPPLY_COMPUTED};
+    }
+    return *best;
+}
+
+Supply_t
+PrefixSupply_find(const Residency_t *residency, const Placement_t *placement,
+                  Upstream_t *to)
+{
+    guint tokens = shared_tokens(placement);
+    gint64 now_us = Clock_nowUs();
+    if (PrefixSupply_isHeld(residency, placement, to)) {
+        return (Supply_t){.kind = SUPPLY_HELD, .tokens = tokens};
+    }
+    if (tokens < PREFIX_SUPPLY_TOKENS_MIN) {
+        return (Supply_t){.kind = SUPPLY_COMPUTED};
+    }
+    Supply_t engine = from_engine(residency, placement, to, now_us);
+    Supply_t store = from_store(placement, to, now_us);
+    return least(placement, to, &engine, &store);
+}
+
+void
+PrefixSupply_begin(const Placement_t *placement, const Choice_t *choice)
+{
+    Upstream_t *to = choice->upstream;
+    const Supply_t *supply = &choice->supply;
+    gint64 now_us = Clock_nowUs();
+    guint held = supply->kind == SUPPLY_HELD ? supply->tokens : 0;
+    EngineMemory_take(&to->memory, placement->prompt_tokens,
+                      placement->prompt_tokens -
+                          MIN(held, placement->prompt_tokens));
+    if (supply->kind == SUPPLY_ENGINE && supply->source) {
+        Link_begin(&supply->source->link, &to->link, supply->move_us, now_us);
+    }
+    else if (supply->kind == SUPPLY_STORE && placement->cache_store) {
+        Link_begin(CacheStore_link(placement->cache_store), &to->link,
+                   supply->move_us, now_us);
+    }
+}
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -1,7 +1,10 @@
 #include "RelayFeedback.h"
 
 #include "Clock.h"
+#include "EngineSpeed.h"
+#include "LoadShare.h"
 #include "Log.h"
+#include "PrefixSupply.h"
 
 /* An upstream that answered anything in this time is busy, not gone. */
 #define PROOF_AGE_MS 1000
@@ -20,6 +23,13 @@
     this->missing_tokens =
         prompt_tokens - MIN(placing->choice.expected_cached, prompt_tokens);
     this->upstream->pending_tokens += this->missing_tokens;
+    this->supply = placing->choice.supply;
+    this->engine_us = MAX(placing->choice.cost_us - placing->choice.own_us -
+                              this->supply.move_us - this->supply.wait_us,
+                          0);
+    if (this->supply.source) {
+        Upstream_ref(this->supply.source);
+    }
 }
 
 void
@@ -29,6 +39,10 @@
         this->upstream->pending_tokens -= this->missing_tokens;
     }
     this->missing_tokens = 0;
+    if (this->supply.source) {
+        Upstream_unref(this->supply.source);
+        this->supply.source = NULL;
+    }
 }
 
 /* Parts are sent to the store once they are read, which is before the first
@@ -43,13 +57,93 @@
     }
 }
 
+static Link_t *
+giver_link(const RelayFeedback_t *this)
+{
+    if (this->supply.kind == SUPPLY_ENGINE && this->supply.source) {
+        return &this->supply.source->link;
+    }
+    return this->supply.kind == SUPPLY_STORE
+               ? CacheStore_link(this->context->cache_store)
+               : NULL;
+}
+
+static EngineSpeed_t *
+speed_of(const RelayFeedback_t *this)
+{
+    GHashTable *speeds = this->context->speeds;
+    EngineSpeed_t *speed = g_hash_table_lookup(speeds, this->placement.target);
+    if (!speed) {
+        speed = g_new(EngineSpeed_t, 1);
+        EngineSpeed_init(speed, this->upstream->prefill_us_per_token);
+        g_hash_table_insert(speeds, g_strdup(this->placement.target), speed);
+    }
+    return speed;
+}
+
+/* Where a move is part of the wait, or nobody knows whether there was one, it
+ * says nothing of the engine. */
+static void
+note_speed(const RelayFeedback_t *this, gint64 waited_us)
+{
+    gboolean is_sure = this->supply.kind == SUPPLY_HELD ||
+                       this->supply.kind == SUPPLY_COMPUTED;
+    if (!is_sure) {
+        return;
+    }
+    EngineSpeed_t *speed = speed_of(this);
+    EngineSpeed_note(speed, waited_us - UPSTREAM_LEAST_FIRST_US,
+                     this->missing_tokens);
+    this->upstream->prefill_us_per_token = speed->us_per_token;
+}
+
+/* What a first token took beyond what was expected is laid to the engine's
+ * queue and to the giver's link, each by what was expected of it: a slow link
+ * must not make the engine look busy, as requests that leave it for that need
+ * moves of their own. */
+static void
+note_wait(const RelayFeedback_t *this, gint64 waited_us)
+{
+    gint64 now_ms = Clock_nowMs();
+    Link_t *link = giver_link(this);
+    gint64 moved_us = this->supply.move_us + this->supply.wait_us;
+    if (!link || moved_us <= 0) {
+        Upstream_noteFirstToken(this->upstream, waited_us,
+                                this->missing_tokens, now_ms);
+        return;
+    }
+    gint64 own_us =
+        Upstream_leastUs(this->upstream, this->missing_tokens) + moved_us;
+    gint64 excess_us = waited_us - own_us - this->engine_us;
+    gint64 link_us = excess_us * moved_us / (moved_us + this->engine_us);
+    Link_noteExcess(link, link_us, now_ms);
+    Upstream_noteFirstToken(this->upstream, waited_us - moved_us - link_us,
+                            this->missing_tokens, now_ms);
+}
+
+/* All that the request asks for has been read. */
+static void
+note_read(const RelayFeedback_t *this)
+{
+    const Placement_t *placement = &this->placement;
+    guint shared = Placement_sharedLevel(placement);
+    Policy_learn(this->context->policy, placement, this->upstream, 0,
+                 placement->prompt_tokens);
+    if (placement->level_count > 1 && this->context->load_share &&
+        placement->level_tokens[shared] >= PREFIX_SUPPLY_TOKENS_MIN) {
+        LoadShare_noteRead(this->context->load_share,
+                           placement->levels[shared], this->upstream);
+    }
+}
+
 void
 RelayFeedback_noteFirstEvent(RelayFeedback_t *this, gint64 waited_us)
 {
-    Upstream_noteFirstToken(this->upstream, waited_us, this->missing_tokens,
-                            Clock_nowMs());
+    note_wait(this, waited_us);
+    note_speed(this, waited_us);
     RelayFeedback_settle(this);
     note_saved(this);
+    note_read(this);
 }
 
 void
@@ -60,13 +154,6 @@
     }
 }
 
-void
-RelayFeedback_noteWhole(const RelayFeedback_t *this)
-{
-    Policy_learn(this->context->policy, &this->placement, this->upstream, 0,
-                 this->placement.prompt_tokens);
-}
-
 static void
 log_refusal(const RelayFeedback_t *this, const RelayHead_t *head)
 {
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -19,6 +19,8 @@
  * @request_id: its id, of the exchange
  * @upstream: of the attempt; held by the exchange while it is under way
  * @placement: what was weighed
+ * @supply: how @upstream comes by the shared part; its source is held
+ * @engine_us: expected wait for @upstream itself, without the move
  * @missing_tokens: counted in @upstream->pending_tokens
  * @saved_prefix: that the attempt saves, 0 for none
  */
@@ -27,6 +29,8 @@
     const char *request_id;
     Upstream_t *upstream;
     Placement_t placement;
+    Supply_t supply;
+    gint64 engine_us;
     guint missing_tokens;
     guint64 saved_prefix;
 } RelayFeedback_t;
@@ -51,9 +55,6 @@
 void RelayFeedback_noteWeights(const RelayFeedback_t *this,
                                const RelayHead_t *head);
 
-/** RelayFeedback_noteWhole() - the answer is whole; the prompt is cached */
-void RelayFeedback_noteWhole(const RelayFeedback_t *this);
-
 /** RelayFeedback_noteRefusal() - the upstream says "not run" */
 void RelayFeedback_noteRefusal(const RelayFeedback_t *this,
                                const RelayHead_t *head);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -218,6 +218,8 @@
     this->hints =
         HintFlood_create(context->base, context->membership, take_hint, this);
     context->cache_store = CacheStore_create(this->hints);
+    context->speeds =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     context->mover =
         StreamMover_create(context->base, context->upstreams, context->budget);
     context->dispatch = create_dispatch(context);
@@ -228,8 +230,14 @@
     create_followers(this, form);
     create_orders(this, form);
     create_prober(this);
-    this->load_share = LoadShare_create(context->base, context->upstreams,
-                                        context->membership);
+    LoadShareSpec_t loads = {
+        .upstreams = context->upstreams,
+        .membership = context->membership,
+        .policy = context->policy,
+        .store_link = CacheStore_link(context->cache_store),
+    };
+    this->load_share = LoadShare_create(context->base, &loads);
+    context->load_share = this->load_share;
     return this;
 }
 
@@ -255,6 +263,7 @@
         Dispatch_destroy(this->context->dispatch);
     }
     CacheStore_destroy(this->context->cache_store);
+    g_hash_table_destroy(this->context->speeds);
     HintFlood_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
     g_free(this);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -2,14 +2,14 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "PrefixSupply.h"
 
 /* No request is placed on older weights so long before it must not begin
  * there: it waits in the engine's queue first. */
 #define PLACE_MARGIN_MS 2000
 /* One that still waits there is taken back so long before. */
 #define QUEUE_MARGIN_MS 500
-/* Shorter shared prefixes are computed faster than they are moved. */
-#define STORED_TOKENS_MIN 1000
+#define BITS_PER_BYTE 8
 
 /* Mixes the identity of the parts so far with the next one. */
 #define PART_MULTIPLIER G_GUINT64_CONSTANT(0x9E3779B97F4A7C15)
@@ -46,6 +46,34 @@
     placement->prompt_tokens = MAX(request->prompt_tokens, tokens);
 }
 
+static double
+us_per_token(guint token_bytes, guint link_mbit)
+{
+    /* Bits over Mbit a second are microseconds. */
+    return link_mbit > 0 ? (double)token_bytes * BITS_PER_BYTE / link_mbit : 0;
+}
+
+/* Sizes and speeds as the configuration has them. */
+static void
+fill_sizes(const Context_t *context, Placement_t *placement)
+{
+    const RouteConfig_t *config = RouteTable_config(context->routes);
+    const RouteService_t *service =
+        config ? RouteConfig_findService(config, placement->target) : NULL;
+    if (!service) {
+        return;
+    }
+    placement->cache_tokens = service->cache_tokens;
+    placement->move_us_per_token =
+        us_per_token(service->token_bytes, service->link_mbit);
+    if (config->kv_stores->len > 0) {
+        const RouteKvStore_t *store = g_ptr_array_index(config->kv_stores, 0);
+        placement->store_hall = store->hall->str;
+        placement->store_us_per_token =
+            us_per_token(service->token_bytes, store->link_mbit);
+    }
+}
+
 /* Answers on weights that have been replaced lose their worth with time; in
  * the end they must not be given at all. */
 void
@@ -53,6 +81,7 @@
                          Placement_t *placement)
 {
     placement->cache_store = context->cache_store;
+    fill_sizes(context, placement);
     if (!model) {
         return;
     }
@@ -97,42 +126,53 @@
 
 /* What is kept nowhere is saved by the request that computes it. */
 static void
-use_store(const Context_t *context, const RouteKvStore_t *store,
-          RelayPlacing_t *out)
+save_to_store(const Context_t *context, const RouteKvStore_t *store,
+              RelayPlacing_t *out)
 {
     CacheStore_t *cache = context->cache_store;
     gint64 now_ms = out->placement.now_ms;
-    gboolean kept = CacheStore_isKept(cache, out->saved_prefix, now_ms);
-    if (!out->choice.source_seen) {
+    if (!CacheStore_isKept(cache, out->saved_prefix, now_ms) &&
+        CacheStore_beginSave(cache, out->saved_prefix, now_ms)) {
+        write_address(out->save_to, &store->address);
+    }
+}
+
+/* Where it is held, or may be, another place is named all the same: what was
+ * known may be out of date, a miss costs a millisecond, and even where the
+ * whole prefix is new the store keeps what it begins with. */
+static void
+fetch_from(const RouteKvStore_t *store, RelayPlacing_t *out)
+{
+    const Supply_t *supply = &out->choice.supply;
+    gboolean prefers_store = store && supply->kind != SUPPLY_ENGINE;
+    if (supply->kind == SUPPLY_COMPUTED) {
+        return;
+    }
+    if (prefers_store) {
         write_address(out->fetch_from, &store->address);
     }
-    if (!kept && CacheStore_beginSave(cache, out->saved_prefix, now_ms)) {
-        write_address(out->save_to, &store->address);
+    else if (supply->source) {
+        write_address(out->fetch_from, &supply->source->address);
     }
 }
 
-/* From an engine that was seen to read it a moment ago: the links of engines
- * are faster than those of the few stores. Else from the store: a miss there
- * costs a millisecond, and even where the whole prefix is new the store keeps
- * what it begins with. */
 static void
 use_caches(const Context_t *context, RelayPlacing_t *out)
 {
     const Placement_t *placement = &out->placement;
     const Choice_t *choice = &out->choice;
-    if (choice->fetch_from) {
-        write_address(out->fetch_from, &choice->fetch_from->address);
-    }
     guint shared = Placement_sharedLevel(placement);
     if (placement->level_count < 2 ||
-        placement->level_tokens[shared] < STORED_TOKENS_MIN) {
+        placement->level_tokens[shared] < PREFIX_SUPPLY_TOKENS_MIN) {
+        fetch_from(NULL, out);
         return;
     }
     out->saved_prefix = CacheStore_prefix(placement->levels[shared],
                                           choice->upstream->weights);
     const RouteKvStore_t *store = store_of(context, out->saved_prefix);
+    fetch_from(store, out);
     if (store) {
-        use_store(context, store, out);
+        save_to_store(context, store, out);
     }
 }
 
@@ -188,6 +228,7 @@
             salt_input(wish, out->choice.upstream->weights->str);
         Salt_make(&input, context->settings->keys.salt, out->salt);
         use_caches(context, out);
+        Policy_begin(context->policy, &out->placement, &out->choice);
     }
 }
 
@@ -230,6 +271,9 @@
     if (upstream) {
         log_upstream(this);
     }
+    Log_number("supply", this->choice.supply.kind);
+    Log_number("move_us", this->choice.supply.move_us);
+    Log_number("move_wait_us", this->choice.supply.wait_us);
     Log_text("fetch_from", this->fetch_from);
     Log_text("save_to", this->save_to);
     Log_end();
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -88,9 +88,6 @@
     if (end == ATTEMPT_NOT_RUN || end == ATTEMPT_NOT_SENT) {
         this->unrun++;
     }
-    if (end == ATTEMPT_WHOLE && this->route->by_prefix) {
-        RelayFeedback_noteWhole(&this->feedback);
-    }
     RelayFeedback_noteReach(&this->feedback, end);
     RelayFeedback_settle(&this->feedback);
     Exchange_noteEnd(&this->super, end);
--- a/src/Residency.c
+++ b/src/Residency.c
@@ -87,7 +87,8 @@
                gint64 now_ms)
 {
     Holder_t *holder = place_of(find_or_make(this, prefix), upstream->hash);
-    *holder = (Holder_t){upstream->hash, upstream->incarnation, now_ms};
+    *holder = (Holder_t){upstream->hash, upstream->incarnation, now_ms,
+                         EngineMemory_mark(&upstream->memory)};
 }
 
 void
--- a/src/Residency.h
+++ b/src/Residency.h
@@ -21,12 +21,14 @@
  * struct Holder_t - one engine that should have a prefix
  * @upstream: hash of its name
  * @incarnation: that was seen to have it
- * @used_ms: when this router last used it there
+ * @used_ms: when it was last known to be used there
+ * @mark: the same in terms of the engine's memory
  */
 typedef struct {
     guint64 upstream;
     guint64 incarnation;
     gint64 used_ms;
+    MemoryMark_t mark;
 } Holder_t;
 
 /** struct Residency_t - opaque */
--- a/src/RouteConfig.h
+++ b/src/RouteConfig.h
@@ -90,6 +90,9 @@
  * @max_connections: that one upstream takes from all routers together
  * @slots: requests that one engine works on at once, 0 for a plain service
  * @cache_tokens: that one engine's memory holds, 0 for a plain service
+ * @token_bytes: of a cached token, 0 for unknown
+ * @link_mbit: that one engine's link carries in a second, in Mbit; 0 for
+ *     unknown
  * @models: names of the models of its engines, GString *
  */
 typedef struct {
@@ -98,6 +101,8 @@
     guint max_connections;
     guint slots;
     guint cache_tokens;
+    guint token_bytes;
+    guint link_mbit;
     GPtrArray *models;
 } RouteService_t;
 
@@ -107,12 +112,14 @@
  * @address: where engines reach it
  * @hall: where it stands
  * @cache_tokens: that it holds
+ * @link_mbit: that its link carries in a second, in Mbit; 0 for unknown
  */
 typedef struct {
     GString *name;
     Address_t address;
     GString *hall;
     guint cache_tokens;
+    guint link_mbit;
 } RouteKvStore_t;
 
 /**
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -109,17 +109,10 @@
     if (!ticket || ticket->begun) {
         return;
     }
-    Placement_t placement = {
-        .level_count = 1,
-        .levels = {ticket->prefix},
-        .level_tokens = {ticket->prefix_tokens},
-        .prompt_tokens = ticket->prefix_tokens,
-        .now_ms = now_ms,
-    };
     ticket->begun = TRUE;
     drop_tokens(ticket);
-    Policy_learn(policy, &placement, ticket->upstream, 0,
-                 ticket->prefix_tokens);
+    Policy_learnPrefix(policy, ticket->prefix, ticket->prefix_tokens,
+                       ticket->upstream, now_ms);
 }
 
 void
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -15,8 +15,6 @@
 /* A doubt that routers tell each other is not told or taken again for so
  * long. */
 #define DOUBT_AGE_MS 3000
-/* First token of a request that nothing holds up, beside its computation. */
-#define LEAST_FIRST_TOKEN_US 20000.0
 
 typedef struct {
     struct evhttp_connection *connection;
@@ -118,6 +116,7 @@
     this->incarnation = incarnation;
     this->live_since_ms = now_ms;
     if (!first) {
+        EngineMemory_clear(&this->memory);
         this->leaving = FALSE;
         this->reported_tokens = 0;
         this->reported_running = 0;
@@ -232,6 +231,7 @@
         return FALSE;
     }
     g_string_assign(this->weights, weights);
+    EngineMemory_clear(&this->memory);
     this->paused_until_ms = 0;
     this->unloading_since_ms = 0;
     return TRUE;
@@ -244,12 +244,19 @@
     return (gint64)(this->wait_us * exp2(-age_ms / WAIT_HALF_LIFE_MS));
 }
 
+gint64
+Upstream_leastUs(const Upstream_t *this, guint tokens)
+{
+    return UPSTREAM_LEAST_FIRST_US +
+           (gint64)(tokens * this->prefill_us_per_token);
+}
+
 void
 Upstream_noteFirstToken(Upstream_t *this, gint64 waited_us, guint tokens,
                         gint64 now_ms)
 {
-    double own_us = LEAST_FIRST_TOKEN_US + tokens * this->prefill_us_per_token;
-    double excess_us = MAX((double)waited_us - own_us, 0.0);
+    gint64 least_us = Upstream_leastUs(this, tokens);
+    double excess_us = (double)MAX(waited_us - least_us, 0);
     double known_us = (double)Upstream_waitUs(this, now_ms);
     this->wait_us = known_us + (excess_us - known_us) * WAIT_GAIN;
     this->wait_at_ms = now_ms;
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -12,6 +12,8 @@
 #include <glib.h>
 
 #include "Declarations.h"
+#include "EngineMemory.h"
+#include "Link.h"
 
 /**
  * struct Upstream_t - one upstream
@@ -56,6 +58,8 @@
  * @wait_us: learned wait for a first token beyond its own computation
  * @wait_at_ms: when that was learned; it fades
  * @proved_ms: when it last answered anything, 0 for never
+ * @memory: how far its cache has turned over
+ * @link: over which cached prefixes come to it and leave it
  * @base: of its connections
  * @idle: IdleConnection_t, the one used last at the tail
  * @idle_max: most of them
@@ -101,6 +105,8 @@
     double wait_us;
     gint64 wait_at_ms;
     gint64 proved_ms;
+    EngineMemory_t memory;
+    Link_t link;
 
     struct event_base *base;
     GQueue idle;
@@ -220,6 +226,13 @@
 void Upstream_noteFirstToken(Upstream_t *this, gint64 waited_us, guint tokens,
                              gint64 now_ms);
 
+/** First token of a request that nothing holds up, beside its computation, in
+ * us */
+#define UPSTREAM_LEAST_FIRST_US 20000
+
+/** Upstream_leastUs() - until a first token where nothing holds it up */
+gint64 Upstream_leastUs(const Upstream_t *this, guint tokens);
+
 /** Upstream_waitUs() - the wait that was learned, faded with its age */
 gint64 Upstream_waitUs(const Upstream_t *this, gint64 now_ms);
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &wt__upstream_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__prefix_read__init
+                     (Wt__PrefixRead         *message)
+{
+  static const Wt__PrefixRead init_value = WT__PREFIX_READ__INIT;
+  *message = init_value;
+}
+size_t wt__prefix_read__get_packed_size
+                     (const Wt__PrefixRead *message)
+{
+  assert(message->base.descriptor == &wt__prefix_read__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__prefix_read__pack
+                     (const Wt__PrefixRead *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__prefix_read__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__prefix_read__pack_to_buffer
+                     (const Wt__PrefixRead *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__prefix_read__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__PrefixRead *
+       wt__prefix_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__PrefixRead *)
+     protobuf_c_message_unpack (&wt__prefix_read__descriptor,
+                                allocator, len, data);
+}
+void   wt__prefix_read__free_unpacked
+                     (Wt__PrefixRead *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__prefix_read__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__upstream_loads__init
                      (Wt__UpstreamLoads         *message)
 {
@@ -1541,7 +1586,7 @@
   (ProtobufCMessageInit) wt__hints__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__upstream_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__upstream_load__field_descriptors[5] =
 {
   {
     "upstream",
@@ -1579,16 +1624,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamLoad, link_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamLoad, taken_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__upstream_load__field_indices_by_name[] = {
+  3,   /* field[3] = link_us */
   2,   /* field[2] = requests */
+  4,   /* field[4] = taken_tokens */
   1,   /* field[1] = tokens */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange wt__upstream_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__upstream_load__descriptor =
 {
@@ -1598,14 +1669,65 @@
   "Wt__UpstreamLoad",
   "wt",
   sizeof(Wt__UpstreamLoad),
-  3,
+  5,
   wt__upstream_load__field_descriptors,
   wt__upstream_load__field_indices_by_name,
   1,  wt__upstream_load__number_ranges,
   (ProtobufCMessageInit) wt__upstream_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__upstream_loads__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wt__prefix_read__field_descriptors[2] =
+{
+  {
+    "prefix",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PrefixRead, prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PrefixRead, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__prefix_read__field_indices_by_name[] = {
+  0,   /* field[0] = prefix */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange wt__prefix_read__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__prefix_read__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.PrefixRead",
+  "PrefixRead",
+  "Wt__PrefixRead",
+  "wt",
+  sizeof(Wt__PrefixRead),
+  2,
+  wt__prefix_read__field_descriptors,
+  wt__prefix_read__field_indices_by_name,
+  1,  wt__prefix_read__number_ranges,
+  (ProtobufCMessageInit) wt__prefix_read__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__upstream_loads__field_descriptors[3] =
 {
   {
     "loads",
@@ -1619,14 +1741,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__UpstreamLoads, n_reads),
+    offsetof(Wt__UpstreamLoads, reads),
+    &wt__prefix_read__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_link_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__UpstreamLoads, store_link_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__upstream_loads__field_indices_by_name[] = {
   0,   /* field[0] = loads */
+  1,   /* field[1] = reads */
+  2,   /* field[2] = store_link_us */
 };
 static const ProtobufCIntRange wt__upstream_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wt__upstream_loads__descriptor =
 {
@@ -1636,7 +1784,7 @@
   "Wt__UpstreamLoads",
   "wt",
   sizeof(Wt__UpstreamLoads),
-  1,
+  3,
   wt__upstream_loads__field_descriptors,
   wt__upstream_loads__field_indices_by_name,
   1,  wt__upstream_loads__number_ranges,
@@ -1964,7 +2112,7 @@
   (ProtobufCMessageInit) wt__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__place_answer__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wt__place_answer__field_descriptors[9] =
 {
   {
     "ticket",
@@ -2003,12 +2151,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "source_seen",
+    "supply",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wt__PlaceAnswer, source_seen),
+    offsetof(Wt__PlaceAnswer, supply),
     NULL,
     NULL,
     0,             /* flags */
@@ -2050,20 +2198,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "move_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, move_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "move_wait_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, move_wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__place_answer__field_indices_by_name[] = {
   4,   /* field[4] = cached_tokens */
   5,   /* field[5] = cost_us */
   2,   /* field[2] = fetch_from */
+  7,   /* field[7] = move_us */
+  8,   /* field[8] = move_wait_us */
   6,   /* field[6] = own_us */
-  3,   /* field[3] = source_seen */
+  3,   /* field[3] = supply */
   0,   /* field[0] = ticket */
   1,   /* field[1] = upstream */
 };
 static const ProtobufCIntRange wt__place_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wt__place_answer__descriptor =
 {
@@ -2073,7 +2247,7 @@
   "Wt__PlaceAnswer",
   "wt",
   sizeof(Wt__PlaceAnswer),
-  7,
+  9,
   wt__place_answer__field_descriptors,
   wt__place_answer__field_indices_by_name,
   1,  wt__place_answer__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Wt__Hint Wt__Hint;
 typedef struct Wt__Hints Wt__Hints;
 typedef struct Wt__UpstreamLoad Wt__UpstreamLoad;
+typedef struct Wt__PrefixRead Wt__PrefixRead;
 typedef struct Wt__UpstreamLoads Wt__UpstreamLoads;
 typedef struct Wt__ConfigCurrent Wt__ConfigCurrent;
 typedef struct Wt__TopicRecord Wt__TopicRecord;
@@ -266,10 +267,32 @@
    */
   uint32_t tokens;
   uint32_t requests;
+  /*
+   * What the moves of cached prefixes still take on its link.
+   */
+  uint32_t link_us;
+  /*
+   * Tokens brought into its memory since the last message.
+   */
+  uint32_t taken_tokens;
 };
 #define WT__UPSTREAM_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__upstream_load__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * An upstream has read the shared part of a prompt.
+ */
+struct  Wt__PrefixRead
+{
+  ProtobufCMessage base;
+  uint64_t prefix;
+  uint64_t upstream;
+};
+#define WT__PREFIX_READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__prefix_read__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -280,10 +303,19 @@
   ProtobufCMessage base;
   size_t n_loads;
   Wt__UpstreamLoad **loads;
+  /*
+   * Since the last message.
+   */
+  size_t n_reads;
+  Wt__PrefixRead **reads;
+  /*
+   * What the router's moves still take on the link of the store of prefixes.
+   */
+  uint32_t store_link_us;
 };
 #define WT__UPSTREAM_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__upstream_loads__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -374,17 +406,25 @@
    */
   uint64_t upstream;
   uint64_t fetch_from;
-  protobuf_c_boolean source_seen;
+  /*
+   * SupplyKind_t.
+   */
+  uint32_t supply;
   uint32_t cached_tokens;
   /*
    * Expected until the first token, and the prompt's own part of it.
    */
   uint32_t cost_us;
   uint32_t own_us;
+  /*
+   * Of a move of the prefix: what it takes, and until it begins.
+   */
+  uint32_t move_us;
+  uint32_t move_wait_us;
 };
 #define WT__PLACE_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__place_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wt__PlaceNews
@@ -650,6 +690,25 @@
 void   wt__upstream_load__free_unpacked
                      (Wt__UpstreamLoad *message,
                       ProtobufCAllocator *allocator);
+/* Wt__PrefixRead methods */
+void   wt__prefix_read__init
+                     (Wt__PrefixRead         *message);
+size_t wt__prefix_read__get_packed_size
+                     (const Wt__PrefixRead   *message);
+size_t wt__prefix_read__pack
+                     (const Wt__PrefixRead   *message,
+                      uint8_t             *out);
+size_t wt__prefix_read__pack_to_buffer
+                     (const Wt__PrefixRead   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__PrefixRead *
+       wt__prefix_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__prefix_read__free_unpacked
+                     (Wt__PrefixRead *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__UpstreamLoads methods */
 void   wt__upstream_loads__init
                      (Wt__UpstreamLoads         *message);
@@ -837,6 +896,9 @@
 typedef void (*Wt__UpstreamLoad_Closure)
                  (const Wt__UpstreamLoad *message,
                   void *closure_data);
+typedef void (*Wt__PrefixRead_Closure)
+                 (const Wt__PrefixRead *message,
+                  void *closure_data);
 typedef void (*Wt__UpstreamLoads_Closure)
                  (const Wt__UpstreamLoads *message,
                   void *closure_data);
@@ -880,6 +942,7 @@
 extern const ProtobufCMessageDescriptor wt__hint__descriptor;
 extern const ProtobufCMessageDescriptor wt__hints__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_load__descriptor;
+extern const ProtobufCMessageDescriptor wt__prefix_read__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_loads__descriptor;
 extern const ProtobufCMessageDescriptor wt__config_current__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_record__descriptor;
