What a peer has read ends an outage of the list for a router

Change: a part that a peer read after the failure ends it (topic_regained by=peer). An outage of the store itself is told by the peers as before. Ruled out: missing parts of the relayed list: all had come in time.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -33,6 +33,7 @@
     gint64 asked_ms;   /* the same of the question beside it */
     gint64 current_ms; /* when the end was last known, 0 for never */
     guint failures;    /* in a row */
+    gint64 failed_ms;  /* when the last of them was */
 };
 
 static void call(RecordFollower_t *this);
@@ -140,24 +141,43 @@
     }
 }
 
+static void
+end_failures(RecordFollower_t *this, const char *by)
+{
+    this->failures = 0;
+    Log_begin(LOG_LEVEL_WARNING, "topic_regained");
+    Log_text("topic", this->topic->str);
+    Log_text("by", by);
+    Log_end();
+}
+
 static void
 note_good(RecordFollower_t *this)
 {
     if (this->failures > 0) {
-        this->failures = 0;
-        Log_begin(LOG_LEVEL_WARNING, "topic_regained");
-        Log_text("topic", this->topic->str);
-        Log_end();
+        end_failures(this, "answer");
         if (this->events->regained) {
             this->events->regained(this->owner);
         }
     }
 }
 
+/* A peer has read the topic after this router failed to: for the records it
+ * is not lost any more, and what is removed there is gone. The peer tells of
+ * an outage of its own by itself. */
+static void
+note_fed(RecordFollower_t *this, gint64 at_ms)
+{
+    if (this->failures > 0 && at_ms > this->failed_ms) {
+        end_failures(this, "peer");
+    }
+}
+
 static void
 note_failed(RecordFollower_t *this, const GError *error)
 {
     this->failures++;
+    this->failed_ms = Clock_nowMs();
     if (this->failures == 1) {
         Log_begin(LOG_LEVEL_WARNING, "topic_lost");
         Log_text("topic", this->topic->str);
@@ -319,6 +339,7 @@
         read_gap(this, from);
         return FALSE;
     }
+    note_fed(this, at_ms);
     take_tail(this, page);
     this->next = page->end;
     note_current(this, at_ms);
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -214,6 +214,19 @@
 }
 END_TEST
 
+START_TEST(what_a_peer_read_after_a_failure_ends_the_outage)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3");
+    FakeSource_fail(&source, WT_ERROR_CONNECT);
+    ck_assert(RecordFollower_isLost(follower));
+    ck_assert(feed(follower, 10, 11, "a-:10", Clock_nowMs() + 1000));
+    ck_assert(!RecordFollower_isLost(follower));
+    ck_assert_uint_eq(seen.regained, 0);
+    end(follower);
+}
+END_TEST
+
 START_TEST(a_peer_that_knew_it_earlier_is_not_taken)
 {
     RecordFollower_t *follower = begin();
@@ -275,6 +288,7 @@
              what_a_peer_has_read_is_not_read_again,
              a_peer_is_not_taken_where_records_are_missing,
              what_is_missing_before_a_peers_records_is_read_at_once,
+             what_a_peer_read_after_a_failure_ends_the_outage,
              a_peer_that_knew_it_earlier_is_not_taken,
              the_same_end_by_another_way_is_no_news,
              an_answer_that_is_older_than_a_peers_word_changes_nothing,
