Older weights may be used until shortly before they are overdue

Change: a waiting request is looked at when it has to be taken back; placing ends 1,100 ms before the limit instead of 2,000.

--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -4,11 +4,12 @@
 #include "Log.h"
 #include "PrefixSupply.h"
 
-/* No request is placed on older weights so long before it must not begin
- * there: it waits in the engine's queue first. */
-#define PLACE_MARGIN_MS 2000
-/* One that still waits there is taken back so long before. */
+/* A request that still waits at an engine with older weights is taken back so
+ * long before it must not begin there: names reach routers late. */
 #define QUEUE_MARGIN_MS 500
+/* None is placed there so long before, as it waits in the engine's queue
+ * first. 2,000 ms left one engine in seven for two seconds of a roll-out. */
+#define PLACE_MARGIN_MS 1100
 #define BITS_PER_BYTE 8
 
 /* Mixes the identity of the parts so far with the next one. */
@@ -108,6 +109,19 @@
     return Upstream_version(upstream) < least;
 }
 
+gint64
+RelayPlacer_overdueInMs(const Context_t *context, const char *model,
+                        const Upstream_t *upstream)
+{
+    gint64 lag_ms =
+        model ? NamedWeights_lagMs(context->weights, model,
+                                   Upstream_version(upstream), Clock_nowMs())
+              : 0;
+    gint64 limit_ms = context->settings->relay.weights_limit_ms;
+    return lag_ms > 0 ? MAX(limit_ms - QUEUE_MARGIN_MS - lag_ms, 0)
+                      : G_MAXINT64;
+}
+
 static void
 write_address(char *out, const Address_t *address)
 {
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -58,6 +58,11 @@
 gboolean RelayPlacer_isOverdue(const Context_t *context, const char *model,
                                const Upstream_t *upstream);
 
+/** RelayPlacer_overdueInMs() - how long until that holds; G_MAXINT64 where
+ * no newer weights are named */
+gint64 RelayPlacer_overdueInMs(const Context_t *context, const char *model,
+                               const Upstream_t *upstream);
+
 /** RelayPlacer_preferNewest() - fill in which weights are wanted of a model,
  * and what is kept beside the engines; @model may be NULL */
 void RelayPlacer_preferNewest(const Context_t *context, const char *model,
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -194,6 +194,18 @@
     };
 }
 
+/* It is looked at no later than when it has to be taken back from a queue. */
+static gint64
+first_ms(const RelayExchange_t *this, const Upstream_t *upstream)
+{
+    const Context_t *context = this->super.context;
+    gint64 overdue_ms =
+        this->route->by_prefix
+            ? RelayPlacer_overdueInMs(context, this->request.model, upstream)
+            : G_MAXINT64;
+    return MIN(context->settings->limits.first_token_timeout_ms, overdue_ms);
+}
+
 RelayAttempt_t *
 RelayRun_send(const RelayExchange_t *this, const RelayPlacing_t *placing,
               const RelayAttemptEvents_t *events, void *owner)
@@ -211,7 +223,7 @@
         .body = this->request_body,
         .idle_max_ms = idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
-        .first_ms = limits->first_token_timeout_ms,
+        .first_ms = first_ms(this, placing->choice.upstream),
         .pause_ms = limits->token_timeout_ms,
     };
     return RelayAttempt_start(super->context->base, &spec, events, owner);
