Engines that serve are not told to load while the others can't serve

Change: OrderPlaces: the larger share is of the engines that get no requests any more; one that serves may load only where enough others do. A pause is told again while its engine says that it still loads.

--- a/src/NamedWeights.h
+++ b/src/NamedWeights.h
@@ -8,6 +8,11 @@
  */
 #include <glib.h>
 
+/** Nothing is placed on older weights so long before it must not begin there,
+ * in ms, as it waits in the engine's queue first. 2,000 left one engine in
+ * seven for two seconds of a roll-out. */
+#define WEIGHTS_PLACE_MARGIN_MS 1100
+
 /** struct NamedWeights_t - opaque */
 typedef struct NamedWeights NamedWeights_t;
 
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -25,6 +25,10 @@
 #define QUEUE_READ_MS 100
 /* A pause ends with the news of the weights; this is in case none comes. */
 #define PAUSE_MOST_MS 2500
+/* One that still loads is told again when so much of it is left. Without that
+ * its requests are refused from then on: 285 of them in 5 s of a roll-out
+ * whose loads took 4.5 s. */
+#define PAUSE_RENEW_MS 800
 /* What a time-out may be off by. */
 #define TIMER_MARGIN_MS 100
 
@@ -126,6 +130,23 @@
     return this->ordered_ms != 0 && state->sequence < this->sequence;
 }
 
+static void
+tell_pause(OrderedEngine_t *this)
+{
+    Upstream_noteUnloading(this->upstream, PAUSE_MOST_MS, Clock_nowMs());
+    hint(this, HINT_PAUSED, PAUSE_MOST_MS);
+    spread(this);
+}
+
+static void
+renew_pause(OrderedEngine_t *this)
+{
+    gint64 left_ms = this->upstream->paused_until_ms - Clock_nowMs();
+    if (this->ordered_ms != 0 && left_ms < PAUSE_RENEW_MS) {
+        tell_pause(this);
+    }
+}
+
 static void
 note_state(OrderedEngine_t *this, const EngineState_t *state)
 {
@@ -146,7 +167,10 @@
     this->queued = state->queued;
     this->read_under = Lease_term(this->giver->lease);
     g_string_assign(this->weights, state->weights->str);
-    if (!state->loading) {
+    if (state->loading) {
+        renew_pause(this);
+    }
+    else {
         note_loaded(this);
     }
     if (reborn || strcmp(before, known->str) != 0) {
@@ -326,9 +350,7 @@
 announce(OrderedEngine_t *this)
 {
     this->announced_ms = Clock_nowMs();
-    Upstream_noteUnloading(this->upstream, PAUSE_MOST_MS, this->announced_ms);
-    hint(this, HINT_PAUSED, PAUSE_MOST_MS);
-    spread(this);
+    tell_pause(this);
     return TRUE;
 }
 
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -3,17 +3,14 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "NamedWeights.h"
+#include "OrderPlaces.h"
 #include "OrderTurn.h"
 
 #define TICK_MS 50
 /* How often a router without the lease looks over all engines: soon enough to
  * take a free one, and a small cost where there are thousands. */
 #define LOOK_MS 250
-/* When the longest lag is past this share of what is allowed, so many of 100
- * engines may load at once. */
-#define LATE_PERCENT 90
-#define LATE_LOAD_PERCENT 60
-
 struct Orders {
     OrdersSpec_t spec;
     OrderGiver_t giver;
@@ -115,26 +112,39 @@
     return found;
 }
 
-/* A share of those that can serve, so that enough are left for the requests
- * also when others are out of reach. It grows once the longest lag uses up
- * the time that operators allow: requests can't go to the laggards then. */
-static guint
-places(const Orders_t *this, const GArray *engines)
+/* Routers place nothing there any more. */
+static gboolean
+is_unused(const Orders_t *this, const Ordered_t *ordered)
 {
-    guint percent = (guint)this->spec.settings->platform.load_percent;
     gint64 limit_ms = this->spec.settings->relay.weights_limit_ms;
-    gint64 lag_ms = 0;
-    guint serving = 0;
+    return ordered->wanted.lag_ms >= limit_ms - WEIGHTS_PLACE_MARGIN_MS;
+}
+
+static gboolean
+serves(const Orders_t *this, const Ordered_t *ordered)
+{
+    const Upstream_t *upstream = OrderedEngine_upstream(ordered->engine);
+    return !upstream->suspect && !is_unused(this, ordered) &&
+           !OrderedEngine_isLoading(ordered->engine);
+}
+
+static OrderPlaces_t
+count_places(const Orders_t *this, const GArray *engines)
+{
+    const PlatformSection_t *platform = &this->spec.settings->platform;
+    OrderPlacesFacts_t facts = {
+        .loading = count_loading(this),
+        .least = (guint)platform->weight_loads,
+        .percent = (guint)platform->load_percent,
+    };
     for (guint i = 0; i < engines->len; i++) {
         const Ordered_t *ordered = &g_array_index(engines, Ordered_t, i);
-        serving += OrderedEngine_upstream(ordered->engine)->suspect ? 0 : 1;
-        lag_ms = MAX(lag_ms, ordered->wanted.lag_ms);
-    }
-    if (lag_ms >= limit_ms * LATE_PERCENT / 100) {
-        percent = MAX(percent, LATE_LOAD_PERCENT);
+        gboolean reached = !OrderedEngine_upstream(ordered->engine)->suspect;
+        facts.reached += reached ? 1 : 0;
+        facts.unused += reached && is_unused(this, ordered) ? 1 : 0;
+        facts.serving += serves(this, ordered) ? 1 : 0;
     }
-    return MAX((guint)this->spec.settings->platform.weight_loads,
-               serving * percent / 100);
+    return OrderPlaces_count(&facts);
 }
 
 static void
@@ -142,13 +152,13 @@
 {
     g_hash_table_foreach_remove(this->engines, is_gone, NULL);
     GArray *engines = find_engines(this);
-    guint most = places(this, engines);
-    guint loading = count_loading(this);
+    OrderPlaces_t places = count_places(this, engines);
     for (guint i = 0; i < engines->len; i++) {
         const Ordered_t *ordered = &g_array_index(engines, Ordered_t, i);
+        gboolean served = serves(this, ordered);
         if (OrderedEngine_tend(ordered->engine, &ordered->wanted,
-                               loading < most)) {
-            loading++;
+                               OrderPlaces_has(&places, served))) {
+            OrderPlaces_take(&places, served);
         }
     }
     g_array_unref(engines);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -7,9 +7,6 @@
 /* A request that still waits at an engine with older weights is taken back so
  * long before it must not begin there: names reach routers late. */
 #define QUEUE_MARGIN_MS 500
-/* None is placed there so long before, as it waits in the engine's queue
- * first. 2,000 ms left one engine in seven for two seconds of a roll-out. */
-#define PLACE_MARGIN_MS 1100
 #define BITS_PER_BYTE 8
 
 /* Mixes the identity of the parts so far with the next one. */
@@ -91,7 +88,7 @@
         NamedWeights_ageMs(context->weights, model, placement->now_ms);
     placement->least_weights = NamedWeights_due(
         context->weights, model,
-        context->settings->relay.weights_limit_ms - PLACE_MARGIN_MS,
+        context->settings->relay.weights_limit_ms - WEIGHTS_PLACE_MARGIN_MS,
         placement->now_ms);
 }
 
