Dispatchers learn from first tokens; a prefix lies on few engines of a group

Change: within a group a prefix has four engines by its hash, and those that hold it; short ones go to any. The news that a request has begun tells how long that took; FirstToken lays it to engine and link on both sides. The time for a token, once learned, holds for all engines of a service at once.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -41,14 +41,21 @@
     g_free(ask);
 }
 
+static guint32
+to_32_bits(gint64 us)
+{
+    return (guint32)CLAMP(us, 0, G_MAXINT32);
+}
+
 static void
 send_news(const Dispatch_t *this, const DispatchTicket_t *ticket,
-          Wt__PlaceState state)
+          Wt__PlaceState state, gint64 waited_us)
 {
     Wt__PlaceNews news = WT__PLACE_NEWS__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     news.ticket = ticket->id;
     news.state = state;
+    news.waited_us = to_32_bits(waited_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_NEWS;
     message.place_news = &news;
     PeerDatagrams_send(this->datagrams, &ticket->dispatcher, &message);
@@ -60,12 +67,6 @@
     return upstream ? upstream->hash : 0;
 }
 
-static guint32
-to_32_bits(gint64 us)
-{
-    return (guint32)MIN(us, G_MAXINT32);
-}
-
 static void
 send_answer(const Dispatch_t *this, guint64 ticket, const Choice_t *choice,
             const struct sockaddr_in *to)
@@ -164,7 +165,7 @@
     DispatchAsk_t *ask = g_hash_table_lookup(this->asks, &answer->ticket);
     DispatchTicket_t ticket = {answer->ticket, *from};
     if (!ask) {
-        send_news(this, &ticket, WT__PLACE_STATE__ENDED);
+        send_news(this, &ticket, WT__PLACE_STATE__ENDED, 0);
         return;
     }
     Choice_t choice = choice_of(this, answer);
@@ -177,7 +178,8 @@
     gint64 now_ms = Clock_nowMs();
     switch (news->state) {
     case WT__PLACE_STATE__BEGUN:
-        Tickets_begin(this->tickets, news->ticket, this->spec.policy, now_ms);
+        Tickets_begin(this->tickets, news->ticket, this->spec.policy,
+                      news->waited_us, now_ms);
         break;
     case WT__PLACE_STATE__REFUSED:
         Tickets_refused(this->tickets, news->ticket, now_ms);
@@ -220,7 +222,7 @@
     Membership_noteUnanswered(this->spec.membership, ask->dispatcher->str,
                               Clock_nowMs() + SILENCE_MS);
     Counters_add(this->spec.counters, "places_unanswered_total", NULL, 1);
-    send_news(this, &ask->ticket, WT__PLACE_STATE__ENDED);
+    send_news(this, &ask->ticket, WT__PLACE_STATE__ENDED, 0);
     finish_ask(ask, &nothing, &none);
 }
 
@@ -343,15 +345,16 @@
 Dispatch_cancel(DispatchAsk_t *ask)
 {
     Dispatch_t *this = ask->dispatch;
-    send_news(this, &ask->ticket, WT__PLACE_STATE__ENDED);
+    send_news(this, &ask->ticket, WT__PLACE_STATE__ENDED, 0);
     g_hash_table_remove(this->asks, &ask->ticket.id);
 }
 
 void
-Dispatch_begin(const Dispatch_t *this, const DispatchTicket_t *ticket)
+Dispatch_begin(const Dispatch_t *this, const DispatchTicket_t *ticket,
+               gint64 waited_us)
 {
     if (ticket->id != 0) {
-        send_news(this, ticket, WT__PLACE_STATE__BEGUN);
+        send_news(this, ticket, WT__PLACE_STATE__BEGUN, waited_us);
     }
 }
 
@@ -360,7 +363,7 @@
            Wt__PlaceState state)
 {
     if (ticket->id != 0) {
-        send_news(this, ticket, state);
+        send_news(this, ticket, state, 0);
         ticket->id = 0;
     }
 }
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -99,9 +99,10 @@
 /** Dispatch_cancel() - forget a question; its @done is not called */
 void Dispatch_cancel(DispatchAsk_t *ask);
 
-/** Dispatch_begin() - the first token of a ticket's request came; nothing
- * where the ticket is none, as with the next two */
-void Dispatch_begin(const Dispatch_t *this, const DispatchTicket_t *ticket);
+/** Dispatch_begin() - the first token of a ticket's request came after so
+ * long; nothing where the ticket is none, as with the next two */
+void Dispatch_begin(const Dispatch_t *this, const DispatchTicket_t *ticket,
+                    gint64 waited_us);
 
 /** Dispatch_refused() - its upstream refused a ticket's request, as not run */
 void Dispatch_refused(const Dispatch_t *this, DispatchTicket_t *ticket);
--- a/src/EngineSpeed.c
+++ b/src/EngineSpeed.c
@@ -1,5 +1,7 @@
 #include "EngineSpeed.h"
 
+#include <math.h>
+
 /* Below, the time is that of the way and of the step that runs. */
 #define TOKENS_MIN 500
 /* One in five first tokens comes quicker than what is followed. */
@@ -9,6 +11,8 @@
 #define FIRST_STEP 0.5
 #define LAST_STEP 0.04
 #define STEP_HALVES_AFTER 6.0
+/* A smaller change is not worth the look at all engines. */
+#define CHANGE_LEAST 0.02
 /* What an observation can be, in us a token; others are errors. */
 #define LEAST_US 1.0
 #define MOST_US 10000.0
@@ -16,7 +20,7 @@
 void
 EngineSpeed_init(EngineSpeed_t *this, double us_per_token)
 {
-    *this = (EngineSpeed_t){.us_per_token = us_per_token};
+    *this = (EngineSpeed_t){us_per_token, us_per_token, 0};
 }
 
 static double
@@ -38,3 +42,14 @@
     this->us_per_token *= 1 + step * share;
     this->seen++;
 }
+
+gboolean
+EngineSpeed_hasChanged(EngineSpeed_t *this)
+{
+    if (fabs(this->us_per_token - this->told_us) <
+        CHANGE_LEAST * this->told_us) {
+        return FALSE;
+    }
+    this->told_us = this->us_per_token;
+    return TRUE;
+}
--- a/src/EngineSpeed.h
+++ b/src/EngineSpeed.h
@@ -13,10 +13,12 @@
 /**
  * struct EngineSpeed_t - of the engines of one service
  * @us_per_token: time for one prompt token
+ * @told_us: the same as engines were last given it
  * @seen: first tokens that it was learned from
  */
 typedef struct {
     double us_per_token;
+    double told_us;
     guint seen;
 } EngineSpeed_t;
 
@@ -30,4 +32,11 @@
  */
 void EngineSpeed_note(EngineSpeed_t *this, gint64 waited_us, guint tokens);
 
+/**
+ * EngineSpeed_hasChanged() - whether it differs from what engines were given
+ *
+ * It counts as given from now on.
+ */
+gboolean EngineSpeed_hasChanged(EngineSpeed_t *this);
+
 #endif
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -1,6 +1,7 @@
 #include "HomePolicy.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "PrefixSupply.h"
 #include "Residency.h"
@@ -93,21 +94,52 @@
                                  : 0;
 }
 
-/* The others of the home's group, which one router places. */
-static void
-add_group(Walk_t *walk)
+/* The place of an engine in a prefix's order: the same on all routers, and
+ * another one for each prefix. */
+static guint64
+weight_of(const Placement_t *placement, const Upstream_t *upstream)
+{
+    guint64 pair[] = {PrefixSupply_key(placement), upstream->hash};
+    return XXH3_64bits(pair, sizeof(pair));
+}
+
+static gboolean
+is_other_of_group(const Walk_t *walk, const Upstream_t *upstream)
 {
     const Placement_t *placement = walk->placement;
-    guint group = group_of(placement, walk->list[0]);
-    for (guint i = 0;
-         i < placement->serving->len && walk->count < GROUP_CANDIDATES; i++) {
-        Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
-        if (upstream != walk->list[0] &&
-            group_of(placement, upstream) == group &&
-            Policy_mayUse(placement, upstream)) {
-            walk->list[walk->count++] = upstream;
+    return group_of(placement, upstream) ==
+               group_of(placement, walk->list[0]) &&
+           !is_listed(walk, upstream) && Policy_mayUse(placement, upstream);
+}
+
+static Upstream_t *
+next_of_group(const Walk_t *walk)
+{
+    const GPtrArray *serving = walk->placement->serving;
+    Upstream_t *next = NULL;
+    guint64 most = 0;
+    for (guint i = 0; i < serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(serving, i);
+        guint64 weight = weight_of(walk->placement, upstream);
+        if (weight >= most && is_other_of_group(walk, upstream)) {
+            most = weight;
+            next = upstream;
         }
     }
+    return next;
+}
+
+/* The others of the home's group, which one router places: for a prefix that
+ * is worth a move as few as on the ring, or it would lie everywhere. */
+static void
+add_group(Walk_t *walk)
+{
+    guint most = PrefixSupply_isShort(walk->placement) ? GROUP_CANDIDATES
+                                                       : CANDIDATES;
+    Upstream_t *next = NULL;
+    while (walk->count < most && (next = next_of_group(walk))) {
+        walk->list[walk->count++] = next;
+    }
 }
 
 /* Those that hold the prefix, as a request needs no move there. */
@@ -137,7 +169,7 @@
     if (grouped && walk->count > 0) {
         add_group(walk);
     }
-    else if (!grouped && placement->level_count > 0) {
+    if (placement->level_count > 0) {
         add_holders(walk);
     }
 }
--- a/src/PrefixSupply.c
+++ b/src/PrefixSupply.c
@@ -33,6 +33,12 @@
                : 0;
 }
 
+gboolean
+PrefixSupply_isShort(const Placement_t *placement)
+{
+    return shared_tokens(placement) < PREFIX_SUPPLY_TOKENS_MIN;
+}
+
 static guint
 requests_at(const Upstream_t *upstream)
 {
@@ -209,7 +215,7 @@
     if (PrefixSupply_isHeld(residency, placement, to)) {
         return (Supply_t){.kind = SUPPLY_HELD, .tokens = tokens};
     }
-    if (tokens < PREFIX_SUPPLY_TOKENS_MIN) {
+    if (PrefixSupply_isShort(placement)) {
         return (Supply_t){.kind = SUPPLY_COMPUTED};
     }
     Supply_t engine = from_engine(residency, placement, to, now_us);
--- a/src/PrefixSupply.h
+++ b/src/PrefixSupply.h
@@ -22,6 +22,9 @@
 gint64 PrefixSupply_computeUs(const Placement_t *placement,
                               const Upstream_t *upstream);
 
+/** PrefixSupply_isShort() - whether the shared part is not worth a move */
+gboolean PrefixSupply_isShort(const Placement_t *placement);
+
 /** PrefixSupply_key() - identity of the shared part; by chance for none */
 guint64 PrefixSupply_key(const Placement_t *placement);
 
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -23,14 +23,8 @@
     this->missing_tokens =
         prompt_tokens - MIN(placing->choice.expected_cached, prompt_tokens);
     this->upstream->pending_tokens += this->missing_tokens;
-    this->supply = placing->choice.supply;
-    this->expected_us = placing->choice.cost_us;
-    this->engine_us = MAX(placing->choice.cost_us - placing->choice.own_us -
-                              this->supply.move_us - this->supply.wait_us,
-                          0);
-    if (this->supply.source) {
-        Upstream_ref(this->supply.source);
-    }
+    FirstToken_clear(&this->first);
+    FirstToken_expect(&this->first, &placing->placement, &placing->choice);
 }
 
 void
@@ -40,10 +34,7 @@
         this->upstream->pending_tokens -= this->missing_tokens;
     }
     this->missing_tokens = 0;
-    if (this->supply.source) {
-        Upstream_unref(this->supply.source);
-        this->supply.source = NULL;
-    }
+    FirstToken_clear(&this->first);
 }
 
 /* Parts are sent to the store once they are read, which is before the first
@@ -58,17 +49,6 @@
     }
 }
 
-static Link_t *
-giver_link(const RelayFeedback_t *this)
-{
-    if (this->supply.kind == SUPPLY_ENGINE && this->supply.source) {
-        return &this->supply.source->link;
-    }
-    return this->supply.kind == SUPPLY_STORE
-               ? CacheStore_link(this->context->cache_store)
-               : NULL;
-}
-
 static EngineSpeed_t *
 speed_of(const RelayFeedback_t *this)
 {
@@ -82,44 +62,34 @@
     return speed;
 }
 
+/* A router of many sees each engine seldom. */
+static void
+give_speed(const RelayFeedback_t *this, const EngineSpeed_t *speed)
+{
+    const GPtrArray *serving =
+        UpstreamSet_serving(this->context->upstreams, ROLE_SERVICE,
+                            this->placement.target);
+    for (guint i = 0; i < serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(serving, i);
+        upstream->prefill_us_per_token = speed->us_per_token;
+    }
+}
+
 /* Where a move is part of the wait, or nobody knows whether there was one, it
  * says nothing of the engine. */
 static void
 note_speed(const RelayFeedback_t *this, gint64 waited_us)
 {
-    gboolean is_sure = this->supply.kind == SUPPLY_HELD ||
-                       this->supply.kind == SUPPLY_COMPUTED;
-    if (!is_sure) {
+    SupplyKind_t kind = this->first.supply.kind;
+    if (kind != SUPPLY_HELD && kind != SUPPLY_COMPUTED) {
         return;
     }
     EngineSpeed_t *speed = speed_of(this);
     EngineSpeed_note(speed, waited_us - UPSTREAM_LEAST_FIRST_US,
                      this->missing_tokens);
-    this->upstream->prefill_us_per_token = speed->us_per_token;
-}
-
-/* What a first token took beyond what was expected is laid to the engine's
- * queue and to the giver's link, each by what was expected of it: a slow link
- * must not make the engine look busy, as requests that leave it for that need
- * moves of their own. */
-static void
-note_wait(const RelayFeedback_t *this, gint64 waited_us)
-{
-    gint64 now_ms = Clock_nowMs();
-    Link_t *link = giver_link(this);
-    gint64 moved_us = this->supply.move_us + this->supply.wait_us;
-    if (!link || moved_us <= 0) {
-        Upstream_noteFirstToken(this->upstream, waited_us,
-                                this->missing_tokens, now_ms);
-        return;
+    if (EngineSpeed_hasChanged(speed)) {
+        give_speed(this, speed);
     }
-    gint64 own_us =
-        Upstream_leastUs(this->upstream, this->missing_tokens) + moved_us;
-    gint64 excess_us = waited_us - own_us - this->engine_us;
-    gint64 link_us = excess_us * moved_us / (moved_us + this->engine_us);
-    Link_noteExcess(link, link_us, now_ms);
-    Upstream_noteFirstToken(this->upstream, waited_us - moved_us - link_us,
-                            this->missing_tokens, now_ms);
 }
 
 /* All that the request asks for has been read. */
@@ -140,11 +110,11 @@
 void
 RelayFeedback_noteFirstEvent(RelayFeedback_t *this, gint64 waited_us)
 {
-    note_wait(this, waited_us);
+    FirstToken_learn(&this->first, waited_us, Clock_nowMs());
     note_speed(this, waited_us);
     if (this->placement.level_count > 0) {
         Forecast_noteFirst(this->context->forecast, this->placement.target,
-                           this->expected_us, waited_us);
+                           this->first.expected_us, waited_us);
     }
     RelayFeedback_settle(this);
     note_saved(this);
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -9,6 +9,7 @@
  * tokens as pending at its upstream until the first event shows that they
  * are computed.
  */
+#include "FirstToken.h"
 #include "Recovery.h"
 #include "RelayForm.h"
 #include "RelayPlacer.h"
@@ -19,9 +20,7 @@
  * @request_id: its id, of the exchange
  * @upstream: of the attempt; held by the exchange while it is under way
  * @placement: what was weighed
- * @supply: how @upstream comes by the shared part; its source is held
- * @expected_us: until the first event, when it was placed
- * @engine_us: expected wait for @upstream itself, without the move
+ * @first: what is expected of its first token
  * @missing_tokens: counted in @upstream->pending_tokens
  * @saved_prefix: that the attempt saves, 0 for none
  */
@@ -30,9 +29,7 @@
     const char *request_id;
     Upstream_t *upstream;
     Placement_t placement;
-    Supply_t supply;
-    gint64 expected_us;
-    gint64 engine_us;
+    FirstToken_t first;
     guint missing_tokens;
     guint64 saved_prefix;
 } RelayFeedback_t;
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -27,7 +27,8 @@
         RelayFeedback_noteFirstEvent(&this->feedback,
                                      passed_us - trace->started_us);
         if (this->super.context->dispatch) {
-            Dispatch_begin(this->super.context->dispatch, &this->ticket);
+            Dispatch_begin(this->super.context->dispatch, &this->ticket,
+                           passed_us - trace->started_us);
         }
         RelayMove_allow(this);
         Counters_observe(this->super.context->counters, "first_token_us",
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -17,6 +17,7 @@
     guint64 prefix;
     guint prefix_tokens;
     guint tokens; /* still to be computed, 0 once it has begun */
+    FirstToken_t first;
     gboolean begun;
     gint64 placed_ms;
 } Ticket_t;
@@ -34,6 +35,7 @@
     Ticket_t *ticket = data;
     drop_tokens(ticket);
     ticket->upstream->ticket_requests--;
+    FirstToken_clear(&ticket->first);
     Upstream_unref(ticket->upstream);
     g_free(ticket);
 }
@@ -97,13 +99,15 @@
     ticket->tokens = placement->prompt_tokens -
                      MIN(choice->expected_cached, placement->prompt_tokens);
     ticket->placed_ms = placement->now_ms;
+    FirstToken_expect(&ticket->first, placement, choice);
     ticket->upstream->ticket_tokens += ticket->tokens;
     ticket->upstream->ticket_requests++;
     g_hash_table_insert(this->by_id, &ticket->id, ticket);
 }
 
 void
-Tickets_begin(Tickets_t *this, guint64 id, Policy_t *policy, gint64 now_ms)
+Tickets_begin(Tickets_t *this, guint64 id, Policy_t *policy, gint64 waited_us,
+              gint64 now_ms)
 {
     Ticket_t *ticket = g_hash_table_lookup(this->by_id, &id);
     if (!ticket || ticket->begun) {
@@ -111,6 +115,7 @@
     }
     ticket->begun = TRUE;
     drop_tokens(ticket);
+    FirstToken_learn(&ticket->first, waited_us, now_ms);
     Policy_learnPrefix(policy, ticket->prefix, ticket->prefix_tokens,
                        ticket->upstream, now_ms);
 }
--- a/src/Tickets.h
+++ b/src/Tickets.h
@@ -10,7 +10,7 @@
  */
 #include <event2/event.h>
 
-#include "Policy.h"
+#include "FirstToken.h"
 
 /** How long a ticket counts whose request has not begun, in ms: longer than
  * callers wait for most of their answers */
@@ -40,9 +40,10 @@
 /**
  * Tickets_begin() - its first token came: its prompt has been computed
  * @policy: learns of it
+ * @waited_us: until then, since the request was sent
  */
 void Tickets_begin(Tickets_t *this, guint64 id, Policy_t *policy,
-                   gint64 now_ms);
+                   gint64 waited_us, gint64 now_ms);
 
 /**
  * Tickets_refused() - its upstream has refused it, and ends
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -8,8 +8,9 @@
 #include "RecordFollower.h"
 #include "RecordRelay.h"
 
-/* Time for one prompt token on an engine that does not report it: 57 tokens
- * a millisecond, as the users' engines are rated. */
+/* Time for one prompt token on an engine that does not report it, until first
+ * tokens have shown it: that of a fast engine, as to overrate it costs a wait,
+ * and to underrate it a refusal. */
 #define LISTED_PREFILL_US_PER_TOKEN 17.6
 
 /* One router after the other reads the list and tells its peers: the first
@@ -148,11 +149,31 @@
     HintFlood_tell(this->spec.hints, &hint);
 }
 
+/* As fast as another one that serves the same, as far as is known. */
+static double
+expected_speed(const UpstreamListing_t *this, const ListedUpstream_t *entry)
+{
+    const GString *target =
+        entry->spec.serves->len > 0
+            ? g_ptr_array_index(entry->spec.serves, 0)
+            : NULL;
+    const GPtrArray *others =
+        target ? UpstreamSet_serving(this->spec.upstreams, ROLE_SERVICE,
+                                     target->str)
+               : NULL;
+    if (!others || others->len == 0) {
+        return LISTED_PREFILL_US_PER_TOKEN;
+    }
+    const Upstream_t *other = g_ptr_array_index(others, 0);
+    return other->prefill_us_per_token;
+}
+
 static void
 take_entry(UpstreamListing_t *this, const char *name,
            const ListedUpstream_t *entry)
 {
     gboolean is_new = !UpstreamSet_find(this->spec.upstreams, name);
+    double speed = is_new ? expected_speed(this, entry) : 0;
     Upstream_t *upstream =
         UpstreamSet_put(this->spec.upstreams, name, &entry->spec);
     if (is_new) {
@@ -160,7 +181,7 @@
                      entry->leaving ? "leaving" : "live");
         Upstream_noteIncarnation(upstream, 1, Clock_nowMs());
         upstream->weights_rise = TRUE;
-        upstream->prefill_us_per_token = LISTED_PREFILL_US_PER_TOKEN;
+        upstream->prefill_us_per_token = speed;
     }
     take_weights(this, upstream, entry->weights->str, is_new);
     if (entry->leaving) {
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2254,7 +2254,7 @@
   (ProtobufCMessageInit) wt__place_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__place_news__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wt__place_news__field_descriptors[3] =
 {
   {
     "ticket",
@@ -2280,15 +2280,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waited_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceNews, waited_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__place_news__field_indices_by_name[] = {
   1,   /* field[1] = state */
   0,   /* field[0] = ticket */
+  2,   /* field[2] = waited_us */
 };
 static const ProtobufCIntRange wt__place_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wt__place_news__descriptor =
 {
@@ -2298,7 +2311,7 @@
   "Wt__PlaceNews",
   "wt",
   sizeof(Wt__PlaceNews),
-  2,
+  3,
   wt__place_news__field_descriptors,
   wt__place_news__field_indices_by_name,
   1,  wt__place_news__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -432,10 +432,14 @@
   ProtobufCMessage base;
   uint64_t ticket;
   Wt__PlaceState state;
+  /*
+   * Of one that has begun: how long its first token took.
+   */
+  uint32_t waited_us;
 };
 #define WT__PLACE_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__place_news__descriptor) \
-    , 0, WT__PLACE_STATE__BEGUN }
+    , 0, WT__PLACE_STATE__BEGUN, 0 }
 
 
 typedef enum {
--- a/tests/test_Tickets.c
+++ b/tests/test_Tickets.c
@@ -59,8 +59,8 @@
     add(2);
     ck_assert_uint_eq(upstream->ticket_tokens, 6000);
     ck_assert_uint_eq(upstream->ticket_requests, 2);
-    Tickets_begin(tickets, 1, policy, NOW_MS);
-    Tickets_begin(tickets, 1, policy, NOW_MS);
+    Tickets_begin(tickets, 1, policy, 0, NOW_MS);
+    Tickets_begin(tickets, 1, policy, 0, NOW_MS);
     ck_assert_uint_eq(upstream->ticket_tokens, 3000);
     ck_assert_uint_eq(upstream->ticket_requests, 2);
     Tickets_end(tickets, 1);
@@ -76,7 +76,7 @@
     begin();
     add(1);
     add(2);
-    Tickets_begin(tickets, 2, policy, NOW_MS);
+    Tickets_begin(tickets, 2, policy, 0, NOW_MS);
     Tickets_expire(tickets, NOW_MS + TICKET_BEGIN_MS - 1);
     ck_assert_uint_eq(upstream->ticket_requests, 2);
     Tickets_expire(tickets, NOW_MS + TICKET_BEGIN_MS);
