Holders of a prefix are looked up once for each placement

Cause: each candidate asked all engines whether they hold the prefix, and a group was looked through for each engine taken from it: with thousands of engines that grows with their number (by reading). Change: engines by hash beside their ring; holders found once; a group sorted once. The slopes measure the policy of the relayed form as well.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -159,12 +159,12 @@
 }
 
 static void
-measure_decisions(guint count)
+measure_decisions(PolicyName_t name, guint count)
 {
     size_t before = memory();
     GPtrArray *upstreams = create_upstreams(count);
     double each = (double)(memory() - before) / count;
-    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Policy_t *policy = Policy_create(name);
     double began = cpu_us();
     Placement_t first = placement(upstreams, 0);
     Policy_choose(policy, &first);
@@ -173,10 +173,12 @@
     for (guint64 i = 0; i < DECISIONS; i++) {
         Placement_t request = placement(upstreams, i);
         Choice_t choice = Policy_choose(policy, &request);
+        Policy_begin(policy, &request, &choice);
         Policy_learn(policy, &request, choice.upstream, 0, 0);
     }
     g_autofree char *what =
-        g_strdup_printf("a decision among %u upstreams, with learning", count);
+        g_strdup_printf("a decision of %s among %u upstreams, with learning",
+                        policy->class->name, count);
     report(what, (cpu_us() - began) / DECISIONS, "us");
     g_autofree char *rings = g_strdup_printf("rings of %u upstreams", count);
     report(rings, ring / 1000, "ms");
@@ -262,10 +264,14 @@
     Random_seed(1);
     measure_customers();
     measure_usage();
-    measure_decisions(10);
-    measure_decisions(100);
-    measure_decisions(1000);
-    measure_decisions(12000);
+    measure_decisions(POLICY_PREFIX, 10);
+    measure_decisions(POLICY_HOME, 10);
+    measure_decisions(POLICY_PREFIX, 100);
+    measure_decisions(POLICY_HOME, 100);
+    measure_decisions(POLICY_PREFIX, 1000);
+    measure_decisions(POLICY_HOME, 1000);
+    measure_decisions(POLICY_PREFIX, 12000);
+    measure_decisions(POLICY_HOME, 12000);
     measure_prefixes();
     measure_prompts();
     measure_traces();
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -34,39 +34,63 @@
 typedef struct {
     Policy_t super;
     Residency_t *residency;
-    GHashTable *rings; /* target -> Ring_t */
+    GHashTable *targets; /* name -> Target_t */
     guint64 generation;
 } HomePolicy_t;
 
+/* The engines that serve one target. */
+typedef struct {
+    Ring_t *ring;
+    GHashTable *by_hash; /* of the name -> Upstream_t, which is not owned */
+} Target_t;
+
 /* The engines that are weighed for one request. */
 typedef struct {
     HomePolicy_t *policy;
     const Placement_t *placement;
     Upstream_t *list[GROUP_CANDIDATES]; /* the home first */
     guint count;
+    PrefixHolders_t holders;
     guint most;          /* to take from the ring */
     guint64 short_below; /* engines of a lower hash are for short prompts */
 } Walk_t;
 
 static void
-free_ring(gpointer ring)
+free_target(gpointer data)
+{
+    Target_t *target = data;
+    Ring_destroy(target->ring);
+    g_hash_table_destroy(target->by_hash);
+    g_free(target);
+}
+
+static Target_t *
+create_target(const GPtrArray *serving)
 {
-    Ring_destroy(ring);
+    Target_t *target = g_new(Target_t, 1);
+    target->ring = Ring_create(serving, NULL);
+    target->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (guint i = 0; i < serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(serving, i);
+        g_hash_table_insert(target->by_hash, &upstream->hash, upstream);
+    }
+    return target;
 }
 
-static Ring_t *
-ring_of(HomePolicy_t *this, const Placement_t *placement)
+static const Target_t *
+target_of(HomePolicy_t *this, const Placement_t *placement)
 {
     if (this->generation != placement->generation) {
-        g_hash_table_remove_all(this->rings);
+        g_hash_table_remove_all(this->targets);
         this->generation = placement->generation;
     }
-    Ring_t *ring = g_hash_table_lookup(this->rings, placement->target);
-    if (!ring) {
-        ring = Ring_create(placement->serving, NULL);
-        g_hash_table_replace(this->rings, g_strdup(placement->target), ring);
+    Target_t *target = g_hash_table_lookup(this->targets, placement->target);
+    if (!target) {
+        target = create_target(placement->serving);
+        g_hash_table_replace(this->targets, g_strdup(placement->target),
+                             target);
     }
-    return ring;
+    return target;
 }
 
 static gint
@@ -154,21 +178,18 @@
            !is_listed(walk, upstream) && Policy_mayUse(placement, upstream);
 }
 
-static Upstream_t *
-next_of_group(const Walk_t *walk)
+/* An engine of the home's group and its place. */
+typedef struct {
+    Upstream_t *upstream;
+    guint64 weight;
+} Ranked_t;
+
+static gint
+compare_weights(gconstpointer a, gconstpointer b)
 {
-    const GPtrArray *serving = walk->placement->serving;
-    Upstream_t *next = NULL;
-    guint64 most = 0;
-    for (guint i = 0; i < serving->len; i++) {
-        Upstream_t *upstream = g_ptr_array_index(serving, i);
-        guint64 weight = weight_of(walk->placement, upstream);
-        if (weight >= most && is_other_of_group(walk, upstream)) {
-            most = weight;
-            next = upstream;
-        }
-    }
-    return next;
+    guint64 left = ((const Ranked_t *)a)->weight;
+    guint64 right = ((const Ranked_t *)b)->weight;
+    return (left < right) - (left > right);
 }
 
 /* The others of the home's group, which one router places: for a prefix that
@@ -176,11 +197,21 @@
 static void
 add_group(Walk_t *walk)
 {
+    const GPtrArray *serving = walk->placement->serving;
     guint most =
         PrefixSupply_isShort(walk->placement) ? GROUP_CANDIDATES : CANDIDATES;
-    Upstream_t *next = NULL;
-    while (walk->count < most && (next = next_of_group(walk))) {
-        walk->list[walk->count++] = next;
+    g_autoptr(GArray) others = g_array_new(FALSE, FALSE, sizeof(Ranked_t));
+    for (guint i = 0; i < serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(serving, i);
+        if (is_other_of_group(walk, upstream)) {
+            Ranked_t ranked = {upstream, weight_of(walk->placement, upstream)};
+            g_array_append_val(others, ranked);
+        }
+    }
+    g_array_sort(others, compare_weights);
+    for (guint i = 0; i < others->len && walk->count < most; i++) {
+        walk->list[walk->count++] =
+            g_array_index(others, Ranked_t, i).upstream;
     }
 }
 
@@ -202,31 +233,31 @@
 static void
 add_holders(Walk_t *walk)
 {
-    const Placement_t *placement = walk->placement;
     for (guint i = 0;
-         i < placement->serving->len && walk->count < GROUP_CANDIDATES; i++) {
-        Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
-        if (PrefixSupply_isHeld(walk->policy->residency, placement,
-                                upstream) &&
-            Policy_mayUse(placement, upstream) && !is_listed(walk, upstream)) {
+         i < walk->holders.count && walk->count < GROUP_CANDIDATES; i++) {
+        Upstream_t *upstream = walk->holders.list[i];
+        if (Policy_mayUse(walk->placement, upstream) &&
+            !is_listed(walk, upstream)) {
             walk->list[walk->count++] = upstream;
         }
     }
 }
 
 static void
-find_candidates(Walk_t *walk, const Ring_t *ring)
+find_candidates(Walk_t *walk, const Target_t *target)
 {
     const Placement_t *placement = walk->placement;
     gboolean grouped = placement->groups > 1;
     walk->most = grouped ? 1 : CANDIDATES;
     walk->short_below = find_short_below(placement);
-    Ring_walk(ring, PrefixSupply_key(placement), RING_POINTS_MAX, on_ring,
-              walk);
+    Ring_walk(target->ring, PrefixSupply_key(placement), RING_POINTS_MAX,
+              on_ring, walk);
     if (grouped && walk->count > 0) {
         add_group(walk);
     }
     if (placement->level_count > 0) {
+        PrefixSupply_findHolders(walk->policy->residency, placement,
+                                 target->by_hash, &walk->holders);
         add_holders(walk);
     }
     if (!grouped && walk->short_below > 0 && PrefixSupply_isShort(placement)) {
@@ -309,8 +340,8 @@
     gint64 least = G_MAXINT64;
     for (guint rank = 0; rank < walk->count; rank++) {
         Upstream_t *upstream = walk->list[rank];
-        Supply_t supply = PrefixSupply_find(walk->policy->residency,
-                                            walk->placement, upstream);
+        Supply_t supply =
+            PrefixSupply_find(&walk->holders, walk->placement, upstream);
         gint64 expected = expected_us(walk->placement, upstream, &supply);
         gint64 cost = expected + drawback_us(walk, rank, &supply);
         if (cost < least) {
@@ -355,7 +386,7 @@
 {
     HomePolicy_t *this = (HomePolicy_t *)super;
     Walk_t walk = {.policy = this, .placement = placement};
-    find_candidates(&walk, ring_of(this, placement));
+    find_candidates(&walk, target_of(this, placement));
     Choice_t choice = cheapest(&walk);
     choice.group = walk.count > 0 ? group_of(placement, walk.list[0]) : 0;
     if (choice.upstream) {
@@ -389,7 +420,7 @@
 {
     HomePolicy_t *this = (HomePolicy_t *)super;
     Residency_destroy(this->residency);
-    g_hash_table_destroy(this->rings);
+    g_hash_table_destroy(this->targets);
     g_free(this);
 }
 
@@ -407,7 +438,7 @@
     HomePolicy_t *this = g_new0(HomePolicy_t, 1);
     this->super.class = &class;
     this->residency = Residency_create(RESIDENCY_PREFIXES);
-    this->rings =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_ring);
+    this->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_target);
     return &this->super;
 }
--- a/src/PrefixSupply.c
+++ b/src/PrefixSupply.c
@@ -58,16 +58,30 @@
                               placement->cache_tokens, requests_at(upstream));
 }
 
-gboolean
-PrefixSupply_isHeld(const Residency_t *residency, const Placement_t *placement,
-                    const Upstream_t *upstream)
+void
+PrefixSupply_findHolders(const Residency_t *residency,
+                         const Placement_t *placement, GHashTable *by_hash,
+                         PrefixHolders_t *out)
 {
     guint count = 0;
     const Holder_t *holders =
         Residency_holders(residency, PrefixSupply_key(placement), &count);
+    out->count = 0;
     for (guint i = 0; i < count; i++) {
-        if (holders[i].upstream == upstream->hash) {
-            return keeps(placement, upstream, &holders[i]);
+        Upstream_t *upstream =
+            g_hash_table_lookup(by_hash, &holders[i].upstream);
+        if (upstream && keeps(placement, upstream, &holders[i])) {
+            out->list[out->count++] = upstream;
+        }
+    }
+}
+
+static gboolean
+is_holder(const PrefixHolders_t *holders, const Upstream_t *upstream)
+{
+    for (guint i = 0; i < holders->count; i++) {
+        if (holders->list[i] == upstream) {
+            return TRUE;
         }
     }
     return FALSE;
@@ -133,14 +147,13 @@
 }
 
 static Supply_t
-from_engine(const Residency_t *residency, const Placement_t *placement,
+from_engine(const PrefixHolders_t *holders, const Placement_t *placement,
             const Upstream_t *to, gint64 now_us)
 {
     Supply_t best = {.kind = SUPPLY_UNKNOWN};
-    for (guint i = 0; i < placement->serving->len; i++) {
-        Upstream_t *from = g_ptr_array_index(placement->serving, i);
-        if (!can_give(placement, from, to) ||
-            !PrefixSupply_isHeld(residency, placement, from)) {
+    for (guint i = 0; i < holders->count; i++) {
+        Upstream_t *from = holders->list[i];
+        if (!can_give(placement, from, to)) {
             continue;
         }
         Supply_t supply = {
@@ -207,18 +220,18 @@
 }
 
 Supply_t
-PrefixSupply_find(const Residency_t *residency, const Placement_t *placement,
+PrefixSupply_find(const PrefixHolders_t *holders, const Placement_t *placement,
                   Upstream_t *to)
 {
     guint tokens = shared_tokens(placement);
     gint64 now_us = Clock_nowUs();
-    if (PrefixSupply_isHeld(residency, placement, to)) {
+    if (is_holder(holders, to)) {
         return (Supply_t){.kind = SUPPLY_HELD, .tokens = tokens};
     }
     if (PrefixSupply_isShort(placement)) {
         return (Supply_t){.kind = SUPPLY_COMPUTED};
     }
-    Supply_t engine = from_engine(residency, placement, to, now_us);
+    Supply_t engine = from_engine(holders, placement, to, now_us);
     Supply_t store = from_store(placement, to, now_us);
     return least(placement, to, &engine, &store);
 }
--- a/src/PrefixSupply.h
+++ b/src/PrefixSupply.h
@@ -28,14 +28,27 @@
 /** PrefixSupply_key() - identity of the shared part; by chance for none */
 guint64 PrefixSupply_key(const Placement_t *placement);
 
-/** PrefixSupply_isHeld() - whether an engine was seen to read it and should
- * have it still */
-gboolean PrefixSupply_isHeld(const Residency_t *residency,
-                             const Placement_t *placement,
-                             const Upstream_t *upstream);
+/**
+ * struct PrefixHolders_t - engines that should hold the shared part
+ * @list: of them
+ * @count: how many
+ */
+typedef struct {
+    Upstream_t *list[RESIDENCY_HOLDERS];
+    guint count;
+} PrefixHolders_t;
+
+/**
+ * PrefixSupply_findHolders() - those that were seen to read it and should have
+ * it still
+ * @by_hash: Upstream_t * by the hash of the name, of all that may be named
+ */
+void PrefixSupply_findHolders(const Residency_t *residency,
+                              const Placement_t *placement,
+                              GHashTable *by_hash, PrefixHolders_t *out);
 
 /** PrefixSupply_find() - the soonest way for an engine */
-Supply_t PrefixSupply_find(const Residency_t *residency,
+Supply_t PrefixSupply_find(const PrefixHolders_t *holders,
                            const Placement_t *placement, Upstream_t *to);
 
 /** PrefixSupply_begin() - the engine is told to come by it so: count the move
--- a/tests/test_PrefixSupply.c
+++ b/tests/test_PrefixSupply.c
@@ -12,6 +12,7 @@
 
 static GPtrArray *engines;
 static Residency_t *residency;
+static GHashTable *by_hash;
 static Placement_t placement;
 
 static void
@@ -34,6 +35,7 @@
                            .region = g_string_new("r"),
                            .serves = g_ptr_array_new(),
                            .slots = 64};
+    by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     engines = g_ptr_array_new_with_free_func(unref_engine);
     for (guint i = 0; i < ENGINES; i++) {
         g_autofree char *name = g_strdup_printf("i-%u", i);
@@ -42,6 +44,7 @@
         engine->prefill_us_per_token = 24.5;
         Upstream_noteWeights(engine, "1");
         g_ptr_array_add(engines, engine);
+        g_hash_table_insert(by_hash, &engine->hash, engine);
     }
     g_string_free(spec.hall, TRUE);
     g_string_free(spec.region, TRUE);
@@ -62,13 +65,16 @@
 end(void)
 {
     Residency_destroy(residency);
+    g_hash_table_destroy(by_hash);
     g_ptr_array_unref(engines);
 }
 
 static Supply_t
 find(guint to)
 {
-    return PrefixSupply_find(residency, &placement, engine_at(to));
+    PrefixHolders_t holders;
+    PrefixSupply_findHolders(residency, &placement, by_hash, &holders);
+    return PrefixSupply_find(&holders, &placement, engine_at(to));
 }
 
 START_TEST(nobody_is_known_to_have_what_was_never_read)
