Name the supply of a prefix in logs

Cause: a number in the line of a placement has to be looked up. Change: its name; an unknown kind from a peer of another build counts as unknown. Result: none to measure; the modules' tests pass.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -125,6 +125,14 @@
     send_answer(this, ask->ticket, &choice, from);
 }
 
+/* A router of another build may know more kinds. */
+static SupplyKind_t
+supply_of(const Wt__PlaceAnswer *answer)
+{
+    return answer->supply <= SUPPLY_COMPUTED ? (SupplyKind_t)answer->supply
+                                             : SUPPLY_UNKNOWN;
+}
+
 static Choice_t
 choice_of(const Dispatch_t *this, const Wt__PlaceAnswer *answer)
 {
@@ -137,7 +145,7 @@
         .own_us = answer->own_us,
         .supply =
             {
-                .kind = (SupplyKind_t)answer->supply,
+                .kind = supply_of(answer),
                 .tokens = answer->cached_tokens,
                 .move_us = answer->move_us,
                 .wait_us = answer->move_wait_us,
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -73,3 +73,14 @@
     };
     Policy_learn(this, &placement, upstream, 0, tokens);
 }
+
+const char *
+Policy_supplyName(SupplyKind_t kind)
+{
+    static const char *const names[] = {
+        [SUPPLY_UNKNOWN] = "unknown",   [SUPPLY_HELD] = "held",
+        [SUPPLY_ENGINE] = "engine",     [SUPPLY_STORE] = "store",
+        [SUPPLY_COMPUTED] = "computed",
+    };
+    return names[kind];
+}
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -197,6 +197,9 @@
 gboolean Policy_mayUse(const Placement_t *placement,
                        const Upstream_t *upstream);
 
+/** Policy_supplyName() - a static text for logs */
+const char *Policy_supplyName(SupplyKind_t kind);
+
 /** Policy_begin() - a request is sent where it was chosen to go */
 static inline void
 Policy_begin(Policy_t *this, const Placement_t *placement,
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -286,7 +286,7 @@
     if (upstream) {
         log_upstream(this);
     }
-    Log_number("supply", this->choice.supply.kind);
+    Log_text("supply", Policy_supplyName(this->choice.supply.kind));
     Log_number("move_us", this->choice.supply.move_us);
     Log_number("move_wait_us", this->choice.supply.wait_us);
     Log_text("fetch_from", this->fetch_from);
