A move without an upstream before it has no name to log

Cause: by reading: an attempt that ended before the move is taken back may leave neither an upstream nor one to avoid. Change: the line says none.

--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -33,7 +33,7 @@
     Log_begin(LOG_LEVEL_INFO, event);
     Log_text("request", super->id->str);
     Log_text("reason", reason);
-    Log_text("from", from->name->str);
+    Log_text("from", from ? from->name->str : "none");
     Log_text("to", this->upstream ? this->upstream->name->str : "none");
     Log_number("us", Clock_nowUs() - this->started_us);
     Log_end();
