An engine that begins in time goes before one that does not

Cause: a request was refused where the engine that came cheapest, with all that speaks against the others, would begin too late, though another one, with older weights say, could have begun in time (by reading). Change: the placement knows by when a first token should come; an engine that is expected later comes after all that are not. Ruled out: the refusal by the soonest engine alone, which would then not be the one that gets the request.

--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -27,6 +27,9 @@
  * for longer than answers on the old ones count in full. */
 #define OLD_WEIGHTS_COST_US 150000
 #define OLD_WEIGHTS_GRACE_MS 1000
+/* An engine that is expected to begin too late: more than all else that may
+ * speak against one that begins in time. */
+#define LATE_COST_US 1000000
 /* What each running request adds to the time of a step, over the steps that
  * a first token takes. */
 #define RUNNING_COST_US 1000
@@ -314,7 +317,8 @@
 
 /* What speaks against an engine besides, in terms of time. */
 static gint64
-drawback_us(const Walk_t *walk, guint rank, const Supply_t *supply)
+drawback_us(const Walk_t *walk, guint rank, const Supply_t *supply,
+            gint64 expected)
 {
     const Placement_t *placement = walk->placement;
     const Upstream_t *upstream = walk->list[rank];
@@ -327,6 +331,9 @@
         is_for_short(walk, upstream) != PrefixSupply_isShort(placement)) {
         drawback += OTHER_KIND_COST_US;
     }
+    if (placement->latest_us > 0 && expected > placement->latest_us) {
+        drawback += LATE_COST_US;
+    }
     if (has_old_weights(placement, upstream)) {
         drawback += OLD_WEIGHTS_COST_US;
     }
@@ -343,7 +350,7 @@
         Supply_t supply =
             PrefixSupply_find(&walk->holders, walk->placement, upstream);
         gint64 expected = expected_us(walk->placement, upstream, &supply);
-        gint64 cost = expected + drawback_us(walk, rank, &supply);
+        gint64 cost = expected + drawback_us(walk, rank, &supply, expected);
         if (cost < least) {
             least = cost;
             choice.upstream = upstream;
--- a/src/LoadShed.c
+++ b/src/LoadShed.c
@@ -13,9 +13,15 @@
 #define WAIT_PARTS 3
 
 static gint64
-margin_us(const LoadShedFacts_t *facts)
+margin_us(gint64 spread_us)
 {
-    return (gint64)(SPREADS * (double)facts->spread_us);
+    return (gint64)(SPREADS * (double)spread_us);
+}
+
+gint64
+LoadShed_latestUs(gint64 objective_ms, gint64 spread_us)
+{
+    return objective_ms * CLOCK_US_PER_MS - margin_us(spread_us);
 }
 
 static gint64
@@ -28,15 +34,15 @@
 static gboolean
 is_in_time(const LoadShedFacts_t *facts, gint64 begins_us)
 {
-    return begins_us + margin_us(facts) <=
-           facts->objective_ms * CLOCK_US_PER_MS;
+    return begins_us <=
+           LoadShed_latestUs(facts->objective_ms, facts->spread_us);
 }
 
 /* A queue that is no longer than what estimates are off by may be none. */
 static gboolean
 is_queued(const LoadShedFacts_t *facts)
 {
-    return ahead_us(facts) > margin_us(facts);
+    return ahead_us(facts) > margin_us(facts->spread_us);
 }
 
 static gboolean
@@ -52,7 +58,7 @@
 {
     gint64 ahead_ms = ahead_us(facts) / CLOCK_US_PER_MS;
     gint64 room_ms =
-        (facts->expected_us + margin_us(facts)) / CLOCK_US_PER_MS -
+        (facts->expected_us + margin_us(facts->spread_us)) / CLOCK_US_PER_MS -
         facts->objective_ms;
     gint64 wait_ms = room_ms + Random_below((guint32)ahead_ms / 2 + 1);
     gint64 most_ms = MAX(facts->left_ms / WAIT_PARTS, RETRY_LEAST_MS);
--- a/src/LoadShed.h
+++ b/src/LoadShed.h
@@ -48,4 +48,12 @@
 /** LoadShed_decide() - decide from the facts */
 LoadShedPlan_t LoadShed_decide(const LoadShedFacts_t *facts);
 
+/**
+ * LoadShed_latestUs() - expected time up to which a first token counts as in
+ * time
+ * @objective_ms: when it should come
+ * @spread_us: by how much what is expected is off on the mean
+ */
+gint64 LoadShed_latestUs(gint64 objective_ms, gint64 spread_us);
+
 #endif
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -1,6 +1,7 @@
 #include "RelayPlacer.h"
 
 #include "Clock.h"
+#include "LoadShed.h"
 #include "Log.h"
 #include "PrefixSupply.h"
 
@@ -201,6 +202,13 @@
         context->dispatch
             ? Dispatch_groups(context->dispatch, out->placement.serving->len)
             : 1;
+    if (wish->route->objective_ms > 0) {
+        out->placement.latest_us =
+            MAX(LoadShed_latestUs(
+                    wish->route->objective_ms,
+                    Forecast_spreadUs(context->forecast, wish->service)),
+                1);
+    }
     out->choice = Policy_choose(context->policy, &out->placement);
 }
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1996,7 +1996,7 @@
   (ProtobufCMessageInit) wt__topic_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[8] =
 {
   {
     "ticket",
@@ -2082,9 +2082,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "latest_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, latest_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__place_ask__field_indices_by_name[] = {
   6,   /* field[6] = avoid */
+  7,   /* field[7] = latest_us */
   2,   /* field[2] = model */
   3,   /* field[3] = prefix */
   4,   /* field[4] = prefix_tokens */
@@ -2095,7 +2108,7 @@
 static const ProtobufCIntRange wt__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wt__place_ask__descriptor =
 {
@@ -2105,7 +2118,7 @@
   "Wt__PlaceAsk",
   "wt",
   sizeof(Wt__PlaceAsk),
-  7,
+  8,
   wt__place_ask__field_descriptors,
   wt__place_ask__field_indices_by_name,
   1,  wt__place_ask__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -391,10 +391,14 @@
    * Hash of the name of the upstream that has just failed it; 0 for none.
    */
   uint64_t avoid;
+  /*
+   * By when the first token should come; 0 for any time.
+   */
+  uint32_t latest_us;
 };
 #define WT__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Wt__PlaceAnswer
--- a/tests/test_HomePolicy.c
+++ b/tests/test_HomePolicy.c
@@ -184,6 +184,24 @@
 }
 END_TEST
 
+/* Older weights and a move are better than to be late. */
+START_TEST(an_engine_that_begins_in_time_is_preferred)
+{
+    begin();
+    Placement_t wish = placement(42, 1);
+    wish.newest = "2";
+    wish.newest_age_ms = 5000;
+    Upstream_t *newer = Policy_choose(policy, &wish).upstream;
+    Upstream_noteWeights(newer, "2");
+    newer->others_tokens = 5000;
+    ck_assert_ptr_eq(Policy_choose(policy, &wish).upstream, newer);
+    Choice_t choice = Policy_choose(policy, &wish);
+    wish.latest_us = choice.cost_us - 1;
+    ck_assert_ptr_ne(Policy_choose(policy, &wish).upstream, newer);
+    end();
+}
+END_TEST
+
 START_TEST(a_paused_home_is_left_and_gives_no_cache)
 {
     begin();
@@ -268,6 +286,7 @@
              with_groups_a_short_prefix_may_go_to_all_of_its_homes_group,
              long_and_short_prompts_are_kept_apart_where_it_is_wanted,
              a_source_that_may_have_dropped_it_is_not_asked,
+             an_engine_that_begins_in_time_is_preferred,
              a_paused_home_is_left_and_gives_no_cache,
              an_unknown_home_is_a_likely_source,
              overdue_weights_are_no_last_resort,
