--- a/src/OrderPlaces.c
+++ b/src/OrderPlaces.c
@@ -1,16 +1,17 @@
 #include "OrderPlaces.h"
 
-/* Of the engines that get no requests, so many of 100 may load at once: not
- * all, as each load takes longer beside others. */
-#define UNUSED_PERCENT 60
+/* Engines that get no requests may all load at once, up to so many of 100 of
+ * all: beyond that each load takes longer than the next one would wait. */
+#define UNUSED_MOST_PERCENT 60
 
 OrderPlaces_t
 OrderPlaces_count(const OrderPlacesFacts_t *facts)
 {
     guint usual = MAX(facts->least, facts->reached * facts->percent / 100);
+    guint most = facts->reached * UNUSED_MOST_PERCENT / 100;
     return (OrderPlaces_t){
         .loading = facts->loading,
-        .most = MAX(usual, facts->unused * UNUSED_PERCENT / 100),
+        .most = MAX(usual, MIN(facts->unused, most)),
         .serving = facts->serving,
         .keep = facts->reached - MIN(usual, facts->reached),
     };
