--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -142,7 +142,8 @@
 renew_pause(OrderedEngine_t *this)
 {
     gint64 left_ms = this->upstream->paused_until_ms - Clock_nowMs();
-    if (this->ordered_ms != 0 && left_ms < PAUSE_RENEW_MS) {
+    if (this->giver->form->listed && this->ordered_ms != 0 &&
+        left_ms < PAUSE_RENEW_MS) {
         tell_pause(this);
     }
 }
