Tests: streams of a revoked key, and streams whose engine falls silent

Ruled out: a configuration put in force (the cuts came 0.9 s after it), a router's stop (1.9 s later), an engine that broke off (the router ended both attempts 2 ms before the callers saw it).

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -168,6 +168,7 @@
         self.pause_s = 0
         self.gate = None    # something to wait for before each piece
         self.queued = 0     # requests that it says wait there
+        self.probed = None  # something to wait for before it tells its state
         self.state = "ready"
         self.sealed = True
         super().__init__()
@@ -188,6 +189,8 @@
 
     def handle(self, call):
         body = call.body()
+        if self.probed and call.path in ("/v1/report", "/health"):
+            self.probed.wait(60)
         if call.path == "/v1/report":
             call.reply(200, {"models": [{"name": self.model,
                                          "version": self.version}],
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -401,16 +401,19 @@
         self.steps.release(pieces)
 
 
-class MoveTest(FleetTest):
-    """A stream whose engine is to load other weights."""
+class StreamTest(FleetTest):
+    """A stream of which one event has passed, at one of some engines."""
+
+    ENGINES = 4
 
     def start_stream(self, path, **settings):
-        self.engines = [self.fleet.engine("e%d" % i) for i in range(4)]
+        self.engines = [self.fleet.engine("e%d" % i)
+                        for i in range(self.ENGINES)]
         for engine in self.engines:
             engine.gate = Gate()
             engine.queued = 1   # so that its order waits for a while
         self.router = self.fleet.start(**settings)
-        self.wait_listed(self.router, 4)
+        self.wait_listed(self.router, self.ENGINES)
         self.answers = []
         self.reader = threading.Thread(target=lambda: self.answers.append(
             self.fleet.ask(self.router, path)))
@@ -421,14 +424,23 @@
         self.first.gate.open(1)
         self.others = [e for e in self.engines if e is not self.first]
 
-    def name_weights(self):
-        self.fleet.store.put("keyed.op", "version/m",
-                             {"model": "m", "version": 2})
+    def revoke_key(self):
+        self.fleet.config(customers=[CUSTOMERS[1]])
+        wait_for(lambda: self.fleet.ask(self.router, "/read/x").status == 401,
+                 "the key is revoked")
 
     def assert_whole(self):
         self.reader.join()
         self.assertEqual(self.answers[0].body, EVENTS)
 
+
+class MoveTest(StreamTest):
+    """Its engine is to load other weights."""
+
+    def name_weights(self):
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+
     def test_a_stream_that_may_go_on_elsewhere_leaves_a_loading_engine(self):
         self.start_stream("/ask/x")
         self.name_weights()
@@ -473,6 +485,26 @@
         self.assert_whole()
         self.assertEqual(len(self.router.events("attempt_failed")), 0)
 
+    def test_a_stream_whose_key_is_revoked_stays(self):
+        """Symptom: soon after a key was revoked, streams that had begun under
+        it ended in the middle.
+        Sequence: the key is revoked; the engine is to load weights, so its
+        streams are moved; the attempt under way is given up; the next one is
+        not sent, as the key is no longer in force.
+        Cause: whether the next attempt may be sent was asked only after the
+        first one was given up.
+        Settled by: for each of them a request_refused with run=ran and
+        reason=config_stale, in the millisecond of its move, and none without
+        a move.
+        """
+        self.start_stream("/ask/x")
+        self.revoke_key()
+        self.name_weights()
+        wait_for(lambda: all(e.version == 2 for e in self.engines), "loaded")
+        self.first.gate.open()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
+
     def test_a_stream_that_must_not_run_again_stays(self):
         self.start_stream("/ask/once/x")
         self.name_weights()
@@ -482,6 +514,74 @@
         self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
 
 
+class SilentStreamTest(StreamTest):
+    """Its engine says nothing for a while, and its state is not told either.
+
+    Symptom: such streams ended in the middle although their engine went on a
+    second later.
+    Sequence: the engine pauses for longer than token_timeout; a probe of it
+    stays unanswered; the attempt is given up; nothing can follow it, as the
+    key was revoked meanwhile or as there is no other engine.
+    Cause: an attempt was given up for attempts, retry allowance and time that
+    were left, but whether the request may be sent again, and where to, was
+    asked only afterwards.
+    Settled by: attempt_failed with reason=silent and next=elsewhere, and in
+    the same millisecond request_refused with reason=config_stale or
+    no_upstream.
+    """
+
+    def fall_silent(self):
+        self.first.probed = threading.Event()
+        self.addCleanup(self.first.probed.set)
+
+    def speak_again(self):
+        self.first.probed.set()
+        self.first.gate.open()
+
+    def wait_looked_at(self):
+        """Given up, or kept although it is silent."""
+        wait_for(lambda: self.router.events("attempt_kept") or
+                 self.router.events("attempt_failed"), "silence is noticed")
+
+
+class SilenceTest(SilentStreamTest):
+    def test_a_stream_whose_key_is_revoked_waits(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        self.fall_silent()
+        self.revoke_key()
+        self.wait_looked_at()
+        self.speak_again()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
+        kept = self.router.events("attempt_kept")
+        self.assertEqual([k["reason"] for k in kept], ["key_revoked"])
+
+    def test_a_stream_goes_on_elsewhere(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        self.fall_silent()
+        second = wait_for(lambda: [e for e in self.others if e.seen],
+                          "another engine is asked")[0]
+        self.assertEqual(second.seen[0]["Last-Event-Id"], "0")
+        second.gate.open()
+        self.assert_whole()
+
+
+class OnlyEngineTest(SilentStreamTest):
+    """There is no other engine."""
+
+    ENGINES = 1
+
+    def test_a_stream_waits(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        self.fall_silent()
+        self.wait_looked_at()
+        self.speak_again()
+        self.assert_whole()
+        self.assertEqual(len(self.first.seen), 1)
+        kept = self.router.events("attempt_kept")
+        self.assertEqual([k["reason"] for k in kept], ["no_upstream"])
+
+
 class DispatchTest(FleetTest):
     """Two routers that take themselves for too many to share all loads."""
 
