An answer that has begun is given up only if another attempt may follow

Cause: an attempt was given up for its upstream's silence as soon as attempts, time and retry allowance were left; whether the key was still in force, and whether another upstream was there, was asked afterwards. A stream that had begun was then cut although its engine might go on. Ruled out: keeping what has not begun as well: it can be refused at once, with the truth about whether it ran. Change: RelayDispatch_mayFollow is asked first. Refusals and stream_stays tell key_revoked from config_stale, with the version and its age; a revoked key gets 401 as a new request would. attempt_kept says why a silent upstream is waited for.

--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -72,6 +72,10 @@
                               "This router can't tell whether the key or "
                               "route is still valid.",
                               503, 1000, RUN_NOT},
+    [REFUSAL_KEY_REVOKED] = {"key_revoked", "authentication_error",
+                             "The key was revoked while the request waited "
+                             "for an upstream.",
+                             401, 0, RUN_NOT},
     [REFUSAL_UPSTREAM_REFUSED] = {"upstream_refused", "upstream_error",
                                   "The upstream refused the request.", 502,
                                   1000, RUN_NOT},
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -51,9 +51,7 @@
 static void
 refuse_stale(Admission_t *admission)
 {
-    g_autofree char *detail = g_strdup_printf(
-        "It was known to be the newest %" G_GINT64_FORMAT " ms ago.",
-        RouteTable_ageMs(admission->context->routes, Clock_nowMs()));
+    g_autofree char *detail = RouteTable_describe(admission->context->routes);
     refuse(admission, REFUSAL_CONFIG_STALE, detail);
 }
 
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -5,17 +5,47 @@
 #include "RelayRun.h"
 
 /* A key may be revoked while its request waits for another attempt. */
-gboolean
-RelayDispatch_isAllowed(const RelayExchange_t *this)
+static gboolean
+has_key(const RelayExchange_t *this, Refusal_t *refusal)
 {
     const Context_t *context = this->super.context;
-    const RouteConfig_t *config = RouteTable_config(context->routes);
+    gint64 max_age_ms = context->settings->relay.config_max_age_ms;
     if (!this->customer) {
         return TRUE;
     }
-    return RouteTable_isFresh(context->routes,
-                              context->settings->relay.config_max_age_ms) &&
-           RouteConfig_findCustomer(config, this->request.key);
+    if (!RouteTable_isFresh(context->routes, max_age_ms)) {
+        *refusal = REFUSAL_CONFIG_STALE;
+        return FALSE;
+    }
+    *refusal = REFUSAL_KEY_REVOKED;
+    return RouteConfig_findCustomer(RouteTable_config(context->routes),
+                                    this->request.key) != NULL;
+}
+
+gboolean
+RelayDispatch_isAllowed(const RelayExchange_t *this, Refusal_t *refusal)
+{
+    if (!RelayAnswer_request(this->answer)) {
+        *refusal = REFUSAL_CALLER_LEFT;
+        return FALSE;
+    }
+    return has_key(this, refusal);
+}
+
+gboolean
+RelayDispatch_mayFollow(const RelayExchange_t *this, Refusal_t *refusal)
+{
+    const Exchange_t *super = &this->super;
+    RelayWish_t wish = RelayExchange_wish(this);
+    RelayPlacing_t placing;
+    if (!RelayDispatch_isAllowed(this, refusal)) {
+        return FALSE;
+    }
+    wish.avoid = super->upstream;
+    RelayPlacer_choose(super->context, &wish, &placing);
+    *refusal = REFUSAL_NO_UPSTREAM;
+    return placing.choice.upstream &&
+           placing.choice.upstream != super->upstream;
 }
 
 /* Only the first attempt: later ones have waited already. */
@@ -45,8 +75,12 @@
 }
 
 static void
-refuse_now(Exchange_t *super, Refusal_t refusal, const char *detail)
+refuse_now(Exchange_t *super, Refusal_t refusal)
 {
+    gboolean for_key =
+        refusal == REFUSAL_CONFIG_STALE || refusal == REFUSAL_KEY_REVOKED;
+    g_autofree char *detail =
+        for_key ? RouteTable_describe(super->context->routes) : NULL;
     Exchange_refuse(super, refusal, Exchange_runState(super), detail);
 }
 
@@ -64,7 +98,7 @@
     Exchange_t *super = &this->super;
     if (is_shed(this, placing)) {
         RelayExchange_endTicket(this);
-        refuse_now(super, REFUSAL_OVERLOADED, NULL);
+        refuse_now(super, REFUSAL_OVERLOADED);
         return;
     }
     RelayPlacer_prepare(super->context, wish, placing);
@@ -78,19 +112,15 @@
 choose(RelayExchange_t *this, const RelayWish_t *wish, RelayPlacing_t *placing)
 {
     Exchange_t *super = &this->super;
-    if (!RelayAnswer_request(this->answer)) {
-        refuse_now(super, REFUSAL_CALLER_LEFT, NULL);
-        return FALSE;
-    }
-    if (!RelayDispatch_isAllowed(this)) {
-        refuse_now(super, REFUSAL_CONFIG_STALE,
-                   "The key was revoked, or that can't be told.");
+    Refusal_t refusal = REFUSAL_COUNT;
+    if (!RelayDispatch_isAllowed(this, &refusal)) {
+        refuse_now(super, refusal);
         return FALSE;
     }
     RelayPlacer_choose(super->context, wish, placing);
     if (!placing->choice.upstream) {
         RelayPlacing_log(placing, super->id->str, &this->request);
-        refuse_now(super, REFUSAL_NO_UPSTREAM, NULL);
+        refuse_now(super, REFUSAL_NO_UPSTREAM);
         return FALSE;
     }
     return TRUE;
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -41,6 +41,8 @@
  * @unrun: attempts that did not run
  * @is_stream: the answer under way is a stream
  * @has_answer: a failure of the upstream to pass on
+ * @kept_for: why the attempt under way is not given up although its upstream
+ *     is silent, REFUSAL_COUNT for none
  */
 typedef struct {
     Exchange_t super;
@@ -64,6 +66,7 @@
     guint unrun;
     gboolean is_stream;
     gboolean has_answer;
+    Refusal_t kept_for;
 } RelayExchange_t;
 
 /** RelayExchange_wish() - what it asks of an upstream; valid as long as it */
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -196,11 +196,9 @@
 send_or_stay(RelayMove_t *this, const RelayWish_t *wish,
              RelayPlacing_t *placing)
 {
-    if (!RelayAnswer_request(this->exchange->answer)) {
-        take_back(this, "caller_left");
-    }
-    else if (!RelayDispatch_isAllowed(this->exchange)) {
-        take_back(this, "key_not_in_force");
+    Refusal_t refusal = REFUSAL_COUNT;
+    if (!RelayDispatch_isAllowed(this->exchange, &refusal)) {
+        take_back(this, Refusal_spec(refusal)->code);
     }
     else if (!is_near(this->exchange, &placing->choice)) {
         take_back(this, "far");
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -3,6 +3,8 @@
 #include <event2/buffer.h>
 
 #include "Clock.h"
+#include "Log.h"
+#include "RelayDispatch.h"
 #include "RelayMove.h"
 
 static void
@@ -129,13 +131,46 @@
     Exchange_recover(&this->super, end, NULL);
 }
 
+static void
+log_kept(const RelayExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    g_autofree char *config = RouteTable_describe(super->context->routes);
+    Log_begin(LOG_LEVEL_INFO, "attempt_kept");
+    Log_text("request", super->id->str);
+    Log_text("reason", Refusal_spec(this->kept_for)->code);
+    Log_text("upstream", super->upstream->name->str);
+    Log_text("config", config);
+    Log_number("proof_age_ms", Clock_nowMs() - super->upstream->proved_ms);
+    Log_number("left_ms", super->deadline_ms - Clock_nowMs());
+    Log_end();
+}
+
+/* An answer that has begun would be cut where no attempt may follow, while
+ * its upstream may go on: with keys revoked beside silent engines, such
+ * streams ended in the middle. One that has not begun is refused at once. */
+static gboolean
+would_be_cut(RelayExchange_t *this)
+{
+    Refusal_t refusal = REFUSAL_COUNT;
+    if (!RelayAnswer_isBegun(this->answer) ||
+        RelayDispatch_mayFollow(this, &refusal)) {
+        return FALSE;
+    }
+    if (this->kept_for != refusal) {
+        this->kept_for = refusal;
+        log_kept(this);
+    }
+    return TRUE;
+}
+
 /* A silent upstream is given up only once a probe has stayed unanswered as
  * well, and where the request may go elsewhere; a busy one is waited for, as
  * the request would lose its place there. */
 static gboolean
 on_silent(void *owner)
 {
-    const RelayExchange_t *this = owner;
+    RelayExchange_t *this = owner;
     const Exchange_t *super = &this->super;
     gboolean awaits_engine = this->events && this->route->by_prefix &&
                              RelayAnswer_request(this->answer) &&
@@ -147,7 +182,7 @@
         return TRUE;
     }
     return RelayFeedback_noteSilence(&this->feedback) &&
-           Exchange_mayRepeat(super);
+           Exchange_mayRepeat(super) && !would_be_cut(this);
 }
 
 static const RelayAttemptEvents_t attempt_events = {
@@ -250,6 +285,7 @@
     Exchange_noteAttempt(super, placing->choice.upstream,
                          placing->choice.reason);
     super->attempt_trace->candidates = placing->choice.candidates;
+    this->kept_for = REFUSAL_COUNT;
     RelayFeedback_begin(&this->feedback, super->context, super->id->str,
                         placing);
     this->attempt = RelayRun_send(this, placing, &attempt_events, this);
@@ -263,6 +299,7 @@
     Exchange_t *super = &this->super;
     EventPipe_restart(this->events);
     Exchange_noteAttempt(super, feedback->upstream, reason);
+    this->kept_for = REFUSAL_COUNT;
     super->attempt_trace->started_us = started_us - super->started_us;
     this->is_stream = TRUE;
     this->feedback = *feedback;
--- a/src/RouteTable.c
+++ b/src/RouteTable.c
@@ -54,6 +54,18 @@
     return this->current_ms == 0 ? G_MAXINT64 : now_ms - this->current_ms;
 }
 
+char *
+RouteTable_describe(const RouteTable_t *this)
+{
+    if (!this->config || this->current_ms == 0) {
+        return g_strdup("No version is known to be the newest.");
+    }
+    return g_strdup_printf(
+        "Version %" G_GUINT64_FORMAT
+        " was known to be the newest %" G_GINT64_FORMAT " ms ago.",
+        this->config->version, RouteTable_ageMs(this, Clock_nowMs()));
+}
+
 gboolean
 RouteTable_isFresh(const RouteTable_t *this, gint64 max_age_ms)
 {
--- a/src/RouteTable.h
+++ b/src/RouteTable.h
@@ -40,6 +40,10 @@
  * G_MAXINT64 where it never was */
 gint64 RouteTable_ageMs(const RouteTable_t *this, gint64 now_ms);
 
+/** RouteTable_describe() - for logs and refusals: which version is in force
+ * and how long ago it was known to be the newest; the caller frees it */
+char *RouteTable_describe(const RouteTable_t *this);
+
 /** RouteTable_isFresh() - whether it is no longer ago than that */
 gboolean RouteTable_isFresh(const RouteTable_t *this, gint64 max_age_ms);
 
