The soak has streams that last, and asks why one was cut

Cause: its streams lasted a few milliseconds, so that no change of weights, keys or configuration met one that had begun, and only a planned stop counted as a wrong reason for a cut. Change: engines take 80 ms to a piece and tell of a request that waits, so that streams are moved before a load; a stream that is cut while nothing that breaks streams goes on is a violation, whose log lines are printed; callers wait for 100 ms after a refusal.

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -19,7 +19,7 @@
 
 ROUTERS = 3
 CALLERS = 8
-PIECES = 5
+PIECES = 12
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i)
                   for i in range(PIECES))
 REVOKED_S = 1.5  # config_max_age of these routers, and what is on its way
@@ -27,9 +27,24 @@
 # Of every two seeds one plays routers that place for groups of engines, for
 # which there must be so many of them.
 GROUPED_ENGINES = 16
+# A stream lasts for several ticks of what moves streams, so that changes of
+# weights, of keys and of the configuration meet streams that have begun.
+PIECE_S = 0.08
+# How long a caller waits after a refusal, so that most requests are served.
+REFUSED_S = 0.1
+# The only faults that may end a stream in the middle.
+CUTTING = ("cut_stream", "kill")
 GONE = (OSError, http.client.HTTPException)
 
 
+class Pace:
+    """The time that an engine takes to each piece."""
+
+    @staticmethod
+    def wait(seconds):
+        time.sleep(min(PIECE_S, seconds))
+
+
 class Soak:
     def __init__(self, seed):
         self.rng = random.Random(seed)
@@ -42,11 +57,15 @@
         self.answered = {}     # id -> body of a whole write
         self.revoked_at = None
         self.stopping = None   # a router that was sent SIGTERM
+        self.cutting = 0       # faults that may cut streams, begun and ended
         self.changes = threading.Lock()
         grouped = seed % 2 == 0
         self.mesh_routers = "1" if grouped else "16"
         self.engines = [self.fleet.engine("e%d" % i, pieces=PIECES)
                         for i in range(GROUPED_ENGINES if grouped else 4)]
+        for engine in self.engines:
+            engine.gate = Pace
+            engine.queued = 1  # so that its streams are moved before a load
         self.plains = [self.fleet.plain("p%d" % i) for i in range(3)]
         self.fleet.config()
         self.routers = []
@@ -67,9 +86,9 @@
         with self.lock:
             self.counts[what] = self.counts.get(what, 0) + 1
 
-    def violate(self, text):
+    def violate(self, text, request=None):
         with self.lock:
-            self.violations.append(text)
+            self.violations.append((text, request))
         print("violation: " + text, flush=True)
 
     # Callers.
@@ -80,6 +99,7 @@
         name = "s%d" % number
         key = rng.choice(["key-a", "key-b", "key-r"])
         status, body, whole = 0, b"", False
+        cutting = self.cutting
         try:
             response = self.fleet.request(
                 router, path, key=key, wait_ms=8000, X_Request_Id=name,
@@ -92,7 +112,11 @@
         except GONE:
             pass
         if status == 200 and not whole and router is self.stopping:
-            self.violate("%s was cut by a planned stop" % name)
+            self.violate("%s was cut by a planned stop" % name, name)
+        elif (status == 200 and not whole and cutting == self.cutting
+              and cutting % 2 == 0):
+            self.violate("%s was cut by nothing that breaks a stream" % name,
+                         name)
         self.check(path, name, status, body, whole)
 
     def check(self, path, name, status, body, whole):
@@ -100,6 +124,7 @@
         if status in (429, 503) and whole:
             with self.lock:
                 self.not_run.add(name)
+            time.sleep(REFUSED_S)
         if status != 200:
             return
         if path.startswith("/ask"):
@@ -107,7 +132,7 @@
         else:
             good = not whole or body.startswith(b"POST " + path.encode())
         if not good:
-            self.violate("%s of %s: %r" % (path, name, body[:200]))
+            self.violate("%s of %s: %r" % (path, name, body[:200]), name)
 
     def call(self, number):
         rng = random.Random(self.rng.random())
@@ -129,11 +154,17 @@
         self.routers[index] = self.start_router(index)
 
     def fault(self):
-        rng = self.rng
-        kind = rng.choice(["shed", "cut_stream", "cut_call", "slow", "store",
-                           "kill", "term", "freeze", "hup", "leave",
-                           "weights", "config", "revoke", "lapse"])
+        kind = self.rng.choice(["shed", "cut_stream", "cut_call", "slow",
+                                "store", "kill", "term", "freeze", "hup",
+                                "leave", "weights", "config", "revoke",
+                                "lapse"])
         self.count("fault " + kind)
+        self.cutting += kind in CUTTING
+        self.bring_about(kind)
+        self.cutting += kind in CUTTING
+
+    def bring_about(self, kind):
+        rng = self.rng
         upstream = rng.choice(self.engines + self.plains)
         index = rng.randrange(ROUTERS)
         hold = rng.uniform(0.2, 1.2)
@@ -255,6 +286,17 @@
             if once and len(list_) > 1:
                 self.violate("%s ran %d times" % (name, len(list_)))
 
+    def read_logs(self):
+        """Counts what moved, and prints what the violations were about."""
+        requests = {request for text, request in self.violations}
+        for router in self.fleet.routers:
+            for line in router.events():
+                if line["event"] in ("stream_moved", "stream_stays",
+                                     "attempt_kept"):
+                    self.count("%s %s" % (line["event"], line["reason"]))
+                if line.get("request") in requests:
+                    print(line)
+
     def run(self, seconds):
         threads = [threading.Thread(target=self.call, args=(i + 1,))
                    for i in range(CALLERS)]
@@ -268,6 +310,7 @@
         for thread in threads:
             thread.join()
         self.check_upstreams()
+        self.read_logs()
         self.fleet.close()
         for what in sorted(self.counts):
             print("%-28s %d" % (what, self.counts[what]))
