--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -13,7 +13,7 @@
 
 #include "ConfigStore.h"
 #include "CustomerLimits.h"
-#include "Policy.h"
+#include "Policies.h"
 #include "Random.h"
 #include "Residency.h"
 #include "Salt.h"
@@ -164,7 +164,7 @@
     size_t before = memory();
     GPtrArray *upstreams = create_upstreams(count);
     double each = (double)(memory() - before) / count;
-    Policy_t *policy = Policy_create(name);
+    Policy_t *policy = Policies_create(name);
     double began = cpu_us();
     Placement_t first = placement(upstreams, 0);
     Policy_choose(policy, &first);
--- a/src/ClientCommands.h
+++ b/src/ClientCommands.h
@@ -7,7 +7,7 @@
  */
 #include <glib.h>
 
-#include "CommandLine.h"
+#include "ExitCode.h"
 #include "Output.h"
 
 /**
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -2,26 +2,6 @@
 
 #include <string.h>
 
-#include "HomePolicy.h"
-#include "LeastLoadedPolicy.h"
-#include "PrefixPolicy.h"
-#include "RoundRobinPolicy.h"
-
-Policy_t *
-Policy_create(PolicyName_t name)
-{
-    switch (name) {
-    case POLICY_ROUND_ROBIN:
-        return RoundRobinPolicy_create();
-    case POLICY_HOME:
-        return HomePolicy_create();
-    case POLICY_LEAST_LOADED:
-        return LeastLoadedPolicy_create();
-    default:
-        return PrefixPolicy_create();
-    }
-}
-
 /* One that is not known to have the weights is tried only as a last resort:
  * it may have loaded them since. */
 static gboolean
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -4,7 +4,7 @@
  * DOC: Policy
  *
  * How an upstream is chosen for a request. Each policy is one class; which
- * one is in force is a setting.
+ * one is in force is a setting (Policies.h).
  */
 #include <glib.h>
 
@@ -151,9 +151,6 @@
     const PolicyClass_t *class;
 };
 
-/** Policy_create() - the policy that a setting names */
-Policy_t *Policy_create(PolicyName_t name);
-
 /** Policy_destroy() - free it */
 static inline void
 Policy_destroy(Policy_t *this)
--- a/src/Router.c
+++ b/src/Router.c
@@ -17,6 +17,7 @@
 #include "OperatorApi.h"
 #include "Orders.h"
 #include "PendingReply.h"
+#include "Policies.h"
 #include "Problem.h"
 #include "Random.h"
 #include "RelayApi.h"
@@ -73,8 +74,8 @@
     context->config = ConfigStore_create(on_config_changed, this);
     context->upstreams = UpstreamSet_create(
         context->base, (guint)settings->limits.idle_connections);
-    context->policy = Policy_create((PolicyName_t)settings->router.policy);
-    context->service_policy = Policy_create(POLICY_LEAST_LOADED);
+    context->policy = Policies_create((PolicyName_t)settings->router.policy);
+    context->service_policy = Policies_create(POLICY_LEAST_LOADED);
     context->limits = CustomerLimits_create();
     context->budget =
         RetryBudget_create((guint)settings->limits.retry_percent,
--- a/tests/test_Policy.c
+++ b/tests/test_Policy.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "Policies.h"
 #include "PrefixPolicy.h"
 #include "Residency.h"
 #include "Ring.h"
@@ -61,7 +62,7 @@
 START_TEST(round_robin_takes_each_in_turn)
 {
     engines = create_engines(3);
-    Policy_t *policy = Policy_create(POLICY_ROUND_ROBIN);
+    Policy_t *policy = Policies_create(POLICY_ROUND_ROBIN);
     Placement_t request = placement(1);
     Upstream_t *first = Policy_choose(policy, &request).upstream;
     Upstream_t *second = Policy_choose(policy, &request).upstream;
@@ -76,7 +77,7 @@
 START_TEST(least_loaded_takes_the_least_loaded)
 {
     engines = create_engines(3);
-    Policy_t *policy = Policy_create(POLICY_LEAST_LOADED);
+    Policy_t *policy = Policies_create(POLICY_LEAST_LOADED);
     Placement_t request = placement(1);
     engine_at(0)->in_flight = 2;
     engine_at(1)->reported_running = 1;
@@ -91,7 +92,7 @@
 {
     for (int name = POLICY_PREFIX; name <= POLICY_ROUND_ROBIN; name++) {
         engines = create_engines(4);
-        Policy_t *policy = Policy_create((PolicyName_t)name);
+        Policy_t *policy = Policies_create((PolicyName_t)name);
         engine_at(0)->leaving = TRUE;
         engine_at(1)->in_flight = 100;
         engine_at(2)->ejections = 1;
@@ -116,8 +117,8 @@
 START_TEST(two_routers_agree_on_a_cold_prefix)
 {
     engines = create_engines(ENGINES);
-    Policy_t *one = Policy_create(POLICY_PREFIX);
-    Policy_t *two = Policy_create(POLICY_PREFIX);
+    Policy_t *one = Policies_create(POLICY_PREFIX);
+    Policy_t *two = Policies_create(POLICY_PREFIX);
     for (guint64 history = 1; history < 100; history++) {
         Placement_t request = placement(history * 1000003);
         ck_assert_ptr_eq(Policy_choose(one, &request).upstream,
@@ -132,7 +133,7 @@
 START_TEST(holder_is_kept_until_its_wait_costs_more)
 {
     engines = create_engines(ENGINES);
-    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Policy_t *policy = Policies_create(POLICY_PREFIX);
     Placement_t request = placement(5);
     Upstream_t *holder = engine_at(7);
     Policy_learn(policy, &request, holder, 0, 0);
@@ -151,7 +152,7 @@
 START_TEST(restarted_engine_holds_nothing)
 {
     engines = create_engines(ENGINES);
-    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Policy_t *policy = Policies_create(POLICY_PREFIX);
     Placement_t request = placement(5);
     Policy_learn(policy, &request, engine_at(7), 0, 0);
     Upstream_noteIncarnation(engine_at(7), 2, 1000);
@@ -164,7 +165,7 @@
 START_TEST(evicting_engine_is_trusted_for_less_time)
 {
     engines = create_engines(ENGINES);
-    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Policy_t *policy = Policies_create(POLICY_PREFIX);
     Placement_t request = placement(5);
     Policy_learn(policy, &request, engine_at(7), 0, 0);
     for (int i = 0; i < 12; i++) {
@@ -246,7 +247,7 @@
 START_TEST(empty_ring_and_empty_set_choose_nothing)
 {
     engines = create_engines(0);
-    Policy_t *policy = Policy_create(POLICY_PREFIX);
+    Policy_t *policy = Policies_create(POLICY_PREFIX);
     Placement_t request = placement(1);
     ck_assert_ptr_null(Policy_choose(policy, &request).upstream);
     Policy_destroy(policy);
@@ -258,7 +259,7 @@
 {
     engines = create_engines(3);
     struct event_base *base = event_base_new();
-    Policy_t *policy = Policy_create(POLICY_LEAST_LOADED);
+    Policy_t *policy = Policies_create(POLICY_LEAST_LOADED);
     Placement_t request = placement(1);
     request.warm_ms = 1000;
     Upstream_t *warm = engine_at(1);
--- a/tests/test_Tickets.c
+++ b/tests/test_Tickets.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include "Policies.h"
 #include "Tickets.h"
 
 #define NOW_MS 100000
@@ -22,7 +23,7 @@
     base = event_base_new();
     upstream = Upstream_create(base, "e", &spec, 0);
     tickets = Tickets_create(base);
-    policy = Policy_create(POLICY_HOME);
+    policy = Policies_create(POLICY_HOME);
     g_string_free(spec.hall, TRUE);
     g_string_free(spec.region, TRUE);
     g_ptr_array_unref(spec.serves);
