The attempt of a relayed request tells the move and the dispatch by events

Cause: RelayRun, RelayMove and RelayDispatch included each other. Change: RelayRun owns the attempts and knows neither of the others; RelayExchange joins them by RelayRunEvents_t. make lint checks the table of parts and circles of includes.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 		-Isrc --enable=warning,performance,portability \
 		--suppress=missingIncludeSystem $(addprefix -i ,$(wildcard src/*.pb-c.c)) \
 		src platform standins bench
+	@python3 tools/check_design.py
 	@ls src/*.c platform/*.c standins/*.c bench/*.c | grep -v pb-c | \
 		xargs -P 8 -n 4 clang-tidy --quiet -p build
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -151,6 +151,13 @@
     }
 }
 
+static const RelayRunEvents_t run_events = {
+    .begun = RelayMove_allow,
+    .may_follow = RelayDispatch_mayFollow,
+    .broke_off = RelayMove_complete,
+    .over = RelayMove_forbid,
+};
+
 static const RelayAnswerEvents_t answer_events = {
     .left = on_caller_left,
     .drained = on_caller_drained,
@@ -197,6 +204,7 @@
     };
     Exchange_init(&this->super, &class, context, &base);
     this->form = context->form;
+    this->run_events = &run_events;
     this->config = RouteConfig_ref(spec->config);
     this->route = spec->route;
     this->customer = spec->customer;
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -18,6 +18,23 @@
 /** struct RelayMove_t - opaque; see RelayMove.h */
 typedef struct RelayMove RelayMove_t;
 
+typedef struct RelayExchange RelayExchange_t;
+
+/**
+ * struct RelayRunEvents_t - what is told and asked of the attempt under way
+ * @begun: its first event has come
+ * @may_follow: whether another attempt may follow it; else sets the reason
+ * @broke_off: it is over and was not whole; TRUE where another one has taken
+ *     its place
+ * @over: it is over, and none has taken its place
+ */
+typedef struct {
+    void (*begun)(RelayExchange_t *this);
+    gboolean (*may_follow)(const RelayExchange_t *this, Refusal_t *refusal);
+    gboolean (*broke_off)(RelayExchange_t *this);
+    void (*over)(RelayExchange_t *this);
+} RelayRunEvents_t;
+
 /**
  * struct RelayExchange_t - a request under way
  * @super: of every request
@@ -28,6 +45,7 @@
  * @request: what its head says
  * @request_body: its bytes
  * @answer: to the caller
+ * @run_events: of its attempts
  * @attempt: under way, or NULL
  * @feedback: what the attempt tells of its upstream
  * @move: to another engine, under way beside @attempt, or NULL
@@ -44,7 +62,7 @@
  * @kept_for: why the attempt under way is not given up although its upstream
  *     is silent, REFUSAL_COUNT for none
  */
-typedef struct {
+struct RelayExchange {
     Exchange_t super;
     const PlatformForm_t *form;
     RouteConfig_t *config;
@@ -53,6 +71,7 @@
     RelayRequest_t request;
     GBytes *request_body;
     RelayAnswer_t *answer;
+    const RelayRunEvents_t *run_events;
     RelayAttempt_t *attempt;
     RelayFeedback_t feedback;
     RelayMove_t *move;
@@ -67,7 +86,7 @@
     gboolean is_stream;
     gboolean has_answer;
     Refusal_t kept_for;
-} RelayExchange_t;
+};
 
 /** RelayExchange_wish() - what it asks of an upstream; valid as long as it */
 RelayWish_t RelayExchange_wish(const RelayExchange_t *this);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -4,8 +4,6 @@
 
 #include "Clock.h"
 #include "Log.h"
-#include "RelayDispatch.h"
-#include "RelayMove.h"
 
 static void
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
@@ -32,7 +30,7 @@
             Dispatch_begin(this->super.context->dispatch, &this->ticket,
                            passed_us - trace->started_us);
         }
-        RelayMove_allow(this);
+        this->run_events->begun(this);
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
@@ -117,10 +115,10 @@
     this->attempt = NULL;
     this->has_answer = end == ATTEMPT_FAILED;
     note_end(this, end, head);
-    if (end != ATTEMPT_WHOLE && RelayMove_complete(this)) {
+    if (end != ATTEMPT_WHOLE && this->run_events->broke_off(this)) {
         return;
     }
-    RelayMove_forbid(this);
+    this->run_events->over(this);
     if (end == ATTEMPT_WHOLE) {
         finish(this);
         return;
@@ -154,7 +152,7 @@
 {
     Refusal_t refusal = REFUSAL_COUNT;
     if (!RelayAnswer_isBegun(this->answer) ||
-        RelayDispatch_mayFollow(this, &refusal)) {
+        this->run_events->may_follow(this, &refusal)) {
         return FALSE;
     }
     if (this->kept_for != refusal) {
--- a/src/RelayRun.h
+++ b/src/RelayRun.h
@@ -5,7 +5,8 @@
  *
  * One attempt of a relayed request, from the order that its upstream gets to
  * the end: passes on what is answered and notes what it tells of the
- * upstream.
+ * upstream. It owns the attempts; what moves a stream and what chooses the
+ * next upstream hear of them by RelayRunEvents_t.
  */
 #include "RelayExchangeState.h"
 
