wheattiller report: what became of all requests, from saved logs

Cause: a bad second or route could be found only by hand in the logs of all routers. LogLine reads lines back for it and for story.

--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -9,6 +9,7 @@
 #include "Declarations.h"
 #include "IniFile.h"
 #include "Log.h"
+#include "LogReport.h"
 #include "LogStory.h"
 #include "Problem.h"
 #include "Router.h"
@@ -59,6 +60,7 @@
     "  counters [PREFIX]        counters of a router\n"
     "  explain REQUEST-ID       why a recent request went where it did\n"
     "  story REQUEST-ID LOG...  what became of a request, from saved logs\n"
+    "  report LOG...            what became of all requests, as tables\n"
     "  hash-key                 hash a key read from standard input\n"
     "  reference                the reference of all settings, in Markdown\n"
     "\n"
@@ -269,6 +271,19 @@
     return problems->len > 0 ? EXIT_INVALID : EXIT_OK;
 }
 
+/* Prints what was made of logs, or the error. */
+static ExitCode_t
+print_text(GString *text, const GError *error)
+{
+    if (!text) {
+        fprintf(stderr, "wheattiller: %s\n", error->message);
+        return EXIT_INVALID;
+    }
+    fputs(text->str, stdout);
+    g_string_free(text, TRUE);
+    return EXIT_OK;
+}
+
 static ExitCode_t
 run_story(Arguments_t *arguments)
 {
@@ -279,13 +294,20 @@
     }
     g_autoptr(GError) error = NULL;
     GString *story = LogStory_tell(words[0], words + 1, &error);
-    if (!story) {
-        fprintf(stderr, "wheattiller: %s\n", error->message);
-        return EXIT_INVALID;
+    return print_text(story, error);
+}
+
+static ExitCode_t
+run_report(Arguments_t *arguments)
+{
+    char **words = arguments->client.words;
+    if (!words[0]) {
+        fputs("wheattiller: report needs files\n", stderr);
+        return EXIT_USAGE;
     }
-    fputs(story->str, stdout);
-    g_string_free(story, TRUE);
-    return EXIT_OK;
+    g_autoptr(GError) error = NULL;
+    GString *report = LogReport_write(words, &error);
+    return print_text(report, error);
 }
 
 static ExitCode_t
@@ -388,6 +410,7 @@
     {"status", run_status},       {"counters", run_counters},
     {"explain", run_explain},     {"hash-key", run_hash_key},
     {"reference", run_reference}, {"story", run_story},
+    {"report", run_report},
 };
 
 static ExitCode_t
--- a/src/LogStory.c
+++ b/src/LogStory.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "Errors.h"
+#include "LogLine.h"
 
 /* Beliefs that changed so long before or after the request's lines are
  * shown: an outage is noticed, and passes, within seconds. */
@@ -27,39 +28,6 @@
     g_free(((Line_t *)line)->text);
 }
 
-/* A pair ends at a blank or with its line. */
-static gboolean
-has_pair(const char *text, const char *pair)
-{
-    gsize length = strlen(pair);
-    for (const char *at = strstr(text, pair); at; at = strstr(at + 1, pair)) {
-        if (at[length] == '\0' || at[length] == ' ') {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
-/* Whatever wrote the file may have put something before the line. */
-static gboolean
-read_stamp(const char *text, gint64 *stamp_us)
-{
-    const char *at = strchr(text, '>');
-    gsize length = at ? strcspn(at + 1, " ") : 0;
-    if (!strstr(text, " event=") || length == 0) {
-        return FALSE;
-    }
-    g_autofree char *stamp = g_strndup(at + 1, length);
-    GDateTime *time = g_date_time_new_from_iso8601(stamp, NULL);
-    if (!time) {
-        return FALSE;
-    }
-    *stamp_us = g_date_time_to_unix(time) * G_USEC_PER_SEC +
-                g_date_time_get_microsecond(time);
-    g_date_time_unref(time);
-    return TRUE;
-}
-
 static void
 note_upstream(Story_t *this, const char *text)
 {
@@ -71,13 +39,14 @@
 }
 
 static void
-take_line(Story_t *this, const char *text)
+take_line(void *owner, const char *text)
 {
+    Story_t *this = owner;
     Line_t line = {0};
-    if (!read_stamp(text, &line.stamp_us)) {
+    if (!LogLine_readStamp(text, &line.stamp_us)) {
         return;
     }
-    if (has_pair(text, this->wanted->str)) {
+    if (LogLine_hasPair(text, this->wanted->str)) {
         this->first_us = MIN(this->first_us, line.stamp_us);
         this->last_us = MAX(this->last_us, line.stamp_us);
         note_upstream(this, text);
@@ -86,23 +55,6 @@
     g_array_append_val(this->lines, line);
 }
 
-static gboolean
-read_file(Story_t *this, const char *path, GError **error)
-{
-    g_autofree char *content = NULL;
-    g_autoptr(GError) cause = NULL;
-    if (!g_file_get_contents(path, &content, NULL, &cause)) {
-        g_set_error_literal(error, WT_ERROR, WT_ERROR_FILE_UNREADABLE,
-                            cause->message);
-        return FALSE;
-    }
-    g_auto(GStrv) texts = g_strsplit(content, "\n", -1);
-    for (guint i = 0; texts[i]; i++) {
-        take_line(this, texts[i]);
-    }
-    return TRUE;
-}
-
 static gboolean
 is_about_upstream(const Story_t *this, const Line_t *line)
 {
@@ -115,7 +67,7 @@
     }
     g_hash_table_iter_init(&iter, this->upstreams);
     while (g_hash_table_iter_next(&iter, &pair, NULL)) {
-        if (has_pair(line->text, pair)) {
+        if (LogLine_hasPair(line->text, pair)) {
             return TRUE;
         }
     }
@@ -137,7 +89,7 @@
     g_array_sort(this->lines, compare_lines);
     for (guint i = 0; i < this->lines->len; i++) {
         const Line_t *line = &g_array_index(this->lines, Line_t, i);
-        if (has_pair(line->text, this->wanted->str) ||
+        if (LogLine_hasPair(line->text, this->wanted->str) ||
             is_about_upstream(this, line)) {
             g_string_append_printf(out, "%s\n", line->text);
         }
@@ -148,10 +100,8 @@
 static GString *
 tell(Story_t *this, const char *request, char **paths, GError **error)
 {
-    for (char **path = paths; *path; path++) {
-        if (!read_file(this, *path, error)) {
-            return NULL;
-        }
+    if (!LogLine_eachOf(paths, take_line, this, error)) {
+        return NULL;
     }
     if (this->first_us == G_MAXINT64) {
         g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY,
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -105,11 +105,28 @@
     facts->attempts -= MIN(this->unrun, UNRUN_MAX);
 }
 
+/* What was later than the route aims at, as far as this router sees it. */
+static const char *
+late_by(const RelayExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    gint64 objective_us = this->route->objective_ms * CLOCK_US_PER_MS;
+    gint64 aim_us = this->route->pause_ms * CLOCK_US_PER_MS;
+    gint64 first_us = this->events && super->attempt_trace
+                          ? super->attempt_trace->first_token_us
+                          : Clock_nowUs() - super->started_us;
+    if (objective_us > 0 && first_us > objective_us) {
+        return "first";
+    }
+    return aim_us > 0 && this->pause_us > aim_us ? "pause" : "no";
+}
+
 static void
 log_end(const Exchange_t *super)
 {
     const RelayExchange_t *this = (const RelayExchange_t *)super;
     Log_text("route", this->route->name->str);
+    Log_text("late", late_by(this));
     Log_number("events", (gint64)events_passed(this));
     if (super->attempt_trace) {
         Log_number("first_us", super->attempt_trace->first_token_us);
--- /dev/null
+++ b/tests/test_LogReport.c
@@ -0,0 +1,93 @@
+#include "testing.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "Errors.h"
+#include "LogReport.h"
+
+#define STAMP "<6>2026-01-01T00:00:10.900Z r1[7]: "
+
+static const char log_text[] = STAMP
+    "event=request_placed request=q1 upstream=u1 supply=store "
+    "move_us=50000\n" STAMP
+    "event=request_done request=q1 outcome=whole us=100000 route=plans "
+    "late=no events=4 first_us=40000 upstream=u1\n" STAMP
+    "event=request_done request=q2 outcome=whole us=1900000 "
+    "route=plans late=pause events=4 first_us=60000 upstream=u1\n" STAMP
+    "event=attempt_failed request=q3 reason=cut upstream=u2\n" STAMP
+    "event=request_done request=q3 outcome=stream_cut us=1 route=plans "
+    "late=no events=2 first_us=1 upstream=u2\n" STAMP
+    "event=request_refused request=q4 reason=no_upstream run=not_run\n" STAMP
+    "event=request_done request=q4 outcome=no_upstream us=1 "
+    "route=claims late=no events=0\n"
+    "no line of ours event=request_done\n";
+
+static char *
+write_file(const char *text)
+{
+    char *path = NULL;
+    int fd = g_file_open_tmp("report-XXXXXX", &path, NULL);
+    ck_assert_int_ge(fd, 0);
+    close(fd);
+    ck_assert(g_file_set_contents(path, text, -1, NULL));
+    return path;
+}
+
+static char *
+report_of(const char *text, GError **error)
+{
+    g_autofree char *path = write_file(text);
+    char *paths[] = {path, NULL};
+    GString *report = LogReport_write(paths, error);
+    g_unlink(path);
+    return report ? g_string_free(report, FALSE) : NULL;
+}
+
+static void
+assert_has(const char *report, const char *text)
+{
+    ck_assert_msg(strstr(report, text) != NULL, "%s not in\n%s", text, report);
+}
+
+START_TEST(requests_are_counted_by_what_became_of_them)
+{
+    g_autofree char *report = report_of(log_text, NULL);
+    ck_assert_ptr_nonnull(report);
+    assert_has(report, "\nplans 3 2 0 1 0 1 ");
+    assert_has(report, "\nclaims 1 0 0 0 1 0 ");
+    assert_has(report, "\nu1 2 2 0 1 0 0 ");
+    assert_has(report, "\nno_upstream not_run 1\n");
+    assert_has(report, "\nu2 cut 1\n");
+}
+END_TEST
+
+START_TEST(a_request_counts_in_the_second_in_which_it_came)
+{
+    g_autofree char *report = report_of(log_text, NULL);
+    assert_has(report, "\n1767225609 1 1 0 1 0 0 ");
+    assert_has(report, "\n1767225610 3 1 0 0 1 1 ");
+}
+END_TEST
+
+START_TEST(a_supply_is_judged_by_the_first_token_that_came_of_it)
+{
+    g_autofree char *report = report_of(log_text, NULL);
+    assert_has(report, "\n# supplies\n");
+    assert_has(report, "\nstore 1 ");
+}
+END_TEST
+
+START_TEST(a_log_without_requests_is_a_typed_error)
+{
+    g_autoptr(GError) error = NULL;
+    ck_assert_ptr_null(report_of("<6>x event=router_started\n", &error));
+    ck_assert(g_error_matches(error, WT_ERROR, WT_ERROR_BAD_BODY));
+}
+END_TEST
+
+TESTING_MAIN("LogReport", requests_are_counted_by_what_became_of_them,
+             a_request_counts_in_the_second_in_which_it_came,
+             a_supply_is_judged_by_the_first_token_that_came_of_it,
+             a_log_without_requests_is_a_typed_error)
