--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -220,6 +220,7 @@
     Log_open(settings->router.name->str,
              arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO);
     Log_setBudget(settings->limits.log_budget);
+    Log_setLevel((LogLevel_t)settings->limits.log_level);
     g_autoptr(GError) error = NULL;
     gboolean good = Router_run(settings, form_of(arguments, settings), &error);
     if (!good) {
--- a/src/Log.c
+++ b/src/Log.c
@@ -15,6 +15,7 @@
 static GString *line;
 static char process_name[64] = "wheattiller";
 static LogLevel_t most_verbose = LOG_LEVEL_INFO;
+static gboolean opened_for_debug;
 static gboolean skipped;
 static LogLevel_t level_of_line;
 static gint64 budget; /* bytes a second, 0 for no bound */
@@ -27,12 +28,21 @@
 {
     g_strlcpy(process_name, name, sizeof(process_name));
     most_verbose = most;
+    opened_for_debug = most == LOG_LEVEL_DEBUG;
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0) {
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     }
 }
 
+void
+Log_setLevel(LogLevel_t most)
+{
+    if (!opened_for_debug) {
+        most_verbose = most;
+    }
+}
+
 void
 Log_setBudget(gint64 bytes_a_second)
 {
--- a/src/Log.h
+++ b/src/Log.h
@@ -30,6 +30,10 @@
  */
 void Log_open(const char *name, LogLevel_t most);
 
+/** Log_setLevel() - another least severe level; one that was opened for
+ * debugging keeps its own */
+void Log_setLevel(LogLevel_t most);
+
 /** Log_setBudget() - most bytes a second; 0 for no bound */
 void Log_setBudget(gint64 bytes_a_second);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -340,6 +340,7 @@
     g_autoptr(GPtrArray) problems = Problems_create();
     gboolean good = Settings_reload(this->settings, problems);
     Log_setBudget(this->settings->limits.log_budget);
+    Log_setLevel((LogLevel_t)this->settings->limits.log_level);
     Log_begin(good ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, "settings_reloaded");
     Log_text("outcome", good ? "taken" : "refused");
     Log_number("problems", problems->len);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "IniFile.h"
+#include "Log.h"
 #include "Problem.h"
 
 #define HOUR_MS 3600000
@@ -203,6 +204,11 @@
     {"log_budget", KEY_SIZE, FALSE, "64KiB", 0, 1 << 30, NULL, L(log_budget),
      "Most bytes of log lines written in a second, over four seconds; a "
      "quarter is kept for warnings and errors. 0 for no bound."},
+    {"log_level", KEY_INTEGER, FALSE, "6", LOG_LEVEL_ERROR, LOG_LEVEL_DEBUG,
+     NULL, L(log_level),
+     "Least severe lines that are written, as syslog counts: 3 errors, 4 "
+     "warnings, 6 what becomes of requests and beliefs, 7 where requests are "
+     "placed and why; --verbose is 7."},
     {NULL},
 };
 #undef L
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -167,6 +167,8 @@
  * @once_idle_time_ms: the same for a request that may run only once
  * @eject_failures: in a row
  * @eject_ms: length of the first ejection
+ * @log_budget: bytes of log lines a second, 0 for no bound
+ * @log_level: least severe LogLevel_t that is written
  */
 typedef struct {
     gint64 max_body;
@@ -188,6 +190,7 @@
     gint64 eject_failures;
     gint64 eject_ms;
     gint64 log_budget;
+    gint64 log_level;
 } LimitsSection_t;
 
 /**
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -308,7 +308,8 @@
             "limits": {},
             "tenants": CUSTOMERS if customers is None else customers})
 
-    def router(self, name="r1", peers=(), store_address=None, **settings):
+    def router(self, name="r1", peers=(), store_address=None, verbose=True,
+               **settings):
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
                             "config_wait": "100ms", "leaving_limit": "800ms",
@@ -328,8 +329,9 @@
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
                     file.write("%s = %s\n" % (key, value))
+        level = ["--verbose"] if verbose else []
         router = Process([os.path.join(BUILD, "wheattiller"), "router",
-                          "--verbose", "--settings", path])
+                          *level, "--settings", path])
         router.path = path
         self.routers.append(router)
         started = router.wait_event("router_started")[0]
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -663,6 +663,34 @@
         except OSError:
             return 0
 
+    def set_level(self, router, level):
+        with open(router.path) as file:
+            lines = [line for line in file if not line.startswith("log_lev")]
+        text = "".join(lines).replace("[limits]\n",
+                                      "[limits]\nlog_level = %d\n" % level)
+        with open(router.path, "w") as file:
+            file.write(text)
+        router.signal(signal.SIGHUP)
+
+    def test_the_level_is_read_again(self):
+        self.fleet.engine("e1")
+        router = self.fleet.start(verbose=False)
+        self.fleet.ask(router, "/ask/x")
+        router.wait_event("request_done")
+        self.assertEqual(router.events("request_placed"), [])
+        self.set_level(router, 7)
+        wait_for(lambda: self.fleet.ask(router, "/ask/x") and
+                 router.events("request_placed"), "debug lines")
+        self.set_level(router, 4)
+        wait_for(lambda: not self.has_news_of_a_request(router), "silence")
+        self.assertFalse(any(self.has_news_of_a_request(router)
+                             for _ in range(5)))
+
+    def has_news_of_a_request(self, router):
+        before = len(router.events("request_done"))
+        self.fleet.ask(router, "/ask/x")
+        return len(router.events("request_done")) > before
+
     def test_a_flood_leaves_room_for_warnings(self):
         self.fleet.engine("e1")
         router = self.fleet.start(log_budget="1KiB")
