Tests: a stream that is held back while it is moved

Cause: an event that is sent while an earlier one waits to be told as read replaces that request to be told, and the next engine is held for good. Change: HeldMoveTest; it fails on this code.

--- a/tests/sessions/test_review.py
+++ b/tests/sessions/test_review.py
@@ -65,5 +65,84 @@
         return refuse_or_stream
 
 
+class HeldMoveTest(test_fleet.FleetTest):
+    """Symptom: a caller that reads slowly gets nothing more, though it reads
+    on and the engine has more.
+    Sequence: the stream is held back as too much waits for the caller; it is
+    moved; the caller reads a part; the next engine's first event finds less
+    waiting than makes a stream wait, and the stream is held back again.
+    Cause: that event was sent without asking to be told when all is read, so
+    that nobody was told and the hold stayed.
+    Settled by: the caller reads all that the router had, and then nothing,
+    while the next engine is held in the middle of a piece.
+    """
+
+    PIECE = b"x" * 40000
+    PIECES = 500
+    BUFFER = 4 << 20  # more than the system lets go of at once
+
+    def test_a_stream_that_is_held_back_goes_on_when_it_is_moved(self):
+        engines = [self.big_engine("e%d" % i) for i in range(4)]
+        router = self.fleet.start(stream_buffer="%dB" % self.BUFFER,
+                                  token_timeout="60s")
+        self.wait_listed(router, len(engines))
+        raw = self.connect(router)
+        first = wait_for(lambda: [e for e in engines
+                                  if e.gate.reached.is_set()], "it runs")[0]
+        first.gate.open(self.PIECES)
+        self.wait_held(first)
+        name_weights(self.fleet)
+        second = wait_for(lambda: [e for e in engines
+                                   if e is not first and e.seen],
+                          "another engine is asked")[0]
+        self.read(raw, self.BUFFER // 2)
+        second.gate.open(self.PIECES)
+        router.wait_event("stream_moved")
+        self.assertTrue(read_all(raw, 5).endswith(b"0\r\n\r\n"))
+
+    def big_engine(self, name):
+        engine = self.fleet.engine(name)
+        engine.gate = Gate()
+        engine.queued = 1   # so that its order waits for a while
+        engine.sent = 0
+        engine.stream = lambda call, headers: self.stream(engine, call,
+                                                          headers)
+        return engine
+
+    def stream(self, engine, call, headers):
+        call.send_response(200)
+        for key, value in headers.items():
+            call.send_header(key.replace("_", "-"), value)
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        last = int(call.headers.get("Last-Event-Id", -1))
+        for place in range(last + 1, self.PIECES):
+            engine.gate.wait(60)
+            piece = b"id: %d\ndata: %s\n\n" % (place, self.PIECE)
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            engine.sent += 1
+        call.wfile.write(b"0\r\n\r\n")
+
+    def connect(self, router):
+        raw = socket.socket()
+        self.addCleanup(raw.close)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        raw.connect(("127.0.0.1", router.port))
+        raw.sendall(REQUEST)
+        return raw
+
+    def wait_held(self, engine):
+        """All buffers on the way are full: it sends nothing more."""
+        sent = -1
+        while sent != engine.sent:
+            sent = engine.sent
+            time.sleep(0.5)
+        self.assertLess(sent, self.PIECES)
+
+    def read(self, raw, size):
+        while size > 0:
+            size -= len(raw.recv(65536))
+
+
 if __name__ == "__main__":
     unittest.main()
