Behind a part of a stream only its rest may follow

Cause: an attempt that ended whole with a status of 3xx or 4xx was passed on as an answer of its own, also behind events that the caller had. Change: such an end counts as a bad answer: the rest is asked for elsewhere, or the stream is cut where no attempt is left.

--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -109,10 +109,20 @@
     Exchange_noteEnd(&this->super, end);
 }
 
+/* Behind a part of a stream only its rest may follow: another answer would put
+ * a second head into it. */
+static AttemptEnd_t
+end_for_caller(const RelayExchange_t *this, AttemptEnd_t end)
+{
+    gboolean fits = this->is_stream || !RelayAnswer_isBegun(this->answer);
+    return end == ATTEMPT_WHOLE && !fits ? ATTEMPT_BAD_ANSWER : end;
+}
+
 static void
-on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
+on_ended(void *owner, AttemptEnd_t own_end, const RelayHead_t *head)
 {
     RelayExchange_t *this = owner;
+    AttemptEnd_t end = end_for_caller(this, own_end);
     tell_dispatcher(this, end);
     this->attempt = NULL;
     this->has_answer = end == ATTEMPT_FAILED;
