A stream that is held back is told of until all is read

Cause: evhttp tells only of the newest chunk. An event of the engine that a held stream moved to, sent while less waited than holds a stream back, took the earlier request to be told away, and the new attempt was held for good. Ruled out: the same without a move: a held attempt reads nothing meanwhile. Change: while it is full, each chunk asks to be told.

--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -152,7 +152,9 @@
         return;
     }
     begin(this);
-    if (waiting_bytes(connection) > this->buffer_max) {
+    /* Each chunk takes the place of the one before as what is told of, so that
+     * a stream that is held back would stay so. */
+    if (this->full || waiting_bytes(connection) > this->buffer_max) {
         this->full = TRUE;
         evhttp_send_reply_chunk_with_cb(RelayAnswer_request(this), data,
                                         on_drained, this);
