Tests: a silent engine that goes on, and others that refuse the rest

Cause: that another engine may be asked is taken for one that takes the rest; the attempt that could go on is closed before. Change: RefusedNextTest; it fails on this code and is not mended here.

--- a/tests/sessions/test_review.py
+++ b/tests/sessions/test_review.py
@@ -144,5 +144,26 @@
             size -= len(raw.recv(65536))
 
 
+class RefusedNextTest(test_fleet.SilentStreamTest):
+    """Symptom: a stream ends in the middle although its engine goes on.
+    Sequence: the engine pauses for longer than token_timeout and its state is
+    not told; the attempt is given up; all others refuse the rest as not run.
+    Cause: that another engine may be asked is no promise that one takes the
+    rest.
+    Settled by: attempt_failed with reason=silent, then only reason=not_run to
+    next=give_up, and request_refused with reason=stream_cut.
+    """
+
+    def test_a_stream_waits(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        for engine in self.others:
+            engine.shed = True
+        self.fall_silent()
+        self.wait_looked_at()
+        self.reader.join(5)
+        self.speak_again()
+        self.assert_whole()
+
+
 if __name__ == "__main__":
     unittest.main()
