Tests: tries of a move as attempts

Cause: a move that is taken back after it was sent counts as no attempt, so that the request runs at more engines than its route allows.

--- a/tests/sessions/test_review.py
+++ b/tests/sessions/test_review.py
@@ -165,5 +165,29 @@
         self.assert_whole()
 
 
+class MoveTriesTest(test_fleet.StreamTest):
+    """Symptom: a request ran at three engines where its route allows two
+    attempts.
+    Sequence: a stream is to move; the next engine has the request and says
+    nothing in time, so that the stream stays; then its engine breaks, and it
+    goes on at a third one.
+    Cause: a move that is taken back is counted as no attempt, though it may
+    have run.
+    Settled by: three engines have seen the request.
+    """
+
+    def test_a_move_that_may_have_run_counts_as_an_attempt(self):
+        self.start_stream("/ask/x", move_wait="50ms")
+        name_weights(self.fleet)
+        stays = self.router.wait_event("stream_stays")[0]
+        self.assertEqual(stays["reason"], "silent")
+        for engine in self.others:
+            engine.gate.open()
+        self.first.cut_after = 1
+        self.first.gate.open()
+        self.reader.join()
+        self.assertLessEqual(sum(len(e.seen) for e in self.engines), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
