Tests: silent upstreams of which there is one, before the answer begins

Cause: whether anything may follow is asked first only for answers that have begun. Change: NotBegunTest; it fails on this code and is not mended here.

--- a/tests/sessions/test_review.py
+++ b/tests/sessions/test_review.py
@@ -189,5 +189,44 @@
         self.assertLessEqual(sum(len(e.seen) for e in self.engines), 2)
 
 
+class NotBegunTest(test_fleet.FleetTest):
+    """Symptom: a request is refused although its upstream answers long before
+    its deadline.
+    Sequence: the only upstream says nothing for longer than
+    first_token_timeout, and its state is not told; the attempt is given up;
+    there is nothing else to ask.
+    Cause: whether anything may follow is asked first only where an answer has
+    begun.
+    Settled by: attempt_failed with reason=silent and next=elsewhere, and in
+    the same millisecond request_refused with reason=no_upstream.
+    """
+
+    def ask_silent(self, upstream, path):
+        router = self.fleet.start(first_token_timeout="200ms")
+        self.wait_listed(router, 1)
+        answers = []
+        reader = threading.Thread(target=lambda: answers.append(
+            self.fleet.ask(router, path)))
+        reader.start()
+        wait_for(lambda: upstream.seen, "it runs")
+        upstream.probed = threading.Event()
+        self.addCleanup(upstream.probed.set)
+        reader.join(4)
+        if upstream.gate:
+            upstream.gate.open()
+        reader.join()
+        return answers[0]
+
+    def test_a_read_waits_for_the_only_upstream(self):
+        plain = self.fleet.plain("p1")
+        plain.pause_s = 4
+        self.assertEqual(self.ask_silent(plain, "/read/x").status, 200)
+
+    def test_a_stream_waits_for_the_only_engine(self):
+        engine = self.fleet.engine("e1")
+        engine.gate = Gate()
+        self.assertEqual(self.ask_silent(engine, "/ask/x").body, EVENTS)
+
+
 if __name__ == "__main__":
     unittest.main()
