--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -500,6 +500,8 @@
         self.start_stream("/ask/x")
         self.revoke_key()
         self.name_weights()
+        stays = self.router.wait_event("stream_stays")[0]
+        self.assertEqual(stays["reason"], "key_revoked")
         wait_for(lambda: all(e.version == 2 for e in self.engines), "loaded")
         self.first.gate.open()
         self.assert_whole()
