Tests: a key that is given to another customer beside a stream

Cause: before the next attempt only whether anybody holds the key is asked, and the attempt names the customer of the first one.

--- a/tests/sessions/test_review.py
+++ b/tests/sessions/test_review.py
@@ -256,5 +256,32 @@
         self.assertEqual(places(stream.tokens()), list(range(30)))
 
 
+class KeyOfAnotherTest(test_fleet.StreamTest):
+    """Symptom: a request runs in the name of a customer who no longer holds
+    its key.
+    Sequence: a stream is under way; a configuration gives its key to another
+    customer; the stream breaks and goes on at another engine.
+    Cause: only whether anybody holds the key was asked before the next
+    attempt.
+    Settled by: that attempt names the customer of the first one.
+    """
+
+    def test_a_stream_does_not_go_on_in_the_name_of_who_lost_the_key(self):
+        self.start_stream("/ask/x")
+        self.fleet.config(customers=[
+            {"name": "a", "api_keys": ["key-new"]},
+            {"name": "b", "api_keys": ["key-a", "key-b"]}])
+        self.router.wait_event("config_in_force", 2)
+        for engine in self.others:
+            engine.gate.open()
+        self.first.cut_after = 1
+        self.first.gate.open()
+        self.router.wait_event("request_done")
+        self.reader.join()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
+        refused = self.router.wait_event("request_refused")[0]
+        self.assertEqual(refused["reason"], "key_revoked")
+
+
 if __name__ == "__main__":
     unittest.main()
