A key counts as revoked for those who have lost it to others

Cause: before another attempt only whether anybody holds the key was asked, while the attempt names the customer of the first one. Change: the holder must be the customer for whom the request was admitted.

--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -4,7 +4,8 @@
 #include "LoadShed.h"
 #include "RelayRun.h"
 
-/* A key may be revoked while its request waits for another attempt. */
+/* A key may be revoked while its request waits for another attempt, or be
+ * given to another customer, in whose name the request did not come. */
 static gboolean
 has_key(const RelayExchange_t *this, Refusal_t *refusal)
 {
@@ -17,9 +18,10 @@
         *refusal = REFUSAL_CONFIG_STALE;
         return FALSE;
     }
+    const RouteCustomer_t *holder = RouteConfig_findCustomer(
+        RouteTable_config(context->routes), this->request.key);
     *refusal = REFUSAL_KEY_REVOKED;
-    return RouteConfig_findCustomer(RouteTable_config(context->routes),
-                                    this->request.key) != NULL;
+    return holder && g_string_equal(holder->name, this->customer->name);
 }
 
 gboolean
