A silent engine's stream is tried at another one beside it

Cause: a stream whose engine was silent was given up as another engine might be asked; where that one refused the rest as not run, the stream was cut while its own engine went on. A request whose answer had not begun was refused although its only upstream answered later. On the router's own form four attempts were spent on the only engine within seconds. A move that was taken back counted as no attempt although the other engine may have run it, so that three ran what the route lets two run. Change: RelayMove serves silence as well: the other engine is asked beside the silent one, which is left at the first event of the other, and kept where it speaks again. Not begun or begun, an attempt is given up only if another may follow. What a second engine may have run counts as an attempt. On the own form the last attempt is waited for.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -70,8 +70,15 @@
         Clock_arm(connection->watch, MAX(left_ms, WATCH_LEAST_MS));
         return;
     }
-    end_attempt(this, connection->sent ? ATTEMPT_SILENT : ATTEMPT_NOT_SENT,
-                NULL);
+    if (!connection->sent) {
+        end_attempt(this, ATTEMPT_NOT_SENT, NULL);
+    }
+    else if (this->events->silent(this->owner)) {
+        end_attempt(this, ATTEMPT_SILENT, NULL);
+    }
+    else {
+        Clock_arm(connection->watch, WATCH_LEAST_MS);
+    }
 }
 
 static gboolean
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -19,6 +19,7 @@
  * struct AttemptEvents_t - what an attempt tells its owner
  * @started: the engine's head came
  * @token: the next token came
+ * @silent: nothing came for too long; whether to give it up
  * @ended: last call of all; @refusal is NULL unless the engine refused
  *
  * The owner may cancel the attempt from any of them.
@@ -26,6 +27,7 @@
 typedef struct {
     void (*started)(void *owner, const EngineHead_t *head);
     void (*token)(void *owner, const EngineToken_t *token);
+    gboolean (*silent)(void *owner);
     void (*ended)(void *owner, AttemptEnd_t end,
                   const EngineRefusal_t *refusal);
 } AttemptEvents_t;
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -20,8 +20,11 @@
     }
     const RouteCustomer_t *holder = RouteConfig_findCustomer(
         RouteTable_config(context->routes), this->request.key);
-    *refusal = REFUSAL_KEY_REVOKED;
-    return holder && g_string_equal(holder->name, this->customer->name);
+    if (!holder || !g_string_equal(holder->name, this->customer->name)) {
+        *refusal = REFUSAL_KEY_REVOKED;
+        return FALSE;
+    }
+    return TRUE;
 }
 
 gboolean
@@ -45,9 +48,12 @@
     }
     wish.avoid = super->upstream;
     RelayPlacer_choose(super->context, &wish, &placing);
-    *refusal = REFUSAL_NO_UPSTREAM;
-    return placing.choice.upstream &&
-           placing.choice.upstream != super->upstream;
+    if (!placing.choice.upstream ||
+        placing.choice.upstream == super->upstream) {
+        *refusal = REFUSAL_NO_UPSTREAM;
+        return FALSE;
+    }
+    return TRUE;
 }
 
 /* Only the first attempt: later ones have waited already. */
@@ -88,7 +94,7 @@
 
 /* The dispatcher may not have heard yet of what this router knows. */
 static gboolean
-may_follow(const RelayPlacing_t *placing, const Choice_t *choice)
+is_usable(const RelayPlacing_t *placing, const Choice_t *choice)
 {
     return choice->upstream &&
            Policy_mayUse(&placing->placement, choice->upstream);
@@ -142,7 +148,7 @@
         RelayExchange_endTicket(this);
         return;
     }
-    if (may_follow(&placing, choice)) {
+    if (is_usable(&placing, choice)) {
         placing.choice = *choice;
     }
     else {
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -170,7 +170,9 @@
 
 static const RelayRunEvents_t run_events = {
     .begun = RelayMove_allow,
+    .heard = RelayMove_noteHeard,
     .may_follow = RelayDispatch_mayFollow,
+    .go_beside = RelayMove_goBeside,
     .broke_off = RelayMove_complete,
     .over = RelayMove_forbid,
 };
@@ -222,6 +224,7 @@
     Exchange_init(&this->super, &class, context, &base);
     this->form = context->form;
     this->run_events = &run_events;
+    this->kept_for = REFUSAL_COUNT;
     this->config = RouteConfig_ref(spec->config);
     this->route = spec->route;
     this->customer = spec->customer;
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -23,14 +23,19 @@
 /**
  * struct RelayRunEvents_t - what is told and asked of the attempt under way
  * @begun: its first event has come
+ * @heard: more of its answer has come
  * @may_follow: whether another attempt may follow it; else sets the reason
+ * @go_beside: its upstream is silent: try another one beside it; FALSE where
+ *     its answer has not begun, so that it may as well be given up first
  * @broke_off: it is over and was not whole; TRUE where another one has taken
  *     its place
  * @over: it is over, and none has taken its place
  */
 typedef struct {
     void (*begun)(RelayExchange_t *this);
+    void (*heard)(RelayExchange_t *this);
     gboolean (*may_follow)(const RelayExchange_t *this, Refusal_t *refusal);
+    gboolean (*go_beside)(RelayExchange_t *this);
     gboolean (*broke_off)(RelayExchange_t *this);
     void (*over)(RelayExchange_t *this);
 } RelayRunEvents_t;
@@ -61,6 +66,8 @@
  * @has_answer: a failure of the upstream to pass on
  * @kept_for: why the attempt under way is not given up although its upstream
  *     is silent, REFUSAL_COUNT for none
+ * @beside_ms: from when on another upstream may be tried beside a silent one,
+ *     monotonic
  */
 struct RelayExchange {
     Exchange_t super;
@@ -86,6 +93,7 @@
     gboolean is_stream;
     gboolean has_answer;
     Refusal_t kept_for;
+    gint64 beside_ms;
 };
 
 /** RelayExchange_wish() - what it asks of an upstream; valid as long as it */
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -7,11 +7,27 @@
 #include "RelayDispatch.h"
 #include "RelayRun.h"
 
+/* How often the wait until another upstream is tried beside a silent one may
+ * be doubled. */
+#define MAX_BACKOFF_DOUBLINGS 6
+
+/* Why a stream is to move. */
+typedef struct {
+    const char *name;
+    gboolean must_be_near; /* the next event must come unnoticed */
+    gboolean is_bounded; /* its own engine goes on, so both run for a while */
+} MoveCause_t;
+
+static const MoveCause_t unloading = {"unloading", TRUE, TRUE};
+static const MoveCause_t silence = {"silent", FALSE, FALSE};
+
 struct RelayMove {
     RelayExchange_t *exchange;
+    const MoveCause_t *cause;
     DispatchAsk_t *ask; /* question to the dispatcher, or NULL */
     DispatchTicket_t ticket;
     RelayAttempt_t *attempt; /* at the next engine, or NULL */
+    gboolean may_have_run;   /* it ended, and is not known not to have run */
     RelayFeedback_t feedback;
     Upstream_t *upstream; /* of @attempt; held, and counts it */
     gint64 started_us;
@@ -52,6 +68,26 @@
     g_free(this);
 }
 
+/* What the other engine may have run counts against the route's most, and
+ * what it refused against those that are not counted. */
+static void
+note_try(RelayMove_t *this)
+{
+    RelayExchange_t *exchange = this->exchange;
+    Exchange_t *super = &exchange->super;
+    if (!this->upstream) {
+        return;
+    }
+    gboolean may_have_run = this->attempt ? RelayAttempt_wasSent(this->attempt)
+                                          : this->may_have_run;
+    super->attempts++;
+    exchange->unrun += may_have_run ? 0 : 1;
+    guint doublings = MIN(exchange->unrun, MAX_BACKOFF_DOUBLINGS);
+    exchange->beside_ms =
+        Clock_nowMs() +
+        (super->context->settings->limits.backoff_ms << doublings);
+}
+
 /* The stream stays where it is. */
 static void
 take_back(RelayMove_t *this, const char *reason)
@@ -60,6 +96,7 @@
     if (this->ask) {
         Dispatch_cancel(this->ask);
     }
+    note_try(this);
     if (this->attempt) {
         RelayFeedback_settle(&this->feedback);
         RelayAttempt_cancel(this->attempt);
@@ -76,7 +113,7 @@
 {
     RelayExchange_t *exchange = this->exchange;
     struct evbuffer *data = evbuffer_new();
-    log_move(this, "stream_moved", "unloading");
+    log_move(this, "stream_moved", this->cause->name);
     evbuffer_add_buffer(data, this->data);
     RelayRun_adopt(exchange, this->attempt, &this->feedback, &this->ticket,
                    "moved", this->started_us);
@@ -126,6 +163,7 @@
 {
     RelayMove_t *this = owner;
     this->attempt = NULL;
+    this->may_have_run = end != ATTEMPT_NOT_RUN && end != ATTEMPT_NOT_SENT;
     RelayFeedback_settle(&this->feedback);
     if (end == ATTEMPT_NOT_RUN && head) {
         RelayFeedback_noteRefusal(&this->feedback, head);
@@ -171,14 +209,20 @@
     RelayFeedback_begin(&this->feedback, super->context, super->id->str,
                         placing);
     this->attempt = RelayRun_send(exchange, placing, &attempt_events, this);
-    Clock_arm(this->timeout, super->context->settings->relay.move_wait_ms);
+    if (this->cause->is_bounded) {
+        Clock_arm(this->timeout, super->context->settings->relay.move_wait_ms);
+    }
 }
 
 /* The pause until its next event must stay one that goes unnoticed. */
 static gboolean
-is_near(const RelayExchange_t *exchange, const Choice_t *choice)
+is_near(const RelayExchange_t *exchange, const MoveCause_t *cause,
+        const Choice_t *choice)
 {
-    return choice->upstream &&
+    if (!choice->upstream || choice->upstream == exchange->super.upstream) {
+        return FALSE;
+    }
+    return !cause->must_be_near ||
            choice->cost_us <= exchange->route->pause_ms * CLOCK_US_PER_MS;
 }
 
@@ -200,7 +244,7 @@
     if (!RelayDispatch_isAllowed(this->exchange, &refusal)) {
         take_back(this, Refusal_spec(refusal)->code);
     }
-    else if (!is_near(this->exchange, &placing->choice)) {
+    else if (!is_near(this->exchange, this->cause, &placing->choice)) {
         take_back(this, "far");
     }
     else {
@@ -229,10 +273,11 @@
 }
 
 static RelayMove_t *
-create_move(RelayExchange_t *exchange)
+create_move(RelayExchange_t *exchange, const MoveCause_t *cause)
 {
     RelayMove_t *this = g_new0(RelayMove_t, 1);
     this->exchange = exchange;
+    this->cause = cause;
     this->started_us = Clock_nowUs();
     this->data = evbuffer_new();
     this->timeout =
@@ -240,22 +285,18 @@
     return this;
 }
 
-/* One that is far is looked at again; else there is one try for each attempt:
- * where the next engine would not have it, it most likely ends before another
- * one would. */
 static void
-begin(void *stream)
+begin(RelayExchange_t *exchange, const MoveCause_t *cause)
 {
-    RelayExchange_t *exchange = stream;
     Context_t *context = exchange->super.context;
     RelayWish_t wish;
     RelayPlacing_t placing;
     choose(exchange, &wish, &placing);
-    if (!is_near(exchange, &placing.choice)) {
+    if (!is_near(exchange, cause, &placing.choice)) {
         return;
     }
     StreamMover_remove(context->mover, exchange);
-    RelayMove_t *this = create_move(exchange);
+    RelayMove_t *this = create_move(exchange, cause);
     exchange->move = this;
     this->ask = context->dispatch
                     ? Dispatch_ask(context->dispatch, &placing.placement,
@@ -267,6 +308,18 @@
     }
 }
 
+/* One that is far is looked at again; else there is one try for each attempt:
+ * where the next engine would not have it, it most likely ends before another
+ * one would. */
+static void
+leave_engine(void *stream)
+{
+    RelayExchange_t *this = stream;
+    if (!this->move) {
+        begin(this, &unloading);
+    }
+}
+
 static const Upstream_t *
 movable_upstream(const void *stream)
 {
@@ -284,11 +337,11 @@
 static const MovableClass_t movable_class = {
     .upstream = movable_upstream,
     .target = movable_target,
-    .move = begin,
+    .move = leave_engine,
 };
 
-/* One that has begun: before that its engine would refuse it by itself. The
- * last attempt is kept for failures. */
+/* One that has begun: before that its engine would refuse it by itself. Where
+ * its route allows no other attempt it stays. */
 void
 RelayMove_allow(RelayExchange_t *this)
 {
@@ -297,6 +350,26 @@
     }
 }
 
+gboolean
+RelayMove_goBeside(RelayExchange_t *this)
+{
+    if (!this->events || !RelayAnswer_isBegun(this->answer)) {
+        return FALSE;
+    }
+    if (!this->move && Clock_nowMs() >= this->beside_ms) {
+        begin(this, &silence);
+    }
+    return TRUE;
+}
+
+void
+RelayMove_noteHeard(RelayExchange_t *this)
+{
+    if (this->move && this->move->cause == &silence) {
+        take_back(this->move, "heard");
+    }
+}
+
 void
 RelayMove_forbid(RelayExchange_t *this)
 {
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -59,6 +59,7 @@
     }
     note_first_event(this);
     note_pause(this);
+    this->run_events->heard(this);
     RelayExchange_closeIfStopping(this);
     RelayAnswer_send(this->answer, this->passing);
     if (RelayAnswer_isFull(this->answer)) {
@@ -154,22 +155,22 @@
     Log_end();
 }
 
-/* An answer that has begun would be cut where no attempt may follow, while
- * its upstream may go on: with keys revoked beside silent engines, such
- * streams ended in the middle. One that has not begun is refused at once. */
+/* Where no attempt may follow, giving up would cut the answer or refuse what
+ * the upstream may yet answer: with keys revoked beside silent engines,
+ * streams ended in the middle. */
 static gboolean
-would_be_cut(RelayExchange_t *this)
+may_follow(RelayExchange_t *this)
 {
     Refusal_t refusal = REFUSAL_COUNT;
-    if (!RelayAnswer_isBegun(this->answer) ||
-        this->run_events->may_follow(this, &refusal)) {
-        return FALSE;
+    if (this->run_events->may_follow(this, &refusal)) {
+        this->kept_for = REFUSAL_COUNT;
+        return TRUE;
     }
     if (this->kept_for != refusal) {
         this->kept_for = refusal;
         log_kept(this);
     }
-    return TRUE;
+    return FALSE;
 }
 
 /* A silent upstream is given up only once a probe has stayed unanswered as
@@ -190,7 +191,8 @@
         return TRUE;
     }
     return RelayFeedback_noteSilence(&this->feedback) &&
-           Exchange_mayRepeat(super) && !would_be_cut(this);
+           Exchange_mayRepeat(super) && may_follow(this) &&
+           !this->run_events->go_beside(this);
 }
 
 static const RelayAttemptEvents_t attempt_events = {
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -278,9 +278,19 @@
     Exchange_recover(super, end, refusal ? refusal->code : NULL);
 }
 
+/* The last attempt is waited for: where the only engine stands still for some
+ * seconds, all attempts were spent on it before it went on. */
+static gboolean
+on_silent(void *owner)
+{
+    const StreamExchange_t *this = owner;
+    return Exchange_mayRepeat(&this->super);
+}
+
 static const AttemptEvents_t attempt_events = {
     .started = on_started,
     .token = on_token,
+    .silent = on_silent,
     .ended = on_ended,
 };
 
