Free the place of an engine whose order is not sent

Cause: an engine holds one of the places of those that load from when its pause is told, and gave it up only when its order was sent. None is sent where the engine has the wanted weights meanwhile, by a late order of an earlier holder, or where its state can't be read any more. Its place was held for good then, and with all places held so a roll-out stopped. Change: an engine that has what is wanted gives its place up; else the place ends with the pause that was told, after 2.5 s, and the pause is told anew before the order.

--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -23,7 +23,8 @@
  * to begin. */
 #define QUEUE_PATIENCE_MS 1000
 #define QUEUE_READ_MS 100
-/* A pause ends with the news of the weights; this is in case none comes. */
+/* A pause ends with the news of the weights; this is in case none comes. The
+ * place of an engine that got no order by then goes to another. */
 #define PAUSE_MOST_MS 2500
 /* One that still loads is told again when so much of it is left. Without that
  * its requests are refused from then on: 285 of them in 5 s of a roll-out
@@ -80,13 +81,21 @@
     return this->call != NULL;
 }
 
+/* Whether its pause has been told and its order is still to come. */
+static gboolean
+is_announced(const OrderedEngine_t *this)
+{
+    return this->announced_ms != 0 &&
+           Clock_nowMs() - this->announced_ms < PAUSE_MOST_MS;
+}
+
 gboolean
 OrderedEngine_isLoading(const OrderedEngine_t *this)
 {
     if (this->upstream->removed || this->upstream->leaving) {
         return FALSE;
     }
-    if (this->announced_ms != 0) {
+    if (is_announced(this)) {
         return TRUE;
     }
     return this->loading && (this->ordered_ms == 0 ||
@@ -337,7 +346,7 @@
     if (!is_state_known(this)) {
         return this->read_ms == 0 || age_ms >= READ_AGAIN_MS;
     }
-    if (this->announced_ms != 0) {
+    if (is_announced(this)) {
         return now_ms - this->announced_ms >= PAUSE_AHEAD_MS &&
                age_ms >= QUEUE_READ_MS;
     }
@@ -379,6 +388,9 @@
         return FALSE;
     }
     gboolean has_wanted = strcmp(this->weights->str, wanted->weights) == 0;
+    if (has_wanted) {
+        this->announced_ms = 0; /* it needs its place no more */
+    }
     if (wants_state(this)) {
         start_call(this, NULL);
         return FALSE;
@@ -393,7 +405,7 @@
         }
         return may_load;
     }
-    if (this->announced_ms == 0) {
+    if (!is_announced(this)) {
         return may_load && announce(this);
     }
     if (is_drained(this)) {
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -170,6 +170,9 @@
         self.queued = 0     # requests that it says wait there
         self.probed = None  # something to wait for before it tells its state
         self.forgets = False  # take one order and be as before it
+        self.late_order = None  # carried out at the report of this number
+        self.late_report = 0
+        self.reports = 0
         self.state = "ready"
         self.sealed = True
         super().__init__()
@@ -193,6 +196,7 @@
         if self.probed and call.path in ("/v1/report", "/health"):
             self.probed.wait(60)
         if call.path == "/v1/report":
+            self.carry_out_late()
             call.reply(200, {"models": [{"name": self.model,
                                          "version": self.version}],
                              "busy": False, "call_seq": self.sequence,
@@ -220,6 +224,12 @@
         self.sequence += 1
         self.version = order["version"]
 
+    def carry_out_late(self):
+        self.reports += 1
+        if self.late_order and self.reports == self.late_report:
+            self.carry_out(self.late_order)
+            self.list()
+
     def serve(self, call, body):
         request = call.headers["X-Request-Id"]
         wanted = call.headers.get("X-Expect-Version")
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -361,6 +361,51 @@
         self.name_weights(2)
         wait_for(lambda: engine.version == 2, "loaded")
 
+    # Symptom: a roll-out stopped; some engines never got their orders.
+    # Sequence: the engines that are to load first are told to pause, and an
+    # order of an earlier holder is carried out there meanwhile.
+    # Cause: an engine held its place of those that load from when its pause
+    # was told until its order was sent, and this one needed none any more.
+    # Settled by: an engine that has what is wanted holds no place.
+    def test_late_orders_leave_the_places_to_others(self):
+        engines = [self.fleet.engine("e%d" % n) for n in range(3)]
+        for engine in engines:
+            engine.queued = 1   # so that each pause lasts a while
+            engine.late_order = {"version": 2}
+            engine.late_report = 4  # the first one is before its pause
+        router = self.fleet.start()
+        self.wait_listed(router, 3)
+        self.name_weights(2)
+        wait_for(lambda: all(e.version == 2 for e in engines), "loaded")
+
+    # Symptom: a roll-out stopped while two engines said nothing.
+    # Sequence: the engines that are to load first are told to pause, and fall
+    # silent before their orders are sent.
+    # Cause: no order is sent where the state can't be read, and the place was
+    # held until one was.
+    # Settled by: a place is held no longer than the pause that was told.
+    def test_silent_engines_leave_the_places_to_others(self):
+        engines = [self.fleet.engine("e%d" % n) for n in range(3)]
+        for engine in engines:
+            engine.queued = 1   # so that each pause lasts a while
+        router = self.fleet.start()
+        self.wait_listed(router, 3)
+        self.name_weights(2)
+
+        def find_paused():
+            paused = [e for e in engines if e.reports >= 2]
+            return paused if len(paused) == 2 else None
+        paused = wait_for(find_paused, "two pauses")
+        spoken = threading.Event()
+        self.addCleanup(spoken.set)
+        for engine in paused:
+            engine.probed = spoken
+        other = next(e for e in engines if e not in paused)
+        wait_for(lambda: other.version == 2, "loaded")
+        self.assertEqual([e.orders for e in paused], [[], []])
+        spoken.set()
+        wait_for(lambda: all(e.version == 2 for e in engines), "all loaded")
+
 
 class OutageTest(FleetTest):
     """Routers that lose the store one after the other."""
