--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -169,6 +169,10 @@
         self.gate = None    # something to wait for before each piece
         self.queued = 0     # requests that it says wait there
         self.probed = None  # something to wait for before it tells its state
+        self.forgets = False  # take one order and be as before it
+        self.late_order = None  # carried out at the report of this number
+        self.late_report = 0
+        self.reports = 0
         self.state = "ready"
         self.sealed = True
         super().__init__()
@@ -192,6 +196,7 @@
         if self.probed and call.path in ("/v1/report", "/health"):
             self.probed.wait(60)
         if call.path == "/v1/report":
+            self.carry_out_late()
             call.reply(200, {"models": [{"name": self.model,
                                          "version": self.version}],
                              "busy": False, "call_seq": self.sequence,
@@ -207,11 +212,23 @@
         self.orders.append(order)
         if order["expected"] != self.sequence:
             call.reply(409)
-            return
+        elif self.forgets:
+            self.forgets = False
+            call.reply(202)
+        else:
+            self.carry_out(order)
+            call.reply(202)
+            self.list()
+
+    def carry_out(self, order):
         self.sequence += 1
         self.version = order["version"]
-        call.reply(202)
-        self.list()
+
+    def carry_out_late(self):
+        self.reports += 1
+        if self.late_order and self.reports == self.late_report:
+            self.carry_out(self.late_order)
+            self.list()
 
     def serve(self, call, body):
         request = call.headers["X-Request-Id"]
