One event of a stream is bounded

Cause: bytes of an event were kept until its end, in the pipe of relayed streams, in the parser of the native interface (a line was bounded, an event of many passed-over lines was not), beside a stream that is moved, and in evhttp, which keeps a chunk until it is whole. Change: setting event_max of [limits], 1 MiB; a larger event, or a larger piece of the wire, ends the attempt as "oversized" with the counter events_oversized_total and the line event_oversized; the stream goes on elsewhere where it may, and stays where it was to move to such an engine. test_SseParser's endless line is tested against the same bound as before.

--- a/bench/LoadStream.c
+++ b/bench/LoadStream.c
@@ -11,6 +11,8 @@
 #include "SseParser.h"
 
 #define EXPECTED_MAX 40
+/* Most bytes of one event; those of stand-ins have some hundred. */
+#define EVENT_MAX (1U << 20)
 
 typedef struct {
     const LoadTarget_t *target;
@@ -213,7 +215,7 @@
     this->done = done;
     this->data = data;
     this->refusal = g_string_new(NULL);
-    this->parser = SseParser_create(on_event, this);
+    this->parser = SseParser_create(EVENT_MAX, on_event, this);
     this->reaper = Clock_timer(target->base, reap, this);
     this->connection = evhttp_connection_base_new(target->base, NULL,
                                                   target->host, target->port);
--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -65,6 +65,10 @@
     (void)what;
     Attempt_t *this = data;
     AttemptConnection_t *connection = &this->connection;
+    if (connection->overfull) {
+        end_attempt(this, ATTEMPT_OVERSIZED, NULL);
+        return;
+    }
     gint64 left_ms = AttemptConnection_leftMs(connection);
     if (left_ms > 0 || connection->held) {
         Clock_arm(connection->watch, MAX(left_ms, WATCH_LEAST_MS));
@@ -141,7 +145,7 @@
     }
     if (!SseParser_feed(this->parser, input) && !this->connection.over &&
         !this->whole) {
-        end_attempt(this, this->has_fault ? this->fault : ATTEMPT_BAD_ANSWER,
+        end_attempt(this, this->has_fault ? this->fault : ATTEMPT_OVERSIZED,
                     NULL);
     }
 }
@@ -240,6 +244,7 @@
         .upstream = spec->upstream,
         .idle_max_ms = spec->fresh ? UPSTREAM_NO_IDLE : UPSTREAM_ANY_IDLE,
         .patience = {spec->connect_ms, spec->first_token_ms, spec->token_ms},
+        .event_max = spec->event_max,
         .on_watch = on_watch,
         .on_reap = on_reap,
         .attempt = this,
@@ -253,7 +258,7 @@
     this->form.suffix = g_string_new(NULL);
     this->refusal = g_string_new(NULL);
     Random_id(this->id);
-    this->parser = SseParser_create(on_event, this);
+    this->parser = SseParser_create(spec->event_max, on_event, this);
     AttemptConnection_init(&this->connection, base, &connection);
     AttemptConnection_send(&this->connection, make_request(this, spec->body),
                            EVHTTP_REQ_POST, spec->path);
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -37,6 +37,7 @@
  * @path: of the wire
  * @body: of the wire
  * @first_index: index that the first token must have
+ * @event_max: most bytes of one event
  * @fresh: use no idle connection
  * @connect_ms: how long the connection may take
  * @first_token_ms: how long the first token may take
@@ -48,6 +49,7 @@
     const char *path;
     GBytes *body;
     guint64 first_index;
+    gsize event_max;
     gboolean fresh;
     gint64 connect_ms;
     gint64 first_token_ms;
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -5,6 +5,9 @@
 
 #include "Clock.h"
 
+/* What one read may bring beside the event, and the framing around it. */
+#define INPUT_MARGIN 65536
+
 /* evhttp fills the output only once the connection stands. */
 static void
 on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
@@ -19,6 +22,23 @@
     }
 }
 
+/* evhttp hands a chunk on only once it is whole, so that one without an end
+ * would gather here. The attempt is ended outside of the buffer's callback. */
+static void
+on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *data)
+{
+    AttemptConnection_t *this = data;
+    if (this->overfull || this->over || this->event_max == 0) {
+        return; /* armed anew with each read it would never run */
+    }
+    if (info->n_added > 0 &&
+        evbuffer_get_length(buffer) > this->event_max + INPUT_MARGIN) {
+        this->overfull = TRUE;
+        Clock_arm(this->watch, 0);
+    }
+}
+
 void
 AttemptConnection_init(AttemptConnection_t *this, struct event_base *base,
                        const AttemptConnectionSpec_t *spec)
@@ -26,6 +46,7 @@
     *this = (AttemptConnection_t){
         .upstream = Upstream_ref(spec->upstream),
         .patience = spec->patience,
+        .event_max = spec->event_max,
         .last_heard_ms = Clock_nowMs(),
     };
     this->watch = Clock_timer(base, spec->on_watch, spec->attempt);
@@ -35,6 +56,9 @@
     struct evbuffer *output =
         bufferevent_get_output(AttemptConnection_stream(this));
     this->output_watch = evbuffer_add_cb(output, on_output, this);
+    struct evbuffer *input =
+        bufferevent_get_input(AttemptConnection_stream(this));
+    this->input_watch = evbuffer_add_cb(input, on_input, this);
     Clock_arm(this->watch, this->patience.connect_ms);
 }
 
@@ -108,7 +132,10 @@
 {
     struct evbuffer *output =
         bufferevent_get_output(AttemptConnection_stream(this));
+    struct evbuffer *input =
+        bufferevent_get_input(AttemptConnection_stream(this));
     evbuffer_remove_cb_entry(output, this->output_watch);
+    evbuffer_remove_cb_entry(input, this->input_watch);
     if (this->keep && Upstream_canKeep(this->upstream)) {
         Upstream_keepConnection(this->upstream, this->evhttp, Clock_nowMs());
     }
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -32,7 +32,8 @@
  * @upstream: whose connection is taken
  * @idle_max_ms: as for Upstream_takeConnection()
  * @patience: with its upstream
- * @on_watch: the time of the watch is over
+ * @event_max: most bytes of one event, 0 for an answer without events
+ * @on_watch: the time of the watch is over, or too much came at once
  * @on_reap: calls AttemptConnection_clear() and frees the attempt
  * @attempt: data of both callbacks
  */
@@ -40,6 +41,7 @@
     Upstream_t *upstream;
     gint64 idle_max_ms;
     Patience_t patience;
+    gsize event_max;
     event_callback_fn on_watch;
     event_callback_fn on_reap;
     void *attempt;
@@ -50,13 +52,16 @@
  * @upstream: one reference
  * @evhttp: the connection itself
  * @output_watch: sees when the request is written
+ * @input_watch: sees when too much waits to be parsed
  * @watch: runs until the upstream was silent for too long
  * @reaper: runs once the attempt is over
  * @patience: with the upstream
+ * @event_max: most bytes of one event, 0 for an answer without events
  * @last_heard_ms: monotonic time of the last sign of life; set by the attempt
  * @sent: the request may have been written
  * @has_data: the first data came
  * @held: nothing is read for now
+ * @overfull: more than one event may have waits to be parsed
  * @over: no event may be told any more
  * @keep: it ended cleanly and can be used again; set by the attempt
  */
@@ -64,13 +69,16 @@
     Upstream_t *upstream;
     struct evhttp_connection *evhttp;
     struct evbuffer_cb_entry *output_watch;
+    struct evbuffer_cb_entry *input_watch;
     struct event *watch;
     struct event *reaper;
     Patience_t patience;
+    gsize event_max;
     gint64 last_heard_ms;
     gboolean sent;
     gboolean has_data;
     gboolean held;
+    gboolean overfull;
     gboolean over;
     gboolean keep;
 } AttemptConnection_t;
--- a/src/Context.c
+++ b/src/Context.c
@@ -32,3 +32,15 @@
                         target, customer_class);
     Counters_add(this->counters, "retries_total", labels, 1);
 }
+
+void
+Context_countOversized(Context_t *this, const char *request,
+                       const char *upstream)
+{
+    Counters_add(this->counters, "events_oversized_total", NULL, 1);
+    Log_begin(LOG_LEVEL_WARNING, "event_oversized");
+    Log_text("request", request);
+    Log_text("upstream", upstream);
+    Log_number("event_max", this->settings->limits.event_max);
+    Log_end();
+}
--- a/src/Context.h
+++ b/src/Context.h
@@ -121,6 +121,10 @@
                           const char *request, const char *target,
                           const char *customer_class, const char *detail);
 
+/** Context_countOversized() - count and log an event that is too large */
+void Context_countOversized(Context_t *this, const char *request,
+                            const char *upstream);
+
 /** Context_countRetry() - count a retry by the reason for it */
 void Context_countRetry(Context_t *this, const char *reason,
                         const char *target, const char *customer_class);
--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -6,16 +6,19 @@
 #define ID_FIELD "id:"
 
 struct EventPipe {
+    gsize event_max;
     struct evbuffer *rest; /* bytes of an event that is not whole yet */
     GString *last_id;
     guint64 passed;
+    gboolean overfull;
     gboolean restarted;
 };
 
 EventPipe_t *
-EventPipe_create(void)
+EventPipe_create(gsize event_max)
 {
     EventPipe_t *this = g_new0(EventPipe_t, 1);
+    this->event_max = event_max;
     this->rest = evbuffer_new();
     this->last_id = g_string_new(NULL);
     return this;
@@ -105,22 +108,41 @@
     return !again;
 }
 
+/* Nothing of it is kept, as its upstream may go on for ever. */
+static void
+set_overfull(EventPipe_t *this)
+{
+    this->overfull = TRUE;
+    evbuffer_drain(this->rest, evbuffer_get_length(this->rest));
+}
+
 guint
 EventPipe_feed(EventPipe_t *this, struct evbuffer *in, struct evbuffer *out)
 {
     guint count = 0;
     gsize length = 0;
     evbuffer_add_buffer(this->rest, in);
-    while ((length = event_length(this->rest)) > 0) {
+    while (!this->overfull && (length = event_length(this->rest)) > 0 &&
+           length <= this->event_max) {
         count += pass_event(this, length, out) ? 1 : 0;
     }
+    if (this->overfull || evbuffer_get_length(this->rest) > this->event_max) {
+        set_overfull(this);
+    }
     return count;
 }
 
+gboolean
+EventPipe_isOverfull(const EventPipe_t *this)
+{
+    return this->overfull;
+}
+
 void
 EventPipe_restart(EventPipe_t *this)
 {
     evbuffer_drain(this->rest, evbuffer_get_length(this->rest));
+    this->overfull = FALSE;
     this->restarted = TRUE;
 }
 
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -13,8 +13,11 @@
 /** struct EventPipe_t - opaque */
 typedef struct EventPipe EventPipe_t;
 
-/** EventPipe_create() - nothing has passed yet */
-EventPipe_t *EventPipe_create(void);
+/**
+ * EventPipe_create() - nothing has passed yet
+ * @event_max: most bytes of one event
+ */
+EventPipe_t *EventPipe_create(gsize event_max);
 
 /** EventPipe_destroy() - free it */
 void EventPipe_destroy(EventPipe_t *this);
@@ -25,13 +28,17 @@
 /**
  * EventPipe_feed() - take bytes
  * @in: emptied
- * @out: gets the whole events
+ * @out: gets the whole events, but none from one on that is too large
  *
  * Return: how many events passed
  */
 guint EventPipe_feed(EventPipe_t *this, struct evbuffer *in,
                      struct evbuffer *out);
 
+/** EventPipe_isOverfull() - an event is too large, whole or not; nothing
+ * passes any more until a restart */
+gboolean EventPipe_isOverfull(const EventPipe_t *this);
+
 /** EventPipe_restart() - the next bytes come from another upstream, whose
  * first event may be one that has passed */
 void EventPipe_restart(EventPipe_t *this);
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -227,6 +227,10 @@
         Counters_add(this->context->counters, "answer_mismatch_total", NULL,
                      1);
     }
+    if (end == ATTEMPT_OVERSIZED) {
+        Context_countOversized(this->context, this->id->str,
+                               this->upstream->name->str);
+    }
     if (is_upstream_fault(end) &&
         Upstream_noteFailure(this->upstream, (guint)limits->eject_failures,
                              limits->eject_ms, Clock_nowMs())) {
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -11,7 +11,8 @@
         [ATTEMPT_NOT_RUN] = "not_run",       [ATTEMPT_REJECTED] = "rejected",
         [ATTEMPT_FAILED] = "failed",         [ATTEMPT_CUT] = "cut",
         [ATTEMPT_SILENT] = "silent",         [ATTEMPT_MISMATCH] = "mismatch",
-        [ATTEMPT_BAD_ANSWER] = "bad_answer", [ATTEMPT_MOVED] = "moved",
+        [ATTEMPT_BAD_ANSWER] = "bad_answer", [ATTEMPT_OVERSIZED] = "oversized",
+        [ATTEMPT_MOVED] = "moved",
     };
     return names[end];
 }
@@ -50,6 +51,7 @@
         [ATTEMPT_SILENT] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_MISMATCH] = REFUSAL_ANSWER_MISMATCH,
         [ATTEMPT_BAD_ANSWER] = REFUSAL_UPSTREAM_FAILED,
+        [ATTEMPT_OVERSIZED] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_MOVED] = REFUSAL_UPSTREAM_FAILED,
     };
     RecoveryPlan_t plan = {RECOVERY_GIVE_UP, reasons[facts->end],
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -21,6 +21,7 @@
  * @ATTEMPT_SILENT: nothing came for too long
  * @ATTEMPT_MISMATCH: the answer was not to this attempt
  * @ATTEMPT_BAD_ANSWER: the answer does not follow the interface
+ * @ATTEMPT_OVERSIZED: an event of the stream is larger than the setting
  * @ATTEMPT_MOVED: this router ended it to go on elsewhere
  */
 typedef enum {
@@ -33,6 +34,7 @@
     ATTEMPT_SILENT,
     ATTEMPT_MISMATCH,
     ATTEMPT_BAD_ANSWER,
+    ATTEMPT_OVERSIZED,
     ATTEMPT_MOVED,
 } AttemptEnd_t;
 
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -75,6 +75,10 @@
     (void)what;
     RelayAttempt_t *this = data;
     AttemptConnection_t *connection = &this->connection;
+    if (connection->overfull) {
+        end_attempt(this, ATTEMPT_OVERSIZED);
+        return;
+    }
     gint64 left_ms = AttemptConnection_leftMs(connection);
     if (left_ms > 0 || connection->held) {
         Clock_arm(connection->watch, MAX(left_ms, WATCH_LEAST_MS));
@@ -239,6 +243,7 @@
         .upstream = spec->upstream,
         .idle_max_ms = spec->idle_max_ms,
         .patience = {spec->connect_ms, spec->first_ms, spec->pause_ms},
+        .event_max = spec->event_max,
         .on_watch = on_watch,
         .on_reap = on_reap,
         .attempt = this,
@@ -269,6 +274,12 @@
     AttemptConnection_close(&this->connection);
 }
 
+void
+RelayAttempt_fail(RelayAttempt_t *this, AttemptEnd_t end)
+{
+    end_attempt(this, end);
+}
+
 gboolean
 RelayAttempt_wasSent(const RelayAttempt_t *this)
 {
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -40,6 +40,7 @@
  * @request_id: its id
  * @order: what the upstream is told besides
  * @body: of the request
+ * @event_max: most bytes of one event, 0 for an answer without events
  * @idle_max_ms: a kept connection is used if it rested no longer than this
  * @connect_ms: how long the connection may take
  * @first_ms: how long the first byte of the body may take
@@ -52,6 +53,7 @@
     const char *request_id;
     const RelayOrder_t *order;
     GBytes *body;
+    gsize event_max;
     gint64 idle_max_ms;
     gint64 connect_ms;
     gint64 first_ms;
@@ -74,6 +76,10 @@
 /** RelayAttempt_cancel() - close the connection; no event comes any more */
 void RelayAttempt_cancel(RelayAttempt_t *this);
 
+/** RelayAttempt_fail() - end it for a fault of its answer that its owner
+ * found; @ended is called */
+void RelayAttempt_fail(RelayAttempt_t *this, AttemptEnd_t end);
+
 /** RelayAttempt_wasSent() - whether the upstream may run the request */
 gboolean RelayAttempt_wasSent(const RelayAttempt_t *this);
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -205,7 +205,8 @@
     this->body = evbuffer_new();
     this->passing = evbuffer_new();
     if (spec->route->kind == ROUTE_STREAM) {
-        this->events = EventPipe_create();
+        this->events =
+            EventPipe_create((gsize)context->settings->limits.event_max);
     }
     return this;
 }
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -98,12 +98,26 @@
     }
 }
 
+/* The caller's stream is left to the engine that has it. */
+static void
+stay_for_oversize(RelayMove_t *this)
+{
+    Context_countOversized(context_of(this), this->exchange->super.id->str,
+                           this->upstream->name->str);
+    take_back(this, Recovery_endName(ATTEMPT_OVERSIZED));
+}
+
 static void
 on_data(void *owner, struct evbuffer *data)
 {
     RelayMove_t *this = owner;
     RelayExchange_t *exchange = this->exchange;
     evbuffer_add_buffer(this->data, data);
+    if (evbuffer_get_length(this->data) >
+        (gsize)context_of(this)->settings->limits.event_max) {
+        stay_for_oversize(this);
+        return;
+    }
     if (!EventPipe_hasEvent(this->data)) {
         return;
     }
@@ -127,6 +141,10 @@
     RelayMove_t *this = owner;
     this->attempt = NULL;
     RelayFeedback_settle(&this->feedback);
+    if (end == ATTEMPT_OVERSIZED) {
+        stay_for_oversize(this);
+        return;
+    }
     if (end == ATTEMPT_NOT_RUN && head) {
         RelayFeedback_noteRefusal(&this->feedback, head);
         if (context_of(this)->dispatch) {
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -46,6 +46,18 @@
     this->event_us = now_us;
 }
 
+static void
+pass_events(RelayExchange_t *this)
+{
+    note_first_event(this);
+    note_pause(this);
+    RelayExchange_closeIfStopping(this);
+    RelayAnswer_send(this->answer, this->passing);
+    if (RelayAnswer_isFull(this->answer)) {
+        RelayAttempt_hold(this->attempt, TRUE);
+    }
+}
+
 static void
 on_data(void *owner, struct evbuffer *data)
 {
@@ -54,15 +66,11 @@
         evbuffer_add_buffer(this->body, data);
         return;
     }
-    if (EventPipe_feed(this->events, data, this->passing) == 0) {
-        return;
+    if (EventPipe_feed(this->events, data, this->passing) > 0) {
+        pass_events(this);
     }
-    note_first_event(this);
-    note_pause(this);
-    RelayExchange_closeIfStopping(this);
-    RelayAnswer_send(this->answer, this->passing);
-    if (RelayAnswer_isFull(this->answer)) {
-        RelayAttempt_hold(this->attempt, TRUE);
+    if (EventPipe_isOverfull(this->events)) {
+        RelayAttempt_fail(this->attempt, ATTEMPT_OVERSIZED);
     }
 }
 
@@ -235,6 +243,7 @@
         .request_id = super->id->str,
         .order = &order,
         .body = this->request_body,
+        .event_max = this->events ? (gsize)limits->event_max : 0,
         .idle_max_ms = idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
         .first_ms = first_ms(this, placing->choice.upstream),
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -184,6 +184,10 @@
      L(stream_buffer),
      "Bytes that wait for a slow caller, in the router and as much again in "
      "the kernel, before its upstream is held back."},
+    {"event_max", KEY_SIZE, FALSE, "1MiB", 1024, 1 << 28, NULL, L(event_max),
+     "Largest event of a stream, or piece of the wire that carries events; a "
+     "larger one ends the attempt. An event holds one token, some hundred "
+     "bytes; the default is what parsers of such streams commonly take."},
     {"resume_grace", KEY_DURATION, FALSE, "3s", 0, HOUR_MS, NULL,
      L(resume_grace_ms),
      "How long a stream goes on after its caller left, so that the caller "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -161,6 +161,7 @@
  * @retry_allowance: retries beyond that, of all routers together
  * @backoff_ms: mean wait before the first retry; doubled for each further one
  * @stream_buffer: that waits for a slow caller before its upstream is held
+ * @event_max: of one event of a stream, in bytes
  * @resume_grace_ms: how long a stream goes on after its caller left
  * @idle_connections: kept for each upstream
  * @idle_time_ms: longest rest of a connection that takes a relayed request
@@ -181,6 +182,7 @@
     gint64 retry_allowance;
     gint64 backoff_ms;
     gint64 stream_buffer;
+    gint64 event_max;
     gint64 resume_grace_ms;
     gint64 idle_connections;
     gint64 idle_time_ms;
--- a/src/SseParser.c
+++ b/src/SseParser.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 struct SseParser {
+    gsize event_max;
+    gsize size; /* bytes of the event so far */
     SseEvent_t event;
     void *user;
     GString *id;
@@ -12,9 +14,10 @@
 };
 
 SseParser_t *
-SseParser_create(SseEvent_t event, void *user)
+SseParser_create(gsize event_max, SseEvent_t event, void *user)
 {
     SseParser_t *this = g_new0(SseParser_t, 1);
+    this->event_max = event_max;
     this->event = event;
     this->user = user;
     this->id = g_string_new(NULL);
@@ -40,6 +43,7 @@
     }
     this->has_id = FALSE;
     this->has_data = FALSE;
+    this->size = 0;
     g_string_truncate(this->data, 0);
     return go_on;
 }
@@ -83,8 +87,12 @@
     if (length == 0) {
         return end_event(this);
     }
+    this->size += length + 1;
+    if (this->size > this->event_max) {
+        return FALSE;
+    }
     take_field(this, line, length);
-    return this->data->len <= SSE_LINE_MAX;
+    return TRUE;
 }
 
 /* Takes whole lines where they lie, without a copy of each. */
@@ -111,5 +119,5 @@
         const char *data = (const char *)evbuffer_pullup(input, -1);
         evbuffer_drain(input, take_lines(this, data, length, &go_on));
     }
-    return go_on && evbuffer_get_length(input) <= SSE_LINE_MAX;
+    return go_on && this->size + evbuffer_get_length(input) <= this->event_max;
 }
--- a/src/SseParser.h
+++ b/src/SseParser.h
@@ -9,9 +9,6 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
-/** Longest line that is read; a longer one is a fault */
-#define SSE_LINE_MAX (1U << 20)
-
 /**
  * SseEvent_t - called for each event
  * @id: text of its id, or NULL where it has none
@@ -26,8 +23,12 @@
 /** struct SseParser_t - opaque */
 typedef struct SseParser SseParser_t;
 
-/** SseParser_create() - @event is called for each event */
-SseParser_t *SseParser_create(SseEvent_t event, void *user);
+/**
+ * SseParser_create() - nothing is parsed yet
+ * @event_max: most bytes of one event, its lines that are passed over included
+ * @event: called for each event
+ */
+SseParser_t *SseParser_create(gsize event_max, SseEvent_t event, void *user);
 
 /** SseParser_destroy() - free it */
 void SseParser_destroy(SseParser_t *this);
@@ -36,7 +37,7 @@
  * SseParser_feed() - parse what has come
  * @input: drained of all whole lines
  *
- * Return: FALSE where a line is too long or the callback said stop
+ * Return: FALSE where an event is too large or the callback said stop
  */
 gboolean SseParser_feed(SseParser_t *this, struct evbuffer *input);
 
--- /dev/null
+++ b/tests/sessions/test_bad_input.py
@@ -0,0 +1,209 @@
+"""What upstreams, callers and operators send that can't be right: it is
+refused or ended by name, costs a bounded memory and reaches nobody else."""
+import http.client
+import unittest
+
+import test_fleet
+from cluster import Cluster
+from fleet import Fleet, Server, Upstream
+
+EVENT_MAX = 65536
+BLOCK = b"x" * 65536
+BLOCKS = 1024
+# What one router may grow by, sanitizers and their kept memory included;
+# far below the 64 MiB of one endless event.
+GROWTH_MAX = 16 << 20
+WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(5))
+
+
+def memory(router):
+    """Most bytes that the process has held so far."""
+    with open("/proc/%d/status" % router.process.pid) as file:
+        for line in file:
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) * 1024
+    raise AssertionError("no VmHWM")
+
+
+def send_endless_event(call, one_chunk):
+    """An event of 64 MiB, in many pieces of the wire or in one."""
+    head = b"id: 1\ndata: "
+    size = len(BLOCK) * BLOCKS
+    if one_chunk:
+        call.wfile.write(b"%x\r\n%s" % (size + len(head), head))
+    else:
+        call.wfile.write(b"%x\r\n%s\r\n" % (len(head), head))
+    for _ in range(BLOCKS):
+        if one_chunk:
+            call.wfile.write(BLOCK)
+        else:
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(BLOCK), BLOCK))
+    call.wfile.write(b"\r\n" if one_chunk else b"")
+    call.wfile.write(b"0\r\n\r\n")
+
+
+class EndlessUpstream(Upstream):
+    """An engine whose streams go on, behind the first event, with an event
+    that never ends."""
+
+    endless = True
+    one_chunk = False
+    only_first_of = ()  # engines of which the one asked first is endless
+
+    def stream(self, call, headers):
+        later = sum(len(e.seen) for e in self.only_first_of) > 1
+        if later or not self.endless:
+            super().stream(call, headers)
+            return
+        self.send(call, headers, self.one_chunk)
+
+    def send(self, call, headers, one_chunk):
+        call.send_response(200)
+        for name, value in headers.items():
+            call.send_header(name.replace("_", "-"), value)
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        if "Last-Event-Id" not in call.headers:
+            piece = b"id: 0\ndata: piece-0\n\n"
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        send_endless_event(call, one_chunk)
+
+
+class FleetEndlessEventTest(unittest.TestCase):
+    """Symptom: the memory of a router grew without a bound.
+    Sequence: an engine began an event of a stream and never ended it.
+    Cause: bytes of an event were kept until its end, however many; evhttp
+    keeps a chunk until it is whole in the same way.
+    Settled by: a bound on one event, which ends the attempt by name."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def engine(self, name):
+        return self.fleet.add(EndlessUpstream(self.fleet.store, name,
+                                              "engines", "m"))
+
+    def read_cut(self, response):
+        """What came of an answer that broke off."""
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            response.read()
+        return caught.exception.partial
+
+    def check_bounded(self, one_chunk):
+        for name in ("e1", "e2"):
+            self.engine(name).one_chunk = one_chunk
+        router = self.fleet.start(event_max="%dB" % EVENT_MAX)
+        before = memory(router)
+        response = self.fleet.request(router, "/ask/x")
+        self.assertEqual(self.read_cut(response), b"id: 0\ndata: piece-0\n\n")
+        self.assertLess(memory(router) - before, GROWTH_MAX)
+        ends = router.wait_event("attempt_failed", 2)
+        self.assertEqual([end["reason"] for end in ends], ["oversized"] * 2)
+        told = router.wait_event("event_oversized", 2)
+        self.assertEqual({line["upstream"] for line in told}, {"e1", "e2"})
+        self.assertEqual(told[0]["event_max"], str(EVENT_MAX))
+
+    def test_an_event_in_many_chunks(self):
+        self.check_bounded(False)
+
+    def test_an_event_in_one_chunk(self):
+        self.check_bounded(True)
+
+    def test_another_engine_goes_on_with_the_stream(self):
+        engines = [self.engine("e1"), self.engine("e2")]
+        for engine in engines:
+            engine.only_first_of = engines
+        router = self.fleet.start(event_max="%dB" % EVENT_MAX)
+        self.assertEqual(self.fleet.ask(router, "/ask/x").body, WHOLE)
+        self.assertEqual(len(router.events("event_oversized")), 1)
+        self.assertEqual(sum(len(engine.seen) for engine in engines), 2)
+
+    def test_a_large_event_below_the_bound_passes(self):
+        engine = self.engine("e1")
+        engine.endless = False
+        router = self.fleet.start(event_max="1KiB")
+        self.assertEqual(self.fleet.ask(router, "/ask/x").status, 200)
+        self.assertEqual(router.events("event_oversized"), [])
+
+
+class MoveToEndlessEventTest(test_fleet.StreamTest):
+    """The engine that a stream is moved to never ends its first event."""
+
+    def check_stays(self, one_chunk):
+        self.start_stream("/ask/x", event_max="%dB" % EVENT_MAX)
+        for engine in self.others:
+            engine.stream = lambda call, headers: EndlessUpstream.send(
+                engine, call, headers, one_chunk)
+        before = memory(self.router)
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+        stays = self.router.wait_event("stream_stays")[0]
+        self.assertEqual(stays["reason"], "oversized")
+        told = self.router.wait_event("event_oversized")[0]
+        self.assertEqual(told["upstream"], stays["to"])
+        self.assertLess(memory(self.router) - before, GROWTH_MAX)
+        self.first.gate.open()
+        self.assert_whole()
+
+    def test_a_stream_stays_for_an_event_in_many_chunks(self):
+        self.check_stays(False)
+
+    def test_a_stream_stays_for_an_event_in_one_chunk(self):
+        self.check_stays(True)
+
+
+class EndlessEngine(Server):
+    """An engine of the native interface with an event that never ends."""
+
+    one_chunk = False
+
+    def handle(self, call):
+        call.body()
+        if call.path != "/v1/completions":
+            call.reply(404)
+            return
+        call.send_response(200)
+        for name, value in (("X-Attempt-Id", call.headers["X-Attempt-Id"]),
+                            ("X-Engine-Incarnation", "1"),
+                            ("X-Stream-Id", "s1"),
+                            ("X-Weights-Version", "v1"),
+                            ("Transfer-Encoding", "chunked")):
+            call.send_header(name, value)
+        call.end_headers()
+        send_endless_event(call, self.one_chunk)
+
+
+class NativeEndlessEventTest(unittest.TestCase):
+    """As FleetEndlessEventTest, on the native interface."""
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+
+    def check_bounded(self, one_chunk):
+        engine = EndlessEngine()
+        engine.one_chunk = one_chunk
+        self.addCleanup(engine.close)
+        self.cluster.declare_upstream("e1", engine.address, "m")
+        router = self.cluster.start(event_max="%dB" % EVENT_MAX,
+                                    max_attempts="2")
+        before = memory(router)
+        answer = router.complete({"model": "m", "prompt": "x",
+                                  "max_tokens": 2})
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(answer.error()["code"], "upstream_failed")
+        self.assertLess(memory(router) - before, GROWTH_MAX)
+        ends = router.wait_event("attempt_failed", 2)
+        self.assertEqual([end["reason"] for end in ends], ["oversized"] * 2)
+        self.assertEqual(router.count("events_oversized_total"), 2)
+
+    def test_an_event_in_many_chunks(self):
+        self.check_bounded(False)
+
+    def test_an_event_in_one_chunk(self):
+        self.check_bounded(True)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_EventPipe.c
+++ b/tests/test_EventPipe.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#define EVENT_MAX 64
+
 static EventPipe_t *the_pipe;
 static struct evbuffer *in;
 static struct evbuffer *out;
@@ -11,7 +13,7 @@
 static void
 begin(void)
 {
-    the_pipe = EventPipe_create();
+    the_pipe = EventPipe_create(EVENT_MAX);
     in = evbuffer_new();
     out = evbuffer_new();
 }
@@ -94,7 +96,68 @@
 }
 END_TEST
 
+/* Whether it comes at once or never ends, nothing of it passes. */
+START_TEST(an_event_that_is_too_large_ends_the_stream)
+{
+    g_autofree char *large = g_strnfill(EVENT_MAX, 'x');
+    for (int ended = 0; ended < 2; ended++) {
+        begin();
+        feed("id: 0\n\ndata: ");
+        ck_assert(!EventPipe_isOverfull(the_pipe));
+        ck_assert_uint_eq(feed(large), 0);
+        ck_assert_uint_eq(feed(ended ? "\n\nid: 2\n\n" : "x"), 0);
+        ck_assert(EventPipe_isOverfull(the_pipe));
+        EventPipe_flush(the_pipe, out);
+        check_out("id: 0\n\n");
+        ck_assert_str_eq(EventPipe_lastId(the_pipe), "0");
+        end();
+    }
+}
+END_TEST
+
+START_TEST(a_large_event_that_comes_at_once_does_not_pass)
+{
+    g_autofree char *large = g_strnfill(EVENT_MAX, 'x');
+    g_autofree char *text = g_strconcat("id: 0\n\n", large, "\n\n", NULL);
+    begin();
+    ck_assert_uint_eq(feed(text), 1);
+    ck_assert(EventPipe_isOverfull(the_pipe));
+    check_out("id: 0\n\n");
+    end();
+}
+END_TEST
+
+START_TEST(an_event_as_large_as_the_bound_passes)
+{
+    g_autofree char *large = g_strnfill(EVENT_MAX - 2, 'x');
+    g_autofree char *text = g_strconcat(large, "\n\n", large, "\n\n", NULL);
+    begin();
+    ck_assert_uint_eq(feed(text), 2);
+    ck_assert(!EventPipe_isOverfull(the_pipe));
+    check_out(text);
+    end();
+}
+END_TEST
+
+START_TEST(another_upstream_goes_on_behind_a_large_event)
+{
+    g_autofree char *large = g_strnfill(EVENT_MAX + 1, 'x');
+    begin();
+    feed("id: 0\n\n");
+    feed(large);
+    EventPipe_restart(the_pipe);
+    ck_assert(!EventPipe_isOverfull(the_pipe));
+    ck_assert_uint_eq(feed("id: 1\n\n"), 1);
+    check_out("id: 0\n\nid: 1\n\n");
+    end();
+}
+END_TEST
+
 TESTING_MAIN("EventPipe", only_whole_events_pass,
              any_split_gives_the_same_bytes,
              a_restart_drops_the_rest_and_what_has_passed,
-             what_is_left_of_a_whole_stream_passes)
+             what_is_left_of_a_whole_stream_passes,
+             an_event_that_is_too_large_ends_the_stream,
+             a_large_event_that_comes_at_once_does_not_pass,
+             an_event_as_large_as_the_bound_passes,
+             another_upstream_goes_on_behind_a_large_event)
--- a/tests/test_SseParser.c
+++ b/tests/test_SseParser.c
@@ -2,6 +2,8 @@
 
 #include "SseParser.h"
 
+#define EVENT_MAX (1U << 20)
+
 static GString *seen;
 
 static gboolean
@@ -14,7 +16,7 @@
 static gboolean
 feed_all(const char *text, gsize step, void *user)
 {
-    SseParser_t *parser = SseParser_create(on_event, user);
+    SseParser_t *parser = SseParser_create(EVENT_MAX, on_event, user);
     struct evbuffer *input = evbuffer_new();
     gsize length = strlen(text);
     gboolean good = TRUE;
@@ -76,7 +78,7 @@
 START_TEST(endless_line_is_a_fault)
 {
     GString *line = g_string_new("data: ");
-    for (guint i = 0; i < SSE_LINE_MAX + 10; i++) {
+    for (guint i = 0; i < EVENT_MAX + 10; i++) {
         g_string_append_c(line, 'x');
     }
     ck_assert(!feed_all(line->str, 65536, NULL));
@@ -85,8 +87,34 @@
 }
 END_TEST
 
+START_TEST(event_of_endless_lines_is_a_fault)
+{
+    GString *lines = g_string_new("data: whole\n\n");
+    while (lines->len <= EVENT_MAX + 20) {
+        g_string_append(lines, ": not a field that is used\n");
+    }
+    ck_assert(!feed_all(lines->str, 65536, NULL));
+    ck_assert_str_eq(seen->str, "-|whole;");
+    g_string_free(lines, TRUE);
+    g_string_free(seen, TRUE);
+}
+END_TEST
+
+START_TEST(many_events_are_no_large_event)
+{
+    GString *events = g_string_new(NULL);
+    while (events->len <= EVENT_MAX + 20) {
+        g_string_append(events, ": a sign of life\n\n");
+    }
+    ck_assert(feed_all(events->str, 65536, NULL));
+    g_string_free(events, TRUE);
+    g_string_free(seen, TRUE);
+}
+END_TEST
+
 TESTING_MAIN("SseParser", events_are_found_however_the_bytes_come,
              comments_other_fields_and_empty_events_are_passed_over,
              data_of_several_lines_is_joined,
              event_without_its_end_is_not_given, callback_can_stop,
-             endless_line_is_a_fault)
+             endless_line_is_a_fault, event_of_endless_lines_is_a_fault,
+             many_events_are_no_large_event)
