SIGHUP takes all settings that may change and names the others

Cause: sections were copied whole, but parts kept values of their own from the start (reads of the store, the list of upstreams, probes, kept connections, the share of retries, bounds of the listeners), and keys of other sections were not looked at; no line said so. Ruled out: claim_horizon at run time; entries that were dropped under the old horizon would let a key run twice under a longer one. Change: a mark on each key that may change; the others that differ are named by setting_waits; faults are named by setting_at_fault, without the value, which may be a secret. An open connection of the native interface gets its bound on bodies and its watermark together, as a body between the two would never be read.

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -386,7 +386,8 @@
     }
 }
 
-/* The kernel would buffer megabytes for a caller that does not read. */
+/* The kernel would buffer megabytes for a caller that does not read. The
+ * bounds change together: a body between them would never be read. */
 static void
 prepare_connection(const Call_t *call)
 {
@@ -398,6 +399,8 @@
     setsockopt(
         bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
         SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+    evhttp_connection_set_max_headers_size(connection, limits->max_header);
+    evhttp_connection_set_max_body_size(connection, limits->max_body);
     bufferevent_setwatermark(
         evhttp_connection_get_bufferevent(connection), EV_READ, 0,
         (size_t)(limits->max_body + limits->max_header + INPUT_MARGIN));
--- a/src/KeyTable.c
+++ b/src/KeyTable.c
@@ -307,6 +307,72 @@
     }
 }
 
+static gboolean
+same_texts(const GString *one, const GString *other)
+{
+    return one && other ? g_string_equal(one, other) : one == other;
+}
+
+static gboolean
+same_addresses(const GArray *one, const GArray *other)
+{
+    return one->len == other->len &&
+           (one->len == 0 ||
+            memcmp(one->data, other->data, one->len * sizeof(Address_t)) == 0);
+}
+
+static gboolean
+same_names(const GPtrArray *one, const GPtrArray *other)
+{
+    if (one->len != other->len) {
+        return FALSE;
+    }
+    for (guint i = 0; i < one->len; i++) {
+        if (!g_string_equal(one->pdata[i], other->pdata[i])) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* Addresses are compared as memory: what is not written of them is zero. */
+static gboolean
+is_same(const KeySpec_t *key, const void *one, const void *other)
+{
+    switch (key->type) {
+    case KEY_TEXT:
+    case KEY_NAME:
+        return same_texts(*(GString *const *)one, *(GString *const *)other);
+    case KEY_NAMES:
+        return same_names(*(GPtrArray *const *)one,
+                          *(GPtrArray *const *)other);
+    case KEY_ADDRESS:
+        return memcmp(one, other, sizeof(Address_t)) == 0;
+    case KEY_ADDRESSES:
+        return same_addresses(*(GArray *const *)one, *(GArray *const *)other);
+    case KEY_HEX:
+        return g_bytes_equal(*(GBytes *const *)one, *(GBytes *const *)other);
+    default:
+        return *(const gint64 *)one == *(const gint64 *)other;
+    }
+}
+
+void
+KeyTable_takeLive(const SectionSpec_t *spec, void *out, const void *fresh,
+                  GPtrArray *waiting)
+{
+    for (const KeySpec_t *key = spec->keys; key->name; key++) {
+        void *slot = (char *)out + key->offset;
+        const void *wanted = (const char *)fresh + key->offset;
+        if (key->live) {
+            *(gint64 *)slot = *(const gint64 *)wanted;
+        }
+        else if (!is_same(key, slot, wanted)) {
+            g_ptr_array_add(waiting, (gpointer)key);
+        }
+    }
+}
+
 static void
 clear_value(const KeySpec_t *key, void *slot)
 {
@@ -340,15 +406,28 @@
     memset(out, 0, spec->size);
 }
 
+static gboolean
+has_live(const SectionSpec_t *spec)
+{
+    for (const KeySpec_t *key = spec->keys; key->name; key++) {
+        if (key->live) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 void
 KeyTable_reference(const SectionSpec_t *spec, GString *out)
 {
-    g_string_append_printf(out, "\n## [%s]\n\n%s\n\n", spec->name, spec->doc);
+    g_string_append_printf(
+        out, "\n## [%s]\n\n%s%s\n\n", spec->name, spec->doc,
+        has_live(spec) ? " Keys with a star are read again by SIGHUP." : "");
     g_string_append(out, "| key | type | range | default | meaning |\n"
                          "|---|---|---|---|---|\n");
     for (const KeySpec_t *key = spec->keys; key->name; key++) {
-        g_string_append_printf(out, "| `%s` | %s | ", key->name,
-                               type_names[key->type]);
+        g_string_append_printf(out, "| `%s`%s | %s | ", key->name,
+                               key->live ? " *" : "", type_names[key->type]);
         if (key->choices) {
             g_string_append(out, key->choices);
         }
--- a/src/KeyTable.h
+++ b/src/KeyTable.h
@@ -58,6 +58,7 @@
  * @choices: words of a KEY_CHOICE with commas between
  * @offset: where the value goes in the section's struct
  * @doc: one sentence for the reference page
+ * @live: a number that may change while the program runs
  */
 typedef struct {
     const char *name;
@@ -69,8 +70,12 @@
     const char *choices;
     gsize offset;
     const char *doc;
+    gboolean live;
 } KeySpec_t;
 
+/** Written behind the sentence of a key that may change */
+#define KEY_LIVE TRUE
+
 /**
  * struct SectionSpec_t - one kind of section
  * @name: its name, or for declarations the kind before the object's name
@@ -104,6 +109,15 @@
 void KeyTable_fill(const SectionSpec_t *spec, GHashTable *fields,
                    KeyPlace_t place, void *out, GPtrArray *problems);
 
+/**
+ * KeyTable_takeLive() - take what may change while the program runs
+ * @out: struct in use, of @spec
+ * @fresh: another one, of a newer file
+ * @waiting: gets the KeySpec_t * of each other key that differs
+ */
+void KeyTable_takeLive(const SectionSpec_t *spec, void *out, const void *fresh,
+                       GPtrArray *waiting);
+
 /**
  * KeyTable_clear() - free what KeyTable_fill() put into a struct
  */
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -64,6 +64,12 @@
     return TRUE;
 }
 
+static gint64
+listing_poll_ms(const RelaySection_t *relay)
+{
+    return MAX(relay->leaving_limit_ms - LIST_MARGIN_MS, LIST_MARGIN_MS);
+}
+
 static void
 create_followers(RelayParts_t *this, const PlatformForm_t *form)
 {
@@ -89,8 +95,7 @@
         .membership = context->membership,
         .hints = this->hints,
         .region = settings->router.region->str,
-        .poll_ms = MAX(settings->relay.leaving_limit_ms - LIST_MARGIN_MS,
-                       LIST_MARGIN_MS),
+        .poll_ms = listing_poll_ms(&settings->relay),
         .return_ms = settings->relay.listing_return_ms,
     };
     context->listing = UpstreamListing_create(context->base, &listing);
@@ -249,6 +254,19 @@
     Orders_stop(this->orders);
 }
 
+void
+RelayParts_reload(RelayParts_t *this)
+{
+    const Settings_t *settings = this->context->settings;
+    const RelaySection_t *relay = &settings->relay;
+    RouteSync_setWaits(this->sync, relay->reader_wait_ms,
+                       relay->config_wait_ms);
+    UpstreamListing_setTimes(this->context->listing, listing_poll_ms(relay),
+                             relay->listing_return_ms);
+    UpstreamProber_setTimeout(this->prober,
+                              settings->limits.connect_timeout_ms);
+}
+
 void
 RelayParts_destroy(RelayParts_t *this)
 {
--- a/src/RelayParts.h
+++ b/src/RelayParts.h
@@ -19,6 +19,9 @@
 /** RelayParts_stop() - the router stops: leave what others can take over */
 void RelayParts_stop(RelayParts_t *this);
 
+/** RelayParts_reload() - the settings have changed */
+void RelayParts_reload(RelayParts_t *this);
+
 /** RelayParts_destroy() - free them; open calls are never answered */
 void RelayParts_destroy(RelayParts_t *this);
 
--- a/src/RetryBudget.c
+++ b/src/RetryBudget.c
@@ -21,14 +21,20 @@
 RetryBudget_create(guint percent, guint allowance)
 {
     RetryBudget_t *this = g_new0(RetryBudget_t, 1);
-    this->percent = percent;
-    this->allowance = percent > 0 ? allowance : 0;
+    RetryBudget_setShare(this, percent, allowance);
     this->routers = 1;
     this->balances =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return this;
 }
 
+void
+RetryBudget_setShare(RetryBudget_t *this, guint percent, guint allowance)
+{
+    this->percent = percent;
+    this->allowance = percent > 0 ? allowance : 0;
+}
+
 void
 RetryBudget_destroy(RetryBudget_t *this)
 {
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -20,6 +20,9 @@
  */
 RetryBudget_t *RetryBudget_create(guint percent, guint allowance);
 
+/** RetryBudget_setShare() - other numbers from now on, as for create */
+void RetryBudget_setShare(RetryBudget_t *this, guint percent, guint allowance);
+
 /** RetryBudget_destroy() - free it */
 void RetryBudget_destroy(RetryBudget_t *this);
 
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -172,6 +172,13 @@
     return this;
 }
 
+void
+RouteSync_setWaits(RouteSync_t *this, gint64 reader_wait_ms, gint64 wait_ms)
+{
+    this->spec.reader_wait_ms = reader_wait_ms;
+    this->spec.wait_ms = wait_ms;
+}
+
 void
 RouteSync_destroy(RouteSync_t *this)
 {
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -45,6 +45,10 @@
 /** RouteSync_take() - a peer tells how fresh its knowledge is */
 void RouteSync_take(RouteSync_t *this, const Wt__ConfigCurrent *message);
 
+/** RouteSync_setWaits() - for the reads from now on, as for create */
+void RouteSync_setWaits(RouteSync_t *this, gint64 reader_wait_ms,
+                        gint64 wait_ms);
+
 /** RouteSync_destroy() - free it; its source must be freed first */
 void RouteSync_destroy(RouteSync_t *this);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -235,19 +235,26 @@
     return ntohs(address.sin_port);
 }
 
+/* A connection keeps the bounds that it began with. */
+static void
+set_bounds(const Router_t *this, struct evhttp *server)
+{
+    const LimitsSection_t *limits = &this->settings->limits;
+    struct timeval timeout = {limits->read_timeout_ms / 1000,
+                              (limits->read_timeout_ms % 1000) * 1000};
+    evhttp_set_max_headers_size(server, limits->max_header);
+    evhttp_set_max_body_size(server, limits->max_body);
+    evhttp_set_timeout_tv(server, &timeout);
+}
+
 static struct evhttp *
 listen_on(Router_t *this, const Address_t *address,
           void (*handle)(struct evhttp_request *, void *), guint16 *port,
           GError **error)
 {
-    const LimitsSection_t *limits = &this->settings->limits;
     struct evhttp *server = evhttp_new(this->context.base);
     evhttp_set_gencb(server, handle, &this->context);
-    evhttp_set_max_headers_size(server, limits->max_header);
-    evhttp_set_max_body_size(server, limits->max_body);
-    struct timeval timeout = {limits->read_timeout_ms / 1000,
-                              (limits->read_timeout_ms % 1000) * 1000};
-    evhttp_set_timeout_tv(server, &timeout);
+    set_bounds(this, server);
     struct evhttp_bound_socket *bound =
         evhttp_bind_socket_with_handle(server, address->host, address->port);
     if (!bound) {
@@ -329,6 +336,53 @@
     on_stop_timer(-1, 0, this);
 }
 
+static void
+on_waiting_setting(const char *section, const char *key, void *data)
+{
+    guint *count = data;
+    (*count)++;
+    Log_begin(LOG_LEVEL_WARNING, "setting_waits");
+    Log_text("section", section);
+    Log_text("key", key);
+    Log_text("until", "restart");
+    Log_end();
+}
+
+/* Without the value, which may be that of a key. */
+static void
+log_faults(const GPtrArray *problems)
+{
+    for (guint i = 0; i < problems->len; i++) {
+        const Problem_t *problem = g_ptr_array_index(problems, i);
+        Log_begin(LOG_LEVEL_WARNING, "setting_at_fault");
+        Log_text("section", problem->section->str);
+        Log_text("key", problem->key->str);
+        Log_text("reason", Problem_kindName(problem->kind));
+        Log_number("line", problem->line);
+        Log_end();
+    }
+}
+
+/* Parts that keep a value of their own are told of it. */
+static void
+apply_settings(Router_t *this)
+{
+    const LimitsSection_t *limits = &this->settings->limits;
+    Log_setBudget(limits->log_budget);
+    UpstreamSet_setIdleMax(this->context.upstreams,
+                           (guint)limits->idle_connections);
+    RetryBudget_setShare(this->context.budget, (guint)limits->retry_percent,
+                         (guint)limits->retry_allowance);
+    set_bounds(this, this->callers);
+    set_bounds(this, this->operators);
+    if (this->readiness) {
+        set_bounds(this, this->readiness);
+    }
+    if (this->relay) {
+        RelayParts_reload(this->relay);
+    }
+}
+
 /* The platform changes the file before it sends the signal. */
 static void
 on_reload_signal(evutil_socket_t fd, short what, void *data)
@@ -337,11 +391,17 @@
     (void)what;
     Router_t *this = data;
     g_autoptr(GPtrArray) problems = Problems_create();
-    gboolean good = Settings_reload(this->settings, problems);
-    Log_setBudget(this->settings->limits.log_budget);
+    guint waiting = 0;
+    gboolean good = Settings_reload(this->settings, problems,
+                                    on_waiting_setting, &waiting);
+    if (good) {
+        apply_settings(this);
+    }
+    log_faults(problems);
     Log_begin(good ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, "settings_reloaded");
     Log_text("outcome", good ? "taken" : "refused");
     Log_number("problems", problems->len);
+    Log_number("waiting", waiting);
     Log_end();
 }
 
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -30,9 +30,11 @@
      "caches, home for those that don't; the others are baselines."},
     {"stop_grace", KEY_DURATION, FALSE, "2s", 0, HOUR_MS, NULL,
      R(stop_grace_ms),
-     "After SIGTERM: not ready, but still taking requests, for so long."},
+     "After SIGTERM: not ready, but still taking requests, for so long.",
+     KEY_LIVE},
     {"stop_limit", KEY_DURATION, FALSE, "10m", 0, HOUR_MS, NULL,
-     R(stop_limit_ms), "After SIGTERM: open streams may go on for so long."},
+     R(stop_limit_ms), "After SIGTERM: open streams may go on for so long.",
+     KEY_LIVE},
     {"bootstrap", KEY_TEXT, FALSE, NULL, 0, 0, NULL, R(bootstrap),
      "File or directory of declarations to serve from while neither the log "
      "nor a peer has answered."},
@@ -62,11 +64,12 @@
     {"seeds", KEY_ADDRESSES, FALSE, "", 0, 0, NULL, E(seeds),
      "Where other routers may listen; one that answers tells of the rest."},
     {"gossip_budget", KEY_SIZE, FALSE, "3000B", 500, 1 << 20, NULL,
-     E(gossip_budget), "Most bytes of gossip sent in a second."},
+     E(gossip_budget), "Most bytes of gossip sent in a second.", KEY_LIVE},
     {"mesh_routers", KEY_INTEGER, FALSE, "16", 1, 1000, NULL, E(mesh_routers),
      "Up to so many routers are linked with all others and tell each other "
      "their loads; more of them are linked with a few, and one places for "
-     "each group of engines."},
+     "each group of engines.",
+     KEY_LIVE},
     {NULL},
 };
 #undef E
@@ -94,7 +97,8 @@
     {"snapshot_records", KEY_INTEGER, FALSE, "500", 2, 1 << 20, NULL,
      P(snapshot_records),
      "After so many records of the configuration a snapshot is appended; the "
-     "log must keep several times as many."},
+     "log must keep several times as many.",
+     KEY_LIVE},
     {"claim_horizon", KEY_DURATION, FALSE, "30m", 1000, HOUR_MS, NULL,
      P(claim_horizon_ms),
      "How old an Idempotency-Key may be; the log must keep claims longer."},
@@ -104,12 +108,13 @@
      P(order_timeout_ms),
      "How long an engine's answer to an order may take; well below lease."},
     {"weight_loads", KEY_INTEGER, FALSE, "2", 1, 10000, NULL, P(weight_loads),
-     "Engines of a region that load weights at once, at the least."},
+     "Engines of a region that load weights at once, at the least.", KEY_LIVE},
     {"load_percent", KEY_INTEGER, FALSE, "0", 0, 100, NULL, P(load_percent),
-     "So many of 100 engines may load at once where that is more."},
+     "So many of 100 engines may load at once where that is more.", KEY_LIVE},
     {"fencing", KEY_CHOICE, FALSE, "false", 0, 0, "false,true", P(fencing),
      "Whether all engines refuse an order with an old fencing number; a "
-     "router that stops then lets another one go on at once."},
+     "router that stops then lets another one go on at once.",
+     KEY_LIVE},
     {NULL},
 };
 #undef P
@@ -120,35 +125,43 @@
      A(config_max_age_ms),
      "Requests with a key are refused once it is longer ago that the "
      "configuration was known to be the newest; well below the time in which "
-     "a revoked key must stop working."},
+     "a revoked key must stop working.",
+     KEY_LIVE},
     {"reader_wait", KEY_DURATION, FALSE, "700ms", 10, HOUR_MS, NULL,
      A(reader_wait_ms),
      "How long the store may hold a read of the configuration by one of the "
-     "few routers that ask for all; well below config_max_age."},
+     "few routers that ask for all; well below config_max_age.",
+     KEY_LIVE},
     {"config_wait", KEY_DURATION, FALSE, "8s", 10, HOUR_MS, NULL,
      A(config_wait_ms),
      "The same for the other routers; they hear from peers how fresh their "
-     "configuration is."},
+     "configuration is.",
+     KEY_LIVE},
     {"leaving_limit", KEY_DURATION, FALSE, "2s", 200, HOUR_MS, NULL,
      A(leaving_limit_ms),
      "How soon after the list says so an upstream must get no new work; sets "
-     "how often the list is read."},
+     "how often the list is read.",
+     KEY_LIVE},
     {"listing_return", KEY_DURATION, FALSE, "2500ms", 0, HOUR_MS, NULL,
      A(listing_return_ms),
      "After the list of upstreams was out of reach: how long an entry that "
-     "has lapsed may take to come back."},
+     "has lapsed may take to come back.",
+     KEY_LIVE},
     {"weights_limit", KEY_DURATION, FALSE, "10s", 3000, HOUR_MS, NULL,
      A(weights_limit_ms),
      "How long after a version of weights was named a request may still begin "
-     "on an older one."},
+     "on an older one.",
+     KEY_LIVE},
     {"move_wait", KEY_DURATION, FALSE, "350ms", 10, HOUR_MS, NULL,
      A(move_wait_ms),
      "How long the engine that a stream is moved to may take to its first "
      "event, or the stream stays; below the time in which two engines may "
-     "both go on with it."},
+     "both go on with it.",
+     KEY_LIVE},
     {"refuse_late", KEY_CHOICE, FALSE, "no", 0, 0, "no,yes", A(refuse_late),
      "Whether a request is refused at once where no engine is expected to "
-     "begin its answer within its route's objective."},
+     "begin its answer within its route's objective.",
+     KEY_LIVE},
     {NULL},
 };
 #undef A
@@ -156,57 +169,71 @@
 #define L(member) offsetof(LimitsSection_t, member)
 static const KeySpec_t limits_keys[] = {
     {"max_body", KEY_SIZE, FALSE, "4MiB", 1024, 1 << 30, NULL, L(max_body),
-     "Largest body of a caller's request."},
+     "Largest body of a caller's request.", KEY_LIVE},
     {"max_header", KEY_SIZE, FALSE, "16KiB", 1024, 1 << 20, NULL,
-     L(max_header), "Largest head of a caller's request."},
+     L(max_header), "Largest head of a caller's request.", KEY_LIVE},
     {"read_timeout", KEY_DURATION, FALSE, "30s", 100, HOUR_MS, NULL,
      L(read_timeout_ms),
-     "How long a caller may pause while it sends or while we write to it."},
+     "How long a caller may pause while it sends or while we write to it.",
+     KEY_LIVE},
     {"connect_timeout", KEY_DURATION, FALSE, "1s", 10, HOUR_MS, NULL,
-     L(connect_timeout_ms), "How long a connection to an upstream may take."},
+     L(connect_timeout_ms), "How long a connection to an upstream may take.",
+     KEY_LIVE},
     {"first_token_timeout", KEY_DURATION, FALSE, "30s", 10, HOUR_MS, NULL,
      L(first_token_timeout_ms),
-     "How long an upstream may take to its first token or answer."},
+     "How long an upstream may take to its first token or answer.", KEY_LIVE},
     {"token_timeout", KEY_DURATION, FALSE, "5s", 10, HOUR_MS, NULL,
-     L(token_timeout_ms), "How long an upstream may pause within a stream."},
+     L(token_timeout_ms), "How long an upstream may pause within a stream.",
+     KEY_LIVE},
     {"default_deadline", KEY_DURATION, FALSE, "2m", 10, HOUR_MS, NULL,
-     L(default_deadline_ms), "Deadline of a request that names none."},
+     L(default_deadline_ms), "Deadline of a request that names none.",
+     KEY_LIVE},
     {"max_attempts", KEY_INTEGER, FALSE, "4", 1, 16, NULL, L(max_attempts),
-     "Most attempts of one request."},
+     "Most attempts of one request.", KEY_LIVE},
     {"retry_percent", KEY_INTEGER, FALSE, "20", 0, 100, NULL, L(retry_percent),
-     "Retries may be so many of 100 requests for a target."},
+     "Retries may be so many of 100 requests for a target.", KEY_LIVE},
     {"retry_allowance", KEY_INTEGER, FALSE, "10", 0, 100000, NULL,
      L(retry_allowance),
-     "Retries beyond that which all routers together may make at a target."},
+     "Retries beyond that which all routers together may make at a target.",
+     KEY_LIVE},
     {"backoff", KEY_DURATION, FALSE, "20ms", 0, HOUR_MS, NULL, L(backoff_ms),
-     "Mean wait before the first retry; doubled for each further one."},
+     "Mean wait before the first retry; doubled for each further one.",
+     KEY_LIVE},
     {"stream_buffer", KEY_SIZE, FALSE, "256KiB", 1024, 1 << 28, NULL,
      L(stream_buffer),
      "Bytes that wait for a slow caller, in the router and as much again in "
-     "the kernel, before its upstream is held back."},
+     "the kernel, before its upstream is held back.",
+     KEY_LIVE},
     {"event_max", KEY_SIZE, FALSE, "1MiB", 1024, 1 << 28, NULL, L(event_max),
      "Largest event of a stream, or piece of the wire that carries events; a "
      "larger one ends the attempt. An event holds one token, some hundred "
-     "bytes; the default is what parsers of such streams commonly take."},
+     "bytes; the default is what parsers of such streams commonly take.",
+     KEY_LIVE},
     {"resume_grace", KEY_DURATION, FALSE, "3s", 0, HOUR_MS, NULL,
      L(resume_grace_ms),
      "How long a stream goes on after its caller left, so that the caller "
-     "may resume it at any router."},
+     "may resume it at any router.",
+     KEY_LIVE},
     {"idle_connections", KEY_INTEGER, FALSE, "32", 0, 4096, NULL,
-     L(idle_connections), "Open idle connections kept for each upstream."},
+     L(idle_connections), "Open idle connections kept for each upstream.",
+     KEY_LIVE},
     {"idle_time", KEY_DURATION, FALSE, "4s", 0, HOUR_MS, NULL, L(idle_time_ms),
-     "Longest rest of a kept connection that takes a relayed request."},
+     "Longest rest of a kept connection that takes a relayed request.",
+     KEY_LIVE},
     {"once_idle_time", KEY_DURATION, FALSE, "300ms", 0, HOUR_MS, NULL,
      L(once_idle_time_ms),
      "The same for a request that may run only once, as its upstream may "
-     "have closed the connection in the meantime."},
+     "have closed the connection in the meantime.",
+     KEY_LIVE},
     {"eject_failures", KEY_INTEGER, FALSE, "3", 1, 1000, NULL,
-     L(eject_failures), "Failures in a row that eject an upstream."},
+     L(eject_failures), "Failures in a row that eject an upstream.", KEY_LIVE},
     {"eject_time", KEY_DURATION, FALSE, "2s", 10, HOUR_MS, NULL, L(eject_ms),
-     "How long an ejected upstream gets no work; doubled each time."},
+     "How long an ejected upstream gets no work; doubled each time.",
+     KEY_LIVE},
     {"log_budget", KEY_SIZE, FALSE, "64KiB", 0, 1 << 30, NULL, L(log_budget),
      "Most bytes of log lines written in a second, over four seconds; a "
-     "quarter is kept for warnings and errors. 0 for no bound."},
+     "quarter is kept for warnings and errors. 0 for no bound.",
+     KEY_LIVE},
     {NULL},
 };
 #undef L
@@ -292,16 +319,24 @@
     return this;
 }
 
-/* Both sections hold numbers alone, so that they can be copied. */
 gboolean
-Settings_reload(Settings_t *this, GPtrArray *problems)
+Settings_reload(Settings_t *this, GPtrArray *problems, SettingWaits_t waits,
+                void *data)
 {
     Settings_t *fresh = Settings_create(this->path->str, problems);
     if (!fresh) {
         return FALSE;
     }
-    this->relay = fresh->relay;
-    this->limits = fresh->limits;
+    for (gsize i = 0; i < G_N_ELEMENTS(places); i++) {
+        const SectionSpec_t *spec = &places[i].spec;
+        g_autoptr(GPtrArray) waiting = g_ptr_array_new();
+        KeyTable_takeLive(spec, (char *)this + places[i].offset,
+                          (char *)fresh + places[i].offset, waiting);
+        for (guint k = 0; k < waiting->len; k++) {
+            const KeySpec_t *key = g_ptr_array_index(waiting, k);
+            waits(spec->name, key->name, data);
+        }
+    }
     Settings_destroy(fresh);
     return TRUE;
 }
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -199,8 +199,8 @@
  * @keys: secrets
  * @peers: the other routers
  * @platform: where it is and how it is spoken to
- * @relay: read again by Settings_reload()
- * @limits: read again by Settings_reload()
+ * @relay: of relayed requests
+ * @limits: of one router
  */
 typedef struct {
     GString *path;
@@ -221,14 +221,20 @@
  */
 Settings_t *Settings_create(const char *path, GPtrArray *problems);
 
+/** SettingWaits_t - called for each key that waits for a restart */
+typedef void (*SettingWaits_t)(const char *section, const char *key,
+                               void *data);
+
 /**
- * Settings_reload() - read the file again and take what may change while the
- * router runs: the sections [relay] and [limits]
+ * Settings_reload() - read the file again and take the keys that may change
+ * while the router runs
  * @problems: gets every fault; where there is any, nothing is taken
+ * @waits: called for each other key whose value differs
  *
  * Return: FALSE where there is a fault
  */
-gboolean Settings_reload(Settings_t *this, GPtrArray *problems);
+gboolean Settings_reload(Settings_t *this, GPtrArray *problems,
+                         SettingWaits_t waits, void *data);
 
 /**
  * Settings_destroy() - free them
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -335,6 +335,14 @@
     return this;
 }
 
+void
+UpstreamListing_setTimes(UpstreamListing_t *this, gint64 poll_ms,
+                         gint64 return_ms)
+{
+    this->spec.poll_ms = poll_ms;
+    this->spec.return_ms = return_ms;
+}
+
 void
 UpstreamListing_destroy(UpstreamListing_t *this)
 {
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -67,6 +67,11 @@
 UpstreamListing_t *UpstreamListing_create(struct event_base *base,
                                           const UpstreamListingSpec_t *spec);
 
+/** UpstreamListing_setTimes() - for reads and outages from now on, as for
+ * create */
+void UpstreamListing_setTimes(UpstreamListing_t *this, gint64 poll_ms,
+                              gint64 return_ms);
+
 /** UpstreamListing_destroy() - free it; its source must be freed first */
 void UpstreamListing_destroy(UpstreamListing_t *this);
 
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -213,6 +213,12 @@
     return this;
 }
 
+void
+UpstreamProber_setTimeout(UpstreamProber_t *this, gint64 timeout_ms)
+{
+    this->spec.timeout_ms = timeout_ms;
+}
+
 void
 UpstreamProber_destroy(UpstreamProber_t *this)
 {
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -39,6 +39,9 @@
 UpstreamProber_t *UpstreamProber_create(struct event_base *base,
                                         const UpstreamProberSpec_t *spec);
 
+/** UpstreamProber_setTimeout() - for the probes from now on */
+void UpstreamProber_setTimeout(UpstreamProber_t *this, gint64 timeout_ms);
+
 /** UpstreamProber_destroy() - cancel all probes and free it */
 void UpstreamProber_destroy(UpstreamProber_t *this);
 
--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -43,6 +43,18 @@
     return this;
 }
 
+void
+UpstreamSet_setIdleMax(UpstreamSet_t *this, guint idle_max)
+{
+    GHashTableIter iter;
+    gpointer upstream = NULL;
+    this->idle_max = idle_max;
+    g_hash_table_iter_init(&iter, this->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &upstream)) {
+        ((Upstream_t *)upstream)->idle_max = idle_max;
+    }
+}
+
 void
 UpstreamSet_destroy(UpstreamSet_t *this)
 {
--- a/src/UpstreamSet.h
+++ b/src/UpstreamSet.h
@@ -21,6 +21,10 @@
  */
 UpstreamSet_t *UpstreamSet_create(struct event_base *base, guint idle_max);
 
+/** UpstreamSet_setIdleMax() - keep another number of idle connections; those
+ * that are too many are closed as they are used */
+void UpstreamSet_setIdleMax(UpstreamSet_t *this, guint idle_max);
+
 /** UpstreamSet_destroy() - drop its references */
 void UpstreamSet_destroy(UpstreamSet_t *this);
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -82,6 +82,7 @@
         self.topics = {}  # name -> [bytes]
         self.down = False
         self.calls = 0
+        self.waits = set()  # topic and how long a read of it was to be held
         super().__init__()
 
     def append(self, topic, *records):
@@ -123,6 +124,7 @@
             call.reply(404)
 
     def read(self, call, topic, start, wait_ms):
+        self.waits.add((topic, wait_ms))
         end = time.monotonic() + wait_ms / 1000
         with self.lock:
             while (len(self.topics.get(topic, [])) <= start and not self.down
@@ -160,6 +162,7 @@
         self.sequence = 0
         self.pieces = pieces
         self.seen = []      # headers of each request that ran
+        self.callers = set()  # ports that requests came from
         self.orders = []
         self.shed = False   # refuse as not run
         self.cut_after = None  # events after which the stream is reset
@@ -223,6 +226,7 @@
         elif self.shed:
             call.reply(503, X_Not_Executed="1", X_Request_Id=request)
         else:
+            self.callers.add(call.client_address[1])
             self.seen.append(dict(call.headers, **{":path": call.path}))
             self.run(call, body, request)
 
--- a/tests/sessions/test_bad_input.py
+++ b/tests/sessions/test_bad_input.py
@@ -1,10 +1,12 @@
 """What upstreams, callers and operators send that can't be right: it is
 refused or ended by name, costs a bounded memory and reaches nobody else."""
 import http.client
+import json
+import signal
 import unittest
 
 import test_fleet
-from cluster import Cluster
+from cluster import Cluster, HANG_LIMIT, wait_for
 from fleet import Fleet, Server, Upstream
 
 EVENT_MAX = 65536
@@ -205,5 +207,141 @@
         self.check_bounded(True)
 
 
+def rewrite(router, **values):
+    """Give keys of a router's settings file other values."""
+    with open(router.path) as file:
+        lines = file.read().splitlines()
+    for key, value in values.items():
+        wanted = [line for line in lines if not line.startswith(key + " =")]
+        if len(wanted) == len(lines):
+            raise AssertionError("not in the file: " + key)
+        lines = ["%s = %s" % (key, value) if line.startswith(key + " =")
+                 else line for line in lines]
+    with open(router.path, "w") as file:
+        file.write("\n".join(lines) + "\n")
+
+
+class ReloadCase(unittest.TestCase):
+    """What a router that runs takes of a changed file of settings.
+
+    Symptom: values that were changed in the file were not in force after
+    SIGHUP, and no line said so.
+    Sequence: the file is changed, SIGHUP; the line says that it was taken.
+    Cause: whole sections were copied, but some parts had kept their values
+    from the start, and other sections were not looked at.
+    Settled by: each key is marked as one that may change or not; parts are
+    told of those that may, the others are named."""
+
+    def reload(self, router, **values):
+        before = len(router.events("settings_reloaded"))
+        rewrite(router, **values)
+        router.signal(signal.SIGHUP)
+        return router.wait_event("settings_reloaded", before + 1)[-1]
+
+    def waiting(self, router):
+        return [(line["section"], line["key"], line["until"])
+                for line in router.events("setting_waits")]
+
+
+class FleetReloadTest(ReloadCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def start(self, **settings):
+        self.plain = [self.fleet.plain("p1"), self.fleet.plain("p2")]
+        return self.fleet.start(**settings)
+
+    def test_keys_that_must_wait_are_named_and_the_others_taken(self):
+        router = self.start(max_body="4KiB")
+        body = b"x" * 3000
+        self.assertEqual(self.fleet.ask(router, "/write/x", body).status, 200)
+        told = self.reload(router, hall="hall-b", lease="700ms",
+                           max_body="2KiB")
+        self.assertEqual((told["outcome"], told["waiting"]), ("taken", "2"))
+        self.assertEqual(self.waiting(router),
+                         [("router", "hall", "restart"),
+                          ("platform", "lease", "restart")])
+        self.assertEqual(self.fleet.ask(router, "/write/x", body).status, 413)
+
+    def test_a_broken_file_changes_nothing_and_says_where(self):
+        router = self.start(max_body="4KiB", retry_allowance="100")
+        told = self.reload(router, max_body="1KiB", hall="hall-b",
+                           retry_allowance="many")
+        self.assertEqual((told["outcome"], told["problems"]),
+                         ("refused", "1"))
+        fault = router.wait_event("setting_at_fault")[0]
+        self.assertEqual((fault["section"], fault["key"], fault["reason"]),
+                         ("limits", "retry_allowance", "bad_value"))
+        self.assertEqual(self.waiting(router), [])
+        answer = self.fleet.ask(router, "/write/x", b"x" * 3000)
+        self.assertEqual(answer.status, 200)
+
+    def test_waits_for_the_configuration(self):
+        router = self.start()
+        waits = self.fleet.store.waits
+        wait_for(lambda: ("keyed.op", 100) in waits, "a read")
+        self.reload(router, reader_wait="130ms", config_wait="130ms")
+        wait_for(lambda: ("keyed.op", 130) in waits, "a longer read")
+
+    def test_share_of_retries(self):
+        router = self.start(retry_percent="20")
+        for plain in self.plain:
+            plain.status = 500
+        self.fleet.ask(router, "/read/x")
+        self.assertEqual(router.events("attempt_failed")[0]["next"],
+                         "elsewhere")
+        self.reload(router, retry_percent="0")
+        before = len(router.events("attempt_failed"))
+        self.fleet.ask(router, "/read/x")
+        last = router.events("attempt_failed")[before:]
+        self.assertEqual([(e["next"], e["budget"]) for e in last],
+                         [("give_up", "0")])
+
+    def test_kept_connections(self):
+        router = self.start(idle_connections="8")
+        for _ in range(8):
+            self.fleet.ask(router, "/read/x")
+        self.assertLess(self.connections(), 8)
+        self.reload(router, idle_connections="0")
+        before = self.connections()
+        for _ in range(8):
+            self.fleet.ask(router, "/read/x")
+        self.assertGreaterEqual(self.connections() - before, 7)
+
+    def connections(self):
+        return sum(len(plain.callers) for plain in self.plain)
+
+
+class NativeReloadTest(ReloadCase):
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+
+    def test_an_open_connection_takes_the_new_bound_on_bodies(self):
+        self.cluster.engine("e1")
+        router = self.cluster.start(max_body="400KiB", log_poll="1s")
+        body = json.dumps({"model": "m", "prompt": "x" * 300000,
+                           "max_tokens": 2})
+        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+                                                timeout=HANG_LIMIT)
+        self.addCleanup(connection.close)
+
+        def ask():
+            connection.request("POST", "/v1/completions", body,
+                               router.headers())
+            response = connection.getresponse()
+            response.read()
+            return response.status
+
+        self.assertEqual(ask(), 200)
+        told = self.reload(router, max_body="100KiB", log_poll="2s")
+        self.assertEqual((told["outcome"], told["waiting"]), ("taken", "1"))
+        self.assertEqual(self.waiting(router),
+                         [("platform", "log_poll", "restart")])
+        self.assertEqual(ask(), 200)  # it was open, and told at this request
+        self.assertEqual(ask(), 413)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -184,6 +184,78 @@
 }
 END_TEST
 
+static void
+note_waiting(const char *section, const char *key, void *data)
+{
+    g_string_append_printf(data, "%s.%s;", section, key);
+}
+
+/* Reads first one text, then the other from the same file. */
+static Settings_t *
+read_again(const char *first, const char *second, gboolean good,
+           GString *waiting)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    char *path = write_file(first);
+    Settings_t *settings = Settings_create(path, problems);
+    ck_assert_ptr_nonnull(settings);
+    ck_assert(g_file_set_contents(path, second, -1, NULL));
+    ck_assert(Settings_reload(settings, problems, note_waiting, waiting) ==
+              good);
+    ck_assert_int_eq(problems->len == 0, good);
+    g_unlink(path);
+    g_free(path);
+    return settings;
+}
+
+#define OTHER                                                                 \
+    "[router]\nname = r2\nhall = h\nregion = r\nlisten = 127.0.0.1:90\n"      \
+    "operator_listen = 127.0.0.1:81\nstop_grace = 7s\nbootstrap = x\n"        \
+    "[keys]\nseal = " KEY "\nsalt = " KEY "\noperator_hash = "                \
+    "2222222222222222222222222222222222222222222222222222222222222222"        \
+    "\n[platform]\nlog = 127.0.0.1:82\nclaim_horizon = 10m\n"                 \
+    "weight_loads = 9\ninstances = 127.0.0.1:83\n[peers]\n"                   \
+    "listen = 127.0.0.1:84\nseeds = 127.0.0.1:85\n[limits]\nbackoff = 5s\n"
+
+START_TEST(a_reload_takes_what_may_change_and_names_the_rest)
+{
+    GString *waiting = g_string_new(NULL);
+    Settings_t *settings = read_again(GOOD, OTHER, TRUE, waiting);
+    ck_assert_str_eq(waiting->str, "router.name;router.listen;"
+                                   "router.bootstrap;keys.operator_hash;"
+                                   "peers.seeds;platform.claim_horizon;");
+    ck_assert_str_eq(settings->router.name->str, "r1");
+    ck_assert_uint_eq(settings->router.listen.port, 80);
+    ck_assert_int_eq(settings->platform.claim_horizon_ms, 30 * 60 * 1000);
+    ck_assert_int_eq(settings->router.stop_grace_ms, 7000);
+    ck_assert_int_eq(settings->platform.weight_loads, 9);
+    ck_assert_int_eq(settings->limits.backoff_ms, 5000);
+    Settings_destroy(settings);
+    g_string_free(waiting, TRUE);
+}
+END_TEST
+
+START_TEST(a_reload_of_the_same_file_names_nothing)
+{
+    GString *waiting = g_string_new(NULL);
+    Settings_destroy(read_again(OTHER, OTHER, TRUE, waiting));
+    ck_assert_str_eq(waiting->str, "");
+    g_string_free(waiting, TRUE);
+}
+END_TEST
+
+START_TEST(a_reload_of_a_broken_file_changes_nothing)
+{
+    GString *waiting = g_string_new(NULL);
+    Settings_t *settings =
+        read_again(GOOD, OTHER "max_body = much\n", FALSE, waiting);
+    ck_assert_str_eq(waiting->str, "");
+    ck_assert_int_eq(settings->limits.backoff_ms, 20);
+    Settings_destroy(settings);
+    g_string_free(waiting, TRUE);
+}
+END_TEST
+
 TESTING_MAIN("Settings", good_settings_have_values_and_defaults,
              each_fault_has_its_type_and_place,
              missing_key_and_bad_address_are_told, all_faults_are_told_at_once,
@@ -191,4 +263,7 @@
              declarations_come_in_the_order_of_their_kinds,
              declarations_that_point_to_nothing_are_told,
              declarations_with_bad_heads_and_times_are_told,
-             reference_names_every_section)
+             reference_names_every_section,
+             a_reload_takes_what_may_change_and_names_the_rest,
+             a_reload_of_the_same_file_names_nothing,
+             a_reload_of_a_broken_file_changes_nothing)
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -172,10 +172,23 @@
 }
 END_TEST
 
+/* The same outage, after the setting was lowered to nothing. */
+START_TEST(another_time_for_the_return_counts_from_the_next_outage)
+{
+    UpstreamListing_t *listing = begin();
+    UpstreamListing_setTimes(listing, POLL_MS, 0);
+    answer(1, "a", "m");
+    tell(listing, "a", NULL, 1);
+    ck_assert_uint_eq(serving("m"), 0);
+    end(listing);
+}
+END_TEST
+
 TESTING_MAIN("UpstreamListing", an_entry_that_says_the_same_is_not_read_again,
              entries_are_known_by_their_own_names,
              an_upstream_that_comes_back_with_the_same_entry_serves,
              an_upstream_that_serves_another_target_is_found_for_that_only,
              entries_that_a_peer_has_read_are_taken,
              a_removal_that_a_peer_has_read_is_taken,
-             an_entry_that_lapsed_in_an_outage_may_come_back_also_by_a_peer)
+             an_entry_that_lapsed_in_an_outage_may_come_back_also_by_a_peer,
+             another_time_for_the_return_counts_from_the_next_outage)
