Two keys, and control characters in ids, are refused by name

Cause: only the first header of a name was looked at, so that a router and an upstream could take different keys, or different Idempotency-Keys, from one request; control characters in Idempotency-Key and in the request's id went into logs, answers and to upstreams. Change: HeaderCheck, with the names from the native interface and from the platform's form; refusals header_twice and control_character (400, not run), counted like all others; an id at fault is repeated nowhere.

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -9,6 +9,7 @@
 
 #include "Answer.h"
 #include "Clock.h"
+#include "HeaderCheck.h"
 #include "HttpCall.h"
 #include "Json.h"
 #include "PendingReply.h"
@@ -23,6 +24,12 @@
  * evhttp takes a body only once it is whole, so that less would stop it. */
 #define INPUT_MARGIN 65536
 
+static const char *const stand_once[] = {"Authorization", "Idempotency-Key",
+                                         NULL};
+static const char *const printable[] = {"Idempotency-Key", "X-Request-Id",
+                                        NULL};
+static const HeaderRules_t header_rules = {stand_once, printable};
+
 /**
  * struct Call_t - one request while it is looked at
  */
@@ -337,9 +344,24 @@
     ServiceExchange_start(call->context, &spec);
 }
 
+static gboolean
+check_headers(const Call_t *call)
+{
+    Refusal_t refusal = REFUSAL_BAD_HEADER;
+    const char *name =
+        HeaderCheck_find(call->headers, &header_rules, &refusal);
+    if (name) {
+        refuse(call, refusal, name);
+    }
+    return name == NULL;
+}
+
 static gboolean
 admit(Call_t *call)
 {
+    if (!check_headers(call)) {
+        return FALSE;
+    }
     if (call->context->refusing) {
         refuse(call, REFUSAL_STOPPING, NULL);
         return FALSE;
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -94,6 +94,14 @@
     [REFUSAL_CALLER_LEFT] = {"caller_left", "caller_error",
                              "The caller closed the connection.", 499, 0,
                              RUN_MAYBE},
+    [REFUSAL_HEADER_TWICE] = {"header_twice", "invalid_request_error",
+                              "A header that may stand once stands twice.",
+                              400, 0, RUN_NOT},
+    [REFUSAL_CONTROL_CHARACTER] = {"control_character",
+                                   "invalid_request_error",
+                                   "A header's value has a control "
+                                   "character.",
+                                   400, 0, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -149,6 +149,26 @@
            evhttp_find_header(headers, "Content-Length");
 }
 
+/* An id with a control character is repeated nowhere. */
+static gboolean
+check_headers(Admission_t *admission)
+{
+    const RelayCallerForm_t *form = admission->context->form->caller;
+    Refusal_t refusal = REFUSAL_BAD_HEADER;
+    const char *name =
+        HeaderCheck_find(evhttp_request_get_input_headers(admission->http),
+                         &form->rules, &refusal);
+    if (!name) {
+        return TRUE;
+    }
+    if (refusal == REFUSAL_CONTROL_CHARACTER &&
+        strcmp(name, form->id_header) == 0) {
+        admission->request.id = NULL;
+    }
+    refuse(admission, refusal, name);
+    return FALSE;
+}
+
 void
 RelayApi_handle(struct evhttp_request *request, void *data)
 {
@@ -158,8 +178,12 @@
     g_autoptr(GError) error = NULL;
     Http_noDelay(connection);
     Counters_add(admission.context->counters, "requests_total", NULL, 1);
-    if (!admission.context->form->caller->read_request(
-            request, &admission.request, &error)) {
+    gboolean is_read = admission.context->form->caller->read_request(
+        request, &admission.request, &error);
+    if (!check_headers(&admission)) {
+        return;
+    }
+    if (!is_read) {
         refuse(&admission, REFUSAL_BAD_HEADER, error->message);
         return;
     }
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <glib.h>
 
+#include "HeaderCheck.h"
 #include "Prompt.h"
 
 /** Longest id of a request that is taken */
@@ -59,6 +60,7 @@
  * @clear_request: free what it holds
  * @ready_path: where the balancer asks whether this router is ready
  * @id_header: header that carries the request's id in answers
+ * @rules: for what a request's head may hold
  */
 typedef struct {
     gboolean (*read_request)(struct evhttp_request *http, RelayRequest_t *out,
@@ -66,6 +68,7 @@
     void (*clear_request)(RelayRequest_t *request);
     const char *ready_path;
     const char *id_header;
+    HeaderRules_t rules;
 } RelayCallerForm_t;
 
 /**
--- a/tests/sessions/test_bad_input.py
+++ b/tests/sessions/test_bad_input.py
@@ -6,7 +6,7 @@
 import unittest
 
 import test_fleet
-from cluster import Cluster, HANG_LIMIT, wait_for
+from cluster import Answer, Cluster, HANG_LIMIT, uuid7, wait_for
 from fleet import Fleet, Server, Upstream
 
 EVENT_MAX = 65536
@@ -343,5 +343,111 @@
         self.assertEqual(ask(), 413)
 
 
+def send_with(port, path, headers):
+    """A request with these headers, in their order, twice where they are."""
+    connection = http.client.HTTPConnection("127.0.0.1", port,
+                                            timeout=HANG_LIMIT)
+    connection.putrequest("POST", path, skip_host=True,
+                          skip_accept_encoding=True)
+    for name, value in headers:
+        connection.putheader(name, value)
+    connection.endheaders(b"{}")
+    response = connection.getresponse()
+    answer = Answer(response.status, dict(response.getheaders()),
+                    response.read())
+    connection.close()
+    return answer
+
+
+CONTROLS = ["a\x01b", "a\tb", "a\x1fb", "a\x7fb"]
+
+
+class FleetHeadersTest(unittest.TestCase):
+    """Symptom: a request ran whose key nobody could name for sure.
+    Sequence: a header that says who asks, or under which key, stands twice
+    or holds a control character; the router reads the first, the upstream
+    perhaps the second, and logs and answers repeat the character.
+    Cause: only the first header of a name was looked at, and no character.
+    Settled by: typed refusals before anything is sent."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.plain = self.fleet.plain("p1")
+        self.router = self.fleet.start()
+
+    def check(self, code, *more, request="good-id", key="key-a"):
+        headers = [("Host", "shop.example"), ("Content-Length", "2"),
+                   ("X-Request-Id", request), ("Api-Key", key), *more]
+        answer = send_with(self.router.port, "/write/x", headers)
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(answer.error()["code"], code)
+        self.assertEqual(answer.error()["run"], "not_run")
+        refused = self.router.wait_event("request_refused")[-1]
+        self.assertEqual(refused["reason"], code)
+        self.assertEqual(self.plain.seen, [])
+        return answer
+
+    def test_two_keys(self):
+        self.check("header_twice", ("Api-Key", "key-b"))
+        self.check("header_twice", ("api-KEY", "key-a"))
+
+    def test_two_idempotency_keys(self):
+        self.check("header_twice", ("Idempotency-Key", "k1"),
+                   ("Idempotency-Key", "k2"))
+
+    def test_control_characters(self):
+        for text in CONTROLS:
+            self.check("control_character", ("Idempotency-Key", text))
+            answer = self.check("control_character", request=text)
+            self.assertNotIn("X-Request-Id", answer.headers)
+            answer = self.check("control_character", ("Api-Key", "key-b"),
+                                request=text)
+            self.assertNotIn("X-Request-Id", answer.headers)
+
+    def test_one_of_each_passes(self):
+        headers = [("Host", "shop.example"), ("Content-Length", "2"),
+                   ("X-Request-Id", "id"), ("Api-Key", "key-a"),
+                   ("Idempotency-Key", "key \u00e9 of a caller")]
+        answer = send_with(self.router.port, "/write/x", headers)
+        self.assertEqual(answer.status, 200)
+
+
+class NativeHeadersTest(unittest.TestCase):
+    """As FleetHeadersTest, on the native interface."""
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.service = self.cluster.service("s1", "ledger")
+        self.router = self.cluster.start()
+
+    def check(self, code, *more):
+        headers = [("Host", "x"), ("Content-Length", "2"),
+                   ("Authorization", "Bearer acme-key"), *more]
+        answer = send_with(self.router.port, "/v1/services/ledger/x", headers)
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(answer.error()["code"], code)
+        self.assertEqual(answer.error()["run"], "not_run")
+        self.assertGreater(self.router.count(
+            'refusals_total{reason="%s"' % code), 0)
+        self.assertEqual(self.service.call("GET", "/records"), {})
+
+    def test_two_keys(self):
+        key = ("Idempotency-Key", uuid7())
+        self.check("header_twice", key, ("Authorization", "Bearer other-key"))
+        self.check("header_twice", key, ("authorization", "Bearer acme-key"))
+
+    def test_two_idempotency_keys(self):
+        self.check("header_twice", ("Idempotency-Key", uuid7()),
+                   ("Idempotency-Key", uuid7()))
+
+    def test_control_characters(self):
+        for text in CONTROLS:
+            self.check("control_character", ("Idempotency-Key", text))
+            self.check("control_character", ("Idempotency-Key", uuid7()),
+                       ("X-Request-Id", text))
+
+
 if __name__ == "__main__":
     unittest.main()
