--- a/tests/sessions/test_bad_input.py
+++ b/tests/sessions/test_bad_input.py
@@ -413,6 +413,36 @@
         self.assertEqual(answer.status, 200)
 
 
+class SecondAttemptTest(unittest.TestCase):
+    """Symptom: of calls whose first attempt ends with an error of the service,
+    most get an error from another instance as well.
+    Settled here: nothing that the router sends differs but the name of the
+    instance and what is left of the time."""
+
+    def test_it_differs_in_its_instance_and_time_alone(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.close)
+        upstreams = [fleet.plain("p1"), fleet.plain("p2")]
+        for upstream in upstreams:
+            upstream.status = 500
+            upstream.bodies = []
+            upstream.run = lambda call, body, request, self=upstream: (
+                self.bodies.append(body),
+                Upstream.run(self, call, body, request))
+        router = fleet.start()
+        answer = fleet.ask(router, "/read/x?a=1", b"the body",
+                           Idempotency_Key="k1", X_Other="kept")
+        self.assertEqual(answer.status, 500)
+        self.assertEqual([u.bodies for u in upstreams], [[b"the body"]] * 2)
+        first, second = [u.seen[0] for u in upstreams]
+        differing = {name for name in first.keys() | second.keys()
+                     if first.get(name) != second.get(name)}
+        self.assertLessEqual({"X-Expect-Instance"}, differing)
+        self.assertLessEqual(differing, {"X-Expect-Instance",
+                                         "X-Deadline-Ms"})
+        self.assertEqual(first["Idempotency-Key"], "k1")
+
+
 class NativeHeadersTest(unittest.TestCase):
     """As FleetHeadersTest, on the native interface."""
 
