--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -47,16 +47,8 @@
 }
 
 static void
-on_data(void *owner, struct evbuffer *data)
+pass_events(RelayExchange_t *this)
 {
-    RelayExchange_t *this = owner;
-    if (!this->is_stream) {
-        evbuffer_add_buffer(this->body, data);
-        return;
-    }
-    if (EventPipe_feed(this->events, data, this->passing) == 0) {
-        return;
-    }
     note_first_event(this);
     note_pause(this);
     this->run_events->heard(this);
@@ -67,6 +59,22 @@
     }
 }
 
+static void
+on_data(void *owner, struct evbuffer *data)
+{
+    RelayExchange_t *this = owner;
+    if (!this->is_stream) {
+        evbuffer_add_buffer(this->body, data);
+        return;
+    }
+    if (EventPipe_feed(this->events, data, this->passing) > 0) {
+        pass_events(this);
+    }
+    if (EventPipe_isOverfull(this->events)) {
+        RelayAttempt_fail(this->attempt, ATTEMPT_OVERSIZED);
+    }
+}
+
 static void
 finish(RelayExchange_t *this)
 {
@@ -280,6 +288,7 @@
         .request_id = super->id->str,
         .order = &order,
         .body = this->request_body,
+        .event_max = this->events ? (gsize)limits->event_max : 0,
         .idle_max_ms = idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
         .first_ms = first_ms(this, placing->choice.upstream),
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -20,6 +20,9 @@
  */
 RetryBudget_t *RetryBudget_create(guint percent, guint allowance);
 
+/** RetryBudget_setShare() - other numbers from now on, as for create */
+void RetryBudget_setShare(RetryBudget_t *this, guint percent, guint allowance);
+
 /** RetryBudget_destroy() - free it */
 void RetryBudget_destroy(RetryBudget_t *this);
 
@@ -40,7 +43,9 @@
 /**
  * RetryBudget_hasSpare() - whether a retry that is not needed may be made
  *
- * Half of what a target may hold is kept for failures.
+ * Half of what a target may hold is kept for failures; where a share is
+ * under two retries, that of about half of the allowance, by other routers.
+ * Where it is under one, there is none to spare.
  */
 gboolean RetryBudget_hasSpare(RetryBudget_t *this, const char *target);
 
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -161,6 +161,7 @@
  * @retry_allowance: retries beyond that, of all routers together
  * @backoff_ms: mean wait before the first retry; doubled for each further one
  * @stream_buffer: that waits for a slow caller before its upstream is held
+ * @event_max: of one event of a stream, in bytes
  * @resume_grace_ms: how long a stream goes on after its caller left
  * @idle_connections: kept for each upstream
  * @idle_time_ms: longest rest of a connection that takes a relayed request
@@ -183,6 +184,7 @@
     gint64 retry_allowance;
     gint64 backoff_ms;
     gint64 stream_buffer;
+    gint64 event_max;
     gint64 resume_grace_ms;
     gint64 idle_connections;
     gint64 idle_time_ms;
@@ -200,8 +202,8 @@
  * @keys: secrets
  * @peers: the other routers
  * @platform: where it is and how it is spoken to
- * @relay: read again by Settings_reload()
- * @limits: read again by Settings_reload()
+ * @relay: of relayed requests
+ * @limits: of one router
  */
 typedef struct {
     GString *path;
@@ -222,14 +224,20 @@
  */
 Settings_t *Settings_create(const char *path, GPtrArray *problems);
 
+/** SettingWaits_t - called for each key that waits for a restart */
+typedef void (*SettingWaits_t)(const char *section, const char *key,
+                               void *data);
+
 /**
- * Settings_reload() - read the file again and take what may change while the
- * router runs: the sections [relay] and [limits]
+ * Settings_reload() - read the file again and take the keys that may change
+ * while the router runs
  * @problems: gets every fault; where there is any, nothing is taken
+ * @waits: called for each other key whose value differs
  *
  * Return: FALSE where there is a fault
  */
-gboolean Settings_reload(Settings_t *this, GPtrArray *problems);
+gboolean Settings_reload(Settings_t *this, GPtrArray *problems,
+                         SettingWaits_t waits, void *data);
 
 /**
  * Settings_destroy() - free them
