--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -53,7 +53,9 @@
 
 
 class Server:
-    """One HTTP server on a port that the system chooses."""
+    """One HTTP server on a port that the system chooses, or a given one."""
+
+    port = 0
 
     def __init__(self):
         class Quiet(ThreadingHTTPServer):
@@ -62,7 +64,7 @@
 
             def handle_error(self, request, client_address):
                 pass
-        self.http = Quiet(("127.0.0.1", 0), Handler)
+        self.http = Quiet(("127.0.0.1", self.port), Handler)
         self.http.owner = self
         self.address = "127.0.0.1:%d" % self.http.server_port
         self.thread = threading.Thread(
