A request that waits is taken back as weights named meanwhile become overdue

Cause: when a waiting request is looked at for overdue weights was reckoned from the names known as it was sent; with none newer it was first looked at after first_token_timeout (30 s), that is after its deadline. Change: it is looked at as soon as a name of this very moment could be overdue, and every 100 ms from then on; until first_token_timeout that look asks for overdue weights alone and puts the engine in no doubt.

--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -112,13 +112,13 @@
 RelayPlacer_overdueInMs(const Context_t *context, const char *model,
                         const Upstream_t *upstream)
 {
-    gint64 lag_ms =
-        model ? NamedWeights_lagMs(context->weights, model,
-                                   Upstream_version(upstream), Clock_nowMs())
-              : 0;
+    if (!model) {
+        return G_MAXINT64;
+    }
+    gint64 lag_ms = NamedWeights_lagMs(
+        context->weights, model, Upstream_version(upstream), Clock_nowMs());
     gint64 limit_ms = context->settings->relay.weights_limit_ms;
-    return lag_ms > 0 ? MAX(limit_ms - QUEUE_MARGIN_MS - lag_ms, 0)
-                      : G_MAXINT64;
+    return MAX(limit_ms - QUEUE_MARGIN_MS - lag_ms, 0);
 }
 
 static void
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -58,8 +58,13 @@
 gboolean RelayPlacer_isOverdue(const Context_t *context, const char *model,
                                const Upstream_t *upstream);
 
-/** RelayPlacer_overdueInMs() - how long until that holds; G_MAXINT64 where
- * no newer weights are named */
+/**
+ * RelayPlacer_overdueInMs() - how long until that may hold at the soonest
+ *
+ * Newer weights may be named at any time from now on.
+ *
+ * Return: G_MAXINT64 without a model
+ */
 gint64 RelayPlacer_overdueInMs(const Context_t *context, const char *model,
                                const Upstream_t *upstream);
 
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -129,6 +129,17 @@
     Exchange_recover(&this->super, end, NULL);
 }
 
+/* It is looked at only as weights may be overdue; the engine may take longer
+ * to its first token. */
+static gboolean
+has_time_left(const Exchange_t *super)
+{
+    gint64 sent_us = super->started_us + super->attempt_trace->started_us;
+    return Clock_nowUs() - sent_us <
+           super->context->settings->limits.first_token_timeout_ms *
+               CLOCK_US_PER_MS;
+}
+
 /* A silent upstream is given up only once a probe has stayed unanswered as
  * well, and where the request may go elsewhere; a busy one is waited for, as
  * the request would lose its place there. */
@@ -146,6 +157,9 @@
         RelayFeedback_noteOverdue(&this->feedback);
         return TRUE;
     }
+    if (awaits_engine && has_time_left(super)) {
+        return FALSE;
+    }
     return RelayFeedback_noteSilence(&this->feedback) &&
            Exchange_mayRepeat(super);
 }
@@ -208,7 +222,8 @@
     };
 }
 
-/* It is looked at no later than when it has to be taken back from a queue. */
+/* It is looked at no later than when it may have to be taken back from a
+ * queue. */
 static gint64
 first_ms(const RelayExchange_t *this, const Upstream_t *upstream)
 {
