No prefix is taken from an engine that was replaced at its address

Cause: a refusal under another instance's name counted as leaving alone, and an engine that leaves may give what it holds; the one that was there has lost it, and its address is another's. Change: such an engine is marked as replaced, which PrefixSupply does not ask.

--- a/src/PrefixSupply.c
+++ b/src/PrefixSupply.c
@@ -93,8 +93,9 @@
 can_give(const Placement_t *placement, const Upstream_t *from,
          const Upstream_t *to)
 {
-    return from != to && !from->removed && from->ejections == 0 &&
-           !from->suspect && from->paused_until_ms <= placement->now_ms &&
+    return from != to && !from->removed && !from->replaced &&
+           from->ejections == 0 && !from->suspect &&
+           from->paused_until_ms <= placement->now_ms &&
            strcmp(from->weights->str, to->weights->str) == 0;
 }
 
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -145,6 +145,7 @@
 {
     Upstream_t *upstream = this->upstream;
     log_refusal(this, head);
+    upstream->replaced = upstream->replaced || head->other_instance;
     if (head->other_instance && !upstream->leaving) {
         Upstream_noteLeaving(upstream, upstream->incarnation);
         Membership_noteUpstream(this->context->membership,
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -118,6 +118,7 @@
     if (!first) {
         EngineMemory_clear(&this->memory);
         this->leaving = FALSE;
+        this->replaced = FALSE;
         this->reported_tokens = 0;
         this->reported_running = 0;
         Upstream_noteSuccess(this);
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -29,6 +29,8 @@
  * @weights: version that it last reported, may be empty
  * @leaving: gets no new work; never taken back for an incarnation
  * @removed: no longer declared
+ * @replaced: another instance was met at its address, so that it is gone and
+ *     what it held with it
  * @in_flight: this router's open requests
  * @pending_tokens: prompt tokens that this router sent and that are not yet
  *     computed
@@ -79,6 +81,7 @@
     GString *weights;
     gboolean leaving;
     gboolean removed;
+    gboolean replaced;
     guint in_flight;
     gint64 pending_tokens;
     gint64 reported_tokens;
--- a/tests/test_PrefixSupply.c
+++ b/tests/test_PrefixSupply.c
@@ -150,6 +150,18 @@
 }
 END_TEST
 
+START_TEST(an_engine_that_was_replaced_at_its_address_gives_nothing)
+{
+    begin();
+    Residency_note(residency, KEY, engine_at(0), NOW_MS);
+    engine_at(0)->leaving = TRUE;
+    ck_assert_int_eq(find(1).kind, SUPPLY_ENGINE);
+    engine_at(0)->replaced = TRUE;
+    ck_assert_int_eq(find(1).kind, SUPPLY_UNKNOWN);
+    end();
+}
+END_TEST
+
 START_TEST(a_choice_counts_on_the_links_and_in_the_memory)
 {
     begin();
@@ -191,5 +203,6 @@
              the_giver_whose_link_is_free_is_asked,
              it_is_computed_where_all_links_are_busy,
              other_weights_give_and_hold_nothing,
+             an_engine_that_was_replaced_at_its_address_gives_nothing,
              a_choice_counts_on_the_links_and_in_the_memory,
              without_sizes_fixed_costs_do, a_short_prefix_is_not_moved)
