--- /dev/null
+++ b/tests/FakeRouters.c
@@ -0,0 +1,200 @@
+#include "FakeRouters.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Clock.h"
+
+#define KEY_BYTES 32
+#define PORTS_TRIED 100
+/* Enough for every fact of a test. */
+#define GOSSIP_BUDGET 1000000
+
+static void
+free_message(gpointer message)
+{
+    wt__peer_message__free_unpacked(message, NULL);
+}
+
+/* A message is valid during its callback only. */
+static Wt__PeerMessage *
+copy_message(const Wt__PeerMessage *message)
+{
+    gsize size = wt__peer_message__get_packed_size(message);
+    g_autofree guint8 *bytes = g_malloc(size + 1);
+    wt__peer_message__pack(message, bytes);
+    return wt__peer_message__unpack(NULL, size, bytes);
+}
+
+static void
+on_message(void *data, Member_t *from, const Wt__PeerMessage *message)
+{
+    (void)from;
+    FakeRouter_t *this = data;
+    g_ptr_array_add(this->told, copy_message(message));
+}
+
+/* The port must be free for streams and for datagrams. */
+static gboolean
+find_free(Address_t *out)
+{
+    struct sockaddr_in place = {.sin_family = AF_INET,
+                                .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(place);
+    int stream = socket(AF_INET, SOCK_STREAM, 0);
+    int datagrams = socket(AF_INET, SOCK_DGRAM, 0);
+    gboolean found =
+        bind(stream, (struct sockaddr *)&place, size) == 0 &&
+        getsockname(stream, (struct sockaddr *)&place, &size) == 0 &&
+        bind(datagrams, (struct sockaddr *)&place, size) == 0;
+    close(stream);
+    close(datagrams);
+    *out = (Address_t){"127.0.0.1", ntohs(place.sin_port)};
+    return found;
+}
+
+Address_t
+FakeRouters_freeAddress(void)
+{
+    Address_t address = {{0}, 0};
+    for (guint i = 0; i < PORTS_TRIED; i++) {
+        if (find_free(&address)) {
+            return address;
+        }
+    }
+    g_error("no port on loopback");
+}
+
+static void
+start(FakeRouters_t *this, guint which, gint64 mesh_routers)
+{
+    static const guint8 key[KEY_BYTES] = {1};
+    FakeRouter_t *router = &this->list[which];
+    Settings_t *settings = &router->settings;
+    settings->router.name = g_string_new(NULL);
+    g_string_printf(settings->router.name, "r%u", which);
+    settings->router.hall = g_string_new("h");
+    settings->keys.seal = g_bytes_new(key, sizeof(key));
+    settings->peers.listen = FakeRouters_freeAddress();
+    settings->peers.gossip_budget = GOSSIP_BUDGET;
+    settings->peers.mesh_routers = mesh_routers;
+    router->told = g_ptr_array_new_with_free_func(free_message);
+    MembershipSpec_t spec = {.settings = settings,
+                             .incarnation = 1,
+                             .upstreams = this->upstreams,
+                             .counters = this->counters,
+                             .message = on_message,
+                             .data = router};
+    router->membership = Membership_create(this->base, &spec, NULL);
+    g_assert(router->membership);
+    for (guint i = 0; i < which; i++) {
+        Membership_addSeed(router->membership,
+                           Membership_address(this->list[i].membership));
+    }
+}
+
+static gboolean
+is_linked(const FakeRouter_t *router, guint others)
+{
+    const GPtrArray *members = Membership_members(router->membership);
+    guint linked = 0;
+    for (guint i = 0; i < members->len; i++) {
+        const Member_t *member = g_ptr_array_index(members, i);
+        linked += member->link && member->address.port != 0 ? 1 : 0;
+    }
+    return linked == others;
+}
+
+static gboolean
+all_linked(const FakeRouters_t *this)
+{
+    for (guint i = 0; i < this->count; i++) {
+        if (!is_linked(&this->list[i], this->count - 1)) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+void
+FakeRouters_init(FakeRouters_t *this, guint count, gint64 mesh_routers)
+{
+    *this = (FakeRouters_t){.base = event_base_new(), .count = count};
+    this->upstreams = UpstreamSet_create(this->base, 0);
+    this->counters = Counters_create();
+    for (guint i = 0; i < count; i++) {
+        start(this, i, mesh_routers);
+    }
+    FakeRouters_await(this, all_linked);
+}
+
+static void
+clear(FakeRouter_t *this)
+{
+    Membership_destroy(this->membership);
+    g_ptr_array_unref(this->told);
+    g_string_free(this->settings.router.name, TRUE);
+    g_string_free(this->settings.router.hall, TRUE);
+    g_bytes_unref(this->settings.keys.seal);
+}
+
+void
+FakeRouters_clear(FakeRouters_t *this)
+{
+    for (guint i = 0; i < this->count; i++) {
+        clear(&this->list[i]);
+    }
+    /* What was closed is freed by the loop. */
+    event_base_loop(this->base, EVLOOP_NONBLOCK);
+    UpstreamSet_destroy(this->upstreams);
+    Counters_destroy(this->counters);
+    event_base_free(this->base);
+}
+
+void
+FakeRouters_await(FakeRouters_t *this,
+                  gboolean (*holds)(const FakeRouters_t *this))
+{
+    while (!holds(this)) {
+        event_base_loop(this->base, EVLOOP_ONCE);
+    }
+}
+
+void
+FakeRouters_run(FakeRouters_t *this, gint64 ms)
+{
+    gint64 end_ms = Clock_nowMs() + ms;
+    while (Clock_nowMs() < end_ms) {
+        event_base_loop(this->base, EVLOOP_ONCE);
+    }
+}
+
+static const Wt__PeerMessage *
+told_at(const FakeRouters_t *this, guint which, guint place)
+{
+    return g_ptr_array_index(this->list[which].told, place);
+}
+
+const Wt__PeerMessage *
+FakeRouters_find(const FakeRouters_t *this, guint which,
+                 Wt__PeerMessage__BodyCase kind)
+{
+    for (guint i = this->list[which].told->len; i > 0; i--) {
+        if (told_at(this, which, i - 1)->body_case == kind) {
+            return told_at(this, which, i - 1);
+        }
+    }
+    return NULL;
+}
+
+guint
+FakeRouters_count(const FakeRouters_t *this, guint which,
+                  Wt__PeerMessage__BodyCase kind)
+{
+    guint count = 0;
+    for (guint i = 0; i < this->list[which].told->len; i++) {
+        count += told_at(this, which, i)->body_case == kind ? 1 : 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/tests/test_FreshnessRelay.c
@@ -0,0 +1,191 @@
+#include "testing.h"
+
+#include "Clock.h"
+#include "FakeRouters.h"
+#include "FreshnessRelay.h"
+#include "PeerAge.h"
+
+/* More than links of a test, so that all are linked with all. */
+#define MESH 16
+/* Fewer than its routers, so that news are passed on. */
+#define NO_MESH 1
+/* Three times as long as news wait to be passed on. */
+#define TICKS_MS 600
+/* For an age that is far from any other. */
+#define OLD_MS 10000
+
+static FakeRouters_t routers;
+static FreshnessRelay_t *relay;
+static guint64 fresh_offset;
+static gint64 fresh_at_ms;
+static guint fresh_calls;
+
+static void
+on_fresh(void *owner, guint64 offset, gint64 at_ms)
+{
+    (void)owner;
+    fresh_calls++;
+    fresh_offset = offset;
+    fresh_at_ms = at_ms;
+}
+
+static const FreshnessRelayEvents_t events = {.fresh = on_fresh};
+
+static FreshnessRelay_t *
+create(guint which)
+{
+    return FreshnessRelay_create(routers.base, routers.list[which].membership,
+                                 &events, NULL);
+}
+
+static void
+begin(guint count, gint64 mesh)
+{
+    fresh_calls = 0;
+    FakeRouters_init(&routers, count, mesh);
+    relay = create(0);
+}
+
+static void
+end(void)
+{
+    FreshnessRelay_destroy(relay);
+    FakeRouters_clear(&routers);
+}
+
+static void
+take(guint64 offset, guint32 age_ms)
+{
+    Wt__ConfigCurrent message = WT__CONFIG_CURRENT__INIT;
+    message.offset = offset;
+    message.age_ms = age_ms;
+    FreshnessRelay_take(relay, &message);
+}
+
+static guint
+told(guint which)
+{
+    return FakeRouters_count(&routers, which,
+                             WT__PEER_MESSAGE__BODY_CONFIG_CURRENT);
+}
+
+static gboolean
+second_was_told(const FakeRouters_t *this)
+{
+    (void)this;
+    return told(1) > 0;
+}
+
+START_TEST(news_count_from_before_they_were_sent)
+{
+    begin(1, MESH);
+    gint64 before_ms = Clock_nowMs();
+    take(7, 300);
+    ck_assert_uint_eq(fresh_calls, 1);
+    ck_assert_uint_eq(fresh_offset, 7);
+    ck_assert_int_ge(fresh_at_ms, before_ms - 300 - PEER_TRANSIT_MS);
+    ck_assert_int_le(fresh_at_ms, Clock_nowMs() - 300 - PEER_TRANSIT_MS);
+    end();
+}
+END_TEST
+
+START_TEST(older_news_that_come_later_change_nothing)
+{
+    begin(1, MESH);
+    take(7, 0);
+    take(9, OLD_MS);
+    take(5, OLD_MS);
+    ck_assert_uint_eq(fresh_calls, 1);
+    ck_assert_uint_eq(fresh_offset, 7);
+    end();
+}
+END_TEST
+
+START_TEST(what_the_store_has_said_is_worth_more_than_older_news)
+{
+    begin(1, MESH);
+    FreshnessRelay_note(relay, 8, Clock_nowMs());
+    take(7, 0);
+    ck_assert_uint_eq(fresh_calls, 0);
+    end();
+}
+END_TEST
+
+START_TEST(an_answer_of_the_store_that_was_overtaken_is_not_told)
+{
+    begin(2, NO_MESH);
+    gint64 now_ms = Clock_nowMs();
+    FreshnessRelay_note(relay, 8, now_ms);
+    FreshnessRelay_note(relay, 7, now_ms - 1);
+    FakeRouters_await(&routers, second_was_told);
+    const Wt__PeerMessage *message =
+        FakeRouters_find(&routers, 1, WT__PEER_MESSAGE__BODY_CONFIG_CURRENT);
+    ck_assert_uint_eq(message->config_current->offset, 8);
+    end();
+}
+END_TEST
+
+START_TEST(an_age_only_grows_on_the_way)
+{
+    begin(2, NO_MESH);
+    take(7, 1000);
+    FakeRouters_await(&routers, second_was_told);
+    const Wt__PeerMessage *message =
+        FakeRouters_find(&routers, 1, WT__PEER_MESSAGE__BODY_CONFIG_CURRENT);
+    ck_assert_uint_eq(message->config_current->offset, 7);
+    ck_assert_uint_ge(message->config_current->age_ms, 1000 + PEER_TRANSIT_MS);
+    end();
+}
+END_TEST
+
+START_TEST(the_same_knowledge_is_told_once)
+{
+    begin(2, NO_MESH);
+    gint64 at_ms = Clock_nowMs();
+    FreshnessRelay_note(relay, 7, at_ms);
+    FreshnessRelay_note(relay, 7, at_ms);
+    FakeRouters_run(&routers, TICKS_MS);
+    FreshnessRelay_note(relay, 7, at_ms);
+    FakeRouters_run(&routers, TICKS_MS);
+    ck_assert_uint_eq(told(1), 1);
+    end();
+}
+END_TEST
+
+START_TEST(who_knows_nothing_tells_nothing)
+{
+    begin(2, NO_MESH);
+    FakeRouters_run(&routers, TICKS_MS);
+    ck_assert_uint_eq(told(1), 0);
+    end();
+}
+END_TEST
+
+/* A few are enough, of which one may be gone and one cut off. */
+START_TEST(three_routers_read_and_in_a_mesh_only_they_tell)
+{
+    begin(6, MESH);
+    guint readers = 0;
+    for (guint i = 0; i < routers.count; i++) {
+        FreshnessRelay_destroy(relay);
+        relay = create(i);
+        guint other = i == 0 ? 1 : 0;
+        guint before = told(other);
+        FreshnessRelay_note(relay, 7, Clock_nowMs());
+        FakeRouters_run(&routers, TICKS_MS);
+        gboolean reads = FreshnessRelay_isReader(relay);
+        readers += reads ? 1 : 0;
+        ck_assert_uint_eq(told(other) - before, reads ? 1 : 0);
+    }
+    ck_assert_uint_eq(readers, 3);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("FreshnessRelay", news_count_from_before_they_were_sent,
+             older_news_that_come_later_change_nothing,
+             what_the_store_has_said_is_worth_more_than_older_news,
+             an_answer_of_the_store_that_was_overtaken_is_not_told,
+             an_age_only_grows_on_the_way, the_same_knowledge_is_told_once,
+             who_knows_nothing_tells_nothing,
+             three_routers_read_and_in_a_mesh_only_they_tell)
--- /dev/null
+++ b/tests/test_RouteSync.c
@@ -0,0 +1,447 @@
+#include "testing.h"
+
+#include <string.h>
+
+#include "Clock.h"
+#include "Errors.h"
+#include "FakeRouters.h"
+#include "FakeSource.h"
+#include "PeerAge.h"
+#include "RouteSync.h"
+
+#define CONFIG_KEY "config"
+#define WEIGHTS_KEY "version/m"
+#define MODEL "m"
+#define MESH 16
+/* Age of versions that were named before the start. */
+#define UNKNOWN_AGE_MS 5000
+/* Waits that no test sees the end of. */
+#define READER_WAIT_MS 100000
+#define WAIT_MS 200000
+/* Longer than a router waits before it asks for what peers know. */
+#define ASK_OVER_MS 500
+/* What it takes until a router that is told nothing asks for itself. */
+#define UNTOLD_MS 1800
+
+/* One call to the store that a test has not answered. */
+typedef struct {
+    gboolean list;
+    guint64 from;
+    gint64 wait_ms;
+    KeyedDone_t done;
+    void *data;
+} Call_t;
+
+/* Unlike FakeSource, several calls may be open, and end in any order. */
+typedef struct {
+    RecordSource_t super;
+    GArray *open; /* Call_t */
+    guint made;
+} Calls_t;
+
+static Calls_t calls;
+static FakeRouters_t routers;
+static RouteTable_t *routes;
+static NamedWeights_t *weights;
+static RouteSync_t *route_sync;
+
+static void
+add_call(gboolean list, guint64 from, gint64 wait_ms, KeyedDone_t done,
+         void *data)
+{
+    Call_t call = {list, from, wait_ms, done, data};
+    g_array_append_val(calls.open, call);
+    calls.made++;
+}
+
+static void
+list(RecordSource_t *super, const char *topic, const char *after,
+     KeyedDone_t done, void *data)
+{
+    (void)super;
+    (void)topic;
+    (void)after;
+    add_call(TRUE, 0, 0, done, data);
+}
+
+static void
+read_from(RecordSource_t *super, const char *topic, guint64 from,
+          gint64 wait_ms, KeyedDone_t done, void *data)
+{
+    (void)super;
+    (void)topic;
+    add_call(FALSE, from, wait_ms, done, data);
+}
+
+static const RecordSourceClass_t class = {.list = list, .read = read_from};
+
+/* A configuration's value is its version in digits. */
+static RouteConfig_t *
+decode_config(GBytes *value, GError **error)
+{
+    gsize length = 0;
+    const char *text = g_bytes_get_data(value, &length);
+    g_autofree char *digits = g_strndup(text, length);
+    guint64 version = g_ascii_strtoull(digits, NULL, 10);
+    if (version == 0) {
+        g_set_error_literal(error, WT_ERROR, WT_ERROR_BAD_BODY, "no version");
+        return NULL;
+    }
+    return RouteConfig_create(version);
+}
+
+static gboolean
+decode_weights(GBytes *value, GString *model, guint64 *version, GError **error)
+{
+    (void)error;
+    gsize length = 0;
+    const char *text = g_bytes_get_data(value, &length);
+    g_autofree char *digits = g_strndup(text, length);
+    g_string_assign(model, MODEL);
+    *version = g_ascii_strtoull(digits, NULL, 10);
+    return TRUE;
+}
+
+static const PlatformForm_t form = {
+    .decode_config = decode_config,
+    .decode_weights = decode_weights,
+    .config_topic = "t",
+    .config_key = CONFIG_KEY,
+    .weights_prefix = "version/",
+};
+
+static void
+begin(guint count)
+{
+    FakeRouters_init(&routers, count, MESH);
+    calls = (Calls_t){.super = {.class = &class}};
+    calls.open = g_array_new(FALSE, FALSE, sizeof(Call_t));
+    routes = RouteTable_create();
+    weights = NamedWeights_create();
+    RouteSyncSpec_t spec = {.source = &calls.super,
+                            .form = &form,
+                            .routes = routes,
+                            .weights = weights,
+                            .membership = routers.list[0].membership,
+                            .reader_wait_ms = READER_WAIT_MS,
+                            .wait_ms = WAIT_MS,
+                            .unknown_age_ms = UNKNOWN_AGE_MS};
+    route_sync = RouteSync_create(routers.base, &spec);
+}
+
+static void
+end(void)
+{
+    RouteSync_destroy(route_sync);
+    NamedWeights_destroy(weights);
+    RouteTable_destroy(routes);
+    g_array_unref(calls.open);
+    FakeRouters_clear(&routers);
+}
+
+static void
+await_calls(guint made)
+{
+    while (calls.made < made) {
+        event_base_loop(routers.base, EVLOOP_ONCE);
+    }
+}
+
+static const Call_t *
+call_at(guint place)
+{
+    return &g_array_index(calls.open, Call_t, place);
+}
+
+static Call_t
+take_call(guint place)
+{
+    while (calls.open->len <= place) {
+        event_base_loop(routers.base, EVLOOP_ONCE);
+    }
+    Call_t call = *call_at(place);
+    g_array_remove_index(calls.open, place);
+    return call;
+}
+
+/* Ends the call at a place of those that are open; the page holds one record,
+ * or none where there is no key. */
+static void
+answer(guint place, guint64 page_end, const char *key, const char *value,
+       guint64 offset)
+{
+    KeyedPage_t page = FakePage_make(page_end, FALSE);
+    Call_t call = take_call(place);
+    if (key) {
+        FakePage_add(&page, key, value, offset);
+    }
+    call.done(&page, NULL, call.data);
+    g_ptr_array_unref(page.records);
+}
+
+static void
+end_with_error(guint place)
+{
+    g_autoptr(GError) error =
+        g_error_new_literal(WT_ERROR, WT_ERROR_TIMEOUT, "x");
+    Call_t call = take_call(place);
+    call.done(NULL, error, call.data);
+}
+
+static void
+tell(guint64 offset, guint32 age_ms)
+{
+    Wt__ConfigCurrent message = WT__CONFIG_CURRENT__INIT;
+    message.offset = offset;
+    message.age_ms = age_ms;
+    RouteSync_take(route_sync, &message);
+}
+
+static guint64
+version(void)
+{
+    const RouteConfig_t *config = RouteTable_config(routes);
+    return config ? config->version : 0;
+}
+
+static gint64
+age_ms(void)
+{
+    return RouteTable_ageMs(routes, Clock_nowMs());
+}
+
+/* Version 5 at offset 9; the read that follows is held by the store. */
+static void
+start_at_ten(void)
+{
+    answer(0, 10, CONFIG_KEY, "5", 9);
+    await_calls(2);
+    ck_assert_uint_eq(call_at(0)->from, 10);
+}
+
+START_TEST(it_is_not_fresh_before_the_end_was_read)
+{
+    begin(1);
+    answer(0, 10, CONFIG_KEY, "5", 9);
+    ck_assert_uint_eq(version(), 5);
+    answer(0, 12, CONFIG_KEY, "6", 10);
+    ck_assert_int_eq(age_ms(), G_MAXINT64);
+    answer(0, 12, CONFIG_KEY, "7", 11);
+    ck_assert_uint_eq(version(), 7);
+    ck_assert_int_lt(age_ms(), G_MAXINT64);
+    end();
+}
+END_TEST
+
+START_TEST(an_older_version_in_a_newer_record_is_passed_over)
+{
+    begin(1);
+    start_at_ten();
+    answer(0, 11, CONFIG_KEY, "4", 10);
+    ck_assert_uint_eq(version(), 5);
+    answer(0, 12, CONFIG_KEY, "6", 11);
+    ck_assert_uint_eq(version(), 6);
+    end();
+}
+END_TEST
+
+START_TEST(what_can_not_be_read_or_was_removed_changes_nothing)
+{
+    begin(1);
+    start_at_ten();
+    answer(0, 11, CONFIG_KEY, "nonsense", 10);
+    answer(0, 12, CONFIG_KEY, NULL, 11);
+    answer(0, 13, "other", "9", 12);
+    ck_assert_uint_eq(version(), 5);
+    end();
+}
+END_TEST
+
+START_TEST(who_has_read_to_the_same_end_is_as_fresh_as_its_peers)
+{
+    begin(1);
+    answer(0, 10, CONFIG_KEY, "5", 9);
+    await_calls(2);
+    tell(10, 300);
+    ck_assert_int_ge(age_ms(), 300 + PEER_TRANSIT_MS);
+    ck_assert_int_lt(age_ms(), G_MAXINT64);
+    ck_assert_uint_eq(calls.made, 2);
+    end();
+}
+END_TEST
+
+START_TEST(during_its_first_list_no_peer_makes_it_fresh)
+{
+    begin(1);
+    await_calls(1);
+    tell(10, 0);
+    ck_assert_int_eq(age_ms(), G_MAXINT64);
+    answer(0, 10, CONFIG_KEY, "5", 9);
+    ck_assert_int_eq(age_ms(), G_MAXINT64);
+    end();
+}
+END_TEST
+
+START_TEST(who_is_behind_asks_at_once_and_is_not_fresh)
+{
+    begin(1);
+    start_at_ten();
+    tell(12, 0);
+    ck_assert_int_eq(age_ms(), G_MAXINT64);
+    ck_assert_uint_eq(calls.made, 3);
+    ck_assert_uint_eq(call_at(1)->from, 10);
+    ck_assert_int_eq(call_at(1)->wait_ms, 0);
+    answer(1, 12, CONFIG_KEY, "6", 11);
+    ck_assert_uint_eq(version(), 6);
+    ck_assert_int_lt(age_ms(), G_MAXINT64);
+    end();
+}
+END_TEST
+
+START_TEST(peers_that_say_so_again_are_not_asked_about_again)
+{
+    begin(1);
+    start_at_ten();
+    tell(12, 100);
+    tell(12, 50);
+    tell(13, 0);
+    ck_assert_uint_eq(calls.made, 3);
+    end();
+}
+END_TEST
+
+START_TEST(a_question_that_was_lost_is_asked_again)
+{
+    begin(1);
+    start_at_ten();
+    tell(12, 0);
+    end_with_error(1);
+    ck_assert_uint_eq(version(), 5);
+    FakeRouters_run(&routers, ASK_OVER_MS);
+    tell(12, 0);
+    await_calls(4);
+    answer(1, 12, CONFIG_KEY, "6", 11);
+    ck_assert_uint_eq(version(), 6);
+    end();
+}
+END_TEST
+
+START_TEST(a_held_read_that_comes_late_takes_nothing_back)
+{
+    begin(1);
+    start_at_ten();
+    tell(12, 0);
+    answer(1, 12, CONFIG_KEY, "7", 11);
+    gint64 before_ms = age_ms();
+    answer(0, 11, CONFIG_KEY, "6", 10);
+    ck_assert_uint_eq(version(), 7);
+    ck_assert_int_le(age_ms(), before_ms + ASK_OVER_MS);
+    await_calls(4);
+    ck_assert_uint_eq(call_at(0)->from, 12);
+    end();
+}
+END_TEST
+
+START_TEST(a_late_answer_to_a_question_takes_nothing_back)
+{
+    begin(1);
+    start_at_ten();
+    tell(12, 0);
+    answer(0, 13, CONFIG_KEY, "8", 12);
+    answer(0, 12, CONFIG_KEY, "6", 11);
+    ck_assert_uint_eq(version(), 8);
+    end();
+}
+END_TEST
+
+START_TEST(peers_that_are_behind_change_nothing)
+{
+    begin(1);
+    start_at_ten();
+    tell(9, 0);
+    ck_assert_int_eq(age_ms(), G_MAXINT64);
+    ck_assert_uint_eq(calls.made, 2);
+    end();
+}
+END_TEST
+
+/* Those that read for all may be gone, or cut off. */
+START_TEST(who_is_told_nothing_asks_for_itself)
+{
+    begin(1);
+    start_at_ten();
+    gint64 began_ms = Clock_nowMs();
+    tell(10, 0);
+    await_calls(3);
+    ck_assert_int_ge(Clock_nowMs() - began_ms, UNTOLD_MS - PEER_TRANSIT_MS);
+    ck_assert_int_eq(call_at(1)->wait_ms, 0);
+    answer(1, 10, NULL, NULL, 0);
+    ck_assert_int_lt(age_ms(), UNTOLD_MS);
+    end();
+}
+END_TEST
+
+START_TEST(records_that_are_gone_are_listed_anew_and_nothing_reverts)
+{
+    begin(1);
+    start_at_ten();
+    g_autoptr(GError) error =
+        g_error_new_literal(WT_ERROR, WT_ERROR_TRUNCATED, "x");
+    Call_t call = take_call(0);
+    call.done(NULL, error, call.data);
+    ck_assert(call_at(0)->list);
+    ck_assert_uint_eq(version(), 5);
+    tell(90, 0);
+    answer(0, 90, CONFIG_KEY, "6", 80);
+    ck_assert_uint_eq(version(), 6);
+    end();
+}
+END_TEST
+
+START_TEST(of_versions_of_weights_the_newest_holds)
+{
+    begin(1);
+    answer(0, 10, WEIGHTS_KEY, "3", 9);
+    ck_assert_str_eq(NamedWeights_find(weights, MODEL), "3");
+    ck_assert_int_ge(NamedWeights_ageMs(weights, MODEL, Clock_nowMs()),
+                     UNKNOWN_AGE_MS);
+    answer(0, 11, WEIGHTS_KEY, "2", 10);
+    ck_assert_str_eq(NamedWeights_find(weights, MODEL), "3");
+    answer(0, 12, WEIGHTS_KEY, "4", 11);
+    ck_assert_str_eq(NamedWeights_find(weights, MODEL), "4");
+    ck_assert_int_lt(NamedWeights_ageMs(weights, MODEL, Clock_nowMs()),
+                     UNKNOWN_AGE_MS);
+    end();
+}
+END_TEST
+
+/* Of six routers three ask often; whichever this is, the store may hold its
+ * reads as long as its part allows. */
+START_TEST(a_read_is_held_as_long_as_its_reader_may_wait)
+{
+    begin(6);
+    answer(0, 10, CONFIG_KEY, "5", 9);
+    answer(0, 10, NULL, NULL, 0);
+    await_calls(3);
+    guint rank =
+        Membership_rank(routers.list[0].membership, "freshness", NULL);
+    ck_assert_int_eq(call_at(0)->wait_ms, rank < 3 ? READER_WAIT_MS : WAIT_MS);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("RouteSync", it_is_not_fresh_before_the_end_was_read,
+             an_older_version_in_a_newer_record_is_passed_over,
+             what_can_not_be_read_or_was_removed_changes_nothing,
+             who_has_read_to_the_same_end_is_as_fresh_as_its_peers,
+             during_its_first_list_no_peer_makes_it_fresh,
+             who_is_behind_asks_at_once_and_is_not_fresh,
+             peers_that_say_so_again_are_not_asked_about_again,
+             a_question_that_was_lost_is_asked_again,
+             a_held_read_that_comes_late_takes_nothing_back,
+             a_late_answer_to_a_question_takes_nothing_back,
+             peers_that_are_behind_change_nothing,
+             who_is_told_nothing_asks_for_itself,
+             records_that_are_gone_are_listed_anew_and_nothing_reverts,
+             of_versions_of_weights_the_newest_holds,
+             a_read_is_held_as_long_as_its_reader_may_wait)
