A dispatcher answers a question that comes twice once

Cause: a ticket that is known was not counted again, but placed again; the engine chosen first was busier by then, so that the second answer named another one, and its asker ended the ticket at whichever came later. Change: a question whose ticket is known is passed over (Tickets_isKnown); where its answer was lost the asker chooses for itself, as after any loss.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -110,10 +110,15 @@
     return placement;
 }
 
+/* A question that comes twice is answered once: the engine that was chosen is
+ * busier now, so that a second answer would name another one. */
 static void
 take_ask(Dispatch_t *this, const Wt__PlaceAsk *ask,
          const struct sockaddr_in *from)
 {
+    if (Tickets_isKnown(this->tickets, ask->ticket)) {
+        return;
+    }
     Placement_t placement = placement_of(this, ask);
     this->spec.prefer(this->spec.owner, *ask->model ? ask->model : NULL,
                       &placement);
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -88,7 +88,7 @@
 Tickets_add(Tickets_t *this, guint64 id, const Placement_t *placement,
             const Choice_t *choice)
 {
-    if (g_hash_table_contains(this->by_id, &id)) {
+    if (Tickets_isKnown(this, id)) {
         return;
     }
     Ticket_t *ticket = g_new0(Ticket_t, 1);
@@ -105,6 +105,12 @@
     g_hash_table_insert(this->by_id, &ticket->id, ticket);
 }
 
+gboolean
+Tickets_isKnown(const Tickets_t *this, guint64 id)
+{
+    return g_hash_table_contains(this->by_id, &id);
+}
+
 void
 Tickets_begin(Tickets_t *this, guint64 id, Policy_t *policy, gint64 waited_us,
               gint64 now_ms)
--- a/src/Tickets.h
+++ b/src/Tickets.h
@@ -37,6 +37,9 @@
 void Tickets_add(Tickets_t *this, guint64 id, const Placement_t *placement,
                  const Choice_t *choice);
 
+/** Tickets_isKnown() - whether a ticket counts */
+gboolean Tickets_isKnown(const Tickets_t *this, guint64 id);
+
 /**
  * Tickets_begin() - its first token came: its prompt has been computed
  * @policy: learns of it
