Tests: a router that stood still takes old news for fresh

Cause: the age in a peer's word on the configuration counts from when it is read; no test let one wait. Change: PausedRouterTest stops a router that is cut off from the store while a key is revoked; test_FreshnessRelay lets a message wait.

--- a/tests/sessions/test_fleet_losses.py
+++ b/tests/sessions/test_fleet_losses.py
@@ -12,6 +12,7 @@
 
 import fleet as stand_ins
 from cluster import wait_for
+from faultproxy import FaultProxy
 from fleet import CUSTOMERS, Fleet
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
@@ -748,5 +749,62 @@
         self.assertEqual([e.seen for e in self.engines], [[], []])
 
 
+class PausedRouterTest(LossTest):
+    """A router that is cut off from the store stands still."""
+
+    ROUTERS = 5
+    MAX_AGE_S = 1.5
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.plain("p1")
+        self.fleet.config()
+        self.path = FaultProxy(int(
+            self.fleet.store.address.rpartition(":")[2]))
+        self.addCleanup(self.path.kill)
+        self.herd = []
+        for i in range(self.ROUTERS):
+            last = i == self.ROUTERS - 1
+            self.herd.append(self.fleet.router(
+                "r%d" % i, config_max_age="%dms" % (1000 * self.MAX_AGE_S),
+                store_address=self.path.address if last else None,
+                peers={"seeds": ",".join(r.peer_address
+                                         for r in self.herd)}))
+        for router in self.herd:
+            wait_for(lambda: self.fleet.is_ready(router), "ready")
+        self.cut_off = self.herd[-1]
+
+    def status(self, router, key="key-a"):
+        return self.fleet.ask(router, "/write/x", key=key).status
+
+    def test_news_that_waited_while_it_stood_still_are_not_fresh(self):
+        """Symptom: a key that was revoked seconds ago was let in.
+        Sequence: a router that hears from peers alone how fresh its
+        configuration is stands still; a key is revoked; the router goes on
+        and reads what its peers sent before that.
+        Cause: the age that a message tells counts from when it is read.
+        Settled by: the statuses that follow at once.
+        """
+        self.path.refuse = True
+        self.path.black_hole = True
+        self.path.cut_all()
+        cut_at = time.monotonic()
+        wait_for(lambda: time.monotonic() > cut_at + 2 * self.MAX_AGE_S,
+                 "what it has read itself is old")
+        self.assertEqual(self.status(self.cut_off), 200)
+        self.cut_off.signal(signal.SIGSTOP)
+        stopped_at = time.monotonic()
+        wait_for(lambda: time.monotonic() > stopped_at + 0.5, "peers tell")
+        self.fleet.config(5, customers=[CUSTOMERS[1]])
+        for router in self.herd[:-1]:
+            wait_for(lambda: self.status(router) == 401, "revoked")
+        revoked_at = time.monotonic()
+        wait_for(lambda: time.monotonic() > revoked_at + 2 * self.MAX_AGE_S,
+                 "what was known before is old")
+        self.cut_off.signal(signal.SIGCONT)
+        said = [self.status(self.cut_off) for _ in range(20)]
+        self.assertEqual(set(said), {503}, said)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_FreshnessRelay.c
+++ b/tests/test_FreshnessRelay.c
@@ -11,6 +11,8 @@
 #define NO_MESH 1
 /* Three times as long as news wait to be passed on. */
 #define TICKS_MS 600
+/* Longer than a busy loop takes for a turn. */
+#define STANDSTILL_MS 800
 /* For an age that is far from any other. */
 #define OLD_MS 10000
 
@@ -89,6 +91,29 @@
 }
 END_TEST
 
+/* Symptom: a router let in a key that had been revoked seconds before.
+ * Sequence: it stands still; a key is revoked; it goes on and reads what its
+ * peers sent before that.
+ * Cause: the age that a message tells counts from when it is read.
+ * Settled by: 200 to the revoked key from a router that was cut off from the
+ * store, once it went on after more than config_max_age. */
+START_TEST(news_that_waited_while_it_stood_still_tell_nothing)
+{
+    begin(1, MESH);
+    FakeRouters_run(&routers, TICKS_MS);
+    g_usleep(STANDSTILL_MS * CLOCK_US_PER_MS);
+    take(7, 0);
+    ck_assert_uint_eq(fresh_calls, 0);
+    event_base_loop(routers.base, EVLOOP_NONBLOCK);
+    take(7, 0);
+    ck_assert_uint_eq(fresh_calls, 0);
+    FakeRouters_run(&routers, TICKS_MS);
+    take(7, 0);
+    ck_assert_uint_eq(fresh_calls, 1);
+    end();
+}
+END_TEST
+
 START_TEST(older_news_that_come_later_change_nothing)
 {
     begin(1, MESH);
@@ -183,6 +208,7 @@
 END_TEST
 
 TESTING_MAIN("FreshnessRelay", news_count_from_before_they_were_sent,
+             news_that_waited_while_it_stood_still_tell_nothing,
              older_news_that_come_later_change_nothing,
              what_the_store_has_said_is_worth_more_than_older_news,
              an_answer_of_the_store_that_was_overtaken_is_not_told,
