What waited while a router stood still is not taken for fresh

Cause: the age in a peer's word on the configuration counts from when it is read; a router that stood still read words of before a revocation, and let the key in for up to config_max_age more where it could not ask the store. Change: where its loop turned 300 ms late or more, a router passes over such words until 200 ms after it went on. It answers 503 until it hears anew. Ruled out: to take a router that is told of a newer end for stale at once; it would refuse all keys for a moment with each change of the configuration. Left: a link that the network holds up delays words unnoticed.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -10,6 +10,11 @@
 /* How often news is passed on. With links to six peers each, it reaches some
  * hundred routers in three or four such steps. */
 #define TICK_MS 200
+/* A loop that turns so much later than it should has stood still, or its
+ * process has; a busy one is late by less. */
+#define STANDSTILL_MS 300
+/* What came in the meantime has been read so long after it went on. */
+#define CATCH_UP_MS 200
 
 struct FreshnessRelay {
     Membership_t *membership;
@@ -17,8 +22,10 @@
     void *owner;
     struct event *tick;
     guint64 offset;
-    gint64 at_ms;   /* 0 for never */
-    gint64 told_ms; /* the time that was told last */
+    gint64 at_ms;        /* 0 for never */
+    gint64 told_ms;      /* the time that was told last */
+    gint64 turned_ms;    /* when the last tick was */
+    gint64 caught_up_ms; /* peers' news before may be older than they say */
 };
 
 static void
@@ -45,12 +52,29 @@
            !Membership_isMesh(this->membership);
 }
 
+static gboolean
+stood_still(const FreshnessRelay_t *this, gint64 now_ms)
+{
+    return now_ms - this->turned_ms > TICK_MS + STANDSTILL_MS;
+}
+
+static void
+note_turn(FreshnessRelay_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (stood_still(this, now_ms)) {
+        this->caught_up_ms = now_ms + CATCH_UP_MS;
+    }
+    this->turned_ms = now_ms;
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
     (void)fd;
     (void)what;
     FreshnessRelay_t *this = data;
+    note_turn(this);
     if (is_to_tell(this)) {
         send_to_linked(this);
     }
@@ -65,6 +89,7 @@
     this->membership = membership;
     this->events = events;
     this->owner = owner;
+    this->turned_ms = Clock_nowMs();
     this->tick = Clock_timer(base, on_tick, this);
     Clock_arm(this->tick, TICK_MS);
     return this;
@@ -92,9 +117,22 @@
     }
 }
 
+/* An age counts from when the message is read. While this router stands still
+ * messages wait, so that what they tell seems newer than it is, and a key that
+ * was revoked since would be let in. */
+static gboolean
+may_have_waited(const FreshnessRelay_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    return stood_still(this, now_ms) || now_ms < this->caught_up_ms;
+}
+
 void
 FreshnessRelay_take(FreshnessRelay_t *this, const Wt__ConfigCurrent *message)
 {
+    if (may_have_waited(this)) {
+        return;
+    }
     gint64 at_ms = PeerAge_atMs(message->age_ms);
     if (at_ms > this->at_ms) {
         FreshnessRelay_note(this, message->offset, at_ms);
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -37,7 +37,8 @@
 /** FreshnessRelay_note() - this router has asked the store itself */
 void FreshnessRelay_note(FreshnessRelay_t *this, guint64 offset, gint64 at_ms);
 
-/** FreshnessRelay_take() - a peer's message */
+/** FreshnessRelay_take() - a peer's message; passed over where it may have
+ * waited here, as its age is not known then */
 void FreshnessRelay_take(FreshnessRelay_t *this,
                          const Wt__ConfigCurrent *message);
 
