--- a/tests/sessions/test_fleet_losses.py
+++ b/tests/sessions/test_fleet_losses.py
@@ -271,6 +271,57 @@
         self.assert_nothing_wrong()
 
 
+class KeptPartsTest(LossTest):
+    """Engines that keep all they were ever given, whatever for."""
+
+    PARTS = "a1:2000,b1:2000,c1:10"
+
+    def setUp(self):
+        super().setUp()
+        self.engines = [self.fleet.add(CachingEngine(self.fleet.store, name))
+                        for name in ("e0", "e1")]
+        self.router = self.fleet.start()
+        self.wait_listed(self.router, ["e0", "e1"])
+
+    def ask(self, key="key-a"):
+        answer = self.fleet.ask(self.router, "/ask/x", key=key,
+                                X_Token_Usage="4010,10",
+                                X_Prompt_Prefix=self.PARTS)
+        self.assertEqual(answer.body, EVENTS)
+
+    def drawn(self):
+        return sum(e.hits + e.taken for e in self.engines)
+
+    def assert_nothing_wrong(self):
+        self.assertEqual([w for e in self.engines for w in e.wrong], [])
+
+    def test_an_isolated_customer_draws_on_nothing_of_others(self):
+        self.ask("key-a")
+        self.ask("key-a")
+        drawn = self.drawn()
+        self.assertGreater(drawn, 0)
+        self.ask("key-b")
+        self.assertEqual(self.drawn(), drawn)
+        self.ask("key-b")
+        self.assertGreater(self.drawn(), drawn)
+        self.ask("key-a")
+        self.assert_nothing_wrong()
+
+    def test_nothing_of_older_weights_is_drawn_on(self):
+        self.ask()
+        self.ask()
+        drawn = self.drawn()
+        self.assertGreater(drawn, 0)
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+        wait_for(lambda: all(e.version == 2 for e in self.engines), "loaded")
+        self.ask()
+        self.assertEqual(self.drawn(), drawn)
+        self.ask()
+        self.assertGreater(self.drawn(), drawn)
+        self.assert_nothing_wrong()
+
+
 class HerdStore(stand_ins.Store):
     """A store whose answers to lists may be held back after they were made."""
 
