--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -839,6 +839,19 @@
         self.assertEqual(response[0].headers["Connection"], "close")
         self.assertEqual(router.process.wait(60), 0)
 
+    def test_a_second_stop_signal_changes_nothing(self):
+        """Symptom: a router that was told to stop twice ended by the signal
+        in place of 0.
+        Sequence: the second signal comes as the router frees its parts.
+        Cause: its handlers were freed first, and the signal met the default
+        action.
+        Settled by: exit -15 after router_stopped.
+        """
+        router = self.fleet.start()
+        while router.process.poll() is None:
+            router.signal(signal.SIGTERM)
+        self.assertEqual(router.process.returncode, 0)
+
     def test_settings_are_read_again(self):
         self.fleet.plain("p1")
         router = self.fleet.start()
