A stop signal that comes last changes nothing

Cause: the router freed its signal handlers before it ended, so that a second SIGTERM met the default action: exit -15 after a stop that went well. Change: stop signals are blocked once the loop is over.

--- a/src/Router.c
+++ b/src/Router.c
@@ -407,6 +407,19 @@
     Log_end();
 }
 
+/* A signal that comes while handlers are freed would meet the default action
+ * and end the router as if it had failed. */
+static void
+block_stop_signals(void)
+{
+    sigset_t stops;
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    sigaddset(&stops, SIGINT);
+    sigaddset(&stops, SIGHUP);
+    sigprocmask(SIG_BLOCK, &stops, NULL);
+}
+
 static void
 create_signals(Router_t *this)
 {
@@ -526,6 +539,7 @@
         log_event(&this, "router_stopped");
         free_platform(&this);
     }
+    block_stop_signals();
     free_listeners(&this);
     free_parts(&this);
     event_base_free(this.context.base);
