--- a/tests/sessions/test_fleet_losses.py
+++ b/tests/sessions/test_fleet_losses.py
@@ -733,6 +733,20 @@
         self.assertEqual([b[1] for b in self.other.begun], [2])
         self.assertEqual(self.other.seen[-1]["X-Expect-Version"], "2")
         self.assert_not_begun_late()
+        self.assert_engine_not_doubted()
+
+    def assert_engine_not_doubted(self):
+        """Symptom: routers probed and ejected engines that were well.
+        Sequence: a request is taken back from an engine's queue as the
+        engine's weights are overdue.
+        Cause: the end of such an attempt was told as silence, for which an
+        upstream is doubted and ejected.
+        Settled by: attempt_failed with reason=silent and upstream_doubted in
+        the same millisecond, of engines that answered others.
+        """
+        failed = self.router.events("attempt_failed")
+        self.assertEqual([f["reason"] for f in failed], ["taken_back"])
+        self.assertEqual(self.router.events("upstream_doubted"), [])
 
     def test_a_request_that_waited_before_the_name_is_taken_back(self):
         """Symptom: requests waited in an engine's queue until their deadline
