A request that is taken back from a queue tells nothing bad of its engine

Change: what a silent attempt comes to is one of three steps, and this one ends as taken_back, which is no fault of the upstream.

--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -216,7 +216,8 @@
 is_upstream_fault(AttemptEnd_t end)
 {
     return end != ATTEMPT_WHOLE && end != ATTEMPT_NOT_RUN &&
-           end != ATTEMPT_REJECTED && end != ATTEMPT_MOVED;
+           end != ATTEMPT_REJECTED && end != ATTEMPT_TAKEN_BACK &&
+           end != ATTEMPT_MOVED;
 }
 
 static void
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -12,7 +12,7 @@
         [ATTEMPT_FAILED] = "failed",         [ATTEMPT_CUT] = "cut",
         [ATTEMPT_SILENT] = "silent",         [ATTEMPT_MISMATCH] = "mismatch",
         [ATTEMPT_BAD_ANSWER] = "bad_answer", [ATTEMPT_OVERSIZED] = "oversized",
-        [ATTEMPT_MOVED] = "moved",
+        [ATTEMPT_TAKEN_BACK] = "taken_back", [ATTEMPT_MOVED] = "moved",
     };
     return names[end];
 }
@@ -52,6 +52,7 @@
         [ATTEMPT_MISMATCH] = REFUSAL_ANSWER_MISMATCH,
         [ATTEMPT_BAD_ANSWER] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_OVERSIZED] = REFUSAL_UPSTREAM_FAILED,
+        [ATTEMPT_TAKEN_BACK] = REFUSAL_NO_UPSTREAM,
         [ATTEMPT_MOVED] = REFUSAL_UPSTREAM_FAILED,
     };
     RecoveryPlan_t plan = {RECOVERY_GIVE_UP, reasons[facts->end],
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -22,6 +22,8 @@
  * @ATTEMPT_MISMATCH: the answer was not to this attempt
  * @ATTEMPT_BAD_ANSWER: the answer does not follow the interface
  * @ATTEMPT_OVERSIZED: an event of the stream is larger than the setting
+ * @ATTEMPT_TAKEN_BACK: this router took it from the queue of an upstream whose
+ *     weights are overdue
  * @ATTEMPT_MOVED: this router ended it to go on elsewhere
  */
 typedef enum {
@@ -35,6 +37,7 @@
     ATTEMPT_MISMATCH,
     ATTEMPT_BAD_ANSWER,
     ATTEMPT_OVERSIZED,
+    ATTEMPT_TAKEN_BACK,
     ATTEMPT_MOVED,
 } AttemptEnd_t;
 
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -68,6 +68,20 @@
     return this->has_head && this->verdict == ATTEMPT_NOT_RUN;
 }
 
+static void
+take_step(RelayAttempt_t *this, SilenceStep_t step)
+{
+    if (step == SILENCE_GIVE_UP) {
+        end_attempt(this, ATTEMPT_SILENT);
+    }
+    else if (step == SILENCE_TAKE_BACK) {
+        end_attempt(this, ATTEMPT_TAKEN_BACK);
+    }
+    else {
+        Clock_arm(this->connection.watch, ASK_AGAIN_MS);
+    }
+}
+
 static void
 on_watch(evutil_socket_t fd, short what, void *data)
 {
@@ -90,11 +104,8 @@
     else if (!connection->sent) {
         end_attempt(this, ATTEMPT_NOT_SENT);
     }
-    else if (this->events->silent(this->owner)) {
-        end_attempt(this, ATTEMPT_SILENT);
-    }
     else {
-        Clock_arm(connection->watch, ASK_AGAIN_MS);
+        take_step(this, this->events->silent(this->owner));
     }
 }
 
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -14,12 +14,24 @@
 #include "RelayForm.h"
 #include "Upstream.h"
 
+/**
+ * enum SilenceStep_t - what is to become of an attempt that brings nothing
+ * @SILENCE_WAIT: wait on, and ask again soon
+ * @SILENCE_GIVE_UP: end it as ATTEMPT_SILENT
+ * @SILENCE_TAKE_BACK: end it as ATTEMPT_TAKEN_BACK
+ */
+typedef enum {
+    SILENCE_WAIT,
+    SILENCE_GIVE_UP,
+    SILENCE_TAKE_BACK,
+} SilenceStep_t;
+
 /**
  * struct RelayAttemptEvents_t - what an attempt tells its owner
  * @head: the head of an answer to this request; not for one that says "not
  *     run"
  * @data: bytes of its body, to be taken out
- * @silent: nothing has come for too long; whether to give it up
+ * @silent: nothing has come for too long; what to do
  * @ended: last call of all
  *
  * The owner may cancel the attempt from any of them.
@@ -28,7 +40,7 @@
     void (*head)(void *owner, const RelayHead_t *head,
                  const struct evkeyvalq *headers);
     void (*data)(void *owner, struct evbuffer *data);
-    gboolean (*silent)(void *owner);
+    SilenceStep_t (*silent)(void *owner);
     void (*ended)(void *owner, AttemptEnd_t end, const RelayHead_t *head);
 } RelayAttemptEvents_t;
 
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -185,12 +185,6 @@
     }
 }
 
-void
-RelayFeedback_noteOverdue(const RelayFeedback_t *this)
-{
-    log_doubt(this, "overdue_weights");
-}
-
 gboolean
 RelayFeedback_noteSilence(const RelayFeedback_t *this)
 {
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -61,10 +61,6 @@
 /** RelayFeedback_noteReach() - whether the end puts the upstream in doubt */
 void RelayFeedback_noteReach(const RelayFeedback_t *this, AttemptEnd_t end);
 
-/** RelayFeedback_noteOverdue() - the attempt is taken back from the queue of
- * an upstream whose weights are overdue */
-void RelayFeedback_noteOverdue(const RelayFeedback_t *this);
-
 /**
  * RelayFeedback_noteSilence() - nothing has come for too long
  *
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -164,11 +164,11 @@
     hand_over(this);
 }
 
-static gboolean
+static SilenceStep_t
 on_silent(void *owner)
 {
     (void)owner;
-    return TRUE;
+    return SILENCE_GIVE_UP;
 }
 
 /* It ended without an event. */
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -195,7 +195,7 @@
 /* A silent upstream is given up only once a probe has stayed unanswered as
  * well, and where the request may go elsewhere; a busy one is waited for, as
  * the request would lose its place there. */
-static gboolean
+static SilenceStep_t
 on_silent(void *owner)
 {
     RelayExchange_t *this = owner;
@@ -206,15 +206,15 @@
     if (awaits_engine &&
         RelayPlacer_isOverdue(super->context, this->request.model,
                               super->upstream)) {
-        RelayFeedback_noteOverdue(&this->feedback);
-        return TRUE;
+        return SILENCE_TAKE_BACK;
     }
     if (awaits_engine && has_time_left(super)) {
-        return FALSE;
+        return SILENCE_WAIT;
     }
-    return RelayFeedback_noteSilence(&this->feedback) &&
-           Exchange_mayRepeat(super) && may_follow(this) &&
-           !this->run_events->go_beside(this);
+    gboolean may_go = RelayFeedback_noteSilence(&this->feedback) &&
+                      Exchange_mayRepeat(super) && may_follow(this);
+    return may_go && !this->run_events->go_beside(this) ? SILENCE_GIVE_UP
+                                                        : SILENCE_WAIT;
 }
 
 static const RelayAttemptEvents_t attempt_events = {
