--- a/src/KeyTable.c
+++ b/src/KeyTable.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "IniFile.h"
+#include "Names.h"
 #include "Problem.h"
 
 #define NAME_MAX_LENGTH 64
@@ -321,20 +322,6 @@
             memcmp(one->data, other->data, one->len * sizeof(Address_t)) == 0);
 }
 
-static gboolean
-same_names(const GPtrArray *one, const GPtrArray *other)
-{
-    if (one->len != other->len) {
-        return FALSE;
-    }
-    for (guint i = 0; i < one->len; i++) {
-        if (!g_string_equal(one->pdata[i], other->pdata[i])) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 /* Addresses are compared as memory: what is not written of them is zero. */
 static gboolean
 is_same(const KeySpec_t *key, const void *one, const void *other)
@@ -344,8 +331,8 @@
     case KEY_NAME:
         return same_texts(*(GString *const *)one, *(GString *const *)other);
     case KEY_NAMES:
-        return same_names(*(GPtrArray *const *)one,
-                          *(GPtrArray *const *)other);
+        return Names_equal(*(GPtrArray *const *)one,
+                           *(GPtrArray *const *)other);
     case KEY_ADDRESS:
         return memcmp(one, other, sizeof(Address_t)) == 0;
     case KEY_ADDRESSES:
--- a/src/Router.c
+++ b/src/Router.c
@@ -22,6 +22,7 @@
 #include "Random.h"
 #include "RelayApi.h"
 #include "RelayParts.h"
+#include "SettingsReload.h"
 #include "StopPlans.h"
 
 #define LOG_RETRY_MS 500
@@ -337,33 +338,6 @@
     on_stop_timer(-1, 0, this);
 }
 
-static void
-on_waiting_setting(const char *section, const char *key, void *data)
-{
-    guint *count = data;
-    (*count)++;
-    Log_begin(LOG_LEVEL_WARNING, "setting_waits");
-    Log_text("section", section);
-    Log_text("key", key);
-    Log_text("until", "restart");
-    Log_end();
-}
-
-/* Without the value, which may be that of a key. */
-static void
-log_faults(const GPtrArray *problems)
-{
-    for (guint i = 0; i < problems->len; i++) {
-        const Problem_t *problem = g_ptr_array_index(problems, i);
-        Log_begin(LOG_LEVEL_WARNING, "setting_at_fault");
-        Log_text("section", problem->section->str);
-        Log_text("key", problem->key->str);
-        Log_text("reason", Problem_kindName(problem->kind));
-        Log_number("line", problem->line);
-        Log_end();
-    }
-}
-
 /* Parts that keep a value of their own are told of it. */
 static void
 apply_settings(Router_t *this)
@@ -392,19 +366,9 @@
     (void)fd;
     (void)what;
     Router_t *this = data;
-    g_autoptr(GPtrArray) problems = Problems_create();
-    guint waiting = 0;
-    gboolean good = Settings_reload(this->settings, problems,
-                                    on_waiting_setting, &waiting);
-    if (good) {
+    if (SettingsReload_run(this->settings)) {
         apply_settings(this);
     }
-    log_faults(problems);
-    Log_begin(good ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING, "settings_reloaded");
-    Log_text("outcome", good ? "taken" : "refused");
-    Log_number("problems", problems->len);
-    Log_number("waiting", waiting);
-    Log_end();
 }
 
 /* A signal that comes while handlers are freed would meet the default action
--- a/src/UpstreamSet.c
+++ b/src/UpstreamSet.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "Names.h"
+
 struct UpstreamSet {
     struct event_base *base;
     guint idle_max;
@@ -74,20 +76,6 @@
            upstream->role == (UpstreamRole_t)spec->role;
 }
 
-static gboolean
-same_targets(const GPtrArray *one, const GPtrArray *other)
-{
-    if (one->len != other->len) {
-        return FALSE;
-    }
-    for (guint i = 0; i < one->len; i++) {
-        if (!g_string_equal(one->pdata[i], other->pdata[i])) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 static void
 update_upstream(Upstream_t *upstream, const UpstreamSpec_t *spec)
 {
@@ -223,8 +211,8 @@
                 const UpstreamSpec_t *spec)
 {
     const Upstream_t *old = UpstreamSet_find(this, name);
-    gboolean same = old && same_place(old, spec) &&
-                    same_targets(old->serves, spec->serves);
+    gboolean same =
+        old && same_place(old, spec) && Names_equal(old->serves, spec->serves);
     this->is_stale = this->is_stale || !same;
     return put_upstream(this, name, spec);
 }
