--- /dev/null
+++ b/src/NativeParts.c
@@ -0,0 +1,156 @@
+#include "NativeParts.h"
+
+#include "Claims.h"
+#include "ConfigLog.h"
+#include "ConfigSync.h"
+#include "Declarations.h"
+#include "InstanceList.h"
+#include "Log.h"
+#include "LogHttp.h"
+#include "Orders.h"
+#include "Problem.h"
+#include "StopPlans.h"
+
+/* How long a router waits before it asks a log again that did not answer. */
+#define LOG_RETRY_MS 500
+
+struct NativeParts {
+    Context_t *context;
+    LogClient_t *log;
+    InstanceList_t *instances;
+    ConfigSync_t *sync;
+    Orders_t *orders;
+    StopPlans_t *plans;
+};
+
+/* Faults were shown by `check`; at a start they only leave objects out. */
+static void
+load_bootstrap(NativeParts_t *this)
+{
+    const GString *path = this->context->settings->router.bootstrap;
+    if (!path) {
+        return;
+    }
+    char *paths[] = {path->str, NULL};
+    g_autoptr(GPtrArray) problems = Problems_create();
+    GPtrArray *objects = Declarations_load(paths, problems);
+    Log_begin(problems->len > 0 ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+              "bootstrap_loaded");
+    Log_number("objects", objects->len);
+    Log_number("problems", problems->len);
+    Log_end();
+    if (objects->len > 0) {
+        ConfigStore_bootstrap(this->context->config, objects);
+    }
+    else {
+        g_ptr_array_unref(objects);
+    }
+}
+
+static gboolean
+declared_weights(void *data, const Upstream_t *upstream, WantedWeights_t *out)
+{
+    const NativeParts_t *this = data;
+    if (upstream->role != ROLE_ENGINE || upstream->serves->len == 0) {
+        return FALSE;
+    }
+    const GString *name = g_ptr_array_index(upstream->serves, 0);
+    const Object_t *model =
+        ConfigStore_find(this->context->config, OBJECT_MODEL, name->str);
+    if (!model) {
+        return FALSE;
+    }
+    out->model = name->str;
+    out->weights = ((const Model_t *)model->spec)->weights->str;
+    return TRUE;
+}
+
+static void
+create_orders(NativeParts_t *this)
+{
+    OrdersSpec_t orders = {
+        .settings = this->context->settings,
+        .incarnation = this->context->incarnation,
+        .log = this->log,
+        .form = &OrderHttp_form,
+        .wanted = declared_weights,
+        .wanted_data = this,
+        .upstreams = this->context->upstreams,
+        .membership = this->context->membership,
+        .counters = this->context->counters,
+    };
+    this->orders = Orders_create(this->context->base, &orders);
+}
+
+static void
+create_parts(NativeParts_t *this)
+{
+    const PlatformSection_t *platform = &this->context->settings->platform;
+    struct event_base *base = this->context->base;
+    ConfigLogLimits_t limits = {
+        .poll_ms = platform->log_poll_ms,
+        .retry_ms = LOG_RETRY_MS,
+        .command_ms = platform->command_timeout_ms,
+    };
+    this->log = LogHttp_create(base, &platform->log, platform->log_timeout_ms);
+    this->context->config_log =
+        ConfigLog_create(base, this->log, this->context->config, &limits);
+    this->instances = InstanceList_create(
+        base, &platform->instances, platform->instances_poll_ms,
+        this->context->upstreams, this->context->membership);
+    ClaimsSpec_t claims = {
+        .settings = this->context->settings,
+        .log = this->log,
+        .membership = this->context->membership,
+        .counters = this->context->counters,
+    };
+    this->context->claims = Claims_create(base, &claims);
+    this->sync = ConfigSync_create(
+        base, this->context->settings, this->context->config,
+        this->context->config_log, this->context->membership);
+    create_orders(this);
+    this->plans =
+        StopPlans_create(base, this->context->config, this->context->upstreams,
+                         this->context->membership);
+}
+
+NativeParts_t *
+NativeParts_create(Context_t *context)
+{
+    NativeParts_t *this = g_new0(NativeParts_t, 1);
+    this->context = context;
+    load_bootstrap(this);
+    create_parts(this);
+    return this;
+}
+
+void
+NativeParts_take(NativeParts_t *this, Member_t *from,
+                 const Wt__PeerMessage *message)
+{
+    switch (message->body_case) {
+    case WT__PEER_MESSAGE__BODY_CONFIG_PULL:
+    case WT__PEER_MESSAGE__BODY_CONFIG_PUSH:
+        ConfigSync_take(this->sync, from, message);
+        break;
+    case WT__PEER_MESSAGE__BODY_CLAIM_CALL:
+    case WT__PEER_MESSAGE__BODY_CLAIM_REPLY:
+        Claims_take(this->context->claims, from, message);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+NativeParts_destroy(NativeParts_t *this)
+{
+    LogClient_destroy(this->log);
+    InstanceList_destroy(this->instances);
+    StopPlans_destroy(this->plans);
+    Orders_destroy(this->orders);
+    ConfigSync_destroy(this->sync);
+    Claims_destroy(this->context->claims);
+    ConfigLog_destroy(this->context->config_log);
+    g_free(this);
+}
--- a/src/Router.c
+++ b/src/Router.c
@@ -8,24 +8,18 @@
 
 #include "CallerApi.h"
 #include "Clock.h"
-#include "ConfigSync.h"
 #include "Context.h"
 #include "Errors.h"
-#include "InstanceList.h"
 #include "Log.h"
-#include "LogHttp.h"
+#include "NativeParts.h"
 #include "OperatorApi.h"
-#include "Orders.h"
 #include "PendingReply.h"
 #include "Policies.h"
-#include "Problem.h"
 #include "Random.h"
 #include "RelayApi.h"
 #include "RelayParts.h"
 #include "SettingsReload.h"
-#include "StopPlans.h"
 
-#define LOG_RETRY_MS 500
 #define STOP_CHECK_MS 50
 /* How long a stopping router goes on to record outcomes of claims. */
 #define CLAIMS_LIMIT_MS 5000
@@ -35,12 +29,8 @@
 typedef struct {
     Settings_t *settings;
     Context_t context;
-    LogClient_t *log;
-    InstanceList_t *instances;
-    ConfigSync_t *sync;
-    Orders_t *orders;
-    StopPlans_t *plans;
-    RelayParts_t *relay; /* NULL on the native platform */
+    NativeParts_t *native; /* NULL where requests are relayed */
+    RelayParts_t *relay;   /* NULL on the native platform */
     struct evhttp *callers;
     struct evhttp *operators;
     struct evhttp *readiness;
@@ -86,30 +76,6 @@
     context->incarnation = (guint64)Clock_wallMs();
 }
 
-/* Faults were shown by `check`; at a start they only leave objects out. */
-static void
-load_bootstrap(Router_t *this)
-{
-    const GString *path = this->settings->router.bootstrap;
-    if (!path) {
-        return;
-    }
-    char *paths[] = {path->str, NULL};
-    g_autoptr(GPtrArray) problems = Problems_create();
-    GPtrArray *objects = Declarations_load(paths, problems);
-    Log_begin(problems->len > 0 ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
-              "bootstrap_loaded");
-    Log_number("objects", objects->len);
-    Log_number("problems", problems->len);
-    Log_end();
-    if (objects->len > 0) {
-        ConfigStore_bootstrap(this->context.config, objects);
-    }
-    else {
-        g_ptr_array_unref(objects);
-    }
-}
-
 static void
 on_peer_message(void *data, Member_t *from, const Wt__PeerMessage *message)
 {
@@ -118,18 +84,7 @@
         RelayParts_take(this->relay, from, message);
         return;
     }
-    switch (message->body_case) {
-    case WT__PEER_MESSAGE__BODY_CONFIG_PULL:
-    case WT__PEER_MESSAGE__BODY_CONFIG_PUSH:
-        ConfigSync_take(this->sync, from, message);
-        break;
-    case WT__PEER_MESSAGE__BODY_CLAIM_CALL:
-    case WT__PEER_MESSAGE__BODY_CLAIM_REPLY:
-        Claims_take(this->context.claims, from, message);
-        break;
-    default:
-        break;
-    }
+    NativeParts_take(this->native, from, message);
 }
 
 static gboolean
@@ -148,73 +103,6 @@
     return context->membership != NULL;
 }
 
-static gboolean
-declared_weights(void *data, const Upstream_t *upstream, WantedWeights_t *out)
-{
-    const Router_t *this = data;
-    if (upstream->role != ROLE_ENGINE || upstream->serves->len == 0) {
-        return FALSE;
-    }
-    const GString *name = g_ptr_array_index(upstream->serves, 0);
-    const Object_t *model =
-        ConfigStore_find(this->context.config, OBJECT_MODEL, name->str);
-    if (!model) {
-        return FALSE;
-    }
-    out->model = name->str;
-    out->weights = ((const Model_t *)model->spec)->weights->str;
-    return TRUE;
-}
-
-static void
-create_orders(Router_t *this)
-{
-    OrdersSpec_t orders = {
-        .settings = this->settings,
-        .incarnation = this->context.incarnation,
-        .log = this->log,
-        .form = &OrderHttp_form,
-        .wanted = declared_weights,
-        .wanted_data = this,
-        .upstreams = this->context.upstreams,
-        .membership = this->context.membership,
-        .counters = this->context.counters,
-    };
-    this->orders = Orders_create(this->context.base, &orders);
-}
-
-static void
-create_native(Router_t *this)
-{
-    const PlatformSection_t *platform = &this->settings->platform;
-    struct event_base *base = this->context.base;
-    ConfigLogLimits_t limits = {
-        .poll_ms = platform->log_poll_ms,
-        .retry_ms = LOG_RETRY_MS,
-        .command_ms = platform->command_timeout_ms,
-    };
-    this->log = LogHttp_create(base, &platform->log, platform->log_timeout_ms);
-    this->context.config_log =
-        ConfigLog_create(base, this->log, this->context.config, &limits);
-    this->instances = InstanceList_create(
-        base, &platform->instances, platform->instances_poll_ms,
-        this->context.upstreams, this->context.membership);
-    ClaimsSpec_t claims = {
-        .settings = this->settings,
-        .log = this->log,
-        .membership = this->context.membership,
-        .counters = this->context.counters,
-    };
-    this->context.claims = Claims_create(base, &claims);
-    this->sync =
-        ConfigSync_create(base, this->settings, this->context.config,
-                          this->context.config_log, this->context.membership);
-    create_orders(this);
-    this->plans =
-        StopPlans_create(base, this->context.config, this->context.upstreams,
-                         this->context.membership);
-}
-
 static void
 create_platform(Router_t *this)
 {
@@ -222,8 +110,7 @@
         this->relay = RelayParts_create(&this->context, this->context.form);
         return;
     }
-    load_bootstrap(this);
-    create_native(this);
+    this->native = NativeParts_create(&this->context);
 }
 
 /* Port 0 in the settings lets the system choose. */
@@ -412,19 +299,6 @@
     }
 }
 
-static void
-free_native(Router_t *this)
-{
-    Context_t *context = &this->context;
-    LogClient_destroy(this->log);
-    InstanceList_destroy(this->instances);
-    StopPlans_destroy(this->plans);
-    Orders_destroy(this->orders);
-    ConfigSync_destroy(this->sync);
-    Claims_destroy(context->claims);
-    ConfigLog_destroy(context->config_log);
-}
-
 /* Calls and links that were closed free themselves in the loop. */
 static void
 free_platform(Router_t *this)
@@ -433,7 +307,7 @@
         RelayParts_destroy(this->relay);
     }
     else {
-        free_native(this);
+        NativeParts_destroy(this->native);
     }
     Membership_destroy(this->context.membership);
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
