An engine's names that JSON cannot hold are refused

Cause: an engine of the native interface names its stream and weights in headers of any bytes. A name that is not UTF-8 went into a resume token, a resume and a cancel, which are JSON; the text that could not be made was used as one, and the router died by a null pointer. Change: a head whose names are not UTF-8 is a bad answer, as its events, which are JSON too, could not name that stream either. Result: names_that_json_cannot_hold_are_refused failed before (read_head() == 1) and passes now.

--- a/src/EngineHttp.c
+++ b/src/EngineHttp.c
@@ -63,11 +63,13 @@
     return text ? g_ascii_strtoull(text, NULL, 10) : 0;
 }
 
+/* It goes into JSON, which can't hold what is not UTF-8. */
 static gboolean
 header_text(struct evkeyvalq *headers, const char *name, char *out, gsize size)
 {
     const char *text = evhttp_find_header(headers, name);
-    return text && g_strlcpy(out, text, size) < size;
+    return text && g_utf8_validate(text, -1, NULL) &&
+           g_strlcpy(out, text, size) < size;
 }
 
 static gboolean
--- a/tests/test_EngineHttp.c
+++ b/tests/test_EngineHttp.c
@@ -1,6 +1,9 @@
 #include "testing.h"
 
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "EngineHttp.h"
 
@@ -139,7 +142,38 @@
 }
 END_TEST
 
+/*
+ * Symptom: a router died by a null pointer. Sequence: an engine answered with
+ * a stream's id that is not UTF-8; the router sealed the id for its caller, or
+ * wrote it into a resume or a cancel. Cause: those are JSON, which can't hold
+ * it; the text that was not made was used. Settled by: a head with such an id
+ * or version of weights is refused, as its events could not name it either.
+ */
+START_TEST(names_that_json_cannot_hold_are_refused)
+{
+    static const char *const names[] = {"s1", "\xff", "s\xc3", "\xc3\xa9"};
+    static const gboolean good[] = {TRUE, FALSE, FALSE, TRUE};
+    for (gsize i = 0; i < G_N_ELEMENTS(names); i++) {
+        for (int in_weights = 0; in_weights < 2; in_weights++) {
+            EngineHead_t read = {.attempt = g_string_new(NULL)};
+            struct evkeyvalq headers;
+            TAILQ_INIT(&headers);
+            evhttp_add_header(&headers, "X-Engine-Incarnation", "7");
+            evhttp_add_header(&headers, "X-Stream-Id",
+                              in_weights ? "s1" : names[i]);
+            evhttp_add_header(&headers, "X-Weights-Version",
+                              in_weights ? names[i] : "w1");
+            ck_assert_int_eq(EngineHttp_wire.read_head(&headers, &read),
+                             good[i]);
+            evhttp_clear_headers(&headers);
+            g_string_free(read.attempt, TRUE);
+        }
+    }
+}
+END_TEST
+
 TESTING_MAIN("EngineHttp", text_is_read_and_the_form_learned,
              events_of_others_are_refused_with_and_without_a_form,
              finish_is_read_in_full, text_that_looks_like_the_event_is_no_trap,
-             form_changes_nothing_for_mutated_events)
+             form_changes_nothing_for_mutated_events,
+             names_that_json_cannot_hold_are_refused)
