A NUL in a settings or declarations file is told

Cause: a file was read as a text that ends at its first NUL, so that what stood behind it was left out of a file that counted as good. Change: it is a syntax problem with its line. Result: a_file_with_a_nul_is_told failed before (no problem) and passes now.

--- a/src/IniFile.c
+++ b/src/IniFile.c
@@ -100,12 +100,29 @@
     return joined;
 }
 
+/* What stands behind a NUL would be passed over without a word. */
+static void
+refuse_nul(const char *path, const char *text, gsize length,
+           GPtrArray *problems)
+{
+    if (strlen(text) == length) {
+        return;
+    }
+    guint line = 1;
+    for (const char *at = text; *at; at++) {
+        line += *at == '\n' ? 1 : 0;
+    }
+    Problems_add(problems, PROBLEM_SYNTAX, path, line, NULL, NULL,
+                 "a NUL, behind which nothing is read");
+}
+
 IniFile_t *
 IniFile_create(const char *path, GPtrArray *problems)
 {
     g_autoptr(GError) error = NULL;
     g_autofree char *text = NULL;
-    if (!g_file_get_contents(path, &text, NULL, &error)) {
+    gsize length = 0;
+    if (!g_file_get_contents(path, &text, &length, &error)) {
         Problems_add(problems, PROBLEM_UNREADABLE, path, 0, NULL, NULL,
                      error->message);
         return NULL;
@@ -115,6 +132,7 @@
     this->keys = g_key_file_new();
     this->lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     guint before = problems->len;
+    refuse_nul(path, text, length, problems);
     index_lines(this, text, problems);
     g_autofree char *plain = without_semicolon_comments(text);
     gboolean good = g_key_file_load_from_data(this->keys, plain, (gsize)-1,
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -184,6 +184,28 @@
 }
 END_TEST
 
+/*
+ * Symptom: a file without faults was in force in part. Sequence: a file that
+ * had a NUL byte in its middle was applied. Cause: it was read as a text that
+ * ends at its first NUL. Settled by: a NUL is told as a fault of its line.
+ */
+START_TEST(a_file_with_a_nul_is_told)
+{
+    static const char text[] = "[model m]\nweights = v1\n\0[model n]\n";
+    g_autoptr(GPtrArray) problems = Problems_create();
+    char *path = write_file("");
+    char *paths[] = {path, NULL};
+    ck_assert(g_file_set_contents(path, text, sizeof(text) - 1, NULL));
+    g_ptr_array_unref(Declarations_load(paths, problems));
+    ck_assert_uint_eq(problems->len, 1);
+    const Problem_t *problem = g_ptr_array_index(problems, 0);
+    ck_assert_int_eq(problem->kind, PROBLEM_SYNTAX);
+    ck_assert_uint_eq(problem->line, 3);
+    g_unlink(path);
+    g_free(path);
+}
+END_TEST
+
 TESTING_MAIN("Settings", good_settings_have_values_and_defaults,
              each_fault_has_its_type_and_place,
              missing_key_and_bad_address_are_told, all_faults_are_told_at_once,
@@ -191,4 +213,4 @@
              declarations_come_in_the_order_of_their_kinds,
              declarations_that_point_to_nothing_are_told,
              declarations_with_bad_heads_and_times_are_told,
-             reference_names_every_section)
+             reference_names_every_section, a_file_with_a_nul_is_told)
