Quoted texts of a log line hold no pairs and come back whole

Cause: LogLine looked for keys within quotes too and ended a value at its first quote, escaped or not. A text from outside that is logged, such as a caller's id of a request, could so bring a pair of its own into a story or report. Change: words are gone through one by one, quoted texts are passed over, and a value is given back as it was before it was quoted. A line that was cut inside quotes is read as far as it goes. Result: quoted_texts_hold_no_pairs_and_come_back_whole failed before (the value ended at its first quote) and passes now, with the tests of LogStory and LogReport.

--- a/src/LogLine.c
+++ b/src/LogLine.c
@@ -23,12 +23,44 @@
     return TRUE;
 }
 
+/* Behind the first quote, up to the last; a line may be cut before it. */
+static const char *
+end_of_quoted(const char *at)
+{
+    while (*at && *at != '"' && !(at[0] == '\\' && at[1] == '\0')) {
+        at += *at == '\\' ? 2 : 1;
+    }
+    return at;
+}
+
+/* Blanks in quotes, which follow a key's sign, do not end a word. */
+static const char *
+end_of_word(const char *at)
+{
+    const char *sign = at + strcspn(at, " =");
+    if (sign[0] == '=' && sign[1] == '"') {
+        at = end_of_quoted(sign + 2);
+    }
+    return at + strcspn(at, " ");
+}
+
+/* Where a text that begins with a blank stands, but for those in quotes. */
+static const char *
+find_pair(const char *at, const char *pair)
+{
+    while (*at && !g_str_has_prefix(at, pair)) {
+        at = end_of_word(*at == ' ' ? at + 1 : at);
+    }
+    return *at ? at : NULL;
+}
+
 /* A pair ends at a blank or with its line. */
 gboolean
 LogLine_hasPair(const char *text, const char *pair)
 {
     gsize length = strlen(pair);
-    for (const char *at = strstr(text, pair); at; at = strstr(at + 1, pair)) {
+    for (const char *at = find_pair(text, pair); at;
+         at = find_pair(at + 1, pair)) {
         if (at[length] == '\0' || at[length] == ' ') {
             return TRUE;
         }
@@ -39,14 +71,16 @@
 char *
 LogLine_value(const char *text, const char *key)
 {
-    const char *at = strstr(text, key);
+    const char *at = find_pair(text, key);
     if (!at) {
         return NULL;
     }
     at += strlen(key);
     if (*at == '"') {
         at++;
-        return g_strndup(at, strcspn(at, "\""));
+        g_autofree char *escaped =
+            g_strndup(at, (gsize)(end_of_quoted(at) - at));
+        return g_strcompress(escaped);
     }
     return g_strndup(at, strcspn(at, " "));
 }
--- a/src/LogLine.h
+++ b/src/LogLine.h
@@ -21,7 +21,7 @@
 gboolean LogLine_hasPair(const char *text, const char *pair);
 
 /**
- * LogLine_value() - the value of a key, without its quotes
+ * LogLine_value() - the value of a key as it was before it was quoted
  * @key: " key=", with the blank before it
  *
  * Return: NULL where the line has none; freed by the caller
