Numbers of callers' heads and the platform's records are bounded

Cause: a part's length of "-1" was read as 2,147,483,647 tokens; lengths and weights were added in 32 bits and wrapped, and a number of a record that no 64-bit integer holds was converted all the same, which is undefined: a limit of 1e300 ms was one of the least number there is. Counts above 32 bits lost their upper half. Change: a count begins with a digit, else the header is refused as other bad ones are; all parts together have G_MAXINT32 tokens at the most.

--- a/src/RouteConfig.c
+++ b/src/RouteConfig.c
@@ -201,7 +201,7 @@
                          .service->str
                    : NULL;
     }
-    guint rest = draw % this->weight_sum;
+    guint64 rest = draw % this->weight_sum;
     for (guint i = 0; i < this->targets->len; i++) {
         const RouteTarget_t *target =
             &g_array_index(this->targets, RouteTarget_t, i);
--- a/src/RouteConfig.h
+++ b/src/RouteConfig.h
@@ -65,7 +65,7 @@
     guint rank;
     guint max_attempts;
     GArray *targets;
-    guint weight_sum;
+    guint64 weight_sum;
 } Route_t;
 
 /**
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -2,6 +2,8 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -175,8 +177,70 @@
 }
 END_TEST
 
+/* Tokens of all parts, or -1 where the header is refused. */
+static gint64
+tokens_of_parts(const char *header)
+{
+    struct evhttp_request *http = evhttp_request_new(NULL, NULL);
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(http);
+    RelayRequest_t request;
+    evhttp_add_header(headers, "Host", "h");
+    evhttp_add_header(headers, "X-Request-Id", "q");
+    evhttp_add_header(headers, "X-Prompt-Prefix", header);
+    http->uri = strdup("/");
+    gboolean good = Fleet_form.caller->read_request(http, &request, NULL);
+    gint64 tokens = good ? 0 : -1;
+    for (guint i = 0; good && i < request.part_count; i++) {
+        tokens += request.parts[i].tokens;
+    }
+    Fleet_form.caller->clear_request(&request);
+    evhttp_request_free(http);
+    return tokens;
+}
+
+/*
+ * Symptom: lengths of a prompt's parts that wrapped around, so that a long
+ * prompt counted as a short one. Sequence: a caller gave parts of "-1" or of
+ * billions of tokens. Cause: a sign was read as a huge count, and counts were
+ * added beyond 32 bits. Settled by: a count begins with a digit, and all parts
+ * together have at most G_MAXINT32 tokens.
+ */
+START_TEST(lengths_of_parts_can_be_added)
+{
+    static const char *const bad[] = {"a:-1", "a:", "-a:1", "a:1,b:+2"};
+    for (gsize i = 0; i < G_N_ELEMENTS(bad); i++) {
+        ck_assert_int_lt(tokens_of_parts(bad[i]), 0);
+    }
+    ck_assert_int_eq(tokens_of_parts("a:1, b:2"), 3);
+    ck_assert_int_eq(tokens_of_parts("a:2147483647,b:9,c:2147483647"),
+                     G_MAXINT32);
+}
+END_TEST
+
+START_TEST(numbers_beyond_any_use_are_bounded)
+{
+    GBytes *value = bytes(
+        "{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+        "\"timeout_ms\":1e300,\"priority\":4294967296,\"traffic_split\":["
+        "{\"service\":\"s\",\"weight\":4294967296},"
+        "{\"service\":\"t\",\"weight\":2147483647},"
+        "{\"service\":\"u\",\"weight\":2}]}],"
+        "\"services\":[{\"name\":\"s\",\"max_connections\":-1}]}");
+    RouteConfig_t *config = Fleet_form.decode_config(value, NULL);
+    const Route_t *route = RouteConfig_findRoute(config, "h", "/");
+    ck_assert_int_gt(route->time_limit_ms, G_MAXINT32);
+    ck_assert_uint_eq(route->rank, G_MAXINT32);
+    ck_assert_uint_eq(route->weight_sum, 2 * (guint64)G_MAXINT32 + 2);
+    ck_assert_uint_eq(RouteConfig_findService(config, "s")->max_connections,
+                      0);
+    RouteConfig_unref(config);
+    g_bytes_unref(value);
+}
+END_TEST
+
 TESTING_MAIN("Fleet", a_configuration_is_read,
              a_bad_configuration_is_a_typed_error,
              an_entry_of_the_list_is_read, framed_records_come_back,
              only_a_mark_proves_that_nothing_ran,
-             callers_cannot_set_what_is_ours)
+             callers_cannot_set_what_is_ours, lengths_of_parts_can_be_added,
+             numbers_beyond_any_use_are_bounded)
