Fuzz the parsers that outsiders reach, the same way each time

Change: tests/fuzz has 19 targets, each a function of any bytes that also checks what must hold: the same events whatever the pieces, a text read as it was written, claims against a second account of their rules, nothing taken from a peer without the key. test_Fuzz runs each in a process of its own on its seeds and on 30,000 inputs made of them from a fixed number, so that the verdict is the same each time; one that fails leaves its input. tests/run.py runs it as any module's program. `make fuzz TARGET=...` runs one under libFuzzer. Ruled out: a bound by time, with which the verdict would hang on the machine; libFuzzer in `make test`, which would need clang; comparing a peer's message packed again with what came, which libFuzzer broke with a field of number 0 that protobuf-c reads but writes so that it can't be read: no router packs a peer's message again.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,13 @@
 	libprotobuf-c-dev libglib2.0-dev libxxhash-dev libsodium-dev \
 	libjansson-dev check libsubunit-dev python3
 LINT_PACKAGES = clang-format clang-tidy cppcheck
+FUZZ_PACKAGES = clang libclang-rt-14-dev
 HAND_WRITTEN = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] \
-	platform/*.[ch] standins/*.[ch] bench/*.[ch] tests/*.[ch]))
+	platform/*.[ch] standins/*.[ch] bench/*.[ch] tests/*.[ch] tests/fuzz/*.[ch]))
 
 .PHONY: demo test install format lint bench generate packages build \
 	build-asan reference slopes soak \
-	check-deploy fleet-soak
+	check-deploy fleet-soak fuzz
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
@@ -70,6 +71,23 @@
 fleet-soak: build
 	@python3 tools/fleet_soak.py $(SEED) $(DURATION)
 
+# One target of tests/fuzz/targets.c under libFuzzer, which learns from what
+# its inputs reach; `make test` runs all of them without it.
+TARGET ?= callerHead
+FUZZ_FLAGS = -fsanitize=fuzzer-no-link,float-cast-overflow
+fuzz: packages
+	@dpkg -s $(FUZZ_PACKAGES) >/dev/null 2>&1 || { apt-get update -q && \
+		apt-get install -y -q --no-install-recommends $(FUZZ_PACKAGES); }
+	@test -d build-fuzz || CC=clang meson setup build-fuzz -Dwerror=false \
+		-Db_sanitize=address,undefined -Db_lundef=false \
+		-Dc_args="$(FUZZ_FLAGS)" >/dev/null
+	@ninja -C build-fuzz --quiet wt-fuzzer
+	@mkdir -p build-fuzz/inputs/$(TARGET)
+	@cd build-fuzz && UBSAN_OPTIONS=halt_on_error=1 FUZZ_TARGET=$(TARGET) \
+		./wt-fuzzer -seed=$(SEED) -max_total_time=$(DURATION) \
+		-max_len=4096 -timeout=20 -artifact_prefix=inputs/$(TARGET)- \
+		inputs/$(TARGET) ../tests/fuzz/corpus/$(TARGET)
+
 slopes: build
 	@build/wt-slopes
 
--- /dev/null
+++ b/tests/fuzz/FakeHttp.c
@@ -0,0 +1,43 @@
+#include "FakeHttp.h"
+
+struct HttpCall {
+    HttpCallDone_t done;
+    void *data;
+};
+
+static HttpCall_t open_call;
+
+HttpCall_t *
+HttpCall_start(struct event_base *base, const HttpCallSpec_t *spec,
+               HttpCallDone_t done, void *data)
+{
+    (void)base;
+    (void)spec;
+    open_call = (HttpCall_t){done, data};
+    return &open_call;
+}
+
+void
+HttpCall_cancel(HttpCall_t *this)
+{
+    this->done = NULL;
+}
+
+void
+FakeHttp_answer(int status, const char *body, gsize length)
+{
+    HttpAnswer_t answer = {.status = status, .body = body, .length = length};
+    open_call.done(&answer, NULL, open_call.data);
+}
+
+void
+Http_noDelay(struct evhttp_connection *connection)
+{
+    (void)connection;
+}
+
+void
+Http_flush(struct evhttp_connection *connection)
+{
+    (void)connection;
+}
--- /dev/null
+++ b/tests/fuzz/peers.c
@@ -0,0 +1,287 @@
+/* What other routers say, in links, in datagrams and in the claims' log. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/event.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "ClaimIndex.h"
+#include "Counters.h"
+#include "Gossip.h"
+#include "PeerDatagrams.h"
+#include "PeerLink.h"
+#include "PeerMac.h"
+#include "targets.h"
+
+#define MAC_KEY "0123456789abcdef0123456789abcdef"
+
+static Gossip_t *
+make_gossip(MemberTable_t **table, UpstreamSet_t **upstreams,
+            Counters_t **counters)
+{
+    static const PeersSection_t settings = {.gossip_budget = 100000,
+                                            .mesh_routers = 4};
+    static UpstreamSpec_t spec = {.address = {"127.0.0.1", 1}, .slots = 1};
+    if (!spec.hall) {
+        spec.hall = g_string_new("h");
+        spec.region = g_string_new("r");
+        spec.serves = g_ptr_array_new();
+    }
+    *table = MemberTable_create("self", "h", 1);
+    *upstreams = UpstreamSet_create(NULL, 1);
+    *counters = Counters_create();
+    UpstreamSet_put(*upstreams, "u1", &spec);
+    return Gossip_create(*table, *upstreams, *counters, &settings);
+}
+
+/* Of two facts that of the larger incarnation holds, and nobody is told of
+ * itself. */
+static void
+check_facts(const Wt__Gossip *message, const MemberTable_t *table,
+            const UpstreamSet_t *upstreams)
+{
+    g_assert(table->self.incarnation == 1 && !table->self.leaving);
+    for (size_t i = 0; i < message->n_members; i++) {
+        const Wt__MemberFact *fact = message->members[i];
+        const Member_t *member = MemberTable_find(table, fact->name);
+        g_assert(member || strcmp(fact->name, "self") == 0);
+        g_assert(!member || member->incarnation >= fact->incarnation);
+    }
+    for (size_t i = 0; i < message->n_upstreams; i++) {
+        const Wt__UpstreamFact *fact = message->upstreams[i];
+        const Upstream_t *upstream = UpstreamSet_find(upstreams, fact->name);
+        g_assert(!upstream || upstream->incarnation >= fact->incarnation);
+        g_assert(!upstream || !fact->leaving || upstream->leaving ||
+                 upstream->incarnation > fact->incarnation);
+    }
+}
+
+static void
+take_gossip(const Wt__Gossip *message)
+{
+    MemberTable_t *table = NULL;
+    UpstreamSet_t *upstreams = NULL;
+    Counters_t *counters = NULL;
+    Gossip_t *gossip = make_gossip(&table, &upstreams, &counters);
+    Gossip_take(gossip, message);
+    Gossip_take(gossip, message);
+    check_facts(message, table, upstreams);
+    Gossip_introduce(gossip);
+    Gossip_tick(gossip);
+    Gossip_destroy(gossip);
+    Counters_destroy(counters);
+    UpstreamSet_destroy(upstreams);
+    MemberTable_destroy(table);
+}
+
+int
+Fuzz_peerMessages(const uint8_t *data, size_t size)
+{
+    GBytes *key = g_bytes_new_static(MAC_KEY, strlen(MAC_KEY));
+    guint8 mac[PEER_MAC_BYTES];
+    PeerMac_make(key, data, size, mac);
+    g_assert(PeerMac_isGood(key, data, size, mac));
+    g_assert(size < PEER_MAC_BYTES || !PeerMac_isGood(key, data, size, data));
+    g_bytes_unref(key);
+    Wt__PeerMessage *message = wt__peer_message__unpack(NULL, size, data);
+    if (!message) {
+        return 0;
+    }
+    if (message->body_case == WT__PEER_MESSAGE__BODY_GOSSIP) {
+        take_gossip(message->gossip);
+    }
+    wt__peer_message__free_unpacked(message, NULL);
+    return 0;
+}
+
+typedef struct {
+    guint messages;
+    guint closed;
+} Heard_t;
+
+static void
+on_message(void *owner, PeerLink_t *link, const Wt__PeerMessage *message)
+{
+    (void)link;
+    (void)message;
+    ((Heard_t *)owner)->messages++;
+}
+
+static void
+on_closed(void *owner, PeerLink_t *link)
+{
+    (void)link;
+    ((Heard_t *)owner)->closed++;
+}
+
+/* A link that has closed meanwhile takes no more. */
+static void
+send_piece(struct event_base *base, int fd, const uint8_t *data, size_t size)
+{
+    ssize_t sent = send(fd, data, size, MSG_NOSIGNAL);
+    g_assert(sent == (ssize_t)size || (sent < 0 && errno == EPIPE));
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+}
+
+/* What a link takes of bytes that come in two pieces. */
+static Heard_t
+send_pieces(GBytes *key, const uint8_t *data, size_t size, size_t first)
+{
+    static const PeerLinkEvents_t events = {.message = on_message,
+                                            .closed = on_closed};
+    static struct event_base *base;
+    Heard_t heard = {0, 0};
+    int ends[2];
+    base = base ? base : event_base_new();
+    g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends),
+                    ==, 0);
+    PeerLink_t *link = PeerLink_accept(base, ends[0], key, &events, &heard);
+    send_piece(base, ends[1], data, first);
+    send_piece(base, ends[1], data + first, size - first);
+    if (heard.closed == 0) {
+        PeerLink_close(link);
+    }
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    close(ends[1]);
+    return heard;
+}
+
+/* Nothing is heard of whoever lacks the key; with it, what can be unpacked is
+ * heard once and anything else closes the link. */
+int
+Fuzz_peerLink(const uint8_t *data, size_t size)
+{
+    GBytes *key = g_bytes_new_static(MAC_KEY, strlen(MAC_KEY));
+    Heard_t heard = send_pieces(key, data, size, size / 2);
+    g_assert_cmpuint(heard.messages, ==, 0);
+    gsize framed_size = sizeof(guint32) + PEER_MAC_BYTES + size;
+    g_autofree guint8 *framed = g_malloc(framed_size);
+    guint32 head = htonl((guint32)size);
+    memcpy(framed, &head, sizeof(head));
+    PeerMac_make(key, data, size, framed + sizeof(head));
+    memcpy(framed + sizeof(head) + PEER_MAC_BYTES, data, size);
+    heard = send_pieces(key, framed, framed_size,
+                        size > 0 ? data[0] % framed_size : 0);
+    g_assert_cmpuint(heard.messages + heard.closed, ==, 1);
+    g_bytes_unref(key);
+    return 0;
+}
+
+#define KEYS 4
+#define ATTEMPTS 8
+
+/* What claims must come to, written down a second time. */
+typedef struct {
+    gboolean ran[KEYS];
+    gboolean is_void[ATTEMPTS];
+} Expected_t;
+
+static ClaimId_t
+id_of(guint number)
+{
+    ClaimId_t id;
+    memset(&id, (int)number, sizeof(id));
+    return id;
+}
+
+static gboolean
+is_granted(const ClaimIndex_t *index, guint key, guint attempt)
+{
+    ClaimId_t key_id = id_of(key);
+    ClaimId_t attempt_id = id_of(attempt);
+    return ClaimIndex_verdict(index, &key_id, &attempt_id) ==
+           WT__CLAIM_VERDICT__GRANTED;
+}
+
+static gboolean
+stands(const ClaimIndex_t *index, guint key)
+{
+    ClaimId_t id = id_of(key);
+    return ClaimIndex_stands(index, &id);
+}
+
+static void
+fold(ClaimIndex_t *index, guint key, guint attempt, Wt__ClaimKind kind)
+{
+    ClaimId_t key_id = id_of(key);
+    ClaimId_t attempt_id = id_of(attempt);
+    Wt__ClaimEntry entry = WT__CLAIM_ENTRY__INIT;
+    Wt__ClaimEntry *entries[] = {&entry};
+    Wt__ClaimRecord record = WT__CLAIM_RECORD__INIT;
+    entry.kind = kind;
+    entry.key.data = key_id.bytes;
+    entry.key.len = sizeof(key_id);
+    entry.attempt.data = attempt_id.bytes;
+    entry.attempt.len = sizeof(attempt_id);
+    record.n_entries = 1;
+    record.entries = entries;
+    ClaimIndex_fold(index, &record);
+}
+
+/* Whether the attempt is to be granted behind an entry. */
+static gboolean
+expect(Expected_t *this, const ClaimIndex_t *index, guint key, guint attempt,
+       Wt__ClaimKind kind)
+{
+    gboolean granted = is_granted(index, key, attempt);
+    gboolean was_void = this->is_void[attempt];
+    switch (kind) {
+    case WT__CLAIM_KIND__CLAIM:
+        this->is_void[attempt] = was_void || (stands(index, key) && !granted);
+        return granted || (!stands(index, key) && !was_void);
+    case WT__CLAIM_KIND__RELEASE:
+        this->is_void[attempt] = TRUE;
+        return granted && this->ran[key];
+    case WT__CLAIM_KIND__OUTCOME:
+        this->ran[key] = this->ran[key] || granted;
+        return granted;
+    default:
+        return granted;
+    }
+}
+
+static guint
+count_granted(const ClaimIndex_t *index, guint key)
+{
+    guint granted = 0;
+    for (guint i = 0; i < ATTEMPTS; i++) {
+        granted += is_granted(index, key, i) ? 1 : 0;
+    }
+    return granted;
+}
+
+static void
+fold_raw(ClaimIndex_t *index, const uint8_t *data, size_t size)
+{
+    Wt__ClaimRecord *record = wt__claim_record__unpack(NULL, size, data);
+    if (record) {
+        ClaimIndex_fold(index, record);
+        wt__claim_record__free_unpacked(record, NULL);
+    }
+}
+
+/* Three bytes are an entry: key, attempt, kind. The same bytes as they came
+ * are a record as well. Of all attempts of a key one is granted at most. */
+int
+Fuzz_claims(const uint8_t *data, size_t size)
+{
+    ClaimIndex_t *index = ClaimIndex_create();
+    Expected_t expected = {0};
+    for (size_t at = 0; at + 3 <= size; at += 3) {
+        guint key = data[at] % KEYS;
+        guint attempt = data[at + 1] % ATTEMPTS;
+        Wt__ClaimKind kind = (Wt__ClaimKind)(data[at + 2] % 4);
+        gboolean granted = expect(&expected, index, key, attempt, kind);
+        fold(index, key, attempt, kind);
+        g_assert(is_granted(index, key, attempt) == granted);
+        g_assert_cmpuint(count_granted(index, key), ==,
+                         stands(index, key) ? 1 : 0);
+    }
+    fold_raw(index, data, size);
+    ClaimIndex_expire(index, 1);
+    ClaimIndex_destroy(index);
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/records.c
@@ -0,0 +1,269 @@
+/* Answers of the stores, and the records in them. */
+#include <string.h>
+
+#include "ConfigStore.h"
+#include "FakeHttp.h"
+#include "FleetConfig.h"
+#include "FleetLog.h"
+#include "FleetOrders.h"
+#include "FleetRecords.h"
+#include "LogHttp.h"
+#include "OrderForm.h"
+#include "targets.h"
+
+#define TIMEOUT_MS 1000
+
+static const Address_t address = {"127.0.0.1", 1};
+
+/* Reads every byte, so that one that is not there is found. */
+static guint
+sum_of(GBytes *bytes)
+{
+    gsize size = 0;
+    const guint8 *at = bytes ? g_bytes_get_data(bytes, &size) : NULL;
+    guint sum = 0;
+    for (gsize i = 0; i < size; i++) {
+        sum += at[i];
+    }
+    return sum;
+}
+
+/* Counts the answers: each call has exactly one. */
+static void
+take_records(const LogRecords_t *records, const GError *error, void *data)
+{
+    guint *answers = data;
+    *answers += 1;
+    g_assert(records || error);
+    for (guint i = 0; !error && i < records->records->len; i++) {
+        sum_of(g_ptr_array_index(records->records, i));
+    }
+}
+
+static void
+take_offset(guint64 offset, const GError *error, void *data)
+{
+    (void)offset;
+    (void)error;
+    guint *answers = data;
+    *answers += 1;
+}
+
+static void
+take_page(const KeyedPage_t *page, const GError *error, void *data)
+{
+    guint *answers = data;
+    *answers += 1;
+    g_assert((page == NULL) == (error != NULL));
+    for (guint i = 0; page && i < page->records->len; i++) {
+        const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
+        g_assert_cmpuint(record->key->str[record->key->len], ==, 0);
+        sum_of(record->value);
+    }
+}
+
+static int
+status_of(uint8_t byte)
+{
+    static const int statuses[] = {200, 200, 410, 503};
+    return statuses[byte % G_N_ELEMENTS(statuses)];
+}
+
+static void
+answer_log(LogClient_t *log, int status, const char *body, gsize length)
+{
+    guint answers = 0;
+    GBytes *record = g_bytes_new_static("r", 1);
+    LogClient_read(log, "s", 3, 0, take_records, &answers);
+    FakeHttp_answer(status, body, length);
+    LogClient_append(log, "s", record, take_offset, &answers);
+    FakeHttp_answer(status, body, length);
+    g_assert_cmpuint(answers, ==, 2);
+    g_bytes_unref(record);
+    LogClient_destroy(log);
+}
+
+int
+Fuzz_storeAnswers(const uint8_t *data, size_t size)
+{
+    if (size == 0) {
+        return 0;
+    }
+    const char *body = (const char *)data + 1;
+    int status = status_of(data[0]);
+    guint answers = 0;
+    RecordSource_t *source = FleetRecords_create(NULL, &address, TIMEOUT_MS);
+    RecordSource_read(source, "t", 3, 0, take_page, &answers);
+    FakeHttp_answer(status, body, size - 1);
+    RecordSource_list(source, "t", NULL, take_page, &answers);
+    FakeHttp_answer(status, body, size - 1);
+    g_assert_cmpuint(answers, ==, 2);
+    RecordSource_destroy(source);
+    answer_log(FleetLog_create(NULL, &address, TIMEOUT_MS), status, body,
+               size - 1);
+    return 0;
+}
+
+int
+Fuzz_logAnswers(const uint8_t *data, size_t size)
+{
+    if (size > 0) {
+        answer_log(LogHttp_create(NULL, &address, TIMEOUT_MS),
+                   status_of(data[0]), (const char *)data + 1, size - 1);
+    }
+    return 0;
+}
+
+/* A route with targets leads somewhere, whatever is drawn. */
+static void
+check_targets(const Route_t *route)
+{
+    guint64 sum = 0;
+    for (guint i = 0; i < route->targets->len; i++) {
+        sum += g_array_index(route->targets, RouteTarget_t, i).weight;
+    }
+    g_assert(route->weight_sum == sum);
+    g_assert(
+        route->targets->len == 0 ||
+        (Route_pickTarget(route, 0) && Route_pickTarget(route, G_MAXUINT32)));
+}
+
+static void
+use_config(const RouteConfig_t *config)
+{
+    for (guint i = 0; i < config->routes->len; i++) {
+        const Route_t *route = g_ptr_array_index(config->routes, i);
+        g_assert_cmpuint(route->max_attempts, >=, 1);
+        check_targets(route);
+        RouteConfig_findRoute(config, route->host->str, route->prefix->str);
+    }
+    RouteConfig_findRoute(config, "h:80", "/p/1");
+    RouteConfig_findCustomer(config, "k");
+}
+
+static void
+read_entry(GBytes *value)
+{
+    ListedUpstream_t entry;
+    ListedUpstream_init(&entry);
+    g_autoptr(GError) error = NULL;
+    gboolean good = FleetConfig_decodeUpstream(value, &entry, &error);
+    g_assert(good == (error == NULL));
+    g_assert(!good || entry.spec.address.port > 0);
+    ListedUpstream_clear(&entry);
+}
+
+static void
+read_engine(const HttpAnswer_t *answer)
+{
+    const OrderForm_t *forms[] = {&FleetOrders_form, &OrderHttp_form};
+    for (gsize i = 0; i < G_N_ELEMENTS(forms); i++) {
+        EngineState_t state = {.weights = g_string_new(NULL)};
+        forms[i]->read_state(answer, &state);
+        forms[i]->read_outcome(answer);
+        g_string_free(state.weights, TRUE);
+    }
+}
+
+int
+Fuzz_platformRecords(const uint8_t *data, size_t size)
+{
+    GBytes *value = g_bytes_new_static(data, size);
+    g_autoptr(GError) error = NULL;
+    RouteConfig_t *config = FleetConfig_decode(value, &error);
+    g_assert((config == NULL) == (error != NULL));
+    if (config) {
+        use_config(config);
+        RouteConfig_unref(config);
+    }
+    GString *model = g_string_new(NULL);
+    guint64 version = 0;
+    if (FleetConfig_decodeWeights(value, model, &version, NULL)) {
+        g_assert_cmpuint(version, >, 0);
+    }
+    g_string_free(model, TRUE);
+    read_entry(value);
+    HttpAnswer_t answer = {200, NULL, (const char *)data, size};
+    read_engine(&answer);
+    g_bytes_unref(value);
+    return 0;
+}
+
+static void
+check_snapshot(const ConfigStore_t *store)
+{
+    guint8 digest[16];
+    guint8 digest_again[16];
+    GBytes *packed = ConfigStore_pack(store);
+    gsize size = 0;
+    const guint8 *bytes = g_bytes_get_data(packed, &size);
+    Wt__Snapshot *snapshot = wt__snapshot__unpack(NULL, size, bytes);
+    g_assert_nonnull(snapshot);
+    ConfigStore_t *again = ConfigStore_create(NULL, NULL);
+    g_assert(ConfigStore_load(again, snapshot));
+    ConfigStore_digest(store, digest);
+    ConfigStore_digest(again, digest_again);
+    g_assert(memcmp(digest, digest_again, sizeof(digest)) == 0);
+    ConfigStore_destroy(again);
+    wt__snapshot__free_unpacked(snapshot, NULL);
+    g_bytes_unref(packed);
+}
+
+static GBytes *
+pack_record(const Wt__ConfigRecord *record)
+{
+    gsize size = wt__config_record__get_packed_size(record);
+    guint8 *bytes = g_malloc(size + 1);
+    wt__config_record__pack(record, bytes);
+    return g_bytes_new_take(bytes, size);
+}
+
+/* A line each: kind, name, then key=value; all are changes of one record, so
+ * that a mutation of the text reaches the checks of the fields. */
+static GBytes *
+record_of_text(const uint8_t *data, size_t size)
+{
+    g_autofree char *text = g_utf8_make_valid((const char *)data, size);
+    g_auto(GStrv) words = g_strsplit_set(text, " \n", 64);
+    guint count = g_strv_length(words);
+    g_autofree Wt__Field *fields = g_new0(Wt__Field, 64);
+    g_autofree Wt__Field **list = g_new0(Wt__Field *, 64);
+    Wt__Change change = WT__CHANGE__INIT;
+    Wt__Change *changes[] = {&change};
+    Wt__ConfigRecord record = WT__CONFIG_RECORD__INIT;
+    change.kind = count > 0 ? words[0] : (char *)"";
+    change.name = count > 1 ? words[1] : (char *)"";
+    change.fields = list;
+    for (guint i = 2; i < count; i++) {
+        char *sign = strchr(words[i], '=');
+        if (sign) {
+            *sign = '\0';
+            Wt__Field *field = &fields[change.n_fields];
+            wt__field__init(field);
+            field->key = words[i];
+            field->value = sign + 1;
+            list[change.n_fields++] = field;
+        }
+    }
+    record.n_changes = 1;
+    record.changes = changes;
+    return pack_record(&record);
+}
+
+/* The fold takes any bytes; a store that took its snapshot is the same. */
+int
+Fuzz_configRecords(const uint8_t *data, size_t size)
+{
+    ConfigStore_t *store = ConfigStore_create(NULL, NULL);
+    GBytes *raw = g_bytes_new_static(data, size);
+    GBytes *made = record_of_text(data, size);
+    ConfigStore_fold(store, 0, raw);
+    ConfigStore_fold(store, 1, made);
+    ConfigStore_fold(store, 2, raw);
+    g_assert_cmpuint(ConfigStore_foldOffset(store), ==, 3);
+    check_snapshot(store);
+    g_bytes_unref(raw);
+    g_bytes_unref(made);
+    ConfigStore_destroy(store);
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/targets.c
@@ -0,0 +1,38 @@
+#include "targets.h"
+
+#include <sodium.h>
+
+#include "Log.h"
+
+const FuzzTarget_t fuzz_targets[] = {
+    {"callerHead", Fuzz_callerHead},
+    {"upstreamHead", Fuzz_upstreamHead},
+    {"engineHead", Fuzz_engineHead},
+    {"engineEvents", Fuzz_engineEvents},
+    {"eventPipe", Fuzz_eventPipe},
+    {"sseParser", Fuzz_sseParser},
+    {"storeAnswers", Fuzz_storeAnswers},
+    {"logAnswers", Fuzz_logAnswers},
+    {"platformRecords", Fuzz_platformRecords},
+    {"configRecords", Fuzz_configRecords},
+    {"peerMessages", Fuzz_peerMessages},
+    {"peerLink", Fuzz_peerLink},
+    {"claims", Fuzz_claims},
+    {"settings", Fuzz_settings},
+    {"declarations", Fuzz_declarations},
+    {"prompt", Fuzz_prompt},
+    {"resumeToken", Fuzz_resumeToken},
+    {"json", Fuzz_json},
+    {"logLine", Fuzz_logLine},
+    {NULL, NULL},
+};
+
+/* Nothing of what the parsers log is of use here. */
+#define NO_LINES ((LogLevel_t)0)
+
+void
+FuzzTargets_begin(void)
+{
+    g_assert(sodium_init() >= 0);
+    Log_setLevel(NO_LINES);
+}
