A command whose record cannot be read is refused

Cause: fields that no version has are kept as they came, also within a change that an operator sends. protobuf-c reads a field of number 0 and writes it so that it can't be read; the command's record was read again for its answer, and the router died by a null pointer when the answer was due. Change: the record is read before it is appended; one that can't be is answered as an invalid declaration, and nothing is appended.

--- a/src/OperatorCommands.c
+++ b/src/OperatorCommands.c
@@ -147,6 +147,18 @@
     return g_bytes_new_take(bytes, size);
 }
 
+/* Fields that no version has are kept as they came, and protobuf-c writes one
+ * of number 0 so that no router could read the record. */
+static void
+refuse_record(GBytes *record, GPtrArray *problems,
+              Wt__ApplyResponse_Closure closure, void *closure_data)
+{
+    Problems_add(problems, PROBLEM_SYNTAX, "-", 0, NULL, "changes",
+                 "a field that can't be kept");
+    answer_problems(problems, closure, closure_data);
+    g_bytes_unref(record);
+}
+
 static void
 command_apply(Wt__OperatorCommand_Service *service,
               const Wt__ApplyRequest *input, Wt__ApplyResponse_Closure closure,
@@ -159,12 +171,17 @@
         return;
     }
     GBytes *record = pack_record(input);
-    GBytes *id = g_bytes_new(input->command_id.data, input->command_id.len);
     gsize size = 0;
     const guint8 *bytes = g_bytes_get_data(record, &size);
+    Wt__ConfigRecord *read = wt__config_record__unpack(NULL, size, bytes);
+    if (!read) {
+        refuse_record(record, problems, closure, closure_data);
+        return;
+    }
+    GBytes *id = g_bytes_new(input->command_id.data, input->command_id.len);
     PendingApply_t *pending = g_new0(PendingApply_t, 1);
     pending->context = the_context;
-    pending->record = wt__config_record__unpack(NULL, size, bytes);
+    pending->record = read;
     pending->closure = closure;
     pending->closure_data = closure_data;
     ConfigLog_submit(the_context->config_log, id, record, on_command_done,
