Operators may ask a router of the platform's form

Cause: such a router has no log of declarations; whether it is reached was asked all the same for its status, and a command was given to it. Either ended the router by a null pointer. Change: the log counts as not reached, a command is answered as not appended, and a router that knows its routes counts as ready.

--- a/src/OperatorCommands.c
+++ b/src/OperatorCommands.c
@@ -150,13 +150,28 @@
 /* Fields that no version has are kept as they came, and protobuf-c writes one
  * of number 0 so that no router could read the record. */
 static void
-refuse_record(GBytes *record, GPtrArray *problems,
-              Wt__ApplyResponse_Closure closure, void *closure_data)
+refuse_record(GPtrArray *problems, Wt__ApplyResponse_Closure closure,
+              void *closure_data)
 {
     Problems_add(problems, PROBLEM_SYNTAX, "-", 0, NULL, "changes",
                  "a field that can't be kept");
     answer_problems(problems, closure, closure_data);
-    g_bytes_unref(record);
+}
+
+/* @read is taken over. */
+static void
+submit(const Wt__ApplyRequest *input, GBytes *record, Wt__ConfigRecord *read,
+       Wt__ApplyResponse_Closure closure, void *closure_data)
+{
+    GBytes *id = g_bytes_new(input->command_id.data, input->command_id.len);
+    PendingApply_t *pending = g_new0(PendingApply_t, 1);
+    pending->context = the_context;
+    pending->record = read;
+    pending->closure = closure;
+    pending->closure_data = closure_data;
+    ConfigLog_submit(the_context->config_log, id, record, on_command_done,
+                     pending);
+    g_bytes_unref(id);
 }
 
 static void
@@ -170,24 +185,23 @@
         answer_problems(problems, closure, closure_data);
         return;
     }
-    GBytes *record = pack_record(input);
+    if (!the_context->config_log) {
+        /* A platform with routes keeps its configuration by itself. */
+        OperatorCommands_answer(the_context, COMMAND_NOT_APPENDED, 0,
+                                input->changes, input->n_changes, closure,
+                                closure_data);
+        return;
+    }
+    g_autoptr(GBytes) record = pack_record(input);
     gsize size = 0;
     const guint8 *bytes = g_bytes_get_data(record, &size);
     Wt__ConfigRecord *read = wt__config_record__unpack(NULL, size, bytes);
-    if (!read) {
-        refuse_record(record, problems, closure, closure_data);
-        return;
+    if (read) {
+        submit(input, record, read, closure, closure_data);
+    }
+    else {
+        refuse_record(problems, closure, closure_data);
     }
-    GBytes *id = g_bytes_new(input->command_id.data, input->command_id.len);
-    PendingApply_t *pending = g_new0(PendingApply_t, 1);
-    pending->context = the_context;
-    pending->record = read;
-    pending->closure = closure;
-    pending->closure_data = closure_data;
-    ConfigLog_submit(the_context->config_log, id, record, on_command_done,
-                     pending);
-    g_bytes_unref(id);
-    g_bytes_unref(record);
 }
 
 static Wt__OperatorCommand_Service the_service =
--- a/src/OperatorQueries.c
+++ b/src/OperatorQueries.c
@@ -148,6 +148,13 @@
     return message;
 }
 
+static gboolean
+is_usable(void)
+{
+    return the_context->routes ? RouteTable_config(the_context->routes) != NULL
+                               : ConfigStore_isUsable(the_context->config);
+}
+
 static void
 fill_router(Wt__RouterStatus *router, guint8 digest[DIGEST_BYTES])
 {
@@ -159,9 +166,10 @@
     router->fold_offset = ConfigStore_foldOffset(the_context->config);
     router->digest.data = digest;
     router->digest.len = DIGEST_BYTES;
-    router->ready =
-        ConfigStore_isUsable(the_context->config) && !the_context->stopping;
-    router->log_reachable = ConfigLog_isReachable(the_context->config_log);
+    router->ready = is_usable() && !the_context->stopping;
+    /* A platform with routes has no log of declarations. */
+    router->log_reachable = the_context->config_log &&
+                            ConfigLog_isReachable(the_context->config_log);
     router->open_requests = the_context->open_requests;
 }
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,7 +12,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
-from cluster import BUILD, Process, wait_for
+from cluster import BUILD, OPERATOR_KEY, Process, key_hash, wait_for
 
 HEARTBEAT_S = 0.2
 
@@ -341,7 +341,8 @@
         path = os.path.join(self.folder.name, name + ".ini")
         with open(path, "w") as file:
             address = store_address or self.store.address
-            file.write(SETTINGS % (name, address, address))
+            file.write(SETTINGS % (name, key_hash(OPERATOR_KEY),
+                                         address, address))
             for section, keys in values.items():
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
@@ -354,6 +355,7 @@
         started = router.wait_event("router_started")[0]
         router.port = int(started["port"])
         router.ready_port = int(started["ready_port"])
+        router.operator_port = int(started["operator_port"])
         router.peer_address = "127.0.0.1:" + started["peer_port"]
         return router
 
@@ -436,7 +438,7 @@
 [keys]
 seal = 1111111111111111111111111111111111111111111111111111111111111111
 salt = 2222222222222222222222222222222222222222222222222222222222222222
-operator_hash = 3333333333333333333333333333333333333333333333333333333333333333
+operator_hash = %s
 [platform]
 form = fleet
 log = %s
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -1,4 +1,5 @@
 """Requests relayed on the users' platform, with faults of its parts."""
+import http.client
 import os
 import signal
 import socket
@@ -7,9 +8,9 @@
 import threading
 import unittest
 
-from cluster import BUILD, ROOT, wait_for
+from cluster import BUILD, OPERATOR_KEY, ROOT, wait_for
 from faultproxy import FaultProxy
-from fleet import CUSTOMERS, Fleet
+from fleet import CUSTOMERS, Answer, Fleet
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
 
@@ -853,5 +854,43 @@
         self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
 
 
+class OperatorTest(FleetTest):
+    """Symptom: a router died by a null pointer. Sequence: an operator with
+    the key asked for its status, or sent a command. Cause: the log of
+    declarations, which a router of this platform does not have, was asked
+    whether it is reached. Settled by: what needs it says that it is not."""
+
+    def call(self, router, method, body=b""):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", router.operator_port, timeout=10)
+        connection.request("POST", "/rpc/" + method, body,
+                           {"Authorization": "Bearer " + OPERATOR_KEY})
+        response = connection.getresponse()
+        answer = Answer(response, response.read())
+        connection.close()
+        return answer
+
+    def test_operators_ask_for_the_status(self):
+        self.fleet.plain("p1")
+        router = self.fleet.start()
+        answer = self.call(router, "OperatorQuery/Status")
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b"p1", answer.body)
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+
+    def test_a_command_is_refused(self):
+        self.fleet.plain("p1")
+        router = self.fleet.start()
+        # ApplyRequest: command_id, and one change that declares a priority.
+        field = b"\x0a\x05level\x12\x015"
+        change = b"\x0a\x08priority\x12\x01p\x2a" + bytes([len(field)]) + field
+        answer = self.call(router, "OperatorCommand/Apply",
+                           b"\x0a\x0812345678\x12" + bytes([len(change)]) +
+                           change)
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b"nothing was changed", answer.body)
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+
+
 if __name__ == "__main__":
     unittest.main()
