Events in one piece are bounded one by one where a stream moves

Cause: the whole of what the next engine had sent was held against the bound of one event, so that a stream was not moved to an engine that sends several at once, and events were counted as too large that were not. Change: the first event is held against it, and all that came only where that event has no end yet; those behind it are bounded as they pass.

--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -32,24 +32,17 @@
     g_free(this);
 }
 
-/* Bytes up to behind the empty line that ends an event, or 0. */
-static gsize
-event_length(struct evbuffer *buffer)
+gsize
+EventPipe_firstLength(struct evbuffer *bytes)
 {
-    struct evbuffer_ptr plain = evbuffer_search(buffer, "\n\n", 2, NULL);
-    struct evbuffer_ptr returns = evbuffer_search(buffer, "\r\n\r\n", 4, NULL);
+    struct evbuffer_ptr plain = evbuffer_search(bytes, "\n\n", 2, NULL);
+    struct evbuffer_ptr returns = evbuffer_search(bytes, "\r\n\r\n", 4, NULL);
     if (returns.pos >= 0 && (plain.pos < 0 || returns.pos < plain.pos)) {
         return (gsize)returns.pos + 4;
     }
     return plain.pos >= 0 ? (gsize)plain.pos + 2 : 0;
 }
 
-gboolean
-EventPipe_hasEvent(struct evbuffer *bytes)
-{
-    return event_length(bytes) > 0;
-}
-
 /* The value of the id line, without the space that may lead it. */
 static GString *
 find_id(const char *event, gsize length)
@@ -122,7 +115,8 @@
     guint count = 0;
     gsize length = 0;
     evbuffer_add_buffer(this->rest, in);
-    while (!this->overfull && (length = event_length(this->rest)) > 0 &&
+    while (!this->overfull &&
+           (length = EventPipe_firstLength(this->rest)) > 0 &&
            length <= this->event_max) {
         count += pass_event(this, length, out) ? 1 : 0;
     }
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -22,8 +22,9 @@
 /** EventPipe_destroy() - free it */
 void EventPipe_destroy(EventPipe_t *this);
 
-/** EventPipe_hasEvent() - whether the bytes begin with a whole event */
-gboolean EventPipe_hasEvent(struct evbuffer *bytes);
+/** EventPipe_firstLength() - bytes of the event that these bytes begin with, 0
+ * where it is not whole */
+gsize EventPipe_firstLength(struct evbuffer *bytes);
 
 /**
  * EventPipe_feed() - take bytes
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -107,7 +107,7 @@
     free_move(this);
 }
 
-/* The attempt before it must be over. */
+/* The attempt before it must be over. The move is gone afterwards. */
 static void
 hand_over(RelayMove_t *this)
 {
@@ -124,6 +124,17 @@
     evbuffer_free(data);
 }
 
+/* The attempt before it is given up for the next one. */
+static void
+leave_attempt(RelayMove_t *this)
+{
+    RelayExchange_t *exchange = this->exchange;
+    StreamMover_remove(context_of(this)->mover, exchange);
+    RelayRun_cancel(exchange);
+    Exchange_noteEnd(&exchange->super, ATTEMPT_MOVED);
+    hand_over(this);
+}
+
 static void
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
 {
@@ -148,20 +159,15 @@
 on_data(void *owner, struct evbuffer *data)
 {
     RelayMove_t *this = owner;
-    RelayExchange_t *exchange = this->exchange;
     evbuffer_add_buffer(this->data, data);
-    if (evbuffer_get_length(this->data) >
-        (gsize)context_of(this)->settings->limits.event_max) {
+    gsize event = EventPipe_firstLength(this->data);
+    gsize size = event > 0 ? event : evbuffer_get_length(this->data);
+    if (size > (gsize)context_of(this)->settings->limits.event_max) {
         stay_for_oversize(this);
-        return;
     }
-    if (!EventPipe_hasEvent(this->data)) {
-        return;
+    else if (event > 0) {
+        leave_attempt(this);
     }
-    StreamMover_remove(context_of(this)->mover, exchange);
-    RelayRun_cancel(exchange);
-    Exchange_noteEnd(&exchange->super, ATTEMPT_MOVED);
-    hand_over(this);
 }
 
 static gboolean
