A stream whose engine falls silent behind its last event ends whole

Cause: the engine that is asked beside a silent one answers that nothing is left; an answer without an event was taken for a try that failed, so that the caller waited for the end of a stream that it had, and was cut at its deadline. Change: such an answer takes the place of the silent one, as it would have had that one been given up first. Result: EmptyRestTest fails before (no request_done in 5 s) and passes now, with SilenceTest, in one run of the build with sanitizers.

--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -177,11 +177,24 @@
     return TRUE;
 }
 
+/* Nothing is left to send: the engine fell silent behind its last event. */
+static void
+end_whole(RelayMove_t *this, const RelayHead_t *head)
+{
+    RelayExchange_t *exchange = this->exchange;
+    leave_attempt(this);
+    RelayRun_end(exchange, ATTEMPT_WHOLE, head);
+}
+
 /* It ended without an event. */
 static void
 on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
 {
     RelayMove_t *this = owner;
+    if (end == ATTEMPT_WHOLE && this->cause == &silence) {
+        end_whole(this, head);
+        return;
+    }
     this->attempt = NULL;
     this->may_have_run = end != ATTEMPT_NOT_RUN && end != ATTEMPT_NOT_SENT;
     RelayFeedback_settle(&this->feedback);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -358,3 +358,9 @@
     this->attempt = NULL;
     return sent;
 }
+
+void
+RelayRun_end(RelayExchange_t *this, AttemptEnd_t end, const RelayHead_t *head)
+{
+    on_ended(this, end, head);
+}
--- a/src/RelayRun.h
+++ b/src/RelayRun.h
@@ -39,6 +39,10 @@
 /** RelayRun_feed() - bytes of the answer that came before it was adopted */
 void RelayRun_feed(RelayExchange_t *this, struct evbuffer *data);
 
+/** RelayRun_end() - it had ended before it was adopted; @head is its own */
+void RelayRun_end(RelayExchange_t *this, AttemptEnd_t end,
+                  const RelayHead_t *head);
+
 /**
  * RelayRun_cancel() - end the attempt under way
  *
