A stream that was tried beside its silent engine may still leave it

Cause: the first try beside a silent engine took the stream from those that may be moved, so that it stayed at an engine that was to load weights later, and paused there, though its route allowed another attempt. Change: only a try for the weights is the one of its attempt. As tries beside a silent engine count as attempts, what the route allows is asked again then.

--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -16,10 +16,11 @@
     const char *name;
     gboolean must_be_near; /* the next event must come unnoticed */
     gboolean is_bounded; /* its own engine goes on, so both run for a while */
+    gboolean is_tried_once; /* in each attempt */
 } MoveCause_t;
 
-static const MoveCause_t unloading = {"unloading", TRUE, TRUE};
-static const MoveCause_t silence = {"silent", FALSE, FALSE};
+static const MoveCause_t unloading = {"unloading", TRUE, TRUE, TRUE};
+static const MoveCause_t silence = {"silent", FALSE, FALSE, FALSE};
 
 struct RelayMove {
     RelayExchange_t *exchange;
@@ -332,7 +333,9 @@
     if (!is_near(exchange, cause, &placing.choice)) {
         return;
     }
-    StreamMover_remove(context->mover, exchange);
+    if (cause->is_tried_once) {
+        StreamMover_remove(context->mover, exchange);
+    }
     RelayMove_t *this = create_move(exchange, cause);
     exchange->move = this;
     this->ask = context->dispatch
@@ -345,14 +348,15 @@
     }
 }
 
-/* One that is far is looked at again; else there is one try for each attempt:
- * where the next engine would not have it, it most likely ends before another
- * one would. */
+/* One that is far is looked at again; else there is one such try for each
+ * attempt: where the next engine would not have it, it most likely ends before
+ * another one would. Tries beside a silent engine may have used up what its
+ * route allows. */
 static void
 leave_engine(void *stream)
 {
     RelayExchange_t *this = stream;
-    if (!this->move) {
+    if (!this->move && Exchange_mayRepeat(&this->super)) {
         begin(this, &unloading);
     }
 }
