Tests: an engine that stands still while its requests wait

Symptom, on the router's own form: three requests wait at a silent engine until their deadlines, and it is not ejected.

--- a/tests/sessions/test_review2.py
+++ b/tests/sessions/test_review2.py
@@ -1,4 +1,5 @@
 """Streams whose engine falls silent, and what follows it."""
+import signal
 import threading
 import time
 import unittest
@@ -101,5 +102,32 @@
         call.wfile.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(piece), piece))
 
 
+class EjectedWhileKeptTest(unittest.TestCase):
+    """Symptom, on the router's own form: requests are sent to an engine that
+    stands still for as long as it does.
+    Sequence: the requests may run only once, or the retry allowance is spent;
+    the engine falls silent; each request waits there for its deadline.
+    Cause: an attempt that is kept although its engine is silent was no failure
+    of that engine, so that it was never ejected.
+    Settled by: no upstream_ejected beside requests that end at their deadline.
+    """
+
+    def test_a_silent_engine_is_ejected_though_its_requests_wait(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.close)
+        engine = cluster.engine("e1", decode_ms=20)
+        router = cluster.start(first_token_timeout="300ms", retry_percent="0")
+        engine.signal(signal.SIGSTOP)
+        callers = [threading.Thread(target=router.complete, args=(
+            {"model": "m", "prompt": "p%d " % i * 20, "max_tokens": 3},),
+            kwargs={"X_Request_Deadline_Ms": "8000"}) for i in range(3)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        ejected = router.events("upstream_ejected")
+        self.assertEqual([e["reason"] for e in ejected], ["silent"])
+
+
 if __name__ == "__main__":
     unittest.main()
