A silent engine is ejected though its requests wait there

Cause: where no attempt may follow, as the request may run only once or the retry allowance is spent, the last one is waited for; it was no failure of its engine until then, and none at its deadline, so that one that stands still was never ejected and requests were sent to it all the while. Change: such an attempt counts as a failure of its engine once, as it falls silent, and is told of (attempt_kept).

--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -207,6 +207,7 @@
     this->attempt_trace =
         Trace_addAttempt(this->trace, upstream->name->str, reason);
     this->attempt_trace->started_us = Clock_nowUs() - this->started_us;
+    this->is_kept = FALSE;
     set_upstream(&this->upstream, upstream);
     upstream->in_flight++;
     upstream->probing = upstream->ejections > 0;
@@ -231,7 +232,7 @@
         Context_countOversized(this->context, this->id->str,
                                this->upstream->name->str);
     }
-    if (is_upstream_fault(end) &&
+    if (is_upstream_fault(end) && !this->is_kept &&
         Upstream_noteFailure(this->upstream, (guint)limits->eject_failures,
                              limits->eject_ms, Clock_nowMs())) {
         Log_begin(LOG_LEVEL_WARNING, "upstream_ejected");
@@ -292,6 +293,34 @@
     return plan.step != RECOVERY_GIVE_UP;
 }
 
+static void
+log_facts(const Exchange_t *this, const RecoveryFacts_t *facts)
+{
+    Log_number("attempts", facts->attempts);
+    Log_number("max_attempts", facts->max_attempts);
+    Log_number("sent", facts->sent);
+    Log_number("repeatable", facts->repeatable);
+    Log_number("budget", facts->budget);
+    Log_number("left_ms", this->deadline_ms - Clock_nowMs());
+}
+
+void
+Exchange_noteKept(Exchange_t *this)
+{
+    if (this->is_kept) {
+        return;
+    }
+    RecoveryFacts_t facts = facts_of(this, ATTEMPT_SILENT);
+    Log_begin(LOG_LEVEL_INFO, "attempt_kept");
+    Log_text("request", this->id->str);
+    Log_text("reason", Recovery_endName(ATTEMPT_SILENT));
+    Log_text("upstream", this->upstream->name->str);
+    log_facts(this, &facts);
+    Log_end();
+    note_failure(this, ATTEMPT_SILENT);
+    this->is_kept = TRUE;
+}
+
 static void
 log_recovery(const Exchange_t *this, const RecoveryFacts_t *facts,
              const RecoveryPlan_t *plan)
@@ -303,12 +332,7 @@
     if (this->avoid) {
         Log_text("upstream", this->avoid->name->str);
     }
-    Log_number("attempts", facts->attempts);
-    Log_number("max_attempts", facts->max_attempts);
-    Log_number("sent", facts->sent);
-    Log_number("repeatable", facts->repeatable);
-    Log_number("budget", facts->budget);
-    Log_number("left_ms", this->deadline_ms - Clock_nowMs());
+    log_facts(this, facts);
     Log_end();
 }
 
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -60,6 +60,7 @@
  * @avoid: of the attempt before, where it failed
  * @attempts: so far
  * @sent: an attempt was sent and not proved "not run"
+ * @is_kept: the attempt under way is silent, which is counted already
  * @left: the caller is gone
  * @over: nothing follows
  */
@@ -84,6 +85,7 @@
     Upstream_t *avoid;
     guint attempts;
     gboolean sent;
+    gboolean is_kept;
     gboolean left;
     gboolean over;
 };
@@ -162,6 +164,15 @@
  */
 gboolean Exchange_mayRepeat(const Exchange_t *this);
 
+/**
+ * Exchange_noteKept() - the attempt under way is silent, and is waited for as
+ * none may follow it
+ *
+ * It is told of once, and counts as a failure of its upstream, or others would
+ * be sent to one that stands still.
+ */
+void Exchange_noteKept(Exchange_t *this);
+
 /** Exchange_finish() - the caller has its whole answer */
 void Exchange_finish(Exchange_t *this);
 
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -283,8 +283,12 @@
 static gboolean
 on_silent(void *owner)
 {
-    const StreamExchange_t *this = owner;
-    return Exchange_mayRepeat(&this->super);
+    StreamExchange_t *this = owner;
+    if (Exchange_mayRepeat(&this->super)) {
+        return TRUE;
+    }
+    Exchange_noteKept(&this->super);
+    return FALSE;
 }
 
 static const AttemptEvents_t attempt_events = {
