--- a/tests/sessions/test_review2.py
+++ b/tests/sessions/test_review2.py
@@ -102,6 +102,84 @@
         call.wfile.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(piece), piece))
 
 
+class BesideTest(test_fleet.SilentStreamTest):
+    """Another engine is asked beside the silent one, and something else
+    happens before either has spoken."""
+
+    def ask_beside(self, **settings):
+        settings = {"token_timeout": "100ms", **settings}
+        self.start_stream("/ask/x", **settings)
+        self.fall_silent()
+        return wait_for(lambda: [e for e in self.others if e.seen],
+                        "another engine is asked")[0]
+
+    def test_the_silent_engine_dies(self):
+        second = self.ask_beside()
+        self.first.cut_after = 1
+        self.first.gate.open()
+        self.router.wait_event("stream_moved")
+        second.gate.open()
+        self.assert_whole()
+        self.assertEqual(self.router.events("attempt_failed"), [])
+
+    def test_the_other_engine_dies(self):
+        second = self.ask_beside()
+        second.cut_after = 0
+        second.gate.open()
+        self.router.wait_event("stream_stays")
+        self.speak_again()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 2)
+
+    def test_the_other_engine_falls_silent_too(self):
+        self.ask_beside(first_token_timeout="300ms")
+        stays = self.router.wait_event("stream_stays")[0]
+        self.assertEqual(stays["reason"], "silent")
+        self.speak_again()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 2)
+
+    def test_the_silent_engine_is_to_load_weights(self):
+        second = self.ask_beside()
+        name_weights(self.fleet)
+        wait_for(lambda: all(e.version == 2 for e in self.others), "loaded")
+        second.gate.open()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 2)
+
+    def test_a_loading_engine_falls_silent(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        name_weights(self.fleet)
+        second = wait_for(lambda: [e for e in self.others if e.seen],
+                          "another engine is asked")[0]
+        self.fall_silent()
+        time.sleep(2)  # its silence is noticed
+        second.gate.open()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 2)
+
+    def test_both_engines_speak_at_once(self):
+        second = self.ask_beside()
+        for engine in (self.first, second):
+            engine.gate.open()
+        self.assert_whole()
+
+    def test_the_deadline_passes(self):
+        ask = self.fleet.ask
+        self.fleet.ask = lambda router, path: ask(router, path, wait_ms=5000)
+        self.ask_beside()
+        self.reader.join()
+        done = self.router.events("request_done")
+        self.assertEqual([d["outcome"] for d in done], ["deadline_passed"])
+
+    def test_the_router_stops(self):
+        second = self.ask_beside()
+        self.router.signal(signal.SIGTERM)
+        time.sleep(0.5)
+        second.gate.open()
+        self.assert_whole()
+
+
 class EjectedWhileKeptTest(unittest.TestCase):
     """Symptom, on the router's own form: requests are sent to an engine that
     stands still for as long as it does.
