Sessions fail where a sanitizer has spoken in any process

Cause: at the end of most tests routers are killed, so that a fault behind the last look of a test, as after its caller has left, went unseen. Change: once all processes of a test have ended, their lines are searched for what sanitizers say.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -84,6 +84,11 @@
         self.process.wait()
         self._close()
 
+    def faults(self):
+        """What a sanitizer has said."""
+        return [line for line in list(self.lines)
+                if "Sanitizer: " in line or "runtime error: " in line]
+
     def _close(self):
         self.reader.join()
         self.process.stdout.close()
@@ -425,6 +430,7 @@
         for name in os.listdir(self.folder):
             os.remove(os.path.join(self.folder, name))
         os.rmdir(self.folder)
+        assert_sound(self.processes)
 
     def __enter__(self):
         return self
@@ -433,5 +439,13 @@
         self.close()
 
 
+def assert_sound(processes):
+    """A fault behind a test's last look would go unseen, as routers are
+    killed."""
+    faults = [fault for process in processes if isinstance(process, Process)
+              for fault in process.faults()]
+    assert not faults, faults
+
+
 STOP = signal.SIGSTOP
 CONTINUE = signal.SIGCONT
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,7 +12,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
-from cluster import BUILD, Process, wait_for
+from cluster import BUILD, Process, assert_sound, wait_for
 
 HEARTBEAT_S = 0.2
 
@@ -410,6 +410,7 @@
         for part in self.parts:
             part.close()
         self.folder.cleanup()
+        assert_sound(self.routers)
 
 
 def route(name, path, kind, service, **more):
