The soak has engines that stand still in the middle of their streams

Change: a fault in which an engine stands still, its state included, for 1.7 to 2.7 s; routers count it as silent after 300 ms.

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -30,6 +30,10 @@
 # A stream lasts for several ticks of what moves streams, so that changes of
 # weights, of keys and of the configuration meet streams that have begun.
 PIECE_S = 0.08
+# An engine counts as silent after so long, once its state was asked for in
+# vain; it stands still for longer, and streams last longer still.
+SILENT_AFTER = "300ms"
+SILENT_S = 1.5
 # How long a caller waits after a refusal, so that most requests are served.
 REFUSED_S = 0.1
 # The only faults that may end a stream in the middle.
@@ -78,7 +82,7 @@
                   if i != index]
         return self.fleet.router(
             "r%d" % index, config_max_age="1s", connect_timeout="300ms",
-            refuse_late="yes",
+            refuse_late="yes", token_timeout=SILENT_AFTER,
             peers={"mesh_routers": self.mesh_routers,
                    "seeds": ",".join(others)})
 
@@ -157,7 +161,7 @@
         kind = self.rng.choice(["shed", "cut_stream", "cut_call", "slow",
                                 "store", "kill", "term", "freeze", "hup",
                                 "leave", "weights", "config", "revoke",
-                                "lapse"])
+                                "lapse", "silence"])
         self.count("fault " + kind)
         self.cutting += kind in CUTTING
         self.bring_about(kind)
@@ -188,6 +192,8 @@
             self.routers[index].signal(signal.SIGCONT)
         elif kind == "hup":
             self.routers[index].signal(signal.SIGHUP)
+        elif kind == "silence":
+            self.silence(rng.choice(self.engines), SILENT_S + hold)
         elif kind == "leave":
             self.switch_state(upstream, hold)
         elif kind == "weights":
@@ -235,6 +241,15 @@
         time.sleep(hold)
         setattr(target, name, off)
 
+    @staticmethod
+    def silence(engine, hold):
+        """It stands still in the middle of its streams, then goes on."""
+        spoken = threading.Event()
+        engine.gate = engine.probed = spoken
+        time.sleep(hold)
+        engine.gate, engine.probed = Pace, None
+        spoken.set()
+
     def switch_state(self, upstream, hold):
         """It gets no new work once its leaving must be known."""
         upstream.state = "draining"
