Tries beside silent engines are counted as retries for silence

Cause: all tries beside an attempt were counted as those of streams whose engine is to load weights, so that retries_total with reason=silent, which the operators' page names, stood still while streams left silent engines. Change: each cause of a move names what it is counted as. Result: CountedTest fails before and passes now.

--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -14,13 +14,16 @@
 /* Why a stream is to move. */
 typedef struct {
     const char *name;
-    gboolean must_be_near; /* the next event must come unnoticed */
+    AttemptEnd_t counted_as; /* among the retries */
+    gboolean must_be_near;   /* the next event must come unnoticed */
     gboolean is_bounded; /* its own engine goes on, so both run for a while */
     gboolean is_tried_once; /* in each attempt */
 } MoveCause_t;
 
-static const MoveCause_t unloading = {"unloading", TRUE, TRUE, TRUE};
-static const MoveCause_t silence = {"silent", FALSE, FALSE, FALSE};
+static const MoveCause_t unloading = {"unloading", ATTEMPT_MOVED, TRUE, TRUE,
+                                      TRUE};
+static const MoveCause_t silence = {"silent", ATTEMPT_SILENT, FALSE, FALSE,
+                                    FALSE};
 
 struct RelayMove {
     RelayExchange_t *exchange;
@@ -240,7 +243,8 @@
     this->upstream->in_flight++;
     this->started_us = Clock_nowUs();
     RetryBudget_withdraw(super->context->budget, super->target->str);
-    Context_countRetry(super->context, Recovery_endName(ATTEMPT_MOVED),
+    Context_countRetry(super->context,
+                       Recovery_endName(this->cause->counted_as),
                        super->target->str, super->customer_class->str);
     RelayPlacer_prepare(super->context, wish, placing);
     RelayPlacing_log(placing, super->id->str, &exchange->request);
--- a/tests/sessions/test_review2.py
+++ b/tests/sessions/test_review2.py
@@ -69,6 +69,52 @@
         self.assertEqual([m["reason"] for m in moved], ["unloading"])
 
 
+class CountedTest(test_fleet.SilentStreamTest):
+    """Symptom: streams leave silent engines, and no retry for silence is
+    counted.
+    Sequence: an engine is silent; its stream is tried at another one.
+    Cause: all tries beside an attempt were counted as those of streams whose
+    engine is to load weights.
+    Settled by: retries_total with reason="moved" alone.
+    """
+
+    def test_a_try_beside_a_silent_engine_counts_as_one_for_silence(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        for engine in self.others:
+            engine.gate.open()
+        self.fall_silent()
+        self.assert_whole()
+        port = int(self.router.events("router_started")[0]["operator_port"])
+        counters = self.fleet.get(port, "/metrics").body
+        self.assertIn(b'retries_total{reason="silent"', counters)
+        self.assertNotIn(b'retries_total{reason="moved"', counters)
+
+
+class FirstOnceTest(test_fleet.SilentStreamTest):
+    """Symptom: streams that began in time are told of as late from the first
+    event on, and first_token_us has more entries than there are streams.
+    Sequence: a stream goes on at another engine seconds later.
+    Cause: the first event of each attempt was taken for the first one that the
+    caller gets.
+    Settled by: request_done with late=first and a first_us that is longer than
+    what the caller waited.
+    """
+
+    def test_the_first_event_of_a_stream_is_that_of_its_first_attempt(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        for engine in self.others:
+            engine.gate.open()
+        self.fall_silent()
+        self.assert_whole()
+        self.router.wait_event("stream_moved")
+        done = self.router.wait_event("request_done")[0]
+        self.assertLess(int(done["first_us"]), int(done["pause_us"]))
+        self.assertEqual(done["late"], "pause")
+        port = int(self.router.events("router_started")[0]["operator_port"])
+        self.assertIn(b"first_token_us_count 1\n",
+                      self.fleet.get(port, "/metrics").body)
+
+
 class SeveralEventsTest(test_fleet.StreamTest):
     """Symptom: a stream is not moved, and events are counted as too large that
     are not.
