The first event of a stream is that of its first attempt

Cause: the first event of each attempt was taken for the first one that the caller gets, so that streams that went on elsewhere were told of as late from the first event on (late, first_us), and first_token_us had an entry for each attempt, of seconds. Change: what the caller waited for its first event is kept once for a request.

--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -112,9 +112,8 @@
     const Exchange_t *super = &this->super;
     gint64 objective_us = this->route->objective_ms * CLOCK_US_PER_MS;
     gint64 aim_us = this->route->pause_ms * CLOCK_US_PER_MS;
-    gint64 first_us = this->events && super->attempt_trace
-                          ? super->attempt_trace->first_token_us
-                          : Clock_nowUs() - super->started_us;
+    gint64 first_us =
+        this->events ? this->first_us : Clock_nowUs() - super->started_us;
     if (objective_us > 0 && first_us > objective_us) {
         return "first";
     }
@@ -129,7 +128,7 @@
     Log_text("late", late_by(this));
     Log_number("events", (gint64)events_passed(this));
     if (super->attempt_trace) {
-        Log_number("first_us", super->attempt_trace->first_token_us);
+        Log_number("first_us", this->first_us);
         Log_number("pause_us", this->pause_us);
     }
     if (super->avoid) {
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -59,6 +59,7 @@
  * @events: of a stream, else NULL
  * @body: of a whole answer
  * @passing: events on their way to the caller
+ * @first_us: from its start to the first event of all; 0 for none yet
  * @event_us: when the last event was passed on, monotonic; 0 for none yet
  * @pause_us: longest time between two events
  * @unrun: attempts that did not run
@@ -87,6 +88,7 @@
     EventPipe_t *events;
     struct evbuffer *body;
     struct evbuffer *passing;
+    gint64 first_us;
     gint64 event_us;
     gint64 pause_us;
     guint unrun;
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -31,6 +31,9 @@
                            passed_us - trace->started_us);
         }
         this->run_events->begun(this);
+    }
+    if (this->first_us == 0) {
+        this->first_us = passed_us;
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
