Words: balances, and routers drawn at random

Cause: a comment and two findings spoke of purses and lots, which are no terms of the field; two empty lines stood within a class of tests. Change: words and layout alone.

--- a/src/RetryBudget.c
+++ b/src/RetryBudget.c
@@ -98,10 +98,10 @@
     return this->percent > 0 && *balance_of(this, target) >= ONE_RETRY;
 }
 
-/* A share under two retries can't be halved: instead half of the allowance is
- * shared out by lot among routers that may spend all they have. Below one
- * retry purses together may hold more than the allowance, which must not be
- * spent at once by a roll-out that all routers see. */
+/* A share under two retries can't be halved: instead routers drawn at random,
+ * for half of the allowance, may spend all they have. Below one retry the
+ * balances together may be more than the allowance, which must not be spent at
+ * once by a roll-out that all routers see. */
 static gboolean
 may_spend_share(const RetryBudget_t *this)
 {
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -649,7 +649,6 @@
         second.gate.open()
         self.assert_whole()
 
-
     def test_a_stream_waits_while_the_configuration_is_stale(self):
         self.start_stream("/ask/x", token_timeout="100ms",
                           config_max_age="700ms")
--- a/tests/test_Limits.c
+++ b/tests/test_Limits.c
@@ -214,7 +214,7 @@
 }
 END_TEST
 
-/* Their purses together may hold more than the allowance, so that one may be
+/* Their balances together may be more than the allowance, so that one may be
  * retried at all; that is for failures, which are rarely everywhere. */
 START_TEST(more_routers_than_the_allowance_move_no_streams)
 {
