--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -85,9 +85,12 @@
         self._close()
 
     def faults(self):
-        """What a sanitizer has said."""
-        return [line for line in list(self.lines)
-                if "Sanitizer: " in line or "runtime error: " in line]
+        """What a sanitizer has said, from its first line on."""
+        lines = list(self.lines)
+        for place, line in enumerate(lines):
+            if "Sanitizer: " in line or "runtime error: " in line:
+                return lines[place:]
+        return []
 
     def _close(self):
         self.reader.join()
@@ -444,7 +447,7 @@
     killed."""
     faults = [fault for process in processes if isinstance(process, Process)
               for fault in process.faults()]
-    assert not faults, faults
+    assert not faults, "\n".join(faults)
 
 
 STOP = signal.SIGSTOP
