What callers have open ends before the parts of a router are freed

Cause: parts were freed before listeners and their connections. A request that was read in the loop's last turn, and a stream that was still open as stop_limit was over, used what had been freed (RouteTable, StreamMover), so that a router that was told to stop could crash and end as if it had failed. Change: listeners and connections are freed first, with a turn of the loop for what ends with them, then the parts; stop signals are blocked before that.

--- a/src/Router.c
+++ b/src/Router.c
@@ -434,6 +434,8 @@
     event_add(this->on_hup, NULL);
 }
 
+/* Also what callers still have open ends here, in the loop, while the parts
+ * that it uses are there: a request that was read later would meet none. */
 static void
 free_listeners(Router_t *this)
 {
@@ -446,6 +448,7 @@
     if (this->readiness) {
         evhttp_free(this->readiness);
     }
+    event_base_loop(this->context.base, EVLOOP_NONBLOCK);
 }
 
 static void
@@ -537,10 +540,12 @@
         log_event(&this, "router_started");
         event_base_dispatch(this.context.base);
         log_event(&this, "router_stopped");
-        free_platform(&this);
     }
     block_stop_signals();
     free_listeners(&this);
+    if (started) {
+        free_platform(&this);
+    }
     free_parts(&this);
     event_base_free(this.context.base);
     return started;
--- a/tests/sessions/test_last_turn.py
+++ b/tests/sessions/test_last_turn.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+import fleet
 import test_fleet
 
 REQUEST = (b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
@@ -43,5 +44,20 @@
         self.assertEqual(router.faults(), [])
 
 
+class StopLimitTest(test_fleet.StreamTest):
+    """A stream is still open as its router's stop_limit is over."""
+
+    def test_an_open_stream_meets_no_freed_parts(self):
+        settings = fleet.SETTINGS
+        self.addCleanup(setattr, fleet, "SETTINGS", settings)
+        fleet.SETTINGS = settings.replace(
+            "stop_grace = 300ms", "stop_grace = 300ms\nstop_limit = 400ms")
+        self.start_stream("/ask/x")
+        self.router.signal(signal.SIGTERM)
+        self.router.process.wait(10)
+        self.assertEqual(self.router.faults(), [])
+        self.assertEqual(self.router.process.returncode, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
