--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -14,12 +14,16 @@
 /* Why a stream is to move. */
 typedef struct {
     const char *name;
-    gboolean must_be_near; /* the next event must come unnoticed */
+    AttemptEnd_t counted_as; /* among the retries */
+    gboolean must_be_near;   /* the next event must come unnoticed */
     gboolean is_bounded; /* its own engine goes on, so both run for a while */
+    gboolean is_tried_once; /* in each attempt */
 } MoveCause_t;
 
-static const MoveCause_t unloading = {"unloading", TRUE, TRUE};
-static const MoveCause_t silence = {"silent", FALSE, FALSE};
+static const MoveCause_t unloading = {"unloading", ATTEMPT_MOVED, TRUE, TRUE,
+                                      TRUE};
+static const MoveCause_t silence = {"silent", ATTEMPT_SILENT, FALSE, FALSE,
+                                    FALSE};
 
 struct RelayMove {
     RelayExchange_t *exchange;
@@ -107,7 +111,7 @@
     free_move(this);
 }
 
-/* The attempt before it must be over. */
+/* The attempt before it must be over. The move is gone afterwards. */
 static void
 hand_over(RelayMove_t *this)
 {
@@ -124,6 +128,17 @@
     evbuffer_free(data);
 }
 
+/* The attempt before it is given up for the next one. */
+static void
+leave_attempt(RelayMove_t *this)
+{
+    RelayExchange_t *exchange = this->exchange;
+    StreamMover_remove(context_of(this)->mover, exchange);
+    RelayRun_cancel(exchange);
+    Exchange_noteEnd(&exchange->super, ATTEMPT_MOVED);
+    hand_over(this);
+}
+
 static void
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
 {
@@ -148,20 +163,15 @@
 on_data(void *owner, struct evbuffer *data)
 {
     RelayMove_t *this = owner;
-    RelayExchange_t *exchange = this->exchange;
     evbuffer_add_buffer(this->data, data);
-    if (evbuffer_get_length(this->data) >
-        (gsize)context_of(this)->settings->limits.event_max) {
+    gsize event = EventPipe_firstLength(this->data);
+    gsize size = event > 0 ? event : evbuffer_get_length(this->data);
+    if (size > (gsize)context_of(this)->settings->limits.event_max) {
         stay_for_oversize(this);
-        return;
     }
-    if (!EventPipe_hasEvent(this->data)) {
-        return;
+    else if (event > 0) {
+        leave_attempt(this);
     }
-    StreamMover_remove(context_of(this)->mover, exchange);
-    RelayRun_cancel(exchange);
-    Exchange_noteEnd(&exchange->super, ATTEMPT_MOVED);
-    hand_over(this);
 }
 
 static SilenceStep_t
@@ -171,11 +181,24 @@
     return SILENCE_GIVE_UP;
 }
 
+/* Nothing is left to send: the engine fell silent behind its last event. */
+static void
+end_whole(RelayMove_t *this, const RelayHead_t *head)
+{
+    RelayExchange_t *exchange = this->exchange;
+    leave_attempt(this);
+    RelayRun_end(exchange, ATTEMPT_WHOLE, head);
+}
+
 /* It ended without an event. */
 static void
 on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
 {
     RelayMove_t *this = owner;
+    if (end == ATTEMPT_WHOLE && this->cause == &silence) {
+        end_whole(this, head);
+        return;
+    }
     this->attempt = NULL;
     this->may_have_run = end != ATTEMPT_NOT_RUN && end != ATTEMPT_NOT_SENT;
     RelayFeedback_settle(&this->feedback);
@@ -220,7 +243,8 @@
     this->upstream->in_flight++;
     this->started_us = Clock_nowUs();
     RetryBudget_withdraw(super->context->budget, super->target->str);
-    Context_countRetry(super->context, Recovery_endName(ATTEMPT_MOVED),
+    Context_countRetry(super->context,
+                       Recovery_endName(this->cause->counted_as),
                        super->target->str, super->customer_class->str);
     RelayPlacer_prepare(super->context, wish, placing);
     RelayPlacing_log(placing, super->id->str, &exchange->request);
@@ -313,7 +337,9 @@
     if (!is_near(exchange, cause, &placing.choice)) {
         return;
     }
-    StreamMover_remove(context->mover, exchange);
+    if (cause->is_tried_once) {
+        StreamMover_remove(context->mover, exchange);
+    }
     RelayMove_t *this = create_move(exchange, cause);
     exchange->move = this;
     this->ask = context->dispatch
@@ -326,14 +352,15 @@
     }
 }
 
-/* One that is far is looked at again; else there is one try for each attempt:
- * where the next engine would not have it, it most likely ends before another
- * one would. */
+/* One that is far is looked at again; else there is one such try for each
+ * attempt: where the next engine would not have it, it most likely ends before
+ * another one would. Tries beside a silent engine may have used up what its
+ * route allows. */
 static void
 leave_engine(void *stream)
 {
     RelayExchange_t *this = stream;
-    if (!this->move) {
+    if (!this->move && Exchange_mayRepeat(&this->super)) {
         begin(this, &unloading);
     }
 }
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -31,6 +31,9 @@
                            passed_us - trace->started_us);
         }
         this->run_events->begun(this);
+    }
+    if (this->first_us == 0) {
+        this->first_us = passed_us;
         Counters_observe(this->super.context->counters, "first_token_us",
                          (guint64)passed_us);
     }
@@ -358,3 +361,9 @@
     this->attempt = NULL;
     return sent;
 }
+
+void
+RelayRun_end(RelayExchange_t *this, AttemptEnd_t end, const RelayHead_t *head)
+{
+    on_ended(this, end, head);
+}
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,7 +12,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
-from cluster import BUILD, OPERATOR_KEY, Process, key_hash, wait_for
+from cluster import (BUILD, OPERATOR_KEY, Process, assert_sound, key_hash,
+                     wait_for)
 
 HEARTBEAT_S = 0.2
 
@@ -412,6 +413,7 @@
         for part in self.parts:
             part.close()
         self.folder.cleanup()
+        assert_sound(self.routers)
 
 
 def route(name, path, kind, service, **more):
