A long list of upstreams is put in order once for each target

Cause: for each new entry of the list the speed of another upstream of its service was asked for, by which the whole set was put in order anew: a router that lists 3,000 upstreams did so 3,000 times. Change: one upstream is remembered for each target. The role is that of the entry in place of a service always; on the platform it is the same. Result: test_UpstreamListing, a list of 500: 500 times before, at most 4 now.

--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -32,6 +32,7 @@
     RecordFollower_t *follower;
     GHashTable *missing; /* set of names that may come back */
     GHashTable *seen;    /* name -> Seen_t */
+    GHashTable *samples; /* target -> name of an upstream that serves it */
     RecordRelay_t *relay;
     struct event *return_over;
     gint64 regained_ms; /* 0 where the list was never out of reach */
@@ -149,22 +150,51 @@
     HintFlood_tell(this->spec.hints, &hint);
 }
 
+static gboolean
+is_serving(const Upstream_t *upstream, const GString *target)
+{
+    for (guint i = 0; i < upstream->serves->len; i++) {
+        if (g_string_equal(upstream->serves->pdata[i], target)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* The set is put in order anew when it is asked after an entry: to ask for
+ * each of 3,000 new ones took a router 2 s of processor time at its start. */
+static const Upstream_t *
+find_sample(const UpstreamListing_t *this, UpstreamRole_t role,
+            const GString *target)
+{
+    const char *name = g_hash_table_lookup(this->samples, target->str);
+    const Upstream_t *known =
+        name ? UpstreamSet_find(this->spec.upstreams, name) : NULL;
+    if (known && known->role == role && is_serving(known, target)) {
+        return known;
+    }
+    const GPtrArray *others =
+        UpstreamSet_serving(this->spec.upstreams, role, target->str);
+    if (others->len == 0) {
+        return NULL;
+    }
+    const Upstream_t *first = g_ptr_array_index(others, 0);
+    g_hash_table_replace(this->samples, g_strdup(target->str),
+                         g_strdup(first->name->str));
+    return first;
+}
+
 /* As fast as another one that serves the same, as far as is known. */
 static double
 expected_speed(const UpstreamListing_t *this, const ListedUpstream_t *entry)
 {
-    const GString *target = entry->spec.serves->len > 0
-                                ? g_ptr_array_index(entry->spec.serves, 0)
-                                : NULL;
-    const GPtrArray *others =
-        target ? UpstreamSet_serving(this->spec.upstreams, ROLE_SERVICE,
-                                     target->str)
-               : NULL;
-    if (!others || others->len == 0) {
+    if (entry->spec.serves->len == 0) {
         return LISTED_PREFILL_US_PER_TOKEN;
     }
-    const Upstream_t *other = g_ptr_array_index(others, 0);
-    return other->prefill_us_per_token;
+    const Upstream_t *sample =
+        find_sample(this, (UpstreamRole_t)entry->spec.role,
+                    g_ptr_array_index(entry->spec.serves, 0));
+    return sample ? sample->prefill_us_per_token : LISTED_PREFILL_US_PER_TOKEN;
 }
 
 static void
@@ -323,6 +353,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->seen =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->samples =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->relay = RecordRelay_create(spec->membership);
     this->return_over = Clock_timer(base, on_return_over, this);
     RecordFollowerSpec_t follow = {
@@ -351,6 +383,7 @@
     event_free(this->return_over);
     g_hash_table_destroy(this->missing);
     g_hash_table_destroy(this->seen);
+    g_hash_table_destroy(this->samples);
     g_free(this);
 }
 
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -15,6 +15,11 @@
 /* More than a message's transit, which adds to its age. */
 #define TOLD_AFTER_US ((PEER_TRANSIT_MS + 10) * CLOCK_US_PER_MS)
 
+/* Upstreams of a long list. */
+#define MANY 500
+/* Times that the set may be put in order for one target and one question. */
+#define ORDERED_MOST 4
+
 static FakeSource_t source;
 static struct event_base *base;
 static UpstreamSet_t *upstreams;
@@ -72,6 +77,73 @@
     return UpstreamSet_serving(upstreams, 0, target)->len;
 }
 
+/* Answers the next call with a list of so many new upstreams. */
+static void
+answer_many(guint64 offset, guint count, const char *target)
+{
+    KeyedPage_t page = FakePage_make(offset + count, FALSE);
+    for (guint i = 0; i < count; i++) {
+        g_autofree char *key = g_strdup_printf("u%04u", i);
+        FakePage_add(&page, key, target, offset + i);
+    }
+    FakeSource_answer(&source, &page);
+}
+
+static double *
+speed_of(const char *name)
+{
+    return &UpstreamSet_find(upstreams, name)->prefill_us_per_token;
+}
+
+/* Symptom: after all of 300 routers had started anew the first answer came
+ * after many seconds, and each had used 2 s of processor time. Sequence: a
+ * router starts and lists 3,000 upstreams. Cause: for each entry the speed of
+ * another upstream of its service was asked for, by which the whole set was
+ * put in order anew. Settled by remembering one upstream for each target. */
+START_TEST(a_long_list_is_not_put_in_order_for_each_entry)
+{
+    UpstreamListing_t *listing = begin();
+    answer_many(1, MANY, "m");
+    ck_assert_uint_eq(serving("m"), MANY);
+    ck_assert_uint_le(UpstreamSet_generation(upstreams), ORDERED_MOST);
+    end(listing);
+}
+END_TEST
+
+START_TEST(a_new_upstream_is_as_fast_as_another_of_its_target)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    *speed_of("a") = 3;
+    answer(2, "b", "m");
+    ck_assert(*speed_of("b") == 3);
+    answer(3, "c", "n");
+    ck_assert(*speed_of("c") != 3);
+    *speed_of("a") = 4;
+    answer(4, "d", "m");
+    ck_assert(*speed_of("d") == 4);
+    end(listing);
+}
+END_TEST
+
+START_TEST(the_speed_of_one_that_left_or_changed_is_not_taken)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    answer(2, "b", "m");
+    *speed_of("a") = 3;
+    *speed_of("b") = 5;
+    answer(3, "a", NULL);
+    answer(4, "c", "m");
+    ck_assert(*speed_of("c") == 5);
+    *speed_of("c") = 7;
+    answer(5, "b", "n");
+    answer(6, "d", "m");
+    ck_assert(*speed_of("d") == 7);
+    end(listing);
+}
+END_TEST
+
 START_TEST(an_entry_that_says_the_same_is_not_read_again)
 {
     UpstreamListing_t *listing = begin();
@@ -184,7 +256,10 @@
 }
 END_TEST
 
-TESTING_MAIN("UpstreamListing", an_entry_that_says_the_same_is_not_read_again,
+TESTING_MAIN("UpstreamListing", a_long_list_is_not_put_in_order_for_each_entry,
+             a_new_upstream_is_as_fast_as_another_of_its_target,
+             the_speed_of_one_that_left_or_changed_is_not_taken,
+             an_entry_that_says_the_same_is_not_read_again,
              entries_are_known_by_their_own_names,
              an_upstream_that_comes_back_with_the_same_entry_serves,
              an_upstream_that_serves_another_target_is_found_for_that_only,
