Callers wait in the kernel's queue until a started router can serve

Cause: a router took callers' connections from its start on and refused them until the store had answered its two lists (10 to 123 ms on sites of 69 to 82 routers that all start at once). Where all start at once callers used up their tries on routers that refuse. Ruled out: the store's rate (no call of these routers failed) and the page size (one page) on these sites. Change: AcceptHold leaves the listener's queue alone until a configuration and the list of upstreams are known, for 500 ms at most.

--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -25,12 +25,19 @@
                               context->settings->relay.config_max_age_ms);
 }
 
+gboolean
+RelayApi_canServe(const Context_t *context)
+{
+    return RouteTable_config(context->routes) &&
+           UpstreamListing_isKnown(context->listing);
+}
+
 /* Whether new connections are welcome. */
 static gboolean
 is_ready(const Context_t *context)
 {
-    return !context->stopping && RouteTable_config(context->routes) &&
-           is_fresh(context) && UpstreamListing_isKnown(context->listing);
+    return !context->stopping && is_fresh(context) &&
+           RelayApi_canServe(context);
 }
 
 static void
--- a/src/RelayApi.h
+++ b/src/RelayApi.h
@@ -14,6 +14,10 @@
 /** RelayApi_handle() - callback of evhttp; data is a Context_t */
 void RelayApi_handle(struct evhttp_request *request, void *data);
 
+/** RelayApi_canServe() - whether a configuration and the list of upstreams
+ * are known */
+gboolean RelayApi_canServe(const Context_t *context);
+
 /** RelayApi_handleReady() - the same for the readiness address */
 void RelayApi_handleReady(struct evhttp_request *request, void *data);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -2,10 +2,12 @@
 
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <sys/socket.h>
 
+#include "AcceptHold.h"
 #include "CallerApi.h"
 #include "Clock.h"
 #include "ConfigSync.h"
@@ -41,6 +43,7 @@
     StopPlans_t *plans;
     RelayParts_t *relay; /* NULL on the native platform */
     struct evhttp *callers;
+    AcceptHold_t *hold; /* NULL on the native platform */
     struct evhttp *operators;
     struct evhttp *readiness;
     guint16 port;
@@ -294,6 +297,28 @@
     return this->operators != NULL;
 }
 
+static void
+take_listener(struct evhttp_bound_socket *bound, void *data)
+{
+    struct evconnlistener **listener = data;
+    *listener = evhttp_bound_socket_get_listener(bound);
+}
+
+static gboolean
+can_serve(const void *owner)
+{
+    return RelayApi_canServe(owner);
+}
+
+/* Native routers know their declarations before they listen (bootstrap). */
+static void
+hold_callers(Router_t *this)
+{
+    AcceptHoldSpec_t spec = {.is_known = can_serve, .owner = &this->context};
+    evhttp_foreach_bound_socket(this->callers, take_listener, &spec.listener);
+    this->hold = AcceptHold_create(this->context.base, &spec);
+}
+
 static void
 on_stop_timer(evutil_socket_t fd, short what, void *data)
 {
@@ -534,12 +559,18 @@
         create_listeners(&this, error) && create_peers(&this, error);
     if (started) {
         create_platform(&this);
+        if (this.relay) {
+            hold_callers(&this);
+        }
         log_event(&this, "router_started");
         event_base_dispatch(this.context.base);
         log_event(&this, "router_stopped");
         free_platform(&this);
     }
     block_stop_signals();
+    if (this.hold) {
+        AcceptHold_destroy(this.hold);
+    }
     free_listeners(&this);
     free_parts(&this);
     event_base_free(this.context.base);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,6 +15,7 @@
 from cluster import BUILD, Process, wait_for
 
 HEARTBEAT_S = 0.2
+WINDOW_S = 0.1  # for which the store counts calls
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -85,6 +86,10 @@
         self.down = False
         self.calls = 0
         self.waits = set()  # topic and how long a read of it was to be held
+        self.list_s = 0  # how long the answer to a list takes
+        self.calls_at_most = None  # in each WINDOW_S; 429 for the others
+        self.window = (0, 0)  # which one, and calls made in it
+        self.turned_away = 0  # calls answered with 429
         super().__init__()
 
     def append(self, topic, *records):
@@ -102,6 +107,17 @@
         with self.lock:
             return list(self.topics.get(topic, []))
 
+    def is_within_rate(self):
+        """Whether one more call may be made in this window."""
+        if self.calls_at_most is None:
+            return True
+        with self.lock:
+            now = int(time.monotonic() / WINDOW_S)
+            made = self.window[1] if self.window[0] == now else 0
+            self.window = (now, made + 1)
+            self.turned_away += made >= self.calls_at_most
+            return made < self.calls_at_most
+
     def handle(self, call):
         url = urlparse(call.path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
@@ -109,6 +125,8 @@
         self.calls += 1
         if self.down:
             call.reply(503)
+        elif not self.is_within_rate():
+            call.reply(429)
         elif url.path == "/v1/log-append":
             records = []
             while body:
@@ -139,6 +157,7 @@
         call.reply(503 if self.down else 200, b"" if self.down else out)
 
     def newest(self, call, topic):
+        time.sleep(self.list_s)
         found = {}
         records = self.records(topic)
         for offset, record in enumerate(records):
@@ -331,8 +350,12 @@
             "limits": {},
             "tenants": CUSTOMERS if customers is None else customers})
 
-    def router(self, name="r1", peers=(), store_address=None, verbose=True,
+    def router(self, *arguments, **more):
+        return self.await_start(self.launch(*arguments, **more))
+
+    def launch(self, name="r1", peers=(), store_address=None, verbose=True,
                **settings):
+        """A router whose process was started, and no more."""
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
                             "config_wait": "100ms", "leaving_limit": "800ms",
@@ -357,6 +380,9 @@
                           *level, "--settings", path])
         router.path = path
         self.routers.append(router)
+        return router
+
+    def await_start(self, router):
         started = router.wait_event("router_started")[0]
         router.port = int(started["port"])
         router.ready_port = int(started["ready_port"])
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import threading
+import time
 import unittest
 
 from cluster import BUILD, ROOT, wait_for
@@ -820,6 +821,66 @@
         self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
 
 
+class StartTest(FleetTest):
+    """Symptom: calls that came to routers just started, as all were at once
+    after a loss of power, were refused with 503 "not_configured", and their
+    callers had used up a try. Sequence: routers start, callers that lost
+    their connections come within the same tenths of a second, the store
+    answers the routers' lists. Cause: callers' connections were taken before
+    anything was known that they could be answered by. Settled by leaving
+    them untaken until then, for a bounded time."""
+
+    ROUTERS = 6
+    LIST_S = 0.1
+    CALLS_AT_MOST = 12  # the routers make more of them as they start
+
+    def call_at_once(self, routers):
+        """One call to each router, all at once; their statuses."""
+        answers = [None] * len(routers)
+
+        def call(place):
+            answers[place] = self.fleet.ask(routers[place], "/write/x").status
+        threads = [threading.Thread(target=call, args=(place,))
+                   for place in range(len(routers))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return answers
+
+    def test_a_call_just_after_the_start_is_served(self):
+        plain = self.fleet.plain("p1")
+        self.fleet.config()
+        self.fleet.store.list_s = self.LIST_S
+        router = self.fleet.router()
+        self.assertEqual(self.call_at_once([router]), [200])
+        self.assertEqual(len(plain.seen), 1)
+
+    def test_all_routers_that_start_at_once_serve_their_first_calls(self):
+        """The store takes fewer calls than the routers make, so that some
+        lists are refused and tried again within the time."""
+        self.fleet.plain("p1")
+        self.fleet.config()
+        self.fleet.store.list_s = self.LIST_S
+        self.fleet.store.calls_at_most = self.CALLS_AT_MOST
+        routers = [self.fleet.launch("r%d" % i, config_wait="1s",
+                                     config_max_age="10s")
+                   for i in range(self.ROUTERS)]
+        for router in routers:
+            self.fleet.await_start(router)
+        self.assertEqual(self.call_at_once(routers), [200] * self.ROUTERS)
+        self.assertGreater(self.fleet.store.turned_away, 0)
+
+    def test_a_call_is_refused_where_the_store_stays_silent(self):
+        self.fleet.plain("p1")
+        self.fleet.config()
+        self.fleet.store.list_s = 5
+        router = self.fleet.router()
+        begun = time.monotonic()
+        self.assertEqual(self.call_at_once([router]), [503])
+        self.assertLess(time.monotonic() - begun, 2)
+
+
 class StopTest(FleetTest):
     def test_a_stop_ends_open_streams_whole(self):
         engine = self.fleet.engine("e1")
--- /dev/null
+++ b/tests/test_AcceptHold.c
@@ -0,0 +1,128 @@
+#include "testing.h"
+
+#include <string.h>
+
+#include "AcceptHold.h"
+#include "Clock.h"
+
+/* Several looks of the hold. */
+#define LOOKS_MS 50
+/* For a busy machine. */
+#define MARGIN_MS 1000
+
+static struct event_base *base;
+static struct evconnlistener *listener;
+static AcceptHold_t *hold;
+static gboolean known;
+static guint accepted;
+static evutil_socket_t caller;
+
+static gboolean
+is_known(const void *owner)
+{
+    (void)owner;
+    return known;
+}
+
+static void
+on_accept(struct evconnlistener *from, evutil_socket_t fd,
+          struct sockaddr *address, int length, void *data)
+{
+    (void)from;
+    (void)address;
+    (void)length;
+    (void)data;
+    accepted++;
+    evutil_closesocket(fd);
+}
+
+static void
+listen_here(struct sockaddr_in *address)
+{
+    memset(address, 0, sizeof(*address));
+    address->sin_family = AF_INET;
+    address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    listener = evconnlistener_new_bind(
+        base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE, -1,
+        (struct sockaddr *)address, sizeof(*address));
+    ck_assert_ptr_nonnull(listener);
+    socklen_t length = sizeof(*address);
+    getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)address,
+                &length);
+}
+
+/* One caller is connected, and waits. */
+static void
+begin(void)
+{
+    struct sockaddr_in address;
+    known = FALSE;
+    accepted = 0;
+    base = event_base_new();
+    listen_here(&address);
+    AcceptHoldSpec_t spec = {.listener = listener, .is_known = is_known};
+    hold = AcceptHold_create(base, &spec);
+    caller = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(
+        connect(caller, (struct sockaddr *)&address, sizeof(address)), 0);
+}
+
+static void
+end(void)
+{
+    evutil_closesocket(caller);
+    AcceptHold_destroy(hold);
+    evconnlistener_free(listener);
+    event_base_free(base);
+}
+
+static void
+run_until(gint64 until_ms, gboolean until_accepted)
+{
+    while (Clock_nowMs() < until_ms && !(until_accepted && accepted > 0)) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(CLOCK_US_PER_MS);
+    }
+}
+
+START_TEST(a_caller_is_left_until_enough_is_known)
+{
+    begin();
+    run_until(Clock_nowMs() + LOOKS_MS, FALSE);
+    ck_assert_uint_eq(accepted, 0);
+    ck_assert(!AcceptHold_isOver(hold));
+    known = TRUE;
+    run_until(Clock_nowMs() + MARGIN_MS, TRUE);
+    ck_assert_uint_eq(accepted, 1);
+    ck_assert(AcceptHold_isOver(hold));
+    end();
+}
+END_TEST
+
+START_TEST(a_caller_is_taken_after_a_bounded_time)
+{
+    begin();
+    gint64 began_ms = Clock_nowMs();
+    run_until(began_ms + ACCEPT_HOLD_MS + MARGIN_MS, TRUE);
+    ck_assert_uint_eq(accepted, 1);
+    ck_assert_int_ge(Clock_nowMs() - began_ms, ACCEPT_HOLD_MS - LOOKS_MS);
+    end();
+}
+END_TEST
+
+START_TEST(once_over_it_never_holds_again)
+{
+    begin();
+    known = TRUE;
+    run_until(Clock_nowMs() + MARGIN_MS, TRUE);
+    known = FALSE;
+    run_until(Clock_nowMs() + LOOKS_MS, FALSE);
+    ck_assert(AcceptHold_isOver(hold));
+    ck_assert_uint_eq(accepted, 1);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("AcceptHold", a_caller_is_left_until_enough_is_known,
+             a_caller_is_taken_after_a_bounded_time,
+             once_over_it_never_holds_again)
