--- a/tests/sessions/test_review2.py
+++ b/tests/sessions/test_review2.py
@@ -57,7 +57,7 @@
         self.router.wait_event("stream_stays")
         self.first.probed.set()
         self.first.gate.open(1)
-        time.sleep(0.3)  # its event is heard, and its probes are answered
+        self.router.wait_event("upstream_reached")  # else it stays silent
         for engine in self.others:
             engine.shed = False
             engine.gate.open()
