Name what follows from each cause of a move

Cause: two rows of TRUE and FALSE said nothing to a reader. Change: designated initializers. Result: no change of what is compiled but the order of writing.

--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -11,19 +11,29 @@
  * be doubled. */
 #define MAX_BACKOFF_DOUBLINGS 6
 
-/* Why a stream is to move. */
+/* Why a stream is to move, and what follows from that. */
 typedef struct {
     const char *name;
     AttemptEnd_t counted_as; /* among the retries */
-    gboolean must_be_near;   /* the next event must come unnoticed */
-    gboolean is_bounded; /* its own engine goes on, so both run for a while */
-    gboolean is_tried_once; /* in each attempt */
+    /* The next event must come soon enough to go unnoticed. */
+    gboolean must_be_near;
+    /* Its own engine goes on, so that both run for a while. */
+    gboolean is_bounded;
+    /* In each attempt, rather than again and again. */
+    gboolean is_tried_once;
 } MoveCause_t;
 
-static const MoveCause_t unloading = {"unloading", ATTEMPT_MOVED, TRUE, TRUE,
-                                      TRUE};
-static const MoveCause_t silence = {"silent", ATTEMPT_SILENT, FALSE, FALSE,
-                                    FALSE};
+static const MoveCause_t unloading = {
+    .name = "unloading",
+    .counted_as = ATTEMPT_MOVED,
+    .must_be_near = TRUE,
+    .is_bounded = TRUE,
+    .is_tried_once = TRUE,
+};
+static const MoveCause_t silence = {
+    .name = "silent",
+    .counted_as = ATTEMPT_SILENT,
+};
 
 struct RelayMove {
     RelayExchange_t *exchange;
