--- a/tests/sessions/test_review2.py
+++ b/tests/sessions/test_review2.py
@@ -69,6 +69,49 @@
         self.assertEqual([m["reason"] for m in moved], ["unloading"])
 
 
+class NamedEventsTest(test_fleet.StreamTest):
+    """Symptom: a caller has an event twice.
+    Sequence: a stream whose event ids are no numbers is tried at another
+    engine beside its own, which sends one more event; both engines send it.
+    Cause: only numbers tell that an event has passed.
+    Settled by: the same id twice in what the caller reads.
+    """
+
+    def start_stream(self, path, **settings):
+        engine = self.fleet.engine
+
+        def named(name):
+            made = engine(name)
+            made.stream = lambda call, headers: self.stream(made, call,
+                                                            headers)
+            return made
+        self.fleet.engine = named
+        super().start_stream(path, **settings)
+
+    def stream(self, engine, call, headers):
+        call.send_response(200)
+        for name, value in headers.items():
+            call.send_header(name.replace("_", "-"), value)
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        last = call.headers.get("Last-Event-Id", "k-")[2:]
+        for place in range(int(last) + 1 if last else 0, engine.pieces):
+            engine.gate.wait(60)
+            piece = b"id: k-%d\ndata: piece-%d\n\n" % (place, place)
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        call.wfile.write(b"0\r\n\r\n")
+
+    def test_a_stream_whose_events_have_no_numbers_stays(self):
+        self.start_stream("/ask/x")
+        name_weights(self.fleet)
+        wait_for(lambda: all(e.version == 2 for e in self.engines), "loaded")
+        for engine in self.engines:
+            engine.gate.open()
+        self.reader.join()
+        self.assertEqual(self.answers[0].body.count(b"data: "), 5)
+        self.assertEqual([e.seen for e in self.others], [[], [], []])
+
+
 class CountedTest(test_fleet.SilentStreamTest):
     """Symptom: streams leave silent engines, and no retry for silence is
     counted.
