Only streams whose events have numbers are moved beside their attempt

Cause: where two engines send a stream for a while, an event that both send is told by its number alone; with other ids a caller had one twice. Ruled out: comparing ids as texts: nothing says that they rise as texts.

--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -64,18 +64,28 @@
     return NULL;
 }
 
+static gboolean
+read_number(const GString *id, guint64 *number)
+{
+    return g_ascii_string_to_unsigned(id->str, 10, 0, G_MAXUINT64, number,
+                                      NULL);
+}
+
 /* Ids rise; those that are no numbers can't be compared. */
 static gboolean
 has_passed(const EventPipe_t *this, const GString *id)
 {
     guint64 last = 0;
     guint64 now = 0;
-    return this->restarted && this->last_id->len > 0 &&
-           g_ascii_string_to_unsigned(this->last_id->str, 10, 0, G_MAXUINT64,
-                                      &last, NULL) &&
-           g_ascii_string_to_unsigned(id->str, 10, 0, G_MAXUINT64, &now,
-                                      NULL) &&
-           now <= last;
+    return this->restarted && read_number(this->last_id, &last) &&
+           read_number(id, &now) && now <= last;
+}
+
+gboolean
+EventPipe_isNumbered(const EventPipe_t *this)
+{
+    guint64 last = 0;
+    return read_number(this->last_id, &last);
 }
 
 static gboolean
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -40,6 +40,10 @@
  * passes any more until a restart */
 gboolean EventPipe_isOverfull(const EventPipe_t *this);
 
+/** EventPipe_isNumbered() - whether what passes can be told from what comes
+ * again: the last event has a number, and those behind it have higher ones */
+gboolean EventPipe_isNumbered(const EventPipe_t *this);
+
 /** EventPipe_restart() - the next bytes come from another upstream, whose
  * first event may be one that has passed */
 void EventPipe_restart(EventPipe_t *this);
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -370,7 +370,8 @@
 leave_engine(void *stream)
 {
     RelayExchange_t *this = stream;
-    if (!this->move && Exchange_mayRepeat(&this->super)) {
+    if (!this->move && EventPipe_isNumbered(this->events) &&
+        Exchange_mayRepeat(&this->super)) {
         begin(this, &unloading);
     }
 }
@@ -408,7 +409,8 @@
 gboolean
 RelayMove_goBeside(RelayExchange_t *this)
 {
-    if (!this->events || !RelayAnswer_isBegun(this->answer)) {
+    if (!this->events || !RelayAnswer_isBegun(this->answer) ||
+        !EventPipe_isNumbered(this->events)) {
         return FALSE;
     }
     if (!this->move && Clock_nowMs() >= this->beside_ms) {
--- a/src/RelayMove.h
+++ b/src/RelayMove.h
@@ -8,7 +8,9 @@
  * that is silent. The request is sent to the other engine beside the attempt
  * under way, which is given up only once the first event of the other one is
  * there. A stream whose next engine refuses it or says nothing stays where it
- * is, and so does one whose silent engine speaks again.
+ * is, and so does one whose silent engine speaks again. Only streams whose
+ * events have numbers are moved: two engines may send the same event, and
+ * nothing else tells that it has passed.
  */
 #include "RelayExchangeState.h"
 
--- a/tests/test_EventPipe.c
+++ b/tests/test_EventPipe.c
@@ -153,6 +153,18 @@
 }
 END_TEST
 
+START_TEST(only_numbers_tell_what_has_passed)
+{
+    begin();
+    ck_assert(!EventPipe_isNumbered(the_pipe));
+    feed("id: 7\n\n");
+    ck_assert(EventPipe_isNumbered(the_pipe));
+    feed("id: k-8\n\n");
+    ck_assert(!EventPipe_isNumbered(the_pipe));
+    end();
+}
+END_TEST
+
 TESTING_MAIN("EventPipe", only_whole_events_pass,
              any_split_gives_the_same_bytes,
              a_restart_drops_the_rest_and_what_has_passed,
@@ -160,4 +172,5 @@
              an_event_that_is_too_large_ends_the_stream,
              a_large_event_that_comes_at_once_does_not_pass,
              an_event_as_large_as_the_bound_passes,
-             another_upstream_goes_on_behind_a_large_event)
+             another_upstream_goes_on_behind_a_large_event,
+             only_numbers_tell_what_has_passed)
