--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -26,7 +26,8 @@
  * @heard: more of its answer has come
  * @may_follow: whether another attempt may follow it; else sets the reason
  * @go_beside: its upstream is silent: try another one beside it; FALSE where
- *     its answer has not begun, so that it may as well be given up first
+ *     its answer has not begun, or what comes twice could not be told, so that
+ *     it is given up first
  * @broke_off: it is over and was not whole; TRUE where another one has taken
  *     its place
  * @over: it is over, and none has taken its place
--- a/src/RelayMove.h
+++ b/src/RelayMove.h
@@ -22,7 +22,8 @@
  * RelayMove_goBeside() - the engine of the stream is silent: try another one
  * beside it, unless that is under way or was refused a moment ago
  *
- * Return: FALSE where the caller has nothing of the answer yet
+ * Return: FALSE where the caller has nothing of the answer yet, or its events
+ * have no numbers
  */
 gboolean RelayMove_goBeside(RelayExchange_t *this);
 
