Settings: a fraction in a limit no longer stops the whole fleet

Cause: numbers of settings were read as whole ones, and what a template leaves empty as a value. Ruled out: rounding in the template, which has no arithmetic. Change: a fraction of the smallest unit is left out; a figure that is not given is the key's default; ranges are named in the fault. After: all pass; check-deploy fills the template with four sets of figures and six kinds of nonsense.

--- a/src/KeyTable.h
+++ b/src/KeyTable.h
@@ -14,7 +14,7 @@
  * @KEY_TEXT: any text; GString *
  * @KEY_NAME: a name of an object; GString *
  * @KEY_NAMES: names with commas between; GPtrArray * of GString *
- * @KEY_INTEGER: whole number; gint64
+ * @KEY_INTEGER: number; gint64, a fraction is left out
  * @KEY_DURATION: number with ms, s, m or h; gint64 in milliseconds
  * @KEY_SIZE: number with B, KiB, MiB or GiB; gint64 in bytes
  * @KEY_ADDRESS: IP number and port; Address_t
@@ -102,6 +102,10 @@
 
 /**
  * KeyTable_fill() - check a section's fields and fill its struct
+ *
+ * A number or word that may be left out and is empty, or a unit alone, counts
+ * as not written.
+ *
  * @fields: text to text
  * @out: @spec->size bytes of zeros
  * @problems: gets every fault; may not be NULL
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -1,6 +1,7 @@
 #include "testing.h"
 
 #include <glib/gstdio.h>
+#include <stddef.h>
 #include <string.h>
 
 #include "Declarations.h"
@@ -92,6 +93,111 @@
 }
 END_TEST
 
+/*
+ * Symptom: no router of a team started; each said bad_unit of one key.
+ * Sequence: a template was filled with a share of a total that is no whole
+ * number, 33.1578947368421, or with a figure that was not given, which leaves
+ * the unit alone.
+ * Cause: numbers were read as whole ones only, and what was left empty as a
+ * value.
+ * Settled by: a fraction of the smallest unit is left out, and a number that
+ * is not given is the key's default; what is nonsense is refused as before.
+ */
+typedef struct {
+    const char *value;
+    gboolean good;
+    ProblemKind_t fault;
+    gint64 number;
+} NumberCase_t;
+
+/* Of an integer from 0 to 100000 whose default is 10. */
+static const NumberCase_t integer_cases[] = {
+    {"33.1578947368421", TRUE, 0, 33},
+    {"0.4", TRUE, 0, 0},
+    {"0", TRUE, 0, 0},
+    {"0.0", TRUE, 0, 0},
+    {"630.0", TRUE, 0, 630},
+    {"1e3", TRUE, 0, 1000},
+    {"", TRUE, 0, 10},
+    {"100000", TRUE, 0, 100000},
+    {"100001", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"100000.5", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"-0.5", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"-1", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"99999999999999999999999", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"1e999", FALSE, PROBLEM_BAD_VALUE, 0},
+    {"nan", FALSE, PROBLEM_BAD_VALUE, 0},
+    {"inf", FALSE, PROBLEM_BAD_VALUE, 0},
+    {"0x10", FALSE, PROBLEM_BAD_VALUE, 0},
+    {"many", FALSE, PROBLEM_BAD_VALUE, 0},
+    {"null", FALSE, PROBLEM_BAD_VALUE, 0},
+    {"3 3", FALSE, PROBLEM_BAD_UNIT, 0},
+    {"1.2.3", FALSE, PROBLEM_BAD_UNIT, 0},
+    {"5ms", FALSE, PROBLEM_BAD_UNIT, 0},
+};
+
+/* Of a duration from 0 to an hour whose default is 20 ms. */
+static const NumberCase_t duration_cases[] = {
+    {"1.5s", TRUE, 0, 1500},
+    {"2999.9ms", TRUE, 0, 2999},
+    {"0.25m", TRUE, 0, 15000},
+    {"0s", TRUE, 0, 0},
+    {"ms", TRUE, 0, 20},
+    {"", TRUE, 0, 20},
+    {"1h", TRUE, 0, 3600000},
+    {"1.1h", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"1e300s", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"-1ms", FALSE, PROBLEM_OUT_OF_RANGE, 0},
+    {"15", FALSE, PROBLEM_BAD_UNIT, 0},
+    {"15 ms", FALSE, PROBLEM_BAD_UNIT, 0},
+    {".ms", FALSE, PROBLEM_BAD_VALUE, 0},
+};
+
+static void
+check_number(const char *key, const NumberCase_t *number, gsize offset)
+{
+    g_autofree char *text =
+        g_strdup_printf(GOOD "[limits]\n%s = %s\n", key, number->value);
+    if (!number->good) {
+        assert_problem(text, number->fault, 17, "limits", key);
+        return;
+    }
+    g_autoptr(GPtrArray) problems = Problems_create();
+    char *path = write_file(text);
+    Settings_t *settings = Settings_create(path, problems);
+    ck_assert_msg(settings != NULL, "refused: %s = %s", key, number->value);
+    gint64 read = *(gint64 *)((char *)&settings->limits + offset);
+    ck_assert_int_eq(read, number->number);
+    Settings_destroy(settings);
+    g_unlink(path);
+    g_free(path);
+}
+
+START_TEST(numbers_may_have_fractions_and_may_be_left_out)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(integer_cases); i++) {
+        check_number("retry_allowance", &integer_cases[i],
+                     offsetof(LimitsSection_t, retry_allowance));
+    }
+    for (gsize i = 0; i < G_N_ELEMENTS(duration_cases); i++) {
+        check_number("backoff", &duration_cases[i],
+                     offsetof(LimitsSection_t, backoff_ms));
+    }
+}
+END_TEST
+
+START_TEST(a_fault_of_a_number_names_key_value_and_range)
+{
+    g_autoptr(GPtrArray) problems =
+        problems_of(GOOD "[limits]\nretry_allowance = 100001\n");
+    GString *text = Problem_format(g_ptr_array_index(problems, 0));
+    ck_assert_ptr_nonnull(strstr(text->str, "retry_allowance"));
+    ck_assert_ptr_nonnull(strstr(text->str, "100001"));
+    ck_assert_ptr_nonnull(strstr(text->str, "expected 0 to 100000"));
+    g_string_free(text, TRUE);
+}
+END_TEST
+
 START_TEST(missing_key_and_bad_address_are_told)
 {
     GString *text = g_string_new(GOOD);
@@ -280,6 +386,8 @@
 
 TESTING_MAIN("Settings", good_settings_have_values_and_defaults,
              each_fault_has_its_type_and_place,
+             numbers_may_have_fractions_and_may_be_left_out,
+             a_fault_of_a_number_names_key_value_and_range,
              missing_key_and_bad_address_are_told, all_faults_are_told_at_once,
              unreadable_file_is_told,
              declarations_come_in_the_order_of_their_kinds,
--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -21,18 +21,34 @@
     "bounds.fencing_required": "true", "bounds.drain_ms": "2000",
     "bounds.retry_slack": "56",
 }
+# Figures that the platform may fill in besides: shares of a total, none at
+# all, the least and the most that a team of any size would have.
+OTHER_FIGURES = (
+    {"bounds.retry_slack": "33.1578947368421", "bounds.lease_ms": "3000.0",
+     "bounds.drain_ms": "2000.5", "bounds.version_ms": "1e4"},
+    {"bounds.retry_slack": "", "bounds.lease_ms": "", "bounds.drain_ms": "",
+     "bounds.version_ms": "", "bounds.fencing_required": "", "seeds": ""},
+    {"bounds.retry_slack": "0", "bounds.lease_ms": "500",
+     "bounds.drain_ms": "200", "bounds.version_ms": "3000"},
+    {"bounds.retry_slack": "100000", "bounds.lease_ms": "3600000",
+     "bounds.drain_ms": "3600000", "bounds.version_ms": "3600000"},
+)
+# What no team can mean is refused, with the key named.
+NONSENSE = {"bounds.retry_slack": "-1", "bounds.lease_ms": "0",
+            "bounds.drain_ms": "soon", "bounds.version_ms": "1e30",
+            "bounds.fencing_required": "perhaps", "seeds": "nowhere"}
 FOREIGN = (r"x-server-seal|x-not-executed|x-expect-instance|x-token-usage|"
            r"x-prompt-prefix|x-kv-|x-tenant|api-key:|log-append|log-newest|"
            r"keyed\.|traffic_split|cold_left_ms|kv_store_addr|/v1/report|"
            r"/v1/order\b")
 
 
-def fill(text):
+def fill(text, fields):
     def value(found):
-        if found[1] not in FIELDS:
+        if found[1] not in fields:
             raise SystemExit("the template names an unknown field: "
                              + found[1])
-        return FIELDS[found[1]]
+        return fields[found[1]]
     return re.sub(r"\{\{([^}]+)\}\}", value, text)
 
 
@@ -59,13 +75,34 @@
     return os.path.join(folder, program)
 
 
-def check_template(program, folder):
-    with open(os.path.join(folder, "deploy", "router.ini")) as file:
-        filled = fill(file.read())
+def key_of(template, field):
+    return re.search(r"^(\w+) = .*\{\{%s\}\}" % re.escape(field), template,
+                     re.M)[1]
+
+
+def check_filled(program, folder, template, fields):
     path = os.path.join(folder, "filled.ini")
     with open(path, "w") as file:
-        file.write(filled)
-    subprocess.run([program, "check", path], check=True)
+        file.write(fill(template, fields))
+    return subprocess.run([program, "check", path], capture_output=True,
+                          text=True)
+
+
+def check_template(program, folder):
+    with open(os.path.join(folder, "deploy", "router.ini")) as file:
+        template = file.read()
+    for other in ({},) + OTHER_FIGURES:
+        result = check_filled(program, folder, template, {**FIELDS, **other})
+        if result.returncode != 0:
+            raise SystemExit("the template is refused with %r:\n%s"
+                             % (other, result.stdout + result.stderr))
+    for field, value in NONSENSE.items():
+        result = check_filled(program, folder, template,
+                              {**FIELDS, field: value})
+        told = result.stdout + result.stderr
+        if result.returncode == 0 or key_of(template, field) not in told:
+            raise SystemExit("nonsense is not refused by name: %s = %r:\n%s"
+                             % (field, value, told))
 
 
 def main():
