Routers that start at once know each other within seconds

Cause: each fact of a router was sent 19 times over links drawn by chance, all of it under 2000 bytes a second. Until then dozens placed for the same group of engines, each without the others' requests, and each router read the store as if it read for all. Ruled out: a larger budget alone, which heartbeats and loads would use up. Change: MemberNews: news of routers go over each link once, in order, and a new link gets all of it; an allowance of one minute's budget is saved up for it. The kind of the gossip queue that carried it is gone; its test counts the remaining kinds. Before: 60 routers with three seeds, the first one knew 52 after 5 s. After: each knows all 59 (test_Membership).

--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -5,6 +5,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "MemberNews.h"
 #include "Random.h"
 
 /* How often another's heartbeat is passed on where not all are linked. */
@@ -12,6 +13,9 @@
 /* Peers that get a message each tick; where all are linked, all of them do
  * while there is news of upstreams. */
 #define FANOUT 2
+/* Largest message of news of routers: some hundred facts, so that a link that
+ * is slow holds up little else. */
+#define NEWS_MESSAGE_MAX 8192
 /* What one message holds beside its facts. */
 #define FRAME_OVERHEAD 32
 #define LEAST_MESSAGE 100
@@ -22,7 +26,8 @@
     Counters_t *counters;
     const PeersSection_t *settings;
     GossipQueue_t *queue;
-    double budget; /* bytes that may be sent now */
+    MemberNews_t *news;
+    double budget; /* bytes that may be sent now, but for news of routers */
 };
 
 typedef struct {
@@ -42,6 +47,8 @@
     this->counters = counters;
     this->settings = settings;
     this->queue = GossipQueue_create();
+    this->news = MemberNews_create(table);
+    MemberNews_note(this->news, &table->self);
     return this;
 }
 
@@ -49,6 +56,7 @@
 Gossip_destroy(Gossip_t *this)
 {
     GossipQueue_destroy(this->queue);
+    MemberNews_destroy(this->news);
     g_free(this);
 }
 
@@ -59,9 +67,15 @@
 }
 
 void
-Gossip_spread(Gossip_t *this, FactKind_t kind, const char *name)
+Gossip_spreadUpstream(Gossip_t *this, const char *name)
 {
-    GossipQueue_add(this->queue, kind, name, sends_wanted(this));
+    GossipQueue_add(this->queue, FACT_UPSTREAM_NEWS, name, sends_wanted(this));
+}
+
+void
+Gossip_spreadMember(Gossip_t *this, Member_t *member)
+{
+    MemberNews_note(this->news, member);
 }
 
 gboolean
@@ -84,13 +98,9 @@
 }
 
 void
-Gossip_introduce(Gossip_t *this)
+Gossip_introduce(Gossip_t *this, Member_t *member)
 {
-    Gossip_spread(this, FACT_MEMBER_NEWS, this->table->self.name->str);
-    for (guint i = 0; i < this->table->live->len; i++) {
-        const Member_t *member = g_ptr_array_index(this->table->live, i);
-        GossipQueue_add(this->queue, FACT_MEMBER_NEWS, member->name->str, 1);
-    }
+    member->told = 0;
     const GPtrArray *upstreams = UpstreamSet_all(this->upstreams);
     for (guint i = 0; i < upstreams->len; i++) {
         const Upstream_t *upstream = g_ptr_array_index(upstreams, i);
@@ -156,7 +166,7 @@
     member->heard_ms = Clock_nowMs();
     take_place(member, fact);
     if (news) {
-        Gossip_spread(this, FACT_MEMBER_NEWS, fact->name);
+        Gossip_spreadMember(this, member);
     }
     else if (!Gossip_isMesh(this)) {
         GossipQueue_add(this->queue, FACT_HEARTBEAT, fact->name,
@@ -176,7 +186,7 @@
     }
     else if (tells_place(member, fact)) {
         take_place(member, fact);
-        Gossip_spread(this, FACT_MEMBER_NEWS, fact->name);
+        Gossip_spreadMember(this, member);
     }
 }
 
@@ -239,7 +249,7 @@
         news = TRUE;
     }
     if (news) {
-        Gossip_spread(this, FACT_UPSTREAM_NEWS, fact->name);
+        Gossip_spreadUpstream(this, fact->name);
     }
 }
 
@@ -256,9 +266,8 @@
 
 /* A heartbeat needs no more than the number; the rest is known. */
 static Wt__MemberFact *
-make_member_fact(const Member_t *member, FactKind_t kind)
+make_member_fact(const Member_t *member, gboolean in_full)
 {
-    gboolean in_full = kind != FACT_HEARTBEAT;
     Wt__MemberFact *fact = g_new0(Wt__MemberFact, 1);
     wt__member_fact__init(fact);
     fact->name = member->name->str;
@@ -310,17 +319,14 @@
     return TRUE;
 }
 
+/* Where a router listens may not be known yet; it has news again then. */
 static gboolean
-take_member_fact(Message_t *message, FactKind_t kind, const char *name)
+take_member_fact(Message_t *message, const Member_t *member, gboolean in_full)
 {
-    const Gossip_t *this = message->owner;
-    const Member_t *member = strcmp(name, this->table->self.name->str) == 0
-                                 ? &this->table->self
-                                 : MemberTable_find(this->table, name);
-    if (!member || member->address.port == 0) {
+    if (member->address.port == 0) {
         return TRUE;
     }
-    Wt__MemberFact *fact = make_member_fact(member, kind);
+    Wt__MemberFact *fact = make_member_fact(member, in_full);
     gsize size = wt__member_fact__get_packed_size(fact) + 2;
     if (!add_fact(message, message->members, fact, size)) {
         free_member_fact(fact);
@@ -329,6 +335,16 @@
     return TRUE;
 }
 
+static gboolean
+take_heartbeat(Message_t *message, const char *name)
+{
+    const Gossip_t *this = message->owner;
+    const Member_t *member = strcmp(name, this->table->self.name->str) == 0
+                                 ? &this->table->self
+                                 : MemberTable_find(this->table, name);
+    return !member || take_member_fact(message, member, FALSE);
+}
+
 static gboolean
 take_upstream_fact(Message_t *message, const char *name)
 {
@@ -349,37 +365,87 @@
 static gboolean
 take_fact(FactKind_t kind, const char *name, void *data)
 {
-    gboolean is_member = kind == FACT_MEMBER_NEWS || kind == FACT_HEARTBEAT;
-    return is_member ? take_member_fact(data, kind, name)
-                     : take_upstream_fact(data, name);
+    return kind == FACT_HEARTBEAT ? take_heartbeat(data, name)
+                                  : take_upstream_fact(data, name);
 }
 
-static void
-send_gossip(Gossip_t *this, Member_t *member, gsize room)
+static Message_t
+begin_message(Gossip_t *this, gsize room)
 {
-    Message_t message = {
+    return (Message_t){
         .owner = this,
         .room = room - FRAME_OVERHEAD,
         .members = g_ptr_array_new_with_free_func(free_member_fact),
         .upstreams = g_ptr_array_new_with_free_func(g_free),
     };
-    GossipQueue_fill(this->queue, take_fact, &message);
-    if (message.members->len + message.upstreams->len > 0) {
+}
+
+/* Returns the bytes sent. */
+static gsize
+send_message(const Gossip_t *this, const Member_t *member,
+             const Message_t *message)
+{
+    gsize bytes = 0;
+    if (message->members->len + message->upstreams->len > 0) {
         Wt__Gossip gossip = WT__GOSSIP__INIT;
         Wt__PeerMessage frame = WT__PEER_MESSAGE__INIT;
-        gossip.n_members = message.members->len;
-        gossip.members = (Wt__MemberFact **)message.members->pdata;
-        gossip.n_upstreams = message.upstreams->len;
-        gossip.upstreams = (Wt__UpstreamFact **)message.upstreams->pdata;
+        gossip.n_members = message->members->len;
+        gossip.members = (Wt__MemberFact **)message->members->pdata;
+        gossip.n_upstreams = message->upstreams->len;
+        gossip.upstreams = (Wt__UpstreamFact **)message->upstreams->pdata;
         frame.body_case = WT__PEER_MESSAGE__BODY_GOSSIP;
         frame.gossip = &gossip;
-        gsize bytes = PeerLink_send(member->link, &frame);
-        this->budget -= (double)bytes;
+        bytes = PeerLink_send(member->link, &frame);
         Counters_add(this->counters, "peer_bytes_sent_total",
                      "kind=\"gossip\"", bytes);
     }
-    g_ptr_array_unref(message.members);
-    g_ptr_array_unref(message.upstreams);
+    g_ptr_array_unref(message->members);
+    g_ptr_array_unref(message->upstreams);
+    return bytes;
+}
+
+static void
+send_gossip(Gossip_t *this, const Member_t *member, gsize room)
+{
+    Message_t message = begin_message(this, room);
+    GossipQueue_fill(this->queue, take_fact, &message);
+    this->budget -= (double)send_message(this, member, &message);
+}
+
+static void
+send_news(Gossip_t *this, Member_t *peer)
+{
+    gsize room = MIN(MemberNews_allowance(this->news), NEWS_MESSAGE_MAX);
+    const GPtrArray *pending =
+        room >= LEAST_MESSAGE ? MemberNews_pending(this->news, peer) : NULL;
+    if (!pending) {
+        return;
+    }
+    Message_t message = begin_message(this, room);
+    for (guint i = 0; i < pending->len; i++) {
+        const Member_t *member = g_ptr_array_index(pending, i);
+        if (!take_member_fact(&message, member, TRUE)) {
+            break;
+        }
+        peer->told = member->news;
+    }
+    MemberNews_spend(this->news, send_message(this, peer, &message));
+}
+
+/* Where the allowance is short another link is the first each time. */
+static void
+send_all_news(Gossip_t *this)
+{
+    MemberNews_grow(this->news, this->settings->gossip_budget, GOSSIP_TICK_MS);
+    guint count = this->table->live->len;
+    guint start = count > 0 ? Random_below(count) : 0;
+    for (guint i = 0; i < count; i++) {
+        Member_t *member =
+            g_ptr_array_index(this->table->live, (start + i) % count);
+        if (member->link) {
+            send_news(this, member);
+        }
+    }
 }
 
 /* The budget is a hard limit: what it does not cover now waits. */
@@ -427,5 +493,6 @@
 Gossip_tick(Gossip_t *this)
 {
     offer_loads(this, Clock_nowMs());
+    send_all_news(this);
     send_to_some(this);
 }
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -5,7 +5,8 @@
  *
  * Facts between routers: members, upstreams' incarnations, leaving, weights
  * and load, configuration offsets. Each tick a few linked peers get what is
- * most urgent, under a byte budget that is a hard limit.
+ * most urgent, under a byte budget that is a hard limit. News of routers goes
+ * over each link once (MemberNews.h), under an allowance of its own.
  */
 #include <glib.h>
 
@@ -34,8 +35,11 @@
 /** Gossip_destroy() - free it */
 void Gossip_destroy(Gossip_t *this);
 
-/** Gossip_spread() - a fact has news for all */
-void Gossip_spread(Gossip_t *this, FactKind_t kind, const char *name);
+/** Gossip_spreadUpstream() - an upstream has news for all */
+void Gossip_spreadUpstream(Gossip_t *this, const char *name);
+
+/** Gossip_spreadMember() - a router of the table has news for all */
+void Gossip_spreadMember(Gossip_t *this, Member_t *member);
 
 /** Gossip_isMesh() - few enough routers to link all with all */
 gboolean Gossip_isMesh(const Gossip_t *this);
@@ -43,8 +47,9 @@
 /** Gossip_heartbeat() - this router is alive */
 void Gossip_heartbeat(Gossip_t *this);
 
-/** Gossip_introduce() - a new link learns of all, within the budget */
-void Gossip_introduce(Gossip_t *this);
+/** Gossip_introduce() - a new link to a router learns of all, within the
+ * budget */
+void Gossip_introduce(Gossip_t *this, Member_t *member);
 
 /** Gossip_take() - facts came */
 void Gossip_take(Gossip_t *this, const Wt__Gossip *message);
--- a/src/GossipQueue.h
+++ b/src/GossipQueue.h
@@ -13,13 +13,11 @@
 /**
  * enum FactKind_t - kinds of facts, the most urgent first
  * @FACT_UPSTREAM_NEWS: an upstream's incarnation or leaving
- * @FACT_MEMBER_NEWS: a router came, is leaving, or has a newer configuration
  * @FACT_HEARTBEAT: a router is alive
  * @FACT_UPSTREAM_LOAD: an upstream's load
  */
 typedef enum {
     FACT_UPSTREAM_NEWS,
-    FACT_MEMBER_NEWS,
     FACT_HEARTBEAT,
     FACT_UPSTREAM_LOAD,
     FACT_KIND_COUNT,
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -176,7 +176,7 @@
         member->heartbeat = 0;
         member->leaving = FALSE;
     }
-    Gossip_introduce(this->gossip);
+    Gossip_introduce(this->gossip, member);
 }
 
 static void
@@ -348,8 +348,7 @@
 {
     if (fold_offset != this->table->self.fold_offset) {
         this->table->self.fold_offset = fold_offset;
-        Gossip_spread(this->gossip, FACT_MEMBER_NEWS,
-                      this->table->self.name->str);
+        Gossip_spreadMember(this->gossip, &this->table->self);
     }
 }
 
@@ -357,13 +356,13 @@
 Membership_setLeaving(Membership_t *this)
 {
     this->table->self.leaving = TRUE;
-    Gossip_spread(this->gossip, FACT_MEMBER_NEWS, this->table->self.name->str);
+    Gossip_spreadMember(this->gossip, &this->table->self);
 }
 
 void
 Membership_noteUpstream(Membership_t *this, const char *name)
 {
-    Gossip_spread(this->gossip, FACT_UPSTREAM_NEWS, name);
+    Gossip_spreadUpstream(this->gossip, name);
 }
 
 const GPtrArray *
--- a/tests/FakeRouters.c
+++ b/tests/FakeRouters.c
@@ -67,7 +67,8 @@
 }
 
 static void
-start(FakeRouters_t *this, guint which, gint64 mesh_routers)
+start(FakeRouters_t *this, guint which, gint64 mesh_routers, guint seeds,
+      gint64 budget)
 {
     static const guint8 key[KEY_BYTES] = {1};
     FakeRouter_t *router = &this->list[which];
@@ -77,7 +78,7 @@
     settings->router.hall = g_string_new("h");
     settings->keys.seal = g_bytes_new(key, sizeof(key));
     settings->peers.listen = FakeRouters_freeAddress();
-    settings->peers.gossip_budget = GOSSIP_BUDGET;
+    settings->peers.gossip_budget = budget;
     settings->peers.mesh_routers = mesh_routers;
     router->told = g_ptr_array_new_with_free_func(free_message);
     MembershipSpec_t spec = {.settings = settings,
@@ -88,7 +89,7 @@
                              .data = router};
     router->membership = Membership_create(this->base, &spec, NULL);
     g_assert(router->membership);
-    for (guint i = 0; i < which; i++) {
+    for (guint i = 0; i < MIN(which, seeds); i++) {
         Membership_addSeed(router->membership,
                            Membership_address(this->list[i].membership));
     }
@@ -118,14 +119,21 @@
 }
 
 void
-FakeRouters_init(FakeRouters_t *this, guint count, gint64 mesh_routers)
+FakeRouters_start(FakeRouters_t *this, guint count, gint64 mesh_routers,
+                  guint seeds, gint64 budget)
 {
     *this = (FakeRouters_t){.base = event_base_new(), .count = count};
     this->upstreams = UpstreamSet_create(this->base, 0);
     this->counters = Counters_create();
     for (guint i = 0; i < count; i++) {
-        start(this, i, mesh_routers);
+        start(this, i, mesh_routers, seeds, budget);
     }
+}
+
+void
+FakeRouters_init(FakeRouters_t *this, guint count, gint64 mesh_routers)
+{
+    FakeRouters_start(this, count, mesh_routers, count, GOSSIP_BUDGET);
     FakeRouters_await(this, all_linked);
 }
 
--- a/tests/FakeRouters.h
+++ b/tests/FakeRouters.h
@@ -10,7 +10,7 @@
 #include "Membership.h"
 
 /** Most routers of a test */
-#define FAKE_ROUTERS_MAX 8
+#define FAKE_ROUTERS_MAX 64
 
 /**
  * struct FakeRouter_t - one of them
@@ -46,6 +46,14 @@
  */
 void FakeRouters_init(FakeRouters_t *this, guint count, gint64 mesh_routers);
 
+/**
+ * FakeRouters_start() - start them, and wait for nothing
+ * @seeds: each knows so many of those before it
+ * @budget: of gossip, in bytes a second
+ */
+void FakeRouters_start(FakeRouters_t *this, guint count, gint64 mesh_routers,
+                       guint seeds, gint64 budget);
+
 /** FakeRouters_clear() - end their links and free what they hold */
 void FakeRouters_clear(FakeRouters_t *this);
 
--- a/tests/fuzz/peers.c
+++ b/tests/fuzz/peers.c
@@ -67,7 +67,7 @@
     Gossip_take(gossip, message);
     Gossip_take(gossip, message);
     check_facts(message, table, upstreams);
-    Gossip_introduce(gossip);
+    Gossip_introduce(gossip, MemberTable_findOrMake(table, "linked"));
     Gossip_tick(gossip);
     Gossip_destroy(gossip);
     Counters_destroy(counters);
--- a/tests/test_GossipQueue.c
+++ b/tests/test_GossipQueue.c
@@ -33,8 +33,8 @@
     GossipQueue_add(queue, FACT_UPSTREAM_LOAD, "a", 1);
     GossipQueue_add(queue, FACT_HEARTBEAT, "b", 1);
     GossipQueue_add(queue, FACT_UPSTREAM_NEWS, "c", 1);
-    assert_fill(queue, 2, "0c 2b ");
-    assert_fill(queue, 9, "3a ");
+    assert_fill(queue, 2, "0c 1b ");
+    assert_fill(queue, 9, "2a ");
     assert_fill(queue, 9, "");
     GossipQueue_destroy(queue);
 }
@@ -43,7 +43,7 @@
 START_TEST(each_is_sent_as_often_as_wanted)
 {
     GossipQueue_t *queue = GossipQueue_create();
-    GossipQueue_add(queue, FACT_MEMBER_NEWS, "a", 2);
+    GossipQueue_add(queue, FACT_HEARTBEAT, "a", 2);
     assert_fill(queue, 9, "1a ");
     assert_fill(queue, 9, "1a ");
     assert_fill(queue, 9, "");
@@ -55,8 +55,8 @@
 START_TEST(newer_news_of_a_fact_take_its_place)
 {
     GossipQueue_t *queue = GossipQueue_create();
-    GossipQueue_add(queue, FACT_MEMBER_NEWS, "a", 1);
-    GossipQueue_add(queue, FACT_MEMBER_NEWS, "a", 3);
+    GossipQueue_add(queue, FACT_HEARTBEAT, "a", 1);
+    GossipQueue_add(queue, FACT_HEARTBEAT, "a", 3);
     ck_assert_uint_eq(GossipQueue_length(queue), 1);
     assert_fill(queue, 9, "1a ");
     ck_assert_uint_eq(GossipQueue_length(queue), 1);
@@ -69,10 +69,10 @@
     GossipQueue_t *queue = GossipQueue_create();
     GossipQueue_add(queue, FACT_HEARTBEAT, "a", 2);
     GossipQueue_add(queue, FACT_HEARTBEAT, "b", 2);
-    assert_fill(queue, 1, "2a ");
-    assert_fill(queue, 1, "2b ");
-    assert_fill(queue, 1, "2a ");
-    assert_fill(queue, 9, "2b ");
+    assert_fill(queue, 1, "1a ");
+    assert_fill(queue, 1, "1b ");
+    assert_fill(queue, 1, "1a ");
+    assert_fill(queue, 9, "1b ");
     GossipQueue_destroy(queue);
 }
 END_TEST
--- a/tests/test_Membership.c
+++ b/tests/test_Membership.c
@@ -40,4 +40,33 @@
 }
 END_TEST
 
-TESTING_MAIN("Membership", routers_that_are_linked_know_where_the_other_one_is)
+/* Routers of a herd, which know the first few of them and have the budget of
+ * a small machine. */
+#define HERD 60
+#define HERD_SEEDS 3
+#define HERD_BUDGET 2000
+/* A few turns of looking for peers, one second each. */
+#define HERD_MS 5000
+
+/* Symptom: of 295 routers that started at once the mean one knew 12 others
+ * after 2 s and 83 after 14 s, so that dozens took themselves for the one that
+ * places for a group of engines, or that reads the store for all.
+ * Sequence: all routers start at once and know three seeds; links come up, and
+ * each router spreads the facts of all that it hears of.
+ * Cause: each fact was sent 19 times over links drawn by chance, under a
+ * budget of 2000 bytes a second for all of it.
+ * Settled by: member_joined lines of 43 of the routers; here 60 routers, of
+ * which the first one knew 52 after 5 s. */
+START_TEST(routers_that_start_at_once_know_each_other_soon)
+{
+    FakeRouters_start(&routers, HERD, MESH, HERD_SEEDS, HERD_BUDGET);
+    FakeRouters_run(&routers, HERD_MS);
+    for (guint i = 0; i < HERD; i++) {
+        ck_assert_uint_eq(places_known(&routers.list[i]), HERD - 1);
+    }
+    FakeRouters_clear(&routers);
+}
+END_TEST
+
+TESTING_MAIN("Membership", routers_that_are_linked_know_where_the_other_one_is,
+             routers_that_start_at_once_know_each_other_soon)
