--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -52,6 +52,12 @@
            !Membership_isMesh(this->membership);
 }
 
+void
+FreshnessRelay_tellNow(FreshnessRelay_t *this)
+{
+    send_to_linked(this);
+}
+
 static gboolean
 stood_still(const FreshnessRelay_t *this, gint64 now_ms)
 {
@@ -105,7 +111,8 @@
 gboolean
 FreshnessRelay_isReader(const FreshnessRelay_t *this)
 {
-    return Membership_rank(this->membership, RANK_KEY, NULL) < READERS;
+    return Membership_isSettled(this->membership) &&
+           Membership_rank(this->membership, RANK_KEY, NULL) < READERS;
 }
 
 void
@@ -120,22 +127,23 @@
 /* An age counts from when the message is read. While this router stands still
  * messages wait, so that what they tell seems newer than it is, and a key that
  * was revoked since would be let in. */
-static gboolean
-may_have_waited(const FreshnessRelay_t *this)
+gboolean
+FreshnessRelay_mayHaveWaited(const FreshnessRelay_t *this)
 {
     gint64 now_ms = Clock_nowMs();
     return stood_still(this, now_ms) || now_ms < this->caught_up_ms;
 }
 
 void
-FreshnessRelay_take(FreshnessRelay_t *this, const Wt__ConfigCurrent *message)
+FreshnessRelay_take(FreshnessRelay_t *this, Member_t *from,
+                    const Wt__ConfigCurrent *message)
 {
-    if (may_have_waited(this)) {
+    if (FreshnessRelay_mayHaveWaited(this)) {
         return;
     }
     gint64 at_ms = PeerAge_atMs(message->age_ms);
     if (at_ms > this->at_ms) {
         FreshnessRelay_note(this, message->offset, at_ms);
-        this->events->fresh(this->owner, message->offset, at_ms);
+        this->events->fresh(this->owner, from, message->offset, at_ms);
     }
 }
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -13,10 +13,11 @@
 
 /**
  * struct FreshnessRelayEvents_t - what it tells its owner
- * @fresh: the topic ended at @offset at the time @at_ms (monotonic)
+ * @fresh: the topic ended at @offset at the time @at_ms (monotonic), as
+ *     router @from tells, which is valid during the call
  */
 typedef struct {
-    void (*fresh)(void *owner, guint64 offset, gint64 at_ms);
+    void (*fresh)(void *owner, Member_t *from, guint64 offset, gint64 at_ms);
 } FreshnessRelayEvents_t;
 
 /** struct FreshnessRelay_t - opaque */
@@ -31,15 +32,23 @@
 /** FreshnessRelay_destroy() - free it */
 void FreshnessRelay_destroy(FreshnessRelay_t *this);
 
-/** FreshnessRelay_isReader() - whether this router is to ask often */
+/** FreshnessRelay_isReader() - whether this router is to ask often; never
+ * before it had time to learn of the others */
 gboolean FreshnessRelay_isReader(const FreshnessRelay_t *this);
 
 /** FreshnessRelay_note() - this router has asked the store itself */
 void FreshnessRelay_note(FreshnessRelay_t *this, guint64 offset, gint64 at_ms);
 
+/** FreshnessRelay_mayHaveWaited() - whether what a peer has sent may have
+ * waited here, so that it is older than it says */
+gboolean FreshnessRelay_mayHaveWaited(const FreshnessRelay_t *this);
+
 /** FreshnessRelay_take() - a peer's message; passed over where it may have
  * waited here, as its age is not known then */
-void FreshnessRelay_take(FreshnessRelay_t *this,
+void FreshnessRelay_take(FreshnessRelay_t *this, Member_t *from,
                          const Wt__ConfigCurrent *message);
 
+/** FreshnessRelay_tellNow() - do not wait for the next turn */
+void FreshnessRelay_tellNow(FreshnessRelay_t *this);
+
 #endif
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -101,6 +101,7 @@
 Gossip_introduce(Gossip_t *this, Member_t *member)
 {
     member->told = 0;
+    member->sampled = 0;
     const GPtrArray *upstreams = UpstreamSet_all(this->upstreams);
     for (guint i = 0; i < upstreams->len; i++) {
         const Upstream_t *upstream = g_ptr_array_index(upstreams, i);
@@ -413,11 +414,12 @@
 }
 
 static void
-send_news(Gossip_t *this, Member_t *peer)
+send_news(Gossip_t *this, Member_t *peer, gboolean fed)
 {
     gsize room = MIN(MemberNews_allowance(this->news), NEWS_MESSAGE_MAX);
-    const GPtrArray *pending =
-        room >= LEAST_MESSAGE ? MemberNews_pending(this->news, peer) : NULL;
+    const GPtrArray *pending = room >= LEAST_MESSAGE
+                                   ? MemberNews_pending(this->news, peer, fed)
+                                   : NULL;
     if (!pending) {
         return;
     }
@@ -427,24 +429,21 @@
         if (!take_member_fact(&message, member, TRUE)) {
             break;
         }
-        peer->told = member->news;
+        MemberNews_told(peer, member, fed);
     }
     MemberNews_spend(this->news, send_message(this, peer, &message));
 }
 
-/* Where the allowance is short another link is the first each time. */
+/* Those that are told of a few routers only come first: they need little, and
+ * have nobody else to hear it from. */
 static void
 send_all_news(Gossip_t *this)
 {
     MemberNews_grow(this->news, this->settings->gossip_budget, GOSSIP_TICK_MS);
-    guint count = this->table->live->len;
-    guint start = count > 0 ? Random_below(count) : 0;
-    for (guint i = 0; i < count; i++) {
-        Member_t *member =
-            g_ptr_array_index(this->table->live, (start + i) % count);
-        if (member->link) {
-            send_news(this, member);
-        }
+    const GPtrArray *linked = MemberNews_linked(this->news);
+    for (guint i = linked->len; i > 0; i--) {
+        send_news(this, g_ptr_array_index(linked, i - 1),
+                  i <= MEMBER_NEWS_FED);
     }
 }
 
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -7,10 +7,14 @@
 #include "LeaseTable.h"
 #include "Log.h"
 #include "Random.h"
+#include "StoreCalls.h"
 
 #define STREAM "leases"
 #define TICK_MS 100
 #define RETRY_MS 300
+/* After failures in a row the pause is doubled so often: as many routers as
+ * may step in for a silent holder would keep a store busy that comes back. */
+#define RETRY_DOUBLINGS 3
 /* Clocks may drift apart by one part in so many. */
 #define DRIFT_PARTS 20
 #define LEAST_MARGIN_MS 50
@@ -29,6 +33,7 @@
     gboolean wanted;
     gboolean followed;
     gboolean released; /* for good: the router stops */
+    guint failures;    /* of reads, in a row */
     gint64 patience_ms;
     guint64 seen_number; /* current lease, whoever has it */
     gint64 seen_ms;      /* when it was first read here */
@@ -132,6 +137,15 @@
     note_current(this);
 }
 
+static void
+note_failed(Lease_t *this)
+{
+    guint32 mean_ms = RETRY_MS << MIN(this->failures, RETRY_DOUBLINGS);
+    this->caught_up = FALSE;
+    this->failures++;
+    Clock_arm(this->retry, mean_ms / 2 + Random_below(mean_ms));
+}
+
 static void
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
@@ -142,15 +156,24 @@
         return;
     }
     if (!records) {
-        this->caught_up = FALSE;
-        Clock_arm(this->retry, RETRY_MS / 2 + Random_below(RETRY_MS));
+        note_failed(this);
         return;
     }
+    this->failures = 0;
     fold_records(this, records);
     this->caught_up = this->fold_offset >= records->head;
     read_next(this);
 }
 
+static StoreCause_t
+read_cause(const Lease_t *this)
+{
+    if (this->failures > 0) {
+        return STORE_RETRY;
+    }
+    return this->caught_up ? STORE_FOLLOW : STORE_START;
+}
+
 /* Who neither wants nor follows the lease need not read the stream. */
 static void
 read_next(Lease_t *this)
@@ -160,6 +183,7 @@
         this->caught_up = FALSE;
         return;
     }
+    StoreCalls_note(this->spec.counters, STREAM, read_cause(this));
     LogClient_read(this->spec.log, STREAM, this->fold_offset,
                    this->caught_up ? this->spec.poll_ms : 0, on_read, this);
 }
@@ -181,9 +205,20 @@
     this->append_open = FALSE;
 }
 
+static StoreCause_t
+append_cause(const Lease_t *this, gint64 duration_ms)
+{
+    if (duration_ms == 0) {
+        return STORE_RELEASE;
+    }
+    return this->number != 0 ? STORE_RENEW : STORE_TAKE;
+}
+
 static void
 append(Lease_t *this, guint64 expects, gint64 duration_ms)
 {
+    StoreCalls_note(this->spec.counters, STREAM,
+                    append_cause(this, duration_ms));
     Wt__LeaseRecord record = WT__LEASE_RECORD__INIT;
     record.scope = this->scope->str;
     record.holder = this->holder->str;
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -11,6 +11,7 @@
  */
 #include <event2/event.h>
 
+#include "Counters.h"
 #include "LogClient.h"
 
 /**
@@ -21,6 +22,7 @@
  * @incarnation: of this process
  * @duration_ms: of each lease
  * @poll_ms: how long the log may hold a read
+ * @counters: for calls to the log; NULL for none
  */
 typedef struct {
     LogClient_t *log;
@@ -29,6 +31,7 @@
     guint64 incarnation;
     gint64 duration_ms;
     gint64 poll_ms;
+    Counters_t *counters;
 } LeaseSpec_t;
 
 /** struct Lease_t - opaque */
--- a/src/MemberNews.c
+++ b/src/MemberNews.c
@@ -1,15 +1,24 @@
 #include "MemberNews.h"
 
+#include <string.h>
+
+#include "Random.h"
+
 /* The allowance is that of so many seconds: a fact in full has 62 bytes, so
- * that with 2000 bytes a second 295 routers fit into it 6.6 times, which is
- * about once for each link of a router. */
-#define SAVED_S 60
+ * that with 2000 bytes a second 295 routers fit into it 13 times, which is
+ * once for each link of a router and some more. */
+#define SAVED_S 120
 /* Part of the rate by which it grows again. */
 #define GROWTH_PARTS 4
 
+/* Routers that the others are told of: two more than the links that a router
+ * makes. */
+#define SAMPLE 8
+
 struct MemberNews {
     MemberTable_t *table;
     GPtrArray *pending; /* Member_t, scratch of MemberNews_pending() */
+    GPtrArray *linked;  /* Member_t, scratch of MemberNews_linked() */
     guint64 newest;     /* place of the newest news */
     double allowance;   /* in bytes */
     gboolean begun;     /* the allowance was filled once */
@@ -21,6 +30,7 @@
     MemberNews_t *this = g_new0(MemberNews_t, 1);
     this->table = table;
     this->pending = g_ptr_array_new();
+    this->linked = g_ptr_array_new();
     return this;
 }
 
@@ -28,6 +38,7 @@
 MemberNews_destroy(MemberNews_t *this)
 {
     g_ptr_array_unref(this->pending);
+    g_ptr_array_unref(this->linked);
     g_free(this);
 }
 
@@ -53,21 +64,83 @@
     }
 }
 
+static guint
+own_place(const MemberNews_t *this)
+{
+    guint place = 0;
+    const GPtrArray *live = this->table->live;
+    while (place < live->len) {
+        const Member_t *member = g_ptr_array_index(live, place);
+        if (strcmp(member->name->str, this->table->self.name->str) > 0) {
+            break;
+        }
+        place++;
+    }
+    return place;
+}
+
 const GPtrArray *
-MemberNews_pending(MemberNews_t *this, const Member_t *peer)
+MemberNews_linked(MemberNews_t *this)
+{
+    const GPtrArray *live = this->table->live;
+    guint place = own_place(this);
+    g_ptr_array_set_size(this->linked, 0);
+    for (guint i = 0; i < live->len; i++) {
+        Member_t *member = g_ptr_array_index(live, (place + i) % live->len);
+        if (member->link) {
+            g_ptr_array_add(this->linked, member);
+        }
+    }
+    return this->linked;
+}
+
+/* Begins anywhere, or all that ask a seed would link the same ones. */
+static void
+pick_sample(MemberNews_t *this, const Member_t *peer)
 {
-    if (peer->told >= this->newest) {
-        return NULL;
+    guint count = this->table->live->len;
+    guint start = count > 0 ? Random_below(count) : 0;
+    for (guint i = 0; i < count; i++) {
+        Member_t *member =
+            g_ptr_array_index(this->table->live, (start + i) % count);
+        if (this->pending->len + peer->sampled >= SAMPLE) {
+            return;
+        }
+        if (member != peer && member->address.port != 0) {
+            g_ptr_array_add(this->pending, member);
+        }
     }
+}
+
+const GPtrArray *
+MemberNews_pending(MemberNews_t *this, const Member_t *peer, gboolean fed)
+{
     g_ptr_array_set_size(this->pending, 0);
-    add_untold(this, &this->table->self, peer->told);
-    for (guint i = 0; i < this->table->live->len; i++) {
-        add_untold(this, g_ptr_array_index(this->table->live, i), peer->told);
+    if (!fed) {
+        pick_sample(this, peer);
+    }
+    else if (peer->told < this->newest) {
+        add_untold(this, &this->table->self, peer->told);
+        for (guint i = 0; i < this->table->live->len; i++) {
+            add_untold(this, g_ptr_array_index(this->table->live, i),
+                       peer->told);
+        }
+        g_ptr_array_sort(this->pending, compare_news);
     }
-    g_ptr_array_sort(this->pending, compare_news);
     return this->pending->len > 0 ? this->pending : NULL;
 }
 
+void
+MemberNews_told(Member_t *peer, const Member_t *member, gboolean fed)
+{
+    if (fed) {
+        peer->told = member->news;
+    }
+    else {
+        peer->sampled++;
+    }
+}
+
 void
 MemberNews_grow(MemberNews_t *this, gint64 rate, gint64 passed_ms)
 {
--- a/src/MemberNews.h
+++ b/src/MemberNews.h
@@ -14,7 +14,9 @@
  *
  * Limits: what one router sends is bounded by an allowance that is saved up
  * while there is little news, as a start needs the facts of all others over
- * each of its links at once, and hardly anything afterwards.
+ * each of its links at once, and hardly anything afterwards. A seed that
+ * hundreds have linked would spend it on the first of them. It therefore tells
+ * most of them only enough for links of their own, over which news comes.
  */
 #include "MemberTable.h"
 
@@ -30,13 +32,32 @@
 /** MemberNews_note() - a router of the table, or this one, has news for all */
 void MemberNews_note(MemberNews_t *this, Member_t *member);
 
+/** MEMBER_NEWS_FED - links over which all news goes: more than twice as many
+ * as a router makes, and all of them where all routers are linked with all */
+#define MEMBER_NEWS_FED 16
+
 /**
- * MemberNews_pending() - what a linked router was not told yet
+ * MemberNews_linked() - the linked routers, those that are told all news first
+ *
+ * They stand in the order of names from this router on, so that the first
+ * MEMBER_NEWS_FED stay the same while links do.
+ *
+ * Return: Member_t *, valid until the next call
+ */
+const GPtrArray *MemberNews_linked(MemberNews_t *this);
+
+/**
+ * MemberNews_pending() - what a linked router is to be told now
+ * @fed: whether it is told all news
  *
  * Return: Member_t * in the order in which they are to be told, valid until
  * the next call; NULL where there is nothing
  */
-const GPtrArray *MemberNews_pending(MemberNews_t *this, const Member_t *peer);
+const GPtrArray *MemberNews_pending(MemberNews_t *this, const Member_t *peer,
+                                    gboolean fed);
+
+/** MemberNews_told() - a linked router was told of another one */
+void MemberNews_told(Member_t *peer, const Member_t *member, gboolean fed);
 
 /**
  * MemberNews_grow() - time has passed
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -22,8 +22,10 @@
  * @heard_ms: when @heartbeat last grew
  * @leaving: it stops; never taken back for an incarnation
  * @fold_offset: configuration in force there
- * @news: place of its newest news among those of all, 0 for none (MemberNews.h)
+ * @news: place of its newest news among those of all, 0 for none
+ * (MemberNews.h)
  * @told: news up to this place were sent over @link
+ * @sampled: routers that were told of over @link without telling it all
  * @link: open link, or NULL
  * @unanswered_until_ms: it did not answer a datagram; it is sent none before
  */
@@ -39,6 +41,7 @@
     guint64 fold_offset;
     guint64 news;
     guint64 told;
+    guint sampled;
     PeerLink_t *link;
     gint64 unanswered_until_ms;
 } Member_t;
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -16,6 +16,18 @@
 #define HEARTBEATS_MISSED 10
 /* Links where there are too many routers for all. */
 #define LINKS_WANTED 6
+/* Until others are known, links to them are looked for in each turn, for so
+ * long from the start at the most: one that refuses must not be asked often.
+ */
+#define LINKS_SOON_MS 3000
+/* Others are taken for known when none was heard of for the first time, or
+ * when the second time is over: news of a herd comes in bursts, one for each
+ * turn in which links come up. */
+#define SETTLED_QUIET_MS 400
+#define SETTLED_LATEST_MS 3000
+/* The same for a router that has heard of nobody: its seeds may be down, and
+ * a connection takes longer where they are far. */
+#define ALONE_MS 1000
 /* Routers for each of which a heartbeat takes a share of the budget: with
  * more of them each beats less often. */
 #define ROUTERS_A_SECOND 16
@@ -38,6 +50,10 @@
     guint16 port;
     gint64 beat_ms;
     gint64 seeds_ms;
+    gint64 begun_ms;
+    guint known;     /* routers heard of, as last looked at */
+    gint64 known_ms; /* when that last grew */
+    gboolean settled;
 };
 
 static const PeerLinkEvents_t link_events;
@@ -222,6 +238,18 @@
     MemberTable_expire(this->table, HEARTBEATS_MISSED * every_ms);
 }
 
+static void
+note_known(Membership_t *this, gint64 now_ms)
+{
+    if (this->table->live->len > this->known) {
+        this->known = this->table->live->len;
+        this->known_ms = now_ms;
+    }
+    gint64 quiet_ms = this->known > 0 ? SETTLED_QUIET_MS : ALONE_MS;
+    this->settled = this->settled || now_ms - this->known_ms >= quiet_ms ||
+                    now_ms - this->begun_ms >= SETTLED_LATEST_MS;
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
@@ -230,11 +258,15 @@
     Membership_t *this = data;
     gint64 now_ms = Clock_nowMs();
     beat(this, now_ms);
+    note_known(this, now_ms);
     if (now_ms - this->seeds_ms >= SEED_RETRY_MS) {
         this->seeds_ms = now_ms;
         try_seeds(this);
         keep_links(this);
     }
+    else if (now_ms - this->begun_ms < LINKS_SOON_MS) {
+        keep_links(this);
+    }
     Gossip_tick(this->gossip);
     Clock_arm(this->tick, GOSSIP_TICK_MS);
 }
@@ -307,6 +339,8 @@
     this->unknown = g_ptr_array_new();
     this->key = derive_key(settings->keys.seal);
     this->tick = Clock_timer(base, on_tick, this);
+    this->begun_ms = Clock_nowMs();
+    this->known_ms = this->begun_ms;
     if (!start_listening(this, error)) {
         Membership_destroy(this);
         return NULL;
@@ -377,6 +411,12 @@
     return MemberTable_liveCount(this->table);
 }
 
+gboolean
+Membership_isSettled(const Membership_t *this)
+{
+    return this->settled;
+}
+
 gboolean
 Membership_isMesh(const Membership_t *this)
 {
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -67,6 +67,15 @@
  * included */
 guint Membership_live(const Membership_t *this);
 
+/**
+ * Membership_isSettled() - whether this router has had time to learn of the
+ * others
+ *
+ * Before, each router would be the first in rank and take work that one does
+ * for all. Once true it stays so.
+ */
+gboolean Membership_isSettled(const Membership_t *this);
+
 /** Membership_isMesh() - whether all routers are linked with all */
 gboolean Membership_isMesh(const Membership_t *this);
 
--- a/src/OrderTurn.c
+++ b/src/OrderTurn.c
@@ -8,7 +8,7 @@
  * gone or cut off, and any router may step in; spread out, so that few of
  * them try at once. */
 #define STALLED_MS 2500
-#define SPREAD_MS 100
+#define SPREAD_MS 350
 #define SPREADS 20
 
 gboolean
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -240,10 +240,12 @@
     guint rank =
         Membership_rank(this->spec.membership, this->scope->str, NULL);
     note_progress(this);
-    gboolean candidate = is_candidate(this, rank);
+    /* A rank is none before the others are known. */
+    gboolean ranked = Membership_isSettled(this->spec.membership);
+    gboolean candidate = ranked && is_candidate(this, rank);
     gboolean wanted =
         candidate && has_work(this) && this->giver.stale_until_ms == 0;
-    gboolean followed = !this->stopped && this->spec.form->listed &&
+    gboolean followed = !this->stopped && this->spec.form->listed && ranked &&
                         rank < ORDER_TURN_FOLLOWERS;
     Lease_follow(lease, followed);
     Lease_want(lease, wanted, OrderTurn_patienceMs(rank));
@@ -265,6 +267,7 @@
         .incarnation = this->spec.incarnation,
         .duration_ms = settings->platform.lease_ms,
         .poll_ms = settings->platform.log_poll_ms,
+        .counters = this->spec.counters,
     };
     return Lease_create(base, &lease);
 }
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -10,7 +10,9 @@
 /* First pause after a failure, doubled with each further one up to the most:
  * a herd of routers that starts at once must not outrun the store's rate. */
 #define FIRST_RETRY_MS 100
-#define MAX_RETRY_DOUBLINGS 3
+#define RETRY_MOST_MS 800
+/* Enough for any longest pause, and few enough to shift by. */
+#define RETRY_DOUBLINGS_MOST 20
 /* The same end of a topic, told by several peers, has ages that differ by the
  * ways that it came: only one that is newer by so much is passed on. */
 #define NEWS_LEAST_MS 200
@@ -29,7 +31,9 @@
     gboolean first_page;
     gboolean calling;
     gint64 sent_ms; /* when the call under way was made */
+    gint64 retry_most_ms;
     gboolean asking;
+    guint unanswered;  /* questions in a row that failed */
     gint64 asked_ms;   /* the same of the question beside it */
     gint64 current_ms; /* when the end was last known, 0 for never */
     guint failures;    /* in a row */
@@ -187,8 +191,8 @@
             this->events->lost(this->owner, error);
         }
     }
-    guint doublings = MIN(this->failures - 1, MAX_RETRY_DOUBLINGS);
-    gint64 most = FIRST_RETRY_MS << doublings;
+    guint doublings = MIN(this->failures - 1, RETRY_DOUBLINGS_MOST);
+    gint64 most = MIN(FIRST_RETRY_MS << doublings, this->retry_most_ms);
     gint64 pause_ms = most / 2 + Random_below((guint32)most);
     /* What peers have told is as good as an answer. */
     Clock_arm(this->timer, MAX(pause_ms, pause_left_ms(this)));
@@ -244,9 +248,22 @@
     take_page(this, page);
 }
 
+static StoreCause_t
+cause_of(const RecordFollower_t *this)
+{
+    if (this->failures > 0) {
+        return STORE_RETRY;
+    }
+    if (this->listing) {
+        return this->first_page ? STORE_START : STORE_MORE;
+    }
+    return STORE_FOLLOW;
+}
+
 static void
 call(RecordFollower_t *this)
 {
+    StoreCalls_note(this->spec.counters, this->topic->str, cause_of(this));
     this->sent_ms = Clock_nowMs();
     this->calling = TRUE;
     if (this->listing) {
@@ -285,6 +302,7 @@
     this->listed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->after = g_string_new(NULL);
+    this->retry_most_ms = RETRY_MOST_MS;
     begin_list(this);
     Clock_arm(this->timer, 0);
     return this;
@@ -307,6 +325,7 @@
     (void)error;
     RecordFollower_t *this = data;
     this->asking = FALSE;
+    this->unanswered = page ? 0 : this->unanswered + 1;
     if (!page || this->listing) {
         return;
     }
@@ -330,19 +349,21 @@
 RecordFollower_feed(RecordFollower_t *this, guint64 from,
                     const KeyedPage_t *page, gint64 at_ms)
 {
-    gboolean follows = from <= this->next && page->end >= this->next;
-    gint64 least_ms = page->end > this->next ? 1 : NEWS_LEAST_MS;
-    if (this->listing || at_ms < this->current_ms + least_ms) {
+    if (this->listing || page->end < this->next ||
+        (page->end == this->next &&
+         at_ms < this->current_ms + NEWS_LEAST_MS)) {
         return FALSE;
     }
-    if (!follows) {
+    if (from > this->next) {
         read_gap(this, from);
         return FALSE;
     }
     note_fed(this, at_ms);
     take_tail(this, page);
     this->next = page->end;
-    note_current(this, at_ms);
+    /* An age grows on its way, so that records that are new here may seem
+     * older than an end that was known before them. */
+    note_current(this, MAX(at_ms, this->current_ms));
     if (!this->calling) {
         Clock_arm(this->timer, pause_left_ms(this));
     }
@@ -350,27 +371,42 @@
 }
 
 void
-RecordFollower_setPause(RecordFollower_t *this, gint64 pause_ms)
-{
-    this->spec.pause_ms = pause_ms;
-}
-
-void
-RecordFollower_ask(RecordFollower_t *this)
+RecordFollower_ask(RecordFollower_t *this, StoreCause_t cause)
 {
     if (this->asking || this->listing) {
         return;
     }
+    StoreCalls_note(this->spec.counters, this->topic->str, cause);
     this->asking = TRUE;
     this->asked_ms = Clock_nowMs();
     RecordSource_read(this->spec.source, this->topic->str, this->next, 0,
                       on_asked, this);
 }
 
+guint
+RecordFollower_unanswered(const RecordFollower_t *this)
+{
+    return this->unanswered;
+}
+
+/* What was read before may have been read for the other role. */
+static gboolean
+is_resting(const RecordFollower_t *this)
+{
+    return !this->calling && !this->listing && this->failures == 0;
+}
+
 void
-RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms)
+RecordFollower_setReads(RecordFollower_t *this, gint64 wait_ms,
+                        gint64 pause_ms, gint64 retry_most_ms)
 {
+    gboolean sooner = pause_ms < this->spec.pause_ms;
     this->spec.wait_ms = wait_ms;
+    this->spec.pause_ms = pause_ms;
+    this->retry_most_ms = retry_most_ms > 0 ? retry_most_ms : RETRY_MOST_MS;
+    if (sooner && is_resting(this)) {
+        Clock_arm(this->timer, pause_left_ms(this));
+    }
 }
 
 guint64
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 
 #include "RecordSource.h"
+#include "StoreCalls.h"
 
 /**
  * struct RecordFollowerEvents_t - what it tells its owner
@@ -34,12 +35,14 @@
  * @topic: name of the topic
  * @wait_ms: how long a read may be held until there is a record
  * @pause_ms: least time from when the topic's end was known to the next read
+ * @counters: for calls by cause; NULL for none, as in module tests
  */
 typedef struct {
     RecordSource_t *source;
     const char *topic;
     gint64 wait_ms;
     gint64 pause_ms;
+    Counters_t *counters;
 } RecordFollowerSpec_t;
 
 /** struct RecordFollower_t - opaque */
@@ -54,11 +57,14 @@
 /** RecordFollower_destroy() - free it; its source must be freed first */
 void RecordFollower_destroy(RecordFollower_t *this);
 
-/** RecordFollower_setWait() - how long further reads may be held, in ms */
-void RecordFollower_setWait(RecordFollower_t *this, gint64 wait_ms);
-
-/** RecordFollower_setPause() - another @pause_ms, in ms, from now on */
-void RecordFollower_setPause(RecordFollower_t *this, gint64 pause_ms);
+/**
+ * RecordFollower_setReads() - another @wait_ms and @pause_ms from now on
+ * @retry_most_ms: longest mean pause after failures; 0 for the usual one
+ *
+ * A read that is held already goes on.
+ */
+void RecordFollower_setReads(RecordFollower_t *this, gint64 wait_ms,
+                             gint64 pause_ms, gint64 retry_most_ms);
 
 /**
  * RecordFollower_feed() - take what another follower of the topic has read
@@ -75,11 +81,15 @@
 
 /**
  * RecordFollower_ask() - read once more beside a read that may be held
+ * @cause: why, for the count of calls
  *
  * For an owner that must know soon whether the topic has ended. Nothing
  * happens while such a question is open; its failure is not told.
  */
-void RecordFollower_ask(RecordFollower_t *this);
+void RecordFollower_ask(RecordFollower_t *this, StoreCause_t cause);
+
+/** RecordFollower_unanswered() - questions in a row that failed */
+guint RecordFollower_unanswered(const RecordFollower_t *this);
 
 /** RecordFollower_offset() - records below it were told; 0 during a list */
 guint64 RecordFollower_offset(const RecordFollower_t *this);
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -8,16 +8,18 @@
 
 struct RecordRelay {
     Membership_t *membership;
+    GString *topic;
     gsize news_bytes;
     GPtrArray *news; /* KeyedRecord_t, since the last end that was known */
     guint64 known;   /* end of the topic as last known, 0 for none */
 };
 
 RecordRelay_t *
-RecordRelay_create(Membership_t *membership)
+RecordRelay_create(Membership_t *membership, const char *topic)
 {
     RecordRelay_t *this = g_new0(RecordRelay_t, 1);
     this->membership = membership;
+    this->topic = g_string_new(topic);
     this->news = g_ptr_array_new_with_free_func(KeyedRecord_free);
     return this;
 }
@@ -26,6 +28,7 @@
 RecordRelay_destroy(RecordRelay_t *this)
 {
     g_ptr_array_unref(this->news);
+    g_string_free(this->topic, TRUE);
     g_free(this);
 }
 
@@ -61,29 +64,73 @@
     }
 }
 
+/* To one router, or to all that are linked where it is NULL. */
+static void
+send_part(const RecordRelay_t *this, Member_t *member, Wt__TopicPart *part,
+          const GPtrArray *records)
+{
+    g_autofree Wt__TopicRecord *list =
+        g_new(Wt__TopicRecord, records->len + 1);
+    g_autofree Wt__TopicRecord **pointers =
+        g_new(Wt__TopicRecord *, records->len + 1);
+    for (guint i = 0; i < records->len; i++) {
+        fill_record(&list[i], g_ptr_array_index(records, i));
+        pointers[i] = &list[i];
+    }
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    part->topic = this->topic->str;
+    part->n_records = records->len;
+    part->records = pointers;
+    message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_PART;
+    message.topic_part = part;
+    if (member) {
+        Membership_send(this->membership, member, &message);
+    }
+    else {
+        Membership_sendAll(this->membership, &message);
+    }
+}
+
 static void
 send_news(const RecordRelay_t *this, guint64 end, gint64 at_ms,
           gint64 regained_ms)
 {
-    guint count = this->news->len;
-    g_autofree Wt__TopicRecord *records = g_new(Wt__TopicRecord, count + 1);
-    g_autofree Wt__TopicRecord **list = g_new(Wt__TopicRecord *, count + 1);
-    for (guint i = 0; i < count; i++) {
-        fill_record(&records[i], g_ptr_array_index(this->news, i));
-        list[i] = &records[i];
-    }
     Wt__TopicPart part = WT__TOPIC_PART__INIT;
-    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     part.from = this->known;
     part.end = end;
     part.age_ms = PeerAge_of(at_ms);
     part.regained_age_ms =
         regained_ms > 0 ? MAX(PeerAge_of(regained_ms), 1) : 0;
-    part.n_records = count;
-    part.records = list;
-    message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_PART;
-    message.topic_part = &part;
-    Membership_sendAll(this->membership, &message);
+    send_part(this, NULL, &part, this->news);
+}
+
+void
+RecordRelay_answer(const RecordRelay_t *this, Member_t *member, guint64 from,
+                   const GPtrArray *records, guint64 end, gint64 at_ms)
+{
+    Wt__TopicPart part = WT__TOPIC_PART__INIT;
+    part.from = from;
+    part.end = end;
+    part.age_ms = PeerAge_of(at_ms);
+    send_part(this, member, &part, records);
+}
+
+void
+RecordRelay_ask(const RecordRelay_t *this, Member_t *member, guint64 from)
+{
+    Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    ask.topic = this->topic->str;
+    ask.from = from;
+    message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_ASK;
+    message.topic_ask = &ask;
+    Membership_send(this->membership, member, &message);
+}
+
+gboolean
+RecordRelay_hasNews(const RecordRelay_t *this)
+{
+    return this->known == 0 || this->news->len > 0;
 }
 
 void
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -16,8 +16,9 @@
 /**
  * RecordRelay_create() - nothing to tell yet
  * @membership: whose links are used; NULL for none, as in module tests
+ * @topic: that is passed on
  */
-RecordRelay_t *RecordRelay_create(Membership_t *membership);
+RecordRelay_t *RecordRelay_create(Membership_t *membership, const char *topic);
 
 /** RecordRelay_destroy() - free it */
 void RecordRelay_destroy(RecordRelay_t *this);
@@ -39,6 +40,24 @@
 void RecordRelay_tell(RecordRelay_t *this, guint64 end, gint64 at_ms,
                       gint64 regained_ms, gboolean from_peer);
 
+/** RecordRelay_hasNews() - whether anything was added since the last call of
+ * RecordRelay_tell(), or that was never called */
+gboolean RecordRelay_hasNews(const RecordRelay_t *this);
+
+/**
+ * RecordRelay_answer() - tell one router what it asked for
+ * @records: KeyedRecord_t *, all that is new from @from on
+ * @end: of the topic, where all records before it are known
+ * @at_ms: monotonic time at which the topic ended there
+ */
+void RecordRelay_answer(const RecordRelay_t *this, Member_t *member,
+                        guint64 from, const GPtrArray *records, guint64 end,
+                        gint64 at_ms);
+
+/** RecordRelay_ask() - ask a router for what is new from an offset on */
+void RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
+                     guint64 from);
+
 /** RecordRelay_isTooLong() - too much was added to be told: who is told
  * nothing reads it from the store */
 gboolean RecordRelay_isTooLong(const RecordRelay_t *this);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -1,5 +1,7 @@
 #include "RelayParts.h"
 
+#include <string.h>
+
 #include "Clock.h"
 #include "LoadShare.h"
 #include "Log.h"
@@ -81,6 +83,7 @@
         .routes = context->routes,
         .weights = context->weights,
         .membership = context->membership,
+        .counters = context->counters,
         .reader_wait_ms = settings->relay.reader_wait_ms,
         .wait_ms = settings->relay.config_wait_ms,
         .unknown_age_ms =
@@ -94,6 +97,7 @@
         .upstreams = context->upstreams,
         .membership = context->membership,
         .hints = this->hints,
+        .counters = context->counters,
         .region = settings->router.region->str,
         .poll_ms = listing_poll_ms(&settings->relay),
         .return_ms = settings->relay.listing_return_ms,
@@ -291,9 +295,35 @@
     g_free(this);
 }
 
+static gboolean
+is_of_routes(const RelayParts_t *this, const char *topic)
+{
+    return strcmp(topic, this->context->form->config_topic) == 0;
+}
+
+static void
+take_part(RelayParts_t *this, const Wt__TopicPart *part)
+{
+    if (is_of_routes(this, part->topic)) {
+        RouteSync_takePart(this->sync, part);
+    }
+    else {
+        UpstreamListing_take(this->context->listing, part);
+    }
+}
+
+/* The list of upstreams is read from the store by who lacks much of it. */
+static void
+take_ask(RelayParts_t *this, Member_t *from, const Wt__TopicAsk *ask)
+{
+    if (is_of_routes(this, ask->topic)) {
+        RouteSync_answer(this->sync, from, ask);
+    }
+}
+
 /* Configuration and claims are the platform's matter here. */
 void
-RelayParts_take(RelayParts_t *this, const Member_t *from,
+RelayParts_take(RelayParts_t *this, Member_t *from,
                 const Wt__PeerMessage *message)
 {
     switch (message->body_case) {
@@ -304,10 +334,13 @@
         LoadShare_take(this->load_share, from->name->str, message->loads);
         break;
     case WT__PEER_MESSAGE__BODY_TOPIC_PART:
-        UpstreamListing_take(this->context->listing, message->topic_part);
+        take_part(this, message->topic_part);
+        break;
+    case WT__PEER_MESSAGE__BODY_TOPIC_ASK:
+        take_ask(this, from, message->topic_ask);
         break;
     case WT__PEER_MESSAGE__BODY_CONFIG_CURRENT:
-        RouteSync_take(this->sync, message->config_current);
+        RouteSync_take(this->sync, from, message->config_current);
         break;
     default:
         break;
--- a/src/RelayParts.h
+++ b/src/RelayParts.h
@@ -26,7 +26,7 @@
 void RelayParts_destroy(RelayParts_t *this);
 
 /** RelayParts_take() - a message of a peer that is not about membership */
-void RelayParts_take(RelayParts_t *this, const Member_t *from,
+void RelayParts_take(RelayParts_t *this, Member_t *from,
                      const Wt__PeerMessage *message);
 
 #endif
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -5,25 +5,47 @@
 #include "Clock.h"
 #include "FreshnessRelay.h"
 #include "Log.h"
+#include "PeerAge.h"
+#include "Random.h"
 #include "RecordFollower.h"
+#include "RecordRelay.h"
 
 /* How often it is checked whether peers still tell something. */
 #define TICK_MS 200
 /* Where peers have told nothing for so long, a router asks for itself, as
  * those that ask for all may be gone or cut off; not more often than once in
- * the second time. */
+ * the second time, doubled so often while the store does not answer. */
 #define UNTOLD_MS 1800
 #define ASK_EVERY_MS 1000
-/* Who is behind the others asks not more often than this. */
+#define ASK_DOUBLINGS 2
+/* Routers that are untold at once ask one after the other, so much of time
+ * for each of them up to the most: the first answer reaches the rest, which
+ * then need not ask. The most leaves a second of the usual limit on age. */
+#define UNTOLD_SPREAD_MS 10
+#define UNTOLD_SPREAD_MOST_MS 1000
+/* Who is behind the others asks the store not more often than this. */
 #define ASK_BEHIND_MS 400
+/* Who is behind asks peers for so long before it asks the store: a router
+ * that tells of a record may itself have only heard of it. */
+#define BEHIND_MOST_MS 600
+/* And asks a peer not more often than this: the answer takes a round trip
+ * and, of a configuration of 100 KB on a link of 10 Mbit/s, 80 ms. */
+#define PULL_EVERY_MS 100
 
 struct RouteSync {
     RouteSyncSpec_t spec;
     RecordFollower_t *follower;
     FreshnessRelay_t *relay;
+    RecordRelay_t *records;
+    GHashTable *newest; /* key -> KeyedRecord_t, to tell peers that ask */
     struct event *tick;
     gint64 asked_ms;
+    gint64 pulled_ms;
+    guint64 ahead;    /* largest end that peers have told of */
+    gint64 behind_ms; /* since when less is known here; 0 where it is not */
+    gint64 spread_ms; /* drawn for the next time that peers are silent */
     gboolean current; /* all that was there at the start has been read */
+    gboolean feeding; /* what is told now comes from a peer */
 };
 
 static void
@@ -76,6 +98,16 @@
     g_string_free(model, TRUE);
 }
 
+static void
+keep_newest(RouteSync_t *this, const KeyedRecord_t *record)
+{
+    KeyedRecord_t *kept = g_new0(KeyedRecord_t, 1);
+    kept->key = g_string_new(record->key->str);
+    kept->value = record->value ? g_bytes_ref(record->value) : NULL;
+    kept->offset = record->offset;
+    g_hash_table_replace(this->newest, kept->key->str, kept);
+}
+
 /* A configuration that was removed stays in force: nothing takes its place.
  */
 static void
@@ -84,6 +116,8 @@
     RouteSync_t *this = owner;
     const char *key = record->key->str;
     GBytes *value = record->value;
+    keep_newest(this, record);
+    RecordRelay_add(this->records, key, value, record->offset);
     if (!value) {
         Log_begin(LOG_LEVEL_WARNING, "operator_record_removed");
         Log_text("key", key);
@@ -97,40 +131,95 @@
     }
 }
 
+static void
+set_reads(RouteSync_t *this)
+{
+    gboolean reader = FreshnessRelay_isReader(this->relay);
+    RecordFollower_setReads(
+        this->follower, reader ? this->spec.reader_wait_ms : 0,
+        reader ? 0 : this->spec.wait_ms, reader ? 0 : this->spec.wait_ms);
+}
+
+/* What is too long to be told to all is asked for by those that hear of it. */
+static void
+pass_on(RouteSync_t *this, guint64 offset, gint64 at_ms)
+{
+    if (!RecordRelay_hasNews(this->records)) {
+        return;
+    }
+    if (RecordRelay_isTooLong(this->records)) {
+        FreshnessRelay_tellNow(this->relay);
+    }
+    RecordRelay_tell(this->records, offset, at_ms, 0, this->feeding);
+}
+
 static void
 on_current(void *owner, guint64 offset, gint64 at_ms)
 {
     RouteSync_t *this = owner;
     this->current = TRUE;
+    if (offset >= this->ahead) {
+        this->behind_ms = 0;
+    }
     RouteTable_noteCurrent(this->spec.routes, at_ms);
     FreshnessRelay_note(this->relay, offset, at_ms);
-    RecordFollower_setWait(this->follower, FreshnessRelay_isReader(this->relay)
-                                               ? this->spec.reader_wait_ms
-                                               : this->spec.wait_ms);
+    pass_on(this, offset, at_ms);
+    set_reads(this);
 }
 
 static void
-ask_store(RouteSync_t *this, gint64 least_ms)
+ask_store(RouteSync_t *this, gint64 least_ms, StoreCause_t cause)
 {
     gint64 now_ms = Clock_nowMs();
     if (now_ms - this->asked_ms >= least_ms) {
         this->asked_ms = now_ms;
-        RecordFollower_ask(this->follower);
+        RecordFollower_ask(this->follower, cause);
     }
 }
 
-/* Only who has read to the same end knows that nothing newer existed. Who has
- * not reads at once: the read that is held may hang on a link that was cut. */
 static void
-on_fresh(void *owner, guint64 offset, gint64 at_ms)
+ask_peer(RouteSync_t *this, Member_t *from, guint64 known)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (now_ms - this->pulled_ms >= PULL_EVERY_MS) {
+        this->pulled_ms = now_ms;
+        RecordRelay_ask(this->records, from, known);
+    }
+}
+
+static gboolean
+is_long_behind(const RouteSync_t *this)
+{
+    return this->behind_ms > 0 &&
+           Clock_nowMs() - this->behind_ms >= BEHIND_MOST_MS;
+}
+
+static void
+catch_up(RouteSync_t *this, Member_t *from, guint64 known, guint64 offset)
+{
+    this->ahead = MAX(this->ahead, offset);
+    if (this->behind_ms == 0) {
+        this->behind_ms = Clock_nowMs();
+    }
+    if (from && !is_long_behind(this)) {
+        ask_peer(this, from, known);
+    }
+    else {
+        ask_store(this, ASK_BEHIND_MS, STORE_BEHIND);
+    }
+}
+
+/* Only who has read to the same end knows that nothing newer existed. */
+static void
+on_fresh(void *owner, Member_t *from, guint64 offset, gint64 at_ms)
 {
     RouteSync_t *this = owner;
     guint64 known = RecordFollower_offset(this->follower);
     if (known == offset) {
         RouteTable_noteCurrent(this->spec.routes, at_ms);
     }
-    else if (known < offset) {
-        ask_store(this, ASK_BEHIND_MS);
+    else if (known > 0 && known < offset) {
+        catch_up(this, from, known, offset);
     }
 }
 
@@ -141,15 +230,38 @@
     .current = on_current,
 };
 
+static gint64
+draw_spread(const RouteSync_t *this)
+{
+    gint64 routers = Membership_live(this->spec.membership);
+    gint64 most_ms = MIN(routers * UNTOLD_SPREAD_MS, UNTOLD_SPREAD_MOST_MS);
+    return Random_below((guint32)most_ms);
+}
+
+static void
+ask_untold(RouteSync_t *this)
+{
+    guint doublings =
+        MIN(RecordFollower_unanswered(this->follower), ASK_DOUBLINGS);
+    if (!RouteTable_isFresh(this->spec.routes, UNTOLD_MS + this->spread_ms)) {
+        ask_store(this, ASK_EVERY_MS << doublings, STORE_UNTOLD);
+    }
+    else if (RouteTable_isFresh(this->spec.routes, UNTOLD_MS)) {
+        this->spread_ms = draw_spread(this);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
     (void)fd;
     (void)what;
     RouteSync_t *this = data;
-    if (!RouteTable_isFresh(this->spec.routes, UNTOLD_MS)) {
-        ask_store(this, ASK_EVERY_MS);
+    set_reads(this);
+    if (is_long_behind(this)) {
+        ask_store(this, ASK_BEHIND_MS, STORE_BEHIND);
     }
+    ask_untold(this);
     Clock_arm(this->tick, TICK_MS);
 }
 
@@ -161,8 +273,13 @@
     RecordFollowerSpec_t follow = {
         .source = spec->source,
         .topic = spec->form->config_topic,
-        .wait_ms = spec->reader_wait_ms,
+        .pause_ms = spec->wait_ms,
+        .counters = spec->counters,
     };
+    this->newest =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, KeyedRecord_free);
+    this->records =
+        RecordRelay_create(spec->membership, spec->form->config_topic);
     this->relay =
         FreshnessRelay_create(base, spec->membership, &relay_events, this);
     this->follower =
@@ -184,12 +301,72 @@
 {
     RecordFollower_destroy(this->follower);
     FreshnessRelay_destroy(this->relay);
+    RecordRelay_destroy(this->records);
+    g_hash_table_destroy(this->newest);
     event_free(this->tick);
     g_free(this);
 }
 
 void
-RouteSync_take(RouteSync_t *this, const Wt__ConfigCurrent *message)
+RouteSync_take(RouteSync_t *this, Member_t *from,
+               const Wt__ConfigCurrent *message)
+{
+    FreshnessRelay_take(this->relay, from, message);
+}
+
+/* Records hold whenever they come; how fresh they are is not known where they
+ * may have waited here. */
+void
+RouteSync_takePart(RouteSync_t *this, const Wt__TopicPart *message)
 {
-    FreshnessRelay_take(this->relay, message);
+    KeyedPage_t page = RecordRelay_read(message);
+    gint64 at_ms = FreshnessRelay_mayHaveWaited(this->relay)
+                       ? 0
+                       : PeerAge_atMs(message->age_ms);
+    this->feeding = TRUE;
+    RecordFollower_feed(this->follower, message->from, &page, at_ms);
+    this->feeding = FALSE;
+    g_ptr_array_unref(page.records);
+}
+
+static gint
+compare_offsets(gconstpointer a, gconstpointer b)
+{
+    const KeyedRecord_t *left = *(KeyedRecord_t *const *)a;
+    const KeyedRecord_t *right = *(KeyedRecord_t *const *)b;
+    return (left->offset > right->offset) - (left->offset < right->offset);
+}
+
+static GPtrArray *
+newest_from(const RouteSync_t *this, guint64 from)
+{
+    GPtrArray *found = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, this->newest);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const KeyedRecord_t *record = value;
+        if (record->offset >= from) {
+            g_ptr_array_add(found, value);
+        }
+    }
+    g_ptr_array_sort(found, compare_offsets);
+    return found;
+}
+
+/* Who knows no more says nothing: the asker asks another one. */
+void
+RouteSync_answer(RouteSync_t *this, Member_t *from,
+                 const Wt__TopicAsk *message)
+{
+    guint64 known = RecordFollower_offset(this->follower);
+    gint64 now_ms = Clock_nowMs();
+    gint64 age_ms = RouteTable_ageMs(this->spec.routes, now_ms);
+    if (known <= message->from || age_ms == G_MAXINT64) {
+        return;
+    }
+    GPtrArray *records = newest_from(this, message->from);
+    RecordRelay_answer(this->records, from, message->from, records, known,
+                       now_ms - age_ms);
+    g_ptr_array_unref(records);
 }
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -5,6 +5,14 @@
  *
  * Follows the operators' records on the platform's store: the whole
  * configuration and the named versions of weights.
+ *
+ * Load pattern: hundreds of routers must know of each record within seconds,
+ * and that there is no newer one. A call of each router for each record, and
+ * its retries while the store is down, would be most of what the store
+ * serves. A few readers ask it; the others get short records from them at
+ * once and ask a peer for long ones. The store is asked by a router that is
+ * behind or untold for longer than that takes, so that neither readers that
+ * are gone nor peers that are silent keep it from what is in force.
  */
 #include "Membership.h"
 #include "NamedWeights.h"
@@ -21,7 +29,8 @@
  * @reader_wait_ms: how long the store may hold a read of a router that asks
  *     for the others: bounds how old the knowledge that a configuration is
  *     the newest gets
- * @wait_ms: the same for all others
+ * @counters: for calls to the store
+ * @wait_ms: so long after the last word of peers all others ask the store
  * @unknown_age_ms: age that is assumed of versions named before the start
  */
 typedef struct {
@@ -30,6 +39,7 @@
     RouteTable_t *routes;
     NamedWeights_t *weights;
     Membership_t *membership;
+    Counters_t *counters;
     gint64 reader_wait_ms;
     gint64 wait_ms;
     gint64 unknown_age_ms;
@@ -43,7 +53,15 @@
                               const RouteSyncSpec_t *spec);
 
 /** RouteSync_take() - a peer tells how fresh its knowledge is */
-void RouteSync_take(RouteSync_t *this, const Wt__ConfigCurrent *message);
+void RouteSync_take(RouteSync_t *this, Member_t *from,
+                    const Wt__ConfigCurrent *message);
+
+/** RouteSync_takePart() - a peer tells records */
+void RouteSync_takePart(RouteSync_t *this, const Wt__TopicPart *message);
+
+/** RouteSync_answer() - a peer asks for records */
+void RouteSync_answer(RouteSync_t *this, Member_t *from,
+                      const Wt__TopicAsk *message);
 
 /** RouteSync_setWaits() - for the reads from now on, as for create */
 void RouteSync_setWaits(RouteSync_t *this, gint64 reader_wait_ms,
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -65,7 +65,10 @@
     {"seeds", KEY_ADDRESSES, FALSE, "", 0, 0, NULL, E(seeds),
      "Where other routers may listen; one that answers tells of the rest."},
     {"gossip_budget", KEY_SIZE, FALSE, "3000B", 500, 1 << 20, NULL,
-     E(gossip_budget), "Most bytes of gossip sent in a second.", KEY_LIVE},
+     E(gossip_budget),
+     "Most bytes of gossip sent in a second; a quarter as much again for news "
+     "of routers, which is saved up for two minutes.",
+     KEY_LIVE},
     {"mesh_routers", KEY_INTEGER, FALSE, "16", 1, 1000, NULL, E(mesh_routers),
      "Up to so many routers are linked with all others and tell each other "
      "their loads; more of them are linked with a few, and one places for "
@@ -135,8 +138,8 @@
      KEY_LIVE},
     {"config_wait", KEY_DURATION, FALSE, "8s", 10, HOUR_MS, NULL,
      A(config_wait_ms),
-     "The same for the other routers; they hear from peers how fresh their "
-     "configuration is.",
+     "The other routers hear from peers what is new and how fresh it is; so "
+     "long after the last news each asks for itself.",
      KEY_LIVE},
     {"leaving_limit", KEY_DURATION, FALSE, "2s", 200, HOUR_MS, NULL,
      A(leaving_limit_ms),
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -124,7 +124,8 @@
  *     that the configuration was known to be the newest
  * @reader_wait_ms: how long the store may hold a read of the configuration by
  *     a router that asks for the others
- * @config_wait_ms: the same for all other routers
+ * @config_wait_ms: so long after the last news from peers another router
+ *     asks for itself
  * @leaving_limit_ms: how soon after the list says that an upstream leaves it
  *     must get no new work
  * @listing_return_ms: how long after an outage of the list an entry that has
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -18,6 +18,11 @@
  * reads where those before it have told nothing. */
 #define READ_EVERY_MS 600
 #define READ_STEP_MS 250
+/* Longest mean pause between tries of a router that others read for, while the
+ * store fails: with 300 routers some 90 calls a second in place of 370. */
+#define RETRY_MOST_MS 3200
+/* How often it is looked whether the other routers are known by now. */
+#define SETTLED_LOOK_MS 200
 /* Name under which routers are ranked for it. */
 #define RANK_KEY "listing"
 
@@ -35,6 +40,7 @@
     GHashTable *samples; /* target -> name of an upstream that serves it */
     RecordRelay_t *relay;
     struct event *return_over;
+    struct event *settled;
     gint64 regained_ms; /* 0 where the list was never out of reach */
     gboolean known;     /* it was read at least once */
     gboolean feeding;   /* what is told now comes from a peer */
@@ -295,26 +301,56 @@
     }
 }
 
+/* How long this router leaves the next read to those before it. One that does
+ * not know the others yet would take itself for the first. */
 static gint64
 pause_ms(const UpstreamListing_t *this)
 {
-    guint rank = this->spec.membership
-                     ? Membership_rank(this->spec.membership, RANK_KEY, NULL)
-                     : 0;
-    gint64 wanted = READ_EVERY_MS + (gint64)rank * READ_STEP_MS;
+    if (!this->spec.membership) {
+        return MIN(READ_EVERY_MS, this->spec.poll_ms);
+    }
+    if (!Membership_isSettled(this->spec.membership)) {
+        return this->spec.poll_ms;
+    }
+    gint64 rank = Membership_rank(this->spec.membership, RANK_KEY, NULL);
+    gint64 wanted = READ_EVERY_MS + rank * READ_STEP_MS;
     return MIN(wanted, this->spec.poll_ms);
 }
 
+static void
+set_reads(UpstreamListing_t *this)
+{
+    gint64 pause = pause_ms(this);
+    gboolean for_others = pause < this->spec.poll_ms;
+    RecordFollower_setReads(this->follower, 0, pause,
+                            for_others ? 0 : RETRY_MOST_MS);
+}
+
 static void
 on_current(void *owner, guint64 offset, gint64 at_ms)
 {
     UpstreamListing_t *this = owner;
     this->known = TRUE;
-    RecordFollower_setPause(this->follower, pause_ms(this));
+    set_reads(this);
     RecordRelay_tell(this->relay, offset, at_ms, this->regained_ms,
                      this->feeding);
 }
 
+/* Ranks are known once the router has had time to learn of the others. */
+static void
+on_settled(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    UpstreamListing_t *this = data;
+    if (Membership_isSettled(this->spec.membership)) {
+        set_reads(this);
+    }
+    else {
+        Clock_arm(this->settled, SETTLED_LOOK_MS);
+    }
+}
+
 void
 UpstreamListing_take(UpstreamListing_t *this, const Wt__TopicPart *message)
 {
@@ -355,15 +391,20 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->samples =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    this->relay = RecordRelay_create(spec->membership);
+    this->relay = RecordRelay_create(spec->membership, spec->topic);
     this->return_over = Clock_timer(base, on_return_over, this);
+    this->settled = Clock_timer(base, on_settled, this);
     RecordFollowerSpec_t follow = {
         .source = spec->source,
         .topic = spec->topic,
         .pause_ms = spec->poll_ms,
+        .counters = spec->counters,
     };
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
+    if (spec->membership) {
+        Clock_arm(this->settled, SETTLED_LOOK_MS);
+    }
     return this;
 }
 
@@ -381,6 +422,7 @@
     RecordFollower_destroy(this->follower);
     RecordRelay_destroy(this->relay);
     event_free(this->return_over);
+    event_free(this->settled);
     g_hash_table_destroy(this->missing);
     g_hash_table_destroy(this->seen);
     g_hash_table_destroy(this->samples);
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -44,6 +44,7 @@
  * @membership: told of what is read and of those that leave; NULL for none,
  *     as in module tests
  * @hints: by which routers hear of weights; NULL for none, as in module tests
+ * @counters: for calls to the store; NULL for none, as in module tests
  * @region: of the upstreams
  * @poll_ms: oldest that the knowledge of the list may be when it is read
  * @return_ms: how long after an outage a missing entry may still come back
@@ -55,6 +56,7 @@
     UpstreamSet_t *upstreams;
     Membership_t *membership;
     HintFlood_t *hints;
+    Counters_t *counters;
     const char *region;
     gint64 poll_ms;
     gint64 return_ms;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &wt__topic_part__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__topic_ask__init
+                     (Wt__TopicAsk         *message)
+{
+  static const Wt__TopicAsk init_value = WT__TOPIC_ASK__INIT;
+  *message = init_value;
+}
+size_t wt__topic_ask__get_packed_size
+                     (const Wt__TopicAsk *message)
+{
+  assert(message->base.descriptor == &wt__topic_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__topic_ask__pack
+                     (const Wt__TopicAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__topic_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__topic_ask__pack_to_buffer
+                     (const Wt__TopicAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__topic_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__TopicAsk *
+       wt__topic_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__TopicAsk *)
+     protobuf_c_message_unpack (&wt__topic_ask__descriptor,
+                                allocator, len, data);
+}
+void   wt__topic_ask__free_unpacked
+                     (Wt__TopicAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__topic_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__place_ask__init
                      (Wt__PlaceAsk         *message)
 {
@@ -1906,7 +1951,7 @@
   (ProtobufCMessageInit) wt__topic_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[6] =
 {
   {
     "from",
@@ -1968,6 +2013,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "topic",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPart, topic),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_part__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -1975,11 +2032,12 @@
   0,   /* field[0] = from */
   4,   /* field[4] = records */
   3,   /* field[3] = regained_age_ms */
+  5,   /* field[5] = topic */
 };
 static const ProtobufCIntRange wt__topic_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wt__topic_part__descriptor =
 {
@@ -1989,13 +2047,64 @@
   "Wt__TopicPart",
   "wt",
   sizeof(Wt__TopicPart),
-  5,
+  6,
   wt__topic_part__field_descriptors,
   wt__topic_part__field_indices_by_name,
   1,  wt__topic_part__number_ranges,
   (ProtobufCMessageInit) wt__topic_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[2] =
+{
+  {
+    "topic",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicAsk, topic),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicAsk, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__topic_ask__field_indices_by_name[] = {
+  1,   /* field[1] = from */
+  0,   /* field[0] = topic */
+};
+static const ProtobufCIntRange wt__topic_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__topic_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.TopicAsk",
+  "TopicAsk",
+  "Wt__TopicAsk",
+  "wt",
+  sizeof(Wt__TopicAsk),
+  2,
+  wt__topic_ask__field_descriptors,
+  wt__topic_ask__field_indices_by_name,
+  1,  wt__topic_ask__number_ranges,
+  (ProtobufCMessageInit) wt__topic_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[8] =
 {
   {
@@ -2331,7 +2440,7 @@
   (ProtobufCMessageInit) wt__place_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[14] =
 {
   {
     "hello",
@@ -2489,6 +2598,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "topic_ask",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, topic_ask),
+    &wt__topic_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -2503,12 +2624,13 @@
   11,   /* field[11] = place_answer */
   10,   /* field[10] = place_ask */
   12,   /* field[12] = place_news */
+  13,   /* field[13] = topic_ask */
   9,   /* field[9] = topic_part */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -2518,7 +2640,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  13,
+  14,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Wt__ConfigCurrent Wt__ConfigCurrent;
 typedef struct Wt__TopicRecord Wt__TopicRecord;
 typedef struct Wt__TopicPart Wt__TopicPart;
+typedef struct Wt__TopicAsk Wt__TopicAsk;
 typedef struct Wt__PlaceAsk Wt__PlaceAsk;
 typedef struct Wt__PlaceAnswer Wt__PlaceAnswer;
 typedef struct Wt__PlaceNews Wt__PlaceNews;
@@ -366,10 +367,28 @@
   uint32_t regained_age_ms;
   size_t n_records;
   Wt__TopicRecord **records;
+  /*
+   * Name of the topic; that of the list of upstreams where it is empty.
+   */
+  char *topic;
 };
 #define WT__TOPIC_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_part__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Asks a peer for what it knows of a keyed topic from an offset on.
+ */
+struct  Wt__TopicAsk
+{
+  ProtobufCMessage base;
+  char *topic;
+  uint64_t from;
+};
+#define WT__TOPIC_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__topic_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -460,7 +479,8 @@
   WT__PEER_MESSAGE__BODY_TOPIC_PART = 10,
   WT__PEER_MESSAGE__BODY_PLACE_ASK = 11,
   WT__PEER_MESSAGE__BODY_PLACE_ANSWER = 12,
-  WT__PEER_MESSAGE__BODY_PLACE_NEWS = 13
+  WT__PEER_MESSAGE__BODY_PLACE_NEWS = 13,
+  WT__PEER_MESSAGE__BODY_TOPIC_ASK = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -482,6 +502,7 @@
     Wt__PlaceAsk *place_ask;
     Wt__PlaceAnswer *place_answer;
     Wt__PlaceNews *place_news;
+    Wt__TopicAsk *topic_ask;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -793,6 +814,25 @@
 void   wt__topic_part__free_unpacked
                      (Wt__TopicPart *message,
                       ProtobufCAllocator *allocator);
+/* Wt__TopicAsk methods */
+void   wt__topic_ask__init
+                     (Wt__TopicAsk         *message);
+size_t wt__topic_ask__get_packed_size
+                     (const Wt__TopicAsk   *message);
+size_t wt__topic_ask__pack
+                     (const Wt__TopicAsk   *message,
+                      uint8_t             *out);
+size_t wt__topic_ask__pack_to_buffer
+                     (const Wt__TopicAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__TopicAsk *
+       wt__topic_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__topic_ask__free_unpacked
+                     (Wt__TopicAsk *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PlaceAsk methods */
 void   wt__place_ask__init
                      (Wt__PlaceAsk         *message);
@@ -919,6 +959,9 @@
 typedef void (*Wt__TopicPart_Closure)
                  (const Wt__TopicPart *message,
                   void *closure_data);
+typedef void (*Wt__TopicAsk_Closure)
+                 (const Wt__TopicAsk *message,
+                  void *closure_data);
 typedef void (*Wt__PlaceAsk_Closure)
                  (const Wt__PlaceAsk *message,
                   void *closure_data);
@@ -955,6 +998,7 @@
 extern const ProtobufCMessageDescriptor wt__config_current__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_part__descriptor;
+extern const ProtobufCMessageDescriptor wt__topic_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__place_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__place_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__place_news__descriptor;
--- a/tests/FakeRouters.h
+++ b/tests/FakeRouters.h
@@ -42,6 +42,7 @@
 
 /**
  * FakeRouters_init() - start them and wait until all are linked with all
+ * and take others for known
  * @mesh_routers: up to so many take themselves for linked with all
  */
 void FakeRouters_init(FakeRouters_t *this, guint count, gint64 mesh_routers);
