Readers of the configuration leave it to those before them

Change: the second and third reader pause for as long as those before them tell; being told moves the own next read; the list is read three times in the time in which it must be known; routers count as known after 1.2 s at the latest, before each would ask for itself.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -108,11 +108,18 @@
     g_free(this);
 }
 
+guint
+FreshnessRelay_rank(const FreshnessRelay_t *this)
+{
+    return Membership_isSettled(this->membership)
+               ? Membership_rank(this->membership, RANK_KEY, NULL)
+               : G_MAXUINT;
+}
+
 gboolean
 FreshnessRelay_isReader(const FreshnessRelay_t *this)
 {
-    return Membership_isSettled(this->membership) &&
-           Membership_rank(this->membership, RANK_KEY, NULL) < READERS;
+    return FreshnessRelay_rank(this) < READERS;
 }
 
 void
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -32,6 +32,10 @@
 /** FreshnessRelay_destroy() - free it */
 void FreshnessRelay_destroy(FreshnessRelay_t *this);
 
+/** FreshnessRelay_rank() - this router's place among those that ask; none,
+ * G_MAXUINT, before it had time to learn of the others */
+guint FreshnessRelay_rank(const FreshnessRelay_t *this);
+
 /** FreshnessRelay_isReader() - whether this router is to ask often; never
  * before it had time to learn of the others */
 gboolean FreshnessRelay_isReader(const FreshnessRelay_t *this);
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -21,10 +21,11 @@
  */
 #define LINKS_SOON_MS 3000
 /* Others are taken for known when none was heard of for the first time, or
- * when the second time is over: news of a herd comes in bursts, one for each
- * turn in which links come up. */
-#define SETTLED_QUIET_MS 400
-#define SETTLED_LATEST_MS 3000
+ * when the second time is over, in which a router of a herd of 295 hears of
+ * four in five of them. It is below the time after which each would ask the
+ * store for itself, as nobody reads for it yet. */
+#define SETTLED_QUIET_MS 300
+#define SETTLED_LATEST_MS 1200
 /* The same for a router that has heard of nobody: its seeds may be down, and
  * a connection takes longer where they are far. */
 #define ALONE_MS 1000
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -18,6 +18,9 @@
 #define UNTOLD_MS 1800
 #define ASK_EVERY_MS 1000
 #define ASK_DOUBLINGS 2
+/* A reader leaves it to those before it, each for so much longer than a read
+ * is held: their word comes within some hundred milliseconds. */
+#define READER_STEP_MS 300
 /* Routers that are untold at once ask one after the other, so much of time
  * for each of them up to the most: the first answer reaches the rest, which
  * then need not ask. The most leaves a second of the usual limit on age. */
@@ -131,13 +134,23 @@
     }
 }
 
+static gint64
+reader_pause_ms(const RouteSync_t *this)
+{
+    gint64 rank = FreshnessRelay_rank(this->relay);
+    return rank > 0 ? this->spec.reader_wait_ms + rank * READER_STEP_MS : 0;
+}
+
 static void
 set_reads(RouteSync_t *this)
 {
-    gboolean reader = FreshnessRelay_isReader(this->relay);
-    RecordFollower_setReads(
-        this->follower, reader ? this->spec.reader_wait_ms : 0,
-        reader ? 0 : this->spec.wait_ms, reader ? 0 : this->spec.wait_ms);
+    if (FreshnessRelay_isReader(this->relay)) {
+        RecordFollower_setReads(this->follower, this->spec.reader_wait_ms,
+                                reader_pause_ms(this), 0);
+        return;
+    }
+    RecordFollower_setReads(this->follower, 0, this->spec.wait_ms,
+                            this->spec.wait_ms);
 }
 
 /* What is too long to be told to all is asked for by those that hear of it. */
@@ -209,6 +222,17 @@
     }
 }
 
+/* Who was told that there is nothing new need not ask for it. */
+static void
+feed_end(RouteSync_t *this, guint64 offset, gint64 at_ms)
+{
+    KeyedPage_t page = {.records = g_ptr_array_new(), .end = offset};
+    this->feeding = TRUE;
+    RecordFollower_feed(this->follower, offset, &page, at_ms);
+    this->feeding = FALSE;
+    g_ptr_array_unref(page.records);
+}
+
 /* Only who has read to the same end knows that nothing newer existed. */
 static void
 on_fresh(void *owner, Member_t *from, guint64 offset, gint64 at_ms)
@@ -217,6 +241,7 @@
     guint64 known = RecordFollower_offset(this->follower);
     if (known == offset) {
         RouteTable_noteCurrent(this->spec.routes, at_ms);
+        feed_end(this, offset, at_ms);
     }
     else if (known > 0 && known < offset) {
         catch_up(this, from, known, offset);
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -14,9 +14,11 @@
 #define LISTED_PREFILL_US_PER_TOKEN 17.6
 
 /* One router after the other reads the list and tells its peers: the first
- * so soon after it was known, each further one so much later, so that it only
- * reads where those before it have told nothing. */
-#define READ_EVERY_MS 600
+ * so often in the time in which it must be known, but not more often than the
+ * least, each further one so much later, so that it only reads where those
+ * before it have told nothing. */
+#define READS_IN_TIME 3
+#define READ_LEAST_MS 600
 #define READ_STEP_MS 250
 /* Longest mean pause between tries of a router that others read for, while the
  * store fails: with 300 routers some 90 calls a second in place of 370. */
@@ -306,14 +308,15 @@
 static gint64
 pause_ms(const UpstreamListing_t *this)
 {
+    gint64 every_ms = MAX(this->spec.poll_ms / READS_IN_TIME, READ_LEAST_MS);
     if (!this->spec.membership) {
-        return MIN(READ_EVERY_MS, this->spec.poll_ms);
+        return MIN(every_ms, this->spec.poll_ms);
     }
     if (!Membership_isSettled(this->spec.membership)) {
         return this->spec.poll_ms;
     }
     gint64 rank = Membership_rank(this->spec.membership, RANK_KEY, NULL);
-    gint64 wanted = READ_EVERY_MS + rank * READ_STEP_MS;
+    gint64 wanted = every_ms + rank * READ_STEP_MS;
     return MIN(wanted, this->spec.poll_ms);
 }
 
