--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -440,10 +440,10 @@
 send_all_news(Gossip_t *this)
 {
     MemberNews_grow(this->news, this->settings->gossip_budget, GOSSIP_TICK_MS);
-    const GPtrArray *linked = MemberNews_linked(this->news);
+    const GPtrArray *linked = MemberTable_linked(this->table);
     for (guint i = linked->len; i > 0; i--) {
         send_news(this, g_ptr_array_index(linked, i - 1),
-                  i <= MEMBER_NEWS_FED);
+                  i <= MEMBER_TABLE_FED);
     }
 }
 
--- a/src/MemberNews.c
+++ b/src/MemberNews.c
@@ -1,7 +1,5 @@
 #include "MemberNews.h"
 
-#include <string.h>
-
 #include "Random.h"
 
 /* The allowance is that of so many seconds: a fact in full has 62 bytes, so
@@ -18,7 +16,6 @@
 struct MemberNews {
     MemberTable_t *table;
     GPtrArray *pending; /* Member_t, scratch of MemberNews_pending() */
-    GPtrArray *linked;  /* Member_t, scratch of MemberNews_linked() */
     guint64 newest;     /* place of the newest news */
     double allowance;   /* in bytes */
     gboolean begun;     /* the allowance was filled once */
@@ -30,7 +27,6 @@
     MemberNews_t *this = g_new0(MemberNews_t, 1);
     this->table = table;
     this->pending = g_ptr_array_new();
-    this->linked = g_ptr_array_new();
     return this;
 }
 
@@ -38,7 +34,6 @@
 MemberNews_destroy(MemberNews_t *this)
 {
     g_ptr_array_unref(this->pending);
-    g_ptr_array_unref(this->linked);
     g_free(this);
 }
 
@@ -64,36 +59,6 @@
     }
 }
 
-static guint
-own_place(const MemberNews_t *this)
-{
-    guint place = 0;
-    const GPtrArray *live = this->table->live;
-    while (place < live->len) {
-        const Member_t *member = g_ptr_array_index(live, place);
-        if (strcmp(member->name->str, this->table->self.name->str) > 0) {
-            break;
-        }
-        place++;
-    }
-    return place;
-}
-
-const GPtrArray *
-MemberNews_linked(MemberNews_t *this)
-{
-    const GPtrArray *live = this->table->live;
-    guint place = own_place(this);
-    g_ptr_array_set_size(this->linked, 0);
-    for (guint i = 0; i < live->len; i++) {
-        Member_t *member = g_ptr_array_index(live, (place + i) % live->len);
-        if (member->link) {
-            g_ptr_array_add(this->linked, member);
-        }
-    }
-    return this->linked;
-}
-
 /* Begins anywhere, or all that ask a seed would link the same ones. */
 static void
 pick_sample(MemberNews_t *this, const Member_t *peer)
--- a/src/MemberNews.h
+++ b/src/MemberNews.h
@@ -32,21 +32,6 @@
 /** MemberNews_note() - a router of the table, or this one, has news for all */
 void MemberNews_note(MemberNews_t *this, Member_t *member);
 
-/** MEMBER_NEWS_FED - links over which all news goes: two more than a router
- * makes, so that each is told by several others, and few enough for the
- * allowance: with 16 it was spent when 234 of 295 routers were known */
-#define MEMBER_NEWS_FED 8
-
-/**
- * MemberNews_linked() - the linked routers, those that are told all news first
- *
- * They stand in the order of names from this router on, so that the first
- * MEMBER_NEWS_FED stay the same while links do.
- *
- * Return: Member_t *, valid until the next call
- */
-const GPtrArray *MemberNews_linked(MemberNews_t *this);
-
 /**
  * MemberNews_pending() - what a linked router is to be told now
  * @fed: whether it is told all news
--- a/src/MemberTable.c
+++ b/src/MemberTable.c
@@ -6,6 +6,10 @@
 #include "Clock.h"
 #include "Log.h"
 
+/* Of those that are told all news, so many are of the own hall where there
+ * are as many: a message between halls costs more than one within a hall. */
+#define FED_OF_HALL 5
+
 static void
 Member_destroy(gpointer data)
 {
@@ -49,6 +53,7 @@
     this->by_name =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, Member_destroy);
     this->live = g_ptr_array_new();
+    this->linked = g_ptr_array_new();
     return this;
 }
 
@@ -56,6 +61,7 @@
 MemberTable_destroy(MemberTable_t *this)
 {
     g_ptr_array_unref(this->live);
+    g_ptr_array_unref(this->linked);
     g_hash_table_destroy(this->by_name);
     g_string_free(this->self.name, TRUE);
     g_string_free(this->self.hall, TRUE);
@@ -122,6 +128,65 @@
     }
 }
 
+static guint
+own_place(const MemberTable_t *this)
+{
+    guint place = 0;
+    while (place < this->live->len) {
+        const Member_t *member = g_ptr_array_index(this->live, place);
+        if (strcmp(member->name->str, this->self.name->str) > 0) {
+            break;
+        }
+        place++;
+    }
+    return place;
+}
+
+gboolean
+MemberTable_isOfHall(const MemberTable_t *this, const Member_t *member)
+{
+    return g_string_equal(member->hall, this->self.hall);
+}
+
+/* Linked ones from a place on, of the own hall or of others. */
+static void
+add_linked(const MemberTable_t *this, guint place, gboolean of_hall)
+{
+    for (guint i = 0; i < this->live->len; i++) {
+        Member_t *member =
+            g_ptr_array_index(this->live, (place + i) % this->live->len);
+        if (member->link && MemberTable_isOfHall(this, member) == of_hall) {
+            g_ptr_array_add(this->linked, member);
+        }
+    }
+}
+
+/* The first of other halls come before the last of the own one. */
+static void
+mix_halls(const MemberTable_t *this, guint of_hall)
+{
+    gpointer *list = this->linked->pdata;
+    guint far = this->linked->len - of_hall;
+    guint swapped = MIN(far, MEMBER_TABLE_FED - FED_OF_HALL);
+    for (guint i = 0; i < swapped && FED_OF_HALL + i < of_hall; i++) {
+        gpointer held = list[FED_OF_HALL + i];
+        list[FED_OF_HALL + i] = list[of_hall + i];
+        list[of_hall + i] = held;
+    }
+}
+
+const GPtrArray *
+MemberTable_linked(MemberTable_t *this)
+{
+    guint place = own_place(this);
+    g_ptr_array_set_size(this->linked, 0);
+    add_linked(this, place, TRUE);
+    guint of_hall = this->linked->len;
+    add_linked(this, place, FALSE);
+    mix_halls(this, of_hall);
+    return this->linked;
+}
+
 guint
 MemberTable_links(const MemberTable_t *this)
 {
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -51,11 +51,13 @@
  * @self: this one
  * @by_name: name to Member_t of all others
  * @live: the same, Member_t by name
+ * @linked: scratch of MemberTable_linked()
  */
 typedef struct {
     Member_t self;
     GHashTable *by_name;
     GPtrArray *live;
+    GPtrArray *linked;
 } MemberTable_t;
 
 /** MemberTable_create() - only this router */
@@ -78,6 +80,28 @@
 /** MemberTable_expire() - forget who was not heard of for so long */
 void MemberTable_expire(MemberTable_t *this, gint64 silence_ms);
 
+/** MEMBER_TABLE_FED - linked routers that are told all news where not all are
+ * linked with all: two more than a router makes links, so that each is told by
+ * several others. With 16 the allowance for a start was spent when 234 of 295
+ * routers were known */
+#define MEMBER_TABLE_FED 8
+
+/**
+ * MemberTable_linked() - the linked routers, those that are told all news
+ * first
+ *
+ * Some of these are of this router's hall as far as there are any, and some
+ * of others, so that news crosses between halls over few links. In the order
+ * of names from this router on, they stay the same while links do.
+ *
+ * Return: Member_t *, valid until the next call
+ */
+const GPtrArray *MemberTable_linked(MemberTable_t *this);
+
+/** MemberTable_isOfHall() - whether a router stands in this one's hall */
+gboolean MemberTable_isOfHall(const MemberTable_t *this,
+                              const Member_t *member);
+
 /** MemberTable_links() - open links */
 guint MemberTable_links(const MemberTable_t *this);
 
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -16,6 +16,8 @@
 #define HEARTBEATS_MISSED 10
 /* Links where there are too many routers for all. */
 #define LINKS_WANTED 6
+/* Of these, in the own hall. */
+#define LINKS_OF_HALL 4
 /* Until others are known, links to them are looked for in each turn, for so
  * long from the start at the most: one that refuses must not be asked often.
  */
@@ -114,23 +116,52 @@
     this->seeds_ms = 0;
 }
 
-/* With few members all are linked, with many a few, drawn by chance. */
+static guint
+links_of_hall(const Membership_t *this)
+{
+    guint links = 0;
+    for (guint i = 0; i < this->table->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->table->live, i);
+        gboolean near = MemberTable_isOfHall(this->table, member);
+        links += member->link && near ? 1 : 0;
+    }
+    return links;
+}
+
+/* With few members all are linked, with many a few, drawn by chance; returns
+ * how many links were begun. */
+static guint
+add_links(Membership_t *this, guint most, gboolean of_hall_only)
+{
+    const GPtrArray *live = this->table->live;
+    guint start = live->len > 0 ? Random_below(live->len) : 0;
+    guint begun = 0;
+    for (guint i = 0; i < live->len && begun < most; i++) {
+        Member_t *member = g_ptr_array_index(live, (start + i) % live->len);
+        gboolean fits =
+            !of_hall_only || MemberTable_isOfHall(this->table, member);
+        if (fits && !member->link && member->address.port != 0) {
+            connect_to(this, &member->address);
+            begun++;
+        }
+    }
+    return begun;
+}
+
+/* Most links stay in the own hall, so that news seldom crosses to another. */
 static void
 keep_links(Membership_t *this)
 {
+    guint links = MemberTable_links(this->table) + this->unknown->len;
     guint wanted =
         Gossip_isMesh(this->gossip) ? this->table->live->len : LINKS_WANTED;
-    guint links = MemberTable_links(this->table) + this->unknown->len;
-    guint start =
-        this->table->live->len > 0 ? Random_below(this->table->live->len) : 0;
-    for (guint i = 0; i < this->table->live->len && links < wanted; i++) {
-        Member_t *member = g_ptr_array_index(
-            this->table->live, (start + i) % this->table->live->len);
-        if (!member->link && member->address.port != 0) {
-            connect_to(this, &member->address);
-            links++;
-        }
+    if (links >= wanted) {
+        return;
     }
+    guint near = links_of_hall(this) + this->unknown->len;
+    guint missing = LINKS_OF_HALL - MIN(near, LINKS_OF_HALL);
+    links += add_links(this, MIN(wanted - links, missing), TRUE);
+    add_links(this, wanted - MIN(links, wanted), FALSE);
 }
 
 static void
@@ -479,8 +510,9 @@
 void
 Membership_sendAll(Membership_t *this, const Wt__PeerMessage *message)
 {
-    const GPtrArray *live = this->table->live;
-    for (guint i = 0; i < live->len; i++) {
-        Membership_send(this, g_ptr_array_index(live, i), message);
+    const GPtrArray *linked = MemberTable_linked(this->table);
+    guint most = Membership_isMesh(this) ? linked->len : MEMBER_TABLE_FED;
+    for (guint i = 0; i < MIN(linked->len, most); i++) {
+        Membership_send(this, g_ptr_array_index(linked, i), message);
     }
 }
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -112,7 +112,8 @@
 gboolean Membership_send(Membership_t *this, Member_t *member,
                          const Wt__PeerMessage *message);
 
-/** Membership_sendAll() - send to all members that are linked */
+/** Membership_sendAll() - send to all members that are linked where all are
+ * linked with all, else to as many as pass news on to everyone */
 void Membership_sendAll(Membership_t *this, const Wt__PeerMessage *message);
 
 #endif
--- a/tests/test_Membership.c
+++ b/tests/test_Membership.c
@@ -68,5 +68,61 @@
 }
 END_TEST
 
+#define HALLS 6
+#define OF_HALL 20
+#define NEAR_LEAST 5
+#define FAR_LEAST 3
+
+/* Any pointer that is no NULL: links are compared with it alone. */
+static PeerLink_t *const some_link = (PeerLink_t *)&routers;
+
+static MemberTable_t *
+make_table(void)
+{
+    MemberTable_t *table = MemberTable_create("r50", "h0", 1);
+    for (guint i = 0; i < HALLS * OF_HALL; i++) {
+        g_autofree char *name = g_strdup_printf("r%u", 100 + i);
+        Member_t *member = MemberTable_findOrMake(table, name);
+        g_string_printf(member->hall, "h%u", i % HALLS);
+        member->link = some_link;
+    }
+    return table;
+}
+
+static void
+free_table(MemberTable_t *table)
+{
+    for (guint i = 0; i < table->live->len; i++) {
+        ((Member_t *)g_ptr_array_index(table->live, i))->link = NULL;
+    }
+    MemberTable_destroy(table);
+}
+
+static guint
+near_fed(MemberTable_t *table)
+{
+    const GPtrArray *linked = MemberTable_linked(table);
+    guint near = 0;
+    for (guint i = 0; i < MIN(linked->len, MEMBER_TABLE_FED); i++) {
+        near += MemberTable_isOfHall(table, g_ptr_array_index(linked, i));
+    }
+    return near;
+}
+
+/* News that crosses between halls costs more, but must cross. */
+START_TEST(most_that_are_told_news_are_of_the_own_hall)
+{
+    MemberTable_t *table = make_table();
+    ck_assert_uint_ge(near_fed(table), NEAR_LEAST);
+    ck_assert_uint_le(near_fed(table), MEMBER_TABLE_FED - FAR_LEAST);
+    ck_assert_uint_eq(MemberTable_linked(table)->len, HALLS * OF_HALL);
+    g_string_assign(table->self.hall, "elsewhere");
+    ck_assert_uint_eq(near_fed(table), 0);
+    ck_assert_uint_eq(MemberTable_linked(table)->len, HALLS * OF_HALL);
+    free_table(table);
+}
+END_TEST
+
 TESTING_MAIN("Membership", routers_that_are_linked_know_where_the_other_one_is,
-             routers_that_start_at_once_know_each_other_soon)
+             routers_that_start_at_once_know_each_other_soon,
+             most_that_are_told_news_are_of_the_own_hall)
