Replay: words and widths

Cause: the linter's widening checks, and "dark" where the project says silent. Change: names of the replay's keys; casts before multiplying.

--- a/bench/Replay.c
+++ b/bench/Replay.c
@@ -37,9 +37,9 @@
     EVENT_BEGUN,
     EVENT_ENDED,
     EVENT_DEADLINE,
-    EVENT_DARK,
-    EVENT_KNOWN_DARK,
-    EVENT_LIGHT,
+    EVENT_SILENT,
+    EVENT_NOTICED,
+    EVENT_SPEAKS,
 } EventKind_t;
 
 typedef struct {
@@ -73,7 +73,7 @@
     ReplayEngine_t *model;
     Upstream_t *upstream;
     gboolean stepping;
-    gboolean dark;
+    gboolean silent;
 } Engine_t;
 
 typedef struct {
@@ -321,7 +321,7 @@
 wake(Replay_t *this, guint which)
 {
     Engine_t *engine = engine_at(this, which);
-    if (engine->stepping || engine->dark ||
+    if (engine->stepping || engine->silent ||
         ReplayEngine_isIdle(engine->model)) {
         return;
     }
@@ -546,7 +546,7 @@
 {
     Engine_t *engine = engine_at(this, which);
     engine->stepping = FALSE;
-    if (!engine->dark) {
+    if (!engine->silent) {
         ReplayEngine_finish(engine->model, this->now_us);
         wake(this, which);
     }
@@ -591,15 +591,15 @@
     case EVENT_DEADLINE:
         on_deadline(this, event->which);
         break;
-    case EVENT_DARK:
-        engine_at(this, event->which)->dark = TRUE;
+    case EVENT_SILENT:
+        engine_at(this, event->which)->silent = TRUE;
         break;
-    case EVENT_KNOWN_DARK:
+    case EVENT_NOTICED:
         set_suspect(this, event->which, TRUE);
         send_elsewhere(this, event->which);
         break;
-    case EVENT_LIGHT:
-        engine_at(this, event->which)->dark = FALSE;
+    case EVENT_SPEAKS:
+        engine_at(this, event->which)->silent = FALSE;
         set_suspect(this, event->which, FALSE);
         wake(this, event->which);
         break;
@@ -607,19 +607,19 @@
 }
 
 static void
-add_dark(Replay_t *this, guint which)
+add_silence(Replay_t *this, guint which)
 {
     const ReplayFleet_t *fleet = &this->spec->fleet;
-    gint64 from_us = BEGIN_US + fleet->dark_from_ms * CLOCK_US_PER_MS;
-    gint64 until_us = BEGIN_US + fleet->dark_until_ms * CLOCK_US_PER_MS;
+    gint64 from_us = BEGIN_US + fleet->silent_from_ms * CLOCK_US_PER_MS;
+    gint64 until_us = BEGIN_US + fleet->silent_until_ms * CLOCK_US_PER_MS;
     if (until_us <= from_us ||
-        g_rand_int_range(this->random, 0, 100) >= fleet->dark_percent) {
+        g_rand_int_range(this->random, 0, 100) >= fleet->silent_percent) {
         return;
     }
-    add_event(this, from_us, EVENT_DARK, which);
-    add_event(this, from_us + fleet->silence_ms * CLOCK_US_PER_MS,
-              EVENT_KNOWN_DARK, which);
-    add_event(this, until_us, EVENT_LIGHT, which);
+    add_event(this, from_us, EVENT_SILENT, which);
+    add_event(this, from_us + fleet->noticed_ms * CLOCK_US_PER_MS,
+              EVENT_NOTICED, which);
+    add_event(this, until_us, EVENT_SPEAKS, which);
 }
 
 static Upstream_t *
@@ -657,7 +657,7 @@
         g_ptr_array_add(this->serving, engine.upstream);
         g_hash_table_insert(this->by_upstream, engine.upstream,
                             GUINT_TO_POINTER(i));
-        add_dark(this, i);
+        add_silence(this, i);
     }
 }
 
--- a/bench/ReplayEngine.c
+++ b/bench/ReplayEngine.c
@@ -188,7 +188,7 @@
     this->read_tokens += tokens;
     return this->fleet->step_us +
            this->fleet->step_run_us * this->running->len +
-           tokens * CLOCK_US_PER_MS / this->fleet->prompt_tokens_ms;
+           (gint64)tokens * CLOCK_US_PER_MS / this->fleet->prompt_tokens_ms;
 }
 
 static void
--- a/bench/ReplaySpec.c
+++ b/bench/ReplaySpec.c
@@ -7,7 +7,7 @@
 #include "KeyTable.h"
 #include "Problem.h"
 
-#define MINUTES_MS (10 * 60 * 1000)
+#define MINUTES_MS 600000
 #define KIND_PREFIX "kind-"
 
 #define F(member) offsetof(ReplayFleet_t, member)
@@ -40,14 +40,14 @@
      "Copies of that store."},
     {"news", KEY_DURATION, FALSE, "3ms", 0, 10000, NULL, F(news_ms),
      "Until a dispatcher hears what became of a request."},
-    {"dark_percent", KEY_INTEGER, FALSE, "0", 0, 99, NULL, F(dark_percent),
+    {"silent_percent", KEY_INTEGER, FALSE, "0", 0, 99, NULL, F(silent_percent),
      "So many of 100 engines say nothing for a while."},
-    {"dark_from", KEY_DURATION, FALSE, "0s", 0, MINUTES_MS, NULL,
-     F(dark_from_ms), "Since when."},
-    {"dark_until", KEY_DURATION, FALSE, "0s", 0, MINUTES_MS, NULL,
-     F(dark_until_ms), "Until when."},
-    {"silence", KEY_DURATION, FALSE, "500ms", 0, MINUTES_MS, NULL,
-     F(silence_ms), "After which that is known."},
+    {"silent_from", KEY_DURATION, FALSE, "0s", 0, MINUTES_MS, NULL,
+     F(silent_from_ms), "Since when."},
+    {"silent_until", KEY_DURATION, FALSE, "0s", 0, MINUTES_MS, NULL,
+     F(silent_until_ms), "Until when."},
+    {"noticed_after", KEY_DURATION, FALSE, "500ms", 0, MINUTES_MS, NULL,
+     F(noticed_ms), "After which that is known."},
     {NULL},
 };
 #undef F
--- a/bench/ReplaySpec.h
+++ b/bench/ReplaySpec.h
@@ -28,10 +28,10 @@
  * @store_us: the same from the store of prefixes; 0 where there is none
  * @stores: copies of the store, each of which keeps its share of the prefixes
  * @news_ms: until a dispatcher hears what became of a request
- * @dark_percent: of the engines that say nothing
- * @dark_from_ms: since when
- * @dark_until_ms: until when
- * @silence_ms: after which an engine is known to say nothing
+ * @silent_percent: of the engines that say nothing
+ * @silent_from_ms: since when
+ * @silent_until_ms: until when
+ * @noticed_ms: after which an engine is known to say nothing
  */
 typedef struct {
     gint64 seed;
@@ -48,10 +48,10 @@
     gint64 store_us;
     gint64 stores;
     gint64 news_ms;
-    gint64 dark_percent;
-    gint64 dark_from_ms;
-    gint64 dark_until_ms;
-    gint64 silence_ms;
+    gint64 silent_percent;
+    gint64 silent_from_ms;
+    gint64 silent_until_ms;
+    gint64 noticed_ms;
 } ReplayFleet_t;
 
 /**
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -293,7 +293,7 @@
                     (double)upstream->others_tokens +
                     (double)upstream->ticket_tokens;
     return (gint64)(tokens * upstream->prefill_us_per_token) +
-           RUNNING_COST_US * Upstream_requests(upstream);
+           (gint64)RUNNING_COST_US * Upstream_requests(upstream);
 }
 
 /* Until it is taken into the batch: as the slots say, or as first tokens have
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -202,7 +202,8 @@
     const Upstream_t *sample =
         find_sample(this, (UpstreamRole_t)entry->spec.role,
                     g_ptr_array_index(entry->spec.serves, 0));
-    return sample ? sample->prefill_us_per_token : UNKNOWN_PREFILL_US_PER_TOKEN;
+    return sample ? sample->prefill_us_per_token
+                  : UNKNOWN_PREFILL_US_PER_TOKEN;
 }
 
 static void
--- a/tests/test_Replay.c
+++ b/tests/test_Replay.c
@@ -12,7 +12,7 @@
     "[fleet]\nduration = 8s\nengines = 48\ngroups = 4\nslots = 16\n"          \
     "cache_tokens = 90597\nprompt_tokens_ms = 57\nstep_us = 3090\n"           \
     "step_run_us = 102\nmove_us = 8000\nstore_us = 15000\nstores = 3\n"       \
-    "dark_percent = 25\ndark_from = 2s\ndark_until = 8s\n"                    \
+    "silent_percent = 25\nsilent_from = 2s\nsilent_until = 8s\n"              \
     "[kind-1]\nrate = 294\nprefixes = 520\nshared_tokens = 6300\n"            \
     "own_tokens = 2890\nout_tokens = 52\nobjective = 600ms\n"                 \
     "pause = 600ms\ndeadline = 4s\n"                                          \
