Nothing is sent once an attempt was given up as not sent

A call that may run only once took as long to connect as connect_timeout allows; the attempt ended as not sent and the call went elsewhere. Its connection is freed in a later turn of the loop, and where it comes up in that turn evhttp writes the request first. Ruled out: a second send after a refusal (the first instance ran it), a kept connection (its request is written at once and counts as sent). Change: a connection that is given up before anything was sent loses its callbacks, so that nothing is written when it comes up. Before: test_AttemptConnection receives 19 bytes; after: the connection's end. Calls to the store and orders were looked at for the same: their answers that do not come count as unknown, not as not sent.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -115,6 +115,15 @@
     }
 }
 
+/* The connection is freed in a later turn of the loop, in which it may come
+ * up: evhttp would write the request then, though it counts as not sent and
+ * may be under way elsewhere. */
+static void
+forbid_sending(AttemptConnection_t *this)
+{
+    bufferevent_setcb(AttemptConnection_stream(this), NULL, NULL, NULL, NULL);
+}
+
 gboolean
 AttemptConnection_close(AttemptConnection_t *this)
 {
@@ -122,6 +131,9 @@
         return FALSE;
     }
     this->over = TRUE;
+    if (!this->sent) {
+        forbid_sending(this);
+    }
     evtimer_del(this->watch);
     Clock_arm(this->reaper, 0);
     return TRUE;
