Back to a speed that is taken for an engine until it is known

Cause: with no speed at all, a request behind a prompt of 60,000 tokens at an engine that has not yet shown its speed waited until its deadline (504) where it was refused at once before: test_what_would_be_late_is_refused_at_once failed, each time, in a whole run. What can't be served must be refused at once, so that this test stands.

--- a/src/EngineSpeed.c
+++ b/src/EngineSpeed.c
@@ -37,10 +37,6 @@
         return;
     }
     double seen_us = CLAMP((double)waited_us / tokens, LEAST_US, MOST_US);
-    if (this->us_per_token <= 0) {
-        this->us_per_token = seen_us;
-        return;
-    }
     double step = step_of(this);
     double share = seen_us < this->us_per_token ? QUANTILE - 1 : QUANTILE;
     this->us_per_token *= 1 + step * share;
--- a/src/PrefixSupply.c
+++ b/src/PrefixSupply.c
@@ -215,9 +215,8 @@
         (store->kind != SUPPLY_UNKNOWN && cost_us(store) < cost_us(engine))) {
         best = store;
     }
-    gint64 compute_us = PrefixSupply_computeUs(placement, to);
-    if (best->kind != SUPPLY_UNKNOWN && compute_us > 0 &&
-        cost_us(best) > compute_us) {
+    if (best->kind != SUPPLY_UNKNOWN &&
+        cost_us(best) > PrefixSupply_computeUs(placement, to)) {
         return (Supply_t){.kind = SUPPLY_COMPUTED};
     }
     return *best;
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -37,7 +37,7 @@
  * @reported_tokens: prompt tokens that it last said were waiting
  * @reported_running: streams that it last said were running
  * @reported_at_ms: when it said so
- * @prefill_us_per_token: learned time for one prompt token, 0 for unknown
+ * @prefill_us_per_token: learned time for one prompt token
  * @failures: in a row
  * @ejections: in a row, each longer than the one before
  * @ejected_until_ms: gets no work before, but for one probe after
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -9,9 +9,9 @@
 #include "RecordRelay.h"
 
 /* Time for one prompt token on an engine that does not report it, until first
- * tokens have shown it. Any figure would be that of one fleet: to overrate an
- * engine costs a wait, and to underrate it a refusal. */
-#define UNKNOWN_PREFILL_US_PER_TOKEN 0
+ * tokens have shown it: that of a fast engine, as to overrate it costs a wait,
+ * and to underrate it a refusal. */
+#define LISTED_PREFILL_US_PER_TOKEN 17.6
 
 /* One router after the other reads the list and tells its peers: the first
  * so often in the time in which it must be known, but not more often than the
@@ -197,13 +197,12 @@
 expected_speed(const UpstreamListing_t *this, const ListedUpstream_t *entry)
 {
     if (entry->spec.serves->len == 0) {
-        return UNKNOWN_PREFILL_US_PER_TOKEN;
+        return LISTED_PREFILL_US_PER_TOKEN;
     }
     const Upstream_t *sample =
         find_sample(this, (UpstreamRole_t)entry->spec.role,
                     g_ptr_array_index(entry->spec.serves, 0));
-    return sample ? sample->prefill_us_per_token
-                  : UNKNOWN_PREFILL_US_PER_TOKEN;
+    return sample ? sample->prefill_us_per_token : LISTED_PREFILL_US_PER_TOKEN;
 }
 
 static void
