Fewer calls of routers that are untold or wait for the store

Change: a turn is a share of a span that grows with the routers known now; a reader whose knowledge is old reads without a hold; who is read for begins its retries at an eighth of its longest pause (400 ms).

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -11,6 +11,9 @@
  * a herd of routers that starts at once must not outrun the store's rate. */
 #define FIRST_RETRY_MS 100
 #define RETRY_MOST_MS 800
+/* Who may pause for longer begins with longer pauses: of the longest one, and
+ * not below the first. */
+#define RETRY_PARTS 8
 /* Enough for any longest pause, and few enough to shift by. */
 #define RETRY_DOUBLINGS_MOST 20
 /* The same end of a topic, told by several peers, has ages that differ by the
@@ -192,7 +195,9 @@
         }
     }
     guint doublings = MIN(this->failures - 1, RETRY_DOUBLINGS_MOST);
-    gint64 most = MIN(FIRST_RETRY_MS << doublings, this->retry_most_ms);
+    gint64 least = this->retry_most_ms / RETRY_PARTS;
+    gint64 most =
+        CLAMP(FIRST_RETRY_MS << doublings, least, this->retry_most_ms);
     gint64 pause_ms = most / 2 + Random_below((guint32)most);
     /* What peers have told is as good as an answer. */
     Clock_arm(this->timer, MAX(pause_ms, pause_left_ms(this)));
@@ -272,8 +277,11 @@
                           this);
         return;
     }
-    /* After a failure the answer must come at once, to tell of the return. */
-    gint64 wait_ms = this->failures > 0 ? 0 : this->spec.wait_ms;
+    /* After a failure the answer must come at once, to tell of the return, and
+     * where the end was not known for long, as others wait for it. */
+    gint64 age_ms = this->sent_ms - this->current_ms;
+    gboolean now = this->failures > 0 || age_ms > 2 * this->spec.wait_ms;
+    gint64 wait_ms = now ? 0 : this->spec.wait_ms;
     RecordSource_read(this->spec.source, this->topic->str, this->next, wait_ms,
                       on_page, this);
 }
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -26,6 +26,8 @@
  * then need not ask. The most leaves a second of the usual limit on age. */
 #define UNTOLD_SPREAD_MS 10
 #define UNTOLD_SPREAD_MOST_MS 1000
+/* Turns that are told apart when one is drawn. */
+#define TURNS 1000
 /* Who is behind the others asks the store not more often than this. */
 #define ASK_BEHIND_MS 400
 /* Who is behind asks peers for so long before it asks the store: a router
@@ -46,7 +48,7 @@
     gint64 pulled_ms;
     guint64 ahead;    /* largest end that peers have told of */
     gint64 behind_ms; /* since when less is known here; 0 where it is not */
-    gint64 spread_ms; /* drawn for the next time that peers are silent */
+    double turn;      /* from 0 to 1, when it asks of those that are untold */
     gboolean current; /* all that was there at the start has been read */
     gboolean feeding; /* what is told now comes from a peer */
 };
@@ -255,25 +257,32 @@
     .current = on_current,
 };
 
+/* By the routers that are known now: at a start they are not yet. */
 static gint64
-draw_spread(const RouteSync_t *this)
+spread_ms(const RouteSync_t *this)
 {
     gint64 routers = Membership_live(this->spec.membership);
     gint64 most_ms = MIN(routers * UNTOLD_SPREAD_MS, UNTOLD_SPREAD_MOST_MS);
-    return Random_below((guint32)most_ms);
+    return (gint64)(this->turn * (double)most_ms);
+}
+
+static void
+draw_turn(RouteSync_t *this)
+{
+    this->turn = (double)Random_below(TURNS) / TURNS;
 }
 
 static void
 ask_untold(RouteSync_t *this)
 {
+    gint64 most_ms = UNTOLD_MS + spread_ms(this);
+    if (RouteTable_isFresh(this->spec.routes, most_ms)) {
+        return;
+    }
     guint doublings =
         MIN(RecordFollower_unanswered(this->follower), ASK_DOUBLINGS);
-    if (!RouteTable_isFresh(this->spec.routes, UNTOLD_MS + this->spread_ms)) {
-        ask_store(this, ASK_EVERY_MS << doublings, STORE_UNTOLD);
-    }
-    else if (RouteTable_isFresh(this->spec.routes, UNTOLD_MS)) {
-        this->spread_ms = draw_spread(this);
-    }
+    ask_store(this, ASK_EVERY_MS << doublings, STORE_UNTOLD);
+    draw_turn(this);
 }
 
 static void
@@ -310,6 +319,7 @@
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
     this->tick = Clock_timer(base, on_tick, this);
+    draw_turn(this);
     Clock_arm(this->tick, TICK_MS);
     return this;
 }
