--- a/src/MemberNews.h
+++ b/src/MemberNews.h
@@ -9,8 +9,8 @@
  * for all, and place requests for the same engines without knowing of each
  * other. News goes once over each link, in order, and a new link gets all of
  * it; what is sent so reaches everyone over any path. Facts sent at random
- * take a multiple of that (ten routers in a hundred were known after 14 s to
- * 300 that started at once, by their log lines).
+ * take a multiple of that (to 295 routers that started at once 83 of 294
+ * others were known after 14 s, the mean of the log lines of 43).
  *
  * Limits: what one router sends is bounded by an allowance that is saved up
  * while there is little news, as a start needs the facts of all others over
