--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -12,9 +12,9 @@
 #include <time.h>
 
 #include "ConfigStore.h"
-#include "CustomerLimits.h"
 #include "Policies.h"
 #include "Random.h"
+#include "RateBook.h"
 #include "Residency.h"
 #include "Salt.h"
 #include "Trace.h"
@@ -107,19 +107,20 @@
 static void
 measure_usage(void)
 {
-    CustomerLimits_t *limits = CustomerLimits_create();
-    Customer_t spec = {.rate = 100, .burst = 100, .concurrency = 100};
-    Refusal_t refusal = REFUSAL_COUNT;
+    RateBook_t *book = RateBook_create();
+    RateClaim_t claim = {.limit = {.per_s = 100, .burst = 100}, .units = 1};
     size_t before = memory();
     double began = cpu_us();
     for (guint i = 0; i < CUSTOMERS; i++) {
         g_autofree char *name = g_strdup_printf("customer-%u", i);
-        CustomerLimits_enter(limits, name, &spec, 0, &refusal);
+        claim.customer = name;
+        claim.from = i + 1;
+        RateBook_rule(book, &claim, 0);
     }
-    report("usage of an active customer",
+    report("count of a customer's limit",
            (double)(memory() - before) / CUSTOMERS, "bytes");
-    report("admitting one request", (cpu_us() - began) / CUSTOMERS, "us");
-    CustomerLimits_destroy(limits);
+    report("ruling on one request", (cpu_us() - began) / CUSTOMERS, "us");
+    RateBook_destroy(book);
 }
 
 static GPtrArray *
--- a/src/Answer.c
+++ b/src/Answer.c
@@ -316,10 +316,9 @@
 }
 
 static void
-break_off(Answer_t *this, Refusal_t refusal, RunState_t run,
-          const char *detail)
+break_off(Answer_t *this, const RefusalNotice_t *notice)
 {
-    GString *body = Refusal_body(refusal, run, detail);
+    GString *body = Refusal_body(notice->refusal, notice->run, notice->detail);
     g_string_append_printf(this->line, "event: error\ndata: %s\n\n",
                            body->str);
     g_string_free(body, TRUE);
@@ -334,18 +333,16 @@
 }
 
 void
-Answer_refuse(Answer_t *this, Refusal_t refusal, RunState_t run,
-              const char *detail)
+Answer_refuse(Answer_t *this, const RefusalNotice_t *notice)
 {
     if (!CallerWatch_request(this->watch)) {
         return;
     }
     if (this->begun) {
-        break_off(this, refusal, run, detail);
+        break_off(this, notice);
         return;
     }
-    Http_refuse(CallerWatch_end(this->watch), this->id->str, refusal, run,
-                detail);
+    Http_refuse(CallerWatch_end(this->watch), this->id->str, notice);
 }
 
 gboolean
@@ -355,19 +352,20 @@
 }
 
 void
-Http_refuse(struct evhttp_request *request, const char *id, Refusal_t refusal,
-            RunState_t run, const char *detail)
+Http_refuse(struct evhttp_request *request, const char *id,
+            const RefusalNotice_t *notice)
 {
-    const RefusalSpec_t *spec = Refusal_spec(refusal);
+    const RefusalSpec_t *spec = Refusal_spec(notice->refusal);
+    guint retry_after_ms = Refusal_retryAfterMs(notice);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", "application/json");
     evhttp_add_header(headers, "X-Request-Id", id);
-    if (spec->retry_after_ms > 0) {
+    if (retry_after_ms > 0) {
         g_autofree char *wait =
-            g_strdup_printf("%u", (spec->retry_after_ms + 999) / 1000);
+            g_strdup_printf("%u", (retry_after_ms + 999) / 1000);
         evhttp_add_header(headers, "Retry-After", wait);
     }
-    GString *text = Refusal_body(refusal, run, detail);
+    GString *text = Refusal_body(notice->refusal, notice->run, notice->detail);
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, text->str, text->len);
     PendingReply_watch(request);
--- a/src/Answer.h
+++ b/src/Answer.h
@@ -80,8 +80,7 @@
  * Where tokens were written already, an error event follows them and the
  * transfer is broken off, so that it can't be taken for whole.
  */
-void Answer_refuse(Answer_t *this, Refusal_t refusal, RunState_t run,
-                   const char *detail);
+void Answer_refuse(Answer_t *this, const RefusalNotice_t *notice);
 
 /** Answer_isFull() - whether the caller has to catch up first */
 gboolean Answer_isFull(const Answer_t *this);
@@ -91,6 +90,6 @@
  * @id: the request's id
  */
 void Http_refuse(struct evhttp_request *request, const char *id,
-                 Refusal_t refusal, RunState_t run, const char *detail);
+                 const RefusalNotice_t *notice);
 
 #endif
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -61,7 +61,8 @@
     }
     Context_countRefusal(call->context, refusal, RUN_NOT, call->id, "none",
                          customer_class, detail);
-    Http_refuse(call->http, call->id, refusal, RUN_NOT, detail);
+    RefusalNotice_t notice = {refusal, RUN_NOT, detail, 0};
+    Http_refuse(call->http, call->id, &notice);
 }
 
 static const char *
@@ -147,13 +148,13 @@
 static gboolean
 enter_limits(Call_t *call)
 {
-    Refusal_t refusal = REFUSAL_RATE_LIMITED;
     const Object_t *customer = call->caller.customer;
+    const Customer_t *spec = customer->spec;
     if (CustomerLimits_enter(call->context->limits, customer->name->str,
-                             customer->spec, Clock_nowMs(), &refusal)) {
+                             (guint)spec->concurrency)) {
         return TRUE;
     }
-    refuse(call, refusal, NULL);
+    refuse(call, REFUSAL_CONCURRENCY_LIMITED, NULL);
     return FALSE;
 }
 
--- a/src/Clock.h
+++ b/src/Clock.h
@@ -10,6 +10,8 @@
 
 /** Microseconds of a millisecond */
 #define CLOCK_US_PER_MS 1000
+/** Milliseconds of a second */
+#define CLOCK_MS_PER_S 1000
 
 /** Clock_nowUs() - monotonic microseconds */
 gint64 Clock_nowUs(void);
--- a/src/Context.c
+++ b/src/Context.c
@@ -2,6 +2,22 @@
 
 #include "Log.h"
 
+RateRequest_t
+Caller_rate(const Caller_t *caller, const char *customer, double tokens)
+{
+    const Customer_t *spec = caller->customer->spec;
+    RateRequest_t rate = {
+        .customer = customer,
+        .limit = {(double)spec->rate, (double)spec->burst,
+                  caller->customer->revision},
+        .units = 1,
+    };
+    if (spec->unit == LIMIT_TOKENS) {
+        rate.units = tokens > 0 ? tokens : (double)spec->plain_tokens;
+    }
+    return rate;
+}
+
 void
 Context_countRefusal(Context_t *this, Refusal_t refusal, RunState_t run,
                      const char *request, const char *target,
--- a/src/Context.h
+++ b/src/Context.h
@@ -20,7 +20,10 @@
 #include "Membership.h"
 #include "NamedWeights.h"
 #include "PauseGuard.h"
+#include "PeerDatagrams.h"
 #include "Policy.h"
+#include "RateLimits.h"
+#include "Refusal.h"
 #include "RetryBudget.h"
 #include "RouteTable.h"
 #include "Settings.h"
@@ -52,11 +55,13 @@
  * @config: the declarations in force
  * @config_log: where they are kept; NULL where the platform's form has routes
  * @membership: the other routers
+ * @datagrams: to the other routers; NULL where the port can't be had
  * @claims: of keys; NULL where the platform's form has routes
  * @upstreams: declared or listed
  * @policy: by which engines are chosen
  * @service_policy: by which plain services' instances are chosen
- * @limits: of customers
+ * @limits: of customers' open requests
+ * @rates: of customers' limits
  * @budget: of retries
  * @traces: of recent requests
  * @turn_end: what is done at the end of a turn of the loop
@@ -83,11 +88,13 @@
     ConfigStore_t *config;
     ConfigLog_t *config_log;
     Membership_t *membership;
+    PeerDatagrams_t *datagrams;
     Claims_t *claims;
     UpstreamSet_t *upstreams;
     Policy_t *policy;
     Policy_t *service_policy;
     CustomerLimits_t *limits;
+    RateLimits_t *rates;
     RetryBudget_t *budget;
     Traces_t *traces;
     TurnEnd_t *turn_end;
@@ -113,6 +120,14 @@
     const char *key;
 } Caller_t;
 
+/**
+ * Caller_rate() - what a request takes of its customer's limit
+ * @customer: name of the customer; must live as long as what is returned
+ * @tokens: of its prompt and the most of its answer; 0 for a plain service
+ */
+RateRequest_t Caller_rate(const Caller_t *caller, const char *customer,
+                          double tokens);
+
 /**
  * Context_countRefusal() - count and log a refusal
  * @detail: more about this case, or NULL
--- a/src/CustomerLimits.h
+++ b/src/CustomerLimits.h
@@ -3,14 +3,10 @@
 /**
  * DOC: CustomerLimits
  *
- * Each customer's request rate and count of open requests on this router.
- * The router enforces its share of the declared limits.
+ * Each customer's count of open requests on this router.
  */
 #include <glib.h>
 
-#include "Declarations.h"
-#include "Refusal.h"
-
 /** struct CustomerLimits_t - opaque */
 typedef struct CustomerLimits CustomerLimits_t;
 
@@ -23,14 +19,12 @@
 /**
  * CustomerLimits_enter() - count a new request
  * @name: the customer
- * @spec: its limits
- * @refusal: set where it may not enter
+ * @most: that may be open
  *
- * Return: TRUE where it may; CustomerLimits_leave() is owed then
+ * Return: TRUE where it may enter; CustomerLimits_leave() is owed then
  */
 gboolean CustomerLimits_enter(CustomerLimits_t *this, const char *name,
-                              const Customer_t *spec, gint64 now_ms,
-                              Refusal_t *refusal);
+                              guint most);
 
 /** CustomerLimits_leave() - a request has ended */
 void CustomerLimits_leave(CustomerLimits_t *this, const char *name);
--- a/src/Declarations.h
+++ b/src/Declarations.h
@@ -48,13 +48,18 @@
     gint64 timeout_ms;
 } Service_t;
 
-/** struct Customer_t - [customer NAME]; rate in requests a second */
+/** enum LimitUnit_t - the words of [customer] unit, in their order */
+typedef enum { LIMIT_REQUESTS, LIMIT_TOKENS } LimitUnit_t;
+
+/** struct Customer_t - [customer NAME]; rate in units a second */
 typedef struct {
     GBytes *key_hash;
     GString *max_priority;
     GString *customer_class;
+    gint64 unit;
     gint64 rate;
     gint64 burst;
+    gint64 plain_tokens;
     gint64 concurrency;
 } Customer_t;
 
--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -17,7 +17,6 @@
 struct Dispatch {
     struct event_base *base;
     DispatchSpec_t spec;
-    PeerDatagrams_t *datagrams;
     Tickets_t *tickets;
     GHashTable *asks; /* &ticket id -> DispatchAsk_t */
     guint64 next_id;
@@ -58,7 +57,7 @@
     news.waited_us = to_32_bits(waited_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_NEWS;
     message.place_news = &news;
-    PeerDatagrams_send(this->datagrams, &ticket->dispatcher, &message);
+    PeerDatagrams_send(this->spec.datagrams, &ticket->dispatcher, &message);
 }
 
 static guint64
@@ -84,7 +83,7 @@
     answer.own_us = to_32_bits(choice->own_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ANSWER;
     message.place_answer = &answer;
-    PeerDatagrams_send(this->datagrams, to, &message);
+    PeerDatagrams_send(this->spec.datagrams, to, &message);
 }
 
 /* The asker tells of the shared part of the prompt alone; the request's own
@@ -251,31 +250,22 @@
 }
 
 Dispatch_t *
-Dispatch_create(struct event_base *base, const DispatchSpec_t *spec,
-                GError **error)
+Dispatch_create(struct event_base *base, const DispatchSpec_t *spec)
 {
-    const Address_t *listen = Membership_address(spec->membership);
     Dispatch_t *this = g_new0(Dispatch_t, 1);
     this->base = base;
     this->spec = *spec;
-    this->datagrams =
-        PeerDatagrams_create(base, listen, Membership_key(spec->membership),
-                             on_message, this, error);
-    if (!this->datagrams) {
-        g_free(this);
-        return NULL;
-    }
     this->tickets = Tickets_create(base);
     this->asks =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_ask);
-    this->next_id = first_id(listen);
+    this->next_id = first_id(Membership_address(spec->membership));
+    PeerDatagrams_listen(spec->datagrams, on_message, this);
     return this;
 }
 
 void
 Dispatch_destroy(Dispatch_t *this)
 {
-    PeerDatagrams_destroy(this->datagrams);
     Tickets_destroy(this->tickets);
     g_hash_table_destroy(this->asks);
     g_free(this);
@@ -312,7 +302,8 @@
     question.latest_us = to_32_bits(placement->latest_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ASK;
     message.place_ask = &question;
-    PeerDatagrams_send(this->datagrams, &ask->ticket.dispatcher, &message);
+    PeerDatagrams_send(this->spec.datagrams, &ask->ticket.dispatcher,
+                       &message);
 }
 
 static Member_t *
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -45,6 +45,7 @@
 /**
  * struct DispatchSpec_t - what it needs; all must outlive it
  * @membership: the routers
+ * @datagrams: to all of them
  * @upstreams: to choose from
  * @policy: by which a dispatcher chooses
  * @counters: for questions
@@ -53,6 +54,7 @@
  */
 typedef struct {
     Membership_t *membership;
+    PeerDatagrams_t *datagrams;
     UpstreamSet_t *upstreams;
     Policy_t *policy;
     Counters_t *counters;
@@ -67,13 +69,9 @@
 /** struct DispatchAsk_t - a question under way; opaque */
 typedef struct DispatchAsk DispatchAsk_t;
 
-/**
- * Dispatch_create() - answer and ask
- *
- * Return: NULL where the port for datagrams can't be had
- */
+/** Dispatch_create() - answer and ask */
 Dispatch_t *Dispatch_create(struct event_base *base,
-                            const DispatchSpec_t *spec, GError **error);
+                            const DispatchSpec_t *spec);
 
 /** Dispatch_destroy() - free it; no question may be open */
 void Dispatch_destroy(Dispatch_t *this);
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -27,12 +27,20 @@
     this->class->destroy(this);
 }
 
+static void
+place(Exchange_t *this)
+{
+    if (!this->over && !this->left) {
+        this->class->place(this);
+    }
+}
+
 static void
 on_backoff(evutil_socket_t fd, short what, void *data)
 {
     (void)fd;
     (void)what;
-    Exchange_place(data);
+    place(data);
 }
 
 /* One timer serves the next attempt, then the grace, then the end. */
@@ -70,6 +78,7 @@
     }
     this->context->open_requests--;
     CustomerLimits_leave(this->context->limits, this->customer->str);
+    RateGate_leave(&this->gate, run != RUN_NOT);
     log_end(this, outcome);
     this->trace->outcome = outcome;
     Traces_keep(this->context->traces, this->trace);
@@ -144,6 +153,9 @@
     g_string_free(this->customer, TRUE);
     g_string_free(this->customer_class, TRUE);
     g_string_free(this->target, TRUE);
+    if (this->key) {
+        g_string_free(this->key, TRUE);
+    }
 }
 
 void
@@ -157,12 +169,14 @@
     Clock_arm(this->deadline, this->deadline_ms - Clock_nowMs());
 }
 
-void
-Exchange_place(Exchange_t *this)
+static void
+refuse(Exchange_t *this, const RefusalNotice_t *notice)
 {
-    if (!this->over && !this->left) {
-        this->class->place(this);
-    }
+    Context_countRefusal(this->context, notice->refusal, notice->run,
+                         this->id->str, this->target->str,
+                         this->customer_class->str, notice->detail);
+    this->class->refuse(this, notice);
+    end_exchange(this, Refusal_spec(notice->refusal)->code, notice->run);
 }
 
 static void
@@ -173,21 +187,21 @@
         return; /* about to end, which releases the claim */
     }
     if (granted) {
-        this->class->place(this);
+        place(this);
         return;
     }
     Exchange_refuse(this, refusal, run, NULL);
 }
 
-void
-Exchange_claim(Exchange_t *this, const char *key)
+static void
+claim(Exchange_t *this)
 {
     Refusal_t refusal = REFUSAL_KEY_REQUIRED;
     OnceGuardSpec_t spec = {
         .claims = this->context->claims,
         .customer = this->customer->str,
         .target = this->target->str,
-        .key = key,
+        .key = this->key->str,
         .horizon_ms = this->context->settings->platform.claim_horizon_ms,
         .deadline_ms = this->deadline_ms,
     };
@@ -199,6 +213,52 @@
     OnceGuard_claim(this->guard, on_claimed, this);
 }
 
+static void
+log_limited(const Exchange_t *this, const RateVerdict_t *verdict)
+{
+    const RateRequest_t *rate = &this->gate.request;
+    Log_begin(LOG_LEVEL_INFO, "request_limited");
+    Log_text("request", this->id->str);
+    Log_text("customer", this->customer->str);
+    Log_number("units", (gint64)rate->units);
+    Log_number("per_s", (gint64)rate->limit.per_s);
+    Log_number("burst", (gint64)rate->limit.burst);
+    Log_number("limit_version", (gint64)rate->limit.version);
+    Log_number("left", (gint64)verdict->left);
+    Log_text("by", verdict->by);
+    Log_number("age_ms", verdict->age_ms);
+    Log_number("retry_after_ms", verdict->retry_after_ms);
+    Log_end();
+}
+
+static void
+on_verdict(void *owner, const RateVerdict_t *verdict)
+{
+    Exchange_t *this = owner;
+    RefusalNotice_t notice = {REFUSAL_RATE_LIMITED, RUN_NOT, NULL,
+                              verdict->retry_after_ms};
+    if (this->over || this->left) {
+        return;
+    }
+    if (!verdict->admitted) {
+        log_limited(this, verdict);
+        refuse(this, &notice);
+    }
+    else if (this->key && !this->repeatable) {
+        claim(this);
+    }
+    else {
+        place(this);
+    }
+}
+
+void
+Exchange_enter(Exchange_t *this, const RateRequest_t *rate, const char *key)
+{
+    this->key = key ? g_string_new(key) : NULL;
+    RateGate_enter(&this->gate, this->context->rates, rate, on_verdict, this);
+}
+
 void
 Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
                      const char *reason)
@@ -389,10 +449,8 @@
 Exchange_refuse(Exchange_t *this, Refusal_t refusal, RunState_t run,
                 const char *detail)
 {
-    Context_countRefusal(this->context, refusal, run, this->id->str,
-                         this->target->str, this->customer_class->str, detail);
-    this->class->refuse(this, refusal, run, detail);
-    end_exchange(this, Refusal_spec(refusal)->code, run);
+    RefusalNotice_t notice = {refusal, run, detail, 0};
+    refuse(this, &notice);
 }
 
 static void
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -11,6 +11,7 @@
  */
 #include "Context.h"
 #include "OnceGuard.h"
+#include "RateGate.h"
 #include "Recovery.h"
 
 typedef struct Exchange Exchange_t;
@@ -30,8 +31,7 @@
     void (*destroy)(Exchange_t *this);
     void (*place)(Exchange_t *this);
     gboolean (*drop)(Exchange_t *this);
-    void (*refuse)(Exchange_t *this, Refusal_t refusal, RunState_t run,
-                   const char *detail);
+    void (*refuse)(Exchange_t *this, const RefusalNotice_t *notice);
     void (*facts)(const Exchange_t *this, RecoveryFacts_t *facts);
     void (*resume)(Exchange_t *this);
     void (*abandon)(Exchange_t *this);
@@ -51,6 +51,8 @@
  * @deadline_ms: monotonic time by which the answer must be whole
  * @repeatable: running it again does no harm
  * @max_attempts: most attempts
+ * @gate: at its customer's limit
+ * @key: that it is claimed by, or NULL where it is not
  * @guard: its claim, or NULL
  * @deadline: its timer
  * @later: timer of the next attempt, the grace, or the end
@@ -76,6 +78,8 @@
     gint64 deadline_ms;
     gboolean repeatable;
     guint max_attempts;
+    RateGate_t gate;
+    GString *key;
     OnceGuard_t *guard;
     struct event *deadline;
     struct event *later;
@@ -124,14 +128,14 @@
  */
 void Exchange_begin(Exchange_t *this);
 
-/** Exchange_place() - place it, unless it is over */
-void Exchange_place(Exchange_t *this);
-
 /**
- * Exchange_claim() - place it once its key is claimed
- * @key: the Idempotency-Key as it came
+ * Exchange_enter() - place it once its customer's limit leaves room and, where
+ * it may run only once, its key is claimed
+ * @rate: what it takes; its customer is the exchange's
+ * @key: the Idempotency-Key as it came; NULL where nothing is claimed
  */
-void Exchange_claim(Exchange_t *this, const char *key);
+void Exchange_enter(Exchange_t *this, const RateRequest_t *rate,
+                    const char *key);
 
 /** Exchange_noteAttempt() - an attempt at an upstream starts now */
 void Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
--- a/src/MemberTable.c
+++ b/src/MemberTable.c
@@ -10,6 +10,12 @@
  * are as many: a message between halls costs more than one within a hall. */
 #define FED_OF_HALL 5
 
+/* A router by its place in a key's order; NULL for this one. */
+typedef struct {
+    guint64 weight;
+    const Member_t *member;
+} Ranked_t;
+
 static void
 Member_destroy(gpointer data)
 {
@@ -248,6 +254,46 @@
     return first_of(this, key, now_ms);
 }
 
+/* Keeps the order; the last one falls out where there is no room. */
+static guint
+insert_ranked(Ranked_t *list, guint count, guint most, Ranked_t entry)
+{
+    guint at = count;
+    while (at > 0 && list[at - 1].weight < entry.weight) {
+        at--;
+    }
+    if (at == most) {
+        return count;
+    }
+    guint kept = MIN(count, most - 1);
+    memmove(&list[at + 1], &list[at], (kept - at) * sizeof(*list));
+    list[at] = entry;
+    return kept + 1;
+}
+
+guint
+MemberTable_first(const MemberTable_t *this, const char *key,
+                  const Member_t **out, guint most)
+{
+    Ranked_t *list = g_newa(Ranked_t, most);
+    guint count = 0;
+    if (!this->self.leaving) {
+        Ranked_t own = {weight_of(&this->self, key), NULL};
+        count = insert_ranked(list, count, most, own);
+    }
+    for (guint i = 0; i < this->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->live, i);
+        Ranked_t entry = {weight_of(member, key), member};
+        if (!member->leaving) {
+            count = insert_ranked(list, count, most, entry);
+        }
+    }
+    for (guint i = 0; i < count; i++) {
+        out[i] = list[i].member;
+    }
+    return count;
+}
+
 guint
 MemberTable_rank(const MemberTable_t *this, const char *key, const char *hall)
 {
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -116,6 +116,16 @@
 Member_t *MemberTable_answering(const MemberTable_t *this, const char *key,
                                 gint64 now_ms);
 
+/**
+ * MemberTable_first() - the first in a key's order
+ * @out: of the routers that are not leaving; NULL for this one
+ * @most: that @out has room for
+ *
+ * Return: how many
+ */
+guint MemberTable_first(const MemberTable_t *this, const char *key,
+                        const Member_t **out, guint most);
+
 /** MemberTable_rank() - this router's place in a key's order, of a hall or
  * of all */
 guint MemberTable_rank(const MemberTable_t *this, const char *key,
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -467,6 +467,13 @@
     return MemberTable_answering(this->table, key, now_ms);
 }
 
+guint
+Membership_first(const Membership_t *this, const char *key,
+                 const Member_t **out, guint most)
+{
+    return MemberTable_first(this->table, key, out, most);
+}
+
 void
 Membership_noteUnanswered(Membership_t *this, const char *name,
                           gint64 until_ms)
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -91,6 +91,10 @@
 Member_t *Membership_answering(const Membership_t *this, const char *key,
                                gint64 now_ms);
 
+/** Membership_first() - the first in a key's order; see MemberTable_first() */
+guint Membership_first(const Membership_t *this, const char *key,
+                       const Member_t **out, guint most);
+
 /** Membership_noteUnanswered() - a member is sent no datagrams until then */
 void Membership_noteUnanswered(Membership_t *this, const char *name,
                                gint64 until_ms);
--- a/src/PeerDatagrams.c
+++ b/src/PeerDatagrams.c
@@ -12,12 +12,16 @@
 /* Datagrams read in one turn of the loop, so that others get theirs. */
 #define BURST_MAX 64
 
+typedef struct {
+    PeerDatagramTake_t take;
+    void *owner;
+} Listener_t;
+
 struct PeerDatagrams {
     evutil_socket_t fd;
     struct event *readable;
     GBytes *key;
-    PeerDatagramTake_t take;
-    void *owner;
+    GArray *listeners; /* Listener_t */
 };
 
 struct sockaddr_in
@@ -29,6 +33,17 @@
     return place;
 }
 
+static void
+pass_on(const PeerDatagrams_t *this, const Wt__PeerMessage *message,
+        const struct sockaddr_in *from)
+{
+    for (guint i = 0; i < this->listeners->len; i++) {
+        const Listener_t *listener =
+            &g_array_index(this->listeners, Listener_t, i);
+        listener->take(listener->owner, message, from);
+    }
+}
+
 /* What is not authentic is dropped without a word: anyone may send it. */
 static void
 take_datagram(const PeerDatagrams_t *this, const guint8 *bytes, gsize size,
@@ -44,7 +59,7 @@
     }
     Wt__PeerMessage *message = wt__peer_message__unpack(NULL, size, payload);
     if (message) {
-        this->take(this->owner, message, from);
+        pass_on(this, message, from);
         wt__peer_message__free_unpacked(message, NULL);
     }
 }
@@ -82,8 +97,7 @@
 
 PeerDatagrams_t *
 PeerDatagrams_create(struct event_base *base, const Address_t *listen,
-                     GBytes *key, PeerDatagramTake_t take, void *owner,
-                     GError **error)
+                     GBytes *key, GError **error)
 {
     evutil_socket_t fd = open_socket(listen);
     if (fd < 0) {
@@ -95,20 +109,28 @@
     PeerDatagrams_t *this = g_new0(PeerDatagrams_t, 1);
     this->fd = fd;
     this->key = g_bytes_ref(key);
-    this->take = take;
-    this->owner = owner;
+    this->listeners = g_array_new(FALSE, FALSE, sizeof(Listener_t));
     this->readable =
         event_new(base, fd, EV_READ | EV_PERSIST, on_readable, this);
     event_add(this->readable, NULL);
     return this;
 }
 
+void
+PeerDatagrams_listen(PeerDatagrams_t *this, PeerDatagramTake_t take,
+                     void *owner)
+{
+    Listener_t listener = {take, owner};
+    g_array_append_val(this->listeners, listener);
+}
+
 void
 PeerDatagrams_destroy(PeerDatagrams_t *this)
 {
     event_free(this->readable);
     close(this->fd);
     g_bytes_unref(this->key);
+    g_array_unref(this->listeners);
     g_free(this);
 }
 
--- a/src/PeerDatagrams.h
+++ b/src/PeerDatagrams.h
@@ -29,9 +29,16 @@
  */
 PeerDatagrams_t *PeerDatagrams_create(struct event_base *base,
                                       const Address_t *listen, GBytes *key,
-                                      PeerDatagramTake_t take, void *owner,
                                       GError **error);
 
+/**
+ * PeerDatagrams_listen() - hear all messages, beside those who do already
+ * @take: passes over what is not for it
+ * @owner: of @take; must outlive the socket or the last message
+ */
+void PeerDatagrams_listen(PeerDatagrams_t *this, PeerDatagramTake_t take,
+                          void *owner);
+
 /** PeerDatagrams_destroy() - free it */
 void PeerDatagrams_destroy(PeerDatagrams_t *this);
 
--- /dev/null
+++ b/src/RateKeeper.c
@@ -0,0 +1,604 @@
+#include "RateKeeper.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "Clock.h"
+#include "OwnShare.h"
+#include "RateCounts.h"
+
+/* A word counts for so long at the most; the keeper tells before when it ends.
+ */
+#define WORD_MS 10000
+/* Where much is left, what was let in is told once all routers together may
+ * have let in this part of the depth without telling. */
+#define UNTOLD_PART 0.125
+
+/* What is known of a customer here. */
+typedef struct {
+    OwnShare_t share;
+    gboolean open;   /* by the last word much was left */
+    gboolean empty;  /* by the last word nothing was left */
+    gint64 word_ms;  /* when that came, 0 for never */
+    guint64 version; /* of the limit that it was about */
+    gint64 told_ms;  /* when a report was sent that is not answered, or 0 */
+    double untold;   /* let in since the last report */
+} Word_t;
+
+struct RateKeeper {
+    RateLimits_t super;
+    RateLinks_t links;
+    Counters_t *counters;
+    RateRoll_t *roll;
+    RateCounts_t *counts;
+    GHashTable *words; /* customer -> Word_t */
+    GHashTable *asks;  /* &ticket -> RateAsk_t */
+    GQueue *waiting;   /* RateAsk_t in the order in which they fall due */
+};
+
+/* A question that is not answered waits until it is known which of the routers
+ * that may keep the count live, and is asked once more. */
+typedef enum {
+    STEP_ASKED,
+    STEP_ROLL_CALLED,
+    STEP_ASKED_AGAIN,
+} Step_t;
+
+struct RateAsk {
+    RateKeeper_t *keeper;
+    guint64 ticket;
+    Step_t step;
+    GString *customer;
+    RateLimit_t limit;
+    double units;
+    gint64 late_ms; /* from when on no answer is waited for */
+    gboolean was_sent_on;
+    RateDone_t done;
+    void *owner;
+    gboolean cancelled;
+};
+
+static void
+free_ask(gpointer data)
+{
+    RateAsk_t *ask = data;
+    g_string_free(ask->customer, TRUE);
+    g_free(ask);
+}
+
+static Word_t *
+word_of(RateKeeper_t *this, const char *customer)
+{
+    Word_t *word = g_hash_table_lookup(this->words, customer);
+    if (!word) {
+        word = g_new0(Word_t, 1);
+        g_hash_table_insert(this->words, g_strdup(customer), word);
+    }
+    return word;
+}
+
+static guint
+count_routers(const RateKeeper_t *this)
+{
+    return this->links.class->routers(this->links.owner);
+}
+
+static void
+count_ask(const RateKeeper_t *this, const char *labels)
+{
+    Counters_add(this->counters, "rate_asks_total", labels, 1);
+}
+
+/* A router that has no word yet may be new, as all others may be. */
+static gboolean
+is_pressed(const Word_t *word)
+{
+    return word->word_ms > 0 && word->empty &&
+           Clock_nowMs() - word->word_ms < WORD_MS;
+}
+
+static void
+note_word(Word_t *word, gboolean open, double left)
+{
+    word->open = open;
+    word->empty = left <= 0;
+    word->word_ms = Clock_nowMs();
+}
+
+/* Takes what was not told yet with it. */
+static RateClaim_t
+claim_of(Word_t *word, const RateRequest_t *request)
+{
+    RateClaim_t claim = {
+        .customer = request->customer,
+        .limit = request->limit,
+        .units = request->units,
+        .spent = word->untold,
+        .pressed = is_pressed(word),
+        .from = RATE_SELF,
+    };
+    word->untold = 0;
+    return claim;
+}
+
+static RateVerdict_t
+decide_here(RateKeeper_t *this, Word_t *word, const RateRequest_t *request)
+{
+    RateClaim_t claim = claim_of(word, request);
+    RateRuling_t ruling = RateCounts_rule(this->counts, &claim);
+    note_word(word, ruling.open, ruling.left);
+    word->version = request->limit.version;
+    if (ruling.admitted) {
+        OwnShare_note(&word->share, request->units, Clock_nowMs());
+    }
+    return (RateVerdict_t){
+        .admitted = ruling.admitted,
+        .retry_after_ms = ruling.retry_after_ms,
+        .by = "self",
+        .left = ruling.left,
+    };
+}
+
+/* By this router's own share, as nobody has answered. */
+static RateVerdict_t
+decide_alone(const RateKeeper_t *this, Word_t *word,
+             const RateRequest_t *request)
+{
+    gint64 now_ms = Clock_nowMs();
+    double units = request->units;
+    OwnShareFacts_t facts = {
+        .limit = request->limit,
+        .routers = count_routers(this),
+        .pressed = is_pressed(word),
+    };
+    RateVerdict_t verdict = {.by = "share"};
+    verdict.age_ms = word->word_ms > 0 ? now_ms - word->word_ms : 0;
+    verdict.admitted = OwnShare_take(&word->share, &facts, units, now_ms);
+    if (verdict.admitted) {
+        OwnShare_note(&word->share, units, now_ms);
+        word->untold += units;
+    }
+    else {
+        verdict.retry_after_ms = OwnShare_refuse(&word->share, units, now_ms);
+    }
+    verdict.left = word->share.bucket.level;
+    return verdict;
+}
+
+/* The question is gone before its asker hears, who may ask again. */
+static void
+finish_ask(RateAsk_t *ask, const RateVerdict_t *verdict)
+{
+    RateKeeper_t *this = ask->keeper;
+    RateDone_t done = ask->cancelled ? NULL : ask->done;
+    void *owner = ask->owner;
+    g_queue_remove(this->waiting, ask);
+    g_hash_table_remove(this->asks, &ask->ticket);
+    if (done) {
+        done(owner, verdict);
+    }
+}
+
+/* All wait for the same time, so that the order in which they began is that in
+ * which they fall due. */
+static void
+wait_for(RateAsk_t *ask, Step_t step)
+{
+    RateKeeper_t *this = ask->keeper;
+    ask->step = step;
+    ask->late_ms = Clock_nowMs() + RATE_WAIT_MS;
+    g_queue_remove(this->waiting, ask);
+    g_queue_push_tail(this->waiting, ask);
+    RateLinks_wake(&this->links, RATE_WAIT_MS);
+}
+
+static RateRequest_t
+request_of(const RateAsk_t *ask)
+{
+    return (RateRequest_t){
+        .customer = ask->customer->str,
+        .limit = ask->limit,
+        .units = ask->units,
+    };
+}
+
+static void
+end_alone(RateAsk_t *ask)
+{
+    RateKeeper_t *this = ask->keeper;
+    RateRequest_t request = request_of(ask);
+    Word_t *word = word_of(this, request.customer);
+    RateVerdict_t verdict = decide_alone(this, word, &request);
+    finish_ask(ask, &verdict);
+}
+
+/* The routers that live are known now. */
+static void
+ask_again(RateAsk_t *ask)
+{
+    RateKeeper_t *this = ask->keeper;
+    RateRequest_t request = request_of(ask);
+    Word_t *word = word_of(this, request.customer);
+    guint64 keeper = RateRoll_keeper(this->roll, request.customer);
+    if (keeper == RATE_NOBODY) {
+        end_alone(ask);
+    }
+    else if (keeper == RATE_SELF) {
+        RateVerdict_t verdict = decide_here(this, word, &request);
+        finish_ask(ask, &verdict);
+    }
+    else {
+        RateClaim_t claim = claim_of(word, &request);
+        wait_for(ask, STEP_ASKED_AGAIN);
+        RateLinks_ask(&this->links, keeper, &claim, ask->ticket);
+    }
+}
+
+/* A router is passed over only if a sign of life is missing as well: an answer
+ * may be lost. */
+static void
+go_on_late(RateAsk_t *ask)
+{
+    RateKeeper_t *this = ask->keeper;
+    RateVerdict_t nothing = {0};
+    if (ask->cancelled) {
+        finish_ask(ask, &nothing);
+    }
+    else if (ask->step == STEP_ASKED) {
+        count_ask(this, "outcome=\"unanswered\"");
+        RateRoll_call(this->roll, ask->customer->str);
+        wait_for(ask, STEP_ROLL_CALLED);
+    }
+    else if (ask->step == STEP_ROLL_CALLED) {
+        ask_again(ask);
+    }
+    else {
+        end_alone(ask);
+    }
+}
+
+static RateAsk_t *
+create_ask(RateKeeper_t *this, const RateRequest_t *request)
+{
+    RateAsk_t *ask = g_new0(RateAsk_t, 1);
+    ask->keeper = this;
+    ask->ticket = RateLinks_nextTicket(&this->links);
+    ask->customer = g_string_new(request->customer);
+    ask->limit = request->limit;
+    ask->units = request->units;
+    g_hash_table_insert(this->asks, &ask->ticket, ask);
+    wait_for(ask, STEP_ASKED);
+    return ask;
+}
+
+static gboolean
+is_report_lost(const Word_t *word, gint64 now_ms)
+{
+    return word->told_ms > 0 && now_ms - word->told_ms > RATE_WAIT_MS;
+}
+
+static gboolean
+is_open(const Word_t *word, const RateLimit_t *limit, gint64 now_ms)
+{
+    return word->open && word->version == limit->version &&
+           now_ms - word->word_ms < WORD_MS && !is_report_lost(word, now_ms);
+}
+
+static void
+report(RateKeeper_t *this, Word_t *word, const RateRequest_t *request)
+{
+    guint64 keeper = RateRoll_keeper(this->roll, request->customer);
+    if (keeper == RATE_NOBODY) {
+        return;
+    }
+    RateRequest_t nothing = *request;
+    nothing.units = 0;
+    RateClaim_t claim = claim_of(word, &nothing);
+    if (keeper == RATE_SELF) {
+        RateCounts_rule(this->counts, &claim);
+        return;
+    }
+    if (word->told_ms == 0) {
+        word->told_ms = Clock_nowMs();
+    }
+    RateLinks_ask(&this->links, keeper, &claim,
+                  RateLinks_nextTicket(&this->links));
+    count_ask(this, "outcome=\"told\"");
+}
+
+static void
+report_sometimes(RateKeeper_t *this, Word_t *word,
+                 const RateRequest_t *request)
+{
+    double depth = TokenBucket_depth(&request->limit);
+    if (fabs(word->untold) * count_routers(this) >= depth * UNTOLD_PART) {
+        report(this, word, request);
+    }
+}
+
+static RateVerdict_t
+go_on_open(RateKeeper_t *this, Word_t *word, const RateRequest_t *request,
+           gint64 now_ms)
+{
+    RateVerdict_t verdict = {
+        .admitted = TRUE,
+        .by = "open",
+        .age_ms = now_ms - word->word_ms,
+    };
+    OwnShare_note(&word->share, request->units, now_ms);
+    word->untold += request->units;
+    report_sometimes(this, word, request);
+    return verdict;
+}
+
+static RateAsk_t *
+ask_keeper(RateKeeper_t *this, Word_t *word, const RateRequest_t *request,
+           guint64 keeper)
+{
+    RateAsk_t *ask = create_ask(this, request);
+    RateClaim_t claim = claim_of(word, request);
+    word->told_ms = 0;
+    RateLinks_ask(&this->links, keeper, &claim, ask->ticket);
+    return ask;
+}
+
+static RateAsk_t *
+enter(RateLimits_t *super, const RateRequest_t *request, RateVerdict_t *out,
+      RateDone_t done, void *owner)
+{
+    RateKeeper_t *this = (RateKeeper_t *)super;
+    Word_t *word = word_of(this, request->customer);
+    gint64 now_ms = Clock_nowMs();
+    guint64 keeper = RateRoll_keeper(this->roll, request->customer);
+    if (keeper == RATE_SELF) {
+        *out = decide_here(this, word, request);
+        return NULL;
+    }
+    if (is_open(word, &request->limit, now_ms)) {
+        *out = go_on_open(this, word, request, now_ms);
+        return NULL;
+    }
+    if (keeper == RATE_NOBODY) {
+        RateRoll_call(this->roll, request->customer);
+        *out = decide_alone(this, word, request);
+        return NULL;
+    }
+    RateAsk_t *ask = ask_keeper(this, word, request, keeper);
+    ask->done = done;
+    ask->owner = owner;
+    return ask;
+}
+
+/* The answer is awaited all the same: what it lets in is given back. */
+static void
+cancel(RateAsk_t *ask)
+{
+    ask->cancelled = TRUE;
+}
+
+static void
+give_back(RateLimits_t *super, const RateRequest_t *request)
+{
+    RateKeeper_t *this = (RateKeeper_t *)super;
+    Word_t *word = word_of(this, request->customer);
+    OwnShare_note(&word->share, -request->units, Clock_nowMs());
+    word->untold -= request->units;
+    report_sometimes(this, word, request);
+}
+
+static gboolean
+is_amount(double value)
+{
+    return isfinite(value) && value >= 0;
+}
+
+/* A router of another build may say anything. */
+static gboolean
+is_sound(const Wt__RateAsk *ask)
+{
+    return is_amount(ask->per_s) && ask->per_s > 0 && is_amount(ask->burst) &&
+           is_amount(ask->units) && isfinite(ask->spent);
+}
+
+static void
+decide_for(RateKeeper_t *this, const Wt__RateAsk *ask, guint64 from)
+{
+    guint64 better = RateRoll_better(this->roll, ask->customer, from);
+    if (better != RATE_SELF) {
+        RateCounts_drop(this->counts, ask->customer);
+        RateLinks_sendOn(&this->links, from, ask, better);
+        count_ask(this, "outcome=\"sent_on\"");
+        return;
+    }
+    RateClaim_t claim = {
+        .customer = ask->customer,
+        .limit = {ask->per_s, ask->burst, ask->version},
+        .units = ask->units,
+        .spent = ask->spent,
+        .pressed = ask->pressed,
+        .from = from,
+    };
+    RateRuling_t ruling = RateCounts_rule(this->counts, &claim);
+    RateLinks_answer(&this->links, from, ask->customer, ask->ticket, &ruling);
+}
+
+/* A question about nobody asks for a sign of life. */
+static void
+take_ask(RateKeeper_t *this, const Wt__RateAsk *ask, guint64 from)
+{
+    if (*ask->customer == '\0') {
+        RateLinks_show(&this->links, from, ask->ticket);
+    }
+    else if (is_sound(ask)) {
+        decide_for(this, ask, from);
+    }
+    else {
+        count_ask(this, "outcome=\"not_understood\"");
+    }
+}
+
+static void
+take_word(RateKeeper_t *this, const Wt__RateAnswer *answer,
+          const RateAsk_t *ask)
+{
+    Word_t *word = g_hash_table_lookup(this->words, answer->customer);
+    if (!word) {
+        return;
+    }
+    note_word(word, answer->open, answer->left);
+    word->told_ms = 0;
+    if (ask) {
+        word->version = ask->limit.version;
+    }
+}
+
+static void
+take_verdict(RateKeeper_t *this, RateAsk_t *ask, const Wt__RateAnswer *answer)
+{
+    RateVerdict_t verdict = {
+        .admitted = answer->admitted,
+        .retry_after_ms = answer->retry_after_ms,
+        .by = "keeper",
+        .left = answer->left,
+    };
+    Word_t *word = word_of(this, ask->customer->str);
+    if (ask->cancelled && answer->admitted) {
+        word->untold -= ask->units;
+    }
+    else if (answer->admitted) {
+        OwnShare_note(&word->share, ask->units, Clock_nowMs());
+    }
+    finish_ask(ask, &verdict);
+}
+
+/* The router that comes first answers others, so that it is not passed over
+ * any more. One question is sent on once; what was told is told there. */
+static void
+go_elsewhere(RateKeeper_t *this, const Wt__RateAnswer *answer, RateAsk_t *ask)
+{
+    Word_t *word = g_hash_table_lookup(this->words, answer->customer);
+    RateRoll_trust(this->roll, answer->elsewhere);
+    if (word) {
+        word->open = FALSE;
+        word->told_ms = 0;
+    }
+    if (!ask || ask->was_sent_on) {
+        return;
+    }
+    RateRequest_t request = request_of(ask);
+    RateClaim_t claim = claim_of(word_of(this, request.customer), &request);
+    ask->was_sent_on = TRUE;
+    RateLinks_ask(&this->links, answer->elsewhere, &claim, ask->ticket);
+}
+
+static void
+take_answer(RateKeeper_t *this, const Wt__RateAnswer *answer)
+{
+    if (*answer->customer == '\0') {
+        RateCounts_noteAnswer(this->counts, answer->ticket);
+        return;
+    }
+    RateAsk_t *ask = g_hash_table_lookup(this->asks, &answer->ticket);
+    if (answer->elsewhere != RATE_SELF) {
+        go_elsewhere(this, answer, ask);
+        return;
+    }
+    take_word(this, answer, ask);
+    if (ask) {
+        count_ask(this, "outcome=\"answered\"");
+        take_verdict(this, ask, answer);
+    }
+}
+
+void
+RateKeeper_take(RateKeeper_t *this, const Wt__PeerMessage *message,
+                guint64 from)
+{
+    RateRoll_noteHeard(this->roll, from);
+    if (message->body_case == WT__PEER_MESSAGE__BODY_RATE_ASK) {
+        take_ask(this, message->rate_ask, from);
+    }
+    else if (message->body_case == WT__PEER_MESSAGE__BODY_RATE_ANSWER) {
+        take_answer(this, message->rate_answer);
+    }
+}
+
+static void
+go_on_with_late(RateKeeper_t *this, gint64 now_ms)
+{
+    RateAsk_t *ask = g_queue_peek_head(this->waiting);
+    while (ask && ask->late_ms <= now_ms) {
+        go_on_late(ask);
+        ask = g_queue_peek_head(this->waiting);
+    }
+}
+
+static void
+wake_again(const RateKeeper_t *this, gint64 now_ms)
+{
+    const RateAsk_t *next = g_queue_peek_head(this->waiting);
+    gint64 due_ms = RateCounts_dueMs(this->counts);
+    if (next) {
+        RateLinks_wake(&this->links, next->late_ms - now_ms);
+    }
+    if (RateRoll_isWaiting(this->roll)) {
+        RateLinks_wake(&this->links, RATE_WAIT_MS);
+    }
+    if (due_ms > 0) {
+        RateLinks_wake(&this->links, due_ms - now_ms);
+    }
+}
+
+void
+RateKeeper_tick(RateKeeper_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    RateCounts_tick(this->counts, now_ms);
+    RateRoll_expire(this->roll, now_ms);
+    go_on_with_late(this, now_ms);
+    wake_again(this, now_ms);
+}
+
+static void
+destroy(RateLimits_t *super)
+{
+    RateKeeper_t *this = (RateKeeper_t *)super;
+    g_queue_free(this->waiting);
+    g_hash_table_destroy(this->asks);
+    g_hash_table_destroy(this->words);
+    RateCounts_destroy(this->counts);
+    RateRoll_destroy(this->roll);
+    g_free(this);
+}
+
+static const RateLimitsClass_t class = {
+    .name = "ask",
+    .enter = enter,
+    .cancel = cancel,
+    .give_back = give_back,
+    .destroy = destroy,
+};
+
+RateKeeper_t *
+RateKeeper_create(const RateLinksClass_t *links, void *owner,
+                  Counters_t *counters)
+{
+    RateKeeper_t *this = g_new0(RateKeeper_t, 1);
+    this->super.class = &class;
+    this->links = (RateLinks_t){.class = links, .owner = owner};
+    this->counters = counters;
+    this->roll = RateRoll_create(&this->links, counters);
+    this->counts = RateCounts_create(&this->links, this->roll);
+    this->words =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->asks =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_ask);
+    this->waiting = g_queue_new();
+    return this;
+}
+
+RateLimits_t *
+RateKeeper_limits(RateKeeper_t *this)
+{
+    return &this->super;
+}
--- /dev/null
+++ b/src/RatePeers.c
@@ -0,0 +1,188 @@
+#include "RatePeers.h"
+
+#include "Clock.h"
+#include "Random.h"
+#include "RateKeeper.h"
+
+/* Names of customers are cut to so many characters, alike by all routers. */
+#define KEY_SIZE 128
+/* A port takes 16 bits of an identity. */
+#define PORT_BITS 16
+
+struct RatePeers {
+    RatePeersSpec_t spec;
+    RateKeeper_t *keeper;
+    struct event *timer;
+    gint64 wakes_ms; /* when the timer fires; 0 while it rests */
+};
+
+static guint64
+identity_of(const struct sockaddr_in *address)
+{
+    return (guint64)address->sin_addr.s_addr << PORT_BITS | address->sin_port;
+}
+
+static struct sockaddr_in
+address_of(guint64 identity)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    address.sin_addr.s_addr = (in_addr_t)(identity >> PORT_BITS);
+    address.sin_port = (in_port_t)(identity & G_MAXUINT16);
+    return address;
+}
+
+static guint64
+identity_of_member(const Member_t *member)
+{
+    struct sockaddr_in address = PeerDatagrams_address(&member->address);
+    return identity_of(&address);
+}
+
+static guint64
+identity_of_seed(const RatePeers_t *this, guint i)
+{
+    const Address_t *seed = &g_array_index(this->spec.seeds, Address_t, i);
+    struct sockaddr_in address = PeerDatagrams_address(seed);
+    return identity_of(&address);
+}
+
+static guint64
+own_identity(const RatePeers_t *this)
+{
+    struct sockaddr_in address =
+        PeerDatagrams_address(Membership_address(this->spec.membership));
+    return identity_of(&address);
+}
+
+/* In the same order on every router, from a place that the key names. */
+static guint
+find_among_seeds(const RatePeers_t *this, const char *key,
+                 guint64 out[RATE_CANDIDATES])
+{
+    guint seeds = this->spec.seeds ? this->spec.seeds->len : 0;
+    guint count = MIN(seeds, RATE_CANDIDATES);
+    guint64 own = own_identity(this);
+    if (count == 0) {
+        out[0] = RATE_SELF;
+        return 1;
+    }
+    guint first = g_str_hash(key) % count;
+    for (guint i = 0; i < count; i++) {
+        guint64 seed = identity_of_seed(this, (first + i) % count);
+        out[i] = seed == own ? RATE_SELF : seed;
+    }
+    return count;
+}
+
+static guint
+find_candidates(void *owner, const char *customer,
+                guint64 out[RATE_CANDIDATES])
+{
+    const RatePeers_t *this = owner;
+    const Member_t *first[RATE_CANDIDATES];
+    char key[KEY_SIZE];
+    g_snprintf(key, sizeof(key), "rate/%s", customer);
+    if (!Membership_isSettled(this->spec.membership)) {
+        return find_among_seeds(this, key, out);
+    }
+    guint count =
+        Membership_first(this->spec.membership, key, first, RATE_CANDIDATES);
+    for (guint i = 0; i < count; i++) {
+        out[i] = first[i] ? identity_of_member(first[i]) : RATE_SELF;
+    }
+    return count;
+}
+
+static guint
+count_routers(void *owner)
+{
+    const RatePeers_t *this = owner;
+    return Membership_live(this->spec.membership);
+}
+
+/* Evenly from a random place on, so that none is drawn twice. */
+static void
+draw(void *owner, ReachSample_t *out)
+{
+    const RatePeers_t *this = owner;
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    out->others = members->len;
+    out->drawn = MIN(members->len, REACH_SAMPLE);
+    guint start = members->len > 0 ? Random_below(members->len) : 0;
+    guint stride = members->len / MAX(out->drawn, 1);
+    for (guint i = 0; i < out->drawn; i++) {
+        guint place = (start + i * stride) % members->len;
+        out->routers[i] =
+            identity_of_member(g_ptr_array_index(members, place));
+    }
+}
+
+static void
+send_message(void *owner, guint64 router, const Wt__PeerMessage *message)
+{
+    const RatePeers_t *this = owner;
+    struct sockaddr_in address = address_of(router);
+    PeerDatagrams_send(this->spec.datagrams, &address, message);
+}
+
+static void
+wake(void *owner, gint64 in_ms)
+{
+    RatePeers_t *this = owner;
+    gint64 wakes_ms = Clock_nowMs() + MAX(in_ms, 0);
+    if (this->wakes_ms == 0 || wakes_ms < this->wakes_ms) {
+        this->wakes_ms = wakes_ms;
+        Clock_arm(this->timer, MAX(in_ms, 0));
+    }
+}
+
+static const RateLinksClass_t links = {
+    .candidates = find_candidates,
+    .routers = count_routers,
+    .draw = draw,
+    .send = send_message,
+    .wake = wake,
+};
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    RatePeers_t *this = data;
+    this->wakes_ms = 0;
+    RateKeeper_tick(this->keeper);
+}
+
+static void
+on_message(void *owner, const Wt__PeerMessage *message,
+           const struct sockaddr_in *from)
+{
+    const RatePeers_t *this = owner;
+    RateKeeper_take(this->keeper, message, identity_of(from));
+}
+
+RatePeers_t *
+RatePeers_create(struct event_base *base, const RatePeersSpec_t *spec)
+{
+    RatePeers_t *this = g_new0(RatePeers_t, 1);
+    this->spec = *spec;
+    this->timer = Clock_timer(base, on_timer, this);
+    this->keeper = RateKeeper_create(&links, this, spec->counters);
+    PeerDatagrams_listen(spec->datagrams, on_message, this);
+    return this;
+}
+
+RateLimits_t *
+RatePeers_limits(RatePeers_t *this)
+{
+    return RateKeeper_limits(this->keeper);
+}
+
+void
+RatePeers_destroy(RatePeers_t *this)
+{
+    RateLimits_destroy(RateKeeper_limits(this->keeper));
+    event_free(this->timer);
+    g_free(this);
+}
--- /dev/null
+++ b/src/RateShare.c
@@ -0,0 +1,81 @@
+#include "RateShare.h"
+
+#include "Clock.h"
+#include "OwnShare.h"
+
+typedef struct {
+    RateLimits_t super;
+    RateShareCount_t routers;
+    const void *owner;  /* of @routers */
+    GHashTable *shares; /* customer -> OwnShare_t */
+} RateShare_t;
+
+static OwnShare_t *
+share_of(RateShare_t *this, const char *customer)
+{
+    OwnShare_t *share = g_hash_table_lookup(this->shares, customer);
+    if (!share) {
+        share = g_new0(OwnShare_t, 1);
+        g_hash_table_insert(this->shares, g_strdup(customer), share);
+    }
+    return share;
+}
+
+static RateAsk_t *
+enter(RateLimits_t *super, const RateRequest_t *request, RateVerdict_t *out,
+      RateDone_t done, void *owner)
+{
+    (void)done;
+    (void)owner;
+    RateShare_t *this = (RateShare_t *)super;
+    OwnShare_t *share = share_of(this, request->customer);
+    gint64 now_ms = Clock_nowMs();
+    OwnShareFacts_t facts = {
+        .limit = request->limit,
+        .routers = this->routers(this->owner),
+    };
+    *out = (RateVerdict_t){.by = "share"};
+    out->admitted = OwnShare_take(share, &facts, request->units, now_ms);
+    if (!out->admitted) {
+        out->retry_after_ms = OwnShare_refuse(share, request->units, now_ms);
+    }
+    out->left = share->bucket.level;
+    return NULL;
+}
+
+static void
+give_back(RateLimits_t *super, const RateRequest_t *request)
+{
+    RateShare_t *this = (RateShare_t *)super;
+    OwnShare_t *share = share_of(this, request->customer);
+    if (share->begun) {
+        TokenBucket_giveBack(&share->bucket, request->units, Clock_nowMs());
+    }
+}
+
+static void
+destroy(RateLimits_t *super)
+{
+    RateShare_t *this = (RateShare_t *)super;
+    g_hash_table_destroy(this->shares);
+    g_free(this);
+}
+
+static const RateLimitsClass_t class = {
+    .name = "share",
+    .enter = enter,
+    .give_back = give_back,
+    .destroy = destroy,
+};
+
+RateLimits_t *
+RateShare_create(RateShareCount_t routers, const void *owner)
+{
+    RateShare_t *this = g_new0(RateShare_t, 1);
+    this->super.class = &class;
+    this->routers = routers;
+    this->owner = owner;
+    this->shares =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return &this->super;
+}
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -122,6 +122,14 @@
     return names[run];
 }
 
+guint
+Refusal_retryAfterMs(const RefusalNotice_t *notice)
+{
+    guint usual_ms = Refusal_spec(notice->refusal)->retry_after_ms;
+    return usual_ms > 0 && notice->retry_after_ms > 0 ? notice->retry_after_ms
+                                                      : usual_ms;
+}
+
 GString *
 Refusal_body(Refusal_t refusal, RunState_t run, const char *detail)
 {
--- a/src/Refusal.h
+++ b/src/Refusal.h
@@ -75,6 +75,23 @@
     RunState_t run;
 } RefusalSpec_t;
 
+/**
+ * struct RefusalNotice_t - one refusal of a request
+ * @refusal: the reason
+ * @run: what is known about the request
+ * @detail: more about this case, or NULL
+ * @retry_after_ms: when a repeat may succeed; 0 for what the reason says
+ */
+typedef struct {
+    Refusal_t refusal;
+    RunState_t run;
+    const char *detail;
+    guint retry_after_ms;
+} RefusalNotice_t;
+
+/** Refusal_retryAfterMs() - when the caller should come back, 0 for never */
+guint Refusal_retryAfterMs(const RefusalNotice_t *notice);
+
 /**
  * Refusal_spec() - look one reason up
  * @refusal: below REFUSAL_COUNT
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -78,17 +78,20 @@
 
 /* An upstream's own failure says more than ours would. */
 static void
-refuse(Exchange_t *super, Refusal_t refusal, RunState_t run,
-       const char *detail)
+refuse(Exchange_t *super, const RefusalNotice_t *notice)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
     RelayExchange_closeIfStopping(this);
-    if (this->has_answer && run != RUN_NOT &&
+    if (this->has_answer && notice->run != RUN_NOT &&
         !RelayAnswer_isBegun(this->answer)) {
         RelayAnswer_whole(this->answer, this->body);
         return;
     }
-    RelayAnswer_refuse(this->answer, refusal, run, detail);
+    if (notice->retry_after_ms > 0) {
+        RelayAnswer_setRetryAfter(this->answer, notice->retry_after_ms);
+    }
+    RelayAnswer_refuse(this->answer, notice->refusal, notice->run,
+                       notice->detail);
 }
 
 static guint64
@@ -238,10 +241,31 @@
     return this;
 }
 
+/* The customer's configuration counts prompts and answers together; a request
+ * that names no tokens counts as so many. */
+static RateRequest_t
+rate_of(const RelayExchange_t *this)
+{
+    const RouteCustomer_t *customer = this->customer;
+    const RelayRequest_t *request = &this->request;
+    RateRequest_t rate = {.customer = this->super.customer->str, .units = 1};
+    if (!customer) {
+        return rate;
+    }
+    rate.limit = customer->limit;
+    if (customer->by_tokens) {
+        double tokens =
+            (double)request->prompt_tokens + (double)request->answer_tokens;
+        rate.units = request->has_tokens ? tokens : customer->plain_tokens;
+    }
+    return rate;
+}
+
 void
 RelayExchange_start(Context_t *context, const RelayExchangeSpec_t *spec)
 {
     RelayExchange_t *this = create(context, spec);
+    RateRequest_t rate = rate_of(this);
     RelayAnswerSpec_t answer = {
         .request = spec->http,
         .id = this->super.id->str,
@@ -251,5 +275,5 @@
     this->answer =
         RelayAnswer_create(context->base, &answer, &answer_events, this);
     Exchange_begin(&this->super);
-    Exchange_place(&this->super);
+    Exchange_enter(&this->super, &rate, NULL);
 }
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -34,6 +34,7 @@
  * @key: the caller's key, or NULL
  * @wait_ms: how long the caller waits, or 0 where it does not say
  * @model: that it asks for, or NULL
+ * @has_tokens: it says how long prompt and answer are
  * @prompt_tokens: length of the prompt, 0 where unknown
  * @answer_tokens: longest answer, 0 where unknown
  * @parts: of the prompt, in order
@@ -47,6 +48,7 @@
     const char *key;
     gint64 wait_ms;
     const char *model;
+    gboolean has_tokens;
     guint prompt_tokens;
     guint answer_tokens;
     RelayPart_t parts[PROMPT_LEVELS_MAX];
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -196,24 +196,20 @@
     RelayPlacer_preferNewest(owner, model, placement);
 }
 
-/* Without it each router chooses for itself. */
+/* Without datagrams each router chooses for itself. */
 static Dispatch_t *
 create_dispatch(const Context_t *context)
 {
-    g_autoptr(GError) error = NULL;
     DispatchSpec_t spec = {
         .membership = context->membership,
+        .datagrams = context->datagrams,
         .upstreams = context->upstreams,
         .policy = context->policy,
         .counters = context->counters,
         .prefer = prefer_newest,
         .owner = context,
     };
-    Dispatch_t *dispatch = Dispatch_create(context->base, &spec, &error);
-    if (!dispatch) {
-        Log_error("dispatch_unavailable", error);
-    }
-    return dispatch;
+    return context->datagrams ? Dispatch_create(context->base, &spec) : NULL;
 }
 
 RelayParts_t *
--- a/src/RouteConfig.h
+++ b/src/RouteConfig.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "KeyTable.h"
+#include "TokenBucket.h"
 
 /**
  * enum RouteKind_t - what may be done with a route's requests
@@ -73,11 +74,17 @@
  * @name: its name
  * @rank: goes before that of the route; ROUTE_NO_RANK for none
  * @shares_cache: its cached prefixes may serve others of the same kind
+ * @limit: what it may ask of all routers together
+ * @by_tokens: @limit counts tokens, else requests
+ * @plain_tokens: that a request counts for which names none
  */
 typedef struct {
     GString *name;
     guint rank;
     gboolean shares_cache;
+    RateLimit_t limit;
+    gboolean by_tokens;
+    guint plain_tokens;
 } RouteCustomer_t;
 
 /** Rank of a customer that has none of its own */
--- a/src/Router.c
+++ b/src/Router.c
@@ -18,6 +18,8 @@
 #include "PendingReply.h"
 #include "Policies.h"
 #include "Random.h"
+#include "RatePeers.h"
+#include "RateShare.h"
 #include "RelayApi.h"
 #include "RelayParts.h"
 #include "SettingsReload.h"
@@ -33,6 +35,7 @@
     Context_t context;
     NativeParts_t *native; /* NULL where requests are relayed */
     RelayParts_t *relay;   /* NULL on the native platform */
+    RatePeers_t *rates;    /* NULL where each router has a share of limits */
     struct evhttp *callers;
     AcceptHold_t *hold; /* NULL on the native platform */
     struct evhttp *operators;
@@ -106,6 +109,59 @@
     return context->membership != NULL;
 }
 
+static guint
+count_routers(const void *owner)
+{
+    return Membership_live(owner);
+}
+
+/* A router that can't be asked still has a share of its own. */
+static void
+create_rates(Router_t *this)
+{
+    Context_t *context = &this->context;
+    RatePeersSpec_t spec = {
+        .membership = context->membership,
+        .datagrams = context->datagrams,
+        .counters = context->counters,
+        .seeds = this->settings->peers.seeds,
+    };
+    if (!context->datagrams ||
+        this->settings->router.customer_limits == LIMITS_SHARE) {
+        context->rates = RateShare_create(count_routers, context->membership);
+        return;
+    }
+    this->rates = RatePeers_create(context->base, &spec);
+    context->rates = RatePeers_limits(this->rates);
+}
+
+static void
+free_rates(Router_t *this)
+{
+    if (this->rates) {
+        RatePeers_destroy(this->rates);
+    }
+    else {
+        RateLimits_destroy(this->context.rates);
+    }
+    if (this->context.datagrams) {
+        PeerDatagrams_destroy(this->context.datagrams);
+    }
+}
+
+static void
+create_datagrams(Router_t *this)
+{
+    Context_t *context = &this->context;
+    g_autoptr(GError) error = NULL;
+    context->datagrams = PeerDatagrams_create(
+        context->base, Membership_address(context->membership),
+        Membership_key(context->membership), &error);
+    if (!context->datagrams) {
+        Log_error("datagrams_unavailable", error);
+    }
+}
+
 static void
 create_platform(Router_t *this)
 {
@@ -337,6 +393,7 @@
     else {
         NativeParts_destroy(this->native);
     }
+    free_rates(this);
     Membership_destroy(this->context.membership);
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
 }
@@ -399,6 +456,8 @@
     gboolean started =
         create_listeners(&this, error) && create_peers(&this, error);
     if (started) {
+        create_datagrams(&this);
+        create_rates(&this);
         create_platform(&this);
         if (this.relay) {
             hold_callers(&this);
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -72,12 +72,11 @@
 }
 
 static void
-refuse(Exchange_t *super, Refusal_t refusal, RunState_t run,
-       const char *detail)
+refuse(Exchange_t *super, const RefusalNotice_t *notice)
 {
     ServiceExchange_t *this = (ServiceExchange_t *)super;
     if (this->request) {
-        Http_refuse(let_go(this), super->id->str, refusal, run, detail);
+        Http_refuse(let_go(this), super->id->str, notice);
     }
 }
 
@@ -269,10 +268,7 @@
     evhttp_connection_set_closecb(evhttp_request_get_connection(spec->request),
                                   on_caller_left, this);
     Exchange_begin(&this->super);
-    if (this->super.repeatable) {
-        Exchange_place(&this->super);
-    }
-    else {
-        Exchange_claim(&this->super, spec->caller->key);
-    }
+    RateRequest_t rate =
+        Caller_rate(spec->caller, this->super.customer->str, 0);
+    Exchange_enter(&this->super, &rate, spec->caller->key);
 }
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -29,6 +29,10 @@
      "prefix,least_loaded,round_robin,home", R(policy),
      "How an upstream is chosen: prefix is for engines that report their "
      "caches, home for those that don't; the others are baselines."},
+    {"customer_limits", KEY_CHOICE, FALSE, "ask", 0, 0, "ask,share",
+     R(customer_limits),
+     "Who knows what a customer has taken of its limit: with ask one router "
+     "for each customer, with share each router lets in its part."},
     {"stop_grace", KEY_DURATION, FALSE, "2s", 0, HOUR_MS, NULL,
      R(stop_grace_ms),
      "After SIGTERM: not ready, but still taking requests, for so long.",
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -22,6 +22,14 @@
     POLICY_HOME,
 } PolicyName_t;
 
+/**
+ * enum LimitsName_t - the words of [router] customer_limits, in their order
+ */
+typedef enum {
+    LIMITS_ASK,
+    LIMITS_SHARE,
+} LimitsName_t;
+
 /**
  * enum PlatformName_t - the words of [platform] form, in their order
  */
@@ -39,6 +47,7 @@
  * @ready_listen: where readiness is asked for besides; no host for none
  * @operator_listen: where operators connect
  * @policy: a PolicyName_t
+ * @customer_limits: a LimitsName_t
  * @stop_grace_ms: how long requests are still taken after SIGTERM
  * @stop_limit_ms: how long open streams may go on after SIGTERM
  * @bootstrap: path of declarations to start from, or NULL
@@ -52,6 +61,7 @@
     Address_t ready_listen;
     Address_t operator_listen;
     gint64 policy;
+    gint64 customer_limits;
     gint64 stop_grace_ms;
     gint64 stop_limit_ms;
     GString *bootstrap;
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -72,11 +72,10 @@
 }
 
 static void
-refuse(Exchange_t *super, Refusal_t refusal, RunState_t run,
-       const char *detail)
+refuse(Exchange_t *super, const RefusalNotice_t *notice)
 {
     const StreamExchange_t *this = (StreamExchange_t *)super;
-    Answer_refuse(this->answer, refusal, run, detail);
+    Answer_refuse(this->answer, notice);
 }
 
 static void
@@ -429,6 +428,15 @@
     return this;
 }
 
+/* A resume is no second request: its tokens were counted at the start. */
+static RateRequest_t
+rate_of(const StreamExchange_t *this, const StreamExchangeSpec_t *spec)
+{
+    double tokens =
+        (double)Prompt_tokens(this->prompt) + (double)this->prompt->max_tokens;
+    return Caller_rate(spec->caller, this->super.customer->str, tokens);
+}
+
 void
 StreamExchange_start(Context_t *context, const StreamExchangeSpec_t *spec)
 {
@@ -447,10 +455,8 @@
     if (this->point) {
         place_resume(this);
     }
-    else if (this->super.repeatable) {
-        Exchange_place(&this->super);
-    }
     else {
-        Exchange_claim(&this->super, spec->caller->key);
+        RateRequest_t rate = rate_of(this, spec);
+        Exchange_enter(&this->super, &rate, spec->caller->key);
     }
 }
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -907,6 +907,96 @@
   assert(message->base.descriptor == &wt__place_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__rate_ask__init
+                     (Wt__RateAsk         *message)
+{
+  static const Wt__RateAsk init_value = WT__RATE_ASK__INIT;
+  *message = init_value;
+}
+size_t wt__rate_ask__get_packed_size
+                     (const Wt__RateAsk *message)
+{
+  assert(message->base.descriptor == &wt__rate_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__rate_ask__pack
+                     (const Wt__RateAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__rate_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__rate_ask__pack_to_buffer
+                     (const Wt__RateAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__rate_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__RateAsk *
+       wt__rate_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__RateAsk *)
+     protobuf_c_message_unpack (&wt__rate_ask__descriptor,
+                                allocator, len, data);
+}
+void   wt__rate_ask__free_unpacked
+                     (Wt__RateAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__rate_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__rate_answer__init
+                     (Wt__RateAnswer         *message)
+{
+  static const Wt__RateAnswer init_value = WT__RATE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wt__rate_answer__get_packed_size
+                     (const Wt__RateAnswer *message)
+{
+  assert(message->base.descriptor == &wt__rate_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__rate_answer__pack
+                     (const Wt__RateAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__rate_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__rate_answer__pack_to_buffer
+                     (const Wt__RateAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__rate_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__RateAnswer *
+       wt__rate_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__RateAnswer *)
+     protobuf_c_message_unpack (&wt__rate_answer__descriptor,
+                                allocator, len, data);
+}
+void   wt__rate_answer__free_unpacked
+                     (Wt__RateAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__rate_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -2440,7 +2530,252 @@
   (ProtobufCMessageInit) wt__place_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wt__rate_ask__field_descriptors[8] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "units",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, units),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, spent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pressed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAsk, pressed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__rate_ask__field_indices_by_name[] = {
+  4,   /* field[4] = burst */
+  1,   /* field[1] = customer */
+  3,   /* field[3] = per_s */
+  7,   /* field[7] = pressed */
+  6,   /* field[6] = spent */
+  0,   /* field[0] = ticket */
+  5,   /* field[5] = units */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange wt__rate_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wt__rate_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.RateAsk",
+  "RateAsk",
+  "Wt__RateAsk",
+  "wt",
+  sizeof(Wt__RateAsk),
+  8,
+  wt__rate_ask__field_descriptors,
+  wt__rate_ask__field_indices_by_name,
+  1,  wt__rate_ask__number_ranges,
+  (ProtobufCMessageInit) wt__rate_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__rate_answer__field_descriptors[7] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elsewhere",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RateAnswer, elsewhere),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__rate_answer__field_indices_by_name[] = {
+  2,   /* field[2] = admitted */
+  1,   /* field[1] = customer */
+  6,   /* field[6] = elsewhere */
+  5,   /* field[5] = left */
+  3,   /* field[3] = open */
+  4,   /* field[4] = retry_after_ms */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wt__rate_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wt__rate_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.RateAnswer",
+  "RateAnswer",
+  "Wt__RateAnswer",
+  "wt",
+  sizeof(Wt__RateAnswer),
+  7,
+  wt__rate_answer__field_descriptors,
+  wt__rate_answer__field_indices_by_name,
+  1,  wt__rate_answer__number_ranges,
+  (ProtobufCMessageInit) wt__rate_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[16] =
 {
   {
     "hello",
@@ -2610,6 +2945,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate_ask",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, rate_ask),
+    &wt__rate_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_answer",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, rate_answer),
+    &wt__rate_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -2624,13 +2983,15 @@
   11,   /* field[11] = place_answer */
   10,   /* field[10] = place_ask */
   12,   /* field[12] = place_news */
+  15,   /* field[15] = rate_answer */
+  14,   /* field[14] = rate_ask */
   13,   /* field[13] = topic_ask */
   9,   /* field[9] = topic_part */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -2640,7 +3001,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  14,
+  16,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -37,6 +37,8 @@
 typedef struct Wt__PlaceAsk Wt__PlaceAsk;
 typedef struct Wt__PlaceAnswer Wt__PlaceAnswer;
 typedef struct Wt__PlaceNews Wt__PlaceNews;
+typedef struct Wt__RateAsk Wt__RateAsk;
+typedef struct Wt__RateAnswer Wt__RateAnswer;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -465,6 +467,72 @@
     , 0, WT__PLACE_STATE__BEGUN, 0 }
 
 
+/*
+ * Asks the router that keeps the count of a customer's limit for room, and
+ * tells it what was let in without asking.
+ */
+struct  Wt__RateAsk
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  /*
+   * Empty where only a sign of life is asked for.
+   */
+  char *customer;
+  /*
+   * The limit as the asker knows it: version of the configuration, units a
+   * second, units on top.
+   */
+  uint64_t version;
+  double per_s;
+  double burst;
+  /*
+   * That the request takes; 0 for none.
+   */
+  double units;
+  /*
+   * Let in since the last message; below 0 where more was given back.
+   */
+  double spent;
+  /*
+   * By the last word that the asker has, nothing was left.
+   */
+  protobuf_c_boolean pressed;
+};
+#define WT__RATE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__rate_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Wt__RateAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * That of the question; 0 where nobody has asked.
+   */
+  uint64_t ticket;
+  char *customer;
+  protobuf_c_boolean admitted;
+  /*
+   * So much is left that requests may be let in first and told afterwards.
+   */
+  protobuf_c_boolean open;
+  uint32_t retry_after_ms;
+  /*
+   * Units; below 0 while some are owed.
+   */
+  double left;
+  /*
+   * Nothing is decided: the router at this address (IP number and port, packed)
+   * answers and comes first. 0 where this one has decided.
+   */
+  uint64_t elsewhere;
+};
+#define WT__RATE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__rate_answer__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -480,7 +548,9 @@
   WT__PEER_MESSAGE__BODY_PLACE_ASK = 11,
   WT__PEER_MESSAGE__BODY_PLACE_ANSWER = 12,
   WT__PEER_MESSAGE__BODY_PLACE_NEWS = 13,
-  WT__PEER_MESSAGE__BODY_TOPIC_ASK = 14
+  WT__PEER_MESSAGE__BODY_TOPIC_ASK = 14,
+  WT__PEER_MESSAGE__BODY_RATE_ASK = 15,
+  WT__PEER_MESSAGE__BODY_RATE_ANSWER = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -503,6 +573,8 @@
     Wt__PlaceAnswer *place_answer;
     Wt__PlaceNews *place_news;
     Wt__TopicAsk *topic_ask;
+    Wt__RateAsk *rate_ask;
+    Wt__RateAnswer *rate_answer;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -890,6 +962,44 @@
 void   wt__place_news__free_unpacked
                      (Wt__PlaceNews *message,
                       ProtobufCAllocator *allocator);
+/* Wt__RateAsk methods */
+void   wt__rate_ask__init
+                     (Wt__RateAsk         *message);
+size_t wt__rate_ask__get_packed_size
+                     (const Wt__RateAsk   *message);
+size_t wt__rate_ask__pack
+                     (const Wt__RateAsk   *message,
+                      uint8_t             *out);
+size_t wt__rate_ask__pack_to_buffer
+                     (const Wt__RateAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__RateAsk *
+       wt__rate_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__rate_ask__free_unpacked
+                     (Wt__RateAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__RateAnswer methods */
+void   wt__rate_answer__init
+                     (Wt__RateAnswer         *message);
+size_t wt__rate_answer__get_packed_size
+                     (const Wt__RateAnswer   *message);
+size_t wt__rate_answer__pack
+                     (const Wt__RateAnswer   *message,
+                      uint8_t             *out);
+size_t wt__rate_answer__pack_to_buffer
+                     (const Wt__RateAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__RateAnswer *
+       wt__rate_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__rate_answer__free_unpacked
+                     (Wt__RateAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -971,6 +1081,12 @@
 typedef void (*Wt__PlaceNews_Closure)
                  (const Wt__PlaceNews *message,
                   void *closure_data);
+typedef void (*Wt__RateAsk_Closure)
+                 (const Wt__RateAsk *message,
+                  void *closure_data);
+typedef void (*Wt__RateAnswer_Closure)
+                 (const Wt__RateAnswer *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -1002,6 +1118,8 @@
 extern const ProtobufCMessageDescriptor wt__place_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__place_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__place_news__descriptor;
+extern const ProtobufCMessageDescriptor wt__rate_ask__descriptor;
+extern const ProtobufCMessageDescriptor wt__rate_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -18,6 +18,7 @@
 static FakeRouters_t routers;
 static Dispatch_t *dispatch;
 static Policy_t *policy;
+static PeerDatagrams_t *own;
 static PeerDatagrams_t *peer;
 static GPtrArray *heard; /* Wt__PeerMessage that came to the peer */
 
@@ -104,23 +105,29 @@
     Membership_t *mine = routers.list[0].membership;
     Membership_t *theirs = routers.list[1].membership;
     policy = Policies_create(POLICY_HOME);
+    own = PeerDatagrams_create(routers.base, Membership_address(mine),
+                               Membership_key(mine), NULL);
+    ck_assert_ptr_nonnull(own);
     DispatchSpec_t spec = {.membership = mine,
+                           .datagrams = own,
                            .upstreams = routers.upstreams,
                            .policy = policy,
                            .counters = routers.counters,
                            .prefer = prefer};
-    dispatch = Dispatch_create(routers.base, &spec, NULL);
+    dispatch = Dispatch_create(routers.base, &spec);
     ck_assert_ptr_nonnull(dispatch);
     heard = g_ptr_array_new_with_free_func(free_message);
     peer = PeerDatagrams_create(routers.base, Membership_address(theirs),
-                                Membership_key(mine), hear, NULL, NULL);
+                                Membership_key(mine), NULL);
     ck_assert_ptr_nonnull(peer);
+    PeerDatagrams_listen(peer, hear, NULL);
 }
 
 static void
 end(void)
 {
     PeerDatagrams_destroy(peer);
+    PeerDatagrams_destroy(own);
     Dispatch_destroy(dispatch);
     Policy_destroy(policy);
     g_ptr_array_unref(heard);
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -267,7 +267,38 @@
 }
 END_TEST
 
-TESTING_MAIN("Fleet", a_configuration_is_read,
+START_TEST(limits_of_customers_are_read)
+{
+    GBytes *value =
+        bytes("{\"version\":9,\"routes\":[],\"tenants\":["
+              "{\"name\":\"a\",\"api_keys\":[\"a\"],\"unit\":\"tokens\","
+              "\"rate_per_s\":252672,\"burst\":1000.5,\"plain_tokens\":200},"
+              "{\"name\":\"b\",\"api_keys\":[\"b\"],\"rate_per_s\":0.25},"
+              "{\"name\":\"c\",\"api_keys\":[\"c\"],\"rate_per_s\":-1,"
+              "\"burst\":\"x\"},"
+              "{\"name\":\"d\",\"api_keys\":[\"d\"],\"unit\":\"tokens\"}]}");
+    RouteConfig_t *config = Fleet_form.decode_config(value, NULL);
+    const RouteCustomer_t *a = RouteConfig_findCustomer(config, "a");
+    ck_assert(a->by_tokens);
+    ck_assert_double_eq(a->limit.per_s, 252672);
+    ck_assert_double_eq(a->limit.burst, 1000.5);
+    ck_assert_uint_eq(a->limit.version, 9);
+    ck_assert_uint_eq(a->plain_tokens, 200);
+    const RouteCustomer_t *b = RouteConfig_findCustomer(config, "b");
+    ck_assert(!b->by_tokens);
+    ck_assert_double_eq(b->limit.per_s, 0.25);
+    const RouteCustomer_t *c = RouteConfig_findCustomer(config, "c");
+    ck_assert_double_eq(c->limit.per_s, 0);
+    ck_assert_double_eq(c->limit.burst, 0);
+    const RouteCustomer_t *d = RouteConfig_findCustomer(config, "d");
+    ck_assert_double_eq(d->limit.per_s, 0);
+    ck_assert_uint_eq(d->plain_tokens, 1);
+    RouteConfig_unref(config);
+    g_bytes_unref(value);
+}
+END_TEST
+
+TESTING_MAIN("Fleet", limits_of_customers_are_read, a_configuration_is_read,
              a_bad_configuration_is_a_typed_error,
              an_entry_of_the_list_is_read, framed_records_come_back,
              only_a_mark_proves_that_nothing_ran,
--- a/tests/test_Limits.c
+++ b/tests/test_Limits.c
@@ -8,45 +8,20 @@
 #include "Trace.h"
 #include "Upstream.h"
 
-static Customer_t
-customer(gint64 rate, gint64 burst, gint64 concurrency)
-{
-    return (Customer_t){
-        .rate = rate, .burst = burst, .concurrency = concurrency};
-}
-
-START_TEST(rate_is_held_over_time)
-{
-    CustomerLimits_t *limits = CustomerLimits_create();
-    Customer_t spec = customer(10, 5, 1000);
-    Refusal_t refusal = REFUSAL_COUNT;
-    guint entered = 0;
-    for (gint64 now = 0; now <= 10000; now += 10) {
-        if (CustomerLimits_enter(limits, "c", &spec, now, &refusal)) {
-            CustomerLimits_leave(limits, "c");
-            entered++;
-        }
-    }
-    ck_assert_int_eq(refusal, REFUSAL_RATE_LIMITED);
-    ck_assert_uint_ge(entered, 104);
-    ck_assert_uint_le(entered, 105);
-    CustomerLimits_destroy(limits);
-}
-END_TEST
-
 START_TEST(open_requests_are_held)
 {
     CustomerLimits_t *limits = CustomerLimits_create();
-    Customer_t spec = customer(1000, 1000, 2);
-    Refusal_t refusal = REFUSAL_COUNT;
-    ck_assert(CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
-    ck_assert(CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
-    ck_assert(!CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
-    ck_assert_int_eq(refusal, REFUSAL_CONCURRENCY_LIMITED);
-    ck_assert(CustomerLimits_enter(limits, "other", &spec, 0, &refusal));
+    ck_assert(CustomerLimits_enter(limits, "c", 2));
+    ck_assert(CustomerLimits_enter(limits, "c", 2));
+    ck_assert(!CustomerLimits_enter(limits, "c", 2));
+    ck_assert(CustomerLimits_enter(limits, "other", 2));
     CustomerLimits_leave(limits, "c");
-    ck_assert(CustomerLimits_enter(limits, "c", &spec, 0, &refusal));
+    ck_assert(CustomerLimits_enter(limits, "c", 2));
     ck_assert_uint_eq(CustomerLimits_open(limits, "c"), 2);
+    CustomerLimits_leave(limits, "c");
+    CustomerLimits_leave(limits, "c");
+    CustomerLimits_leave(limits, "c");
+    ck_assert_uint_eq(CustomerLimits_open(limits, "c"), 0);
     CustomerLimits_destroy(limits);
 }
 END_TEST
@@ -335,8 +310,7 @@
 }
 END_TEST
 
-TESTING_MAIN("Limits", rate_is_held_over_time, open_requests_are_held,
-             retries_are_a_share_of_requests,
+TESTING_MAIN("Limits", open_requests_are_held, retries_are_a_share_of_requests,
              retry_allowance_is_shared_by_all_routers,
              many_routers_move_streams_within_the_allowance,
              many_routers_keep_half_of_the_retries_for_failures,
--- a/tests/test_PeerDatagrams.c
+++ b/tests/test_PeerDatagrams.c
@@ -24,8 +24,11 @@
     g_autoptr(GBytes) bytes = g_bytes_new(key, 32);
     GError *error = NULL;
     PeerDatagrams_t *datagrams =
-        PeerDatagrams_create(base, address, bytes, take, NULL, &error);
+        PeerDatagrams_create(base, address, bytes, &error);
     g_clear_error(&error);
+    if (datagrams) {
+        PeerDatagrams_listen(datagrams, take, NULL);
+    }
     return datagrams;
 }
 
