Upstreams that start again under their name, and entries of other writers

Cause: an upstream was known by its name alone. One that starts again under it was taken to hold what it had held, stayed ejected, paused and leaving, its idle connections were used, and its state counted as older than orders that it had forgotten. An entry of the list whose state was none counted as ready; one with a name in place of an IP number would have held up the loop with a look-up.

Change: the number of its start comes with the entry and with its state, and is the incarnation that the product knew already; a newer one voids what was known (Upstream, OrderedEngine). An entry that lacks a field which every upstream tells, or has one of another type, names no upstream; one that replaces a good entry ends it, and peers are told.

Ruled out: that a restart is seen by broken connections alone (an engine without requests has none).

--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -36,7 +36,8 @@
 struct OrderedEngine {
     OrderGiver_t *giver;
     Upstream_t *upstream;
-    HttpCall_t *call; /* under way, or NULL */
+    guint64 incarnation; /* whose state and orders these are */
+    HttpCall_t *call;    /* under way, or NULL */
     gboolean call_is_order;
     guint64 read_under; /* term of the lease under which it was read */
     gint64 read_ms;
@@ -54,6 +55,7 @@
     OrderedEngine_t *this = g_new0(OrderedEngine_t, 1);
     this->giver = giver;
     this->upstream = Upstream_ref(upstream);
+    this->incarnation = upstream->incarnation;
     this->weights = g_string_new(NULL);
     return this;
 }
@@ -167,6 +169,24 @@
     }
 }
 
+/* An engine that has started anew has taken no order, and its count of them
+ * begins anew: measured by the old count, all that it says would seem to be of
+ * before an order that it has forgotten. */
+static void
+follow_incarnation(OrderedEngine_t *this)
+{
+    if (this->incarnation == this->upstream->incarnation) {
+        return;
+    }
+    this->incarnation = this->upstream->incarnation;
+    this->read_under = 0;
+    this->announced_ms = 0;
+    this->ordered_ms = 0;
+    this->sequence = 0;
+    this->queued = 0;
+    this->loading = FALSE;
+}
+
 static void
 note_state(OrderedEngine_t *this, const EngineState_t *state)
 {
@@ -176,6 +196,7 @@
     gboolean reborn =
         state->incarnation > 0 &&
         Upstream_noteIncarnation(this->upstream, state->incarnation, now_ms);
+    follow_incarnation(this);
     this->read_ms = now_ms;
     if (is_outdated(this, state)) {
         return;
@@ -387,6 +408,7 @@
     if (this->call) {
         return FALSE;
     }
+    follow_incarnation(this);
     gboolean has_wanted = strcmp(this->weights->str, wanted->weights) == 0;
     if (has_wanted) {
         this->announced_ms = 0; /* it needs its place no more */
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -109,6 +109,21 @@
     return now_ms < this->ejected_until_ms ? "ejected" : "live";
 }
 
+static void
+forget_incarnation(Upstream_t *this)
+{
+    EngineMemory_clear(&this->memory);
+    drop_idle(this);
+    this->leaving = FALSE;
+    this->replaced = FALSE;
+    this->reported_tokens = 0;
+    this->reported_running = 0;
+    this->wait_us = 0;
+    this->paused_until_ms = 0;
+    this->unloading_since_ms = 0;
+    Upstream_noteSuccess(this);
+}
+
 gboolean
 Upstream_noteIncarnation(Upstream_t *this, guint64 incarnation, gint64 now_ms)
 {
@@ -119,12 +134,7 @@
     this->incarnation = incarnation;
     this->live_since_ms = now_ms;
     if (!first) {
-        EngineMemory_clear(&this->memory);
-        this->leaving = FALSE;
-        this->replaced = FALSE;
-        this->reported_tokens = 0;
-        this->reported_running = 0;
-        Upstream_noteSuccess(this);
+        forget_incarnation(this);
     }
     return TRUE;
 }
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -147,7 +147,8 @@
  * Upstream_noteIncarnation() - learn of an incarnation
  *
  * An older one than is known is passed over. A newer one voids the leaving
- * mark, the load and the ejection of the older.
+ * mark, the load, the waits, the pause and the ejection of the older, what it
+ * held, and the connections to it.
  *
  * Return: TRUE where it is news
  */
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -30,8 +30,9 @@
 
 /* Hashes of an upstream's last entry. */
 typedef struct {
-    guint64 entry; /* of its bytes */
-    guint64 place; /* of all that it says but the weights */
+    guint64 entry;       /* of its bytes */
+    guint64 place;       /* of all that it says but the weights */
+    gboolean unreadable; /* it names no upstream to use */
 } Seen_t;
 
 struct UpstreamListing {
@@ -192,6 +193,34 @@
     return first;
 }
 
+/* Where an entry does not say which of its starts it is of, there is one. */
+static guint64
+incarnation_of(const ListedUpstream_t *entry)
+{
+    return MAX(entry->incarnation, 1);
+}
+
+/* What is known of an upstream that has started anew under its name is gone:
+ * it holds nothing of before. */
+static void
+take_incarnation(const UpstreamListing_t *this, Upstream_t *upstream,
+                 const ListedUpstream_t *entry)
+{
+    guint64 before = upstream->incarnation;
+    if (!Upstream_noteIncarnation(upstream, incarnation_of(entry),
+                                  Clock_nowMs())) {
+        return;
+    }
+    if (this->spec.membership) {
+        Membership_noteUpstream(this->spec.membership, upstream->name->str);
+    }
+    Log_begin(LOG_LEVEL_INFO, "upstream_reborn");
+    Log_text("upstream", upstream->name->str);
+    Log_number("incarnation", (gint64)upstream->incarnation);
+    Log_number("before", (gint64)before);
+    Log_end();
+}
+
 /* As fast as another one that serves the same, as far as is known. */
 static double
 expected_speed(const UpstreamListing_t *this, const ListedUpstream_t *entry)
@@ -216,10 +245,14 @@
     if (is_new) {
         log_upstream("upstream_listed", name,
                      entry->leaving ? "leaving" : "live");
-        Upstream_noteIncarnation(upstream, 1, Clock_nowMs());
+        Upstream_noteIncarnation(upstream, incarnation_of(entry),
+                                 Clock_nowMs());
         upstream->weights_rise = TRUE;
         upstream->prefill_us_per_token = speed;
     }
+    else {
+        take_incarnation(this, upstream, entry);
+    }
     take_weights(this, upstream, entry->weights->str, is_new);
     if (entry->leaving) {
         note_leaving(this, upstream);
@@ -230,9 +263,9 @@
 hash_place(const ListedUpstream_t *entry)
 {
     g_autoptr(GString) text = g_string_new(NULL);
-    g_string_printf(text, "%s:%u %s %d", entry->spec.address.host,
-                    entry->spec.address.port, entry->spec.hall->str,
-                    entry->leaving);
+    g_string_printf(text, "%s:%u %s %d %" G_GUINT64_FORMAT,
+                    entry->spec.address.host, entry->spec.address.port,
+                    entry->spec.hall->str, entry->leaving, entry->incarnation);
     for (guint i = 0; i < entry->spec.serves->len; i++) {
         const GString *target = g_ptr_array_index(entry->spec.serves, i);
         g_string_append_printf(text, " %s", target->str);
@@ -241,13 +274,21 @@
 }
 
 /* Most entries are heartbeats that say the same again; with thousands of
- * upstreams it counts that they are not read. */
+ * upstreams it counts that they are not read. The same holds for one that
+ * names no upstream, which would be logged each time. */
 static gboolean
 is_unchanged(const UpstreamListing_t *this, const char *name, guint64 hash)
 {
     const Seen_t *seen = g_hash_table_lookup(this->seen, name);
     return seen && seen->entry == hash &&
-           UpstreamSet_find(this->spec.upstreams, name);
+           (seen->unreadable || UpstreamSet_find(this->spec.upstreams, name));
+}
+
+static void
+note_seen(UpstreamListing_t *this, const char *name, const Seen_t *seen)
+{
+    g_hash_table_replace(this->seen, g_strdup(name),
+                         g_memdup2(seen, sizeof(*seen)));
 }
 
 /* Weights change often, all engines' within seconds; peers hear of them by
@@ -261,10 +302,27 @@
     if (!seen || seen->place != place) {
         RecordRelay_add(this->relay, name, record->value, record->offset);
     }
-    Seen_t *now = g_new0(Seen_t, 1);
-    now->entry = hash;
-    now->place = place;
-    g_hash_table_replace(this->seen, g_strdup(name), now);
+    Seen_t now = {.entry = hash, .place = place};
+    note_seen(this, name, &now);
+}
+
+/* Another writer has put something in its place: peers are told, as what they
+ * know of it ends here as well. */
+static void
+take_unreadable(UpstreamListing_t *this, const KeyedRecord_t *record,
+                guint64 hash, const GError *error)
+{
+    const char *name = record->key->str;
+    Seen_t seen = {.entry = hash, .unreadable = TRUE};
+    Log_begin(LOG_LEVEL_WARNING, "listing_entry_unreadable");
+    Log_text("upstream", name);
+    Log_text("reason", error ? error->message : "");
+    Log_end();
+    RecordRelay_add(this->relay, name, record->value, record->offset);
+    note_seen(this, name, &seen);
+    if (UpstreamSet_find(this->spec.upstreams, name)) {
+        drop(this, name, "entry_unreadable");
+    }
 }
 
 static void
@@ -279,7 +337,7 @@
         take_entry(this, record->key->str, &entry);
     }
     else {
-        Log_error("listing_entry_unreadable", error);
+        take_unreadable(this, record, hash, error);
     }
     ListedUpstream_clear(&entry);
 }
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -17,11 +17,13 @@
 /**
  * struct ListedUpstream_t - one entry of the list
  * @spec: where it is and what it serves
+ * @incarnation: grows with each of its starts; 0 where it does not say
  * @leaving: it takes no new work
  * @weights: version that it has; empty where it has none
  */
 typedef struct {
     UpstreamSpec_t spec;
+    guint64 incarnation;
     gboolean leaving;
     GString *weights;
 } ListedUpstream_t;
@@ -30,6 +32,8 @@
  * ListedUpstreamDecode_t - read an entry
  * @value: as the list has it
  * @out: filled where it is good; cleared by ListedUpstream_clear()
+ *
+ * Return: FALSE where it names no upstream to use
  */
 typedef gboolean (*ListedUpstreamDecode_t)(GBytes *value,
                                            ListedUpstream_t *out,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -186,6 +186,7 @@
         self.service = service
         self.model = model
         self.version = 1
+        self.born = 1777568853587  # when it was started, in ms since 1970
         self.sequence = 0
         self.pieces = pieces
         self.seen = []      # headers of each request that ran
@@ -212,12 +213,18 @@
         entry = {"service": self.service, "address": self.address,
                  "zone": "hall-a", "version": "v1", "slots": 64,
                  "state": self.state, "cold_left_ms": 0,
-                 "call_seq": self.sequence}
+                 "call_seq": self.sequence, "born": self.born}
         if self.model:
             entry["models"] = [{"name": self.model, "version": self.version,
                                 "adapters": []}]
         self.store.put("keyed.servers", self.name, entry)
 
+    def start_again(self):
+        """Under its name: it knows and holds nothing of before."""
+        self.born += 1000
+        self.sequence = 0
+        self.list()
+
     def unlist(self):
         self.store.put("keyed.servers", self.name, None)
 
@@ -229,7 +236,7 @@
             self.carry_out_late()
             call.reply(200, {"models": [{"name": self.model,
                                          "version": self.version}],
-                             "busy": False, "call_seq": self.sequence,
+                             "born": self.born, "busy": False, "call_seq": self.sequence,
                              "queued": self.queued, "running": 0})
         elif call.path == "/v1/order":
             self.order(call, json.loads(body))
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -70,7 +70,8 @@
     ListedUpstream_t entry;
     GBytes *value = bytes(
         "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
-        "\"slots\":64,\"state\":\"draining\",\"cold_left_ms\":250,"
+        "\"version\":\"v1\",\"slots\":64,\"state\":\"draining\","
+        "\"cold_left_ms\":250,\"call_seq\":3,\"born\":1777568853587,"
         "\"models\":[{\"name\":\"m\",\"version\":4}]}");
     ListedUpstream_init(&entry);
     ck_assert(Fleet_form.decode_upstream(value, &entry, NULL));
@@ -78,11 +79,88 @@
     ck_assert_uint_eq(entry.spec.address.port, 8080);
     ck_assert(entry.leaving);
     ck_assert_str_eq(entry.weights->str, "4");
+    ck_assert_uint_eq(entry.incarnation, G_GUINT64_CONSTANT(1777568853587));
     ListedUpstream_clear(&entry);
     g_bytes_unref(value);
 }
 END_TEST
 
+#define GOOD_ENTRY                                                            \
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","          \
+    "\"version\":\"v\",\"slots\":4,\"state\":\"ready\",\"cold_left_ms\":0,"   \
+    "\"call_seq\":0,\"born\":5}"
+
+static gboolean
+is_upstream(const char *text)
+{
+    ListedUpstream_t entry;
+    g_autoptr(GError) error = NULL;
+    GBytes *value = bytes(text);
+    ListedUpstream_init(&entry);
+    gboolean good = Fleet_form.decode_upstream(value, &entry, &error);
+    ck_assert(good == (error == NULL));
+    ListedUpstream_clear(&entry);
+    g_bytes_unref(value);
+    return good;
+}
+
+static gboolean
+is_upstream_with(const char *from, const char *to)
+{
+    g_autoptr(GString) text = g_string_new(GOOD_ENTRY);
+    ck_assert_uint_eq(g_string_replace(text, from, to, 1), 1);
+    return is_upstream(text->str);
+}
+
+/*
+ * Symptom: an entry whose state was no state of an upstream got requests.
+ * Sequence: another writer puts an entry into the list. Cause: fields that
+ * were missing or of another type were taken for their usual values. Settled
+ * by: such an entry names no upstream.
+ */
+START_TEST(an_entry_of_another_writer_names_no_upstream)
+{
+    static const char *const parts[][3] = {
+        {"\"service\":\"s\",", "", "\"service\":7,"},
+        {"\"address\":\"10.0.0.9:80\",", "", "\"address\":[],"},
+        {"\"zone\":\"z\",", "", "\"zone\":null,"},
+        {"\"version\":\"v\",", "", "\"version\":1,"},
+        {"\"slots\":4,", "", "\"slots\":\"4\","},
+        {"\"state\":\"ready\",", "", "\"state\":true,"},
+        {"\"cold_left_ms\":0,", "", "\"cold_left_ms\":{},"},
+        {"\"call_seq\":0,", "", "\"call_seq\":-1,"},
+    };
+    static const char *const births[] = {"\"5\"", "5.5",  "0",
+                                         "-5",    "null", "1e300"};
+    static const char *const addresses[] = {
+        "10.0.0.9",       "10.0.0.9:", ":80",       "10.0.0.9:0",
+        "10.0.0.9:70000", "host:80",   "10.0.0:80", ""};
+    static const char *const texts[] = {"",         "{",  "[]",  "\"x\"",
+                                        "\xff\xfe", "{}", "null"};
+    ck_assert(is_upstream(GOOD_ENTRY));
+    ck_assert(is_upstream_with(",\"born\":5", ""));
+    for (gsize i = 0; i < G_N_ELEMENTS(parts); i++) {
+        ck_assert_msg(!is_upstream_with(parts[i][0], parts[i][1]), "%s left",
+                      parts[i][0]);
+        ck_assert_msg(!is_upstream_with(parts[i][0], parts[i][2]), "%s",
+                      parts[i][2]);
+    }
+    for (gsize i = 0; i < G_N_ELEMENTS(births); i++) {
+        g_autofree char *born = g_strdup_printf("\"born\":%s", births[i]);
+        ck_assert_msg(!is_upstream_with("\"born\":5", born), "%s", born);
+    }
+    for (gsize i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        ck_assert_msg(!is_upstream_with("10.0.0.9:80", addresses[i]), "%s",
+                      addresses[i]);
+    }
+    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+        ck_assert_msg(!is_upstream(texts[i]), "%s", texts[i]);
+    }
+    ck_assert(!is_upstream_with("ready", "retired"));
+    ck_assert(!is_upstream_with("\"born\":5", "\"models\":\"m\""));
+}
+END_TEST
+
 START_TEST(framed_records_come_back)
 {
     g_autoptr(GByteArray) body = g_byte_array_new();
@@ -300,8 +378,9 @@
 
 TESTING_MAIN("Fleet", limits_of_customers_are_read, a_configuration_is_read,
              a_bad_configuration_is_a_typed_error,
-             an_entry_of_the_list_is_read, framed_records_come_back,
-             only_a_mark_proves_that_nothing_ran,
+             an_entry_of_the_list_is_read,
+             an_entry_of_another_writer_names_no_upstream,
+             framed_records_come_back, only_a_mark_proves_that_nothing_ran,
              callers_cannot_set_what_is_ours, lengths_of_parts_can_be_added,
              numbers_beyond_any_use_are_bounded,
              fractions_of_a_configuration_are_not_lost)
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "Errors.h"
 #include "FakeSource.h"
 #include "PeerAge.h"
 #include "UpstreamListing.h"
@@ -25,15 +26,26 @@
 static UpstreamSet_t *upstreams;
 static guint decoded;
 
-/* An entry's value is the target that the upstream serves. */
+/* An entry's value is the target that the upstream serves, and behind a colon
+ * the number of its start; "!" names no upstream. */
 static gboolean
 decode(GBytes *value, ListedUpstream_t *out, GError **error)
 {
-    (void)error;
     decoded++;
     gsize length = 0;
     const char *text = g_bytes_get_data(value, &length);
-    g_ptr_array_add(out->spec.serves, g_string_new_len(text, (gssize)length));
+    g_autofree char *copy = g_strndup(text, length);
+    char *number = strchr(copy, ':');
+    if (*copy == '!') {
+        g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY, "no upstream");
+        return FALSE;
+    }
+    if (number) {
+        *number = '\0';
+        out->incarnation = g_ascii_strtoull(number + 1, NULL, 10);
+    }
+    g_ptr_array_add(out->spec.serves, g_string_new(copy));
+    out->spec.slots = 1;
     return TRUE;
 }
 
@@ -256,7 +268,82 @@
 }
 END_TEST
 
-TESTING_MAIN("UpstreamListing", a_long_list_is_not_put_in_order_for_each_entry,
+static Upstream_t *
+upstream_of(const char *name)
+{
+    return UpstreamSet_find(upstreams, name);
+}
+
+/*
+ * Symptom: an upstream that had started again under its name was taken to hold
+ * what it had held before, stayed ejected, and its orders were not believed.
+ * Sequence: it crashes and comes back with the same name and address. Cause:
+ * the name alone told one start from another. Settled by the number of its
+ * start, which its entry tells.
+ */
+START_TEST(an_upstream_that_starts_again_holds_nothing_of_before)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m:100");
+    Upstream_t *upstream = upstream_of("a");
+    MemoryMark_t mark = EngineMemory_mark(&upstream->memory);
+    upstream->leaving = TRUE;
+    upstream->replaced = TRUE;
+    upstream->wait_us = 50000;
+    Upstream_noteUnloading(upstream, 60000, Clock_nowMs());
+    Upstream_noteFailure(upstream, 1, 60000, Clock_nowMs());
+    ck_assert(!Upstream_isUsable(upstream, Clock_nowMs()));
+    ck_assert(EngineMemory_keeps(&upstream->memory, &mark, 1000, 0));
+    answer(2, "a", "m:200");
+    ck_assert_ptr_eq(upstream_of("a"), upstream);
+    ck_assert_uint_eq(upstream->incarnation, 200);
+    ck_assert(Upstream_isUsable(upstream, Clock_nowMs()));
+    ck_assert(!upstream->replaced);
+    ck_assert_int_eq(Upstream_waitUs(upstream, Clock_nowMs()), 0);
+    ck_assert_int_eq(Upstream_unloadingMs(upstream, Clock_nowMs()), 0);
+    ck_assert(!EngineMemory_keeps(&upstream->memory, &mark, 1000, 0));
+    end(listing);
+}
+END_TEST
+
+START_TEST(an_older_start_changes_nothing)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m:200");
+    Upstream_noteLeaving(upstream_of("a"), 200);
+    answer(2, "a", "m:100");
+    answer(3, "a", "m:200");
+    ck_assert_uint_eq(upstream_of("a")->incarnation, 200);
+    ck_assert(upstream_of("a")->leaving);
+    end(listing);
+}
+END_TEST
+
+START_TEST(an_entry_that_names_no_upstream_leaves_the_others)
+{
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    answer(2, "b", "!");
+    ck_assert_uint_eq(serving("m"), 1);
+    ck_assert_ptr_null(upstream_of("b"));
+    answer(3, "b", "!");
+    ck_assert_uint_eq(decoded, 2);
+    answer(4, "b", "m");
+    ck_assert_uint_eq(serving("m"), 2);
+    answer(5, "a", "!");
+    ck_assert_uint_eq(serving("m"), 1);
+    ck_assert_ptr_nonnull(upstream_of("b"));
+    answer(6, "a", "m");
+    ck_assert_uint_eq(serving("m"), 2);
+    end(listing);
+}
+END_TEST
+
+TESTING_MAIN("UpstreamListing",
+             an_upstream_that_starts_again_holds_nothing_of_before,
+             an_older_start_changes_nothing,
+             an_entry_that_names_no_upstream_leaves_the_others,
+             a_long_list_is_not_put_in_order_for_each_entry,
              a_new_upstream_is_as_fast_as_another_of_its_target,
              the_speed_of_one_that_left_or_changed_is_not_taken,
              an_entry_that_says_the_same_is_not_read_again,
