--- a/src/Context.h
+++ b/src/Context.h
@@ -26,6 +26,7 @@
 #include "Refusal.h"
 #include "RetryBudget.h"
 #include "RouteTable.h"
+#include "RunTimes.h"
 #include "Settings.h"
 #include "StreamMover.h"
 #include "Trace.h"
@@ -47,6 +48,7 @@
  * @speeds: EngineSpeed_t * by the name of the service, where engines don't
  *     report theirs; else NULL
  * @pauses: whether streams are held up; NULL on the native platform
+ * @run_times: of streams by their routes; NULL on the native platform
  * @forecast: how far estimates are off; NULL on the native platform
  * @load_share: tells the other routers of loads, or NULL
  * @mover: of streams whose engines pause; NULL on the native platform
@@ -80,6 +82,7 @@
     CacheStore_t *cache_store;
     GHashTable *speeds;
     PauseGuard_t *pauses;
+    RunTimes_t *run_times;
     Forecast_t *forecast;
     struct LoadShare *load_share;
     StreamMover_t *mover;
--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -103,6 +103,7 @@
         .prompt_tokens = MAX(ask->prompt_tokens, ask->prefix_tokens),
         .groups = Dispatch_groups(this, serving->len),
         .avoid = UpstreamSet_findHash(this->spec.upstreams, ask->avoid),
+        .run_us = ask->run_us,
         .latest_us = ask->latest_us,
         .now_ms = Clock_nowMs(),
     };
@@ -299,6 +300,7 @@
     question.prefix_tokens = placement->level_tokens[shared];
     question.prompt_tokens = placement->prompt_tokens;
     question.avoid = hash_or_zero(placement->avoid);
+    question.run_us = to_32_bits(placement->run_us);
     question.latest_us = to_32_bits(placement->latest_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ASK;
     message.place_ask = &question;
--- a/src/HintFlood.h
+++ b/src/HintFlood.h
@@ -21,6 +21,9 @@
  *     subject is the hash of its name
  * @HINT_REACHED: an upstream that was in doubt answered a probe; the subject
  *     is the hash of its name
+ * @HINT_SOON: an upstream is to change its weights before long; the subject is
+ *     the hash of its name, the value for how many milliseconds that is to be
+ *     expected
  */
 typedef enum {
     HINT_SAVED = 1,
@@ -28,6 +31,7 @@
     HINT_LOADED = 3,
     HINT_UNREACHED = 4,
     HINT_REACHED = 5,
+    HINT_SOON = 6,
 } HintKind_t;
 
 /**
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -27,6 +27,10 @@
 /* An engine that has not got the newest weights, once they have been named
  * for longer than answers on the old ones count in full. */
 #define OLD_WEIGHTS_COST_US 150000
+/* A load waits for the runs of its engine. What ends in this time holds it up
+ * no longer than the pause before it; the rest of a longer run counts against
+ * an engine that is about to load. */
+#define SOON_SPARE_US 300000
 #define OLD_WEIGHTS_GRACE_MS 1000
 /* An engine that is expected to begin too late: more than all else that may
  * speak against one that begins in time. */
@@ -349,6 +353,9 @@
     if (has_old_weights(placement, upstream)) {
         drawback += OLD_WEIGHTS_COST_US;
     }
+    if (placement->now_ms < upstream->soon_until_ms) {
+        drawback += MAX(placement->run_us - SOON_SPARE_US, 0);
+    }
     return drawback;
 }
 
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -30,6 +30,9 @@
  * its requests are refused from then on: 285 of them in 5 s of a roll-out
  * whose loads took 4.5 s. */
 #define PAUSE_RENEW_MS 800
+/* Routers expect a load for so long; told again when half of it is over. A
+ * stream of the longest kind seen runs two seconds and a half. */
+#define SOON_MS 3000
 /* What a time-out may be off by. */
 #define TIMER_MARGIN_MS 100
 
@@ -435,3 +438,26 @@
     }
     return FALSE;
 }
+
+gboolean
+OrderedEngine_isNext(const OrderedEngine_t *this,
+                     const WantedWeights_t *wanted)
+{
+    gboolean has_wanted =
+        strcmp(this->upstream->weights->str, wanted->weights) == 0;
+    return !has_wanted && !this->upstream->suspect &&
+           !OrderedEngine_isLoading(this);
+}
+
+void
+OrderedEngine_warn(OrderedEngine_t *this)
+{
+    if (this->giver->form->listed &&
+        Upstream_noteSoon(this->upstream, SOON_MS, Clock_nowMs())) {
+        hint(this, HINT_SOON, SOON_MS);
+        Log_begin(LOG_LEVEL_INFO, "load_expected");
+        Log_text("upstream", this->upstream->name->str);
+        Log_number("for_ms", SOON_MS);
+        Log_end();
+    }
+}
--- a/src/OrderedEngine.h
+++ b/src/OrderedEngine.h
@@ -81,4 +81,12 @@
 gboolean OrderedEngine_tend(OrderedEngine_t *this,
                             const WantedWeights_t *wanted, gboolean may_load);
 
+/** OrderedEngine_isNext() - whether it waits for a place to load */
+gboolean OrderedEngine_isNext(const OrderedEngine_t *this,
+                              const WantedWeights_t *wanted);
+
+/** OrderedEngine_warn() - it is among the next to load: routers send it no
+ * request any more that would run for long */
+void OrderedEngine_warn(OrderedEngine_t *this);
+
 #endif
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -147,6 +147,20 @@
     return OrderPlaces_count(&facts);
 }
 
+/* As many as load at once are the next; the load of an engine waits for the
+ * runs that it has, for 1.3 s at the median of ten streams each. */
+static void
+warn_next(const GArray *engines, guint count)
+{
+    for (guint i = 0; i < engines->len && count > 0; i++) {
+        const Ordered_t *ordered = &g_array_index(engines, Ordered_t, i);
+        if (OrderedEngine_isNext(ordered->engine, &ordered->wanted)) {
+            OrderedEngine_warn(ordered->engine);
+            count--;
+        }
+    }
+}
+
 static void
 tend_all(Orders_t *this)
 {
@@ -161,6 +175,7 @@
             OrderPlaces_take(&places, served);
         }
     }
+    warn_next(engines, places.most);
     g_array_unref(engines);
 }
 
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -32,6 +32,7 @@
  * @cache_tokens: that an engine's memory holds, 0 for unknown
  * @move_us_per_token: over an engine's link, 0 for unknown
  * @store_us_per_token: over the store's link, 0 for unknown
+ * @run_us: how long it is expected to run after its first token, 0 for unknown
  * @latest_us: by when the first token should come, 0 for any time
  * @short_share: of the engines, that are for short prompts; 0 for none
  * @warm_ms: longest rest of a connection that the request may use
@@ -59,6 +60,7 @@
     guint cache_tokens;
     double move_us_per_token;
     double store_us_per_token;
+    gint64 run_us;
     gint64 latest_us;
     double short_share;
     gint64 warm_ms;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -171,6 +171,8 @@
         return take_doubt(upstream, now_ms);
     case HINT_REACHED:
         return Upstream_settleDoubt(upstream);
+    case HINT_SOON:
+        return Upstream_noteSoon(upstream, hint->value, now_ms);
     default:
         return FALSE;
     }
@@ -225,6 +227,7 @@
     context->cache_store = CacheStore_create(this->hints);
     context->forecast = Forecast_create();
     context->pauses = PauseGuard_create();
+    context->run_times = RunTimes_create();
     context->speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     context->mover =
@@ -286,6 +289,7 @@
     g_hash_table_destroy(this->context->speeds);
     Forecast_destroy(this->context->forecast);
     PauseGuard_destroy(this->context->pauses);
+    RunTimes_destroy(this->context->run_times);
     HintFlood_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
     g_free(this);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -214,6 +214,8 @@
         context->dispatch
             ? Dispatch_groups(context->dispatch, out->placement.serving->len)
             : 1;
+    out->placement.run_us =
+        RunTimes_expectedUs(context->run_times, wish->route->name->str);
     if (wish->route->objective_ms > 0) {
         out->placement.latest_us =
             MAX(LoadShed_latestUs(
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -85,6 +85,8 @@
     if (this->is_stream) {
         PauseGuard_noteStream(this->super.context->pauses, this->pause_us,
                               this->route->pause_ms);
+        RunTimes_note(this->super.context->run_times, this->route->name->str,
+                      Clock_nowUs() - this->super.started_us - this->first_us);
         EventPipe_flush(this->events, this->passing);
         RelayAnswer_send(this->answer, this->passing);
         RelayAnswer_finish(this->answer);
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -121,6 +121,7 @@
     this->wait_us = 0;
     this->paused_until_ms = 0;
     this->unloading_since_ms = 0;
+    this->soon_until_ms = 0;
     Upstream_noteSuccess(this);
 }
 
@@ -154,6 +155,16 @@
     }
 }
 
+gboolean
+Upstream_noteSoon(Upstream_t *this, gint64 for_ms, gint64 now_ms)
+{
+    if (this->soon_until_ms - now_ms > for_ms / 2) {
+        return FALSE;
+    }
+    this->soon_until_ms = now_ms + for_ms;
+    return TRUE;
+}
+
 gint64
 Upstream_unloadingMs(const Upstream_t *this, gint64 now_ms)
 {
@@ -248,6 +259,7 @@
     EngineMemory_clear(&this->memory);
     this->paused_until_ms = 0;
     this->unloading_since_ms = 0;
+    this->soon_until_ms = 0;
     return TRUE;
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -47,6 +47,7 @@
  * @paused_until_ms: it refuses work until then, or until it has other weights
  * @unloading_since_ms: when it began to pause in order to change its weights,
  *     0 where it does not
+ * @soon_until_ms: it is to change its weights before long; expected until then
  * @others_tokens: like pending_tokens, of the other routers as they told
  * @others_requests: their open requests
  * @ticket_tokens: like pending_tokens, of what was placed here for others
@@ -97,6 +98,7 @@
     gboolean weights_rise;
     gint64 paused_until_ms;
     gint64 unloading_since_ms;
+    gint64 soon_until_ms;
     guint others_tokens;
     guint others_requests;
     guint64 ticket_tokens;
@@ -165,6 +167,13 @@
 /** Upstream_noteUnloading() - the same, as its weights are to change */
 void Upstream_noteUnloading(Upstream_t *this, gint64 pause_ms, gint64 now_ms);
 
+/**
+ * Upstream_noteSoon() - it is to change its weights, expected for so long
+ *
+ * Return: whether that is news
+ */
+gboolean Upstream_noteSoon(Upstream_t *this, gint64 for_ms, gint64 now_ms);
+
 /**
  * Upstream_unloadingMs() - for how long it has paused to change its weights
  *
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2195,7 +2195,7 @@
   (ProtobufCMessageInit) wt__topic_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[9] =
 {
   {
     "ticket",
@@ -2293,6 +2293,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, run_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__place_ask__field_indices_by_name[] = {
   6,   /* field[6] = avoid */
@@ -2301,13 +2313,14 @@
   3,   /* field[3] = prefix */
   4,   /* field[4] = prefix_tokens */
   5,   /* field[5] = prompt_tokens */
+  8,   /* field[8] = run_us */
   1,   /* field[1] = target */
   0,   /* field[0] = ticket */
 };
 static const ProtobufCIntRange wt__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wt__place_ask__descriptor =
 {
@@ -2317,7 +2330,7 @@
   "Wt__PlaceAsk",
   "wt",
   sizeof(Wt__PlaceAsk),
-  8,
+  9,
   wt__place_ask__field_descriptors,
   wt__place_ask__field_indices_by_name,
   1,  wt__place_ask__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -416,10 +416,14 @@
    * By when the first token should come; 0 for any time.
    */
   uint32_t latest_us;
+  /*
+   * How long it is expected to run after that; 0 for unknown.
+   */
+  uint32_t run_us;
 };
 #define WT__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wt__PlaceAnswer
--- a/tests/test_HomePolicy.c
+++ b/tests/test_HomePolicy.c
@@ -292,6 +292,25 @@
 }
 END_TEST
 
+START_TEST(an_engine_that_loads_next_gets_no_long_run)
+{
+    begin();
+    for (guint64 key = 1; key < 50; key++) {
+        Placement_t wish = placement(key * SPREAD, key);
+        Upstream_t *home = Policy_choose(policy, &wish).upstream;
+        Upstream_noteSoon(home, 3000, NOW_MS);
+        wish.run_us = 200000;
+        ck_assert_ptr_eq(Policy_choose(policy, &wish).upstream, home);
+        wish.run_us = 1500000;
+        ck_assert_ptr_ne(Policy_choose(policy, &wish).upstream, home);
+        wish.now_ms = NOW_MS + 3000;
+        ck_assert_ptr_eq(Policy_choose(policy, &wish).upstream, home);
+        home->soon_until_ms = 0;
+    }
+    end();
+}
+END_TEST
+
 START_TEST(a_learned_wait_fades)
 {
     begin();
@@ -316,4 +335,5 @@
              an_unknown_home_is_a_likely_source,
              overdue_weights_are_no_last_resort,
              a_suspect_gets_nothing_even_as_the_last_one,
-             lagging_news_of_weights_change_nothing, a_learned_wait_fades)
+             lagging_news_of_weights_change_nothing,
+             an_engine_that_loads_next_gets_no_long_run, a_learned_wait_fades)
--- /dev/null
+++ b/tests/test_RunTimes.c
@@ -0,0 +1,41 @@
+#include "testing.h"
+
+#include "RunTimes.h"
+
+START_TEST(nothing_is_expected_before_anything_was_seen)
+{
+    RunTimes_t *times = RunTimes_create();
+    ck_assert_int_eq(RunTimes_expectedUs(times, "a"), 0);
+    RunTimes_destroy(times);
+}
+END_TEST
+
+START_TEST(each_route_has_a_mean_of_its_own)
+{
+    RunTimes_t *times = RunTimes_create();
+    for (int i = 0; i < 100; i++) {
+        RunTimes_note(times, "long", 2000000 + (i % 2) * 400000);
+        RunTimes_note(times, "short", 100000);
+    }
+    ck_assert_int_ge(RunTimes_expectedUs(times, "long"), 2100000);
+    ck_assert_int_le(RunTimes_expectedUs(times, "long"), 2300000);
+    ck_assert_int_le(RunTimes_expectedUs(times, "short"), 100000);
+    ck_assert_int_ge(RunTimes_expectedUs(times, "short"), 99000);
+    RunTimes_destroy(times);
+}
+END_TEST
+
+START_TEST(a_change_is_followed)
+{
+    RunTimes_t *times = RunTimes_create();
+    RunTimes_note(times, "a", 1000000);
+    for (int i = 0; i < 50; i++) {
+        RunTimes_note(times, "a", 100000);
+    }
+    ck_assert_int_le(RunTimes_expectedUs(times, "a"), 110000);
+    RunTimes_destroy(times);
+}
+END_TEST
+
+TESTING_MAIN("RunTimes", nothing_is_expected_before_anything_was_seen,
+             each_route_has_a_mean_of_its_own, a_change_is_followed)
