List a topic anew when an asked offset has expired

Cause: a router that does not read for all asks the store itself when those that do are silent.

Seen as an accepted configuration in force after 5.8 s with the readers cut off and their topic compacted, and as refusals for old state in the seconds before.

--- a/src/RateKeeper.c
+++ b/src/RateKeeper.c
@@ -5,6 +5,7 @@
 
 #include "Clock.h"
 #include "OwnShare.h"
+#include "RateAsks.h"
 #include "RateCounts.h"
 
 /* A word counts for so long at the most; the keeper tells before when it ends.
@@ -31,41 +32,10 @@
     Counters_t *counters;
     RateRoll_t *roll;
     RateCounts_t *counts;
+    RateAsks_t *asks;
     GHashTable *words; /* customer -> Word_t */
-    GHashTable *asks;  /* &ticket -> RateAsk_t */
-    GQueue *waiting;   /* RateAsk_t in the order in which they fall due */
 };
 
-/* A question that is not answered waits until it is known which of the routers
- * that may keep the count live, and is asked once more. */
-typedef enum {
-    STEP_ASKED,
-    STEP_ROLL_CALLED,
-    STEP_ASKED_AGAIN,
-} Step_t;
-
-struct RateAsk {
-    RateKeeper_t *keeper;
-    guint64 ticket;
-    Step_t step;
-    GString *customer;
-    RateLimit_t limit;
-    double units;
-    gint64 late_ms; /* from when on no answer is waited for */
-    gboolean was_sent_on;
-    RateDone_t done;
-    void *owner;
-    gboolean cancelled;
-};
-
-static void
-free_ask(gpointer data)
-{
-    RateAsk_t *ask = data;
-    g_string_free(ask->customer, TRUE);
-    g_free(ask);
-}
-
 static Word_t *
 word_of(RateKeeper_t *this, const char *customer)
 {
@@ -165,59 +135,22 @@
     return verdict;
 }
 
-/* The question is gone before its asker hears, who may ask again. */
-static void
-finish_ask(RateAsk_t *ask, const RateVerdict_t *verdict)
-{
-    RateKeeper_t *this = ask->keeper;
-    RateDone_t done = ask->cancelled ? NULL : ask->done;
-    void *owner = ask->owner;
-    g_queue_remove(this->waiting, ask);
-    g_hash_table_remove(this->asks, &ask->ticket);
-    if (done) {
-        done(owner, verdict);
-    }
-}
-
-/* All wait for the same time, so that the order in which they began is that in
- * which they fall due. */
-static void
-wait_for(RateAsk_t *ask, Step_t step)
-{
-    RateKeeper_t *this = ask->keeper;
-    ask->step = step;
-    ask->late_ms = Clock_nowMs() + RATE_WAIT_MS;
-    g_queue_remove(this->waiting, ask);
-    g_queue_push_tail(this->waiting, ask);
-    RateLinks_wake(&this->links, RATE_WAIT_MS);
-}
-
-static RateRequest_t
-request_of(const RateAsk_t *ask)
-{
-    return (RateRequest_t){
-        .customer = ask->customer->str,
-        .limit = ask->limit,
-        .units = ask->units,
-    };
-}
-
 static void
 end_alone(RateAsk_t *ask)
 {
-    RateKeeper_t *this = ask->keeper;
-    RateRequest_t request = request_of(ask);
+    RateKeeper_t *this = ask->asker;
+    RateRequest_t request = RateAsk_request(ask);
     Word_t *word = word_of(this, request.customer);
     RateVerdict_t verdict = decide_alone(this, word, &request);
-    finish_ask(ask, &verdict);
+    RateAsks_finish(this->asks, ask, &verdict);
 }
 
 /* The routers that live are known now. */
 static void
 ask_again(RateAsk_t *ask)
 {
-    RateKeeper_t *this = ask->keeper;
-    RateRequest_t request = request_of(ask);
+    RateKeeper_t *this = ask->asker;
+    RateRequest_t request = RateAsk_request(ask);
     Word_t *word = word_of(this, request.customer);
     guint64 keeper = RateRoll_keeper(this->roll, request.customer);
     if (keeper == RATE_NOBODY) {
@@ -225,11 +158,11 @@
     }
     else if (keeper == RATE_SELF) {
         RateVerdict_t verdict = decide_here(this, word, &request);
-        finish_ask(ask, &verdict);
+        RateAsks_finish(this->asks, ask, &verdict);
     }
     else {
         RateClaim_t claim = claim_of(word, &request);
-        wait_for(ask, STEP_ASKED_AGAIN);
+        RateAsks_wait(this->asks, ask, RATE_STEP_ASKED_AGAIN);
         RateLinks_ask(&this->links, keeper, &claim, ask->ticket);
     }
 }
@@ -239,17 +172,17 @@
 static void
 go_on_late(RateAsk_t *ask)
 {
-    RateKeeper_t *this = ask->keeper;
+    RateKeeper_t *this = ask->asker;
     RateVerdict_t nothing = {0};
     if (ask->cancelled) {
-        finish_ask(ask, &nothing);
+        RateAsks_finish(this->asks, ask, &nothing);
     }
-    else if (ask->step == STEP_ASKED) {
+    else if (ask->step == RATE_STEP_ASKED) {
         count_ask(this, "outcome=\"unanswered\"");
         RateRoll_call(this->roll, ask->customer->str);
-        wait_for(ask, STEP_ROLL_CALLED);
+        RateAsks_wait(this->asks, ask, RATE_STEP_ROLL_CALLED);
     }
-    else if (ask->step == STEP_ROLL_CALLED) {
+    else if (ask->step == RATE_STEP_ROLL_CALLED) {
         ask_again(ask);
     }
     else {
@@ -257,20 +190,6 @@
     }
 }
 
-static RateAsk_t *
-create_ask(RateKeeper_t *this, const RateRequest_t *request)
-{
-    RateAsk_t *ask = g_new0(RateAsk_t, 1);
-    ask->keeper = this;
-    ask->ticket = RateLinks_nextTicket(&this->links);
-    ask->customer = g_string_new(request->customer);
-    ask->limit = request->limit;
-    ask->units = request->units;
-    g_hash_table_insert(this->asks, &ask->ticket, ask);
-    wait_for(ask, STEP_ASKED);
-    return ask;
-}
-
 static gboolean
 is_report_lost(const Word_t *word, gint64 now_ms)
 {
@@ -335,7 +254,7 @@
 ask_keeper(RateKeeper_t *this, Word_t *word, const RateRequest_t *request,
            guint64 keeper)
 {
-    RateAsk_t *ask = create_ask(this, request);
+    RateAsk_t *ask = RateAsks_add(this->asks, this, request);
     RateClaim_t claim = claim_of(word, request);
     word->told_ms = 0;
     RateLinks_ask(&this->links, keeper, &claim, ask->ticket);
@@ -468,7 +387,7 @@
     else if (answer->admitted) {
         OwnShare_note(&word->share, ask->units, Clock_nowMs());
     }
-    finish_ask(ask, &verdict);
+    RateAsks_finish(this->asks, ask, &verdict);
 }
 
 /* The router that comes first answers others, so that it is not passed over
@@ -485,7 +404,7 @@
     if (!ask || ask->was_sent_on) {
         return;
     }
-    RateRequest_t request = request_of(ask);
+    RateRequest_t request = RateAsk_request(ask);
     RateClaim_t claim = claim_of(word_of(this, request.customer), &request);
     ask->was_sent_on = TRUE;
     RateLinks_ask(&this->links, answer->elsewhere, &claim, ask->ticket);
@@ -498,7 +417,7 @@
         RateCounts_noteAnswer(this->counts, answer->ticket);
         return;
     }
-    RateAsk_t *ask = g_hash_table_lookup(this->asks, &answer->ticket);
+    RateAsk_t *ask = RateAsks_find(this->asks, answer->ticket);
     if (answer->elsewhere != RATE_SELF) {
         go_elsewhere(this, answer, ask);
         return;
@@ -526,21 +445,18 @@
 static void
 go_on_with_late(RateKeeper_t *this, gint64 now_ms)
 {
-    RateAsk_t *ask = g_queue_peek_head(this->waiting);
-    while (ask && ask->late_ms <= now_ms) {
+    RateAsk_t *ask = RateAsks_firstLate(this->asks, now_ms);
+    while (ask) {
         go_on_late(ask);
-        ask = g_queue_peek_head(this->waiting);
+        ask = RateAsks_firstLate(this->asks, now_ms);
     }
 }
 
 static void
 wake_again(const RateKeeper_t *this, gint64 now_ms)
 {
-    const RateAsk_t *next = g_queue_peek_head(this->waiting);
     gint64 due_ms = RateCounts_dueMs(this->counts);
-    if (next) {
-        RateLinks_wake(&this->links, next->late_ms - now_ms);
-    }
+    RateAsks_wakeAgain(this->asks, now_ms);
     if (RateRoll_isWaiting(this->roll)) {
         RateLinks_wake(&this->links, RATE_WAIT_MS);
     }
@@ -563,8 +479,7 @@
 destroy(RateLimits_t *super)
 {
     RateKeeper_t *this = (RateKeeper_t *)super;
-    g_queue_free(this->waiting);
-    g_hash_table_destroy(this->asks);
+    RateAsks_destroy(this->asks);
     g_hash_table_destroy(this->words);
     RateCounts_destroy(this->counts);
     RateRoll_destroy(this->roll);
@@ -591,9 +506,7 @@
     this->counts = RateCounts_create(&this->links, this->roll);
     this->words =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    this->asks =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_ask);
-    this->waiting = g_queue_new();
+    this->asks = RateAsks_create(&this->links);
     return this;
 }
 
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -327,12 +327,28 @@
     g_free(this);
 }
 
+/* Its own next read may be a long pause away, and no peer can tell what has
+ * expired: without this every router answered from old state, and then from
+ * none, until its own pause was over. A call under way learns it by itself. */
+static void
+note_expired(RecordFollower_t *this)
+{
+    if (this->listing || this->calling) {
+        return;
+    }
+    evtimer_del(this->timer);
+    list_anew(this);
+}
+
 static void
 on_asked(const KeyedPage_t *page, const GError *error, void *data)
 {
-    (void)error;
     RecordFollower_t *this = data;
     this->asking = FALSE;
+    if (g_error_matches(error, WT_ERROR, WT_ERROR_TRUNCATED)) {
+        note_expired(this);
+        return;
+    }
     this->unanswered = page ? 0 : this->unanswered + 1;
     if (!page || this->listing) {
         return;
--- a/tests/fuzz/peers.c
+++ b/tests/fuzz/peers.c
@@ -12,6 +12,7 @@
 #include "PeerDatagrams.h"
 #include "PeerLink.h"
 #include "PeerMac.h"
+#include "RateKeeper.h"
 #include "targets.h"
 
 #define MAC_KEY "0123456789abcdef0123456789abcdef"
@@ -75,6 +76,72 @@
     MemberTable_destroy(table);
 }
 
+static guint
+no_candidates(void *owner, const char *customer, guint64 out[RATE_CANDIDATES])
+{
+    (void)owner;
+    (void)customer;
+    out[0] = RATE_SELF;
+    return 1;
+}
+
+static guint
+one_router(void *owner)
+{
+    (void)owner;
+    return 1;
+}
+
+static void
+draw_none(void *owner, ReachSample_t *out)
+{
+    (void)owner;
+    (void)out;
+}
+
+static void
+send_nothing(void *owner, guint64 router, const Wt__PeerMessage *message)
+{
+    (void)owner;
+    (void)router;
+    (void)message;
+}
+
+static void
+never_wake(void *owner, gint64 in_ms)
+{
+    (void)owner;
+    (void)in_ms;
+}
+
+static const RateLinksClass_t no_links = {
+    .candidates = no_candidates,
+    .routers = one_router,
+    .draw = draw_none,
+    .send = send_nothing,
+    .wake = never_wake,
+};
+
+/* Whatever others say of a customer, a request of another one goes on. */
+static void
+take_rates(const Wt__PeerMessage *message)
+{
+    Counters_t *counters = Counters_create();
+    RateKeeper_t *keeper = RateKeeper_create(&no_links, NULL, counters);
+    RateRequest_t request = {
+        .customer = "other", .limit = {.per_s = 10, .burst = 10}, .units = 1};
+    RateVerdict_t verdict = {0};
+    RateKeeper_take(keeper, message, 7);
+    RateKeeper_take(keeper, message, 8);
+    RateKeeper_tick(keeper);
+    RateAsk_t *ask = RateLimits_enter(RateKeeper_limits(keeper), &request,
+                                      &verdict, NULL, NULL);
+    g_assert(!ask);
+    g_assert(verdict.admitted || message->rate_ask);
+    RateLimits_destroy(RateKeeper_limits(keeper));
+    Counters_destroy(counters);
+}
+
 int
 Fuzz_peerMessages(const uint8_t *data, size_t size)
 {
@@ -91,6 +158,10 @@
     if (message->body_case == WT__PEER_MESSAGE__BODY_GOSSIP) {
         take_gossip(message->gossip);
     }
+    if (message->body_case == WT__PEER_MESSAGE__BODY_RATE_ASK ||
+        message->body_case == WT__PEER_MESSAGE__BODY_RATE_ANSWER) {
+        take_rates(message);
+    }
     wt__peer_message__free_unpacked(message, NULL);
     return 0;
 }
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -281,6 +281,50 @@
 }
 END_TEST
 
+/* Symptom: an accepted configuration was in force 5.8 s after its acceptance,
+ * and requests were refused for old state in the seconds before.
+ * Sequence: the routers that read for all are cut off from the store, it
+ * compacts its topic, the others ask it by themselves.
+ * Cause: the answer that the asked offset has expired was counted as no
+ * answer, and a router that does not read for all waits for its long pause.
+ * Settled by: such an answer begins a new list at once. */
+START_TEST(an_asked_offset_that_has_expired_is_listed_anew_at_once)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3 b:4");
+    FakeSource_await(&source);
+    answer(10, FALSE, "");
+    RecordFollower_setReads(follower, 0, LONG_PAUSE_MS, 0);
+    answer(10, FALSE, "");
+    RecordFollower_ask(follower, STORE_UNTOLD);
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    answer(90, FALSE, "b:4 c:80");
+    ck_assert_str_eq(seen.told->str, "a b c a- ");
+    ck_assert_uint_eq(RecordFollower_offset(follower), 90);
+    ck_assert_uint_eq(RecordFollower_unanswered(follower), 0);
+    ck_assert_uint_eq(seen.lost, 0);
+    end(follower);
+}
+END_TEST
+
+START_TEST(a_list_under_way_is_not_begun_again_by_what_was_asked)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3");
+    FakeSource_await(&source);
+    answer(10, FALSE, "");
+    RecordFollower_setReads(follower, 0, LONG_PAUSE_MS, 0);
+    answer(10, FALSE, "");
+    RecordFollower_ask(follower, STORE_UNTOLD);
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    RecordFollower_ask(follower, STORE_UNTOLD);
+    answer(90, TRUE, "c:80");
+    answer(90, FALSE, "d:81");
+    ck_assert_str_eq(seen.told->str, "a c d a- ");
+    end(follower);
+}
+END_TEST
+
 TESTING_MAIN("RecordFollower", it_lists_and_reads_on_from_the_first_page,
              not_current_before_the_end_is_read,
              expired_records_are_listed_anew_and_removals_told,
@@ -292,4 +336,6 @@
              a_peer_that_knew_it_earlier_is_not_taken,
              the_same_end_by_another_way_is_no_news,
              an_answer_that_is_older_than_a_peers_word_changes_nothing,
-             a_removal_found_by_a_list_is_newer_than_what_peers_know)
+             a_removal_found_by_a_list_is_newer_than_what_peers_know,
+             an_asked_offset_that_has_expired_is_listed_anew_at_once,
+             a_list_under_way_is_not_begun_again_by_what_was_asked)
