--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -849,12 +849,18 @@
             thread.join()
         return answers
 
+    @staticmethod
+    def lines_of_start(router):
+        """What a router did until its first answer, for a failure's text."""
+        return "\n" + "\n".join(router.lines[-40:])
+
     def test_a_call_just_after_the_start_is_served(self):
         plain = self.fleet.plain("p1")
         self.fleet.config()
         self.fleet.store.list_s = self.LIST_S
         router = self.fleet.router()
-        self.assertEqual(self.call_at_once([router]), [200])
+        statuses = self.call_at_once([router])
+        self.assertEqual(statuses, [200], self.lines_of_start(router))
         self.assertEqual(len(plain.seen), 1)
 
     def test_all_routers_that_start_at_once_serve_their_first_calls(self):
