--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -281,6 +281,19 @@
 }
 END_TEST
 
+/* One that has read the records and is in a long pause. */
+static RecordFollower_t *
+begin_pausing(const char *records)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, records);
+    FakeSource_await(&source);
+    answer(10, FALSE, "");
+    RecordFollower_setReads(follower, 0, LONG_PAUSE_MS, 0);
+    answer(10, FALSE, "");
+    return follower;
+}
+
 /* Symptom: an accepted configuration was in force 5.8 s after its acceptance,
  * and requests were refused for old state in the seconds before.
  * Sequence: the routers that read for all are cut off from the store, it
@@ -290,12 +303,7 @@
  * Settled by: such an answer begins a new list at once. */
 START_TEST(an_asked_offset_that_has_expired_is_listed_anew_at_once)
 {
-    RecordFollower_t *follower = begin();
-    answer(10, FALSE, "a:3 b:4");
-    FakeSource_await(&source);
-    answer(10, FALSE, "");
-    RecordFollower_setReads(follower, 0, LONG_PAUSE_MS, 0);
-    answer(10, FALSE, "");
+    RecordFollower_t *follower = begin_pausing("a:3 b:4");
     RecordFollower_ask(follower, STORE_UNTOLD);
     FakeSource_fail(&source, WT_ERROR_TRUNCATED);
     answer(90, FALSE, "b:4 c:80");
@@ -309,12 +317,7 @@
 
 START_TEST(a_list_under_way_is_not_begun_again_by_what_was_asked)
 {
-    RecordFollower_t *follower = begin();
-    answer(10, FALSE, "a:3");
-    FakeSource_await(&source);
-    answer(10, FALSE, "");
-    RecordFollower_setReads(follower, 0, LONG_PAUSE_MS, 0);
-    answer(10, FALSE, "");
+    RecordFollower_t *follower = begin_pausing("a:3");
     RecordFollower_ask(follower, STORE_UNTOLD);
     FakeSource_fail(&source, WT_ERROR_TRUNCATED);
     RecordFollower_ask(follower, STORE_UNTOLD);
