--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -318,6 +318,48 @@
         call.wfile.write(b"0\r\n\r\n")
 
 
+class MortalEngine(Upstream):
+    """An engine whose process may die, and one that starts at its port."""
+
+    def __init__(self, store, name, port=0, **more):
+        self.port = port
+        self.calls = set()  # open connections
+        self.dead = False
+        super().__init__(store, name, "engines", "m", **more)
+
+    def handle(self, call):
+        self.calls.add(call.connection)
+        if self.dead:
+            call.cut()
+            return
+        super().handle(call)
+
+    def kill(self):
+        """From now on no byte comes from this process."""
+        self.dead = True
+        self.close()
+        for connection in list(self.calls):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def chosen_port(self):
+        return self.http.server_port
+
+
+class CrashingEngine(MortalEngine):
+    """Its process ends as it begins to run a request whose body says so."""
+
+    CRASHES = b"crash"
+
+    def run(self, call, body, request):
+        if body.startswith(self.CRASHES):
+            self.kill()
+            return
+        super().run(call, body, request)
+
+
 class Answer:
     def __init__(self, response, body):
         self.status = response.status
--- a/tests/sessions/test_fleet_losses.py
+++ b/tests/sessions/test_fleet_losses.py
@@ -13,7 +13,7 @@
 import fleet as stand_ins
 from cluster import wait_for
 from faultproxy import FaultProxy
-from fleet import CUSTOMERS, Fleet
+from fleet import CUSTOMERS, Fleet, MortalEngine
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
 # Statuses that promise that a request has not run and never will.
@@ -43,36 +43,6 @@
         return thread, results
 
 
-class MortalEngine(stand_ins.Upstream):
-    """An engine whose process may die, and one that starts at its port."""
-
-    def __init__(self, store, name, port=0, **more):
-        self.port = port
-        self.calls = set()  # open connections
-        self.dead = False
-        super().__init__(store, name, "engines", "m", **more)
-
-    def handle(self, call):
-        self.calls.add(call.connection)
-        if self.dead:
-            call.cut()
-            return
-        super().handle(call)
-
-    def kill(self):
-        """From now on no byte comes from this process."""
-        self.dead = True
-        self.close()
-        for connection in list(self.calls):
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
-    def chosen_port(self):
-        return self.http.server_port
-
-
 class CachingEngine(MortalEngine):
     """Keeps the parts of prompts under their salt, and takes what it lacks
     from the engine that a request names."""
