Ages go on while a machine is suspended

Cause: ages were reckoned by CLOCK_MONOTONIC, which stands still while the machine is suspended; a request's deadline was one timer, which does so too. Ruled out: the lease, which asked CLOCK_BOOTTIME already. Change: the one clock of all modules asks CLOCK_BOOTTIME, the lease's own copy is gone; a deadline is looked at in steps of 500 ms.

--- a/src/Clock.c
+++ b/src/Clock.c
@@ -1,5 +1,10 @@
 #include "Clock.h"
 
+#include <time.h>
+
+#define US_PER_S 1000000
+#define NS_PER_US 1000
+
 static gint64 held_us; /* 0 where time goes on by itself */
 
 void
@@ -8,10 +13,21 @@
     held_us = us;
 }
 
+/* CLOCK_MONOTONIC stands still while a machine is suspended: what was known
+ * before a suspension of 30 s would count as fresh after it, and a key that
+ * was revoked meanwhile would be let in. */
+static gint64
+boot_us(void)
+{
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (gint64)now.tv_sec * US_PER_S + now.tv_nsec / NS_PER_US;
+}
+
 gint64
 Clock_nowUs(void)
 {
-    return held_us > 0 ? held_us : g_get_monotonic_time();
+    return held_us > 0 ? held_us : boot_us();
 }
 
 gint64
--- a/src/Clock.h
+++ b/src/Clock.h
@@ -3,7 +3,10 @@
 /**
  * DOC: Clock
  *
- * Monotonic time and one-shot timers on the event loop.
+ * Monotonic time and one-shot timers on the event loop. The time goes on while
+ * the machine is suspended, and all ages are reckoned by it; timers do not, so
+ * that one that is due meanwhile fires as much later. Where that matters, what
+ * a timer stands for is looked at by the time in steps.
  */
 #include <event2/event.h>
 #include <glib.h>
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -5,6 +5,10 @@
 #include "Random.h"
 
 #define MAX_BACKOFF_DOUBLINGS 6
+/* The deadline is looked at in such steps: a timer does not count the time for
+ * which the machine is suspended, and a request would be held as much longer
+ * than its caller waits. */
+#define DEADLINE_STEP_MS 500
 
 static void
 set_upstream(Upstream_t **slot, Upstream_t *upstream)
@@ -107,12 +111,23 @@
     set_upstream(&this->upstream, NULL);
 }
 
+static void
+arm_deadline(Exchange_t *this)
+{
+    gint64 left_ms = this->deadline_ms - Clock_nowMs();
+    Clock_arm(this->deadline, MIN(left_ms, DEADLINE_STEP_MS));
+}
+
 static void
 on_deadline(evutil_socket_t fd, short what, void *data)
 {
     (void)fd;
     (void)what;
     Exchange_t *this = data;
+    if (Clock_nowMs() < this->deadline_ms) {
+        arm_deadline(this);
+        return;
+    }
     if (this->upstream) {
         this->sent = this->class->drop(this) || this->sent;
         drop_attempt(this, "deadline");
@@ -166,7 +181,7 @@
                            Membership_live(this->context->membership),
                            Clock_nowMs());
     RetryBudget_deposit(this->context->budget, this->target->str);
-    Clock_arm(this->deadline, this->deadline_ms - Clock_nowMs());
+    arm_deadline(this);
 }
 
 static void
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -1,7 +1,6 @@
 #include "Lease.h"
 
 #include <string.h>
-#include <time.h>
 
 #include "Clock.h"
 #include "LeaseTable.h"
@@ -50,15 +49,6 @@
 
 static void read_next(Lease_t *this);
 
-/* Unlike the monotonic clock it goes on while the machine is suspended. */
-static gint64
-boot_ms(void)
-{
-    struct timespec now;
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return (gint64)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static gint64
 margin_of(gint64 duration_ms)
 {
@@ -92,7 +82,7 @@
         return;
     }
     this->seen_number = number;
-    this->seen_ms = boot_ms();
+    this->seen_ms = Clock_nowMs();
     if (is_ours(this, entry)) {
         if (this->number == 0) {
             log_lease(this, "lease_taken", number);
@@ -123,7 +113,7 @@
     }
     this->fold_offset = records->first + records->records->len;
     if (records->records->len > 0) {
-        this->heard_ms = boot_ms();
+        this->heard_ms = Clock_nowMs();
     }
     note_current(this);
 }
@@ -232,7 +222,7 @@
     /* A second try for the same number keeps the first one's time, as either
      * of the two records may be the one that lands. */
     if (this->sent_expects != expects || this->sent_ms == 0) {
-        this->sent_ms = boot_ms();
+        this->sent_ms = Clock_nowMs();
         this->sent_expects = expects;
     }
     this->append_open = TRUE;
@@ -243,7 +233,7 @@
 static gboolean
 is_waited_out(const Lease_t *this, const LeaseEntry_t *entry)
 {
-    gint64 since_ms = boot_ms() - this->seen_ms;
+    gint64 since_ms = Clock_nowMs() - this->seen_ms;
     gint64 lasts_ms =
         entry ? entry->duration_ms + margin_of(entry->duration_ms) : 0;
     return since_ms >= lasts_ms + this->patience_ms;
@@ -257,7 +247,8 @@
     if (!LeaseTable_isUnsure(this->table, this->scope->str)) {
         return TRUE;
     }
-    if (boot_ms() - this->heard_ms < SILENT_LEASES * this->spec.duration_ms) {
+    if (Clock_nowMs() - this->heard_ms <
+        SILENT_LEASES * this->spec.duration_ms) {
         return FALSE;
     }
     LeaseTable_setSure(this->table);
@@ -274,7 +265,7 @@
     }
     const LeaseEntry_t *entry = LeaseTable_find(this->table, this->scope->str);
     if (this->number != 0) {
-        gint64 age_ms = boot_ms() - this->began_ms;
+        gint64 age_ms = Clock_nowMs() - this->began_ms;
         if (age_ms >= this->spec.duration_ms / 3) {
             append(this, this->number, this->spec.duration_ms);
         }
@@ -303,7 +294,7 @@
     this->scope = g_string_new(spec->scope);
     this->holder = g_string_new(spec->holder);
     this->table = LeaseTable_create();
-    this->seen_ms = boot_ms();
+    this->seen_ms = Clock_nowMs();
     this->heard_ms = this->seen_ms;
     this->tick = Clock_timer(base, on_tick, this);
     this->retry = Clock_timer(base, on_retry, this);
@@ -361,7 +352,7 @@
     }
     gint64 duration_ms = this->spec.duration_ms;
     gint64 left =
-        this->began_ms + duration_ms - margin_of(duration_ms) - boot_ms();
+        this->began_ms + duration_ms - margin_of(duration_ms) - Clock_nowMs();
     return MAX(left, 0);
 }
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -50,11 +50,13 @@
     """One process whose output is kept line by line, what a sanitizer says
     on standard error included."""
 
-    def __init__(self, arguments):
+    def __init__(self, arguments, environment=None):
         self.lines = []
         self.process = subprocess.Popen(arguments, stdout=subprocess.PIPE,
                                         stderr=subprocess.STDOUT, text=True,
-                                        errors="replace")
+                                        errors="replace",
+                                        env=dict(os.environ,
+                                                 **environment or {}))
         self.reader = threading.Thread(target=self._read, daemon=True)
         self.reader.start()
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -360,6 +360,26 @@
         super().run(call, body, request)
 
 
+class SuspendableClock:
+    """For a router: its clocks that go on while a machine is suspended."""
+
+    def __init__(self, folder):
+        self.path = os.path.join(folder, "suspended")
+        self.seconds = 0
+        self.suspend(0)
+        self.environment = {
+            "LD_PRELOAD": os.path.join(BUILD, "libsuspended_clock.so"),
+            "SUSPENDED_CLOCK": self.path,
+            "ASAN_OPTIONS": "detect_leaks=1:verify_asan_link_order=0"}
+
+    def suspend(self, seconds):
+        """As if it had been suspended for so long just now."""
+        self.seconds += seconds
+        with open(self.path + ".new", "w") as file:
+            file.write("%d\n" % self.seconds)
+        os.replace(self.path + ".new", self.path)
+
+
 class Answer:
     def __init__(self, response, body):
         self.status = response.status
@@ -409,7 +429,7 @@
         return self.await_start(self.launch(*arguments, **more))
 
     def launch(self, name="r1", peers=(), store_address=None, verbose=True,
-               **settings):
+               environment=None, **settings):
         """A router whose process was started, and no more."""
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
@@ -433,7 +453,7 @@
                     file.write("%s = %s\n" % (key, value))
         level = ["--verbose"] if verbose else []
         router = Process([os.path.join(BUILD, "wheattiller"), "router",
-                          *level, "--settings", path])
+                          *level, "--settings", path], environment)
         router.path = path
         self.routers.append(router)
         return router
--- /dev/null
+++ b/tests/suspended_clock.c
@@ -0,0 +1,39 @@
+/**
+ * DOC: suspended_clock
+ *
+ * Preloaded into a router, it moves the clocks that go on while a machine is
+ * suspended by as many seconds as the file named by SUSPENDED_CLOCK says.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+int clock_gettime(clockid_t clock, struct timespec *out);
+
+static long
+suspended_s(void)
+{
+    const char *path = getenv("SUSPENDED_CLOCK");
+    FILE *file = path ? fopen(path, "r") : NULL;
+    long seconds = 0;
+    if (!file) {
+        return 0;
+    }
+    if (fscanf(file, "%ld", &seconds) != 1) {
+        seconds = 0;
+    }
+    fclose(file);
+    return seconds;
+}
+
+int
+clock_gettime(clockid_t clock, struct timespec *out)
+{
+    int failed = (int)syscall(SYS_clock_gettime, clock, out);
+    if (clock == CLOCK_BOOTTIME || clock == CLOCK_REALTIME) {
+        out->tv_sec += suspended_s();
+    }
+    return failed;
+}
--- a/tests/test_Suspension.c
+++ b/tests/test_Suspension.c
@@ -4,7 +4,8 @@
  * before a suspension of 30 s for as fresh as then: a key revoked meanwhile
  * was let in, a peer's word counted as new, weights named before it were not
  * overdue. Settled by reading: 290 places asked the monotonic clock, one, the
- * lease, CLOCK_BOOTTIME. Here the system's clock is moved as by a suspension. */
+ * lease, CLOCK_BOOTTIME. Here the system's clock is moved as by a suspension.
+ */
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
@@ -74,16 +75,15 @@
     NamedWeights_t *weights = NamedWeights_create();
     NamedWeights_take(weights, "m", 1, Clock_nowMs() - 100000);
     NamedWeights_take(weights, "m", 2, Clock_nowMs());
-    ck_assert_uint_eq(NamedWeights_due(weights, "m", 10000, Clock_nowMs()),
-                      1);
+    ck_assert_uint_eq(NamedWeights_due(weights, "m", 10000, Clock_nowMs()), 1);
     suspend(30);
-    ck_assert_uint_eq(NamedWeights_due(weights, "m", 10000, Clock_nowMs()),
-                      2);
+    ck_assert_uint_eq(NamedWeights_due(weights, "m", 10000, Clock_nowMs()), 2);
     NamedWeights_destroy(weights);
 }
 END_TEST
 
-/* The other way round: what only holds for a while must not hold for longer. */
+/* The other way round: what only holds for a while must not hold for longer.
+ */
 START_TEST(test_a_pause_told_before_is_over_after_it)
 {
     UpstreamSpec_t spec = {.hall = g_string_new("a"),
