Tests of what is known of crashes, and a word of peers that was lost

Cause: a macro for the larger of two evaluated the call in it twice, so that a peer's word that a request is held back counted as no news: it was held, but what waited in queues there was not taken back, and it was not passed on. Change: the call is made once.

--- a/src/CrashNews.c
+++ b/src/CrashNews.c
@@ -62,11 +62,13 @@
     memcpy(fact.digest.bytes, message->digest.data, message->digest.len);
     for (size_t i = 0; i < message->n_voided; i++) {
         fact.crash = message->voided[i];
-        change = MAX(change, CrashTable_void(table, &fact));
+        CrashChange_t one = CrashTable_void(table, &fact);
+        change = MAX(change, one);
     }
     for (size_t i = 0; i < message->n_crashes; i++) {
         fact.crash = message->crashes[i];
-        change = MAX(change, CrashTable_add(table, &fact, Clock_nowMs()));
+        CrashChange_t one = CrashTable_add(table, &fact, Clock_nowMs());
+        change = MAX(change, one);
     }
     return change;
 }
--- /dev/null
+++ b/tests/test_CrashRecords.c
@@ -0,0 +1,135 @@
+/* What is held back outlives all routers on the platform's store. */
+#include "CrashRecords.h"
+
+#include <string.h>
+
+#include "CrashNews.h"
+#include "Errors.h"
+#include "FakeSource.h"
+#include "testing.h"
+
+#define CRASH 77
+
+static struct event_base *base;
+static FakeSource_t source;
+static CrashRecords_t *records;
+static GPtrArray *found; /* text of the digests that were read */
+
+static void
+on_read(void *owner, const Wt__CrashRecord *record)
+{
+    (void)owner;
+    RequestDigest_t digest;
+    char *text = g_malloc(REQUEST_DIGEST_TEXT + 1);
+    memcpy(digest.bytes, record->fact->digest.data, sizeof(digest.bytes));
+    RequestDigest_write(&digest, text);
+    g_ptr_array_add(found, text);
+}
+
+static void
+begin(void)
+{
+    base = event_base_new();
+    found = g_ptr_array_new_with_free_func(g_free);
+    FakeSource_init(&source, base);
+    CrashRecordsSpec_t spec = {
+        .source = &source.super, .topic = "crashes", .read = on_read};
+    records = CrashRecords_create(base, &spec);
+}
+
+static void
+end(void)
+{
+    CrashRecords_destroy(records);
+    g_clear_pointer(&source.put_value, g_bytes_unref);
+    g_ptr_array_unref(found);
+    event_base_free(base);
+}
+
+static CrashEntry_t
+entry_of(guint8 number)
+{
+    return (CrashEntry_t){.digest = {{number}},
+                          .owner = 1,
+                          .marks = {{.crash = CRASH}},
+                          .mark_count = 1};
+}
+
+static void
+answer_nothing(void)
+{
+    KeyedPage_t page = FakePage_make(0, FALSE);
+    FakeSource_answer(&source, &page);
+}
+
+START_TEST(what_was_written_is_read_again)
+{
+    begin();
+    answer_nothing();
+    CrashEntry_t entry = entry_of(5);
+    CrashRecords_keep(records, &entry);
+    GBytes *value = g_bytes_ref(source.put_value);
+    char *key = g_strdup(source.put_key);
+    FakeSource_answerPut(&source, 0);
+    end();
+    begin();
+    KeyedPage_t page = FakePage_make(1, FALSE);
+    g_ptr_array_add(page.records,
+                    KeyedRecord_create(key, strlen(key), value, 0));
+    FakePage_add(&page, "bad", "no record at all", 1);
+    FakeSource_answer(&source, &page);
+    ck_assert_uint_eq(found->len, 1);
+    ck_assert_str_eq(g_ptr_array_index(found, 0), key);
+    g_free(key);
+    end();
+}
+END_TEST
+
+START_TEST(a_list_of_several_pages_is_read_to_its_end)
+{
+    begin();
+    KeyedPage_t page = FakePage_make(9, TRUE);
+    FakePage_add(&page, "a", "x", 0);
+    FakeSource_answer(&source, &page);
+    answer_nothing();
+    ck_assert_ptr_null(source.done);
+    end();
+}
+END_TEST
+
+START_TEST(a_store_that_fails_is_asked_again)
+{
+    begin();
+    FakeSource_fail(&source, WT_ERROR_CONNECT);
+    answer_nothing();
+    CrashEntry_t entry = entry_of(5);
+    CrashRecords_keep(records, &entry);
+    FakeSource_answerPut(&source, WT_ERROR_TIMEOUT);
+    ck_assert_ptr_null(source.put_done);
+    FakeSource_answerPut(&source, 0);
+    ck_assert_ptr_null(source.put_done);
+    end();
+}
+END_TEST
+
+START_TEST(the_newest_of_a_request_is_written_last)
+{
+    begin();
+    answer_nothing();
+    CrashEntry_t entry = entry_of(5);
+    CrashRecords_keep(records, &entry);
+    CrashRecords_drop(records, &entry.digest);
+    ck_assert_ptr_nonnull(source.put_value);
+    FakeSource_answerPut(&source, 0);
+    ck_assert_ptr_nonnull(source.put_done);
+    ck_assert_ptr_null(source.put_value);
+    FakeSource_answerPut(&source, 0);
+    ck_assert_ptr_null(source.put_done);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("CrashRecords", what_was_written_is_read_again,
+             a_list_of_several_pages_is_read_to_its_end,
+             a_store_that_fails_is_asked_again,
+             the_newest_of_a_request_is_written_last)
