Tests: requests that end engines, over restarts, cuts, queues and customers

Cause: the first tests show the bound on a calm fleet only. Change: sessions with a router and with all routers that start anew, a store that is away, routers that do not hear each other, news that is passed on, an engine that starts again under its name, what waits in a queue, another customer's same request, one that comes through, connections that break and engines that end by plan. Module programs of the suite run four at once, as they mostly wait.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -353,12 +353,29 @@
 
     CRASHES = b"crash"
 
+    def __init__(self, store, name, **more):
+        self.survives = False  # it runs such requests as any other
+        self.queue = None      # something to wait for before it begins any
+        self.waiting = 0       # requests that do
+        super().__init__(store, name, **more)
+
     def run(self, call, body, request):
-        if body.startswith(self.CRASHES):
+        if self.queue:
+            self.waiting += 1
+            self.queue.wait(60)
+        if body.startswith(self.CRASHES) and not self.survives:
             self.kill()
             return
         super().run(call, body, request)
 
+    def revive(self):
+        """Another process of its name begins at its address."""
+        self.port = self.http.server_port
+        self.calls.clear()
+        Server.__init__(self)
+        self.dead = False
+        self.start_again()
+
 
 class SuspendableClock:
     """For a router: its clocks that go on while a machine is suspended."""
--- a/tests/run.py
+++ b/tests/run.py
@@ -8,8 +8,11 @@
 import sys
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# Each is one process, most of which wait; the whole takes under 15 minutes.
+MODULES_AT_ONCE = 4
 SESSIONS = os.path.join(ROOT, "tests", "sessions")
 ENVIRONMENT = dict(os.environ, UBSAN_OPTIONS="halt_on_error=1",
                    ASAN_OPTIONS="detect_leaks=1")
@@ -32,14 +35,13 @@
 
 
 def run_modules():
-    passed = failed = 0
-    for build in ("build", "build-asan"):
-        for program in sorted(glob.glob(os.path.join(ROOT, build, "test_*"))):
-            if os.path.isfile(program):
-                good, bad = run_module(program)
-                passed += good
-                failed += bad
-    return passed, failed
+    programs = [program for build in ("build", "build-asan")
+                for program in sorted(glob.glob(
+                    os.path.join(ROOT, build, "test_*")))
+                if os.path.isfile(program)]
+    with ThreadPoolExecutor(MODULES_AT_ONCE) as pool:
+        counts = list(pool.map(run_module, programs))
+    return sum(good for good, _ in counts), sum(bad for _, bad in counts)
 
 
 class TimedResult(unittest.TextTestResult):
--- a/tests/sessions/test_crashes.py
+++ b/tests/sessions/test_crashes.py
@@ -107,5 +107,200 @@
             self.assertEqual(self.send(router, b"as usual").body, EVENTS)
 
 
+class OthersTest(CrashTest):
+    """What is not the same request, or did not end an engine."""
+
+    def test_another_customers_request_is_not_refused_for_it(self):
+        self.send_in_turn(CRASHES_MOST + 1)
+        self.assertEqual(len(self.ended()), CRASHES_MOST)
+        self.send(self.routers[0], key="key-b", path="/ask/once/x")
+        self.assertEqual(len(self.ended()), CRASHES_MOST + 1)
+
+    def test_one_that_comes_through_begins_anew(self):
+        self.send_in_turn(2, path="/ask/once/x")
+        for engine in self.engines:
+            engine.survives = True
+        for router in self.routers:
+            answer = self.send(router, path="/ask/once/x")
+            self.assertEqual(answer.body, EVENTS)
+        for engine in self.engines:
+            engine.survives = False
+        self.send_in_turn(4, path="/ask/once/x")
+        self.assertEqual(len(self.ended()), 2 + CRASHES_MOST)
+
+    def test_connections_that_break_hold_nothing_back(self):
+        plains = [self.fleet.plain("p%d" % n) for n in range(4)]
+        for router in self.routers:
+            wait_for(lambda: {"p0", "p1", "p2", "p3"} <= {
+                e["upstream"] for e in router.events("upstream_listed")},
+                "plain services are listed")
+        for plain in plains:
+            plain.cut_calls = True
+        for _ in range(2):
+            for router in self.routers:
+                self.send(router, b"x", "/read/x")
+        for plain in plains:
+            plain.cut_calls = False
+        for router in self.routers:
+            wait_for(lambda: self.send(router, b"x", "/read/x").status == 200,
+                     "served again")
+            self.assertEqual(router.events("crash_counted"), [])
+
+    def test_engines_that_end_by_plan_count_for_nothing(self):
+        slow = self.engines[:CRASHES_MOST]
+        for engine in self.engines:
+            engine.queue = threading.Event()
+            self.addCleanup(engine.queue.set)
+        for _ in range(CRASHES_MOST):
+            thread = threading.Thread(
+                target=self.send, args=(self.routers[0], b"as usual"),
+                kwargs={"path": "/ask/once/x"})
+            thread.start()
+            self.addCleanup(thread.join)
+            busy = wait_for(lambda: [e for e in self.engines
+                                     if e.waiting and not e.dead], "it runs")
+            busy[0].state = "draining"
+            busy[0].list()
+            self.routers[0].wait_event("upstream_leaving")
+            wait_for(lambda: any(
+                e["upstream"] == busy[0].name
+                for e in self.routers[0].events("upstream_leaving")),
+                "it leaves")
+            busy[0].kill()
+            thread.join()
+        self.assertEqual(len(self.ended()), len(slow))
+        for engine in self.engines:
+            engine.queue.set()
+        answer = self.send(self.routers[0], b"as usual", path="/ask/once/x")
+        self.assertEqual(answer.body, EVENTS)
+
+
+class QueueTest(CrashTest):
+    def test_what_waits_at_an_engine_is_taken_from_there(self):
+        """Where it stayed, an engine that is spared would end as well."""
+        for engine in self.engines:
+            engine.queue = threading.Event()
+            self.addCleanup(engine.queue.set)
+        answers = []
+        threads = []
+        for number in range(CRASHES_MOST + 1):
+            # So long a prompt that its engine is not the next one's choice.
+            threads.append(threading.Thread(target=lambda: answers.append(
+                self.send(self.routers[0], path="/ask/once/x",
+                          X_Token_Usage="60000,10",
+                          X_Prompt_Prefix="%x:60000" % (number + 1)))))
+            threads[-1].start()
+            wait_for(lambda: sum(e.waiting for e in self.engines) > number,
+                     "it waits")
+        holders = [e for e in self.engines if e.waiting]
+        self.assertEqual(len(holders), CRASHES_MOST + 1)
+        for engine in holders[:-1]:
+            engine.queue.set()
+        for thread in threads:
+            thread.join()
+        self.assertFalse(holders[-1].dead)
+        self.assertEqual({a.status for a in answers}, {502})
+        self.assertIn(True, [b'"crashes_upstreams"' in a.body
+                             for a in answers])
+
+
+class LastingTest(CrashTest):
+    """Routers that start anew, and routers that do not hear each other."""
+
+    def restart(self, routers):
+        for router in routers:
+            router.kill()
+            self.routers.remove(router)
+        return [self.add_router() for _ in routers]
+
+    def hold(self):
+        self.send_in_turn(CRASHES_MOST + 1)
+        self.assertEqual(len(self.ended()), CRASHES_MOST)
+
+    def assert_held_by(self, routers):
+        for router in routers:
+            self.assertEqual(self.send(router).status, 503)
+        self.assertEqual(len(self.ended()), CRASHES_MOST)
+
+    def test_a_router_that_starts_anew_is_told_by_the_others(self):
+        self.hold()
+        self.fleet.store.put("keyed.crashes", "none", None)
+        records = self.fleet.store.topics.pop("keyed.crashes")
+        self.assertGreater(len(records), 1)
+        started, = self.restart(self.routers[:1])
+        started.wait_event("request_held")
+        self.assertEqual(started.events("request_held")[0]["reason"], "peer")
+        self.assert_held_by([started])
+
+    def test_routers_that_all_start_anew_read_it_from_the_store(self):
+        self.hold()
+        for router in self.routers:
+            router.kill()
+        started = []
+        self.routers = []
+        for _ in range(self.ROUTERS):
+            started.append(self.add_router())
+        for router in started:
+            router.wait_event("request_held")
+        self.assert_held_by(started)
+
+    def test_a_store_that_is_away_gets_it_later(self):
+        self.fleet.store.down = True
+        self.hold()
+        self.fleet.store.down = False
+        wait_for(lambda: self.fleet.store.records("keyed.crashes"), "kept")
+
+    def test_each_part_of_routers_that_do_not_hear_each_other_holds(self):
+        self.fleet.store.down = True
+        alone = self.fleet.router("alone")
+        self.fleet.store.down = False
+        wait_for(lambda: self.fleet.is_ready(alone), "ready")
+        self.fleet.store.down = True
+        for _ in range(2 * CRASHES_MOST):
+            self.send(alone)
+            time.sleep(0.4)
+        self.assertEqual(len(self.ended()), CRASHES_MOST)
+        self.send_in_turn(2 * CRASHES_MOST)
+        self.assertEqual(len(self.ended()), 2 * CRASHES_MOST)
+
+
+class RebornTest(CrashTest):
+    ENGINES = 1
+
+    def test_an_engine_that_starts_again_under_its_name_ends_three_times(self):
+        engine, = self.engines
+        ends = 0
+        for number in range(3 * CRASHES_MOST):
+            self.send(self.routers[number % len(self.routers)])
+            if engine.dead:
+                ends += 1
+                engine.revive()
+                for router in self.routers:
+                    wait_for(lambda r=router: len(r.events("upstream_reborn"))
+                             >= ends, "known as another one")
+            time.sleep(0.4)
+        self.assertEqual(ends, CRASHES_MOST)
+        for router in self.routers:
+            self.assertEqual(self.send(router, b"as usual").body, EVENTS)
+
+
+class ChainTest(CrashTest):
+    """Routers that are not all linked with all."""
+
+    def add_router(self, **settings):
+        seeds = ",".join(r.peer_address for r in self.routers)
+        peers = {"mesh_routers": "1"}
+        if seeds:
+            peers["seeds"] = seeds
+        router = self.fleet.router("r%d" % len(self.fleet.routers),
+                                   peers=peers, **settings)
+        self.routers.append(router)
+        return router
+
+    def test_news_is_passed_on(self):
+        self.send_in_turn(9)
+        self.assertEqual(len(self.ended()), CRASHES_MOST)
+
+
 if __name__ == "__main__":
     unittest.main()
