A request that has come through a moment before is excused once

Change: routers remember for a minute what came through; one of them excuses a request as it would be held back, once for all routers.

--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -9,6 +9,7 @@
 #include "CrashNews.h"
 #include "CrashRecords.h"
 #include "Log.h"
+#include "WholeAnswers.h"
 
 /* An attempt that broke off counts as a crash for so long, until it is known
  * whether it was one: a request must not be sent on in between. */
@@ -25,6 +26,7 @@
     CrashEvidence_t *evidence;
     CrashNews_t *news;
     CrashRecords_t *records;
+    WholeAnswers_t *whole;
     GHashTable *open; /* set of requests */
     GQueue counted;   /* Counted_t, the oldest at the head */
     struct event *forget;
@@ -82,17 +84,63 @@
     recheck_all(this);
 }
 
+static void
+drop_record(CrashGuard_t *this, CrashEntry_t *entry)
+{
+    if (entry->is_recorded) {
+        entry->is_recorded = FALSE;
+        CrashRecords_drop(this->records, &entry->digest);
+    }
+}
+
+static gboolean
+clear(CrashGuard_t *this, const RequestDigest_t *digest, const char *reason)
+{
+    CrashEntry_t *entry = CrashTable_find(this->table, digest);
+    gboolean was_held = entry && CrashEntry_heldMs(entry, Clock_nowMs()) > 0;
+    if (!CrashTable_clear(this->table, digest)) {
+        return FALSE;
+    }
+    CrashNews_tell(this->news, digest);
+    if (was_held) {
+        log_entry("request_let_go", entry, reason);
+    }
+    drop_record(this, entry);
+    return TRUE;
+}
+
+/* It has come through here before: that upstreams ended as it ran there is most
+ * likely the doing of others. */
+static gboolean
+is_excused(CrashGuard_t *this, const CrashEntry_t *entry)
+{
+    return CrashEntry_counted(entry) >= CRASHES_HELD &&
+           WholeAnswers_take(this->whole, &entry->digest, Clock_nowMs()) &&
+           clear(this, &entry->digest, "had_come_through");
+}
+
+/* A peer has let it go: it is excused by one router only. */
+static void
+note_cleared(CrashGuard_t *this, CrashEntry_t *entry)
+{
+    WholeAnswers_take(this->whole, &entry->digest, Clock_nowMs());
+    drop_record(this, entry);
+}
+
 static void
 on_changed(void *owner, const RequestDigest_t *digest, CrashChange_t change)
 {
     CrashGuard_t *this = owner;
     CrashEntry_t *entry = CrashTable_find(this->table, digest);
-    if (!entry) {
+    if (!entry || is_excused(this, entry)) {
         return;
     }
     if (change == CRASH_HOLDS) {
         begin_hold(this, entry, "peer");
     }
+    if (CrashEntry_counted(entry) == 0) {
+        note_cleared(this, entry);
+    }
     /* Two routers may each have counted a part of the three. */
     gboolean is_held = CrashEntry_heldMs(entry, Clock_nowMs()) > 0;
     if (is_held && entry->is_own) {
@@ -154,6 +202,9 @@
     if (change == CRASH_KNOWN) {
         return;
     }
+    if (is_excused(this, entry)) {
+        return;
+    }
     CrashNews_tell(this->news, &loss->digest);
     if (change == CRASH_HOLDS) {
         begin_hold(this, entry, proof);
@@ -224,6 +275,7 @@
     this->news = CrashNews_create(base, spec->membership, this->table,
                                   &news_events, this);
     this->records = CrashRecords_create(base, &records);
+    this->whole = WholeAnswers_create();
     this->open = g_hash_table_new(g_direct_hash, g_direct_equal);
     g_queue_init(&this->counted);
     this->forget = Clock_timer(base, on_forget, this);
@@ -237,6 +289,7 @@
     event_free(this->forget);
     g_queue_clear_full(&this->counted, g_free);
     g_hash_table_destroy(this->open);
+    WholeAnswers_destroy(this->whole);
     CrashRecords_destroy(this->records);
     CrashNews_destroy(this->news);
     CrashEvidence_destroy(this->evidence);
@@ -348,36 +401,18 @@
     }
 }
 
-static gboolean
-clear(CrashGuard_t *this, const RequestDigest_t *digest, const char *reason)
-{
-    CrashEntry_t *entry = CrashTable_find(this->table, digest);
-    gboolean was_held = entry && CrashEntry_heldMs(entry, Clock_nowMs()) > 0;
-    if (!CrashTable_clear(this->table, digest)) {
-        return FALSE;
-    }
-    CrashNews_tell(this->news, digest);
-    if (was_held) {
-        log_entry("request_let_go", entry, reason);
-    }
-    if (entry->is_recorded) {
-        entry->is_recorded = FALSE;
-        CrashRecords_drop(this->records, digest);
-    }
-    return TRUE;
-}
-
 void
 CrashGuard_noteWhole(CrashGuard_t *this, CrashSubject_t *subject,
                      const Upstream_t *upstream, gint64 sent_ms)
 {
+    const RequestDigest_t *digest =
+        CrashSubject_digest(subject, this->spec.key);
+    WholeAnswers_note(this->whole, digest, Clock_nowMs());
     if (knows_nothing(this)) {
         return;
     }
     CrashEvidence_noteLives(this->evidence, upstream, sent_ms);
     retract_if_counted(this, upstream, sent_ms);
-    const RequestDigest_t *digest =
-        CrashSubject_digest(subject, this->spec.key);
     CrashEvidence_forget(this->evidence, digest);
     clear(this, digest, "came_through");
 }
--- a/src/CrashGuard.h
+++ b/src/CrashGuard.h
@@ -7,8 +7,8 @@
  * is told of each attempt that breaks off or comes through, learns whether an
  * upstream has ended (CrashEvidence.h), keeps what all routers know of it
  * together (CrashTable.h, CrashNews.h, CrashRecords.h), and says of a request
- * whether it may be sent. Requests are known again by their digests, which are
- * made only while anything is known.
+ * whether it may be sent. One that has come through a moment before
+ * (WholeAnswers.h) is excused once.
  */
 #include <event2/event.h>
 
--- a/src/CrashSubject.h
+++ b/src/CrashSubject.h
@@ -4,7 +4,7 @@
  * DOC: CrashSubject
  *
  * A request as it is known again (RequestDigest.h). Its digest is made when it
- * is first asked for: while no upstream ends, no request is hashed.
+ * is first asked for: one that is refused at once is not hashed.
  */
 #include "RequestDigest.h"
 
