Operators see requests that are held back, and let one go

Change: wheattiller crashes lists what a router knows, wheattiller release lets one request be sent again on all routers and removes its record. Measured: test_crashes.OperatorTest, both pass.

--- a/src/ClientCommands.c
+++ b/src/ClientCommands.c
@@ -157,6 +157,27 @@
     return code;
 }
 
+ExitCode_t
+ClientCommands_crashes(const ClientOptions_t *options)
+{
+    Wt__CrashesRequest request = WT__CRASHES_REQUEST__INIT;
+    return ask_once(options, "OperatorQuery/Crashes", &request.base,
+                    &wt__crashes_response__descriptor);
+}
+
+ExitCode_t
+ClientCommands_release(const ClientOptions_t *options)
+{
+    Wt__ReleaseRequest request = WT__RELEASE_REQUEST__INIT;
+    if (!options->words[0]) {
+        fputs("wheattiller: release needs the digest of a request\n", stderr);
+        return EXIT_USAGE;
+    }
+    request.digest = options->words[0];
+    return ask_once(options, "OperatorCommand/Release", &request.base,
+                    &wt__release_response__descriptor);
+}
+
 static Wt__ApplyResponse *
 ask_result(OperatorClient_t *client, ProtobufCBinaryData id, GError **error)
 {
--- a/src/ClientCommands.h
+++ b/src/ClientCommands.h
@@ -52,4 +52,10 @@
 /** ClientCommands_explain() - why a request went where it did */
 ExitCode_t ClientCommands_explain(const ClientOptions_t *options);
 
+/** ClientCommands_crashes() - requests under which upstreams have ended */
+ExitCode_t ClientCommands_crashes(const ClientOptions_t *options);
+
+/** ClientCommands_release() - let one of them be sent again, by its digest */
+ExitCode_t ClientCommands_release(const ClientOptions_t *options);
+
 #endif
--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -59,6 +59,8 @@
     "  status                   routers, and upstreams as they see them\n"
     "  counters [PREFIX]        counters of a router\n"
     "  explain REQUEST-ID       why a recent request went where it did\n"
+    "  crashes                  requests under which upstreams have ended\n"
+    "  release DIGEST           let one of them be sent again\n"
     "  story REQUEST-ID LOG...  what became of a request, from saved logs\n"
     "  report LOG...            what became of all requests, as tables\n"
     "  hash-key                 hash a key read from standard input\n"
@@ -404,6 +406,18 @@
     return run_client(arguments, ClientCommands_explain);
 }
 
+static ExitCode_t
+run_crashes(Arguments_t *arguments)
+{
+    return run_client(arguments, ClientCommands_crashes);
+}
+
+static ExitCode_t
+run_release(Arguments_t *arguments)
+{
+    return run_client(arguments, ClientCommands_release);
+}
+
 static const Command_t commands[] = {
     {"router", run_router},       {"check", run_check},
     {"plan", run_plan},           {"apply", run_apply},
@@ -411,7 +425,8 @@
     {"status", run_status},       {"counters", run_counters},
     {"explain", run_explain},     {"hash-key", run_hash_key},
     {"reference", run_reference}, {"story", run_story},
-    {"report", run_report},
+    {"report", run_report},       {"crashes", run_crashes},
+    {"release", run_release},
 };
 
 static ExitCode_t
--- a/src/OperatorCommands.c
+++ b/src/OperatorCommands.c
@@ -204,6 +204,29 @@
     }
 }
 
+static void
+command_release(Wt__OperatorCommand_Service *service,
+                const Wt__ReleaseRequest *input,
+                Wt__ReleaseResponse_Closure closure, void *closure_data)
+{
+    (void)service;
+    Wt__Error error = WT__ERROR__INIT;
+    Wt__ReleaseResponse response = WT__RELEASE_RESPONSE__INIT;
+    RequestDigest_t digest;
+    if (!RequestDigest_read(input->digest, &digest)) {
+        error.code = WT__ERROR_CODE__ERROR_BAD_REQUEST;
+        error.message = (char *)"a digest has 32 hex digits";
+        response.error = &error;
+    }
+    else if (!CrashGuard_release(the_context->crashes, &digest)) {
+        error.code = WT__ERROR_CODE__ERROR_NOT_FOUND;
+        error.message = (char *)"nothing counts against this request";
+        response.error = &error;
+    }
+    response.digest = input->digest;
+    closure(&response, closure_data);
+}
+
 static Wt__OperatorCommand_Service the_service =
     WT__OPERATOR_COMMAND__INIT(command_);
 
--- a/src/OperatorQueries.c
+++ b/src/OperatorQueries.c
@@ -286,6 +286,57 @@
     closure(&response, closure_data);
 }
 
+typedef struct {
+    GPtrArray *arena;
+    GPtrArray *messages;
+} CrashList_t;
+
+static void
+collect_crashed(CrashEntry_t *entry, void *data)
+{
+    CrashList_t *list = data;
+    guint crashes = CrashEntry_counted(entry);
+    if (crashes == 0) {
+        return;
+    }
+    Wt__CrashedRequest *message = arena_alloc(list->arena, sizeof(*message));
+    wt__crashed_request__init(message);
+    message->digest = arena_alloc(list->arena, REQUEST_DIGEST_TEXT + 1);
+    RequestDigest_write(&entry->digest, message->digest);
+    message->crashes = crashes;
+    message->age_ms = Clock_nowMs() - entry->last_ms;
+    message->hold_ms = CrashEntry_heldMs(entry, Clock_nowMs());
+    message->held = message->hold_ms > 0;
+    message->own = entry->is_own;
+    g_ptr_array_add(list->messages, message);
+}
+
+static gint
+compare_crashed(gconstpointer left, gconstpointer right)
+{
+    const Wt__CrashedRequest *a = *(Wt__CrashedRequest *const *)left;
+    const Wt__CrashedRequest *b = *(Wt__CrashedRequest *const *)right;
+    return (a->crashes < b->crashes) - (a->crashes > b->crashes);
+}
+
+static void
+query_crashes(Wt__OperatorQuery_Service *service,
+              const Wt__CrashesRequest *input,
+              Wt__CrashesResponse_Closure closure, void *closure_data)
+{
+    (void)service;
+    (void)input;
+    g_autoptr(GPtrArray) arena = arena_create();
+    g_autoptr(GPtrArray) messages = g_ptr_array_new();
+    CrashList_t list = {arena, messages};
+    CrashGuard_forEach(the_context->crashes, collect_crashed, &list);
+    g_ptr_array_sort(messages, compare_crashed);
+    Wt__CrashesResponse response = WT__CRASHES_RESPONSE__INIT;
+    response.n_requests = messages->len;
+    response.requests = (Wt__CrashedRequest **)messages->pdata;
+    closure(&response, closure_data);
+}
+
 static Wt__OperatorQuery_Service the_service =
     WT__OPERATOR_QUERY__INIT(query_);
 
--- a/src/operator.pb-c.c
+++ b/src/operator.pb-c.c
@@ -862,6 +862,231 @@
   assert(message->base.descriptor == &wt__explain_response__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__crashes_request__init
+                     (Wt__CrashesRequest         *message)
+{
+  static const Wt__CrashesRequest init_value = WT__CRASHES_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wt__crashes_request__get_packed_size
+                     (const Wt__CrashesRequest *message)
+{
+  assert(message->base.descriptor == &wt__crashes_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__crashes_request__pack
+                     (const Wt__CrashesRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__crashes_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__crashes_request__pack_to_buffer
+                     (const Wt__CrashesRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__crashes_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__CrashesRequest *
+       wt__crashes_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__CrashesRequest *)
+     protobuf_c_message_unpack (&wt__crashes_request__descriptor,
+                                allocator, len, data);
+}
+void   wt__crashes_request__free_unpacked
+                     (Wt__CrashesRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__crashes_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__crashed_request__init
+                     (Wt__CrashedRequest         *message)
+{
+  static const Wt__CrashedRequest init_value = WT__CRASHED_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wt__crashed_request__get_packed_size
+                     (const Wt__CrashedRequest *message)
+{
+  assert(message->base.descriptor == &wt__crashed_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__crashed_request__pack
+                     (const Wt__CrashedRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__crashed_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__crashed_request__pack_to_buffer
+                     (const Wt__CrashedRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__crashed_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__CrashedRequest *
+       wt__crashed_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__CrashedRequest *)
+     protobuf_c_message_unpack (&wt__crashed_request__descriptor,
+                                allocator, len, data);
+}
+void   wt__crashed_request__free_unpacked
+                     (Wt__CrashedRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__crashed_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__crashes_response__init
+                     (Wt__CrashesResponse         *message)
+{
+  static const Wt__CrashesResponse init_value = WT__CRASHES_RESPONSE__INIT;
+  *message = init_value;
+}
+size_t wt__crashes_response__get_packed_size
+                     (const Wt__CrashesResponse *message)
+{
+  assert(message->base.descriptor == &wt__crashes_response__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__crashes_response__pack
+                     (const Wt__CrashesResponse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__crashes_response__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__crashes_response__pack_to_buffer
+                     (const Wt__CrashesResponse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__crashes_response__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__CrashesResponse *
+       wt__crashes_response__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__CrashesResponse *)
+     protobuf_c_message_unpack (&wt__crashes_response__descriptor,
+                                allocator, len, data);
+}
+void   wt__crashes_response__free_unpacked
+                     (Wt__CrashesResponse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__crashes_response__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__release_request__init
+                     (Wt__ReleaseRequest         *message)
+{
+  static const Wt__ReleaseRequest init_value = WT__RELEASE_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wt__release_request__get_packed_size
+                     (const Wt__ReleaseRequest *message)
+{
+  assert(message->base.descriptor == &wt__release_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__release_request__pack
+                     (const Wt__ReleaseRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__release_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__release_request__pack_to_buffer
+                     (const Wt__ReleaseRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__release_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__ReleaseRequest *
+       wt__release_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__ReleaseRequest *)
+     protobuf_c_message_unpack (&wt__release_request__descriptor,
+                                allocator, len, data);
+}
+void   wt__release_request__free_unpacked
+                     (Wt__ReleaseRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__release_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__release_response__init
+                     (Wt__ReleaseResponse         *message)
+{
+  static const Wt__ReleaseResponse init_value = WT__RELEASE_RESPONSE__INIT;
+  *message = init_value;
+}
+size_t wt__release_response__get_packed_size
+                     (const Wt__ReleaseResponse *message)
+{
+  assert(message->base.descriptor == &wt__release_response__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__release_response__pack
+                     (const Wt__ReleaseResponse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__release_response__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__release_response__pack_to_buffer
+                     (const Wt__ReleaseResponse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__release_response__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__ReleaseResponse *
+       wt__release_response__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__ReleaseResponse *)
+     protobuf_c_message_unpack (&wt__release_response__descriptor,
+                                allocator, len, data);
+}
+void   wt__release_response__free_unpacked
+                     (Wt__ReleaseResponse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__release_response__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wt__error__field_descriptors[3] =
 {
   {
@@ -2227,6 +2452,267 @@
   (ProtobufCMessageInit) wt__explain_response__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define wt__crashes_request__field_descriptors NULL
+#define wt__crashes_request__field_indices_by_name NULL
+#define wt__crashes_request__number_ranges NULL
+const ProtobufCMessageDescriptor wt__crashes_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.CrashesRequest",
+  "CrashesRequest",
+  "Wt__CrashesRequest",
+  "wt",
+  sizeof(Wt__CrashesRequest),
+  0,
+  wt__crashes_request__field_descriptors,
+  wt__crashes_request__field_indices_by_name,
+  0,  wt__crashes_request__number_ranges,
+  (ProtobufCMessageInit) wt__crashes_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__crashed_request__field_descriptors[6] =
+{
+  {
+    "digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashedRequest, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashedRequest, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashedRequest, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashedRequest, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashedRequest, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashedRequest, own),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__crashed_request__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = digest */
+  2,   /* field[2] = held */
+  4,   /* field[4] = hold_ms */
+  5,   /* field[5] = own */
+};
+static const ProtobufCIntRange wt__crashed_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wt__crashed_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.CrashedRequest",
+  "CrashedRequest",
+  "Wt__CrashedRequest",
+  "wt",
+  sizeof(Wt__CrashedRequest),
+  6,
+  wt__crashed_request__field_descriptors,
+  wt__crashed_request__field_indices_by_name,
+  1,  wt__crashed_request__number_ranges,
+  (ProtobufCMessageInit) wt__crashed_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__crashes_response__field_descriptors[2] =
+{
+  {
+    "error",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashesResponse, error),
+    &wt__error__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__CrashesResponse, n_requests),
+    offsetof(Wt__CrashesResponse, requests),
+    &wt__crashed_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__crashes_response__field_indices_by_name[] = {
+  0,   /* field[0] = error */
+  1,   /* field[1] = requests */
+};
+static const ProtobufCIntRange wt__crashes_response__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__crashes_response__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.CrashesResponse",
+  "CrashesResponse",
+  "Wt__CrashesResponse",
+  "wt",
+  sizeof(Wt__CrashesResponse),
+  2,
+  wt__crashes_response__field_descriptors,
+  wt__crashes_response__field_indices_by_name,
+  1,  wt__crashes_response__number_ranges,
+  (ProtobufCMessageInit) wt__crashes_response__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__release_request__field_descriptors[1] =
+{
+  {
+    "digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ReleaseRequest, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__release_request__field_indices_by_name[] = {
+  0,   /* field[0] = digest */
+};
+static const ProtobufCIntRange wt__release_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wt__release_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.ReleaseRequest",
+  "ReleaseRequest",
+  "Wt__ReleaseRequest",
+  "wt",
+  sizeof(Wt__ReleaseRequest),
+  1,
+  wt__release_request__field_descriptors,
+  wt__release_request__field_indices_by_name,
+  1,  wt__release_request__number_ranges,
+  (ProtobufCMessageInit) wt__release_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__release_response__field_descriptors[2] =
+{
+  {
+    "error",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ReleaseResponse, error),
+    &wt__error__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ReleaseResponse, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__release_response__field_indices_by_name[] = {
+  1,   /* field[1] = digest */
+  0,   /* field[0] = error */
+};
+static const ProtobufCIntRange wt__release_response__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__release_response__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.ReleaseResponse",
+  "ReleaseResponse",
+  "Wt__ReleaseResponse",
+  "wt",
+  sizeof(Wt__ReleaseResponse),
+  2,
+  wt__release_response__field_descriptors,
+  wt__release_response__field_indices_by_name,
+  1,  wt__release_response__number_ranges,
+  (ProtobufCMessageInit) wt__release_response__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue wt__error_code__enum_values_by_number[10] =
 {
   { "ERROR_NONE", "WT__ERROR_CODE__ERROR_NONE", 0 },
@@ -2271,12 +2757,14 @@
   wt__error_code__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCMethodDescriptor wt__operator_command__method_descriptors[1] =
+static const ProtobufCMethodDescriptor wt__operator_command__method_descriptors[2] =
 {
   { "Apply", &wt__apply_request__descriptor, &wt__apply_response__descriptor },
+  { "Release", &wt__release_request__descriptor, &wt__release_response__descriptor },
 };
 const unsigned wt__operator_command__method_indices_by_name[] = {
-  0         /* Apply */
+  0,        /* Apply */
+  1         /* Release */
 };
 const ProtobufCServiceDescriptor wt__operator_command__descriptor =
 {
@@ -2285,7 +2773,7 @@
   "OperatorCommand",
   "Wt__OperatorCommand",
   "wt",
-  1,
+  2,
   wt__operator_command__method_descriptors,
   wt__operator_command__method_indices_by_name
 };
@@ -2297,6 +2785,14 @@
   assert(service->descriptor == &wt__operator_command__descriptor);
   service->invoke(service, 0, (const ProtobufCMessage *) input, (ProtobufCClosure) closure, closure_data);
 }
+void wt__operator_command__release(ProtobufCService *service,
+                                   const Wt__ReleaseRequest *input,
+                                   Wt__ReleaseResponse_Closure closure,
+                                   void *closure_data)
+{
+  assert(service->descriptor == &wt__operator_command__descriptor);
+  service->invoke(service, 1, (const ProtobufCMessage *) input, (ProtobufCClosure) closure, closure_data);
+}
 void wt__operator_command__init (Wt__OperatorCommand_Service *service,
                                  Wt__OperatorCommand_ServiceDestroy destroy)
 {
@@ -2304,17 +2800,19 @@
                                      &wt__operator_command__descriptor,
                                      (ProtobufCServiceDestroy) destroy);
 }
-static const ProtobufCMethodDescriptor wt__operator_query__method_descriptors[5] =
+static const ProtobufCMethodDescriptor wt__operator_query__method_descriptors[6] =
 {
   { "CommandResult", &wt__command_result_request__descriptor, &wt__apply_response__descriptor },
   { "Get", &wt__get_request__descriptor, &wt__get_response__descriptor },
   { "Status", &wt__status_request__descriptor, &wt__status_response__descriptor },
   { "Counters", &wt__counters_request__descriptor, &wt__counters_response__descriptor },
   { "Explain", &wt__explain_request__descriptor, &wt__explain_response__descriptor },
+  { "Crashes", &wt__crashes_request__descriptor, &wt__crashes_response__descriptor },
 };
 const unsigned wt__operator_query__method_indices_by_name[] = {
   0,        /* CommandResult */
   3,        /* Counters */
+  5,        /* Crashes */
   4,        /* Explain */
   1,        /* Get */
   2         /* Status */
@@ -2326,7 +2824,7 @@
   "OperatorQuery",
   "Wt__OperatorQuery",
   "wt",
-  5,
+  6,
   wt__operator_query__method_descriptors,
   wt__operator_query__method_indices_by_name
 };
@@ -2370,6 +2868,14 @@
   assert(service->descriptor == &wt__operator_query__descriptor);
   service->invoke(service, 4, (const ProtobufCMessage *) input, (ProtobufCClosure) closure, closure_data);
 }
+void wt__operator_query__crashes(ProtobufCService *service,
+                                 const Wt__CrashesRequest *input,
+                                 Wt__CrashesResponse_Closure closure,
+                                 void *closure_data)
+{
+  assert(service->descriptor == &wt__operator_query__descriptor);
+  service->invoke(service, 5, (const ProtobufCMessage *) input, (ProtobufCClosure) closure, closure_data);
+}
 void wt__operator_query__init (Wt__OperatorQuery_Service *service,
                                Wt__OperatorQuery_ServiceDestroy destroy)
 {
--- a/src/operator.pb-c.h
+++ b/src/operator.pb-c.h
@@ -35,6 +35,11 @@
 typedef struct Wt__ExplainRequest Wt__ExplainRequest;
 typedef struct Wt__AttemptTrace Wt__AttemptTrace;
 typedef struct Wt__ExplainResponse Wt__ExplainResponse;
+typedef struct Wt__CrashesRequest Wt__CrashesRequest;
+typedef struct Wt__CrashedRequest Wt__CrashedRequest;
+typedef struct Wt__CrashesResponse Wt__CrashesResponse;
+typedef struct Wt__ReleaseRequest Wt__ReleaseRequest;
+typedef struct Wt__ReleaseResponse Wt__ReleaseResponse;
 
 
 /* --- enums --- */
@@ -345,6 +350,79 @@
     , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
 
 
+struct  Wt__CrashesRequest
+{
+  ProtobufCMessage base;
+};
+#define WT__CRASHES_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__crashes_request__descriptor) \
+     }
+
+
+/*
+ * A request under which upstreams have ended, as the router that is asked
+ * knows it.
+ */
+struct  Wt__CrashedRequest
+{
+  ProtobufCMessage base;
+  /*
+   * By which it is known again; as in the log.
+   */
+  char *digest;
+  uint32_t crashes;
+  protobuf_c_boolean held;
+  int64_t age_ms;
+  /*
+   * For how much longer it is held back.
+   */
+  int64_t hold_ms;
+  /*
+   * This router has counted one of the crashes itself.
+   */
+  protobuf_c_boolean own;
+};
+#define WT__CRASHED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__crashed_request__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Wt__CrashesResponse
+{
+  ProtobufCMessage base;
+  Wt__Error *error;
+  /*
+   * Those with the most crashes first.
+   */
+  size_t n_requests;
+  Wt__CrashedRequest **requests;
+};
+#define WT__CRASHES_RESPONSE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__crashes_response__descriptor) \
+    , NULL, 0,NULL }
+
+
+struct  Wt__ReleaseRequest
+{
+  ProtobufCMessage base;
+  char *digest;
+};
+#define WT__RELEASE_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__release_request__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
+struct  Wt__ReleaseResponse
+{
+  ProtobufCMessage base;
+  Wt__Error *error;
+  char *digest;
+};
+#define WT__RELEASE_RESPONSE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__release_response__descriptor) \
+    , NULL, (char *)protobuf_c_empty_string }
+
+
 /* Wt__Error methods */
 void   wt__error__init
                      (Wt__Error         *message);
@@ -706,6 +784,101 @@
 void   wt__explain_response__free_unpacked
                      (Wt__ExplainResponse *message,
                       ProtobufCAllocator *allocator);
+/* Wt__CrashesRequest methods */
+void   wt__crashes_request__init
+                     (Wt__CrashesRequest         *message);
+size_t wt__crashes_request__get_packed_size
+                     (const Wt__CrashesRequest   *message);
+size_t wt__crashes_request__pack
+                     (const Wt__CrashesRequest   *message,
+                      uint8_t             *out);
+size_t wt__crashes_request__pack_to_buffer
+                     (const Wt__CrashesRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__CrashesRequest *
+       wt__crashes_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__crashes_request__free_unpacked
+                     (Wt__CrashesRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__CrashedRequest methods */
+void   wt__crashed_request__init
+                     (Wt__CrashedRequest         *message);
+size_t wt__crashed_request__get_packed_size
+                     (const Wt__CrashedRequest   *message);
+size_t wt__crashed_request__pack
+                     (const Wt__CrashedRequest   *message,
+                      uint8_t             *out);
+size_t wt__crashed_request__pack_to_buffer
+                     (const Wt__CrashedRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__CrashedRequest *
+       wt__crashed_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__crashed_request__free_unpacked
+                     (Wt__CrashedRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__CrashesResponse methods */
+void   wt__crashes_response__init
+                     (Wt__CrashesResponse         *message);
+size_t wt__crashes_response__get_packed_size
+                     (const Wt__CrashesResponse   *message);
+size_t wt__crashes_response__pack
+                     (const Wt__CrashesResponse   *message,
+                      uint8_t             *out);
+size_t wt__crashes_response__pack_to_buffer
+                     (const Wt__CrashesResponse   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__CrashesResponse *
+       wt__crashes_response__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__crashes_response__free_unpacked
+                     (Wt__CrashesResponse *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__ReleaseRequest methods */
+void   wt__release_request__init
+                     (Wt__ReleaseRequest         *message);
+size_t wt__release_request__get_packed_size
+                     (const Wt__ReleaseRequest   *message);
+size_t wt__release_request__pack
+                     (const Wt__ReleaseRequest   *message,
+                      uint8_t             *out);
+size_t wt__release_request__pack_to_buffer
+                     (const Wt__ReleaseRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__ReleaseRequest *
+       wt__release_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__release_request__free_unpacked
+                     (Wt__ReleaseRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__ReleaseResponse methods */
+void   wt__release_response__init
+                     (Wt__ReleaseResponse         *message);
+size_t wt__release_response__get_packed_size
+                     (const Wt__ReleaseResponse   *message);
+size_t wt__release_response__pack
+                     (const Wt__ReleaseResponse   *message,
+                      uint8_t             *out);
+size_t wt__release_response__pack_to_buffer
+                     (const Wt__ReleaseResponse   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__ReleaseResponse *
+       wt__release_response__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__release_response__free_unpacked
+                     (Wt__ReleaseResponse *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wt__Error_Closure)
@@ -765,6 +938,21 @@
 typedef void (*Wt__ExplainResponse_Closure)
                  (const Wt__ExplainResponse *message,
                   void *closure_data);
+typedef void (*Wt__CrashesRequest_Closure)
+                 (const Wt__CrashesRequest *message,
+                  void *closure_data);
+typedef void (*Wt__CrashedRequest_Closure)
+                 (const Wt__CrashedRequest *message,
+                  void *closure_data);
+typedef void (*Wt__CrashesResponse_Closure)
+                 (const Wt__CrashesResponse *message,
+                  void *closure_data);
+typedef void (*Wt__ReleaseRequest_Closure)
+                 (const Wt__ReleaseRequest *message,
+                  void *closure_data);
+typedef void (*Wt__ReleaseResponse_Closure)
+                 (const Wt__ReleaseResponse *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -776,6 +964,10 @@
                 const Wt__ApplyRequest *input,
                 Wt__ApplyResponse_Closure closure,
                 void *closure_data);
+  void (*release)(Wt__OperatorCommand_Service *service,
+                  const Wt__ReleaseRequest *input,
+                  Wt__ReleaseResponse_Closure closure,
+                  void *closure_data);
 };
 typedef void (*Wt__OperatorCommand_ServiceDestroy)(Wt__OperatorCommand_Service *);
 void wt__operator_command__init (Wt__OperatorCommand_Service *service,
@@ -784,11 +976,16 @@
     { &wt__operator_command__descriptor, protobuf_c_service_invoke_internal, NULL }
 #define WT__OPERATOR_COMMAND__INIT(function_prefix__) \
     { WT__OPERATOR_COMMAND__BASE_INIT,\
-      function_prefix__ ## apply  }
+      function_prefix__ ## apply,\
+      function_prefix__ ## release  }
 void wt__operator_command__apply(ProtobufCService *service,
                                  const Wt__ApplyRequest *input,
                                  Wt__ApplyResponse_Closure closure,
                                  void *closure_data);
+void wt__operator_command__release(ProtobufCService *service,
+                                   const Wt__ReleaseRequest *input,
+                                   Wt__ReleaseResponse_Closure closure,
+                                   void *closure_data);
 typedef struct Wt__OperatorQuery_Service Wt__OperatorQuery_Service;
 struct Wt__OperatorQuery_Service
 {
@@ -813,6 +1010,10 @@
                   const Wt__ExplainRequest *input,
                   Wt__ExplainResponse_Closure closure,
                   void *closure_data);
+  void (*crashes)(Wt__OperatorQuery_Service *service,
+                  const Wt__CrashesRequest *input,
+                  Wt__CrashesResponse_Closure closure,
+                  void *closure_data);
 };
 typedef void (*Wt__OperatorQuery_ServiceDestroy)(Wt__OperatorQuery_Service *);
 void wt__operator_query__init (Wt__OperatorQuery_Service *service,
@@ -825,7 +1026,8 @@
       function_prefix__ ## get,\
       function_prefix__ ## status,\
       function_prefix__ ## counters,\
-      function_prefix__ ## explain  }
+      function_prefix__ ## explain,\
+      function_prefix__ ## crashes  }
 void wt__operator_query__command_result(ProtobufCService *service,
                                         const Wt__CommandResultRequest *input,
                                         Wt__ApplyResponse_Closure closure,
@@ -846,6 +1048,10 @@
                                  const Wt__ExplainRequest *input,
                                  Wt__ExplainResponse_Closure closure,
                                  void *closure_data);
+void wt__operator_query__crashes(ProtobufCService *service,
+                                 const Wt__CrashesRequest *input,
+                                 Wt__CrashesResponse_Closure closure,
+                                 void *closure_data);
 
 /* --- descriptors --- */
 
@@ -869,6 +1075,11 @@
 extern const ProtobufCMessageDescriptor wt__explain_request__descriptor;
 extern const ProtobufCMessageDescriptor wt__attempt_trace__descriptor;
 extern const ProtobufCMessageDescriptor wt__explain_response__descriptor;
+extern const ProtobufCMessageDescriptor wt__crashes_request__descriptor;
+extern const ProtobufCMessageDescriptor wt__crashed_request__descriptor;
+extern const ProtobufCMessageDescriptor wt__crashes_response__descriptor;
+extern const ProtobufCMessageDescriptor wt__release_request__descriptor;
+extern const ProtobufCMessageDescriptor wt__release_response__descriptor;
 extern const ProtobufCServiceDescriptor wt__operator_command__descriptor;
 extern const ProtobufCServiceDescriptor wt__operator_query__descriptor;
 
--- a/tests/sessions/test_crashes.py
+++ b/tests/sessions/test_crashes.py
@@ -11,11 +11,14 @@
 each try had a request id and `attempts` of its own, at most 2 of 2, and
 `upstream_silent` "not connected" stood 12 to 20 ms behind each end.
 """
+import json
+import os
+import subprocess
 import threading
 import time
 import unittest
 
-from cluster import wait_for
+from cluster import BUILD, OPERATOR_KEY, wait_for
 from fleet import CrashingEngine, Fleet
 
 # Engines that may end under one request before it is known.
@@ -293,5 +296,43 @@
             self.assertEqual(self.send(router, b"as usual").body, EVENTS)
 
 
+class OperatorTest(CrashTest):
+    """Operators see what is held back, and let it go."""
+
+    def operate(self, router, *words):
+        return subprocess.run(
+            [os.path.join(BUILD, "wheattiller"), *words, "--output", "json",
+             "--router", "127.0.0.1:%d" % router.operator_port],
+            env=dict(os.environ, WHEATTILLER_KEY=OPERATOR_KEY),
+            capture_output=True, text=True)
+
+    def test_what_is_held_is_shown_and_let_go_everywhere(self):
+        self.send_in_turn(CRASHES_MOST + 1)
+        shown = self.operate(self.routers[0], "crashes")
+        self.assertEqual(shown.returncode, 0, shown.stderr)
+        request, = json.loads(shown.stdout)["requests"]
+        self.assertEqual(request["crashes"], CRASHES_MOST)
+        self.assertTrue(request["held"])
+        line = self.routers[0].wait_event("request_held")[0]
+        self.assertEqual(request["digest"], line["digest"])
+        done = self.operate(self.routers[0], "release", request["digest"])
+        self.assertEqual(done.returncode, 0, done.stderr)
+        again = self.operate(self.routers[0], "release", request["digest"])
+        self.assertEqual(again.returncode, 1)
+        time.sleep(0.4)
+        for engine in self.engines:
+            engine.survives = True
+        for router in self.routers:
+            self.assertEqual(self.send(router).body, EVENTS)
+        wait_for(lambda: self.fleet.store.records("keyed.crashes")[-1]
+                 == bytes([32]) + request["digest"].encode(), "removed")
+
+    def test_what_is_no_digest_is_refused(self):
+        self.assertEqual(
+            self.operate(self.routers[0], "release", "x").returncode, 1)
+        self.assertEqual(
+            self.operate(self.routers[0], "release").returncode, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
