Soak of relayed requests: some end engines, and routers are suspended

Change: faults deadly (one request again and again, engines come back under their names; at most three sends later than 3 s behind a third crash) and suspend (a router's clocks go on by 1 to 5 s).

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -15,7 +15,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
-from fleet import CUSTOMERS, Fleet  # noqa: E402
+from fleet import CUSTOMERS, Fleet, SuspendableClock  # noqa: E402
 
 ROUTERS = 3
 CALLERS = 8
@@ -37,7 +37,15 @@
 # How long a caller waits after a refusal, so that most requests are served.
 REFUSED_S = 0.1
 # The only faults that may end a stream in the middle.
-CUTTING = ("cut_stream", "kill")
+CUTTING = ("cut_stream", "kill", "deadly")
+# A request that ends engines is sent so often, so long apart at the most; an
+# engine that ended under it is back after so long.
+DEADLY_SENDS = 12
+DEADLY_PAUSE_S = 0.3
+DEADLY_BACK_S = 0.5
+# Routers hear of its third crash within so long; later it may be sent so often.
+DEADLY_KNOWN_S = 3.0
+DEADLY_LATE = 3
 GONE = (OSError, http.client.HTTPException)
 
 
@@ -65,8 +73,11 @@
         self.changes = threading.Lock()
         grouped = seed % 2 == 0
         self.mesh_routers = "1" if grouped else "16"
-        self.engines = [self.fleet.engine("e%d" % i, pieces=PIECES)
+        self.engines = [self.fleet.crashing_engine("e%d" % i, pieces=PIECES)
                         for i in range(GROUPED_ENGINES if grouped else 4)]
+        self.deadly = []  # bodies that end engines
+        self.clocks = [SuspendableClock(self.fleet.folder.name, "clock%d" % i)
+                       for i in range(ROUTERS)]
         for engine in self.engines:
             engine.gate = Pace
             engine.queued = 1  # so that its streams are moved before a load
@@ -83,6 +94,7 @@
         return self.fleet.router(
             "r%d" % index, config_max_age="1s", connect_timeout="300ms",
             refuse_late="yes", token_timeout=SILENT_AFTER,
+            environment=self.clocks[index].environment,
             peers={"mesh_routers": self.mesh_routers,
                    "seeds": ",".join(others)})
 
@@ -161,7 +173,7 @@
         kind = self.rng.choice(["shed", "cut_stream", "cut_call", "slow",
                                 "store", "kill", "term", "freeze", "hup",
                                 "leave", "weights", "config", "revoke",
-                                "lapse", "silence"])
+                                "lapse", "silence", "deadly", "suspend"])
         self.count("fault " + kind)
         self.cutting += kind in CUTTING
         self.bring_about(kind)
@@ -202,6 +214,10 @@
             self.configure()
         elif kind == "revoke":
             self.revoke()
+        elif kind == "suspend":
+            self.clocks[index].suspend(rng.randint(1, 5))
+        elif kind == "deadly":
+            self.send_deadly()
         elif kind == "lapse":
             self.fleet.store.down = True
             time.sleep(hold)
@@ -250,6 +266,38 @@
         engine.gate, engine.probed = Pace, None
         spoken.set()
 
+    def send_deadly(self):
+        """The same request again and again, now and then one of before."""
+        if not self.deadly or self.rng.random() < 0.7:
+            self.deadly.append(b"crash %d" % len(self.deadly))
+        body = self.rng.choice(self.deadly)
+        for _ in range(DEADLY_SENDS):
+            try:
+                self.fleet.ask(self.rng.choice(self.routers), "/ask/x", body,
+                               wait_ms=2000)
+            except GONE:
+                pass
+            time.sleep(self.rng.uniform(0, DEADLY_PAUSE_S))
+            self.revive_engines()
+        time.sleep(DEADLY_BACK_S)
+        self.revive_engines()
+
+    def revive_engines(self):
+        for engine in self.engines:
+            ended = engine.dead and time.monotonic() - engine.deadly[-1][0]
+            if ended and ended > DEADLY_BACK_S:
+                engine.revive()
+
+    def check_deadly(self):
+        ends = sorted(end for engine in self.engines for end in engine.deadly)
+        for body in self.deadly:
+            times = [at for at, ended in ends if ended == body]
+            late = [at for at in times[3:] if at > times[2] + DEADLY_KNOWN_S]
+            self.count("engines ended under one: %d" % len(times))
+            if len(late) > DEADLY_LATE:
+                self.violate("%r ended %d engines, %d late" % (
+                    body, len(times), len(late)))
+
     def switch_state(self, upstream, hold):
         """It gets no new work once its leaving must be known."""
         upstream.state = "draining"
@@ -325,6 +373,7 @@
         for thread in threads:
             thread.join()
         self.check_upstreams()
+        self.check_deadly()
         self.read_logs()
         self.fleet.close()
         for what in sorted(self.counts):
