--- a/src/CrashRecords.c
+++ b/src/CrashRecords.c
@@ -11,6 +11,9 @@
  * calls a second. */
 #define RETRY_MS 500
 #define RETRY_DOUBLINGS 4
+/* At a start the store is asked for what serving waits for first: where all
+ * routers start at once it turns some calls away. */
+#define READ_AFTER_MS 600
 /* Writes that wait; what exceeds them is lost, with a line in the log. */
 #define WRITES_MAX 1024
 
@@ -189,7 +192,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_value);
     this->read_later = Clock_timer(base, on_read_later, this);
     this->write_later = Clock_timer(base, on_write_later, this);
-    Clock_arm(this->read_later, 0);
+    Clock_arm(this->read_later,
+              READ_AFTER_MS / 2 + Random_below(READ_AFTER_MS));
     return this;
 }
 
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -1,7 +1,7 @@
 #include "Exchange.h"
 
 #include "Clock.h"
-#include "Log.h"
+#include "ExchangeLog.h"
 #include "Random.h"
 
 #define MAX_BACKOFF_DOUBLINGS 6
@@ -61,22 +61,6 @@
     Clock_arm(this->later, ms);
 }
 
-static void
-log_end(const Exchange_t *this, const char *outcome)
-{
-    Log_begin(LOG_LEVEL_INFO, "request_done");
-    Log_text("request", this->id->str);
-    Log_text("customer", this->customer->str);
-    Log_text("service", this->target->str);
-    Log_text("outcome", outcome);
-    Log_number("attempts", this->attempts);
-    Log_number("us", Clock_nowUs() - this->started_us);
-    if (this->class->log_end) {
-        this->class->log_end(this);
-    }
-    Log_end();
-}
-
 static void
 end_exchange(Exchange_t *this, const char *outcome, RunState_t run)
 {
@@ -89,7 +73,7 @@
     CrashGuard_leave(this->context->crashes, this);
     CustomerLimits_leave(this->context->limits, this->customer->str);
     RateGate_leave(&this->gate, run != RUN_NOT);
-    log_end(this, outcome);
+    ExchangeLog_end(this, outcome);
     this->trace->outcome = outcome;
     Traces_keep(this->context->traces, this->trace);
     evtimer_del(this->deadline);
@@ -248,24 +232,6 @@
     OnceGuard_claim(this->guard, on_claimed, this);
 }
 
-static void
-log_limited(const Exchange_t *this, const RateVerdict_t *verdict)
-{
-    const RateRequest_t *rate = &this->gate.request;
-    Log_begin(LOG_LEVEL_INFO, "request_limited");
-    Log_text("request", this->id->str);
-    Log_text("customer", this->customer->str);
-    Log_number("units", (gint64)rate->units);
-    Log_number("per_s", (gint64)rate->limit.per_s);
-    Log_number("burst", (gint64)rate->limit.burst);
-    Log_number("limit_version", (gint64)rate->limit.version);
-    Log_number("left", (gint64)verdict->left);
-    Log_text("by", verdict->by);
-    Log_number("age_ms", verdict->age_ms);
-    Log_number("retry_after_ms", verdict->retry_after_ms);
-    Log_end();
-}
-
 static void
 on_verdict(void *owner, const RateVerdict_t *verdict)
 {
@@ -276,7 +242,7 @@
         return;
     }
     if (!verdict->admitted) {
-        log_limited(this, verdict);
+        ExchangeLog_limited(this, verdict);
         refuse(this, &notice);
     }
     else if (this->key && !this->repeatable) {
@@ -331,12 +297,7 @@
     if (is_upstream_fault(end) && !this->is_kept &&
         Upstream_noteFailure(this->upstream, (guint)limits->eject_failures,
                              limits->eject_ms, Clock_nowMs())) {
-        Log_begin(LOG_LEVEL_WARNING, "upstream_ejected");
-        Log_text("upstream", this->upstream->name->str);
-        Log_text("reason", Recovery_endName(end));
-        Log_number("failures", this->upstream->failures);
-        Log_number("ejections", this->upstream->ejections);
-        Log_end();
+        ExchangeLog_ejected(this, end);
     }
 }
 
@@ -415,17 +376,6 @@
     return plan.step != RECOVERY_GIVE_UP;
 }
 
-static void
-log_facts(const Exchange_t *this, const RecoveryFacts_t *facts)
-{
-    Log_number("attempts", facts->attempts);
-    Log_number("max_attempts", facts->max_attempts);
-    Log_number("sent", facts->sent);
-    Log_number("repeatable", facts->repeatable);
-    Log_number("budget", facts->budget);
-    Log_number("left_ms", this->deadline_ms - Clock_nowMs());
-}
-
 void
 Exchange_noteKept(Exchange_t *this)
 {
@@ -433,31 +383,11 @@
         return;
     }
     RecoveryFacts_t facts = facts_of(this, ATTEMPT_SILENT);
-    Log_begin(LOG_LEVEL_INFO, "attempt_kept");
-    Log_text("request", this->id->str);
-    Log_text("reason", Recovery_endName(ATTEMPT_SILENT));
-    Log_text("upstream", this->upstream->name->str);
-    log_facts(this, &facts);
-    Log_end();
+    ExchangeLog_kept(this, &facts);
     note_failure(this, ATTEMPT_SILENT);
     this->is_kept = TRUE;
 }
 
-static void
-log_recovery(const Exchange_t *this, const RecoveryFacts_t *facts,
-             const RecoveryPlan_t *plan)
-{
-    Log_begin(LOG_LEVEL_INFO, "attempt_failed");
-    Log_text("request", this->id->str);
-    Log_text("reason", Recovery_endName(facts->end));
-    Log_text("next", Recovery_stepName(plan->step));
-    if (this->avoid) {
-        Log_text("upstream", this->avoid->name->str);
-    }
-    log_facts(this, facts);
-    Log_end();
-}
-
 /* At once the first time, as it goes elsewhere; then with full jitter,
  * doubled with each attempt. */
 static void
@@ -478,7 +408,7 @@
 {
     RecoveryFacts_t facts = facts_of(this, end);
     RecoveryPlan_t plan = Recovery_decide(&facts);
-    log_recovery(this, &facts, &plan);
+    ExchangeLog_recovery(this, &facts, &plan);
     if (plan.step == RECOVERY_GIVE_UP) {
         abandon(this);
         Exchange_refuse(this, plan.refusal, plan.run, detail);
--- /dev/null
+++ b/src/ExchangeLog.c
@@ -0,0 +1,86 @@
+#include "ExchangeLog.h"
+
+#include "Clock.h"
+#include "Log.h"
+
+void
+ExchangeLog_end(const Exchange_t *this, const char *outcome)
+{
+    Log_begin(LOG_LEVEL_INFO, "request_done");
+    Log_text("request", this->id->str);
+    Log_text("customer", this->customer->str);
+    Log_text("service", this->target->str);
+    Log_text("outcome", outcome);
+    Log_number("attempts", this->attempts);
+    Log_number("us", Clock_nowUs() - this->started_us);
+    if (this->class->log_end) {
+        this->class->log_end(this);
+    }
+    Log_end();
+}
+
+void
+ExchangeLog_limited(const Exchange_t *this, const RateVerdict_t *verdict)
+{
+    const RateRequest_t *rate = &this->gate.request;
+    Log_begin(LOG_LEVEL_INFO, "request_limited");
+    Log_text("request", this->id->str);
+    Log_text("customer", this->customer->str);
+    Log_number("units", (gint64)rate->units);
+    Log_number("per_s", (gint64)rate->limit.per_s);
+    Log_number("burst", (gint64)rate->limit.burst);
+    Log_number("limit_version", (gint64)rate->limit.version);
+    Log_number("left", (gint64)verdict->left);
+    Log_text("by", verdict->by);
+    Log_number("age_ms", verdict->age_ms);
+    Log_number("retry_after_ms", verdict->retry_after_ms);
+    Log_end();
+}
+
+void
+ExchangeLog_ejected(const Exchange_t *this, AttemptEnd_t end)
+{
+    Log_begin(LOG_LEVEL_WARNING, "upstream_ejected");
+    Log_text("upstream", this->upstream->name->str);
+    Log_text("reason", Recovery_endName(end));
+    Log_number("failures", this->upstream->failures);
+    Log_number("ejections", this->upstream->ejections);
+    Log_end();
+}
+
+static void
+log_facts(const Exchange_t *this, const RecoveryFacts_t *facts)
+{
+    Log_number("attempts", facts->attempts);
+    Log_number("max_attempts", facts->max_attempts);
+    Log_number("sent", facts->sent);
+    Log_number("repeatable", facts->repeatable);
+    Log_number("budget", facts->budget);
+    Log_number("left_ms", this->deadline_ms - Clock_nowMs());
+}
+
+void
+ExchangeLog_kept(const Exchange_t *this, const RecoveryFacts_t *facts)
+{
+    Log_begin(LOG_LEVEL_INFO, "attempt_kept");
+    Log_text("request", this->id->str);
+    Log_text("reason", Recovery_endName(ATTEMPT_SILENT));
+    Log_text("upstream", this->upstream->name->str);
+    log_facts(this, facts);
+    Log_end();
+}
+
+void
+ExchangeLog_recovery(const Exchange_t *this, const RecoveryFacts_t *facts,
+                     const RecoveryPlan_t *plan)
+{
+    Log_begin(LOG_LEVEL_INFO, "attempt_failed");
+    Log_text("request", this->id->str);
+    Log_text("reason", Recovery_endName(facts->end));
+    Log_text("next", Recovery_stepName(plan->step));
+    if (this->avoid) {
+        Log_text("upstream", this->avoid->name->str);
+    }
+    log_facts(this, facts);
+    Log_end();
+}
