An engine that stands still ends nothing: open losses count by engines cut off

Cause: what broke off at an engine counts towards three until it is known whether that engine ended. Silent attempts counted as well, several at one engine each, and one that a peer had counted already once more: a stream whose only engine stood still for a second was refused as one that ends engines. Found by test_attempts.OwnFormTest. Change: only cut attempts count, each engine once, for a second at the most, and not where it is counted already.

--- a/src/CrashEvidence.c
+++ b/src/CrashEvidence.c
@@ -8,6 +8,9 @@
 /* What has not been seen by then is not counted: the list drops an upstream
  * that has ended after three of its heartbeats, some seconds. */
 #define PATIENCE_MS 15000
+/* A cut attempt may be a crash for so long: a request must not be sent on
+ * until it is known. Proofs of ended processes came within 103 ms. */
+#define OPEN_MS 1000
 /* Attempts that are kept; beyond that the oldest is not counted. */
 #define LOSSES_MAX 4096
 
@@ -128,13 +131,37 @@
     Clock_arm(this->look, LOOK_EVERY_MS);
 }
 
+static gboolean
+is_open_cut_of(const CrashLoss_t *loss, const RequestDigest_t *digest)
+{
+    return loss->is_cut && Clock_nowMs() - loss->at_ms < OPEN_MS &&
+           RequestDigest_equal(&loss->digest, digest);
+}
+
+/* Whether an earlier attempt was cut at the same upstream. */
+static gboolean
+is_repeated(const GList *link)
+{
+    const CrashLoss_t *loss = link->data;
+    for (const GList *at = link->prev; at; at = at->prev) {
+        const CrashLoss_t *other = at->data;
+        if (other->upstream == loss->upstream &&
+            is_open_cut_of(other, &loss->digest)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 guint
-CrashEvidence_count(const CrashEvidence_t *this, const RequestDigest_t *digest)
+CrashEvidence_count(const CrashEvidence_t *this, const RequestDigest_t *digest,
+                    CrashLossTest_t is_counted, const void *data)
 {
     guint found = 0;
     for (const GList *link = this->losses.head; link; link = link->next) {
-        const CrashLoss_t *loss = link->data;
-        found += RequestDigest_equal(&loss->digest, digest) ? 1 : 0;
+        gboolean is_one = is_open_cut_of(link->data, digest) &&
+                          !is_repeated(link) && !is_counted(link->data, data);
+        found += is_one ? 1 : 0;
     }
     return found;
 }
--- a/src/CrashEvidence.h
+++ b/src/CrashEvidence.h
@@ -66,10 +66,15 @@
  */
 void CrashEvidence_add(CrashEvidence_t *this, const CrashLoss_t *loss);
 
-/** CrashEvidence_count() - attempts of a request of which it is not known yet
- */
+/** CrashLossTest_t - whether a loss is one of those that are asked for */
+typedef gboolean (*CrashLossTest_t)(const CrashLoss_t *loss, const void *data);
+
+/** CrashEvidence_count() - upstreams where an attempt of a request was cut
+ * lately, and of which it is not known yet whether they have ended
+ * @is_counted: those for which it says TRUE are left out */
 guint CrashEvidence_count(const CrashEvidence_t *this,
-                          const RequestDigest_t *digest);
+                          const RequestDigest_t *digest,
+                          CrashLossTest_t is_counted, const void *data);
 
 /** CrashEvidence_forget() - a request has come through since */
 void CrashEvidence_forget(CrashEvidence_t *this,
--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -11,8 +11,8 @@
 #include "Log.h"
 #include "WholeAnswers.h"
 
-/* An attempt that broke off counts as a crash for so long, until it is known
- * whether it was one: a request must not be sent on in between. */
+/* When to come back, for a request of which it is not known yet whether its
+ * last attempt ended an upstream. */
 #define OPEN_WAIT_MS 1000
 /* How often old entries are looked for. */
 #define FORGET_EVERY_MS 60000
@@ -109,8 +109,8 @@
     return TRUE;
 }
 
-/* It has come through here before: that upstreams ended as it ran there is most
- * likely the doing of others. */
+/* It has come through here before: that upstreams ended as it ran there is
+ * most likely the doing of others. */
 static gboolean
 is_excused(CrashGuard_t *this, const CrashEntry_t *entry)
 {
@@ -316,6 +316,15 @@
            CrashEvidence_isEmpty(this->evidence);
 }
 
+/* A peer may have told of the upstream's end already. */
+static gboolean
+is_counted(const CrashLoss_t *loss, const void *data)
+{
+    const CrashEntry_t *entry = data;
+    return entry &&
+           CrashEntry_has(entry, crash_of(loss->upstream, loss->incarnation));
+}
+
 gboolean
 CrashGuard_holds(CrashGuard_t *this, CrashSubject_t *subject,
                  CrashVerdict_t *out)
@@ -329,7 +338,7 @@
     const CrashEntry_t *entry = CrashTable_find(this->table, digest);
     gint64 held_ms = entry ? CrashEntry_heldMs(entry, now_ms) : 0;
     guint counted = entry ? CrashEntry_counted(entry) : 0;
-    out->open = CrashEvidence_count(this->evidence, digest);
+    out->open = CrashEvidence_count(this->evidence, digest, is_counted, entry);
     out->crashes = counted + out->open;
     out->age_ms = entry ? now_ms - entry->last_ms : 0;
     out->is_own = out->open > 0 || (entry && entry->is_own);
--- a/src/CrashTable.c
+++ b/src/CrashTable.c
@@ -192,6 +192,12 @@
     return NULL;
 }
 
+gboolean
+CrashEntry_has(const CrashEntry_t *this, guint64 crash)
+{
+    return find_mark((CrashEntry_t *)this, crash) != NULL;
+}
+
 CrashChange_t
 CrashTable_add(CrashTable_t *this, const CrashFact_t *fact, gint64 now_ms)
 {
--- a/src/CrashTable.h
+++ b/src/CrashTable.h
@@ -150,6 +150,9 @@
 /** CrashEntry_counted() - crashes that count */
 guint CrashEntry_counted(const CrashEntry_t *this);
 
+/** CrashEntry_has() - whether a crash is among those known, voided or not */
+gboolean CrashEntry_has(const CrashEntry_t *this, guint64 crash);
+
 /** CrashEntry_heldMs() - for how much longer it is held back, 0 for not */
 gint64 CrashEntry_heldMs(const CrashEntry_t *this, gint64 now_ms);
 
