Two sessions that passed with their decision switched off see it again

Cause: the session on connections that break was cut from two rounds to one to save time, and the request came through within the 20 ms after which losses are looked at; the one on a request that comes through passes without that, since one that had come through is excused. Change: two rounds again and half a second before the upstreams recover; the first crashes must not be counted with those behind the answer. A comment has the span of proofs as measured since. No whole run of the suite since.

--- a/src/CrashEvidence.c
+++ b/src/CrashEvidence.c
@@ -12,7 +12,7 @@
  * that has ended after three of its heartbeats, some seconds. */
 #define PATIENCE_MS 15000
 /* A cut attempt may be a crash for so long: a request must not be sent on
- * until it is known. Proofs of ended processes came within 103 ms. */
+ * until it is known. Proofs of ended processes came after 78 to 184 ms. */
 #define OPEN_MS 1000
 /* Attempts that are kept; beyond that the oldest is not counted. */
 #define LOSSES_MAX 4096
--- a/tests/sessions/test_crashes.py
+++ b/tests/sessions/test_crashes.py
@@ -136,6 +136,10 @@
         self.set_survival(False)
         self.send_in_turn(2, path="/ask/once/x")
         self.assertEqual(len(self.ended()), 2 + 2)
+        # Not only excused as it would be held: the first two are taken back.
+        counts = [int(e["crashes"]) for router in self.routers
+                  for e in router.events("crash_counted")]
+        self.assertEqual(max(counts), 2)
 
     def test_one_that_had_come_through_is_excused_once(self):
         self.set_survival(True)
@@ -154,8 +158,12 @@
                 "plain services are listed")
         for plain in plains:
             plain.cut_calls = True
-        for router in self.routers:
-            self.send(router, b"x", "/read/x")
+        for _ in range(2):
+            for router in self.routers:
+                self.send(router, b"x", "/read/x")
+        # Longer than it takes to see to what broke off, before it comes
+        # through, which would take it back.
+        time.sleep(0.5)
         for plain in plains:
             plain.cut_calls = False
         for router in self.routers:
