Lines show which copy of its records the store serves, and records passed over

After a store came back from an older copy, callers were answered by a configuration that was older than an acknowledged one. Nothing in the lines told a record that was read and dropped from one that was never read, nor a return from an outage. Hypotheses that they must tell apart: records read late; records read and dropped as older, since offsets are given out again; fencing numbers given twice for the same reason.

StoreEpoch notes the number that the store has in each of its answers, errors included, and tells when it rises (store_came_back_older, store_returns_total). A follower tells which records it passes over as older than what it knows, with both offsets; a lease tells when the records before its fold are gone. No decision changes.

--- a/src/Lease.c
+++ b/src/Lease.c
@@ -122,6 +122,11 @@
 static void
 begin_anew(Lease_t *this, guint64 start)
 {
+    Log_begin(LOG_LEVEL_INFO, "lease_records_gone");
+    Log_text("scope", this->scope->str);
+    Log_number("fold_offset", (gint64)this->fold_offset);
+    Log_number("start", (gint64)start);
+    Log_end();
     this->fold_offset = start;
     LeaseTable_setUnsure(this->table);
     note_current(this);
--- a/src/PlatformForm.h
+++ b/src/PlatformForm.h
@@ -14,6 +14,7 @@
 #include "RecordSource.h"
 #include "RelayForm.h"
 #include "RouteConfig.h"
+#include "StoreEpoch.h"
 #include "UpstreamListing.h"
 
 /**
@@ -36,10 +37,11 @@
 typedef struct PlatformForm {
     const char *name;
     LogClient_t *(*create_log)(struct event_base *base,
-                               const Address_t *address, gint64 timeout_ms);
+                               const Address_t *address, gint64 timeout_ms,
+                               StoreEpoch_t *epoch);
     RecordSource_t *(*create_records)(struct event_base *base,
                                       const Address_t *address,
-                                      gint64 timeout_ms);
+                                      gint64 timeout_ms, StoreEpoch_t *epoch);
     RouteConfig_t *(*decode_config)(GBytes *value, GError **error);
     ListedUpstreamDecode_t decode_upstream;
     gboolean (*decode_weights)(GBytes *value, GString *model, guint64 *version,
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -62,10 +62,28 @@
     return !known || record->offset > *known;
 }
 
+/* The same record comes more than once as a matter of course. */
+static void
+log_passed_over(const RecordFollower_t *this, const KeyedRecord_t *record)
+{
+    const guint64 *known =
+        g_hash_table_lookup(this->offsets, record->key->str);
+    if (*known == record->offset) {
+        return;
+    }
+    Log_begin(LOG_LEVEL_WARNING, "record_passed_over");
+    Log_text("topic", this->topic->str);
+    Log_text("key", record->key->str);
+    Log_number("offset", (gint64)record->offset);
+    Log_number("known", (gint64)*known);
+    Log_end();
+}
+
 static void
 take_record(RecordFollower_t *this, const KeyedRecord_t *record)
 {
     if (!is_newer(this, record)) {
+        log_passed_over(this, record);
         return;
     }
     const char *key = record->key->str;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -24,6 +24,7 @@
 
 struct RelayParts {
     Context_t *context;
+    StoreEpoch_t *epoch;
     LogClient_t *log;
     RecordSource_t *records;
     RouteSync_t *sync;
@@ -249,10 +250,11 @@
     context->mover =
         StreamMover_create(context->base, context->upstreams, context->budget);
     context->dispatch = create_dispatch(context);
+    this->epoch = StoreEpoch_create(context->counters);
     this->log = form->create_log(context->base, &platform->log,
-                                 platform->log_timeout_ms);
-    this->records = form->create_records(context->base, &platform->log,
-                                         platform->log_timeout_ms);
+                                 platform->log_timeout_ms, this->epoch);
+    this->records = form->create_records(
+        context->base, &platform->log, platform->log_timeout_ms, this->epoch);
     create_followers(this, form);
     create_crashes(this, form);
     create_orders(this, form);
@@ -310,6 +312,7 @@
     RunTimes_destroy(this->context->run_times);
     HintFlood_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
+    StoreEpoch_destroy(this->epoch);
     g_free(this);
 }
 
--- a/tests/fuzz/FakeHttp.c
+++ b/tests/fuzz/FakeHttp.c
@@ -1,5 +1,8 @@
 #include "FakeHttp.h"
 
+#include <event2/keyvalq_struct.h>
+#include <sys/queue.h>
+
 struct HttpCall {
     HttpCallDone_t done;
     void *data;
@@ -26,7 +29,10 @@
 void
 FakeHttp_answer(int status, const char *body, gsize length)
 {
-    HttpAnswer_t answer = {.status = status, .body = body, .length = length};
+    struct evkeyvalq headers;
+    TAILQ_INIT(&headers);
+    HttpAnswer_t answer = {
+        .status = status, .headers = &headers, .body = body, .length = length};
     open_call.done(&answer, NULL, open_call.data);
 }
 
--- a/tests/fuzz/records.c
+++ b/tests/fuzz/records.c
@@ -92,15 +92,18 @@
     const char *body = (const char *)data + 1;
     int status = status_of(data[0]);
     guint answers = 0;
-    RecordSource_t *source = FleetRecords_create(NULL, &address, TIMEOUT_MS);
+    StoreEpoch_t *epoch = StoreEpoch_create(NULL);
+    RecordSource_t *source =
+        FleetRecords_create(NULL, &address, TIMEOUT_MS, epoch);
     RecordSource_read(source, "t", 3, 0, take_page, &answers);
     FakeHttp_answer(status, body, size - 1);
     RecordSource_list(source, "t", NULL, take_page, &answers);
     FakeHttp_answer(status, body, size - 1);
     g_assert_cmpuint(answers, ==, 2);
     RecordSource_destroy(source);
-    answer_log(FleetLog_create(NULL, &address, TIMEOUT_MS), status, body,
-               size - 1);
+    answer_log(FleetLog_create(NULL, &address, TIMEOUT_MS, epoch), status,
+               body, size - 1);
+    StoreEpoch_destroy(epoch);
     return 0;
 }
 
