--- a/src/Errors.h
+++ b/src/Errors.h
@@ -20,6 +20,8 @@
  * @WT_ERROR_REFUSED: the peer answered that it will not
  * @WT_ERROR_BAD_ANSWER: the peer's answer does not follow its interface
  * @WT_ERROR_TRUNCATED: the log no longer has the offset that was asked for
+ * @WT_ERROR_OLD_EPOCH: the store has come back from an older copy since this
+ *     answer was made; the effect is unknown
  * @WT_ERROR_BAD_TOKEN: a resume token is forged, damaged or of other keys
  * @WT_ERROR_BAD_BODY: a request's body is not what the interface asks for
  * @WT_ERROR_LISTEN: an address could not be listened on
@@ -33,6 +35,7 @@
     WT_ERROR_REFUSED,
     WT_ERROR_BAD_ANSWER,
     WT_ERROR_TRUNCATED,
+    WT_ERROR_OLD_EPOCH,
     WT_ERROR_BAD_TOKEN,
     WT_ERROR_BAD_BODY,
     WT_ERROR_LISTEN,
--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -21,7 +21,7 @@
     const FreshnessRelayEvents_t *events;
     void *owner;
     struct event *tick;
-    guint64 offset;
+    StorePosition_t end;
     gint64 at_ms;        /* 0 for never */
     gint64 told_ms;      /* the time that was told last */
     gint64 turned_ms;    /* when the last tick was */
@@ -33,7 +33,8 @@
 {
     Wt__ConfigCurrent current = WT__CONFIG_CURRENT__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
-    current.offset = this->offset;
+    current.epoch = this->end.epoch;
+    current.offset = this->end.offset;
     current.age_ms = PeerAge_of(this->at_ms);
     message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
     message.config_current = &current;
@@ -123,10 +124,10 @@
 }
 
 void
-FreshnessRelay_note(FreshnessRelay_t *this, guint64 offset, gint64 at_ms)
+FreshnessRelay_note(FreshnessRelay_t *this, StorePosition_t end, gint64 at_ms)
 {
-    if (at_ms > this->at_ms || offset > this->offset) {
-        this->offset = offset;
+    if (at_ms > this->at_ms || StorePosition_compare(end, this->end) > 0) {
+        this->end = end;
         this->at_ms = MAX(at_ms, this->at_ms);
     }
 }
@@ -149,8 +150,9 @@
         return;
     }
     gint64 at_ms = PeerAge_atMs(message->age_ms);
+    StorePosition_t end = {message->epoch, message->offset};
     if (at_ms > this->at_ms &&
-        this->events->fresh(this->owner, from, message->offset, at_ms)) {
-        FreshnessRelay_note(this, message->offset, at_ms);
+        this->events->fresh(this->owner, from, end, at_ms)) {
+        FreshnessRelay_note(this, end, at_ms);
     }
 }
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -10,16 +10,17 @@
  * monotonic clock and only grow on the way.
  */
 #include "Membership.h"
+#include "StorePosition.h"
 
 /**
  * struct FreshnessRelayEvents_t - what it tells its owner
- * @fresh: the topic ended at @offset at the time @at_ms (monotonic), as
+ * @fresh: the topic ended at @end at the time @at_ms (monotonic), as
  *     router @from tells, which is valid during the call; TRUE where all
  *     records before it are known here, so that it may be passed on: who hears
  *     of it asks for them
  */
 typedef struct {
-    gboolean (*fresh)(void *owner, Member_t *from, guint64 offset,
+    gboolean (*fresh)(void *owner, Member_t *from, StorePosition_t end,
                       gint64 at_ms);
 } FreshnessRelayEvents_t;
 
@@ -44,7 +45,8 @@
 gboolean FreshnessRelay_isReader(const FreshnessRelay_t *this);
 
 /** FreshnessRelay_note() - this router has asked the store itself */
-void FreshnessRelay_note(FreshnessRelay_t *this, guint64 offset, gint64 at_ms);
+void FreshnessRelay_note(FreshnessRelay_t *this, StorePosition_t end,
+                         gint64 at_ms);
 
 /** FreshnessRelay_mayHaveWaited() - whether what a peer has sent may have
  * waited here, so that it is older than it says */
--- a/src/KeyedLog.c
+++ b/src/KeyedLog.c
@@ -14,7 +14,7 @@
     KeyedLog_t *owner;
     GString *topic;
     GHashTable *newest; /* of a list: key -> KeyedRecord_t; else NULL */
-    guint64 from;
+    StorePosition_t from;
     KeyedDone_t done;
     KeyedPut_t put;
     void *data;
@@ -50,13 +50,20 @@
     g_hash_table_remove(call->owner->calls, call);
 }
 
+static StorePosition_t
+position_of(const LogRecords_t *log, guint64 place)
+{
+    return (StorePosition_t){log->epoch, log->first + place};
+}
+
 static GPtrArray *
 split_records(const LogRecords_t *log)
 {
     GPtrArray *records = g_ptr_array_new();
     for (guint i = 0; i < log->records->len; i++) {
         GBytes *bytes = g_ptr_array_index(log->records, i);
-        g_ptr_array_add(records, KeyedRecord_split(bytes, log->first + i));
+        g_ptr_array_add(records,
+                        KeyedRecord_split(bytes, position_of(log, i)));
     }
     return records;
 }
@@ -70,7 +77,7 @@
     }
     else {
         KeyedPage_t page = {.records = split_records(log),
-                            .end = log->first + log->records->len};
+                            .end = position_of(log, log->records->len)};
         g_ptr_array_set_free_func(page.records, KeyedRecord_free);
         call->done(&page, NULL, call->data);
         g_ptr_array_unref(page.records);
@@ -113,14 +120,14 @@
         KeyedRecord_t *record = g_ptr_array_index(records, i);
         g_hash_table_replace(call->newest, record->key->str, record);
     }
-    call->from = log->first + log->records->len;
+    call->from = position_of(log, log->records->len);
 }
 
 static void
 read_on(Call_t *call)
 {
-    LogClient_read(call->owner->log, call->topic->str, call->from, 0, on_list,
-                   call);
+    LogClient_read(call->owner->log, call->topic->str, call->from.offset, 0,
+                   on_list, call);
 }
 
 /* Where the oldest records are gone it goes on behind them. */
@@ -128,7 +135,7 @@
 on_list_error(Call_t *call, const LogRecords_t *log, const GError *error)
 {
     if (log) {
-        call->from = log->start;
+        call->from = (StorePosition_t){log->epoch, log->start};
         read_on(call);
         return;
     }
@@ -145,7 +152,7 @@
         return;
     }
     fold(call, log);
-    if (call->from >= log->head) {
+    if (call->from.offset >= log->head) {
         end_list(call);
     }
     else {
--- a/src/KeyedRecord.c
+++ b/src/KeyedRecord.c
@@ -4,12 +4,12 @@
 
 KeyedRecord_t *
 KeyedRecord_create(const char *key, gsize key_length, GBytes *value,
-                   guint64 offset)
+                   StorePosition_t position)
 {
     KeyedRecord_t *record = g_new0(KeyedRecord_t, 1);
     record->key = g_string_new_len(key, (gssize)key_length);
     record->value = value;
-    record->offset = offset;
+    record->position = position;
     return record;
 }
 
@@ -25,17 +25,17 @@
 }
 
 KeyedRecord_t *
-KeyedRecord_split(GBytes *bytes, guint64 offset)
+KeyedRecord_split(GBytes *bytes, StorePosition_t position)
 {
     gsize length = 0;
     const char *data = g_bytes_get_data(bytes, &length);
     gsize key_length = length > 0 ? (guint8)data[0] : 0;
     if (length < 1 + key_length) {
-        return KeyedRecord_create("", 0, NULL, offset);
+        return KeyedRecord_create("", 0, NULL, position);
     }
     gsize rest = length - 1 - key_length;
     GBytes *value = rest > 0 ? g_bytes_new(data + 1 + key_length, rest) : NULL;
-    return KeyedRecord_create(data + 1, key_length, value, offset);
+    return KeyedRecord_create(data + 1, key_length, value, position);
 }
 
 GBytes *
--- a/src/LogClient.h
+++ b/src/LogClient.h
@@ -22,18 +22,20 @@
  * @records: GBytes *, at consecutive offsets
  * @start: oldest offset that the log still has
  * @head: offset that the next record gets
+ * @epoch: of the log when it answered (StoreEpoch.h)
  */
 typedef struct {
     guint64 first;
     GPtrArray *records;
     guint64 start;
     guint64 head;
+    guint64 epoch;
 } LogRecords_t;
 
 /**
  * LogRead_t - called once for each read
  * @records: NULL where there is an error, but for WT_ERROR_TRUNCATED: then
- *     only @start is set
+ *     only @start and @epoch are set
  * @error: WT_ERROR_TRUNCATED where the offset is older than the log keeps
  */
 typedef void (*LogRead_t)(const LogRecords_t *records, const GError *error,
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -20,24 +20,30 @@
  * ways that it came: only one that is newer by so much is passed on. */
 #define NEWS_LEAST_MS 200
 
+/* Its answer counts only while it is the one that is waited for: what was
+ * asked before the store came back older says nothing of what is there now. */
+typedef struct {
+    RecordFollower_t *owner;
+    gint64 sent_ms;
+} FollowerCall_t;
+
 struct RecordFollower {
     RecordFollowerSpec_t spec;
     GString *topic;
     const RecordFollowerEvents_t *events;
     void *owner;
     struct event *timer;
-    GHashTable *offsets; /* key -> guint64 *, of its newest record */
-    GHashTable *listed;  /* set of keys seen in the list under way */
-    GString *after;      /* last key of the page before */
-    guint64 next;        /* offset to read from */
+    GHashTable *positions; /* key -> StorePosition_t *, of its newest record */
+    GHashTable *listed;    /* set of keys seen in the list under way */
+    GString *after;        /* last key of the page before */
+    StorePosition_t next;  /* to read from */
     gboolean listing;
     gboolean first_page;
-    gboolean calling;
-    gint64 sent_ms; /* when the call under way was made */
     gint64 retry_most_ms;
-    gboolean asking;
-    guint unanswered;  /* questions in a row that failed */
-    gint64 asked_ms;   /* the same of the question beside it */
+    GHashTable *calls;             /* set of FollowerCall_t that are open */
+    const FollowerCall_t *calling; /* the one that counts, or NULL */
+    const FollowerCall_t *asking;  /* a question beside it, or NULL */
+    guint unanswered;              /* questions in a row that failed */
     gint64 current_ms; /* when the end was last known, 0 for never */
     guint failures;    /* in a row */
     gint64 failed_ms;  /* when the last of them was */
@@ -57,25 +63,27 @@
 static gboolean
 is_newer(const RecordFollower_t *this, const KeyedRecord_t *record)
 {
-    const guint64 *known =
-        g_hash_table_lookup(this->offsets, record->key->str);
-    return !known || record->offset > *known;
+    const StorePosition_t *known =
+        g_hash_table_lookup(this->positions, record->key->str);
+    return !known || StorePosition_compare(record->position, *known) > 0;
 }
 
 /* The same record comes more than once as a matter of course. */
 static void
 log_passed_over(const RecordFollower_t *this, const KeyedRecord_t *record)
 {
-    const guint64 *known =
-        g_hash_table_lookup(this->offsets, record->key->str);
-    if (*known == record->offset) {
+    const StorePosition_t *known =
+        g_hash_table_lookup(this->positions, record->key->str);
+    if (StorePosition_compare(record->position, *known) == 0) {
         return;
     }
     Log_begin(LOG_LEVEL_WARNING, "record_passed_over");
     Log_text("topic", this->topic->str);
     Log_text("key", record->key->str);
-    Log_number("offset", (gint64)record->offset);
-    Log_number("known", (gint64)*known);
+    Log_number("epoch", (gint64)record->position.epoch);
+    Log_number("offset", (gint64)record->position.offset);
+    Log_number("known_epoch", (gint64)known->epoch);
+    Log_number("known", (gint64)known->offset);
     Log_end();
 }
 
@@ -89,11 +97,11 @@
     const char *key = record->key->str;
     if (record->value) {
         g_hash_table_replace(
-            this->offsets, g_strdup(key),
-            g_memdup2(&record->offset, sizeof(record->offset)));
+            this->positions, g_strdup(key),
+            g_memdup2(&record->position, sizeof(record->position)));
     }
     else {
-        g_hash_table_remove(this->offsets, key);
+        g_hash_table_remove(this->positions, key);
     }
     this->events->record(this->owner, record);
 }
@@ -105,11 +113,11 @@
 {
     GHashTableIter iter;
     gpointer key = NULL;
-    g_hash_table_iter_init(&iter, this->offsets);
+    g_hash_table_iter_init(&iter, this->positions);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
         if (!g_hash_table_contains(this->listed, key)) {
             GString name = {.str = key, .len = strlen(key)};
-            KeyedRecord_t removed = {.key = &name, .offset = this->next};
+            KeyedRecord_t removed = {.key = &name, .position = this->next};
             this->events->record(this->owner, &removed);
             g_hash_table_iter_remove(&iter);
         }
@@ -159,8 +167,8 @@
 {
     for (guint i = 0; i < page->records->len; i++) {
         const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
-        if (record->offset >= this->next) {
-            this->next = record->offset + 1;
+        if (StorePosition_compare(record->position, this->next) >= 0) {
+            this->next = StorePosition_plus(record->position, 1);
             take_record(this, record);
         }
     }
@@ -232,14 +240,21 @@
 {
     Log_begin(LOG_LEVEL_WARNING, "topic_listed_anew");
     Log_text("topic", this->topic->str);
-    Log_number("next", (gint64)this->next);
+    Log_number("epoch", (gint64)this->next.epoch);
+    Log_number("next", (gint64)this->next.offset);
     Log_end();
     begin_list(this);
     call(this);
 }
 
+static gboolean
+is_at_end(const RecordFollower_t *this, const KeyedPage_t *page)
+{
+    return !this->listing && StorePosition_compare(this->next, page->end) >= 0;
+}
+
 static void
-take_page(RecordFollower_t *this, const KeyedPage_t *page)
+take_page(RecordFollower_t *this, const KeyedPage_t *page, gint64 sent_ms)
 {
     if (this->listing) {
         take_list(this, page);
@@ -247,18 +262,35 @@
     else {
         take_tail(this, page);
     }
-    gboolean at_end = !this->listing && this->next >= page->end;
+    gboolean at_end = is_at_end(this, page);
     if (at_end) {
-        note_current(this, this->sent_ms);
+        note_current(this, sent_ms);
     }
     go_on(this, at_end);
 }
 
+static FollowerCall_t *
+open_call(RecordFollower_t *this)
+{
+    FollowerCall_t *opened = g_new0(FollowerCall_t, 1);
+    opened->owner = this;
+    opened->sent_ms = Clock_nowMs();
+    g_hash_table_add(this->calls, opened);
+    return opened;
+}
+
 static void
 on_page(const KeyedPage_t *page, const GError *error, void *data)
 {
-    RecordFollower_t *this = data;
-    this->calling = FALSE;
+    const FollowerCall_t *ended = data;
+    RecordFollower_t *this = ended->owner;
+    gint64 sent_ms = ended->sent_ms;
+    gboolean counts = ended == this->calling;
+    g_hash_table_remove(this->calls, ended);
+    if (!counts) {
+        return;
+    }
+    this->calling = NULL;
     if (g_error_matches(error, WT_ERROR, WT_ERROR_TRUNCATED)) {
         list_anew(this);
         return;
@@ -268,7 +300,7 @@
         return;
     }
     note_good(this);
-    take_page(this, page);
+    take_page(this, page, sent_ms);
 }
 
 static StoreCause_t
@@ -287,21 +319,21 @@
 call(RecordFollower_t *this)
 {
     StoreCalls_note(this->spec.counters, this->topic->str, cause_of(this));
-    this->sent_ms = Clock_nowMs();
-    this->calling = TRUE;
+    FollowerCall_t *opened = open_call(this);
+    this->calling = opened;
     if (this->listing) {
         const char *after = this->after->len > 0 ? this->after->str : NULL;
         RecordSource_list(this->spec.source, this->topic->str, after, on_page,
-                          this);
+                          opened);
         return;
     }
     /* After a failure the answer must come at once, to tell of the return, and
      * where the end was not known for long, as others wait for it. */
-    gint64 age_ms = this->sent_ms - this->current_ms;
+    gint64 age_ms = opened->sent_ms - this->current_ms;
     gboolean now = this->failures > 0 || age_ms > 2 * this->spec.wait_ms;
     gint64 wait_ms = now ? 0 : this->spec.wait_ms;
-    RecordSource_read(this->spec.source, this->topic->str, this->next, wait_ms,
-                      on_page, this);
+    RecordSource_read(this->spec.source, this->topic->str, this->next.offset,
+                      wait_ms, on_page, opened);
 }
 
 static void
@@ -323,7 +355,9 @@
     this->events = events;
     this->owner = owner;
     this->timer = Clock_timer(base, on_timer, this);
-    this->offsets =
+    this->calls =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, g_free, NULL);
+    this->positions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->listed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -338,7 +372,8 @@
 RecordFollower_destroy(RecordFollower_t *this)
 {
     event_free(this->timer);
-    g_hash_table_destroy(this->offsets);
+    g_hash_table_destroy(this->calls);
+    g_hash_table_destroy(this->positions);
     g_hash_table_destroy(this->listed);
     g_string_free(this->after, TRUE);
     g_string_free(this->topic, TRUE);
@@ -361,8 +396,15 @@
 static void
 on_asked(const KeyedPage_t *page, const GError *error, void *data)
 {
-    RecordFollower_t *this = data;
-    this->asking = FALSE;
+    const FollowerCall_t *ended = data;
+    RecordFollower_t *this = ended->owner;
+    gint64 sent_ms = ended->sent_ms;
+    gboolean counts = ended == this->asking;
+    g_hash_table_remove(this->calls, ended);
+    if (!counts) {
+        return;
+    }
+    this->asking = NULL;
     if (g_error_matches(error, WT_ERROR, WT_ERROR_TRUNCATED)) {
         note_expired(this);
         return;
@@ -372,8 +414,8 @@
         return;
     }
     take_tail(this, page);
-    if (this->next >= page->end) {
-        note_current(this, this->asked_ms);
+    if (is_at_end(this, page)) {
+        note_current(this, sent_ms);
     }
 }
 
@@ -382,7 +424,7 @@
 static void
 read_gap(RecordFollower_t *this, guint64 from)
 {
-    if (from > this->next && !this->calling && this->failures == 0) {
+    if (from > this->next.offset && !this->calling && this->failures == 0) {
         Clock_arm(this->timer, 0);
     }
 }
@@ -391,12 +433,12 @@
 RecordFollower_feed(RecordFollower_t *this, guint64 from,
                     const KeyedPage_t *page, gint64 at_ms)
 {
-    if (this->listing || page->end < this->next ||
-        (page->end == this->next &&
-         at_ms < this->current_ms + NEWS_LEAST_MS)) {
+    gint ahead = StorePosition_compare(page->end, this->next);
+    if (this->listing || page->end.epoch != this->next.epoch || ahead < 0 ||
+        (ahead == 0 && at_ms < this->current_ms + NEWS_LEAST_MS)) {
         return FALSE;
     }
-    if (from > this->next) {
+    if (from > this->next.offset) {
         read_gap(this, from);
         return FALSE;
     }
@@ -419,10 +461,10 @@
         return;
     }
     StoreCalls_note(this->spec.counters, this->topic->str, cause);
-    this->asking = TRUE;
-    this->asked_ms = Clock_nowMs();
-    RecordSource_read(this->spec.source, this->topic->str, this->next, 0,
-                      on_asked, this);
+    FollowerCall_t *opened = open_call(this);
+    this->asking = opened;
+    RecordSource_read(this->spec.source, this->topic->str, this->next.offset,
+                      0, on_asked, opened);
 }
 
 guint
@@ -451,10 +493,21 @@
     }
 }
 
-guint64
-RecordFollower_offset(const RecordFollower_t *this)
+/* Answers to what was asked before belong to the epoch before, and a read
+ * that is held may be held for long. */
+void
+RecordFollower_beginEpoch(RecordFollower_t *this, gint64 after_ms)
+{
+    this->calling = NULL;
+    this->asking = NULL;
+    begin_list(this);
+    Clock_arm(this->timer, after_ms);
+}
+
+StorePosition_t
+RecordFollower_position(const RecordFollower_t *this)
 {
-    return this->listing ? 0 : this->next;
+    return this->listing ? (StorePosition_t){0} : this->next;
 }
 
 gboolean
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -6,8 +6,9 @@
  * Follows one keyed topic: it lists the newest record of each key, then
  * reads on from there. Where the records that it needs next are gone, it
  * lists anew and tells which keys are no longer there. A record older than
- * the one known of its key is never told. After a failure it tries again
- * with growing, jittered pauses.
+ * the one known of its key is never told; what a store that came back older
+ * has of a key is the newest of its epoch, and told. After a failure it tries
+ * again with growing, jittered pauses.
  */
 #include <event2/event.h>
 
@@ -17,14 +18,14 @@
 /**
  * struct RecordFollowerEvents_t - what it tells its owner
  * @record: the newest record of a key; its value is NULL where it was removed
- * @current: the topic ended at @offset at the time @at_ms (monotonic), and
+ * @current: the topic ended at @end at the time @at_ms (monotonic), and
  *     all records before it were told
  * @lost: a call failed for the first time, or after a good one; may be NULL
  * @regained: a call succeeded after failed ones; may be NULL
  */
 typedef struct {
     void (*record)(void *owner, const KeyedRecord_t *record);
-    void (*current)(void *owner, guint64 offset, gint64 at_ms);
+    void (*current)(void *owner, StorePosition_t end, gint64 at_ms);
     void (*lost)(void *owner, const GError *error);
     void (*regained)(void *owner);
 } RecordFollowerEvents_t;
@@ -68,11 +69,12 @@
 
 /**
  * RecordFollower_feed() - take what another follower of the topic has read
- * @from: records of @page are all that is new from here on to its end
+ * @from: offset; records of @page are all that is new from here on to its end
  * @page: in the order of offsets
  * @at_ms: monotonic time at which the topic ended there
  *
- * Where records before @from are not known here, nothing is taken.
+ * Where records before @from are not known here, or it is of another epoch,
+ * nothing is taken.
  *
  * Return: whether more is known now
  */
@@ -91,8 +93,15 @@
 /** RecordFollower_unanswered() - questions in a row that failed */
 guint RecordFollower_unanswered(const RecordFollower_t *this);
 
-/** RecordFollower_offset() - records below it were told; 0 during a list */
-guint64 RecordFollower_offset(const RecordFollower_t *this);
+/**
+ * RecordFollower_beginEpoch() - the store has come back older: list anew
+ * @after_ms: wait so long before
+ */
+void RecordFollower_beginEpoch(RecordFollower_t *this, gint64 after_ms);
+
+/** RecordFollower_position() - records before it were told; zeros during a
+ * list */
+StorePosition_t RecordFollower_position(const RecordFollower_t *this);
 
 /** RecordFollower_isLost() - whether the last call failed */
 gboolean RecordFollower_isLost(const RecordFollower_t *this);
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -11,7 +11,8 @@
     GString *topic;
     gsize news_bytes;
     GPtrArray *news; /* KeyedRecord_t, since the last end that was known */
-    guint64 known;   /* end of the topic as last known, 0 for none */
+    StorePosition_t known; /* end of the topic as last known */
+    gboolean is_known;
 };
 
 RecordRelay_t *
@@ -33,22 +34,22 @@
 }
 
 static KeyedRecord_t *
-make_record(const char *key, GBytes *value, guint64 offset)
+make_record(const char *key, GBytes *value, StorePosition_t position)
 {
     KeyedRecord_t *record = g_new0(KeyedRecord_t, 1);
     record->key = g_string_new(key);
     record->value = value;
-    record->offset = offset;
+    record->position = position;
     return record;
 }
 
 void
 RecordRelay_add(RecordRelay_t *this, const char *key, GBytes *value,
-                guint64 offset)
+                StorePosition_t position)
 {
     GBytes *held = value ? g_bytes_ref(value) : NULL;
     this->news_bytes += held ? g_bytes_get_size(held) : 0;
-    g_ptr_array_add(this->news, make_record(key, held, offset));
+    g_ptr_array_add(this->news, make_record(key, held, position));
 }
 
 static void
@@ -56,7 +57,7 @@
 {
     wt__topic_record__init(out);
     out->key = record->key->str;
-    out->offset = record->offset;
+    out->offset = record->position.offset;
     if (record->value) {
         gsize length = 0;
         out->value.data = (guint8 *)g_bytes_get_data(record->value, &length);
@@ -92,12 +93,13 @@
 }
 
 static void
-send_news(const RecordRelay_t *this, guint64 end, gint64 at_ms,
+send_news(const RecordRelay_t *this, StorePosition_t end, gint64 at_ms,
           gint64 regained_ms)
 {
     Wt__TopicPart part = WT__TOPIC_PART__INIT;
-    part.from = this->known;
-    part.end = end;
+    part.from = this->known.offset;
+    part.end = end.offset;
+    part.epoch = end.epoch;
     part.age_ms = PeerAge_of(at_ms);
     part.regained_age_ms =
         regained_ms > 0 ? MAX(PeerAge_of(regained_ms), 1) : 0;
@@ -106,22 +108,25 @@
 
 void
 RecordRelay_answer(const RecordRelay_t *this, Member_t *member, guint64 from,
-                   const GPtrArray *records, guint64 end, gint64 at_ms)
+                   const GPtrArray *records, StorePosition_t end, gint64 at_ms)
 {
     Wt__TopicPart part = WT__TOPIC_PART__INIT;
     part.from = from;
-    part.end = end;
+    part.end = end.offset;
+    part.epoch = end.epoch;
     part.age_ms = PeerAge_of(at_ms);
     send_part(this, member, &part, records);
 }
 
 void
-RecordRelay_ask(const RecordRelay_t *this, Member_t *member, guint64 from)
+RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
+                StorePosition_t from)
 {
     Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     ask.topic = this->topic->str;
-    ask.from = from;
+    ask.from = from.offset;
+    ask.epoch = from.epoch;
     message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_ASK;
     message.topic_ask = &ask;
     Membership_send(this->membership, member, &message);
@@ -130,19 +135,21 @@
 gboolean
 RecordRelay_hasNews(const RecordRelay_t *this)
 {
-    return this->known == 0 || this->news->len > 0;
+    return !this->is_known || this->news->len > 0;
 }
 
 void
-RecordRelay_tell(RecordRelay_t *this, guint64 end, gint64 at_ms,
+RecordRelay_tell(RecordRelay_t *this, StorePosition_t end, gint64 at_ms,
                  gint64 regained_ms, gboolean from_peer)
 {
+    gboolean follows = this->is_known && this->known.epoch == end.epoch;
     gboolean told = !this->membership ||
                     (from_peer && Membership_isMesh(this->membership));
-    if (this->known > 0 && !told && !RecordRelay_isTooLong(this)) {
+    if (follows && !told && !RecordRelay_isTooLong(this)) {
         send_news(this, end, at_ms, regained_ms);
     }
     this->known = end;
+    this->is_known = TRUE;
     this->news_bytes = 0;
     g_ptr_array_set_size(this->news, 0);
 }
@@ -158,15 +165,15 @@
 {
     KeyedPage_t page = {
         .records = g_ptr_array_new_with_free_func(KeyedRecord_free),
-        .end = message->end,
+        .end = {message->epoch, message->end},
     };
     for (size_t i = 0; i < message->n_records; i++) {
         const Wt__TopicRecord *told = message->records[i];
         GBytes *value = told->value.len > 0
                             ? g_bytes_new(told->value.data, told->value.len)
                             : NULL;
-        g_ptr_array_add(page.records,
-                        make_record(told->key, value, told->offset));
+        StorePosition_t position = {message->epoch, told->offset};
+        g_ptr_array_add(page.records, make_record(told->key, value, position));
     }
     return page;
 }
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -25,7 +25,7 @@
 
 /** RecordRelay_add() - a record said something new; @value NULL: removed */
 void RecordRelay_add(RecordRelay_t *this, const char *key, GBytes *value,
-                     guint64 offset);
+                     StorePosition_t position);
 
 /**
  * RecordRelay_tell() - all records before @end are known
@@ -35,9 +35,10 @@
  *     the others as well
  *
  * What was added since the last call is told, or forgotten where nobody is to
- * be told. The first call tells nothing: what was there is not news.
+ * be told. The first call of an epoch tells nothing: what was there is not
+ * news.
  */
-void RecordRelay_tell(RecordRelay_t *this, guint64 end, gint64 at_ms,
+void RecordRelay_tell(RecordRelay_t *this, StorePosition_t end, gint64 at_ms,
                       gint64 regained_ms, gboolean from_peer);
 
 /** RecordRelay_hasNews() - whether anything was added since the last call of
@@ -46,17 +47,18 @@
 
 /**
  * RecordRelay_answer() - tell one router what it asked for
- * @records: KeyedRecord_t *, all that is new from @from on
+ * @from: offset that it has told
+ * @records: KeyedRecord_t *, all that is new from there on
  * @end: of the topic, where all records before it are known
  * @at_ms: monotonic time at which the topic ended there
  */
 void RecordRelay_answer(const RecordRelay_t *this, Member_t *member,
-                        guint64 from, const GPtrArray *records, guint64 end,
-                        gint64 at_ms);
+                        guint64 from, const GPtrArray *records,
+                        StorePosition_t end, gint64 at_ms);
 
-/** RecordRelay_ask() - ask a router for what is new from an offset on */
+/** RecordRelay_ask() - ask a router for what is new from a place on */
 void RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
-                     guint64 from);
+                     StorePosition_t from);
 
 /** RecordRelay_isTooLong() - too much was added to be told: who is told
  * nothing reads it from the store */
--- a/src/RecordSource.h
+++ b/src/RecordSource.h
@@ -12,12 +12,12 @@
 /**
  * struct KeyedPage_t - the answer to a call, valid during its callback
  * @records: KeyedRecord_t *, freed with the page
- * @end: offset that the next record of the topic gets
+ * @end: where the next record of the topic gets its place
  * @more: a list goes on after the last key of this page
  */
 typedef struct {
     GPtrArray *records;
-    guint64 end;
+    StorePosition_t end;
     gboolean more;
 } KeyedPage_t;
 
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -46,7 +46,7 @@
     struct event *tick;
     gint64 asked_ms;
     gint64 pulled_ms;
-    guint64 ahead;    /* largest end that peers have told of */
+    StorePosition_t ahead; /* furthest end that peers have told of */
     gint64 behind_ms; /* since when less is known here; 0 where it is not */
     double turn;      /* from 0 to 1, when it asks of those that are untold */
     gboolean current; /* all that was there at the start has been read */
@@ -109,7 +109,7 @@
     KeyedRecord_t *kept = g_new0(KeyedRecord_t, 1);
     kept->key = g_string_new(record->key->str);
     kept->value = record->value ? g_bytes_ref(record->value) : NULL;
-    kept->offset = record->offset;
+    kept->position = record->position;
     g_hash_table_replace(this->newest, kept->key->str, kept);
 }
 
@@ -122,7 +122,7 @@
     const char *key = record->key->str;
     GBytes *value = record->value;
     keep_newest(this, record);
-    RecordRelay_add(this->records, key, value, record->offset);
+    RecordRelay_add(this->records, key, value, record->position);
     if (!value) {
         Log_begin(LOG_LEVEL_WARNING, "operator_record_removed");
         Log_text("key", key);
@@ -157,7 +157,7 @@
 
 /* What is too long to be told to all is asked for by those that hear of it. */
 static void
-pass_on(RouteSync_t *this, guint64 offset, gint64 at_ms)
+pass_on(RouteSync_t *this, StorePosition_t end, gint64 at_ms)
 {
     if (!RecordRelay_hasNews(this->records)) {
         return;
@@ -165,20 +165,20 @@
     if (RecordRelay_isTooLong(this->records)) {
         FreshnessRelay_tellNow(this->relay);
     }
-    RecordRelay_tell(this->records, offset, at_ms, 0, this->feeding);
+    RecordRelay_tell(this->records, end, at_ms, 0, this->feeding);
 }
 
 static void
-on_current(void *owner, guint64 offset, gint64 at_ms)
+on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     RouteSync_t *this = owner;
     this->current = TRUE;
-    if (offset >= this->ahead) {
+    if (StorePosition_compare(end, this->ahead) >= 0) {
         this->behind_ms = 0;
     }
     RouteTable_noteCurrent(this->spec.routes, at_ms);
-    FreshnessRelay_note(this->relay, offset, at_ms);
-    pass_on(this, offset, at_ms);
+    FreshnessRelay_note(this->relay, end, at_ms);
+    pass_on(this, end, at_ms);
     set_reads(this);
 }
 
@@ -193,7 +193,7 @@
 }
 
 static void
-ask_peer(RouteSync_t *this, Member_t *from, guint64 known)
+ask_peer(RouteSync_t *this, Member_t *from, StorePosition_t known)
 {
     gint64 now_ms = Clock_nowMs();
     if (now_ms - this->pulled_ms >= PULL_EVERY_MS) {
@@ -210,9 +210,12 @@
 }
 
 static void
-catch_up(RouteSync_t *this, Member_t *from, guint64 known, guint64 offset)
+catch_up(RouteSync_t *this, Member_t *from, StorePosition_t known,
+         StorePosition_t end)
 {
-    this->ahead = MAX(this->ahead, offset);
+    if (StorePosition_compare(end, this->ahead) > 0) {
+        this->ahead = end;
+    }
     if (this->behind_ms == 0) {
         this->behind_ms = Clock_nowMs();
     }
@@ -226,38 +229,38 @@
 
 /* Who was told that there is nothing new need not ask for it. */
 static void
-feed_end(RouteSync_t *this, guint64 offset, gint64 at_ms)
+feed_end(RouteSync_t *this, StorePosition_t end, gint64 at_ms)
 {
-    KeyedPage_t page = {.records = g_ptr_array_new(), .end = offset};
+    KeyedPage_t page = {.records = g_ptr_array_new(), .end = end};
     this->feeding = TRUE;
-    RecordFollower_feed(this->follower, offset, &page, at_ms);
+    RecordFollower_feed(this->follower, end.offset, &page, at_ms);
     this->feeding = FALSE;
     g_ptr_array_unref(page.records);
 }
 
 /* Only who has read to the same end knows that nothing newer existed. */
 static gboolean
-on_fresh(void *owner, Member_t *from, guint64 offset, gint64 at_ms)
+on_fresh(void *owner, Member_t *from, StorePosition_t end, gint64 at_ms)
 {
     RouteSync_t *this = owner;
-    guint64 known = RecordFollower_offset(this->follower);
-    if (known == offset) {
+    if (!StoreEpoch_note(this->spec.epoch, end.epoch, "peer")) {
+        return FALSE;
+    }
+    StorePosition_t known = RecordFollower_position(this->follower);
+    if (known.epoch != end.epoch) {
+        return FALSE;
+    }
+    gint ahead = StorePosition_compare(known, end);
+    if (ahead == 0) {
         RouteTable_noteCurrent(this->spec.routes, at_ms);
-        feed_end(this, offset, at_ms);
+        feed_end(this, end, at_ms);
     }
-    else if (known > 0 && known < offset) {
-        catch_up(this, from, known, offset);
+    else if (ahead < 0 && known.offset > 0) {
+        catch_up(this, from, known, end);
     }
-    return known >= offset;
+    return ahead >= 0;
 }
 
-static const FreshnessRelayEvents_t relay_events = {.fresh = on_fresh};
-
-static const RecordFollowerEvents_t follower_events = {
-    .record = on_record,
-    .current = on_current,
-};
-
 /* By the routers that are known now: at a start they are not yet. */
 static gint64
 spread_ms(const RouteSync_t *this)
@@ -273,6 +276,25 @@
     this->turn = (double)Random_below(TURNS) / TURNS;
 }
 
+/* All routers list the topic anew at once: they take turns, as those that are
+ * untold do. */
+static void
+on_return(void *owner)
+{
+    RouteSync_t *this = owner;
+    this->ahead = (StorePosition_t){0};
+    this->behind_ms = 0;
+    RecordFollower_beginEpoch(this->follower, spread_ms(this));
+    draw_turn(this);
+}
+
+static const FreshnessRelayEvents_t relay_events = {.fresh = on_fresh};
+
+static const RecordFollowerEvents_t follower_events = {
+    .record = on_record,
+    .current = on_current,
+};
+
 static void
 ask_untold(RouteSync_t *this)
 {
@@ -320,6 +342,7 @@
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
     this->tick = Clock_timer(base, on_tick, this);
+    StoreEpoch_listen(spec->epoch, on_return, this);
     draw_turn(this);
     Clock_arm(this->tick, TICK_MS);
     return this;
@@ -335,6 +358,7 @@
 void
 RouteSync_destroy(RouteSync_t *this)
 {
+    StoreEpoch_leave(this->spec.epoch, this);
     RecordFollower_destroy(this->follower);
     FreshnessRelay_destroy(this->relay);
     RecordRelay_destroy(this->records);
@@ -355,6 +379,9 @@
 void
 RouteSync_takePart(RouteSync_t *this, const Wt__TopicPart *message)
 {
+    if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
+        return;
+    }
     KeyedPage_t page = RecordRelay_read(message);
     gint64 at_ms = FreshnessRelay_mayHaveWaited(this->relay)
                        ? 0
@@ -370,11 +397,11 @@
 {
     const KeyedRecord_t *left = *(KeyedRecord_t *const *)a;
     const KeyedRecord_t *right = *(KeyedRecord_t *const *)b;
-    return (left->offset > right->offset) - (left->offset < right->offset);
+    return StorePosition_compare(left->position, right->position);
 }
 
 static GPtrArray *
-newest_from(const RouteSync_t *this, guint64 from)
+newest_from(const RouteSync_t *this, StorePosition_t from)
 {
     GPtrArray *found = g_ptr_array_new();
     GHashTableIter iter;
@@ -382,7 +409,7 @@
     g_hash_table_iter_init(&iter, this->newest);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const KeyedRecord_t *record = value;
-        if (record->offset >= from) {
+        if (StorePosition_compare(record->position, from) >= 0) {
             g_ptr_array_add(found, value);
         }
     }
@@ -395,13 +422,15 @@
 RouteSync_answer(RouteSync_t *this, Member_t *from,
                  const Wt__TopicAsk *message)
 {
-    guint64 known = RecordFollower_offset(this->follower);
+    StorePosition_t from_there = {message->epoch, message->from};
+    StorePosition_t known = RecordFollower_position(this->follower);
     gint64 now_ms = Clock_nowMs();
     gint64 age_ms = RouteTable_ageMs(this->spec.routes, now_ms);
-    if (known <= message->from || age_ms == G_MAXINT64) {
+    if (known.epoch != from_there.epoch || known.offset <= message->from ||
+        age_ms == G_MAXINT64) {
         return;
     }
-    GPtrArray *records = newest_from(this, message->from);
+    GPtrArray *records = newest_from(this, from_there);
     RecordRelay_answer(this->records, from, message->from, records, known,
                        now_ms - age_ms);
     g_ptr_array_unref(records);
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -18,6 +18,7 @@
 #include "NamedWeights.h"
 #include "PlatformForm.h"
 #include "RouteTable.h"
+#include "StoreEpoch.h"
 
 /**
  * struct RouteSyncSpec_t - what it needs; all must outlive it
@@ -29,6 +30,7 @@
  * @reader_wait_ms: how long the store may hold a read of a router that asks
  *     for the others: bounds how old the knowledge that a configuration is
  *     the newest gets
+ * @epoch: of the store
  * @counters: for calls to the store
  * @wait_ms: so long after the last word of peers all others ask the store
  * @unknown_age_ms: age that is assumed of versions named before the start
@@ -39,6 +41,7 @@
     RouteTable_t *routes;
     NamedWeights_t *weights;
     Membership_t *membership;
+    StoreEpoch_t *epoch;
     Counters_t *counters;
     gint64 reader_wait_ms;
     gint64 wait_ms;
--- a/src/StoreEpoch.c
+++ b/src/StoreEpoch.c
@@ -2,8 +2,14 @@
 
 #include "Log.h"
 
+typedef struct {
+    StoreEpochRose_t rose;
+    void *owner;
+} Listener_t;
+
 struct StoreEpoch {
     Counters_t *counters;
+    GArray *listeners; /* Listener_t */
     guint64 newest;
     gboolean known;
 };
@@ -13,15 +19,45 @@
 {
     StoreEpoch_t *this = g_new0(StoreEpoch_t, 1);
     this->counters = counters;
+    this->listeners = g_array_new(FALSE, FALSE, sizeof(Listener_t));
     return this;
 }
 
 void
 StoreEpoch_destroy(StoreEpoch_t *this)
 {
+    g_array_unref(this->listeners);
     g_free(this);
 }
 
+void
+StoreEpoch_listen(StoreEpoch_t *this, StoreEpochRose_t rose, void *owner)
+{
+    Listener_t listener = {rose, owner};
+    g_array_append_val(this->listeners, listener);
+}
+
+void
+StoreEpoch_leave(StoreEpoch_t *this, const void *owner)
+{
+    for (guint i = 0; i < this->listeners->len; i++) {
+        if (g_array_index(this->listeners, Listener_t, i).owner == owner) {
+            g_array_remove_index(this->listeners, i);
+            return;
+        }
+    }
+}
+
+static void
+tell_listeners(const StoreEpoch_t *this)
+{
+    for (guint i = 0; i < this->listeners->len; i++) {
+        const Listener_t *listener =
+            &g_array_index(this->listeners, Listener_t, i);
+        listener->rose(listener->owner);
+    }
+}
+
 static void
 log_return(guint64 before, guint64 now, const char *by)
 {
@@ -49,6 +85,7 @@
     if (this->counters) {
         Counters_add(this->counters, "store_returns_total", NULL, 1);
     }
+    tell_listeners(this);
 }
 
 gboolean
--- a/src/StoreEpoch.h
+++ b/src/StoreEpoch.h
@@ -32,6 +32,17 @@
  */
 gboolean StoreEpoch_note(StoreEpoch_t *this, guint64 epoch, const char *by);
 
+/**
+ * StoreEpochRose_t - the store has come back older
+ */
+typedef void (*StoreEpochRose_t)(void *owner);
+
+/** StoreEpoch_listen() - tell an owner of each return */
+void StoreEpoch_listen(StoreEpoch_t *this, StoreEpochRose_t rose, void *owner);
+
+/** StoreEpoch_leave() - tell it no more */
+void StoreEpoch_leave(StoreEpoch_t *this, const void *owner);
+
 /** StoreEpoch_newest() - 0 where none was told */
 guint64 StoreEpoch_newest(const StoreEpoch_t *this);
 
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -5,6 +5,7 @@
 #include "Clock.h"
 #include "Log.h"
 #include "PeerAge.h"
+#include "Random.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
 
@@ -23,6 +24,11 @@
 /* Longest mean pause between tries of a router that others read for, while the
  * store fails: with 300 routers some 90 calls a second in place of 370. */
 #define RETRY_MOST_MS 3200
+/* All routers list the topic anew when the store comes back older; so much of
+ * time for each of them up to the most, as the store serves a few thousand
+ * calls a second. */
+#define LIST_SPREAD_MS 10
+#define LIST_SPREAD_MOST_MS 1000
 /* How often it is looked whether the other routers are known by now. */
 #define SETTLED_LOOK_MS 200
 /* Name under which routers are ranked for it. */
@@ -300,7 +306,7 @@
     const char *name = record->key->str;
     const Seen_t *seen = g_hash_table_lookup(this->seen, name);
     if (!seen || seen->place != place) {
-        RecordRelay_add(this->relay, name, record->value, record->offset);
+        RecordRelay_add(this->relay, name, record->value, record->position);
     }
     Seen_t now = {.entry = hash, .place = place};
     note_seen(this, name, &now);
@@ -318,7 +324,7 @@
     Log_text("upstream", name);
     Log_text("reason", error ? error->message : "");
     Log_end();
-    RecordRelay_add(this->relay, name, record->value, record->offset);
+    RecordRelay_add(this->relay, name, record->value, record->position);
     note_seen(this, name, &seen);
     if (UpstreamSet_find(this->spec.upstreams, name)) {
         drop(this, name, "entry_unreadable");
@@ -348,7 +354,7 @@
     UpstreamListing_t *this = owner;
     const char *name = record->key->str;
     if (!record->value) {
-        RecordRelay_add(this->relay, name, NULL, record->offset);
+        RecordRelay_add(this->relay, name, NULL, record->position);
         take_removal(this, name);
         return;
     }
@@ -388,12 +394,12 @@
 }
 
 static void
-on_current(void *owner, guint64 offset, gint64 at_ms)
+on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     UpstreamListing_t *this = owner;
     this->known = TRUE;
     set_reads(this);
-    RecordRelay_tell(this->relay, offset, at_ms, this->regained_ms,
+    RecordRelay_tell(this->relay, end, at_ms, this->regained_ms,
                      this->feeding);
 }
 
@@ -415,6 +421,9 @@
 void
 UpstreamListing_take(UpstreamListing_t *this, const Wt__TopicPart *message)
 {
+    if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
+        return;
+    }
     KeyedPage_t page = RecordRelay_read(message);
     if (message->regained_age_ms > 0) {
         gint64 regained_ms = PeerAge_atMs(message->regained_age_ms);
@@ -434,6 +443,25 @@
     this->regained_ms = Clock_nowMs();
 }
 
+static gint64
+spread_ms(const UpstreamListing_t *this)
+{
+    gint64 routers =
+        this->spec.membership ? Membership_live(this->spec.membership) : 1;
+    gint64 most_ms = MIN(routers * LIST_SPREAD_MS, LIST_SPREAD_MOST_MS);
+    return Random_below((guint32)most_ms);
+}
+
+/* Entries that it has lost are written again, as after any outage; until they
+ * are, the upstreams that are known stay in use. */
+static void
+on_store_back(void *owner)
+{
+    UpstreamListing_t *this = owner;
+    this->regained_ms = Clock_nowMs();
+    RecordFollower_beginEpoch(this->follower, spread_ms(this));
+}
+
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
@@ -463,6 +491,7 @@
     };
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
+    StoreEpoch_listen(spec->epoch, on_store_back, this);
     if (spec->membership) {
         Clock_arm(this->settled, SETTLED_LOOK_MS);
     }
@@ -480,6 +509,7 @@
 void
 UpstreamListing_destroy(UpstreamListing_t *this)
 {
+    StoreEpoch_leave(this->spec.epoch, this);
     RecordFollower_destroy(this->follower);
     RecordRelay_destroy(this->relay);
     event_free(this->return_over);
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -12,6 +12,7 @@
 #include "HintFlood.h"
 #include "Membership.h"
 #include "RecordSource.h"
+#include "StoreEpoch.h"
 #include "UpstreamSet.h"
 
 /**
@@ -48,6 +49,7 @@
  * @membership: told of what is read and of those that leave; NULL for none,
  *     as in module tests
  * @hints: by which routers hear of weights; NULL for none, as in module tests
+ * @epoch: of the store
  * @counters: for calls to the store; NULL for none, as in module tests
  * @region: of the upstreams
  * @poll_ms: oldest that the knowledge of the list may be when it is read
@@ -60,6 +62,7 @@
     UpstreamSet_t *upstreams;
     Membership_t *membership;
     HintFlood_t *hints;
+    StoreEpoch_t *epoch;
     Counters_t *counters;
     const char *region;
     gint64 poll_ms;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2061,7 +2061,7 @@
   (ProtobufCMessageInit) wt__upstream_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[3] =
 {
   {
     "offset",
@@ -2087,15 +2087,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ConfigCurrent, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__config_current__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = epoch */
   0,   /* field[0] = offset */
 };
 static const ProtobufCIntRange wt__config_current__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wt__config_current__descriptor =
 {
@@ -2105,7 +2118,7 @@
   "Wt__ConfigCurrent",
   "wt",
   sizeof(Wt__ConfigCurrent),
-  2,
+  3,
   wt__config_current__field_descriptors,
   wt__config_current__field_indices_by_name,
   1,  wt__config_current__number_ranges,
@@ -2176,7 +2189,7 @@
   (ProtobufCMessageInit) wt__topic_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[7] =
 {
   {
     "from",
@@ -2250,10 +2263,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPart, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_part__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   1,   /* field[1] = end */
+  6,   /* field[6] = epoch */
   0,   /* field[0] = from */
   4,   /* field[4] = records */
   3,   /* field[3] = regained_age_ms */
@@ -2262,7 +2288,7 @@
 static const ProtobufCIntRange wt__topic_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wt__topic_part__descriptor =
 {
@@ -2272,14 +2298,14 @@
   "Wt__TopicPart",
   "wt",
   sizeof(Wt__TopicPart),
-  6,
+  7,
   wt__topic_part__field_descriptors,
   wt__topic_part__field_indices_by_name,
   1,  wt__topic_part__number_ranges,
   (ProtobufCMessageInit) wt__topic_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[3] =
 {
   {
     "topic",
@@ -2305,15 +2331,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicAsk, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_ask__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
   1,   /* field[1] = from */
   0,   /* field[0] = topic */
 };
 static const ProtobufCIntRange wt__topic_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wt__topic_ask__descriptor =
 {
@@ -2323,7 +2362,7 @@
   "Wt__TopicAsk",
   "wt",
   sizeof(Wt__TopicAsk),
-  2,
+  3,
   wt__topic_ask__field_descriptors,
   wt__topic_ask__field_indices_by_name,
   1,  wt__topic_ask__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -332,10 +332,14 @@
   ProtobufCMessage base;
   uint64_t offset;
   uint32_t age_ms;
+  /*
+   * Of the store; offsets of two epochs can not be compared.
+   */
+  uint64_t epoch;
 };
 #define WT__CONFIG_CURRENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__config_current__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -376,10 +380,14 @@
    * Name of the topic; that of the list of upstreams where it is empty.
    */
   char *topic;
+  /*
+   * Of the store, in which all offsets are.
+   */
+  uint64_t epoch;
 };
 #define WT__TOPIC_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_part__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -390,10 +398,14 @@
   ProtobufCMessage base;
   char *topic;
   uint64_t from;
+  /*
+   * Of the store, in which the offset is.
+   */
+  uint64_t epoch;
 };
 #define WT__TOPIC_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/FakeSource.c
+++ b/tests/FakeSource.c
@@ -86,7 +86,7 @@
 {
     return (KeyedPage_t){
         .records = g_ptr_array_new_with_free_func(KeyedRecord_free),
-        .end = end,
+        .end = {.offset = end},
         .more = more,
     };
 }
@@ -98,7 +98,7 @@
     KeyedRecord_t *record = g_new0(KeyedRecord_t, 1);
     record->key = g_string_new(key);
     record->value = value ? g_bytes_new(value, strlen(value)) : NULL;
-    record->offset = offset;
+    record->position = (StorePosition_t){page->end.epoch, offset};
     g_ptr_array_add(page->records, record);
 }
 
--- a/tests/test_CrashRecords.c
+++ b/tests/test_CrashRecords.c
@@ -74,8 +74,8 @@
     end();
     begin();
     KeyedPage_t page = FakePage_make(1, FALSE);
-    g_ptr_array_add(page.records,
-                    KeyedRecord_create(key, strlen(key), value, 0));
+    g_ptr_array_add(page.records, KeyedRecord_create(key, strlen(key), value,
+                                                     (StorePosition_t){0}));
     FakePage_add(&page, "bad", "no record at all", 1);
     FakeSource_answer(&source, &page);
     ck_assert_uint_eq(found->len, 1);
--- a/tests/test_FreshnessRelay.c
+++ b/tests/test_FreshnessRelay.c
@@ -24,12 +24,12 @@
 static gboolean is_known; /* what on_fresh() says */
 
 static gboolean
-on_fresh(void *owner, Member_t *from, guint64 offset, gint64 at_ms)
+on_fresh(void *owner, Member_t *from, StorePosition_t end, gint64 at_ms)
 {
     (void)owner;
     (void)from;
     fresh_calls++;
-    fresh_offset = offset;
+    fresh_offset = end.offset;
     fresh_at_ms = at_ms;
     return is_known;
 }
@@ -68,6 +68,12 @@
     FreshnessRelay_take(relay, NULL, &message);
 }
 
+static void
+note(guint64 offset, gint64 at_ms)
+{
+    FreshnessRelay_note(relay, (StorePosition_t){.offset = offset}, at_ms);
+}
+
 static guint
 told(guint which)
 {
@@ -133,7 +139,7 @@
 START_TEST(what_the_store_has_said_is_worth_more_than_older_news)
 {
     begin(1, MESH);
-    FreshnessRelay_note(relay, 8, Clock_nowMs());
+    note(8, Clock_nowMs());
     take(7, 0);
     ck_assert_uint_eq(fresh_calls, 0);
     end();
@@ -144,8 +150,8 @@
 {
     begin(2, NO_MESH);
     gint64 now_ms = Clock_nowMs();
-    FreshnessRelay_note(relay, 8, now_ms);
-    FreshnessRelay_note(relay, 7, now_ms - 1);
+    note(8, now_ms);
+    note(7, now_ms - 1);
     FakeRouters_await(&routers, second_was_told);
     const Wt__PeerMessage *message =
         FakeRouters_find(&routers, 1, WT__PEER_MESSAGE__BODY_CONFIG_CURRENT);
@@ -171,10 +177,10 @@
 {
     begin(2, NO_MESH);
     gint64 at_ms = Clock_nowMs();
-    FreshnessRelay_note(relay, 7, at_ms);
-    FreshnessRelay_note(relay, 7, at_ms);
+    note(7, at_ms);
+    note(7, at_ms);
     FakeRouters_run(&routers, TICKS_MS);
-    FreshnessRelay_note(relay, 7, at_ms);
+    note(7, at_ms);
     FakeRouters_run(&routers, TICKS_MS);
     ck_assert_uint_eq(told(1), 1);
     end();
@@ -203,7 +209,7 @@
     FakeRouters_run(&routers, TICKS_MS);
     ck_assert_uint_eq(fresh_calls, 1);
     ck_assert_uint_eq(told(1), 0);
-    FreshnessRelay_note(relay, 7, Clock_nowMs());
+    note(7, Clock_nowMs());
     FakeRouters_run(&routers, TICKS_MS);
     ck_assert_uint_eq(told(1), 1);
     end();
@@ -220,7 +226,7 @@
         relay = create(i);
         guint other = i == 0 ? 1 : 0;
         guint before = told(other);
-        FreshnessRelay_note(relay, 7, Clock_nowMs());
+        note(7, Clock_nowMs());
         FakeRouters_run(&routers, TICKS_MS);
         gboolean reads = FreshnessRelay_isReader(relay);
         readers += reads ? 1 : 0;
--- a/tests/test_KeyedLog.c
+++ b/tests/test_KeyedLog.c
@@ -86,7 +86,7 @@
         g_string_append_printf(seen, "%s=%.*s ", record->key->str,
                                record->value ? (int)size : 1, value);
     }
-    seen_end = page ? page->end : 0;
+    seen_end = page ? page->end.offset : 0;
 }
 
 static void
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -28,16 +28,16 @@
 on_record(void *owner, const KeyedRecord_t *record)
 {
     (void)owner;
-    seen.last_offset = record->offset;
+    seen.last_offset = record->position.offset;
     g_string_append_printf(seen.told, "%s%s ", record->key->str,
                            record->value ? "" : "-");
 }
 
 static void
-on_current(void *owner, guint64 offset, gint64 at_ms)
+on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     (void)owner;
-    seen.current = offset;
+    seen.current = end.offset;
     seen.current_at_ms = at_ms;
 }
 
@@ -134,10 +134,10 @@
     RecordFollower_t *follower = begin();
     answer(10, FALSE, "a:3 b:4");
     FakeSource_fail(&source, WT_ERROR_TRUNCATED);
-    ck_assert_uint_eq(RecordFollower_offset(follower), 0);
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 0);
     answer(90, FALSE, "b:4 c:80");
     ck_assert_str_eq(seen.told->str, "a b c a- ");
-    ck_assert_uint_eq(RecordFollower_offset(follower), 90);
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 90);
     ck_assert_uint_eq(seen.lost, 0);
     end(follower);
 }
@@ -190,7 +190,7 @@
     answer(10, FALSE, "a:3");
     ck_assert(!feed(follower, 11, 20, "b:12", Clock_nowMs() + 1000));
     ck_assert(!feed(follower, 2, 9, "b:8", Clock_nowMs() + 1000));
-    ck_assert_uint_eq(RecordFollower_offset(follower), 10);
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 10);
     ck_assert_str_eq(seen.told->str, "a ");
     end(follower);
 }
@@ -263,7 +263,7 @@
     ck_assert(feed(follower, 10, 20, "a-:15", at_ms));
     answer(12, FALSE, "a:10 a:11");
     ck_assert_str_eq(seen.told->str, "a a- ");
-    ck_assert_uint_eq(RecordFollower_offset(follower), 20);
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 20);
     ck_assert_int_eq(seen.current_at_ms, at_ms);
     end(follower);
 }
@@ -308,7 +308,7 @@
     FakeSource_fail(&source, WT_ERROR_TRUNCATED);
     answer(90, FALSE, "b:4 c:80");
     ck_assert_str_eq(seen.told->str, "a b c a- ");
-    ck_assert_uint_eq(RecordFollower_offset(follower), 90);
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 90);
     ck_assert_uint_eq(RecordFollower_unanswered(follower), 0);
     ck_assert_uint_eq(seen.lost, 0);
     end(follower);
@@ -328,6 +328,76 @@
 }
 END_TEST
 
+/* What the store has after it came back from an older copy. */
+static void
+answer_of_next_epoch(guint64 page_end, const char *text)
+{
+    KeyedPage_t page = make_page(page_end, FALSE, text);
+    page.end.epoch = 1;
+    for (guint i = 0; i < page.records->len; i++) {
+        KeyedRecord_t *record = g_ptr_array_index(page.records, i);
+        record->position.epoch = 1;
+    }
+    FakeSource_answer(&source, &page);
+}
+
+/* Routers kept a configuration for seconds after a newer one had been
+ * acknowledged: the store had come back older and given offsets out again, and
+ * all records below the offset known of a key were dropped as older. The newer
+ * ones had offsets 3 to 6 where 6 was known. */
+START_TEST(records_of_a_later_epoch_are_newer_whatever_their_offsets)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3 b:9");
+    FakeSource_await(&source);
+    RecordFollower_beginEpoch(follower, 0);
+    source.done = NULL; /* that call's answer counts no more */
+    answer_of_next_epoch(5, "b:4");
+    ck_assert_str_eq(seen.told->str, "a b b a- ");
+    FakeSource_await(&source);
+    ck_assert_uint_eq(source.read_from, 5);
+    answer_of_next_epoch(6, "b:5");
+    ck_assert_str_eq(seen.told->str, "a b b a- b ");
+    ck_assert_uint_eq(seen.current, 6);
+    end(follower);
+}
+END_TEST
+
+START_TEST(what_was_asked_before_a_return_is_not_taken_after_it)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3");
+    FakeSource_await(&source);
+    KeyedDone_t done = source.done;
+    void *data = source.data;
+    RecordFollower_beginEpoch(follower, 0);
+    source.done = NULL;
+    FakeSource_await(&source);
+    KeyedPage_t late = make_page(11, FALSE, "a:10");
+    done(&late, NULL, data);
+    g_ptr_array_unref(late.records);
+    ck_assert_str_eq(seen.told->str, "a ");
+    answer_of_next_epoch(5, "a:4");
+    ck_assert_str_eq(seen.told->str, "a a ");
+    ck_assert_uint_eq(RecordFollower_position(follower).epoch, 1);
+    end(follower);
+}
+END_TEST
+
+START_TEST(what_a_peer_tells_of_another_epoch_is_not_taken)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3");
+    RecordFollower_beginEpoch(follower, 0);
+    source.done = NULL;
+    answer_of_next_epoch(5, "a:4");
+    ck_assert(!feed(follower, 5, 20, "b:12", Clock_nowMs() + 1000));
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 5);
+    ck_assert_str_eq(seen.told->str, "a a ");
+    end(follower);
+}
+END_TEST
+
 TESTING_MAIN("RecordFollower", it_lists_and_reads_on_from_the_first_page,
              not_current_before_the_end_is_read,
              expired_records_are_listed_anew_and_removals_told,
@@ -341,4 +411,7 @@
              an_answer_that_is_older_than_a_peers_word_changes_nothing,
              a_removal_found_by_a_list_is_newer_than_what_peers_know,
              an_asked_offset_that_has_expired_is_listed_anew_at_once,
-             a_list_under_way_is_not_begun_again_by_what_was_asked)
+             a_list_under_way_is_not_begun_again_by_what_was_asked,
+             records_of_a_later_epoch_are_newer_whatever_their_offsets,
+             what_was_asked_before_a_return_is_not_taken_after_it,
+             what_a_peer_tells_of_another_epoch_is_not_taken)
--- a/tests/test_RecordRelay.c
+++ b/tests/test_RecordRelay.c
@@ -10,7 +10,7 @@
 {
     g_autofree char *text = g_strnfill(ENTRY_BYTES, 'x');
     g_autoptr(GBytes) value = g_bytes_new(text, ENTRY_BYTES);
-    RecordRelay_add(relay, "key", value, offset);
+    RecordRelay_add(relay, "key", value, (StorePosition_t){.offset = offset});
 }
 
 START_TEST(a_whole_list_is_too_long_to_be_told)
@@ -21,7 +21,7 @@
     ck_assert(!RecordRelay_isTooLong(relay));
     add(relay, 3);
     ck_assert(RecordRelay_isTooLong(relay));
-    RecordRelay_tell(relay, 4, 0, 0, FALSE);
+    RecordRelay_tell(relay, (StorePosition_t){.offset = 4}, 0, 0, FALSE);
     ck_assert(!RecordRelay_isTooLong(relay));
     RecordRelay_destroy(relay);
 }
@@ -31,7 +31,8 @@
 {
     RecordRelay_t *relay = RecordRelay_create(NULL, "t");
     for (guint64 offset = 0; offset < 1000; offset++) {
-        RecordRelay_add(relay, "key", NULL, offset);
+        RecordRelay_add(relay, "key", NULL,
+                        (StorePosition_t){.offset = offset});
     }
     ck_assert(!RecordRelay_isTooLong(relay));
     RecordRelay_destroy(relay);
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -57,6 +57,7 @@
 static RouteTable_t *routes;
 static NamedWeights_t *weights;
 static RouteSync_t *route_sync;
+static StoreEpoch_t *epoch;
 static guint self; /* the router whose part is tested */
 
 static void
@@ -151,11 +152,13 @@
     calls.open = g_array_new(FALSE, FALSE, sizeof(Call_t));
     routes = RouteTable_create();
     weights = NamedWeights_create();
+    epoch = StoreEpoch_create(NULL);
     RouteSyncSpec_t spec = {.source = &calls.super,
                             .form = &form,
                             .routes = routes,
                             .weights = weights,
                             .membership = routers.list[self].membership,
+                            .epoch = epoch,
                             .reader_wait_ms = READER_WAIT_MS,
                             .wait_ms = WAIT_MS,
                             .unknown_age_ms = UNKNOWN_AGE_MS};
@@ -172,6 +175,7 @@
 end(void)
 {
     RouteSync_destroy(route_sync);
+    StoreEpoch_destroy(epoch);
     NamedWeights_destroy(weights);
     RouteTable_destroy(routes);
     g_array_unref(calls.open);
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -22,6 +22,7 @@
 #define ORDERED_MOST 4
 
 static FakeSource_t source;
+static StoreEpoch_t *epoch;
 static struct event_base *base;
 static UpstreamSet_t *upstreams;
 static guint decoded;
@@ -52,6 +53,7 @@
 static UpstreamListing_t *
 begin(void)
 {
+    epoch = StoreEpoch_create(NULL);
     decoded = 0;
     base = event_base_new();
     FakeSource_init(&source, base);
@@ -60,6 +62,7 @@
                                   .topic = "t",
                                   .decode = decode,
                                   .upstreams = upstreams,
+                                  .epoch = epoch,
                                   .poll_ms = POLL_MS,
                                   .return_ms = RETURN_MS,
                                   .region = "r"};
@@ -70,6 +73,7 @@
 end(UpstreamListing_t *listing)
 {
     UpstreamListing_destroy(listing);
+    StoreEpoch_destroy(epoch);
     UpstreamSet_destroy(upstreams);
     event_base_free(base);
 }
