One holder at a time, and no fencing number twice, over returns of the log

Two routers gave orders under one fencing number, the one before the store came back from an older copy and the other after it.

Cause: the number is the offset of the lease's record plus one, and offsets are given out again; and a router that finds no lease takes one at once, though the record of one that still runs may be what was lost. Ruled out: a paused holder (11.8 s and a restart lay between the two orders).

Change: a record tells the epoch that its appender knew and counts in no other, whether it was in the copy or lands late; the number is made of the epoch and the place in it, so that it only grows (exact in JSON up to two million epochs). Who held a lease holds it to its end and may write it again at once; all others wait for as long as any lease lasts, counted from when the epoch was first told to them by any answer, which is after the last grant of the one before. A lease that is over when its holder learns of the return is lost. Where records have expired nothing is decided before what is left was read. The log's native form tells its epoch in a header as well.

--- a/src/Lease.c
+++ b/src/Lease.c
@@ -32,15 +32,18 @@
     gboolean wanted;
     gboolean followed;
     gboolean released; /* for good: the router stops */
+    guint64 epoch;     /* of the log in which the stream is folded */
+    gint64 epoch_ms;   /* when it was first known, 0 where none is */
     guint failures;    /* of reads, in a row */
     gint64 patience_ms;
     guint64 seen_number; /* current lease, whoever has it */
     gint64 seen_ms;      /* when it was first read here */
-    gint64 heard_ms;     /* when the last record of any lease was read */
-    guint64 number;      /* of ours */
-    guint64 term;        /* number at which we took it */
-    gint64 began_ms;     /* before its append was sent */
-    gint64 sent_ms;      /* of the append under way or undecided */
+    gint64
+        heard_ms;   /* when the last record that counts was read, 0 for none */
+    guint64 number; /* of ours */
+    guint64 term;   /* number at which we took it */
+    gint64 began_ms; /* before its append was sent */
+    gint64 sent_ms;  /* of the append under way or undecided */
     guint64 sent_expects;
     gboolean append_open;
     struct event *tick;
@@ -71,6 +74,22 @@
     Log_end();
 }
 
+static gint64
+left_ms(const Lease_t *this)
+{
+    gint64 duration_ms = this->spec.duration_ms;
+    gint64 end_ms = this->began_ms + duration_ms - margin_of(duration_ms);
+    return MAX(end_ms - Clock_nowMs(), 0);
+}
+
+static void
+lose(Lease_t *this)
+{
+    log_lease(this, "lease_lost", this->number);
+    this->number = 0;
+    this->term = 0;
+}
+
 /* Our own record that landed late counts from when it was sent, which only
  * makes the lease shorter. */
 static void
@@ -92,9 +111,15 @@
         this->began_ms = this->sent_ms;
     }
     else if (this->number != 0) {
-        log_lease(this, "lease_lost", this->number);
-        this->number = 0;
-        this->term = 0;
+        lose(this);
+    }
+}
+
+static void
+note_heard(Lease_t *this, const Wt__LeaseRecord *record)
+{
+    if (record->epoch == this->epoch) {
+        this->heard_ms = Clock_nowMs();
     }
 }
 
@@ -107,17 +132,49 @@
             g_bytes_get_data(g_ptr_array_index(records->records, i), &size);
         Wt__LeaseRecord *record = wt__lease_record__unpack(NULL, size, bytes);
         if (record) {
+            note_heard(this, record);
             LeaseTable_fold(this->table, records->first + i, record);
             wt__lease_record__free_unpacked(record, NULL);
         }
     }
     this->fold_offset = records->first + records->records->len;
-    if (records->records->len > 0) {
-        this->heard_ms = Clock_nowMs();
-    }
     note_current(this);
 }
 
+static void
+log_epoch(const Lease_t *this)
+{
+    Log_begin(LOG_LEVEL_INFO, "lease_epoch_begun");
+    Log_text("scope", this->scope->str);
+    Log_number("epoch", (gint64)this->epoch);
+    Log_number("number", (gint64)this->number);
+    Log_number("left_ms", this->number != 0 ? left_ms(this) : 0);
+    Log_end();
+}
+
+/* A lease whose record was lost is still ours: nobody takes one before all
+ * that may have been granted is over. One that is over may have been followed
+ * by another that was lost with it. */
+static void
+begin_epoch(Lease_t *this, guint64 epoch)
+{
+    gboolean is_return = this->epoch_ms > 0;
+    this->epoch = epoch;
+    this->epoch_ms = StoreEpoch_sinceMs(this->spec.epoch);
+    this->fold_offset = 0;
+    this->caught_up = FALSE;
+    this->heard_ms = 0;
+    this->seen_number = 0;
+    this->sent_ms = 0;
+    LeaseTable_beginEpoch(this->table, epoch);
+    if (is_return) {
+        log_epoch(this);
+    }
+    if (this->number != 0 && left_ms(this) == 0) {
+        lose(this);
+    }
+}
+
 /* What was known may have been followed by records that are gone. */
 static void
 begin_anew(Lease_t *this, guint64 start)
@@ -128,6 +185,7 @@
     Log_number("start", (gint64)start);
     Log_end();
     this->fold_offset = start;
+    this->caught_up = FALSE;
     LeaseTable_setUnsure(this->table);
     note_current(this);
 }
@@ -141,10 +199,21 @@
     Clock_arm(this->retry, mean_ms / 2 + Random_below(mean_ms));
 }
 
+static gboolean
+is_other_epoch(const Lease_t *this, const LogRecords_t *records)
+{
+    return this->epoch_ms == 0 || records->epoch != this->epoch;
+}
+
 static void
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
     Lease_t *this = data;
+    if (records && is_other_epoch(this, records)) {
+        begin_epoch(this, records->epoch);
+        read_next(this);
+        return;
+    }
     if (records && error) {
         begin_anew(this, records->start);
         read_next(this);
@@ -220,6 +289,7 @@
     record.incarnation = this->spec.incarnation;
     record.expects = expects;
     record.duration_ms = (guint32)duration_ms;
+    record.epoch = this->epoch;
     gsize size = wt__lease_record__get_packed_size(&record);
     guint8 *bytes = g_malloc(size);
     wt__lease_record__pack(&record, bytes);
@@ -235,13 +305,15 @@
     g_bytes_unref(packed);
 }
 
+/* Where there is no lease, one may have been lost with the end of the epoch
+ * before. */
 static gboolean
 is_waited_out(const Lease_t *this, const LeaseEntry_t *entry)
 {
-    gint64 since_ms = Clock_nowMs() - this->seen_ms;
-    gint64 lasts_ms =
-        entry ? entry->duration_ms + margin_of(entry->duration_ms) : 0;
-    return since_ms >= lasts_ms + this->patience_ms;
+    gint64 from_ms = entry ? this->seen_ms : this->epoch_ms;
+    gint64 lasts_ms = entry ? entry->duration_ms : this->spec.duration_ms;
+    return Clock_nowMs() - from_ms >=
+           lasts_ms + margin_of(lasts_ms) + this->patience_ms;
 }
 
 /* A holder renews several times in its lease; a stream that has been silent
@@ -252,8 +324,8 @@
     if (!LeaseTable_isUnsure(this->table, this->scope->str)) {
         return TRUE;
     }
-    if (Clock_nowMs() - this->heard_ms <
-        SILENT_LEASES * this->spec.duration_ms) {
+    if (this->heard_ms > 0 && Clock_nowMs() - this->heard_ms <
+                                  SILENT_LEASES * this->spec.duration_ms) {
         return FALSE;
     }
     LeaseTable_setSure(this->table);
@@ -261,22 +333,32 @@
     return TRUE;
 }
 
+/* What the log has lost of it is written again at once. */
+static gboolean
+is_to_renew(const Lease_t *this)
+{
+    gint64 age_ms = Clock_nowMs() - this->began_ms;
+    return this->seen_number == 0 || age_ms >= this->spec.duration_ms / 3;
+}
+
+static gboolean
+is_to_take(const Lease_t *this)
+{
+    return is_waited_out(this, LeaseTable_find(this->table, this->scope->str));
+}
+
 static void
 renew_or_take(Lease_t *this)
 {
+    if (this->number != 0 && this->seen_number == 0 && left_ms(this) == 0) {
+        lose(this);
+    }
     if (!this->wanted || !this->caught_up || this->append_open ||
         !is_sure(this)) {
         return;
     }
-    const LeaseEntry_t *entry = LeaseTable_find(this->table, this->scope->str);
-    if (this->number != 0) {
-        gint64 age_ms = Clock_nowMs() - this->began_ms;
-        if (age_ms >= this->spec.duration_ms / 3) {
-            append(this, this->number, this->spec.duration_ms);
-        }
-    }
-    else if (is_waited_out(this, entry)) {
-        append(this, entry ? entry->number : 0, this->spec.duration_ms);
+    if (this->number != 0 ? is_to_renew(this) : is_to_take(this)) {
+        append(this, this->seen_number, this->spec.duration_ms);
     }
 }
 
@@ -300,7 +382,6 @@
     this->holder = g_string_new(spec->holder);
     this->table = LeaseTable_create();
     this->seen_ms = Clock_nowMs();
-    this->heard_ms = this->seen_ms;
     this->tick = Clock_timer(base, on_tick, this);
     this->retry = Clock_timer(base, on_retry, this);
     Clock_arm(this->tick, TICK_MS);
@@ -336,7 +417,7 @@
     this->released = TRUE;
     if (this->number != 0 && !this->append_open) {
         log_lease(this, "lease_released", this->number);
-        append(this, this->number, 0);
+        append(this, this->seen_number, 0);
     }
 }
 
@@ -355,10 +436,7 @@
     if (this->number == 0 || this->released) {
         return 0;
     }
-    gint64 duration_ms = this->spec.duration_ms;
-    gint64 left =
-        this->began_ms + duration_ms - margin_of(duration_ms) - Clock_nowMs();
-    return MAX(left, 0);
+    return left_ms(this);
 }
 
 guint64
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -8,15 +8,21 @@
  * are ever compared: a holder counts from before its append, the others from
  * after they read it, and both leave a margin for drift. The clock counts
  * suspension.
+ *
+ * A log that comes back from an older copy has lost leases that may still run.
+ * Whoever held one holds it to its end and may take it again at once; all
+ * others wait for as long as any lease lasts.
  */
 #include <event2/event.h>
 
 #include "Counters.h"
 #include "LogClient.h"
+#include "StoreEpoch.h"
 
 /**
  * struct LeaseSpec_t - what it needs
  * @log: must outlive it
+ * @epoch: of the store that keeps the log
  * @scope: what the lease is about
  * @holder: name of this router
  * @incarnation: of this process
@@ -26,6 +32,7 @@
  */
 typedef struct {
     LogClient_t *log;
+    StoreEpoch_t *epoch;
     const char *scope;
     const char *holder;
     guint64 incarnation;
--- a/src/LeaseTable.c
+++ b/src/LeaseTable.c
@@ -1,9 +1,15 @@
 #include "LeaseTable.h"
 
+/* Bits of a number that tell the place of its record in its epoch, so that a
+ * number of a later epoch is larger than any before. JSON numbers are exact up
+ * to 53 bits, which leaves two million epochs. */
+#define PLACE_BITS 32
+
 struct LeaseTable {
     GHashTable *entries;  /* scope -> LeaseEntry_t */
     GHashTable *unproved; /* scope -> LeaseEntry_t of its last record */
     gboolean unsure;
+    guint64 epoch;
 };
 
 static void
@@ -33,11 +39,27 @@
     g_free(this);
 }
 
+void
+LeaseTable_beginEpoch(LeaseTable_t *this, guint64 epoch)
+{
+    this->epoch = epoch;
+    this->unsure = FALSE;
+    g_hash_table_remove_all(this->entries);
+    g_hash_table_remove_all(this->unproved);
+}
+
+static guint64
+number_of(const LeaseTable_t *this, guint64 offset)
+{
+    return (this->epoch << PLACE_BITS) | (offset + 1);
+}
+
 static LeaseEntry_t *
-create_entry(guint64 offset, const Wt__LeaseRecord *record)
+create_entry(const LeaseTable_t *this, guint64 offset,
+             const Wt__LeaseRecord *record)
 {
     LeaseEntry_t *entry = g_new0(LeaseEntry_t, 1);
-    entry->number = offset + 1;
+    entry->number = number_of(this, offset);
     entry->holder = g_string_new(record->holder);
     entry->incarnation = record->incarnation;
     entry->duration_ms = record->duration_ms;
@@ -54,6 +76,9 @@
 LeaseTable_fold(LeaseTable_t *this, guint64 offset,
                 const Wt__LeaseRecord *record)
 {
+    if (record->epoch != this->epoch) {
+        return FALSE;
+    }
     gboolean unsure = LeaseTable_isUnsure(this, record->scope);
     const LeaseEntry_t *current =
         unsure ? g_hash_table_lookup(this->unproved, record->scope)
@@ -61,12 +86,12 @@
     gboolean taken = (current ? current->number : 0) == record->expects;
     if (unsure && !(taken && current)) {
         g_hash_table_replace(this->unproved, g_strdup(record->scope),
-                             create_entry(offset, record));
+                             create_entry(this, offset, record));
         return FALSE;
     }
     if (taken) {
         g_hash_table_replace(this->entries, g_strdup(record->scope),
-                             create_entry(offset, record));
+                             create_entry(this, offset, record));
     }
     return taken;
 }
--- a/src/LeaseTable.h
+++ b/src/LeaseTable.h
@@ -5,7 +5,8 @@
  *
  * The fold of the log stream "leases". It knows no clock: a lease is followed
  * by another one as soon as a record that expects its number comes. Who
- * appends such a record waits the lease out first (Lease.h).
+ * appends such a record waits the lease out first (Lease.h). Where the log has
+ * come back older, only what was appended since counts.
  */
 #include <glib.h>
 
@@ -13,7 +14,7 @@
 
 /**
  * struct LeaseEntry_t - the current lease of a scope
- * @number: fencing number, only grows
+ * @number: fencing number, only grows, over epochs as well
  * @holder: name of the router
  * @incarnation: of its process
  * @duration_ms: how long it lasts from its append
@@ -34,6 +35,10 @@
 /** LeaseTable_destroy() - free it */
 void LeaseTable_destroy(LeaseTable_t *this);
 
+/** LeaseTable_beginEpoch() - the log has come back older: no leases, and all
+ * records are to be folded again */
+void LeaseTable_beginEpoch(LeaseTable_t *this, guint64 epoch);
+
 /**
  * LeaseTable_fold() - take the next record
  *
--- a/src/LogHttp.c
+++ b/src/LogHttp.c
@@ -5,12 +5,14 @@
 #include "Json.h"
 
 #define STATUS_GONE 410
+#define EPOCH_HEADER "Log-Epoch"
 
 typedef struct {
     LogClient_t super;
     struct event_base *base;
     Address_t address;
     gint64 timeout_ms;
+    StoreEpoch_t *epoch;
     GHashTable *calls; /* set of LogCall_t */
 } LogHttp_t;
 
@@ -40,16 +42,26 @@
                        answer->status);
 }
 
+static GError *
+fault_of(const LogHttp_t *this, const HttpAnswer_t *answer)
+{
+    const char *epoch = evhttp_find_header(answer->headers, EPOCH_HEADER);
+    GError *fault = NULL;
+    if (StoreEpoch_check(this->epoch, epoch, &fault) &&
+        answer->status != HTTP_OK) {
+        fault = refusal(answer);
+    }
+    return fault;
+}
+
 static void
 on_appended(const HttpAnswer_t *answer, const GError *error, void *data)
 {
     LogCall_t *call = data;
-    g_autoptr(GError) fault = error ? g_error_copy(error) : NULL;
+    g_autoptr(GError) fault =
+        answer ? fault_of(call->owner, answer) : g_error_copy(error);
     guint64 offset = 0;
-    if (answer && answer->status != HTTP_OK) {
-        fault = refusal(answer);
-    }
-    else if (answer) {
+    if (!fault) {
         json_t *body = Json_parse(answer->body, answer->length, &fault);
         offset = (guint64)Json_integer(body, "offset", 0);
         json_decref(body);
@@ -86,6 +98,7 @@
         .records = decode_records(body),
         .start = (guint64)Json_integer(body, "start", 0),
         .head = (guint64)Json_integer(body, "head", 0),
+        .epoch = StoreEpoch_newest(call->owner->epoch),
     };
     call->read(&records, NULL, call->data);
     g_ptr_array_unref(records.records);
@@ -96,16 +109,19 @@
                  const GError *fault)
 {
     json_t *body = Json_parse(answer->body, answer->length, NULL);
-    LogRecords_t records = {.start = (guint64)Json_integer(body, "start", 0)};
+    LogRecords_t records = {
+        .start = (guint64)Json_integer(body, "start", 0),
+        .epoch = StoreEpoch_newest(call->owner->epoch),
+    };
     call->read(body ? &records : NULL, fault, call->data);
     json_decref(body);
 }
 
 static void
-answer_refused(LogCall_t *call, const HttpAnswer_t *answer)
+answer_refused(LogCall_t *call, const HttpAnswer_t *answer,
+               const GError *fault)
 {
-    g_autoptr(GError) fault = refusal(answer);
-    if (answer->status == STATUS_GONE) {
+    if (g_error_matches(fault, WT_ERROR, WT_ERROR_TRUNCATED)) {
         answer_truncated(call, answer, fault);
     }
     else {
@@ -131,11 +147,12 @@
 on_read(const HttpAnswer_t *answer, const GError *error, void *data)
 {
     LogCall_t *call = data;
+    g_autoptr(GError) fault = answer ? fault_of(call->owner, answer) : NULL;
     if (!answer) {
         call->read(NULL, error, call->data);
     }
-    else if (answer->status != HTTP_OK) {
-        answer_refused(call, answer);
+    else if (fault) {
+        answer_refused(call, answer, fault);
     }
     else {
         answer_body(call, answer);
@@ -213,13 +230,14 @@
 
 LogClient_t *
 LogHttp_create(struct event_base *base, const Address_t *address,
-               gint64 timeout_ms)
+               gint64 timeout_ms, StoreEpoch_t *epoch)
 {
     LogHttp_t *this = g_new0(LogHttp_t, 1);
     this->super.class = &LogHttp_class;
     this->base = base;
     this->address = *address;
     this->timeout_ms = timeout_ms;
+    this->epoch = epoch;
     this->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
     return &this->super;
 }
--- a/src/NativeParts.c
+++ b/src/NativeParts.c
@@ -20,6 +20,7 @@
 
 struct NativeParts {
     Context_t *context;
+    StoreEpoch_t *epoch;
     LogClient_t *log;
     RecordSource_t *records;
     InstanceList_t *instances;
@@ -77,6 +78,7 @@
         .settings = this->context->settings,
         .incarnation = this->context->incarnation,
         .log = this->log,
+        .epoch = this->epoch,
         .form = &OrderHttp_form,
         .wanted = declared_weights,
         .wanted_data = this,
@@ -114,7 +116,9 @@
         .retry_ms = LOG_RETRY_MS,
         .command_ms = platform->command_timeout_ms,
     };
-    this->log = LogHttp_create(base, &platform->log, platform->log_timeout_ms);
+    this->epoch = StoreEpoch_create(this->context->counters);
+    this->log = LogHttp_create(base, &platform->log, platform->log_timeout_ms,
+                               this->epoch);
     this->context->config_log =
         ConfigLog_create(base, this->log, this->context->config, &limits);
     this->instances = InstanceList_create(
@@ -177,5 +181,6 @@
     ConfigSync_destroy(this->sync);
     Claims_destroy(this->context->claims);
     ConfigLog_destroy(this->context->config_log);
+    StoreEpoch_destroy(this->epoch);
     g_free(this);
 }
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -277,6 +277,7 @@
     const Settings_t *settings = this->spec.settings;
     LeaseSpec_t lease = {
         .log = this->spec.log,
+        .epoch = this->spec.epoch,
         .scope = this->scope->str,
         .holder = settings->router.name->str,
         .incarnation = this->spec.incarnation,
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -18,6 +18,7 @@
 #include "Membership.h"
 #include "OrderedEngine.h"
 #include "Settings.h"
+#include "StoreEpoch.h"
 
 /**
  * WantedWeightsOf_t - the weights that an engine should have
@@ -32,6 +33,7 @@
  * @settings: of this router
  * @incarnation: of this process
  * @log: that holds the lease
+ * @epoch: of the store that keeps it
  * @form: how engines are spoken to
  * @wanted: asked again at each step
  * @wanted_data: for @wanted
@@ -44,6 +46,7 @@
     const Settings_t *settings;
     guint64 incarnation;
     LogClient_t *log;
+    StoreEpoch_t *epoch;
     const OrderForm_t *form;
     WantedWeightsOf_t wanted;
     void *wanted_data;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -117,6 +117,7 @@
         .settings = context->settings,
         .incarnation = context->incarnation,
         .log = this->log,
+        .epoch = this->epoch,
         .form = form->orders,
         .wanted = wanted_weights,
         .wanted_data = this,
--- a/src/StoreEpoch.c
+++ b/src/StoreEpoch.c
@@ -1,5 +1,7 @@
 #include "StoreEpoch.h"
 
+#include "Clock.h"
+#include "Errors.h"
 #include "Log.h"
 
 typedef struct {
@@ -11,6 +13,7 @@
     Counters_t *counters;
     GArray *listeners; /* Listener_t */
     guint64 newest;
+    gint64 since_ms;
     gboolean known;
 };
 
@@ -82,6 +85,7 @@
 {
     log_return(this->newest, epoch, by);
     this->newest = epoch;
+    this->since_ms = Clock_nowMs();
     if (this->counters) {
         Counters_add(this->counters, "store_returns_total", NULL, 1);
     }
@@ -94,6 +98,7 @@
     if (!this->known) {
         this->known = TRUE;
         this->newest = epoch;
+        this->since_ms = Clock_nowMs();
         log_first(epoch, by);
         return TRUE;
     }
@@ -103,6 +108,24 @@
     return epoch == this->newest;
 }
 
+gboolean
+StoreEpoch_check(StoreEpoch_t *this, const char *text, GError **error)
+{
+    guint64 epoch = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+    if (StoreEpoch_note(this, epoch, "answer")) {
+        return TRUE;
+    }
+    g_set_error_literal(error, WT_ERROR, WT_ERROR_OLD_EPOCH,
+                        "the store has come back older since");
+    return FALSE;
+}
+
+gint64
+StoreEpoch_sinceMs(const StoreEpoch_t *this)
+{
+    return this->since_ms;
+}
+
 guint64
 StoreEpoch_newest(const StoreEpoch_t *this)
 {
--- a/src/StoreEpoch.h
+++ b/src/StoreEpoch.h
@@ -32,6 +32,16 @@
  */
 gboolean StoreEpoch_note(StoreEpoch_t *this, guint64 epoch, const char *by);
 
+/**
+ * StoreEpoch_check() - an answer of the store has come
+ * @text: the number that it tells; NULL where it tells none
+ *
+ * Return: FALSE, with WT_ERROR_OLD_EPOCH, for an answer that was on its way
+ * while the store came back older: what it tells may be gone
+ */
+gboolean StoreEpoch_check(StoreEpoch_t *this, const char *text,
+                          GError **error);
+
 /**
  * StoreEpochRose_t - the store has come back older
  */
@@ -43,6 +53,10 @@
 /** StoreEpoch_leave() - tell it no more */
 void StoreEpoch_leave(StoreEpoch_t *this, const void *owner);
 
+/** StoreEpoch_sinceMs() - when the newest was first told (monotonic); all
+ * that older ones had granted was granted before */
+gint64 StoreEpoch_sinceMs(const StoreEpoch_t *this);
+
 /** StoreEpoch_newest() - 0 where none was told */
 guint64 StoreEpoch_newest(const StoreEpoch_t *this);
 
--- a/src/leases.pb-c.h
+++ b/src/leases.pb-c.h
@@ -25,8 +25,8 @@
 
 /*
  * Takes or renews a lease. It is taken only if expects is the number of the
- * scope's current lease; its own number is its offset plus one, and serves as
- * the fencing number of orders.
+ * scope's current lease. Its own number is made of the epoch of the log and
+ * its offset plus one, and serves as the fencing number of orders.
  */
 struct  Wt__LeaseRecord
 {
@@ -36,10 +36,15 @@
   uint64_t incarnation;
   uint64_t expects;
   uint32_t duration_ms;
+  /*
+   * Of the log as its appender knew it. In a later one the record counts for
+   * nothing, whether it was in the copy or has landed late.
+   */
+  uint64_t epoch;
 };
 #define WT__LEASE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__lease_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /* Wt__LeaseRecord methods */
--- a/tests/fuzz/records.c
+++ b/tests/fuzz/records.c
@@ -111,8 +111,10 @@
 Fuzz_logAnswers(const uint8_t *data, size_t size)
 {
     if (size > 0) {
-        answer_log(LogHttp_create(NULL, &address, TIMEOUT_MS),
+        StoreEpoch_t *epoch = StoreEpoch_create(NULL);
+        answer_log(LogHttp_create(NULL, &address, TIMEOUT_MS, epoch),
                    status_of(data[0]), (const char *)data + 1, size - 1);
+        StoreEpoch_destroy(epoch);
     }
     return 0;
 }
--- a/tests/test_LeaseTable.c
+++ b/tests/test_LeaseTable.c
@@ -2,6 +2,22 @@
 
 #include "LeaseTable.h"
 
+/* The largest whole number up to which JSON numbers are exact. */
+#define JSON_EXACT_MOST ((guint64)1 << 53)
+
+static gboolean
+fold_of_epoch(LeaseTable_t *table, guint64 epoch, guint64 offset,
+              const char *holder, guint64 expects)
+{
+    Wt__LeaseRecord record = WT__LEASE_RECORD__INIT;
+    record.scope = "s";
+    record.holder = (char *)holder;
+    record.expects = expects;
+    record.duration_ms = 1000;
+    record.epoch = epoch;
+    return LeaseTable_fold(table, offset, &record);
+}
+
 static gboolean
 fold(LeaseTable_t *table, guint64 offset, const char *scope,
      const char *holder, guint64 expects)
@@ -85,7 +101,41 @@
 }
 END_TEST
 
+START_TEST(numbers_grow_over_epochs_and_stay_exact)
+{
+    LeaseTable_t *table = LeaseTable_create();
+    guint64 last = 0;
+    for (guint64 epoch = 0; epoch < 5; epoch++) {
+        LeaseTable_beginEpoch(table, epoch);
+        ck_assert_ptr_null(LeaseTable_find(table, "s"));
+        ck_assert(fold_of_epoch(table, epoch, 9 - epoch, "a", 0));
+        guint64 number = LeaseTable_find(table, "s")->number;
+        ck_assert_uint_gt(number, last);
+        last = number;
+    }
+    LeaseTable_beginEpoch(table, 1000000);
+    ck_assert(fold_of_epoch(table, 1000000, 7, "a", 0));
+    ck_assert_uint_lt(LeaseTable_find(table, "s")->number, JSON_EXACT_MOST);
+    LeaseTable_destroy(table);
+}
+END_TEST
+
+START_TEST(what_was_appended_before_a_return_counts_for_nothing)
+{
+    LeaseTable_t *table = LeaseTable_create();
+    LeaseTable_beginEpoch(table, 2);
+    ck_assert(!fold_of_epoch(table, 1, 0, "in the copy", 0));
+    ck_assert(fold_of_epoch(table, 2, 1, "a", 0));
+    guint64 number = LeaseTable_find(table, "s")->number;
+    ck_assert(!fold_of_epoch(table, 1, 2, "late", number));
+    ck_assert_str_eq(LeaseTable_find(table, "s")->holder->str, "a");
+    LeaseTable_destroy(table);
+}
+END_TEST
+
 TESTING_MAIN("LeaseTable", of_two_takers_the_first_wins, numbers_only_grow,
              late_renewal_of_a_lost_lease_is_not_taken, scopes_are_apart,
              first_record_after_an_expiry_is_not_taken_for_granted,
-             silence_makes_the_last_record_count)
+             silence_makes_the_last_record_count,
+             numbers_grow_over_epochs_and_stay_exact,
+             what_was_appended_before_a_return_counts_for_nothing)
