Routers that know different parts of the leases agree on the next one

It does not need a return of the store: on the code before it can come wherever nothing is rolled out for longer than the log keeps its records.

Cause: a router that starts then finds no lease and names none in its record; the others wait for one that names the last lease that they know, pass it over, and take the lease themselves, which the first one passes over in turn.

Change: who was only sure because nothing was heard for three leases says up to which number all leases are over, and takes a record that names one of those. All tables come to the same lease, whichever of them they know.

--- a/src/Lease.c
+++ b/src/Lease.c
@@ -290,6 +290,7 @@
     record.expects = expects;
     record.duration_ms = (guint32)duration_ms;
     record.epoch = this->epoch;
+    record.over = LeaseTable_over(this->table);
     gsize size = wt__lease_record__get_packed_size(&record);
     guint8 *bytes = g_malloc(size);
     wt__lease_record__pack(&record, bytes);
@@ -328,7 +329,7 @@
                                   SILENT_LEASES * this->spec.duration_ms) {
         return FALSE;
     }
-    LeaseTable_setSure(this->table);
+    LeaseTable_setSure(this->table, this->fold_offset);
     note_current(this);
     return TRUE;
 }
--- a/src/LeaseTable.c
+++ b/src/LeaseTable.c
@@ -10,6 +10,7 @@
     GHashTable *unproved; /* scope -> LeaseEntry_t of its last record */
     gboolean unsure;
     guint64 epoch;
+    guint64 over; /* leases up to this number are */
 };
 
 static void
@@ -44,14 +45,33 @@
 {
     this->epoch = epoch;
     this->unsure = FALSE;
+    this->over = 0;
     g_hash_table_remove_all(this->entries);
     g_hash_table_remove_all(this->unproved);
 }
 
+/* Of the record before an offset. */
 static guint64
-number_of(const LeaseTable_t *this, guint64 offset)
+number_before(const LeaseTable_t *this, guint64 offset)
 {
-    return (this->epoch << PLACE_BITS) | (offset + 1);
+    return (this->epoch << PLACE_BITS) | offset;
+}
+
+/* Routers that know different parts of the stream must agree on who is taken.
+ * One that started after older records had expired can not name the last lease
+ * that the others know, but that it is over, and the other way round. */
+static gboolean
+follows(const LeaseTable_t *this, const Wt__LeaseRecord *record,
+        const LeaseEntry_t *current)
+{
+    guint64 number = current ? current->number : 0;
+    if (record->expects == number) {
+        return TRUE;
+    }
+    if (record->over > 0 && number <= record->over) {
+        return TRUE;
+    }
+    return number <= this->over && record->expects <= this->over;
 }
 
 static LeaseEntry_t *
@@ -59,7 +79,7 @@
              const Wt__LeaseRecord *record)
 {
     LeaseEntry_t *entry = g_new0(LeaseEntry_t, 1);
-    entry->number = number_of(this, offset);
+    entry->number = number_before(this, offset + 1);
     entry->holder = g_string_new(record->holder);
     entry->incarnation = record->incarnation;
     entry->duration_ms = record->duration_ms;
@@ -83,7 +103,7 @@
     const LeaseEntry_t *current =
         unsure ? g_hash_table_lookup(this->unproved, record->scope)
                : LeaseTable_find(this, record->scope);
-    gboolean taken = (current ? current->number : 0) == record->expects;
+    gboolean taken = follows(this, record, current);
     if (unsure && !(taken && current)) {
         g_hash_table_replace(this->unproved, g_strdup(record->scope),
                              create_entry(this, offset, record));
@@ -100,17 +120,19 @@
 LeaseTable_setUnsure(LeaseTable_t *this)
 {
     this->unsure = TRUE;
+    this->over = 0;
     g_hash_table_remove_all(this->entries);
     g_hash_table_remove_all(this->unproved);
 }
 
 void
-LeaseTable_setSure(LeaseTable_t *this)
+LeaseTable_setSure(LeaseTable_t *this, guint64 offset)
 {
     GHashTableIter iter;
     gpointer scope = NULL;
     gpointer entry = NULL;
     this->unsure = FALSE;
+    this->over = number_before(this, offset);
     g_hash_table_iter_init(&iter, this->unproved);
     while (g_hash_table_iter_next(&iter, &scope, &entry)) {
         g_hash_table_iter_steal(&iter);
@@ -124,6 +146,12 @@
     }
 }
 
+guint64
+LeaseTable_over(const LeaseTable_t *this)
+{
+    return this->over;
+}
+
 const LeaseEntry_t *
 LeaseTable_find(const LeaseTable_t *this, const char *scope)
 {
--- a/src/LeaseTable.h
+++ b/src/LeaseTable.h
@@ -56,9 +56,17 @@
  */
 void LeaseTable_setUnsure(LeaseTable_t *this);
 
-/** LeaseTable_setSure() - nobody has renewed for long; the last record of
- * each unknown scope counts as its lease */
-void LeaseTable_setSure(LeaseTable_t *this);
+/**
+ * LeaseTable_setSure() - nobody has renewed for long
+ * @offset: all leases before it are over
+ *
+ * The last record of each unknown scope counts as its lease.
+ */
+void LeaseTable_setSure(LeaseTable_t *this, guint64 offset);
+
+/** LeaseTable_over() - leases up to this number are over, as is known since
+ * the last call of LeaseTable_setSure(); 0 for none */
+guint64 LeaseTable_over(const LeaseTable_t *this);
 
 /** LeaseTable_isUnsure() - whether a scope's lease may be unknown */
 gboolean LeaseTable_isUnsure(const LeaseTable_t *this, const char *scope);
--- a/src/leases.pb-c.c
+++ b/src/leases.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &wt__lease_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wt__lease_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wt__lease_record__field_descriptors[7] =
 {
   {
     "scope",
@@ -126,6 +126,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "over",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__LeaseRecord, over),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__lease_record__field_indices_by_name[] = {
   4,   /* field[4] = duration_ms */
@@ -133,12 +145,13 @@
   3,   /* field[3] = expects */
   1,   /* field[1] = holder */
   2,   /* field[2] = incarnation */
+  6,   /* field[6] = over */
   0,   /* field[0] = scope */
 };
 static const ProtobufCIntRange wt__lease_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wt__lease_record__descriptor =
 {
@@ -148,7 +161,7 @@
   "Wt__LeaseRecord",
   "wt",
   sizeof(Wt__LeaseRecord),
-  6,
+  7,
   wt__lease_record__field_descriptors,
   wt__lease_record__field_indices_by_name,
   1,  wt__lease_record__number_ranges,
--- a/src/leases.pb-c.h
+++ b/src/leases.pb-c.h
@@ -25,7 +25,7 @@
 
 /*
  * Takes or renews a lease. It is taken only if expects is the number of the
- * scope's current lease. Its own number is made of the epoch of the log and
+ * scope's current lease, or that is over. Its own number is made of the epoch of the log and
  * its offset plus one, and serves as the fencing number of orders.
  */
 struct  Wt__LeaseRecord
@@ -41,10 +41,15 @@
    * nothing, whether it was in the copy or has landed late.
    */
   uint64_t epoch;
+  /*
+   * Leases of numbers up to this one are over, as its appender has waited for
+   * longer than any lasts: it does not know which of them was the last.
+   */
+  uint64_t over;
 };
 #define WT__LEASE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__lease_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /* Wt__LeaseRecord methods */
--- a/tests/test_Lease.c
+++ b/tests/test_Lease.c
@@ -46,6 +46,7 @@
     gint64 back_ms;  /* when the log comes back, 0 while it is there */
     gint64 next_ms;  /* of the next fault */
     gint64 quiet_ms; /* no faults from then on */
+    gint64 rest_ms;  /* until when nobody wants it, 0 for no rest */
     guint twice;     /* numbers that two used */
     guint lower;     /* uses of a lower number after a higher one */
     guint together;  /* looks with two holders */
@@ -133,11 +134,38 @@
     }
 }
 
+static void
+set_wanted(World_t *this, gboolean wanted)
+{
+    for (guint i = 0; i < ROUTERS; i++) {
+        Lease_want(this->routers[i].lease, wanted, 0);
+    }
+}
+
+/* Nothing is to be done for so long that all records expire. */
+static void
+begin_rest(World_t *this, gint64 now_ms)
+{
+    this->rest_ms = now_ms + 2 * LEASE_MS;
+    set_wanted(this, FALSE);
+}
+
+static void
+end_rest(World_t *this)
+{
+    Router_t *router = &this->routers[draw(this, 0, ROUTERS - 1)];
+    this->rest_ms = 0;
+    FakeLog_expire(this->log, FakeLog_length(this->log));
+    stop_router(router);
+    start_router(this, router);
+    set_wanted(this, TRUE);
+}
+
 static void
 bring_fault(World_t *this, gint64 now_ms)
 {
     Router_t *router = &this->routers[draw(this, 0, ROUTERS - 1)];
-    switch (draw(this, 0, 5)) {
+    switch (draw(this, 0, 6)) {
     case 0:
     case 1:
         FakeLog_setAway(this->log, TRUE);
@@ -153,6 +181,9 @@
         stop_router(router);
         start_router(this, router);
         break;
+    case 5:
+        begin_rest(this, now_ms);
+        break;
     default:
         if (FakeLog_length(this->log) > 3) {
             FakeLog_expire(this->log, FakeLog_length(this->log) - 3);
@@ -168,7 +199,11 @@
     if (this->back_ms > 0 && now_ms >= this->back_ms) {
         come_back(this);
     }
-    if (now_ms >= this->next_ms && now_ms < this->quiet_ms) {
+    if (this->rest_ms > 0 && now_ms >= this->rest_ms) {
+        end_rest(this);
+    }
+    if (this->rest_ms == 0 && now_ms >= this->next_ms &&
+        now_ms < this->quiet_ms) {
         bring_fault(this, now_ms);
         this->next_ms =
             now_ms +
