--- a/src/Lease.c
+++ b/src/Lease.c
@@ -199,18 +199,27 @@
     Clock_arm(this->retry, mean_ms / 2 + Random_below(mean_ms));
 }
 
+/* What was asked for in an epoch says nothing of another one, but for the
+ * first read of all, which began at the start.
+ *
+ * Return: whether the records are still of use
+ */
 static gboolean
-is_other_epoch(const Lease_t *this, const LogRecords_t *records)
+take_epoch(Lease_t *this, guint64 epoch)
 {
-    return this->epoch_ms == 0 || records->epoch != this->epoch;
+    gboolean is_first = this->epoch_ms == 0;
+    if (is_first || epoch != this->epoch) {
+        begin_epoch(this, epoch);
+        return is_first;
+    }
+    return TRUE;
 }
 
 static void
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
     Lease_t *this = data;
-    if (records && is_other_epoch(this, records)) {
-        begin_epoch(this, records->epoch);
+    if (records && !take_epoch(this, records->epoch)) {
         read_next(this);
         return;
     }
