Tests that fail: a router that starts while the store is still older

The operator has not yet written again what the store lost. A router that starts then takes the older configuration for the newest one and answers 200 to a key that was revoked, for as long as nothing is written; and a router that knows only the weights before orders engines back from version 3 to version 2.

--- a/tests/sessions/test_store_returns.py
+++ b/tests/sessions/test_store_returns.py
@@ -8,6 +8,7 @@
 
 IN_FORCE_S = 2  # in which an acknowledged configuration must be in force
 OUTAGE_S = 0.5  # in which each router has had a call fail
+ORDERED_S = 4  # longer than a router takes from its start to its first order
 EARLIER = 6  # versions before the copy and after it, more than come after
 
 
@@ -73,6 +74,73 @@
         self.await_version(router, self.fleet.version)
 
 
+class BeforeTheRecordsAreBackTest(ReturnTest):
+    """A store has come back older, and the operator has not written again
+    what it lost: the newest configuration, which revokes a key, is known to
+    routers alone."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.plain("p1")
+        self.router = self.fleet.start()
+        self.peers = {"seeds": self.router.peer_address}
+        self.statuses = []
+
+    def revoke(self):
+        """Key-a is not valid any more."""
+        self.fleet.config(customers=CUSTOMERS[1:])
+        self.await_version(self.router, self.fleet.version)
+
+    def ask(self, router):
+        """What a caller with the revoked key gets."""
+        try:
+            status = self.fleet.ask(router, "/read/x").status
+        except OSError:
+            return None
+        self.statuses.append(status)
+        return status
+
+    def test_a_router_that_starts_does_not_go_back(self):
+        """A router that started then read the older configuration from the
+        store, took it for the newest one, and answered 200 to the revoked
+        key."""
+        copy = self.store.copy()
+        self.revoke()
+        self.store.come_back_older(copy)
+        other = self.fleet.router(name="r2", peers=self.peers)
+        wait_for(lambda: self.ask(other) == 401, "refused", IN_FORCE_S)
+        self.assertNotIn(200, self.statuses)
+        self.assertTrue(self.fleet.is_ready(other))
+
+    def test_without_peers_a_router_serves_by_what_the_store_has(self):
+        """Nobody can tell it better, and it can not wait for ever."""
+        copy = self.store.copy()
+        self.revoke()
+        self.store.come_back_older(copy)
+        self.router.kill()
+        other = self.fleet.router(name="r2", peers=self.peers)
+        wait_for(lambda: self.fleet.is_ready(other), "ready", IN_FORCE_S)
+
+    def test_engines_are_not_taken_back_to_older_weights(self):
+        """A router that did not know the weights named last ordered the ones
+        before to engines that had loaded the newer ones."""
+        engine = self.fleet.engine("e1")
+        self.name_weights(2)
+        wait_for(lambda: engine.version == 2, "loaded")
+        copy = self.store.copy()
+        self.name_weights(3)
+        wait_for(lambda: engine.version == 3, "loaded")
+        self.store.come_back_older(copy)
+        engine.list()
+        self.router.kill()
+        other = self.fleet.router(name="r2")
+        wait_for(lambda: self.fleet.is_ready(other), "ready")
+        time.sleep(ORDERED_S)
+        self.assertEqual(engine.version, 3)
+        self.assertEqual([order["version"] for order in engine.orders],
+                         [2, 3])
+
+
 class OrderTest(ReturnTest):
     def take_orders(self, engines):
         """The number and the holder of each order since the last call."""
