No engine is ordered back to older weights

A router that started while the store was older than before knew only the weights named earlier and ordered an engine of version 3 to version 2.

Cause: whatever differs from the version known as named counted as lagging. What an engine has was named once, and versions only grow, so that one which is above the version known here wants nothing.

--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -59,12 +59,14 @@
     out->weights = out->model
                        ? NamedWeights_find(this->context->weights, out->model)
                        : NULL;
-    if (!out->weights) {
+    /* What an engine has was named, though a store that has come back older
+     * may not show it: versions only grow, and none is ordered back. */
+    guint64 version = Upstream_version(upstream);
+    if (!out->weights || version > g_ascii_strtoull(out->weights, NULL, 10)) {
         return FALSE;
     }
-    out->lag_ms = NamedWeights_lagMs(
-        this->context->weights, out->model,
-        g_ascii_strtoull(upstream->weights->str, NULL, 10), Clock_nowMs());
+    out->lag_ms = NamedWeights_lagMs(this->context->weights, out->model,
+                                     version, Clock_nowMs());
     return TRUE;
 }
 
