A router does not serve by a configuration that its peers know to be replaced

A router that started while the store was older than before answered 200 to a revoked key until the operator had written the newest configuration again. One that had missed the change went on with the one before in the same way.

Cause: how fresh a configuration is went by the end of the store's records alone; a store that has lost the newest one ends as well.

Change: routers tell the version that they have in force with the end that they know, and to each router that is linked. Who hears of a newer one counts its own as not fresh and asks for it; it is told apart, without offsets, as no read of the store leads to it. What versions say is a module of its own (RouteVersions); where to read is left in RouteSync.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -22,26 +22,53 @@
     void *owner;
     struct event *tick;
     StorePosition_t end;
+    guint64 version;     /* of the configuration in force */
     gint64 at_ms;        /* 0 for never */
     gint64 told_ms;      /* the time that was told last */
     gint64 turned_ms;    /* when the last tick was */
     gint64 caught_up_ms; /* peers' news before may be older than they say */
 };
 
-static void
-send_to_linked(FreshnessRelay_t *this)
+static Wt__ConfigCurrent
+make_current(const FreshnessRelay_t *this)
 {
     Wt__ConfigCurrent current = WT__CONFIG_CURRENT__INIT;
-    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     current.epoch = this->end.epoch;
     current.offset = this->end.offset;
     current.age_ms = PeerAge_of(this->at_ms);
+    current.version = this->version;
+    return current;
+}
+
+static void
+send_to_linked(FreshnessRelay_t *this)
+{
+    Wt__ConfigCurrent current = make_current(this);
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
     message.config_current = &current;
     Membership_sendAll(this->membership, &message);
     this->told_ms = this->at_ms;
 }
 
+void
+FreshnessRelay_setVersion(FreshnessRelay_t *this, guint64 version)
+{
+    this->version = version;
+}
+
+void
+FreshnessRelay_introduce(const FreshnessRelay_t *this, Member_t *member)
+{
+    Wt__ConfigCurrent current = make_current(this);
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
+    message.config_current = &current;
+    if (this->version > 0 && this->at_ms > 0) {
+        Membership_send(this->membership, member, &message);
+    }
+}
+
 /* Where all are linked with all, the readers' own word is enough. */
 static gboolean
 is_to_tell(const FreshnessRelay_t *this)
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -57,6 +57,13 @@
 void FreshnessRelay_take(FreshnessRelay_t *this, Member_t *from,
                          const Wt__ConfigCurrent *message);
 
+/** FreshnessRelay_setVersion() - of the configuration in force, which is told
+ * along */
+void FreshnessRelay_setVersion(FreshnessRelay_t *this, guint64 version);
+
+/** FreshnessRelay_introduce() - tell a router that was linked just now */
+void FreshnessRelay_introduce(const FreshnessRelay_t *this, Member_t *member);
+
 /** FreshnessRelay_tellNow() - do not wait for the next turn */
 void FreshnessRelay_tellNow(FreshnessRelay_t *this);
 
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -119,17 +119,27 @@
 }
 
 void
+RecordRelay_answerApart(const RecordRelay_t *this, Member_t *member,
+                        const GPtrArray *records)
+{
+    Wt__TopicPart part = WT__TOPIC_PART__INIT;
+    part.apart = TRUE;
+    send_part(this, member, &part, records);
+}
+
+gboolean
 RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
-                StorePosition_t from)
+                StorePosition_t from, guint64 version)
 {
     Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     ask.topic = this->topic->str;
     ask.from = from.offset;
     ask.epoch = from.epoch;
+    ask.version = version;
     message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_ASK;
     message.topic_ask = &ask;
-    Membership_send(this->membership, member, &message);
+    return Membership_send(this->membership, member, &message);
 }
 
 gboolean
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -56,9 +56,19 @@
                         guint64 from, const GPtrArray *records,
                         StorePosition_t end, gint64 at_ms);
 
-/** RecordRelay_ask() - ask a router for what is new from a place on */
-void RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
-                     StorePosition_t from);
+/** RecordRelay_answerApart() - tell one router records that the store has lost
+ * and that are in force here */
+void RecordRelay_answerApart(const RecordRelay_t *this, Member_t *member,
+                             const GPtrArray *records);
+
+/**
+ * RecordRelay_ask() - ask a router for what is new from a place on
+ * @version: of the newest configuration known here
+ *
+ * Return: FALSE where there is no link to it
+ */
+gboolean RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
+                         StorePosition_t from, guint64 version);
 
 /** RecordRelay_isTooLong() - too much was added to be told: who is told
  * nothing reads it from the store */
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -88,6 +88,7 @@
         .weights = context->weights,
         .membership = context->membership,
         .epoch = this->epoch,
+        .is_alone = settings->peers.seeds->len == 0,
         .counters = context->counters,
         .reader_wait_ms = settings->relay.reader_wait_ms,
         .wait_ms = settings->relay.config_wait_ms,
@@ -347,6 +348,12 @@
     }
 }
 
+void
+RelayParts_introduce(RelayParts_t *this, Member_t *member)
+{
+    RouteSync_introduce(this->sync, member);
+}
+
 /* Configuration and claims are the platform's matter here. */
 void
 RelayParts_take(RelayParts_t *this, Member_t *from,
--- a/src/RelayParts.h
+++ b/src/RelayParts.h
@@ -25,6 +25,9 @@
 /** RelayParts_destroy() - free them; open calls are never answered */
 void RelayParts_destroy(RelayParts_t *this);
 
+/** RelayParts_introduce() - a router was linked just now */
+void RelayParts_introduce(RelayParts_t *this, Member_t *member);
+
 /** RelayParts_take() - a message of a peer that is not about membership */
 void RelayParts_take(RelayParts_t *this, Member_t *from,
                      const Wt__PeerMessage *message);
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -1,7 +1,5 @@
 #include "RouteSync.h"
 
-#include <string.h>
-
 #include "Clock.h"
 #include "FreshnessRelay.h"
 #include "Log.h"
@@ -9,6 +7,7 @@
 #include "Random.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
+#include "RouteVersions.h"
 
 /* How often it is checked whether peers still tell something. */
 #define TICK_MS 200
@@ -39,6 +38,7 @@
 
 struct RouteSync {
     RouteSyncSpec_t spec;
+    RouteVersions_t *versions;
     RecordFollower_t *follower;
     FreshnessRelay_t *relay;
     RecordRelay_t *records;
@@ -49,60 +49,9 @@
     StorePosition_t ahead; /* furthest end that peers have told of */
     gint64 behind_ms; /* since when less is known here; 0 where it is not */
     double turn;      /* from 0 to 1, when it asks of those that are untold */
-    gboolean current; /* all that was there at the start has been read */
     gboolean feeding; /* what is told now comes from a peer */
 };
 
-static void
-take_config(RouteSync_t *this, GBytes *value)
-{
-    g_autoptr(GError) error = NULL;
-    RouteConfig_t *config = this->spec.form->decode_config(value, &error);
-    if (!config) {
-        Log_error("config_unreadable", error);
-        return;
-    }
-    guint64 version = config->version;
-    gboolean taken = RouteTable_take(this->spec.routes, config);
-    Log_begin(LOG_LEVEL_INFO,
-              taken ? "config_in_force" : "config_passed_over");
-    Log_number("version", (gint64)version);
-    if (taken) {
-        Log_number("routes", config->routes->len);
-        Log_number("customers", config->customers->len);
-        Log_number("keys", g_hash_table_size(config->keys));
-    }
-    Log_end();
-}
-
-/* How long ago a version was named that was there at the start is not known;
- * it is taken for nearly overdue. */
-static gint64
-named_ms(const RouteSync_t *this)
-{
-    gint64 now_ms = Clock_nowMs();
-    return this->current ? now_ms : now_ms - this->spec.unknown_age_ms;
-}
-
-static void
-take_weights(RouteSync_t *this, GBytes *value)
-{
-    GString *model = g_string_new(NULL);
-    guint64 version = 0;
-    g_autoptr(GError) error = NULL;
-    if (!this->spec.form->decode_weights(value, model, &version, &error)) {
-        Log_error("weights_unreadable", error);
-    }
-    else if (NamedWeights_take(this->spec.weights, model->str, version,
-                               named_ms(this))) {
-        Log_begin(LOG_LEVEL_INFO, "weights_named");
-        Log_text("model", model->str);
-        Log_number("version", (gint64)version);
-        Log_end();
-    }
-    g_string_free(model, TRUE);
-}
-
 static void
 keep_newest(RouteSync_t *this, const KeyedRecord_t *record)
 {
@@ -113,27 +62,14 @@
     g_hash_table_replace(this->newest, kept->key->str, kept);
 }
 
-/* A configuration that was removed stays in force: nothing takes its place.
- */
 static void
 on_record(void *owner, const KeyedRecord_t *record)
 {
     RouteSync_t *this = owner;
-    const char *key = record->key->str;
-    GBytes *value = record->value;
     keep_newest(this, record);
-    RecordRelay_add(this->records, key, value, record->position);
-    if (!value) {
-        Log_begin(LOG_LEVEL_WARNING, "operator_record_removed");
-        Log_text("key", key);
-        Log_end();
-    }
-    else if (strcmp(key, this->spec.form->config_key) == 0) {
-        take_config(this, value);
-    }
-    else if (g_str_has_prefix(key, this->spec.form->weights_prefix)) {
-        take_weights(this, value);
-    }
+    RecordRelay_add(this->records, record->key->str, record->value,
+                    record->position);
+    RouteVersions_take(this->versions, record);
 }
 
 static gint64
@@ -155,6 +91,41 @@
                             this->spec.wait_ms);
 }
 
+static gboolean
+ask_peer(RouteSync_t *this, Member_t *from, StorePosition_t known)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (now_ms - this->pulled_ms < PULL_EVERY_MS) {
+        return TRUE;
+    }
+    gboolean sent = RecordRelay_ask(this->records, from, known,
+                                    RouteVersions_newest(this->versions));
+    if (sent) {
+        this->pulled_ms = now_ms;
+    }
+    return sent;
+}
+
+/* A peer that has a newer configuration told so before it could be asked. */
+static void
+ask_any(RouteSync_t *this)
+{
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    StorePosition_t known = RecordFollower_position(this->follower);
+    for (guint i = 0; i < members->len; i++) {
+        if (ask_peer(this, g_ptr_array_index(members, i), known)) {
+            return;
+        }
+    }
+}
+
+static void
+tell_version(RouteSync_t *this)
+{
+    FreshnessRelay_setVersion(this->relay,
+                              RouteVersions_inForce(this->versions));
+}
+
 /* What is too long to be told to all is asked for by those that hear of it. */
 static void
 pass_on(RouteSync_t *this, StorePosition_t end, gint64 at_ms)
@@ -172,14 +143,17 @@
 on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     RouteSync_t *this = owner;
-    this->current = TRUE;
     if (StorePosition_compare(end, this->ahead) >= 0) {
         this->behind_ms = 0;
     }
-    RouteTable_noteCurrent(this->spec.routes, at_ms);
+    RouteVersions_noteCurrent(this->versions, at_ms);
     FreshnessRelay_note(this->relay, end, at_ms);
     pass_on(this, end, at_ms);
     set_reads(this);
+    tell_version(this);
+    if (RouteVersions_isBehind(this->versions)) {
+        ask_any(this);
+    }
 }
 
 static void
@@ -192,16 +166,6 @@
     }
 }
 
-static void
-ask_peer(RouteSync_t *this, Member_t *from, StorePosition_t known)
-{
-    gint64 now_ms = Clock_nowMs();
-    if (now_ms - this->pulled_ms >= PULL_EVERY_MS) {
-        this->pulled_ms = now_ms;
-        RecordRelay_ask(this->records, from, known);
-    }
-}
-
 static gboolean
 is_long_behind(const RouteSync_t *this)
 {
@@ -252,7 +216,7 @@
     }
     gint ahead = StorePosition_compare(known, end);
     if (ahead == 0) {
-        RouteTable_noteCurrent(this->spec.routes, at_ms);
+        RouteVersions_noteCurrent(this->versions, at_ms);
         feed_end(this, end, at_ms);
     }
     else if (ahead < 0 && known.offset > 0) {
@@ -315,6 +279,7 @@
     (void)what;
     RouteSync_t *this = data;
     set_reads(this);
+    tell_version(this);
     if (is_long_behind(this)) {
         ask_store(this, ASK_BEHIND_MS, STORE_BEHIND);
     }
@@ -333,6 +298,14 @@
         .pause_ms = spec->wait_ms,
         .counters = spec->counters,
     };
+    RouteVersionsSpec_t versions = {
+        .form = spec->form,
+        .routes = spec->routes,
+        .weights = spec->weights,
+        .unknown_age_ms = spec->unknown_age_ms,
+        .is_alone = spec->is_alone,
+    };
+    this->versions = RouteVersions_create(base, &versions);
     this->newest =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, KeyedRecord_free);
     this->records =
@@ -362,23 +335,54 @@
     RecordFollower_destroy(this->follower);
     FreshnessRelay_destroy(this->relay);
     RecordRelay_destroy(this->records);
+    RouteVersions_destroy(this->versions);
     g_hash_table_destroy(this->newest);
     event_free(this->tick);
     g_free(this);
 }
 
+/* A router that has read the records to their end may still be behind: the
+ * store may have lost what its peers have in force. */
 void
 RouteSync_take(RouteSync_t *this, Member_t *from,
                const Wt__ConfigCurrent *message)
 {
+    StorePosition_t known = RecordFollower_position(this->follower);
+    RouteVersions_tell(this->versions, message->version);
+    tell_version(this);
+    if (from && known.offset > 0 && RouteVersions_isBehind(this->versions)) {
+        ask_peer(this, from, known);
+    }
     FreshnessRelay_take(this->relay, from, message);
 }
 
+void
+RouteSync_introduce(RouteSync_t *this, Member_t *member)
+{
+    tell_version(this);
+    FreshnessRelay_introduce(this->relay, member);
+}
+
+static void
+take_apart(RouteSync_t *this, const Wt__TopicPart *message)
+{
+    KeyedPage_t page = RecordRelay_read(message);
+    for (guint i = 0; i < page.records->len; i++) {
+        RouteVersions_take(this->versions, g_ptr_array_index(page.records, i));
+    }
+    tell_version(this);
+    g_ptr_array_unref(page.records);
+}
+
 /* Records hold whenever they come; how fresh they are is not known where they
  * may have waited here. */
 void
 RouteSync_takePart(RouteSync_t *this, const Wt__TopicPart *message)
 {
+    if (message->apart) {
+        take_apart(this, message);
+        return;
+    }
     if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
         return;
     }
@@ -417,6 +421,17 @@
     return found;
 }
 
+/* What the store has lost and only routers know. */
+static void
+answer_apart(const RouteSync_t *this, Member_t *from, StorePosition_t known)
+{
+    GPtrArray *records = RouteVersions_apart(this->versions, known);
+    if (records->len > 0) {
+        RecordRelay_answerApart(this->records, from, records);
+    }
+    g_ptr_array_unref(records);
+}
+
 /* Who knows no more says nothing: the asker asks another one. */
 void
 RouteSync_answer(RouteSync_t *this, Member_t *from,
@@ -426,6 +441,10 @@
     StorePosition_t known = RecordFollower_position(this->follower);
     gint64 now_ms = Clock_nowMs();
     gint64 age_ms = RouteTable_ageMs(this->spec.routes, now_ms);
+    if (message->version > 0 &&
+        message->version < RouteVersions_inForce(this->versions)) {
+        answer_apart(this, from, from_there);
+    }
     if (known.epoch != from_there.epoch || known.offset <= message->from ||
         age_ms == G_MAXINT64) {
         return;
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -31,6 +31,7 @@
  *     for the others: bounds how old the knowledge that a configuration is
  *     the newest gets
  * @epoch: of the store
+ * @is_alone: no other routers are to be found
  * @counters: for calls to the store
  * @wait_ms: so long after the last word of peers all others ask the store
  * @unknown_age_ms: age that is assumed of versions named before the start
@@ -42,6 +43,7 @@
     NamedWeights_t *weights;
     Membership_t *membership;
     StoreEpoch_t *epoch;
+    gboolean is_alone;
     Counters_t *counters;
     gint64 reader_wait_ms;
     gint64 wait_ms;
@@ -59,6 +61,9 @@
 void RouteSync_take(RouteSync_t *this, Member_t *from,
                     const Wt__ConfigCurrent *message);
 
+/** RouteSync_introduce() - a router was linked just now */
+void RouteSync_introduce(RouteSync_t *this, Member_t *member);
+
 /** RouteSync_takePart() - a peer tells records */
 void RouteSync_takePart(RouteSync_t *this, const Wt__TopicPart *message);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -102,6 +102,9 @@
 {
     const Router_t *this = data;
     CrashGuard_introduce(this->context.crashes, member);
+    if (this->relay) {
+        RelayParts_introduce(this->relay, member);
+    }
 }
 
 static gboolean
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2061,7 +2061,7 @@
   (ProtobufCMessageInit) wt__upstream_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[4] =
 {
   {
     "offset",
@@ -2099,16 +2099,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ConfigCurrent, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__config_current__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   2,   /* field[2] = epoch */
   0,   /* field[0] = offset */
+  3,   /* field[3] = version */
 };
 static const ProtobufCIntRange wt__config_current__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wt__config_current__descriptor =
 {
@@ -2118,7 +2131,7 @@
   "Wt__ConfigCurrent",
   "wt",
   sizeof(Wt__ConfigCurrent),
-  3,
+  4,
   wt__config_current__field_descriptors,
   wt__config_current__field_indices_by_name,
   1,  wt__config_current__number_ranges,
@@ -2189,7 +2202,7 @@
   (ProtobufCMessageInit) wt__topic_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[8] =
 {
   {
     "from",
@@ -2275,9 +2288,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "apart",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPart, apart),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_part__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  7,   /* field[7] = apart */
   1,   /* field[1] = end */
   6,   /* field[6] = epoch */
   0,   /* field[0] = from */
@@ -2288,7 +2314,7 @@
 static const ProtobufCIntRange wt__topic_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wt__topic_part__descriptor =
 {
@@ -2298,14 +2324,14 @@
   "Wt__TopicPart",
   "wt",
   sizeof(Wt__TopicPart),
-  7,
+  8,
   wt__topic_part__field_descriptors,
   wt__topic_part__field_indices_by_name,
   1,  wt__topic_part__number_ranges,
   (ProtobufCMessageInit) wt__topic_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[4] =
 {
   {
     "topic",
@@ -2343,16 +2369,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_ask__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
   1,   /* field[1] = from */
   0,   /* field[0] = topic */
+  3,   /* field[3] = version */
 };
 static const ProtobufCIntRange wt__topic_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wt__topic_ask__descriptor =
 {
@@ -2362,7 +2401,7 @@
   "Wt__TopicAsk",
   "wt",
   sizeof(Wt__TopicAsk),
-  3,
+  4,
   wt__topic_ask__field_descriptors,
   wt__topic_ask__field_indices_by_name,
   1,  wt__topic_ask__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -336,10 +336,14 @@
    * Of the store; offsets of two epochs can not be compared.
    */
   uint64_t epoch;
+  /*
+   * Of the configuration in force at the sender, whatever the store has.
+   */
+  uint64_t version;
 };
 #define WT__CONFIG_CURRENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__config_current__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -384,10 +388,15 @@
    * Of the store, in which all offsets are.
    */
   uint64_t epoch;
+  /*
+   * The records were in force before the store came back without them: they
+   * stand for themselves, and no offset leads to them.
+   */
+  protobuf_c_boolean apart;
 };
 #define WT__TOPIC_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_part__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -402,10 +411,14 @@
    * Of the store, in which the offset is.
    */
   uint64_t epoch;
+  /*
+   * Of the configuration in force at the asker.
+   */
+  uint64_t version;
 };
 #define WT__TOPIC_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -159,6 +159,7 @@
                             .weights = weights,
                             .membership = routers.list[self].membership,
                             .epoch = epoch,
+                            .is_alone = TRUE,
                             .reader_wait_ms = READER_WAIT_MS,
                             .wait_ms = WAIT_MS,
                             .unknown_age_ms = UNKNOWN_AGE_MS};
@@ -608,6 +609,53 @@
 }
 END_TEST
 
+START_TEST(a_peer_is_asked_for_the_version_that_the_store_has_lost)
+{
+    start_untold();
+    gint64 before_ms = current_ms();
+    Wt__ConfigCurrent told = WT__CONFIG_CURRENT__INIT;
+    told.offset = 10;
+    told.version = 8;
+    RouteSync_take(route_sync, any_peer(), &told);
+    ck_assert_int_eq(current_ms(), before_ms);
+    FakeRouters_await(&routers, peer_was_asked);
+    const Wt__PeerMessage *asked = FakeRouters_find(
+        &routers, place_of_peer(), WT__PEER_MESSAGE__BODY_TOPIC_ASK);
+    ck_assert_uint_eq(asked->topic_ask->version, 5);
+    Wt__TopicRecord record = WT__TOPIC_RECORD__INIT;
+    Wt__TopicRecord *records[] = {&record};
+    Wt__TopicPart part = WT__TOPIC_PART__INIT;
+    record.key = CONFIG_KEY;
+    record.value = (ProtobufCBinaryData){1, (guint8 *)"8"};
+    part.apart = TRUE;
+    part.n_records = 1;
+    part.records = records;
+    RouteSync_takePart(route_sync, &part);
+    ck_assert_uint_eq(version(), 8);
+    end();
+}
+END_TEST
+
+START_TEST(who_asks_with_an_older_version_is_told_what_the_store_has_lost)
+{
+    start_untold();
+    StoreEpoch_note(epoch, 0, "test");
+    StoreEpoch_note(epoch, 1, "test");
+    Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
+    ask.epoch = 1;
+    ask.from = 3;
+    ask.version = 4;
+    RouteSync_answer(route_sync, any_peer(), &ask);
+    FakeRouters_run(&routers, QUIET_MS);
+    const Wt__PeerMessage *told = FakeRouters_find(
+        &routers, place_of_peer(), WT__PEER_MESSAGE__BODY_TOPIC_PART);
+    ck_assert_ptr_nonnull(told);
+    ck_assert(told->topic_part->apart);
+    ck_assert_str_eq(told->topic_part->records[0]->key, CONFIG_KEY);
+    end();
+}
+END_TEST
+
 /* Records hold whenever they come, but not how fresh they are. */
 START_TEST(a_record_that_waited_here_makes_nothing_fresh)
 {
@@ -659,5 +707,7 @@
              who_is_behind_asks_a_peer_and_then_the_store,
              a_peer_that_asks_gets_the_newest_record_of_each_key,
              a_peer_that_knows_as_much_gets_no_answer,
+             a_peer_is_asked_for_the_version_that_the_store_has_lost,
+             who_asks_with_an_older_version_is_told_what_the_store_has_lost,
              a_record_that_waited_here_makes_nothing_fresh,
              a_store_that_fails_is_asked_less_and_less_often)
