Tests that fail: an older list of upstreams brings back one that has left

An upstream said that it leaves and went off the list; the store came back from a copy that has it as ready, and routers sent it work again, those that had known it to leave and those that started since.

--- a/tests/sessions/test_store_returns.py
+++ b/tests/sessions/test_store_returns.py
@@ -9,6 +9,8 @@
 IN_FORCE_S = 2  # in which an acknowledged configuration must be in force
 OUTAGE_S = 0.5  # in which each router has had a call fail
 ORDERED_S = 4  # longer than a router takes from its start to its first order
+LISTED_S = 0.5  # in which a list that was asked for has been read
+LAPSED_S = 2  # longer than an entry may be missing after an outage
 EARLIER = 6  # versions before the copy and after it, more than come after
 
 
@@ -141,6 +143,88 @@
                          [2, 3])
 
 
+class UpstreamTest(ReturnTest):
+    def setUp(self):
+        super().setUp()
+        self.plain = self.fleet.plain("p1")
+        self.other = self.fleet.plain("p2")
+        self.router = self.fleet.start(listing_return="1500ms")
+
+    def leave(self):
+        self.plain.state = "draining"
+        self.plain.list()
+        self.router.wait_event("upstream_leaving")
+
+    def come_back(self, copy):
+        """Returns once the router has read the list anew."""
+        seen = len(self.router.events("store_call"))
+        self.come_back_older(copy)
+        wait_for(lambda: [call for call in
+                          self.router.events("store_call")[seen:]
+                          if call["topic"] == "keyed.servers"
+                          and call["cause"] == "start"], "listed")
+        time.sleep(LISTED_S)
+
+    def is_used(self, router):
+        """Whether p1 gets a call that the other one refuses."""
+        seen = len(self.plain.seen)
+        self.other.shed = True
+        self.fleet.ask(router, "/read/x")
+        self.other.shed = False
+        return len(self.plain.seen) > seen
+
+    def test_one_that_left_gets_no_work_from_an_older_entry(self):
+        """An upstream had said that it leaves and was off the list; the list
+        that came back had it as ready, and it was sent work again."""
+        copy = self.store.copy()
+        self.leave()
+        self.plain.unlist()
+        self.router.wait_event("upstream_gone")
+        self.come_back(copy)
+        self.assertFalse(self.is_used(self.router))
+
+    def test_one_that_is_leaving_goes_on_to_leave(self):
+        copy = self.store.copy()
+        self.leave()
+        self.come_back(copy)
+        self.assertFalse(self.is_used(self.router))
+
+    def test_a_router_that_starts_hears_that_one_has_left(self):
+        """As above, at a router that never knew it to leave."""
+        copy = self.store.copy()
+        self.leave()
+        self.plain.unlist()
+        self.router.wait_event("upstream_gone")
+        self.come_back(copy)
+        other = self.fleet.router(
+            name="r2", peers={"seeds": self.router.peer_address})
+        wait_for(lambda: self.fleet.is_ready(other), "ready")
+        wait_for(lambda: not self.is_used(other), "left", IN_FORCE_S)
+
+    def test_one_that_the_list_has_lost_serves_on_until_it_is_back(self):
+        copy = self.store.copy()
+        late = self.fleet.plain("p3")
+        wait_for(lambda: len(self.router.events("upstream_listed")) == 3,
+                 "listed")
+        self.come_back_older(copy)
+        self.router.wait_event("upstream_missing")
+        late.list()
+        time.sleep(LAPSED_S)
+        self.assertEqual(self.router.events("upstream_gone"), [])
+
+    def test_one_that_lapsed_and_is_back_serves_again(self):
+        """It had not said that it leaves: what it writes itself after the
+        return counts, what the copy has does not."""
+        copy = self.store.copy()
+        self.plain.unlist()
+        self.router.wait_event("upstream_gone")
+        self.come_back(copy)
+        self.assertFalse(self.is_used(self.router))
+        self.plain.sequence += 1
+        self.plain.list()
+        wait_for(lambda: self.is_used(self.router), "serves again", IN_FORCE_S)
+
+
 class OrderTest(ReturnTest):
     def take_orders(self, engines):
         """The number and the holder of each order since the last call."""
