An older list does not bring back an upstream that has left

Work went to an upstream that had said it leaves and was off the list, after the store came back from a copy that has it as ready.

Cause: what is known of an upstream ends with its entry, so that the older entry looked like a new upstream.

Change: upstreams that have departed are remembered for some minutes, with their start, whether they had been leaving, and the epoch (DepartedUpstreams). An entry of a later epoch's list that is no newer start is taken as leaving, which gossip tells the routers that never knew it, or is passed over until the upstream writes one itself. What the list has lost stays in use as after any outage.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -510,6 +510,12 @@
     return this->listing ? (StorePosition_t){0} : this->next;
 }
 
+gboolean
+RecordFollower_isListing(const RecordFollower_t *this)
+{
+    return this->listing;
+}
+
 gboolean
 RecordFollower_isLost(const RecordFollower_t *this)
 {
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -103,6 +103,10 @@
  * list */
 StorePosition_t RecordFollower_position(const RecordFollower_t *this);
 
+/** RecordFollower_isListing() - whether what is told comes from a list, of
+ * which nobody knows when it was written */
+gboolean RecordFollower_isListing(const RecordFollower_t *this);
+
 /** RecordFollower_isLost() - whether the last call failed */
 gboolean RecordFollower_isLost(const RecordFollower_t *this);
 
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "Clock.h"
+#include "DepartedUpstreams.h"
 #include "Log.h"
 #include "PeerAge.h"
 #include "Random.h"
@@ -44,6 +45,7 @@
 struct UpstreamListing {
     UpstreamListingSpec_t spec;
     RecordFollower_t *follower;
+    DepartedUpstreams_t *departed;
     GHashTable *missing; /* set of names that may come back */
     GHashTable *seen;    /* name -> Seen_t */
     GHashTable *samples; /* target -> name of an upstream that serves it */
@@ -92,7 +94,10 @@
 static void
 drop(UpstreamListing_t *this, const char *name, const char *reason)
 {
+    const Upstream_t *upstream = UpstreamSet_find(this->spec.upstreams, name);
     log_upstream("upstream_gone", name, reason);
+    DepartedUpstreams_note(this->departed, upstream,
+                           StoreEpoch_newest(this->spec.epoch), Clock_nowMs());
     UpstreamSet_drop(this->spec.upstreams, name);
 }
 
@@ -331,6 +336,27 @@
     }
 }
 
+/* Return: FALSE where an older copy lists what has departed */
+static gboolean
+check_departed(UpstreamListing_t *this, const KeyedRecord_t *record,
+               ListedUpstream_t *entry)
+{
+    const char *name = record->key->str;
+    Departed_t departed = RecordFollower_isListing(this->follower)
+                              ? DepartedUpstreams_find(this->departed, name,
+                                                       incarnation_of(entry),
+                                                       record->position.epoch)
+                              : DEPARTED_NOT;
+    if (departed == DEPARTED_NOT) {
+        DepartedUpstreams_forget(this->departed, name);
+        return TRUE;
+    }
+    log_upstream("upstream_entry_older", name,
+                 departed == DEPARTED_LEFT ? "left" : "lapsed");
+    entry->leaving = TRUE;
+    return departed == DEPARTED_LEFT;
+}
+
 static void
 read_entry(UpstreamListing_t *this, const KeyedRecord_t *record, guint64 hash)
 {
@@ -339,8 +365,10 @@
     g_string_assign(entry.spec.region, this->spec.region);
     g_autoptr(GError) error = NULL;
     if (this->spec.decode(record->value, &entry, &error)) {
-        relay_entry(this, record, hash, hash_place(&entry));
-        take_entry(this, record->key->str, &entry);
+        if (check_departed(this, record, &entry)) {
+            relay_entry(this, record, hash, hash_place(&entry));
+            take_entry(this, record->key->str, &entry);
+        }
     }
     else {
         take_unreadable(this, record, hash, error);
@@ -480,6 +508,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->samples =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->departed = DepartedUpstreams_create();
     this->relay = RecordRelay_create(spec->membership, spec->topic);
     this->return_over = Clock_timer(base, on_return_over, this);
     this->settled = Clock_timer(base, on_settled, this);
@@ -512,6 +541,7 @@
     StoreEpoch_leave(this->spec.epoch, this);
     RecordFollower_destroy(this->follower);
     RecordRelay_destroy(this->relay);
+    DepartedUpstreams_destroy(this->departed);
     event_free(this->return_over);
     event_free(this->settled);
     g_hash_table_destroy(this->missing);
