Tests that fail: records of held requests are lost with the store's last seconds

A request that ends engines is held back, and the store comes back without its record, or with that of one that was let go: nobody writes it again, so that a restart of all routers would send it to three engines more, or hold back what an operator let go.

--- a/tests/sessions/test_crashes.py
+++ b/tests/sessions/test_crashes.py
@@ -76,6 +76,13 @@
             time.sleep(0.4)
         return answers
 
+    def operate(self, router, *words):
+        return subprocess.run(
+            [os.path.join(BUILD, "wheattiller"), *words, "--output", "json",
+             "--router", "127.0.0.1:%d" % router.operator_port],
+            env=dict(os.environ, WHEATTILLER_KEY=OPERATOR_KEY),
+            capture_output=True, text=True)
+
     def wait_counted(self):
         """Each engine that ended was seen to by a router; what it tells then
         is on its way."""
@@ -275,6 +282,46 @@
         self.fleet.store.down = False
         wait_for(lambda: self.fleet.store.records("keyed.crashes"), "kept")
 
+    def kept(self):
+        """Records that say of a request that it is held back."""
+        return [record for record in
+                self.fleet.store.records("keyed.crashes")
+                if len(record) > 1 + record[0]]
+
+    def test_a_store_that_comes_back_older_gets_it_again_once(self):
+        """The record of a request that is held back was written and then lost
+        by the store: after a restart of all routers it ended three engines
+        more."""
+        copy = self.fleet.store.copy()
+        self.hold()
+        wait_for(self.kept, "kept")
+        self.fleet.store.come_back_older(copy)
+        wait_for(self.kept, "kept again", 5)
+        time.sleep(1)
+        self.assertEqual(len(self.kept()), 1)
+        self.restart(list(self.routers))
+        for router in self.routers:
+            router.wait_event("request_held")
+        self.assert_held_by(self.routers)
+
+    def test_one_that_was_let_go_is_not_held_by_an_older_record(self):
+        """An operator had let it go; the older record held it again at a
+        router that started then, once no other was left to say so."""
+        self.hold()
+        wait_for(self.kept, "kept")
+        time.sleep(0.5)
+        copy = self.fleet.store.copy()
+        digest = self.routers[0].events("request_held")[0]["digest"]
+        done = self.operate(self.routers[0], "release", digest)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        removal = bytes([len(digest)]) + digest.encode()
+        wait_for(lambda: removal in
+                 self.fleet.store.records("keyed.crashes"), "removed")
+        time.sleep(0.5)
+        self.fleet.store.come_back_older(copy)
+        wait_for(lambda: self.fleet.store.records("keyed.crashes")[-1]
+                 == removal, "removed again", 5)
+
     def test_each_part_of_routers_that_do_not_hear_each_other_holds(self):
         self.fleet.store.down = True
         alone = self.fleet.router("alone")
@@ -312,13 +359,6 @@
 class OperatorTest(CrashTest):
     """Operators see what is held back, and let it go."""
 
-    def operate(self, router, *words):
-        return subprocess.run(
-            [os.path.join(BUILD, "wheattiller"), *words, "--output", "json",
-             "--router", "127.0.0.1:%d" % router.operator_port],
-            env=dict(os.environ, WHEATTILLER_KEY=OPERATOR_KEY),
-            capture_output=True, text=True)
-
     def test_what_is_held_is_shown_and_let_go_everywhere(self):
         self.send_in_turn(CRASHES_MOST + 1)
         shown = self.operate(self.routers[0], "crashes")
