Records of held requests are put back after a return, once

A request that was held back for ending engines, or let go by an operator, was no longer so after a restart of all routers where the store had lost the record.

Cause: a record counted as kept once the store had taken it.

Change: when the store has come back older, the router that ranks first for a request writes the record again, or its removal; all know them by each other's news. The others write nothing.

--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -258,6 +258,34 @@
     Clock_arm(this->forget, FORGET_EVERY_MS);
 }
 
+/* What the store has lost is written again, by one router for all. */
+static void
+put_back(CrashEntry_t *entry, void *data)
+{
+    CrashGuard_t *this = data;
+    char key[REQUEST_DIGEST_TEXT + 1];
+    RequestDigest_write(&entry->digest, key);
+    if (Membership_rank(this->spec.membership, key, NULL) != 0) {
+        return;
+    }
+    if (CrashEntry_heldMs(entry, Clock_nowMs()) > 0) {
+        keep(this, entry);
+    }
+    else if (entry->mark_count >= CRASHES_HELD) {
+        CrashRecords_drop(this->records, &entry->digest);
+    }
+}
+
+/* Who does not know the others yet would take itself for the first. */
+static void
+on_store_back(void *owner)
+{
+    CrashGuard_t *this = owner;
+    if (Membership_isSettled(this->spec.membership)) {
+        CrashTable_forEach(this->table, put_back, this);
+    }
+}
+
 static const CrashEvidenceEvents_t evidence_events = {.ended = on_ended};
 static const CrashNewsEvents_t news_events = {.changed = on_changed};
 
@@ -283,6 +311,7 @@
     this->open = g_hash_table_new(g_direct_hash, g_direct_equal);
     g_queue_init(&this->counted);
     this->forget = Clock_timer(base, on_forget, this);
+    StoreEpoch_listen(spec->epoch, on_store_back, this);
     Clock_arm(this->forget, FORGET_EVERY_MS);
     return this;
 }
@@ -290,6 +319,7 @@
 void
 CrashGuard_destroy(CrashGuard_t *this)
 {
+    StoreEpoch_leave(this->spec.epoch, this);
     event_free(this->forget);
     g_queue_clear_full(&this->counted, g_free);
     g_hash_table_destroy(this->open);
--- a/src/CrashGuard.h
+++ b/src/CrashGuard.h
@@ -17,6 +17,7 @@
 #include "CrashTable.h"
 #include "Membership.h"
 #include "RecordSource.h"
+#include "StoreEpoch.h"
 #include "Upstream.h"
 
 /**
@@ -25,6 +26,7 @@
  * @counters: of this router
  * @key: under which digests are made, the same on all routers
  * @source: of the records that last; must be freed first
+ * @epoch: of the store that keeps them
  * @topic: that they stand in
  * @connects: nobody else probes upstreams that are in doubt
  * @recheck: called for each open request once one is held back that was not
@@ -34,6 +36,7 @@
     Counters_t *counters;
     GBytes *key;
     RecordSource_t *source;
+    StoreEpoch_t *epoch;
     const char *topic;
     gboolean connects;
     void (*recheck)(void *request);
--- a/src/NativeParts.c
+++ b/src/NativeParts.c
@@ -99,6 +99,7 @@
         .counters = context->counters,
         .key = context->settings->keys.salt,
         .source = this->records,
+        .epoch = this->epoch,
         .topic = CRASH_STREAM,
         .connects = TRUE,
         .recheck = Exchange_recheck,
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -157,6 +157,7 @@
         .counters = context->counters,
         .key = context->settings->keys.salt,
         .source = this->records,
+        .epoch = this->epoch,
         .topic = form->crash_topic,
         .recheck = Exchange_recheck,
     };
