Claims and declarations over a return of the native log from an older copy

A call that may run once ran again: its claim was among the seconds that the log lost, and all routers that knew it were gone. And a log that came back older and had grown past what routers had folded was folded on as if nothing were missing.

Change: the log's native form tells its epoch; records of claims tell the epoch that their appender knew. A router folds a shard anew and keeps the claims that it knows; keys that are older than the first record of the epoch are not covered and are refused as not run; who saw the return writes such a record at once, so that this lasts no longer than callers' clocks may be off (30 s). Entries whose offset is of the epoch before are left undecided. Declarations in force stay, and commands are refused with the typed error, from the epoch on and not only while the head is below what was folded. The stand-in of the log takes copies and comes back from them.

What remains open: native operators can change nothing after a return until routers are started anew.

--- a/src/ClaimShard.c
+++ b/src/ClaimShard.c
@@ -30,6 +30,7 @@
 struct ClaimShard {
     struct event_base *base;
     LogClient_t *log;
+    const StoreEpoch_t *store_epoch;
     char stream[32];
     ClaimIndex_t *index;
     gint64 poll_ms;
@@ -37,6 +38,10 @@
     guint64 fold_offset;
     gint64 covered_from_ms; /* 0 for the stream's start */
     gboolean truncated;     /* the first record to come says from when */
+    guint64 epoch;          /* of the log in which the stream is folded */
+    gboolean epoch_known;
+    gboolean unmarked; /* no record of this epoch was folded */
+    gboolean returned; /* this router saw the log come back older */
     gboolean caught_up;
     gint64 swept_ms;
     GPtrArray *batch;    /* Entry_t that wait for the next append */
@@ -112,6 +117,21 @@
 
 /* Reading: */
 
+/* What a log has lost as it came back older was claimed before the first
+ * record of its epoch. */
+static void
+note_cover(ClaimShard_t *this, const Wt__ClaimRecord *record)
+{
+    gboolean marks = this->unmarked && record->epoch == this->epoch;
+    if (marks || (this->truncated && !this->unmarked)) {
+        this->covered_from_ms = record->appended_ms;
+    }
+    if (marks) {
+        this->unmarked = FALSE;
+    }
+    this->truncated = FALSE;
+}
+
 static void
 fold_record(ClaimShard_t *this, GBytes *bytes)
 {
@@ -122,10 +142,7 @@
     if (!record) {
         return;
     }
-    if (this->truncated) {
-        this->truncated = FALSE;
-        this->covered_from_ms = record->appended_ms;
-    }
+    note_cover(this, record);
     ClaimIndex_fold(this->index, record);
     wt__claim_record__free_unpacked(record, NULL);
 }
@@ -151,6 +168,44 @@
     this->covered_from_ms = G_MAXINT64;
 }
 
+static void
+end_undecided(ClaimShard_t *this, GPtrArray *list)
+{
+    while (list->len > 0) {
+        Entry_t *entry = g_ptr_array_remove_index_fast(list, list->len - 1);
+        end_entry(this, entry, WT__CLAIM_VERDICT__UNDECIDED);
+    }
+}
+
+/* Claims that are known still stand: to fold their records again changes
+ * nothing. Of those that nobody here knows none is granted, as its key is
+ * older than the epoch; what waits for its record is asked again. */
+static void
+begin_epoch(ClaimShard_t *this, guint64 epoch)
+{
+    this->returned = this->epoch_known;
+    this->epoch = epoch;
+    this->epoch_known = TRUE;
+    this->fold_offset = 0;
+    this->caught_up = FALSE;
+    this->truncated = FALSE;
+    this->unmarked = epoch > 0;
+    this->covered_from_ms = epoch > 0 ? G_MAXINT64 : 0;
+    end_undecided(this, this->landed);
+}
+
+/* Return: whether an answer is of use that was asked for before */
+static gboolean
+take_epoch(ClaimShard_t *this, guint64 epoch)
+{
+    gboolean is_first = !this->epoch_known;
+    if (is_first || epoch != this->epoch) {
+        begin_epoch(this, epoch);
+        return is_first;
+    }
+    return TRUE;
+}
+
 static void
 take_records(ClaimShard_t *this, const LogRecords_t *records)
 {
@@ -168,6 +223,10 @@
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
     ClaimShard_t *this = data;
+    if (records && !take_epoch(this, records->epoch)) {
+        read_next(this);
+        return;
+    }
     if (records && error) {
         begin_anew(this, records->start);
         read_next(this);
@@ -218,21 +277,32 @@
     record.n_entries = count;
     record.entries = list;
     record.appended_ms = Clock_wallMs();
+    record.epoch = this->epoch;
     gsize size = wt__claim_record__get_packed_size(&record);
     guint8 *bytes = g_malloc(size + 1);
     wt__claim_record__pack(&record, bytes);
     return g_bytes_new_take(bytes, size);
 }
 
+/* Whether an offset that was answered just now can be compared with the
+ * fold's. */
+static gboolean
+is_of_epoch(const ClaimShard_t *this)
+{
+    return StoreEpoch_newest(this->store_epoch) == this->epoch;
+}
+
 /* One whose answer was lost is left to its asker, who asks again with the
  * same attempt: a claim that was appended twice is one claim. */
 static void
 on_appended(guint64 offset, const GError *error, void *data)
 {
     ClaimShard_t *this = data;
+    gboolean is_known = !error && is_of_epoch(this);
+    this->returned = !is_known && this->unmarked;
     for (guint i = 0; i < this->flying->len; i++) {
         Entry_t *entry = g_ptr_array_index(this->flying, i);
-        if (error) {
+        if (!is_known) {
             end_entry(this, entry, WT__CLAIM_VERDICT__UNDECIDED);
             continue;
         }
@@ -245,12 +315,21 @@
     append_batch(this);
 }
 
+/* A router that saw the return says when it was, so that keys are no longer
+ * refused for it than they must be. */
+static gboolean
+is_to_mark(const ClaimShard_t *this)
+{
+    return this->unmarked && this->returned;
+}
+
 /* Nothing is appended before all that was there has been read, so that what
  * is known to be denied costs no append. */
 static void
 append_batch(ClaimShard_t *this)
 {
-    if (this->flying->len > 0 || this->batch->len == 0 || !this->caught_up) {
+    if (this->flying->len > 0 || !this->caught_up ||
+        (this->batch->len == 0 && !is_to_mark(this))) {
         return;
     }
     gint64 wait = this->appended_ms + APPEND_INTERVAL_MS - Clock_nowMs();
@@ -264,6 +343,7 @@
         g_ptr_array_add(this->flying, g_ptr_array_index(this->batch, i));
     }
     g_ptr_array_remove_range(this->batch, 0, count);
+    this->returned = FALSE;
     GBytes *record = pack_batch(this);
     LogClient_append(this->log, this->stream, record, on_appended, this);
     g_bytes_unref(record);
@@ -322,12 +402,14 @@
 }
 
 ClaimShard_t *
-ClaimShard_create(struct event_base *base, LogClient_t *log, guint number,
-                  gint64 poll_ms, gint64 keep_ms)
+ClaimShard_create(struct event_base *base, LogClient_t *log,
+                  const StoreEpoch_t *epoch, guint number, gint64 poll_ms,
+                  gint64 keep_ms)
 {
     ClaimShard_t *this = g_new0(ClaimShard_t, 1);
     this->base = base;
     this->log = log;
+    this->store_epoch = epoch;
     g_snprintf(this->stream, sizeof(this->stream), "claims-%u", number);
     this->index = ClaimIndex_create();
     this->poll_ms = poll_ms;
--- a/src/ClaimShard.h
+++ b/src/ClaimShard.h
@@ -11,6 +11,7 @@
 
 #include "ClaimIndex.h"
 #include "LogClient.h"
+#include "StoreEpoch.h"
 
 /**
  * ClaimShardDone_t - called once for each entry
@@ -25,12 +26,14 @@
 
 /**
  * ClaimShard_create() - start to follow
+ * @epoch: of the log
  * @number: of the shard
  * @poll_ms: how long the log may hold a read
  * @keep_ms: how long claims are remembered
  */
 ClaimShard_t *ClaimShard_create(struct event_base *base, LogClient_t *log,
-                                guint number, gint64 poll_ms, gint64 keep_ms);
+                                const StoreEpoch_t *epoch, guint number,
+                                gint64 poll_ms, gint64 keep_ms);
 
 /** ClaimShard_destroy() - free it; the log client must be freed first */
 void ClaimShard_destroy(ClaimShard_t *this);
--- a/src/Claims.c
+++ b/src/Claims.c
@@ -64,8 +64,8 @@
     const PlatformSection_t *platform = &this->spec.settings->platform;
     if (!this->shards[shard]) {
         this->shards[shard] = ClaimShard_create(
-            this->base, this->spec.log, shard, platform->log_poll_ms,
-            2 * platform->claim_horizon_ms);
+            this->base, this->spec.log, this->spec.epoch, shard,
+            platform->log_poll_ms, 2 * platform->claim_horizon_ms);
     }
     return this->shards[shard];
 }
--- a/src/Claims.h
+++ b/src/Claims.h
@@ -13,6 +13,7 @@
 #include "Counters.h"
 #include "LogClient.h"
 #include "Membership.h"
+#include "StoreEpoch.h"
 
 /** Streams over which claims are spread */
 #define CLAIM_SHARDS 16
@@ -33,6 +34,7 @@
 typedef struct {
     const Settings_t *settings;
     LogClient_t *log;
+    const StoreEpoch_t *epoch; /* of the log */
     Membership_t *membership;
     Counters_t *counters;
 } ClaimsSpec_t;
--- a/src/ConfigLog.c
+++ b/src/ConfigLog.c
@@ -14,6 +14,8 @@
     GPtrArray *waiting; /* Command_t, not yet folded */
     gboolean reachable;
     gboolean went_back;
+    guint64 epoch; /* of the log in which the records were folded */
+    gboolean epoch_known;
     gboolean reading;
     gboolean read_open;
     GPtrArray *expired;    /* records read while a snapshot is looked for */
@@ -95,10 +97,25 @@
     Log_end();
 }
 
+/* A log of a later epoch has lost records that are in force, also where its
+ * head has grown past them since: to fold its records would make of each
+ * router something else. */
+static gboolean
+is_later_epoch(ConfigLog_t *this, guint64 epoch)
+{
+    if (!this->epoch_known) {
+        this->epoch_known = TRUE;
+        this->epoch = epoch;
+    }
+    return epoch != this->epoch && ConfigStore_foldOffset(this->store) > 0;
+}
+
 static void
-note_went_back(ConfigLog_t *this, guint64 head)
+note_went_back(ConfigLog_t *this, const LogRecords_t *records)
 {
-    gboolean back = head < ConfigStore_foldOffset(this->store);
+    guint64 head = records->head;
+    gboolean back = head < ConfigStore_foldOffset(this->store) ||
+                    is_later_epoch(this, records->epoch);
     if (back && !this->went_back) {
         Log_begin(LOG_LEVEL_ERROR, "log_went_back");
         Log_number("head", (gint64)head);
@@ -226,7 +243,7 @@
         return;
     }
     note_reachable(this, TRUE, "answered");
-    note_went_back(this, records->head);
+    note_went_back(this, records);
     if (this->went_back) {
         read_later(this);
         return;
--- a/src/NativeParts.c
+++ b/src/NativeParts.c
@@ -128,6 +128,7 @@
     ClaimsSpec_t claims = {
         .settings = this->context->settings,
         .log = this->log,
+        .epoch = this->epoch,
         .membership = this->context->membership,
         .counters = this->context->counters,
     };
--- a/src/claims.pb-c.c
+++ b/src/claims.pb-c.c
@@ -161,7 +161,7 @@
   (ProtobufCMessageInit) wt__claim_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__claim_record__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wt__claim_record__field_descriptors[3] =
 {
   {
     "entries",
@@ -187,15 +187,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ClaimRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__claim_record__field_indices_by_name[] = {
   1,   /* field[1] = appended_ms */
   0,   /* field[0] = entries */
+  2,   /* field[2] = epoch */
 };
 static const ProtobufCIntRange wt__claim_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wt__claim_record__descriptor =
 {
@@ -205,7 +218,7 @@
   "Wt__ClaimRecord",
   "wt",
   sizeof(Wt__ClaimRecord),
-  2,
+  3,
   wt__claim_record__field_descriptors,
   wt__claim_record__field_indices_by_name,
   1,  wt__claim_record__number_ranges,
--- a/src/claims.pb-c.h
+++ b/src/claims.pb-c.h
@@ -66,10 +66,14 @@
    * Wall-clock time of the append in milliseconds, by the appender's clock.
    */
   int64_t appended_ms;
+  /*
+   * Of the log as its appender knew it.
+   */
+  uint64_t epoch;
 };
 #define WT__CLAIM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__claim_record__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 /* Wt__ClaimEntry methods */
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -412,7 +412,7 @@
    */
   uint64_t epoch;
   /*
-   * Of the configuration in force at the asker.
+   * Of the newest configuration that the asker knows; 0 for none.
    */
   uint64_t version;
 };
--- a/standins/LogStandin.c
+++ b/standins/LogStandin.c
@@ -2,8 +2,8 @@
  * DOC: LogStandin
  *
  * The append-only log: streams with offsets, a rate limit on appends,
- * retention by count, outages, slow answers, and answers that are lost after
- * or before the append took effect.
+ * retention by count, outages, slow answers, answers that are lost after or
+ * before the append took effect, and returns from an older copy.
  */
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -16,11 +16,13 @@
 #include "standins.h"
 
 #define READ_MAX 512
+#define EPOCH_HEADER "Log-Epoch"
 #define MS_PER_SECOND 1000
 
 typedef struct {
     GPtrArray *records; /* GBytes */
     guint64 start;
+    guint64 copied; /* offset up to which the copy goes */
     GQueue waiting; /* Read_t */
 } Stream_t;
 
@@ -42,6 +44,7 @@
 static gint64 down, hang, slow_ms, lose_answers, land_late, late_ms = 1000;
 static gint64 retention, rate, port;
 static gint64 rate_window_ms, rate_used;
+static gint64 copy, come_back, epoch;
 
 static const Knob_t knobs[] = {
     {"port", &port},
@@ -51,6 +54,8 @@
     {"lose_answers", &lose_answers}, /* next so many: append, no answer */
     {"land_late", &land_late}, /* next so many: no answer, append later */
     {"late_ms", &late_ms},
+    {"copy", &copy},           /* take one now */
+    {"come_back", &come_back}, /* from the copy, in the next epoch */
     {"retention", &retention}, /* records kept of each stream, 0 for all */
     {"rate", &rate},           /* appends a second, 0 for no limit */
     {"appends", &appends},
@@ -244,6 +249,14 @@
     Server_after(&server, wait_ms, on_wait_over, read);
 }
 
+static void
+tell_epoch(struct evhttp_request *request)
+{
+    g_autofree char *text = g_strdup_printf("%" G_GINT64_FORMAT, epoch);
+    evhttp_add_header(evhttp_request_get_output_headers(request), EPOCH_HEADER,
+                      text);
+}
+
 static void
 handle_stream(struct evhttp_request *request)
 {
@@ -253,6 +266,7 @@
         Server_refuse(request, HTTP_NOTFOUND, "unknown_path", "not_run", 0);
         return;
     }
+    tell_epoch(request);
     if (down) {
         Server_refuse(request, HTTP_SERVUNAVAIL, "outage", "not_run", 0);
         return;
@@ -269,6 +283,46 @@
     }
 }
 
+static void
+drop_waiting(Stream_t *stream)
+{
+    Read_t *read = NULL;
+    while ((read = g_queue_pop_head(&stream->waiting))) {
+        Server_drop(read->request);
+        read->request = NULL;
+        unref_read(read);
+    }
+}
+
+static void
+return_stream(Stream_t *stream)
+{
+    guint64 kept = MAX(stream->copied, stream->start) - stream->start;
+    g_ptr_array_set_size(stream->records,
+                         (gint)MIN(kept, stream->records->len));
+    drop_waiting(stream);
+}
+
+/* The knobs are acts, each done once. */
+static void
+tend_copy(void)
+{
+    GHashTableIter iter;
+    gpointer stream = NULL;
+    g_hash_table_iter_init(&iter, streams);
+    while (g_hash_table_iter_next(&iter, NULL, &stream)) {
+        if (come_back) {
+            return_stream(stream);
+        }
+        if (copy) {
+            ((Stream_t *)stream)->copied = head_of(stream);
+        }
+    }
+    epoch += come_back ? 1 : 0;
+    come_back = 0;
+    copy = 0;
+}
+
 static void
 handle_slowly(void *data)
 {
@@ -281,6 +335,7 @@
     (void)data;
     if (strcmp(Server_path(request), "/control") == 0) {
         json_decref(Server_control(request, knobs, G_N_ELEMENTS(knobs)));
+        tend_copy();
     }
     else if (slow_ms > 0) {
         Server_after(&server, slow_ms, handle_slowly, request);
--- a/tests/sessions/test_claims.py
+++ b/tests/sessions/test_claims.py
@@ -6,6 +6,9 @@
 from faultproxy import FaultProxy
 
 RENEW = "/v1/services/ledger/renew"
+# Keys that seem to be made so much later are taken for younger than a return
+# that was a second ago or more: callers' clocks may be off by half a minute.
+LATER_S = 29
 
 
 class ClaimTest(unittest.TestCase):
@@ -180,5 +183,55 @@
         self.assertEqual(refused.error()["run"], "not_run")
 
 
+class ReturnTest(ClaimTest):
+    """The log comes back from an older copy: claims are lost."""
+
+    def come_back_older(self):
+        self.cluster.log.control(come_back=1)
+
+    def start_and_copy(self, *names):
+        routers = self.start(*names)
+        self.assertEqual(self.renew(routers[0], uuid7()).status, 200)
+        self.cluster.log.control(copy=1)
+        return routers
+
+    def test_a_claim_that_is_known_to_a_router_bars_its_key(self):
+        one, two = self.start_and_copy("r1", "r2")
+        keys = [uuid7() for _ in range(24)]
+        for key in keys:
+            self.assertEqual(self.renew(one, key).status, 200)
+        self.come_back_older()
+        for key in keys:
+            for router in (one, two):
+                self.assertEqual(self.renew(router, key).status // 100, 4)
+        self.assertEqual({self.runs()[key] for key in keys}, {1})
+
+    def test_a_claim_that_nobody_knows_is_refused_as_not_run(self):
+        """All routers were gone with the seconds that the log lost: the call
+        ran again."""
+        one, two = self.start_and_copy("r1", "r2")
+        keys = [uuid7() for _ in range(8)]
+        for key in keys:
+            self.assertEqual(self.renew(one, key).status, 200)
+        for router in (one, two):
+            router.kill()
+        self.come_back_older()
+        self.cluster.peers.clear()
+        again = self.cluster.router("r3")
+        self.cluster.apply([again])
+        for key in keys:
+            refused = self.renew(again, key)
+            self.assertEqual(refused.status // 100, 4)
+            self.assertEqual(refused.error()["run"], "not_run")
+        self.assertEqual({self.runs()[key] for key in keys}, {1})
+
+    def test_later_keys_are_let_in_again(self):
+        one, two = self.start_and_copy("r1", "r2")
+        self.come_back_older()
+        for router in (one, two):
+            wait_for(lambda: self.renew(router, uuid7(
+                age_seconds=-LATER_S)).status == 200, "let in")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/sessions/test_operators.py
+++ b/tests/sessions/test_operators.py
@@ -3,8 +3,8 @@
 import threading
 import unittest
 
-from cluster import (BASE_DECLARATIONS, Cluster, OPERATOR_KEY, StandIn,
-                     request, wait_for)
+from cluster import (BASE_DECLARATIONS, CONTINUE, Cluster, OPERATOR_KEY, STOP,
+                     StandIn, request, wait_for)
 from faultproxy import FaultProxy
 
 EXIT_OK, EXIT_INVALID, EXIT_USAGE, EXIT_UNREACHABLE = 0, 1, 2, 3
@@ -185,6 +185,25 @@
         self.assertIn("lost records", done.stderr)
         self.assertEqual(self.level(router), (17, 2))
 
+    def test_log_that_went_back_and_has_grown_past_it_reverts_nothing(self):
+        """The log came back without a change that was in force, and grew
+        again: its next record was folded as if it followed the lost one."""
+        log = self.cluster.log
+        router = self.cluster.start(log_poll="100ms")
+        log.control(copy=1)
+        for level in (17, 18):
+            self.cluster.apply([router], self.with_level(level))
+        router.signal(STOP)
+        log.control(come_back=1)
+        for _ in range(3):
+            request(log.port, "POST", "/streams/config/records", {"no": 1})
+        router.signal(CONTINUE)
+        router.wait_event("log_went_back")
+        self.assertEqual(self.level(router), (18, 3))
+        done = self.cluster.apply([router], self.with_level(19))
+        self.assertEqual(done.returncode, EXIT_INVALID)
+        self.assertEqual(self.level(router), (18, 3))
+
 
 if __name__ == "__main__":
     unittest.main()
