Routers that start read the records of held requests for each other

Change: who has read the list, or was told by one who has, tells those that are linked with it all that it knows and that this is complete; who hears so before its own turn (0.3 to 0.9 s after its start) does not ask the store.

--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -30,6 +30,7 @@
     GHashTable *open; /* set of requests */
     GQueue counted;   /* Counted_t, the oldest at the head */
     struct event *forget;
+    gboolean is_complete; /* what is kept on the store is known */
 };
 
 /* An upstream that this router took for ended. */
@@ -238,6 +239,29 @@
     }
 }
 
+static void
+introduce_all(CrashGuard_t *this)
+{
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    for (guint i = 0; i < members->len; i++) {
+        CrashGuard_introduce(this, g_ptr_array_index(members, i));
+    }
+}
+
+/* A start of hundreds of routers would be as many calls to the store: who has
+ * read it, or was told by one who has, tells its peers, which then need not.
+ */
+static void
+on_read_all(void *owner)
+{
+    CrashGuard_t *this = owner;
+    if (!this->is_complete) {
+        this->is_complete = TRUE;
+        CrashRecords_skip(this->records);
+        introduce_all(this);
+    }
+}
+
 /* One router removes the records of what all of them forget. */
 static void
 on_forget(evutil_socket_t fd, short what, void *data)
@@ -298,6 +322,7 @@
         .topic = spec->topic,
         .counters = spec->counters,
         .read = on_record,
+        .read_all = on_read_all,
         .owner = this,
     };
     this->spec = *spec;
@@ -464,12 +489,15 @@
 CrashGuard_take(CrashGuard_t *this, const Wt__CrashNews *message)
 {
     CrashNews_take(this->news, message);
+    if (message->complete) {
+        on_read_all(this);
+    }
 }
 
 void
 CrashGuard_introduce(CrashGuard_t *this, Member_t *member)
 {
-    CrashNews_introduce(this->news, member);
+    CrashNews_introduce(this->news, member, this->is_complete);
 }
 
 gboolean
--- a/src/CrashNews.c
+++ b/src/CrashNews.c
@@ -209,18 +209,29 @@
     }
 }
 
+static void
+tell_complete(const CrashNews_t *this, Member_t *member)
+{
+    Wt__CrashNews news = WT__CRASH_NEWS__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    news.complete = TRUE;
+    message.body_case = WT__PEER_MESSAGE__BODY_CRASH_NEWS;
+    message.crash_news = &news;
+    Membership_send(this->membership, member, &message);
+}
+
 void
-CrashNews_introduce(CrashNews_t *this, Member_t *member)
+CrashNews_introduce(CrashNews_t *this, Member_t *member, gboolean is_complete)
 {
-    if (CrashTable_size(this->table) == 0) {
-        return;
-    }
     g_autofree Batch_t *batch = g_new0(Batch_t, 1);
     Introduction_t introduction = {this, member, batch};
     CrashTable_forEach(this->table, introduce_entry, &introduction);
     if (batch->count > 0) {
         send_batch(&introduction);
     }
+    if (is_complete) {
+        tell_complete(this, member);
+    }
 }
 
 static void
--- a/src/CrashNews.h
+++ b/src/CrashNews.h
@@ -45,8 +45,12 @@
 /** CrashNews_tellAlive() - an upstream has not ended after all */
 void CrashNews_tellAlive(CrashNews_t *this, guint64 crash);
 
-/** CrashNews_introduce() - tell a router that was linked just now all */
-void CrashNews_introduce(CrashNews_t *this, Member_t *member);
+/**
+ * CrashNews_introduce() - tell a router that was linked just now all
+ * @is_complete: this router knows what is kept on the store
+ */
+void CrashNews_introduce(CrashNews_t *this, Member_t *member,
+                         gboolean is_complete);
 
 /** CrashNews_take() - a peer's message */
 void CrashNews_take(CrashNews_t *this, const Wt__CrashNews *message);
--- a/src/CrashRecords.c
+++ b/src/CrashRecords.c
@@ -101,6 +101,13 @@
     Log_begin(LOG_LEVEL_INFO, "crash_records_read");
     Log_number("records", this->found);
     Log_end();
+    this->spec.read_all(this->spec.owner);
+}
+
+void
+CrashRecords_skip(CrashRecords_t *this)
+{
+    evtimer_del(this->read_later);
 }
 
 static void
--- a/src/CrashRecords.h
+++ b/src/CrashRecords.h
@@ -23,6 +23,7 @@
  * @topic: that they stand in
  * @counters: for calls to the store; NULL for none, as in module tests
  * @read: called for each record that is there at the start
+ * @read_all: called once, when all were read
  * @owner: for @read
  */
 typedef struct {
@@ -30,6 +31,7 @@
     const char *topic;
     Counters_t *counters;
     void (*read)(void *owner, const Wt__CrashRecord *record);
+    void (*read_all)(void *owner);
     void *owner;
 } CrashRecordsSpec_t;
 
@@ -40,6 +42,10 @@
 CrashRecords_t *CrashRecords_create(struct event_base *base,
                                     const CrashRecordsSpec_t *spec);
 
+/** CrashRecords_skip() - what is there was told by a peer: where it was not
+ * asked for yet, it need not be */
+void CrashRecords_skip(CrashRecords_t *this);
+
 /** CrashRecords_destroy() - free it; what was not written is lost */
 void CrashRecords_destroy(CrashRecords_t *this);
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -3091,7 +3091,7 @@
   (ProtobufCMessageInit) wt__crash_fact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__crash_news__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wt__crash_news__field_descriptors[3] =
 {
   {
     "facts",
@@ -3117,15 +3117,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "complete",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__CrashNews, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__crash_news__field_indices_by_name[] = {
   1,   /* field[1] = alive */
+  2,   /* field[2] = complete */
   0,   /* field[0] = facts */
 };
 static const ProtobufCIntRange wt__crash_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wt__crash_news__descriptor =
 {
@@ -3135,7 +3148,7 @@
   "Wt__CrashNews",
   "wt",
   sizeof(Wt__CrashNews),
-  2,
+  3,
   wt__crash_news__field_descriptors,
   wt__crash_news__field_indices_by_name,
   1,  wt__crash_news__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -607,10 +607,14 @@
    */
   size_t n_alive;
   uint64_t *alive;
+  /*
+   * The sender knows all that was kept on the store, and has told it.
+   */
+  protobuf_c_boolean complete;
 };
 #define WT__CRASH_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__crash_news__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/tests/test_CrashNews.c
+++ b/tests/test_CrashNews.c
@@ -142,7 +142,7 @@
         CrashTable_add(table, &fact, Clock_nowMs());
     }
     const GPtrArray *members = Membership_members(routers.list[0].membership);
-    CrashNews_introduce(news, g_ptr_array_index(members, 0));
+    CrashNews_introduce(news, g_ptr_array_index(members, 0), FALSE);
     FakeRouters_run(&routers, TURNS_MS);
     ck_assert_uint_eq(told(1) + told(2), 1);
     ck_assert_uint_eq(newest(told(1) > 0 ? 1 : 2)->n_facts, 5);
--- a/tests/test_CrashRecords.c
+++ b/tests/test_CrashRecords.c
@@ -13,6 +13,7 @@
 static struct event_base *base;
 static FakeSource_t source;
 static CrashRecords_t *records;
+static guint read_all;   /* times that all was read */
 static GPtrArray *found; /* text of the digests that were read */
 
 static void
@@ -26,14 +27,23 @@
     g_ptr_array_add(found, text);
 }
 
+static void
+on_read_all(void *owner)
+{
+    (void)owner;
+    read_all++;
+}
+
 static void
 begin(void)
 {
     base = event_base_new();
     found = g_ptr_array_new_with_free_func(g_free);
     FakeSource_init(&source, base);
-    CrashRecordsSpec_t spec = {
-        .source = &source.super, .topic = "crashes", .read = on_read};
+    CrashRecordsSpec_t spec = {.source = &source.super,
+                               .topic = "crashes",
+                               .read = on_read,
+                               .read_all = on_read_all};
     records = CrashRecords_create(base, &spec);
 }
 
@@ -129,7 +139,37 @@
 }
 END_TEST
 
+START_TEST(what_a_peer_has_told_is_not_read)
+{
+    begin();
+    CrashRecords_skip(records);
+    event_base_dispatch(base);
+    ck_assert_ptr_null(source.done);
+    CrashEntry_t entry = entry_of(5);
+    CrashRecords_keep(records, &entry);
+    ck_assert_ptr_nonnull(source.put_done);
+    FakeSource_answerPut(&source, 0);
+    end();
+}
+END_TEST
+
+START_TEST(the_end_of_the_list_is_told_once)
+{
+    read_all = 0;
+    begin();
+    KeyedPage_t page = FakePage_make(9, TRUE);
+    FakePage_add(&page, "a", "x", 0);
+    FakeSource_answer(&source, &page);
+    ck_assert_uint_eq(read_all, 0);
+    answer_nothing();
+    ck_assert_uint_eq(read_all, 1);
+    end();
+}
+END_TEST
+
 TESTING_MAIN("CrashRecords", what_was_written_is_read_again,
              a_list_of_several_pages_is_read_to_its_end,
              a_store_that_fails_is_asked_again,
-             the_newest_of_a_request_is_written_last)
+             the_newest_of_a_request_is_written_last,
+             what_a_peer_has_told_is_not_read,
+             the_end_of_the_list_is_told_once)
