The soak of relayed requests brings back an older store

The store comes back from a copy up to 8 s old, also twice within a second and beside all other faults; what the operator and upstreams wrote is written again up to 1.5 s later. The checker knows fencing numbers: none of two routers, none lower after a higher one; it knew revoked keys and repeated runs before.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -118,13 +118,28 @@
 
     def come_back_older(self, copy):
         """What was written after the copy is gone, and its offsets are given
-        out again; held reads end as at any outage."""
+        out again; held reads end as at any outage. Returns what was lost."""
+        lost = {}
         with self.lock:
             for name, all_records in self.topics.items():
+                lost[name] = all_records[copy.get(name, 0):]
                 del all_records[copy.get(name, 0):]
             self.epoch += 1
             self.down = False
             self.lock.notify_all()
+        return lost
+
+    def write_again(self, topic, lost, copy):
+        """The newest lost record of each key, as its writer would, unless it
+        has written a newer one since."""
+        with self.lock:
+            since = self.topics[topic][copy.get(topic, 0):]
+            written = {record[1:1 + record[0]] for record in since}
+            newest = {record[1:1 + record[0]]: record for record in lost}
+            self.topics[topic].extend(
+                record for key, record in newest.items()
+                if key not in written)
+            self.lock.notify_all()
 
     def answer(self, call, status, body=b"", epoch=None):
         call.reply(status, body,
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -46,6 +46,11 @@
 # Routers hear of its third crash within so long; later it may be sent so often.
 DEADLY_KNOWN_S = 3.0
 DEADLY_LATE = 3
+# The store may lose so much as it comes back from a copy; its writers write
+# what was lost again so much later. Copies are taken so often.
+LOST_S = 8.0
+AGAIN_S = 1.5
+COPY_S = 0.5
 GONE = (OSError, http.client.HTTPException)
 
 
@@ -87,6 +92,7 @@
         for i in range(ROUTERS):
             self.routers.append(self.start_router(i))
         self.weights = 1
+        self.copies = [(time.monotonic(), self.fleet.store.copy())]
 
     def start_router(self, index):
         others = [r.peer_address for i, r in enumerate(self.routers)
@@ -173,7 +179,8 @@
         kind = self.rng.choice(["shed", "cut_stream", "cut_call", "slow",
                                 "store", "kill", "term", "freeze", "hup",
                                 "leave", "weights", "config", "revoke",
-                                "lapse", "silence", "deadly", "suspend"])
+                                "lapse", "silence", "deadly", "suspend",
+                                "older", "older twice"])
         self.count("fault " + kind)
         self.cutting += kind in CUTTING
         self.bring_about(kind)
@@ -218,6 +225,10 @@
             self.clocks[index].suspend(rng.randint(1, 5))
         elif kind == "deadly":
             self.send_deadly()
+        elif kind.startswith("older"):
+            self.come_back_older(rng, hold)
+            if kind == "older twice":
+                self.come_back_older(rng, hold / 4)
         elif kind == "lapse":
             self.fleet.store.down = True
             time.sleep(hold)
@@ -230,7 +241,7 @@
         rng = random.Random(self.rng.random())
         while not self.over:
             time.sleep(rng.uniform(0.2, 1.0))
-            kind = rng.choice(["hup", "weights", "config"])
+            kind = rng.choice(["hup", "weights", "config", "older"])
             self.count("beside " + kind)
             if kind == "hup":
                 router = rng.choice(self.routers)
@@ -238,9 +249,38 @@
                     router.signal(signal.SIGHUP)
             elif kind == "weights":
                 self.name_weights()
+            elif kind == "older":
+                self.come_back_older(rng, rng.uniform(0, 0.5))
             else:
                 self.configure()
 
+    def take_copies(self):
+        """As the platform does, whatever else happens."""
+        while not self.over:
+            with self.changes:
+                self.copies.append((time.monotonic(),
+                                    self.fleet.store.copy()))
+                del self.copies[:-int(LOST_S / COPY_S)]
+            time.sleep(COPY_S)
+
+    def come_back_older(self, rng, away):
+        """The store is away and back from a copy; what the operator and the
+        upstreams wrote since is written again, what routers wrote is not."""
+        store = self.fleet.store
+        with self.changes:
+            copy = rng.choice(self.copies)[1]
+            self.copies = [(at, old) for at, old in self.copies
+                           if all(old.get(name, 0) <= length
+                                  for name, length in copy.items())]
+            store.down = away > 0
+            time.sleep(away)
+            lost = store.come_back_older(copy)
+            if rng.random() < 0.7:
+                time.sleep(rng.uniform(0, AGAIN_S))
+            for topic in ("keyed.op", "keyed.servers"):
+                store.write_again(topic, lost.get(topic, []), copy)
+            self.copies.append((time.monotonic(), store.copy()))
+
     def name_weights(self):
         with self.changes:
             self.weights += 1
@@ -349,6 +389,22 @@
             if once and len(list_) > 1:
                 self.violate("%s ran %d times" % (name, len(list_)))
 
+    def check_orders(self):
+        """No fencing number of two routers, none lower after a higher one."""
+        holders = {}
+        for engine in self.engines:
+            last = 0
+            for order in engine.orders:
+                number, holder = order["fence"], order["holder"]
+                if holders.setdefault(number, holder) != holder:
+                    self.violate("number %d of %s and %s" % (
+                        number, holders[number], holder))
+                if number < last:
+                    self.violate("%s got number %d after %d" % (
+                        engine.name, number, last))
+                last = number
+        self.count("fencing numbers: %d" % len(holders))
+
     def read_logs(self):
         """Counts what moved, and prints what the violations were about."""
         requests = {request for text, request in self.violations}
@@ -364,6 +420,7 @@
         threads = [threading.Thread(target=self.call, args=(i + 1,))
                    for i in range(CALLERS)]
         threads.append(threading.Thread(target=self.change))
+        threads.append(threading.Thread(target=self.take_copies))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
@@ -374,6 +431,7 @@
             thread.join()
         self.check_upstreams()
         self.check_deadly()
+        self.check_orders()
         self.read_logs()
         self.fleet.close()
         for what in sorted(self.counts):
