--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "Clock.h"
+#include "CountedCrashes.h"
 #include "CrashEvidence.h"
 #include "CrashNews.h"
 #include "CrashRecords.h"
@@ -16,10 +17,6 @@
 #define OPEN_WAIT_MS 1000
 /* How often old entries are looked for. */
 #define FORGET_EVERY_MS 60000
-/* Crashes that this router has counted and that may yet turn out to be none.
- */
-#define COUNTED_MAX 256
-
 struct CrashGuard {
     CrashGuardSpec_t spec;
     CrashTable_t *table;
@@ -28,17 +25,11 @@
     CrashRecords_t *records;
     WholeAnswers_t *whole;
     GHashTable *open; /* set of requests */
-    GQueue counted;   /* Counted_t, the oldest at the head */
+    CountedCrashes_t *counted;
     struct event *forget;
     gboolean is_complete; /* what is kept on the store is known */
 };
 
-/* An upstream that this router took for ended. */
-typedef struct {
-    guint64 crash;
-    gint64 at_ms;
-} Counted_t;
-
 static guint64
 crash_of(const Upstream_t *upstream, guint64 incarnation)
 {
@@ -152,23 +143,6 @@
     }
 }
 
-static void
-note_counted(CrashGuard_t *this, guint64 crash, gint64 at_ms)
-{
-    for (const GList *link = this->counted.head; link; link = link->next) {
-        if (((Counted_t *)link->data)->crash == crash) {
-            return;
-        }
-    }
-    Counted_t *counted = g_new0(Counted_t, 1);
-    counted->crash = crash;
-    counted->at_ms = at_ms;
-    g_queue_push_tail(&this->counted, counted);
-    if (g_queue_get_length(&this->counted) > COUNTED_MAX) {
-        g_free(g_queue_pop_head(&this->counted));
-    }
-}
-
 static void
 log_counted(const CrashLoss_t *loss, const CrashEntry_t *entry,
             const char *proof)
@@ -201,7 +175,7 @@
         return;
     }
     entry->is_own = TRUE;
-    note_counted(this, fact.crash, fact.at_ms);
+    CountedCrashes_add(this->counted, fact.crash, fact.at_ms);
     log_counted(loss, entry, proof);
     if (change == CRASH_KNOWN) {
         return;
@@ -334,7 +308,7 @@
     this->records = CrashRecords_create(base, &records);
     this->whole = WholeAnswers_create();
     this->open = g_hash_table_new(g_direct_hash, g_direct_equal);
-    g_queue_init(&this->counted);
+    this->counted = CountedCrashes_create();
     this->forget = Clock_timer(base, on_forget, this);
     StoreEpoch_listen(spec->epoch, on_store_back, this);
     Clock_arm(this->forget, FORGET_EVERY_MS);
@@ -346,7 +320,7 @@
 {
     StoreEpoch_leave(this->spec.epoch, this);
     event_free(this->forget);
-    g_queue_clear_full(&this->counted, g_free);
+    CountedCrashes_destroy(this->counted);
     g_hash_table_destroy(this->open);
     WholeAnswers_destroy(this->whole);
     CrashRecords_destroy(this->records);
@@ -452,21 +426,15 @@
                    gint64 sent_ms)
 {
     guint64 crash = crash_of(upstream, upstream->incarnation);
-    for (GList *link = this->counted.head; link; link = link->next) {
-        Counted_t *counted = link->data;
-        if (counted->crash != crash || sent_ms <= counted->at_ms) {
-            continue;
-        }
-        g_queue_delete_link(&this->counted, link);
-        g_free(counted);
-        if (CrashTable_retract(this->table, crash)) {
-            CrashNews_tellAlive(this->news, crash);
-            Log_begin(LOG_LEVEL_INFO, "crash_retracted");
-            Log_text("upstream", upstream->name->str);
-            Log_end();
-        }
+    if (!CountedCrashes_remove(this->counted, crash, sent_ms)) {
         return;
     }
+    if (CrashTable_retract(this->table, crash)) {
+        CrashNews_tellAlive(this->news, crash);
+        Log_begin(LOG_LEVEL_INFO, "crash_retracted");
+        Log_text("upstream", upstream->name->str);
+        Log_end();
+    }
 }
 
 void
--- a/src/LogHttp.c
+++ b/src/LogHttp.c
@@ -61,7 +61,7 @@
     g_autoptr(GError) fault =
         answer ? fault_of(call->owner, answer) : g_error_copy(error);
     guint64 offset = 0;
-    if (!fault) {
+    if (answer && !fault) {
         json_t *body = Json_parse(answer->body, answer->length, &fault);
         offset = (guint64)Json_integer(body, "offset", 0);
         json_decref(body);
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -507,7 +507,8 @@
 StorePosition_t
 RecordFollower_position(const RecordFollower_t *this)
 {
-    return this->listing ? (StorePosition_t){0} : this->next;
+    StorePosition_t none = {0};
+    return this->listing ? none : this->next;
 }
 
 gboolean
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -57,31 +57,6 @@
     gboolean feeding;   /* what is told now comes from a peer */
 };
 
-static void
-free_string(gpointer string)
-{
-    g_string_free(string, TRUE);
-}
-
-void
-ListedUpstream_init(ListedUpstream_t *this)
-{
-    *this = (ListedUpstream_t){0};
-    this->spec.hall = g_string_new(NULL);
-    this->spec.region = g_string_new(NULL);
-    this->spec.serves = g_ptr_array_new_with_free_func(free_string);
-    this->weights = g_string_new(NULL);
-}
-
-void
-ListedUpstream_clear(ListedUpstream_t *this)
-{
-    g_string_free(this->spec.hall, TRUE);
-    g_string_free(this->spec.region, TRUE);
-    g_ptr_array_unref(this->spec.serves);
-    g_string_free(this->weights, TRUE);
-}
-
 static void
 log_upstream(const char *event, const char *name, const char *reason)
 {
@@ -204,13 +179,6 @@
     return first;
 }
 
-/* Where an entry does not say which of its starts it is of, there is one. */
-static guint64
-incarnation_of(const ListedUpstream_t *entry)
-{
-    return MAX(entry->incarnation, 1);
-}
-
 /* What is known of an upstream that has started anew under its name is gone:
  * it holds nothing of before. */
 static void
@@ -218,7 +186,7 @@
                  const ListedUpstream_t *entry)
 {
     guint64 before = upstream->incarnation;
-    if (!Upstream_noteIncarnation(upstream, incarnation_of(entry),
+    if (!Upstream_noteIncarnation(upstream, ListedUpstream_incarnation(entry),
                                   Clock_nowMs())) {
         return;
     }
@@ -256,7 +224,7 @@
     if (is_new) {
         log_upstream("upstream_listed", name,
                      entry->leaving ? "leaving" : "live");
-        Upstream_noteIncarnation(upstream, incarnation_of(entry),
+        Upstream_noteIncarnation(upstream, ListedUpstream_incarnation(entry),
                                  Clock_nowMs());
         upstream->weights_rise = TRUE;
         upstream->prefill_us_per_token = speed;
@@ -270,20 +238,6 @@
     }
 }
 
-static guint64
-hash_place(const ListedUpstream_t *entry)
-{
-    g_autoptr(GString) text = g_string_new(NULL);
-    g_string_printf(text, "%s:%u %s %d %" G_GUINT64_FORMAT,
-                    entry->spec.address.host, entry->spec.address.port,
-                    entry->spec.hall->str, entry->leaving, entry->incarnation);
-    for (guint i = 0; i < entry->spec.serves->len; i++) {
-        const GString *target = g_ptr_array_index(entry->spec.serves, i);
-        g_string_append_printf(text, " %s", target->str);
-    }
-    return XXH3_64bits(text->str, text->len);
-}
-
 /* Most entries are heartbeats that say the same again; with thousands of
  * upstreams it counts that they are not read. The same holds for one that
  * names no upstream, which would be logged each time. */
@@ -342,11 +296,12 @@
                ListedUpstream_t *entry)
 {
     const char *name = record->key->str;
-    Departed_t departed = RecordFollower_isListing(this->follower)
-                              ? DepartedUpstreams_find(this->departed, name,
-                                                       incarnation_of(entry),
-                                                       record->position.epoch)
-                              : DEPARTED_NOT;
+    Departed_t departed =
+        RecordFollower_isListing(this->follower)
+            ? DepartedUpstreams_find(this->departed, name,
+                                     ListedUpstream_incarnation(entry),
+                                     record->position.epoch)
+            : DEPARTED_NOT;
     if (departed == DEPARTED_NOT) {
         DepartedUpstreams_forget(this->departed, name);
         return TRUE;
@@ -366,7 +321,7 @@
     g_autoptr(GError) error = NULL;
     if (this->spec.decode(record->value, &entry, &error)) {
         if (check_departed(this, record, &entry)) {
-            relay_entry(this, record, hash, hash_place(&entry));
+            relay_entry(this, record, hash, ListedUpstream_hashPlace(&entry));
             take_entry(this, record->key->str, &entry);
         }
     }
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -10,36 +10,12 @@
  * of it; each reads for itself only where it is told nothing.
  */
 #include "HintFlood.h"
+#include "ListedUpstream.h"
 #include "Membership.h"
 #include "RecordSource.h"
 #include "StoreEpoch.h"
 #include "UpstreamSet.h"
 
-/**
- * struct ListedUpstream_t - one entry of the list
- * @spec: where it is and what it serves
- * @incarnation: grows with each of its starts; 0 where it does not say
- * @leaving: it takes no new work
- * @weights: version that it has; empty where it has none
- */
-typedef struct {
-    UpstreamSpec_t spec;
-    guint64 incarnation;
-    gboolean leaving;
-    GString *weights;
-} ListedUpstream_t;
-
-/**
- * ListedUpstreamDecode_t - read an entry
- * @value: as the list has it
- * @out: filled where it is good; cleared by ListedUpstream_clear()
- *
- * Return: FALSE where it names no upstream to use
- */
-typedef gboolean (*ListedUpstreamDecode_t)(GBytes *value,
-                                           ListedUpstream_t *out,
-                                           GError **error);
-
 /**
  * struct UpstreamListingSpec_t - what it needs; all must outlive it
  * @source: of the list
@@ -91,10 +67,4 @@
 /** UpstreamListing_isKnown() - whether the list was read at least once */
 gboolean UpstreamListing_isKnown(const UpstreamListing_t *this);
 
-/** ListedUpstream_init() - an empty entry that a decoder fills */
-void ListedUpstream_init(ListedUpstream_t *this);
-
-/** ListedUpstream_clear() - free what an entry holds */
-void ListedUpstream_clear(ListedUpstream_t *this);
-
 #endif
