--- a/src/ClaimShard.c
+++ b/src/ClaimShard.c
@@ -315,8 +315,8 @@
     append_batch(this);
 }
 
-/* A router that saw the return says when it was, so that keys are no longer
- * refused for it than they must be. */
+/* A router that saw the return says when it was, so that keys are refused for
+ * it only as long as they must be. */
 static gboolean
 is_to_mark(const ClaimShard_t *this)
 {
--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -22,7 +22,6 @@
     void *owner;
     struct event *tick;
     StorePosition_t end;
-    guint64 version;     /* of the configuration in force */
     gint64 at_ms;        /* 0 for never */
     gint64 told_ms;      /* the time that was told last */
     gint64 turned_ms;    /* when the last tick was */
@@ -36,7 +35,7 @@
     current.epoch = this->end.epoch;
     current.offset = this->end.offset;
     current.age_ms = PeerAge_of(this->at_ms);
-    current.version = this->version;
+    current.version = this->events->version(this->owner);
     return current;
 }
 
@@ -51,12 +50,6 @@
     this->told_ms = this->at_ms;
 }
 
-void
-FreshnessRelay_setVersion(FreshnessRelay_t *this, guint64 version)
-{
-    this->version = version;
-}
-
 void
 FreshnessRelay_introduce(const FreshnessRelay_t *this, Member_t *member)
 {
@@ -64,7 +57,7 @@
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     message.body_case = WT__PEER_MESSAGE__BODY_CONFIG_CURRENT;
     message.config_current = &current;
-    if (this->version > 0 && this->at_ms > 0) {
+    if (current.version > 0 && this->at_ms > 0) {
         Membership_send(this->membership, member, &message);
     }
 }
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -18,10 +18,12 @@
  *     router @from tells, which is valid during the call; TRUE where all
  *     records before it are known here, so that it may be passed on: who hears
  *     of it asks for them
+ * @version: of the configuration in force, which is told along; 0 for none
  */
 typedef struct {
     gboolean (*fresh)(void *owner, Member_t *from, StorePosition_t end,
                       gint64 at_ms);
+    guint64 (*version)(void *owner);
 } FreshnessRelayEvents_t;
 
 /** struct FreshnessRelay_t - opaque */
@@ -57,10 +59,6 @@
 void FreshnessRelay_take(FreshnessRelay_t *this, Member_t *from,
                          const Wt__ConfigCurrent *message);
 
-/** FreshnessRelay_setVersion() - of the configuration in force, which is told
- * along */
-void FreshnessRelay_setVersion(FreshnessRelay_t *this, guint64 version);
-
 /** FreshnessRelay_introduce() - tell a router that was linked just now */
 void FreshnessRelay_introduce(const FreshnessRelay_t *this, Member_t *member);
 
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -119,13 +119,6 @@
     }
 }
 
-static void
-tell_version(RouteSync_t *this)
-{
-    FreshnessRelay_setVersion(this->relay,
-                              RouteVersions_inForce(this->versions));
-}
-
 /* What is too long to be told to all is asked for by those that hear of it. */
 static void
 pass_on(RouteSync_t *this, StorePosition_t end, gint64 at_ms)
@@ -150,7 +143,6 @@
     FreshnessRelay_note(this->relay, end, at_ms);
     pass_on(this, end, at_ms);
     set_reads(this);
-    tell_version(this);
     if (RouteVersions_isBehind(this->versions)) {
         ask_any(this);
     }
@@ -252,7 +244,17 @@
     draw_turn(this);
 }
 
-static const FreshnessRelayEvents_t relay_events = {.fresh = on_fresh};
+static guint64
+version_in_force(void *owner)
+{
+    const RouteSync_t *this = owner;
+    return RouteVersions_inForce(this->versions);
+}
+
+static const FreshnessRelayEvents_t relay_events = {
+    .fresh = on_fresh,
+    .version = version_in_force,
+};
 
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
@@ -279,7 +281,6 @@
     (void)what;
     RouteSync_t *this = data;
     set_reads(this);
-    tell_version(this);
     if (is_long_behind(this)) {
         ask_store(this, ASK_BEHIND_MS, STORE_BEHIND);
     }
@@ -349,7 +350,6 @@
 {
     StorePosition_t known = RecordFollower_position(this->follower);
     RouteVersions_tell(this->versions, message->version);
-    tell_version(this);
     if (from && known.offset > 0 && RouteVersions_isBehind(this->versions)) {
         ask_peer(this, from, known);
     }
@@ -359,7 +359,6 @@
 void
 RouteSync_introduce(RouteSync_t *this, Member_t *member)
 {
-    tell_version(this);
     FreshnessRelay_introduce(this->relay, member);
 }
 
@@ -370,7 +369,6 @@
     for (guint i = 0; i < page.records->len; i++) {
         RouteVersions_take(this->versions, g_ptr_array_index(page.records, i));
     }
-    tell_version(this);
     g_ptr_array_unref(page.records);
 }
 
--- a/tests/FakeLogs.h
+++ b/tests/FakeLogs.h
@@ -25,7 +25,7 @@
  * as many are carried out late */
 void FakeLog_setFaults(FakeLog_t *this, guint percent);
 
-/** FakeLog_setAway() - all calls fail from now on, or no longer */
+/** FakeLog_setAway() - whether all calls fail */
 void FakeLog_setAway(FakeLog_t *this, gboolean away);
 
 /** FakeLog_length() - offset that the next record gets */
--- a/tests/sessions/test_store_returns.py
+++ b/tests/sessions/test_store_returns.py
@@ -226,6 +226,24 @@
 
 
 class OrderTest(ReturnTest):
+    def start(self):
+        engines = [self.fleet.engine("e%d" % n) for n in range(2)]
+        first = self.fleet.start()
+        other = self.fleet.router(name="r2",
+                                  peers={"seeds": first.peer_address})
+        wait_for(lambda: self.fleet.is_ready(other), "ready")
+        return engines, {"r1": first, "r2": other}
+
+    def come_back(self, copy, engines):
+        """Version 2 is written again; it and version 3 have outgrown their
+        former offsets."""
+        self.come_back_older(copy)
+        for engine in engines:
+            engine.list()
+        self.name_weights(2)
+        self.name_weights(3)
+        wait_for(lambda: all(e.version == 3 for e in engines), "loaded")
+
     def take_orders(self, engines):
         """The number and the holder of each order since the last call."""
         found = [(order["fence"], order["holder"])
@@ -241,28 +259,35 @@
         offset was given out again. Engines that obey the number took both,
         and could not have told an order of the first that came late from
         those of the second."""
-        engines = [self.fleet.engine("e%d" % n) for n in range(2)]
-        first = self.fleet.start()
-        other = self.fleet.router(name="r2",
-                                  peers={"seeds": first.peer_address})
-        wait_for(lambda: self.fleet.is_ready(other), "ready")
+        engines, routers = self.start()
         copy = self.store.copy()
         self.name_weights(2)
         wait_for(lambda: all(e.version == 2 for e in engines), "loaded")
         before = self.take_orders(engines)
-        holder = {"r1": first, "r2": other}[before[0][1]]
-        holder.kill()
-        self.come_back_older(copy)
-        for engine in engines:
-            engine.list()
-        self.name_weights(2)  # written again
-        self.name_weights(3)
-        wait_for(lambda: all(e.version == 3 for e in engines), "loaded")
+        routers[before[0][1]].kill()
+        self.come_back(copy, engines)
         after = self.take_orders(engines)
         told = "%s before, %s after" % (before, after)
         self.assertLess(max(number for number, _ in before),
                         min(number for number, _ in after), told)
 
+    def test_a_paused_holder_that_wakes_gives_no_orders_under_its_number(self):
+        engines, routers = self.start()
+        copy = self.store.copy()
+        self.name_weights(2)
+        wait_for(lambda: all(e.version == 2 for e in engines), "loaded")
+        before = self.take_orders(engines)
+        paused = before[0][1]
+        routers[paused].signal(STOP)
+        self.come_back(copy, engines)
+        routers[paused].signal(CONTINUE)
+        self.name_weights(4)
+        wait_for(lambda: all(e.version == 4 for e in engines), "loaded")
+        for engine in engines:
+            numbers = [order["fence"] for order in engine.orders]
+            self.assertEqual(numbers, sorted(numbers))
+            self.assertGreater(numbers[0], max(before)[0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_FreshnessRelay.c
+++ b/tests/test_FreshnessRelay.c
@@ -15,6 +15,8 @@
 #define STANDSTILL_MS 800
 /* For an age that is far from any other. */
 #define OLD_MS 10000
+/* Of the configuration in force. */
+#define VERSION 3
 
 static FakeRouters_t routers;
 static FreshnessRelay_t *relay;
@@ -34,7 +36,15 @@
     return is_known;
 }
 
-static const FreshnessRelayEvents_t events = {.fresh = on_fresh};
+static guint64
+version_in_force(void *owner)
+{
+    (void)owner;
+    return VERSION;
+}
+
+static const FreshnessRelayEvents_t events = {.fresh = on_fresh,
+                                              .version = version_in_force};
 
 static FreshnessRelay_t *
 create(guint which)
@@ -173,6 +183,24 @@
 }
 END_TEST
 
+START_TEST(a_router_that_is_linked_is_told_the_version_in_force)
+{
+    begin(2, MESH);
+    Member_t *member =
+        g_ptr_array_index(Membership_members(routers.list[0].membership), 0);
+    FreshnessRelay_introduce(relay, member);
+    FakeRouters_run(&routers, TICKS_MS);
+    ck_assert_uint_eq(told(1), 0);
+    note(7, Clock_nowMs());
+    FreshnessRelay_introduce(relay, member);
+    FakeRouters_await(&routers, second_was_told);
+    const Wt__PeerMessage *message =
+        FakeRouters_find(&routers, 1, WT__PEER_MESSAGE__BODY_CONFIG_CURRENT);
+    ck_assert_uint_eq(message->config_current->version, VERSION);
+    end();
+}
+END_TEST
+
 START_TEST(the_same_knowledge_is_told_once)
 {
     begin(2, NO_MESH);
@@ -243,6 +271,7 @@
              older_news_that_come_later_change_nothing,
              what_the_store_has_said_is_worth_more_than_older_news,
              an_answer_of_the_store_that_was_overtaken_is_not_told,
-             an_age_only_grows_on_the_way, the_same_knowledge_is_told_once,
-             who_knows_nothing_tells_nothing,
+             an_age_only_grows_on_the_way,
+             a_router_that_is_linked_is_told_the_version_in_force,
+             the_same_knowledge_is_told_once, who_knows_nothing_tells_nothing,
              three_routers_read_and_in_a_mesh_only_they_tell)
