A list of the native log does not mix two epochs

By reading: a list of keys that is read in several calls went on behind its last offset where the log came back older between two of them, and had keys of both. It begins anew.

--- a/src/ConfigLog.c
+++ b/src/ConfigLog.c
@@ -101,13 +101,19 @@
  * head has grown past them since: to fold its records would make of each
  * router something else. */
 static gboolean
-is_later_epoch(ConfigLog_t *this, guint64 epoch)
+is_later_epoch(const ConfigLog_t *this, guint64 epoch)
+{
+    return this->epoch_known && epoch != this->epoch &&
+           ConfigStore_foldOffset(this->store) > 0;
+}
+
+static void
+note_epoch(ConfigLog_t *this, guint64 epoch)
 {
     if (!this->epoch_known) {
         this->epoch_known = TRUE;
         this->epoch = epoch;
     }
-    return epoch != this->epoch && ConfigStore_foldOffset(this->store) > 0;
 }
 
 static void
@@ -243,6 +249,7 @@
         return;
     }
     note_reachable(this, TRUE, "answered");
+    note_epoch(this, records->epoch);
     note_went_back(this, records);
     if (this->went_back) {
         read_later(this);
--- a/src/KeyedLog.c
+++ b/src/KeyedLog.c
@@ -143,6 +143,15 @@
     end_call(call);
 }
 
+/* The log has come back older in the middle of the list. */
+static void
+list_anew(Call_t *call, guint64 epoch)
+{
+    g_hash_table_remove_all(call->newest);
+    call->from = (StorePosition_t){.epoch = epoch};
+    read_on(call);
+}
+
 static void
 on_list(const LogRecords_t *log, const GError *error, void *data)
 {
@@ -151,6 +160,10 @@
         on_list_error(call, log, error);
         return;
     }
+    if (call->from.offset > 0 && call->from.epoch != log->epoch) {
+        list_anew(call, log->epoch);
+        return;
+    }
     fold(call, log);
     if (call->from.offset >= log->head) {
         end_list(call);
--- a/tests/test_KeyedLog.c
+++ b/tests/test_KeyedLog.c
@@ -14,6 +14,8 @@
     LogClient_t super;
     GPtrArray *records; /* GBytes */
     guint64 start;      /* older ones are gone */
+    guint64 epoch;
+    gboolean returns; /* it comes back older after the next read */
 } FakeLog_t;
 
 static FakeLog_t fake;
@@ -47,6 +49,18 @@
     done(&records, error, data);
 }
 
+/* All but the first record is lost, and others come in their place. */
+static void
+come_back_older(void)
+{
+    fake.epoch++;
+    g_ptr_array_set_size(fake.records, 1);
+    for (guint i = 0; i <= READ_MOST; i++) {
+        g_autoptr(GBytes) value = g_bytes_new("9", 1);
+        g_ptr_array_add(fake.records, KeyedRecord_join("z", value));
+    }
+}
+
 static void
 read_log(LogClient_t *this, const char *stream, guint64 from, gint64 wait_ms,
          LogRead_t done, void *data)
@@ -61,11 +75,17 @@
     LogRecords_t records = {.first = from,
                             .records = g_ptr_array_new(),
                             .start = fake.start,
-                            .head = fake.records->len};
+                            .head = fake.records->len,
+                            .epoch = fake.epoch};
     for (guint i = 0; i < READ_MOST && from + i < fake.records->len; i++) {
         g_ptr_array_add(records.records,
                         g_ptr_array_index(fake.records, from + i));
     }
+    gboolean returns = fake.returns;
+    fake.returns = FALSE;
+    if (returns) {
+        come_back_older();
+    }
     done(&records, NULL, data);
     g_ptr_array_unref(records.records);
 }
@@ -180,6 +200,24 @@
 }
 END_TEST
 
-TESTING_MAIN("KeyedLog", a_list_has_the_newest_of_each_key,
+START_TEST(a_list_does_not_mix_what_was_there_before_a_return)
+{
+    begin();
+    for (guint i = 0; i <= READ_MOST; i++) {
+        g_autofree char *key = g_strdup_printf("k%u", i);
+        put(key, "1");
+    }
+    fake.returns = TRUE;
+    RecordSource_list(keyed, "t", NULL, on_page, NULL);
+    ck_assert_int_eq(failures, 0);
+    ck_assert_ptr_nonnull(strstr(seen->str, "k0=1 "));
+    ck_assert_ptr_nonnull(strstr(seen->str, "z=9 "));
+    ck_assert_ptr_null(strstr(seen->str, "k1="));
+    end();
+}
+END_TEST
+
+TESTING_MAIN("KeyedLog", a_list_does_not_mix_what_was_there_before_a_return,
+             a_list_has_the_newest_of_each_key,
              a_list_begins_where_the_log_does, a_read_tells_removals_as_well,
              an_empty_list_is_empty)
