An entry of a former start leaves an upstream where it is

A store that has come back older lists an upstream that started again under its name as it was before: at its former address, which another one may have by now. The entry's address and targets were taken, though its start was older than the one known, until the upstream wrote again.

Change: an entry whose start is older than the one known is passed over, with a line. test_UpstreamListing: an_entry_of_a_former_start_changes_nothing failed before ("u" in place of "t") and passes; the other 14 pass.

--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -312,6 +312,20 @@
     return departed == DEPARTED_LEFT;
 }
 
+/* An older copy has an upstream where it was before its last start: at an
+ * address that may be another one's by now. */
+static gboolean
+is_of_former_start(const UpstreamListing_t *this, const char *name,
+                   const ListedUpstream_t *entry)
+{
+    const Upstream_t *known = UpstreamSet_find(this->spec.upstreams, name);
+    if (!known || ListedUpstream_incarnation(entry) >= known->incarnation) {
+        return FALSE;
+    }
+    log_upstream("upstream_entry_older", name, "former_start");
+    return TRUE;
+}
+
 static void
 read_entry(UpstreamListing_t *this, const KeyedRecord_t *record, guint64 hash)
 {
@@ -320,7 +334,8 @@
     g_string_assign(entry.spec.region, this->spec.region);
     g_autoptr(GError) error = NULL;
     if (this->spec.decode(record->value, &entry, &error)) {
-        if (check_departed(this, record, &entry)) {
+        if (!is_of_former_start(this, record->key->str, &entry) &&
+            check_departed(this, record, &entry)) {
             relay_entry(this, record, hash, ListedUpstream_hashPlace(&entry));
             take_entry(this, record->key->str, &entry);
         }
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -343,6 +343,21 @@
 }
 END_TEST
 
+/* A store that has come back older lists an upstream as it was before its last
+ * start: at its former address, which may be another one's by now. */
+START_TEST(an_entry_of_a_former_start_changes_nothing)
+{
+    UpstreamListing_t *listing = begin();
+    answer(0, "a", "t:200");
+    answer(1, "a", "u:100");
+    const Upstream_t *upstream = upstream_of("a");
+    ck_assert_uint_eq(upstream->incarnation, 200);
+    const GString *target = g_ptr_array_index(upstream->serves, 0);
+    ck_assert_str_eq(target->str, "t");
+    end(listing);
+}
+END_TEST
+
 TESTING_MAIN("UpstreamListing",
              an_upstream_that_starts_again_holds_nothing_of_before,
              an_older_start_changes_nothing,
@@ -357,4 +372,5 @@
              entries_that_a_peer_has_read_are_taken,
              a_removal_that_a_peer_has_read_is_taken,
              an_entry_that_lapsed_in_an_outage_may_come_back_also_by_a_peer,
-             another_time_for_the_return_counts_from_the_next_outage)
+             another_time_for_the_return_counts_from_the_next_outage,
+             an_entry_of_a_former_start_changes_nothing)
