Tests that fail: an answer that is no stream is kept whole whatever its size

A plain service's answer of 64 MiB, with a length, in chunks or in one chunk, is kept whole and passed to the caller, and so is a head of that size; there is no setting that bounds it.

--- a/tests/sessions/test_bad_input.py
+++ b/tests/sessions/test_bad_input.py
@@ -129,6 +129,74 @@
         self.assertEqual(router.events("event_oversized"), [])
 
 
+class LargeUpstream(Upstream):
+    """A plain service whose answer is large: in one piece of a length, in
+    chunks, in one chunk, or by its head."""
+
+    form = "length"
+
+    def run(self, call, body, request):
+        call.send_response(200)
+        call.send_header("X-Request-Id", request)
+        call.send_header("X-Server-Seal", "seal-" + self.name)
+        size = len(BLOCK) * BLOCKS
+        if self.form == "length":
+            call.send_header("Content-Length", str(size))
+        elif self.form == "head":
+            call.send_header("Content-Length", "0")
+            for number in range(BLOCKS):
+                call.send_header("X-Large-%d" % number, BLOCK.decode())
+        else:
+            call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        if self.form == "length":
+            for _ in range(BLOCKS):
+                call.wfile.write(BLOCK)
+        elif self.form != "head":
+            send_endless_event(call, self.form == "one chunk")
+
+
+class LargeAnswerTest(unittest.TestCase):
+    """A plain service's answer, or the head of any, was kept whole whatever
+    its size: one of 64 MiB grew its router by as much and more, where all it
+    may hold is 88 MB."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def check_bounded(self, form, reason):
+        plain = self.fleet.add(LargeUpstream(self.fleet.store, "p1", "plain"))
+        plain.form = form
+        router = self.fleet.start(answer_max="64KiB")
+        before = memory(router)
+        answer = self.fleet.ask(router, "/write/x")
+        self.assertEqual(answer.status, 502)
+        self.assertIn(b'"run":"may_have_run"', answer.body)
+        self.assertLess(memory(router) - before, GROWTH_MAX)
+        ends = router.wait_event("attempt_failed")
+        self.assertEqual([end["reason"] for end in ends], [reason])
+        self.assertEqual(len(plain.seen), 1)
+
+    def test_a_body_with_a_length(self):
+        self.check_bounded("length", "oversized")
+
+    def test_a_body_in_chunks(self):
+        self.check_bounded("chunks", "oversized")
+
+    def test_a_body_in_one_chunk(self):
+        self.check_bounded("one chunk", "oversized")
+
+    def test_a_head(self):
+        self.check_bounded("head", "cut")
+
+    def test_an_answer_below_the_bound_passes(self):
+        plain = self.fleet.plain("p1")
+        router = self.fleet.start(answer_max="1KiB")
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        self.assertEqual(len(plain.seen), 1)
+
+
 class MoveToEndlessEventTest(test_fleet.StreamTest):
     """The engine that a stream is moved to never ends its first event."""
 
