An answer that is no stream, and any head, is kept up to a bound

A plain service's answer of 64 MiB grew its router by as much, where all it may hold is 88 MB, and was passed on; an engine's or service's head had no bound either.

Cause: only events of streams were counted; what is passed on whole was kept as it came, and evhttp keeps a chunk until it is whole.

Change: answer_max (16 MiB, live) ends the attempt as oversized, by what is kept and by what waits in the input; heads are bounded by max_header. The attempt's bound is one of a piece, whether an event or a whole answer.

HttpCall (calls of the native interface's plain services and of the store) has no bound yet: docs/FINDINGS.md.

--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -40,6 +40,7 @@
  * @body: of the wire
  * @first_index: index that the first token must have
  * @event_max: most bytes of one event
+ * @head_max: most bytes of the answer's head
  * @fresh: use no idle connection
  * @connect_ms: how long the connection may take
  * @first_token_ms: how long the first token may take
@@ -52,6 +53,7 @@
     GBytes *body;
     guint64 first_index;
     gsize event_max;
+    gsize head_max;
     gboolean fresh;
     gint64 connect_ms;
     gint64 first_token_ms;
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -29,11 +29,11 @@
          void *data)
 {
     AttemptConnection_t *this = data;
-    if (this->overfull || this->over || this->event_max == 0) {
+    if (this->overfull || this->over) {
         return; /* armed anew with each read it would never run */
     }
     if (info->n_added > 0 &&
-        evbuffer_get_length(buffer) > this->event_max + INPUT_MARGIN) {
+        evbuffer_get_length(buffer) > this->piece_max + INPUT_MARGIN) {
         this->overfull = TRUE;
         Clock_arm(this->watch, 0);
     }
@@ -46,13 +46,15 @@
     *this = (AttemptConnection_t){
         .upstream = Upstream_ref(spec->upstream),
         .patience = spec->patience,
-        .event_max = spec->event_max,
+        .piece_max = spec->piece_max,
         .last_heard_ms = Clock_nowMs(),
     };
     this->watch = Clock_timer(base, spec->on_watch, spec->attempt);
     this->reaper = Clock_timer(base, spec->on_reap, spec->attempt);
     this->evhttp = Upstream_takeConnection(this->upstream, spec->idle_max_ms,
                                            this->last_heard_ms);
+    evhttp_connection_set_max_headers_size(this->evhttp,
+                                           (ev_ssize_t)spec->head_max);
     struct evbuffer *output =
         bufferevent_get_output(AttemptConnection_stream(this));
     this->output_watch = evbuffer_add_cb(output, on_output, this);
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -32,7 +32,8 @@
  * @upstream: whose connection is taken
  * @idle_max_ms: as for Upstream_takeConnection()
  * @patience: with its upstream
- * @event_max: most bytes of one event, 0 for an answer without events
+ * @piece_max: most bytes of one event, or of an answer without events
+ * @head_max: most bytes of the answer's head
  * @on_watch: the time of the watch is over, or too much came at once
  * @on_reap: calls AttemptConnection_clear() and frees the attempt
  * @attempt: data of both callbacks
@@ -41,7 +42,8 @@
     Upstream_t *upstream;
     gint64 idle_max_ms;
     Patience_t patience;
-    gsize event_max;
+    gsize piece_max;
+    gsize head_max;
     event_callback_fn on_watch;
     event_callback_fn on_reap;
     void *attempt;
@@ -56,7 +58,7 @@
  * @watch: runs until the upstream was silent for too long
  * @reaper: runs once the attempt is over
  * @patience: with the upstream
- * @event_max: most bytes of one event, 0 for an answer without events
+ * @piece_max: most bytes of one event, or of an answer without events
  * @last_heard_ms: monotonic time of the last sign of life; set by the attempt
  * @sent: the request may have been written
  * @has_data: the first data came
@@ -73,7 +75,7 @@
     struct event *watch;
     struct event *reaper;
     Patience_t patience;
-    gsize event_max;
+    gsize piece_max;
     gint64 last_heard_ms;
     gboolean sent;
     gboolean has_data;
--- a/src/Context.c
+++ b/src/Context.c
@@ -58,5 +58,6 @@
     Log_text("request", request);
     Log_text("upstream", upstream);
     Log_number("event_max", this->settings->limits.event_max);
+    Log_number("answer_max", this->settings->limits.answer_max);
     Log_end();
 }
--- a/src/Context.h
+++ b/src/Context.h
@@ -142,7 +142,8 @@
                           const char *request, const char *target,
                           const char *customer_class, const char *detail);
 
-/** Context_countOversized() - count and log an event that is too large */
+/** Context_countOversized() - count and log an event, or an answer that is no
+ * stream, that is too large */
 void Context_countOversized(Context_t *this, const char *request,
                             const char *upstream);
 
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -52,7 +52,8 @@
  * @request_id: its id
  * @order: what the upstream is told besides
  * @body: of the request
- * @event_max: most bytes of one event, 0 for an answer without events
+ * @piece_max: most bytes of one event, or of an answer without events
+ * @head_max: most bytes of the answer's head
  * @idle_max_ms: a kept connection is used if it rested no longer than this
  * @connect_ms: how long the connection may take
  * @first_ms: how long the first byte of the body may take
@@ -65,7 +66,8 @@
     const char *request_id;
     const RelayOrder_t *order;
     GBytes *body;
-    gsize event_max;
+    gsize piece_max;
+    gsize head_max;
     gint64 idle_max_ms;
     gint64 connect_ms;
     gint64 first_ms;
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -62,12 +62,23 @@
     }
 }
 
+/* It is passed on once it is whole, so that its memory must be bounded. */
+static void
+keep_data(RelayExchange_t *this, struct evbuffer *data)
+{
+    gsize most = (gsize)this->super.context->settings->limits.answer_max;
+    evbuffer_add_buffer(this->body, data);
+    if (evbuffer_get_length(this->body) > most) {
+        RelayAttempt_fail(this->attempt, ATTEMPT_OVERSIZED);
+    }
+}
+
 static void
 on_data(void *owner, struct evbuffer *data)
 {
     RelayExchange_t *this = owner;
     if (!this->is_stream) {
-        evbuffer_add_buffer(this->body, data);
+        keep_data(this, data);
         return;
     }
     if (EventPipe_feed(this->events, data, this->passing) > 0) {
@@ -308,7 +319,9 @@
         .request_id = super->id->str,
         .order = &order,
         .body = this->request_body,
-        .event_max = this->events ? (gsize)limits->event_max : 0,
+        .piece_max =
+            (gsize)(this->events ? limits->event_max : limits->answer_max),
+        .head_max = (gsize)limits->max_header,
         .idle_max_ms = idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
         .first_ms = first_ms(this, placing->choice.upstream),
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -179,7 +179,9 @@
     {"max_body", KEY_SIZE, FALSE, "4MiB", 1024, 1 << 30, NULL, L(max_body),
      "Largest body of a caller's request.", KEY_LIVE},
     {"max_header", KEY_SIZE, FALSE, "16KiB", 1024, 1 << 20, NULL,
-     L(max_header), "Largest head of a caller's request.", KEY_LIVE},
+     L(max_header),
+     "Largest head of a caller's request, or of an upstream's answer.",
+     KEY_LIVE},
     {"read_timeout", KEY_DURATION, FALSE, "30s", 100, HOUR_MS, NULL,
      L(read_timeout_ms),
      "How long a caller may pause while it sends or while we write to it.",
@@ -217,6 +219,11 @@
      "larger one ends the attempt. An event holds one token, some hundred "
      "bytes; the default is what parsers of such streams commonly take.",
      KEY_LIVE},
+    {"answer_max", KEY_SIZE, FALSE, "16MiB", 1024, 1 << 28, NULL,
+     L(answer_max),
+     "Largest answer of a plain service; a larger one ends the attempt, as it "
+     "is kept whole before the caller gets it.",
+     KEY_LIVE},
     {"resume_grace", KEY_DURATION, FALSE, "3s", 0, HOUR_MS, NULL,
      L(resume_grace_ms),
      "How long a stream goes on after its caller left, so that the caller "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -173,6 +173,7 @@
  * @backoff_ms: mean wait before the first retry; doubled for each further one
  * @stream_buffer: that waits for a slow caller before its upstream is held
  * @event_max: of one event of a stream, in bytes
+ * @answer_max: of one answer of a plain service, in bytes
  * @resume_grace_ms: how long a stream goes on after its caller left
  * @idle_connections: kept for each upstream
  * @idle_time_ms: longest rest of a connection that takes a relayed request
@@ -196,6 +197,7 @@
     gint64 backoff_ms;
     gint64 stream_buffer;
     gint64 event_max;
+    gint64 answer_max;
     gint64 resume_grace_ms;
     gint64 idle_connections;
     gint64 idle_time_ms;
--- a/tests/test_AttemptConnection.c
+++ b/tests/test_AttemptConnection.c
@@ -9,6 +9,7 @@
 #include "AttemptConnection.h"
 #include "Clock.h"
 
+#define BYTES_MOST 65536
 #define CONNECT_MS 200
 /* A packet that opens a connection and finds no room is sent again after a
  * second. */
@@ -100,6 +101,8 @@
         .upstream = upstream,
         .idle_max_ms = UPSTREAM_NO_IDLE,
         .patience = {CONNECT_MS, CONNECT_MS, CONNECT_MS},
+        .piece_max = BYTES_MOST,
+        .head_max = BYTES_MOST,
         .on_watch = on_watch,
         .on_reap = on_reap,
     };
