A test of lists over a return holds what it reads

a_list_does_not_mix_what_was_there_before_a_return passed with its decision switched off: the page it read was freed by the return that it brings about, so that the key it looks for was not there by luck. The fake log's pages hold their records now: the test fails with the decision off (k1 is in the list) and passes with it. Switched off beside it, each fails: the wait after a return (test_Lease), records of other epochs (test_LeaseTable), entries of a former start (test_UpstreamListing), lists that a peer has told (test_CrashRecords). Not covered by a test that always fails with it off: that nothing is decided between an expiry and the read after it (test_Lease, by chance).

--- a/tests/test_KeyedLog.c
+++ b/tests/test_KeyedLog.c
@@ -73,13 +73,14 @@
         return;
     }
     LogRecords_t records = {.first = from,
-                            .records = g_ptr_array_new(),
+                            .records =
+                                g_ptr_array_new_with_free_func(unref_bytes),
                             .start = fake.start,
                             .head = fake.records->len,
                             .epoch = fake.epoch};
     for (guint i = 0; i < READ_MOST && from + i < fake.records->len; i++) {
-        g_ptr_array_add(records.records,
-                        g_ptr_array_index(fake.records, from + i));
+        GBytes *record = g_ptr_array_index(fake.records, from + i);
+        g_ptr_array_add(records.records, g_bytes_ref(record));
     }
     gboolean returns = fake.returns;
     fake.returns = FALSE;
