Show the limits that upstreams name, and what is sent to such upstreams

Callers saw nothing yet; an engine that had named 1.7 requests a second got 24 in four seconds. Logs could not tell whether the limit was read, kept by each router for itself, or passed by retries and moves, as no line named it.

Change: the header is read at the platform's edge into NamedLimit_t; UpstreamLimit holds what an upstream has named and in which order answers count; the lines upstream_limit, upstream_limit_unreadable and sent_to_limited tell of a change, its answer, and of each request that goes to such an upstream with its reason. No decision changes: the rate is as before.

--- a/src/Context.h
+++ b/src/Context.h
@@ -32,6 +32,7 @@
 #include "StreamMover.h"
 #include "Trace.h"
 #include "TurnEnd.h"
+#include "UpstreamLimits.h"
 #include "UpstreamListing.h"
 #include "UpstreamSet.h"
 
@@ -65,6 +66,7 @@
  * @service_policy: by which plain services' instances are chosen
  * @limits: of customers' open requests
  * @rates: of customers' limits
+ * @upstream_limits: learns those of upstreams
  * @budget: of retries
  * @crashes: which requests must not be sent
  * @traces: of recent requests
@@ -100,6 +102,7 @@
     Policy_t *service_policy;
     CustomerLimits_t *limits;
     RateLimits_t *rates;
+    UpstreamLimits_t *upstream_limits;
     RetryBudget_t *budget;
     CrashGuard_t *crashes;
     Traces_t *traces;
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -23,6 +23,7 @@
     this->missing_tokens =
         prompt_tokens - MIN(placing->choice.expected_cached, prompt_tokens);
     this->upstream->pending_tokens += this->missing_tokens;
+    this->sent_ms = Clock_nowMs();
     this->begun_us = 0;
     FirstToken_clear(&this->first);
     FirstToken_expect(&this->first, &placing->placement, &placing->choice);
@@ -140,6 +141,17 @@
     }
 }
 
+/* Another instance that has the address speaks for itself. */
+void
+RelayFeedback_noteLimit(const RelayFeedback_t *this, const RelayHead_t *head)
+{
+    if (!head->other_instance) {
+        UpstreamLimits_noteAnswer(this->context->upstream_limits,
+                                  this->upstream, &head->limit, this->sent_ms,
+                                  this->request_id);
+    }
+}
+
 static void
 log_refusal(const RelayFeedback_t *this, const RelayHead_t *head)
 {
@@ -164,6 +176,7 @@
                                 upstream->name->str);
     }
     RelayFeedback_noteWeights(this, head);
+    RelayFeedback_noteLimit(this, head);
     Upstream_notePause(upstream, UPSTREAM_SHED_PAUSE_MS, Clock_nowMs());
 }
 
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -23,6 +23,7 @@
  * @first: what is expected of its first token
  * @missing_tokens: counted in @upstream->pending_tokens
  * @saved_prefix: that the attempt saves, 0 for none
+ * @sent_ms: when it was sent, monotonic
  * @begun_us: when its first event came, monotonic; 0 where none has
  */
 typedef struct {
@@ -33,6 +34,7 @@
     FirstToken_t first;
     guint missing_tokens;
     guint64 saved_prefix;
+    gint64 sent_ms;
     gint64 begun_us;
 } RelayFeedback_t;
 
@@ -59,6 +61,11 @@
 void RelayFeedback_noteWeights(const RelayFeedback_t *this,
                                const RelayHead_t *head);
 
+/** RelayFeedback_noteLimit() - what an answer's head says of the upstream's
+ * limit */
+void RelayFeedback_noteLimit(const RelayFeedback_t *this,
+                             const RelayHead_t *head);
+
 /** RelayFeedback_noteRefusal() - the upstream says "not run" */
 void RelayFeedback_noteRefusal(const RelayFeedback_t *this,
                                const RelayHead_t *head);
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "HeaderCheck.h"
+#include "NamedLimit.h"
 #include "Prompt.h"
 
 /** Longest id of a request that is taken */
@@ -106,6 +107,7 @@
  * @other_instance: another upstream has the address
  * @leaving: the upstream takes no new work, or closes this connection only
  * @weights: version that it ran on; a text of the head, or NULL
+ * @limit: of the requests that the upstream takes from all routers together
  */
 typedef struct {
     int status;
@@ -115,6 +117,7 @@
     gboolean other_instance;
     gboolean leaving;
     const char *weights;
+    NamedLimit_t limit;
 } RelayHead_t;
 
 /**
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -155,6 +155,7 @@
     (void)headers;
     RelayMove_t *this = owner;
     RelayFeedback_noteWeights(&this->feedback, head);
+    RelayFeedback_noteLimit(&this->feedback, head);
     if (head->status >= HTTP_MOVEPERM) {
         take_back(this, "failed");
     }
--- a/src/Router.c
+++ b/src/Router.c
@@ -77,6 +77,7 @@
     context->budget =
         RetryBudget_create((guint)settings->limits.retry_percent,
                            (guint)settings->limits.retry_allowance);
+    context->upstream_limits = UpstreamLimits_create(context->counters);
     context->traces = Traces_create();
     context->turn_end = TurnEnd_create(context->base);
     context->incarnation = (guint64)Clock_wallMs();
@@ -421,6 +422,7 @@
     TurnEnd_destroy(context->turn_end);
     RetryBudget_destroy(context->budget);
     CustomerLimits_destroy(context->limits);
+    UpstreamLimits_destroy(context->upstream_limits);
     Policy_destroy(context->service_policy);
     Policy_destroy(context->policy);
     UpstreamSet_destroy(context->upstreams);
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -122,6 +122,7 @@
     this->paused_until_ms = 0;
     this->unloading_since_ms = 0;
     this->soon_until_ms = 0;
+    this->limit = (UpstreamLimit_t){0};
     Upstream_noteSuccess(this);
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -14,6 +14,7 @@
 #include "Declarations.h"
 #include "EngineMemory.h"
 #include "Link.h"
+#include "UpstreamLimit.h"
 
 /**
  * struct Upstream_t - one upstream
@@ -62,6 +63,7 @@
  * @wait_at_ms: when that was learned; it fades
  * @run_us: learned time from a request's first token to its end, 0 for none
  * @proved_ms: when it last answered anything, 0 for never
+ * @limit: of the requests that it takes from all routers together
  * @memory: how far its cache has turned over
  * @link: over which cached prefixes come to it and leave it
  * @base: of its connections
@@ -112,6 +114,7 @@
     gint64 wait_at_ms;
     double run_us;
     gint64 proved_ms;
+    UpstreamLimit_t limit;
     EngineMemory_t memory;
     Link_t link;
 
@@ -149,8 +152,8 @@
  * Upstream_noteIncarnation() - learn of an incarnation
  *
  * An older one than is known is passed over. A newer one voids the leaving
- * mark, the load, the waits, the pause and the ejection of the older, what it
- * held, and the connections to it.
+ * mark, the load, the waits, the pause, the limit and the ejection of the
+ * older, what it held, and the connections to it.
  *
  * Return: TRUE where it is news
  */
--- /dev/null
+++ b/src/UpstreamLimit.h
@@ -0,0 +1,44 @@
+#ifndef HEADER_UpstreamLimit
+#define HEADER_UpstreamLimit
+/**
+ * DOC: UpstreamLimit
+ *
+ * The request rate limit of one upstream, as this router knows it. Answers on
+ * parallel connections overtake each other, so that an answer without the
+ * limit, or with a higher one, counts only where its request was sent after
+ * the limit was learned: its head was made later, then. A lower limit counts
+ * at once.
+ */
+#include "NamedLimit.h"
+
+/**
+ * struct UpstreamLimit_t - zeroed while none was named
+ * @is_named: there is a limit
+ * @per_s: requests a second of all routers together
+ * @version: of what is known; grows with each change
+ * @learned_ms: when it last changed here, monotonic
+ * @unreadable_ms: when an unreadable one was last reported, 0 for never
+ */
+typedef struct {
+    gboolean is_named;
+    double per_s;
+    guint64 version;
+    gint64 learned_ms;
+    gint64 unreadable_ms;
+} UpstreamLimit_t;
+
+/**
+ * UpstreamLimit_noteAnswer() - learn from an answer
+ * @sent_ms: when its request was sent, monotonic
+ *
+ * Return: whether that is news
+ */
+gboolean UpstreamLimit_noteAnswer(UpstreamLimit_t *this,
+                                  const NamedLimit_t *said, gint64 sent_ms,
+                                  gint64 now_ms);
+
+/** UpstreamLimit_isReported() - whether an unreadable limit was reported
+ * lately; if not, it counts as reported now */
+gboolean UpstreamLimit_isReported(UpstreamLimit_t *this, gint64 now_ms);
+
+#endif
