Tests that fail: a limit that an upstream names is passed

Symptom: upstreams get as much as before from routers that have passed on answers which name a limit: 81 requests in four seconds where 2 a second are named, 111 where 0 is. Nobody tells the other routers, and where all upstreams are in need nothing is refused.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -252,6 +252,8 @@
         self.reports = 0
         self.state = "ready"
         self.sealed = True
+        self.limit = None   # what its answers say that it takes in a second
+        self.arrivals = []  # when requests came, run or not
         super().__init__()
         self.list()
 
@@ -313,7 +315,14 @@
             self.carry_out(self.late_order)
             self.list()
 
+    def naming(self, **headers):
+        """Headers of an answer to a request."""
+        if self.limit is not None:
+            headers["Server_Limit"] = self.limit
+        return headers
+
     def serve(self, call, body):
+        self.arrivals.append(time.monotonic())
         request = call.headers["X-Request-Id"]
         wanted = call.headers.get("X-Expect-Version")
         if call.headers.get("X-Expect-Instance") != self.name:
@@ -321,7 +330,8 @@
         elif wanted and int(wanted) != self.version:
             call.reply(421, X_Instance_Id=self.name, X_Request_Id=request)
         elif self.shed:
-            call.reply(503, X_Not_Executed="1", X_Request_Id=request)
+            call.reply(503, **self.naming(X_Not_Executed="1",
+                                          X_Request_Id=request))
         else:
             self.callers.add(call.client_address[1])
             self.seen.append(dict(call.headers, **{":path": call.path}))
@@ -332,7 +342,7 @@
         if self.cut_calls:
             call.cut()
             return
-        headers = {"X_Request_Id": request, "Content_Type": "text/plain"}
+        headers = self.naming(X_Request_Id=request, Content_Type="text/plain")
         if self.sealed:
             headers["X_Server_Seal"] = "seal-" + self.name
         if self.model is None:
