Show what an admitted request took of its customer's limit, and by whose word

request_limited told it of refused requests alone, so that a customer let in above its limit could not be added up. request_done has units and rate_by now, for customers that have a limit.

--- a/src/ExchangeLog.c
+++ b/src/ExchangeLog.c
@@ -3,6 +3,16 @@
 #include "Clock.h"
 #include "Log.h"
 
+/* Only of customers that have a limit. */
+static void
+log_rate(const RateGate_t *gate)
+{
+    if (gate->by && gate->request.limit.per_s > 0) {
+        Log_number("units", (gint64)gate->request.units);
+        Log_text("rate_by", gate->by);
+    }
+}
+
 void
 ExchangeLog_end(const Exchange_t *this, const char *outcome)
 {
@@ -13,6 +23,7 @@
     Log_text("outcome", outcome);
     Log_number("attempts", this->attempts);
     Log_number("us", Clock_nowUs() - this->started_us);
+    log_rate(&this->gate);
     if (this->class->log_end) {
         this->class->log_end(this);
     }
--- a/src/RateGate.c
+++ b/src/RateGate.c
@@ -6,6 +6,7 @@
     RateGate_t *this = owner;
     this->ask = NULL;
     this->taken = verdict->admitted;
+    this->by = verdict->by;
     this->done(this->owner, verdict);
 }
 
--- a/src/RateGate.h
+++ b/src/RateGate.h
@@ -14,6 +14,7 @@
  * @request: what it takes; its subject is the gate's owner's text
  * @ask: question under way, or NULL
  * @taken: it was let in, and nothing was given back
+ * @by: by whose word, as RateVerdict_t has it; NULL before the verdict
  * @done: called with the verdict
  * @owner: for @done
  */
@@ -22,6 +23,7 @@
     RateRequest_t request;
     RateAsk_t *ask;
     gboolean taken;
+    const char *by;
     RateDone_t done;
     void *owner;
 } RateGate_t;
