--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -9,6 +9,8 @@
  * which the machine is suspended, and a request would be held as much longer
  * than its caller waits. */
 #define DEADLINE_STEP_MS 500
+/* Room at limited upstreams is asked for again no sooner. */
+#define ROOM_STEP_MS 10
 
 static void
 set_upstream(Upstream_t **slot, Upstream_t *upstream)
@@ -332,6 +334,15 @@
     UpstreamGate_leave(&this->room);
 }
 
+/* A refusal would end an answer in the middle that its caller has begun to
+ * read. */
+static void
+wait_for_any_room(Exchange_t *this, const LimitedRoom_t *room)
+{
+    this->room.refusals = 0;
+    Clock_arm(this->later, MAX(room->full_ms, ROOM_STEP_MS));
+}
+
 gboolean
 Exchange_refuseLimited(Exchange_t *this, const Placement_t *placement)
 {
@@ -339,6 +350,10 @@
     if (room.count == 0) {
         return FALSE;
     }
+    if (Exchange_runState(this) == RUN_DONE) {
+        wait_for_any_room(this, &room);
+        return TRUE;
+    }
     guint retry_after_ms = UpstreamLimits_retryAfterMs(
         this->context->upstream_limits, this->target->str, &room);
     g_autofree char *detail =
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -79,7 +79,8 @@
 
 /**
  * Exchange_refuseLimited() - tell the caller that only their limits keep
- * upstreams from taking it
+ * upstreams from taking it; where its answer has begun, place() is called once
+ * one of them may have room
  *
  * Return: FALSE where that is not so
  */
--- a/src/UpstreamLimits.c
+++ b/src/UpstreamLimits.c
@@ -139,7 +139,7 @@
                            const RateVerdict_t *verdict,
                            const char *request_id)
 {
-    UpstreamLimit_noteFull(&upstream->limit, verdict->retry_after_ms,
+    UpstreamLimit_noteFull(&upstream->limit, verdict->retry_after_ms + 1,
                            Clock_nowMs());
     Counters_add(this->counters, "upstream_limit_full_total", NULL, 1);
     Log_begin(LOG_LEVEL_INFO, "upstream_full");
--- a/standins/EngineStandin.c
+++ b/standins/EngineStandin.c
@@ -72,6 +72,7 @@
 static gint64 decode_ms = 20, slots = 256, queue_max = 1024, hold_ms = 10000;
 static gint64 cut_after = -1, cuts, die_after = -1, mismatch, refuse, silent;
 static gint64 no_end, cross, leaving, cancelled, forget_streams;
+static gint64 limit_milli = -1, asked;
 static gint64 runs, prompt_total, cached_total, made_total, resumed;
 
 static const Knob_t knobs[] = {
@@ -98,6 +99,8 @@
     {"lose_orders", &EngineOrders_knobs.lose_answers}, /* next so many: carry
                                                           out, no answer */
     {"forget_streams", &forget_streams}, /* keep none without a reader */
+    {"limit_milli", &limit_milli}, /* requests in 1,000 s, named in answers */
+    {"asked", &asked},             /* requests and resumes that came */
 };
 
 static const TextOption_t texts[] = {
@@ -156,6 +159,7 @@
     const char *attempt =
         Server_spend(&mismatch) ? "someone-else" : stream->attempt;
     evhttp_add_header(out, "Content-Type", "text/event-stream");
+    Server_nameLimit(stream->reader, limit_milli);
     evhttp_add_header(out, ATTEMPT_HEADER, attempt);
     evhttp_add_header(out, "X-Stream-Id", stream->id);
     evhttp_add_header(out, "X-Weights-Version", weights);
@@ -511,6 +515,7 @@
 {
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       ATTEMPT_HEADER, input_header(request, ATTEMPT_HEADER));
+    Server_nameLimit(request, limit_milli);
     gboolean stale = strcmp(code, "wrong_incarnation") == 0;
     Server_refuse(request, status, code, run,
                   stale ? (guint64)incarnation : 0);
@@ -519,6 +524,7 @@
 static void
 handle_start(struct evhttp_request *request, gboolean chat)
 {
+    asked++;
     json_t *body = Server_body(request);
     const char *reason = reason_to_refuse(body);
     Stream_t *stream = reason ? NULL : create_stream(body, chat);
@@ -542,6 +548,7 @@
 static void
 handle_resume(struct evhttp_request *request)
 {
+    asked++;
     json_t *body = Server_body(request);
     const char *id = text_member(body, "stream");
     Stream_t *stream = id ? g_hash_table_lookup(streams, id) : NULL;
@@ -592,18 +599,19 @@
 {
     Server_reply(
         request, HTTP_OK,
-        json_pack("{s:s, s:I, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
-                  "s:i, s:i, s:I}",
-                  "name", name, "incarnation", (json_int_t)incarnation,
-                  "weights", weights, "runs", (json_int_t)runs,
-                  "prompt_tokens", (json_int_t)prompt_total, "cached_tokens",
-                  (json_int_t)cached_total, "made_tokens",
-                  (json_int_t)made_total, "recomputed_tokens",
-                  (json_int_t)EngineCache_recomputed(cache), "violations",
-                  (json_int_t)EngineCache_violations(cache), "resumed",
-                  (json_int_t)resumed, "cancelled", (json_int_t)cancelled,
-                  "running", (int)running->len, "waiting", (int)waiting->len,
-                  "blocks_held", (json_int_t)EngineCache_size(cache)));
+        json_pack(
+            "{s:s, s:I, s:I, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
+            "s:i, s:i, s:I}",
+            "name", name, "asked", (json_int_t)asked, "incarnation",
+            (json_int_t)incarnation, "weights", weights, "runs",
+            (json_int_t)runs, "prompt_tokens", (json_int_t)prompt_total,
+            "cached_tokens", (json_int_t)cached_total, "made_tokens",
+            (json_int_t)made_total, "recomputed_tokens",
+            (json_int_t)EngineCache_recomputed(cache), "violations",
+            (json_int_t)EngineCache_violations(cache), "resumed",
+            (json_int_t)resumed, "cancelled", (json_int_t)cancelled, "running",
+            (int)running->len, "waiting", (int)waiting->len, "blocks_held",
+            (json_int_t)EngineCache_size(cache)));
 }
 
 static void
--- a/standins/Server.c
+++ b/standins/Server.c
@@ -134,6 +134,18 @@
     return body;
 }
 
+void
+Server_nameLimit(struct evhttp_request *request, gint64 milli)
+{
+    char text[32];
+    if (milli >= 0) {
+        g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT ".%03d",
+                   milli / 1000, (int)(milli % 1000));
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "X-Request-Limit", text);
+    }
+}
+
 gboolean
 Server_spend(gint64 *knob)
 {
--- a/standins/Server.h
+++ b/standins/Server.h
@@ -65,6 +65,12 @@
 json_t *Server_control(struct evhttp_request *request, const Knob_t *knobs,
                        gsize count);
 
+/**
+ * Server_nameLimit() - say in an answer how many requests are taken
+ * @milli: in 1,000 seconds; below 0 for no limit
+ */
+void Server_nameLimit(struct evhttp_request *request, gint64 milli);
+
 /** Server_spend() - count a knob down; TRUE where it was above 0 */
 gboolean Server_spend(gint64 *knob);
 
--- a/tests/FakeRates.c
+++ b/tests/FakeRates.c
@@ -33,10 +33,13 @@
     gint64 knows_ms;  /* when it learns of the newest limit */
     gint64 full_ms;   /* an upstream has no room until then */
     guint part;       /* of the network */
+    gint64 lag_ms;    /* until it handles what comes */
+    gint64 lags_ms;   /* lags until then */
     GPtrArray *inbox; /* Message_t that came while it stood still */
 } Node_t;
 
 typedef struct {
+    gint64 due_ms; /* where the one it is for lags */
     guint from;
     guint to;
     guint8 *bytes;
@@ -99,6 +102,12 @@
     return is_up(node) && node->play->now_ms >= node->awake_ms;
 }
 
+static gboolean
+lags(const Node_t *node)
+{
+    return node->play->now_ms < node->lags_ms;
+}
+
 static guint64
 weight_of(guint64 router)
 {
@@ -286,10 +295,11 @@
     for (guint i = 0; i < due->len; i++) {
         Message_t *message = g_ptr_array_index(due, i);
         Node_t *node = &play->nodes[message->to - 1];
-        if (is_running(node)) {
+        if (is_running(node) && !lags(node)) {
             take(node, message);
         }
         else if (is_up(node)) {
+            message->due_ms = lags(node) ? play->now_ms + node->lag_ms : 0;
             g_ptr_array_add(node->inbox, message);
             due->pdata[i] = NULL;
         }
@@ -303,16 +313,30 @@
     g_ptr_array_unref(due);
 }
 
+static void
+take_due(Node_t *node)
+{
+    guint count = 0;
+    while (count < node->inbox->len) {
+        const Message_t *message = g_ptr_array_index(node->inbox, count);
+        if (message->due_ms > node->play->now_ms) {
+            break;
+        }
+        take(node, message);
+        count++;
+    }
+    if (count > 0) {
+        g_ptr_array_remove_range(node->inbox, 0, count);
+    }
+}
+
 static void
 wake_up(Node_t *node)
 {
     if (!is_running(node)) {
         return;
     }
-    for (guint i = 0; i < node->inbox->len; i++) {
-        take(node, g_ptr_array_index(node->inbox, i));
-    }
-    g_ptr_array_set_size(node->inbox, 0);
+    take_due(node);
     if (node->wakes_ms > 0 && node->wakes_ms <= node->play->now_ms) {
         node->wakes_ms = 0;
         RateKeeper_tick(node->keeper);
@@ -432,6 +456,25 @@
     }
 }
 
+/* The one that keeps the count is among them each second time, as it has the
+ * most to do. */
+static void
+slow_some(Play_t *play)
+{
+    guint one_in = 1 + Random_below(20);
+    guint64 order[RATE_CANDIDATES];
+    find_candidates(&play->nodes[0], CUSTOMER, order);
+    guint64 keeper = order[0] == RATE_SELF ? 1 : order[0];
+    for (guint i = 0; i < play->spec->routers; i++) {
+        Node_t *node = &play->nodes[i];
+        gboolean keeps = node->id == keeper && Random_below(2) == 0;
+        if (keeps || Random_below(one_in) == 0) {
+            node->lag_ms = 10 + Random_below(1000);
+            node->lags_ms = play->now_ms + 500 + Random_below(4000);
+        }
+    }
+}
+
 static void
 cut_some(Play_t *play)
 {
@@ -466,6 +509,9 @@
     if (spec->pauses && chance(0.3)) {
         pause_some(play);
     }
+    if (spec->lags && chance(0.4)) {
+        slow_some(play);
+    }
     if (spec->cuts && chance(0.4)) {
         cut_some(play);
     }
--- a/tests/FakeRates.h
+++ b/tests/FakeRates.h
@@ -39,6 +39,7 @@
  * @cuts: routers are cut into two parts at times
  * @kills: some or all are killed and come back at times
  * @pauses: some stand still at times
+ * @lags: some handle what comes late at times, as their processor is busy
  * @changes: the limit is lowered and raised at times
  * @of_upstream: it is an upstream's limit: each request is one unit and is
  *     asked for, and a router that was refused asks no more until it may
@@ -55,6 +56,7 @@
     gboolean cuts;
     gboolean kills;
     gboolean pauses;
+    gboolean lags;
     gboolean changes;
     gboolean of_upstream;
 } FakeRatesSpec_t;
