Soak: upstreams name limits, beside all other faults

One upstream after the other names a limit (0 to 4 a second, or what is no rate) for four to nine seconds; from three seconds after its first answer it gets one and a half times that and five in four seconds at the most.

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -51,6 +51,12 @@
 LOST_S = 8.0
 AGAIN_S = 1.5
 COPY_S = 0.5
+# Limits that upstreams name, each for a while; what is no rate names none. The
+# bound holds from some seconds after the first answer that names it, in spans.
+LIMITS = ("0", "0.7", "1.5", "4", "many", "-1")
+LIMIT_S = (4.0, 9.0)
+LIMIT_KNOWN_S = 3.0
+LIMIT_SPAN_S = 4.0
 GONE = (OSError, http.client.HTTPException)
 
 
@@ -93,6 +99,7 @@
             self.routers.append(self.start_router(i))
         self.weights = 1
         self.copies = [(time.monotonic(), self.fleet.store.copy())]
+        self.limited = []  # upstream, rate, from when to when it was kept
 
     def start_router(self, index):
         others = [r.peer_address for i, r in enumerate(self.routers)
@@ -254,6 +261,35 @@
             else:
                 self.configure()
 
+    def name_limits(self):
+        """One upstream after the other is in need for a while."""
+        rng = random.Random(self.rng.random())
+        while not self.over:
+            upstream = rng.choice(self.engines + self.plains)
+            limit = rng.choice(LIMITS)
+            born = upstream.born
+            upstream.limit = limit
+            began = time.monotonic()
+            self.count("limit " + limit)
+            time.sleep(rng.uniform(*LIMIT_S))
+            upstream.limit = None
+            if limit.replace(".", "").isdigit() and born == upstream.born:
+                self.limited.append((upstream, float(limit), began,
+                                     time.monotonic()))
+            time.sleep(rng.uniform(0, 1))
+
+    def check_limits(self):
+        for upstream, per_s, began, ended in self.limited:
+            came = [t for t in upstream.arrivals if began < t < ended]
+            told = came[0] + LIMIT_KNOWN_S if came else ended
+            kept = [t for t in came if t > told]
+            most = max([sum(t <= u < t + LIMIT_SPAN_S for u in kept)
+                        for t in kept] or [0])
+            if most > 1.5 * per_s * LIMIT_SPAN_S + 5:
+                self.violate("%s got %d requests in %d s at a limit of %s" % (
+                    upstream.name, most, LIMIT_SPAN_S, per_s))
+        self.count("limits kept: %d" % len(self.limited))
+
     def take_copies(self):
         """As the platform does, whatever else happens."""
         while not self.over:
@@ -421,6 +457,7 @@
                    for i in range(CALLERS)]
         threads.append(threading.Thread(target=self.change))
         threads.append(threading.Thread(target=self.take_copies))
+        threads.append(threading.Thread(target=self.name_limits))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
@@ -432,6 +469,7 @@
         self.check_upstreams()
         self.check_deadly()
         self.check_orders()
+        self.check_limits()
         self.read_logs()
         self.fleet.close()
         for what in sorted(self.counts):
