--- a/tools/soak.py
+++ b/tools/soak.py
@@ -25,6 +25,7 @@
 TOKENS = 30
 PATIENCE = 20  # seconds for one request
 LOST = (OSError, http.client.HTTPException, ValueError)
+LIMIT_SPAN_S = 4  # in which a limit is kept
 
 
 class Soak:
@@ -271,11 +272,24 @@
         time.sleep(self.rng.uniform(0.5, 5))
         self.cluster.log.control(down=0)
 
+    def limit_service(self):
+        """It names a limit, and gets no more once all must know it."""
+        service = self.rng.choice(self.services)
+        per_s = self.rng.choice([0, 1, 3])
+        service.control(limit_milli=per_s * 1000)
+        time.sleep(self.rng.uniform(3, 4))
+        before = service.control()["asked"]
+        time.sleep(LIMIT_SPAN_S)
+        came = service.control(limit_milli=-1)["asked"] - before
+        if came > 1.5 * per_s * LIMIT_SPAN_S + 5:
+            self.violate("a service got %d calls in %d s at a limit of %d" % (
+                came, LIMIT_SPAN_S, per_s))
+
     def fault(self):
         kinds = [self.kill_router, self.pause_router, self.stop_router,
                  self.restart_engine, self.spoil_engine, self.spoil_engine,
                  self.freeze_engine, self.spoil_service, self.spoil_log,
-                 self.take_log_down]
+                 self.take_log_down, self.limit_service]
         kind = self.rng.choice(kinds)
         kind()
         self.count("fault_" + kind.__name__)
