Routers that start first ask for those that come later

What callers saw: nothing; a customer was let in above its limit (QUOTA), as eight of 90 routers each kept a count of their own. The same takes reading the store, placing and the lease from the one router that should have them.

Cause: news of routers goes to those that made a link. Routers that start half a second before the others have all the links that they want when those come, are linked by them, and tell them; nobody tells the first ones, who know 24 to 31 of 59 others for good.

--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -97,11 +97,19 @@
     }
 }
 
+void
+Gossip_tellAll(Member_t *member)
+{
+    member->told = 0;
+    member->wants_all = TRUE;
+}
+
 void
 Gossip_introduce(Gossip_t *this, Member_t *member)
 {
     member->told = 0;
     member->sampled = 0;
+    member->wants_all = FALSE;
     const GPtrArray *upstreams = UpstreamSet_all(this->upstreams);
     for (guint i = 0; i < upstreams->len; i++) {
         const Upstream_t *upstream = g_ptr_array_index(upstreams, i);
@@ -442,8 +450,10 @@
     MemberNews_grow(this->news, this->settings->gossip_budget, GOSSIP_TICK_MS);
     const GPtrArray *linked = MemberTable_linked(this->table);
     for (guint i = linked->len; i > 0; i--) {
-        send_news(this, g_ptr_array_index(linked, i - 1),
-                  i <= MEMBER_TABLE_FED);
+        Member_t *member = g_ptr_array_index(linked, i - 1);
+        send_news(this, member, i <= MEMBER_TABLE_FED || member->wants_all);
+        member->wants_all =
+            member->wants_all && !MemberNews_wasToldAll(this->news, member);
     }
 }
 
--- a/src/MemberNews.c
+++ b/src/MemberNews.c
@@ -106,6 +106,12 @@
     }
 }
 
+gboolean
+MemberNews_wasToldAll(const MemberNews_t *this, const Member_t *peer)
+{
+    return peer->told >= this->newest;
+}
+
 void
 MemberNews_grow(MemberNews_t *this, gint64 rate, gint64 passed_ms)
 {
--- a/src/MemberNews.h
+++ b/src/MemberNews.h
@@ -45,6 +45,9 @@
 /** MemberNews_told() - a linked router was told of another one */
 void MemberNews_told(Member_t *peer, const Member_t *member, gboolean fed);
 
+/** MemberNews_wasToldAll() - there is nothing left to tell a linked router */
+gboolean MemberNews_wasToldAll(const MemberNews_t *this, const Member_t *peer);
+
 /**
  * MemberNews_grow() - time has passed
  * @rate: bytes of gossip that may be sent in a second
--- a/src/MemberTable.c
+++ b/src/MemberTable.c
@@ -204,6 +204,17 @@
     return this->linked;
 }
 
+guint
+MemberTable_placed(const MemberTable_t *this)
+{
+    guint placed = 0;
+    for (guint i = 0; i < this->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->live, i);
+        placed += member->address.port != 0 ? 1 : 0;
+    }
+    return placed;
+}
+
 guint
 MemberTable_links(const MemberTable_t *this)
 {
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -28,6 +28,7 @@
  * @sampled: routers that were told of over @link without telling it all
  * @link: open link, or NULL
  * @asked: it made @link, and needs what this router tells
+ * @wants_all: it has asked for all news, and was not told all yet
  * @unanswered_until_ms: it did not answer a datagram; it is sent none before
  */
 typedef struct {
@@ -45,6 +46,7 @@
     guint sampled;
     PeerLink_t *link;
     gboolean asked;
+    gboolean wants_all;
     gint64 unanswered_until_ms;
 } Member_t;
 
@@ -106,6 +108,9 @@
 gboolean MemberTable_isOfHall(const MemberTable_t *this,
                               const Member_t *member);
 
+/** MemberTable_placed() - others of which it is known where they listen */
+guint MemberTable_placed(const MemberTable_t *this);
+
 /** MemberTable_links() - open links */
 guint MemberTable_links(const MemberTable_t *this);
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1222,6 +1222,51 @@
   assert(message->base.descriptor == &wt__limit_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__members_ask__init
+                     (Wt__MembersAsk         *message)
+{
+  static const Wt__MembersAsk init_value = WT__MEMBERS_ASK__INIT;
+  *message = init_value;
+}
+size_t wt__members_ask__get_packed_size
+                     (const Wt__MembersAsk *message)
+{
+  assert(message->base.descriptor == &wt__members_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__members_ask__pack
+                     (const Wt__MembersAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__members_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__members_ask__pack_to_buffer
+                     (const Wt__MembersAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__members_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__MembersAsk *
+       wt__members_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__MembersAsk *)
+     protobuf_c_message_unpack (&wt__members_ask__descriptor,
+                                allocator, len, data);
+}
+void   wt__members_ask__free_unpacked
+                     (Wt__MembersAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__members_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -3437,7 +3482,45 @@
   (ProtobufCMessageInit) wt__limit_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wt__members_ask__field_descriptors[1] =
+{
+  {
+    "known",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__MembersAsk, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__members_ask__field_indices_by_name[] = {
+  0,   /* field[0] = known */
+};
+static const ProtobufCIntRange wt__members_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wt__members_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.MembersAsk",
+  "MembersAsk",
+  "Wt__MembersAsk",
+  "wt",
+  sizeof(Wt__MembersAsk),
+  1,
+  wt__members_ask__field_descriptors,
+  wt__members_ask__field_indices_by_name,
+  1,  wt__members_ask__number_ranges,
+  (ProtobufCMessageInit) wt__members_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[19] =
 {
   {
     "hello",
@@ -3655,6 +3738,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members_ask",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, members_ask),
+    &wt__members_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -3668,6 +3763,7 @@
   6,   /* field[6] = hints */
   17,   /* field[17] = limit_news */
   7,   /* field[7] = loads */
+  18,   /* field[18] = members_ask */
   11,   /* field[11] = place_answer */
   10,   /* field[10] = place_ask */
   12,   /* field[12] = place_news */
@@ -3679,7 +3775,7 @@
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -3689,7 +3785,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  18,
+  19,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Wt__CrashRecord Wt__CrashRecord;
 typedef struct Wt__LimitFact Wt__LimitFact;
 typedef struct Wt__LimitNews Wt__LimitNews;
+typedef struct Wt__MembersAsk Wt__MembersAsk;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -675,6 +676,23 @@
     , 0,NULL }
 
 
+/*
+ * Asks for the facts of all routers, which is answered where more of them are
+ * known than the asker knows.
+ */
+struct  Wt__MembersAsk
+{
+  ProtobufCMessage base;
+  /*
+   * Routers whose place the asker knows.
+   */
+  uint32_t known;
+};
+#define WT__MEMBERS_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__members_ask__descriptor) \
+    , 0 }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -694,7 +712,8 @@
   WT__PEER_MESSAGE__BODY_RATE_ASK = 15,
   WT__PEER_MESSAGE__BODY_RATE_ANSWER = 16,
   WT__PEER_MESSAGE__BODY_CRASH_NEWS = 17,
-  WT__PEER_MESSAGE__BODY_LIMIT_NEWS = 18
+  WT__PEER_MESSAGE__BODY_LIMIT_NEWS = 18,
+  WT__PEER_MESSAGE__BODY_MEMBERS_ASK = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -721,6 +740,7 @@
     Wt__RateAnswer *rate_answer;
     Wt__CrashNews *crash_news;
     Wt__LimitNews *limit_news;
+    Wt__MembersAsk *members_ask;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -1241,6 +1261,25 @@
 void   wt__limit_news__free_unpacked
                      (Wt__LimitNews *message,
                       ProtobufCAllocator *allocator);
+/* Wt__MembersAsk methods */
+void   wt__members_ask__init
+                     (Wt__MembersAsk         *message);
+size_t wt__members_ask__get_packed_size
+                     (const Wt__MembersAsk   *message);
+size_t wt__members_ask__pack
+                     (const Wt__MembersAsk   *message,
+                      uint8_t             *out);
+size_t wt__members_ask__pack_to_buffer
+                     (const Wt__MembersAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__MembersAsk *
+       wt__members_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__members_ask__free_unpacked
+                     (Wt__MembersAsk *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -1343,6 +1382,9 @@
 typedef void (*Wt__LimitNews_Closure)
                  (const Wt__LimitNews *message,
                   void *closure_data);
+typedef void (*Wt__MembersAsk_Closure)
+                 (const Wt__MembersAsk *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -1381,6 +1423,7 @@
 extern const ProtobufCMessageDescriptor wt__crash_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__limit_fact__descriptor;
 extern const ProtobufCMessageDescriptor wt__limit_news__descriptor;
+extern const ProtobufCMessageDescriptor wt__members_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
