Split what upstreams' limits, asks for routers and words of keepers added

ExchangeRoom, MemberAsks and RateWords take what had grown in Exchange, Membership and RateKeeper; tests share how an upstream is made. No behaviour changes.

--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -9,8 +9,6 @@
  * which the machine is suspended, and a request would be held as much longer
  * than its caller waits. */
 #define DEADLINE_STEP_MS 500
-/* Room at limited upstreams is asked for again no sooner. */
-#define ROOM_STEP_MS 10
 
 static void
 set_upstream(Upstream_t **slot, Upstream_t *upstream)
@@ -33,8 +31,8 @@
     this->class->destroy(this);
 }
 
-static void
-place(Exchange_t *this)
+void
+Exchange_place(Exchange_t *this)
 {
     if (this->over || this->left) {
         return;
@@ -51,7 +49,7 @@
 {
     (void)fd;
     (void)what;
-    place(data);
+    Exchange_place(data);
 }
 
 /* One timer serves the next attempt, then the grace, then the end. */
@@ -191,8 +189,8 @@
     arm_deadline(this);
 }
 
-static void
-refuse(Exchange_t *this, const RefusalNotice_t *notice)
+void
+Exchange_refuseWith(Exchange_t *this, const RefusalNotice_t *notice)
 {
     Context_countRefusal(this->context, notice->refusal, notice->run,
                          this->id->str, this->target->str,
@@ -209,7 +207,7 @@
         return; /* about to end, which releases the claim */
     }
     if (granted) {
-        place(this);
+        Exchange_place(this);
         return;
     }
     Exchange_refuse(this, refusal, run, NULL);
@@ -246,13 +244,13 @@
     }
     if (!verdict->admitted) {
         ExchangeLog_limited(this, verdict);
-        refuse(this, &notice);
+        Exchange_refuseWith(this, &notice);
     }
     else if (this->key && !this->repeatable) {
         claim(this);
     }
     else {
-        place(this);
+        Exchange_place(this);
     }
 }
 
@@ -263,115 +261,6 @@
     RateGate_enter(&this->gate, this->context->rates, rate, on_verdict, this);
 }
 
-PlacementTerms_t
-Exchange_terms(const Exchange_t *this)
-{
-    return (PlacementTerms_t){
-        .avoid = this->avoid,
-        .permitted = UpstreamGate_permitted(&this->room),
-        .spares_limited = this->room.refusals >= UPSTREAM_GATE_REFUSALS_MAX,
-    };
-}
-
-/* What has no room is left out by the next choice; who needs this very
- * upstream waits. */
-static void
-place_without_room(Exchange_t *this)
-{
-    const Upstream_t *upstream = this->room.full;
-    gint64 wait_ms =
-        this->waits_for_room
-            ? UpstreamLimit_fullMs(&upstream->limit, Clock_nowMs())
-            : 0;
-    Clock_arm(this->later, wait_ms);
-}
-
-static void
-on_room(void *owner, UpstreamGateStep_t step)
-{
-    Exchange_t *this = owner;
-    if (step == UPSTREAM_GATE_FULL) {
-        place_without_room(this);
-        return;
-    }
-    place(this);
-}
-
-static gboolean
-ask_for_room(Exchange_t *this, Upstream_t *upstream)
-{
-    UpstreamGateSpec_t spec = {
-        .limits = this->context->upstream_limits,
-        .rates = this->context->rates,
-        .request_id = this->id->str,
-        .done = on_room,
-        .owner = this,
-    };
-    UpstreamGateStep_t step = UpstreamGate_enter(&this->room, upstream, &spec);
-    if (step == UPSTREAM_GATE_FULL) {
-        place_without_room(this);
-    }
-    return step == UPSTREAM_GATE_OPEN;
-}
-
-gboolean
-Exchange_mayGo(Exchange_t *this, Upstream_t *upstream)
-{
-    this->waits_for_room = FALSE;
-    return ask_for_room(this, upstream);
-}
-
-gboolean
-Exchange_mayReturn(Exchange_t *this, Upstream_t *upstream)
-{
-    this->waits_for_room = TRUE;
-    return ask_for_room(this, upstream);
-}
-
-void
-Exchange_forgoRoom(Exchange_t *this)
-{
-    UpstreamGate_leave(&this->room);
-}
-
-/* A refusal would end an answer in the middle that its caller has begun to
- * read. */
-static void
-wait_for_any_room(Exchange_t *this, const LimitedRoom_t *room)
-{
-    this->room.refusals = 0;
-    Clock_arm(this->later, MAX(room->full_ms, ROOM_STEP_MS));
-}
-
-gboolean
-Exchange_refuseLimited(Exchange_t *this, const Placement_t *placement)
-{
-    LimitedRoom_t room = Policy_findLimited(placement);
-    if (room.count == 0) {
-        return FALSE;
-    }
-    if (Exchange_runState(this) == RUN_DONE) {
-        wait_for_any_room(this, &room);
-        return TRUE;
-    }
-    guint retry_after_ms = UpstreamLimits_retryAfterMs(
-        this->context->upstream_limits, this->target->str, &room);
-    g_autofree char *detail =
-        g_strdup_printf("upstreams=%u per_s=%.6g", room.count, room.per_s);
-    RefusalNotice_t notice = {REFUSAL_UPSTREAMS_LIMITED,
-                              Exchange_runState(this), detail, retry_after_ms};
-    refuse(this, &notice);
-    return TRUE;
-}
-
-void
-Exchange_noteLimit(const Exchange_t *this, const NamedLimit_t *said)
-{
-    gint64 sent_us = this->started_us + this->attempt_trace->started_us;
-    UpstreamLimits_noteAnswer(this->context->upstream_limits, this->upstream,
-                              said, sent_us / CLOCK_US_PER_MS, this->id->str);
-}
-
 void
 Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
                      const char *reason)
@@ -560,7 +449,7 @@
                               Exchange_runState(this), NULL,
                               (guint)verdict.wait_ms};
     abandon(this);
-    refuse(this, &notice);
+    Exchange_refuseWith(this, &notice);
 }
 
 /* One that has begun is left to show whether it comes through. */
@@ -590,7 +479,7 @@
                 const char *detail)
 {
     RefusalNotice_t notice = {refusal, run, detail, 0};
-    refuse(this, &notice);
+    Exchange_refuseWith(this, &notice);
 }
 
 static void
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -58,38 +58,13 @@
 void Exchange_enter(Exchange_t *this, const RateRequest_t *rate,
                     const char *key);
 
-/** Exchange_terms() - which upstreams it may use */
-PlacementTerms_t Exchange_terms(const Exchange_t *this);
+/** Exchange_place() - choose an upstream for the next attempt, unless nothing
+ * may follow; for the parts of an exchange */
+void Exchange_place(Exchange_t *this);
 
-/**
- * Exchange_mayGo() - whether an attempt may go to an upstream now
- *
- * Where the upstream has named a limit, room is asked for, and the form's
- * place() is called again: with the upstream permitted, or without it where it
- * has no room.
- */
-gboolean Exchange_mayGo(Exchange_t *this, Upstream_t *upstream);
-
-/** Exchange_mayReturn() - the same where no other upstream will do: place() is
- * called once it may have room */
-gboolean Exchange_mayReturn(Exchange_t *this, Upstream_t *upstream);
-
-/** Exchange_forgoRoom() - the permitted upstream can't be used */
-void Exchange_forgoRoom(Exchange_t *this);
-
-/**
- * Exchange_refuseLimited() - tell the caller that only their limits keep
- * upstreams from taking it; where its answer has begun, place() is called once
- * one of them may have room
- *
- * Return: FALSE where that is not so
- */
-gboolean Exchange_refuseLimited(Exchange_t *this,
-                                const Placement_t *placement);
-
-/** Exchange_noteLimit() - what an answer to its attempt says of the upstream's
- * limit */
-void Exchange_noteLimit(const Exchange_t *this, const NamedLimit_t *said);
+/** Exchange_refuseWith() - tell the caller that it gets no answer and when to
+ * come back, and end */
+void Exchange_refuseWith(Exchange_t *this, const RefusalNotice_t *notice);
 
 /** Exchange_noteAttempt() - an attempt at an upstream starts now */
 void Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
--- /dev/null
+++ b/src/ExchangeRoom.c
@@ -0,0 +1,115 @@
+#include "ExchangeRoom.h"
+
+#include "Clock.h"
+
+/* Room at limited upstreams is asked for again no sooner. */
+#define ROOM_STEP_MS 10
+
+PlacementTerms_t
+ExchangeRoom_terms(const Exchange_t *this)
+{
+    return (PlacementTerms_t){
+        .avoid = this->avoid,
+        .permitted = UpstreamGate_permitted(&this->room),
+        .spares_limited = this->room.refusals >= UPSTREAM_GATE_REFUSALS_MAX,
+    };
+}
+
+/* What has no room is left out by the next choice; who needs this very
+ * upstream waits. */
+static void
+place_without_room(Exchange_t *this)
+{
+    const Upstream_t *upstream = this->room.full;
+    gint64 wait_ms =
+        this->waits_for_room
+            ? UpstreamLimit_fullMs(&upstream->limit, Clock_nowMs())
+            : 0;
+    Clock_arm(this->later, wait_ms);
+}
+
+static void
+on_room(void *owner, UpstreamGateStep_t step)
+{
+    Exchange_t *this = owner;
+    if (step == UPSTREAM_GATE_FULL) {
+        place_without_room(this);
+        return;
+    }
+    Exchange_place(this);
+}
+
+static gboolean
+ask_for_room(Exchange_t *this, Upstream_t *upstream)
+{
+    UpstreamGateSpec_t spec = {
+        .limits = this->context->upstream_limits,
+        .rates = this->context->rates,
+        .request_id = this->id->str,
+        .done = on_room,
+        .owner = this,
+    };
+    UpstreamGateStep_t step = UpstreamGate_enter(&this->room, upstream, &spec);
+    if (step == UPSTREAM_GATE_FULL) {
+        place_without_room(this);
+    }
+    return step == UPSTREAM_GATE_OPEN;
+}
+
+gboolean
+ExchangeRoom_mayGo(Exchange_t *this, Upstream_t *upstream)
+{
+    this->waits_for_room = FALSE;
+    return ask_for_room(this, upstream);
+}
+
+gboolean
+ExchangeRoom_mayReturn(Exchange_t *this, Upstream_t *upstream)
+{
+    this->waits_for_room = TRUE;
+    return ask_for_room(this, upstream);
+}
+
+void
+ExchangeRoom_forgo(Exchange_t *this)
+{
+    UpstreamGate_leave(&this->room);
+}
+
+/* A refusal would end an answer in the middle that its caller has begun to
+ * read. */
+static void
+wait_for_any_room(Exchange_t *this, const LimitedRoom_t *room)
+{
+    this->room.refusals = 0;
+    Clock_arm(this->later, MAX(room->full_ms, ROOM_STEP_MS));
+}
+
+gboolean
+ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement)
+{
+    LimitedRoom_t room = Policy_findLimited(placement);
+    if (room.count == 0) {
+        return FALSE;
+    }
+    if (Exchange_runState(this) == RUN_DONE) {
+        wait_for_any_room(this, &room);
+        return TRUE;
+    }
+    guint retry_after_ms = UpstreamLimits_retryAfterMs(
+        this->context->upstream_limits, this->target->str, &room);
+    g_autofree char *detail =
+        g_strdup_printf("upstreams=%u per_s=%.6g", room.count, room.per_s);
+    RefusalNotice_t notice = {REFUSAL_UPSTREAMS_LIMITED,
+                              Exchange_runState(this), detail, retry_after_ms};
+    Exchange_refuseWith(this, &notice);
+    return TRUE;
+}
+
+void
+ExchangeRoom_noteLimit(const Exchange_t *this, const NamedLimit_t *said)
+{
+    gint64 sent_us = this->started_us + this->attempt_trace->started_us;
+    UpstreamLimits_noteAnswer(this->context->upstream_limits, this->upstream,
+                              said, sent_us / CLOCK_US_PER_MS, this->id->str);
+}
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -97,13 +97,6 @@
     }
 }
 
-void
-Gossip_tellAll(Member_t *member)
-{
-    member->told = 0;
-    member->wants_all = TRUE;
-}
-
 void
 Gossip_introduce(Gossip_t *this, Member_t *member)
 {
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -51,10 +51,6 @@
  * budget */
 void Gossip_introduce(Gossip_t *this, Member_t *member);
 
-/** Gossip_tellAll() - a linked router is told all news of routers once,
- * whether it is one of those that are told all news or not */
-void Gossip_tellAll(Member_t *member);
-
 /** Gossip_take() - facts came */
 void Gossip_take(Gossip_t *this, const Wt__Gossip *message);
 
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -8,6 +8,7 @@
 #include "Clock.h"
 #include "Errors.h"
 #include "Gossip.h"
+#include "MemberAsks.h"
 #include "Random.h"
 
 #define HEARTBEAT_MS 1000
@@ -62,8 +63,7 @@
     guint known;     /* routers heard of, as last looked at */
     gint64 known_ms; /* when that last grew */
     gboolean settled;
-    guint asks; /* for all routers, so far */
-    gint64 next_ask_ms;
+    MemberAsks_t asks;
 };
 
 static const PeerLinkEvents_t link_events;
@@ -238,47 +238,6 @@
     }
 }
 
-static void
-ask_for_members(Membership_t *this, const Member_t *member)
-{
-    Wt__MembersAsk ask = WT__MEMBERS_ASK__INIT;
-    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
-    ask.known = MemberTable_placed(this->table);
-    message.body_case = WT__PEER_MESSAGE__BODY_MEMBERS_ASK;
-    message.members_ask = &ask;
-    PeerLink_send(member->link, &message);
-}
-
-/* Who knows less asks back. */
-static void
-take_members_ask(Membership_t *this, Member_t *from, guint known)
-{
-    guint placed = MemberTable_placed(this->table);
-    if (placed > known) {
-        Gossip_tellAll(from);
-    }
-    else if (placed < known) {
-        ask_for_members(this, from);
-    }
-}
-
-static void
-ask_some_member(Membership_t *this, gint64 now_ms)
-{
-    if (Gossip_isMesh(this->gossip) || this->asks == MEMBERS_ASKS ||
-        now_ms < this->next_ask_ms) {
-        return;
-    }
-    const GPtrArray *linked = MemberTable_linked(this->table);
-    if (linked->len == 0) {
-        return;
-    }
-    ask_for_members(this,
-                    g_ptr_array_index(linked, Random_below(linked->len)));
-    this->next_ask_ms = now_ms + ((gint64)MEMBERS_ASK_MS << this->asks);
-    this->asks++;
-}
-
 static void
 on_message(void *owner, PeerLink_t *link, const Wt__PeerMessage *message)
 {
@@ -296,7 +255,7 @@
         return;
     }
     if (message->body_case == WT__PEER_MESSAGE__BODY_MEMBERS_ASK) {
-        take_members_ask(this, from, message->members_ask->known);
+        MemberAsks_take(this->table, from, message->members_ask->known);
         return;
     }
     this->spec.message(this->spec.data, from, message);
@@ -355,7 +314,9 @@
     else if (now_ms - this->begun_ms < LINKS_SOON_MS) {
         keep_links(this);
     }
-    ask_some_member(this, now_ms);
+    if (!Gossip_isMesh(this->gossip)) {
+        MemberAsks_tick(&this->asks, this->table, now_ms);
+    }
     Gossip_tick(this->gossip);
     Clock_arm(this->tick, GOSSIP_TICK_MS);
 }
@@ -430,7 +391,7 @@
     this->tick = Clock_timer(base, on_tick, this);
     this->begun_ms = Clock_nowMs();
     this->known_ms = this->begun_ms;
-    this->next_ask_ms = this->begun_ms + MEMBERS_ASK_MS;
+    MemberAsks_init(&this->asks, this->begun_ms);
     if (!start_listening(this, error)) {
         Membership_destroy(this);
         return NULL;
--- a/src/RateKeeper.c
+++ b/src/RateKeeper.c
@@ -4,31 +4,13 @@
 #include <string.h>
 
 #include "Clock.h"
-#include "OwnShare.h"
 #include "RateAsks.h"
 #include "RateCounts.h"
+#include "RateWords.h"
 
-/* A word counts for so long at the most; the keeper tells before when it ends.
- */
-#define WORD_MS 10000
 /* Where much is left, what was let in is told once all routers together may
  * have let in this part of the depth without telling. */
 #define UNTOLD_PART 0.125
-/* What is known of a subject is forgotten so long after its last request. */
-#define FORGET_MS 60000
-#define SWEEP_MS 10000
-
-/* What is known of a customer here. */
-typedef struct {
-    OwnShare_t share;
-    gboolean open;   /* by the last word much was left */
-    gboolean empty;  /* by the last word nothing was left */
-    gint64 word_ms;  /* when that came, 0 for never */
-    guint64 version; /* of the limit that it was about */
-    gint64 told_ms;  /* when a report was sent that is not answered, or 0 */
-    double untold;   /* let in since the last report */
-    gint64 used_ms;  /* when it was last looked up */
-} Word_t;
 
 struct RateKeeper {
     RateLimits_t super;
@@ -37,41 +19,9 @@
     RateRoll_t *roll;
     RateCounts_t *counts;
     RateAsks_t *asks;
-    GHashTable *words; /* subject -> Word_t */
-    gint64 swept_ms;
+    RateWords_t *words;
 };
 
-static Word_t *
-word_of(RateKeeper_t *this, const char *subject)
-{
-    Word_t *word = g_hash_table_lookup(this->words, subject);
-    if (!word) {
-        word = g_new0(Word_t, 1);
-        g_hash_table_insert(this->words, g_strdup(subject), word);
-    }
-    word->used_ms = Clock_nowMs();
-    return word;
-}
-
-static gboolean
-is_forgotten(gpointer subject, gpointer value, gpointer now_ms)
-{
-    (void)subject;
-    const Word_t *word = value;
-    return *(const gint64 *)now_ms - word->used_ms > FORGET_MS;
-}
-
-/* Upstreams come and go under new names for as long as a router runs. */
-static void
-sweep(RateKeeper_t *this)
-{
-    gint64 now_ms = Clock_nowMs();
-    if (now_ms - this->swept_ms > SWEEP_MS) {
-        this->swept_ms = now_ms;
-        g_hash_table_foreach_remove(this->words, is_forgotten, &now_ms);
-    }
-}
-
 static guint
 count_routers(const RateKeeper_t *this)
 {
@@ -84,44 +34,12 @@
     Counters_add(this->counters, "rate_asks_total", labels, 1);
 }
 
-/* A router that has no word yet may be new, as all others may be. */
-static gboolean
-is_pressed(const Word_t *word)
-{
-    return word->word_ms > 0 && word->empty &&
-           Clock_nowMs() - word->word_ms < WORD_MS;
-}
-
-static void
-note_word(Word_t *word, gboolean open, double left)
-{
-    word->open = open;
-    word->empty = left <= 0;
-    word->word_ms = Clock_nowMs();
-}
-
-/* Takes what was not told yet with it. */
-static RateClaim_t
-claim_of(Word_t *word, const RateRequest_t *request)
-{
-    RateClaim_t claim = {
-        .subject = request->subject,
-        .limit = request->limit,
-        .units = request->units,
-        .spent = word->untold,
-        .pressed = is_pressed(word),
-        .from = RATE_SELF,
-    };
-    word->untold = 0;
-    return claim;
-}
-
 static RateVerdict_t
-decide_here(RateKeeper_t *this, Word_t *word, const RateRequest_t *request)
+decide_here(RateKeeper_t *this, RateWord_t *word, const RateRequest_t *request)
 {
-    RateClaim_t claim = claim_of(word, request);
+    RateClaim_t claim = RateWord_claim(word, request);
     RateRuling_t ruling = RateCounts_rule(this->counts, &claim);
-    note_word(word, ruling.open, ruling.left);
+    RateWord_note(word, ruling.open, ruling.left);
     word->version = request->limit.version;
     if (ruling.admitted) {
         OwnShare_note(&word->share, request->units, Clock_nowMs());
@@ -136,7 +54,7 @@
 
 /* By this router's own share, as nobody has answered. */
 static RateVerdict_t
-decide_alone(const RateKeeper_t *this, Word_t *word,
+decide_alone(const RateKeeper_t *this, RateWord_t *word,
              const RateRequest_t *request)
 {
     gint64 now_ms = Clock_nowMs();
@@ -144,7 +62,7 @@
     OwnShareFacts_t facts = {
         .limit = request->limit,
         .routers = count_routers(this),
-        .pressed = is_pressed(word),
+        .pressed = RateWord_isPressed(word),
     };
     RateVerdict_t verdict = {.by = "share"};
     verdict.age_ms = word->word_ms > 0 ? now_ms - word->word_ms : 0;
@@ -165,7 +83,7 @@
 {
     RateKeeper_t *this = ask->asker;
     RateRequest_t request = RateAsk_request(ask);
-    Word_t *word = word_of(this, request.subject);
+    RateWord_t *word = RateWords_of(this->words, request.subject);
     RateVerdict_t verdict = decide_alone(this, word, &request);
     RateAsks_finish(this->asks, ask, &verdict);
 }
@@ -176,7 +94,7 @@
 {
     RateKeeper_t *this = ask->asker;
     RateRequest_t request = RateAsk_request(ask);
-    Word_t *word = word_of(this, request.subject);
+    RateWord_t *word = RateWords_of(this->words, request.subject);
     guint64 keeper = RateRoll_keeper(this->roll, request.subject);
     if (keeper == RATE_NOBODY) {
         end_alone(ask);
@@ -186,7 +104,7 @@
         RateAsks_finish(this->asks, ask, &verdict);
     }
     else {
-        RateClaim_t claim = claim_of(word, &request);
+        RateClaim_t claim = RateWord_claim(word, &request);
         RateAsks_wait(this->asks, ask, RATE_STEP_ASKED_AGAIN);
         RateLinks_ask(&this->links, keeper, &claim, ask->ticket);
     }
@@ -215,21 +133,8 @@
     }
 }
 
-static gboolean
-is_report_lost(const Word_t *word, gint64 now_ms)
-{
-    return word->told_ms > 0 && now_ms - word->told_ms > RATE_WAIT_MS;
-}
-
-static gboolean
-is_open(const Word_t *word, const RateLimit_t *limit, gint64 now_ms)
-{
-    return word->open && word->version == limit->version &&
-           now_ms - word->word_ms < WORD_MS && !is_report_lost(word, now_ms);
-}
-
 static void
-report(RateKeeper_t *this, Word_t *word, const RateRequest_t *request)
+report(RateKeeper_t *this, RateWord_t *word, const RateRequest_t *request)
 {
     guint64 keeper = RateRoll_keeper(this->roll, request->subject);
     if (keeper == RATE_NOBODY) {
@@ -237,7 +142,7 @@
     }
     RateRequest_t nothing = *request;
     nothing.units = 0;
-    RateClaim_t claim = claim_of(word, &nothing);
+    RateClaim_t claim = RateWord_claim(word, &nothing);
     if (keeper == RATE_SELF) {
         RateCounts_rule(this->counts, &claim);
         return;
@@ -251,7 +156,7 @@
 }
 
 static void
-report_sometimes(RateKeeper_t *this, Word_t *word,
+report_sometimes(RateKeeper_t *this, RateWord_t *word,
                  const RateRequest_t *request)
 {
     double depth = TokenBucket_depth(&request->limit);
@@ -261,7 +166,7 @@
 }
 
 static RateVerdict_t
-go_on_open(RateKeeper_t *this, Word_t *word, const RateRequest_t *request,
+go_on_open(RateKeeper_t *this, RateWord_t *word, const RateRequest_t *request,
            gint64 now_ms)
 {
     RateVerdict_t verdict = {
@@ -276,11 +181,11 @@
 }
 
 static RateAsk_t *
-ask_keeper(RateKeeper_t *this, Word_t *word, const RateRequest_t *request,
+ask_keeper(RateKeeper_t *this, RateWord_t *word, const RateRequest_t *request,
            guint64 keeper)
 {
     RateAsk_t *ask = RateAsks_add(this->asks, this, request);
-    RateClaim_t claim = claim_of(word, request);
+    RateClaim_t claim = RateWord_claim(word, request);
     word->told_ms = 0;
     RateLinks_ask(&this->links, keeper, &claim, ask->ticket);
     return ask;
@@ -291,15 +196,14 @@
       RateDone_t done, void *owner)
 {
     RateKeeper_t *this = (RateKeeper_t *)super;
-    sweep(this);
-    Word_t *word = word_of(this, request->subject);
+    RateWord_t *word = RateWords_of(this->words, request->subject);
     gint64 now_ms = Clock_nowMs();
     guint64 keeper = RateRoll_keeper(this->roll, request->subject);
     if (keeper == RATE_SELF) {
         *out = decide_here(this, word, request);
         return NULL;
     }
-    if (is_open(word, &request->limit, now_ms)) {
+    if (RateWord_isOpen(word, &request->limit, now_ms)) {
         *out = go_on_open(this, word, request, now_ms);
         return NULL;
     }
@@ -325,7 +229,7 @@
 give_back(RateLimits_t *super, const RateRequest_t *request)
 {
     RateKeeper_t *this = (RateKeeper_t *)super;
-    Word_t *word = word_of(this, request->subject);
+    RateWord_t *word = RateWords_of(this->words, request->subject);
     OwnShare_note(&word->share, -request->units, Clock_nowMs());
     word->untold -= request->units;
     report_sometimes(this, word, request);
@@ -386,11 +290,11 @@
 take_word(RateKeeper_t *this, const Wt__RateAnswer *answer,
           const RateAsk_t *ask)
 {
-    Word_t *word = g_hash_table_lookup(this->words, answer->subject);
+    RateWord_t *word = RateWords_find(this->words, answer->subject);
     if (!word) {
         return;
     }
-    note_word(word, answer->open, answer->left);
+    RateWord_note(word, answer->open, answer->left);
     word->told_ms = 0;
     if (ask) {
         word->version = ask->limit.version;
@@ -406,7 +310,7 @@
         .by = "keeper",
         .left = answer->left,
     };
-    Word_t *word = word_of(this, ask->subject->str);
+    RateWord_t *word = RateWords_of(this->words, ask->subject->str);
     if (ask->cancelled && answer->admitted) {
         word->untold -= ask->units;
     }
@@ -421,7 +325,7 @@
 static void
 go_elsewhere(RateKeeper_t *this, const Wt__RateAnswer *answer, RateAsk_t *ask)
 {
-    Word_t *word = g_hash_table_lookup(this->words, answer->subject);
+    RateWord_t *word = RateWords_find(this->words, answer->subject);
     RateRoll_trust(this->roll, answer->elsewhere);
     if (word) {
         word->open = FALSE;
@@ -431,7 +335,8 @@
         return;
     }
     RateRequest_t request = RateAsk_request(ask);
-    RateClaim_t claim = claim_of(word_of(this, request.subject), &request);
+    RateClaim_t claim =
+        RateWord_claim(RateWords_of(this->words, request.subject), &request);
     ask->was_sent_on = TRUE;
     RateLinks_ask(&this->links, answer->elsewhere, &claim, ask->ticket);
 }
@@ -506,7 +411,7 @@
 {
     RateKeeper_t *this = (RateKeeper_t *)super;
     RateAsks_destroy(this->asks);
-    g_hash_table_destroy(this->words);
+    RateWords_destroy(this->words);
     RateCounts_destroy(this->counts);
     RateRoll_destroy(this->roll);
     g_free(this);
@@ -530,8 +435,7 @@
     this->counters = counters;
     this->roll = RateRoll_create(&this->links, counters);
     this->counts = RateCounts_create(&this->links, this->roll);
-    this->words =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    this->words = RateWords_create();
     this->asks = RateAsks_create(&this->links);
     return this;
 }
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -1,6 +1,7 @@
 #include "RelayDispatch.h"
 
 #include "Clock.h"
+#include "ExchangeRoom.h"
 #include "LoadShed.h"
 #include "RelayRun.h"
 
@@ -117,7 +118,7 @@
         refuse_now(super, REFUSAL_OVERLOADED);
         return;
     }
-    if (!Exchange_mayGo(super, placing->choice.upstream)) {
+    if (!ExchangeRoom_mayGo(super, placing->choice.upstream)) {
         return;
     }
     RelayPlacer_prepare(super->context, wish, placing);
@@ -128,7 +129,7 @@
 static void
 refuse_unplaced(Exchange_t *super, const RelayPlacing_t *placing)
 {
-    if (!Exchange_refuseLimited(super, &placing->placement)) {
+    if (!ExchangeRoom_refuse(super, &placing->placement)) {
         refuse_now(super, REFUSAL_NO_UPSTREAM);
     }
 }
@@ -146,7 +147,7 @@
     }
     RelayPlacer_choose(super->context, wish, placing);
     if (!placing->choice.upstream && wish->terms.permitted) {
-        Exchange_forgoRoom(super);
+        ExchangeRoom_forgo(super);
         wish->terms.permitted = NULL;
         RelayPlacer_choose(super->context, wish, placing);
     }
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 
 #include "Clock.h"
+#include "ExchangeRoom.h"
 #include "HttpCall.h"
 #include "Log.h"
 #include "RelayDispatch.h"
@@ -22,7 +23,7 @@
         .service = this->super.target->str,
         .customer = this->customer,
         .request = &this->request,
-        .terms = Exchange_terms(&this->super),
+        .terms = ExchangeRoom_terms(&this->super),
     };
 }
 
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -7,7 +7,7 @@
 #include "Clock.h"
 #include "EngineHttp.h"
 #include "Errors.h"
-#include "Exchange.h"
+#include "ExchangeRoom.h"
 #include "HttpCall.h"
 #include "PendingReply.h"
 #include "Random.h"
@@ -148,7 +148,7 @@
     this->call = NULL;
     if (answer && end != ATTEMPT_MISMATCH) {
         NamedLimit_t limit = EngineHttp_wire.read_limit(answer->headers);
-        Exchange_noteLimit(&this->super, &limit);
+        ExchangeRoom_noteLimit(&this->super, &limit);
     }
     Exchange_noteEnd(&this->super, end);
     if (end == ATTEMPT_WHOLE) {
@@ -199,13 +199,13 @@
 choose(Exchange_t *super, Placement_t *placement)
 {
     Policy_t *policy = super->context->service_policy;
-    PlacementTerms_t terms = Exchange_terms(super);
+    PlacementTerms_t terms = ExchangeRoom_terms(super);
     Placement_setTerms(placement, &terms);
     Choice_t choice = Policy_choose(policy, placement);
     if (choice.upstream || !terms.permitted) {
         return choice;
     }
-    Exchange_forgoRoom(super);
+    ExchangeRoom_forgo(super);
     placement->permitted = NULL;
     return Policy_choose(policy, placement);
 }
@@ -225,12 +225,12 @@
     };
     Choice_t choice = choose(super, &placement);
     if (choice.upstream) {
-        if (Exchange_mayGo(super, choice.upstream)) {
+        if (ExchangeRoom_mayGo(super, choice.upstream)) {
             start_call((ServiceExchange_t *)super, choice.upstream,
                        choice.reason);
         }
     }
-    else if (!Exchange_refuseLimited(super, &placement)) {
+    else if (!ExchangeRoom_refuse(super, &placement)) {
         Exchange_refuse(super, REFUSAL_NO_UPSTREAM, Exchange_runState(super),
                         NULL);
     }
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -4,7 +4,7 @@
 #include "Attempt.h"
 #include "Clock.h"
 #include "EngineHttp.h"
-#include "Exchange.h"
+#include "ExchangeRoom.h"
 #include "HttpCall.h"
 #include "Log.h"
 #include "Placer.h"
@@ -297,7 +297,7 @@
 on_limit(void *owner, const NamedLimit_t *limit)
 {
     const StreamExchange_t *this = owner;
-    Exchange_noteLimit(&this->super, limit);
+    ExchangeRoom_noteLimit(&this->super, limit);
 }
 
 static const AttemptEvents_t attempt_events = {
@@ -337,7 +337,7 @@
 resume(Exchange_t *super)
 {
     StreamExchange_t *this = (StreamExchange_t *)super;
-    this->wants_rest = !Exchange_mayReturn(super, this->stream.upstream);
+    this->wants_rest = !ExchangeRoom_mayReturn(super, this->stream.upstream);
     if (this->wants_rest) {
         return;
     }
@@ -378,13 +378,13 @@
 choose(StreamExchange_t *this, Placing_t *placing)
 {
     Exchange_t *super = &this->super;
-    PlacementTerms_t terms = Exchange_terms(super);
+    PlacementTerms_t terms = ExchangeRoom_terms(super);
     gboolean is_declared = Placer_place(super->context, this->prompt,
                                         super->customer->str, &terms, placing);
     if (!is_declared || placing->choice.upstream || !terms.permitted) {
         return is_declared;
     }
-    Exchange_forgoRoom(super);
+    ExchangeRoom_forgo(super);
     terms.permitted = NULL;
     return Placer_place(super->context, this->prompt, super->customer->str,
                         &terms, placing);
@@ -393,7 +393,7 @@
 static void
 refuse_unplaced(Exchange_t *super, const Placing_t *placing)
 {
-    if (!Exchange_refuseLimited(super, &placing->placement)) {
+    if (!ExchangeRoom_refuse(super, &placing->placement)) {
         Exchange_refuse(super, REFUSAL_NO_UPSTREAM, Exchange_runState(super),
                         NULL);
     }
@@ -414,7 +414,7 @@
     else if (!placing.choice.upstream) {
         refuse_unplaced(super, &placing);
     }
-    else if (Exchange_mayGo(super, placing.choice.upstream)) {
+    else if (ExchangeRoom_mayGo(super, placing.choice.upstream)) {
         start_new_stream(this, &placing);
     }
 }
--- a/tests/test_LimitNews.c
+++ b/tests/test_LimitNews.c
@@ -6,6 +6,7 @@
 
 #include "Clock.h"
 #include "FakeRouters.h"
+#include "FakeUpstreams.h"
 #include "LimitNews.h"
 
 #define MESH 16
@@ -31,16 +32,7 @@
 static Upstream_t *
 put(const char *name)
 {
-    UpstreamSpec_t spec = {.address = {"127.0.0.1", 9},
-                           .hall = g_string_new("h"),
-                           .region = g_string_new("r"),
-                           .serves = g_ptr_array_new(),
-                           .slots = 4};
-    Upstream_t *found = UpstreamSet_put(upstreams, name, &spec);
-    g_string_free(spec.hall, TRUE);
-    g_string_free(spec.region, TRUE);
-    g_ptr_array_unref(spec.serves);
-    return found;
+    return FakeUpstreams_put(upstreams, name);
 }
 
 static void
--- a/tests/test_UpstreamGate.c
+++ b/tests/test_UpstreamGate.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "FakeRouters.h"
+#include "FakeUpstreams.h"
 #include "UpstreamGate.h"
 
 /* A count that answers as it is told, at once or later. */
@@ -61,16 +62,7 @@
 static Upstream_t *
 put(const char *name)
 {
-    UpstreamSpec_t spec = {.address = {"127.0.0.1", 9},
-                           .hall = g_string_new("h"),
-                           .region = g_string_new("r"),
-                           .serves = g_ptr_array_new(),
-                           .slots = 4};
-    Upstream_t *found = UpstreamSet_put(upstreams, name, &spec);
-    g_string_free(spec.hall, TRUE);
-    g_string_free(spec.region, TRUE);
-    g_ptr_array_unref(spec.serves);
-    return found;
+    return FakeUpstreams_put(upstreams, name);
 }
 
 static void
