Ask fewer routers for a sign of life while all of them answer

A router that keeps an exact count asked 16 others four times a second for as long as the count was used: 128 of 141 messages a second at 300 routers and a limit of 1.7 a second. It asks four now after four steps at which all answered, and 16 again at the step after one did not.

Tests: fewer_are_asked_while_all_answer, an_upstreams_count_costs_few_messages.

--- a/src/Reach.c
+++ b/src/Reach.c
@@ -6,6 +6,10 @@
 /* Weight of a step in the mean, the first one apart: of a part that is cut off
  * half is seen after one step, and the spread of a step is halved. */
 #define STEP_WEIGHT 0.5
+/* After so many steps at which all answered fewer are asked, until one does
+ * not answer. */
+#define CALM_STEPS 4
+#define CALM_SAMPLE 4
 
 struct Reach {
     guint64 first; /* ticket of the first that was asked at the last step */
@@ -14,6 +18,7 @@
     guint64 seen; /* a bit for each that has answered */
     guint others;
     guint steps;
+    guint calm; /* steps in a row at which all answered */
     double part;
 };
 
@@ -38,6 +43,7 @@
         return;
     }
     guint lost = this->asked - this->answered;
+    this->calm = lost == 0 ? this->calm + 1 : 0;
     double answering =
         lost <= LOST_BY_CHANCE ? 1 : 1 - (double)lost / this->asked;
     double reached = (answering * this->others + 1) / (this->others + 1);
@@ -45,17 +51,23 @@
     this->steps++;
 }
 
+static guint
+wanted(const Reach_t *this)
+{
+    return this->calm >= CALM_STEPS ? CALM_SAMPLE : REACH_SAMPLE;
+}
+
 void
 Reach_step(Reach_t *this, const ReachSample_t *sample, ReachSend_t send,
            void *owner)
 {
     count_step(this);
     this->first += this->asked;
-    this->asked = sample->drawn;
+    this->asked = MIN(sample->drawn, wanted(this));
     this->answered = 0;
     this->seen = 0;
     this->others = sample->others;
-    for (guint i = 0; i < sample->drawn; i++) {
+    for (guint i = 0; i < this->asked; i++) {
         send(owner, sample->routers[i], this->first + i);
     }
 }
@@ -66,6 +78,7 @@
     this->first += this->asked;
     this->asked = 0;
     this->steps = 0;
+    this->calm = 0;
     this->part = 1;
 }
 
--- a/tests/test_RateKeeper.c
+++ b/tests/test_RateKeeper.c
@@ -269,6 +269,18 @@
 }
 END_TEST
 
+/* Two for each request that is asked for, and four a second for each of a few
+ * others that show that they are reached. */
+START_TEST(an_upstreams_count_costs_few_messages)
+{
+    FakeRatesSpec_t spec = limited_upstream(300, 1.7);
+    spec.seed = 1;
+    FakeRatesResult_t result = FakeRates_play(&spec);
+    ck_assert_uint_le(result.messages,
+                      2 * result.asked_keeper + 40 * spec.seconds);
+}
+END_TEST
+
 START_TEST(an_upstreams_bound_holds_under_faults)
 {
     for (gsize i = 0; i < G_N_ELEMENTS(fleets); i++) {
@@ -322,5 +334,6 @@
              the_bound_holds_while_routers_stand_still,
              the_bound_holds_with_all_of_it_and_other_limits,
              faults_refuse_little_of_what_fits, an_upstream_gets_what_it_takes,
+             an_upstreams_count_costs_few_messages,
              an_upstreams_bound_holds_under_faults,
              an_upstreams_limit_needs_one_count)
--- a/tests/test_Reach.c
+++ b/tests/test_Reach.c
@@ -90,6 +90,36 @@
 }
 END_TEST
 
+/* How many are asked at a step of which so many do not answer. */
+static guint
+ask_some(Reach_t *reach, guint silent)
+{
+    ReachSample_t sample = {.drawn = REACH_SAMPLE, .others = 299};
+    Sent_t sent = {{0}, 0};
+    Reach_step(reach, &sample, keep, &sent);
+    for (guint i = silent; i < sent.count; i++) {
+        Reach_noteAnswer(reach, sent.tickets[i]);
+    }
+    return sent.count;
+}
+
+/* A count that is used all day asked 16 others four times a second, which was
+ * most of its messages. */
+START_TEST(fewer_are_asked_while_all_answer)
+{
+    Reach_t *reach = Reach_create();
+    for (guint i = 0; i < 10; i++) {
+        ask_some(reach, 0);
+    }
+    guint calm = ask_some(reach, 1);
+    ck_assert_uint_le(calm * 4, REACH_SAMPLE);
+    ck_assert_uint_eq(ask_some(reach, 0), REACH_SAMPLE);
+    ck_assert_double_eq(Reach_part(reach), 1);
+    Reach_destroy(reach);
+}
+END_TEST
+
 TESTING_MAIN("Reach", all_are_reached_until_one_knows_better,
              one_that_is_lost_says_nothing, a_part_that_is_cut_off_is_seen,
-             after_a_rest_all_are_reached_again)
+             after_a_rest_all_are_reached_again,
+             fewer_are_asked_while_all_answer)
