--- a/src/LimitNews.c
+++ b/src/LimitNews.c
@@ -17,15 +17,15 @@
     LimitNewsSpec_t spec;
     GHashTable *waiting; /* set of &hash of upstreams that have news */
     struct event *turn;
-    GArray *early; /* News_t */
+    GArray *early; /* News_t about upstreams that are not listed here yet */
 };
 
-/* A fact about an upstream that is not listed here yet. */
+/* A peer's fact. */
 typedef struct {
     guint64 upstream;
     guint64 incarnation;
     UpstreamLimitFact_t fact;
-    gint64 until_ms;
+    gint64 until_ms; /* kept until then for its upstream to be listed */
 } News_t;
 
 typedef struct {
