Show what upstreams say of leaving in their answers, and what is sent to them after

Callers saw nothing; an upstream that had said in an answer that it leaves got requests from the router that had passed it on, for 12.8 s. Logs could not tell whether the word was read, read and taken back, or known and passed by on some path.

Change: UpstreamNotice decodes what an answer says of its upstream, from the headers that each wire form names; UpstreamNotices takes it in, in one place for all forms of requests, and passes over what was asked of a former start. Limits go the same way. Lines upstream_says_leaving and sent_to_leaving. No decision changes.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -159,13 +159,14 @@
 
 /* Only an answer that names this attempt says anything of now. */
 static void
-tell_limit(Attempt_t *this, struct evhttp_request *request)
+tell_notice(Attempt_t *this, struct evhttp_request *request)
 {
     struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
     const char *attempt = evhttp_find_header(headers, ATTEMPT_HEADER);
     if (g_strcmp0(attempt, this->id) == 0) {
-        NamedLimit_t limit = this->wire->read_limit(headers);
-        this->events->limit(this->owner, &limit);
+        UpstreamNotice_t notice =
+            UpstreamNotice_read(&this->wire->notices, headers);
+        this->events->answered(this->owner, &notice);
     }
 }
 
@@ -176,7 +177,7 @@
     if (this->connection.over) {
         return 0;
     }
-    tell_limit(this, request);
+    tell_notice(this, request);
     if (evhttp_request_get_response_code(request) != HTTP_OK) {
         return 0;
     }
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -17,8 +17,8 @@
 
 /**
  * struct AttemptEvents_t - what an attempt tells its owner
+ * @answered: an answer to this attempt came; comes first
  * @started: the engine's head came
- * @limit: an answer came, which may name the engine's limit
  * @token: the next token came
  * @silent: nothing came for too long; whether to give it up
  * @ended: last call of all; @refusal is NULL unless the engine refused
@@ -26,7 +26,7 @@
  * The owner may cancel the attempt from any of them.
  */
 typedef struct {
-    void (*limit)(void *owner, const NamedLimit_t *limit);
+    void (*answered)(void *owner, const UpstreamNotice_t *notice);
     void (*started)(void *owner, const EngineHead_t *head);
     void (*token)(void *owner, const EngineToken_t *token);
     gboolean (*silent)(void *owner);
--- a/src/Context.h
+++ b/src/Context.h
@@ -34,6 +34,7 @@
 #include "TurnEnd.h"
 #include "UpstreamLimits.h"
 #include "UpstreamListing.h"
+#include "UpstreamNotices.h"
 #include "UpstreamSet.h"
 
 struct PlatformForm;
@@ -67,6 +68,7 @@
  * @limits: of customers' open requests
  * @rates: of customers' limits
  * @upstream_limits: learns those of upstreams
+ * @notices: takes in what upstreams say of themselves
  * @budget: of retries
  * @crashes: which requests must not be sent
  * @traces: of recent requests
@@ -103,6 +105,7 @@
     CustomerLimits_t *limits;
     RateLimits_t *rates;
     UpstreamLimits_t *upstream_limits;
+    UpstreamNotices_t *notices;
     RetryBudget_t *budget;
     CrashGuard_t *crashes;
     Traces_t *traces;
--- a/src/EngineHttp.c
+++ b/src/EngineHttp.c
@@ -229,12 +229,6 @@
     json_decref(root);
 }
 
-static NamedLimit_t
-read_limit(const struct evkeyvalq *headers)
-{
-    return NamedLimit_find(headers, "X-Request-Limit");
-}
-
 const EngineWire_t EngineHttp_wire = {
     .start_path = start_path,
     .start_body = start_body,
@@ -245,5 +239,12 @@
     .read_head = read_head,
     .read_event = read_event,
     .read_refusal = read_refusal,
-    .read_limit = read_limit,
+    .notices =
+        {
+            .headers =
+                {
+                    [NOTICE_LIMIT] = "X-Request-Limit",
+                    [NOTICE_LEAVING] = "X-Leaving",
+                },
+        },
 };
--- a/src/EngineWire.h
+++ b/src/EngineWire.h
@@ -9,8 +9,8 @@
 #include <event2/http.h>
 #include <glib.h>
 
-#include "NamedLimit.h"
 #include "Prompt.h"
+#include "UpstreamNotice.h"
 
 /** Longest id of a stream that an engine may choose */
 #define STREAM_ID_MAX 64
@@ -118,8 +118,7 @@
  * @read_event: FALSE where it is no event of this stream; @form is learned;
  *     @keep gets what @token points into and is freed with json_decref()
  * @read_refusal: what a status other than 200 means
- * @read_limit: of the requests that an upstream takes from all routers, as the
- *     head of any of its answers has it
+ * @notices: what the head of any answer says of its upstream
  */
 typedef struct {
     const char *(*start_path)(const Prompt_t *prompt);
@@ -134,7 +133,7 @@
                            EngineToken_t *token, json_t **keep);
     void (*read_refusal)(int status, const char *body, gsize length,
                          EngineRefusal_t *refusal);
-    NamedLimit_t (*read_limit)(const struct evkeyvalq *headers);
+    UpstreamNoticeForm_t notices;
 } EngineWire_t;
 
 /** Header that carries our id of an attempt, both ways */
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -271,12 +271,20 @@
     this->attempt_trace->started_us = Clock_nowUs() - this->started_us;
     this->is_kept = FALSE;
     set_upstream(&this->upstream, upstream);
+    this->origin = NoticeOrigin_begin(upstream, this->id->str);
     UpstreamGate_use(&this->room, upstream);
     ExchangeLog_limitedUpstream(this);
+    ExchangeLog_leavingUpstream(this);
     upstream->in_flight++;
     upstream->probing = upstream->ejections > 0;
 }
 
+void
+Exchange_noteNotice(const Exchange_t *this, const UpstreamNotice_t *notice)
+{
+    UpstreamNotices_take(this->context->notices, &this->origin, notice);
+}
+
 static gboolean
 is_upstream_fault(AttemptEnd_t end)
 {
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -70,6 +70,11 @@
 void Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
                           const char *reason);
 
+/** Exchange_noteNotice() - what the answer to its attempt says of the upstream
+ */
+void Exchange_noteNotice(const Exchange_t *this,
+                         const UpstreamNotice_t *notice);
+
 /**
  * Exchange_noteEnd() - an attempt ended by itself
  *
--- a/src/ExchangeLog.c
+++ b/src/ExchangeLog.c
@@ -65,6 +65,22 @@
     Log_end();
 }
 
+void
+ExchangeLog_leavingUpstream(const Exchange_t *this)
+{
+    if (this->upstream->leaving_told_ms == 0) {
+        return;
+    }
+    Counters_add(this->context->counters, "sent_to_leaving_total", NULL, 1);
+    Log_begin(LOG_LEVEL_WARNING, "sent_to_leaving");
+    Log_text("request", this->id->str);
+    Log_text("upstream", this->upstream->name->str);
+    Log_text("reason", this->attempt_trace->reason);
+    Log_number("attempts", this->attempts);
+    Log_number("told_ms", Clock_nowMs() - this->upstream->leaving_told_ms);
+    Log_end();
+}
+
 void
 ExchangeLog_ejected(const Exchange_t *this, AttemptEnd_t end)
 {
--- a/src/ExchangeLog.h
+++ b/src/ExchangeLog.h
@@ -18,6 +18,10 @@
  * where it has no limit */
 void ExchangeLog_limitedUpstream(const Exchange_t *this);
 
+/** ExchangeLog_leavingUpstream() - an attempt goes to an upstream; nothing
+ * unless it has said that it leaves */
+void ExchangeLog_leavingUpstream(const Exchange_t *this);
+
 /** ExchangeLog_ejected() - its upstream gets no work for a while */
 void ExchangeLog_ejected(const Exchange_t *this, AttemptEnd_t end);
 
--- a/src/ExchangeRoom.c
+++ b/src/ExchangeRoom.c
@@ -105,11 +105,3 @@
     Exchange_refuseWith(this, &notice);
     return TRUE;
 }
-
-void
-ExchangeRoom_noteLimit(const Exchange_t *this, const NamedLimit_t *said)
-{
-    gint64 sent_us = this->started_us + this->attempt_trace->started_us;
-    UpstreamLimits_noteAnswer(this->context->upstream_limits, this->upstream,
-                              said, sent_us / CLOCK_US_PER_MS, this->id->str);
-}
--- a/src/ExchangeRoom.h
+++ b/src/ExchangeRoom.h
@@ -37,8 +37,4 @@
  */
 gboolean ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement);
 
-/** ExchangeRoom_noteLimit() - what an answer to its attempt says of the
- * upstream's limit */
-void ExchangeRoom_noteLimit(const Exchange_t *this, const NamedLimit_t *said);
-
 #endif
--- a/src/ExchangeState.h
+++ b/src/ExchangeState.h
@@ -61,6 +61,7 @@
  * @trace: of the request
  * @attempt_trace: of the last attempt
  * @upstream: of the attempt under way, or NULL
+ * @origin: of its answer
  * @avoid: of the attempt before, where it failed
  * @attempts: so far
  * @sent: an attempt was sent and not proved "not run"
@@ -91,6 +92,7 @@
     Trace_t *trace;
     TraceAttempt_t *attempt_trace;
     Upstream_t *upstream;
+    NoticeOrigin_t origin;
     Upstream_t *avoid;
     guint attempts;
     gboolean sent;
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -161,6 +161,12 @@
                           this->connection.upstream->name->str, &this->head);
     this->verdict = verdict_of(&this->head, headers);
     this->has_head = TRUE;
+    if (this->head.names_request) {
+        this->events->answered(this->owner, &this->head);
+    }
+    if (this->connection.over) {
+        return 0;
+    }
     if (this->verdict == ATTEMPT_MISMATCH ||
         this->verdict == ATTEMPT_BAD_ANSWER) {
         end_attempt(this, this->verdict);
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -28,6 +28,7 @@
 
 /**
  * struct RelayAttemptEvents_t - what an attempt tells its owner
+ * @answered: the head of an answer that names this request; comes first
  * @head: the head of an answer to this request; not for one that says "not
  *     run"
  * @data: bytes of its body, to be taken out
@@ -37,6 +38,7 @@
  * The owner may cancel the attempt from any of them.
  */
 typedef struct {
+    void (*answered)(void *owner, const RelayHead_t *head);
     void (*head)(void *owner, const RelayHead_t *head,
                  const struct evkeyvalq *headers);
     void (*data)(void *owner, struct evbuffer *data);
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -15,15 +15,14 @@
 {
     guint prompt_tokens = placing->placement.prompt_tokens;
     this->context = context;
-    this->request_id = request_id;
     this->upstream = placing->choice.upstream;
+    this->origin = NoticeOrigin_begin(this->upstream, request_id);
     this->placement = placing->placement;
     this->saved_prefix =
         placing->save_to[0] != '\0' ? placing->saved_prefix : 0;
     this->missing_tokens =
         prompt_tokens - MIN(placing->choice.expected_cached, prompt_tokens);
     this->upstream->pending_tokens += this->missing_tokens;
-    this->sent_ms = Clock_nowMs();
     this->begun_us = 0;
     FirstToken_clear(&this->first);
     FirstToken_expect(&this->first, &placing->placement, &placing->choice);
@@ -143,12 +142,11 @@
 
 /* Another instance that has the address speaks for itself. */
 void
-RelayFeedback_noteLimit(const RelayFeedback_t *this, const RelayHead_t *head)
+RelayFeedback_noteAnswer(const RelayFeedback_t *this, const RelayHead_t *head)
 {
-    if (!head->other_instance) {
-        UpstreamLimits_noteAnswer(this->context->upstream_limits,
-                                  this->upstream, &head->limit, this->sent_ms,
-                                  this->request_id);
+    if (head->is_own) {
+        UpstreamNotices_take(this->context->notices, &this->origin,
+                             &head->notice);
     }
 }
 
@@ -156,7 +154,7 @@
 log_refusal(const RelayFeedback_t *this, const RelayHead_t *head)
 {
     Log_begin(LOG_LEVEL_INFO, "upstream_refused");
-    Log_text("request", this->request_id);
+    Log_text("request", this->origin.request_id);
     Log_text("upstream", this->upstream->name->str);
     Log_number("status", head->status);
     Log_number("other_instance", head->other_instance);
@@ -176,7 +174,6 @@
                                 upstream->name->str);
     }
     RelayFeedback_noteWeights(this, head);
-    RelayFeedback_noteLimit(this, head);
     Upstream_notePause(upstream, UPSTREAM_SHED_PAUSE_MS, Clock_nowMs());
 }
 
@@ -185,7 +182,7 @@
 {
     Log_begin(LOG_LEVEL_WARNING, "upstream_doubted");
     Log_text("upstream", this->upstream->name->str);
-    Log_text("request", this->request_id);
+    Log_text("request", this->origin.request_id);
     Log_text("reason", reason);
     Log_number("proof_age_ms", Clock_nowMs() - this->upstream->proved_ms);
     Log_end();
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -17,24 +17,22 @@
 /**
  * struct RelayFeedback_t - of the attempt under way; zeroed before the first
  * @context: where it is noted
- * @request_id: its id, of the exchange
  * @upstream: of the attempt; held by the exchange while it is under way
+ * @origin: of its answer
  * @placement: what was weighed
  * @first: what is expected of its first token
  * @missing_tokens: counted in @upstream->pending_tokens
  * @saved_prefix: that the attempt saves, 0 for none
- * @sent_ms: when it was sent, monotonic
  * @begun_us: when its first event came, monotonic; 0 where none has
  */
 typedef struct {
     const Context_t *context;
-    const char *request_id;
     Upstream_t *upstream;
+    NoticeOrigin_t origin;
     Placement_t placement;
     FirstToken_t first;
     guint missing_tokens;
     guint64 saved_prefix;
-    gint64 sent_ms;
     gint64 begun_us;
 } RelayFeedback_t;
 
@@ -61,10 +59,9 @@
 void RelayFeedback_noteWeights(const RelayFeedback_t *this,
                                const RelayHead_t *head);
 
-/** RelayFeedback_noteLimit() - what an answer's head says of the upstream's
- * limit */
-void RelayFeedback_noteLimit(const RelayFeedback_t *this,
-                             const RelayHead_t *head);
+/** RelayFeedback_noteAnswer() - what an answer's head says of the upstream */
+void RelayFeedback_noteAnswer(const RelayFeedback_t *this,
+                              const RelayHead_t *head);
 
 /** RelayFeedback_noteRefusal() - the upstream says "not run" */
 void RelayFeedback_noteRefusal(const RelayFeedback_t *this,
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -11,8 +11,8 @@
 #include <glib.h>
 
 #include "HeaderCheck.h"
-#include "NamedLimit.h"
 #include "Prompt.h"
+#include "UpstreamNotice.h"
 
 /** Longest id of a request that is taken */
 #define RELAY_ID_MAX 128
@@ -105,9 +105,9 @@
  * @sealed: it carries the upstream's signature
  * @not_run: the upstream says that it did not run the request
  * @other_instance: another upstream has the address
- * @leaving: the upstream takes no new work, or closes this connection only
+ * @is_own: it comes from the upstream that was asked, as far as it tells
  * @weights: version that it ran on; a text of the head, or NULL
- * @limit: of the requests that the upstream takes from all routers together
+ * @notice: what it says of the upstream
  */
 typedef struct {
     int status;
@@ -115,9 +115,9 @@
     gboolean sealed;
     gboolean not_run;
     gboolean other_instance;
-    gboolean leaving;
+    gboolean is_own;
     const char *weights;
-    NamedLimit_t limit;
+    UpstreamNotice_t notice;
 } RelayHead_t;
 
 /**
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -149,13 +149,19 @@
     hand_over(this);
 }
 
+static void
+on_answered(void *owner, const RelayHead_t *head)
+{
+    const RelayMove_t *this = owner;
+    RelayFeedback_noteAnswer(&this->feedback, head);
+}
+
 static void
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
 {
     (void)headers;
     RelayMove_t *this = owner;
     RelayFeedback_noteWeights(&this->feedback, head);
-    RelayFeedback_noteLimit(&this->feedback, head);
     if (head->status >= HTTP_MOVEPERM) {
         take_back(this, "failed");
     }
@@ -231,6 +237,7 @@
 }
 
 static const RelayAttemptEvents_t attempt_events = {
+    .answered = on_answered,
     .head = on_head,
     .data = on_data,
     .silent = on_silent,
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -5,12 +5,18 @@
 #include "Clock.h"
 #include "Log.h"
 
+static void
+on_answered(void *owner, const RelayHead_t *head)
+{
+    const RelayExchange_t *this = owner;
+    RelayFeedback_noteAnswer(&this->feedback, head);
+}
+
 static void
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
 {
     RelayExchange_t *this = owner;
     RelayFeedback_noteWeights(&this->feedback, head);
-    RelayFeedback_noteLimit(&this->feedback, head);
     this->is_stream = this->events && head->status < HTTP_MOVEPERM;
     evbuffer_drain(this->body, evbuffer_get_length(this->body));
     if (head->status < HTTP_INTERNAL || !RelayAnswer_isBegun(this->answer)) {
@@ -235,6 +241,7 @@
 }
 
 static const RelayAttemptEvents_t attempt_events = {
+    .answered = on_answered,
     .head = on_head,
     .data = on_data,
     .silent = on_silent,
--- a/src/Router.c
+++ b/src/Router.c
@@ -161,6 +161,8 @@
     context->upstream_limits =
         UpstreamLimits_create(context->base, context->membership,
                               context->upstreams, context->counters);
+    context->notices =
+        UpstreamNotices_create(context->upstream_limits, context->counters);
 }
 
 static void
@@ -422,6 +424,7 @@
         NativeParts_destroy(this->native);
     }
     free_rates(this);
+    UpstreamNotices_destroy(this->context.notices);
     UpstreamLimits_destroy(this->context.upstream_limits);
     Membership_destroy(this->context.membership);
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -147,8 +147,9 @@
         answer ? end_of_answer(this, answer) : end_of_error(error);
     this->call = NULL;
     if (answer && end != ATTEMPT_MISMATCH) {
-        NamedLimit_t limit = EngineHttp_wire.read_limit(answer->headers);
-        ExchangeRoom_noteLimit(&this->super, &limit);
+        UpstreamNotice_t notice =
+            UpstreamNotice_read(&EngineHttp_wire.notices, answer->headers);
+        Exchange_noteNotice(&this->super, &notice);
     }
     Exchange_noteEnd(&this->super, end);
     if (end == ATTEMPT_WHOLE) {
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -294,14 +294,14 @@
 }
 
 static void
-on_limit(void *owner, const NamedLimit_t *limit)
+on_answered(void *owner, const UpstreamNotice_t *notice)
 {
     const StreamExchange_t *this = owner;
-    ExchangeRoom_noteLimit(&this->super, limit);
+    Exchange_noteNotice(&this->super, notice);
 }
 
 static const AttemptEvents_t attempt_events = {
-    .limit = on_limit,
+    .answered = on_answered,
     .started = on_started,
     .token = on_token,
     .silent = on_silent,
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -115,6 +115,7 @@
     EngineMemory_clear(&this->memory);
     drop_idle(this);
     this->leaving = FALSE;
+    this->leaving_told_ms = 0;
     this->replaced = FALSE;
     this->reported_tokens = 0;
     this->reported_running = 0;
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -29,6 +29,7 @@
  * @incarnation: newest that was heard of, 0 for none yet
  * @weights: version that it last reported, may be empty
  * @leaving: gets no new work; never taken back for an incarnation
+ * @leaving_told_ms: when an answer of it first said so, 0 for never
  * @removed: no longer declared
  * @replaced: another instance was met at its address, so that it is gone and
  *     what it held with it
@@ -84,6 +85,7 @@
     guint64 incarnation;
     GString *weights;
     gboolean leaving;
+    gint64 leaving_told_ms;
     gboolean removed;
     gboolean replaced;
     guint in_flight;
