Tests that fail: upstreams get work after they have said that they leave

What callers and upstreams see: after an answer that says so, requests go on reaching the upstream, from the router that passed the answer on and from all others, until the list says the same; with the store away that is its whole outage. Where all of a service leave, its requests go there as well.

The two that pass hold what must stay: 'Connection: close' alone says nothing, and a new start gets work. Stand-ins of both forms say it in all their answers; the native ones share one place for what they say of themselves.

--- a/standins/EngineStandin.c
+++ b/standins/EngineStandin.c
@@ -72,7 +72,7 @@
 static gint64 decode_ms = 20, slots = 256, queue_max = 1024, hold_ms = 10000;
 static gint64 cut_after = -1, cuts, die_after = -1, mismatch, refuse, silent;
 static gint64 no_end, cross, leaving, cancelled, forget_streams;
-static gint64 limit_milli = -1, asked;
+static gint64 asked;
 static gint64 runs, prompt_total, cached_total, made_total, resumed;
 
 static const Knob_t knobs[] = {
@@ -99,8 +99,9 @@
     {"lose_orders", &EngineOrders_knobs.lose_answers}, /* next so many: carry
                                                           out, no answer */
     {"forget_streams", &forget_streams}, /* keep none without a reader */
-    {"limit_milli", &limit_milli}, /* requests in 1,000 s, named in answers */
-    {"asked", &asked},             /* requests and resumes that came */
+    {"limit_milli", &Server_notices.limit_milli},
+    {"says_leaving", &Server_notices.leaving}, /* and takes work */
+    {"asked", &asked}, /* requests and resumes that came */
 };
 
 static const TextOption_t texts[] = {
@@ -159,7 +160,7 @@
     const char *attempt =
         Server_spend(&mismatch) ? "someone-else" : stream->attempt;
     evhttp_add_header(out, "Content-Type", "text/event-stream");
-    Server_nameLimit(stream->reader, limit_milli);
+    Server_addNotices(stream->reader);
     evhttp_add_header(out, ATTEMPT_HEADER, attempt);
     evhttp_add_header(out, "X-Stream-Id", stream->id);
     evhttp_add_header(out, "X-Weights-Version", weights);
@@ -515,7 +516,6 @@
 {
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       ATTEMPT_HEADER, input_header(request, ATTEMPT_HEADER));
-    Server_nameLimit(request, limit_milli);
     gboolean stale = strcmp(code, "wrong_incarnation") == 0;
     Server_refuse(request, status, code, run,
                   stale ? (guint64)incarnation : 0);
--- a/standins/Server.c
+++ b/standins/Server.c
@@ -44,6 +44,8 @@
     this->port = ntohs(address.sin_port);
 }
 
+ServerNotices_t Server_notices = {.limit_milli = -1};
+
 static void
 on_signal(evutil_socket_t fd, short what, void *data)
 {
@@ -85,6 +87,27 @@
                       : NULL;
 }
 
+static void
+add_decimal(struct evkeyvalq *out, const char *name, gint64 milli)
+{
+    char text[32];
+    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT ".%03d", milli / 1000,
+               (int)(milli % 1000));
+    evhttp_add_header(out, name, text);
+}
+
+void
+Server_addNotices(struct evhttp_request *request)
+{
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+    if (Server_notices.limit_milli >= 0) {
+        add_decimal(out, "X-Request-Limit", Server_notices.limit_milli);
+    }
+    if (Server_notices.leaving) {
+        evhttp_add_header(out, "X-Leaving", "1");
+    }
+}
+
 void
 Server_reply(struct evhttp_request *request, int status, json_t *body)
 {
@@ -93,6 +116,7 @@
     evbuffer_add(out, text, strlen(text));
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "application/json");
+    Server_addNotices(request);
     evhttp_send_reply(request, status, NULL, out);
     evbuffer_free(out);
     free(text);
@@ -134,18 +158,6 @@
     return body;
 }
 
-void
-Server_nameLimit(struct evhttp_request *request, gint64 milli)
-{
-    char text[32];
-    if (milli >= 0) {
-        g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT ".%03d",
-                   milli / 1000, (int)(milli % 1000));
-        evhttp_add_header(evhttp_request_get_output_headers(request),
-                          "X-Request-Limit", text);
-    }
-}
-
 gboolean
 Server_spend(gint64 *knob)
 {
--- a/standins/Server.h
+++ b/standins/Server.h
@@ -33,6 +33,23 @@
     guint16 port;
 } Server_t;
 
+/**
+ * struct ServerNotices_t - what a stand-in says of itself in all its answers
+ * @limit_milli: requests that it takes in 1,000 seconds; below 0 for no limit
+ * @leaving: it is about to end
+ */
+typedef struct {
+    gint64 limit_milli;
+    gint64 leaving;
+} ServerNotices_t;
+
+/** Server_notices - in force */
+extern ServerNotices_t Server_notices;
+
+/** Server_addNotices() - to the head of an answer; Server_reply() does so by
+ * itself */
+void Server_addNotices(struct evhttp_request *request);
+
 /** Server_listen() - listen on 127.0.0.1; port 0 lets the system choose */
 void Server_listen(Server_t *this, guint16 port,
                    void (*handle)(struct evhttp_request *, void *),
@@ -65,12 +82,6 @@
 json_t *Server_control(struct evhttp_request *request, const Knob_t *knobs,
                        gsize count);
 
-/**
- * Server_nameLimit() - say in an answer how many requests are taken
- * @milli: in 1,000 seconds; below 0 for no limit
- */
-void Server_nameLimit(struct evhttp_request *request, gint64 milli);
-
 /** Server_spend() - count a knob down; TRUE where it was above 0 */
 gboolean Server_spend(gint64 *knob);
 
--- a/standins/ServiceStandin.c
+++ b/standins/ServiceStandin.c
@@ -18,7 +18,7 @@
 static json_t *runs; /* key -> count of runs */
 static const char *name = "service";
 static gint64 port, delay_ms, refuse, fail, lose_answers, mismatch;
-static gint64 runs_total, asked, limit_milli = -1;
+static gint64 runs_total, asked;
 
 static const Knob_t knobs[] = {
     {"port", &port},
@@ -28,7 +28,8 @@
     {"lose_answers", &lose_answers}, /* next so many: run, no answer */
     {"mismatch", &mismatch},         /* next so many: another's attempt id */
     {"runs", &runs_total},
-    {"limit_milli", &limit_milli}, /* calls in 1,000 s, named in answers */
+    {"limit_milli", &Server_notices.limit_milli},
+    {"says_leaving", &Server_notices.leaving},
     {"asked", &asked},
 };
 
@@ -85,7 +86,6 @@
 handle_call(struct evhttp_request *request)
 {
     asked++;
-    Server_nameLimit(request, limit_milli);
     if (Server_spend(&refuse)) {
         evhttp_add_header(evhttp_request_get_output_headers(request),
                           ATTEMPT_HEADER, header(request, ATTEMPT_HEADER));
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -253,6 +253,7 @@
         self.state = "ready"
         self.sealed = True
         self.limit = None   # what its answers say that it takes in a second
+        self.leaving = False  # say so in all answers
         self.arrivals = []  # when requests came, run or not
         super().__init__()
         self.list()
@@ -270,6 +271,7 @@
     def start_again(self):
         """Under its name: it knows and holds nothing of before."""
         self.born += 1000
+        self.leaving = False
         self.sequence = 0
         self.list()
 
@@ -285,24 +287,26 @@
             call.reply(200, {"models": [{"name": self.model,
                                          "version": self.version}],
                              "born": self.born, "busy": False, "call_seq": self.sequence,
-                             "queued": self.queued, "running": 0})
+                             "queued": self.queued, "running": 0},
+                       **self.naming())
         elif call.path == "/v1/order":
             self.order(call, json.loads(body))
         elif call.path == "/health":
-            call.reply(200, X_Instance_Id=self.name)
+            call.reply(503 if self.leaving else 200,
+                       **self.naming(X_Instance_Id=self.name))
         else:
             self.serve(call, body)
 
     def order(self, call, order):
         self.orders.append(order)
         if order["expected"] != self.sequence:
-            call.reply(409)
+            call.reply(409, **self.naming())
         elif self.forgets:
             self.forgets = False
-            call.reply(202)
+            call.reply(202, **self.naming())
         else:
             self.carry_out(order)
-            call.reply(202)
+            call.reply(202, **self.naming())
             self.list()
 
     def carry_out(self, order):
@@ -316,9 +320,12 @@
             self.list()
 
     def naming(self, **headers):
-        """Headers of an answer to a request."""
+        """Headers of any answer."""
         if self.limit is not None:
             headers["Server_Limit"] = self.limit
+        if self.leaving:
+            headers["Server_Leaving"] = "1"
+            headers["Connection"] = "close"
         return headers
 
     def serve(self, call, body):
@@ -326,9 +333,11 @@
         request = call.headers["X-Request-Id"]
         wanted = call.headers.get("X-Expect-Version")
         if call.headers.get("X-Expect-Instance") != self.name:
-            call.reply(421, X_Instance_Id=self.name, X_Request_Id=request)
+            call.reply(421, **self.naming(X_Instance_Id=self.name,
+                                          X_Request_Id=request))
         elif wanted and int(wanted) != self.version:
-            call.reply(421, X_Instance_Id=self.name, X_Request_Id=request)
+            call.reply(421, **self.naming(X_Instance_Id=self.name,
+                                          X_Request_Id=request))
         elif self.shed:
             call.reply(503, **self.naming(X_Not_Executed="1",
                                           X_Request_Id=request))
--- /dev/null
+++ b/tests/sessions/test_leaving.py
@@ -0,0 +1,247 @@
+"""Upstreams that say in their answers that they leave.
+
+An engine said so in the head of a stream while the store was away, and got
+requests for 12.8 s more from the router that had passed that answer on:
+
+     7.5 s  the engine begins to leave; the store takes its entry at 20.3 s
+     7.8 s  a stream of it ends whole; its head says so
+    20.6 s  a new stream goes there
+"""
+import itertools
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from cluster import wait_for
+from fleet import Fleet, Upstream
+
+GRACE_S = 0.5
+
+
+class LeavingTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.asked = itertools.count()
+
+    def start(self, count=1, **settings):
+        """So many routers that know each other and all upstreams."""
+        self.fleet.config()
+        routers = []
+        for number in range(count):
+            routers.append(self.join(routers, **settings))
+        for router in routers:
+            wait_for(lambda r=router: self.fleet.is_ready(r), "ready")
+            wait_for(lambda r=router:
+                     len(r.events("member_joined")) >= count - 1, "peers")
+        return routers
+
+    def join(self, routers, **settings):
+        seeds = ", ".join(r.peer_address for r in routers)
+        return self.fleet.router("r%d" % len(routers),
+                                 peers={"seeds": seeds} if seeds else {},
+                                 **settings)
+
+    def ask(self, router, path="/ask/x"):
+        asked = next(self.asked)
+        more = {"X_Request_Id": "t%d" % asked}
+        if path.startswith("/ask"):
+            more["X_Prompt_Prefix"] = "a%x:100,b%x:100,%x:100" % (
+                asked % 16, asked % 16, 4096 + asked)
+        return self.fleet.ask(router, path, **more)
+
+    def press(self, routers, seconds, path="/ask/x", per_s=40):
+        """Answers to requests at all of the routers in turn, each sent at its
+        time, however long the others take."""
+        began = time.monotonic()
+        with ThreadPoolExecutor(16) as pool:
+            asks = []
+            while time.monotonic() - began < seconds:
+                router = routers[len(asks) % len(routers)]
+                asks.append(pool.submit(self.ask, router, path))
+                due = began + len(asks) / per_s
+                time.sleep(max(due - time.monotonic(), 0))
+        return [ask.result() for ask in asks]
+
+    def tell(self, upstream, routers, path="/ask/x"):
+        """Until each of the routers has passed on an answer that says so."""
+        upstream.leaving = True
+        came = len(upstream.arrivals)
+        others = [part for part in self.fleet.parts
+                  if isinstance(part, Upstream) and part is not upstream
+                  and part.service == upstream.service and not part.shed]
+        for other in others:
+            other.shed = True
+        for router in routers:
+            wait_for(lambda r=router: self.ask(r, path) and
+                     self.knows(r, upstream), "told")
+        for other in others:
+            other.shed = False
+        self.assertGreater(len(upstream.arrivals), came)
+
+    def knows(self, router, upstream):
+        lines = router.events("upstream_leaving") + \
+            router.events("upstream_says_leaving")
+        return any(line["upstream"] == upstream.name for line in lines)
+
+    def check_no_new_work(self, upstream, routers, path="/ask/x", seconds=1.5):
+        time.sleep(GRACE_S)
+        since = time.monotonic()
+        answers = self.press(routers, seconds, path)
+        self.assertEqual([t for t in upstream.arrivals if t > since], [])
+        return answers
+
+
+class ToldTest(LeavingTest):
+    def test_no_new_stream_goes_to_an_engine_that_said_it_leaves(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        self.fleet.store.down = True
+        self.tell(first, routers)
+        answers = self.check_no_new_work(first, routers)
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_no_new_call_goes_to_a_service_that_said_it_leaves(self):
+        first = self.fleet.plain("p1")
+        second = self.fleet.plain("p2")
+        routers = self.start()
+        second.pause_s = 0.1
+        self.tell(first, routers, "/write/x")
+        answers = self.check_no_new_work(first, routers, "/write/x")
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_a_refusal_says_it_as_well(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        first.shed = True
+        self.tell(first, routers)
+        answers = self.check_no_new_work(first, routers)
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_a_failure_of_the_upstream_says_it_as_well(self):
+        first = self.fleet.plain("p1")
+        self.fleet.plain("p2")
+        routers = self.start()
+        first.status = 500
+        self.tell(first, routers, "/read/x")
+        answers = self.check_no_new_work(first, routers, "/read/x")
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_an_answer_without_a_signature_says_it_as_well(self):
+        first = self.fleet.plain("p1")
+        self.fleet.plain("p2")
+        routers = self.start()
+        first.sealed = False
+        self.tell(first, routers, "/read/x")
+        self.check_no_new_work(first, routers, "/read/x")
+
+    def test_it_counts_from_the_head_and_the_stream_ends_whole(self):
+        first = self.fleet.engine("e1")
+        second = self.fleet.engine("e2")
+        router = self.start()[0]
+        for engine in (first, second):
+            engine.gate = threading.Event()
+        answers = []
+        thread = threading.Thread(
+            target=lambda: answers.append(self.ask(router)))
+        first.leaving = second.leaving = True
+        thread.start()
+        wait_for(lambda: first.seen or second.seen, "under way")
+        told, other = (first, second) if first.seen else (second, first)
+        other.leaving = False
+        other.gate.set()
+        self.check_no_new_work(told, [router], seconds=0.7)
+        told.gate.set()
+        thread.join()
+        self.assertEqual(answers[0].status, 200)
+        self.assertIn(b"piece-4", answers[0].body)
+
+    def test_a_closed_connection_alone_says_nothing(self):
+        first = self.fleet.plain("p1")
+        router = self.start()[0]
+        first.naming = lambda **headers: dict(headers, Connection="close")
+        self.assertEqual({a.status for a in self.press(
+            [router], 1, "/read/x")}, {200})
+
+
+class SpreadTest(LeavingTest):
+    def test_one_router_is_told_and_none_sends_there(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start(3)
+        self.fleet.store.down = True
+        self.tell(first, routers[:1])
+        answers = self.check_no_new_work(first, routers)
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_a_router_that_starts_knows_it_when_it_is_ready(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start(2)
+        self.tell(first, routers[:1])
+        late = self.join(routers)
+        wait_for(lambda: self.fleet.is_ready(late), "ready")
+        since = time.monotonic()
+        self.press([late], 1)
+        self.assertEqual([t for t in first.arrivals if t > since], [])
+
+    def test_it_holds_as_the_router_dies_that_was_told(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start(3)
+        self.tell(first, routers[:1])
+        time.sleep(GRACE_S)
+        routers[0].kill()
+        self.check_no_new_work(first, routers[1:])
+
+
+class EndTest(LeavingTest):
+    def test_an_entry_that_reads_ready_does_not_end_it(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        self.tell(first, routers)
+        first.unlist()
+        routers[0].wait_event("upstream_gone")
+        first.list()
+        time.sleep(GRACE_S)
+        self.check_no_new_work(first, routers)
+
+    def test_a_new_start_gets_work_at_once(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start(2)
+        self.tell(first, routers)
+        first.start_again()
+        for router in routers:
+            router.wait_event("upstream_reborn")
+        since = time.monotonic()
+        self.press(routers, 1)
+        came = [t for t in first.arrivals if t > since]
+        self.assertGreater(len(came), 5)
+
+
+class AllLeaveTest(LeavingTest):
+    def test_all_of_a_service_leave_and_requests_are_refused_at_once(self):
+        services = [self.fleet.plain("p1"), self.fleet.plain("p2")]
+        routers = self.start(2)
+        for service in services:
+            self.tell(service, routers[:1], "/write/x")
+        time.sleep(GRACE_S)
+        since = time.monotonic()
+        answers = self.press(routers, 1, "/write/x")
+        self.assertLess(time.monotonic() - since, 1.5)
+        self.assertEqual({a.status for a in answers}, {503})
+        self.assertIn(b'"code":"upstreams_leaving"', answers[0].body)
+        self.assertIn(b'"run":"not_run"', answers[0].body)
+        waits = {a.headers["Retry-After"] for a in answers}
+        self.assertGreater(len(waits), 5)
+        for service in services:
+            self.assertEqual([t for t in service.arrivals if t > since], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
