--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -65,6 +65,10 @@
     (void)what;
     Attempt_t *this = data;
     AttemptConnection_t *connection = &this->connection;
+    if (connection->withdrawn) {
+        end_attempt(this, ATTEMPT_WITHDRAWN, NULL);
+        return;
+    }
     if (connection->overfull) {
         end_attempt(this, ATTEMPT_OVERSIZED, NULL);
         return;
@@ -266,6 +270,7 @@
     AttemptConnectionSpec_t connection = {
         .upstream = spec->upstream,
         .idle_max_ms = spec->fresh ? UPSTREAM_NO_IDLE : UPSTREAM_ANY_IDLE,
+        .is_new_work = !spec->is_rest,
         .patience = {spec->connect_ms, spec->first_token_ms, spec->token_ms},
         .piece_max = spec->event_max,
         .head_max = spec->head_max,
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -39,6 +39,26 @@
     }
 }
 
+/* The connection is freed in a later turn of the loop, in which it may come
+ * up: evhttp would write the request then, though it counts as not sent and
+ * may be under way elsewhere. */
+static void
+forbid_sending(AttemptConnection_t *this)
+{
+    bufferevent_setcb(AttemptConnection_stream(this), NULL, NULL, NULL, NULL);
+}
+
+static void
+on_withdraw(void *owner)
+{
+    AttemptConnection_t *this = owner;
+    if (!this->sent && !this->over) {
+        forbid_sending(this);
+        this->withdrawn = TRUE;
+        Clock_arm(this->watch, 0);
+    }
+}
+
 void
 AttemptConnection_init(AttemptConnection_t *this, struct event_base *base,
                        const AttemptConnectionSpec_t *spec)
@@ -55,6 +75,10 @@
                                            this->last_heard_ms);
     evhttp_connection_set_max_headers_size(this->evhttp,
                                            (ev_ssize_t)spec->head_max);
+    this->waiter = (UpstreamWaiter_t){.withdraw = on_withdraw, .owner = this};
+    if (spec->is_new_work) {
+        Upstream_addWaiter(this->upstream, &this->waiter);
+    }
     struct evbuffer *output =
         bufferevent_get_output(AttemptConnection_stream(this));
     this->output_watch = evbuffer_add_cb(output, on_output, this);
@@ -117,15 +141,6 @@
     }
 }
 
-/* The connection is freed in a later turn of the loop, in which it may come
- * up: evhttp would write the request then, though it counts as not sent and
- * may be under way elsewhere. */
-static void
-forbid_sending(AttemptConnection_t *this)
-{
-    bufferevent_setcb(AttemptConnection_stream(this), NULL, NULL, NULL, NULL);
-}
-
 gboolean
 AttemptConnection_close(AttemptConnection_t *this)
 {
@@ -158,5 +173,6 @@
     }
     event_free(this->watch);
     event_free(this->reaper);
+    Upstream_removeWaiter(this->upstream, &this->waiter);
     Upstream_unref(this->upstream);
 }
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -31,6 +31,7 @@
  * struct AttemptConnectionSpec_t - what it needs
  * @upstream: whose connection is taken
  * @idle_max_ms: as for Upstream_takeConnection()
+ * @is_new_work: it is not sent where the upstream takes no new work any more
  * @patience: with its upstream
  * @piece_max: most bytes of one event, or of an answer without events
  * @head_max: most bytes of the answer's head
@@ -41,6 +42,7 @@
 typedef struct {
     Upstream_t *upstream;
     gint64 idle_max_ms;
+    gboolean is_new_work;
     Patience_t patience;
     gsize piece_max;
     gsize head_max;
@@ -53,6 +55,7 @@
  * struct AttemptConnection_t - part of an attempt
  * @upstream: one reference
  * @evhttp: the connection itself
+ * @waiter: of the upstream, which may withdraw the request
  * @output_watch: sees when the request is written
  * @input_watch: sees when too much waits to be parsed
  * @watch: runs until the upstream was silent for too long
@@ -64,12 +67,15 @@
  * @has_data: the first data came
  * @held: nothing is read for now
  * @overfull: more than one event may have waits to be parsed
+ * @withdrawn: it is not sent, as the upstream takes no new work any more; the
+ *     watch runs out at once
  * @over: no event may be told any more
  * @keep: it ended cleanly and can be used again; set by the attempt
  */
 typedef struct {
     Upstream_t *upstream;
     struct evhttp_connection *evhttp;
+    UpstreamWaiter_t waiter;
     struct evbuffer_cb_entry *output_watch;
     struct evbuffer_cb_entry *input_watch;
     struct event *watch;
@@ -81,6 +87,7 @@
     gboolean has_data;
     gboolean held;
     gboolean overfull;
+    gboolean withdrawn;
     gboolean over;
     gboolean keep;
 } AttemptConnection_t;
--- a/src/DepartedUpstreams.c
+++ b/src/DepartedUpstreams.c
@@ -92,8 +92,11 @@
                        guint64 incarnation, guint64 epoch)
 {
     const Entry_t *entry = g_hash_table_lookup(this->entries, name);
-    if (!entry || incarnation > entry->incarnation || epoch <= entry->epoch) {
+    if (!entry || incarnation > entry->incarnation) {
         return DEPARTED_NOT;
     }
-    return entry->left ? DEPARTED_LEFT : DEPARTED_LAPSED;
+    if (entry->left) {
+        return DEPARTED_LEFT;
+    }
+    return epoch > entry->epoch ? DEPARTED_LAPSED : DEPARTED_NOT;
 }
--- a/src/DepartedUpstreams.h
+++ b/src/DepartedUpstreams.h
@@ -6,7 +6,8 @@
  * Upstreams that were on the list and are not any more. A store that comes
  * back from an older copy lists them as they were before they left; work must
  * not go to them on the word of such an entry. One that is there writes its
- * entry again by itself.
+ * entry again by itself. One that had said that it leaves stays so whatever
+ * its entries read, until it starts anew.
  */
 #include "StorePosition.h"
 #include "Upstream.h"
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -290,7 +290,7 @@
 {
     return end != ATTEMPT_WHOLE && end != ATTEMPT_NOT_RUN &&
            end != ATTEMPT_REJECTED && end != ATTEMPT_TAKEN_BACK &&
-           end != ATTEMPT_MOVED;
+           end != ATTEMPT_WITHDRAWN && end != ATTEMPT_MOVED;
 }
 
 static void
@@ -341,7 +341,7 @@
     if (end == ATTEMPT_WHOLE) {
         Upstream_noteSuccess(this->upstream);
     }
-    if (end != ATTEMPT_NOT_SENT && end != ATTEMPT_NOT_RUN &&
+    if (!Recovery_isUnsent(end) && end != ATTEMPT_NOT_RUN &&
         end != ATTEMPT_REJECTED) {
         this->sent = TRUE;
     }
@@ -368,7 +368,7 @@
         .repeatable = this->repeatable,
         .attempts = this->attempts,
         .max_attempts = this->max_attempts,
-        .budget = end == ATTEMPT_NOT_SENT ||
+        .budget = Recovery_isUnsent(end) ||
                   RetryBudget_hasOne(this->context->budget, this->target->str),
         .time_left = Clock_nowMs() < this->deadline_ms,
     };
@@ -425,7 +425,7 @@
         Exchange_refuse(this, plan.refusal, plan.run, detail);
         return;
     }
-    if (end != ATTEMPT_NOT_SENT) {
+    if (!Recovery_isUnsent(end)) {
         RetryBudget_withdraw(this->context->budget, this->target->str);
     }
     Context_countRetry(this->context, Recovery_endName(end), this->target->str,
--- a/src/ExchangeLog.c
+++ b/src/ExchangeLog.c
@@ -68,7 +68,7 @@
 void
 ExchangeLog_leavingUpstream(const Exchange_t *this)
 {
-    if (this->upstream->leaving_told_ms == 0) {
+    if (!this->upstream->leaving) {
         return;
     }
     Counters_add(this->context->counters, "sent_to_leaving_total", NULL, 1);
@@ -77,7 +77,7 @@
     Log_text("upstream", this->upstream->name->str);
     Log_text("reason", this->attempt_trace->reason);
     Log_number("attempts", this->attempts);
-    Log_number("told_ms", Clock_nowMs() - this->upstream->leaving_told_ms);
+    Log_number("told_ms", Clock_nowMs() - this->upstream->leaving_ms);
     Log_end();
 }
 
--- a/src/ExchangeRoom.c
+++ b/src/ExchangeRoom.c
@@ -1,9 +1,14 @@
 #include "ExchangeRoom.h"
 
 #include "Clock.h"
+#include "Random.h"
 
 /* Room at limited upstreams is asked for again no sooner. */
 #define ROOM_STEP_MS 10
+/* Callers whose upstreams all leave come back after this and up to so much
+ * more, so that they do not meet the first of the new ones all at once. */
+#define LEAVING_RETURN_MS 1000
+#define LEAVING_SPREAD_MS 1000
 
 PlacementTerms_t
 ExchangeRoom_terms(const Exchange_t *this)
@@ -85,23 +90,46 @@
     Clock_arm(this->later, MAX(room->full_ms, ROOM_STEP_MS));
 }
 
-gboolean
-ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement)
+static void
+refuse_limited(Exchange_t *this, const LimitedRoom_t *room)
 {
-    LimitedRoom_t room = Policy_findLimited(placement);
-    if (room.count == 0) {
-        return FALSE;
-    }
     if (Exchange_runState(this) == RUN_DONE) {
-        wait_for_any_room(this, &room);
-        return TRUE;
+        wait_for_any_room(this, room);
+        return;
     }
     guint retry_after_ms = UpstreamLimits_retryAfterMs(
-        this->context->upstream_limits, this->target->str, &room);
+        this->context->upstream_limits, this->target->str, room);
     g_autofree char *detail =
-        g_strdup_printf("upstreams=%u per_s=%.6g", room.count, room.per_s);
+        g_strdup_printf("upstreams=%u per_s=%.6g", room->count, room->per_s);
     RefusalNotice_t notice = {REFUSAL_UPSTREAMS_LIMITED,
                               Exchange_runState(this), detail, retry_after_ms};
     Exchange_refuseWith(this, &notice);
-    return TRUE;
+}
+
+/* Others come in their place; when is not known. */
+static void
+refuse_leaving(Exchange_t *this, guint count)
+{
+    g_autofree char *detail = g_strdup_printf("upstreams=%u", count);
+    guint retry_after_ms =
+        LEAVING_RETURN_MS + 1 + Random_below(LEAVING_SPREAD_MS);
+    RefusalNotice_t notice = {REFUSAL_UPSTREAMS_LEAVING,
+                              Exchange_runState(this), detail, retry_after_ms};
+    Exchange_refuseWith(this, &notice);
+}
+
+void
+ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement)
+{
+    LimitedRoom_t room = Policy_findLimited(placement);
+    if (room.count > 0) {
+        refuse_limited(this, &room);
+    }
+    else if (Policy_areAllLeaving(placement)) {
+        refuse_leaving(this, placement->serving->len);
+    }
+    else {
+        Exchange_refuse(this, REFUSAL_NO_UPSTREAM, Exchange_runState(this),
+                        NULL);
+    }
 }
--- a/src/ExchangeRoom.h
+++ b/src/ExchangeRoom.h
@@ -3,9 +3,9 @@
 /**
  * DOC: ExchangeRoom
  *
- * What a request has to do with the limits that upstreams name: which
- * upstreams it may use, room for each of its attempts (UpstreamGate.h), and
- * what follows where there is none.
+ * What a request has to do with what upstreams say of themselves: which
+ * upstreams it may use, room for each of its attempts at their limits
+ * (UpstreamGate.h), and what follows where none takes it.
  */
 #include "Exchange.h"
 
@@ -29,12 +29,11 @@
 void ExchangeRoom_forgo(Exchange_t *this);
 
 /**
- * ExchangeRoom_refuse() - tell the caller that only their limits keep
- * upstreams from taking it; where its answer has begun, place() is called once
- * one of them may have room
+ * ExchangeRoom_refuse() - no upstream was chosen; tell the caller why
  *
- * Return: FALSE where that is not so
+ * Where only their limits keep upstreams from taking it and its answer has
+ * begun, place() is called once one of them may have room.
  */
-gboolean ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement);
+void ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement);
 
 #endif
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -235,15 +235,14 @@
         return;
     }
     gint64 now_ms = Clock_nowMs();
-    gboolean was_leaving = upstream->leaving;
     gboolean news =
         Upstream_noteIncarnation(upstream, fact->incarnation, now_ms);
-    if (fact->leaving) {
-        Upstream_noteLeaving(upstream, fact->incarnation);
-    }
+    gboolean leaves =
+        fact->leaving &&
+        Upstream_noteLeaving(upstream, fact->incarnation, now_ms);
     news = take_report(upstream, fact, now_ms) || news;
     news = take_pause(upstream, fact, now_ms) || news;
-    if (upstream->leaving && !was_leaving) {
+    if (leaves) {
         Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
         Log_text("upstream", fact->name);
         Log_text("source", "peer");
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -205,10 +205,29 @@
     return this;
 }
 
+gboolean
+HttpCall_wasSent(const HttpCall_t *this)
+{
+    return this->sent;
+}
+
+/* The connection is freed in a later turn of the loop, in which it may come
+ * up: evhttp would send the request then. */
+static void
+forbid_sending(const HttpCall_t *this)
+{
+    struct bufferevent *stream =
+        evhttp_connection_get_bufferevent(this->connection);
+    bufferevent_setcb(stream, NULL, NULL, NULL, NULL);
+}
+
 void
 HttpCall_cancel(HttpCall_t *this)
 {
     this->done = NULL;
+    if (!this->sent) {
+        forbid_sending(this);
+    }
     evtimer_del(this->deadline);
     evtimer_del(this->connect_deadline);
     Clock_arm(this->reaper, 0);
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -79,6 +79,9 @@
  */
 void HttpCall_cancel(HttpCall_t *this);
 
+/** HttpCall_wasSent() - whether some bytes went out, or may have */
+gboolean HttpCall_wasSent(const HttpCall_t *this);
+
 /**
  * Http_noDelay() - send small writes at once on a connection
  */
--- a/src/InstanceList.c
+++ b/src/InstanceList.c
@@ -23,11 +23,7 @@
 static void
 note_leaving(InstanceList_t *this, Upstream_t *upstream, guint64 incarnation)
 {
-    if (upstream->leaving) {
-        return;
-    }
-    Upstream_noteLeaving(upstream, incarnation);
-    if (upstream->leaving) {
+    if (Upstream_noteLeaving(upstream, incarnation, Clock_nowMs())) {
         Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
         Log_text("upstream", upstream->name->str);
         Log_text("source", "instance_list");
--- a/src/NativeParts.c
+++ b/src/NativeParts.c
@@ -84,6 +84,7 @@
         .wanted_data = this,
         .upstreams = this->context->upstreams,
         .membership = this->context->membership,
+        .notices = this->context->notices,
         .counters = this->context->counters,
     };
     this->orders = Orders_create(this->context->base, &orders);
--- a/src/LimitNews.c
+++ b/src/NoticeNews.c
@@ -1,4 +1,4 @@
-#include "LimitNews.h"
+#include "NoticeNews.h"
 
 #include <math.h>
 
@@ -8,13 +8,13 @@
 #define TURN_MS 20
 /* Facts of one message, some 30 bytes each. */
 #define FACTS_OF_A_MESSAGE 64
-/* A router that starts hears of limits before it has the list of upstreams:
- * such facts wait so long. */
+/* A router that starts hears of upstreams before it has their list: such facts
+ * wait so long. */
 #define EARLY_MS 10000
 #define EARLY_MAX 4096
 
-struct LimitNews {
-    LimitNewsSpec_t spec;
+struct NoticeNews {
+    NoticeNewsSpec_t spec;
     GHashTable *waiting; /* set of &hash of upstreams that have news */
     struct event *turn;
     GArray *early; /* News_t about upstreams that are not listed here yet */
@@ -24,42 +24,43 @@
 typedef struct {
     guint64 upstream;
     guint64 incarnation;
-    UpstreamLimitFact_t fact;
+    NoticeFact_t fact;
     gint64 until_ms; /* kept until then for its upstream to be listed */
 } News_t;
 
 typedef struct {
-    Wt__LimitFact facts[FACTS_OF_A_MESSAGE];
-    Wt__LimitFact *list[FACTS_OF_A_MESSAGE];
+    Wt__NoticeFact facts[FACTS_OF_A_MESSAGE];
+    Wt__NoticeFact *list[FACTS_OF_A_MESSAGE];
     guint count;
 } Batch_t;
 
 static void
 add_fact(Batch_t *batch, const Upstream_t *upstream)
 {
-    Wt__LimitFact *fact = &batch->facts[batch->count];
-    wt__limit_fact__init(fact);
+    Wt__NoticeFact *fact = &batch->facts[batch->count];
+    wt__notice_fact__init(fact);
     fact->upstream = upstream->hash;
     fact->incarnation = upstream->incarnation;
     fact->version = upstream->limit.version;
     fact->is_named = upstream->limit.is_named;
     fact->per_s = upstream->limit.per_s;
+    fact->leaving = upstream->leaving;
     batch->list[batch->count++] = fact;
 }
 
 static void
-make_message(Batch_t *batch, Wt__LimitNews *body, Wt__PeerMessage *message)
+make_message(Batch_t *batch, Wt__NoticeNews *body, Wt__PeerMessage *message)
 {
-    wt__limit_news__init(body);
+    wt__notice_news__init(body);
     wt__peer_message__init(message);
     body->n_facts = batch->count;
     body->facts = batch->list;
-    message->body_case = WT__PEER_MESSAGE__BODY_LIMIT_NEWS;
-    message->limit_news = body;
+    message->body_case = WT__PEER_MESSAGE__BODY_NOTICE_NEWS;
+    message->notice_news = body;
 }
 
 static void
-take_waiting(const LimitNews_t *this, Batch_t *batch)
+take_waiting(const NoticeNews_t *this, Batch_t *batch)
 {
     GHashTableIter iter;
     gpointer hash = NULL;
@@ -80,9 +81,9 @@
 {
     (void)fd;
     (void)what;
-    const LimitNews_t *this = data;
+    const NoticeNews_t *this = data;
     Batch_t batch = {.count = 0};
-    Wt__LimitNews body;
+    Wt__NoticeNews body;
     Wt__PeerMessage message;
     take_waiting(this, &batch);
     make_message(&batch, &body, &message);
@@ -94,20 +95,20 @@
 
 /* An incarnation that is not known here yet voids what is known. */
 static void
-take_fact(LimitNews_t *this, Upstream_t *upstream, const News_t *news)
+take_fact(NoticeNews_t *this, Upstream_t *upstream, const News_t *news)
 {
     Upstream_noteIncarnation(upstream, news->incarnation, Clock_nowMs());
     if (news->incarnation == upstream->incarnation &&
         this->spec.take(this->spec.owner, upstream, &news->fact) &&
         !Membership_isMesh(this->spec.membership)) {
-        LimitNews_tell(this, upstream);
+        NoticeNews_tell(this, upstream);
     }
 }
 
 static void
 on_added(void *owner, Upstream_t *upstream)
 {
-    LimitNews_t *this = owner;
+    NoticeNews_t *this = owner;
     for (guint i = this->early->len; i > 0; i--) {
         News_t news = g_array_index(this->early, News_t, i - 1);
         if (news.upstream == upstream->hash) {
@@ -117,10 +118,10 @@
     }
 }
 
-LimitNews_t *
-LimitNews_create(struct event_base *base, const LimitNewsSpec_t *spec)
+NoticeNews_t *
+NoticeNews_create(struct event_base *base, const NoticeNewsSpec_t *spec)
 {
-    LimitNews_t *this = g_new0(LimitNews_t, 1);
+    NoticeNews_t *this = g_new0(NoticeNews_t, 1);
     this->spec = *spec;
     this->waiting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -131,7 +132,7 @@
 }
 
 void
-LimitNews_destroy(LimitNews_t *this)
+NoticeNews_destroy(NoticeNews_t *this)
 {
     event_free(this->turn);
     UpstreamSet_onAdded(this->spec.upstreams, NULL, NULL);
@@ -141,7 +142,7 @@
 }
 
 void
-LimitNews_tell(LimitNews_t *this, const Upstream_t *upstream)
+NoticeNews_tell(NoticeNews_t *this, const Upstream_t *upstream)
 {
     g_hash_table_add(this->waiting,
                      g_memdup2(&upstream->hash, sizeof(upstream->hash)));
@@ -151,9 +152,9 @@
 }
 
 static void
-send_batch(const LimitNews_t *this, Member_t *member, Batch_t *batch)
+send_batch(const NoticeNews_t *this, Member_t *member, Batch_t *batch)
 {
-    Wt__LimitNews body;
+    Wt__NoticeNews body;
     Wt__PeerMessage message;
     make_message(batch, &body, &message);
     Membership_send(this->spec.membership, member, &message);
@@ -161,13 +162,13 @@
 }
 
 void
-LimitNews_introduce(const LimitNews_t *this, Member_t *member)
+NoticeNews_introduce(const NoticeNews_t *this, Member_t *member)
 {
     const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
     Batch_t batch = {.count = 0};
     for (guint i = 0; i < all->len; i++) {
         const Upstream_t *upstream = g_ptr_array_index(all, i);
-        if (upstream->limit.version > 0) {
+        if (upstream->limit.version > 0 || upstream->leaving) {
             add_fact(&batch, upstream);
         }
         if (batch.count == FACTS_OF_A_MESSAGE) {
@@ -181,14 +182,14 @@
 
 /* A router of another build may say anything. */
 static gboolean
-is_sound(const Wt__LimitFact *fact)
+is_sound(const Wt__NoticeFact *fact)
 {
     return isfinite(fact->per_s) && fact->per_s >= 0 &&
            fact->per_s <= NAMED_LIMIT_MOST;
 }
 
 static void
-keep_early(LimitNews_t *this, const News_t *news)
+keep_early(NoticeNews_t *this, const News_t *news)
 {
     gint64 now_ms = Clock_nowMs();
     for (guint i = this->early->len; i > 0; i--) {
@@ -203,15 +204,16 @@
 
 /* Where all are linked with all, everyone has it from its source. */
 void
-LimitNews_take(LimitNews_t *this, const Wt__LimitNews *message)
+NoticeNews_take(NoticeNews_t *this, const Wt__NoticeNews *message)
 {
     for (size_t i = 0; i < message->n_facts; i++) {
-        const Wt__LimitFact *fact = message->facts[i];
+        const Wt__NoticeFact *fact = message->facts[i];
         News_t news = {
             .upstream = fact->upstream,
             .incarnation = fact->incarnation,
-            .fact = {fact->is_named, fact->is_named ? fact->per_s : 0,
-                     fact->version},
+            .fact = {{fact->is_named, fact->is_named ? fact->per_s : 0,
+                      fact->version},
+                     fact->leaving},
             .until_ms = Clock_nowMs() + EARLY_MS,
         };
         Upstream_t *upstream =
--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -39,8 +39,9 @@
 struct OrderedEngine {
     OrderGiver_t *giver;
     Upstream_t *upstream;
-    guint64 incarnation; /* whose state and orders these are */
-    HttpCall_t *call;    /* under way, or NULL */
+    guint64 incarnation;   /* whose state and orders these are */
+    HttpCall_t *call;      /* under way, or NULL */
+    NoticeOrigin_t origin; /* of the answer to @call */
     gboolean call_is_order;
     guint64 read_under; /* term of the lease under which it was read */
     gint64 read_ms;
@@ -287,6 +288,10 @@
 {
     OrderedEngine_t *this = data;
     this->call = NULL;
+    if (answer) {
+        UpstreamNotices_takeAnswer(this->giver->notices, &this->origin,
+                                   answer);
+    }
     if (error) {
         take_error(this, error);
     }
@@ -315,6 +320,7 @@
         .timeout_ms = this->giver->timeout_ms,
     };
     this->call_is_order = body != NULL;
+    this->origin = NoticeOrigin_begin(this->upstream, NULL);
     this->call = HttpCall_start(this->giver->base, &spec, on_answer, this);
 }
 
--- a/src/OrderedEngine.h
+++ b/src/OrderedEngine.h
@@ -13,6 +13,7 @@
 #include "Lease.h"
 #include "Membership.h"
 #include "OrderForm.h"
+#include "UpstreamNotices.h"
 
 /**
  * struct OrderGiver_t - what all engines of a giver share
@@ -21,6 +22,7 @@
  * @lease: under which it orders
  * @membership: told of pauses and loads, for gossip
  * @hints: tells all routers of pauses and loads; NULL for gossip alone
+ * @notices: take in what answers say of their upstreams; or NULL
  * @counters: for orders
  * @holder: its name
  * @timeout_ms: for each call
@@ -32,6 +34,7 @@
     Lease_t *lease;
     Membership_t *membership;
     HintFlood_t *hints;
+    UpstreamNotices_t *notices;
     Counters_t *counters;
     const char *holder;
     gint64 timeout_ms;
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -302,6 +302,7 @@
         .lease = create_lease(this, base),
         .membership = spec->membership,
         .hints = spec->hints,
+        .notices = spec->notices,
         .counters = spec->counters,
         .holder = settings->router.name->str,
         .timeout_ms = settings->platform.order_timeout_ms,
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -40,6 +40,7 @@
  * @upstreams: those that are engines of the region get orders
  * @membership: tells who may take the lease; told of new weights
  * @hints: tells all routers of pauses and loads; NULL for gossip alone
+ * @notices: take in what answers say of their upstreams; or NULL
  * @counters: for orders
  */
 typedef struct {
@@ -53,6 +54,7 @@
     UpstreamSet_t *upstreams;
     Membership_t *membership;
     HintFlood_t *hints;
+    UpstreamNotices_t *notices;
     Counters_t *counters;
 } OrdersSpec_t;
 
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -78,6 +78,18 @@
     return room;
 }
 
+gboolean
+Policy_areAllLeaving(const Placement_t *placement)
+{
+    for (guint i = 0; i < placement->serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
+        if (!upstream->leaving) {
+            return FALSE;
+        }
+    }
+    return placement->serving->len > 0;
+}
+
 void
 Policy_learnPrefix(Policy_t *this, guint64 prefix, guint tokens,
                    const Upstream_t *upstream, gint64 now_ms)
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -238,6 +238,10 @@
  * their limits keep from being used */
 LimitedRoom_t Policy_findLimited(const Placement_t *placement);
 
+/** Policy_areAllLeaving() - whether all of the upstreams that are weighed, one
+ * at least, are about to end */
+gboolean Policy_areAllLeaving(const Placement_t *placement);
+
 /** Policy_supplyName() - a static text for logs */
 const char *Policy_supplyName(SupplyKind_t kind);
 
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -12,7 +12,8 @@
         [ATTEMPT_FAILED] = "failed",         [ATTEMPT_CUT] = "cut",
         [ATTEMPT_SILENT] = "silent",         [ATTEMPT_MISMATCH] = "mismatch",
         [ATTEMPT_BAD_ANSWER] = "bad_answer", [ATTEMPT_OVERSIZED] = "oversized",
-        [ATTEMPT_TAKEN_BACK] = "taken_back", [ATTEMPT_MOVED] = "moved",
+        [ATTEMPT_TAKEN_BACK] = "taken_back", [ATTEMPT_WITHDRAWN] = "withdrawn",
+        [ATTEMPT_MOVED] = "moved",
     };
     return names[end];
 }
@@ -29,6 +30,12 @@
     return names[step];
 }
 
+gboolean
+Recovery_isUnsent(AttemptEnd_t end)
+{
+    return end == ATTEMPT_NOT_SENT || end == ATTEMPT_WITHDRAWN;
+}
+
 static RunState_t
 run_state(const RecoveryFacts_t *facts)
 {
@@ -53,6 +60,7 @@
         [ATTEMPT_BAD_ANSWER] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_OVERSIZED] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_TAKEN_BACK] = REFUSAL_NO_UPSTREAM,
+        [ATTEMPT_WITHDRAWN] = REFUSAL_NO_UPSTREAM,
         [ATTEMPT_MOVED] = REFUSAL_UPSTREAM_FAILED,
     };
     RecoveryPlan_t plan = {RECOVERY_GIVE_UP, reasons[facts->end],
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -24,6 +24,8 @@
  * @ATTEMPT_OVERSIZED: an event of the stream is larger than the setting
  * @ATTEMPT_TAKEN_BACK: this router took it from the queue of an upstream whose
  *     weights are overdue
+ * @ATTEMPT_WITHDRAWN: nothing was written to the upstream, as it takes no new
+ *     work any more
  * @ATTEMPT_MOVED: this router ended it to go on elsewhere
  */
 typedef enum {
@@ -38,6 +40,7 @@
     ATTEMPT_BAD_ANSWER,
     ATTEMPT_OVERSIZED,
     ATTEMPT_TAKEN_BACK,
+    ATTEMPT_WITHDRAWN,
     ATTEMPT_MOVED,
 } AttemptEnd_t;
 
@@ -106,6 +109,9 @@
 /** Recovery_stepName() - stable name of a step, for logs */
 const char *Recovery_stepName(RecoveryStep_t step);
 
+/** Recovery_isUnsent() - whether nothing was written to the upstream */
+gboolean Recovery_isUnsent(AttemptEnd_t end);
+
 /** Recovery_endName() - stable name of an end, for counters and traces */
 const char *Recovery_endName(AttemptEnd_t end);
 
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -114,6 +114,10 @@
                                    "Upstreams have limited the rate of "
                                    "requests that they take.",
                                    503, 1000, RUN_NOT},
+    [REFUSAL_UPSTREAMS_LEAVING] = {"upstreams_leaving", "overloaded_error",
+                                   "All upstreams of the service are about "
+                                   "to end.",
+                                   503, 1000, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -89,6 +89,10 @@
     (void)what;
     RelayAttempt_t *this = data;
     AttemptConnection_t *connection = &this->connection;
+    if (connection->withdrawn) {
+        end_attempt(this, ATTEMPT_WITHDRAWN);
+        return;
+    }
     if (connection->overfull) {
         end_attempt(this, ATTEMPT_OVERSIZED);
         return;
@@ -259,6 +263,7 @@
     AttemptConnectionSpec_t connection = {
         .upstream = spec->upstream,
         .idle_max_ms = spec->idle_max_ms,
+        .is_new_work = TRUE,
         .patience = {spec->connect_ms, spec->first_ms, spec->pause_ms},
         .piece_max = spec->piece_max,
         .head_max = spec->head_max,
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -126,14 +126,6 @@
     RelayRun_start(this, placing);
 }
 
-static void
-refuse_unplaced(Exchange_t *super, const RelayPlacing_t *placing)
-{
-    if (!ExchangeRoom_refuse(super, &placing->placement)) {
-        refuse_now(super, REFUSAL_NO_UPSTREAM);
-    }
-}
-
 /* Where this router alone would send it; the caller is told where there is no
  * such place. */
 static gboolean
@@ -153,7 +145,7 @@
     }
     if (!placing->choice.upstream) {
         RelayPlacing_log(placing, super->id->str, &this->request);
-        refuse_unplaced(super, placing);
+        ExchangeRoom_refuse(super, &placing->placement);
         return FALSE;
     }
     return TRUE;
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -168,10 +168,9 @@
     Upstream_t *upstream = this->upstream;
     log_refusal(this, head);
     upstream->replaced = upstream->replaced || head->other_instance;
-    if (head->other_instance && !upstream->leaving) {
-        Upstream_noteLeaving(upstream, upstream->incarnation);
-        Membership_noteUpstream(this->context->membership,
-                                upstream->name->str);
+    if (head->other_instance) {
+        UpstreamNotices_noteLeaving(this->context->notices, &this->origin,
+                                    "replaced");
     }
     RelayFeedback_noteWeights(this, head);
     Upstream_notePause(upstream, UPSTREAM_SHED_PAUSE_MS, Clock_nowMs());
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -122,10 +122,12 @@
 
 /**
  * struct RelayUpstreamForm_t - the upstreams' side
+ * @notices: how answers say something of their upstream
  * @write_head: the caller's headers and the order, as the upstream reads them
  * @read_head: what an answer's head proves
  */
 typedef struct {
+    UpstreamNoticeForm_t notices;
     void (*write_head)(const struct evkeyvalq *caller,
                        const RelayOrder_t *order, struct evkeyvalq *out);
     void (*read_head)(int status, const struct evkeyvalq *headers,
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -217,7 +217,7 @@
         return;
     }
     this->attempt = NULL;
-    this->may_have_run = end != ATTEMPT_NOT_RUN && end != ATTEMPT_NOT_SENT;
+    this->may_have_run = end != ATTEMPT_NOT_RUN && !Recovery_isUnsent(end);
     RelayFeedback_settle(&this->feedback);
     Exchange_noteLost(&this->exchange->super, this->upstream, end);
     if (end == ATTEMPT_OVERSIZED) {
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -127,6 +127,7 @@
         .upstreams = context->upstreams,
         .membership = context->membership,
         .hints = this->hints,
+        .notices = context->notices,
         .counters = context->counters,
     };
     this->orders = Orders_create(context->base, &orders);
@@ -142,7 +143,9 @@
         .hints = this->hints,
         .membership = context->membership,
         .counters = context->counters,
+        .notices = context->notices,
         .state_path = context->form->orders->state_path,
+        .instance_header = context->form->orders->instance_header,
         .timeout_ms = context->settings->limits.connect_timeout_ms,
     };
     this->prober = UpstreamProber_create(context->base, &prober);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -131,7 +131,7 @@
     if (end == ATTEMPT_NOT_RUN && head) {
         RelayFeedback_noteRefusal(&this->feedback, head);
     }
-    if (end == ATTEMPT_NOT_RUN || end == ATTEMPT_NOT_SENT) {
+    if (end == ATTEMPT_NOT_RUN || Recovery_isUnsent(end)) {
         this->unrun++;
     }
     RelayFeedback_noteReach(&this->feedback, end);
--- a/src/Router.c
+++ b/src/Router.c
@@ -11,6 +11,7 @@
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
+#include "EngineHttp.h"
 #include "Errors.h"
 #include "Log.h"
 #include "NativeParts.h"
@@ -89,9 +90,8 @@
     if (message->body_case == WT__PEER_MESSAGE__BODY_CRASH_NEWS) {
         CrashGuard_take(this->context.crashes, message->crash_news);
     }
-    else if (message->body_case == WT__PEER_MESSAGE__BODY_LIMIT_NEWS) {
-        UpstreamLimits_take(this->context.upstream_limits,
-                            message->limit_news);
+    else if (message->body_case == WT__PEER_MESSAGE__BODY_NOTICE_NEWS) {
+        UpstreamNotices_takeNews(this->context.notices, message->notice_news);
     }
     else if (this->relay) {
         RelayParts_take(this->relay, from, message);
@@ -106,7 +106,7 @@
 {
     const Router_t *this = data;
     CrashGuard_introduce(this->context.crashes, member);
-    UpstreamLimits_introduce(this->context.upstream_limits, member);
+    UpstreamNotices_introduce(this->context.notices, member);
     if (this->relay) {
         RelayParts_introduce(this->relay, member);
     }
@@ -156,13 +156,19 @@
 }
 
 static void
-create_upstream_limits(Context_t *context)
+create_notices(Context_t *context)
 {
     context->upstream_limits =
-        UpstreamLimits_create(context->base, context->membership,
-                              context->upstreams, context->counters);
-    context->notices =
-        UpstreamNotices_create(context->upstream_limits, context->counters);
+        UpstreamLimits_create(context->membership, context->counters);
+    UpstreamNoticesSpec_t spec = {
+        .membership = context->membership,
+        .upstreams = context->upstreams,
+        .limits = context->upstream_limits,
+        .counters = context->counters,
+        .form = context->form ? &context->form->upstream->notices
+                              : &EngineHttp_wire.notices,
+    };
+    context->notices = UpstreamNotices_create(context->base, &spec);
 }
 
 static void
@@ -490,7 +496,7 @@
     if (started) {
         create_datagrams(&this);
         create_rates(&this);
-        create_upstream_limits(&this.context);
+        create_notices(&this.context);
         create_platform(&this);
         if (this.relay) {
             hold_callers(&this);
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -21,6 +21,7 @@
     GBytes *body;
     enum evhttp_cmd_type method;
     HttpCall_t *call;
+    UpstreamWaiter_t waiter;
     char attempt[RANDOM_ID_LENGTH + 1];
 } ServiceExchange_t;
 
@@ -61,16 +62,33 @@
     }
 }
 
+static void
+cancel_call(ServiceExchange_t *this)
+{
+    Upstream_removeWaiter(this->super.upstream, &this->waiter);
+    HttpCall_cancel(this->call);
+    this->call = NULL;
+}
+
 /* A call that is cut off here may still run. */
 static gboolean
 drop(Exchange_t *super)
 {
-    ServiceExchange_t *this = (ServiceExchange_t *)super;
-    HttpCall_cancel(this->call);
-    this->call = NULL;
+    cancel_call((ServiceExchange_t *)super);
     return TRUE;
 }
 
+static void
+on_withdraw(void *owner)
+{
+    ServiceExchange_t *this = owner;
+    if (!HttpCall_wasSent(this->call)) {
+        cancel_call(this);
+        Exchange_noteEnd(&this->super, ATTEMPT_WITHDRAWN);
+        Exchange_recover(&this->super, ATTEMPT_WITHDRAWN, NULL);
+    }
+}
+
 static void
 refuse(Exchange_t *super, const RefusalNotice_t *notice)
 {
@@ -123,6 +141,16 @@
     }
 }
 
+/* What its refusals say of a service is news as well. */
+static void
+note_refusal(const Exchange_t *super, const EngineRefusal_t *refusal)
+{
+    if (refusal->leaving) {
+        UpstreamNotices_noteLeaving(super->context->notices, &super->origin,
+                                    "refusal");
+    }
+}
+
 static AttemptEnd_t
 end_of_answer(const ServiceExchange_t *this, const HttpAnswer_t *answer)
 {
@@ -136,6 +164,7 @@
     EngineRefusal_t refusal;
     EngineHttp_wire.read_refusal(answer->status, answer->body, answer->length,
                                  &refusal);
+    note_refusal(&this->super, &refusal);
     return refusal.not_run ? ATTEMPT_NOT_RUN : ATTEMPT_FAILED;
 }
 
@@ -146,6 +175,7 @@
     AttemptEnd_t end =
         answer ? end_of_answer(this, answer) : end_of_error(error);
     this->call = NULL;
+    Upstream_removeWaiter(this->super.upstream, &this->waiter);
     if (answer && end != ATTEMPT_MISMATCH) {
         UpstreamNotice_t notice =
             UpstreamNotice_read(&EngineHttp_wire.notices, answer->headers);
@@ -194,6 +224,8 @@
     };
     Exchange_noteAttempt(super, upstream, reason);
     this->call = HttpCall_start(super->context->base, &spec, on_answer, this);
+    this->waiter = (UpstreamWaiter_t){.withdraw = on_withdraw, .owner = this};
+    Upstream_addWaiter(upstream, &this->waiter);
 }
 
 static Choice_t
@@ -231,9 +263,8 @@
                        choice.reason);
         }
     }
-    else if (!ExchangeRoom_refuse(super, &placement)) {
-        Exchange_refuse(super, REFUSAL_NO_UPSTREAM, Exchange_runState(super),
-                        NULL);
+    else {
+        ExchangeRoom_refuse(super, &placement);
     }
 }
 
--- a/src/StopPlans.c
+++ b/src/StopPlans.c
@@ -38,10 +38,11 @@
     const StopPlan_t *plan = object->spec;
     Upstream_t *upstream =
         UpstreamSet_find(this->upstreams, plan->upstream->str);
-    if (!upstream || upstream->leaving || !is_due(plan)) {
+    if (!upstream || !is_due(plan) ||
+        !Upstream_noteLeaving(upstream, upstream->incarnation,
+                              Clock_nowMs())) {
         return;
     }
-    Upstream_noteLeaving(upstream, upstream->incarnation);
     Membership_noteUpstream(this->membership, upstream->name->str);
     Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
     Log_text("upstream", upstream->name->str);
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -238,16 +238,10 @@
 static void
 note_refusal(const Exchange_t *super, const EngineRefusal_t *refusal)
 {
-    Upstream_t *upstream = super->upstream;
     note_incarnation(super, refusal->incarnation);
-    if (refusal->leaving && !upstream->leaving) {
-        Upstream_noteLeaving(upstream, upstream->incarnation);
-        Membership_noteUpstream(super->context->membership,
-                                upstream->name->str);
-        Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
-        Log_text("upstream", upstream->name->str);
-        Log_text("source", "upstream");
-        Log_end();
+    if (refusal->leaving) {
+        UpstreamNotices_noteLeaving(super->context->notices, &super->origin,
+                                    "refusal");
     }
 }
 
@@ -323,6 +317,7 @@
         .event_max = (gsize)limits->event_max,
         .head_max = (gsize)limits->max_header,
         .fresh = !super->repeatable,
+        .is_rest = this->is_resume,
         .connect_ms = limits->connect_timeout_ms,
         .first_token_ms = limits->first_token_timeout_ms,
         .token_ms = limits->token_timeout_ms,
@@ -390,15 +385,6 @@
                         &terms, placing);
 }
 
-static void
-refuse_unplaced(Exchange_t *super, const Placing_t *placing)
-{
-    if (!ExchangeRoom_refuse(super, &placing->placement)) {
-        Exchange_refuse(super, REFUSAL_NO_UPSTREAM, Exchange_runState(super),
-                        NULL);
-    }
-}
-
 static void
 place(Exchange_t *super)
 {
@@ -412,7 +398,7 @@
         Exchange_refuse(super, REFUSAL_UNKNOWN_MODEL, run, NULL);
     }
     else if (!placing.choice.upstream) {
-        refuse_unplaced(super, &placing);
+        ExchangeRoom_refuse(super, &placing.placement);
     }
     else if (ExchangeRoom_mayGo(super, placing.choice.upstream)) {
         start_new_stream(this, &placing);
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -42,6 +42,7 @@
     this->base = base;
     this->idle_max = idle_max;
     this->references = 1;
+    g_queue_init(&this->waiters);
     g_queue_init(&this->idle);
     return this;
 }
@@ -115,7 +116,7 @@
     EngineMemory_clear(&this->memory);
     drop_idle(this);
     this->leaving = FALSE;
-    this->leaving_told_ms = 0;
+    this->leaving_ms = 0;
     this->replaced = FALSE;
     this->reported_tokens = 0;
     this->reported_running = 0;
@@ -231,11 +232,44 @@
 }
 
 void
-Upstream_noteLeaving(Upstream_t *this, guint64 incarnation)
+Upstream_addWaiter(Upstream_t *this, UpstreamWaiter_t *waiter)
 {
-    if (incarnation >= this->incarnation || incarnation == 0) {
-        this->leaving = TRUE;
+    waiter->link = (GList){.data = waiter};
+    g_queue_push_tail_link(&this->waiters, &waiter->link);
+}
+
+void
+Upstream_removeWaiter(Upstream_t *this, UpstreamWaiter_t *waiter)
+{
+    if (waiter->link.data) {
+        g_queue_unlink(&this->waiters, &waiter->link);
+        waiter->link = (GList){0};
+    }
+}
+
+/* A waiter may remove itself, but no other. */
+static void
+withdraw_waiters(Upstream_t *this)
+{
+    GList *next = NULL;
+    for (GList *link = this->waiters.head; link; link = next) {
+        const UpstreamWaiter_t *waiter = link->data;
+        next = link->next;
+        waiter->withdraw(waiter->owner);
+    }
+}
+
+gboolean
+Upstream_noteLeaving(Upstream_t *this, guint64 incarnation, gint64 now_ms)
+{
+    gboolean is_former = incarnation != 0 && incarnation < this->incarnation;
+    if (this->leaving || is_former) {
+        return FALSE;
     }
+    this->leaving = TRUE;
+    this->leaving_ms = now_ms;
+    withdraw_waiters(this);
+    return TRUE;
 }
 
 static guint64
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -29,7 +29,7 @@
  * @incarnation: newest that was heard of, 0 for none yet
  * @weights: version that it last reported, may be empty
  * @leaving: gets no new work; never taken back for an incarnation
- * @leaving_told_ms: when an answer of it first said so, 0 for never
+ * @leaving_ms: when this router learned so; 0 where it is not leaving
  * @removed: no longer declared
  * @replaced: another instance was met at its address, so that it is gone and
  *     what it held with it
@@ -68,6 +68,7 @@
  * @memory: how far its cache has turned over
  * @link: over which cached prefixes come to it and leave it
  * @base: of its connections
+ * @waiters: UpstreamWaiter_t that are not sent yet, or were sent
  * @idle: IdleConnection_t, the one used last at the tail
  * @idle_max: most of them
  * @references: by which it is held
@@ -85,7 +86,7 @@
     guint64 incarnation;
     GString *weights;
     gboolean leaving;
-    gint64 leaving_told_ms;
+    gint64 leaving_ms;
     gboolean removed;
     gboolean replaced;
     guint in_flight;
@@ -121,6 +122,7 @@
     Link_t link;
 
     struct event_base *base;
+    GQueue waiters;
     GQueue idle;
     guint idle_max;
     guint references;
@@ -218,8 +220,15 @@
 /** Upstream_noteReached() - it answered something just now */
 void Upstream_noteReached(Upstream_t *this, gint64 now_ms);
 
-/** Upstream_noteLeaving() - no new work for this incarnation */
-void Upstream_noteLeaving(Upstream_t *this, guint64 incarnation);
+/**
+ * Upstream_noteLeaving() - no new work for this incarnation
+ *
+ * Requests that still wait for a connection to it are withdrawn.
+ *
+ * Return: TRUE where it is news
+ */
+gboolean Upstream_noteLeaving(Upstream_t *this, guint64 incarnation,
+                              gint64 now_ms);
 
 /**
  * Upstream_noteWeights() - the version that it is said to have
@@ -276,6 +285,25 @@
 gboolean Upstream_noteFailure(Upstream_t *this, guint most, gint64 eject_ms,
                               gint64 now_ms);
 
+/**
+ * struct UpstreamWaiter_t - a request that goes to an upstream
+ * @link: of the list that it is in; zeroed while it is in none
+ * @withdraw: it must not be sent any more; nothing where it was sent
+ * @owner: of @withdraw
+ */
+typedef struct {
+    GList link;
+    void (*withdraw)(void *owner);
+    void *owner;
+} UpstreamWaiter_t;
+
+/** Upstream_addWaiter() - it is withdrawn where the upstream takes no new work
+ * before it is sent */
+void Upstream_addWaiter(Upstream_t *this, UpstreamWaiter_t *waiter);
+
+/** Upstream_removeWaiter() - it is over; may be called again */
+void Upstream_removeWaiter(Upstream_t *this, UpstreamWaiter_t *waiter);
+
 /** For Upstream_takeConnection(): however long a connection rested */
 #define UPSTREAM_ANY_IDLE G_MAXINT64
 /** For Upstream_takeConnection(): only a new connection will do */
--- a/src/UpstreamLimits.c
+++ b/src/UpstreamLimits.c
@@ -11,7 +11,6 @@
 struct UpstreamLimits {
     Membership_t *membership;
     Counters_t *counters;
-    LimitNews_t *news;
     GHashTable *returning; /* target -> TokenBucket_t of those refused */
 };
 
@@ -49,10 +48,10 @@
     Counters_add(this->counters, "upstream_limits_learned_total", labels, 1);
 }
 
-static gboolean
-take_fact(void *owner, Upstream_t *upstream, const UpstreamLimitFact_t *fact)
+gboolean
+UpstreamLimits_takeFact(const UpstreamLimits_t *this, Upstream_t *upstream,
+                        const UpstreamLimitFact_t *fact)
 {
-    const UpstreamLimits_t *this = owner;
     UpstreamLimit_t before = upstream->limit;
     if (!UpstreamLimit_takeFact(&upstream->limit, fact, Clock_nowMs())) {
         return FALSE;
@@ -63,19 +62,11 @@
 }
 
 UpstreamLimits_t *
-UpstreamLimits_create(struct event_base *base, Membership_t *membership,
-                      UpstreamSet_t *upstreams, Counters_t *counters)
+UpstreamLimits_create(Membership_t *membership, Counters_t *counters)
 {
     UpstreamLimits_t *this = g_new0(UpstreamLimits_t, 1);
-    LimitNewsSpec_t news = {
-        .membership = membership,
-        .upstreams = upstreams,
-        .take = take_fact,
-        .owner = this,
-    };
     this->membership = membership;
     this->counters = counters;
-    this->news = LimitNews_create(base, &news);
     this->returning =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return this;
@@ -84,7 +75,6 @@
 void
 UpstreamLimits_destroy(UpstreamLimits_t *this)
 {
-    LimitNews_destroy(this->news);
     g_hash_table_destroy(this->returning);
     g_free(this);
 }
@@ -99,12 +89,12 @@
     }
     Log_begin(LOG_LEVEL_WARNING, "upstream_limit_unreadable");
     Log_text("upstream", upstream->name->str);
-    Log_text("request", request_id);
+    Log_text("request", request_id ? request_id : "none");
     log_limit("kept", &upstream->limit);
     Log_end();
 }
 
-void
+gboolean
 UpstreamLimits_noteAnswer(UpstreamLimits_t *this, Upstream_t *upstream,
                           const NamedLimit_t *said, gint64 sent_ms,
                           const char *request_id)
@@ -112,26 +102,15 @@
     UpstreamLimit_t before = upstream->limit;
     if (said->kind == LIMIT_UNREADABLE) {
         note_unreadable(this, upstream, request_id);
-        return;
+        return FALSE;
     }
-    if (UpstreamLimit_noteAnswer(&upstream->limit, said, sent_ms,
-                                 Clock_nowMs())) {
-        count_learned(this, "by=\"answer\"");
-        log_change(upstream, &before, "answer", request_id);
-        LimitNews_tell(this->news, upstream);
+    if (!UpstreamLimit_noteAnswer(&upstream->limit, said, sent_ms,
+                                  Clock_nowMs())) {
+        return FALSE;
     }
-}
-
-void
-UpstreamLimits_introduce(const UpstreamLimits_t *this, Member_t *member)
-{
-    LimitNews_introduce(this->news, member);
-}
-
-void
-UpstreamLimits_take(UpstreamLimits_t *this, const Wt__LimitNews *message)
-{
-    LimitNews_take(this->news, message);
+    count_learned(this, "by=\"answer\"");
+    log_change(upstream, &before, "answer", request_id);
+    return TRUE;
 }
 
 void
--- a/src/UpstreamLimits.h
+++ b/src/UpstreamLimits.h
@@ -4,20 +4,18 @@
  * DOC: UpstreamLimits
  *
  * Learns the request rate limits of upstreams (UpstreamLimit.h) from their
- * answers and from the other routers, and tells them (LimitNews.h).
+ * answers and from the other routers.
  */
 #include "Counters.h"
-#include "LimitNews.h"
+#include "Membership.h"
 #include "Policy.h"
 #include "RateLimits.h"
 
 /** struct UpstreamLimits_t - opaque */
 typedef struct UpstreamLimits UpstreamLimits_t;
 
-/** UpstreamLimits_create() - all must outlive it */
-UpstreamLimits_t *UpstreamLimits_create(struct event_base *base,
-                                        Membership_t *membership,
-                                        UpstreamSet_t *upstreams,
+/** UpstreamLimits_create() - both must outlive it */
+UpstreamLimits_t *UpstreamLimits_create(Membership_t *membership,
                                         Counters_t *counters);
 
 /** UpstreamLimits_destroy() - free it */
@@ -27,17 +25,19 @@
  * UpstreamLimits_noteAnswer() - an upstream has answered
  * @said: of its limit
  * @sent_ms: when the request was sent, monotonic
- * @request_id: of the request
+ * @request_id: of the request; NULL for a call of the router's own
+ *
+ * Return: whether that is news
  */
-void UpstreamLimits_noteAnswer(UpstreamLimits_t *this, Upstream_t *upstream,
-                               const NamedLimit_t *said, gint64 sent_ms,
-                               const char *request_id);
-
-/** UpstreamLimits_introduce() - a router was linked just now */
-void UpstreamLimits_introduce(const UpstreamLimits_t *this, Member_t *member);
-
-/** UpstreamLimits_take() - a peer's message */
-void UpstreamLimits_take(UpstreamLimits_t *this, const Wt__LimitNews *message);
+gboolean UpstreamLimits_noteAnswer(UpstreamLimits_t *this,
+                                   Upstream_t *upstream,
+                                   const NamedLimit_t *said, gint64 sent_ms,
+                                   const char *request_id);
+
+/** UpstreamLimits_takeFact() - what a peer knows; whether that is news */
+gboolean UpstreamLimits_takeFact(const UpstreamLimits_t *this,
+                                 Upstream_t *upstream,
+                                 const UpstreamLimitFact_t *fact);
 
 /**
  * UpstreamLimits_noteRefused() - there is no room for a request
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -123,10 +123,10 @@
 static void
 note_leaving(UpstreamListing_t *this, Upstream_t *upstream)
 {
-    if (upstream->leaving) {
+    if (!Upstream_noteLeaving(upstream, upstream->incarnation,
+                              Clock_nowMs())) {
         return;
     }
-    Upstream_noteLeaving(upstream, upstream->incarnation);
     Membership_noteUpstream(this->spec.membership, upstream->name->str);
     log_upstream("upstream_leaving", upstream->name->str, "listed");
 }
@@ -296,13 +296,11 @@
                ListedUpstream_t *entry)
 {
     const char *name = record->key->str;
-    Departed_t departed =
-        RecordFollower_isListing(this->follower)
-            ? DepartedUpstreams_find(this->departed, name,
-                                     ListedUpstream_incarnation(entry),
-                                     record->position.epoch)
-            : DEPARTED_NOT;
-    if (departed == DEPARTED_NOT) {
+    Departed_t departed = DepartedUpstreams_find(
+        this->departed, name, ListedUpstream_incarnation(entry),
+        record->position.epoch);
+    gboolean is_new = !RecordFollower_isListing(this->follower);
+    if (departed == DEPARTED_NOT || (departed == DEPARTED_LAPSED && is_new)) {
         DepartedUpstreams_forget(this->departed, name);
         return TRUE;
     }
--- a/src/UpstreamNotice.h
+++ b/src/UpstreamNotice.h
@@ -23,9 +23,12 @@
 /**
  * struct UpstreamNoticeForm_t - how a form says it
  * @headers: name of the header, for each kind
+ * @misdirected_status: of an answer by another upstream that has the address;
+ *     0 for none
  */
 typedef struct {
     const char *headers[NOTICE_KIND_COUNT];
+    int misdirected_status;
 } UpstreamNoticeForm_t;
 
 /**
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -27,6 +27,7 @@
 typedef struct {
     UpstreamProber_t *owner;
     Upstream_t *upstream;
+    NoticeOrigin_t origin;
     HttpCall_t *call; /* NULL during a pause */
     gint64 next_ms;
     gint64 heard_until_ms; /* peers are to ask before, not this router */
@@ -71,6 +72,8 @@
     probe->call = NULL;
     if (answer) {
         Upstream_noteReached(probe->upstream, Clock_nowMs());
+        UpstreamNotices_takeAnswer(probe->owner->spec.notices, &probe->origin,
+                                   answer);
         tell_reached(probe);
         log_probe(probe, "upstream_reached", "answered");
         return;
@@ -104,13 +107,19 @@
 static void
 ask(UpstreamProber_t *this, Probe_t *probe)
 {
+    HttpHeader_t headers[] = {
+        {this->spec.instance_header, probe->upstream->name->str},
+        {NULL, NULL},
+    };
     HttpCallSpec_t spec = {
         .address = &probe->upstream->address,
         .method = EVHTTP_REQ_GET,
         .path = probe_path(this, probe->upstream),
+        .headers = headers,
         .timeout_ms = this->spec.timeout_ms,
     };
     probe->asked++;
+    probe->origin = NoticeOrigin_begin(probe->upstream, NULL);
     Counters_add(this->spec.counters, "upstream_probes_total", NULL, 1);
     probe->call = HttpCall_start(this->base, &spec, on_answer, probe);
 }
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -10,7 +10,7 @@
  */
 #include "HintFlood.h"
 #include "RouteTable.h"
-#include "UpstreamSet.h"
+#include "UpstreamNotices.h"
 
 /**
  * struct UpstreamProberSpec_t - what it needs; all must outlive it
@@ -19,7 +19,9 @@
  * @hints: tells peers of suspects
  * @membership: tells who is to ask on a peer's word
  * @counters: for probes
+ * @notices: take in what answers say of their upstreams; or NULL
  * @state_path: where an engine tells its state
+ * @instance_header: names the upstream that a probe is meant for, or NULL
  * @timeout_ms: for one probe
  */
 typedef struct {
@@ -28,7 +30,9 @@
     HintFlood_t *hints;
     const Membership_t *membership;
     Counters_t *counters;
+    UpstreamNotices_t *notices;
     const char *state_path;
+    const char *instance_header;
     gint64 timeout_ms;
 } UpstreamProberSpec_t;
 
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -42,8 +42,8 @@
 typedef struct Wt__CrashFact Wt__CrashFact;
 typedef struct Wt__CrashNews Wt__CrashNews;
 typedef struct Wt__CrashRecord Wt__CrashRecord;
-typedef struct Wt__LimitFact Wt__LimitFact;
-typedef struct Wt__LimitNews Wt__LimitNews;
+typedef struct Wt__NoticeFact Wt__NoticeFact;
+typedef struct Wt__NoticeNews Wt__NoticeNews;
 typedef struct Wt__MembersAsk Wt__MembersAsk;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
@@ -642,10 +642,11 @@
 
 
 /*
- * The request rate limit of an upstream. Of two facts the one of the larger
- * incarnation holds, then the one of the larger version, then the lower limit.
+ * What an upstream has said of itself that holds for all routers. Of two facts
+ * the one of the larger incarnation holds. Leaving is never taken back for an
+ * incarnation; of two limits that of the larger version holds, then the lower.
  */
-struct  Wt__LimitFact
+struct  Wt__NoticeFact
 {
   ProtobufCMessage base;
   /*
@@ -653,26 +654,30 @@
    */
   uint64_t upstream;
   uint64_t incarnation;
+  /*
+   * Of the limit; 0 where none was ever named.
+   */
   uint64_t version;
   protobuf_c_boolean is_named;
   /*
    * Requests a second of all routers together.
    */
   double per_s;
+  protobuf_c_boolean leaving;
 };
-#define WT__LIMIT_FACT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wt__limit_fact__descriptor) \
-    , 0, 0, 0, 0, 0 }
+#define WT__NOTICE_FACT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__notice_fact__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
 
 
-struct  Wt__LimitNews
+struct  Wt__NoticeNews
 {
   ProtobufCMessage base;
   size_t n_facts;
-  Wt__LimitFact **facts;
+  Wt__NoticeFact **facts;
 };
-#define WT__LIMIT_NEWS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wt__limit_news__descriptor) \
+#define WT__NOTICE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__notice_news__descriptor) \
     , 0,NULL }
 
 
@@ -712,7 +717,7 @@
   WT__PEER_MESSAGE__BODY_RATE_ASK = 15,
   WT__PEER_MESSAGE__BODY_RATE_ANSWER = 16,
   WT__PEER_MESSAGE__BODY_CRASH_NEWS = 17,
-  WT__PEER_MESSAGE__BODY_LIMIT_NEWS = 18,
+  WT__PEER_MESSAGE__BODY_NOTICE_NEWS = 18,
   WT__PEER_MESSAGE__BODY_MEMBERS_ASK = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
@@ -739,7 +744,7 @@
     Wt__RateAsk *rate_ask;
     Wt__RateAnswer *rate_answer;
     Wt__CrashNews *crash_news;
-    Wt__LimitNews *limit_news;
+    Wt__NoticeNews *notice_news;
     Wt__MembersAsk *members_ask;
   };
 };
@@ -1223,43 +1228,43 @@
 void   wt__crash_record__free_unpacked
                      (Wt__CrashRecord *message,
                       ProtobufCAllocator *allocator);
-/* Wt__LimitFact methods */
-void   wt__limit_fact__init
-                     (Wt__LimitFact         *message);
-size_t wt__limit_fact__get_packed_size
-                     (const Wt__LimitFact   *message);
-size_t wt__limit_fact__pack
-                     (const Wt__LimitFact   *message,
+/* Wt__NoticeFact methods */
+void   wt__notice_fact__init
+                     (Wt__NoticeFact         *message);
+size_t wt__notice_fact__get_packed_size
+                     (const Wt__NoticeFact   *message);
+size_t wt__notice_fact__pack
+                     (const Wt__NoticeFact   *message,
                       uint8_t             *out);
-size_t wt__limit_fact__pack_to_buffer
-                     (const Wt__LimitFact   *message,
+size_t wt__notice_fact__pack_to_buffer
+                     (const Wt__NoticeFact   *message,
                       ProtobufCBuffer     *buffer);
-Wt__LimitFact *
-       wt__limit_fact__unpack
+Wt__NoticeFact *
+       wt__notice_fact__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wt__limit_fact__free_unpacked
-                     (Wt__LimitFact *message,
+void   wt__notice_fact__free_unpacked
+                     (Wt__NoticeFact *message,
                       ProtobufCAllocator *allocator);
-/* Wt__LimitNews methods */
-void   wt__limit_news__init
-                     (Wt__LimitNews         *message);
-size_t wt__limit_news__get_packed_size
-                     (const Wt__LimitNews   *message);
-size_t wt__limit_news__pack
-                     (const Wt__LimitNews   *message,
+/* Wt__NoticeNews methods */
+void   wt__notice_news__init
+                     (Wt__NoticeNews         *message);
+size_t wt__notice_news__get_packed_size
+                     (const Wt__NoticeNews   *message);
+size_t wt__notice_news__pack
+                     (const Wt__NoticeNews   *message,
                       uint8_t             *out);
-size_t wt__limit_news__pack_to_buffer
-                     (const Wt__LimitNews   *message,
+size_t wt__notice_news__pack_to_buffer
+                     (const Wt__NoticeNews   *message,
                       ProtobufCBuffer     *buffer);
-Wt__LimitNews *
-       wt__limit_news__unpack
+Wt__NoticeNews *
+       wt__notice_news__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wt__limit_news__free_unpacked
-                     (Wt__LimitNews *message,
+void   wt__notice_news__free_unpacked
+                     (Wt__NoticeNews *message,
                       ProtobufCAllocator *allocator);
 /* Wt__MembersAsk methods */
 void   wt__members_ask__init
@@ -1376,11 +1381,11 @@
 typedef void (*Wt__CrashRecord_Closure)
                  (const Wt__CrashRecord *message,
                   void *closure_data);
-typedef void (*Wt__LimitFact_Closure)
-                 (const Wt__LimitFact *message,
+typedef void (*Wt__NoticeFact_Closure)
+                 (const Wt__NoticeFact *message,
                   void *closure_data);
-typedef void (*Wt__LimitNews_Closure)
-                 (const Wt__LimitNews *message,
+typedef void (*Wt__NoticeNews_Closure)
+                 (const Wt__NoticeNews *message,
                   void *closure_data);
 typedef void (*Wt__MembersAsk_Closure)
                  (const Wt__MembersAsk *message,
@@ -1421,8 +1426,8 @@
 extern const ProtobufCMessageDescriptor wt__crash_fact__descriptor;
 extern const ProtobufCMessageDescriptor wt__crash_news__descriptor;
 extern const ProtobufCMessageDescriptor wt__crash_record__descriptor;
-extern const ProtobufCMessageDescriptor wt__limit_fact__descriptor;
-extern const ProtobufCMessageDescriptor wt__limit_news__descriptor;
+extern const ProtobufCMessageDescriptor wt__notice_fact__descriptor;
+extern const ProtobufCMessageDescriptor wt__notice_news__descriptor;
 extern const ProtobufCMessageDescriptor wt__members_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
--- a/tests/test_DepartedUpstreams.c
+++ b/tests/test_DepartedUpstreams.c
@@ -64,9 +64,10 @@
 {
     begin();
     note(NAME, 5, TRUE, 0);
+    note("b", 5, FALSE, 0);
     ck_assert_int_eq(DepartedUpstreams_find(departed, NAME, 6, 2),
                      DEPARTED_NOT);
-    ck_assert_int_eq(DepartedUpstreams_find(departed, NAME, 5, 1),
+    ck_assert_int_eq(DepartedUpstreams_find(departed, "b", 5, 1),
                      DEPARTED_NOT);
     DepartedUpstreams_forget(departed, NAME);
     ck_assert_int_eq(DepartedUpstreams_find(departed, NAME, 5, 2),
@@ -75,6 +76,18 @@
 }
 END_TEST
 
+START_TEST(what_said_that_it_leaves_stays_so)
+{
+    begin();
+    note(NAME, 5, TRUE, 0);
+    ck_assert_int_eq(DepartedUpstreams_find(departed, NAME, 5, 1),
+                     DEPARTED_LEFT);
+    ck_assert_int_eq(DepartedUpstreams_find(departed, NAME, 6, 1),
+                     DEPARTED_NOT);
+    end();
+}
+END_TEST
+
 START_TEST(what_departed_long_ago_is_forgotten)
 {
     begin();
@@ -90,4 +103,5 @@
 
 TESTING_MAIN("DepartedUpstreams", an_older_list_does_not_bring_it_back,
              a_new_start_or_the_same_epoch_is_believed,
+             what_said_that_it_leaves_stays_so,
              what_departed_long_ago_is_forgotten)
