--- a/src/OrderedEngine.c
+++ b/src/OrderedEngine.c
@@ -288,14 +288,12 @@
 {
     OrderedEngine_t *this = data;
     this->call = NULL;
-    if (answer) {
-        UpstreamNotices_takeAnswer(this->giver->notices, &this->origin,
-                                   answer);
-    }
     if (error) {
         take_error(this, error);
+        return;
     }
-    else if (this->call_is_order) {
+    UpstreamNotices_takeAnswer(this->giver->notices, &this->origin, answer);
+    if (this->call_is_order) {
         take_outcome(this, answer);
     }
     else {
