Show the rest that upstreams ask for as they refuse, and what is sent to them during it

Callers saw refusals with sound upstreams there; three upstreams that had asked for rest got more requests than before. Logs could not tell whether the time of rest was read, ended early, or passed by.

Lines upstream_rests and sent_to_resting. No decision changes. Numbers are decimal in one place.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -168,8 +168,9 @@
     struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
     const char *attempt = evhttp_find_header(headers, ATTEMPT_HEADER);
     if (g_strcmp0(attempt, this->id) == 0) {
-        UpstreamNotice_t notice =
-            UpstreamNotice_read(&this->wire->notices, headers);
+        UpstreamNotice_t notice = UpstreamNotice_read(
+            &this->wire->notices, evhttp_request_get_response_code(request),
+            headers);
         this->events->answered(this->owner, &notice);
     }
 }
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -275,6 +275,8 @@
     UpstreamGate_use(&this->room, upstream);
     ExchangeLog_limitedUpstream(this);
     ExchangeLog_leavingUpstream(this);
+    ExchangeLog_restingUpstream(this);
+    UpstreamRest_noteSent(&upstream->rest, Clock_nowMs());
     upstream->in_flight++;
     upstream->probing = upstream->ejections > 0;
 }
--- a/src/ExchangeLog.c
+++ b/src/ExchangeLog.c
@@ -81,6 +81,26 @@
     Log_end();
 }
 
+void
+ExchangeLog_restingUpstream(const Exchange_t *this)
+{
+    const UpstreamRest_t *rest = &this->upstream->rest;
+    gint64 now_ms = Clock_nowMs();
+    gint64 left_ms = UpstreamRest_leftMs(rest, now_ms);
+    if (left_ms == 0) {
+        return;
+    }
+    Counters_add(this->context->counters, "sent_to_resting_total", NULL, 1);
+    Log_begin(LOG_LEVEL_WARNING, "sent_to_resting");
+    Log_text("request", this->id->str);
+    Log_text("upstream", this->upstream->name->str);
+    Log_text("reason", this->attempt_trace->reason);
+    Log_number("attempts", this->attempts);
+    Log_number("asked_age_ms", now_ms - rest->asked_ms);
+    Log_number("left_ms", left_ms);
+    Log_end();
+}
+
 void
 ExchangeLog_ejected(const Exchange_t *this, AttemptEnd_t end)
 {
--- a/src/ExchangeLog.h
+++ b/src/ExchangeLog.h
@@ -22,6 +22,9 @@
  * unless it has said that it leaves */
 void ExchangeLog_leavingUpstream(const Exchange_t *this);
 
+/** ExchangeLog_restingUpstream() - the same where it has asked for rest */
+void ExchangeLog_restingUpstream(const Exchange_t *this);
+
 /** ExchangeLog_ejected() - its upstream gets no work for a while */
 void ExchangeLog_ejected(const Exchange_t *this, AttemptEnd_t end);
 
--- a/src/NamedLimit.c
+++ b/src/NamedLimit.c
@@ -8,8 +8,8 @@
 /* Longer texts are no rate that anybody means. */
 #define TEXT_MAX 32
 
-static gboolean
-is_decimal(const char *text)
+gboolean
+Decimal_isOne(const char *text)
 {
     gsize before = strspn(text, DIGITS);
     const char *rest = text + before;
@@ -27,7 +27,7 @@
 {
     char copy[TEXT_MAX + 1];
     if (g_strlcpy(copy, text, sizeof(copy)) >= sizeof(copy) ||
-        !is_decimal(g_strstrip(copy))) {
+        !Decimal_isOne(g_strstrip(copy))) {
         return (NamedLimit_t){.kind = LIMIT_UNREADABLE};
     }
     double per_s = g_ascii_strtod(copy, NULL);
--- a/src/NamedLimit.h
+++ b/src/NamedLimit.h
@@ -42,6 +42,10 @@
  */
 NamedLimit_t NamedLimit_parse(const char *text);
 
+/** Decimal_isOne() - whether a text is a decimal number: digits, with or
+ * without a point, and nothing else */
+gboolean Decimal_isOne(const char *text);
+
 /** NamedLimit_find() - read a header that may be missing, or stand twice */
 NamedLimit_t NamedLimit_find(const struct evkeyvalq *headers,
                              const char *name);
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -177,8 +177,8 @@
     this->call = NULL;
     Upstream_removeWaiter(this->super.upstream, &this->waiter);
     if (answer && end != ATTEMPT_MISMATCH) {
-        UpstreamNotice_t notice =
-            UpstreamNotice_read(&EngineHttp_wire.notices, answer->headers);
+        UpstreamNotice_t notice = UpstreamNotice_read(
+            &EngineHttp_wire.notices, answer->status, answer->headers);
         Exchange_noteNotice(&this->super, &notice);
     }
     Exchange_noteEnd(&this->super, end);
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -125,6 +125,7 @@
     this->unloading_since_ms = 0;
     this->soon_until_ms = 0;
     this->limit = (UpstreamLimit_t){0};
+    this->rest = (UpstreamRest_t){0};
     Upstream_noteSuccess(this);
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -15,6 +15,7 @@
 #include "EngineMemory.h"
 #include "Link.h"
 #include "UpstreamLimit.h"
+#include "UpstreamRest.h"
 
 /**
  * struct Upstream_t - one upstream
@@ -65,6 +66,7 @@
  * @run_us: learned time from a request's first token to its end, 0 for none
  * @proved_ms: when it last answered anything, 0 for never
  * @limit: of the requests that it takes from all routers together
+ * @rest: that it wants of this router
  * @memory: how far its cache has turned over
  * @link: over which cached prefixes come to it and leave it
  * @base: of its connections
@@ -118,6 +120,7 @@
     double run_us;
     gint64 proved_ms;
     UpstreamLimit_t limit;
+    UpstreamRest_t rest;
     EngineMemory_t memory;
     Link_t link;
 
--- a/src/UpstreamNotice.c
+++ b/src/UpstreamNotice.c
@@ -4,6 +4,12 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "UpstreamRest.h"
+
+#define MS_PER_S 1000
+/* Longer texts are no time that anybody means. */
+#define SECONDS_TEXT_MAX 32
+
 static NoticeFlag_t
 read_flag(const char *text)
 {
@@ -34,12 +40,50 @@
     return found;
 }
 
+static RestNotice_t
+read_seconds(const char *text)
+{
+    char copy[SECONDS_TEXT_MAX + 1];
+    if (g_strlcpy(copy, text, sizeof(copy)) >= sizeof(copy) ||
+        !Decimal_isOne(g_strstrip(copy))) {
+        return (RestNotice_t){.kind = REST_UNREADABLE};
+    }
+    double ms = g_ascii_strtod(copy, NULL) * MS_PER_S;
+    return (RestNotice_t){REST_ASKED,
+                          (gint64)MIN(ms, (double)UPSTREAM_REST_MOST_MS)};
+}
+
+/* Other answers with this header tell the caller when to come back. */
+static RestNotice_t
+find_rest(const struct evkeyvalq *headers, int status, const char *name)
+{
+    RestNotice_t found = {.kind = REST_ABSENT};
+    const struct evkeyval *header = NULL;
+    if (status != HTTP_SERVUNAVAIL) {
+        return found;
+    }
+    TAILQ_FOREACH(header, headers, next)
+    {
+        if (g_ascii_strcasecmp(header->key, name) != 0) {
+            continue;
+        }
+        RestNotice_t rest = read_seconds(header->value);
+        if (found.kind != REST_ABSENT &&
+            (found.kind != rest.kind || found.for_ms != rest.for_ms)) {
+            return (RestNotice_t){.kind = REST_UNREADABLE};
+        }
+        found = rest;
+    }
+    return found;
+}
+
 UpstreamNotice_t
-UpstreamNotice_read(const UpstreamNoticeForm_t *form,
+UpstreamNotice_read(const UpstreamNoticeForm_t *form, int status,
                     const struct evkeyvalq *headers)
 {
     return (UpstreamNotice_t){
         .limit = NamedLimit_find(headers, form->headers[NOTICE_LIMIT]),
         .leaving = find_flag(headers, form->headers[NOTICE_LEAVING]),
+        .rest = find_rest(headers, status, form->headers[NOTICE_REST]),
     };
 }
--- a/src/UpstreamNotice.h
+++ b/src/UpstreamNotice.h
@@ -13,10 +13,12 @@
  * enum NoticeKind_t - what upstreams say of themselves
  * @NOTICE_LIMIT: how many requests a second they take from all routers
  * @NOTICE_LEAVING: that they are about to end
+ * @NOTICE_REST: for how long they want nothing more, as they refuse
  */
 typedef enum {
     NOTICE_LIMIT,
     NOTICE_LEAVING,
+    NOTICE_REST,
     NOTICE_KIND_COUNT,
 } NoticeKind_t;
 
@@ -43,18 +45,43 @@
     FLAG_UNREADABLE,
 } NoticeFlag_t;
 
+/**
+ * enum RestNoticeKind_t - what an answer says of a rest
+ * @REST_ABSENT: nothing, or it is no answer that may ask for one
+ * @REST_ASKED: how long it is to be
+ * @REST_UNREADABLE: something that is no number of seconds, or two of them
+ */
+typedef enum {
+    REST_ABSENT,
+    REST_ASKED,
+    REST_UNREADABLE,
+} RestNoticeKind_t;
+
+/**
+ * struct RestNotice_t - the same in detail
+ * @kind: what the answer says
+ * @for_ms: from the answer on; 0 where none is asked for
+ */
+typedef struct {
+    RestNoticeKind_t kind;
+    gint64 for_ms;
+} RestNotice_t;
+
 /**
  * struct UpstreamNotice_t - of one answer
  * @limit: of requests
  * @leaving: whether it is about to end
+ * @rest: that it asks for
  */
 typedef struct {
     NamedLimit_t limit;
     NoticeFlag_t leaving;
+    RestNotice_t rest;
 } UpstreamNotice_t;
 
-/** UpstreamNotice_read() - from the headers of an answer */
+/** UpstreamNotice_read() - from the status and the headers of an answer */
 UpstreamNotice_t UpstreamNotice_read(const UpstreamNoticeForm_t *form,
+                                     int status,
                                      const struct evkeyvalq *headers);
 
 #endif
--- a/src/UpstreamNotices.c
+++ b/src/UpstreamNotices.c
@@ -12,7 +12,8 @@
     gint64 unreadable_ms; /* when one was last logged, 0 for never */
 };
 
-/* Both functions return whether there is news. */
+/* Both functions return whether there is news. @take_fact is NULL for what
+ * holds for one router alone. */
 typedef struct {
     NoticeTerms_t terms;
     gboolean (*take)(UpstreamNotices_t *this, const NoticeOrigin_t *origin,
@@ -142,6 +143,35 @@
     return upstream->leaving;
 }
 
+static gboolean
+take_rest(UpstreamNotices_t *this, const NoticeOrigin_t *origin,
+          const UpstreamNotice_t *notice)
+{
+    Upstream_t *upstream = origin->upstream;
+    gint64 now_ms = Clock_nowMs();
+    if (notice->rest.kind == REST_UNREADABLE) {
+        note_unreadable(this, origin, "rest");
+    }
+    if (notice->rest.kind != REST_ASKED ||
+        !UpstreamRest_note(&upstream->rest, notice->rest.for_ms, now_ms)) {
+        return FALSE;
+    }
+    count(this, "rest", "answer");
+    Log_begin(LOG_LEVEL_INFO, "upstream_rests");
+    Log_text("upstream", upstream->name->str);
+    Log_number("asked_ms", notice->rest.for_ms);
+    Log_number("for_ms", UpstreamRest_leftMs(&upstream->rest, now_ms));
+    log_origin(origin);
+    Log_end();
+    return TRUE;
+}
+
+static gboolean
+is_resting(const Upstream_t *upstream, gint64 now_ms)
+{
+    return UpstreamRest_leftMs(&upstream->rest, now_ms) > 0;
+}
+
 static const NoticeRow_t rows[NOTICE_KIND_COUNT] = {
     [NOTICE_LIMIT] =
         {
@@ -160,6 +190,11 @@
             .take = take_leaving,
             .take_fact = take_leaving_fact,
         },
+    [NOTICE_REST] =
+        {
+            .terms = {.name = "rest", .holds = is_resting},
+            .take = take_rest,
+        },
 };
 
 const NoticeTerms_t *
@@ -246,7 +281,7 @@
         return;
     }
     UpstreamNotice_t notice =
-        UpstreamNotice_read(this->spec.form, answer->headers);
+        UpstreamNotice_read(this->spec.form, answer->status, answer->headers);
     UpstreamNotices_take(this, origin, &notice);
 }
 
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -227,6 +227,8 @@
                      FLAG_SET);
     ck_assert_double_eq(read_head(200, "Server-Limit", "2").notice.limit.per_s,
                         2);
+    ck_assert_int_eq(read_head(503, "Retry-After", "3").notice.rest.for_ms,
+                     3000);
     ck_assert(read_head(503, NULL, NULL).is_own);
     ck_assert(read_head(421, "X-Instance-Id", "i-1").is_own);
     ck_assert(!read_head(421, "X-Instance-Id", "i-2").is_own);
--- a/tests/test_UpstreamNotices.c
+++ b/tests/test_UpstreamNotices.c
@@ -16,7 +16,9 @@
 #define REQUEST "r1"
 
 static const UpstreamNoticeForm_t form = {
-    .headers = {[NOTICE_LIMIT] = "Limit", [NOTICE_LEAVING] = "Leaving"},
+    .headers = {[NOTICE_LIMIT] = "Limit",
+                [NOTICE_LEAVING] = "Leaving",
+                [NOTICE_REST] = "Rest"},
     .misdirected_status = MISDIRECTED,
 };
 
@@ -24,6 +26,7 @@
 static const char *const values[NOTICE_KIND_COUNT] = {
     [NOTICE_LIMIT] = "2",
     [NOTICE_LEAVING] = "1",
+    [NOTICE_REST] = "3",
 };
 
 static FakeRouters_t routers;
@@ -72,7 +75,8 @@
         ck_assert_ptr_nonnull(values[kind]);
         evhttp_add_header(&headers, form.headers[kind], values[kind]);
     }
-    UpstreamNotice_t notice = UpstreamNotice_read(&form, &headers);
+    UpstreamNotice_t notice =
+        UpstreamNotice_read(&form, HTTP_SERVUNAVAIL, &headers);
     evhttp_clear_headers(&headers);
     return notice;
 }
@@ -173,7 +177,8 @@
     TAILQ_INIT(&headers);
     NoticeOrigin_t origin = asked_now();
     evhttp_add_header(&headers, form.headers[_i], "perhaps");
-    UpstreamNotice_t notice = UpstreamNotice_read(&form, &headers);
+    UpstreamNotice_t notice =
+        UpstreamNotice_read(&form, HTTP_SERVUNAVAIL, &headers);
     UpstreamNotices_take(notices, &origin, &notice);
     ck_assert(!holds(_i));
     hear(_i, &origin);
