Tests that fail: upstreams get requests while they rest

What callers and upstreams see: an upstream that refuses and asks for some seconds of rest is asked again each quarter of a second; where all of a service rest, requests go to them and use up the retry allowance.

Stand-ins of both forms ask for rest.

--- a/standins/EngineStandin.c
+++ b/standins/EngineStandin.c
@@ -101,6 +101,7 @@
     {"forget_streams", &forget_streams}, /* keep none without a reader */
     {"limit_milli", &Server_notices.limit_milli},
     {"says_leaving", &Server_notices.leaving}, /* and takes work */
+    {"rest_ms", &Server_notices.rest_ms},
     {"asked", &asked}, /* requests and resumes that came */
 };
 
@@ -160,7 +161,7 @@
     const char *attempt =
         Server_spend(&mismatch) ? "someone-else" : stream->attempt;
     evhttp_add_header(out, "Content-Type", "text/event-stream");
-    Server_addNotices(stream->reader);
+    Server_addNotices(stream->reader, HTTP_OK);
     evhttp_add_header(out, ATTEMPT_HEADER, attempt);
     evhttp_add_header(out, "X-Stream-Id", stream->id);
     evhttp_add_header(out, "X-Weights-Version", weights);
--- a/standins/Server.c
+++ b/standins/Server.c
@@ -97,7 +97,7 @@
 }
 
 void
-Server_addNotices(struct evhttp_request *request)
+Server_addNotices(struct evhttp_request *request, int status)
 {
     struct evkeyvalq *out = evhttp_request_get_output_headers(request);
     if (Server_notices.limit_milli >= 0) {
@@ -106,6 +106,9 @@
     if (Server_notices.leaving) {
         evhttp_add_header(out, "X-Leaving", "1");
     }
+    if (Server_notices.rest_ms > 0 && status == HTTP_SERVUNAVAIL) {
+        add_decimal(out, "Retry-After", Server_notices.rest_ms);
+    }
 }
 
 void
@@ -116,7 +119,7 @@
     evbuffer_add(out, text, strlen(text));
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "application/json");
-    Server_addNotices(request);
+    Server_addNotices(request, status);
     evhttp_send_reply(request, status, NULL, out);
     evbuffer_free(out);
     free(text);
--- a/standins/Server.h
+++ b/standins/Server.h
@@ -37,10 +37,12 @@
  * struct ServerNotices_t - what a stand-in says of itself in all its answers
  * @limit_milli: requests that it takes in 1,000 seconds; below 0 for no limit
  * @leaving: it is about to end
+ * @rest_ms: that it asks for where it answers 503; 0 for none
  */
 typedef struct {
     gint64 limit_milli;
     gint64 leaving;
+    gint64 rest_ms;
 } ServerNotices_t;
 
 /** Server_notices - in force */
@@ -48,7 +50,7 @@
 
 /** Server_addNotices() - to the head of an answer; Server_reply() does so by
  * itself */
-void Server_addNotices(struct evhttp_request *request);
+void Server_addNotices(struct evhttp_request *request, int status);
 
 /** Server_listen() - listen on 127.0.0.1; port 0 lets the system choose */
 void Server_listen(Server_t *this, guint16 port,
--- a/standins/ServiceStandin.c
+++ b/standins/ServiceStandin.c
@@ -30,6 +30,7 @@
     {"runs", &runs_total},
     {"limit_milli", &Server_notices.limit_milli},
     {"says_leaving", &Server_notices.leaving},
+    {"rest_ms", &Server_notices.rest_ms},
     {"asked", &asked},
 };
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -254,6 +254,7 @@
         self.sealed = True
         self.limit = None   # what its answers say that it takes in a second
         self.leaving = False  # say so in all answers
+        self.rest = None    # seconds that it asks for as it refuses
         self.arrivals = []  # when requests came, run or not
         super().__init__()
         self.list()
@@ -272,6 +273,8 @@
         """Under its name: it knows and holds nothing of before."""
         self.born += 1000
         self.leaving = False
+        self.rest = None
+        self.shed = False
         self.sequence = 0
         self.list()
 
@@ -339,8 +342,9 @@
             call.reply(421, **self.naming(X_Instance_Id=self.name,
                                           X_Request_Id=request))
         elif self.shed:
+            more = {} if self.rest is None else {"Retry_After": self.rest}
             call.reply(503, **self.naming(X_Not_Executed="1",
-                                          X_Request_Id=request))
+                                          X_Request_Id=request, **more))
         else:
             self.callers.add(call.client_address[1])
             self.seen.append(dict(call.headers, **{":path": call.path}))
--- a/tests/sessions/test_leaving.py
+++ b/tests/sessions/test_leaving.py
@@ -7,63 +7,18 @@
      7.8 s  a stream of it ends whole; its head says so
     20.6 s  a new stream goes there
 """
-import itertools
 import threading
 import time
 import unittest
-from concurrent.futures import ThreadPoolExecutor
 
 from cluster import wait_for
-from fleet import Fleet, Upstream
+from fleet import Upstream
+from pressing import PressingTest
 
 GRACE_S = 0.5
 
 
-class LeavingTest(unittest.TestCase):
-    def setUp(self):
-        self.fleet = Fleet()
-        self.addCleanup(self.fleet.close)
-        self.asked = itertools.count()
-
-    def start(self, count=1, **settings):
-        """So many routers that know each other and all upstreams."""
-        self.fleet.config()
-        routers = []
-        for number in range(count):
-            routers.append(self.join(routers, **settings))
-        for router in routers:
-            wait_for(lambda r=router: self.fleet.is_ready(r), "ready")
-            wait_for(lambda r=router:
-                     len(r.events("member_joined")) >= count - 1, "peers")
-        return routers
-
-    def join(self, routers, **settings):
-        seeds = ", ".join(r.peer_address for r in routers)
-        return self.fleet.router("r%d" % len(routers),
-                                 peers={"seeds": seeds} if seeds else {},
-                                 **settings)
-
-    def ask(self, router, path="/ask/x"):
-        asked = next(self.asked)
-        more = {"X_Request_Id": "t%d" % asked}
-        if path.startswith("/ask"):
-            more["X_Prompt_Prefix"] = "a%x:100,b%x:100,%x:100" % (
-                asked % 16, asked % 16, 4096 + asked)
-        return self.fleet.ask(router, path, **more)
-
-    def press(self, routers, seconds, path="/ask/x", per_s=40):
-        """Answers to requests at all of the routers in turn, each sent at its
-        time, however long the others take."""
-        began = time.monotonic()
-        with ThreadPoolExecutor(16) as pool:
-            asks = []
-            while time.monotonic() - began < seconds:
-                router = routers[len(asks) % len(routers)]
-                asks.append(pool.submit(self.ask, router, path))
-                due = began + len(asks) / per_s
-                time.sleep(max(due - time.monotonic(), 0))
-        return [ask.result() for ask in asks]
-
+class LeavingTest(PressingTest):
     def tell(self, upstream, routers, path="/ask/x"):
         """Until each of the routers has passed on an answer that says so."""
         upstream.leaving = True
@@ -81,9 +36,8 @@
         self.assertGreater(len(upstream.arrivals), came)
 
     def knows(self, router, upstream):
-        lines = router.events("upstream_leaving") + \
-            router.events("upstream_says_leaving")
-        return any(line["upstream"] == upstream.name for line in lines)
+        return any(line["upstream"] == upstream.name
+                   for line in router.events("upstream_leaving"))
 
     def check_no_new_work(self, upstream, routers, path="/ask/x", seconds=1.5):
         time.sleep(GRACE_S)
--- /dev/null
+++ b/tests/sessions/test_native_rest.py
@@ -0,0 +1,50 @@
+"""Engines and plain services that refuse and ask for rest, on the project's
+own interface."""
+import time
+import unittest
+
+from cluster import Cluster
+
+BODY = {"model": "m", "prompt": "What is open today?", "max_tokens": 3}
+
+
+class NativeRestTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+
+    def press(self, seconds, send, per_s=40):
+        """Statuses of what was sent in turn."""
+        began = time.monotonic()
+        statuses = []
+        while time.monotonic() - began < seconds:
+            statuses.append(send(len(statuses)).status)
+            due = began + len(statuses) / per_s
+            time.sleep(max(due - time.monotonic(), 0))
+        return statuses
+
+    def check(self, first, send):
+        first.control(rest_ms=3000, refuse=1000)
+        self.press(0.7, send)
+        before = first.control()["asked"]
+        self.assertGreater(before, 0)
+        self.assertEqual(set(self.press(1.5, send)), {200})
+        self.assertEqual(first.control()["asked"], before)
+
+    def test_an_engine_that_asked_for_rest_gets_no_stream(self):
+        first = self.cluster.engine("e1")
+        self.cluster.engine("e2")
+        router = self.cluster.start()
+        self.check(first, lambda number: router.complete(
+            dict(BODY, prompt="%d %s" % (number, "word " * 80))))
+
+    def test_a_service_that_asked_for_rest_gets_no_call(self):
+        first = self.cluster.service("s1", "notes")
+        self.cluster.service("s2", "notes")
+        router = self.cluster.start()
+        self.check(first, lambda number: router.complete(
+            {}, path="/v1/services/notes/x"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/sessions/test_rest.py
@@ -0,0 +1,158 @@
+"""Upstreams that refuse and ask for rest.
+
+Three of nine engines refused all work for nine seconds and asked with each
+refusal for 3 s of rest. They got more requests than before:
+
+    6.02 s  an engine refuses a request of a router and asks for 3 s
+    6.68, 7.18, 8.04, 8.61 s  it refuses further ones of that router
+"""
+import threading
+import time
+import unittest
+
+from cluster import wait_for
+from pressing import PressingTest
+
+ON_ITS_WAY_S = 0.5
+REST_S = 3
+
+
+class RestTest(PressingTest):
+    def ask_for_rest(self, upstream, routers, rest=str(REST_S), path="/ask/x"):
+        """Until it has asked each of the routers."""
+        upstream.shed = True
+        upstream.rest = rest
+        for router in routers:
+            before = len(self.rests(router, upstream))
+            wait_for(lambda r=router, n=before: self.press([r], 0.2, path) and
+                     len(self.rests(r, upstream)) > n, "asked for rest")
+
+    def rests(self, router, upstream):
+        return [line for line in router.events("upstream_rests")
+                if line["upstream"] == upstream.name]
+
+    def came(self, upstream, since, until=None):
+        return [t for t in upstream.arrivals
+                if since < t and (until is None or t < until)]
+
+    def check_rests(self, upstream, routers, path="/ask/x", seconds=1.5):
+        time.sleep(ON_ITS_WAY_S)
+        since = time.monotonic()
+        answers = self.press(routers, seconds, path)
+        self.assertEqual(self.came(upstream, since), [])
+        return answers
+
+
+class AskedTest(RestTest):
+    def test_an_engine_that_asked_for_rest_gets_no_stream(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        self.ask_for_rest(first, routers)
+        answers = self.check_rests(first, routers)
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_a_service_that_asked_for_rest_gets_no_call(self):
+        first = self.fleet.plain("p1")
+        second = self.fleet.plain("p2")
+        second.pause_s = 0.05
+        routers = self.start()
+        self.ask_for_rest(first, routers, path="/write/x")
+        answers = self.check_rests(first, routers, "/write/x")
+        self.assertEqual({a.status for a in answers}, {200})
+
+    def test_a_stream_that_ends_whole_does_not_end_it(self):
+        first = self.fleet.engine("e1")
+        second = self.fleet.engine("e2")
+        router = self.start()[0]
+        first.gate = threading.Event()
+        streams = [threading.Thread(target=self.ask, args=(router,))
+                   for _ in range(8)]
+        for stream in streams:
+            stream.start()
+        wait_for(lambda: first.seen, "under way")
+        second.gate = None
+        self.ask_for_rest(first, [router], "4")
+        first.gate.set()
+        for stream in streams:
+            stream.join()
+        self.check_rests(first, [router])
+
+    def test_other_routers_go_on(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start(2)
+        self.ask_for_rest(first, routers[:1])
+        first.shed = False
+        since = time.monotonic()
+        self.press(routers[1:], 1.5)
+        self.assertGreater(len(self.came(first, since)), 5)
+
+
+class EndTest(RestTest):
+    def test_few_come_at_first_and_then_all(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        self.ask_for_rest(first, routers, "1.5")
+        asked = first.arrivals[-1]
+        first.shed = False
+        self.press(routers, asked + 4 - time.monotonic())
+        self.assertEqual(self.came(first, asked + 0.05, asked + 1.5), [])
+        early = self.came(first, asked + 1.5, asked + 2)
+        self.assertGreaterEqual(len(early), 1)
+        self.assertLessEqual(len(early), 4)
+        self.assertGreaterEqual(
+            len(self.came(first, asked + 2.5, asked + 3.5)), 5)
+
+    def test_a_new_start_ends_it(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        self.ask_for_rest(first, routers, "60")
+        first.start_again()
+        routers[0].wait_event("upstream_reborn")
+        since = time.monotonic()
+        self.press(routers, 1)
+        self.assertGreater(len(self.came(first, since)), 5)
+
+    def test_values_that_are_none_hold_nothing_up(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start()
+        first.shed = True
+        for rest in ("soon", "-3", "inf", "9" * 400, "1e9",
+                     "Fri, 31 Dec 1999 23:59:59 GMT"):
+            first.rest = rest
+            self.press(routers, 0.3)
+        first.shed = False
+        since = time.monotonic()
+        self.press(routers, 1)
+        self.assertGreater(len(self.came(first, since)), 3)
+        self.assertEqual(self.rests(routers[0], first), [])
+        routers[0].wait_event("upstream_notice_unreadable")
+
+
+class AllRestTest(RestTest):
+    def test_all_rest_and_requests_are_refused_at_once(self):
+        engines = [self.fleet.engine("e1"), self.fleet.engine("e2")]
+        routers = self.start()
+        self.ask_for_rest(engines[0], routers, "30")
+        self.ask_for_rest(engines[1], routers, "4")
+        time.sleep(ON_ITS_WAY_S)
+        since = time.monotonic()
+        answers = self.press(routers, 1)
+        self.assertLess(time.monotonic() - since, 1.5)
+        for engine in engines:
+            self.assertEqual(self.came(engine, since), [])
+        self.assertEqual({a.status for a in answers}, {503})
+        self.assertIn(b'"code":"upstreams_resting"', answers[0].body)
+        self.assertIn(b'"run":"not_run"', answers[0].body)
+        waits = [float(a.headers["Retry-After"]) for a in answers]
+        self.assertGreater(min(waits), 1)
+        self.assertLess(max(waits), 6)
+        self.assertGreater(len(set(waits)), 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
