Leave an upstream alone for as long as it asks a router to as it refuses

Callers were refused (69 in nine seconds, with six sound engines there) as attempts at three resting upstreams used up the retry allowance; these got more requests than before. Cause: the time of rest was not read; each refusal paused its upstream for a fixed quarter of a second. The class is that of limits and leaving: a word in an answer that no place read.

Change: a rest holds for the router that was asked, to the latest end, whatever else the upstream says or does. Placement leaves the upstream out before it chooses, also as a last resort; what waits for a connection is withdrawn; probes wait; a native stream goes on elsewhere or waits. Where all rest, requests are refused at once with a reason of their own and a spread Retry-After. A router that places for others does not count its own rests against them.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -87,7 +87,8 @@
 }
 
 /* The asker tells of the shared part of the prompt alone; the request's own
- * part is the last level and has no identity here. */
+ * part is the last level and has no identity here. Upstreams that rest from
+ * this router have not asked the asker to leave them alone. */
 static Placement_t
 placement_of(const Dispatch_t *this, const Wt__PlaceAsk *ask)
 {
@@ -105,6 +106,7 @@
         .avoid = UpstreamSet_findHash(this->spec.upstreams, ask->avoid),
         .run_us = ask->run_us,
         .latest_us = ask->latest_us,
+        .ignores_rests = TRUE,
         .now_ms = Clock_nowMs(),
     };
     return placement;
--- a/src/ExchangeRoom.c
+++ b/src/ExchangeRoom.c
@@ -9,6 +9,10 @@
  * more, so that they do not meet the first of the new ones all at once. */
 #define LEAVING_RETURN_MS 1000
 #define LEAVING_SPREAD_MS 1000
+/* Callers whose upstreams all rest come back up to so much later than the
+ * first of these; nobody is told to come back later than the most. */
+#define REST_SPREAD_MS 1000
+#define REST_RETURN_MOST_MS 10000
 
 PlacementTerms_t
 ExchangeRoom_terms(const Exchange_t *this)
@@ -71,6 +75,11 @@
 gboolean
 ExchangeRoom_mayReturn(Exchange_t *this, Upstream_t *upstream)
 {
+    gint64 rest_ms = UpstreamRest_leftMs(&upstream->rest, Clock_nowMs());
+    if (rest_ms > 0) {
+        Clock_arm(this->later, rest_ms);
+        return FALSE;
+    }
     this->waits_for_room = TRUE;
     return ask_for_room(this, upstream);
 }
@@ -106,6 +115,24 @@
     Exchange_refuseWith(this, &notice);
 }
 
+static void
+refuse_resting(Exchange_t *this, const RestingUpstreams_t *resting)
+{
+    if (Exchange_runState(this) == RUN_DONE) {
+        Clock_arm(this->later, MAX(resting->first_ms, ROOM_STEP_MS));
+        return;
+    }
+    gint64 retry_after_ms = MIN(resting->first_ms, REST_RETURN_MOST_MS) + 1 +
+                            Random_below(REST_SPREAD_MS);
+    g_autofree char *detail =
+        g_strdup_printf("upstreams=%u first_ms=%" G_GINT64_FORMAT,
+                        resting->count, resting->first_ms);
+    RefusalNotice_t notice = {REFUSAL_UPSTREAMS_RESTING,
+                              Exchange_runState(this), detail,
+                              (guint)retry_after_ms};
+    Exchange_refuseWith(this, &notice);
+}
+
 /* Others come in their place; when is not known. */
 static void
 refuse_leaving(Exchange_t *this, guint count)
@@ -122,9 +149,13 @@
 ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement)
 {
     LimitedRoom_t room = Policy_findLimited(placement);
+    RestingUpstreams_t resting = Policy_findResting(placement);
     if (room.count > 0) {
         refuse_limited(this, &room);
     }
+    else if (resting.count > 0) {
+        refuse_resting(this, &resting);
+    }
     else if (Policy_areAllLeaving(placement)) {
         refuse_leaving(this, placement->serving->len);
     }
--- a/src/ExchangeRoom.h
+++ b/src/ExchangeRoom.h
@@ -31,8 +31,8 @@
 /**
  * ExchangeRoom_refuse() - no upstream was chosen; tell the caller why
  *
- * Where only their limits keep upstreams from taking it and its answer has
- * begun, place() is called once one of them may have room.
+ * Where only limits or rests keep upstreams from taking it and its answer has
+ * begun, place() is called once one of them may take it.
  */
 void ExchangeRoom_refuse(Exchange_t *this, const Placement_t *placement);
 
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -22,6 +22,20 @@
            UpstreamLimit_fullMs(&upstream->limit, placement->now_ms) == 0;
 }
 
+/* Just after a rest, few requests are sent there; a last resort does not wait
+ * for its turn. */
+static gboolean
+is_resting(const Placement_t *placement, const Upstream_t *upstream)
+{
+    const UpstreamRest_t *rest = &upstream->rest;
+    if (placement->ignores_rests) {
+        return FALSE;
+    }
+    return UpstreamRest_leftMs(rest, placement->now_ms) > 0 ||
+           (!placement->desperate &&
+            UpstreamRest_isPaced(rest, placement->now_ms));
+}
+
 /* The upstream that just failed is used again only if it is the only one. */
 gboolean
 Policy_mayUse(const Placement_t *placement, const Upstream_t *upstream)
@@ -32,7 +46,7 @@
     if (placement->permitted && upstream != placement->permitted) {
         return FALSE;
     }
-    if (!has_room(placement, upstream)) {
+    if (!has_room(placement, upstream) || is_resting(placement, upstream)) {
         return FALSE;
     }
     if (placement->least_weights > 0 &&
@@ -78,6 +92,26 @@
     return room;
 }
 
+RestingUpstreams_t
+Policy_findResting(const Placement_t *placement)
+{
+    Placement_t rested = *placement;
+    RestingUpstreams_t found = {.first_ms = G_MAXINT64};
+    rested.permitted = NULL;
+    rested.ignores_rests = TRUE;
+    rested.desperate = TRUE;
+    for (guint i = 0; i < placement->serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
+        gint64 left_ms =
+            UpstreamRest_leftMs(&upstream->rest, placement->now_ms);
+        if (left_ms > 0 && Policy_mayUse(&rested, upstream)) {
+            found.count++;
+            found.first_ms = MIN(found.first_ms, left_ms);
+        }
+    }
+    return found;
+}
+
 gboolean
 Policy_areAllLeaving(const Placement_t *placement)
 {
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -43,6 +43,7 @@
  *     group of its home; 0 or 1 for no groups
  * @spares_limited: no upstream that has named a limit is used
  * @ignores_limits: as if none had named one
+ * @ignores_rests: as if none had asked for rest
  * @desperate: nothing else is left, so that an ejected one will do
  * @now_ms: monotonic
  */
@@ -73,6 +74,7 @@
     guint groups;
     gboolean spares_limited;
     gboolean ignores_limits;
+    gboolean ignores_rests;
     gboolean desperate;
     gint64 now_ms;
 } Placement_t;
@@ -238,6 +240,21 @@
  * their limits keep from being used */
 LimitedRoom_t Policy_findLimited(const Placement_t *placement);
 
+/**
+ * struct RestingUpstreams_t - upstreams that have asked for rest, and would be
+ * used otherwise
+ * @count: of them
+ * @first_ms: until the first of them ends its rest
+ */
+typedef struct {
+    guint count;
+    gint64 first_ms;
+} RestingUpstreams_t;
+
+/** Policy_findResting() - of the upstreams that are weighed, those that only
+ * their rest keeps from being used */
+RestingUpstreams_t Policy_findResting(const Placement_t *placement);
+
 /** Policy_areAllLeaving() - whether all of the upstreams that are weighed, one
  * at least, are about to end */
 gboolean Policy_areAllLeaving(const Placement_t *placement);
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -118,6 +118,10 @@
                                    "All upstreams of the service are about "
                                    "to end.",
                                    503, 1000, RUN_NOT},
+    [REFUSAL_UPSTREAMS_RESTING] = {"upstreams_resting", "overloaded_error",
+                                   "Upstreams have asked for no more "
+                                   "requests for a while.",
+                                   503, 1000, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -260,6 +260,7 @@
     Exchange_t *super = &exchange->super;
     this->upstream = Upstream_ref(placing->choice.upstream);
     this->upstream->in_flight++;
+    UpstreamRest_noteSent(&this->upstream->rest, Clock_nowMs());
     this->started_us = Clock_nowUs();
     RetryBudget_withdraw(super->context->budget, super->target->str);
     Context_countRetry(super->context,
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -328,10 +328,24 @@
     g_bytes_unref(body);
 }
 
+/* It goes on elsewhere rather than wait for the end of a rest. */
+static gboolean
+leaves_resting(const StreamExchange_t *this)
+{
+    const Upstream_t *upstream = this->stream.upstream;
+    return this->super.repeatable && this->prompt &&
+           UpstreamRest_leftMs(&upstream->rest, Clock_nowMs()) > 0;
+}
+
 static void
 resume(Exchange_t *super)
 {
     StreamExchange_t *this = (StreamExchange_t *)super;
+    if (leaves_resting(this)) {
+        abandon(super);
+        Exchange_place(super);
+        return;
+    }
     this->wants_rest = !ExchangeRoom_mayReturn(super, this->stream.upstream);
     if (this->wants_rest) {
         return;
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -107,6 +107,9 @@
     if (this->leaving) {
         return "leaving";
     }
+    if (UpstreamRest_leftMs(&this->rest, now_ms) > 0) {
+        return "resting";
+    }
     return now_ms < this->ejected_until_ms ? "ejected" : "live";
 }
 
@@ -249,8 +252,8 @@
 }
 
 /* A waiter may remove itself, but no other. */
-static void
-withdraw_waiters(Upstream_t *this)
+void
+Upstream_withdrawWaiters(Upstream_t *this)
 {
     GList *next = NULL;
     for (GList *link = this->waiters.head; link; link = next) {
@@ -269,7 +272,7 @@
     }
     this->leaving = TRUE;
     this->leaving_ms = now_ms;
-    withdraw_waiters(this);
+    Upstream_withdrawWaiters(this);
     return TRUE;
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -152,7 +152,8 @@
  */
 gboolean Upstream_isUsable(const Upstream_t *this, gint64 now_ms);
 
-/** Upstream_stateName() - "live", "leaving", "ejected" or "removed" */
+/** Upstream_stateName() - "live", "leaving", "resting", "ejected" or "removed"
+ */
 const char *Upstream_stateName(const Upstream_t *this, gint64 now_ms);
 
 /**
@@ -304,6 +305,10 @@
  * before it is sent */
 void Upstream_addWaiter(Upstream_t *this, UpstreamWaiter_t *waiter);
 
+/** Upstream_withdrawWaiters() - none of them is sent from now on, for
+ * those that come after it is not asked */
+void Upstream_withdrawWaiters(Upstream_t *this);
+
 /** Upstream_removeWaiter() - it is over; may be called again */
 void Upstream_removeWaiter(Upstream_t *this, UpstreamWaiter_t *waiter);
 
--- a/src/UpstreamNotices.c
+++ b/src/UpstreamNotices.c
@@ -156,6 +156,7 @@
         !UpstreamRest_note(&upstream->rest, notice->rest.for_ms, now_ms)) {
         return FALSE;
     }
+    Upstream_withdrawWaiters(upstream);
     count(this, "rest", "answer");
     Log_begin(LOG_LEVEL_INFO, "upstream_rests");
     Log_text("upstream", upstream->name->str);
--- a/tests/test_Policy.c
+++ b/tests/test_Policy.c
@@ -285,10 +285,11 @@
     UpstreamLimit_noteAnswer(&engine_at(i)->limit, &said, 0, 1);
 }
 
+static const PolicyName_t names[] = {POLICY_ROUND_ROBIN, POLICY_LEAST_LOADED,
+                                     POLICY_PREFIX, POLICY_HOME};
+
 START_TEST(an_upstream_without_room_is_left_out_whatever_else_is_left)
 {
-    static const PolicyName_t names[] = {
-        POLICY_ROUND_ROBIN, POLICY_LEAST_LOADED, POLICY_PREFIX, POLICY_HOME};
     for (gsize i = 0; i < G_N_ELEMENTS(names); i++) {
         engines = create_engines(2);
         Policy_t *policy = Policies_create(names[i]);
@@ -333,11 +334,89 @@
 }
 END_TEST
 
+static void
+ask_for_rest(guint i, gint64 for_ms)
+{
+    ck_assert(UpstreamRest_note(&engine_at(i)->rest, for_ms, 1000));
+}
+
+START_TEST(a_resting_upstream_is_left_out_whatever_else_is_left)
+{
+    engines = create_engines(2);
+    Placement_t request = placement(1);
+    ask_for_rest(0, 3000);
+    for (gsize i = 0; i < G_N_ELEMENTS(names); i++) {
+        Policy_t *policy = Policies_create(names[i]);
+        engine_at(1)->removed = FALSE;
+        ck_assert_ptr_eq(Policy_choose(policy, &request).upstream,
+                         engine_at(1));
+        engine_at(1)->removed = TRUE;
+        ck_assert_ptr_null(Policy_choose(policy, &request).upstream);
+        request.ignores_rests = TRUE;
+        ck_assert_ptr_eq(Policy_choose(policy, &request).upstream,
+                         engine_at(0));
+        request.ignores_rests = FALSE;
+        Policy_destroy(policy);
+    }
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(after_a_rest_a_last_resort_does_not_wait_for_its_turn)
+{
+    engines = create_engines(1);
+    Placement_t request = placement(1);
+    Policy_t *policy = Policies_create(POLICY_HOME);
+    ask_for_rest(0, 100);
+    request.now_ms = engine_at(0)->rest.until_ms;
+    UpstreamRest_noteSent(&engine_at(0)->rest, request.now_ms);
+    ck_assert(!Policy_mayUse(&request, engine_at(0)));
+    ck_assert_ptr_eq(Policy_choose(policy, &request).upstream, engine_at(0));
+    Policy_destroy(policy);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(it_is_known_when_the_first_rest_ends)
+{
+    engines = create_engines(3);
+    Placement_t request = placement(1);
+    ck_assert_uint_eq(Policy_findResting(&request).count, 0);
+    ask_for_rest(0, 3000);
+    ask_for_rest(1, 1000);
+    RestingUpstreams_t resting = Policy_findResting(&request);
+    ck_assert_uint_eq(resting.count, 2);
+    ck_assert_int_eq(resting.first_ms,
+                     engine_at(1)->rest.until_ms - request.now_ms);
+    engine_at(1)->leaving = TRUE;
+    ck_assert_uint_eq(Policy_findResting(&request).count, 1);
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(it_is_known_whether_all_upstreams_leave)
+{
+    engines = create_engines(2);
+    Placement_t request = placement(1);
+    engine_at(0)->leaving = TRUE;
+    ck_assert(!Policy_areAllLeaving(&request));
+    engine_at(1)->leaving = TRUE;
+    ck_assert(Policy_areAllLeaving(&request));
+    g_ptr_array_set_size(engines, 0);
+    ck_assert(!Policy_areAllLeaving(&request));
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
 TESTING_MAIN("Policy", round_robin_takes_each_in_turn,
              least_loaded_takes_the_least_loaded,
              every_policy_leaves_out_the_unusable,
              an_upstream_without_room_is_left_out_whatever_else_is_left,
              it_is_known_when_limited_upstreams_have_room,
+             a_resting_upstream_is_left_out_whatever_else_is_left,
+             after_a_rest_a_last_resort_does_not_wait_for_its_turn,
+             it_is_known_when_the_first_rest_ends,
+             it_is_known_whether_all_upstreams_leave,
              two_routers_agree_on_a_cold_prefix,
              holder_is_kept_until_its_wait_costs_more,
              restarted_engine_holds_nothing,
