--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -254,7 +254,7 @@
         self.sealed = True
         self.limit = None   # what its answers say that it takes in a second
         self.leaving = False  # say so in all answers
-        self.rest = None    # seconds that it asks for as it refuses
+        self.rest = None    # refuse, and ask for so many seconds of rest
         self.arrivals = []  # when requests came, run or not
         super().__init__()
         self.list()
@@ -341,7 +341,7 @@
         elif wanted and int(wanted) != self.version:
             call.reply(421, **self.naming(X_Instance_Id=self.name,
                                           X_Request_Id=request))
-        elif self.shed:
+        elif self.shed or self.rest is not None:
             more = {} if self.rest is None else {"Retry_After": self.rest}
             call.reply(503, **self.naming(X_Not_Executed="1",
                                           X_Request_Id=request, **more))
--- a/tests/sessions/test_rest.py
+++ b/tests/sessions/test_rest.py
@@ -20,7 +20,6 @@
 class RestTest(PressingTest):
     def ask_for_rest(self, upstream, routers, rest=str(REST_S), path="/ask/x"):
         """Until it has asked each of the routers."""
-        upstream.shed = True
         upstream.rest = rest
         for router in routers:
             before = len(self.rests(router, upstream))
@@ -83,7 +82,7 @@
         self.fleet.engine("e2")
         routers = self.start(2)
         self.ask_for_rest(first, routers[:1])
-        first.shed = False
+        first.rest = None
         since = time.monotonic()
         self.press(routers[1:], 1.5)
         self.assertGreater(len(self.came(first, since)), 5)
@@ -96,7 +95,7 @@
         routers = self.start()
         self.ask_for_rest(first, routers, "1.5")
         asked = first.arrivals[-1]
-        first.shed = False
+        first.rest = None
         self.press(routers, asked + 4 - time.monotonic())
         self.assertEqual(self.came(first, asked + 0.05, asked + 1.5), [])
         early = self.came(first, asked + 1.5, asked + 2)
@@ -120,12 +119,11 @@
         first = self.fleet.engine("e1")
         self.fleet.engine("e2")
         routers = self.start()
-        first.shed = True
         for rest in ("soon", "-3", "inf", "9" * 400, "1e9",
                      "Fri, 31 Dec 1999 23:59:59 GMT"):
             first.rest = rest
             self.press(routers, 0.3)
-        first.shed = False
+        first.rest = None
         since = time.monotonic()
         self.press(routers, 1)
         self.assertGreater(len(self.came(first, since)), 3)
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -57,6 +57,12 @@
 LIMIT_S = (4.0, 9.0)
 LIMIT_KNOWN_S = 3.0
 LIMIT_SPAN_S = 4.0
+# What upstreams say beside limits. Of one that leaves all routers know so long
+# after the first answer that says so; one that rests is in need for so long,
+# and a router that was asked sends it next to nothing in each rest.
+WORDS = ("limit", "leaving", "rest")
+RESTS = ("1", "2.5", "soon", "-1")
+REST_SPAN_S = 5.0
 GONE = (OSError, http.client.HTTPException)
 
 
@@ -99,9 +105,11 @@
             self.routers.append(self.start_router(i))
         self.weights = 1
         self.copies = [(time.monotonic(), self.fleet.store.copy())]
+        self.starts = 0  # of routers
         self.limited = []  # upstream, rate, from when to when it was kept
 
     def start_router(self, index):
+        self.starts += 1
         others = [r.peer_address for i, r in enumerate(self.routers)
                   if i != index]
         return self.fleet.router(
@@ -261,23 +269,63 @@
             else:
                 self.configure()
 
-    def name_limits(self):
-        """One upstream after the other is in need for a while."""
+    def speak(self):
+        """One upstream after the other says something of itself."""
         rng = random.Random(self.rng.random())
+        say = {"limit": self.name_limit, "leaving": self.say_leaving,
+               "rest": self.ask_for_rest}
         while not self.over:
-            upstream = rng.choice(self.engines + self.plains)
-            limit = rng.choice(LIMITS)
-            born = upstream.born
-            upstream.limit = limit
-            began = time.monotonic()
-            self.count("limit " + limit)
-            time.sleep(rng.uniform(*LIMIT_S))
-            upstream.limit = None
-            if limit.replace(".", "").isdigit() and born == upstream.born:
-                self.limited.append((upstream, float(limit), began,
-                                     time.monotonic()))
+            word = rng.choice(WORDS)
+            self.count("says " + word)
+            say[word](rng, rng.choice(self.engines + self.plains))
             time.sleep(rng.uniform(0, 1))
 
+    def name_limit(self, rng, upstream):
+        limit = rng.choice(LIMITS)
+        born = upstream.born
+        upstream.limit = limit
+        began = time.monotonic()
+        self.count("limit " + limit)
+        time.sleep(rng.uniform(*LIMIT_S))
+        upstream.limit = None
+        if limit.replace(".", "").isdigit() and born == upstream.born:
+            self.limited.append((upstream, float(limit), began,
+                                 time.monotonic()))
+
+    def say_leaving(self, rng, upstream):
+        """Its entry still reads ready; it starts again afterwards."""
+        born = upstream.born
+        came = len(upstream.arrivals)
+        upstream.leaving = True
+        time.sleep(LEFT_S)
+        told = len(upstream.arrivals) > came
+        time.sleep(LEFT_S)
+        before = len(upstream.arrivals)
+        time.sleep(rng.uniform(0.5, 1.5))
+        late = len(upstream.arrivals) - before
+        if told and born == upstream.born and upstream.leaving:
+            self.count("leaving kept")
+            if late > 0:
+                self.violate("%s got %d requests after it said it leaves" % (
+                    upstream.name, late))
+        upstream.start_again()
+
+    def ask_for_rest(self, rng, upstream):
+        rest = rng.choice(RESTS)
+        born = upstream.born
+        starts = self.starts
+        before = len(upstream.arrivals)
+        upstream.rest = rest
+        time.sleep(REST_SPAN_S)
+        upstream.rest = None
+        came = len(upstream.arrivals) - before
+        if rest.replace(".", "").isdigit() and born == upstream.born:
+            self.count("rests kept")
+            routers = ROUTERS + self.starts - starts
+            if came > routers * (REST_SPAN_S / float(rest) + 2) + CALLERS:
+                self.violate("%s got %d requests in rests of %s s" % (
+                    upstream.name, came, rest))
+
     def check_limits(self):
         for upstream, per_s, began, ended in self.limited:
             came = [t for t in upstream.arrivals if began < t < ended]
@@ -460,7 +508,7 @@
                    for i in range(CALLERS)]
         threads.append(threading.Thread(target=self.change))
         threads.append(threading.Thread(target=self.take_copies))
-        threads.append(threading.Thread(target=self.name_limits))
+        threads.append(threading.Thread(target=self.speak))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
