--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -86,6 +86,7 @@
         self.answered = {}     # id -> body of a whole write
         self.revoked_at = None
         self.stopping = None   # a router that was sent SIGTERM
+        self.starts = 0        # of routers
         self.cutting = 0       # faults that may cut streams, begun and ended
         self.changes = threading.Lock()
         grouped = seed % 2 == 0
@@ -105,7 +106,6 @@
             self.routers.append(self.start_router(i))
         self.weights = 1
         self.copies = [(time.monotonic(), self.fleet.store.copy())]
-        self.starts = 0  # of routers
         self.limited = []  # upstream, rate, from when to when it was kept
 
     def start_router(self, index):
