--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,6 +26,9 @@
 PATIENCE = 20  # seconds for one request
 LOST = (OSError, http.client.HTTPException, ValueError)
 LIMIT_SPAN_S = 4  # in which a limit is kept
+LEFT_S = 2.5  # all routers know of one that leaves, a frozen one included
+REST_MS = 2000  # that a service asks for, as it refuses for so long
+REST_SPAN_S = 5
 
 
 class Soak:
@@ -232,7 +235,36 @@
                 state["name"], state["violations"]))
 
     def restart_engine(self):
+        self.replace_engine(self.rng.randrange(len(self.engines)))
+
+    def leave_engine(self):
+        """It says that it leaves and runs no new stream once all know."""
         place = self.rng.randrange(len(self.engines))
+        engine = self.engines[place]
+        asked = engine.state()["asked"]
+        engine.control(says_leaving=1)
+        time.sleep(LEFT_S)
+        told = engine.state()["asked"] > asked
+        before = engine.state()["runs"]
+        time.sleep(self.rng.uniform(0.5, 1.5))
+        late = engine.state()["runs"] - before
+        if told and late > 0:
+            self.violate("an engine got %d streams after it said it leaves"
+                         % late)
+        self.replace_engine(place)
+
+    def rest_service(self):
+        """It refuses calls, and gets next to none of them as it rests."""
+        service = self.rng.choice(self.services)
+        before = service.control(refuse=100000, rest_ms=REST_MS)["asked"]
+        time.sleep(REST_SPAN_S)
+        came = service.control(refuse=0, rest_ms=0)["asked"] - before
+        rests = REST_SPAN_S * 1000 / REST_MS + 2
+        if came > len(self.routers) * rests + CHARGERS:
+            self.violate("a service got %d calls in rests of %d ms" % (
+                came, REST_MS))
+
+    def replace_engine(self, place):
         old = self.engines[place]
         self.note_engine(old)
         old.kill()
@@ -289,7 +321,8 @@
         kinds = [self.kill_router, self.pause_router, self.stop_router,
                  self.restart_engine, self.spoil_engine, self.spoil_engine,
                  self.freeze_engine, self.spoil_service, self.spoil_log,
-                 self.take_log_down, self.limit_service]
+                 self.take_log_down, self.limit_service, self.leave_engine,
+                 self.rest_service]
         kind = self.rng.choice(kinds)
         kind()
         self.count("fault_" + kind.__name__)
