--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -271,7 +271,7 @@
     AttemptConnectionSpec_t connection = {
         .upstream = spec->upstream,
         .idle_max_ms = spec->fresh ? UPSTREAM_NO_IDLE : UPSTREAM_ANY_IDLE,
-        .is_new_work = !spec->is_rest,
+        .is_new_work = !spec->is_resume,
         .patience = {spec->connect_ms, spec->first_token_ms, spec->token_ms},
         .piece_max = spec->event_max,
         .head_max = spec->head_max,
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -44,7 +44,7 @@
  * @event_max: most bytes of one event
  * @head_max: most bytes of the answer's head
  * @fresh: use no idle connection
- * @is_rest: the engine has the stream already, and is asked for its rest
+ * @is_resume: the engine has the stream already, and is asked for its rest
  * @connect_ms: how long the connection may take
  * @first_token_ms: how long the first token may take
  * @token_ms: how long each further one may take
@@ -58,7 +58,7 @@
     gsize event_max;
     gsize head_max;
     gboolean fresh;
-    gboolean is_rest;
+    gboolean is_resume;
     gint64 connect_ms;
     gint64 first_token_ms;
     gint64 token_ms;
