Fuzz what upstreams and peers say of upstreams

Heads of answers in both forms are read for notices, and peers' messages about upstreams are taken in, for one that is listed and one that comes later. Checked: a rest is a time that can be added to the clock and comes with a 503 alone; a rate is one.

--- a/tests/fuzz/heads.c
+++ b/tests/fuzz/heads.c
@@ -9,6 +9,7 @@
 #include "EngineHttp.h"
 #include "FleetRelay.h"
 #include "ResumeToken.h"
+#include "UpstreamRest.h"
 #include "targets.h"
 
 /* The first line, and the headers from the others. */
@@ -84,6 +85,19 @@
     return 0;
 }
 
+/* Whatever stands there, it is a time that can be added to the clock and a
+ * rate that can be reckoned with, and only a 503 asks for rest. */
+static void
+check_notice(const UpstreamNotice_t *notice, int status)
+{
+    g_assert_cmpint(notice->rest.for_ms, >=, 0);
+    g_assert_cmpint(notice->rest.for_ms, <=, UPSTREAM_REST_MOST_MS);
+    g_assert(notice->rest.kind == REST_ABSENT || status == HTTP_SERVUNAVAIL);
+    g_assert(notice->rest.kind == REST_ASKED || notice->rest.for_ms == 0);
+    g_assert(notice->limit.per_s >= 0 &&
+             notice->limit.per_s <= NAMED_LIMIT_MOST);
+}
+
 int
 Fuzz_upstreamHead(const uint8_t *data, size_t size)
 {
@@ -100,6 +114,8 @@
     g_assert(!head.other_instance || (named && strcmp(named, "i-1") != 0));
     g_assert(!head.not_run || status == 421 ||
              evhttp_find_header(&headers, "X-Not-Executed"));
+    g_assert(!head.is_own || !head.other_instance);
+    check_notice(&head.notice, status);
     evhttp_clear_headers(&headers);
     return 0;
 }
@@ -133,6 +149,10 @@
     EngineHead_t head = {.attempt = g_string_new(NULL)};
     TAILQ_INIT(&headers);
     g_autofree char *first = split_head(data, size, &headers);
+    int status = (int)g_ascii_strtoull(first, NULL, 10) % 1000;
+    UpstreamNotice_t notice =
+        UpstreamNotice_read(&EngineHttp_wire.notices, status, &headers);
+    check_notice(&notice, status);
     if (EngineHttp_wire.read_head(&headers, &head)) {
         use_stream(&head);
     }
--- a/tests/fuzz/peers.c
+++ b/tests/fuzz/peers.c
@@ -9,6 +9,7 @@
 #include "ClaimIndex.h"
 #include "Counters.h"
 #include "Gossip.h"
+#include "NoticeNews.h"
 #include "PeerDatagrams.h"
 #include "PeerLink.h"
 #include "PeerMac.h"
@@ -17,22 +18,28 @@
 
 #define MAC_KEY "0123456789abcdef0123456789abcdef"
 
-static Gossip_t *
-make_gossip(MemberTable_t **table, UpstreamSet_t **upstreams,
-            Counters_t **counters)
+static Upstream_t *
+put_upstream(UpstreamSet_t *upstreams, const char *name)
 {
-    static const PeersSection_t settings = {.gossip_budget = 100000,
-                                            .mesh_routers = 4};
     static UpstreamSpec_t spec = {.address = {"127.0.0.1", 1}, .slots = 1};
     if (!spec.hall) {
         spec.hall = g_string_new("h");
         spec.region = g_string_new("r");
         spec.serves = g_ptr_array_new();
     }
+    return UpstreamSet_put(upstreams, name, &spec);
+}
+
+static Gossip_t *
+make_gossip(MemberTable_t **table, UpstreamSet_t **upstreams,
+            Counters_t **counters)
+{
+    static const PeersSection_t settings = {.gossip_budget = 100000,
+                                            .mesh_routers = 4};
     *table = MemberTable_create("self", "h", 1);
     *upstreams = UpstreamSet_create(NULL, 1);
     *counters = Counters_create();
-    UpstreamSet_put(*upstreams, "u1", &spec);
+    put_upstream(*upstreams, "u1");
     return Gossip_create(*table, *upstreams, *counters, &settings);
 }
 
@@ -76,6 +83,38 @@
     MemberTable_destroy(table);
 }
 
+/* It would be passed on to peers, of whom there are none here. */
+static gboolean
+take_fact(void *owner, Upstream_t *upstream, const NoticeFact_t *fact)
+{
+    (void)owner;
+    UpstreamLimit_takeFact(&upstream->limit, &fact->limit, 1);
+    if (fact->leaving) {
+        Upstream_noteLeaving(upstream, upstream->incarnation, 1);
+    }
+    return FALSE;
+}
+
+/* One upstream is listed before its facts come, the other after them. */
+static void
+take_notices(const Wt__NoticeNews *message)
+{
+    static struct event_base *base;
+    base = base ? base : event_base_new();
+    UpstreamSet_t *upstreams = UpstreamSet_create(base, 1);
+    NoticeNewsSpec_t spec = {.upstreams = upstreams, .take = take_fact};
+    const Upstream_t *first = put_upstream(upstreams, "u1");
+    NoticeNews_t *news = NoticeNews_create(base, &spec);
+    NoticeNews_take(news, message);
+    const Upstream_t *second = put_upstream(upstreams, "u2");
+    g_assert(first->limit.per_s >= 0 &&
+             first->limit.per_s <= NAMED_LIMIT_MOST);
+    g_assert(second->limit.per_s >= 0 &&
+             second->limit.per_s <= NAMED_LIMIT_MOST);
+    NoticeNews_destroy(news);
+    UpstreamSet_destroy(upstreams);
+}
+
 static guint
 no_candidates(void *owner, const char *customer, guint64 out[RATE_CANDIDATES])
 {
@@ -162,6 +201,9 @@
         message->body_case == WT__PEER_MESSAGE__BODY_RATE_ANSWER) {
         take_rates(message);
     }
+    if (message->body_case == WT__PEER_MESSAGE__BODY_NOTICE_NEWS) {
+        take_notices(message->notice_news);
+    }
     wt__peer_message__free_unpacked(message, NULL);
     return 0;
 }
