Sessions: a paused router, a third of a service, a suspended machine

A router that was paused as an upstream said that it leaves hears of it; a third of nine engines leave with the store away and all requests are answered; a rest is over after a suspension of its length.

--- a/tests/sessions/test_leaving.py
+++ b/tests/sessions/test_leaving.py
@@ -7,6 +7,7 @@
      7.8 s  a stream of it ends whole; its head says so
     20.6 s  a new stream goes there
 """
+import signal
 import threading
 import time
 import unittest
@@ -142,6 +143,29 @@
         self.press([late], 1)
         self.assertEqual([t for t in first.arrivals if t > since], [])
 
+    def test_a_router_that_was_paused_meanwhile_hears_of_it(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        routers = self.start(2)
+        routers[1].signal(signal.SIGSTOP)
+        self.tell(first, routers[:1])
+        time.sleep(1)
+        routers[1].signal(signal.SIGCONT)
+        self.check_no_new_work(first, routers)
+
+    def test_a_third_of_a_service_leaves(self):
+        engines = [self.fleet.engine("e%d" % i) for i in range(9)]
+        routers = self.start(3)
+        self.fleet.store.down = True
+        for engine in engines[:3]:
+            self.tell(engine, routers[:1])
+        time.sleep(GRACE_S)
+        since = time.monotonic()
+        answers = self.press(routers, 1.5)
+        self.assertEqual({a.status for a in answers}, {200})
+        for engine in engines[:3]:
+            self.assertEqual([t for t in engine.arrivals if t > since], [])
+
     def test_it_holds_as_the_router_dies_that_was_told(self):
         first = self.fleet.engine("e1")
         self.fleet.engine("e2")
--- a/tests/sessions/test_rest.py
+++ b/tests/sessions/test_rest.py
@@ -11,6 +11,7 @@
 import unittest
 
 from cluster import wait_for
+from fleet import SuspendableClock
 from pressing import PressingTest
 
 ON_ITS_WAY_S = 0.5
@@ -104,6 +105,19 @@
         self.assertGreaterEqual(
             len(self.came(first, asked + 2.5, asked + 3.5)), 5)
 
+    def test_the_time_counts_for_which_the_machine_is_suspended(self):
+        first = self.fleet.engine("e1")
+        self.fleet.engine("e2")
+        clock = SuspendableClock(self.fleet.folder.name)
+        routers = self.start(environment=clock.environment)
+        self.ask_for_rest(first, routers, "20")
+        first.rest = None
+        clock.suspend(21)
+        wait_for(lambda: self.fleet.is_ready(routers[0]), "ready again")
+        since = time.monotonic()
+        self.press(routers, 2)
+        self.assertGreater(len(self.came(first, since)), 5)
+
     def test_a_new_start_ends_it(self):
         first = self.fleet.engine("e1")
         self.fleet.engine("e2")
