--- a/tests/run.py
+++ b/tests/run.py
@@ -13,6 +13,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 # Each is one process, most of which wait; the whole takes under 15 minutes.
 MODULES_AT_ONCE = 4
+SESSIONS_AT_ONCE = 2
 SESSIONS = os.path.join(ROOT, "tests", "sessions")
 ENVIRONMENT = dict(os.environ, UBSAN_OPTIONS="halt_on_error=1",
                    ASAN_OPTIONS="detect_leaks=1")
@@ -65,26 +66,51 @@
         return {line.split(",")[0].strip() for line in file if line.strip()}
 
 
-def count_failed(result):
-    """Tests that failed, without those that are listed, which are named."""
+def count_failed(failed):
+    """Of the tests that failed those that are not listed; the others are
+    named."""
     known = read_known_red()
-    failed = {test.id() for test, _ in result.failures + result.errors}
     for name in sorted(known):
         print("KNOWN-RED %s: %s" % (name, "failed" if name in failed
                                     else "passed"))
     return len(failed - known)
 
 
-def run_sessions():
-    os.environ["WT_BUILD"] = "build-asan"
-    os.environ.update(ENVIRONMENT)
+def play_sessions(name):
+    """Those of one file, in this process; the last line is the count of them
+    and the names of those that failed."""
     sys.path[:0] = [os.path.join(ROOT, "tests"), SESSIONS]
-    suite = unittest.defaultTestLoader.discover(
-        SESSIONS, pattern=sys.argv[1] if len(sys.argv) > 1 else "test_*.py")
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
     result = unittest.TextTestRunner(stream=sys.stdout, verbosity=2,
                                      resultclass=TimedResult).run(suite)
-    failed = count_failed(result)
-    return result.testsRun - failed, failed
+    failed = [test.id() for test, _ in result.failures + result.errors]
+    print(" ".join([str(result.testsRun), *failed]))
+
+
+def run_session_file(name):
+    """How many tests ran, and the names of those that failed."""
+    done = subprocess.run(
+        [sys.executable, os.path.abspath(__file__), "--sessions", name],
+        stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+        env=dict(ENVIRONMENT, WT_BUILD="build-asan"))
+    *lines, last = done.stdout.rstrip("\n").split("\n")
+    words = last.split()
+    if done.returncode != 0 or not words or not words[0].isdigit():
+        print(done.stdout, flush=True)
+        return 1, {name}
+    print("\n".join(lines), flush=True)
+    return int(words[0]), set(words[1:])
+
+
+def run_sessions():
+    pattern = sys.argv[1] if len(sys.argv) > 1 else "test_*.py"
+    names = [os.path.basename(path)[:-len(".py")] for path in
+             sorted(glob.glob(os.path.join(SESSIONS, pattern)))]
+    with ThreadPoolExecutor(SESSIONS_AT_ONCE) as pool:
+        results = list(pool.map(run_session_file, names))
+    count = sum(ran for ran, _ in results)
+    failed = count_failed(set().union(*(names for _, names in results)))
+    return count - failed, failed
 
 
 def main():
@@ -97,4 +123,6 @@
 
 
 if __name__ == "__main__":
+    if sys.argv[1:2] == ["--sessions"]:
+        sys.exit(play_sessions(sys.argv[2]))
     sys.exit(main())
