Sessions of notices on the native form share how they press

Cause: three files had the same loop that sends at a rate. Change: it stands in tests/pressing.py; what is sent, checked and bounded is as before.

--- a/tests/pressing.py
+++ b/tests/pressing.py
@@ -10,6 +10,17 @@
 PREFIXES = 16
 
 
+def press_in_turn(seconds, send, per_s=40):
+    """Statuses of what was sent, each once the one before was answered."""
+    began = time.monotonic()
+    statuses = []
+    while time.monotonic() - began < seconds:
+        statuses.append(send(len(statuses)).status)
+        due = began + len(statuses) / per_s
+        time.sleep(max(due - time.monotonic(), 0))
+    return statuses
+
+
 class PressingTest(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet()
--- a/tests/sessions/test_native_leaving.py
+++ b/tests/sessions/test_native_leaving.py
@@ -1,9 +1,9 @@
 """Engines and plain services that say that they leave, on the project's own
 interface."""
-import time
 import unittest
 
 from cluster import Cluster
+from pressing import press_in_turn
 
 BODY = {"model": "m", "prompt": "What is open today?", "max_tokens": 3}
 
@@ -13,16 +13,6 @@
         self.cluster = Cluster()
         self.addCleanup(self.cluster.close)
 
-    def press(self, seconds, send, per_s=40):
-        """Statuses of what was sent in turn."""
-        began = time.monotonic()
-        statuses = []
-        while time.monotonic() - began < seconds:
-            statuses.append(send(len(statuses)).status)
-            due = began + len(statuses) / per_s
-            time.sleep(max(due - time.monotonic(), 0))
-        return statuses
-
     def test_no_new_stream_goes_to_an_engine_that_said_it_leaves(self):
         first = self.cluster.engine("e1")
         self.cluster.engine("e2")
@@ -32,10 +22,10 @@
             return routers[number % 2].complete(
                 dict(BODY, prompt="%d %s" % (number, "word " * 80)))
         first.control(says_leaving=1)
-        self.press(1, send)
+        press_in_turn(1, send)
         before = first.state()["asked"]
         self.assertGreater(before, 0)
-        self.assertEqual(set(self.press(1.5, send)), {200})
+        self.assertEqual(set(press_in_turn(1.5, send)), {200})
         self.assertEqual(first.state()["asked"], before)
 
     def test_no_new_call_goes_to_a_service_that_said_it_leaves(self):
@@ -46,9 +36,9 @@
         def send(number):
             return routers[number % 2].complete({}, path="/v1/services/notes/x")
         first.control(says_leaving=1)
-        self.press(1, send)
+        press_in_turn(1, send)
         before = sum(first.call("GET", "/records").values())
-        self.assertEqual(set(self.press(1.5, send)), {200})
+        self.assertEqual(set(press_in_turn(1.5, send)), {200})
         self.assertEqual(sum(first.call("GET", "/records").values()), before)
 
 
--- a/tests/sessions/test_native_limits.py
+++ b/tests/sessions/test_native_limits.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cluster import Cluster
+from pressing import press_in_turn
 
 BODY = {"model": "m", "prompt": "What is open today?", "max_tokens": 3}
 
@@ -17,41 +18,31 @@
         self.cluster = Cluster()
         self.addCleanup(self.cluster.close)
 
-    def press(self, seconds, send, per_s=40):
-        """Statuses of what was sent in turn."""
-        began = time.monotonic()
-        statuses = []
-        while time.monotonic() - began < seconds:
-            statuses.append(send(len(statuses)).status)
-            due = began + len(statuses) / per_s
-            time.sleep(max(due - time.monotonic(), 0))
-        return statuses
-
     def test_engines_get_what_they_take(self):
         first = self.cluster.engine("e1")
         self.cluster.engine("e2")
         routers = self.cluster.start("r1", "r2")
         first.control(limit_milli=2000)
-        self.press(1, lambda n: ask(routers[n % 2], n))
+        press_in_turn(1, lambda n: ask(routers[n % 2], n))
         before = first.state()["asked"]
-        statuses = self.press(4, lambda n: ask(routers[n % 2], n))
+        statuses = press_in_turn(4, lambda n: ask(routers[n % 2], n))
         came = first.state()["asked"] - before
         self.assertEqual(set(statuses), {200})
         self.assertLessEqual(came, 2 * 4 + 3)
         self.assertGreaterEqual(came, 0.9 * 2 * 4 - 1)
         first.control(limit_milli=-1)
-        self.press(1.5, lambda n: ask(routers[n % 2], n))
+        press_in_turn(1.5, lambda n: ask(routers[n % 2], n))
         before = first.state()["asked"]
-        self.press(1, lambda n: ask(routers[n % 2], n))
+        press_in_turn(1, lambda n: ask(routers[n % 2], n))
         self.assertGreaterEqual(first.state()["asked"] - before, 8)
 
     def test_what_none_takes_is_refused_at_once(self):
         first = self.cluster.engine("e1")
         router = self.cluster.start()
         first.control(limit_milli=1000)
-        self.press(0.5, lambda n: ask(router, n))
+        press_in_turn(0.5, lambda n: ask(router, n))
         before = first.state()["asked"]
-        statuses = self.press(3, lambda n: ask(router, n))
+        statuses = press_in_turn(3, lambda n: ask(router, n))
         came = first.state()["asked"] - before
         self.assertLessEqual(came, 3 + 2)
         self.assertEqual(set(statuses), {200, 503})
@@ -71,9 +62,9 @@
         def send(number):
             return routers[number % 2].complete({}, path="/v1/services/notes/x")
         first.control(limit_milli=2000)
-        self.press(1, send)
+        press_in_turn(1, send)
         before = self.count(first)
-        statuses = self.press(4, send)
+        statuses = press_in_turn(4, send)
         came = self.count(first) - before
         self.assertEqual(set(statuses), {200})
         self.assertLessEqual(came, 2 * 4 + 3)
@@ -86,7 +77,7 @@
         first = self.cluster.engine("e1", decode_ms=5)
         router = self.cluster.start()
         first.control(limit_milli=1000)
-        self.press(0.3, lambda n: ask(router, n))
+        press_in_turn(0.3, lambda n: ask(router, n))
         time.sleep(1.2)
         first.control(cut_after=2, cuts=2)
         before = first.state()["asked"]
--- a/tests/sessions/test_native_rest.py
+++ b/tests/sessions/test_native_rest.py
@@ -1,9 +1,9 @@
 """Engines and plain services that refuse and ask for rest, on the project's
 own interface."""
-import time
 import unittest
 
 from cluster import Cluster
+from pressing import press_in_turn
 
 BODY = {"model": "m", "prompt": "What is open today?", "max_tokens": 3}
 
@@ -13,22 +13,12 @@
         self.cluster = Cluster()
         self.addCleanup(self.cluster.close)
 
-    def press(self, seconds, send, per_s=40):
-        """Statuses of what was sent in turn."""
-        began = time.monotonic()
-        statuses = []
-        while time.monotonic() - began < seconds:
-            statuses.append(send(len(statuses)).status)
-            due = began + len(statuses) / per_s
-            time.sleep(max(due - time.monotonic(), 0))
-        return statuses
-
     def check(self, first, send):
         first.control(rest_ms=3000, refuse=1000)
-        self.press(0.7, send)
+        press_in_turn(0.7, send)
         before = first.control()["asked"]
         self.assertGreater(before, 0)
-        self.assertEqual(set(self.press(1.5, send)), {200})
+        self.assertEqual(set(press_in_turn(1.5, send)), {200})
         self.assertEqual(first.control()["asked"], before)
 
     def test_an_engine_that_asked_for_rest_gets_no_stream(self):
