Take an engine for one of the region of its hall

Cause: the platform's list names the hall of an upstream, not its region, and UpstreamListing gave every upstream the router's own region. Orders takes the lease "orders-REGION" and orders the engines of that region, which then were all engines for the holders of both leases. Ruled out: a holder acting after its lease (both leases were in force, with numbers of their own), clocks.

Change: the settings name all halls with their regions; an upstream is of the region of its hall, and of none where the hall is not named, so that nobody orders it rather than two. Unequal lists are a fault of the settings.

The new test of test_UpstreamListing fails with HallRegions_find() returning the own region, as the code did before, and passes now. Weighed: one lease for all regions, which would end orders in a region cut off from the store's holder and put the holder's calls on the slow link between regions.

--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -27,6 +27,7 @@
     StoreEpoch_t *epoch;
     LogClient_t *log;
     RecordSource_t *records;
+    HallRegions_t *regions;
     RouteSync_t *sync;
     Orders_t *orders;
     UpstreamProber_t *prober;
@@ -96,6 +97,9 @@
             MAX(settings->relay.weights_limit_ms - SETTLING_MS, 0),
     };
     this->sync = RouteSync_create(context->base, &sync);
+    this->regions = HallRegions_create(settings->router.halls,
+                                       settings->router.hall_regions,
+                                       settings->router.region->str);
     UpstreamListingSpec_t listing = {
         .source = this->records,
         .topic = form->listing_topic,
@@ -105,7 +109,7 @@
         .hints = this->hints,
         .epoch = this->epoch,
         .counters = context->counters,
-        .region = settings->router.region->str,
+        .regions = this->regions,
         .poll_ms = listing_poll_ms(&settings->relay),
         .return_ms = settings->relay.listing_return_ms,
     };
@@ -309,6 +313,7 @@
     UpstreamProber_destroy(this->prober);
     Orders_destroy(this->orders);
     UpstreamListing_destroy(this->context->listing);
+    HallRegions_destroy(this->regions);
     RouteSync_destroy(this->sync);
     NamedWeights_destroy(this->context->weights);
     StreamMover_destroy(this->context->mover);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -18,6 +18,12 @@
      "Hall that the instance stands in."},
     {"region", KEY_NAME, TRUE, NULL, 0, 0, NULL, R(region),
      "Region of the hall."},
+    {"halls", KEY_NAMES, FALSE, "", 0, 0, NULL, R(halls),
+     "All halls that upstreams may stand in, where the platform's list names "
+     "the hall of an upstream but not its region; empty where all are of this "
+     "router's region."},
+    {"hall_regions", KEY_NAMES, FALSE, "", 0, 0, NULL, R(hall_regions),
+     "Region of each of halls, in the same order."},
     {"listen", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, R(listen),
      "Where callers and the balancer connect."},
     {"ready_listen", KEY_ADDRESS, FALSE, NULL, 0, 0, NULL, R(ready_listen),
@@ -313,6 +319,19 @@
     }
 }
 
+static void
+check_halls(const Settings_t *this, const IniFile_t *ini, GPtrArray *problems)
+{
+    const RouterSection_t *router = &this->router;
+    if (!router->halls || !router->hall_regions ||
+        router->halls->len == router->hall_regions->len) {
+        return;
+    }
+    Problems_add(problems, PROBLEM_BAD_VALUE, IniFile_path(ini),
+                 IniFile_line(ini, "router", "hall_regions"), "router",
+                 "hall_regions", "expected as many names as in halls");
+}
+
 Settings_t *
 Settings_create(const char *path, GPtrArray *problems)
 {
@@ -332,6 +351,7 @@
                       problems);
         g_hash_table_destroy(fields);
     }
+    check_halls(this, ini, problems);
     IniFile_destroy(ini);
     if (problems->len > before) {
         Settings_destroy(this);
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -43,6 +43,8 @@
  * @name: unlike any other router's
  * @hall: that this router stands in
  * @region: of the hall
+ * @halls: GString *, all that upstreams may stand in
+ * @hall_regions: GString *, region of each of @halls
  * @listen: where callers connect
  * @ready_listen: where readiness is asked for besides; no host for none
  * @operator_listen: where operators connect
@@ -57,6 +59,8 @@
     GString *name;
     GString *hall;
     GString *region;
+    GPtrArray *halls;
+    GPtrArray *hall_regions;
     Address_t listen;
     Address_t ready_listen;
     Address_t operator_listen;
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -329,9 +329,11 @@
 {
     ListedUpstream_t entry;
     ListedUpstream_init(&entry);
-    g_string_assign(entry.spec.region, this->spec.region);
     g_autoptr(GError) error = NULL;
     if (this->spec.decode(record->value, &entry, &error)) {
+        g_string_assign(
+            entry.spec.region,
+            HallRegions_find(this->spec.regions, entry.spec.hall->str));
         if (!is_of_former_start(this, record->key->str, &entry) &&
             check_departed(this, record, &entry)) {
             relay_entry(this, record, hash, ListedUpstream_hashPlace(&entry));
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -9,6 +9,7 @@
  * outage and come back soon after it. Routers tell each other what they read
  * of it; each reads for itself only where it is told nothing.
  */
+#include "HallRegions.h"
 #include "HintFlood.h"
 #include "ListedUpstream.h"
 #include "Membership.h"
@@ -27,7 +28,7 @@
  * @hints: by which routers hear of weights; NULL for none, as in module tests
  * @epoch: of the store
  * @counters: for calls to the store; NULL for none, as in module tests
- * @region: of the upstreams
+ * @regions: of the halls that upstreams stand in
  * @poll_ms: oldest that the knowledge of the list may be when it is read
  * @return_ms: how long after an outage a missing entry may still come back
  */
@@ -40,7 +41,7 @@
     HintFlood_t *hints;
     StoreEpoch_t *epoch;
     Counters_t *counters;
-    const char *region;
+    const HallRegions_t *regions;
     gint64 poll_ms;
     gint64 return_ms;
 } UpstreamListingSpec_t;
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -9,8 +9,9 @@
 #include "Settings.h"
 
 #define KEY "1111111111111111111111111111111111111111111111111111111111111111"
-#define GOOD                                                                  \
-    "[router]\nname = r1\nhall = h\nregion = r\nlisten = 127.0.0.1:80\n"      \
+#define GOOD "[router]\n" GOOD_REST
+#define GOOD_REST                                                             \
+    "name = r1\nhall = h\nregion = r\nlisten = 127.0.0.1:80\n"                \
     "operator_listen = 127.0.0.1:81\n[keys]\nseal = " KEY "\nsalt = " KEY     \
     "\noperator_hash = " KEY "\n[platform]\nlog = 127.0.0.1:82\n"             \
     "instances = 127.0.0.1:83\n[peers]\nlisten = 127.0.0.1:84\n"
@@ -54,6 +55,13 @@
     ck_assert_str_eq(problem->key->str, key);
 }
 
+START_TEST(each_hall_needs_a_region)
+{
+    assert_problem("[router]\nhalls = a,b\nhall_regions = r\n" GOOD_REST,
+                   PROBLEM_BAD_VALUE, 3, "router", "hall_regions");
+}
+END_TEST
+
 START_TEST(good_settings_have_values_and_defaults)
 {
     g_autoptr(GPtrArray) problems = Problems_create();
@@ -384,7 +392,8 @@
 }
 END_TEST
 
-TESTING_MAIN("Settings", good_settings_have_values_and_defaults,
+TESTING_MAIN("Settings", each_hall_needs_a_region,
+             good_settings_have_values_and_defaults,
              each_fault_has_its_type_and_place,
              numbers_may_have_fractions_and_may_be_left_out,
              a_fault_of_a_number_names_key_value_and_range,
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -25,10 +25,12 @@
 static StoreEpoch_t *epoch;
 static struct event_base *base;
 static UpstreamSet_t *upstreams;
+static HallRegions_t *regions;
 static guint decoded;
 
 /* An entry's value is the target that the upstream serves, and behind a colon
- * the number of its start; "!" names no upstream. */
+ * the number of its start; "!" names no upstream. Its target is also its hall.
+ */
 static gboolean
 decode(GBytes *value, ListedUpstream_t *out, GError **error)
 {
@@ -46,6 +48,7 @@
         out->incarnation = g_ascii_strtoull(number + 1, NULL, 10);
     }
     g_ptr_array_add(out->spec.serves, g_string_new(copy));
+    g_string_assign(out->spec.hall, copy);
     out->spec.slots = 1;
     return TRUE;
 }
@@ -58,6 +61,9 @@
     base = event_base_new();
     FakeSource_init(&source, base);
     upstreams = UpstreamSet_create(base, 1);
+    if (!regions) {
+        regions = HallRegions_create(NULL, NULL, "r");
+    }
     UpstreamListingSpec_t spec = {.source = &source.super,
                                   .topic = "t",
                                   .decode = decode,
@@ -65,7 +71,7 @@
                                   .epoch = epoch,
                                   .poll_ms = POLL_MS,
                                   .return_ms = RETURN_MS,
-                                  .region = "r"};
+                                  .regions = regions};
     return UpstreamListing_create(base, &spec);
 }
 
@@ -73,6 +79,8 @@
 end(UpstreamListing_t *listing)
 {
     UpstreamListing_destroy(listing);
+    HallRegions_destroy(regions);
+    regions = NULL;
     StoreEpoch_destroy(epoch);
     UpstreamSet_destroy(upstreams);
     event_base_free(base);
@@ -160,6 +168,50 @@
 }
 END_TEST
 
+static GPtrArray *
+names(const char *one, const char *other)
+{
+    GPtrArray *found = g_ptr_array_new();
+    g_ptr_array_add(found, g_string_new(one));
+    g_ptr_array_add(found, g_string_new(other));
+    return found;
+}
+
+static void
+free_names(GPtrArray *list)
+{
+    for (guint i = 0; i < list->len; i++) {
+        g_string_free(g_ptr_array_index(list, i), TRUE);
+    }
+    g_ptr_array_unref(list);
+}
+
+static const char *
+region_of(const char *name)
+{
+    return UpstreamSet_find(upstreams, name)->region->str;
+}
+
+/* The holders of the leases of two regions both gave orders to all engines:
+ * each router took the engines of the other region for those of its own. */
+START_TEST(an_engine_belongs_to_the_region_of_its_hall)
+{
+    GPtrArray *halls = names("north-a", "south-a");
+    GPtrArray *of_halls = names("north", "south");
+    regions = HallRegions_create(halls, of_halls, "north");
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "north-a");
+    answer(2, "b", "south-a");
+    answer(3, "c", "unknown-a");
+    ck_assert_str_eq(region_of("a"), "north");
+    ck_assert_str_eq(region_of("b"), "south");
+    ck_assert_str_eq(region_of("c"), "");
+    free_names(halls);
+    free_names(of_halls);
+    end(listing);
+}
+END_TEST
+
 START_TEST(an_entry_that_says_the_same_is_not_read_again)
 {
     UpstreamListing_t *listing = begin();
@@ -365,6 +417,7 @@
              a_long_list_is_not_put_in_order_for_each_entry,
              a_new_upstream_is_as_fast_as_another_of_its_target,
              the_speed_of_one_that_left_or_changed_is_not_taken,
+             an_engine_belongs_to_the_region_of_its_hall,
              an_entry_that_says_the_same_is_not_read_again,
              entries_are_known_by_their_own_names,
              an_upstream_that_comes_back_with_the_same_entry_serves,
