--- a/src/MemberAsks.c
+++ b/src/MemberAsks.c
@@ -21,7 +21,7 @@
 static void
 fill_filter(NameFilter_t *out, const MemberTable_t *table)
 {
-    NameFilter_init(out, table->live->len + 1, Random_below(G_MAXUINT32));
+    NameFilter_init(out, table->live->len + 1, Random_below(G_MAXINT32));
     NameFilter_add(out, table->self.name->str, table->self.incarnation);
     for (guint i = 0; i < table->live->len; i++) {
         const Member_t *member = g_ptr_array_index(table->live, i);
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -16,6 +16,9 @@
 #define RETRY_PARTS 8
 /* Enough for any longest pause, and few enough to shift by. */
 #define RETRY_DOUBLINGS_MOST 20
+/* A page of a list that takes longer comes from a store that has too much to
+ * do: peers are asked beside it. */
+#define LATE_MS 300
 /* The same end of a topic, told by several peers, has ages that differ by the
  * ways that it came: only one that is newer by so much is passed on. */
 #define NEWS_LEAST_MS 200
@@ -39,6 +42,7 @@
     StorePosition_t next;  /* to read from */
     gboolean listing;
     gboolean first_page;
+    gboolean from_peers; /* what is listed up to @after came from peers */
     gint64 retry_most_ms;
     GHashTable *calls;             /* set of FollowerCall_t that are open */
     const FollowerCall_t *calling; /* the one that counts, or NULL */
@@ -56,6 +60,7 @@
 {
     this->listing = TRUE;
     this->first_page = TRUE;
+    this->from_peers = FALSE;
     g_string_truncate(this->after, 0);
     g_hash_table_remove_all(this->listed);
 }
@@ -229,6 +234,18 @@
     Clock_arm(this->timer, MAX(pause_ms, pause_left_ms(this)));
 }
 
+/* A list of one page is read by all: it takes a call. */
+static gint64
+wait_ms(const RecordFollower_t *this)
+{
+    gboolean begun = !this->first_page || this->from_peers;
+    gboolean first = this->listing && !begun && this->failures == 0;
+    if (first || !this->events->wait_ms) {
+        return 0;
+    }
+    return this->events->wait_ms(this->owner, this->listing && begun);
+}
+
 static void
 go_on(RecordFollower_t *this, gboolean at_end)
 {
@@ -318,6 +335,9 @@
 static void
 call(RecordFollower_t *this)
 {
+    if (this->listing && this->from_peers) {
+        begin_list(this); /* the store may have another order of keys */
+    }
     StoreCalls_note(this->spec.counters, this->topic->str, cause_of(this));
     FollowerCall_t *opened = open_call(this);
     this->calling = opened;
@@ -341,7 +361,13 @@
 {
     (void)fd;
     (void)what;
-    call(data);
+    RecordFollower_t *this = data;
+    gint64 left_ms = wait_ms(this);
+    if (left_ms > 0) {
+        Clock_arm(this->timer, left_ms);
+        return;
+    }
+    call(this);
 }
 
 RecordFollower_t *
@@ -424,7 +450,11 @@
 static void
 read_gap(RecordFollower_t *this, guint64 from)
 {
-    if (from > this->next.offset && !this->calling && this->failures == 0) {
+    if (from <= this->next.offset ||
+        (this->events->gap && this->events->gap(this->owner))) {
+        return;
+    }
+    if (!this->calling && this->failures == 0) {
         Clock_arm(this->timer, 0);
     }
 }
@@ -449,7 +479,107 @@
      * older than an end that was known before them. */
     note_current(this, MAX(at_ms, this->current_ms));
     if (!this->calling) {
-        Clock_arm(this->timer, pause_left_ms(this));
+        gint64 left_ms = pause_left_ms(this);
+        gboolean helped = at_ms == 0 && this->events->gap;
+        Clock_arm(this->timer, helped ? this->spec.pause_ms : left_ms);
+    }
+    return TRUE;
+}
+
+static gboolean
+is_late(const RecordFollower_t *this)
+{
+    return this->calling && Clock_nowMs() - this->calling->sent_ms >= LATE_MS;
+}
+
+gboolean
+RecordFollower_wantsList(const RecordFollower_t *this, ListPlace_t *out)
+{
+    gboolean waits = !this->calling && (!this->first_page || this->from_peers);
+    gboolean left = waits || this->failures > 0 || is_late(this);
+    if (!this->listing || !left) {
+        return FALSE;
+    }
+    *out = (ListPlace_t){.after = ""};
+    if (this->from_peers) {
+        out->after = this->after->str;
+        out->from = this->next;
+    }
+    return TRUE;
+}
+
+void
+RecordFollower_dropList(RecordFollower_t *this)
+{
+    if (this->listing && this->from_peers) {
+        begin_list(this);
+        this->from_peers = TRUE;
+    }
+}
+
+static gboolean
+fits_list(const RecordFollower_t *this, const ListPlace_t *place,
+          const ListPart_t *part)
+{
+    if (!this->listing || part->page.end.epoch < this->next.epoch ||
+        (part->page.more && strcmp(part->reached, place->after) <= 0)) {
+        return FALSE;
+    }
+    if (*place->after == '\0') {
+        return !this->from_peers || this->after->len == 0;
+    }
+    return this->from_peers && strcmp(place->after, this->after->str) == 0 &&
+           StorePosition_compare(place->from, this->next) == 0;
+}
+
+static void
+take_part_records(RecordFollower_t *this, const KeyedPage_t *page)
+{
+    for (guint i = 0; i < page->records->len; i++) {
+        const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
+        if (record->value) {
+            g_hash_table_add(this->listed, g_strdup(record->key->str));
+        }
+        else {
+            g_hash_table_remove(this->listed, record->key->str);
+        }
+        take_record(this, record);
+    }
+}
+
+static void
+end_peers_list(RecordFollower_t *this, gint64 at_ms)
+{
+    this->listing = FALSE;
+    tell_removed(this);
+    note_current(this, MAX(at_ms, this->current_ms));
+    Clock_arm(this->timer, pause_left_ms(this));
+}
+
+/* An answer of the store that is still under way belongs to a list of its
+ * own. */
+gboolean
+RecordFollower_feedList(RecordFollower_t *this, const ListPlace_t *place,
+                        const ListPart_t *part, gint64 at_ms)
+{
+    if (!fits_list(this, place, part)) {
+        return FALSE;
+    }
+    this->calling = NULL;
+    if (!this->from_peers) {
+        begin_list(this);
+        this->from_peers = TRUE;
+    }
+    note_fed(this, at_ms);
+    take_part_records(this, &part->page);
+    this->next = part->page.end;
+    this->first_page = FALSE;
+    if (part->page.more) {
+        g_string_assign(this->after, part->reached);
+        Clock_arm(this->timer, 0);
+    }
+    else {
+        end_peers_list(this, at_ms);
     }
     return TRUE;
 }
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -12,6 +12,7 @@
  */
 #include <event2/event.h>
 
+#include "ListCopy.h"
 #include "RecordSource.h"
 #include "StoreCalls.h"
 
@@ -22,12 +23,19 @@
  *     all records before it were told
  * @lost: a call failed for the first time, or after a good one; may be NULL
  * @regained: a call succeeded after failed ones; may be NULL
+ * @wait_ms: how long to leave a call to the store to peers, 0 to make it now;
+ *     @lists where it is for the rest of a list. Not asked for the first call;
+ *     may be NULL
+ * @gap: records are missing before what a peer has told; FALSE to read them
+ *     from the store now; may be NULL
  */
 typedef struct {
     void (*record)(void *owner, const KeyedRecord_t *record);
     void (*current)(void *owner, StorePosition_t end, gint64 at_ms);
     void (*lost)(void *owner, const GError *error);
     void (*regained)(void *owner);
+    gint64 (*wait_ms)(void *owner, gboolean lists);
+    gboolean (*gap)(void *owner);
 } RecordFollowerEvents_t;
 
 /**
@@ -71,7 +79,7 @@
  * RecordFollower_feed() - take what another follower of the topic has read
  * @from: offset; records of @page are all that is new from here on to its end
  * @page: in the order of offsets
- * @at_ms: monotonic time at which the topic ended there
+ * @at_ms: monotonic time at which the topic ended there; 0 where it went on
  *
  * Where records before @from are not known here, or it is of another epoch,
  * nothing is taken.
@@ -81,6 +89,33 @@
 gboolean RecordFollower_feed(RecordFollower_t *this, guint64 from,
                              const KeyedPage_t *page, gint64 at_ms);
 
+/**
+ * RecordFollower_wantsList() - whether peers may help with the list
+ * @out: from where on; of the follower
+ *
+ * That is while it leaves a list to them, and where the store fails or is
+ * late.
+ */
+gboolean RecordFollower_wantsList(const RecordFollower_t *this,
+                                  ListPlace_t *out);
+
+/**
+ * RecordFollower_feedList() - take a page of the list from a peer
+ * @place: that was asked for; taken only if it is the one where the list
+ *     stands, or the beginning
+ * @part: what follows; no @reached counts where there is no more
+ * @at_ms: monotonic time at which the topic ended at the page's end
+ *
+ * Return: whether it was taken
+ */
+gboolean RecordFollower_feedList(RecordFollower_t *this,
+                                 const ListPlace_t *place,
+                                 const ListPart_t *part, gint64 at_ms);
+
+/** RecordFollower_dropList() - begin a list that peers have begun anew, as
+ * none of them can go on with it */
+void RecordFollower_dropList(RecordFollower_t *this);
+
 /**
  * RecordFollower_ask() - read once more beside a read that may be held
  * @cause: why, for the count of calls
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -2,8 +2,8 @@
 
 #include "PeerAge.h"
 
-/* What is longer is not told: when all upstreams are new, each router reads
- * them for itself once, instead of getting them over each of its links. */
+/* Of what is longer only the end is told: each router asks one peer for it,
+ * instead of getting it over each of its links. */
 #define NEWS_BYTES_MAX 16384
 
 struct RecordRelay {
@@ -52,8 +52,8 @@
     g_ptr_array_add(this->news, make_record(key, held, position));
 }
 
-static void
-fill_record(Wt__TopicRecord *out, const KeyedRecord_t *record)
+void
+RecordRelay_fill(Wt__TopicRecord *out, const KeyedRecord_t *record)
 {
     wt__topic_record__init(out);
     out->key = record->key->str;
@@ -75,7 +75,7 @@
     g_autofree Wt__TopicRecord **pointers =
         g_new(Wt__TopicRecord *, records->len + 1);
     for (guint i = 0; i < records->len; i++) {
-        fill_record(&list[i], g_ptr_array_index(records, i));
+        RecordRelay_fill(&list[i], g_ptr_array_index(records, i));
         pointers[i] = &list[i];
     }
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
@@ -97,13 +97,15 @@
           gint64 regained_ms)
 {
     Wt__TopicPart part = WT__TOPIC_PART__INIT;
-    part.from = this->known.offset;
+    gboolean too_long = RecordRelay_isTooLong(this);
+    g_autoptr(GPtrArray) none = g_ptr_array_new();
+    part.from = too_long ? end.offset : this->known.offset;
     part.end = end.offset;
     part.epoch = end.epoch;
     part.age_ms = PeerAge_of(at_ms);
     part.regained_age_ms =
         regained_ms > 0 ? MAX(PeerAge_of(regained_ms), 1) : 0;
-    send_part(this, NULL, &part, this->news);
+    send_part(this, NULL, &part, too_long ? none : this->news);
 }
 
 void
@@ -114,7 +116,8 @@
     part.from = from;
     part.end = end.offset;
     part.epoch = end.epoch;
-    part.age_ms = PeerAge_of(at_ms);
+    part.partial = at_ms == 0;
+    part.age_ms = part.partial ? 0 : PeerAge_of(at_ms);
     send_part(this, member, &part, records);
 }
 
@@ -155,7 +158,7 @@
     gboolean follows = this->is_known && this->known.epoch == end.epoch;
     gboolean told = !this->membership ||
                     (from_peer && Membership_isMesh(this->membership));
-    if (follows && !told && !RecordRelay_isTooLong(this)) {
+    if (follows && !told) {
         send_news(this, end, at_ms, regained_ms);
     }
     this->known = end;
@@ -172,17 +175,26 @@
 
 KeyedPage_t
 RecordRelay_read(const Wt__TopicPart *message)
+{
+    KeyedPage_t page = RecordRelay_readRecords(
+        message->records, message->n_records, message->epoch);
+    page.end = (StorePosition_t){message->epoch, message->end};
+    return page;
+}
+
+KeyedPage_t
+RecordRelay_readRecords(Wt__TopicRecord *const *records, size_t count,
+                        guint64 epoch)
 {
     KeyedPage_t page = {
         .records = g_ptr_array_new_with_free_func(KeyedRecord_free),
-        .end = {message->epoch, message->end},
     };
-    for (size_t i = 0; i < message->n_records; i++) {
-        const Wt__TopicRecord *told = message->records[i];
+    for (size_t i = 0; i < count; i++) {
+        const Wt__TopicRecord *told = records[i];
         GBytes *value = told->value.len > 0
                             ? g_bytes_new(told->value.data, told->value.len)
                             : NULL;
-        StorePosition_t position = {message->epoch, told->offset};
+        StorePosition_t position = {epoch, told->offset};
         g_ptr_array_add(page.records, make_record(told->key, value, position));
     }
     return page;
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -50,7 +50,7 @@
  * @from: offset that it has told
  * @records: KeyedRecord_t *, all that is new from there on
  * @end: of the topic, where all records before it are known
- * @at_ms: monotonic time at which the topic ended there
+ * @at_ms: monotonic time at which the topic ended there; 0 where it went on
  */
 void RecordRelay_answer(const RecordRelay_t *this, Member_t *member,
                         guint64 from, const GPtrArray *records,
@@ -70,8 +70,8 @@
 gboolean RecordRelay_ask(const RecordRelay_t *this, Member_t *member,
                          StorePosition_t from, guint64 version);
 
-/** RecordRelay_isTooLong() - too much was added to be told: who is told
- * nothing reads it from the store */
+/** RecordRelay_isTooLong() - too much was added to be told: peers hear of the
+ * end alone, and ask for what is before it */
 gboolean RecordRelay_isTooLong(const RecordRelay_t *this);
 
 /**
@@ -81,4 +81,13 @@
  */
 KeyedPage_t RecordRelay_read(const Wt__TopicPart *message);
 
+/** RecordRelay_readRecords() - the same of some records of any message; the
+ * page has no end */
+KeyedPage_t RecordRelay_readRecords(Wt__TopicRecord *const *records,
+                                    size_t count, guint64 epoch);
+
+/** RecordRelay_fill() - a record as a message has it, valid while the record
+ * is */
+void RecordRelay_fill(Wt__TopicRecord *out, const KeyedRecord_t *record);
+
 #endif
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -338,23 +338,47 @@
 }
 
 static void
-take_part(RelayParts_t *this, const Wt__TopicPart *part)
+take_part(RelayParts_t *this, Member_t *from, const Wt__TopicPart *part)
 {
     if (is_of_routes(this, part->topic)) {
         RouteSync_takePart(this->sync, part);
     }
     else {
-        UpstreamListing_take(this->context->listing, part);
+        UpstreamListing_take(this->context->listing, from, part);
     }
 }
 
-/* The list of upstreams is read from the store by who lacks much of it. */
 static void
 take_ask(RelayParts_t *this, Member_t *from, const Wt__TopicAsk *ask)
 {
     if (is_of_routes(this, ask->topic)) {
         RouteSync_answer(this->sync, from, ask);
     }
+    else {
+        UpstreamListing_answer(this->context->listing, from, ask);
+    }
+}
+
+static void
+take_list_ask(RelayParts_t *this, Member_t *from, const Wt__ListAsk *ask)
+{
+    if (is_of_routes(this, ask->topic)) {
+        RouteSync_takeAsk(this->sync, from, ask);
+    }
+    else {
+        UpstreamListing_takeAsk(this->context->listing, from, ask);
+    }
+}
+
+static void
+take_list_page(RelayParts_t *this, Member_t *from, const Wt__ListPage *page)
+{
+    if (is_of_routes(this, page->topic)) {
+        RouteSync_takePage(this->sync, from, page);
+    }
+    else {
+        UpstreamListing_takePage(this->context->listing, from, page);
+    }
 }
 
 void
@@ -376,11 +400,17 @@
         LoadShare_take(this->load_share, from->name->str, message->loads);
         break;
     case WT__PEER_MESSAGE__BODY_TOPIC_PART:
-        take_part(this, message->topic_part);
+        take_part(this, from, message->topic_part);
         break;
     case WT__PEER_MESSAGE__BODY_TOPIC_ASK:
         take_ask(this, from, message->topic_ask);
         break;
+    case WT__PEER_MESSAGE__BODY_LIST_ASK:
+        take_list_ask(this, from, message->list_ask);
+        break;
+    case WT__PEER_MESSAGE__BODY_LIST_PAGE:
+        take_list_page(this, from, message->list_page);
+        break;
     case WT__PEER_MESSAGE__BODY_CONFIG_CURRENT:
         RouteSync_take(this->sync, from, message->config_current);
         break;
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -2,6 +2,7 @@
 
 #include "Clock.h"
 #include "FreshnessRelay.h"
+#include "ListExchange.h"
 #include "Log.h"
 #include "PeerAge.h"
 #include "Random.h"
@@ -20,6 +21,8 @@
 /* A reader leaves it to those before it, each for so much longer than a read
  * is held: their word comes within some hundred milliseconds. */
 #define READER_STEP_MS 300
+/* Each further router in rank repeats a call that has failed so much later. */
+#define RETRY_STEP_MS 100
 /* Routers that are untold at once ask one after the other, so much of time
  * for each of them up to the most: the first answer reaches the rest, which
  * then need not ask. The most leaves a second of the usual limit on age. */
@@ -42,14 +45,18 @@
     RecordFollower_t *follower;
     FreshnessRelay_t *relay;
     RecordRelay_t *records;
+    ListCopy_t *copy;
+    ListExchange_t *exchange; /* for a start beside many others */
     GHashTable *newest; /* key -> KeyedRecord_t, to tell peers that ask */
     struct event *tick;
     gint64 asked_ms;
     gint64 pulled_ms;
+    gint64 called_ms;      /* when this router last took its turn */
     StorePosition_t ahead; /* furthest end that peers have told of */
     gint64 behind_ms; /* since when less is known here; 0 where it is not */
     double turn;      /* from 0 to 1, when it asks of those that are untold */
     gboolean feeding; /* what is told now comes from a peer */
+    gboolean copied;  /* the copy is whole since the last list */
 };
 
 static void
@@ -67,6 +74,10 @@
 {
     RouteSync_t *this = owner;
     keep_newest(this, record);
+    ListCopy_put(this->copy, record);
+    if (!RecordFollower_isListing(this->follower)) {
+        ListCopy_noteChange(this->copy, record);
+    }
     RecordRelay_add(this->records, record->key->str, record->value,
                     record->position);
     RouteVersions_take(this->versions, record);
@@ -139,6 +150,11 @@
     if (StorePosition_compare(end, this->ahead) >= 0) {
         this->behind_ms = 0;
     }
+    if (!this->copied) {
+        this->copied = TRUE;
+        ListCopy_begin(this->copy, end);
+    }
+    ListExchange_setCurrent(this->exchange, end, at_ms);
     RouteVersions_noteCurrent(this->versions, at_ms);
     FreshnessRelay_note(this->relay, end, at_ms);
     pass_on(this, end, at_ms);
@@ -240,7 +256,9 @@
     RouteSync_t *this = owner;
     this->ahead = (StorePosition_t){0};
     this->behind_ms = 0;
+    this->copied = FALSE;
     RecordFollower_beginEpoch(this->follower, spread_ms(this));
+    ListExchange_seek(this->exchange);
     draw_turn(this);
 }
 
@@ -256,9 +274,32 @@
     .version = version_in_force,
 };
 
+/* A call that fails shows that the store has too much to do, or that it is
+ * away: routers take turns then, and ask each other meanwhile. */
+static gint64
+wait_ms(void *owner, gboolean lists)
+{
+    (void)lists;
+    RouteSync_t *this = owner;
+    gint64 now_ms = Clock_nowMs();
+    gint64 rank = FreshnessRelay_rank(this->relay);
+    gint64 due_ms = this->called_ms + rank * RETRY_STEP_MS;
+    gboolean waits = RecordFollower_isLost(this->follower) &&
+                     Membership_members(this->spec.membership)->len > 0;
+    if (waits && rank == G_MAXUINT) {
+        return TICK_MS;
+    }
+    if (waits && due_ms > now_ms) {
+        return due_ms - now_ms;
+    }
+    this->called_ms = now_ms;
+    return 0;
+}
+
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
+    .wait_ms = wait_ms,
 };
 
 static void
@@ -288,6 +329,19 @@
     Clock_arm(this->tick, TICK_MS);
 }
 
+static void
+create_copy(RouteSync_t *this, struct event_base *base)
+{
+    ListExchangeSpec_t spec = {
+        .topic = this->spec.form->config_topic,
+        .membership = this->spec.membership,
+        .epoch = this->spec.epoch,
+        .counters = this->spec.counters,
+    };
+    this->copy = ListCopy_create();
+    this->exchange = ListExchange_create(base, &spec, this->copy);
+}
+
 RouteSync_t *
 RouteSync_create(struct event_base *base, const RouteSyncSpec_t *spec)
 {
@@ -311,10 +365,12 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, KeyedRecord_free);
     this->records =
         RecordRelay_create(spec->membership, spec->form->config_topic);
+    create_copy(this, base);
     this->relay =
         FreshnessRelay_create(base, spec->membership, &relay_events, this);
     this->follower =
         RecordFollower_create(base, &follow, &follower_events, this);
+    ListExchange_follow(this->exchange, this->follower);
     this->tick = Clock_timer(base, on_tick, this);
     StoreEpoch_listen(spec->epoch, on_return, this);
     draw_turn(this);
@@ -335,6 +391,8 @@
     StoreEpoch_leave(this->spec.epoch, this);
     RecordFollower_destroy(this->follower);
     FreshnessRelay_destroy(this->relay);
+    ListExchange_destroy(this->exchange);
+    ListCopy_destroy(this->copy);
     RecordRelay_destroy(this->records);
     RouteVersions_destroy(this->versions);
     g_hash_table_destroy(this->newest);
@@ -372,6 +430,23 @@
     g_ptr_array_unref(page.records);
 }
 
+void
+RouteSync_takeAsk(RouteSync_t *this, Member_t *from, const Wt__ListAsk *ask)
+{
+    ListExchange_answer(this->exchange, from, ask);
+}
+
+void
+RouteSync_takePage(RouteSync_t *this, Member_t *from, const Wt__ListPage *page)
+{
+    if (FreshnessRelay_mayHaveWaited(this->relay)) {
+        return; /* it is asked for again */
+    }
+    this->feeding = TRUE;
+    ListExchange_take(this->exchange, from, page);
+    this->feeding = FALSE;
+}
+
 /* Records hold whenever they come; how fresh they are is not known where they
  * may have waited here. */
 void
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -71,6 +71,14 @@
 void RouteSync_answer(RouteSync_t *this, Member_t *from,
                       const Wt__TopicAsk *message);
 
+/** RouteSync_takeAsk() - a peer that starts asks for all records */
+void RouteSync_takeAsk(RouteSync_t *this, Member_t *from,
+                       const Wt__ListAsk *ask);
+
+/** RouteSync_takePage() - a peer tells records that it was asked for */
+void RouteSync_takePage(RouteSync_t *this, Member_t *from,
+                        const Wt__ListPage *page);
+
 /** RouteSync_setWaits() - for the reads from now on, as for create */
 void RouteSync_setWaits(RouteSync_t *this, gint64 reader_wait_ms,
                         gint64 wait_ms);
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "DepartedUpstreams.h"
+#include "ListExchange.h"
 #include "Log.h"
 #include "PeerAge.h"
 #include "Random.h"
@@ -22,6 +23,10 @@
 #define READS_IN_TIME 3
 #define READ_LEAST_MS 600
 #define READ_STEP_MS 250
+/* A reader gets the heartbeats of all upstreams since its last read, and where
+ * nobody is told all would read at once: the store bears so many entries; the
+ * routers beyond them take their turns later. */
+#define ENTRIES_AT_ONCE 100000
 /* Longest mean pause between tries of a router that others read for, while the
  * store fails: with 300 routers some 90 calls a second in place of 370. */
 #define RETRY_MOST_MS 3200
@@ -30,8 +35,17 @@
  * calls a second. */
 #define LIST_SPREAD_MS 10
 #define LIST_SPREAD_MOST_MS 1000
+/* How long a peer may take to tell what is missing, and bytes that it tells of
+ * it at once: 26 ms of a link of 20 Mbit/s. */
+#define GAP_MS 250
+#define GAP_BYTES 65536
+/* The step between ranks doubles so often while calls fail. */
+#define RETRY_DOUBLINGS 6
 /* How often it is looked whether the other routers are known by now. */
 #define SETTLED_LOOK_MS 200
+/* New upstreams that are named, of those that come with one list or one end of
+ * the topic. */
+#define LISTED_NAMED 64
 /* Name under which routers are ranked for it. */
 #define RANK_KEY "listing"
 
@@ -50,11 +64,22 @@
     GHashTable *seen;    /* name -> Seen_t */
     GHashTable *samples; /* target -> name of an upstream that serves it */
     RecordRelay_t *relay;
+    ListCopy_t *copy;
+    ListExchange_t *exchange; /* NULL without peers */
     struct event *return_over;
     struct event *settled;
-    gint64 regained_ms; /* 0 where the list was never out of reach */
-    gboolean known;     /* it was read at least once */
-    gboolean feeding;   /* what is told now comes from a peer */
+    gint64 regained_ms;    /* 0 where the list was never out of reach */
+    gboolean known;        /* some of it was read */
+    gboolean feeding;      /* what is told now comes from a peer */
+    gboolean listing;      /* records of a list have come since the last end */
+    guint listed;          /* upstreams that were new in it */
+    gint64 current_ms;     /* when the topic's end was last known */
+    gint64 told_ms;        /* when a peer last told something new */
+    guint retries;         /* turns in a row that were taken after a failure */
+    gint64 called_ms;      /* when this router last took its turn */
+    Member_t *teller;      /* whose word is taken now, or NULL */
+    StorePosition_t ahead; /* furthest end that peers have told of */
+    gint64 gap_asked_ms;   /* when a peer was asked for what is missing */
 };
 
 static void
@@ -213,6 +238,18 @@
     return sample ? sample->prefill_us_per_token : LISTED_PREFILL_US_PER_TOKEN;
 }
 
+/* Of a long list the first are named; its last line has the count. */
+static void
+note_new(UpstreamListing_t *this, const char *name,
+         const ListedUpstream_t *entry)
+{
+    this->listed++;
+    if (this->listed > LISTED_NAMED) {
+        return;
+    }
+    log_upstream("upstream_listed", name, entry->leaving ? "leaving" : "live");
+}
+
 static void
 take_entry(UpstreamListing_t *this, const char *name,
            const ListedUpstream_t *entry)
@@ -222,8 +259,7 @@
     Upstream_t *upstream =
         UpstreamSet_put(this->spec.upstreams, name, &entry->spec);
     if (is_new) {
-        log_upstream("upstream_listed", name,
-                     entry->leaving ? "leaving" : "live");
+        note_new(this, name, entry);
         Upstream_noteIncarnation(upstream, ListedUpstream_incarnation(entry),
                                  Clock_nowMs());
         upstream->weights_rise = TRUE;
@@ -256,6 +292,17 @@
                          g_memdup2(seen, sizeof(*seen)));
 }
 
+/* Peers that are linked are told; who asks later is told by the copy. */
+static void
+tell_change(UpstreamListing_t *this, const KeyedRecord_t *record)
+{
+    RecordRelay_add(this->relay, record->key->str, record->value,
+                    record->position);
+    if (!this->listing) {
+        ListCopy_noteChange(this->copy, record);
+    }
+}
+
 /* Weights change often, all engines' within seconds; peers hear of them by
  * hints, which take a tenth of the bytes. */
 static void
@@ -265,7 +312,7 @@
     const char *name = record->key->str;
     const Seen_t *seen = g_hash_table_lookup(this->seen, name);
     if (!seen || seen->place != place) {
-        RecordRelay_add(this->relay, name, record->value, record->position);
+        tell_change(this, record);
     }
     Seen_t now = {.entry = hash, .place = place};
     note_seen(this, name, &now);
@@ -283,7 +330,7 @@
     Log_text("upstream", name);
     Log_text("reason", error ? error->message : "");
     Log_end();
-    RecordRelay_add(this->relay, name, record->value, record->position);
+    tell_change(this, record);
     note_seen(this, name, &seen);
     if (UpstreamSet_find(this->spec.upstreams, name)) {
         drop(this, name, "entry_unreadable");
@@ -346,13 +393,25 @@
     ListedUpstream_clear(&entry);
 }
 
+/* A router that knows a part of the upstreams serves by them. */
+static void
+note_listing(UpstreamListing_t *this)
+{
+    this->known = TRUE;
+    if (RecordFollower_isListing(this->follower) && !this->listing) {
+        this->listing = TRUE;
+    }
+}
+
 static void
 on_record(void *owner, const KeyedRecord_t *record)
 {
     UpstreamListing_t *this = owner;
     const char *name = record->key->str;
+    note_listing(this);
+    ListCopy_put(this->copy, record);
     if (!record->value) {
-        RecordRelay_add(this->relay, name, NULL, record->position);
+        tell_change(this, record);
         take_removal(this, name);
         return;
     }
@@ -391,10 +450,45 @@
                             for_others ? 0 : RETRY_MOST_MS);
 }
 
+static void
+end_listing(UpstreamListing_t *this, StorePosition_t end)
+{
+    this->listing = FALSE;
+    ListCopy_begin(this->copy, end);
+}
+
+static void
+log_listed(UpstreamListing_t *this, StorePosition_t end)
+{
+    if (this->listed > LISTED_NAMED) {
+        Log_begin(LOG_LEVEL_INFO, "upstreams_listed");
+        Log_number("new", this->listed);
+        Log_number("upstreams", ListCopy_count(this->copy));
+        Log_text("from", this->feeding ? "peer" : "store");
+        Log_number("end", (gint64)end.offset);
+        Log_end();
+    }
+    this->listed = 0;
+}
+
+static void
+note_copy(UpstreamListing_t *this, StorePosition_t end, gint64 at_ms)
+{
+    if (this->listing || !this->known) {
+        end_listing(this, end);
+    }
+    log_listed(this, end);
+    this->current_ms = at_ms;
+    if (this->exchange) {
+        ListExchange_setCurrent(this->exchange, end, at_ms);
+    }
+}
+
 static void
 on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     UpstreamListing_t *this = owner;
+    note_copy(this, end, at_ms);
     this->known = TRUE;
     set_reads(this);
     RecordRelay_tell(this->relay, end, at_ms, this->regained_ms,
@@ -416,8 +510,43 @@
     }
 }
 
+static gboolean
+ask_rest(UpstreamListing_t *this, Member_t *peer)
+{
+    StorePosition_t known = RecordFollower_position(this->follower);
+    gboolean asked = RecordRelay_ask(this->relay, peer, known, 0);
+    this->gap_asked_ms = asked ? Clock_nowMs() : 0;
+    return asked;
+}
+
+/* Who has told of a later end knows what is missing before it. Each router
+ * that read it from the store would read all upstreams' heartbeats as well. */
+static gboolean
+on_gap(void *owner)
+{
+    UpstreamListing_t *this = owner;
+    gint64 waited_ms = Clock_nowMs() - this->gap_asked_ms;
+    if (this->gap_asked_ms > 0 && waited_ms < GAP_MS) {
+        return TRUE;
+    }
+    return this->teller && ask_rest(this, this->teller);
+}
+
+/* An answer has a part of a long gap. */
+static void
+go_on_asking(UpstreamListing_t *this, Member_t *peer)
+{
+    StorePosition_t known = RecordFollower_position(this->follower);
+    this->gap_asked_ms = 0;
+    if (peer && known.offset > 0 &&
+        StorePosition_compare(known, this->ahead) < 0) {
+        ask_rest(this, peer);
+    }
+}
+
 void
-UpstreamListing_take(UpstreamListing_t *this, const Wt__TopicPart *message)
+UpstreamListing_take(UpstreamListing_t *this, Member_t *from,
+                     const Wt__TopicPart *message)
 {
     if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
         return;
@@ -427,11 +556,37 @@
         gint64 regained_ms = PeerAge_atMs(message->regained_age_ms);
         this->regained_ms = MAX(this->regained_ms, regained_ms);
     }
+    if (StorePosition_compare(page.end, this->ahead) > 0) {
+        this->ahead = page.end;
+    }
     this->feeding = TRUE;
-    RecordFollower_feed(this->follower, message->from, &page,
-                        PeerAge_atMs(message->age_ms));
+    this->teller = from;
+    gint64 at_ms = message->partial ? 0 : PeerAge_atMs(message->age_ms);
+    gboolean taken =
+        RecordFollower_feed(this->follower, message->from, &page, at_ms);
+    this->teller = NULL;
     this->feeding = FALSE;
     g_ptr_array_unref(page.records);
+    if (taken) {
+        this->told_ms = Clock_nowMs();
+        go_on_asking(this, from);
+    }
+}
+
+void
+UpstreamListing_answer(const UpstreamListing_t *this, Member_t *from,
+                       const Wt__TopicAsk *ask)
+{
+    StorePosition_t place = {ask->epoch, ask->from};
+    StorePosition_t known = RecordFollower_position(this->follower);
+    StorePosition_t end = known;
+    g_autoptr(GPtrArray) records = g_ptr_array_new();
+    if (known.epoch == place.epoch && known.offset > place.offset &&
+        ListCopy_since(this->copy, place, GAP_BYTES, records, &end)) {
+        gboolean all = StorePosition_compare(end, known) == 0;
+        RecordRelay_answer(this->relay, from, place.offset, records, end,
+                           all ? this->current_ms : 0);
+    }
 }
 
 static void
@@ -458,14 +613,94 @@
     UpstreamListing_t *this = owner;
     this->regained_ms = Clock_nowMs();
     RecordFollower_beginEpoch(this->follower, spread_ms(this));
+    if (this->exchange) {
+        ListExchange_seek(this->exchange);
+    }
+}
+
+/* What a read brings: all heartbeats, or what peers have told the end of. */
+static gint64
+entries_missing(const UpstreamListing_t *this)
+{
+    StorePosition_t known = RecordFollower_position(this->follower);
+    gint64 behind = (gint64)(this->ahead.offset - known.offset);
+    gboolean comparable =
+        known.offset > 0 && this->ahead.epoch == known.epoch && behind > 0;
+    return MAX(ListCopy_count(this->copy), comparable ? behind : 1);
+}
+
+/* Ranks beyond those that the store bears at once take turns of their own,
+ * and only where nobody has told anything. */
+static gint64
+turn_ms(const UpstreamListing_t *this)
+{
+    gint64 rank = Membership_rank(this->spec.membership, RANK_KEY, NULL);
+    gint64 beyond = rank - ENTRIES_AT_ONCE / entries_missing(this);
+    gint64 last_ms =
+        MAX(MAX(this->current_ms, this->told_ms), this->called_ms);
+    return beyond > 0 ? last_ms + this->spec.poll_ms + beyond * READ_STEP_MS
+                      : 0;
+}
+
+/* A call that fails shows that the store has too much to do, or that it is
+ * away: all take turns then, however little each of them asks for. */
+static gint64
+retry_turn_ms(const UpstreamListing_t *this)
+{
+    gint64 rank = Membership_rank(this->spec.membership, RANK_KEY, NULL);
+    gint64 step_ms = READ_STEP_MS << MIN(this->retries, RETRY_DOUBLINGS);
+    return MAX(this->called_ms, this->told_ms) + rank * step_ms;
+}
+
+static gint64
+turn_wait_ms(UpstreamListing_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (!Membership_isComplete(this->spec.membership)) {
+        return SETTLED_LOOK_MS;
+    }
+    gboolean lost = RecordFollower_isLost(this->follower);
+    gint64 due_ms = lost ? retry_turn_ms(this) : turn_ms(this);
+    if (due_ms > now_ms) {
+        return due_ms - now_ms;
+    }
+    this->called_ms = now_ms;
+    this->retries = lost ? this->retries + 1 : 0;
+    return 0;
+}
+
+static gint64
+wait_ms(void *owner, gboolean lists)
+{
+    UpstreamListing_t *this = owner;
+    if (!this->exchange) {
+        return 0;
+    }
+    return lists ? ListExchange_waitMs(this->exchange) : turn_wait_ms(this);
 }
 
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
     .regained = on_regained,
+    .wait_ms = wait_ms,
+    .gap = on_gap,
 };
 
+static void
+create_exchange(UpstreamListing_t *this, struct event_base *base)
+{
+    ListExchangeSpec_t spec = {
+        .topic = this->spec.topic,
+        .membership = this->spec.membership,
+        .epoch = this->spec.epoch,
+        .counters = this->spec.counters,
+    };
+    this->exchange = ListExchange_create(base, &spec, this->copy);
+    ListExchange_follow(this->exchange, this->follower);
+    Clock_arm(this->settled, SETTLED_LOOK_MS);
+}
+
 UpstreamListing_t *
 UpstreamListing_create(struct event_base *base,
                        const UpstreamListingSpec_t *spec)
@@ -480,6 +715,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->departed = DepartedUpstreams_create();
     this->relay = RecordRelay_create(spec->membership, spec->topic);
+    this->copy = ListCopy_create();
     this->return_over = Clock_timer(base, on_return_over, this);
     this->settled = Clock_timer(base, on_settled, this);
     RecordFollowerSpec_t follow = {
@@ -492,7 +728,7 @@
         RecordFollower_create(base, &follow, &follower_events, this);
     StoreEpoch_listen(spec->epoch, on_store_back, this);
     if (spec->membership) {
-        Clock_arm(this->settled, SETTLED_LOOK_MS);
+        create_exchange(this, base);
     }
     return this;
 }
@@ -510,6 +746,10 @@
 {
     StoreEpoch_leave(this->spec.epoch, this);
     RecordFollower_destroy(this->follower);
+    if (this->exchange) {
+        ListExchange_destroy(this->exchange);
+    }
+    ListCopy_destroy(this->copy);
     RecordRelay_destroy(this->relay);
     DepartedUpstreams_destroy(this->departed);
     event_free(this->return_over);
@@ -520,6 +760,22 @@
     g_free(this);
 }
 
+void
+UpstreamListing_takeAsk(UpstreamListing_t *this, Member_t *from,
+                        const Wt__ListAsk *ask)
+{
+    ListExchange_answer(this->exchange, from, ask);
+}
+
+void
+UpstreamListing_takePage(UpstreamListing_t *this, Member_t *from,
+                         const Wt__ListPage *page)
+{
+    this->feeding = TRUE;
+    ListExchange_take(this->exchange, from, page);
+    this->feeding = FALSE;
+}
+
 gboolean
 UpstreamListing_isKnown(const UpstreamListing_t *this)
 {
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -61,11 +61,26 @@
 /** UpstreamListing_destroy() - free it; its source must be freed first */
 void UpstreamListing_destroy(UpstreamListing_t *this);
 
-/** UpstreamListing_take() - a peer tells what it has read of the list */
-void UpstreamListing_take(UpstreamListing_t *this,
+/** UpstreamListing_take() - a peer tells what it has read of the list; @from
+ * is asked for what is missing before it, NULL for nobody */
+void UpstreamListing_take(UpstreamListing_t *this, Member_t *from,
                           const Wt__TopicPart *message);
 
-/** UpstreamListing_isKnown() - whether the list was read at least once */
+/** UpstreamListing_answer() - a peer asks for what is missing */
+void UpstreamListing_answer(const UpstreamListing_t *this, Member_t *from,
+                            const Wt__TopicAsk *ask);
+
+/** UpstreamListing_takeAsk() - a peer asks for a page of the list; only with
+ * a membership */
+void UpstreamListing_takeAsk(UpstreamListing_t *this, Member_t *from,
+                             const Wt__ListAsk *ask);
+
+/** UpstreamListing_takePage() - a peer tells a page that it was asked for;
+ * only with a membership */
+void UpstreamListing_takePage(UpstreamListing_t *this, Member_t *from,
+                              const Wt__ListPage *page);
+
+/** UpstreamListing_isKnown() - whether some of the list was read */
 gboolean UpstreamListing_isKnown(const UpstreamListing_t *this);
 
 #endif
--- a/tests/FakeRouters.c
+++ b/tests/FakeRouters.c
@@ -30,8 +30,11 @@
 static void
 on_message(void *data, Member_t *from, const Wt__PeerMessage *message)
 {
-    (void)from;
     FakeRouter_t *this = data;
+    if (this->take) {
+        this->take(this->taker, from, message);
+        return;
+    }
     g_ptr_array_add(this->told, copy_message(message));
 }
 
--- a/tests/FakeRouters.h
+++ b/tests/FakeRouters.h
@@ -17,11 +17,15 @@
  * @settings: that it was made with
  * @membership: its links
  * @told: Wt__PeerMessage that are not about membership, in their order
+ * @take: gets them instead, or NULL
+ * @taker: for @take
  */
 typedef struct {
     Settings_t settings;
     Membership_t *membership;
     GPtrArray *told;
+    void (*take)(void *taker, Member_t *from, const Wt__PeerMessage *message);
+    void *taker;
 } FakeRouter_t;
 
 /**
--- a/tests/fuzz/peers.c
+++ b/tests/fuzz/peers.c
@@ -9,11 +9,14 @@
 #include "ClaimIndex.h"
 #include "Counters.h"
 #include "Gossip.h"
+#include "ListCopy.h"
 #include "NoticeNews.h"
 #include "PeerDatagrams.h"
 #include "PeerLink.h"
 #include "PeerMac.h"
 #include "RateKeeper.h"
+#include "RecordFollower.h"
+#include "RecordRelay.h"
 #include "targets.h"
 
 #define MAC_KEY "0123456789abcdef0123456789abcdef"
@@ -181,6 +184,83 @@
     Counters_destroy(counters);
 }
 
+static void
+no_list(RecordSource_t *source, const char *topic, const char *after,
+        KeyedDone_t done, void *data)
+{
+    (void)source;
+    (void)topic;
+    (void)after;
+    (void)done;
+    (void)data;
+}
+
+static void
+no_record(void *owner, const KeyedRecord_t *record)
+{
+    (void)owner;
+    (void)record;
+}
+
+static void
+no_end(void *owner, StorePosition_t end, gint64 at_ms)
+{
+    (void)owner;
+    (void)end;
+    (void)at_ms;
+}
+
+/* A page that has more brings a list further, or is not taken. */
+static void
+take_list_page(const Wt__ListPage *message)
+{
+    static const RecordSourceClass_t class = {.list = no_list};
+    static const RecordFollowerEvents_t events = {.record = no_record,
+                                                  .current = no_end};
+    static struct event_base *base;
+    base = base ? base : event_base_new();
+    RecordSource_t source = {&class};
+    RecordFollowerSpec_t spec = {.source = &source, .topic = "t"};
+    RecordFollower_t *follower =
+        RecordFollower_create(base, &spec, &events, NULL);
+    ListPart_t part = {.page = RecordRelay_readRecords(message->records,
+                                                       message->n_records,
+                                                       message->epoch),
+                       .reached = message->reached};
+    ListPlace_t place = {message->after, {message->epoch, message->from}};
+    part.page.more = message->more;
+    part.page.end = (StorePosition_t){message->epoch, message->end};
+    gboolean taken = RecordFollower_feedList(follower, &place, &part, 1);
+    ListPlace_t next = {""};
+    gboolean wants = RecordFollower_wantsList(follower, &next);
+    g_assert(!taken || wants == part.page.more);
+    g_assert(!taken || !wants || strcmp(next.after, place.after) > 0);
+    RecordFollower_feedList(follower, &place, &part, 2);
+    g_ptr_array_unref(part.page.records);
+    RecordFollower_destroy(follower);
+}
+
+/* Whatever is asked for, pages go forward. */
+static void
+take_list_ask(const Wt__ListAsk *message)
+{
+    ListCopy_t *copy = ListCopy_create();
+    GString key = {.str = "u1", .len = strlen("u1")};
+    KeyedRecord_t record = {
+        .key = &key, .value = g_bytes_new_static("v", 1), .position = {1, 1}};
+    ListCopy_put(copy, &record);
+    ListCopy_begin(copy, (StorePosition_t){1, 2});
+    ListCopy_noteChange(copy, &record);
+    ListPlace_t place = {message->after, {message->epoch, message->from}};
+    ListPart_t part = {{0}};
+    if (ListCopy_read(copy, &place, 1, &part)) {
+        g_assert(!part.page.more || strcmp(part.reached, place.after) > 0);
+        g_ptr_array_unref(part.page.records);
+    }
+    ListCopy_destroy(copy);
+    g_bytes_unref(record.value);
+}
+
 int
 Fuzz_peerMessages(const uint8_t *data, size_t size)
 {
@@ -197,6 +277,12 @@
     if (message->body_case == WT__PEER_MESSAGE__BODY_GOSSIP) {
         take_gossip(message->gossip);
     }
+    if (message->body_case == WT__PEER_MESSAGE__BODY_LIST_PAGE) {
+        take_list_page(message->list_page);
+    }
+    if (message->body_case == WT__PEER_MESSAGE__BODY_LIST_ASK) {
+        take_list_ask(message->list_ask);
+    }
     if (message->body_case == WT__PEER_MESSAGE__BODY_RATE_ASK ||
         message->body_case == WT__PEER_MESSAGE__BODY_RATE_ANSWER) {
         take_rates(message);
--- /dev/null
+++ b/tests/test_ListExchange.c
@@ -0,0 +1,338 @@
+#include "testing.h"
+
+#include <event2/event.h>
+#include <string.h>
+
+#include "Clock.h"
+#include "Errors.h"
+#include "FakeRouters.h"
+#include "UpstreamListing.h"
+
+/* A list of so many pages. */
+#define PAGES 40
+#define PAGE_ENTRIES 10
+#define ENTRIES (PAGES * PAGE_ENTRIES)
+/* What the store takes for a page, one after the other. */
+#define PAGE_US 4000
+/* How long a router waits for an answer; the store works on for it. */
+#define ANSWER_US 200000
+#define POLL_MS 3000
+/* Bytes of a value, so that all entries are too long to be told over every
+ * link. */
+#define VALUE_BYTES 100
+#define RETURN_MS 600000
+/* Routers are linked with a few others, and each knows few seeds. */
+#define MESH 4
+#define SEEDS 3
+#define GOSSIP_BUDGET 20000
+/* By then they know each other and have read the end of the list once. */
+#define SETTLED_MS 2000
+/* Routers of a hall that may read the whole list, however many there are. */
+#define READERS_MOST 6
+
+typedef struct {
+    RecordSource_t super;
+    guint which;
+    UpstreamListing_t *listing;
+    UpstreamSet_t *upstreams;
+    StoreEpoch_t *epoch;
+    gboolean refused; /* the store turns it away */
+} Router_t;
+
+typedef struct {
+    KeyedDone_t done;
+    void *data;
+    struct event *timer;
+    guint from; /* first entry of a page */
+    gboolean lists;
+    gboolean fails;
+} Call_t;
+
+static FakeRouters_t routers;
+static Router_t list[FAKE_ROUTERS_MAX];
+static HallRegions_t *regions;
+static GPtrArray *calls;
+static gint64 busy_until_us;
+static guint pages_asked;
+static guint reads_asked;
+static guint published; /* entries that the store has */
+
+static gboolean
+decode(GBytes *value, ListedUpstream_t *out, GError **error)
+{
+    (void)value;
+    (void)error;
+    g_ptr_array_add(out->spec.serves, g_string_new("m"));
+    out->spec.slots = 1;
+    return TRUE;
+}
+
+static KeyedPage_t
+make_page(const Call_t *call)
+{
+    KeyedPage_t page = {.records =
+                            g_ptr_array_new_with_free_func(KeyedRecord_free),
+                        .end = {0, published}};
+    static const char value[VALUE_BYTES];
+    guint end = MIN(call->from + PAGE_ENTRIES, published);
+    for (guint i = call->from; i < end; i++) {
+        g_autofree char *key = g_strdup_printf("u%04u", i);
+        StorePosition_t position = {0, i};
+        g_ptr_array_add(page.records,
+                        KeyedRecord_create(key, strlen(key),
+                                           g_bytes_new(value, sizeof(value)),
+                                           position));
+    }
+    page.more = call->lists && end < published;
+    return page;
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    Call_t *call = data;
+    if (call->fails) {
+        g_autoptr(GError) error =
+            g_error_new_literal(WT_ERROR, WT_ERROR_TIMEOUT, "late");
+        call->done(NULL, error, call->data);
+        return;
+    }
+    KeyedPage_t page = make_page(call);
+    call->done(&page, NULL, call->data);
+    g_ptr_array_unref(page.records);
+}
+
+static void
+free_call(gpointer data)
+{
+    Call_t *call = data;
+    event_free(call->timer);
+    g_free(call);
+}
+
+static void
+arm(Call_t *call, gint64 after_us)
+{
+    struct timeval after = {after_us / G_USEC_PER_SEC,
+                            after_us % G_USEC_PER_SEC};
+    call->timer = evtimer_new(routers.base, on_timer, call);
+    evtimer_add(call->timer, &after);
+    g_ptr_array_add(calls, call);
+}
+
+/* The store works on for who has given up. */
+static void
+serve(const Router_t *router, Call_t *call)
+{
+    gint64 now_us = g_get_monotonic_time();
+    if (router->refused) {
+        call->fails = TRUE;
+        arm(call, PAGE_US);
+        return;
+    }
+    busy_until_us = MAX(busy_until_us, now_us) + PAGE_US;
+    call->fails = busy_until_us - now_us > ANSWER_US;
+    arm(call, call->fails ? ANSWER_US : busy_until_us - now_us);
+}
+
+static Call_t *
+make_call(guint from, KeyedDone_t done, void *data)
+{
+    Call_t *call = g_new0(Call_t, 1);
+    call->done = done;
+    call->data = data;
+    call->from = from;
+    return call;
+}
+
+static void
+list_page(RecordSource_t *super, const char *topic, const char *after,
+          KeyedDone_t done, void *data)
+{
+    (void)topic;
+    guint from = after ? (guint)atoi(after + 1) + 1 : 0;
+    Call_t *call = make_call(from, done, data);
+    call->lists = TRUE;
+    pages_asked++;
+    serve((Router_t *)super, call);
+}
+
+static void
+read_from(RecordSource_t *super, const char *topic, guint64 from,
+          gint64 wait_ms, KeyedDone_t done, void *data)
+{
+    (void)topic;
+    (void)wait_ms;
+    reads_asked++;
+    serve((Router_t *)super, make_call((guint)from, done, data));
+}
+
+static const RecordSourceClass_t class = {.list = list_page,
+                                          .read = read_from};
+
+static void
+take(void *taker, Member_t *from, const Wt__PeerMessage *message)
+{
+    Router_t *this = taker;
+    switch (message->body_case) {
+    case WT__PEER_MESSAGE__BODY_LIST_ASK:
+        UpstreamListing_takeAsk(this->listing, from, message->list_ask);
+        break;
+    case WT__PEER_MESSAGE__BODY_LIST_PAGE:
+        UpstreamListing_takePage(this->listing, from, message->list_page);
+        break;
+    case WT__PEER_MESSAGE__BODY_TOPIC_ASK:
+        UpstreamListing_answer(this->listing, from, message->topic_ask);
+        break;
+    case WT__PEER_MESSAGE__BODY_TOPIC_PART:
+        UpstreamListing_take(this->listing, from, message->topic_part);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+start(guint which, gboolean refused)
+{
+    Router_t *this = &list[which];
+    *this = (Router_t){.super = {.class = &class}, .refused = refused};
+    this->upstreams = UpstreamSet_create(routers.base, 1);
+    this->epoch = StoreEpoch_create(NULL);
+    UpstreamListingSpec_t spec = {
+        .source = &this->super,
+        .topic = "t",
+        .decode = decode,
+        .upstreams = this->upstreams,
+        .membership = routers.list[which].membership,
+        .epoch = this->epoch,
+        .regions = regions,
+        .poll_ms = POLL_MS,
+        .return_ms = RETURN_MS,
+    };
+    this->listing = UpstreamListing_create(routers.base, &spec);
+    routers.list[which].take = take;
+    routers.list[which].taker = this;
+}
+
+/* The first of so many are turned away by the store. */
+static void
+begin(guint count, guint refused)
+{
+    calls = g_ptr_array_new_with_free_func(free_call);
+    regions = HallRegions_create(NULL, NULL, "r");
+    busy_until_us = 0;
+    pages_asked = 0;
+    reads_asked = 0;
+    published = ENTRIES;
+    FakeRouters_start(&routers, count, MESH, SEEDS, GOSSIP_BUDGET);
+    for (guint i = 0; i < count; i++) {
+        start(i, i < refused);
+    }
+}
+
+static void
+end(void)
+{
+    for (guint i = 0; i < routers.count; i++) {
+        routers.list[i].take = NULL;
+        UpstreamListing_destroy(list[i].listing);
+        UpstreamSet_destroy(list[i].upstreams);
+        StoreEpoch_destroy(list[i].epoch);
+    }
+    g_ptr_array_unref(calls);
+    HallRegions_destroy(regions);
+    FakeRouters_clear(&routers);
+}
+
+static gboolean
+all_know_all(const FakeRouters_t *all)
+{
+    for (guint i = 0; i < all->count; i++) {
+        if (UpstreamSet_all(list[i].upstreams)->len < ENTRIES) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* Returns the pages that the store was asked for. */
+static guint
+play_start(guint count)
+{
+    begin(count, 0);
+    FakeRouters_await(&routers, all_know_all);
+    guint asked = pages_asked;
+    end();
+    return asked;
+}
+
+/* All routers started and none was ready: each read the whole list, the store
+ * fell behind, answers came after their time, and all asked again for good. */
+START_TEST(a_start_asks_the_store_for_a_list_a_few_times_however_many_routers)
+{
+    const guint counts[] = {12, 24, 48};
+    for (guint i = 0; i < G_N_ELEMENTS(counts); i++) {
+        guint asked = play_start(counts[i]);
+        ck_assert_uint_le(asked, counts[i] + READERS_MOST * PAGES);
+    }
+}
+END_TEST
+
+static gboolean
+all_know_first(const FakeRouters_t *all)
+{
+    for (guint i = 0; i < all->count; i++) {
+        if (UpstreamSet_all(list[i].upstreams)->len < PAGE_ENTRIES) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* Upstreams that start with the routers come to the list within seconds: that
+ * was more than is told over each link, so that every router read all of it
+ * from the store, with all heartbeats, for as long as the day lasted. */
+START_TEST(what_comes_at_once_is_read_by_few_and_asked_for_by_the_rest)
+{
+    const guint count = 32;
+    begin(count, 0);
+    published = PAGE_ENTRIES;
+    FakeRouters_await(&routers, all_know_first);
+    FakeRouters_run(&routers, SETTLED_MS);
+    reads_asked = 0;
+    published = ENTRIES;
+    FakeRouters_await(&routers, all_know_all);
+    ck_assert_uint_le(reads_asked, READERS_MOST * PAGES);
+    end();
+}
+END_TEST
+
+START_TEST(routers_that_the_store_turns_away_get_the_list_from_peers)
+{
+    begin(12, 6);
+    FakeRouters_await(&routers, all_know_all);
+    end();
+}
+END_TEST
+
+START_TEST(a_router_that_knows_a_part_serves)
+{
+    begin(1, 0);
+    while (UpstreamSet_all(list[0].upstreams)->len == 0) {
+        event_base_loop(routers.base, EVLOOP_ONCE);
+    }
+    ck_assert_uint_lt(UpstreamSet_all(list[0].upstreams)->len, ENTRIES);
+    ck_assert(UpstreamListing_isKnown(list[0].listing));
+    end();
+}
+END_TEST
+
+TESTING_MAIN(
+    "ListExchange",
+    a_start_asks_the_store_for_a_list_a_few_times_however_many_routers,
+    what_comes_at_once_is_read_by_few_and_asked_for_by_the_rest,
+    routers_that_the_store_turns_away_get_the_list_from_peers,
+    a_router_that_knows_a_part_serves)
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -279,7 +279,7 @@
     part.n_records = 1;
     part.records = &records;
     g_usleep(TOLD_AFTER_US);
-    UpstreamListing_take(listing, &part);
+    UpstreamListing_take(listing, NULL, &part);
 }
 
 START_TEST(entries_that_a_peer_has_read_are_taken)
--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -21,6 +21,8 @@
     "bounds.fencing_required": "true", "bounds.drain_ms": "2000",
     "bounds.retry_slack": "56",
 }
+# Tables, of which a part of the template stands once for each entry.
+TABLES = {"zones": {"a": "r", "b": "r", "c": "s"}}
 # Figures that the platform may fill in besides: shares of a total, none at
 # all, the least and the most that a team of any size would have.
 OTHER_FIGURES = (
@@ -43,7 +45,20 @@
            r"/v1/order\b")
 
 
+def fill_part(found):
+    """An entry's key, its value, and a comma except after the last."""
+    if found[1] not in TABLES:
+        raise SystemExit("the template names an unknown table: " + found[1])
+    table = TABLES[found[1]]
+    return "".join(
+        found[2].replace("{{@}}", key).replace("{{.}}", value).replace(
+            "{{,}}", "," if place < len(table) else "")
+        for place, (key, value) in enumerate(table.items(), 1))
+
+
 def fill(text, fields):
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", fill_part, text)
+
     def value(found):
         if found[1] not in fields:
             raise SystemExit("the template names an unknown field: "
