Ask one peer at a time for what is missing of the list

Cause, by reading and a test: an answer that came after 250 ms found another peer asked already; both answers were followed by the next ask, and each further late one began another row of them. A peer answered all that asked.

Change: only an answer of the peer that was asked last leads to the next ask, which is given up after 600 ms, and a peer tells parts to two at a time, as it does with pages.

--- a/src/ListExchange.c
+++ b/src/ListExchange.c
@@ -202,8 +202,8 @@
 
 /* Few at a time, or all would be told slowly on a small link and none could
  * hand it on. */
-static gboolean
-may_serve(ListExchange_t *this, const Member_t *peer)
+gboolean
+ListExchange_mayServe(ListExchange_t *this, const Member_t *peer)
 {
     gint64 now_ms = Clock_nowMs();
     Served_t *place = NULL;
@@ -235,7 +235,7 @@
     if (!whole) {
         return WT__LIST_REFUSAL__NOT_KNOWN;
     }
-    if (!may_serve(this, from)) {
+    if (!ListExchange_mayServe(this, from)) {
         return WT__LIST_REFUSAL__BUSY;
     }
     return ListCopy_read(this->copy, place, PAGE_BYTES, out)
--- a/src/ListExchange.h
+++ b/src/ListExchange.h
@@ -63,6 +63,14 @@
 /** ListExchange_seek() - ask peers while the follower wants a list */
 void ListExchange_seek(ListExchange_t *this);
 
+/**
+ * ListExchange_mayServe() - whether a peer may be told a part of the list now
+ *
+ * Few are at a time, so that callers' answers have their share of the link;
+ * who was, may go on.
+ */
+gboolean ListExchange_mayServe(ListExchange_t *this, const Member_t *peer);
+
 /** ListExchange_answer() - a peer asks for a page */
 void ListExchange_answer(ListExchange_t *this, Member_t *from,
                          const Wt__ListAsk *ask);
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -37,7 +37,7 @@
 #define LIST_SPREAD_MOST_MS 1000
 /* How long a peer may take to tell what is missing, and bytes that it tells of
  * it at once: 26 ms of a link of 20 Mbit/s. */
-#define GAP_MS 250
+#define GAP_MS 600
 #define GAP_BYTES 65536
 /* The step between ranks doubles so often while calls fail. */
 #define RETRY_DOUBLINGS 6
@@ -80,6 +80,7 @@
     Member_t *teller;      /* whose word is taken now, or NULL */
     StorePosition_t ahead; /* furthest end that peers have told of */
     gint64 gap_asked_ms;   /* when a peer was asked for what is missing */
+    GString *gap_peer;     /* its name */
 };
 
 static void
@@ -516,6 +517,7 @@
     StorePosition_t known = RecordFollower_position(this->follower);
     gboolean asked = RecordRelay_ask(this->relay, peer, known, 0);
     this->gap_asked_ms = asked ? Clock_nowMs() : 0;
+    g_string_assign(this->gap_peer, asked ? peer->name->str : "");
     return asked;
 }
 
@@ -532,14 +534,17 @@
     return this->teller && ask_rest(this, this->teller);
 }
 
-/* An answer has a part of a long gap. */
+/* An answer has a part of a long gap. Only who was asked last is asked on: an
+ * answer that comes late would begin a second row of them. */
 static void
 go_on_asking(UpstreamListing_t *this, Member_t *peer)
 {
     StorePosition_t known = RecordFollower_position(this->follower);
+    if (!peer || !g_string_equal(this->gap_peer, peer->name)) {
+        return;
+    }
     this->gap_asked_ms = 0;
-    if (peer && known.offset > 0 &&
-        StorePosition_compare(known, this->ahead) < 0) {
+    if (StorePosition_compare(known, this->ahead) < 0) {
         ask_rest(this, peer);
     }
 }
@@ -582,6 +587,7 @@
     StorePosition_t end = known;
     g_autoptr(GPtrArray) records = g_ptr_array_new();
     if (known.epoch == place.epoch && known.offset > place.offset &&
+        ListExchange_mayServe(this->exchange, from) &&
         ListCopy_since(this->copy, place, GAP_BYTES, records, &end)) {
         gboolean all = StorePosition_compare(end, known) == 0;
         RecordRelay_answer(this->relay, from, place.offset, records, end,
@@ -716,6 +722,7 @@
     this->departed = DepartedUpstreams_create();
     this->relay = RecordRelay_create(spec->membership, spec->topic);
     this->copy = ListCopy_create();
+    this->gap_peer = g_string_new(NULL);
     this->return_over = Clock_timer(base, on_return_over, this);
     this->settled = Clock_timer(base, on_settled, this);
     RecordFollowerSpec_t follow = {
@@ -750,6 +757,7 @@
         ListExchange_destroy(this->exchange);
     }
     ListCopy_destroy(this->copy);
+    g_string_free(this->gap_peer, TRUE);
     RecordRelay_destroy(this->relay);
     DepartedUpstreams_destroy(this->departed);
     event_free(this->return_over);
--- a/tests/test_ListExchange.c
+++ b/tests/test_ListExchange.c
@@ -19,12 +19,17 @@
 #define POLL_MS 3000
 /* Bytes of a value, so that all entries are too long to be told over every
  * link. */
-#define VALUE_BYTES 100
+#define VALUE_BYTES 1000
 #define RETURN_MS 600000
 /* Routers are linked with a few others, and each knows few seeds. */
 #define MESH 4
 #define SEEDS 3
 #define GOSSIP_BUDGET 20000
+#define BURST_ROUTERS 32
+/* Longer than a router waits for a peer's answer. */
+#define SLOW_US 700000
+/* Times that a router may be told of an entry, at the mean. */
+#define TOLD_MOST 1
 /* By then they know each other and have read the end of the list once. */
 #define SETTLED_MS 2000
 /* Routers of a hall that may read the whole list, however many there are. */
@@ -48,14 +53,24 @@
     gboolean fails;
 } Call_t;
 
+typedef struct {
+    Router_t *router;
+    Member_t *asker;
+    guint64 from;
+    struct event *timer;
+} Delayed_t;
+
 static FakeRouters_t routers;
 static Router_t list[FAKE_ROUTERS_MAX];
 static HallRegions_t *regions;
 static GPtrArray *calls;
+static GPtrArray *delayed_answers;
+static gint64 answer_after_us;
 static gint64 busy_until_us;
 static guint pages_asked;
 static guint reads_asked;
-static guint published; /* entries that the store has */
+static guint records_told; /* by peers, of what they were asked for */
+static guint published;    /* entries that the store has */
 
 static gboolean
 decode(GBytes *value, ListedUpstream_t *out, GError **error)
@@ -172,6 +187,39 @@
 static const RecordSourceClass_t class = {.list = list_page,
                                           .read = read_from};
 
+static void
+on_delayed(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    const Delayed_t *delayed = data;
+    Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
+    ask.from = delayed->from;
+    UpstreamListing_answer(delayed->router->listing, delayed->asker, &ask);
+}
+
+/* As over a link that has much to carry. */
+static void
+answer_later(Router_t *router, Member_t *asker, const Wt__TopicAsk *ask)
+{
+    Delayed_t *delayed = g_new0(Delayed_t, 1);
+    struct timeval after = {0, (suseconds_t)answer_after_us};
+    delayed->router = router;
+    delayed->asker = asker;
+    delayed->from = ask->from;
+    delayed->timer = evtimer_new(routers.base, on_delayed, delayed);
+    evtimer_add(delayed->timer, &after);
+    g_ptr_array_add(delayed_answers, delayed);
+}
+
+static void
+free_delayed(gpointer data)
+{
+    Delayed_t *delayed = data;
+    event_free(delayed->timer);
+    g_free(delayed);
+}
+
 static void
 take(void *taker, Member_t *from, const Wt__PeerMessage *message)
 {
@@ -184,9 +232,10 @@
         UpstreamListing_takePage(this->listing, from, message->list_page);
         break;
     case WT__PEER_MESSAGE__BODY_TOPIC_ASK:
-        UpstreamListing_answer(this->listing, from, message->topic_ask);
+        answer_later(this, from, message->topic_ask);
         break;
     case WT__PEER_MESSAGE__BODY_TOPIC_PART:
+        records_told += message->topic_part->n_records;
         UpstreamListing_take(this->listing, from, message->topic_part);
         break;
     default:
@@ -222,6 +271,7 @@
 begin(guint count, guint refused)
 {
     calls = g_ptr_array_new_with_free_func(free_call);
+    delayed_answers = g_ptr_array_new_with_free_func(free_delayed);
     regions = HallRegions_create(NULL, NULL, "r");
     busy_until_us = 0;
     pages_asked = 0;
@@ -243,6 +293,7 @@
         StoreEpoch_destroy(list[i].epoch);
     }
     g_ptr_array_unref(calls);
+    g_ptr_array_unref(delayed_answers);
     HallRegions_destroy(regions);
     FakeRouters_clear(&routers);
 }
@@ -292,22 +343,40 @@
     return TRUE;
 }
 
-/* Upstreams that start with the routers come to the list within seconds: that
- * was more than is told over each link, so that every router read all of it
- * from the store, with all heartbeats, for as long as the day lasted. */
-START_TEST(what_comes_at_once_is_read_by_few_and_asked_for_by_the_rest)
+static void
+play_burst(guint count)
 {
-    const guint count = 32;
     begin(count, 0);
     published = PAGE_ENTRIES;
     FakeRouters_await(&routers, all_know_first);
     FakeRouters_run(&routers, SETTLED_MS);
     reads_asked = 0;
+    records_told = 0;
     published = ENTRIES;
     FakeRouters_await(&routers, all_know_all);
-    ck_assert_uint_le(reads_asked, READERS_MOST * PAGES);
+    FakeRouters_run(&routers, SETTLED_MS);
     end();
 }
+
+/* Upstreams that start with the routers come to the list within seconds: that
+ * was more than is told over each link, so that every router read all of it
+ * from the store, with all heartbeats, for as long as the day lasted. */
+START_TEST(what_comes_at_once_is_read_by_few_and_asked_for_by_the_rest)
+{
+    answer_after_us = 0;
+    play_burst(BURST_ROUTERS);
+    ck_assert_uint_le(reads_asked, READERS_MOST * PAGES);
+}
+END_TEST
+
+/* Who did not get an answer soon asked another one, went on with both, and
+ * each further one that was late made one more. */
+START_TEST(what_is_missing_is_told_about_once_also_by_slow_peers)
+{
+    answer_after_us = SLOW_US;
+    play_burst(BURST_ROUTERS);
+    ck_assert_uint_le(records_told, TOLD_MOST * BURST_ROUTERS * ENTRIES);
+}
 END_TEST
 
 START_TEST(routers_that_the_store_turns_away_get_the_list_from_peers)
@@ -334,5 +403,6 @@
     "ListExchange",
     a_start_asks_the_store_for_a_list_a_few_times_however_many_routers,
     what_comes_at_once_is_read_by_few_and_asked_for_by_the_rest,
+    what_is_missing_is_told_about_once_also_by_slow_peers,
     routers_that_the_store_turns_away_get_the_list_from_peers,
     a_router_that_knows_a_part_serves)
