Try a refused first list again at once

Cause: a call that had failed once waited for its turn, and turns begin when the other routers are known. Change: a refusal costs the store next to nothing, so three in a row are followed by tries of the follower's own pauses; turns begin with the fourth, or with the first answer that came too late.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -16,6 +16,10 @@
 #define RETRY_PARTS 8
 /* Enough for any longest pause, and few enough to shift by. */
 #define RETRY_DOUBLINGS_MOST 20
+/* Refusals in a row of the first page of a list after which routers take
+ * turns.
+ */
+#define FREE_RETRIES 3
 /* A page of a list that takes longer comes from a store that has too much to
  * do: peers are asked beside it. */
 #define LATE_MS 300
@@ -48,9 +52,10 @@
     const FollowerCall_t *calling; /* the one that counts, or NULL */
     const FollowerCall_t *asking;  /* a question beside it, or NULL */
     guint unanswered;              /* questions in a row that failed */
-    gint64 current_ms; /* when the end was last known, 0 for never */
-    guint failures;    /* in a row */
-    gint64 failed_ms;  /* when the last of them was */
+    gint64 current_ms;  /* when the end was last known, 0 for never */
+    guint failures;     /* in a row */
+    gint64 failed_ms;   /* when the last of them was */
+    gboolean timed_out; /* one of them was an answer that came too late */
 };
 
 static void call(RecordFollower_t *this);
@@ -183,6 +188,7 @@
 end_failures(RecordFollower_t *this, const char *by)
 {
     this->failures = 0;
+    this->timed_out = FALSE;
     Log_begin(LOG_LEVEL_WARNING, "topic_regained");
     Log_text("topic", this->topic->str);
     Log_text("by", by);
@@ -215,6 +221,8 @@
 note_failed(RecordFollower_t *this, const GError *error)
 {
     this->failures++;
+    this->timed_out =
+        this->timed_out || g_error_matches(error, WT_ERROR, WT_ERROR_TIMEOUT);
     this->failed_ms = Clock_nowMs();
     if (this->failures == 1) {
         Log_begin(LOG_LEVEL_WARNING, "topic_lost");
@@ -234,12 +242,20 @@
     Clock_arm(this->timer, MAX(pause_ms, pause_left_ms(this)));
 }
 
+/* A refusal costs the store next to nothing and may be over at once; an answer
+ * that came too late has cost all of it, and shows that there is a queue. */
+static gboolean
+may_try_again(const RecordFollower_t *this)
+{
+    return !this->timed_out && this->failures <= FREE_RETRIES;
+}
+
 /* A list of one page is read by all: it takes a call. */
 static gint64
 wait_ms(const RecordFollower_t *this)
 {
     gboolean begun = !this->first_page || this->from_peers;
-    gboolean first = this->listing && !begun && this->failures == 0;
+    gboolean first = this->listing && !begun && may_try_again(this);
     if (first || !this->events->wait_ms) {
         return 0;
     }
