Ask for parts of the list within the own hall first

Cause: what is missing of the list was asked of whoever told of its end, half of whom stand in other halls, so that the list crossed between halls about as often as there were routers.

Change: the first two routers of a hall in rank ask anywhere; the others ask within their hall, and beyond it only where they were told nothing for 1.5 s.

--- a/src/ListExchange.c
+++ b/src/ListExchange.c
@@ -24,7 +24,11 @@
  * its last ask. */
 #define SERVED_MOST 2
 #define SERVED_MS 300
-/* One in so many asks may leave the own hall. */
+/* The first routers of a hall bring the list into it; the others ask outside
+ * of it only where that has taken so long. */
+#define FAR_READERS 2
+#define FAR_AFTER_MS 1500
+/* One in so many of their asks may then leave the own hall. */
 #define FAR_PARTS 4
 
 typedef struct {
@@ -41,6 +45,7 @@
     gint64 at_ms;        /* when the topic ended there; 0 for never */
     gint64 settled_ms;   /* since when ranks are known; 0 where they are not */
     gint64 taken_ms;     /* when a peer's page was last taken */
+    gint64 sought_ms;    /* since when a list is sought */
     gint64 asked_ms;     /* when @asked was; 0 for none */
     GString *asked;      /* router that an answer is awaited from */
     Served_t served[SERVED_MOST];
@@ -78,14 +83,30 @@
     return NULL;
 }
 
-/* Most peers that are linked stand in the own hall, but a hall may have no
- * router yet that knows the list. */
+/* Bytes between halls are dear, and a list that each router fetched from
+ * anywhere would cross as often as there are routers. */
+gboolean
+ListExchange_mayAsk(const ListExchange_t *this, const Member_t *peer,
+                    gint64 waited_ms)
+{
+    const Membership_t *membership = this->spec.membership;
+    if (is_near(this, peer) || waited_ms >= FAR_AFTER_MS) {
+        return TRUE;
+    }
+    return Membership_rank(membership, RANK_KEY, Membership_hall(membership)) <
+           FAR_READERS;
+}
+
 static Member_t *
 pick_peer(const ListExchange_t *this)
 {
+    gint64 waited_ms = Clock_nowMs() - MAX(this->sought_ms, this->taken_ms);
     gboolean near = Random_below(FAR_PARTS) > 0;
     Member_t *peer = find_peer(this, near);
-    return peer ? peer : find_peer(this, FALSE);
+    peer = peer ? peer : find_peer(this, FALSE);
+    return peer && ListExchange_mayAsk(this, peer, waited_ms)
+               ? peer
+               : find_peer(this, TRUE);
 }
 
 static gboolean
@@ -178,6 +199,9 @@
 void
 ListExchange_seek(ListExchange_t *this)
 {
+    if (!evtimer_pending(this->look, NULL)) {
+        this->sought_ms = Clock_nowMs();
+    }
     Clock_arm(this->look, LOOK_MS);
 }
 
--- a/src/ListExchange.h
+++ b/src/ListExchange.h
@@ -63,6 +63,14 @@
 /** ListExchange_seek() - ask peers while the follower wants a list */
 void ListExchange_seek(ListExchange_t *this);
 
+/**
+ * ListExchange_mayAsk() - whether this router may ask a peer, which may stand
+ * in another hall, for a part of the list
+ * @waited_ms: how long it was not told what it lacks
+ */
+gboolean ListExchange_mayAsk(const ListExchange_t *this, const Member_t *peer,
+                             gint64 waited_ms);
+
 /**
  * ListExchange_mayServe() - whether a peer may be told a part of the list now
  *
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -79,6 +79,7 @@
     gint64 called_ms;      /* when this router last took its turn */
     Member_t *teller;      /* whose word is taken now, or NULL */
     StorePosition_t ahead; /* furthest end that peers have told of */
+    gint64 gap_ms;         /* since when something is missing; 0: nothing */
     gint64 gap_asked_ms;   /* when a peer was asked for what is missing */
     GString *gap_peer;     /* its name */
 };
@@ -527,11 +528,19 @@
 on_gap(void *owner)
 {
     UpstreamListing_t *this = owner;
-    gint64 waited_ms = Clock_nowMs() - this->gap_asked_ms;
-    if (this->gap_asked_ms > 0 && waited_ms < GAP_MS) {
+    gint64 now_ms = Clock_nowMs();
+    if (this->gap_asked_ms > 0 && now_ms - this->gap_asked_ms < GAP_MS) {
         return TRUE;
     }
-    return this->teller && ask_rest(this, this->teller);
+    if (!this->teller) {
+        return FALSE;
+    }
+    if (this->gap_ms == 0) {
+        this->gap_ms = now_ms;
+    }
+    return !ListExchange_mayAsk(this->exchange, this->teller,
+                                now_ms - this->gap_ms) ||
+           ask_rest(this, this->teller);
 }
 
 /* An answer has a part of a long gap. Only who was asked last is asked on: an
@@ -574,6 +583,7 @@
     g_ptr_array_unref(page.records);
     if (taken) {
         this->told_ms = Clock_nowMs();
+        this->gap_ms = 0;
         go_on_asking(this, from);
     }
 }
