Read the list again within the time of a leaving, and no peer's list of before

Cause, by the lines of one router: its call to the store failed while it was cut off, at 4 s; the next one was due by its rank, with a step that doubles with each failure, at 25 s. Peers that had listed anew meanwhile could not tell what it had missed. Found beside it: a router that lists anew took a peer's list older than what it had known itself, in which what was removed is still there.

Change: where the store bears the reads of all routers at once, as on every fleet but the largest, each has its turn within the time in which a leaving must be known. A peer's list that ends before what is known here is not taken.

a_peers_list_of_before_brings_nothing_back and a_peers_list_from_before_the_first_page_is_not_taken fail without the second change.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -533,11 +533,14 @@
     }
 }
 
+/* A peer that was cut off has a list of before: it would bring back what was
+ * removed since, of which nothing is known here any more. */
 static gboolean
 fits_list(const RecordFollower_t *this, const ListPlace_t *place,
           const ListPart_t *part)
 {
-    if (!this->listing || part->page.end.epoch < this->next.epoch ||
+    if (!this->listing ||
+        StorePosition_compare(part->page.end, this->next) < 0 ||
         (part->page.more && strcmp(part->reached, place->after) <= 0)) {
         return FALSE;
     }
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -659,13 +659,19 @@
 }
 
 /* A call that fails shows that the store has too much to do, or that it is
- * away: all take turns then, however little each of them asks for. */
+ * away. Where the store bears the reads of all, each has its turn in the time
+ * in which a leaving must be known: peers may not know what it missed. */
 static gint64
 retry_turn_ms(const UpstreamListing_t *this)
 {
     gint64 rank = Membership_rank(this->spec.membership, RANK_KEY, NULL);
+    gint64 routers = Membership_live(this->spec.membership);
+    gboolean bears = ListCopy_count(this->copy) > 0 &&
+                     routers * entries_missing(this) <= ENTRIES_AT_ONCE;
     gint64 step_ms = READ_STEP_MS << MIN(this->retries, RETRY_DOUBLINGS);
-    return MAX(this->called_ms, this->told_ms) + rank * step_ms;
+    gint64 after_ms =
+        bears ? MIN(rank * READ_STEP_MS, this->spec.poll_ms) : rank * step_ms;
+    return MAX(this->called_ms, this->told_ms) + after_ms;
 }
 
 static gint64
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -158,6 +158,45 @@
 }
 END_TEST
 
+/* From the beginning of the list; all of it is one page. */
+static gboolean
+feed_list(RecordFollower_t *follower, guint64 page_end, const char *text)
+{
+    ListPlace_t place = {.after = ""};
+    ListPart_t part = {.page = make_page(page_end, FALSE, text),
+                       .reached = "z"};
+    gboolean taken =
+        RecordFollower_feedList(follower, &place, &part, Clock_nowMs());
+    g_ptr_array_unref(part.page.records);
+    return taken;
+}
+
+/* Requests reached an upstream that had left 15 s before: a router that listed
+ * anew took the list of a peer that had been cut off since. */
+START_TEST(a_peers_list_of_before_brings_nothing_back)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, FALSE, "a:3 b:4");
+    answer(12, FALSE, "a-:11");
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    ck_assert(!feed_list(follower, 11, "a:3 b:4"));
+    ck_assert(RecordFollower_isListing(follower));
+    ck_assert(feed_list(follower, 12, "b:4 c:11"));
+    ck_assert_str_eq(seen.told->str, "a b a- c ");
+    end(follower);
+}
+END_TEST
+
+START_TEST(a_peers_list_from_before_the_first_page_is_not_taken)
+{
+    RecordFollower_t *follower = begin();
+    answer(10, TRUE, "a:3");
+    ck_assert(!feed_list(follower, 9, "a:3 b:4"));
+    ck_assert(feed_list(follower, 10, "a:3 b:4"));
+    end(follower);
+}
+END_TEST
+
 static gboolean
 feed(RecordFollower_t *follower, guint64 from, guint64 page_end,
      const char *text, gint64 at_ms)
@@ -399,6 +438,8 @@
 END_TEST
 
 TESTING_MAIN("RecordFollower", it_lists_and_reads_on_from_the_first_page,
+             a_peers_list_of_before_brings_nothing_back,
+             a_peers_list_from_before_the_first_page_is_not_taken,
              not_current_before_the_end_is_read,
              expired_records_are_listed_anew_and_removals_told,
              an_outage_is_told_once_and_its_end,
