Test: a call that failed is repeated within the time of a leaving

Replays what broke DRAIN on the site with two regions: the store answers none of twelve routers for eight seconds, peers tell nothing, the store returns.

--- a/tests/test_ListExchange.c
+++ b/tests/test_ListExchange.c
@@ -30,6 +30,10 @@
 #define SLOW_US 700000
 /* Times that a router may be told of an entry, at the mean. */
 #define TOLD_MOST 1
+/* Long enough for several calls that fail, and the longest pause between two
+ * that are not bound to turns. */
+#define OUTAGE_MS 8000
+#define PAUSE_MOST_MS 1600
 /* By then they know each other and have read the end of the list once. */
 #define SETTLED_MS 2000
 /* Routers of a hall that may read the whole list, however many there are. */
@@ -42,6 +46,7 @@
     UpstreamSet_t *upstreams;
     StoreEpoch_t *epoch;
     gboolean refused; /* the store turns it away */
+    guint answered;   /* its calls that the store has answered */
 } Router_t;
 
 typedef struct {
@@ -139,7 +144,7 @@
 
 /* The store works on for who has given up. */
 static void
-serve(const Router_t *router, Call_t *call)
+serve(Router_t *router, Call_t *call)
 {
     gint64 now_us = g_get_monotonic_time();
     if (router->refused) {
@@ -147,6 +152,7 @@
         arm(call, PAGE_US);
         return;
     }
+    router->answered++;
     busy_until_us = MAX(busy_until_us, now_us) + PAGE_US;
     call->fails = busy_until_us - now_us > ANSWER_US;
     arm(call, call->fails ? ANSWER_US : busy_until_us - now_us);
@@ -387,6 +393,42 @@
 }
 END_TEST
 
+static void
+take_nothing(void *taker, Member_t *from, const Wt__PeerMessage *message)
+{
+    (void)taker;
+    (void)from;
+    (void)message;
+}
+
+static void
+cut_off(gboolean refused)
+{
+    for (guint i = 0; i < routers.count; i++) {
+        list[i].refused = refused;
+        list[i].answered = 0;
+        routers.list[i].take = take_nothing;
+    }
+}
+
+/* Requests reached an upstream 14 s after it had left: a router that the store
+ * had not answered called it again 21 s later, and no peer could tell it. */
+START_TEST(a_call_that_failed_is_repeated_within_the_time_of_a_leaving)
+{
+    begin(12, 0);
+    FakeRouters_await(&routers, all_know_all);
+    FakeRouters_run(&routers, SETTLED_MS);
+    cut_off(TRUE);
+    FakeRouters_run(&routers, OUTAGE_MS);
+    cut_off(FALSE);
+    FakeRouters_run(&routers, POLL_MS + PAUSE_MOST_MS);
+    for (guint i = 0; i < routers.count; i++) {
+        ck_assert_uint_gt(list[i].answered, 0);
+    }
+    end();
+}
+END_TEST
+
 START_TEST(a_router_that_knows_a_part_serves)
 {
     begin(1, 0);
@@ -405,4 +447,5 @@
     what_comes_at_once_is_read_by_few_and_asked_for_by_the_rest,
     what_is_missing_is_told_about_once_also_by_slow_peers,
     routers_that_the_store_turns_away_get_the_list_from_peers,
+    a_call_that_failed_is_repeated_within_the_time_of_a_leaving,
     a_router_that_knows_a_part_serves)
