--- /dev/null
+++ b/src/EngineBacklog.h
@@ -0,0 +1,35 @@
+#ifndef HEADER_EngineBacklog
+#define HEADER_EngineBacklog
+/**
+ * DOC: EngineBacklog
+ *
+ * Time until an engine has computed the prompts that a dispatcher has placed
+ * there. An engine computes prompts one after the other, or shares its steps
+ * between them, which ends at the same time. The backlog shrinks by itself as
+ * time passes, so that a prompt that is nearly done counts for what is left of
+ * it, and a lost report can't keep an engine busy for ever.
+ */
+#include <glib.h>
+
+/**
+ * struct EngineBacklog_t - backlog of one engine; zeroed at first
+ * @until_us: when the last prompt will be computed, monotonic
+ * @open: prompts that were placed and whose first token has not been reported
+ */
+typedef struct {
+    gint64 until_us;
+    guint open;
+} EngineBacklog_t;
+
+/** EngineBacklog_add() - a prompt that takes @compute_us was placed */
+void EngineBacklog_add(EngineBacklog_t *this, gint64 compute_us,
+                       gint64 now_us);
+
+/** EngineBacklog_remove() - a prompt was computed, or its request has ended
+ * without; without open prompts the backlog is empty */
+void EngineBacklog_remove(EngineBacklog_t *this, gint64 now_us);
+
+/** EngineBacklog_waitUs() - time until the backlog is computed, in us */
+gint64 EngineBacklog_waitUs(const EngineBacklog_t *this, gint64 now_us);
+
+#endif
