--- a/src/Context.h
+++ b/src/Context.h
@@ -56,6 +56,8 @@
  *     native platform
  * @run_times: run times of streams by route; NULL on the native platform
  * @estimate_error: errors of the estimates; NULL on the native platform
+ * @partitions: partitions of the groups of engines; NULL on the native
+ *     platform
  * @load_share: sends upstreams' loads to the other routers, or NULL
  * @mover: moves streams away from engines that pause; NULL on the native
  *     platform
@@ -96,6 +98,7 @@
     EngineSplit_t *engine_split;
     RunTimes_t *run_times;
     EstimateError_t *estimate_error;
+    GroupPartitions_t *partitions;
     struct LoadShare *load_share;
     StreamMover_t *mover;
     Dispatch_t *dispatch;
--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "Clock.h"
+#include "PromptTime.h"
 #include "Tickets.h"
 
 /* How long a dispatcher that did not answer is not queried again; a router
@@ -14,18 +15,22 @@
  * to the same length, as the dispatcher is ranked by this name. */
 #define GROUP_TARGET_MAX 40
 #define GROUP_NAME_SIZE (GROUP_TARGET_MAX + 12)
+#define TOKENS_PER_KTOKEN 1000
 
 struct Dispatch {
     struct event_base *base;
     DispatchSpec_t spec;
     Tickets_t *tickets;
-    GHashTable *queries; /* &ticket.id -> DispatchQuery_t */
+    DispatchGroups_t *groups;
+    GHashTable *prompt_times; /* target -> PromptTime_t */
+    GHashTable *queries;      /* &ticket.id -> DispatchQuery_t */
     guint64 next_id;
 };
 
 struct DispatchQuery {
     Dispatch_t *dispatch;
     DispatchTicket_t ticket;
+    GString *target;
     GString *dispatcher_name; /* copied, as the member may be removed */
     DispatchDone_t done;
     void *owner; /* argument of @done */
@@ -37,6 +42,7 @@
 {
     DispatchQuery_t *query = data;
     event_free(query->timeout);
+    g_string_free(query->target, TRUE);
     g_string_free(query->dispatcher_name, TRUE);
     g_free(query);
 }
@@ -67,21 +73,64 @@
     return upstream ? upstream->hash : 0;
 }
 
+/* Learned time to compute prompts of a target, created if there is none. */
+static PromptTime_t *
+find_prompt_time(Dispatch_t *this, const char *target,
+                 const Upstream_t *upstream)
+{
+    PromptTime_t *time = g_hash_table_lookup(this->prompt_times, target);
+    if (!time) {
+        time = PromptTime_create(upstream->prefill_us_per_token);
+        g_hash_table_insert(this->prompt_times, g_strdup(target), time);
+    }
+    return time;
+}
+
+static void
+set_speed(const Dispatch_t *this, const char *target, double us_per_token)
+{
+    const GPtrArray *serving =
+        UpstreamSet_findServing(this->spec.upstreams, ROLE_SERVICE, target);
+    for (guint i = 0; i < serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(serving, i);
+        upstream->prefill_us_per_token = us_per_token;
+    }
+}
+
+static void
+fill_answer(Wt__PlaceAnswer *answer, const Choice_t *choice,
+            const GroupDecision_t *decision)
+{
+    answer->upstream = hash_or_zero(choice->upstream);
+    answer->fetch_from = hash_or_zero(choice->supply.source);
+    answer->supply = choice->supply.kind;
+    answer->move_us = clamp_to_32_bits(choice->supply.move_us);
+    answer->move_wait_us = clamp_to_32_bits(choice->supply.wait_us);
+    answer->cached_tokens = choice->expected_cached;
+    answer->cost_us = clamp_to_32_bits(choice->cost_us);
+    answer->own_us = clamp_to_32_bits(choice->own_us);
+    answer->group = choice->group;
+    answer->reserved = choice->reserved;
+    answer->verdict = decision->verdict;
+    answer->retry_after_ms = decision->retry_after_ms;
+    answer->promised_us = clamp_to_32_bits(decision->promised_us);
+    answer->is_return = decision->is_return;
+    answer->over_share = decision->is_over_share;
+    if (choice->upstream && choice->reserved > 0) {
+        answer->ktoken_us =
+            clamp_to_32_bits((gint64)(TOKENS_PER_KTOKEN *
+                                      choice->upstream->prefill_us_per_token));
+    }
+}
+
 static void
 send_answer(const Dispatch_t *this, guint64 ticket, const Choice_t *choice,
-            const struct sockaddr_in *to)
+            const GroupDecision_t *decision, const struct sockaddr_in *to)
 {
     Wt__PlaceAnswer answer = WT__PLACE_ANSWER__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     answer.ticket = ticket;
-    answer.upstream = hash_or_zero(choice->upstream);
-    answer.fetch_from = hash_or_zero(choice->supply.source);
-    answer.supply = choice->supply.kind;
-    answer.move_us = clamp_to_32_bits(choice->supply.move_us);
-    answer.move_wait_us = clamp_to_32_bits(choice->supply.wait_us);
-    answer.cached_tokens = choice->expected_cached;
-    answer.cost_us = clamp_to_32_bits(choice->cost_us);
-    answer.own_us = clamp_to_32_bits(choice->own_us);
+    fill_answer(&answer, choice, decision);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ANSWER;
     message.place_answer = &answer;
     PeerDatagrams_send(this->spec.datagrams, to, &message);
@@ -104,6 +153,10 @@
         .level_tokens = {query->prefix_tokens, query->prompt_tokens},
         .prompt_tokens = MAX(query->prompt_tokens, query->prefix_tokens),
         .groups = Dispatch_countGroups(this, serving->len),
+        .group = query->group,
+        .urgent = query->urgent,
+        .urgent_objective_us = query->urgent_objective_us,
+        .partitions = this->spec.partitions,
         .avoid = UpstreamSet_findByHash(this->spec.upstreams, query->avoid),
         .run_us = query->run_us,
         .latest_us = query->latest_us,
@@ -113,6 +166,58 @@
     return placement;
 }
 
+/* Measures a request that was placed, as the partition of its group follows
+ * from what arrives and from how long prompts take. */
+static void
+measure_group(Dispatch_t *this, const Placement_t *placement,
+              const Choice_t *choice)
+{
+    if (placement->urgent_objective_us <= 0 || !this->spec.partitions) {
+        return;
+    }
+    GroupPartition_t *group = GroupPartitions_get(
+        this->spec.partitions, placement->target, choice->group);
+    GroupPartition_noteArrival(group, placement->urgent, placement->now_ms);
+    if (!placement->urgent) {
+        const PromptTime_t *time =
+            find_prompt_time(this, placement->target, choice->upstream);
+        guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
+        GroupPartition_notePrompt(
+            group,
+            PromptTime_computeUs(time, placement->prompt_tokens - cached));
+    }
+}
+
+GroupDecision_t
+Dispatch_decide(Dispatch_t *this, const Placement_t *placement,
+                const Choice_t *choice, const DispatchAdmission_t *admission)
+{
+    GroupDecision_t decision = {.verdict = GROUP_ADMITTED};
+    measure_group(this, placement, choice);
+    if (choice->side == 0 || admission->left_ms <= 0) {
+        return decision;
+    }
+    GroupRequest_t request = {
+        .placement = placement,
+        .choice = choice,
+        .customer = admission->customer,
+        .key = admission->key,
+        .left_ms = admission->left_ms,
+        .has_next = admission->has_next,
+    };
+    decision = DispatchGroups_decide(this->groups, &request);
+    Counters_add(this->spec.counters, "group_decisions_total",
+                 GroupAdmission_name(decision.verdict), 1);
+    if (decision.is_return) {
+        Counters_add(this->spec.counters,
+                     decision.verdict == GROUP_ADMITTED
+                         ? "promises_kept_total"
+                         : "promises_broken_total",
+                     NULL, 1);
+    }
+    return decision;
+}
+
 /* A duplicate query is not answered: the first one made the chosen engine
  * busier, so a second answer might name another engine. */
 static void
@@ -126,12 +231,18 @@
     this->spec.prefer(this->spec.owner, *query->model ? query->model : NULL,
                       &placement);
     Choice_t choice = Policy_choose(this->spec.policy, &placement);
+    GroupDecision_t decision = {.verdict = GROUP_ADMITTED};
     if (choice.upstream) {
+        DispatchAdmission_t admission = {query->customer, query->request,
+                                         query->left_ms, query->has_next};
+        decision = Dispatch_decide(this, &placement, &choice, &admission);
+    }
+    if (choice.upstream && decision.verdict == GROUP_ADMITTED) {
         Tickets_add(this->tickets, query->ticket, &placement, &choice);
         Policy_commit(this->spec.policy, &placement, &choice);
     }
     Counters_add(this->spec.counters, "places_answered_total", NULL, 1);
-    send_answer(this, query->ticket, &choice, from);
+    send_answer(this, query->ticket, &choice, &decision, from);
 }
 
 /* A router of another build may send kinds that this one does not know. */
@@ -152,6 +263,8 @@
         .expected_cached = answer->cached_tokens,
         .cost_us = answer->cost_us,
         .own_us = answer->own_us,
+        .group = answer->group,
+        .reserved = answer->reserved,
         .supply =
             {
                 .kind = get_supply_kind(answer),
@@ -164,15 +277,48 @@
     };
 }
 
+/* A verdict that this build does not know counts as a refusal for lack of
+ * room: the dispatcher has opened no ticket. */
+static GroupDecision_t
+make_decision(const Wt__PlaceAnswer *answer)
+{
+    return (GroupDecision_t){
+        .verdict = answer->verdict < GROUP_VERDICTS
+                       ? (GroupVerdict_t)answer->verdict
+                       : GROUP_LATE,
+        .retry_after_ms = answer->retry_after_ms,
+        .promised_us = answer->promised_us,
+        .is_return = answer->is_return,
+        .is_over_share = answer->over_share,
+    };
+}
+
 /* The query is removed before the callback runs, which may start another. */
 static void
-finish_query(DispatchQuery_t *query, const Choice_t *choice,
-             const DispatchTicket_t *ticket)
+finish_query(DispatchQuery_t *query, const DispatchAnswer_t *answer)
 {
     DispatchDone_t done = query->done;
     void *owner = query->owner;
     g_hash_table_remove(query->dispatch->queries, &query->ticket.id);
-    done(owner, choice, ticket);
+    done(owner, answer);
+}
+
+/* What the dispatcher has learned serves this router while the dispatcher does
+ * not answer. */
+static void
+learn_partition(const Dispatch_t *this, const DispatchQuery_t *query,
+                const Wt__PlaceAnswer *answer)
+{
+    if (!this->spec.partitions) {
+        return;
+    }
+    GroupPartitions_noteReported(this->spec.partitions, query->target->str,
+                                 answer->group, answer->reserved,
+                                 Clock_nowMs());
+    if (answer->ktoken_us > 0) {
+        set_speed(this, query->target->str,
+                  (double)answer->ktoken_us / TOKENS_PER_KTOKEN);
+    }
 }
 
 /* An answer to a query that was cancelled or has timed out ends its ticket. */
@@ -187,21 +333,51 @@
         send_update(this, &ticket, WT__PLACE_STATE__ENDED, 0);
         return;
     }
-    Choice_t choice = make_choice(this, answer);
-    finish_query(query, &choice, &ticket);
+    DispatchAnswer_t result = {
+        .choice = make_choice(this, answer),
+        .ticket = ticket,
+        .decision = make_decision(answer),
+    };
+    if (result.decision.verdict != GROUP_ADMITTED) {
+        result.ticket.id = 0;
+    }
+    learn_partition(this, query, answer);
+    finish_query(query, &result);
 }
 
+/* Learns the time of a prompt from an engine that had nothing else to do. In a
+ * partitioned group it is used for all engines of the target. */
 static void
-receive_update(const Dispatch_t *this, const Wt__PlaceNews *update)
+learn_first_token(Dispatch_t *this, const Wt__PlaceNews *update)
 {
     gint64 now_ms = Clock_nowMs();
-    switch (update->state) {
-    case WT__PLACE_STATE__BEGUN:
+    TicketFirstToken_t first =
         Tickets_noteFirstToken(this->tickets, update->ticket,
                                this->spec.policy, update->waited_us, now_ms);
+    if (!first.found_idle || first.upstream->serves->len == 0) {
+        return;
+    }
+    const GString *target = g_ptr_array_index(first.upstream->serves, 0);
+    PromptTime_t *time = find_prompt_time(this, target->str, first.upstream);
+    PromptTime_note(time, first.tokens, update->waited_us);
+    if (this->spec.partitions &&
+        GroupPartitions_isPartitioned(this->spec.partitions, target->str,
+                                      now_ms)) {
+        set_speed(this, target->str,
+                  (double)PromptTime_computeUs(time, TOKENS_PER_KTOKEN) /
+                      TOKENS_PER_KTOKEN);
+    }
+}
+
+static void
+receive_update(Dispatch_t *this, const Wt__PlaceNews *update)
+{
+    switch (update->state) {
+    case WT__PLACE_STATE__BEGUN:
+        learn_first_token(this, update);
         break;
     case WT__PLACE_STATE__REFUSED:
-        Tickets_noteRefusal(this->tickets, update->ticket, now_ms);
+        Tickets_noteRefusal(this->tickets, update->ticket, Clock_nowMs());
         break;
     default:
         Tickets_end(this->tickets, update->ticket);
@@ -237,14 +413,13 @@
     (void)what;
     DispatchQuery_t *query = data;
     Dispatch_t *this = query->dispatch;
-    DispatchTicket_t no_ticket = {0};
-    Choice_t no_choice = {.reason = "unanswered"};
+    DispatchAnswer_t no_answer = {.choice = {.reason = "unanswered"}};
     Membership_noteUnreachable(this->spec.membership,
                                query->dispatcher_name->str,
                                Clock_nowMs() + UNANSWERED_BACKOFF_MS);
     Counters_add(this->spec.counters, "places_unanswered_total", NULL, 1);
     send_update(this, &query->ticket, WT__PLACE_STATE__ENDED, 0);
-    finish_query(query, &no_choice, &no_ticket);
+    finish_query(query, &no_answer);
 }
 
 /* A dispatcher keeps the tickets of all routers in one table. Ids start at a
@@ -258,6 +433,12 @@
     return XXH3_64bits(process_name, strlen(process_name));
 }
 
+static void
+free_prompt_time(gpointer data)
+{
+    PromptTime_destroy(data);
+}
+
 Dispatch_t *
 Dispatch_create(struct event_base *base, const DispatchSpec_t *spec)
 {
@@ -265,6 +446,9 @@
     this->base = base;
     this->spec = *spec;
     this->tickets = Tickets_create(base);
+    this->groups = DispatchGroups_create();
+    this->prompt_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                               free_prompt_time);
     this->queries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_query);
     this->next_id = make_first_ticket_id(Membership_address(spec->membership));
@@ -276,6 +460,8 @@
 Dispatch_destroy(Dispatch_t *this)
 {
     Tickets_destroy(this->tickets);
+    DispatchGroups_destroy(this->groups);
+    g_hash_table_destroy(this->prompt_times);
     g_hash_table_destroy(this->queries);
     g_free(this);
 }
@@ -297,7 +483,8 @@
 
 static void
 send_query(Dispatch_t *this, const DispatchQuery_t *query,
-           const Placement_t *placement, const char *model)
+           const Placement_t *placement, const char *model,
+           const DispatchAdmission_t *admission)
 {
     Wt__PlaceAsk body = WT__PLACE_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
@@ -311,6 +498,14 @@
     body.avoid = hash_or_zero(placement->avoid);
     body.run_us = clamp_to_32_bits(placement->run_us);
     body.latest_us = clamp_to_32_bits(placement->latest_us);
+    body.urgent = placement->urgent;
+    body.urgent_objective_us =
+        clamp_to_32_bits(placement->urgent_objective_us);
+    body.group = placement->group;
+    body.customer = admission->customer;
+    body.request = admission->key;
+    body.left_ms = clamp_to_32_bits(admission->left_ms);
+    body.has_next = admission->has_next;
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ASK;
     message.place_ask = &body;
     PeerDatagrams_send(this->spec.datagrams, &query->ticket.dispatcher,
@@ -322,17 +517,19 @@
                 const Choice_t *choice)
 {
     char group[GROUP_NAME_SIZE];
+    guint number = placement->group > 0 ? placement->group - 1 : choice->group;
     g_snprintf(group, sizeof(group), "%.*s/%u", GROUP_TARGET_MAX,
-               placement->target, choice->group);
+               placement->target, number);
     return Membership_findReachableOwner(this->spec.membership, group,
                                          Clock_nowMs());
 }
 
 static DispatchQuery_t *
-create_query(Dispatch_t *this, const Member_t *dispatcher)
+create_query(Dispatch_t *this, const Member_t *dispatcher, const char *target)
 {
     DispatchQuery_t *query = g_new0(DispatchQuery_t, 1);
     query->dispatch = this;
+    query->target = g_string_new(target);
     query->ticket.id = ++this->next_id;
     query->ticket.dispatcher = PeerDatagrams_toSockaddr(&dispatcher->address);
     query->dispatcher_name = g_string_new(dispatcher->name->str);
@@ -344,7 +541,8 @@
 
 DispatchQuery_t *
 Dispatch_query(Dispatch_t *this, const Placement_t *placement,
-               const char *model, const Choice_t *choice, DispatchDone_t done,
+               const char *model, const Choice_t *choice,
+               const DispatchAdmission_t *admission, DispatchDone_t done,
                void *owner)
 {
     Member_t *dispatcher = placement->groups > 1 && placement->level_count > 0
@@ -353,10 +551,10 @@
     if (!dispatcher) {
         return NULL;
     }
-    DispatchQuery_t *query = create_query(this, dispatcher);
+    DispatchQuery_t *query = create_query(this, dispatcher, placement->target);
     query->done = done;
     query->owner = owner;
-    send_query(this, query, placement, model);
+    send_query(this, query, placement, model, admission);
     return query;
 }
 
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -14,6 +14,7 @@
  * that both act as the dispatcher of a group only worsen the load balance.
  */
 #include "Counters.h"
+#include "DispatchGroups.h"
 #include "Membership.h"
 #include "PeerDatagrams.h"
 #include "Policy.h"
@@ -37,13 +38,38 @@
 } DispatchTicket_t;
 
 /**
- * DispatchDone_t - called when a query is answered or has timed out
+ * struct DispatchAdmission_t - what the admission of a request depends on
+ * besides its placement
+ * @customer: hash of its customer
+ * @key: hash that is the same when its caller sends it again
+ * @left_ms: time until its caller's deadline; 0 for a request that the
+ *     dispatcher must not refuse
+ * @has_next: another group will be asked if this one refuses it
+ */
+typedef struct {
+    guint64 customer;
+    guint64 key;
+    gint64 left_ms;
+    gboolean has_next;
+} DispatchAdmission_t;
+
+/**
+ * struct DispatchAnswer_t - answer of a dispatcher
  * @choice: the dispatcher's choice; its upstream is NULL if the requester has
  *     to choose
  * @ticket: to be ended with Dispatch_endTicket(); its id is 0 after a timeout
+ *     and for a refused request
+ * @decision: whether the group admits the request; GROUP_ADMITTED if its
+ *     engines are not partitioned
  */
-typedef void (*DispatchDone_t)(void *owner, const Choice_t *choice,
-                               const DispatchTicket_t *ticket);
+typedef struct {
+    Choice_t choice;
+    DispatchTicket_t ticket;
+    GroupDecision_t decision;
+} DispatchAnswer_t;
+
+/** DispatchDone_t - called when a query is answered or has timed out */
+typedef void (*DispatchDone_t)(void *owner, const DispatchAnswer_t *answer);
 
 /**
  * struct DispatchSpec_t - dependencies, which must outlive the Dispatch_t
@@ -51,6 +77,7 @@
  * @datagrams: carries messages to and from the other routers
  * @upstreams: the engines to choose from
  * @policy: chooses an engine where this router is the dispatcher
+ * @partitions: partitions of the groups
  * @counters: counts answered and unanswered queries
  * @prefer: sets the preferred weights of a model in a placement
  * @owner: argument of @prefer
@@ -60,6 +87,7 @@
     PeerDatagrams_t *datagrams;
     UpstreamSet_t *upstreams;
     Policy_t *policy;
+    GroupPartitions_t *partitions;
     Counters_t *counters;
     void (*prefer)(const void *owner, const char *model,
                    Placement_t *placement);
@@ -88,6 +116,7 @@
  * @placement: the request; no query is sent if it has no prefix level
  * @model: model whose preferred weights apply, or NULL
  * @choice: what this router would choose by itself
+ * @admission: see DispatchAdmission_t
  * @done: called once after this function has returned, unless the query is
  *     cancelled
  * @owner: argument of @done
@@ -97,8 +126,21 @@
  */
 DispatchQuery_t *Dispatch_query(Dispatch_t *this, const Placement_t *placement,
                                 const char *model, const Choice_t *choice,
+                                const DispatchAdmission_t *admission,
                                 DispatchDone_t done, void *owner);
 
+/**
+ * Dispatch_decide() - decide on a request of this router in a group that it
+ * dispatches for itself, after Dispatch_query() has returned NULL
+ * @placement: the request
+ * @choice: the engine chosen
+ *
+ * Return: the decision; GROUP_ADMITTED if the group is not partitioned
+ */
+GroupDecision_t Dispatch_decide(Dispatch_t *this, const Placement_t *placement,
+                                const Choice_t *choice,
+                                const DispatchAdmission_t *admission);
+
 /** Dispatch_cancelQuery() - drop a query without calling its @done */
 void Dispatch_cancelQuery(DispatchQuery_t *query);
 
--- a/src/GroupPartitions.h
+++ b/src/GroupPartitions.h
@@ -39,4 +39,9 @@
                                guint group, const GroupSize_t *size,
                                gint64 urgent_objective_us, gint64 now_ms);
 
+/** GroupPartitions_isPartitioned() - whether any group of a target was
+ * partitioned in the last seconds, as far as this router knows */
+gboolean GroupPartitions_isPartitioned(const GroupPartitions_t *this,
+                                       const char *target, gint64 now_ms);
+
 #endif
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "Clock.h"
 #include "EngineQueue.h"
 #include "PrefixSupply.h"
 #include "Residency.h"
@@ -60,7 +61,11 @@
     Upstream_t *list[CANDIDATES_MAX]; /* the home first */
     guint count;
     PrefixHolders_t holders;
-    guint ring_max;           /* engines to take from the ring */
+    guint ring_max; /* engines to take from the ring */
+    guint group;    /* that takes the request */
+    guint reserved; /* engines reserved for urgent requests */
+    guint side; /* engines on the request's side, first in the list; 0 if the
+                 * group is not partitioned */
     guint64 short_hash_limit; /* engines of a lower hash serve short prompts */
 } CandidateSet_t;
 
@@ -234,6 +239,114 @@
     }
 }
 
+static gint
+compare_upstreams(gconstpointer a, gconstpointer b)
+{
+    const Upstream_t *left = *(Upstream_t *const *)a;
+    const Upstream_t *right = *(Upstream_t *const *)b;
+    return (left->hash > right->hash) - (left->hash < right->hash);
+}
+
+/* The usable engines of the group, the lowest hash first. */
+static GPtrArray *
+find_group_engines(const CandidateSet_t *candidates)
+{
+    const Placement_t *placement = candidates->placement;
+    GPtrArray *engines = g_ptr_array_new();
+    for (guint i = 0; i < placement->serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
+        if (group_of(placement, upstream) == candidates->group &&
+            Policy_mayUse(placement, upstream)) {
+            g_ptr_array_add(engines, upstream);
+        }
+    }
+    g_ptr_array_sort(engines, compare_upstreams);
+    return engines;
+}
+
+/* Adds the engines from index @from up to index @to, the home of the prefix
+ * first. */
+static void
+add_side(CandidateSet_t *candidates, const GPtrArray *engines, guint from,
+         guint to)
+{
+    g_autoptr(GArray) side = g_array_new(FALSE, FALSE, sizeof(RankedEngine_t));
+    for (guint i = from; i < to; i++) {
+        Upstream_t *upstream = g_ptr_array_index(engines, i);
+        RankedEngine_t ranked = {
+            upstream, rendezvous_hash(candidates->placement, upstream)};
+        g_array_append_val(side, ranked);
+    }
+    g_array_sort(side, compare_ranks);
+    for (guint i = 0; i < side->len && candidates->count < CANDIDATES_MAX;
+         i++) {
+        candidates->list[candidates->count++] =
+            g_array_index(side, RankedEngine_t, i).upstream;
+    }
+}
+
+static gboolean
+is_idle(const Upstream_t *upstream, gint64 now_ms)
+{
+    return upstream->backlog.open == 0 && upstream->pending_tokens == 0 &&
+           Upstream_countRequests(upstream) < upstream->slots &&
+           Upstream_waitUs(upstream, now_ms) < UPSTREAM_MIN_FIRST_TOKEN_US;
+}
+
+/* An engine that computes nothing may serve an urgent request although it is
+ * not reserved. */
+static void
+add_idle(CandidateSet_t *candidates, const GPtrArray *engines, guint from)
+{
+    for (guint i = from;
+         i < engines->len && candidates->count < CANDIDATES_MAX; i++) {
+        Upstream_t *upstream = g_ptr_array_index(engines, i);
+        if (is_idle(upstream, candidates->placement->now_ms)) {
+            candidates->list[candidates->count++] = upstream;
+        }
+    }
+}
+
+/* An urgent route may have a prompt that is as long as the others'. */
+static gboolean
+uses_reserved(const Placement_t *placement, const Upstream_t *upstream)
+{
+    gint64 compute_us =
+        (gint64)(placement->prompt_tokens * upstream->prefill_us_per_token);
+    return placement->urgent && compute_us <= placement->urgent_objective_us;
+}
+
+/* Takes the engines on the request's side of the partition as candidates.
+ * Returns FALSE if the group is not partitioned. */
+static gboolean
+add_partition_side(CandidateSet_t *candidates)
+{
+    const Placement_t *placement = candidates->placement;
+    if (!placement->partitions || placement->urgent_objective_us <= 0) {
+        return FALSE;
+    }
+    g_autoptr(GPtrArray) engines = find_group_engines(candidates);
+    const Upstream_t *first =
+        engines->len > 0 ? g_ptr_array_index(engines, 0) : NULL;
+    GroupSize_t size = {engines->len, first ? first->slots : 0};
+    guint reserved = GroupPartitions_reserved(
+        placement->partitions, placement->target, candidates->group, &size,
+        placement->urgent_objective_us, placement->now_ms);
+    if (reserved == 0 || reserved >= engines->len) {
+        return FALSE;
+    }
+    gboolean is_reserved = uses_reserved(placement, first);
+    candidates->count = 0;
+    candidates->reserved = reserved;
+    add_side(candidates, engines, is_reserved ? 0 : reserved,
+             is_reserved ? reserved : engines->len);
+    candidates->side = candidates->count;
+    if (is_reserved) {
+        add_idle(candidates, engines, reserved);
+    }
+    return TRUE;
+}
+
 static void
 add_engines_for_short(CandidateSet_t *candidates)
 {
@@ -273,12 +386,22 @@
     candidates->short_hash_limit = find_short_hash_limit(placement);
     Ring_walk(target->ring, PrefixSupply_key(placement), RING_POINTS_MAX,
               visit_ring_engine, candidates);
-    if (grouped && candidates->count > 0) {
+    guint home_group =
+        candidates->count > 0 ? group_of(placement, candidates->list[0]) : 0;
+    candidates->group =
+        placement->group > 0 ? placement->group - 1 : home_group;
+    gboolean is_partitioned = grouped && add_partition_side(candidates);
+    if (!is_partitioned) {
+        candidates->group = home_group;
+    }
+    if (grouped && !is_partitioned && candidates->count > 0) {
         add_group_members(candidates);
     }
     if (placement->level_count > 0) {
         PrefixSupply_findHolders(candidates->policy->residency, placement,
                                  target->by_hash, &candidates->holders);
+    }
+    if (!is_partitioned) {
         add_holders(candidates);
     }
     if (!grouped && candidates->short_hash_limit > 0 &&
@@ -337,14 +460,26 @@
            PREFIX_SUPPLY_COMPUTE_FACTOR;
 }
 
+/* Time until the engine begins to compute the prompt. In a partitioned group
+ * the prompts placed there are known by time. */
+static gint64
+begin_us(const CandidateSet_t *candidates, const Upstream_t *upstream)
+{
+    gint64 queue = queue_us(upstream, candidates->placement->now_ms);
+    return candidates->side > 0
+               ? MAX(queue,
+                     EngineBacklog_waitUs(&upstream->backlog, Clock_nowUs()))
+               : queue + load_us(upstream);
+}
+
 /* Expected time to the first token. */
 static gint64
-expected_us(const Placement_t *placement, const Upstream_t *upstream,
+expected_us(const CandidateSet_t *candidates, const Upstream_t *upstream,
             const Supply_t *supply)
 {
-    return queue_us(upstream, placement->now_ms) + load_us(upstream) +
-           prompt_compute_us(placement, upstream, supply) + supply->move_us +
-           supply->wait_us;
+    return begin_us(candidates, upstream) +
+           prompt_compute_us(candidates->placement, upstream, supply) +
+           supply->move_us + supply->wait_us;
 }
 
 /* Penalties of an engine beyond the expected time to the first token. */
@@ -367,6 +502,9 @@
     if (placement->latest_us > 0 && expected > placement->latest_us) {
         penalty += LATE_COST_US;
     }
+    if (candidates->side > 0 && rank >= candidates->side) {
+        penalty += placement->latest_us;
+    }
     if (has_old_weights(placement, upstream)) {
         penalty += OLD_WEIGHTS_COST_US;
     }
@@ -386,8 +524,7 @@
         Upstream_t *upstream = candidates->list[rank];
         Supply_t supply = PrefixSupply_find(&candidates->holders,
                                             candidates->placement, upstream);
-        gint64 expected =
-            expected_us(candidates->placement, upstream, &supply);
+        gint64 expected = expected_us(candidates, upstream, &supply);
         gint64 cost =
             expected + penalty_us(candidates, rank, &supply, expected);
         if (cost < min_cost) {
@@ -435,8 +572,9 @@
     CandidateSet_t candidates = {.policy = this, .placement = placement};
     find_candidates(&candidates, target_of(this, placement));
     Choice_t choice = find_cheapest(&candidates);
-    choice.group =
-        candidates.count > 0 ? group_of(placement, candidates.list[0]) : 0;
+    choice.group = candidates.group;
+    choice.reserved = candidates.reserved;
+    choice.side = candidates.side;
     if (choice.upstream) {
         fill_supply(&candidates, &choice);
     }
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -8,6 +8,7 @@
  */
 #include <glib.h>
 
+#include "GroupPartitions.h"
 #include "Prompt.h"
 #include "Settings.h"
 #include "Upstream.h"
@@ -44,6 +45,12 @@
  *     this request; NULL for any
  * @groups: number of groups that the upstreams are divided into; the request
  *     stays in the group of its home; 0 or 1 for no groups
+ * @group: group that is to take the request in place of that of its home, plus
+ *     1; 0 for the group of its home
+ * @urgent: the request belongs to an urgent route of its service
+ * @urgent_objective_us: objective of the urgent routes of the service; 0 if
+ *     its engines are not to be partitioned
+ * @partitions: partitions of the groups, or NULL
  * @excludes_limited: upstreams that have named a limit are not used
  * @ignores_limits: limits that upstreams have named do not count
  * @ignores_backoffs: backoffs that upstreams have asked for do not count
@@ -76,6 +83,10 @@
     const Upstream_t *avoid;
     const Upstream_t *permitted;
     guint groups;
+    guint group;
+    gboolean urgent;
+    gint64 urgent_objective_us;
+    GroupPartitions_t *partitions;
     gboolean excludes_limited;
     gboolean ignores_limits;
     gboolean ignores_backoffs;
@@ -136,6 +147,9 @@
  * @own_us: part of @cost_us that computes this prompt
  * @supply: how the upstream obtains the shared part of the prompt
  * @group: group of the home, where there are groups
+ * @reserved: engines of the group that are reserved for urgent requests
+ * @side: engines of the group on the request's side of the partition; 0 if the
+ *     group is not partitioned
  */
 typedef struct {
     Upstream_t *upstream;
@@ -146,6 +160,8 @@
     gint64 own_us;
     Supply_t supply;
     guint group;
+    guint reserved;
+    guint side;
 } Choice_t;
 
 typedef struct Policy Policy_t;
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -1,8 +1,11 @@
 #include "RelayDispatch.h"
 
+#include <string.h>
+
 #include "Clock.h"
 #include "ExchangeCapacity.h"
 #include "LoadShed.h"
+#include "Log.h"
 #include "RelayRun.h"
 
 /* While a request waits for another attempt, its key may be revoked or
@@ -63,21 +66,30 @@
 
 /* Only a first attempt is shed: a request with later ones has waited
  * already. */
+static gboolean
+may_be_shed(const RelayExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    return this->route->by_prefix && super->attempts == 0 &&
+           super->context->settings->relay.refuse_late;
+}
+
 static gboolean
 shed_if_late(RelayExchange_t *this, const RelayDestination_t *destination)
 {
     const Exchange_t *super = &this->super;
     const Context_t *context = super->context;
-    if (!this->route->by_prefix || super->attempts > 0 ||
-        !context->settings->relay.refuse_late) {
+    if (!may_be_shed(this)) {
         return FALSE;
     }
     LoadShedInput_t shed_input = {
         .expected_us = destination->choice.cost_us,
         .own_us = destination->choice.own_us,
         .objective_ms = this->route->objective_ms,
-        .spread_us = EstimateError_spreadUs(context->estimate_error,
-                                            super->target->str),
+        .spread_us = EstimateError_spreadUs(
+            context->estimate_error,
+            RelayPlacer_spreadKey(context, &destination->placement,
+                                  this->route->name->str)),
         .left_ms = super->deadline_ms - Clock_nowMs(),
     };
     LoadShedDecision_t decision = LoadShed_decide(&shed_input);
@@ -116,11 +128,6 @@
               RelayDestination_t *destination)
 {
     Exchange_t *super = &this->super;
-    if (shed_if_late(this, destination)) {
-        RelayExchange_endTicket(this);
-        refuse_request(super, REFUSAL_OVERLOADED);
-        return;
-    }
     if (!ExchangeCapacity_acquire(super, destination->choice.upstream)) {
         return;
     }
@@ -129,6 +136,20 @@
     RelayRun_start(this, destination);
 }
 
+/* Starts an attempt that no dispatcher has admitted, unless it would be
+ * late. */
+static void
+start_or_shed(RelayExchange_t *this, const RelayPlacementInput_t *input,
+              RelayDestination_t *destination)
+{
+    if (shed_if_late(this, destination)) {
+        RelayExchange_endTicket(this);
+        refuse_request(&this->super, REFUSAL_OVERLOADED);
+        return;
+    }
+    start_attempt(this, input, destination);
+}
+
 /* Chooses an upstream from this router's own knowledge; refuses the request if
  * it is not allowed or no upstream fits. */
 static gboolean
@@ -155,27 +176,104 @@
     return TRUE;
 }
 
+static void on_dispatched(void *owner, const DispatchAnswer_t *answer);
+
+static void
+log_decision(const RelayExchange_t *this, const DispatchAnswer_t *answer)
+{
+    const Choice_t *choice = &answer->choice;
+    const GroupDecision_t *decision = &answer->decision;
+    Log_begin(LOG_LEVEL_INFO, "request_shed");
+    Log_text("request", this->super.id->str);
+    Log_text("upstream", choice->upstream ? choice->upstream->name->str : "");
+    Log_text("verdict", GroupAdmission_name(decision->verdict));
+    Log_text("customer", this->super.customer->str);
+    Log_number("rank", RelayExchange_rank(this));
+    Log_number("group", choice->group);
+    Log_number("reserved", choice->reserved);
+    Log_number("expected_us", choice->cost_us);
+    Log_number("own_us", choice->own_us);
+    Log_number("promised_us", decision->promised_us);
+    Log_number("is_return", decision->is_return);
+    Log_number("over_share", decision->is_over_share);
+    Log_number("objective_ms", this->route->objective_ms);
+    Log_number("left_ms", this->admission.left_ms);
+    Log_number("retry_after_ms", decision->retry_after_ms);
+    Log_end();
+}
+
+/* The group that is asked after @refused: any other one, by the request. */
+static guint
+select_next_group(const RelayExchange_t *this, guint refused, guint groups)
+{
+    guint step = 1 + (guint)(this->admission.key % (groups - 1));
+    return (refused + step) % groups;
+}
+
+/* Asks a second group for a request that the first one has no room for.
+ * Returns FALSE if it was asked already, or there is none. */
+static gboolean
+ask_next_group(RelayExchange_t *this, const DispatchAnswer_t *answer)
+{
+    Context_t *context = this->super.context;
+    RelayPlacementInput_t input = RelayExchange_placementInput(this);
+    RelayDestination_t destination;
+    if (!this->admission.has_next) {
+        return FALSE;
+    }
+    RelayPlacer_choose(context, &input, &destination);
+    this->next_group = 1 + select_next_group(this, answer->choice.group,
+                                             destination.placement.groups);
+    destination.placement.group = this->next_group;
+    this->admission.has_next = FALSE;
+    this->query = Dispatch_query(context->dispatch, &destination.placement,
+                                 this->request.model, &destination.choice,
+                                 &this->admission, on_dispatched, this);
+    return this->query != NULL;
+}
+
+static void
+refuse_for_group(RelayExchange_t *this, const DispatchAnswer_t *answer)
+{
+    log_decision(this, answer);
+    if (answer->decision.retry_after_ms > 0) {
+        RelayAnswer_setRetryAfter(this->answer,
+                                  answer->decision.retry_after_ms);
+    }
+    refuse_request(&this->super, REFUSAL_OVERLOADED);
+}
+
 static void
-on_dispatched(void *owner, const Choice_t *choice,
-              const DispatchTicket_t *ticket)
+on_dispatched(void *owner, const DispatchAnswer_t *answer)
 {
     RelayExchange_t *this = owner;
     RelayPlacementInput_t input = RelayExchange_placementInput(this);
     RelayDestination_t destination;
     this->query = NULL;
-    this->ticket = *ticket;
+    this->ticket = answer->ticket;
     if (this->super.over || this->super.caller_left ||
         !choose_upstream(this, &input, &destination)) {
         RelayExchange_endTicket(this);
         return;
     }
-    if (is_usable(&destination, choice)) {
-        destination.choice = *choice;
+    if (answer->decision.verdict != GROUP_ADMITTED) {
+        if (!ask_next_group(this, answer)) {
+            refuse_for_group(this, answer);
+        }
+        return;
     }
-    else {
+    if (!is_usable(&destination, &answer->choice)) {
         RelayExchange_endTicket(this);
+        start_or_shed(this, &input, &destination);
+        return;
+    }
+    destination.choice = answer->choice;
+    if (answer->choice.reserved > 0) {
+        start_attempt(this, &input, &destination);
+    }
+    else {
+        start_or_shed(this, &input, &destination);
     }
-    start_attempt(this, &input, &destination);
 }
 
 /* The dispatcher to query, or NULL if there is none, the route is not placed
@@ -203,6 +301,50 @@
     }
 }
 
+/* A request that must not be refused has no left_ms. */
+static void
+fill_admission(RelayExchange_t *this, const Placement_t *placement)
+{
+    Exchange_t *super = &this->super;
+    GBytes *key = super->context->settings->keys.salt;
+    gboolean is_refusable = may_be_shed(this);
+    this->admission = (DispatchAdmission_t){0};
+    if (placement->urgent_objective_us <= 0 || !super->request_hashes) {
+        return;
+    }
+    const RequestDigest_t *digest =
+        RequestHashes_digest(super->request_hashes, key);
+    memcpy(&this->admission.key, digest->bytes, sizeof(this->admission.key));
+    this->admission.customer =
+        RequestHashes_customerHash(super->request_hashes, key);
+    this->admission.left_ms =
+        is_refusable ? MAX(super->deadline_ms - Clock_nowMs(), 1) : 0;
+    this->admission.has_next = is_refusable && placement->urgent &&
+                               placement->groups > 1 && this->next_group == 0;
+}
+
+/* Decides on a request in a group that this router dispatches for itself. */
+static void
+decide_here(RelayExchange_t *this, const RelayPlacementInput_t *input,
+            RelayDestination_t *destination)
+{
+    DispatchAnswer_t answer = {.choice = destination->choice};
+    answer.decision =
+        Dispatch_decide(this->super.context->dispatch, &destination->placement,
+                        &destination->choice, &this->admission);
+    if (answer.decision.verdict == GROUP_ADMITTED) {
+        if (answer.choice.reserved > 0) {
+            start_attempt(this, input, destination);
+        }
+        else {
+            start_or_shed(this, input, destination);
+        }
+    }
+    else if (!ask_next_group(this, &answer)) {
+        refuse_for_group(this, &answer);
+    }
+}
+
 void
 RelayDispatch_place(RelayExchange_t *this)
 {
@@ -213,12 +355,16 @@
         return;
     }
     Dispatch_t *dispatch = select_dispatcher(this, &input);
+    fill_admission(this, &destination.placement);
     this->query =
         dispatch ? Dispatch_query(dispatch, &destination.placement,
                                   this->request.model, &destination.choice,
-                                  on_dispatched, this)
+                                  &this->admission, on_dispatched, this)
                  : NULL;
-    if (!this->query) {
-        start_attempt(this, &input, &destination);
+    if (!this->query && dispatch) {
+        decide_here(this, &input, &destination);
+    }
+    else if (!this->query) {
+        start_or_shed(this, &input, &destination);
     }
 }
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -25,9 +25,18 @@
         .customer = this->customer,
         .request = &this->request,
         .terms = ExchangeCapacity_terms(&this->super),
+        .group = this->next_group,
     };
 }
 
+guint
+RelayExchange_rank(const RelayExchange_t *this)
+{
+    return this->customer && this->customer->rank != ROUTE_NO_RANK
+               ? this->customer->rank
+               : this->route->rank;
+}
+
 void
 RelayExchange_endTicket(RelayExchange_t *this)
 {
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -59,6 +59,9 @@
  * @move: move to another engine, in parallel to @attempt, or NULL
  * @query: query to the dispatcher under way, or NULL
  * @ticket: dispatcher's ticket of the attempt
+ * @admission: what the dispatcher's admission depends on
+ * @next_group: the group that is asked after another one has refused the
+ *     request, plus 1; 0 if none was asked
  * @event_pipe: events of a stream; NULL for a route without streams
  * @answer_body: body of an answer that is not a stream, until it is complete
  * @outgoing: events to be sent to the caller next
@@ -88,6 +91,8 @@
     RelayMove_t *move;
     DispatchQuery_t *query;
     DispatchTicket_t ticket;
+    DispatchAdmission_t admission;
+    guint next_group;
     EventPipe_t *event_pipe;
     struct evbuffer *answer_body;
     struct evbuffer *outgoing;
@@ -106,6 +111,10 @@
 RelayPlacementInput_t
 RelayExchange_placementInput(const RelayExchange_t *this);
 
+/** RelayExchange_rank() - rank of the request: that of its customer, if it has
+ * one, else that of its route */
+guint RelayExchange_rank(const RelayExchange_t *this);
+
 /** RelayExchange_endTicket() - notify the dispatcher to stop counting the
  * request; may be called again */
 void RelayExchange_endTicket(RelayExchange_t *this);
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -17,6 +17,7 @@
 {
     guint prompt_tokens = destination->placement.prompt_tokens;
     this->context = context;
+    this->route = destination->route;
     this->upstream = destination->choice.upstream;
     this->origin = NoticeOrigin_begin(this->upstream, request_id);
     this->placement = destination->placement;
@@ -26,6 +27,7 @@
         prompt_tokens -
         MIN(destination->choice.expected_cached, prompt_tokens);
     this->upstream->pending_tokens += this->missing_tokens;
+    this->is_partitioned = destination->choice.reserved > 0;
     this->first_event_us = 0;
     FirstTokenEstimate_clear(&this->first_token);
     FirstTokenEstimate_expect(&this->first_token, &destination->placement,
@@ -81,12 +83,14 @@
 }
 
 /* The wait shows the engine's speed only if the prefix was held or computed
- * there; otherwise it includes, or may include, a transfer of the prefix. */
+ * there; otherwise it includes, or may include, a transfer of the prefix. The
+ * dispatcher of a partitioned group tells the speed. */
 static void
 note_speed(const RelayFeedback_t *this, gint64 waited_us)
 {
     SupplyKind_t kind = this->first_token.supply.kind;
-    if (kind != SUPPLY_HELD && kind != SUPPLY_COMPUTED) {
+    if ((kind != SUPPLY_HELD && kind != SUPPLY_COMPUTED) ||
+        this->is_partitioned) {
         return;
     }
     EngineSpeed_t *speed = find_speed(this);
@@ -119,7 +123,9 @@
     note_speed(this, waited_us);
     if (this->placement.level_count > 0) {
         EstimateError_noteFirst(this->context->estimate_error,
-                                this->placement.target,
+                                RelayPlacer_spreadKey(this->context,
+                                                      &this->placement,
+                                                      this->route),
                                 this->first_token.expected_us, waited_us);
     }
     this->first_event_us = Clock_nowUs();
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -20,6 +20,8 @@
  * @upstream: upstream of the attempt; the exchange holds the reference while
  *     the attempt is under way
  * @origin: origin of notices in the answer
+ * @route: name of the request's route, which outlives the attempt
+ * @is_partitioned: the upstream is in a partitioned group
  * @placement: inputs of the upstream's choice
  * @first_token: estimate of the time to the first token
  * @missing_tokens: prompt tokens counted in @upstream->pending_tokens
@@ -30,6 +32,8 @@
     const Context_t *context;
     Upstream_t *upstream;
     NoticeOrigin_t origin;
+    const char *route;
+    gboolean is_partitioned;
     Placement_t placement;
     FirstTokenEstimate_t first_token;
     guint missing_tokens;
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -326,18 +326,17 @@
 }
 
 static void
-on_dispatched(void *owner, const Choice_t *choice,
-              const DispatchTicket_t *ticket)
+on_dispatched(void *owner, const DispatchAnswer_t *answer)
 {
     RelayMove_t *this = owner;
     RelayPlacementInput_t input;
     RelayDestination_t destination;
     this->query = NULL;
-    this->ticket = *ticket;
+    this->ticket = answer->ticket;
     choose_upstream(this->exchange, &input, &destination);
-    if (choice->upstream &&
-        Policy_mayUse(&destination.placement, choice->upstream)) {
-        destination.choice = *choice;
+    if (answer->choice.upstream &&
+        Policy_mayUse(&destination.placement, answer->choice.upstream)) {
+        destination.choice = answer->choice;
     }
     else if (get_context(this)->dispatch) {
         Dispatch_endTicket(get_context(this)->dispatch, &this->ticket);
@@ -362,6 +361,7 @@
 start_move(RelayExchange_t *exchange, const MoveCause_t *cause)
 {
     Context_t *context = exchange->super.context;
+    DispatchAdmission_t no_admission = {0};
     RelayPlacementInput_t input;
     RelayDestination_t destination;
     choose_upstream(exchange, &input, &destination);
@@ -377,7 +377,7 @@
         context->dispatch
             ? Dispatch_query(context->dispatch, &destination.placement,
                              exchange->request.model, &destination.choice,
-                             on_dispatched, this)
+                             &no_admission, on_dispatched, this)
             : NULL;
     if (!this->query) {
         send_or_cancel(this, &input, &destination);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -244,6 +244,7 @@
         .datagrams = context->datagrams,
         .upstreams = context->upstreams,
         .policy = context->policy,
+        .partitions = context->partitions,
         .counters = context->counters,
         .prefer = fill_model_inputs,
         .owner = context,
@@ -265,6 +266,7 @@
     context->estimate_error = EstimateError_create();
     context->engine_split = EngineSplit_create();
     context->run_times = RunTimes_create();
+    context->partitions = GroupPartitions_create();
     context->speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     context->mover =
@@ -331,6 +333,7 @@
     EstimateError_destroy(this->context->estimate_error);
     EngineSplit_destroy(this->context->engine_split);
     RunTimes_destroy(this->context->run_times);
+    GroupPartitions_destroy(this->context->partitions);
     HintBroadcast_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
     StoreEpoch_destroy(this->epoch);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -4,6 +4,7 @@
 #include "LoadShed.h"
 #include "Log.h"
 #include "PrefixSupply.h"
+#include "RouteUrgency.h"
 
 /* A request that waits in the queue of an engine with older weights is taken
  * back this long before weights_limit_ms, as routers learn of newer versions
@@ -208,6 +209,32 @@
     }
 }
 
+/* Services without urgent routes are placed without partitions. */
+static void
+fill_urgency(const Context_t *context, const RelayPlacementInput_t *input,
+             Placement_t *placement)
+{
+    const RouteConfig_t *config = RouteTable_config(context->routes);
+    if (!config || !context->settings->relay.partition_engines) {
+        return;
+    }
+    RouteUrgency_t urgency = RouteUrgency_find(config, input->service);
+    placement->urgent = RouteUrgency_covers(&urgency, input->route);
+    placement->urgent_objective_us = urgency.objective_ms * CLOCK_US_PER_MS;
+    placement->partitions = context->partitions;
+}
+
+const char *
+RelayPlacer_spreadKey(const Context_t *context, const Placement_t *placement,
+                      const char *route)
+{
+    gboolean is_apart =
+        placement->urgent &&
+        GroupPartitions_isPartitioned(context->partitions, placement->target,
+                                      placement->now_ms);
+    return is_apart ? route : placement->target;
+}
+
 static void
 choose_by_prefix(const Context_t *context, const RelayPlacementInput_t *input,
                  RelayDestination_t *out)
@@ -218,6 +245,8 @@
                                 &out->placement);
     guint64 seed = Salt_make(&salt_input, key, out->salt);
     fill_levels(&out->placement, input->request, seed);
+    fill_urgency(context, input, &out->placement);
+    out->placement.group = input->group;
     out->placement.groups =
         context->dispatch ? Dispatch_countGroups(context->dispatch,
                                                  out->placement.serving->len)
@@ -225,11 +254,12 @@
     out->placement.run_us =
         RunTimes_expectedUs(context->run_times, input->route->name->str);
     if (input->route->objective_ms > 0) {
-        out->placement.latest_us = MAX(
-            LoadShed_latestUs(input->route->objective_ms,
-                              EstimateError_spreadUs(context->estimate_error,
-                                                     input->service)),
-            1);
+        const char *key = RelayPlacer_spreadKey(context, &out->placement,
+                                                input->route->name->str);
+        gint64 spread_us =
+            EstimateError_spreadUs(context->estimate_error, key);
+        out->placement.latest_us =
+            MAX(LoadShed_latestUs(input->route->objective_ms, spread_us), 1);
     }
     out->choice = Policy_choose(context->policy, &out->placement);
 }
@@ -240,6 +270,7 @@
 {
     const Settings_t *settings = context->settings;
     *out = (RelayDestination_t){
+        .route = input->route->name->str,
         .placement =
             {
                 .target = input->service,
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -23,6 +23,7 @@
  * @customer: customer of the request, or NULL
  * @request: the parsed head
  * @terms: which upstreams the request may use
+ * @group: group of engines that is to take it, plus 1; 0 for that of its home
  */
 typedef struct {
     const Route_t *route;
@@ -30,11 +31,13 @@
     const RouteCustomer_t *customer;
     const RelayRequest_t *request;
     PlacementConstraints_t terms;
+    guint group;
 } RelayPlacementInput_t;
 
 /**
  * struct RelayDestination_t - where a request is sent; valid until the end of
  * the loop iteration
+ * @route: name of the request's route
  * @placement: inputs of the choice, for Policy_learn()
  * @choice: the chosen upstream, or none
  * @salt: cache salt; empty for a plain service
@@ -43,6 +46,7 @@
  * @saved_prefix: identity of the prefix that may be saved
  */
 typedef struct {
+    const char *route;
     Placement_t placement;
     Choice_t choice;
     char salt[SALT_LENGTH + 1];
@@ -78,6 +82,17 @@
 void RelayPlacer_fillModelInputs(const Context_t *context, const char *model,
                                  Placement_t *placement);
 
+/**
+ * RelayPlacer_spreadKey() - key of the errors of a request's estimates
+ *
+ * Urgent requests on engines of their own are estimated better than others.
+ *
+ * Return: @route or the target of the placement
+ */
+const char *RelayPlacer_spreadKey(const Context_t *context,
+                                  const Placement_t *placement,
+                                  const char *route);
+
 /** RelayPlacer_choose() - choose an upstream; fills in @placement, @choice and
  * a salt that does not depend on the upstream */
 void RelayPlacer_choose(const Context_t *context,
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -191,6 +191,14 @@
      "Whether a request is refused at once if no engine is expected to begin "
      "the answer within the objective of the request's route.",
      KEY_LIVE},
+    {"partition_engines", KEY_CHOICE, FALSE, "no", 0, 0, "no,yes",
+     A(partition_engines),
+     "Whether the dispatcher of a group of engines reserves some of them for "
+     "urgent requests, admits requests by rank and customer, and tells the "
+     "others when to return. Takes effect for a service whose routes have "
+     "different ranks, while a prompt of the less urgent takes an engine "
+     "longer than the objective of the most urgent.",
+     KEY_LIVE},
     {NULL},
 };
 #undef A
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -15,7 +15,14 @@
     Upstream_t *upstream;
     guint64 prefix;
     guint prefix_tokens;
-    guint tokens; /* prompt tokens not computed yet; 0 once begun */
+    guint tokens;          /* prompt tokens not computed yet; 0 once begun */
+    guint computed_tokens; /* prompt tokens that the upstream computes */
+    gint64 own_us;         /* expected time to compute them */
+    gboolean found_idle;   /* see TicketFirstToken_t */
+    GString *target;
+    GroupPartitions_t *partitions; /* NULL if the group is not partitioned */
+    guint group;
+    gboolean urgent;
     FirstTokenEstimate_t first_token;
     gboolean begun;
     gint64 begun_ms; /* 0 unless @begun */
@@ -27,6 +34,9 @@
 {
     ticket->upstream->ticket_tokens -= ticket->tokens;
     ticket->tokens = 0;
+    if (!ticket->begun) {
+        EngineBacklog_remove(&ticket->upstream->backlog, Clock_nowUs());
+    }
 }
 
 static void
@@ -37,6 +47,7 @@
     ticket->upstream->ticket_requests--;
     FirstTokenEstimate_clear(&ticket->first_token);
     Upstream_unref(ticket->upstream);
+    g_string_free(ticket->target, TRUE);
     g_free(ticket);
 }
 
@@ -85,6 +96,29 @@
     g_free(this);
 }
 
+/* The first token of a request shows how long its prompt took to compute only
+ * if it did not wait for others or for a transfer. */
+static gboolean
+finds_idle(const Choice_t *choice)
+{
+    const Upstream_t *upstream = choice->upstream;
+    gboolean is_moved = choice->supply.kind != SUPPLY_HELD &&
+                        choice->supply.kind != SUPPLY_COMPUTED;
+    return !is_moved && upstream->backlog.open == 0 &&
+           upstream->pending_tokens == 0 &&
+           Upstream_countRequests(upstream) < upstream->slots;
+}
+
+static void
+fill_group(Ticket_t *ticket, const Placement_t *placement,
+           const Choice_t *choice)
+{
+    ticket->target = g_string_new(placement->target);
+    ticket->partitions = choice->side > 0 ? placement->partitions : NULL;
+    ticket->group = choice->group;
+    ticket->urgent = placement->urgent;
+}
+
 void
 Tickets_add(Tickets_t *this, guint64 id, const Placement_t *placement,
             const Choice_t *choice)
@@ -99,7 +133,13 @@
     ticket->prefix_tokens = placement->level_tokens[0];
     ticket->tokens = placement->prompt_tokens -
                      MIN(choice->expected_cached, placement->prompt_tokens);
+    ticket->computed_tokens = ticket->tokens;
+    ticket->own_us = choice->own_us;
+    ticket->found_idle = finds_idle(choice);
     ticket->placed_ms = placement->now_ms;
+    fill_group(ticket, placement, choice);
+    EngineBacklog_add(&ticket->upstream->backlog, choice->own_us,
+                      Clock_nowUs());
     FirstTokenEstimate_expect(&ticket->first_token, placement, choice);
     ticket->upstream->ticket_tokens += ticket->tokens;
     ticket->upstream->ticket_requests++;
@@ -112,20 +152,22 @@
     return g_hash_table_contains(this->by_id, &id);
 }
 
-void
+TicketFirstToken_t
 Tickets_noteFirstToken(Tickets_t *this, guint64 id, Policy_t *policy,
                        gint64 waited_us, gint64 now_ms)
 {
     Ticket_t *ticket = g_hash_table_lookup(this->by_id, &id);
     if (!ticket || ticket->begun) {
-        return;
+        return (TicketFirstToken_t){0};
     }
+    remove_tokens(ticket);
     ticket->begun = TRUE;
     ticket->begun_ms = now_ms;
-    remove_tokens(ticket);
     FirstTokenEstimate_learn(&ticket->first_token, waited_us, now_ms);
     Policy_learnPrefix(policy, ticket->prefix, ticket->prefix_tokens,
                        ticket->upstream, now_ms);
+    return (TicketFirstToken_t){ticket->upstream, ticket->computed_tokens,
+                                ticket->found_idle};
 }
 
 void
@@ -138,6 +180,17 @@
     }
 }
 
+static void
+note_held_slot(const Ticket_t *ticket, gint64 run_us)
+{
+    if (ticket->partitions) {
+        GroupPartition_noteRun(GroupPartitions_get(ticket->partitions,
+                                                   ticket->target->str,
+                                                   ticket->group),
+                               ticket->urgent, run_us + ticket->own_us);
+    }
+}
+
 /* Expired tickets are not learned from, as their requester may have stopped
  * before the request ended. */
 static void
@@ -145,8 +198,9 @@
 {
     const Ticket_t *ticket = g_hash_table_lookup(this->by_id, &id);
     if (ticket && ticket->begun) {
-        gint64 run_ms = Clock_nowMs() - ticket->begun_ms;
-        Upstream_noteRunTime(ticket->upstream, run_ms * CLOCK_US_PER_MS);
+        gint64 run_us = (Clock_nowMs() - ticket->begun_ms) * CLOCK_US_PER_MS;
+        Upstream_noteRunTime(ticket->upstream, run_us);
+        note_held_slot(ticket, run_us);
     }
 }
 
--- a/src/Tickets.h
+++ b/src/Tickets.h
@@ -20,6 +20,19 @@
  * longest time limit of a route in use plus headroom */
 #define TICKET_TIMEOUT_MS 20000
 
+/**
+ * struct TicketFirstToken_t - what a first token shows
+ * @upstream: the engine; NULL if the ticket was not open
+ * @tokens: prompt tokens that it computed
+ * @found_idle: nothing else was to be computed there when it was placed, and
+ *     the shared part of the prompt was not moved
+ */
+typedef struct {
+    Upstream_t *upstream;
+    guint tokens;
+    gboolean found_idle;
+} TicketFirstToken_t;
+
 /** struct Tickets_t - opaque */
 typedef struct Tickets Tickets_t;
 
@@ -47,8 +60,9 @@
  * @policy: learns that the upstream has read the prefix
  * @waited_us: time from sending the request to its first token
  */
-void Tickets_noteFirstToken(Tickets_t *this, guint64 id, Policy_t *policy,
-                            gint64 waited_us, gint64 now_ms);
+TicketFirstToken_t Tickets_noteFirstToken(Tickets_t *this, guint64 id,
+                                          Policy_t *policy, gint64 waited_us,
+                                          gint64 now_ms);
 
 /**
  * Tickets_noteRefusal() - record that the upstream refused a request, and end
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "Declarations.h"
+#include "EngineBacklog.h"
 #include "EngineMemory.h"
 #include "TransferLink.h"
 #include "UpstreamBackoff.h"
@@ -56,6 +57,8 @@
  * @ticket_tokens: like @pending_tokens, for requests that this router placed
  *     here for others
  * @ticket_requests: open requests among those
+ * @backlog: prompts that this router placed here for others or for itself as
+ *     the dispatcher of a group, and that are still to be computed
  * @suspect: was unreachable; gets no work until it has answered a probe
  * @suspected_by_peer: suspected only because a peer could not reach it
  * @suspicion_reported_ms: when a suspicion was last exchanged with peers, see
@@ -111,6 +114,7 @@
     guint peer_requests;
     guint64 ticket_tokens;
     guint ticket_requests;
+    EngineBacklog_t backlog;
     gboolean suspect;
     gboolean suspected_by_peer;
     gint64 suspicion_reported_ms;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2878,7 +2878,7 @@
   (ProtobufCMessageInit) wt__list_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wt__place_ask__field_descriptors[16] =
 {
   {
     "ticket",
@@ -2988,22 +2988,113 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "urgent",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent_objective_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, urgent_objective_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, customer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_next",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAsk, has_next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__place_ask__field_indices_by_name[] = {
   6,   /* field[6] = avoid */
+  12,   /* field[12] = customer */
+  14,   /* field[14] = group */
+  15,   /* field[15] = has_next */
   7,   /* field[7] = latest_us */
+  11,   /* field[11] = left_ms */
   2,   /* field[2] = model */
   3,   /* field[3] = prefix */
   4,   /* field[4] = prefix_tokens */
   5,   /* field[5] = prompt_tokens */
+  13,   /* field[13] = request */
   8,   /* field[8] = run_us */
   1,   /* field[1] = target */
   0,   /* field[0] = ticket */
+  9,   /* field[9] = urgent */
+  10,   /* field[10] = urgent_objective_us */
 };
 static const ProtobufCIntRange wt__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wt__place_ask__descriptor =
 {
@@ -3013,14 +3104,14 @@
   "Wt__PlaceAsk",
   "wt",
   sizeof(Wt__PlaceAsk),
-  9,
+  16,
   wt__place_ask__field_descriptors,
   wt__place_ask__field_indices_by_name,
   1,  wt__place_ask__number_ranges,
   (ProtobufCMessageInit) wt__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__place_answer__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wt__place_answer__field_descriptors[17] =
 {
   {
     "ticket",
@@ -3130,22 +3221,126 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "verdict",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reserved",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, reserved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ktoken_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, ktoken_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promised_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, promised_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_return",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, is_return),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "over_share",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PlaceAnswer, over_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__place_answer__field_indices_by_name[] = {
   4,   /* field[4] = cached_tokens */
   5,   /* field[5] = cost_us */
   2,   /* field[2] = fetch_from */
+  11,   /* field[11] = group */
+  15,   /* field[15] = is_return */
+  13,   /* field[13] = ktoken_us */
   7,   /* field[7] = move_us */
   8,   /* field[8] = move_wait_us */
+  16,   /* field[16] = over_share */
   6,   /* field[6] = own_us */
+  14,   /* field[14] = promised_us */
+  12,   /* field[12] = reserved */
+  10,   /* field[10] = retry_after_ms */
   3,   /* field[3] = supply */
   0,   /* field[0] = ticket */
   1,   /* field[1] = upstream */
+  9,   /* field[9] = verdict */
 };
 static const ProtobufCIntRange wt__place_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wt__place_answer__descriptor =
 {
@@ -3155,7 +3350,7 @@
   "Wt__PlaceAnswer",
   "wt",
   sizeof(Wt__PlaceAnswer),
-  9,
+  17,
   wt__place_answer__field_descriptors,
   wt__place_answer__field_indices_by_name,
   1,  wt__place_answer__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -535,10 +535,37 @@
    * How long it is expected to run after that; 0 for unknown.
    */
   uint32_t run_us;
+  /*
+   * Of an urgent route of its service.
+   */
+  protobuf_c_boolean urgent;
+  /*
+   * Objective of the urgent routes of the service; 0 where there are none.
+   */
+  uint32_t urgent_objective_us;
+  /*
+   * The dispatcher is to refuse it if it does not fit: how long its caller
+   * still waits. 0 for a request that is not to be refused.
+   */
+  uint32_t left_ms;
+  /*
+   * Keyed hashes of the customer, and of the request, which is the same when
+   * its caller sends it again.
+   */
+  uint64_t customer;
+  uint64_t request;
+  /*
+   * Group that is to take it, plus 1; 0 for the group of its home.
+   */
+  uint32_t group;
+  /*
+   * Another group will be asked if this one refuses it.
+   */
+  protobuf_c_boolean has_next;
 };
 #define WT__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wt__PlaceAnswer
@@ -565,10 +592,35 @@
    */
   uint32_t move_us;
   uint32_t move_wait_us;
+  /*
+   * GroupVerdict_t; a refused request has no ticket.
+   */
+  uint32_t verdict;
+  /*
+   * Of a refused one: when its caller is to return.
+   */
+  uint32_t retry_after_ms;
+  /*
+   * Group of the engine, and how many of its engines are reserved for urgent
+   * requests.
+   */
+  uint32_t group;
+  uint32_t reserved;
+  /*
+   * Time to compute 1,000 prompt tokens there; 0 for unknown.
+   */
+  uint32_t ktoken_us;
+  /*
+   * What the decision went by: promised returns, whether this is one, whether
+   * the customer is over its share.
+   */
+  uint32_t promised_us;
+  protobuf_c_boolean is_return;
+  protobuf_c_boolean over_share;
 };
 #define WT__PLACE_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__place_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wt__PlaceNews
