--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -177,7 +177,10 @@
     }
     GroupPartition_t *group = GroupPartitions_get(
         this->spec.partitions, placement->target, choice->group);
-    GroupPartition_noteArrival(group, placement->urgent, placement->now_ms);
+    if (placement->group == 0) {
+        GroupPartition_noteArrival(group, placement->urgent,
+                                   placement->now_ms);
+    }
     if (!placement->urgent) {
         const PromptTime_t *time =
             find_prompt_time(this, placement->target, choice->upstream);
--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -103,7 +103,7 @@
 static double
 room_us_per_s(const GroupRequest_t *request)
 {
-    return (double)request->choice->side * CLOCK_US_PER_S;
+    return (double)request->choice->side * G_USEC_PER_SEC;
 }
 
 /* Mean compute time of the prompts on the request's side. */
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -188,6 +188,7 @@
     Log_text("upstream", choice->upstream ? choice->upstream->name->str : "");
     Log_text("verdict", GroupAdmission_name(decision->verdict));
     Log_text("customer", this->super.customer->str);
+    Log_text("route", this->route->name->str);
     Log_number("rank", RelayExchange_rank(this));
     Log_number("group", choice->group);
     Log_number("reserved", choice->reserved);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -224,15 +224,35 @@
     placement->partitions = context->partitions;
 }
 
+static gboolean
+is_partitioned(const Context_t *context, const Placement_t *placement)
+{
+    return placement->urgent_objective_us > 0 &&
+           GroupPartitions_isPartitioned(context->partitions,
+                                         placement->target, placement->now_ms);
+}
+
 const char *
 RelayPlacer_spreadKey(const Context_t *context, const Placement_t *placement,
                       const char *route)
 {
-    gboolean is_apart =
-        placement->urgent &&
-        GroupPartitions_isPartitioned(context->partitions, placement->target,
-                                      placement->now_ms);
-    return is_apart ? route : placement->target;
+    return is_partitioned(context, placement) ? route : placement->target;
+}
+
+/* An urgent request that is refused for a margin of error is late for its
+ * caller as well when it returns, so that it is admitted up to its
+ * objective. */
+static gint64
+latest_us(const Context_t *context, const Placement_t *placement,
+          const Route_t *route)
+{
+    gint64 spread_us = EstimateError_spreadUs(
+        context->estimate_error,
+        RelayPlacer_spreadKey(context, placement, route->name->str));
+    if (placement->urgent && is_partitioned(context, placement)) {
+        spread_us = 0;
+    }
+    return MAX(LoadShed_latestUs(route->objective_ms, spread_us), 1);
 }
 
 static void
@@ -254,12 +274,8 @@
     out->placement.run_us =
         RunTimes_expectedUs(context->run_times, input->route->name->str);
     if (input->route->objective_ms > 0) {
-        const char *key = RelayPlacer_spreadKey(context, &out->placement,
-                                                input->route->name->str);
-        gint64 spread_us =
-            EstimateError_spreadUs(context->estimate_error, key);
         out->placement.latest_us =
-            MAX(LoadShed_latestUs(input->route->objective_ms, spread_us), 1);
+            latest_us(context, &out->placement, input->route);
     }
     out->choice = Policy_choose(context->policy, &out->placement);
 }
