Time of a prompt, backlog of an engine, partition of a group: the decisions

Callers with urgent requests would find a free slot beside prompts that take an engine longer than they may wait; nothing uses the modules yet.

--- /dev/null
+++ b/src/EngineBacklog.c
@@ -0,0 +1,26 @@
+#include "EngineBacklog.h"
+
+void
+EngineBacklog_add(EngineBacklog_t *this, gint64 compute_us, gint64 now_us)
+{
+    this->until_us = MAX(now_us, this->until_us) + MAX(compute_us, 0);
+    this->open++;
+}
+
+void
+EngineBacklog_remove(EngineBacklog_t *this, gint64 now_us)
+{
+    if (this->open == 0) {
+        return;
+    }
+    this->open--;
+    if (this->open == 0) {
+        this->until_us = now_us;
+    }
+}
+
+gint64
+EngineBacklog_waitUs(const EngineBacklog_t *this, gint64 now_us)
+{
+    return MAX(this->until_us - now_us, 0);
+}
--- a/src/GroupPartition.h
+++ b/src/GroupPartition.h
@@ -54,6 +54,10 @@
  * takes @compute_us */
 void GroupPartition_notePrompt(GroupPartition_t *this, gint64 compute_us);
 
+/** GroupPartition_isActive() - whether a request has arrived within the last
+ * two seconds */
+gboolean GroupPartition_isActive(const GroupPartition_t *this, gint64 now_ms);
+
 /** GroupPartition_meanPromptUs() - mean of these, 0 for none yet */
 gint64 GroupPartition_meanPromptUs(const GroupPartition_t *this);
 
--- a/src/GroupPartitions.h
+++ b/src/GroupPartitions.h
@@ -18,8 +18,13 @@
 /** GroupPartitions_destroy() - free it */
 void GroupPartitions_destroy(GroupPartitions_t *this);
 
-/** GroupPartitions_get() - the measurements of a group that this router
- * dispatches for, created if there are none */
+/**
+ * GroupPartitions_get() - the measurements of a group that this router
+ * dispatches for, created if there are none
+ *
+ * Return: valid until the next call of a function of the table, as the group
+ * that was unused for longest is dropped when there are too many
+ */
 GroupPartition_t *GroupPartitions_get(GroupPartitions_t *this,
                                       const char *target, guint group);
 
@@ -32,7 +37,8 @@
  * GroupPartitions_reserved() - engines of a group that are reserved for urgent
  * requests, see GroupPartition_reserve()
  *
- * A router that does not dispatch for the group uses the number that was last
+ * A router that has seen no request of the group as its dispatcher for two
+ * seconds uses the number that was last
  * reported, for some seconds.
  */
 guint GroupPartitions_reserved(GroupPartitions_t *this, const char *target,
