GroupPartition: engines come back after long runs on shared engines

Less urgent callers would keep one engine for long if the runs of urgent ones beside long prompts, 1.5 s instead of 0.24 s, were remembered for long. Change: a test of this; the code stays.

--- a/tests/test_GroupPartition.c
+++ b/tests/test_GroupPartition.c
@@ -289,6 +289,22 @@
 }
 END_TEST
 
+/* Beside long prompts, urgent requests hold their slots several times as long.
+ */
+START_TEST(engines_return_after_long_runs_on_shared_engines)
+{
+    begin(1);
+    for (guint i = 0; i < 200; i++) {
+        GroupPartition_noteRun(sim.partition, TRUE, 1500000);
+    }
+    Callers_t callers = play(6000, URGENT_PER_S, OTHERS_PER_S);
+    assert_slots_found(&callers);
+    ck_assert_uint_eq(sim.reserved_max, 9);
+    ck_assert_uint_le(sim.reserved, 6);
+    end();
+}
+END_TEST
+
 START_TEST(smaller_group_keeps_an_engine_for_the_others)
 {
     begin(1);
@@ -328,5 +344,6 @@
              group_is_shared_unless_both_kinds_arrive,
              partition_stays_while_prompts_vary_around_the_objective,
              engines_are_given_back_one_at_a_time,
+             engines_return_after_long_runs_on_shared_engines,
              smaller_group_keeps_an_engine_for_the_others,
              first_requests_get_an_engine_whatever_the_clock_does)
