Queries of dispatchers of partitioned groups wait longer, and one lost answer moves no group

Callers met two dispatchers of one group, which reserve different engines, whenever a configuration of some tens of KB went over links of 10 Mbit/s: 506 queries in half a second went unanswered.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -16,12 +16,21 @@
 #define GROUP_TARGET_MAX 40
 #define GROUP_NAME_SIZE (GROUP_TARGET_MAX + 12)
 #define TOKENS_PER_KTOKEN 1000
+/* Queries in a row that a dispatcher of partitioned groups leaves unanswered
+ * before the next one in rank is asked: two dispatchers of one group reserve
+ * different engines, and a single answer may be lost. */
+#define UNANSWERED_MAX 2
+/* Longest wait for a dispatcher of partitioned groups, as a fraction of the
+ * objective of urgent requests: an engine chosen without its knowledge takes
+ * longer than that. */
+#define TIMEOUT_FRACTION 0.25
 
 struct Dispatch {
     struct event_base *base;
     DispatchSpec_t spec;
     Tickets_t *tickets;
     DispatchGroups_t *groups;
+    GHashTable *unanswered;   /* name of a dispatcher -> queries in a row */
     GHashTable *prompt_times; /* target -> PromptTime_t */
     GHashTable *queries;      /* &ticket.id -> DispatchQuery_t */
     guint64 next_id;
@@ -31,6 +40,7 @@
     Dispatch_t *dispatch;
     DispatchTicket_t ticket;
     GString *target;
+    gboolean is_partitioned;  /* groups of the target are */
     GString *dispatcher_name; /* copied, as the member may be removed */
     DispatchDone_t done;
     void *owner; /* argument of @done */
@@ -344,6 +354,7 @@
     if (result.decision.verdict != GROUP_ADMITTED) {
         result.ticket.id = 0;
     }
+    g_hash_table_remove(this->unanswered, query->dispatcher_name->str);
     learn_partition(this, query, answer);
     finish_query(query, &result);
 }
@@ -407,6 +418,26 @@
     }
 }
 
+/* Counts a query that the dispatcher did not answer. Returns TRUE if another
+ * one is to be asked for a while. */
+static gboolean
+note_unanswered(const Dispatch_t *this, const DispatchQuery_t *query)
+{
+    const char *name = query->dispatcher_name->str;
+    if (!query->is_partitioned) {
+        return TRUE;
+    }
+    guint count =
+        GPOINTER_TO_UINT(g_hash_table_lookup(this->unanswered, name)) + 1;
+    if (count >= UNANSWERED_MAX) {
+        g_hash_table_remove(this->unanswered, name);
+        return TRUE;
+    }
+    g_hash_table_insert(this->unanswered, g_strdup(name),
+                        GUINT_TO_POINTER(count));
+    return FALSE;
+}
+
 /* The dispatcher may have received the query and opened a ticket for it, so
  * the ticket is ended. */
 static void
@@ -417,9 +448,11 @@
     DispatchQuery_t *query = data;
     Dispatch_t *this = query->dispatch;
     DispatchAnswer_t no_answer = {.choice = {.reason = "unanswered"}};
-    Membership_noteUnreachable(this->spec.membership,
-                               query->dispatcher_name->str,
-                               Clock_nowMs() + UNANSWERED_BACKOFF_MS);
+    if (note_unanswered(this, query)) {
+        Membership_noteUnreachable(this->spec.membership,
+                                   query->dispatcher_name->str,
+                                   Clock_nowMs() + UNANSWERED_BACKOFF_MS);
+    }
     Counters_add(this->spec.counters, "places_unanswered_total", NULL, 1);
     send_update(this, &query->ticket, WT__PLACE_STATE__ENDED, 0);
     finish_query(query, &no_answer);
@@ -450,6 +483,8 @@
     this->spec = *spec;
     this->tickets = Tickets_create(base);
     this->groups = DispatchGroups_create();
+    this->unanswered =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->prompt_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                free_prompt_time);
     this->queries =
@@ -465,6 +500,7 @@
     Tickets_destroy(this->tickets);
     DispatchGroups_destroy(this->groups);
     g_hash_table_destroy(this->prompt_times);
+    g_hash_table_destroy(this->unanswered);
     g_hash_table_destroy(this->queries);
     g_free(this);
 }
@@ -527,17 +563,32 @@
                                          Clock_nowMs());
 }
 
+static gint64
+timeout_ms(const DispatchQuery_t *query, const Placement_t *placement)
+{
+    gint64 patient_ms =
+        (gint64)((double)placement->urgent_objective_us * TIMEOUT_FRACTION) /
+        CLOCK_US_PER_MS;
+    return query->is_partitioned ? MAX(patient_ms, DISPATCH_TIMEOUT_MS)
+                                 : DISPATCH_TIMEOUT_MS;
+}
+
 static DispatchQuery_t *
-create_query(Dispatch_t *this, const Member_t *dispatcher, const char *target)
+create_query(Dispatch_t *this, const Member_t *dispatcher,
+             const Placement_t *placement)
 {
     DispatchQuery_t *query = g_new0(DispatchQuery_t, 1);
     query->dispatch = this;
-    query->target = g_string_new(target);
+    query->target = g_string_new(placement->target);
+    query->is_partitioned =
+        this->spec.partitions &&
+        GroupPartitions_isPartitioned(this->spec.partitions, placement->target,
+                                      Clock_nowMs());
     query->ticket.id = ++this->next_id;
     query->ticket.dispatcher = PeerDatagrams_toSockaddr(&dispatcher->address);
     query->dispatcher_name = g_string_new(dispatcher->name->str);
     query->timeout = Clock_timer(this->base, on_timeout, query);
-    Clock_arm(query->timeout, DISPATCH_TIMEOUT_MS);
+    Clock_arm(query->timeout, timeout_ms(query, placement));
     g_hash_table_insert(this->queries, &query->ticket.id, query);
     return query;
 }
@@ -554,7 +605,7 @@
     if (!dispatcher) {
         return NULL;
     }
-    DispatchQuery_t *query = create_query(this, dispatcher, placement->target);
+    DispatchQuery_t *query = create_query(this, dispatcher, placement);
     query->done = done;
     query->owner = owner;
     send_query(this, query, placement, model, admission);
