--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -13,9 +13,6 @@
 /* Callers wait at most their remaining time divided by this before they
  * return. */
 #define RETURN_DIVISOR 3
-/* Share of the engines' time that is promised to returning callers; the rest
- * is left to requests that arrive meanwhile. */
-#define RETURN_FRACTION 0.5
 #define SIDES 2
 
 /* One side of a group's partition. */
@@ -131,6 +128,7 @@
         .own_us = choice->own_us,
         .usual_us = usual_us(request),
         .latest_us = placement->latest_us,
+        .turnover_us = work_us(request),
         .left_us = request->left_ms * CLOCK_US_PER_MS,
         .promised_us = due * work_us(request) / MAX(choice->side, 1),
         .is_return = ReturnSchedule_claim(side->returns, request->key, now_ms),
@@ -147,7 +145,7 @@
     ReturnRequest_t refused = {
         .key = request->key,
         .fits_ms = GroupAdmission_fitsUs(input) / CLOCK_US_PER_MS,
-        .room_per_s = per_s * RETURN_FRACTION,
+        .room_per_s = per_s,
         .longest_ms = request->left_ms / RETURN_DIVISOR,
     };
     return ReturnSchedule_promise(side->returns, &refused,
--- a/src/GroupAdmission.c
+++ b/src/GroupAdmission.c
@@ -2,6 +2,9 @@
 
 /* About a step of an engine: a queue this short is a free slot. */
 #define FREE_SLOT_US 5000
+/* Queue that keeps an engine busy, in the time in which it begins a request:
+ * one that begins next, and one behind it in case that one is short. */
+#define BUSY_TURNOVERS 2
 /* Requests that return when they were told to may make the queue this many
  * times as long as is in time, which bounds it after engines were lost. */
 #define RETURN_QUEUE_TIMES 2
@@ -20,7 +23,14 @@
     if (input->usual_us > 0) {
         own_us = MIN(own_us, input->usual_us);
     }
-    return MAX(input->latest_us - own_us, 0);
+    return MAX(input->latest_us - own_us, BUSY_TURNOVERS * input->turnover_us);
+}
+
+/* A customer over its share may have what would be idle otherwise. */
+static gint64
+free_us(const GroupAdmissionInput_t *input)
+{
+    return MAX(input->turnover_us, FREE_SLOT_US);
 }
 
 static GroupVerdict_t
@@ -38,7 +48,8 @@
         return GROUP_ADMITTED;
     }
     if (input->is_over_share) {
-        return waiting_us <= FREE_SLOT_US ? GROUP_ADMITTED : GROUP_OVER_SHARE;
+        return waiting_us <= free_us(input) ? GROUP_ADMITTED
+                                            : GROUP_OVER_SHARE;
     }
     waiting_us += input->promised_us;
     return waiting_us <= allowed_us(input) ? GROUP_ADMITTED : GROUP_LATE;
--- a/src/GroupAdmission.h
+++ b/src/GroupAdmission.h
@@ -23,6 +23,8 @@
  * @usual_us: the same part for the mean prompt of its kind
  * @latest_us: longest time to the first token that is in time, less the margin
  *     of error; 0 for any
+ * @turnover_us: time in which the group begins one more request like it at
+ *     one engine; a queue shorter than two of these may leave the engine idle
  * @left_us: time until the caller's deadline
  * @promised_us: time that requests take which were told to return about now
  * @is_return: the request returns when it was told to
@@ -33,6 +35,7 @@
     gint64 own_us;
     gint64 usual_us;
     gint64 latest_us;
+    gint64 turnover_us;
     gint64 left_us;
     gint64 promised_us;
     gboolean is_return;
--- a/src/GroupPartition.c
+++ b/src/GroupPartition.c
@@ -18,8 +18,6 @@
 #define RUNS 100
 /* Prompts that the mean of the less urgent requests covers. */
 #define PROMPTS 20
-/* Interval at which engines are given back, as runs on them have to end. */
-#define GIVE_BACK_MS 500
 /* Engines are shared again when the mean prompt takes less than this fraction
  * of the objective; between both limits nothing changes. */
 #define JOIN_FRACTION 0.5
@@ -181,6 +179,14 @@
     return (guint)CLAMP(engines, 1, size->engines - 1);
 }
 
+/* Interval at which engines are given back: runs on the last one have to end
+ * first. */
+static gint64
+give_back_ms(const GroupPartition_t *this, gint64 objective_us)
+{
+    return (gint64)expected_held_us(this, objective_us) / CLOCK_US_PER_MS;
+}
+
 static void
 set_reserved(GroupPartition_t *this, guint reserved, gint64 now_ms)
 {
@@ -201,7 +207,8 @@
     if (needed >= this->reserved) {
         set_reserved(this, needed, now_ms);
     }
-    else if (now_ms - this->reserved_ms >= GIVE_BACK_MS) {
+    else if (now_ms - this->reserved_ms >=
+             give_back_ms(this, urgent_objective_us)) {
         set_reserved(this, this->reserved - 1, now_ms);
     }
     return this->reserved;
--- a/src/GroupPartitions.c
+++ b/src/GroupPartitions.c
@@ -21,8 +21,8 @@
 } Group_t;
 
 struct GroupPartitions {
-    GHashTable *groups; /* &key -> Group_t */
-    GQueue uses;        /* Group_t, the last used first */
+    GHashTable *groups;      /* &key -> Group_t */
+    GQueue uses;             /* Group_t, the last used first */
     GHashTable *partitioned; /* target -> gint64 *, when last seen so */
 };
 
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -239,19 +239,18 @@
     return is_partitioned(context, placement) ? route : placement->target;
 }
 
-/* An urgent request that is refused for a margin of error is late for its
- * caller as well when it returns, so that it is admitted up to its
- * objective. */
+/* An urgent request that is refused for a margin of error is late when it
+ * returns, so that a partitioned group admits it up to its objective. */
 static gint64
 latest_us(const Context_t *context, const Placement_t *placement,
           const Route_t *route)
 {
+    if (placement->urgent && is_partitioned(context, placement)) {
+        return LoadShed_latestUs(route->objective_ms, 0);
+    }
     gint64 spread_us = EstimateError_spreadUs(
         context->estimate_error,
         RelayPlacer_spreadKey(context, placement, route->name->str));
-    if (placement->urgent && is_partitioned(context, placement)) {
-        spread_us = 0;
-    }
     return MAX(LoadShed_latestUs(route->objective_ms, spread_us), 1);
 }
 
