--- a/src/FairShare.c
+++ b/src/FairShare.c
@@ -5,11 +5,20 @@
 /* Long enough to cover some requests of a customer, short enough that a burst
  * counts while it lasts. */
 #define TIME_CONSTANT_MS 2000.0
+/* Of all customers' demand: many requests, and nobody is to be refused for a
+ * burst that is over. */
+#define TOTAL_TIME_CONSTANT_MS 500.0
 /* The averages hardly move in this time, and the cost of sorting all customers
  * does not grow with the requests. */
 #define LEVEL_INTERVAL_MS 50
+/* A customer that asks for this many times its share would fill the queue
+ * whenever it falls a little below its share, and the others would be late. */
+#define FAR_ABOVE_SHARE 1.25
+/* It counts as over from this part of its share on; free slots are left to it
+ * for the rest. */
+#define PART_OF_SHARE 0.95
 /* Nobody is over it. */
-#define LEVEL_NONE G_MAXDOUBLE
+#define LEVEL_NONE (G_MAXDOUBLE / 2)
 
 /* Averages in us of engine time per second, as of @at_ms. */
 typedef struct {
@@ -22,6 +31,8 @@
 struct FairShare {
     GHashTable *by_customer; /* &customer -> Share_t */
     guint customers_max;
+    double total; /* demand of all, as of @total_ms */
+    gint64 total_ms;
     double *demands; /* sorted while the level is computed */
     double level;
     double level_room;
@@ -98,23 +109,35 @@
 
 /* What work adds to an average per second. */
 static double
-rate_of(gint64 work_us)
+rate_of(gint64 work_us, double time_constant_ms)
 {
-    return (double)MAX(work_us, 0) * 1000 / TIME_CONSTANT_MS;
+    return (double)MAX(work_us, 0) * 1000 / time_constant_ms;
+}
+
+static void
+decay_total(FairShare_t *this, gint64 now_ms)
+{
+    double age_ms = (double)MAX(now_ms - this->total_ms, 0);
+    this->total *= exp(-age_ms / TOTAL_TIME_CONSTANT_MS);
+    this->total_ms = now_ms;
 }
 
 void
 FairShare_noteDemand(FairShare_t *this, guint64 customer, gint64 work_us,
                      gint64 now_ms)
 {
-    share_of(this, customer, now_ms)->demand += rate_of(work_us);
+    Share_t *share = share_of(this, customer, now_ms);
+    share->demand += rate_of(work_us, TIME_CONSTANT_MS);
+    decay_total(this, now_ms);
+    this->total += rate_of(work_us, TOTAL_TIME_CONSTANT_MS);
 }
 
 void
 FairShare_noteServed(FairShare_t *this, guint64 customer, gint64 work_us,
                      gint64 now_ms)
 {
-    share_of(this, customer, now_ms)->served += rate_of(work_us);
+    Share_t *share = share_of(this, customer, now_ms);
+    share->served += rate_of(work_us, TIME_CONSTANT_MS);
 }
 
 static int
@@ -169,15 +192,25 @@
     this->level_ms = now_ms;
 }
 
+static double
+limit_of(const FairShare_t *this, const Share_t *share)
+{
+    if (share->demand > FAR_ABOVE_SHARE * this->level) {
+        return this->level * PART_OF_SHARE;
+    }
+    return this->level;
+}
+
 gboolean
 FairShare_isOver(FairShare_t *this, guint64 customer, double room,
                  gint64 now_ms)
 {
     Share_t *share = g_hash_table_lookup(this->by_customer, &customer);
-    if (!share) {
+    decay_total(this, now_ms);
+    if (!share || this->total <= room) {
         return FALSE;
     }
     update_level(this, room, now_ms);
     decay(share, now_ms);
-    return share->served > this->level;
+    return share->served > limit_of(this, share);
 }
--- a/src/FairShare.h
+++ b/src/FairShare.h
@@ -11,7 +11,7 @@
  * the one. A customer that asks for less than an equal share gets all of it;
  * what it leaves is shared equally by those that ask for more. Demand and
  * served work are moving averages, so that a share that was not used is not
- * saved up.
+ * saved up; a shorter one of all demand tells when there is room for all.
  */
 #include <glib.h>
 
@@ -45,6 +45,9 @@
  * FairShare_isOver() - whether a customer was served more than its fair share
  * @room: engine time available per second, in us
  *
+ * A customer that asks for far more than its share counts as over from a
+ * little below it, so that it leaves the queue to the others all the time.
+ *
  * Return: FALSE as long as all demand together fits into @room
  */
 gboolean FairShare_isOver(FairShare_t *this, guint64 customer, double room,
--- a/src/GroupAdmission.h
+++ b/src/GroupAdmission.h
@@ -44,7 +44,8 @@
  * @GROUP_ADMITTED: the request is placed
  * @GROUP_LATE: it would begin late
  * @GROUP_OVER_SHARE: its customer was served more than its fair share, and
- *     there is a queue
+ *     there is a queue; not to be promised a return, as returns go before the
+ *     requests of others
  * @GROUP_DEADLINE: it would begin after its caller's deadline
  */
 typedef enum {
--- a/src/ReturnSchedule.c
+++ b/src/ReturnSchedule.c
@@ -12,6 +12,10 @@
 #define EXPIRY_MS 1000
 /* Nobody knows the load further ahead. */
 #define HORIZON_MS 10000
+/* Part of the room that is handed out. Each place for a return is one that a
+ * new request does not get, and new requests keep coming while there is not
+ * room for all. */
+#define RETURN_PART 0.2
 /* Part of the distance between two returns by which one is moved at random. */
 #define JITTER_PART 0.25
 #define JITTER_MAX_MS 100.0
@@ -111,7 +115,7 @@
     if (request->room_per_s <= 0) {
         return (guint)longest_ms;
     }
-    double spacing_ms = 1000 / request->room_per_s;
+    double spacing_ms = 1000 / (request->room_per_s * RETURN_PART);
     double free_ms = (double)(now_ms + MAX(request->fits_ms, RETURN_MIN_MS));
     double turn_ms = MAX(free_ms, this->next_ms + spacing_ms);
     gint64 due_ms = (gint64)(turn_ms + random_part(spacing_ms));
--- a/src/ReturnSchedule.h
+++ b/src/ReturnSchedule.h
@@ -10,8 +10,9 @@
  * together and are refused again. The router that refuses for a group of
  * engines keeps the times that it has promised: the next caller gets a later
  * one, and requests that arrive in between leave room for those that are about
- * to return. A request is recognized by its key, which is the same on each
- * attempt.
+ * to return. A part of the room is handed out, as every place for a return is
+ * one that a new request does not get. A request is recognized by its key,
+ * which is the same on each attempt.
  */
 #include <glib.h>
 
@@ -22,7 +23,8 @@
  * struct ReturnRequest_t - a refused request
  * @key: identity of the request, the same when it returns
  * @fits_ms: time until there would be room if nothing else arrived
- * @room_per_s: requests like this that begin per second once there is room
+ * @room_per_s: requests like this that all engines begin per second; 0 for a
+ *     caller that gets no promise
  * @longest_ms: the caller does not wait longer than this before it returns
  */
 typedef struct {
