--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -137,15 +137,17 @@
     };
 }
 
+/* A customer over its share is promised nothing: its returns would take the
+ * room of the others. */
 static guint
 promise_return(GroupSide_t *side, const GroupRequest_t *request,
-               const GroupAdmissionInput_t *input)
+               const GroupAdmissionInput_t *input, GroupVerdict_t verdict)
 {
     double per_s = room_us_per_s(request) / (double)work_us(request);
     ReturnRequest_t refused = {
         .key = request->key,
         .fits_ms = GroupAdmission_fitsUs(input) / CLOCK_US_PER_MS,
-        .room_per_s = per_s,
+        .room_per_s = verdict == GROUP_OVER_SHARE ? 0 : per_s,
         .longest_ms = request->left_ms / RETURN_DIVISOR,
     };
     return ReturnSchedule_promise(side->returns, &refused,
@@ -158,8 +160,13 @@
     GroupSide_t *side = find_side(this, request);
     gint64 now_ms = request->placement->now_ms;
     gint64 work = work_us(request);
-    FairShare_noteDemand(side->shares, request->customer, work, now_ms);
+    gboolean is_return =
+        ReturnSchedule_claim(side->returns, request->key, now_ms);
+    if (!is_return) {
+        FairShare_noteDemand(side->shares, request->customer, work, now_ms);
+    }
     GroupAdmissionInput_t input = make_input(side, request);
+    input.is_return = is_return;
     GroupDecision_t decision = {
         .verdict = GroupAdmission_decide(&input),
         .promised_us = input.promised_us,
@@ -170,7 +177,7 @@
         FairShare_noteServed(side->shares, request->customer, work, now_ms);
     }
     else if (!request->has_next) {
-        decision.retry_after_ms = promise_return(side, request, &input);
+        decision.retry_after_ms = promise_return(side, request, &input, decision.verdict);
     }
     return decision;
 }
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -54,12 +54,12 @@
 }
 
 static void
-on_done(void *owner, const Choice_t *choice, const DispatchTicket_t *ticket)
+on_done(void *owner, const DispatchAnswer_t *answer)
 {
     QueryResult_t *this = owner;
     this->calls++;
-    this->choice = *choice;
-    this->ticket = *ticket;
+    this->choice = answer->choice;
+    this->ticket = answer->ticket;
 }
 
 static void
@@ -172,8 +172,10 @@
     Placement_t placement = make_placement();
     for (guint group = 0; group < placement.groups; group++) {
         Choice_t choice = {.group = group};
-        DispatchQuery_t *query = Dispatch_query(dispatch, &placement, MODEL,
-                                                &choice, on_done, owner);
+        DispatchAdmission_t admission = {0};
+        DispatchQuery_t *query =
+            Dispatch_query(dispatch, &placement, MODEL, &choice, &admission,
+                           on_done, owner);
         if (query) {
             return query;
         }
