--- a/bench/Replay.h
+++ b/bench/Replay.h
@@ -16,6 +16,9 @@
  */
 #include "ReplaySpec.h"
 
+/** Value of a late answer; an answer in time has the value 1 */
+#define REPLAY_LATE_VALUE 0.3
+
 /**
  * enum ReplayDecision_t - decisions that can be disabled, one bit each
  * @REPLAY_SLOTS: the estimate of an engine's delay includes its slots
@@ -32,6 +35,35 @@
     REPLAY_ALL = (1 << 4) - 1,
 } ReplayDecision_t;
 
+/** Seconds of a replay that are counted apart; later ones count as the last */
+#define REPLAY_SECONDS_MAX 64
+
+/**
+ * struct ReplaySecond_t - one second of the requests of one kind
+ * @asked: requests that arrived for the first time
+ * @in_time: those of @asked that were served in time
+ * @refused: refusals that were given
+ * @returned: requests that came back after a refusal
+ * @refused_again: refusals of requests that had come back
+ */
+typedef struct {
+    guint asked;
+    guint in_time;
+    guint refused;
+    guint returned;
+    guint refused_again;
+} ReplaySecond_t;
+
+/**
+ * struct ReplayShare_t - requests that were served with a complete answer
+ * @asked: requests that arrived
+ * @served: complete answers, in time or late
+ */
+typedef struct {
+    guint asked;
+    guint served;
+} ReplayShare_t;
+
 /**
  * struct ReplayCount_t - outcomes of the requests of one kind
  * @asked: requests that arrived
@@ -42,6 +74,14 @@
  * @failed: requests that ended otherwise without a complete answer
  * @p50_us: median of the time to the first token
  * @p99_us: 99th percentile of the time to the first token
+ * @refused_first: requests refused on their first arrival
+ * @refused_again: requests refused after the caller's retry
+ * @waited_beside_room: requests that waited at an engine for longer than their
+ *     objective although another engine that they may use read no prompt and
+ *     had a free slot when they were placed
+ * @longest: the tenth of the requests with the longest prompts
+ * @customers: by the number of the customer
+ * @seconds: by the second of the replay
  */
 typedef struct {
     guint asked;
@@ -51,6 +91,12 @@
     guint failed;
     gint64 p50_us;
     gint64 p99_us;
+    guint refused_first;
+    guint refused_again;
+    guint waited_beside_room;
+    ReplayShare_t longest;
+    ReplayShare_t customers[REPLAY_CUSTOMERS_MAX];
+    ReplaySecond_t seconds[REPLAY_SECONDS_MAX];
 } ReplayCount_t;
 
 /**
@@ -61,6 +107,11 @@
  *     before
  * @decisions: placement decisions made
  * @decision_us: mean processor time of a placement decision
+ * @busiest: time that the busiest engine spends on prompts, over the mean of
+ *     the engines on its side; the sides are the engines that are reserved for
+ *     urgent requests and the others, without engines that fell silent
+ * @served_work_us: time that engines need for the complete answers, late ones
+ *     counted as in ReplayResult_computeValue()
  */
 typedef struct {
     ReplayCount_t kinds[REPLAY_KINDS_MAX];
@@ -68,6 +119,8 @@
     guint64 reread_tokens;
     guint decisions;
     double decision_us;
+    double busiest;
+    double served_work_us;
 } ReplayResult_t;
 
 /**
--- a/bench/ReplayEngine.c
+++ b/bench/ReplayEngine.c
@@ -61,10 +61,21 @@
     g_free(this);
 }
 
+/* Adds a request behind the waiting ones of its rank. */
+static void
+push_waiting(ReplayEngine_t *this, ReplayWork_t *work)
+{
+    GList *link = this->waiting.tail;
+    while (link && ((ReplayWork_t *)link->data)->rank > work->rank) {
+        link = link->prev;
+    }
+    g_queue_insert_after(&this->waiting, link, work);
+}
+
 void
 ReplayEngine_send(ReplayEngine_t *this, ReplayWork_t *work)
 {
-    g_queue_push_tail(&this->waiting, work);
+    push_waiting(this, work);
 }
 
 gboolean
@@ -80,6 +91,19 @@
            g_queue_is_empty((GQueue *)&this->waiting);
 }
 
+gboolean
+ReplayEngine_hasRoom(const ReplayEngine_t *this)
+{
+    for (guint i = 0; i < this->running->len; i++) {
+        const ReplayWork_t *work = g_ptr_array_index(this->running, i);
+        if (work->left_tokens > 0) {
+            return FALSE;
+        }
+    }
+    return this->running->len < this->fleet->slots &&
+           g_queue_is_empty((GQueue *)&this->waiting);
+}
+
 static guint
 reserved_tokens(const ReplayWork_t *work)
 {
@@ -149,45 +173,57 @@
                                           capacity;
 }
 
+/* A request whose prefix is still being fetched lets the others of its rank
+ * pass. */
 static void
 admit_waiting(ReplayEngine_t *this, gint64 now_us)
 {
-    guint remaining = g_queue_get_length(&this->waiting);
-    for (; remaining > 0 && this->running->len < this->fleet->slots;
-         remaining--) {
+    GQueue fetching = G_QUEUE_INIT;
+    while (this->running->len < this->fleet->slots) {
         ReplayWork_t *work = g_queue_pop_head(&this->waiting);
+        if (!work) {
+            break;
+        }
         if (work->ready_us > now_us) {
-            g_queue_push_tail(&this->waiting, work);
+            g_queue_push_tail(&fetching, work);
         }
         else if (fits_memory(this, work)) {
             start_work(this, work);
         }
         else {
             g_queue_push_head(&this->waiting, work);
-            return;
+            break;
         }
     }
+    while (!g_queue_is_empty(&fetching)) {
+        push_waiting(this, g_queue_pop_head(&fetching));
+    }
 }
 
 /* Returns the number of prompt tokens read. */
 static guint
-read_chunk(ReplayEngine_t *this)
+read_pieces(ReplayEngine_t *this)
 {
-    guint budget = (guint)this->fleet->piece_tokens;
-    for (guint i = 0; i < this->running->len && budget > 0; i++) {
+    guint piece = (guint)this->fleet->piece_tokens;
+    guint left = piece;
+    guint total = 0;
+    for (guint i = 0; i < this->running->len && left > 0; i++) {
         ReplayWork_t *work = g_ptr_array_index(this->running, i);
-        guint tokens = MIN(work->left_tokens, budget);
+        guint tokens = MIN(work->left_tokens, left);
         work->left_tokens -= tokens;
-        budget -= tokens;
+        total += tokens;
+        if (this->fleet->piece_mode == REPLAY_PIECE_SHARED) {
+            left -= tokens;
+        }
     }
-    return (guint)this->fleet->piece_tokens - budget;
+    return total;
 }
 
 gint64
 ReplayEngine_step(ReplayEngine_t *this, gint64 now_us)
 {
     admit_waiting(this, now_us);
-    guint tokens = read_chunk(this);
+    guint tokens = read_pieces(this);
     this->read_tokens += tokens;
     return this->fleet->step_us +
            this->fleet->step_run_us * this->running->len +
--- a/bench/ReplayEngine.h
+++ b/bench/ReplayEngine.h
@@ -4,15 +4,19 @@
  * DOC: ReplayEngine
  *
  * Model of an engine in the virtual time of a replay. The engine runs as many
- * requests as its slots and memory permit. Each step reads a limited number of
- * prompt tokens and generates one token for every request whose prompt is
- * read. Prefixes stay in memory until newer entries evict them.
+ * requests as its slots and memory permit; a request holds its slot until its
+ * last token. More urgent requests get a slot first, then in the order of
+ * arrival. Each step reads a limited number of prompt tokens and generates one
+ * token for every request whose prompt is read, so that running requests slow
+ * down while prompts are read. Prefixes stay in memory until newer entries
+ * evict them.
  */
 #include "ReplaySpec.h"
 
 /**
  * struct ReplayWork_t - a request on an engine
  * @id: index of the request in the replay
+ * @rank: urgency, 0 for the most urgent
  * @prefix: id of the shared prefix; 0 for none
  * @shared_tokens: length of the shared prefix
  * @own_tokens: tokens after the prefix: the rest of the prompt and the output
@@ -26,6 +30,7 @@
  */
 typedef struct {
     guint id;
+    guint rank;
     guint64 prefix;
     guint shared_tokens;
     guint own_tokens;
@@ -72,6 +77,10 @@
 /** ReplayEngine_isIdle() - no request is waiting or running */
 gboolean ReplayEngine_isIdle(const ReplayEngine_t *this);
 
+/** ReplayEngine_hasRoom() - no prompt is being read, no request waits, and a
+ * slot is free */
+gboolean ReplayEngine_hasRoom(const ReplayEngine_t *this);
+
 /** ReplayEngine_step() - start a step; returns its duration in us. The caller
  * calls ReplayEngine_finish() at its end. */
 gint64 ReplayEngine_step(ReplayEngine_t *this, gint64 now_us);
--- a/bench/ReplaySpec.c
+++ b/bench/ReplaySpec.c
@@ -9,6 +9,8 @@
 
 #define DURATION_MAX_MS 600000
 #define KIND_PREFIX "kind-"
+/* 1,000 times the usual rate. */
+#define PERCENT_MAX 100000
 
 #define FLEET_FIELD(member) offsetof(ReplayFleet_t, member)
 static const KeySpec_t fleet_keys[] = {
@@ -30,6 +32,10 @@
     {"piece_tokens", KEY_INTEGER, FALSE, "4096", 1, G_MAXINT32, NULL,
      FLEET_FIELD(piece_tokens),
      "Prompt tokens that an engine reads in one step at most."},
+    {"piece_mode", KEY_CHOICE, FALSE, "shared", 0, 0, "shared,each",
+     FLEET_FIELD(piece_mode),
+     "Whether the prompts on an engine share a piece of piece_tokens in one "
+     "step, or each has its own."},
     {"step_us", KEY_INTEGER, TRUE, NULL, 1, 10000000, NULL,
      FLEET_FIELD(step_us), "Duration of a step in microseconds."},
     {"step_run_us", KEY_INTEGER, FALSE, "0", 0, 1000000, NULL,
@@ -80,6 +86,25 @@
      "Longest pause between tokens of an answer in time."},
     {"deadline", KEY_DURATION, FALSE, "10s", 1, DURATION_MAX_MS, NULL,
      KIND_FIELD(deadline_ms), "Time after which the caller gives up."},
+    {"rank", KEY_INTEGER, FALSE, "0", 0, 100, NULL, KIND_FIELD(rank),
+     "Urgency of the requests, 0 for the most urgent."},
+    {"customers", KEY_INTEGER, FALSE, "1", 1, REPLAY_CUSTOMERS_MAX, NULL,
+     KIND_FIELD(customers), "Number of customers that send the requests."},
+    {"burst_percent", KEY_INTEGER, FALSE, "100", 1, PERCENT_MAX, NULL,
+     KIND_FIELD(burst_percent), "Rate during the burst, in percent of rate."},
+    {"burst_from", KEY_DURATION, FALSE, "0s", 0, DURATION_MAX_MS, NULL,
+     KIND_FIELD(burst_from_ms), "Start of the burst."},
+    {"burst_until", KEY_DURATION, FALSE, "0s", 0, DURATION_MAX_MS, NULL,
+     KIND_FIELD(burst_until_ms), "End of the burst."},
+    {"loud_percent", KEY_INTEGER, FALSE, "100", 1, PERCENT_MAX, NULL,
+     KIND_FIELD(loud_percent),
+     "Rate of the first customer while it is loud, in percent of its usual "
+     "rate."},
+    {"loud_from", KEY_DURATION, FALSE, "0s", 0, DURATION_MAX_MS, NULL,
+     KIND_FIELD(loud_from_ms), "Time from which the first customer is loud."},
+    {"loud_until", KEY_DURATION, FALSE, "0s", 0, DURATION_MAX_MS, NULL,
+     KIND_FIELD(loud_until_ms),
+     "Time until which the first customer is loud."},
     {NULL},
 };
 #undef KIND_FIELD
@@ -146,3 +171,20 @@
     IniFile_destroy(ini);
     return problems->len == problem_count;
 }
+
+gboolean
+ReplaySpec_hasRanks(const ReplaySpec_t *this)
+{
+    gint64 rank = -1;
+    for (guint i = 0; i < REPLAY_KINDS_MAX; i++) {
+        const ReplayKind_t *kind = &this->kinds[i];
+        if (kind->rate == 0) {
+            continue;
+        }
+        if (rank >= 0 && kind->rank != rank) {
+            return TRUE;
+        }
+        rank = kind->rank;
+    }
+    return FALSE;
+}
--- a/bench/ReplaySpec.h
+++ b/bench/ReplaySpec.h
@@ -12,6 +12,19 @@
 /** Largest number of request kinds in a file */
 #define REPLAY_KINDS_MAX 4
 
+/** Largest number of customers of a kind */
+#define REPLAY_CUSTOMERS_MAX 64
+
+/**
+ * enum ReplayPiece_t - what an engine reads in one step
+ * @REPLAY_PIECE_SHARED: one piece, shared by the prompts that it computes
+ * @REPLAY_PIECE_EACH: a piece of each of these prompts
+ */
+typedef enum {
+    REPLAY_PIECE_SHARED,
+    REPLAY_PIECE_EACH,
+} ReplayPiece_t;
+
 /**
  * struct ReplayFleet_t - [fleet]
  * @seed: of the random numbers
@@ -21,7 +34,9 @@
  * @slots: requests that an engine runs at once
  * @cache_tokens: capacity of an engine's memory, running requests included
  * @prompt_tokens_ms: prompt tokens that an engine reads per millisecond
- * @piece_tokens: prompt tokens that an engine reads in one step at most
+ * @piece_tokens: length of a piece, the prompt tokens that an engine reads in
+ *     one step at most
+ * @piece_mode: ReplayPiece_t
  * @step_us: duration of a step, which generates one token per running request
  * @step_run_us: time that each running request adds to a step
  * @move_us: time to fetch a prefix from another engine
@@ -43,6 +58,7 @@
     gint64 cache_tokens;
     gint64 prompt_tokens_ms;
     gint64 piece_tokens;
+    gint64 piece_mode;
     gint64 step_us;
     gint64 step_run_us;
     gint64 move_us;
@@ -65,6 +81,15 @@
  * @objective_ms: longest wait for the first token of an answer in time
  * @pause_ms: longest pause between tokens of an answer in time
  * @deadline_ms: time after which the caller gives up
+ * @rank: urgency, 0 for the most urgent
+ * @customers: number of customers that send equally often
+ * @burst_percent: rate during the burst, in percent of @rate
+ * @burst_from_ms: start of the burst
+ * @burst_until_ms: end of the burst
+ * @loud_percent: rate of customer 0 while it is loud, in percent of the rate
+ *     of another customer, and added to what the others send
+ * @loud_from_ms: time from which customer 0 is loud
+ * @loud_until_ms: time until which customer 0 is loud
  */
 typedef struct {
     gint64 rate;
@@ -75,6 +100,14 @@
     gint64 objective_ms;
     gint64 pause_ms;
     gint64 deadline_ms;
+    gint64 rank;
+    gint64 customers;
+    gint64 burst_percent;
+    gint64 burst_from_ms;
+    gint64 burst_until_ms;
+    gint64 loud_percent;
+    gint64 loud_from_ms;
+    gint64 loud_until_ms;
 } ReplayKind_t;
 
 /**
@@ -96,4 +129,7 @@
 gboolean ReplaySpec_read(ReplaySpec_t *out, const char *path,
                          GPtrArray *problems);
 
+/** ReplaySpec_hasRanks() - whether some kinds are more urgent than others */
+gboolean ReplaySpec_hasRanks(const ReplaySpec_t *this);
+
 #endif
--- a/bench/replay_main.c
+++ b/bench/replay_main.c
@@ -3,7 +3,8 @@
  *
  * Replays load files against the router's decisions (Replay.h) and prints the
  * outcomes of the requests, with all decisions enabled and, for --off, with
- * one decision disabled.
+ * one decision disabled. A load with kinds of different ranks gets a second
+ * table.
  */
 #include <argp.h>
 #include <sodium.h>
@@ -113,13 +114,32 @@
 }
 
 static void
-print_json(const char *file, const char *off, gint64 seed,
+print_ranks_json(const ReplaySpec_t *spec, const ReplayResult_t *result)
+{
+    printf(",\"busiest\":%.3f,\"served_work_us\":%.0f", result->busiest,
+           result->served_work_us);
+    for (guint kind = 0; kind < REPLAY_KINDS_MAX; kind++) {
+        const ReplayCount_t *count = &result->kinds[kind];
+        if (count->asked > 0) {
+            printf(",\"ranked-%u\":{\"rank\":%" G_GINT64_FORMAT
+                   ",\"refused_first\":%u,\"refused_again\":%u,"
+                   "\"waited_beside_room\":%u,\"longest_asked\":%u,"
+                   "\"longest_served\":%u}",
+                   kind + 1, spec->kinds[kind].rank, count->refused_first,
+                   count->refused_again, count->waited_beside_room,
+                   count->longest.asked, count->longest.served);
+        }
+    }
+}
+
+static void
+print_json(const char *file, const char *off, const ReplaySpec_t *spec,
            const ReplayResult_t *result)
 {
     printf("{\"load\":\"%s\",\"off\":\"%s\",\"seed\":%" G_GINT64_FORMAT
            ",\"worth\":%.4f,\"read_tokens\":%" G_GUINT64_FORMAT
            ",\"again_tokens\":%" G_GUINT64_FORMAT ",\"decision_us\":%.2f",
-           file, off, seed, ReplayResult_computeValue(result),
+           file, off, spec->fleet.seed, ReplayResult_computeValue(result),
            result->read_tokens, result->reread_tokens, result->decision_us);
     for (guint kind = 0; kind < REPLAY_KINDS_MAX; kind++) {
         const ReplayCount_t *count = &result->kinds[kind];
@@ -132,9 +152,55 @@
                    count->p99_us);
         }
     }
+    if (ReplaySpec_hasRanks(spec)) {
+        print_ranks_json(spec, result);
+    }
     printf("}\n");
 }
 
+static double
+share(guint part, guint whole)
+{
+    return whole > 0 ? (double)part / whole : 0;
+}
+
+static double
+served_share(const ReplayShare_t *this)
+{
+    return share(this->served, this->asked);
+}
+
+/* Prints the share of each customer's requests that were served. */
+static void
+print_customers(const ReplayKind_t *kind, const ReplayCount_t *count)
+{
+    for (guint i = 0; i < kind->customers; i++) {
+        printf(" %.2f", served_share(&count->customers[i]));
+    }
+}
+
+static void
+print_ranks(const ReplaySpec_t *spec, const ReplayResult_t *result)
+{
+    printf("  %-6s %4s %7s %7s %7s %7s | served by customer; busiest engine "
+           "%.2f times the mean\n",
+           "kind", "rank", "refused", "again", "beside", "longest",
+           result->busiest);
+    for (guint i = 0; i < REPLAY_KINDS_MAX; i++) {
+        const ReplayKind_t *kind = &spec->kinds[i];
+        const ReplayCount_t *count = &result->kinds[i];
+        if (count->asked > 0) {
+            printf("  kind-%u %4" G_GINT64_FORMAT " %7u %7u %7.4f %7.3f |",
+                   i + 1, kind->rank, count->refused_first,
+                   count->refused_again,
+                   share(count->waited_beside_room, count->asked),
+                   served_share(&count->longest));
+            print_customers(kind, count);
+            printf("\n");
+        }
+    }
+}
+
 static void
 print_row(const char *file, const char *off, const Replays_t *replays,
           guint seeds)
@@ -167,12 +233,15 @@
         Replay_run(&seeded, REPLAY_ALL & ~find_decision(off), &replays.last);
         replays.values[seed] = ReplayResult_computeValue(&replays.last);
         if (this->json) {
-            print_json(file, off, seeded.fleet.seed, &replays.last);
+            print_json(file, off, &seeded, &replays.last);
         }
     }
     qsort(replays.values, this->seeds, sizeof(double), compare_doubles);
     if (!this->json) {
         print_row(file, off, &replays, this->seeds);
+        if (ReplaySpec_hasRanks(spec)) {
+            print_ranks(spec, &replays.last);
+        }
     }
 }
 
--- a/tests/test_Replay.c
+++ b/tests/test_Replay.c
@@ -117,6 +117,39 @@
     {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
      "prompt_tokens_ms = 1\nstep_us = 1\n[kind-9]\n",
      PROBLEM_UNKNOWN_SECTION, 7, ""},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nrank = -1\n",
+     PROBLEM_OUT_OF_RANGE, 8, "rank"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\ncustomers = 0\n",
+     PROBLEM_OUT_OF_RANGE, 8, "customers"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\ncustomers = 65\n",
+     PROBLEM_OUT_OF_RANGE, 8, "customers"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nburst_percent = twice\n",
+     PROBLEM_BAD_VALUE, 8, "burst_percent"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nburst_percent = 0\n",
+     PROBLEM_OUT_OF_RANGE, 8, "burst_percent"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nburst_from = 4\n",
+     PROBLEM_BAD_UNIT, 8, "burst_from"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nburst_until = 601s\n",
+     PROBLEM_OUT_OF_RANGE, 8, "burst_until"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nloud_percent = 0\n",
+     PROBLEM_OUT_OF_RANGE, 8, "loud_percent"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nloud_from = soon\n",
+     PROBLEM_BAD_VALUE, 8, "loud_from"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\n[kind-1]\nloud_until = 601s\n",
+     PROBLEM_OUT_OF_RANGE, 8, "loud_until"},
+    {"[fleet]\nengines = 1\nslots = 1\ncache_tokens = 1\n"
+     "prompt_tokens_ms = 1\nstep_us = 1\npiece_mode = none\n",
+     PROBLEM_BAD_VALUE, 7, "piece_mode"},
 };
 
 START_TEST(a_problem_in_a_file_has_its_line_and_key)
@@ -150,6 +183,45 @@
 }
 END_TEST
 
+#define SMALL_FLEET                                                           \
+    "[fleet]\nduration = 10s\nengines = 4\nslots = 64\n"                      \
+    "cache_tokens = 100000\nprompt_tokens_ms = 50\nstep_us = 3000\n"
+
+START_TEST(a_burst_multiplies_the_rate_in_its_span)
+{
+    ReplayResult_t result;
+    ReplaySpec_t spec =
+        load_spec(SMALL_FLEET "[kind-1]\nrate = 200\nburst_percent = 300\n"
+                              "burst_from = 4s\nburst_until = 6s\n");
+    Replay_run(&spec, REPLAY_ALL, &result);
+    for (guint second = 0; second < 10; second++) {
+        guint asked = result.kinds[0].seconds[second].asked;
+        guint expected = second == 4 || second == 5 ? 600 : 200;
+        ck_assert_uint_gt(asked, expected * 3 / 4);
+        ck_assert_uint_lt(asked, expected * 5 / 4);
+    }
+}
+END_TEST
+
+/* The others send what they send without the loud customer. */
+START_TEST(a_loud_customer_sends_a_multiple_in_its_span)
+{
+    ReplayResult_t result;
+    ReplaySpec_t spec = load_spec(
+        SMALL_FLEET "[kind-1]\nrate = 400\ncustomers = 4\n"
+                    "loud_percent = 600\nloud_from = 0s\nloud_until = 10s\n");
+    Replay_run(&spec, REPLAY_ALL, &result);
+    const ReplayShare_t *customers = result.kinds[0].customers;
+    ck_assert_uint_gt(customers[0].asked, 5500);
+    ck_assert_uint_lt(customers[0].asked, 6500);
+    for (guint i = 1; i < 4; i++) {
+        ck_assert_uint_gt(customers[i].asked, 900);
+        ck_assert_uint_lt(customers[i].asked, 1100);
+    }
+    ck_assert_uint_eq(customers[4].asked, 0);
+}
+END_TEST
+
 START_TEST(shedding_late_requests_increases_the_value)
 {
     ck_assert(loss_without(WORST_HOUR, REPLAY_SHED) > 0.1);
@@ -178,6 +250,8 @@
              every_request_has_exactly_one_outcome,
              a_problem_in_a_file_has_its_line_and_key,
              extreme_loads_are_replayed,
+             a_burst_multiplies_the_rate_in_its_span,
+             a_loud_customer_sends_a_multiple_in_its_span,
              shedding_late_requests_increases_the_value,
              routing_by_prefix_increases_the_value,
              counting_slots_increases_the_value,
