--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -177,7 +177,8 @@
         FairShare_noteServed(side->shares, request->customer, work, now_ms);
     }
     else if (!request->has_next) {
-        decision.retry_after_ms = promise_return(side, request, &input, decision.verdict);
+        decision.retry_after_ms =
+            promise_return(side, request, &input, decision.verdict);
     }
     return decision;
 }
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -173,9 +173,8 @@
     for (guint group = 0; group < placement.groups; group++) {
         Choice_t choice = {.group = group};
         DispatchAdmission_t admission = {0};
-        DispatchQuery_t *query =
-            Dispatch_query(dispatch, &placement, MODEL, &choice, &admission,
-                           on_done, owner);
+        DispatchQuery_t *query = Dispatch_query(
+            dispatch, &placement, MODEL, &choice, &admission, on_done, owner);
         if (query) {
             return query;
         }
