--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "Clock.h"
+#include "PromptTime.h"
 #include "Tickets.h"
 
 /* How long a dispatcher that did not answer is not queried again; a router
@@ -14,18 +15,32 @@
  * to the same length, as the dispatcher is ranked by this name. */
 #define GROUP_TARGET_MAX 40
 #define GROUP_NAME_SIZE (GROUP_TARGET_MAX + 12)
+#define TOKENS_PER_KTOKEN 1000
+/* Queries in a row that a dispatcher of partitioned groups leaves unanswered
+ * before the next one in rank is asked: two dispatchers of one group reserve
+ * different engines, and a single answer may be lost. */
+#define UNANSWERED_MAX 2
+/* Longest wait for a dispatcher of partitioned groups, as a fraction of the
+ * objective of urgent requests: an engine chosen without its knowledge takes
+ * longer than that. */
+#define TIMEOUT_FRACTION 0.25
 
 struct Dispatch {
     struct event_base *base;
     DispatchSpec_t spec;
     Tickets_t *tickets;
-    GHashTable *queries; /* &ticket.id -> DispatchQuery_t */
+    DispatchGroups_t *groups;
+    GHashTable *unanswered;   /* name of a dispatcher -> queries in a row */
+    GHashTable *prompt_times; /* target -> PromptTime_t */
+    GHashTable *queries;      /* &ticket.id -> DispatchQuery_t */
     guint64 next_id;
 };
 
 struct DispatchQuery {
     Dispatch_t *dispatch;
     DispatchTicket_t ticket;
+    GString *target;
+    gboolean is_partitioned;  /* groups of the target are */
     GString *dispatcher_name; /* copied, as the member may be removed */
     DispatchDone_t done;
     void *owner; /* argument of @done */
@@ -37,6 +52,7 @@
 {
     DispatchQuery_t *query = data;
     event_free(query->timeout);
+    g_string_free(query->target, TRUE);
     g_string_free(query->dispatcher_name, TRUE);
     g_free(query);
 }
@@ -67,21 +83,64 @@
     return upstream ? upstream->hash : 0;
 }
 
+/* Learned time to compute prompts of a target, created if there is none. */
+static PromptTime_t *
+find_prompt_time(Dispatch_t *this, const char *target,
+                 const Upstream_t *upstream)
+{
+    PromptTime_t *time = g_hash_table_lookup(this->prompt_times, target);
+    if (!time) {
+        time = PromptTime_create(upstream->prefill_us_per_token);
+        g_hash_table_insert(this->prompt_times, g_strdup(target), time);
+    }
+    return time;
+}
+
+static void
+set_speed(const Dispatch_t *this, const char *target, double us_per_token)
+{
+    const GPtrArray *serving =
+        UpstreamSet_findServing(this->spec.upstreams, ROLE_SERVICE, target);
+    for (guint i = 0; i < serving->len; i++) {
+        Upstream_t *upstream = g_ptr_array_index(serving, i);
+        upstream->prefill_us_per_token = us_per_token;
+    }
+}
+
+static void
+fill_answer(Wt__PlaceAnswer *answer, const Choice_t *choice,
+            const GroupDecision_t *decision)
+{
+    answer->upstream = hash_or_zero(choice->upstream);
+    answer->fetch_from = hash_or_zero(choice->supply.source);
+    answer->supply = choice->supply.kind;
+    answer->move_us = clamp_to_32_bits(choice->supply.move_us);
+    answer->move_wait_us = clamp_to_32_bits(choice->supply.wait_us);
+    answer->cached_tokens = choice->expected_cached;
+    answer->cost_us = clamp_to_32_bits(choice->cost_us);
+    answer->own_us = clamp_to_32_bits(choice->own_us);
+    answer->group = choice->group;
+    answer->reserved = choice->reserved;
+    answer->verdict = decision->verdict;
+    answer->retry_after_ms = decision->retry_after_ms;
+    answer->promised_us = clamp_to_32_bits(decision->promised_us);
+    answer->is_return = decision->is_return;
+    answer->over_share = decision->is_over_share;
+    if (choice->upstream && choice->reserved > 0) {
+        answer->ktoken_us =
+            clamp_to_32_bits((gint64)(TOKENS_PER_KTOKEN *
+                                      choice->upstream->prefill_us_per_token));
+    }
+}
+
 static void
 send_answer(const Dispatch_t *this, guint64 ticket, const Choice_t *choice,
-            const struct sockaddr_in *to)
+            const GroupDecision_t *decision, const struct sockaddr_in *to)
 {
     Wt__PlaceAnswer answer = WT__PLACE_ANSWER__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     answer.ticket = ticket;
-    answer.upstream = hash_or_zero(choice->upstream);
-    answer.fetch_from = hash_or_zero(choice->supply.source);
-    answer.supply = choice->supply.kind;
-    answer.move_us = clamp_to_32_bits(choice->supply.move_us);
-    answer.move_wait_us = clamp_to_32_bits(choice->supply.wait_us);
-    answer.cached_tokens = choice->expected_cached;
-    answer.cost_us = clamp_to_32_bits(choice->cost_us);
-    answer.own_us = clamp_to_32_bits(choice->own_us);
+    fill_answer(&answer, choice, decision);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ANSWER;
     message.place_answer = &answer;
     PeerDatagrams_send(this->spec.datagrams, to, &message);
@@ -104,6 +163,10 @@
         .level_tokens = {query->prefix_tokens, query->prompt_tokens},
         .prompt_tokens = MAX(query->prompt_tokens, query->prefix_tokens),
         .groups = Dispatch_countGroups(this, serving->len),
+        .group = query->group,
+        .urgent = query->urgent,
+        .urgent_objective_us = query->urgent_objective_us,
+        .partitions = this->spec.partitions,
         .avoid = UpstreamSet_findByHash(this->spec.upstreams, query->avoid),
         .run_us = query->run_us,
         .latest_us = query->latest_us,
@@ -113,6 +176,61 @@
     return placement;
 }
 
+/* Measures a request that was placed, as the partition of its group follows
+ * from what arrives and from how long prompts take. */
+static void
+measure_group(Dispatch_t *this, const Placement_t *placement,
+              const Choice_t *choice)
+{
+    if (placement->urgent_objective_us <= 0 || !this->spec.partitions) {
+        return;
+    }
+    GroupPartition_t *group = GroupPartitions_get(
+        this->spec.partitions, placement->target, choice->group);
+    if (placement->group == 0) {
+        GroupPartition_noteArrival(group, placement->urgent,
+                                   placement->now_ms);
+    }
+    if (!placement->urgent) {
+        const PromptTime_t *time =
+            find_prompt_time(this, placement->target, choice->upstream);
+        guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
+        GroupPartition_notePrompt(
+            group,
+            PromptTime_computeUs(time, placement->prompt_tokens - cached));
+    }
+}
+
+GroupDecision_t
+Dispatch_decide(Dispatch_t *this, const Placement_t *placement,
+                const Choice_t *choice, const DispatchAdmission_t *admission)
+{
+    GroupDecision_t decision = {.verdict = GROUP_ADMITTED};
+    measure_group(this, placement, choice);
+    if (choice->side == 0 || admission->left_ms <= 0) {
+        return decision;
+    }
+    GroupRequest_t request = {
+        .placement = placement,
+        .choice = choice,
+        .customer = admission->customer,
+        .key = admission->key,
+        .left_ms = admission->left_ms,
+        .has_next = admission->has_next,
+    };
+    decision = DispatchGroups_decide(this->groups, &request);
+    Counters_add(this->spec.counters, "group_decisions_total",
+                 GroupAdmission_name(decision.verdict), 1);
+    if (decision.is_return) {
+        Counters_add(this->spec.counters,
+                     decision.verdict == GROUP_ADMITTED
+                         ? "promises_kept_total"
+                         : "promises_broken_total",
+                     NULL, 1);
+    }
+    return decision;
+}
+
 /* A duplicate query is not answered: the first one made the chosen engine
  * busier, so a second answer might name another engine. */
 static void
@@ -126,12 +244,18 @@
     this->spec.prefer(this->spec.owner, *query->model ? query->model : NULL,
                       &placement);
     Choice_t choice = Policy_choose(this->spec.policy, &placement);
+    GroupDecision_t decision = {.verdict = GROUP_ADMITTED};
     if (choice.upstream) {
+        DispatchAdmission_t admission = {query->customer, query->request,
+                                         query->left_ms, query->has_next};
+        decision = Dispatch_decide(this, &placement, &choice, &admission);
+    }
+    if (choice.upstream && decision.verdict == GROUP_ADMITTED) {
         Tickets_add(this->tickets, query->ticket, &placement, &choice);
         Policy_commit(this->spec.policy, &placement, &choice);
     }
     Counters_add(this->spec.counters, "places_answered_total", NULL, 1);
-    send_answer(this, query->ticket, &choice, from);
+    send_answer(this, query->ticket, &choice, &decision, from);
 }
 
 /* A router of another build may send kinds that this one does not know. */
@@ -152,6 +276,8 @@
         .expected_cached = answer->cached_tokens,
         .cost_us = answer->cost_us,
         .own_us = answer->own_us,
+        .group = answer->group,
+        .reserved = answer->reserved,
         .supply =
             {
                 .kind = get_supply_kind(answer),
@@ -164,15 +290,48 @@
     };
 }
 
+/* A verdict that this build does not know counts as a refusal for lack of
+ * room: the dispatcher has opened no ticket. */
+static GroupDecision_t
+make_decision(const Wt__PlaceAnswer *answer)
+{
+    return (GroupDecision_t){
+        .verdict = answer->verdict < GROUP_VERDICTS
+                       ? (GroupVerdict_t)answer->verdict
+                       : GROUP_LATE,
+        .retry_after_ms = answer->retry_after_ms,
+        .promised_us = answer->promised_us,
+        .is_return = answer->is_return,
+        .is_over_share = answer->over_share,
+    };
+}
+
 /* The query is removed before the callback runs, which may start another. */
 static void
-finish_query(DispatchQuery_t *query, const Choice_t *choice,
-             const DispatchTicket_t *ticket)
+finish_query(DispatchQuery_t *query, const DispatchAnswer_t *answer)
 {
     DispatchDone_t done = query->done;
     void *owner = query->owner;
     g_hash_table_remove(query->dispatch->queries, &query->ticket.id);
-    done(owner, choice, ticket);
+    done(owner, answer);
+}
+
+/* What the dispatcher has learned serves this router while the dispatcher does
+ * not answer. */
+static void
+learn_partition(const Dispatch_t *this, const DispatchQuery_t *query,
+                const Wt__PlaceAnswer *answer)
+{
+    if (!this->spec.partitions) {
+        return;
+    }
+    GroupPartitions_noteReported(this->spec.partitions, query->target->str,
+                                 answer->group, answer->reserved,
+                                 Clock_nowMs());
+    if (answer->ktoken_us > 0) {
+        set_speed(this, query->target->str,
+                  (double)answer->ktoken_us / TOKENS_PER_KTOKEN);
+    }
 }
 
 /* An answer to a query that was cancelled or has timed out ends its ticket. */
@@ -187,21 +346,52 @@
         send_update(this, &ticket, WT__PLACE_STATE__ENDED, 0);
         return;
     }
-    Choice_t choice = make_choice(this, answer);
-    finish_query(query, &choice, &ticket);
+    DispatchAnswer_t result = {
+        .choice = make_choice(this, answer),
+        .ticket = ticket,
+        .decision = make_decision(answer),
+    };
+    if (result.decision.verdict != GROUP_ADMITTED) {
+        result.ticket.id = 0;
+    }
+    g_hash_table_remove(this->unanswered, query->dispatcher_name->str);
+    learn_partition(this, query, answer);
+    finish_query(query, &result);
 }
 
+/* Learns the time of a prompt from an engine that had nothing else to do. In a
+ * partitioned group it is used for all engines of the target. */
 static void
-receive_update(const Dispatch_t *this, const Wt__PlaceNews *update)
+learn_first_token(Dispatch_t *this, const Wt__PlaceNews *update)
 {
     gint64 now_ms = Clock_nowMs();
-    switch (update->state) {
-    case WT__PLACE_STATE__BEGUN:
+    TicketFirstToken_t first =
         Tickets_noteFirstToken(this->tickets, update->ticket,
                                this->spec.policy, update->waited_us, now_ms);
+    if (!first.found_idle || first.upstream->serves->len == 0) {
+        return;
+    }
+    const GString *target = g_ptr_array_index(first.upstream->serves, 0);
+    PromptTime_t *time = find_prompt_time(this, target->str, first.upstream);
+    PromptTime_note(time, first.tokens, update->waited_us);
+    if (this->spec.partitions &&
+        GroupPartitions_isPartitioned(this->spec.partitions, target->str,
+                                      now_ms)) {
+        set_speed(this, target->str,
+                  (double)PromptTime_computeUs(time, TOKENS_PER_KTOKEN) /
+                      TOKENS_PER_KTOKEN);
+    }
+}
+
+static void
+receive_update(Dispatch_t *this, const Wt__PlaceNews *update)
+{
+    switch (update->state) {
+    case WT__PLACE_STATE__BEGUN:
+        learn_first_token(this, update);
         break;
     case WT__PLACE_STATE__REFUSED:
-        Tickets_noteRefusal(this->tickets, update->ticket, now_ms);
+        Tickets_noteRefusal(this->tickets, update->ticket, Clock_nowMs());
         break;
     default:
         Tickets_end(this->tickets, update->ticket);
@@ -228,6 +418,26 @@
     }
 }
 
+/* Counts a query that the dispatcher did not answer. Returns TRUE if another
+ * one is to be asked for a while. */
+static gboolean
+note_unanswered(const Dispatch_t *this, const DispatchQuery_t *query)
+{
+    const char *name = query->dispatcher_name->str;
+    if (!query->is_partitioned) {
+        return TRUE;
+    }
+    guint count =
+        GPOINTER_TO_UINT(g_hash_table_lookup(this->unanswered, name)) + 1;
+    if (count >= UNANSWERED_MAX) {
+        g_hash_table_remove(this->unanswered, name);
+        return TRUE;
+    }
+    g_hash_table_insert(this->unanswered, g_strdup(name),
+                        GUINT_TO_POINTER(count));
+    return FALSE;
+}
+
 /* The dispatcher may have received the query and opened a ticket for it, so
  * the ticket is ended. */
 static void
@@ -237,14 +447,15 @@
     (void)what;
     DispatchQuery_t *query = data;
     Dispatch_t *this = query->dispatch;
-    DispatchTicket_t no_ticket = {0};
-    Choice_t no_choice = {.reason = "unanswered"};
-    Membership_noteUnreachable(this->spec.membership,
-                               query->dispatcher_name->str,
-                               Clock_nowMs() + UNANSWERED_BACKOFF_MS);
+    DispatchAnswer_t no_answer = {.choice = {.reason = "unanswered"}};
+    if (note_unanswered(this, query)) {
+        Membership_noteUnreachable(this->spec.membership,
+                                   query->dispatcher_name->str,
+                                   Clock_nowMs() + UNANSWERED_BACKOFF_MS);
+    }
     Counters_add(this->spec.counters, "places_unanswered_total", NULL, 1);
     send_update(this, &query->ticket, WT__PLACE_STATE__ENDED, 0);
-    finish_query(query, &no_choice, &no_ticket);
+    finish_query(query, &no_answer);
 }
 
 /* A dispatcher keeps the tickets of all routers in one table. Ids start at a
@@ -258,6 +469,12 @@
     return XXH3_64bits(process_name, strlen(process_name));
 }
 
+static void
+free_prompt_time(gpointer data)
+{
+    PromptTime_destroy(data);
+}
+
 Dispatch_t *
 Dispatch_create(struct event_base *base, const DispatchSpec_t *spec)
 {
@@ -265,6 +482,11 @@
     this->base = base;
     this->spec = *spec;
     this->tickets = Tickets_create(base);
+    this->groups = DispatchGroups_create();
+    this->unanswered =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    this->prompt_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                               free_prompt_time);
     this->queries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_query);
     this->next_id = make_first_ticket_id(Membership_address(spec->membership));
@@ -276,6 +498,9 @@
 Dispatch_destroy(Dispatch_t *this)
 {
     Tickets_destroy(this->tickets);
+    DispatchGroups_destroy(this->groups);
+    g_hash_table_destroy(this->prompt_times);
+    g_hash_table_destroy(this->unanswered);
     g_hash_table_destroy(this->queries);
     g_free(this);
 }
@@ -297,7 +522,8 @@
 
 static void
 send_query(Dispatch_t *this, const DispatchQuery_t *query,
-           const Placement_t *placement, const char *model)
+           const Placement_t *placement, const char *model,
+           const DispatchAdmission_t *admission)
 {
     Wt__PlaceAsk body = WT__PLACE_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
@@ -311,6 +537,14 @@
     body.avoid = hash_or_zero(placement->avoid);
     body.run_us = clamp_to_32_bits(placement->run_us);
     body.latest_us = clamp_to_32_bits(placement->latest_us);
+    body.urgent = placement->urgent;
+    body.urgent_objective_us =
+        clamp_to_32_bits(placement->urgent_objective_us);
+    body.group = placement->group;
+    body.customer = admission->customer;
+    body.request = admission->key;
+    body.left_ms = clamp_to_32_bits(admission->left_ms);
+    body.has_next = admission->has_next;
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ASK;
     message.place_ask = &body;
     PeerDatagrams_send(this->spec.datagrams, &query->ticket.dispatcher,
@@ -322,29 +556,47 @@
                 const Choice_t *choice)
 {
     char group[GROUP_NAME_SIZE];
+    guint number = placement->group > 0 ? placement->group - 1 : choice->group;
     g_snprintf(group, sizeof(group), "%.*s/%u", GROUP_TARGET_MAX,
-               placement->target, choice->group);
+               placement->target, number);
     return Membership_findReachableOwner(this->spec.membership, group,
                                          Clock_nowMs());
 }
 
+static gint64
+timeout_ms(const DispatchQuery_t *query, const Placement_t *placement)
+{
+    gint64 patient_ms =
+        (gint64)((double)placement->urgent_objective_us * TIMEOUT_FRACTION) /
+        CLOCK_US_PER_MS;
+    return query->is_partitioned ? MAX(patient_ms, DISPATCH_TIMEOUT_MS)
+                                 : DISPATCH_TIMEOUT_MS;
+}
+
 static DispatchQuery_t *
-create_query(Dispatch_t *this, const Member_t *dispatcher)
+create_query(Dispatch_t *this, const Member_t *dispatcher,
+             const Placement_t *placement)
 {
     DispatchQuery_t *query = g_new0(DispatchQuery_t, 1);
     query->dispatch = this;
+    query->target = g_string_new(placement->target);
+    query->is_partitioned =
+        this->spec.partitions &&
+        GroupPartitions_isPartitioned(this->spec.partitions, placement->target,
+                                      Clock_nowMs());
     query->ticket.id = ++this->next_id;
     query->ticket.dispatcher = PeerDatagrams_toSockaddr(&dispatcher->address);
     query->dispatcher_name = g_string_new(dispatcher->name->str);
     query->timeout = Clock_timer(this->base, on_timeout, query);
-    Clock_arm(query->timeout, DISPATCH_TIMEOUT_MS);
+    Clock_arm(query->timeout, timeout_ms(query, placement));
     g_hash_table_insert(this->queries, &query->ticket.id, query);
     return query;
 }
 
 DispatchQuery_t *
 Dispatch_query(Dispatch_t *this, const Placement_t *placement,
-               const char *model, const Choice_t *choice, DispatchDone_t done,
+               const char *model, const Choice_t *choice,
+               const DispatchAdmission_t *admission, DispatchDone_t done,
                void *owner)
 {
     Member_t *dispatcher = placement->groups > 1 && placement->level_count > 0
@@ -353,10 +605,10 @@
     if (!dispatcher) {
         return NULL;
     }
-    DispatchQuery_t *query = create_query(this, dispatcher);
+    DispatchQuery_t *query = create_query(this, dispatcher, placement);
     query->done = done;
     query->owner = owner;
-    send_query(this, query, placement, model);
+    send_query(this, query, placement, model, admission);
     return query;
 }
 
