A busy engine stays in use while its silence is probed

Under heavy load routers took live engines out of use in the whole fleet: a request without a first event in time made its engine suspected at once and the peers were told before the probe was answered. Failed and cut connections suspect at once as before. A request is given up after the same time as before, as the probe starts at the same tick. upstream_silent_but_alive_total counts the probes of silent engines that were answered. With silence suspecting at once instead (Upstream_noteSilent() made to call Upstream_noteUnreachable()) these tests failed: 3 of 8 of test_Upstream, 2 of 17 of test_UpstreamProber, 2 of 6 of test_RelayFeedback. With the change all of them pass, as do test_Settings, test_UpstreamNotices, test_Dispatch and test_CrashEvidence.

--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -203,16 +203,30 @@
     }
 }
 
-/* A failed connection, silence, or a connection that breaks before the answer
- * is complete makes the upstream suspected, so that it gets no further work
- * for now. */
+/* A busy upstream is silent as well, and taking it out of use would add its
+ * work to that of the others. */
+static void
+note_silent(const RelayFeedback_t *this)
+{
+    if (this->context->settings->relay.probe_silent) {
+        Upstream_noteSilent(this->upstream);
+    }
+    else {
+        note_unreachable(this, Recovery_endName(ATTEMPT_SILENT));
+    }
+}
+
+/* A failed connection, or one that breaks before the answer is complete, makes
+ * the upstream suspected, so that it gets no further work for now. */
 void
 RelayFeedback_noteReachability(const RelayFeedback_t *this, AttemptEnd_t end)
 {
-    if (end == ATTEMPT_NOT_SENT || end == ATTEMPT_SILENT ||
-        end == ATTEMPT_CUT) {
+    if (end == ATTEMPT_NOT_SENT || end == ATTEMPT_CUT) {
         note_unreachable(this, Recovery_endName(end));
     }
+    else if (end == ATTEMPT_SILENT) {
+        note_silent(this);
+    }
 }
 
 gboolean
@@ -221,6 +235,6 @@
     if (Clock_nowMs() - this->upstream->last_answer_ms < LIVENESS_MAX_AGE_MS) {
         return FALSE;
     }
-    note_unreachable(this, "silent");
+    note_silent(this);
     return this->upstream->unanswered > 0;
 }
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -70,14 +70,17 @@
                                const RelayHead_t *head);
 
 /** RelayFeedback_noteReachability() - suspect the upstream if the attempt's
- * end suggests that it is unreachable */
+ * end suggests that it is unreachable; see RelayFeedback_noteSilence() for
+ * ATTEMPT_SILENT */
 void RelayFeedback_noteReachability(const RelayFeedback_t *this,
                                     AttemptEnd_t end);
 
 /**
  * RelayFeedback_noteSilence() - the upstream has exceeded a timeout
  *
- * Suspects the upstream unless it has answered any request a short while ago.
+ * Unless the upstream has answered any request a short while ago, it is probed
+ * and, with the setting probe_silent, suspected only if the probe fails;
+ * without the setting it is suspected at once.
  *
  * Return: TRUE if a probe was unanswered as well
  */
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -152,6 +152,8 @@
  * its first event
  * @refuse_late: whether to refuse a request whose answer is expected to begin
  *     later than the objective of its route
+ * @probe_silent: whether a silent upstream stays in use until a probe of it
+ *     was not answered
  */
 typedef struct {
     gint64 config_max_age_ms;
@@ -162,6 +164,7 @@
     gint64 weights_limit_ms;
     gint64 move_wait_ms;
     gint64 refuse_late;
+    gint64 probe_silent;
 } RelaySection_t;
 
 /**
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -127,6 +127,7 @@
     this->paused_until_ms = 0;
     this->unloading_since_ms = 0;
     this->load_soon_until_ms = 0;
+    this->probe_wanted = FALSE;
     this->limit = (UpstreamLimit_t){0};
     this->backoff = (UpstreamBackoff_t){0};
     Upstream_noteSuccess(this);
@@ -187,10 +188,19 @@
     gboolean is_new = !this->suspect;
     this->suspect = TRUE;
     this->suspected_by_peer = FALSE;
+    this->probe_wanted = FALSE;
     close_idle_connections(this);
     return is_new;
 }
 
+void
+Upstream_noteSilent(Upstream_t *this)
+{
+    if (!this->suspect || this->suspected_by_peer) {
+        this->probe_wanted = TRUE;
+    }
+}
+
 void
 Upstream_notePeerSuspicion(Upstream_t *this)
 {
@@ -233,6 +243,7 @@
     this->suspect = FALSE;
     this->suspected_by_peer = FALSE;
     this->unanswered = 0;
+    this->probe_wanted = FALSE;
     this->last_answer_ms = now_ms;
 }
 
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -62,6 +62,8 @@
  *     Upstream_noteSuspicionReport(); 0 for never
  * @suspicion_resolved: a router has reached it since, and the peers know
  * @unanswered: failed probes since it was last reached
+ * @probe_wanted: has been silent beyond a timeout; it stays in use and is to
+ *     be probed, which decides whether it is suspected
  * @wait_us: learned wait for a first token beyond the request's computation
  * @wait_at_ms: when @wait_us was learned; the value decays
  * @run_us: learned time from a request's first token to its end, 0 for none
@@ -116,6 +118,7 @@
     gint64 suspicion_reported_ms;
     gboolean suspicion_resolved;
     guint unanswered;
+    gboolean probe_wanted;
     double wait_us;
     gint64 wait_at_ms;
     double run_us;
@@ -163,7 +166,8 @@
  *
  * An incarnation older than the known one is ignored. A newer one resets the
  * leaving mark, the reported load, the learned wait, the pause, the limit, the
- * backoff, the ejection and the cache contents, and closes idle connections.
+ * backoff, the ejection, the wish for a probe and the cache contents, and
+ * closes idle connections.
  *
  * Return: TRUE if the incarnation was not known
  */
@@ -208,6 +212,15 @@
  */
 gboolean Upstream_noteUnreachable(Upstream_t *this);
 
+/**
+ * Upstream_noteSilent() - ask for a probe of an upstream that was silent
+ * beyond a timeout
+ *
+ * The upstream stays in use, unlike after Upstream_noteUnreachable(). Does
+ * nothing if this router suspects it already, since it is probed then.
+ */
+void Upstream_noteSilent(Upstream_t *this);
+
 /** Upstream_notePeerSuspicion() - suspect an upstream that only a peer could
  * not reach */
 void Upstream_notePeerSuspicion(Upstream_t *this);
@@ -233,7 +246,8 @@
  */
 gboolean Upstream_noteSuspicionReport(Upstream_t *this, gint64 now_ms);
 
-/** Upstream_noteReachable() - record an answer, which ends any suspicion */
+/** Upstream_noteReachable() - record an answer, which ends any suspicion and
+ * any wish for a probe */
 void Upstream_noteReachable(Upstream_t *this, gint64 now_ms);
 
 /**
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -32,6 +32,8 @@
     gint64 next_ms;
     gint64 peers_until_ms; /* until then only other routers probe */
     guint probe_count;
+    gboolean is_of_silent; /* sent as a request was left without an event */
+    gboolean is_reported;  /* the peers have been told of the suspicion */
 } Probe_t;
 
 static void
@@ -64,6 +66,56 @@
     }
 }
 
+/* A peer's suspicion has been forwarded already when it was received. */
+static void
+report_suspicion(Probe_t *probe)
+{
+    Hint_t hint = {.kind = HINT_UNREACHABLE, .subject = probe->upstream->hash};
+    if (probe->is_reported || !probe->upstream->suspect) {
+        return;
+    }
+    probe->is_reported = TRUE;
+    if (Upstream_noteSuspicionReport(probe->upstream, Clock_nowMs())) {
+        HintBroadcast_add(probe->owner->spec.hints, &hint);
+    }
+}
+
+static void
+log_suspicion(const Probe_t *probe)
+{
+    const Upstream_t *upstream = probe->upstream;
+    Log_begin(LOG_LEVEL_WARNING, "upstream_doubted");
+    Log_text("upstream", upstream->name->str);
+    Log_text("reason", "silent");
+    Log_number("asked", probe->probe_count);
+    Log_number("proof_age_ms", Clock_nowMs() - upstream->last_answer_ms);
+    Log_end();
+}
+
+/* Neither a request nor a probe of the upstream was answered. */
+static void
+suspect_silent(Probe_t *probe)
+{
+    if (Upstream_noteUnreachable(probe->upstream)) {
+        log_suspicion(probe);
+    }
+    report_suspicion(probe);
+}
+
+static void
+note_answer(Probe_t *probe, const HttpAnswer_t *answer)
+{
+    const UpstreamProberSpec_t *spec = &probe->owner->spec;
+    if (probe->is_of_silent) {
+        Counters_add(spec->counters, "upstream_silent_but_alive_total", NULL,
+                     1);
+    }
+    Upstream_noteReachable(probe->upstream, Clock_nowMs());
+    UpstreamNotices_applyAnswer(spec->notices, &probe->origin, answer);
+    broadcast_reachable(probe);
+    log_probe(probe, "upstream_reached", "answered");
+}
+
 /* Any answer, whatever its status, shows that the upstream is reachable. */
 static void
 on_answer(const HttpAnswer_t *answer, const GError *error, void *data)
@@ -71,13 +123,12 @@
     Probe_t *probe = data;
     probe->call = NULL;
     if (answer) {
-        Upstream_noteReachable(probe->upstream, Clock_nowMs());
-        UpstreamNotices_applyAnswer(probe->owner->spec.notices, &probe->origin,
-                                    answer);
-        broadcast_reachable(probe);
-        log_probe(probe, "upstream_reached", "answered");
+        note_answer(probe, answer);
         return;
     }
+    if (probe->upstream->probe_wanted) {
+        suspect_silent(probe);
+    }
     /* The upstream may have answered a request in the meantime. */
     probe->upstream->unanswered += probe->upstream->suspect ? 1 : 0;
     guint doublings = MIN(probe->probe_count, PAUSE_DOUBLINGS_MAX);
@@ -119,11 +170,18 @@
         .timeout_ms = this->spec.timeout_ms,
     };
     probe->probe_count++;
+    probe->is_of_silent = probe->upstream->probe_wanted;
     probe->origin = NoticeOrigin_begin(probe->upstream, NULL);
     Counters_add(this->spec.counters, "upstream_probes_total", NULL, 1);
     probe->call = HttpCall_start(this->base, &spec, on_answer, probe);
 }
 
+static gboolean
+needs_probe(const Upstream_t *upstream)
+{
+    return upstream->suspect || upstream->probe_wanted;
+}
+
 static gboolean
 is_finished(gpointer key, gpointer data, gpointer user)
 {
@@ -131,17 +189,7 @@
     (void)user;
     const Probe_t *probe = data;
     return !probe->call &&
-           (!probe->upstream->suspect || probe->upstream->removed);
-}
-
-/* A peer's suspicion has been forwarded already when it was received. */
-static void
-broadcast_suspicion(const UpstreamProber_t *this, Upstream_t *upstream)
-{
-    Hint_t hint = {.kind = HINT_UNREACHABLE, .subject = upstream->hash};
-    if (Upstream_noteSuspicionReport(upstream, Clock_nowMs())) {
-        HintBroadcast_add(this->spec.hints, &hint);
-    }
+           (!needs_probe(probe->upstream) || probe->upstream->removed);
 }
 
 static gboolean
@@ -167,27 +215,37 @@
 is_due(const Probe_t *probe)
 {
     gint64 now_ms = Clock_nowMs();
-    gboolean left_to_peers =
-        probe->upstream->suspected_by_peer && now_ms < probe->peers_until_ms;
+    gboolean left_to_peers = probe->upstream->suspected_by_peer &&
+                             !probe->upstream->probe_wanted &&
+                             now_ms < probe->peers_until_ms;
     gboolean is_backed_off =
         UpstreamBackoff_leftMs(&probe->upstream->backoff, now_ms) > 0;
     return !probe->call && !left_to_peers && !is_backed_off &&
            now_ms >= probe->next_ms;
 }
 
+static Probe_t *
+find_or_create_probe(UpstreamProber_t *this, Upstream_t *upstream)
+{
+    Probe_t *probe = g_hash_table_lookup(this->probes, upstream);
+    if (!probe) {
+        probe = create_probe(this, upstream);
+        g_hash_table_insert(this->probes, upstream, probe);
+    }
+    return probe;
+}
+
+/* An upstream whose silence is probed may become suspected meanwhile, as a
+ * connection to it fails. */
 static void
 find_suspects(UpstreamProber_t *this)
 {
     const GPtrArray *all = UpstreamSet_all(this->spec.upstreams);
     for (guint i = 0; i < all->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(all, i);
-        if (!upstream->suspect ||
-            g_hash_table_contains(this->probes, upstream)) {
-            continue;
+        if (needs_probe(upstream)) {
+            report_suspicion(find_or_create_probe(this, upstream));
         }
-        g_hash_table_insert(this->probes, upstream,
-                            create_probe(this, upstream));
-        broadcast_suspicion(this, upstream);
     }
 }
 
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -5,7 +5,10 @@
  *
  * Probes upstreams that were unreachable before requests are sent to them
  * again, so that no request has to find out. The peers are notified of an
- * upstream that this router could not reach. The three routers of the
+ * upstream that this router could not reach. An upstream that was only silent
+ * stays in use while it is probed, and is suspected if that probe is not
+ * answered (upstream_doubted with reason=silent); an answer is counted as
+ * upstream_silent_but_alive_total. The three routers of the
  * lowest ranks probe it as well and notify the others when it answers; the
  * others probe it only if they receive no such notification in time.
  */
--- a/tests/test_Upstream.c
+++ b/tests/test_Upstream.c
@@ -65,6 +65,54 @@
 }
 END_TEST
 
+START_TEST(a_silent_upstream_stays_in_use_until_it_is_reached)
+{
+    begin();
+    Upstream_noteSilent(upstream);
+    ck_assert(upstream->probe_wanted);
+    ck_assert(Upstream_isUsable(upstream, NOW_MS));
+    Upstream_noteReachable(upstream, NOW_MS);
+    ck_assert(!upstream->probe_wanted);
+    ck_assert(Upstream_isUsable(upstream, NOW_MS));
+    end();
+}
+END_TEST
+
+START_TEST(silence_of_a_former_incarnation_asks_for_no_probe)
+{
+    begin();
+    Upstream_noteIncarnation(upstream, 1, NOW_MS);
+    Upstream_noteSilent(upstream);
+    Upstream_noteIncarnation(upstream, 2, NOW_MS);
+    ck_assert(!upstream->probe_wanted);
+    end();
+}
+END_TEST
+
+START_TEST(suspicion_of_a_silent_upstream_ends_its_use)
+{
+    begin();
+    Upstream_noteSilent(upstream);
+    ck_assert(Upstream_noteUnreachable(upstream));
+    ck_assert(!upstream->probe_wanted);
+    ck_assert(!Upstream_isUsable(upstream, NOW_MS));
+    Upstream_noteSilent(upstream);
+    ck_assert(!upstream->probe_wanted);
+    end();
+}
+END_TEST
+
+START_TEST(silence_adds_a_probe_to_a_peers_suspicion)
+{
+    begin();
+    receive_suspicion(NOW_MS);
+    Upstream_noteSilent(upstream);
+    ck_assert(upstream->probe_wanted);
+    ck_assert(!Upstream_isUsable(upstream, NOW_MS));
+    end();
+}
+END_TEST
+
 START_TEST(suspicion_is_resolved_once_and_not_repeated_at_once)
 {
     begin();
@@ -98,5 +146,9 @@
 
 TESTING_MAIN("Upstream", peer_suspicion_is_resolved_by_a_peer,
              local_suspicion_is_not_resolved_by_a_peer,
+             a_silent_upstream_stays_in_use_until_it_is_reached,
+             silence_of_a_former_incarnation_asks_for_no_probe,
+             suspicion_of_a_silent_upstream_ends_its_use,
+             silence_adds_a_probe_to_a_peers_suspicion,
              suspicion_is_resolved_once_and_not_repeated_at_once,
              connection_is_warm_up_to_the_given_idle_time)
--- a/tests/test_UpstreamProber.c
+++ b/tests/test_UpstreamProber.c
@@ -10,6 +10,7 @@
 #define TARGET "s"
 #define STATE_PATH "/v1/report"
 #define COUNTER "upstream_probes_total"
+#define ALIVE_COUNTER "upstream_silent_but_alive_total"
 #define MESH 16
 /* Short, so that a test need not wait long for an unanswered probe. */
 #define TIMEOUT_MS 200
@@ -129,6 +130,13 @@
     return requests_received > 0;
 }
 
+static gboolean
+is_answered(const FakeRouters_t *this)
+{
+    (void)this;
+    return upstream->last_answer_ms > 0;
+}
+
 static gboolean
 is_requested_twice(const FakeRouters_t *this)
 {
@@ -353,15 +361,116 @@
 }
 END_TEST
 
-TESTING_MAIN("UpstreamProber", an_upstream_that_is_not_suspected_is_not_probed,
-             any_answer_ends_a_suspicion,
-             a_repeated_suspicion_starts_no_second_probe,
-             an_unanswered_probe_is_repeated,
-             a_late_answer_ends_no_suspicion_and_disturbs_no_probe,
-             a_lost_probe_is_ignored_if_the_upstream_answered_meanwhile,
-             a_removed_upstream_is_not_probed_again,
-             the_prober_may_be_destroyed_while_a_probe_is_open,
-             a_router_of_a_low_rank_probes_when_a_peer_suspects,
-             other_routers_probe_only_after_a_timeout,
-             a_peers_answer_ends_a_peers_suspicion_without_a_probe,
-             a_suspicion_of_the_router_itself_is_probed_at_once)
+static guint
+count_alive(void)
+{
+    return (guint)Counters_value(routers.counters, ALIVE_COUNTER, NULL);
+}
+
+/* Routers took busy engines out of use in the whole fleet. */
+START_TEST(a_silent_upstream_that_answers_the_probe_stays_in_use)
+{
+    begin(2, 0);
+    delays_answers = TRUE;
+    Upstream_noteSilent(upstream);
+    FakeRouters_await(&routers, is_requested);
+    FakeRouters_run(&routers, TIMEOUT_MS / 4);
+    ck_assert(Upstream_isUsable(upstream, Clock_nowMs()));
+    evhttp_send_reply(pending, HTTP_OK, NULL, NULL);
+    FakeRouters_await(&routers, is_answered);
+    FakeRouters_run(&routers, CHECKS_MS);
+    ck_assert(Upstream_isUsable(upstream, Clock_nowMs()));
+    ck_assert_uint_eq(count_probes(), 1);
+    ck_assert_uint_eq(count_alive(), 1);
+    ck_assert_uint_eq(count_sent_hints(1, HINT_UNREACHABLE), 0);
+    ck_assert_uint_eq(count_sent_hints(1, HINT_REACHABLE), 0);
+    end();
+}
+END_TEST
+
+START_TEST(a_silent_upstream_that_answers_no_probe_is_suspected)
+{
+    begin(2, 0);
+    delays_answers = TRUE;
+    gint64 began_ms = Clock_nowMs();
+    Upstream_noteSilent(upstream);
+    FakeRouters_await(&routers, is_unanswered);
+    ck_assert_int_lt(Clock_nowMs() - began_ms, TIMEOUT_MS + CHECKS_MS);
+    ck_assert(!Upstream_isUsable(upstream, Clock_nowMs()));
+    ck_assert_uint_eq(upstream->unanswered, 1);
+    ck_assert_uint_eq(count_probes(), 1);
+    delays_answers = FALSE;
+    FakeRouters_await(&routers, is_reachable);
+    FakeRouters_run(&routers, CHECKS_MS);
+    ck_assert_uint_eq(count_alive(), 0);
+    ck_assert_uint_eq(count_sent_hints(1, HINT_UNREACHABLE), 1);
+    ck_assert_uint_eq(count_sent_hints(1, HINT_REACHABLE), 1);
+    end();
+}
+END_TEST
+
+START_TEST(a_failed_connection_while_silence_is_probed_is_reported_at_once)
+{
+    begin(2, 0);
+    delays_answers = TRUE;
+    Upstream_noteSilent(upstream);
+    FakeRouters_await(&routers, is_requested);
+    Upstream_noteUnreachable(upstream);
+    FakeRouters_run(&routers, TIMEOUT_MS * 3 / 4);
+    ck_assert_uint_eq(upstream->unanswered, 0);
+    ck_assert_uint_eq(count_probes(), 1);
+    FakeRouters_run(&routers, CHECKS_MS);
+    ck_assert_uint_eq(count_sent_hints(1, HINT_UNREACHABLE), 1);
+    end();
+}
+END_TEST
+
+START_TEST(
+    a_lost_probe_of_silence_is_ignored_if_the_upstream_answered_meanwhile)
+{
+    begin(2, 0);
+    delays_answers = TRUE;
+    Upstream_noteSilent(upstream);
+    FakeRouters_await(&routers, is_requested);
+    Upstream_noteReachable(upstream, Clock_nowMs());
+    FakeRouters_run(&routers, TIMEOUT_MS + CHECKS_MS);
+    ck_assert(Upstream_isUsable(upstream, Clock_nowMs()));
+    ck_assert_uint_eq(upstream->unanswered, 0);
+    ck_assert_uint_eq(count_probes(), 1);
+    ck_assert_uint_eq(count_sent_hints(1, HINT_UNREACHABLE), 0);
+    end();
+}
+END_TEST
+
+/* A request that waits at the upstream needs this router's own probe. */
+START_TEST(silence_is_probed_at_once_despite_a_peers_suspicion)
+{
+    begin(MANY, predict_router(FALSE));
+    Upstream_notePeerSuspicion(upstream);
+    FakeRouters_run(&routers, CHECKS_MS);
+    ck_assert_uint_eq(count_probes(), 0);
+    Upstream_noteSilent(upstream);
+    FakeRouters_run(&routers, CHECKS_MS);
+    ck_assert_uint_eq(count_probes(), 1);
+    ck_assert(Upstream_isUsable(upstream, Clock_nowMs()));
+    end();
+}
+END_TEST
+
+TESTING_MAIN(
+    "UpstreamProber", an_upstream_that_is_not_suspected_is_not_probed,
+    any_answer_ends_a_suspicion, a_repeated_suspicion_starts_no_second_probe,
+    an_unanswered_probe_is_repeated,
+    a_late_answer_ends_no_suspicion_and_disturbs_no_probe,
+    a_lost_probe_is_ignored_if_the_upstream_answered_meanwhile,
+    a_removed_upstream_is_not_probed_again,
+    the_prober_may_be_destroyed_while_a_probe_is_open,
+    a_router_of_a_low_rank_probes_when_a_peer_suspects,
+    other_routers_probe_only_after_a_timeout,
+    a_peers_answer_ends_a_peers_suspicion_without_a_probe,
+    a_suspicion_of_the_router_itself_is_probed_at_once,
+    a_silent_upstream_that_answers_the_probe_stays_in_use,
+    a_silent_upstream_that_answers_no_probe_is_suspected,
+    a_failed_connection_while_silence_is_probed_is_reported_at_once,
+    a_lost_probe_of_silence_is_ignored_if_the_upstream_answered_meanwhile,
+    silence_is_probed_at_once_despite_a_peers_suspicion)
