Sessions with a silent engine whose probe is answered, lost, or not awaited

With real processes: an engine that pauses in a stream and answers its probe is not suspected and ends the stream; one that answers no probe is suspected by the first probe and the stream goes on elsewhere; without `probe_silent` silence suspects at once as before.

--- a/src/Settings.c
+++ b/src/Settings.c
@@ -193,9 +193,9 @@
      KEY_LIVE},
     {"probe_silent", KEY_CHOICE, FALSE, "no", 0, 0, "no,yes", A(probe_silent),
      "Whether an upstream that is silent for longer than first_token_timeout "
-     "stays in use until a probe of it was not answered; otherwise it gets no "
-     "work until it has answered one. Under high load live upstreams are "
-     "silent because they are busy.",
+     "or token_timeout stays in use until a probe of it was not answered; "
+     "otherwise it gets no work until it has answered one. Under high load "
+     "live upstreams are silent because they are busy.",
      KEY_LIVE},
     {NULL},
 };
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -32,7 +32,7 @@
     gint64 next_ms;
     gint64 peers_until_ms; /* until then only other routers probe */
     guint probe_count;
-    gboolean is_of_silent; /* sent as a request was left without an event */
+    gboolean is_of_silent; /* sent because a request had no event in time */
     gboolean is_reported;  /* the peers have been told of the suspicion */
 } Probe_t;
 
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -671,6 +671,41 @@
         self.assertEqual(self.router.events("stream_moved"), [])
 
 
+class ProbedSilenceTest(SilentStreamTest):
+    """Silence asks for a probe, which decides about the engine's use."""
+
+    def test_an_engine_that_answers_the_probe_stays_in_use(self):
+        self.start_stream("/ask/x", token_timeout="100ms", probe_silent="yes")
+        self.router.wait_event("upstream_reached")
+        self.assertEqual(self.router.events("upstream_doubted"), [])
+        self.speak_again_after_probe()
+
+    def speak_again_after_probe(self):
+        self.first.gate.open()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
+
+    def test_a_stream_leaves_an_engine_that_answers_no_probe(self):
+        self.start_stream("/ask/x", token_timeout="100ms", probe_silent="yes")
+        self.fall_silent()
+        second = wait_for(lambda: [e for e in self.others if e.seen],
+                          "a request at another engine")[0]
+        doubted = self.router.events("upstream_doubted")
+        self.assertEqual([(d["upstream"], d["reason"], d["asked"])
+                          for d in doubted],
+                         [(self.first.name, "silent", "1")])
+        second.gate.open()
+        self.assert_whole()
+
+    def test_without_the_setting_the_engine_is_suspected_at_once(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        doubted = self.router.wait_event("upstream_doubted")[0]
+        self.assertEqual((doubted["upstream"], doubted["reason"]),
+                         (self.first.name, "silent"))
+        self.router.wait_event("upstream_reached")
+        self.speak_again_after_probe()
+
+
 class OnlyEngineTest(SilentStreamTest):
     """The only engine of the model falls silent."""
 
