Report tells which ranks and customers were refused

Operators saw refusals by reason, route, second and upstream, not whose requests they were. `request_done` of relayed requests now has `rank`, as the upstream is told it, and `wheattiller report` ends with two more tables: by rank, and for the ten customers refused most: requests, refused as overloaded, by the customer's limit and otherwise, and late.

--- a/src/LogReport.c
+++ b/src/LogReport.c
@@ -6,6 +6,10 @@
 #include "Histogram.h"
 #include "LogLine.h"
 
+/* Customers in the table of those that were refused most: enough to find one
+ * that takes more than its share. */
+#define CUSTOMERS_MAX 10
+
 /* Requests of one route, second or upstream, by outcome. */
 typedef struct {
     guint done;
@@ -24,6 +28,16 @@
     Histogram_t first_event_times; /* measured time to the first event, us */
 } SupplyCounts_t;
 
+/* Requests of one rank or customer, by why they were refused. */
+typedef struct {
+    const char *name; /* key of the table that it is in */
+    guint done;
+    guint overloaded;
+    guint limited; /* by the customer's limit */
+    guint other;   /* refused for any other reason */
+    guint late;    /* complete, but later than the route's targets */
+} RefusalCounts_t;
+
 typedef struct {
     GHashTable *routes;    /* name -> RequestCounts_t */
     GHashTable *seconds;   /* second of the start -> RequestCounts_t */
@@ -32,6 +46,8 @@
     GHashTable *failures;  /* "upstream reason" -> count */
     GHashTable *supplies;  /* kind -> SupplyCounts_t */
     GHashTable *supply_of; /* request id -> kind of its last placement */
+    GHashTable *ranks;     /* rank -> RefusalCounts_t */
+    GHashTable *customers; /* name -> RefusalCounts_t */
     guint done;
 } Report_t;
 
@@ -46,6 +62,19 @@
     return counts;
 }
 
+static RefusalCounts_t *
+find_or_create_refusals(GHashTable *table, const char *name)
+{
+    RefusalCounts_t *counts = g_hash_table_lookup(table, name);
+    if (!counts) {
+        char *key = g_strdup(name);
+        counts = g_new0(RefusalCounts_t, 1);
+        counts->name = key;
+        g_hash_table_insert(table, key, counts);
+    }
+    return counts;
+}
+
 static SupplyCounts_t *
 find_or_create_supply(Report_t *this, const char *kind)
 {
@@ -104,6 +133,38 @@
     }
 }
 
+static gboolean
+is_late(const char *text)
+{
+    return LogLine_hasPair(text, " late=first") ||
+           LogLine_hasPair(text, " late=pause");
+}
+
+/* A request that was cut, after an event was forwarded, is not refused. */
+static void
+note_refusal(GHashTable *table, const char *text, const char *key)
+{
+    g_autofree char *value = LogLine_value(text, key);
+    RefusalCounts_t *counts =
+        find_or_create_refusals(table, value && *value ? value : "none");
+    counts->done++;
+    if (LogLine_hasPair(text, " outcome=whole")) {
+        counts->late += is_late(text) ? 1 : 0;
+    }
+    else if (LogLine_number(text, " events=", 0) > 0) {
+        return;
+    }
+    else if (LogLine_hasPair(text, " outcome=overloaded")) {
+        counts->overloaded++;
+    }
+    else if (LogLine_hasPair(text, " outcome=rate_limited")) {
+        counts->limited++;
+    }
+    else {
+        counts->other++;
+    }
+}
+
 static void
 note_done(Report_t *this, const char *text)
 {
@@ -125,6 +186,8 @@
         find_or_create_counts(this->upstreams, upstream ? upstream : "none"),
         text);
     note_supply(this, text);
+    note_refusal(this->ranks, text, " rank=");
+    note_refusal(this->customers, text, " customer=");
 }
 
 static void
@@ -230,6 +293,57 @@
     }
 }
 
+static guint
+count_refused(const RefusalCounts_t *counts)
+{
+    return counts->overloaded + counts->limited + counts->other;
+}
+
+static gint
+compare_names(gconstpointer first, gconstpointer second)
+{
+    const RefusalCounts_t *one = first;
+    const RefusalCounts_t *other = second;
+    gint64 one_rank = g_ascii_strtoll(one->name, NULL, 10);
+    gint64 other_rank = g_ascii_strtoll(other->name, NULL, 10);
+    return one_rank != other_rank ? (one_rank < other_rank ? -1 : 1)
+                                  : strcmp(one->name, other->name);
+}
+
+/* Most refused first, then most requests. */
+static gint
+compare_refused(gconstpointer first, gconstpointer second)
+{
+    const RefusalCounts_t *one = first;
+    const RefusalCounts_t *other = second;
+    guint one_refused = count_refused(one);
+    guint other_refused = count_refused(other);
+    if (one_refused != other_refused) {
+        return one_refused > other_refused ? -1 : 1;
+    }
+    if (one->done != other->done) {
+        return one->done > other->done ? -1 : 1;
+    }
+    return strcmp(one->name, other->name);
+}
+
+static void
+write_refusals(GString *out, const char *name, GHashTable *table,
+               GCompareFunc compare, guint rows_max)
+{
+    g_autoptr(GList) rows =
+        g_list_sort(g_hash_table_get_values(table), compare);
+    guint written = 0;
+    write_heading(out, name, "name requests overloaded limited other late");
+    for (GList *at = rows; at && written < rows_max; at = at->next) {
+        const RefusalCounts_t *counts = at->data;
+        g_string_append_printf(out, "%s %u %u %u %u %u\n", counts->name,
+                               counts->done, counts->overloaded,
+                               counts->limited, counts->other, counts->late);
+        written++;
+    }
+}
+
 static GString *
 write_report(const Report_t *this)
 {
@@ -240,6 +354,9 @@
     write_counts(out, "refusals", "reason run count", this->refusals);
     write_counts(out, "failures", "upstream reason count", this->failures);
     write_supplies(out, this);
+    write_refusals(out, "ranks", this->ranks, compare_names, G_MAXUINT);
+    write_refusals(out, "customers", this->customers, compare_refused,
+                   CUSTOMERS_MAX);
     return out;
 }
 
@@ -259,6 +376,8 @@
     g_hash_table_destroy(this->failures);
     g_hash_table_destroy(this->supplies);
     g_hash_table_destroy(this->supply_of);
+    g_hash_table_destroy(this->ranks);
+    g_hash_table_destroy(this->customers);
 }
 
 GString *
@@ -273,6 +392,8 @@
         .failures = create_table(NULL),
         .supplies = create_table(g_free),
         .supply_of = create_table(g_free),
+        .ranks = create_table(g_free),
+        .customers = create_table(g_free),
     };
     if (LogLine_forEach(paths, process_line, &this, error)) {
         if (this.done > 0) {
--- a/src/LogReport.h
+++ b/src/LogReport.h
@@ -5,9 +5,10 @@
  *
  * Summary of all requests in saved logs of one or more routers. Tables count
  * complete, late, refused and cut requests by route, second and upstream, the
- * reasons of refusals and failed attempts, and how upstreams obtained the
- * shared prefixes of prompts. Each table is a block of columns under a line
- * with its name; gnuplot reads them without conversion (tools/report.gnuplot).
+ * reasons of refusals and failed attempts, how upstreams obtained the shared
+ * prefixes of prompts, and which ranks and customers were refused. Each table
+ * is a block of columns under a line with its name; gnuplot reads them without
+ * conversion (tools/report.gnuplot).
  */
 #include <glib.h>
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -135,6 +135,7 @@
 {
     const RelayExchange_t *this = (const RelayExchange_t *)super;
     Log_text("route", this->route->name->str);
+    Log_number("rank", RelayRun_rank(this));
     Log_text("late", late_phase(this));
     Log_number("events", (gint64)forwarded_events(this));
     if (super->attempt_trace) {
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -262,8 +262,8 @@
     return last ? last : this->request.last_event_id;
 }
 
-static guint
-select_rank(const RelayExchange_t *this)
+guint
+RelayRun_rank(const RelayExchange_t *this)
 {
     return this->customer && this->customer->rank != ROUTE_NO_RANK
                ? this->customer->rank
@@ -297,7 +297,7 @@
         .instance = upstream->name->str,
         .customer = this->customer ? this->customer->name->str : NULL,
         .wait_ms = left_ms,
-        .rank = select_rank(this),
+        .rank = RelayRun_rank(this),
         .weights = is_engine ? null_if_empty(upstream->weights->str) : NULL,
         .salt = null_if_empty(destination->salt),
         .fetch_from = null_if_empty(destination->fetch_from),
--- a/src/RelayRun.h
+++ b/src/RelayRun.h
@@ -47,6 +47,10 @@
 void RelayRun_endAdopted(RelayExchange_t *this, AttemptEnd_t end,
                          const RelayHead_t *head);
 
+/** RelayRun_rank() - rank of the request that upstreams are told: the
+ * customer's, or else the route's */
+guint RelayRun_rank(const RelayExchange_t *this);
+
 /**
  * RelayRun_cancel() - cancel the attempt under way
  *
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -47,6 +47,22 @@
         self.assertNotIn("Api-Key", seen)
         self.assertNotIn("X-Hold", seen)
 
+    def test_the_rank_that_an_upstream_is_told_is_logged(self):
+        engine = self.fleet.engine("e1")
+        self.fleet.config(customers=[CUSTOMERS[0],
+                                     dict(CUSTOMERS[1], priority=7)])
+        router = self.fleet.start()
+        for key in ("key-a", "key-b"):
+            self.assertEqual(
+                self.fleet.ask(router, "/ask/x", key=key).status, 200)
+        wait_for(lambda: len(router.events("request_done")) == 2,
+                 "the ends of the requests")
+        logged = [(d["customer"], d["rank"])
+                  for d in router.events("request_done")]
+        self.assertEqual(logged, [("a", "1"), ("b", "7")])
+        self.assertEqual([s["X-Request-Priority"] for s in engine.seen],
+                         ["1", "7"])
+
     def test_a_body_beyond_any_watermark_passes_through(self):
         self.fleet.plain("p1")
         router = self.fleet.start()
--- a/tests/test_LogReport.c
+++ b/tests/test_LogReport.c
@@ -79,6 +79,63 @@
 }
 END_TEST
 
+#define DONE STAMP "event=request_done request=q us=1 "
+
+/* Three customers and two ranks. */
+static const char refused_text[] =
+    DONE "customer=acme outcome=overloaded rank=0 late=no events=0\n" DONE
+         "customer=acme outcome=whole rank=0 late=first events=3\n" DONE
+         "customer=acme outcome=whole rank=0 late=no events=3\n" DONE
+         "customer=beta outcome=overloaded rank=10 late=first events=0\n" DONE
+         "customer=beta outcome=rate_limited rank=10 late=no events=0\n" DONE
+         "customer=beta outcome=no_upstream rank=10 late=no events=0\n" DONE
+         "customer=core outcome=overloaded rank=10 late=no events=2\n" DONE
+         "customer=core outcome=whole rank=10 late=pause events=2\n";
+
+START_TEST(refusals_are_counted_by_rank)
+{
+    g_autofree char *report = create_report(refused_text, NULL);
+    assert_has(report,
+               "\n# ranks\n# name requests overloaded limited other late\n"
+               "0 3 1 0 0 1\n10 5 1 1 1 1\n");
+}
+END_TEST
+
+START_TEST(the_customers_that_were_refused_most_come_first)
+{
+    g_autofree char *report = create_report(refused_text, NULL);
+    assert_has(report, "\n# customers\n"
+                       "# name requests overloaded limited other late\n"
+                       "beta 3 1 1 1 0\nacme 3 1 0 0 1\ncore 2 0 0 0 1\n");
+}
+END_TEST
+
+START_TEST(only_ten_customers_are_listed)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    for (guint i = 0; i < 12; i++) {
+        g_string_append_printf(
+            text, DONE "customer=c%02u outcome=%s rank=0 events=0\n", i,
+            i < 2 ? "whole" : "overloaded");
+    }
+    g_autofree char *report = create_report(text->str, NULL);
+    assert_has(report, "\n0 12 10 0 0 0\n");
+    assert_has(report, "\nc02 1 1 0 0 0\n");
+    assert_has(report, "\nc11 1 1 0 0 0\n");
+    ck_assert_ptr_null(strstr(report, "\nc00 "));
+    ck_assert_ptr_null(strstr(report, "\nc01 "));
+}
+END_TEST
+
+START_TEST(lines_without_rank_and_customer_are_counted)
+{
+    g_autofree char *report = create_report(log_text, NULL);
+    assert_has(report, "\n# ranks\n"
+                       "# name requests overloaded limited other late\n"
+                       "none 4 0 0 1 1\n");
+}
+END_TEST
+
 START_TEST(log_without_requests_is_a_typed_error)
 {
     g_autoptr(GError) error = NULL;
@@ -89,5 +146,8 @@
 
 TESTING_MAIN("LogReport", requests_are_counted_by_outcome,
              request_counts_in_the_second_of_its_start,
-             supply_table_lists_placed_requests,
+             supply_table_lists_placed_requests, refusals_are_counted_by_rank,
+             the_customers_that_were_refused_most_come_first,
+             only_ten_customers_are_listed,
+             lines_without_rank_and_customer_are_counted,
              log_without_requests_is_a_typed_error)
