--- a/src/Settings.c
+++ b/src/Settings.c
@@ -199,6 +199,12 @@
      "different ranks, while a prompt of the less urgent takes an engine "
      "longer than the objective of the most urgent.",
      KEY_LIVE},
+    {"probe_silent", KEY_CHOICE, FALSE, "no", 0, 0, "no,yes", A(probe_silent),
+     "Whether an upstream that is silent for longer than first_token_timeout "
+     "or token_timeout stays in use until a probe of it was not answered; "
+     "otherwise it gets no work until it has answered one. Under high load "
+     "live upstreams are silent because they are busy.",
+     KEY_LIVE},
     {NULL},
 };
 #undef A
