Groups of a partitioned target are counted by the engines that can take work

While crashed engines were still listed beside those that replaced them, some routers counted 4 groups and others 8, so that two dispatchers placed on one engine and reserved different ones.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -162,7 +162,7 @@
         .levels = {query->prefix, 0},
         .level_tokens = {query->prefix_tokens, query->prompt_tokens},
         .prompt_tokens = MAX(query->prompt_tokens, query->prefix_tokens),
-        .groups = Dispatch_countGroups(this, serving->len),
+        .groups = Dispatch_groupsOf(this, query->target, serving),
         .group = query->group,
         .urgent = query->urgent,
         .urgent_objective_us = query->urgent_objective_us,
@@ -520,6 +520,33 @@
     return groups;
 }
 
+/* Entries of upstreams that have crashed remain in the list for some seconds,
+ * beside those that replace them. */
+static guint
+count_able(const GPtrArray *serving)
+{
+    guint count = 0;
+    for (guint i = 0; i < serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(serving, i);
+        gboolean is_gone =
+            upstream->removed || upstream->replaced || upstream->leaving;
+        count += is_gone || upstream->suspect ? 0 : 1;
+    }
+    return count;
+}
+
+guint
+Dispatch_groupsOf(const Dispatch_t *this, const char *target,
+                  const GPtrArray *serving)
+{
+    gboolean is_partitioned =
+        this->spec.partitions &&
+        GroupPartitions_isPartitioned(this->spec.partitions, target,
+                                      Clock_nowMs());
+    return Dispatch_countGroups(this, is_partitioned ? count_able(serving)
+                                                     : serving->len);
+}
+
 static void
 send_query(Dispatch_t *this, const DispatchQuery_t *query,
            const Placement_t *placement, const char *model,
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -111,6 +111,16 @@
  * routers broadcast their loads instead */
 guint Dispatch_countGroups(const Dispatch_t *this, guint engines);
 
+/**
+ * Dispatch_groupsOf() - number of groups of the engines that serve a target
+ *
+ * Routers that disagree on it ask two dispatchers for one engine. Two that
+ * partition a group reserve different engines of it, so that for a partitioned
+ * target only engines count that can take work.
+ */
+guint Dispatch_groupsOf(const Dispatch_t *this, const char *target,
+                        const GPtrArray *serving);
+
 /**
  * Dispatch_query() - query the dispatcher of the group that @choice is in
  * @placement: the request; no query is sent if it has no prefix level
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -267,9 +267,10 @@
     fill_urgency(context, input, &out->placement);
     out->placement.group = input->group;
     out->placement.groups =
-        context->dispatch ? Dispatch_countGroups(context->dispatch,
-                                                 out->placement.serving->len)
-                          : 1;
+        context->dispatch
+            ? Dispatch_groupsOf(context->dispatch, input->service,
+                                out->placement.serving)
+            : 1;
     out->placement.run_us =
         RunTimes_expectedUs(context->run_times, input->route->name->str);
     if (input->route->objective_ms > 0) {
