A busy peer refuses a query for missing records, and the router asks another

Callers would have seen the store overloaded when many upstreams start: of 32 routers, up to six too many read 400 entries page by page from the store (264 to 306 reads in place of 240), in 6 of 300 starts.

Cause: a router that serves two peers at a time answered nothing to the others. A router that was not served kept its query open for 600 ms and passed over the reports of other peers, which had the records within the same milliseconds. The next report came a second later, often from the same busy peer, and after poll_ms it read the records from the store.

The peer now says that it does not answer (TopicPart.refused), and the router queries another peer that has reported a later end meanwhile. Routers of an older version take the refusal for an empty answer at their own offset, which they ignore. The new cases router_refused_by_a_busy_peer_queries_another and busy_peer_refuses_a_query failed with the former logic.

--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -123,6 +123,20 @@
     send_part(this, member, &part, records);
 }
 
+void
+RecordRelay_sendRefusal(const RecordRelay_t *this, Member_t *member,
+                        const Wt__TopicAsk *query)
+{
+    Wt__TopicPart part = WT__TOPIC_PART__INIT;
+    g_autoptr(GPtrArray) none = g_ptr_array_new();
+    part.from = query->from;
+    part.end = query->from;
+    part.epoch = query->epoch;
+    part.partial = TRUE;
+    part.refused = TRUE;
+    send_part(this, member, &part, none);
+}
+
 void
 RecordRelay_sendLostRecords(const RecordRelay_t *this, Member_t *member,
                             const GPtrArray *records)
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -60,6 +60,11 @@
                             guint64 from, const GPtrArray *records,
                             StorePosition_t end, gint64 at_ms);
 
+/** RecordRelay_sendRefusal() - tell one router that its query is not answered
+ */
+void RecordRelay_sendRefusal(const RecordRelay_t *this, Member_t *member,
+                             const Wt__TopicAsk *query);
+
 /** RecordRelay_sendLostRecords() - send one router records that the store has
  * lost and that are still in force here */
 void RecordRelay_sendLostRecords(const RecordRelay_t *this, Member_t *member,
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -85,6 +85,7 @@
     gint64 gap_since_ms;      /* since when records are missing; 0: none */
     gint64 gap_query_ms;      /* when the open gap query was sent; 0: none */
     GString *gap_peer;        /* name of the queried peer */
+    GHashTable *gap_sources;  /* names of other peers that sent a later end */
 };
 
 static void
@@ -530,6 +531,7 @@
     gboolean sent = RecordRelay_sendQuery(this->relay, peer, known, 0);
     this->gap_query_ms = sent ? Clock_nowMs() : 0;
     g_string_assign(this->gap_peer, sent ? peer->name->str : "");
+    g_hash_table_remove(this->gap_sources, peer->name->str);
     return sent;
 }
 
@@ -540,6 +542,9 @@
 {
     UpstreamListing_t *this = owner;
     gint64 now_ms = Clock_nowMs();
+    if (this->sender) {
+        g_hash_table_add(this->gap_sources, g_strdup(this->sender->name->str));
+    }
     if (this->gap_query_ms > 0 &&
         now_ms - this->gap_query_ms < GAP_QUERY_TIMEOUT_MS) {
         return TRUE;
@@ -569,6 +574,45 @@
     if (StorePosition_compare(known, this->peer_end) < 0) {
         query_gap(this, peer);
     }
+    else {
+        g_hash_table_remove_all(this->gap_sources);
+    }
+}
+
+static Member_t *
+pick_gap_source(const UpstreamListing_t *this)
+{
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    gint64 waited_ms = Clock_nowMs() - this->gap_since_ms;
+    guint start = members->len > 0 ? Random_below(members->len) : 0;
+    for (guint i = 0; i < members->len; i++) {
+        Member_t *member =
+            g_ptr_array_index(members, (start + i) % members->len);
+        if (member->link &&
+            g_hash_table_contains(this->gap_sources, member->name->str) &&
+            ListExchange_mayQuery(this->exchange, member, waited_ms)) {
+            return member;
+        }
+    }
+    return NULL;
+}
+
+/* A peer serves few routers at a time. Without a refusal the others waited for
+ * an answer, although more peers had the records meanwhile, until each read
+ * them from the store. */
+static void
+receive_refusal(UpstreamListing_t *this, const Member_t *from)
+{
+    if (this->gap_query_ms == 0 ||
+        !g_string_equal(this->gap_peer, from->name)) {
+        return;
+    }
+    this->gap_query_ms = 0;
+    g_string_truncate(this->gap_peer, 0);
+    Member_t *next = pick_gap_source(this);
+    if (next) {
+        query_gap(this, next);
+    }
 }
 
 void
@@ -578,6 +622,10 @@
     if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
         return;
     }
+    if (message->refused) {
+        receive_refusal(this, from);
+        return;
+    }
     KeyedPage_t page = RecordRelay_decode(message);
     if (message->regained_age_ms > 0) {
         gint64 restored_ms = PeerAge_atMs(message->regained_age_ms);
@@ -616,7 +664,9 @@
         gboolean all = StorePosition_compare(end, known) == 0;
         RecordRelay_sendAnswer(this->relay, from, start.offset, records, end,
                                all ? this->current_ms : 0);
+        return;
     }
+    RecordRelay_sendRefusal(this->relay, from, query);
 }
 
 static void
@@ -759,6 +809,8 @@
     this->relay = RecordRelay_create(spec->membership, spec->topic);
     this->copy = ListCopy_create();
     this->gap_peer = g_string_new(NULL);
+    this->gap_sources =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->return_timer = Clock_timer(base, on_return_timer, this);
     this->membership_timer = Clock_timer(base, on_membership_timer, this);
     RecordFollowerSpec_t follow = {
@@ -794,6 +846,7 @@
     }
     ListCopy_destroy(this->copy);
     g_string_free(this->gap_peer, TRUE);
+    g_hash_table_destroy(this->gap_sources);
     RecordRelay_destroy(this->relay);
     DepartedUpstreams_destroy(this->departed);
     event_free(this->return_timer);
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -70,7 +70,8 @@
 void UpstreamListing_receive(UpstreamListing_t *this, Member_t *from,
                              const Wt__TopicPart *message);
 
-/** UpstreamListing_answerQuery() - send a peer the records that it lacks */
+/** UpstreamListing_answerQuery() - send a peer the records that it lacks, or
+ * a refusal */
 void UpstreamListing_answerQuery(const UpstreamListing_t *this, Member_t *from,
                                  const Wt__TopicAsk *query);
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2427,7 +2427,7 @@
   (ProtobufCMessageInit) wt__topic_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wt__topic_part__field_descriptors[10] =
 {
   {
     "from",
@@ -2537,6 +2537,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPart, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_part__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -2546,13 +2558,14 @@
   0,   /* field[0] = from */
   8,   /* field[8] = partial */
   4,   /* field[4] = records */
+  9,   /* field[9] = refused */
   3,   /* field[3] = regained_age_ms */
   5,   /* field[5] = topic */
 };
 static const ProtobufCIntRange wt__topic_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wt__topic_part__descriptor =
 {
@@ -2562,7 +2575,7 @@
   "Wt__TopicPart",
   "wt",
   sizeof(Wt__TopicPart),
-  9,
+  10,
   wt__topic_part__field_descriptors,
   wt__topic_part__field_indices_by_name,
   1,  wt__topic_part__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -418,10 +418,16 @@
    * The topic went on behind the end, and the sender knows how.
    */
   protobuf_c_boolean partial;
+  /*
+   * The sender can't answer the query from this offset now. Set together with
+   * partial and without records, so that a router that doesn't know the field
+   * ignores the message.
+   */
+  protobuf_c_boolean refused;
 };
 #define WT__TOPIC_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_part__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_ListExchange.c
+++ b/tests/test_ListExchange.c
@@ -40,6 +40,13 @@
 /* Routers of a hall that may read the complete list, for any number of
  * routers. */
 #define READERS_MAX 6
+/* Routers besides the one whose messages are tested; more than it serves at
+ * the same time. */
+#define QUERIED_PEERS 3
+/* Entries of the first two pages. */
+#define PAGES_TWO (2 * PAGE_ENTRIES)
+/* Time in which a message arrives, shorter than any timeout of a query. */
+#define TRANSIT_MS 200
 
 typedef struct {
     RecordSource_t super;
@@ -389,14 +396,6 @@
 }
 END_TEST
 
-START_TEST(routers_rejected_by_the_store_get_the_list_from_peers)
-{
-    setup(12, 6);
-    FakeRouters_await(&routers, all_have_the_list);
-    teardown();
-}
-END_TEST
-
 static void
 drop_message(void *handler_data, Member_t *from,
              const Wt__PeerMessage *message)
@@ -406,6 +405,131 @@
     (void)message;
 }
 
+/* Lets all routers have the first page of the list. From then on the first one
+ * receives only what a test passes to it, and what it sends is collected. */
+static void
+setup_single_listing(void)
+{
+    setup(QUERIED_PEERS + 1, 0);
+    published = PAGE_ENTRIES;
+    FakeRouters_await(&routers, all_have_the_first_page);
+    FakeRouters_run(&routers, SETTLED_MS);
+    routers.list[0].handler = drop_message;
+    for (guint i = 1; i < routers.count; i++) {
+        routers.list[i].handler = NULL;
+    }
+}
+
+static Member_t *
+find_member(guint idx)
+{
+    const GPtrArray *members = Membership_members(routers.list[0].membership);
+    for (guint i = 0; i < members->len; i++) {
+        Member_t *member = g_ptr_array_index(members, i);
+        if (g_string_equal(member->name,
+                           routers.list[idx].settings.router.name)) {
+            return member;
+        }
+    }
+    g_error("router %u is not known", idx);
+}
+
+/* A peer reports a later end of the topic, or refuses to send the records up
+ * to it. */
+static void
+receive_end(guint peer, guint end, gboolean refused)
+{
+    Wt__TopicPart part = WT__TOPIC_PART__INIT;
+    part.from = end;
+    part.end = end;
+    part.partial = refused;
+    part.refused = refused;
+    UpstreamListing_receive(nodes[0].listing, find_member(peer), &part);
+}
+
+static guint
+count_queries(guint peer)
+{
+    return FakeRouters_count(&routers, peer, WT__PEER_MESSAGE__BODY_TOPIC_ASK);
+}
+
+/* The router waited for the answer of a busy peer, and then for the next
+ * report, until it read the records from the store. */
+START_TEST(router_refused_by_a_busy_peer_queries_another)
+{
+    setup_single_listing();
+    receive_end(1, ENTRIES, FALSE);
+    receive_end(2, ENTRIES, FALSE);
+    receive_end(1, PAGE_ENTRIES, TRUE);
+    FakeRouters_run(&routers, TRANSIT_MS);
+    ck_assert_uint_eq(count_queries(1), 1);
+    ck_assert_uint_eq(count_queries(2), 1);
+    ck_assert_uint_eq(count_queries(3), 0);
+    teardown();
+}
+END_TEST
+
+/* A late refusal added one more sequence of queries. */
+START_TEST(refusal_of_another_peer_than_the_queried_one_is_ignored)
+{
+    setup_single_listing();
+    receive_end(1, ENTRIES, FALSE);
+    receive_end(2, ENTRIES, FALSE);
+    receive_end(3, PAGE_ENTRIES, TRUE);
+    FakeRouters_run(&routers, TRANSIT_MS);
+    ck_assert_uint_eq(count_queries(1), 1);
+    ck_assert_uint_eq(count_queries(2), 0);
+    teardown();
+}
+END_TEST
+
+static guint
+count_refusals(guint peer)
+{
+    const GPtrArray *received = routers.list[peer].received;
+    guint refusals = 0;
+    for (guint i = 0; i < received->len; i++) {
+        const Wt__PeerMessage *message = g_ptr_array_index(received, i);
+        refusals += message->body_case == WT__PEER_MESSAGE__BODY_TOPIC_PART &&
+                    message->topic_part->refused;
+    }
+    return refusals;
+}
+
+/* A router that was not served waited for an answer that never came. */
+START_TEST(busy_peer_refuses_a_query)
+{
+    Wt__TopicAsk query = WT__TOPIC_ASK__INIT;
+    guint refused = 0;
+    setup_single_listing();
+    query.from = PAGE_ENTRIES;
+    published = PAGES_TWO;
+    while (UpstreamSet_all(nodes[0].upstreams)->len < PAGES_TWO) {
+        event_base_loop(routers.base, EVLOOP_ONCE);
+    }
+    Clock_freeze(Clock_nowUs());
+    for (guint i = 1; i < routers.count; i++) {
+        UpstreamListing_answerQuery(nodes[0].listing, find_member(i), &query);
+    }
+    Clock_freeze(0);
+    FakeRouters_run(&routers, TRANSIT_MS);
+    for (guint i = 1; i < routers.count; i++) {
+        refused += count_refusals(i);
+    }
+    ck_assert_uint_ge(refused, 1);
+    ck_assert_uint_lt(refused, QUERIED_PEERS);
+    teardown();
+}
+END_TEST
+
+START_TEST(routers_rejected_by_the_store_get_the_list_from_peers)
+{
+    setup(12, 6);
+    FakeRouters_await(&routers, all_have_the_list);
+    teardown();
+}
+END_TEST
+
 static void
 isolate_routers(gboolean rejected)
 {
@@ -451,6 +575,9 @@
              few_routers_read_the_list_from_the_store_at_a_start,
              burst_of_entries_is_read_from_the_store_by_few_routers,
              slow_peers_send_missing_records_once,
+             router_refused_by_a_busy_peer_queries_another,
+             refusal_of_another_peer_than_the_queried_one_is_ignored,
+             busy_peer_refuses_a_query,
              routers_rejected_by_the_store_get_the_list_from_peers,
              failed_call_is_retried_within_the_leaving_time,
              router_with_part_of_the_list_serves)
