A router that knows only its seeds queries them for the other routers

Customers would have exceeded their limits and the store would have been read too often: a router of a large fleet could know 1 to 3 of 59 others, and ranked itself first for all work.

Cause: peers send updates about routers only while their allowance lasts. A router that links to its seeds after that receives nothing, sees fewer routers than a mesh has, and therefore did not query its peers, which only routers outside of a mesh did.

Now each router queries its peers at its start. In a mesh that is one small message per query, and the queries end after six without new routers.

--- a/src/Membership.c
+++ b/src/Membership.c
@@ -340,9 +340,9 @@
     else if (now_ms - this->started_ms < LINKS_EAGER_MS) {
         maintain_links(this);
     }
-    if (!Gossip_isMesh(this->gossip)) {
-        MemberQueries_tick(&this->queries, this->table, now_ms);
-    }
+    /* Also where all known routers fit into a mesh: if the allowances of its
+     * peers are spent, a router knows no others than these peers. */
+    MemberQueries_tick(&this->queries, this->table, now_ms);
     Gossip_tick(this->gossip);
     Clock_arm(this->tick, GOSSIP_TICK_MS);
 }
--- a/tests/test_Membership.c
+++ b/tests/test_Membership.c
@@ -82,6 +82,25 @@
 }
 END_TEST
 
+/* The allowance holds one fact: each router tells its only seed of itself. */
+#define ONE_FACT_BUDGET 1
+#define SINGLE_SEED 1
+
+/* A router whose seeds had spent their allowance knew its seeds alone, took
+ * them for a complete mesh and did not query them. */
+START_TEST(routers_whose_seed_has_no_allowance_know_each_other)
+{
+    FakeRouters_start(&routers, FLEET_ROUTERS, MESH_ROUTERS, SINGLE_SEED,
+                      ONE_FACT_BUDGET);
+    FakeRouters_run(&routers, FLEET_MS);
+    for (guint i = 0; i < FLEET_ROUTERS; i++) {
+        ck_assert_uint_eq(count_addressed(&routers.list[i]),
+                          FLEET_ROUTERS - 1);
+    }
+    FakeRouters_clear(&routers);
+}
+END_TEST
+
 /* Time by which the first routers have opened their links. */
 #define FIRST_ROUTERS 24
 #define FIRST_MS 700
@@ -195,6 +214,7 @@
              linked_routers_know_the_address_and_hall_of_their_peer,
              routers_that_start_at_once_know_each_other_within_seconds,
              routers_know_each_other_when_the_allowance_is_spent,
+             routers_whose_seed_has_no_allowance_know_each_other,
              routers_that_start_first_know_routers_that_start_later,
              most_update_peers_are_in_the_local_hall,
              peers_with_incoming_links_are_update_peers_first)
