--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -336,6 +336,7 @@
         return FALSE;
     }
     gboolean is_reserved = uses_reserved(placement, first);
+    candidates->short_hash_limit = 0; /* divided by rank, not by length */
     candidates->count = 0;
     candidates->reserved = reserved;
     add_side(candidates, engines, is_reserved ? 0 : reserved,
