A new dispatcher of a group reserves what the former one did until it has measured

Callers met a group without reserved engines for up to a second whenever its dispatcher changed. The test failed before: 1 engine instead of 7.

--- a/src/GroupPartition.c
+++ b/src/GroupPartition.c
@@ -14,6 +14,8 @@
 #define QUIET_MS 3000
 /* A router that has seen a request in this time dispatches for the group. */
 #define ACTIVE_MS 2000
+/* Time in which the averages of a new dispatcher become those of its group. */
+#define NEW_MS 1000
 /* Runs that the mean of the urgent requests covers. */
 #define RUNS 100
 /* Prompts that the mean of the less urgent requests covers. */
@@ -136,6 +138,12 @@
            has_arrived(&this->others, ACTIVE_MS, now_ms);
 }
 
+gboolean
+GroupPartition_isNew(const GroupPartition_t *this, gint64 now_ms)
+{
+    return this->urgent.per_s <= 0 || now_ms - this->urgent.since_ms < NEW_MS;
+}
+
 /* A request that meets a prompt longer than its objective is late by this
  * prompt alone. */
 static void
--- a/src/GroupPartition.h
+++ b/src/GroupPartition.h
@@ -61,6 +61,10 @@
 /** GroupPartition_meanPromptUs() - mean of these, 0 for none yet */
 gint64 GroupPartition_meanPromptUs(const GroupPartition_t *this);
 
+/** GroupPartition_isNew() - whether the first request has arrived within the
+ * last second, so that its averages are those of a few requests */
+gboolean GroupPartition_isNew(const GroupPartition_t *this, gint64 now_ms);
+
 /**
  * GroupPartition_reserve() - engines that are reserved for urgent requests
  * @urgent_objective_us: longest wait for the first token of an urgent request;
--- a/src/GroupPartitions.c
+++ b/src/GroupPartitions.c
@@ -169,13 +169,16 @@
                          gint64 urgent_objective_us, gint64 now_ms)
 {
     const Group_t *found = find_group(this, target, group);
+    gboolean is_active =
+        found && GroupPartition_isActive(found->partition, now_ms);
     guint reserved = 0;
-    if (found && GroupPartition_isActive(found->partition, now_ms)) {
+    if (is_active) {
         reserved = GroupPartition_reserve(found->partition, size,
                                           urgent_objective_us, now_ms);
     }
-    else if (found) {
-        reserved = reported_engines(found, size, now_ms);
+    if (found &&
+        (!is_active || GroupPartition_isNew(found->partition, now_ms))) {
+        reserved = MAX(reserved, reported_engines(found, size, now_ms));
     }
     note_partitioned(this, target, reserved, now_ms);
     return reserved;
--- a/tests/test_GroupPartitions.c
+++ b/tests/test_GroupPartitions.c
@@ -91,6 +91,20 @@
 }
 END_TEST
 
+/* A router that took over a group reserved next to nothing until it had
+ * measured the demand. */
+START_TEST(new_dispatcher_reserves_what_the_former_one_did)
+{
+    begin();
+    GroupPartitions_noteReported(groups, "llm", 1, 7, 500);
+    dispatch("llm", 1, 1000);
+    ck_assert_uint_eq(reserved("llm", 1, 1000), 7);
+    ck_assert_uint_eq(reserved("llm", 1, 1999), 7);
+    ck_assert_uint_eq(reserved("llm", 1, 2000), 1);
+    end();
+}
+END_TEST
+
 START_TEST(groups_in_use_survive_thousands_of_others)
 {
     begin();
@@ -111,4 +125,5 @@
              reported_number_is_used_for_ten_seconds,
              reported_number_leaves_an_engine_to_the_others,
              dispatcher_relies_on_its_own_measurements,
+             new_dispatcher_reserves_what_the_former_one_did,
              groups_in_use_survive_thousands_of_others)
