--- a/src/Settings.h
+++ b/src/Settings.h
@@ -154,6 +154,8 @@
  *     later than the objective of its route
  * @partition_engines: whether dispatchers reserve engines for the urgent
  *     requests of a service
+ * @probe_silent: whether a silent upstream stays in use until a probe of it
+ *     was not answered
  */
 typedef struct {
     gint64 config_max_age_ms;
@@ -165,6 +167,7 @@
     gint64 move_wait_ms;
     gint64 refuse_late;
     gint64 partition_engines;
+    gint64 probe_silent;
 } RelaySection_t;
 
 /**
