--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -1,20 +1,11 @@
 #include "HomePolicy.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "Clock.h"
 #include "EngineQueue.h"
-#include "PrefixSupply.h"
-#include "Residency.h"
-#include "Ring.h"
+#include "HomeCandidates.h"
 
-/* Candidates that the ring yields, the home first. */
-#define RING_CANDIDATES 4
-/* Candidates in all; more than the size of most groups. */
-#define CANDIDATES_MAX 24
-/* Points of the ring that are visited to find usable engines. */
-#define RING_POINTS_MAX 256
 /* Penalty of any engine but the home: about the time to transfer a long
  * prefix. A lower penalty spreads prefixes over more engines, a higher one
  * lengthens the queue at the home. */
@@ -44,373 +35,33 @@
 typedef struct {
     Policy_t super;
     Residency_t *residency;
-    GHashTable *targets; /* name -> Target_t */
+    GHashTable *targets; /* name -> HomeTarget_t */
     guint64 generation;
 } HomePolicy_t;
 
-/* The engines that serve one target. */
-typedef struct {
-    Ring_t *ring;
-    GHashTable *by_hash; /* &hash of the name -> Upstream_t, not owned */
-} Target_t;
-
-/* The candidates of one request. */
-typedef struct {
-    HomePolicy_t *policy;
-    const Placement_t *placement;
-    Upstream_t *list[CANDIDATES_MAX]; /* the home first */
-    guint count;
-    PrefixHolders_t holders;
-    guint ring_max; /* engines to take from the ring */
-    guint group;    /* that takes the request */
-    guint reserved; /* engines reserved for urgent requests */
-    guint side; /* engines on the request's side, first in the list; 0 if the
-                 * group is not partitioned */
-    guint64 short_hash_limit; /* engines of a lower hash serve short prompts */
-} CandidateSet_t;
-
 static void
-free_target(gpointer data)
+destroy_target(gpointer target)
 {
-    Target_t *target = data;
-    Ring_destroy(target->ring);
-    g_hash_table_destroy(target->by_hash);
-    g_free(target);
+    HomeTarget_destroy(target);
 }
 
-static Target_t *
-create_target(const GPtrArray *serving)
-{
-    Target_t *target = g_new(Target_t, 1);
-    target->ring = Ring_create(serving, NULL);
-    target->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
-    for (guint i = 0; i < serving->len; i++) {
-        Upstream_t *upstream = g_ptr_array_index(serving, i);
-        g_hash_table_insert(target->by_hash, &upstream->hash, upstream);
-    }
-    return target;
-}
-
-static const Target_t *
+static const HomeTarget_t *
 target_of(HomePolicy_t *this, const Placement_t *placement)
 {
     if (this->generation != placement->generation) {
         g_hash_table_remove_all(this->targets);
         this->generation = placement->generation;
     }
-    Target_t *target = g_hash_table_lookup(this->targets, placement->target);
+    HomeTarget_t *target =
+        g_hash_table_lookup(this->targets, placement->target);
     if (!target) {
-        target = create_target(placement->serving);
+        target = HomeTarget_create(placement->serving);
         g_hash_table_replace(this->targets, g_strdup(placement->target),
                              target);
     }
     return target;
 }
 
-static gint
-compare_hashes(gconstpointer a, gconstpointer b)
-{
-    guint64 left = *(const guint64 *)a;
-    guint64 right = *(const guint64 *)b;
-    return (left > right) - (left < right);
-}
-
-/* The share of the usable engines with the lowest hashes serves short prompts:
- * routers that see the same engines agree on them. */
-static guint64
-find_short_hash_limit(const Placement_t *placement)
-{
-    if (placement->short_prompt_fraction <= 0) {
-        return 0;
-    }
-    g_autoptr(GArray) hashes = g_array_new(FALSE, FALSE, sizeof(guint64));
-    for (guint i = 0; i < placement->serving->len; i++) {
-        const Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
-        if (Policy_mayUse(placement, upstream)) {
-            g_array_append_val(hashes, upstream->hash);
-        }
-    }
-    g_array_sort(hashes, compare_hashes);
-    guint count =
-        (guint)(hashes->len * placement->short_prompt_fraction + 0.5);
-    guint count_max = hashes->len > 0 ? hashes->len - 1 : 0;
-    return count_max > 0
-               ? g_array_index(hashes, guint64, CLAMP(count, 1, count_max))
-               : 0;
-}
-
-static gboolean
-serves_short(const CandidateSet_t *candidates, const Upstream_t *upstream)
-{
-    return upstream->hash < candidates->short_hash_limit;
-}
-
-static gboolean
-is_listed(const CandidateSet_t *candidates, const Upstream_t *upstream)
-{
-    for (guint i = 0; i < candidates->count; i++) {
-        if (candidates->list[i] == upstream) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
-static gboolean
-visit_ring_engine(Upstream_t *upstream, void *data)
-{
-    CandidateSet_t *candidates = data;
-    if (is_listed(candidates, upstream)) {
-        return TRUE;
-    }
-    if (Policy_mayUse(candidates->placement, upstream)) {
-        candidates->list[candidates->count++] = upstream;
-    }
-    return candidates->count < candidates->ring_max;
-}
-
-static guint
-group_of(const Placement_t *placement, const Upstream_t *upstream)
-{
-    return placement->groups > 1 ? (guint)(upstream->hash % placement->groups)
-                                 : 0;
-}
-
-/* Rendezvous hash of a prefix and an engine: orders the engines of a group the
- * same way on all routers, and differently for each prefix. */
-static guint64
-rendezvous_hash(const Placement_t *placement, const Upstream_t *upstream)
-{
-    guint64 pair[] = {PrefixSupply_key(placement), upstream->hash};
-    return XXH3_64bits(pair, sizeof(pair));
-}
-
-static gboolean
-is_other_group_member(const CandidateSet_t *candidates,
-                      const Upstream_t *upstream)
-{
-    const Placement_t *placement = candidates->placement;
-    return group_of(placement, upstream) ==
-               group_of(placement, candidates->list[0]) &&
-           !is_listed(candidates, upstream) &&
-           Policy_mayUse(placement, upstream);
-}
-
-/* An engine of the home's group and its rank, the highest hash first. */
-typedef struct {
-    Upstream_t *upstream;
-    guint64 hash;
-} RankedEngine_t;
-
-static gint
-compare_ranks(gconstpointer a, gconstpointer b)
-{
-    guint64 left = ((const RankedEngine_t *)a)->hash;
-    guint64 right = ((const RankedEngine_t *)b)->hash;
-    return (left < right) - (left > right);
-}
-
-/* Adds the other engines of the home's group, whose requests are all placed by
- * one router. A prefix that is long enough for a transfer gets only as many
- * candidates as on the ring, as otherwise all engines of the group would cache
- * it. */
-static void
-add_group_members(CandidateSet_t *candidates)
-{
-    const GPtrArray *serving = candidates->placement->serving;
-    guint candidates_max = PrefixSupply_isShort(candidates->placement)
-                               ? CANDIDATES_MAX
-                               : RING_CANDIDATES;
-    g_autoptr(GArray) others =
-        g_array_new(FALSE, FALSE, sizeof(RankedEngine_t));
-    for (guint i = 0; i < serving->len; i++) {
-        Upstream_t *upstream = g_ptr_array_index(serving, i);
-        if (is_other_group_member(candidates, upstream)) {
-            RankedEngine_t ranked = {
-                upstream, rendezvous_hash(candidates->placement, upstream)};
-            g_array_append_val(others, ranked);
-        }
-    }
-    g_array_sort(others, compare_ranks);
-    for (guint i = 0; i < others->len && candidates->count < candidates_max;
-         i++) {
-        candidates->list[candidates->count++] =
-            g_array_index(others, RankedEngine_t, i).upstream;
-    }
-}
-
-static gint
-compare_upstreams(gconstpointer a, gconstpointer b)
-{
-    const Upstream_t *left = *(Upstream_t *const *)a;
-    const Upstream_t *right = *(Upstream_t *const *)b;
-    return (left->hash > right->hash) - (left->hash < right->hash);
-}
-
-/* The usable engines of the group, the lowest hash first. */
-static GPtrArray *
-find_group_engines(const CandidateSet_t *candidates)
-{
-    const Placement_t *placement = candidates->placement;
-    GPtrArray *engines = g_ptr_array_new();
-    for (guint i = 0; i < placement->serving->len; i++) {
-        Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
-        if (group_of(placement, upstream) == candidates->group &&
-            Policy_mayUse(placement, upstream)) {
-            g_ptr_array_add(engines, upstream);
-        }
-    }
-    g_ptr_array_sort(engines, compare_upstreams);
-    return engines;
-}
-
-/* Adds the engines from index @from up to index @to, the home of the prefix
- * first. */
-static void
-add_side(CandidateSet_t *candidates, const GPtrArray *engines, guint from,
-         guint to)
-{
-    g_autoptr(GArray) side = g_array_new(FALSE, FALSE, sizeof(RankedEngine_t));
-    for (guint i = from; i < to; i++) {
-        Upstream_t *upstream = g_ptr_array_index(engines, i);
-        RankedEngine_t ranked = {
-            upstream, rendezvous_hash(candidates->placement, upstream)};
-        g_array_append_val(side, ranked);
-    }
-    g_array_sort(side, compare_ranks);
-    for (guint i = 0; i < side->len && candidates->count < CANDIDATES_MAX;
-         i++) {
-        candidates->list[candidates->count++] =
-            g_array_index(side, RankedEngine_t, i).upstream;
-    }
-}
-
-static gboolean
-is_idle(const Upstream_t *upstream, gint64 now_ms)
-{
-    return upstream->backlog.open == 0 && upstream->pending_tokens == 0 &&
-           Upstream_countRequests(upstream) < upstream->slots &&
-           Upstream_waitUs(upstream, now_ms) < UPSTREAM_MIN_FIRST_TOKEN_US;
-}
-
-/* An engine that computes nothing may serve an urgent request although it is
- * not reserved. */
-static void
-add_idle(CandidateSet_t *candidates, const GPtrArray *engines, guint from)
-{
-    for (guint i = from;
-         i < engines->len && candidates->count < CANDIDATES_MAX; i++) {
-        Upstream_t *upstream = g_ptr_array_index(engines, i);
-        if (is_idle(upstream, candidates->placement->now_ms)) {
-            candidates->list[candidates->count++] = upstream;
-        }
-    }
-}
-
-/* An urgent route may have a prompt that is as long as the others'. */
-static gboolean
-uses_reserved(const Placement_t *placement, const Upstream_t *upstream)
-{
-    gint64 compute_us =
-        (gint64)(placement->prompt_tokens * upstream->prefill_us_per_token);
-    return placement->urgent && compute_us <= placement->urgent_objective_us;
-}
-
-/* Takes the engines on the request's side of the partition as candidates.
- * Returns FALSE if the group is not partitioned. */
-static gboolean
-add_partition_side(CandidateSet_t *candidates)
-{
-    const Placement_t *placement = candidates->placement;
-    if (!placement->partitions || placement->urgent_objective_us <= 0) {
-        return FALSE;
-    }
-    g_autoptr(GPtrArray) engines = find_group_engines(candidates);
-    const Upstream_t *first =
-        engines->len > 0 ? g_ptr_array_index(engines, 0) : NULL;
-    GroupSize_t size = {engines->len, first ? first->slots : 0};
-    guint reserved = GroupPartitions_reserved(
-        placement->partitions, placement->target, candidates->group, &size,
-        placement->urgent_objective_us, placement->now_ms);
-    if (reserved == 0 || reserved >= engines->len) {
-        return FALSE;
-    }
-    gboolean is_reserved = uses_reserved(placement, first);
-    candidates->short_hash_limit = 0; /* divided by rank, not by length */
-    candidates->count = 0;
-    candidates->reserved = reserved;
-    add_side(candidates, engines, is_reserved ? 0 : reserved,
-             is_reserved ? reserved : engines->len);
-    candidates->side = candidates->count;
-    if (is_reserved) {
-        add_idle(candidates, engines, reserved);
-    }
-    return TRUE;
-}
-
-static void
-add_engines_for_short(CandidateSet_t *candidates)
-{
-    const GPtrArray *serving = candidates->placement->serving;
-    for (guint i = 0; i < serving->len && candidates->count < CANDIDATES_MAX;
-         i++) {
-        Upstream_t *upstream = g_ptr_array_index(serving, i);
-        if (serves_short(candidates, upstream) &&
-            !is_listed(candidates, upstream) &&
-            Policy_mayUse(candidates->placement, upstream)) {
-            candidates->list[candidates->count++] = upstream;
-        }
-    }
-}
-
-/* Adds the engines that hold the prefix: a request needs no transfer there. */
-static void
-add_holders(CandidateSet_t *candidates)
-{
-    for (guint i = 0;
-         i < candidates->holders.count && candidates->count < CANDIDATES_MAX;
-         i++) {
-        Upstream_t *upstream = candidates->holders.list[i];
-        if (Policy_mayUse(candidates->placement, upstream) &&
-            !is_listed(candidates, upstream)) {
-            candidates->list[candidates->count++] = upstream;
-        }
-    }
-}
-
-static void
-find_candidates(CandidateSet_t *candidates, const Target_t *target)
-{
-    const Placement_t *placement = candidates->placement;
-    gboolean grouped = placement->groups > 1;
-    candidates->ring_max = grouped ? 1 : RING_CANDIDATES;
-    candidates->short_hash_limit = find_short_hash_limit(placement);
-    Ring_walk(target->ring, PrefixSupply_key(placement), RING_POINTS_MAX,
-              visit_ring_engine, candidates);
-    guint home_group =
-        candidates->count > 0 ? group_of(placement, candidates->list[0]) : 0;
-    candidates->group =
-        placement->group > 0 ? placement->group - 1 : home_group;
-    gboolean is_partitioned = grouped && add_partition_side(candidates);
-    if (!is_partitioned) {
-        candidates->group = home_group;
-    }
-    if (grouped && !is_partitioned && candidates->count > 0) {
-        add_group_members(candidates);
-    }
-    if (placement->level_count > 0) {
-        PrefixSupply_findHolders(candidates->policy->residency, placement,
-                                 target->by_hash, &candidates->holders);
-    }
-    if (!is_partitioned) {
-        add_holders(candidates);
-    }
-    if (!grouped && candidates->short_hash_limit > 0 &&
-        PrefixSupply_isShort(placement)) {
-        add_engines_for_short(candidates);
-    }
-}
-
 static gboolean
 has_old_weights(const Placement_t *placement, const Upstream_t *upstream)
 {
@@ -464,7 +115,7 @@
 /* Time until the engine begins to compute the prompt. In a partitioned group
  * the prompts placed there are known by time. */
 static gint64
-begin_us(const CandidateSet_t *candidates, const Upstream_t *upstream)
+begin_us(const HomeCandidates_t *candidates, const Upstream_t *upstream)
 {
     gint64 queue = queue_us(upstream, candidates->placement->now_ms);
     return candidates->side > 0
@@ -475,7 +126,7 @@
 
 /* Expected time to the first token. */
 static gint64
-expected_us(const CandidateSet_t *candidates, const Upstream_t *upstream,
+expected_us(const HomeCandidates_t *candidates, const Upstream_t *upstream,
             const Supply_t *supply)
 {
     return begin_us(candidates, upstream) +
@@ -485,7 +136,7 @@
 
 /* Penalties of an engine beyond the expected time to the first token. */
 static gint64
-penalty_us(const CandidateSet_t *candidates, guint rank,
+penalty_us(const HomeCandidates_t *candidates, guint rank,
            const Supply_t *supply, gint64 expected)
 {
     const Placement_t *placement = candidates->placement;
@@ -496,7 +147,7 @@
                    shared_compute_us(placement, upstream);
     }
     if (candidates->short_hash_limit > 0 &&
-        serves_short(candidates, upstream) !=
+        HomeCandidates_servesShort(candidates, upstream) !=
             PrefixSupply_isShort(placement)) {
         penalty += OTHER_LENGTH_COST_US;
     }
@@ -516,7 +167,7 @@
 }
 
 static Choice_t
-find_cheapest(const CandidateSet_t *candidates)
+find_cheapest(const HomeCandidates_t *candidates)
 {
     Choice_t choice = {.reason = "none_usable",
                        .candidates = candidates->count};
@@ -543,7 +194,7 @@
  * holder: requests of other routers have most likely taken it to the home or,
  * while the home was unusable, to the next engine. */
 static Upstream_t *
-likely_source(const CandidateSet_t *candidates, const Upstream_t *to)
+likely_source(const HomeCandidates_t *candidates, const Upstream_t *to)
 {
     for (guint rank = 0; rank < candidates->count; rank++) {
         Upstream_t *from = candidates->list[rank];
@@ -556,7 +207,7 @@
 }
 
 static void
-fill_supply(const CandidateSet_t *candidates, Choice_t *choice)
+fill_supply(const HomeCandidates_t *candidates, Choice_t *choice)
 {
     choice->expected_cached = choice->supply.tokens;
     choice->own_us = prompt_compute_us(candidates->placement, choice->upstream,
@@ -570,8 +221,9 @@
 choose(Policy_t *super, const Placement_t *placement)
 {
     HomePolicy_t *this = (HomePolicy_t *)super;
-    CandidateSet_t candidates = {.policy = this, .placement = placement};
-    find_candidates(&candidates, target_of(this, placement));
+    HomeCandidates_t candidates;
+    HomeCandidates_find(&candidates, placement, target_of(this, placement),
+                        this->residency);
     Choice_t choice = find_cheapest(&candidates);
     choice.group = candidates.group;
     choice.reserved = candidates.reserved;
@@ -626,6 +278,6 @@
     this->super.class = &class;
     this->residency = Residency_create(RESIDENCY_PREFIXES_DEFAULT);
     this->targets =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_target);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, destroy_target);
     return &this->super;
 }
