--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 SEEDS ?= 3
 replay: build
 	@build/wt-replay --seeds $(SEEDS) --off slots --off shed --off memory \
-		--off prefix bench/loads/*.ini
+		--off prefix --off partition bench/loads/*.ini
 
 # Only for those who change proto/; its results are committed.
 generate:
--- a/bench/Replay.c
+++ b/bench/Replay.c
@@ -158,6 +158,7 @@
     request->expected_us = verdict->choice.cost_us;
     request->ticket = verdict->ticket;
     request->engine = verdict->engine;
+    request->group = verdict->group;
     request->is_placed = TRUE;
     request->attempts++;
     request->had_choice = has_room_elsewhere(this, request, request->engine);
--- a/bench/Replay.h
+++ b/bench/Replay.h
@@ -26,13 +26,16 @@
  * @REPLAY_MEMORY: the router tracks which prefixes an engine holds, from the
  *     tokens placed there and the engine's memory size
  * @REPLAY_PREFIX: requests are placed by the home of their prefix
+ * @REPLAY_PARTITION: where kinds differ in rank, groups reserve engines for
+ *     the urgent ones and admit requests by group
  */
 typedef enum {
     REPLAY_SLOTS = 1 << 0,
     REPLAY_SHED = 1 << 1,
     REPLAY_MEMORY = 1 << 2,
     REPLAY_PREFIX = 1 << 3,
-    REPLAY_ALL = (1 << 4) - 1,
+    REPLAY_PARTITION = 1 << 4,
+    REPLAY_ALL = (1 << 5) - 1,
 } ReplayDecision_t;
 
 /** Seconds of a replay that are counted apart; later ones count as the last */
--- a/bench/ReplayCaller.h
+++ b/bench/ReplayCaller.h
@@ -28,6 +28,7 @@
  * @expected_us: expected time from @sent_us to the first token
  * @ticket: of the last placement
  * @engine: index of its engine
+ * @group: group that took it in place of that of its home, plus 1; 0 for none
  * @retries: times that the caller returned
  * @attempts: times that it was sent to an engine
  * @is_placed: an engine has it
@@ -52,6 +53,7 @@
     gint64 expected_us;
     guint64 ticket;
     guint engine;
+    guint group;
     guint retries;
     guint attempts;
     gboolean is_placed;
--- a/bench/ReplayDispatcher.h
+++ b/bench/ReplayDispatcher.h
@@ -18,6 +18,8 @@
  * @engine: index of the engine
  * @ticket: number of the placement, if it is admitted
  * @retry_after_ms: when the caller may return, if it is not admitted
+ * @group: group other than that of the home that was asked last, plus 1; 0 for
+ *     none
  */
 typedef struct {
     gboolean admitted;
@@ -25,6 +27,7 @@
     guint engine;
     guint64 ticket;
     guint retry_after_ms;
+    guint group;
 } ReplayVerdict_t;
 
 /**
--- a/bench/replay_main.c
+++ b/bench/replay_main.c
@@ -34,17 +34,16 @@
 } DecisionName_t;
 
 static const DecisionName_t decision_names[] = {
-    {"slots", REPLAY_SLOTS},
-    {"shed", REPLAY_SHED},
-    {"memory", REPLAY_MEMORY},
-    {"prefix", REPLAY_PREFIX},
-    {NULL, 0},
+    {"slots", REPLAY_SLOTS},         {"shed", REPLAY_SHED},
+    {"memory", REPLAY_MEMORY},       {"prefix", REPLAY_PREFIX},
+    {"partition", REPLAY_PARTITION}, {NULL, 0},
 };
 
 static const struct argp_option options[] = {
     {"seeds", 's', "N", 0, "Replay each load with N seeds (default 3)", 0},
     {"off", 'o', "DECISION", 0,
-     "Also replay without DECISION: slots, shed, memory or prefix", 0},
+     "Also replay without DECISION: slots, shed, memory, prefix or partition",
+     0},
     {"json", 'j', NULL, 0, "Print a line of JSON for each replay", 0},
     {0},
 };
