--- a/bench/Replay.c
+++ b/bench/Replay.c
@@ -342,8 +342,10 @@
 on_second(Replay_t *this)
 {
     for (guint i = 0; i < this->engines->len; i++) {
+        const Engine_t *engine = engine_at(this, i);
         ReplayMeter_noteEngine(
-            this->meter, i, ReplayDispatcher_isReserved(this->dispatcher, i));
+            this->meter, i, ReplayDispatcher_isReserved(this->dispatcher, i),
+            ReplayEngine_countReadTokens(engine->model));
     }
 }
 
--- a/bench/Replay.h
+++ b/bench/Replay.h
@@ -110,9 +110,10 @@
  *     before
  * @decisions: placement decisions made
  * @decision_us: mean processor time of a placement decision
- * @busiest: time that the busiest engine spends on prompts, over the mean of
- *     the engines on its side; the sides are the engines that are reserved for
- *     urgent requests and the others, without engines that fell silent
+ * @busiest: time that the busiest engine spends on prompts, over what the
+ *     engines on its side spent at the mean in the same seconds; the sides are
+ *     the engines that are reserved for urgent requests and the others,
+ *     without engines that fell silent
  * @served_work_us: time that engines need for the complete answers, late ones
  *     counted as in ReplayResult_computeValue()
  */
--- a/bench/ReplayMeter.h
+++ b/bench/ReplayMeter.h
@@ -45,9 +45,10 @@
                             const ReplayRequest_t *request);
 
 /** ReplayMeter_noteEngine() - an engine at the end of a second
- * @is_reserved: it is reserved for urgent requests */
+ * @is_reserved: it is reserved for urgent requests
+ * @tokens: prompt tokens that it has read so far */
 void ReplayMeter_noteEngine(ReplayMeter_t *this, guint engine,
-                            gboolean is_reserved);
+                            gboolean is_reserved, guint64 tokens);
 
 /** ReplayMeter_noteRead() - prompt tokens that an engine has read in the whole
  * replay
