Work after the last request counts for the side on which it is done

Replays noted the sides of engines up to the last arrival. An engine that was reserved then, and computed long prompts afterwards as nobody urgent came any more, counted as the busiest of the reserved ones: 1.37 times their mean. The sides are now noted until a replay ends.

--- a/bench/Replay.c
+++ b/bench/Replay.c
@@ -436,7 +436,7 @@
 static void
 add_seconds(Replay_t *this)
 {
-    gint64 seconds = this->spec->fleet.duration_ms / MS_PER_S;
+    gint64 seconds = (this->spec->fleet.duration_ms + DRAIN_MS) / MS_PER_S;
     for (gint64 i = 1; i <= seconds; i++) {
         ReplayEvents_add(this->events,
                          REPLAY_START_US + i * MS_PER_S * CLOCK_US_PER_MS,
