--- a/bench/Replay.c
+++ b/bench/Replay.c
@@ -158,6 +158,7 @@
     request->expected_us = verdict->choice.cost_us;
     request->ticket = verdict->ticket;
     request->engine = verdict->engine;
+    request->group = verdict->group;
     request->is_placed = TRUE;
     request->attempts++;
     request->had_choice = has_room_elsewhere(this, request, request->engine);
@@ -341,8 +342,10 @@
 on_second(Replay_t *this)
 {
     for (guint i = 0; i < this->engines->len; i++) {
+        const Engine_t *engine = engine_at(this, i);
         ReplayMeter_noteEngine(
-            this->meter, i, ReplayDispatcher_isReserved(this->dispatcher, i));
+            this->meter, i, ReplayDispatcher_isReserved(this->dispatcher, i),
+            ReplayEngine_countReadTokens(engine->model));
     }
 }
 
@@ -433,7 +436,7 @@
 static void
 add_seconds(Replay_t *this)
 {
-    gint64 seconds = this->spec->fleet.duration_ms / MS_PER_S;
+    gint64 seconds = (this->spec->fleet.duration_ms + DRAIN_MS) / MS_PER_S;
     for (gint64 i = 1; i <= seconds; i++) {
         ReplayEvents_add(this->events,
                          REPLAY_START_US + i * MS_PER_S * CLOCK_US_PER_MS,
--- a/src/FairShare.c
+++ b/src/FairShare.c
@@ -17,6 +17,9 @@
 /* It counts as over from this part of its share on; free slots are left to it
  * for the rest. */
 #define PART_OF_SHARE 0.95
+/* From this part of all demand on, a customer is alone: what it is not given
+ * would be idle. */
+#define ALONE_PART 0.999
 /* Nobody is over it. */
 #define LEVEL_NONE (G_MAXDOUBLE / 2)
 
@@ -35,6 +38,7 @@
     gint64 total_ms;
     double *demands; /* sorted while the level is computed */
     double level;
+    double demand_sum; /* when @level was computed */
     double level_room;
     gint64 level_ms; /* when @level was computed; -1 for never */
 };
@@ -169,6 +173,10 @@
 {
     guint count = collect_demands(this, now_ms);
     qsort(this->demands, count, sizeof(double), compare);
+    this->demand_sum = 0;
+    for (guint i = 0; i < count; i++) {
+        this->demand_sum += this->demands[i];
+    }
     for (guint i = 0; i < count; i++) {
         double equal = room / (count - i);
         if (this->demands[i] > equal) {
@@ -212,5 +220,8 @@
     }
     update_level(this, room, now_ms);
     decay(share, now_ms);
+    if (share->demand >= ALONE_PART * this->demand_sum) {
+        return FALSE;
+    }
     return share->served > limit_of(this, share);
 }
--- a/src/GroupAdmission.h
+++ b/src/GroupAdmission.h
@@ -23,8 +23,9 @@
  * @usual_us: the same part for the mean prompt of its kind
  * @latest_us: longest time to the first token that is in time, less the margin
  *     of error; 0 for any
- * @turnover_us: time in which the group begins one more request like it at
- *     one engine; a queue shorter than two of these may leave the engine idle
+ * @turnover_us: time that an engine takes for one more request like it, if a
+ *     queue shorter than that leaves the engine idle; 0 if its slots become
+ *     free one after the other
  * @left_us: time until the caller's deadline
  * @promised_us: time that requests take which were told to return about now
  * @is_return: the request returns when it was told to
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -102,8 +102,8 @@
 finds_idle(const Choice_t *choice)
 {
     const Upstream_t *upstream = choice->upstream;
-    gboolean is_moved = choice->supply.kind != SUPPLY_HELD &&
-                        choice->supply.kind != SUPPLY_COMPUTED;
+    gboolean is_moved = choice->supply.kind == SUPPLY_ENGINE ||
+                        choice->supply.kind == SUPPLY_STORE;
     return !is_moved && upstream->backlog.open == 0 &&
            upstream->pending_tokens == 0 &&
            Upstream_countRequests(upstream) < upstream->slots;
