--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -128,7 +128,7 @@
         .own_us = choice->own_us,
         .usual_us = usual_us(request),
         .latest_us = placement->latest_us,
-        .turnover_us = work_us(request),
+        .turnover_us = placement->urgent ? 0 : work_us(request),
         .left_us = request->left_ms * CLOCK_US_PER_MS,
         .promised_us = due * work_us(request) / MAX(choice->side, 1),
         .is_return = ReturnSchedule_claim(side->returns, request->key, now_ms),
