An engine that one request avoids moves no boundary for it

After a failed attempt at a reserved engine an urgent request counted the first unreserved engine as reserved, and was placed behind the long prompt that it computed: the engines to reserve were counted without the one that the request avoids. Engines are counted as all requests see them, and the avoided one is left out of the candidates after that. If it is the only one on its side, the others of the group take the request, as before. Run: test_HomePolicy without the change 26 of 27 (urgent_request_that_avoids_an_engine_meets_no_long_prompt fails), with it 27 of 27, also with address and undefined sanitizers.

--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -247,16 +247,20 @@
     return (left->hash > right->hash) - (left->hash < right->hash);
 }
 
-/* The usable engines of the group, the lowest hash first. */
+/* The usable engines of the group, the lowest hash first. An engine that this
+ * request avoids counts, as others still use it: the engines on each side are
+ * the same for all requests. */
 static GPtrArray *
 find_group_engines(const CandidateSet_t *candidates)
 {
     const Placement_t *placement = candidates->placement;
+    Placement_t without_avoid = *placement;
+    without_avoid.avoid = NULL;
     GPtrArray *engines = g_ptr_array_new();
     for (guint i = 0; i < placement->serving->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
         if (group_of(placement, upstream) == candidates->group &&
-            Policy_mayUse(placement, upstream)) {
+            Policy_mayUse(&without_avoid, upstream)) {
             g_ptr_array_add(engines, upstream);
         }
     }
@@ -264,8 +268,8 @@
     return engines;
 }
 
-/* Adds the engines from index @from up to index @to, the home of the prefix
- * first. */
+/* Adds the engines from index @from up to index @to but the one to avoid, the
+ * home of the prefix first. */
 static void
 add_side(CandidateSet_t *candidates, const GPtrArray *engines, guint from,
          guint to)
@@ -275,7 +279,9 @@
         Upstream_t *upstream = g_ptr_array_index(engines, i);
         RankedEngine_t ranked = {
             upstream, rendezvous_hash(candidates->placement, upstream)};
-        g_array_append_val(side, ranked);
+        if (upstream != candidates->placement->avoid) {
+            g_array_append_val(side, ranked);
+        }
     }
     g_array_sort(side, compare_ranks);
     for (guint i = 0; i < side->len && candidates->count < CANDIDATES_MAX;
@@ -301,7 +307,8 @@
     for (guint i = from;
          i < engines->len && candidates->count < CANDIDATES_MAX; i++) {
         Upstream_t *upstream = g_ptr_array_index(engines, i);
-        if (is_idle(upstream, candidates->placement->now_ms)) {
+        if (upstream != candidates->placement->avoid &&
+            is_idle(upstream, candidates->placement->now_ms)) {
             candidates->list[candidates->count++] = upstream;
         }
     }
@@ -316,8 +323,9 @@
     return placement->urgent && compute_us <= placement->urgent_objective_us;
 }
 
-/* Takes the engines on the request's side of the partition as candidates.
- * Returns FALSE if the group is not partitioned. */
+/* Takes the engines on the request's side of the partition as candidates; all
+ * of the group if the only one there is to be avoided. Returns FALSE if the
+ * group is not partitioned. */
 static gboolean
 add_partition_side(CandidateSet_t *candidates)
 {
@@ -332,7 +340,7 @@
     guint reserved = GroupPartitions_reserved(
         placement->partitions, placement->target, candidates->group, &size,
         placement->urgent_objective_us, placement->now_ms);
-    if (reserved == 0 || reserved >= engines->len) {
+    if (!first || reserved == 0 || reserved >= engines->len) {
         return FALSE;
     }
     gboolean is_reserved = uses_reserved(placement, first);
@@ -340,10 +348,14 @@
     candidates->reserved = reserved;
     add_side(candidates, engines, is_reserved ? 0 : reserved,
              is_reserved ? reserved : engines->len);
-    candidates->side = candidates->count;
+    guint side = candidates->count;
     if (is_reserved) {
         add_idle(candidates, engines, reserved);
     }
+    if (candidates->count == 0) {
+        add_side(candidates, engines, 0, engines->len);
+    }
+    candidates->side = side > 0 ? side : candidates->count;
     return TRUE;
 }
 
--- a/tests/test_HomePolicy.c
+++ b/tests/test_HomePolicy.c
@@ -572,6 +572,42 @@
 }
 END_TEST
 
+/* Regression: after a failed attempt at a reserved engine an urgent request
+ * went to an unreserved one that computed a long prompt. */
+START_TEST(urgent_request_that_avoids_an_engine_meets_no_long_prompt)
+{
+    set_up_partitions();
+    set_backlogs(TRUE, URGENT_LATEST_US / 2);
+    set_backlogs(FALSE, URGENT_LATEST_US / 4);
+    for (guint64 key = 1; key <= 200; key++) {
+        Placement_t request = request_of(TRUE, key);
+        Upstream_t *failed = Policy_choose(policy, &request).upstream;
+        request.avoid = failed;
+        Upstream_t *next = Policy_choose(policy, &request).upstream;
+        ck_assert_ptr_ne(next, failed);
+        ck_assert(is_reserved(next));
+    }
+    tear_down_partitions();
+}
+END_TEST
+
+START_TEST(request_leaves_the_only_engine_of_its_side_after_a_failure)
+{
+    set_up_partitions();
+    report_partitions(1);
+    for (guint64 key = 1; key <= 200; key++) {
+        Placement_t request = request_of(TRUE, key);
+        set_backlogs(FALSE, key % 2 == 0 ? URGENT_LATEST_US : 0);
+        request.avoid = Policy_choose(policy, &request).upstream;
+        Choice_t next = Policy_choose(policy, &request);
+        ck_assert_ptr_nonnull(next.upstream);
+        ck_assert_ptr_ne(next.upstream, request.avoid);
+        ck_assert_uint_gt(next.side, 0);
+    }
+    tear_down_partitions();
+}
+END_TEST
+
 START_TEST(forced_group_takes_the_request_on_its_side)
 {
     set_up_partitions();
@@ -725,7 +761,8 @@
     less_urgent_request_leaves_a_reserved_engine_that_holds_its_prompt,
     long_prompt_of_an_urgent_route_uses_the_other_engines,
     engines_that_may_not_be_used_are_not_counted_as_reserved,
-
+    urgent_request_that_avoids_an_engine_meets_no_long_prompt,
+    request_leaves_the_only_engine_of_its_side_after_a_failure,
     forced_group_takes_the_request_on_its_side,
     forced_group_that_does_not_exist_is_replaced_by_the_home,
     nothing_changes_without_partitions, a_learned_wait_decays)
