A refused request asks no second group where there is only one

A router ended with a division by zero, and cut all of its callers off, when the first group refused an urgent request and the number of engines had fallen below that of two groups since the request was placed. The next group is chosen by a function of its own, which names none then; the request is refused. Run: test_Dispatch with the function as it was ends by SIGFPE in there_is_no_next_group_without_another_one, with the change 14 of 14.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -520,6 +520,16 @@
     return groups;
 }
 
+guint
+Dispatch_nextGroup(guint64 key, guint refused, guint groups)
+{
+    if (groups < 2) {
+        return 0;
+    }
+    guint step = 1 + (guint)(key % (groups - 1));
+    return 1 + (refused + step) % groups;
+}
+
 static void
 send_query(Dispatch_t *this, const DispatchQuery_t *query,
            const Placement_t *placement, const char *model,
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -111,6 +111,17 @@
  * routers broadcast their loads instead */
 guint Dispatch_countGroups(const Dispatch_t *this, guint engines);
 
+/**
+ * Dispatch_nextGroup() - the group to ask after one has refused a request: any
+ * other one, by the request
+ * @key: see DispatchAdmission_t
+ * @refused: group that has refused it
+ * @groups: number of groups
+ *
+ * Return: as Placement_t.group; 0 if there is no other group
+ */
+guint Dispatch_nextGroup(guint64 key, guint refused, guint groups);
+
 /**
  * Dispatch_query() - query the dispatcher of the group that @choice is in
  * @placement: the request; no query is sent if it has no prefix level
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -203,14 +203,6 @@
     Log_end();
 }
 
-/* The group that is asked after @refused: any other one, by the request. */
-static guint
-select_next_group(const RelayExchange_t *this, guint refused, guint groups)
-{
-    guint step = 1 + (guint)(this->admission.key % (groups - 1));
-    return (refused + step) % groups;
-}
-
 /* Asks a second group for a request that the first one has no room for.
  * Returns FALSE if it was asked already, or there is none. */
 static gboolean
@@ -223,8 +215,9 @@
         return FALSE;
     }
     RelayPlacer_choose(context, &input, &destination);
-    this->next_group = 1 + select_next_group(this, answer->choice.group,
-                                             destination.placement.groups);
+    this->next_group =
+        Dispatch_nextGroup(this->admission.key, answer->choice.group,
+                           destination.placement.groups);
     destination.placement.group = this->next_group;
     this->admission.has_next = FALSE;
     this->query = Dispatch_query(context->dispatch, &destination.placement,
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -7,6 +7,8 @@
 
 /* Enough for four groups. */
 #define ENGINES 32
+/* Groups of all engines. */
+#define GROUPS 4
 #define TARGET "s"
 #define MODEL "m"
 /* Longer than the backoff from a dispatcher that did not answer. */
@@ -517,6 +519,22 @@
 }
 END_TEST
 
+/* Regression: the number of engines fell below that of two groups while the
+ * first one refused a request, and the router divided by zero. */
+START_TEST(there_is_no_next_group_without_another_one)
+{
+    for (guint64 key = 0; key < 1000; key++) {
+        ck_assert_uint_eq(Dispatch_nextGroup(key, 0, 0), 0);
+        ck_assert_uint_eq(Dispatch_nextGroup(key, 0, 1), 0);
+        ck_assert_uint_eq(Dispatch_nextGroup(key, 3, 1), 0);
+        guint next = Dispatch_nextGroup(key, 3, GROUPS);
+        ck_assert_uint_ge(next, 1);
+        ck_assert_uint_le(next, GROUPS);
+        ck_assert_uint_ne(next - 1, 3);
+    }
+}
+END_TEST
+
 TESTING_MAIN("Dispatch", an_answer_is_used_and_its_ticket_is_ended_once,
              a_lost_query_times_out_and_its_ticket_is_ended,
              a_dispatcher_that_does_not_answer_is_not_queried_for_a_while,
@@ -529,4 +547,5 @@
              a_duplicate_query_is_answered_only_once,
              duplicate_and_reordered_ticket_updates_are_ignored,
              an_engine_that_refused_is_paused_by_the_dispatcher,
-             a_target_without_engines_is_not_placed)
+             a_target_without_engines_is_not_placed,
+             there_is_no_next_group_without_another_one)
