--- a/src/EngineBacklog.c
+++ b/src/EngineBacklog.c
@@ -19,6 +19,12 @@
     }
 }
 
+void
+EngineBacklog_lose(EngineBacklog_t *this)
+{
+    this->until_us = 0;
+}
+
 gint64
 EngineBacklog_waitUs(const EngineBacklog_t *this, gint64 now_us)
 {
--- a/src/EngineBacklog.h
+++ b/src/EngineBacklog.h
@@ -29,6 +29,10 @@
  * without; without open prompts the backlog is empty */
 void EngineBacklog_remove(EngineBacklog_t *this, gint64 now_us);
 
+/** EngineBacklog_lose() - the engine has started again and lost its prompts;
+ * each of them is still to be removed */
+void EngineBacklog_lose(EngineBacklog_t *this);
+
 /** EngineBacklog_waitUs() - time until the backlog is computed, in us */
 gint64 EngineBacklog_waitUs(const EngineBacklog_t *this, gint64 now_us);
 
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -124,7 +124,7 @@
     this->reported_tokens = 0;
     this->reported_running = 0;
     this->wait_us = 0;
-    this->backlog = (EngineBacklog_t){0};
+    EngineBacklog_lose(&this->backlog);
     this->paused_until_ms = 0;
     this->unloading_since_ms = 0;
     this->load_soon_until_ms = 0;
