Numbers of other dispatchers and of callers are bounded

One faulty dispatcher could stop the use of partitions by all who asked it: an absurd speed was taken over for all engines of a service, a return weeks ahead was told to the caller, and groups that do not exist were noted. The numbers are bounded and counted (place_answers_absurd_total).

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -24,6 +24,9 @@
  * objective of urgent requests: an engine chosen without its knowledge takes
  * longer than that. */
 #define TIMEOUT_FRACTION 0.25
+/* A prompt that takes longer than this is not waited for. Callers declare the
+ * length of their prompts. */
+#define PROMPT_MAX_US ((gint64)TICKET_FIRST_TOKEN_TIMEOUT_MS * CLOCK_US_PER_MS)
 
 struct Dispatch {
     struct event_base *base;
@@ -41,6 +44,7 @@
     DispatchTicket_t ticket;
     GString *target;
     gboolean is_partitioned;  /* groups of the target are */
+    gint64 left_ms;           /* see DispatchAdmission_t */
     GString *dispatcher_name; /* copied, as the member may be removed */
     DispatchDone_t done;
     void *owner; /* argument of @done */
@@ -195,9 +199,9 @@
         const PromptTime_t *time =
             find_prompt_time(this, placement->target, choice->upstream);
         guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
-        GroupPartition_notePrompt(
-            group,
-            PromptTime_computeUs(time, placement->prompt_tokens - cached));
+        gint64 compute_us =
+            PromptTime_computeUs(time, placement->prompt_tokens - cached);
+        GroupPartition_notePrompt(group, MIN(compute_us, PROMPT_MAX_US));
     }
 }
 
@@ -316,6 +320,42 @@
     done(owner, answer);
 }
 
+/* Returns the answer with numbers that this router can use, whatever its
+ * dispatcher has sent. */
+static Wt__PlaceAnswer
+bound_answer(const Dispatch_t *this, const DispatchQuery_t *query,
+             const Wt__PlaceAnswer *answer)
+{
+    static const guint32 ktoken_min =
+        (guint32)(TOKENS_PER_KTOKEN * PROMPT_TIME_SLOPE_US_MIN);
+    static const guint32 ktoken_max =
+        (guint32)(TOKENS_PER_KTOKEN * PROMPT_TIME_SLOPE_US_MAX);
+    const GPtrArray *serving = UpstreamSet_findServing(
+        this->spec.upstreams, ROLE_SERVICE, query->target->str);
+    Wt__PlaceAnswer bounded = *answer;
+    bounded.reserved = MIN(answer->reserved, MAX(serving->len, 1) - 1);
+    bounded.retry_after_ms = MIN(answer->retry_after_ms, query->left_ms);
+    if (answer->ktoken_us > 0) {
+        bounded.ktoken_us = CLAMP(answer->ktoken_us, ktoken_min, ktoken_max);
+    }
+    if (bounded.reserved != answer->reserved ||
+        bounded.retry_after_ms != answer->retry_after_ms ||
+        bounded.ktoken_us != answer->ktoken_us) {
+        Counters_add(this->spec.counters, "place_answers_absurd_total", NULL,
+                     1);
+    }
+    return bounded;
+}
+
+/* A dispatcher that sees other engines may divide them into more groups. */
+static gboolean
+has_group(const Dispatch_t *this, const char *target, guint group)
+{
+    const GPtrArray *serving =
+        UpstreamSet_findServing(this->spec.upstreams, ROLE_SERVICE, target);
+    return group < Dispatch_countGroups(this, serving->len);
+}
+
 /* What the dispatcher has learned serves this router while the dispatcher does
  * not answer. */
 static void
@@ -325,9 +365,11 @@
     if (!this->spec.partitions) {
         return;
     }
-    GroupPartitions_noteReported(this->spec.partitions, query->target->str,
-                                 answer->group, answer->reserved,
-                                 Clock_nowMs());
+    if (has_group(this, query->target->str, answer->group)) {
+        GroupPartitions_noteReported(this->spec.partitions, query->target->str,
+                                     answer->group, answer->reserved,
+                                     Clock_nowMs());
+    }
     if (answer->ktoken_us > 0) {
         set_speed(this, query->target->str,
                   (double)answer->ktoken_us / TOKENS_PER_KTOKEN);
@@ -346,16 +388,17 @@
         send_update(this, &ticket, WT__PLACE_STATE__ENDED, 0);
         return;
     }
+    Wt__PlaceAnswer bounded = bound_answer(this, query, answer);
     DispatchAnswer_t result = {
-        .choice = make_choice(this, answer),
+        .choice = make_choice(this, &bounded),
         .ticket = ticket,
-        .decision = make_decision(answer),
+        .decision = make_decision(&bounded),
     };
     if (result.decision.verdict != GROUP_ADMITTED) {
         result.ticket.id = 0;
     }
     g_hash_table_remove(this->unanswered, query->dispatcher_name->str);
-    learn_partition(this, query, answer);
+    learn_partition(this, query, &bounded);
     finish_query(query, &result);
 }
 
@@ -616,6 +659,7 @@
         return NULL;
     }
     DispatchQuery_t *query = create_query(this, dispatcher, placement);
+    query->left_ms = MAX(admission->left_ms, 0);
     query->done = done;
     query->owner = owner;
     send_query(this, query, placement, model, admission);
--- a/src/PromptTime.c
+++ b/src/PromptTime.c
@@ -21,10 +21,8 @@
 /* A first token that takes longer than so many times the expected time has met
  * a fault or a queue, and counts as this much. */
 #define OUTLIER_FACTOR 2.0
-/* Plausible range of the line. */
+/* Longest plausible fixed part. */
 #define BASE_US_MAX 100000.0
-#define SLOPE_US_MIN 1.0
-#define SLOPE_US_MAX 10000.0
 
 /* Weighted sums over observations. */
 typedef struct {
@@ -49,7 +47,8 @@
 {
     PromptTime_t *this = g_new0(PromptTime_t, 1);
     this->base_us = INITIAL_BASE_US;
-    this->us_per_token = CLAMP(us_per_token, SLOPE_US_MIN, SLOPE_US_MAX);
+    this->us_per_token = CLAMP(us_per_token, PROMPT_TIME_SLOPE_US_MIN,
+                               PROMPT_TIME_SLOPE_US_MAX);
     return this;
 }
 
@@ -68,7 +67,7 @@
 static double
 plausible_us(const PromptTime_t *this, guint tokens, gint64 waited_us)
 {
-    double max_us = BASE_US_MAX + SLOPE_US_MAX * tokens;
+    double max_us = BASE_US_MAX + PROMPT_TIME_SLOPE_US_MAX * tokens;
     if (this->is_learned) {
         max_us = MIN(max_us, OUTLIER_FACTOR * expected_us(this, tokens));
     }
@@ -109,7 +108,8 @@
     this->base_us = CLAMP(base_us, 0, BASE_US_MAX);
     slope_us =
         (sums->tokens_us - this->base_us * sums->tokens) / sums->tokens_tokens;
-    this->us_per_token = CLAMP(slope_us, SLOPE_US_MIN, SLOPE_US_MAX);
+    this->us_per_token =
+        CLAMP(slope_us, PROMPT_TIME_SLOPE_US_MIN, PROMPT_TIME_SLOPE_US_MAX);
 }
 
 void
--- a/src/PromptTime.h
+++ b/src/PromptTime.h
@@ -11,6 +11,10 @@
  */
 #include <glib.h>
 
+/** Plausible range of the time to compute one token, in us */
+#define PROMPT_TIME_SLOPE_US_MIN 1.0
+#define PROMPT_TIME_SLOPE_US_MAX 10000.0
+
 /** struct PromptTime_t - opaque */
 typedef struct PromptTime PromptTime_t;
 
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -4,15 +4,24 @@
 #include "Dispatch.h"
 #include "FakeRouters.h"
 #include "Policies.h"
+#include "PromptTime.h"
+#include "Random.h"
 
 /* Enough for four groups. */
 #define ENGINES 32
-/* Groups of all engines. */
-#define GROUPS 4
 #define TARGET "s"
 #define MODEL "m"
 /* Longer than the backoff from a dispatcher that did not answer. */
 #define BACKOFF_OVER_MS 600
+/* Groups of all engines. */
+#define GROUPS 4
+#define OBJECTIVE_US 250000
+#define LATEST_US 200000
+/* Time to compute a long prompt. */
+#define LONG_PROMPT_US 470000
+#define SHORT_TOKENS 400
+#define LONG_TOKENS 17000
+#define LEFT_MS 3000
 /* Time in which an unwanted message would arrive: several round trips over
  * loopback. */
 #define NO_MESSAGE_MS 50
@@ -22,6 +31,7 @@
 static FakeRouters_t routers;
 static Dispatch_t *dispatch;
 static Policy_t *policy;
+static GroupPartitions_t *partitions; /* NULL unless a test has them */
 static PeerDatagrams_t *router_datagrams;
 static PeerDatagrams_t *peer_datagrams;
 static GPtrArray *peer_messages; /* Wt__PeerMessage, received by the peer */
@@ -31,6 +41,7 @@
     guint calls;
     Choice_t choice;
     DispatchTicket_t ticket;
+    GroupDecision_t decision;
 } QueryResult_t;
 
 static QueryResult_t result;
@@ -62,6 +73,7 @@
     this->calls++;
     this->choice = answer->choice;
     this->ticket = answer->ticket;
+    this->decision = answer->decision;
 }
 
 static void
@@ -118,6 +130,7 @@
                            .datagrams = router_datagrams,
                            .upstreams = routers.upstreams,
                            .policy = policy,
+                           .partitions = partitions,
                            .counters = routers.counters,
                            .prefer = keep_placement};
     dispatch = Dispatch_create(routers.base, &spec);
@@ -141,6 +154,21 @@
     FakeRouters_clear(&routers);
 }
 
+static void
+setup_partitions(void)
+{
+    partitions = GroupPartitions_create();
+    setup();
+}
+
+static void
+teardown_partitions(void)
+{
+    teardown();
+    GroupPartitions_destroy(partitions);
+    partitions = NULL;
+}
+
 static const GPtrArray *
 serving_engines(void)
 {
@@ -163,6 +191,8 @@
                          .level_tokens = {6000, 9000},
                          .prompt_tokens = 9000,
                          .groups = Dispatch_countGroups(dispatch, ENGINES),
+                         .partitions = partitions,
+                         .urgent_objective_us = partitions ? OBJECTIVE_US : 0,
                          .now_ms = Clock_nowMs()};
 }
 
@@ -174,7 +204,7 @@
     Placement_t placement = make_placement();
     for (guint group = 0; group < placement.groups; group++) {
         Choice_t choice = {.group = group};
-        DispatchAdmission_t admission = {0};
+        DispatchAdmission_t admission = {.left_ms = LEFT_MS};
         DispatchQuery_t *query = Dispatch_query(
             dispatch, &placement, MODEL, &choice, &admission, on_done, owner);
         if (query) {
@@ -235,6 +265,45 @@
     send_to_router(&message);
 }
 
+static void
+send_placement(Wt__PlaceAsk *body)
+{
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ASK;
+    message.place_ask = body;
+    send_to_router(&message);
+}
+
+/* A query of an urgent request, of the same home for all tickets. */
+static Wt__PlaceAsk
+urgent_query(guint64 ticket)
+{
+    Wt__PlaceAsk body = WT__PLACE_ASK__INIT;
+    body.ticket = ticket;
+    body.target = TARGET;
+    body.model = MODEL;
+    body.prefix = 42;
+    body.prefix_tokens = SHORT_TOKENS / 2;
+    body.prompt_tokens = SHORT_TOKENS;
+    body.latest_us = LATEST_US;
+    body.urgent = TRUE;
+    body.urgent_objective_us = OBJECTIVE_US;
+    body.left_ms = LEFT_MS;
+    body.customer = 4711;
+    body.request = ticket;
+    return body;
+}
+
+static void
+send_answer_body(guint64 ticket, Wt__PlaceAnswer *body)
+{
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    body->ticket = ticket;
+    message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ANSWER;
+    message.place_answer = body;
+    send_to_router(&message);
+}
+
 static guint
 count_messages(Wt__PeerMessage__BodyCase kind)
 {
@@ -519,6 +588,401 @@
 }
 END_TEST
 
+static void
+set_backlogs(gint64 wait_us)
+{
+    for (guint i = 0; i < ENGINES; i++) {
+        EngineBacklog_add(&engine_at(i)->backlog, wait_us, Clock_nowUs());
+    }
+}
+
+/* This router dispatches for all groups, in which both kinds of requests
+ * arrive. */
+static void
+partition_groups(void)
+{
+    for (guint group = 0; group < GROUPS; group++) {
+        GroupPartition_t *partition =
+            GroupPartitions_get(partitions, TARGET, group);
+        GroupPartition_noteArrival(partition, TRUE, Clock_nowMs());
+        GroupPartition_noteArrival(partition, FALSE, Clock_nowMs());
+        GroupPartition_notePrompt(partition, LONG_PROMPT_US);
+    }
+}
+
+START_TEST(a_request_that_would_be_late_is_refused_without_a_ticket)
+{
+    setup_partitions();
+    partition_groups();
+    set_backlogs(2 * (gint64)LATEST_US);
+    Wt__PlaceAsk query = urgent_query(9);
+    send_placement(&query);
+    const Wt__PlaceAnswer *answer = await_answer(0);
+    ck_assert_uint_eq(answer->verdict, GROUP_LATE);
+    ck_assert_uint_gt(answer->reserved, 0);
+    ck_assert_uint_gt(answer->retry_after_ms, 0);
+    ck_assert_uint_le(answer->retry_after_ms, LEFT_MS / 3);
+    ck_assert_uint_eq(count_tickets(), 0);
+    query.ticket = 10;
+    query.left_ms = 0;
+    send_placement(&query);
+    ck_assert_uint_eq(await_answer(1)->verdict, GROUP_ADMITTED);
+    ck_assert_uint_eq(count_tickets(), 1);
+    send_update(10, WT__PLACE_STATE__ENDED);
+    await_tickets(0);
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(a_refusal_reaches_the_asker_without_a_ticket)
+{
+    static const guint verdicts[] = {GROUP_LATE, GROUP_OVER_SHARE,
+                                     GROUP_DEADLINE};
+    setup_partitions();
+    for (guint i = 0; i < G_N_ELEMENTS(verdicts); i++) {
+        Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+        body.upstream = engine_at(3)->hash;
+        body.verdict = verdicts[i];
+        body.retry_after_ms = 700;
+        result = (QueryResult_t){0};
+        ck_assert_ptr_nonnull(query_dispatcher(&result));
+        send_answer_body(await_query(i), &body);
+        await_result(&result);
+        ck_assert_int_eq(result.decision.verdict, verdicts[i]);
+        ck_assert_uint_eq(result.decision.retry_after_ms, 700);
+        ck_assert_uint_eq(result.ticket.id, 0);
+        Dispatch_endTicket(dispatch, &result.ticket);
+    }
+    FakeRouters_run(&routers, NO_MESSAGE_MS);
+    ck_assert_uint_eq(count_messages(WT__PEER_MESSAGE__BODY_PLACE_NEWS), 0);
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(a_verdict_of_a_newer_build_counts_as_refused)
+{
+    static const guint verdicts[] = {GROUP_VERDICTS, 17, G_MAXUINT32};
+    setup_partitions();
+    for (guint i = 0; i < G_N_ELEMENTS(verdicts); i++) {
+        Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+        body.upstream = engine_at(3)->hash;
+        body.verdict = verdicts[i];
+        result = (QueryResult_t){0};
+        ck_assert_ptr_nonnull(query_dispatcher(&result));
+        send_answer_body(await_query(i), &body);
+        await_result(&result);
+        ck_assert_int_ne(result.decision.verdict, GROUP_ADMITTED);
+        ck_assert_int_lt(result.decision.verdict, GROUP_VERDICTS);
+        ck_assert_uint_eq(result.ticket.id, 0);
+    }
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(an_answer_of_an_older_build_admits_and_partitions_nothing)
+{
+    setup_partitions();
+    double speed = engine_at(3)->prefill_us_per_token;
+    query_dispatcher(&result);
+    guint64 ticket = await_query(0);
+    send_answer(ticket, engine_at(3)->hash);
+    await_result(&result);
+    ck_assert_int_eq(result.decision.verdict, GROUP_ADMITTED);
+    ck_assert_uint_eq(result.choice.reserved, 0);
+    ck_assert_ptr_eq(result.choice.upstream, engine_at(3));
+    ck_assert_uint_eq(result.ticket.id, ticket);
+    ck_assert(
+        !GroupPartitions_isPartitioned(partitions, TARGET, Clock_nowMs()));
+    ck_assert_double_eq(engine_at(3)->prefill_us_per_token, speed);
+    teardown_partitions();
+}
+END_TEST
+
+/* It is admitted although all engines are late, and told nothing of the
+ * partition. */
+START_TEST(a_query_of_an_older_build_is_answered_as_before)
+{
+    setup_partitions();
+    partition_groups();
+    set_backlogs(2 * (gint64)LATEST_US);
+    send_query(9, TARGET, 0);
+    const Wt__PlaceAnswer *answer = await_answer(0);
+    ck_assert_uint_ne(answer->upstream, 0);
+    ck_assert_uint_eq(answer->verdict, GROUP_ADMITTED);
+    ck_assert_uint_eq(answer->reserved, 0);
+    ck_assert_uint_eq(answer->ktoken_us, 0);
+    ck_assert_uint_eq(answer->retry_after_ms, 0);
+    ck_assert_uint_eq(answer->promised_us, 0);
+    ck_assert_uint_eq(count_tickets(), 1);
+    teardown_partitions();
+}
+END_TEST
+
+/* Engines of the group that a dispatcher has just answered for, which the
+ * asker would not use for a less urgent request. */
+static guint
+reserved_engines(guint group)
+{
+    const GroupSize_t size = {.engines = ENGINES / GROUPS, .slots = 64};
+    return GroupPartitions_reserved(partitions, TARGET, group, &size,
+                                    OBJECTIVE_US, Clock_nowMs());
+}
+
+static void
+answer_next_query(guint idx, Wt__PlaceAnswer *body)
+{
+    result = (QueryResult_t){0};
+    ck_assert_ptr_nonnull(query_dispatcher(&result));
+    send_answer_body(await_query(idx), body);
+    await_result(&result);
+}
+
+START_TEST(a_number_of_reserved_engines_beyond_the_group_is_bounded)
+{
+    setup_partitions();
+    Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+    body.upstream = engine_at(3)->hash;
+    body.group = 1;
+    body.reserved = G_MAXUINT32;
+    answer_next_query(0, &body);
+    ck_assert_uint_eq(reserved_engines(1), ENGINES / GROUPS - 1);
+    ck_assert_uint_lt(result.choice.reserved, ENGINES);
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(a_report_of_a_group_that_does_not_exist_is_ignored)
+{
+    static const guint absent[] = {GROUPS, 1000, G_MAXUINT32};
+    setup_partitions();
+    for (guint i = 0; i < G_N_ELEMENTS(absent); i++) {
+        Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+        body.upstream = engine_at(3)->hash;
+        body.group = absent[i];
+        body.reserved = 3;
+        answer_next_query(i, &body);
+        ck_assert_uint_eq(reserved_engines(absent[i]), 0);
+    }
+    ck_assert(
+        !GroupPartitions_isPartitioned(partitions, TARGET, Clock_nowMs()));
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(an_absurd_speed_that_a_dispatcher_reports_is_bounded)
+{
+    static const guint speeds[] = {1, G_MAXUINT32};
+    setup_partitions();
+    for (guint i = 0; i < G_N_ELEMENTS(speeds); i++) {
+        Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+        body.upstream = engine_at(3)->hash;
+        body.reserved = 1;
+        body.ktoken_us = speeds[i];
+        answer_next_query(i, &body);
+        ck_assert_double_ge(engine_at(3)->prefill_us_per_token,
+                            PROMPT_TIME_SLOPE_US_MIN);
+        ck_assert_double_le(engine_at(3)->prefill_us_per_token,
+                            PROMPT_TIME_SLOPE_US_MAX);
+        ck_assert_uint_eq(Counters_value(routers.counters,
+                                         "place_answers_absurd_total", NULL),
+                          i + 1);
+    }
+    teardown_partitions();
+}
+END_TEST
+
+/* The caller would not return for weeks. */
+START_TEST(a_return_beyond_the_callers_deadline_is_bounded)
+{
+    setup_partitions();
+    Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+    body.verdict = GROUP_LATE;
+    body.retry_after_ms = G_MAXUINT32;
+    answer_next_query(0, &body);
+    ck_assert_uint_le(result.decision.retry_after_ms, LEFT_MS);
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(absurd_queries_are_answered_and_leave_nothing)
+{
+    static const guint numbers[] = {0, 1, G_MAXINT32, G_MAXUINT32};
+    setup_partitions();
+    Random_seed(1);
+    for (guint i = 0; i < 300; i++) {
+        Wt__PlaceAsk query = urgent_query(9 + i);
+        guint32 *fields[] = {
+            &query.prefix_tokens, &query.prompt_tokens,       &query.latest_us,
+            &query.run_us,        &query.urgent_objective_us, &query.left_ms,
+            &query.group};
+        for (guint j = 0; j < G_N_ELEMENTS(fields); j++) {
+            if (Random_below(2) == 0) {
+                *fields[j] = numbers[Random_below(G_N_ELEMENTS(numbers))];
+            }
+        }
+        query.urgent = Random_below(2) == 0;
+        send_placement(&query);
+        const Wt__PlaceAnswer *answer = await_answer(i);
+        ck_assert_uint_lt(answer->group, GROUPS);
+        ck_assert_uint_lt(answer->reserved, ENGINES);
+        ck_assert_uint_lt(answer->verdict, GROUP_VERDICTS);
+        ck_assert_uint_le(answer->retry_after_ms, query.left_ms);
+        send_update(9 + i, WT__PLACE_STATE__ENDED);
+    }
+    await_tickets(0);
+    for (guint i = 0; i < ENGINES; i++) {
+        ck_assert_int_eq(
+            EngineBacklog_waitUs(&engine_at(i)->backlog, Clock_nowUs()), 0);
+        ck_assert_uint_eq(engine_at(i)->ticket_tokens, 0);
+    }
+    teardown_partitions();
+}
+END_TEST
+
+/* Sends a request of a service whose prompts are short; returns the engines
+ * that are reserved. */
+static guint
+place_short(guint64 ticket, gboolean urgent, guint idx)
+{
+    Wt__PlaceAsk query = urgent_query(ticket);
+    query.urgent = urgent;
+    send_placement(&query);
+    guint reserved = await_answer(idx)->reserved;
+    send_update(ticket, WT__PLACE_STATE__ENDED);
+    return reserved;
+}
+
+/* Regression: a caller that declared a prompt of two billion tokens made a
+ * dispatcher reserve engines of a service with short prompts for hundreds of
+ * requests. */
+START_TEST(a_prompt_of_absurd_length_is_soon_forgotten)
+{
+    setup_partitions();
+    Wt__PlaceAsk query = urgent_query(1);
+    query.urgent = FALSE;
+    query.prompt_tokens = G_MAXINT32;
+    send_placement(&query);
+    await_answer(0);
+    guint reserved = 0;
+    for (guint i = 1; i <= 100; i++) {
+        reserved = place_short(100 + i, i % 2 == 0, i);
+    }
+    ck_assert_uint_eq(reserved, 0);
+    teardown_partitions();
+}
+END_TEST
+
+/* Waits for the answer to a query that nobody gives. */
+static void
+await_unanswered(guint idx)
+{
+    result = (QueryResult_t){0};
+    ck_assert_ptr_nonnull(query_dispatcher(&result));
+    await_query(idx);
+    await_result(&result);
+    ck_assert_ptr_null(result.choice.upstream);
+}
+
+START_TEST(a_dispatcher_of_partitioned_groups_may_lose_one_answer)
+{
+    setup_partitions();
+    GroupPartitions_noteReported(partitions, TARGET, 0, 3, Clock_nowMs());
+    await_unanswered(0);
+    Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+    body.upstream = engine_at(3)->hash;
+    body.reserved = 3;
+    answer_next_query(1, &body);
+    ck_assert_ptr_eq(result.choice.upstream, engine_at(3));
+    await_unanswered(2);
+    await_unanswered(3);
+    ck_assert_ptr_null(query_dispatcher(&result));
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(a_dispatcher_of_partitioned_groups_is_awaited_for_longer)
+{
+    setup_partitions();
+    GroupPartitions_noteReported(partitions, TARGET, 0, 3, Clock_nowMs());
+    ck_assert_ptr_nonnull(query_dispatcher(&result));
+    guint64 ticket = await_query(0);
+    gint64 end_ms = Clock_nowMs() + DISPATCH_TIMEOUT_MS;
+    while (Clock_nowMs() <= end_ms) {
+        event_base_loop(routers.base, EVLOOP_NONBLOCK);
+    }
+    Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+    body.upstream = engine_at(3)->hash;
+    body.reserved = 3;
+    send_answer_body(ticket, &body);
+    await_result(&result);
+    ck_assert_ptr_eq(result.choice.upstream, engine_at(3));
+    teardown_partitions();
+}
+END_TEST
+
+START_TEST(a_query_grows_by_at_most_40_bytes)
+{
+    Wt__PlaceAsk grown = WT__PLACE_ASK__INIT;
+    gsize before = wt__place_ask__get_packed_size(&grown);
+    grown.urgent = TRUE;
+    grown.urgent_objective_us = G_MAXINT32;
+    grown.left_ms = G_MAXINT32;
+    grown.customer = G_MAXUINT64;
+    grown.request = G_MAXUINT64;
+    grown.group = 16384;
+    grown.has_next = TRUE;
+    ck_assert_uint_le(wt__place_ask__get_packed_size(&grown) - before, 40);
+}
+END_TEST
+
+static gsize
+growth_of(const Wt__PlaceAnswer *answer)
+{
+    Wt__PlaceAnswer before = *answer;
+    before.verdict = 0;
+    before.retry_after_ms = 0;
+    before.group = 0;
+    before.reserved = 0;
+    before.ktoken_us = 0;
+    before.promised_us = 0;
+    before.is_return = FALSE;
+    before.over_share = FALSE;
+    return wt__place_answer__get_packed_size(answer) -
+           wt__place_answer__get_packed_size(&before);
+}
+
+START_TEST(an_answer_grows_by_at_most_33_bytes)
+{
+    Wt__PlaceAnswer largest = WT__PLACE_ANSWER__INIT;
+    largest.verdict = GROUP_DEADLINE;
+    largest.retry_after_ms = G_MAXINT32;
+    largest.group = 16384;
+    largest.reserved = 16383;
+    largest.ktoken_us = G_MAXINT32;
+    largest.promised_us = G_MAXINT32;
+    largest.is_return = TRUE;
+    largest.over_share = TRUE;
+    ck_assert_uint_le(growth_of(&largest), 33);
+}
+END_TEST
+
+START_TEST(usual_answers_grow_by_few_bytes)
+{
+    setup_partitions();
+    partition_groups();
+    Wt__PlaceAsk query = urgent_query(9);
+    send_placement(&query);
+    ck_assert_uint_gt(await_answer(0)->reserved, 0);
+    ck_assert_uint_le(growth_of(await_answer(0)), 9);
+    set_backlogs(2 * (gint64)LATEST_US);
+    query.ticket = 10;
+    send_placement(&query);
+    ck_assert_uint_eq(await_answer(1)->verdict, GROUP_LATE);
+    ck_assert_uint_le(growth_of(await_answer(1)), 14);
+    teardown_partitions();
+}
+END_TEST
+
 /* Regression: the number of engines fell below that of two groups while the
  * first one refused a request, and the router divided by zero. */
 START_TEST(there_is_no_next_group_without_another_one)
@@ -548,4 +1012,20 @@
              duplicate_and_reordered_ticket_updates_are_ignored,
              an_engine_that_refused_is_paused_by_the_dispatcher,
              a_target_without_engines_is_not_placed,
+             a_request_that_would_be_late_is_refused_without_a_ticket,
+             a_refusal_reaches_the_asker_without_a_ticket,
+             a_verdict_of_a_newer_build_counts_as_refused,
+             an_answer_of_an_older_build_admits_and_partitions_nothing,
+             a_query_of_an_older_build_is_answered_as_before,
+             a_number_of_reserved_engines_beyond_the_group_is_bounded,
+             a_report_of_a_group_that_does_not_exist_is_ignored,
+             an_absurd_speed_that_a_dispatcher_reports_is_bounded,
+             a_return_beyond_the_callers_deadline_is_bounded,
+             absurd_queries_are_answered_and_leave_nothing,
+             a_prompt_of_absurd_length_is_soon_forgotten,
+             a_dispatcher_of_partitioned_groups_may_lose_one_answer,
+             a_dispatcher_of_partitioned_groups_is_awaited_for_longer,
+             a_query_grows_by_at_most_40_bytes,
+             an_answer_grows_by_at_most_33_bytes,
+             usual_answers_grow_by_few_bytes,
              there_is_no_next_group_without_another_one)
