--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -533,7 +533,8 @@
                             "config_wait": "100ms", "leaving_limit": "800ms",
                             "listing_return": "600ms",
                             "move_wait": "60s",
-                            "refuse_late": "no"},
+                            "refuse_late": "no",
+                            "partition_engines": "no"},
                   "limits": {"retry_allowance": "100",
                              "connect_timeout": "2s"}}
         for key, value in settings.items():
