The decisions of groups are counted under a label that can be read

Whoever scrapes a router's metrics met a line that the text format does not allow, group_decisions_total{late}, which may end the whole scrape: the name of the verdict was passed as the label. Run: test_Dispatch without the change 29 of 30 (a_request_that_would_be_late_is_refused_without_a_ticket fails), with it 30 of 30.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -205,6 +205,21 @@
     }
 }
 
+static void
+count_decision(const Dispatch_t *this, const GroupDecision_t *decision)
+{
+    g_autofree char *labels = g_strdup_printf(
+        "verdict=\"%s\"", GroupAdmission_name(decision->verdict));
+    Counters_add(this->spec.counters, "group_decisions_total", labels, 1);
+    if (decision->is_return) {
+        Counters_add(this->spec.counters,
+                     decision->verdict == GROUP_ADMITTED
+                         ? "promises_kept_total"
+                         : "promises_broken_total",
+                     NULL, 1);
+    }
+}
+
 GroupDecision_t
 Dispatch_decide(Dispatch_t *this, const Placement_t *placement,
                 const Choice_t *choice, const DispatchAdmission_t *admission)
@@ -223,15 +238,7 @@
         .has_next = admission->has_next,
     };
     decision = DispatchGroups_decide(this->groups, &request);
-    Counters_add(this->spec.counters, "group_decisions_total",
-                 GroupAdmission_name(decision.verdict), 1);
-    if (decision.is_return) {
-        Counters_add(this->spec.counters,
-                     decision.verdict == GROUP_ADMITTED
-                         ? "promises_kept_total"
-                         : "promises_broken_total",
-                     NULL, 1);
-    }
+    count_decision(this, &decision);
     return decision;
 }
 
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -623,6 +623,9 @@
     ck_assert_uint_gt(answer->retry_after_ms, 0);
     ck_assert_uint_le(answer->retry_after_ms, LEFT_MS / 3);
     ck_assert_uint_eq(count_tickets(), 0);
+    ck_assert_uint_eq(Counters_value(routers.counters, "group_decisions_total",
+                                     "verdict=\"late\""),
+                      1);
     query.ticket = 10;
     query.left_ms = 0;
     send_placement(&query);
