A dispatcher counts the prompts of its own requests

Urgent callers of the router that dispatches their group waited for seconds: it counted the prompts that it had placed for other routers in the backlog of an engine, but not those of its own requests, and placed all of a burst on one engine. A request that a router places in a partitioned group by itself now counts until its first event or its end. One prompt counts for five seconds at the most, whoever places it, as callers declare its length.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -24,9 +24,6 @@
  * objective of urgent requests: an engine chosen without its knowledge takes
  * longer than that. */
 #define TIMEOUT_FRACTION 0.25
-/* A prompt that takes longer than this is not waited for. Callers declare the
- * length of their prompts. */
-#define PROMPT_MAX_US ((gint64)TICKET_FIRST_TOKEN_TIMEOUT_MS * CLOCK_US_PER_MS)
 
 struct Dispatch {
     struct event_base *base;
@@ -201,7 +198,8 @@
         guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
         gint64 compute_us =
             PromptTime_computeUs(time, placement->prompt_tokens - cached);
-        GroupPartition_notePrompt(group, MIN(compute_us, PROMPT_MAX_US));
+        GroupPartition_notePrompt(
+            group, MIN(compute_us, ENGINE_BACKLOG_PROMPT_MAX_US));
     }
 }
 
--- a/src/EngineBacklog.c
+++ b/src/EngineBacklog.c
@@ -3,7 +3,8 @@
 void
 EngineBacklog_add(EngineBacklog_t *this, gint64 compute_us, gint64 now_us)
 {
-    this->until_us = MAX(now_us, this->until_us) + MAX(compute_us, 0);
+    this->until_us = MAX(now_us, this->until_us) +
+                     CLAMP(compute_us, 0, ENGINE_BACKLOG_PROMPT_MAX_US);
     this->open++;
 }
 
--- a/src/EngineBacklog.h
+++ b/src/EngineBacklog.h
@@ -11,6 +11,10 @@
  */
 #include <glib.h>
 
+/** Longest time that one prompt counts, in us: nobody waits longer for a first
+ * token, and callers declare the length of their prompts */
+#define ENGINE_BACKLOG_PROMPT_MAX_US ((gint64)5000000)
+
 /**
  * struct EngineBacklog_t - backlog of one engine; zeroed at first
  * @until_us: when the last prompt will be computed, monotonic
@@ -21,7 +25,8 @@
     guint open;
 } EngineBacklog_t;
 
-/** EngineBacklog_add() - a prompt that takes @compute_us was placed */
+/** EngineBacklog_add() - a prompt that takes @compute_us was placed, which
+ * counts for ENGINE_BACKLOG_PROMPT_MAX_US at the most */
 void EngineBacklog_add(EngineBacklog_t *this, gint64 compute_us,
                        gint64 now_us);
 
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -10,6 +10,26 @@
  * unreachable. */
 #define LIVENESS_MAX_AGE_MS 1000
 
+/* A prompt that another router has placed counts there. */
+static void
+add_to_backlog(RelayFeedback_t *this, const Choice_t *choice)
+{
+    this->is_in_backlog = choice->side > 0;
+    if (this->is_in_backlog) {
+        EngineBacklog_add(&this->upstream->backlog, choice->own_us,
+                          Clock_nowUs());
+    }
+}
+
+static void
+remove_from_backlog(RelayFeedback_t *this)
+{
+    if (this->is_in_backlog) {
+        EngineBacklog_remove(&this->upstream->backlog, Clock_nowUs());
+    }
+    this->is_in_backlog = FALSE;
+}
+
 void
 RelayFeedback_begin(RelayFeedback_t *this, const Context_t *context,
                     const char *request_id,
@@ -28,6 +48,7 @@
         MIN(destination->choice.expected_cached, prompt_tokens);
     this->upstream->pending_tokens += this->missing_tokens;
     this->is_partitioned = destination->choice.reserved > 0;
+    add_to_backlog(this, &destination->choice);
     this->first_event_us = 0;
     FirstTokenEstimate_clear(&this->first_token);
     FirstTokenEstimate_expect(&this->first_token, &destination->placement,
@@ -41,6 +62,7 @@
         this->upstream->pending_tokens -= this->missing_tokens;
     }
     this->missing_tokens = 0;
+    remove_from_backlog(this);
     FirstTokenEstimate_clear(&this->first_token);
 }
 
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -22,6 +22,7 @@
  * @origin: origin of notices in the answer
  * @route: name of the request's route, which outlives the attempt
  * @is_partitioned: the upstream is in a partitioned group
+ * @is_in_backlog: the prompt counts in the upstream's backlog
  * @placement: inputs of the upstream's choice
  * @first_token: estimate of the time to the first token
  * @missing_tokens: prompt tokens counted in @upstream->pending_tokens
@@ -34,6 +35,7 @@
     NoticeOrigin_t origin;
     const char *route;
     gboolean is_partitioned;
+    gboolean is_in_backlog;
     Placement_t placement;
     FirstTokenEstimate_t first_token;
     guint missing_tokens;
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -4,8 +4,6 @@
 
 /* A tenth of the shorter lifetime. */
 #define EXPIRY_INTERVAL_MS 500
-/* Nobody waits longer for a prompt. Callers declare the length of theirs. */
-#define OWN_MAX_US ((gint64)TICKET_FIRST_TOKEN_TIMEOUT_MS * CLOCK_US_PER_MS)
 
 struct Tickets {
     GHashTable *by_id; /* &id -> Ticket_t */
@@ -136,7 +134,7 @@
     ticket->tokens = placement->prompt_tokens -
                      MIN(choice->expected_cached, placement->prompt_tokens);
     ticket->computed_tokens = ticket->tokens;
-    ticket->own_us = MIN(choice->own_us, OWN_MAX_US);
+    ticket->own_us = MIN(choice->own_us, ENGINE_BACKLOG_PROMPT_MAX_US);
     ticket->found_idle = finds_idle(choice);
     ticket->placed_ms = placement->now_ms;
     fill_group(ticket, placement, choice);
--- a/tests/sessions/test_fleet_dispatchers.py
+++ b/tests/sessions/test_fleet_dispatchers.py
@@ -18,6 +18,7 @@
 US_PER_TOKEN = 18
 URGENT_TOKENS = 400
 OTHER_TOKENS = 17000  # computed in 0.3 s, longer than the urgent objective
+BURST_TOKENS = 10000  # of which an engine begins one in time
 ROUTES = [route("urgent", "/ask/urgent/", "stream", "engines", priority=0,
                 target_latency_ms=250),
           route("others", "/ask/others/", "stream", "engines", priority=2,
@@ -61,7 +62,7 @@
 
     CALLERS = (("urgent", 3, 0.05), ("others", 3, 0.15))
 
-    def __init__(self, fleet, router, name):
+    def __init__(self, fleet, router, name, callers=CALLERS):
         self.fleet = fleet
         self.router = router
         self.name = name
@@ -70,7 +71,7 @@
         self.refuses = threading.Event()  # the router takes no connections
         self.threads = [
             threading.Thread(target=self.run, args=(kind, number, pause_s))
-            for kind, count, pause_s in self.CALLERS
+            for kind, count, pause_s in callers
             for number in range(count)]
         for thread in self.threads:
             thread.start()
@@ -81,11 +82,15 @@
             number += 1
             self.ask(kind, "%s-%s-%d-%d" % (self.name, kind, caller, number))
 
-    def ask(self, kind, request_id):
+    def ask(self, kind, request_id, tokens=None, first=None):
+        """Sends a request, whose prompt begins with the part `first`."""
         is_urgent = kind == "urgent"
-        tokens = URGENT_TOKENS if is_urgent else OTHER_TOKENS
+        if tokens is None:
+            tokens = URGENT_TOKENS if is_urgent else OTHER_TOKENS
+        if first is None:
+            first = hash(request_id) % (64 if is_urgent else 1 << 32)
         outcome = Outcome(request_id, is_urgent)
-        prefix = "%x:%d,%x:%d" % (hash(request_id) % 64, tokens // 2,
+        prefix = "%x:%d,%x:%d" % (first, tokens // 2,
                                   hash(request_id) & 0xffffffff, tokens // 2)
         try:
             answer = self.fleet.ask(
@@ -217,6 +222,45 @@
                if o.status is None or o.status == 200 and o.body != EVENTS]
         self.assertEqual(cut, [])
 
+    def burst(self, prefix):
+        """Sends at once more urgent requests of one home than the engines of
+        a group can begin in time; returns the outcomes and the engines."""
+        load = Load(self.fleet, self.router, "burst%d" % prefix, callers=())
+        self.loads.append(load)
+        threads = [threading.Thread(target=load.ask, args=(
+            "urgent", "burst%d-%d" % (prefix, i), BURST_TOKENS, prefix))
+            for i in range(48)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return {engine.name for engine in self.engines
+                if any(request.startswith("burst%d-" % prefix)
+                       for request in engine.ran)}
+
+    def assert_served_in_time(self, load):
+        served = [o for o in load.outcomes if o.status == 200]
+        self.assertGreater(len(served), 0)
+        self.assertEqual([o for o in served if o.took_s > 1], [])
+        self.assertEqual([o for o in load.outcomes if o.status is None], [])
+
+    def test_a_burst_is_spread_over_the_engines_of_its_group(self):
+        """A dispatcher placed all requests of a burst that it received itself
+        on one engine, where most waited for seconds.
+
+        It counted the prompts that it had placed for other routers, but not
+        those of its own requests.
+        """
+        self.start_load(self.router, "a")
+        self.await_partition()
+        for prefix in range(100, 104):
+            used = self.burst(prefix)
+            self.assertGreater(len(used), 1)
+            self.assert_served_in_time(self.loads[-1])
+            time.sleep(1)  # the load goes on
+        self.stop_loads()
+        self.assert_ran_at_most_once()
+
     def test_an_absent_store_delays_no_urgent_request(self):
         load = self.start_load(self.router, "a")
         self.await_partition()
--- a/tests/test_EngineBacklog.c
+++ b/tests/test_EngineBacklog.c
@@ -66,8 +66,34 @@
 }
 END_TEST
 
+START_TEST(prompt_of_absurd_length_counts_for_seconds)
+{
+    begin();
+    EngineBacklog_add(&backlog, G_MAXINT64 / 2, 0);
+    EngineBacklog_add(&backlog, PROMPT_US, 0);
+    EngineBacklog_remove(&backlog, 0);
+    ck_assert_int_eq(EngineBacklog_waitUs(&backlog, 6000000), 0);
+}
+END_TEST
+
+START_TEST(prompts_lost_by_an_engine_are_not_waited_for)
+{
+    begin();
+    EngineBacklog_add(&backlog, PROMPT_US, 0);
+    EngineBacklog_lose(&backlog);
+    ck_assert_int_eq(EngineBacklog_waitUs(&backlog, 1), 0);
+    EngineBacklog_add(&backlog, PROMPT_US, 1);
+    EngineBacklog_remove(&backlog, 1);
+    ck_assert_int_eq(EngineBacklog_waitUs(&backlog, 1), PROMPT_US);
+    EngineBacklog_remove(&backlog, 1);
+    ck_assert_int_eq(EngineBacklog_waitUs(&backlog, 1), 0);
+}
+END_TEST
+
 TESTING_MAIN("EngineBacklog", prompts_are_waited_for_one_after_the_other,
              prompt_counts_for_what_is_left_of_it,
              engine_is_free_when_all_prompts_are_reported,
              lost_reports_do_not_keep_an_engine_busy,
-             report_too_many_changes_nothing)
+             report_too_many_changes_nothing,
+             prompt_of_absurd_length_counts_for_seconds,
+             prompts_lost_by_an_engine_are_not_waited_for)
