A request may go to the second group where this router dispatches

Urgent callers were refused, and without a time to return, while engines of the second group were idle: a router asks only others, and took itself for no dispatcher when the second group was its own. It decides there like on any other request of that group; an unpartitioned second group is not used, as before.

--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -177,6 +177,9 @@
 }
 
 static void on_dispatched(void *owner, const DispatchAnswer_t *answer);
+static void decide_here(RelayExchange_t *this,
+                        const RelayPlacementInput_t *input,
+                        RelayDestination_t *destination);
 
 static void
 log_decision(const RelayExchange_t *this, const DispatchAnswer_t *answer)
@@ -203,6 +206,21 @@
     Log_end();
 }
 
+/* Decides on a request in the second group, if this router dispatches for it
+ * and it is partitioned. */
+static gboolean
+decide_next_group(RelayExchange_t *this, const RelayPlacementInput_t *input,
+                  RelayDestination_t *destination)
+{
+    const Choice_t *choice = &destination->choice;
+    if (!choice->upstream || choice->side == 0 ||
+        choice->group + 1 != this->next_group) {
+        return FALSE;
+    }
+    decide_here(this, input, destination);
+    return TRUE;
+}
+
 /* Asks a second group for a request that the first one has no room for.
  * Returns FALSE if it was asked already, or there is none. */
 static gboolean
@@ -218,12 +236,16 @@
     this->next_group =
         Dispatch_nextGroup(this->admission.key, answer->choice.group,
                            destination.placement.groups);
-    destination.placement.group = this->next_group;
     this->admission.has_next = FALSE;
+    input.group = this->next_group;
+    RelayPlacer_choose(context, &input, &destination);
     this->query = Dispatch_query(context->dispatch, &destination.placement,
                                  this->request.model, &destination.choice,
                                  &this->admission, on_dispatched, this);
-    return this->query != NULL;
+    if (this->query) {
+        return TRUE;
+    }
+    return decide_next_group(this, &input, &destination);
 }
 
 static void
--- a/tests/sessions/test_fleet_dispatchers.py
+++ b/tests/sessions/test_fleet_dispatchers.py
@@ -238,6 +238,33 @@
                 if any(request.startswith("burst%d-" % prefix)
                        for request in engine.ran)}
 
+    def placements(self, prefix):
+        """Returns how the requests of a burst were placed."""
+        name = "burst%d-" % prefix
+        return {event["reason"]
+                for event in self.router.events("request_placed")
+                if event["request"].startswith(name)}
+
+    def test_a_burst_on_one_group_uses_the_other_one(self):
+        """Urgent requests were refused while engines of the second group were
+        idle.
+
+        The router that dispatches for the second group refused requests that
+        the dispatcher of the first one had no room for, without a time to
+        return, as it asked only other routers.
+        """
+        self.start_load(self.router, "a")
+        self.await_partition()
+        for prefix in range(100, 104):
+            self.burst(prefix)
+            placements = self.placements(prefix)
+            self.assertIn("dispatched", placements)
+            self.assertGreater(len(placements), 1, placements)
+            self.assert_served_in_time(self.loads[-1])
+            time.sleep(1)  # the load goes on
+        self.stop_loads()
+        self.assert_ran_at_most_once()
+
     def assert_served_in_time(self, load):
         served = [o for o in load.outcomes if o.status == 200]
         self.assertGreater(len(served), 0)
