--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -47,6 +47,22 @@
         self.assertNotIn("Api-Key", seen)
         self.assertNotIn("X-Hold", seen)
 
+    def test_the_rank_that_an_upstream_is_told_is_logged(self):
+        engine = self.fleet.engine("e1")
+        self.fleet.config(customers=[CUSTOMERS[0],
+                                     dict(CUSTOMERS[1], priority=7)])
+        router = self.fleet.start()
+        for key in ("key-a", "key-b"):
+            self.assertEqual(
+                self.fleet.ask(router, "/ask/x", key=key).status, 200)
+        wait_for(lambda: len(router.events("request_done")) == 2,
+                 "the ends of the requests")
+        logged = [(d["customer"], d["rank"])
+                  for d in router.events("request_done")]
+        self.assertEqual(logged, [("a", "1"), ("b", "7")])
+        self.assertEqual([s["X-Request-Priority"] for s in engine.seen],
+                         ["1", "7"])
+
     def test_a_body_beyond_any_watermark_passes_through(self):
         self.fleet.plain("p1")
         router = self.fleet.start()
@@ -671,6 +687,41 @@
         self.assertEqual(self.router.events("stream_moved"), [])
 
 
+class ProbedSilenceTest(SilentStreamTest):
+    """Silence asks for a probe, which decides about the engine's use."""
+
+    def test_an_engine_that_answers_the_probe_stays_in_use(self):
+        self.start_stream("/ask/x", token_timeout="100ms", probe_silent="yes")
+        self.router.wait_event("upstream_reached")
+        self.assertEqual(self.router.events("upstream_doubted"), [])
+        self.speak_again_after_probe()
+
+    def speak_again_after_probe(self):
+        self.first.gate.open()
+        self.assert_whole()
+        self.assertEqual(sum(len(e.seen) for e in self.engines), 1)
+
+    def test_a_stream_leaves_an_engine_that_answers_no_probe(self):
+        self.start_stream("/ask/x", token_timeout="100ms", probe_silent="yes")
+        self.fall_silent()
+        second = wait_for(lambda: [e for e in self.others if e.seen],
+                          "a request at another engine")[0]
+        doubted = self.router.events("upstream_doubted")
+        self.assertEqual([(d["upstream"], d["reason"], d["asked"])
+                          for d in doubted],
+                         [(self.first.name, "silent", "1")])
+        second.gate.open()
+        self.assert_whole()
+
+    def test_without_the_setting_the_engine_is_suspected_at_once(self):
+        self.start_stream("/ask/x", token_timeout="100ms")
+        doubted = self.router.wait_event("upstream_doubted")[0]
+        self.assertEqual((doubted["upstream"], doubted["reason"]),
+                         (self.first.name, "silent"))
+        self.router.wait_event("upstream_reached")
+        self.speak_again_after_probe()
+
+
 class OnlyEngineTest(SilentStreamTest):
     """The only engine of the model falls silent."""
 
