--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -177,6 +177,9 @@
 }
 
 static void on_dispatched(void *owner, const DispatchAnswer_t *answer);
+static void decide_here(RelayExchange_t *this,
+                        const RelayPlacementInput_t *input,
+                        RelayDestination_t *destination);
 
 static void
 log_decision(const RelayExchange_t *this, const DispatchAnswer_t *answer)
@@ -203,12 +206,19 @@
     Log_end();
 }
 
-/* The group that is asked after @refused: any other one, by the request. */
-static guint
-select_next_group(const RelayExchange_t *this, guint refused, guint groups)
+/* Decides on a request in the second group, if this router dispatches for it
+ * and it is partitioned. */
+static gboolean
+decide_next_group(RelayExchange_t *this, const RelayPlacementInput_t *input,
+                  RelayDestination_t *destination)
 {
-    guint step = 1 + (guint)(this->admission.key % (groups - 1));
-    return (refused + step) % groups;
+    const Choice_t *choice = &destination->choice;
+    if (!choice->upstream || choice->side == 0 ||
+        choice->group + 1 != this->next_group) {
+        return FALSE;
+    }
+    decide_here(this, input, destination);
+    return TRUE;
 }
 
 /* Asks a second group for a request that the first one has no room for.
@@ -223,14 +233,19 @@
         return FALSE;
     }
     RelayPlacer_choose(context, &input, &destination);
-    this->next_group = 1 + select_next_group(this, answer->choice.group,
-                                             destination.placement.groups);
-    destination.placement.group = this->next_group;
+    this->next_group =
+        Dispatch_nextGroup(this->admission.key, answer->choice.group,
+                           destination.placement.groups);
     this->admission.has_next = FALSE;
+    input.group = this->next_group;
+    RelayPlacer_choose(context, &input, &destination);
     this->query = Dispatch_query(context->dispatch, &destination.placement,
                                  this->request.model, &destination.choice,
                                  &this->admission, on_dispatched, this);
-    return this->query != NULL;
+    if (this->query) {
+        return TRUE;
+    }
+    return decide_next_group(this, &input, &destination);
 }
 
 static void
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -534,6 +534,7 @@
                             "listing_return": "600ms",
                             "move_wait": "60s",
                             "refuse_late": "no",
+                            "partition_engines": "no",
                             "probe_silent": "no"},
                   "limits": {"retry_allowance": "100",
                              "connect_timeout": "2s"}}
