The stated bound for refusals after a large burst

The check bounded them at one in five, a figure taken from what was seen; what callers were promised is that they end within a second.

--- a/tests/test_GroupAdmission.c
+++ b/tests/test_GroupAdmission.c
@@ -134,8 +134,7 @@
     guint returned;             /* on a promise */
     guint refused_again;        /* of @returned */
     gint64 queue_max_us;
-    guint arrived_after; /* new requests, a second after the burst or later */
-    guint refused_after; /* of @arrived_after */
+    guint refused_after; /* new requests, a second after the burst or later */
 } Outcome_t;
 
 typedef struct {
@@ -311,7 +310,6 @@
     call->customer = customer;
     call->run_ms = run_ms;
     call->deadline_ms = this->now_ms + DEADLINE_MS;
-    this->out.arrived_after += is_after(this);
     arrive(this, call);
 }
 
@@ -474,15 +472,12 @@
 END_TEST
 
 /* The burst leaves over three seconds of work, and its callers wait four, in
- * which there is room for less than one besides new requests. Those without a
- * place come back when they have waited as long as they can, and meet new
- * requests on equal terms: some refusals go on until the last have come. */
-START_TEST(most_new_requests_are_admitted_soon_after_a_large_burst)
+ * which there is room for less than one besides new requests. */
+START_TEST(refusals_end_within_a_second_of_a_large_burst)
 {
     Load_t load = equal_load(0.8, 2, 8000);
     for (guint seed = 1; seed <= SEEDS; seed++) {
-        Outcome_t out = play(&load, seed);
-        ck_assert_uint_le(out.refused_after, out.arrived_after / 5);
+        ck_assert_uint_eq(play(&load, seed).refused_after, 0);
     }
 }
 END_TEST
@@ -529,6 +524,6 @@
              burst_of_one_customer_takes_nothing_from_the_others,
              burst_of_one_customer_may_use_what_is_idle,
              refusals_end_within_a_second_of_a_small_burst,
-             most_new_requests_are_admitted_soon_after_a_large_burst,
+             refusals_end_within_a_second_of_a_large_burst,
              promised_return_is_rarely_refused_again,
              loss_of_half_the_engines_leaves_no_endless_queue)
