--- a/bench/ReplayGroups.c
+++ b/bench/ReplayGroups.c
@@ -4,8 +4,6 @@
 #include "PromptTime.h"
 #include "RunTimes.h"
 
-#define TOKENS_PER_KTOKEN 1000
-
 struct ReplayGroups {
     const ReplaySpec_t *spec;
     const GPtrArray *serving; /* Upstream_t */
@@ -119,16 +117,6 @@
         RunTimes_expectedUs(this->run_times, ReplayGroups_nameKind(kind));
 }
 
-static gint64
-compute_us(const ReplayGroups_t *this, const Placement_t *placement,
-           const Choice_t *choice)
-{
-    const PromptTime_t *time =
-        g_ptr_array_index(this->prompt_times, choice->group);
-    guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
-    return PromptTime_computeUs(time, placement->prompt_tokens - cached);
-}
-
 void
 ReplayGroups_measure(ReplayGroups_t *this, const Placement_t *placement,
                      const Choice_t *choice)
@@ -136,16 +124,10 @@
     if (placement->urgent_objective_us == 0) {
         return;
     }
-    GroupPartition_t *group = GroupPartitions_get(
-        this->partitions, placement->target, choice->group);
     this->reserved[choice->group] = choice->reserved;
-    if (placement->group == 0) {
-        GroupPartition_noteArrival(group, placement->urgent,
-                                   placement->now_ms);
-    }
-    if (!placement->urgent) {
-        GroupPartition_notePrompt(group, compute_us(this, placement, choice));
-    }
+    DispatchGroups_measure(
+        placement, choice,
+        g_ptr_array_index(this->prompt_times, choice->group));
 }
 
 GroupDecision_t
@@ -177,9 +159,7 @@
     PromptTime_t *time = g_ptr_array_index(this->prompt_times, group);
     PromptTime_note(time, first->tokens, waited_us);
     if (ReplayGroups_isPartitioned(this, target)) {
-        set_speed(this, group,
-                  (double)PromptTime_computeUs(time, TOKENS_PER_KTOKEN) /
-                      TOKENS_PER_KTOKEN);
+        set_speed(this, group, PromptTime_usPerToken(time));
     }
 }
 
--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -15,7 +15,6 @@
  * to the same length, as the dispatcher is ranked by this name. */
 #define GROUP_TARGET_MAX 40
 #define GROUP_NAME_SIZE (GROUP_TARGET_MAX + 12)
-#define TOKENS_PER_KTOKEN 1000
 /* Queries in a row that a dispatcher of partitioned groups leaves unanswered
  * before the next one in rank is asked: two dispatchers of one group reserve
  * different engines, and a single answer may be lost. */
@@ -58,12 +57,6 @@
     g_free(query);
 }
 
-static guint32
-clamp_to_32_bits(gint64 us)
-{
-    return (guint32)CLAMP(us, 0, G_MAXINT32);
-}
-
 static void
 send_update(const Dispatch_t *this, const DispatchTicket_t *ticket,
             Wt__PlaceState state, gint64 waited_us)
@@ -72,18 +65,12 @@
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     update.ticket = ticket->id;
     update.state = state;
-    update.waited_us = clamp_to_32_bits(waited_us);
+    update.waited_us = DispatchMessages_clampUs(waited_us);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_NEWS;
     message.place_news = &update;
     PeerDatagrams_send(this->spec.datagrams, &ticket->dispatcher, &message);
 }
 
-static guint64
-hash_or_zero(const Upstream_t *upstream)
-{
-    return upstream ? upstream->hash : 0;
-}
-
 /* Learned time to compute prompts of a target, created if there is none. */
 static PromptTime_t *
 find_prompt_time(Dispatch_t *this, const char *target,
@@ -108,32 +95,6 @@
     }
 }
 
-static void
-fill_answer(Wt__PlaceAnswer *answer, const Choice_t *choice,
-            const GroupDecision_t *decision)
-{
-    answer->upstream = hash_or_zero(choice->upstream);
-    answer->fetch_from = hash_or_zero(choice->supply.source);
-    answer->supply = choice->supply.kind;
-    answer->move_us = clamp_to_32_bits(choice->supply.move_us);
-    answer->move_wait_us = clamp_to_32_bits(choice->supply.wait_us);
-    answer->cached_tokens = choice->expected_cached;
-    answer->cost_us = clamp_to_32_bits(choice->cost_us);
-    answer->own_us = clamp_to_32_bits(choice->own_us);
-    answer->group = choice->group;
-    answer->reserved = choice->reserved;
-    answer->verdict = decision->verdict;
-    answer->retry_after_ms = decision->retry_after_ms;
-    answer->promised_us = clamp_to_32_bits(decision->promised_us);
-    answer->is_return = decision->is_return;
-    answer->over_share = decision->is_over_share;
-    if (choice->upstream && choice->reserved > 0) {
-        answer->ktoken_us =
-            clamp_to_32_bits((gint64)(TOKENS_PER_KTOKEN *
-                                      choice->upstream->prefill_us_per_token));
-    }
-}
-
 static void
 send_answer(const Dispatch_t *this, guint64 ticket, const Choice_t *choice,
             const GroupDecision_t *decision, const struct sockaddr_in *to)
@@ -141,7 +102,7 @@
     Wt__PlaceAnswer answer = WT__PLACE_ANSWER__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     answer.ticket = ticket;
-    fill_answer(&answer, choice, decision);
+    DispatchMessages_fillAnswer(&answer, choice, decision);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ANSWER;
     message.place_answer = &answer;
     PeerDatagrams_send(this->spec.datagrams, to, &message);
@@ -177,32 +138,6 @@
     return placement;
 }
 
-/* Measures a request that was placed, as the partition of its group follows
- * from what arrives and from how long prompts take. */
-static void
-measure_group(Dispatch_t *this, const Placement_t *placement,
-              const Choice_t *choice)
-{
-    if (placement->urgent_objective_us <= 0 || !this->spec.partitions) {
-        return;
-    }
-    GroupPartition_t *group = GroupPartitions_get(
-        this->spec.partitions, placement->target, choice->group);
-    if (placement->group == 0) {
-        GroupPartition_noteArrival(group, placement->urgent,
-                                   placement->now_ms);
-    }
-    if (!placement->urgent) {
-        const PromptTime_t *time =
-            find_prompt_time(this, placement->target, choice->upstream);
-        guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
-        gint64 compute_us =
-            PromptTime_computeUs(time, placement->prompt_tokens - cached);
-        GroupPartition_notePrompt(
-            group, MIN(compute_us, ENGINE_BACKLOG_PROMPT_MAX_US));
-    }
-}
-
 static void
 count_decision(const Dispatch_t *this, const GroupDecision_t *decision)
 {
@@ -223,7 +158,9 @@
                 const Choice_t *choice, const DispatchAdmission_t *admission)
 {
     GroupDecision_t decision = {.verdict = GROUP_ADMITTED};
-    measure_group(this, placement, choice);
+    DispatchGroups_measure(
+        placement, choice,
+        find_prompt_time(this, placement->target, choice->upstream));
     if (choice->side == 0 || admission->left_ms <= 0) {
         return decision;
     }
@@ -267,54 +204,6 @@
     send_answer(this, query->ticket, &choice, &decision, from);
 }
 
-/* A router of another build may send kinds that this one does not know. */
-static SupplyKind_t
-get_supply_kind(const Wt__PlaceAnswer *answer)
-{
-    return answer->supply <= SUPPLY_COMPUTED ? (SupplyKind_t)answer->supply
-                                             : SUPPLY_UNKNOWN;
-}
-
-static Choice_t
-make_choice(const Dispatch_t *this, const Wt__PlaceAnswer *answer)
-{
-    const UpstreamSet_t *upstreams = this->spec.upstreams;
-    return (Choice_t){
-        .upstream = UpstreamSet_findByHash(upstreams, answer->upstream),
-        .reason = "dispatched",
-        .expected_cached = answer->cached_tokens,
-        .cost_us = answer->cost_us,
-        .own_us = answer->own_us,
-        .group = answer->group,
-        .reserved = answer->reserved,
-        .supply =
-            {
-                .kind = get_supply_kind(answer),
-                .tokens = answer->cached_tokens,
-                .move_us = answer->move_us,
-                .wait_us = answer->move_wait_us,
-                .source =
-                    UpstreamSet_findByHash(upstreams, answer->fetch_from),
-            },
-    };
-}
-
-/* A verdict that this build does not know counts as a refusal for lack of
- * room: the dispatcher has opened no ticket. */
-static GroupDecision_t
-make_decision(const Wt__PlaceAnswer *answer)
-{
-    return (GroupDecision_t){
-        .verdict = answer->verdict < GROUP_VERDICTS
-                       ? (GroupVerdict_t)answer->verdict
-                       : GROUP_LATE,
-        .retry_after_ms = answer->retry_after_ms,
-        .promised_us = answer->promised_us,
-        .is_return = answer->is_return,
-        .is_over_share = answer->over_share,
-    };
-}
-
 /* The query is removed before the callback runs, which may start another. */
 static void
 finish_query(DispatchQuery_t *query, const DispatchAnswer_t *answer)
@@ -325,33 +214,6 @@
     done(owner, answer);
 }
 
-/* Returns the answer with numbers that this router can use, whatever its
- * dispatcher has sent. */
-static Wt__PlaceAnswer
-bound_answer(const Dispatch_t *this, const DispatchQuery_t *query,
-             const Wt__PlaceAnswer *answer)
-{
-    static const guint32 ktoken_min =
-        (guint32)(TOKENS_PER_KTOKEN * PROMPT_TIME_SLOPE_US_MIN);
-    static const guint32 ktoken_max =
-        (guint32)(TOKENS_PER_KTOKEN * PROMPT_TIME_SLOPE_US_MAX);
-    const GPtrArray *serving = UpstreamSet_findServing(
-        this->spec.upstreams, ROLE_SERVICE, query->target->str);
-    Wt__PlaceAnswer bounded = *answer;
-    bounded.reserved = MIN(answer->reserved, MAX(serving->len, 1) - 1);
-    bounded.retry_after_ms = MIN(answer->retry_after_ms, query->left_ms);
-    if (answer->ktoken_us > 0) {
-        bounded.ktoken_us = CLAMP(answer->ktoken_us, ktoken_min, ktoken_max);
-    }
-    if (bounded.reserved != answer->reserved ||
-        bounded.retry_after_ms != answer->retry_after_ms ||
-        bounded.ktoken_us != answer->ktoken_us) {
-        Counters_add(this->spec.counters, "place_answers_absurd_total", NULL,
-                     1);
-    }
-    return bounded;
-}
-
 /* A dispatcher that sees other engines may divide them into more groups. */
 static gboolean
 has_group(const Dispatch_t *this, const char *target, guint group)
@@ -375,9 +237,9 @@
                                      answer->group, answer->reserved,
                                      Clock_nowMs());
     }
-    if (answer->ktoken_us > 0) {
-        set_speed(this, query->target->str,
-                  (double)answer->ktoken_us / TOKENS_PER_KTOKEN);
+    double us_per_token = DispatchMessages_readUsPerToken(answer);
+    if (us_per_token > 0) {
+        set_speed(this, query->target->str, us_per_token);
     }
 }
 
@@ -393,11 +255,17 @@
         send_update(this, &ticket, WT__PLACE_STATE__ENDED, 0);
         return;
     }
-    Wt__PlaceAnswer bounded = bound_answer(this, query, answer);
+    const GPtrArray *serving = UpstreamSet_findServing(
+        this->spec.upstreams, ROLE_SERVICE, query->target->str);
+    Wt__PlaceAnswer bounded = *answer;
+    if (DispatchMessages_boundAnswer(&bounded, serving->len, query->left_ms)) {
+        Counters_add(this->spec.counters, "place_answers_absurd_total", NULL,
+                     1);
+    }
     DispatchAnswer_t result = {
-        .choice = make_choice(this, &bounded),
+        .choice = DispatchMessages_readChoice(&bounded, this->spec.upstreams),
         .ticket = ticket,
-        .decision = make_decision(&bounded),
+        .decision = DispatchMessages_readDecision(&bounded),
     };
     if (result.decision.verdict != GROUP_ADMITTED) {
         result.ticket.id = 0;
@@ -425,9 +293,7 @@
     if (this->spec.partitions &&
         GroupPartitions_isPartitioned(this->spec.partitions, target->str,
                                       now_ms)) {
-        set_speed(this, target->str,
-                  (double)PromptTime_computeUs(time, TOKENS_PER_KTOKEN) /
-                      TOKENS_PER_KTOKEN);
+        set_speed(this, target->str, PromptTime_usPerToken(time));
     }
 }
 
@@ -612,24 +478,8 @@
 {
     Wt__PlaceAsk body = WT__PLACE_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
-    guint shared_level = Placement_sharedLevel(placement);
     body.ticket = query->ticket.id;
-    body.target = (char *)placement->target;
-    body.model = (char *)(model ? model : "");
-    body.prefix = placement->levels[shared_level];
-    body.prefix_tokens = placement->level_tokens[shared_level];
-    body.prompt_tokens = placement->prompt_tokens;
-    body.avoid = hash_or_zero(placement->avoid);
-    body.run_us = clamp_to_32_bits(placement->run_us);
-    body.latest_us = clamp_to_32_bits(placement->latest_us);
-    body.urgent = placement->urgent;
-    body.urgent_objective_us =
-        clamp_to_32_bits(placement->urgent_objective_us);
-    body.group = placement->group;
-    body.customer = admission->customer;
-    body.request = admission->key;
-    body.left_ms = clamp_to_32_bits(admission->left_ms);
-    body.has_next = admission->has_next;
+    DispatchMessages_fillQuery(&body, placement, model, admission);
     message.body_case = WT__PEER_MESSAGE__BODY_PLACE_ASK;
     message.place_ask = &body;
     PeerDatagrams_send(this->spec.datagrams, &query->ticket.dispatcher,
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -14,7 +14,7 @@
  * that both act as the dispatcher of a group only worsen the load balance.
  */
 #include "Counters.h"
-#include "DispatchGroups.h"
+#include "DispatchMessages.h"
 #include "Membership.h"
 #include "PeerDatagrams.h"
 #include "Policy.h"
@@ -37,22 +37,6 @@
     struct sockaddr_in dispatcher;
 } DispatchTicket_t;
 
-/**
- * struct DispatchAdmission_t - what the admission of a request depends on
- * besides its placement
- * @customer: hash of its customer
- * @key: hash that is the same when its caller sends it again
- * @left_ms: time until its caller's deadline; 0 for a request that the
- *     dispatcher must not refuse
- * @has_next: another group will be asked if this one refuses it
- */
-typedef struct {
-    guint64 customer;
-    guint64 key;
-    gint64 left_ms;
-    gboolean has_next;
-} DispatchAdmission_t;
-
 /**
  * struct DispatchAnswer_t - answer of a dispatcher
  * @choice: the dispatcher's choice; its upstream is NULL if the requester has
--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -182,3 +182,26 @@
     }
     return decision;
 }
+
+/* A request that comes from another group was counted there. */
+void
+DispatchGroups_measure(const Placement_t *placement, const Choice_t *choice,
+                       const PromptTime_t *time)
+{
+    if (placement->urgent_objective_us <= 0 || !placement->partitions) {
+        return;
+    }
+    GroupPartition_t *group = GroupPartitions_get(
+        placement->partitions, placement->target, choice->group);
+    if (placement->group == 0) {
+        GroupPartition_noteArrival(group, placement->urgent,
+                                   placement->now_ms);
+    }
+    if (!placement->urgent) {
+        guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
+        gint64 compute_us =
+            PromptTime_computeUs(time, placement->prompt_tokens - cached);
+        GroupPartition_notePrompt(
+            group, MIN(compute_us, ENGINE_BACKLOG_PROMPT_MAX_US));
+    }
+}
--- a/src/DispatchGroups.h
+++ b/src/DispatchGroups.h
@@ -10,6 +10,7 @@
  */
 #include "GroupAdmission.h"
 #include "Policy.h"
+#include "PromptTime.h"
 
 /** struct DispatchGroups_t - opaque */
 typedef struct DispatchGroups DispatchGroups_t;
@@ -59,4 +60,13 @@
 GroupDecision_t DispatchGroups_decide(DispatchGroups_t *this,
                                       const GroupRequest_t *request);
 
+/**
+ * DispatchGroups_measure() - measure a request for which an engine was chosen,
+ * as the partition of its group follows from what arrives and from how long
+ * prompts take; does nothing if its service has no urgent routes
+ * @time: time to compute prompts on the engines
+ */
+void DispatchGroups_measure(const Placement_t *placement,
+                            const Choice_t *choice, const PromptTime_t *time);
+
 #endif
--- a/src/PromptTime.c
+++ b/src/PromptTime.c
@@ -140,3 +140,9 @@
 {
     return (gint64)(this->us_per_token * tokens);
 }
+
+double
+PromptTime_usPerToken(const PromptTime_t *this)
+{
+    return this->us_per_token;
+}
--- a/src/PromptTime.h
+++ b/src/PromptTime.h
@@ -42,4 +42,7 @@
  * the fixed part, in us */
 gint64 PromptTime_computeUs(const PromptTime_t *this, guint tokens);
 
+/** PromptTime_usPerToken() - the time to compute one token, in us */
+double PromptTime_usPerToken(const PromptTime_t *this);
+
 #endif
