The fleet soak plays urgent requests in partitioned groups

No soak brought faults to a dispatcher of partitioned groups. With a seed that is divisible by four the routers partition the groups of 16 engines, which compute prompts one after the other: urgent requests come beside prompts of 0.45 s and in bursts, of which refused ones return at their time, under the same faults and with probe_silent. The checks are those of the other seeds: what was refused as not run has not run, once-only requests run at most once, and streams are whole unless a fault cut them. The other seeds draw as before.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -453,6 +453,23 @@
         self.start_again()
 
 
+class PromptEngine(CrashingEngine):
+    """An engine that computes prompts one after the other, in the time that
+    their declared lengths take."""
+
+    US_PER_TOKEN = 18
+
+    def __init__(self, *arguments, **more):
+        self.computing = threading.Lock()
+        super().__init__(*arguments, **more)
+
+    def run(self, call, body, request_id):
+        with self.computing:
+            tokens = int(call.headers["X-Token-Usage"].split(",")[0])
+            time.sleep(tokens * self.US_PER_TOKEN / 1e6)
+        super().run(call, body, request_id)
+
+
 class SuspendableClock:
     """Shifts the clocks of a router that advance during a suspension of the
     machine."""
@@ -502,6 +519,9 @@
     def crashing_engine(self, name, **more):
         return self.add(CrashingEngine(self.store, name, **more))
 
+    def prompt_engine(self, name, **more):
+        return self.add(PromptEngine(self.store, name, **more))
+
     def plain(self, name):
         return self.add(Upstream(self.store, name, "plain"))
 
@@ -534,6 +554,7 @@
                             "listing_return": "600ms",
                             "move_wait": "60s",
                             "refuse_late": "no",
+                            "partition_engines": "no",
                             "probe_silent": "no"},
                   "limits": {"retry_allowance": "100",
                              "connect_timeout": "2s"}}
@@ -629,6 +650,10 @@
           route("asks-once", "/ask/once/", "stream", "engines"),
           route("reads", "/read/", "idempotent", "plain"),
           route("writes", "/write/", "non_idempotent", "plain")]
+# With urgent requests beside others that have more time.
+RANKED_ROUTES = [dict(more, target_latency_ms=1500) for more in ROUTES] + [
+    route("urgent", "/ask/urgent/", "stream", "engines", resumable=True,
+          priority=0, target_latency_ms=250)]
 CUSTOMERS = [{"name": "a", "api_keys": ["key-a"]},
              {"name": "b", "api_keys": ["key-b"], "isolated": True}]
 SETTINGS = """
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -12,10 +12,12 @@
 import sys
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
-from fleet import CUSTOMERS, Fleet, SuspendableClock  # noqa: E402
+from fleet import (CUSTOMERS, RANKED_ROUTES, Fleet,  # noqa: E402
+                   SuspendableClock)
 
 ROUTERS = 3
 CALLERS = 8
@@ -29,6 +31,12 @@
 # Even seeds run routers that place requests on groups of engines, which needs
 # at least this many engines.
 GROUPED_ENGINES = 16
+# Seeds divisible by four partition the groups: urgent requests come beside
+# prompts that take an engine 0.45 s, and in bursts of more than it begins.
+RANKED_CALLERS = 24
+OTHER_TOKENS = 25000
+URGENT_TOKENS = {"/ask/urgent/x": 400, "/ask/urgent/burst": 10000}
+BURST = 48
 # Makes a stream last several ticks of the timer that moves streams, so that
 # changes of weights, keys and configuration occur while streams are running.
 PIECE_INTERVAL_S = 0.08
@@ -96,7 +104,11 @@
         self.store_lock = threading.Lock()
         grouped = seed % 2 == 0
         self.mesh_routers = "1" if grouped else "16"
-        self.engines = [self.fleet.crashing_engine("e%d" % i, pieces=PIECES)
+        self.partitioned = seed % 4 == 0
+        self.callers = RANKED_CALLERS if self.partitioned else CALLERS
+        add_engine = (self.fleet.prompt_engine if self.partitioned
+                      else self.fleet.crashing_engine)
+        self.engines = [add_engine("e%d" % i, pieces=PIECES)
                         for i in range(GROUPED_ENGINES if grouped else 4)]
         self.poison_bodies = []  # bodies of poison requests
         self.clocks = [SuspendableClock(self.fleet.folder.name, "clock%d" % i)
@@ -105,7 +117,7 @@
             engine.gate = Pacing
             engine.queued = 1  # so that its streams are moved before a load
         self.plains = [self.fleet.plain("p%d" % i) for i in range(3)]
-        self.fleet.config()
+        self.write_config()
         self.routers = []
         for i in range(ROUTERS):
             self.routers.append(self.start_router(i))
@@ -120,6 +132,8 @@
         return self.fleet.router(
             "r%d" % index, config_max_age="1s", connect_timeout="300ms",
             refuse_late="yes", token_timeout=TOKEN_TIMEOUT,
+            partition_engines="yes" if self.partitioned else "no",
+            probe_silent="yes" if self.partitioned else "no",
             environment=self.clocks[index].environment,
             peers={"mesh_routers": self.mesh_routers,
                    "seeds": ",".join(others)})
@@ -135,18 +149,29 @@
 
     # Callers.
 
-    def send_request(self, rng, number):
+    def describe_prompt(self, path, number):
+        if not self.partitioned or not path.startswith("/ask"):
+            return {}
+        tokens = URGENT_TOKENS.get(path, OTHER_TOKENS)
+        return {"X_Token_Usage": "%d,10" % tokens,
+                "X_Prompt_Prefix": "%x:%d" % (number, tokens)}
+
+    def send_request(self, rng, number, path=None, sent=b"x"):
+        """Returns the answer's Retry-After in seconds, 0 if it has none."""
         router = rng.choice(self.routers)
-        path = rng.choice(["/ask/x", "/ask/once/x", "/write/x", "/read/x"])
+        urgent = ["/ask/urgent/x"] * 2 * self.partitioned
+        path = path or rng.choice(["/ask/x", "/ask/once/x", "/write/x",
+                                   "/read/x"] + urgent)
         name = "s%d" % number
         key = rng.choice(["key-a", "key-b", "key-r"])
-        status, body, whole = 0, b"", False
+        status, body, whole, wait_s = 0, b"", False, 0
         cutting_changes = self.cutting_changes
         try:
             response = self.fleet.request(
-                router, path, key=key, wait_ms=8000, X_Request_Id=name,
-                method="POST")
+                router, path, sent, key=key, wait_ms=8000, X_Request_Id=name,
+                method="POST", **self.describe_prompt(path, number))
             status = response.status
+            wait_s = float(response.headers.get("Retry-After", 0))
             body = response.read()
             whole = True
         except http.client.IncompleteRead as error:
@@ -161,6 +186,21 @@
             self.violate("%s was cut by nothing that breaks a stream" % name,
                          name)
         self.check_answer(path, name, status, body, whole)
+        return wait_s
+
+    def send_burst(self):
+        """Sends many urgent requests at once; refused ones return once."""
+        first = self.counts["fault burst"] * 10 ** 9
+
+        def send(number):
+            prompt = "/ask/urgent/burst", b"burst %d" % number
+            wait_s = self.send_request(random.Random(number), number, *prompt)
+            if wait_s > 0:
+                time.sleep(max(wait_s - REFUSAL_PAUSE_S, 0))
+                again = number + BURST
+                self.send_request(random.Random(number), again, *prompt)
+        with ThreadPoolExecutor(BURST) as pool:
+            list(pool.map(send, range(first, first + BURST)))
 
     def check_answer(self, path, name, status, body, whole):
         self.count("%s %s" % (path, status if whole else "cut"))
@@ -201,7 +241,8 @@
                                 "store", "kill", "term", "freeze", "hup",
                                 "leave", "weights", "config", "revoke",
                                 "lapse", "silence", "deadly", "suspend",
-                                "older", "older twice"])
+                                "older", "older twice"]
+                               + ["burst"] * 8 * self.partitioned)
         self.count("fault " + kind)
         self.cutting_changes += kind in CUTTING_FAULTS
         self.inject_fault(kind)
@@ -247,6 +288,8 @@
             self.clocks[index].suspend(rng.randint(1, 5))
         elif kind == "deadly":
             self.send_poison()
+        elif kind == "burst":
+            self.send_burst()
         elif kind.startswith("older"):
             self.restore_older_copy(rng, hold)
             if kind == "older twice":
@@ -332,7 +375,7 @@
             self.count("rests kept")
             routers = ROUTERS + self.starts - starts
             if (received > routers * (BACKOFF_SPAN_S / float(rest) + 2)
-                    + CALLERS):
+                    + self.callers):
                 self.violate("%s got %d requests in rests of %s s" % (
                     upstream.name, received, rest))
 
@@ -384,7 +427,8 @@
 
     def write_config(self, customers=None):
         with self.store_lock:
-            self.fleet.config(customers=customers)
+            routes = RANKED_ROUTES if self.partitioned else None
+            self.fleet.config(routes=routes, customers=customers)
 
     @staticmethod
     def set_temporarily(target, name, on, off, hold):
@@ -512,6 +556,9 @@
                 if line["event"] in ("stream_moved", "stream_stays",
                                      "attempt_kept"):
                     self.count("%s %s" % (line["event"], line["reason"]))
+                if "verdict" in line:
+                    self.count("refused %(verdict)s, return %(is_return)s"
+                               % line)
                 if line.get("request") in requests or (
                         holders and line["event"].startswith(
                             ("lease", "store_epoch", "store_came"))):
@@ -519,7 +566,7 @@
 
     def run(self, seconds):
         threads = [threading.Thread(target=self.run_caller, args=(i + 1,))
-                   for i in range(CALLERS)]
+                   for i in range(self.callers)]
         threads.append(threading.Thread(target=self.make_changes))
         threads.append(threading.Thread(target=self.take_copies))
         threads.append(threading.Thread(target=self.send_notices))
