A request for one engine changes no reservation; long prompts of urgent routes count as less urgent

A request that one engine's limit had admitted saw a group of that engine alone, and the dispatcher gave all reserved engines back at once; and an urgent route's long prompt, which runs beside the less urgent, was promised returns and counted in shares among the short ones.

--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -22,7 +22,7 @@
 } GroupSide_t;
 
 typedef struct {
-    GroupSide_t sides[SIDES]; /* by Placement_t.urgent */
+    GroupSide_t sides[SIDES]; /* by Choice_t.is_reserved_side */
 } Group_t;
 
 struct DispatchGroups {
@@ -83,7 +83,7 @@
         group = create_group();
         g_hash_table_insert(this->groups, g_steal_pointer(&name), group);
     }
-    return &group->sides[placement->urgent ? 1 : 0];
+    return &group->sides[request->choice->is_reserved_side ? 1 : 0];
 }
 
 /* Engine time of one request: its share of the slots for the time that it
@@ -108,7 +108,7 @@
 usual_us(const GroupRequest_t *request)
 {
     const Placement_t *placement = request->placement;
-    if (placement->urgent) {
+    if (request->choice->is_reserved_side) {
         return request->choice->own_us;
     }
     return GroupPartition_meanPromptUs(GroupPartitions_get(
@@ -128,7 +128,7 @@
         .own_us = choice->own_us,
         .usual_us = usual_us(request),
         .latest_us = placement->latest_us,
-        .turnover_us = placement->urgent ? 0 : work_us(request),
+        .turnover_us = choice->is_reserved_side ? 0 : work_us(request),
         .left_us = request->left_ms * CLOCK_US_PER_MS,
         .promised_us = due * work_us(request) / MAX(choice->side, 1),
         .is_return = ReturnSchedule_claim(side->returns, request->key, now_ms),
@@ -191,13 +191,13 @@
     if (placement->urgent_objective_us <= 0 || !placement->partitions) {
         return;
     }
+    gboolean is_urgent = Choice_isUrgent(choice, placement);
     GroupPartition_t *group = GroupPartitions_get(
         placement->partitions, placement->target, choice->group);
     if (placement->group == 0) {
-        GroupPartition_noteArrival(group, placement->urgent,
-                                   placement->now_ms);
+        GroupPartition_noteArrival(group, is_urgent, placement->now_ms);
     }
-    if (!placement->urgent) {
+    if (!is_urgent) {
         guint cached = MIN(choice->expected_cached, placement->prompt_tokens);
         gint64 compute_us =
             PromptTime_computeUs(time, placement->prompt_tokens - cached);
--- a/src/HomeCandidates.c
+++ b/src/HomeCandidates.c
@@ -176,20 +176,21 @@
     return (left->hash > right->hash) - (left->hash < right->hash);
 }
 
-/* The usable engines of the group, the lowest hash first. An engine that this
- * request avoids counts, as others still use it: the engines on each side are
- * the same for all requests. */
+/* The usable engines of the group, the lowest hash first. Engines that only
+ * this request may not use count, as others use them: the engines on each side
+ * are the same for all requests. */
 static GPtrArray *
 find_group_engines(const HomeCandidates_t *candidates)
 {
     const Placement_t *placement = candidates->placement;
-    Placement_t without_avoid = *placement;
-    without_avoid.avoid = NULL;
+    Placement_t any = *placement;
+    any.avoid = NULL;
+    any.permitted = NULL;
     GPtrArray *engines = g_ptr_array_new();
     for (guint i = 0; i < placement->serving->len; i++) {
         Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
         if (group_of(placement, upstream) == candidates->group &&
-            Policy_mayUse(&without_avoid, upstream)) {
+            Policy_mayUse(&any, upstream)) {
             g_ptr_array_add(engines, upstream);
         }
     }
@@ -197,8 +198,16 @@
     return engines;
 }
 
-/* Adds the engines from index @from up to index @to but the one to avoid, the
- * home of the prefix first. */
+static gboolean
+is_excluded(const HomeCandidates_t *candidates, const Upstream_t *upstream)
+{
+    const Placement_t *placement = candidates->placement;
+    return upstream == placement->avoid ||
+           (placement->permitted && upstream != placement->permitted);
+}
+
+/* Adds the engines from index @from up to index @to that the request may use,
+ * the home of the prefix first. */
 static void
 add_side(HomeCandidates_t *candidates, const GPtrArray *engines, guint from,
          guint to)
@@ -208,7 +217,7 @@
         Upstream_t *upstream = g_ptr_array_index(engines, i);
         RankedEngine_t ranked = {
             upstream, rendezvous_hash(candidates->placement, upstream)};
-        if (upstream != candidates->placement->avoid) {
+        if (!is_excluded(candidates, upstream)) {
             g_array_append_val(side, ranked);
         }
     }
@@ -236,7 +245,7 @@
     for (guint i = from;
          i < engines->len && candidates->count < HOME_CANDIDATES_MAX; i++) {
         Upstream_t *upstream = g_ptr_array_index(engines, i);
-        if (upstream != candidates->placement->avoid &&
+        if (!is_excluded(candidates, upstream) &&
             is_idle(upstream, candidates->placement->now_ms)) {
             candidates->list[candidates->count++] = upstream;
         }
@@ -253,7 +262,7 @@
 }
 
 /* Takes the engines on the request's side of the partition as candidates; all
- * of the group if the only one there is to be avoided. Returns FALSE if the
+ * of the group if the request may use none there. Returns FALSE if the
  * group is not partitioned. */
 static gboolean
 add_partition_side(HomeCandidates_t *candidates)
@@ -286,6 +295,7 @@
         add_side(candidates, engines, 0, engines->len);
     }
     candidates->side = side > 0 ? side : candidates->count;
+    candidates->is_reserved_side = is_reserved;
     return TRUE;
 }
 
--- a/src/HomeCandidates.h
+++ b/src/HomeCandidates.h
@@ -36,6 +36,7 @@
  * @reserved: engines of the group that are reserved for urgent requests
  * @side: engines on the request's side of the partition, first in @list; 0 if
  *     the group is not partitioned
+ * @is_reserved_side: the request's side is the reserved one
  * @short_hash_limit: engines of a lower hash serve short prompts; 0 for none
  */
 typedef struct {
@@ -47,6 +48,7 @@
     guint group;
     guint reserved;
     guint side;
+    gboolean is_reserved_side;
     guint64 short_hash_limit;
 } HomeCandidates_t;
 
--- a/src/HomePolicy.c
+++ b/src/HomePolicy.c
@@ -228,6 +228,7 @@
     choice.group = candidates.group;
     choice.reserved = candidates.reserved;
     choice.side = candidates.side;
+    choice.is_reserved_side = candidates.is_reserved_side;
     if (choice.upstream) {
         fill_supply(&candidates, &choice);
     }
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -150,6 +150,8 @@
  * @reserved: engines of the group that are reserved for urgent requests
  * @side: engines of the group on the request's side of the partition; 0 if the
  *     group is not partitioned
+ * @is_reserved_side: that side is the reserved one; a prompt of an urgent
+ * route that takes longer than the objective belongs to the other one
  */
 typedef struct {
     Upstream_t *upstream;
@@ -162,8 +164,17 @@
     guint group;
     guint reserved;
     guint side;
+    gboolean is_reserved_side;
 } Choice_t;
 
+/** Choice_isUrgent() - whether a request counts as urgent for the partition of
+ * its group */
+static inline gboolean
+Choice_isUrgent(const Choice_t *this, const Placement_t *placement)
+{
+    return this->side > 0 ? this->is_reserved_side : placement->urgent;
+}
+
 typedef struct Policy Policy_t;
 
 /**
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -116,7 +116,7 @@
     ticket->target = g_string_new(placement->target);
     ticket->partitions = choice->side > 0 ? placement->partitions : NULL;
     ticket->group = choice->group;
-    ticket->urgent = placement->urgent;
+    ticket->urgent = Choice_isUrgent(choice, placement);
 }
 
 void
--- a/tests/test_DispatchGroups.c
+++ b/tests/test_DispatchGroups.c
@@ -76,7 +76,8 @@
                        .own_us = OWN_US,
                        .group = call->group,
                        .reserved = 1,
-                       .side = 1};
+                       .side = 1,
+                       .is_reserved_side = !call->is_other};
     GroupRequest_t request = {.placement = &placement,
                               .choice = &choice,
                               .customer = call->customer,
@@ -316,7 +317,8 @@
                        .cost_us = absurd(times, G_N_ELEMENTS(times)),
                        .own_us = absurd(times, G_N_ELEMENTS(times)),
                        .group = (guint)absurd(times, G_N_ELEMENTS(times)),
-                       .side = side};
+                       .side = side,
+                       .is_reserved_side = Random_below(2) == 1};
     GroupRequest_t request = {.placement = &placement,
                               .choice = &choice,
                               .customer = key % 5,
--- a/tests/test_HomePolicy.c
+++ b/tests/test_HomePolicy.c
@@ -488,6 +488,38 @@
 }
 END_TEST
 
+/* An urgent route's long prompt was promised a return among short ones. */
+START_TEST(long_prompt_of_an_urgent_route_counts_as_less_urgent)
+{
+    set_up_partitions();
+    Placement_t request = request_of(TRUE, 1);
+    ck_assert(Policy_choose(policy, &request).is_reserved_side);
+    request.prompt_tokens = LONG_TOKENS;
+    Choice_t choice = Policy_choose(policy, &request);
+    ck_assert(!choice.is_reserved_side);
+    ck_assert(!is_reserved(choice.upstream));
+    tear_down_partitions();
+}
+END_TEST
+
+/* A request that one engine's limit had admitted gave all reserved engines of
+ * the group back. */
+START_TEST(request_for_one_engine_changes_no_reservation)
+{
+    set_up_partitions();
+    for (guint i = 0; i < engines->len; i++) {
+        Placement_t request = request_of(TRUE, 1);
+        Upstream_t *engine = g_ptr_array_index(engines, i);
+        request.permitted = engine;
+        request.group = 1 + (guint)(engine->hash % GROUPS);
+        Choice_t choice = Policy_choose(policy, &request);
+        ck_assert_ptr_eq(choice.upstream, engine);
+        ck_assert_uint_eq(choice.reserved, RESERVED);
+    }
+    tear_down_partitions();
+}
+END_TEST
+
 START_TEST(less_urgent_request_never_uses_a_reserved_engine)
 {
     set_up_partitions();
@@ -758,6 +790,8 @@
     urgent_request_never_meets_a_prompt_on_an_unreserved_engine,
     urgent_request_uses_an_idle_engine_if_all_reserved_ones_are_late,
     less_urgent_request_never_uses_a_reserved_engine,
+    long_prompt_of_an_urgent_route_counts_as_less_urgent,
+    request_for_one_engine_changes_no_reservation,
     less_urgent_request_leaves_a_reserved_engine_that_holds_its_prompt,
     long_prompt_of_an_urgent_route_uses_the_other_engines,
     engines_that_may_not_be_used_are_not_counted_as_reserved,
--- a/tests/test_Tickets.c
+++ b/tests/test_Tickets.c
@@ -303,7 +303,8 @@
         Choice_t choice = {.upstream = upstream,
                            .own_us = PROMPT_US,
                            .group = group,
-                           .side = 1};
+                           .side = 1,
+                           .is_reserved_side = urgent};
         set_time(0);
         Tickets_add(tickets, id, &placement, &choice);
         Tickets_noteFirstToken(tickets, id, policy, 0, NOW_MS);
