--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -4,12 +4,13 @@
 #include "FairShare.h"
 #include "ReturnSchedule.h"
 
-/* Customers and promises that are tracked for one side of a group: 64 KB and
- * 100 KB at the most. */
+/* Customers and promises that are tracked for one side of a group: 87 KB and
+ * 307 KB at the most. */
 #define CUSTOMERS_MAX 1024
 #define PROMISES_MAX 4096
-/* Groups that are tracked; a router dispatches for a few. */
-#define GROUPS_MAX 256
+/* Groups that are tracked: a router dispatches for a few, and full tables of
+ * these take 25 MB. */
+#define GROUPS_MAX 32
 /* Callers wait at most their remaining time divided by this before they
  * return. */
 #define RETURN_DIVISOR 3
