A promised return is claimed in one place

DispatchGroups_decide claimed the return of a request and make_input claimed it again, which found nothing, as a claim uses the promise up, and was overwritten. A reader had to work out that the order of both kept the right answer. The claim is passed on now; decisions are the same. Run: build-asan/test_DispatchGroups, 11 checks, none failed.

--- a/src/DispatchGroups.c
+++ b/src/DispatchGroups.c
@@ -117,7 +117,8 @@
 }
 
 static GroupAdmissionInput_t
-make_input(const GroupSide_t *side, const GroupRequest_t *request)
+make_input(const GroupSide_t *side, const GroupRequest_t *request,
+           gboolean is_return)
 {
     const Placement_t *placement = request->placement;
     const Choice_t *choice = request->choice;
@@ -132,7 +133,7 @@
         .turnover_us = choice->is_reserved_side ? 0 : work_us(request),
         .left_us = request->left_ms * CLOCK_US_PER_MS,
         .promised_us = due * work_us(request) / MAX(choice->side, 1),
-        .is_return = ReturnSchedule_claim(side->returns, request->key, now_ms),
+        .is_return = is_return,
         .is_over_share = FairShare_isOver(side->shares, request->customer,
                                           room_us_per_s(request), now_ms),
     };
@@ -166,8 +167,7 @@
     if (!is_return) {
         FairShare_noteDemand(side->shares, request->customer, work, now_ms);
     }
-    GroupAdmissionInput_t input = make_input(side, request);
-    input.is_return = is_return;
+    GroupAdmissionInput_t input = make_input(side, request, is_return);
     GroupDecision_t decision = {
         .verdict = GroupAdmission_decide(&input),
         .promised_us = input.promised_us,
