The time of a prompt is learned for the target of its request

On engines that serve several targets a dispatcher learned prompt times for the first target in their list, whichever a request was for, so that the others kept the 50 us a token that engines are taken to need at first: partitions and admission went by it. The ticket's target is used, as where the time is read. Run: build-asan/test_Dispatch, 31 checks, none failed; the new test fails without the change (50 us instead of 100). build-asan/test_Tickets, 10 checks, none failed.

--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -284,16 +284,15 @@
     TicketFirstToken_t first =
         Tickets_noteFirstToken(this->tickets, update->ticket,
                                this->spec.policy, update->waited_us, now_ms);
-    if (!first.found_idle || first.upstream->serves->len == 0) {
+    if (!first.found_idle) {
         return;
     }
-    const GString *target = g_ptr_array_index(first.upstream->serves, 0);
-    PromptTime_t *time = find_prompt_time(this, target->str, first.upstream);
+    PromptTime_t *time = find_prompt_time(this, first.target, first.upstream);
     PromptTime_note(time, first.tokens, update->waited_us);
     if (this->spec.partitions &&
-        GroupPartitions_isPartitioned(this->spec.partitions, target->str,
+        GroupPartitions_isPartitioned(this->spec.partitions, first.target,
                                       now_ms)) {
-        set_speed(this, target->str, PromptTime_usPerToken(time));
+        set_speed(this, first.target, PromptTime_usPerToken(time));
     }
 }
 
--- a/src/Tickets.c
+++ b/src/Tickets.c
@@ -166,8 +166,8 @@
     FirstTokenEstimate_learn(&ticket->first_token, waited_us, now_ms);
     Policy_learnPrefix(policy, ticket->prefix, ticket->prefix_tokens,
                        ticket->upstream, now_ms);
-    return (TicketFirstToken_t){ticket->upstream, ticket->computed_tokens,
-                                ticket->found_idle};
+    return (TicketFirstToken_t){ticket->upstream, ticket->target->str,
+                                ticket->computed_tokens, ticket->found_idle};
 }
 
 void
--- a/src/Tickets.h
+++ b/src/Tickets.h
@@ -23,12 +23,14 @@
 /**
  * struct TicketFirstToken_t - what a first token shows
  * @upstream: the engine; NULL if the ticket was not open
+ * @target: the target of the request; valid until the ticket ends
  * @tokens: prompt tokens that it computed
  * @found_idle: nothing else was to be computed there when it was placed, and
  *     the shared part of the prompt was not moved
  */
 typedef struct {
     Upstream_t *upstream;
+    const char *target;
     guint tokens;
     gboolean found_idle;
 } TicketFirstToken_t;
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -22,6 +22,9 @@
 #define SHORT_TOKENS 400
 #define LONG_TOKENS 17000
 #define LEFT_MS 3000
+#define SECOND_TARGET "second"
+/* Slower than engines are taken to be before anything is learned. */
+#define US_PER_TOKEN 100
 /* Time in which an unwanted message would arrive: several round trips over
  * loopback. */
 #define NO_MESSAGE_MS 50
@@ -53,6 +56,12 @@
     wt__peer_message__free_unpacked(message, NULL);
 }
 
+static void
+free_string(gpointer string)
+{
+    g_string_free(string, TRUE);
+}
+
 static void
 store_message(void *owner, const Wt__PeerMessage *message,
               const struct sockaddr_in *from)
@@ -886,6 +895,68 @@
     ck_assert_ptr_null(result.choice.upstream);
 }
 
+static Upstream_t *
+add_engine_of_two_targets(void)
+{
+    UpstreamSpec_t spec = {.hall = g_string_new("h"),
+                           .region = g_string_new("r"),
+                           .serves = g_ptr_array_new(),
+                           .slots = 64,
+                           .role = ROLE_SERVICE};
+    g_ptr_array_add(spec.serves, g_string_new("first"));
+    g_ptr_array_add(spec.serves, g_string_new(SECOND_TARGET));
+    UpstreamSet_put(routers.upstreams, "two", &spec);
+    g_string_free(spec.hall, TRUE);
+    g_string_free(spec.region, TRUE);
+    g_ptr_array_set_free_func(spec.serves, free_string);
+    g_ptr_array_unref(spec.serves);
+    return g_ptr_array_index(UpstreamSet_findServing(routers.upstreams,
+                                                     ROLE_SERVICE,
+                                                     SECOND_TARGET),
+                             0);
+}
+
+/* Places a prompt with a prefix of its own, computes and ends it. */
+static void
+run_prompt(guint64 ticket, guint tokens)
+{
+    Wt__PlaceAsk query = urgent_query(ticket);
+    query.target = SECOND_TARGET;
+    query.prefix = ticket;
+    query.prompt_tokens = tokens;
+    query.left_ms = 0;
+    send_placement(&query);
+    await_answer((guint)ticket - 1);
+    Wt__PlaceNews body = WT__PLACE_NEWS__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    body.ticket = ticket;
+    body.state = WT__PLACE_STATE__BEGUN;
+    body.waited_us = tokens * US_PER_TOKEN;
+    message.body_case = WT__PEER_MESSAGE__BODY_PLACE_NEWS;
+    message.place_news = &body;
+    send_to_router(&message);
+    send_update(ticket, WT__PLACE_STATE__ENDED);
+}
+
+/* Regression: the time of a prompt was learned for the first target of its
+ * engine, whichever the request was for. */
+START_TEST(the_time_of_a_prompt_is_learned_for_the_target_of_its_request)
+{
+    setup_partitions();
+    Upstream_t *engine = add_engine_of_two_targets();
+    GroupPartitions_noteReported(partitions, SECOND_TARGET, 0, 1,
+                                 Clock_nowMs());
+    for (guint64 ticket = 1; ticket <= 20; ticket++) {
+        run_prompt(ticket, ticket % 2 == 0 ? LONG_TOKENS : SHORT_TOKENS);
+    }
+    while (engine->ticket_requests > 0) {
+        event_base_loop(routers.base, EVLOOP_ONCE);
+    }
+    ck_assert_double_eq_tol(engine->prefill_us_per_token, US_PER_TOKEN, 2);
+    teardown_partitions();
+}
+END_TEST
+
 START_TEST(a_dispatcher_of_partitioned_groups_may_lose_one_answer)
 {
     setup_partitions();
@@ -1026,6 +1097,7 @@
              a_return_beyond_the_callers_deadline_is_bounded,
              absurd_queries_are_answered_and_leave_nothing,
              a_prompt_of_absurd_length_is_soon_forgotten,
+             the_time_of_a_prompt_is_learned_for_the_target_of_its_request,
              a_dispatcher_of_partitioned_groups_may_lose_one_answer,
              a_dispatcher_of_partitioned_groups_is_awaited_for_longer,
              a_query_grows_by_at_most_40_bytes,
