Requests without a prefix are not decided by group

A prompt without a prefix has no home: the router that was asked places it on engines of any group and asks no dispatcher. It took the lack of a dispatcher to ask for being the dispatcher itself, measured such requests in groups of other routers, reserved engines there by its own measurements and refused by fair shares and promises that no other router knew.

--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -292,9 +292,9 @@
     }
 }
 
-/* The dispatcher to query, or NULL if there is none, the route is not placed
- * by prefix, or the request has asked for capacity at an upstream's limit,
- * which it does after the query. */
+/* Dispatch, or NULL if there is none, the request has no home, as its route is
+ * not placed by prefix or its prompt has no prefix, or it has asked for
+ * capacity at an upstream's limit, which it does after the query. */
 static Dispatch_t *
 select_dispatcher(const RelayExchange_t *this,
                   const RelayPlacementInput_t *input)
@@ -302,8 +302,8 @@
     const Exchange_t *super = &this->super;
     gboolean was_queried =
         input->terms.permitted || super->upstream_gate.refusals > 0;
-    return this->route->by_prefix && !was_queried ? super->context->dispatch
-                                                  : NULL;
+    gboolean has_home = this->route->by_prefix && this->request.part_count > 0;
+    return has_home && !was_queried ? super->context->dispatch : NULL;
 }
 
 /* If the request has a ticket, it is placed again because the upstream that
--- a/tests/sessions/test_fleet_dispatchers.py
+++ b/tests/sessions/test_fleet_dispatchers.py
@@ -246,6 +246,26 @@
                 for event in self.router.events("request_placed")
                 if event["request"].startswith(name)}
 
+    def ask_without_prefix(self, kind, number):
+        is_urgent = kind == "urgent"
+        tokens = URGENT_TOKENS if is_urgent else OTHER_TOKENS
+        answer = self.fleet.ask(
+            self.router, "/ask/%s/x" % kind, b"%d" % tokens, wait_ms=5000,
+            X_Request_Id="%s-%d" % (kind, number),
+            X_Token_Usage="%d,10" % tokens, X_Prompt_Prefix="")
+        self.assertEqual(answer.status, 200)
+
+    def test_requests_without_a_prefix_are_not_decided_by_group(self):
+        """Every router partitioned groups of other dispatchers.
+
+        A request without a prefix has no home, so that it is placed by the
+        router that was asked, which took itself for the dispatcher.
+        """
+        for number in range(12):
+            self.ask_without_prefix("others", number)
+            self.ask_without_prefix("urgent", number)
+        self.assertEqual(self.count(self.router, "group_decisions_total"), 0)
+
     def test_a_burst_on_one_group_uses_the_other_one(self):
         """Urgent requests were refused while engines of the second group were
         idle.
