--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -23,6 +23,9 @@
  * objective of urgent requests: an engine chosen without its knowledge takes
  * longer than that. */
 #define TIMEOUT_FRACTION 0.25
+/* Its upper limit, whatever the objective: some round trips between regions.
+ */
+#define TIMEOUT_MAX_MS 100
 
 struct Dispatch {
     struct event_base *base;
@@ -244,6 +247,7 @@
 }
 
 /* An answer to a query that was cancelled or has timed out ends its ticket. */
+/* The refusal of a request that must not be refused counts as no answer. */
 static void
 receive_answer(Dispatch_t *this, const Wt__PlaceAnswer *answer,
                const struct sockaddr_in *from)
@@ -270,6 +274,10 @@
     if (result.decision.verdict != GROUP_ADMITTED) {
         result.ticket.id = 0;
     }
+    if (result.decision.verdict != GROUP_ADMITTED && query->left_ms == 0) {
+        result.choice.upstream = NULL;
+        result.decision.verdict = GROUP_ADMITTED;
+    }
     g_hash_table_remove(this->unanswered, query->dispatcher_name->str);
     learn_partition(this, query, &bounded);
     finish_query(query, &result);
@@ -503,8 +511,9 @@
     gint64 patient_ms =
         (gint64)((double)placement->urgent_objective_us * TIMEOUT_FRACTION) /
         CLOCK_US_PER_MS;
-    return query->is_partitioned ? MAX(patient_ms, DISPATCH_TIMEOUT_MS)
-                                 : DISPATCH_TIMEOUT_MS;
+    return query->is_partitioned
+               ? CLAMP(patient_ms, DISPATCH_TIMEOUT_MS, TIMEOUT_MAX_MS)
+               : DISPATCH_TIMEOUT_MS;
 }
 
 static DispatchQuery_t *
--- a/src/GroupPartition.h
+++ b/src/GroupPartition.h
@@ -58,7 +58,8 @@
  * two seconds */
 gboolean GroupPartition_isActive(const GroupPartition_t *this, gint64 now_ms);
 
-/** GroupPartition_meanPromptUs() - mean of these, 0 for none yet */
+/** GroupPartition_meanPromptUs() - mean time of the prompts noted, in us; 0
+ * for none yet */
 gint64 GroupPartition_meanPromptUs(const GroupPartition_t *this);
 
 /** GroupPartition_isNew() - whether the first request has arrived within the
--- a/src/GroupPartitions.h
+++ b/src/GroupPartitions.h
@@ -38,8 +38,8 @@
  * requests, see GroupPartition_reserve()
  *
  * A router that has seen no request of the group as its dispatcher for two
- * seconds uses the number that was last
- * reported, for some seconds.
+ * seconds uses the number that was last reported, for some seconds. A new
+ * dispatcher reserves no fewer in its first second.
  */
 guint GroupPartitions_reserved(GroupPartitions_t *this, const char *target,
                                guint group, const GroupSize_t *size,
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -150,6 +150,20 @@
     start_attempt(this, input, destination);
 }
 
+/* A partitioned group has decided; others leave it to this router whether the
+ * request would be late. */
+static void
+start_admitted(RelayExchange_t *this, const RelayPlacementInput_t *input,
+               RelayDestination_t *destination)
+{
+    if (destination->choice.reserved > 0) {
+        start_attempt(this, input, destination);
+    }
+    else {
+        start_or_shed(this, input, destination);
+    }
+}
+
 /* Chooses an upstream from this router's own knowledge; refuses the request if
  * it is not allowed or no upstream fits. */
 static gboolean
@@ -237,6 +251,7 @@
         Dispatch_nextGroup(this->admission.key, answer->choice.group,
                            destination.placement.groups);
     this->admission.has_next = FALSE;
+    this->admission.left_ms = MAX(this->super.deadline_ms - Clock_nowMs(), 1);
     input.group = this->next_group;
     RelayPlacer_choose(context, &input, &destination);
     this->query = Dispatch_query(context->dispatch, &destination.placement,
@@ -284,12 +299,7 @@
         return;
     }
     destination.choice = answer->choice;
-    if (answer->choice.reserved > 0) {
-        start_attempt(this, &input, &destination);
-    }
-    else {
-        start_or_shed(this, &input, &destination);
-    }
+    start_admitted(this, &input, &destination);
 }
 
 /* Dispatch, or NULL if there is none, the request has no home, as its route is
@@ -349,12 +359,7 @@
         Dispatch_decide(this->super.context->dispatch, &destination->placement,
                         &destination->choice, &this->admission);
     if (answer.decision.verdict == GROUP_ADMITTED) {
-        if (answer.choice.reserved > 0) {
-            start_attempt(this, input, destination);
-        }
-        else {
-            start_or_shed(this, input, destination);
-        }
+        start_admitted(this, input, destination);
     }
     else if (!ask_next_group(this, &answer)) {
         refuse_for_group(this, &answer);
--- a/src/ReturnSchedule.h
+++ b/src/ReturnSchedule.h
@@ -34,8 +34,10 @@
     gint64 longest_ms;
 } ReturnRequest_t;
 
-/** ReturnSchedule_create() - create an empty schedule
- * @promises_max: promises that are kept; beyond that times are still spread */
+/**
+ * ReturnSchedule_create() - create an empty schedule
+ * @promises_max: promises that are kept; beyond that times are still spread
+ */
 ReturnSchedule_t *ReturnSchedule_create(guint promises_max);
 
 /** ReturnSchedule_destroy() - free it */
--- a/src/Tickets.h
+++ b/src/Tickets.h
@@ -61,6 +61,8 @@
  * its prompt has been computed; no-op if the ticket is not open
  * @policy: learns that the upstream has read the prefix
  * @waited_us: time from sending the request to its first token
+ *
+ * Return: what it shows of the upstream
  */
 TicketFirstToken_t Tickets_noteFirstToken(Tickets_t *this, guint64 id,
                                           Policy_t *policy, gint64 waited_us,
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -597,9 +597,8 @@
     return NULL;
 }
 
-/* A peer serves few routers at a time. Without a refusal the others waited for
- * an answer, although more peers had the records meanwhile, until each read
- * them from the store. */
+/* A peer serves few routers at a time; another one that has the records is
+ * asked at once. */
 static void
 receive_refusal(UpstreamListing_t *this, const Member_t *from)
 {
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -208,12 +208,12 @@
 /* Sends a query for the first group that the peer is the dispatcher of;
  * returns NULL if there is none. */
 static DispatchQuery_t *
-query_dispatcher(QueryResult_t *owner)
+query_with_time_left(QueryResult_t *owner, gint64 left_ms)
 {
     Placement_t placement = make_placement();
     for (guint group = 0; group < placement.groups; group++) {
         Choice_t choice = {.group = group};
-        DispatchAdmission_t admission = {.left_ms = LEFT_MS};
+        DispatchAdmission_t admission = {.left_ms = left_ms};
         DispatchQuery_t *query = Dispatch_query(
             dispatch, &placement, MODEL, &choice, &admission, on_done, owner);
         if (query) {
@@ -223,6 +223,12 @@
     return NULL;
 }
 
+static DispatchQuery_t *
+query_dispatcher(QueryResult_t *owner)
+{
+    return query_with_time_left(owner, LEFT_MS);
+}
+
 static void
 send_to_router(const Wt__PeerMessage *message)
 {
@@ -671,6 +677,23 @@
 }
 END_TEST
 
+/* A retry, which waits for its answer already, was refused. */
+START_TEST(a_request_that_must_not_be_refused_is_placed_by_its_router)
+{
+    setup_partitions();
+    Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+    body.upstream = engine_at(3)->hash;
+    body.verdict = GROUP_LATE;
+    ck_assert_ptr_nonnull(query_with_time_left(&result, 0));
+    send_answer_body(await_query(0), &body);
+    await_result(&result);
+    ck_assert_int_eq(result.decision.verdict, GROUP_ADMITTED);
+    ck_assert_ptr_null(result.choice.upstream);
+    ck_assert_uint_eq(result.ticket.id, 0);
+    teardown_partitions();
+}
+END_TEST
+
 START_TEST(a_verdict_of_a_newer_build_counts_as_refused)
 {
     static const guint verdicts[] = {GROUP_VERDICTS, 17, G_MAXUINT32};
@@ -1088,6 +1111,7 @@
              a_target_without_engines_is_not_placed,
              a_request_that_would_be_late_is_refused_without_a_ticket,
              a_refusal_reaches_the_asker_without_a_ticket,
+             a_request_that_must_not_be_refused_is_placed_by_its_router,
              a_verdict_of_a_newer_build_counts_as_refused,
              an_answer_of_an_older_build_admits_and_partitions_nothing,
              a_query_of_an_older_build_is_answered_as_before,
