--- a/src/Tickets.h
+++ b/src/Tickets.h
@@ -23,12 +23,14 @@
 /**
  * struct TicketFirstToken_t - what a first token shows
  * @upstream: the engine; NULL if the ticket was not open
+ * @target: the target of the request; valid until the ticket ends
  * @tokens: prompt tokens that it computed
  * @found_idle: nothing else was to be computed there when it was placed, and
  *     the shared part of the prompt was not moved
  */
 typedef struct {
     Upstream_t *upstream;
+    const char *target;
     guint tokens;
     gboolean found_idle;
 } TicketFirstToken_t;
@@ -59,6 +61,8 @@
  * its prompt has been computed; no-op if the ticket is not open
  * @policy: learns that the upstream has read the prefix
  * @waited_us: time from sending the request to its first token
+ *
+ * Return: what it shows of the upstream
  */
 TicketFirstToken_t Tickets_noteFirstToken(Tickets_t *this, guint64 id,
                                           Policy_t *policy, gint64 waited_us,
--- a/tests/test_Dispatch.c
+++ b/tests/test_Dispatch.c
@@ -22,6 +22,9 @@
 #define SHORT_TOKENS 400
 #define LONG_TOKENS 17000
 #define LEFT_MS 3000
+#define SECOND_TARGET "second"
+/* Slower than engines are taken to be before anything is learned. */
+#define US_PER_TOKEN 100
 /* Time in which an unwanted message would arrive: several round trips over
  * loopback. */
 #define NO_MESSAGE_MS 50
@@ -53,6 +56,12 @@
     wt__peer_message__free_unpacked(message, NULL);
 }
 
+static void
+free_string(gpointer string)
+{
+    g_string_free(string, TRUE);
+}
+
 static void
 store_message(void *owner, const Wt__PeerMessage *message,
               const struct sockaddr_in *from)
@@ -199,12 +208,12 @@
 /* Sends a query for the first group that the peer is the dispatcher of;
  * returns NULL if there is none. */
 static DispatchQuery_t *
-query_dispatcher(QueryResult_t *owner)
+query_with_time_left(QueryResult_t *owner, gint64 left_ms)
 {
     Placement_t placement = make_placement();
     for (guint group = 0; group < placement.groups; group++) {
         Choice_t choice = {.group = group};
-        DispatchAdmission_t admission = {.left_ms = LEFT_MS};
+        DispatchAdmission_t admission = {.left_ms = left_ms};
         DispatchQuery_t *query = Dispatch_query(
             dispatch, &placement, MODEL, &choice, &admission, on_done, owner);
         if (query) {
@@ -214,6 +223,12 @@
     return NULL;
 }
 
+static DispatchQuery_t *
+query_dispatcher(QueryResult_t *owner)
+{
+    return query_with_time_left(owner, LEFT_MS);
+}
+
 static void
 send_to_router(const Wt__PeerMessage *message)
 {
@@ -662,6 +677,23 @@
 }
 END_TEST
 
+/* A retry, which waits for its answer already, was refused. */
+START_TEST(a_request_that_must_not_be_refused_is_placed_by_its_router)
+{
+    setup_partitions();
+    Wt__PlaceAnswer body = WT__PLACE_ANSWER__INIT;
+    body.upstream = engine_at(3)->hash;
+    body.verdict = GROUP_LATE;
+    ck_assert_ptr_nonnull(query_with_time_left(&result, 0));
+    send_answer_body(await_query(0), &body);
+    await_result(&result);
+    ck_assert_int_eq(result.decision.verdict, GROUP_ADMITTED);
+    ck_assert_ptr_null(result.choice.upstream);
+    ck_assert_uint_eq(result.ticket.id, 0);
+    teardown_partitions();
+}
+END_TEST
+
 START_TEST(a_verdict_of_a_newer_build_counts_as_refused)
 {
     static const guint verdicts[] = {GROUP_VERDICTS, 17, G_MAXUINT32};
@@ -886,6 +918,68 @@
     ck_assert_ptr_null(result.choice.upstream);
 }
 
+static Upstream_t *
+add_engine_of_two_targets(void)
+{
+    UpstreamSpec_t spec = {.hall = g_string_new("h"),
+                           .region = g_string_new("r"),
+                           .serves = g_ptr_array_new(),
+                           .slots = 64,
+                           .role = ROLE_SERVICE};
+    g_ptr_array_add(spec.serves, g_string_new("first"));
+    g_ptr_array_add(spec.serves, g_string_new(SECOND_TARGET));
+    UpstreamSet_put(routers.upstreams, "two", &spec);
+    g_string_free(spec.hall, TRUE);
+    g_string_free(spec.region, TRUE);
+    g_ptr_array_set_free_func(spec.serves, free_string);
+    g_ptr_array_unref(spec.serves);
+    return g_ptr_array_index(UpstreamSet_findServing(routers.upstreams,
+                                                     ROLE_SERVICE,
+                                                     SECOND_TARGET),
+                             0);
+}
+
+/* Places a prompt with a prefix of its own, computes and ends it. */
+static void
+run_prompt(guint64 ticket, guint tokens)
+{
+    Wt__PlaceAsk query = urgent_query(ticket);
+    query.target = SECOND_TARGET;
+    query.prefix = ticket;
+    query.prompt_tokens = tokens;
+    query.left_ms = 0;
+    send_placement(&query);
+    await_answer((guint)ticket - 1);
+    Wt__PlaceNews body = WT__PLACE_NEWS__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    body.ticket = ticket;
+    body.state = WT__PLACE_STATE__BEGUN;
+    body.waited_us = tokens * US_PER_TOKEN;
+    message.body_case = WT__PEER_MESSAGE__BODY_PLACE_NEWS;
+    message.place_news = &body;
+    send_to_router(&message);
+    send_update(ticket, WT__PLACE_STATE__ENDED);
+}
+
+/* Regression: the time of a prompt was learned for the first target of its
+ * engine, whichever the request was for. */
+START_TEST(the_time_of_a_prompt_is_learned_for_the_target_of_its_request)
+{
+    setup_partitions();
+    Upstream_t *engine = add_engine_of_two_targets();
+    GroupPartitions_noteReported(partitions, SECOND_TARGET, 0, 1,
+                                 Clock_nowMs());
+    for (guint64 ticket = 1; ticket <= 20; ticket++) {
+        run_prompt(ticket, ticket % 2 == 0 ? LONG_TOKENS : SHORT_TOKENS);
+    }
+    while (engine->ticket_requests > 0) {
+        event_base_loop(routers.base, EVLOOP_ONCE);
+    }
+    ck_assert_double_eq_tol(engine->prefill_us_per_token, US_PER_TOKEN, 2);
+    teardown_partitions();
+}
+END_TEST
+
 START_TEST(a_dispatcher_of_partitioned_groups_may_lose_one_answer)
 {
     setup_partitions();
@@ -1017,6 +1111,7 @@
              a_target_without_engines_is_not_placed,
              a_request_that_would_be_late_is_refused_without_a_ticket,
              a_refusal_reaches_the_asker_without_a_ticket,
+             a_request_that_must_not_be_refused_is_placed_by_its_router,
              a_verdict_of_a_newer_build_counts_as_refused,
              an_answer_of_an_older_build_admits_and_partitions_nothing,
              a_query_of_an_older_build_is_answered_as_before,
@@ -1026,6 +1121,7 @@
              a_return_beyond_the_callers_deadline_is_bounded,
              absurd_queries_are_answered_and_leave_nothing,
              a_prompt_of_absurd_length_is_soon_forgotten,
+             the_time_of_a_prompt_is_learned_for_the_target_of_its_request,
              a_dispatcher_of_partitioned_groups_may_lose_one_answer,
              a_dispatcher_of_partitioned_groups_is_awaited_for_longer,
              a_query_grows_by_at_most_40_bytes,
