Log and count the reads of engines' states that fail

A holder of the orders' lease that reaches no engine left no line: only orders that go unanswered were logged, and none is sent before the state was read. The line is written once for each engine until it answers again, and names how long the lease still lasts; engine_states_unanswered_total counts each read.

--- a/src/ManagedEngine.c
+++ b/src/ManagedEngine.c
@@ -45,6 +45,9 @@
     HttpCall_t *call;      /* under way, or NULL */
     NoticeOrigin_t origin; /* of the answer to @call */
     gboolean call_is_order;
+    gint64 call_ms;             /* when the last call was started */
+    gint64 unanswered_since_ms; /* start of the first call that failed since
+                                 * the last answer; 0 for none */
     guint64 read_term; /* term of the lease under which the state was read */
     gint64 read_ms;    /* when it was last read, or a call failed */
     gint64 pause_announced_ms; /* 0 for no pause */
@@ -270,6 +273,35 @@
     Counters_add(sender->counters, "orders_total", labels, 1);
 }
 
+static void
+log_error(const ManagedEngine_t *this, const char *event, const GError *error)
+{
+    Log_begin(LOG_LEVEL_WARNING, event);
+    Log_text("upstream", this->upstream->name->str);
+    Log_text("reason", error->message);
+    Log_number("lease_left_ms", Lease_remainingMs(this->sender->lease));
+    Log_end();
+}
+
+/* Logs only the first of consecutive reads that fail. */
+static void
+note_unanswered_read(ManagedEngine_t *this, const GError *error)
+{
+    if (this->unanswered_since_ms == 0) {
+        log_error(this, "engine_state_unanswered", error);
+    }
+    Counters_add(this->sender->counters, "engine_states_unanswered_total",
+                 NULL, 1);
+}
+
+static void
+note_unanswered_order(ManagedEngine_t *this, const GError *error)
+{
+    log_error(this, "order_unanswered", error);
+    Counters_add(this->sender->counters, "orders_total",
+                 "outcome=\"unanswered\"", 1);
+}
+
 /* Invalidates the current state, so that an order whose answer was lost is not
  * sent again before the state was read: the engine may have carried it out. */
 static void
@@ -277,15 +309,15 @@
 {
     this->read_term = 0;
     this->read_ms = Clock_nowMs();
-    if (!this->call_is_order) {
-        return;
+    if (this->call_is_order) {
+        note_unanswered_order(this, error);
+    }
+    else {
+        note_unanswered_read(this, error);
+    }
+    if (this->unanswered_since_ms == 0) {
+        this->unanswered_since_ms = this->call_ms;
     }
-    Log_begin(LOG_LEVEL_WARNING, "order_unanswered");
-    Log_text("upstream", this->upstream->name->str);
-    Log_text("reason", error->message);
-    Log_end();
-    Counters_add(this->sender->counters, "orders_total",
-                 "outcome=\"unanswered\"", 1);
 }
 
 static void
@@ -297,6 +329,7 @@
         handle_error(this, error);
         return;
     }
+    this->unanswered_since_ms = 0;
     UpstreamNotices_applyAnswer(this->sender->notices, &this->origin, answer);
     if (this->call_is_order) {
         handle_outcome(this, answer);
@@ -323,6 +356,7 @@
         .timeout_ms = this->sender->timeout_ms,
     };
     this->call_is_order = body != NULL;
+    this->call_ms = Clock_nowMs();
     this->origin = NoticeOrigin_begin(this->upstream, NULL);
     this->call = HttpCall_start(this->sender->base, &spec, on_answer, this);
 }
