A holder of the orders' lease that reaches no engine gives it up

Callers' requests began on weights that had been replaced long before: some routers lost their links to all engines, one of them held the lease of the orders, and no engine got new weights until the links were back.

Cause: the lease was renewed for as long as its holder reached the store and there was work. Nothing compared that with what the holder could do, and a stalled roll-out only admitted more candidates, who found the lease held. The class is a lease whose renewals prove something other than the work.

A router counts the engines that need an order and that it can't reach: its own requests or its calls to them failed. Where engines check fencing numbers and no order was sent for one lease, the lease is released, otherwise it expires. Meanwhile a router without a path probes up to three engines at growing intervals.

--- a/src/Lease.c
+++ b/src/Lease.c
@@ -34,6 +34,7 @@
     gboolean wanted;
     gboolean followed;
     gboolean released; /* permanently, as the router stops */
+    gboolean yielded;  /* a release of the current lease was appended */
     guint64 epoch;     /* of the log that the folded records are from */
     gint64 epoch_ms;   /* when that epoch became known, 0 before the first */
     guint failures;    /* consecutive failed reads */
@@ -105,7 +106,8 @@
     }
     this->current_number = number;
     this->current_seen_ms = Clock_nowMs();
-    if (is_local(this, entry)) {
+    this->yielded = FALSE;
+    if (is_local(this, entry) && entry->duration_ms > 0) {
         if (this->number == 0) {
             log_lease(this, "lease_taken", number);
             this->term = number;
@@ -431,14 +433,30 @@
 }
 
 /* Appends a record of zero duration, which others need not wait for. */
+static void
+append_release(Lease_t *this)
+{
+    if (this->number != 0 && !this->append_open) {
+        log_lease(this, "lease_released", this->number);
+        append_record(this, this->current_number, 0);
+        this->yielded = TRUE;
+    }
+}
+
 void
 Lease_release(Lease_t *this)
 {
     this->wanted = FALSE;
     this->released = TRUE;
-    if (this->number != 0 && !this->append_open) {
-        log_lease(this, "lease_released", this->number);
-        append_record(this, this->current_number, 0);
+    append_release(this);
+}
+
+void
+Lease_yield(Lease_t *this)
+{
+    this->wanted = FALSE;
+    if (!this->yielded) {
+        append_release(this);
     }
 }
 
@@ -454,7 +472,7 @@
 gint64
 Lease_remainingMs(const Lease_t *this)
 {
-    if (this->number == 0 || this->released) {
+    if (this->number == 0 || this->released || this->yielded) {
         return 0;
     }
     return remaining_ms(this);
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -73,6 +73,14 @@
  */
 void Lease_release(Lease_t *this);
 
+/**
+ * Lease_yield() - end a lease of this router like Lease_release(), but allow
+ * the router to take the lease again later
+ *
+ * Has no effect while another append is open; the caller then tries again.
+ */
+void Lease_yield(Lease_t *this);
+
 /** Lease_remainingMs() - how long this router is certain to hold the lease; 0
  * if it does not */
 gint64 Lease_remainingMs(const Lease_t *this);
--- a/src/ManagedEngine.c
+++ b/src/ManagedEngine.c
@@ -35,6 +35,10 @@
 /* How long routers expect an announced load. The announcement is repeated when
  * half of the time is over. The longest streams seen take 2.5 s. */
 #define LOAD_SOON_MS 3000
+/* Interval of probes after the first failed one; it doubles with each further
+ * one, up to this many times. */
+#define PROBE_INTERVAL_MS 500
+#define PROBE_DOUBLINGS_MAX 4
 /* Inaccuracy of a timeout. */
 #define TIMER_MARGIN_MS 100
 
@@ -45,9 +49,8 @@
     HttpCall_t *call;      /* under way, or NULL */
     NoticeOrigin_t origin; /* of the answer to @call */
     gboolean call_is_order;
-    gint64 call_ms;             /* when the last call was started */
-    gint64 unanswered_since_ms; /* start of the first call that failed since
-                                 * the last answer; 0 for none */
+    gboolean is_unanswered; /* the last call failed */
+    guint probes;           /* since the last answer */
     guint64 read_term; /* term of the lease under which the state was read */
     gint64 read_ms;    /* when it was last read, or a call failed */
     gint64 pause_announced_ms; /* 0 for no pause */
@@ -287,7 +290,7 @@
 static void
 note_unanswered_read(ManagedEngine_t *this, const GError *error)
 {
-    if (this->unanswered_since_ms == 0) {
+    if (!this->is_unanswered) {
         log_error(this, "engine_state_unanswered", error);
     }
     Counters_add(this->sender->counters, "engine_states_unanswered_total",
@@ -315,9 +318,7 @@
     else {
         note_unanswered_read(this, error);
     }
-    if (this->unanswered_since_ms == 0) {
-        this->unanswered_since_ms = this->call_ms;
-    }
+    this->is_unanswered = TRUE;
 }
 
 static void
@@ -329,7 +330,8 @@
         handle_error(this, error);
         return;
     }
-    this->unanswered_since_ms = 0;
+    this->is_unanswered = FALSE;
+    this->probes = 0;
     UpstreamNotices_applyAnswer(this->sender->notices, &this->origin, answer);
     if (this->call_is_order) {
         handle_outcome(this, answer);
@@ -356,7 +358,6 @@
         .timeout_ms = this->sender->timeout_ms,
     };
     this->call_is_order = body != NULL;
-    this->call_ms = Clock_nowMs();
     this->origin = NoticeOrigin_begin(this->upstream, NULL);
     this->call = HttpCall_start(this->sender->base, &spec, on_answer, this);
 }
@@ -383,6 +384,7 @@
     Log_number("lease_left_ms", Lease_remainingMs(sender->lease));
     Log_end();
     this->pause_announced_ms = 0;
+    sender->last_order_ms = Clock_nowMs();
     GBytes *body = sender->form->write_order(&order);
     start_call(this, body);
     g_bytes_unref(body);
@@ -450,6 +452,26 @@
            (is_state_fresh && this->queued == 0);
 }
 
+gboolean
+ManagedEngine_isUnreachable(const ManagedEngine_t *this)
+{
+    const Upstream_t *upstream = this->upstream;
+    gboolean is_suspect = upstream->suspect && !upstream->suspected_by_peer;
+    return is_suspect || this->is_unanswered;
+}
+
+void
+ManagedEngine_probe(ManagedEngine_t *this)
+{
+    gint64 interval_ms = (gint64)PROBE_INTERVAL_MS
+                         << MIN(this->probes, PROBE_DOUBLINGS_MAX);
+    if (!this->call && this->is_unanswered &&
+        Clock_nowMs() - this->read_ms >= interval_ms) {
+        this->probes++;
+        start_call(this, NULL);
+    }
+}
+
 gboolean
 ManagedEngine_advance(ManagedEngine_t *this, const WantedWeights_t *wanted,
                       gboolean may_load)
--- a/src/ManagedEngine.h
+++ b/src/ManagedEngine.h
@@ -26,6 +26,7 @@
  * @counters: for orders
  * @holder: name of the sender
  * @timeout_ms: for each call
+ * @last_order_ms: when the last order was sent, monotonic; 0 for none
  * @stale_until_ms: no order is sent before this time, as an engine has seen a
  *     higher fencing number; 0 for no limit
  */
@@ -39,6 +40,7 @@
     Counters_t *counters;
     const char *holder;
     gint64 timeout_ms;
+    gint64 last_order_ms;
     gint64 stale_until_ms;
 } OrderSender_t;
 
@@ -77,6 +79,20 @@
  */
 gboolean ManagedEngine_isLoading(const ManagedEngine_t *this);
 
+/**
+ * ManagedEngine_isUnreachable() - whether this router can't reach the engine
+ *
+ * It suspects the engine after failed requests of its own, or its last call to
+ * the engine failed.
+ */
+gboolean ManagedEngine_isUnreachable(const ManagedEngine_t *this);
+
+/**
+ * ManagedEngine_probe() - read the state of an unreachable engine, at growing
+ * intervals, although this router does not hold the lease
+ */
+void ManagedEngine_probe(ManagedEngine_t *this);
+
 /**
  * ManagedEngine_advance() - take the next step towards the wanted weights
  * @may_load: whether a slot for one more load is free
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -4,13 +4,17 @@
 
 #include "Clock.h"
 #include "LeaseRank.h"
+#include "Log.h"
 #include "ModelVersions.h"
+#include "OrderPath.h"
 #include "WeightLoadSlots.h"
 
 #define TICK_MS 50
 /* Tick of a router that does not hold the lease: short enough to take a free
  * lease soon, long enough to be cheap with thousands of engines. */
 #define TICK_WITHOUT_LEASE_MS 250
+/* Number of engines that a router without a path to any engine probes. */
+#define PROBED_ENGINES 3
 
 struct Orders {
     OrdersSpec_t spec;
@@ -22,6 +26,7 @@
     guint pending_work; /* fingerprint of lagging and paused engines */
     gint64 progress_ms; /* when @pending_work last changed */
     gboolean took_over; /* from candidates that make no progress */
+    OrderPath_t path;
 };
 
 /* An engine for which some weights are wanted, whether it has them or not. */
@@ -247,6 +252,87 @@
            (LeaseRank_isCandidate(rank, 0) || this->took_over);
 }
 
+/* Whether an order is needed that was not accepted yet. */
+static gboolean
+needs_order(const EngineTarget_t *target)
+{
+    const Upstream_t *upstream = ManagedEngine_upstream(target->engine);
+    return strcmp(upstream->weights->str, target->wanted.weights) != 0 &&
+           !ManagedEngine_isLoading(target->engine);
+}
+
+static void
+log_path(const Orders_t *this, guint pending, guint unreachable)
+{
+    const OrderPath_t *path = &this->path;
+    Log_begin(LOG_LEVEL_WARNING, OrderPath_isLost(path) ? "orders_path_lost"
+                                                        : "orders_path_found");
+    Log_text("scope", this->scope->str);
+    Log_number("pending", pending);
+    Log_number("unreachable", unreachable);
+    Log_number("lease_left_ms", Lease_remainingMs(this->sender.lease));
+    Log_end();
+}
+
+/* A router without the lease calls no engines, so it probes a few of those
+ * that it can't reach. */
+static void
+probe(Orders_t *this, const EngineTarget_t *target, guint probed)
+{
+    if (OrderPath_isBlocked(&this->path) && probed < PROBED_ENGINES &&
+        Lease_remainingMs(this->sender.lease) == 0) {
+        ManagedEngine_probe(target->engine);
+    }
+}
+
+static void
+update_path(Orders_t *this)
+{
+    guint pending = 0;
+    guint unreachable = 0;
+    GArray *engines = list_targets(this);
+    for (guint i = 0; i < engines->len; i++) {
+        const EngineTarget_t *target =
+            &g_array_index(engines, EngineTarget_t, i);
+        if (needs_order(target)) {
+            probe(this, target, pending);
+            pending++;
+            unreachable += ManagedEngine_isUnreachable(target->engine) ? 1 : 0;
+        }
+    }
+    g_array_unref(engines);
+    if (OrderPath_update(&this->path, pending, unreachable,
+                         this->spec.settings->platform.lease_ms,
+                         Clock_nowMs())) {
+        log_path(this, pending, unreachable);
+    }
+}
+
+/* Lets other routers take the lease at once, unless an engine may still carry
+ * out an order of this lease or does not check fencing numbers. Then the lease
+ * has to expire. */
+static void
+yield_lease(Orders_t *this)
+{
+    const PlatformSection_t *platform = &this->spec.settings->platform;
+    gint64 order_age_ms = Clock_nowMs() - this->sender.last_order_ms;
+    gboolean has_recent_order =
+        this->sender.last_order_ms != 0 && order_age_ms < platform->lease_ms;
+    if (platform->fencing && !has_recent_order) {
+        Lease_yield(this->sender.lease);
+    }
+}
+
+/* A router that reaches no engine keeps a lease for a moment, but takes none.
+ */
+static gboolean
+has_path(const Orders_t *this)
+{
+    return Lease_remainingMs(this->sender.lease) > 0
+               ? !OrderPath_isLost(&this->path)
+               : !OrderPath_isBlocked(&this->path);
+}
+
 /* Allows orders again once the lease with the stale number is lost: the next
  * lease has a higher number. */
 static void
@@ -269,9 +355,13 @@
     note_progress(this);
     /* The rank is meaningless until the other members are known. */
     gboolean is_ranked = Membership_isConverged(this->spec.membership);
-    gboolean candidate = is_ranked && is_candidate(this, rank);
+    gboolean is_needed =
+        is_ranked && is_candidate(this, rank) && has_work(this);
+    if (is_needed || OrderPath_isBlocked(&this->path)) {
+        update_path(this);
+    }
     gboolean wanted =
-        candidate && has_work(this) && this->sender.stale_until_ms == 0;
+        is_needed && has_path(this) && this->sender.stale_until_ms == 0;
     gboolean followed = !this->stopped && this->spec.form->listed &&
                         is_ranked && rank < LEASE_RANK_FOLLOWERS;
     Lease_setFollowed(lease, followed);
@@ -279,6 +369,9 @@
     if (wanted && Lease_remainingMs(lease) > 0) {
         advance_all(this);
     }
+    if (OrderPath_isLost(&this->path)) {
+        yield_lease(this);
+    }
     clear_stale(this);
     Clock_arm(this->tick,
               Lease_term(lease) > 0 ? TICK_MS : TICK_WITHOUT_LEASE_MS);
--- a/tests/test_Lease.c
+++ b/tests/test_Lease.c
@@ -167,7 +167,7 @@
 inject_fault(Simulation_t *this, gint64 now_ms)
 {
     Router_t *router = &this->routers[draw_between(this, 0, ROUTERS - 1)];
-    switch (draw_between(this, 0, 6)) {
+    switch (draw_between(this, 0, 7)) {
     case 0:
     case 1:
         FakeLog_setUnavailable(this->log, TRUE);
@@ -186,6 +186,10 @@
     case 5:
         begin_idle(this, now_ms);
         break;
+    case 6: /* wanted again at once, before the release is known */
+        Lease_yield(router->lease);
+        Lease_setWanted(router->lease, TRUE, 0);
+        break;
     default:
         if (FakeLog_length(this->log) > 3) {
             FakeLog_expire(this->log, FakeLog_length(this->log) - 3);
