Sessions of requests and orders that arrive after they were given up, which fail

While a link is silent the kernel keeps what it has not delivered, also after a plain close, and delivers it when the link is back.

--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -1,5 +1,6 @@
 """Routers without a path to any upstream, which reach callers, the store and
 the other routers all the while."""
+import time
 import unittest
 
 from cluster import wait_for
@@ -9,6 +10,11 @@
 # Within which engines have to have new weights, as routers refuse to place
 # requests on the old ones from then on.
 WEIGHTS_LIMIT_S = 10
+# Requests that leave an idle connection to each upstream.
+WARM_UPS = 12
+GIVEN_UP_MS = 600
+# Time in which bytes that wait in kernels are delivered.
+DELIVERY_S = 0.5
 
 
 class CutOffTest(unittest.TestCase):
@@ -82,5 +88,44 @@
         self.assert_other_router_orders(Links.cut_silently, self.ROUTERS - 1)
 
 
+class LateDeliveryTest(CutOffTest):
+    """Bytes for which the sender's kernel has no acknowledgement yet are
+    delivered as soon as a link is back."""
+    ROUTERS = 1
+
+    # A request that its router had given up ran as the link came back, on
+    # weights that had been replaced meanwhile.
+    def assert_not_delivered(self, path, upstreams):
+        router, links = self.routers["r0"], self.links["r0"]
+        for _ in range(WARM_UPS):
+            self.assertEqual(self.fleet.ask(router, path).status, 200)
+        seen = [len(upstream.seen) for upstream in upstreams]
+        links.cut_silently()
+        answer = self.fleet.ask(router, path, wait_ms=GIVEN_UP_MS)
+        self.assertNotEqual(answer.status, 200)
+        links.heal()
+        time.sleep(DELIVERY_S)
+        self.assertEqual([len(upstream.seen) for upstream in upstreams], seen)
+
+    def test_call_that_was_given_up_does_not_run_later(self):
+        self.assert_not_delivered("/read/x", [self.plain])
+
+    def test_stream_that_was_given_up_does_not_run_later(self):
+        self.assert_not_delivered("/ask/x", self.engines)
+
+    # An order that its sender had given up was carried out after the link
+    # came back, when another holder may have sent newer ones.
+    def test_order_that_was_given_up_is_not_delivered_later(self):
+        links, router = self.links["r0"], self.routers["r0"]
+        links.cut_at(b"POST /v1/order")
+        self.declare_weights(2)
+        router.wait_event("order_unanswered")
+        links.heal()
+        self.wait_weights(2)
+        time.sleep(DELIVERY_S)
+        self.assertEqual(sum(len(e.orders) for e in self.engines),
+                         len(router.events("order_answered")))
+
+
 if __name__ == "__main__":
     unittest.main()
