Requests and orders that are given up are discarded, not delivered later

Callers' requests began on weights that had been replaced long before: a link was silent, its router gave the request up, and once the link was back the upstream got the request and ran it. Orders came the same way, after those of another holder.

Cause: connections were closed plainly. The kernel keeps what the other side has not acknowledged and sends it again after a close, for minutes. The class is giving up only on one side.

Ruled out: that the router sends again, as it had logged the end of the attempt.

A connection whose answer is not complete is reset: the kernel discards what it has not delivered. Connections with complete answers are closed as before.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 
 #include "Clock.h"
+#include "HttpCall.h"
 
 /* Bytes that one read may add beyond the largest event, framing included. */
 #define INPUT_MARGIN 65536
@@ -169,7 +170,10 @@
         bufferevent_get_input(AttemptConnection_bufferevent(this));
     evbuffer_remove_cb_entry(output, this->output_watch);
     evbuffer_remove_cb_entry(input, this->input_watch);
-    if (this->reusable && Upstream_canPoolConnection(this->upstream)) {
+    if (!this->reusable) {
+        Http_abort(this->evhttp);
+    }
+    else if (Upstream_canPoolConnection(this->upstream)) {
         Upstream_poolConnection(this->upstream, this->evhttp, Clock_nowMs());
     }
     else {
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -18,6 +18,7 @@
     void *data;
     gboolean sent;           /* some bytes were or may have been sent */
     gboolean without_length; /* the answer ends only with its connection */
+    gboolean answered;
 };
 
 void
@@ -43,12 +44,29 @@
     }
 }
 
+/* A reset makes the kernel discard what it has not delivered. After a plain
+ * close it would go on to send the request, for minutes if need be. */
+void
+Http_abort(struct evhttp_connection *connection)
+{
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(connection);
+    struct linger discard = {.l_onoff = 1, .l_linger = 0};
+    evutil_socket_t fd = bufferevent_getfd(bev);
+    if (fd >= 0) {
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    }
+    evhttp_connection_free(connection);
+}
+
 static void
 HttpCall_destroy(HttpCall_t *this)
 {
-    if (this->connection) {
+    if (this->answered) {
         evhttp_connection_free(this->connection);
     }
+    else {
+        Http_abort(this->connection);
+    }
     event_free(this->deadline);
     event_free(this->connect_deadline);
     event_free(this->reaper);
@@ -73,6 +91,7 @@
         return;
     }
     this->done = NULL;
+    this->answered = answer != NULL;
     evtimer_del(this->deadline);
     evtimer_del(this->connect_deadline);
     Clock_arm(this->reaper, 0);
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -78,6 +78,10 @@
 /** Http_setNoDelay() - set TCP_NODELAY on a connection */
 void Http_setNoDelay(struct evhttp_connection *connection);
 
+/** Http_abort() - free a connection whose request is given up; what was not
+ * delivered of the request is never delivered */
+void Http_abort(struct evhttp_connection *connection);
+
 /** Http_copyBody() - copy the body of a request; freed by the caller */
 GBytes *Http_copyBody(struct evhttp_request *request);
 
--- a/tests/links.py
+++ b/tests/links.py
@@ -97,8 +97,8 @@
                 "127.0.0.1", target)
             self.writers.add(to_writer)
             writers.add(to_writer)
-            await asyncio.gather(self._forward(reader, to_writer),
-                                 self._forward(to_reader, writer))
+            await asyncio.gather(self._forward(reader, writer, to_writer),
+                                 self._forward(to_reader, to_writer, writer))
         except (OSError, asyncio.CancelledError):
             pass
         finally:
@@ -106,23 +106,29 @@
             for one in writers:
                 one.transport.abort()
 
-    async def _forward(self, reader, writer):
-        """Bytes of a connection that was reset meanwhile are not delivered,
-        as its sender's kernel repeats them no more."""
+    async def _forward(self, reader, source, writer):
+        """Forwards what `source` sends. If it has reset its connection in
+        silence, its kernel repeats nothing and nothing is delivered."""
         while True:
             block = await reader.read(BLOCK_BYTES)
             if self.marker and self.marker in block:
                 self.marker = None
                 self.passing.clear()
-            await self.passing.wait()
-            if reader.exception():
-                raise reader.exception()
+            if not self.passing.is_set():
+                await self.passing.wait()
+                self._check_reset(source)
             if not block:
                 break
             writer.write(block)
             await writer.drain()
         writer.write_eof()
 
+    def _check_reset(self, source):
+        connection = source.get_extra_info("socket")
+        if (source.transport.is_closing() or connection.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ERROR) != 0):
+            raise ConnectionResetError
+
     async def _set_passing(self, passes):
         if passes:
             self.passing.set()
