--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -1,5 +1,6 @@
 """Routers without a path to any upstream, which reach callers, the store and
 the other routers all the while."""
+import threading
 import time
 import unittest
 
@@ -13,6 +14,11 @@
 # Requests that leave an idle connection to each upstream.
 WARM_UPS = 12
 GIVEN_UP_MS = 600
+# Calls of the router with links: far enough apart that its own answers do not
+# refute the suspicions of others.
+HEALTHY_CALLS = 12
+HEALTHY_PAUSE_S = 0.5
+CUT_OFF_PAUSE_S = 0.1
 # Time in which bytes that wait in kernels are delivered.
 DELIVERY_S = 0.5
 
@@ -127,5 +133,36 @@
                          len(router.events("order_answered")))
 
 
+class SuspicionTest(CutOffTest):
+    ROUTERS = 6
+
+    # Callers of a router with links got refusals: it took the word of routers
+    # that were cut off, and left upstreams out that it could reach.
+    def test_routers_without_links_do_not_keep_others_from_upstreams(self):
+        *cut_off, healthy = self.routers
+        ends = threading.Event()
+        callers = [threading.Thread(target=self.call_until, args=(name, ends))
+                   for name in cut_off]
+        for caller in callers:
+            caller.start()
+        for name in cut_off:
+            self.links[name].cut_with_resets()
+        statuses = []
+        for _ in range(HEALTHY_CALLS):
+            time.sleep(HEALTHY_PAUSE_S)
+            statuses += [
+                self.fleet.ask(self.routers[healthy], path).status
+                for path in ("/ask/x", "/read/x")]
+        ends.set()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(set(statuses), {200}, statuses)
+
+    def call_until(self, name, ends):
+        while not ends.wait(CUT_OFF_PAUSE_S):
+            for path in ("/ask/x", "/read/x"):
+                self.fleet.ask(self.routers[name], path, wait_ms=GIVEN_UP_MS)
+
+
 if __name__ == "__main__":
     unittest.main()
