A router without a path to upstreams does not tell others to avoid them

Callers of a router with links got 503 for a plain service that it reached.

Cause: five of six routers had lost their links to all upstreams. Each told the others which upstreams it could not reach. The sixth had no recent answer of that service, left it out, and left the probes to three routers by rank, which were all cut off.

Suspicions are told once another upstream has answered since, which takes milliseconds where there is traffic. When the path is back all suspected upstreams are probed at once.

--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -20,6 +20,7 @@
 struct UpstreamProber {
     struct event_base *base;
     UpstreamProberSpec_t spec;
+    UpstreamPath_t *path;
     GHashTable *probes; /* Upstream_t -> Probe_t */
     struct event *tick;
 };
@@ -30,6 +31,7 @@
     NoticeOrigin_t origin;
     HttpCall_t *call; /* NULL during a pause */
     gint64 next_ms;
+    gint64 failed_ms;      /* when the probe became needed */
     gint64 peers_until_ms; /* until then only other routers probe */
     guint probe_count;
     gboolean is_of_silent; /* sent because a request had no event in time */
@@ -66,12 +68,15 @@
     }
 }
 
-/* A peer's suspicion has been forwarded already when it was received. */
+/* A peer's suspicion has been forwarded already when it was received. The
+ * peers are not told of an upstream for as long as this router itself may have
+ * no path to any. */
 static void
 report_suspicion(Probe_t *probe)
 {
     Hint_t hint = {.kind = HINT_UNREACHABLE, .subject = probe->upstream->hash};
-    if (probe->is_reported || !probe->upstream->suspect) {
+    if (probe->is_reported || !probe->upstream->suspect ||
+        !UpstreamPath_hasWorkedSince(probe->owner->path, probe->failed_ms)) {
         return;
     }
     probe->is_reported = TRUE;
@@ -205,6 +210,10 @@
     Probe_t *probe = g_new0(Probe_t, 1);
     probe->owner = this;
     probe->upstream = Upstream_ref(upstream);
+    probe->failed_ms = Clock_nowMs();
+    if (!upstream->suspected_by_peer || upstream->probe_wanted) {
+        UpstreamPath_noteFailure(this->path, probe->failed_ms);
+    }
     if (upstream->suspected_by_peer && !is_prober(this, upstream)) {
         probe->peers_until_ms = Clock_nowMs() + PROBERS_TIMEOUT_MS;
     }
@@ -249,6 +258,23 @@
     }
 }
 
+/* All suspicions are probed again once a path is there. */
+static void
+update_path(UpstreamProber_t *this)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    if (!UpstreamPath_update(this->path, Clock_nowMs()) ||
+        UpstreamPath_isLost(this->path)) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, this->probes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Probe_t *probe = value;
+        probe->next_ms = 0;
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
@@ -257,6 +283,7 @@
     UpstreamProber_t *this = data;
     GHashTableIter iter;
     gpointer value = NULL;
+    update_path(this);
     find_suspects(this);
     g_hash_table_foreach_remove(this->probes, is_finished, NULL);
     g_hash_table_iter_init(&iter, this->probes);
@@ -276,6 +303,7 @@
     UpstreamProber_t *this = g_new0(UpstreamProber_t, 1);
     this->base = base;
     this->spec = *spec;
+    this->path = UpstreamPath_create(spec->upstreams);
     this->probes =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_probe);
     this->tick = Clock_timer(base, on_tick, this);
@@ -283,6 +311,12 @@
     return this;
 }
 
+const UpstreamPath_t *
+UpstreamProber_path(const UpstreamProber_t *this)
+{
+    return this->path;
+}
+
 void
 UpstreamProber_setTimeout(UpstreamProber_t *this, gint64 timeout_ms)
 {
@@ -294,5 +328,6 @@
 {
     event_free(this->tick);
     g_hash_table_destroy(this->probes);
+    UpstreamPath_destroy(this->path);
     g_free(this);
 }
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -5,16 +5,18 @@
  *
  * Probes upstreams that were unreachable before requests are sent to them
  * again, so that no request has to find out. The peers are notified of an
- * upstream that this router could not reach. An upstream that was only silent
- * stays in use while it is probed, and is suspected if that probe is not
- * answered (upstream_doubted with reason=silent); an answer is counted as
- * upstream_silent_but_alive_total. The three routers of the
- * lowest ranks probe it as well and notify the others when it answers; the
- * others probe it only if they receive no such notification in time.
+ * upstream that this router could not reach, once another one has answered. An
+ * upstream that was only silent stays in use while it is probed, and is
+ * suspected if that probe is not answered (upstream_doubted with
+ * reason=silent); an answer is counted as upstream_silent_but_alive_total. The
+ * three routers of the lowest ranks probe it as well and notify the others
+ * when it answers; the others probe it only if they receive no such
+ * notification in time.
  */
 #include "HintBroadcast.h"
 #include "RouteTable.h"
 #include "UpstreamNotices.h"
+#include "UpstreamPath.h"
 
 /**
  * struct UpstreamProberSpec_t - dependencies and settings; all objects must
@@ -49,6 +51,9 @@
 UpstreamProber_t *UpstreamProber_create(struct event_base *base,
                                         const UpstreamProberSpec_t *spec);
 
+/** UpstreamProber_path() - whether this router has a path to upstreams */
+const UpstreamPath_t *UpstreamProber_path(const UpstreamProber_t *this);
+
 /** UpstreamProber_setTimeout() - change the timeout of later probes */
 void UpstreamProber_setTimeout(UpstreamProber_t *this, gint64 timeout_ms);
 
