The orders' lease is given up by whether any upstream answers, not by each engine

Callers' requests could still begin on old weights: a holder that had read the states of many engines before it was cut off kept the lease for more than 10 s, and a router that had given it up could stay without it.

Cause: the holder had to find each engine that needed an order unreachable, but calls only those whose turn comes. Engines that had ended counted like a lost path, so that all candidates took the lease for one of them in turn; and a router without the lease probed the first three engines only, at up to 8 s.

Evidence: found by review.

UpstreamPath decides: calls of orders that fail put the path in doubt, a lost one ends the lease at once, and a candidate without a recent answer has a sample probed before it takes the lease. Without that, all engines have to be unreachable, and one alone is no reason. The probes of a router without the lease start at a random engine and are at most 2 s apart.

--- a/src/ManagedEngine.c
+++ b/src/ManagedEngine.c
@@ -38,7 +38,7 @@
 /* Interval of probes after the first failed one; it doubles with each further
  * one, up to this many times. */
 #define PROBE_INTERVAL_MS 500
-#define PROBE_DOUBLINGS_MAX 4
+#define PROBE_DOUBLINGS_MAX 2
 /* Inaccuracy of a timeout. */
 #define TIMER_MARGIN_MS 100
 
@@ -319,6 +319,9 @@
         note_unanswered_read(this, error);
     }
     this->is_unanswered = TRUE;
+    if (this->sender->path) {
+        UpstreamPath_noteFailure(this->sender->path, Clock_nowMs());
+    }
 }
 
 static void
@@ -460,16 +463,18 @@
     return is_suspect || this->is_unanswered;
 }
 
-void
+gboolean
 ManagedEngine_probe(ManagedEngine_t *this)
 {
     gint64 interval_ms = (gint64)PROBE_INTERVAL_MS
                          << MIN(this->probes, PROBE_DOUBLINGS_MAX);
-    if (!this->call && this->is_unanswered &&
-        Clock_nowMs() - this->read_ms >= interval_ms) {
+    gboolean is_due = !this->call && this->is_unanswered &&
+                      Clock_nowMs() - this->read_ms >= interval_ms;
+    if (is_due) {
         this->probes++;
         start_call(this, NULL);
     }
+    return is_due;
 }
 
 gboolean
--- a/src/ManagedEngine.h
+++ b/src/ManagedEngine.h
@@ -14,6 +14,7 @@
 #include "Membership.h"
 #include "OrderForm.h"
 #include "UpstreamNotices.h"
+#include "UpstreamPath.h"
 
 /**
  * struct OrderSender_t - what all engines of a sender share
@@ -23,6 +24,7 @@
  * @membership: gossips pauses and loads
  * @hints: broadcasts pauses and loads; NULL for gossip alone
  * @notices: handle notices in the answers of upstreams; or NULL
+ * @path: told of calls that fail; or NULL
  * @counters: for orders
  * @holder: name of the sender
  * @timeout_ms: for each call
@@ -37,6 +39,7 @@
     Membership_t *membership;
     HintBroadcast_t *hints;
     UpstreamNotices_t *notices;
+    UpstreamPath_t *path;
     Counters_t *counters;
     const char *holder;
     gint64 timeout_ms;
@@ -88,10 +91,12 @@
 gboolean ManagedEngine_isUnreachable(const ManagedEngine_t *this);
 
 /**
- * ManagedEngine_probe() - read the state of an unreachable engine, at growing
- * intervals, although this router does not hold the lease
+ * ManagedEngine_probe() - read the state of an engine whose last call failed,
+ * at growing intervals, although this router does not hold the lease
+ *
+ * Return: whether a read was started
  */
-void ManagedEngine_probe(ManagedEngine_t *this);
+gboolean ManagedEngine_probe(ManagedEngine_t *this);
 
 /**
  * ManagedEngine_advance() - take the next step towards the wanted weights
--- a/src/OrderPath.c
+++ b/src/OrderPath.c
@@ -1,13 +1,13 @@
 #include "OrderPath.h"
 
-/* A holder gives up its lease only after this time: a single engine that
- * still needs an order may be silent for a moment. */
+/* A holder gives up its lease only after this time: engines may be silent for
+ * a moment. */
 #define LOST_AFTER_MS 700
 
 static gboolean
-lose(OrderPath_t *this, gint64 now_ms)
+lose(OrderPath_t *this, gint64 after_ms, gint64 now_ms)
 {
-    if (this->lost_ms != 0 || now_ms - this->blocked_ms < LOST_AFTER_MS) {
+    if (this->lost_ms != 0 || now_ms - this->blocked_ms < after_ms) {
         return FALSE;
     }
     this->lost_ms = now_ms;
@@ -24,18 +24,26 @@
     return TRUE;
 }
 
+/* A single engine that can't be reached has most likely ended. */
+static gboolean
+reaches_none(const OrderPathInput_t *input)
+{
+    return input->has_no_path ||
+           (input->engines > 1 && input->unreachable >= input->engines);
+}
+
 gboolean
-OrderPath_update(OrderPath_t *this, guint pending, guint unreachable,
-                 gint64 lease_ms, gint64 now_ms)
+OrderPath_update(OrderPath_t *this, const OrderPathInput_t *input,
+                 gint64 now_ms)
 {
-    if (pending == 0 || unreachable < pending) {
+    if (!reaches_none(input)) {
         this->blocked_ms = 0;
-        return find(this, lease_ms, now_ms);
+        return find(this, input->lease_ms, now_ms);
     }
     if (this->blocked_ms == 0) {
         this->blocked_ms = now_ms;
     }
-    return lose(this, now_ms);
+    return lose(this, input->has_no_path ? 0 : LOST_AFTER_MS, now_ms);
 }
 
 gboolean
--- a/src/Orders.c
+++ b/src/Orders.c
@@ -7,14 +7,13 @@
 #include "Log.h"
 #include "ModelVersions.h"
 #include "OrderPath.h"
+#include "Random.h"
 #include "WeightLoadSlots.h"
 
 #define TICK_MS 50
 /* Tick of a router that does not hold the lease: short enough to take a free
  * lease soon, long enough to be cheap with thousands of engines. */
 #define TICK_WITHOUT_LEASE_MS 250
-/* Number of engines that a router without a path to any engine probes. */
-#define PROBED_ENGINES 3
 
 struct Orders {
     OrdersSpec_t spec;
@@ -252,59 +251,66 @@
            (LeaseRank_isCandidate(rank, 0) || this->took_over);
 }
 
-/* Whether an order is needed that was not accepted yet. */
-static gboolean
-needs_order(const EngineTarget_t *target)
-{
-    const Upstream_t *upstream = ManagedEngine_upstream(target->engine);
-    return strcmp(upstream->weights->str, target->wanted.weights) != 0 &&
-           !ManagedEngine_isLoading(target->engine);
-}
-
 static void
-log_path(const Orders_t *this, guint pending, guint unreachable)
+log_path(const Orders_t *this, const OrderPathInput_t *input)
 {
-    const OrderPath_t *path = &this->path;
-    Log_begin(LOG_LEVEL_WARNING, OrderPath_isLost(path) ? "orders_path_lost"
-                                                        : "orders_path_found");
+    Log_begin(LOG_LEVEL_WARNING, OrderPath_isLost(&this->path)
+                                     ? "orders_path_lost"
+                                     : "orders_path_found");
     Log_text("scope", this->scope->str);
-    Log_number("pending", pending);
-    Log_number("unreachable", unreachable);
+    Log_number("engines", input->engines);
+    Log_number("unreachable", input->unreachable);
+    Log_number("no_path", input->has_no_path);
     Log_number("lease_left_ms", Lease_remainingMs(this->sender.lease));
     Log_end();
 }
 
-/* A router without the lease calls no engines, so it probes a few of those
- * that it can't reach. */
+/* A router without the lease calls no engines, so it probes one of those that
+ * it can't reach. It starts at a random one, as some may be gone for good. */
 static void
-probe(Orders_t *this, const EngineTarget_t *target, guint probed)
+probe_one(const Orders_t *this, const GArray *engines)
 {
-    if (OrderPath_isBlocked(&this->path) && probed < PROBED_ENGINES &&
-        Lease_remainingMs(this->sender.lease) == 0) {
-        ManagedEngine_probe(target->engine);
+    guint first = engines->len > 0 ? Random_below(engines->len) : 0;
+    if (!OrderPath_isBlocked(&this->path) ||
+        Lease_remainingMs(this->sender.lease) > 0) {
+        return;
+    }
+    for (guint i = 0; i < engines->len; i++) {
+        const EngineTarget_t *target = &g_array_index(
+            engines, EngineTarget_t, (first + i) % engines->len);
+        if (ManagedEngine_probe(target->engine)) {
+            return;
+        }
     }
 }
 
-static void
-update_path(Orders_t *this)
+static OrderPathInput_t
+count_unreachable(const Orders_t *this, const GArray *engines)
 {
-    guint pending = 0;
-    guint unreachable = 0;
-    GArray *engines = list_targets(this);
+    const UpstreamPath_t *path = this->spec.path;
+    OrderPathInput_t input = {
+        .engines = engines->len,
+        .has_no_path = path && UpstreamPath_isLost(path),
+        .lease_ms = this->spec.settings->platform.lease_ms,
+    };
     for (guint i = 0; i < engines->len; i++) {
         const EngineTarget_t *target =
             &g_array_index(engines, EngineTarget_t, i);
-        if (needs_order(target)) {
-            probe(this, target, pending);
-            pending++;
-            unreachable += ManagedEngine_isUnreachable(target->engine) ? 1 : 0;
-        }
+        input.unreachable +=
+            ManagedEngine_isUnreachable(target->engine) ? 1 : 0;
     }
+    return input;
+}
+
+static void
+update_path(Orders_t *this)
+{
+    GArray *engines = list_targets(this);
+    OrderPathInput_t input = count_unreachable(this, engines);
+    probe_one(this, engines);
     g_array_unref(engines);
-    if (OrderPath_update(&this->path, pending, unreachable,
-                         this->spec.settings->platform.lease_ms,
-                         Clock_nowMs())) {
-        log_path(this, pending, unreachable);
+    if (OrderPath_update(&this->path, &input, Clock_nowMs())) {
+        log_path(this, &input);
     }
 }
 
@@ -323,14 +329,20 @@
     }
 }
 
-/* A router that reaches no engine keeps a lease for a moment, but takes none.
- */
+/* Whether this router may hold the lease. Before it takes the lease, it finds
+ * out whether it reaches upstreams; a holder keeps it until that is known. */
 static gboolean
 has_path(const Orders_t *this)
 {
-    return Lease_remainingMs(this->sender.lease) > 0
-               ? !OrderPath_isLost(&this->path)
-               : !OrderPath_isBlocked(&this->path);
+    UpstreamPath_t *path = this->spec.path;
+    if (Lease_remainingMs(this->sender.lease) > 0) {
+        return !OrderPath_isLost(&this->path);
+    }
+    if (path) {
+        UpstreamPath_check(path, Clock_nowMs());
+    }
+    return !OrderPath_isBlocked(&this->path) &&
+           !(path && UpstreamPath_isInDoubt(path));
 }
 
 /* Allows orders again once the lease with the stale number is lost: the next
@@ -409,6 +421,7 @@
         .membership = spec->membership,
         .hints = spec->hints,
         .notices = spec->notices,
+        .path = spec->path,
         .counters = spec->counters,
         .holder = settings->router.name->str,
         .timeout_ms = settings->platform.order_timeout_ms,
--- a/src/Orders.h
+++ b/src/Orders.h
@@ -41,6 +41,7 @@
  * @membership: ranks the candidates for the lease; gossips new weights
  * @hints: broadcasts pauses and loads; NULL for gossip alone
  * @notices: handle notices in the answers of upstreams; or NULL
+ * @path: whether this router reaches any upstream; or NULL
  * @counters: for orders
  */
 typedef struct {
@@ -55,6 +56,7 @@
     Membership_t *membership;
     HintBroadcast_t *hints;
     UpstreamNotices_t *notices;
+    UpstreamPath_t *path;
     Counters_t *counters;
 } OrdersSpec_t;
 
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -137,6 +137,7 @@
         .membership = context->membership,
         .hints = this->hints,
         .notices = context->notices,
+        .path = UpstreamProber_path(this->prober),
         .counters = context->counters,
     };
     this->orders = Orders_create(context->base, &orders);
@@ -279,8 +280,8 @@
         context->base, &platform->log, platform->log_timeout_ms, this->epoch);
     create_followers(this, form);
     create_crashes(this, form);
-    create_orders(this, form);
     create_prober(this);
+    create_orders(this, form);
     LoadShareSpec_t loads = {
         .upstreams = context->upstreams,
         .membership = context->membership,
@@ -318,8 +319,8 @@
     RecordSource_destroy(this->records);
     CrashGuard_destroy(this->context->crashes);
     LoadShare_destroy(this->load_share);
-    UpstreamProber_destroy(this->prober);
     Orders_destroy(this->orders);
+    UpstreamProber_destroy(this->prober);
     UpstreamListing_destroy(this->context->listing);
     HallRegions_destroy(this->regions);
     RouteSync_destroy(this->sync);
--- a/src/UpstreamPath.c
+++ b/src/UpstreamPath.c
@@ -6,6 +6,8 @@
 /* Number of upstreams that are probed after a failure. If a third of all
  * upstreams is down, all of a sample are in one case of eighty. */
 #define SAMPLE_MAX 4
+/* An answer of this age is proof enough for UpstreamPath_check(). */
+#define PROOF_MAX_AGE_MS 500
 
 typedef enum {
     PATH_WORKS,
@@ -55,6 +57,14 @@
     }
 }
 
+void
+UpstreamPath_check(UpstreamPath_t *this, gint64 now_ms)
+{
+    if (now_ms - this->answer_ms > PROOF_MAX_AGE_MS) {
+        UpstreamPath_noteFailure(this, now_ms);
+    }
+}
+
 static gboolean
 is_unreachable(const Upstream_t *upstream)
 {
@@ -85,18 +95,36 @@
     Upstream_noteSilent(upstream);
 }
 
-/* Starts at a random upstream, so that routers probe different ones. */
-static void
-draw_sample(UpstreamPath_t *this)
+static gboolean
+may_probe(const Upstream_t *upstream, gint64 now_ms)
+{
+    return !upstream->leaving &&
+           UpstreamBackoff_leftMs(&upstream->backoff, now_ms) == 0;
+}
+
+/* Starts at a random upstream, so that routers probe different ones.
+ *
+ * Return: FALSE if there are upstreams, but none that may be probed
+ */
+static gboolean
+draw_sample(UpstreamPath_t *this, gint64 now_ms)
 {
     const GPtrArray *all = UpstreamSet_all(this->upstreams);
     guint first = all->len > 0 ? Random_below(all->len) : 0;
+    guint left_out = 0;
     for (guint i = 0; i < all->len && this->sampled < SAMPLE_MAX; i++) {
         Upstream_t *upstream = g_ptr_array_index(all, (first + i) % all->len);
-        if (!is_unreachable(upstream) && !upstream->leaving) {
+        if (is_unreachable(upstream)) {
+            continue;
+        }
+        if (may_probe(upstream, now_ms)) {
             add_to_sample(this, upstream);
         }
+        else {
+            left_out++;
+        }
     }
+    return this->sampled > 0 || left_out == 0;
 }
 
 static gboolean
@@ -159,12 +187,20 @@
         return find(this, now_ms);
     }
     if (this->state == PATH_WORKS) {
-        draw_sample(this);
+        if (!draw_sample(this, now_ms)) {
+            return find(this, now_ms);
+        }
         this->state = PATH_IN_DOUBT;
     }
     return this->state == PATH_IN_DOUBT && lose(this, now_ms);
 }
 
+gboolean
+UpstreamPath_isInDoubt(const UpstreamPath_t *this)
+{
+    return this->failed_ms != 0 && this->state != PATH_LOST;
+}
+
 gboolean
 UpstreamPath_isLost(const UpstreamPath_t *this)
 {
--- a/src/UpstreamPath.h
+++ b/src/UpstreamPath.h
@@ -28,6 +28,14 @@
  * upstream, or that one was silent */
 void UpstreamPath_noteFailure(UpstreamPath_t *this, gint64 now_ms);
 
+/**
+ * UpstreamPath_check() - have a sample probed unless an upstream has answered
+ * lately
+ *
+ * For work that needs a path and that another router can do as well.
+ */
+void UpstreamPath_check(UpstreamPath_t *this, gint64 now_ms);
+
 /**
  * UpstreamPath_update() - take in what upstreams have answered since
  *
@@ -37,6 +45,10 @@
  */
 gboolean UpstreamPath_update(UpstreamPath_t *this, gint64 now_ms);
 
+/** UpstreamPath_isInDoubt() - whether no upstream has answered since a failure
+ * or a check; a sample is being probed */
+gboolean UpstreamPath_isInDoubt(const UpstreamPath_t *this);
+
 /** UpstreamPath_isLost() - whether no upstream can be reached */
 gboolean UpstreamPath_isLost(const UpstreamPath_t *this);
 
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -311,7 +311,7 @@
     return this;
 }
 
-const UpstreamPath_t *
+UpstreamPath_t *
 UpstreamProber_path(const UpstreamProber_t *this)
 {
     return this->path;
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -52,7 +52,7 @@
                                         const UpstreamProberSpec_t *spec);
 
 /** UpstreamProber_path() - whether this router has a path to upstreams */
-const UpstreamPath_t *UpstreamProber_path(const UpstreamProber_t *this);
+UpstreamPath_t *UpstreamProber_path(const UpstreamProber_t *this);
 
 /** UpstreamProber_setTimeout() - change the timeout of later probes */
 void UpstreamProber_setTimeout(UpstreamProber_t *this, gint64 timeout_ms);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -546,7 +546,8 @@
         return self.await_start(self.launch(*arguments, **more))
 
     def launch(self, name="r1", peers=(), store_address=None, verbose=True,
-               environment=None, **settings):
+               environment=None, load_percent=50, fencing="false",
+               **settings):
         """Starts a router's process without waiting for anything."""
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
@@ -565,7 +566,7 @@
         with open(path, "w") as file:
             address = store_address or self.store.address
             file.write(SETTINGS % (name, key_hash(OPERATOR_KEY),
-                                   address, address))
+                                   address, address, load_percent, fencing))
             for section, keys in values.items():
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
@@ -677,5 +678,6 @@
 instances = %s
 lease = 600ms
 order_timeout = 100ms
-load_percent = 50
+load_percent = %d
+fencing = %s
 """
--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -4,13 +4,17 @@
 import time
 import unittest
 
-from cluster import wait_for
-from fleet import Fleet
+from cluster import HANG_LIMIT, wait_for
+from fleet import Fleet, MortalEngine
 from links import Links
 
 # Within which engines have to have new weights, as routers refuse to place
 # requests on the old ones from then on.
 WEIGHTS_LIMIT_S = 10
+# Within which another router sends the first order: half of that time, as the
+# engines load one after the other.
+FIRST_ORDER_S = 5
+LONG_CUT_S = 8
 # Requests that leave an idle connection to each upstream.
 WARM_UPS = 12
 GIVEN_UP_MS = 600
@@ -40,13 +44,14 @@
         for n in range(self.ROUTERS):
             self.start_router("r%d" % n)
 
-    def start_router(self, name):
+    def start_router(self, name, **settings):
         self.links[name] = Links(self.upstreams)
         self.addCleanup(self.links[name].close)
         seeds = {"seeds": self.fleet.routers[0].peer_address} \
             if self.fleet.routers else {}
         router = self.fleet.router(
-            name, peers=seeds, environment=self.links[name].environment)
+            name, peers=seeds, environment=self.links[name].environment,
+            **settings)
         wait_for(lambda: len(router.events("upstream_listed"))
                  >= len(self.upstreams), "the upstreams at " + name)
         self.routers[name] = router
@@ -63,11 +68,13 @@
         """Has weights loaded and returns the name of the router that ordered
         them."""
         self.declare_weights(2)
-        self.wait_weights(2)
+        self.wait_weights(2, HANG_LIMIT)
         return self.engines[0].orders[-1]["holder"]
 
 
 class OrderTest(CutOffTest):
+    LOAD_LIMIT_S = WEIGHTS_LIMIT_S
+
     # Engines kept old weights: the holder of the lease reached the store but
     # no engine, and renewed the lease until its links were back.
     def assert_other_router_orders(self, cut, count=1):
@@ -77,7 +84,9 @@
         for name in cut_off:
             cut(self.links[name])
         self.declare_weights(3)
-        self.wait_weights(3)
+        wait_for(lambda: any(e.version == 3 for e in self.engines),
+                 "an order by another router", FIRST_ORDER_S)
+        self.wait_weights(3, self.LOAD_LIMIT_S)
         for engine in self.engines:
             self.assertNotIn(engine.orders[-1]["holder"], cut_off)
 
@@ -94,6 +103,63 @@
         self.assert_other_router_orders(Links.cut_silently, self.ROUTERS - 1)
 
 
+class ManyEnginesTest(OrderTest):
+    # A holder that had read the states of all engines called only those whose
+    # turn came, and kept the lease although none of them answered.
+    ENGINES = 10
+    LOAD_LIMIT_S = HANG_LIMIT
+
+    def start_router(self, name):
+        super().start_router(name, load_percent=10, fencing="true")
+
+    def find_holder(self):
+        holder = super().find_holder()
+        time.sleep(1)
+        return holder
+
+
+class DeadEngineTest(CutOffTest):
+    SILENT_S = 6
+
+    # An engine that had ended was the only one without the new weights: each
+    # router took the lease for it and gave it up again.
+    def test_a_dead_engine_does_not_move_the_lease(self):
+        dead = self.fleet.add(MortalEngine(self.fleet.store, "d0"))
+        self.find_holder()
+        wait_for(lambda: dead.version == 2, "the load of version 2")
+        dead.kill()
+        before = self.count_taken()
+        self.declare_weights(3)
+        self.wait_weights(3)
+        time.sleep(self.SILENT_S)
+        self.assertLessEqual(self.count_taken() - before, 1)
+
+    def count_taken(self):
+        return sum(len(router.events("lease_taken"))
+                   for router in self.routers.values())
+
+
+class OnlyRouterTest(CutOffTest):
+    ROUTERS = 1
+
+    # The only router probed engines that had ended, and no others.
+    def test_dead_engines_do_not_hide_that_others_are_back(self):
+        dead = [self.fleet.add(MortalEngine(self.fleet.store, "d%d" % n))
+                for n in range(3)]
+        for engine in dead:
+            engine.kill()
+        router, links = self.routers["r0"], self.links["r0"]
+        wait_for(lambda: len(router.events("upstream_listed"))
+                 >= len(self.upstreams) + len(dead), "the dead engines")
+        self.find_holder()
+        links.cut_silently()
+        self.declare_weights(3)
+        router.wait_event("orders_path_lost")
+        time.sleep(LONG_CUT_S)
+        links.heal()
+        self.wait_weights(3)
+
+
 class LateDeliveryTest(CutOffTest):
     """Bytes for which the sender's kernel has no acknowledgement yet are
     delivered as soon as a link is back."""
--- a/tests/test_UpstreamPath.c
+++ b/tests/test_UpstreamPath.c
@@ -178,7 +178,41 @@
 }
 END_TEST
 
-TESTING_MAIN("UpstreamPath", a_path_is_lost_if_none_of_a_sample_answers,
+START_TEST(upstreams_that_rest_do_not_lose_the_path)
+{
+    begin(UPSTREAMS);
+    for (guint i = 1; i < UPSTREAMS; i++) {
+        UpstreamBackoff_note(&upstream_at(i)->backoff, 3000, START_MS);
+    }
+    fail_upstream(0, START_MS);
+    ck_assert(!UpstreamPath_update(path, START_MS));
+    ck_assert(!UpstreamPath_isInDoubt(path));
+    ck_assert_uint_eq(count_probes_wanted(), 0);
+    end();
+}
+END_TEST
+
+START_TEST(a_check_probes_only_without_a_recent_answer)
+{
+    begin(UPSTREAMS);
+    Upstream_noteReachable(upstream_at(1), START_MS);
+    UpstreamPath_update(path, START_MS);
+    UpstreamPath_check(path, START_MS + 100);
+    ck_assert(!UpstreamPath_isInDoubt(path));
+    UpstreamPath_check(path, START_MS + 2000);
+    UpstreamPath_update(path, START_MS + 2000);
+    ck_assert(UpstreamPath_isInDoubt(path));
+    ck_assert_uint_ge(count_probes_wanted(), 2);
+    Upstream_noteReachable(upstream_at(1), START_MS + 2010);
+    UpstreamPath_update(path, START_MS + 2010);
+    ck_assert(!UpstreamPath_isInDoubt(path));
+    end();
+}
+END_TEST
+
+TESTING_MAIN("UpstreamPath", upstreams_that_rest_do_not_lose_the_path,
+             a_check_probes_only_without_a_recent_answer,
+             a_path_is_lost_if_none_of_a_sample_answers,
              one_answer_of_the_sample_keeps_the_path,
              nothing_is_probed_if_another_upstream_answers_anyway,
              any_answer_finds_the_path_again, a_path_may_be_lost_twice,
