Candidates for the orders' lease check their path only while a roll-out stalls

A candidate without a recent answer had four upstreams probed at each roll-out, also where the holder made progress or no other router was there. Candidates check after 0.6 s without progress, and only if another router may be the one that is cut off.

test_a_stream_leaves_a_loading_engine_that_was_silent waited for any answered probe as the sign that one engine counts as alive again. Others are probed as well now, so it waits for that engine's.

--- a/src/Orders.c
+++ b/src/Orders.c
@@ -15,6 +15,10 @@
  * lease soon, long enough to be cheap with thousands of engines. */
 #define TICK_WITHOUT_LEASE_MS 250
 
+/* If the roll-out has made no progress for this time, its holder may be cut
+ * off from the engines, and the other candidates find out whether they are. */
+#define PATH_CHECK_MS 600
+
 struct Orders {
     OrdersSpec_t spec;
     OrderSender_t sender;
@@ -329,8 +333,17 @@
     }
 }
 
-/* Whether this router may hold the lease. Before it takes the lease, it finds
- * out whether it reaches upstreams; a holder keeps it until that is known. */
+/* Whether another router may be stuck with the roll-out. */
+static gboolean
+is_stalled(const Orders_t *this)
+{
+    return this->pending_work > 0 &&
+           Clock_nowMs() - this->progress_ms >= PATH_CHECK_MS &&
+           Membership_countActive(this->spec.membership) > 1;
+}
+
+/* Whether this router may hold the lease. A holder keeps it until the path is
+ * known to be lost. */
 static gboolean
 has_path(const Orders_t *this)
 {
@@ -338,7 +351,7 @@
     if (Lease_remainingMs(this->sender.lease) > 0) {
         return !OrderPath_isLost(&this->path);
     }
-    if (path) {
+    if (path && is_stalled(this)) {
         UpstreamPath_check(path, Clock_nowMs());
     }
     return !OrderPath_isBlocked(&this->path) &&
--- a/tests/sessions/test_moves.py
+++ b/tests/sessions/test_moves.py
@@ -60,7 +60,9 @@
         self.first.probed.set()
         self.first.gate.open(1)
         # Until then the router still counts the engine as silent.
-        self.router.wait_event("upstream_reached")
+        wait_for(lambda: self.first.name in [
+            event["upstream"] for event in
+            self.router.events("upstream_reached")], "an answer to a probe")
         for engine in self.others:
             engine.shed = False
             engine.gate.open()
