A router that lost its links does not blame requests for its upstreams

Callers got 503 crashes_upstreams from routers that reached all engines.

Cause: another router's links were reset and new connections refused. It took that for the end of each engine, counted a crash for the requests that ran there, and told all routers; three crashes hold a request back for minutes.

Evidence: found by review; CrashTest with resets failed before (503 instead of 200), with silent links it passed. Both pass now.

A refused connection is proof of a crash only once another upstream has answered since the loss, and losses are dropped when the router finds its path lost (UpstreamPath). Restarts and removals from the list count as before.

--- a/src/CrashEvidence.c
+++ b/src/CrashEvidence.c
@@ -26,6 +26,7 @@
 struct CrashEvidence {
     struct event_base *base;
     gboolean tests_upstreams;
+    const UpstreamPath_t *path; /* NULL if it is not known */
     const CrashEvidenceEvents_t *events;
     void *owner;
     GQueue attempts;             /* LostAttempt_t, oldest first */
@@ -43,9 +44,18 @@
     g_free(attempt);
 }
 
+/* A router that can't connect to an upstream may have lost its own links. */
+static gboolean
+is_refusal_proof(const CrashEvidence_t *this, const LostAttempt_t *attempt)
+{
+    return attempt->connection_lost &&
+           (!this->path ||
+            UpstreamPath_hasWorkedSince(this->path, attempt->at_ms));
+}
+
 /* Returns the name of the proof for the log; NULL without proof. */
 static const char *
-find_proof(const LostAttempt_t *attempt)
+find_proof(const CrashEvidence_t *this, const LostAttempt_t *attempt)
 {
     const Upstream_t *upstream = attempt->upstream;
     gboolean was_known = attempt->incarnation != 0;
@@ -59,7 +69,8 @@
         return "not_listed";
     }
     gboolean is_unreached = upstream->suspect && upstream->unanswered > 0;
-    return attempt->connection_lost && is_unreached ? "not_connected" : NULL;
+    return is_unreached && is_refusal_proof(this, attempt) ? "not_connected"
+                                                           : NULL;
 }
 
 static void
@@ -132,11 +143,12 @@
 check_attempt(CrashEvidence_t *this, GList *link, gint64 now_ms)
 {
     const LostAttempt_t *attempt = link->data;
-    const char *proof = find_proof(attempt);
+    const char *proof = find_proof(this, attempt);
+    gboolean has_no_path = this->path && UpstreamPath_isLost(this->path);
     if (proof) {
         report_crash(this, link, proof);
     }
-    else if (now_ms - attempt->at_ms > EVIDENCE_TIMEOUT_MS) {
+    else if (has_no_path || now_ms - attempt->at_ms > EVIDENCE_TIMEOUT_MS) {
         drop_attempt(this, link);
     }
 }
@@ -182,6 +194,12 @@
     return this;
 }
 
+void
+CrashEvidence_setPath(CrashEvidence_t *this, const UpstreamPath_t *path)
+{
+    this->path = path;
+}
+
 void
 CrashEvidence_destroy(CrashEvidence_t *this)
 {
@@ -277,7 +295,7 @@
     for (GList *link = this->attempts.head; link; link = next) {
         const LostAttempt_t *attempt = link->data;
         next = link->next;
-        if (attempt->upstream == upstream && attempt->connection_lost) {
+        if (attempt->upstream == upstream && is_refusal_proof(this, attempt)) {
             report_crash(this, link, "not_connected");
         }
     }
--- a/src/CrashEvidence.h
+++ b/src/CrashEvidence.h
@@ -21,6 +21,7 @@
 
 #include "RequestDigest.h"
 #include "Upstream.h"
+#include "UpstreamPath.h"
 
 /**
  * struct LostAttempt_t - an attempt that failed at its upstream
@@ -68,6 +69,15 @@
                                       const CrashEvidenceEvents_t *events,
                                       void *owner);
 
+/**
+ * CrashEvidence_setPath() - set how to tell whether this router reaches
+ * upstreams
+ *
+ * Attempts that were lost when this router lost its path are dropped, and a
+ * failed connection is proof only once another upstream has answered.
+ */
+void CrashEvidence_setPath(CrashEvidence_t *this, const UpstreamPath_t *path);
+
 /** CrashEvidence_destroy() - free the evidence; reports nothing */
 void CrashEvidence_destroy(CrashEvidence_t *this);
 
--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -312,6 +312,7 @@
     this->table = CrashTable_create();
     this->evidence = CrashEvidence_create(base, spec->tests_upstreams,
                                           &evidence_events, this);
+    CrashEvidence_setPath(this->evidence, spec->path);
     this->updates = CrashUpdates_create(base, spec->membership, this->table,
                                         &updates_events, this);
     this->records = CrashRecords_create(base, &records);
--- a/src/CrashGuard.h
+++ b/src/CrashGuard.h
@@ -19,6 +19,7 @@
 #include "RequestHashes.h"
 #include "StoreEpoch.h"
 #include "Upstream.h"
+#include "UpstreamPath.h"
 
 /**
  * struct CrashGuardSpec_t - dependencies; all must outlive the guard
@@ -29,6 +30,7 @@
  * @epoch: of the platform's store
  * @topic: of the stored records
  * @tests_upstreams: see CrashEvidence_create()
+ * @path: see CrashEvidence_setPath(); or NULL
  * @recheck: called for each active request when a quarantine begins
  */
 typedef struct {
@@ -39,6 +41,7 @@
     StoreEpoch_t *epoch;
     const char *topic;
     gboolean tests_upstreams;
+    const UpstreamPath_t *path;
     void (*recheck)(void *request);
 } CrashGuardSpec_t;
 
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -172,6 +172,7 @@
         .source = this->records,
         .epoch = this->epoch,
         .topic = form->crash_topic,
+        .path = UpstreamProber_path(this->prober),
         .recheck = Exchange_recheckQuarantine,
     };
     context->crashes = CrashGuard_create(context->base, &crashes);
@@ -279,8 +280,8 @@
     this->records = form->create_records(
         context->base, &platform->log, platform->log_timeout_ms, this->epoch);
     create_followers(this, form);
-    create_crashes(this, form);
     create_prober(this);
+    create_crashes(this, form);
     create_orders(this, form);
     LoadShareSpec_t loads = {
         .upstreams = context->upstreams,
--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -1,5 +1,6 @@
 """Routers without a path to any upstream, which reach callers, the store and
 the other routers all the while."""
+import http.client
 import threading
 import time
 import unittest
@@ -23,6 +24,8 @@
 HEALTHY_CALLS = 12
 HEALTHY_PAUSE_S = 0.5
 CUT_OFF_PAUSE_S = 0.1
+# Time in which routers tell each other of crashes.
+CRASHES_KNOWN_S = 1.5
 # Time in which bytes that wait in kernels are delivered.
 DELIVERY_S = 0.5
 
@@ -230,5 +233,45 @@
                 self.fleet.ask(self.routers[name], path, wait_ms=GIVEN_UP_MS)
 
 
+class CrashTest(CutOffTest):
+    ROUTERS = 2
+    BODY = b"the same for all"
+    COPIES = 12
+
+    # A router without links took them for the crashes of all engines, and all
+    # routers held back the requests that ran there.
+    def assert_served_elsewhere(self, cut):
+        gate = self.start_copies()
+        cut(self.links["r0"])
+        time.sleep(CRASHES_KNOWN_S)
+        gate.set()
+        answer = self.fleet.ask(self.routers["r1"], "/ask/once/x", self.BODY)
+        self.assertEqual(answer.status, 200, answer.body)
+        self.assertEqual(self.routers["r1"].events("request_held"), [])
+
+    def start_copies(self):
+        """Has the same request run on each engine, sent by r0."""
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        for engine in self.engines:
+            engine.gate = gate
+        for _ in range(self.COPIES):
+            threading.Thread(target=self.send_copy, daemon=True).start()
+        wait_for(lambda: all(e.seen for e in self.engines), "all run it")
+        return gate
+
+    def send_copy(self):
+        try:
+            self.fleet.ask(self.routers["r0"], "/ask/once/x", self.BODY)
+        except (OSError, http.client.HTTPException):
+            pass  # its stream was cut
+
+    def test_reset_links_hold_no_request_back_elsewhere(self):
+        self.assert_served_elsewhere(Links.cut_with_resets)
+
+    def test_silent_links_hold_no_request_back_elsewhere(self):
+        self.assert_served_elsewhere(Links.cut_silently)
+
+
 if __name__ == "__main__":
     unittest.main()
