--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import unittest
+import uuid
 
 from cluster import HANG_LIMIT, wait_for
 from fleet import Fleet, MortalEngine
@@ -26,6 +27,11 @@
 CUT_OFF_PAUSE_S = 0.1
 # Time in which routers tell each other of crashes.
 CRASHES_KNOWN_S = 1.5
+# Within which a router has to serve its callers again after it lost its links.
+CONTACT_S = 3
+MEASURED_S = 3
+ENOUGH_CALLS = 50
+CALL_LIMIT_MS = 4000
 # Time in which bytes that wait in kernels are delivered.
 DELIVERY_S = 0.5
 
@@ -273,5 +279,66 @@
         self.assert_served_elsewhere(Links.cut_silently)
 
 
+class ForwardTest(CutOffTest):
+    PATHS = ("/ask/x", "/read/x", "/write/x")
+
+    def start_router(self, name):
+        super().start_router(name, connect_timeout="400ms",
+                             probe_silent="yes")
+
+    # Callers of a router without links were refused while other routers
+    # reached all upstreams.
+    def assert_served(self, cut, count):
+        names = list(self.routers)
+        statuses = self.call_all(names[:count], cut)
+        failed = [status for status in statuses if status != 200]
+        self.assertGreater(len(statuses), ENOUGH_CALLS)
+        self.assertLessEqual(len(failed), len(statuses) / 50, failed)
+        for upstream in self.upstreams:
+            ids = [seen["X-Request-Id"] for seen in upstream.seen
+                   if seen[":path"].startswith("/write/")]
+            self.assertEqual(len(ids), len(set(ids)), "ran twice")
+
+    def call_all(self, names, cut):
+        """Calls the named routers, which lose their links, and returns the
+        statuses of the calls made in a while after that is known."""
+        ends = threading.Event()
+        calls = []
+        callers = [threading.Thread(target=self.call_until,
+                                    args=(name, path, calls, ends))
+                   for name in names for path in self.PATHS]
+        for caller in callers:
+            caller.start()
+        time.sleep(CUT_OFF_PAUSE_S * 5)
+        for name in names:
+            cut(self.links[name])
+        known = time.monotonic() + CONTACT_S
+        time.sleep(CONTACT_S + MEASURED_S)
+        ends.set()
+        for caller in callers:
+            caller.join()
+        return [status for start, status in calls if start > known]
+
+    def call_until(self, name, path, calls, ends):
+        while not ends.wait(CUT_OFF_PAUSE_S):
+            start = time.monotonic()
+            try:
+                status = self.fleet.ask(
+                    self.routers[name], path, wait_ms=CALL_LIMIT_MS,
+                    X_Request_Id=uuid.uuid4().hex).status
+            except (OSError, http.client.HTTPException):
+                status = None
+            calls.append((start, status))
+
+    def test_silent_links_leave_callers_served(self):
+        self.assert_served(Links.cut_silently, 2)
+
+    def test_reset_links_leave_callers_served(self):
+        self.assert_served(Links.cut_with_resets, 3)
+
+    def test_refused_links_leave_callers_served(self):
+        self.assert_served(Links.refuse_new, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
