Requests of routers without a path to upstreams are forwarded to other routers

Cause: a router's own links were its only way to an upstream. The class is a router that is treated as whole while a part that it needs is gone.

The request goes as its caller sent it to a linked router, which treats it like one of its own: it alone counts limits, places and repeats. A forwarded request names its forwarder and is not forwarded again; a router that can't serve it says that it has not run, and only then, or if nothing was sent, another one is asked. Without any router with a path the refusal is no_path, at once.

--- a/src/Context.h
+++ b/src/Context.h
@@ -20,6 +20,7 @@
 #include "Dispatch.h"
 #include "EngineSplit.h"
 #include "EstimateError.h"
+#include "ForwardPeers.h"
 #include "Membership.h"
 #include "ModelVersions.h"
 #include "PeerDatagrams.h"
@@ -35,6 +36,7 @@
 #include "UpstreamLimits.h"
 #include "UpstreamListing.h"
 #include "UpstreamNotices.h"
+#include "UpstreamPath.h"
 #include "UpstreamSet.h"
 
 struct PlatformForm;
@@ -58,6 +60,9 @@
  * @estimate_error: errors of the estimates; NULL on the native platform
  * @partitions: partitions of the groups of engines; NULL on the native
  *     platform
+ * @path: whether this router reaches upstreams; NULL on the native platform
+ * @forward_peers: routers that requests are forwarded to; NULL on the native
+ *     platform
  * @load_share: sends upstreams' loads to the other routers, or NULL
  * @mover: moves streams away from engines that pause; NULL on the native
  *     platform
@@ -99,6 +104,8 @@
     RunTimes_t *run_times;
     EstimateError_t *estimate_error;
     GroupPartitions_t *partitions;
+    const UpstreamPath_t *path;
+    ForwardPeers_t *forward_peers;
     struct LoadShare *load_share;
     StreamMover_t *mover;
     Dispatch_t *dispatch;
--- /dev/null
+++ b/src/ForwardPeers.c
@@ -0,0 +1,122 @@
+#include "ForwardPeers.h"
+
+#include <string.h>
+
+#include "Random.h"
+
+/* A router without a path, or without room, is not tried again for this time.
+ * It bounds the requests that are forwarded in vain to a few a second for each
+ * router, also if all routers are cut off. */
+#define AVOID_MS 500
+
+struct ForwardPeers {
+    struct event_base *base;
+    const Membership_t *membership;
+    guint idle_max;
+    GHashTable *peers; /* address -> ForwardPeer_t */
+};
+
+static void
+free_peer(gpointer data)
+{
+    ForwardPeer_t *peer = data;
+    Upstream_unref(peer->upstream);
+    g_free(peer);
+}
+
+ForwardPeers_t *
+ForwardPeers_create(struct event_base *base, const Membership_t *membership,
+                    guint idle_max)
+{
+    ForwardPeers_t *this = g_new0(ForwardPeers_t, 1);
+    this->base = base;
+    this->membership = membership;
+    this->idle_max = idle_max;
+    this->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_peer);
+    return this;
+}
+
+void
+ForwardPeers_destroy(ForwardPeers_t *this)
+{
+    g_hash_table_destroy(this->peers);
+    g_free(this);
+}
+
+static ForwardPeer_t *
+create_peer(const ForwardPeers_t *this, const Member_t *member)
+{
+    UpstreamSpec_t spec = {
+        .address = member->callers,
+        .hall = member->hall,
+        .region = member->hall,
+        .serves = g_ptr_array_new(),
+        .slots = G_MAXINT32,
+    };
+    ForwardPeer_t *peer = g_new0(ForwardPeer_t, 1);
+    peer->upstream =
+        Upstream_create(this->base, member->name->str, &spec, this->idle_max);
+    g_ptr_array_unref(spec.serves);
+    return peer;
+}
+
+static ForwardPeer_t *
+find_or_create(const ForwardPeers_t *this, const Member_t *member)
+{
+    g_autofree char *key =
+        g_strdup_printf("%s %s:%u", member->name->str, member->callers.host,
+                        member->callers.port);
+    ForwardPeer_t *peer = g_hash_table_lookup(this->peers, key);
+    if (!peer) {
+        peer = create_peer(this, member);
+        g_hash_table_insert(this->peers, g_steal_pointer(&key), peer);
+    }
+    return peer;
+}
+
+static gboolean
+is_able(const Member_t *member)
+{
+    return member->link && !member->leaving && member->callers.port != 0;
+}
+
+/* The local hall comes first among equals, as bytes between halls cost more.
+ * The order of the rest begins at a random router. */
+static gboolean
+is_better(const ForwardPeers_t *this, const ForwardPeer_t *peer,
+          const ForwardPeer_t *best)
+{
+    const char *hall = Membership_hall(this->membership);
+    if (!best || peer->open != best->open) {
+        return !best || peer->open < best->open;
+    }
+    return strcmp(peer->upstream->hall->str, hall) == 0 &&
+           strcmp(best->upstream->hall->str, hall) != 0;
+}
+
+ForwardPeer_t *
+ForwardPeers_choose(ForwardPeers_t *this, gint64 now_ms)
+{
+    const GPtrArray *members = Membership_members(this->membership);
+    guint first = members->len > 0 ? Random_below(members->len) : 0;
+    ForwardPeer_t *best = NULL;
+    for (guint i = 0; i < members->len; i++) {
+        const Member_t *member =
+            g_ptr_array_index(members, (first + i) % members->len);
+        if (!is_able(member)) {
+            continue;
+        }
+        ForwardPeer_t *peer = find_or_create(this, member);
+        if (now_ms >= peer->avoid_until_ms && is_better(this, peer, best)) {
+            best = peer;
+        }
+    }
+    return best;
+}
+
+void
+ForwardPeers_avoid(ForwardPeer_t *peer, gint64 now_ms)
+{
+    peer->avoid_until_ms = now_ms + AVOID_MS;
+}
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -17,6 +17,8 @@
  * @incarnation: newest known incarnation
  * @address: address on which the router listens for peers
  * @hall: hall of the router
+ * @callers: address on which the router listens for callers, as told over a
+ *     link; port 0 if it is not known
  * @address_incarnation: incarnation that @address and @hall belong to; 0 if
  *     they are not known yet
  * @heartbeat: newest known heartbeat
@@ -38,6 +40,7 @@
     guint64 incarnation;
     Address_t address;
     GString *hall;
+    Address_t callers;
     guint64 address_incarnation;
     guint64 heartbeat;
     gint64 last_seen_ms;
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -80,6 +80,8 @@
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     hello.name = this->table->self.name->str;
     hello.incarnation = this->table->self.incarnation;
+    hello.callers_host = this->spec.callers.host;
+    hello.callers_port = this->spec.callers.port;
     message.body_case = WT__PEER_MESSAGE__BODY_HELLO;
     message.hello = &hello;
     PeerLink_send(link, &message);
@@ -213,6 +215,19 @@
     }
 }
 
+static void
+note_callers(Member_t *member, const Wt__Hello *hello)
+{
+    gboolean is_valid = hello->callers_port <= G_MAXUINT16 &&
+                        strlen(hello->callers_host) < ADDRESS_HOST_SIZE;
+    member->callers = (Address_t){0};
+    if (is_valid) {
+        g_strlcpy(member->callers.host, hello->callers_host,
+                  ADDRESS_HOST_SIZE);
+        member->callers.port = (guint16)hello->callers_port;
+    }
+}
+
 /* If two routers have opened links to each other at the same time, both keep
  * the link opened by the router with the smaller name. */
 static void
@@ -233,6 +248,7 @@
         PeerLink_close(member->link);
     }
     member->link = link;
+    note_callers(member, hello);
     member->is_incoming = !PeerLink_isOutgoing(link);
     member->last_seen_ms = Clock_nowMs();
     if (hello->incarnation > member->incarnation) {
@@ -484,6 +500,12 @@
     return this->table->live;
 }
 
+gboolean
+Membership_isMember(const Membership_t *this, const char *name)
+{
+    return MemberTable_find(this->table, name) != NULL;
+}
+
 guint
 Membership_countActive(const Membership_t *this)
 {
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -21,6 +21,7 @@
  * struct MembershipSpec_t - parameters
  * @settings: settings of this router
  * @incarnation: incarnation of this process
+ * @callers: address on which this router listens for callers
  * @upstreams: updated from received gossip, and read for gossip that is sent
  * @counters: counts the bytes sent
  * @message: called for each message that is not about membership
@@ -30,6 +31,7 @@
 typedef struct {
     const Settings_t *settings;
     guint64 incarnation;
+    Address_t callers;
     UpstreamSet_t *upstreams;
     Counters_t *counters;
     void (*message)(void *data, Member_t *from,
@@ -65,6 +67,9 @@
  */
 void Membership_spreadUpstream(Membership_t *this, const char *name);
 
+/** Membership_isMember() - whether another live router has this name */
+gboolean Membership_isMember(const Membership_t *this, const char *name);
+
 /** Membership_members() - Member_t * of all other live routers, by name */
 const GPtrArray *Membership_members(const Membership_t *this);
 
--- a/src/PlatformForm.h
+++ b/src/PlatformForm.h
@@ -32,6 +32,8 @@
  * @crash_topic: keyed topic of quarantined requests, which the routers write
  * @caller: form of callers' requests
  * @upstream: form of upstreams' requests and answers
+ * @peer: form of requests that are forwarded to another router; their orders
+ *     name this router as the instance
  * @orders: form of orders to engines
  */
 typedef struct PlatformForm {
@@ -53,6 +55,7 @@
     const char *crash_topic;
     const RelayCallerForm_t *caller;
     const RelayUpstreamForm_t *upstream;
+    const RelayUpstreamForm_t *peer;
     const OrderForm_t *orders;
 } PlatformForm_t;
 
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -122,6 +122,10 @@
                                    "Upstreams have asked for no more "
                                    "requests for a while.",
                                    503, 1000, RUN_NOT},
+    [REFUSAL_NO_PATH] = {"no_path", "overloaded_error",
+                         "This router reaches no upstream, and no other "
+                         "router that does.",
+                         503, 1000, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -7,6 +7,7 @@
 #include "CallerWatch.h"
 #include "HttpCall.h"
 #include "PendingReply.h"
+#include "RelayForm.h"
 
 struct RelayAnswer {
     CallerWatch_t *watch;
@@ -21,12 +22,12 @@
     gboolean full;
 };
 
-/* Headers that concern a single connection and are not forwarded; evhttp
- * frames the answer to the caller itself. */
+/* Headers that concern a single connection, or that only routers may set, and
+ * are not forwarded; evhttp frames the answer to the caller itself. */
 static const char *const hop_by_hop_headers[] = {
-    "Connection",         "Keep-Alive",     "Proxy-Connection",
-    "Proxy-Authenticate", "Trailer",        "Upgrade",
-    "Transfer-Encoding",  "Content-Length", "TE",
+    "Connection", "Keep-Alive",      "Proxy-Connection",  "Proxy-Authenticate",
+    "Trailer",    "Upgrade",         "Transfer-Encoding", "Content-Length",
+    "TE",         RELAY_TRY_ANOTHER,
 };
 
 static gboolean
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -4,10 +4,16 @@
 
 #include "Clock.h"
 #include "HttpCall.h"
+#include "Log.h"
 #include "PlatformForm.h"
 #include "Random.h"
 #include "RelayAnswer.h"
 #include "RelayExchange.h"
+#include "RelayForward.h"
+
+/* A router takes forwarded requests only while it has fewer open requests, so
+ * that its own callers are served first. */
+#define FORWARDED_OPEN_MAX 256
 
 /* State of one request during admission. */
 typedef struct {
@@ -16,6 +22,7 @@
     RelayRequest_t request;
     const Route_t *route;
     const RouteCustomer_t *customer;
+    const char *forwarded_by; /* the router that forwards it, or NULL */
 } Admission_t;
 
 static gboolean
@@ -40,6 +47,15 @@
            RelayApi_canServe(context);
 }
 
+/* Whether another router may serve a request that this one refuses. */
+static gboolean
+may_try_another(Refusal_t refusal)
+{
+    return refusal == REFUSAL_NO_PATH || refusal == REFUSAL_STOPPING ||
+           refusal == REFUSAL_NOT_CONFIGURED ||
+           refusal == REFUSAL_CONFIG_STALE || refusal == REFUSAL_OVERLOADED;
+}
+
 static void
 refuse_request(Admission_t *admission, Refusal_t refusal, const char *detail)
 {
@@ -51,6 +67,10 @@
                                           : "none",
                          "none", detail);
     RelayRefusal_t params = {refusal, RUN_NOT, detail, 0, context->stopping};
+    if (admission->forwarded_by && may_try_another(refusal)) {
+        evhttp_add_header(evhttp_request_get_output_headers(admission->http),
+                          RELAY_TRY_ANOTHER, "1");
+    }
     Relay_refuse(admission->http, form->id_header, id, &params);
     form->clear_request(&admission->request);
 }
@@ -107,6 +127,49 @@
     return TRUE;
 }
 
+static void
+forward_request(const Admission_t *admission)
+{
+    RelayForwardSpec_t spec = {
+        .http = admission->http,
+        .request = &admission->request,
+        .limit_ms = admission->route->time_limit_ms,
+    };
+    RelayForward_start(admission->context, &spec);
+}
+
+static void
+log_forwarded(const Admission_t *admission)
+{
+    Log_begin(LOG_LEVEL_INFO, "forwarded_request_taken");
+    Log_text("request", admission->request.id);
+    Log_text("by", admission->forwarded_by);
+    Log_number("open_requests", admission->context->open_requests);
+    Log_end();
+}
+
+/* Returns FALSE if the request is answered by another router or refused. */
+static gboolean
+check_path(Admission_t *admission)
+{
+    Context_t *context = admission->context;
+    gboolean is_lost = UpstreamPath_isLost(context->path);
+    if (!admission->forwarded_by) {
+        if (is_lost) {
+            forward_request(admission);
+        }
+        return !is_lost;
+    }
+    if (is_lost || context->open_requests >= FORWARDED_OPEN_MAX) {
+        refuse_request(admission,
+                       is_lost ? REFUSAL_NO_PATH : REFUSAL_OVERLOADED, NULL);
+        return FALSE;
+    }
+    log_forwarded(admission);
+    Counters_add(context->counters, "forwarded_requests_taken_total", NULL, 1);
+    return TRUE;
+}
+
 static void
 start_exchange(Admission_t *admission, RouteConfig_t *config)
 {
@@ -141,7 +204,8 @@
         refuse_request(admission, REFUSAL_STOPPING, NULL);
         return;
     }
-    if (find_route(admission, config) && check_key(admission, config)) {
+    if (find_route(admission, config) && check_key(admission, config) &&
+        check_path(admission)) {
         start_exchange(admission, config);
     }
 }
@@ -175,6 +239,16 @@
     return FALSE;
 }
 
+/* Only the name of a known router counts. */
+static const char *
+find_forwarder(const Context_t *context, struct evhttp_request *request)
+{
+    const char *name = evhttp_find_header(
+        evhttp_request_get_input_headers(request), RELAY_FORWARDED_BY);
+    return name && Membership_isMember(context->membership, name) ? name
+                                                                  : NULL;
+}
+
 void
 RelayApi_handle(struct evhttp_request *request, void *data)
 {
@@ -182,6 +256,7 @@
     struct evhttp_connection *connection =
         evhttp_request_get_connection(request);
     g_autoptr(GError) error = NULL;
+    admission.forwarded_by = find_forwarder(data, request);
     Http_setNoDelay(connection);
     Counters_add(admission.context->counters, "requests_total", NULL, 1);
     gboolean is_read = admission.context->form->caller->read_request(
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -15,6 +15,12 @@
 #include "Prompt.h"
 #include "UpstreamNotice.h"
 
+/** Header of a request that another router forwards: name of that router */
+#define RELAY_FORWARDED_BY "Wheattiller-Forwarded-By"
+/** Header of a refusal of a forwarded request that another router may serve,
+ * which has not run */
+#define RELAY_TRY_ANOTHER "Wheattiller-Try-Another"
+
 /** Longest request id that is accepted, in bytes */
 #define RELAY_ID_MAX 128
 
--- /dev/null
+++ b/src/RelayForward.c
@@ -0,0 +1,322 @@
+#include "RelayForward.h"
+
+#include <event2/buffer.h>
+
+#include "Clock.h"
+#include "HttpCall.h"
+#include "Log.h"
+#include "PlatformForm.h"
+#include "RelayAnswer.h"
+#include "RelayAttempt.h"
+
+/* Number of routers that one request is offered to. */
+#define TRIES_MAX 8
+/* How long after the caller's deadline the other router's answer, which keeps
+ * that deadline, may still arrive. */
+#define ANSWER_MARGIN_MS 100
+
+typedef struct {
+    Context_t *context;
+    RelayRequest_t request;
+    GString *id;
+    GBytes *body;
+    RelayAnswer_t *answer;
+    RelayAttempt_t *attempt; /* under way, or NULL */
+    ForwardPeer_t *peer;     /* of the last attempt, or NULL */
+    struct evbuffer *answer_body;
+    gboolean is_stream;
+    gboolean over;
+    guint tries;
+    gint64 started_us;
+    gint64 deadline_ms;
+    struct event *deadline;
+    struct event *reaper; /* frees it outside of the callbacks of its parts */
+} RelayForward_t;
+
+static void
+RelayForward_destroy(RelayForward_t *this)
+{
+    RelayAnswer_destroy(this->answer);
+    this->context->form->caller->clear_request(&this->request);
+    g_string_free(this->id, TRUE);
+    g_bytes_unref(this->body);
+    evbuffer_free(this->answer_body);
+    event_free(this->deadline);
+    event_free(this->reaper);
+    g_free(this);
+}
+
+static void
+on_reap(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    RelayForward_destroy(data);
+}
+
+static void
+log_end(const RelayForward_t *this, const char *outcome)
+{
+    Log_begin(LOG_LEVEL_INFO, "forward_done");
+    Log_text("request", this->id->str);
+    Log_text("outcome", outcome);
+    Log_text("router", this->peer ? this->peer->upstream->name->str : "none");
+    Log_number("tries", this->tries);
+    Log_number("us", Clock_nowUs() - this->started_us);
+    Log_end();
+}
+
+static void
+cancel_attempt(RelayForward_t *this)
+{
+    if (this->attempt && this->peer) {
+        this->peer->open--;
+        RelayAttempt_cancel(this->attempt);
+        this->attempt = NULL;
+    }
+}
+
+static void
+finish(RelayForward_t *this, const char *outcome)
+{
+    g_autofree char *labels = g_strdup_printf("outcome=\"%s\"", outcome);
+    if (this->over) {
+        return;
+    }
+    this->over = TRUE;
+    cancel_attempt(this);
+    log_end(this, outcome);
+    Counters_add(this->context->counters, "forwards_total", labels, 1);
+    this->context->open_requests--;
+    evtimer_del(this->deadline);
+    Clock_arm(this->reaper, 0);
+}
+
+static void
+refuse(RelayForward_t *this, Refusal_t refusal, RunState_t run)
+{
+    const char *code = Refusal_spec(refusal)->code;
+    Context_countRefusal(this->context, refusal, run, this->id->str, "none",
+                         "none", NULL);
+    RelayAnswer_refuse(this->answer, refusal, run, NULL);
+    finish(this, code);
+}
+
+static RunState_t
+run_state(const RelayForward_t *this)
+{
+    return this->attempt && RelayAttempt_wasSent(this->attempt) ? RUN_MAYBE
+                                                                : RUN_NOT;
+}
+
+static void
+on_deadline(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    RelayForward_t *this = data;
+    refuse(this, REFUSAL_DEADLINE_PASSED, run_state(this));
+}
+
+static void
+on_answered(void *owner, const RelayHead_t *head)
+{
+    (void)owner;
+    (void)head;
+}
+
+/* An answer that is complete before it is sent has a length. */
+static void
+on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
+{
+    RelayForward_t *this = owner;
+    this->is_stream = !evhttp_find_header(headers, "Content-Length");
+    RelayAnswer_setHead(this->answer, head->status, headers);
+}
+
+static void
+on_data(void *owner, struct evbuffer *data)
+{
+    RelayForward_t *this = owner;
+    if (!this->is_stream) {
+        evbuffer_add_buffer(this->answer_body, data);
+        return;
+    }
+    RelayAnswer_sendData(this->answer, data);
+    evbuffer_drain(data, evbuffer_get_length(data));
+    if (RelayAnswer_isFull(this->answer)) {
+        RelayAttempt_setReadPaused(this->attempt, TRUE);
+    }
+}
+
+/* The other router keeps the deadline and watches its upstreams. */
+static SilenceAction_t
+on_silent(void *owner)
+{
+    (void)owner;
+    return SILENCE_WAIT;
+}
+
+static void
+pass_on(RelayForward_t *this)
+{
+    if (this->context->stopping && RelayAnswer_request(this->answer)) {
+        RelayAnswer_setClosing(this->answer);
+    }
+    if (this->is_stream) {
+        RelayAnswer_finishStream(this->answer);
+    }
+    else {
+        RelayAnswer_sendComplete(this->answer, this->answer_body);
+    }
+    finish(this, "answered");
+}
+
+static void try_next(RelayForward_t *this);
+
+static void
+on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
+{
+    (void)head;
+    RelayForward_t *this = owner;
+    this->attempt = NULL;
+    this->peer->open--;
+    if (end == ATTEMPT_COMPLETE || end == ATTEMPT_FAILED) {
+        pass_on(this);
+    }
+    else if (end == ATTEMPT_NOT_RUN || Recovery_isUnsent(end)) {
+        ForwardPeers_avoid(this->peer, Clock_nowMs());
+        try_next(this);
+    }
+    else if (end == ATTEMPT_MISMATCH || end == ATTEMPT_BAD_ANSWER) {
+        refuse(this, REFUSAL_ANSWER_MISMATCH, RUN_MAYBE);
+    }
+    else {
+        refuse(this, REFUSAL_UPSTREAM_FAILED, RUN_MAYBE);
+    }
+}
+
+static const RelayAttemptEvents_t attempt_events = {
+    .answered = on_answered,
+    .head = on_head,
+    .data = on_data,
+    .silent = on_silent,
+    .ended = on_ended,
+};
+
+static void
+log_try(const RelayForward_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    Log_begin(LOG_LEVEL_INFO, "request_forwarded");
+    Log_text("request", this->id->str);
+    Log_text("router", this->peer->upstream->name->str);
+    Log_number("tries", this->tries);
+    Log_number("open", this->peer->open);
+    Log_number("path_lost_ms",
+               UpstreamPath_lostMs(this->context->path, now_ms));
+    Log_number("left_ms", this->deadline_ms - now_ms);
+    Log_end();
+}
+
+static void
+start_attempt(RelayForward_t *this)
+{
+    const Settings_t *settings = this->context->settings;
+    const LimitsSection_t *limits = &settings->limits;
+    gint64 left_ms = this->deadline_ms - Clock_nowMs();
+    RelayOrder_t order = {
+        .instance = settings->router.name->str,
+        .wait_ms = left_ms,
+    };
+    RelayAttemptSpec_t spec = {
+        .upstream = this->peer->upstream,
+        .form = this->context->form->peer,
+        .request = RelayAnswer_request(this->answer),
+        .request_id = this->id->str,
+        .order = &order,
+        .body = this->body,
+        .piece_max = (gsize)limits->answer_max,
+        .head_max = (gsize)limits->max_header,
+        .idle_max_ms = limits->idle_time_ms,
+        .connect_ms = limits->connect_timeout_ms,
+        .first_ms = left_ms + ANSWER_MARGIN_MS,
+        .pause_ms = left_ms + ANSWER_MARGIN_MS,
+    };
+    this->peer->open++;
+    this->attempt =
+        RelayAttempt_start(this->context->base, &spec, &attempt_events, this);
+}
+
+static void
+try_next(RelayForward_t *this)
+{
+    this->peer =
+        this->tries < TRIES_MAX
+            ? ForwardPeers_choose(this->context->forward_peers, Clock_nowMs())
+            : NULL;
+    if (!this->peer) {
+        refuse(this, REFUSAL_NO_PATH, RUN_NOT);
+        return;
+    }
+    this->tries++;
+    log_try(this);
+    start_attempt(this);
+}
+
+static void
+on_caller_left(void *owner)
+{
+    finish(owner, "caller_left");
+}
+
+static void
+on_drained(void *owner)
+{
+    const RelayForward_t *this = owner;
+    if (this->attempt) {
+        RelayAttempt_setReadPaused(this->attempt, FALSE);
+    }
+}
+
+static const RelayAnswerEvents_t answer_events = {
+    .caller_left = on_caller_left,
+    .drained = on_drained,
+};
+
+static gint64
+compute_wait(const Context_t *context, const RelayForwardSpec_t *spec)
+{
+    gint64 wait_ms = spec->request->wait_ms;
+    if (wait_ms == 0) {
+        wait_ms = context->settings->limits.default_deadline_ms;
+    }
+    return spec->limit_ms > 0 ? MIN(wait_ms, spec->limit_ms) : wait_ms;
+}
+
+void
+RelayForward_start(Context_t *context, const RelayForwardSpec_t *spec)
+{
+    RelayForward_t *this = g_new0(RelayForward_t, 1);
+    gint64 wait_ms = compute_wait(context, spec);
+    this->context = context;
+    this->request = *spec->request;
+    this->id = g_string_new(spec->request->id);
+    this->body = Http_copyBody(spec->http);
+    this->answer_body = evbuffer_new();
+    this->started_us = Clock_nowUs();
+    this->deadline_ms = Clock_nowMs() + wait_ms;
+    this->deadline = Clock_timer(context->base, on_deadline, this);
+    this->reaper = Clock_timer(context->base, on_reap, this);
+    RelayAnswerSpec_t answer = {
+        .request = spec->http,
+        .id = this->id->str,
+        .id_header = context->form->caller->id_header,
+        .buffer_max = (gsize)context->settings->limits.stream_buffer,
+    };
+    this->answer =
+        RelayAnswer_create(context->base, &answer, &answer_events, this);
+    context->open_requests++;
+    Clock_arm(this->deadline, wait_ms + ANSWER_MARGIN_MS);
+    try_next(this);
+}
--- /dev/null
+++ b/src/RelayForward.h
@@ -0,0 +1,31 @@
+#ifndef HEADER_RelayForward
+#define HEADER_RelayForward
+/**
+ * DOC: RelayForward
+ *
+ * A request that this router forwards to another one, as it reaches no
+ * upstream itself. The other router treats it like a request of its own
+ * callers: it counts it against limits, places and repeats it, and its answer
+ * or refusal is passed on unchanged. A request goes over one other router at
+ * most. It is forwarded again only if it is certain that it has not run.
+ */
+#include "Context.h"
+#include "RelayForm.h"
+
+/**
+ * struct RelayForwardSpec_t - a request to forward
+ * @http: the caller's evhttp request; the forward answers it
+ * @request: the parsed head; the forward takes ownership of its contents
+ * @limit_ms: longest time that its route allows, 0 for no limit
+ */
+typedef struct {
+    struct evhttp_request *http;
+    const RelayRequest_t *request;
+    gint64 limit_ms;
+} RelayForwardSpec_t;
+
+/** RelayForward_start() - start to forward a request; the caller always gets
+ * an answer or a refusal */
+void RelayForward_start(Context_t *context, const RelayForwardSpec_t *spec);
+
+#endif
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -159,6 +159,7 @@
         .timeout_ms = context->settings->limits.connect_timeout_ms,
     };
     this->prober = UpstreamProber_create(context->base, &prober);
+    this->context->path = UpstreamProber_path(this->prober);
 }
 
 static void
@@ -271,6 +272,9 @@
     context->partitions = GroupPartitions_create();
     context->speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    context->forward_peers =
+        ForwardPeers_create(context->base, context->membership,
+                            (guint)context->settings->limits.idle_connections);
     context->mover =
         StreamMover_create(context->base, context->upstreams, context->budget);
     context->dispatch = create_dispatch(context);
@@ -326,6 +330,7 @@
     HallRegions_destroy(this->regions);
     RouteSync_destroy(this->sync);
     ModelVersions_destroy(this->context->weights);
+    ForwardPeers_destroy(this->context->forward_peers);
     StreamMover_destroy(this->context->mover);
     if (this->context->dispatch) {
         Dispatch_destroy(this->context->dispatch);
--- a/src/Router.c
+++ b/src/Router.c
@@ -5,6 +5,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "AcceptHold.h"
@@ -115,6 +116,18 @@
     }
 }
 
+/* Other routers reach this one for callers' requests at the address for peers,
+ * if it listens for callers on all addresses. */
+static Address_t
+get_callers_address(const Router_t *this)
+{
+    const Address_t *listen = &this->settings->router.listen;
+    gboolean is_any = strcmp(listen->host, "0.0.0.0") == 0;
+    Address_t address = is_any ? this->settings->peers.listen : *listen;
+    address.port = this->context.form ? this->port : 0;
+    return address;
+}
+
 static gboolean
 create_peers(Router_t *this, GError **error)
 {
@@ -122,6 +135,7 @@
     MembershipSpec_t spec = {
         .settings = this->settings,
         .incarnation = context->incarnation,
+        .callers = get_callers_address(this),
         .upstreams = context->upstreams,
         .counters = context->counters,
         .message = on_peer_message,
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1402,7 +1402,7 @@
   assert(message->base.descriptor == &wt__peer_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wt__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wt__hello__field_descriptors[4] =
 {
   {
     "name",
@@ -1428,15 +1428,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "callers_host",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Hello, callers_host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "callers_port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Hello, callers_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__hello__field_indices_by_name[] = {
+  2,   /* field[2] = callers_host */
+  3,   /* field[3] = callers_port */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange wt__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wt__hello__descriptor =
 {
@@ -1446,7 +1472,7 @@
   "Wt__Hello",
   "wt",
   sizeof(Wt__Hello),
-  2,
+  4,
   wt__hello__field_descriptors,
   wt__hello__field_indices_by_name,
   1,  wt__hello__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -118,10 +118,15 @@
   ProtobufCMessage base;
   char *name;
   uint64_t incarnation;
+  /*
+   * Where it listens for callers; a port of 0 for none.
+   */
+  char *callers_host;
+  uint32_t callers_port;
 };
 #define WT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/FakeRouters.c
+++ b/tests/FakeRouters.c
@@ -85,12 +85,14 @@
     settings->peers.gossip_budget = budget;
     settings->peers.mesh_routers = mesh_routers;
     router->received = g_ptr_array_new_with_free_func(free_message);
-    MembershipSpec_t spec = {.settings = settings,
-                             .incarnation = 1,
-                             .upstreams = this->upstreams,
-                             .counters = this->counters,
-                             .message = on_message,
-                             .data = router};
+    MembershipSpec_t spec = {
+        .settings = settings,
+        .incarnation = 1,
+        .callers = {.host = "127.0.0.1", .port = FAKE_CALLERS_PORT + which},
+        .upstreams = this->upstreams,
+        .counters = this->counters,
+        .message = on_message,
+        .data = router};
     router->membership = Membership_create(this->base, &spec, NULL);
     g_assert(router->membership);
     for (guint i = 0; i < MIN(which, seeds); i++) {
--- a/tests/FakeRouters.h
+++ b/tests/FakeRouters.h
@@ -9,6 +9,10 @@
  */
 #include "Membership.h"
 
+/** Port for callers that the first router tells the others; the next ones
+ * follow. Nothing listens there. */
+#define FAKE_CALLERS_PORT 1
+
 /** Most routers of a test */
 #define FAKE_ROUTERS_MAX 64
 
--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -284,7 +284,8 @@
 
     def start_router(self, name):
         super().start_router(name, connect_timeout="400ms",
-                             probe_silent="yes")
+                             first_token_timeout="1500ms",
+                             token_timeout="800ms", probe_silent="yes")
 
     # Callers of a router without links were refused while other routers
     # reached all upstreams.
