--- a/src/Context.c
+++ b/src/Context.c
@@ -62,3 +62,12 @@
     Log_number("answer_max", this->settings->limits.answer_max);
     Log_end();
 }
+
+gint64
+Context_waitMs(const Context_t *context, gint64 wait_ms, gint64 limit_ms)
+{
+    if (wait_ms == 0) {
+        wait_ms = context->settings->limits.default_deadline_ms;
+    }
+    return limit_ms > 0 ? MIN(wait_ms, limit_ms) : wait_ms;
+}
--- a/src/Context.h
+++ b/src/Context.h
@@ -132,6 +132,14 @@
     guint64 incarnation;
 } Context_t;
 
+/**
+ * Context_waitMs() - how long an answer to a caller may take
+ * @wait_ms: how long the caller waits; 0 for the default
+ * @limit_ms: longest time that its route allows; 0 for no limit
+ */
+gint64 Context_waitMs(const Context_t *context, gint64 wait_ms,
+                      gint64 limit_ms);
+
 /**
  * struct Caller_t - caller of a request, known after authentication
  * @customer: the customer's declaration, valid only until control returns to
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -203,17 +203,6 @@
     .drained = on_caller_drained,
 };
 
-static gint64
-compute_deadline(const Context_t *context, const RelayExchangeSpec_t *spec)
-{
-    gint64 wait_ms = spec->request->wait_ms;
-    gint64 limit_ms = spec->route->time_limit_ms;
-    if (wait_ms == 0) {
-        wait_ms = context->settings->limits.default_deadline_ms;
-    }
-    return Clock_nowMs() + (limit_ms > 0 ? MIN(wait_ms, limit_ms) : wait_ms);
-}
-
 static gboolean
 is_repeatable(const Route_t *route)
 {
@@ -231,7 +220,9 @@
         .customer = spec->customer ? spec->customer->name->str : "",
         .customer_class = Route_kindName(spec->route->kind),
         .target = spec->service,
-        .deadline_ms = compute_deadline(context, spec),
+        .deadline_ms =
+            Clock_nowMs() + Context_waitMs(context, spec->request->wait_ms,
+                                           spec->route->time_limit_ms),
         .repeatable = is_repeatable(spec->route),
         .max_attempts = spec->route->max_attempts,
         .path = evhttp_request_get_uri(spec->http),
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -284,21 +284,12 @@
     .drained = on_drained,
 };
 
-static gint64
-compute_wait(const Context_t *context, const RelayForwardSpec_t *spec)
-{
-    gint64 wait_ms = spec->request->wait_ms;
-    if (wait_ms == 0) {
-        wait_ms = context->settings->limits.default_deadline_ms;
-    }
-    return spec->limit_ms > 0 ? MIN(wait_ms, spec->limit_ms) : wait_ms;
-}
-
 void
 RelayForward_start(Context_t *context, const RelayForwardSpec_t *spec)
 {
     RelayForward_t *this = g_new0(RelayForward_t, 1);
-    gint64 wait_ms = compute_wait(context, spec);
+    gint64 wait_ms =
+        Context_waitMs(context, spec->request->wait_ms, spec->limit_ms);
     this->context = context;
     this->request = *spec->request;
     this->id = g_string_new(spec->request->id);
