A router probes further upstreams while it takes its path for lost

The router took its path for lost and dropped the evidence of a crash, and only its own requests could find the path again.

A new sample is drawn every half second while the path is lost, upstreams that a peer could not reach come last, and evidence is dropped after a second without a path.

--- a/src/CrashEvidence.c
+++ b/src/CrashEvidence.c
@@ -20,6 +20,10 @@
 /* Beyond this limit the oldest lost attempt is dropped. */
 #define LOST_ATTEMPTS_MAX 4096
 
+/* If this router has had no path for this time, its attempts were lost for
+ * that reason. Two samples of upstreams are probed until then. */
+#define PATH_LOST_MS 1000
+
 /* Of a test connection; the host of an ended process refuses it at once. */
 #define CONNECT_TIMEOUT_MS 1000
 
@@ -144,7 +148,8 @@
 {
     const LostAttempt_t *attempt = link->data;
     const char *proof = find_proof(this, attempt);
-    gboolean has_no_path = this->path && UpstreamPath_isLost(this->path);
+    gboolean has_no_path =
+        this->path && UpstreamPath_lostMs(this->path, now_ms) >= PATH_LOST_MS;
     if (proof) {
         report_crash(this, link, proof);
     }
--- a/src/UpstreamPath.c
+++ b/src/UpstreamPath.c
@@ -6,6 +6,9 @@
 /* Number of upstreams that are probed after a failure. If a third of all
  * upstreams is down, all of a sample are in one case of eighty. */
 #define SAMPLE_MAX 4
+/* While the path is lost, other upstreams are probed at this interval: the
+ * sample may have consisted of upstreams that have ended. */
+#define RESAMPLE_MS 500
 /* An answer of this age is proof enough for UpstreamPath_check(). */
 #define PROOF_MAX_AGE_MS 500
 
@@ -21,6 +24,7 @@
     gint64 failed_ms; /* first failure since the last answer; 0 for none */
     gint64 answer_ms; /* last answer of any upstream; 0 for none */
     gint64 lost_ms;
+    gint64 drawn_ms; /* when the sample was drawn */
     Upstream_t *sample[SAMPLE_MAX];
     guint sampled;
 };
@@ -104,17 +108,18 @@
 
 /* Starts at a random upstream, so that routers probe different ones.
  *
- * Return: FALSE if there are upstreams, but none that may be probed
+ * Return: number of upstreams that were left out, as they must not be probed
  */
-static gboolean
-draw_sample(UpstreamPath_t *this, gint64 now_ms)
+static guint
+draw_among(UpstreamPath_t *this, gboolean suspected_by_peer, gint64 now_ms)
 {
     const GPtrArray *all = UpstreamSet_all(this->upstreams);
     guint first = all->len > 0 ? Random_below(all->len) : 0;
     guint left_out = 0;
     for (guint i = 0; i < all->len && this->sampled < SAMPLE_MAX; i++) {
         Upstream_t *upstream = g_ptr_array_index(all, (first + i) % all->len);
-        if (is_unreachable(upstream)) {
+        if (is_unreachable(upstream) ||
+            upstream->suspected_by_peer != suspected_by_peer) {
             continue;
         }
         if (may_probe(upstream, now_ms)) {
@@ -124,6 +129,23 @@
             left_out++;
         }
     }
+    return left_out;
+}
+
+/* Upstreams that a peer could not reach have most likely ended, so they are
+ * probed only if there are no others.
+ *
+ * Return: FALSE if there are upstreams, but none that may be probed
+ */
+static gboolean
+draw_sample(UpstreamPath_t *this, gint64 now_ms)
+{
+    clear_sample(this);
+    this->drawn_ms = now_ms;
+    guint left_out = draw_among(this, FALSE, now_ms);
+    if (this->sampled == 0) {
+        left_out += draw_among(this, TRUE, now_ms);
+    }
     return this->sampled > 0 || left_out == 0;
 }
 
@@ -192,6 +214,9 @@
         }
         this->state = PATH_IN_DOUBT;
     }
+    if (this->state == PATH_LOST && now_ms - this->drawn_ms >= RESAMPLE_MS) {
+        draw_sample(this, now_ms);
+    }
     return this->state == PATH_IN_DOUBT && lose(this, now_ms);
 }
 
--- a/tests/test_UpstreamPath.c
+++ b/tests/test_UpstreamPath.c
@@ -210,7 +210,38 @@
 }
 END_TEST
 
-TESTING_MAIN("UpstreamPath", upstreams_that_rest_do_not_lose_the_path,
+START_TEST(a_lost_path_is_found_although_the_first_sample_has_ended)
+{
+    begin(UPSTREAMS);
+    lose_path();
+    ck_assert_uint_eq(count_probes_wanted(), 0);
+    UpstreamPath_update(path, START_MS + 1000);
+    ck_assert_uint_ge(count_probes_wanted(), 2);
+    fail_probes();
+    UpstreamPath_update(path, START_MS + 1500);
+    ck_assert(UpstreamPath_isLost(path));
+    end();
+}
+END_TEST
+
+START_TEST(upstreams_that_a_peer_could_not_reach_are_probed_last)
+{
+    begin(UPSTREAMS);
+    for (guint i = 3; i < UPSTREAMS; i++) {
+        Upstream_notePeerSuspicion(upstream_at(i));
+    }
+    fail_upstream(0, START_MS);
+    UpstreamPath_update(path, START_MS);
+    ck_assert(upstream_at(1)->probe_wanted && upstream_at(2)->probe_wanted);
+    ck_assert_uint_eq(count_probes_wanted(), 2);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("UpstreamPath",
+             a_lost_path_is_found_although_the_first_sample_has_ended,
+             upstreams_that_a_peer_could_not_reach_are_probed_last,
+             upstreams_that_rest_do_not_lose_the_path,
              a_check_probes_only_without_a_recent_answer,
              a_path_is_lost_if_none_of_a_sample_answers,
              one_answer_of_the_sample_keeps_the_path,
