Forwarded requests: routers that don't answer, stops, and names of forwarders

Requests that may run once use only connections that are idle for as short a time as those to upstreams.

--- a/src/ForwardPeers.c
+++ b/src/ForwardPeers.c
@@ -7,7 +7,9 @@
 /* A router without a path, or without room, is not tried again for this time.
  * It bounds the requests that are forwarded in vain to a few a second for each
  * router, also if all routers are cut off. */
-#define AVOID_MS 500
+#define REFUSED_AVOID_MS 500
+/* A router that is not reached costs the caller a timeout. */
+#define UNREACHABLE_AVOID_MS 1500
 
 struct ForwardPeers {
     struct event_base *base;
@@ -115,8 +117,20 @@
     return best;
 }
 
+static void
+avoid(ForwardPeer_t *peer, gint64 until_ms)
+{
+    peer->avoid_until_ms = MAX(peer->avoid_until_ms, until_ms);
+}
+
+void
+ForwardPeers_noteRefusal(ForwardPeer_t *peer, gint64 now_ms)
+{
+    avoid(peer, now_ms + REFUSED_AVOID_MS);
+}
+
 void
-ForwardPeers_avoid(ForwardPeer_t *peer, gint64 now_ms)
+ForwardPeers_noteUnreachable(ForwardPeer_t *peer, gint64 now_ms)
 {
-    peer->avoid_until_ms = now_ms + AVOID_MS;
+    avoid(peer, now_ms + UNREACHABLE_AVOID_MS);
 }
--- a/src/ForwardPeers.h
+++ b/src/ForwardPeers.h
@@ -41,7 +41,12 @@
  * none. Valid as long as this object. */
 ForwardPeer_t *ForwardPeers_choose(ForwardPeers_t *this, gint64 now_ms);
 
-/** ForwardPeers_avoid() - record that a router could not serve a request */
-void ForwardPeers_avoid(ForwardPeer_t *peer, gint64 now_ms);
+/** ForwardPeers_noteRefusal() - record that a router could not serve a request
+ * and said so */
+void ForwardPeers_noteRefusal(ForwardPeer_t *peer, gint64 now_ms);
+
+/** ForwardPeers_noteUnreachable() - record that a router was not reached, or
+ * did not answer */
+void ForwardPeers_noteUnreachable(ForwardPeer_t *peer, gint64 now_ms);
 
 #endif
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -11,10 +11,6 @@
 #include "RelayExchange.h"
 #include "RelayForward.h"
 
-/* A router takes forwarded requests only while it has fewer open requests, so
- * that its own callers are served first. */
-#define FORWARDED_OPEN_MAX 256
-
 /* State of one request during admission. */
 typedef struct {
     Context_t *context;
@@ -133,6 +129,7 @@
     RelayForwardSpec_t spec = {
         .http = admission->http,
         .request = &admission->request,
+        .is_repeatable = Route_isRepeatable(admission->route),
         .limit_ms = admission->route->time_limit_ms,
     };
     RelayForward_start(admission->context, &spec);
@@ -154,13 +151,15 @@
 {
     Context_t *context = admission->context;
     gboolean is_lost = UpstreamPath_isLost(context->path);
+    gboolean has_room =
+        context->open_requests < context->settings->limits.forwarded_open;
     if (!admission->forwarded_by) {
         if (is_lost) {
             forward_request(admission);
         }
         return !is_lost;
     }
-    if (is_lost || context->open_requests >= FORWARDED_OPEN_MAX) {
+    if (is_lost || !has_room) {
         refuse_request(admission,
                        is_lost ? REFUSAL_NO_PATH : REFUSAL_OVERLOADED, NULL);
         return FALSE;
@@ -239,14 +238,17 @@
     return FALSE;
 }
 
-/* Only the name of a known router counts. */
+/* Any name keeps a request from being forwarded again, also that of a router
+ * that is not known here; only known ones are logged. */
 static const char *
 find_forwarder(const Context_t *context, struct evhttp_request *request)
 {
     const char *name = evhttp_find_header(
         evhttp_request_get_input_headers(request), RELAY_FORWARDED_BY);
-    return name && Membership_isMember(context->membership, name) ? name
-                                                                  : NULL;
+    if (!name) {
+        return NULL;
+    }
+    return Membership_isMember(context->membership, name) ? name : "unknown";
 }
 
 void
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -203,13 +203,6 @@
     .drained = on_caller_drained,
 };
 
-static gboolean
-is_repeatable(const Route_t *route)
-{
-    return route->kind == ROUTE_REPEATABLE ||
-           (route->kind == ROUTE_STREAM && route->resumable);
-}
-
 static RelayExchange_t *
 create(Context_t *context, const RelayExchangeSpec_t *spec)
 {
@@ -223,7 +216,7 @@
         .deadline_ms =
             Clock_nowMs() + Context_waitMs(context, spec->request->wait_ms,
                                            spec->route->time_limit_ms),
-        .repeatable = is_repeatable(spec->route),
+        .repeatable = Route_isRepeatable(spec->route),
         .max_attempts = spec->route->max_attempts,
         .path = evhttp_request_get_uri(spec->http),
         .body = this->request_body,
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -14,6 +14,9 @@
 /* How long after the caller's deadline the other router's answer, which keeps
  * that deadline, may still arrive. */
 #define ANSWER_MARGIN_MS 100
+/* Longest time for a connection to another router, with which this one has a
+ * link. */
+#define CONNECT_MAX_MS 150
 
 typedef struct {
     Context_t *context;
@@ -24,6 +27,8 @@
     RelayAttempt_t *attempt; /* under way, or NULL */
     ForwardPeer_t *peer;     /* of the last attempt, or NULL */
     struct evbuffer *answer_body;
+    gint64 idle_max_ms; /* of a connection to reuse */
+    gboolean has_head;
     gboolean is_stream;
     gboolean over;
     guint tries;
@@ -92,10 +97,20 @@
     Clock_arm(this->reaper, 0);
 }
 
+/* Called just before the head is sent. */
+static void
+close_if_stopping(const RelayForward_t *this)
+{
+    if (this->context->stopping && RelayAnswer_request(this->answer)) {
+        RelayAnswer_setClosing(this->answer);
+    }
+}
+
 static void
 refuse(RelayForward_t *this, Refusal_t refusal, RunState_t run)
 {
     const char *code = Refusal_spec(refusal)->code;
+    close_if_stopping(this);
     Context_countRefusal(this->context, refusal, run, this->id->str, "none",
                          "none", NULL);
     RelayAnswer_refuse(this->answer, refusal, run, NULL);
@@ -115,6 +130,9 @@
     (void)fd;
     (void)what;
     RelayForward_t *this = data;
+    if (this->attempt && !this->has_head) {
+        ForwardPeers_noteUnreachable(this->peer, Clock_nowMs());
+    }
     refuse(this, REFUSAL_DEADLINE_PASSED, run_state(this));
 }
 
@@ -130,6 +148,7 @@
 on_head(void *owner, const RelayHead_t *head, const struct evkeyvalq *headers)
 {
     RelayForward_t *this = owner;
+    this->has_head = TRUE;
     this->is_stream = !evhttp_find_header(headers, "Content-Length");
     RelayAnswer_setHead(this->answer, head->status, headers);
 }
@@ -142,6 +161,7 @@
         evbuffer_add_buffer(this->answer_body, data);
         return;
     }
+    close_if_stopping(this);
     RelayAnswer_sendData(this->answer, data);
     evbuffer_drain(data, evbuffer_get_length(data));
     if (RelayAnswer_isFull(this->answer)) {
@@ -160,9 +180,7 @@
 static void
 pass_on(RelayForward_t *this)
 {
-    if (this->context->stopping && RelayAnswer_request(this->answer)) {
-        RelayAnswer_setClosing(this->answer);
-    }
+    close_if_stopping(this);
     if (this->is_stream) {
         RelayAnswer_finishStream(this->answer);
     }
@@ -184,8 +202,12 @@
     if (end == ATTEMPT_COMPLETE || end == ATTEMPT_FAILED) {
         pass_on(this);
     }
-    else if (end == ATTEMPT_NOT_RUN || Recovery_isUnsent(end)) {
-        ForwardPeers_avoid(this->peer, Clock_nowMs());
+    else if (end == ATTEMPT_NOT_RUN) {
+        ForwardPeers_noteRefusal(this->peer, Clock_nowMs());
+        try_next(this);
+    }
+    else if (Recovery_isUnsent(end)) {
+        ForwardPeers_noteUnreachable(this->peer, Clock_nowMs());
         try_next(this);
     }
     else if (end == ATTEMPT_MISMATCH || end == ATTEMPT_BAD_ANSWER) {
@@ -238,8 +260,8 @@
         .body = this->body,
         .piece_max = (gsize)limits->answer_max,
         .head_max = (gsize)limits->max_header,
-        .idle_max_ms = limits->idle_time_ms,
-        .connect_ms = limits->connect_timeout_ms,
+        .idle_max_ms = this->idle_max_ms,
+        .connect_ms = MIN(limits->connect_timeout_ms, CONNECT_MAX_MS),
         .first_ms = left_ms + ANSWER_MARGIN_MS,
         .pause_ms = left_ms + ANSWER_MARGIN_MS,
     };
@@ -292,6 +314,9 @@
         Context_waitMs(context, spec->request->wait_ms, spec->limit_ms);
     this->context = context;
     this->request = *spec->request;
+    this->idle_max_ms = spec->is_repeatable
+                            ? context->settings->limits.idle_time_ms
+                            : context->settings->limits.once_idle_time_ms;
     this->id = g_string_new(spec->request->id);
     this->body = Http_copyBody(spec->http);
     this->answer_body = evbuffer_new();
--- a/src/RelayForward.h
+++ b/src/RelayForward.h
@@ -16,11 +16,13 @@
  * struct RelayForwardSpec_t - a request to forward
  * @http: the caller's evhttp request; the forward answers it
  * @request: the parsed head; the forward takes ownership of its contents
+ * @is_repeatable: the request may run more than once
  * @limit_ms: longest time that its route allows, 0 for no limit
  */
 typedef struct {
     struct evhttp_request *http;
     const RelayRequest_t *request;
+    gboolean is_repeatable;
     gint64 limit_ms;
 } RelayForwardSpec_t;
 
--- a/src/RouteConfig.c
+++ b/src/RouteConfig.c
@@ -219,3 +219,10 @@
     static const char *const names[] = {"repeatable", "once", "stream"};
     return names[kind];
 }
+
+gboolean
+Route_isRepeatable(const Route_t *this)
+{
+    return this->kind == ROUTE_REPEATABLE ||
+           (this->kind == ROUTE_STREAM && this->resumable);
+}
--- a/src/RouteConfig.h
+++ b/src/RouteConfig.h
@@ -214,6 +214,9 @@
  */
 const char *Route_pickTarget(const Route_t *this, guint32 draw);
 
+/** Route_isRepeatable() - whether its requests may run more than once */
+gboolean Route_isRepeatable(const Route_t *this);
+
 /** Route_kindName() - "repeatable", "once" or "stream", for logs */
 const char *Route_kindName(RouteKind_t kind);
 
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -265,6 +265,11 @@
      "How long a stream continues after its caller left, so that the caller "
      "can resume it at any router.",
      KEY_LIVE},
+    {"forwarded_open", KEY_INTEGER, FALSE, "512", 0, 1 << 20, NULL,
+     L(forwarded_open),
+     "A router takes requests that other routers forward only while it has "
+     "fewer open requests, so that its own callers come first.",
+     KEY_LIVE},
     {"idle_connections", KEY_INTEGER, FALSE, "32", 0, 4096, NULL,
      L(idle_connections),
      "Largest number of idle connections pooled for each upstream.", KEY_LIVE},
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -188,6 +188,7 @@
  * @event_max: largest event of a stream, in bytes
  * @answer_max: largest answer of a plain service, in bytes
  * @resume_grace_ms: how long a stream continues after its caller left
+ * @forwarded_open: open requests from which on no forwarded ones are taken
  * @idle_connections: idle connections pooled for each upstream
  * @idle_time_ms: longest idle time of a connection that is reused for a
  *     relayed request
@@ -213,6 +214,7 @@
     gint64 event_max;
     gint64 answer_max;
     gint64 resume_grace_ms;
+    gint64 forwarded_open;
     gint64 idle_connections;
     gint64 idle_time_ms;
     gint64 once_idle_time_ms;
--- a/src/UpstreamPath.h
+++ b/src/UpstreamPath.h
@@ -10,7 +10,7 @@
  *
  * After an upstream has failed, a sample of others is probed unless one
  * answers anyway. If none of the sample can be reached, the path is lost,
- * until any upstream answers.
+ * until any upstream answers. Further samples are probed meanwhile.
  */
 #include "UpstreamSet.h"
 
--- a/tests/test_ForwardPeers.c
+++ b/tests/test_ForwardPeers.c
@@ -58,7 +58,7 @@
 {
     begin();
     for (guint i = 0; i < ROUTERS - 1; i++) {
-        ForwardPeers_avoid(ForwardPeers_choose(peers, now_ms), now_ms);
+        ForwardPeers_noteRefusal(ForwardPeers_choose(peers, now_ms), now_ms);
     }
     ck_assert_ptr_null(ForwardPeers_choose(peers, now_ms));
     ck_assert_ptr_nonnull(ForwardPeers_choose(peers, now_ms + LONG_MS));
@@ -66,6 +66,20 @@
 }
 END_TEST
 
+START_TEST(unreachable_routers_are_left_out_for_longer)
+{
+    begin();
+    ForwardPeer_t *refusing = ForwardPeers_choose(peers, now_ms);
+    ForwardPeers_noteRefusal(refusing, now_ms);
+    for (guint i = 1; i < ROUTERS - 1; i++) {
+        ForwardPeers_noteUnreachable(ForwardPeers_choose(peers, now_ms),
+                                     now_ms);
+    }
+    ck_assert_ptr_eq(ForwardPeers_choose(peers, now_ms + 1000), refusing);
+    end();
+}
+END_TEST
+
 START_TEST(routers_that_leave_or_name_no_address_get_no_requests)
 {
     begin();
@@ -83,4 +97,5 @@
 TESTING_MAIN("ForwardPeers", requests_spread_over_the_other_routers,
              a_router_is_reached_where_it_listens_for_callers,
              routers_that_could_not_serve_are_left_out_for_a_moment,
+             unreachable_routers_are_left_out_for_longer,
              routers_that_leave_or_name_no_address_get_no_requests)
