--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -30,6 +30,8 @@
 # Within which a router has to serve its callers again after it lost its links.
 CONTACT_S = 3
 MEASURED_S = 3
+# Within which all routers use links that are back.
+LINKS_USED_S = 1.5
 ENOUGH_CALLS = 50
 CALL_LIMIT_MS = 4000
 # Time in which bytes that wait in kernels are delivered.
@@ -331,6 +333,23 @@
                 status = None
             calls.append((start, status))
 
+    # Routers refused calls for seconds after all of them had their links back:
+    # they probed upstreams less and less often.
+    def test_links_are_used_soon_after_they_are_back(self):
+        for links in self.links.values():
+            links.cut_with_resets()
+        end = time.monotonic() + LONG_CUT_S
+        while time.monotonic() < end:
+            for router in self.routers.values():
+                self.fleet.ask(router, "/read/x", wait_ms=GIVEN_UP_MS)
+            time.sleep(CUT_OFF_PAUSE_S)
+        for links in self.links.values():
+            links.heal()
+        for router in self.routers.values():
+            wait_for(lambda r=router:
+                     self.fleet.ask(r, "/read/x").status == 200,
+                     "an answer", LINKS_USED_S)
+
     def test_silent_links_leave_callers_served(self):
         self.assert_served(Links.cut_silently, 2)
 
