--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -3,6 +3,7 @@
 #include "Clock.h"
 #include "HttpCall.h"
 #include "Log.h"
+#include "Random.h"
 
 /* Interval at which the set is searched for suspected upstreams. */
 #define TICK_MS 100
@@ -16,12 +17,17 @@
  * to this many times. */
 #define FIRST_PAUSE_MS 250
 #define PAUSE_DOUBLINGS_MAX 4
+/* While the path is lost, this many upstreams are probed again at this
+ * interval, whatever their pauses: any of them shows that the path is back. */
+#define LOST_PATH_PROBES 2
+#define LOST_PATH_INTERVAL_MS 500
 
 struct UpstreamProber {
     struct event_base *base;
     UpstreamProberSpec_t spec;
     UpstreamPath_t *path;
     GHashTable *probes; /* Upstream_t -> Probe_t */
+    gint64 hastened_ms; /* when pauses were last ended early */
     struct event *tick;
 };
 
@@ -258,20 +264,34 @@
     }
 }
 
-/* All suspicions are probed again once a path is there. */
+/* Ends the pauses of @count probes, beginning at a random one. */
+static void
+hasten_probes(const UpstreamProber_t *this, guint count)
+{
+    g_autoptr(GList) probes = g_hash_table_get_values(this->probes);
+    guint length = g_list_length(probes);
+    const GList *link =
+        length > 0 ? g_list_nth(probes, Random_below(length)) : NULL;
+    for (guint i = 0; i < MIN(count, length); i++) {
+        Probe_t *probe = link->data;
+        probe->next_ms = 0;
+        link = link->next ? link->next : probes;
+    }
+}
+
 static void
 update_path(UpstreamProber_t *this)
 {
-    GHashTableIter iter;
-    gpointer value = NULL;
-    if (!UpstreamPath_update(this->path, Clock_nowMs()) ||
-        UpstreamPath_isLost(this->path)) {
-        return;
+    gint64 now_ms = Clock_nowMs();
+    gboolean has_changed = UpstreamPath_update(this->path, now_ms);
+    if (!UpstreamPath_isLost(this->path)) {
+        if (has_changed) {
+            hasten_probes(this, G_MAXUINT);
+        }
     }
-    g_hash_table_iter_init(&iter, this->probes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        Probe_t *probe = value;
-        probe->next_ms = 0;
+    else if (now_ms - this->hastened_ms >= LOST_PATH_INTERVAL_MS) {
+        this->hastened_ms = now_ms;
+        hasten_probes(this, LOST_PATH_PROBES);
     }
 }
 
