The fleet soak cuts routers' links to all upstreams

One, several or all routers lose their links for 0.5 to 6 s, in the three forms of Links, sometimes twice in a row, beside all other faults.

Checks: a stream may be cut while open connections of its caller's router are cut, also by a planned stop; connections that are only refused excuse nothing. Work after a revocation, a listed or a stated leaving counts from the end of the cut that was under way, as its link may still hold requests.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -257,6 +257,7 @@
         self.leaving = False  # state it in all answers
         self.rest = None    # refuse, with a Retry-After of so many seconds
         self.arrivals = []  # arrival times of all requests, run or not
+        self.links = []     # Links of routers, through which requests come
         super().__init__()
         self.list()
 
@@ -411,12 +412,17 @@
         """Closes all connections; from now on the engine sends nothing."""
         self.dead = True
         self.close()
+        self.set_ended(True)
         for connection in list(self.calls):
             try:
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
 
+    def set_ended(self, ended):
+        for links in self.links:
+            links.set_ended(self.http.server_port, ended)
+
     def chosen_port(self):
         return self.http.server_port
 
@@ -447,6 +453,7 @@
     def revive(self):
         """Starts another process of the same name at the same address."""
         self.port = self.http.server_port
+        self.set_ended(False)
         self.calls.clear()
         Server.__init__(self)
         self.dead = False
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -18,6 +18,7 @@
 sys.path.insert(0, os.path.join(ROOT, "tests"))
 from fleet import (CUSTOMERS, RANKED_ROUTES, Fleet,  # noqa: E402
                    SuspendableClock)
+from links import Links  # noqa: E402
 
 ROUTERS = 3
 CALLERS = 8
@@ -76,6 +77,12 @@
 NOTICES = ("limit", "leaving", "rest")
 BACKOFFS = ("1", "2.5", "soon", "-1")
 BACKOFF_SPAN_S = 5.0
+# Cuts of routers' links to all upstreams, their durations, the pauses between
+# them, and the time in which bytes held by a link arrive once it is back.
+LINK_CUTS = (Links.cut_silently, Links.cut_with_resets, Links.refuse_new)
+LINK_CUT_S = (0.5, 6.0)
+LINK_PAUSE_S = (1.0, 4.0)
+LINK_DELIVERY_S = 0.5
 CONNECTION_ERRORS = (OSError, http.client.HTTPException)
 
 
@@ -101,6 +108,10 @@
         self.stopping = None   # the router that was sent SIGTERM
         self.starts = 0        # number of router starts
         self.cutting_changes = 0  # counts starts and ends; odd during a fault
+        # The same for each router's links that break streams.
+        self.link_changes = [0] * ROUTERS
+        self.link_lock = threading.Lock()  # held while links are cut
+        self.link_rng = random.Random("%d links" % seed)
         self.store_lock = threading.Lock()
         grouped = seed % 2 == 0
         self.mesh_routers = "1" if grouped else "16"
@@ -117,6 +128,8 @@
             engine.gate = Pacing
             engine.queued = 1  # so that its streams are moved before a load
         self.plains = [self.fleet.plain("p%d" % i) for i in range(3)]
+        self.links = [self.fleet.add(Links(self.engines + self.plains))
+                      for _ in range(ROUTERS)]
         self.write_config()
         self.routers = []
         for i in range(ROUTERS):
@@ -134,10 +147,16 @@
             refuse_late="yes", token_timeout=TOKEN_TIMEOUT,
             partition_engines="yes" if self.partitioned else "no",
             probe_silent="yes" if self.partitioned else "no",
-            environment=self.clocks[index].environment,
+            environment=self.make_environment(index),
             peers={"mesh_routers": self.mesh_routers,
                    "seeds": ",".join(others)})
 
+    def make_environment(self, index):
+        clock = self.clocks[index].environment
+        links = self.links[index].environment
+        return {**clock, **links, "LD_PRELOAD": "%s:%s" % (
+            clock["LD_PRELOAD"], links["LD_PRELOAD"])}
+
     def count(self, what):
         with self.lock:
             self.counts[what] = self.counts.get(what, 0) + 1
@@ -158,7 +177,8 @@
 
     def send_request(self, rng, number, path=None, sent=b"x"):
         """Returns the answer's Retry-After in seconds, 0 if it has none."""
-        router = rng.choice(self.routers)
+        index = rng.randrange(ROUTERS)
+        router = self.routers[index]
         urgent = ["/ask/urgent/x"] * 2 * self.partitioned
         path = path or rng.choice(["/ask/x", "/ask/once/x", "/write/x",
                                    "/read/x"] + urgent)
@@ -166,6 +186,7 @@
         key = rng.choice(["key-a", "key-b", "key-r"])
         status, body, whole, wait_s = 0, b"", False, 0
         cutting_changes = self.cutting_changes
+        link_changes = self.link_changes[index]
         try:
             response = self.fleet.request(
                 router, path, sent, key=key, wait_ms=8000, X_Request_Id=name,
@@ -178,9 +199,11 @@
             body = error.partial
         except CONNECTION_ERRORS:
             pass
-        if status == 200 and not whole and router is self.stopping:
+        linked = (link_changes == self.link_changes[index]
+                  and link_changes % 2 == 0)
+        if status == 200 and not whole and linked and router is self.stopping:
             self.violate("%s was cut by a planned stop" % name, name)
-        elif (status == 200 and not whole
+        elif (status == 200 and not whole and linked
               and cutting_changes == self.cutting_changes
               and cutting_changes % 2 == 0):
             self.violate("%s was cut by nothing that breaks a stream" % name,
@@ -319,6 +342,38 @@
             else:
                 self.write_config()
 
+    def cut_links(self):
+        """Cuts the links of some routers to all upstreams, in parallel with
+        the faults; some twice in a row."""
+        rng = self.link_rng
+        while not self.finished:
+            time.sleep(rng.uniform(*LINK_PAUSE_S))
+            chosen = rng.sample(range(ROUTERS), rng.randint(1, ROUTERS))
+            with self.link_lock:
+                for _ in range(rng.choice((1, 1, 2))):
+                    self.cut_links_once(chosen, rng.choice(LINK_CUTS),
+                                        rng.uniform(*LINK_CUT_S))
+                time.sleep(LINK_DELIVERY_S)
+
+    def cut_links_once(self, chosen, cut, hold):
+        self.count("%s of %d" % (cut.__name__, len(chosen)))
+        self.count_link_changes(chosen, cut)
+        for index in chosen:
+            cut(self.links[index])
+        time.sleep(hold)
+        for index in chosen:
+            self.links[index].heal()
+        self.count_link_changes(chosen, cut)
+
+    def count_link_changes(self, chosen, cut):
+        for index in chosen:
+            self.link_changes[index] += cut is not Links.refuse_new
+
+    def await_held_bytes(self):
+        """Waits until what a link held has arrived."""
+        with self.link_lock:
+            pass
+
     def send_notices(self):
         """Lets one random upstream after another send a notice."""
         rng = random.Random(self.rng.random())
@@ -352,6 +407,7 @@
         time.sleep(LEAVING_KNOWN_S)
         known = len(upstream.arrivals) > received
         time.sleep(LEAVING_KNOWN_S)
+        self.await_held_bytes()
         before = len(upstream.arrivals)
         time.sleep(rng.uniform(0.5, 1.5))
         late = len(upstream.arrivals) - before
@@ -483,6 +539,7 @@
         upstream.state = "draining"
         upstream.list()
         time.sleep(LEAVING_KNOWN_S)
+        self.await_held_bytes()
         before = len(upstream.seen)
         time.sleep(hold)
         if len(upstream.seen) > before:
@@ -496,6 +553,7 @@
         time.sleep(0.5)
         self.write_config()
         time.sleep(REVOCATION_KNOWN_S)
+        self.await_held_bytes()
         before = self.count_runs("r")
         time.sleep(0.5)
         if self.count_runs("r") > before:
@@ -570,6 +628,7 @@
         threads.append(threading.Thread(target=self.make_changes))
         threads.append(threading.Thread(target=self.take_copies))
         threads.append(threading.Thread(target=self.send_notices))
+        threads.append(threading.Thread(target=self.cut_links))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
