--- a/tests/links.py
+++ b/tests/links.py
@@ -72,6 +72,12 @@
         for upstream in upstreams:
             upstream.links.append(self)
 
+    def environment_with(self, other):
+        """Returns the environment of a router that preloads the library of
+        `other` as well."""
+        both = [other["LD_PRELOAD"], self.environment["LD_PRELOAD"]]
+        return {**other, **self.environment, "LD_PRELOAD": ":".join(both)}
+
     def _call(self, function, *arguments):
         return asyncio.run_coroutine_threadsafe(function(*arguments),
                                                 self.loop).result()
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -147,16 +147,11 @@
             refuse_late="yes", token_timeout=TOKEN_TIMEOUT,
             partition_engines="yes" if self.partitioned else "no",
             probe_silent="yes" if self.partitioned else "no",
-            environment=self.make_environment(index),
+            environment=self.links[index].environment_with(
+                self.clocks[index].environment),
             peers={"mesh_routers": self.mesh_routers,
                    "seeds": ",".join(others)})
 
-    def make_environment(self, index):
-        clock = self.clocks[index].environment
-        links = self.links[index].environment
-        return {**clock, **links, "LD_PRELOAD": "%s:%s" % (
-            clock["LD_PRELOAD"], links["LD_PRELOAD"])}
-
     def count(self, what):
         with self.lock:
             self.counts[what] = self.counts.get(what, 0) + 1
