An answer that was on its way is no proof that a router has a path

test_reset_links_hold_no_request_back_elsewhere failed once (503 crashes_upstreams) after links are cut by real resets: the head of one stream arrived within a millisecond of the reset of another one and counted as an answer since, so that the resets counted as crashes.

--- a/src/UpstreamPath.c
+++ b/src/UpstreamPath.c
@@ -6,6 +6,8 @@
 /* Number of upstreams that are probed after a failure. If a third of all
  * upstreams is down, all of a sample are in one case of eighty. */
 #define SAMPLE_MAX 4
+/* An answer may have been on its way when another upstream failed. */
+#define IN_FLIGHT_MS 100
 /* While the path is lost, other upstreams are probed at this interval: the
  * sample may have consisted of upstreams that have ended. */
 #define RESAMPLE_MS 500
@@ -241,6 +243,6 @@
 gboolean
 UpstreamPath_hasWorkedSince(const UpstreamPath_t *this, gint64 failed_ms)
 {
-    return this->answer_ms >= failed_ms ||
+    return this->answer_ms >= failed_ms + IN_FLIGHT_MS ||
            UpstreamSet_all(this->upstreams)->len < 2;
 }
--- a/tests/test_UpstreamPath.c
+++ b/tests/test_UpstreamPath.c
@@ -161,6 +161,9 @@
     ck_assert(!UpstreamPath_hasWorkedSince(path, START_MS));
     Upstream_noteReachable(upstream_at(1), START_MS + 10);
     UpstreamPath_update(path, START_MS + 10);
+    ck_assert(!UpstreamPath_hasWorkedSince(path, START_MS));
+    Upstream_noteReachable(upstream_at(1), START_MS + 200);
+    UpstreamPath_update(path, START_MS + 200);
     ck_assert(UpstreamPath_hasWorkedSince(path, START_MS));
     end();
 }
