An answer on its way does not end the doubt about the path either

An answer that came within 0.1 s of the loss ended the doubt about the path, so that nothing more was probed, but is no proof of a crash.

--- a/src/UpstreamPath.c
+++ b/src/UpstreamPath.c
@@ -8,6 +8,8 @@
 #define SAMPLE_MAX 4
 /* An answer may have been on its way when another upstream failed. */
 #define IN_FLIGHT_MS 100
+/* Time in which other upstreams mostly answer anyway. */
+#define DOUBT_AFTER_MS (2 * IN_FLIGHT_MS)
 /* While the path is lost, other upstreams are probed at this interval: the
  * sample may have consisted of upstreams that have ended. */
 #define RESAMPLE_MS 500
@@ -207,10 +209,13 @@
     if (this->failed_ms == 0) {
         return FALSE;
     }
-    if (this->answer_ms >= this->failed_ms) {
+    if (this->answer_ms >= this->failed_ms + IN_FLIGHT_MS) {
         return find(this, now_ms);
     }
     if (this->state == PATH_WORKS) {
+        if (now_ms - this->failed_ms < DOUBT_AFTER_MS) {
+            return FALSE;
+        }
         if (!draw_sample(this, now_ms)) {
             return find(this, now_ms);
         }
