--- a/src/UpstreamPath.c
+++ b/src/UpstreamPath.c
@@ -178,8 +178,7 @@
 static gboolean
 lose(UpstreamPath_t *this, gint64 now_ms)
 {
-    if (!is_sample_unreachable(this) ||
-        UpstreamSet_all(this->upstreams)->len < 2) {
+    if (!is_sample_unreachable(this)) {
         return FALSE;
     }
     this->state = PATH_LOST;
@@ -206,6 +205,9 @@
 UpstreamPath_update(UpstreamPath_t *this, gint64 now_ms)
 {
     read_answers(this);
+    if (UpstreamSet_all(this->upstreams)->len < 2) {
+        this->failed_ms = 0; /* there is no other upstream to compare with */
+    }
     if (this->failed_ms == 0) {
         return FALSE;
     }
