--- a/src/UpstreamPath.c
+++ b/src/UpstreamPath.c
@@ -9,7 +9,7 @@
 /* An answer may have been on its way when another upstream failed. */
 #define IN_FLIGHT_MS 100
 /* Time in which other upstreams mostly answer anyway. */
-#define DOUBT_AFTER_MS (2 * IN_FLIGHT_MS)
+#define DOUBT_AFTER_MS 200
 /* While the path is lost, other upstreams are probed at this interval: the
  * sample may have consisted of upstreams that have ended. */
 #define RESAMPLE_MS 500
