Logs name upstreams' software versions and the streams that callers continue

The lines of an incident with streams of two software versions did not tell at which versions a stream's attempts ran, nor which requests continue another one's stream: whether streams mix within an answer or over a caller's tries could not be told apart. The version of the list's entries was read and dropped. A new incarnation's version is unknown until its entry states it.

--- a/src/ExchangeLog.c
+++ b/src/ExchangeLog.c
@@ -144,6 +144,7 @@
     Log_text("next", Recovery_actionName(decision->action));
     if (this->avoid) {
         Log_text("upstream", this->avoid->name->str);
+        Log_text("software", Upstream_software(this->avoid));
     }
     log_recovery_input(this, input);
     Log_end();
--- a/src/ListedUpstream.c
+++ b/src/ListedUpstream.c
@@ -16,6 +16,7 @@
     this->spec.region = g_string_new(NULL);
     this->spec.serves = g_ptr_array_new_with_free_func(free_string);
     this->weights = g_string_new(NULL);
+    this->software = g_string_new(NULL);
 }
 
 void
@@ -25,6 +26,7 @@
     g_string_free(this->spec.region, TRUE);
     g_ptr_array_unref(this->spec.serves);
     g_string_free(this->weights, TRUE);
+    g_string_free(this->software, TRUE);
 }
 
 guint64
@@ -37,9 +39,10 @@
 ListedUpstream_hashWithoutWeights(const ListedUpstream_t *this)
 {
     g_autoptr(GString) text = g_string_new(NULL);
-    g_string_printf(text, "%s:%u %s %d %" G_GUINT64_FORMAT,
+    g_string_printf(text, "%s:%u %s %d %" G_GUINT64_FORMAT " %s",
                     this->spec.address.host, this->spec.address.port,
-                    this->spec.hall->str, this->leaving, this->incarnation);
+                    this->spec.hall->str, this->leaving, this->incarnation,
+                    this->software->str);
     for (guint i = 0; i < this->spec.serves->len; i++) {
         const GString *target = g_ptr_array_index(this->spec.serves, i);
         g_string_append_printf(text, " %s", target->str);
--- a/src/ListedUpstream.h
+++ b/src/ListedUpstream.h
@@ -13,12 +13,14 @@
  * @incarnation: increases with each start of the upstream; 0 if not given
  * @leaving: the upstream accepts no new requests
  * @weights: version of the loaded weights; empty if there are none
+ * @software: version of the upstream's software; empty if not given
  */
 typedef struct {
     UpstreamSpec_t spec;
     guint64 incarnation;
     gboolean leaving;
     GString *weights;
+    GString *software;
 } ListedUpstream_t;
 
 /**
@@ -42,7 +44,7 @@
 guint64 ListedUpstream_incarnation(const ListedUpstream_t *this);
 
 /** ListedUpstream_hashWithoutWeights() - hash of address, hall, leaving,
- * incarnation and targets */
+ * incarnation, software and targets */
 guint64 ListedUpstream_hashWithoutWeights(const ListedUpstream_t *this);
 
 #endif
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -153,6 +153,10 @@
     }
     if (super->avoid) {
         Log_text("upstream", super->avoid->name->str);
+        Log_text("software", Upstream_software(super->avoid));
+    }
+    if (this->event_pipe && this->request.resumes) {
+        Log_text("resumes", this->request.resumes);
     }
 }
 
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -49,6 +49,8 @@
  * @parts: parts of the prompt, in order
  * @part_count: number of @parts
  * @last_event_id: last event of the stream that the caller has, or NULL
+ * @resumes: id of the caller's request that brought the first event of the
+ *     stream, or NULL
  */
 typedef struct {
     const char *id;
@@ -63,6 +65,7 @@
     RelayPart_t parts[PROMPT_LEVELS_MAX];
     guint part_count;
     const char *last_event_id;
+    const char *resumes;
 } RelayRequest_t;
 
 /**
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -38,6 +38,7 @@
     this->slots = (guint)spec->slots;
     this->hash = XXH3_64bits(name, strlen(name));
     this->weights = g_string_new(NULL);
+    this->software = g_string_new(NULL);
     this->prefill_us_per_token = INITIAL_PREFILL_US_PER_TOKEN;
     this->base = base;
     this->idle_max = idle_max;
@@ -75,6 +76,7 @@
     g_string_free(this->hall, TRUE);
     g_string_free(this->region, TRUE);
     g_string_free(this->weights, TRUE);
+    g_string_free(this->software, TRUE);
     g_ptr_array_unref(this->serves);
     g_free(this);
 }
@@ -134,6 +136,22 @@
     Upstream_noteSuccess(this);
 }
 
+void
+Upstream_noteSoftware(Upstream_t *this, const char *software,
+                      guint64 incarnation)
+{
+    g_string_assign(this->software, software);
+    this->software_incarnation = incarnation;
+}
+
+const char *
+Upstream_software(const Upstream_t *this)
+{
+    return this->software_incarnation >= this->incarnation
+               ? this->software->str
+               : "";
+}
+
 gboolean
 Upstream_noteIncarnation(Upstream_t *this, guint64 incarnation, gint64 now_ms)
 {
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -30,6 +30,8 @@
  * @hash: hash of the name, the same on all routers
  * @incarnation: newest known incarnation, 0 for none yet
  * @weights: version of weights that it last reported, may be empty
+ * @software: version of its software, see Upstream_software()
+ * @software_incarnation: incarnation that @software was stated for
  * @leaving: gets no new work; ends only with a newer incarnation
  * @leaving_ms: when this router learned that it is leaving, 0 if it is not
  * @removed: no longer declared
@@ -93,6 +95,8 @@
 
     guint64 incarnation;
     GString *weights;
+    GString *software;
+    guint64 software_incarnation;
     gboolean leaving;
     gint64 leaving_ms;
     gboolean removed;
@@ -178,6 +182,20 @@
 gboolean Upstream_noteIncarnation(Upstream_t *this, guint64 incarnation,
                                   gint64 now_ms);
 
+/** Upstream_noteSoftware() - record the software version that the upstream's
+ * entry states; empty for none */
+void Upstream_noteSoftware(Upstream_t *this, const char *software,
+                           guint64 incarnation);
+
+/**
+ * Upstream_software() - version of the software that the upstream runs
+ *
+ * An upstream that has started again may run other software than before.
+ *
+ * Return: an empty text if the version of this incarnation is not known
+ */
+const char *Upstream_software(const Upstream_t *this);
+
 /** Pause of an upstream that sheds a request, in ms; its own queue has to
  * shrink first */
 #define UPSTREAM_SHED_PAUSE_MS 250
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -256,7 +256,11 @@
     if (this->listed > LISTED_LOGGED_MAX) {
         return;
     }
-    log_upstream("upstream_listed", name, entry->leaving ? "leaving" : "live");
+    Log_begin(LOG_LEVEL_INFO, "upstream_listed");
+    Log_text("upstream", name);
+    Log_text("reason", entry->leaving ? "leaving" : "live");
+    Log_text("software", entry->software->str);
+    Log_end();
 }
 
 static void
@@ -277,6 +281,8 @@
     else {
         apply_incarnation(this, upstream, entry);
     }
+    Upstream_noteSoftware(upstream, entry->software->str,
+                          ListedUpstream_incarnation(entry));
     apply_weights(this, upstream, entry->weights->str, is_new);
     if (entry->leaving) {
         note_leaving(this, upstream);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -227,13 +227,16 @@
 class Upstream(Server):
     """An engine or a plain service, whose attributes switch faults on."""
 
-    def __init__(self, store, name, service, model=None, pieces=5):
+    def __init__(self, store, name, service, model=None, pieces=5,
+                 software="v1"):
         self.store = store
         self.name = name
         self.service = service
         self.model = model
         self.version = 1
         self.born = 1777568853587  # start time, ms since 1970
+        self.software = software
+        self.piece = b"piece"  # start of the data of each event
         self.sequence = 0
         self.pieces = pieces
         self.seen = []      # headers of each request that ran
@@ -263,7 +266,7 @@
 
     def list(self):
         entry = {"service": self.service, "address": self.address,
-                 "zone": "hall-a", "version": "v1", "slots": 64,
+                 "zone": "hall-a", "version": self.software, "slots": 64,
                  "state": self.state, "cold_left_ms": 0,
                  "call_seq": self.sequence, "born": self.born}
         if self.model:
@@ -386,7 +389,8 @@
                 call.wfile.write(b"6\r\nid: 99\r\n")  # inside an event
                 call.cut()
                 return
-            event = b"id: %d\ndata: piece-%d\n\n" % (event_id, event_id)
+            event = b"id: %d\ndata: %s-%d\n\n" % (event_id, self.piece,
+                                                event_id)
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             sent += 1
         call.wfile.write(b"0\r\n\r\n")
