--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -1,4 +1,5 @@
 """Streams that go on while engines of two software versions serve."""
+import collections
 import re
 import unittest
 
@@ -16,6 +17,9 @@
     return set(re.findall(rb"data: (\w+)-\d", body))
 
 
+Begun = collections.namedtuple("Begun", "request_id prompt engine")
+
+
 class SoftwareTest(unittest.TestCase):
     ROUTERS = 3
     ENGINES_EACH = 2
@@ -54,33 +58,42 @@
         wait_for(lambda: self.fleet.is_ready(router), "ready")
 
     def begin(self, router, **headers):
-        """Starts a stream, reads some of its events and leaves; returns the
-        request's id and the software version that began it."""
-        response = self.fleet.request(router, "/ask/x", **headers)
+        """Starts a stream with a prompt of its own, reads some of its events
+        and leaves."""
+        prompt = "%x:200,1:100" % (0x1000 + self.fleet.numbers)
+        response = self.fleet.request(router, "/ask/x",
+                                      X_Prompt_Prefix=prompt, **headers)
         request_id = "id%d" % self.fleet.numbers
         self.assertEqual(response.status, 200)
         lines = [response.readline() for _ in range(3 * EVENTS_READ)]
         response.close()
-        software, = versions_of(b"".join(lines))
-        return request_id, software
-
-    def go_on(self, router, request_id, **headers):
-        headers.setdefault("Last_Event_Id", str(EVENTS_READ - 1))
-        if request_id:
-            headers["Resumes"] = request_id
-        return self.fleet.ask(router, "/ask/x", **headers)
+        name = response.headers["X-Server-Seal"][len("seal-"):]
+        engine, = [e for e in self.engines if e.name == name]
+        self.assertEqual(versions_of(b"".join(lines)), {engine.piece})
+        return Begun(request_id, prompt, engine)
+
+    def go_on(self, router, begun, **headers):
+        """Continues a stream under an id of its own, while the engine that
+        began it takes no requests."""
+        headers = dict({"Last_Event_Id": str(EVENTS_READ - 1),
+                        "Resumes": begun.request_id,
+                        "X_Prompt_Prefix": begun.prompt}, **headers)
+        begun.engine.shed = True
+        try:
+            return self.fleet.ask(router, "/ask/x", **headers)
+        finally:
+            begun.engine.shed = False
 
     def assert_goes_on(self, router, begun, **headers):
-        request_id, software = begun
-        answer = self.go_on(router, request_id, **headers)
+        answer = self.go_on(router, begun, **headers)
         self.assertEqual(answer.status, 200, answer.body)
-        self.assertEqual(versions_of(answer.body), {software})
+        self.assertEqual(versions_of(answer.body), {begun.engine.piece})
         self.assertEqual(answer.body.count(b"data:"), EVENTS - EVENTS_READ)
 
     def begin_streams(self, router):
         begun = [self.begin(router) for _ in range(STREAMS)]
-        self.assertEqual({software for _, software in begun},
-                         {software.encode() for software in self.SOFTWARE})
+        self.assertEqual({stream.engine.software for stream in begun},
+                         set(self.SOFTWARE))
         return begun
 
 
