--- a/src/Context.h
+++ b/src/Context.h
@@ -23,6 +23,7 @@
 #include "ForwardPeers.h"
 #include "Membership.h"
 #include "ModelVersions.h"
+#include "OriginKeeper.h"
 #include "PeerDatagrams.h"
 #include "Policy.h"
 #include "RateLimits.h"
@@ -83,6 +84,8 @@
  * @notices: receives upstreams' notices about themselves
  * @budget: retry budget
  * @crashes: quarantines requests that must not be sent
+ * @versions: software versions of the services; NULL on the native platform
+ * @origins: software versions that began streams; NULL on the native platform
  * @traces: traces of recent requests
  * @deferred_calls: work that is done at the end of a loop iteration
  * @stopping: SIGTERM was received; new requests are refused after the grace
@@ -124,6 +127,8 @@
     UpstreamNotices_t *notices;
     RetryBudget_t *budget;
     CrashGuard_t *crashes;
+    SoftwareVersions_t *versions;
+    OriginKeeper_t *origins;
     Traces_t *traces;
     DeferredCalls_t *deferred_calls;
     gboolean stopping;
--- a/src/ExchangeCapacity.c
+++ b/src/ExchangeCapacity.c
@@ -151,9 +151,22 @@
     Exchange_refuseWith(this, &notice);
 }
 
+static void
+refuse_software_gone(Exchange_t *this, const Placement_t *placement)
+{
+    g_autofree char *detail =
+        g_strdup_printf("software=%s", placement->software);
+    Exchange_refuse(this, REFUSAL_SOFTWARE_GONE, Exchange_runState(this),
+                    detail);
+}
+
 void
 ExchangeCapacity_refuse(Exchange_t *this, const Placement_t *placement)
 {
+    if (!Policy_hasSoftware(placement)) {
+        refuse_software_gone(this, placement);
+        return;
+    }
     LimitedCapacity_t limited = Policy_findLimited(placement);
     BackedOffUpstreams_t backing_off = Policy_findBackedOff(placement);
     if (limited.count > 0) {
--- /dev/null
+++ b/src/OriginKeeper.c
@@ -0,0 +1,627 @@
+#include "OriginKeeper.h"
+
+#include <string.h>
+
+#include "Clock.h"
+#include "StreamOrigins.h"
+
+/* A lost datagram is sent again once within ORIGIN_ASK_TIMEOUT_MS. */
+#define ASK_REPEAT_MS 80
+/* Owners are told again of streams that still run, as they may have restarted
+ * or others may have become owners. */
+#define TELL_AGAIN_MS 2000
+/* Streams in one datagram: 60 bytes each. */
+#define STREAMS_PER_MESSAGE 16
+/* Longest name of a service or version that is accepted, in bytes. */
+#define NAME_MAX_BYTES 255
+
+struct OriginQuery {
+    guint64 ticket;
+    RequestDigest_t digest;
+    GRefString *service;
+    guint64 owners[ORIGIN_OWNERS]; /* that have not replied */
+    guint open;                    /* number of @owners */
+    guint replies;
+    GRefString *only; /* version that an owner takes for the only one */
+    gint64 repeat_ms; /* 0 once repeated */
+    gint64 expires_ms;
+    OriginAsked_t done;
+    void *owner;
+};
+
+struct OriginKeeper {
+    OriginKeeperSpec_t spec;
+    StreamOrigins_t *origins;
+    GHashTable *queries; /* &ticket -> OriginQuery_t */
+    guint64 ticket;
+};
+
+/* Streams for one owner that are not sent yet. */
+typedef struct {
+    GPtrArray *entries; /* StreamOrigin_t */
+} Batch_t;
+
+/* Streams to tell owners of. */
+typedef struct {
+    OriginKeeper_t *keeper;
+    const char *service; /* NULL for all */
+    gint64 now_ms;
+    guint live;          /* streams among them that run here */
+    GHashTable *batches; /* &router -> Batch_t */
+} Telling_t;
+
+static void
+free_query(gpointer data)
+{
+    OriginQuery_t *query = data;
+    g_ref_string_release(query->service);
+    if (query->only) {
+        g_ref_string_release(query->only);
+    }
+    g_free(query);
+}
+
+static void
+free_batch(gpointer data)
+{
+    Batch_t *batch = data;
+    g_ptr_array_unref(batch->entries);
+    g_free(batch);
+}
+
+const char *
+OriginSource_name(OriginSource_t source)
+{
+    static const char *const names[] = {
+        [ORIGIN_FROM_NOBODY] = "nobody",
+        [ORIGIN_FROM_HERE] = "here",
+        [ORIGIN_FROM_OWNER] = "owner",
+        [ORIGIN_FROM_LIST] = "list",
+    };
+    return names[source];
+}
+
+static void
+count(const OriginKeeper_t *this, const char *counter, guint64 more)
+{
+    Counters_add(this->spec.counters, counter, NULL, more);
+}
+
+static void
+send_message(const OriginKeeper_t *this, guint64 router,
+             const Wt__PeerMessage *message)
+{
+    this->spec.links->send(this->spec.owner, router, message);
+}
+
+static guint
+find_others(const OriginKeeper_t *this, const RequestDigest_t *digest,
+            guint64 out[ORIGIN_OWNERS])
+{
+    guint64 owners[ORIGIN_OWNERS];
+    guint others = 0;
+    guint found =
+        this->spec.links->find_owners(this->spec.owner, digest, owners);
+    for (guint i = 0; i < found; i++) {
+        if (owners[i] != ORIGIN_SELF) {
+            out[others++] = owners[i];
+        }
+    }
+    return others;
+}
+
+static void
+fill_origin(Wt__StreamOrigin *out, const StreamOrigin_t *entry, gint64 now_ms)
+{
+    out->digest.data = (guint8 *)entry->digest.bytes;
+    out->digest.len = sizeof(entry->digest.bytes);
+    out->service = entry->service;
+    out->software = entry->software;
+    out->left_ms = (guint32)MAX(entry->expires_ms - now_ms, 0);
+}
+
+static void
+send_origins(const OriginKeeper_t *this, guint64 router,
+             const GPtrArray *entries, gint64 now_ms)
+{
+    for (guint from = 0; from < entries->len; from += STREAMS_PER_MESSAGE) {
+        Wt__StreamOrigin origins[STREAMS_PER_MESSAGE];
+        Wt__StreamOrigin *pointers[STREAMS_PER_MESSAGE];
+        Wt__OriginNews news = WT__ORIGIN_NEWS__INIT;
+        Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+        news.n_origins = MIN(entries->len - from, STREAMS_PER_MESSAGE);
+        news.origins = pointers;
+        for (guint i = 0; i < news.n_origins; i++) {
+            wt__stream_origin__init(&origins[i]);
+            fill_origin(&origins[i], g_ptr_array_index(entries, from + i),
+                        now_ms);
+            pointers[i] = &origins[i];
+        }
+        message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_NEWS;
+        message.origin_news = &news;
+        send_message(this, router, &message);
+        count(this, "origin_messages_total", 1);
+    }
+}
+
+static Batch_t *
+get_batch(const Telling_t *telling, guint64 router)
+{
+    Batch_t *batch = g_hash_table_lookup(telling->batches, &router);
+    if (!batch) {
+        batch = g_new0(Batch_t, 1);
+        batch->entries = g_ptr_array_new();
+        g_hash_table_insert(telling->batches,
+                            g_memdup2(&router, sizeof(router)), batch);
+    }
+    return batch;
+}
+
+static void
+add_to_batches(const Telling_t *telling, StreamOrigin_t *entry)
+{
+    const OriginKeeper_t *keeper = telling->keeper;
+    guint64 owners[ORIGIN_OWNERS];
+    guint others = find_others(keeper, &entry->digest, owners);
+    for (guint i = 0; i < others; i++) {
+        g_ptr_array_add(get_batch(telling, owners[i])->entries, entry);
+    }
+    entry->is_told = TRUE;
+    entry->renewed_ms = telling->now_ms;
+    count(keeper, "origins_told_total", 1);
+}
+
+static Telling_t
+begin_telling(OriginKeeper_t *this, const char *service)
+{
+    return (Telling_t){
+        .keeper = this,
+        .service = service,
+        .now_ms = Clock_nowMs(),
+        .batches = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                         free_batch),
+    };
+}
+
+static void
+finish_telling(const Telling_t *telling)
+{
+    GHashTableIter iter;
+    gpointer router = NULL;
+    gpointer batch = NULL;
+    g_hash_table_iter_init(&iter, telling->batches);
+    while (g_hash_table_iter_next(&iter, &router, &batch)) {
+        send_origins(telling->keeper, *(guint64 *)router,
+                     ((Batch_t *)batch)->entries, telling->now_ms);
+    }
+    g_hash_table_destroy(telling->batches);
+}
+
+static void
+tell_if_untold(void *owner, StreamOrigin_t *entry)
+{
+    const Telling_t *telling = owner;
+    if (entry->is_own && !entry->is_told &&
+        strcmp(entry->service, telling->service) == 0) {
+        add_to_batches(telling, entry);
+    }
+}
+
+static void
+schedule_tick(const OriginKeeper_t *this, gint64 in_ms)
+{
+    this->spec.links->schedule_tick(this->spec.owner, in_ms);
+}
+
+/* The streams that began while a service had one version are told once it gets
+ * another one. */
+static void
+on_mixed(void *owner, const char *service)
+{
+    OriginKeeper_t *this = owner;
+    Telling_t telling = begin_telling(this, service);
+    StreamOrigins_forEach(this->origins, tell_if_untold, &telling);
+    finish_telling(&telling);
+    schedule_tick(this, TELL_AGAIN_MS);
+}
+
+static void
+tell_again_if_live(void *owner, StreamOrigin_t *entry)
+{
+    Telling_t *telling = owner;
+    if (!entry->is_live || !entry->is_told) {
+        return;
+    }
+    telling->live++;
+    if (telling->now_ms - entry->renewed_ms >= TELL_AGAIN_MS) {
+        entry->expires_ms = telling->now_ms + telling->keeper->spec.window_ms;
+        add_to_batches(telling, entry);
+    }
+}
+
+static void
+tell_again(OriginKeeper_t *this)
+{
+    Telling_t telling = begin_telling(this, NULL);
+    StreamOrigins_forEach(this->origins, tell_again_if_live, &telling);
+    finish_telling(&telling);
+    if (telling.live > 0) {
+        schedule_tick(this, TELL_AGAIN_MS);
+    }
+}
+
+OriginKeeper_t *
+OriginKeeper_create(const OriginKeeperSpec_t *spec)
+{
+    OriginKeeper_t *this = g_new0(OriginKeeper_t, 1);
+    this->spec = *spec;
+    this->origins = StreamOrigins_create(STREAM_ORIGINS_MAX);
+    this->queries =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_query);
+    SoftwareVersions_setMixedCallback(spec->versions, on_mixed, this);
+    return this;
+}
+
+void
+OriginKeeper_destroy(OriginKeeper_t *this)
+{
+    SoftwareVersions_setMixedCallback(this->spec.versions, NULL, NULL);
+    g_hash_table_destroy(this->queries);
+    StreamOrigins_destroy(this->origins);
+    g_free(this);
+}
+
+void
+OriginKeeper_setWindow(OriginKeeper_t *this, gint64 window_ms)
+{
+    this->spec.window_ms = window_ms;
+}
+
+static const char *
+find_listed_only(const OriginKeeper_t *this, const char *service)
+{
+    return SoftwareVersions_findOnly(this->spec.versions, service,
+                                     this->spec.window_ms, Clock_nowMs());
+}
+
+/* With an old list another version may serve already. */
+const char *
+OriginKeeper_findOnly(const OriginKeeper_t *this, const char *service)
+{
+    return this->spec.links->is_list_current(this->spec.owner)
+               ? find_listed_only(this, service)
+               : NULL;
+}
+
+void
+OriginKeeper_begin(OriginKeeper_t *this, const RequestDigest_t *digest,
+                   const char *service, const char *software,
+                   gboolean may_change)
+{
+    gint64 now_ms = Clock_nowMs();
+    StreamOrigin_t *entry =
+        StreamOrigins_put(this->origins, digest, service, software,
+                          now_ms + this->spec.window_ms, now_ms);
+    entry->is_own = TRUE;
+    entry->is_live = TRUE;
+    if (!may_change && OriginKeeper_findOnly(this, service)) {
+        return;
+    }
+    Telling_t telling = begin_telling(this, service);
+    add_to_batches(&telling, entry);
+    finish_telling(&telling);
+    schedule_tick(this, TELL_AGAIN_MS);
+}
+
+/* The caller of a whole stream may have lost its end on the way, but nobody
+ * could tell another router of it while there is one version. */
+void
+OriginKeeper_end(OriginKeeper_t *this, const RequestDigest_t *digest,
+                 gboolean is_whole)
+{
+    gint64 now_ms = Clock_nowMs();
+    StreamOrigin_t *entry = StreamOrigins_find(this->origins, digest, now_ms);
+    if (!entry || !entry->is_live) {
+        return;
+    }
+    entry->is_live = FALSE;
+    entry->expires_ms = now_ms + this->spec.window_ms;
+    if (is_whole && !entry->is_told) {
+        StreamOrigins_remove(this->origins, digest);
+    }
+}
+
+static void
+send_query(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    Wt__OriginAsk ask = WT__ORIGIN_ASK__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    ask.ticket = query->ticket;
+    ask.digest.data = (guint8 *)query->digest.bytes;
+    ask.digest.len = sizeof(query->digest.bytes);
+    ask.service = query->service;
+    message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_ASK;
+    message.origin_ask = &ask;
+    for (guint i = 0; i < query->open; i++) {
+        send_message(this, query->owners[i], &message);
+        count(this, "origin_messages_total", 1);
+    }
+}
+
+static gboolean
+answer_here(const OriginKeeper_t *this, const RequestDigest_t *digest,
+            const char *service, gboolean may_change, OriginAnswer_t *out)
+{
+    gint64 now_ms = Clock_nowMs();
+    const StreamOrigin_t *entry =
+        StreamOrigins_find(this->origins, digest, now_ms);
+    const char *only =
+        may_change ? NULL : OriginKeeper_findOnly(this, service);
+    *out = (OriginAnswer_t){.source = ORIGIN_FROM_NOBODY};
+    if (entry) {
+        out->source = ORIGIN_FROM_HERE;
+        out->service = entry->service;
+        out->software = entry->software;
+        out->age_ms = now_ms - entry->renewed_ms;
+    }
+    else if (only) {
+        out->source = ORIGIN_FROM_LIST;
+        out->service = service;
+        out->software = only;
+    }
+    return out->source != ORIGIN_FROM_NOBODY;
+}
+
+OriginQuery_t *
+OriginKeeper_ask(OriginKeeper_t *this, const RequestDigest_t *digest,
+                 const char *service, gboolean may_change, OriginAnswer_t *out,
+                 OriginAsked_t done, void *owner)
+{
+    if (answer_here(this, digest, service, may_change, out)) {
+        return NULL;
+    }
+    OriginQuery_t *query = g_new0(OriginQuery_t, 1);
+    gint64 now_ms = Clock_nowMs();
+    query->digest = *digest;
+    query->service = g_ref_string_new_intern(service);
+    query->open = find_others(this, digest, query->owners);
+    query->repeat_ms = now_ms + ASK_REPEAT_MS;
+    query->expires_ms = now_ms + ORIGIN_ASK_TIMEOUT_MS;
+    query->done = done;
+    query->owner = owner;
+    if (query->open == 0) {
+        free_query(query);
+        return NULL;
+    }
+    query->ticket = ++this->ticket;
+    g_hash_table_insert(this->queries, &query->ticket, query);
+    send_query(this, query);
+    schedule_tick(this, ASK_REPEAT_MS);
+    return query;
+}
+
+void
+OriginKeeper_cancel(OriginKeeper_t *this, OriginQuery_t *query)
+{
+    g_hash_table_remove(this->queries, &query->ticket);
+}
+
+/* Removes the query before the call, which may ask again. */
+static void
+finish_query(OriginKeeper_t *this, OriginQuery_t *query,
+             const OriginAnswer_t *answer)
+{
+    g_hash_table_steal(this->queries, &query->ticket);
+    query->done(query->owner, answer);
+    free_query(query);
+}
+
+/* No owner knows the stream: it was not told, or all that were told of it have
+ * restarted. If the list of this router is old, at least one owner must have
+ * answered: a router that is cut off from all others can't know of a newer
+ * version. */
+static void
+finish_unknown(OriginKeeper_t *this, OriginQuery_t *query)
+{
+    OriginAnswer_t answer = {.replies = query->replies};
+    const char *only = query->only;
+    if (!only && query->replies > 0) {
+        only = find_listed_only(this, query->service);
+    }
+    if (only) {
+        answer.source = ORIGIN_FROM_LIST;
+        answer.service = query->service;
+        answer.software = only;
+    }
+    finish_query(this, query, &answer);
+}
+
+static gboolean
+is_valid_name(const char *name)
+{
+    return *name != '\0' && strlen(name) <= NAME_MAX_BYTES;
+}
+
+static gboolean
+read_digest(const ProtobufCBinaryData *bytes, RequestDigest_t *out)
+{
+    if (bytes->len != sizeof(out->bytes)) {
+        return FALSE;
+    }
+    memcpy(out->bytes, bytes->data, sizeof(out->bytes));
+    return TRUE;
+}
+
+static void
+receive_origin(OriginKeeper_t *this, const Wt__StreamOrigin *origin)
+{
+    RequestDigest_t digest;
+    gint64 now_ms = Clock_nowMs();
+    gint64 left_ms = MIN((gint64)origin->left_ms, this->spec.window_ms);
+    gboolean is_valid = read_digest(&origin->digest, &digest) &&
+                        is_valid_name(origin->service) &&
+                        strlen(origin->software) <= NAME_MAX_BYTES;
+    if (!is_valid || left_ms == 0) {
+        return;
+    }
+    StreamOrigins_put(this->origins, &digest, origin->service,
+                      origin->software, now_ms + left_ms, now_ms);
+}
+
+static void
+receive_news(OriginKeeper_t *this, const Wt__OriginNews *news)
+{
+    for (gsize i = 0; i < news->n_origins; i++) {
+        receive_origin(this, news->origins[i]);
+    }
+}
+
+static void
+receive_query(const OriginKeeper_t *this, const Wt__OriginAsk *ask,
+              guint64 from)
+{
+    RequestDigest_t digest;
+    if (!read_digest(&ask->digest, &digest) || !is_valid_name(ask->service)) {
+        return;
+    }
+    Wt__OriginAnswer answer = WT__ORIGIN_ANSWER__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    const StreamOrigin_t *entry =
+        StreamOrigins_find(this->origins, &digest, Clock_nowMs());
+    const char *only = entry ? NULL : find_listed_only(this, ask->service);
+    answer.ticket = ask->ticket;
+    if (entry) {
+        answer.verdict = WT__ORIGIN_VERDICT__ORIGIN_KNOWN;
+        answer.service = entry->service;
+        answer.software = entry->software;
+    }
+    else if (only) {
+        answer.verdict = WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION;
+        answer.software = (char *)only;
+    }
+    message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER;
+    message.origin_answer = &answer;
+    send_message(this, from, &message);
+    count(this, "origin_messages_total", 1);
+}
+
+/* Returns FALSE if the router is no owner or has replied already. */
+static gboolean
+note_reply(OriginQuery_t *query, guint64 from)
+{
+    for (guint i = 0; i < query->open; i++) {
+        if (query->owners[i] == from) {
+            query->owners[i] = query->owners[--query->open];
+            query->replies++;
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+note_only(OriginQuery_t *query, const char *software)
+{
+    if (!query->only && is_valid_name(software)) {
+        query->only = g_ref_string_new_intern(software);
+    }
+}
+
+static void
+receive_answer(OriginKeeper_t *this, const Wt__OriginAnswer *answer,
+               guint64 from)
+{
+    OriginQuery_t *query = g_hash_table_lookup(this->queries, &answer->ticket);
+    if (!query || !note_reply(query, from)) {
+        return;
+    }
+    if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_KNOWN) {
+        OriginAnswer_t known = {
+            .source = ORIGIN_FROM_OWNER,
+            .service = answer->service,
+            .software = answer->software,
+            .replies = query->replies,
+        };
+        finish_query(this, query, &known);
+        return;
+    }
+    if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION) {
+        note_only(query, answer->software);
+    }
+    if (query->open == 0) {
+        finish_unknown(this, query);
+    }
+}
+
+void
+OriginKeeper_receive(OriginKeeper_t *this, const Wt__PeerMessage *message,
+                     guint64 from)
+{
+    if (message->body_case == WT__PEER_MESSAGE__BODY_ORIGIN_NEWS) {
+        receive_news(this, message->origin_news);
+    }
+    else if (message->body_case == WT__PEER_MESSAGE__BODY_ORIGIN_ASK) {
+        receive_query(this, message->origin_ask, from);
+    }
+    else if (message->body_case == WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER) {
+        receive_answer(this, message->origin_answer, from);
+    }
+}
+
+static void
+schedule_query(const OriginKeeper_t *this, const OriginQuery_t *query,
+               gint64 now_ms)
+{
+    gint64 due_ms =
+        query->repeat_ms > 0 ? query->repeat_ms : query->expires_ms;
+    schedule_tick(this, due_ms - now_ms);
+}
+
+static void
+repeat_if_due(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
+{
+    if (query->repeat_ms > 0 && now_ms >= query->repeat_ms) {
+        query->repeat_ms = 0;
+        send_query(this, query);
+    }
+}
+
+/* Collects first: the callback of a query may ask or cancel others. */
+static void
+expire_queries(OriginKeeper_t *this, gint64 now_ms)
+{
+    GHashTableIter iter;
+    gpointer query = NULL;
+    g_autoptr(GArray) expired = g_array_new(FALSE, FALSE, sizeof(guint64));
+    g_hash_table_iter_init(&iter, this->queries);
+    while (g_hash_table_iter_next(&iter, NULL, &query)) {
+        const OriginQuery_t *open = query;
+        if (now_ms >= open->expires_ms) {
+            g_array_append_val(expired, open->ticket);
+        }
+        else {
+            repeat_if_due(this, query, now_ms);
+            schedule_query(this, open, now_ms);
+        }
+    }
+    for (guint i = 0; i < expired->len; i++) {
+        query = g_hash_table_lookup(this->queries,
+                                    &g_array_index(expired, guint64, i));
+        if (query) {
+            finish_unknown(this, query);
+        }
+    }
+}
+
+void
+OriginKeeper_tick(OriginKeeper_t *this)
+{
+    expire_queries(this, Clock_nowMs());
+    tell_again(this);
+}
+
+guint
+OriginKeeper_count(const OriginKeeper_t *this)
+{
+    return StreamOrigins_count(this->origins);
+}
--- /dev/null
+++ b/src/OriginKeeper.h
@@ -0,0 +1,166 @@
+#ifndef HEADER_OriginKeeper
+#define HEADER_OriginKeeper
+/**
+ * DOC: OriginKeeper
+ *
+ * Finds out which software version began a stream that a caller continues at
+ * any router. While a service has several versions, the router at which a
+ * stream begins tells a few owners, which are drawn by a hash of the customer
+ * and the request's id, before the caller gets the first event. The router
+ * that a caller comes back to asks them. Nothing is sent while a service has
+ * had a single version for as long as streams may be continued. The transport
+ * is a table of functions, and messages may be lost.
+ *
+ * Where nobody knows the version, the answer says so: it is never guessed.
+ */
+#include "Counters.h"
+#include "RequestDigest.h"
+#include "SoftwareVersions.h"
+#include "peer.pb-c.h"
+
+/** Owners of each stream. Of 8 routers with 3 killed at once, all owners of 1
+ * in 56 streams are among them. */
+#define ORIGIN_OWNERS 3
+
+/** Identity of this router among the owners */
+#define ORIGIN_SELF 0
+
+/** How long owners are asked before the version counts as unknown, in ms: ten
+ * round trips between halls at routers with a busy event loop */
+#define ORIGIN_ASK_TIMEOUT_MS 250
+
+/**
+ * struct OriginLinksClass_t - functions of the transport
+ * @find_owners: finds the owners of a stream, the same on all routers that
+ *     know the same routers; returns their number
+ * @send: sends a message, which may be lost
+ * @schedule_tick: schedules a call of OriginKeeper_tick() after at most @in_ms
+ * @is_list_current: returns whether the list of upstreams is up to date
+ */
+typedef struct {
+    guint (*find_owners)(void *owner, const RequestDigest_t *digest,
+                         guint64 out[ORIGIN_OWNERS]);
+    void (*send)(void *owner, guint64 router, const Wt__PeerMessage *message);
+    void (*schedule_tick)(void *owner, gint64 in_ms);
+    gboolean (*is_list_current)(void *owner);
+} OriginLinksClass_t;
+
+/**
+ * struct OriginKeeperSpec_t - dependencies; all must outlive the keeper
+ * @links: transport
+ * @owner: first argument of the functions of @links
+ * @versions: versions of the services; the keeper sets its callback
+ * @counters: counters of messages and answers
+ * @window_ms: how long after its last event a stream may be continued
+ */
+typedef struct {
+    const OriginLinksClass_t *links;
+    void *owner;
+    SoftwareVersions_t *versions;
+    Counters_t *counters;
+    gint64 window_ms;
+} OriginKeeperSpec_t;
+
+/**
+ * enum OriginSource_t - how the version that began a stream is known
+ * @ORIGIN_FROM_NOBODY: it is not known
+ * @ORIGIN_FROM_HERE: the stream ran at this router, or this router is an owner
+ * @ORIGIN_FROM_OWNER: an owner has answered
+ * @ORIGIN_FROM_LIST: the service had a single version
+ */
+typedef enum {
+    ORIGIN_FROM_NOBODY,
+    ORIGIN_FROM_HERE,
+    ORIGIN_FROM_OWNER,
+    ORIGIN_FROM_LIST,
+} OriginSource_t;
+
+/**
+ * struct OriginAnswer_t - answer to a query; valid during the callback
+ * @source: how the version is known
+ * @service: service that began the stream; NULL if it is not known
+ * @software: version that began the stream; NULL if it is not known
+ * @replies: owners that have replied
+ * @age_ms: time since this router last heard of the stream, for
+ *     ORIGIN_FROM_HERE
+ */
+typedef struct {
+    OriginSource_t source;
+    const char *service;
+    const char *software;
+    guint replies;
+    gint64 age_ms;
+} OriginAnswer_t;
+
+/** OriginAsked_t - called when a query is answered or has timed out */
+typedef void (*OriginAsked_t)(void *owner, const OriginAnswer_t *answer);
+
+/** struct OriginQuery_t - opaque; an open query */
+typedef struct OriginQuery OriginQuery_t;
+
+/** struct OriginKeeper_t - opaque */
+typedef struct OriginKeeper OriginKeeper_t;
+
+/** OriginKeeper_create() - create a keeper without streams */
+OriginKeeper_t *OriginKeeper_create(const OriginKeeperSpec_t *spec);
+
+/** OriginKeeper_destroy() - free it; no query may be open */
+void OriginKeeper_destroy(OriginKeeper_t *this);
+
+/** OriginKeeper_setWindow() - change window_ms of the spec */
+void OriginKeeper_setWindow(OriginKeeper_t *this, gint64 window_ms);
+
+/** OriginKeeper_findOnly() - the single version of a service, if this router
+ * is sure of it; see SoftwareVersions_findOnly() */
+const char *OriginKeeper_findOnly(const OriginKeeper_t *this,
+                                  const char *service);
+
+/**
+ * OriginKeeper_begin() - a stream has begun, or goes on, at this router
+ * @software: version of its upstream; empty if that is not known
+ * @may_change: the stream's route has several services, so that owners are
+ *     told even while each of them has a single version
+ */
+void OriginKeeper_begin(OriginKeeper_t *this, const RequestDigest_t *digest,
+                        const char *service, const char *software,
+                        gboolean may_change);
+
+/** OriginKeeper_end() - the stream no longer runs at this router
+ * @is_whole: the caller was sent all of it */
+void OriginKeeper_end(OriginKeeper_t *this, const RequestDigest_t *digest,
+                      gboolean is_whole);
+
+/**
+ * OriginKeeper_ask() - find the version that began a stream
+ * @digest: identifies the stream
+ * @service: service that the stream would continue at
+ * @may_change: the stream's route has several services
+ * @out: the answer, if it is known at once
+ *
+ * Return: NULL if @out is filled in and @done will not be called
+ */
+OriginQuery_t *OriginKeeper_ask(OriginKeeper_t *this,
+                                const RequestDigest_t *digest,
+                                const char *service, gboolean may_change,
+                                OriginAnswer_t *out, OriginAsked_t done,
+                                void *owner);
+
+/** OriginKeeper_cancel() - the answer is no longer wanted */
+void OriginKeeper_cancel(OriginKeeper_t *this, OriginQuery_t *query);
+
+/** OriginKeeper_receive() - handle a message of another router; ignores
+ * messages of other modules */
+void OriginKeeper_receive(OriginKeeper_t *this, const Wt__PeerMessage *message,
+                          guint64 from);
+
+/** OriginKeeper_tick() - repeat and expire queries, and tell owners again of
+ * streams that still run */
+void OriginKeeper_tick(OriginKeeper_t *this);
+
+/** OriginKeeper_count() - number of streams that are remembered */
+guint OriginKeeper_count(const OriginKeeper_t *this);
+
+/** OriginSource_name() - stable name for logs and counters */
+const char *OriginSource_name(OriginSource_t source);
+
+#endif
--- /dev/null
+++ b/src/OriginPeers.c
@@ -0,0 +1,118 @@
+#include "OriginPeers.h"
+
+#include "Clock.h"
+#include "PeerIdentity.h"
+
+/* Prefix of the hash key, which keeps the ranks apart from those of other
+ * uses. */
+#define KEY_PREFIX "origin/"
+
+struct OriginPeers {
+    OriginPeersSpec_t spec;
+    OriginKeeper_t *keeper;
+    struct event *timer;
+    gint64 tick_at_ms; /* when the timer fires; 0 if it is not armed */
+};
+
+static guint
+find_owners(void *owner, const RequestDigest_t *digest,
+            guint64 out[ORIGIN_OWNERS])
+{
+    const OriginPeers_t *this = owner;
+    const Member_t *first[ORIGIN_OWNERS];
+    char key[sizeof(KEY_PREFIX) + REQUEST_DIGEST_TEXT] = KEY_PREFIX;
+    RequestDigest_write(digest, key + sizeof(KEY_PREFIX) - 1);
+    guint count =
+        Membership_findFirst(this->spec.membership, key, first, ORIGIN_OWNERS);
+    for (guint i = 0; i < count; i++) {
+        out[i] = first[i] ? PeerIdentity_ofMember(first[i]) : ORIGIN_SELF;
+    }
+    return count;
+}
+
+static void
+send_message(void *owner, guint64 router, const Wt__PeerMessage *message)
+{
+    const OriginPeers_t *this = owner;
+    struct sockaddr_in address = PeerIdentity_address(router);
+    if (this->spec.datagrams) {
+        PeerDatagrams_send(this->spec.datagrams, &address, message);
+    }
+}
+
+static void
+schedule_tick(void *owner, gint64 in_ms)
+{
+    OriginPeers_t *this = owner;
+    gint64 tick_at_ms = Clock_nowMs() + MAX(in_ms, 0);
+    if (this->tick_at_ms == 0 || tick_at_ms < this->tick_at_ms) {
+        this->tick_at_ms = tick_at_ms;
+        Clock_arm(this->timer, MAX(in_ms, 0));
+    }
+}
+
+static gboolean
+is_list_current(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    return UpstreamListing_isCurrent(this->spec.listing);
+}
+
+static const OriginLinksClass_t links = {
+    .find_owners = find_owners,
+    .send = send_message,
+    .schedule_tick = schedule_tick,
+    .is_list_current = is_list_current,
+};
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    OriginPeers_t *this = data;
+    this->tick_at_ms = 0;
+    OriginKeeper_tick(this->keeper);
+}
+
+static void
+on_message(void *owner, const Wt__PeerMessage *message,
+           const struct sockaddr_in *from)
+{
+    const OriginPeers_t *this = owner;
+    OriginKeeper_receive(this->keeper, message, PeerIdentity_ofAddress(from));
+}
+
+OriginPeers_t *
+OriginPeers_create(struct event_base *base, const OriginPeersSpec_t *spec)
+{
+    OriginPeers_t *this = g_new0(OriginPeers_t, 1);
+    this->spec = *spec;
+    this->timer = Clock_timer(base, on_timer, this);
+    OriginKeeperSpec_t keeper = {
+        .links = &links,
+        .owner = this,
+        .versions = spec->versions,
+        .counters = spec->counters,
+        .window_ms = spec->window_ms,
+    };
+    this->keeper = OriginKeeper_create(&keeper);
+    if (spec->datagrams) {
+        PeerDatagrams_addHandler(spec->datagrams, on_message, this);
+    }
+    return this;
+}
+
+OriginKeeper_t *
+OriginPeers_keeper(const OriginPeers_t *this)
+{
+    return this->keeper;
+}
+
+void
+OriginPeers_destroy(OriginPeers_t *this)
+{
+    OriginKeeper_destroy(this->keeper);
+    event_free(this->timer);
+    g_free(this);
+}
--- a/src/Policy.c
+++ b/src/Policy.c
@@ -36,12 +36,38 @@
             UpstreamBackoff_isPaced(backoff, placement->now_ms));
 }
 
+static gboolean
+has_software(const Placement_t *placement, const Upstream_t *upstream)
+{
+    const char *software = placement->software;
+    return !software || (*software != '\0' &&
+                         strcmp(software, Upstream_software(upstream)) == 0);
+}
+
+static gboolean
+is_alone(const Placement_t *placement, const Upstream_t *upstream)
+{
+    if (!placement->software) {
+        return placement->serving->len <= 1;
+    }
+    for (guint i = 0; i < placement->serving->len; i++) {
+        const Upstream_t *other = g_ptr_array_index(placement->serving, i);
+        if (other != upstream && has_software(placement, other)) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 /* Where an attempt failed, its upstream is used again only if it is the only
  * one. */
 gboolean
 Policy_mayUse(const Placement_t *placement, const Upstream_t *upstream)
 {
-    if (upstream == placement->avoid && placement->serving->len > 1) {
+    if (!has_software(placement, upstream)) {
+        return FALSE;
+    }
+    if (upstream == placement->avoid && !is_alone(placement, upstream)) {
         return FALSE;
     }
     if (placement->permitted && upstream != placement->permitted) {
@@ -126,6 +152,18 @@
     return placement->serving->len > 0;
 }
 
+gboolean
+Policy_hasSoftware(const Placement_t *placement)
+{
+    for (guint i = 0; i < placement->serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(placement->serving, i);
+        if (!upstream->leaving && has_software(placement, upstream)) {
+            return TRUE;
+        }
+    }
+    return !placement->software;
+}
+
 void
 Policy_learnPrefix(Policy_t *this, guint64 prefix, guint tokens,
                    const Upstream_t *upstream, gint64 now_ms)
--- a/src/Policy.h
+++ b/src/Policy.h
@@ -51,6 +51,8 @@
  * @urgent_objective_us: objective of the urgent routes of the service; 0 if
  *     its engines are not to be partitioned
  * @partitions: partitions of the groups, or NULL
+ * @software: the only software version that may be used, as it began the
+ *     stream; NULL for any, empty for none
  * @excludes_limited: upstreams that have named a limit are not used
  * @ignores_limits: limits that upstreams have named do not count
  * @ignores_backoffs: backoffs that upstreams have asked for do not count
@@ -87,6 +89,7 @@
     gboolean urgent;
     gint64 urgent_objective_us;
     GroupPartitions_t *partitions;
+    const char *software;
     gboolean excludes_limited;
     gboolean ignores_limits;
     gboolean ignores_backoffs;
@@ -292,6 +295,10 @@
  * are shutting down */
 gboolean Policy_areAllLeaving(const Placement_t *placement);
 
+/** Policy_hasSoftware() - whether an upstream that stays serves the request
+ * with the software version that it requires, if it requires one */
+gboolean Policy_hasSoftware(const Placement_t *placement);
+
 /** Policy_supplyName() - name of a kind, a static text for logs */
 const char *Policy_supplyName(SupplyKind_t kind);
 
--- a/src/RatePeers.c
+++ b/src/RatePeers.c
@@ -1,15 +1,13 @@
 #include "RatePeers.h"
 
 #include "Clock.h"
+#include "PeerIdentity.h"
 #include "Random.h"
 #include "RateKeeper.h"
 
 /* Size of a hash key. Longer names of subjects are truncated, in the same way
  * on all routers. */
 #define KEY_SIZE 128
-/* Low bits of a router's identity that hold its port; the bits above hold its
- * IP address. */
-#define PORT_BITS 16
 
 struct RatePeers {
     RatePeersSpec_t spec;
@@ -18,34 +16,12 @@
     gint64 tick_at_ms; /* when the timer fires; 0 if it is not armed */
 };
 
-static guint64
-identity_of(const struct sockaddr_in *address)
-{
-    return (guint64)address->sin_addr.s_addr << PORT_BITS | address->sin_port;
-}
-
-static struct sockaddr_in
-address_of(guint64 identity)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    address.sin_addr.s_addr = (in_addr_t)(identity >> PORT_BITS);
-    address.sin_port = (in_port_t)(identity & G_MAXUINT16);
-    return address;
-}
-
-static guint64
-identity_of_member(const Member_t *member)
-{
-    struct sockaddr_in address = PeerDatagrams_toSockaddr(&member->address);
-    return identity_of(&address);
-}
-
 static guint64
 identity_of_seed(const RatePeers_t *this, guint i)
 {
     const Address_t *seed = &g_array_index(this->spec.seeds, Address_t, i);
     struct sockaddr_in address = PeerDatagrams_toSockaddr(seed);
-    return identity_of(&address);
+    return PeerIdentity_ofAddress(&address);
 }
 
 static guint64
@@ -53,7 +29,7 @@
 {
     struct sockaddr_in address =
         PeerDatagrams_toSockaddr(Membership_address(this->spec.membership));
-    return identity_of(&address);
+    return PeerIdentity_ofAddress(&address);
 }
 
 /* Lists the seeds from an index that depends on the key, in the same order on
@@ -91,7 +67,7 @@
     guint count = Membership_findFirst(this->spec.membership, key, first,
                                        RATE_CANDIDATES_MAX);
     for (guint i = 0; i < count; i++) {
-        out[i] = first[i] ? identity_of_member(first[i]) : RATE_SELF;
+        out[i] = first[i] ? PeerIdentity_ofMember(first[i]) : RATE_SELF;
     }
     return count;
 }
@@ -117,7 +93,7 @@
     for (guint i = 0; i < out->drawn; i++) {
         guint index = (start + i * stride) % members->len;
         out->routers[i] =
-            identity_of_member(g_ptr_array_index(members, index));
+            PeerIdentity_ofMember(g_ptr_array_index(members, index));
     }
 }
 
@@ -125,7 +101,7 @@
 send_message(void *owner, guint64 router, const Wt__PeerMessage *message)
 {
     const RatePeers_t *this = owner;
-    struct sockaddr_in address = address_of(router);
+    struct sockaddr_in address = PeerIdentity_address(router);
     PeerDatagrams_send(this->spec.datagrams, &address, message);
 }
 
@@ -163,7 +139,7 @@
            const struct sockaddr_in *from)
 {
     const RatePeers_t *this = owner;
-    RateKeeper_receive(this->keeper, message, identity_of(from));
+    RateKeeper_receive(this->keeper, message, PeerIdentity_ofAddress(from));
 }
 
 RatePeers_t *
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -126,6 +126,16 @@
                          "This router reaches no upstream, and no other "
                          "router that does.",
                          503, 1000, RUN_NOT},
+    [REFUSAL_RESUME_UNKNOWN] = {"resume_unknown", "overloaded_error",
+                                "It is not known which software version "
+                                "began the stream; only a new request can be "
+                                "served.",
+                                503, 0, RUN_NOT},
+    [REFUSAL_SOFTWARE_GONE] = {"software_gone", "overloaded_error",
+                               "No upstream of the software version that "
+                               "began the stream is left; only a new request "
+                               "can be served.",
+                               503, 0, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -303,7 +303,8 @@
 }
 
 /* Dispatch, or NULL if there is none, the request has no home, as its route is
- * not placed by prefix or its prompt has no prefix, or it has asked for
+ * not placed by prefix or its prompt has no prefix, it requires a software
+ * version, which the dispatcher does not consider, or it has asked for
  * capacity at an upstream's limit, which it does after the query. */
 static Dispatch_t *
 select_dispatcher(const RelayExchange_t *this,
@@ -313,7 +314,9 @@
     gboolean was_queried =
         input->terms.permitted || super->upstream_gate.refusals > 0;
     gboolean has_home = this->route->by_prefix && this->request.part_count > 0;
-    return has_home && !was_queried ? super->context->dispatch : NULL;
+    return has_home && !was_queried && !input->software
+               ? super->context->dispatch
+               : NULL;
 }
 
 /* If the request has a ticket, it is placed again because the upstream that
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -9,6 +9,7 @@
 #include "RelayDispatch.h"
 #include "RelayExchangeState.h"
 #include "RelayMove.h"
+#include "RelayOrigin.h"
 #include "RelayRun.h"
 
 /* Attempts that are known not to have run do not count against the route's
@@ -26,6 +27,7 @@
         .request = &this->request,
         .terms = ExchangeCapacity_terms(&this->super),
         .group = this->next_group,
+        .software = RelayOrigin_requiredSoftware(this),
     };
 }
 
@@ -58,6 +60,7 @@
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
     RelayMove_forbid(this);
+    RelayOrigin_clear(this);
     if (this->query) {
         Dispatch_cancelQuery(this->query);
     }
@@ -77,7 +80,10 @@
 static void
 place(Exchange_t *super)
 {
-    RelayDispatch_place((RelayExchange_t *)super);
+    RelayExchange_t *this = (RelayExchange_t *)super;
+    if (RelayOrigin_resolve(this)) {
+        RelayDispatch_place(this);
+    }
 }
 
 static gboolean
@@ -155,8 +161,8 @@
         Log_text("upstream", super->avoid->name->str);
         Log_text("software", Upstream_software(super->avoid));
     }
-    if (this->event_pipe && this->request.resumes) {
-        Log_text("resumes", this->request.resumes);
+    if (this->origin.resumes) {
+        Log_text("resumes", this->origin.resumes->str);
     }
 }
 
@@ -193,8 +199,16 @@
     }
 }
 
+/* Other routers know the version before the caller gets the event. */
+static void
+on_first_event(RelayExchange_t *this)
+{
+    RelayOrigin_bind(this);
+    RelayMove_allow(this);
+}
+
 static const RelayRunEvents_t run_events = {
-    .first_event = RelayMove_allow,
+    .first_event = on_first_event,
     .events_received = RelayMove_noteEvents,
     .may_retry = RelayDispatch_mayRetry,
     .hedge = RelayMove_hedge,
@@ -239,6 +253,7 @@
         this->event_pipe =
             EventPipe_create((gsize)context->settings->limits.event_max);
     }
+    RelayOrigin_init(this);
     return this;
 }
 
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -43,6 +43,29 @@
     void (*ended)(RelayExchange_t *this);
 } RelayRunEvents_t;
 
+/**
+ * struct RelayOrigin_t - what the upstreams of a stream must have in common
+ * with the one that began it; see RelayOrigin.h
+ * @resumes: id of the request that brought the caller the stream's first
+ * event; NULL if it names none
+ * @software: software version that began the stream; NULL while the caller has
+ *     none of it, empty if it is not known
+ * @digest: identifies the stream that the caller continues
+ * @own_digest: identifies the stream by this request
+ * @query: query for the version that began the stream, or NULL
+ * @is_resolved: the version was found, or the stream begins here
+ * @is_begun: the caller gets events
+ */
+typedef struct {
+    GString *resumes;
+    GString *software;
+    RequestDigest_t digest;
+    RequestDigest_t own_digest;
+    OriginQuery_t *query;
+    gboolean is_resolved;
+    gboolean is_begun;
+} RelayOrigin_t;
+
 /**
  * struct RelayExchange_t - a relayed request under way
  * @super: base of all exchanges
@@ -65,11 +88,13 @@
  * @event_pipe: events of a stream; NULL for a route without streams
  * @answer_body: body of an answer that is not a stream, until it is complete
  * @outgoing: events to be sent to the caller next
+ * @origin: what the stream's upstreams must have in common
  * @first_us: time from the request's start to its first event; 0 for none yet
  * @last_event_us: when the last event was forwarded, monotonic; 0 for none yet
  * @max_pause_us: longest time between two events
  * @not_run_attempts: number of attempts that did not run
  * @is_stream: the answer under way is a stream
+ * @is_whole: the caller was sent the whole answer
  * @has_upstream_error: @answer_body is an upstream's error answer that may be
  *     forwarded
  * @keep_reason: why the attempt under way is kept although its upstream is
@@ -96,11 +121,13 @@
     EventPipe_t *event_pipe;
     struct evbuffer *answer_body;
     struct evbuffer *outgoing;
+    RelayOrigin_t origin;
     gint64 first_us;
     gint64 last_event_us;
     gint64 max_pause_us;
     guint not_run_attempts;
     gboolean is_stream;
+    gboolean is_whole;
     gboolean has_upstream_error;
     Refusal_t keep_reason;
     gint64 next_hedge_ms;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -7,6 +7,7 @@
 #include "LoadShare.h"
 #include "Log.h"
 #include "Orders.h"
+#include "OriginPeers.h"
 #include "RelayPlacer.h"
 #include "RouteSync.h"
 #include "UpstreamProber.h"
@@ -34,6 +35,7 @@
     UpstreamProber_t *prober;
     LoadShare_t *load_share;
     HintBroadcast_t *hints;
+    OriginPeers_t *origins;
 };
 
 /* The model of an upstream is that of its service; an engine has one model. */
@@ -115,6 +117,7 @@
         .epoch = this->epoch,
         .counters = context->counters,
         .regions = this->regions,
+        .versions = context->versions,
         .poll_ms = listing_poll_ms(&settings->relay),
         .return_ms = settings->relay.listing_return_ms,
     };
@@ -237,6 +240,22 @@
     RelayPlacer_fillModelInputs(owner, model, placement);
 }
 
+static void
+create_origins(RelayParts_t *this)
+{
+    Context_t *context = this->context;
+    OriginPeersSpec_t spec = {
+        .membership = context->membership,
+        .datagrams = context->datagrams,
+        .listing = context->listing,
+        .versions = context->versions,
+        .counters = context->counters,
+        .window_ms = context->settings->relay.resume_window_ms,
+    };
+    this->origins = OriginPeers_create(context->base, &spec);
+    context->origins = OriginPeers_keeper(this->origins);
+}
+
 /* Without datagrams there is no dispatcher, and each router chooses upstreams
  * by itself. */
 static Dispatch_t *
@@ -283,7 +302,10 @@
                                  platform->log_timeout_ms, this->epoch);
     this->records = form->create_records(
         context->base, &platform->log, platform->log_timeout_ms, this->epoch);
+    context->versions =
+        SoftwareVersions_create(context->settings->relay.first_start != 0);
     create_followers(this, form);
+    create_origins(this);
     create_prober(this);
     create_crashes(this, form);
     create_orders(this, form);
@@ -315,6 +337,7 @@
                              relay->listing_return_ms);
     UpstreamProber_setTimeout(this->prober,
                               settings->limits.connect_timeout_ms);
+    OriginKeeper_setWindow(this->context->origins, relay->resume_window_ms);
 }
 
 void
@@ -326,7 +349,9 @@
     LoadShare_destroy(this->load_share);
     Orders_destroy(this->orders);
     UpstreamProber_destroy(this->prober);
+    OriginPeers_destroy(this->origins);
     UpstreamListing_destroy(this->context->listing);
+    SoftwareVersions_destroy(this->context->versions);
     HallRegions_destroy(this->regions);
     RouteSync_destroy(this->sync);
     ModelVersions_destroy(this->context->weights);
--- a/src/RelayPlacer.c
+++ b/src/RelayPlacer.c
@@ -265,12 +265,13 @@
     guint64 seed = Salt_make(&salt_input, key, out->salt);
     fill_levels(&out->placement, input->request, seed);
     fill_urgency(context, input, &out->placement);
+    /* The home's group may have no engine of the required version. */
+    gboolean is_grouped = context->dispatch && !input->software;
     out->placement.group = input->group;
     out->placement.groups =
-        context->dispatch
-            ? Dispatch_groupsOf(context->dispatch, input->service,
-                                out->placement.serving)
-            : 1;
+        is_grouped ? Dispatch_groupsOf(context->dispatch, input->service,
+                                       out->placement.serving)
+                   : 1;
     out->placement.run_us =
         RunTimes_expectedUs(context->run_times, input->route->name->str);
     if (input->route->objective_ms > 0) {
@@ -296,6 +297,7 @@
                 .hall = settings->router.hall->str,
                 .region = settings->router.region->str,
                 .warm_ms = settings->limits.once_idle_time_ms,
+                .software = input->software,
                 .now_ms = Clock_nowMs(),
             },
     };
@@ -360,6 +362,8 @@
     Log_text("reason", this->choice.reason);
     Log_number("candidates", this->choice.candidates);
     Log_number("generation", (gint64)this->placement.generation);
+    Log_text("software",
+             this->placement.software ? this->placement.software : "any");
     log_parts(request);
     if (upstream) {
         log_upstream(this);
--- a/src/RelayPlacer.h
+++ b/src/RelayPlacer.h
@@ -24,6 +24,7 @@
  * @request: the parsed head
  * @terms: which upstreams the request may use
  * @group: group of engines that is to take it, plus 1; 0 for that of its home
+ * @software: the only software version that may be used; see Placement_t
  */
 typedef struct {
     const Route_t *route;
@@ -32,6 +33,7 @@
     const RelayRequest_t *request;
     PlacementConstraints_t terms;
     guint group;
+    const char *software;
 } RelayPlacementInput_t;
 
 /**
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -104,6 +104,7 @@
 finish(RelayExchange_t *this)
 {
     RelayExchange_closeIfStopping(this);
+    this->is_whole = TRUE;
     if (this->is_stream) {
         EngineSplit_noteStream(this->super.context->engine_split,
                                this->max_pause_us, this->route->pause_ms);
--- a/src/RequestDigest.c
+++ b/src/RequestDigest.c
@@ -61,6 +61,18 @@
     return digest;
 }
 
+RequestDigest_t
+RequestDigest_makeOfId(const char *customer, const char *id, GBytes *key)
+{
+    RequestDigest_t digest;
+    crypto_generichash_state state;
+    init_hash(&state, key, sizeof(digest.bytes));
+    add_text(&state, customer);
+    add_text(&state, id);
+    crypto_generichash_final(&state, digest.bytes, sizeof(digest.bytes));
+    return digest;
+}
+
 guint
 RequestDigest_hash(gconstpointer digest)
 {
--- a/src/RequestDigest.h
+++ b/src/RequestDigest.h
@@ -37,6 +37,11 @@
 RequestDigest_t RequestDigest_make(const RequestIdentity_t *identity,
                                    GBytes *key);
 
+/** RequestDigest_makeOfId() - digest of a customer and the id of one of its
+ * requests, which nobody without the key can make for another customer */
+RequestDigest_t RequestDigest_makeOfId(const char *customer, const char *id,
+                                       GBytes *key);
+
 /** RequestDigest_hashCustomer() - keyed hash of the customer alone */
 guint64 RequestDigest_hashCustomer(const char *customer, GBytes *key);
 
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -205,6 +205,16 @@
      "otherwise it gets no work until it has answered one. Under high load "
      "live upstreams are silent because they are busy.",
      KEY_LIVE},
+    {"resume_window", KEY_DURATION, FALSE, "30s", 100, HOUR_MS, NULL,
+     A(resume_window_ms),
+     "How long after its last event a caller may continue a stream at any "
+     "router: the longest time that callers wait. The software version that "
+     "began it is remembered for so long.",
+     KEY_LIVE},
+    {"first_start", KEY_CHOICE, FALSE, "no", 0, 0, "no,yes", A(first_start),
+     "Whether the whole system starts for the first time, so that no stream "
+     "can have begun earlier. Otherwise a router that has just started can't "
+     "tell for resume_window which software versions have served before."},
     {NULL},
 };
 #undef A
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -156,6 +156,8 @@
  *     requests of a service
  * @probe_silent: whether a silent upstream stays in use until a probe of it
  *     was not answered
+ * @resume_window_ms: how long a stream may be continued at another router
+ * @first_start: whether the whole system starts for the first time
  */
 typedef struct {
     gint64 config_max_age_ms;
@@ -168,6 +170,8 @@
     gint64 refuse_late;
     gint64 partition_engines;
     gint64 probe_silent;
+    gint64 resume_window_ms;
+    gint64 first_start;
 } RelaySection_t;
 
 /**
--- /dev/null
+++ b/src/SoftwareVersions.c
@@ -0,0 +1,214 @@
+#include "SoftwareVersions.h"
+
+#include <string.h>
+
+#include "Log.h"
+
+typedef struct {
+    GRefString *service;
+    GRefString *software;
+    guint upstreams; /* listed upstreams of this version */
+    gint64 ended_ms; /* when the last one was removed, while there is none */
+} Version_t;
+
+struct SoftwareVersions {
+    GHashTable *services;  /* name -> GPtrArray of Version_t */
+    GHashTable *upstreams; /* name -> Version_t */
+    SoftwareVersionsMixed_t mixed;
+    void *mixed_owner;
+    gboolean is_first_start;
+    gint64 since_ms; /* when the first upstream was added */
+};
+
+static void
+free_version(gpointer data)
+{
+    Version_t *version = data;
+    g_ref_string_release(version->service);
+    g_ref_string_release(version->software);
+    g_free(version);
+}
+
+static void
+free_versions(gpointer versions)
+{
+    g_ptr_array_unref(versions);
+}
+
+SoftwareVersions_t *
+SoftwareVersions_create(gboolean is_first_start)
+{
+    SoftwareVersions_t *this = g_new0(SoftwareVersions_t, 1);
+    this->is_first_start = is_first_start;
+    this->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_versions);
+    this->upstreams =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return this;
+}
+
+void
+SoftwareVersions_destroy(SoftwareVersions_t *this)
+{
+    g_hash_table_destroy(this->upstreams);
+    g_hash_table_destroy(this->services);
+    g_free(this);
+}
+
+void
+SoftwareVersions_setMixedCallback(SoftwareVersions_t *this,
+                                  SoftwareVersionsMixed_t mixed, void *owner)
+{
+    this->mixed = mixed;
+    this->mixed_owner = owner;
+}
+
+static void
+log_version(const char *event, const Version_t *version, guint versions)
+{
+    Log_begin(LOG_LEVEL_INFO, event);
+    Log_text("service", version->service);
+    Log_text("software", version->software);
+    Log_number("versions", versions);
+    Log_end();
+}
+
+static void
+remove_forgotten(GPtrArray *versions, gint64 now_ms)
+{
+    for (guint i = versions->len; i > 0; i--) {
+        const Version_t *version = g_ptr_array_index(versions, i - 1);
+        if (version->upstreams == 0 &&
+            now_ms - version->ended_ms > SOFTWARE_VERSIONS_KEEP_MS) {
+            g_ptr_array_remove_index(versions, i - 1);
+        }
+    }
+}
+
+static GPtrArray *
+get_versions(SoftwareVersions_t *this, const char *service)
+{
+    GPtrArray *versions = g_hash_table_lookup(this->services, service);
+    if (!versions) {
+        versions = g_ptr_array_new_with_free_func(free_version);
+        g_hash_table_insert(this->services, g_strdup(service), versions);
+    }
+    return versions;
+}
+
+static Version_t *
+find_version(const GPtrArray *versions, const char *software)
+{
+    for (guint i = 0; i < versions->len; i++) {
+        Version_t *version = g_ptr_array_index(versions, i);
+        if (strcmp(version->software, software) == 0) {
+            return version;
+        }
+    }
+    return NULL;
+}
+
+static Version_t *
+add_version(SoftwareVersions_t *this, const char *service,
+            const char *software, gint64 now_ms)
+{
+    GPtrArray *versions = get_versions(this, service);
+    Version_t *version = g_new0(Version_t, 1);
+    remove_forgotten(versions, now_ms);
+    version->service = g_ref_string_new_intern(service);
+    version->software = g_ref_string_new_intern(software);
+    g_ptr_array_add(versions, version);
+    log_version("software_listed", version, versions->len);
+    return version;
+}
+
+static void
+release(const SoftwareVersions_t *this, Version_t *version, gint64 now_ms)
+{
+    version->upstreams--;
+    if (version->upstreams > 0) {
+        return;
+    }
+    const GPtrArray *versions =
+        g_hash_table_lookup(this->services, version->service);
+    version->ended_ms = now_ms;
+    log_version("software_ended", version, versions->len);
+}
+
+static gboolean
+is_current(const Version_t *version, const char *service, const char *software)
+{
+    return strcmp(version->software, software) == 0 &&
+           strcmp(version->service, service) == 0;
+}
+
+void
+SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
+                     const char *service, const char *software, gint64 now_ms)
+{
+    Version_t *old = g_hash_table_lookup(this->upstreams, upstream);
+    if (old && is_current(old, service, software)) {
+        return;
+    }
+    this->since_ms = this->since_ms > 0 ? this->since_ms : now_ms;
+    const GPtrArray *versions = get_versions(this, service);
+    Version_t *version = find_version(versions, software);
+    gboolean gets_another = !version && versions->len > 0;
+    if (!version) {
+        version = add_version(this, service, software, now_ms);
+    }
+    version->upstreams++;
+    g_hash_table_replace(this->upstreams, g_strdup(upstream), version);
+    if (old) {
+        release(this, old, now_ms);
+    }
+    if (gets_another && this->mixed) {
+        this->mixed(this->mixed_owner, service);
+    }
+}
+
+void
+SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
+                        gint64 now_ms)
+{
+    Version_t *version = g_hash_table_lookup(this->upstreams, upstream);
+    if (version) {
+        g_hash_table_remove(this->upstreams, upstream);
+        release(this, version, now_ms);
+    }
+}
+
+static gboolean
+is_window_known(const SoftwareVersions_t *this, gint64 window_ms,
+                gint64 now_ms)
+{
+    return this->is_first_start || now_ms - this->since_ms >= window_ms;
+}
+
+static gboolean
+has_served_within(const Version_t *version, gint64 window_ms, gint64 now_ms)
+{
+    return version->upstreams > 0 || now_ms - version->ended_ms < window_ms;
+}
+
+const char *
+SoftwareVersions_findOnly(const SoftwareVersions_t *this, const char *service,
+                          gint64 window_ms, gint64 now_ms)
+{
+    const GPtrArray *versions = g_hash_table_lookup(this->services, service);
+    const char *only = NULL;
+    if (!versions || !is_window_known(this, window_ms, now_ms)) {
+        return NULL;
+    }
+    for (guint i = 0; i < versions->len; i++) {
+        const Version_t *version = g_ptr_array_index(versions, i);
+        if (!has_served_within(version, window_ms, now_ms)) {
+            continue;
+        }
+        if (only) {
+            return NULL;
+        }
+        only = version->software;
+    }
+    return only;
+}
--- /dev/null
+++ b/src/SoftwareVersions.h
@@ -0,0 +1,62 @@
+#ifndef HEADER_SoftwareVersions
+#define HEADER_SoftwareVersions
+/**
+ * DOC: SoftwareVersions
+ *
+ * The software versions that serve each service, and those that served it
+ * until recently, as the list of upstreams shows them. A stream can go on only
+ * at an upstream of the version that began it; which one that was need not be
+ * known of each stream while the service had a single version.
+ */
+#include <glib.h>
+
+/** How long versions without upstreams are remembered, in ms: the longest time
+ * for which anyone may ask */
+#define SOFTWARE_VERSIONS_KEEP_MS (60 * 60 * 1000)
+
+/** struct SoftwareVersions_t - opaque */
+typedef struct SoftwareVersions SoftwareVersions_t;
+
+/** SoftwareVersionsMixed_t - a service that had one version has got another
+ * one */
+typedef void (*SoftwareVersionsMixed_t)(void *owner, const char *service);
+
+/**
+ * SoftwareVersions_create() - create without any upstream
+ * @is_first_start: no upstream has served before, as the whole system starts
+ *     for the first time; otherwise what served before the first upstream was
+ *     added is unknown
+ */
+SoftwareVersions_t *SoftwareVersions_create(gboolean is_first_start);
+
+/** SoftwareVersions_destroy() - free it */
+void SoftwareVersions_destroy(SoftwareVersions_t *this);
+
+/** SoftwareVersions_setMixedCallback() - set the callback for services that
+ * get another version; there is at most one */
+void SoftwareVersions_setMixedCallback(SoftwareVersions_t *this,
+                                       SoftwareVersionsMixed_t mixed,
+                                       void *owner);
+
+/** SoftwareVersions_put() - an upstream is listed with this service and
+ * version; replaces what was known of it */
+void SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
+                          const char *service, const char *software,
+                          gint64 now_ms);
+
+/** SoftwareVersions_remove() - an upstream is no longer listed */
+void SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
+                             gint64 now_ms);
+
+/**
+ * SoftwareVersions_findOnly() - the single version that has served a service
+ * within the last @window_ms
+ *
+ * Return: the version, valid until the next change; NULL if there were several
+ * or none, or if this router does not know the whole window
+ */
+const char *SoftwareVersions_findOnly(const SoftwareVersions_t *this,
+                                      const char *service, gint64 window_ms,
+                                      gint64 now_ms);
+
+#endif
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -105,6 +105,9 @@
     DepartedUpstreams_note(this->departed, upstream,
                            StoreEpoch_newest(this->spec.epoch), Clock_nowMs());
     UpstreamSet_remove(this->spec.upstreams, name);
+    if (this->spec.versions) {
+        SoftwareVersions_remove(this->spec.versions, name, Clock_nowMs());
+    }
 }
 
 static void
@@ -263,6 +266,20 @@
     Log_end();
 }
 
+static void
+apply_software(const UpstreamListing_t *this, Upstream_t *upstream,
+               const ListedUpstream_t *entry)
+{
+    const char *software = entry->software->str;
+    Upstream_noteSoftware(upstream, software,
+                          ListedUpstream_incarnation(entry));
+    if (this->spec.versions && entry->spec.serves->len > 0) {
+        const GString *service = g_ptr_array_index(entry->spec.serves, 0);
+        SoftwareVersions_put(this->spec.versions, upstream->name->str,
+                             service->str, software, Clock_nowMs());
+    }
+}
+
 static void
 apply_entry(UpstreamListing_t *this, const char *name,
             const ListedUpstream_t *entry)
@@ -281,8 +298,7 @@
     else {
         apply_incarnation(this, upstream, entry);
     }
-    Upstream_noteSoftware(upstream, entry->software->str,
-                          ListedUpstream_incarnation(entry));
+    apply_software(this, upstream, entry);
     apply_weights(this, upstream, entry->weights->str, is_new);
     if (entry->leaving) {
         note_leaving(this, upstream);
@@ -878,6 +894,13 @@
     this->is_from_peer = FALSE;
 }
 
+gboolean
+UpstreamListing_isCurrent(const UpstreamListing_t *this)
+{
+    return this->known && Clock_nowMs() - this->current_ms <=
+                              this->spec.poll_ms + READ_MIN_MS;
+}
+
 gboolean
 UpstreamListing_isKnown(const UpstreamListing_t *this)
 {
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -15,6 +15,7 @@
 #include "ListedUpstream.h"
 #include "Membership.h"
 #include "RecordSource.h"
+#include "SoftwareVersions.h"
 #include "StoreEpoch.h"
 #include "UpstreamSet.h"
 
@@ -32,6 +33,8 @@
  * @epoch: epoch of the store
  * @counters: counters of calls to the store; NULL for none, as in module tests
  * @regions: regions of the upstreams' halls
+ * @versions: receives the upstreams' software versions; NULL for none, as in
+ *     module tests
  * @poll_ms: maximum age of the known state of the list before it is read again
  * @return_ms: grace period after an outage in which a missing entry may be
  *     listed again
@@ -46,6 +49,7 @@
     StoreEpoch_t *epoch;
     Counters_t *counters;
     const HallRegions_t *regions;
+    SoftwareVersions_t *versions;
     gint64 poll_ms;
     gint64 return_ms;
 } UpstreamListingSpec_t;
@@ -88,4 +92,8 @@
 /** UpstreamListing_isKnown() - whether any part of the list has been read */
 gboolean UpstreamListing_isKnown(const UpstreamListing_t *this);
 
+/** UpstreamListing_isCurrent() - whether the end of the list was known
+ * recently: within poll_ms and the time of one more read */
+gboolean UpstreamListing_isCurrent(const UpstreamListing_t *this);
+
 #endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1357,6 +1357,186 @@
   assert(message->base.descriptor == &wt__members_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__stream_origin__init
+                     (Wt__StreamOrigin         *message)
+{
+  static const Wt__StreamOrigin init_value = WT__STREAM_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t wt__stream_origin__get_packed_size
+                     (const Wt__StreamOrigin *message)
+{
+  assert(message->base.descriptor == &wt__stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__stream_origin__pack
+                     (const Wt__StreamOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__stream_origin__pack_to_buffer
+                     (const Wt__StreamOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__StreamOrigin *
+       wt__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__StreamOrigin *)
+     protobuf_c_message_unpack (&wt__stream_origin__descriptor,
+                                allocator, len, data);
+}
+void   wt__stream_origin__free_unpacked
+                     (Wt__StreamOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__origin_news__init
+                     (Wt__OriginNews         *message)
+{
+  static const Wt__OriginNews init_value = WT__ORIGIN_NEWS__INIT;
+  *message = init_value;
+}
+size_t wt__origin_news__get_packed_size
+                     (const Wt__OriginNews *message)
+{
+  assert(message->base.descriptor == &wt__origin_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__origin_news__pack
+                     (const Wt__OriginNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__origin_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__origin_news__pack_to_buffer
+                     (const Wt__OriginNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__origin_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__OriginNews *
+       wt__origin_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__OriginNews *)
+     protobuf_c_message_unpack (&wt__origin_news__descriptor,
+                                allocator, len, data);
+}
+void   wt__origin_news__free_unpacked
+                     (Wt__OriginNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__origin_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__origin_ask__init
+                     (Wt__OriginAsk         *message)
+{
+  static const Wt__OriginAsk init_value = WT__ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t wt__origin_ask__get_packed_size
+                     (const Wt__OriginAsk *message)
+{
+  assert(message->base.descriptor == &wt__origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__origin_ask__pack
+                     (const Wt__OriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__origin_ask__pack_to_buffer
+                     (const Wt__OriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__OriginAsk *
+       wt__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__OriginAsk *)
+     protobuf_c_message_unpack (&wt__origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   wt__origin_ask__free_unpacked
+                     (Wt__OriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__origin_answer__init
+                     (Wt__OriginAnswer         *message)
+{
+  static const Wt__OriginAnswer init_value = WT__ORIGIN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wt__origin_answer__get_packed_size
+                     (const Wt__OriginAnswer *message)
+{
+  assert(message->base.descriptor == &wt__origin_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__origin_answer__pack
+                     (const Wt__OriginAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__origin_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__origin_answer__pack_to_buffer
+                     (const Wt__OriginAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__origin_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__OriginAnswer *
+       wt__origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__OriginAnswer *)
+     protobuf_c_message_unpack (&wt__origin_answer__descriptor,
+                                allocator, len, data);
+}
+void   wt__origin_answer__free_unpacked
+                     (Wt__OriginAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__origin_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -4128,7 +4308,263 @@
   (ProtobufCMessageInit) wt__members_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[21] =
+static const ProtobufCFieldDescriptor wt__stream_origin__field_descriptors[4] =
+{
+  {
+    "digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wt__StreamOrigin, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__StreamOrigin, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__StreamOrigin, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__StreamOrigin, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__stream_origin__field_indices_by_name[] = {
+  0,   /* field[0] = digest */
+  3,   /* field[3] = left_ms */
+  1,   /* field[1] = service */
+  2,   /* field[2] = software */
+};
+static const ProtobufCIntRange wt__stream_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wt__stream_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.StreamOrigin",
+  "StreamOrigin",
+  "Wt__StreamOrigin",
+  "wt",
+  sizeof(Wt__StreamOrigin),
+  4,
+  wt__stream_origin__field_descriptors,
+  wt__stream_origin__field_indices_by_name,
+  1,  wt__stream_origin__number_ranges,
+  (ProtobufCMessageInit) wt__stream_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__origin_news__field_descriptors[1] =
+{
+  {
+    "origins",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__OriginNews, n_origins),
+    offsetof(Wt__OriginNews, origins),
+    &wt__stream_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__origin_news__field_indices_by_name[] = {
+  0,   /* field[0] = origins */
+};
+static const ProtobufCIntRange wt__origin_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wt__origin_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.OriginNews",
+  "OriginNews",
+  "Wt__OriginNews",
+  "wt",
+  sizeof(Wt__OriginNews),
+  1,
+  wt__origin_news__field_descriptors,
+  wt__origin_news__field_indices_by_name,
+  1,  wt__origin_news__number_ranges,
+  (ProtobufCMessageInit) wt__origin_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__origin_ask__field_descriptors[3] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAsk, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAsk, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__origin_ask__field_indices_by_name[] = {
+  1,   /* field[1] = digest */
+  2,   /* field[2] = service */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wt__origin_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__origin_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.OriginAsk",
+  "OriginAsk",
+  "Wt__OriginAsk",
+  "wt",
+  sizeof(Wt__OriginAsk),
+  3,
+  wt__origin_ask__field_descriptors,
+  wt__origin_ask__field_indices_by_name,
+  1,  wt__origin_ask__number_ranges,
+  (ProtobufCMessageInit) wt__origin_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__origin_answer__field_descriptors[4] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAnswer, verdict),
+    &wt__origin_verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAnswer, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAnswer, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__origin_answer__field_indices_by_name[] = {
+  2,   /* field[2] = service */
+  3,   /* field[3] = software */
+  0,   /* field[0] = ticket */
+  1,   /* field[1] = verdict */
+};
+static const ProtobufCIntRange wt__origin_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wt__origin_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.OriginAnswer",
+  "OriginAnswer",
+  "Wt__OriginAnswer",
+  "wt",
+  sizeof(Wt__OriginAnswer),
+  4,
+  wt__origin_answer__field_descriptors,
+  wt__origin_answer__field_indices_by_name,
+  1,  wt__origin_answer__number_ranges,
+  (ProtobufCMessageInit) wt__origin_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[24] =
 {
   {
     "hello",
@@ -4382,6 +4818,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origin_news",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, origin_news),
+    &wt__origin_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_ask",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, origin_ask),
+    &wt__origin_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_answer",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, origin_answer),
+    &wt__origin_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -4398,6 +4870,9 @@
   7,   /* field[7] = loads */
   18,   /* field[18] = members_ask */
   17,   /* field[17] = notice_news */
+  23,   /* field[23] = origin_answer */
+  22,   /* field[22] = origin_ask */
+  21,   /* field[21] = origin_news */
   11,   /* field[11] = place_answer */
   10,   /* field[10] = place_ask */
   12,   /* field[12] = place_news */
@@ -4409,7 +4884,7 @@
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -4419,7 +4894,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  21,
+  24,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
@@ -4524,3 +4999,33 @@
   wt__place_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue wt__origin_verdict__enum_values_by_number[3] =
+{
+  { "ORIGIN_NOT_KNOWN", "WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN", 0 },
+  { "ORIGIN_KNOWN", "WT__ORIGIN_VERDICT__ORIGIN_KNOWN", 1 },
+  { "ORIGIN_ONLY_VERSION", "WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION", 2 },
+};
+static const ProtobufCIntRange wt__origin_verdict__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex wt__origin_verdict__enum_values_by_name[3] =
+{
+  { "ORIGIN_KNOWN", 1 },
+  { "ORIGIN_NOT_KNOWN", 0 },
+  { "ORIGIN_ONLY_VERSION", 2 },
+};
+const ProtobufCEnumDescriptor wt__origin_verdict__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wt.OriginVerdict",
+  "OriginVerdict",
+  "Wt__OriginVerdict",
+  "wt",
+  3,
+  wt__origin_verdict__enum_values_by_number,
+  3,
+  wt__origin_verdict__enum_values_by_name,
+  1,
+  wt__origin_verdict__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -47,6 +47,10 @@
 typedef struct Wt__NoticeFact Wt__NoticeFact;
 typedef struct Wt__NoticeNews Wt__NoticeNews;
 typedef struct Wt__MembersAsk Wt__MembersAsk;
+typedef struct Wt__StreamOrigin Wt__StreamOrigin;
+typedef struct Wt__OriginNews Wt__OriginNews;
+typedef struct Wt__OriginAsk Wt__OriginAsk;
+typedef struct Wt__OriginAnswer Wt__OriginAnswer;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -107,6 +111,16 @@
   WT__PLACE_STATE__REFUSED = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PLACE_STATE)
 } Wt__PlaceState;
+typedef enum _Wt__OriginVerdict {
+  WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN = 0,
+  WT__ORIGIN_VERDICT__ORIGIN_KNOWN = 1,
+  /*
+   * The stream itself is not known, but the service had only this version for
+   * as long as a stream may be continued.
+   */
+  WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__ORIGIN_VERDICT)
+} Wt__OriginVerdict;
 
 /* --- messages --- */
 
@@ -851,6 +865,67 @@
     , 0, {0,NULL}, 0 }
 
 
+/*
+ * The software version of a service that began a stream.
+ */
+struct  Wt__StreamOrigin
+{
+  ProtobufCMessage base;
+  /*
+   * Keyed hash of the customer and the id of the request, 16 bytes.
+   */
+  ProtobufCBinaryData digest;
+  char *service;
+  char *software;
+  /*
+   * How long the stream may still be continued.
+   */
+  uint32_t left_ms;
+};
+#define WT__STREAM_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__stream_origin__descriptor) \
+    , {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Wt__OriginNews
+{
+  ProtobufCMessage base;
+  size_t n_origins;
+  Wt__StreamOrigin **origins;
+};
+#define WT__ORIGIN_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__origin_news__descriptor) \
+    , 0,NULL }
+
+
+struct  Wt__OriginAsk
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  ProtobufCBinaryData digest;
+  /*
+   * Service that the stream would continue at.
+   */
+  char *service;
+};
+#define WT__ORIGIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__origin_ask__descriptor) \
+    , 0, {0,NULL}, (char *)protobuf_c_empty_string }
+
+
+struct  Wt__OriginAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  Wt__OriginVerdict verdict;
+  char *service;
+  char *software;
+};
+#define WT__ORIGIN_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__origin_answer__descriptor) \
+    , 0, WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -873,7 +948,10 @@
   WT__PEER_MESSAGE__BODY_NOTICE_NEWS = 18,
   WT__PEER_MESSAGE__BODY_MEMBERS_ASK = 19,
   WT__PEER_MESSAGE__BODY_LIST_ASK = 20,
-  WT__PEER_MESSAGE__BODY_LIST_PAGE = 21
+  WT__PEER_MESSAGE__BODY_LIST_PAGE = 21,
+  WT__PEER_MESSAGE__BODY_ORIGIN_NEWS = 22,
+  WT__PEER_MESSAGE__BODY_ORIGIN_ASK = 23,
+  WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -903,6 +981,9 @@
     Wt__MembersAsk *members_ask;
     Wt__ListAsk *list_ask;
     Wt__ListPage *list_page;
+    Wt__OriginNews *origin_news;
+    Wt__OriginAsk *origin_ask;
+    Wt__OriginAnswer *origin_answer;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -1480,6 +1561,82 @@
 void   wt__members_ask__free_unpacked
                      (Wt__MembersAsk *message,
                       ProtobufCAllocator *allocator);
+/* Wt__StreamOrigin methods */
+void   wt__stream_origin__init
+                     (Wt__StreamOrigin         *message);
+size_t wt__stream_origin__get_packed_size
+                     (const Wt__StreamOrigin   *message);
+size_t wt__stream_origin__pack
+                     (const Wt__StreamOrigin   *message,
+                      uint8_t             *out);
+size_t wt__stream_origin__pack_to_buffer
+                     (const Wt__StreamOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__StreamOrigin *
+       wt__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__stream_origin__free_unpacked
+                     (Wt__StreamOrigin *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__OriginNews methods */
+void   wt__origin_news__init
+                     (Wt__OriginNews         *message);
+size_t wt__origin_news__get_packed_size
+                     (const Wt__OriginNews   *message);
+size_t wt__origin_news__pack
+                     (const Wt__OriginNews   *message,
+                      uint8_t             *out);
+size_t wt__origin_news__pack_to_buffer
+                     (const Wt__OriginNews   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__OriginNews *
+       wt__origin_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__origin_news__free_unpacked
+                     (Wt__OriginNews *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__OriginAsk methods */
+void   wt__origin_ask__init
+                     (Wt__OriginAsk         *message);
+size_t wt__origin_ask__get_packed_size
+                     (const Wt__OriginAsk   *message);
+size_t wt__origin_ask__pack
+                     (const Wt__OriginAsk   *message,
+                      uint8_t             *out);
+size_t wt__origin_ask__pack_to_buffer
+                     (const Wt__OriginAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__OriginAsk *
+       wt__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__origin_ask__free_unpacked
+                     (Wt__OriginAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__OriginAnswer methods */
+void   wt__origin_answer__init
+                     (Wt__OriginAnswer         *message);
+size_t wt__origin_answer__get_packed_size
+                     (const Wt__OriginAnswer   *message);
+size_t wt__origin_answer__pack
+                     (const Wt__OriginAnswer   *message,
+                      uint8_t             *out);
+size_t wt__origin_answer__pack_to_buffer
+                     (const Wt__OriginAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__OriginAnswer *
+       wt__origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__origin_answer__free_unpacked
+                     (Wt__OriginAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -1591,6 +1748,18 @@
 typedef void (*Wt__MembersAsk_Closure)
                  (const Wt__MembersAsk *message,
                   void *closure_data);
+typedef void (*Wt__StreamOrigin_Closure)
+                 (const Wt__StreamOrigin *message,
+                  void *closure_data);
+typedef void (*Wt__OriginNews_Closure)
+                 (const Wt__OriginNews *message,
+                  void *closure_data);
+typedef void (*Wt__OriginAsk_Closure)
+                 (const Wt__OriginAsk *message,
+                  void *closure_data);
+typedef void (*Wt__OriginAnswer_Closure)
+                 (const Wt__OriginAnswer *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -1603,6 +1772,7 @@
 extern const ProtobufCEnumDescriptor    wt__claim_verdict__descriptor;
 extern const ProtobufCEnumDescriptor    wt__list_refusal__descriptor;
 extern const ProtobufCEnumDescriptor    wt__place_state__descriptor;
+extern const ProtobufCEnumDescriptor    wt__origin_verdict__descriptor;
 extern const ProtobufCMessageDescriptor wt__hello__descriptor;
 extern const ProtobufCMessageDescriptor wt__member_fact__descriptor;
 extern const ProtobufCMessageDescriptor wt__upstream_fact__descriptor;
@@ -1633,6 +1803,10 @@
 extern const ProtobufCMessageDescriptor wt__notice_fact__descriptor;
 extern const ProtobufCMessageDescriptor wt__notice_news__descriptor;
 extern const ProtobufCMessageDescriptor wt__members_ask__descriptor;
+extern const ProtobufCMessageDescriptor wt__stream_origin__descriptor;
+extern const ProtobufCMessageDescriptor wt__origin_news__descriptor;
+extern const ProtobufCMessageDescriptor wt__origin_ask__descriptor;
+extern const ProtobufCMessageDescriptor wt__origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -244,6 +244,7 @@
         self.orders = []
         self.shed = False   # refuse requests as not run
         self.cut_after = None  # number of events before a stream is reset
+        self.cut_pause_s = 0  # so that what was sent is read before a reset
         self.cut_calls = False  # run calls, then reset the connection
         self.status = 200
         self.pause_s = 0
@@ -387,6 +388,7 @@
                 self.gate.wait(60)
             if self.cut_after is not None and sent >= self.cut_after:
                 call.wfile.write(b"6\r\nid: 99\r\n")  # inside an event
+                time.sleep(self.cut_pause_s)
                 call.cut()
                 return
             event = b"id: %d\ndata: %s-%d\n\n" % (event_id, self.piece,
@@ -567,6 +569,8 @@
                             "move_wait": "60s",
                             "refuse_late": "no",
                             "partition_engines": "no",
+                            "first_start": "yes",
+                            "resume_window": "30s",
                             "probe_silent": "no"},
                   "limits": {"retry_allowance": "100",
                              "connect_timeout": "2s"}}
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -1,6 +1,9 @@
 """Streams that go on while engines of two software versions serve."""
 import collections
+import json
 import re
+import threading
+import time
 import unittest
 
 from cluster import wait_for
@@ -20,6 +23,22 @@
 Begun = collections.namedtuple("Begun", "request_id prompt engine")
 
 
+class FirstEventGate:
+    """Lets the first event of each stream pass, the others once it is open."""
+
+    def __init__(self):
+        self.passed = threading.local()
+        self.rest = threading.Event()
+
+    def wait(self, limit):
+        if getattr(self.passed, "first", False):
+            self.rest.wait(limit)
+        self.passed.first = True
+
+    def open(self):
+        self.rest.set()
+
+
 class SoftwareTest(unittest.TestCase):
     ROUTERS = 3
     ENGINES_EACH = 2
@@ -37,6 +56,8 @@
         for router in self.routers:
             router.wait_event("member_joined", self.ROUTERS - 1)
             self.await_engines(router)
+        for router in self.routers:
+            self.await_peers(router)
 
     def engine(self, software):
         self.numbers = getattr(self, "numbers", 0) + 1
@@ -48,7 +69,8 @@
     def start_router(self, name, **settings):
         seeds = [router.peer_address for router in self.routers]
         peers = {"seeds": ", ".join(seeds)} if seeds else {}
-        return self.fleet.router(name, peers=peers, **settings)
+        return self.fleet.router(name, peers=peers, leaving_limit="2s",
+                                 **settings)
 
     def await_engines(self, router):
         names = {engine.name for engine in self.engines}
@@ -57,6 +79,13 @@
                  "the engines")
         wait_for(lambda: self.fleet.is_ready(router), "ready")
 
+    def await_peers(self, router):
+        """Waits until the others can continue what a router begins."""
+        others = [other for other in self.routers if other is not router]
+        wait_for(lambda: all(
+            self.go_on(other, self.begin(router)).status == 200
+            for other in others), "streams that go on elsewhere")
+
     def begin(self, router, **headers):
         """Starts a stream with a prompt of its own, reads some of its events
         and leaves."""
@@ -84,11 +113,12 @@
         finally:
             begun.engine.shed = False
 
-    def assert_goes_on(self, router, begun, **headers):
+    def assert_goes_on(self, router, begun, events=EVENTS - EVENTS_READ,
+                       **headers):
         answer = self.go_on(router, begun, **headers)
         self.assertEqual(answer.status, 200, answer.body)
         self.assertEqual(versions_of(answer.body), {begun.engine.piece})
-        self.assertEqual(answer.body.count(b"data:"), EVENTS - EVENTS_READ)
+        self.assertEqual(answer.body.count(b"data:"), events)
 
     def begin_streams(self, router):
         begun = [self.begin(router) for _ in range(STREAMS)]
@@ -100,15 +130,18 @@
 class MixedStreamTest(SoftwareTest):
     # A stream went on at another version within its answer.
     def test_stream_that_engines_reset_goes_on_at_its_version(self):
-        for engine in self.engines:
+        for engine in self.engines[::self.ENGINES_EACH]:
             engine.cut_after = EVENTS_READ
-        whole = 0
-        for _ in range(STREAMS):
-            answer = self.fleet.ask(self.routers[0], "/ask/x")
+            engine.cut_pause_s = 0.02
+        for number in range(2 * STREAMS):
+            answer = self.fleet.ask(
+                self.routers[number % self.ROUTERS], "/ask/x",
+                X_Prompt_Prefix="%x:200,1:100" % (0x2000 + number))
             self.assertEqual(answer.status, 200)
             self.assertEqual(len(versions_of(answer.body)), 1, answer.body)
-            whole += answer.body.count(b"data:") == EVENTS
-        self.assertEqual(whole, STREAMS)
+            self.assertEqual(answer.body.count(b"data:"), EVENTS)
+        self.assertTrue(any(router.events("attempt_failed")
+                            for router in self.routers))
 
     # A stream went on at another version when its caller came back.
     def test_stream_that_its_caller_continues_elsewhere_keeps_its_version(
@@ -123,3 +156,136 @@
         self.routers[0].kill()
         for stream in begun:
             self.assert_goes_on(self.routers[2], stream)
+
+
+class RefusalTest(SoftwareTest):
+    """Streams that can't go on are refused at once, before anything runs."""
+
+    REFUSAL_S = 1
+
+    def assert_refused(self, router, begun, code, status=503, **headers):
+        ran = [len(engine.seen) for engine in self.engines]
+        started = time.monotonic()
+        answer = self.go_on(router, begun, **headers)
+        took_s = time.monotonic() - started
+        self.assertEqual(answer.status, status, answer.body)
+        error = json.loads(answer.body)["error"]
+        self.assertEqual((error["code"], error["run"]), (code, "not_run"))
+        self.assertIsNone(answer.headers["Retry-After"])
+        self.assertLess(took_s, self.REFUSAL_S)
+        self.assertEqual([len(engine.seen) for engine in self.engines], ran)
+
+    def test_stream_that_nobody_knows(self):
+        begun = self.begin(self.routers[0])
+        for request_id in ("id0", "unknown"):
+            self.assert_refused(self.routers[1],
+                                begun._replace(request_id=request_id),
+                                "resume_unknown")
+
+    def test_stream_whose_caller_does_not_name_it(self):
+        begun = self.begin(self.routers[0])
+        answer = self.fleet.ask(self.routers[1], "/ask/x", Last_Event_Id="1",
+                                X_Prompt_Prefix=begun.prompt)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"resume_unknown", answer.body)
+
+    # What another customer's stream is must not be found out.
+    def test_stream_of_another_customer(self):
+        begun = self.begin(self.routers[0])
+        self.assert_refused(self.routers[1], begun, "resume_unknown",
+                            key="key-b")
+
+    def test_malformed_names(self):
+        begun = self.begin(self.routers[0])
+        for name in ("x" * 129, ""):
+            self.assert_refused(self.routers[1],
+                                begun._replace(request_id=name),
+                                "bad_header", 400)
+
+    def test_stream_that_names_itself(self):
+        begun = self.begin(self.routers[0])
+        name = "id%d" % (self.fleet.numbers + 1)
+        self.assert_refused(self.routers[1], begun._replace(request_id=name),
+                            "resume_unknown")
+
+    # A stream went on at another version once its own had ended.
+    def test_stream_whose_version_has_ended(self):
+        begun = [stream for stream in self.begin_streams(self.routers[0])
+                 if stream.engine.software == VERSIONS[0]]
+        for engine in self.engines[:self.ENGINES_EACH]:
+            engine.unlist()
+        for router in self.routers:
+            router.wait_event("software_ended")
+        for stream in begun:
+            self.assert_refused(self.routers[1], stream, "software_gone")
+
+    # After a restart of all routers nothing is known of earlier streams.
+    def test_stream_begun_before_all_routers_restarted(self):
+        begun = self.begin_streams(self.routers[0])
+        for router in self.routers:
+            router.kill()
+        self.routers.clear()
+        for number in range(self.ROUTERS):
+            self.routers.append(self.start_router("n%d" % number,
+                                                  first_start="no"))
+        for router in self.routers:
+            self.await_engines(router)
+        for stream in begun:
+            self.assert_refused(self.routers[1], stream, "resume_unknown")
+        self.await_peers(self.routers[0])
+
+
+class ChainTest(SoftwareTest):
+    def test_third_try_may_name_either_of_the_others(self):
+        for begun in self.begin_streams(self.routers[0]):
+            self.assert_goes_on(self.routers[1], begun, Last_Event_Id="0",
+                                events=EVENTS - 1)
+            second = begun._replace(request_id="id%d" % self.fleet.numbers)
+            self.assert_goes_on(self.routers[2], begun)
+            self.assert_goes_on(self.routers[2], second)
+
+
+class LaterVersionTest(SoftwareTest):
+    SOFTWARE = VERSIONS[:1]
+    TELL_LIMIT_S = 1
+
+    def counter(self, router, name):
+        text = self.fleet.get(router.operator_port, "/metrics").body.decode()
+        found = re.findall(r"^\w*%s(?:\{[^}]*\})? (\d+)" % name, text, re.M)
+        return sum(int(value) for value in found)
+
+    def test_single_version_sends_no_messages(self):
+        for begun in self.begin_streams(self.routers[0]):
+            self.assert_goes_on(self.routers[1], begun)
+        for router in self.routers:
+            self.assertEqual(self.counter(router, "origin_messages_total"), 0)
+
+    def hold(self, number):
+        """Starts a stream and reads its first event, which is all that its
+        engine sends yet."""
+        prompt = "%x:200,1:100" % (0x3000 + number)
+        response = self.fleet.request(self.routers[0], "/ask/x",
+                                      X_Prompt_Prefix=prompt)
+        request_id = "id%d" % self.fleet.numbers
+        for _ in range(3):
+            response.readline()
+        name = response.headers["X-Server-Seal"][len("seal-"):]
+        engine, = [e for e in self.engines if e.name == name]
+        return Begun(request_id, prompt, engine), response
+
+    # What began while there was one version was not told to other routers.
+    def test_streams_begun_before_another_version_came_keep_theirs(self):
+        gate = FirstEventGate()
+        for engine in self.engines:
+            engine.gate = gate
+        held = [self.hold(number) for number in range(STREAMS)]
+        for _ in range(self.ENGINES_EACH):
+            self.engines.append(self.engine(VERSIONS[1]))
+        for router in self.routers:
+            self.await_engines(router)
+        time.sleep(self.TELL_LIMIT_S)
+        self.routers[0].kill()
+        gate.open()
+        for begun, _ in held:
+            self.assert_goes_on(self.routers[1], begun, Last_Event_Id="0",
+                                events=EVENTS - 1)
--- /dev/null
+++ b/tests/test_OriginKeeper.c
@@ -0,0 +1,617 @@
+#include "OriginKeeper.h"
+
+#include "Clock.h"
+#include "StreamOrigins.h"
+#include "testing.h"
+
+#define ROUTERS 8
+#define WINDOW_MS 30000
+#define STEP_MS 5
+#define SETTLE_MS 400
+#define STREAMS 200
+
+typedef struct {
+    guint from;
+    guint to;
+    GBytes *bytes;
+} Packet_t;
+
+typedef struct {
+    guint number; /* its identity is this plus 1 */
+    SoftwareVersions_t *versions;
+    OriginKeeper_t *keeper;
+    gint64 tick_ms;   /* 0 for none */
+    gboolean is_down; /* receives and sends nothing */
+    gboolean is_old;  /* a build without the messages */
+    gboolean has_old_list;
+} Router_t;
+
+typedef struct {
+    gboolean is_answered;
+    OriginSource_t source;
+    char *software;
+    guint replies;
+} Outcome_t;
+
+static Router_t routers[ROUTERS];
+static GQueue packets;
+static Counters_t *counters;
+static GRand *draws;
+static double loss;
+static guint sent;
+static gint64 now_ms;
+
+static void
+set_time(gint64 ms)
+{
+    now_ms = ms;
+    Clock_freeze(ms * 1000);
+}
+
+static RequestDigest_t
+digest(guint number)
+{
+    RequestDigest_t out = {{0}};
+    guint32 hash = number * 2654435761U;
+    memcpy(out.bytes, &hash, sizeof(hash));
+    memcpy(out.bytes + sizeof(hash), &number, sizeof(number));
+    return out;
+}
+
+static guint
+find_owners(void *owner, const RequestDigest_t *key,
+            guint64 out[ORIGIN_OWNERS])
+{
+    const Router_t *this = owner;
+    guint first = RequestDigest_hash(key) % ROUTERS;
+    for (guint i = 0; i < ORIGIN_OWNERS; i++) {
+        guint number = (first + i) % ROUTERS;
+        out[i] = number == this->number ? ORIGIN_SELF : number + 1;
+    }
+    return ORIGIN_OWNERS;
+}
+
+static void
+send_message(void *owner, guint64 router, const Wt__PeerMessage *message)
+{
+    const Router_t *this = owner;
+    gsize size = wt__peer_message__get_packed_size(message);
+    guint8 *bytes = g_malloc(size);
+    Packet_t *packet = g_new0(Packet_t, 1);
+    wt__peer_message__pack(message, bytes);
+    packet->from = this->number;
+    packet->to = (guint)router - 1;
+    packet->bytes = g_bytes_new_take(bytes, size);
+    g_queue_push_tail(&packets, packet);
+    sent++;
+}
+
+static void
+schedule_tick(void *owner, gint64 in_ms)
+{
+    Router_t *this = owner;
+    gint64 at_ms = now_ms + MAX(in_ms, 1);
+    this->tick_ms = this->tick_ms > 0 ? MIN(this->tick_ms, at_ms) : at_ms;
+}
+
+static gboolean
+is_list_current(void *owner)
+{
+    return !((const Router_t *)owner)->has_old_list;
+}
+
+static const OriginLinksClass_t links = {
+    .find_owners = find_owners,
+    .send = send_message,
+    .schedule_tick = schedule_tick,
+    .is_list_current = is_list_current,
+};
+
+static void
+list_engine(Router_t *this, const char *name, const char *software)
+{
+    SoftwareVersions_put(this->versions, name, "s", software, now_ms);
+}
+
+static void
+start_router(guint number, gboolean is_first_start)
+{
+    Router_t *this = &routers[number];
+    *this = (Router_t){.number = number};
+    this->versions = SoftwareVersions_create(is_first_start);
+    OriginKeeperSpec_t spec = {
+        .links = &links,
+        .owner = this,
+        .versions = this->versions,
+        .counters = counters,
+        .window_ms = WINDOW_MS,
+    };
+    this->keeper = OriginKeeper_create(&spec);
+    list_engine(this, "e1", "v1");
+}
+
+static void
+stop_router(guint number)
+{
+    OriginKeeper_destroy(routers[number].keeper);
+    SoftwareVersions_destroy(routers[number].versions);
+}
+
+static void
+restart_router(guint number)
+{
+    stop_router(number);
+    start_router(number, FALSE);
+    list_engine(&routers[number], "e2", "v2");
+}
+
+static void
+begin_fleet(guint32 seed)
+{
+    g_queue_init(&packets);
+    counters = Counters_create();
+    draws = g_rand_new_with_seed(seed);
+    loss = 0;
+    sent = 0;
+    set_time(1000);
+    for (guint i = 0; i < ROUTERS; i++) {
+        start_router(i, TRUE);
+    }
+}
+
+static void
+free_packet(gpointer data)
+{
+    Packet_t *packet = data;
+    g_bytes_unref(packet->bytes);
+    g_free(packet);
+}
+
+static void
+end_fleet(void)
+{
+    for (guint i = 0; i < ROUTERS; i++) {
+        stop_router(i);
+    }
+    g_queue_clear_full(&packets, free_packet);
+    Counters_destroy(counters);
+    g_rand_free(draws);
+}
+
+static void
+list_second_version(void)
+{
+    for (guint i = 0; i < ROUTERS; i++) {
+        list_engine(&routers[i], "e2", "v2");
+    }
+}
+
+static void
+deliver(const Packet_t *packet)
+{
+    gsize size = 0;
+    const guint8 *bytes = g_bytes_get_data(packet->bytes, &size);
+    const Router_t *to = &routers[packet->to];
+    if (to->is_down || to->is_old || routers[packet->from].is_down ||
+        g_rand_double(draws) < loss) {
+        return;
+    }
+    Wt__PeerMessage *message = wt__peer_message__unpack(NULL, size, bytes);
+    OriginKeeper_receive(to->keeper, message, packet->from + 1);
+    wt__peer_message__free_unpacked(message, NULL);
+}
+
+static void
+deliver_all(void)
+{
+    for (guint left = packets.length; left > 0; left--) {
+        Packet_t *packet = g_queue_pop_head(&packets);
+        deliver(packet);
+        free_packet(packet);
+    }
+}
+
+static void
+pass_time(gint64 ms)
+{
+    for (gint64 end_ms = now_ms + ms; now_ms < end_ms;) {
+        set_time(now_ms + STEP_MS);
+        deliver_all();
+        for (guint i = 0; i < ROUTERS; i++) {
+            if (routers[i].tick_ms > 0 && now_ms >= routers[i].tick_ms) {
+                routers[i].tick_ms = 0;
+                OriginKeeper_tick(routers[i].keeper);
+            }
+        }
+    }
+}
+
+static void
+begin_stream(guint router, guint number, const char *software)
+{
+    RequestDigest_t key = digest(number);
+    OriginKeeper_begin(routers[router].keeper, &key, "s", software, FALSE);
+}
+
+static void
+end_stream(guint router, guint number, gboolean is_whole)
+{
+    RequestDigest_t key = digest(number);
+    OriginKeeper_end(routers[router].keeper, &key, is_whole);
+}
+
+static void
+on_asked(void *owner, const OriginAnswer_t *answer)
+{
+    Outcome_t *outcome = owner;
+    ck_assert(!outcome->is_answered);
+    outcome->is_answered = TRUE;
+    outcome->source = answer->source;
+    outcome->software = g_strdup(answer->software);
+    outcome->replies = answer->replies;
+}
+
+/* Returns the version that the router finds, or NULL. */
+static char *
+ask(guint router, guint number, OriginSource_t *source)
+{
+    RequestDigest_t key = digest(number);
+    Outcome_t outcome = {FALSE};
+    OriginAnswer_t answer;
+    OriginQuery_t *query = OriginKeeper_ask(
+        routers[router].keeper, &key, "s", FALSE, &answer, on_asked, &outcome);
+    if (query) {
+        pass_time(SETTLE_MS);
+    }
+    else {
+        on_asked(&outcome, &answer);
+    }
+    ck_assert(outcome.is_answered);
+    if (source) {
+        *source = outcome.source;
+    }
+    return outcome.software;
+}
+
+static void
+check_asked(guint router, guint number, const char *expected,
+            OriginSource_t expected_source)
+{
+    OriginSource_t source = ORIGIN_FROM_NOBODY;
+    g_autofree char *software = ask(router, number, &source);
+    ck_assert_str_eq(software ? software : "none",
+                     expected ? expected : "none");
+    ck_assert_str_eq(OriginSource_name(source),
+                     OriginSource_name(expected_source));
+}
+
+static guint
+owner_of(guint number, guint rank)
+{
+    RequestDigest_t key = digest(number);
+    return (RequestDigest_hash(&key) + rank) % ROUTERS;
+}
+
+/* A router that is no owner of the stream. */
+static guint
+stranger_of(guint number, guint rank)
+{
+    return owner_of(number, ORIGIN_OWNERS + rank);
+}
+
+START_TEST(a_stream_of_two_versions_is_known_everywhere)
+{
+    begin_fleet(1);
+    list_second_version();
+    for (guint i = 0; i < STREAMS; i++) {
+        begin_stream(i % ROUTERS, i, i % 2 ? "v1" : "v2");
+    }
+    pass_time(SETTLE_MS);
+    for (guint i = 0; i < STREAMS; i++) {
+        g_autofree char *software = ask((i + 3) % ROUTERS, i, NULL);
+        ck_assert_str_eq(software, i % 2 ? "v1" : "v2");
+    }
+    end_fleet();
+}
+END_TEST
+
+START_TEST(nothing_is_sent_while_there_is_one_version)
+{
+    begin_fleet(1);
+    for (guint i = 0; i < STREAMS; i++) {
+        begin_stream(i % ROUTERS, i, "v1");
+        check_asked((i + 1) % ROUTERS, i, "v1", ORIGIN_FROM_LIST);
+        end_stream(i % ROUTERS, i, i % 2 == 0);
+    }
+    pass_time(2 * WINDOW_MS);
+    ck_assert_uint_eq(sent, 0);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_stream_begun_before_the_second_version_is_told_then)
+{
+    begin_fleet(1);
+    guint running = 1;
+    guint broken = 2;
+    begin_stream(stranger_of(running, 0), running, "v1");
+    begin_stream(stranger_of(broken, 0), broken, "v1");
+    end_stream(stranger_of(broken, 0), broken, FALSE);
+    list_second_version();
+    pass_time(SETTLE_MS);
+    check_asked(stranger_of(running, 1), running, "v1", ORIGIN_FROM_OWNER);
+    check_asked(stranger_of(broken, 1), broken, "v1", ORIGIN_FROM_OWNER);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_whole_stream_of_a_single_version_is_not_kept)
+{
+    begin_fleet(1);
+    begin_stream(0, 1, "v1");
+    end_stream(0, 1, TRUE);
+    ck_assert_uint_eq(OriginKeeper_count(routers[0].keeper), 0);
+    begin_stream(0, 2, "v1");
+    end_stream(0, 2, FALSE);
+    ck_assert_uint_eq(OriginKeeper_count(routers[0].keeper), 1);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_version_that_nobody_knows_is_not_guessed)
+{
+    begin_fleet(1);
+    list_second_version();
+    check_asked(0, 99, NULL, ORIGIN_FROM_NOBODY);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_stream_outlives_two_of_its_owners_and_its_router)
+{
+    begin_fleet(1);
+    list_second_version();
+    guint number = 5;
+    begin_stream(stranger_of(number, 0), number, "v2");
+    pass_time(SETTLE_MS);
+    restart_router(stranger_of(number, 0));
+    restart_router(owner_of(number, 0));
+    routers[owner_of(number, 1)].is_down = TRUE;
+    check_asked(stranger_of(number, 1), number, "v2", ORIGIN_FROM_OWNER);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(owners_that_restarted_learn_of_streams_that_still_run)
+{
+    begin_fleet(1);
+    list_second_version();
+    guint number = 5;
+    begin_stream(stranger_of(number, 0), number, "v2");
+    pass_time(SETTLE_MS);
+    for (guint rank = 0; rank < ORIGIN_OWNERS; rank++) {
+        restart_router(owner_of(number, rank));
+    }
+    check_asked(stranger_of(number, 1), number, NULL, ORIGIN_FROM_NOBODY);
+    pass_time(4000);
+    check_asked(stranger_of(number, 1), number, "v2", ORIGIN_FROM_OWNER);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(all_routers_restart_and_older_streams_are_unknown)
+{
+    begin_fleet(1);
+    list_second_version();
+    begin_stream(0, 1, "v2");
+    pass_time(SETTLE_MS);
+    for (guint i = 0; i < ROUTERS; i++) {
+        restart_router(i);
+    }
+    check_asked(3, 1, NULL, ORIGIN_FROM_NOBODY);
+    begin_stream(0, 2, "v2");
+    pass_time(SETTLE_MS);
+    g_autofree char *software = ask(3, 2, NULL);
+    ck_assert_str_eq(software, "v2");
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_router_that_just_started_learns_of_the_single_version)
+{
+    begin_fleet(1);
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    stop_router(asker);
+    start_router(asker, FALSE);
+    check_asked(asker, number, "v1", ORIGIN_FROM_LIST);
+    ck_assert_uint_gt(sent, 0);
+    end_fleet();
+}
+END_TEST
+
+/* The version of a stream at an engine that the router has not heard of yet
+ * was taken for the one that the router knew. */
+START_TEST(a_router_with_an_old_list_asks_and_does_not_guess_alone)
+{
+    begin_fleet(1);
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    for (guint i = 0; i < ROUTERS; i++) {
+        if (i != asker) {
+            list_engine(&routers[i], "e2", "v2");
+        }
+    }
+    routers[asker].has_old_list = TRUE;
+    begin_stream(stranger_of(number, 1), number, "v2");
+    pass_time(SETTLE_MS);
+    check_asked(asker, number, "v2", ORIGIN_FROM_OWNER);
+    for (guint rank = 0; rank < ORIGIN_OWNERS; rank++) {
+        routers[owner_of(number, rank)].is_down = TRUE;
+    }
+    check_asked(asker, number, NULL, ORIGIN_FROM_NOBODY);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(an_old_list_and_owners_that_answer_mean_the_single_version)
+{
+    begin_fleet(1);
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    routers[asker].has_old_list = TRUE;
+    check_asked(asker, number, "v1", ORIGIN_FROM_LIST);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_build_that_tells_nothing_makes_streams_unknown_not_mixed)
+{
+    begin_fleet(1);
+    list_second_version();
+    guint number = 9;
+    for (guint rank = 0; rank < ORIGIN_OWNERS; rank++) {
+        routers[owner_of(number, rank)].is_old = TRUE;
+    }
+    begin_stream(stranger_of(number, 0), number, "v1");
+    pass_time(SETTLE_MS);
+    check_asked(stranger_of(number, 1), number, NULL, ORIGIN_FROM_NOBODY);
+    check_asked(stranger_of(number, 0), number, "v1", ORIGIN_FROM_HERE);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_route_with_several_services_is_told_with_one_version)
+{
+    begin_fleet(1);
+    RequestDigest_t key = digest(4);
+    OriginAnswer_t answer;
+    OriginKeeper_begin(routers[stranger_of(4, 0)].keeper, &key, "s", "v1",
+                       TRUE);
+    pass_time(SETTLE_MS);
+    Outcome_t outcome = {FALSE};
+    ck_assert_ptr_nonnull(OriginKeeper_ask(routers[stranger_of(4, 1)].keeper,
+                                           &key, "other", TRUE, &answer,
+                                           on_asked, &outcome));
+    pass_time(SETTLE_MS);
+    ck_assert_str_eq(outcome.software, "v1");
+    g_free(outcome.software);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_cancelled_query_is_not_answered)
+{
+    begin_fleet(1);
+    list_second_version();
+    RequestDigest_t key = digest(stranger_of(1, 0));
+    OriginAnswer_t answer;
+    Outcome_t outcome = {FALSE};
+    OriginQuery_t *query = OriginKeeper_ask(
+        routers[0].keeper, &key, "s", FALSE, &answer, on_asked, &outcome);
+    ck_assert_ptr_nonnull(query);
+    OriginKeeper_cancel(routers[0].keeper, query);
+    pass_time(SETTLE_MS);
+    ck_assert(!outcome.is_answered);
+    end_fleet();
+}
+END_TEST
+
+/* A lost message may make a stream unknown; it must never make it mixed. */
+START_TEST(losses_and_restarts_never_give_a_wrong_version)
+{
+    for (guint32 seed = 1; seed <= 20; seed++) {
+        guint known = 0;
+        begin_fleet(seed);
+        list_second_version();
+        loss = 0.1;
+        for (guint i = 0; i < STREAMS; i++) {
+            if (g_rand_int_range(draws, 0, 20) == 0) {
+                restart_router(g_rand_int_range(draws, 0, ROUTERS));
+            }
+            const char *expected = g_rand_boolean(draws) ? "v1" : "v2";
+            begin_stream(g_rand_int_range(draws, 0, ROUTERS), i, expected);
+            pass_time(20);
+            g_autofree char *software =
+                ask(g_rand_int_range(draws, 0, ROUTERS), i, NULL);
+            ck_assert(!software || g_str_equal(software, expected));
+            known += software ? 1 : 0;
+        }
+        ck_assert_msg(known >= STREAMS * 9 / 10, "seed %u: %u of %u", seed,
+                      known, STREAMS);
+        end_fleet();
+    }
+}
+END_TEST
+
+static void
+receive_origin(const RequestDigest_t *key, gsize size, const char *service,
+               const char *software, guint32 left_ms)
+{
+    Wt__StreamOrigin origin = WT__STREAM_ORIGIN__INIT;
+    Wt__StreamOrigin *pointer = &origin;
+    Wt__OriginNews news = WT__ORIGIN_NEWS__INIT;
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    origin.digest.data = (guint8 *)key->bytes;
+    origin.digest.len = size;
+    origin.service = (char *)service;
+    origin.software = (char *)software;
+    origin.left_ms = left_ms;
+    news.n_origins = 1;
+    news.origins = &pointer;
+    message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_NEWS;
+    message.origin_news = &news;
+    OriginKeeper_receive(routers[0].keeper, &message, 2);
+}
+
+START_TEST(malformed_streams_are_ignored)
+{
+    g_autofree char *long_name = g_strnfill(300, 'x');
+    RequestDigest_t key = digest(1);
+    begin_fleet(1);
+    receive_origin(&key, 3, "s", "v1", 100);
+    receive_origin(&key, sizeof(key.bytes), "", "v1", 100);
+    receive_origin(&key, sizeof(key.bytes), long_name, "v1", 100);
+    receive_origin(&key, sizeof(key.bytes), "s", long_name, 100);
+    receive_origin(&key, sizeof(key.bytes), "s", "v1", 0);
+    ck_assert_uint_eq(OriginKeeper_count(routers[0].keeper), 0);
+    receive_origin(&key, sizeof(key.bytes), "s", "v1", G_MAXUINT32);
+    ck_assert_uint_eq(OriginKeeper_count(routers[0].keeper), 1);
+    set_time(now_ms + WINDOW_MS);
+    RequestDigest_t other = digest(2);
+    receive_origin(&other, sizeof(other.bytes), "s", "v1", 100);
+    ck_assert_uint_eq(OriginKeeper_count(routers[0].keeper), 1);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_flood_of_streams_does_not_grow_the_table)
+{
+    begin_fleet(1);
+    for (guint i = 0; i < STREAM_ORIGINS_MAX + 100; i++) {
+        RequestDigest_t key = digest(i);
+        receive_origin(&key, sizeof(key.bytes), "s", "v1", 1000);
+    }
+    ck_assert_uint_eq(OriginKeeper_count(routers[0].keeper),
+                      STREAM_ORIGINS_MAX);
+    end_fleet();
+}
+END_TEST
+
+TESTING_MAIN("OriginKeeper", a_stream_of_two_versions_is_known_everywhere,
+             nothing_is_sent_while_there_is_one_version,
+             a_stream_begun_before_the_second_version_is_told_then,
+             a_whole_stream_of_a_single_version_is_not_kept,
+             a_version_that_nobody_knows_is_not_guessed,
+             a_stream_outlives_two_of_its_owners_and_its_router,
+             owners_that_restarted_learn_of_streams_that_still_run,
+             all_routers_restart_and_older_streams_are_unknown,
+             a_router_that_just_started_learns_of_the_single_version,
+             a_router_with_an_old_list_asks_and_does_not_guess_alone,
+             an_old_list_and_owners_that_answer_mean_the_single_version,
+             a_build_that_tells_nothing_makes_streams_unknown_not_mixed,
+             a_route_with_several_services_is_told_with_one_version,
+             a_cancelled_query_is_not_answered,
+             losses_and_restarts_never_give_a_wrong_version,
+             malformed_streams_are_ignored,
+             a_flood_of_streams_does_not_grow_the_table)
--- a/tests/test_Policy.c
+++ b/tests/test_Policy.c
@@ -408,6 +408,66 @@
 }
 END_TEST
 
+static void
+set_software(void)
+{
+    for (guint i = 0; i < ENGINES; i++) {
+        Upstream_noteSoftware(engine_at(i), i < 2 ? "v1" : "v2", 1);
+    }
+}
+
+START_TEST(a_stream_is_placed_at_its_software_version_only)
+{
+    engines = create_engines(ENGINES);
+    set_software();
+    Placement_t request = placement(1);
+    request.software = "v1";
+    request.is_last_resort = TRUE;
+    for (guint i = 0; i < ENGINES; i++) {
+        ck_assert_int_eq(Policy_mayUse(&request, engine_at(i)), i < 2);
+    }
+    request.avoid = engine_at(0);
+    ck_assert(!Policy_mayUse(&request, engine_at(0)));
+    Upstream_noteSoftware(engine_at(1), "v2", 1);
+    ck_assert(Policy_mayUse(&request, engine_at(0)));
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+START_TEST(a_version_is_gone_once_its_upstreams_leave)
+{
+    engines = create_engines(ENGINES);
+    set_software();
+    Placement_t request = placement(1);
+    ck_assert(Policy_hasSoftware(&request));
+    request.software = "v1";
+    ck_assert(Policy_hasSoftware(&request));
+    engine_at(0)->leaving = TRUE;
+    engine_at(1)->leaving = TRUE;
+    ck_assert(!Policy_hasSoftware(&request));
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
+/* A restarted engine was taken for one of its former version. */
+START_TEST(an_engine_whose_version_is_not_known_continues_no_stream)
+{
+    engines = create_engines(ENGINES);
+    set_software();
+    Placement_t request = placement(1);
+    request.software = "v1";
+    Upstream_noteIncarnation(engine_at(0), 2, 1000);
+    ck_assert_str_eq(Upstream_software(engine_at(0)), "");
+    ck_assert(!Policy_mayUse(&request, engine_at(0)));
+    request.software = "";
+    ck_assert(!Policy_mayUse(&request, engine_at(0)));
+    Upstream_noteSoftware(engine_at(0), "v1", 2);
+    request.software = "v1";
+    ck_assert(Policy_mayUse(&request, engine_at(0)));
+    g_ptr_array_unref(engines);
+}
+END_TEST
+
 TESTING_MAIN("Policy", round_robin_rotates,
              least_loaded_chooses_the_lowest_load,
              every_policy_skips_unusable_upstreams,
@@ -424,4 +484,7 @@
              residency_is_bounded_and_evicts_the_oldest,
              ring_moves_only_the_keys_of_a_removed_engine,
              empty_ring_and_empty_set_choose_nothing,
-             least_loaded_prefers_an_open_connection_among_equals)
+             least_loaded_prefers_an_open_connection_among_equals,
+             a_stream_is_placed_at_its_software_version_only,
+             a_version_is_gone_once_its_upstreams_leave,
+             an_engine_whose_version_is_not_known_continues_no_stream)
--- /dev/null
+++ b/tests/test_SoftwareVersions.c
@@ -0,0 +1,115 @@
+#include "SoftwareVersions.h"
+
+#include "testing.h"
+
+#define WINDOW_MS 1000
+
+static guint mixed_calls;
+
+static void
+on_mixed(void *owner, const char *service)
+{
+    ck_assert_ptr_eq(owner, &mixed_calls);
+    ck_assert_str_eq(service, "s");
+    mixed_calls++;
+}
+
+static SoftwareVersions_t *
+create(gboolean is_first_start)
+{
+    SoftwareVersions_t *this = SoftwareVersions_create(is_first_start);
+    mixed_calls = 0;
+    SoftwareVersions_setMixedCallback(this, on_mixed, &mixed_calls);
+    return this;
+}
+
+static const char *
+find(const SoftwareVersions_t *this, gint64 now_ms)
+{
+    return SoftwareVersions_findOnly(this, "s", WINDOW_MS, now_ms);
+}
+
+START_TEST(a_first_start_knows_that_nothing_served_before)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    ck_assert_ptr_null(find(this, 1));
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    ck_assert_str_eq(find(this, 1), "v1");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
+START_TEST(a_router_that_started_later_is_sure_after_the_window)
+{
+    SoftwareVersions_t *this = create(FALSE);
+    SoftwareVersions_put(this, "a", "s", "v1", 10);
+    ck_assert_ptr_null(find(this, 10 + WINDOW_MS - 1));
+    ck_assert_str_eq(find(this, 10 + WINDOW_MS), "v1");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
+START_TEST(a_version_that_ended_counts_for_the_window)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    SoftwareVersions_put(this, "b", "s", "v2", 2);
+    ck_assert_ptr_null(find(this, 2));
+    SoftwareVersions_remove(this, "a", 100);
+    ck_assert_ptr_null(find(this, 100 + WINDOW_MS - 1));
+    ck_assert_str_eq(find(this, 100 + WINDOW_MS), "v2");
+    SoftwareVersions_remove(this, "a", 5000);
+    SoftwareVersions_remove(this, "b", 5000);
+    ck_assert_str_eq(find(this, 5000), "v2");
+    ck_assert_ptr_null(find(this, 5000 + WINDOW_MS));
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
+START_TEST(an_upstream_that_starts_again_with_other_software_changes_version)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    SoftwareVersions_put(this, "a", "s", "v1", 2);
+    ck_assert_uint_eq(mixed_calls, 0);
+    SoftwareVersions_put(this, "a", "s", "v2", 3);
+    ck_assert_uint_eq(mixed_calls, 1);
+    ck_assert_ptr_null(find(this, 3));
+    ck_assert_str_eq(find(this, 3 + WINDOW_MS), "v2");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
+START_TEST(versions_of_other_services_do_not_count)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    SoftwareVersions_put(this, "b", "other", "v2", 2);
+    ck_assert_uint_eq(mixed_calls, 0);
+    ck_assert_str_eq(find(this, 2), "v1");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
+/* A service would keep the versions of all roll-outs ever. */
+START_TEST(versions_that_ended_long_ago_are_forgotten)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    SoftwareVersions_remove(this, "a", 2);
+    gint64 later_ms = 3 + SOFTWARE_VERSIONS_KEEP_MS;
+    SoftwareVersions_put(this, "a", "s", "v2", later_ms);
+    ck_assert_uint_eq(mixed_calls, 1);
+    ck_assert_str_eq(
+        SoftwareVersions_findOnly(this, "s", G_MAXINT64, later_ms), "v2");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
+TESTING_MAIN("SoftwareVersions",
+             a_first_start_knows_that_nothing_served_before,
+             a_router_that_started_later_is_sure_after_the_window,
+             a_version_that_ended_counts_for_the_window,
+             an_upstream_that_starts_again_with_other_software_changes_version,
+             versions_of_other_services_do_not_count,
+             versions_that_ended_long_ago_are_forgotten)
