Streams go on after a restart of all routers if their service had one version

Cause: a router that has just started did not know whether another version had served before, and no other router was left to tell it.

Now a record on the platform's store says which services have, or had within the resume window, several versions. Three routers write it when a service gets a second version, routers read it after their start, at once if a caller waits for it. LaterVersionTest.test_streams_go_on_after_all_routers_restarted and RefusalTest.test_stream_of_an_ended_version_after_all_routers_restarted show both sides.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -7,6 +7,8 @@
 
 /* A lost datagram is sent again once within ORIGIN_ASK_TIMEOUT_MS. */
 #define ASK_REPEAT_MS 80
+/* Interval at which queries are checked until the store was read. */
+#define LEARN_CHECK_MS 10
 /* Owners are told again of streams that still run, as they may have restarted
  * or others may have become owners. */
 #define TELL_AGAIN_MS 2000
@@ -258,14 +260,13 @@
     this->origins = StreamOrigins_create(STREAM_ORIGINS_MAX);
     this->queries =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_query);
-    SoftwareVersions_setMixedCallback(spec->versions, on_mixed, this);
+    SoftwareVersions_addMixedCallback(spec->versions, on_mixed, this);
     return this;
 }
 
 void
 OriginKeeper_destroy(OriginKeeper_t *this)
 {
-    SoftwareVersions_setMixedCallback(this->spec.versions, NULL, NULL);
     g_hash_table_destroy(this->queries);
     StreamOrigins_destroy(this->origins);
     g_free(this);
@@ -372,6 +373,21 @@
     return out->source != ORIGIN_FROM_NOBODY;
 }
 
+static gboolean
+is_learned(const OriginKeeper_t *this)
+{
+    return SoftwareVersions_isLearned(this->spec.versions);
+}
+
+static void
+schedule_query(const OriginKeeper_t *this, const OriginQuery_t *query,
+               gint64 now_ms)
+{
+    gint64 due_ms =
+        query->repeat_ms > 0 ? query->repeat_ms : query->expires_ms;
+    schedule_tick(this, is_learned(this) ? due_ms - now_ms : LEARN_CHECK_MS);
+}
+
 OriginQuery_t *
 OriginKeeper_ask(OriginKeeper_t *this, const RequestDigest_t *digest,
                  const char *service, gboolean may_change, OriginAnswer_t *out,
@@ -389,14 +405,17 @@
     query->expires_ms = now_ms + ORIGIN_ASK_TIMEOUT_MS;
     query->done = done;
     query->owner = owner;
-    if (query->open == 0) {
+    if (query->open == 0 && is_learned(this)) {
         free_query(query);
         return NULL;
     }
+    if (!is_learned(this)) {
+        this->spec.links->learn(this->spec.owner);
+    }
     query->ticket = ++this->ticket;
     g_hash_table_insert(this->queries, &query->ticket, query);
     send_query(this, query);
-    schedule_tick(this, ASK_REPEAT_MS);
+    schedule_query(this, query, now_ms);
     return query;
 }
 
@@ -425,8 +444,10 @@
 {
     OriginAnswer_t answer = {.replies = query->replies};
     const char *only = query->only;
-    if (!only && query->replies > 0) {
-        only = find_listed_only(this, query->service);
+    if (!only) {
+        only = query->replies > 0
+                   ? find_listed_only(this, query->service)
+                   : OriginKeeper_findOnly(this, query->service);
     }
     if (only) {
         answer.source = ORIGIN_FROM_LIST;
@@ -527,6 +548,13 @@
     }
 }
 
+/* Nobody else is left to be asked. */
+static gboolean
+is_exhausted(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    return query->open == 0 && is_learned(this);
+}
+
 static void
 receive_answer(OriginKeeper_t *this, const Wt__OriginAnswer *answer,
                guint64 from)
@@ -548,7 +576,7 @@
     if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION) {
         note_only(query, answer->software);
     }
-    if (query->open == 0) {
+    if (is_exhausted(this, query)) {
         finish_unknown(this, query);
     }
 }
@@ -568,15 +596,6 @@
     }
 }
 
-static void
-schedule_query(const OriginKeeper_t *this, const OriginQuery_t *query,
-               gint64 now_ms)
-{
-    gint64 due_ms =
-        query->repeat_ms > 0 ? query->repeat_ms : query->expires_ms;
-    schedule_tick(this, due_ms - now_ms);
-}
-
 static void
 repeat_if_due(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
 {
@@ -596,7 +615,7 @@
     g_hash_table_iter_init(&iter, this->queries);
     while (g_hash_table_iter_next(&iter, NULL, &query)) {
         const OriginQuery_t *open = query;
-        if (now_ms >= open->expires_ms) {
+        if (now_ms >= open->expires_ms || is_exhausted(this, open)) {
             g_array_append_val(expired, open->ticket);
         }
         else {
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -36,6 +36,8 @@
  * @send: sends a message, which may be lost
  * @schedule_tick: schedules a call of OriginKeeper_tick() after at most @in_ms
  * @is_list_current: returns whether the list of upstreams is up to date
+ * @learn: reads now which services had several versions before this router
+ *     started, see SoftwareVersions_learn()
  */
 typedef struct {
     guint (*find_owners)(void *owner, const RequestDigest_t *digest,
@@ -43,13 +45,14 @@
     void (*send)(void *owner, guint64 router, const Wt__PeerMessage *message);
     void (*schedule_tick)(void *owner, gint64 in_ms);
     gboolean (*is_list_current)(void *owner);
+    void (*learn)(void *owner);
 } OriginLinksClass_t;
 
 /**
  * struct OriginKeeperSpec_t - dependencies; all must outlive the keeper
  * @links: transport
  * @owner: first argument of the functions of @links
- * @versions: versions of the services; the keeper sets its callback
+ * @versions: versions of the services; the keeper adds a callback
  * @counters: counters of messages and answers
  * @window_ms: how long after its last event a stream may be continued
  */
@@ -104,7 +107,8 @@
 /** OriginKeeper_create() - create a keeper without streams */
 OriginKeeper_t *OriginKeeper_create(const OriginKeeperSpec_t *spec);
 
-/** OriginKeeper_destroy() - free it; no query may be open */
+/** OriginKeeper_destroy() - free it before the versions change again; no query
+ * may be open */
 void OriginKeeper_destroy(OriginKeeper_t *this);
 
 /** OriginKeeper_setWindow() - change window_ms of the spec */
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -1,11 +1,14 @@
 #include "OriginPeers.h"
 
+#include <string.h>
+
 #include "Clock.h"
 #include "PeerIdentity.h"
 
 /* Prefix of the hash key, which keeps the ranks apart from those of other
  * uses. */
 #define KEY_PREFIX "origin/"
+#define KEY_SIZE 64
 
 struct OriginPeers {
     OriginPeersSpec_t spec;
@@ -20,8 +23,8 @@
 {
     const OriginPeers_t *this = owner;
     const Member_t *first[ORIGIN_OWNERS];
-    char key[sizeof(KEY_PREFIX) + REQUEST_DIGEST_TEXT] = KEY_PREFIX;
-    RequestDigest_write(digest, key + sizeof(KEY_PREFIX) - 1);
+    char key[KEY_SIZE] = KEY_PREFIX;
+    RequestDigest_write(digest, key + strlen(KEY_PREFIX));
     guint count =
         Membership_findFirst(this->spec.membership, key, first, ORIGIN_OWNERS);
     for (guint i = 0; i < count; i++) {
@@ -58,11 +61,19 @@
     return UpstreamListing_isCurrent(this->spec.listing);
 }
 
+static void
+learn(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    SoftwareRecords_hurryRead(this->spec.records);
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
+    .learn = learn,
 };
 
 static void
--- a/src/PlatformForm.h
+++ b/src/PlatformForm.h
@@ -30,6 +30,8 @@
  * @weights_prefix: prefix of the keys in @config_topic that name weights
  * @listing_topic: keyed topic of the list of upstreams
  * @crash_topic: keyed topic of quarantined requests, which the routers write
+ * @software_topic: keyed topic of services with several software versions,
+ *     which the routers write
  * @caller: form of callers' requests
  * @upstream: form of upstreams' requests and answers
  * @peer: form of requests that are forwarded to another router; their orders
@@ -53,6 +55,7 @@
     const char *weights_prefix;
     const char *listing_topic;
     const char *crash_topic;
+    const char *software_topic;
     const RelayCallerForm_t *caller;
     const RelayUpstreamForm_t *upstream;
     const RelayUpstreamForm_t *peer;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -35,6 +35,7 @@
     UpstreamProber_t *prober;
     LoadShare_t *load_share;
     HintBroadcast_t *hints;
+    SoftwareRecords_t *software;
     OriginPeers_t *origins;
 };
 
@@ -241,14 +242,25 @@
 }
 
 static void
-create_origins(RelayParts_t *this)
+create_origins(RelayParts_t *this, const PlatformForm_t *form)
 {
     Context_t *context = this->context;
+    SoftwareRecordsSpec_t software = {
+        .source = this->records,
+        .topic = form->software_topic,
+        .versions = context->versions,
+        .membership = context->membership,
+        .router = context->settings->router.name->str,
+        .counters = context->counters,
+        .window_ms = context->settings->relay.resume_window_ms,
+    };
+    this->software = SoftwareRecords_create(context->base, &software);
     OriginPeersSpec_t spec = {
         .membership = context->membership,
         .datagrams = context->datagrams,
         .listing = context->listing,
         .versions = context->versions,
+        .records = this->software,
         .counters = context->counters,
         .window_ms = context->settings->relay.resume_window_ms,
     };
@@ -302,10 +314,9 @@
                                  platform->log_timeout_ms, this->epoch);
     this->records = form->create_records(
         context->base, &platform->log, platform->log_timeout_ms, this->epoch);
-    context->versions =
-        SoftwareVersions_create(context->settings->relay.first_start != 0);
+    context->versions = SoftwareVersions_create();
     create_followers(this, form);
-    create_origins(this);
+    create_origins(this, form);
     create_prober(this);
     create_crashes(this, form);
     create_orders(this, form);
@@ -338,6 +349,7 @@
     UpstreamProber_setTimeout(this->prober,
                               settings->limits.connect_timeout_ms);
     OriginKeeper_setWindow(this->context->origins, relay->resume_window_ms);
+    SoftwareRecords_setWindow(this->software, relay->resume_window_ms);
 }
 
 void
@@ -350,6 +362,7 @@
     Orders_destroy(this->orders);
     UpstreamProber_destroy(this->prober);
     OriginPeers_destroy(this->origins);
+    SoftwareRecords_destroy(this->software);
     UpstreamListing_destroy(this->context->listing);
     SoftwareVersions_destroy(this->context->versions);
     HallRegions_destroy(this->regions);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -211,10 +211,6 @@
      "router: the longest time that callers wait. The software version that "
      "began it is remembered for so long.",
      KEY_LIVE},
-    {"first_start", KEY_CHOICE, FALSE, "no", 0, 0, "no,yes", A(first_start),
-     "Whether the whole system starts for the first time, so that no stream "
-     "can have begun earlier. Otherwise a router that has just started can't "
-     "tell for resume_window which software versions have served before."},
     {NULL},
 };
 #undef A
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -157,7 +157,6 @@
  * @probe_silent: whether a silent upstream stays in use until a probe of it
  *     was not answered
  * @resume_window_ms: how long a stream may be continued at another router
- * @first_start: whether the whole system starts for the first time
  */
 typedef struct {
     gint64 config_max_age_ms;
@@ -171,7 +170,6 @@
     gint64 partition_engines;
     gint64 probe_silent;
     gint64 resume_window_ms;
-    gint64 first_start;
 } RelaySection_t;
 
 /**
--- /dev/null
+++ b/src/SoftwareRecords.h
@@ -0,0 +1,58 @@
+#ifndef HEADER_SoftwareRecords
+#define HEADER_SoftwareRecords
+/**
+ * DOC: SoftwareRecords
+ *
+ * Keeps on the platform's store which services have, or had until recently,
+ * several software versions (SoftwareVersions.h). After a restart of all
+ * routers, which forget the versions that began streams, streams of the other
+ * services can still be continued. A record is written when a service gets a
+ * second version, by a few routers in case one is lost, and removed once it
+ * has had one version for as long as streams may be continued.
+ */
+#include "Membership.h"
+#include "RecordSource.h"
+#include "SoftwareVersions.h"
+
+/** Routers that write and remove a service's record */
+#define SOFTWARE_RECORD_WRITERS 3
+
+/**
+ * struct SoftwareRecordsSpec_t - dependencies; all must outlive the records
+ * @source: of the records; must be freed before them
+ * @topic: of the records
+ * @versions: versions of the services, which learn from the records
+ * @membership: ranks the routers; NULL for none, as in module tests
+ * @router: name of this router
+ * @counters: of calls to the store; NULL to count none, as in module tests
+ * @window_ms: how long streams may be continued
+ */
+typedef struct {
+    RecordSource_t *source;
+    const char *topic;
+    SoftwareVersions_t *versions;
+    const Membership_t *membership;
+    const char *router;
+    Counters_t *counters;
+    gint64 window_ms;
+} SoftwareRecordsSpec_t;
+
+/** struct SoftwareRecords_t - opaque */
+typedef struct SoftwareRecords SoftwareRecords_t;
+
+/** SoftwareRecords_create() - schedule the read of the records */
+SoftwareRecords_t *SoftwareRecords_create(struct event_base *base,
+                                          const SoftwareRecordsSpec_t *spec);
+
+/** SoftwareRecords_hurryRead() - read the records now, if they were not read
+ * yet */
+void SoftwareRecords_hurryRead(SoftwareRecords_t *this);
+
+/** SoftwareRecords_setWindow() - change window_ms of the spec */
+void SoftwareRecords_setWindow(SoftwareRecords_t *this, gint64 window_ms);
+
+/** SoftwareRecords_destroy() - free the records before the versions change
+ * again; queued writes are lost */
+void SoftwareRecords_destroy(SoftwareRecords_t *this);
+
+#endif
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -11,12 +11,17 @@
     gint64 ended_ms; /* when the last one was removed, while there is none */
 } Version_t;
 
+typedef struct {
+    SoftwareVersionsMixed_t call;
+    void *owner;
+} Callback_t;
+
 struct SoftwareVersions {
-    GHashTable *services;  /* name -> GPtrArray of Version_t */
-    GHashTable *upstreams; /* name -> Version_t */
-    SoftwareVersionsMixed_t mixed;
-    void *mixed_owner;
-    gboolean is_first_start;
+    GHashTable *services;     /* name -> GPtrArray of Version_t */
+    GHashTable *upstreams;    /* name -> Version_t */
+    GHashTable *mixed_before; /* names of services */
+    GArray *callbacks;        /* Callback_t */
+    gboolean is_learned;
     gint64 since_ms; /* when the first upstream was added */
 };
 
@@ -36,10 +41,12 @@
 }
 
 SoftwareVersions_t *
-SoftwareVersions_create(gboolean is_first_start)
+SoftwareVersions_create(void)
 {
     SoftwareVersions_t *this = g_new0(SoftwareVersions_t, 1);
-    this->is_first_start = is_first_start;
+    this->callbacks = g_array_new(FALSE, FALSE, sizeof(Callback_t));
+    this->mixed_before =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_versions);
     this->upstreams =
@@ -52,15 +59,45 @@
 {
     g_hash_table_destroy(this->upstreams);
     g_hash_table_destroy(this->services);
+    g_hash_table_destroy(this->mixed_before);
+    g_array_unref(this->callbacks);
     g_free(this);
 }
 
 void
-SoftwareVersions_setMixedCallback(SoftwareVersions_t *this,
+SoftwareVersions_addMixedCallback(SoftwareVersions_t *this,
                                   SoftwareVersionsMixed_t mixed, void *owner)
 {
-    this->mixed = mixed;
-    this->mixed_owner = owner;
+    Callback_t callback = {mixed, owner};
+    g_array_append_val(this->callbacks, callback);
+}
+
+static void
+call_mixed(const SoftwareVersions_t *this, const char *service)
+{
+    for (guint i = 0; i < this->callbacks->len; i++) {
+        const Callback_t *callback =
+            &g_array_index(this->callbacks, Callback_t, i);
+        callback->call(callback->owner, service);
+    }
+}
+
+void
+SoftwareVersions_noteMixedBefore(SoftwareVersions_t *this, const char *service)
+{
+    g_hash_table_add(this->mixed_before, g_strdup(service));
+}
+
+void
+SoftwareVersions_learn(SoftwareVersions_t *this)
+{
+    this->is_learned = TRUE;
+}
+
+gboolean
+SoftwareVersions_isLearned(const SoftwareVersions_t *this)
+{
+    return this->is_learned;
 }
 
 static void
@@ -162,8 +199,8 @@
     if (old) {
         release(this, old, now_ms);
     }
-    if (gets_another && this->mixed) {
-        this->mixed(this->mixed_owner, service);
+    if (gets_another) {
+        call_mixed(this, service);
     }
 }
 
@@ -179,10 +216,12 @@
 }
 
 static gboolean
-is_window_known(const SoftwareVersions_t *this, gint64 window_ms,
-                gint64 now_ms)
+is_window_known(const SoftwareVersions_t *this, const char *service,
+                gint64 window_ms, gint64 now_ms)
 {
-    return this->is_first_start || now_ms - this->since_ms >= window_ms;
+    gboolean had_one = this->is_learned &&
+                       !g_hash_table_contains(this->mixed_before, service);
+    return had_one || now_ms - this->since_ms >= window_ms;
 }
 
 static gboolean
@@ -197,7 +236,7 @@
 {
     const GPtrArray *versions = g_hash_table_lookup(this->services, service);
     const char *only = NULL;
-    if (!versions || !is_window_known(this, window_ms, now_ms)) {
+    if (!versions || !is_window_known(this, service, window_ms, now_ms)) {
         return NULL;
     }
     for (guint i = 0; i < versions->len; i++) {
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -12,7 +12,7 @@
 
 /** How long versions without upstreams are remembered, in ms: the longest time
  * for which anyone may ask */
-#define SOFTWARE_VERSIONS_KEEP_MS (60 * 60 * 1000)
+#define SOFTWARE_VERSIONS_KEEP_MS G_GINT64_CONSTANT(3600000)
 
 /** struct SoftwareVersions_t - opaque */
 typedef struct SoftwareVersions SoftwareVersions_t;
@@ -21,23 +21,32 @@
  * one */
 typedef void (*SoftwareVersionsMixed_t)(void *owner, const char *service);
 
-/**
- * SoftwareVersions_create() - create without any upstream
- * @is_first_start: no upstream has served before, as the whole system starts
- *     for the first time; otherwise what served before the first upstream was
- *     added is unknown
- */
-SoftwareVersions_t *SoftwareVersions_create(gboolean is_first_start);
+/** SoftwareVersions_create() - create without any upstream; what served before
+ * the first one is added is unknown */
+SoftwareVersions_t *SoftwareVersions_create(void);
 
 /** SoftwareVersions_destroy() - free it */
 void SoftwareVersions_destroy(SoftwareVersions_t *this);
 
-/** SoftwareVersions_setMixedCallback() - set the callback for services that
- * get another version; there is at most one */
-void SoftwareVersions_setMixedCallback(SoftwareVersions_t *this,
+/** SoftwareVersions_addMixedCallback() - add a callback for services that get
+ * another version; @owner must outlive the last change */
+void SoftwareVersions_addMixedCallback(SoftwareVersions_t *this,
                                        SoftwareVersionsMixed_t mixed,
                                        void *owner);
 
+/** SoftwareVersions_noteMixedBefore() - a service may have had several
+ * versions before this router started */
+void SoftwareVersions_noteMixedBefore(SoftwareVersions_t *this,
+                                      const char *service);
+
+/** SoftwareVersions_learn() - all services that had several versions shortly
+ * before this router started have been noted */
+void SoftwareVersions_learn(SoftwareVersions_t *this);
+
+/** SoftwareVersions_isLearned() - whether SoftwareVersions_learn() was called
+ */
+gboolean SoftwareVersions_isLearned(const SoftwareVersions_t *this);
+
 /** SoftwareVersions_put() - an upstream is listed with this service and
  * version; replaces what was known of it */
 void SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
--- /dev/null
+++ b/src/StoredRecords.h
@@ -0,0 +1,79 @@
+#ifndef HEADER_StoredRecords
+#define HEADER_StoredRecords
+/**
+ * DOC: StoredRecords
+ *
+ * Records of a keyed topic of the platform's store that routers read once at
+ * their start, as they have no disks: what all routers know would be lost if
+ * they restarted at once. Later changes come by other ways. While the store is
+ * unreachable, writes are queued and only the newest of each key is kept.
+ */
+#include <event2/event.h>
+
+#include "Counters.h"
+#include "RecordSource.h"
+
+/**
+ * struct StoredRecordsEvents_t - events in the log
+ * @read: all records were read
+ * @unread: a read failed and is repeated
+ * @unwritten: a write failed and is repeated
+ * @unreadable: a record is not understood
+ * @left_out: too many writes are queued, and one was dropped
+ */
+typedef struct {
+    const char *read;
+    const char *unread;
+    const char *unwritten;
+    const char *unreadable;
+    const char *left_out;
+} StoredRecordsEvents_t;
+
+/**
+ * struct StoredRecordsSpec_t - dependencies; all must outlive the records
+ * @source: of the records; must be freed before them
+ * @topic: of the records
+ * @counters: of calls to the store; NULL to count none, as in module tests
+ * @events: events in the log
+ * @read_delay_ms: time until the first read
+ * @read: called for each record that is stored at the start; returns FALSE if
+ *     the record is not understood
+ * @read_all: called once, after the last record was read
+ * @owner: passed to @read and @read_all
+ */
+typedef struct {
+    RecordSource_t *source;
+    const char *topic;
+    Counters_t *counters;
+    const StoredRecordsEvents_t *events;
+    gint64 read_delay_ms;
+    gboolean (*read)(void *owner, const char *key, GBytes *value);
+    void (*read_all)(void *owner);
+    void *owner;
+} StoredRecordsSpec_t;
+
+/** struct StoredRecords_t - opaque */
+typedef struct StoredRecords StoredRecords_t;
+
+/** StoredRecords_create() - schedule the read of the stored records */
+StoredRecords_t *StoredRecords_create(struct event_base *base,
+                                      const StoredRecordsSpec_t *spec);
+
+/** StoredRecords_skipRead() - cancel the scheduled read; a read that is in
+ * progress continues */
+void StoredRecords_skipRead(StoredRecords_t *this);
+
+/** StoredRecords_hurryRead() - make the scheduled read now, if it was not made
+ * yet */
+void StoredRecords_hurryRead(StoredRecords_t *this);
+
+/** StoredRecords_destroy() - free the records; queued writes are lost */
+void StoredRecords_destroy(StoredRecords_t *this);
+
+/** StoredRecords_put() - write the record of a key */
+void StoredRecords_put(StoredRecords_t *this, const char *key, GBytes *value);
+
+/** StoredRecords_remove() - remove the record of a key */
+void StoredRecords_remove(StoredRecords_t *this, const char *key);
+
+#endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1537,6 +1537,51 @@
   assert(message->base.descriptor == &wt__origin_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__software_record__init
+                     (Wt__SoftwareRecord         *message)
+{
+  static const Wt__SoftwareRecord init_value = WT__SOFTWARE_RECORD__INIT;
+  *message = init_value;
+}
+size_t wt__software_record__get_packed_size
+                     (const Wt__SoftwareRecord *message)
+{
+  assert(message->base.descriptor == &wt__software_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__software_record__pack
+                     (const Wt__SoftwareRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__software_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__software_record__pack_to_buffer
+                     (const Wt__SoftwareRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__software_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__SoftwareRecord *
+       wt__software_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__SoftwareRecord *)
+     protobuf_c_message_unpack (&wt__software_record__descriptor,
+                                allocator, len, data);
+}
+void   wt__software_record__free_unpacked
+                     (Wt__SoftwareRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__software_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -4564,6 +4609,57 @@
   (ProtobufCMessageInit) wt__origin_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wt__software_record__field_descriptors[2] =
+{
+  {
+    "router",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__SoftwareRecord, router),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__SoftwareRecord, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__software_record__field_indices_by_name[] = {
+  0,   /* field[0] = router */
+  1,   /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange wt__software_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__software_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.SoftwareRecord",
+  "SoftwareRecord",
+  "Wt__SoftwareRecord",
+  "wt",
+  sizeof(Wt__SoftwareRecord),
+  2,
+  wt__software_record__field_descriptors,
+  wt__software_record__field_indices_by_name,
+  1,  wt__software_record__number_ranges,
+  (ProtobufCMessageInit) wt__software_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[24] =
 {
   {
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -51,6 +51,7 @@
 typedef struct Wt__OriginNews Wt__OriginNews;
 typedef struct Wt__OriginAsk Wt__OriginAsk;
 typedef struct Wt__OriginAnswer Wt__OriginAnswer;
+typedef struct Wt__SoftwareRecord Wt__SoftwareRecord;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -926,6 +927,27 @@
     , 0, WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * On the platform's store, under the name of a service: it has, or had until
+ * recently, several software versions.
+ */
+struct  Wt__SoftwareRecord
+{
+  ProtobufCMessage base;
+  /*
+   * Router that wrote it.
+   */
+  char *router;
+  /*
+   * When, in ms since 1970.
+   */
+  int64_t wall_ms;
+};
+#define WT__SOFTWARE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__software_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -1637,6 +1659,25 @@
 void   wt__origin_answer__free_unpacked
                      (Wt__OriginAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Wt__SoftwareRecord methods */
+void   wt__software_record__init
+                     (Wt__SoftwareRecord         *message);
+size_t wt__software_record__get_packed_size
+                     (const Wt__SoftwareRecord   *message);
+size_t wt__software_record__pack
+                     (const Wt__SoftwareRecord   *message,
+                      uint8_t             *out);
+size_t wt__software_record__pack_to_buffer
+                     (const Wt__SoftwareRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__SoftwareRecord *
+       wt__software_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__software_record__free_unpacked
+                     (Wt__SoftwareRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -1760,6 +1801,9 @@
 typedef void (*Wt__OriginAnswer_Closure)
                  (const Wt__OriginAnswer *message,
                   void *closure_data);
+typedef void (*Wt__SoftwareRecord_Closure)
+                 (const Wt__SoftwareRecord *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -1807,6 +1851,7 @@
 extern const ProtobufCMessageDescriptor wt__origin_news__descriptor;
 extern const ProtobufCMessageDescriptor wt__origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__origin_answer__descriptor;
+extern const ProtobufCMessageDescriptor wt__software_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -569,7 +569,6 @@
                             "move_wait": "60s",
                             "refuse_late": "no",
                             "partition_engines": "no",
-                            "first_start": "yes",
                             "resume_window": "30s",
                             "probe_silent": "no"},
                   "limits": {"retry_allowance": "100",
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -79,6 +79,15 @@
                  "the engines")
         wait_for(lambda: self.fleet.is_ready(router), "ready")
 
+    def restart_all(self):
+        for router in self.routers:
+            router.kill()
+        self.routers.clear()
+        for number in range(self.ROUTERS):
+            self.routers.append(self.start_router("n%d" % number))
+        for router in self.routers:
+            self.await_engines(router)
+
     def await_peers(self, router):
         """Waits until the others can continue what a router begins."""
         others = [other for other in self.routers if other is not router]
@@ -222,18 +231,24 @@
     # After a restart of all routers nothing is known of earlier streams.
     def test_stream_begun_before_all_routers_restarted(self):
         begun = self.begin_streams(self.routers[0])
-        for router in self.routers:
-            router.kill()
-        self.routers.clear()
-        for number in range(self.ROUTERS):
-            self.routers.append(self.start_router("n%d" % number,
-                                                  first_start="no"))
-        for router in self.routers:
-            self.await_engines(router)
+        self.restart_all()
         for stream in begun:
             self.assert_refused(self.routers[1], stream, "resume_unknown")
         self.await_peers(self.routers[0])
 
+    # The routers that came back took the version left for the only one.
+    def test_stream_of_an_ended_version_after_all_routers_restarted(self):
+        begun = [stream for stream in self.begin_streams(self.routers[0])
+                 if stream.engine.software == VERSIONS[0]]
+        wait_for(lambda: self.fleet.store.records("keyed.software"),
+                 "the record of the versions")
+        for engine in self.engines[:self.ENGINES_EACH]:
+            engine.unlist()
+        del self.engines[:self.ENGINES_EACH]
+        self.restart_all()
+        for stream in begun:
+            self.assert_refused(self.routers[1], stream, "resume_unknown")
+
 
 class ChainTest(SoftwareTest):
     def test_third_try_may_name_either_of_the_others(self):
@@ -289,3 +304,11 @@
         for begun, _ in held:
             self.assert_goes_on(self.routers[1], begun, Last_Event_Id="0",
                                 events=EVENTS - 1)
+
+    # Nobody knew whether there had been another version, and streams were
+    # refused.
+    def test_streams_go_on_after_all_routers_restarted(self):
+        begun = self.begin_streams(self.routers[0])
+        self.restart_all()
+        for stream in begun:
+            self.assert_goes_on(self.routers[1], stream)
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -24,6 +24,7 @@
     gboolean is_down; /* receives and sends nothing */
     gboolean is_old;  /* a build without the messages */
     gboolean has_old_list;
+    guint learn_calls;
 } Router_t;
 
 typedef struct {
@@ -100,11 +101,18 @@
     return !((const Router_t *)owner)->has_old_list;
 }
 
+static void
+learn(void *owner)
+{
+    ((Router_t *)owner)->learn_calls++;
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
+    .learn = learn,
 };
 
 static void
@@ -114,11 +122,14 @@
 }
 
 static void
-start_router(guint number, gboolean is_first_start)
+start_router(guint number, gboolean is_learned)
 {
     Router_t *this = &routers[number];
     *this = (Router_t){.number = number};
-    this->versions = SoftwareVersions_create(is_first_start);
+    this->versions = SoftwareVersions_create();
+    if (is_learned) {
+        SoftwareVersions_learn(this->versions);
+    }
     OriginKeeperSpec_t spec = {
         .links = &links,
         .owner = this,
@@ -430,6 +441,33 @@
 }
 END_TEST
 
+/* After a restart of all routers, streams of services that had one version
+ * were refused. */
+START_TEST(all_routers_restart_and_learn_of_the_single_version)
+{
+    begin_fleet(1);
+    for (guint i = 0; i < ROUTERS; i++) {
+        stop_router(i);
+        start_router(i, FALSE);
+    }
+    guint number = 7;
+    RequestDigest_t key = digest(number);
+    Router_t *asker = &routers[stranger_of(number, 0)];
+    OriginAnswer_t answer;
+    Outcome_t outcome = {FALSE};
+    ck_assert_ptr_nonnull(OriginKeeper_ask(asker->keeper, &key, "s", FALSE,
+                                           &answer, on_asked, &outcome));
+    ck_assert_uint_eq(asker->learn_calls, 1);
+    pass_time(50);
+    ck_assert(!outcome.is_answered);
+    SoftwareVersions_learn(asker->versions);
+    pass_time(50);
+    ck_assert_str_eq(outcome.software, "v1");
+    g_free(outcome.software);
+    end_fleet();
+}
+END_TEST
+
 /* The version of a stream at an engine that the router has not heard of yet
  * was taken for the one that the router knew. */
 START_TEST(a_router_with_an_old_list_asks_and_does_not_guess_alone)
@@ -607,6 +645,7 @@
              owners_that_restarted_learn_of_streams_that_still_run,
              all_routers_restart_and_older_streams_are_unknown,
              a_router_that_just_started_learns_of_the_single_version,
+             all_routers_restart_and_learn_of_the_single_version,
              a_router_with_an_old_list_asks_and_does_not_guess_alone,
              an_old_list_and_owners_that_answer_mean_the_single_version,
              a_build_that_tells_nothing_makes_streams_unknown_not_mixed,
--- a/tests/test_SoftwareVersions.c
+++ b/tests/test_SoftwareVersions.c
@@ -15,11 +15,14 @@
 }
 
 static SoftwareVersions_t *
-create(gboolean is_first_start)
+create(gboolean is_learned)
 {
-    SoftwareVersions_t *this = SoftwareVersions_create(is_first_start);
+    SoftwareVersions_t *this = SoftwareVersions_create();
     mixed_calls = 0;
-    SoftwareVersions_setMixedCallback(this, on_mixed, &mixed_calls);
+    SoftwareVersions_addMixedCallback(this, on_mixed, &mixed_calls);
+    if (is_learned) {
+        SoftwareVersions_learn(this);
+    }
     return this;
 }
 
@@ -29,7 +32,7 @@
     return SoftwareVersions_findOnly(this, "s", WINDOW_MS, now_ms);
 }
 
-START_TEST(a_first_start_knows_that_nothing_served_before)
+START_TEST(a_service_that_had_one_version_before_is_known_at_once)
 {
     SoftwareVersions_t *this = create(TRUE);
     ck_assert_ptr_null(find(this, 1));
@@ -39,7 +42,7 @@
 }
 END_TEST
 
-START_TEST(a_router_that_started_later_is_sure_after_the_window)
+START_TEST(a_router_that_did_not_learn_is_sure_after_the_window)
 {
     SoftwareVersions_t *this = create(FALSE);
     SoftwareVersions_put(this, "a", "s", "v1", 10);
@@ -49,6 +52,20 @@
 }
 END_TEST
 
+START_TEST(a_service_that_had_several_versions_before_is_not_known)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    SoftwareVersions_noteMixedBefore(this, "s");
+    SoftwareVersions_put(this, "a", "s", "v1", 10);
+    SoftwareVersions_put(this, "b", "other", "v1", 10);
+    ck_assert_ptr_null(find(this, 10 + WINDOW_MS - 1));
+    ck_assert_str_eq(find(this, 10 + WINDOW_MS), "v1");
+    ck_assert_str_eq(SoftwareVersions_findOnly(this, "other", WINDOW_MS, 11),
+                     "v1");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
 START_TEST(a_version_that_ended_counts_for_the_window)
 {
     SoftwareVersions_t *this = create(TRUE);
@@ -107,8 +124,9 @@
 END_TEST
 
 TESTING_MAIN("SoftwareVersions",
-             a_first_start_knows_that_nothing_served_before,
-             a_router_that_started_later_is_sure_after_the_window,
+             a_service_that_had_one_version_before_is_known_at_once,
+             a_router_that_did_not_learn_is_sure_after_the_window,
+             a_service_that_had_several_versions_before_is_not_known,
              a_version_that_ended_counts_for_the_window,
              an_upstream_that_starts_again_with_other_software_changes_version,
              versions_of_other_services_do_not_count,
