--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -8,6 +8,7 @@
 import http.client
 import os
 import random
+import re
 import signal
 import sys
 import threading
@@ -23,8 +24,12 @@
 ROUTERS = 3
 CALLERS = 8
 PIECES = 12
-EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i)
-                  for i in range(PIECES))
+# What the engines of each software version write.
+EVENTS = {software: b"".join(b"id: %d\ndata: %s-%d\n\n" % (i, software, i)
+                             for i in range(PIECES))
+          for software in (b"v1", b"v2")}
+# Every third seed has engines of two software versions.
+MIXED_ENGINES = 6
 REVOCATION_KNOWN_S = 1.5  # config_max_age of these routers plus delivery time
 # Time until all routers know of a leaving upstream: several times their
 # leaving_limit, for a busy machine.
@@ -119,12 +124,17 @@
         self.callers = RANKED_CALLERS if self.partitioned else CALLERS
         add_engine = (self.fleet.prompt_engine if self.partitioned
                       else self.fleet.crashing_engine)
-        self.engines = [add_engine("e%d" % i, pieces=PIECES)
-                        for i in range(GROUPED_ENGINES if grouped else 4)]
+        self.mixed = seed % 3 == 1
+        count = max(GROUPED_ENGINES if grouped else 4,
+                    MIXED_ENGINES if self.mixed else 0)
+        self.engines = [add_engine("e%d" % i, pieces=PIECES,
+                                   software=self.software_of(i))
+                        for i in range(count)]
         self.poison_bodies = []  # bodies of poison requests
         self.clocks = [SuspendableClock(self.fleet.folder.name, "clock%d" % i)
                        for i in range(ROUTERS)]
         for engine in self.engines:
+            engine.piece = engine.software.encode()
             engine.gate = Pacing
             engine.queued = 1  # so that its streams are moved before a load
         self.plains = [self.fleet.plain("p%d" % i) for i in range(3)]
@@ -138,6 +148,9 @@
         self.copies = [(time.monotonic(), self.fleet.store.copy())]
         self.limit_periods = []  # (upstream, rate, start, end)
 
+    def software_of(self, index):
+        return "v2" if self.mixed and index % 2 else "v1"
+
     def start_router(self, index):
         self.starts += 1
         others = [r.peer_address for i, r in enumerate(self.routers)
@@ -170,6 +183,44 @@
         return {"X_Token_Usage": "%d,10" % tokens,
                 "X_Prompt_Prefix": "%x:%d" % (number, tokens)}
 
+    @staticmethod
+    def read_answer(response):
+        """Returns the body, or the part that came, and whether it is whole."""
+        try:
+            return response.read(), True
+        except http.client.IncompleteRead as error:
+            return error.partial, False
+
+    def continue_stream(self, rng, name, key, begun):
+        """Continues a stream that was cut, as its caller does: at any router,
+        under an id of its own."""
+        events = begun[:begun.rfind(b"\n\n") + 2]
+        count = events.count(b"\n\n")
+        if count == 0:
+            return
+        try:
+            response = self.fleet.request(
+                rng.choice(self.routers), "/ask/x", key=key, wait_ms=8000,
+                X_Request_Id=name + "-again", Resumes=name,
+                Last_Event_Id=str(count - 1))
+            rest, whole = self.read_answer(response)
+        except CONNECTION_ERRORS:
+            return
+        if response.status != 200:
+            code = re.search(rb'"code":"(\w+)"', rest)
+            self.count("continued: " + (code[1].decode() if code else
+                                        str(response.status)))
+            return
+        self.count("continued: " + ("whole" if whole else "cut"))
+        if not self.is_of_one_version(events + rest, whole):
+            self.violate("%s went on as %r" % (name, (events + rest)[:300]),
+                         name + "-again")
+
+    @staticmethod
+    def is_of_one_version(body, whole):
+        return any(body == events if whole else events.startswith(body)
+                   for events in EVENTS.values())
+
     def send_request(self, rng, number, path=None, sent=b"x"):
         """Returns the answer's Retry-After in seconds, 0 if it has none."""
         index = rng.randrange(ROUTERS)
@@ -188,10 +239,7 @@
                 method="POST", **self.describe_prompt(path, number))
             status = response.status
             wait_s = float(response.headers.get("Retry-After", 0))
-            body = response.read()
-            whole = True
-        except http.client.IncompleteRead as error:
-            body = error.partial
+            body, whole = self.read_answer(response)
         except CONNECTION_ERRORS:
             pass
         linked = (link_changes == self.link_changes[index]
@@ -204,6 +252,8 @@
             self.violate("%s was cut by nothing that breaks a stream" % name,
                          name)
         self.check_answer(path, name, status, body, whole)
+        if path == "/ask/x" and status == 200 and not whole:
+            self.continue_stream(rng, name, key, body)
         return wait_s
 
     def send_burst(self):
@@ -229,7 +279,7 @@
         if status != 200:
             return
         if path.startswith("/ask"):
-            good = body == EVENTS if whole else EVENTS.startswith(body)
+            good = self.is_of_one_version(body, whole)
         else:
             good = not whole or body.startswith(b"POST " + path.encode())
         if not good:
