A stream finds the few engines of its version among many

A stream that needs a software version that few engines run was refused as no_upstream: the walk over the hash ring visits 256 points and met none of them. test_HomePolicy.stream_finds_the_only_engine_of_its_version_among_many failed with 2,000 engines, at the first key. If the walk finds none, the engines of the version are looked for in the list itself.

--- a/src/HomeCandidates.c
+++ b/src/HomeCandidates.c
@@ -329,6 +329,25 @@
     }
 }
 
+/* The walk over the ring may meet no engine of a version that few engines run.
+ * Starts at an engine that depends on the prefix, so that the requests spread.
+ */
+static void
+add_engines_of_version(HomeCandidates_t *candidates)
+{
+    const Placement_t *placement = candidates->placement;
+    const GPtrArray *serving = placement->serving;
+    guint64 key = PrefixSupply_key(placement);
+    for (guint i = 0; i < serving->len && candidates->count < RING_CANDIDATES;
+         i++) {
+        Upstream_t *upstream =
+            g_ptr_array_index(serving, (key + i) % serving->len);
+        if (Policy_mayUse(placement, upstream)) {
+            candidates->list[candidates->count++] = upstream;
+        }
+    }
+}
+
 void
 HomeCandidates_find(HomeCandidates_t *this, const Placement_t *placement,
                     const HomeTarget_t *target, const Residency_t *residency)
@@ -341,6 +360,9 @@
     };
     Ring_walk(target->ring, PrefixSupply_key(placement), RING_POINTS_MAX,
               visit_ring_engine, this);
+    if (this->count == 0 && placement->software) {
+        add_engines_of_version(this);
+    }
     guint home_group =
         this->count > 0 ? group_of(placement, this->list[0]) : 0;
     this->group = placement->group > 0 ? placement->group - 1 : home_group;
--- a/tests/test_HomePolicy.c
+++ b/tests/test_HomePolicy.c
@@ -771,6 +771,32 @@
 }
 END_TEST
 
+/* A stream was refused although an engine of its version had room. */
+START_TEST(stream_finds_the_only_engine_of_its_version_among_many)
+{
+    UpstreamSpec_t spec = {.hall = g_string_new("h"),
+                           .region = g_string_new("r"),
+                           .serves = g_ptr_array_new(),
+                           .slots = 64};
+    set_up();
+    for (guint i = ENGINES; i < 2000; i++) {
+        g_autofree char *name = g_strdup_printf("i-%u", i);
+        g_ptr_array_add(engines, Upstream_create(NULL, name, &spec, 0));
+    }
+    Upstream_t *only = g_ptr_array_index(engines, 1234);
+    Upstream_noteSoftware(only, "v1", 1);
+    for (guint64 key = 1; key < 50; key++) {
+        Placement_t request = placement(key * KEY_MULTIPLIER, key);
+        request.software = "v1";
+        ck_assert_ptr_eq(Policy_choose(policy, &request).upstream, only);
+    }
+    g_string_free(spec.hall, TRUE);
+    g_string_free(spec.region, TRUE);
+    g_ptr_array_unref(spec.serves);
+    tear_down();
+}
+END_TEST
+
 TESTING_MAIN(
     "HomePolicy", a_shared_prefix_has_one_home_for_all_routers,
     a_request_that_leaves_a_busy_home_fetches_its_cache,
@@ -799,4 +825,5 @@
     request_leaves_the_only_engine_of_its_side_after_a_failure,
     forced_group_takes_the_request_on_its_side,
     forced_group_that_does_not_exist_is_replaced_by_the_home,
-    nothing_changes_without_partitions, a_learned_wait_decays)
+    nothing_changes_without_partitions, a_learned_wait_decays,
+    stream_finds_the_only_engine_of_its_version_among_many)
