An engine that has started again continues no stream of its former software

What callers would see: a stream with events of two versions. An engine that died and started again under its name with other software was used for a stream of its former version, as the list still had its former entry: the probe that ends the doubt about it did not read its state. test_software.RestartedEngineTest failed with events of v2 after those of v1. Now the probe's answer tells the start, so that the engine's version is unknown until its entry states it.

--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -159,6 +159,7 @@
         .counters = context->counters,
         .notices = context->notices,
         .state_path = context->form->orders->state_path,
+        .read_state = context->form->orders->read_state,
         .instance_header = context->form->orders->instance_header,
         .timeout_ms = context->settings->limits.connect_timeout_ms,
     };
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -40,6 +40,7 @@
     gint64 failed_ms;      /* when the probe became needed */
     gint64 peers_until_ms; /* until then only other routers probe */
     guint probe_count;
+    gboolean is_of_engine; /* the answer reports the state of an engine */
     gboolean is_of_silent; /* sent because a request had no event in time */
     gboolean is_reported;  /* the peers have been told of the suspicion */
 } Probe_t;
@@ -113,6 +114,23 @@
     report_suspicion(probe);
 }
 
+/* The upstream may have started again since the entry of the list that this
+ * router knows, with other software. */
+static void
+note_incarnation(const Probe_t *probe, const HttpAnswer_t *answer)
+{
+    const UpstreamProberSpec_t *spec = &probe->owner->spec;
+    Upstream_t *upstream = probe->upstream;
+    EngineState_t state = {.weights = g_string_new(NULL)};
+    if (spec->read_state && probe->is_of_engine &&
+        spec->read_state(answer, &state) && state.incarnation > 0 &&
+        Upstream_noteIncarnation(upstream, state.incarnation, Clock_nowMs())) {
+        Membership_spreadUpstream(spec->membership, upstream->name->str);
+        log_probe(probe, "upstream_reborn", "answered");
+    }
+    g_string_free(state.weights, TRUE);
+}
+
 static void
 note_answer(Probe_t *probe, const HttpAnswer_t *answer)
 {
@@ -121,6 +139,7 @@
         Counters_add(spec->counters, "upstream_silent_but_alive_total", NULL,
                      1);
     }
+    note_incarnation(probe, answer);
     Upstream_noteReachable(probe->upstream, Clock_nowMs());
     UpstreamNotices_applyAnswer(spec->notices, &probe->origin, answer);
     broadcast_reachable(probe);
@@ -173,15 +192,17 @@
         {this->spec.instance_header, probe->upstream->name->str},
         {NULL, NULL},
     };
+    const char *path = probe_path(this, probe->upstream);
     HttpCallSpec_t spec = {
         .address = &probe->upstream->address,
         .method = EVHTTP_REQ_GET,
-        .path = probe_path(this, probe->upstream),
+        .path = path,
         .headers = headers,
         .timeout_ms = this->spec.timeout_ms,
     };
     probe->probe_count++;
     probe->is_of_silent = probe->upstream->probe_wanted;
+    probe->is_of_engine = path == this->spec.state_path;
     probe->origin = NoticeOrigin_begin(probe->upstream, NULL);
     Counters_add(this->spec.counters, "upstream_probes_total", NULL, 1);
     probe->call = HttpCall_start(this->base, &spec, on_answer, probe);
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -14,6 +14,7 @@
  * notification in time.
  */
 #include "HintBroadcast.h"
+#include "OrderForm.h"
 #include "RouteTable.h"
 #include "UpstreamNotices.h"
 #include "UpstreamPath.h"
@@ -28,6 +29,7 @@
  * @counters: counters of probes
  * @notices: applies the notices in the answers to probes; or NULL
  * @state_path: path at which an engine reports its state
+ * @read_state: reads such a report; NULL if it is not read
  * @instance_header: header that names the upstream that a probe is meant for,
  *     or NULL
  * @timeout_ms: timeout of one probe
@@ -36,10 +38,11 @@
     UpstreamSet_t *upstreams;
     const RouteTable_t *routes;
     HintBroadcast_t *hints;
-    const Membership_t *membership;
+    Membership_t *membership;
     Counters_t *counters;
     UpstreamNotices_t *notices;
     const char *state_path;
+    gboolean (*read_state)(const HttpAnswer_t *answer, EngineState_t *out);
     const char *instance_header;
     gint64 timeout_ms;
 } UpstreamProberSpec_t;
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -456,14 +456,18 @@
             return
         super().run(call, body, request_id)
 
-    def revive(self):
-        """Starts another process of the same name at the same address."""
+    def revive(self, is_listed=True):
+        """Starts another process of the same name at the same address, which
+        the list may show as it was before."""
         self.port = self.http.server_port
         self.set_ended(False)
         self.calls.clear()
         Server.__init__(self)
         self.dead = False
-        self.start_again()
+        if is_listed:
+            self.start_again()
+        else:
+            self.born += 1000
 
 
 class PromptEngine(CrashingEngine):
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -250,6 +250,31 @@
             self.assert_refused(self.routers[1], stream, "resume_unknown")
 
 
+class RestartedEngineTest(SoftwareTest):
+    # An engine that had started again with other software was taken for one of
+    # the version that the list still showed.
+    def test_stream_does_not_go_on_at_an_engine_of_an_old_entry(self):
+        router = self.routers[0]
+        restarted, other = self.engines[:self.ENGINES_EACH]
+        begun = [stream for stream in self.begin_streams(router)
+                 if stream.engine is other]
+        restarted.kill()
+        wait_for(lambda: self.fleet.ask(
+            router, "/ask/x", X_Prompt_Prefix="%x:200,1:100"
+            % (0x4000 + self.fleet.numbers)) and
+            router.events("upstream_doubted"), "the loss of the engine")
+        restarted.software = VERSIONS[1]
+        restarted.piece = VERSIONS[1].encode()
+        restarted.revive(is_listed=False)
+        router.wait_event("upstream_reached")
+        for stream in begun:
+            answer = self.go_on(router, stream)
+            self.assertEqual(answer.status, 503, answer.body)
+        restarted.list()
+        wait_for(lambda: self.begin(router).engine is restarted,
+                 "the engine in use")
+
+
 class ChainTest(SoftwareTest):
     def test_third_try_may_name_either_of_the_others(self):
         for begun in self.begin_streams(self.routers[0]):
