A version that comes back makes its service mixed again

Streams of the later version were not told to other routers after a roll-back, and no record was written: a remembered version without upstreams did not count as another one when it came back. Its callers' second tries would have been refused. test_SoftwareVersions.a_version_that_comes_back_makes_the_service_mixed_again failed before. A version that was forgotten no longer counts as one beside a new one, which the case of forgotten versions had taken for granted.

--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -190,10 +190,10 @@
     this->since_ms = this->since_ms > 0 ? this->since_ms : now_ms;
     const GPtrArray *versions = get_versions(this, service);
     Version_t *version = find_version(versions, software);
-    gboolean gets_another = !version && versions->len > 0;
     if (!version) {
         version = add_version(this, service, software, now_ms);
     }
+    gboolean gets_another = version->upstreams == 0 && versions->len > 1;
     version->upstreams++;
     g_hash_table_replace(this->upstreams, g_strdup(upstream), version);
     if (old) {
