Streams that their callers continue are not refused as late

A stream that goes on has begun, so that this time does not apply to it; it waits as a later attempt of a request does.

--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -64,13 +64,15 @@
     return TRUE;
 }
 
-/* Only a first attempt is shed: a request with later ones has waited
- * already. */
+/* Only a first attempt is shed: a request with later ones has waited already.
+ * A stream that its caller continues has begun, so that the time to a first
+ * event says nothing of it. */
 static gboolean
 may_be_shed(const RelayExchange_t *this)
 {
     const Exchange_t *super = &this->super;
     return this->route->by_prefix && super->attempts == 0 &&
+           !this->origin.software &&
            super->context->settings->relay.refuse_late;
 }
 
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from cluster import wait_for
 from fleet import Fleet
@@ -43,6 +44,7 @@
     ROUTERS = 3
     ENGINES_EACH = 2
     SOFTWARE = VERSIONS
+    SETTINGS = {}
 
     def setUp(self):
         self.fleet = Fleet()
@@ -70,7 +72,7 @@
         seeds = [router.peer_address for router in self.routers]
         peers = {"seeds": ", ".join(seeds)} if seeds else {}
         return self.fleet.router(name, peers=peers, leaving_limit="2s",
-                                 **settings)
+                                 **dict(self.SETTINGS, **settings))
 
     def await_engines(self, router):
         names = {engine.name for engine in self.engines}
@@ -275,6 +277,30 @@
                  "the engine in use")
 
 
+class LateTest(SoftwareTest):
+    TOKENS = "15000,10"  # a quarter of a second at an engine
+    HELD_S = 0.5
+    SETTINGS = {"refuse_late": "yes"}
+
+    # Streams whose engine had died were refused as overloaded, since the others
+    # of their version could not begin the rest within the time to a first
+    # event, which their callers had long had.
+    def test_streams_that_would_go_on_late_are_not_refused(self):
+        begun = [stream for stream in self.begin_streams(self.routers[0])
+                 if stream.engine is self.engines[0]]
+        self.assertGreater(len(begun), 1)
+        gate = threading.Event()
+        self.engines[1].gate = gate
+        with ThreadPoolExecutor(len(begun)) as pool:
+            answers = [pool.submit(self.go_on, self.routers[1], stream,
+                                   X_Token_Usage=self.TOKENS)
+                       for stream in begun]
+            time.sleep(self.HELD_S)
+            gate.set()
+        self.assertEqual([a.result().status for a in answers],
+                         [200] * len(begun))
+
+
 class ChainTest(SoftwareTest):
     def test_third_try_may_name_either_of_the_others(self):
         for begun in self.begin_streams(self.routers[0]):
