The start of an engine that a probe reads is not spread; native lines name no software

RebornTest: routers that learned of an engine's start by gossip, spread by the prober, did not log upstream_reborn, as its entry then brought nothing new; entries tell them, as before. GoldenTest: the lines of the native interface had software="".

--- a/src/ExchangeLog.c
+++ b/src/ExchangeLog.c
@@ -134,6 +134,16 @@
     Log_end();
 }
 
+/* The native platform's list states no versions. */
+static void
+log_software(const Upstream_t *upstream)
+{
+    const char *software = Upstream_software(upstream);
+    if (*software) {
+        Log_text("software", software);
+    }
+}
+
 void
 ExchangeLog_recovery(const Exchange_t *this, const RecoveryInput_t *input,
                      const RecoveryDecision_t *decision)
@@ -144,7 +154,7 @@
     Log_text("next", Recovery_actionName(decision->action));
     if (this->avoid) {
         Log_text("upstream", this->avoid->name->str);
-        Log_text("software", Upstream_software(this->avoid));
+        log_software(this->avoid);
     }
     log_recovery_input(this, input);
     Log_end();
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -125,7 +125,6 @@
     if (spec->read_state && probe->is_of_engine &&
         spec->read_state(answer, &state) && state.incarnation > 0 &&
         Upstream_noteIncarnation(upstream, state.incarnation, Clock_nowMs())) {
-        Membership_spreadUpstream(spec->membership, upstream->name->str);
         log_probe(probe, "upstream_reborn", "answered");
     }
     g_string_free(state.weights, TRUE);
--- a/src/UpstreamProber.h
+++ b/src/UpstreamProber.h
@@ -38,7 +38,7 @@
     UpstreamSet_t *upstreams;
     const RouteTable_t *routes;
     HintBroadcast_t *hints;
-    Membership_t *membership;
+    const Membership_t *membership;
     Counters_t *counters;
     UpstreamNotices_t *notices;
     const char *state_path;
