Logs tell when a router lacks records that its peers have

The lines of a late configuration tell neither by which version, and of what age, a request on an unknown route was refused, nor how often and from whom its records were transferred. config_behind and config_caught_up name both ends of the time, the queries, the reads of the store and the bytes received in vain; refusals of unknown routes and keys name the version and its age. Behaviour is unchanged but for the detail in the body of these refusals.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -617,17 +617,18 @@
     return TRUE;
 }
 
-void
+gboolean
 RecordFollower_checkEnd(RecordFollower_t *this, StoreCause_t cause)
 {
     if (this->check_call || this->listing) {
-        return;
+        return FALSE;
     }
     StoreCalls_note(this->spec.counters, this->topic->str, cause);
     FollowerCall_t *call = open_call(this);
     this->check_call = call;
     RecordSource_read(this->spec.source, this->topic->str, this->next.offset,
                       0, on_check_answer, call);
+    return TRUE;
 }
 
 guint
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -134,8 +134,10 @@
  * For an owner that must know soon whether there are more records. Does
  * nothing while such a check is open or a list is under way. A failed check is
  * not reported by @lost.
+ *
+ * Return: whether a call was made
  */
-void RecordFollower_checkEnd(RecordFollower_t *this, StoreCause_t cause);
+gboolean RecordFollower_checkEnd(RecordFollower_t *this, StoreCause_t cause);
 
 /** RecordFollower_failedChecks() - number of consecutive failed checks */
 guint RecordFollower_failedChecks(const RecordFollower_t *this);
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -72,10 +72,10 @@
 }
 
 static void
-refuse_stale(Admission_t *admission)
+refuse_by_config(Admission_t *admission, Refusal_t refusal)
 {
     g_autofree char *detail = RouteTable_describe(admission->context->routes);
-    refuse_request(admission, REFUSAL_CONFIG_STALE, detail);
+    refuse_request(admission, refusal, detail);
 }
 
 /* With a stale configuration the route or key may exist in a newer one, so the
@@ -84,10 +84,10 @@
 refuse_unknown(Admission_t *admission, Refusal_t refusal)
 {
     if (is_fresh(admission->context)) {
-        refuse_request(admission, refusal, NULL);
+        refuse_by_config(admission, refusal);
     }
     else {
-        refuse_stale(admission);
+        refuse_by_config(admission, REFUSAL_CONFIG_STALE);
     }
 }
 
@@ -117,7 +117,7 @@
         return FALSE;
     }
     if (!is_fresh(admission->context)) {
-        refuse_stale(admission);
+        refuse_by_config(admission, REFUSAL_CONFIG_STALE);
         return FALSE;
     }
     return TRUE;
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -1,5 +1,6 @@
 #include "RouteSync.h"
 
+#include "CatchUp.h"
 #include "Clock.h"
 #include "FreshnessRelay.h"
 #include "ListExchange.h"
@@ -54,11 +55,10 @@
     struct event *tick;
     gint64 store_checked_ms;
     gint64 peer_queried_ms;
-    gint64 store_called_ms;   /* when retry_delay_ms() last allowed a call */
-    StorePosition_t peer_end; /* furthest end received from peers */
-    gint64 behind_ms;         /* since when peers know more; 0 if not */
-    double spread_fraction;   /* 0 to 1: share of the spread of store checks */
-    gboolean is_from_peer;    /* the records being applied are from a peer */
+    gint64 store_called_ms; /* when retry_delay_ms() last allowed a call */
+    CatchUp_t *catch_up;
+    double spread_fraction; /* 0 to 1: share of the spread of store checks */
+    gboolean is_from_peer;  /* the records being applied are from a peer */
     gboolean is_copy_complete; /* the copy has all records since the list */
 };
 
@@ -116,6 +116,7 @@
         this->records, from, known, RouteVersions_newest(this->versions));
     if (sent) {
         this->peer_queried_ms = now_ms;
+        CatchUp_noteQuery(this->catch_up);
     }
     return sent;
 }
@@ -152,9 +153,7 @@
 on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     RouteSync_t *this = owner;
-    if (StorePosition_compare(end, this->peer_end) >= 0) {
-        this->behind_ms = 0;
-    }
+    CatchUp_notePosition(this->catch_up, end);
     if (!this->is_copy_complete) {
         this->is_copy_complete = TRUE;
         ListCopy_startChanges(this->copy, end);
@@ -175,27 +174,24 @@
     gint64 now_ms = Clock_nowMs();
     if (now_ms - this->store_checked_ms >= min_interval_ms) {
         this->store_checked_ms = now_ms;
-        RecordFollower_checkEnd(this->follower, cause);
+        if (RecordFollower_checkEnd(this->follower, cause)) {
+            CatchUp_noteStoreRead(this->catch_up);
+        }
     }
 }
 
 static gboolean
 is_long_behind(const RouteSync_t *this)
 {
-    return this->behind_ms > 0 &&
-           Clock_nowMs() - this->behind_ms >= PEER_CATCH_UP_TIMEOUT_MS;
+    return CatchUp_behindMs(this->catch_up) >= PEER_CATCH_UP_TIMEOUT_MS;
 }
 
 static void
 catch_up(RouteSync_t *this, Member_t *from, StorePosition_t known,
          StorePosition_t end)
 {
-    if (StorePosition_compare(end, this->peer_end) > 0) {
-        this->peer_end = end;
-    }
-    if (this->behind_ms == 0) {
-        this->behind_ms = Clock_nowMs();
-    }
+    CatchUp_noteBehind(this->catch_up, known, end,
+                       from ? from->name->str : NULL);
     if (from && !is_long_behind(this)) {
         query_peer(this, from, known);
     }
@@ -263,8 +259,7 @@
 on_epoch_change(void *owner)
 {
     RouteSync_t *this = owner;
-    this->peer_end = (StorePosition_t){0};
-    this->behind_ms = 0;
+    CatchUp_reset(this->catch_up);
     this->is_copy_complete = FALSE;
     RecordFollower_beginEpoch(this->follower, spread_ms(this));
     ListExchange_startQueries(this->exchange);
@@ -371,6 +366,7 @@
         .is_alone = spec->is_alone,
     };
     this->versions = RouteVersions_create(base, &versions);
+    this->catch_up = CatchUp_create(spec->counters);
     this->newest =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, KeyedRecord_free);
     this->records =
@@ -403,6 +399,7 @@
     FreshnessRelay_destroy(this->relay);
     ListExchange_destroy(this->exchange);
     ListCopy_destroy(this->copy);
+    CatchUp_destroy(this->catch_up);
     RecordRelay_destroy(this->records);
     RouteVersions_destroy(this->versions);
     g_hash_table_destroy(this->newest);
@@ -460,6 +457,17 @@
     this->is_from_peer = FALSE;
 }
 
+static gsize
+value_bytes(const KeyedPage_t *page)
+{
+    gsize bytes = 0;
+    for (guint i = 0; i < page->records->len; i++) {
+        const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
+        bytes += record->value ? g_bytes_get_size(record->value) : 0;
+    }
+    return bytes;
+}
+
 /* Records are valid however late they are processed. The time at which they
  * were the newest is unknown if the message may have waited in this router. */
 void
@@ -477,8 +485,10 @@
                        ? 0
                        : PeerAge_atMs(message->age_ms);
     this->is_from_peer = TRUE;
-    RecordFollower_applyPeerRecords(this->follower, message->from, &page,
-                                    at_ms);
+    if (!RecordFollower_applyPeerRecords(this->follower, message->from, &page,
+                                         at_ms)) {
+        CatchUp_noteUnused(this->catch_up, value_bytes(&page));
+    }
     this->is_from_peer = FALSE;
     g_ptr_array_unref(page.records);
 }
