--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,6 +17,7 @@
 
 HEARTBEAT_S = 0.2
 RATE_WINDOW_S = 0.1  # in which the store counts calls
+PART_S = 0.05  # between the parts of an answer that arrives slowly
 # What an upstream writes of the event, or the body, in which it breaks off.
 BREAKS = {
     "inside_event": lambda event: event[:len(event) // 2],
@@ -101,6 +102,8 @@
         self.calls = 0
         self.waits = set()  # (topic, wait_ms) of the reads received
         self.list_s = 0  # delay of the answer to a list, in seconds
+        self.answer_s = 0  # delay of the answer to a read, in seconds
+        self.bytes_per_s = None  # rate at which an answer to a read arrives
         self.calls_at_most = None  # per RATE_WINDOW_S; further calls get 429
         self.window = (0, 0)  # number of the window, calls made in it
         self.refuse_first = 0  # number of next calls that get 429
@@ -212,12 +215,22 @@
         out = struct.pack(">QQ", len(all_records), 0)
         for record in all_records[start:]:
             out += struct.pack(">I", len(record)) + record
+        time.sleep(self.answer_s)
         if interrupted:
             self.answer(call, 503, epoch=epoch)
         elif start > len(all_records):
             self.answer(call, 410, {"first": 0}, epoch)
         else:
-            self.answer(call, 200, out, epoch)
+            self.answer_slowly(call, out, epoch)
+
+    def answer_slowly(self, call, body, epoch):
+        call.head(200, {"Content_Length": str(len(body))}, Store_Era=epoch)
+        part = len(body) if self.bytes_per_s is None else int(
+            self.bytes_per_s * PART_S)
+        for start in range(0, len(body), part):
+            call.wfile.write(body[start:start + part])
+            if start + part < len(body):
+                time.sleep(PART_S)
 
     def newest(self, call, topic):
         time.sleep(self.list_s)
@@ -681,7 +694,7 @@
 
     def launch(self, name="r1", peers=(), store_address=None, verbose=True,
                environment=None, load_percent=50, fencing="false",
-               stop_limit="10m",
+               stop_limit="10m", log_timeout="2s",
                **settings):
         """Starts a router's process without waiting for anything."""
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
@@ -702,7 +715,8 @@
         with open(path, "w") as file:
             address = store_address or self.store.address
             file.write(SETTINGS % (name, stop_limit, key_hash(OPERATOR_KEY),
-                                   address, address, load_percent, fencing))
+                                   address, address, load_percent, fencing,
+                                   log_timeout))
             for section, keys in values.items():
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
@@ -817,4 +831,5 @@
 order_timeout = 100ms
 load_percent = %d
 fencing = %s
+log_timeout = %s
 """
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -37,6 +37,11 @@
 /* More than the time that is added to the age in a peer's message. */
 #define AFTER_TRANSIT_MS (PEER_TRANSIT_MAX_MS + 150)
 
+/* A newer end that peers announce several times, sooner than a long record can
+ * arrive. */
+#define ANNOUNCEMENTS 4
+#define ANNOUNCE_INTERVAL_MS 110
+
 /* One open call to the store. */
 typedef struct {
     gboolean list;
@@ -577,6 +582,31 @@
 }
 END_TEST
 
+static guint
+count_queries(void)
+{
+    guint queries = 0;
+    for (guint i = 0; i < routers.count; i++) {
+        queries +=
+            FakeRouters_count(&routers, i, WT__PEER_MESSAGE__BODY_TOPIC_ASK);
+    }
+    return queries;
+}
+
+/* A router queried its peers for a long record again and again while the first
+ * answer was on its way, and all answers shared its link. */
+START_TEST(record_on_its_way_is_not_queried_again)
+{
+    start_without_reads();
+    for (guint i = 0; i < ANNOUNCEMENTS; i++) {
+        receive_current_from_peer(12);
+        FakeRouters_run(&routers, ANNOUNCE_INTERVAL_MS);
+    }
+    ck_assert_uint_eq(count_queries(), 1);
+    end();
+}
+END_TEST
+
 START_TEST(querying_peer_gets_the_newest_record_of_each_key)
 {
     start_without_reads();
@@ -706,6 +736,7 @@
              store_holds_a_readers_read_for_reader_wait_ms,
              non_reader_makes_no_store_call_for_new_records,
              router_that_is_behind_queries_a_peer_then_the_store,
+             record_on_its_way_is_not_queried_again,
              querying_peer_gets_the_newest_record_of_each_key,
              peer_at_the_same_offset_gets_no_answer,
              router_queries_a_peer_for_the_version_the_store_lost,
