A read of the platform's store that is late goes on, and its answer is used

What callers saw: routes just added were refused with 404, and all requests with 503 once the configuration was too old. Cause: each read of the store was given up after a fixed timeout of 1 s and begun anew from nothing, so that a record that takes longer to arrive, or any answer of a store that takes longer, never came. The class: a timeout shorter than what the other side takes, on work that its repeat begins anew.

Change: a read is late when no byte came for the timeout (HttpCall).

--- a/src/Errors.h
+++ b/src/Errors.h
@@ -16,6 +16,7 @@
  * @WT_ERROR_INVALID_DECLARATIONS: settings or declarations are invalid
  * @WT_ERROR_CONNECT: the connection failed; nothing was sent
  * @WT_ERROR_TIMEOUT: no answer arrived in time; the effect is unknown
+ * @WT_ERROR_LATE: no answer arrived yet; the call continues
  * @WT_ERROR_CUT: the connection was closed before the answer was complete; the
  *     effect is unknown
  * @WT_ERROR_REFUSED: the peer refused the request
@@ -32,6 +33,7 @@
     WT_ERROR_INVALID_DECLARATIONS,
     WT_ERROR_CONNECT,
     WT_ERROR_TIMEOUT,
+    WT_ERROR_LATE,
     WT_ERROR_CUT,
     WT_ERROR_REFUSED,
     WT_ERROR_BAD_ANSWER,
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -13,12 +13,14 @@
     struct evhttp_connection *connection;
     struct event *deadline;
     struct event *connect_deadline;
+    struct event *silence;
     struct event *reaper; /* frees the call outside of evhttp's callbacks */
     HttpCallDone_t done;
     void *data;
     gboolean sent; /* some bytes were or may have been sent */
     gboolean answered;
     gboolean accepts_close_delimited;
+    gint64 late_ms; /* 0 for never, or if it was reported */
     BodyFraming_t framing;
 };
 
@@ -70,6 +72,7 @@
     }
     event_free(this->deadline);
     event_free(this->connect_deadline);
+    event_free(this->silence);
     event_free(this->reaper);
     g_free(this);
 }
@@ -82,6 +85,14 @@
     HttpCall_destroy(data);
 }
 
+static void
+stop_timers(const HttpCall_t *this)
+{
+    evtimer_del(this->deadline);
+    evtimer_del(this->connect_deadline);
+    evtimer_del(this->silence);
+}
+
 /* Ends the call and invokes the callback, once. The callback may start or
  * cancel other calls. */
 static void
@@ -93,8 +104,7 @@
     }
     this->done = NULL;
     this->answered = answer != NULL;
-    evtimer_del(this->deadline);
-    evtimer_del(this->connect_deadline);
+    stop_timers(this);
     Clock_arm(this->reaper, 0);
     done(answer, error, this->data);
 }
@@ -130,6 +140,31 @@
     }
 }
 
+static void
+on_silence(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    HttpCall_t *this = data;
+    g_autoptr(GError) error =
+        g_error_new_literal(WT_ERROR, WT_ERROR_LATE, "no answer in time");
+    this->late_ms = 0;
+    this->done(NULL, error, this->data);
+}
+
+/* An answer that arrives slowly is not late: a repeated call would compete
+ * with it for the same link. */
+static void
+on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *data)
+{
+    (void)buffer;
+    HttpCall_t *this = data;
+    if (info->n_added > 0 && this->done && this->late_ms > 0) {
+        Clock_arm(this->silence, this->late_ms);
+    }
+}
+
 /* evhttp writes to the output buffer only after the connection is set up. */
 static void
 on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
@@ -210,14 +245,17 @@
     this->done = done;
     this->data = data;
     this->accepts_close_delimited = spec->accepts_close_delimited;
+    this->late_ms = spec->late_ms;
     this->deadline = Clock_timer(base, on_deadline, this);
     this->connect_deadline = Clock_timer(base, on_connect_deadline, this);
+    this->silence = Clock_timer(base, on_silence, this);
     this->reaper = Clock_timer(base, on_reap, this);
     this->connection = evhttp_connection_base_new(
         base, NULL, spec->address->host, spec->address->port);
     struct bufferevent *bev =
         evhttp_connection_get_bufferevent(this->connection);
     evbuffer_add_cb(bufferevent_get_output(bev), on_output, this);
+    evbuffer_add_cb(bufferevent_get_input(bev), on_input, this);
     struct evhttp_request *request = evhttp_request_new(on_answer, this);
     evhttp_request_set_header_cb(request, on_headers);
     fill_request(request, spec);
@@ -225,6 +263,9 @@
     if (spec->connect_timeout_ms > 0) {
         Clock_arm(this->connect_deadline, spec->connect_timeout_ms);
     }
+    if (spec->late_ms > 0) {
+        Clock_arm(this->silence, spec->late_ms);
+    }
     if (evhttp_make_request(this->connection, request, spec->method,
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
@@ -255,8 +296,7 @@
     if (!this->sent) {
         forbid_sending(this);
     }
-    evtimer_del(this->deadline);
-    evtimer_del(this->connect_deadline);
+    stop_timers(this);
     Clock_arm(this->reaper, 0);
 }
 
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -30,6 +30,7 @@
  * @body: body of the request, or NULL
  * @timeout_ms: timeout of the entire call
  * @connect_timeout_ms: timeout of the connection setup; 0 for @timeout_ms
+ * @late_ms: silence after which the callback gets WT_ERROR_LATE; 0 for never
  * @accepts_close_delimited: accept an answer that may be truncated
  */
 typedef struct {
@@ -40,6 +41,7 @@
     GBytes *body;
     gint64 timeout_ms;
     gint64 connect_timeout_ms;
+    gint64 late_ms;
     gboolean accepts_close_delimited;
 } HttpCallSpec_t;
 
@@ -63,7 +65,8 @@
 /**
  * HttpCallDone_t - called once, unless the call was cancelled
  * @answer: the answer, or NULL if there is an error
- * @error: WT_ERROR_CONNECT, _TIMEOUT, _CUT or _BAD_ANSWER
+ * @error: WT_ERROR_CONNECT, _TIMEOUT, _CUT or _BAD_ANSWER. WT_ERROR_LATE, at
+ *     most once, means that the call continues and this is called again
  */
 typedef void (*HttpCallDone_t)(const HttpAnswer_t *answer, const GError *error,
                                void *data);
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -29,11 +29,15 @@
 #define END_ADVANCE_MIN_MS 200
 
 /* The answer to a call is used only while the call is the current one or the
- * open check: a call that was sent before the store was restored from an older
- * copy says nothing about the present records. */
+ * open check, or is late and the follower has not begun another list since: a
+ * call that was sent before the store was restored from an older copy says
+ * nothing about the present records. */
 typedef struct {
     RecordFollower_t *owner;
     gint64 sent_ms;
+    guint list_step; /* of the follower when the call was sent */
+    gboolean lists;
+    gboolean is_late;
 } FollowerCall_t;
 
 struct RecordFollower {
@@ -47,6 +51,7 @@
     GString *after;        /* last key of the previous page */
     StorePosition_t next;  /* position to read from */
     gboolean listing;
+    guint list_step; /* changes with each list and with each page of it */
     gboolean first_page;
     gboolean from_peers; /* the list up to @after came from peers */
     gint64 retry_max_ms;
@@ -58,6 +63,7 @@
     guint failures;     /* consecutive failed calls */
     gint64 failed_ms;   /* time of the last failure */
     gboolean timed_out; /* one of these failures was a timeout */
+    gboolean is_outage; /* one of these calls can't be answered any more */
 };
 
 static void call_store(RecordFollower_t *this);
@@ -66,6 +72,7 @@
 begin_list(RecordFollower_t *this)
 {
     this->listing = TRUE;
+    this->list_step++;
     this->first_page = TRUE;
     this->from_peers = FALSE;
     g_string_truncate(this->after, 0);
@@ -140,6 +147,7 @@
 static void
 apply_list_page(RecordFollower_t *this, const KeyedPage_t *page)
 {
+    this->list_step++;
     if (this->first_page) {
         this->next = page->end;
         this->first_page = FALSE;
@@ -192,6 +200,7 @@
 {
     this->failures = 0;
     this->timed_out = FALSE;
+    this->is_outage = FALSE;
     Log_begin(LOG_LEVEL_WARNING, "topic_regained");
     Log_text("topic", this->topic->str);
     Log_text("by", by);
@@ -223,9 +232,11 @@
 static void
 note_failed(RecordFollower_t *this, const GError *error)
 {
+    gboolean is_late = g_error_matches(error, WT_ERROR, WT_ERROR_LATE);
     this->failures++;
-    this->timed_out =
-        this->timed_out || g_error_matches(error, WT_ERROR, WT_ERROR_TIMEOUT);
+    this->timed_out = this->timed_out || is_late ||
+                      g_error_matches(error, WT_ERROR, WT_ERROR_TIMEOUT);
+    this->is_outage = this->is_outage || !is_late;
     this->failed_ms = Clock_nowMs();
     if (this->failures == 1) {
         Log_begin(LOG_LEVEL_WARNING, "topic_lost");
@@ -292,15 +303,27 @@
     return !this->listing && StorePosition_compare(this->next, page->end) >= 0;
 }
 
+/* Returns whether all records of the topic are known now. */
+static gboolean
+apply_read_page(RecordFollower_t *this, const KeyedPage_t *page,
+                gint64 sent_ms)
+{
+    apply_tail(this, page);
+    gboolean at_end = is_at_end(this, page);
+    if (at_end) {
+        note_current(this, sent_ms);
+    }
+    return at_end;
+}
+
 static void
 apply_page(RecordFollower_t *this, const KeyedPage_t *page, gint64 sent_ms)
 {
-    if (this->listing) {
-        apply_list_page(this, page);
-    }
-    else {
-        apply_tail(this, page);
+    if (!this->listing) {
+        schedule_next_call(this, apply_read_page(this, page, sent_ms));
+        return;
     }
+    apply_list_page(this, page);
     gboolean at_end = is_at_end(this, page);
     if (at_end) {
         note_current(this, sent_ms);
@@ -314,18 +337,71 @@
     FollowerCall_t *call = g_new0(FollowerCall_t, 1);
     call->owner = this;
     call->sent_ms = Clock_nowMs();
+    call->list_step = this->list_step;
+    call->lists = this->listing;
     g_hash_table_add(this->calls, call);
     return call;
 }
 
+/* A late answer shows that the store is slow and not down, so that removals
+ * that it brings are not attributed to an outage. */
+static void
+note_late_answer(RecordFollower_t *this)
+{
+    if (this->is_outage) {
+        note_success(this);
+    }
+    else if (this->failures > 0) {
+        end_failures(this, "late_answer");
+    }
+}
+
+/* The call that was made since, if any, remains open, unless it asks for the
+ * same page of a list. */
+static void
+apply_late_page(RecordFollower_t *this, const FollowerCall_t *call,
+                const KeyedPage_t *page)
+{
+    if (!page || call->list_step != this->list_step) {
+        return;
+    }
+    note_late_answer(this);
+    if (this->listing) {
+        this->current_call = NULL;
+    }
+    if (this->current_call) {
+        apply_read_page(this, page, call->sent_ms);
+    }
+    else {
+        apply_page(this, page, call->sent_ms);
+    }
+}
+
+/* Keeps a call whose answer is late open. Returns FALSE if the call has ended.
+ */
+static gboolean
+note_late(FollowerCall_t *call, const GError *error)
+{
+    call->is_late =
+        call->is_late || g_error_matches(error, WT_ERROR, WT_ERROR_LATE);
+    return g_error_matches(error, WT_ERROR, WT_ERROR_LATE);
+}
+
 static void
 on_page(const KeyedPage_t *page, const GError *error, void *data)
 {
-    const FollowerCall_t *call = data;
+    FollowerCall_t *call = data;
     RecordFollower_t *this = call->owner;
-    gint64 sent_ms = call->sent_ms;
+    FollowerCall_t ended = *call;
     gboolean is_expected = call == this->current_call;
-    g_hash_table_remove(this->calls, call);
+    gint64 sent_ms = call->sent_ms;
+    if (!note_late(call, error)) {
+        g_hash_table_remove(this->calls, call);
+    }
+    if (ended.is_late) {
+        apply_late_page(this, &ended, page);
+        return;
+    }
     if (!is_expected) {
         return;
     }
@@ -445,11 +521,18 @@
 static void
 on_check_answer(const KeyedPage_t *page, const GError *error, void *data)
 {
-    const FollowerCall_t *call = data;
+    FollowerCall_t *call = data;
     RecordFollower_t *this = call->owner;
-    gint64 sent_ms = call->sent_ms;
+    FollowerCall_t ended = *call;
     gboolean is_expected = call == this->check_call;
-    g_hash_table_remove(this->calls, call);
+    if (!note_late(call, error)) {
+        g_hash_table_remove(this->calls, call);
+    }
+    if (ended.is_late) {
+        this->failed_checks = page ? 0 : this->failed_checks;
+        apply_late_page(this, &ended, page);
+        return;
+    }
     if (!is_expected) {
         return;
     }
@@ -462,10 +545,7 @@
     if (!page || this->listing) {
         return;
     }
-    apply_tail(this, page);
-    if (is_at_end(this, page)) {
-        note_current(this, sent_ms);
-    }
+    apply_read_page(this, page, ended.sent_ms);
 }
 
 /* Reads from the store at once if records are missing before those of a peer
--- a/src/RecordSource.h
+++ b/src/RecordSource.h
@@ -25,7 +25,8 @@
  * KeyedPageDone_t - callback with the result of a list or a read, called once
  * @page: NULL on error
  * @error: NULL on success; WT_ERROR_TRUNCATED if records at the offset have
- *     expired
+ *     expired. WT_ERROR_LATE, at most once, means that there is no answer yet
+ *     but the call continues, and this is called again
  */
 typedef void (*KeyedPageDone_t)(const KeyedPage_t *page, const GError *error,
                                 void *data);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -108,7 +108,10 @@
     {"instances", KEY_ADDRESS, TRUE, NULL, 0, 0, NULL, P(instances),
      "Address of the list of live and leaving instances."},
     {"log_timeout", KEY_DURATION, FALSE, "2s", 10, HOUR_MS, NULL,
-     P(log_timeout_ms), "How long an answer of the log may take."},
+     P(log_timeout_ms),
+     "How long an answer of the log may take. A read of the users' platform "
+     "is "
+     "repeated after that, and its late answer is used all the same."},
     {"log_poll", KEY_DURATION, FALSE, "10s", 10, HOUR_MS, NULL, P(log_poll_ms),
      "How long the log may hold a read until there are new records."},
     {"instances_poll", KEY_DURATION, FALSE, "500ms", 10, HOUR_MS, NULL,
--- a/src/StoredRecords.c
+++ b/src/StoredRecords.c
@@ -1,6 +1,7 @@
 #include "StoredRecords.h"
 
 #include "Clock.h"
+#include "Errors.h"
 #include "Log.h"
 #include "Random.h"
 #include "StoreCalls.h"
@@ -75,6 +76,9 @@
 on_page(const KeyedPage_t *page, const GError *error, void *data)
 {
     StoredRecords_t *this = data;
+    if (g_error_matches(error, WT_ERROR, WT_ERROR_LATE)) {
+        return; /* nothing depends on when the records arrive */
+    }
     if (!page) {
         log_failure(this, this->spec.events->unread, error);
         Clock_arm(this->read_timer, next_pause_ms(this));
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -437,6 +437,120 @@
 }
 END_TEST
 
+/* A call whose answer is late, and stays open. */
+typedef struct {
+    KeyedPageDone_t done;
+    void *data;
+} LateCall_t;
+
+static LateCall_t
+delay_call(void)
+{
+    FakeSource_await(&source);
+    LateCall_t call = {source.done, source.data};
+    FakeSource_fail(&source, WT_ERROR_LATE);
+    return call;
+}
+
+static void
+answer_late_call(const LateCall_t *call, guint64 page_end, const char *text)
+{
+    KeyedPage_t page = make_page(page_end, FALSE, text);
+    call->done(&page, NULL, call->data);
+    g_ptr_array_unref(page.records);
+}
+
+/* A store whose answers took longer than the timeout was as good as down. */
+START_TEST(late_answer_is_applied)
+{
+    RecordFollower_t *follower = setup();
+    answer_call(10, FALSE, "a:3");
+    gint64 sent_ms = Clock_nowMs();
+    LateCall_t call = delay_call();
+    ck_assert(RecordFollower_isLost(follower));
+    FakeSource_await(&source);
+    answer_late_call(&call, 11, "b:10");
+    ck_assert(!RecordFollower_isLost(follower));
+    ck_assert_uint_eq(seen.restored, 0);
+    ck_assert_str_eq(seen.reported->str, "a b ");
+    ck_assert_uint_eq(seen.current, 11);
+    ck_assert_int_le(seen.current_at_ms, sent_ms);
+    teardown(follower);
+}
+END_TEST
+
+START_TEST(late_answer_moves_nothing_back)
+{
+    RecordFollower_t *follower = setup();
+    answer_call(10, FALSE, "a:3");
+    LateCall_t call = delay_call();
+    answer_call(12, FALSE, "b:10 a:11");
+    gint64 current_at_ms = seen.current_at_ms;
+    answer_late_call(&call, 11, "b:10");
+    ck_assert_str_eq(seen.reported->str, "a b a ");
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 12);
+    ck_assert_int_eq(seen.current_at_ms, current_at_ms);
+    teardown(follower);
+}
+END_TEST
+
+START_TEST(late_list_is_applied_once)
+{
+    RecordFollower_t *follower = setup();
+    LateCall_t first = delay_call();
+    LateCall_t second = delay_call();
+    answer_late_call(&first, 10, "a:3");
+    answer_late_call(&second, 11, "b:10");
+    ck_assert_str_eq(seen.reported->str, "a ");
+    ck_assert_uint_eq(seen.current, 10);
+    teardown(follower);
+}
+END_TEST
+
+START_TEST(late_answer_from_before_an_epoch_change_is_not_applied)
+{
+    RecordFollower_t *follower = setup();
+    answer_call(10, FALSE, "a:3");
+    LateCall_t call = delay_call();
+    RecordFollower_beginEpoch(follower, 0);
+    answer_of_next_epoch(5, "a:4");
+    answer_late_call(&call, 11, "b:10");
+    ck_assert_str_eq(seen.reported->str, "a a ");
+    ck_assert_uint_eq(RecordFollower_position(follower).offset, 5);
+    teardown(follower);
+}
+END_TEST
+
+START_TEST(late_check_is_applied)
+{
+    RecordFollower_t *follower = setup();
+    answer_call(10, FALSE, "a:3");
+    FakeSource_await(&source);
+    ck_assert(RecordFollower_checkEnd(follower, STORE_BEHIND));
+    LateCall_t check = delay_call();
+    ck_assert_uint_eq(RecordFollower_failedChecks(follower), 1);
+    answer_late_call(&check, 11, "b:10");
+    ck_assert_uint_eq(RecordFollower_failedChecks(follower), 0);
+    ck_assert_str_eq(seen.reported->str, "a b ");
+    teardown(follower);
+}
+END_TEST
+
+START_TEST(late_call_that_fails_is_no_second_failure)
+{
+    RecordFollower_t *follower = setup();
+    answer_call(10, FALSE, "a:3");
+    LateCall_t call = delay_call();
+    answer_call(10, FALSE, "");
+    g_autoptr(GError) error =
+        g_error_new_literal(WT_ERROR, WT_ERROR_TIMEOUT, "x");
+    call.done(NULL, error, call.data);
+    ck_assert(!RecordFollower_isLost(follower));
+    ck_assert_uint_eq(seen.lost, 1);
+    teardown(follower);
+}
+END_TEST
+
 TESTING_MAIN("RecordFollower", reads_on_from_the_end_at_the_first_list_page,
              outdated_list_of_a_peer_restores_no_removed_key,
              peer_list_older_than_the_first_page_is_not_applied,
@@ -455,4 +569,8 @@
              check_does_not_restart_a_list_in_progress,
              records_of_a_later_epoch_are_newer_at_any_offset,
              answer_from_before_an_epoch_change_is_not_applied,
-             peer_records_of_another_epoch_are_not_applied)
+             peer_records_of_another_epoch_are_not_applied,
+             late_answer_is_applied, late_answer_moves_nothing_back,
+             late_list_is_applied_once,
+             late_answer_from_before_an_epoch_change_is_not_applied,
+             late_check_is_applied, late_call_that_fails_is_no_second_failure)
