One transfer of a long configuration at a time

What callers saw: routes just added were refused with 404 later than the 3 s that are allowed. Cause: a router that lacks records asked each peer that told it of a newer end, every 100 ms, and after 0.6 s the store beside them every 0.4 s; a peer answered as many at once as asked. A record of 0.59 MB takes 0.5 s on a link of 10 Mbit/s when it is alone there. The class: work that is repeated before its first attempt can be through, so that the attempts hold each other up.

Change: CatchUp owns the time in which peers know more. One peer is queried, and no one else while its answer arrives (PeerLink_isReceiving), nor while a read of the store is open that is not late. A peer without an answer is left after 0.5 s, and the store is read after 0.6 s as before, 1.2 s where the router has a read open.

--- a/src/CatchUp.c
+++ b/src/CatchUp.c
@@ -1,10 +1,19 @@
 #include "CatchUp.h"
 
+#include <string.h>
+
 #include "Clock.h"
 #include "Log.h"
 
+/* Time in which a peer begins to send its answer, unless it has none. */
+#define ANSWER_WAIT_MS 500
+/* Maximum duration of a transfer. */
+#define TRANSFER_MAX_MS 5000
+
 struct CatchUp {
     Counters_t *counters;
+    GString *queried;  /* peer whose answer is awaited; empty for none */
+    gint64 queried_ms; /* when it was queried */
     StorePosition_t peer_end; /* furthest end received from peers */
     gint64 since_ms;          /* since when peers know more; 0 if not */
     guint queries;            /* of these, since since_ms */
@@ -17,12 +26,14 @@
 {
     CatchUp_t *this = g_new0(CatchUp_t, 1);
     this->counters = counters;
+    this->queried = g_string_new(NULL);
     return this;
 }
 
 void
 CatchUp_destroy(CatchUp_t *this)
 {
+    g_string_free(this->queried, TRUE);
     g_free(this);
 }
 
@@ -31,6 +42,7 @@
 {
     this->peer_end = (StorePosition_t){0};
     this->since_ms = 0;
+    g_string_truncate(this->queried, 0);
 }
 
 static void
@@ -78,9 +90,33 @@
 }
 
 void
-CatchUp_noteQuery(CatchUp_t *this)
+CatchUp_noteQuery(CatchUp_t *this, const char *peer)
 {
     this->queries++;
+    g_string_assign(this->queried, peer);
+    this->queried_ms = Clock_nowMs();
+}
+
+void
+CatchUp_noteAnswer(CatchUp_t *this, const char *peer)
+{
+    if (strcmp(this->queried->str, peer) == 0) {
+        g_string_truncate(this->queried, 0);
+    }
+}
+
+const char *
+CatchUp_queriedPeer(const CatchUp_t *this)
+{
+    return this->queried->len > 0 ? this->queried->str : NULL;
+}
+
+gboolean
+CatchUp_isTransferring(const CatchUp_t *this, gboolean is_receiving)
+{
+    gint64 limit_ms = is_receiving ? TRANSFER_MAX_MS : ANSWER_WAIT_MS;
+    return this->queried->len > 0 &&
+           Clock_nowMs() - this->queried_ms < limit_ms;
 }
 
 void
--- a/src/CatchUp.h
+++ b/src/CatchUp.h
@@ -4,8 +4,9 @@
  * DOC: CatchUp
  *
  * Whether the peers of this router know records of the operators that it
- * lacks, since when, and what was done about it. A log line tells when this
- * begins, another one when it ends.
+ * lacks, since when, and which peer was queried for them. One peer is queried
+ * at a time: a record may be so long that its transfers would hold each other
+ * up. A log line tells when this begins, another one when it ends.
  */
 #include <glib.h>
 
@@ -36,8 +37,24 @@
 /** CatchUp_notePosition() - this router has all records before @known */
 void CatchUp_notePosition(CatchUp_t *this, StorePosition_t known);
 
-/** CatchUp_noteQuery() - a peer was queried for the records */
-void CatchUp_noteQuery(CatchUp_t *this);
+/** CatchUp_noteQuery() - a peer was queried for the records
+ * @peer: name of the peer */
+void CatchUp_noteQuery(CatchUp_t *this, const char *peer);
+
+/** CatchUp_noteAnswer() - a peer has sent records; another query may follow if
+ * it is the one that was queried */
+void CatchUp_noteAnswer(CatchUp_t *this, const char *peer);
+
+/** CatchUp_queriedPeer() - name of the peer whose answer is awaited, or NULL
+ */
+const char *CatchUp_queriedPeer(const CatchUp_t *this);
+
+/**
+ * CatchUp_isTransferring() - whether the answer to the last query may still
+ * arrive
+ * @is_receiving: a message of CatchUp_queriedPeer() is arriving
+ */
+gboolean CatchUp_isTransferring(const CatchUp_t *this, gboolean is_receiving);
 
 /** CatchUp_noteStoreRead() - the store was read for the records */
 void CatchUp_noteStoreRead(CatchUp_t *this);
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -13,6 +13,10 @@
 /* Unsent bytes above which a link is closed, because its peer has stopped
  * reading. */
 #define OUTPUT_MAX_BYTES (64U << 20)
+/* A transfer without a byte for this time has stalled. */
+#define STALL_MS 500
+/* Unsent bytes of short messages are fewer. */
+#define LONG_OUTPUT_BYTES 16384
 
 struct PeerLink {
     struct bufferevent *stream;
@@ -21,6 +25,8 @@
     const PeerLinkEvents_t *events; /* NULL after the link is closed */
     void *owner;
     gboolean outgoing;
+    gint64 received_ms; /* when bytes were last received; 0 for never */
+    gint64 sent_ms; /* when bytes were last sent, or the output last began */
 };
 
 static void
@@ -76,6 +82,7 @@
 {
     PeerLink_t *this = data;
     struct evbuffer *input = bufferevent_get_input(stream);
+    this->received_ms = Clock_nowMs();
     while (this->events) {
         guint32 size = 0;
         if (evbuffer_copyout(input, &size, sizeof(size)) <
@@ -109,6 +116,17 @@
     }
 }
 
+static void
+on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+          void *data)
+{
+    (void)buffer;
+    PeerLink_t *this = data;
+    if (info->n_deleted > 0 || info->orig_size == 0) {
+        this->sent_ms = Clock_nowMs();
+    }
+}
+
 static PeerLink_t *
 create_link(struct event_base *base, evutil_socket_t fd, GBytes *key,
             const PeerLinkEvents_t *events, void *owner)
@@ -121,6 +139,7 @@
     this->events = events;
     this->owner = owner;
     bufferevent_setcb(this->stream, on_read, NULL, on_event, this);
+    evbuffer_add_cb(bufferevent_get_output(this->stream), on_output, this);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
     return this;
 }
@@ -170,6 +189,22 @@
     return HEADER_BYTES + size;
 }
 
+gboolean
+PeerLink_isReceiving(const PeerLink_t *this)
+{
+    struct evbuffer *input = bufferevent_get_input(this->stream);
+    return evbuffer_get_length(input) > 0 &&
+           Clock_nowMs() - this->received_ms < STALL_MS;
+}
+
+gboolean
+PeerLink_isSending(const PeerLink_t *this)
+{
+    struct evbuffer *output = bufferevent_get_output(this->stream);
+    return evbuffer_get_length(output) > LONG_OUTPUT_BYTES &&
+           Clock_nowMs() - this->sent_ms < STALL_MS;
+}
+
 gboolean
 PeerLink_isOutgoing(const PeerLink_t *this)
 {
--- a/src/PeerLink.h
+++ b/src/PeerLink.h
@@ -51,6 +51,14 @@
  */
 gsize PeerLink_send(PeerLink_t *this, const Wt__PeerMessage *message);
 
+/** PeerLink_isReceiving() - whether a part of a message has arrived, and some
+ * of it lately */
+gboolean PeerLink_isReceiving(const PeerLink_t *this);
+
+/** PeerLink_isSending() - whether a long message is being sent, and the peer
+ * has taken some of it lately */
+gboolean PeerLink_isSending(const PeerLink_t *this);
+
 /** PeerLink_isOutgoing() - whether this router opened the connection */
 gboolean PeerLink_isOutgoing(const PeerLink_t *this);
 
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -711,6 +711,12 @@
     return TRUE;
 }
 
+gboolean
+RecordFollower_isReading(const RecordFollower_t *this)
+{
+    return this->check_call || (this->current_call && !this->listing);
+}
+
 guint
 RecordFollower_failedChecks(const RecordFollower_t *this)
 {
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -139,6 +139,11 @@
  */
 gboolean RecordFollower_checkEnd(RecordFollower_t *this, StoreCause_t cause);
 
+/** RecordFollower_isReading() - whether a read is open whose answer is not
+ * late
+ */
+gboolean RecordFollower_isReading(const RecordFollower_t *this);
+
 /** RecordFollower_failedChecks() - number of consecutive failed checks */
 guint RecordFollower_failedChecks(const RecordFollower_t *this);
 
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -396,7 +396,7 @@
 receive_part(RelayParts_t *this, Member_t *from, const Wt__TopicPart *part)
 {
     if (is_config_topic(this, part->topic)) {
-        RouteSync_receivePart(this->sync, part);
+        RouteSync_receivePart(this->sync, from, part);
     }
     else {
         UpstreamListing_receive(this->context->listing, from, part);
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -1,5 +1,7 @@
 #include "RouteSync.h"
 
+#include <string.h>
+
 #include "CatchUp.h"
 #include "Clock.h"
 #include "FreshnessRelay.h"
@@ -39,9 +41,13 @@
 /* A router that is behind queries peers for this time before it checks the
  * store: a peer that announces a record may not have the record itself. */
 #define PEER_CATCH_UP_TIMEOUT_MS 600
-/* Minimum interval of queries to peers: the answer takes a round trip and, for
- * a configuration of 100 KB on a link of 10 Mbit/s, 80 ms. */
-#define PEER_QUERY_INTERVAL_MS 100
+/* A reader has its own read open and leaves the records to it for longer. */
+#define READ_CATCH_UP_TIMEOUT_MS 1200
+/* Answers of more bytes are long. */
+#define LONG_ANSWER_BYTES 16384
+/* Long answers that are sent at the same time: with more of them, each would
+ * take as long as all together. */
+#define LONG_ANSWERS_MAX 2
 
 struct RouteSync {
     RouteSyncSpec_t spec;
@@ -54,7 +60,6 @@
     GHashTable *newest;       /* key -> KeyedRecord_t, for answers to peers */
     struct event *tick;
     gint64 store_checked_ms;
-    gint64 peer_queried_ms;
     gint64 store_called_ms; /* when retry_delay_ms() last allowed a call */
     CatchUp_t *catch_up;
     double spread_fraction; /* 0 to 1: share of the spread of store checks */
@@ -105,18 +110,37 @@
                                  this->spec.wait_ms);
 }
 
+static gboolean
+is_receiving_from(const RouteSync_t *this, const char *name)
+{
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    for (guint i = 0; name && i < members->len; i++) {
+        const Member_t *member = g_ptr_array_index(members, i);
+        if (strcmp(member->name->str, name) == 0) {
+            return member->link && PeerLink_isReceiving(member->link);
+        }
+    }
+    return FALSE;
+}
+
+static gboolean
+is_transferring(const RouteSync_t *this)
+{
+    const char *queried = CatchUp_queriedPeer(this->catch_up);
+    return CatchUp_isTransferring(this->catch_up,
+                                  is_receiving_from(this, queried));
+}
+
 static gboolean
 query_peer(RouteSync_t *this, Member_t *from, StorePosition_t known)
 {
-    gint64 now_ms = Clock_nowMs();
-    if (now_ms - this->peer_queried_ms < PEER_QUERY_INTERVAL_MS) {
+    if (is_transferring(this)) {
         return TRUE;
     }
     gboolean sent = RecordRelay_sendQuery(
         this->records, from, known, RouteVersions_newest(this->versions));
     if (sent) {
-        this->peer_queried_ms = now_ms;
-        CatchUp_noteQuery(this->catch_up);
+        CatchUp_noteQuery(this->catch_up, from->name->str);
     }
     return sent;
 }
@@ -183,7 +207,18 @@
 static gboolean
 is_long_behind(const RouteSync_t *this)
 {
-    return CatchUp_behindMs(this->catch_up) >= PEER_CATCH_UP_TIMEOUT_MS;
+    gint64 timeout_ms = RecordFollower_isReading(this->follower)
+                            ? READ_CATCH_UP_TIMEOUT_MS
+                            : PEER_CATCH_UP_TIMEOUT_MS;
+    return CatchUp_behindMs(this->catch_up) >= timeout_ms;
+}
+
+static void
+check_store_if_long_behind(RouteSync_t *this)
+{
+    if (is_long_behind(this) && !is_transferring(this)) {
+        check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
+    }
 }
 
 static void
@@ -192,11 +227,13 @@
 {
     CatchUp_noteBehind(this->catch_up, known, end,
                        from ? from->name->str : NULL);
-    if (from && !is_long_behind(this)) {
-        query_peer(this, from, known);
-    }
-    else {
+    if (!from) {
         check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
+        return;
+    }
+    check_store_if_long_behind(this);
+    if (!RecordFollower_isReading(this->follower)) {
+        query_peer(this, from, known);
     }
 }
 
@@ -310,7 +347,8 @@
 check_store_if_stale(RouteSync_t *this)
 {
     gint64 max_ms = UPDATE_TIMEOUT_MS + spread_ms(this);
-    if (RouteTable_isFresh(this->spec.routes, max_ms)) {
+    if (RouteTable_isFresh(this->spec.routes, max_ms) ||
+        is_transferring(this)) {
         return;
     }
     guint doublings = MIN(RecordFollower_failedChecks(this->follower),
@@ -327,9 +365,7 @@
     (void)what;
     RouteSync_t *this = data;
     set_read_timing(this);
-    if (is_long_behind(this)) {
-        check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
-    }
+    check_store_if_long_behind(this);
     check_store_if_stale(this);
     Clock_arm(this->tick, TICK_MS);
 }
@@ -458,11 +494,11 @@
 }
 
 static gsize
-value_bytes(const KeyedPage_t *page)
+value_bytes(const GPtrArray *records)
 {
     gsize bytes = 0;
-    for (guint i = 0; i < page->records->len; i++) {
-        const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
+    for (guint i = 0; i < records->len; i++) {
+        const KeyedRecord_t *record = g_ptr_array_index(records, i);
         bytes += record->value ? g_bytes_get_size(record->value) : 0;
     }
     return bytes;
@@ -471,8 +507,10 @@
 /* Records are valid however late they are processed. The time at which they
  * were the newest is unknown if the message may have waited in this router. */
 void
-RouteSync_receivePart(RouteSync_t *this, const Wt__TopicPart *message)
+RouteSync_receivePart(RouteSync_t *this, const Member_t *from,
+                      const Wt__TopicPart *message)
 {
+    CatchUp_noteAnswer(this->catch_up, from->name->str);
     if (message->apart) {
         apply_lost_records(this, message);
         return;
@@ -487,7 +525,7 @@
     this->is_from_peer = TRUE;
     if (!RecordFollower_applyPeerRecords(this->follower, message->from, &page,
                                          at_ms)) {
-        CatchUp_noteUnused(this->catch_up, value_bytes(&page));
+        CatchUp_noteUnused(this->catch_up, value_bytes(page.records));
     }
     this->is_from_peer = FALSE;
     g_ptr_array_unref(page.records);
@@ -530,8 +568,36 @@
     g_ptr_array_unref(records);
 }
 
-/* A router that knows no more sends no answer; the requester queries another
- * one. */
+static guint
+count_long_answers(const RouteSync_t *this)
+{
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    guint count = 0;
+    for (guint i = 0; i < members->len; i++) {
+        const Member_t *member = g_ptr_array_index(members, i);
+        count += member->link && PeerLink_isSending(member->link) ? 1 : 0;
+    }
+    return count;
+}
+
+static gboolean
+may_send(const RouteSync_t *this, const Member_t *to, const GPtrArray *records)
+{
+    gsize bytes = value_bytes(records);
+    guint others = count_long_answers(this);
+    if (bytes <= LONG_ANSWER_BYTES || others < LONG_ANSWERS_MAX) {
+        return TRUE;
+    }
+    Log_begin(LOG_LEVEL_INFO, "config_query_put_off");
+    Log_text("router", to->name->str);
+    Log_number("bytes", (gint64)bytes);
+    Log_number("long_answers", others);
+    Log_end();
+    return FALSE;
+}
+
+/* A router that knows no more, or is busy, sends no answer; the requester
+ * queries another one. */
 void
 RouteSync_answerQuery(RouteSync_t *this, Member_t *from,
                       const Wt__TopicAsk *message)
@@ -549,7 +615,9 @@
         return;
     }
     GPtrArray *records = newest_from(this, requested_from);
-    RecordRelay_sendAnswer(this->records, from, message->from, records, known,
-                           now_ms - age_ms);
+    if (may_send(this, from, records)) {
+        RecordRelay_sendAnswer(this->records, from, message->from, records,
+                               known, now_ms - age_ms);
+    }
     g_ptr_array_unref(records);
 }
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -69,10 +69,12 @@
 void RouteSync_syncPeer(RouteSync_t *this, Member_t *member);
 
 /** RouteSync_receivePart() - receive records from a peer */
-void RouteSync_receivePart(RouteSync_t *this, const Wt__TopicPart *message);
+void RouteSync_receivePart(RouteSync_t *this, const Member_t *from,
+                           const Wt__TopicPart *message);
 
 /** RouteSync_answerQuery() - answer a peer's query for records from an offset
- * on; no answer is sent if nothing more is known here */
+ * on; no answer is sent if nothing more is known here, or if the answer is
+ * long and others are being sent */
 void RouteSync_answerQuery(RouteSync_t *this, Member_t *from,
                            const Wt__TopicAsk *message);
 
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -37,10 +37,12 @@
 /* More than the time that is added to the age in a peer's message. */
 #define AFTER_TRANSIT_MS (PEER_TRANSIT_MAX_MS + 150)
 
-/* A newer end that peers announce several times, sooner than a long record can
- * arrive. */
-#define ANNOUNCEMENTS 4
-#define ANNOUNCE_INTERVAL_MS 110
+/* Time in which peers announce a newer end again and again; a long record
+ * takes longer to arrive. */
+#define ANNOUNCED_MS 350
+#define ANNOUNCE_INTERVAL_MS 30
+#define LONG_RECORD_BYTES 200000
+#define LONG_ANSWERS_MAX 2
 
 /* One open call to the store. */
 typedef struct {
@@ -537,7 +539,7 @@
     part.end = page_end;
     part.n_records = 1;
     part.records = records;
-    RouteSync_receivePart(route_sync, &part);
+    RouteSync_receivePart(route_sync, any_peer(), &part);
 }
 
 /* Guards against store calls by non-readers: each of 295 routers made 7 to 8
@@ -598,7 +600,8 @@
 START_TEST(record_on_its_way_is_not_queried_again)
 {
     start_without_reads();
-    for (guint i = 0; i < ANNOUNCEMENTS; i++) {
+    gint64 end_ms = Clock_nowMs() + ANNOUNCED_MS;
+    while (Clock_nowMs() < end_ms) {
         receive_current_from_peer(12);
         FakeRouters_run(&routers, ANNOUNCE_INTERVAL_MS);
     }
@@ -626,6 +629,32 @@
 }
 END_TEST
 
+/* A router sent a long record to all its peers at once, and each of them got
+ * it late. */
+START_TEST(few_long_records_are_sent_at_the_same_time)
+{
+    start_without_reads();
+    g_autofree char *value = g_strnfill(LONG_RECORD_BYTES, 'x');
+    *value = '6';
+    receive_record(10, 12, value, 11);
+    const GPtrArray *members =
+        Membership_members(routers.list[self].membership);
+    Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
+    ask.from = 10;
+    for (guint i = 0; i < members->len; i++) {
+        RouteSync_answerQuery(route_sync, g_ptr_array_index(members, i), &ask);
+    }
+    FakeRouters_run(&routers, IDLE_MS);
+    guint answers = 0;
+    for (guint i = 0; i < routers.count; i++) {
+        answers +=
+            FakeRouters_count(&routers, i, WT__PEER_MESSAGE__BODY_TOPIC_PART);
+    }
+    ck_assert_uint_eq(answers, LONG_ANSWERS_MAX);
+    end();
+}
+END_TEST
+
 START_TEST(peer_at_the_same_offset_gets_no_answer)
 {
     start_without_reads();
@@ -661,7 +690,7 @@
     part.apart = TRUE;
     part.n_records = 1;
     part.records = records;
-    RouteSync_receivePart(route_sync, &part);
+    RouteSync_receivePart(route_sync, any_peer(), &part);
     ck_assert_uint_eq(version(), 8);
     end();
 }
@@ -738,6 +767,7 @@
              router_that_is_behind_queries_a_peer_then_the_store,
              record_on_its_way_is_not_queried_again,
              querying_peer_gets_the_newest_record_of_each_key,
+             few_long_records_are_sent_at_the_same_time,
              peer_at_the_same_offset_gets_no_answer,
              router_queries_a_peer_for_the_version_the_store_lost,
              peer_with_older_version_gets_the_lost_records,
