No route or key is refused as unknown by an outdated configuration

What callers saw: 404 for a route that had been added 3.5 s before. Cause: a router refused by what it had for up to config_max_age (4 s, in front of 3 s in which a change must be in force), also while it knew from its peers that a newer one existed. The class: a decision by knowledge whose age is bounded for another purpose.

Change: config_change_limit, filled from the platform's bounds. Where the configuration was not known to be the newest for longer than that, or a newer one is known to exist, unknown routes and keys are refused as config_stale (503, not run), so that callers go elsewhere. Where a newer one is known to exist and may have existed for longer, nothing is served by the old one, and the router is not ready. Known routes are served for config_max_age as before while the store is away and nobody tells of a change.

--- a/src/CatchUp.c
+++ b/src/CatchUp.c
@@ -60,24 +60,26 @@
     Log_end();
 }
 
-void
+gboolean
 CatchUp_noteBehind(CatchUp_t *this, StorePosition_t known, StorePosition_t end,
                    const char *peer)
 {
-    if (StorePosition_compare(end, this->peer_end) > 0) {
+    gboolean is_further = StorePosition_compare(end, this->peer_end) > 0;
+    if (is_further) {
         this->peer_end = end;
     }
     if (this->since_ms == 0) {
         begin(this, known, end, peer);
     }
+    return is_further;
 }
 
-void
+gboolean
 CatchUp_notePosition(CatchUp_t *this, StorePosition_t known)
 {
     if (this->since_ms == 0 ||
         StorePosition_compare(known, this->peer_end) < 0) {
-        return;
+        return FALSE;
     }
     Log_begin(LOG_LEVEL_INFO, "config_caught_up");
     Log_number("end", (gint64)known.offset);
@@ -87,6 +89,7 @@
     Log_number("unused_bytes", (gint64)this->unused_bytes);
     Log_end();
     this->since_ms = 0;
+    return TRUE;
 }
 
 void
--- a/src/CatchUp.h
+++ b/src/CatchUp.h
@@ -30,12 +30,15 @@
  * CatchUp_noteBehind() - a peer knows records up to @end
  * @known: position of this router
  * @peer: name of the peer, or NULL
+ *
+ * Return: whether no peer was known to have records up to there before
  */
-void CatchUp_noteBehind(CatchUp_t *this, StorePosition_t known,
-                        StorePosition_t end, const char *peer);
+gboolean CatchUp_noteBehind(CatchUp_t *this, StorePosition_t known,
+                            StorePosition_t end, const char *peer);
 
-/** CatchUp_notePosition() - this router has all records before @known */
-void CatchUp_notePosition(CatchUp_t *this, StorePosition_t known);
+/** CatchUp_notePosition() - this router has all records before @known; returns
+ * whether it was behind and is no longer */
+gboolean CatchUp_notePosition(CatchUp_t *this, StorePosition_t known);
 
 /** CatchUp_noteQuery() - a peer was queried for the records
  * @peer: name of the peer */
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -28,6 +28,13 @@
                               context->settings->relay.config_max_age_ms);
 }
 
+static gboolean
+is_overdue(const Context_t *context)
+{
+    return RouteTable_isOverdue(
+        context->routes, context->settings->relay.config_change_limit_ms);
+}
+
 gboolean
 RelayApi_canServe(const Context_t *context)
 {
@@ -39,7 +46,7 @@
 static gboolean
 is_ready(const Context_t *context)
 {
-    return !context->stopping && is_fresh(context) &&
+    return !context->stopping && is_fresh(context) && !is_overdue(context) &&
            RelayApi_canServe(context);
 }
 
@@ -78,17 +85,17 @@
     refuse_request(admission, refusal, detail);
 }
 
-/* With a stale configuration the route or key may exist in a newer one, so the
- * request is refused as stale rather than as unknown. */
+/* With an outdated configuration the route or key may exist in a newer one, so
+ * the request is refused as stale rather than as unknown. */
 static void
 refuse_unknown(Admission_t *admission, Refusal_t refusal)
 {
-    if (is_fresh(admission->context)) {
-        refuse_by_config(admission, refusal);
-    }
-    else {
-        refuse_by_config(admission, REFUSAL_CONFIG_STALE);
-    }
+    const Context_t *context = admission->context;
+    gboolean is_newest = RouteTable_isNewest(
+        context->routes, context->settings->relay.config_change_limit_ms);
+    refuse_by_config(admission, is_newest && is_fresh(context)
+                                    ? refusal
+                                    : REFUSAL_CONFIG_STALE);
 }
 
 static gboolean
@@ -99,8 +106,13 @@
         RouteConfig_findRoute(config, request->host, request->path->str);
     if (!admission->route) {
         refuse_unknown(admission, REFUSAL_UNKNOWN_PATH);
+        return FALSE;
+    }
+    if (is_overdue(admission->context)) {
+        refuse_by_config(admission, REFUSAL_CONFIG_STALE);
+        return FALSE;
     }
-    return admission->route != NULL;
+    return TRUE;
 }
 
 static gboolean
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -177,7 +177,9 @@
 on_current(void *owner, StorePosition_t end, gint64 at_ms)
 {
     RouteSync_t *this = owner;
-    CatchUp_notePosition(this->catch_up, end);
+    if (CatchUp_notePosition(this->catch_up, end)) {
+        RouteTable_noteNewer(this->spec.routes, 0);
+    }
     if (!this->is_copy_complete) {
         this->is_copy_complete = TRUE;
         ListCopy_startChanges(this->copy, end);
@@ -225,8 +227,10 @@
 catch_up(RouteSync_t *this, Member_t *from, StorePosition_t known,
          StorePosition_t end)
 {
-    CatchUp_noteBehind(this->catch_up, known, end,
-                       from ? from->name->str : NULL);
+    if (CatchUp_noteBehind(this->catch_up, known, end,
+                           from ? from->name->str : NULL)) {
+        RouteTable_noteNewer(this->spec.routes, Clock_nowMs());
+    }
     if (!from) {
         check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
         return;
@@ -297,6 +301,7 @@
 {
     RouteSync_t *this = owner;
     CatchUp_reset(this->catch_up);
+    RouteTable_noteNewer(this->spec.routes, 0);
     this->is_copy_complete = FALSE;
     RecordFollower_beginEpoch(this->follower, spread_ms(this));
     ListExchange_startQueries(this->exchange);
--- a/src/RouteTable.c
+++ b/src/RouteTable.c
@@ -5,6 +5,7 @@
 struct RouteTable {
     RouteConfig_t *config;
     gint64 current_ms; /* when config was last known to be the newest, or 0 */
+    gint64 newer_ms;   /* when a newer one became known to exist, or 0 */
 };
 
 RouteTable_t *
@@ -42,6 +43,31 @@
     this->current_ms = MAX(this->current_ms, at_ms);
 }
 
+void
+RouteTable_noteNewer(RouteTable_t *this, gint64 at_ms)
+{
+    this->newer_ms = at_ms;
+}
+
+/* A later proof that the version is the newest outweighs what peers said. */
+static gboolean
+is_newer_known(const RouteTable_t *this)
+{
+    return this->newer_ms > this->current_ms;
+}
+
+gboolean
+RouteTable_isNewest(const RouteTable_t *this, gint64 limit_ms)
+{
+    return !is_newer_known(this) && RouteTable_isFresh(this, limit_ms);
+}
+
+gboolean
+RouteTable_isOverdue(const RouteTable_t *this, gint64 limit_ms)
+{
+    return is_newer_known(this) && !RouteTable_isFresh(this, limit_ms);
+}
+
 RouteConfig_t *
 RouteTable_config(const RouteTable_t *this)
 {
--- a/src/RouteTable.h
+++ b/src/RouteTable.h
@@ -6,7 +6,8 @@
  * The version of the routes that this router has in force, and the age of the
  * knowledge that no newer version exists. The table never returns to an older
  * version. A request with a key is admitted only while that knowledge is
- * fresh, as the key may have been revoked since.
+ * fresh, as the key may have been revoked since. A version that is known, or
+ * likely, to be outdated is no reason to refuse a route or key as unknown.
  */
 #include "RouteConfig.h"
 
@@ -34,6 +35,22 @@
  */
 void RouteTable_noteCurrent(RouteTable_t *this, gint64 at_ms);
 
+/**
+ * RouteTable_noteNewer() - note that a newer version exists elsewhere
+ * @at_ms: monotonic time at which this became known; 0 if none exists any more
+ */
+void RouteTable_noteNewer(RouteTable_t *this, gint64 at_ms);
+
+/**
+ * RouteTable_isNewest() - whether no newer version is known to exist, and none
+ * has existed for longer than @limit_ms
+ */
+gboolean RouteTable_isNewest(const RouteTable_t *this, gint64 limit_ms);
+
+/** RouteTable_isOverdue() - whether a newer version is known to exist, and may
+ * have existed for longer than @limit_ms */
+gboolean RouteTable_isOverdue(const RouteTable_t *this, gint64 limit_ms);
+
 /** RouteTable_config() - the version in force, or NULL */
 RouteConfig_t *RouteTable_config(const RouteTable_t *this);
 
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -156,6 +156,13 @@
      "to be the newest longer ago than this; must be well below the time in "
      "which a revoked key must stop working.",
      KEY_LIVE},
+    {"config_change_limit", KEY_DURATION, FALSE, "3s", 100, HOUR_MS, NULL,
+     A(config_change_limit_ms),
+     "Time in which an accepted configuration must be in force. A router "
+     "whose "
+     "configuration may be outdated for longer refuses no route and key as "
+     "unknown, and nothing is served by one that is known to be.",
+     KEY_LIVE},
     {"reader_wait", KEY_DURATION, FALSE, "700ms", 10, HOUR_MS, NULL,
      A(reader_wait_ms),
      "How long the store may hold a read of the configuration by one of the "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -136,6 +136,8 @@
 
 /**
  * struct RelaySection_t - [relay], for platforms with routes
+ * @config_change_limit_ms: time in which an accepted configuration must be in
+ *     force
  * @config_max_age_ms: time since the configuration was last confirmed to be
  *     the newest, after which requests with a key are refused
  * @reader_wait_ms: how long the store may hold a read of the configuration by
@@ -160,6 +162,7 @@
  */
 typedef struct {
     gint64 config_max_age_ms;
+    gint64 config_change_limit_ms;
     gint64 reader_wait_ms;
     gint64 config_wait_ms;
     gint64 leaving_limit_ms;
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -41,6 +41,8 @@
  * takes longer to arrive. */
 #define ANNOUNCED_MS 350
 #define ANNOUNCE_INTERVAL_MS 30
+/* Longer than any test runs. */
+#define CHANGE_LIMIT_MS 60000
 #define LONG_RECORD_BYTES 200000
 #define LONG_ANSWERS_MAX 2
 
@@ -610,6 +612,34 @@
 }
 END_TEST
 
+/* An added route was refused as unknown by a router that knew of a newer
+ * configuration, but did not have it yet. */
+START_TEST(configuration_that_peers_have_replaced_is_not_the_newest)
+{
+    start_without_reads();
+    ck_assert(RouteTable_isNewest(routes, CHANGE_LIMIT_MS));
+    ck_assert(!RouteTable_isOverdue(routes, 0));
+    receive_current_from_peer(12);
+    ck_assert(!RouteTable_isNewest(routes, CHANGE_LIMIT_MS));
+    ck_assert(!RouteTable_isOverdue(routes, CHANGE_LIMIT_MS));
+    ck_assert(RouteTable_isOverdue(routes, 0));
+    receive_record(10, 12, "6", 11);
+    ck_assert(RouteTable_isNewest(routes, CHANGE_LIMIT_MS));
+    ck_assert(!RouteTable_isOverdue(routes, 0));
+    end();
+}
+END_TEST
+
+START_TEST(proof_after_a_peers_word_outweighs_it)
+{
+    start_without_reads();
+    receive_current_from_peer(12);
+    RouteTable_noteCurrent(routes, Clock_nowMs());
+    ck_assert(RouteTable_isNewest(routes, CHANGE_LIMIT_MS));
+    end();
+}
+END_TEST
+
 START_TEST(querying_peer_gets_the_newest_record_of_each_key)
 {
     start_without_reads();
@@ -766,6 +796,8 @@
              non_reader_makes_no_store_call_for_new_records,
              router_that_is_behind_queries_a_peer_then_the_store,
              record_on_its_way_is_not_queried_again,
+             configuration_that_peers_have_replaced_is_not_the_newest,
+             proof_after_a_peers_word_outweighs_it,
              querying_peer_gets_the_newest_record_of_each_key,
              few_long_records_are_sent_at_the_same_time,
              peer_at_the_same_offset_gets_no_answer,
