--- a/tests/FakeRates.c
+++ b/tests/FakeRates.c
@@ -19,6 +19,15 @@
 #define DELAY_SLOTS 4
 /* One message in this number is lost. */
 #define LOSS_ONE_IN 2000
+/* Time from a router's start until it has links to others, and until it takes
+ * those that it knows for all. */
+#define JOIN_MS 300
+#define CONVERGED_MS 1000
+/* A router that was not seen for this time is taken for gone. */
+#define EXPIRY_MS 10000
+#define SEARCH_INTERVAL_MS 100
+/* Routers whose addresses each router is started with. */
+#define SEED_COUNT 3
 /* Time within which all routers learn of a changed limit. */
 #define CONFIG_DELAY_MAX_MS 1000
 
@@ -38,6 +47,8 @@
     gint64 lag_ms;            /* delay of received messages */
     gint64 lag_until_ms;      /* end of the time with that delay */
     GPtrArray *inbox;         /* Message_t received but not yet handled */
+    gint64 started_ms;
+    gint64 seen_ms[FAKE_RATES_MAX]; /* when others were seen; 0 for never */
 } Node_t;
 
 typedef struct {
@@ -110,6 +121,56 @@
     return node->sim->now_ms < node->lag_until_ms;
 }
 
+/* Whether a router has another one in its membership. */
+static gboolean
+knows(const Node_t *node, guint64 id)
+{
+    gint64 seen_ms = node->seen_ms[id - 1];
+    return id == node->id || !node->sim->spec->forgets ||
+           (seen_ms > 0 && node->sim->now_ms - seen_ms < EXPIRY_MS);
+}
+
+static gboolean
+is_converged(const Node_t *node)
+{
+    return !node->sim->spec->forgets || node->started_ms == 0 ||
+           node->sim->now_ms - node->started_ms >= CONVERGED_MS;
+}
+
+static void
+find_others(Node_t *node)
+{
+    const Simulation_t *sim = node->sim;
+    if (!is_running(node) || sim->now_ms - node->started_ms < JOIN_MS) {
+        return;
+    }
+    for (guint i = 0; i < sim->spec->routers; i++) {
+        const Node_t *other = &sim->nodes[i];
+        if (is_running(other) && other->partition == node->partition &&
+            sim->now_ms - other->started_ms >= JOIN_MS) {
+            node->seen_ms[i] = sim->now_ms;
+        }
+    }
+}
+
+static void
+find_all_others(Simulation_t *sim)
+{
+    for (guint i = 0; i < sim->spec->routers; i++) {
+        find_others(&sim->nodes[i]);
+    }
+}
+
+static guint
+count_known(const Node_t *node)
+{
+    guint count = 0;
+    for (guint64 id = 1; id <= node->sim->spec->routers; id++) {
+        count += knows(node, id) ? 1 : 0;
+    }
+    return count;
+}
+
 static guint64
 weight_of(guint64 router)
 {
@@ -125,7 +186,11 @@
     (void)subject;
     const Node_t *this = owner;
     guint count = 0;
-    for (guint64 id = 1; id <= this->sim->spec->routers; id++) {
+    guint64 last = is_converged(this) ? this->sim->spec->routers : SEED_COUNT;
+    for (guint64 id = 1; id <= last; id++) {
+        if (is_converged(this) && !knows(this, id)) {
+            continue;
+        }
         guint at = count;
         while (at > 0 && weight_of(out[at - 1]) < weight_of(id)) {
             at--;
@@ -146,7 +211,7 @@
 static guint
 count_routers(void *owner)
 {
-    return ((Node_t *)owner)->sim->spec->routers;
+    return count_known(owner);
 }
 
 static guint
@@ -159,13 +224,18 @@
 draw_sample(void *owner, ReachSample_t *out)
 {
     const Node_t *this = owner;
-    out->others = this->sim->spec->routers - 1;
+    guint64 others[FAKE_RATES_MAX];
+    out->others = 0;
+    for (guint64 id = 1; id <= this->sim->spec->routers; id++) {
+        if (id != this->id && knows(this, id)) {
+            others[out->others++] = id;
+        }
+    }
     out->drawn = MIN(out->others, REACH_SAMPLE_MAX);
-    guint64 start = Random_below(out->others);
+    guint start = out->others > 0 ? Random_below(out->others) : 0;
     guint stride = out->others / MAX(out->drawn, 1);
     for (guint i = 0; i < out->drawn; i++) {
-        guint64 place = (start + i * stride) % out->others;
-        out->routers[i] = place + 1 < this->id ? place + 1 : place + 2;
+        out->routers[i] = others[(start + i * stride) % out->others];
     }
 }
 
@@ -434,6 +504,8 @@
         stop_router(node);
         start_router(node);
         node->down_until_ms = node->sim->now_ms + for_ms;
+        node->started_ms = node->down_until_ms;
+        memset(node->seen_ms, 0, sizeof(node->seen_ms));
     }
 }
 
@@ -487,9 +559,10 @@
     gboolean heals = sim->nodes[0].partition != sim->nodes[1].partition ||
                      Random_below(2) == 0;
     guint percent = 10 + Random_below(50);
+    gboolean alone = sim->spec->forgets && Random_below(2) == 0;
     for (guint i = 0; i < sim->spec->routers; i++) {
-        sim->nodes[i].partition =
-            !heals && Random_below(100) < percent ? 1 : 0;
+        gboolean cut_off = !heals && Random_below(100) < percent;
+        sim->nodes[i].partition = cut_off ? (alone ? i + 1 : 1) : 0;
     }
 }
 
@@ -562,6 +635,9 @@
         sim->now_ms = START_MS + ms;
         Clock_freeze(sim->now_ms * CLOCK_US_PER_MS);
         inject_faults(sim);
+        if (spec->forgets && ms % SEARCH_INTERVAL_MS == 0) {
+            find_all_others(sim);
+        }
         deliver_messages(sim);
         for (guint i = 0; i < spec->routers; i++) {
             run_router(&sim->nodes[i]);
--- a/tests/FakeRates.h
+++ b/tests/FakeRates.h
@@ -43,6 +43,9 @@
  * @lags: some routers handle messages late at random times, as with a busy
  *     processor
  * @changes: the limit is lowered and raised at random times
+ * @forgets: a router that starts knows no others and finds those it can reach;
+ *     a router that is unreachable for ten seconds is taken for gone. Some
+ *     partitions leave each router that they cut off alone
  * @is_upstream_limit: the limit is that of an upstream: each request costs one
  *     unit, and a router whose request was refused refuses further requests
  *     locally until the retry time of that refusal
@@ -61,6 +64,7 @@
     gboolean pauses;
     gboolean lags;
     gboolean changes;
+    gboolean forgets;
     gboolean is_upstream_limit;
 } FakeRatesSpec_t;
 
--- a/tests/test_RateKeeper.c
+++ b/tests/test_RateKeeper.c
@@ -238,6 +238,7 @@
 }
 
 static const guint fleet_sizes[] = {4, 24, 100, 300};
+static const guint partitioned_sizes[] = {4, 24, 69};
 static const double upstream_limits[] = {0.6, 1.7, 20};
 
 typedef struct {
@@ -307,6 +308,28 @@
 }
 END_TEST
 
+/* Parts of a partitioned network each admitted the whole limit: their routers
+ * had been started there, or had taken the others for gone. */
+START_TEST(an_upstreams_limit_is_enforced_by_routers_that_know_few_others)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(partitioned_sizes); i++) {
+        for (gsize k = 0; k < G_N_ELEMENTS(upstream_limits); k++) {
+            double per_s = upstream_limits[k];
+            FakeRatesSpec_t spec =
+                limited_upstream(partitioned_sizes[i], per_s);
+            spec.cuts = TRUE;
+            spec.kills = TRUE;
+            spec.forgets = TRUE;
+            UpstreamResult_t result = run_upstream(spec);
+            ck_assert_msg(result.max_in_4_s <= 6 * per_s + 5,
+                          "%u routers, per_s %.1f: %.0f", spec.routers, per_s,
+                          result.max_in_4_s);
+            ck_assert_double_ge(result.mean_fraction, 0.4);
+        }
+    }
+}
+END_TEST
+
 /* Without a count the limit is exceeded; with fixed shares most of it stays
  * unused. */
 START_TEST(an_upstreams_limit_needs_one_shared_count)
@@ -345,4 +368,5 @@
              an_upstream_gets_its_limit_and_no_more,
              an_upstreams_count_costs_few_messages,
              an_upstreams_limit_is_enforced_under_faults,
+             an_upstreams_limit_is_enforced_by_routers_that_know_few_others,
              an_upstreams_limit_needs_one_shared_count)
