--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -17,7 +17,7 @@
     "listen.control": "127.0.0.1:8783",
     "seeds": "127.0.0.1:8783,127.0.0.2:8783",
     "provider.address": "127.0.0.1:8784", "bounds.lease_ms": "3000",
-    "bounds.version_ms": "10000",
+    "bounds.version_ms": "10000", "bounds.config_apply_ms": "2000",
     "bounds.fencing_required": "true", "bounds.drain_ms": "2000",
     "bounds.retry_slack": "56",
 }
@@ -27,18 +27,23 @@
 # minimum and maximum for a team of any size.
 OTHER_FIGURES = (
     {"bounds.retry_slack": "33.1578947368421", "bounds.lease_ms": "3000.0",
-     "bounds.drain_ms": "2000.5", "bounds.version_ms": "1e4"},
+     "bounds.drain_ms": "2000.5", "bounds.version_ms": "1e4",
+     "bounds.config_apply_ms": "3000.0"},
     {"bounds.retry_slack": "", "bounds.lease_ms": "", "bounds.drain_ms": "",
-     "bounds.version_ms": "", "bounds.fencing_required": "", "seeds": ""},
+     "bounds.version_ms": "", "bounds.config_apply_ms": "",
+     "bounds.fencing_required": "", "seeds": ""},
     {"bounds.retry_slack": "0", "bounds.lease_ms": "500",
-     "bounds.drain_ms": "200", "bounds.version_ms": "3000"},
+     "bounds.drain_ms": "200", "bounds.version_ms": "3000",
+     "bounds.config_apply_ms": "500"},
     {"bounds.retry_slack": "100000", "bounds.lease_ms": "3600000",
-     "bounds.drain_ms": "3600000", "bounds.version_ms": "3600000"},
+     "bounds.drain_ms": "3600000", "bounds.version_ms": "3600000",
+     "bounds.config_apply_ms": "3600000"},
 )
 # Invalid values; the program must refuse each and name its key.
 INVALID_VALUES = {
     "bounds.retry_slack": "-1", "bounds.lease_ms": "0",
     "bounds.drain_ms": "soon", "bounds.version_ms": "1e30",
+    "bounds.config_apply_ms": "never",
     "bounds.fencing_required": "perhaps", "seeds": "nowhere",
 }
 PLATFORM_NAMES = (
