An outdated end of the operators' records is not passed on

A router that had a newer configuration passed on a peer's word that the records ended earlier, as of a later time, so that routers without it counted as current. Found by reading, while looking for what may make a configuration seem current; seen in no run. test_RouteSync.outdated_end_of_a_peer_is_not_relayed fails on the code before. A router passes on only the end that it knows itself.

--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -17,8 +17,9 @@
  * struct FreshnessRelayEvents_t - callbacks to the owner of the relay
  * @fresh: a peer reports that the topic ended at @end at the time @at_ms
  *     (monotonic). @from is the peer, valid during the call. Returns TRUE if
- *     this router has all records before @end. Only then is the update passed
- *     on, because routers that receive it ask this router for the records.
+ *     @end is the end that this router knows. Only then is the update passed
+ *     on: routers that receive it ask this router for the records, and must
+ * not count as current by an end that is outdated.
  * @version: returns the version of the configuration in force, which is sent
  *     along; 0 for none
  */
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -274,7 +274,7 @@
     else if (order < 0 && known.offset > 0) {
         catch_up(this, from, known, end);
     }
-    return order >= 0;
+    return order == 0;
 }
 
 /* Computed from the current membership, which is not known yet at the start.
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -434,6 +434,23 @@
 }
 END_TEST
 
+/* A router at the older end would count as current by it. */
+START_TEST(outdated_end_of_a_peer_is_not_relayed)
+{
+    begin_as(ROUTERS, TRUE);
+    start_at_ten();
+    FakeRouters_run(&routers, IDLE_MS);
+    receive_current(9, 0);
+    FakeRouters_run(&routers, IDLE_MS);
+    for (guint i = 0; i < routers.count; i++) {
+        const Wt__PeerMessage *message = FakeRouters_find(
+            &routers, i, WT__PEER_MESSAGE__BODY_CONFIG_CURRENT);
+        ck_assert(!message || message->config_current->offset == 10);
+    }
+    end();
+}
+END_TEST
+
 /* The readers may have departed or lost their links. */
 START_TEST(router_without_peer_updates_checks_the_store)
 {
@@ -789,6 +806,7 @@
              late_reply_to_held_read_reverts_nothing,
              late_reply_to_store_check_reverts_nothing,
              peer_that_is_behind_changes_nothing,
+             outdated_end_of_a_peer_is_not_relayed,
              router_without_peer_updates_checks_the_store,
              truncated_records_are_listed_again_and_nothing_reverts,
              newest_weights_version_is_used,
