--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -36,7 +36,6 @@
     RecordFollower_t *owner;
     gint64 sent_ms;
     guint list_step; /* of the follower when the call was sent */
-    gboolean lists;
     gboolean is_late;
 } FollowerCall_t;
 
@@ -338,7 +337,6 @@
     call->owner = this;
     call->sent_ms = Clock_nowMs();
     call->list_step = this->list_step;
-    call->lists = this->listing;
     g_hash_table_add(this->calls, call);
     return call;
 }
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -9,6 +9,7 @@
 #include "Log.h"
 #include "PeerAge.h"
 #include "Random.h"
+#include "RecordAnswers.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
 #include "RouteVersions.h"
@@ -43,11 +44,6 @@
 #define PEER_CATCH_UP_TIMEOUT_MS 600
 /* A reader has its own read open and leaves the records to it for longer. */
 #define READ_CATCH_UP_TIMEOUT_MS 1200
-/* Answers of more bytes are long. */
-#define LONG_ANSWER_BYTES 16384
-/* Long answers that are sent at the same time: with more of them, each would
- * take as long as all together. */
-#define LONG_ANSWERS_MAX 2
 
 struct RouteSync {
     RouteSyncSpec_t spec;
@@ -57,7 +53,7 @@
     RecordRelay_t *records;
     ListCopy_t *copy;
     ListExchange_t *exchange; /* lists from peers when many routers start */
-    GHashTable *newest;       /* key -> KeyedRecord_t, for answers to peers */
+    RecordAnswers_t *answers;
     struct event *tick;
     gint64 store_checked_ms;
     gint64 store_called_ms; /* when retry_delay_ms() last allowed a call */
@@ -67,21 +63,11 @@
     gboolean is_copy_complete; /* the copy has all records since the list */
 };
 
-static void
-store_newest(RouteSync_t *this, const KeyedRecord_t *record)
-{
-    KeyedRecord_t *stored = g_new0(KeyedRecord_t, 1);
-    stored->key = g_string_new(record->key->str);
-    stored->value = record->value ? g_bytes_ref(record->value) : NULL;
-    stored->position = record->position;
-    g_hash_table_replace(this->newest, stored->key->str, stored);
-}
-
 static void
 on_record(void *owner, const KeyedRecord_t *record)
 {
     RouteSync_t *this = owner;
-    store_newest(this, record);
+    RecordAnswers_store(this->answers, record);
     ListCopy_put(this->copy, record);
     if (!RecordFollower_isListing(this->follower)) {
         ListCopy_noteChange(this->copy, record);
@@ -408,8 +394,7 @@
     };
     this->versions = RouteVersions_create(base, &versions);
     this->catch_up = CatchUp_create(spec->counters);
-    this->newest =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, KeyedRecord_free);
+    this->answers = RecordAnswers_create(spec->membership);
     this->records =
         RecordRelay_create(spec->membership, spec->form->config_topic);
     create_copy(this, base);
@@ -443,7 +428,7 @@
     CatchUp_destroy(this->catch_up);
     RecordRelay_destroy(this->records);
     RouteVersions_destroy(this->versions);
-    g_hash_table_destroy(this->newest);
+    RecordAnswers_destroy(this->answers);
     event_free(this->tick);
     g_free(this);
 }
@@ -498,17 +483,6 @@
     this->is_from_peer = FALSE;
 }
 
-static gsize
-value_bytes(const GPtrArray *records)
-{
-    gsize bytes = 0;
-    for (guint i = 0; i < records->len; i++) {
-        const KeyedRecord_t *record = g_ptr_array_index(records, i);
-        bytes += record->value ? g_bytes_get_size(record->value) : 0;
-    }
-    return bytes;
-}
-
 /* Records are valid however late they are processed. The time at which they
  * were the newest is unknown if the message may have waited in this router. */
 void
@@ -530,37 +504,13 @@
     this->is_from_peer = TRUE;
     if (!RecordFollower_applyPeerRecords(this->follower, message->from, &page,
                                          at_ms)) {
-        CatchUp_noteUnused(this->catch_up, value_bytes(page.records));
+        CatchUp_noteUnused(this->catch_up,
+                           RecordAnswers_countBytes(page.records));
     }
     this->is_from_peer = FALSE;
     g_ptr_array_unref(page.records);
 }
 
-static gint
-compare_offsets(gconstpointer a, gconstpointer b)
-{
-    const KeyedRecord_t *left = *(KeyedRecord_t *const *)a;
-    const KeyedRecord_t *right = *(KeyedRecord_t *const *)b;
-    return StorePosition_compare(left->position, right->position);
-}
-
-static GPtrArray *
-newest_from(const RouteSync_t *this, StorePosition_t from)
-{
-    GPtrArray *found = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, this->newest);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const KeyedRecord_t *record = value;
-        if (StorePosition_compare(record->position, from) >= 0) {
-            g_ptr_array_add(found, value);
-        }
-    }
-    g_ptr_array_sort(found, compare_offsets);
-    return found;
-}
-
 /* Sends records that the store has lost and only routers still have. */
 static void
 send_lost_records(const RouteSync_t *this, Member_t *from,
@@ -573,34 +523,6 @@
     g_ptr_array_unref(records);
 }
 
-static guint
-count_long_answers(const RouteSync_t *this)
-{
-    const GPtrArray *members = Membership_members(this->spec.membership);
-    guint count = 0;
-    for (guint i = 0; i < members->len; i++) {
-        const Member_t *member = g_ptr_array_index(members, i);
-        count += member->link && PeerLink_isSending(member->link) ? 1 : 0;
-    }
-    return count;
-}
-
-static gboolean
-may_send(const RouteSync_t *this, const Member_t *to, const GPtrArray *records)
-{
-    gsize bytes = value_bytes(records);
-    guint others = count_long_answers(this);
-    if (bytes <= LONG_ANSWER_BYTES || others < LONG_ANSWERS_MAX) {
-        return TRUE;
-    }
-    Log_begin(LOG_LEVEL_INFO, "config_query_put_off");
-    Log_text("router", to->name->str);
-    Log_number("bytes", (gint64)bytes);
-    Log_number("long_answers", others);
-    Log_end();
-    return FALSE;
-}
-
 /* A router that knows no more, or is busy, sends no answer; the requester
  * queries another one. */
 void
@@ -619,10 +541,11 @@
         age_ms == G_MAXINT64) {
         return;
     }
-    GPtrArray *records = newest_from(this, requested_from);
-    if (may_send(this, from, records)) {
+    GPtrArray *records =
+        RecordAnswers_list(this->answers, requested_from, from);
+    if (records) {
         RecordRelay_sendAnswer(this->records, from, message->from, records,
                                known, now_ms - age_ms);
+        g_ptr_array_unref(records);
     }
-    g_ptr_array_unref(records);
 }
