The soak learns slow stores and long configurations

Its lines show continued streams whose answer has no frame and ended between two events (answer_close_delimited end=closed pending_bytes=0) while engines were killed, as the check of other answers allows since; the check of continued streams makes the same allowance now.

--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -17,8 +17,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
-from fleet import (CUSTOMERS, RANKED_ROUTES, Fleet,  # noqa: E402
-                   SuspendableClock, is_framed, read_parts)
+from fleet import (CUSTOMERS, RANKED_ROUTES, ROUTES, Fleet,  # noqa: E402
+                   SuspendableClock, is_framed, read_parts, route)
 from links import Links  # noqa: E402
 
 ROUTERS = 3
@@ -96,6 +96,13 @@
 BREAKING = 4
 BREAKING_S = (0.3, 1.5)
 BREAK_PAUSE_S = (0.5, 2.0)
+# Delays of a slow store's answers: less and more than its timeout.
+STORE_DELAYS_S = (0.8, 1.2, 2.4)
+# Routes of a long configuration, the rate at which its record arrives, and how
+# long it stays.
+LONG_ROUTES = 700
+LONG_BYTES_PER_S = 150000
+LONG_CONFIG_S = 2.0
 CONNECTION_ERRORS = (OSError, http.client.HTTPException)
 
 
@@ -200,6 +207,7 @@
         count = events.count(b"\n\n")
         if count == 0:
             return
+        cutting_changes = self.cutting_changes
         try:
             response = self.fleet.request(
                 rng.choice(self.routers), "/ask/x", key=key, wait_ms=8000,
@@ -214,6 +222,8 @@
                                         str(response.status)))
             return
         self.count("continued: " + ("whole" if whole else "cut"))
+        whole = whole and not self.may_be_cut(is_framed(response),
+                                              cutting_changes)
         if not self.is_of_one_version(events + rest, whole):
             self.violate("%s went on as %r" % (name, (events + rest)[:300]),
                          name + "-again")
@@ -260,16 +270,19 @@
               and break_changes % 2 == 0):
             self.violate("%s was cut by nothing that breaks a stream" % name,
                          name)
-        # An engine that dies between two events ends an answer without a frame
-        # as if it were whole.
-        may_be_cut = not framed and (cutting_changes != self.cutting_changes
-                                     or cutting_changes % 2 == 1)
+        may_be_cut = self.may_be_cut(framed, cutting_changes)
         self.check_answer(path, name, status, body, whole and not may_be_cut,
                           framed)
         if path == "/ask/x" and status == 200 and not whole:
             self.continue_stream(rng, name, key, body)
         return wait_s
 
+    def may_be_cut(self, framed, cutting_changes):
+        """An engine that dies between two events ends an answer without a
+        frame as if it were whole."""
+        return not framed and (cutting_changes != self.cutting_changes
+                               or cutting_changes % 2 == 1)
+
     def send_burst(self):
         """Sends many urgent requests at once; refused ones return once."""
         first = self.counts["fault burst"] * 10 ** 9
@@ -327,6 +340,7 @@
                                 "store", "kill", "term", "freeze", "hup",
                                 "leave", "weights", "config", "revoke",
                                 "lapse", "silence", "deadly", "suspend",
+                                "slow store", "long config",
                                 "older", "older twice"]
                                + ["burst"] * 8 * self.partitioned)
         self.count("fault " + kind)
@@ -351,6 +365,11 @@
         elif kind == "store":
             self.set_temporarily(self.fleet.store, "down", True, False,
                                  hold * 2)
+        elif kind == "slow store":
+            self.set_temporarily(self.fleet.store, "answer_s",
+                                 rng.choice(STORE_DELAYS_S), 0, hold * 3)
+        elif kind == "long config":
+            self.write_long_config()
         elif kind in ("kill", "term"):
             self.restart_router(index, signal.SIGKILL if kind == "kill"
                                 else signal.SIGTERM)
@@ -570,6 +589,20 @@
             routes = RANKED_ROUTES if self.partitioned else None
             self.fleet.config(routes=routes, customers=customers)
 
+    def write_long_config(self):
+        """Writes a configuration whose record takes longer to read than a
+        router waits for the first byte, and a change right after it."""
+        routes = RANKED_ROUTES if self.partitioned else ROUTES
+        more = [route("more%d" % i, "/more/%d/" % i, "idempotent", "plain")
+                for i in range(LONG_ROUTES)]
+        self.fleet.store.bytes_per_s = LONG_BYTES_PER_S
+        with self.store_lock:
+            self.fleet.config(routes=routes + more)
+            self.fleet.config(routes=routes + more[1:])
+        time.sleep(LONG_CONFIG_S)
+        self.fleet.store.bytes_per_s = None
+        self.write_config()
+
     @staticmethod
     def set_temporarily(target, name, on, off, hold):
         setattr(target, name, on)
