--- a/src/CatchUp.c
+++ b/src/CatchUp.c
@@ -16,9 +16,9 @@
     gint64 queried_ms; /* when it was queried */
     StorePosition_t peer_end; /* furthest end received from peers */
     gint64 since_ms;          /* since when peers know more; 0 if not */
-    guint queries;            /* of these, since since_ms */
-    guint store_reads;
-    gsize unused_bytes;
+    guint queries;            /* to peers since then */
+    guint store_reads;        /* since then */
+    gsize unused_bytes;       /* received since then */
 };
 
 CatchUp_t *
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -375,8 +375,7 @@
     }
 }
 
-/* Keeps a call whose answer is late open. Returns FALSE if the call has ended.
- */
+/* Returns whether the call is reported as late now, and remains open. */
 static gboolean
 note_late(FollowerCall_t *call, const GError *error)
 {
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -110,8 +110,7 @@
     {"log_timeout", KEY_DURATION, FALSE, "2s", 10, HOUR_MS, NULL,
      P(log_timeout_ms),
      "How long an answer of the log may take. A read of the users' platform "
-     "is "
-     "repeated after that, and its late answer is used all the same."},
+     "is repeated after that, and its late answer is used all the same."},
     {"log_poll", KEY_DURATION, FALSE, "10s", 10, HOUR_MS, NULL, P(log_poll_ms),
      "How long the log may hold a read until there are new records."},
     {"instances_poll", KEY_DURATION, FALSE, "500ms", 10, HOUR_MS, NULL,
@@ -159,9 +158,8 @@
     {"config_change_limit", KEY_DURATION, FALSE, "3s", 100, HOUR_MS, NULL,
      A(config_change_limit_ms),
      "Time in which an accepted configuration must be in force. A router "
-     "whose "
-     "configuration may be outdated for longer refuses no route and key as "
-     "unknown, and nothing is served by one that is known to be.",
+     "whose configuration may be outdated for longer refuses no route and key "
+     "as unknown, and nothing is served by one that is known to be.",
      KEY_LIVE},
     {"reader_wait", KEY_DURATION, FALSE, "700ms", 10, HOUR_MS, NULL,
      A(reader_wait_ms),
--- a/src/StoredRecords.c
+++ b/src/StoredRecords.c
@@ -77,7 +77,7 @@
 {
     StoredRecords_t *this = data;
     if (g_error_matches(error, WT_ERROR, WT_ERROR_LATE)) {
-        return; /* nothing depends on when the records arrive */
+        return; /* the call continues */
     }
     if (!page) {
         log_failure(this, this->spec.events->unread, error);
