--- a/src/CatchUp.h
+++ b/src/CatchUp.h
@@ -37,7 +37,7 @@
                             StorePosition_t end, const char *peer);
 
 /** CatchUp_notePosition() - this router has all records before @known; returns
- * whether it was behind and is no longer */
+ * whether this ends the time in which it lacks records */
 gboolean CatchUp_notePosition(CatchUp_t *this, StorePosition_t known);
 
 /** CatchUp_noteQuery() - a peer was queried for the records
--- a/src/RateLocalCounts.c
+++ b/src/RateLocalCounts.c
@@ -75,7 +75,7 @@
 }
 
 /* Parts of a partitioned network share what an exact limit admits, also where
- * they no longer know each other. */
+ * their memberships hold only their own routers. */
 static double
 exact_reach(const RateLocalCounts_t *this)
 {
