--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 export PYTHONDONTWRITEBYTECODE=1
-for script in review/lib/*.py review/[0-9]/*.py; do
+for script in review/*.py review/[0-9]/*.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$script"
 done
 test -x target/wheattiller || {
--- a/review/lib/clients.py
+++ b/review/clients.py
@@ -15,12 +15,15 @@
     def __init__(self, mbit_per_s):
         self.bytes_per_s = mbit_per_s * 1e6 / 8
         self.free_at = 0
+        self.longest_wait_s = 0
         self.lock = threading.Lock()
 
     def take(self, size):
         with self.lock:
-            start = max(self.free_at, time.monotonic())
+            now = time.monotonic()
+            start = max(self.free_at, now)
             self.free_at = start + size / self.bytes_per_s
+            self.longest_wait_s = max(self.longest_wait_s, start - now)
         time.sleep(max(start - time.monotonic(), 0))
 
     def blocks(self, body):
--- a/review/lib/deployment.py
+++ b/review/deployment.py
@@ -18,8 +18,8 @@
 
 import template
 
-LIB = os.path.dirname(os.path.abspath(__file__))
-ROOT = os.path.dirname(os.path.dirname(LIB))
+REVIEW = os.path.dirname(os.path.abspath(__file__))
+ROOT = os.path.dirname(REVIEW)
 ZONES = ["kochi-a", "kochi-b", "tvm-a", "kollam-a"]
 REGION = "kerala-south"
 SETTINGS_PATH = "/etc/wheattiller/settings.yaml"
@@ -103,7 +103,7 @@
 
 
 def standin(script, *arguments, on_line=None):
-    return Process([sys.executable, os.path.join(LIB, script),
+    return Process([sys.executable, os.path.join(REVIEW, script),
                     *map(str, arguments)], on_line)
 
 
