What a peer says is dated by the receiver's own clock

An age counted from the arrival of its message plus 50 ms, whatever the message had waited for: a long record before it on the same connection, the network, a busy sender.

Each message on a link now carries when it was sent by its sender's clock, and the smallest difference that the sender has measured between its clock at the arrival of a message and the time in it. That is at least the difference of the clocks, so the receiver knows the earliest time of its own clock at which the message can have been sent. It needs no message more, and some 10 bytes in each. All users of PeerAge take it: ends and records of both topics, pages of lists, ends of engines and parts, and load reports in gossip. peer_late, peer_on_time and peer_late_messages_total tell when it mattered.

A build before ignores the field; what it sends is dated as it was.

--- a/src/CrashGuard.c
+++ b/src/CrashGuard.c
@@ -548,10 +548,11 @@
 }
 
 void
-CrashGuard_receive(CrashGuard_t *this, const Wt__CrashNews *message)
+CrashGuard_receive(CrashGuard_t *this, const Wt__CrashNews *message,
+                   gint64 transit_ms)
 {
-    CrashUpdates_receive(this->updates, message);
-    PartGuard_receive(this->parts, message);
+    CrashUpdates_receive(this->updates, message, transit_ms);
+    PartGuard_receive(this->parts, message, transit_ms);
     if (message->complete) {
         on_records_known(this);
     }
--- a/src/CrashGuard.h
+++ b/src/CrashGuard.h
@@ -121,8 +121,10 @@
                              const Upstream_t *upstream, gint64 sent_ms,
                              gint64 began_ms);
 
-/** CrashGuard_receive() - apply a peer's message */
-void CrashGuard_receive(CrashGuard_t *this, const Wt__CrashNews *message);
+/** CrashGuard_receive() - apply a peer's message, sent at most @transit_ms ago
+ */
+void CrashGuard_receive(CrashGuard_t *this, const Wt__CrashNews *message,
+                        gint64 transit_ms);
 
 /** CrashGuard_syncPeer() - send all known crashes to a router that just
  * connected */
--- a/src/CrashUpdates.c
+++ b/src/CrashUpdates.c
@@ -240,9 +240,10 @@
 }
 
 static void
-receive_fact(CrashUpdates_t *this, const Wt__CrashFact *fact, gboolean forward)
+receive_fact(CrashUpdates_t *this, const Wt__CrashFact *fact,
+             gint64 transit_ms, gboolean forward)
 {
-    gint64 at_ms = PeerAge_atMs(fact->age_ms);
+    gint64 at_ms = PeerAge_atMs(fact->age_ms, transit_ms);
     CrashChange_t change = CrashUpdates_apply(this->table, fact, at_ms);
     if (change == CRASH_UNCHANGED) {
         return;
@@ -258,7 +259,8 @@
 /* In a full mesh each peer receives the message from its sender, so nothing is
  * forwarded. */
 void
-CrashUpdates_receive(CrashUpdates_t *this, const Wt__CrashNews *message)
+CrashUpdates_receive(CrashUpdates_t *this, const Wt__CrashNews *message,
+                     gint64 transit_ms)
 {
     gboolean forward = !Membership_isMesh(this->membership);
     for (size_t i = 0; i < message->n_alive; i++) {
@@ -268,6 +270,6 @@
         }
     }
     for (size_t i = 0; i < message->n_facts; i++) {
-        receive_fact(this, message->facts[i], forward);
+        receive_fact(this, message->facts[i], transit_ms, forward);
     }
 }
--- a/src/CrashUpdates.h
+++ b/src/CrashUpdates.h
@@ -56,8 +56,10 @@
 void CrashUpdates_syncPeer(CrashUpdates_t *this, Member_t *member,
                            gboolean records_known);
 
-/** CrashUpdates_receive() - apply a peer's message to the table */
-void CrashUpdates_receive(CrashUpdates_t *this, const Wt__CrashNews *message);
+/** CrashUpdates_receive() - apply a peer's message, sent at most @transit_ms
+ * ago, to the table */
+void CrashUpdates_receive(CrashUpdates_t *this, const Wt__CrashNews *message,
+                          gint64 transit_ms);
 
 /** CrashUpdates_encode() - convert an entry to a message; @out points into
  * @entry and @ids, which must outlive it */
--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -186,7 +186,7 @@
     if (FreshnessRelay_mayBeStale(this)) {
         return;
     }
-    gint64 at_ms = PeerAge_atMs(message->age_ms);
+    gint64 at_ms = PeerAge_atMs(message->age_ms, Member_transitMs(from));
     StorePosition_t end = {message->epoch, message->offset};
     if (at_ms > this->at_ms &&
         this->events->fresh(this->owner, from, end, at_ms)) {
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -202,9 +202,9 @@
  * weights have changed. */
 static gboolean
 apply_load_report(Upstream_t *upstream, const Wt__UpstreamFact *fact,
-                  gint64 now_ms)
+                  gint64 sent_ms)
 {
-    gint64 at_ms = now_ms - fact->age_ms;
+    gint64 at_ms = sent_ms - fact->age_ms;
     if (fact->incarnation != upstream->incarnation ||
         at_ms <= upstream->reported_at_ms) {
         return FALSE;
@@ -235,7 +235,7 @@
 }
 
 static void
-apply_upstream(Gossip_t *this, const Wt__UpstreamFact *fact)
+apply_upstream(Gossip_t *this, const Wt__UpstreamFact *fact, gint64 transit_ms)
 {
     Upstream_t *upstream = UpstreamSet_find(this->upstreams, fact->name);
     if (!upstream) {
@@ -247,7 +247,8 @@
     gboolean leaving =
         fact->leaving &&
         Upstream_noteLeaving(upstream, fact->incarnation, now_ms);
-    changed = apply_load_report(upstream, fact, now_ms) || changed;
+    changed =
+        apply_load_report(upstream, fact, now_ms - transit_ms) || changed;
     changed = apply_pause(upstream, fact, now_ms) || changed;
     if (leaving) {
         Log_begin(LOG_LEVEL_INFO, "upstream_leaving");
@@ -262,13 +263,13 @@
 }
 
 void
-Gossip_receive(Gossip_t *this, const Wt__Gossip *message)
+Gossip_receive(Gossip_t *this, const Wt__Gossip *message, gint64 transit_ms)
 {
     for (size_t i = 0; i < message->n_members; i++) {
         apply_member(this, message->members[i]);
     }
     for (size_t i = 0; i < message->n_upstreams; i++) {
-        apply_upstream(this, message->upstreams[i]);
+        apply_upstream(this, message->upstreams[i], transit_ms);
     }
 }
 
--- a/src/Gossip.h
+++ b/src/Gossip.h
@@ -61,8 +61,10 @@
 void Gossip_sendMembers(Gossip_t *this, const Member_t *to,
                         const GPtrArray *members);
 
-/** Gossip_receive() - apply the facts of a received message */
-void Gossip_receive(Gossip_t *this, const Wt__Gossip *message);
+/** Gossip_receive() - apply the facts of a message that was sent at most
+ * @transit_ms ago */
+void Gossip_receive(Gossip_t *this, const Wt__Gossip *message,
+                    gint64 transit_ms);
 
 /** Gossip_tick() - send queued facts and updates within the budget */
 void Gossip_tick(Gossip_t *this);
--- a/src/ListExchange.c
+++ b/src/ListExchange.c
@@ -328,7 +328,8 @@
     list_page.page.end = (StorePosition_t){page->epoch, page->end};
     list_page.page.more = page->more;
     gboolean applied = RecordFollower_applyPeerListPage(
-        this->follower, &cursor, &list_page, PeerAge_atMs(page->age_ms));
+        this->follower, &cursor, &list_page,
+        PeerAge_atMs(page->age_ms, Member_transitMs(from)));
     g_ptr_array_unref(list_page.page.records);
     count_page(this, applied ? "taken" : "passed_over");
     if (!applied) {
--- a/src/MemberTable.c
+++ b/src/MemberTable.c
@@ -31,6 +31,12 @@
     g_free(member);
 }
 
+gint64
+Member_transitMs(const Member_t *this)
+{
+    return this && this->link ? PeerLink_transitMs(this->link) : 0;
+}
+
 static gint
 compare_members(gconstpointer a, gconstpointer b)
 {
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -31,6 +31,7 @@
  * @sent_seq: updates up to this sequence number were sent over @link
  * @sampled_count: routers sent over @link as a sample
  * @link: open link, or NULL
+ * @is_late: messages over @link take long
  * @is_incoming: the router opened @link, and depends on updates from this one
  * @unreachable_until_ms: the router did not answer a datagram, and is sent
  * none before this time, monotonic
@@ -50,6 +51,7 @@
     guint64 sent_seq;
     guint sampled_count;
     PeerLink_t *link;
+    gboolean is_late;
     gboolean is_incoming;
     gint64 unreachable_until_ms;
 } Member_t;
@@ -70,6 +72,10 @@
     guint unlogged_joins;
 } MemberTable_t;
 
+/** Member_transitMs() - longest time in ms since the message of a router that
+ * is being handled was sent; 0 if it is not known, or without a link */
+gint64 Member_transitMs(const Member_t *this);
+
 /** MemberTable_create() - create a table that holds only this router */
 MemberTable_t *MemberTable_create(const char *name, const char *hall,
                                   guint64 incarnation);
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -8,6 +8,7 @@
 #include "Clock.h"
 #include "Errors.h"
 #include "Gossip.h"
+#include "Log.h"
 #include "MemberQueries.h"
 #include "Random.h"
 
@@ -40,6 +41,10 @@
 /* Idle time to convergence of a router that knows no other: its seeds may be
  * down, and connecting to distant ones takes longer. */
 #define ALONE_IDLE_MS 1000
+/* Time in transit from which a message is late, and below which messages are
+ * on time again. */
+#define LATE_MS 500
+#define ON_TIME_MS 250
 /* Heartbeats of all routers per HEARTBEAT_MS, each of which takes a share of
  * the budget; with more routers, each sends less often. */
 #define HEARTBEATS_PER_INTERVAL 16
@@ -248,6 +253,7 @@
         PeerLink_close(member->link);
     }
     member->link = link;
+    member->is_late = FALSE;
     note_callers(member, hello);
     member->is_incoming = !PeerLink_isOutgoing(link);
     member->last_seen_ms = Clock_nowMs();
@@ -271,6 +277,25 @@
     g_ptr_array_unref(unknown);
 }
 
+/* Logs once when the messages of a peer begin to take long, and once when they
+ * no longer do. */
+static void
+note_transit(const Membership_t *this, Member_t *from, gint64 transit_ms)
+{
+    gboolean is_late = transit_ms >= (from->is_late ? ON_TIME_MS : LATE_MS);
+    if (transit_ms >= LATE_MS) {
+        Counters_add(this->spec.counters, "peer_late_messages_total", NULL, 1);
+    }
+    if (is_late == from->is_late) {
+        return;
+    }
+    from->is_late = is_late;
+    Log_begin(LOG_LEVEL_INFO, is_late ? "peer_late" : "peer_on_time");
+    Log_text("router", from->name->str);
+    Log_number("transit_ms", transit_ms);
+    Log_end();
+}
+
 static void
 on_message(void *owner, PeerLink_t *link, const Wt__PeerMessage *message)
 {
@@ -283,8 +308,10 @@
     if (!from) {
         return;
     }
+    note_transit(this, from, PeerLink_transitMs(link));
     if (message->body_case == WT__PEER_MESSAGE__BODY_GOSSIP) {
-        Gossip_receive(this->gossip, message->gossip);
+        Gossip_receive(this->gossip, message->gossip,
+                       PeerLink_transitMs(link));
         return;
     }
     if (message->body_case == WT__PEER_MESSAGE__BODY_MEMBERS_ASK) {
--- a/src/PartGuard.c
+++ b/src/PartGuard.c
@@ -327,12 +327,13 @@
 }
 
 void
-PartGuard_receive(PartGuard_t *this, const Wt__CrashNews *message)
+PartGuard_receive(PartGuard_t *this, const Wt__CrashNews *message,
+                  gint64 transit_ms)
 {
     if (message->n_parts == 0 && message->n_alive == 0) {
         return;
     }
-    PartUpdates_receive(this->updates, message);
+    PartUpdates_receive(this->updates, message, transit_ms);
     PartTable_forEach(this->table, retract_entry, this);
     evaluate(this);
 }
--- a/src/PartGuard.h
+++ b/src/PartGuard.h
@@ -97,8 +97,10 @@
 /** PartGuard_retract() - an upstream is alive after all */
 void PartGuard_retract(PartGuard_t *this, guint64 crash);
 
-/** PartGuard_receive() - apply a peer's message */
-void PartGuard_receive(PartGuard_t *this, const Wt__CrashNews *message);
+/** PartGuard_receive() - apply a peer's message, sent at most @transit_ms ago
+ */
+void PartGuard_receive(PartGuard_t *this, const Wt__CrashNews *message,
+                       gint64 transit_ms);
 
 /** PartGuard_readRecord() - apply a stored quarantine */
 void PartGuard_readRecord(PartGuard_t *this, const Wt__CrashRecord *record);
--- a/src/PartUpdates.c
+++ b/src/PartUpdates.c
@@ -82,7 +82,7 @@
             .customer_hash = mark->customer,
             .request = mark->request,
             .place = mark->place,
-            .at_ms = PeerAge_atMs(mark->age_ms) - elapsed_ms,
+            .at_ms = PeerAge_atMs(mark->age_ms, elapsed_ms),
             .ran_ms = mark->ran_ms,
             .voided = mark->voided,
         };
@@ -242,10 +242,11 @@
 }
 
 static void
-receive_fact(PartUpdates_t *this, const Wt__PartFact *fact, gboolean forward)
+receive_fact(PartUpdates_t *this, const Wt__PartFact *fact, gint64 transit_ms,
+             gboolean forward)
 {
     RequestDigest_t digest;
-    if (!PartUpdates_apply(this->table, fact, 0, &digest)) {
+    if (!PartUpdates_apply(this->table, fact, transit_ms, &digest)) {
         return;
     }
     PartEntry_t *entry = PartTable_find(this->table, &digest);
@@ -261,10 +262,11 @@
 /* In a full mesh each peer receives the message from its sender, so nothing is
  * forwarded. */
 void
-PartUpdates_receive(PartUpdates_t *this, const Wt__CrashNews *message)
+PartUpdates_receive(PartUpdates_t *this, const Wt__CrashNews *message,
+                    gint64 transit_ms)
 {
     gboolean forward = !Membership_isMesh(this->membership);
     for (size_t i = 0; i < message->n_parts; i++) {
-        receive_fact(this, message->parts[i], forward);
+        receive_fact(this, message->parts[i], transit_ms, forward);
     }
 }
--- a/src/PartUpdates.h
+++ b/src/PartUpdates.h
@@ -47,12 +47,15 @@
  */
 void PartUpdates_syncPeer(const PartUpdates_t *this, Member_t *member);
 
-/** PartUpdates_receive() - apply a peer's message to the table */
-void PartUpdates_receive(PartUpdates_t *this, const Wt__CrashNews *message);
+/** PartUpdates_receive() - apply a peer's message, sent at most @transit_ms
+ * ago, to the table */
+void PartUpdates_receive(PartUpdates_t *this, const Wt__CrashNews *message,
+                         gint64 transit_ms);
 
 /**
  * PartUpdates_apply() - add the crashes of a message to a table
- * @elapsed_ms: time since the ages of the message were taken
+ * @elapsed_ms: longest time since the ages of the message were taken; 0 if it
+ *     is not known
  * @out: digest of the part; set if TRUE is returned
  *
  * Return: whether that has changed the table
--- a/src/PeerAge.c
+++ b/src/PeerAge.c
@@ -9,7 +9,7 @@
 }
 
 gint64
-PeerAge_atMs(guint32 age_ms)
+PeerAge_atMs(guint32 age_ms, gint64 transit_ms)
 {
-    return Clock_nowMs() - age_ms - PEER_TRANSIT_MAX_MS;
+    return Clock_nowMs() - age_ms - MAX(transit_ms, PEER_TRANSIT_MIN_MS);
 }
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "LinkClock.h"
 #include "PeerMac.h"
 
 #define HEADER_BYTES (sizeof(guint32) + PEER_MAC_BYTES)
@@ -27,6 +28,8 @@
     gboolean outgoing;
     gint64 received_ms; /* when bytes were last received; 0 for never */
     gint64 sent_ms; /* when bytes were last sent, or the output last began */
+    LinkClock_t clock;
+    gint64 transit_ms; /* of the message being handled, at most */
 };
 
 static void
@@ -72,6 +75,8 @@
     if (!message) {
         return FALSE;
     }
+    this->transit_ms =
+        LinkClock_receive(&this->clock, message->time, Clock_nowMs());
     this->events->message(this->owner, this, message);
     wt__peer_message__free_unpacked(message, NULL);
     return TRUE;
@@ -138,6 +143,7 @@
     this->key = g_bytes_ref(key);
     this->events = events;
     this->owner = owner;
+    LinkClock_init(&this->clock, Clock_nowMs());
     bufferevent_setcb(this->stream, on_read, NULL, on_event, this);
     evbuffer_add_cb(bufferevent_get_output(this->stream), on_output, this);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
@@ -174,11 +180,15 @@
 gsize
 PeerLink_send(PeerLink_t *this, const Wt__PeerMessage *message)
 {
-    gsize size = wt__peer_message__get_packed_size(message);
+    Wt__LinkTime time;
+    Wt__PeerMessage stamped = *message;
+    LinkClock_stamp(&this->clock, Clock_nowMs(), &time);
+    stamped.time = &time;
+    gsize size = wt__peer_message__get_packed_size(&stamped);
     g_autofree guint8 *frame = g_malloc(HEADER_BYTES + size);
     guint32 length = htonl((guint32)size);
     memcpy(frame, &length, sizeof(length));
-    wt__peer_message__pack(message, frame + HEADER_BYTES);
+    wt__peer_message__pack(&stamped, frame + HEADER_BYTES);
     PeerMac_compute(this->key, frame + HEADER_BYTES, size,
                     frame + sizeof(length));
     bufferevent_write(this->stream, frame, HEADER_BYTES + size);
@@ -205,6 +215,12 @@
            Clock_nowMs() - this->sent_ms < STALL_MS;
 }
 
+gint64
+PeerLink_transitMs(const PeerLink_t *this)
+{
+    return this->transit_ms;
+}
+
 gboolean
 PeerLink_isOutgoing(const PeerLink_t *this)
 {
--- a/src/PeerLink.h
+++ b/src/PeerLink.h
@@ -59,6 +59,10 @@
  * has taken some of it lately */
 gboolean PeerLink_isSending(const PeerLink_t *this);
 
+/** PeerLink_transitMs() - longest time in ms since the message that is being
+ * handled was sent; 0 if it is not known (LinkClock.h) */
+gint64 PeerLink_transitMs(const PeerLink_t *this);
+
 /** PeerLink_isOutgoing() - whether this router opened the connection */
 gboolean PeerLink_isOutgoing(const PeerLink_t *this);
 
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -500,7 +500,7 @@
     KeyedPage_t page = RecordRelay_decode(message);
     gint64 at_ms = FreshnessRelay_mayBeStale(this->relay)
                        ? 0
-                       : PeerAge_atMs(message->age_ms);
+                       : PeerAge_atMs(message->age_ms, Member_transitMs(from));
     this->is_from_peer = TRUE;
     if (!RecordFollower_applyPeerRecords(this->follower, message->from, &page,
                                          at_ms)) {
--- a/src/Router.c
+++ b/src/Router.c
@@ -93,7 +93,8 @@
 {
     Router_t *this = data;
     if (message->body_case == WT__PEER_MESSAGE__BODY_CRASH_NEWS) {
-        CrashGuard_receive(this->context.crashes, message->crash_news);
+        CrashGuard_receive(this->context.crashes, message->crash_news,
+                           Member_transitMs(from));
     }
     else if (message->body_case == WT__PEER_MESSAGE__BODY_NOTICE_NEWS) {
         UpstreamNotices_receive(this->context.notices, message->notice_news);
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -649,7 +649,8 @@
     }
     KeyedPage_t page = RecordRelay_decode(message);
     if (message->regained_age_ms > 0) {
-        gint64 restored_ms = PeerAge_atMs(message->regained_age_ms);
+        gint64 restored_ms =
+            PeerAge_atMs(message->regained_age_ms, Member_transitMs(from));
         this->restored_ms = MAX(this->restored_ms, restored_ms);
     }
     if (StorePosition_compare(page.end, this->peer_end) > 0) {
@@ -657,7 +658,9 @@
     }
     this->is_from_peer = TRUE;
     this->sender = from;
-    gint64 at_ms = message->partial ? 0 : PeerAge_atMs(message->age_ms);
+    gint64 at_ms = message->partial
+                       ? 0
+                       : PeerAge_atMs(message->age_ms, Member_transitMs(from));
     gboolean applied = RecordFollower_applyPeerRecords(
         this->follower, message->from, &page, at_ms);
     this->sender = NULL;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1672,6 +1672,51 @@
   assert(message->base.descriptor == &wt__software_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__link_time__init
+                     (Wt__LinkTime         *message)
+{
+  static const Wt__LinkTime init_value = WT__LINK_TIME__INIT;
+  *message = init_value;
+}
+size_t wt__link_time__get_packed_size
+                     (const Wt__LinkTime *message)
+{
+  assert(message->base.descriptor == &wt__link_time__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__link_time__pack
+                     (const Wt__LinkTime *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__link_time__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__link_time__pack_to_buffer
+                     (const Wt__LinkTime *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__link_time__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__LinkTime *
+       wt__link_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__LinkTime *)
+     protobuf_c_message_unpack (&wt__link_time__descriptor,
+                                allocator, len, data);
+}
+void   wt__link_time__free_unpacked
+                     (Wt__LinkTime *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__link_time__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -4995,7 +5040,71 @@
   (ProtobufCMessageInit) wt__software_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[24] =
+static const ProtobufCFieldDescriptor wt__link_time__field_descriptors[3] =
+{
+  {
+    "sent_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__LinkTime, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_heard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__LinkTime, has_heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__LinkTime, ahead_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__link_time__field_indices_by_name[] = {
+  2,   /* field[2] = ahead_ms */
+  1,   /* field[1] = has_heard */
+  0,   /* field[0] = sent_ms */
+};
+static const ProtobufCIntRange wt__link_time__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__link_time__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.LinkTime",
+  "LinkTime",
+  "Wt__LinkTime",
+  "wt",
+  sizeof(Wt__LinkTime),
+  3,
+  wt__link_time__field_descriptors,
+  wt__link_time__field_indices_by_name,
+  1,  wt__link_time__number_ranges,
+  (ProtobufCMessageInit) wt__link_time__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[25] =
 {
   {
     "hello",
@@ -5285,6 +5394,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "time",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wt__PeerMessage, time),
+    &wt__link_time__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -5309,13 +5430,14 @@
   12,   /* field[12] = place_news */
   15,   /* field[15] = rate_answer */
   14,   /* field[14] = rate_ask */
+  24,   /* field[24] = time */
   13,   /* field[13] = topic_ask */
   9,   /* field[9] = topic_part */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -5325,7 +5447,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  24,
+  25,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -54,6 +54,7 @@
 typedef struct Wt__OriginAsk Wt__OriginAsk;
 typedef struct Wt__OriginAnswer Wt__OriginAnswer;
 typedef struct Wt__SoftwareRecord Wt__SoftwareRecord;
+typedef struct Wt__LinkTime Wt__LinkTime;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -1028,6 +1029,33 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * By the sender's clock of the link, which counts ms from when the sender
+ * opened or accepted the link.
+ */
+struct  Wt__LinkTime
+{
+  ProtobufCMessage base;
+  /*
+   * When the message was queued.
+   */
+  uint64_t sent_ms;
+  /*
+   * A message of the receiver was heard.
+   */
+  protobuf_c_boolean has_heard;
+  /*
+   * Of the messages of the receiver that were heard lately: the smallest
+   * difference between when one was handled by this clock and when it was sent
+   * by the receiver's clock.
+   */
+  int64_t ahead_ms;
+};
+#define WT__LINK_TIME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__link_time__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -1060,6 +1088,7 @@
 struct  Wt__PeerMessage
 {
   ProtobufCMessage base;
+  Wt__LinkTime *time;
   Wt__PeerMessage__BodyCase body_case;
   union {
     Wt__Hello *hello;
@@ -1090,7 +1119,7 @@
 };
 #define WT__PEER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__peer_message__descriptor) \
-    , WT__PEER_MESSAGE__BODY__NOT_SET, {0} }
+    , NULL, WT__PEER_MESSAGE__BODY__NOT_SET, {0} }
 
 
 /* Wt__Hello methods */
@@ -1796,6 +1825,25 @@
 void   wt__software_record__free_unpacked
                      (Wt__SoftwareRecord *message,
                       ProtobufCAllocator *allocator);
+/* Wt__LinkTime methods */
+void   wt__link_time__init
+                     (Wt__LinkTime         *message);
+size_t wt__link_time__get_packed_size
+                     (const Wt__LinkTime   *message);
+size_t wt__link_time__pack
+                     (const Wt__LinkTime   *message,
+                      uint8_t             *out);
+size_t wt__link_time__pack_to_buffer
+                     (const Wt__LinkTime   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__LinkTime *
+       wt__link_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__link_time__free_unpacked
+                     (Wt__LinkTime *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -1928,6 +1976,9 @@
 typedef void (*Wt__SoftwareRecord_Closure)
                  (const Wt__SoftwareRecord *message,
                   void *closure_data);
+typedef void (*Wt__LinkTime_Closure)
+                 (const Wt__LinkTime *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -1978,6 +2029,7 @@
 extern const ProtobufCMessageDescriptor wt__origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__software_record__descriptor;
+extern const ProtobufCMessageDescriptor wt__link_time__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
