Routers send each other what has changed in a record, not the record

The configuration is one record, which grows with the number of routes, and a change of one route was passed on as all of it: 0.87 MB to each router, several times.

A router now keeps the last long records that were replaced, 4 MB at the most, and sends a value as a zstd frame whose prefix is the value that the receiver has; whole values are compressed too. A patch of up to 4 KB is broadcast; a longer one is queried for. A router that is busy says so, and another peer that has the records is queried at once. Each value is checked by length and hash.

A build before ignores TopicPatch and the field 'patches' of a query: it is told of the new end as it was, asks, and gets the whole record.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The two commands of the README are `make demo` and `make test`.
 PACKAGES = gcc make meson ninja-build pkg-config libevent-dev \
 	libprotobuf-c-dev libglib2.0-dev libxxhash-dev libsodium-dev \
-	libjansson-dev check libsubunit-dev python3
+	libjansson-dev libzstd-dev check libsubunit-dev python3
 LINT_PACKAGES = clang-format clang-tidy cppcheck
 FUZZ_PACKAGES = clang libclang-rt-14-dev
 HAND_WRITTEN = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] \
--- a/src/CatchUp.c
+++ b/src/CatchUp.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "Random.h"
 
 /* Time in which a peer begins to send its answer, unless it has none. */
 #define ANSWER_WAIT_MS 500
@@ -15,6 +16,7 @@
     GString *queried;  /* peer whose answer is awaited; empty for none */
     gint64 queried_ms; /* when it was queried */
     StorePosition_t peer_end; /* furthest end received from peers */
+    GPtrArray *sources;       /* names of the peers that told of it last */
     gint64 since_ms;          /* since when peers know more; 0 if not */
     guint queries;            /* to peers since then */
     guint store_reads;        /* since then */
@@ -27,6 +29,7 @@
     CatchUp_t *this = g_new0(CatchUp_t, 1);
     this->counters = counters;
     this->queried = g_string_new(NULL);
+    this->sources = g_ptr_array_new_with_free_func(g_free);
     return this;
 }
 
@@ -34,6 +37,7 @@
 CatchUp_destroy(CatchUp_t *this)
 {
     g_string_free(this->queried, TRUE);
+    g_ptr_array_unref(this->sources);
     g_free(this);
 }
 
@@ -43,6 +47,7 @@
     this->peer_end = (StorePosition_t){0};
     this->since_ms = 0;
     g_string_truncate(this->queried, 0);
+    g_ptr_array_set_size(this->sources, 0);
 }
 
 static void
@@ -60,6 +65,21 @@
     Log_end();
 }
 
+static gboolean
+find_source(const CatchUp_t *this, const char *peer, guint *out)
+{
+    return g_ptr_array_find_with_equal_func(this->sources, peer, g_str_equal,
+                                            out);
+}
+
+static void
+add_source(CatchUp_t *this, const char *peer)
+{
+    if (!find_source(this, peer, NULL)) {
+        g_ptr_array_add(this->sources, g_strdup(peer));
+    }
+}
+
 gboolean
 CatchUp_noteBehind(CatchUp_t *this, StorePosition_t known, StorePosition_t end,
                    const char *peer)
@@ -67,6 +87,10 @@
     gboolean is_further = StorePosition_compare(end, this->peer_end) > 0;
     if (is_further) {
         this->peer_end = end;
+        g_ptr_array_set_size(this->sources, 0);
+    }
+    if (peer && StorePosition_compare(end, this->peer_end) == 0) {
+        add_source(this, peer);
     }
     if (this->since_ms == 0) {
         begin(this, known, end, peer);
@@ -122,6 +146,24 @@
            Clock_nowMs() - this->queried_ms < limit_ms;
 }
 
+void
+CatchUp_noteRefusal(CatchUp_t *this, const char *peer)
+{
+    guint at = 0;
+    CatchUp_noteAnswer(this, peer);
+    if (find_source(this, peer, &at)) {
+        g_ptr_array_remove_index(this->sources, at);
+    }
+}
+
+const char *
+CatchUp_nextSource(const CatchUp_t *this)
+{
+    guint count = this->since_ms > 0 ? this->sources->len : 0;
+    return count > 0 ? g_ptr_array_index(this->sources, Random_below(count))
+                     : NULL;
+}
+
 void
 CatchUp_noteStoreRead(CatchUp_t *this)
 {
--- a/src/CatchUp.h
+++ b/src/CatchUp.h
@@ -59,6 +59,15 @@
  */
 gboolean CatchUp_isTransferring(const CatchUp_t *this, gboolean is_receiving);
 
+/** CatchUp_noteRefusal() - a peer does not answer the query; another one may
+ * be queried
+ * @peer: name of the peer */
+void CatchUp_noteRefusal(CatchUp_t *this, const char *peer);
+
+/** CatchUp_nextSource() - name of a peer that is known to have all records and
+ * has not refused to send them, or NULL */
+const char *CatchUp_nextSource(const CatchUp_t *this);
+
 /** CatchUp_noteStoreRead() - the store was read for the records */
 void CatchUp_noteStoreRead(CatchUp_t *this);
 
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -67,6 +67,18 @@
 }
 
 /* Sends to one router, or to all linked routers if @member is NULL. */
+static void
+send_message(const RecordRelay_t *this, Member_t *member,
+             const Wt__PeerMessage *message)
+{
+    if (member) {
+        Membership_send(this->membership, member, message);
+    }
+    else {
+        Membership_broadcast(this->membership, message);
+    }
+}
+
 static void
 send_part(const RecordRelay_t *this, Member_t *member, Wt__TopicPart *part,
           const GPtrArray *records)
@@ -85,12 +97,53 @@
     part->records = pointers;
     message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_PART;
     message.topic_part = part;
-    if (member) {
-        Membership_send(this->membership, member, &message);
-    }
-    else {
-        Membership_broadcast(this->membership, &message);
+    send_message(this, member, &message);
+}
+
+static void
+send_patch(const RecordRelay_t *this, Member_t *member, Wt__TopicPatch *patch)
+{
+    Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
+    patch->topic = this->topic->str;
+    message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_PATCH;
+    message.topic_patch = patch;
+    send_message(this, member, &message);
+}
+
+void
+RecordRelay_sendPatch(const RecordRelay_t *this, Member_t *member,
+                      guint64 from, const GArray *records, StorePosition_t end,
+                      gint64 at_ms)
+{
+    g_autofree Wt__RecordPatch *list =
+        g_new(Wt__RecordPatch, records->len + 1);
+    g_autofree Wt__RecordPatch **pointers =
+        g_new(Wt__RecordPatch *, records->len + 1);
+    for (guint i = 0; i < records->len; i++) {
+        RecordPatches_fill(&list[i],
+                           &g_array_index(records, EncodedRecord_t, i));
+        pointers[i] = &list[i];
     }
+    Wt__TopicPatch patch = WT__TOPIC_PATCH__INIT;
+    patch.epoch = end.epoch;
+    patch.from = from;
+    patch.end = end.offset;
+    patch.age_ms = PeerAge_of(at_ms);
+    patch.n_records = records->len;
+    patch.records = pointers;
+    send_patch(this, member, &patch);
+}
+
+void
+RecordRelay_sendPatchRefusal(const RecordRelay_t *this, Member_t *member,
+                             const Wt__TopicAsk *query)
+{
+    Wt__TopicPatch patch = WT__TOPIC_PATCH__INIT;
+    patch.epoch = query->epoch;
+    patch.from = query->from;
+    patch.end = query->from;
+    patch.refused = TRUE;
+    send_patch(this, member, &patch);
 }
 
 static void
@@ -148,7 +201,7 @@
 
 gboolean
 RecordRelay_sendQuery(const RecordRelay_t *this, Member_t *member,
-                      StorePosition_t from, guint64 version)
+                      StorePosition_t from, guint64 version, gboolean patches)
 {
     Wt__TopicAsk ask = WT__TOPIC_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
@@ -156,11 +209,19 @@
     ask.from = from.offset;
     ask.epoch = from.epoch;
     ask.version = version;
+    ask.patches = patches;
     message.body_case = WT__PEER_MESSAGE__BODY_TOPIC_ASK;
     message.topic_ask = &ask;
     return Membership_send(this->membership, member, &message);
 }
 
+gboolean
+RecordRelay_lastEnd(const RecordRelay_t *this, StorePosition_t *out)
+{
+    *out = this->last_end;
+    return this->has_last_end;
+}
+
 gboolean
 RecordRelay_hasUpdates(const RecordRelay_t *this)
 {
--- a/src/RecordRelay.h
+++ b/src/RecordRelay.h
@@ -8,6 +8,7 @@
  * change something are passed on, with the age of what is known (PeerAge.h).
  */
 #include "Membership.h"
+#include "RecordPatches.h"
 #include "RecordSource.h"
 
 /** struct RecordRelay_t - opaque */
@@ -44,6 +45,10 @@
                            gint64 at_ms, gint64 restored_ms,
                            gboolean from_peer);
 
+/** RecordRelay_lastEnd() - end of the topic at the last call of
+ * RecordRelay_broadcast(); returns FALSE if there was none */
+gboolean RecordRelay_lastEnd(const RecordRelay_t *this, StorePosition_t *out);
+
 /** RecordRelay_hasUpdates() - whether an update was added since the last call
  * of RecordRelay_broadcast(), or that was never called */
 gboolean RecordRelay_hasUpdates(const RecordRelay_t *this);
@@ -73,11 +78,30 @@
 /**
  * RecordRelay_sendQuery() - query a router for the records from @from on
  * @version: version of the newest configuration known here
+ * @patches: whether the answer may be patches
  *
  * Return: FALSE if there is no link to the router
  */
 gboolean RecordRelay_sendQuery(const RecordRelay_t *this, Member_t *member,
-                               StorePosition_t from, guint64 version);
+                               StorePosition_t from, guint64 version,
+                               gboolean patches);
+
+/**
+ * RecordRelay_sendPatch() - send encoded records
+ * @member: recipient; NULL for all linked peers
+ * @from: the recipients need all records before this offset
+ * @records: EncodedRecord_t, all new records from @from on
+ * @end: position of the topic before which all records are known
+ * @at_ms: monotonic time at which the topic ended at @end
+ */
+void RecordRelay_sendPatch(const RecordRelay_t *this, Member_t *member,
+                           guint64 from, const GArray *records,
+                           StorePosition_t end, gint64 at_ms);
+
+/** RecordRelay_sendPatchRefusal() - tell one router that another one is to
+ * answer its query for patches */
+void RecordRelay_sendPatchRefusal(const RecordRelay_t *this, Member_t *member,
+                                  const Wt__TopicAsk *query);
 
 /** RecordRelay_isOversized() - whether the added updates are too long for a
  * broadcast: then peers get only the end of the topic, and query for the
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -422,6 +422,14 @@
     }
 }
 
+static void
+receive_patch(RelayParts_t *this, Member_t *from, const Wt__TopicPatch *patch)
+{
+    if (is_config_topic(this, patch->topic)) {
+        RouteSync_receivePatch(this->sync, from, patch);
+    }
+}
+
 static void
 receive_topic_query(RelayParts_t *this, Member_t *from,
                     const Wt__TopicAsk *query)
@@ -479,6 +487,9 @@
     case WT__PEER_MESSAGE__BODY_TOPIC_PART:
         receive_part(this, from, message->topic_part);
         break;
+    case WT__PEER_MESSAGE__BODY_TOPIC_PATCH:
+        receive_patch(this, from, message->topic_patch);
+        break;
     case WT__PEER_MESSAGE__BODY_TOPIC_ASK:
         receive_topic_query(this, from, message->topic_ask);
         break;
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -12,6 +12,7 @@
 #include "RecordAnswers.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
+#include "RouteQueries.h"
 #include "RouteVersions.h"
 
 /* Interval of the check whether peers still send updates. */
@@ -45,6 +46,10 @@
 /* A reader has its own read open and leaves the records to it for longer. */
 #define READ_CATCH_UP_TIMEOUT_MS 1200
 
+/* Bytes of a patch that is broadcast. Each peer gets it over several links, so
+ * it must be short next to what these carry in a moment. */
+#define PATCH_BROADCAST_BYTES 4096
+
 struct RouteSync {
     RouteSyncSpec_t spec;
     RouteVersions_t *versions;
@@ -58,6 +63,8 @@
     gint64 store_checked_ms;
     gint64 store_called_ms; /* when retry_delay_ms() last allowed a call */
     CatchUp_t *catch_up;
+    RouteQueries_t *queries;
+    gint64 end_ms;          /* when the topic ended at the known position */
     double spread_fraction; /* 0 to 1: share of the spread of store checks */
     gboolean is_from_peer;  /* the records being applied are from a peer */
     gboolean is_copy_complete; /* the copy has all records since the list */
@@ -96,57 +103,36 @@
                                  this->spec.wait_ms);
 }
 
+/* In a full mesh the peer that sent the records has sent them to all. */
 static gboolean
-is_receiving_from(const RouteSync_t *this, const char *name)
-{
-    const GPtrArray *members = Membership_members(this->spec.membership);
-    for (guint i = 0; name && i < members->len; i++) {
-        const Member_t *member = g_ptr_array_index(members, i);
-        if (strcmp(member->name->str, name) == 0) {
-            return member->link && PeerLink_isReceiving(member->link);
-        }
-    }
-    return FALSE;
-}
-
-static gboolean
-is_transferring(const RouteSync_t *this)
+should_broadcast(const RouteSync_t *this)
 {
-    const char *queried = CatchUp_queriedPeer(this->catch_up);
-    return CatchUp_isTransferring(this->catch_up,
-                                  is_receiving_from(this, queried));
+    return !this->is_from_peer || !Membership_isMesh(this->spec.membership);
 }
 
-static gboolean
-query_peer(RouteSync_t *this, Member_t *from, StorePosition_t known)
+/* Broadcasts what has changed in long records, if that is short. */
+static void
+broadcast_patch(RouteSync_t *this, StorePosition_t end, gint64 at_ms)
 {
-    if (is_transferring(this)) {
-        return TRUE;
+    StorePosition_t from;
+    if (!RecordRelay_lastEnd(this->records, &from) ||
+        from.epoch != end.epoch || !should_broadcast(this)) {
+        return;
     }
-    gboolean sent = RecordRelay_sendQuery(
-        this->records, from, known, RouteVersions_newest(this->versions));
-    if (sent) {
-        CatchUp_noteQuery(this->catch_up, from->name->str);
+    GArray *encoded = RecordAnswers_encode(this->answers, from);
+    if (!encoded) {
+        return;
     }
-    return sent;
-}
-
-/* For the case that the update from the peer with the newer configuration came
- * before this router could query it: queries the first linked peer. */
-static void
-query_any_peer(RouteSync_t *this)
-{
-    const GPtrArray *members = Membership_members(this->spec.membership);
-    StorePosition_t known = RecordFollower_position(this->follower);
-    for (guint i = 0; i < members->len; i++) {
-        if (query_peer(this, g_ptr_array_index(members, i), known)) {
-            return;
-        }
+    if (RecordAnswers_countEncoded(encoded) <= PATCH_BROADCAST_BYTES) {
+        RecordRelay_sendPatch(this->records, NULL, from.offset, encoded, end,
+                              at_ms);
     }
+    g_array_unref(encoded);
 }
 
-/* Broadcasts the new records. If they are too long for that, only the new end
- * is broadcast, and peers query for the records. */
+/* Broadcasts the new records. If they are too long for that, what has changed
+ * in them is broadcast, then the new end, and peers that lack more query for
+ * the records. */
 static void
 broadcast_updates(RouteSync_t *this, StorePosition_t end, gint64 at_ms)
 {
@@ -154,6 +140,7 @@
         return;
     }
     if (RecordRelay_isOversized(this->records)) {
+        broadcast_patch(this, end, at_ms);
         FreshnessRelay_broadcastNow(this->relay);
     }
     RecordRelay_broadcast(this->records, end, at_ms, 0, this->is_from_peer);
@@ -170,13 +157,14 @@
         this->is_copy_complete = TRUE;
         ListCopy_startChanges(this->copy, end);
     }
+    this->end_ms = at_ms;
     ListExchange_setCurrent(this->exchange, end, at_ms);
     RouteVersions_noteCurrent(this->versions, at_ms);
     FreshnessRelay_noteEnd(this->relay, end, at_ms);
     broadcast_updates(this, end, at_ms);
     set_read_timing(this);
     if (RouteVersions_isBehind(this->versions)) {
-        query_any_peer(this);
+        RouteQueries_sendToAny(this->queries);
     }
 }
 
@@ -204,7 +192,7 @@
 static void
 check_store_if_long_behind(RouteSync_t *this)
 {
-    if (is_long_behind(this) && !is_transferring(this)) {
+    if (is_long_behind(this) && !RouteQueries_isTransferring(this->queries)) {
         check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
     }
 }
@@ -223,7 +211,7 @@
     }
     check_store_if_long_behind(this);
     if (!RecordFollower_isReading(this->follower)) {
-        query_peer(this, from, known);
+        RouteQueries_send(this->queries, from);
     }
 }
 
@@ -339,7 +327,7 @@
 {
     gint64 max_ms = UPDATE_TIMEOUT_MS + spread_ms(this);
     if (RouteTable_isFresh(this->spec.routes, max_ms) ||
-        is_transferring(this)) {
+        RouteQueries_isTransferring(this->queries)) {
         return;
     }
     guint doublings = MIN(RecordFollower_failedChecks(this->follower),
@@ -357,6 +345,9 @@
     RouteSync_t *this = data;
     set_read_timing(this);
     check_store_if_long_behind(this);
+    if (!RecordFollower_isReading(this->follower)) {
+        RouteQueries_sendNext(this->queries);
+    }
     check_store_if_stale(this);
     Clock_arm(this->tick, TICK_MS);
 }
@@ -374,6 +365,27 @@
     this->exchange = ListExchange_create(base, &spec, this->copy);
 }
 
+static void
+known_records(void *owner, StorePosition_t *position, guint64 *version)
+{
+    const RouteSync_t *this = owner;
+    *position = RecordFollower_position(this->follower);
+    *version = RouteVersions_newest(this->versions);
+}
+
+static void
+create_queries(RouteSync_t *this)
+{
+    RouteQueriesSpec_t spec = {
+        .membership = this->spec.membership,
+        .relay = this->records,
+        .catch_up = this->catch_up,
+        .known = known_records,
+        .owner = this,
+    };
+    this->queries = RouteQueries_create(&spec);
+}
+
 RouteSync_t *
 RouteSync_create(struct event_base *base, const RouteSyncSpec_t *spec)
 {
@@ -398,6 +410,7 @@
     this->records =
         RecordRelay_create(spec->membership, spec->form->config_topic);
     create_copy(this, base);
+    create_queries(this);
     this->relay =
         FreshnessRelay_create(base, spec->membership, &relay_events, this);
     this->follower =
@@ -425,6 +438,7 @@
     FreshnessRelay_destroy(this->relay);
     ListExchange_destroy(this->exchange);
     ListCopy_destroy(this->copy);
+    RouteQueries_destroy(this->queries);
     CatchUp_destroy(this->catch_up);
     RecordRelay_destroy(this->records);
     RouteVersions_destroy(this->versions);
@@ -442,7 +456,7 @@
     StorePosition_t known = RecordFollower_position(this->follower);
     RouteVersions_notePeerVersion(this->versions, message->version);
     if (from && known.offset > 0 && RouteVersions_isBehind(this->versions)) {
-        query_peer(this, from, known);
+        RouteQueries_send(this->queries, from);
     }
     FreshnessRelay_receive(this->relay, from, message);
 }
@@ -485,6 +499,20 @@
 
 /* Records are valid however late they are processed. The time at which they
  * were the newest is unknown if the message may have waited in this router. */
+static gboolean
+apply_peer_page(RouteSync_t *this, const Member_t *from, guint64 offset,
+                const KeyedPage_t *page, guint32 age_ms)
+{
+    gint64 at_ms = FreshnessRelay_mayBeStale(this->relay)
+                       ? 0
+                       : PeerAge_atMs(age_ms, Member_transitMs(from));
+    this->is_from_peer = TRUE;
+    gboolean applied =
+        RecordFollower_applyPeerRecords(this->follower, offset, page, at_ms);
+    this->is_from_peer = FALSE;
+    return applied;
+}
+
 void
 RouteSync_receivePart(RouteSync_t *this, const Member_t *from,
                       const Wt__TopicPart *message)
@@ -498,19 +526,82 @@
         return;
     }
     KeyedPage_t page = RecordRelay_decode(message);
-    gint64 at_ms = FreshnessRelay_mayBeStale(this->relay)
-                       ? 0
-                       : PeerAge_atMs(message->age_ms, Member_transitMs(from));
-    this->is_from_peer = TRUE;
-    if (!RecordFollower_applyPeerRecords(this->follower, message->from, &page,
-                                         at_ms)) {
+    if (!apply_peer_page(this, from, message->from, &page, message->age_ms)) {
         CatchUp_noteUnused(this->catch_up,
                            RecordAnswers_countBytes(page.records));
     }
-    this->is_from_peer = FALSE;
     g_ptr_array_unref(page.records);
 }
 
+static gsize
+count_patch_bytes(const Wt__TopicPatch *message)
+{
+    gsize bytes = 0;
+    for (size_t i = 0; i < message->n_records; i++) {
+        bytes += message->records[i]->frame.len;
+    }
+    return bytes;
+}
+
+static gboolean
+decode_patch(const RouteSync_t *this, const Wt__TopicPatch *message,
+             GPtrArray *out)
+{
+    for (size_t i = 0; i < message->n_records; i++) {
+        g_autoptr(GError) error = NULL;
+        KeyedRecord_t *record = RecordAnswers_decode(
+            this->answers, message->records[i], message->epoch, &error);
+        if (!record) {
+            Log_error("config_patch_unusable", error);
+            return FALSE;
+        }
+        g_ptr_array_add(out, record);
+    }
+    return TRUE;
+}
+
+/* A patch that can't be applied shows all the same that its sender has more
+ * records. */
+static void
+apply_patch(RouteSync_t *this, Member_t *from, const Wt__TopicPatch *message)
+{
+    StorePosition_t known = RecordFollower_position(this->follower);
+    KeyedPage_t page = {
+        .records = g_ptr_array_new_with_free_func(KeyedRecord_free),
+        .end = {message->epoch, message->end},
+    };
+    if (message->from > known.offset ||
+        !decode_patch(this, message, page.records)) {
+        catch_up(this, from, known, page.end);
+    }
+    else {
+        apply_peer_page(this, from, message->from, &page, message->age_ms);
+    }
+    g_ptr_array_unref(page.records);
+}
+
+void
+RouteSync_receivePatch(RouteSync_t *this, Member_t *from,
+                       const Wt__TopicPatch *message)
+{
+    if (message->refused) {
+        CatchUp_noteRefusal(this->catch_up, from->name->str);
+        RouteQueries_sendNext(this->queries);
+        return;
+    }
+    CatchUp_noteAnswer(this->catch_up, from->name->str);
+    if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
+        return;
+    }
+    StorePosition_t known = RecordFollower_position(this->follower);
+    if (known.offset == 0 || known.epoch != message->epoch ||
+        message->end <= known.offset) {
+        CatchUp_noteUnused(this->catch_up, count_patch_bytes(message));
+        return;
+    }
+    apply_patch(this, from, message);
+}
+
 /* Sends records that the store has lost and only routers still have. */
 static void
 send_lost_records(const RouteSync_t *this, Member_t *from,
@@ -523,29 +614,67 @@
     g_ptr_array_unref(records);
 }
 
-/* A router that knows no more, or is busy, sends no answer; the requester
- * queries another one. */
+static gboolean
+has_more(const RouteSync_t *this, const Wt__TopicAsk *query)
+{
+    StorePosition_t known = RecordFollower_position(this->follower);
+    return known.epoch == query->epoch && known.offset > query->from &&
+           this->end_ms > 0;
+}
+
+/* Returns FALSE if the records are too long to be encoded. */
+static gboolean
+send_patch(const RouteSync_t *this, Member_t *to, const Wt__TopicAsk *query)
+{
+    StorePosition_t from = {query->epoch, query->from};
+    GArray *encoded = RecordAnswers_encode(this->answers, from);
+    if (!encoded) {
+        return FALSE;
+    }
+    if (RecordAnswers_isBusy(this->answers, to,
+                             RecordAnswers_countEncoded(encoded))) {
+        RecordRelay_sendPatchRefusal(this->records, to, query);
+    }
+    else {
+        RecordRelay_sendPatch(this->records, to, query->from, encoded,
+                              RecordFollower_position(this->follower),
+                              this->end_ms);
+    }
+    g_array_unref(encoded);
+    return TRUE;
+}
+
+static void
+send_records(const RouteSync_t *this, Member_t *to, const Wt__TopicAsk *query)
+{
+    StorePosition_t from = {query->epoch, query->from};
+    GPtrArray *records = RecordAnswers_list(this->answers, from, to);
+    if (records) {
+        RecordRelay_sendAnswer(this->records, to, query->from, records,
+                               RecordFollower_position(this->follower),
+                               this->end_ms);
+        g_ptr_array_unref(records);
+    }
+}
+
+/* A router of an earlier build gets no answer if this one is busy or knows no
+ * more, and queries another one later. */
 void
 RouteSync_answerQuery(RouteSync_t *this, Member_t *from,
                       const Wt__TopicAsk *message)
 {
     StorePosition_t requested_from = {message->epoch, message->from};
-    StorePosition_t known = RecordFollower_position(this->follower);
-    gint64 now_ms = Clock_nowMs();
-    gint64 age_ms = RouteTable_ageMs(this->spec.routes, now_ms);
     if (message->version > 0 &&
         message->version < RouteVersions_inForce(this->versions)) {
         send_lost_records(this, from, requested_from);
     }
-    if (known.epoch != requested_from.epoch || known.offset <= message->from ||
-        age_ms == G_MAXINT64) {
+    if (!has_more(this, message)) {
+        if (message->patches) {
+            RecordRelay_sendPatchRefusal(this->records, from, message);
+        }
         return;
     }
-    GPtrArray *records =
-        RecordAnswers_list(this->answers, requested_from, from);
-    if (records) {
-        RecordRelay_sendAnswer(this->records, from, message->from, records,
-                               known, now_ms - age_ms);
-        g_ptr_array_unref(records);
+    if (!message->patches || !send_patch(this, from, message)) {
+        send_records(this, from, message);
     }
 }
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -72,6 +72,11 @@
 void RouteSync_receivePart(RouteSync_t *this, const Member_t *from,
                            const Wt__TopicPart *message);
 
+/** RouteSync_receivePatch() - receive what has changed in records, or a
+ * refusal, from a peer */
+void RouteSync_receivePatch(RouteSync_t *this, Member_t *from,
+                            const Wt__TopicPatch *message);
+
 /** RouteSync_answerQuery() - answer a peer's query for records from an offset
  * on; no answer is sent if nothing more is known here, or if the answer is
  * long and others are being sent */
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -550,7 +550,7 @@
 query_gap(UpstreamListing_t *this, Member_t *peer)
 {
     StorePosition_t known = RecordFollower_position(this->follower);
-    gboolean sent = RecordRelay_sendQuery(this->relay, peer, known, 0);
+    gboolean sent = RecordRelay_sendQuery(this->relay, peer, known, 0, FALSE);
     this->gap_query_ms = sent ? Clock_nowMs() : 0;
     g_string_assign(this->gap_peer, sent ? peer->name->str : "");
     g_hash_table_remove(this->gap_sources, peer->name->str);
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -772,6 +772,96 @@
   assert(message->base.descriptor == &wt__topic_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__record_patch__init
+                     (Wt__RecordPatch         *message)
+{
+  static const Wt__RecordPatch init_value = WT__RECORD_PATCH__INIT;
+  *message = init_value;
+}
+size_t wt__record_patch__get_packed_size
+                     (const Wt__RecordPatch *message)
+{
+  assert(message->base.descriptor == &wt__record_patch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__record_patch__pack
+                     (const Wt__RecordPatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__record_patch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__record_patch__pack_to_buffer
+                     (const Wt__RecordPatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__record_patch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__RecordPatch *
+       wt__record_patch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__RecordPatch *)
+     protobuf_c_message_unpack (&wt__record_patch__descriptor,
+                                allocator, len, data);
+}
+void   wt__record_patch__free_unpacked
+                     (Wt__RecordPatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__record_patch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__topic_patch__init
+                     (Wt__TopicPatch         *message)
+{
+  static const Wt__TopicPatch init_value = WT__TOPIC_PATCH__INIT;
+  *message = init_value;
+}
+size_t wt__topic_patch__get_packed_size
+                     (const Wt__TopicPatch *message)
+{
+  assert(message->base.descriptor == &wt__topic_patch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__topic_patch__pack
+                     (const Wt__TopicPatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__topic_patch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__topic_patch__pack_to_buffer
+                     (const Wt__TopicPatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__topic_patch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__TopicPatch *
+       wt__topic_patch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__TopicPatch *)
+     protobuf_c_message_unpack (&wt__topic_patch__descriptor,
+                                allocator, len, data);
+}
+void   wt__topic_patch__free_unpacked
+                     (Wt__TopicPatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__topic_patch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__list_ask__init
                      (Wt__ListAsk         *message)
 {
@@ -2968,7 +3058,7 @@
   (ProtobufCMessageInit) wt__topic_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wt__topic_ask__field_descriptors[5] =
 {
   {
     "topic",
@@ -3018,17 +3108,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "patches",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicAsk, patches),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__topic_ask__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
   1,   /* field[1] = from */
+  4,   /* field[4] = patches */
   0,   /* field[0] = topic */
   3,   /* field[3] = version */
 };
 static const ProtobufCIntRange wt__topic_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__topic_ask__descriptor =
 {
@@ -3038,13 +3141,271 @@
   "Wt__TopicAsk",
   "wt",
   sizeof(Wt__TopicAsk),
-  4,
+  5,
   wt__topic_ask__field_descriptors,
   wt__topic_ask__field_indices_by_name,
   1,  wt__topic_ask__number_ranges,
   (ProtobufCMessageInit) wt__topic_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wt__record_patch__field_descriptors[9] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "frame",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, frame),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_base",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, has_base),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, base_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_offset",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, base_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hash",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__RecordPatch, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__record_patch__field_indices_by_name[] = {
+  5,   /* field[5] = base_epoch */
+  6,   /* field[6] = base_offset */
+  3,   /* field[3] = frame */
+  4,   /* field[4] = has_base */
+  8,   /* field[8] = hash */
+  0,   /* field[0] = key */
+  1,   /* field[1] = offset */
+  2,   /* field[2] = removed */
+  7,   /* field[7] = size */
+};
+static const ProtobufCIntRange wt__record_patch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor wt__record_patch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.RecordPatch",
+  "RecordPatch",
+  "Wt__RecordPatch",
+  "wt",
+  sizeof(Wt__RecordPatch),
+  9,
+  wt__record_patch__field_descriptors,
+  wt__record_patch__field_indices_by_name,
+  1,  wt__record_patch__number_ranges,
+  (ProtobufCMessageInit) wt__record_patch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__topic_patch__field_descriptors[7] =
+{
+  {
+    "topic",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPatch, topic),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPatch, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPatch, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPatch, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPatch, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__TopicPatch, n_records),
+    offsetof(Wt__TopicPatch, records),
+    &wt__record_patch__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__TopicPatch, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__topic_patch__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  3,   /* field[3] = end */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = from */
+  5,   /* field[5] = records */
+  6,   /* field[6] = refused */
+  0,   /* field[0] = topic */
+};
+static const ProtobufCIntRange wt__topic_patch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wt__topic_patch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.TopicPatch",
+  "TopicPatch",
+  "Wt__TopicPatch",
+  "wt",
+  sizeof(Wt__TopicPatch),
+  7,
+  wt__topic_patch__field_descriptors,
+  wt__topic_patch__field_indices_by_name,
+  1,  wt__topic_patch__number_ranges,
+  (ProtobufCMessageInit) wt__topic_patch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wt__list_ask__field_descriptors[4] =
 {
   {
@@ -5104,7 +5465,7 @@
   (ProtobufCMessageInit) wt__link_time__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[25] =
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[26] =
 {
   {
     "hello",
@@ -5406,6 +5767,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "topic_patch",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, topic_patch),
+    &wt__topic_patch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -5433,11 +5806,12 @@
   24,   /* field[24] = time */
   13,   /* field[13] = topic_ask */
   9,   /* field[9] = topic_part */
+  25,   /* field[25] = topic_patch */
 };
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -5447,7 +5821,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  25,
+  26,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -34,6 +34,8 @@
 typedef struct Wt__TopicRecord Wt__TopicRecord;
 typedef struct Wt__TopicPart Wt__TopicPart;
 typedef struct Wt__TopicAsk Wt__TopicAsk;
+typedef struct Wt__RecordPatch Wt__RecordPatch;
+typedef struct Wt__TopicPatch Wt__TopicPatch;
 typedef struct Wt__ListAsk Wt__ListAsk;
 typedef struct Wt__ListPage Wt__ListPage;
 typedef struct Wt__PlaceAsk Wt__PlaceAsk;
@@ -469,10 +471,74 @@
    * Of the newest configuration that the asker knows; 0 for none.
    */
   uint64_t version;
+  /*
+   * The asker reads TopicPatch, and has the newest record of each key before
+   * the offset.
+   */
+  protobuf_c_boolean patches;
 };
 #define WT__TOPIC_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__topic_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * A record of a keyed topic, without what the receiver has of it already.
+ */
+struct  Wt__RecordPatch
+{
+  ProtobufCMessage base;
+  char *key;
+  uint64_t offset;
+  /*
+   * It is a removal; nothing of the following is set.
+   */
+  protobuf_c_boolean removed;
+  /*
+   * A zstd frame of the value. With a base, it was compressed with the value of
+   * the record of the same key at the base's position as prefix.
+   */
+  ProtobufCBinaryData frame;
+  protobuf_c_boolean has_base;
+  uint64_t base_epoch;
+  uint64_t base_offset;
+  /*
+   * Length and XXH3 hash (64 bit) of the value.
+   */
+  uint64_t size;
+  uint64_t hash;
+};
+#define WT__RECORD_PATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__record_patch__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The same as a TopicPart, for routers that know it; others ignore it, and ask
+ * for a TopicPart when they are told of the end.
+ */
+struct  Wt__TopicPatch
+{
+  ProtobufCMessage base;
+  char *topic;
+  uint64_t epoch;
+  uint64_t from;
+  uint64_t end;
+  /*
+   * Age of the knowledge that the topic ended there.
+   */
+  uint32_t age_ms;
+  size_t n_records;
+  Wt__RecordPatch **records;
+  /*
+   * Answer to a query that another peer is to answer: this one is busy, or has
+   * no more. The offsets are those of the query.
+   */
+  protobuf_c_boolean refused;
+};
+#define WT__TOPIC_PATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__topic_patch__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -1081,7 +1147,8 @@
   WT__PEER_MESSAGE__BODY_LIST_PAGE = 21,
   WT__PEER_MESSAGE__BODY_ORIGIN_NEWS = 22,
   WT__PEER_MESSAGE__BODY_ORIGIN_ASK = 23,
-  WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER = 24
+  WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER = 24,
+  WT__PEER_MESSAGE__BODY_TOPIC_PATCH = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -1115,6 +1182,7 @@
     Wt__OriginNews *origin_news;
     Wt__OriginAsk *origin_ask;
     Wt__OriginAnswer *origin_answer;
+    Wt__TopicPatch *topic_patch;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -1445,6 +1513,44 @@
 void   wt__topic_ask__free_unpacked
                      (Wt__TopicAsk *message,
                       ProtobufCAllocator *allocator);
+/* Wt__RecordPatch methods */
+void   wt__record_patch__init
+                     (Wt__RecordPatch         *message);
+size_t wt__record_patch__get_packed_size
+                     (const Wt__RecordPatch   *message);
+size_t wt__record_patch__pack
+                     (const Wt__RecordPatch   *message,
+                      uint8_t             *out);
+size_t wt__record_patch__pack_to_buffer
+                     (const Wt__RecordPatch   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__RecordPatch *
+       wt__record_patch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__record_patch__free_unpacked
+                     (Wt__RecordPatch *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__TopicPatch methods */
+void   wt__topic_patch__init
+                     (Wt__TopicPatch         *message);
+size_t wt__topic_patch__get_packed_size
+                     (const Wt__TopicPatch   *message);
+size_t wt__topic_patch__pack
+                     (const Wt__TopicPatch   *message,
+                      uint8_t             *out);
+size_t wt__topic_patch__pack_to_buffer
+                     (const Wt__TopicPatch   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__TopicPatch *
+       wt__topic_patch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__topic_patch__free_unpacked
+                     (Wt__TopicPatch *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__ListAsk methods */
 void   wt__list_ask__init
                      (Wt__ListAsk         *message);
@@ -1916,6 +2022,12 @@
 typedef void (*Wt__TopicAsk_Closure)
                  (const Wt__TopicAsk *message,
                   void *closure_data);
+typedef void (*Wt__RecordPatch_Closure)
+                 (const Wt__RecordPatch *message,
+                  void *closure_data);
+typedef void (*Wt__TopicPatch_Closure)
+                 (const Wt__TopicPatch *message,
+                  void *closure_data);
 typedef void (*Wt__ListAsk_Closure)
                  (const Wt__ListAsk *message,
                   void *closure_data);
@@ -2009,6 +2121,8 @@
 extern const ProtobufCMessageDescriptor wt__topic_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_part__descriptor;
 extern const ProtobufCMessageDescriptor wt__topic_ask__descriptor;
+extern const ProtobufCMessageDescriptor wt__record_patch__descriptor;
+extern const ProtobufCMessageDescriptor wt__topic_patch__descriptor;
 extern const ProtobufCMessageDescriptor wt__list_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__list_page__descriptor;
 extern const ProtobufCMessageDescriptor wt__place_ask__descriptor;
