The end of a long record makes no router read the store

The end of a record that is too long for a broadcast is told without the record. The follower took that for a gap, and read the store at once, beside the query to the peer: the record came twice over each link, and the store served all routers at once.

test_RouteSync.end_of_a_long_record_causes_no_store_call failed before (2 calls in place of 1).

--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -316,10 +316,21 @@
     return 0;
 }
 
+/* Records that are missing before those of a peer are fetched as any others
+ * that peers know. If each router read them from the store, a long record
+ * would pass over each link once more. */
+static gboolean
+on_gap(void *owner)
+{
+    (void)owner;
+    return TRUE;
+}
+
 static const RecordFollowerEvents_t follower_events = {
     .record = on_record,
     .current = on_current,
     .wait_ms = retry_delay_ms,
+    .gap = on_gap,
 };
 
 static void
@@ -513,8 +524,19 @@
     return applied;
 }
 
+static void
+note_gap(RouteSync_t *this, Member_t *from, const Wt__TopicPart *message)
+{
+    StorePosition_t known = RecordFollower_position(this->follower);
+    StorePosition_t end = {message->epoch, message->end};
+    if (known.offset > 0 && known.epoch == end.epoch &&
+        message->from > known.offset) {
+        catch_up(this, from, known, end);
+    }
+}
+
 void
-RouteSync_receivePart(RouteSync_t *this, const Member_t *from,
+RouteSync_receivePart(RouteSync_t *this, Member_t *from,
                       const Wt__TopicPart *message)
 {
     CatchUp_noteAnswer(this->catch_up, from->name->str);
@@ -525,6 +547,7 @@
     if (!StoreEpoch_note(this->spec.epoch, message->epoch, "peer")) {
         return;
     }
+    note_gap(this, from, message);
     KeyedPage_t page = RecordRelay_decode(message);
     if (!apply_peer_page(this, from, message->from, &page, message->age_ms)) {
         CatchUp_noteUnused(this->catch_up,
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -69,7 +69,7 @@
 void RouteSync_syncPeer(RouteSync_t *this, Member_t *member);
 
 /** RouteSync_receivePart() - receive records from a peer */
-void RouteSync_receivePart(RouteSync_t *this, const Member_t *from,
+void RouteSync_receivePart(RouteSync_t *this, Member_t *from,
                            const Wt__TopicPart *message);
 
 /** RouteSync_receivePatch() - receive what has changed in records, or a
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -577,6 +577,30 @@
 }
 END_TEST
 
+static void
+receive_end(guint64 page_end)
+{
+    Wt__TopicPart part = WT__TOPIC_PART__INIT;
+    part.from = page_end;
+    part.end = page_end;
+    RouteSync_receivePart(route_sync, any_peer(), &part);
+}
+
+/* A long record was read from the store by every router that was told of its
+ * end, beside the query to the peer that told it. */
+START_TEST(end_of_a_long_record_causes_no_store_call)
+{
+    start_without_reads();
+    receive_current_from_peer(12);
+    receive_end(12);
+    FakeRouters_run(&routers, PEER_CATCH_UP_TIMEOUT_MS / 2);
+    ck_assert_uint_eq(calls.made, 1);
+    receive_record(10, 12, "6", 11);
+    ck_assert_uint_eq(version(), 6);
+    end();
+}
+END_TEST
+
 static gboolean
 peer_was_queried(const FakeRouters_t *all)
 {
@@ -812,6 +836,7 @@
              newest_weights_version_is_used,
              store_holds_a_readers_read_for_reader_wait_ms,
              non_reader_makes_no_store_call_for_new_records,
+             end_of_a_long_record_causes_no_store_call,
              router_that_is_behind_queries_a_peer_then_the_store,
              record_on_its_way_is_not_queried_again,
              configuration_that_peers_have_replaced_is_not_the_newest,
