A reader that receives a long record tells its peers so

While a router that reads the store receives a record of 1.2 MB over a link of 10 Mbit/s, for a second, it has no news for its peers. After 1.8 s without news each of them read the store as well: all of eight routers received each of three versions from the store.

A reader now tells that a long answer is arriving, with the age of that, and routers wait 1.2 s more while it does. A router whose own answer is arriving makes no second call beside it.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -21,6 +21,10 @@
  * have been read. */
 #define CATCH_UP_MS 200
 
+/* Age up to which it is believed that a reader is receiving: some ticks, and
+ * the time to pass it on. */
+#define RECEIVING_AGE_MAX_MS 1000
+
 struct FreshnessRelay {
     Membership_t *membership;
     const FreshnessRelayEvents_t *events;
@@ -32,6 +36,8 @@
     gint64 sent_ms;         /* time of the last broadcast */
     gint64 ticked_ms;       /* time of the last tick */
     gint64 caught_up_ms;    /* until then peers' messages may be stale */
+    gint64 receiving_ms;    /* when a reader was last receiving; 0 for never */
+    gint64 told_receiving_ms; /* receiving_ms of the last broadcast */
 };
 
 static Wt__ConfigCurrent
@@ -42,6 +48,9 @@
     current.offset = this->end.offset;
     current.age_ms = PeerAge_of(this->at_ms);
     current.version = this->events->version(this->owner);
+    if (FreshnessRelay_isReaderReceiving(this)) {
+        current.receiving_age_ms = PeerAge_of(this->receiving_ms) + 1;
+    }
     return current;
 }
 
@@ -54,6 +63,7 @@
     message.config_current = &current;
     Membership_broadcast(this->membership, &message);
     this->broadcast_at_ms = this->at_ms;
+    this->told_receiving_ms = this->receiving_ms;
     this->sent_ms = Clock_nowMs();
 }
 
@@ -69,16 +79,21 @@
     }
 }
 
+static gboolean
+has_news(const FreshnessRelay_t *this)
+{
+    return this->at_ms >= this->broadcast_at_ms + TICK_MS ||
+           (this->at_ms > 0 &&
+            this->receiving_ms >= this->told_receiving_ms + TICK_MS);
+}
+
 /* In a full mesh the readers reach every router, so no other router needs to
  * pass their updates on. */
 static gboolean
 should_broadcast(const FreshnessRelay_t *this)
 {
-    if (this->at_ms < this->broadcast_at_ms + TICK_MS) {
-        return FALSE;
-    }
-    return FreshnessRelay_isReader(this) ||
-           !Membership_isMesh(this->membership);
+    return has_news(this) && (FreshnessRelay_isReader(this) ||
+                              !Membership_isMesh(this->membership));
 }
 
 void
@@ -110,6 +125,10 @@
     (void)what;
     FreshnessRelay_t *this = data;
     note_tick(this);
+    if (this->events->is_receiving &&
+        this->events->is_receiving(this->owner)) {
+        this->receiving_ms = this->ticked_ms;
+    }
     if (should_broadcast(this)) {
         broadcast_current(this);
     }
@@ -179,6 +198,28 @@
     return has_stalled(this, now_ms) || now_ms < this->caught_up_ms;
 }
 
+gboolean
+FreshnessRelay_isReaderReceiving(const FreshnessRelay_t *this)
+{
+    return this->receiving_ms > 0 &&
+           Clock_nowMs() - this->receiving_ms <= RECEIVING_AGE_MAX_MS;
+}
+
+static void
+note_receiving(FreshnessRelay_t *this, const Member_t *from,
+               const Wt__ConfigCurrent *message)
+{
+    if (message->receiving_age_ms == 0) {
+        return;
+    }
+    gint64 at_ms =
+        PeerAge_atMs(message->receiving_age_ms - 1, Member_transitMs(from));
+    if (at_ms > this->receiving_ms) {
+        this->receiving_ms = at_ms;
+        relay_update(this);
+    }
+}
+
 void
 FreshnessRelay_receive(FreshnessRelay_t *this, Member_t *from,
                        const Wt__ConfigCurrent *message)
@@ -186,6 +227,7 @@
     if (FreshnessRelay_mayBeStale(this)) {
         return;
     }
+    note_receiving(this, from, message);
     gint64 at_ms = PeerAge_atMs(message->age_ms, Member_transitMs(from));
     StorePosition_t end = {message->epoch, message->offset};
     if (at_ms > this->at_ms &&
--- a/src/FreshnessRelay.h
+++ b/src/FreshnessRelay.h
@@ -9,6 +9,10 @@
  * offset knows, without a call of its own, that no newer record existed at
  * that time. Ages are measured by the monotonic clock; relaying an update
  * only increases its age.
+ *
+ * While a reader receives a long record it knows no newer end. It tells the
+ * others that it is receiving, so that they don't all read the record from the
+ * store themselves.
  */
 #include "Membership.h"
 #include "StorePosition.h"
@@ -22,11 +26,14 @@
  * not count as current by an end that is outdated.
  * @version: returns the version of the configuration in force, which is sent
  *     along; 0 for none
+ * @is_receiving: returns whether a long answer of the store is arriving here;
+ *     may be NULL
  */
 typedef struct {
     gboolean (*fresh)(void *owner, Member_t *from, StorePosition_t end,
                       gint64 at_ms);
     guint64 (*version)(void *owner);
+    gboolean (*is_receiving)(void *owner);
 } FreshnessRelayEvents_t;
 
 /** struct FreshnessRelay_t - opaque */
@@ -54,6 +61,10 @@
 void FreshnessRelay_noteEnd(FreshnessRelay_t *this, StorePosition_t end,
                             gint64 at_ms);
 
+/** FreshnessRelay_isReaderReceiving() - whether a router that reads the store
+ * was receiving a long answer a moment ago */
+gboolean FreshnessRelay_isReaderReceiving(const FreshnessRelay_t *this);
+
 /** FreshnessRelay_mayBeStale() - whether messages of peers may have waited
  * here unread, which makes them older than the age that they give */
 gboolean FreshnessRelay_mayBeStale(const FreshnessRelay_t *this);
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -9,6 +9,11 @@
 #include "Clock.h"
 #include "Errors.h"
 
+/* Longer answers are long. */
+#define LONG_ANSWER_BYTES 16384
+/* An answer without a byte for this time has stalled. */
+#define STALL_MS 500
+
 struct HttpCall {
     struct evhttp_connection *connection;
     struct event *deadline;
@@ -22,6 +27,8 @@
     gboolean accepts_close_delimited;
     gint64 late_ms; /* 0 for never, or if it was reported */
     BodyFraming_t framing;
+    gsize received_bytes;
+    gint64 received_ms; /* when the last of them came */
 };
 
 void
@@ -160,6 +167,10 @@
 {
     (void)buffer;
     HttpCall_t *this = data;
+    if (info->n_added > 0) {
+        this->received_bytes += info->n_added;
+        this->received_ms = Clock_nowMs();
+    }
     if (info->n_added > 0 && this->done && this->late_ms > 0) {
         Clock_arm(this->silence, this->late_ms);
     }
@@ -273,6 +284,13 @@
     return this;
 }
 
+gboolean
+HttpCall_isReceiving(const HttpCall_t *this)
+{
+    return this->received_bytes > LONG_ANSWER_BYTES &&
+           Clock_nowMs() - this->received_ms < STALL_MS;
+}
+
 gboolean
 HttpCall_wasSent(const HttpCall_t *this)
 {
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -81,6 +81,10 @@
 /** HttpCall_cancel() - close the connection; the callback is not called */
 void HttpCall_cancel(HttpCall_t *this);
 
+/** HttpCall_isReceiving() - whether a long answer is arriving, and some of it
+ * came lately */
+gboolean HttpCall_isReceiving(const HttpCall_t *this);
+
 /** HttpCall_wasSent() - whether any byte was or may have been sent */
 gboolean HttpCall_wasSent(const HttpCall_t *this);
 
--- a/src/RecordSource.h
+++ b/src/RecordSource.h
@@ -47,6 +47,7 @@
  * @list: see RecordSource_list()
  * @read: see RecordSource_read()
  * @put: see RecordSource_put()
+ * @is_receiving: see RecordSource_isReceiving(); may be NULL
  */
 typedef struct {
     void (*destroy)(RecordSource_t *this);
@@ -56,6 +57,7 @@
                  gint64 wait_ms, KeyedPageDone_t done, void *data);
     void (*put)(RecordSource_t *this, const char *topic, const char *key,
                 GBytes *value, KeyedPutDone_t done, void *data);
+    gboolean (*is_receiving)(const RecordSource_t *this);
 } RecordSourceClass_t;
 
 /** struct RecordSource_t - base structure, extended by each class */
@@ -104,4 +106,11 @@
     this->class->put(this, topic, key, value, done, data);
 }
 
+/** RecordSource_isReceiving() - whether a long answer is arriving */
+static inline gboolean
+RecordSource_isReceiving(const RecordSource_t *this)
+{
+    return this->class->is_receiving && this->class->is_receiving(this);
+}
+
 #endif
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -22,6 +22,9 @@
  * checks at most once per STORE_CHECK_INTERVAL_MS; consecutive failures double
  * the interval up to STORE_CHECK_DOUBLINGS_MAX times. */
 #define UPDATE_TIMEOUT_MS 1800
+/* Additional time while a reader receives a long record: its link is as slow
+ * as this router's, and both would receive it at the same time. */
+#define RECEIVING_TIMEOUT_MS 1200
 #define STORE_CHECK_INTERVAL_MS 1000
 #define STORE_CHECK_DOUBLINGS_MAX 2
 /* A reader of rank n > 0 waits reader_wait_ms + n * READER_STEP_MS before it
@@ -180,6 +183,14 @@
     }
 }
 
+/* Another call to the store would compete with what is arriving. */
+static gboolean
+is_transferring(const RouteSync_t *this)
+{
+    return RouteQueries_isTransferring(this->queries) ||
+           RecordSource_isReceiving(this->spec.source);
+}
+
 static gboolean
 is_long_behind(const RouteSync_t *this)
 {
@@ -192,7 +203,7 @@
 static void
 check_store_if_long_behind(RouteSync_t *this)
 {
-    if (is_long_behind(this) && !RouteQueries_isTransferring(this->queries)) {
+    if (is_long_behind(this) && !is_transferring(this)) {
         check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
     }
 }
@@ -289,9 +300,17 @@
     return RouteVersions_inForce(this->versions);
 }
 
+static gboolean
+is_receiving(void *owner)
+{
+    const RouteSync_t *this = owner;
+    return RecordSource_isReceiving(this->spec.source);
+}
+
 static const FreshnessRelayEvents_t relay_events = {
     .fresh = on_fresh,
     .version = version_in_force,
+    .is_receiving = is_receiving,
 };
 
 /* A failed call means that the store is overloaded or down: routers then retry
@@ -337,8 +356,11 @@
 check_store_if_stale(RouteSync_t *this)
 {
     gint64 max_ms = UPDATE_TIMEOUT_MS + spread_ms(this);
+    if (FreshnessRelay_isReaderReceiving(this->relay)) {
+        max_ms += RECEIVING_TIMEOUT_MS;
+    }
     if (RouteTable_isFresh(this->spec.routes, max_ms) ||
-        RouteQueries_isTransferring(this->queries)) {
+        is_transferring(this)) {
         return;
     }
     guint doublings = MIN(RecordFollower_failedChecks(this->follower),
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -2762,7 +2762,7 @@
   (ProtobufCMessageInit) wt__upstream_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wt__config_current__field_descriptors[5] =
 {
   {
     "offset",
@@ -2812,17 +2812,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "receiving_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__ConfigCurrent, receiving_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__config_current__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   2,   /* field[2] = epoch */
   0,   /* field[0] = offset */
+  4,   /* field[4] = receiving_age_ms */
   3,   /* field[3] = version */
 };
 static const ProtobufCIntRange wt__config_current__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__config_current__descriptor =
 {
@@ -2832,7 +2845,7 @@
   "Wt__ConfigCurrent",
   "wt",
   sizeof(Wt__ConfigCurrent),
-  4,
+  5,
   wt__config_current__field_descriptors,
   wt__config_current__field_indices_by_name,
   1,  wt__config_current__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -386,10 +386,15 @@
    * Of the configuration in force at the sender, whatever the store has.
    */
   uint64_t version;
+  /*
+   * How long ago a router that reads the store was receiving a long answer,
+   * plus 1; 0 if not lately.
+   */
+  uint32_t receiving_age_ms;
 };
 #define WT__CONFIG_CURRENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__config_current__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/fuzz/FakeHttp.c
+++ b/tests/fuzz/FakeHttp.c
@@ -36,6 +36,13 @@
     open_call.done(&answer, NULL, open_call.data);
 }
 
+gboolean
+HttpCall_isReceiving(const HttpCall_t *this)
+{
+    (void)this;
+    return FALSE;
+}
+
 void
 Http_setNoDelay(struct evhttp_connection *connection)
 {
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -787,6 +787,24 @@
 }
 END_TEST
 
+/* While a reader receives a long record, no router knows a newer end. */
+START_TEST(router_waits_for_a_reader_that_is_receiving)
+{
+    start_without_reads();
+    gint64 end_ms = Clock_nowMs() + UPDATE_TIMEOUT_MS;
+    while (Clock_nowMs() < end_ms) {
+        Wt__ConfigCurrent message = WT__CONFIG_CURRENT__INIT;
+        message.receiving_age_ms = 1;
+        RouteSync_receiveCurrent(route_sync, any_peer(), &message);
+        FakeRouters_run(&routers, CHECK_INTERVAL_MS / 2);
+    }
+    ck_assert_uint_eq(calls.made, 1);
+    FakeRouters_run(&routers, UPDATE_TIMEOUT_MS);
+    ck_assert_uint_eq(calls.made, 2);
+    end();
+}
+END_TEST
+
 /* The records in a delayed message are valid; the age in it is not. */
 START_TEST(record_delayed_in_this_router_refreshes_nothing)
 {
@@ -846,5 +864,6 @@
              peer_at_the_same_offset_gets_no_answer,
              router_queries_a_peer_for_the_version_the_store_lost,
              peer_with_older_version_gets_the_lost_records,
+             router_waits_for_a_reader_that_is_receiving,
              record_delayed_in_this_router_refreshes_nothing,
              failing_store_is_checked_with_backoff)
