The log of changes of a list is bounded by its bytes

It now keeps 1 MiB and twice the bytes of the list itself, about what 4,096 entries of upstreams took.

test_ListCopy.changes_of_long_records_are_bounded_by_their_bytes failed before: all of 200 changes of 0.8 MB were kept.

--- a/src/ListCopy.c
+++ b/src/ListCopy.c
@@ -2,15 +2,19 @@
 
 #include <string.h>
 
-/* The log of changes holds CHANGES_MIN entries and CHANGES_PER_KEY for each
- * key, as all upstreams may be added at once. A reader that needs older
- * changes restarts its list. */
-#define CHANGES_MIN 4096
-#define CHANGES_PER_KEY 2
+/* The log of changes holds CHANGES_BYTES_MIN and CHANGES_PER_COPY times the
+ * bytes of the copy, as all upstreams may be added at once. A reader that
+ * needs older changes restarts its list. */
+#define CHANGES_BYTES_MIN (1U << 20)
+#define CHANGES_PER_COPY 2
+/* Memory of an entry besides its key and value, about. */
+#define ENTRY_BYTES 240
 
 struct ListCopy {
     GTree *newest;                 /* key -> KeyedRecord_t */
+    gsize newest_bytes;            /* of these records */
     GQueue *changes;               /* KeyedRecord_t, oldest first */
+    gsize changes_bytes;           /* of these records */
     StorePosition_t changes_start; /* @changes has all changes from here */
     gboolean changes_started;
 };
@@ -39,6 +43,20 @@
     g_free(this);
 }
 
+static gsize
+entry_bytes(const KeyedRecord_t *record)
+{
+    gsize value = record->value ? g_bytes_get_size(record->value) : 0;
+    return ENTRY_BYTES + record->key->len + value;
+}
+
+static void
+forget_bytes(ListCopy_t *this, const char *key)
+{
+    const KeyedRecord_t *replaced = g_tree_lookup(this->newest, key);
+    this->newest_bytes -= replaced ? entry_bytes(replaced) : 0;
+}
+
 static KeyedRecord_t *
 copy_record(const KeyedRecord_t *record)
 {
@@ -50,24 +68,34 @@
 void
 ListCopy_put(ListCopy_t *this, const KeyedRecord_t *record)
 {
+    forget_bytes(this, record->key->str);
     if (!record->value) {
         g_tree_remove(this->newest, record->key->str);
         return;
     }
     KeyedRecord_t *stored = copy_record(record);
+    this->newest_bytes += entry_bytes(stored);
     g_tree_replace(this->newest, stored->key->str, stored);
 }
 
+static void
+drop_oldest_change(ListCopy_t *this)
+{
+    KeyedRecord_t *oldest = g_queue_pop_head(this->changes);
+    this->changes_bytes -= entry_bytes(oldest);
+    this->changes_start = StorePosition_plus(oldest->position, 1);
+    KeyedRecord_free(oldest);
+}
+
 void
 ListCopy_noteChange(ListCopy_t *this, const KeyedRecord_t *record)
 {
-    guint max_changes =
-        CHANGES_MIN + CHANGES_PER_KEY * ListCopy_countKeys(this);
+    gsize max_bytes =
+        CHANGES_BYTES_MIN + CHANGES_PER_COPY * this->newest_bytes;
     g_queue_push_tail(this->changes, copy_record(record));
-    if (this->changes->length > max_changes) {
-        KeyedRecord_t *oldest = g_queue_pop_head(this->changes);
-        this->changes_start = StorePosition_plus(oldest->position, 1);
-        KeyedRecord_free(oldest);
+    this->changes_bytes += entry_bytes(record);
+    while (this->changes_bytes > max_bytes) {
+        drop_oldest_change(this);
     }
 }
 
@@ -75,6 +103,7 @@
 ListCopy_startChanges(ListCopy_t *this, StorePosition_t end)
 {
     g_queue_clear_full(this->changes, KeyedRecord_free);
+    this->changes_bytes = 0;
     this->changes_start = end;
     this->changes_started = TRUE;
 }
--- a/tests/test_ListCopy.c
+++ b/tests/test_ListCopy.c
@@ -7,6 +7,11 @@
 #define EPOCH 3
 /* More bytes than the records of these tests have: one page for all. */
 #define ALL_BYTES 1000
+#define LONG_BYTES 800000
+#define LONG_CHANGES 200
+/* Of these, at least so many are kept, and fewer than so many. */
+#define LONG_KEPT_MIN 2
+#define LONG_KEPT_MAX 8
 /* More changes than the log of changes holds. */
 #define CHANGES_BEYOND_LOG 5000
 
@@ -127,6 +132,25 @@
 }
 END_TEST
 
+/* Machines of 88 MB ran out of memory after some hundred changes of a
+ * configuration of 0.8 MB, each of which was kept whole. */
+START_TEST(changes_of_long_records_are_bounded_by_their_bytes)
+{
+    g_autofree char *value = g_strnfill(LONG_BYTES, 'x');
+    setup();
+    for (guint64 i = 0; i < LONG_CHANGES; i++) {
+        apply_change("a", value, 10 + i);
+    }
+    g_autoptr(GPtrArray) changes = g_ptr_array_new();
+    StorePosition_t end = {EPOCH, 10 + LONG_CHANGES};
+    StorePosition_t kept_from = {EPOCH, 10 + LONG_CHANGES - LONG_KEPT_MIN};
+    StorePosition_t first = {EPOCH, 10 + LONG_CHANGES - LONG_KEPT_MAX};
+    ck_assert(ListCopy_readChanges(copy, kept_from, G_MAXSIZE, changes, &end));
+    ck_assert(!ListCopy_readChanges(copy, first, G_MAXSIZE, changes, &end));
+    ListCopy_destroy(copy);
+}
+END_TEST
+
 START_TEST(cursor_of_an_earlier_epoch_is_refused)
 {
     ListCursor_t cursor = {"a", {EPOCH - 1, 100}};
@@ -150,5 +174,6 @@
 TESTING_MAIN("ListCopy", pages_are_in_the_order_of_keys,
              page_has_changes_of_earlier_keys,
              cursor_older_than_the_change_log_is_refused,
+             changes_of_long_records_are_bounded_by_their_bytes,
              cursor_of_an_earlier_epoch_is_refused,
              incomplete_copy_is_not_read)
