A long configuration is sent on before it is decoded

A record of more than 16 KB, and what follows it, is now applied in the next iteration of the event loop, when what was to be sent to peers has been written. Until then it counts as neither in force nor current.

test_RouteVersions.long_config_is_put_in_force_after_what_is_due shows the order; it failed before, as the configuration was in force at once.

--- a/src/RouteVersions.c
+++ b/src/RouteVersions.c
@@ -10,6 +10,9 @@
  * longer than this timeout in the kernel's queue (AcceptHold.h). */
 #define PEER_WAIT_MS 150
 
+/* Longer values are applied after what is due in the event loop. */
+#define LONG_VALUE_BYTES 16384
+
 typedef struct {
     KeyedRecord_t *record;
     guint64 version;
@@ -24,6 +27,9 @@
     guint64 peer_version;  /* highest version that a peer has in force */
     gint64 current_ms;     /* when all records were last known, or 0 */
     gboolean is_wait_over; /* a peer sent its version, or none is waited for */
+    GQueue *waiting;       /* KeyedRecord_t to be applied, oldest first */
+    struct event *apply;   /* applies the first of them */
+    gint64 waiting_ms;     /* current_ms after that, or 0 */
 };
 
 static void
@@ -93,28 +99,6 @@
     promote_pending(this);
 }
 
-RouteVersions_t *
-RouteVersions_create(struct event_base *base, const RouteVersionsSpec_t *spec)
-{
-    RouteVersions_t *this = g_new0(RouteVersions_t, 1);
-    this->spec = *spec;
-    this->newest = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                         free_versioned_record);
-    this->is_wait_over = spec->is_alone;
-    this->peer_timeout = Clock_timer(base, on_peer_timeout, this);
-    Clock_arm(this->peer_timeout, PEER_WAIT_MS);
-    return this;
-}
-
-void
-RouteVersions_destroy(RouteVersions_t *this)
-{
-    event_free(this->peer_timeout);
-    g_clear_pointer(&this->pending, RouteConfig_unref);
-    g_hash_table_destroy(this->newest);
-    g_free(this);
-}
-
 /* A record with the same version replaces the stored one if its position is
  * not lower, as the operators may have written it again. */
 static gboolean
@@ -202,8 +186,8 @@
 
 /* A removed record has no effect: the configuration stays in force, as nothing
  * replaces it. */
-void
-RouteVersions_apply(RouteVersions_t *this, const KeyedRecord_t *record)
+static void
+apply_record(RouteVersions_t *this, const KeyedRecord_t *record)
 {
     const PlatformForm_t *form = this->spec.form;
     if (!record->value) {
@@ -219,6 +203,70 @@
     }
 }
 
+static gboolean
+is_long(const KeyedRecord_t *record)
+{
+    return record->value && g_bytes_get_size(record->value) > LONG_VALUE_BYTES;
+}
+
+void
+RouteVersions_apply(RouteVersions_t *this, const KeyedRecord_t *record)
+{
+    if (!is_long(record) && g_queue_is_empty(this->waiting)) {
+        apply_record(this, record);
+        return;
+    }
+    GBytes *value = record->value ? g_bytes_ref(record->value) : NULL;
+    g_queue_push_tail(this->waiting,
+                      KeyedRecord_create(record->key->str, record->key->len,
+                                         value, record->position));
+    Clock_arm(this->apply, 0);
+}
+
+static void
+on_apply(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    RouteVersions_t *this = data;
+    KeyedRecord_t *record = g_queue_pop_head(this->waiting);
+    apply_record(this, record);
+    KeyedRecord_free(record);
+    if (!g_queue_is_empty(this->waiting)) {
+        Clock_arm(this->apply, 0);
+    }
+    else if (this->waiting_ms > 0) {
+        RouteVersions_noteCurrent(this, this->waiting_ms);
+        this->waiting_ms = 0;
+    }
+}
+
+RouteVersions_t *
+RouteVersions_create(struct event_base *base, const RouteVersionsSpec_t *spec)
+{
+    RouteVersions_t *this = g_new0(RouteVersions_t, 1);
+    this->spec = *spec;
+    this->newest = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         free_versioned_record);
+    this->is_wait_over = spec->is_alone;
+    this->waiting = g_queue_new();
+    this->apply = Clock_timer(base, on_apply, this);
+    this->peer_timeout = Clock_timer(base, on_peer_timeout, this);
+    Clock_arm(this->peer_timeout, PEER_WAIT_MS);
+    return this;
+}
+
+void
+RouteVersions_destroy(RouteVersions_t *this)
+{
+    event_free(this->peer_timeout);
+    event_free(this->apply);
+    g_queue_free_full(this->waiting, KeyedRecord_free);
+    g_clear_pointer(&this->pending, RouteConfig_unref);
+    g_hash_table_destroy(this->newest);
+    g_free(this);
+}
+
 void
 RouteVersions_notePeerVersion(RouteVersions_t *this, guint64 version)
 {
@@ -233,6 +281,10 @@
 void
 RouteVersions_noteCurrent(RouteVersions_t *this, gint64 at_ms)
 {
+    if (!g_queue_is_empty(this->waiting)) {
+        this->waiting_ms = MAX(this->waiting_ms, at_ms);
+        return;
+    }
     this->current_ms = MAX(this->current_ms, at_ms);
     if (!RouteVersions_isBehind(this)) {
         RouteTable_noteCurrent(this->spec.routes, at_ms);
@@ -250,7 +302,8 @@
 gboolean
 RouteVersions_isBehind(const RouteVersions_t *this)
 {
-    return RouteVersions_newest(this) < this->peer_version;
+    return g_queue_is_empty(this->waiting) &&
+           RouteVersions_newest(this) < this->peer_version;
 }
 
 guint64
--- a/src/RouteVersions.h
+++ b/src/RouteVersions.h
@@ -14,6 +14,10 @@
  * is therefore put in force only after a peer has sent its version, or if no
  * peer sends one in time. While peers are known to have a newer configuration,
  * the one in force does not count as fresh.
+ *
+ * A long configuration takes long to decode, half a second on a small machine.
+ * It is put in force by the next iteration of the event loop, after it has
+ * been sent to the peers that wait for it.
  */
 #include <event2/event.h>
 
@@ -50,7 +54,8 @@
 void RouteVersions_destroy(RouteVersions_t *this);
 
 /** RouteVersions_apply() - apply a record read from the store or received from
- * a peer */
+ * a peer; a long one, and those that follow it, in the next iterations of the
+ * event loop */
 void RouteVersions_apply(RouteVersions_t *this, const KeyedRecord_t *record);
 
 /** RouteVersions_notePeerVersion() - note the version of the configuration
@@ -58,13 +63,14 @@
 void RouteVersions_notePeerVersion(RouteVersions_t *this, guint64 version);
 
 /**
- * RouteVersions_noteCurrent() - note that all records existing at @at_ms were
- * applied
+ * RouteVersions_noteCurrent() - note that RouteVersions_apply() was called for
+ * all records existing at @at_ms
  * @at_ms: monotonic time
  */
 void RouteVersions_noteCurrent(RouteVersions_t *this, gint64 at_ms);
 
-/** RouteVersions_isBehind() - whether peers have a newer configuration */
+/** RouteVersions_isBehind() - whether peers have a newer configuration than
+ * any known here; FALSE while records wait to be applied */
 gboolean RouteVersions_isBehind(const RouteVersions_t *this);
 
 /** RouteVersions_newest() - version of the newest configuration applied, in
--- a/tests/test_RouteVersions.c
+++ b/tests/test_RouteVersions.c
@@ -16,6 +16,7 @@
 /* Longer than PEER_WAIT_MS. */
 #define PAST_PEER_WAIT_MS 400
 #define FRESH_MS 60000
+#define LONG_BYTES 20000
 
 static struct event_base *base;
 static RouteTable_t *routes;
@@ -101,6 +102,34 @@
     return RouteTable_isFresh(routes, FRESH_MS);
 }
 
+/* Decoding took half a second on small machines, in which a long configuration
+ * was not sent on. */
+START_TEST(long_config_is_put_in_force_after_what_is_due)
+{
+    set_up(TRUE);
+    apply(CONFIG_KEY, "5", 1, 2);
+    RouteVersions_noteCurrent(versions, 1);
+    GString *text = g_string_new("6 ");
+    while (text->len < LONG_BYTES) {
+        g_string_append_c(text, ' ');
+    }
+    apply(CONFIG_KEY, text->str, 1, 3);
+    apply(WEIGHTS_KEY, "4", 1, 4);
+    RouteVersions_notePeerVersion(versions, 6);
+    RouteVersions_noteCurrent(versions, Clock_nowMs());
+    ck_assert(!RouteVersions_isBehind(versions));
+    ck_assert_uint_eq(RouteVersions_inForce(versions), 5);
+    ck_assert(!is_fresh());
+    ck_assert_ptr_null(ModelVersions_findNewest(weights, "m"));
+    run(1);
+    ck_assert_uint_eq(RouteVersions_inForce(versions), 6);
+    ck_assert_str_eq(ModelVersions_findNewest(weights, "m"), "4");
+    ck_assert(is_fresh());
+    g_string_free(text, TRUE);
+    tear_down();
+}
+END_TEST
+
 START_TEST(first_config_waits_for_a_peer_version)
 {
     set_up(FALSE);
@@ -199,7 +228,8 @@
 }
 END_TEST
 
-TESTING_MAIN("RouteVersions", first_config_waits_for_a_peer_version,
+TESTING_MAIN("RouteVersions", long_config_is_put_in_force_after_what_is_due,
+             first_config_waits_for_a_peer_version,
              config_older_than_a_peers_is_never_in_force,
              without_peer_replies_the_stored_config_is_used,
              router_without_peers_does_not_wait,
