Long messages between routers are sent in pieces

Any other message passes between two pieces. Peers of an earlier build do not say that they read pieces, and get whole messages.

--- a/src/ListExchange.c
+++ b/src/ListExchange.c
@@ -288,7 +288,7 @@
     page->records = pointers;
     message.body_case = WT__PEER_MESSAGE__BODY_LIST_PAGE;
     message.list_page = page;
-    Membership_send(this->spec.membership, to, &message);
+    Membership_sendLong(this->spec.membership, to, &message);
 }
 
 void
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -87,6 +87,7 @@
     hello.incarnation = this->table->self.incarnation;
     hello.callers_host = this->spec.callers.host;
     hello.callers_port = this->spec.callers.port;
+    hello.pieces = TRUE;
     message.body_case = WT__PEER_MESSAGE__BODY_HELLO;
     message.hello = &hello;
     PeerLink_send(link, &message);
@@ -254,6 +255,9 @@
     }
     member->link = link;
     member->is_late = FALSE;
+    if (hello->pieces) {
+        PeerLink_allowPieces(link);
+    }
     note_callers(member, hello);
     member->is_incoming = !PeerLink_isOutgoing(link);
     member->last_seen_ms = Clock_nowMs();
@@ -614,6 +618,13 @@
     return MemberTable_localRank(this->table, key, hall);
 }
 
+static void
+count_sent(const Membership_t *this, gsize bytes)
+{
+    Counters_add(this->spec.counters, "peer_bytes_sent_total",
+                 "kind=\"calls\"", (gint64)bytes);
+}
+
 gboolean
 Membership_send(Membership_t *this, Member_t *member,
                 const Wt__PeerMessage *message)
@@ -621,8 +632,18 @@
     if (!member->link) {
         return FALSE;
     }
-    Counters_add(this->spec.counters, "peer_bytes_sent_total",
-                 "kind=\"calls\"", PeerLink_send(member->link, message));
+    count_sent(this, PeerLink_send(member->link, message));
+    return TRUE;
+}
+
+gboolean
+Membership_sendLong(Membership_t *this, Member_t *member,
+                    const Wt__PeerMessage *message)
+{
+    if (!member->link) {
+        return FALSE;
+    }
+    count_sent(this, PeerLink_sendLong(member->link, message));
     return TRUE;
 }
 
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -140,6 +140,11 @@
 gboolean Membership_send(Membership_t *this, Member_t *member,
                          const Wt__PeerMessage *message);
 
+/** Membership_sendLong() - send a long message, which later ones may overtake,
+ * to a member; FALSE if there is no link */
+gboolean Membership_sendLong(Membership_t *this, Member_t *member,
+                             const Wt__PeerMessage *message);
+
 /** Membership_broadcast() - send to all linked members in a mesh, otherwise to
  * the MEMBER_TABLE_UPDATE_PEERS first of them, which forward to the others */
 void Membership_broadcast(Membership_t *this, const Wt__PeerMessage *message);
--- a/src/PeerLink.h
+++ b/src/PeerLink.h
@@ -6,6 +6,10 @@
  * A TCP connection between two routers. A frame consists of a length, a
  * message authentication code and a PeerMessage. A frame with a wrong code
  * closes the link, so that only holders of the routers' key can send messages.
+ *
+ * A long message is sent in pieces, and only few of its bytes wait in the
+ * connection at a time: a short message that is sent later, such as one with
+ * the age of what the sender knows, passes it.
  */
 #include <event2/event.h>
 #include <glib.h>
@@ -51,6 +55,19 @@
  */
 gsize PeerLink_send(PeerLink_t *this, const Wt__PeerMessage *message);
 
+/**
+ * PeerLink_sendLong() - queue a message that later ones may overtake
+ *
+ * Sent whole, as by PeerLink_send(), if it is short or the peer is of an
+ * earlier build.
+ *
+ * Return: length of the message in bytes
+ */
+gsize PeerLink_sendLong(PeerLink_t *this, const Wt__PeerMessage *message);
+
+/** PeerLink_allowPieces() - the peer reads pieces */
+void PeerLink_allowPieces(PeerLink_t *this);
+
 /** PeerLink_isReceiving() - whether a part of a message has arrived, and some
  * of it lately */
 gboolean PeerLink_isReceiving(const PeerLink_t *this);
--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -72,7 +72,7 @@
              const Wt__PeerMessage *message)
 {
     if (member) {
-        Membership_send(this->membership, member, message);
+        Membership_sendLong(this->membership, member, message);
     }
     else {
         Membership_broadcast(this->membership, message);
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1807,6 +1807,51 @@
   assert(message->base.descriptor == &wt__link_time__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__piece__init
+                     (Wt__Piece         *message)
+{
+  static const Wt__Piece init_value = WT__PIECE__INIT;
+  *message = init_value;
+}
+size_t wt__piece__get_packed_size
+                     (const Wt__Piece *message)
+{
+  assert(message->base.descriptor == &wt__piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__piece__pack
+                     (const Wt__Piece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__piece__pack_to_buffer
+                     (const Wt__Piece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__Piece *
+       wt__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__Piece *)
+     protobuf_c_message_unpack (&wt__piece__descriptor,
+                                allocator, len, data);
+}
+void   wt__piece__free_unpacked
+                     (Wt__Piece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message)
 {
@@ -1852,7 +1897,7 @@
   assert(message->base.descriptor == &wt__peer_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wt__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wt__hello__field_descriptors[5] =
 {
   {
     "name",
@@ -1902,17 +1947,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pieces",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Hello, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__hello__field_indices_by_name[] = {
   2,   /* field[2] = callers_host */
   3,   /* field[3] = callers_port */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
+  4,   /* field[4] = pieces */
 };
 static const ProtobufCIntRange wt__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__hello__descriptor =
 {
@@ -1922,7 +1980,7 @@
   "Wt__Hello",
   "wt",
   sizeof(Wt__Hello),
-  4,
+  5,
   wt__hello__field_descriptors,
   wt__hello__field_indices_by_name,
   1,  wt__hello__number_ranges,
@@ -5478,7 +5536,58 @@
   (ProtobufCMessageInit) wt__link_time__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[26] =
+static const ProtobufCFieldDescriptor wt__piece__field_descriptors[2] =
+{
+  {
+    "bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Piece, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__Piece, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__piece__field_indices_by_name[] = {
+  0,   /* field[0] = bytes */
+  1,   /* field[1] = last */
+};
+static const ProtobufCIntRange wt__piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.Piece",
+  "Piece",
+  "Wt__Piece",
+  "wt",
+  sizeof(Wt__Piece),
+  2,
+  wt__piece__field_descriptors,
+  wt__piece__field_indices_by_name,
+  1,  wt__piece__number_ranges,
+  (ProtobufCMessageInit) wt__piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__peer_message__field_descriptors[27] =
 {
   {
     "hello",
@@ -5792,6 +5901,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "piece",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__PeerMessage, body_case),
+    offsetof(Wt__PeerMessage, piece),
+    &wt__piece__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__peer_message__field_indices_by_name[] = {
   4,   /* field[4] = claim_call */
@@ -5811,6 +5932,7 @@
   23,   /* field[23] = origin_answer */
   22,   /* field[22] = origin_ask */
   21,   /* field[21] = origin_news */
+  26,   /* field[26] = piece */
   11,   /* field[11] = place_answer */
   10,   /* field[10] = place_ask */
   12,   /* field[12] = place_news */
@@ -5824,7 +5946,7 @@
 static const ProtobufCIntRange wt__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor wt__peer_message__descriptor =
 {
@@ -5834,7 +5956,7 @@
   "Wt__PeerMessage",
   "wt",
   sizeof(Wt__PeerMessage),
-  26,
+  27,
   wt__peer_message__field_descriptors,
   wt__peer_message__field_indices_by_name,
   1,  wt__peer_message__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -57,6 +57,7 @@
 typedef struct Wt__OriginAnswer Wt__OriginAnswer;
 typedef struct Wt__SoftwareRecord Wt__SoftwareRecord;
 typedef struct Wt__LinkTime Wt__LinkTime;
+typedef struct Wt__Piece Wt__Piece;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
 
 
@@ -143,10 +144,14 @@
    */
   char *callers_host;
   uint32_t callers_port;
+  /*
+   * It reads pieces.
+   */
+  protobuf_c_boolean pieces;
 };
 #define WT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -1127,6 +1132,21 @@
     , 0, 0, 0 }
 
 
+/*
+ * A part of a long PeerMessage, between whose parts other messages may come.
+ * The parts of one message come in order, and one message after the other.
+ */
+struct  Wt__Piece
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData bytes;
+  protobuf_c_boolean last;
+};
+#define WT__PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__piece__descriptor) \
+    , {0,NULL}, 0 }
+
+
 typedef enum {
   WT__PEER_MESSAGE__BODY__NOT_SET = 0,
   WT__PEER_MESSAGE__BODY_HELLO = 1,
@@ -1153,7 +1173,8 @@
   WT__PEER_MESSAGE__BODY_ORIGIN_NEWS = 22,
   WT__PEER_MESSAGE__BODY_ORIGIN_ASK = 23,
   WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER = 24,
-  WT__PEER_MESSAGE__BODY_TOPIC_PATCH = 26
+  WT__PEER_MESSAGE__BODY_TOPIC_PATCH = 26,
+  WT__PEER_MESSAGE__BODY_PIECE = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__PEER_MESSAGE__BODY__CASE)
 } Wt__PeerMessage__BodyCase;
 
@@ -1188,6 +1209,7 @@
     Wt__OriginAsk *origin_ask;
     Wt__OriginAnswer *origin_answer;
     Wt__TopicPatch *topic_patch;
+    Wt__Piece *piece;
   };
 };
 #define WT__PEER_MESSAGE__INIT \
@@ -1955,6 +1977,25 @@
 void   wt__link_time__free_unpacked
                      (Wt__LinkTime *message,
                       ProtobufCAllocator *allocator);
+/* Wt__Piece methods */
+void   wt__piece__init
+                     (Wt__Piece         *message);
+size_t wt__piece__get_packed_size
+                     (const Wt__Piece   *message);
+size_t wt__piece__pack
+                     (const Wt__Piece   *message,
+                      uint8_t             *out);
+size_t wt__piece__pack_to_buffer
+                     (const Wt__Piece   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__Piece *
+       wt__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__piece__free_unpacked
+                     (Wt__Piece *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__PeerMessage methods */
 void   wt__peer_message__init
                      (Wt__PeerMessage         *message);
@@ -2096,6 +2137,9 @@
 typedef void (*Wt__LinkTime_Closure)
                  (const Wt__LinkTime *message,
                   void *closure_data);
+typedef void (*Wt__Piece_Closure)
+                 (const Wt__Piece *message,
+                  void *closure_data);
 typedef void (*Wt__PeerMessage_Closure)
                  (const Wt__PeerMessage *message,
                   void *closure_data);
@@ -2149,6 +2193,7 @@
 extern const ProtobufCMessageDescriptor wt__origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__software_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__link_time__descriptor;
+extern const ProtobufCMessageDescriptor wt__piece__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
 
 PROTOBUF_C__END_DECLS
