--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -98,9 +98,12 @@
 BREAK_PAUSE_S = (0.5, 2.0)
 # Delays of a slow store's answers: less and more than its timeout.
 STORE_DELAYS_S = (0.8, 1.2, 2.4)
-# Routes of a long configuration, the rate at which its record arrives, and how
-# long it stays.
+# Routes of a long configuration, the changes of one route that follow it and
+# the pause between them, the rate at which a record arrives, and how long the
+# last one stays.
 LONG_ROUTES = 700
+LONG_CHANGES = 3
+LONG_CHANGE_S = 0.5
 LONG_BYTES_PER_S = 150000
 LONG_CONFIG_S = 2.0
 CONNECTION_ERRORS = (OSError, http.client.HTTPException)
@@ -591,14 +594,17 @@
 
     def write_long_config(self):
         """Writes a configuration whose record takes longer to read than a
-        router waits for the first byte, and a change right after it."""
+        router waits for the first byte, and changes right after it."""
         routes = RANKED_ROUTES if self.partitioned else ROUTES
         more = [route("more%d" % i, "/more/%d/" % i, "idempotent", "plain")
                 for i in range(LONG_ROUTES)]
         self.fleet.store.bytes_per_s = LONG_BYTES_PER_S
         with self.store_lock:
             self.fleet.config(routes=routes + more)
-            self.fleet.config(routes=routes + more[1:])
+        for i in range(LONG_CHANGES):
+            time.sleep(LONG_CHANGE_S)
+            with self.store_lock:
+                self.fleet.config(routes=routes + more[i + 1:])
         time.sleep(LONG_CONFIG_S)
         self.fleet.store.bytes_per_s = None
         self.write_config()
