--- a/src/LinkClock.c
+++ b/src/LinkClock.c
@@ -27,8 +27,9 @@
     if (passed_ms < LINK_CLOCK_WINDOW_MS) {
         return;
     }
-    this->ahead_ms[1] =
-        passed_ms < 2 * LINK_CLOCK_WINDOW_MS ? this->ahead_ms[0] : NONE;
+    this->ahead_ms[1] = passed_ms < (gint64)2 * LINK_CLOCK_WINDOW_MS
+                            ? this->ahead_ms[0]
+                            : NONE;
     this->ahead_ms[0] = NONE;
     this->window_ms = now_ms;
 }
--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -8,47 +8,22 @@
 #include "ListExchange.h"
 #include "Log.h"
 #include "PeerAge.h"
-#include "Random.h"
 #include "RecordAnswers.h"
 #include "RecordFollower.h"
 #include "RecordRelay.h"
+#include "RouteAnswer.h"
 #include "RouteQueries.h"
 #include "RouteVersions.h"
+#include "StoreChecks.h"
 
 /* Interval of the check whether peers still send updates. */
 #define TICK_MS 200
-/* A router that received no update from peers for UPDATE_TIMEOUT_MS checks the
- * store itself, as the readers may have departed or lost their links. It
- * checks at most once per STORE_CHECK_INTERVAL_MS; consecutive failures double
- * the interval up to STORE_CHECK_DOUBLINGS_MAX times. */
-#define UPDATE_TIMEOUT_MS 1800
-/* Additional time while a reader receives a long record: its link is as slow
- * as this router's, and both would receive it at the same time. */
-#define RECEIVING_TIMEOUT_MS 1200
-#define STORE_CHECK_INTERVAL_MS 1000
-#define STORE_CHECK_DOUBLINGS_MAX 2
 /* A reader of rank n > 0 waits reader_wait_ms + n * READER_STEP_MS before it
  * reads: the update of the reader of rank 0 arrives within some hundred
  * milliseconds after the held read ends. */
 #define READER_STEP_MS 300
 /* Delay of the retry of a failed call, per router of lower rank. */
 #define RETRY_STEP_MS 100
-/* Routers that stop receiving updates at the same time spread their store
- * checks at random over this time per router, up to a maximum: the first
- * router that gets a reply sends it to the others, which then need no check.
- * The maximum leaves one second of the usual limit on the age. */
-#define CHECK_SPREAD_PER_ROUTER_MS 10
-#define CHECK_SPREAD_MAX_MS 1000
-/* Number of distinct values of spread_fraction. */
-#define SPREAD_STEPS 1000
-/* Minimum interval of store checks while this router is behind its peers. */
-#define BEHIND_CHECK_INTERVAL_MS 400
-/* A router that is behind queries peers for this time before it checks the
- * store: a peer that announces a record may not have the record itself. */
-#define PEER_CATCH_UP_TIMEOUT_MS 600
-/* A reader has its own read open and leaves the records to it for longer. */
-#define READ_CATCH_UP_TIMEOUT_MS 1200
-
 /* Bytes of a patch that is broadcast. Each peer gets it over several links, so
  * it must be short next to what these carry in a moment. */
 #define PATCH_BROADCAST_BYTES 4096
@@ -63,13 +38,12 @@
     ListExchange_t *exchange; /* lists from peers when many routers start */
     RecordAnswers_t *answers;
     struct event *tick;
-    gint64 store_checked_ms;
     gint64 store_called_ms; /* when retry_delay_ms() last allowed a call */
     CatchUp_t *catch_up;
     RouteQueries_t *queries;
-    gint64 end_ms;          /* when the topic ended at the known position */
-    double spread_fraction; /* 0 to 1: share of the spread of store checks */
-    gboolean is_from_peer;  /* the records being applied are from a peer */
+    StoreChecks_t *checks;
+    gint64 end_ms;             /* when the topic ended at the known position */
+    gboolean is_from_peer;     /* the records being applied are from a peer */
     gboolean is_copy_complete; /* the copy has all records since the list */
 };
 
@@ -171,43 +145,6 @@
     }
 }
 
-static void
-check_store(RouteSync_t *this, gint64 min_interval_ms, StoreCause_t cause)
-{
-    gint64 now_ms = Clock_nowMs();
-    if (now_ms - this->store_checked_ms >= min_interval_ms) {
-        this->store_checked_ms = now_ms;
-        if (RecordFollower_checkEnd(this->follower, cause)) {
-            CatchUp_noteStoreRead(this->catch_up);
-        }
-    }
-}
-
-/* Another call to the store would compete with what is arriving. */
-static gboolean
-is_transferring(const RouteSync_t *this)
-{
-    return RouteQueries_isTransferring(this->queries) ||
-           RecordSource_isReceiving(this->spec.source);
-}
-
-static gboolean
-is_long_behind(const RouteSync_t *this)
-{
-    gint64 timeout_ms = RecordFollower_isReading(this->follower)
-                            ? READ_CATCH_UP_TIMEOUT_MS
-                            : PEER_CATCH_UP_TIMEOUT_MS;
-    return CatchUp_behindMs(this->catch_up) >= timeout_ms;
-}
-
-static void
-check_store_if_long_behind(RouteSync_t *this)
-{
-    if (is_long_behind(this) && !is_transferring(this)) {
-        check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
-    }
-}
-
 static void
 catch_up(RouteSync_t *this, Member_t *from, StorePosition_t known,
          StorePosition_t end)
@@ -217,10 +154,10 @@
         RouteTable_noteNewer(this->spec.routes, Clock_nowMs());
     }
     if (!from) {
-        check_store(this, BEHIND_CHECK_INTERVAL_MS, STORE_BEHIND);
+        StoreChecks_checkNow(this->checks);
         return;
     }
-    check_store_if_long_behind(this);
+    StoreChecks_checkIfLongBehind(this->checks);
     if (!RecordFollower_isReading(this->follower)) {
         RouteQueries_send(this->queries, from);
     }
@@ -262,23 +199,6 @@
     return order == 0;
 }
 
-/* Computed from the current membership, which is not known yet at the start.
- */
-static gint64
-spread_ms(const RouteSync_t *this)
-{
-    gint64 routers = Membership_countActive(this->spec.membership);
-    gint64 max_ms =
-        MIN(routers * CHECK_SPREAD_PER_ROUTER_MS, CHECK_SPREAD_MAX_MS);
-    return (gint64)(this->spread_fraction * (double)max_ms);
-}
-
-static void
-draw_spread_fraction(RouteSync_t *this)
-{
-    this->spread_fraction = (double)Random_below(SPREAD_STEPS) / SPREAD_STEPS;
-}
-
 /* All routers list the topic again at the same time. The delay spreads their
  * lists in the same way as store checks without updates. */
 static void
@@ -288,9 +208,9 @@
     CatchUp_reset(this->catch_up);
     RouteTable_noteNewer(this->spec.routes, 0);
     this->is_copy_complete = FALSE;
-    RecordFollower_beginEpoch(this->follower, spread_ms(this));
+    RecordFollower_beginEpoch(this->follower,
+                              StoreChecks_spreadMs(this->checks));
     ListExchange_startQueries(this->exchange);
-    draw_spread_fraction(this);
 }
 
 static guint64
@@ -352,24 +272,6 @@
     .gap = on_gap,
 };
 
-static void
-check_store_if_stale(RouteSync_t *this)
-{
-    gint64 max_ms = UPDATE_TIMEOUT_MS + spread_ms(this);
-    if (FreshnessRelay_isReaderReceiving(this->relay)) {
-        max_ms += RECEIVING_TIMEOUT_MS;
-    }
-    if (RouteTable_isFresh(this->spec.routes, max_ms) ||
-        is_transferring(this)) {
-        return;
-    }
-    guint doublings = MIN(RecordFollower_failedChecks(this->follower),
-                          STORE_CHECK_DOUBLINGS_MAX);
-    check_store(this, STORE_CHECK_INTERVAL_MS << doublings,
-                STORE_PEERS_SILENT);
-    draw_spread_fraction(this);
-}
-
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
@@ -377,11 +279,12 @@
     (void)what;
     RouteSync_t *this = data;
     set_read_timing(this);
-    check_store_if_long_behind(this);
+    StoreChecks_checkIfLongBehind(this->checks);
     if (!RecordFollower_isReading(this->follower)) {
         RouteQueries_sendNext(this->queries);
     }
-    check_store_if_stale(this);
+    StoreChecks_checkIfStale(this->checks,
+                             FreshnessRelay_isReaderReceiving(this->relay));
     Clock_arm(this->tick, TICK_MS);
 }
 
@@ -419,6 +322,20 @@
     this->queries = RouteQueries_create(&spec);
 }
 
+static void
+create_checks(RouteSync_t *this)
+{
+    StoreChecksSpec_t spec = {
+        .routes = this->spec.routes,
+        .membership = this->spec.membership,
+        .source = this->spec.source,
+        .follower = this->follower,
+        .catch_up = this->catch_up,
+        .queries = this->queries,
+    };
+    this->checks = StoreChecks_create(&spec);
+}
+
 RouteSync_t *
 RouteSync_create(struct event_base *base, const RouteSyncSpec_t *spec)
 {
@@ -451,7 +368,7 @@
     ListExchange_setFollower(this->exchange, this->follower);
     this->tick = Clock_timer(base, on_tick, this);
     StoreEpoch_addListener(spec->epoch, on_epoch_change, this);
-    draw_spread_fraction(this);
+    create_checks(this);
     Clock_arm(this->tick, TICK_MS);
     return this;
 }
@@ -471,6 +388,7 @@
     FreshnessRelay_destroy(this->relay);
     ListExchange_destroy(this->exchange);
     ListCopy_destroy(this->copy);
+    StoreChecks_destroy(this->checks);
     RouteQueries_destroy(this->queries);
     CatchUp_destroy(this->catch_up);
     RecordRelay_destroy(this->records);
@@ -647,79 +565,16 @@
     apply_patch(this, from, message);
 }
 
-/* Sends records that the store has lost and only routers still have. */
-static void
-send_lost_records(const RouteSync_t *this, Member_t *from,
-                  StorePosition_t known)
-{
-    GPtrArray *records = RouteVersions_listLost(this->versions, known);
-    if (records->len > 0) {
-        RecordRelay_sendLostRecords(this->records, from, records);
-    }
-    g_ptr_array_unref(records);
-}
-
-static gboolean
-has_more(const RouteSync_t *this, const Wt__TopicAsk *query)
-{
-    StorePosition_t known = RecordFollower_position(this->follower);
-    return known.epoch == query->epoch && known.offset > query->from &&
-           this->end_ms > 0;
-}
-
-/* Returns FALSE if the records are too long to be encoded. */
-static gboolean
-send_patch(const RouteSync_t *this, Member_t *to, const Wt__TopicAsk *query)
-{
-    StorePosition_t from = {query->epoch, query->from};
-    GArray *encoded = RecordAnswers_encode(this->answers, from);
-    if (!encoded) {
-        return FALSE;
-    }
-    if (RecordAnswers_isBusy(this->answers, to,
-                             RecordAnswers_countEncoded(encoded))) {
-        RecordRelay_sendPatchRefusal(this->records, to, query);
-    }
-    else {
-        RecordRelay_sendPatch(this->records, to, query->from, encoded,
-                              RecordFollower_position(this->follower),
-                              this->end_ms);
-    }
-    g_array_unref(encoded);
-    return TRUE;
-}
-
-static void
-send_records(const RouteSync_t *this, Member_t *to, const Wt__TopicAsk *query)
-{
-    StorePosition_t from = {query->epoch, query->from};
-    GPtrArray *records = RecordAnswers_list(this->answers, from, to);
-    if (records) {
-        RecordRelay_sendAnswer(this->records, to, query->from, records,
-                               RecordFollower_position(this->follower),
-                               this->end_ms);
-        g_ptr_array_unref(records);
-    }
-}
-
-/* A router of an earlier build gets no answer if this one is busy or knows no
- * more, and queries another one later. */
 void
 RouteSync_answerQuery(RouteSync_t *this, Member_t *from,
                       const Wt__TopicAsk *message)
 {
-    StorePosition_t requested_from = {message->epoch, message->from};
-    if (message->version > 0 &&
-        message->version < RouteVersions_inForce(this->versions)) {
-        send_lost_records(this, from, requested_from);
-    }
-    if (!has_more(this, message)) {
-        if (message->patches) {
-            RecordRelay_sendPatchRefusal(this->records, from, message);
-        }
-        return;
-    }
-    if (!message->patches || !send_patch(this, from, message)) {
-        send_records(this, from, message);
-    }
+    RouteAnswerSpec_t spec = {
+        .answers = this->answers,
+        .relay = this->records,
+        .versions = this->versions,
+        .known = RecordFollower_position(this->follower),
+        .end_ms = this->end_ms,
+    };
+    RouteAnswer_send(&spec, from, message);
 }
