Routers with the fastest links read the operators' records

The readers were chosen by rank alone, though one in ten routers of these sites has 200 Mbit/s.

Settings name the rate of an instance's link, facts of routers carry it, and readers are ranked by it first. A router of an earlier build tells none and comes last; where none is told the rank is as before, so that with two builds up to six routers read.

test_Gossip.routers_with_faster_links_rank_first shows the order.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -3,8 +3,9 @@
 #include "Clock.h"
 #include "PeerAge.h"
 
-/* Routers that poll the store. With three, one may be down and another one
- * cut off. */
+/* Routers that poll the store, those with the fastest links: all wait for the
+ * records that they receive. With three, one may be down and another one cut
+ * off. */
 #define READER_COUNT 3
 /* Key by which routers are ranked for the choice of the readers. */
 #define RANK_KEY "freshness"
@@ -160,7 +161,7 @@
 FreshnessRelay_rank(const FreshnessRelay_t *this)
 {
     return Membership_isConverged(this->membership)
-               ? Membership_localRank(this->membership, RANK_KEY, NULL)
+               ? Membership_rankByLink(this->membership, RANK_KEY)
                : G_MAXUINT;
 }
 
--- a/src/Gossip.c
+++ b/src/Gossip.c
@@ -155,6 +155,7 @@
     if (*fact->hall) {
         parse_address(&member->address, fact->address);
         g_string_assign(member->hall, fact->hall);
+        member->link_mbit = fact->link_mbit;
         member->address_incarnation = fact->incarnation;
     }
 }
@@ -286,6 +287,7 @@
                                               member->address.port)
                             : g_strdup("");
     fact->hall = is_full ? member->hall->str : (char *)"";
+    fact->link_mbit = is_full ? member->link_mbit : 0;
     fact->heartbeat = member->heartbeat;
     fact->leaving = member->leaving;
     fact->fold_offset = member->fold_offset;
--- a/src/MemberTable.c
+++ b/src/MemberTable.c
@@ -393,3 +393,28 @@
     }
     return rank;
 }
+
+static gboolean
+precedes_self(const MemberTable_t *this, const Member_t *member,
+              const char *key, guint64 self_weight)
+{
+    if (member->link_mbit != this->self.link_mbit) {
+        return member->link_mbit > this->self.link_mbit;
+    }
+    return rendezvous_weight(member, key) > self_weight;
+}
+
+guint
+MemberTable_rankByLink(const MemberTable_t *this, const char *key)
+{
+    guint rank = 0;
+    guint64 self_weight = rendezvous_weight(&this->self, key);
+    for (guint i = 0; i < this->live->len; i++) {
+        const Member_t *member = g_ptr_array_index(this->live, i);
+        if (!member->leaving &&
+            precedes_self(this, member, key, self_weight)) {
+            rank++;
+        }
+    }
+    return rank;
+}
--- a/src/MemberTable.h
+++ b/src/MemberTable.h
@@ -17,6 +17,7 @@
  * @incarnation: newest known incarnation
  * @address: address on which the router listens for peers
  * @hall: hall of the router
+ * @link_mbit: rate of the router's link in Mbit/s; 0 if it is not known
  * @callers: address on which the router listens for callers, as told over a
  *     link; port 0 if it is not known
  * @address_incarnation: incarnation that @address and @hall belong to; 0 if
@@ -41,6 +42,7 @@
     guint64 incarnation;
     Address_t address;
     GString *hall;
+    guint32 link_mbit;
     Address_t callers;
     guint64 address_incarnation;
     guint64 heartbeat;
@@ -163,4 +165,9 @@
 guint MemberTable_localRank(const MemberTable_t *this, const char *key,
                             const char *hall);
 
+/** MemberTable_rankByLink() - this router's rank among all, from 0: routers
+ * with faster links come first, those with equal ones as in
+ * MemberTable_localRank() */
+guint MemberTable_rankByLink(const MemberTable_t *this, const char *key);
+
 #endif
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -457,6 +457,7 @@
     this->table =
         MemberTable_create(settings->router.name->str,
                            settings->router.hall->str, spec->incarnation);
+    this->table->self.link_mbit = (guint32)settings->router.link_mbit;
     this->gossip = Gossip_create(this->table, spec->upstreams, spec->counters,
                                  &settings->peers);
     this->seeds = g_ptr_array_new_with_free_func(g_free);
@@ -618,6 +619,12 @@
     return MemberTable_localRank(this->table, key, hall);
 }
 
+guint
+Membership_rankByLink(const Membership_t *this, const char *key)
+{
+    return MemberTable_rankByLink(this->table, key);
+}
+
 static void
 count_sent(const Membership_t *this, gsize bytes)
 {
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -136,6 +136,10 @@
 guint Membership_localRank(const Membership_t *this, const char *key,
                            const char *hall);
 
+/** Membership_rankByLink() - this router's rank for a key, from 0, after the
+ * routers with faster links */
+guint Membership_rankByLink(const Membership_t *this, const char *key);
+
 /** Membership_send() - send to a member; FALSE if there is no link */
 gboolean Membership_send(Membership_t *this, Member_t *member,
                          const Wt__PeerMessage *message);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -50,6 +50,9 @@
     {"stop_limit", KEY_DURATION, FALSE, "10m", 0, HOUR_MS, NULL,
      R(stop_limit_ms), "After SIGTERM: how long open streams may continue.",
      KEY_LIVE},
+    {"link_mbit", KEY_INTEGER, FALSE, "0", 0, G_MAXINT32, NULL, R(link_mbit),
+     "Rate of this instance's link, in Mbit/s; 0 for unknown. Routers with "
+     "faster links read from the store what all routers need."},
     {"bootstrap", KEY_TEXT, FALSE, NULL, 0, 0, NULL, R(bootstrap),
      "File or directory of declarations to serve from while neither the log "
      "nor a peer has answered."},
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -53,6 +53,7 @@
  * @customer_limits: a LimitsName_t
  * @stop_grace_ms: how long requests are still accepted after SIGTERM
  * @stop_limit_ms: how long open streams may continue after SIGTERM
+ * @link_mbit: rate of this instance's link; 0 for unknown
  * @bootstrap: path of declarations to start from, or NULL
  * @seed: seed of all random choices; 0 to get one from the system
  */
@@ -69,6 +70,7 @@
     gint64 customer_limits;
     gint64 stop_grace_ms;
     gint64 stop_limit_ms;
+    gint64 link_mbit;
     GString *bootstrap;
     gint64 seed;
 } RouterSection_t;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1987,7 +1987,7 @@
   (ProtobufCMessageInit) wt__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__member_fact__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wt__member_fact__field_descriptors[8] =
 {
   {
     "name",
@@ -2073,6 +2073,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_mbit",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wt__MemberFact, link_mbit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__member_fact__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -2081,12 +2093,13 @@
   4,   /* field[4] = heartbeat */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = leaving */
+  7,   /* field[7] = link_mbit */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange wt__member_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wt__member_fact__descriptor =
 {
@@ -2096,7 +2109,7 @@
   "Wt__MemberFact",
   "wt",
   sizeof(Wt__MemberFact),
-  7,
+  8,
   wt__member_fact__field_descriptors,
   wt__member_fact__field_indices_by_name,
   1,  wt__member_fact__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -174,10 +174,14 @@
    * Config records below it are in force there.
    */
   uint64_t fold_offset;
+  /*
+   * Rate of its link; 0 where it is not known.
+   */
+  uint32_t link_mbit;
 };
 #define WT__MEMBER_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__member_fact__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_Gossip.c
+++ b/tests/test_Gossip.c
@@ -2,6 +2,8 @@
 
 #include "Gossip.h"
 
+#define LINK_MBIT 100
+
 static MemberTable_t *table;
 static UpstreamSet_t *upstreams;
 static Counters_t *counters;
@@ -40,6 +42,7 @@
     fact.heartbeat = heartbeat;
     fact.address = (char *)address;
     fact.hall = *address ? "h" : "";
+    fact.link_mbit = *address ? LINK_MBIT : 0;
     fact.leaving = leaving;
     message.n_members = 1;
     message.members = &facts;
@@ -67,6 +70,28 @@
 }
 END_TEST
 
+START_TEST(routers_with_faster_links_rank_first)
+{
+    set_up();
+    receive_fact(1, 3, "127.0.0.1:7", FALSE);
+    guint before = MemberTable_rankByLink(table, "key");
+    table->self.link_mbit = LINK_MBIT - 1;
+    ck_assert_uint_eq(MemberTable_rankByLink(table, "key"), 1);
+    receive_fact(1, 4, "", FALSE);
+    ck_assert_uint_eq(MemberTable_rankByLink(table, "key"), 1);
+    table->self.link_mbit = LINK_MBIT + 1;
+    ck_assert_uint_eq(MemberTable_rankByLink(table, "key"), 0);
+    table->self.link_mbit = LINK_MBIT;
+    guint equal = MemberTable_rankByLink(table, "key");
+    ck_assert_uint_eq(equal, MemberTable_localRank(table, "key", NULL));
+    ck_assert_uint_eq(before, 1);
+    receive_fact(1, 5, "127.0.0.1:7", TRUE);
+    table->self.link_mbit = 0;
+    ck_assert_uint_eq(MemberTable_rankByLink(table, "key"), 0);
+    tear_down();
+}
+END_TEST
+
 START_TEST(older_full_fact_supplies_an_unknown_address)
 {
     set_up();
@@ -120,6 +145,7 @@
 END_TEST
 
 TESTING_MAIN("Gossip", full_fact_is_applied_after_its_own_heartbeat,
+             routers_with_faster_links_rank_first,
              older_full_fact_supplies_an_unknown_address,
              restarted_router_is_known_at_its_new_address,
              fact_of_an_older_incarnation_is_ignored,
