--- a/src/RouteQueries.c
+++ b/src/RouteQueries.c
@@ -74,9 +74,12 @@
 void
 RouteQueries_sendNext(RouteQueries_t *this)
 {
+    StorePosition_t known = {0};
+    guint64 version = 0;
     const char *name = CatchUp_nextSource(this->spec.catch_up);
     Member_t *peer = find_peer(this, name);
-    if (peer) {
+    this->spec.known(this->spec.owner, &known, &version);
+    if (peer && known.offset > 0) {
         RouteQueries_send(this, peer);
     }
 }
--- a/src/RouteQueries.h
+++ b/src/RouteQueries.h
@@ -47,7 +47,7 @@
 void RouteQueries_sendToAny(RouteQueries_t *this);
 
 /** RouteQueries_sendNext() - query a peer that is known to have the records,
- * unless an answer is on its way */
+ * unless an answer is on its way, or this router still lists the topic */
 void RouteQueries_sendNext(RouteQueries_t *this);
 
 #endif
--- a/tests/test_CatchUp.c
+++ b/tests/test_CatchUp.c
@@ -57,6 +57,37 @@
 }
 END_TEST
 
+START_TEST(peer_that_refuses_is_not_a_source_until_it_tells_again)
+{
+    CatchUp_t *catch_up = create_behind();
+    CatchUp_noteBehind(catch_up, known, next_end, "r2");
+    CatchUp_noteQuery(catch_up, "r1");
+    CatchUp_noteRefusal(catch_up, "r1");
+    ck_assert(!CatchUp_isTransferring(catch_up, TRUE));
+    ck_assert_str_eq(CatchUp_nextSource(catch_up), "r2");
+    CatchUp_noteRefusal(catch_up, "r2");
+    ck_assert_ptr_null(CatchUp_nextSource(catch_up));
+    CatchUp_noteBehind(catch_up, known, next_end, "r1");
+    ck_assert_str_eq(CatchUp_nextSource(catch_up), "r1");
+    CatchUp_destroy(catch_up);
+}
+END_TEST
+
+START_TEST(peer_with_fewer_records_is_no_source)
+{
+    CatchUp_t *catch_up = create_behind();
+    StorePosition_t further = {0, 13};
+    CatchUp_noteBehind(catch_up, known, further, "r2");
+    CatchUp_noteBehind(catch_up, known, next_end, "r3");
+    ck_assert_str_eq(CatchUp_nextSource(catch_up), "r2");
+    CatchUp_noteRefusal(catch_up, "r2");
+    ck_assert_ptr_null(CatchUp_nextSource(catch_up));
+    CatchUp_notePosition(catch_up, further);
+    ck_assert_ptr_null(CatchUp_nextSource(catch_up));
+    CatchUp_destroy(catch_up);
+}
+END_TEST
+
 START_TEST(new_epoch_ends_the_transfer)
 {
     CatchUp_t *catch_up = create_behind();
@@ -71,4 +102,6 @@
 
 TESTING_MAIN("CatchUp", router_is_behind_until_it_has_all_records,
              transfer_ends_with_the_answer_of_the_queried_peer,
-             transfer_without_a_byte_is_given_up, new_epoch_ends_the_transfer)
+             transfer_without_a_byte_is_given_up,
+             peer_that_refuses_is_not_a_source_until_it_tells_again,
+             peer_with_fewer_records_is_no_source, new_epoch_ends_the_transfer)
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -805,6 +805,62 @@
 }
 END_TEST
 
+static Member_t *
+other_peer(void)
+{
+    const GPtrArray *members =
+        Membership_members(routers.list[self].membership);
+    return g_ptr_array_index(members, 1);
+}
+
+static gboolean
+other_peer_was_queried(const FakeRouters_t *all)
+{
+    guint which =
+        (guint)g_ascii_strtoull(other_peer()->name->str + 1, NULL, 10);
+    return FakeRouters_count(all, which, WT__PEER_MESSAGE__BODY_TOPIC_ASK) > 0;
+}
+
+START_TEST(peer_that_is_busy_is_replaced_at_once)
+{
+    Wt__TopicPatch refusal = WT__TOPIC_PATCH__INIT;
+    Wt__ConfigCurrent message = WT__CONFIG_CURRENT__INIT;
+    refusal.refused = TRUE;
+    message.offset = 12;
+    start_without_reads();
+    RouteSync_receiveCurrent(route_sync, any_peer(), &message);
+    RouteSync_receiveCurrent(route_sync, other_peer(), &message);
+    FakeRouters_await(&routers, peer_was_queried);
+    ck_assert_uint_eq(count_queries(), 1);
+    RouteSync_receivePatch(route_sync, any_peer(), &refusal);
+    FakeRouters_await(&routers, other_peer_was_queried);
+    ck_assert_uint_eq(calls.made, 1);
+    end();
+}
+END_TEST
+
+/* A patch that builds on a record that this router lacks. */
+START_TEST(patch_that_cant_be_used_leads_to_a_query)
+{
+    Wt__RecordPatch record = WT__RECORD_PATCH__INIT;
+    Wt__RecordPatch *records[] = {&record};
+    Wt__TopicPatch patch = WT__TOPIC_PATCH__INIT;
+    record.key = (char *)CONFIG_KEY;
+    record.offset = 11;
+    record.has_base = TRUE;
+    record.base_offset = 7;
+    patch.from = 10;
+    patch.end = 12;
+    patch.n_records = 1;
+    patch.records = records;
+    start_without_reads();
+    RouteSync_receivePatch(route_sync, any_peer(), &patch);
+    FakeRouters_await(&routers, peer_was_queried);
+    ck_assert_uint_eq(version(), 5);
+    end();
+}
+END_TEST
+
 /* The records in a delayed message are valid; the age in it is not. */
 START_TEST(record_delayed_in_this_router_refreshes_nothing)
 {
@@ -865,5 +921,7 @@
              router_queries_a_peer_for_the_version_the_store_lost,
              peer_with_older_version_gets_the_lost_records,
              router_waits_for_a_reader_that_is_receiving,
+             peer_that_is_busy_is_replaced_at_once,
+             patch_that_cant_be_used_leads_to_a_query,
              record_delayed_in_this_router_refreshes_nothing,
              failing_store_is_checked_with_backoff)
