Only records of the operators count as a reader's long answer

By reading, before it landed: the list of upstreams came through the same client of the store, and is long and read all the time on large sites. A reader said that it was receiving while it read the list, and the others waited 1.2 s more for news of the configuration, for nothing.

--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -30,6 +30,7 @@
     StoreEpoch_t *epoch;
     LogClient_t *log;
     RecordSource_t *records;
+    RecordSource_t *operator_records; /* tells when these alone arrive */
     HallRegions_t *regions;
     RouteSync_t *sync;
     Orders_t *orders;
@@ -93,7 +94,7 @@
     Context_t *context = this->context;
     const Settings_t *settings = context->settings;
     RouteSyncSpec_t sync = {
-        .source = this->records,
+        .source = this->operator_records,
         .form = form,
         .routes = context->routes,
         .weights = context->weights,
@@ -332,6 +333,8 @@
                                  platform->log_timeout_ms, this->epoch);
     this->records = form->create_records(
         context->base, &platform->log, platform->log_timeout_ms, this->epoch);
+    this->operator_records = form->create_records(
+        context->base, &platform->log, platform->log_timeout_ms, this->epoch);
     context->versions = SoftwareVersions_create();
     create_followers(this, form);
     create_origins(this, form);
@@ -376,6 +379,7 @@
 {
     LogClient_destroy(this->log);
     RecordSource_destroy(this->records);
+    RecordSource_destroy(this->operator_records);
     CrashGuard_destroy(this->context->crashes);
     LoadShare_destroy(this->load_share);
     Orders_destroy(this->orders);
--- a/src/RouteSync.h
+++ b/src/RouteSync.h
@@ -23,7 +23,7 @@
 
 /**
  * struct RouteSyncSpec_t - dependencies and timing; all must outlive it
- * @source: source of the records
+ * @source: source of these records alone: peers are told while it receives
  * @form: form of the platform
  * @routes: receives each newer configuration
  * @weights: receives each newer version of weights
