A reader that is behind asks a peer, whatever it is reading

A router that was told of a longer record used to read it at once; it now asks the peer that told it, but not while it had a read of its own open, and so had it 0.66 s later.

--- a/src/RouteSync.c
+++ b/src/RouteSync.c
@@ -158,9 +158,7 @@
         return;
     }
     StoreChecks_checkIfLongBehind(this->checks);
-    if (!RecordFollower_isReading(this->follower)) {
-        RouteQueries_send(this->queries, from);
-    }
+    RouteQueries_send(this->queries, from);
 }
 
 /* Notifies the follower that the topic has no records after @end, so that it
@@ -280,9 +278,7 @@
     RouteSync_t *this = data;
     set_read_timing(this);
     StoreChecks_checkIfLongBehind(this->checks);
-    if (!RecordFollower_isReading(this->follower)) {
-        RouteQueries_sendNext(this->queries);
-    }
+    RouteQueries_sendNext(this->queries);
     StoreChecks_checkIfStale(this->checks,
                              FreshnessRelay_isReaderReceiving(this->relay));
     Clock_arm(this->tick, TICK_MS);
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -839,6 +839,21 @@
 }
 END_TEST
 
+/* With answers of the store that take 2.4 s, a reader that left the records to
+ * its own read was outdated for 0.7 s more, and refused callers. */
+START_TEST(reader_queries_a_peer_beside_its_own_read)
+{
+    begin_as(ROUTERS, TRUE);
+    answer(0, 10, CONFIG_KEY, "5", 9);
+    await_calls(2);
+    FakeRouters_run(&routers, AFTER_TRANSIT_MS);
+    receive_current_from_peer(12);
+    FakeRouters_await(&routers, peer_was_queried);
+    ck_assert_uint_eq(calls.made, 2);
+    end();
+}
+END_TEST
+
 /* A patch that builds on a record that this router lacks. */
 START_TEST(patch_that_cant_be_used_leads_to_a_query)
 {
@@ -922,6 +937,7 @@
              peer_with_older_version_gets_the_lost_records,
              router_waits_for_a_reader_that_is_receiving,
              peer_that_is_busy_is_replaced_at_once,
+             reader_queries_a_peer_beside_its_own_read,
              patch_that_cant_be_used_leads_to_a_query,
              record_delayed_in_this_router_refreshes_nothing,
              failing_store_is_checked_with_backoff)
