--- a/src/Membership.c
+++ b/src/Membership.c
@@ -282,7 +282,7 @@
 }
 
 /* Logs once when the messages of a peer begin to take long, and once when they
- * no longer do. */
+ * are on time again. */
 static void
 note_transit(const Membership_t *this, Member_t *from, gint64 transit_ms)
 {
