--- a/tests/sessions/test_slow_links.py
+++ b/tests/sessions/test_slow_links.py
@@ -148,5 +148,12 @@
             self.statuses.count(200) / len(self.statuses), self.SERVED_MIN)
 
 
+class QuickSuccessionTest(SlowLinksTest):
+    """The same, with changes that follow each other faster than a router's
+    link carries one of them."""
+
+    IN_A_ROW_S = 0.3
+
+
 if __name__ == "__main__":
     unittest.main()
