Logs tell how a caller's answer ended, and with how many bytes

Why: the lines of a request told its outcome, and not what its caller got: a whole answer, a kept error of another attempt, a refusal, or a part. Change: request_done and forward_done name the end of the caller's answer, the status, the bytes that the upstream stated and those that were sent. No change of what is sent.

--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -7,8 +7,19 @@
 #include "CallerWatch.h"
 #include "HttpCall.h"
 #include "HttpReply.h"
+#include "Log.h"
 #include "RelayForm.h"
 
+#define NO_LENGTH (-1)
+
+/* How the caller's answer ended. */
+typedef enum {
+    END_NONE, /* it has not, or the caller left before */
+    END_WHOLE,
+    END_REFUSED,
+    END_BROKEN,
+} AnswerEnd_t;
+
 struct RelayAnswer {
     CallerWatch_t *watch;
     const RelayAnswerEvents_t *events;
@@ -18,6 +29,9 @@
     gsize buffer_max;
     int status; /* from RelayAnswer_setHead(), 0 before */
     guint retry_after_ms;
+    gint64 stated_bytes; /* length of the upstream's body, or NO_LENGTH */
+    gint64 sent_bytes;   /* of the body */
+    AnswerEnd_t end;
     gboolean is_for_router; /* the caller is another router */
     gboolean is_end_proven; /* the upstream marks the end of its answer */
     gboolean needs_proof;
@@ -81,6 +95,7 @@
     this->id = g_string_new(spec->id);
     this->id_header = spec->id_header;
     this->buffer_max = spec->buffer_max;
+    this->stated_bytes = NO_LENGTH;
     this->is_end_proven = TRUE;
     this->is_for_router =
         evhttp_find_header(evhttp_request_get_input_headers(spec->request),
@@ -116,6 +131,14 @@
     }
 }
 
+static gint64
+read_length(BodyFraming_t framing, const struct evkeyvalq *headers)
+{
+    const char *length = evhttp_find_header(headers, "Content-Length");
+    return framing == BODY_LENGTH && length ? g_ascii_strtoll(length, NULL, 10)
+                                            : NO_LENGTH;
+}
+
 void
 RelayAnswer_setHead(RelayAnswer_t *this, int status, BodyFraming_t framing,
                     const struct evkeyvalq *headers)
@@ -126,6 +149,7 @@
     struct evkeyvalq *out = output_headers(this);
     const struct evkeyval *header = NULL;
     this->status = status;
+    this->stated_bytes = read_length(framing, headers);
     this->is_end_proven = framing != BODY_CLOSE_DELIMITED;
     evhttp_clear_headers(out);
     TAILQ_FOREACH(header, headers, next)
@@ -187,6 +211,7 @@
         return;
     }
     send_head(this);
+    this->sent_bytes += (gint64)evbuffer_get_length(data);
     /* evhttp keeps the callback of the last chunk only: a chunk without one
      * would drop on_drained, and the stream would stay paused. */
     if (this->full || buffered_bytes(connection) > this->buffer_max) {
@@ -206,6 +231,7 @@
         return;
     }
     send_head(this);
+    this->end = END_WHOLE;
     HttpReply_endStream(CallerWatch_detach(this->watch));
 }
 
@@ -221,6 +247,8 @@
         return;
     }
     this->head_sent = TRUE;
+    this->end = END_WHOLE;
+    this->sent_bytes = (gint64)evbuffer_get_length(body);
     HttpReply_sendBody(CallerWatch_detach(this->watch), this->status, NULL,
                        body, TRUE);
 }
@@ -233,9 +261,11 @@
         return;
     }
     if (this->head_sent) {
+        this->end = END_BROKEN;
         CallerWatch_closeConnection(this->watch);
         return;
     }
+    this->end = END_REFUSED;
     gboolean closing =
         evhttp_find_header(output_headers(this), "Connection") != NULL;
     struct evhttp_request *request = CallerWatch_detach(this->watch);
@@ -251,6 +281,21 @@
     this->retry_after_ms = retry_after_ms;
 }
 
+void
+RelayAnswer_logEnd(const RelayAnswer_t *this)
+{
+    static const char *const names[] = {
+        [END_NONE] = "none",
+        [END_WHOLE] = "whole",
+        [END_REFUSED] = "refused",
+        [END_BROKEN] = "broken",
+    };
+    Log_text("answer", names[this->end]);
+    Log_number("status", this->end == END_REFUSED ? 0 : this->status);
+    Log_number("stated_bytes", this->stated_bytes);
+    Log_number("sent_bytes", this->sent_bytes);
+}
+
 gboolean
 RelayAnswer_isFull(const RelayAnswer_t *this)
 {
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -101,6 +101,14 @@
 void RelayAnswer_refuse(RelayAnswer_t *this, Refusal_t refusal, RunState_t run,
                         const char *detail);
 
+/**
+ * RelayAnswer_logEnd() - add to the log line under way how the answer ended
+ *
+ * The status is that of the upstream, 0 if the caller got none of it;
+ * stated_bytes is the length that the upstream stated, -1 for none.
+ */
+void RelayAnswer_logEnd(const RelayAnswer_t *this);
+
 /** RelayAnswer_isFull() - whether more than buffer_max bytes wait for the
  * caller; @drained is called once they are written */
 gboolean RelayAnswer_isFull(const RelayAnswer_t *this);
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -154,6 +154,7 @@
     Log_number("rank", RelayExchange_rank(this));
     Log_text("late", late_phase(this));
     Log_text("framing", BodyFraming_name(this->framing));
+    RelayAnswer_logEnd(this->answer);
     Log_number("events", (gint64)forwarded_events(this));
     if (super->attempt_trace) {
         Log_number("first_us", this->first_us);
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -67,6 +67,7 @@
     Log_text("outcome", outcome);
     Log_text("router", this->peer ? this->peer->upstream->name->str : "none");
     Log_number("tries", this->tries);
+    RelayAnswer_logEnd(this->answer);
     Log_number("us", Clock_nowUs() - this->started_us);
     Log_end();
 }
