An answer whose chunks are broken is not taken for a whole one

Callers saw: a success that looked whole and was the beginning of the upstream's body, on calls and streams, over another router and on the native interface. Cause: evhttp reads a chunk's size like a C number and skips empty lines before it. A blank, a sign, 0x0 or 0 with text, and what follows a chunk longer than its size if it reads as a 0, passed for the last chunk. Change: ChunkCheck reads the framing before evhttp does (RFC 9112, 7.1). A broken one ends the attempt as a bad answer, for attempts and for calls to services and the store; its connection is not used again. attempt_ended says so (broken_chunks). Why it holds: no byte reaches evhttp that the check has not seen.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -78,6 +78,10 @@
         end_attempt(this, ATTEMPT_OVERSIZED, NULL);
         return;
     }
+    if (AttemptConnection_hasBrokenChunks(connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
+        return;
+    }
     gint64 left_ms = AttemptConnection_remainingMs(connection);
     if (left_ms > 0 || connection->read_paused) {
         Clock_arm(connection->timeout_timer,
@@ -160,6 +164,10 @@
         return;
     }
     this->connection.last_received_ms = Clock_nowMs();
+    if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
+        return;
+    }
     if (!this->has_head) {
         store_refusal_body(this, input);
         return;
@@ -195,7 +203,7 @@
         AttemptConnection_skipInterim(&this->connection, request)) {
         return 0;
     }
-    this->framing = BodyFraming_receive(request);
+    this->framing = AttemptConnection_receiveBody(&this->connection, request);
     report_notice(this, request);
     if (evhttp_request_get_response_code(request) != HTTP_OK) {
         return 0;
@@ -254,6 +262,10 @@
                     NULL);
         return;
     }
+    if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
+        return;
+    }
     this->connection.reusable =
         (status != HTTP_OK || this->complete) &&
         BodyFraming_endsBeforeConnection(this->framing);
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -3,7 +3,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#include "BodyFraming.h"
 #include "Clock.h"
 #include "HttpCall.h"
 
@@ -45,17 +44,28 @@
             *this->input_total > this->input_total_max);
 }
 
+/* The timer ends the attempt, outside of the buffer's callback. */
+static void
+check_chunks(AttemptConnection_t *this, struct evbuffer *buffer, gsize added)
+{
+    ChunkCheck_feedTail(&this->chunks, buffer, added);
+    if (ChunkCheck_isBroken(&this->chunks)) {
+        Clock_arm(this->timeout_timer, 0);
+    }
+}
+
 /* evhttp passes a chunk on only once it is complete, so an endless chunk would
- * fill the input buffer without limit. The timer ends the attempt, outside of
- * the buffer's callback. */
+ * fill the input buffer without limit. */
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *data)
 {
     AttemptConnection_t *this = data;
-    if (this->input_oversized || this->closed) {
+    if (this->input_oversized || ChunkCheck_isBroken(&this->chunks) ||
+        this->closed) {
         return; /* rearming it with each read would keep it from firing */
     }
+    check_chunks(this, buffer, info->n_added);
     gsize length = evbuffer_get_length(buffer);
     count_input(this, length > INPUT_MARGIN ? length : 0);
     if (info->n_added > 0 && exceeds_limits(this, length)) {
@@ -80,6 +90,26 @@
     return TRUE;
 }
 
+BodyFraming_t
+AttemptConnection_receiveBody(AttemptConnection_t *this,
+                              struct evhttp_request *request)
+{
+    struct evbuffer *input =
+        bufferevent_get_input(AttemptConnection_bufferevent(this));
+    BodyFraming_t framing = BodyFraming_receive(request);
+    if (framing == BODY_CHUNKED) {
+        ChunkCheck_begin(&this->chunks);
+        check_chunks(this, input, evbuffer_get_length(input));
+    }
+    return framing;
+}
+
+gboolean
+AttemptConnection_hasBrokenChunks(const AttemptConnection_t *this)
+{
+    return ChunkCheck_isBroken(&this->chunks);
+}
+
 /* Keeps evhttp from writing the request. The connection is freed in a later
  * loop iteration and may be established by then, although the request counts
  * as not sent and may be running at another upstream. */
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -12,6 +12,8 @@
 #include <event2/http.h>
 #include <glib.h>
 
+#include "BodyFraming.h"
+#include "ChunkCheck.h"
 #include "Upstream.h"
 
 /**
@@ -40,8 +42,9 @@
  * @head_max: maximum size of the response headers, in bytes
  * @input_total: counts unparsed input, together with that of others; or NULL
  * @input_total_max: maximum of @input_total, in bytes
- * @on_timeout: the timeout timer expired, or @input_oversized or @withdrawn of
- *     AttemptConnection_t was set
+ * @on_timeout: the timeout timer expired, @input_oversized or @withdrawn of
+ *     AttemptConnection_t was set, or AttemptConnection_hasBrokenChunks()
+ * holds
  * @on_reap: calls AttemptConnection_clear() and frees the attempt
  * @attempt: argument of both callbacks
  */
@@ -76,6 +79,7 @@
  * @input_total: as in the specification
  * @input_total_max: as in the specification
  * @input_counted: this connection's part of @input_total
+ * @chunks: the check of the body's chunks
  * @interim_answers: number of interim answers received
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
@@ -104,6 +108,7 @@
     gsize *input_total;
     gsize input_total_max;
     gsize input_counted;
+    ChunkCheck_t chunks;
     guint interim_answers;
     gint64 last_received_ms;
     gboolean sent;
@@ -141,6 +146,18 @@
 gboolean AttemptConnection_skipInterim(AttemptConnection_t *this,
                                        struct evhttp_request *request);
 
+/**
+ * AttemptConnection_receiveBody() - as BodyFraming_receive(); checks the
+ * chunks of the body from now on
+ */
+BodyFraming_t AttemptConnection_receiveBody(AttemptConnection_t *this,
+                                            struct evhttp_request *request);
+
+/** AttemptConnection_hasBrokenChunks() - whether the framing of the body is
+ * broken, so that evhttp may misread its end; the timeout timer expires at
+ * once */
+gboolean AttemptConnection_hasBrokenChunks(const AttemptConnection_t *this);
+
 /** AttemptConnection_remainingMs() - time until the current timeout; 0 or less
  * once it has expired */
 gint64 AttemptConnection_remainingMs(const AttemptConnection_t *this);
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "ChunkCheck.h"
 #include "Clock.h"
 #include "Errors.h"
 
@@ -31,6 +32,7 @@
     gboolean accepts_close_delimited;
     gint64 late_ms; /* 0 for never, or if it was reported */
     BodyFraming_t framing;
+    ChunkCheck_t chunks;
     gsize answer_max;
     gsize received_bytes;
     gint64 received_ms; /* when the last of them came */
@@ -144,6 +146,12 @@
     finish(this, NULL, error);
 }
 
+static void
+fail_broken(HttpCall_t *this)
+{
+    fail(this, WT_ERROR_BAD_ANSWER, "the answer's chunks are broken");
+}
+
 static void
 on_deadline(evutil_socket_t fd, short what, void *data)
 {
@@ -153,6 +161,9 @@
     if (this->is_too_long) {
         fail(this, WT_ERROR_BAD_ANSWER, "the answer is too long");
     }
+    else if (ChunkCheck_isBroken(&this->chunks)) {
+        fail_broken(this);
+    }
     else if (this->sent) {
         fail(this, WT_ERROR_TIMEOUT, "no answer in time");
     }
@@ -200,19 +211,32 @@
     }
 }
 
+/* As check_length(). */
+static void
+check_chunks(HttpCall_t *this, struct evbuffer *buffer, gsize added)
+{
+    if (!this->done || ChunkCheck_isBroken(&this->chunks)) {
+        return;
+    }
+    ChunkCheck_feedTail(&this->chunks, buffer, added);
+    if (ChunkCheck_isBroken(&this->chunks)) {
+        Clock_arm(this->deadline, 0);
+    }
+}
+
 /* An answer that arrives slowly is not late: a repeated call would compete
  * with it for the same link. */
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *data)
 {
-    (void)buffer;
     HttpCall_t *this = data;
     if (info->n_added > 0) {
         this->received_bytes += info->n_added;
         total_bytes += info->n_added;
         this->received_ms = Clock_nowMs();
         check_length(this);
+        check_chunks(this, buffer, info->n_added);
     }
     if (info->n_added > 0 && this->done && this->late_ms > 0) {
         Clock_arm(this->silence, this->late_ms);
@@ -235,8 +259,15 @@
 on_headers(struct evhttp_request *request, void *data)
 {
     HttpCall_t *this = data;
-    if (!BodyFraming_skipInterim(request)) {
-        this->framing = BodyFraming_receive(request);
+    struct evbuffer *input = bufferevent_get_input(
+        evhttp_connection_get_bufferevent(this->connection));
+    if (BodyFraming_skipInterim(request)) {
+        return 0;
+    }
+    this->framing = BodyFraming_receive(request);
+    if (this->framing == BODY_CHUNKED) {
+        ChunkCheck_begin(&this->chunks);
+        check_chunks(this, input, evbuffer_get_length(input));
     }
     return 0;
 }
@@ -260,6 +291,10 @@
                         : "not connected");
         return;
     }
+    if (ChunkCheck_isBroken(&this->chunks)) {
+        fail_broken(this);
+        return;
+    }
     if (!is_acceptable(this)) {
         fail(this, WT_ERROR_BAD_ANSWER,
              "the end of the answer is not marked or ambiguous");
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -78,6 +78,7 @@
     Log_number("unproven", this->has_head && this->head.is_unproven);
     Log_number("matches_request",
                this->has_head && this->head.matches_request);
+    Log_number("broken_chunks", AttemptConnection_hasBrokenChunks(connection));
     Log_number("connection", (gint64)PooledConnection_number(pooled));
     Log_number("requests", PooledConnection_countRequests(pooled));
     Log_end();
@@ -134,6 +135,10 @@
         end_attempt(this, ATTEMPT_OVERSIZED);
         return;
     }
+    if (AttemptConnection_hasBrokenChunks(connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER);
+        return;
+    }
     gint64 left_ms = AttemptConnection_remainingMs(connection);
     if (left_ms > 0 || connection->read_paused) {
         Clock_arm(connection->timeout_timer, MAX(left_ms, WATCH_MIN_MS));
@@ -172,6 +177,10 @@
     if (!this->has_head) {
         return;
     }
+    if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER);
+        return;
+    }
     AttemptConnection_noteData(&this->connection);
     this->events->data(this->owner, input);
 }
@@ -219,7 +228,8 @@
                           this->connection.upstream->name->str, &this->head);
     this->weights = g_strdup(this->head.weights);
     this->head.weights = this->weights;
-    this->head.framing = BodyFraming_receive(request);
+    this->head.framing =
+        AttemptConnection_receiveBody(&this->connection, request);
     this->expected_end = classify_head(&this->head, headers);
     this->has_head = TRUE;
     if (this->head.matches_request) {
@@ -254,6 +264,7 @@
 is_reusable(const RelayAttempt_t *this)
 {
     return BodyFraming_endsBeforeConnection(this->head.framing) &&
+           !AttemptConnection_hasBrokenChunks(&this->connection) &&
            !has_trailing_bytes(this);
 }
 
@@ -273,6 +284,9 @@
         end_attempt(this,
                     this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
     }
+    else if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER);
+    }
     else {
         this->connection.reusable = is_reusable(this);
         end_attempt(this, this->expected_end);
--- /dev/null
+++ b/tests/sessions/test_whole_answers.py
@@ -0,0 +1,138 @@
+"""Answers that were not an upstream's own whole answer and looked like it."""
+import unittest
+
+from cluster import Cluster, uuid7
+from fleet import Fleet, Server, Upstream
+from test_close_delimited import receive
+from test_forwarding import ForwardedTest as Forwarded
+
+# What follows a first chunk.
+BROKEN_CHUNKS = [
+    b" \r\n", b"\t0\r\n", b" x\r\n", b"-0\r\n", b"+0\r\n", b"0x0\r\n",
+    b"\r\n0\r\n", b"\n0\n", b"0\n", b"0 junk\r\n", b"-1\r\n", b"G\r\n",
+    b" 5\r\nworld\r\n0\r\n", b"+5\r\nworld\r\n0\r\n",
+    b"0x5\r\nworld\r\n0\r\n", b"FFFFFFFFFFFFFFFFF\r\n",
+    b"3\r\nworld\r\n0\r\n", b"3\r\nwor 0\r\n", b"3\r\nwor0\r\n",
+    b"3\r\nwor ld\r\n", b"5\r\nwor\r\n0\r\n",
+]
+SOUND_CHUNKS = [b"0\r\n", b"000\r\n", b"05\r\nworld\r\n0\r\n",
+                b"5  \r\nworld\r\n0 \r\n", b"0\r\nX-Trailer: 1\r\n"]
+PATHS = ("/read/x", "/write/x", "/ask/x", "/ask/once/x")
+EVENT = b"id: 0\ndata: piece-0\n\n"
+
+
+class ChunkingUpstream(Upstream):
+    """Answers with one chunk and what `rest` holds, in one part or two."""
+
+    rest = SOUND_CHUNKS[0]
+    in_parts = False
+
+    def serve(self, call, body):
+        self.seen.append(dict(call.headers))
+        head = (b"HTTP/1.1 200 x\r\nX-Request-Id: %s\r\nX-Server-Seal: s\r\n"
+                b"X-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                % call.headers["X-Request-Id"].encode())
+        chunk = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
+        parts = [head, chunk, self.rest + b"\r\n"]
+        for part in parts if self.in_parts else [b"".join(parts)]:
+            call.wfile.write(part)
+
+
+class BrokenChunksTest(unittest.TestCase):
+    """A caller got a part of an answer as a whole one.
+
+    The router took a chunk size that is no number, or what followed a chunk
+    that was longer than its size, for the last chunk.
+    """
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.upstreams = [
+            self.fleet.add(ChunkingUpstream(self.fleet.store, "p1", "plain")),
+            self.fleet.add(ChunkingUpstream(self.fleet.store, "e1", "engines",
+                                            "m"))]
+        self.router = self.fleet.start(eject_failures="1000")
+
+    def ask(self, path, rest):
+        for upstream in self.upstreams:
+            upstream.rest = rest
+        return receive(self.fleet.request(self.router, path, wait_ms=2000))
+
+    def check_all(self, check):
+        for in_parts in (False, True):
+            for upstream in self.upstreams:
+                upstream.in_parts = in_parts
+            for path in PATHS:
+                check(path)
+
+    def test_broken_chunks(self):
+        def check(path):
+            for rest in BROKEN_CHUNKS:
+                answer = self.ask(path, rest)
+                self.assertFalse(answer.status == 200 and answer.ended,
+                                 (path, rest, answer))
+                self.assertIn(answer.status, (200, 502, 503), (path, rest))
+        self.check_all(check)
+
+    def test_sound_chunks(self):
+        def check(path):
+            for rest in SOUND_CHUNKS:
+                answer = self.ask(path, rest)
+                self.assertEqual((answer.status, answer.ended), (200, True),
+                                 (path, rest, answer))
+                self.assertTrue(answer.body.startswith(EVENT), answer)
+        self.check_all(check)
+
+
+class ForwardedBrokenChunksTest(Forwarded):
+    """As BrokenChunksTest, at the router that the call was forwarded to."""
+
+    def test_broken_chunks(self):
+        self.lose("r0")
+        for upstream in self.upstreams:
+            upstream.serve = lambda call, body, u=upstream: \
+                ChunkingUpstream.serve(u, call, body)
+            upstream.in_parts = False
+        for path in PATHS:
+            for rest in BROKEN_CHUNKS:
+                for upstream in self.upstreams:
+                    upstream.rest = rest
+                answer = receive(self.open("r0", path, wait_ms=2000))
+                self.assertFalse(answer.status == 200 and answer.ended,
+                                 (path, rest, answer))
+
+
+class NativeService(Server):
+    rest = None
+
+    def handle(self, call):
+        call.body()
+        call.wfile.write(b"HTTP/1.1 200 x\r\nX-Attempt-Id: %s\r\n"
+                         b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+                         % call.headers.get("X-Attempt-Id", "").encode()
+                         + self.rest + b"\r\n")
+
+
+class NativeBrokenChunksTest(unittest.TestCase):
+    """As BrokenChunksTest, for plain services of the native interface."""
+
+    def test_broken_chunks(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.close)
+        service = NativeService()
+        self.addCleanup(service.close)
+        cluster.declare_upstream("s1", service.address, "ledger", "service")
+        router = cluster.start(eject_failures="1000")
+        for rest, statuses in [(rest, {502, 503}) for rest in BROKEN_CHUNKS] \
+                + [(SOUND_CHUNKS[0], {200})]:
+            service.rest = rest
+            answer = router.complete(
+                {}, path="/v1/services/ledger/x",
+                **{"Idempotency-Key": uuid7(),
+                   "X-Request-Deadline-Ms": "1000"})
+            self.assertIn(answer.status, statuses, rest)
+
+
+if __name__ == "__main__":
+    unittest.main()
