A refusal of HEAD has no body

Callers saw: on a kept connection the JSON of a refusal where the next answer was due. Cause: evhttp sends the body of a reply to HEAD. Answers of upstreams to HEAD have none, but the router's own refusals do, and so do its pages of metrics and health. Change: HttpReply_sendBody() drops the body of a reply to HEAD, and all replies with a body go through it, those to operators too. Why it holds: no reply is sent past that function (Relay_refuse, Http_refuse, send_json, operators' calls; readiness has no body).

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -12,8 +12,8 @@
 #include "Clock.h"
 #include "HeaderCheck.h"
 #include "HttpCall.h"
+#include "HttpReply.h"
 #include "Json.h"
-#include "PendingReply.h"
 #include "Random.h"
 #include "ServiceExchange.h"
 #include "StreamExchange.h"
@@ -265,8 +265,7 @@
     evhttp_add_header(headers, "X-Request-Id", call->id);
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, text->str, text->len);
-    PendingReply_watch(call->http);
-    evhttp_send_reply(call->http, status, phrase, body);
+    HttpReply_sendBody(call->http, status, phrase, body, TRUE);
     evbuffer_free(body);
 }
 
--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -65,11 +65,21 @@
     evhttp_add_header(out, "Content-Length", text);
 }
 
+/* evhttp would send it, and the caller take it for the next answer. */
+static void
+drop_needless_body(const struct evhttp_request *request, struct evbuffer *body)
+{
+    if (request->type == EVHTTP_REQ_HEAD) {
+        evbuffer_drain(body, evbuffer_get_length(body));
+    }
+}
+
 void
 HttpReply_sendBody(struct evhttp_request *request, int status,
                    const char *reason, struct evbuffer *body,
                    gboolean is_end_proven)
 {
+    drop_needless_body(request, body);
     gsize length = evbuffer_get_length(body);
     if (!is_end_proven && evhttp_request_get_connection(request)) {
         HttpReply_startStream(request, status, FALSE);
--- a/src/HttpReply.h
+++ b/src/HttpReply.h
@@ -27,7 +27,7 @@
 void HttpReply_endStream(struct evhttp_request *request);
 
 /**
- * HttpReply_sendBody() - send a reply with its body
+ * HttpReply_sendBody() - send a reply with its body, or without it to HEAD
  * @reason: reason phrase, or NULL
  * @body: drained
  * @is_end_proven: @body is known to be a complete answer
--- a/tests/sessions/test_whole_answers.py
+++ b/tests/sessions/test_whole_answers.py
@@ -5,6 +5,7 @@
 from fleet import Fleet, Server, Upstream
 from test_close_delimited import receive
 from test_forwarding import ForwardedTest as Forwarded
+from test_framing import receive as receive_bytes
 
 # What follows a first chunk.
 BROKEN_CHUNKS = [
@@ -134,5 +135,57 @@
             self.assertIn(answer.status, statuses, rest)
 
 
+REFUSED = (b"404 ", b"401 ", b"502 ", b"405 ")
+HEAD = (b"%s %s HTTP/%s\r\nHost: shop.example\r\nX-Request-Id: %s\r\n"
+        b"X-Deadline-Ms: 2000\r\nX-Model: m\r\n%s\r\n\r\n")
+
+
+class HeadTest(unittest.TestCase):
+    """The body of a refusal stood where a caller's next answer was due: it
+    had asked with HEAD, which no body follows."""
+
+    def check(self, port, paths, key, other_key):
+        for path in paths:
+            for header in (key, other_key):
+                request = HEAD % (b"HEAD", path, b"1.1", b"h", header)
+                received, _ = receive_bytes(
+                    port, request + HEAD % (b"GET", b"/none", b"1.1", b"g",
+                                            key))
+                first, *rest = received.split(b"\r\n\r\n", 1)
+                self.assertIn(first[9:13], REFUSED, (path, header))
+                self.assertTrue(rest[0].startswith(b"HTTP/1.1 404 "),
+                                (path, header, received))
+
+    def test_relayed(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.close)
+        fleet.plain("p1").sealed = False
+        fleet.engine("e1").sealed = False
+        router = fleet.start(eject_failures="1000")
+        self.check(router.port, (b"/none/x", b"/read/x", b"/write/x",
+                                 b"/ask/x", b"/ask/once/x"),
+                   b"Api-Key: key-a", b"Api-Key: other")
+
+    def test_native(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.close)
+        router = cluster.start()
+        self.check(router.port, (b"/none", b"/v1/models", b"/v1/completions",
+                                 b"/v1/services/none/x"),
+                   b"Authorization: Bearer acme-key",
+                   b"Authorization: Bearer other")
+
+    def test_operators(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.close)
+        router = cluster.start()
+        for path in (b"/metrics", b"/none", b"/"):
+            received, _ = receive_bytes(
+                router.operator_port,
+                HEAD % (b"HEAD", path, b"1.1", b"h", b"Authorization: x"), 0.2)
+            head, body = received.split(b"\r\n\r\n", 1)
+            self.assertEqual(body, b"", (path, head))
+
+
 if __name__ == "__main__":
     unittest.main()
