A body of HEAD or TRACE is not read as the next request

Callers saw: what stood in the body of their HEAD or TRACE ran as a request of its own, and on their connection came one answer more than they had asked for. Cause: evhttp reads no body after these methods, whatever the head states, and the check of a request's framing did not look at the method. Change: such a head counts as ambiguous: 400, the connection is closed, nothing behind it is read; on both interfaces. Evidence: test_framing.RelayedTest.test_bodies_of_methods_without_one failed before (two answers, the inner request ran), passes now; test_BodyFraming has the rows; the other tests of test_framing pass. Why it holds: the rule is in the one place that both interfaces ask before they read a request.

--- a/src/BodyFraming.c
+++ b/src/BodyFraming.c
@@ -112,8 +112,22 @@
     return TRUE;
 }
 
+/* evhttp reads none after such a head, but the next request. */
+static gboolean
+never_has_body(enum evhttp_cmd_type method)
+{
+    return method == EVHTTP_REQ_HEAD || method == EVHTTP_REQ_TRACE;
+}
+
+static gboolean
+states_body(guint codings, const char *length)
+{
+    return codings > 0 || (length && strspn(length, "0") != strlen(length));
+}
+
 gboolean
-BodyFraming_isAmbiguousRequest(const struct evkeyvalq *headers)
+BodyFraming_isAmbiguousRequest(enum evhttp_cmd_type method,
+                               const struct evkeyvalq *headers)
 {
     const char *coding = NULL;
     const char *length = NULL;
@@ -122,6 +136,9 @@
     if (codings + lengths > 1 || !has_only_tokens(headers)) {
         return TRUE;
     }
+    if (never_has_body(method) && states_body(codings, length)) {
+        return TRUE;
+    }
     if (codings == 1) {
         return g_ascii_strcasecmp(coding, "chunked") != 0;
     }
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -351,7 +351,8 @@
 static gboolean
 check_framing(const Call_t *call)
 {
-    if (!BodyFraming_isAmbiguousRequest(call->headers)) {
+    if (!BodyFraming_isAmbiguousRequest(evhttp_request_get_command(call->http),
+                                        call->headers)) {
         return TRUE;
     }
     evhttp_add_header(evhttp_request_get_output_headers(call->http),
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -235,7 +235,8 @@
 {
     struct evhttp_request *http = admission->http;
     admission->is_ambiguous =
-        BodyFraming_isAmbiguousRequest(evhttp_request_get_input_headers(http));
+        BodyFraming_isAmbiguousRequest(evhttp_request_get_command(http),
+                                       evhttp_request_get_input_headers(http));
     if (admission->is_ambiguous) {
         evhttp_add_header(evhttp_request_get_output_headers(http),
                           "Connection", "close");
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -73,7 +73,7 @@
             self.close_connection = True
         self.answering = False
 
-    do_POST = do_HEAD = do_GET
+    do_POST = do_HEAD = do_TRACE = do_GET
 
 
 class Server:
--- a/tests/sessions/test_framing.py
+++ b/tests/sessions/test_framing.py
@@ -98,6 +98,21 @@
             self.assertIn(b"%d bytes" % len(INNER), received, framing)
             self.assertEqual(len(self.plain.seen), before + 1)
 
+    # The body of a request whose method has none ran as a request.
+    def test_bodies_of_methods_without_one(self):
+        for method in (b"HEAD", b"TRACE"):
+            for framing, body in (
+                    (b"Content-Length: " + SIZE, INNER),
+                    (b"Transfer-Encoding: chunked",
+                     b"%x\r\n" % len(INNER) + INNER + b"\r\n" + CHUNKED)):
+                received, closed = self.send(framing, body, method)
+                self.assertTrue(received.startswith(REFUSED), received)
+                self.assertEqual(received.count(b"HTTP/1.1 "), 1, received)
+                self.assertTrue(closed, framing)
+            received, _ = self.send(b"Content-Length: 0", b"", method)
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+        self.assertEqual(len(self.plain.seen), 2)
+
     # A method that the library has no name for became another word.
     def test_unknown_methods(self):
         for method in (b"REPORT", b"PROPFIND", b"post", b"X"):
--- a/tests/test_BodyFraming.c
+++ b/tests/test_BodyFraming.c
@@ -80,20 +80,21 @@
 END_TEST
 
 static gboolean
-is_ambiguous_request(const char *const *lines)
+is_ambiguous_request(enum evhttp_cmd_type method, const char *const *lines)
 {
     struct evkeyvalq headers;
     TAILQ_INIT(&headers);
     for (; *lines; lines += 2) {
         evhttp_add_header(&headers, lines[0], lines[1]);
     }
-    gboolean is_ambiguous = BodyFraming_isAmbiguousRequest(&headers);
+    gboolean is_ambiguous = BodyFraming_isAmbiguousRequest(method, &headers);
     evhttp_clear_headers(&headers);
     return is_ambiguous;
 }
 
-#define AMBIGUOUS(...)                                                        \
-    is_ambiguous_request((const char *const[]){__VA_ARGS__, NULL})
+#define AMBIGUOUS_FOR(method, ...)                                            \
+    is_ambiguous_request(method, (const char *const[]){__VA_ARGS__, NULL})
+#define AMBIGUOUS(...) AMBIGUOUS_FOR(EVHTTP_REQ_POST, __VA_ARGS__)
 
 START_TEST(requests_state_their_body_once_and_in_one_way)
 {
@@ -112,7 +113,23 @@
 }
 END_TEST
 
-TESTING_MAIN("BodyFraming", requests_state_their_body_once_and_in_one_way,
+START_TEST(requests_of_methods_without_a_body_state_none)
+{
+    static const enum evhttp_cmd_type methods[] = {EVHTTP_REQ_HEAD,
+                                                   EVHTTP_REQ_TRACE};
+    for (gsize i = 0; i < G_N_ELEMENTS(methods); i++) {
+        ck_assert(!AMBIGUOUS_FOR(methods[i], "Host", "x"));
+        ck_assert(!AMBIGUOUS_FOR(methods[i], "Content-Length", "00"));
+        ck_assert(AMBIGUOUS_FOR(methods[i], "Content-Length", "01"));
+        ck_assert(AMBIGUOUS_FOR(methods[i], "Transfer-Encoding", "chunked"));
+    }
+    ck_assert(!AMBIGUOUS_FOR(EVHTTP_REQ_GET, "Content-Length", "1"));
+    ck_assert(!AMBIGUOUS_FOR(EVHTTP_REQ_DELETE, "Content-Length", "1"));
+}
+END_TEST
+
+TESTING_MAIN("BodyFraming", requests_of_methods_without_a_body_state_none,
+             requests_state_their_body_once_and_in_one_way,
              a_length_or_chunks_mark_the_end,
              without_either_the_connection_marks_the_end,
              answers_without_a_body_need_no_mark,
