An answer is sent as a whole one only once it was received as one

Cause of the class: that an answer had ended was decided by whoever sent it, from flags of the attempts; the one place that writes the head and its length did not know. A flag left behind was enough. Change: RelayAnswer keeps whether the body of the head that was set last has ended as its framing marks, and the length that the upstream stated. A whole answer without that, or of another length, is refused; a stream is broken off; answer_incomplete is logged. Why it holds: setHead() withdraws the mark, so that nothing of an earlier attempt can stand for a later one, on requests placed here and on those of other routers.

--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -32,6 +32,7 @@
     gint64 stated_bytes; /* length of the upstream's body, or NO_LENGTH */
     gint64 sent_bytes;   /* of the body */
     AnswerEnd_t end;
+    gboolean is_received;   /* to the end that its framing marks */
     gboolean is_for_router; /* the caller is another router */
     gboolean is_end_proven; /* the upstream marks the end of its answer */
     gboolean needs_proof;
@@ -143,6 +144,7 @@
 RelayAnswer_setHead(RelayAnswer_t *this, int status, BodyFraming_t framing,
                     const struct evkeyvalq *headers)
 {
+    this->is_received = FALSE;
     if (this->head_sent || !RelayAnswer_request(this)) {
         return;
     }
@@ -160,6 +162,12 @@
     }
 }
 
+void
+RelayAnswer_setReceived(RelayAnswer_t *this)
+{
+    this->is_received = TRUE;
+}
+
 gboolean
 RelayAnswer_needsProof(const RelayAnswer_t *this)
 {
@@ -224,23 +232,52 @@
     Http_flush(connection);
 }
 
+static void
+refuse_incomplete(RelayAnswer_t *this, gsize length)
+{
+    Log_begin(LOG_LEVEL_ERROR, "answer_incomplete");
+    Log_text("request", this->id->str);
+    Log_number("status", this->status);
+    Log_number("is_received", this->is_received);
+    Log_number("stated_bytes", this->stated_bytes);
+    Log_number("bytes", (gint64)length);
+    Log_end();
+    RelayAnswer_refuse(this, REFUSAL_UPSTREAM_FAILED, RUN_MAYBE, NULL);
+}
+
 void
 RelayAnswer_finishStream(RelayAnswer_t *this)
 {
     if (!RelayAnswer_request(this)) {
         return;
     }
+    if (!this->is_received) {
+        refuse_incomplete(this, (gsize)this->sent_bytes);
+        return;
+    }
     send_head(this);
     this->end = END_WHOLE;
     HttpReply_endStream(CallerWatch_detach(this->watch));
 }
 
+static gboolean
+has_stated_length(const RelayAnswer_t *this, gsize length)
+{
+    return this->stated_bytes == NO_LENGTH ||
+           this->stated_bytes == (gint64)length;
+}
+
 void
 RelayAnswer_sendComplete(RelayAnswer_t *this, struct evbuffer *body)
 {
+    gsize length = evbuffer_get_length(body);
     if (!RelayAnswer_request(this)) {
         return;
     }
+    if (!this->is_received || !has_stated_length(this, length)) {
+        refuse_incomplete(this, length);
+        return;
+    }
     if (!this->is_end_proven) {
         RelayAnswer_sendData(this, body);
         RelayAnswer_finishStream(this);
@@ -248,7 +285,7 @@
     }
     this->head_sent = TRUE;
     this->end = END_WHOLE;
-    this->sent_bytes = (gint64)evbuffer_get_length(body);
+    this->sent_bytes = (gint64)length;
     HttpReply_sendBody(CallerWatch_detach(this->watch), this->status, NULL,
                        body, TRUE);
 }
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -78,6 +78,10 @@
                          BodyFraming_t framing,
                          const struct evkeyvalq *headers);
 
+/** RelayAnswer_setReceived() - note that the body of the answer whose head was
+ * set last has ended, as its framing marks it */
+void RelayAnswer_setReceived(RelayAnswer_t *this);
+
 /** RelayAnswer_needsProof() - whether the caller was sent a head after which
  * an orderly end states that the answer is complete */
 gboolean RelayAnswer_needsProof(const RelayAnswer_t *this);
@@ -86,10 +90,16 @@
  * not sent yet */
 void RelayAnswer_sendData(RelayAnswer_t *this, struct evbuffer *data);
 
-/** RelayAnswer_finishStream() - end a stream as its upstream did */
+/** RelayAnswer_finishStream() - end a stream as its upstream did; breaks it
+ * off without RelayAnswer_setReceived() */
 void RelayAnswer_finishStream(RelayAnswer_t *this);
 
-/** RelayAnswer_sendComplete() - send the head and the complete body */
+/**
+ * RelayAnswer_sendComplete() - send the head and the complete body
+ *
+ * Refuses the request in its place without RelayAnswer_setReceived(), or if
+ * the upstream stated another length than that of @body.
+ */
 void RelayAnswer_sendComplete(RelayAnswer_t *this, struct evbuffer *body);
 
 /** RelayAnswer_setRetryAfter() - set the Retry-After of a later refusal, in
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -201,6 +201,7 @@
 pass_on(RelayForward_t *this)
 {
     close_if_stopping(this);
+    RelayAnswer_setReceived(this->answer);
     if (this->is_stream) {
         RelayAnswer_finishStream(this->answer);
     }
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -189,12 +189,23 @@
            (end == ATTEMPT_CLOSED && !RelayAnswer_needsProof(this->answer));
 }
 
+/* Whether the answer, also one that is an error, has ended. */
+static gboolean
+is_received(AttemptEnd_t end)
+{
+    return end == ATTEMPT_COMPLETE || end == ATTEMPT_CLOSED ||
+           end == ATTEMPT_FAILED;
+}
+
 static void
 on_ended(void *owner, AttemptEnd_t attempt_end, const RelayHead_t *head)
 {
     RelayExchange_t *this = owner;
     AttemptEnd_t end = adjust_end(this, attempt_end);
     gboolean ends_answer = is_final(this, end);
+    if (is_received(end)) {
+        RelayAnswer_setReceived(this->answer);
+    }
     this->framing = head ? head->framing : BODY_EMPTY;
     if (attempt_end == ATTEMPT_CLOSED) {
         log_close_delimited(this, end);
--- /dev/null
+++ b/tests/test_RelayAnswer.c
@@ -0,0 +1,161 @@
+/* No part of an upstream's answer is sent as a whole one. */
+#include "testing.h"
+
+#include "RelayAnswer.h"
+
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "ReplyClient.h"
+
+#define REQUEST "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+#define BODY "0123456789"
+#define BODY_BYTES "10"
+
+static RelayAnswer_t *answer;
+
+static void
+on_event(void *owner)
+{
+    (void)owner;
+}
+
+static const RelayAnswerEvents_t events = {
+    .caller_left = on_event,
+    .drained = on_event,
+};
+
+static void
+create_answer(struct evhttp_request *request)
+{
+    RelayAnswerSpec_t spec = {
+        .request = request,
+        .id = "r",
+        .id_header = "X-Id",
+        .buffer_max = 65536,
+    };
+    answer = RelayAnswer_create(ReplyClient_base(), &spec, &events, NULL);
+}
+
+static void
+set_up(void)
+{
+    answer = NULL;
+    ReplyClient_connect(REQUEST, create_answer);
+    while (!answer) {
+        event_base_loop(ReplyClient_base(), EVLOOP_ONCE);
+    }
+}
+
+static void
+set_head(int status, BodyFraming_t framing)
+{
+    struct evkeyvalq headers;
+    TAILQ_INIT(&headers);
+    if (framing == BODY_LENGTH) {
+        evhttp_add_header(&headers, "Content-Length", BODY_BYTES);
+    }
+    RelayAnswer_setHead(answer, status, framing, &headers);
+    evhttp_clear_headers(&headers);
+}
+
+static void
+send_complete(gsize length)
+{
+    struct evbuffer *body = evbuffer_new();
+    evbuffer_add(body, BODY, length);
+    RelayAnswer_sendComplete(answer, body);
+    evbuffer_free(body);
+}
+
+/* Returns how the connection ended, as ReplyClient_readUntil(). */
+static int
+read_all(void)
+{
+    int end = ReplyClient_readUntil(G_MAXSIZE);
+    RelayAnswer_destroy(answer);
+    return end;
+}
+
+static void
+ck_assert_refused(void)
+{
+    read_all();
+    ck_assert(ReplyClient_hasReceived("HTTP/1.1 502 "));
+    ck_assert(!ReplyClient_hasReceived(BODY));
+    ReplyClient_close();
+}
+
+START_TEST(whole_answer_is_sent)
+{
+    static const BodyFraming_t framings[] = {BODY_LENGTH, BODY_CHUNKED,
+                                             BODY_CLOSE_DELIMITED};
+    for (gsize i = 0; i < G_N_ELEMENTS(framings); i++) {
+        set_up();
+        set_head(HTTP_OK, framings[i]);
+        RelayAnswer_setReceived(answer);
+        send_complete(strlen(BODY));
+        ck_assert_int_eq(read_all(), 0);
+        ck_assert(ReplyClient_hasReceived("HTTP/1.1 200 "));
+        ck_assert(ReplyClient_hasReceived(BODY));
+        ReplyClient_close();
+    }
+}
+END_TEST
+
+START_TEST(answer_that_has_not_ended_is_refused)
+{
+    static const BodyFraming_t framings[] = {BODY_LENGTH, BODY_CHUNKED,
+                                             BODY_CLOSE_DELIMITED};
+    for (gsize i = 0; i < G_N_ELEMENTS(framings); i++) {
+        set_up();
+        set_head(HTTP_OK, framings[i]);
+        send_complete(strlen(BODY));
+        ck_assert_refused();
+    }
+}
+END_TEST
+
+START_TEST(answer_shorter_than_stated_is_refused)
+{
+    set_up();
+    set_head(HTTP_OK, BODY_LENGTH);
+    RelayAnswer_setReceived(answer);
+    send_complete(strlen(BODY) - 1);
+    ck_assert_refused();
+}
+END_TEST
+
+START_TEST(answer_that_replaces_a_whole_error_is_refused_until_it_ends)
+{
+    set_up();
+    set_head(HTTP_INTERNAL, BODY_LENGTH);
+    RelayAnswer_setReceived(answer);
+    set_head(HTTP_OK, BODY_CHUNKED);
+    send_complete(strlen(BODY));
+    ck_assert_refused();
+}
+END_TEST
+
+START_TEST(stream_that_has_not_ended_is_broken_off)
+{
+    set_up();
+    set_head(HTTP_OK, BODY_CHUNKED);
+    struct evbuffer *data = evbuffer_new();
+    evbuffer_add(data, BODY, strlen(BODY));
+    RelayAnswer_sendData(answer, data);
+    evbuffer_free(data);
+    RelayAnswer_finishStream(answer);
+    read_all();
+    ck_assert(ReplyClient_hasReceived(BODY));
+    ck_assert(!ReplyClient_hasReceived("\r\n0\r\n\r\n"));
+    ReplyClient_close();
+}
+END_TEST
+
+TESTING_MAIN("RelayAnswer", whole_answer_is_sent,
+             answer_that_has_not_ended_is_refused,
+             answer_shorter_than_stated_is_refused,
+             answer_that_replaces_a_whole_error_is_refused_until_it_ends,
+             stream_that_has_not_ended_is_broken_off)
