A request whose chunks are broken is refused

Callers saw: a call that ran with a part of its body as the whole one; what stood behind that part ran as a request of its own. Cause: as for answers: evhttp's reading of chunk sizes, here of callers' requests. It hands a request out only when its body has ended, so that the head callback that attempts use is not there. Change: RequestFraming follows the heads of each caller's connection as far as they tell where a body ends, and has ChunkCheck read the chunks. A request on a connection whose chunks are broken gets 400, and the connection is closed; both interfaces ask the one function that knows head and chunks. Why it holds: the check sees the bytes before evhttp, and a request is looked at when it is handed out, which is after its last chunk was read.

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -8,13 +8,13 @@
 #include <sys/socket.h>
 
 #include "Answer.h"
-#include "BodyFraming.h"
 #include "Clock.h"
 #include "HeaderCheck.h"
 #include "HttpCall.h"
 #include "HttpReply.h"
 #include "Json.h"
 #include "Random.h"
+#include "RequestFraming.h"
 #include "ServiceExchange.h"
 #include "StreamExchange.h"
 
@@ -351,8 +351,7 @@
 static gboolean
 check_framing(const Call_t *call)
 {
-    if (!BodyFraming_isAmbiguousRequest(evhttp_request_get_command(call->http),
-                                        call->headers)) {
+    if (!RequestFraming_isAmbiguous(call->http)) {
         return TRUE;
     }
     evhttp_add_header(evhttp_request_get_output_headers(call->http),
--- a/src/ChunkCheck.c
+++ b/src/ChunkCheck.c
@@ -104,7 +104,7 @@
     return skipped;
 }
 
-void
+gsize
 ChunkCheck_feed(ChunkCheck_t *this, const char *bytes, gsize length)
 {
     gsize at = 0;
@@ -115,6 +115,7 @@
             at++;
         }
     }
+    return at;
 }
 
 void
@@ -142,6 +143,12 @@
     *this = (ChunkCheck_t){.state = CHUNK_SIZE_BEGIN};
 }
 
+gboolean
+ChunkCheck_isEnded(const ChunkCheck_t *this)
+{
+    return this->state == CHUNK_ENDED;
+}
+
 gboolean
 ChunkCheck_isBroken(const ChunkCheck_t *this)
 {
--- a/src/ChunkCheck.h
+++ b/src/ChunkCheck.h
@@ -61,8 +61,16 @@
 void ChunkCheck_feedTail(ChunkCheck_t *this, struct evbuffer *buffer,
                          gsize length);
 
-/** ChunkCheck_feed() - as ChunkCheck_feedTail(), for bytes in memory */
-void ChunkCheck_feed(ChunkCheck_t *this, const char *bytes, gsize length);
+/**
+ * ChunkCheck_feed() - as ChunkCheck_feedTail(), for bytes in memory
+ *
+ * Return: number of bytes that belong to the body, up to the end of the last
+ * chunk's line or to the byte that broke the framing
+ */
+gsize ChunkCheck_feed(ChunkCheck_t *this, const char *bytes, gsize length);
+
+/** ChunkCheck_isEnded() - whether the last chunk was received */
+gboolean ChunkCheck_isEnded(const ChunkCheck_t *this);
 
 /** ChunkCheck_isBroken() - whether a byte broke the framing */
 gboolean ChunkCheck_isBroken(const ChunkCheck_t *this);
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "BodyFraming.h"
 #include "Clock.h"
 #include "HttpCall.h"
 #include "Log.h"
@@ -11,6 +10,7 @@
 #include "RelayAnswer.h"
 #include "RelayExchange.h"
 #include "RelayForward.h"
+#include "RequestFraming.h"
 
 #define KNOWN_METHODS                                                         \
     (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |    \
@@ -234,9 +234,7 @@
 close_if_ambiguous(Admission_t *admission)
 {
     struct evhttp_request *http = admission->http;
-    admission->is_ambiguous =
-        BodyFraming_isAmbiguousRequest(evhttp_request_get_command(http),
-                                       evhttp_request_get_input_headers(http));
+    admission->is_ambiguous = RequestFraming_isAmbiguous(http);
     if (admission->is_ambiguous) {
         evhttp_add_header(evhttp_request_get_output_headers(http),
                           "Connection", "close");
--- a/src/Router.c
+++ b/src/Router.c
@@ -24,6 +24,7 @@
 #include "RateShare.h"
 #include "RelayApi.h"
 #include "RelayParts.h"
+#include "RequestFraming.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
 
@@ -286,6 +287,7 @@
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
+    RequestFraming_watch(this->callers);
     if (this->context.form && settings->ready_listen.host[0] != '\0') {
         this->readiness =
             listen_on(this, &settings->ready_listen, RelayApi_handleReady,
--- a/tests/sessions/test_framing.py
+++ b/tests/sessions/test_framing.py
@@ -40,6 +40,15 @@
     b"Content-Length: 0\r\n " + SIZE,
 ]
 CHUNKED = b"0\r\n\r\n"
+# What follows a first chunk.
+BROKEN_CHUNKS = [
+    b" \r\n", b"\t0\r\n", b" x\r\n", b"-0\r\n", b"+0\r\n", b"0x0\r\n",
+    b"\r\n0\r\n", b"\n0\n", b"0\n", b"0 junk\r\n", b"-1\r\n", b"G\r\n",
+    b" 5\r\nworld\r\n0\r\n", b"+5\r\nworld\r\n0\r\n",
+    b"0x5\r\nworld\r\n0\r\n", b"FFFFFFFFFFFFFFFFF\r\n",
+    b"3\r\nworld\r\n0\r\n", b"3\r\nwor 0\r\n", b"3\r\nwor0\r\n",
+    b"3\r\nwor ld\r\n", b"5\r\nwor\r\n0\r\n",
+]
 # The second one is evhttp's own.
 REFUSED = (b"HTTP/1.1 400 ", b"HTTP/1.1 413 ")
 
@@ -113,6 +122,17 @@
             self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
         self.assertEqual(len(self.plain.seen), 2)
 
+    # A part of a body ran as the whole one, and its rest as a request.
+    def test_broken_chunks(self):
+        for rest in BROKEN_CHUNKS:
+            received, closed = self.send(b"Transfer-Encoding: chunked",
+                                         b"5\r\nhello\r\n" + rest + b"\r\n"
+                                         + INNER)
+            self.assertTrue(received.startswith(REFUSED), (rest, received))
+            self.assertEqual(received.count(b"HTTP/1.1 "), 1, rest)
+            self.assertTrue(closed, rest)
+        self.assertEqual(self.plain.seen, [])
+
     # A method that the library has no name for became another word.
     def test_unknown_methods(self):
         for method in (b"REPORT", b"PROPFIND", b"post", b"X"):
--- a/tests/sessions/test_whole_answers.py
+++ b/tests/sessions/test_whole_answers.py
@@ -5,17 +5,9 @@
 from fleet import Fleet, Server, Upstream
 from test_close_delimited import receive
 from test_forwarding import ForwardedTest as Forwarded
+from test_framing import BROKEN_CHUNKS
 from test_framing import receive as receive_bytes
 
-# What follows a first chunk.
-BROKEN_CHUNKS = [
-    b" \r\n", b"\t0\r\n", b" x\r\n", b"-0\r\n", b"+0\r\n", b"0x0\r\n",
-    b"\r\n0\r\n", b"\n0\n", b"0\n", b"0 junk\r\n", b"-1\r\n", b"G\r\n",
-    b" 5\r\nworld\r\n0\r\n", b"+5\r\nworld\r\n0\r\n",
-    b"0x5\r\nworld\r\n0\r\n", b"FFFFFFFFFFFFFFFFF\r\n",
-    b"3\r\nworld\r\n0\r\n", b"3\r\nwor 0\r\n", b"3\r\nwor0\r\n",
-    b"3\r\nwor ld\r\n", b"5\r\nwor\r\n0\r\n",
-]
 SOUND_CHUNKS = [b"0\r\n", b"000\r\n", b"05\r\nworld\r\n0\r\n",
                 b"5  \r\nworld\r\n0 \r\n", b"0\r\nX-Trailer: 1\r\n"]
 PATHS = ("/read/x", "/write/x", "/ask/x", "/ask/once/x")
--- /dev/null
+++ b/tests/test_RequestFraming.c
@@ -0,0 +1,74 @@
+#include "testing.h"
+
+#include <string.h>
+
+#include "RequestFraming.h"
+
+#define POST "POST / HTTP/1.1\r\nHost: h\r\n"
+#define CHUNKED POST "Transfer-Encoding: chunked\r\n\r\n"
+#define BODY "5\r\nhello\r\n"
+#define LAST "0\r\n\r\n"
+#define BROKEN "x\r\n"
+
+static void
+ck_assert_broken(const char *bytes, gboolean expected)
+{
+    gsize length = strlen(bytes);
+    for (gsize step = 1; step <= length; step++) {
+        RequestFraming_t *framing = RequestFraming_create();
+        for (gsize at = 0; at < length; at += step) {
+            RequestFraming_feed(framing, bytes + at, MIN(step, length - at));
+        }
+        ck_assert_msg(RequestFraming_isBroken(framing) == expected,
+                      "%s in parts of %zu", bytes, step);
+        RequestFraming_destroy(framing);
+    }
+}
+
+START_TEST(sound_requests_follow_each_other)
+{
+    ck_assert_broken(CHUNKED BODY LAST CHUNKED BODY LAST, FALSE);
+    ck_assert_broken(CHUNKED BODY "0\r\nTrailer: 1\r\n\r\n" CHUNKED LAST,
+                     FALSE);
+    ck_assert_broken(POST "Content-Length: 3\r\n\r\nx\r\n" CHUNKED LAST,
+                     FALSE);
+    ck_assert_broken("GET / HTTP/1.1\r\n\r\n" CHUNKED LAST, FALSE);
+    ck_assert_broken(
+        "HEAD / HTTP/1.1\r\nContent-Length: 0\r\n\r\n" CHUNKED LAST, FALSE);
+    ck_assert_broken(
+        "POST / HTTP/1.1\ntransfer-encoding:Chunked\n\n" BODY LAST, FALSE);
+}
+END_TEST
+
+START_TEST(broken_chunks_are_found_in_any_request)
+{
+    ck_assert_broken(CHUNKED BROKEN, TRUE);
+    ck_assert_broken(CHUNKED BODY BROKEN, TRUE);
+    ck_assert_broken(CHUNKED BODY LAST CHUNKED BROKEN, TRUE);
+    ck_assert_broken("\r\n" CHUNKED BROKEN, TRUE);
+    ck_assert_broken(POST "TRANSFER-ENCODING: \t chunked \r\n\r\n" BROKEN,
+                     TRUE);
+    ck_assert_broken(
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx" CHUNKED BROKEN, TRUE);
+}
+END_TEST
+
+START_TEST(bodies_without_chunks_are_not_checked)
+{
+    ck_assert_broken(POST "Content-Length: 3\r\n\r\n" BROKEN, FALSE);
+    ck_assert_broken(POST "X-Note: chunked\r\n\r\n" BROKEN, FALSE);
+}
+END_TEST
+
+START_TEST(long_lines_do_not_count)
+{
+    g_autofree char *name = g_strnfill(300, 'n');
+    g_autofree char *bytes =
+        g_strconcat(POST, name, ": chunked\r\n\r\n", BROKEN, NULL);
+    ck_assert_broken(bytes, FALSE);
+}
+END_TEST
+
+TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
+             broken_chunks_are_found_in_any_request,
+             bodies_without_chunks_are_not_checked, long_lines_do_not_count)
