A begun stream is not ended by an answer of another status

Callers saw: a stream that ended as complete before its last event. Cause: a stream that was cut, or whose engine fell silent, was to go on elsewhere; the engine asked answered 204. Any status below 300 counted as the rest of the stream, and this rest is empty and complete (request_done framing=empty answer=whole events=16). Change: once the head was sent, an answer goes on with it only if it has the same status, for attempts and for moves; else it is a bad answer. Why it holds: status and head are compared where the attempt's head arrives, before any of its bytes can count.

--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -123,6 +123,12 @@
     return this->head_sent;
 }
 
+gboolean
+RelayAnswer_mayContinueWith(const RelayAnswer_t *this, int status)
+{
+    return !this->head_sent || status == this->status;
+}
+
 void
 RelayAnswer_setClosing(RelayAnswer_t *this)
 {
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -62,6 +62,10 @@
  * caller */
 gboolean RelayAnswer_isHeadSent(const RelayAnswer_t *this);
 
+/** RelayAnswer_mayContinueWith() - whether the answer can go on with one of
+ * this status: any until the head was sent, then only the same one */
+gboolean RelayAnswer_mayContinueWith(const RelayAnswer_t *this, int status);
+
 /** RelayAnswer_setClosing() - close the caller's connection after this answer;
  * no effect once the head was sent */
 void RelayAnswer_setClosing(RelayAnswer_t *this);
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -164,7 +164,7 @@
     (void)headers;
     RelayMove_t *this = owner;
     RelayFeedback_noteWeights(&this->feedback, head);
-    if (head->status >= HTTP_MOVEPERM) {
+    if (!RelayAnswer_mayContinueWith(this->exchange->answer, head->status)) {
         cancel_move(this, "failed");
     }
     else if (this->cause == &unloading &&
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -17,7 +17,8 @@
 {
     RelayExchange_t *this = owner;
     RelayFeedback_noteWeights(&this->feedback, head);
-    this->is_stream = this->event_pipe && head->status < HTTP_MOVEPERM;
+    this->is_stream = this->event_pipe && head->status < HTTP_MOVEPERM &&
+                      RelayAnswer_mayContinueWith(this->answer, head->status);
     this->framing = head->framing;
     AnswerBuffer_clear(this->answer_body);
     this->has_upstream_error = FALSE; /* it was in answer_body */
