--- a/src/Router.c
+++ b/src/Router.c
@@ -253,6 +253,8 @@
     evhttp_set_max_headers_size(server, limits->max_header);
     evhttp_set_max_body_size(server, limits->max_body);
     evhttp_set_timeout_tv(server, &timeout);
+    /* An upstream's answer without one has none. */
+    evhttp_set_default_content_type(server, NULL);
 }
 
 static struct evhttp *
