Streams of several versions go on after a restart of all routers

Cause: what is known of a stream was in the memory of its router and of three owners only.

A router that starts reads the records once. What no record states stays unknown and is refused as before, so that no version is ever guessed.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "Clock.h"
-#include "StreamOrigins.h"
 
 /* A lost datagram is sent again once within ORIGIN_ASK_TIMEOUT_MS. */
 #define ASK_REPEAT_MS 80
@@ -14,6 +13,9 @@
 #define TELL_AGAIN_MS 2000
 /* Streams in one datagram: 60 bytes each. */
 #define STREAMS_PER_MESSAGE 16
+/* How long a stream that was sent whole stays in the record: its end may have
+ * been lost on the way to the caller. */
+#define RECORD_WHOLE_MS 3000
 /* Longest name of a service or version that is accepted, in bytes. */
 #define NAME_MAX_BYTES 255
 
@@ -36,6 +38,7 @@
     StreamOrigins_t *origins;
     GHashTable *queries; /* &ticket -> OriginQuery_t */
     guint64 ticket;
+    gboolean is_restored;
 };
 
 /* Streams for one owner that are not sent yet. */
@@ -75,9 +78,8 @@
 OriginSource_name(OriginSource_t source)
 {
     static const char *const names[] = {
-        [ORIGIN_FROM_NOBODY] = "nobody",
-        [ORIGIN_FROM_HERE] = "here",
-        [ORIGIN_FROM_OWNER] = "owner",
+        [ORIGIN_FROM_NOBODY] = "nobody", [ORIGIN_FROM_HERE] = "here",
+        [ORIGIN_FROM_STORE] = "store",   [ORIGIN_FROM_OWNER] = "owner",
         [ORIGIN_FROM_LIST] = "list",
     };
     return names[source];
@@ -169,6 +171,7 @@
         g_ptr_array_add(get_batch(telling, owners[i])->entries, entry);
     }
     entry->is_told = TRUE;
+    entry->is_recorded = TRUE;
     entry->renewed_ms = telling->now_ms;
     count(keeper, "origins_told_total", 1);
 }
@@ -215,6 +218,12 @@
     this->spec.links->schedule_tick(this->spec.owner, in_ms);
 }
 
+static void
+record(const OriginKeeper_t *this)
+{
+    this->spec.links->record(this->spec.owner);
+}
+
 /* The streams that began while a service had one version are told once it gets
  * another one. */
 static void
@@ -224,6 +233,7 @@
     Telling_t telling = begin_telling(this, service);
     StreamOrigins_forEach(this->origins, tell_if_untold, &telling);
     finish_telling(&telling);
+    record(this);
     schedule_tick(this, TELL_AGAIN_MS);
 }
 
@@ -297,7 +307,8 @@
 static gboolean
 is_learned(const OriginKeeper_t *this)
 {
-    return SoftwareVersions_isLearned(this->spec.versions);
+    return this->is_restored &&
+           SoftwareVersions_isLearned(this->spec.versions);
 }
 
 static void
@@ -319,6 +330,7 @@
                           now_ms + this->spec.window_ms, now_ms);
     entry->is_own = TRUE;
     entry->is_live = TRUE;
+    entry->is_restored = FALSE;
     if (!may_change && OriginKeeper_findOnly(this, service)) {
         return;
     }
@@ -326,6 +338,7 @@
     Telling_t telling = begin_telling(this, service);
     add_to_batches(&telling, entry);
     finish_telling(&telling);
+    record(this);
     schedule_tick(this, TELL_AGAIN_MS);
 }
 
@@ -342,11 +355,62 @@
     }
     entry->is_live = FALSE;
     entry->expires_ms = now_ms + this->spec.window_ms;
+    entry->record_end_ms =
+        is_whole ? now_ms + RECORD_WHOLE_MS : entry->expires_ms;
     if (is_whole && !entry->is_told) {
         StreamOrigins_remove(this->origins, digest);
     }
 }
 
+void
+OriginKeeper_restore(OriginKeeper_t *this, const RequestDigest_t *digest,
+                     const char *service, const char *software,
+                     gboolean is_own)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (StreamOrigins_find(this->origins, digest, now_ms)) {
+        return;
+    }
+    StreamOrigin_t *entry =
+        StreamOrigins_put(this->origins, digest, service, software,
+                          now_ms + this->spec.window_ms, now_ms);
+    entry->is_restored = TRUE;
+    entry->is_recorded = is_own;
+    entry->record_end_ms = entry->expires_ms;
+}
+
+void
+OriginKeeper_finishRestore(OriginKeeper_t *this)
+{
+    this->is_restored = TRUE;
+    schedule_tick(this, 0);
+}
+
+typedef struct {
+    void (*call)(void *owner, StreamOrigin_t *entry);
+    void *owner;
+    gint64 now_ms;
+} RecordedCall_t;
+
+static void
+call_if_recorded(void *owner, StreamOrigin_t *entry)
+{
+    const RecordedCall_t *recorded = owner;
+    if (entry->is_recorded &&
+        (entry->is_live || recorded->now_ms < entry->record_end_ms)) {
+        recorded->call(recorded->owner, entry);
+    }
+}
+
+void
+OriginKeeper_forEachRecorded(const OriginKeeper_t *this,
+                             void (*call)(void *owner, StreamOrigin_t *entry),
+                             void *owner)
+{
+    RecordedCall_t recorded = {call, owner, Clock_nowMs()};
+    StreamOrigins_forEach(this->origins, call_if_recorded, &recorded);
+}
+
 static void
 send_query(const OriginKeeper_t *this, const OriginQuery_t *query)
 {
@@ -365,27 +429,38 @@
 }
 
 static gboolean
-answer_here(const OriginKeeper_t *this, const RequestDigest_t *digest,
-            const char *service, gboolean may_change, OriginAnswer_t *out)
+fill_known(const OriginKeeper_t *this, const RequestDigest_t *digest,
+           gint64 now_ms, OriginAnswer_t *out)
 {
-    gint64 now_ms = Clock_nowMs();
     const StreamOrigin_t *entry =
         StreamOrigins_find(this->origins, digest, now_ms);
-    const char *only =
-        may_change ? NULL : OriginKeeper_findOnly(this, service);
+    if (!entry) {
+        return FALSE;
+    }
+    out->source = entry->is_restored ? ORIGIN_FROM_STORE : ORIGIN_FROM_HERE;
+    out->service = entry->service;
+    out->software = entry->software;
+    out->age_ms = now_ms - entry->renewed_ms;
+    return TRUE;
+}
+
+static gboolean
+answer_here(const OriginKeeper_t *this, const RequestDigest_t *digest,
+            const char *service, gboolean may_change, OriginAnswer_t *out)
+{
     *out = (OriginAnswer_t){.source = ORIGIN_FROM_NOBODY};
-    if (entry) {
-        out->source = ORIGIN_FROM_HERE;
-        out->service = entry->service;
-        out->software = entry->software;
-        out->age_ms = now_ms - entry->renewed_ms;
+    if (fill_known(this, digest, Clock_nowMs(), out)) {
+        return TRUE;
     }
-    else if (only) {
-        out->source = ORIGIN_FROM_LIST;
-        out->service = service;
-        out->software = only;
+    const char *only =
+        may_change ? NULL : OriginKeeper_findOnly(this, service);
+    if (!only) {
+        return FALSE;
     }
-    return out->source != ORIGIN_FROM_NOBODY;
+    out->source = ORIGIN_FROM_LIST;
+    out->service = service;
+    out->software = only;
+    return TRUE;
 }
 
 static void
@@ -443,14 +518,18 @@
 }
 
 /* No owner knows the stream: it was not told, or all that were told of it have
- * restarted. If the list of this router is old, at least one owner must have
- * answered: a router that is cut off from all others can't know of a newer
- * version. */
+ * restarted. It may have been restored since the query began. If the list of
+ * this router is old, at least one owner must have answered: a router that is
+ * cut off from all others can't know of a newer version. */
 static void
 finish_unknown(OriginKeeper_t *this, OriginQuery_t *query)
 {
     OriginAnswer_t answer = {.replies = query->replies};
     const char *only = query->only;
+    if (fill_known(this, &query->digest, Clock_nowMs(), &answer)) {
+        finish_query(this, query, &answer);
+        return;
+    }
     if (!only) {
         only = query->replies > 0
                    ? find_listed_only(this, query->service)
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -11,11 +11,16 @@
  * had a single version for as long as streams may be continued. The transport
  * is a table of functions, and messages may be lost.
  *
+ * Routers forget what they know when all of them restart, so that each of them
+ * also keeps the streams that began there on the platform's store
+ * (OriginRecords.h).
+ *
  * Where nobody knows the version, the answer says so: it is never guessed.
  */
 #include "Counters.h"
 #include "RequestDigest.h"
 #include "SoftwareVersions.h"
+#include "StreamOrigins.h"
 #include "peer.pb-c.h"
 
 /** Owners of each stream. Of 8 routers with 3 killed at once, all owners of 1
@@ -37,7 +42,9 @@
  * @schedule_tick: schedules a call of OriginKeeper_tick() after at most @in_ms
  * @is_list_current: returns whether the list of upstreams is up to date
  * @learn: reads which services had several versions before this router
- * started, see SoftwareVersions_learn(); @is_urgent: a caller waits
+ * started, see SoftwareVersions_learn(), and the streams that routers began
+ * before; @is_urgent: a caller waits
+ * @record: the streams that OriginKeeper_forEachRecorded() finds have changed
  */
 typedef struct {
     guint (*find_owners)(void *owner, const RequestDigest_t *digest,
@@ -46,6 +53,7 @@
     void (*schedule_tick)(void *owner, gint64 in_ms);
     gboolean (*is_list_current)(void *owner);
     void (*learn)(void *owner, gboolean is_urgent);
+    void (*record)(void *owner);
 } OriginLinksClass_t;
 
 /**
@@ -68,12 +76,14 @@
  * enum OriginSource_t - how the version that began a stream is known
  * @ORIGIN_FROM_NOBODY: it is not known
  * @ORIGIN_FROM_HERE: the stream ran at this router, or this router is an owner
+ * @ORIGIN_FROM_STORE: a router had kept it on the platform's store
  * @ORIGIN_FROM_OWNER: an owner has answered
  * @ORIGIN_FROM_LIST: the service had a single version
  */
 typedef enum {
     ORIGIN_FROM_NOBODY,
     ORIGIN_FROM_HERE,
+    ORIGIN_FROM_STORE,
     ORIGIN_FROM_OWNER,
     ORIGIN_FROM_LIST,
 } OriginSource_t;
@@ -85,7 +95,7 @@
  * @software: version that began the stream; NULL if it is not known
  * @replies: owners that have replied
  * @age_ms: time since this router last heard of the stream, for
- *     ORIGIN_FROM_HERE
+ *     ORIGIN_FROM_HERE and ORIGIN_FROM_STORE
  */
 typedef struct {
     OriginSource_t source;
@@ -152,6 +162,24 @@
 /** OriginKeeper_cancel() - the answer is no longer wanted */
 void OriginKeeper_cancel(OriginKeeper_t *this, OriginQuery_t *query);
 
+/**
+ * OriginKeeper_restore() - a stream was found on the platform's store
+ * @is_own: in the record of an earlier process of this router
+ */
+void OriginKeeper_restore(OriginKeeper_t *this, const RequestDigest_t *digest,
+                          const char *service, const char *software,
+                          gboolean is_own);
+
+/** OriginKeeper_finishRestore() - all streams on the store were restored */
+void OriginKeeper_finishRestore(OriginKeeper_t *this);
+
+/** OriginKeeper_forEachRecorded() - call a function for each stream that
+ * belongs into the record of this router; it must not change the keeper */
+void OriginKeeper_forEachRecorded(const OriginKeeper_t *this,
+                                  void (*call)(void *owner,
+                                               StreamOrigin_t *entry),
+                                  void *owner);
+
 /** OriginKeeper_receive() - handle a message of another router; ignores
  * messages of other modules */
 void OriginKeeper_receive(OriginKeeper_t *this, const Wt__PeerMessage *message,
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -65,7 +65,15 @@
 learn(void *owner, gboolean is_urgent)
 {
     const OriginPeers_t *this = owner;
-    SoftwareRecords_scheduleRead(this->spec.records, is_urgent);
+    SoftwareRecords_scheduleRead(this->spec.software, is_urgent);
+    OriginRecords_scheduleRead(this->spec.records, is_urgent);
+}
+
+static void
+record(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    OriginRecords_scheduleWrite(this->spec.records);
 }
 
 static const OriginLinksClass_t links = {
@@ -74,6 +82,7 @@
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
     .learn = learn,
+    .record = record,
 };
 
 static void
@@ -108,6 +117,7 @@
         .window_ms = spec->window_ms,
     };
     this->keeper = OriginKeeper_create(&keeper);
+    OriginRecords_setKeeper(spec->records, this->keeper);
     if (spec->datagrams) {
         PeerDatagrams_addHandler(spec->datagrams, on_message, this);
     }
--- a/src/OriginPeers.h
+++ b/src/OriginPeers.h
@@ -9,6 +9,7 @@
  */
 #include "Membership.h"
 #include "OriginKeeper.h"
+#include "OriginRecords.h"
 #include "PeerDatagrams.h"
 #include "SoftwareRecords.h"
 #include "UpstreamListing.h"
@@ -19,7 +20,8 @@
  * @datagrams: transport to all routers; NULL for none
  * @listing: the list of upstreams
  * @versions: versions of the services
- * @records: services with several versions, on the store
+ * @software: versions of the services, on the store
+ * @records: streams that routers began, on the store
  * @counters: counters of messages and answers
  * @window_ms: how long after its last event a stream may be continued
  */
@@ -28,7 +30,8 @@
     PeerDatagrams_t *datagrams;
     const UpstreamListing_t *listing;
     SoftwareVersions_t *versions;
-    SoftwareRecords_t *records;
+    SoftwareRecords_t *software;
+    OriginRecords_t *records;
     Counters_t *counters;
     gint64 window_ms;
 } OriginPeersSpec_t;
--- a/src/PlatformForm.h
+++ b/src/PlatformForm.h
@@ -31,8 +31,10 @@
  * @listing_topic: keyed topic of the list of upstreams
  * @crash_topic: keyed topic of quarantined requests, which the routers write
  * @fleet_topic: keyed topic of the number of routers, which the routers write
- * @software_topic: keyed topic of services with several software versions,
- *     which the routers write
+ * @software_topic: keyed topic of the software versions of services, which the
+ *     routers write
+ * @origin_topic: keyed topic of the streams that routers began, which they
+ *     write
  * @caller: form of callers' requests
  * @upstream: form of upstreams' requests and answers
  * @peer: form of requests that are forwarded to another router; their orders
@@ -57,6 +59,7 @@
     const char *listing_topic;
     const char *crash_topic;
     const char *software_topic;
+    const char *origin_topic;
     const char *fleet_topic;
     const RelayCallerForm_t *caller;
     const RelayUpstreamForm_t *upstream;
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -38,6 +38,7 @@
     LoadShare_t *load_share;
     HintBroadcast_t *hints;
     SoftwareRecords_t *software;
+    OriginRecords_t *origin_records;
     FleetRecord_t *fleet_record;
     OriginPeers_t *origins;
 };
@@ -274,12 +275,21 @@
         .window_ms = context->settings->relay.resume_window_ms,
     };
     this->software = SoftwareRecords_create(context->base, &software);
+    OriginRecordsSpec_t records = {
+        .source = this->records,
+        .topic = form->origin_topic,
+        .membership = context->membership,
+        .router = context->settings->router.name->str,
+        .counters = context->counters,
+    };
+    this->origin_records = OriginRecords_create(context->base, &records);
     OriginPeersSpec_t spec = {
         .membership = context->membership,
         .datagrams = context->datagrams,
         .listing = context->listing,
         .versions = context->versions,
-        .records = this->software,
+        .software = this->software,
+        .records = this->origin_records,
         .counters = context->counters,
         .window_ms = context->settings->relay.resume_window_ms,
     };
@@ -384,6 +394,7 @@
     LoadShare_destroy(this->load_share);
     Orders_destroy(this->orders);
     UpstreamProber_destroy(this->prober);
+    OriginRecords_destroy(this->origin_records);
     OriginPeers_destroy(this->origins);
     SoftwareRecords_destroy(this->software);
     FleetRecord_destroy(this->fleet_record);
--- a/src/StreamOrigins.h
+++ b/src/StreamOrigins.h
@@ -23,6 +23,9 @@
  * @is_own: this router began or continued the stream
  * @is_live: the stream runs at this router
  * @is_told: owners have been told
+ * @is_restored: it was read from the platform's store
+ * @is_recorded: it belongs into the record of this router
+ * @record_end_ms: until when, unless the stream runs here, monotonic
  */
 typedef struct {
     RequestDigest_t digest;
@@ -33,6 +36,9 @@
     gboolean is_own;
     gboolean is_live;
     gboolean is_told;
+    gboolean is_restored;
+    gboolean is_recorded;
+    gint64 record_end_ms;
 } StreamOrigin_t;
 
 /** struct StreamOrigins_t - opaque */
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1762,6 +1762,96 @@
   assert(message->base.descriptor == &wt__software_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wt__origin_group__init
+                     (Wt__OriginGroup         *message)
+{
+  static const Wt__OriginGroup init_value = WT__ORIGIN_GROUP__INIT;
+  *message = init_value;
+}
+size_t wt__origin_group__get_packed_size
+                     (const Wt__OriginGroup *message)
+{
+  assert(message->base.descriptor == &wt__origin_group__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__origin_group__pack
+                     (const Wt__OriginGroup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__origin_group__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__origin_group__pack_to_buffer
+                     (const Wt__OriginGroup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__origin_group__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__OriginGroup *
+       wt__origin_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__OriginGroup *)
+     protobuf_c_message_unpack (&wt__origin_group__descriptor,
+                                allocator, len, data);
+}
+void   wt__origin_group__free_unpacked
+                     (Wt__OriginGroup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__origin_group__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wt__origin_record__init
+                     (Wt__OriginRecord         *message)
+{
+  static const Wt__OriginRecord init_value = WT__ORIGIN_RECORD__INIT;
+  *message = init_value;
+}
+size_t wt__origin_record__get_packed_size
+                     (const Wt__OriginRecord *message)
+{
+  assert(message->base.descriptor == &wt__origin_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wt__origin_record__pack
+                     (const Wt__OriginRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wt__origin_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wt__origin_record__pack_to_buffer
+                     (const Wt__OriginRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wt__origin_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wt__OriginRecord *
+       wt__origin_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wt__OriginRecord *)
+     protobuf_c_message_unpack (&wt__origin_record__descriptor,
+                                allocator, len, data);
+}
+void   wt__origin_record__free_unpacked
+                     (Wt__OriginRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wt__origin_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wt__link_time__init
                      (Wt__LinkTime         *message)
 {
@@ -5498,6 +5588,121 @@
   (ProtobufCMessageInit) wt__software_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wt__origin_group__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginGroup, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginGroup, software),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digests",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginGroup, digests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__origin_group__field_indices_by_name[] = {
+  2,   /* field[2] = digests */
+  0,   /* field[0] = service */
+  1,   /* field[1] = software */
+};
+static const ProtobufCIntRange wt__origin_group__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wt__origin_group__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.OriginGroup",
+  "OriginGroup",
+  "Wt__OriginGroup",
+  "wt",
+  sizeof(Wt__OriginGroup),
+  3,
+  wt__origin_group__field_descriptors,
+  wt__origin_group__field_indices_by_name,
+  1,  wt__origin_group__number_ranges,
+  (ProtobufCMessageInit) wt__origin_group__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wt__origin_record__field_descriptors[2] =
+{
+  {
+    "wall_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginRecord, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "groups",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wt__OriginRecord, n_groups),
+    offsetof(Wt__OriginRecord, groups),
+    &wt__origin_group__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wt__origin_record__field_indices_by_name[] = {
+  1,   /* field[1] = groups */
+  0,   /* field[0] = wall_ms */
+};
+static const ProtobufCIntRange wt__origin_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wt__origin_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wt.OriginRecord",
+  "OriginRecord",
+  "Wt__OriginRecord",
+  "wt",
+  sizeof(Wt__OriginRecord),
+  2,
+  wt__origin_record__field_descriptors,
+  wt__origin_record__field_indices_by_name,
+  1,  wt__origin_record__number_ranges,
+  (ProtobufCMessageInit) wt__origin_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wt__link_time__field_descriptors[3] =
 {
   {
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -56,6 +56,8 @@
 typedef struct Wt__OriginAsk Wt__OriginAsk;
 typedef struct Wt__OriginAnswer Wt__OriginAnswer;
 typedef struct Wt__SoftwareRecord Wt__SoftwareRecord;
+typedef struct Wt__OriginGroup Wt__OriginGroup;
+typedef struct Wt__OriginRecord Wt__OriginRecord;
 typedef struct Wt__LinkTime Wt__LinkTime;
 typedef struct Wt__Piece Wt__Piece;
 typedef struct Wt__PeerMessage Wt__PeerMessage;
@@ -1117,6 +1119,43 @@
     , (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
+/*
+ * Streams that one software version of a service has begun.
+ */
+struct  Wt__OriginGroup
+{
+  ProtobufCMessage base;
+  char *service;
+  char *software;
+  /*
+   * 16 bytes for each stream (RequestDigest.h).
+   */
+  ProtobufCBinaryData digests;
+};
+#define WT__ORIGIN_GROUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__origin_group__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+/*
+ * On the platform's store, under the name of a router: the streams that began
+ * there and may be continued, of services with several versions.
+ */
+struct  Wt__OriginRecord
+{
+  ProtobufCMessage base;
+  /*
+   * When it was written, in ms since 1970.
+   */
+  int64_t wall_ms;
+  size_t n_groups;
+  Wt__OriginGroup **groups;
+};
+#define WT__ORIGIN_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wt__origin_record__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * By the sender's clock of the link, which counts ms from when the sender
  * opened or accepted the link.
@@ -1970,6 +2009,44 @@
 void   wt__software_record__free_unpacked
                      (Wt__SoftwareRecord *message,
                       ProtobufCAllocator *allocator);
+/* Wt__OriginGroup methods */
+void   wt__origin_group__init
+                     (Wt__OriginGroup         *message);
+size_t wt__origin_group__get_packed_size
+                     (const Wt__OriginGroup   *message);
+size_t wt__origin_group__pack
+                     (const Wt__OriginGroup   *message,
+                      uint8_t             *out);
+size_t wt__origin_group__pack_to_buffer
+                     (const Wt__OriginGroup   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__OriginGroup *
+       wt__origin_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__origin_group__free_unpacked
+                     (Wt__OriginGroup *message,
+                      ProtobufCAllocator *allocator);
+/* Wt__OriginRecord methods */
+void   wt__origin_record__init
+                     (Wt__OriginRecord         *message);
+size_t wt__origin_record__get_packed_size
+                     (const Wt__OriginRecord   *message);
+size_t wt__origin_record__pack
+                     (const Wt__OriginRecord   *message,
+                      uint8_t             *out);
+size_t wt__origin_record__pack_to_buffer
+                     (const Wt__OriginRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Wt__OriginRecord *
+       wt__origin_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wt__origin_record__free_unpacked
+                     (Wt__OriginRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Wt__LinkTime methods */
 void   wt__link_time__init
                      (Wt__LinkTime         *message);
@@ -2146,6 +2223,12 @@
 typedef void (*Wt__SoftwareRecord_Closure)
                  (const Wt__SoftwareRecord *message,
                   void *closure_data);
+typedef void (*Wt__OriginGroup_Closure)
+                 (const Wt__OriginGroup *message,
+                  void *closure_data);
+typedef void (*Wt__OriginRecord_Closure)
+                 (const Wt__OriginRecord *message,
+                  void *closure_data);
 typedef void (*Wt__LinkTime_Closure)
                  (const Wt__LinkTime *message,
                   void *closure_data);
@@ -2204,6 +2287,8 @@
 extern const ProtobufCMessageDescriptor wt__origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor wt__origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor wt__software_record__descriptor;
+extern const ProtobufCMessageDescriptor wt__origin_group__descriptor;
+extern const ProtobufCMessageDescriptor wt__origin_record__descriptor;
 extern const ProtobufCMessageDescriptor wt__link_time__descriptor;
 extern const ProtobufCMessageDescriptor wt__piece__descriptor;
 extern const ProtobufCMessageDescriptor wt__peer_message__descriptor;
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -25,6 +25,7 @@
     gboolean is_old;  /* a build without the messages */
     gboolean has_old_list;
     guint learn_calls;
+    guint record_calls;
 } Router_t;
 
 typedef struct {
@@ -107,12 +108,19 @@
     ((Router_t *)owner)->learn_calls += is_urgent ? 1 : 0;
 }
 
+static void
+record(void *owner)
+{
+    ((Router_t *)owner)->record_calls++;
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
     .learn = learn,
+    .record = record,
 };
 
 static void
@@ -145,6 +153,7 @@
         .window_ms = WINDOW_MS,
     };
     this->keeper = OriginKeeper_create(&spec);
+    OriginKeeper_finishRestore(this->keeper);
     list_engine(this, "e1", "v1");
 }
 
@@ -475,6 +484,45 @@
 }
 END_TEST
 
+START_TEST(a_query_finds_what_is_restored_meanwhile)
+{
+    begin_fleet(1);
+    list_second_version();
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    stop_router(asker);
+    start_router(asker, FALSE);
+    RequestDigest_t key = digest(number);
+    OriginAnswer_t answer;
+    Outcome_t outcome = {FALSE};
+    OriginKeeper_t *keeper = routers[asker].keeper;
+    ck_assert_ptr_nonnull(OriginKeeper_ask(keeper, &key, "s", FALSE, &answer,
+                                           on_asked, &outcome));
+    pass_time(50);
+    ck_assert(!outcome.is_answered);
+    OriginKeeper_restore(keeper, &key, "s", "v2", FALSE);
+    learn_single_version(&routers[asker]);
+    pass_time(50);
+    ck_assert_int_eq(outcome.source, ORIGIN_FROM_STORE);
+    ck_assert_str_eq(outcome.software, "v2");
+    g_free(outcome.software);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(streams_are_recorded_once_there_are_two_versions)
+{
+    begin_fleet(1);
+    begin_stream(0, 1, "v1");
+    ck_assert_uint_eq(routers[0].record_calls, 0);
+    list_engine(&routers[0], "e2", "v2");
+    ck_assert_uint_eq(routers[0].record_calls, 1);
+    begin_stream(0, 2, "v2");
+    ck_assert_uint_eq(routers[0].record_calls, 2);
+    end_fleet();
+}
+END_TEST
+
 /* The version of a stream at an engine that the router has not heard of yet
  * was taken for the one that the router knew. */
 START_TEST(a_router_with_an_old_list_asks_and_does_not_guess_alone)
@@ -653,6 +701,8 @@
              all_routers_restart_and_older_streams_are_unknown,
              a_router_that_just_started_learns_of_the_single_version,
              all_routers_restart_and_learn_of_the_single_version,
+             a_query_finds_what_is_restored_meanwhile,
+             streams_are_recorded_once_there_are_two_versions,
              a_router_with_an_old_list_asks_and_does_not_guess_alone,
              an_old_list_and_owners_that_answer_mean_the_single_version,
              a_build_that_tells_nothing_makes_streams_unknown_not_mixed,
