Bodies of requests are read while there is memory for them

Callers that sent bodies of the allowed size took routers over the memory of their machine: they were ended, and all calls under way were lost, small ones too.

Cause: every body was read at once, whole, and was held up to four times over (evhttp's buffer, its contiguous copy, the exchange's copy, the attempt's buffer); nothing bounded the sum.

A body now claims its bytes from a budget, 65 % of the new setting memory, before it is read. Where they don't fit, its connection is read by a byte each 50 ms, so that the caller waits and its end is still noticed; bodies are admitted in order, those of up to 16 KiB at once. A body that makes no progress for 0.5 s gives way. A taken body is moved instead of copied, and sent without a copy.

What waits too long is not refused yet: its caller gives up.

--- /dev/null
+++ b/src/BodyBudget.c
@@ -0,0 +1,190 @@
+#include "BodyBudget.h"
+
+/* A claim that waits precedes later ones if it tried within this time. */
+#define PRECEDENCE_MS 200
+/* Time without progress after which a body in arrival gives way. Its
+ * connection may have been closed, which is not reported. */
+#define STALL_MS 500
+
+struct BodyBudget {
+    gsize max;
+    gsize used;
+    GQueue waiting; /* BodyClaim_t, in the order in which they were made */
+    GQueue granted; /* BodyClaim_t */
+};
+
+struct BodyClaim {
+    BodyBudget_t *budget;
+    gsize bytes; /* granted */
+    gint64 active_ms;
+    gboolean is_in_arrival; /* may give way */
+    GList waiting_link;
+    GList granted_link;
+};
+
+BodyBudget_t *
+BodyBudget_create(gsize max)
+{
+    BodyBudget_t *this = g_rc_box_new0(BodyBudget_t);
+    this->max = max;
+    g_queue_init(&this->waiting);
+    g_queue_init(&this->granted);
+    return this;
+}
+
+BodyBudget_t *
+BodyBudget_ref(BodyBudget_t *this)
+{
+    return g_rc_box_acquire(this);
+}
+
+void
+BodyBudget_unref(BodyBudget_t *this)
+{
+    g_rc_box_release(this);
+}
+
+void
+BodyBudget_setMax(BodyBudget_t *this, gsize max)
+{
+    this->max = max;
+}
+
+gsize
+BodyBudget_used(const BodyBudget_t *this)
+{
+    return this->used;
+}
+
+guint
+BodyBudget_waiting(const BodyBudget_t *this)
+{
+    return this->waiting.length;
+}
+
+BodyClaim_t *
+BodyClaim_create(BodyBudget_t *budget)
+{
+    BodyClaim_t *this = g_new0(BodyClaim_t, 1);
+    this->budget = BodyBudget_ref(budget);
+    this->waiting_link.data = this;
+    this->granted_link.data = this;
+    return this;
+}
+
+static gboolean
+is_linked(const GQueue *queue, const GList *link)
+{
+    return link->prev || link->next || queue->head == link;
+}
+
+static void
+unlink_claim(GQueue *queue, GList *link)
+{
+    if (is_linked(queue, link)) {
+        g_queue_unlink(queue, link);
+    }
+}
+
+void
+BodyClaim_release(BodyClaim_t *this)
+{
+    unlink_claim(&this->budget->waiting, &this->waiting_link);
+    unlink_claim(&this->budget->granted, &this->granted_link);
+    this->budget->used -= this->bytes;
+    this->bytes = 0;
+}
+
+void
+BodyClaim_destroy(BodyClaim_t *this)
+{
+    BodyClaim_release(this);
+    BodyBudget_unref(this->budget);
+    g_free(this);
+}
+
+/* A body that exceeds the whole budget is granted alone. */
+static gboolean
+fits(const BodyClaim_t *this, gsize bytes)
+{
+    const BodyBudget_t *budget = this->budget;
+    gsize others = budget->used - this->bytes;
+    return budget->max == 0 || others == 0 || others + bytes <= budget->max;
+}
+
+static gboolean
+is_preceded(const BodyClaim_t *this, gint64 now_ms)
+{
+    const GList *link = this->budget->waiting.head;
+    while (link && link->data != this) {
+        const BodyClaim_t *other = link->data;
+        if (now_ms - other->active_ms < PRECEDENCE_MS) {
+            return TRUE;
+        }
+        link = link->next;
+    }
+    return FALSE;
+}
+
+static void
+release_stalled(BodyBudget_t *budget, gint64 now_ms)
+{
+    GList *link = budget->granted.head;
+    while (link) {
+        BodyClaim_t *claim = link->data;
+        link = link->next;
+        if (claim->is_in_arrival && now_ms - claim->active_ms > STALL_MS) {
+            BodyClaim_release(claim);
+        }
+    }
+}
+
+void
+BodyClaim_setBytes(BodyClaim_t *this, gsize bytes)
+{
+    unlink_claim(&this->budget->waiting, &this->waiting_link);
+    if (!is_linked(&this->budget->granted, &this->granted_link)) {
+        g_queue_push_tail_link(&this->budget->granted, &this->granted_link);
+    }
+    this->budget->used = this->budget->used - this->bytes + bytes;
+    this->bytes = bytes;
+    this->is_in_arrival = FALSE;
+}
+
+static void
+grant(BodyClaim_t *this, gsize bytes)
+{
+    BodyClaim_setBytes(this, bytes);
+    this->is_in_arrival = TRUE;
+}
+
+gboolean
+BodyClaim_try(BodyClaim_t *this, gsize bytes, gint64 now_ms)
+{
+    BodyBudget_t *budget = this->budget;
+    this->active_ms = now_ms;
+    if (bytes <= this->bytes) {
+        return TRUE;
+    }
+    release_stalled(budget, now_ms);
+    if (fits(this, bytes) && !is_preceded(this, now_ms)) {
+        grant(this, bytes);
+        return TRUE;
+    }
+    if (!is_linked(&budget->waiting, &this->waiting_link)) {
+        g_queue_push_tail_link(&budget->waiting, &this->waiting_link);
+    }
+    return FALSE;
+}
+
+void
+BodyClaim_noteProgress(BodyClaim_t *this, gint64 now_ms)
+{
+    this->active_ms = now_ms;
+}
+
+gboolean
+BodyClaim_isGranted(const BodyClaim_t *this)
+{
+    return this->bytes > 0;
+}
--- /dev/null
+++ b/src/BodyBudget.h
@@ -0,0 +1,75 @@
+#ifndef HEADER_BodyBudget
+#define HEADER_BodyBudget
+/**
+ * DOC: BodyBudget
+ *
+ * Bounds the bytes of requests' bodies that a router holds. A body claims its
+ * bytes before it is read; where they don't fit, its connection is read later,
+ * so that the caller waits. Claims are granted in the order in which they were
+ * made. Short bodies need no claim.
+ */
+#include <glib.h>
+
+/** Size up to which a body needs no claim, in bytes */
+#define BODY_BUDGET_FREE_MAX ((gsize)16 << 10)
+
+/** struct BodyBudget_t - opaque; reference-counted, as bodies may outlive the
+ * router's other parts */
+typedef struct BodyBudget BodyBudget_t;
+
+/** struct BodyClaim_t - opaque; the bytes of one body */
+typedef struct BodyClaim BodyClaim_t;
+
+/** BodyBudget_create() - create a budget without claims
+ * @max: bytes of all claims together; 0 for no limit */
+BodyBudget_t *BodyBudget_create(gsize max);
+
+/** BodyBudget_ref() - add a reference */
+BodyBudget_t *BodyBudget_ref(BodyBudget_t *this);
+
+/** BodyBudget_unref() - drop a reference; the last one frees the budget */
+void BodyBudget_unref(BodyBudget_t *this);
+
+/** BodyBudget_setMax() - change @max of BodyBudget_create(); granted claims
+ * remain */
+void BodyBudget_setMax(BodyBudget_t *this, gsize max);
+
+/** BodyBudget_used() - bytes of all granted claims */
+gsize BodyBudget_used(const BodyBudget_t *this);
+
+/** BodyBudget_waiting() - number of claims that wait */
+guint BodyBudget_waiting(const BodyBudget_t *this);
+
+/** BodyClaim_create() - create a claim of nothing; it refers to the budget */
+BodyClaim_t *BodyClaim_create(BodyBudget_t *budget);
+
+/** BodyClaim_destroy() - give the claim's bytes back and free it */
+void BodyClaim_destroy(BodyClaim_t *this);
+
+/**
+ * BodyClaim_try() - claim bytes, or try again
+ * @bytes: in place of those that the claim has; a granted claim that does not
+ *     grow is granted at once
+ *
+ * A claim that waits has to try again often: one that has not done so for a
+ * while no longer precedes others, and a granted one whose connection shows no
+ * sign of life gives way while others wait.
+ *
+ * Return: whether the claim is granted
+ */
+gboolean BodyClaim_try(BodyClaim_t *this, gsize bytes, gint64 now_ms);
+
+/** BodyClaim_noteProgress() - bytes of the body were received */
+void BodyClaim_noteProgress(BodyClaim_t *this, gint64 now_ms);
+
+/** BodyClaim_release() - give the claim's bytes back */
+void BodyClaim_release(BodyClaim_t *this);
+
+/** BodyClaim_setBytes() - change the bytes of a granted claim, whatever is
+ * left */
+void BodyClaim_setBytes(BodyClaim_t *this, gsize bytes);
+
+/** BodyClaim_isGranted() - whether the claim has bytes */
+gboolean BodyClaim_isGranted(const BodyClaim_t *this);
+
+#endif
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -14,7 +14,7 @@
 #include "HttpReply.h"
 #include "Json.h"
 #include "Random.h"
-#include "RequestFraming.h"
+#include "RequestIntake.h"
 #include "ServiceExchange.h"
 #include "StreamExchange.h"
 
@@ -351,7 +351,7 @@
 static gboolean
 check_framing(const Call_t *call)
 {
-    if (!RequestFraming_isAmbiguous(call->http)) {
+    if (!RequestIntake_isAmbiguous(call->http)) {
         return TRUE;
     }
     evhttp_add_header(evhttp_request_get_output_headers(call->http),
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -10,7 +10,7 @@
 #include "RelayAnswer.h"
 #include "RelayExchange.h"
 #include "RelayForward.h"
-#include "RequestFraming.h"
+#include "RequestIntake.h"
 
 #define KNOWN_METHODS                                                         \
     (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |    \
@@ -76,6 +76,7 @@
                          admission->route ? admission->route->name->str
                                           : "none",
                          "none", detail);
+    RequestIntake_dropBody(admission->http);
     RelayRefusal_t params = {refusal, RUN_NOT, detail, 0, context->stopping};
     if (admission->forwarded_by && may_try_another(refusal)) {
         evhttp_add_header(evhttp_request_get_output_headers(admission->http),
@@ -234,7 +235,7 @@
 close_if_ambiguous(Admission_t *admission)
 {
     struct evhttp_request *http = admission->http;
-    admission->is_ambiguous = RequestFraming_isAmbiguous(http);
+    admission->is_ambiguous = RequestIntake_isAmbiguous(http);
     if (admission->is_ambiguous) {
         evhttp_add_header(evhttp_request_get_output_headers(http),
                           "Connection", "close");
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -317,6 +317,14 @@
                       UNACKNOWLEDGED_MAX_MS);
 }
 
+static void
+release_body(const void *bytes, size_t length, void *body)
+{
+    (void)bytes;
+    (void)length;
+    g_bytes_unref(body);
+}
+
 static struct evhttp_request *
 build_request(RelayAttempt_t *this, const RelayAttemptSpec_t *spec)
 {
@@ -333,7 +341,9 @@
          * methods only. */
         g_autofree char *text = g_strdup_printf("%" G_GSIZE_FORMAT, length);
         evhttp_add_header(out, "Content-Length", text);
-        evbuffer_add(evhttp_request_get_output_buffer(request), bytes, length);
+        evbuffer_add_reference(evhttp_request_get_output_buffer(request),
+                               bytes, length, release_body,
+                               g_bytes_ref(spec->body));
     }
     return request;
 }
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -11,6 +11,7 @@
 #include "RelayMove.h"
 #include "RelayOrigin.h"
 #include "RelayRun.h"
+#include "RequestIntake.h"
 
 /* Attempts that are known not to have run do not count against the route's
  * limit of attempts, up to this number: each costs a round trip and a part of
@@ -240,7 +241,7 @@
 create(Context_t *context, const RelayExchangeSpec_t *spec)
 {
     RelayExchange_t *this = g_new0(RelayExchange_t, 1);
-    this->request_body = Http_copyBody(spec->http);
+    this->request_body = RequestIntake_takeBody(spec->http);
     ExchangeSpec_t base = {
         .id = spec->request->id,
         .customer = spec->customer ? spec->customer->name->str : "",
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -8,6 +8,7 @@
 #include "PlatformForm.h"
 #include "RelayAnswer.h"
 #include "RelayAttempt.h"
+#include "RequestIntake.h"
 
 /* Number of routers that one request is offered to. */
 #define TRIES_MAX 8
@@ -343,7 +344,7 @@
                             ? context->settings->limits.idle_time_ms
                             : context->settings->limits.once_idle_time_ms;
     this->id = g_string_new(spec->request->id);
-    this->body = Http_copyBody(spec->http);
+    this->body = RequestIntake_takeBody(spec->http);
     this->answer_body = AnswerBuffer_create(&context->answer_bytes);
     this->started_us = Clock_nowUs();
     this->deadline_ms = Clock_nowMs() + wait_ms;
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -1,10 +1,7 @@
 #include "RequestFraming.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <string.h>
 
-#include "BodyFraming.h"
 #include "ChunkCheck.h"
 
 /* Longer than the lines that matter, without blanks. */
@@ -27,15 +24,12 @@
     gboolean is_first_line;
     gboolean has_no_body; /* whatever its head states */
     gboolean is_chunked;
-    guint64 left; /* of a body with a length */
+    guint64 length;  /* of a body with a length */
+    guint64 left;    /* of this length */
+    guint64 chunked; /* bytes of chunks so far */
     ChunkCheck_t chunks;
 };
 
-/* By struct bufferevent, not owned. The entry of a closed connection remains
- * until its address is used again, so that there are no more of them than
- * connections were open at the same time. */
-static GHashTable *watched;
-
 static void
 begin_head(RequestFraming_t *this)
 {
@@ -79,8 +73,9 @@
     }
     else if (g_ascii_strncasecmp(this->line, LENGTH_PREFIX,
                                  strlen(LENGTH_PREFIX)) == 0) {
-        this->left =
+        this->length =
             g_ascii_strtoull(this->line + strlen(LENGTH_PREFIX), NULL, 10);
+        this->left = this->length;
     }
 }
 
@@ -159,6 +154,7 @@
 read_chunks(RequestFraming_t *this, const char *bytes, gsize length)
 {
     gsize size = ChunkCheck_feed(&this->chunks, bytes, length);
+    this->chunked += size;
     if (ChunkCheck_isEnded(&this->chunks)) {
         this->part = PART_TRAILERS;
     }
@@ -188,82 +184,48 @@
     return ChunkCheck_isBroken(&this->chunks);
 }
 
-RequestFraming_t *
-RequestFraming_create(void)
-{
-    RequestFraming_t *this = g_new(RequestFraming_t, 1);
-    begin_head(this);
-    return this;
-}
-
-void
-RequestFraming_destroy(RequestFraming_t *this)
-{
-    g_free(this);
-}
-
-static void
-on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
-         void *data)
+gboolean
+RequestFraming_isInHead(const RequestFraming_t *this)
 {
-    gsize size = evbuffer_get_length(buffer);
-    struct evbuffer_ptr at;
-    struct evbuffer_iovec part;
-    if (info->n_added == 0) {
-        return;
-    }
-    evbuffer_ptr_set(buffer, &at, size - info->n_added, EVBUFFER_PTR_SET);
-    while (evbuffer_peek(buffer, -1, &at, &part, 1) > 0) {
-        RequestFraming_feed(data, part.iov_base, part.iov_len);
-        if (evbuffer_ptr_set(buffer, &at, part.iov_len, EVBUFFER_PTR_ADD) !=
-            0) {
-            return;
-        }
-    }
+    return this->part == PART_HEAD &&
+           (this->line_bytes > 0 || !this->is_first_line);
 }
 
-static void
-destroy_entry(gpointer entry)
+gboolean
+RequestFraming_isChunked(const RequestFraming_t *this)
 {
-    RequestFraming_destroy(entry);
+    return this->part == PART_CHUNKS;
 }
 
-static struct bufferevent *
-create_bufferevent(struct event_base *base, void *data)
+guint64
+RequestFraming_missingBody(const RequestFraming_t *this)
 {
-    (void)data;
-    struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
-    RequestFraming_t *framing = RequestFraming_create();
-    g_hash_table_replace(watched, bev, framing);
-    evbuffer_add_cb(bufferevent_get_input(bev), on_input, framing);
-    return bev;
+    return this->part == PART_LENGTH ? this->left : 0;
 }
 
-void
-RequestFraming_watch(struct evhttp *server)
+guint64
+RequestFraming_expectedBody(const RequestFraming_t *this)
 {
-    if (!watched) {
-        watched = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
-                                        destroy_entry);
+    switch (this->part) {
+    case PART_LENGTH:
+        return this->length;
+    case PART_CHUNKS:
+        return this->chunked;
+    default:
+        return 0;
     }
-    evhttp_set_bevcb(server, create_bufferevent, NULL);
 }
 
-static gboolean
-has_broken_chunks(struct evhttp_connection *connection)
+RequestFraming_t *
+RequestFraming_create(void)
 {
-    const RequestFraming_t *framing =
-        watched ? g_hash_table_lookup(
-                      watched, evhttp_connection_get_bufferevent(connection))
-                : NULL;
-    return framing && RequestFraming_isBroken(framing);
+    RequestFraming_t *this = g_new(RequestFraming_t, 1);
+    begin_head(this);
+    return this;
 }
 
-gboolean
-RequestFraming_isAmbiguous(struct evhttp_request *request)
+void
+RequestFraming_destroy(RequestFraming_t *this)
 {
-    return BodyFraming_isAmbiguousRequest(
-               evhttp_request_get_command(request),
-               evhttp_request_get_input_headers(request)) ||
-           has_broken_chunks(evhttp_request_get_connection(request));
+    g_free(this);
 }
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -8,24 +8,11 @@
  * the check follows the heads of a connection's requests by itself, as far as
  * they tell where a body ends.
  */
-#include <event2/http.h>
 #include <glib.h>
 
 /** struct RequestFraming_t - opaque; the requests of one connection */
 typedef struct RequestFraming RequestFraming_t;
 
-/** RequestFraming_watch() - check all connections that @server accepts */
-void RequestFraming_watch(struct evhttp *server);
-
-/**
- * RequestFraming_isAmbiguous() - whether receivers of a request may disagree
- * on where its body ends
- *
- * By its head (BodyFraming_isAmbiguousRequest()), or because the chunks of a
- * request on its connection are broken. What follows must not be read.
- */
-gboolean RequestFraming_isAmbiguous(struct evhttp_request *request);
-
 /** RequestFraming_create() - begin with a connection */
 RequestFraming_t *RequestFraming_create(void);
 
@@ -39,4 +26,18 @@
 /** RequestFraming_isBroken() - whether chunks are broken */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
 
+/** RequestFraming_isInHead() - whether a head has begun and not ended */
+gboolean RequestFraming_isInHead(const RequestFraming_t *this);
+
+/** RequestFraming_isChunked() - whether the body under way has chunks */
+gboolean RequestFraming_isChunked(const RequestFraming_t *this);
+
+/** RequestFraming_missingBody() - bytes of a body with a length that were not
+ * received yet */
+guint64 RequestFraming_missingBody(const RequestFraming_t *this);
+
+/** RequestFraming_expectedBody() - bytes of the body under way: its length, or
+ * those of its chunks so far; 0 if there is none */
+guint64 RequestFraming_expectedBody(const RequestFraming_t *this);
+
 #endif
--- /dev/null
+++ b/src/RequestIntake.c
@@ -0,0 +1,280 @@
+#include "RequestIntake.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+
+#include "BodyFraming.h"
+#include "Clock.h"
+#include "Log.h"
+#include "RequestFraming.h"
+
+/* Copies of a body while it is moved out of its request. */
+#define COPIES_IN_ARRIVAL 2
+/* A paused connection reads one byte in this time, by which it tries again and
+ * its end is noticed. */
+#define PAUSED_TICK_MS 50
+#define PAUSED_BYTES 1
+
+typedef struct {
+    struct bufferevent *stream;
+    const IntakeLimits_t *limits;
+    RequestFraming_t *framing;
+    BodyClaim_t *claim;
+    gint64 paused_ms; /* since when the connection is paused; 0 if not */
+    gboolean is_abandoned;
+} Connection_t;
+
+/* Of a body that was taken. */
+typedef struct {
+    void *bytes;
+    BodyClaim_t *claim;
+} TakenBody_t;
+
+/* By struct bufferevent, not owned. The entry of a closed connection remains
+ * until its address is used again, so that there are no more of them than
+ * connections were open at the same time. */
+static GHashTable *connections;
+
+static struct ev_token_bucket_cfg *
+paused_rate(void)
+{
+    static struct ev_token_bucket_cfg *rate;
+    if (!rate) {
+        struct timeval tick = {0, PAUSED_TICK_MS * 1000};
+        rate = ev_token_bucket_cfg_new(PAUSED_BYTES, PAUSED_BYTES,
+                                       EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX,
+                                       &tick);
+    }
+    return rate;
+}
+
+static void
+log_wait(const Connection_t *this, const char *event, gsize bytes)
+{
+    const BodyBudget_t *budget = this->limits->budget;
+    Log_begin(LOG_LEVEL_INFO, event);
+    Log_number("bytes", (gint64)bytes);
+    Log_number("used", (gint64)BodyBudget_used(budget));
+    Log_number("waiting", BodyBudget_waiting(budget));
+    Log_number("ms",
+               this->paused_ms > 0 ? Clock_nowMs() - this->paused_ms : 0);
+    Log_end();
+}
+
+/* libevent subtracts the bytes being read from the new limit. */
+static void
+pause_reading(Connection_t *this, gsize bytes, gsize added)
+{
+    if (this->paused_ms == 0) {
+        log_wait(this, "body_waits", bytes);
+        this->paused_ms = Clock_nowMs();
+        bufferevent_set_rate_limit(this->stream, paused_rate());
+        bufferevent_decrement_read_limit(this->stream, -(ev_ssize_t)added);
+    }
+}
+
+static void
+resume_reading(Connection_t *this, gsize bytes)
+{
+    if (this->paused_ms > 0) {
+        log_wait(this, "body_admitted", bytes);
+        this->paused_ms = 0;
+        bufferevent_set_rate_limit(this->stream, NULL);
+    }
+}
+
+/* The length of a body in chunks is not known before its end. */
+static gsize
+claimed_bytes(const Connection_t *this)
+{
+    guint64 expected = RequestFraming_expectedBody(this->framing);
+    guint64 most = this->limits->max_body;
+    if (expected <= BODY_BUDGET_FREE_MAX) {
+        return 0;
+    }
+    if (RequestFraming_isChunked(this->framing)) {
+        expected = most;
+    }
+    return COPIES_IN_ARRIVAL * (gsize)MIN(expected, most);
+}
+
+/* evhttp does not report the end of a connection that it closes, so that the
+ * claim would remain for a while. */
+static gboolean
+has_caller_left(const Connection_t *this)
+{
+    evutil_socket_t fd = bufferevent_getfd(this->stream);
+    struct pollfd state = {.fd = fd, .events = POLLRDHUP};
+    int held = 0;
+    if (poll(&state, 1, 0) <= 0 ||
+        (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+        return FALSE;
+    }
+    return ioctl(fd, FIONREAD, &held) == 0 &&
+           (guint64)held < RequestFraming_missingBody(this->framing);
+}
+
+/* Ends the connection as evhttp does once it reads the end. */
+static void
+abandon(Connection_t *this, gsize bytes)
+{
+    this->is_abandoned = TRUE;
+    log_wait(this, "body_abandoned", bytes);
+    BodyClaim_release(this->claim);
+    bufferevent_trigger_event(this->stream, BEV_EVENT_READING | BEV_EVENT_EOF,
+                              BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static void
+update_claim(Connection_t *this, gsize added)
+{
+    gint64 now_ms = Clock_nowMs();
+    gsize bytes = claimed_bytes(this);
+    if (this->is_abandoned) {
+        return;
+    }
+    if (bytes > 0 && has_caller_left(this)) {
+        abandon(this, bytes);
+        return;
+    }
+    if (RequestFraming_isInHead(this->framing)) {
+        BodyClaim_release(this->claim);
+    }
+    BodyClaim_noteProgress(this->claim, now_ms);
+    if (BodyClaim_try(this->claim, bytes, now_ms)) {
+        resume_reading(this, bytes);
+    }
+    else {
+        pause_reading(this, bytes, added);
+    }
+}
+
+static void
+feed(Connection_t *this, struct evbuffer *buffer, gsize added)
+{
+    struct evbuffer_ptr at;
+    struct evbuffer_iovec part;
+    evbuffer_ptr_set(buffer, &at, evbuffer_get_length(buffer) - added,
+                     EVBUFFER_PTR_SET);
+    while (evbuffer_peek(buffer, -1, &at, &part, 1) > 0) {
+        RequestFraming_feed(this->framing, part.iov_base, part.iov_len);
+        if (evbuffer_ptr_set(buffer, &at, part.iov_len, EVBUFFER_PTR_ADD) !=
+            0) {
+            return;
+        }
+    }
+}
+
+static void
+on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *data)
+{
+    Connection_t *this = data;
+    if (info->n_added > 0) {
+        feed(this, buffer, info->n_added);
+        update_claim(this, info->n_added);
+    }
+}
+
+static void
+free_connection(gpointer data)
+{
+    Connection_t *this = data;
+    RequestFraming_destroy(this->framing);
+    BodyClaim_destroy(this->claim);
+    g_free(this);
+}
+
+static struct bufferevent *
+create_bufferevent(struct event_base *base, void *data)
+{
+    Connection_t *this = g_new0(Connection_t, 1);
+    this->limits = data;
+    this->stream = bufferevent_socket_new(base, -1, 0);
+    this->framing = RequestFraming_create();
+    this->claim = BodyClaim_create(this->limits->budget);
+    g_hash_table_replace(connections, this->stream, this);
+    evbuffer_add_cb(bufferevent_get_input(this->stream), on_input, this);
+    return this->stream;
+}
+
+void
+RequestIntake_watch(struct evhttp *server, const IntakeLimits_t *limits)
+{
+    if (!connections) {
+        connections = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                            NULL, free_connection);
+    }
+    evhttp_set_bevcb(server, create_bufferevent, (void *)limits);
+}
+
+static Connection_t *
+find_connection(struct evhttp_request *request)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    return connections ? g_hash_table_lookup(
+                             connections,
+                             evhttp_connection_get_bufferevent(connection))
+                       : NULL;
+}
+
+gboolean
+RequestIntake_isAmbiguous(struct evhttp_request *request)
+{
+    const Connection_t *connection = find_connection(request);
+    return BodyFraming_isAmbiguousRequest(
+               evhttp_request_get_command(request),
+               evhttp_request_get_input_headers(request)) ||
+           (connection && RequestFraming_isBroken(connection->framing));
+}
+
+static void
+free_taken(gpointer data)
+{
+    TakenBody_t *body = data;
+    BodyClaim_destroy(body->claim);
+    g_free(body->bytes);
+    g_free(body);
+}
+
+static GBytes *
+own_body(void *bytes, gsize length, BodyBudget_t *budget)
+{
+    TakenBody_t *body = g_new0(TakenBody_t, 1);
+    body->bytes = bytes;
+    body->claim = BodyClaim_create(budget);
+    BodyClaim_setBytes(body->claim, length);
+    return g_bytes_new_with_free_func(bytes, length, free_taken, body);
+}
+
+GBytes *
+RequestIntake_takeBody(struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    Connection_t *connection = find_connection(request);
+    gsize length = evbuffer_get_length(input);
+    if (length == 0) {
+        return g_bytes_new(NULL, 0);
+    }
+    void *bytes = g_malloc(length);
+    evbuffer_remove(input, bytes, length);
+    if (!connection) {
+        return g_bytes_new_take(bytes, length);
+    }
+    BodyClaim_release(connection->claim);
+    return own_body(bytes, length, connection->limits->budget);
+}
+
+void
+RequestIntake_dropBody(struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    const Connection_t *connection = find_connection(request);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (connection) {
+        BodyClaim_release(connection->claim);
+    }
+}
--- /dev/null
+++ b/src/RequestIntake.h
@@ -0,0 +1,47 @@
+#ifndef HEADER_RequestIntake
+#define HEADER_RequestIntake
+/**
+ * DOC: RequestIntake
+ *
+ * Watches what callers send before evhttp reads it: whether the framing of
+ * their requests is sound (RequestFraming.h), and whether there is room for
+ * their bodies (BodyBudget.h). A connection whose body has no room is read
+ * slowly until there is, so that its caller waits and its end is noticed.
+ */
+#include <event2/http.h>
+
+#include "BodyBudget.h"
+
+/**
+ * struct IntakeLimits_t - limits of bodies; must outlive the server
+ * @budget: of all bodies
+ * @max_body: largest body, which a body of unknown length claims
+ */
+typedef struct {
+    BodyBudget_t *budget;
+    gsize max_body;
+} IntakeLimits_t;
+
+/** RequestIntake_watch() - watch all connections that @server accepts */
+void RequestIntake_watch(struct evhttp *server, const IntakeLimits_t *limits);
+
+/**
+ * RequestIntake_isAmbiguous() - whether receivers of a request may disagree
+ * on where its body ends
+ *
+ * By its head (BodyFraming_isAmbiguousRequest()), or because the chunks of a
+ * request on its connection are broken. What follows must not be read.
+ */
+gboolean RequestIntake_isAmbiguous(struct evhttp_request *request);
+
+/**
+ * RequestIntake_takeBody() - move the body out of a request
+ *
+ * The body counts against the budget until it is freed.
+ */
+GBytes *RequestIntake_takeBody(struct evhttp_request *request);
+
+/** RequestIntake_dropBody() - free the body of a request that is refused */
+void RequestIntake_dropBody(struct evhttp_request *request);
+
+#endif
--- a/src/Router.c
+++ b/src/Router.c
@@ -24,7 +24,7 @@
 #include "RateShare.h"
 #include "RelayApi.h"
 #include "RelayParts.h"
-#include "RequestFraming.h"
+#include "RequestIntake.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
 
@@ -32,6 +32,9 @@
 /* How long a stopping router waits after the grace period for open claims to
  * get their outcomes recorded. */
 #define CLAIMS_DRAIN_MAX_MS 5000
+/* Share of the memory that bodies of requests may use; the rest is for all
+ * else. */
+#define BODY_PERCENT 65
 /* Allows unknown HTTP methods too, as the API answers them with a typed error.
  */
 #define ALL_METHODS G_MAXUINT16
@@ -43,7 +46,8 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     struct evhttp *callers;
-    AcceptHold_t *hold; /* NULL on the native platform */
+    IntakeLimits_t intake; /* of callers' bodies */
+    AcceptHold_t *hold;    /* NULL on the native platform */
     struct evhttp *operators;
     struct evhttp *readiness;
     guint16 port;
@@ -243,6 +247,18 @@
     return ntohs(address.sin_port);
 }
 
+static void
+set_body_budget(Router_t *this)
+{
+    const LimitsSection_t *limits = &this->settings->limits;
+    gsize max = (gsize)limits->memory * BODY_PERCENT / 100;
+    if (!this->intake.budget) {
+        this->intake.budget = BodyBudget_create(max);
+    }
+    BodyBudget_setMax(this->intake.budget, max);
+    this->intake.max_body = (gsize)limits->max_body;
+}
+
 /* Applies to new connections only; open ones keep their limits. */
 static void
 set_server_limits(const Router_t *this, struct evhttp *server)
@@ -289,7 +305,8 @@
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
-    RequestFraming_watch(this->callers);
+    set_body_budget(this);
+    RequestIntake_watch(this->callers, &this->intake);
     if (this->context.form && settings->ready_listen.host[0] != '\0') {
         this->readiness =
             listen_on(this, &settings->ready_listen, RelayApi_handleReady,
@@ -383,6 +400,7 @@
                            (guint)limits->idle_connections);
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
+    set_body_budget(this);
     set_server_limits(this, this->callers);
     set_server_limits(this, this->operators);
     if (this->readiness) {
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -311,6 +311,11 @@
      "How long an ejected upstream gets no work; doubled for each further "
      "ejection.",
      KEY_LIVE},
+    {"memory", KEY_SIZE, FALSE, "96MiB", 0, G_GINT64_CONSTANT(1) << 40, NULL,
+     L(memory),
+     "Memory that the process may use. 65 % of it is for bodies of requests; "
+     "further ones are read once there is room. 0 for no limit.",
+     KEY_LIVE},
     {"log_budget", KEY_SIZE, FALSE, "64KiB", 0, 1 << 30, NULL, L(log_budget),
      "Bytes of log lines written per second, averaged over four seconds; a "
      "quarter is reserved for warnings and errors. 0 for no limit.",
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -203,6 +203,7 @@
  * @once_idle_time_ms: the same for a request that may run only once
  * @eject_failures: consecutive failures that eject an upstream
  * @eject_ms: length of the first ejection
+ * @memory: bytes of memory that the process may use; 0 for no limit
  * @log_budget: bytes of log lines per second, 0 for no limit
  * @log_level: least severe LogLevel_t that is written
  */
@@ -229,6 +230,7 @@
     gint64 once_idle_time_ms;
     gint64 eject_failures;
     gint64 eject_ms;
+    gint64 memory;
     gint64 log_budget;
     gint64 log_level;
 } LimitsSection_t;
--- /dev/null
+++ b/tests/sessions/test_body_memory.py
@@ -0,0 +1,145 @@
+"""Bodies of requests that would take a router over its memory."""
+import http.client
+import socket
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from cluster import BUILD, wait_for
+from fleet import Answer, Fleet
+
+BODY = b"x" * (1 << 20)
+CALLERS = 24
+MEMORY = 8 << 20
+HELD_S = 0.1  # time for which the upstream takes each request
+
+
+def peak_bytes(router):
+    with open("/proc/%d/status" % router.process.pid) as file:
+        line, = [line for line in file if line.startswith("VmHWM")]
+    return int(line.split()[1]) << 10
+
+
+class BodyMemoryTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.plain = self.fleet.plain("p1")
+        self.plain.pause_s = HELD_S
+        self.router = self.fleet.start(memory="%dB" % MEMORY)
+        self.assertEqual(self.send(b"x").status, 200)
+        self.before = peak_bytes(self.router)
+
+    def send(self, body, **more):
+        return self.fleet.ask(self.router, "/read/x", body=body,
+                              wait_ms=30000, **more)
+
+    def assert_whole(self, answers):
+        for answer in answers:
+            self.assertEqual(answer.status, 200, answer.body)
+            self.assertIn(b"%d bytes" % len(BODY), answer.body)
+
+    def send_all(self, send):
+        with ThreadPoolExecutor(CALLERS) as pool:
+            return list(pool.map(send, range(CALLERS)))
+
+    def assert_within_memory(self):
+        self.assertGreater(len(self.router.events("body_waits")), 0)
+        used = [int(event["used"]) for kind in ("body_waits", "body_admitted")
+                for event in self.router.events(kind)]
+        self.assertLessEqual(max(used), MEMORY)
+        if "asan" not in BUILD:
+            self.assertLess(peak_bytes(self.router) - self.before, MEMORY)
+
+    # A router took all bodies at once and was ended for the memory.
+    def test_large_bodies_wait_for_each_other(self):
+        self.assert_whole(self.send_all(lambda _: self.send(BODY)))
+        self.assert_within_memory()
+
+    def send_chunks(self, number):
+        def chunks():
+            for at in range(0, len(BODY), 1 << 16):
+                yield BODY[at:at + (1 << 16)]
+
+        connection = http.client.HTTPConnection("127.0.0.1", self.router.port,
+                                                timeout=60)
+        connection.request("POST", "/read/x", chunks(), {
+            "Host": "shop.example", "X-Request-Id": "chunked%d" % number,
+            "X-Deadline-Ms": "30000", "Api-Key": "key-a",
+            "Transfer-Encoding": "chunked"}, encode_chunked=True)
+        response = connection.getresponse()
+        return Answer(response, response.read())
+
+    # The length of a body in chunks is not known before it has ended.
+    def test_large_bodies_in_chunks_wait_for_each_other(self):
+        self.assert_whole(self.send_all(self.send_chunks))
+        self.assertGreater(len(self.router.events("body_waits")), 0)
+
+    def test_small_requests_pass_those_that_wait(self):
+        with ThreadPoolExecutor(CALLERS) as pool:
+            large = [pool.submit(self.send, BODY) for _ in range(CALLERS - 1)]
+            self.router.wait_event("body_waits")
+            started = time.monotonic()
+            self.assertEqual(self.send(b"x").status, 200)
+            took_s = time.monotonic() - started
+            self.assert_whole([answer.result() for answer in large])
+        self.assertLess(took_s, HELD_S + 1)
+
+    def test_kept_connections_are_used_for_one_body_after_the_other(self):
+        def send_three(number):
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", self.router.port, timeout=60)
+            answers = []
+            for turn in range(3):
+                connection.request("POST", "/read/x", BODY, {
+                    "Host": "shop.example", "Api-Key": "key-a",
+                    "X-Request-Id": "kept%d-%d" % (number, turn),
+                    "X-Deadline-Ms": "30000"})
+                response = connection.getresponse()
+                answers.append(Answer(response, response.read()))
+            return answers
+
+        for answers in self.send_all(send_three):
+            self.assert_whole(answers)
+        self.assert_within_memory()
+
+    def begin_body(self, size):
+        caller = socket.create_connection(("127.0.0.1", self.router.port))
+        self.addCleanup(caller.close)
+        caller.sendall(b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+                       b"X-Request-Id: slow%d\r\nApi-Key: key-a\r\n"
+                       b"X-Deadline-Ms: 30000\r\nContent-Length: %d\r\n\r\n"
+                       % (caller.getsockname()[1], size))
+        caller.sendall(BODY[:size // 8])
+        return caller
+
+    # Callers that stop in the middle of a body must not hold up others.
+    def test_bodies_that_stay_incomplete_hold_up_nobody(self):
+        for _ in range(CALLERS):
+            self.begin_body(len(BODY))
+        started = time.monotonic()
+        self.assert_whole([self.send(BODY)])
+        self.assertLess(time.monotonic() - started, 10)
+
+    def test_callers_that_left_while_they_waited_are_noticed(self):
+        callers = [self.begin_body(len(BODY)) for _ in range(CALLERS)]
+        self.router.wait_event("body_waits")
+        for caller in callers:
+            caller.close()
+        wait_for(lambda: self.router.events("body_abandoned"),
+                 "the callers' end")
+        self.assert_whole([self.send(BODY)])
+
+    # What was refused with its body unread counted as if it were held.
+    def test_refused_bodies_are_given_back(self):
+        for _ in range(CALLERS):
+            self.assertEqual(self.fleet.ask(self.router, "/none/x",
+                                            body=BODY).status, 404)
+        started = time.monotonic()
+        self.assert_whole([self.send(BODY)])
+        self.assertLess(time.monotonic() - started, 5)
+        self.assertEqual(self.router.events("body_waits"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
