A version that has just joined is not overlooked where a stream goes on

Callers got streams joined from two software versions: while a version joined, a router that was out of step for some seconds continued streams of the new version at the old one.

Cause: a router took the only version of its list for the one that began a stream, without asking, if that list was at most leaving_limit + 0.6 s old. A version that had joined since was unknown to it. With an older list it took the word of the first owner that answered, and owners did not look at the age of their lists. A stream at an engine of unknown version was not told while the list named one version.

A stream begins at a version only once that is listed. So a single version now counts only if the end of the list was read after the request came: by this router, at most each 100 ms and only by the first eight ranks, or by a peer that passed it on. Queries wait for that, at most 1 s. If nobody in touch can read the list, eight routers are asked, and more than half must know of that one version and none of several; routers that have just started abstain. A route with several services has no single version: a stream that nobody knows is refused there, as the owners were told of each.

a_router_with_an_old_list_asks_and_does_not_guess_alone: the router at which the stream began is asked as well now and answers; the test checks that, and that nothing is guessed once that router is out of touch too. a_router_with_an_old_list and an_old_list_and_owners: the asker is cut off from the store, since it reads a newer list otherwise.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -6,8 +6,15 @@
 
 /* A lost datagram is sent again once within ORIGIN_ASK_TIMEOUT_MS. */
 #define ASK_REPEAT_MS 80
+#define SENDS 2
 /* Interval at which queries are checked until the store was read. */
 #define LEARN_CHECK_MS 10
+/* How long a query waits for the end of the list: until the router that reads
+ * for the others has read again. */
+#define LIST_TIMEOUT_MS 1000
+/* Routers that are asked if nobody in touch can read the list, of which most
+ * must agree: owners and those ranked next. */
+#define WITNESSES 8
 /* Owners are told again of streams that still run, as they may have restarted
  * or others may have become owners. */
 #define TELL_AGAIN_MS 2000
@@ -23,12 +30,19 @@
     guint64 ticket;
     RequestDigest_t digest;
     GRefString *service;
-    guint64 owners[ORIGIN_OWNERS]; /* that have not replied */
-    guint open;                    /* number of @owners */
+    gboolean may_change;
+    guint64 owners[WITNESSES]; /* and witnesses that have not replied */
+    guint open;                /* number of @owners */
+    guint asked;               /* initial value of @open */
     guint replies;
-    GRefString *only; /* version that an owner takes for the only one */
-    gint64 repeat_ms; /* 0 once repeated */
+    GRefString *only;     /* version that routers take for the only one */
+    guint votes;          /* routers that do */
+    gboolean is_disputed; /* others know of another version */
+    guint sends_left;
+    gint64 send_ms; /* when it is sent, or repeated */
+    gint64 asked_ms;
     gint64 expires_ms;
+    gboolean has_waited; /* the list no longer matters */
     OriginAsked_t done;
     void *owner;
 };
@@ -100,12 +114,12 @@
 
 static guint
 find_others(const OriginKeeper_t *this, const RequestDigest_t *digest,
-            guint64 out[ORIGIN_OWNERS])
+            guint64 *out, guint max)
 {
-    guint64 owners[ORIGIN_OWNERS];
+    guint64 owners[WITNESSES];
     guint others = 0;
     guint found =
-        this->spec.links->find_owners(this->spec.owner, digest, owners);
+        this->spec.links->find_owners(this->spec.owner, digest, owners, max);
     for (guint i = 0; i < found; i++) {
         if (owners[i] != ORIGIN_SELF) {
             out[others++] = owners[i];
@@ -166,7 +180,7 @@
 {
     const OriginKeeper_t *keeper = telling->keeper;
     guint64 owners[ORIGIN_OWNERS];
-    guint others = find_others(keeper, &entry->digest, owners);
+    guint others = find_others(keeper, &entry->digest, owners, ORIGIN_OWNERS);
     for (guint i = 0; i < others; i++) {
         g_ptr_array_add(get_batch(telling, owners[i])->entries, entry);
     }
@@ -295,6 +309,12 @@
                                      this->spec.window_ms, Clock_nowMs());
 }
 
+static gint64
+list_ms(const OriginKeeper_t *this)
+{
+    return this->spec.links->list_ms(this->spec.owner);
+}
+
 /* With an old list another version may serve already. */
 const char *
 OriginKeeper_findOnly(const OriginKeeper_t *this, const char *service)
@@ -331,7 +351,8 @@
     entry->is_own = TRUE;
     entry->is_live = TRUE;
     entry->is_restored = FALSE;
-    if (!may_change && OriginKeeper_findOnly(this, service)) {
+    const char *only = OriginKeeper_findOnly(this, service);
+    if (!may_change && only && strcmp(only, software) == 0) {
         return;
     }
     learn(this, FALSE);
@@ -444,32 +465,164 @@
     return TRUE;
 }
 
+/* The only version that the list of this router shows, whether or not another
+ * one may have served before this router started. */
+static const char *
+find_sole(const OriginKeeper_t *this, const char *service)
+{
+    return SoftwareVersions_findSole(this->spec.versions, service,
+                                     this->spec.window_ms, Clock_nowMs());
+}
+
+/* A stream begins at a version only after that was listed, so that a list that
+ * was read later than the caller came shows the version. */
 static gboolean
-answer_here(const OriginKeeper_t *this, const RequestDigest_t *digest,
-            const char *service, gboolean may_change, OriginAnswer_t *out)
+is_list_later(const OriginKeeper_t *this, const OriginQuery_t *query)
 {
-    *out = (OriginAnswer_t){.source = ORIGIN_FROM_NOBODY};
-    if (fill_known(this, digest, Clock_nowMs(), out)) {
-        return TRUE;
+    return list_ms(this) >= query->asked_ms;
+}
+
+/* Returns whether the list may still name a single version. */
+static gboolean
+awaits_list(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    return !query->may_change && !is_list_later(this, query) &&
+           find_sole(this, query->service);
+}
+
+static gboolean
+agree_others(const OriginQuery_t *query, const char *sole)
+{
+    return query->only && sole && !query->is_disputed &&
+           strcmp(query->only, sole) == 0;
+}
+
+/* A router that began a stream at a newer version, which another part of the
+ * routers may have read before the store was lost, is in touch with most
+ * routers, or the asker is. */
+static gboolean
+agree_most(const OriginQuery_t *query, const char *sole)
+{
+    return query->votes > 0 && 2 * (query->votes + 1) > query->asked + 1 &&
+           agree_others(query, sole);
+}
+
+static const char *
+find_only(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    if (query->may_change) {
+        return NULL;
+    }
+    const char *sole = find_sole(this, query->service);
+    if (!is_list_later(this, query)) {
+        return agree_most(query, sole) ? sole : NULL;
     }
-    const char *only =
-        may_change ? NULL : OriginKeeper_findOnly(this, service);
-    if (!only) {
+    const char *only = find_listed_only(this, query->service);
+    return only || !agree_others(query, sole) ? only : sole;
+}
+
+/* No owner knows the stream: it was not told, or all that were told of it have
+ * restarted. It may have been restored since the query began. */
+static void
+fill_unknown(const OriginKeeper_t *this, const OriginQuery_t *query,
+             OriginAnswer_t *out)
+{
+    *out = (OriginAnswer_t){.replies = query->replies};
+    if (fill_known(this, &query->digest, Clock_nowMs(), out)) {
+        return;
+    }
+    const char *only = find_only(this, query);
+    if (only) {
+        out->source = ORIGIN_FROM_LIST;
+        out->service = query->service;
+        out->software = only;
+    }
+}
+
+static gboolean
+is_store_lost(const OriginKeeper_t *this)
+{
+    return this->spec.links->is_store_lost(this->spec.owner);
+}
+
+/* Nobody else is left to be asked. */
+static gboolean
+is_exhausted(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    if (!is_learned(this)) {
         return FALSE;
     }
-    out->source = ORIGIN_FROM_LIST;
-    out->service = service;
-    out->software = only;
-    return TRUE;
+    if (!query->may_change && is_list_later(this, query) &&
+        find_listed_only(this, query->service)) {
+        return TRUE;
+    }
+    return query->open == 0 &&
+           (!awaits_list(this, query) || is_store_lost(this));
+}
+
+/* Owners that were not asked yet, as the list might have sufficed, are asked
+ * once it does not. */
+static void
+end_list_wait(OriginQuery_t *query, gint64 now_ms)
+{
+    query->has_waited = TRUE;
+    query->expires_ms = MIN(query->expires_ms, now_ms + ORIGIN_ASK_TIMEOUT_MS);
+    query->send_ms = query->sends_left == SENDS ? now_ms : query->send_ms;
+}
+
+static void
+send_if_due(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
+{
+    if (!query->has_waited &&
+        (!awaits_list(this, query) || is_store_lost(this))) {
+        end_list_wait(query, now_ms);
+    }
+    if (query->sends_left > 0 && now_ms >= query->send_ms) {
+        query->sends_left--;
+        query->send_ms = now_ms + ASK_REPEAT_MS;
+        send_query(this, query);
+    }
 }
 
 static void
 schedule_query(const OriginKeeper_t *this, const OriginQuery_t *query,
                gint64 now_ms)
 {
-    gint64 due_ms =
-        query->repeat_ms > 0 ? query->repeat_ms : query->expires_ms;
-    schedule_tick(this, is_learned(this) ? due_ms - now_ms : LEARN_CHECK_MS);
+    gint64 due_ms = query->sends_left > 0 ? query->send_ms : query->expires_ms;
+    gboolean is_waiting = !is_learned(this) || awaits_list(this, query);
+    schedule_tick(this, is_waiting ? LEARN_CHECK_MS : due_ms - now_ms);
+}
+
+/* While the list names a single version owners are asked only if its end is
+ * not known soon. */
+static OriginQuery_t *
+create_query(OriginKeeper_t *this, const RequestDigest_t *digest,
+             const char *service, gboolean may_change)
+{
+    OriginQuery_t *query = g_new0(OriginQuery_t, 1);
+    gint64 now_ms = Clock_nowMs();
+    query->digest = *digest;
+    query->service = g_ref_string_new_intern(service);
+    query->may_change = may_change;
+    gboolean is_sole = !may_change && find_sole(this, service);
+    query->open = find_others(this, digest, query->owners,
+                              is_sole ? WITNESSES : ORIGIN_OWNERS);
+    query->asked = query->open;
+    query->sends_left = query->open > 0 ? SENDS : 0;
+    query->asked_ms = now_ms;
+    gboolean is_sure = !may_change && OriginKeeper_findOnly(this, service);
+    query->expires_ms = now_ms + LIST_TIMEOUT_MS;
+    query->send_ms =
+        is_sure ? query->expires_ms - ORIGIN_ASK_TIMEOUT_MS : now_ms;
+    return query;
+}
+
+static void
+check_list(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    if (awaits_list(this, query)) {
+        this->spec.links->check_list(this->spec.owner);
+    }
 }
 
 OriginQuery_t *
@@ -477,27 +630,25 @@
                  const char *service, gboolean may_change, OriginAnswer_t *out,
                  OriginAsked_t done, void *owner)
 {
-    if (answer_here(this, digest, service, may_change, out)) {
+    *out = (OriginAnswer_t){.source = ORIGIN_FROM_NOBODY};
+    if (fill_known(this, digest, Clock_nowMs(), out)) {
         return NULL;
     }
-    OriginQuery_t *query = g_new0(OriginQuery_t, 1);
-    gint64 now_ms = Clock_nowMs();
-    query->digest = *digest;
-    query->service = g_ref_string_new_intern(service);
-    query->open = find_others(this, digest, query->owners);
-    query->repeat_ms = now_ms + ASK_REPEAT_MS;
-    query->expires_ms = now_ms + ORIGIN_ASK_TIMEOUT_MS;
-    query->done = done;
-    query->owner = owner;
-    if (query->open == 0 && is_learned(this)) {
+    OriginQuery_t *query = create_query(this, digest, service, may_change);
+    if (is_exhausted(this, query)) {
+        fill_unknown(this, query, out);
+        out->service = out->service ? service : NULL;
         free_query(query);
         return NULL;
     }
+    query->done = done;
+    query->owner = owner;
     learn(this, TRUE);
     query->ticket = ++this->ticket;
     g_hash_table_insert(this->queries, &query->ticket, query);
-    send_query(this, query);
-    schedule_query(this, query, now_ms);
+    check_list(this, query);
+    send_if_due(this, query, query->asked_ms);
+    schedule_query(this, query, query->asked_ms);
     return query;
 }
 
@@ -517,29 +668,11 @@
     free_query(query);
 }
 
-/* No owner knows the stream: it was not told, or all that were told of it have
- * restarted. It may have been restored since the query began. If the list of
- * this router is old, at least one owner must have answered: a router that is
- * cut off from all others can't know of a newer version. */
 static void
 finish_unknown(OriginKeeper_t *this, OriginQuery_t *query)
 {
-    OriginAnswer_t answer = {.replies = query->replies};
-    const char *only = query->only;
-    if (fill_known(this, &query->digest, Clock_nowMs(), &answer)) {
-        finish_query(this, query, &answer);
-        return;
-    }
-    if (!only) {
-        only = query->replies > 0
-                   ? find_listed_only(this, query->service)
-                   : OriginKeeper_findOnly(this, query->service);
-    }
-    if (only) {
-        answer.source = ORIGIN_FROM_LIST;
-        answer.service = query->service;
-        answer.software = only;
-    }
+    OriginAnswer_t answer;
+    fill_unknown(this, query, &answer);
     finish_query(this, query, &answer);
 }
 
@@ -583,6 +716,22 @@
     }
 }
 
+/* What an old list shows counts only while nobody reads a newer one. */
+static const char *
+find_only_for_peer(const OriginKeeper_t *this, const char *service)
+{
+    return is_store_lost(this) ? find_listed_only(this, service)
+                               : OriginKeeper_findOnly(this, service);
+}
+
+static gboolean
+has_several(const OriginKeeper_t *this, const char *service)
+{
+    g_autoptr(GPtrArray) serving = SoftwareVersions_listServing(
+        this->spec.versions, service, this->spec.window_ms, Clock_nowMs());
+    return serving->len > 1;
+}
+
 static void
 receive_query(const OriginKeeper_t *this, const Wt__OriginAsk *ask,
               guint64 from)
@@ -595,7 +744,7 @@
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     const StreamOrigin_t *entry =
         StreamOrigins_find(this->origins, &digest, Clock_nowMs());
-    const char *only = entry ? NULL : find_listed_only(this, ask->service);
+    const char *only = entry ? NULL : find_only_for_peer(this, ask->service);
     answer.ticket = ask->ticket;
     if (entry) {
         answer.verdict = WT__ORIGIN_VERDICT__ORIGIN_KNOWN;
@@ -606,6 +755,9 @@
         answer.verdict = WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION;
         answer.software = (char *)only;
     }
+    else if (has_several(this, ask->service)) {
+        answer.verdict = WT__ORIGIN_VERDICT__ORIGIN_SEVERAL_VERSIONS;
+    }
     message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER;
     message.origin_answer = &answer;
     send_message(this, from, &message);
@@ -627,18 +779,29 @@
 }
 
 static void
-note_only(OriginQuery_t *query, const char *software)
+note_only(OriginQuery_t *query, const Wt__OriginAnswer *answer)
 {
-    if (!query->only && is_valid_name(software)) {
+    const char *software = answer->software;
+    if (!is_valid_name(software) ||
+        (query->only && strcmp(query->only, software) != 0)) {
+        query->is_disputed = TRUE;
+        return;
+    }
+    query->votes++;
+    if (!query->only) {
         query->only = g_ref_string_new_intern(software);
     }
 }
 
-/* Nobody else is left to be asked. */
-static gboolean
-is_exhausted(const OriginKeeper_t *this, const OriginQuery_t *query)
+static void
+note_verdict(OriginQuery_t *query, const Wt__OriginAnswer *answer)
 {
-    return query->open == 0 && is_learned(this);
+    if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION) {
+        note_only(query, answer);
+    }
+    else if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_SEVERAL_VERSIONS) {
+        query->is_disputed = TRUE;
+    }
 }
 
 static void
@@ -659,9 +822,7 @@
         finish_query(this, query, &known);
         return;
     }
-    if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION) {
-        note_only(query, answer->software);
-    }
+    note_verdict(query, answer);
     if (is_exhausted(this, query)) {
         finish_unknown(this, query);
     }
@@ -682,15 +843,6 @@
     }
 }
 
-static void
-repeat_if_due(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
-{
-    if (query->repeat_ms > 0 && now_ms >= query->repeat_ms) {
-        query->repeat_ms = 0;
-        send_query(this, query);
-    }
-}
-
 /* Collects first: the callback of a query may ask or cancel others. */
 static void
 expire_queries(OriginKeeper_t *this, gint64 now_ms)
@@ -705,7 +857,8 @@
             g_array_append_val(expired, open->ticket);
         }
         else {
-            repeat_if_due(this, query, now_ms);
+            check_list(this, query);
+            send_if_due(this, query, now_ms);
             schedule_query(this, open, now_ms);
         }
     }
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -31,16 +31,22 @@
 #define ORIGIN_SELF 0
 
 /** How long owners are asked before the version counts as unknown, in ms: ten
- * round trips between halls at routers with a busy event loop */
+ * round trips between halls at routers with a busy event loop. It takes longer
+ * only if the list may still name a single version */
 #define ORIGIN_ASK_TIMEOUT_MS 250
 
 /**
  * struct OriginLinksClass_t - functions of the transport
- * @find_owners: finds the owners of a stream, the same on all routers that
- *     know the same routers; returns their number
+ * @find_owners: finds the owners of a stream, and the routers ranked next up
+ *     to @max, the same on all routers that know the same routers; returns
+ *     their number
  * @send: sends a message, which may be lost
  * @schedule_tick: schedules a call of OriginKeeper_tick() after at most @in_ms
- * @is_list_current: returns whether the list of upstreams is up to date
+ * @is_list_current: returns whether the list of upstreams is up to date, but
+ *     for the versions of the last seconds
+ * @list_ms: returns when the end of the list was last known, monotonic
+ * @check_list: has the end of the list read soon; called until it is known
+ * @is_store_lost: returns whether this router failed to read the list
  * @learn: reads which services had several versions before this router
  * started, see SoftwareVersions_learn(), and the streams that routers began
  * before; @is_urgent: a caller waits
@@ -48,10 +54,13 @@
  */
 typedef struct {
     guint (*find_owners)(void *owner, const RequestDigest_t *digest,
-                         guint64 out[ORIGIN_OWNERS]);
+                         guint64 *out, guint max);
     void (*send)(void *owner, guint64 router, const Wt__PeerMessage *message);
     void (*schedule_tick)(void *owner, gint64 in_ms);
     gboolean (*is_list_current)(void *owner);
+    gint64 (*list_ms)(void *owner);
+    void (*check_list)(void *owner);
+    gboolean (*is_store_lost)(void *owner);
     void (*learn)(void *owner, gboolean is_urgent);
     void (*record)(void *owner);
 } OriginLinksClass_t;
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -18,15 +18,14 @@
 };
 
 static guint
-find_owners(void *owner, const RequestDigest_t *digest,
-            guint64 out[ORIGIN_OWNERS])
+find_owners(void *owner, const RequestDigest_t *digest, guint64 *out,
+            guint max)
 {
     const OriginPeers_t *this = owner;
-    const Member_t *first[ORIGIN_OWNERS];
+    g_autofree const Member_t **first = g_new(const Member_t *, max);
     char key[KEY_SIZE] = KEY_PREFIX;
     RequestDigest_write(digest, key + strlen(KEY_PREFIX));
-    guint count =
-        Membership_findFirst(this->spec.membership, key, first, ORIGIN_OWNERS);
+    guint count = Membership_findFirst(this->spec.membership, key, first, max);
     for (guint i = 0; i < count; i++) {
         out[i] = first[i] ? PeerIdentity_ofMember(first[i]) : ORIGIN_SELF;
     }
@@ -61,6 +60,27 @@
     return UpstreamListing_isCurrent(this->spec.listing);
 }
 
+static gint64
+list_ms(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    return UpstreamListing_endMs(this->spec.listing);
+}
+
+static void
+check_list(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    UpstreamListing_checkEnd(this->spec.listing);
+}
+
+static gboolean
+is_store_lost(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    return UpstreamListing_isLost(this->spec.listing);
+}
+
 static void
 learn(void *owner, gboolean is_urgent)
 {
@@ -81,6 +101,9 @@
     .send = send_message,
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
+    .list_ms = list_ms,
+    .check_list = check_list,
+    .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
 };
--- a/src/OriginPeers.h
+++ b/src/OriginPeers.h
@@ -28,7 +28,7 @@
 typedef struct {
     Membership_t *membership;
     PeerDatagrams_t *datagrams;
-    const UpstreamListing_t *listing;
+    UpstreamListing_t *listing;
     SoftwareVersions_t *versions;
     SoftwareRecords_t *software;
     OriginRecords_t *records;
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -251,15 +251,12 @@
 }
 
 const char *
-SoftwareVersions_findOnly(const SoftwareVersions_t *this, const char *service,
+SoftwareVersions_findSole(const SoftwareVersions_t *this, const char *service,
                           gint64 window_ms, gint64 now_ms)
 {
     const GPtrArray *versions = g_hash_table_lookup(this->services, service);
     const char *only = NULL;
-    if (!versions || !is_window_known(this, service, window_ms, now_ms)) {
-        return NULL;
-    }
-    for (guint i = 0; i < versions->len; i++) {
+    for (guint i = 0; versions && i < versions->len; i++) {
         const Version_t *version = g_ptr_array_index(versions, i);
         if (!has_served_within(version, window_ms, now_ms)) {
             continue;
@@ -272,6 +269,15 @@
     return only;
 }
 
+const char *
+SoftwareVersions_findOnly(const SoftwareVersions_t *this, const char *service,
+                          gint64 window_ms, gint64 now_ms)
+{
+    return is_window_known(this, service, window_ms, now_ms)
+               ? SoftwareVersions_findSole(this, service, window_ms, now_ms)
+               : NULL;
+}
+
 void
 SoftwareVersions_forEachService(const SoftwareVersions_t *this,
                                 void (*call)(void *owner, const char *service),
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -75,6 +75,12 @@
                                       const char *service, gint64 window_ms,
                                       gint64 now_ms);
 
+/** SoftwareVersions_findSole() - the same from what this router knows of the
+ * window, which may be a part of it */
+const char *SoftwareVersions_findSole(const SoftwareVersions_t *this,
+                                      const char *service, gint64 window_ms,
+                                      gint64 now_ms);
+
 /** SoftwareVersions_forEachService() - call a function for each service that
  * has, or had, upstreams */
 void SoftwareVersions_forEachService(const SoftwareVersions_t *this,
--- a/src/StoreCalls.c
+++ b/src/StoreCalls.c
@@ -8,6 +8,7 @@
     [STORE_RETRY] = "retry",     [STORE_MORE] = "more",
     [STORE_ACQUIRE] = "take",    [STORE_RENEW] = "renew",
     [STORE_RELEASE] = "release", [STORE_WRITE] = "keep",
+    [STORE_CHECK] = "check",
 };
 
 void
--- a/src/StoreCalls.h
+++ b/src/StoreCalls.h
@@ -22,6 +22,7 @@
  * @STORE_RENEW: renews a lease
  * @STORE_RELEASE: releases a lease
  * @STORE_WRITE: writes a record that must be durable
+ * @STORE_CHECK: reads as a caller waits for what is newest
  */
 typedef enum {
     STORE_START,
@@ -34,6 +35,7 @@
     STORE_RENEW,
     STORE_RELEASE,
     STORE_WRITE,
+    STORE_CHECK,
 } StoreCause_t;
 
 /**
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -33,6 +33,12 @@
  * peers read for it: with 300 routers about 90 calls per second instead of
  * 370. */
 #define RETRY_MAX_MS 3200
+/* Routers of the first ranks check the list's end for callers, at most once
+ * per CHECK_STEP_MS for each router of the fleet, within the bounds: what they
+ * read is sent to all. The others wait for that, or for the regular read. */
+#define CHECK_RANKS 8
+#define CHECK_STEP_MS 5
+#define CHECK_MIN_MS 100
 /* When the store is restored from an older copy, all routers list the topic
  * again. The calls are spread over LIST_SPREAD_MS per router, up to the
  * maximum, as the store serves a few thousand calls per second. */
@@ -77,6 +83,7 @@
     gboolean is_list_open;    /* list records came since the last end */
     guint listed;             /* new upstreams since the last end */
     gint64 current_ms;        /* when the topic's end was last known */
+    gint64 checked_ms;        /* when the end was last checked */
     gint64 peer_update_ms;    /* when a peer last sent new records */
     guint retries;            /* consecutive calls made after a failure */
     gint64 called_ms;         /* when this router last called the store */
@@ -909,3 +916,43 @@
 {
     return this->known;
 }
+
+gint64
+UpstreamListing_endMs(const UpstreamListing_t *this)
+{
+    return this->current_ms;
+}
+
+static gint64
+check_interval_ms(const UpstreamListing_t *this)
+{
+    gint64 routers = this->spec.membership
+                         ? Membership_countActive(this->spec.membership)
+                         : 1;
+    return CLAMP(routers * CHECK_STEP_MS, CHECK_MIN_MS, READ_MIN_MS);
+}
+
+static gboolean
+may_check(const UpstreamListing_t *this)
+{
+    return !this->spec.membership ||
+           Membership_localRank(this->spec.membership, RANK_KEY, NULL) <
+               CHECK_RANKS;
+}
+
+void
+UpstreamListing_checkEnd(UpstreamListing_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (now_ms - this->checked_ms >= check_interval_ms(this) &&
+        may_check(this) &&
+        RecordFollower_checkEnd(this->follower, STORE_CHECK)) {
+        this->checked_ms = now_ms;
+    }
+}
+
+gboolean
+UpstreamListing_isLost(const UpstreamListing_t *this)
+{
+    return RecordFollower_isLost(this->follower);
+}
--- a/src/UpstreamListing.h
+++ b/src/UpstreamListing.h
@@ -96,4 +96,19 @@
  * recently: within poll_ms and the time of one more read */
 gboolean UpstreamListing_isCurrent(const UpstreamListing_t *this);
 
+/** UpstreamListing_endMs() - when the end of the list was last known: all
+ * entries that had been written until then are known */
+gint64 UpstreamListing_endMs(const UpstreamListing_t *this);
+
+/**
+ * UpstreamListing_checkEnd() - read the end of the list for a caller that
+ * waits
+ *
+ * Does nothing if this was done just now, or if another router is to do it.
+ */
+void UpstreamListing_checkEnd(UpstreamListing_t *this);
+
+/** UpstreamListing_isLost() - whether the last read of the list failed */
+gboolean UpstreamListing_isLost(const UpstreamListing_t *this);
+
 #endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -6292,20 +6292,22 @@
   wt__place_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue wt__origin_verdict__enum_values_by_number[3] =
+static const ProtobufCEnumValue wt__origin_verdict__enum_values_by_number[4] =
 {
   { "ORIGIN_NOT_KNOWN", "WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN", 0 },
   { "ORIGIN_KNOWN", "WT__ORIGIN_VERDICT__ORIGIN_KNOWN", 1 },
   { "ORIGIN_ONLY_VERSION", "WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION", 2 },
+  { "ORIGIN_SEVERAL_VERSIONS", "WT__ORIGIN_VERDICT__ORIGIN_SEVERAL_VERSIONS", 3 },
 };
 static const ProtobufCIntRange wt__origin_verdict__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex wt__origin_verdict__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex wt__origin_verdict__enum_values_by_name[4] =
 {
   { "ORIGIN_KNOWN", 1 },
   { "ORIGIN_NOT_KNOWN", 0 },
   { "ORIGIN_ONLY_VERSION", 2 },
+  { "ORIGIN_SEVERAL_VERSIONS", 3 },
 };
 const ProtobufCEnumDescriptor wt__origin_verdict__descriptor =
 {
@@ -6314,9 +6316,9 @@
   "OriginVerdict",
   "Wt__OriginVerdict",
   "wt",
-  3,
+  4,
   wt__origin_verdict__enum_values_by_number,
-  3,
+  4,
   wt__origin_verdict__enum_values_by_name,
   1,
   wt__origin_verdict__value_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -127,7 +127,11 @@
    * The stream itself is not known, but the service had only this version for
    * as long as a stream may be continued.
    */
-  WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION = 2
+  WT__ORIGIN_VERDICT__ORIGIN_ONLY_VERSION = 2,
+  /*
+   * Nor is it, but the service has had several versions.
+   */
+  WT__ORIGIN_VERDICT__ORIGIN_SEVERAL_VERSIONS = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WT__ORIGIN_VERDICT)
 } Wt__OriginVerdict;
 
--- a/tests/faultproxy.py
+++ b/tests/faultproxy.py
@@ -89,8 +89,10 @@
             return
         if self.black_hole:
             self.injected += 1
-            await reader.read()
-            writer.close()
+            try:
+                await reader.read()
+            finally:
+                writer.close()
             return
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -2,12 +2,14 @@
 import collections
 import json
 import re
+import signal
 import threading
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
 from cluster import wait_for
+from faultproxy import FaultProxy
 from fleet import Fleet
 
 STREAMS = 12
@@ -360,6 +362,93 @@
         self.assert_none_is_continued()
 
 
+class OutOfStepTest(SoftwareTest):
+    """A version joins that one router has not heard of yet."""
+
+    SOFTWARE = VERSIONS[:1]
+    ROUTERS = 3
+    REFUSAL_S = 3
+    OUTAGE_S = 4
+    THAW_S = 0.2
+
+    def setUp(self):
+        super().setUp()
+        self.begin(self.routers[0])
+        wait_for(lambda: self.fleet.store.records("keyed.software"),
+                 "the record of the versions")
+
+    def start_apart(self):
+        """Starts a router that the others do not know."""
+        port = int(self.fleet.store.address.rpartition(":")[2])
+        self.proxy = FaultProxy(port)
+        self.addCleanup(self.proxy.kill)
+        router = self.fleet.router("apart", leaving_limit="2s",
+                                   store_address=self.proxy.address)
+        self.addCleanup(router.kill)
+        self.await_engines(router)
+        router.wait_event("software_records_read")
+        return router
+
+    def cut_from_store(self):
+        self.proxy.black_hole = True
+        self.proxy.cut_all()
+
+    def begin_at_joined(self):
+        """Returns a stream that began at an engine that has just joined."""
+        joined = [self.engine(VERSIONS[1]) for _ in range(self.ENGINES_EACH)]
+        self.engines += joined
+        self.await_engines(self.routers[0])
+        return wait_for(lambda: next(
+            (stream for stream in [self.begin(self.routers[0])]
+             if stream.engine in joined), None), "a stream at one of them")
+
+    # A stream of the version that had joined went on at the only one that the
+    # router knew.
+    def test_router_cut_off_from_all_others_and_the_store(self):
+        apart = self.start_apart()
+        stream = self.begin(apart)
+        self.assert_goes_on(apart, stream)
+        self.cut_from_store()
+        stream = self.begin_at_joined()
+        started = time.monotonic()
+        answer = self.go_on(apart, stream)
+        self.assertEqual(answer.status, 503, answer.body)
+        self.assertIn(b"resume_unknown", answer.body)
+        self.assertLess(time.monotonic() - started, self.REFUSAL_S)
+
+    def test_router_that_reads_again_once_a_caller_continues(self):
+        apart = self.start_apart()
+        self.cut_from_store()
+        stream = self.begin_at_joined()
+        self.proxy.black_hole = False
+        self.proxy.cut_all()
+        answer = self.go_on(apart, stream)
+        self.assertEqual(answer.status, 503, answer.body)
+
+    def test_router_that_stood_still(self):
+        frozen = self.routers[1]
+        frozen.signal(signal.SIGSTOP)
+        stream = self.begin_at_joined()
+        with ThreadPoolExecutor(1) as pool:
+            went_on = pool.submit(self.assert_goes_on, frozen, stream)
+            time.sleep(self.THAW_S)
+            frozen.signal(signal.SIGCONT)
+        went_on.result()
+
+    # Streams must not be refused because nobody can read the list.
+    def test_streams_of_one_version_go_on_without_the_store(self):
+        self.fleet.store.down = True
+        end = time.monotonic() + self.OUTAGE_S
+        while time.monotonic() < end:
+            stream = self.begin(self.routers[0])
+            for router in self.routers[1:]:
+                answer = self.fleet.ask(
+                    router, "/ask/x", Resumes=stream.request_id,
+                    Last_Event_Id=str(EVENTS_READ - 1),
+                    X_Prompt_Prefix=stream.prompt)
+                self.assertEqual(answer.status, 200, answer.body)
+
+
 class RestartedEngineTest(SoftwareTest):
     # An engine that had started again with other software was taken for one of
     # the version that the list still showed.
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -8,6 +8,8 @@
 #define WINDOW_MS 30000
 #define STEP_MS 5
 #define SETTLE_MS 400
+#define ANSWER_MS 1100
+#define READ_MS 10
 #define STREAMS 200
 
 typedef struct {
@@ -24,6 +26,12 @@
     gboolean is_down; /* receives and sends nothing */
     gboolean is_old;  /* a build without the messages */
     gboolean has_old_list;
+    gboolean is_cut_from_store;
+    gboolean is_store_lost;
+    gboolean leaves_reads; /* to other routers */
+    gint64 list_ms;
+    gint64 read_ms; /* when the open read was sent; 0 for none */
+    guint reads;
     guint learn_calls;
     guint record_calls;
 } Router_t;
@@ -40,6 +48,7 @@
 static Counters_t *counters;
 static GRand *draws;
 static double loss;
+static gboolean is_second_stored; /* v2 is on the store's list */
 static guint sent;
 static gint64 now_ms;
 
@@ -61,16 +70,15 @@
 }
 
 static guint
-find_owners(void *owner, const RequestDigest_t *key,
-            guint64 out[ORIGIN_OWNERS])
+find_owners(void *owner, const RequestDigest_t *key, guint64 *out, guint max)
 {
     const Router_t *this = owner;
     guint first = RequestDigest_hash(key) % ROUTERS;
-    for (guint i = 0; i < ORIGIN_OWNERS; i++) {
+    for (guint i = 0; i < max; i++) {
         guint number = (first + i) % ROUTERS;
         out[i] = number == this->number ? ORIGIN_SELF : number + 1;
     }
-    return ORIGIN_OWNERS;
+    return max;
 }
 
 static void
@@ -102,6 +110,28 @@
     return !((const Router_t *)owner)->has_old_list;
 }
 
+static gint64
+list_ms(void *owner)
+{
+    return ((const Router_t *)owner)->list_ms;
+}
+
+static void
+check_list(void *owner)
+{
+    Router_t *this = owner;
+    if (this->read_ms == 0 && !this->leaves_reads) {
+        this->read_ms = now_ms;
+        this->reads++;
+    }
+}
+
+static gboolean
+is_store_lost(void *owner)
+{
+    return ((const Router_t *)owner)->is_store_lost;
+}
+
 static void
 learn(void *owner, gboolean is_urgent)
 {
@@ -119,6 +149,9 @@
     .send = send_message,
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
+    .list_ms = list_ms,
+    .check_list = check_list,
+    .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
 };
@@ -180,6 +213,7 @@
     draws = g_rand_new_with_seed(seed);
     loss = 0;
     sent = 0;
+    is_second_stored = FALSE;
     set_time(1000);
     for (guint i = 0; i < ROUTERS; i++) {
         start_router(i, TRUE);
@@ -208,6 +242,7 @@
 static void
 list_second_version(void)
 {
+    is_second_stored = TRUE;
     for (guint i = 0; i < ROUTERS; i++) {
         list_engine(&routers[i], "e2", "v2");
     }
@@ -238,6 +273,27 @@
     }
 }
 
+/* What a read shows had been written when it was sent. */
+static void
+receive_list(Router_t *this, gint64 at_ms)
+{
+    this->list_ms = MAX(this->list_ms, at_ms);
+    if (is_second_stored) {
+        list_engine(this, "e2", "v2");
+    }
+}
+
+static void
+answer_read(Router_t *this)
+{
+    if (this->read_ms == 0 || now_ms < this->read_ms + READ_MS ||
+        this->is_cut_from_store) {
+        return;
+    }
+    receive_list(this, this->read_ms);
+    this->read_ms = 0;
+}
+
 static void
 pass_time(gint64 ms)
 {
@@ -245,6 +301,7 @@
         set_time(now_ms + STEP_MS);
         deliver_all();
         for (guint i = 0; i < ROUTERS; i++) {
+            answer_read(&routers[i]);
             if (routers[i].tick_ms > 0 && now_ms >= routers[i].tick_ms) {
                 routers[i].tick_ms = 0;
                 OriginKeeper_tick(routers[i].keeper);
@@ -288,7 +345,7 @@
     OriginQuery_t *query = OriginKeeper_ask(
         routers[router].keeper, &key, "s", FALSE, &answer, on_asked, &outcome);
     if (query) {
-        pass_time(SETTLE_MS);
+        pass_time(ANSWER_MS);
     }
     else {
         on_asked(&outcome, &answer);
@@ -326,6 +383,18 @@
     return owner_of(number, ORIGIN_OWNERS + rank);
 }
 
+/* Another router is yet to read of the second version. */
+static void
+list_second_version_but_at(guint other)
+{
+    is_second_stored = TRUE;
+    for (guint i = 0; i < ROUTERS; i++) {
+        if (i != other) {
+            list_engine(&routers[i], "e2", "v2");
+        }
+    }
+}
+
 START_TEST(a_stream_of_two_versions_is_known_everywhere)
 {
     begin_fleet(1);
@@ -530,18 +599,17 @@
     begin_fleet(1);
     guint number = 7;
     guint asker = stranger_of(number, 0);
-    for (guint i = 0; i < ROUTERS; i++) {
-        if (i != asker) {
-            list_engine(&routers[i], "e2", "v2");
-        }
-    }
+    list_second_version_but_at(asker);
     routers[asker].has_old_list = TRUE;
+    routers[asker].is_cut_from_store = TRUE;
     begin_stream(stranger_of(number, 1), number, "v2");
     pass_time(SETTLE_MS);
     check_asked(asker, number, "v2", ORIGIN_FROM_OWNER);
     for (guint rank = 0; rank < ORIGIN_OWNERS; rank++) {
         routers[owner_of(number, rank)].is_down = TRUE;
     }
+    check_asked(asker, number, "v2", ORIGIN_FROM_OWNER);
+    routers[stranger_of(number, 1)].is_down = TRUE;
     check_asked(asker, number, NULL, ORIGIN_FROM_NOBODY);
     end_fleet();
 }
@@ -553,11 +621,222 @@
     guint number = 7;
     guint asker = stranger_of(number, 0);
     routers[asker].has_old_list = TRUE;
+    routers[asker].is_cut_from_store = TRUE;
     check_asked(asker, number, "v1", ORIGIN_FROM_LIST);
     end_fleet();
 }
 END_TEST
 
+/* A router whose list was some seconds old took the only version that it knew
+ * for the one that began the stream. */
+START_TEST(a_version_that_joined_after_the_last_read_is_not_overlooked)
+{
+    begin_fleet(1);
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    list_second_version_but_at(asker);
+    begin_stream(stranger_of(number, 1), number, "v2");
+    pass_time(SETTLE_MS);
+    check_asked(asker, number, "v2", ORIGIN_FROM_OWNER);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_router_cut_off_from_all_with_a_current_list_does_not_guess)
+{
+    begin_fleet(1);
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    list_second_version_but_at(asker);
+    routers[asker].is_cut_from_store = TRUE;
+    routers[asker].is_down = TRUE;
+    begin_stream(stranger_of(number, 1), number, "v2");
+    pass_time(SETTLE_MS);
+    check_asked(asker, number, NULL, ORIGIN_FROM_NOBODY);
+    end_fleet();
+}
+END_TEST
+
+/* An owner that had not heard of the newer version decided alone. */
+START_TEST(an_owner_that_lags_behind_does_not_decide)
+{
+    begin_fleet(1);
+    guint number = 7;
+    guint asker = stranger_of(number, 0);
+    guint first = owner_of(number, 0);
+    is_second_stored = TRUE;
+    for (guint i = 0; i < ROUTERS; i++) {
+        routers[i].is_cut_from_store = TRUE;
+        if (i != asker && i != first) {
+            list_engine(&routers[i], "e2", "v2");
+        }
+    }
+    check_asked(asker, number, NULL, ORIGIN_FROM_NOBODY);
+    routers[owner_of(number, 1)].is_down = TRUE;
+    routers[owner_of(number, 2)].is_down = TRUE;
+    check_asked(asker, number, NULL, ORIGIN_FROM_NOBODY);
+    end_fleet();
+}
+END_TEST
+
+static void
+lose_store(void)
+{
+    for (guint i = 0; i < ROUTERS; i++) {
+        routers[i].is_cut_from_store = TRUE;
+        routers[i].has_old_list = TRUE;
+        routers[i].is_store_lost = TRUE;
+    }
+}
+
+/* Streams of a service with one version were refused while nobody could read
+ * the list. */
+START_TEST(without_the_store_most_routers_decide)
+{
+    begin_fleet(1);
+    guint number = 7;
+    lose_store();
+    for (guint down = 0; down <= 4; down++) {
+        gboolean are_most = ROUTERS - down > ROUTERS / 2;
+        check_asked(stranger_of(number, 0), number, are_most ? "v1" : NULL,
+                    are_most ? ORIGIN_FROM_LIST : ORIGIN_FROM_NOBODY);
+        routers[owner_of(number, down < 3 ? down : down + 1)].is_down = TRUE;
+    }
+    end_fleet();
+}
+END_TEST
+
+START_TEST(without_the_store_routers_that_just_started_abstain)
+{
+    begin_fleet(1);
+    guint number = 7;
+    stop_router(owner_of(number, 0));
+    start_router(owner_of(number, 0), FALSE);
+    lose_store();
+    check_asked(stranger_of(number, 0), number, "v1", ORIGIN_FROM_LIST);
+    end_fleet();
+}
+END_TEST
+
+/* A few routers that were cut off together took each other's word that there
+ * was one version. */
+START_TEST(routers_that_are_cut_off_together_do_not_decide)
+{
+    for (guint number = 0; number < STREAMS; number++) {
+        begin_fleet(number);
+        lose_store();
+        is_second_stored = TRUE;
+        guint asker = g_rand_int_range(draws, 0, ROUTERS);
+        for (guint i = 0; i < ROUTERS; i++) {
+            routers[i].is_down = (i + ROUTERS - asker) % ROUTERS > 2;
+        }
+        check_asked(asker, number, NULL, ORIGIN_FROM_NOBODY);
+        end_fleet();
+    }
+}
+END_TEST
+
+START_TEST(a_router_that_leaves_reads_to_others_waits_for_the_list)
+{
+    begin_fleet(1);
+    guint number = 7;
+    Router_t *asker = &routers[stranger_of(number, 0)];
+    RequestDigest_t key = digest(number);
+    OriginAnswer_t answer;
+    Outcome_t outcome = {FALSE};
+    asker->leaves_reads = TRUE;
+    ck_assert_ptr_nonnull(OriginKeeper_ask(asker->keeper, &key, "s", FALSE,
+                                           &answer, on_asked, &outcome));
+    pass_time(600);
+    ck_assert(!outcome.is_answered);
+    receive_list(asker, now_ms - 100);
+    pass_time(20);
+    ck_assert_str_eq(outcome.software, "v1");
+    g_free(outcome.software);
+    end_fleet();
+}
+END_TEST
+
+START_TEST(callers_that_come_at_once_share_a_read)
+{
+    begin_fleet(1);
+    Router_t *asker = &routers[0];
+    Outcome_t outcomes[STREAMS] = {{FALSE}};
+    for (guint i = 0; i < STREAMS; i++) {
+        RequestDigest_t key = digest(i);
+        OriginAnswer_t answer;
+        ck_assert_ptr_nonnull(OriginKeeper_ask(
+            asker->keeper, &key, "s", FALSE, &answer, on_asked, &outcomes[i]));
+    }
+    pass_time(2 * READ_MS);
+    for (guint i = 0; i < STREAMS; i++) {
+        ck_assert_str_eq(outcomes[i].software, "v1");
+        g_free(outcomes[i].software);
+    }
+    ck_assert_uint_eq(asker->reads, 1);
+    ck_assert_uint_eq(sent, 0);
+    end_fleet();
+}
+END_TEST
+
+/* What began a stream at an engine whose version was not known yet was taken
+ * for the only version that is known. */
+START_TEST(a_stream_of_an_unknown_version_is_told)
+{
+    begin_fleet(1);
+    guint number = 7;
+    begin_stream(stranger_of(number, 0), number, "");
+    pass_time(SETTLE_MS);
+    check_asked(owner_of(number, 0), number, "", ORIGIN_FROM_HERE);
+    end_fleet();
+}
+END_TEST
+
+static void
+disturb(Router_t *this)
+{
+    this->is_down = g_rand_int_range(draws, 0, 4) == 0;
+    this->is_cut_from_store = g_rand_int_range(draws, 0, 4) == 0;
+    this->has_old_list = g_rand_boolean(draws);
+    if (g_rand_boolean(draws)) {
+        receive_list(this, now_ms);
+    }
+}
+
+/* Routers learn of the second version at different times, and some are out of
+ * touch with the others, the store, or both. */
+START_TEST(lists_of_different_age_never_give_a_wrong_version)
+{
+    guint known = 0;
+    guint in_touch = 0;
+    for (guint32 seed = 1; seed <= 200; seed++) {
+        begin_fleet(seed);
+        guint number = g_rand_int(draws);
+        Router_t *beginner = &routers[stranger_of(number, 0)];
+        Router_t *asker = &routers[g_rand_int_range(draws, 0, ROUTERS)];
+        loss = g_rand_double_range(draws, 0, 0.2);
+        is_second_stored = TRUE;
+        for (guint i = 0; i < ROUTERS; i++) {
+            disturb(&routers[i]);
+        }
+        beginner->is_down = FALSE;
+        receive_list(beginner, now_ms);
+        begin_stream(beginner->number, number, "v2");
+        pass_time(g_rand_int_range(draws, 5, 100));
+        g_autofree char *software = ask(asker->number, number, NULL);
+        ck_assert_msg(!software || g_str_equal(software, "v2"), "seed %u: %s",
+                      seed, software);
+        if (!asker->is_down && !asker->is_cut_from_store) {
+            in_touch++;
+            known += software ? 1 : 0;
+        }
+        end_fleet();
+    }
+    ck_assert_uint_gt(in_touch, 50);
+    ck_assert_uint_ge(known, in_touch * 9 / 10);
+}
+END_TEST
+
 START_TEST(a_build_that_tells_nothing_makes_streams_unknown_not_mixed)
 {
     begin_fleet(1);
@@ -705,6 +984,16 @@
              streams_are_recorded_once_there_are_two_versions,
              a_router_with_an_old_list_asks_and_does_not_guess_alone,
              an_old_list_and_owners_that_answer_mean_the_single_version,
+             a_version_that_joined_after_the_last_read_is_not_overlooked,
+             a_router_cut_off_from_all_with_a_current_list_does_not_guess,
+             an_owner_that_lags_behind_does_not_decide,
+             without_the_store_most_routers_decide,
+             without_the_store_routers_that_just_started_abstain,
+             routers_that_are_cut_off_together_do_not_decide,
+             a_router_that_leaves_reads_to_others_waits_for_the_list,
+             callers_that_come_at_once_share_a_read,
+             a_stream_of_an_unknown_version_is_told,
+             lists_of_different_age_never_give_a_wrong_version,
              a_build_that_tells_nothing_makes_streams_unknown_not_mixed,
              a_route_with_several_services_is_told_with_one_version,
              a_cancelled_query_is_not_answered,
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -20,12 +20,13 @@
 static OriginKeeper_t *keeper;
 
 static guint
-find_owners(void *owner, const RequestDigest_t *digest,
-            guint64 out[ORIGIN_OWNERS])
+find_owners(void *owner, const RequestDigest_t *digest, guint64 *out,
+            guint max)
 {
     (void)owner;
     (void)digest;
     (void)out;
+    (void)max;
     return 0;
 }
 
@@ -51,6 +52,26 @@
     return TRUE;
 }
 
+static gint64
+list_ms(void *owner)
+{
+    (void)owner;
+    return Clock_nowMs();
+}
+
+static void
+check_list(void *owner)
+{
+    (void)owner;
+}
+
+static gboolean
+is_store_lost(void *owner)
+{
+    (void)owner;
+    return FALSE;
+}
+
 static void
 learn(void *owner, gboolean is_urgent)
 {
@@ -70,6 +91,9 @@
     .send = send_message,
     .schedule_tick = schedule_tick,
     .is_list_current = is_list_current,
+    .list_ms = list_ms,
+    .check_list = check_list,
+    .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
 };
