A router that lists upstreams anew does not take what it missed for nothing

A router that was away for longer than the store keeps records took the version that it found for the only one, though another one could have come and gone, and could have continued its streams at that version. Found by reading; callers were not seen to be served so.

Cause: after a 410 the list shows what serves now, but SoftwareVersions went on as if it had been followed without a gap. After a list that was current until then, as when all routers list anew at once, nothing changes, so that streams aren't refused everywhere.

test_UpstreamListing: a_list_read_anew_after_long_does_not_show_a_single_version failed without the change; the test beside it holds before and after.

--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -176,6 +176,13 @@
     return this->is_learned;
 }
 
+void
+SoftwareVersions_noteGap(SoftwareVersions_t *this, gint64 now_ms)
+{
+    this->since_ms = now_ms;
+    g_hash_table_remove_all(this->known_before);
+}
+
 static void
 release(const SoftwareVersions_t *this, Version_t *version, gint64 now_ms)
 {
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -54,6 +54,10 @@
  */
 gboolean SoftwareVersions_isLearned(const SoftwareVersions_t *this);
 
+/** SoftwareVersions_noteGap() - versions may have come and gone unseen: what
+ * served before @now_ms is unknown, but for the versions that are known */
+void SoftwareVersions_noteGap(SoftwareVersions_t *this, gint64 now_ms);
+
 /** SoftwareVersions_put() - an upstream is listed with this service and
  * version; replaces what was known of it */
 void SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -83,6 +83,7 @@
     gboolean is_list_open;    /* list records came since the last end */
     guint listed;             /* new upstreams since the last end */
     gint64 current_ms;        /* when the topic's end was last known */
+    guint64 end_epoch;        /* epoch of that end */
     gint64 checked_ms;        /* when the end was last checked */
     gint64 peer_update_ms;    /* when a peer last sent new records */
     guint retries;            /* consecutive calls made after a failure */
@@ -436,13 +437,31 @@
     ListedUpstream_clear(&entry);
 }
 
+/* A router that lists again after some time does not learn of upstreams that
+ * came and went meanwhile. What a store of a new epoch lists does not say less
+ * than what this router knew of the former one. */
+static void
+note_gap(const UpstreamListing_t *this, const KeyedRecord_t *record)
+{
+    if (!this->spec.versions || this->current_ms == 0 ||
+        record->position.epoch != this->end_epoch ||
+        UpstreamListing_isCurrent(this)) {
+        return;
+    }
+    SoftwareVersions_noteGap(this->spec.versions, Clock_nowMs());
+    Log_begin(LOG_LEVEL_WARNING, "software_gap");
+    Log_number("age_ms", Clock_nowMs() - this->current_ms);
+    Log_end();
+}
+
 /* A router that knows only a part of the upstreams already uses them. */
 static void
-note_list_record(UpstreamListing_t *this)
+note_list_record(UpstreamListing_t *this, const KeyedRecord_t *record)
 {
     this->known = TRUE;
     if (RecordFollower_isListing(this->follower) && !this->is_list_open) {
         this->is_list_open = TRUE;
+        note_gap(this, record);
     }
 }
 
@@ -451,7 +470,7 @@
 {
     UpstreamListing_t *this = owner;
     const char *name = record->key->str;
-    note_list_record(this);
+    note_list_record(this, record);
     ListCopy_put(this->copy, record);
     if (!record->value) {
         relay_change(this, record);
@@ -522,6 +541,7 @@
     }
     log_listed(this, end);
     this->current_ms = at_ms;
+    this->end_epoch = end.epoch;
     if (this->exchange) {
         ListExchange_setCurrent(this->exchange, end, at_ms);
     }
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -16,6 +16,12 @@
 /* Exceeds PEER_TRANSIT_MIN_MS, which is added to a message's age. */
 #define PEER_DELAY_US ((PEER_TRANSIT_MIN_MS + 10) * CLOCK_US_PER_MS)
 
+/* At least the time between reads for callers that wait. */
+#define CHECK_INTERVAL_MS 100
+
+/* For which a router is away. */
+#define MISSED_MS 60000
+
 /* Length of a long list. */
 #define MANY 500
 /* Maximum number of index rebuilds for one target and one look-up. */
@@ -27,6 +33,7 @@
 static UpstreamSet_t *upstreams;
 static HallRegions_t *regions;
 static guint decoded;
+static SoftwareVersions_t *versions; /* NULL for none */
 
 /* Entries have the form TARGET[:INCARNATION], and the target is also the hall;
  * an entry that begins with "!" is not a valid upstream. */
@@ -70,7 +77,8 @@
                                   .epoch = epoch,
                                   .poll_ms = POLL_MS,
                                   .return_ms = RETURN_MS,
-                                  .regions = regions};
+                                  .regions = regions,
+                                  .versions = versions};
     return UpstreamListing_create(base, &spec);
 }
 
@@ -405,7 +413,77 @@
 }
 END_TEST
 
+static void
+check_listed_anew(gint64 after_ms, const char *expected)
+{
+    versions = SoftwareVersions_create();
+    UpstreamListing_t *listing = begin();
+    UpstreamListing_setTimes(listing, POLL_MS, RETURN_MS);
+    answer(1, "u", "m");
+    gint64 start_ms = Clock_nowMs();
+    Clock_freeze((start_ms + RETURN_MS) * CLOCK_US_PER_MS);
+    ck_assert_ptr_nonnull(
+        SoftwareVersions_findOnly(versions, "m", RETURN_MS, Clock_nowMs()));
+    answer(2, "u", "m");
+    Clock_freeze((start_ms + RETURN_MS + after_ms) * CLOCK_US_PER_MS);
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    answer(9, "u", "m:1");
+    const char *only =
+        SoftwareVersions_findOnly(versions, "m", RETURN_MS, Clock_nowMs());
+    ck_assert_str_eq(only ? "known" : "unknown", expected);
+    ck_assert_ptr_nonnull(
+        SoftwareVersions_findSole(versions, "m", RETURN_MS, Clock_nowMs()));
+    Clock_freeze(0);
+    end(listing);
+    SoftwareVersions_destroy(versions);
+    versions = NULL;
+}
+
+/* A version that had come and gone while the router was away was overlooked.
+ */
+START_TEST(a_list_read_anew_after_long_does_not_show_a_single_version)
+{
+    check_listed_anew(MISSED_MS, "unknown");
+}
+END_TEST
+
+START_TEST(a_list_read_anew_at_once_shows_a_single_version)
+{
+    check_listed_anew(1, "known");
+}
+END_TEST
+
+/* Callers that wait at once would each read the list. */
+START_TEST(the_end_of_the_list_is_read_once_for_callers_that_wait)
+{
+    UpstreamListing_t *listing = begin();
+    UpstreamListing_setTimes(listing, RETURN_MS, RETURN_MS);
+    answer(1, "u", "m");
+    gint64 asked_ms = Clock_nowMs() + 1;
+    Clock_freeze(asked_ms * CLOCK_US_PER_MS);
+    ck_assert_int_lt(UpstreamListing_endMs(listing), asked_ms);
+    UpstreamListing_checkEnd(listing);
+    ck_assert_ptr_nonnull(source.done);
+    ck_assert_int_lt(UpstreamListing_endMs(listing), asked_ms);
+    answer(2, "v", "m");
+    ck_assert_int_ge(UpstreamListing_endMs(listing), asked_ms);
+    ck_assert_uint_eq(serving("m"), 2);
+    UpstreamListing_checkEnd(listing);
+    ck_assert_ptr_null(source.done);
+    Clock_freeze((asked_ms + CHECK_INTERVAL_MS) * CLOCK_US_PER_MS);
+    UpstreamListing_checkEnd(listing);
+    ck_assert_ptr_nonnull(source.done);
+    FakeSource_fail(&source, WT_ERROR_TIMEOUT);
+    ck_assert_int_eq(UpstreamListing_endMs(listing), asked_ms);
+    Clock_freeze(0);
+    end(listing);
+}
+END_TEST
+
 TESTING_MAIN("UpstreamListing",
+             the_end_of_the_list_is_read_once_for_callers_that_wait,
+             a_list_read_anew_after_long_does_not_show_a_single_version,
+             a_list_read_anew_at_once_shows_a_single_version,
              a_restarted_upstream_loses_the_state_of_its_former_incarnation,
              an_older_incarnation_does_not_end_leaving,
              an_unreadable_entry_removes_only_its_own_upstream,
