--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -54,6 +54,10 @@
  */
 gboolean SoftwareVersions_isLearned(const SoftwareVersions_t *this);
 
+/** SoftwareVersions_noteGap() - versions may have come and gone unseen: what
+ * served before @now_ms is unknown, but for the versions that are known */
+void SoftwareVersions_noteGap(SoftwareVersions_t *this, gint64 now_ms);
+
 /** SoftwareVersions_put() - an upstream is listed with this service and
  * version; replaces what was known of it */
 void SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
@@ -75,6 +79,12 @@
                                       const char *service, gint64 window_ms,
                                       gint64 now_ms);
 
+/** SoftwareVersions_findSole() - the same from what this router knows of the
+ * window, which may be a part of it */
+const char *SoftwareVersions_findSole(const SoftwareVersions_t *this,
+                                      const char *service, gint64 window_ms,
+                                      gint64 now_ms);
+
 /** SoftwareVersions_forEachService() - call a function for each service that
  * has, or had, upstreams */
 void SoftwareVersions_forEachService(const SoftwareVersions_t *this,
