A stream of several services that nobody knows is not continued

Callers got streams joined from two services: where a route is split over several, a stream that began at one of them went on at the one that its next request was given.

Cause: a stream whose route has several services is told to its owners and asked for, but if none of them knew it, it counted as one of a service with a single version, whichever service the request had been given (OriginKeeper, finish_unknown).

The query now keeps that the stream may have begun at another service, and ends as unknown. test_OriginKeeper.an_unknown_stream_of_several_services_is_not_continued failed before: the answer was that of an owner that knows one version.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -26,8 +26,9 @@
     guint64 owners[ORIGIN_OWNERS]; /* that have not replied */
     guint open;                    /* number of @owners */
     guint replies;
-    GRefString *only; /* version that an owner takes for the only one */
-    gint64 repeat_ms; /* 0 once repeated */
+    GRefString *only;    /* version that an owner takes for the only one */
+    gboolean may_change; /* the stream may have begun at another service */
+    gint64 repeat_ms;    /* 0 once repeated */
     gint64 expires_ms;
     OriginAsked_t done;
     void *owner;
@@ -484,6 +485,7 @@
     gint64 now_ms = Clock_nowMs();
     query->digest = *digest;
     query->service = g_ref_string_new_intern(service);
+    query->may_change = may_change;
     query->open = find_others(this, digest, query->owners);
     query->repeat_ms = now_ms + ASK_REPEAT_MS;
     query->expires_ms = now_ms + ORIGIN_ASK_TIMEOUT_MS;
@@ -517,24 +519,33 @@
     free_query(query);
 }
 
+/* The version of a stream that no owner knows. If the list of this router is
+ * old, at least one owner must have answered: a router that is cut off from
+ * all others can't know of a newer version. */
+static const char *
+find_only_answered(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    if (query->may_change) {
+        return NULL;
+    }
+    if (query->only) {
+        return query->only;
+    }
+    return query->replies > 0 ? find_listed_only(this, query->service)
+                              : OriginKeeper_findOnly(this, query->service);
+}
+
 /* No owner knows the stream: it was not told, or all that were told of it have
- * restarted. It may have been restored since the query began. If the list of
- * this router is old, at least one owner must have answered: a router that is
- * cut off from all others can't know of a newer version. */
+ * restarted. It may have been restored since the query began. */
 static void
 finish_unknown(OriginKeeper_t *this, OriginQuery_t *query)
 {
     OriginAnswer_t answer = {.replies = query->replies};
-    const char *only = query->only;
+    const char *only = find_only_answered(this, query);
     if (fill_known(this, &query->digest, Clock_nowMs(), &answer)) {
         finish_query(this, query, &answer);
         return;
     }
-    if (!only) {
-        only = query->replies > 0
-                   ? find_listed_only(this, query->service)
-                   : OriginKeeper_findOnly(this, query->service);
-    }
     if (only) {
         answer.source = ORIGIN_FROM_LIST;
         answer.service = query->service;
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -593,6 +593,24 @@
 }
 END_TEST
 
+/* A stream that nobody knew went on at the service that its next request was
+ * given, though the other one may have begun it. */
+START_TEST(an_unknown_stream_of_several_services_is_not_continued)
+{
+    begin_fleet(1);
+    RequestDigest_t key = digest(4);
+    OriginAnswer_t answer;
+    Outcome_t outcome = {FALSE};
+    ck_assert_ptr_nonnull(OriginKeeper_ask(routers[stranger_of(4, 1)].keeper,
+                                           &key, "s", TRUE, &answer, on_asked,
+                                           &outcome));
+    pass_time(SETTLE_MS);
+    ck_assert(outcome.is_answered);
+    ck_assert_int_eq(outcome.source, ORIGIN_FROM_NOBODY);
+    end_fleet();
+}
+END_TEST
+
 START_TEST(a_cancelled_query_is_not_answered)
 {
     begin_fleet(1);
@@ -707,6 +725,7 @@
              an_old_list_and_owners_that_answer_mean_the_single_version,
              a_build_that_tells_nothing_makes_streams_unknown_not_mixed,
              a_route_with_several_services_is_told_with_one_version,
+             an_unknown_stream_of_several_services_is_not_continued,
              a_cancelled_query_is_not_answered,
              losses_and_restarts_never_give_a_wrong_version,
              malformed_streams_are_ignored,
