A stream does not go on at an engine of unknown software

Callers got streams joined from two software versions: an engine that had started again under its name with other software continued a stream of the former one.

Cause: while the list shows a single version of a service, a stream that goes on may be given to any upstream (RelayOrigin_requiredSoftware). One whose state has told that it started again since it was listed, so that its version is not known, was among them.

Such an upstream is left out until its entry tells its version, as it is with several versions.

--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -172,16 +172,36 @@
     this->origin.is_begun = TRUE;
 }
 
-const char *
-RelayOrigin_requiredSoftware(const RelayExchange_t *this)
+/* One that has started again since it was listed may have other software. */
+static gboolean
+has_upstream_of_unknown_software(const RelayExchange_t *this)
 {
-    const GString *software = this->origin.software;
-    if (!software) {
-        return NULL;
+    const Exchange_t *super = &this->super;
+    const GPtrArray *serving = UpstreamSet_findServing(
+        super->context->upstreams, ROLE_SERVICE, super->target->str);
+    for (guint i = 0; i < serving->len; i++) {
+        if (!Upstream_isSoftwareKnown(g_ptr_array_index(serving, i))) {
+            return TRUE;
+        }
     }
+    return FALSE;
+}
+
+/* All upstreams are of the version that the stream needs. */
+static gboolean
+is_only_version(const RelayExchange_t *this)
+{
     const char *only = OriginKeeper_findOnly(this->super.context->origins,
                                              this->super.target->str);
-    return only && strcmp(only, software->str) == 0 ? NULL : software->str;
+    return only && strcmp(only, this->origin.software->str) == 0 &&
+           !has_upstream_of_unknown_software(this);
+}
+
+const char *
+RelayOrigin_requiredSoftware(const RelayExchange_t *this)
+{
+    const GString *software = this->origin.software;
+    return !software || is_only_version(this) ? NULL : software->str;
 }
 
 static void
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -144,12 +144,16 @@
     this->software_incarnation = incarnation;
 }
 
+gboolean
+Upstream_isSoftwareKnown(const Upstream_t *this)
+{
+    return this->software_incarnation >= this->incarnation;
+}
+
 const char *
 Upstream_software(const Upstream_t *this)
 {
-    return this->software_incarnation >= this->incarnation
-               ? this->software->str
-               : "";
+    return Upstream_isSoftwareKnown(this) ? this->software->str : "";
 }
 
 gboolean
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -192,6 +192,10 @@
 void Upstream_noteSoftware(Upstream_t *this, const char *software,
                            guint64 incarnation);
 
+/** Upstream_isSoftwareKnown() - whether its entry is that of the process that
+ * runs now */
+gboolean Upstream_isSoftwareKnown(const Upstream_t *this);
+
 /**
  * Upstream_software() - version of the software that the upstream runs
  *
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -368,6 +368,7 @@
         restarted, other = self.engines[:self.ENGINES_EACH]
         begun = [stream for stream in self.begin_streams(router)
                  if stream.engine is other]
+        self.assertTrue(begun)
         restarted.kill()
         wait_for(lambda: self.fleet.ask(
             router, "/ask/x", X_Prompt_Prefix="%x:200,1:100"
@@ -385,6 +386,20 @@
                  "the engine in use")
 
 
+class RestartedEngineOfOnlyVersionTest(RestartedEngineTest):
+    # While the list showed a single version, any engine counted as one of it.
+    SOFTWARE = VERSIONS[:1]
+
+    def setUp(self):
+        super().setUp()
+        self.begin(self.routers[0])
+        wait_for(lambda: self.fleet.store.records("keyed.software"),
+                 "the record of the versions")
+        self.restart_all()
+        for router in self.routers:
+            router.wait_event("software_records_read")
+
+
 class LateTest(SoftwareTest):
     TOKENS = "15000,10"  # a quarter of a second at an engine
     HELD_S = 0.5
