A stream does not go on at a service that its route was moved to

Callers got streams joined from two services: a configuration moved a route to another service, with all routers down or while they ran, and streams that had begun at the old one went on at the new one.

Cause: which service began a stream was told only where the route had several in the newest configuration (RelayOrigin). Otherwise the service that the route has now counted as the one that began the stream, as long as it had a single version.

The services of each route with resumable streams are now noted like the versions of a service, also in the records on the store, so that all that holds for a version that joins or replaces another one holds for them (RouteServices). Until the route is known to have had a single service for the window, its streams are told and asked for.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -51,6 +51,7 @@
 typedef struct {
     OriginKeeper_t *keeper;
     const char *service; /* NULL for all */
+    GPtrArray *targets;  /* services, if @service is a route */
     gint64 now_ms;
     guint live;          /* streams among them that run here */
     GHashTable *batches; /* &router -> Batch_t */
@@ -203,12 +204,20 @@
     g_hash_table_destroy(telling->batches);
 }
 
+static gboolean
+is_telling_of(const Telling_t *telling, const char *service)
+{
+    return strcmp(service, telling->service) == 0 ||
+           g_ptr_array_find_with_equal_func(telling->targets, service,
+                                            g_str_equal, NULL);
+}
+
 static void
 tell_if_untold(void *owner, StreamOrigin_t *entry)
 {
     const Telling_t *telling = owner;
     if (entry->is_own && !entry->is_told &&
-        strcmp(entry->service, telling->service) == 0) {
+        is_telling_of(telling, entry->service)) {
         add_to_batches(telling, entry);
     }
 }
@@ -225,13 +234,16 @@
     this->spec.links->record(this->spec.owner);
 }
 
-/* The streams that began while a service had one version are told once it gets
- * another one. */
+/* The streams that began while a service had one version, or a route had one
+ * service, are told once it gets another one. */
 static void
 on_mixed(void *owner, const char *service)
 {
     OriginKeeper_t *this = owner;
     Telling_t telling = begin_telling(this, service);
+    g_autoptr(GPtrArray) targets = SoftwareVersions_listServing(
+        this->spec.versions, service, this->spec.window_ms, telling.now_ms);
+    telling.targets = targets;
     StreamOrigins_forEach(this->origins, tell_if_untold, &telling);
     finish_telling(&telling);
     record(this);
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "RouteServices.h"
 
 static gboolean
 is_continuation(const RelayExchange_t *this)
@@ -29,7 +30,10 @@
 static gboolean
 has_several_services(const RelayExchange_t *this)
 {
-    return this->route->targets->len > 1;
+    const Exchange_t *super = &this->super;
+    return !RouteServices_hasOnly(
+        super->context->versions, this->route, super->target->str,
+        super->context->settings->relay.resume_window_ms, Clock_nowMs());
 }
 
 static gboolean
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -10,6 +10,7 @@
 #include "Orders.h"
 #include "OriginPeers.h"
 #include "RelayPlacer.h"
+#include "RouteServices.h"
 #include "RouteSync.h"
 #include "UpstreamProber.h"
 
@@ -37,6 +38,7 @@
     UpstreamProber_t *prober;
     LoadShare_t *load_share;
     HintBroadcast_t *hints;
+    RouteServices_t *route_services;
     SoftwareRecords_t *software;
     OriginRecords_t *origin_records;
     FleetRecord_t *fleet_record;
@@ -261,10 +263,18 @@
     this->fleet_record = FleetRecord_create(context->base, &spec);
 }
 
+static void
+on_routes(void *owner, const RouteConfig_t *config)
+{
+    RouteServices_update(owner, config, Clock_nowMs());
+}
+
 static void
 create_origins(RelayParts_t *this, const PlatformForm_t *form)
 {
     Context_t *context = this->context;
+    this->route_services = RouteServices_create(context->versions);
+    RouteTable_setCallback(context->routes, on_routes, this->route_services);
     SoftwareRecordsSpec_t software = {
         .source = this->records,
         .topic = form->software_topic,
@@ -399,9 +409,10 @@
     SoftwareRecords_destroy(this->software);
     FleetRecord_destroy(this->fleet_record);
     UpstreamListing_destroy(this->context->listing);
-    SoftwareVersions_destroy(this->context->versions);
     HallRegions_destroy(this->regions);
     RouteSync_destroy(this->sync);
+    RouteServices_destroy(this->route_services);
+    SoftwareVersions_destroy(this->context->versions);
     ModelVersions_destroy(this->context->weights);
     ForwardPeers_destroy(this->context->forward_peers);
     StreamMover_destroy(this->context->mover);
--- a/src/RouteTable.c
+++ b/src/RouteTable.c
@@ -5,7 +5,9 @@
 struct RouteTable {
     RouteConfig_t *config;
     gint64 current_ms; /* when config was last known to be the newest, or 0 */
-    gint64 newer_ms;   /* when a newer one became known to exist, or 0 */
+    RouteTableUpdated_t updated;
+    void *owner;
+    gint64 newer_ms; /* when a newer one became known to exist, or 0 */
 };
 
 RouteTable_t *
@@ -34,9 +36,20 @@
         RouteConfig_unref(this->config);
     }
     this->config = config;
+    if (this->updated) {
+        this->updated(this->owner, config);
+    }
     return TRUE;
 }
 
+void
+RouteTable_setCallback(RouteTable_t *this, RouteTableUpdated_t updated,
+                       void *owner)
+{
+    this->updated = updated;
+    this->owner = owner;
+}
+
 void
 RouteTable_noteCurrent(RouteTable_t *this, gint64 at_ms)
 {
--- a/src/RouteTable.h
+++ b/src/RouteTable.h
@@ -17,6 +17,14 @@
 /** RouteTable_create() - create a table without a version */
 RouteTable_t *RouteTable_create(void);
 
+/** RouteTableUpdated_t - called with each version that is put in force */
+typedef void (*RouteTableUpdated_t)(void *owner, const RouteConfig_t *config);
+
+/** RouteTable_setCallback() - set the only callback; @owner must outlive the
+ * last update */
+void RouteTable_setCallback(RouteTable_t *this, RouteTableUpdated_t updated,
+                            void *owner);
+
 /** RouteTable_destroy() - free the table and drop its reference */
 void RouteTable_destroy(RouteTable_t *this);
 
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -199,12 +199,20 @@
 void
 SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
                      const char *service, const char *software, gint64 now_ms)
+{
+    this->since_ms = this->since_ms > 0 ? this->since_ms : now_ms;
+    SoftwareVersions_putTarget(this, upstream, service, software, now_ms);
+}
+
+void
+SoftwareVersions_putTarget(SoftwareVersions_t *this, const char *upstream,
+                           const char *service, const char *software,
+                           gint64 now_ms)
 {
     Version_t *old = g_hash_table_lookup(this->upstreams, upstream);
     if (old && is_current(old, service, software)) {
         return;
     }
-    this->since_ms = this->since_ms > 0 ? this->since_ms : now_ms;
     const GPtrArray *versions = get_versions(this, service);
     Version_t *version = find_version(versions, software);
     if (!version) {
@@ -241,7 +249,8 @@
         this->is_learned &&
         g_hash_table_contains(this->known_before, service) &&
         !g_hash_table_contains(this->mixed_before, service);
-    return is_recorded || now_ms - this->since_ms >= window_ms;
+    return is_recorded ||
+           (this->since_ms > 0 && now_ms - this->since_ms >= window_ms);
 }
 
 static gboolean
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -60,6 +60,12 @@
                           const char *service, const char *software,
                           gint64 now_ms);
 
+/** SoftwareVersions_putTarget() - the same for something else than an entry of
+ * the list of upstreams, which tells nothing of when the list was read */
+void SoftwareVersions_putTarget(SoftwareVersions_t *this, const char *upstream,
+                                const char *service, const char *software,
+                                gint64 now_ms);
+
 /** SoftwareVersions_remove() - an upstream is no longer listed */
 void SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
                              gint64 now_ms);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import socket
 import struct
 import tempfile
@@ -115,6 +116,8 @@
         self.bytes_per_s = None  # rate at which an answer to a read arrives
         self.calls_at_most = None  # per RATE_WINDOW_S; further calls get 429
         self.window = (0, 0)  # number of the window, calls made in it
+        self.lose_answers = False  # to writes, which are carried out
+        self.late_s = 0  # maximum delay of the routers' writes, one by one
         self.refuse_first = 0  # number of next calls that get 429
         self.turned_away = 0  # calls answered with 429
         super().__init__()
@@ -200,7 +203,11 @@
                 size = struct.unpack(">I", body[:4])[0]
                 records.append(body[4:4 + size])
                 body = body[4 + size:]
+            time.sleep(random.uniform(0, self.late_s))
             offset = self.append(query["topic"], *records)
+            if self.lose_answers:
+                call.cut()
+                return
             self.answer(call, 200,
                         {"offset": offset, "end": offset + len(records)})
         elif url.path == "/v1/log-read":
@@ -564,6 +571,54 @@
             self.born += 1000
 
 
+class PacedEngine(CrashingEngine):
+    """An engine of any service, whose streams take their time. Their events
+    name the service and the software that the stream began with."""
+
+    EVENT_S = 0.05
+
+    def __init__(self, store, name, service, software, **more):
+        self.own_service = service
+        self.restarting = threading.Lock()
+        super().__init__(store, name, software=software, **more)
+
+    def list(self):
+        self.service = self.own_service
+        super().list()
+
+    def stream(self, call, headers):
+        born, weights = self.born, self.version
+        piece = b"%s/%s" % (self.service.encode(), self.software.encode())
+        call.head(200, {"Transfer_Encoding": "chunked"}, **headers)
+        first = int(call.headers.get("Last-Event-Id", -1)) + 1
+        for number in range(first, self.pieces):
+            time.sleep(self.EVENT_S)
+            event = b"id: %d\ndata: %s-%d\n\n" % (number, piece, number)
+            if self.version != weights:
+                weights = self.version
+                event = b"x-weight-versions: %d\n%s" % (weights, event)
+            cut_after = self.cut_after
+            if cut_after is not None and number - first >= cut_after:
+                part = BREAKS[self.break_off or "inside_event"](event)
+                self.write_part(call, True, part)
+                time.sleep(self.cut_pause_s)
+                call.cut()
+                return
+            if self.dead or self.born != born:
+                call.cut()
+                return
+            self.write_part(call, True, event)
+        call.wfile.write(b"0\r\n\r\n")
+
+    def start_with(self, software):
+        """Starts again under its name, once it has ended."""
+        with self.restarting:
+            if self.dead:
+                self.software = software
+                self.cut_after = None
+                self.revive()
+
+
 class PartEngine(CrashingEngine):
     """An engine that dies when it begins to answer a prompt with one of the
     parts in `deadly`, and is back some time later."""
@@ -705,16 +760,18 @@
     def plain(self, name):
         return self.add(Upstream(self.store, name, "plain"))
 
-    def config(self, version=None, routes=None, customers=None, stores=()):
+    def config(self, version=None, routes=None, customers=None, stores=(),
+               more_engines=()):
         self.version = version or self.version + 1
         self.store.put("keyed.op", "config", {
             "version": self.version,
             "routes": ROUTES if routes is None else routes,
             "services": [
-                {"name": "engines", "health_path": "/health",
+                {"name": name, "health_path": "/health",
                  "max_connections": 100,
                  "engine": {"slots": 64, "kv_capacity": 100000,
-                            "models": [{"name": "m"}]}},
+                            "models": [{"name": "m"}]}}
+                for name in ("engines", *more_engines)] + [
                 {"name": "plain", "health_path": "/health",
                  "max_connections": 100}] + [
                 {"name": name, "kv_store_addr": address, "zone": "hall-a",
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -8,7 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from cluster import wait_for
-from fleet import Fleet
+from fleet import Fleet, PacedEngine, route
 
 STREAMS = 12
 EVENTS = 4
@@ -360,6 +360,55 @@
         self.assert_none_is_continued()
 
 
+class MovedRouteTest(SoftwareTest):
+    """A route is moved to another service, of the same version."""
+
+    SOFTWARE = VERSIONS[:1]
+    OTHER = "others"
+    WRITE_S = 0.5  # until the routers have written all their records
+    REFUSALS = ("resume_unknown", "software_gone")
+
+    def setUp(self):
+        super().setUp()
+        for number in range(self.ENGINES_EACH):
+            self.engines.append(self.fleet.add(PacedEngine(
+                self.fleet.store, "o%d" % number, self.OTHER, VERSIONS[0],
+                pieces=EVENTS)))
+        self.begin(self.routers[0])
+        wait_for(lambda: any(self.OTHER.encode() in record for record in
+                             self.fleet.store.records("keyed.software")),
+                 "the records")
+        time.sleep(self.WRITE_S)
+        self.restart_all()
+        for router in self.routers:
+            router.wait_event("software_records_read")
+        self.begun = self.begin_streams(self.routers[0])
+
+    def move_route(self):
+        self.fleet.config(
+            routes=[route("asks", "/ask/", "stream", self.OTHER,
+                          resumable=True)], more_engines=[self.OTHER])
+
+    def assert_none_is_continued(self):
+        for stream in self.begun:
+            answer = self.go_on(self.routers[1], stream)
+            self.assertEqual(answer.status, 503, answer.body)
+            self.assertIn(json.loads(answer.body)["error"]["code"],
+                          self.REFUSALS)
+
+    # The service that the route had got had a single version, which was taken
+    # for that of the streams.
+    def test_streams_do_not_go_on_at_a_service_that_came_while_down(self):
+        self.restart_all(self.move_route)
+        self.assert_none_is_continued()
+
+    def test_streams_do_not_go_on_at_another_service(self):
+        self.move_route()
+        wait_for(lambda: all(len(router.events("config_in_force")) == 2
+                             for router in self.routers), "the configuration")
+        self.assert_none_is_continued()
+
+
 class RestartedEngineTest(SoftwareTest):
     # An engine that had started again with other software was taken for one of
     # the version that the list still showed.
