The record of software versions is written again where the store may have lost it

Callers could get streams joined from two software versions after a restart of all routers: the record named an earlier version than the one that had begun them.

Cause: a router took a record for stored once it had handed it to the store, and never wrote it again while the versions stayed the same (SoftwareRecords). Where the store came back from an older copy, or carried out an earlier write late, whose answer had been lost, the record named an earlier version until the next change.

A changed record is now written once more six seconds later, and all are when the store has come back older. Found by reading. Without the change test_SoftwareRecords did not end within 40 s, as its two new tests wait for a write; it passes with it.

--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -283,6 +283,8 @@
         .router = context->settings->router.name->str,
         .counters = context->counters,
         .window_ms = context->settings->relay.resume_window_ms,
+        .repeat_ms = SOFTWARE_RECORD_REPEAT_MS,
+        .epoch = this->epoch,
     };
     this->software = SoftwareRecords_create(context->base, &software);
     OriginRecordsSpec_t records = {
--- a/src/SoftwareRecords.c
+++ b/src/SoftwareRecords.c
@@ -29,11 +29,33 @@
 struct SoftwareRecords {
     SoftwareRecordsSpec_t spec;
     StoredRecords_t *records;
-    GHashTable *stored; /* service -> GBytes, versions that were written or
-                         * read last */
+    GHashTable *stored; /* service -> Stored_t, written or read last */
     struct event *timer;
 };
 
+typedef struct {
+    GBytes *versions;
+    gint64 repeat_ms; /* when it is written again; 0 for never */
+} Stored_t;
+
+static void
+free_stored(gpointer data)
+{
+    Stored_t *stored = data;
+    g_bytes_unref(stored->versions);
+    g_free(stored);
+}
+
+static void
+note_stored(const SoftwareRecords_t *this, const char *service,
+            GBytes *versions, gint64 repeat_ms)
+{
+    Stored_t *stored = g_new0(Stored_t, 1);
+    stored->versions = versions;
+    stored->repeat_ms = repeat_ms;
+    g_hash_table_replace(this->stored, g_strdup(service), stored);
+}
+
 /* Until the membership has converged each router would rank first. */
 static gboolean
 is_writer(const SoftwareRecords_t *this, const char *name)
@@ -80,8 +102,18 @@
 is_stored(const SoftwareRecords_t *this, const char *service,
           const GBytes *versions)
 {
-    const GBytes *stored = g_hash_table_lookup(this->stored, service);
-    return stored && g_bytes_equal(stored, versions);
+    const Stored_t *stored = g_hash_table_lookup(this->stored, service);
+    return stored && g_bytes_equal(stored->versions, versions);
+}
+
+/* The store may carry out an earlier write late, of this router or another
+ * one, whose answer was lost. */
+static gboolean
+is_repeat_due(const SoftwareRecords_t *this, const char *service)
+{
+    const Stored_t *stored = g_hash_table_lookup(this->stored, service);
+    return stored && stored->repeat_ms > 0 &&
+           Clock_nowMs() >= stored->repeat_ms;
 }
 
 static void
@@ -99,6 +131,12 @@
     Log_end();
 }
 
+static gint64
+next_repeat_ms(const SoftwareRecords_t *this)
+{
+    return this->spec.repeat_ms > 0 ? Clock_nowMs() + this->spec.repeat_ms : 0;
+}
+
 /* Another router may have replaced the record of one that does not write it,
  * so that it writes anew once it does. */
 static void
@@ -108,12 +146,14 @@
     Wt__SoftwareRecord record = WT__SOFTWARE_RECORD__INIT;
     set_versions(&record, serving);
     GBytes *versions = pack_versions(&record);
-    if (is_stored(this, service, versions)) {
+    gboolean is_written = is_stored(this, service, versions);
+    if (is_written && !is_repeat_due(this, service)) {
         g_bytes_unref(versions);
     }
     else if (is_writer(this, service)) {
         store(this, service, &record);
-        g_hash_table_replace(this->stored, g_strdup(service), versions);
+        note_stored(this, service, versions,
+                    is_written ? 0 : next_repeat_ms(this));
     }
     else {
         g_hash_table_remove(this->stored, service);
@@ -197,8 +237,7 @@
         SoftwareVersions_noteBefore(this->spec.versions, service,
                                     record->software[i], Clock_nowMs());
     }
-    g_hash_table_replace(this->stored, g_strdup(service),
-                         pack_versions(record));
+    note_stored(this, service, pack_versions(record), 0);
 }
 
 static gboolean
@@ -226,14 +265,23 @@
     check_services(this);
 }
 
+/* The copy may have older records. */
+static void
+on_store_restored(void *owner)
+{
+    SoftwareRecords_t *this = owner;
+    g_hash_table_remove_all(this->stored);
+    check_services(this);
+}
+
 SoftwareRecords_t *
 SoftwareRecords_create(struct event_base *base,
                        const SoftwareRecordsSpec_t *spec)
 {
     SoftwareRecords_t *this = g_new0(SoftwareRecords_t, 1);
     this->spec = *spec;
-    this->stored = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                         (GDestroyNotify)g_bytes_unref);
+    this->stored =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_stored);
     this->timer = Clock_timer(base, on_timer, this);
     StoredRecordsSpec_t records = {
         .source = spec->source,
@@ -246,6 +294,9 @@
     };
     this->records = StoredRecords_create(base, &records);
     SoftwareVersions_addMixedCallback(spec->versions, on_mixed, this);
+    if (spec->epoch) {
+        StoreEpoch_addListener(spec->epoch, on_store_restored, this);
+    }
     SoftwareRecords_scheduleRead(this, FALSE);
     return this;
 }
@@ -266,6 +317,9 @@
 void
 SoftwareRecords_destroy(SoftwareRecords_t *this)
 {
+    if (this->spec.epoch) {
+        StoreEpoch_removeListener(this->spec.epoch, this);
+    }
     event_free(this->timer);
     StoredRecords_destroy(this->records);
     g_hash_table_destroy(this->stored);
--- a/src/SoftwareRecords.h
+++ b/src/SoftwareRecords.h
@@ -9,11 +9,18 @@
  * versions that began streams, a stream can be continued without being known
  * only if the record and the list name the same single version: versions may
  * have changed while no router ran. A record is written by a few routers, in
- * case one is lost, whenever the versions of its service change.
+ * case one is lost, whenever the versions of its service change; once more a
+ * while later, as the store may carry out an earlier write late; and when the
+ * store has come back older.
  */
 #include "Membership.h"
 #include "RecordSource.h"
 #include "SoftwareVersions.h"
+#include "StoreEpoch.h"
+
+/** Delay after which a record is written once more: the longest time for which
+ * the store is expected to carry out a write late */
+#define SOFTWARE_RECORD_REPEAT_MS 6000
 
 /** Routers that write a service's record */
 #define SOFTWARE_RECORD_WRITERS 3
@@ -27,6 +34,9 @@
  * @router: name of this router
  * @counters: of calls to the store; NULL to count none, as in module tests
  * @window_ms: how long streams may be continued
+ * @repeat_ms: after which a changed record is written once more; 0 for never
+ * @epoch: tells that the store has come back older; NULL for none, as in
+ * module tests
  */
 typedef struct {
     RecordSource_t *source;
@@ -36,6 +46,8 @@
     const char *router;
     Counters_t *counters;
     gint64 window_ms;
+    gint64 repeat_ms;
+    StoreEpoch_t *epoch;
 } SoftwareRecordsSpec_t;
 
 /** struct SoftwareRecords_t - opaque */
--- a/tests/test_SoftwareRecords.c
+++ b/tests/test_SoftwareRecords.c
@@ -8,14 +8,16 @@
 #include "testing.h"
 
 #define WINDOW_MS 300
+#define REPEAT_MS 1200
 
 static struct event_base *base;
 static FakeSource_t source;
 static SoftwareVersions_t *versions;
 static SoftwareRecords_t *records;
+static StoreEpoch_t *epoch;
 
 static void
-begin(void)
+begin_with(gint64 repeat_ms, StoreEpoch_t *store_epoch)
 {
     base = event_base_new();
     FakeSource_init(&source, base);
@@ -24,10 +26,18 @@
                                   .topic = "software",
                                   .versions = versions,
                                   .router = "r1",
-                                  .window_ms = WINDOW_MS};
+                                  .window_ms = WINDOW_MS,
+                                  .repeat_ms = repeat_ms,
+                                  .epoch = store_epoch};
     records = SoftwareRecords_create(base, &spec);
 }
 
+static void
+begin(void)
+{
+    begin_with(0, NULL);
+}
+
 static void
 end(void)
 {
@@ -224,6 +234,39 @@
 }
 END_TEST
 
+/* A write that the store carried out late replaced the record, which named an
+ * earlier version for good. */
+START_TEST(a_changed_record_is_written_once_more)
+{
+    begin_with(REPEAT_MS, NULL);
+    put("a", "v1");
+    answer_read("s", RECORD_V1);
+    put("b", "v2");
+    await_written("v1", "v2");
+    gint64 written_ms = Clock_nowMs();
+    await_written("v1", "v2");
+    ck_assert_int_ge(Clock_nowMs() - written_ms, REPEAT_MS - 50);
+    end();
+}
+END_TEST
+
+/* The store had the record of its copy, which named an earlier version. */
+START_TEST(the_record_is_written_when_the_store_came_back_older)
+{
+    epoch = StoreEpoch_create(NULL);
+    StoreEpoch_note(epoch, 1, "test");
+    begin_with(0, epoch);
+    put("a", "v1");
+    answer_read("s", RECORD_V1);
+    put("b", "v2");
+    await_written("v1", "v2");
+    StoreEpoch_note(epoch, 2, "test");
+    await_written("v1", "v2");
+    end();
+    StoreEpoch_destroy(epoch);
+}
+END_TEST
+
 /* A record that other routers had not read yet was replaced. */
 START_TEST(nothing_is_written_before_the_record_is_read)
 {
@@ -248,4 +291,6 @@
              an_unreadable_record_counts_as_one, a_failed_read_is_repeated,
              a_caller_that_waits_hurries_the_read,
              each_change_of_the_versions_is_written,
+             a_changed_record_is_written_once_more,
+             the_record_is_written_when_the_store_came_back_older,
              nothing_is_written_before_the_record_is_read)
