A stream is asked for again once the services of its route are known

Callers whose streams broke off as all routers restarted got resume_unknown at a router that had read the records of versions a moment later, while the service had a single version all along.

Cause: whether a route may have had another service was decided when the query was sent, before the records were read that a query waits for (RelayOrigin).

--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -53,6 +53,8 @@
  * @digest: identifies the stream that the caller continues
  * @own_digest: identifies the stream by this request
  * @query: query for the version that began the stream, or NULL
+ * @may_change: when it was sent, the stream might have begun at another
+ * service
  * @is_resolved: the version was found, or the stream begins here
  * @is_begun: the caller gets events
  */
@@ -62,6 +64,7 @@
     RequestDigest_t digest;
     RequestDigest_t own_digest;
     OriginQuery_t *query;
+    gboolean may_change;
     gboolean is_resolved;
     gboolean is_begun;
 } RelayOrigin_t;
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -97,6 +97,16 @@
     return TRUE;
 }
 
+static gboolean ask(RelayExchange_t *this);
+
+/* The records of the services that the route had may have been read since. */
+static gboolean
+must_ask_again(const RelayExchange_t *this, const OriginAnswer_t *answer)
+{
+    return !answer->software && this->origin.may_change &&
+           !has_several_services(this);
+}
+
 static void
 on_asked(void *owner, const OriginAnswer_t *answer)
 {
@@ -106,7 +116,9 @@
     if (super->over || super->caller_left) {
         return;
     }
-    if (apply_answer(this, answer)) {
+    gboolean is_resolved =
+        must_ask_again(this, answer) ? ask(this) : apply_answer(this, answer);
+    if (is_resolved) {
         Exchange_place(super);
     }
 }
@@ -118,9 +130,10 @@
 {
     OriginAnswer_t answer;
     this->origin.digest = digest_of(this, resumed_id(this));
+    this->origin.may_change = has_several_services(this);
     this->origin.query =
         OriginKeeper_ask(this->super.context->origins, &this->origin.digest,
-                         this->super.target->str, has_several_services(this),
+                         this->super.target->str, this->origin.may_change,
                          &answer, on_asked, this);
     return !this->origin.query && apply_answer(this, &answer);
 }
