A router that does not know what served writes no record of versions

Callers got streams joined from two software versions after the store had come back from an older copy while all routers restarted.

Cause: a router that found no record of a service, so that it did not know which versions had served it, still wrote one of the versions in its list (SoftwareRecords). Routers that started later took it for complete: the only version in record and list was taken for the one that began the stream.

Nothing is written until all versions of the window are known; a service without a record is unknown to those that start. Streams are told and kept on the store while that lasts, as they were before at the first start of all.

--- a/src/SoftwareRecords.c
+++ b/src/SoftwareRecords.c
@@ -182,18 +182,26 @@
     }
 }
 
-/* The versions of a service without upstreams remain those that it had last.
- */
+static gboolean
+is_known(const SoftwareRecords_t *this, const char *service)
+{
+    return SoftwareVersions_isKnown(this->spec.versions, service,
+                                    this->spec.window_ms, Clock_nowMs());
+}
+
+/* The versions of a service without upstreams remain those that it had last. A
+ * router that found no record does not know which versions served before its
+ * start, and its record would pass for one that states them all. */
 static void
 check_service(void *owner, const char *service)
 {
     const SoftwareRecords_t *this = owner;
     g_autoptr(GPtrArray) serving =
         list_serving(this, service, this->spec.window_ms);
-    if (serving->len > 0) {
+    if (serving->len > 0 && is_known(this, service)) {
         update_record(this, service, serving);
     }
-    else {
+    else if (serving->len == 0) {
         remove_record(this, service);
     }
 }
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -241,9 +241,9 @@
     }
 }
 
-static gboolean
-is_window_known(const SoftwareVersions_t *this, const char *service,
-                gint64 window_ms, gint64 now_ms)
+gboolean
+SoftwareVersions_isKnown(const SoftwareVersions_t *this, const char *service,
+                         gint64 window_ms, gint64 now_ms)
 {
     gboolean is_recorded =
         this->is_learned &&
@@ -265,7 +265,8 @@
 {
     const GPtrArray *versions = g_hash_table_lookup(this->services, service);
     const char *only = NULL;
-    if (!versions || !is_window_known(this, service, window_ms, now_ms)) {
+    if (!versions ||
+        !SoftwareVersions_isKnown(this, service, window_ms, now_ms)) {
         return NULL;
     }
     for (guint i = 0; i < versions->len; i++) {
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -70,6 +70,12 @@
 void SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
                              gint64 now_ms);
 
+/** SoftwareVersions_isKnown() - whether all versions are known that served a
+ * service within the last @window_ms */
+gboolean SoftwareVersions_isKnown(const SoftwareVersions_t *this,
+                                  const char *service, gint64 window_ms,
+                                  gint64 now_ms);
+
 /**
  * SoftwareVersions_findOnly() - the single version that has served a service
  * within the last @window_ms
