--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "RouteServices.h"
 
 static gboolean
 is_continuation(const RelayExchange_t *this)
@@ -29,7 +30,10 @@
 static gboolean
 has_several_services(const RelayExchange_t *this)
 {
-    return this->route->targets->len > 1;
+    const Exchange_t *super = &this->super;
+    return !RouteServices_hasOnly(
+        super->context->versions, this->route, super->target->str,
+        super->context->settings->relay.resume_window_ms, Clock_nowMs());
 }
 
 static gboolean
@@ -93,6 +97,16 @@
     return TRUE;
 }
 
+static gboolean ask(RelayExchange_t *this);
+
+/* The records of the services that the route had may have been read since. */
+static gboolean
+must_ask_again(const RelayExchange_t *this, const OriginAnswer_t *answer)
+{
+    return !answer->software && this->origin.may_change &&
+           !has_several_services(this);
+}
+
 static void
 on_asked(void *owner, const OriginAnswer_t *answer)
 {
@@ -102,7 +116,9 @@
     if (super->over || super->caller_left) {
         return;
     }
-    if (apply_answer(this, answer)) {
+    gboolean is_resolved =
+        must_ask_again(this, answer) ? ask(this) : apply_answer(this, answer);
+    if (is_resolved) {
         Exchange_place(super);
     }
 }
@@ -114,9 +130,10 @@
 {
     OriginAnswer_t answer;
     this->origin.digest = digest_of(this, resumed_id(this));
+    this->origin.may_change = has_several_services(this);
     this->origin.query =
         OriginKeeper_ask(this->super.context->origins, &this->origin.digest,
-                         this->super.target->str, has_several_services(this),
+                         this->super.target->str, this->origin.may_change,
                          &answer, on_asked, this);
     return !this->origin.query && apply_answer(this, &answer);
 }
@@ -172,16 +189,36 @@
     this->origin.is_begun = TRUE;
 }
 
-const char *
-RelayOrigin_requiredSoftware(const RelayExchange_t *this)
+/* One that has started again since it was listed may have other software. */
+static gboolean
+has_upstream_of_unknown_software(const RelayExchange_t *this)
 {
-    const GString *software = this->origin.software;
-    if (!software) {
-        return NULL;
+    const Exchange_t *super = &this->super;
+    const GPtrArray *serving = UpstreamSet_findServing(
+        super->context->upstreams, ROLE_SERVICE, super->target->str);
+    for (guint i = 0; i < serving->len; i++) {
+        if (!Upstream_isSoftwareKnown(g_ptr_array_index(serving, i))) {
+            return TRUE;
+        }
     }
+    return FALSE;
+}
+
+/* All upstreams are of the version that the stream needs. */
+static gboolean
+is_only_version(const RelayExchange_t *this)
+{
     const char *only = OriginKeeper_findOnly(this->super.context->origins,
                                              this->super.target->str);
-    return only && strcmp(only, software->str) == 0 ? NULL : software->str;
+    return only && strcmp(only, this->origin.software->str) == 0 &&
+           !has_upstream_of_unknown_software(this);
+}
+
+const char *
+RelayOrigin_requiredSoftware(const RelayExchange_t *this)
+{
+    const GString *software = this->origin.software;
+    return !software || is_only_version(this) ? NULL : software->str;
 }
 
 static void
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -206,12 +206,20 @@
 void
 SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
                      const char *service, const char *software, gint64 now_ms)
+{
+    this->since_ms = this->since_ms > 0 ? this->since_ms : now_ms;
+    SoftwareVersions_putTarget(this, upstream, service, software, now_ms);
+}
+
+void
+SoftwareVersions_putTarget(SoftwareVersions_t *this, const char *upstream,
+                           const char *service, const char *software,
+                           gint64 now_ms)
 {
     Version_t *old = g_hash_table_lookup(this->upstreams, upstream);
     if (old && is_current(old, service, software)) {
         return;
     }
-    this->since_ms = this->since_ms > 0 ? this->since_ms : now_ms;
     const GPtrArray *versions = get_versions(this, service);
     Version_t *version = find_version(versions, software);
     if (!version) {
@@ -240,15 +248,16 @@
     }
 }
 
-static gboolean
-is_window_known(const SoftwareVersions_t *this, const char *service,
-                gint64 window_ms, gint64 now_ms)
+gboolean
+SoftwareVersions_isKnown(const SoftwareVersions_t *this, const char *service,
+                         gint64 window_ms, gint64 now_ms)
 {
     gboolean is_recorded =
         this->is_learned &&
         g_hash_table_contains(this->known_before, service) &&
         !g_hash_table_contains(this->mixed_before, service);
-    return is_recorded || now_ms - this->since_ms >= window_ms;
+    return is_recorded ||
+           (this->since_ms > 0 && now_ms - this->since_ms >= window_ms);
 }
 
 static gboolean
@@ -280,7 +289,7 @@
 SoftwareVersions_findOnly(const SoftwareVersions_t *this, const char *service,
                           gint64 window_ms, gint64 now_ms)
 {
-    return is_window_known(this, service, window_ms, now_ms)
+    return SoftwareVersions_isKnown(this, service, window_ms, now_ms)
                ? SoftwareVersions_findSole(this, service, window_ms, now_ms)
                : NULL;
 }
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -64,10 +64,22 @@
                           const char *service, const char *software,
                           gint64 now_ms);
 
+/** SoftwareVersions_putTarget() - the same for something else than an entry of
+ * the list of upstreams, which tells nothing of when the list was read */
+void SoftwareVersions_putTarget(SoftwareVersions_t *this, const char *upstream,
+                                const char *service, const char *software,
+                                gint64 now_ms);
+
 /** SoftwareVersions_remove() - an upstream is no longer listed */
 void SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
                              gint64 now_ms);
 
+/** SoftwareVersions_isKnown() - whether all versions are known that served a
+ * service within the last @window_ms */
+gboolean SoftwareVersions_isKnown(const SoftwareVersions_t *this,
+                                  const char *service, gint64 window_ms,
+                                  gint64 now_ms);
+
 /**
  * SoftwareVersions_findOnly() - the single version that has served a service
  * within the last @window_ms
