A stream of a single version goes on only at engines of known version

Callers got streams joined from two software versions: within one answer, and when they came back, a stream went on at an engine that had started again with other software, although the router knew that it had.

Cause: a stream of the only version that the list shows was placed without a version (RelayOrigin_requiredSoftware), so that Policy_mayUse let through an engine whose version is unknown because its entry is that of its former start.

A version is now required unless all upstreams of the service are known to run it. test_software.RestartedSingleVersionTest, 2 tests: both failed before, with events of v2 behind events of v1; passed 3 of 3 times now.

--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -172,6 +172,22 @@
     this->origin.is_begun = TRUE;
 }
 
+/* The list shows the version of an upstream that has started again as it was
+ * before, until its entry changes. */
+static gboolean
+do_all_run(const RelayExchange_t *this, const char *software)
+{
+    const GPtrArray *serving = UpstreamSet_findServing(
+        this->super.context->upstreams, ROLE_SERVICE, this->super.target->str);
+    for (guint i = 0; i < serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(serving, i);
+        if (strcmp(Upstream_software(upstream), software) != 0) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 const char *
 RelayOrigin_requiredSoftware(const RelayExchange_t *this)
 {
@@ -181,7 +197,8 @@
     }
     const char *only = OriginKeeper_findOnly(this->super.context->origins,
                                              this->super.target->str);
-    return only && strcmp(only, software->str) == 0 ? NULL : software->str;
+    gboolean is_only = only && strcmp(only, software->str) == 0;
+    return is_only && do_all_run(this, only) ? NULL : software->str;
 }
 
 static void
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -1,5 +1,6 @@
 """Streams that go on while engines of two software versions serve."""
 import collections
+import http.client
 import json
 import re
 import threading
@@ -385,6 +386,59 @@
                  "the engine in use")
 
 
+class RestartedSingleVersionTest(SoftwareTest):
+    SOFTWARE = VERSIONS[:1]
+
+    def setUp(self):
+        super().setUp()
+        wait_for(lambda: self.fleet.store.records("keyed.software"),
+                 "the record of the versions")
+        self.restart_all()
+        self.router = self.routers[0]
+        self.router.wait_event("software_records_read")
+        self.restarted, self.other = self.engines
+
+    def restart_unlisted(self):
+        """Starts an engine with other software, which the list does not show
+        yet, until the router knows that it has started again."""
+        self.restarted.kill()
+        wait_for(lambda: self.fleet.ask(
+            self.router, "/ask/x", X_Prompt_Prefix="%x:200,1:100"
+            % (0x4000 + self.fleet.numbers)) and
+            self.router.events("upstream_doubted"), "the loss of the engine")
+        self.restarted.software = VERSIONS[1]
+        self.restarted.piece = VERSIONS[1].encode()
+        self.restarted.revive(is_listed=False)
+        self.router.wait_event("upstream_reached")
+
+    def begin_at_other(self):
+        return [stream for stream in self.begin_streams(self.router)
+                if stream.engine is self.other]
+
+    # While the list showed a single version, an engine whose version was not
+    # known passed for one of it.
+    def test_stream_does_not_go_on_at_an_engine_of_an_old_entry(self):
+        begun = self.begin_at_other()
+        self.restart_unlisted()
+        for stream in begun:
+            answer = self.go_on(self.router, stream)
+            self.assertLessEqual(versions_of(answer.body), {b"v1"})
+
+    def test_stream_that_its_engine_resets_does_not_go_on_there(self):
+        self.restart_unlisted()
+        self.other.cut_after = EVENTS_READ
+        self.other.cut_pause_s = 0.02
+        for number in range(2 * STREAMS):
+            response = self.fleet.request(
+                self.router, "/ask/x",
+                X_Prompt_Prefix="%x:200,1:100" % (0x2000 + number))
+            try:
+                body = response.read()
+            except http.client.IncompleteRead as broken_off:
+                body = broken_off.partial
+            self.assertLessEqual(len(versions_of(body)), 1, body)
+
+
 class LateTest(SoftwareTest):
     TOKENS = "15000,10"  # a quarter of a second at an engine
     HELD_S = 0.5
