A version that came and went unseen is not left out

A router that had been cut off could take the version that it found for the only one: upstreams of another version had been listed and removed meanwhile, and the records of that had expired from the store's log, so that the list which the router read anew showed nothing of them. A stream that such an upstream had begun would go on at the other version, without anybody being asked.

A router that lists the upstreams anew after a time in which its list was not up to date, or gets the removal of an upstream that it has never seen, now counts the versions of all services as unknown for resume_window, as after its start: it tells its own streams and asks.

test_UpstreamListing: versions_that_came_and_went_unseen_make_a_service_unknown and a_removal_of_an_unseen_upstream_makes_services_unknown failed before.

--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -292,6 +292,9 @@
     Log_number("epoch", (gint64)this->next.epoch);
     Log_number("next", (gint64)this->next.offset);
     Log_end();
+    if (this->events->expired) {
+        this->events->expired(this->owner);
+    }
     begin_list(this);
     call_store(this);
 }
--- a/src/RecordFollower.h
+++ b/src/RecordFollower.h
@@ -26,6 +26,8 @@
  * @lost: a call to the store failed, and it is the first one or follows one
  *     that succeeded; may be NULL
  * @restored: a call succeeded after failed ones; may be NULL
+ * @expired: records expired before they were read, and a list follows, which
+ *     lacks keys that came and went; may be NULL
  * @wait_ms: how long to leave a call to the store to peers, 0 to make the call
  *     now; @lists is TRUE if the call is for the remainder of a list. Not
  *     called for the first call to the store; may be NULL
@@ -37,6 +39,7 @@
     void (*current)(void *owner, StorePosition_t end, gint64 at_ms);
     void (*lost)(void *owner, const GError *error);
     void (*restored)(void *owner);
+    void (*expired)(void *owner);
     gint64 (*wait_ms)(void *owner, gboolean lists);
     gboolean (*gap)(void *owner);
 } RecordFollowerEvents_t;
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -176,6 +176,25 @@
     return this->is_learned;
 }
 
+void
+SoftwareVersions_noteGap(SoftwareVersions_t *this, gint64 now_ms)
+{
+    GHashTableIter iter;
+    gpointer service = NULL;
+    if (this->since_ms == 0) {
+        return;
+    }
+    this->since_ms = now_ms;
+    g_hash_table_remove_all(this->known_before);
+    Log_begin(LOG_LEVEL_INFO, "software_gap");
+    Log_number("services", g_hash_table_size(this->services));
+    Log_end();
+    g_hash_table_iter_init(&iter, this->services);
+    while (g_hash_table_iter_next(&iter, &service, NULL)) {
+        call_mixed(this, service);
+    }
+}
+
 static void
 release(const SoftwareVersions_t *this, Version_t *version, gint64 now_ms)
 {
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -19,7 +19,7 @@
 typedef struct SoftwareVersions SoftwareVersions_t;
 
 /** SoftwareVersionsMixed_t - a service that had one version has got another
- * one */
+ * one, or may have had one unseen */
 typedef void (*SoftwareVersionsMixed_t)(void *owner, const char *service);
 
 /** SoftwareVersions_create() - create without any upstream; what served before
@@ -54,6 +54,10 @@
  */
 gboolean SoftwareVersions_isLearned(const SoftwareVersions_t *this);
 
+/** SoftwareVersions_noteGap() - upstreams may have come and gone unseen: what
+ * served before is unknown, as at the start */
+void SoftwareVersions_noteGap(SoftwareVersions_t *this, gint64 now_ms);
+
 /** SoftwareVersions_put() - an upstream is listed with this service and
  * version; replaces what was known of it */
 void SoftwareVersions_put(SoftwareVersions_t *this, const char *upstream,
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -74,6 +74,7 @@
     gint64 restored_ms;       /* end of the last outage; 0 if there was none */
     gboolean known;           /* any part of the list has been read */
     gboolean is_from_peer;    /* the records being applied are a peer's */
+    gboolean is_expired;      /* records expired before they were read */
     gboolean is_list_open;    /* list records came since the last end */
     guint listed;             /* new upstreams since the last end */
     gint64 current_ms;        /* when the topic's end was last known */
@@ -137,10 +138,21 @@
     return this->restored_ms + this->spec.return_ms - Clock_nowMs();
 }
 
+/* What was listed and removed meanwhile is not known. */
+static void
+note_gap(const UpstreamListing_t *this)
+{
+    if (this->spec.versions && this->current_ms > 0) {
+        SoftwareVersions_noteGap(this->spec.versions, Clock_nowMs());
+    }
+}
+
 static void
 apply_removal(UpstreamListing_t *this, const char *name)
 {
-    g_hash_table_remove(this->entry_hashes, name);
+    if (!g_hash_table_remove(this->entry_hashes, name)) {
+        note_gap(this);
+    }
     if (!UpstreamSet_find(this->spec.upstreams, name)) {
         return;
     }
@@ -510,6 +522,11 @@
 static void
 note_current(UpstreamListing_t *this, StorePosition_t end, gint64 at_ms)
 {
+    if (this->is_expired &&
+        at_ms - this->current_ms > this->spec.poll_ms + READ_MIN_MS) {
+        note_gap(this);
+    }
+    this->is_expired = FALSE;
     if (this->is_list_open || !this->known) {
         end_list(this, end);
     }
@@ -710,6 +727,13 @@
     return Random_below((guint32)max_ms);
 }
 
+static void
+on_expired(void *owner)
+{
+    UpstreamListing_t *this = owner;
+    this->is_expired = TRUE;
+}
+
 /* The store was restored from an older copy. Entries that it lost are written
  * again, as after any outage; until then the known upstreams stay in use. */
 static void
@@ -799,6 +823,7 @@
     .record = on_record,
     .current = on_current,
     .restored = on_restored,
+    .expired = on_expired,
     .wait_ms = call_wait_ms,
     .gap = on_gap,
 };
--- a/tests/test_SoftwareVersions.c
+++ b/tests/test_SoftwareVersions.c
@@ -110,6 +110,21 @@
 }
 END_TEST
 
+START_TEST(what_served_unseen_is_not_known)
+{
+    SoftwareVersions_t *this = create(TRUE);
+    SoftwareVersions_noteGap(this, 1);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    ck_assert_str_eq(find(this, 1), "v1");
+    SoftwareVersions_noteGap(this, 2);
+    ck_assert_uint_eq(mixed_calls, 1);
+    ck_assert_ptr_null(find(this, 2));
+    ck_assert_ptr_null(find(this, WINDOW_MS + 1));
+    ck_assert_str_eq(find(this, WINDOW_MS + 2), "v1");
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
 START_TEST(a_service_that_had_several_versions_before_is_not_known)
 {
     SoftwareVersions_t *this = create(TRUE);
@@ -205,6 +220,7 @@
              a_service_of_which_nothing_is_recorded_is_not_known,
              versions_that_serve_are_listed_in_order,
              a_router_that_did_not_learn_is_sure_after_the_window,
+             what_served_unseen_is_not_known,
              a_service_that_had_several_versions_before_is_not_known,
              a_version_that_ended_counts_for_the_window,
              an_upstream_that_starts_again_with_other_software_changes_version,
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -16,6 +16,11 @@
 /* Exceeds PEER_TRANSIT_MIN_MS, which is added to a message's age. */
 #define PEER_DELAY_US ((PEER_TRANSIT_MIN_MS + 10) * CLOCK_US_PER_MS)
 
+/* Exceeds the time within which the list counts as up to date. */
+#define OLD_MS (POLL_MS + 700)
+
+#define WINDOW_MS 30000
+
 /* Length of a long list. */
 #define MANY 500
 /* Maximum number of index rebuilds for one target and one look-up. */
@@ -26,6 +31,7 @@
 static struct event_base *base;
 static UpstreamSet_t *upstreams;
 static HallRegions_t *regions;
+static SoftwareVersions_t *versions;
 static guint decoded;
 
 /* Entries have the form TARGET[:INCARNATION], and the target is also the hall;
@@ -68,6 +74,7 @@
                                   .decode = decode,
                                   .upstreams = upstreams,
                                   .epoch = epoch,
+                                  .versions = versions,
                                   .poll_ms = POLL_MS,
                                   .return_ms = RETURN_MS,
                                   .regions = regions};
@@ -405,7 +412,72 @@
 }
 END_TEST
 
+/* Begins with a service that had a single version. */
+static UpstreamListing_t *
+begin_with_version(void)
+{
+    versions = SoftwareVersions_create();
+    SoftwareVersions_noteBefore(versions, "m", "", Clock_nowMs());
+    SoftwareVersions_learn(versions);
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    return listing;
+}
+
+static gboolean
+has_one_version(void)
+{
+    return SoftwareVersions_findOnly(versions, "m", WINDOW_MS,
+                                     Clock_nowMs()) != NULL;
+}
+
+static void
+end_with_version(UpstreamListing_t *listing)
+{
+    end(listing);
+    SoftwareVersions_destroy(versions);
+    versions = NULL;
+}
+
+/* A router that had been cut off took the version that it found for the only
+ * one, as upstreams of another one had come and gone meanwhile. */
+START_TEST(versions_that_came_and_went_unseen_make_a_service_unknown)
+{
+    UpstreamListing_t *listing = begin_with_version();
+    ck_assert(has_one_version());
+    g_usleep(OLD_MS * 1000);
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    answer(1, "a", "m");
+    ck_assert(!has_one_version());
+    end_with_version(listing);
+}
+END_TEST
+
+START_TEST(a_list_read_again_in_time_shows_all_versions)
+{
+    UpstreamListing_t *listing = begin_with_version();
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    answer(1, "a", "m");
+    ck_assert(has_one_version());
+    end_with_version(listing);
+}
+END_TEST
+
+START_TEST(a_removal_of_an_unseen_upstream_makes_services_unknown)
+{
+    UpstreamListing_t *listing = begin_with_version();
+    receive_record(listing, "a", "m", 0);
+    ck_assert(has_one_version());
+    answer(3, "b", NULL);
+    ck_assert(!has_one_version());
+    end_with_version(listing);
+}
+END_TEST
+
 TESTING_MAIN("UpstreamListing",
+             versions_that_came_and_went_unseen_make_a_service_unknown,
+             a_list_read_again_in_time_shows_all_versions,
+             a_removal_of_an_unseen_upstream_makes_services_unknown,
              a_restarted_upstream_loses_the_state_of_its_former_incarnation,
              an_older_incarnation_does_not_end_leaving,
              an_unreadable_entry_removes_only_its_own_upstream,
