A stream whose id was used twice goes on at no version

A caller that used the id of a request again, within resume_window of a stream that had broken off, got the rest of its second stream from the version that had begun the first one.

Cause: the first version that was stored for an id remained (StreamOrigins_put), here, at owners and in records.

The test that the first version remains was wrong in that: it is replaced by one that a renewed entry keeps its version and one that an entry of two versions has none. Found by review; callers of the platform use each id once.

--- a/src/StreamOrigins.c
+++ b/src/StreamOrigins.c
@@ -1,5 +1,7 @@
 #include "StreamOrigins.h"
 
+#include <string.h>
+
 struct StreamOrigins {
     guint max;
     GHashTable *links; /* &digest -> GList in @order */
@@ -68,6 +70,17 @@
     return link->data;
 }
 
+/* A caller that uses an id again may mean either stream. */
+static void
+note_begun(StreamOrigin_t *entry, const char *service, const char *software)
+{
+    if (strcmp(entry->service, service) != 0 ||
+        strcmp(entry->software, software) != 0) {
+        g_ref_string_release(entry->software);
+        entry->software = g_ref_string_new_intern("");
+    }
+}
+
 StreamOrigin_t *
 StreamOrigins_put(StreamOrigins_t *this, const RequestDigest_t *digest,
                   const char *service, const char *software, gint64 expires_ms,
@@ -77,6 +90,7 @@
     GList *link = g_hash_table_lookup(this->links, digest);
     StreamOrigin_t *entry = link ? renew_entry(this, link)
                                  : add_entry(this, digest, service, software);
+    note_begun(entry, service, software);
     entry->expires_ms = MAX(entry->expires_ms, expires_ms);
     entry->renewed_ms = now_ms;
     return entry;
--- a/src/StreamOrigins.h
+++ b/src/StreamOrigins.h
@@ -16,7 +16,8 @@
  * struct StreamOrigin_t - what began a stream
  * @digest: identifies the request that brought the stream's first event
  * @service: service of the upstream
- * @software: software version of the upstream; empty if it was not known
+ * @software: software version of the upstream; empty if it was not known,
+ * or the same request began at several
  * @expires_ms: when the entry is dropped unless the stream runs here,
  * monotonic
  * @renewed_ms: when the entry was added or last renewed, monotonic
@@ -53,7 +54,8 @@
 /**
  * StreamOrigins_put() - add an entry, or renew the one of this digest
  *
- * The first version that is stored for a digest remains.
+ * If another service or version is stored for the digest, the version counts
+ * as not known from then on.
  *
  * Return: the entry, valid until the next call that changes the table
  */
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -385,6 +385,25 @@
 }
 END_TEST
 
+/* A caller that used the id of a stream again got the rest from the version of
+ * the earlier one. */
+START_TEST(a_stream_that_began_at_two_versions_is_unknown)
+{
+    begin_fleet(1);
+    list_second_version();
+    guint number = 3;
+    guint first = stranger_of(number, 0);
+    begin_stream(first, number, "v1");
+    end_stream(first, number, FALSE);
+    pass_time(SETTLE_MS);
+    begin_stream(stranger_of(number, 1), number, "v2");
+    pass_time(SETTLE_MS);
+    g_autofree char *software = ask(stranger_of(number, 2), number, NULL);
+    ck_assert_str_eq(software ? software : "", "");
+    end_fleet();
+}
+END_TEST
+
 START_TEST(a_version_that_nobody_knows_is_not_guessed)
 {
     begin_fleet(1);
@@ -695,6 +714,7 @@
              nothing_is_sent_while_there_is_one_version,
              a_stream_begun_before_the_second_version_is_told_then,
              a_whole_stream_of_a_single_version_is_not_kept,
+             a_stream_that_began_at_two_versions_is_unknown,
              a_version_that_nobody_knows_is_not_guessed,
              a_stream_outlives_two_of_its_owners_and_its_router,
              owners_that_restarted_learn_of_streams_that_still_run,
--- a/tests/test_StreamOrigins.c
+++ b/tests/test_StreamOrigins.c
@@ -42,13 +42,27 @@
 {
     StreamOrigins_t *this = StreamOrigins_create(10);
     put(this, 1, "v1", 0);
-    put(this, 1, "v2", 50);
+    put(this, 1, "v1", 50);
     ck_assert_uint_eq(StreamOrigins_count(this), 1);
     ck_assert_str_eq(find(this, 1, LIFE_MS + 49)->software, "v1");
     StreamOrigins_destroy(this);
 }
 END_TEST
 
+/* The version of the first stream was taken for that of a second one with the
+ * same id. */
+START_TEST(an_entry_of_two_versions_has_none)
+{
+    StreamOrigins_t *this = StreamOrigins_create(10);
+    put(this, 1, "v1", 0);
+    put(this, 1, "v2", 50);
+    put(this, 1, "v2", 50);
+    ck_assert_uint_eq(StreamOrigins_count(this), 1);
+    ck_assert_str_eq(find(this, 1, LIFE_MS + 49)->software, "");
+    StreamOrigins_destroy(this);
+}
+END_TEST
+
 START_TEST(a_full_table_drops_what_was_renewed_least_recently)
 {
     StreamOrigins_t *this = StreamOrigins_create(2);
@@ -92,6 +106,7 @@
 END_TEST
 
 TESTING_MAIN("StreamOrigins", an_entry_is_found_until_it_expires,
+             an_entry_of_two_versions_has_none,
              a_renewed_entry_keeps_its_version_and_lives_longer,
              a_full_table_drops_what_was_renewed_least_recently,
              a_stream_that_runs_does_not_expire, a_removed_entry_is_gone)
