A router keeps an earlier stream in its record that it knows already

After a restart, a router left a stream of its former process out of its record if it had learnt of it otherwise: from a router that told it as an owner, or from a record that was read before. After a second restart of all routers such a stream was unknown, and refused.

Cause: OriginKeeper_restore did nothing for a stream that is known. It now notes that the stream is the router's own. test_OriginRecords. a_router_records_an_earlier_stream_that_is_known_already failed before (1 of 2 streams recorded).

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -368,15 +368,16 @@
                      gboolean is_own)
 {
     gint64 now_ms = Clock_nowMs();
-    if (StreamOrigins_find(this->origins, digest, now_ms)) {
-        return;
+    gint64 expires_ms = now_ms + this->spec.window_ms;
+    gboolean is_known =
+        StreamOrigins_find(this->origins, digest, now_ms) != NULL;
+    StreamOrigin_t *entry = StreamOrigins_put(this->origins, digest, service,
+                                              software, expires_ms, now_ms);
+    entry->is_restored = entry->is_restored || !is_known;
+    if (is_own) {
+        entry->is_recorded = TRUE;
+        entry->record_end_ms = MAX(entry->record_end_ms, expires_ms);
     }
-    StreamOrigin_t *entry =
-        StreamOrigins_put(this->origins, digest, service, software,
-                          now_ms + this->spec.window_ms, now_ms);
-    entry->is_restored = TRUE;
-    entry->is_recorded = is_own;
-    entry->record_end_ms = entry->expires_ms;
 }
 
 void
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -241,6 +241,28 @@
 }
 END_TEST
 
+/* It was left out of the record if another router told of it before the read,
+ * or had it in its record as well. */
+START_TEST(a_router_records_an_earlier_stream_that_is_known_already)
+{
+    begin();
+    answer_read(NULL, NULL);
+    begin_stream(1, "v1");
+    FakeSource_answerPut(&source, 0);
+    g_autoptr(GBytes) value = g_bytes_ref(source.put_value);
+    g_clear_pointer(&source.put_value, g_bytes_unref);
+    stop();
+    start();
+    RequestDigest_t key = digest(1);
+    OriginKeeper_restore(keeper, &key, "s", "v1", FALSE);
+    answer_read("r1", value);
+    begin_stream(2, "v2");
+    FakeSource_answerPut(&source, 0);
+    ck_assert_uint_eq(count_written(), 2);
+    end();
+}
+END_TEST
+
 START_TEST(a_router_does_not_record_the_streams_of_others)
 {
     begin();
@@ -367,6 +389,7 @@
 
 TESTING_MAIN("OriginRecords", streams_are_known_after_a_restart,
              a_router_records_its_earlier_streams_again,
+             a_router_records_an_earlier_stream_that_is_known_already,
              a_router_does_not_record_the_streams_of_others,
              nothing_is_written_before_the_records_are_read,
              writes_are_an_interval_apart,
