Restored streams displace none of the router's own

A router that starts in a large fleet read more streams than its table holds, and the streams of other routers displaced those that ran there, and those of its own record, which it then wrote without them.

Streams of other routers now take half of the table at the most; what is left out is logged (origins_restored, left_out). test_OriginRecords. restored_streams_displace_none_that_run failed before. Found by review.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -362,7 +362,15 @@
     }
 }
 
-void
+/* Streams of others leave half of the table to those of this router. */
+static gboolean
+has_room(const OriginKeeper_t *this, gboolean is_own)
+{
+    guint max = is_own ? STREAM_ORIGINS_MAX : STREAM_ORIGINS_MAX / 2;
+    return StreamOrigins_count(this->origins) < max;
+}
+
+gboolean
 OriginKeeper_restore(OriginKeeper_t *this, const RequestDigest_t *digest,
                      const char *service, const char *software,
                      gboolean is_own)
@@ -371,6 +379,9 @@
     gint64 expires_ms = now_ms + this->spec.window_ms;
     gboolean is_known =
         StreamOrigins_find(this->origins, digest, now_ms) != NULL;
+    if (!is_known && !has_room(this, is_own)) {
+        return FALSE;
+    }
     StreamOrigin_t *entry = StreamOrigins_put(this->origins, digest, service,
                                               software, expires_ms, now_ms);
     entry->is_restored = entry->is_restored || !is_known;
@@ -378,6 +389,7 @@
         entry->is_recorded = TRUE;
         entry->record_end_ms = MAX(entry->record_end_ms, expires_ms);
     }
+    return TRUE;
 }
 
 void
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -165,10 +165,13 @@
 /**
  * OriginKeeper_restore() - a stream was found on the platform's store
  * @is_own: in the record of an earlier process of this router
+ *
+ * Return: FALSE if too many are known already
  */
-void OriginKeeper_restore(OriginKeeper_t *this, const RequestDigest_t *digest,
-                          const char *service, const char *software,
-                          gboolean is_own);
+gboolean OriginKeeper_restore(OriginKeeper_t *this,
+                              const RequestDigest_t *digest,
+                              const char *service, const char *software,
+                              gboolean is_own);
 
 /** OriginKeeper_finishRestore() - all streams on the store were restored */
 void OriginKeeper_finishRestore(OriginKeeper_t *this);
--- a/src/OriginRecords.c
+++ b/src/OriginRecords.c
@@ -43,6 +43,7 @@
     struct event *remove_timer;
     gint64 written_ms; /* when the record was last written; 0 for never */
     guint restored;    /* streams that were read */
+    guint left_out;    /* streams that were read and not kept */
     gboolean is_read;
     gboolean is_changed;
 };
@@ -197,9 +198,13 @@
     for (gsize i = 0; i < MIN(count, ORIGIN_RECORD_STREAMS_MAX); i++) {
         memcpy(digest.bytes, group->digests.data + i * sizeof(digest.bytes),
                sizeof(digest.bytes));
-        OriginKeeper_restore(this->keeper, &digest, group->service,
-                             group->software, is_own);
-        this->restored++;
+        if (OriginKeeper_restore(this->keeper, &digest, group->service,
+                                 group->software, is_own)) {
+            this->restored++;
+        }
+        else {
+            this->left_out++;
+        }
     }
 }
 
@@ -237,6 +242,7 @@
     Log_begin(LOG_LEVEL_INFO, "origins_restored");
     Log_number("routers", this->read_keys->len);
     Log_number("streams", this->restored);
+    Log_number("left_out", this->left_out);
     Log_end();
     OriginKeeper_finishRestore(this->keeper);
     Clock_arm(this->remove_timer, REMOVE_DELAY_MS);
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -263,6 +263,21 @@
 }
 END_TEST
 
+/* The streams of many other routers took the place of those that ran here. */
+START_TEST(restored_streams_displace_none_that_run)
+{
+    begin();
+    begin_stream(1, "v1");
+    for (guint i = 0; i < STREAM_ORIGINS_MAX + 10; i++) {
+        RequestDigest_t key = digest(100 + i);
+        OriginKeeper_restore(keeper, &key, "s", "v2", FALSE);
+    }
+    ck_assert_uint_le(OriginKeeper_count(keeper), STREAM_ORIGINS_MAX);
+    check_stream(1, "v1", ORIGIN_FROM_HERE);
+    end();
+}
+END_TEST
+
 START_TEST(a_router_does_not_record_the_streams_of_others)
 {
     begin();
@@ -390,6 +405,7 @@
 TESTING_MAIN("OriginRecords", streams_are_known_after_a_restart,
              a_router_records_its_earlier_streams_again,
              a_router_records_an_earlier_stream_that_is_known_already,
+             restored_streams_displace_none_that_run,
              a_router_does_not_record_the_streams_of_others,
              nothing_is_written_before_the_records_are_read,
              writes_are_an_interval_apart,
