--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -153,13 +153,23 @@
                        has_several_services(this));
 }
 
+/* The entry that states the version may have changed since the request was
+ * sent. */
+static const char *
+find_begun_software(const RelayExchange_t *this)
+{
+    const Upstream_t *upstream = this->super.upstream;
+    return this->feedback.origin.incarnation == upstream->incarnation
+               ? Upstream_software(upstream)
+               : "";
+}
+
 void
 RelayOrigin_bind(RelayExchange_t *this)
 {
     const Exchange_t *super = &this->super;
     if (!this->origin.software) {
-        this->origin.software =
-            g_string_new(Upstream_software(super->upstream));
+        this->origin.software = g_string_new(find_begun_software(this));
     }
     if (!this->route->resumable) {
         return;
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -386,6 +386,29 @@
                  "the engine in use")
 
 
+    # A stream that an engine's former process had begun counted as one of the
+    # version that the engine runs by now.
+    def test_stream_of_an_engine_whose_entry_changed_before_the_first_event(
+            self):
+        router = self.routers[0]
+        for engine in self.engines:
+            engine.queue = threading.Event()
+        with ThreadPoolExecutor(1) as pool:
+            begins = pool.submit(self.begin, router)
+            wait_for(lambda: any(e.waiting for e in self.engines), "a stream")
+            engine, = [e for e in self.engines if e.waiting]
+            engine.software = VERSIONS[engine.software == VERSIONS[0]]
+            engine.start_again()
+            router.wait_event("upstream_reborn")
+            for other in self.engines:
+                other.queue.set()
+            begun = begins.result()
+        for other in self.engines:
+            other.queue = None
+        answer = self.go_on(router, begun)
+        self.assertLessEqual(versions_of(answer.body), {engine.piece})
+
+
 class RestartedSingleVersionTest(SoftwareTest):
     SOFTWARE = VERSIONS[:1]
 
