Records of streams are read soon after the store is back

Callers whose streams had broken off were refused (resume_unknown) for seconds after the store was back, while new streams began: if all routers had restarted while it was away, and in the same way streams that began after an outage were not recorded for up to 12 s.

Cause: the pause after failed calls doubles up to 8 s on average (StoredRecords), whatever the number of routers; the list of upstreams is read again after 0.8 s.

Records for which callers wait are now tried again after 0.8 s on average, or 25 ms for each router, so that 300 routers make no more calls than before. test_OriginRecords.failed_calls_are_repeated_within_what_callers_wait failed before (5.6 s). Found by review.

--- a/src/OriginRecords.c
+++ b/src/OriginRecords.c
@@ -135,6 +135,14 @@
     return pack(&record);
 }
 
+static guint
+count_routers(const OriginRecords_t *this)
+{
+    return this->spec.membership
+               ? Membership_countActive(this->spec.membership)
+               : 1;
+}
+
 static void
 write_record(OriginRecords_t *this)
 {
@@ -147,6 +155,7 @@
     }
     OriginKeeper_forEachRecorded(this->keeper, add_stream, &writing);
     g_autoptr(GBytes) value = pack_groups(writing.groups);
+    StoredRecords_setRouters(this->records, count_routers(this));
     StoredRecords_put(this->records, this->spec.router, value);
     g_ptr_array_unref(writing.groups);
     this->is_changed = FALSE;
@@ -156,10 +165,8 @@
 static gint64
 write_interval_ms(const OriginRecords_t *this)
 {
-    gint64 routers = this->spec.membership
-                         ? Membership_countActive(this->spec.membership)
-                         : 1;
-    return MAX(WRITE_INTERVAL_MS, routers * WRITE_SHARE_MS);
+    return MAX(WRITE_INTERVAL_MS,
+               (gint64)count_routers(this) * WRITE_SHARE_MS);
 }
 
 static void
@@ -309,6 +316,7 @@
 OriginRecords_scheduleRead(OriginRecords_t *this, gboolean is_urgent)
 {
     gint64 delay_ms = READ_DELAY_MS / 2 + Random_below(READ_DELAY_MS);
+    StoredRecords_setRouters(this->records, count_routers(this));
     StoredRecords_scheduleRead(this->records, is_urgent ? 0 : delay_ms);
 }
 
--- a/src/SoftwareRecords.c
+++ b/src/SoftwareRecords.c
@@ -254,6 +254,10 @@
 SoftwareRecords_scheduleRead(SoftwareRecords_t *this, gboolean is_urgent)
 {
     gint64 delay_ms = READ_DELAY_MS / 2 + Random_below(READ_DELAY_MS);
+    guint routers = this->spec.membership
+                        ? Membership_countActive(this->spec.membership)
+                        : 1;
+    StoredRecords_setRouters(this->records, routers);
     StoredRecords_scheduleRead(this->records, is_urgent ? 0 : delay_ms);
 }
 
--- a/src/StoredRecords.c
+++ b/src/StoredRecords.c
@@ -11,6 +11,12 @@
  * down, the longest pause leaves some 40 calls a second. */
 #define RETRY_PAUSE_MS 500
 #define RETRY_DOUBLINGS_MAX 4
+/* Longest mean pause where callers wait for what is read or written: as that
+ * of the followers of other topics, but at most 40 calls a second of all
+ * routers.
+ */
+#define RETRY_MAX_MIN_MS 800
+#define RETRY_SHARE_MS 25
 /* Beyond this limit a new write is dropped and logged. */
 #define PENDING_WRITES_MAX 1024
 
@@ -23,7 +29,8 @@
     guint record_count;    /* records read */
     guint failures;        /* failed calls in a row */
     gboolean is_read_begun;
-    gint64 read_at_ms; /* when the first read is scheduled; 0 for never */
+    gint64 retry_max_ms; /* longest mean pause after a failed call */
+    gint64 read_at_ms;   /* when the first read is scheduled; 0 for never */
     struct event *read_timer;
     struct event *write_timer;
 };
@@ -43,8 +50,9 @@
 static gint64
 next_pause_ms(StoredRecords_t *this)
 {
-    gint64 mean_ms = (gint64)RETRY_PAUSE_MS
-                     << MIN(this->failures, RETRY_DOUBLINGS_MAX);
+    gint64 doubled_ms = (gint64)RETRY_PAUSE_MS
+                        << MIN(this->failures, RETRY_DOUBLINGS_MAX);
+    gint64 mean_ms = MIN(doubled_ms, this->retry_max_ms);
     this->failures++;
     return mean_ms / 2 + Random_below((guint32)mean_ms);
 }
@@ -106,6 +114,13 @@
     evtimer_del(this->read_timer);
 }
 
+void
+StoredRecords_setRouters(StoredRecords_t *this, guint routers)
+{
+    this->retry_max_ms =
+        MAX((gint64)routers * RETRY_SHARE_MS, RETRY_MAX_MIN_MS);
+}
+
 void
 StoredRecords_scheduleRead(StoredRecords_t *this, gint64 in_ms)
 {
@@ -205,6 +220,7 @@
 {
     StoredRecords_t *this = g_new0(StoredRecords_t, 1);
     this->spec = *spec;
+    this->retry_max_ms = (gint64)RETRY_PAUSE_MS << RETRY_DOUBLINGS_MAX;
     this->last_key = g_string_new(NULL);
     this->writing_key = g_string_new(NULL);
     this->writes =
--- a/src/StoredRecords.h
+++ b/src/StoredRecords.h
@@ -62,6 +62,10 @@
  * progress continues */
 void StoredRecords_skipRead(StoredRecords_t *this);
 
+/** StoredRecords_setRouters() - callers wait for the records, so that pauses
+ * after failed calls are no longer than this number of routers requires */
+void StoredRecords_setRouters(StoredRecords_t *this, guint routers);
+
 /** StoredRecords_scheduleRead() - read the records after at most @in_ms; once
  * the first read was made it has no effect */
 void StoredRecords_scheduleRead(StoredRecords_t *this, gint64 in_ms);
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -11,6 +11,7 @@
 
 #define WINDOW_MS 30000
 #define INTERVAL_MS 200
+#define RETRY_MAX_MS 1600
 
 static struct event_base *base;
 static FakeSource_t source;
@@ -307,6 +308,27 @@
 }
 END_TEST
 
+/* Callers were refused for many seconds after the store was back. */
+START_TEST(failed_calls_are_repeated_within_what_callers_wait)
+{
+    begin();
+    for (guint i = 0; i < 4; i++) {
+        FakeSource_fail(&source, WT_ERROR_CONNECT);
+    }
+    gint64 failed_ms = Clock_nowMs();
+    answer_read(NULL, NULL);
+    ck_assert_int_lt(Clock_nowMs() - failed_ms, RETRY_MAX_MS);
+    begin_stream(1, "v1");
+    for (guint i = 0; i < 4; i++) {
+        FakeSource_answerPut(&source, WT_ERROR_CONNECT);
+    }
+    failed_ms = Clock_nowMs();
+    FakeSource_answerPut(&source, 0);
+    ck_assert_int_lt(Clock_nowMs() - failed_ms, RETRY_MAX_MS);
+    end();
+}
+END_TEST
+
 START_TEST(writes_are_an_interval_apart)
 {
     begin();
@@ -408,6 +430,7 @@
              restored_streams_displace_none_that_run,
              a_router_does_not_record_the_streams_of_others,
              nothing_is_written_before_the_records_are_read,
+             failed_calls_are_repeated_within_what_callers_wait,
              writes_are_an_interval_apart,
              a_stream_that_ended_is_recorded_for_a_while, a_record_has_a_bound,
              records_that_are_old_or_malformed_are_ignored)
