--- a/src/OriginRecords.c
+++ b/src/OriginRecords.c
@@ -43,6 +43,7 @@
     struct event *remove_timer;
     gint64 written_ms; /* when the record was last written; 0 for never */
     guint restored;    /* streams that were read */
+    guint left_out;    /* streams that were read and not kept */
     gboolean is_read;
     gboolean is_changed;
 };
@@ -134,6 +135,14 @@
     return pack(&record);
 }
 
+static guint
+count_routers(const OriginRecords_t *this)
+{
+    return this->spec.membership
+               ? Membership_countActive(this->spec.membership)
+               : 1;
+}
+
 static void
 write_record(OriginRecords_t *this)
 {
@@ -146,6 +155,7 @@
     }
     OriginKeeper_forEachRecorded(this->keeper, add_stream, &writing);
     g_autoptr(GBytes) value = pack_groups(writing.groups);
+    StoredRecords_setRouters(this->records, count_routers(this));
     StoredRecords_put(this->records, this->spec.router, value);
     g_ptr_array_unref(writing.groups);
     this->is_changed = FALSE;
@@ -155,10 +165,8 @@
 static gint64
 write_interval_ms(const OriginRecords_t *this)
 {
-    gint64 routers = this->spec.membership
-                         ? Membership_countActive(this->spec.membership)
-                         : 1;
-    return MAX(WRITE_INTERVAL_MS, routers * WRITE_SHARE_MS);
+    return MAX(WRITE_INTERVAL_MS,
+               (gint64)count_routers(this) * WRITE_SHARE_MS);
 }
 
 static void
@@ -197,9 +205,13 @@
     for (gsize i = 0; i < MIN(count, ORIGIN_RECORD_STREAMS_MAX); i++) {
         memcpy(digest.bytes, group->digests.data + i * sizeof(digest.bytes),
                sizeof(digest.bytes));
-        OriginKeeper_restore(this->keeper, &digest, group->service,
-                             group->software, is_own);
-        this->restored++;
+        if (OriginKeeper_restore(this->keeper, &digest, group->service,
+                                 group->software, is_own)) {
+            this->restored++;
+        }
+        else {
+            this->left_out++;
+        }
     }
 }
 
@@ -237,6 +249,7 @@
     Log_begin(LOG_LEVEL_INFO, "origins_restored");
     Log_number("routers", this->read_keys->len);
     Log_number("streams", this->restored);
+    Log_number("left_out", this->left_out);
     Log_end();
     OriginKeeper_finishRestore(this->keeper);
     Clock_arm(this->remove_timer, REMOVE_DELAY_MS);
@@ -303,6 +316,7 @@
 OriginRecords_scheduleRead(OriginRecords_t *this, gboolean is_urgent)
 {
     gint64 delay_ms = READ_DELAY_MS / 2 + Random_below(READ_DELAY_MS);
+    StoredRecords_setRouters(this->records, count_routers(this));
     StoredRecords_scheduleRead(this->records, is_urgent ? 0 : delay_ms);
 }
 
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -170,13 +170,23 @@
                        has_several_services(this));
 }
 
+/* The entry that states the version may have changed since the request was
+ * sent. */
+static const char *
+find_begun_software(const RelayExchange_t *this)
+{
+    const Upstream_t *upstream = this->super.upstream;
+    return this->feedback.origin.incarnation == upstream->incarnation
+               ? Upstream_software(upstream)
+               : "";
+}
+
 void
 RelayOrigin_bind(RelayExchange_t *this)
 {
     const Exchange_t *super = &this->super;
     if (!this->origin.software) {
-        this->origin.software =
-            g_string_new(Upstream_software(super->upstream));
+        this->origin.software = g_string_new(find_begun_software(this));
     }
     if (!this->route->resumable) {
         return;
@@ -189,36 +199,33 @@
     this->origin.is_begun = TRUE;
 }
 
-/* One that has started again since it was listed may have other software. */
+/* The list shows the version of an upstream that has started again as it was
+ * before, until its entry changes. */
 static gboolean
-has_upstream_of_unknown_software(const RelayExchange_t *this)
+do_all_run(const RelayExchange_t *this, const char *software)
 {
-    const Exchange_t *super = &this->super;
     const GPtrArray *serving = UpstreamSet_findServing(
-        super->context->upstreams, ROLE_SERVICE, super->target->str);
+        this->super.context->upstreams, ROLE_SERVICE, this->super.target->str);
     for (guint i = 0; i < serving->len; i++) {
-        if (!Upstream_isSoftwareKnown(g_ptr_array_index(serving, i))) {
-            return TRUE;
+        const Upstream_t *upstream = g_ptr_array_index(serving, i);
+        if (strcmp(Upstream_software(upstream), software) != 0) {
+            return FALSE;
         }
     }
-    return FALSE;
-}
-
-/* All upstreams are of the version that the stream needs. */
-static gboolean
-is_only_version(const RelayExchange_t *this)
-{
-    const char *only = OriginKeeper_findOnly(this->super.context->origins,
-                                             this->super.target->str);
-    return only && strcmp(only, this->origin.software->str) == 0 &&
-           !has_upstream_of_unknown_software(this);
+    return TRUE;
 }
 
 const char *
 RelayOrigin_requiredSoftware(const RelayExchange_t *this)
 {
     const GString *software = this->origin.software;
-    return !software || is_only_version(this) ? NULL : software->str;
+    if (!software) {
+        return NULL;
+    }
+    const char *only = OriginKeeper_findOnly(this->super.context->origins,
+                                             this->super.target->str);
+    gboolean is_only = only && strcmp(only, software->str) == 0;
+    return is_only && do_all_run(this, only) ? NULL : software->str;
 }
 
 static void
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -80,10 +80,10 @@
     gint64 restored_ms;       /* end of the last outage; 0 if there was none */
     gboolean known;           /* any part of the list has been read */
     gboolean is_from_peer;    /* the records being applied are a peer's */
+    gboolean is_expired;      /* records expired before they were read */
     gboolean is_list_open;    /* list records came since the last end */
     guint listed;             /* new upstreams since the last end */
     gint64 current_ms;        /* when the topic's end was last known */
-    guint64 end_epoch;        /* epoch of that end */
     gint64 checked_ms;        /* when the end was last checked */
     gint64 peer_update_ms;    /* when a peer last sent new records */
     guint retries;            /* consecutive calls made after a failure */
@@ -145,10 +145,21 @@
     return this->restored_ms + this->spec.return_ms - Clock_nowMs();
 }
 
+/* What was listed and removed meanwhile is not known. */
+static void
+note_gap(const UpstreamListing_t *this)
+{
+    if (this->spec.versions && this->current_ms > 0) {
+        SoftwareVersions_noteGap(this->spec.versions, Clock_nowMs());
+    }
+}
+
 static void
 apply_removal(UpstreamListing_t *this, const char *name)
 {
-    g_hash_table_remove(this->entry_hashes, name);
+    if (!g_hash_table_remove(this->entry_hashes, name)) {
+        note_gap(this);
+    }
     if (!UpstreamSet_find(this->spec.upstreams, name)) {
         return;
     }
@@ -437,31 +448,13 @@
     ListedUpstream_clear(&entry);
 }
 
-/* A router that lists again after some time does not learn of upstreams that
- * came and went meanwhile. What a store of a new epoch lists does not say less
- * than what this router knew of the former one. */
-static void
-note_gap(const UpstreamListing_t *this, const KeyedRecord_t *record)
-{
-    if (!this->spec.versions || this->current_ms == 0 ||
-        record->position.epoch != this->end_epoch ||
-        UpstreamListing_isCurrent(this)) {
-        return;
-    }
-    SoftwareVersions_noteGap(this->spec.versions, Clock_nowMs());
-    Log_begin(LOG_LEVEL_WARNING, "software_gap");
-    Log_number("age_ms", Clock_nowMs() - this->current_ms);
-    Log_end();
-}
-
 /* A router that knows only a part of the upstreams already uses them. */
 static void
-note_list_record(UpstreamListing_t *this, const KeyedRecord_t *record)
+note_list_record(UpstreamListing_t *this)
 {
     this->known = TRUE;
     if (RecordFollower_isListing(this->follower) && !this->is_list_open) {
         this->is_list_open = TRUE;
-        note_gap(this, record);
     }
 }
 
@@ -470,7 +463,7 @@
 {
     UpstreamListing_t *this = owner;
     const char *name = record->key->str;
-    note_list_record(this, record);
+    note_list_record(this);
     ListCopy_put(this->copy, record);
     if (!record->value) {
         relay_change(this, record);
@@ -536,12 +529,16 @@
 static void
 note_current(UpstreamListing_t *this, StorePosition_t end, gint64 at_ms)
 {
+    if (this->is_expired &&
+        at_ms - this->current_ms > this->spec.poll_ms + READ_MIN_MS) {
+        note_gap(this);
+    }
+    this->is_expired = FALSE;
     if (this->is_list_open || !this->known) {
         end_list(this, end);
     }
     log_listed(this, end);
     this->current_ms = at_ms;
-    this->end_epoch = end.epoch;
     if (this->exchange) {
         ListExchange_setCurrent(this->exchange, end, at_ms);
     }
@@ -737,6 +734,13 @@
     return Random_below((guint32)max_ms);
 }
 
+static void
+on_expired(void *owner)
+{
+    UpstreamListing_t *this = owner;
+    this->is_expired = TRUE;
+}
+
 /* The store was restored from an older copy. Entries that it lost are written
  * again, as after any outage; until then the known upstreams stay in use. */
 static void
@@ -826,6 +830,7 @@
     .record = on_record,
     .current = on_current,
     .restored = on_restored,
+    .expired = on_expired,
     .wait_ms = call_wait_ms,
     .gap = on_gap,
 };
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -11,6 +11,7 @@
 
 #define WINDOW_MS 30000
 #define INTERVAL_MS 200
+#define RETRY_MAX_MS 1600
 
 static struct event_base *base;
 static FakeSource_t source;
@@ -265,6 +266,43 @@
 }
 END_TEST
 
+/* It was left out of the record if another router told of it before the read,
+ * or had it in its record as well. */
+START_TEST(a_router_records_an_earlier_stream_that_is_known_already)
+{
+    begin();
+    answer_read(NULL, NULL);
+    begin_stream(1, "v1");
+    FakeSource_answerPut(&source, 0);
+    g_autoptr(GBytes) value = g_bytes_ref(source.put_value);
+    g_clear_pointer(&source.put_value, g_bytes_unref);
+    stop();
+    start();
+    RequestDigest_t key = digest(1);
+    OriginKeeper_restore(keeper, &key, "s", "v1", FALSE);
+    answer_read("r1", value);
+    begin_stream(2, "v2");
+    FakeSource_answerPut(&source, 0);
+    ck_assert_uint_eq(count_written(), 2);
+    end();
+}
+END_TEST
+
+/* The streams of many other routers took the place of those that ran here. */
+START_TEST(restored_streams_displace_none_that_run)
+{
+    begin();
+    begin_stream(1, "v1");
+    for (guint i = 0; i < STREAM_ORIGINS_MAX + 10; i++) {
+        RequestDigest_t key = digest(100 + i);
+        OriginKeeper_restore(keeper, &key, "s", "v2", FALSE);
+    }
+    ck_assert_uint_le(OriginKeeper_count(keeper), STREAM_ORIGINS_MAX);
+    check_stream(1, "v1", ORIGIN_FROM_HERE);
+    end();
+}
+END_TEST
+
 START_TEST(a_router_does_not_record_the_streams_of_others)
 {
     begin();
@@ -294,6 +332,27 @@
 }
 END_TEST
 
+/* Callers were refused for many seconds after the store was back. */
+START_TEST(failed_calls_are_repeated_within_what_callers_wait)
+{
+    begin();
+    for (guint i = 0; i < 4; i++) {
+        FakeSource_fail(&source, WT_ERROR_CONNECT);
+    }
+    gint64 failed_ms = Clock_nowMs();
+    answer_read(NULL, NULL);
+    ck_assert_int_lt(Clock_nowMs() - failed_ms, RETRY_MAX_MS);
+    begin_stream(1, "v1");
+    for (guint i = 0; i < 4; i++) {
+        FakeSource_answerPut(&source, WT_ERROR_CONNECT);
+    }
+    failed_ms = Clock_nowMs();
+    FakeSource_answerPut(&source, 0);
+    ck_assert_int_lt(Clock_nowMs() - failed_ms, RETRY_MAX_MS);
+    end();
+}
+END_TEST
+
 START_TEST(writes_are_an_interval_apart)
 {
     begin();
@@ -391,8 +450,11 @@
 
 TESTING_MAIN("OriginRecords", streams_are_known_after_a_restart,
              a_router_records_its_earlier_streams_again,
+             a_router_records_an_earlier_stream_that_is_known_already,
+             restored_streams_displace_none_that_run,
              a_router_does_not_record_the_streams_of_others,
              nothing_is_written_before_the_records_are_read,
+             failed_calls_are_repeated_within_what_callers_wait,
              writes_are_an_interval_apart,
              a_stream_that_ended_is_recorded_for_a_while, a_record_has_a_bound,
              records_that_are_old_or_malformed_are_ignored)
--- a/tests/test_UpstreamListing.c
+++ b/tests/test_UpstreamListing.c
@@ -22,6 +22,11 @@
 /* For which a router is away. */
 #define MISSED_MS 60000
 
+/* Exceeds the time within which the list counts as up to date. */
+#define OLD_MS (POLL_MS + 700)
+
+#define WINDOW_MS 30000
+
 /* Length of a long list. */
 #define MANY 500
 /* Maximum number of index rebuilds for one target and one look-up. */
@@ -480,7 +485,72 @@
 }
 END_TEST
 
+/* Begins with a service that had a single version. */
+static UpstreamListing_t *
+begin_with_version(void)
+{
+    versions = SoftwareVersions_create();
+    SoftwareVersions_noteBefore(versions, "m", "", Clock_nowMs());
+    SoftwareVersions_learn(versions);
+    UpstreamListing_t *listing = begin();
+    answer(1, "a", "m");
+    return listing;
+}
+
+static gboolean
+has_one_version(void)
+{
+    return SoftwareVersions_findOnly(versions, "m", WINDOW_MS,
+                                     Clock_nowMs()) != NULL;
+}
+
+static void
+end_with_version(UpstreamListing_t *listing)
+{
+    end(listing);
+    SoftwareVersions_destroy(versions);
+    versions = NULL;
+}
+
+/* A router that had been cut off took the version that it found for the only
+ * one, as upstreams of another one had come and gone meanwhile. */
+START_TEST(versions_that_came_and_went_unseen_make_a_service_unknown)
+{
+    UpstreamListing_t *listing = begin_with_version();
+    ck_assert(has_one_version());
+    g_usleep(OLD_MS * 1000);
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    answer(1, "a", "m");
+    ck_assert(!has_one_version());
+    end_with_version(listing);
+}
+END_TEST
+
+START_TEST(a_list_read_again_in_time_shows_all_versions)
+{
+    UpstreamListing_t *listing = begin_with_version();
+    FakeSource_fail(&source, WT_ERROR_TRUNCATED);
+    answer(1, "a", "m");
+    ck_assert(has_one_version());
+    end_with_version(listing);
+}
+END_TEST
+
+START_TEST(a_removal_of_an_unseen_upstream_makes_services_unknown)
+{
+    UpstreamListing_t *listing = begin_with_version();
+    receive_record(listing, "a", "m", 0);
+    ck_assert(has_one_version());
+    answer(3, "b", NULL);
+    ck_assert(!has_one_version());
+    end_with_version(listing);
+}
+END_TEST
+
 TESTING_MAIN("UpstreamListing",
+             versions_that_came_and_went_unseen_make_a_service_unknown,
+             a_list_read_again_in_time_shows_all_versions,
+             a_removal_of_an_unseen_upstream_makes_services_unknown,
              the_end_of_the_list_is_read_once_for_callers_that_wait,
              a_list_read_anew_after_long_does_not_show_a_single_version,
              a_list_read_anew_at_once_shows_a_single_version,
