A key that is no text hides no other record of its topic

Callers saw: a record of another writer under a key with a NUL byte, or with bytes that the store shows as half a surrogate, made the answer with the newest records unreadable as a whole. A router that started beside it never became ready (topic_lost, "\u0000 is not allowed", with a retry without end). Running routers took the record under the key "p1\0" for that of "p1": its removal took the upstream p1 out of service (503).

Cause: the list was parsed as strict text, and keys were cut at the NUL.

Keys keep their length, also as the key after which the next page continues. A record whose key is empty, not UTF-8, has control characters or U+FFFD can be no name: it is left out and named once in the log (record_key_invalid, at most 64 keys of a topic).

--- a/src/Json.c
+++ b/src/Json.c
@@ -4,6 +4,10 @@
 
 #include "Errors.h"
 
+/* An escaped code unit, and where its digits begin. */
+#define ESCAPE_LENGTH 6
+#define ESCAPE_DIGITS 2
+
 static void
 append_escape(GString *out, unsigned char byte)
 {
@@ -47,12 +51,12 @@
     g_string_append_c(out, '"');
 }
 
-json_t *
-Json_parse(const char *data, size_t length, GError **error)
+static json_t *
+parse_object(const char *data, size_t length, size_t flags, GError **error)
 {
     json_error_t parse_error;
     json_t *root =
-        json_loadb(data, length, JSON_REJECT_DUPLICATES, &parse_error);
+        json_loadb(data, length, JSON_REJECT_DUPLICATES | flags, &parse_error);
     if (!root) {
         g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY,
                     "line %d, column %d: %s", parse_error.line,
@@ -68,6 +72,61 @@
     return root;
 }
 
+json_t *
+Json_parse(const char *data, size_t length, GError **error)
+{
+    return parse_object(data, length, 0, error);
+}
+
+/* Returns the code unit of an escape such as \u00e9, or 0 if there is none. */
+static guint
+read_escape(const char *at)
+{
+    guint unit = 0;
+    if (at[0] != '\\' || at[1] != 'u') {
+        return 0;
+    }
+    for (gsize i = ESCAPE_DIGITS; i < ESCAPE_LENGTH; i++) {
+        if (!g_ascii_isxdigit(at[i])) {
+            return 0;
+        }
+        unit = unit * 16 + (guint)g_ascii_xdigit_value(at[i]);
+    }
+    return unit;
+}
+
+/* Returns the bytes of the escape at @at, after the repair of a surrogate
+ * without its other half. */
+static gsize
+repair_escape(char *at)
+{
+    guint unit = read_escape(at);
+    if (unit < 0xD800 || unit > 0xDFFF) {
+        return at[1] == '\0' ? 1 : 2;
+    }
+    guint next = read_escape(at + ESCAPE_LENGTH);
+    if (unit < 0xDC00 && next >= 0xDC00 && next <= 0xDFFF) {
+        return 2 * ESCAPE_LENGTH;
+    }
+    memcpy(at + ESCAPE_DIGITS, "fffd", ESCAPE_LENGTH - ESCAPE_DIGITS);
+    return ESCAPE_LENGTH;
+}
+
+json_t *
+Json_parseRepaired(const char *data, size_t length, GError **error)
+{
+    json_t *root = parse_object(data, length, JSON_ALLOW_NUL, NULL);
+    if (root) {
+        return root;
+    }
+    g_autofree char *text = g_utf8_make_valid(data, (gssize)length);
+    char *at = strchr(text, '\\');
+    while (at) {
+        at = strchr(at + repair_escape(at), '\\');
+    }
+    return parse_object(text, strlen(text), JSON_ALLOW_NUL, error);
+}
+
 const char *
 Json_getString(const json_t *object, const char *key)
 {
--- a/src/Json.h
+++ b/src/Json.h
@@ -29,6 +29,19 @@
  */
 json_t *Json_parse(const char *data, size_t length, GError **error);
 
+/**
+ * Json_parseRepaired() - parse a text that is one JSON object, in which other
+ * programs may have written some of the strings
+ * @length: bytes of @data
+ * @error: as of Json_parse()
+ *
+ * Strings may contain NUL. Bytes that are not UTF-8 and escaped surrogates
+ * without their other half are replaced by U+FFFD.
+ *
+ * Return: a new reference, or NULL
+ */
+json_t *Json_parseRepaired(const char *data, size_t length, GError **error);
+
 /**
  * Json_getString() - value of a string member
  *
--- a/src/KeyedLog.c
+++ b/src/KeyedLog.c
@@ -177,7 +177,7 @@
 
 /* The whole list is one page, so @after is not used. */
 static void
-list_records(RecordSource_t *super, const char *topic, const char *after,
+list_records(RecordSource_t *super, const char *topic, const GString *after,
              KeyedPageDone_t done, void *data)
 {
     (void)after;
--- a/src/KeyedRecord.c
+++ b/src/KeyedRecord.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* U+FFFD in UTF-8. */
+#define REPLACEMENT "\xEF\xBF\xBD"
+
 KeyedRecord_t *
 KeyedRecord_create(const char *key, gsize key_length, GBytes *value,
                    StorePosition_t position)
@@ -13,6 +16,25 @@
     return record;
 }
 
+static gboolean
+has_control_characters(const GString *text)
+{
+    for (gsize i = 0; i < text->len; i++) {
+        if (g_ascii_iscntrl(text->str[i])) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean
+KeyedRecord_hasValidKey(const KeyedRecord_t *record)
+{
+    const GString *key = record->key;
+    return key->len > 0 && g_utf8_validate_len(key->str, key->len, NULL) &&
+           !has_control_characters(key) && !strstr(key->str, REPLACEMENT);
+}
+
 void
 KeyedRecord_free(gpointer data)
 {
--- a/src/KeyedRecord.h
+++ b/src/KeyedRecord.h
@@ -28,6 +28,14 @@
 KeyedRecord_t *KeyedRecord_create(const char *key, gsize key_length,
                                   GBytes *value, StorePosition_t position);
 
+/**
+ * KeyedRecord_hasValidKey() - whether the key can be a name
+ *
+ * A key is text without control characters. U+FFFD replaces what was no text,
+ * so that different keys may show it.
+ */
+gboolean KeyedRecord_hasValidKey(const KeyedRecord_t *record);
+
 /** KeyedRecord_free() - free one record */
 void KeyedRecord_free(gpointer record);
 
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -27,6 +27,8 @@
  * paths to them differ. An unchanged end is reported again only if it is newer
  * by at least this. */
 #define END_ADVANCE_MIN_MS 200
+/* Keys of a topic that are logged as invalid. */
+#define INVALID_KEYS_MAX 64
 
 /* The answer to a call is used only while the call is the current one or the
  * open check, or is late and the follower has not begun another list since: a
@@ -48,7 +50,8 @@
     GHashTable *positions; /* key -> StorePosition_t * of its newest record */
     GHashTable *listed;    /* set of keys in the current list */
     GString *after;        /* last key of the previous page */
-    StorePosition_t next;  /* position to read from */
+    GHashTable *invalid_keys; /* set of GBytes, those that were logged */
+    StorePosition_t next;     /* position to read from */
     gboolean listing;
     guint list_step; /* changes with each list and with each page of it */
     gboolean first_page;
@@ -105,9 +108,29 @@
     Log_end();
 }
 
+/* Names each such key once, up to a maximum, as its writer may repeat it. */
+static void
+log_invalid_key(RecordFollower_t *this, const KeyedRecord_t *record)
+{
+    if (g_hash_table_size(this->invalid_keys) >= INVALID_KEYS_MAX ||
+        !g_hash_table_add(this->invalid_keys,
+                          g_bytes_new(record->key->str, record->key->len))) {
+        return;
+    }
+    Log_begin(LOG_LEVEL_WARNING, "record_key_invalid");
+    Log_text("topic", this->topic->str);
+    Log_text("key", record->key->str);
+    Log_number("length", (gint64)record->key->len);
+    Log_end();
+}
+
 static void
 apply_record(RecordFollower_t *this, const KeyedRecord_t *record)
 {
+    if (!KeyedRecord_hasValidKey(record)) {
+        log_invalid_key(this, record);
+        return;
+    }
     if (!is_newer(this, record)) {
         log_older_record(this, record);
         return;
@@ -154,7 +177,9 @@
     for (guint i = 0; i < page->records->len; i++) {
         const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
         g_hash_table_add(this->listed, g_strdup(record->key->str));
-        g_string_assign(this->after, record->key->str);
+        g_string_truncate(this->after, 0);
+        g_string_append_len(this->after, record->key->str,
+                            (gssize)record->key->len);
         apply_record(this, record);
     }
     if (!page->more) {
@@ -437,7 +462,7 @@
     FollowerCall_t *call = open_call(this);
     this->current_call = call;
     if (this->listing) {
-        const char *after = this->after->len > 0 ? this->after->str : NULL;
+        const GString *after = this->after->len > 0 ? this->after : NULL;
         RecordSource_list(this->spec.source, this->topic->str, after, on_page,
                           call);
         return;
@@ -483,6 +508,8 @@
     this->listed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->after = g_string_new(NULL);
+    this->invalid_keys = g_hash_table_new_full(
+        g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
     this->retry_max_ms = RETRY_MAX_MS;
     begin_list(this);
     Clock_arm(this->timer, 0);
@@ -496,6 +523,7 @@
     g_hash_table_destroy(this->calls);
     g_hash_table_destroy(this->positions);
     g_hash_table_destroy(this->listed);
+    g_hash_table_destroy(this->invalid_keys);
     g_string_free(this->after, TRUE);
     g_string_free(this->topic, TRUE);
     g_free(this);
--- a/src/RecordSource.h
+++ b/src/RecordSource.h
@@ -51,7 +51,7 @@
  */
 typedef struct {
     void (*destroy)(RecordSource_t *this);
-    void (*list)(RecordSource_t *this, const char *topic, const char *after,
+    void (*list)(RecordSource_t *this, const char *topic, const GString *after,
                  KeyedPageDone_t done, void *data);
     void (*read)(RecordSource_t *this, const char *topic, guint64 from,
                  gint64 wait_ms, KeyedPageDone_t done, void *data);
@@ -78,8 +78,8 @@
  * @after: last key of the previous page, or NULL for the first page
  */
 static inline void
-RecordSource_list(RecordSource_t *this, const char *topic, const char *after,
-                  KeyedPageDone_t done, void *data)
+RecordSource_list(RecordSource_t *this, const char *topic,
+                  const GString *after, KeyedPageDone_t done, void *data)
 {
     this->class->list(this, topic, after, done, data);
 }
--- a/src/StoredRecords.c
+++ b/src/StoredRecords.c
@@ -61,7 +61,7 @@
 static void
 apply_record(StoredRecords_t *this, const KeyedRecord_t *record)
 {
-    if (record->value &&
+    if (record->value && KeyedRecord_hasValidKey(record) &&
         this->spec.read(this->spec.owner, record->key->str, record->value)) {
         this->record_count++;
     }
@@ -88,7 +88,9 @@
     for (guint i = 0; i < page->records->len; i++) {
         const KeyedRecord_t *record = g_ptr_array_index(page->records, i);
         apply_record(this, record);
-        g_string_assign(this->last_key, record->key->str);
+        g_string_truncate(this->last_key, 0);
+        g_string_append_len(this->last_key, record->key->str,
+                            (gssize)record->key->len);
     }
     if (page->more && page->records->len > 0) {
         read_next(this);
@@ -120,8 +122,7 @@
 static void
 read_next(StoredRecords_t *this)
 {
-    const char *last_key =
-        this->last_key->len > 0 ? this->last_key->str : NULL;
+    const GString *last_key = this->last_key->len > 0 ? this->last_key : NULL;
     StoreCause_t cause = last_key ? STORE_MORE : STORE_START;
     StoreCalls_note(this->spec.counters, this->spec.topic,
                     this->failures > 0 ? STORE_RETRY : cause);
--- a/tests/FakeSource.c
+++ b/tests/FakeSource.c
@@ -5,7 +5,7 @@
 #include "Errors.h"
 
 static void
-list(RecordSource_t *super, const char *topic, const char *after,
+list(RecordSource_t *super, const char *topic, const GString *after,
      KeyedPageDone_t done, void *data)
 {
     (void)topic;
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -117,6 +117,7 @@
         self.window = (0, 0)  # number of the window, calls made in it
         self.refuse_first = 0  # number of next calls that get 429
         self.turned_away = 0  # calls answered with 429
+        self.key_errors = "replace"  # how lists show keys that are no text
         super().__init__()
 
     def append(self, topic, *records):
@@ -250,7 +251,7 @@
         epoch = self.epoch
         records = self.records(topic)
         for offset, record in enumerate(records):
-            key = record[1:1 + record[0]].decode()
+            key = record[1:1 + record[0]].decode(errors=self.key_errors)
             value = record[1 + record[0]:]
             found.pop(key, None)
             if value:
--- a/tests/fuzz/peers.c
+++ b/tests/fuzz/peers.c
@@ -197,7 +197,7 @@
 }
 
 static void
-ignore_list(RecordSource_t *source, const char *topic, const char *after,
+ignore_list(RecordSource_t *source, const char *topic, const GString *after,
             KeyedPageDone_t done, void *data)
 {
     (void)source;
--- a/tests/fuzz/texts.c
+++ b/tests/fuzz/texts.c
@@ -212,6 +212,9 @@
         free(text);
         json_decref(body);
     }
+    json_t *repaired = Json_parseRepaired((const char *)data, size, NULL);
+    g_assert(error || repaired);
+    json_decref(repaired);
     check_string((const char *)data, size);
     return 0;
 }
--- a/tests/test_ListExchange.c
+++ b/tests/test_ListExchange.c
@@ -178,11 +178,11 @@
 }
 
 static void
-serve_list(RecordSource_t *super, const char *topic, const char *after,
+serve_list(RecordSource_t *super, const char *topic, const GString *after,
            KeyedPageDone_t done, void *data)
 {
     (void)topic;
-    guint from = after ? (guint)atoi(after + 1) + 1 : 0;
+    guint from = after ? (guint)atoi(after->str + 1) + 1 : 0;
     Call_t *call = make_call(from, done, data);
     call->is_list = TRUE;
     pages_requested++;
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -551,6 +551,35 @@
 }
 END_TEST
 
+static void
+add_bytes_key(KeyedPage_t *page, const char *key, gsize length)
+{
+    StorePosition_t position = {.offset = page->end.offset - 1};
+    g_ptr_array_add(
+        page->records,
+        KeyedRecord_create(key, length, g_bytes_new_static("v", 1), position));
+}
+
+/* A key with NUL was taken for the key that its first bytes are. */
+START_TEST(records_whose_keys_can_be_no_names_are_left_out)
+{
+    RecordFollower_t *follower = setup();
+    KeyedPage_t page = make_page(10, FALSE, "a:3");
+    add_bytes_key(&page, "a\0b", 3);
+    add_bytes_key(&page, "", 0);
+    add_bytes_key(&page, "\xff", 1);
+    add_bytes_key(&page, "c\r\nd", 4);
+    add_bytes_key(&page, "\xEF\xBF\xBD", 3);
+    add_bytes_key(&page, "\xC3\xA9", 2);
+    FakeSource_answer(&source, &page);
+    ck_assert_str_eq(seen.reported->str, "a \xC3\xA9 ");
+    answer_call(12, FALSE, "a:10 b:11");
+    ck_assert_str_eq(seen.reported->str, "a \xC3\xA9 a b ");
+    ck_assert_uint_eq(seen.current, 12);
+    teardown(follower);
+}
+END_TEST
+
 TESTING_MAIN("RecordFollower", reads_on_from_the_end_at_the_first_list_page,
              outdated_list_of_a_peer_restores_no_removed_key,
              peer_list_older_than_the_first_page_is_not_applied,
@@ -573,4 +602,5 @@
              late_answer_is_applied, late_answer_moves_nothing_back,
              late_list_is_applied_once,
              late_answer_from_before_an_epoch_change_is_not_applied,
-             late_check_is_applied, late_call_that_fails_is_no_second_failure)
+             late_check_is_applied, late_call_that_fails_is_no_second_failure,
+             records_whose_keys_can_be_no_names_are_left_out)
--- a/tests/test_RouteSync.c
+++ b/tests/test_RouteSync.c
@@ -80,7 +80,7 @@
 }
 
 static void
-list(RecordSource_t *super, const char *topic, const char *after,
+list(RecordSource_t *super, const char *topic, const GString *after,
      KeyedPageDone_t done, void *data)
 {
     (void)super;
