Values nested too deep need little of the stack

Callers saw: routers ended one after the other, with a segmentation fault, once an entry of the list held a value nested some two thousand levels deep, if the platform gives them a small stack.

Cause: jansson parses up to 2,048 levels, and parses and frees them by recursion. Measured on arm64, release build of the code before, one entry with nested objects: with a stack of 64 KB a router ended at 500 levels (not at 300), with 128 KB at 1,000 (not at 500), with 256 KB at 2,040 (not at 1,500), with 512 KB not at 2,040.

Json_parse() now counts the levels before it parses, without recursion, and rejects more than 128. That holds for all that routers read as JSON: records, the store's answers, reports of engines, bodies of callers.

Evidence: test_odd_records.test_deep_values_take_little_of_the_stack runs routers with a stack of 256 KB; on the code before the router ended (-11); it passes in both builds. test_Json has the bound itself.

--- a/src/Json.c
+++ b/src/Json.c
@@ -51,9 +51,47 @@
     g_string_append_c(out, '"');
 }
 
+/* Returns the index of the first byte behind the string at @at. */
+static size_t
+skip_string(const char *data, size_t length, size_t at)
+{
+    for (at++; at < length && data[at] != '"'; at++) {
+        at += data[at] == '\\' ? 1 : 0;
+    }
+    return at + 1;
+}
+
+/* jansson parses and frees nested values by recursion, and a level takes some
+ * 150 bytes of the stack. */
+static gboolean
+is_too_deep(const char *data, size_t length)
+{
+    guint depth = 0;
+    for (size_t at = 0; at < length && depth <= JSON_DEPTH_MAX;) {
+        if (data[at] == '"') {
+            at = skip_string(data, length, at);
+            continue;
+        }
+        if (data[at] == '[' || data[at] == '{') {
+            depth++;
+        }
+        else if ((data[at] == ']' || data[at] == '}') && depth > 0) {
+            depth--;
+        }
+        at++;
+    }
+    return depth > JSON_DEPTH_MAX;
+}
+
 static json_t *
 parse_object(const char *data, size_t length, size_t flags, GError **error)
 {
+    if (is_too_deep(data, length)) {
+        g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY,
+                    "values are nested more than %d levels deep",
+                    JSON_DEPTH_MAX);
+        return NULL;
+    }
     json_error_t parse_error;
     json_t *root =
         json_loadb(data, length, JSON_REJECT_DUPLICATES | flags, &parse_error);
--- a/src/Json.h
+++ b/src/Json.h
@@ -8,6 +8,9 @@
 #include <glib.h>
 #include <jansson.h>
 
+/** Levels of nested values that are parsed */
+#define JSON_DEPTH_MAX 128
+
 /**
  * Json_appendString() - append text as a quoted JSON string
  * @out: the string is appended here, with its quotes
@@ -24,6 +27,8 @@
  * @error: WT_ERROR_BAD_BODY with line and column
  *
  * Duplicate keys are rejected, since JSON parsers differ on which value wins.
+ * Values nested more than JSON_DEPTH_MAX levels deep are rejected, so that the
+ * parser needs little of the stack.
  *
  * Return: a new reference, or NULL
  */
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -728,9 +728,10 @@
 
     def launch(self, name="r1", peers=(), store_address=None, verbose=True,
                environment=None, load_percent=50, fencing="false",
-               stop_limit="10m", log_timeout="2s",
+               stop_limit="10m", log_timeout="2s", prefix=(),
                **settings):
-        """Starts a router's process without waiting for anything."""
+        """Starts a router's process without waiting for anything; `prefix`
+        is a command that runs it."""
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
                             "config_wait": "100ms", "leaving_limit": "800ms",
@@ -756,7 +757,7 @@
                 for key, value in keys.items():
                     file.write("%s = %s\n" % (key, value))
         options = ["--verbose"] if verbose else []
-        router = Process([os.path.join(BUILD, "wheattiller"), "router",
+        router = Process([*prefix, os.path.join(BUILD, "wheattiller"), "router",
                           *options, "--settings", path], environment)
         router.path = path
         self.routers.append(router)
--- a/tests/sessions/test_odd_records.py
+++ b/tests/sessions/test_odd_records.py
@@ -28,7 +28,7 @@
 
 
 def deep_values():
-    for depth in (100, 1000, 2047, 100000):
+    for depth in (100, 1000, 2040, 100000):
         for whole in (True, False):
             yield deep(depth, b"[", b"]", whole)
             yield deep(depth, b'{"a":', b"}", whole)
@@ -203,6 +203,22 @@
         values = odd_messages(self.rng)
         self.both(lambda: [self.fill(topic, values) for topic in topics])
 
+    def test_deep_values_take_little_of_the_stack(self):
+        """Routers whose stack is small ended on entries nested some thousand
+        levels deep."""
+        limited = ("sh", "-c", 'ulimit -s 256; exec "$0" "$@"')
+        router = self.fleet.start(prefix=limited)
+        values = [with_raw(ENTRY, "x", value.decode())
+                  for value in deep_values()]
+        for number, value in enumerate(values):
+            self.put("keyed.servers", b"odd%d" % number, value)
+            self.put("keyed.op", b"version/odd%d" % number, value)
+        self.follows(router)
+        self.serves(router)
+        second = self.fleet.start(name="r2", prefix=limited)
+        self.follows(router, second)
+        self.serves(second)
+
     def test_keys_that_are_no_text(self):
         """A key with NUL, or half a surrogate, made the whole list unreadable
         for routers that started, and took the place of the key before the
--- a/tests/test_Json.c
+++ b/tests/test_Json.c
@@ -54,5 +54,49 @@
 }
 END_TEST
 
-TESTING_MAIN("Json", strings_that_are_no_text_are_repaired,
+static gboolean
+is_parsed(guint depth, const char *opening, const char *closing)
+{
+    GString *text = g_string_new("{\"a\":");
+    for (guint i = 1; i < depth; i++) {
+        g_string_append(text, opening);
+    }
+    g_string_append(text, "\"[{\\\"[\"");
+    for (guint i = 1; i < depth; i++) {
+        g_string_append(text, closing);
+    }
+    g_string_append_c(text, '}');
+    json_t *body = Json_parse(text->str, text->len, NULL);
+    gboolean parsed = body != NULL;
+    json_decref(body);
+    g_string_free(text, TRUE);
+    return parsed;
+}
+
+/* A process with a small stack ended while it parsed deep values. */
+START_TEST(values_nested_too_deep_are_an_error)
+{
+    ck_assert(is_parsed(JSON_DEPTH_MAX, "[", "]"));
+    ck_assert(is_parsed(JSON_DEPTH_MAX, "{\"[\":", "}"));
+    ck_assert(!is_parsed(JSON_DEPTH_MAX + 1, "[", "]"));
+    ck_assert(!is_parsed(JSON_DEPTH_MAX + 1, "{\"]\":", "}"));
+}
+END_TEST
+
+START_TEST(siblings_are_no_deeper)
+{
+    GString *text = g_string_new("{\"a\":[1");
+    for (guint i = 0; i < 4 * JSON_DEPTH_MAX; i++) {
+        g_string_append(text, ",[{}]");
+    }
+    g_string_append(text, "]}");
+    json_t *body = Json_parse(text->str, text->len, NULL);
+    ck_assert_ptr_nonnull(body);
+    json_decref(body);
+    g_string_free(text, TRUE);
+}
+END_TEST
+
+TESTING_MAIN("Json", values_nested_too_deep_are_an_error,
+             siblings_are_no_deeper, strings_that_are_no_text_are_repaired,
              text_that_ends_within_an_escape_is_an_error)
