--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -340,6 +340,28 @@
     return at_end;
 }
 
+/* Whether the next page of the list would be this one again. */
+static gboolean
+repeats_page(const RecordFollower_t *this, const KeyedPage_t *page)
+{
+    const KeyedRecord_t *last =
+        page->records->len > 0
+            ? g_ptr_array_index(page->records, page->records->len - 1)
+            : NULL;
+    return this->listing && page->more &&
+           (!last ||
+            (!this->first_page && g_string_equal(last->key, this->after)));
+}
+
+static void
+fail_repeated_page(RecordFollower_t *this)
+{
+    g_autoptr(GError) error = g_error_new_literal(
+        WT_ERROR, WT_ERROR_BAD_ANSWER, "a page of the list repeats the last");
+    begin_list(this);
+    note_failed(this, error);
+}
+
 static void
 apply_page(RecordFollower_t *this, const KeyedPage_t *page, gint64 sent_ms)
 {
@@ -385,7 +407,8 @@
 apply_late_page(RecordFollower_t *this, const FollowerCall_t *call,
                 const KeyedPage_t *page)
 {
-    if (!page || call->list_step != this->list_step) {
+    if (!page || call->list_step != this->list_step ||
+        repeats_page(this, page)) {
         return;
     }
     note_late_answer(this);
@@ -436,6 +459,10 @@
         note_failed(this, error);
         return;
     }
+    if (repeats_page(this, page)) {
+        fail_repeated_page(this);
+        return;
+    }
     note_success(this);
     apply_page(this, page, sent_ms);
 }
--- a/tests/test_RecordFollower.c
+++ b/tests/test_RecordFollower.c
@@ -580,6 +580,23 @@
 }
 END_TEST
 
+/* The store was called without pause while its list repeated a page. */
+START_TEST(page_that_repeats_the_last_is_a_failure)
+{
+    RecordFollower_t *follower = setup();
+    answer_call(10, TRUE, "a:3 b:4");
+    answer_call(10, TRUE, "c:5 b:4");
+    ck_assert(RecordFollower_isLost(follower));
+    answer_call(10, TRUE, "");
+    ck_assert_uint_eq(seen.lost, 1);
+    answer_call(10, TRUE, "a:3");
+    answer_call(10, FALSE, "b:4");
+    ck_assert(!RecordFollower_isLost(follower));
+    ck_assert_str_eq(seen.reported->str, "a b ");
+    teardown(follower);
+}
+END_TEST
+
 TESTING_MAIN("RecordFollower", reads_on_from_the_end_at_the_first_list_page,
              outdated_list_of_a_peer_restores_no_removed_key,
              peer_list_older_than_the_first_page_is_not_applied,
@@ -603,4 +620,5 @@
              late_list_is_applied_once,
              late_answer_from_before_an_epoch_change_is_not_applied,
              late_check_is_applied, late_call_that_fails_is_no_second_failure,
-             records_whose_keys_can_be_no_names_are_left_out)
+             records_whose_keys_can_be_no_names_are_left_out,
+             page_that_repeats_the_last_is_a_failure)
