--- a/src/Json.h
+++ b/src/Json.h
@@ -8,6 +8,9 @@
 #include <glib.h>
 #include <jansson.h>
 
+/** Levels of nested values that are parsed */
+#define JSON_DEPTH_MAX 128
+
 /**
  * Json_appendString() - append text as a quoted JSON string
  * @out: the string is appended here, with its quotes
@@ -24,11 +27,26 @@
  * @error: WT_ERROR_BAD_BODY with line and column
  *
  * Duplicate keys are rejected, since JSON parsers differ on which value wins.
+ * Values nested more than JSON_DEPTH_MAX levels deep are rejected, so that the
+ * parser needs little of the stack.
  *
  * Return: a new reference, or NULL
  */
 json_t *Json_parse(const char *data, size_t length, GError **error);
 
+/**
+ * Json_parseRepaired() - parse a text that is one JSON object, in which other
+ * programs may have written some of the strings
+ * @length: bytes of @data
+ * @error: as of Json_parse()
+ *
+ * Strings may contain NUL. Bytes that are not UTF-8 and escaped surrogates
+ * without their other half are replaced by U+FFFD.
+ *
+ * Return: a new reference, or NULL
+ */
+json_t *Json_parseRepaired(const char *data, size_t length, GError **error);
+
 /**
  * Json_getString() - value of a string member
  *
