A router that is told to reload as it starts goes on

A supervisor that restarts a router and then tells it that its settings have changed saw it end by itself with signal 1. SIGHUP, SIGTERM and SIGINT had their default action until the handlers were set, after the settings were read and the parts created, and SIGPIPE ended a router whose first lines on standard error met a closed pipe.

The signals are now held back from the first line of the command until the event loop runs, and take effect then.

--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -14,6 +14,7 @@
 #include "Problem.h"
 #include "Router.h"
 #include "Settings.h"
+#include "StopSignals.h"
 
 #define VERSION "0.1.0"
 #define DEFAULT_TIMEOUT_MS 10000
@@ -213,6 +214,7 @@
         fputs("wheattiller: router needs --settings\n", stderr);
         return EXIT_USAGE;
     }
+    StopSignals_hold();
     g_autoptr(GPtrArray) problems = Problems_create();
     Settings_t *settings = Settings_create(arguments->settings, problems);
     print_problems(problems);
--- a/src/Router.c
+++ b/src/Router.c
@@ -4,7 +4,6 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -27,6 +26,7 @@
 #include "RequestFraming.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
+#include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
 /* How long a stopping router waits after the grace period for open claims to
@@ -405,24 +405,10 @@
     }
 }
 
-/* Once the event handlers are freed, a signal would have its default action
- * and end the process as if the router had failed. */
-static void
-block_signals(void)
-{
-    sigset_t stops;
-    sigemptyset(&stops);
-    sigaddset(&stops, SIGTERM);
-    sigaddset(&stops, SIGINT);
-    sigaddset(&stops, SIGHUP);
-    sigprocmask(SIG_BLOCK, &stops, NULL);
-}
-
 static void
 create_signals(Router_t *this)
 {
     struct event_base *base = this->context.base;
-    signal(SIGPIPE, SIG_IGN);
     this->stop_timer = Clock_timer(base, on_stop_timer, this);
     this->on_term = evsignal_new(base, SIGTERM, on_stop_signal, this);
     this->on_int = evsignal_new(base, SIGINT, on_stop_signal, this);
@@ -535,10 +521,11 @@
             create_accept_hold(&this);
         }
         log_lifecycle(&this, "router_started");
+        StopSignals_release();
         event_base_dispatch(this.context.base);
         log_lifecycle(&this, "router_stopped");
     }
-    block_signals();
+    StopSignals_hold();
     if (this.hold) {
         AcceptHold_destroy(this.hold);
     }
--- /dev/null
+++ b/tests/sessions/test_starts.py
@@ -0,0 +1,104 @@
+"""Starts of a router in place, by a supervisor that knows nothing of it."""
+import errno
+import os
+import re
+import signal
+import socket
+import time
+import unittest
+
+from cluster import BUILD, Process, wait_for
+from fleet import Fleet
+
+WATCHED_S = 0.2
+
+
+class StartCase(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.plain("p1")
+        self.fleet.config()
+
+    def write_settings(self, **addresses):
+        """Returns the path of the settings of a router, whose addresses are
+        given as SECTION_KEY; the system chooses the other ports."""
+        template = self.fleet.start(name="template")
+        template.stop()
+        with open(template.path) as file:
+            text = file.read()
+        for name, address in addresses.items():
+            section, _, key = name.partition("_")
+            text = re.sub(r"(\[%s\][^\[]*?^%s = )\S+" % (section, key),
+                          r"\g<1>" + address, text, count=1, flags=re.M)
+        path = os.path.join(self.fleet.folder.name, "r.ini")
+        with open(path, "w") as file:
+            file.write(text)
+        return path
+
+    def launch(self, path):
+        router = Process([os.path.join(BUILD, "wheattiller"), "router",
+                          "--settings", path])
+        router.path = path
+        self.fleet.routers.append(router)
+        return router
+
+    def assert_serves(self, router):
+        self.fleet.await_start(router)
+        wait_for(lambda: self.fleet.is_ready(router), "ready")
+        answer = self.fleet.ask(router, "/read/x", method="GET")
+        self.assertEqual(answer.status, 200)
+
+
+class SignalTest(StartCase):
+    def launch_reading(self):
+        """Starts a router that waits for its settings, a pipe, and returns it
+        with the pipe's end and the settings."""
+        path = self.write_settings()
+        with open(path, "rb") as file:
+            text = file.read()
+        os.remove(path)
+        os.mkfifo(path)
+        router = self.launch(path)
+        return router, wait_for(lambda: self.open_pipe(path), "reader"), text
+
+    @staticmethod
+    def open_pipe(path):
+        """Returns None as long as nobody reads."""
+        try:
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError as error:
+            if error.errno != errno.ENXIO:
+                raise
+        return None
+
+    def signal_while_reading(self, *numbers):
+        router, pipe, text = self.launch_reading()
+        for number in numbers:
+            router.signal(number)
+        time.sleep(WATCHED_S)
+        os.remove(router.path)
+        with open(router.path, "wb") as file:
+            file.write(text)
+        try:
+            os.write(pipe, text)
+        except BrokenPipeError:
+            pass  # the router has ended
+        os.close(pipe)
+        return router
+
+    # A router that was told to reload as it started ended with the signal.
+    def test_a_reload_during_the_start_does_not_end_the_router(self):
+        router = self.signal_while_reading(signal.SIGHUP)
+        self.assert_serves(router)
+        self.assertEqual(
+            router.wait_event("settings_reloaded")[0]["outcome"], "taken")
+
+    def test_a_stop_during_the_start_is_an_orderly_one(self):
+        router = self.signal_while_reading(signal.SIGHUP, signal.SIGTERM)
+        self.assertEqual(router.process.wait(60), 0)
+        router.wait_event("router_stopped")
+
+
+if __name__ == "__main__":
+    unittest.main()
