A router waits for an address that is still in use

A supervisor that started a router while the one before still drained, or while another process held the address for a moment, saw it end at once (exit code 1): the first failure of bind() or listen() ended the start, even of the address for operators, without which callers can be served. The line named neither the setting nor the reason.

A lasting failure names setting, address and reason. The address for operators is tried again each second while callers are served (operators_unavailable, operators_available).

The tests of AddressTest failed on the code before.

--- a/src/Membership.c
+++ b/src/Membership.c
@@ -6,10 +6,11 @@
 #include <string.h>
 
 #include "Clock.h"
-#include "Errors.h"
 #include "Gossip.h"
+#include "ListenRetry.h"
 #include "Log.h"
 #include "MemberQueries.h"
+#include "PeerDatagrams.h"
 #include "Random.h"
 
 #define HEARTBEAT_MS 1000
@@ -409,24 +410,33 @@
 }
 
 static gboolean
-start_listening(Membership_t *this, GError **error)
+open_listener(void *owner)
 {
-    const Address_t *address = &this->spec.settings->peers.listen;
-    struct sockaddr_in address_in = {.sin_family = AF_INET,
-                                     .sin_port = htons(address->port)};
-    socklen_t size = sizeof(address_in);
-    inet_pton(AF_INET, address->host, &address_in.sin_addr);
+    Membership_t *this = owner;
+    struct sockaddr_in address =
+        PeerDatagrams_toSockaddr(&this->spec.settings->peers.listen);
     this->listener = evconnlistener_new_bind(
         this->base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        -1, (struct sockaddr *)&address_in, sizeof(address_in));
-    if (!this->listener) {
-        g_set_error(error, WT_ERROR, WT_ERROR_LISTEN, "can't listen on %s:%u",
-                    address->host, address->port);
+        -1, (struct sockaddr *)&address, sizeof(address));
+    return this->listener != NULL;
+}
+
+static gboolean
+start_listening(Membership_t *this, GError **error)
+{
+    const Address_t *address = &this->spec.settings->peers.listen;
+    struct sockaddr_in bound = {0};
+    socklen_t size = sizeof(bound);
+    ListenRetry_t retry = {.setting = "peers.listen",
+                           .address = address,
+                           .open = open_listener,
+                           .owner = this};
+    if (!ListenRetry_run(&retry, error)) {
         return FALSE;
     }
     getsockname(evconnlistener_get_fd(this->listener),
-                (struct sockaddr *)&address_in, &size);
-    this->port = ntohs(address_in.sin_port);
+                (struct sockaddr *)&bound, &size);
+    this->port = ntohs(bound.sin_port);
     this->table->self.address = *address;
     this->table->self.address.port = this->port;
     return TRUE;
--- a/src/Router.c
+++ b/src/Router.c
@@ -12,7 +12,7 @@
 #include "Clock.h"
 #include "Context.h"
 #include "EngineHttp.h"
-#include "Errors.h"
+#include "ListenRetry.h"
 #include "Log.h"
 #include "NativeParts.h"
 #include "OperatorApi.h"
@@ -29,6 +29,7 @@
 #include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
+#define OPERATORS_RETRY_MS 1000
 /* How long a stopping router waits after the grace period for open claims to
  * get their outcomes recorded. */
 #define CLAIMS_DRAIN_MAX_MS 5000
@@ -53,9 +54,23 @@
     struct event *on_int;
     struct event *on_hup;
     struct event *stop_timer;
+    struct event *operators_timer; /* NULL if operators were served at once */
     gint64 stop_began_ms;
 } Router_t;
 
+typedef struct {
+    const char *setting;
+    const Address_t *address;
+    void (*handle)(struct evhttp_request *request, void *context);
+    gboolean (*listen)(const ListenRetry_t *retry, GError **error);
+} HttpListener_t;
+
+typedef struct {
+    struct evhttp *server;
+    const Address_t *address;
+    struct evhttp_bound_socket *bound;
+} Binding_t;
+
 static void
 on_config_changed(void *data)
 {
@@ -257,53 +272,112 @@
     evhttp_set_default_content_type(server, NULL);
 }
 
+static gboolean
+bind_server(void *owner)
+{
+    Binding_t *this = owner;
+    this->bound = evhttp_bind_socket_with_handle(
+        this->server, this->address->host, this->address->port);
+    return this->bound != NULL;
+}
+
 static struct evhttp *
-listen_on(Router_t *this, const Address_t *address,
-          void (*handle)(struct evhttp_request *, void *), guint16 *port,
+listen_on(Router_t *this, const HttpListener_t *spec, guint16 *port,
           GError **error)
 {
     struct evhttp *server = evhttp_new(this->context.base);
-    evhttp_set_gencb(server, handle, &this->context);
+    Binding_t binding = {.server = server, .address = spec->address};
+    ListenRetry_t retry = {.setting = spec->setting,
+                           .address = spec->address,
+                           .open = bind_server,
+                           .owner = &binding};
+    evhttp_set_gencb(server, spec->handle, &this->context);
     set_server_limits(this, server);
-    struct evhttp_bound_socket *bound =
-        evhttp_bind_socket_with_handle(server, address->host, address->port);
-    if (!bound) {
-        g_set_error(error, WT_ERROR, WT_ERROR_LISTEN, "can't listen on %s:%u",
-                    address->host, address->port);
+    if (!spec->listen(&retry, error)) {
         evhttp_free(server);
         return NULL;
     }
-    *port = get_bound_port(bound);
+    *port = get_bound_port(binding.bound);
     return server;
 }
 
 static gboolean
-create_listeners(Router_t *this, GError **error)
+create_callers(Router_t *this, GError **error)
 {
-    const RouterSection_t *settings = &this->settings->router;
-    this->callers =
-        listen_on(this, &settings->listen,
-                  this->context.form ? RelayApi_handle : CallerApi_handle,
-                  &this->port, error);
+    HttpListener_t spec = {.setting = "listen",
+                           .address = &this->settings->router.listen,
+                           .handle = this->context.form ? RelayApi_handle
+                                                        : CallerApi_handle,
+                           .listen = ListenRetry_run};
+    this->callers = listen_on(this, &spec, &this->port, error);
     if (!this->callers) {
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
     RequestFraming_watch(this->callers);
-    if (this->context.form && settings->ready_listen.host[0] != '\0') {
-        this->readiness =
-            listen_on(this, &settings->ready_listen, RelayApi_handleReady,
-                      &this->ready_port, error);
-        if (!this->readiness) {
-            return FALSE;
-        }
+    return TRUE;
+}
+
+static gboolean
+create_readiness(Router_t *this, GError **error)
+{
+    HttpListener_t spec = {.setting = "ready_listen",
+                           .address = &this->settings->router.ready_listen,
+                           .handle = RelayApi_handleReady,
+                           .listen = ListenRetry_run};
+    if (!this->context.form || spec.address->host[0] == '\0') {
+        return TRUE;
+    }
+    this->readiness = listen_on(this, &spec, &this->ready_port, error);
+    return this->readiness != NULL;
+}
+
+/* Callers are served without the operators' interface, so the router starts
+ * and tries again later if the address is in use. */
+static gboolean
+create_operators(Router_t *this)
+{
+    g_autoptr(GError) error = NULL;
+    HttpListener_t spec = {.setting = "operator_listen",
+                           .address = &this->settings->router.operator_listen,
+                           .handle = OperatorApi_handle,
+                           .listen = ListenRetry_tryOnce};
+    this->operators = listen_on(this, &spec, &this->operator_port, &error);
+    if (!this->operators && !this->operators_timer) {
+        Log_error("operators_unavailable", error);
     }
-    this->operators =
-        listen_on(this, &settings->operator_listen, OperatorApi_handle,
-                  &this->operator_port, error);
     return this->operators != NULL;
 }
 
+static void
+on_operators_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    Router_t *this = data;
+    if (!create_operators(this)) {
+        Clock_arm(this->operators_timer, OPERATORS_RETRY_MS);
+        return;
+    }
+    Log_begin(LOG_LEVEL_INFO, "operators_available");
+    Log_number("operator_port", this->operator_port);
+    Log_end();
+}
+
+static gboolean
+create_listeners(Router_t *this, GError **error)
+{
+    if (!create_callers(this, error) || !create_readiness(this, error)) {
+        return FALSE;
+    }
+    if (!create_operators(this)) {
+        this->operators_timer =
+            Clock_timer(this->context.base, on_operators_timer, this);
+        Clock_arm(this->operators_timer, OPERATORS_RETRY_MS);
+    }
+    return TRUE;
+}
+
 static void
 get_listener(struct evhttp_bound_socket *bound, void *data)
 {
@@ -384,7 +458,9 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_server_limits(this, this->callers);
-    set_server_limits(this, this->operators);
+    if (this->operators) {
+        set_server_limits(this, this->operators);
+    }
     if (this->readiness) {
         set_server_limits(this, this->readiness);
     }
@@ -472,6 +548,9 @@
     event_free(this->on_int);
     event_free(this->on_hup);
     event_free(this->stop_timer);
+    if (this->operators_timer) {
+        event_free(this->operators_timer);
+    }
 }
 
 static void
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -11,6 +11,7 @@
 from fleet import Fleet
 
 WATCHED_S = 0.2
+STOP_LIMIT_S = 3  # far below the longest wait for an address
 
 
 class StartCase(unittest.TestCase):
@@ -100,5 +101,83 @@
         router.wait_event("router_stopped")
 
 
+class BusyAddress:
+    """Occupies a port that the system chooses."""
+
+    def __init__(self):
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(1)
+        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
+
+    def release(self):
+        self.socket.close()
+
+
+class AddressTest(StartCase):
+    SETTINGS = {"router_listen": "listen",
+                "router_ready_listen": "ready_listen",
+                "peers_listen": "peers.listen"}
+
+    def setUp(self):
+        super().setUp()
+        self.busy = BusyAddress()
+        self.addCleanup(self.busy.release)
+
+    # A router whose address was in use for a moment ended at once.
+    def test_an_address_in_use_for_a_moment_delays_the_start(self):
+        for key, setting in self.SETTINGS.items():
+            with self.subTest(setting):
+                busy = BusyAddress()
+                router = self.launch(
+                    self.write_settings(**{key: busy.address}))
+                waits = router.wait_event("listen_waits")[0]
+                self.assertEqual(waits["setting"], setting)
+                busy.release()
+                self.assert_serves(router)
+
+    def test_an_address_that_stays_in_use_is_named_with_its_setting(self):
+        router = self.launch(
+            self.write_settings(router_listen=self.busy.address))
+        self.assertEqual(router.process.wait(60), 1)
+        reason = router.wait_event("router_failed")[0]["reason"]
+        self.assertIn("listen: can't listen on " + self.busy.address, reason)
+        self.assertIn(os.strerror(errno.EADDRINUSE), reason)
+
+    def test_a_router_that_waits_for_an_address_can_be_stopped(self):
+        router = self.launch(
+            self.write_settings(router_listen=self.busy.address))
+        router.wait_event("listen_waits")
+        begun = time.monotonic()
+        router.signal(signal.SIGTERM)
+        self.assertEqual(router.process.wait(60), 1)
+        self.assertLess(time.monotonic() - begun, STOP_LIMIT_S)
+
+    # A router whose metrics could not be read served nobody.
+    def test_callers_are_served_without_the_address_for_operators(self):
+        router = self.launch(
+            self.write_settings(router_operator_listen=self.busy.address))
+        self.assert_serves(router)
+        self.assertEqual(router.operator_port, 0)
+        self.busy.release()
+        port = int(router.wait_event("operators_available")[0][
+            "operator_port"])
+        self.assertEqual(self.fleet.get(port, "/metrics").status, 200)
+
+    # A supervisor may start a router while the one before still drains.
+    def test_a_router_starts_once_the_one_before_has_ended(self):
+        path = self.write_settings()
+        first = self.launch(path)
+        self.assert_serves(first)
+        path = self.write_settings(
+            router_listen="127.0.0.1:%d" % first.port,
+            router_ready_listen="127.0.0.1:%d" % first.ready_port,
+            router_operator_listen="127.0.0.1:%d" % first.operator_port,
+            peers_listen=first.peer_address)
+        first.signal(signal.SIGTERM)
+        self.assert_serves(self.launch(path))
+        self.assertEqual(first.process.wait(60), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
