A connection that fails at once ends its call after the start

Where a connection can't even be begun, for want of a route to the store, to another router or to an upstream, of a free descriptor or of a local port, evhttp reports the end of the request before evhttp_make_request() returns. The callback freed the record of the call, into which its starter wrote the call afterwards (FleetStore, UpstreamProber, LogHttp: use after free), or started the next attempt, which its starter replaced by the one that had ended. Links between routers were told nothing: they counted as being set up for ever, so that no others were tried, and so did tests of a connection. A router that corrupts its memory may end at any later time, without a line.

Calls and attempts now end in the event loop in any case, and links and tests of connections get an event.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -253,7 +253,8 @@
 {
     Attempt_t *this = data;
     int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (this->connection.closed) {
+    if (this->connection.closed ||
+        AttemptConnection_failsToStart(&this->connection)) {
         return;
     }
     if (status == 0) {
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -165,15 +165,32 @@
     Clock_arm(this->timeout_timer, this->timeouts.connect_ms);
 }
 
+static void
+end_soon(AttemptConnection_t *this)
+{
+    this->last_received_ms = 0;
+    Clock_arm(this->timeout_timer, 0);
+}
+
 void
 AttemptConnection_send(AttemptConnection_t *this,
                        struct evhttp_request *request,
                        enum evhttp_cmd_type method, const char *uri)
 {
+    this->starting = TRUE;
     if (evhttp_make_request(this->evhttp, request, method, uri) != 0) {
-        this->last_received_ms = 0;
-        Clock_arm(this->timeout_timer, 0);
+        end_soon(this);
+    }
+    this->starting = FALSE;
+}
+
+gboolean
+AttemptConnection_failsToStart(AttemptConnection_t *this)
+{
+    if (this->starting) {
+        end_soon(this);
     }
+    return this->starting;
 }
 
 struct bufferevent *
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -83,6 +83,7 @@
  * @interim_answers: number of interim answers received
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
+ * @starting: AttemptConnection_send() has not returned
  * @sent: the request may have been written
  * @has_data: the first data arrived
  * @read_paused: reading is paused
@@ -111,6 +112,7 @@
     ChunkCheck_t chunks;
     guint interim_answers;
     gint64 last_received_ms;
+    gboolean starting;
     gboolean sent;
     gboolean has_data;
     gboolean read_paused;
@@ -133,6 +135,16 @@
                             struct evhttp_request *request,
                             enum evhttp_cmd_type method, const char *uri);
 
+/**
+ * AttemptConnection_failsToStart() - whether evhttp reports the end of the
+ * request before AttemptConnection_send() returns
+ *
+ * It does so if the connection fails at once, such as for want of a route or a
+ * descriptor. The owner does not know the attempt by then, so the timeout
+ * timer ends it.
+ */
+gboolean AttemptConnection_failsToStart(AttemptConnection_t *this);
+
 /** AttemptConnection_bufferevent() - the connection's bufferevent */
 struct bufferevent *
 AttemptConnection_bufferevent(const AttemptConnection_t *this);
--- a/src/ConnectTest.c
+++ b/src/ConnectTest.c
@@ -46,7 +46,10 @@
     bufferevent_setcb(this->bev, NULL, NULL, on_event, this);
     bufferevent_set_timeouts(this->bev, NULL, &timeout);
     bufferevent_enable(this->bev, EV_WRITE);
-    bufferevent_socket_connect(this->bev, (struct sockaddr *)&addr,
-                               sizeof(addr));
+    if (bufferevent_socket_connect(this->bev, (struct sockaddr *)&addr,
+                                   sizeof(addr)) != 0) {
+        bufferevent_trigger_event(this->bev, BEV_EVENT_ERROR,
+                                  BEV_TRIG_DEFER_CALLBACKS);
+    }
     return this;
 }
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -26,7 +26,8 @@
     struct event *reaper; /* frees the call outside of evhttp's callbacks */
     HttpCallDone_t done;
     void *data;
-    gboolean sent; /* some bytes were or may have been sent */
+    gboolean starting; /* HttpCall_start() has not returned */
+    gboolean sent;     /* some bytes were or may have been sent */
     gboolean answered;
     gboolean is_too_long;
     gboolean accepts_close_delimited;
@@ -280,11 +281,18 @@
             this->accepts_close_delimited);
 }
 
+/* evhttp reports a connection that fails at once, such as for want of a route
+ * or a descriptor, before it returns from evhttp_make_request(). The owner
+ * does not know the call by then. */
 static void
 on_answer(struct evhttp_request *request, void *data)
 {
     HttpCall_t *this = data;
     int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (this->starting) {
+        Clock_arm(this->deadline, 0);
+        return;
+    }
     if (status == 0) {
         fail(this, this->sent ? WT_ERROR_CUT : WT_ERROR_CONNECT,
              this->sent ? "the connection closed before the answer ended"
@@ -358,10 +366,12 @@
     if (spec->late_ms > 0) {
         Clock_arm(this->silence, spec->late_ms);
     }
+    this->starting = TRUE;
     if (evhttp_make_request(this->connection, request, spec->method,
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
     }
+    this->starting = FALSE;
     return this;
 }
 
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -84,7 +84,8 @@
 /** struct HttpCall_t - opaque; frees itself after its callback */
 typedef struct HttpCall HttpCall_t;
 
-/** HttpCall_start() - connect and send a request */
+/** HttpCall_start() - connect and send a request; the callback is called later
+ * in any case */
 HttpCall_t *HttpCall_start(struct event_base *base, const HttpCallSpec_t *spec,
                            HttpCallDone_t done, void *data);
 
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -290,9 +290,12 @@
                                          .sin_port = htons(address->port)};
     inet_pton(AF_INET, address->host, &socket_address.sin_addr);
     this->outgoing = TRUE;
-    bufferevent_socket_connect(this->stream,
-                               (struct sockaddr *)&socket_address,
-                               sizeof(socket_address));
+    if (bufferevent_socket_connect(this->stream,
+                                   (struct sockaddr *)&socket_address,
+                                   sizeof(socket_address)) != 0) {
+        bufferevent_trigger_event(this->stream, BEV_EVENT_ERROR,
+                                  BEV_TRIG_DEFER_CALLBACKS);
+    }
     int on = 1;
     setsockopt(bufferevent_getfd(this->stream), IPPROTO_TCP, TCP_NODELAY, &on,
                sizeof(on));
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -273,7 +273,8 @@
 {
     RelayAttempt_t *this = data;
     int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (this->connection.closed) {
+    if (this->connection.closed ||
+        AttemptConnection_failsToStart(&this->connection)) {
         return;
     }
     if (is_not_run(this)) {
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -1,7 +1,9 @@
 """Starts of a router in place, by a supervisor that knows nothing of it."""
 import errno
+import http.client
 import os
 import re
+import resource
 import signal
 import socket
 import time
@@ -179,5 +181,63 @@
         self.assertEqual(first.process.wait(60), 0)
 
 
+class ConnectTest(StartCase):
+    """Connections that the kernel refuses before connect() returns."""
+
+    NOWHERE = "255.255.255.255:9"
+    ASKS = 20
+
+    # An upstream or a store at such an address ended the router.
+    def test_an_upstream_at_an_impossible_address_does_not_end_the_router(
+            self):
+        for number in range(3):
+            name = "nowhere%d" % number
+            upstream = self.fleet.engine(name)
+            upstream.address = self.NOWHERE
+            upstream.list()
+            upstream = self.fleet.plain("plain-" + name)
+            upstream.address = self.NOWHERE
+            upstream.list()
+        self.fleet.engine("e1")
+        router = self.fleet.start()
+        for _ in range(self.ASKS):
+            self.assertIn(self.fleet.ask(router, "/ask/x").status, (200, 503))
+            self.assertIn(self.fleet.ask(router, "/read/x",
+                                         method="GET").status, (200, 503))
+        self.assertIsNone(router.process.poll())
+
+    def test_a_store_at_an_impossible_address_does_not_end_the_router(self):
+        router = self.fleet.router(store_address=self.NOWHERE,
+                                   peers={"seeds": self.NOWHERE})
+        time.sleep(WATCHED_S)
+        self.assertEqual(
+            self.fleet.get(router.ready_port, "/v1/ready").status, 503)
+        self.assertIsNone(router.process.poll())
+
+    # Connections to upstreams fail at once while descriptors are used up.
+    def test_requests_without_descriptors_do_not_end_the_router(self):
+        self.fleet.engine("e1")
+        router = self.fleet.start()
+        used = len(os.listdir("/proc/%d/fd" % router.process.pid))
+        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+                                                timeout=60)
+        connection.connect()
+        wait_for(lambda: len(os.listdir(
+            "/proc/%d/fd" % router.process.pid)) > used, "accepted")
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE, (3, 4096))
+        for number in range(self.ASKS):
+            connection.request("POST", "/write/x", b"x", {
+                "Host": "shop.example", "X-Request-Id": "few%d" % number,
+                "X-Deadline-Ms": "20000", "Api-Key": "key-a"})
+            response = connection.getresponse()
+            response.read()
+            self.assertEqual(response.status, 503)
+        connection.close()
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
+                         (4096, 4096))
+        wait_for(lambda: self.fleet.ask(
+            router, "/read/x", method="GET").status == 200, "served")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_HttpCall.c
+++ b/tests/test_HttpCall.c
@@ -14,6 +14,9 @@
  * backlog dropped. */
 #define SYN_RETRY_MS 1500
 #define SETTLE_MS 100
+/* The kernel refuses connections to the broadcast address at once. */
+#define NOWHERE "255.255.255.255"
+#define NOWHERE_PORT 9
 
 static struct event_base *base;
 static FullBacklog_t backlog;
@@ -75,4 +78,40 @@
 }
 END_TEST
 
-TESTING_MAIN("HttpCall", request_is_not_sent_after_its_call_ended_as_not_sent)
+static void
+note_unconnected(const HttpAnswer_t *answer, const GError *error, void *data)
+{
+    gboolean *ended = data;
+    ck_assert(!answer);
+    ck_assert_int_eq(error->code, WT_ERROR_CONNECT);
+    *ended = TRUE;
+    event_base_loopbreak(base);
+}
+
+/* The owner freed its record of a call that ended before it had started, and
+ * then wrote to it. */
+START_TEST(call_whose_connection_fails_at_once_ends_after_its_start)
+{
+    Address_t nowhere = {NOWHERE, NOWHERE_PORT};
+    HttpCallSpec_t spec = {
+        .address = &nowhere,
+        .method = EVHTTP_REQ_GET,
+        .path = "/x",
+        .answer_max = HTTP_SHORT_ANSWER_MAX,
+        .timeout_ms = TIMEOUT_MS,
+    };
+    gboolean ended = FALSE;
+    base = event_base_new();
+    HttpCall_start(base, &spec, note_unconnected, &ended);
+    ck_assert(!ended);
+    gint64 started_ms = Clock_nowMs();
+    event_base_dispatch(base);
+    ck_assert(ended);
+    ck_assert_int_lt(Clock_nowMs() - started_ms, TIMEOUT_MS);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_free(base);
+}
+END_TEST
+
+TESTING_MAIN("HttpCall", request_is_not_sent_after_its_call_ended_as_not_sent,
+             call_whose_connection_fails_at_once_ends_after_its_start)
--- a/tests/test_PeerLink.c
+++ b/tests/test_PeerLink.c
@@ -226,9 +226,30 @@
 }
 END_TEST
 
+/* A link without a connection counted as one that was being set up, for ever.
+ */
+START_TEST(link_whose_connection_fails_at_once_is_closed)
+{
+    /* The kernel refuses connections to the broadcast address at once. */
+    Address_t nowhere = {"255.255.255.255", 9};
+    static const guint8 bytes[KEY_BYTES] = {1};
+    g_autoptr(GBytes) key = g_bytes_new_static(bytes, KEY_BYTES);
+    pair = (Pair_t){.base = event_base_new()};
+    PeerLink_connect(pair.base, &nowhere, key, &events, &pair);
+    ck_assert(!pair.closed);
+    for (guint i = 0; i < 10 && !pair.closed; i++) {
+        event_base_loop(pair.base, EVLOOP_NONBLOCK);
+    }
+    ck_assert(pair.closed);
+    event_base_loop(pair.base, EVLOOP_NONBLOCK);
+    event_base_free(pair.base);
+}
+END_TEST
+
 TESTING_MAIN("PeerLink", short_message_passes_long_ones,
              peer_of_an_earlier_build_gets_whole_messages_in_order,
              short_messages_keep_their_order_beside_pieces,
              message_that_waited_is_as_old_as_its_wait,
              pieces_that_form_no_message_close_the_link,
-             piece_within_pieces_closes_the_link)
+             piece_within_pieces_closes_the_link,
+             link_whose_connection_fails_at_once_is_closed)
