A router without descriptors does not use up the processor

A router whose descriptors were used up by callers tried to accept the next connection in each iteration of its loop: 1.35 to 1.6 s of processor time in 2 s, and about 17 MB/s of lines of libevent on standard error, at limits of 16 to 200 descriptors. It could not hand back the processor, and its supervisor's log kept nothing else.

Accepting now pauses for 50 ms after it has failed, at each of the four listeners, with one line a second at the most (accept_paused).

DescriptorTest failed on the code before (0.7 s of processor time in one second on a busy machine).

--- a/src/Membership.c
+++ b/src/Membership.c
@@ -5,6 +5,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "AcceptPause.h"
 #include "Clock.h"
 #include "Gossip.h"
 #include "ListenRetry.h"
@@ -63,6 +64,7 @@
     GPtrArray *seeds;        /* Seed_t */
     GPtrArray *unidentified; /* PeerLink_t without a received hello */
     struct evconnlistener *listener;
+    AcceptPause_t *pause;
     struct event *tick;
     GBytes *key;
     guint16 port;
@@ -434,6 +436,8 @@
     if (!ListenRetry_run(&retry, error)) {
         return FALSE;
     }
+    this->pause =
+        AcceptPause_create(this->base, this->listener, retry.setting);
     getsockname(evconnlistener_get_fd(this->listener),
                 (struct sockaddr *)&bound, &size);
     this->port = ntohs(bound.sin_port);
@@ -494,6 +498,7 @@
 Membership_destroy(Membership_t *this)
 {
     if (this->listener) {
+        AcceptPause_destroy(this->pause);
         evconnlistener_free(this->listener);
     }
     event_free(this->tick);
--- a/src/Router.c
+++ b/src/Router.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "AcceptHold.h"
+#include "AcceptPause.h"
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
@@ -45,6 +46,7 @@
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     struct evhttp *callers;
     AcceptHold_t *hold; /* NULL on the native platform */
+    GPtrArray *pauses;  /* AcceptPause_t */
     struct evhttp *operators;
     struct evhttp *readiness;
     guint16 port;
@@ -83,9 +85,16 @@
     Log_end();
 }
 
+static void
+free_pause(gpointer pause)
+{
+    AcceptPause_destroy(pause);
+}
+
 static void
 create_parts(Router_t *this)
 {
+    this->pauses = g_ptr_array_new_with_free_func(free_pause);
     const Settings_t *settings = this->settings;
     Context_t *context = &this->context;
     context->settings = settings;
@@ -298,6 +307,11 @@
         return NULL;
     }
     *port = get_bound_port(binding.bound);
+    g_ptr_array_add(
+        this->pauses,
+        AcceptPause_create(this->context.base,
+                           evhttp_bound_socket_get_listener(binding.bound),
+                           spec->setting));
     return server;
 }
 
@@ -500,6 +514,7 @@
 static void
 free_listeners(Router_t *this)
 {
+    g_ptr_array_unref(this->pauses);
     if (this->callers) {
         ResetOnClose_resetAll();
         evhttp_free(this->callers);
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -239,5 +239,46 @@
             router, "/read/x", method="GET").status == 200, "served")
 
 
+class DescriptorTest(StartCase):
+    DESCRIPTORS = 64
+    LINES_MAX = 1000  # in a second, of all events
+
+    def open_connections(self, address):
+        """Opens more connections than the router can accept."""
+        connections = []
+        self.addCleanup(lambda: [each.close() for each in connections])
+        for _ in range(self.DESCRIPTORS + 20):
+            connections.append(socket.create_connection(address, 60))
+        return connections
+
+    @staticmethod
+    def processor_s(router):
+        with open("/proc/%d/stat" % router.process.pid) as file:
+            fields = file.read().rpartition(")")[2].split()
+        return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
+
+    def check_idle(self, router):
+        lines = len(router.lines)
+        used_s = self.processor_s(router)
+        time.sleep(1)
+        self.assertLess(self.processor_s(router) - used_s, 0.5)
+        self.assertLess(len(router.lines) - lines, self.LINES_MAX)
+
+    # A router without a free descriptor tried to accept without a pause and
+    # wrote a line each time.
+    def test_a_router_without_descriptors_waits_and_goes_on(self):
+        router = self.fleet.start()
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
+                         (self.DESCRIPTORS, self.DESCRIPTORS))
+        for port in (router.port, router.ready_port, router.operator_port,
+                     int(router.peer_address.rpartition(":")[2])):
+            connections = self.open_connections(("127.0.0.1", port))
+            self.check_idle(router)
+            router.wait_event("accept_paused")
+            for each in connections:
+                each.close()
+        self.assert_serves(router)
+
+
 if __name__ == "__main__":
     unittest.main()
