A router that a fatal signal ends says so in its log

Processes that ended by themselves left no line: neither a fatal signal nor an error that libevent or GLib can't recover from was logged. Messages of these libraries went to standard error, where a write blocks the router while nobody reads.

A fatal signal now leaves one line with its number, the address and the offset of the instruction for addr2line, written with async-signal-safe functions alone; handlers of sanitizers stay. Messages of the libraries are log lines, and a fatal error of libevent ends in SIGABRT rather than in an exit.

--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -7,6 +7,7 @@
 
 #include "ClientCommands.h"
 #include "Declarations.h"
+#include "Diagnostics.h"
 #include "IniFile.h"
 #include "Log.h"
 #include "LogReport.h"
@@ -223,6 +224,7 @@
     }
     Log_open(settings->router.name->str,
              arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO);
+    Diagnostics_start(settings->router.name->str);
     Log_setBudget(settings->limits.log_budget);
     Log_setLevel((LogLevel_t)settings->limits.log_level);
     g_autoptr(GError) error = NULL;
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -280,5 +280,15 @@
         self.assert_serves(router)
 
 
+class FatalSignalTest(StartCase):
+    # The log of a router that a signal ended told nothing of it.
+    def test_a_fatal_signal_leaves_a_line(self):
+        router = self.fleet.start()
+        router.signal(signal.SIGABRT)
+        self.assertEqual(router.process.wait(60), -signal.SIGABRT)
+        line, = router.wait_event("router_crashed")
+        self.assertEqual(int(line["signal"]), signal.SIGABRT)
+
+
 if __name__ == "__main__":
     unittest.main()
