--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -7,6 +7,7 @@
 
 #include "ClientCommands.h"
 #include "Declarations.h"
+#include "Diagnostics.h"
 #include "IniFile.h"
 #include "Log.h"
 #include "LogReport.h"
@@ -14,6 +15,7 @@
 #include "Problem.h"
 #include "Router.h"
 #include "Settings.h"
+#include "StopSignals.h"
 
 #define VERSION "0.1.0"
 #define DEFAULT_TIMEOUT_MS 10000
@@ -213,6 +215,7 @@
         fputs("wheattiller: router needs --settings\n", stderr);
         return EXIT_USAGE;
     }
+    StopSignals_hold();
     g_autoptr(GPtrArray) problems = Problems_create();
     Settings_t *settings = Settings_create(arguments->settings, problems);
     print_problems(problems);
@@ -221,6 +224,7 @@
     }
     Log_open(settings->router.name->str,
              arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO);
+    Diagnostics_start(settings->router.name->str);
     Log_setBudget(settings->limits.log_budget);
     Log_setLevel((LogLevel_t)settings->limits.log_level);
     g_autoptr(GError) error = NULL;
--- a/src/Router.c
+++ b/src/Router.c
@@ -4,16 +4,16 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "AcceptHold.h"
+#include "AcceptPause.h"
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
 #include "EngineHttp.h"
-#include "Errors.h"
+#include "ListenRetry.h"
 #include "Log.h"
 #include "NativeParts.h"
 #include "OperatorApi.h"
@@ -27,8 +27,10 @@
 #include "RequestIntake.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
+#include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
+#define OPERATORS_RETRY_MS 1000
 /* How long a stopping router waits after the grace period for open claims to
  * get their outcomes recorded. */
 #define CLAIMS_DRAIN_MAX_MS 5000
@@ -48,6 +50,7 @@
     struct evhttp *callers;
     IntakeLimits_t intake; /* of callers' bodies */
     AcceptHold_t *hold;    /* NULL on the native platform */
+    GPtrArray *pauses;     /* AcceptPause_t */
     struct evhttp *operators;
     struct evhttp *readiness;
     guint16 port;
@@ -57,9 +60,23 @@
     struct event *on_int;
     struct event *on_hup;
     struct event *stop_timer;
+    struct event *operators_timer; /* NULL if operators were served at once */
     gint64 stop_began_ms;
 } Router_t;
 
+typedef struct {
+    const char *setting;
+    const Address_t *address;
+    void (*handle)(struct evhttp_request *request, void *context);
+    gboolean (*listen)(const ListenRetry_t *retry, GError **error);
+} HttpListener_t;
+
+typedef struct {
+    struct evhttp *server;
+    const Address_t *address;
+    struct evhttp_bound_socket *bound;
+} Binding_t;
+
 static void
 on_config_changed(void *data)
 {
@@ -72,9 +89,16 @@
     Log_end();
 }
 
+static void
+free_pause(gpointer pause)
+{
+    AcceptPause_destroy(pause);
+}
+
 static void
 create_parts(Router_t *this)
 {
+    this->pauses = g_ptr_array_new_with_free_func(free_pause);
     const Settings_t *settings = this->settings;
     Context_t *context = &this->context;
     context->settings = settings;
@@ -273,54 +297,118 @@
     evhttp_set_default_content_type(server, NULL);
 }
 
+static gboolean
+bind_server(void *owner)
+{
+    Binding_t *this = owner;
+    this->bound = evhttp_bind_socket_with_handle(
+        this->server, this->address->host, this->address->port);
+    return this->bound != NULL;
+}
+
 static struct evhttp *
-listen_on(Router_t *this, const Address_t *address,
-          void (*handle)(struct evhttp_request *, void *), guint16 *port,
+listen_on(Router_t *this, const HttpListener_t *spec, guint16 *port,
           GError **error)
 {
     struct evhttp *server = evhttp_new(this->context.base);
-    evhttp_set_gencb(server, handle, &this->context);
+    Binding_t binding = {.server = server, .address = spec->address};
+    ListenRetry_t retry = {.setting = spec->setting,
+                           .address = spec->address,
+                           .open = bind_server,
+                           .owner = &binding};
+    evhttp_set_gencb(server, spec->handle, &this->context);
     set_server_limits(this, server);
-    struct evhttp_bound_socket *bound =
-        evhttp_bind_socket_with_handle(server, address->host, address->port);
-    if (!bound) {
-        g_set_error(error, WT_ERROR, WT_ERROR_LISTEN, "can't listen on %s:%u",
-                    address->host, address->port);
+    if (!spec->listen(&retry, error)) {
         evhttp_free(server);
         return NULL;
     }
-    *port = get_bound_port(bound);
+    *port = get_bound_port(binding.bound);
+    g_ptr_array_add(
+        this->pauses,
+        AcceptPause_create(this->context.base,
+                           evhttp_bound_socket_get_listener(binding.bound),
+                           spec->setting));
     return server;
 }
 
 static gboolean
-create_listeners(Router_t *this, GError **error)
-{
-    const RouterSection_t *settings = &this->settings->router;
-    this->callers =
-        listen_on(this, &settings->listen,
-                  this->context.form ? RelayApi_handle : CallerApi_handle,
-                  &this->port, error);
+create_callers(Router_t *this, GError **error)
+{
+    HttpListener_t spec = {.setting = "listen",
+                           .address = &this->settings->router.listen,
+                           .handle = this->context.form ? RelayApi_handle
+                                                        : CallerApi_handle,
+                           .listen = ListenRetry_run};
+    this->callers = listen_on(this, &spec, &this->port, error);
     if (!this->callers) {
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
     set_body_budget(this);
     RequestIntake_watch(this->callers, &this->intake);
-    if (this->context.form && settings->ready_listen.host[0] != '\0') {
-        this->readiness =
-            listen_on(this, &settings->ready_listen, RelayApi_handleReady,
-                      &this->ready_port, error);
-        if (!this->readiness) {
-            return FALSE;
-        }
+    return TRUE;
+}
+
+static gboolean
+create_readiness(Router_t *this, GError **error)
+{
+    HttpListener_t spec = {.setting = "ready_listen",
+                           .address = &this->settings->router.ready_listen,
+                           .handle = RelayApi_handleReady,
+                           .listen = ListenRetry_run};
+    if (!this->context.form || spec.address->host[0] == '\0') {
+        return TRUE;
+    }
+    this->readiness = listen_on(this, &spec, &this->ready_port, error);
+    return this->readiness != NULL;
+}
+
+/* Callers are served without the operators' interface, so the router starts
+ * and tries again later if the address is in use. */
+static gboolean
+create_operators(Router_t *this)
+{
+    g_autoptr(GError) error = NULL;
+    HttpListener_t spec = {.setting = "operator_listen",
+                           .address = &this->settings->router.operator_listen,
+                           .handle = OperatorApi_handle,
+                           .listen = ListenRetry_tryOnce};
+    this->operators = listen_on(this, &spec, &this->operator_port, &error);
+    if (!this->operators && !this->operators_timer) {
+        Log_error("operators_unavailable", error);
     }
-    this->operators =
-        listen_on(this, &settings->operator_listen, OperatorApi_handle,
-                  &this->operator_port, error);
     return this->operators != NULL;
 }
 
+static void
+on_operators_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    Router_t *this = data;
+    if (!create_operators(this)) {
+        Clock_arm(this->operators_timer, OPERATORS_RETRY_MS);
+        return;
+    }
+    Log_begin(LOG_LEVEL_INFO, "operators_available");
+    Log_number("operator_port", this->operator_port);
+    Log_end();
+}
+
+static gboolean
+create_listeners(Router_t *this, GError **error)
+{
+    if (!create_callers(this, error) || !create_readiness(this, error)) {
+        return FALSE;
+    }
+    if (!create_operators(this)) {
+        this->operators_timer =
+            Clock_timer(this->context.base, on_operators_timer, this);
+        Clock_arm(this->operators_timer, OPERATORS_RETRY_MS);
+    }
+    return TRUE;
+}
+
 static void
 get_listener(struct evhttp_bound_socket *bound, void *data)
 {
@@ -402,7 +490,9 @@
                           (guint)limits->retry_allowance);
     set_body_budget(this);
     set_server_limits(this, this->callers);
-    set_server_limits(this, this->operators);
+    if (this->operators) {
+        set_server_limits(this, this->operators);
+    }
     if (this->readiness) {
         set_server_limits(this, this->readiness);
     }
@@ -423,24 +513,10 @@
     }
 }
 
-/* Once the event handlers are freed, a signal would have its default action
- * and end the process as if the router had failed. */
-static void
-block_signals(void)
-{
-    sigset_t stops;
-    sigemptyset(&stops);
-    sigaddset(&stops, SIGTERM);
-    sigaddset(&stops, SIGINT);
-    sigaddset(&stops, SIGHUP);
-    sigprocmask(SIG_BLOCK, &stops, NULL);
-}
-
 static void
 create_signals(Router_t *this)
 {
     struct event_base *base = this->context.base;
-    signal(SIGPIPE, SIG_IGN);
     this->stop_timer = Clock_timer(base, on_stop_timer, this);
     this->on_term = evsignal_new(base, SIGTERM, on_stop_signal, this);
     this->on_int = evsignal_new(base, SIGINT, on_stop_signal, this);
@@ -456,6 +532,7 @@
 static void
 free_listeners(Router_t *this)
 {
+    g_ptr_array_unref(this->pauses);
     if (this->callers) {
         ResetOnClose_resetAll();
         evhttp_free(this->callers);
@@ -504,6 +581,9 @@
     event_free(this->on_int);
     event_free(this->on_hup);
     event_free(this->stop_timer);
+    if (this->operators_timer) {
+        event_free(this->operators_timer);
+    }
 }
 
 static void
@@ -553,10 +633,11 @@
             create_accept_hold(&this);
         }
         log_lifecycle(&this, "router_started");
+        StopSignals_release();
         event_base_dispatch(this.context.base);
         log_lifecycle(&this, "router_stopped");
     }
-    block_signals();
+    StopSignals_hold();
     if (this.hold) {
         AcceptHold_destroy(this.hold);
     }
--- /dev/null
+++ b/tests/sessions/test_starts.py
@@ -0,0 +1,294 @@
+"""Starts of a router in place, by a supervisor that knows nothing of it."""
+import errno
+import http.client
+import os
+import re
+import resource
+import signal
+import socket
+import time
+import unittest
+
+from cluster import BUILD, Process, wait_for
+from fleet import Fleet
+
+WATCHED_S = 0.2
+STOP_LIMIT_S = 3  # far below the longest wait for an address
+
+
+class StartCase(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.plain("p1")
+        self.fleet.config()
+
+    def write_settings(self, **addresses):
+        """Returns the path of the settings of a router, whose addresses are
+        given as SECTION_KEY; the system chooses the other ports."""
+        template = self.fleet.start(name="template")
+        template.stop()
+        with open(template.path) as file:
+            text = file.read()
+        for name, address in addresses.items():
+            section, _, key = name.partition("_")
+            text = re.sub(r"(\[%s\][^\[]*?^%s = )\S+" % (section, key),
+                          r"\g<1>" + address, text, count=1, flags=re.M)
+        path = os.path.join(self.fleet.folder.name, "r.ini")
+        with open(path, "w") as file:
+            file.write(text)
+        return path
+
+    def launch(self, path):
+        router = Process([os.path.join(BUILD, "wheattiller"), "router",
+                          "--settings", path])
+        router.path = path
+        self.fleet.routers.append(router)
+        return router
+
+    def assert_serves(self, router):
+        self.fleet.await_start(router)
+        wait_for(lambda: self.fleet.is_ready(router), "ready")
+        answer = self.fleet.ask(router, "/read/x", method="GET")
+        self.assertEqual(answer.status, 200)
+
+
+class SignalTest(StartCase):
+    def launch_reading(self):
+        """Starts a router that waits for its settings, a pipe, and returns it
+        with the pipe's end and the settings."""
+        path = self.write_settings()
+        with open(path, "rb") as file:
+            text = file.read()
+        os.remove(path)
+        os.mkfifo(path)
+        router = self.launch(path)
+        return router, wait_for(lambda: self.open_pipe(path), "reader"), text
+
+    @staticmethod
+    def open_pipe(path):
+        """Returns None as long as nobody reads."""
+        try:
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError as error:
+            if error.errno != errno.ENXIO:
+                raise
+        return None
+
+    def signal_while_reading(self, *numbers):
+        router, pipe, text = self.launch_reading()
+        for number in numbers:
+            router.signal(number)
+        time.sleep(WATCHED_S)
+        os.remove(router.path)
+        with open(router.path, "wb") as file:
+            file.write(text)
+        try:
+            os.write(pipe, text)
+        except BrokenPipeError:
+            pass  # the router has ended
+        os.close(pipe)
+        return router
+
+    # A router that was told to reload as it started ended with the signal.
+    def test_a_reload_during_the_start_does_not_end_the_router(self):
+        router = self.signal_while_reading(signal.SIGHUP)
+        self.assert_serves(router)
+        self.assertEqual(
+            router.wait_event("settings_reloaded")[0]["outcome"], "taken")
+
+    def test_a_stop_during_the_start_is_an_orderly_one(self):
+        router = self.signal_while_reading(signal.SIGHUP, signal.SIGTERM)
+        self.assertEqual(router.process.wait(60), 0)
+        router.wait_event("router_stopped")
+
+
+class BusyAddress:
+    """Occupies a port that the system chooses."""
+
+    def __init__(self):
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(1)
+        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
+
+    def release(self):
+        self.socket.close()
+
+
+class AddressTest(StartCase):
+    SETTINGS = {"router_listen": "listen",
+                "router_ready_listen": "ready_listen",
+                "peers_listen": "peers.listen"}
+
+    def setUp(self):
+        super().setUp()
+        self.busy = BusyAddress()
+        self.addCleanup(self.busy.release)
+
+    # A router whose address was in use for a moment ended at once.
+    def test_an_address_in_use_for_a_moment_delays_the_start(self):
+        for key, setting in self.SETTINGS.items():
+            with self.subTest(setting):
+                busy = BusyAddress()
+                router = self.launch(
+                    self.write_settings(**{key: busy.address}))
+                waits = router.wait_event("listen_waits")[0]
+                self.assertEqual(waits["setting"], setting)
+                busy.release()
+                self.assert_serves(router)
+
+    def test_an_address_that_stays_in_use_is_named_with_its_setting(self):
+        router = self.launch(
+            self.write_settings(router_listen=self.busy.address))
+        self.assertEqual(router.process.wait(60), 1)
+        reason = router.wait_event("router_failed")[0]["reason"]
+        self.assertIn("listen: can't listen on " + self.busy.address, reason)
+        self.assertIn(os.strerror(errno.EADDRINUSE), reason)
+
+    def test_a_router_that_waits_for_an_address_can_be_stopped(self):
+        router = self.launch(
+            self.write_settings(router_listen=self.busy.address))
+        router.wait_event("listen_waits")
+        begun = time.monotonic()
+        router.signal(signal.SIGTERM)
+        self.assertEqual(router.process.wait(60), 1)
+        self.assertLess(time.monotonic() - begun, STOP_LIMIT_S)
+
+    # A router whose metrics could not be read served nobody.
+    def test_callers_are_served_without_the_address_for_operators(self):
+        router = self.launch(
+            self.write_settings(router_operator_listen=self.busy.address))
+        self.assert_serves(router)
+        self.assertEqual(router.operator_port, 0)
+        self.busy.release()
+        port = int(router.wait_event("operators_available")[0][
+            "operator_port"])
+        self.assertEqual(self.fleet.get(port, "/metrics").status, 200)
+
+    # A supervisor may start a router while the one before still drains.
+    def test_a_router_starts_once_the_one_before_has_ended(self):
+        path = self.write_settings()
+        first = self.launch(path)
+        self.assert_serves(first)
+        path = self.write_settings(
+            router_listen="127.0.0.1:%d" % first.port,
+            router_ready_listen="127.0.0.1:%d" % first.ready_port,
+            router_operator_listen="127.0.0.1:%d" % first.operator_port,
+            peers_listen=first.peer_address)
+        first.signal(signal.SIGTERM)
+        self.assert_serves(self.launch(path))
+        self.assertEqual(first.process.wait(60), 0)
+
+
+class ConnectTest(StartCase):
+    """Connections that the kernel refuses before connect() returns."""
+
+    NOWHERE = "255.255.255.255:9"
+    ASKS = 20
+
+    # An upstream or a store at such an address ended the router.
+    def test_an_upstream_at_an_impossible_address_does_not_end_the_router(
+            self):
+        for number in range(3):
+            name = "nowhere%d" % number
+            upstream = self.fleet.engine(name)
+            upstream.address = self.NOWHERE
+            upstream.list()
+            upstream = self.fleet.plain("plain-" + name)
+            upstream.address = self.NOWHERE
+            upstream.list()
+        self.fleet.engine("e1")
+        router = self.fleet.start()
+        for _ in range(self.ASKS):
+            self.assertIn(self.fleet.ask(router, "/ask/x").status, (200, 503))
+            self.assertIn(self.fleet.ask(router, "/read/x",
+                                         method="GET").status, (200, 503))
+        self.assertIsNone(router.process.poll())
+
+    def test_a_store_at_an_impossible_address_does_not_end_the_router(self):
+        router = self.fleet.router(store_address=self.NOWHERE,
+                                   peers={"seeds": self.NOWHERE})
+        time.sleep(WATCHED_S)
+        self.assertEqual(
+            self.fleet.get(router.ready_port, "/v1/ready").status, 503)
+        self.assertIsNone(router.process.poll())
+
+    # Connections to upstreams fail at once while descriptors are used up.
+    def test_requests_without_descriptors_do_not_end_the_router(self):
+        self.fleet.engine("e1")
+        router = self.fleet.start()
+        used = len(os.listdir("/proc/%d/fd" % router.process.pid))
+        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+                                                timeout=60)
+        connection.connect()
+        wait_for(lambda: len(os.listdir(
+            "/proc/%d/fd" % router.process.pid)) > used, "accepted")
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE, (3, 4096))
+        for number in range(self.ASKS):
+            connection.request("POST", "/write/x", b"x", {
+                "Host": "shop.example", "X-Request-Id": "few%d" % number,
+                "X-Deadline-Ms": "20000", "Api-Key": "key-a"})
+            response = connection.getresponse()
+            response.read()
+            self.assertEqual(response.status, 503)
+        connection.close()
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
+                         (4096, 4096))
+        wait_for(lambda: self.fleet.ask(
+            router, "/read/x", method="GET").status == 200, "served")
+
+
+class DescriptorTest(StartCase):
+    DESCRIPTORS = 64
+    LINES_MAX = 1000  # in a second, of all events
+
+    def open_connections(self, address):
+        """Opens more connections than the router can accept."""
+        connections = []
+        self.addCleanup(lambda: [each.close() for each in connections])
+        for _ in range(self.DESCRIPTORS + 20):
+            connections.append(socket.create_connection(address, 60))
+        return connections
+
+    @staticmethod
+    def processor_s(router):
+        with open("/proc/%d/stat" % router.process.pid) as file:
+            fields = file.read().rpartition(")")[2].split()
+        return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
+
+    def check_idle(self, router):
+        lines = len(router.lines)
+        used_s = self.processor_s(router)
+        time.sleep(1)
+        self.assertLess(self.processor_s(router) - used_s, 0.5)
+        self.assertLess(len(router.lines) - lines, self.LINES_MAX)
+
+    # A router without a free descriptor tried to accept without a pause and
+    # wrote a line each time.
+    def test_a_router_without_descriptors_waits_and_goes_on(self):
+        router = self.fleet.start()
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
+                         (self.DESCRIPTORS, self.DESCRIPTORS))
+        for port in (router.port, router.ready_port, router.operator_port,
+                     int(router.peer_address.rpartition(":")[2])):
+            connections = self.open_connections(("127.0.0.1", port))
+            self.check_idle(router)
+            router.wait_event("accept_paused")
+            for each in connections:
+                each.close()
+        self.assert_serves(router)
+
+
+class FatalSignalTest(StartCase):
+    # The log of a router that a signal ended told nothing of it.
+    def test_a_fatal_signal_leaves_a_line(self):
+        router = self.fleet.start()
+        router.signal(signal.SIGABRT)
+        self.assertEqual(router.process.wait(60), -signal.SIGABRT)
+        line, = router.wait_event("router_crashed")
+        self.assertEqual(int(line["signal"]), signal.SIGABRT)
+
+
+if __name__ == "__main__":
+    unittest.main()
