A router that ends closes its listener only once its queue is empty

Callers saw: a request to a router that had got SIGTERM ended without an answer, 0 bytes, after 1 to 4 ms.

Cause: once the grace period was over and no request was open, the router left its event loop and closed listener and connections at once. What was in the kernel's accept queue, or was accepted and not read yet, was reset. In a trace of the system calls, ten connections were accepted in one turn of the loop and closed 7 ms later, none of them read; in another one the last accept was 13 ms before the close of the listener.

A caller whose handshake was ignored repeats it and is refused, so that no request was taken.

--- /dev/null
+++ b/src/ListenerDrain.h
@@ -0,0 +1,34 @@
+#ifndef HEADER_ListenerDrain
+#define HEADER_ListenerDrain
+/**
+ * DOC: ListenerDrain
+ *
+ * Closes the listener of a server without a loss. The kernel resets what is in
+ * the accept queue of a listener that is closed, so new handshakes are ignored
+ * first, until those under way have ended and the queue is empty. A caller
+ * whose handshake was ignored repeats it, and is then refused.
+ */
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+
+/** struct ListenerDrain_t - opaque */
+typedef struct ListenerDrain ListenerDrain_t;
+
+/** ListenerDrain_create() - prepare to close the only listener of @server,
+ * which must outlive the result */
+ListenerDrain_t *ListenerDrain_create(struct event_base *base,
+                                      struct evhttp *server);
+
+/** ListenerDrain_destroy() - free it; the listener stays as it is */
+void ListenerDrain_destroy(ListenerDrain_t *this);
+
+/** ListenerDrain_begin() - begin to close the listener; may be called again
+ */
+void ListenerDrain_begin(ListenerDrain_t *this);
+
+/** ListenerDrain_isOver() - whether the listener is closed, and the first
+ * request of each accepted connection had time to arrive */
+gboolean ListenerDrain_isOver(const ListenerDrain_t *this);
+
+#endif
--- a/src/Router.c
+++ b/src/Router.c
@@ -14,6 +14,7 @@
 #include "Context.h"
 #include "EngineHttp.h"
 #include "Errors.h"
+#include "ListenerDrain.h"
 #include "Log.h"
 #include "NativeParts.h"
 #include "OperatorApi.h"
@@ -43,7 +44,8 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     struct evhttp *callers;
-    AcceptHold_t *hold; /* NULL on the native platform */
+    AcceptHold_t *hold;       /* NULL on the native platform */
+    ListenerDrain_t *closing; /* closes the listener for callers at the end */
     struct evhttp *operators;
     struct evhttp *readiness;
     guint16 port;
@@ -328,6 +330,21 @@
     this->hold = AcceptHold_create(this->context.base, &spec);
 }
 
+/* Whether all requests have ended, new ones are refused, and connections are
+ * accepted again after a start. */
+static gboolean
+is_drained(const Router_t *this, gint64 elapsed_ms)
+{
+    const Context_t *context = &this->context;
+    guint claims = context->claims ? Claims_countPending(context->claims) : 0;
+    gint64 claims_limit_ms =
+        this->settings->router.stop_grace_ms + CLAIMS_DRAIN_MAX_MS;
+    return context->refusing && context->open_requests == 0 &&
+           (!this->hold || AcceptHold_isOver(this->hold)) &&
+           PendingReply_count() == 0 &&
+           (claims == 0 || elapsed_ms >= claims_limit_ms);
+}
+
 static void
 on_stop_timer(evutil_socket_t fd, short what, void *data)
 {
@@ -337,14 +354,12 @@
     gint64 elapsed_ms = Clock_nowMs() - this->stop_began_ms;
     const RouterSection_t *settings = &this->settings->router;
     this->context.refusing = elapsed_ms >= settings->stop_grace_ms;
-    guint claims =
-        this->context.claims ? Claims_countPending(this->context.claims) : 0;
-    gboolean drained = this->context.refusing &&
-                       this->context.open_requests == 0 &&
-                       PendingReply_count() == 0 &&
-                       (claims == 0 || elapsed_ms >= settings->stop_grace_ms +
-                                                         CLAIMS_DRAIN_MAX_MS);
-    if (drained || elapsed_ms >= settings->stop_limit_ms) {
+    gboolean drained = is_drained(this, elapsed_ms);
+    if (drained) {
+        ListenerDrain_begin(this->closing);
+    }
+    if ((drained && ListenerDrain_isOver(this->closing)) ||
+        elapsed_ms >= settings->stop_limit_ms) {
         event_base_loopbreak(this->context.base);
         return;
     }
@@ -534,6 +549,7 @@
         if (this.relay) {
             create_accept_hold(&this);
         }
+        this.closing = ListenerDrain_create(this.context.base, this.callers);
         log_lifecycle(&this, "router_started");
         event_base_dispatch(this.context.base);
         log_lifecycle(&this, "router_stopped");
@@ -542,6 +558,9 @@
     if (this.hold) {
         AcceptHold_destroy(this.hold);
     }
+    if (this.closing) {
+        ListenerDrain_destroy(this.closing);
+    }
     free_listeners(&this);
     if (started) {
         free_platform(&this);
