A connection is closed only after its caller had time to read the answer

Callers saw: an answer broke off, or was replaced by a reset, when they had sent more than the router read: the rest of a body that was refused (413), bytes behind a bad or an ambiguous head (400), another request behind one whose answer said "Connection: close", as all answers of a router do that ends.

Cause: evhttp closes the connection right after the last byte is written. The kernel resets a connection that is closed with unread bytes, drops what it has not delivered, and lets the caller's next write fail. A trace of the system calls shows the 413 written, then shutdown and close 0.1 ms later with 3 MB unread.

Now the bufferevent of a caller's connection closes its socket, and one more reference to it is taken when all output was sent. If evhttp frees the connection then, what still arrives is read and dropped until the caller closes, for at most a second. A router that ends waits for these connections as well. Connections that end otherwise are closed as before.

--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -228,25 +228,16 @@
     RequestFraming_destroy(entry);
 }
 
-static struct bufferevent *
-create_bufferevent(struct event_base *base, void *data)
-{
-    (void)data;
-    struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
-    RequestFraming_t *framing = RequestFraming_create();
-    g_hash_table_replace(watched, bev, framing);
-    evbuffer_add_cb(bufferevent_get_input(bev), on_input, framing);
-    return bev;
-}
-
 void
-RequestFraming_watch(struct evhttp *server)
+RequestFraming_watch(struct bufferevent *bev)
 {
+    RequestFraming_t *framing = RequestFraming_create();
     if (!watched) {
         watched = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
                                         destroy_entry);
     }
-    evhttp_set_bevcb(server, create_bufferevent, NULL);
+    g_hash_table_replace(watched, bev, framing);
+    evbuffer_add_cb(bufferevent_get_input(bev), on_input, framing);
 }
 
 static gboolean
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -8,14 +8,15 @@
  * the check follows the heads of a connection's requests by itself, as far as
  * they tell where a body ends.
  */
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <glib.h>
 
 /** struct RequestFraming_t - opaque; the requests of one connection */
 typedef struct RequestFraming RequestFraming_t;
 
-/** RequestFraming_watch() - check all connections that @server accepts */
-void RequestFraming_watch(struct evhttp *server);
+/** RequestFraming_watch() - check a connection that a server accepts */
+void RequestFraming_watch(struct bufferevent *bev);
 
 /**
  * RequestFraming_isAmbiguous() - whether receivers of a request may disagree
--- a/src/Router.c
+++ b/src/Router.c
@@ -1,5 +1,6 @@
 #include "Router.h"
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
@@ -14,6 +15,7 @@
 #include "Context.h"
 #include "EngineHttp.h"
 #include "Errors.h"
+#include "LingeringClose.h"
 #include "ListenerDrain.h"
 #include "Log.h"
 #include "NativeParts.h"
@@ -279,6 +281,17 @@
     return server;
 }
 
+static struct bufferevent *
+create_caller_connection(struct event_base *base, void *data)
+{
+    (void)data;
+    struct bufferevent *bev =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    RequestFraming_watch(bev);
+    LingeringClose_watch(bev);
+    return bev;
+}
+
 static gboolean
 create_listeners(Router_t *this, GError **error)
 {
@@ -291,7 +304,7 @@
         return FALSE;
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
-    RequestFraming_watch(this->callers);
+    evhttp_set_bevcb(this->callers, create_caller_connection, NULL);
     if (this->context.form && settings->ready_listen.host[0] != '\0') {
         this->readiness =
             listen_on(this, &settings->ready_listen, RelayApi_handleReady,
@@ -358,7 +371,8 @@
     if (drained) {
         ListenerDrain_begin(this->closing);
     }
-    if ((drained && ListenerDrain_isOver(this->closing)) ||
+    if ((drained && ListenerDrain_isOver(this->closing) &&
+         LingeringClose_count() == 0) ||
         elapsed_ms >= settings->stop_limit_ms) {
         event_base_loopbreak(this->context.base);
         return;
@@ -464,6 +478,7 @@
         evhttp_free(this->readiness);
     }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
+    LingeringClose_clear();
 }
 
 /* Runs the loop once at the end, as closed calls and links free themselves in
@@ -537,6 +552,7 @@
     this.context.form = form;
     Random_seed((guint32)settings->router.seed);
     this.context.base = create_base();
+    LingeringClose_init(this.context.base);
     create_parts(&this);
     create_signals(&this);
     gboolean started =
