A router that ends answers the requests that are still open

Callers saw: their connection was closed without an answer when a router reached stop_limit, also those whose request had not been passed on, which could have been refused as not run.

Cause: at the limit the router left its event loop and closed all connections, and its listener with what was queued.

Now the router keeps its open requests in a list. 0.2 s before the limit each is given up as at its deadline and refused with "stopping": 503 if it did not run, 502 otherwise; a stream that has begun is broken off, as before. The listener is closed before that. Connections that a router holds back after its start are accepted as soon as it is told to end.

test_stop.StopTest.test_a_request_under_way_at_the_limit_is_answered and test_a_request_that_waits_at_the_limit_is_refused_as_not_run failed before (0 bytes); all of test_stop, test_last_answers and test_AcceptHold pass, in the sanitizer build, too.

--- a/src/AcceptHold.c
+++ b/src/AcceptHold.c
@@ -62,6 +62,15 @@
     g_free(this);
 }
 
+void
+AcceptHold_end(AcceptHold_t *this)
+{
+    if (!this->is_over) {
+        evtimer_del(this->check_timer);
+        end_hold(this, "stopping");
+    }
+}
+
 gboolean
 AcceptHold_isOver(const AcceptHold_t *this)
 {
--- a/src/AcceptHold.h
+++ b/src/AcceptHold.h
@@ -40,6 +40,10 @@
 /** AcceptHold_destroy() - free the hold without changing the listener */
 void AcceptHold_destroy(AcceptHold_t *this);
 
+/** AcceptHold_end() - accept connections from now on; the listener is not
+ * touched any more */
+void AcceptHold_end(AcceptHold_t *this);
+
 /** AcceptHold_isOver() - whether connections are accepted again */
 gboolean AcceptHold_isOver(const AcceptHold_t *this);
 
--- a/src/Context.h
+++ b/src/Context.h
@@ -25,6 +25,7 @@
 #include "ForwardPeers.h"
 #include "Membership.h"
 #include "ModelVersions.h"
+#include "OpenRequests.h"
 #include "OriginKeeper.h"
 #include "PeerDatagrams.h"
 #include "Policy.h"
@@ -95,6 +96,7 @@
  *     period
  * @refusing: the grace period is over
  * @open_requests: number of callers' open requests
+ * @open: those requests
  * @answer_bytes: bytes of answers that are buffered until they are complete
  * @incarnation: incarnation of this process, which grows with each start
  */
@@ -139,6 +141,7 @@
     gboolean stopping;
     gboolean refusing;
     guint open_requests;
+    OpenRequests_t *open;
     gsize answer_bytes;
     guint64 incarnation;
 } Context_t;
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -71,6 +71,7 @@
         this->once_guard = NULL;
     }
     this->context->open_requests--;
+    OpenRequests_remove(this->context->open, this);
     CrashGuard_removeRequest(this->context->crashes, this);
     CustomerLimits_release(this->context->limits, this->customer->str);
     RateGate_release(&this->rate_gate, run != RUN_NOT);
@@ -119,6 +120,14 @@
     Clock_arm(this->deadline_timer, MIN(left_ms, DEADLINE_CHECK_MS));
 }
 
+static void
+give_up(Exchange_t *this, const char *outcome, Refusal_t refusal)
+{
+    cancel_attempt(this, outcome);
+    abandon_stream(this);
+    Exchange_refuse(this, refusal, Exchange_runState(this), NULL);
+}
+
 static void
 on_deadline(evutil_socket_t fd, short what, void *data)
 {
@@ -129,10 +138,13 @@
         arm_deadline(this);
         return;
     }
-    cancel_attempt(this, "deadline");
-    abandon_stream(this);
-    Exchange_refuse(this, REFUSAL_DEADLINE_PASSED, Exchange_runState(this),
-                    NULL);
+    give_up(this, "deadline", REFUSAL_DEADLINE_PASSED);
+}
+
+static void
+on_router_ends(void *request)
+{
+    give_up(request, "stopping", REFUSAL_STOPPING);
 }
 
 void
@@ -182,6 +194,7 @@
 Exchange_begin(Exchange_t *this)
 {
     this->context->open_requests++;
+    OpenRequests_add(this->context->open, this, on_router_ends);
     CrashGuard_addRequest(this->context->crashes, this);
     RetryBudget_setRouterCount(
         this->context->budget,
--- a/src/ListenerDrain.c
+++ b/src/ListenerDrain.c
@@ -15,7 +15,7 @@
 #define HANDSHAKE_MS 100
 /* How long the first request may take to arrive on a connection that was
  * accepted last. */
-#define FIRST_REQUEST_MS 500
+#define FIRST_REQUEST_MS (LISTENER_DRAIN_MS - HANDSHAKE_MS)
 /* Interval between looks at an accept queue that is not empty, as the process
  * lacks descriptors. */
 #define QUEUE_CHECK_MS 10
--- a/src/ListenerDrain.h
+++ b/src/ListenerDrain.h
@@ -12,6 +12,9 @@
 #include <event2/http.h>
 #include <glib.h>
 
+/** Time from the beginning to the end, unless the queue can't be emptied. */
+#define LISTENER_DRAIN_MS 600
+
 /** struct ListenerDrain_t - opaque */
 typedef struct ListenerDrain ListenerDrain_t;
 
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -94,6 +94,7 @@
     log_end(this, outcome);
     Counters_add(this->context->counters, "forwards_total", labels, 1);
     this->context->open_requests--;
+    OpenRequests_remove(this->context->open, this);
     evtimer_del(this->deadline);
     Clock_arm(this->reaper, 0);
 }
@@ -137,6 +138,12 @@
     refuse(this, REFUSAL_DEADLINE_PASSED, run_state(this));
 }
 
+static void
+on_router_ends(void *request)
+{
+    refuse(request, REFUSAL_STOPPING, run_state(request));
+}
+
 static void
 on_answered(void *owner, const RelayHead_t *head)
 {
@@ -358,6 +365,7 @@
     this->answer =
         RelayAnswer_create(context->base, &answer, &answer_events, this);
     context->open_requests++;
+    OpenRequests_add(context->open, this, on_router_ends);
     Clock_arm(this->deadline, wait_ms + ANSWER_MARGIN_MS);
     try_next(this);
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -32,6 +32,9 @@
 #include "SettingsReload.h"
 
 #define STOP_CHECK_MS 50
+/* Time before the end at which requests still open are answered, so that their
+ * callers get the answers. */
+#define LAST_ANSWERS_MS 200
 /* How long a stopping router waits after the grace period for open claims to
  * get their outcomes recorded. */
 #define CLAIMS_DRAIN_MAX_MS 5000
@@ -89,6 +92,7 @@
         RetryBudget_create((guint)settings->limits.retry_percent,
                            (guint)settings->limits.retry_allowance);
     context->traces = Traces_create();
+    context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
     context->incarnation = (guint64)Clock_wallMs();
 }
@@ -343,8 +347,7 @@
     this->hold = AcceptHold_create(this->context.base, &spec);
 }
 
-/* Whether all requests have ended, new ones are refused, and connections are
- * accepted again after a start. */
+/* Whether all requests have ended, and new ones are refused. */
 static gboolean
 is_drained(const Router_t *this, gint64 elapsed_ms)
 {
@@ -353,7 +356,6 @@
     gint64 claims_limit_ms =
         this->settings->router.stop_grace_ms + CLAIMS_DRAIN_MAX_MS;
     return context->refusing && context->open_requests == 0 &&
-           (!this->hold || AcceptHold_isOver(this->hold)) &&
            PendingReply_count() == 0 &&
            (claims == 0 || elapsed_ms >= claims_limit_ms);
 }
@@ -368,12 +370,17 @@
     const RouterSection_t *settings = &this->settings->router;
     this->context.refusing = elapsed_ms >= settings->stop_grace_ms;
     gboolean drained = is_drained(this, elapsed_ms);
-    if (drained) {
+    gint64 left_ms = settings->stop_limit_ms - elapsed_ms;
+    if (drained || left_ms <= LISTENER_DRAIN_MS + LAST_ANSWERS_MS) {
         ListenerDrain_begin(this->closing);
     }
+    if (left_ms <= LAST_ANSWERS_MS) {
+        this->context.refusing = TRUE;
+        OpenRequests_endAll(this->context.open);
+    }
     if ((drained && ListenerDrain_isOver(this->closing) &&
          LingeringClose_count() == 0) ||
-        elapsed_ms >= settings->stop_limit_ms) {
+        left_ms <= 0) {
         event_base_loopbreak(this->context.base);
         return;
     }
@@ -391,6 +398,9 @@
     this->context.stopping = TRUE;
     this->stop_began_ms = Clock_nowMs();
     Membership_setLeaving(this->context.membership);
+    if (this->hold) {
+        AcceptHold_end(this->hold);
+    }
     if (this->relay) {
         RelayParts_stop(this->relay);
     }
@@ -504,6 +514,7 @@
 {
     Context_t *context = &this->context;
     Traces_destroy(context->traces);
+    OpenRequests_destroy(context->open);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
     CustomerLimits_destroy(context->limits);
--- a/tests/sessions/test_stop.py
+++ b/tests/sessions/test_stop.py
@@ -154,6 +154,38 @@
         self.assertEqual(connection.recv(1), b"")
         self.assert_end()
 
+    def start_with_limit(self):
+        router = self.fleet.router("r2", stop_limit="1s")
+        wait_for(lambda: self.fleet.is_ready(router), "ready")
+        self.router = router
+
+    def test_a_request_under_way_at_the_limit_is_answered(self):
+        """Its connection was closed without an answer."""
+        self.start_with_limit()
+        self.service.pause_s = 10
+        connection = self.connect()
+        connection.sendall(request("id"))
+        wait_for(lambda: self.service.seen, "the request at the service")
+        self.stop()
+        answer = read_answer(connection)
+        self.assertEqual(answer[:13], b"HTTP/1.1 502 ")
+        self.assertTrue(is_whole(answer))
+        self.assertEqual(self.router.process.wait(60), 0)
+
+    def test_a_request_that_waits_at_the_limit_is_refused_as_not_run(self):
+        """Its connection was closed without an answer."""
+        self.start_with_limit()
+        self.service.shed = True
+        connection = self.connect()
+        connection.sendall(request("id"))
+        wait_for(lambda: self.service.arrivals, "the request at the service")
+        self.stop()
+        answer = read_answer(connection)
+        self.assertEqual(answer[:13], b"HTTP/1.1 503 ")
+        self.assertTrue(is_whole(answer))
+        self.assertEqual(self.service.seen, [])
+        self.assertEqual(self.router.process.wait(60), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_AcceptHold.c
+++ b/tests/test_AcceptHold.c
@@ -67,6 +67,17 @@
         connect(caller, (struct sockaddr *)&address, sizeof(address)), 0);
 }
 
+static evutil_socket_t
+connect_another(void)
+{
+    struct sockaddr_in address;
+    socklen_t length = sizeof(address);
+    evutil_socket_t another = socket(AF_INET, SOCK_STREAM, 0);
+    getpeername(caller, (struct sockaddr *)&address, &length);
+    ck_assert_int_eq(connect(another, (struct sockaddr *)&address, length), 0);
+    return another;
+}
+
 static void
 tear_down(void)
 {
@@ -124,6 +135,26 @@
 }
 END_TEST
 
+/* The hold would enable a listener that its owner has freed. */
+START_TEST(hold_that_was_ended_leaves_the_listener_alone)
+{
+    set_up();
+    AcceptHold_end(hold);
+    run_until(Clock_nowMs() + MARGIN_MS, TRUE);
+    ck_assert(AcceptHold_isOver(hold));
+    ck_assert_uint_eq(accepted, 1);
+    evconnlistener_disable(listener);
+    evutil_socket_t another = connect_another();
+    known = TRUE;
+    AcceptHold_end(hold);
+    run_until(Clock_nowMs() + CHECKS_MS, FALSE);
+    ck_assert_uint_eq(accepted, 1);
+    evutil_closesocket(another);
+    tear_down();
+}
+END_TEST
+
 TESTING_MAIN("AcceptHold", caller_is_not_accepted_until_enough_is_known,
              caller_is_accepted_after_a_bounded_time,
-             hold_does_not_resume_after_its_end)
+             hold_does_not_resume_after_its_end,
+             hold_that_was_ended_leaves_the_listener_alone)
