Tests that changes of settings, configuration and keys cut nothing off

Eight callers on kept connections, while the settings are read again, while configurations follow each other and while a key is revoked and given back, every 50 ms for 3 s each: all requests are answered whole. They passed before, too: no fault was found there.

--- a/tests/sessions/test_stop.py
+++ b/tests/sessions/test_stop.py
@@ -6,12 +6,13 @@
 import unittest
 
 from cluster import wait_for
-from fleet import Fleet
+from fleet import ROUTES, Fleet
 
 HEAD = ("POST /write/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-a\r\n"
         "X-Request-Id: %s\r\nX-Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n")
 STOP_GRACE_S = 0.3  # of the routers that fleet.py starts
 FINE = (b"HTTP/1.1 200 ", b"HTTP/1.1 503 ")
+REVOKED = b"HTTP/1.1 401 "
 
 
 def request(name):
@@ -187,5 +188,68 @@
         self.assertEqual(self.router.process.wait(60), 0)
 
 
+class ChangeTest(unittest.TestCase):
+    """Requests during changes that are no stop."""
+
+    LENGTH_S = 3
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.service = self.fleet.plain("p1")
+        self.service.pause_s = 0.05
+        self.router = self.fleet.start()
+        self.is_over = threading.Event()
+        self.answers = []
+
+    def call(self, caller):
+        """Calls on a kept connection until the end."""
+        number = 0
+        with socket.create_connection(("127.0.0.1", self.router.port),
+                                      timeout=60) as connection:
+            while not self.is_over.is_set():
+                number += 1
+                connection.sendall(request("id-%d-%d" % (caller, number)))
+                self.answers.append(read_answer(connection))
+
+    def assert_nothing_is_cut_off(self, change, fine=(b"HTTP/1.1 200 ",)):
+        callers = [threading.Thread(target=self.call, args=(i,))
+                   for i in range(8)]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + self.LENGTH_S
+        while time.monotonic() < end:
+            change()
+            time.sleep(0.05)
+        self.is_over.set()
+        for caller in callers:
+            caller.join()
+        self.assertGreater(len(self.answers), 100)
+        self.assertEqual([answer for answer in self.answers
+                          if not answer.startswith(fine)
+                          or not is_whole(answer)], [])
+
+    def test_reading_the_settings_again_cuts_nothing_off(self):
+        self.assert_nothing_is_cut_off(
+            lambda: self.router.signal(signal.SIGHUP))
+
+    def test_configurations_in_a_row_cut_nothing_off(self):
+        def change():
+            self.fleet.config(routes=[
+                dict(fields, timeout_ms=20000 - self.fleet.version)
+                for fields in ROUTES])
+        self.assert_nothing_is_cut_off(change)
+
+    def test_a_revoked_key_cuts_nothing_off(self):
+        """Requests with the key are run or refused."""
+        def change():
+            keys = ["key-a"] if self.fleet.version % 2 else []
+            self.fleet.config(customers=[
+                {"name": "a", "api_keys": keys + ["key-b"]}])
+        self.assert_nothing_is_cut_off(change, FINE + (REVOKED,))
+        self.assertTrue(any(answer.startswith(REVOKED)
+                            for answer in self.answers))
+
+
 if __name__ == "__main__":
     unittest.main()
