A kept connection may rest as long as the configuration says

Callers saw: a connection that they reused within the idle time of the configuration was closed, and a request that crossed the close was lost.

Cause: the configuration's idle_timeout_ms was read and never used; a kept connection was closed after read_timeout of the settings, however long the configuration lets callers keep it.

Now a connection gets the longer one of both from its first request on.

--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -295,6 +295,22 @@
     return Membership_isMember(context->membership, name) ? name : "unknown";
 }
 
+/* Callers reuse a connection as long as the configuration lets it rest, which
+ * may be longer than the settings allow a pause while a request is sent. */
+static void
+extend_idle_time(const Context_t *context,
+                 struct evhttp_connection *connection)
+{
+    const RouteConfig_t *config = RouteTable_config(context->routes);
+    if (!config ||
+        config->idle_timeout_ms <= context->settings->limits.read_timeout_ms) {
+        return;
+    }
+    struct timeval timeout = {config->idle_timeout_ms / 1000,
+                              config->idle_timeout_ms % 1000 * 1000};
+    evhttp_connection_set_timeout_tv(connection, &timeout);
+}
+
 void
 RelayApi_handle(struct evhttp_request *request, void *data)
 {
@@ -305,6 +321,7 @@
     admission.forwarded_by = find_forwarder(data, request);
     close_if_ambiguous(&admission);
     Http_setNoDelay(connection);
+    extend_idle_time(data, connection);
     Counters_add(admission.context->counters, "requests_total", NULL, 1);
     gboolean is_read = admission.context->form->caller->read_request(
         request, &admission.request, &error);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -705,7 +705,8 @@
     def plain(self, name):
         return self.add(Upstream(self.store, name, "plain"))
 
-    def config(self, version=None, routes=None, customers=None, stores=()):
+    def config(self, version=None, routes=None, customers=None, stores=(),
+               limits=()):
         self.version = version or self.version + 1
         self.store.put("keyed.op", "config", {
             "version": self.version,
@@ -719,7 +720,7 @@
                  "max_connections": 100}] + [
                 {"name": name, "kv_store_addr": address, "zone": "hall-a",
                  "kv_capacity": 1000000} for name, address in stores],
-            "limits": {},
+            "limits": dict(limits),
             "tenants": CUSTOMERS if customers is None else customers})
 
     def router(self, *arguments, **more):
--- a/tests/sessions/test_last_answers.py
+++ b/tests/sessions/test_last_answers.py
@@ -103,6 +103,18 @@
                 connection.sendall(b"x")
                 time.sleep(0.1)
 
+    def test_a_connection_is_kept_as_long_as_the_configuration_says(self):
+        """It was closed after the shorter read_timeout of the settings."""
+        self.fleet.config(limits={"idle_timeout_ms": 4000})
+        router = self.start(read_timeout="1s")
+        connection = self.connect(router)
+        for name in ("id-1", "id-2"):
+            connection.sendall(request(name))
+            self.assert_long_answer(read_answer(connection))
+            time.sleep(2)
+        connection.settimeout(10)
+        self.assertEqual(connection.recv(1), b"")  # closed in the end
+
 
 if __name__ == "__main__":
     unittest.main()
