--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -187,27 +187,20 @@
     g_free(this);
 }
 
-static struct bufferevent *
-create_bufferevent(struct event_base *base, void *data)
+void
+RequestIntake_watch(struct bufferevent *stream, const IntakeLimits_t *limits)
 {
     Connection_t *this = g_new0(Connection_t, 1);
-    this->limits = data;
-    this->stream = bufferevent_socket_new(base, -1, 0);
+    this->limits = limits;
+    this->stream = stream;
     this->framing = RequestFraming_create();
-    this->claim = BodyClaim_create(this->limits->budget);
-    g_hash_table_replace(connections, this->stream, this);
-    evbuffer_add_cb(bufferevent_get_input(this->stream), on_input, this);
-    return this->stream;
-}
-
-void
-RequestIntake_watch(struct evhttp *server, const IntakeLimits_t *limits)
-{
+    this->claim = BodyClaim_create(limits->budget);
     if (!connections) {
         connections = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                             NULL, free_connection);
     }
-    evhttp_set_bevcb(server, create_bufferevent, (void *)limits);
+    g_hash_table_replace(connections, stream, this);
+    evbuffer_add_cb(bufferevent_get_input(stream), on_input, this);
 }
 
 static Connection_t *
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -8,6 +8,7 @@
  * their bodies (BodyBudget.h). A connection whose body has no room is read
  * slowly until there is, so that its caller waits and its end is noticed.
  */
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include "BodyBudget.h"
@@ -22,8 +23,9 @@
     gsize max_body;
 } IntakeLimits_t;
 
-/** RequestIntake_watch() - watch all connections that @server accepts */
-void RequestIntake_watch(struct evhttp *server, const IntakeLimits_t *limits);
+/** RequestIntake_watch() - watch a connection that a server accepts */
+void RequestIntake_watch(struct bufferevent *stream,
+                         const IntakeLimits_t *limits);
 
 /**
  * RequestIntake_isAmbiguous() - whether receivers of a request may disagree
--- a/src/Router.c
+++ b/src/Router.c
@@ -1,5 +1,6 @@
 #include "Router.h"
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
@@ -13,7 +14,10 @@
 #include "Clock.h"
 #include "Context.h"
 #include "EngineHttp.h"
+#include "Errors.h"
+#include "LingeringClose.h"
 #include "ListenRetry.h"
+#include "ListenerDrain.h"
 #include "Log.h"
 #include "NativeParts.h"
 #include "OperatorApi.h"
@@ -31,6 +35,9 @@
 
 #define STOP_CHECK_MS 50
 #define OPERATORS_RETRY_MS 1000
+/* Time before the end at which requests still open are answered, so that their
+ * callers get the answers. */
+#define LAST_ANSWERS_MS 200
 /* How long a stopping router waits after the grace period for open claims to
  * get their outcomes recorded. */
 #define CLAIMS_DRAIN_MAX_MS 5000
@@ -48,9 +55,10 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     struct evhttp *callers;
-    IntakeLimits_t intake; /* of callers' bodies */
-    AcceptHold_t *hold;    /* NULL on the native platform */
-    GPtrArray *pauses;     /* AcceptPause_t */
+    IntakeLimits_t intake;    /* of callers' bodies */
+    AcceptHold_t *hold;       /* NULL on the native platform */
+    GPtrArray *pauses;        /* AcceptPause_t */
+    ListenerDrain_t *closing; /* closes the listener for callers at the end */
     struct evhttp *operators;
     struct evhttp *readiness;
     guint16 port;
@@ -113,6 +121,7 @@
         RetryBudget_create((guint)settings->limits.retry_percent,
                            (guint)settings->limits.retry_allowance);
     context->traces = Traces_create();
+    context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
     context->incarnation = (guint64)Clock_wallMs();
 }
@@ -331,6 +340,16 @@
     return server;
 }
 
+static struct bufferevent *
+create_caller_connection(struct event_base *base, void *data)
+{
+    struct bufferevent *bev =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    RequestIntake_watch(bev, data);
+    LingeringClose_watch(bev);
+    return bev;
+}
+
 static gboolean
 create_callers(Router_t *this, GError **error)
 {
@@ -345,7 +364,7 @@
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
     set_body_budget(this);
-    RequestIntake_watch(this->callers, &this->intake);
+    evhttp_set_bevcb(this->callers, create_caller_connection, &this->intake);
     return TRUE;
 }
 
@@ -433,6 +452,19 @@
     this->hold = AcceptHold_create(this->context.base, &spec);
 }
 
+/* Whether all requests have ended, and new ones are refused. */
+static gboolean
+is_drained(const Router_t *this, gint64 elapsed_ms)
+{
+    const Context_t *context = &this->context;
+    guint claims = context->claims ? Claims_countPending(context->claims) : 0;
+    gint64 claims_limit_ms =
+        this->settings->router.stop_grace_ms + CLAIMS_DRAIN_MAX_MS;
+    return context->refusing && context->open_requests == 0 &&
+           PendingReply_count() == 0 &&
+           (claims == 0 || elapsed_ms >= claims_limit_ms);
+}
+
 static void
 on_stop_timer(evutil_socket_t fd, short what, void *data)
 {
@@ -442,14 +474,18 @@
     gint64 elapsed_ms = Clock_nowMs() - this->stop_began_ms;
     const RouterSection_t *settings = &this->settings->router;
     this->context.refusing = elapsed_ms >= settings->stop_grace_ms;
-    guint claims =
-        this->context.claims ? Claims_countPending(this->context.claims) : 0;
-    gboolean drained = this->context.refusing &&
-                       this->context.open_requests == 0 &&
-                       PendingReply_count() == 0 &&
-                       (claims == 0 || elapsed_ms >= settings->stop_grace_ms +
-                                                         CLAIMS_DRAIN_MAX_MS);
-    if (drained || elapsed_ms >= settings->stop_limit_ms) {
+    gboolean drained = is_drained(this, elapsed_ms);
+    gint64 left_ms = settings->stop_limit_ms - elapsed_ms;
+    if (drained || left_ms <= LISTENER_DRAIN_MS + LAST_ANSWERS_MS) {
+        ListenerDrain_begin(this->closing);
+    }
+    if (left_ms <= LAST_ANSWERS_MS) {
+        this->context.refusing = TRUE;
+        OpenRequests_endAll(this->context.open);
+    }
+    if ((drained && ListenerDrain_isOver(this->closing) &&
+         LingeringClose_count() == 0) ||
+        left_ms <= 0) {
         event_base_loopbreak(this->context.base);
         return;
     }
@@ -467,6 +503,9 @@
     this->context.stopping = TRUE;
     this->stop_began_ms = Clock_nowMs();
     Membership_setLeaving(this->context.membership);
+    if (this->hold) {
+        AcceptHold_end(this->hold);
+    }
     if (this->relay) {
         RelayParts_stop(this->relay);
     }
@@ -544,6 +583,7 @@
         evhttp_free(this->readiness);
     }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
+    LingeringClose_clear();
 }
 
 /* Runs the loop once at the end, as closed calls and links free themselves in
@@ -569,6 +609,7 @@
 {
     Context_t *context = &this->context;
     Traces_destroy(context->traces);
+    OpenRequests_destroy(context->open);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
     CustomerLimits_destroy(context->limits);
@@ -620,6 +661,7 @@
     this.context.form = form;
     Random_seed((guint32)settings->router.seed);
     this.context.base = create_base();
+    LingeringClose_init(this.context.base);
     create_parts(&this);
     create_signals(&this);
     gboolean started =
@@ -632,6 +674,7 @@
         if (this.relay) {
             create_accept_hold(&this);
         }
+        this.closing = ListenerDrain_create(this.context.base, this.callers);
         log_lifecycle(&this, "router_started");
         StopSignals_release();
         event_base_dispatch(this.context.base);
@@ -641,6 +684,9 @@
     if (this.hold) {
         AcceptHold_destroy(this.hold);
     }
+    if (this.closing) {
+        ListenerDrain_destroy(this.closing);
+    }
     free_listeners(&this);
     if (started) {
         free_platform(&this);
