--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -341,6 +341,7 @@
                HttpCallDone_t done, void *data)
 {
     HttpCall_t *this = g_new0(HttpCall_t, 1);
+    this->starting = TRUE;
     this->done = done;
     this->data = data;
     this->accepts_close_delimited = spec->accepts_close_delimited;
