A soak test of streams that go on while versions replace each other

Not covered: routers cut off from their peers while they run (only from the store), history of topics that has expired, and two regions.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .PHONY: demo test install format lint bench generate packages build \
 	build-asan reference slopes soak \
-	check-deploy fleet-soak fuzz replay
+	check-deploy fleet-soak order-soak fuzz replay
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
@@ -78,6 +78,10 @@
 fleet-soak: build
 	@python3 tools/fleet_soak.py $(SEED) $(DURATION)
 
+# Streams over several requests, while versions replace each other.
+order-soak: build
+	@python3 tools/order_soak.py $(SEED) $(DURATION)
+
 # One target of tests/fuzz/targets.c under libFuzzer, which learns from what
 # its inputs reach; `make test` runs all of them without it.
 TARGET ?= callerHead
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import re
 import socket
 import struct
 import tempfile
@@ -19,6 +20,7 @@
 HEARTBEAT_S = 0.2
 RATE_WINDOW_S = 0.1  # in which the store counts calls
 READ_MAX_KB = 1024  # of an answer to a read that names no maximum
+PORTS = (12000, 32000)  # that the system gives to no connection
 PART_S = 0.05  # between the parts of an answer that arrives slowly
 # What an upstream writes of the event, or the body, in which it breaks off.
 BREAKS = {
@@ -28,6 +30,28 @@
 }
 
 
+def find_free_port(rng):
+    """Returns a port that the system gives to no connection."""
+    while True:
+        port = rng.randrange(*PORTS)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as bound:
+                    bound.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            pass
+
+
+def fix_ports(path, rng):
+    """Gives a router of these settings the same ports at each start."""
+    with open(path) as file:
+        text = re.sub(r"127\.0\.0\.1:0\b", lambda _: "127.0.0.1:%d"
+                      % find_free_port(rng), file.read())
+    with open(path, "w") as file:
+        file.write(text)
+
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     answering = False  # a head was written, and its body not wholly yet
@@ -813,6 +837,9 @@
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
                     file.write("%s = %s\n" % (key, value))
+        return self.run_router(path, verbose, environment)
+
+    def run_router(self, path, verbose=True, environment=None):
         options = ["--verbose"] if verbose else []
         router = Process([os.path.join(BUILD, "wheattiller"), "router",
                           *options, "--settings", path], environment)
@@ -820,6 +847,10 @@
         self.routers.append(router)
         return router
 
+    def start_again(self, router):
+        """Starts another process with the settings of one that has ended."""
+        return self.await_start(self.run_router(router.path))
+
     def await_start(self, router):
         started = router.wait_event("router_started")[0]
         router.port = int(started["port"])
