--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -367,7 +367,6 @@
     if (spec->late_ms > 0) {
         Clock_arm(this->silence, spec->late_ms);
     }
-    this->starting = TRUE;
     if (evhttp_make_request(this->connection, request, spec->method,
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
