Store records are read once they are needed; the first start is known

Versions are read by their writers, and streams before the first write or for a caller that waits. first_start, which the platform fills in, says that nothing served before, so that what has no record has one version.

--- a/src/OriginRecords.c
+++ b/src/OriginRecords.c
@@ -193,6 +193,7 @@
 OriginRecords_scheduleWrite(OriginRecords_t *this)
 {
     this->is_changed = TRUE;
+    OriginRecords_scheduleRead(this, FALSE);
     arm_write(this);
 }
 
@@ -309,7 +310,6 @@
 OriginRecords_setKeeper(OriginRecords_t *this, OriginKeeper_t *keeper)
 {
     this->keeper = keeper;
-    OriginRecords_scheduleRead(this, FALSE);
 }
 
 void
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -282,6 +282,7 @@
         .membership = context->membership,
         .router = context->settings->router.name->str,
         .counters = context->counters,
+        .is_first_start = context->settings->platform.first_start != 0,
         .window_ms = context->settings->relay.resume_window_ms,
         .repeat_ms = SOFTWARE_RECORD_REPEAT_MS,
         .epoch = this->epoch,
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -142,6 +142,11 @@
      "The same limit as weight_loads, as a percentage of the engines; the "
      "larger of both applies.",
      KEY_LIVE},
+    {"first_start", KEY_CHOICE, FALSE, "false", 0, 0, "false,true",
+     P(first_start),
+     "Whether no router of the platform ran before: what the store does not "
+     "have did not exist.",
+     KEY_LIVE},
     {"fencing", KEY_CHOICE, FALSE, "false", 0, 0, "false,true", P(fencing),
      "Whether all engines refuse an order with an old fencing number; if so, "
      "another router can give orders as soon as this one stops.",
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -117,6 +117,7 @@
  * @weight_loads: engines of a region that may load weights at the same time
  * @load_percent: the same as a percentage of the engines; the larger of both
  *     limits applies
+ * @first_start: whether no router of the platform ran before
  * @fencing: whether all engines refuse an order with an old fencing number
  */
 typedef struct {
@@ -133,6 +134,7 @@
     gint64 order_timeout_ms;
     gint64 weight_loads;
     gint64 load_percent;
+    gint64 first_start;
     gint64 fencing;
 } PlatformSection_t;
 
--- a/src/SoftwareRecords.c
+++ b/src/SoftwareRecords.c
@@ -206,6 +206,16 @@
     }
 }
 
+/* Other routers read the records once they need them. */
+static void
+read_if_writer(void *owner, const char *service)
+{
+    SoftwareRecords_t *this = owner;
+    if (is_writer(this, service)) {
+        SoftwareRecords_scheduleRead(this, FALSE);
+    }
+}
+
 /* What this router has not read it must not replace: the record may state
  * versions that other routers have not read yet. */
 static void
@@ -214,8 +224,12 @@
     if (SoftwareVersions_isLearned(this->spec.versions)) {
         SoftwareVersions_forEachService(this->spec.versions, check_service,
                                         this);
-        Clock_arm(this->timer, CHECK_MS);
     }
+    else {
+        SoftwareVersions_forEachService(this->spec.versions, read_if_writer,
+                                        this);
+    }
+    Clock_arm(this->timer, CHECK_MS);
 }
 
 static void
@@ -269,6 +283,9 @@
 on_read_all(void *owner)
 {
     SoftwareRecords_t *this = owner;
+    if (this->spec.is_first_start) {
+        SoftwareVersions_noteFirstStart(this->spec.versions);
+    }
     SoftwareVersions_learn(this->spec.versions);
     check_services(this);
 }
@@ -305,7 +322,7 @@
     if (spec->epoch) {
         StoreEpoch_addListener(spec->epoch, on_store_restored, this);
     }
-    SoftwareRecords_scheduleRead(this, FALSE);
+    Clock_arm(this->timer, CHECK_MS);
     return this;
 }
 
--- a/src/SoftwareRecords.h
+++ b/src/SoftwareRecords.h
@@ -33,6 +33,8 @@
  * @membership: ranks the routers; NULL for none, as in module tests
  * @router: name of this router
  * @counters: of calls to the store; NULL to count none, as in module tests
+ * @is_first_start: no router ran before, so that a service without a record
+ *     has served nobody
  * @window_ms: how long streams may be continued
  * @repeat_ms: after which a changed record is written once more; 0 for never
  * @epoch: tells that the store has come back older; NULL for none, as in
@@ -45,6 +47,7 @@
     const Membership_t *membership;
     const char *router;
     Counters_t *counters;
+    gboolean is_first_start;
     gint64 window_ms;
     gint64 repeat_ms;
     StoreEpoch_t *epoch;
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -23,7 +23,8 @@
     GHashTable *known_before; /* names of services */
     GArray *callbacks;        /* Callback_t */
     gboolean is_learned;
-    gint64 since_ms; /* when the first upstream was added */
+    gboolean is_first; /* nothing served before this router started */
+    gint64 since_ms;   /* when the first upstream was added */
 };
 
 static void
@@ -164,6 +165,12 @@
     version->ended_ms = now_ms;
 }
 
+void
+SoftwareVersions_noteFirstStart(SoftwareVersions_t *this)
+{
+    this->is_first = TRUE;
+}
+
 void
 SoftwareVersions_learn(SoftwareVersions_t *this)
 {
@@ -185,6 +192,7 @@
         return;
     }
     this->since_ms = now_ms;
+    this->is_first = FALSE;
     g_hash_table_remove_all(this->known_before);
     Log_begin(LOG_LEVEL_INFO, "software_gap");
     Log_number("services", g_hash_table_size(this->services));
@@ -266,7 +274,8 @@
 {
     gboolean is_recorded =
         this->is_learned &&
-        g_hash_table_contains(this->known_before, service) &&
+        (this->is_first ||
+         g_hash_table_contains(this->known_before, service)) &&
         !g_hash_table_contains(this->mixed_before, service);
     return is_recorded ||
            (this->since_ms > 0 && now_ms - this->since_ms >= window_ms);
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -45,6 +45,10 @@
 void SoftwareVersions_noteBefore(SoftwareVersions_t *this, const char *service,
                                  const char *software, gint64 now_ms);
 
+/** SoftwareVersions_noteFirstStart() - no router ran before: a service of
+ * which nothing was noted has served nobody */
+void SoftwareVersions_noteFirstStart(SoftwareVersions_t *this);
+
 /** SoftwareVersions_learn() - all that is known of the versions that served
  * shortly before this router started has been noted; those of other services
  * are unknown */
--- a/tests/test_SoftwareRecords.c
+++ b/tests/test_SoftwareRecords.c
@@ -15,6 +15,7 @@
 static SoftwareVersions_t *versions;
 static SoftwareRecords_t *records;
 static StoreEpoch_t *epoch;
+static gboolean is_first_start;
 
 static void
 begin_with(gint64 repeat_ms, StoreEpoch_t *store_epoch)
@@ -26,10 +27,12 @@
                                   .topic = "software",
                                   .versions = versions,
                                   .router = "r1",
+                                  .is_first_start = is_first_start,
                                   .window_ms = WINDOW_MS,
                                   .repeat_ms = repeat_ms,
                                   .epoch = store_epoch};
     records = SoftwareRecords_create(base, &spec);
+    SoftwareRecords_scheduleRead(records, FALSE);
 }
 
 static void
@@ -124,6 +127,29 @@
 END_TEST
 
 /* One version had replaced the other while no router ran. */
+/* Each first start cost messages and writes for as long as streams may be
+ * continued. */
+START_TEST(a_service_without_a_record_has_one_version_at_the_first_start)
+{
+    is_first_start = TRUE;
+    begin();
+    put("a", "v1");
+    SoftwareRecords_scheduleRead(records, TRUE);
+    ck_assert_ptr_null(find_only());
+    answer_read(NULL, NULL);
+    ck_assert_str_eq(find_only(), "v1");
+    await_written("v1", NULL);
+    end();
+    begin();
+    put("a", "v2");
+    SoftwareRecords_scheduleRead(records, TRUE);
+    answer_read("s", RECORD_V1);
+    ck_assert_ptr_null(find_only());
+    end();
+    is_first_start = FALSE;
+}
+END_TEST
+
 START_TEST(a_service_with_the_record_of_another_version_had_several)
 {
     begin();
@@ -287,6 +313,7 @@
 TESTING_MAIN("SoftwareRecords",
              a_service_with_the_record_of_its_version_had_no_other,
              a_service_without_a_record_may_have_had_several,
+             a_service_without_a_record_has_one_version_at_the_first_start,
              a_service_with_the_record_of_another_version_had_several,
              a_record_of_a_version_that_left_counts_for_the_window,
              a_record_without_versions_may_stand_for_any,
--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -20,6 +20,7 @@
     "bounds.version_ms": "10000", "bounds.config_apply_ms": "2000",
     "bounds.fencing_required": "true", "bounds.drain_ms": "2000",
     "bounds.retry_slack": "56", "limits.link_mbps": "1000.0",
+    "limits.memory_mb": "110", "bootstrap": "true",
 }
 # Tables; a {{#table}} section of the template is repeated for each entry.
 TABLES = {"zones": {"a": "r", "b": "r", "c": "s"}}
@@ -28,11 +29,13 @@
 OTHER_FIGURES = (
     {"bounds.retry_slack": "33.1578947368421", "bounds.lease_ms": "3000.0",
      "bounds.drain_ms": "2000.5", "bounds.version_ms": "1e4",
-     "limits.link_mbps": "0.5",
+     "limits.link_mbps": "0.5", "limits.memory_mb": "110.5",
+     "bootstrap": "false",
      "bounds.config_apply_ms": "3000.0"},
     {"bounds.retry_slack": "", "bounds.lease_ms": "", "bounds.drain_ms": "",
      "bounds.version_ms": "", "bounds.config_apply_ms": "",
-     "bounds.fencing_required": "", "seeds": "", "limits.link_mbps": ""},
+     "bounds.fencing_required": "", "seeds": "", "limits.link_mbps": "",
+     "limits.memory_mb": "", "bootstrap": ""},
     {"bounds.retry_slack": "0", "bounds.lease_ms": "500",
      "bounds.drain_ms": "200", "bounds.version_ms": "3000",
      "bounds.config_apply_ms": "500"},
@@ -46,7 +49,8 @@
     "bounds.drain_ms": "soon", "bounds.version_ms": "1e30",
     "bounds.config_apply_ms": "never",
     "bounds.fencing_required": "perhaps", "seeds": "nowhere",
-    "limits.link_mbps": "fast",
+    "limits.link_mbps": "fast", "limits.memory_mb": "much",
+    "bootstrap": "perhaps",
 }
 PLATFORM_NAMES = (
     r"x-server-seal|x-not-executed|x-expect-instance|x-token-usage|"
