Bytes that are no text are escaped in the log

A value with bytes that are no UTF-8 made the log unreadable to tools that expect text, the test runner among them, which ended with an error. Such values and those with control characters are quoted and escaped. test_Log: the bytes stood there as they were.

--- a/src/Log.c
+++ b/src/Log.c
@@ -120,10 +120,20 @@
     g_date_time_unref(now);
 }
 
+static gboolean
+has_control_characters(const char *value)
+{
+    while (*value && !g_ascii_iscntrl(*value)) {
+        value++;
+    }
+    return *value != '\0';
+}
+
 static gboolean
 needs_quotes(const char *value)
 {
-    return *value == '\0' || strpbrk(value, " \"\\=\n\r\t") != NULL;
+    return *value == '\0' || strpbrk(value, " \"\\=") != NULL ||
+           has_control_characters(value) || !g_utf8_validate(value, -1, NULL);
 }
 
 void
