--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -839,12 +839,13 @@
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
                     file.write("%s = %s\n" % (key, value))
-        return self.run_router(path, verbose, environment)
+        return self.run_router(path, verbose, environment, prefix)
 
-    def run_router(self, path, verbose=True, environment=None):
+    def run_router(self, path, verbose=True, environment=None, prefix=()):
         options = ["--verbose"] if verbose else []
-        router = Process([*prefix, os.path.join(BUILD, "wheattiller"), "router",
-                          *options, "--settings", path], environment)
+        router = Process([*prefix, os.path.join(BUILD, "wheattiller"),
+                          "router", *options, "--settings", path],
+                         environment)
         router.path = path
         self.routers.append(router)
         return router
