--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -843,8 +843,9 @@
 
     def run_router(self, path, verbose=True, environment=None, prefix=()):
         options = ["--verbose"] if verbose else []
-        router = Process([*prefix, os.path.join(BUILD, "wheattiller"), "router",
-                          *options, "--settings", path], environment)
+        router = Process([*prefix, os.path.join(BUILD, "wheattiller"),
+                          "router", *options, "--settings", path],
+                         environment)
         router.path = path
         self.routers.append(router)
         return router
