--- a/src/ListenRetry.c
+++ b/src/ListenRetry.c
@@ -7,7 +7,7 @@
 #include "Log.h"
 #include "StopSignals.h"
 
-#define RETRY_INTERVAL_MS 20
+#define RETRY_INTERVAL_US 20000
 
 gboolean
 ListenRetry_tryOnce(const ListenRetry_t *this, GError **error)
@@ -60,7 +60,7 @@
             log_wait("listen_waits", this, 0);
             waits = TRUE;
         }
-        g_usleep(RETRY_INTERVAL_MS * CLOCK_US_PER_MS);
+        g_usleep(RETRY_INTERVAL_US);
         waited_ms = Clock_nowMs() - started_ms;
     }
     if (waits) {
