Closed standard streams are not used for other files

Of a router that was started with its standard streams closed, the first files that it opened got their numbers: log lines went into the descriptor of the event loop, or of the pipe for signals.

--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -280,6 +280,25 @@
         self.assert_serves(router)
 
 
+class ClosedStreamsTest(StartCase):
+    # Log lines went to whatever the router had opened next.
+    def test_closed_standard_streams_are_not_used_for_other_files(self):
+        router = Process(["sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh",
+                          os.path.join(BUILD, "wheattiller"), "router",
+                          "--settings", self.write_settings()])
+        self.fleet.routers.append(router)
+        folder = "/proc/%d/fd/" % router.process.pid
+        wait_for(lambda: any(os.readlink(folder + name).startswith("socket:")
+                             for name in self.list_files(folder)), "listeners")
+        self.assertEqual({os.readlink(folder + str(number))
+                          for number in range(3)}, {"/dev/null"})
+
+    @staticmethod
+    def list_files(folder):
+        return [name for name in os.listdir(folder)
+                if os.path.lexists(folder + name)]
+
+
 class FatalSignalTest(StartCase):
     # The log of a router that a signal ended told nothing of it.
     def test_a_fatal_signal_leaves_a_line(self):
