A length of a body begins with a digit

An answer's Content-Length of vertical tabs and a digit was read as a length: g_ascii_string_to_unsigned() skips them.

--- a/src/BodyFraming.c
+++ b/src/BodyFraming.c
@@ -58,7 +58,8 @@
 is_length(const char *value)
 {
     guint64 length = 0;
-    return g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT64, &length, NULL);
+    return g_ascii_isdigit(*value) &&
+           g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT64, &length, NULL);
 }
 
 BodyFraming_t
--- a/tests/test_BodyFraming.c
+++ b/tests/test_BodyFraming.c
@@ -70,6 +70,8 @@
         ck_assert_int_eq(FRAMING(200, "Content-Length", lengths[i]),
                          BODY_AMBIGUOUS);
     }
+    /* GLib's reader of numbers skips it. */
+    ck_assert_int_eq(FRAMING(200, "Content-Length", "\v2"), BODY_AMBIGUOUS);
 }
 END_TEST
 
