A call that fails as it is started is reported after the start

Callers saw: a router whose settings name a store at port 0 ended just after its start, or wrote to freed memory.

Cause: evhttp reports some failures to connect from within evhttp_make_request(). The callback ran before HttpCall_start() had returned, freed the owner's call, and the owner then stored the call's address in it (FleetStore, and in the same way every other owner).

HttpCall now reports such a failure from the event loop, as an error to connect.

Evidence: test_HttpCall.callback_comes_after_the_start, which failed on the code before; passes in both builds.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -26,7 +26,8 @@
     struct event *reaper; /* frees the call outside of evhttp's callbacks */
     HttpCallDone_t done;
     void *data;
-    gboolean sent; /* some bytes were or may have been sent */
+    gboolean starting; /* HttpCall_start() has not returned yet */
+    gboolean sent;     /* some bytes were or may have been sent */
     gboolean answered;
     gboolean is_too_long;
     gboolean accepts_close_delimited;
@@ -285,6 +286,10 @@
 {
     HttpCall_t *this = data;
     int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (status == 0 && this->starting) {
+        Clock_arm(this->deadline, 0); /* the owner does not know it yet */
+        return;
+    }
     if (status == 0) {
         fail(this, this->sent ? WT_ERROR_CUT : WT_ERROR_CONNECT,
              this->sent ? "the connection closed before the answer ended"
@@ -333,6 +338,7 @@
                HttpCallDone_t done, void *data)
 {
     HttpCall_t *this = g_new0(HttpCall_t, 1);
+    this->starting = TRUE;
     this->done = done;
     this->data = data;
     this->accepts_close_delimited = spec->accepts_close_delimited;
@@ -362,6 +368,7 @@
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
     }
+    this->starting = FALSE;
     return this;
 }
 
--- a/tests/test_HttpCall.c
+++ b/tests/test_HttpCall.c
@@ -75,4 +75,36 @@
 }
 END_TEST
 
-TESTING_MAIN("HttpCall", request_is_not_sent_after_its_call_ended_as_not_sent)
+static void
+on_failed(const HttpAnswer_t *answer, const GError *error, void *data)
+{
+    guint *failures = data;
+    *failures += 1;
+    ck_assert(!answer);
+    ck_assert_int_eq(error->code, WT_ERROR_CONNECT);
+}
+
+/* A router ended as its settings named a store at port 0: the callback freed
+ * what its owner wrote to once the call was started. */
+START_TEST(callback_comes_after_the_start)
+{
+    static const Address_t address = {"127.0.0.1", 0};
+    guint failures = 0;
+    HttpCallSpec_t spec = {.address = &address,
+                           .path = "/x",
+                           .answer_max = HTTP_SHORT_ANSWER_MAX,
+                           .timeout_ms = TIMEOUT_MS};
+    base = event_base_new();
+    HttpCall_start(base, &spec, on_failed, &failures);
+    ck_assert_uint_eq(failures, 0);
+    event_base_dispatch(base);
+    ck_assert_uint_eq(failures, 1);
+    HttpCall_cancel(HttpCall_start(base, &spec, on_failed, &failures));
+    event_base_dispatch(base);
+    ck_assert_uint_eq(failures, 1);
+    event_base_free(base);
+}
+END_TEST
+
+TESTING_MAIN("HttpCall", request_is_not_sent_after_its_call_ended_as_not_sent,
+             callback_comes_after_the_start)
