A store's epoch out of range stops no router for good

Callers saw: after one answer of the store whose epoch was negative, too large or no number, the router took every later answer for one of an earlier epoch. It followed no topic any more: new upstreams were not used, those that left stayed. It told its peers the epoch, which then did the same.

Cause: the header was read with a function that turns "-1" and overflow into the largest number.

Such an answer is now an error, and the epoch known before stays.

--- a/src/StoreEpoch.c
+++ b/src/StoreEpoch.c
@@ -4,6 +4,10 @@
 #include "Errors.h"
 #include "Log.h"
 
+/* Numbers that any program represents. An epoch read as a larger one would be
+ * later than all that follow. */
+#define EPOCH_MAX (G_GUINT64_CONSTANT(1) << 53)
+
 typedef struct {
     StoreEpochHandler_t handler;
     void *owner;
@@ -112,7 +116,13 @@
 gboolean
 StoreEpoch_check(StoreEpoch_t *this, const char *text, GError **error)
 {
-    guint64 epoch = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+    guint64 epoch = 0;
+    if (text &&
+        !g_ascii_string_to_unsigned(text, 10, 0, EPOCH_MAX, &epoch, NULL)) {
+        g_set_error_literal(error, WT_ERROR, WT_ERROR_BAD_ANSWER,
+                            "the answer's epoch is no number in range");
+        return FALSE;
+    }
     if (StoreEpoch_note(this, epoch, "answer")) {
         return TRUE;
     }
