A start in the far future does not keep out an upstream's own entries

Callers saw: another writer left an entry under the key of a live upstream whose time of start was a number too large. The upstream's own entries were then ignored, as of an earlier start (upstream_entry_older, former_start), and requests went to the odd entry's address for good. The same number in an engine's report did the same.

Cause: any positive integer counted as the time of a start.

--- a/tests/sessions/test_odd_records.py
+++ b/tests/sessions/test_odd_records.py
@@ -192,6 +192,24 @@
         for router in self.both(lambda: self.fill("keyed.servers", values)):
             self.assert_named_once(router, len(values))
 
+    def test_a_start_in_the_far_future_keeps_out_no_later_one(self):
+        """An upstream stayed at the address of an odd entry for good: its own
+        entries seemed to be from an earlier start."""
+        router = self.fleet.start()
+        count = 0
+        for born in ("9223372036854775807", "1000000000000000000",
+                     "8796093022209"):
+            odd = dict(ENTRY, service="plain", address="127.0.0.1:9")
+            self.put("keyed.servers", b"p1", with_raw(odd, "born", born))
+            wait_for(lambda: self.fleet.ask(router, "/read/x").status != 200,
+                     "read", 15)
+            self.plain.list()
+            wait_for(lambda: self.fleet.ask(router, "/read/x").status == 200,
+                     "used again", 15)
+            count += 1
+            self.assertEqual(
+                len(router.events("listing_entry_unreadable")), count)
+
     def test_records_of_the_operator(self):
         values = odd_entries(self.rng)
         self.both(lambda: (self.fill("keyed.op", values),
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -425,7 +425,26 @@
 }
 END_TEST
 
-TESTING_MAIN("Fleet", customer_limits_are_decoded, configuration_is_decoded,
+/* The state of a later start was ignored as one of an earlier start. */
+START_TEST(start_in_the_far_future_is_unknown)
+{
+    static const char *const starts[] = {"9223372036854775807",
+                                         "8796093022209", "-1", "\"x\""};
+    for (gsize i = 0; i < G_N_ELEMENTS(starts); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"models\":[{\"version\":2}],\"born\":%s}", starts[i]);
+        HttpAnswer_t answer = {
+            .status = 200, .body = text, .length = strlen(text)};
+        EngineState_t state = {.weights = g_string_new(NULL)};
+        ck_assert(Fleet_form.orders->read_state(&answer, &state));
+        ck_assert_uint_eq(state.incarnation, 0);
+        g_string_free(state.weights, TRUE);
+    }
+}
+END_TEST
+
+TESTING_MAIN("Fleet", start_in_the_far_future_is_unknown,
+             customer_limits_are_decoded, configuration_is_decoded,
              invalid_configuration_is_a_typed_error, list_entry_is_decoded,
              malformed_list_entry_is_rejected, framed_records_are_restored,
              only_explicit_marks_count_as_not_run,
