A refused fencing number stops the orders of a lone router no longer

Callers saw: a new version of weights was never loaded. One engine had answered an order with 412, as if it had seen a higher fencing number, and the router sent no more orders, to any engine, and did not renew or take the lease.

Cause: orders were allowed again only once the lease was lost, which a router without others that take the lease never sees: it no longer wants the lease, and nobody replaces it.

The lease's end allows orders again as well. The next lease has a higher number, so that an engine that answers 412 always gets one order a lease.

--- a/src/Orders.c
+++ b/src/Orders.c
@@ -358,12 +358,14 @@
            !(path && UpstreamPath_isInDoubt(path));
 }
 
-/* Allows orders again once the lease with the stale number is lost: the next
- * lease has a higher number. */
+/* Allows orders again once the lease with the stale number is lost or over:
+ * the next lease has a higher number. A router without others that take the
+ * lease would never lose it. */
 static void
 clear_stale(Orders_t *this)
 {
-    if (Lease_term(this->sender.lease) == 0) {
+    const Lease_t *lease = this->sender.lease;
+    if (Lease_term(lease) == 0 || Lease_remainingMs(lease) <= 0) {
         this->sender.stale_until_ms = 0;
     }
 }
--- a/tests/sessions/test_odd_records.py
+++ b/tests/sessions/test_odd_records.py
@@ -121,6 +121,7 @@
 
 ODD_KEYS = [b"", b"a" * 255, b"a\nb=c", b"\"", "\u00e9".encode(), b"\xff\xfe",
             b"a\0b", b"\0", b"%41&after=x", b"/", b"\xed\xb0\x80"]
+ODD_STATUSES = [412, 500, 404, 412]
 
 
 class OddRecordsTest(unittest.TestCase):
@@ -237,6 +238,25 @@
         self.follows(router, second)
         self.serves(second)
 
+    def test_an_odd_answer_to_an_order_ends_no_orders(self):
+        """A router without others sent no more orders, to any engine, after
+        one engine had answered that its number was too low."""
+        answered = []
+        order = self.engine.order
+
+        def answer_oddly_first(call, body):
+            answered.append(body)
+            if len(answered) > len(ODD_STATUSES):
+                order(call, body)
+            else:
+                call.reply(ODD_STATUSES[len(answered) - 1], b"[[[")
+        self.engine.order = answer_oddly_first
+        self.fleet.start()
+        self.fleet.store.put("keyed.op", "version/m",
+                             {"model": "m", "version": 2})
+        wait_for(lambda: self.engine.version == 2, "loaded", 30)
+        self.assertEqual(len(answered), len(ODD_STATUSES) + 1)
+
     def test_keys_that_are_no_text(self):
         """A key with NUL, or half a surrogate, made the whole list unreadable
         for routers that started, and took the place of the key before the
