Tests of one version begin with its record

OutOfStepTest and RestartedSingleVersionTest waited 30 s each for the first record of all, which a router writes only once it knows what served.

--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -381,6 +381,7 @@
     """A version joins that one router has not heard of yet."""
 
     SOFTWARE = VERSIONS[:1]
+    RECORDED = SINGLE
     ROUTERS = 3
     REFUSAL_S = 3
     OUTAGE_S = 4
@@ -558,6 +559,7 @@
 
 class RestartedSingleVersionTest(SoftwareTest):
     SOFTWARE = VERSIONS[:1]
+    RECORDED = SINGLE
 
     def setUp(self):
         super().setUp()
