--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -203,6 +203,12 @@
     evbuffer_add_cb(bufferevent_get_input(stream), on_input, this);
 }
 
+void
+RequestIntake_clear(void)
+{
+    g_clear_pointer(&connections, g_hash_table_destroy);
+}
+
 static Connection_t *
 find_connection(struct evhttp_request *request)
 {
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -23,6 +23,10 @@
     gsize max_body;
 } IntakeLimits_t;
 
+/** RequestIntake_clear() - forget all connections, which must have been freed
+ */
+void RequestIntake_clear(void);
+
 /** RequestIntake_watch() - watch a connection that a server accepts */
 void RequestIntake_watch(struct bufferevent *stream,
                          const IntakeLimits_t *limits);
--- a/src/Router.c
+++ b/src/Router.c
@@ -477,6 +477,8 @@
     gboolean drained = is_drained(this, elapsed_ms);
     gint64 left_ms = settings->stop_limit_ms - elapsed_ms;
     if (drained || left_ms <= LISTENER_DRAIN_MS + LAST_ANSWERS_MS) {
+        /* They refer to the listener, which is closed soon. */
+        g_ptr_array_set_size(this->pauses, 0);
         ListenerDrain_begin(this->closing);
     }
     if (left_ms <= LAST_ANSWERS_MS) {
@@ -586,6 +588,15 @@
     LingeringClose_clear();
 }
 
+static void
+free_intake(Router_t *this)
+{
+    RequestIntake_clear();
+    if (this->intake.budget) {
+        BodyBudget_unref(this->intake.budget);
+    }
+}
+
 /* Runs the loop once at the end, as closed calls and links free themselves in
  * it. */
 static void
@@ -692,6 +703,7 @@
         free_platform(&this);
     }
     free_parts(&this);
+    free_intake(&this);
     event_base_free(this.context.base);
     return started;
 }
