--- a/src/Json.c
+++ b/src/Json.c
@@ -144,7 +144,7 @@
     }
     guint next = read_escape(at + ESCAPE_LENGTH);
     if (unit < 0xDC00 && next >= 0xDC00 && next <= 0xDFFF) {
-        return 2 * ESCAPE_LENGTH;
+        return (gsize)2 * ESCAPE_LENGTH;
     }
     memcpy(at + ESCAPE_DIGITS, "fffd", ESCAPE_LENGTH - ESCAPE_DIGITS);
     return ESCAPE_LENGTH;
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -14,7 +14,7 @@
 #define COPIES_IN_ARRIVAL 2
 /* A paused connection reads one byte in this time, by which it tries again and
  * its end is noticed. */
-#define PAUSED_TICK_MS 50
+#define PAUSED_TICK_US 50000
 #define PAUSED_BYTES 1
 
 typedef struct {
@@ -42,7 +42,7 @@
 {
     static struct ev_token_bucket_cfg *rate;
     if (!rate) {
-        struct timeval tick = {0, PAUSED_TICK_MS * 1000};
+        struct timeval tick = {0, PAUSED_TICK_US};
         rate = ev_token_bucket_cfg_new(PAUSED_BYTES, PAUSED_BYTES,
                                        EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX,
                                        &tick);
