--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -12,8 +12,8 @@
 /* How long a query waits for the end of the list: until the router that reads
  * for the others has read again. */
 #define LIST_TIMEOUT_MS 1000
-/* Routers that are asked if nobody in touch can read the list, of which most
- * must agree: owners and those ranked next. */
+/* Routers that are asked if no reachable router can read the list, of which
+ * most must agree: owners and those ranked next. */
 #define WITNESSES 8
 /* Owners are told again of streams that still run, as they may have restarted
  * or others may have become owners. */
@@ -523,8 +523,8 @@
 }
 
 /* A router that began a stream at a newer version, which another part of the
- * routers may have read before the store was lost, is in touch with most
- * routers, or the asker is. */
+ * routers may have read before the store was lost, can be reached by most
+ * routers, or the asker can. */
 static gboolean
 agree_most(const OriginQuery_t *query, const char *sole)
 {
