--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .PHONY: demo test install format lint bench generate packages build \
 	build-asan reference slopes soak \
-	check-deploy fleet-soak order-soak fuzz replay
+	check-deploy fleet-soak order-soak stop-soak fuzz replay
 
 # Installs only what is missing, so that it needs no network when all is there.
 packages:
@@ -82,6 +82,10 @@
 order-soak: build
 	@python3 tools/order_soak.py $(SEED) $(DURATION)
 
+# Stops of routers in series, while upstreams cut heads and send without end.
+stop-soak: build
+	@python3 tools/stop_soak.py $(SEED) $(DURATION)
+
 # One target of tests/fuzz/targets.c under libFuzzer, which learns from what
 # its inputs reach; `make test` runs all of them without it.
 TARGET ?= callerHead
