Records too long for a broadcast are not kept for one

What callers saw: a router that is behind by many long configurations, as after a stop of its process or an outage of the store, grows until the machine has no memory left; all requests at it end with the process.

Cause: RecordRelay keeps each record that was read until the end of the topic is reached, to pass them on. Beyond 16 KB it passes on only the end, so that the records are kept for nothing.

The test failed before with 1,000 of 1,000 values kept. Nothing that was sent is left out: an oversized broadcast had no records before.

--- a/src/RecordRelay.c
+++ b/src/RecordRelay.c
@@ -11,7 +11,8 @@
     Membership_t *membership;
     GString *topic;
     gsize update_bytes;
-    GPtrArray *updates;       /* KeyedRecord_t, added since @last_end */
+    GPtrArray *updates;       /* KeyedRecord_t, added since @last_end; none if
+                                 they are oversized */
     StorePosition_t last_end; /* end of the topic at the last broadcast */
     gboolean has_last_end;
 };
@@ -48,8 +49,12 @@
 RecordRelay_addUpdate(RecordRelay_t *this, const char *key, GBytes *value,
                       StorePosition_t position)
 {
+    this->update_bytes += value ? g_bytes_get_size(value) : 0;
+    if (RecordRelay_isOversized(this)) {
+        g_ptr_array_set_size(this->updates, 0);
+        return;
+    }
     GBytes *value_ref = value ? g_bytes_ref(value) : NULL;
-    this->update_bytes += value_ref ? g_bytes_get_size(value_ref) : 0;
     g_ptr_array_add(this->updates, make_record(key, value_ref, position));
 }
 
@@ -152,14 +157,13 @@
 {
     Wt__TopicPart part = WT__TOPIC_PART__INIT;
     gboolean oversized = RecordRelay_isOversized(this);
-    g_autoptr(GPtrArray) none = g_ptr_array_new();
     part.from = oversized ? end.offset : this->last_end.offset;
     part.end = end.offset;
     part.epoch = end.epoch;
     part.age_ms = PeerAge_of(at_ms);
     part.regained_age_ms =
         restored_ms > 0 ? MAX(PeerAge_of(restored_ms), 1) : 0;
-    send_part(this, NULL, &part, oversized ? none : this->updates);
+    send_part(this, NULL, &part, this->updates);
 }
 
 void
@@ -225,7 +229,8 @@
 gboolean
 RecordRelay_hasUpdates(const RecordRelay_t *this)
 {
-    return !this->has_last_end || this->updates->len > 0;
+    return !this->has_last_end || this->updates->len > 0 ||
+           RecordRelay_isOversized(this);
 }
 
 void
--- a/tests/test_RecordRelay.c
+++ b/tests/test_RecordRelay.c
@@ -40,5 +40,37 @@
 }
 END_TEST
 
+static guint live_values;
+
+static void
+free_value(gpointer data)
+{
+    live_values--;
+    g_free(data);
+}
+
+/* A router that read on through many long records kept all of them. */
+START_TEST(records_too_long_for_a_broadcast_are_not_kept)
+{
+    RecordRelay_t *relay = RecordRelay_create(NULL, "t");
+    for (guint64 offset = 0; offset < 1000; offset++) {
+        void *bytes = g_malloc0(ENTRY_BYTES);
+        g_autoptr(GBytes) value =
+            g_bytes_new_with_free_func(bytes, ENTRY_BYTES, free_value, bytes);
+        live_values++;
+        RecordRelay_addUpdate(relay, "key", value,
+                              (StorePosition_t){.offset = offset});
+    }
+    ck_assert_uint_le(live_values, 2);
+    ck_assert(RecordRelay_isOversized(relay));
+    ck_assert(RecordRelay_hasUpdates(relay));
+    RecordRelay_broadcast(relay, (StorePosition_t){.offset = 1000}, 0, 0,
+                          FALSE);
+    ck_assert(!RecordRelay_hasUpdates(relay));
+    RecordRelay_destroy(relay);
+}
+END_TEST
+
 TESTING_MAIN("RecordRelay", list_of_large_records_is_oversized,
-             removals_do_not_add_to_the_size)
+             removals_do_not_add_to_the_size,
+             records_too_long_for_a_broadcast_are_not_kept)
