A request that would outlast its router's stop is refused before it is sent

Callers saw 502 or a stream broken off at stop_limit for requests that were taken or sent late in a planned stop, with their outcome unknown. Cause: a stopping router looked only at stop_grace. What a request usually takes was not compared with what is left of the stop, neither on arrival nor when one that had waited for room was sent. StopOutlook decides from what is left, the caller's deadline and the recent times of whole answers of the route (AnswerTimes). Where nothing is known of a route, stop_grace decides as before; requests under way go on to the limit.

--- a/src/Context.h
+++ b/src/Context.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "AnswerBuffer.h"
+#include "AnswerTimes.h"
 #include "CacheStore.h"
 #include "Claims.h"
 #include "ConfigLog.h"
@@ -61,6 +62,7 @@
  * @engine_split: detects long prompts that delay streams; NULL on the
  *     native platform
  * @run_times: run times of streams by route; NULL on the native platform
+ * @answer_times: times of whole answers by route; NULL on the native platform
  * @estimate_error: errors of the estimates; NULL on the native platform
  * @partitions: partitions of the groups of engines; NULL on the native
  *     platform
@@ -94,6 +96,8 @@
  * @deferred_calls: work that is done at the end of a loop iteration
  * @stopping: SIGTERM was received; new requests are refused after the grace
  *     period
+ * @stop_ends_ms: monotonic time at which open requests are ended; valid while
+ *     @stopping
  * @refusing: the grace period is over
  * @open_requests: number of callers' open requests
  * @open: those requests
@@ -111,6 +115,7 @@
     GHashTable *speeds;
     EngineSplit_t *engine_split;
     RunTimes_t *run_times;
+    AnswerTimes_t *answer_times;
     EstimateError_t *estimate_error;
     GroupPartitions_t *partitions;
     const UpstreamPath_t *path;
@@ -139,6 +144,7 @@
     Traces_t *traces;
     DeferredCalls_t *deferred_calls;
     gboolean stopping;
+    gint64 stop_ends_ms;
     gboolean refusing;
     guint open_requests;
     OpenRequests_t *open;
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -10,6 +10,7 @@
 #include "RelayAnswer.h"
 #include "RelayExchange.h"
 #include "RelayForward.h"
+#include "RelayStop.h"
 #include "RequestIntake.h"
 
 #define KNOWN_METHODS                                                         \
@@ -143,6 +144,26 @@
     return TRUE;
 }
 
+/* Another router may serve a request that outlasts the stop of this one. */
+static gboolean
+check_stop(Admission_t *admission)
+{
+    const Context_t *context = admission->context;
+    RelayStopRequest_t request = {
+        .id = admission->request.id,
+        .route = admission->route->name->str,
+        .deadline_ms =
+            Clock_nowMs() + Context_waitMs(context, admission->request.wait_ms,
+                                           admission->route->time_limit_ms),
+    };
+    if (!RelayStop_isOutlasting(context, &request)) {
+        return TRUE;
+    }
+    RelayStop_noteRefused(context, &request, "arrival");
+    refuse_request(admission, REFUSAL_STOPPING, NULL);
+    return FALSE;
+}
+
 static void
 forward_request(const Admission_t *admission)
 {
@@ -224,7 +245,7 @@
         return;
     }
     if (find_route(admission, config) && check_key(admission, config) &&
-        check_path(admission)) {
+        check_stop(admission) && check_path(admission)) {
         start_exchange(admission, config);
     }
 }
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -7,6 +7,7 @@
 #include "LoadShed.h"
 #include "Log.h"
 #include "RelayRun.h"
+#include "RelayStop.h"
 
 /* While a request waits for another attempt, its key may be revoked or
  * assigned to another customer, on whose account it must not run. */
@@ -31,6 +32,26 @@
     return TRUE;
 }
 
+static RelayStopRequest_t
+stop_request(const RelayExchange_t *this)
+{
+    return (RelayStopRequest_t){
+        .id = this->super.id->str,
+        .route = this->route->name->str,
+        .deadline_ms = this->super.deadline_ms,
+    };
+}
+
+/* A stream that has begun can't be served by another router any more, so that
+ * an attempt which may be broken off is better than none. */
+static gboolean
+is_outlasting_stop(const RelayExchange_t *this)
+{
+    RelayStopRequest_t request = stop_request(this);
+    return Exchange_runState(&this->super) != RUN_DONE &&
+           RelayStop_isOutlasting(this->super.context, &request);
+}
+
 gboolean
 RelayDispatch_isAllowed(const RelayExchange_t *this, Refusal_t *refusal)
 {
@@ -42,6 +63,10 @@
         *refusal = REFUSAL_CRASHES_UPSTREAMS;
         return FALSE;
     }
+    if (is_outlasting_stop(this)) {
+        *refusal = REFUSAL_STOPPING;
+        return FALSE;
+    }
     return is_key_valid(this, refusal);
 }
 
@@ -103,6 +128,13 @@
     return !decision.admitted;
 }
 
+static void
+note_outlasting_stop(const RelayExchange_t *this)
+{
+    RelayStopRequest_t request = stop_request(this);
+    RelayStop_noteRefused(this->super.context, &request, "placing");
+}
+
 static void
 refuse_request(Exchange_t *super, Refusal_t refusal)
 {
@@ -175,6 +207,9 @@
     Exchange_t *super = &this->super;
     Refusal_t refusal = REFUSAL_COUNT;
     if (!RelayDispatch_isAllowed(this, &refusal)) {
+        if (refusal == REFUSAL_STOPPING) {
+            note_outlasting_stop(this);
+        }
         refuse_request(super, refusal);
         return FALSE;
     }
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -342,6 +342,7 @@
     context->estimate_error = EstimateError_create();
     context->engine_split = EngineSplit_create();
     context->run_times = RunTimes_create();
+    context->answer_times = AnswerTimes_create();
     context->partitions = GroupPartitions_create();
     context->speeds =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -427,6 +428,7 @@
     EstimateError_destroy(this->context->estimate_error);
     EngineSplit_destroy(this->context->engine_split);
     RunTimes_destroy(this->context->run_times);
+    AnswerTimes_destroy(this->context->answer_times);
     GroupPartitions_destroy(this->context->partitions);
     HintBroadcast_destroy(this->hints);
     RouteTable_destroy(this->context->routes);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -102,11 +102,25 @@
     }
 }
 
+/* An answer of several attempts says less of its route than of what ended the
+ * first ones. */
+static void
+note_answer_time(const RelayExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    if (super->attempts == 1) {
+        AnswerTimes_note(super->context->answer_times, this->route->name->str,
+                         Clock_nowUs() - super->started_us -
+                             super->attempt_trace->started_us);
+    }
+}
+
 static void
 finish(RelayExchange_t *this, AttemptEnd_t end)
 {
     RelayExchange_closeIfStopping(this);
     this->is_whole = TRUE;
+    note_answer_time(this);
     if (this->is_stream) {
         EngineSplit_noteStream(this->super.context->engine_split,
                                this->max_pause_us, this->route->pause_ms);
--- a/src/Router.c
+++ b/src/Router.c
@@ -476,6 +476,7 @@
     this->context.refusing = elapsed_ms >= settings->stop_grace_ms;
     gboolean drained = is_drained(this, elapsed_ms);
     gint64 left_ms = settings->stop_limit_ms - elapsed_ms;
+    this->context.stop_ends_ms = Clock_nowMs() + left_ms - LAST_ANSWERS_MS;
     if (drained || left_ms <= LISTENER_DRAIN_MS + LAST_ANSWERS_MS) {
         /* They refer to the listener, which is closed soon. */
         g_ptr_array_set_size(this->pauses, 0);
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -812,7 +812,7 @@
     def launch(self, name="r1", peers=(), store_address=None, verbose=True,
                environment=None, load_percent=50, fencing="false",
                stop_limit="10m", log_timeout="2s", prefix=(),
-               **settings):
+               stop_grace="300ms", **settings):
         """Starts a router's process without waiting for anything; `prefix`
         is a command that runs it."""
         values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
@@ -832,9 +832,9 @@
         path = os.path.join(self.folder.name, name + ".ini")
         with open(path, "w") as file:
             address = store_address or self.store.address
-            file.write(SETTINGS % (name, stop_limit, key_hash(OPERATOR_KEY),
-                                   address, address, load_percent, fencing,
-                                   log_timeout))
+            file.write(SETTINGS % (name, stop_grace, stop_limit,
+                                   key_hash(OPERATOR_KEY), address, address,
+                                   load_percent, fencing, log_timeout))
             for section, keys in values.items():
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
@@ -942,7 +942,7 @@
 ready_listen = 127.0.0.1:0
 operator_listen = 127.0.0.1:0
 policy = home
-stop_grace = 300ms
+stop_grace = %s
 stop_limit = %s
 seed = 1
 [keys]
