How long an answer takes is expected by its stated size

Cause: their time follows the stated size of the answer, which was not used. AnswerTimes keeps the time for a unit of size besides and takes it where it varies less.

--- a/src/AnswerTimes.c
+++ b/src/AnswerTimes.c
@@ -7,10 +7,16 @@
 /* Answers until a route is known. */
 #define KNOWN_MIN 5
 
+/* Recent mean and mean deviation of an observed quantity. */
 typedef struct {
     guint count;
-    double mean_us;
-    double spread_us;
+    double mean;
+    double spread;
+} Mean_t;
+
+typedef struct {
+    Mean_t whole;    /* us */
+    Mean_t per_unit; /* us for each unit of the stated size */
 } Entry_t;
 
 struct AnswerTimes {
@@ -44,27 +50,54 @@
     return entry;
 }
 
-/* The first answers weigh the same, so that the very first one does not stand
- * for the route. */
+/* The first observations weigh the same, so that the very first one does not
+ * stand for all. */
+static void
+add(Mean_t *this, double value)
+{
+    this->count = MIN(this->count + 1, G_MAXINT32);
+    double gain = MAX(1.0 / this->count, GAIN_MIN);
+    double error = value - this->mean;
+    this->mean += error * gain;
+    if (this->count > 1) {
+        this->spread += (fabs(error) - this->spread) * gain;
+    }
+}
+
 void
-AnswerTimes_note(AnswerTimes_t *this, const char *route, gint64 us)
+AnswerTimes_note(AnswerTimes_t *this, const char *route, guint size, gint64 us)
 {
     Entry_t *entry = get_entry(this, route);
-    entry->count = MIN(entry->count + 1, G_MAXINT32);
-    double gain = MAX(1.0 / entry->count, GAIN_MIN);
-    double error_us = (double)us - entry->mean_us;
-    entry->mean_us += error_us * gain;
-    if (entry->count > 1) {
-        entry->spread_us += (fabs(error_us) - entry->spread_us) * gain;
+    add(&entry->whole, (double)us);
+    if (size > 0) {
+        add(&entry->per_unit, (double)us / size);
     }
 }
 
+/* Whether the time is better known from the size than without it. */
+static gboolean
+is_by_size(const Entry_t *entry)
+{
+    const Mean_t *whole = &entry->whole;
+    const Mean_t *per_unit = &entry->per_unit;
+    return per_unit->count >= KNOWN_MIN &&
+           per_unit->spread * whole->mean < whole->spread * per_unit->mean;
+}
+
+static AnswerTime_t
+scale(const Mean_t *mean, double size)
+{
+    return (AnswerTime_t){(gint64)(mean->mean * size),
+                          (gint64)(mean->spread * size)};
+}
+
 AnswerTime_t
-AnswerTimes_get(const AnswerTimes_t *this, const char *route)
+AnswerTimes_get(const AnswerTimes_t *this, const char *route, guint size)
 {
     const Entry_t *entry = g_hash_table_lookup(this->entries, route);
-    if (!entry || entry->count < KNOWN_MIN) {
+    if (!entry || entry->whole.count < KNOWN_MIN) {
         return (AnswerTime_t){0};
     }
-    return (AnswerTime_t){(gint64)entry->mean_us, (gint64)entry->spread_us};
+    return size > 0 && is_by_size(entry) ? scale(&entry->per_unit, size)
+                                         : scale(&entry->whole, 1);
 }
--- a/src/AnswerTimes.h
+++ b/src/AnswerTimes.h
@@ -5,7 +5,9 @@
  *
  * How long whole answers of each route have taken lately, from the first
  * attempt to the last byte, as observed by this router: mean and mean
- * deviation. A route is known once some answers have ended.
+ * deviation. A route is known once some answers have ended. Where callers
+ * state the sizes of answers, the time is expected by size if the times for a
+ * unit differ less than the times of answers.
  */
 #include <glib.h>
 
@@ -13,7 +15,7 @@
 typedef struct AnswerTimes AnswerTimes_t;
 
 /**
- * struct AnswerTime_t - times of one route
+ * struct AnswerTime_t - time of an answer
  * @mean_us: recent mean; 0 if the route is not known
  * @spread_us: recent mean deviation from it
  */
@@ -28,10 +30,18 @@
 /** AnswerTimes_destroy() - free it */
 void AnswerTimes_destroy(AnswerTimes_t *this);
 
-/** AnswerTimes_note() - an answer of a route took @us */
-void AnswerTimes_note(AnswerTimes_t *this, const char *route, gint64 us);
+/**
+ * AnswerTimes_note() - an answer of a route took @us
+ * @size: its size as its caller stated it, 0 if unknown
+ */
+void AnswerTimes_note(AnswerTimes_t *this, const char *route, guint size,
+                      gint64 us);
 
-/** AnswerTimes_get() - times of a route */
-AnswerTime_t AnswerTimes_get(const AnswerTimes_t *this, const char *route);
+/**
+ * AnswerTimes_get() - time that an answer of a route usually takes
+ * @size: its size as its caller states it, 0 if unknown
+ */
+AnswerTime_t AnswerTimes_get(const AnswerTimes_t *this, const char *route,
+                             guint size);
 
 #endif
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -152,6 +152,7 @@
     RelayStopRequest_t request = {
         .id = admission->request.id,
         .route = admission->route->name->str,
+        .size = admission->request.answer_tokens,
         .deadline_ms =
             Clock_nowMs() + Context_waitMs(context, admission->request.wait_ms,
                                            admission->route->time_limit_ms),
--- a/src/RelayDispatch.c
+++ b/src/RelayDispatch.c
@@ -38,6 +38,7 @@
     return (RelayStopRequest_t){
         .id = this->super.id->str,
         .route = this->route->name->str,
+        .size = this->request.answer_tokens,
         .deadline_ms = this->super.deadline_ms,
     };
 }
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -110,6 +110,7 @@
     const Exchange_t *super = &this->super;
     if (super->attempts == 1) {
         AnswerTimes_note(super->context->answer_times, this->route->name->str,
+                         this->request.answer_tokens,
                          Clock_nowUs() - super->started_us -
                              super->attempt_trace->started_us);
     }
--- a/src/RelayStop.c
+++ b/src/RelayStop.c
@@ -8,7 +8,8 @@
 build_outlook(const Context_t *context, const RelayStopRequest_t *request)
 {
     gint64 now_ms = Clock_nowMs();
-    AnswerTime_t time = AnswerTimes_get(context->answer_times, request->route);
+    AnswerTime_t time =
+        AnswerTimes_get(context->answer_times, request->route, request->size);
     return (StopOutlook_t){
         .stop_left_ms = context->stop_ends_ms - now_ms,
         .deadline_left_ms = request->deadline_ms - now_ms,
@@ -38,6 +39,7 @@
     Log_text("request", request->id);
     Log_text("route", request->route);
     Log_text("stage", stage);
+    Log_number("size", request->size);
     Log_number("needed_ms", StopOutlook_neededMs(&outlook));
     Log_number("mean_us", outlook.mean_us);
     Log_number("spread_us", outlook.spread_us);
--- a/src/RelayStop.h
+++ b/src/RelayStop.h
@@ -12,11 +12,13 @@
  * struct RelayStopRequest_t - a request that is not sent yet
  * @id: its id
  * @route: name of its route
+ * @size: size of its answer as its caller states it, 0 if unknown
  * @deadline_ms: monotonic time by which its answer must be complete
  */
 typedef struct {
     const char *id;
     const char *route;
+    guint size;
     gint64 deadline_ms;
 } RelayStopRequest_t;
 
