Heads of many short fields and requests that drip are refused

Callers saw nothing: routers ran out of memory, and with them the requests of others ended. evhttp keeps each field of a head in three allocations of about a hundred bytes and limits only the text, so that a head of 16 KiB of empty fields took 1.1 MB, and an answer of the store, whose head had no limit but that of the whole answer, hundreds of megabytes.

RequestIntake refuses such requests with 431, and with 408 those whose head takes longer than read_timeout, or that take longer than that and a second for each KiB. All listeners are watched.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -46,12 +46,26 @@
 
 /* The timer ends the attempt, outside of the buffer's callback. */
 static void
+end_oversized(AttemptConnection_t *this)
+{
+    this->input_oversized = TRUE;
+    Clock_arm(this->timeout_timer, 0);
+}
+
+/* As end_oversized(). */
+static void
 check_chunks(AttemptConnection_t *this, struct evbuffer *buffer, gsize added)
 {
-    ChunkCheck_feedTail(&this->chunks, buffer, added);
+    gsize rest = ChunkCheck_feedTail(&this->chunks, buffer, added);
     if (ChunkCheck_isBroken(&this->chunks)) {
         Clock_arm(this->timeout_timer, 0);
     }
+    if (rest > 0) {
+        HeadCheck_addTrailers(&this->head);
+        if (HeadCheck_drops(&this->head, buffer, rest)) {
+            end_oversized(this);
+        }
+    }
 }
 
 /* evhttp passes a chunk on only once it is complete, so an endless chunk would
@@ -61,16 +75,23 @@
          void *data)
 {
     AttemptConnection_t *this = data;
+    gboolean is_dropped = HeadCheck_drops(&this->head, buffer, info->n_added);
     if (this->input_oversized || ChunkCheck_isBroken(&this->chunks) ||
         this->closed) {
         return; /* rearming it with each read would keep it from firing */
     }
+    if (is_dropped) {
+        end_oversized(this);
+        return;
+    }
     check_chunks(this, buffer, info->n_added);
+    if (this->input_oversized) {
+        return;
+    }
     gsize length = evbuffer_get_length(buffer);
     count_input(this, length > INPUT_MARGIN ? length : 0);
     if (info->n_added > 0 && exceeds_limits(this, length)) {
-        this->input_oversized = TRUE;
-        Clock_arm(this->timeout_timer, 0);
+        end_oversized(this);
     }
 }
 
@@ -84,8 +105,7 @@
     this->interim_answers++;
     if (this->interim_answers > INTERIM_ANSWERS_MAX &&
         !this->input_oversized) {
-        this->input_oversized = TRUE;
-        Clock_arm(this->timeout_timer, 0);
+        end_oversized(this);
     }
     return TRUE;
 }
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -14,6 +14,7 @@
 
 #include "BodyFraming.h"
 #include "ChunkCheck.h"
+#include "HeadCheck.h"
 #include "Upstream.h"
 
 /**
@@ -79,6 +80,7 @@
  * @input_total: as in the specification
  * @input_total_max: as in the specification
  * @input_counted: this connection's part of @input_total
+ * @head: the check of the answer's heads
  * @chunks: the check of the body's chunks
  * @interim_answers: number of interim answers received
  * @last_received_ms: monotonic time from which the current timeout counts; the
@@ -88,7 +90,7 @@
  * @has_data: the first data arrived
  * @read_paused: reading is paused
  * @input_oversized: the unparsed input is larger than @piece_max or
- *     @input_total_max allows
+ *     @input_total_max allows, or a head has too many lines
  * @withdrawn: the upstream takes no new work, so the request is not sent; the
  *     timeout timer expires at once
  * @closed: the attempt ended and must not call its owner any more
@@ -109,6 +111,7 @@
     gsize *input_total;
     gsize input_total_max;
     gsize input_counted;
+    HeadCheck_t head;
     ChunkCheck_t chunks;
     guint interim_answers;
     gint64 last_received_ms;
--- a/src/ChunkCheck.c
+++ b/src/ChunkCheck.c
@@ -118,23 +118,25 @@
     return at;
 }
 
-void
+gsize
 ChunkCheck_feedTail(ChunkCheck_t *this, struct evbuffer *buffer, gsize length)
 {
     gsize size = evbuffer_get_length(buffer);
     struct evbuffer_ptr at;
     struct evbuffer_iovec part;
+    gsize fed = 0;
     if (!is_under_way(this) || length == 0) {
-        return;
+        return 0;
     }
     evbuffer_ptr_set(buffer, &at, size - length, EVBUFFER_PTR_SET);
     while (evbuffer_peek(buffer, -1, &at, &part, 1) > 0) {
-        ChunkCheck_feed(this, part.iov_base, part.iov_len);
+        fed += ChunkCheck_feed(this, part.iov_base, part.iov_len);
         if (evbuffer_ptr_set(buffer, &at, part.iov_len, EVBUFFER_PTR_ADD) !=
             0) {
-            return;
+            break;
         }
     }
+    return ChunkCheck_isEnded(this) ? length - fed : 0;
 }
 
 void
--- a/src/ChunkCheck.h
+++ b/src/ChunkCheck.h
@@ -57,9 +57,12 @@
  * ChunkCheck_feedTail() - check what was received last; does nothing unless a
  * body is under way
  * @length: number of bytes at the end of @buffer
+ *
+ * Return: number of these bytes that follow the end of the last chunk's line,
+ * if it was among them; 0 otherwise
  */
-void ChunkCheck_feedTail(ChunkCheck_t *this, struct evbuffer *buffer,
-                         gsize length);
+gsize ChunkCheck_feedTail(ChunkCheck_t *this, struct evbuffer *buffer,
+                          gsize length);
 
 /**
  * ChunkCheck_feed() - as ChunkCheck_feedTail(), for bytes in memory
--- /dev/null
+++ b/src/HeadCheck.c
@@ -0,0 +1,94 @@
+#include "HeadCheck.h"
+
+/* Of "HTTP/1.1 100 Continue". */
+#define STATUS_OFFSET 9
+
+static void
+end_line(HeadCheck_t *this)
+{
+    gboolean is_empty = this->line_bytes == 0;
+    this->lines++;
+    this->line_bytes = 0;
+    if (!is_empty) {
+        this->is_first_line_read = TRUE;
+        return;
+    }
+    this->is_ended = this->is_first_line_read && !this->is_interim;
+    if (this->is_first_line_read) {
+        this->is_first_line_read = FALSE;
+        this->is_interim = FALSE;
+    }
+}
+
+static void
+feed_byte(HeadCheck_t *this, char byte)
+{
+    if (byte == '\n') {
+        end_line(this);
+        return;
+    }
+    if (byte == '\r') {
+        return;
+    }
+    if (!this->is_first_line_read && this->line_bytes == STATUS_OFFSET) {
+        this->is_interim = byte == '1';
+    }
+    this->line_bytes++;
+}
+
+void
+HeadCheck_addTrailers(HeadCheck_t *this)
+{
+    this->is_ended = FALSE;
+    this->is_first_line_read = TRUE;
+    this->line_bytes = 0;
+}
+
+static gboolean
+is_under_way(const HeadCheck_t *this)
+{
+    return !this->is_ended && !HeadCheck_isTooLong(this);
+}
+
+static void
+feed(HeadCheck_t *this, const char *bytes, gsize length)
+{
+    for (gsize i = 0; i < length && is_under_way(this); i++) {
+        feed_byte(this, bytes[i]);
+    }
+}
+
+void
+HeadCheck_feedTail(HeadCheck_t *this, struct evbuffer *buffer, gsize length)
+{
+    gsize size = evbuffer_get_length(buffer);
+    struct evbuffer_ptr at;
+    struct evbuffer_iovec part;
+    if (!is_under_way(this) || length == 0) {
+        return;
+    }
+    evbuffer_ptr_set(buffer, &at, size - length, EVBUFFER_PTR_SET);
+    while (evbuffer_peek(buffer, -1, &at, &part, 1) > 0) {
+        feed(this, part.iov_base, part.iov_len);
+        if (evbuffer_ptr_set(buffer, &at, part.iov_len, EVBUFFER_PTR_ADD) !=
+            0) {
+            return;
+        }
+    }
+}
+
+gboolean
+HeadCheck_drops(HeadCheck_t *this, struct evbuffer *buffer, gsize length)
+{
+    HeadCheck_feedTail(this, buffer, length);
+    if (HeadCheck_isTooLong(this) && length > 0) {
+        evbuffer_drain(buffer, evbuffer_get_length(buffer));
+    }
+    return HeadCheck_isTooLong(this);
+}
+
+gboolean
+HeadCheck_isTooLong(const HeadCheck_t *this)
+{
+    return this->lines > HEAD_LINES_MAX;
+}
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -9,6 +9,7 @@
 #include "ChunkCheck.h"
 #include "Clock.h"
 #include "Errors.h"
+#include "HeadCheck.h"
 
 /* Longer answers are long. */
 #define LONG_ANSWER_BYTES 16384
@@ -33,6 +34,7 @@
     gboolean accepts_close_delimited;
     gint64 late_ms; /* 0 for never, or if it was reported */
     BodyFraming_t framing;
+    HeadCheck_t head;
     ChunkCheck_t chunks;
     gsize answer_max;
     gsize received_bytes;
@@ -197,7 +199,8 @@
 static gboolean
 exceeds_limits(const HttpCall_t *this)
 {
-    return this->received_bytes > this->answer_max ||
+    return HeadCheck_isTooLong(&this->head) ||
+           this->received_bytes > this->answer_max ||
            (this->received_bytes > HTTP_SHORT_ANSWER_MAX &&
             total_bytes > HTTP_LIST_ANSWER_MAX);
 }
@@ -219,10 +222,15 @@
     if (!this->done || ChunkCheck_isBroken(&this->chunks)) {
         return;
     }
-    ChunkCheck_feedTail(&this->chunks, buffer, added);
+    gsize rest = ChunkCheck_feedTail(&this->chunks, buffer, added);
     if (ChunkCheck_isBroken(&this->chunks)) {
         Clock_arm(this->deadline, 0);
     }
+    if (rest > 0) {
+        HeadCheck_addTrailers(&this->head);
+        (void)HeadCheck_drops(&this->head, buffer, rest);
+        check_length(this);
+    }
 }
 
 /* An answer that arrives slowly is not late: a repeated call would compete
@@ -236,6 +244,7 @@
         this->received_bytes += info->n_added;
         total_bytes += info->n_added;
         this->received_ms = Clock_nowMs();
+        (void)HeadCheck_drops(&this->head, buffer, info->n_added);
         check_length(this);
         check_chunks(this, buffer, info->n_added);
     }
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -101,6 +101,13 @@
     [REFUSAL_HEADER_TWICE] = {"header_twice", "invalid_request_error",
                               "A header that may stand once stands twice.",
                               400, 0, RUN_NOT},
+    [REFUSAL_TOO_MANY_FIELDS] = {"too_many_fields", "invalid_request_error",
+                                 "The head or the trailers have too many "
+                                 "lines.",
+                                 431, 0, RUN_NOT},
+    [REFUSAL_TOO_SLOW] = {"request_too_slow", "timeout_error",
+                          "The request took too long to arrive.", 408, 0,
+                          RUN_NOT},
     [REFUSAL_CONTROL_CHARACTER] = {"control_character",
                                    "invalid_request_error",
                                    "A header's value has a control "
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "ChunkCheck.h"
+#include "HeadCheck.h"
 
 /* Longer than the lines that matter, without blanks. */
 #define LINE_MAX_BYTES 64
@@ -22,6 +23,7 @@
     gsize line_bytes;
     gboolean is_line_cut;
     gboolean is_first_line;
+    guint lines;          /* of the head, and of the trailers */
     gboolean has_no_body; /* whatever its head states */
     gboolean is_chunked;
     guint64 length;  /* of a body with a length */
@@ -83,6 +85,7 @@
 end_line(RequestFraming_t *this)
 {
     gboolean is_empty = this->line_bytes == 0;
+    this->lines++;
     this->line[this->line_bytes] = '\0';
     if (this->part == PART_TRAILERS) {
         if (is_empty) {
@@ -173,7 +176,8 @@
 RequestFraming_feed(RequestFraming_t *this, const char *bytes, gsize length)
 {
     gsize at = 0;
-    while (at < length && !RequestFraming_isBroken(this)) {
+    while (at < length && !RequestFraming_isBroken(this) &&
+           !RequestFraming_hasTooManyLines(this)) {
         at += readers[this->part](this, bytes + at, length - at);
     }
 }
@@ -191,6 +195,24 @@
            (this->line_bytes > 0 || !this->is_first_line);
 }
 
+guint
+RequestFraming_lines(const RequestFraming_t *this)
+{
+    return this->lines;
+}
+
+gboolean
+RequestFraming_isUnderWay(const RequestFraming_t *this)
+{
+    return this->part != PART_HEAD || RequestFraming_isInHead(this);
+}
+
+gboolean
+RequestFraming_hasTooManyLines(const RequestFraming_t *this)
+{
+    return this->lines > HEAD_LINES_MAX;
+}
+
 gboolean
 RequestFraming_isChunked(const RequestFraming_t *this)
 {
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -26,6 +26,16 @@
 /** RequestFraming_isBroken() - whether chunks are broken */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
 
+/** RequestFraming_lines() - lines of the head and the trailers so far */
+guint RequestFraming_lines(const RequestFraming_t *this);
+
+/** RequestFraming_isUnderWay() - whether a request has begun and not ended */
+gboolean RequestFraming_isUnderWay(const RequestFraming_t *this);
+
+/** RequestFraming_hasTooManyLines() - whether the head and the trailers have
+ * more than HEAD_LINES_MAX lines */
+gboolean RequestFraming_hasTooManyLines(const RequestFraming_t *this);
+
 /** RequestFraming_isInHead() - whether a head has begun and not ended */
 gboolean RequestFraming_isInHead(const RequestFraming_t *this);
 
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -7,7 +7,9 @@
 
 #include "BodyFraming.h"
 #include "Clock.h"
+#include "HttpCall.h"
 #include "Log.h"
+#include "Refusal.h"
 #include "RequestFraming.h"
 
 /* Copies of a body while it is moved out of its request. */
@@ -16,6 +18,8 @@
  * its end is noticed. */
 #define PAUSED_TICK_US 50000
 #define PAUSED_BYTES 1
+/* Slowest rate of a request that takes longer than a pause may last. */
+#define BYTES_PER_SECOND_MIN 1024
 
 typedef struct {
     struct bufferevent *stream;
@@ -23,7 +27,10 @@
     RequestFraming_t *framing;
     BodyClaim_t *claim;
     gint64 paused_ms; /* since when the connection is paused; 0 if not */
+    gint64 began_ms;  /* of the request that is arriving; 0 if none is */
+    gsize received;   /* bytes of it */
     gboolean is_abandoned;
+    gboolean is_refused; /* what it sends is dropped */
 } Connection_t;
 
 /* Of a body that was taken. */
@@ -80,6 +87,7 @@
 {
     if (this->paused_ms > 0) {
         log_wait(this, "body_admitted", bytes);
+        this->began_ms += Clock_nowMs() - this->paused_ms;
         this->paused_ms = 0;
         bufferevent_set_rate_limit(this->stream, NULL);
     }
@@ -118,15 +126,21 @@
 
 /* Ends the connection as evhttp does once it reads the end. */
 static void
-abandon(Connection_t *this, gsize bytes)
+end_connection(Connection_t *this)
 {
-    this->is_abandoned = TRUE;
-    log_wait(this, "body_abandoned", bytes);
     BodyClaim_release(this->claim);
     bufferevent_trigger_event(this->stream, BEV_EVENT_READING | BEV_EVENT_EOF,
                               BEV_TRIG_DEFER_CALLBACKS);
 }
 
+static void
+abandon(Connection_t *this, gsize bytes)
+{
+    this->is_abandoned = TRUE;
+    log_wait(this, "body_abandoned", bytes);
+    end_connection(this);
+}
+
 static void
 update_claim(Connection_t *this, gsize added)
 {
@@ -167,14 +181,101 @@
     }
 }
 
+static void
+log_refusal(const Connection_t *this, const char *reason)
+{
+    g_autofree char *labels = g_strdup_printf("reason=\"%s\"", reason);
+    Log_begin(LOG_LEVEL_WARNING, "request_excessive");
+    Log_text("reason", reason);
+    Log_number("lines", RequestFraming_lines(this->framing));
+    Log_number("bytes", (gint64)this->received);
+    Log_number("ms", Clock_nowMs() - this->began_ms);
+    Log_number("read_timeout_ms", this->limits->read_timeout_ms);
+    Log_end();
+    Counters_add(this->limits->counters, "requests_excessive_total", labels,
+                 1);
+}
+
+/* evhttp answers what it has not read whole with a page of its own, so the
+ * refusal is written in its place. */
+static void
+write_refusal(const Connection_t *this, Refusal_t refusal)
+{
+    void *connection = NULL;
+    struct evbuffer *output = bufferevent_get_output(this->stream);
+    GString *body = Refusal_body(refusal, RUN_NOT, NULL);
+    bufferevent_getcb(this->stream, NULL, NULL, NULL, &connection);
+    evbuffer_add_printf(output,
+                        "HTTP/1.1 %d Refused\r\n"
+                        "Content-Type: application/json\r\n"
+                        "Content-Length: %" G_GSIZE_FORMAT "\r\n"
+                        "Connection: close\r\n\r\n%s",
+                        Refusal_spec(refusal)->status, body->len, body->str);
+    Http_flush(connection);
+    g_string_free(body, TRUE);
+}
+
+static void
+refuse(Connection_t *this, Refusal_t refusal)
+{
+    this->is_abandoned = TRUE;
+    this->is_refused = TRUE;
+    log_refusal(this, Refusal_spec(refusal)->code);
+    write_refusal(this, refusal);
+    end_connection(this);
+}
+
+/* How long the request has been arriving, without the time for which this
+ * router did not read. */
+static gboolean
+is_too_slow(Connection_t *this, gsize added)
+{
+    gint64 now_ms = Clock_nowMs();
+    gint64 limit_ms = this->limits->read_timeout_ms;
+    if (!RequestFraming_isUnderWay(this->framing)) {
+        this->began_ms = 0;
+        return FALSE;
+    }
+    if (this->began_ms == 0) {
+        this->began_ms = now_ms;
+        this->received = 0;
+    }
+    this->received += added;
+    return limit_ms > 0 && this->paused_ms == 0 &&
+           now_ms - this->began_ms >
+               limit_ms +
+                   (gint64)(this->received * 1000 / BYTES_PER_SECOND_MIN);
+}
+
+static void
+check_excess(Connection_t *this, gsize added)
+{
+    if (this->is_abandoned) {
+        return;
+    }
+    if (RequestFraming_hasTooManyLines(this->framing)) {
+        refuse(this, REFUSAL_TOO_MANY_FIELDS);
+    }
+    else if (is_too_slow(this, added)) {
+        refuse(this, REFUSAL_TOO_SLOW);
+    }
+}
+
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *data)
 {
     Connection_t *this = data;
-    if (info->n_added > 0) {
+    if (info->n_added == 0) {
+        return;
+    }
+    if (!this->is_abandoned) {
         feed(this, buffer, info->n_added);
         update_claim(this, info->n_added);
+        check_excess(this, info->n_added);
+    }
+    if (this->is_refused) {
+        evbuffer_drain(buffer, evbuffer_get_length(buffer));
     }
 }
 
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -7,20 +7,28 @@
  * their requests is sound (RequestFraming.h), and whether there is room for
  * their bodies (BodyBudget.h). A connection whose body has no room is read
  * slowly until there is, so that its caller waits and its end is noticed.
+ * A request with too many lines, or one that takes too long to arrive, is
+ * refused before evhttp has read it, and its connection is closed.
  */
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include "BodyBudget.h"
+#include "Counters.h"
 
 /**
  * struct IntakeLimits_t - limits of bodies; must outlive the server
  * @budget: of all bodies
  * @max_body: largest body, which a body of unknown length claims
+ * @read_timeout_ms: how long a head may take, and a body beyond a second for
+ *     each KiB; 0 for no limit
+ * @counters: of refused requests
  */
 typedef struct {
     BodyBudget_t *budget;
     gsize max_body;
+    gint64 read_timeout_ms;
+    Counters_t *counters;
 } IntakeLimits_t;
 
 /** RequestIntake_clear() - forget all connections, which must have been freed
--- a/src/Router.c
+++ b/src/Router.c
@@ -290,6 +290,8 @@
     }
     BodyBudget_setMax(this->intake.budget, max);
     this->intake.max_body = (gsize)limits->max_body;
+    this->intake.counters = this->context.counters;
+    this->intake.read_timeout_ms = limits->read_timeout_ms;
 }
 
 /* Applies to new connections only; open ones keep their limits. */
@@ -315,6 +317,16 @@
     return this->bound != NULL;
 }
 
+static struct bufferevent *
+create_connection(struct event_base *base, void *data)
+{
+    struct bufferevent *bev =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    RequestIntake_watch(bev, data);
+    LingeringClose_watch(bev);
+    return bev;
+}
+
 static struct evhttp *
 listen_on(Router_t *this, const HttpListener_t *spec, guint16 *port,
           GError **error)
@@ -327,6 +339,7 @@
                            .owner = &binding};
     evhttp_set_gencb(server, spec->handle, &this->context);
     set_server_limits(this, server);
+    evhttp_set_bevcb(server, create_connection, &this->intake);
     if (!spec->listen(&retry, error)) {
         evhttp_free(server);
         return NULL;
@@ -340,16 +353,6 @@
     return server;
 }
 
-static struct bufferevent *
-create_caller_connection(struct event_base *base, void *data)
-{
-    struct bufferevent *bev =
-        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    RequestIntake_watch(bev, data);
-    LingeringClose_watch(bev);
-    return bev;
-}
-
 static gboolean
 create_callers(Router_t *this, GError **error)
 {
@@ -364,7 +367,6 @@
     }
     evhttp_set_allowed_methods(this->callers, ALL_METHODS);
     set_body_budget(this);
-    evhttp_set_bevcb(this->callers, create_caller_connection, &this->intake);
     return TRUE;
 }
 
--- /dev/null
+++ b/tests/test_HeadCheck.c
@@ -0,0 +1,86 @@
+#include "testing.h"
+
+#include <string.h>
+
+#include "HeadCheck.h"
+
+/* Feeds the bytes in parts of @step, as they may arrive. */
+static HeadCheck_t
+check_in_parts(const char *bytes, gsize step)
+{
+    struct evbuffer *buffer = evbuffer_new();
+    HeadCheck_t check = {0};
+    gsize length = strlen(bytes);
+    for (gsize at = 0; at < length; at += step) {
+        gsize added = MIN(step, length - at);
+        evbuffer_add_reference(buffer, bytes + at, added, NULL, NULL);
+        HeadCheck_feedTail(&check, buffer, added);
+    }
+    evbuffer_free(buffer);
+    return check;
+}
+
+static void
+ck_assert_lines(const char *bytes, gboolean is_ended, guint lines)
+{
+    for (gsize step = 1; step <= strlen(bytes) + 1; step++) {
+        HeadCheck_t check = check_in_parts(bytes, step);
+        ck_assert_msg(check.is_ended == is_ended && check.lines == lines,
+                      "%s in parts of %zu: ended %d, %u lines", bytes, step,
+                      check.is_ended, check.lines);
+    }
+}
+
+START_TEST(lines_count_up_to_the_blank_one)
+{
+    ck_assert_lines("HTTP/1.1 200 OK\r\nA: 1\r\n", FALSE, 2);
+    ck_assert_lines("HTTP/1.1 200 OK\r\nA: 1\r\n\r\nx\ny\n", TRUE, 3);
+    ck_assert_lines("HTTP/1.1 200 OK\n:\n\nx\n", TRUE, 3);
+    ck_assert_lines("\r\nHTTP/1.1 200 OK\r\n\r\nx\n", TRUE, 3);
+}
+END_TEST
+
+START_TEST(heads_after_an_interim_one_count_as_well)
+{
+    ck_assert_lines("HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 x\r\n\r\nx\n", TRUE,
+                    4);
+    ck_assert_lines("HTTP/1.1 100 x\r\nA: 1\r\n\r\n", FALSE, 3);
+}
+END_TEST
+
+/* A field of a byte cost a hundred. */
+START_TEST(input_of_a_head_with_too_many_lines_is_dropped)
+{
+    struct evbuffer *buffer = evbuffer_new();
+    HeadCheck_t check = {0};
+    for (guint i = 0; i < HEAD_LINES_MAX; i++) {
+        evbuffer_add(buffer, ":\n", 2);
+        ck_assert(!HeadCheck_drops(&check, buffer, 2));
+    }
+    evbuffer_add(buffer, ":\n:\n", 4);
+    ck_assert(HeadCheck_drops(&check, buffer, 4));
+    ck_assert_uint_eq(evbuffer_get_length(buffer), 0);
+    evbuffer_add(buffer, "x", 1);
+    ck_assert(HeadCheck_drops(&check, buffer, 1));
+    ck_assert_uint_eq(evbuffer_get_length(buffer), 0);
+    evbuffer_free(buffer);
+}
+END_TEST
+
+START_TEST(trailers_count_with_the_head)
+{
+    struct evbuffer *buffer = evbuffer_new();
+    HeadCheck_t check = check_in_parts("HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", 1);
+    HeadCheck_addTrailers(&check);
+    evbuffer_add(buffer, "A: 1\r\n\r\nx\n", 10);
+    HeadCheck_feedTail(&check, buffer, 10);
+    ck_assert(check.is_ended);
+    ck_assert_uint_eq(check.lines, 5);
+    evbuffer_free(buffer);
+}
+END_TEST
+
+TESTING_MAIN("HeadCheck", lines_count_up_to_the_blank_one,
+             heads_after_an_interim_one_count_as_well,
+             input_of_a_head_with_too_many_lines_is_dropped,
+             trailers_count_with_the_head)
