Incomplete events of all streams share the bound of answers

Callers saw nothing of it: the memory of a router was used up by engines that stop within an event. Each incomplete event was bound by event_max (256 KiB as deployed), all together by nothing: 300 streams of 200 KB each took 89 MB where a machine has 88, and with it went the requests of others.

The bytes of incomplete events now count with those of answers that are kept until they are whole. While answers_max is used up, an incomplete event of more than 4 KiB ends its attempt as oversized; sound events, of some hundred bytes, pass beside it, which the test shows with 20 streams.

--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -9,6 +9,9 @@
     gsize event_max;
     struct evbuffer *partial; /* start of an incomplete event */
     GString *last_id;
+    gsize counted; /* part of @total */
+    gsize *total;  /* or NULL */
+    gsize total_max;
     guint64 passed_count;
     gboolean is_too_large;
     gboolean restarted;
@@ -24,9 +27,34 @@
     return this;
 }
 
+void
+EventPipe_shareLimit(EventPipe_t *this, gsize *total, gsize total_max)
+{
+    this->total = total;
+    this->total_max = total_max;
+}
+
+static void
+count_partial(EventPipe_t *this)
+{
+    gsize length = evbuffer_get_length(this->partial);
+    if (this->total) {
+        *this->total = *this->total - this->counted + length;
+        this->counted = length;
+    }
+}
+
+static void
+drop_partial(EventPipe_t *this)
+{
+    evbuffer_drain(this->partial, evbuffer_get_length(this->partial));
+    count_partial(this);
+}
+
 void
 EventPipe_destroy(EventPipe_t *this)
 {
+    drop_partial(this);
     evbuffer_free(this->partial);
     g_string_free(this->last_id, TRUE);
     g_free(this);
@@ -118,7 +146,16 @@
 discard_event(EventPipe_t *this)
 {
     this->is_too_large = TRUE;
-    evbuffer_drain(this->partial, evbuffer_get_length(this->partial));
+    drop_partial(this);
+}
+
+static gboolean
+is_partial_too_large(const EventPipe_t *this)
+{
+    gsize length = evbuffer_get_length(this->partial);
+    return length > this->event_max ||
+           (length > EVENT_FREE_MAX && this->total &&
+            *this->total > this->total_max);
 }
 
 guint
@@ -132,8 +169,8 @@
            length <= this->event_max) {
         count += pass_event(this, length, out) ? 1 : 0;
     }
-    if (this->is_too_large ||
-        evbuffer_get_length(this->partial) > this->event_max) {
+    count_partial(this);
+    if (this->is_too_large || is_partial_too_large(this)) {
         discard_event(this);
     }
     return count;
@@ -148,7 +185,7 @@
 void
 EventPipe_restart(EventPipe_t *this)
 {
-    evbuffer_drain(this->partial, evbuffer_get_length(this->partial));
+    drop_partial(this);
     this->is_too_large = FALSE;
     this->restarted = TRUE;
 }
@@ -157,6 +194,7 @@
 EventPipe_flush(EventPipe_t *this, struct evbuffer *out)
 {
     evbuffer_add_buffer(out, this->partial);
+    count_partial(this);
 }
 
 gsize
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -10,6 +10,10 @@
 #include <event2/buffer.h>
 #include <glib.h>
 
+/** EVENT_FREE_MAX - bytes of an incomplete event for which there is always
+ * room; an event holds one token, some hundred bytes */
+#define EVENT_FREE_MAX 4096
+
 /** struct EventPipe_t - opaque */
 typedef struct EventPipe EventPipe_t;
 
@@ -19,6 +23,15 @@
  */
 EventPipe_t *EventPipe_create(gsize event_max);
 
+/**
+ * EventPipe_shareLimit() - let incomplete events share a limit with others
+ * @total: counts their bytes, together with those of others; must outlive the
+ *     pipe
+ * @total_max: bytes of @total from which an incomplete event of more than
+ *     EVENT_FREE_MAX is too large
+ */
+void EventPipe_shareLimit(EventPipe_t *this, gsize *total, gsize total_max);
+
 /** EventPipe_destroy() - free the pipe */
 void EventPipe_destroy(EventPipe_t *this);
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -269,6 +269,8 @@
     if (spec->route->kind == ROUTE_STREAM) {
         this->event_pipe =
             EventPipe_create((gsize)context->settings->limits.event_max);
+        EventPipe_shareLimit(this->event_pipe, &context->answer_bytes,
+                             (gsize)context->settings->limits.answers_max);
     }
     RelayOrigin_init(this);
     return this;
--- a/tests/sessions/test_held_bytes.py
+++ b/tests/sessions/test_held_bytes.py
@@ -220,5 +220,63 @@
         caller.close()
 
 
+class EventTest(unittest.TestCase):
+    """Streams that stop within an event, each below the largest size."""
+
+    STREAMS = 300
+    ENGINES = 8
+    ROUND = b"2710\r\n" + b"x" * 10000 + b"\r\n"
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.released = threading.Event()
+        self.addCleanup(self.released.set)
+        for number in range(self.ENGINES):
+            engine = self.fleet.engine("e%d" % number)
+            engine.stream = self.stream_of(engine)
+        self.router = self.fleet.start(
+            event_max="256KiB", answers_max="4MiB", token_timeout="20s",
+            first_token_timeout="20s", eject_failures="1000")
+
+    def stream_of(self, engine):
+        stream = engine.stream
+
+        def serve(call, headers):
+            if "X-Stops" not in call.headers:
+                stream(call, headers)
+                return
+            call.head(200, {"Transfer_Encoding": "chunked"}, **headers)
+            for _ in range(20):
+                call.wfile.write(self.ROUND)
+            self.released.wait(20)
+        return serve
+
+    def ask(self, **more):
+        return self.fleet.ask(self.router, "/ask/once/x", **more)
+
+    # Together they took the memory of the machine.
+    def test_events_that_stop(self):
+        self.assertEqual(self.ask().status, 200)
+        before = peak_memory(self.router)
+        statuses = []
+        threads = [threading.Thread(target=lambda: statuses.append(
+            self.ask(X_Stops="1", wait_ms=6000).status))
+            for _ in range(self.STREAMS)]
+        for thread in threads:
+            thread.start()
+        time.sleep(3)
+        for _ in range(20):
+            answer = self.ask()
+            self.assertEqual(answer.status, 200)
+            self.assertIn(b"piece-4", answer.body)
+        self.released.set()
+        for thread in threads:
+            thread.join()
+        if measures_memory():
+            self.assertLess(peak_memory(self.router) - before, GROWTH_MAX)
+        self.assertGreater(len(self.router.events("event_oversized")), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
