Streams begin and go on only at a start of an engine that it has confirmed

A router that lost no request at an engine took its new process for the one whose version the list still showed, up to 0.6 s, as evhttp connects anew without a word once an idle connection is closed. A stream that began there was told and recorded as of the version of the list, and others went on there.

An engine's state names its start. It is asked for it once for each connection that carries resumable streams, after the head of an answer has come, so that the connection is established; what follows the head is held for as long. If it names the start of the entry, the connection, opened once that start was known, leads to it until it closes. If it does not, a stream that goes on is tried elsewhere before any event of it was passed on, and a new stream is served and counts as of an unknown version. Upstreams whose entries name no start are asked nothing: each start of theirs has another name.

--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -309,7 +309,7 @@
     return end != ATTEMPT_COMPLETE && end != ATTEMPT_CLOSED &&
            end != ATTEMPT_NOT_RUN && end != ATTEMPT_REJECTED &&
            end != ATTEMPT_TAKEN_BACK && end != ATTEMPT_WITHDRAWN &&
-           end != ATTEMPT_MOVED;
+           end != ATTEMPT_MOVED && end != ATTEMPT_OTHER_START;
 }
 
 static void
--- a/src/PooledConnection.c
+++ b/src/PooledConnection.c
@@ -7,6 +7,7 @@
     struct evhttp_connection *evhttp;
     GArray *carried; /* guint64, hashes of the ids of requests */
     guint64 number;
+    guint64 start; /* incarnation at its other end, 0 if not proved */
     guint requests;
     gint64 idle_since_ms;
 };
@@ -19,12 +20,22 @@
     return XXH3_64bits(id, strlen(id));
 }
 
+/* evhttp connects anew, maybe to another process, for the next request. */
+static void
+on_closed(struct evhttp_connection *evhttp, void *data)
+{
+    (void)evhttp;
+    PooledConnection_t *this = data;
+    this->start = 0;
+}
+
 PooledConnection_t *
 PooledConnection_create(struct event_base *base, const Address_t *address)
 {
     PooledConnection_t *this = g_new0(PooledConnection_t, 1);
     this->evhttp =
         evhttp_connection_base_new(base, NULL, address->host, address->port);
+    evhttp_connection_set_closecb(this->evhttp, on_closed, this);
     this->carried = g_array_new(FALSE, FALSE, sizeof(guint64));
     this->number = ++last_number;
     return this;
@@ -34,6 +45,7 @@
 PooledConnection_release(PooledConnection_t *this)
 {
     struct evhttp_connection *evhttp = this->evhttp;
+    evhttp_connection_set_closecb(evhttp, NULL, NULL);
     g_array_free(this->carried, TRUE);
     g_free(this);
     return evhttp;
@@ -91,6 +103,18 @@
     return FALSE;
 }
 
+void
+PooledConnection_setStart(PooledConnection_t *this, guint64 incarnation)
+{
+    this->start = incarnation;
+}
+
+guint64
+PooledConnection_start(const PooledConnection_t *this)
+{
+    return this->start;
+}
+
 void
 PooledConnection_setIdle(PooledConnection_t *this, gint64 now_ms)
 {
--- a/src/PooledConnection.h
+++ b/src/PooledConnection.h
@@ -61,6 +61,14 @@
 gboolean PooledConnection_hasCarried(const PooledConnection_t *this,
                                      const char *id);
 
+/** PooledConnection_setStart() - the process at its other end was proved to be
+ * this start of the upstream, which holds until it is closed */
+void PooledConnection_setStart(PooledConnection_t *this, guint64 incarnation);
+
+/** PooledConnection_start() - the start noted since it was opened, 0 for none
+ */
+guint64 PooledConnection_start(const PooledConnection_t *this);
+
 /** PooledConnection_setIdle() - note the start of its idle time, monotonic */
 void PooledConnection_setIdle(PooledConnection_t *this, gint64 now_ms);
 
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -8,13 +8,21 @@
 Recovery_endName(AttemptEnd_t end)
 {
     static const char *const names[] = {
-        [ATTEMPT_COMPLETE] = "whole",        [ATTEMPT_NOT_SENT] = "not_sent",
-        [ATTEMPT_NOT_RUN] = "not_run",       [ATTEMPT_REJECTED] = "rejected",
-        [ATTEMPT_FAILED] = "failed",         [ATTEMPT_CUT] = "cut",
-        [ATTEMPT_SILENT] = "silent",         [ATTEMPT_MISMATCH] = "mismatch",
-        [ATTEMPT_BAD_ANSWER] = "bad_answer", [ATTEMPT_OVERSIZED] = "oversized",
-        [ATTEMPT_TAKEN_BACK] = "taken_back", [ATTEMPT_WITHDRAWN] = "withdrawn",
-        [ATTEMPT_MOVED] = "moved",           [ATTEMPT_CLOSED] = "closed",
+        [ATTEMPT_COMPLETE] = "whole",
+        [ATTEMPT_NOT_SENT] = "not_sent",
+        [ATTEMPT_NOT_RUN] = "not_run",
+        [ATTEMPT_REJECTED] = "rejected",
+        [ATTEMPT_FAILED] = "failed",
+        [ATTEMPT_CUT] = "cut",
+        [ATTEMPT_SILENT] = "silent",
+        [ATTEMPT_MISMATCH] = "mismatch",
+        [ATTEMPT_BAD_ANSWER] = "bad_answer",
+        [ATTEMPT_OVERSIZED] = "oversized",
+        [ATTEMPT_TAKEN_BACK] = "taken_back",
+        [ATTEMPT_WITHDRAWN] = "withdrawn",
+        [ATTEMPT_MOVED] = "moved",
+        [ATTEMPT_CLOSED] = "closed",
+        [ATTEMPT_OTHER_START] = "other_start",
     };
     return names[end];
 }
@@ -64,6 +72,7 @@
         [ATTEMPT_TAKEN_BACK] = REFUSAL_NO_UPSTREAM,
         [ATTEMPT_WITHDRAWN] = REFUSAL_NO_UPSTREAM,
         [ATTEMPT_MOVED] = REFUSAL_UPSTREAM_FAILED,
+        [ATTEMPT_OTHER_START] = REFUSAL_UPSTREAM_FAILED,
     };
     RecoveryDecision_t decision = {RECOVERY_GIVE_UP, reasons[input->end],
                                    run_state(input)};
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -31,6 +31,8 @@
  *     stopped accepting new work
  * @ATTEMPT_MOVED: this router ended the attempt to continue the request on
  *     another upstream
+ * @ATTEMPT_OTHER_START: a stream was to go on, and the upstream was not proved
+ *     to be the start that the list states the version of
  */
 typedef enum {
     ATTEMPT_COMPLETE,
@@ -47,6 +49,7 @@
     ATTEMPT_TAKEN_BACK,
     ATTEMPT_WITHDRAWN,
     ATTEMPT_MOVED,
+    ATTEMPT_OTHER_START,
 } AttemptEnd_t;
 
 /**
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -27,9 +27,12 @@
 #define SILENCE_RECHECK_MS 100
 /* Shortest period of the watch timer while time is left. */
 #define WATCH_MIN_MS 100
+/* Bytes of a body that are held before reading is paused. */
+#define HELD_MAX ((gsize)64 << 10)
 
 struct RelayAttempt {
     AttemptConnection_t connection;
+    struct event_base *base;
     const RelayUpstreamForm_t *form;
     const RelayAttemptEvents_t *events;
     void *owner;
@@ -39,6 +42,14 @@
     AttemptEnd_t expected_end; /* if the body ends in an orderly way */
     gsize refusal_bytes;       /* of the body of an answer "not run" */
     gboolean has_head;
+    const OrderForm_t *start_form; /* NULL if the start need not be proved */
+    gboolean needs_start;
+    guint64 incarnation;   /* of the upstream when the attempt began */
+    gint64 connect_ms;     /* timeout of the question for the start */
+    StartProof_t *proof;   /* open question, or NULL */
+    struct evbuffer *held; /* body received while it is open */
+    AttemptEnd_t held_end; /* if the body ended meanwhile */
+    gboolean has_held_end;
 };
 
 static void
@@ -49,6 +60,7 @@
         bufferevent_getfd(AttemptConnection_bufferevent(connection));
     connection->reusable = connection->reusable && fd >= 0;
     AttemptConnection_clear(connection);
+    evbuffer_free(this->held);
     g_string_free(this->request_id, TRUE);
     g_free(this->weights);
     g_free(this);
@@ -84,9 +96,19 @@
     Log_end();
 }
 
+static void
+cancel_proof(RelayAttempt_t *this)
+{
+    if (this->proof) {
+        StartProof_cancel(this->proof);
+        this->proof = NULL;
+    }
+}
+
 static void
 end_attempt(RelayAttempt_t *this, AttemptEnd_t end)
 {
+    cancel_proof(this);
     if (AttemptConnection_close(&this->connection)) {
         if (end != ATTEMPT_COMPLETE) {
             log_end(this, end);
@@ -161,6 +183,87 @@
     }
 }
 
+gboolean
+RelayAttempt_isStartProved(const RelayAttempt_t *this)
+{
+    return !this->start_form ||
+           (PooledConnection_start(this->connection.pooled) ==
+                this->incarnation &&
+            this->connection.upstream->incarnation == this->incarnation);
+}
+
+/* The owner may cancel the attempt as it gets the data. */
+static void
+pass_held(RelayAttempt_t *this)
+{
+    if (evbuffer_get_length(this->held) > 0) {
+        this->events->data(this->owner, this->held);
+    }
+    if (this->has_held_end && !this->connection.closed) {
+        end_attempt(this, this->held_end);
+    }
+}
+
+static void
+on_start_stated(void *owner, guint64 incarnation)
+{
+    RelayAttempt_t *this = owner;
+    this->proof = NULL;
+    RelayAttempt_setReadPaused(this, FALSE);
+    PooledConnection_setStart(this->connection.pooled, incarnation);
+    if (this->needs_start && !RelayAttempt_isStartProved(this)) {
+        end_attempt(this, ATTEMPT_OTHER_START);
+    }
+    else {
+        pass_held(this);
+    }
+}
+
+/* The connection is established by now, which the proof relies on. */
+static void
+ask_start(RelayAttempt_t *this)
+{
+    StartProofSpec_t spec = {
+        .upstream = this->connection.upstream,
+        .form = this->start_form,
+        .timeout_ms = this->connect_ms,
+    };
+    gboolean is_body = this->expected_end == ATTEMPT_COMPLETE ||
+                       this->expected_end == ATTEMPT_CLOSED;
+    if (is_body && !RelayAttempt_isStartProved(this)) {
+        this->proof = StartProof_ask(this->base, &spec, on_start_stated, this);
+    }
+}
+
+static void
+receive_data(RelayAttempt_t *this, struct evbuffer *input)
+{
+    if (this->proof) {
+        evbuffer_add_buffer(this->held, input);
+        if (evbuffer_get_length(this->held) > HELD_MAX) {
+            RelayAttempt_setReadPaused(this, TRUE);
+        }
+    }
+    else {
+        this->events->data(this->owner, input);
+    }
+}
+
+/* The end of a body that is held follows it. A body that was cut is dropped
+ * instead, as nothing of it was passed on. */
+static void
+receive_end(RelayAttempt_t *this, AttemptEnd_t end)
+{
+    if (this->proof) {
+        this->held_end = end;
+        this->has_held_end = TRUE;
+        evtimer_del(this->connection.timeout_timer);
+    }
+    else {
+        end_attempt(this, end);
+    }
+}
+
 static void
 on_chunk(struct evhttp_request *request, void *data)
 {
@@ -182,7 +285,7 @@
         return;
     }
     AttemptConnection_noteData(&this->connection);
-    this->events->data(this->owner, input);
+    receive_data(this, input);
 }
 
 /* A successful answer must carry the upstream's signature. This router
@@ -246,6 +349,7 @@
         Clock_arm(this->connection.timeout_timer, REFUSAL_REST_MS);
     }
     else {
+        ask_start(this);
         this->events->head(this->owner, &this->head, headers);
     }
     return 0;
@@ -290,7 +394,7 @@
     }
     else {
         this->connection.reusable = is_reusable(this);
-        end_attempt(this, this->expected_end);
+        receive_end(this, this->expected_end);
     }
 }
 
@@ -371,6 +475,12 @@
     this->form = spec->form;
     this->events = events;
     this->owner = owner;
+    this->base = base;
+    this->held = evbuffer_new();
+    this->start_form = spec->start_form;
+    this->needs_start = spec->needs_start;
+    this->incarnation = spec->upstream->incarnation;
+    this->connect_ms = spec->connect_ms;
     this->request_id = g_string_new(spec->request_id);
     AttemptConnection_init(&this->connection, base, &connection);
     AttemptConnection_send(&this->connection, build_request(this, spec),
@@ -391,6 +501,7 @@
 void
 RelayAttempt_cancel(RelayAttempt_t *this)
 {
+    cancel_proof(this);
     AttemptConnection_close(&this->connection);
 }
 
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -12,7 +12,7 @@
 
 #include "Recovery.h"
 #include "RelayForm.h"
-#include "Upstream.h"
+#include "StartProof.h"
 
 /**
  * enum SilenceAction_t - what to do with an attempt whose upstream is silent
@@ -60,6 +60,9 @@
  * @head_max: limit of the answer's head, in bytes
  * @input_total: counts unparsed input, together with that of others
  * @input_total_max: limit of @input_total, in bytes
+ * @start_form: form in which the upstream is asked which start it is, before
+ *     any of the body is passed on; NULL to ask nothing
+ * @needs_start: end the attempt if it is not the known start
  * @idle_max_ms: longest idle time of a pooled connection that may be reused
  * @connect_ms: timeout for the connection
  * @first_ms: timeout for the first byte of the body
@@ -76,6 +79,8 @@
     gsize head_max;
     gsize *input_total;
     gsize input_total_max;
+    const OrderForm_t *start_form;
+    gboolean needs_start;
     gint64 idle_max_ms;
     gint64 connect_ms;
     gint64 first_ms;
@@ -107,6 +112,10 @@
 /** RelayAttempt_wasSent() - whether the upstream may have run the request */
 gboolean RelayAttempt_wasSent(const RelayAttempt_t *this);
 
+/** RelayAttempt_isStartProved() - whether the body comes from the start of the
+ * upstream that was known when the attempt began */
+gboolean RelayAttempt_isStartProved(const RelayAttempt_t *this);
+
 /** RelayAttempt_setReadPaused() - pause or resume reading from the upstream;
  * the silence timeout does not run while reading is paused */
 void RelayAttempt_setReadPaused(RelayAttempt_t *this, gboolean read_paused);
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -170,13 +170,22 @@
                        has_several_services(this));
 }
 
+/* An attempt that ended before it was adopted tells no more. */
+static gboolean
+is_start_proved(const RelayExchange_t *this)
+{
+    return this->attempt ? RelayAttempt_isStartProved(this->attempt)
+                         : !StartProof_isNeeded(this->super.upstream);
+}
+
 /* The entry that states the version may have changed since the request was
  * sent. */
 static const char *
 find_begun_software(const RelayExchange_t *this)
 {
     const Upstream_t *upstream = this->super.upstream;
-    return this->feedback.origin.incarnation == upstream->incarnation
+    return this->feedback.origin.incarnation == upstream->incarnation &&
+                   is_start_proved(this)
                ? Upstream_software(upstream)
                : "";
 }
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -366,6 +366,20 @@
     return MIN(context->settings->limits.first_token_timeout_ms, overdue_ms);
 }
 
+/* What a stream may go on at, and what version it begins with, is that of one
+ * start of the engine. */
+static const OrderForm_t *
+select_start_form(const RelayExchange_t *this,
+                  const RelayDestination_t *destination)
+{
+    gboolean is_stream = this->event_pipe && this->route->resumable;
+    gboolean is_engine = destination->salt[0] != '\0';
+    return is_stream && is_engine &&
+                   StartProof_isNeeded(destination->choice.upstream)
+               ? this->super.context->form->orders
+               : NULL;
+}
+
 RelayAttempt_t *
 RelayRun_send(const RelayExchange_t *this,
               const RelayDestination_t *destination,
@@ -387,6 +401,8 @@
         .head_max = (gsize)limits->max_header,
         .input_total = &super->context->answer_bytes,
         .input_total_max = (gsize)limits->answers_max,
+        .start_form = select_start_form(this, destination),
+        .needs_start = this->origin.software != NULL,
         .idle_max_ms = select_idle_limit(this),
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
         .first_ms = first_data_timeout_ms(this, destination->choice.upstream),
