--- a/tests/sessions/test_stop_exits.py
+++ b/tests/sessions/test_stop_exits.py
@@ -1,6 +1,7 @@
 """Each way in which requests end while their router does after SIGTERM: runs
 are counted at the upstreams, answers at the callers."""
 import http.client
+import random
 import signal
 import socket
 import threading
@@ -8,7 +9,7 @@
 import unittest
 
 from cluster import wait_for
-from fleet import CUSTOMERS, ROUTES, Fleet, PacedEngine, Upstream, read_parts
+from fleet import ROUTES, Fleet, PacedEngine, Upstream, read_parts
 from test_stop import is_whole, read_answer, request
 
 GRACE_S = 2
@@ -225,5 +226,196 @@
         self.assert_end()
 
 
+
+class TimedService(Upstream):
+    """A plain service that works as long as the body of a request says."""
+
+    def run(self, call, body, request_id):
+        time.sleep(float(body))
+        super().run(call, body, request_id)
+
+
+class LoadedTest(StopExitsTest):
+    """Calls and streams, some longer than the stop, are begun all the while
+    at routers that stop."""
+
+    PATHS = ("/write/x", "/read/x", "/ask/x", "/ask/once/x")
+    RATE_PER_S = 40
+    LONGEST_S = 3.5
+    SEED = 1
+    SERVED = 60
+
+    def setUp(self):
+        super().setUp()
+        self.rng = random.Random(self.SEED)
+        self.timed = self.fleet.add(
+            TimedService(self.fleet.store, "p2", "plain"))
+        self.service.unlist()
+        self.engine.pieces = 30
+        self.routers = []
+
+    def start_routers(self, count):
+        for number in range(count):
+            seeds = {"seeds": self.routers[0].peer_address} \
+                if self.routers else {}
+            self.routers.append(self.fleet.start(
+                name="r%d" % number, peers=seeds, **self.SETTINGS))
+        self.router = self.routers[0]
+
+    def load(self, seconds):
+        """Begins tries for some time, each at any router."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            body = b"%.2f" % (self.rng.random() ** 4 * self.LONGEST_S)
+            self.begin(self.rng.choice(self.PATHS),
+                       self.rng.choice(self.routers), body=body)
+            time.sleep(1 / self.RATE_PER_S)
+
+    def load_beside(self, seconds):
+        loader = threading.Thread(target=self.load, args=(seconds,))
+        loader.start()
+        return loader
+
+    def is_excused(self, attempt):
+        """Streams may be broken off at the limit, where the caller sees
+        it."""
+        return attempt.path.startswith("/ask") and not attempt.is_whole
+
+    def assert_load_kept(self):
+        self.join()
+        for attempt in self.tries:
+            if not self.is_excused(attempt):
+                self.assert_kept(attempt)
+        self.assertGreater(
+            sum(a.status == 200 and a.is_whole for a in self.tries),
+            self.SERVED)
+        for router in self.routers:
+            self.assert_end(router)
+
+    def test_routers_that_stop_in_series(self):
+        self.start_routers(3)
+        loader = self.load_beside(4)
+        time.sleep(1)
+        for router in self.routers:
+            self.stop(router)
+            time.sleep(0.5)
+        loader.join()
+        self.assert_load_kept()
+
+    def test_signals_during_the_stop_change_nothing(self):
+        self.start_routers(1)
+        loader = self.load_beside(4.5)
+        time.sleep(1)
+        self.stop()
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT) * 3:
+            time.sleep(0.2)
+            self.router.signal(number)
+        loader.join()
+        self.assert_load_kept()
+
+    def test_a_release_and_configurations_during_the_stop(self):
+        self.start_routers(2)
+        loader = self.load_beside(4.5)
+        time.sleep(1)
+        self.stop(self.routers[0])
+        self.fleet.add(TimedService(self.fleet.store, "p3", "plain"))
+        self.stop(self.routers[1])
+        self.timed.leaving = True
+        self.timed.state = "draining"
+        self.timed.list()
+        for number in range(4):
+            time.sleep(0.3)
+            self.fleet.config(routes=[
+                dict(fields, timeout_ms=20000 - number)
+                for fields in ROUTES])
+        loader.join()
+        self.assert_load_kept()
+
+
+class LongAnswers(Upstream):
+    """A plain service with answers that the kernel's buffers do not hold."""
+
+    def answer_call(self, call, body, headers):
+        call.head(200, {"Content_Length": str(len(LARGE))}, **headers)
+        call.wfile.write(LARGE)
+
+
+class TransferTest(StopExitsTest):
+    """Bodies and answers that are on their way while a router stops."""
+
+    def connect(self):
+        connection = socket.create_connection(
+            ("127.0.0.1", self.router.port), timeout=60)
+        self.addCleanup(connection.close)
+        return connection
+
+    def send_half(self):
+        """Sends a head and half of a large body."""
+        connection = self.connect()
+        head = request("large").replace(
+            b"Content-Length: 1\r\n", b"Content-Length: %d\r\n" % len(LARGE))
+        connection.sendall(head[:-1] + LARGE[:len(LARGE) // 2])
+        return connection
+
+    def send_rest(self, connection):
+        try:
+            connection.sendall(LARGE[len(LARGE) // 2:])
+        except OSError:
+            pass
+        return read_answer(connection)
+
+    def test_a_body_half_sent_at_the_signal_is_served_in_the_grace(self):
+        self.start(max_body="16MiB")
+        connection = self.send_half()
+        time.sleep(0.3)
+        self.stop()
+        self.sleep_until(GRACE_S - SLACK_S)
+        answer = self.send_rest(connection)
+        self.assertEqual(answer[:13], b"HTTP/1.1 200 ")
+        self.assertTrue(is_whole(answer))
+        self.assertEqual(len(self.service.seen), 1)
+        self.assert_end()
+
+    def test_a_body_that_is_whole_after_the_grace_has_not_run(self):
+        """It is refused, or its connection ends before it is whole."""
+        self.start(max_body="16MiB")
+        self.engine.pieces = 48  # which take longer than the grace
+        connection = self.send_half()
+        stream = self.begin("/ask/x")
+        wait_for(lambda: self.engine.seen, "the stream")
+        self.stop()
+        self.sleep_until(GRACE_S + 0.2)
+        answer = self.send_rest(connection)
+        self.assertEqual(answer[:13], b"HTTP/1.1 503 ")
+        self.assertTrue(is_whole(answer))
+        self.assertEqual(self.service.seen, [])
+        self.join()
+        self.assertTrue(stream.is_whole, stream)
+        self.assert_end()
+
+    def test_an_answer_that_is_read_slowly_is_whole(self):
+        """Its request was no longer open when the grace ended."""
+        self.fleet.add(LongAnswers(self.fleet.store, "p2", "plain"))
+        self.service.unlist()
+        self.start()
+        connection = self.connect()
+        connection.sendall(request("slow"))
+        time.sleep(0.3)
+        self.stop()
+        self.sleep_until(GRACE_S + 0.3)
+        self.assertIsNone(self.router.process.poll())
+        answer = read_answer(connection)
+        self.assertEqual(answer[:13], b"HTTP/1.1 200 ")
+        self.assertTrue(is_whole(answer))
+        self.assert_end()
+
+
+class NoGraceTest(LoadedTest):
+    """The same without a grace, with a limit that is nearly reached."""
+
+    SETTINGS = {"stop_grace": "0s", "stop_limit": "1500ms"}
+    SERVED = 20
+
+
 if __name__ == "__main__":
     unittest.main()
