The stop follows from the time at which the platform kills a router

deploy/router.ini had a fixed stop_limit of 7.8 s, right where the platform kills after 8 s: with 5 s requests under way were cut off by the kill without an answer, with 20 s they were ended 12 s too early. stop_kill takes that time (bounds.grace_s): stop_grace is at most 35 % of it and stop_limit ends 200 ms before it, which gives 2.8 s and 7.8 s for 8 s as before. 0, the default, leaves both as they are set; under 1 s is a fault.

--- a/src/Router.c
+++ b/src/Router.c
@@ -459,7 +459,7 @@
     const Context_t *context = &this->context;
     guint claims = context->claims ? Claims_countPending(context->claims) : 0;
     gint64 claims_limit_ms =
-        this->settings->router.stop_grace_ms + CLAIMS_DRAIN_MAX_MS;
+        Settings_stopGraceMs(this->settings) + CLAIMS_DRAIN_MAX_MS;
     return context->refusing && context->open_requests == 0 &&
            PendingReply_count() == 0 &&
            (claims == 0 || elapsed_ms >= claims_limit_ms);
@@ -472,10 +472,10 @@
     (void)what;
     Router_t *this = data;
     gint64 elapsed_ms = Clock_nowMs() - this->stop_began_ms;
-    const RouterSection_t *settings = &this->settings->router;
-    this->context.refusing = elapsed_ms >= settings->stop_grace_ms;
+    const Settings_t *settings = this->settings;
+    this->context.refusing = elapsed_ms >= Settings_stopGraceMs(settings);
     gboolean drained = is_drained(this, elapsed_ms);
-    gint64 left_ms = settings->stop_limit_ms - elapsed_ms;
+    gint64 left_ms = Settings_stopLimitMs(settings) - elapsed_ms;
     this->context.stop_ends_ms = Clock_nowMs() + left_ms - LAST_ANSWERS_MS;
     if (drained || left_ms <= LISTENER_DRAIN_MS + LAST_ANSWERS_MS) {
         /* They refer to the listener, which is closed soon. */
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -8,6 +8,13 @@
 #include "Problem.h"
 
 #define HOUR_MS 3600000
+/* With a shorter time there is no room for the margins of a stop. */
+#define STOP_KILL_MIN_MS 1000
+/* Share of the time until the router is killed in which it takes requests; the
+ * rest is for those to end. */
+#define STOP_GRACE_PERCENT 35
+/* Time between the end of the router and the kill. */
+#define STOP_MARGIN_MS 200
 #define KEY_BYTES 32
 
 #define R(member) offsetof(RouterSection_t, member)
@@ -50,6 +57,11 @@
     {"stop_limit", KEY_DURATION, FALSE, "10m", 0, HOUR_MS, NULL,
      R(stop_limit_ms), "After SIGTERM: how long open streams may continue.",
      KEY_LIVE},
+    {"stop_kill", KEY_DURATION, FALSE, "0s", 0, HOUR_MS, NULL, R(stop_kill_ms),
+     "After SIGTERM: when the platform kills the router, at least 1s; 0 if it "
+     "does not. stop_grace is then at most 35 % of it, and stop_limit ends "
+     "200 ms before it.",
+     KEY_LIVE},
     {"link_mbit", KEY_INTEGER, FALSE, "0", 0, G_MAXINT32, NULL, R(link_mbit),
      "Rate of this instance's link, in Mbit/s; 0 for unknown. Routers with "
      "faster links read from the store what all routers need."},
@@ -404,6 +416,17 @@
                  "hall_regions", "must have as many names as halls");
 }
 
+static void
+check_stop(const Settings_t *this, const IniFile_t *ini, GPtrArray *problems)
+{
+    gint64 kill_ms = this->router.stop_kill_ms;
+    if (kill_ms > 0 && kill_ms < STOP_KILL_MIN_MS) {
+        Problems_add(problems, PROBLEM_BAD_VALUE, IniFile_path(ini),
+                     IniFile_line(ini, "router", "stop_kill"), "router",
+                     "stop_kill", "must be 0 or at least 1s");
+    }
+}
+
 Settings_t *
 Settings_create(const char *path, GPtrArray *problems)
 {
@@ -424,6 +447,7 @@
         g_hash_table_destroy(fields);
     }
     check_halls(this, ini, problems);
+    check_stop(this, ini, problems);
     IniFile_destroy(ini);
     if (problems->len > problems_before) {
         Settings_destroy(this);
@@ -473,3 +497,21 @@
         KeyTable_appendReference(&settings_sections[i].spec, out);
     }
 }
+
+gint64
+Settings_stopGraceMs(const Settings_t *this)
+{
+    const RouterSection_t *router = &this->router;
+    gint64 share_ms = router->stop_kill_ms * STOP_GRACE_PERCENT / 100;
+    return router->stop_kill_ms > 0 ? MIN(router->stop_grace_ms, share_ms)
+                                    : router->stop_grace_ms;
+}
+
+gint64
+Settings_stopLimitMs(const Settings_t *this)
+{
+    const RouterSection_t *router = &this->router;
+    gint64 last_ms = router->stop_kill_ms - STOP_MARGIN_MS;
+    return router->stop_kill_ms > 0 ? MIN(router->stop_limit_ms, last_ms)
+                                    : router->stop_limit_ms;
+}
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -53,6 +53,7 @@
  * @customer_limits: a LimitsName_t
  * @stop_grace_ms: how long requests are still accepted after SIGTERM
  * @stop_limit_ms: how long open streams may continue after SIGTERM
+ * @stop_kill_ms: when the platform kills it after SIGTERM; 0 if it does not
  * @link_mbit: rate of this instance's link; 0 for unknown
  * @bootstrap: path of declarations to start from, or NULL
  * @seed: seed of all random choices; 0 to get one from the system
@@ -70,6 +71,7 @@
     gint64 customer_limits;
     gint64 stop_grace_ms;
     gint64 stop_limit_ms;
+    gint64 stop_kill_ms;
     gint64 link_mbit;
     GString *bootstrap;
     gint64 seed;
@@ -282,6 +284,14 @@
 gboolean Settings_reload(Settings_t *this, GPtrArray *problems,
                          RestartSettingHandler_t on_restart_key, void *data);
 
+/** Settings_stopGraceMs() - how long requests are still accepted after
+ * SIGTERM, with the time of the kill considered */
+gint64 Settings_stopGraceMs(const Settings_t *this);
+
+/** Settings_stopLimitMs() - how long open requests may continue after SIGTERM,
+ * with the time of the kill considered */
+gint64 Settings_stopLimitMs(const Settings_t *this);
+
 /**
  * Settings_destroy() - free the settings
  */
--- a/tests/sessions/test_stop_exits.py
+++ b/tests/sessions/test_stop_exits.py
@@ -410,6 +410,30 @@
         self.assert_end()
 
 
+class KillTest(StopExitsTest):
+    """A router that its platform kills some time after SIGTERM."""
+
+    KILL_S = 2
+    SETTINGS = {"stop_grace": "2800ms\nstop_kill = %ds" % KILL_S}
+
+    def test_requests_end_before_the_kill(self):
+        """They were cut off by it, as grace and limit were longer."""
+        self.start()
+        self.service.pause_s = 10
+        long = self.begin("/write/x")
+        wait_for(lambda: self.service.seen, "the call")
+        self.stop()
+        killer = threading.Timer(self.KILL_S, self.router.process.kill)
+        killer.start()
+        self.addCleanup(killer.cancel)
+        self.sleep_until(self.KILL_S / 2)
+        self.assert_refused(self.call("/write/x"))
+        self.join()
+        self.assertEqual(long.status, 502)
+        self.assert_all_kept()
+        self.assert_end()
+
+
 class NoGraceTest(LoadedTest):
     """The same without a grace, with a limit that is nearly reached."""
 
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -320,6 +320,53 @@
     return settings;
 }
 
+/* Settings with more lines in [router]; NULL if they have a fault. */
+static Settings_t *
+create_with(const char *lines)
+{
+    g_autoptr(GPtrArray) problems = Problems_create();
+    g_autofree char *text = g_strconcat("[router]\n", lines, VALID_REST, NULL);
+    char *path = write_file(text);
+    Settings_t *settings = Settings_create(path, problems);
+    g_unlink(path);
+    g_free(path);
+    return settings;
+}
+
+static void
+assert_stop(const char *lines, gint64 grace_ms, gint64 limit_ms)
+{
+    Settings_t *settings = create_with(lines);
+    ck_assert_ptr_nonnull(settings);
+    ck_assert_int_eq(Settings_stopGraceMs(settings), grace_ms);
+    ck_assert_int_eq(Settings_stopLimitMs(settings), limit_ms);
+    Settings_destroy(settings);
+}
+
+START_TEST(a_stop_ends_before_the_kill)
+{
+    assert_stop("stop_grace = 2800ms\nstop_kill = 8s\n", 2800, 7800);
+    assert_stop("stop_grace = 2800ms\nstop_kill = 5s\n", 1750, 4800);
+    assert_stop("stop_grace = 2800ms\nstop_kill = 20s\n", 2800, 19800);
+    assert_stop("stop_limit = 3s\nstop_kill = 20s\n", 2000, 3000);
+    assert_stop("stop_kill = 1s\n", 350, 800);
+}
+END_TEST
+
+START_TEST(without_a_kill_the_stop_is_as_set)
+{
+    assert_stop("", 2000, 600000);
+    assert_stop("stop_grace = 7s\nstop_limit = 9s\nstop_kill = 0s\n", 7000,
+                9000);
+}
+END_TEST
+
+START_TEST(a_kill_that_leaves_no_time_is_a_fault)
+{
+    ck_assert_ptr_null(create_with("stop_kill = 999ms\n"));
+}
+END_TEST
+
 #define CHANGED                                                               \
     "[router]\nname = r2\nhall = h\nregion = r\nlisten = 127.0.0.1:90\n"      \
     "operator_listen = 127.0.0.1:81\nstop_grace = 7s\nbootstrap = x\n"        \
@@ -390,17 +437,16 @@
 }
 END_TEST
 
-TESTING_MAIN("Settings", each_hall_needs_a_region,
-             valid_settings_have_values_and_defaults,
-             each_fault_has_its_kind_and_line,
-             fractional_and_empty_numbers_are_accepted,
-             number_fault_reports_key_value_and_range,
-             missing_key_and_bad_address_are_reported,
-             all_faults_are_reported_at_once, unreadable_file_is_reported,
-             declarations_are_sorted_by_kind, dangling_references_are_reported,
-             bad_section_names_and_times_are_reported,
-             reference_names_every_section,
-             reload_applies_live_keys_and_reports_the_others,
-             reload_of_same_file_reports_no_key,
-             reload_of_invalid_file_changes_nothing,
-             file_with_nul_byte_is_reported)
+TESTING_MAIN(
+    "Settings", each_hall_needs_a_region,
+    valid_settings_have_values_and_defaults, each_fault_has_its_kind_and_line,
+    fractional_and_empty_numbers_are_accepted,
+    number_fault_reports_key_value_and_range,
+    missing_key_and_bad_address_are_reported, all_faults_are_reported_at_once,
+    unreadable_file_is_reported, declarations_are_sorted_by_kind,
+    dangling_references_are_reported, bad_section_names_and_times_are_reported,
+    reference_names_every_section,
+    reload_applies_live_keys_and_reports_the_others,
+    a_stop_ends_before_the_kill, without_a_kill_the_stop_is_as_set,
+    a_kill_that_leaves_no_time_is_a_fault, reload_of_same_file_reports_no_key,
+    reload_of_invalid_file_changes_nothing, file_with_nul_byte_is_reported)
--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -19,7 +19,7 @@
     "provider.address": "127.0.0.1:8784", "bounds.lease_ms": "3000",
     "bounds.version_ms": "10000", "bounds.config_apply_ms": "2000",
     "bounds.fencing_required": "true", "bounds.drain_ms": "2000",
-    "bounds.retry_slack": "56", "limits.link_mbps": "1000.0",
+    "bounds.retry_slack": "56", "bounds.grace_s": "8", "limits.link_mbps": "1000.0",
     "limits.memory_mb": "110", "bootstrap": "true",
 }
 # Tables; a {{#table}} section of the template is repeated for each entry.
@@ -31,23 +31,24 @@
      "bounds.drain_ms": "2000.5", "bounds.version_ms": "1e4",
      "limits.link_mbps": "0.5", "limits.memory_mb": "110.5",
      "bootstrap": "false",
-     "bounds.config_apply_ms": "3000.0"},
+     "bounds.config_apply_ms": "3000.0", "bounds.grace_s": "8.0"},
     {"bounds.retry_slack": "", "bounds.lease_ms": "", "bounds.drain_ms": "",
      "bounds.version_ms": "", "bounds.config_apply_ms": "",
-     "bounds.fencing_required": "", "seeds": "", "limits.link_mbps": "",
+     "bounds.grace_s": "", "bounds.fencing_required": "", "seeds": "", "limits.link_mbps": "",
      "limits.memory_mb": "", "bootstrap": ""},
     {"bounds.retry_slack": "0", "bounds.lease_ms": "500",
      "bounds.drain_ms": "200", "bounds.version_ms": "3000",
-     "bounds.config_apply_ms": "500"},
+     "bounds.config_apply_ms": "500", "bounds.grace_s": "1"},
     {"bounds.retry_slack": "100000", "bounds.lease_ms": "3600000",
      "bounds.drain_ms": "3600000", "bounds.version_ms": "3600000",
-     "bounds.config_apply_ms": "3600000", "limits.link_mbps": "400000"},
+     "bounds.config_apply_ms": "3600000", "bounds.grace_s": "3600",
+     "limits.link_mbps": "400000"},
 )
 # Invalid values; the program must refuse each and name its key.
 INVALID_VALUES = {
     "bounds.retry_slack": "-1", "bounds.lease_ms": "0",
     "bounds.drain_ms": "soon", "bounds.version_ms": "1e30",
-    "bounds.config_apply_ms": "never",
+    "bounds.config_apply_ms": "never", "bounds.grace_s": "0.5",
     "bounds.fencing_required": "perhaps", "seeds": "nowhere",
     "limits.link_mbps": "fast", "limits.memory_mb": "much",
     "bootstrap": "perhaps",
