Buffers of streams whose callers don't read share a bound

Callers saw nothing of it: 280 streams whose callers don't read took 107 MB where a machine has 88. stream_buffer bounds what waits for one caller; all of them together were bound by nothing.

Answers count what waits for their callers. While that is more than answers_max for all, a stream is paused at 16 KiB in place of stream_buffer; nothing is refused and nothing lost, as its upstream waits.

--- a/src/Context.h
+++ b/src/Context.h
@@ -98,6 +98,7 @@
  * @open_requests: number of callers' open requests
  * @open: those requests
  * @answer_bytes: bytes of answers that are buffered until they are complete
+ * @output_bytes: bytes of streams that wait for slow callers
  * @incarnation: incarnation of this process, which grows with each start
  */
 typedef struct {
@@ -143,6 +144,7 @@
     guint open_requests;
     OpenRequests_t *open;
     gsize answer_bytes;
+    gsize output_bytes;
     guint64 incarnation;
 } Context_t;
 
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -27,6 +27,9 @@
     GString *id;
     const char *id_header;
     gsize buffer_max;
+    gsize counted; /* part of @buffered_total, as of the last write */
+    gsize *buffered_total;
+    gsize buffered_total_max;
     int status; /* from RelayAnswer_setHead(), 0 before */
     guint retry_after_ms;
     gint64 stated_bytes; /* length of the upstream's body, or NO_LENGTH */
@@ -96,6 +99,8 @@
     this->id = g_string_new(spec->id);
     this->id_header = spec->id_header;
     this->buffer_max = spec->buffer_max;
+    this->buffered_total = spec->buffered_total;
+    this->buffered_total_max = spec->buffered_total_max;
     this->stated_bytes = NO_LENGTH;
     this->is_end_proven = TRUE;
     this->is_for_router =
@@ -106,9 +111,19 @@
     return this;
 }
 
+static void
+count_output(RelayAnswer_t *this, gsize bytes)
+{
+    if (this->buffered_total) {
+        *this->buffered_total = *this->buffered_total - this->counted + bytes;
+        this->counted = bytes;
+    }
+}
+
 void
 RelayAnswer_destroy(RelayAnswer_t *this)
 {
+    count_output(this, 0);
     if (RelayAnswer_request(this)) {
         CallerWatch_closeConnection(this->watch);
     }
@@ -204,6 +219,7 @@
 {
     (void)connection;
     RelayAnswer_t *this = data;
+    count_output(this, 0);
     if (this->full) {
         this->full = FALSE;
         this->events->drained(this->owner);
@@ -217,6 +233,17 @@
     return evbuffer_get_length(bufferevent_get_output(stream));
 }
 
+static gboolean
+has_room(const RelayAnswer_t *this, gsize buffered)
+{
+    gboolean is_shared_used_up =
+        this->buffered_total &&
+        *this->buffered_total > this->buffered_total_max;
+    return buffered <= (is_shared_used_up
+                            ? MIN(this->buffer_max, ANSWER_OUTPUT_FREE_MAX)
+                            : this->buffer_max);
+}
+
 void
 RelayAnswer_sendData(RelayAnswer_t *this, struct evbuffer *data)
 {
@@ -228,14 +255,16 @@
     this->sent_bytes += (gint64)evbuffer_get_length(data);
     /* evhttp keeps the callback of the last chunk only: a chunk without one
      * would drop on_drained, and the stream would stay paused. */
-    if (this->full || buffered_bytes(connection) > this->buffer_max) {
+    if (this->full || !has_room(this, buffered_bytes(connection))) {
         this->full = TRUE;
         evhttp_send_reply_chunk_with_cb(RelayAnswer_request(this), data,
                                         on_drained, this);
+        count_output(this, buffered_bytes(connection));
         return;
     }
     evhttp_send_reply_chunk(RelayAnswer_request(this), data);
     Http_flush(connection);
+    count_output(this, buffered_bytes(connection));
 }
 
 static void
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -32,14 +32,24 @@
  * @id_header: response header that carries @id
  * @buffer_max: bytes that may be buffered for a slow caller before
  *     RelayAnswer_isFull() holds
+ * @buffered_total: counts these bytes, together with those of others; must
+ *     outlive the answer; or NULL
+ * @buffered_total_max: bytes of @buffered_total from which
+ *     ANSWER_OUTPUT_FREE_MAX takes the place of @buffer_max
  */
 typedef struct {
     struct evhttp_request *request;
     const char *id;
     const char *id_header;
     gsize buffer_max;
+    gsize *buffered_total;
+    gsize buffered_total_max;
 } RelayAnswerSpec_t;
 
+/** ANSWER_OUTPUT_FREE_MAX - bytes for a slow caller for which there is always
+ * room */
+#define ANSWER_OUTPUT_FREE_MAX 16384
+
 /** struct RelayAnswer_t - opaque */
 typedef struct RelayAnswer RelayAnswer_t;
 
@@ -123,8 +133,8 @@
  */
 void RelayAnswer_logEnd(const RelayAnswer_t *this);
 
-/** RelayAnswer_isFull() - whether more than buffer_max bytes wait for the
- * caller; @drained is called once they are written */
+/** RelayAnswer_isFull() - whether more bytes than there is room for wait for
+ * the caller; @drained is called once they are written */
 gboolean RelayAnswer_isFull(const RelayAnswer_t *this);
 
 /**
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -306,6 +306,8 @@
         .id = this->super.id->str,
         .id_header = context->form->caller->id_header,
         .buffer_max = (gsize)context->settings->limits.stream_buffer,
+        .buffered_total = &context->output_bytes,
+        .buffered_total_max = (gsize)context->settings->limits.answers_max,
     };
     this->answer =
         RelayAnswer_create(context->base, &answer, &answer_events, this);
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -362,6 +362,8 @@
         .id = this->id->str,
         .id_header = context->form->caller->id_header,
         .buffer_max = (gsize)context->settings->limits.stream_buffer,
+        .buffered_total = &context->output_bytes,
+        .buffered_total_max = (gsize)context->settings->limits.answers_max,
     };
     this->answer =
         RelayAnswer_create(context->base, &answer, &answer_events, this);
--- a/tests/sessions/test_held_bytes.py
+++ b/tests/sessions/test_held_bytes.py
@@ -278,5 +278,46 @@
         self.assertGreater(len(self.router.events("event_oversized")), 0)
 
 
+class UnreadTest(unittest.TestCase):
+    """Streams whose callers don't read."""
+
+    STREAMS = 280
+    ENGINES = 8
+    SECONDS = 14
+    REQUEST = (b"POST /ask/once/x HTTP/1.1\r\nHost: shop.example\r\n"
+               b"X-Request-Id: unread%d\r\nApi-Key: key-a\r\nX-Model: m\r\n"
+               b"X-Deadline-Ms: 20000\r\nX-Token-Usage: 300,10\r\n"
+               b"X-Prompt-Prefix: ab:100,cd:100,%x:100\r\n"
+               b"Content-Length: 0\r\n\r\n")
+
+    def begin(self, router, number):
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        caller.connect(("127.0.0.1", router.port))
+        caller.sendall(self.REQUEST % (number, number))
+
+    # Each had a buffer, and all buffers more than the machine's memory.
+    def test_streams(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.close)
+        fleet.plain("p1")
+        for number in range(self.ENGINES):
+            engine = fleet.engine("e%d" % number)
+            engine.piece, engine.pieces = b"p" * 30000, 1000
+        router = fleet.start(answers_max="4MiB", first_token_timeout="20s",
+                             token_timeout="20s", eject_failures="1000")
+        self.assertEqual(fleet.ask(router, "/write/x").status, 200)
+        before = peak_memory(router)
+        for number in range(self.STREAMS):
+            self.begin(router, number)
+        end = time.monotonic() + self.SECONDS
+        while time.monotonic() < end:
+            self.assertEqual(fleet.ask(router, "/write/x").status, 200)
+            time.sleep(0.1)
+        if measures_memory():
+            self.assertLess(peak_memory(router) - before, 2 * GROWTH_MAX)
+
+
 if __name__ == "__main__":
     unittest.main()
