A caller that resets its connection is noticed while its request runs

libevent reports a reset as readable and writable, not as closed, so that the watch for EV_CLOSED alone did not fire: the request ran on for a caller that had left, no line told of it, and epoll returned at once until the upstream answered (1.99 s of processor time in 2 s after one reset).

The watch now also waits for a readable connection and asks the kernel whether the caller has left. Bytes that wait, such as those of a next request, are looked past each 100 ms.

test_callers_that_reset failed before: no request_refused line ever came.

--- a/src/CallerWatch.c
+++ b/src/CallerWatch.c
@@ -2,12 +2,16 @@
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <poll.h>
 
 #include "ResetOnClose.h"
 
+/* Interval between looks at a connection with bytes that wait. */
+#define LOOK_US 100000
+
 struct CallerWatch {
     struct evhttp_request *request; /* NULL after it ended or was detached */
-    struct event *closed_event;     /* fires when the caller closed its half */
+    struct event *closed_event;     /* fires when the caller may have left */
     CallerLeft_t left;
     void *owner;
 };
@@ -66,14 +70,49 @@
     this->left(this->owner);
 }
 
+static gboolean
+has_left(evutil_socket_t fd)
+{
+    struct pollfd state = {.fd = fd, .events = POLLRDHUP};
+    return poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+static void on_closed(evutil_socket_t fd, short what, void *data);
+
+/* Bytes that wait, such as those of a next request, would make it readable
+ * all the time. */
+static void
+look_at_times(CallerWatch_t *this, evutil_socket_t fd)
+{
+    struct timeval interval = {0, LOOK_US};
+    struct event_base *base = event_get_base(this->closed_event);
+    event_free(this->closed_event);
+    this->closed_event =
+        event_new(base, fd, EV_CLOSED | EV_PERSIST, on_closed, this);
+    event_add(this->closed_event, &interval);
+}
+
 static void
-on_half_closed(evutil_socket_t fd, short what, void *data)
+on_closed(evutil_socket_t fd, short what, void *data)
 {
-    (void)fd;
-    (void)what;
     CallerWatch_t *this = data;
-    CallerWatch_closeConnection(this);
-    this->left(this->owner);
+    if (has_left(fd)) {
+        CallerWatch_closeConnection(this);
+        this->left(this->owner);
+    }
+    else if (what & EV_READ) {
+        look_at_times(this, fd);
+    }
+}
+
+/* libevent reports a reset as readable, and not as closed. */
+static void
+watch_end(CallerWatch_t *this, struct event_base *base, evutil_socket_t fd)
+{
+    this->closed_event =
+        event_new(base, fd, EV_CLOSED | EV_READ, on_closed, this);
+    event_add(this->closed_event, NULL);
 }
 
 CallerWatch_t *
@@ -89,8 +128,7 @@
     evhttp_connection_set_closecb(connection, on_close, this);
     evutil_socket_t fd =
         bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    this->closed_event = event_new(base, fd, EV_CLOSED, on_half_closed, this);
-    event_add(this->closed_event, NULL);
+    watch_end(this, base, fd);
     return this;
 }
 
