The line of a caller that left tells that its request may have run

request_refused, and the counter of refusals, said run=not_run although an upstream had the request: the run state was read before the attempt was cancelled, and only the cancel notes that it was sent. It is read after it now, as with each other refusal.

test_leaving_callers failed before: 'not_run' != 'may_have_run'.

--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -562,10 +562,10 @@
 Exchange_noteCallerLeft(Exchange_t *this, gint64 grace_ms)
 {
     this->caller_left = TRUE;
+    cancel_attempt(this, "caller_left");
     Context_countRefusal(this->context, REFUSAL_CALLER_LEFT,
                          Exchange_runState(this), this->id->str,
                          this->target->str, this->customer_class->str, NULL);
-    cancel_attempt(this, "caller_left");
     evtimer_del(this->deadline_timer);
     restart_next_timer(this, on_grace_expired, grace_ms);
 }
--- /dev/null
+++ b/tests/sessions/test_leaving_callers.py
@@ -0,0 +1,132 @@
+"""Callers that leave while their requests run."""
+import os
+import socket
+import struct
+import time
+import unittest
+import uuid
+
+from answers import request_bytes
+from cluster import wait_for
+from fleet import Fleet
+
+
+class LeavingTest(unittest.TestCase):
+    PATHS = ("/read/x", "/write/x", "/ask/x", "/ask/once/x")
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.upstreams = [self.fleet.plain("p1"), self.fleet.engine("e1")]
+        for upstream in self.upstreams:
+            upstream.pause_s = 0.5
+        self.router = self.fleet.start()
+
+    def runs(self, request_id):
+        return sum(seen["X-Request-Id"] == request_id
+                   for upstream in self.upstreams for seen in upstream.seen)
+
+    def leave(self, path, end, behind=b""):
+        """Ends a connection while its request runs."""
+        request_id = uuid.uuid4().hex
+        with socket.create_connection(("127.0.0.1",
+                                       self.router.port)) as caller:
+            caller.settimeout(5)
+            caller.sendall(request_bytes("POST", path, request_id, b"x",
+                                         wait_ms=9000) + behind)
+            wait_for(lambda: self.runs(request_id), "a run")
+            end(caller)
+        self.check_line(path, request_id)
+        return request_id
+
+    def check_line(self, path, request_id):
+        """A call that may run once goes on, so that its outcome is known."""
+        event = "request_done" if path == "/write/x" else "request_refused"
+        line, = wait_for(lambda: [
+            line for line in self.router.events(event)
+            if line["request"].strip('"') == request_id], path)
+        if event == "request_done":
+            self.assertEqual(line["answer"].strip('"'), "none")
+            return
+        self.assertEqual(line["reason"].strip('"'), "caller_left")
+        self.assertEqual(line["run"].strip('"'), "may_have_run")
+
+    def assert_closed(self, caller):
+        """No byte of an answer came before the end."""
+        try:
+            self.assertEqual(caller.recv(1), b"")
+        except ConnectionResetError:
+            pass
+
+    def test_callers_that_close_their_sending_side(self):
+        def end(caller):
+            caller.shutdown(socket.SHUT_WR)
+            self.assert_closed(caller)
+        for path in self.PATHS:
+            self.leave(path, end)
+
+    def test_callers_that_close(self):
+        for path in self.PATHS:
+            self.leave(path, lambda caller: None)
+
+    def used_s(self):
+        """Returns the processor time that the router has used."""
+        with open("/proc/%d/stat" % self.router.process.pid) as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    @staticmethod
+    def reset(caller):
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+
+    def test_callers_that_reset(self):
+        """Their requests ran on, and nothing told that they had left."""
+        for upstream in self.upstreams:
+            upstream.pause_s = 2
+        for path in self.PATHS:
+            left = time.monotonic()
+            self.leave(path, self.reset)
+            if path != "/write/x":
+                self.assertLess(time.monotonic() - left, 1, path)
+
+    def test_a_reset_does_not_keep_the_router_busy(self):
+        """It spun until the upstream had answered."""
+        self.upstreams[0].pause_s = 2
+        request_id = uuid.uuid4().hex
+        with socket.create_connection(("127.0.0.1",
+                                       self.router.port)) as caller:
+            caller.sendall(request_bytes("POST", "/write/x", request_id, b"x"))
+            wait_for(lambda: self.runs(request_id), "a run")
+            self.reset(caller)
+        used_s = self.used_s()
+        time.sleep(1)
+        self.assertLess(self.used_s() - used_s, 0.5)
+
+    def test_callers_that_reset_with_bytes_behind(self):
+        """Bytes that wait neither keep the router busy nor hide the end."""
+        for upstream in self.upstreams:
+            upstream.pause_s = 3
+
+        def end(caller):
+            used_s = self.used_s()
+            time.sleep(1)
+            self.assertLess(self.used_s() - used_s, 0.5)
+            self.reset(caller)
+        for path in self.PATHS[::2]:
+            left = time.monotonic()
+            self.leave(path, end, b"GET /none HTTP/1.1\r\n")
+            self.assertLess(time.monotonic() - left, 2, path)
+
+    def test_a_request_behind_one_under_way_does_not_run(self):
+        """Its caller left before the first one was answered."""
+        for path in self.PATHS:
+            second = uuid.uuid4().hex
+            self.leave(path, lambda caller: None,
+                       request_bytes("POST", path, second, b"x"))
+            time.sleep(2 * self.upstreams[0].pause_s)
+            self.assertEqual(self.runs(second), 0, path)
+
+
+if __name__ == "__main__":
+    unittest.main()
