--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -31,10 +31,13 @@
     RequestDigest_t digest;
     GRefString *service;
     gboolean may_change;
-    guint64 owners[WITNESSES]; /* and witnesses that have not replied */
-    guint open;                /* number of @owners */
-    guint asked;               /* initial value of @open */
+    guint64 owners[ORIGIN_ROUTERS_MAX]; /* and witnesses that have not
+                                           replied */
+    guint open;                         /* number of @owners */
+    guint asked;                        /* initial value of @open */
     guint replies;
+    gboolean asks_all;    /* the stream may have begun at the base */
+    GArray *processes;    /* guint64, that would know the stream */
     GRefString *only;     /* version that routers take for the only one */
     guint votes;          /* routers that do */
     gboolean is_disputed; /* others know of another version */
@@ -75,6 +78,7 @@
 {
     OriginQuery_t *query = data;
     g_ref_string_release(query->service);
+    g_array_unref(query->processes);
     if (query->only) {
         g_ref_string_release(query->only);
     }
@@ -95,7 +99,7 @@
     static const char *const names[] = {
         [ORIGIN_FROM_NOBODY] = "nobody", [ORIGIN_FROM_HERE] = "here",
         [ORIGIN_FROM_STORE] = "store",   [ORIGIN_FROM_OWNER] = "owner",
-        [ORIGIN_FROM_LIST] = "list",
+        [ORIGIN_FROM_LIST] = "list",     [ORIGIN_FROM_BASE] = "base",
     };
     return names[source];
 }
@@ -351,6 +355,20 @@
     }
 }
 
+/* The versions that joined are stated once the records were read. */
+const char *
+OriginKeeper_findHeld(const OriginKeeper_t *this, const char *service)
+{
+    const char *held =
+        this->spec.gate
+            ? VersionGate_findHeld(this->spec.gate, service, Clock_nowMs())
+            : NULL;
+    if (held) {
+        record(this);
+    }
+    return held;
+}
+
 void
 OriginKeeper_begin(OriginKeeper_t *this, const RequestDigest_t *digest,
                    const char *service, const char *software,
@@ -515,6 +533,28 @@
            find_sole(this, query->service);
 }
 
+/* Whether this process would know a stream that it had begun at another
+ * version than the base. */
+static gboolean
+would_know(const OriginKeeper_t *this, const char *service)
+{
+    gint64 now_ms = Clock_nowMs();
+    return this->spec.gate &&
+           StreamOrigins_isComplete(this->origins, now_ms) &&
+           VersionGate_isFresh(this->spec.gate, service, now_ms);
+}
+
+static const char *
+find_base(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    gboolean is_read = query->asks_all && is_learned(this) &&
+                       VersionGate_readMs(this->spec.gate) >= query->asked_ms;
+    return is_read && would_know(this, query->service)
+               ? VersionGate_findBase(this->spec.gate, query->service,
+                                      query->processes)
+               : NULL;
+}
+
 static gboolean
 agree_others(const OriginQuery_t *query, const char *sole)
 {
@@ -561,6 +601,13 @@
         out->source = ORIGIN_FROM_LIST;
         out->service = query->service;
         out->software = only;
+        return;
+    }
+    const char *base = find_base(this, query);
+    if (base) {
+        out->source = ORIGIN_FROM_BASE;
+        out->service = query->service;
+        out->software = base;
     }
 }
 
@@ -581,6 +628,9 @@
         find_listed_only(this, query->service)) {
         return TRUE;
     }
+    if (query->asks_all) {
+        return query->open == 0 && find_base(this, query);
+    }
     return query->open == 0 &&
            (!awaits_list(this, query) || is_store_lost(this));
 }
@@ -591,6 +641,9 @@
 end_list_wait(OriginQuery_t *query, gint64 now_ms)
 {
     query->has_waited = TRUE;
+    if (query->asks_all) {
+        return;
+    }
     query->expires_ms = MIN(query->expires_ms, now_ms + ORIGIN_ASK_TIMEOUT_MS);
     query->send_ms = query->sends_left == SENDS ? now_ms : query->send_ms;
 }
@@ -614,7 +667,8 @@
                gint64 now_ms)
 {
     gint64 due_ms = query->sends_left > 0 ? query->send_ms : query->expires_ms;
-    gboolean is_waiting = !is_learned(this) || awaits_list(this, query);
+    gboolean is_waiting =
+        !is_learned(this) || awaits_list(this, query) || query->asks_all;
     schedule_tick(this, is_waiting ? LEARN_CHECK_MS : due_ms - now_ms);
 }
 
@@ -629,6 +683,7 @@
     query->digest = *digest;
     query->service = g_ref_string_new_intern(service);
     query->may_change = may_change;
+    query->processes = g_array_new(FALSE, FALSE, sizeof(guint64));
     gboolean is_sole = !may_change && find_sole(this, service);
     query->open = find_others(this, digest, query->owners,
                               is_sole ? WITNESSES : ORIGIN_OWNERS);
@@ -650,6 +705,56 @@
     }
 }
 
+static gboolean
+may_be_base(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    return this->spec.gate && !query->may_change &&
+           SoftwareVersions_findBase(this->spec.versions, query->service) &&
+           !find_sole(this, query->service);
+}
+
+static void
+add_own_process(const OriginKeeper_t *this, const OriginQuery_t *query)
+{
+    guint64 process = VersionGate_process(this->spec.gate);
+    g_array_append_val(query->processes, process);
+}
+
+/* The owners are asked again with the others: each of them tells whether it
+ * would know the stream. */
+static void
+ask_all(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
+{
+    guint64 all[ORIGIN_ROUTERS_MAX];
+    guint found =
+        this->spec.links->find_all(this->spec.owner, all, ORIGIN_ROUTERS_MAX);
+    if (found > ORIGIN_ROUTERS_MAX) {
+        return;
+    }
+    memcpy(query->owners, all, found * sizeof(all[0]));
+    query->asks_all = TRUE;
+    query->open = found;
+    query->asked = found;
+    query->replies = 0;
+    query->sends_left = found > 0 ? SENDS : 0;
+    query->send_ms = now_ms;
+    query->expires_ms = now_ms + ORIGIN_ASK_ALL_TIMEOUT_MS;
+    add_own_process(this, query);
+}
+
+/* Until the records of versions were read the base may not be known. */
+static void
+check_base(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
+{
+    if (!query->asks_all && may_be_base(this, query)) {
+        ask_all(this, query, now_ms);
+    }
+    if (query->asks_all &&
+        VersionGate_readMs(this->spec.gate) < query->asked_ms) {
+        this->spec.links->read_records(this->spec.owner);
+    }
+}
+
 OriginQuery_t *
 OriginKeeper_ask(OriginKeeper_t *this, const RequestDigest_t *digest,
                  const char *service, gboolean may_change, OriginAnswer_t *out,
@@ -660,6 +765,7 @@
         return NULL;
     }
     OriginQuery_t *query = create_query(this, digest, service, may_change);
+    check_base(this, query, query->asked_ms);
     if (is_exhausted(this, query)) {
         fill_unknown(this, query, out);
         out->service = out->service ? service : NULL;
@@ -783,6 +889,9 @@
     else if (has_several(this, ask->service)) {
         answer.verdict = WT__ORIGIN_VERDICT__ORIGIN_SEVERAL_VERSIONS;
     }
+    if (!entry && would_know(this, ask->service)) {
+        answer.process = VersionGate_process(this->spec.gate);
+    }
     message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_ANSWER;
     message.origin_answer = &answer;
     send_message(this, from, &message);
@@ -848,6 +957,10 @@
         return;
     }
     note_verdict(query, answer);
+    if (answer->process != 0) {
+        g_array_append_val(query->processes, answer->process);
+    }
+    check_base(this, query, Clock_nowMs());
     if (is_exhausted(this, query)) {
         finish_unknown(this, query);
     }
@@ -878,6 +991,7 @@
     g_hash_table_iter_init(&iter, this->queries);
     while (g_hash_table_iter_next(&iter, NULL, &query)) {
         const OriginQuery_t *open = query;
+        check_base(this, query, now_ms);
         if (now_ms >= open->expires_ms || is_exhausted(this, open)) {
             g_array_append_val(expired, open->ticket);
         }
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -15,21 +15,32 @@
  * also keeps the streams that began there on the platform's store
  * (OriginRecords.h).
  *
- * Where nobody knows the version, the answer says so: it is never guessed.
+ * Where nobody knows the version, the answer says so, unless it follows that
+ * the stream began before other versions joined (VersionGate.h): it is never
+ * guessed.
  */
 #include "Counters.h"
 #include "RequestDigest.h"
 #include "SoftwareVersions.h"
 #include "StreamOrigins.h"
+#include "VersionGate.h"
 #include "peer.pb-c.h"
 
 /** Owners of each stream. Of 8 routers with 3 killed at once, all owners of 1
  * in 56 streams are among them. */
 #define ORIGIN_OWNERS 3
 
+/** Routers, without this one, that are all asked for a stream that may have
+ * begun before other versions joined; with more such streams are unknown */
+#define ORIGIN_ROUTERS_MAX 63
+
 /** Identity of this router among the owners */
 #define ORIGIN_SELF 0
 
+/** How long all routers are asked, in ms, while they read what the others
+ * state */
+#define ORIGIN_ASK_ALL_TIMEOUT_MS 800
+
 /** How long owners are asked before the version counts as unknown, in ms: ten
  * round trips between halls at routers with a busy event loop. It takes longer
  * only if the list may still name a single version */
@@ -51,6 +62,10 @@
  * started, see SoftwareVersions_learn(), and the streams that routers began
  * before; @is_urgent: a caller waits
  * @record: the streams that OriginKeeper_forEachRecorded() finds have changed
+ * @find_all: finds all other routers, at most @max; returns their number, or
+ *     more than @max
+ * @read_records: has the records of all routers read again soon; called until
+ *     they are
  */
 typedef struct {
     guint (*find_owners)(void *owner, const RequestDigest_t *digest,
@@ -63,6 +78,8 @@
     gboolean (*is_store_lost)(void *owner);
     void (*learn)(void *owner, gboolean is_urgent);
     void (*record)(void *owner);
+    guint (*find_all)(void *owner, guint64 *out, guint max);
+    void (*read_records)(void *owner);
 } OriginLinksClass_t;
 
 /**
@@ -70,6 +87,7 @@
  * @links: transport
  * @owner: first argument of the functions of @links
  * @versions: versions of the services; the keeper adds a callback
+ * @gate: what this and other routers state; NULL for none, as in module tests
  * @counters: counters of messages and answers
  * @window_ms: how long after its last event a stream may be continued
  */
@@ -77,6 +95,7 @@
     const OriginLinksClass_t *links;
     void *owner;
     SoftwareVersions_t *versions;
+    VersionGate_t *gate;
     Counters_t *counters;
     gint64 window_ms;
 } OriginKeeperSpec_t;
@@ -88,6 +107,7 @@
  * @ORIGIN_FROM_STORE: a router had kept it on the platform's store
  * @ORIGIN_FROM_OWNER: an owner has answered
  * @ORIGIN_FROM_LIST: the service had a single version
+ * @ORIGIN_FROM_BASE: the stream began before other versions joined
  */
 typedef enum {
     ORIGIN_FROM_NOBODY,
@@ -95,6 +115,7 @@
     ORIGIN_FROM_STORE,
     ORIGIN_FROM_OWNER,
     ORIGIN_FROM_LIST,
+    ORIGIN_FROM_BASE,
 } OriginSource_t;
 
 /**
@@ -138,6 +159,12 @@
 const char *OriginKeeper_findOnly(const OriginKeeper_t *this,
                                   const char *service);
 
+/** OriginKeeper_findHeld() - the version to which new streams keep until this
+ * router has stated that it uses several; NULL for any; see
+ * VersionGate_findHeld() */
+const char *OriginKeeper_findHeld(const OriginKeeper_t *this,
+                                  const char *service);
+
 /**
  * OriginKeeper_begin() - a stream has begun, or goes on, at this router
  * @software: version of its upstream; empty if that is not known
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -96,6 +96,24 @@
     OriginRecords_scheduleWrite(this->spec.records);
 }
 
+static guint
+find_all(void *owner, guint64 *out, guint max)
+{
+    const OriginPeers_t *this = owner;
+    const GPtrArray *members = Membership_members(this->spec.membership);
+    for (guint i = 0; i < MIN(members->len, max); i++) {
+        out[i] = PeerIdentity_ofMember(g_ptr_array_index(members, i));
+    }
+    return members->len;
+}
+
+static void
+read_records(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    OriginRecords_readAgain(this->spec.records);
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
@@ -106,6 +124,8 @@
     .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
+    .find_all = find_all,
+    .read_records = read_records,
 };
 
 static void
@@ -136,6 +156,7 @@
         .links = &links,
         .owner = this,
         .versions = spec->versions,
+        .gate = spec->gate,
         .counters = spec->counters,
         .window_ms = spec->window_ms,
     };
--- a/src/OriginPeers.h
+++ b/src/OriginPeers.h
@@ -22,6 +22,7 @@
  * @versions: versions of the services
  * @software: versions of the services, on the store
  * @records: streams that routers began, on the store
+ * @gate: what routers state of the versions that they use
  * @counters: counters of messages and answers
  * @window_ms: how long after its last event a stream may be continued
  */
@@ -32,6 +33,7 @@
     SoftwareVersions_t *versions;
     SoftwareRecords_t *software;
     OriginRecords_t *records;
+    VersionGate_t *gate;
     Counters_t *counters;
     gint64 window_ms;
 } OriginPeersSpec_t;
--- a/src/OriginRecords.c
+++ b/src/OriginRecords.c
@@ -22,6 +22,10 @@
 /* Delay after which the records of routers that no longer exist are removed.
  */
 #define REMOVE_DELAY_MS G_GINT64_CONSTANT(60000)
+/* Interval at which the records are read again while callers wait, and the
+ * share of each router in it. */
+#define READ_AGAIN_MS 200
+#define READ_AGAIN_SHARE_MS 10
 /* Size of a hash key; longer names of routers are truncated, in the same way
  * on all routers. */
 #define KEY_SIZE 128
@@ -41,6 +45,9 @@
     GPtrArray *read_keys; /* names of the routers whose records were read */
     struct event *write_timer;
     struct event *remove_timer;
+    struct event *carry_timer; /* drops what a former process stated */
+    GBytes *written;           /* the last write */
+    gint64 read_ms;            /* when the last read began */
     gint64 written_ms; /* when the record was last written; 0 for never */
     guint restored;    /* streams that were read */
     guint left_out;    /* streams that were read and not kept */
@@ -117,12 +124,29 @@
     return g_bytes_new_take(bytes, size);
 }
 
+static void
+fill_use(Wt__OriginGroup *out, const VersionUse_t *use)
+{
+    wt__origin_group__init(out);
+    out->service = use->service;
+    out->software = use->software;
+    out->first = use->base;
+    out->process = use->process;
+}
+
 static GBytes *
-pack_groups(const GPtrArray *groups)
+pack_groups(const GPtrArray *groups, const GPtrArray *uses)
 {
     Wt__OriginRecord record = WT__ORIGIN_RECORD__INIT;
+    guint count = groups->len + uses->len;
     g_autofree Wt__OriginGroup **pointers =
-        g_new(Wt__OriginGroup *, MAX(groups->len, 1));
+        g_new(Wt__OriginGroup *, MAX(count, 1));
+    g_autofree Wt__OriginGroup *stated =
+        g_new(Wt__OriginGroup, MAX(uses->len, 1));
+    for (guint i = 0; i < uses->len; i++) {
+        fill_use(&stated[i], g_ptr_array_index(uses, i));
+        pointers[groups->len + i] = &stated[i];
+    }
     for (guint i = 0; i < groups->len; i++) {
         Group_t *group = g_ptr_array_index(groups, i);
         group->message.digests.data = group->digests->data;
@@ -130,7 +154,7 @@
         pointers[i] = &group->message;
     }
     record.wall_ms = Clock_wallMs();
-    record.n_groups = groups->len;
+    record.n_groups = count;
     record.groups = pointers;
     return pack(&record);
 }
@@ -143,6 +167,12 @@
                : 1;
 }
 
+static void
+free_written(OriginRecords_t *this)
+{
+    g_clear_pointer(&this->written, g_bytes_unref);
+}
+
 static void
 write_record(OriginRecords_t *this)
 {
@@ -154,9 +184,12 @@
         writing.skipped = writing.streams - ORIGIN_RECORD_STREAMS_MAX;
     }
     OriginKeeper_forEachRecorded(this->keeper, add_stream, &writing);
-    g_autoptr(GBytes) value = pack_groups(writing.groups);
+    g_autoptr(GPtrArray) uses =
+        VersionGate_list(this->spec.gate, Clock_nowMs());
+    free_written(this);
+    this->written = pack_groups(writing.groups, uses);
     StoredRecords_setRouters(this->records, count_routers(this));
-    StoredRecords_put(this->records, this->spec.router, value);
+    StoredRecords_put(this->records, this->spec.router, this->written);
     g_ptr_array_unref(writing.groups);
     this->is_changed = FALSE;
     this->written_ms = Clock_nowMs();
@@ -223,6 +256,67 @@
     return age_ms > RECORD_AGE_MAX_MS || age_ms < -RECORD_AGE_MAX_MS;
 }
 
+static gboolean
+states_use(const Wt__OriginRecord *record, const char *service)
+{
+    for (gsize i = 0; i < record->n_groups; i++) {
+        const Wt__OriginGroup *group = record->groups[i];
+        if (group->process != 0 && strcmp(group->service, service) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+read_use(const OriginRecords_t *this, const Wt__OriginRecord *record,
+         const Wt__OriginGroup *group, gboolean is_former)
+{
+    VersionUse_t use = {
+        .service = group->service,
+        .software = group->software,
+        .base = group->first,
+        .process = group->process,
+    };
+    if (group->process == 0 && states_use(record, group->service)) {
+        return;
+    }
+    VersionGate_read(this->spec.gate, &use);
+    if (is_former && group->process != 0) {
+        VersionGate_carry(this->spec.gate, &use, Clock_nowMs());
+    }
+}
+
+/* The versions that a former process stated may have served without being in
+ * the record of versions. */
+static void
+read_uses(const OriginRecords_t *this, const Wt__OriginRecord *record,
+          gboolean is_own)
+{
+    for (gsize i = 0; i < record->n_groups; i++) {
+        const Wt__OriginGroup *group = record->groups[i];
+        read_use(this, record, group, is_own && !this->is_read);
+        if (!this->is_read && group->process != 0 && !is_outdated(record)) {
+            SoftwareVersions_noteUsedBefore(this->spec.versions,
+                                            group->service, group->software,
+                                            Clock_nowMs());
+        }
+    }
+}
+
+/* Streams of this process are known, and those of former ones were read. */
+static void
+restore_groups(OriginRecords_t *this, const Wt__OriginRecord *record,
+               gboolean is_own)
+{
+    if (is_outdated(record) || (is_own && this->is_read)) {
+        return;
+    }
+    for (gsize i = 0; i < record->n_groups; i++) {
+        restore_group(this, record->groups[i], is_own);
+    }
+}
+
 static gboolean
 on_read(void *owner, const char *key, GBytes *value)
 {
@@ -231,13 +325,15 @@
     const guint8 *bytes = g_bytes_get_data(value, &size);
     gboolean is_own = strcmp(key, this->spec.router) == 0;
     Wt__OriginRecord *record = wt__origin_record__unpack(NULL, size, bytes);
-    g_ptr_array_add(this->read_keys, g_strdup(key));
+    if (!this->is_read) {
+        g_ptr_array_add(this->read_keys, g_strdup(key));
+    }
     if (!record) {
+        VersionGate_noteUnreadable(this->spec.gate);
         return FALSE;
     }
-    for (gsize i = 0; i < record->n_groups && !is_outdated(record); i++) {
-        restore_group(this, record->groups[i], is_own);
-    }
+    read_uses(this, record, is_own);
+    restore_groups(this, record, is_own);
     wt__origin_record__free_unpacked(record, NULL);
     return TRUE;
 }
@@ -246,6 +342,11 @@
 on_read_all(void *owner)
 {
     OriginRecords_t *this = owner;
+    VersionGate_endRead(this->spec.gate);
+    if (this->is_read) {
+        OriginKeeper_finishRestore(this->keeper);
+        return;
+    }
     this->is_read = TRUE;
     Log_begin(LOG_LEVEL_INFO, "origins_restored");
     Log_number("routers", this->read_keys->len);
@@ -254,9 +355,31 @@
     Log_end();
     OriginKeeper_finishRestore(this->keeper);
     Clock_arm(this->remove_timer, REMOVE_DELAY_MS);
+    Clock_arm(this->carry_timer, REMOVE_DELAY_MS);
     arm_write(this);
 }
 
+static void
+on_written(void *owner, const char *key, const GBytes *value)
+{
+    const OriginRecords_t *this = owner;
+    (void)key;
+    if (value && value == this->written) {
+        VersionGate_noteWritten(this->spec.gate, Clock_nowMs());
+    }
+}
+
+static void
+on_carry_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    OriginRecords_t *this = data;
+    if (VersionGate_hasCarried(this->spec.gate)) {
+        OriginRecords_scheduleWrite(this);
+    }
+}
+
 static gboolean
 is_remover(const OriginRecords_t *this, const char *router)
 {
@@ -293,6 +416,7 @@
     this->read_keys = g_ptr_array_new_with_free_func(g_free);
     this->write_timer = Clock_timer(base, on_write_timer, this);
     this->remove_timer = Clock_timer(base, on_remove_timer, this);
+    this->carry_timer = Clock_timer(base, on_carry_timer, this);
     StoredRecordsSpec_t records = {
         .source = spec->source,
         .topic = spec->topic,
@@ -300,6 +424,7 @@
         .events = &events,
         .read = on_read,
         .read_all = on_read_all,
+        .written = on_written,
         .owner = this,
     };
     this->records = StoredRecords_create(base, &records);
@@ -320,11 +445,28 @@
     StoredRecords_scheduleRead(this->records, is_urgent ? 0 : delay_ms);
 }
 
+void
+OriginRecords_readAgain(OriginRecords_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    gint64 interval_ms =
+        MAX(READ_AGAIN_MS, (gint64)count_routers(this) * READ_AGAIN_SHARE_MS);
+    if (!this->is_read || now_ms - this->read_ms < interval_ms) {
+        return;
+    }
+    if (StoredRecords_readAgain(this->records)) {
+        this->read_ms = now_ms;
+        VersionGate_beginRead(this->spec.gate, now_ms);
+    }
+}
+
 void
 OriginRecords_destroy(OriginRecords_t *this)
 {
     event_free(this->write_timer);
     event_free(this->remove_timer);
+    event_free(this->carry_timer);
+    free_written(this);
     StoredRecords_destroy(this->records);
     g_ptr_array_unref(this->read_keys);
     g_free(this);
--- a/src/OriginRecords.h
+++ b/src/OriginRecords.h
@@ -7,12 +7,15 @@
  * runs or may be continued, for services with several versions: after a
  * restart of all routers these streams can go on as others do. Each router
  * writes one record of its own streams, at most one each interval, so that
- * streams which began just before the restart may be missing. A router that
- * starts reads the records of all routers once.
+ * streams which began just before the restart may be missing. The record also
+ * states that its router uses several versions (VersionGate.h). A router that
+ * starts reads the records of all routers once, and again while a caller
+ * continues a stream that may have begun before the others joined.
  */
 #include "Membership.h"
 #include "OriginKeeper.h"
 #include "RecordSource.h"
+#include "VersionGate.h"
 
 /** Streams in a record, 64 KB; the last that began are preferred */
 #define ORIGIN_RECORD_STREAMS_MAX 4096
@@ -25,6 +28,8 @@
  *     shared; NULL for none, as in module tests
  * @router: name of this router
  * @counters: of calls to the store; NULL to count none, as in module tests
+ * @gate: of this process, which is told what the records state
+ * @versions: versions of the services, which learn from the first read
  */
 typedef struct {
     RecordSource_t *source;
@@ -32,6 +37,8 @@
     const Membership_t *membership;
     const char *router;
     Counters_t *counters;
+    VersionGate_t *gate;
+    SoftwareVersions_t *versions;
 } OriginRecordsSpec_t;
 
 /** struct OriginRecords_t - opaque */
@@ -53,6 +60,10 @@
  */
 void OriginRecords_scheduleRead(OriginRecords_t *this, gboolean is_urgent);
 
+/** OriginRecords_readAgain() - read the records again, if they were read
+ * before; at most once each interval */
+void OriginRecords_readAgain(OriginRecords_t *this);
+
 /** OriginRecords_scheduleWrite() - the streams that the keeper records have
  * changed */
 void OriginRecords_scheduleWrite(OriginRecords_t *this);
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -97,6 +97,16 @@
     return TRUE;
 }
 
+/* What began a stream that its caller does not name may be known. */
+static gboolean
+apply_or_refuse(RelayExchange_t *this, const OriginAnswer_t *answer)
+{
+    const OriginAnswer_t unknown = {.replies = answer->replies};
+    gboolean is_unnamed =
+        answer->source == ORIGIN_FROM_BASE && !this->origin.resumes;
+    return apply_answer(this, is_unnamed ? &unknown : answer);
+}
+
 static gboolean ask(RelayExchange_t *this);
 
 /* The records of the services that the route had may have been read since. */
@@ -116,8 +126,9 @@
     if (super->over || super->caller_left) {
         return;
     }
-    gboolean is_resolved =
-        must_ask_again(this, answer) ? ask(this) : apply_answer(this, answer);
+    gboolean is_resolved = must_ask_again(this, answer)
+                               ? ask(this)
+                               : apply_or_refuse(this, answer);
     if (is_resolved) {
         Exchange_place(super);
     }
@@ -135,7 +146,7 @@
         OriginKeeper_ask(this->super.context->origins, &this->origin.digest,
                          this->super.target->str, this->origin.may_change,
                          &answer, on_asked, this);
-    return !this->origin.query && apply_answer(this, &answer);
+    return !this->origin.query && apply_or_refuse(this, &answer);
 }
 
 void
@@ -215,12 +226,40 @@
     return TRUE;
 }
 
+static gboolean
+does_any_run(const RelayExchange_t *this, const char *software)
+{
+    const GPtrArray *serving = UpstreamSet_findServing(
+        this->super.context->upstreams, ROLE_SERVICE, this->super.target->str);
+    for (guint i = 0; i < serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(serving, i);
+        if (!upstream->leaving &&
+            strcmp(Upstream_software(upstream), software) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Without an upstream of that version any other one is better than none. The
+ * name outlives the placement. */
+static const char *
+find_held(const RelayExchange_t *this)
+{
+    const char *held =
+        this->event_pipe && this->route->resumable
+            ? OriginKeeper_findHeld(this->super.context->origins,
+                                    this->super.target->str)
+            : NULL;
+    return held && does_any_run(this, held) ? g_intern_string(held) : NULL;
+}
+
 const char *
 RelayOrigin_requiredSoftware(const RelayExchange_t *this)
 {
     const GString *software = this->origin.software;
     if (!software) {
-        return NULL;
+        return find_held(this);
     }
     const char *only = OriginKeeper_findOnly(this->super.context->origins,
                                              this->super.target->str);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -40,6 +40,7 @@
     HintBroadcast_t *hints;
     RouteServices_t *route_services;
     SoftwareRecords_t *software;
+    VersionGate_t *gate;
     OriginRecords_t *origin_records;
     FleetRecord_t *fleet_record;
     OriginPeers_t *origins;
@@ -288,12 +289,16 @@
         .epoch = this->epoch,
     };
     this->software = SoftwareRecords_create(context->base, &software);
+    this->gate = VersionGate_create(context->versions,
+                                    context->settings->relay.resume_window_ms);
     OriginRecordsSpec_t records = {
         .source = this->records,
         .topic = form->origin_topic,
         .membership = context->membership,
         .router = context->settings->router.name->str,
         .counters = context->counters,
+        .gate = this->gate,
+        .versions = context->versions,
     };
     this->origin_records = OriginRecords_create(context->base, &records);
     OriginPeersSpec_t spec = {
@@ -303,6 +308,7 @@
         .versions = context->versions,
         .software = this->software,
         .records = this->origin_records,
+        .gate = this->gate,
         .counters = context->counters,
         .window_ms = context->settings->relay.resume_window_ms,
     };
@@ -395,6 +401,7 @@
                               settings->limits.connect_timeout_ms);
     OriginKeeper_setWindow(this->context->origins, relay->resume_window_ms);
     SoftwareRecords_setWindow(this->software, relay->resume_window_ms);
+    VersionGate_setWindow(this->gate, relay->resume_window_ms);
 }
 
 void
@@ -409,6 +416,7 @@
     UpstreamProber_destroy(this->prober);
     OriginRecords_destroy(this->origin_records);
     OriginPeers_destroy(this->origins);
+    VersionGate_destroy(this->gate);
     SoftwareRecords_destroy(this->software);
     FleetRecord_destroy(this->fleet_record);
     UpstreamListing_destroy(this->context->listing);
--- a/src/SoftwareRecords.c
+++ b/src/SoftwareRecords.c
@@ -116,12 +116,27 @@
            Clock_nowMs() >= stored->repeat_ms;
 }
 
+static guint64
+newest_epoch(const SoftwareRecords_t *this)
+{
+    return this->spec.epoch ? StoreEpoch_newest(this->spec.epoch) : 0;
+}
+
+static const char *
+find_base(const SoftwareRecords_t *this, const char *service)
+{
+    const char *base = SoftwareVersions_findBase(this->spec.versions, service);
+    return base ? base : "";
+}
+
 static void
 store(const SoftwareRecords_t *this, const char *service,
       Wt__SoftwareRecord *record)
 {
     record->router = (char *)this->spec.router;
     record->wall_ms = Clock_wallMs();
+    record->epoch = newest_epoch(this);
+    record->first = (char *)find_base(this, service);
     g_autoptr(GBytes) value = pack(record);
     StoredRecords_put(this->records, service, value);
     Log_begin(LOG_LEVEL_INFO, "software_record_written");
@@ -248,6 +263,19 @@
     check_services(this);
 }
 
+/* A record that is older than the copy that the store serves may not be the
+ * last one that was written. */
+static void
+note_base(const SoftwareRecords_t *this, const char *service,
+          const Wt__SoftwareRecord *record)
+{
+    const char *only = record->n_software == 1 ? record->software[0] : "";
+    if (record->epoch == newest_epoch(this)) {
+        SoftwareVersions_noteBaseBefore(this->spec.versions, service,
+                                        *record->first ? record->first : only);
+    }
+}
+
 static void
 note_versions(SoftwareRecords_t *this, const char *service,
               const Wt__SoftwareRecord *record)
@@ -259,6 +287,7 @@
         SoftwareVersions_noteBefore(this->spec.versions, service,
                                     record->software[i], Clock_nowMs());
     }
+    note_base(this, service, record);
     note_stored(this, service, pack_versions(record), 0);
 }
 
@@ -296,6 +325,7 @@
 {
     SoftwareRecords_t *this = owner;
     g_hash_table_remove_all(this->stored);
+    SoftwareVersions_clearBases(this->spec.versions);
     check_services(this);
 }
 
@@ -318,6 +348,7 @@
         .owner = this,
     };
     this->records = StoredRecords_create(base, &records);
+    SoftwareVersions_setWindow(spec->versions, spec->window_ms);
     SoftwareVersions_addMixedCallback(spec->versions, on_mixed, this);
     if (spec->epoch) {
         StoreEpoch_addListener(spec->epoch, on_store_restored, this);
@@ -341,6 +372,7 @@
 SoftwareRecords_setWindow(SoftwareRecords_t *this, gint64 window_ms)
 {
     this->spec.window_ms = window_ms;
+    SoftwareVersions_setWindow(this->spec.versions, window_ms);
 }
 
 void
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -21,7 +21,9 @@
     GHashTable *upstreams;    /* name -> Version_t */
     GHashTable *mixed_before; /* names of services */
     GHashTable *known_before; /* names of services */
+    GHashTable *bases;        /* service -> name of a version */
     GArray *callbacks;        /* Callback_t */
+    gint64 window_ms;         /* see SoftwareVersions_setWindow() */
     gboolean is_learned;
     gboolean is_first; /* nothing served before this router started */
     gint64 since_ms;   /* when the first upstream was added */
@@ -51,6 +53,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->known_before =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    this->bases =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     this->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_versions);
     this->upstreams =
@@ -65,10 +69,17 @@
     g_hash_table_destroy(this->services);
     g_hash_table_destroy(this->mixed_before);
     g_hash_table_destroy(this->known_before);
+    g_hash_table_destroy(this->bases);
     g_array_unref(this->callbacks);
     g_free(this);
 }
 
+void
+SoftwareVersions_setWindow(SoftwareVersions_t *this, gint64 window_ms)
+{
+    this->window_ms = window_ms;
+}
+
 void
 SoftwareVersions_addMixedCallback(SoftwareVersions_t *this,
                                   SoftwareVersionsMixed_t mixed, void *owner)
@@ -154,10 +165,17 @@
 void
 SoftwareVersions_noteBefore(SoftwareVersions_t *this, const char *service,
                             const char *software, gint64 now_ms)
+{
+    g_hash_table_add(this->known_before, g_strdup(service));
+    SoftwareVersions_noteUsedBefore(this, service, software, now_ms);
+}
+
+void
+SoftwareVersions_noteUsedBefore(SoftwareVersions_t *this, const char *service,
+                                const char *software, gint64 now_ms)
 {
     const GPtrArray *versions = get_versions(this, service);
     Version_t *version = find_version(versions, software);
-    g_hash_table_add(this->known_before, g_strdup(service));
     if (!version) {
         version = add_version(this, service, software, now_ms);
         log_version("software_recorded", version, versions->len);
@@ -165,6 +183,31 @@
     version->ended_ms = now_ms;
 }
 
+void
+SoftwareVersions_noteBaseBefore(SoftwareVersions_t *this, const char *service,
+                                const char *software)
+{
+    if (*software == '\0' || g_hash_table_contains(this->bases, service)) {
+        return;
+    }
+    g_hash_table_insert(this->bases, g_strdup(service), g_strdup(software));
+    if (get_versions(this, service)->len > 1) {
+        call_mixed(this, service);
+    }
+}
+
+void
+SoftwareVersions_clearBases(SoftwareVersions_t *this)
+{
+    g_hash_table_remove_all(this->bases);
+}
+
+const char *
+SoftwareVersions_findBase(const SoftwareVersions_t *this, const char *service)
+{
+    return g_hash_table_lookup(this->bases, service);
+}
+
 void
 SoftwareVersions_noteFirstStart(SoftwareVersions_t *this)
 {
@@ -194,6 +237,7 @@
     this->since_ms = now_ms;
     this->is_first = FALSE;
     g_hash_table_remove_all(this->known_before);
+    SoftwareVersions_clearBases(this);
     Log_begin(LOG_LEVEL_INFO, "software_gap");
     Log_number("services", g_hash_table_size(this->services));
     Log_end();
@@ -203,6 +247,17 @@
     }
 }
 
+/* To be called before the service gets another version. */
+static void
+note_base(SoftwareVersions_t *this, const char *service, gint64 now_ms)
+{
+    const char *only =
+        SoftwareVersions_findOnly(this, service, this->window_ms, now_ms);
+    if (only) {
+        g_hash_table_replace(this->bases, g_strdup(service), g_strdup(only));
+    }
+}
+
 static void
 release(const SoftwareVersions_t *this, Version_t *version, gint64 now_ms)
 {
@@ -242,6 +297,9 @@
     }
     const GPtrArray *versions = get_versions(this, service);
     Version_t *version = find_version(versions, software);
+    if (!version || version->upstreams == 0) {
+        note_base(this, service, now_ms);
+    }
     if (!version) {
         version = add_version(this, service, software, now_ms);
         log_version("software_listed", version, versions->len);
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -19,7 +19,8 @@
 typedef struct SoftwareVersions SoftwareVersions_t;
 
 /** SoftwareVersionsMixed_t - a service that had one version has got another
- * one, or may have had one unseen */
+ * one, or may have had one unseen, or it is known by now which one it had
+ * before the others joined */
 typedef void (*SoftwareVersionsMixed_t)(void *owner, const char *service);
 
 /** SoftwareVersions_create() - create without any upstream; what served before
@@ -29,6 +30,10 @@
 /** SoftwareVersions_destroy() - free it */
 void SoftwareVersions_destroy(SoftwareVersions_t *this);
 
+/** SoftwareVersions_setWindow() - how long streams may be continued, for
+ * SoftwareVersions_findBase(); 0 at first */
+void SoftwareVersions_setWindow(SoftwareVersions_t *this, gint64 window_ms);
+
 /** SoftwareVersions_addMixedCallback() - add a callback for services that get
  * another version; @owner must outlive the last change */
 void SoftwareVersions_addMixedCallback(SoftwareVersions_t *this,
@@ -45,6 +50,31 @@
 void SoftwareVersions_noteBefore(SoftwareVersions_t *this, const char *service,
                                  const char *software, gint64 now_ms);
 
+/** SoftwareVersions_noteUsedBefore() - a router has used a version until
+ * shortly before this one started; there may have been others */
+void SoftwareVersions_noteUsedBefore(SoftwareVersions_t *this,
+                                     const char *service, const char *software,
+                                     gint64 now_ms);
+
+/** SoftwareVersions_noteBaseBefore() - a version was the only one of a service
+ * until others joined or this router started; empty if that is not known */
+void SoftwareVersions_noteBaseBefore(SoftwareVersions_t *this,
+                                     const char *service,
+                                     const char *software);
+
+/** SoftwareVersions_clearBases() - what was recorded of versions may be lost:
+ * no base is known until a service has had a single version again */
+void SoftwareVersions_clearBases(SoftwareVersions_t *this);
+
+/**
+ * SoftwareVersions_findBase() - the only version that served a service before
+ * the others joined
+ *
+ * Return: the version, valid until the next change; NULL if it is not known
+ */
+const char *SoftwareVersions_findBase(const SoftwareVersions_t *this,
+                                      const char *service);
+
 /** SoftwareVersions_noteFirstStart() - no router ran before: a service of
  * which nothing was noted has served nobody */
 void SoftwareVersions_noteFirstStart(SoftwareVersions_t *this);
--- a/src/StoredRecords.c
+++ b/src/StoredRecords.c
@@ -29,6 +29,8 @@
     guint record_count;    /* records read */
     guint failures;        /* failed calls in a row */
     gboolean is_read_begun;
+    gboolean is_reading;
+    gboolean is_whole;   /* all records were read */
     gint64 retry_max_ms; /* longest mean pause after a failed call */
     gint64 read_at_ms;   /* when the first read is scheduled; 0 for never */
     struct event *read_timer;
@@ -104,9 +106,13 @@
         read_next(this);
         return;
     }
-    Log_begin(LOG_LEVEL_INFO, this->spec.events->read);
-    Log_number("records", this->record_count);
-    Log_end();
+    if (!this->is_whole) {
+        Log_begin(LOG_LEVEL_INFO, this->spec.events->read);
+        Log_number("records", this->record_count);
+        Log_end();
+    }
+    this->is_whole = TRUE;
+    this->is_reading = FALSE;
     this->spec.read_all(this->spec.owner);
 }
 
@@ -152,7 +158,21 @@
     (void)what;
     StoredRecords_t *this = data;
     this->is_read_begun = TRUE;
+    this->is_reading = TRUE;
+    read_next(this);
+}
+
+gboolean
+StoredRecords_readAgain(StoredRecords_t *this)
+{
+    if (!this->is_whole || this->is_reading) {
+        return FALSE;
+    }
+    this->is_reading = TRUE;
+    this->record_count = 0;
+    g_string_truncate(this->last_key, 0);
     read_next(this);
+    return TRUE;
 }
 
 /* Removes the completed write from the queue, unless the record has changed
@@ -168,6 +188,15 @@
     }
 }
 
+static void
+note_written(const StoredRecords_t *this)
+{
+    if (this->spec.written) {
+        this->spec.written(this->spec.owner, this->writing_key->str,
+                           this->writing_value);
+    }
+}
+
 static void
 on_put(const GError *error, void *data)
 {
@@ -177,6 +206,7 @@
     }
     else {
         remove_written(this);
+        note_written(this);
     }
     g_string_truncate(this->writing_key, 0);
     g_clear_pointer(&this->writing_value, g_bytes_unref);
--- a/src/StoredRecords.h
+++ b/src/StoredRecords.h
@@ -38,8 +38,10 @@
  * @events: events in the log
  * @read: called for each record that is stored at the start; returns FALSE if
  *     the record is not understood
- * @read_all: called once, after the last record was read
- * @owner: passed to @read and @read_all
+ * @read_all: called after the last record was read, at each read
+ * @written: called when a write was acknowledged; it must not write. @value is
+ *     NULL for a removal. NULL for none
+ * @owner: passed to @read, @read_all and @written
  */
 typedef struct {
     RecordSource_t *source;
@@ -48,6 +50,7 @@
     const StoredRecordsEvents_t *events;
     gboolean (*read)(void *owner, const char *key, GBytes *value);
     void (*read_all)(void *owner);
+    void (*written)(void *owner, const char *key, const GBytes *value);
     void *owner;
 } StoredRecordsSpec_t;
 
@@ -70,6 +73,13 @@
  * the first read was made it has no effect */
 void StoredRecords_scheduleRead(StoredRecords_t *this, gint64 in_ms);
 
+/**
+ * StoredRecords_readAgain() - read all records once more, at once
+ *
+ * Return: FALSE if they are being read, or were not read before
+ */
+gboolean StoredRecords_readAgain(StoredRecords_t *this);
+
 /** StoredRecords_destroy() - free the records; queued writes are lost */
 void StoredRecords_destroy(StoredRecords_t *this);
 
--- a/src/StreamOrigins.c
+++ b/src/StreamOrigins.c
@@ -6,6 +6,7 @@
     guint max;
     GHashTable *links; /* &digest -> GList in @order */
     GQueue order;      /* StreamOrigin_t, the last renewed at the tail */
+    gint64 lost_ms;    /* when the last dropped entry expires; 0 for none */
 };
 
 static void
@@ -51,6 +52,8 @@
           const char *service, const char *software)
 {
     if (this->order.length >= this->max) {
+        const StreamOrigin_t *oldest = this->order.head->data;
+        this->lost_ms = MAX(this->lost_ms, oldest->expires_ms);
         remove_link(this, this->order.head);
     }
     StreamOrigin_t *entry = g_new0(StreamOrigin_t, 1);
@@ -151,6 +154,12 @@
     }
 }
 
+gboolean
+StreamOrigins_isComplete(const StreamOrigins_t *this, gint64 now_ms)
+{
+    return now_ms >= this->lost_ms;
+}
+
 guint
 StreamOrigins_count(const StreamOrigins_t *this)
 {
--- a/src/StreamOrigins.h
+++ b/src/StreamOrigins.h
@@ -83,6 +83,10 @@
                            void (*call)(void *owner, StreamOrigin_t *entry),
                            void *owner);
 
+/** StreamOrigins_isComplete() - whether no entry was dropped for lack of room
+ * that would not have expired */
+gboolean StreamOrigins_isComplete(const StreamOrigins_t *this, gint64 now_ms);
+
 /** StreamOrigins_count() - number of entries */
 guint StreamOrigins_count(const StreamOrigins_t *this);
 
--- /dev/null
+++ b/src/VersionGate.h
@@ -0,0 +1,112 @@
+#ifndef HEADER_VersionGate
+#define HEADER_VersionGate
+/**
+ * DOC: VersionGate
+ *
+ * Makes sure that a stream of which nobody knows began at the base version of
+ * its service: the only one that served it before others joined
+ * (SoftwareVersions_findBase()). A process of a router uses other versions for
+ * streams only once its record on the platform's store states that it does
+ * (OriginRecords.h). So a stream that no running process knows began at the
+ * base, if each process that a record names still runs and would know it.
+ */
+#include "SoftwareVersions.h"
+
+/** How long new streams keep to the base while the store does not acknowledge
+ * the record, in ms: engines of other versions are needed in the end */
+#define VERSION_GATE_HOLD_MS 10000
+
+/**
+ * struct VersionUse_t - statement of a process that uses several versions
+ * @service: name of the service
+ * @software: one of the versions
+ * @base: base at that process; empty if it does not know it
+ * @process: its number; 0 in records of builds that state none
+ * @until_ms: of a former process: when its streams may no longer be continued,
+ *     monotonic
+ */
+typedef struct {
+    char *service;
+    char *software;
+    char *base;
+    guint64 process;
+    gint64 until_ms;
+} VersionUse_t;
+
+/** struct VersionGate_t - opaque */
+typedef struct VersionGate VersionGate_t;
+
+/** VersionGate_create() - create the gate of this process; @versions must
+ * outlive it */
+VersionGate_t *VersionGate_create(const SoftwareVersions_t *versions,
+                                  gint64 window_ms);
+
+/** VersionGate_destroy() - free it */
+void VersionGate_destroy(VersionGate_t *this);
+
+/** VersionGate_setWindow() - change how long streams may be continued */
+void VersionGate_setWindow(VersionGate_t *this, gint64 window_ms);
+
+/** VersionGate_process() - number of this process, never 0 */
+guint64 VersionGate_process(const VersionGate_t *this);
+
+/**
+ * VersionGate_findHeld() - the version to which new streams keep
+ *
+ * Return: the base, valid until the next change; NULL if any version may be
+ * used
+ */
+const char *VersionGate_findHeld(VersionGate_t *this, const char *service,
+                                 gint64 now_ms);
+
+/** VersionGate_list() - the VersionUse_t that belong into the record of this
+ * router: of this process, and of former ones whose streams may be continued;
+ * they count as being written */
+GPtrArray *VersionGate_list(VersionGate_t *this, gint64 now_ms);
+
+/** VersionGate_noteWritten() - the record with what was listed last was
+ * acknowledged */
+void VersionGate_noteWritten(VersionGate_t *this, gint64 now_ms);
+
+/** VersionGate_carry() - a former process of this router used a version */
+void VersionGate_carry(VersionGate_t *this, const VersionUse_t *use,
+                       gint64 now_ms);
+
+/** VersionGate_hasCarried() - whether there was a former process that did */
+gboolean VersionGate_hasCarried(const VersionGate_t *this);
+
+/** VersionGate_beginRead() - the records of all routers are read from now on
+ */
+void VersionGate_beginRead(VersionGate_t *this, gint64 now_ms);
+
+/** VersionGate_read() - one of them has this statement */
+void VersionGate_read(VersionGate_t *this, const VersionUse_t *use);
+
+/** VersionGate_noteUnreadable() - one of them is not understood */
+void VersionGate_noteUnreadable(VersionGate_t *this);
+
+/** VersionGate_endRead() - all of them were read */
+void VersionGate_endRead(VersionGate_t *this);
+
+/** VersionGate_readMs() - when the last whole read began, monotonic; 0 for
+ * never */
+gint64 VersionGate_readMs(const VersionGate_t *this);
+
+/** VersionGate_isFresh() - whether this process has used several versions for
+ * no longer than streams may be continued, so that a stream which it does not
+ * know is none whose time is over */
+gboolean VersionGate_isFresh(const VersionGate_t *this, const char *service,
+                             gint64 now_ms);
+
+/**
+ * VersionGate_findBase() - the version that began a stream which is not known
+ * to some processes
+ * @processes: guint64 of these, which run
+ *
+ * Return: the base, valid until the next change; NULL if another process may
+ * have begun the stream at another version
+ */
+const char *VersionGate_findBase(const VersionGate_t *this,
+                                 const char *service, const GArray *processes);
+
+#endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -5447,7 +5447,7 @@
   (ProtobufCMessageInit) wt__origin_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__origin_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wt__origin_answer__field_descriptors[5] =
 {
   {
     "ticket",
@@ -5497,8 +5497,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "process",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginAnswer, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__origin_answer__field_indices_by_name[] = {
+  4,   /* field[4] = process */
   2,   /* field[2] = service */
   3,   /* field[3] = software */
   0,   /* field[0] = ticket */
@@ -5507,7 +5520,7 @@
 static const ProtobufCIntRange wt__origin_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__origin_answer__descriptor =
 {
@@ -5517,14 +5530,14 @@
   "Wt__OriginAnswer",
   "wt",
   sizeof(Wt__OriginAnswer),
-  4,
+  5,
   wt__origin_answer__field_descriptors,
   wt__origin_answer__field_indices_by_name,
   1,  wt__origin_answer__number_ranges,
   (ProtobufCMessageInit) wt__origin_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__software_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__software_record__field_descriptors[5] =
 {
   {
     "router",
@@ -5562,8 +5575,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__SoftwareRecord, first),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__SoftwareRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__software_record__field_indices_by_name[] = {
+  4,   /* field[4] = epoch */
+  3,   /* field[3] = first */
   0,   /* field[0] = router */
   2,   /* field[2] = software */
   1,   /* field[1] = wall_ms */
@@ -5571,7 +5610,7 @@
 static const ProtobufCIntRange wt__software_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__software_record__descriptor =
 {
@@ -5581,14 +5620,14 @@
   "Wt__SoftwareRecord",
   "wt",
   sizeof(Wt__SoftwareRecord),
-  3,
+  5,
   wt__software_record__field_descriptors,
   wt__software_record__field_indices_by_name,
   1,  wt__software_record__number_ranges,
   (ProtobufCMessageInit) wt__software_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__origin_group__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wt__origin_group__field_descriptors[5] =
 {
   {
     "service",
@@ -5626,16 +5665,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginGroup, first),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wt__OriginGroup, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__origin_group__field_indices_by_name[] = {
   2,   /* field[2] = digests */
+  3,   /* field[3] = first */
+  4,   /* field[4] = process */
   0,   /* field[0] = service */
   1,   /* field[1] = software */
 };
 static const ProtobufCIntRange wt__origin_group__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wt__origin_group__descriptor =
 {
@@ -5645,7 +5710,7 @@
   "Wt__OriginGroup",
   "wt",
   sizeof(Wt__OriginGroup),
-  3,
+  5,
   wt__origin_group__field_descriptors,
   wt__origin_group__field_indices_by_name,
   1,  wt__origin_group__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -1088,10 +1088,15 @@
   Wt__OriginVerdict verdict;
   char *service;
   char *software;
+  /*
+   * Process of the router that answers, if it would know the stream in case
+   * it had begun it at another version than the former only one. 0 if not.
+   */
+  uint64_t process;
 };
 #define WT__ORIGIN_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__origin_answer__descriptor) \
-    , 0, WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, WT__ORIGIN_VERDICT__ORIGIN_NOT_KNOWN, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -1117,10 +1122,19 @@
    */
   size_t n_software;
   char **software;
+  /*
+   * The only version that served before the others joined. Empty if that is
+   * not known.
+   */
+  char *first;
+  /*
+   * Epoch of the store when it was written.
+   */
+  uint64_t epoch;
 };
 #define WT__SOFTWARE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__software_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -1135,10 +1149,20 @@
    * 16 bytes for each stream (RequestDigest.h).
    */
   ProtobufCBinaryData digests;
+  /*
+   * The only version that served before the others joined. Empty if that is
+   * not known.
+   */
+  char *first;
+  /*
+   * Process that may begin streams at other versions than the base, one of
+   * which is the software. 0 if the group only lists streams.
+   */
+  uint64_t process;
 };
 #define WT__ORIGIN_GROUP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__origin_group__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -144,6 +144,7 @@
         self.late_s = 0  # maximum delay of the routers' writes, one by one
         self.refuse_first = 0  # number of next calls that get 429
         self.turned_away = 0  # calls answered with 429
+        self.refused_topics = ()  # topics of writes that get 503
         self.key_errors = "replace"  # how lists show keys that are no text
         super().__init__()
 
@@ -222,6 +223,9 @@
             self.answer(call, 503)
         elif not self.is_within_rate():
             self.answer(call, 429)
+        elif (url.path == "/v1/log-append"
+              and query["topic"] in self.refused_topics):
+            self.answer(call, 503)
         elif url.path == "/v1/log-append":
             records = []
             while body:
--- /dev/null
+++ b/tests/sessions/test_base_version.py
@@ -0,0 +1,172 @@
+"""Streams that began before a second software version joined."""
+import json
+import time
+import unittest
+
+from cluster import wait_for
+from test_software import (EVENTS, EVENTS_READ, RECORD_S, SINGLE, STREAMS,
+                           VERSIONS, SoftwareTest, versions_of)
+
+# Of the streams that began at the only version: how many go on.
+SHARE_MIN = 1.0
+
+
+class BaseVersionTest(SoftwareTest):
+    SOFTWARE = VERSIONS[:1]
+    RECORDED = SINGLE
+    ENGINES_EACH = 4
+
+    def setUp(self):
+        super().setUp()
+        for router in self.routers:
+            router.wait_event("software_records_read")
+        wait_for(lambda: self.fleet.store.records("keyed.software"),
+                 "the record of the versions")
+
+    def replace_half(self):
+        for engine in self.engines[:self.ENGINES_EACH // 2]:
+            engine.unlist()
+        del self.engines[:self.ENGINES_EACH // 2]
+        for _ in range(self.ENGINES_EACH // 2):
+            self.engines.append(self.engine(VERSIONS[1]))
+
+    def restart_but_last(self, while_down):
+        """Restarts all routers but the last one."""
+        for router in self.routers[:-1]:
+            router.kill()
+        while_down()
+        last = self.routers.pop()
+        self.routers = [last]
+        for number in range(1, self.ROUTERS):
+            self.routers.append(self.start_router("r%d" % number))
+        for router in self.routers:
+            self.await_engines(router)
+
+    def continue_streams(self, begun):
+        """Returns how many go on; none may go on at another version."""
+        whole = 0
+        for number, stream in enumerate(begun):
+            router = self.routers[number % len(self.routers)]
+            answer = self.go_on(router, stream)
+            self.assertLessEqual(versions_of(answer.body),
+                                 {stream.engine.piece})
+            whole += (answer.status == 200 and
+                      answer.body.count(b"data:") == EVENTS - EVENTS_READ)
+        return whole
+
+    def begin_at(self, router, version):
+        """Returns a stream that began at a version."""
+        return wait_for(lambda: next(
+            (stream for stream in [self.begin(router)]
+             if stream.engine.software == version), None),
+            "a stream at " + version)
+
+
+class HalfReplacedTest(BaseVersionTest):
+    # What began while there was one version was in no record, and was refused
+    # once two versions served.
+    def test_streams_go_on_after_all_routers_restarted(self):
+        begun = self.begin_streams(self.routers[0])
+        self.restart_all(self.replace_half)
+        whole = self.continue_streams(begun)
+        self.assertGreaterEqual(whole / len(begun), SHARE_MIN)
+
+    def test_streams_go_on_after_all_routers_but_one_restarted(self):
+        begun = self.begin_streams(self.routers[0])
+        self.restart_but_last(self.replace_half)
+        whole = self.continue_streams(begun)
+        self.assertGreaterEqual(whole / len(begun), SHARE_MIN)
+
+    def test_new_streams_use_both_versions_after_the_restart(self):
+        self.restart_all(self.replace_half)
+        for router in self.routers:
+            for version in VERSIONS:
+                self.begin_at(router, version)
+
+    # Where a router that used both versions is gone, a stream that nobody
+    # knows may have begun at either.
+    def test_streams_of_a_router_that_used_both_are_not_mixed(self):
+        begun = self.begin_streams(self.routers[0])
+        self.restart_all(self.replace_half)
+        second = [self.begin_at(self.routers[0], VERSIONS[1])
+                  for _ in range(STREAMS)]
+        self.restart_all()
+        self.continue_streams(begun + second)
+
+    def test_streams_that_live_routers_began_are_not_mixed(self):
+        begun = self.begin_streams(self.routers[0])
+        self.restart_all(self.replace_half)
+        second = [self.begin_at(self.routers[0], VERSIONS[1])
+                  for _ in range(STREAMS)]
+        self.assertEqual(self.continue_streams(second + begun),
+                         len(second + begun))
+
+    # A caller that does not say which stream it continues may mean either.
+    def test_stream_whose_caller_does_not_name_it_is_refused(self):
+        begun = self.begin(self.routers[0])
+        self.restart_all(self.replace_half)
+        answer = self.fleet.ask(self.routers[0], "/ask/x", Last_Event_Id="1",
+                                X_Prompt_Prefix=begun.prompt)
+        self.assertEqual(answer.status, 503, answer.body)
+        self.assertEqual(json.loads(answer.body)["error"]["code"],
+                         "resume_unknown")
+
+
+class UnrecordedJoinTest(BaseVersionTest):
+    """A version joins while the store takes no record of it."""
+
+    TOPICS = ("keyed.software", "keyed.origins")
+    JOINED_S = 2
+
+    def join(self):
+        self.fleet.store.refused_topics = self.TOPICS
+        joined = [self.engine(VERSIONS[1]) for _ in range(self.ENGINES_EACH)]
+        self.engines += joined
+        for router in self.routers:
+            self.await_engines(router)
+        return joined
+
+    def leave(self, joined):
+        self.fleet.store.refused_topics = ()
+        for engine in joined:
+            engine.unlist()
+            self.engines.remove(engine)
+
+    # Streams of the version that had joined went on at the former one.
+    def test_streams_are_not_mixed(self):
+        joined = self.join()
+        begun = []
+        end = time.monotonic() + self.JOINED_S
+        while time.monotonic() < end:
+            begun += [self.begin(router) for router in self.routers]
+        self.restart_all(lambda: self.leave(joined))
+        self.continue_streams(begun)
+
+    def test_new_streams_wait_for_nothing(self):
+        self.join()
+        for router in self.routers:
+            started = time.monotonic()
+            self.begin(router)
+            self.assertLess(time.monotonic() - started, 1)
+
+    def test_the_version_is_used_once_the_store_takes_the_records(self):
+        self.join()
+        time.sleep(RECORD_S)
+        self.fleet.store.refused_topics = ()
+        self.begin_at(self.routers[0], VERSIONS[1])
+
+    def test_the_version_is_used_if_it_alone_is_left(self):
+        self.join()
+        former = self.engines[:self.ENGINES_EACH]
+        for engine in former:
+            engine.unlist()
+            self.engines.remove(engine)
+        self.routers[0].wait_event("software_ended")
+        self.begin_at(self.routers[0], VERSIONS[1])
+
+
+del BaseVersionTest, SoftwareTest
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -19,6 +19,7 @@
 static SoftwareVersions_t *versions;
 static OriginRecords_t *records;
 static OriginKeeper_t *keeper;
+static VersionGate_t *gate;
 
 static guint
 find_owners(void *owner, const RequestDigest_t *digest, guint64 *out,
@@ -105,8 +106,12 @@
     FakeSource_init(&source, base);
     versions = SoftwareVersions_create();
     SoftwareVersions_learn(versions);
-    OriginRecordsSpec_t spec = {
-        .source = &source.super, .topic = "origins", .router = "r1"};
+    gate = VersionGate_create(versions, WINDOW_MS);
+    OriginRecordsSpec_t spec = {.source = &source.super,
+                                .topic = "origins",
+                                .router = "r1",
+                                .gate = gate,
+                                .versions = versions};
     records = OriginRecords_create(base, &spec);
     OriginKeeperSpec_t keeper_spec = {.links = &links,
                                       .versions = versions,
@@ -122,6 +127,7 @@
 {
     OriginRecords_destroy(records);
     OriginKeeper_destroy(keeper);
+    VersionGate_destroy(gate);
     SoftwareVersions_destroy(versions);
 }
 
