An answer whose caller did not read it to the end leaves a line

request_done counted an answer as whole once evhttp had it. When the connection then closed before it was sent, as the caller read nothing for the timeout or had left, nothing told so.

--- a/src/Answer.c
+++ b/src/Answer.c
@@ -193,7 +193,7 @@
     start_stream(this);
     g_string_append(this->out, "data: [DONE]\n\n");
     flush_events(this);
-    HttpReply_endStream(CallerWatch_detach(this->watch));
+    HttpReply_endStream(CallerWatch_detach(this->watch), this->id->str);
 }
 
 static void
@@ -234,8 +234,8 @@
     evhttp_add_header(headers, "Content-Type", "application/json");
     evhttp_add_header(headers, "X-Request-Id", this->id->str);
     evbuffer_add(this->chunk, body->str, body->len);
-    HttpReply_sendBody(CallerWatch_detach(this->watch), HTTP_OK, "OK",
-                       this->chunk, TRUE);
+    HttpReply_sendBody(CallerWatch_detach(this->watch), this->id->str, HTTP_OK,
+                       "OK", this->chunk, TRUE);
 }
 
 static const AnswerClass_t stream_class = {stream_token, stream_finish};
@@ -327,7 +327,7 @@
         evhttp_send_reply_end(request);
         return;
     }
-    PendingReply_watch(request);
+    PendingReply_watch(request, this->id->str);
     evhttp_send_reply_chunk_with_cb(request, this->chunk, on_error_event_sent,
                                     NULL);
 }
@@ -368,7 +368,7 @@
     GString *text = Refusal_body(notice->refusal, notice->run, notice->detail);
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, text->str, text->len);
-    HttpReply_sendBody(request, spec->status, spec->code, body, TRUE);
+    HttpReply_sendBody(request, id, spec->status, spec->code, body, TRUE);
     evbuffer_free(body);
     g_string_free(text, TRUE);
 }
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -265,7 +265,7 @@
     evhttp_add_header(headers, "X-Request-Id", call->id);
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, text->str, text->len);
-    HttpReply_sendBody(call->http, status, phrase, body, TRUE);
+    HttpReply_sendBody(call->http, call->id, status, phrase, body, TRUE);
     evbuffer_free(body);
 }
 
--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -50,9 +50,9 @@
 }
 
 void
-HttpReply_endStream(struct evhttp_request *request)
+HttpReply_endStream(struct evhttp_request *request, const char *id)
 {
-    PendingReply_watch(request);
+    PendingReply_watch(request, id);
     evhttp_send_reply_end(request);
 }
 
@@ -75,7 +75,7 @@
 }
 
 void
-HttpReply_sendBody(struct evhttp_request *request, int status,
+HttpReply_sendBody(struct evhttp_request *request, const char *id, int status,
                    const char *reason, struct evbuffer *body,
                    gboolean is_end_proven)
 {
@@ -84,12 +84,12 @@
     if (!is_end_proven && evhttp_request_get_connection(request)) {
         HttpReply_startStream(request, status, FALSE);
         evhttp_send_reply_chunk(request, body);
-        HttpReply_endStream(request);
+        HttpReply_endStream(request, id);
         return;
     }
     if (length > 0 && !can_read_chunks(request)) {
         add_length(request, length);
     }
-    PendingReply_watch(request);
+    PendingReply_watch(request, id);
     evhttp_send_reply(request, status, reason, body);
 }
--- a/src/HttpReply.h
+++ b/src/HttpReply.h
@@ -23,17 +23,21 @@
  * mark the end of a stream that was started */
 gboolean HttpReply_isCloseDelimited(const struct evhttp_request *request);
 
-/** HttpReply_endStream() - end a stream in an orderly way */
-void HttpReply_endStream(struct evhttp_request *request);
+/**
+ * HttpReply_endStream() - end a stream in an orderly way
+ * @id: of the request in the log, or NULL
+ */
+void HttpReply_endStream(struct evhttp_request *request, const char *id);
 
 /**
  * HttpReply_sendBody() - send a reply with its body, or without it to HEAD
+ * @id: of the request in the log, or NULL
  * @reason: reason phrase, or NULL
  * @body: drained
  * @is_end_proven: @body is known to be a complete answer
  */
-void HttpReply_sendBody(struct evhttp_request *request, int status,
-                        const char *reason, struct evbuffer *body,
+void HttpReply_sendBody(struct evhttp_request *request, const char *id,
+                        int status, const char *reason, struct evbuffer *body,
                         gboolean is_end_proven);
 
 #endif
--- a/src/OperatorApi.c
+++ b/src/OperatorApi.c
@@ -29,7 +29,7 @@
     wt__apply_response__pack(&response, bytes);
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, bytes, size);
-    HttpReply_sendBody(request, status, NULL, body, TRUE);
+    HttpReply_sendBody(request, NULL, status, NULL, body, TRUE);
     evbuffer_free(body);
 }
 
@@ -49,7 +49,7 @@
                       "Content-Type", "application/x-protobuf");
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, bytes, size);
-    HttpReply_sendBody(request, HTTP_OK, "OK", body, TRUE);
+    HttpReply_sendBody(request, NULL, HTTP_OK, "OK", body, TRUE);
     evbuffer_free(body);
 }
 
@@ -147,7 +147,7 @@
                    ConfigStore_foldOffset(context->config), body);
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "text/plain; version=0.0.4");
-    HttpReply_sendBody(request, HTTP_OK, "OK", body, TRUE);
+    HttpReply_sendBody(request, NULL, HTTP_OK, "OK", body, TRUE);
     evbuffer_free(body);
 }
 
--- a/src/PendingReply.h
+++ b/src/PendingReply.h
@@ -4,19 +4,29 @@
  * DOC: PendingReply
  *
  * Counts replies that were passed to evhttp and are not completely sent yet,
- * so that a stopping router does not truncate them.
+ * so that a stopping router does not truncate them. Tells in the log which of
+ * them were not sent before their connections closed.
  */
 #include <event2/http.h>
 #include <glib.h>
 
+#include "Counters.h"
+
+/**
+ * PendingReply_setCounters() - choose what counts replies that are not sent
+ * @counters: outlives all connections, or NULL
+ */
+void PendingReply_setCounters(Counters_t *counters);
+
 /**
  * PendingReply_watch() - count a reply until it is sent or its connection
  * closes
+ * @id: of the request in the log, or NULL
  *
  * Must be called right before the reply is sent or ended. Replaces the close
  * callback of the request's connection.
  */
-void PendingReply_watch(struct evhttp_request *request);
+void PendingReply_watch(struct evhttp_request *request, const char *id);
 
 /** PendingReply_count() - number of replies that are not sent yet */
 guint PendingReply_count(void);
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -263,7 +263,7 @@
     }
     send_head(this);
     this->end = END_WHOLE;
-    HttpReply_endStream(CallerWatch_detach(this->watch));
+    HttpReply_endStream(CallerWatch_detach(this->watch), this->id->str);
 }
 
 static gboolean
@@ -292,8 +292,8 @@
     this->head_sent = TRUE;
     this->end = END_WHOLE;
     this->sent_bytes = (gint64)length;
-    HttpReply_sendBody(CallerWatch_detach(this->watch), this->status, NULL,
-                       body, TRUE);
+    HttpReply_sendBody(CallerWatch_detach(this->watch), this->id->str,
+                       this->status, NULL, body, TRUE);
 }
 
 void
@@ -388,8 +388,8 @@
     GString *text = Refusal_body(params->refusal, params->run, params->detail);
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, text->str, text->len);
-    HttpReply_sendBody(request, select_status(spec, params->run), spec->code,
-                       body, TRUE);
+    HttpReply_sendBody(request, id, select_status(spec, params->run),
+                       spec->code, body, TRUE);
     evbuffer_free(body);
     g_string_free(text, TRUE);
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -585,6 +585,7 @@
         evhttp_free(this->readiness);
     }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
+    PendingReply_setCounters(NULL);
     LingeringClose_clear();
 }
 
@@ -674,6 +675,7 @@
     this.context.base = create_base();
     LingeringClose_init(this.context.base);
     create_parts(&this);
+    PendingReply_setCounters(this.context.counters);
     create_signals(&this);
     gboolean started =
         create_listeners(&this, error) && create_peers(&this, error);
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -122,8 +122,8 @@
         evhttp_add_header(out, "X-Request-Id", this->super.id->str);
         struct evbuffer *body = evbuffer_new();
         evbuffer_add(body, answer->body, answer->length);
-        HttpReply_sendBody(request, answer->status, NULL, body,
-                           end == ATTEMPT_COMPLETE);
+        HttpReply_sendBody(request, this->super.id->str, answer->status, NULL,
+                           body, end == ATTEMPT_COMPLETE);
         evbuffer_free(body);
     }
     Exchange_finish(&this->super, end);
--- a/tests/test_HttpReply.c
+++ b/tests/test_HttpReply.c
@@ -26,7 +26,7 @@
 {
     send_event(request, FALSE);
     ck_assert(HttpReply_isCloseDelimited(request));
-    HttpReply_endStream(request);
+    HttpReply_endStream(request, NULL);
 }
 
 static void
@@ -39,7 +39,7 @@
 stream_proven(struct evhttp_request *request)
 {
     send_event(request, TRUE);
-    HttpReply_endStream(request);
+    HttpReply_endStream(request, NULL);
 }
 
 static void
@@ -47,7 +47,7 @@
 {
     struct evbuffer *body = evbuffer_new();
     evbuffer_add(body, "body", 4);
-    HttpReply_sendBody(request, HTTP_OK, NULL, body, TRUE);
+    HttpReply_sendBody(request, NULL, HTTP_OK, NULL, body, TRUE);
     evbuffer_free(body);
 }
 
