--- a/src/Settings.c
+++ b/src/Settings.c
@@ -253,7 +253,10 @@
      KEY_LIVE},
     {"read_timeout", KEY_DURATION, FALSE, "30s", 100, HOUR_MS, NULL,
      L(read_timeout_ms),
-     "How long a caller may pause while it sends or receives.", KEY_LIVE},
+     "How long a caller may pause while it sends or receives, and how long "
+     "the head of a request may take; a whole request may take a second more "
+     "for each KiB.",
+     KEY_LIVE},
     {"connect_timeout", KEY_DURATION, FALSE, "1s", 10, HOUR_MS, NULL,
      L(connect_timeout_ms), "How long a connection to an upstream may take.",
      KEY_LIVE},
@@ -297,7 +300,9 @@
     {"answers_max", KEY_SIZE, FALSE, "16MiB", 1024, 1 << 30, NULL,
      L(answers_max),
      "Bytes of all such answers that are buffered at a time. While they are "
-     "used up, an answer of more than 64 KiB ends the attempt.",
+     "used up, an answer of more than 64 KiB ends the attempt. Incomplete "
+     "events, and what callers of streams have not read, have this bound as "
+     "well.",
      KEY_LIVE},
     {"resume_grace", KEY_DURATION, FALSE, "3s", 0, HOUR_MS, NULL,
      L(resume_grace_ms),
