Streams keep to the base until another version is stated, for as long as it takes

Callers got events of two versions after all routers were killed: of streams that began at a second version unstated, once they had kept to the base for ten seconds, at an engine whose new start the list did not know yet, or while a record without the statement was in flight.

Cause: the base of a stream that nobody knows is inferred from the absence of a statement, and three ways remained to use a version without one.

New streams keep to the base until the record is acknowledged, also beside upstreams whose version is not known; a statement ends as its removal is written; an attempt whose engine states another start than the list goes elsewhere before anything is passed on. What was cut while the start was asked for is passed on if it is proved: test_no_second_head_in_a_stream failed as the events before the cut were dropped.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -357,18 +357,25 @@
 
 /* The versions that joined are stated once the records were read. */
 const char *
-OriginKeeper_findHeld(const OriginKeeper_t *this, const char *service)
+OriginKeeper_findHeld(const OriginKeeper_t *this, const char *service,
+                      gboolean has_unknown)
 {
-    const char *held =
-        this->spec.gate
-            ? VersionGate_findHeld(this->spec.gate, service, Clock_nowMs())
-            : NULL;
+    const char *held = this->spec.gate
+                           ? VersionGate_findHeld(this->spec.gate, service,
+                                                  has_unknown, Clock_nowMs())
+                           : NULL;
     if (held) {
         record(this);
     }
     return held;
 }
 
+void
+OriginKeeper_noteUnstated(const OriginKeeper_t *this, const char *service)
+{
+    VersionGate_noteUnstated(this->spec.gate, service, Clock_nowMs());
+}
+
 void
 OriginKeeper_begin(OriginKeeper_t *this, const RequestDigest_t *digest,
                    const char *service, const char *software,
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -163,7 +163,11 @@
  * router has stated that it uses several; NULL for any; see
  * VersionGate_findHeld() */
 const char *OriginKeeper_findHeld(const OriginKeeper_t *this,
-                                  const char *service);
+                                  const char *service, gboolean has_unknown);
+
+/** OriginKeeper_noteUnstated() - see VersionGate_noteUnstated() */
+void OriginKeeper_noteUnstated(const OriginKeeper_t *this,
+                               const char *service);
 
 /**
  * OriginKeeper_begin() - a stream has begun, or goes on, at this router
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -192,11 +192,15 @@
             this->connection.upstream->incarnation == this->incarnation);
 }
 
-/* The owner may cancel the attempt as it gets the data. */
+/* What was cut and is not proved is dropped: the request can be sent again, as
+ * nothing was passed on. The owner may cancel the attempt as it gets the data.
+ */
 static void
 pass_held(RelayAttempt_t *this)
 {
-    if (evbuffer_get_length(this->held) > 0) {
+    gboolean is_cut = this->has_held_end && this->held_end == ATTEMPT_CUT;
+    gboolean is_dropped = is_cut && !RelayAttempt_isStartProved(this);
+    if (!is_dropped && evbuffer_get_length(this->held) > 0) {
         this->events->data(this->owner, this->held);
     }
     if (this->has_held_end && !this->connection.closed) {
@@ -211,7 +215,8 @@
     this->proof = NULL;
     RelayAttempt_setReadPaused(this, FALSE);
     PooledConnection_setStart(this->connection.pooled, incarnation);
-    if (this->needs_start && !RelayAttempt_isStartProved(this)) {
+    gboolean is_other = incarnation != 0 && incarnation != this->incarnation;
+    if (is_other || (this->needs_start && !RelayAttempt_isStartProved(this))) {
         end_attempt(this, ATTEMPT_OTHER_START);
     }
     else {
@@ -249,8 +254,7 @@
     }
 }
 
-/* The end of a body that is held follows it. A body that was cut is dropped
- * instead, as nothing of it was passed on. */
+/* The end of a body that is held follows it. */
 static void
 receive_end(RelayAttempt_t *this, AttemptEnd_t end)
 {
@@ -386,7 +390,7 @@
         end_attempt(this, ATTEMPT_NOT_RUN);
     }
     else if (status == 0 || !this->has_head) {
-        end_attempt(this,
+        receive_end(this,
                     this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
     }
     else if (AttemptConnection_hasBrokenChunks(&this->connection)) {
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -62,7 +62,8 @@
  * @input_total_max: limit of @input_total, in bytes
  * @start_form: form in which the upstream is asked which start it is, before
  *     any of the body is passed on; NULL to ask nothing
- * @needs_start: end the attempt if it is not the known start
+ * @needs_start: end the attempt if it is not proved to be the known start;
+ *     one that states another start ends it in any case
  * @idle_max_ms: longest idle time of a pooled connection that may be reused
  * @connect_ms: timeout for the connection
  * @first_ms: timeout for the first byte of the body
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -255,12 +255,18 @@
 static const char *
 find_held(const RelayExchange_t *this)
 {
+    const OriginKeeper_t *origins = this->super.context->origins;
+    const char *service = this->super.target->str;
+    if (!this->event_pipe || !this->route->resumable) {
+        return NULL;
+    }
     const char *held =
-        this->event_pipe && this->route->resumable
-            ? OriginKeeper_findHeld(this->super.context->origins,
-                                    this->super.target->str)
-            : NULL;
-    return held && does_any_run(this, held) ? g_intern_string(held) : NULL;
+        OriginKeeper_findHeld(origins, service, does_any_run(this, ""));
+    if (held && !does_any_run(this, held)) {
+        OriginKeeper_noteUnstated(origins, service);
+        return NULL;
+    }
+    return held ? g_intern_string(held) : NULL;
 }
 
 const char *
--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -14,7 +14,7 @@
     char *base;         /* in the last write that was acknowledged, or NULL */
     gint64 opened_ms;   /* since when other versions are used, monotonic */
     gint64 held_ms;     /* since when streams are held; 0 for never */
-    gboolean is_given_up;
+    gboolean is_used_unstated;
 } Gate_t;
 
 struct VersionGate {
@@ -150,36 +150,47 @@
     return gate->base && strcmp(gate->base, base) == 0;
 }
 
-static gboolean
-is_held(Gate_t *gate, const char *service, const char *base, gint64 now_ms)
+static void
+note_held(Gate_t *gate, const char *service, const char *base, gint64 now_ms)
 {
     if (gate->held_ms == 0) {
         gate->held_ms = now_ms;
         log_gate("software_held", service, base, 0);
     }
-    if (now_ms - gate->held_ms < VERSION_GATE_HOLD_MS) {
-        return TRUE;
-    }
-    if (!gate->is_given_up) {
-        gate->is_given_up = TRUE;
-        log_gate("software_used_unstated", service, base,
-                 now_ms - gate->held_ms);
-    }
-    return FALSE;
 }
 
 const char *
-VersionGate_findHeld(VersionGate_t *this, const char *service, gint64 now_ms)
+VersionGate_findHeld(VersionGate_t *this, const char *service,
+                     gboolean has_unknown, gint64 now_ms)
 {
     const char *base = SoftwareVersions_findBase(this->versions, service);
     if (!base) {
         return NULL;
     }
     g_autoptr(GPtrArray) serving = list_serving(this, service, now_ms);
-    Gate_t *gate = serving->len > 1 ? get_gate(this, service) : NULL;
-    gboolean must_hold =
-        gate && !is_open(gate, base) && is_held(gate, service, base, now_ms);
-    return must_hold ? base : NULL;
+    if (serving->len < 2 && !has_unknown) {
+        return NULL;
+    }
+    Gate_t *gate = get_gate(this, service);
+    if (is_open(gate, base)) {
+        return NULL;
+    }
+    note_held(gate, service, base, now_ms);
+    return base;
+}
+
+void
+VersionGate_noteUnstated(VersionGate_t *this, const char *service,
+                         gint64 now_ms)
+{
+    Gate_t *gate = get_gate(this, service);
+    const char *base = SoftwareVersions_findBase(this->versions, service);
+    if (gate->is_used_unstated) {
+        return;
+    }
+    gate->is_used_unstated = TRUE;
+    log_gate("software_used_unstated", service, base ? base : "",
+             gate->held_ms > 0 ? now_ms - gate->held_ms : 0);
 }
 
 typedef struct {
@@ -213,17 +224,40 @@
     }
 }
 
-GPtrArray *
-VersionGate_list(VersionGate_t *this, gint64 now_ms)
+static void
+clear_written(const VersionGate_t *this)
 {
-    Listing_t listing = {this, create_uses(), now_ms};
     GHashTableIter iter;
     gpointer gate = NULL;
     g_hash_table_iter_init(&iter, this->gates);
     while (g_hash_table_iter_next(&iter, NULL, &gate)) {
         g_clear_pointer(&((Gate_t *)gate)->written_base, g_free);
     }
+}
+
+/* A statement that is about to be replaced counts no more, whenever the store
+ * carries the write out. */
+static void
+close_unwritten(const VersionGate_t *this)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, this->gates);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Gate_t *gate = value;
+        if (g_strcmp0(gate->base, gate->written_base) != 0) {
+            g_clear_pointer(&gate->base, g_free);
+        }
+    }
+}
+
+GPtrArray *
+VersionGate_list(VersionGate_t *this, gint64 now_ms)
+{
+    Listing_t listing = {this, create_uses(), now_ms};
+    clear_written(this);
     SoftwareVersions_forEachService(this->versions, list_service, &listing);
+    close_unwritten(this);
     for (guint i = 0; i < this->carried->len; i++) {
         const VersionUse_t *use = g_ptr_array_index(this->carried, i);
         if (now_ms < use->until_ms) {
@@ -248,7 +282,7 @@
     }
     gate->opened_ms = now_ms;
     gate->held_ms = 0;
-    gate->is_given_up = FALSE;
+    gate->is_used_unstated = FALSE;
 }
 
 void
@@ -322,7 +356,7 @@
         return TRUE;
     }
     gint64 since_ms = gate->base ? gate->opened_ms : now_ms;
-    return !gate->is_given_up && now_ms - since_ms <= this->window_ms;
+    return !gate->is_used_unstated && now_ms - since_ms <= this->window_ms;
 }
 
 static gboolean
--- a/src/VersionGate.h
+++ b/src/VersionGate.h
@@ -12,10 +12,6 @@
  */
 #include "SoftwareVersions.h"
 
-/** How long new streams keep to the base while the store does not acknowledge
- * the record, in ms: engines of other versions are needed in the end */
-#define VERSION_GATE_HOLD_MS 10000
-
 /**
  * struct VersionUse_t - statement of a process that uses several versions
  * @service: name of the service
@@ -52,12 +48,18 @@
 
 /**
  * VersionGate_findHeld() - the version to which new streams keep
+ * @has_unknown: upstreams of a version that is not known serve as well
  *
  * Return: the base, valid until the next change; NULL if any version may be
  * used
  */
 const char *VersionGate_findHeld(VersionGate_t *this, const char *service,
-                                 gint64 now_ms);
+                                 gboolean has_unknown, gint64 now_ms);
+
+/** VersionGate_noteUnstated() - streams begin at another version all the same,
+ * as no upstream of the one that VersionGate_findHeld() returned is left */
+void VersionGate_noteUnstated(VersionGate_t *this, const char *service,
+                              gint64 now_ms);
 
 /** VersionGate_list() - the VersionUse_t that belong into the record of this
  * router: of this process, and of former ones whose streams may be continued;
--- a/tests/run.py
+++ b/tests/run.py
@@ -13,8 +13,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 # Most of these processes wait most of the time; a full run takes under 15
 # minutes.
-MODULES_AT_ONCE = 4
-SESSIONS_AT_ONCE = 3
+MODULES_AT_ONCE = 6
+SESSIONS_AT_ONCE = 5
 SESSIONS = os.path.join(ROOT, "tests", "sessions")
 ENVIRONMENT = dict(os.environ, UBSAN_OPTIONS="halt_on_error=1",
                    ASAN_OPTIONS="detect_leaks=1")
--- a/tests/test_VersionGate.c
+++ b/tests/test_VersionGate.c
@@ -70,7 +70,7 @@
 START_TEST(nothing_is_held_or_written_while_one_version_serves)
 {
     create();
-    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", 2));
+    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", FALSE, 2));
     ck_assert_uint_eq(write_uses(2), 0);
     destroy();
 }
@@ -80,11 +80,11 @@
 {
     create();
     join(2);
-    ck_assert_str_eq(VersionGate_findHeld(gate, "s", 3), "v1");
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, 3), "v1");
     ck_assert_uint_eq(write_uses(3), 2);
-    ck_assert_str_eq(VersionGate_findHeld(gate, "s", 4), "v1");
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, 4), "v1");
     VersionGate_noteWritten(gate, 5);
-    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", 5));
+    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", FALSE, 5));
     destroy();
 }
 END_TEST
@@ -95,26 +95,57 @@
     create();
     ck_assert_uint_eq(write_uses(1), 0);
     join(2);
-    ck_assert_str_eq(VersionGate_findHeld(gate, "s", 2), "v1");
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, 2), "v1");
     VersionGate_noteWritten(gate, 3);
-    ck_assert_str_eq(VersionGate_findHeld(gate, "s", 3), "v1");
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, 3), "v1");
     destroy();
 }
 END_TEST
 
-START_TEST(a_store_that_takes_nothing_holds_streams_for_a_while_only)
+/* A version that was used unstated passed for the base after a restart. */
+START_TEST(a_store_that_takes_nothing_holds_streams_as_long)
 {
     create();
     join(2);
-    ck_assert_ptr_nonnull(VersionGate_findHeld(gate, "s", 2));
-    gint64 late_ms = 2 + VERSION_GATE_HOLD_MS;
-    ck_assert_ptr_nonnull(VersionGate_findHeld(gate, "s", late_ms - 1));
-    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", late_ms));
+    ck_assert_ptr_nonnull(VersionGate_findHeld(gate, "s", FALSE, 2));
+    gint64 late_ms = 2 + WINDOW_MS / 2;
+    ck_assert_ptr_nonnull(VersionGate_findHeld(gate, "s", FALSE, late_ms));
+    ck_assert(VersionGate_isFresh(gate, "s", late_ms));
+    VersionGate_noteUnstated(gate, "s", late_ms);
     ck_assert(!VersionGate_isFresh(gate, "s", late_ms));
     destroy();
 }
 END_TEST
 
+/* The list may show a version only after an upstream of it was met. */
+START_TEST(streams_keep_to_the_base_beside_an_unknown_version)
+{
+    create();
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", TRUE, 2), "v1");
+    ck_assert_uint_eq(write_uses(2), 0);
+    VersionGate_noteWritten(gate, 3);
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", TRUE, 3), "v1");
+    destroy();
+}
+END_TEST
+
+/* A version that joined again was used while the record lost its statement. */
+START_TEST(a_statement_ends_when_its_removal_is_written)
+{
+    create();
+    join(2);
+    write_uses(2);
+    VersionGate_noteWritten(gate, 3);
+    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", FALSE, 3));
+    SoftwareVersions_remove(versions, "b", 4);
+    gint64 later_ms = 5 + WINDOW_MS;
+    ck_assert_uint_eq(write_uses(later_ms), 0);
+    join(later_ms);
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, later_ms), "v1");
+    destroy();
+}
+END_TEST
+
 /* The version that was left alone became the base of the next one. */
 START_TEST(a_version_that_joins_another_base_is_held_again)
 {
@@ -125,7 +156,7 @@
     SoftwareVersions_remove(versions, "a", 4);
     gint64 later_ms = 5 + WINDOW_MS;
     SoftwareVersions_put(versions, "c", "s", "v3", later_ms);
-    ck_assert_str_eq(VersionGate_findHeld(gate, "s", later_ms), "v2");
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, later_ms), "v2");
     destroy();
 }
 END_TEST
@@ -218,7 +249,9 @@
              nothing_is_held_or_written_while_one_version_serves,
              streams_keep_to_the_base_until_the_record_is_acknowledged,
              a_record_without_the_statement_opens_nothing,
-             a_store_that_takes_nothing_holds_streams_for_a_while_only,
+             a_store_that_takes_nothing_holds_streams_as_long,
+             streams_keep_to_the_base_beside_an_unknown_version,
+             a_statement_ends_when_its_removal_is_written,
              a_version_that_joins_another_base_is_held_again,
              the_base_follows_if_all_that_used_others_reply,
              another_base_or_an_unreadable_record_leaves_it_unknown,
