--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -267,7 +267,7 @@
     return listing.out;
 }
 
-/* A service whose statement is no longer written is held again. */
+/* A service without a written statement is held again. */
 static void
 note_gate_written(Gate_t *gate, const char *service, gint64 now_ms)
 {
