What an engine sent before its answer broke off is passed on once its start is proved

Any end of a body waits for the answer now, as an orderly end and a cut do, and nothing more is read meanwhile. What is not proved is dropped, and the request sent again.

--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -138,6 +138,21 @@
     }
 }
 
+/* The end of a body that is held follows it; nothing more is read. */
+static void
+receive_end(RelayAttempt_t *this, AttemptEnd_t end)
+{
+    if (!this->proof) {
+        end_attempt(this, end);
+    }
+    else if (!this->has_held_end) {
+        this->held_end = end;
+        this->has_held_end = TRUE;
+        evtimer_del(this->connection.timeout_timer);
+        RelayAttempt_setReadPaused(this, TRUE);
+    }
+}
+
 static void
 on_timeout(evutil_socket_t fd, short what, void *data)
 {
@@ -154,11 +169,11 @@
         return;
     }
     if (connection->input_oversized) {
-        end_attempt(this, ATTEMPT_OVERSIZED);
+        receive_end(this, ATTEMPT_OVERSIZED);
         return;
     }
     if (AttemptConnection_hasBrokenChunks(connection)) {
-        end_attempt(this, ATTEMPT_BAD_ANSWER);
+        receive_end(this, ATTEMPT_BAD_ANSWER);
         return;
     }
     gint64 left_ms = AttemptConnection_remainingMs(connection);
@@ -192,14 +207,16 @@
             this->connection.upstream->incarnation == this->incarnation);
 }
 
-/* What was cut and is not proved is dropped: the request can be sent again, as
- * nothing was passed on. The owner may cancel the attempt as it gets the data.
- */
+/* What broke off and is not proved is dropped: the request can be sent again,
+ * as nothing was passed on. The owner may cancel the attempt as it gets the
+ * data. */
 static void
 pass_held(RelayAttempt_t *this)
 {
-    gboolean is_cut = this->has_held_end && this->held_end == ATTEMPT_CUT;
-    gboolean is_dropped = is_cut && !RelayAttempt_isStartProved(this);
+    gboolean is_broken = this->has_held_end &&
+                         this->held_end != ATTEMPT_COMPLETE &&
+                         this->held_end != ATTEMPT_CLOSED;
+    gboolean is_dropped = is_broken && !RelayAttempt_isStartProved(this);
     if (!is_dropped && evbuffer_get_length(this->held) > 0) {
         this->events->data(this->owner, this->held);
     }
@@ -254,20 +271,6 @@
     }
 }
 
-/* The end of a body that is held follows it. */
-static void
-receive_end(RelayAttempt_t *this, AttemptEnd_t end)
-{
-    if (this->proof) {
-        this->held_end = end;
-        this->has_held_end = TRUE;
-        evtimer_del(this->connection.timeout_timer);
-    }
-    else {
-        end_attempt(this, end);
-    }
-}
-
 static void
 on_chunk(struct evhttp_request *request, void *data)
 {
@@ -285,7 +288,7 @@
         return;
     }
     if (AttemptConnection_hasBrokenChunks(&this->connection)) {
-        end_attempt(this, ATTEMPT_BAD_ANSWER);
+        receive_end(this, ATTEMPT_BAD_ANSWER);
         return;
     }
     AttemptConnection_noteData(&this->connection);
@@ -394,7 +397,7 @@
                     this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
     }
     else if (AttemptConnection_hasBrokenChunks(&this->connection)) {
-        end_attempt(this, ATTEMPT_BAD_ANSWER);
+        receive_end(this, ATTEMPT_BAD_ANSWER);
     }
     else {
         this->connection.reusable = is_reusable(this);
