Tests: the result of a session file has a line of its own

A whole run counted test_forwarding as failed although only its two known tests had: the interpreter wrote of a pending task as it exited, behind the line with the result, which was taken to be the last one. The line is known by its first word now; a file without exactly one, or with another exit code than 0, fails as before. Tried with a file that writes at its exit, one that fails and one that does not exist.

--- a/tests/run.py
+++ b/tests/run.py
@@ -15,6 +15,7 @@
 # minutes.
 MODULES_AT_ONCE = 6
 SESSIONS_AT_ONCE = 5
+RESULT = "SESSION-RESULT"
 SESSIONS = os.path.join(ROOT, "tests", "sessions")
 ENVIRONMENT = dict(os.environ, UBSAN_OPTIONS="halt_on_error=1",
                    ASAN_OPTIONS="detect_leaks=1")
@@ -90,14 +91,15 @@
 
 
 def run_file_here(name):
-    """Runs the session tests of one file in this process. The last line of
-    output is the number of tests and the names of those that failed."""
+    """Runs the session tests of one file in this process. A line that begins
+    with RESULT has the number of tests and the names of those that failed;
+    the interpreter may write more as it exits."""
     sys.path[:0] = [os.path.join(ROOT, "tests"), SESSIONS]
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     result = unittest.TextTestRunner(stream=sys.stdout, verbosity=2,
                                      resultclass=TimedResult).run(suite)
     failed = [test.id() for test, _ in result.failures + result.errors]
-    print(" ".join([str(result.testsRun), *failed]))
+    print(" ".join([RESULT, str(result.testsRun), *failed]), flush=True)
 
 
 def run_session_file(name):
@@ -107,13 +109,13 @@
         [sys.executable, os.path.abspath(__file__), "--sessions", name],
         stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
         env=dict(ENVIRONMENT, WT_BUILD="build-asan"))
-    *lines, last = done.stdout.rstrip("\n").split("\n")
-    words = last.split()
-    if done.returncode != 0 or not words or not words[0].isdigit():
-        print(done.stdout, flush=True)
+    print(done.stdout, flush=True)
+    results = [line.split()[1:] for line in done.stdout.split("\n")
+               if line.startswith(RESULT + " ")]
+    if done.returncode != 0 or len(results) != 1:
         return 1, {name}
-    print("\n".join(lines), flush=True)
-    return int(words[0]), set(words[1:])
+    count, *failed = results[0]
+    return int(count), set(failed)
 
 
 def run_sessions():
