Tests: the names of unlisted failures stand at the end of a run

A run that failed printed how many tests failed and, for each listed test, how it went; the name of an unlisted one had to be looked for in some thousand lines, and was lost where only the end of the output was kept (2713 passed, 1 failed). Each unlisted failure has a line FAILED with its name before the count.

--- a/tests/run.py
+++ b/tests/run.py
@@ -80,13 +80,16 @@
 
 
 def count_failed(failed, ran):
-    """Counts the failed tests that KNOWN-RED.txt does not list, and prints the
-    result of each listed test; `ran` has the programs and files that ran."""
+    """Counts the failed tests that KNOWN-RED.txt does not list and prints
+    their names, behind the result of each listed test; `ran` has the programs
+    and files that ran."""
     known = read_known_red()
     for name in sorted(known):
         result = "not run" if name.split(".")[0] not in ran else \
             "failed" if name in failed else "passed"
         print("KNOWN-RED %s: %s" % (name, result))
+    for name in sorted(failed - known):
+        print("FAILED %s" % name)
     return len(failed - known)
 
 
