--- /dev/null
+++ b/tests/sessions/test_held_bytes_measured.py
@@ -0,0 +1,9 @@
+"""The tests of test_held_bytes on the plain build, whose memory is measured."""
+import os
+import unittest
+
+os.environ["WT_BUILD"] = "build"
+from test_held_bytes import *  # noqa: E402,F401,F403
+
+if __name__ == "__main__":
+    unittest.main()
