Connections to upstreams have descriptors of their own

Callers got 503 no_upstream for requests that a router without free descriptors had read (13 of 150 calls of 50 callers with 64 descriptors, release build), and the upstream was taken for unreachable. accept() paused only once it had failed itself, so that callers held all descriptors and none was left to connect with.

The process keeps up to 32 descriptors, a quarter of its limit at the most, and gives one away for each connection of its own that finds none; a request that finds none at all waits for one within its connect timeout.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -4,12 +4,15 @@
 #include <event2/bufferevent.h>
 
 #include "Clock.h"
+#include "DescriptorReserve.h"
 #include "HttpCall.h"
 
 /* Bytes that one read may add beyond the largest event, framing included. */
 #define INPUT_MARGIN 65536
 /* An upstream sends one when it is asked for it, and few otherwise. */
 #define INTERIM_ANSWERS_MAX 16
+/* Interval of the tries to connect while there is no descriptor. */
+#define DESCRIPTOR_WAIT_MS 10
 
 /* evhttp writes the request into the output buffer only once the connection is
  * established. */
@@ -151,6 +154,8 @@
     }
 }
 
+static void on_descriptor_timer(evutil_socket_t fd, short what, void *data);
+
 void
 AttemptConnection_init(AttemptConnection_t *this, struct event_base *base,
                        const AttemptConnectionSpec_t *spec)
@@ -161,8 +166,11 @@
         .piece_max = spec->piece_max,
         .input_total = spec->input_total,
         .input_total_max = spec->input_total_max,
+        .on_socket = spec->on_socket,
+        .attempt = spec->attempt,
         .last_received_ms = Clock_nowMs(),
     };
+    this->descriptor_timer = Clock_timer(base, on_descriptor_timer, this);
     this->timeout_timer = Clock_timer(base, spec->on_timeout, spec->attempt);
     this->reaper = Clock_timer(base, spec->on_reap, spec->attempt);
     this->pooled =
@@ -192,16 +200,57 @@
     Clock_arm(this->timeout_timer, 0);
 }
 
-void
-AttemptConnection_send(AttemptConnection_t *this,
-                       struct evhttp_request *request,
-                       enum evhttp_cmd_type method, const char *uri)
+static gboolean
+has_socket(const AttemptConnection_t *this)
 {
+    return bufferevent_getfd(AttemptConnection_bufferevent(this)) >= 0;
+}
+
+static void
+send_request(AttemptConnection_t *this)
+{
+    struct evhttp_request *request = g_steal_pointer(&this->unsent);
     this->starting = TRUE;
-    if (evhttp_make_request(this->evhttp, request, method, uri) != 0) {
+    if (evhttp_make_request(this->evhttp, request, this->method, this->uri) !=
+        0) {
         end_soon(this);
     }
     this->starting = FALSE;
+    if (this->on_socket && has_socket(this)) {
+        this->on_socket(this->attempt);
+    }
+}
+
+/* A connection that fails for want of a descriptor would look like an upstream
+ * that can't be reached. */
+static void
+send_or_wait(AttemptConnection_t *this)
+{
+    if (has_socket(this) || DescriptorReserve_release()) {
+        send_request(this);
+    }
+    else {
+        Clock_arm(this->descriptor_timer, DESCRIPTOR_WAIT_MS);
+    }
+}
+
+static void
+on_descriptor_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    send_or_wait(data);
+}
+
+void
+AttemptConnection_send(AttemptConnection_t *this,
+                       struct evhttp_request *request,
+                       enum evhttp_cmd_type method, const char *uri)
+{
+    this->unsent = request;
+    this->method = method;
+    this->uri = g_strdup(uri);
+    send_or_wait(this);
 }
 
 gboolean
@@ -267,6 +316,7 @@
         detach_callbacks(this);
     }
     evtimer_del(this->timeout_timer);
+    evtimer_del(this->descriptor_timer);
     Clock_arm(this->reaper, 0);
     return TRUE;
 }
@@ -281,17 +331,23 @@
     evbuffer_remove_cb_entry(output, this->output_watch);
     evbuffer_remove_cb_entry(input, this->input_watch);
     count_input(this, 0);
+    if (this->unsent) {
+        evhttp_request_free(this->unsent);
+    }
+    g_free(this->uri);
     if (!this->reusable) {
         Http_abort(PooledConnection_release(this->pooled));
     }
     else if (Upstream_canPoolConnection(this->upstream) &&
-             !PooledConnection_isUsedUp(this->pooled)) {
+             !PooledConnection_isUsedUp(this->pooled) &&
+             !DescriptorReserve_isShort()) {
         Upstream_poolConnection(this->upstream, this->pooled, Clock_nowMs());
     }
     else {
         PooledConnection_destroy(this->pooled);
     }
     event_free(this->timeout_timer);
+    event_free(this->descriptor_timer);
     event_free(this->reaper);
     Upstream_removeWaiter(this->upstream, &this->waiter);
     Upstream_unref(this->upstream);
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -47,7 +47,9 @@
  *     AttemptConnection_t was set, or AttemptConnection_hasBrokenChunks()
  * holds
  * @on_reap: calls AttemptConnection_clear() and frees the attempt
- * @attempt: argument of both callbacks
+ * @on_socket: the request is being sent, and the connection has a socket,
+ *     whose options may be set; or NULL
+ * @attempt: argument of the callbacks
  */
 typedef struct {
     Upstream_t *upstream;
@@ -61,6 +63,7 @@
     gsize input_total_max;
     event_callback_fn on_timeout;
     event_callback_fn on_reap;
+    void (*on_socket)(void *attempt);
     void *attempt;
 } AttemptConnectionSpec_t;
 
@@ -73,12 +76,18 @@
  * @output_watch: buffer callback that detects when the request is written
  * @input_watch: buffer callback that detects oversized input
  * @timeout_timer: expires when the upstream has been silent for too long
+ * @descriptor_timer: tries again to connect while there is no descriptor
  * @reaper: frees the attempt once it is closed
  * @timeouts: timeouts of the attempt
  * @piece_max: maximum size of one event, or of an answer without events, in
  *     bytes
  * @input_total: as in the specification
  * @input_total_max: as in the specification
+ * @on_socket: as in the specification
+ * @attempt: as in the specification
+ * @unsent: the request, until there is a descriptor for its connection; owned
+ * @method: of the request
+ * @uri: of the request
  * @input_counted: this connection's part of @input_total
  * @head: the check of the answer's heads
  * @chunks: the check of the body's chunks
@@ -105,11 +114,17 @@
     struct evbuffer_cb_entry *output_watch;
     struct evbuffer_cb_entry *input_watch;
     struct event *timeout_timer;
+    struct event *descriptor_timer;
     struct event *reaper;
     AttemptTimeouts_t timeouts;
     gsize piece_max;
     gsize *input_total;
     gsize input_total_max;
+    void (*on_socket)(void *attempt);
+    void *attempt;
+    struct evhttp_request *unsent;
+    enum evhttp_cmd_type method;
+    char *uri;
     gsize input_counted;
     HeadCheck_t head;
     ChunkCheck_t chunks;
@@ -132,7 +147,8 @@
 /**
  * AttemptConnection_send() - send the request
  *
- * If evhttp fails to send it, the timeout timer expires at once.
+ * Waits for a descriptor if there is none (DescriptorReserve.h). If evhttp
+ * fails to send it, the timeout timer expires at once.
  */
 void AttemptConnection_send(AttemptConnection_t *this,
                             struct evhttp_request *request,
--- a/src/ConnectTest.c
+++ b/src/ConnectTest.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 
 #include "Clock.h"
+#include "DescriptorReserve.h"
 
 struct ConnectTest {
     struct bufferevent *bev;
@@ -46,6 +47,7 @@
     bufferevent_setcb(this->bev, NULL, NULL, on_event, this);
     bufferevent_set_timeouts(this->bev, NULL, &timeout);
     bufferevent_enable(this->bev, EV_WRITE);
+    (void)DescriptorReserve_release();
     if (bufferevent_socket_connect(this->bev, (struct sockaddr *)&addr,
                                    sizeof(addr)) != 0) {
         bufferevent_trigger_event(this->bev, BEV_EVENT_ERROR,
--- /dev/null
+++ b/src/DescriptorReserve.h
@@ -0,0 +1,37 @@
+#ifndef HEADER_DescriptorReserve
+#define HEADER_DescriptorReserve
+/**
+ * DOC: DescriptorReserve
+ *
+ * Keeps some descriptors of the process from callers, who would take all that
+ * the system allows, for connections to upstreams, peers and the store. A
+ * router that reads a request and has no descriptor left for it could only
+ * refuse it, and would take its upstream for unreachable.
+ */
+#include <event2/event.h>
+#include <glib.h>
+
+/** Descriptors kept; fewer where the system allows few. */
+#define DESCRIPTOR_RESERVE_MAX 32
+
+/** DescriptorReserve_init() - open the reserve; once per process */
+void DescriptorReserve_init(struct event_base *base);
+
+/** DescriptorReserve_clear() - close the reserve */
+void DescriptorReserve_clear(void);
+
+/**
+ * DescriptorReserve_release() - make sure that one descriptor can be opened
+ *
+ * Call it before each connection that the router opens itself. The reserve is
+ * filled again as soon as descriptors are free.
+ *
+ * Return: FALSE if there is none, and none in the reserve
+ */
+gboolean DescriptorReserve_release(void);
+
+/** DescriptorReserve_isShort() - whether a part of the reserve is in use, so
+ * that connections should not be kept for later requests */
+gboolean DescriptorReserve_isShort(void);
+
+#endif
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -8,6 +8,7 @@
 
 #include "ChunkCheck.h"
 #include "Clock.h"
+#include "DescriptorReserve.h"
 #include "Errors.h"
 #include "HeadCheck.h"
 
@@ -376,6 +377,7 @@
     if (spec->late_ms > 0) {
         Clock_arm(this->silence, spec->late_ms);
     }
+    (void)DescriptorReserve_release();
     if (evhttp_make_request(this->connection, request, spec->method,
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "DescriptorReserve.h"
 #include "LinkClock.h"
 #include "PeerMac.h"
 
@@ -290,6 +291,7 @@
                                          .sin_port = htons(address->port)};
     inet_pton(AF_INET, address->host, &socket_address.sin_addr);
     this->outgoing = TRUE;
+    (void)DescriptorReserve_release();
     if (bufferevent_socket_connect(this->stream,
                                    (struct sockaddr *)&socket_address,
                                    sizeof(socket_address)) != 0) {
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -413,13 +413,11 @@
 
 /* Setting them again on a reused connection is harmless. */
 static void
-set_socket_options(const RelayAttempt_t *this)
+set_socket_options(void *data)
 {
+    const RelayAttempt_t *this = data;
     evutil_socket_t fd =
         bufferevent_getfd(AttemptConnection_bufferevent(&this->connection));
-    if (fd < 0) {
-        return;
-    }
     set_socket_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
     set_socket_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
@@ -477,6 +475,7 @@
         .input_total_max = spec->input_total_max,
         .on_timeout = on_timeout,
         .on_reap = on_reap,
+        .on_socket = set_socket_options,
         .attempt = this,
     };
     this->form = spec->form;
@@ -493,7 +492,6 @@
     AttemptConnection_send(&this->connection, build_request(this, spec),
                            evhttp_request_get_command(spec->request),
                            evhttp_request_get_uri(spec->request));
-    set_socket_options(this);
     return this;
 }
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -13,6 +13,7 @@
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
+#include "DescriptorReserve.h"
 #include "EngineHttp.h"
 #include "Errors.h"
 #include "LingeringClose.h"
@@ -677,6 +678,7 @@
     Random_seed((guint32)settings->router.seed);
     this.context.base = create_base();
     LingeringClose_init(this.context.base);
+    DescriptorReserve_init(this.context.base);
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
     create_signals(&this);
@@ -709,6 +711,7 @@
     }
     free_parts(&this);
     free_intake(&this);
+    DescriptorReserve_clear();
     event_base_free(this.context.base);
     return started;
 }
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -8,6 +8,7 @@
 import socket
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from cluster import BUILD, Process, wait_for
 from fleet import Fleet
@@ -279,6 +280,20 @@
                 each.close()
         self.assert_serves(router)
 
+    # Callers took all descriptors, and none was left for an upstream.
+    def test_requests_that_were_read_reach_an_upstream(self):
+        router = self.fleet.start()
+        self.assert_serves(router)
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
+                         (self.DESCRIPTORS, self.DESCRIPTORS))
+        for path in ("/read/x", "/write/x"):
+            with ThreadPoolExecutor(self.DESCRIPTORS) as pool:
+                answers = list(pool.map(
+                    lambda _: self.fleet.ask(router, path, wait_ms=8000),
+                    range(3 * self.DESCRIPTORS)))
+            self.assertEqual({answer.status for answer in answers}, {200})
+        router.wait_event("descriptors_short")
+
 
 class ClosedStreamsTest(StartCase):
     # Log lines went to whatever the router had opened next.
