A stream whose engine does not confirm its start begins elsewhere

Callers got the first event of a stream and nothing more until its deadline. Its engine had sent that event and fallen silent before it answered the question for its start: after the timeout the event was passed on as of an unknown start, so that no other engine could go on (attempt_kept reason=no_upstream).

Nothing was passed on until then, so a request that may be sent again ends its attempt as silent and begins at another engine; without one, or if it may not, it is passed on as before. test_a_stream_begins_elsewhere failed before.

--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -225,8 +225,17 @@
     }
 }
 
+/* A stream of an unknown start can't go on at another engine, should this one
+ * stay silent. */
+static gboolean
+is_given_up(RelayAttempt_t *this, gboolean is_silent)
+{
+    return is_silent && !this->has_held_end &&
+           this->events->unproved(this->owner);
+}
+
 static void
-on_start_stated(void *owner, guint64 incarnation)
+on_start_stated(void *owner, guint64 incarnation, gboolean is_silent)
 {
     RelayAttempt_t *this = owner;
     this->proof = NULL;
@@ -236,6 +245,9 @@
     if (is_other || (this->needs_start && !RelayAttempt_isStartProved(this))) {
         end_attempt(this, ATTEMPT_OTHER_START);
     }
+    else if (is_given_up(this, is_silent)) {
+        end_attempt(this, ATTEMPT_SILENT);
+    }
     else {
         pass_held(this);
     }
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -34,6 +34,10 @@
  *     that says "not run" or is invalid
  * @data: part of the body was received; the owner drains @data
  * @silent: a timeout has passed without data; returns what to do
+ * @unproved: the upstream did not answer the question for its start, and
+ *     nothing of the body was passed on; returns whether to end the attempt as
+ *     silent. Otherwise the body is passed on, as of an unknown start. Not
+ *     called without @start_form
  * @ended: the attempt is over; the last callback. @head is NULL if none was
  *     received
  *
@@ -45,6 +49,7 @@
                  const struct evkeyvalq *headers);
     void (*data)(void *owner, struct evbuffer *data);
     SilenceAction_t (*silent)(void *owner);
+    gboolean (*unproved)(void *owner);
     void (*ended)(void *owner, AttemptEnd_t end, const RelayHead_t *head);
 } RelayAttemptEvents_t;
 
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -205,6 +205,13 @@
     return SILENCE_GIVE_UP;
 }
 
+static gboolean
+on_unproved(void *owner)
+{
+    (void)owner;
+    return TRUE;
+}
+
 /* The second engine answered with a complete stream and no event: the silent
  * engine had sent the last event already. */
 static void
@@ -258,6 +265,7 @@
     .head = on_head,
     .data = on_data,
     .silent = on_silent,
+    .unproved = on_unproved,
     .ended = on_ended,
 };
 
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -316,11 +316,19 @@
                                                       : SILENCE_WAIT;
 }
 
+static gboolean
+on_unproved(void *owner)
+{
+    RelayExchange_t *this = owner;
+    return Exchange_mayRetry(&this->super) && may_retry(this);
+}
+
 static const RelayAttemptEvents_t attempt_events = {
     .answered = on_answered,
     .head = on_head,
     .data = on_data,
     .silent = on_silent,
+    .unproved = on_unproved,
     .ended = on_ended,
 };
 
--- a/src/StartProof.c
+++ b/src/StartProof.c
@@ -70,7 +70,7 @@
         log_unproven(this, incarnation, error);
         note_incarnation(this, incarnation);
     }
-    this->done(this->owner, incarnation);
+    this->done(this->owner, incarnation, answer == NULL);
     destroy(this);
 }
 
--- a/src/StartProof.h
+++ b/src/StartProof.h
@@ -29,8 +29,10 @@
 } StartProofSpec_t;
 
 /** StartProofDone_t - called once, unless the question was cancelled;
- * @incarnation is 0 if the engine states none or does not answer */
-typedef void (*StartProofDone_t)(void *owner, guint64 incarnation);
+ * @incarnation is 0 if the engine states none or does not answer, which
+ * @is_silent tells */
+typedef void (*StartProofDone_t)(void *owner, guint64 incarnation,
+                                 gboolean is_silent);
 
 /** struct StartProof_t - opaque; frees itself after its callback */
 typedef struct StartProof StartProof_t;
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -624,6 +624,10 @@
     """
 
     def fall_silent(self):
+        """The caller has had the first event."""
+        port = int(self.router.events("router_started")[0]["operator_port"])
+        wait_for(lambda: b"first_token_us_count 1\n" in
+                 self.fleet.get(port, "/metrics").body, "the first event")
         self.first.probed = threading.Event()
         self.addCleanup(self.first.probed.set)
 
--- a/tests/sessions/test_moves.py
+++ b/tests/sessions/test_moves.py
@@ -70,10 +70,50 @@
         self.reader.join(5)
         self.first.gate.open()
         self.assert_whole()
-        moved = self.router.events("stream_moved")
+        moved = self.router.wait_event("stream_moved")
         self.assertEqual([m["reason"] for m in moved], ["unloading"])
 
 
+class SilentStartTest(test_fleet.SilentStreamTest):
+    """An engine falls silent before it has confirmed its start.
+
+    Its first event was passed on as that of an unknown start, which no other
+    engine can go on with: attempt_kept with reason=no_upstream, and the stream
+    was cut at its deadline.
+    """
+
+    SERVED_S = 8  # well before the deadline
+
+    def start_stream(self, path, **settings):
+        engine = self.fleet.engine
+
+        def silent_engine(name):
+            stand_in = engine(name)
+            stand_in.probed = threading.Event()
+            self.addCleanup(stand_in.probed.set)
+            return stand_in
+        self.fleet.engine = silent_engine
+        super().start_stream(path, **settings)
+        for engine in self.others:
+            engine.probed.set()
+            engine.gate.open()
+
+    def test_a_stream_begins_elsewhere(self):
+        self.start_stream("/ask/x")
+        self.reader.join(self.SERVED_S)
+        self.assertFalse(self.reader.is_alive())
+        self.assert_whole()
+
+    def test_a_stream_waits_for_the_only_engine(self):
+        self.ENGINES = 1
+        self.start_stream("/ask/x")
+        self.router.wait_event("upstream_start_unproven")
+        self.speak_again()
+        self.reader.join(self.SERVED_S)
+        self.assertFalse(self.reader.is_alive())
+        self.assert_whole()
+
+
 class UnmarkedEndTest(test_fleet.StreamTest):
     # A stream moved, and could not end where its new engine marked no end.
     def test_a_framed_stream_stays_where_the_next_engine_marks_no_end(self):
