A stream that nobody knows is taken for one of the base only if the base was served all the time

Callers got events of two software versions in one stream (test_base_unknown, each failed on, v1 after events of v2): - the store takes no records, a version joins, the base loses its last upstream, so that streams begin at the other one unstated; all routers are killed and the base has an upstream again; - the same where the base's upstreams only said by their answers that they leave; - a version that had replaced the first one alone: the first one comes back while no router runs, and passes for the base.

Cause: that nobody knows a stream and no record states another version was taken for a proof that it began at the base. Nothing showed that the base had had an upstream all the time, which is why streams keep to it while nothing is stated. And a router that read the record of versions took the first version that it names for the base, also where it states another one as the only version.

The record of versions now names up to 64 starts of upstreams (name and incarnation) that serve the base, or the only version, and is written again once fewer than half of them are left. The base counts as served (BaseVersion) while the list shows one of them, or as this router has seen it in the list since there was one version; otherwise the stream is refused. In turn a router begins streams at a version unstated only if the list shows no upstream of the base that does not leave, whatever it knows itself of these: the two exclude one another. The router that asks reads the list later than the request, as another one may have read of the base's end just before it was lost (test_OriginKeeper: a_base_is_taken_only_from_a_list_later_than_the_request, which failed before).

Starts of upstreams against each other (born) would not do: not all entries state them, and they say nothing of a version that came and went.

test_base_version waits in its setup until the routers have written a record of their own: that of a build before names no starts and counts as before until then. Its tests are unchanged. pack_record of the tests takes the first version as well.

New streams that are refused beside a base that is listed but has ended are meant, and have a test.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -555,6 +555,7 @@
 find_base(const OriginKeeper_t *this, const OriginQuery_t *query)
 {
     gboolean is_read = query->asks_all && is_learned(this) &&
+                       is_list_later(this, query) &&
                        VersionGate_readMs(this->spec.gate) >= query->asked_ms;
     return is_read && would_know(this, query->service)
                ? VersionGate_findBase(this->spec.gate, query->service,
@@ -707,7 +708,8 @@
 static void
 check_list(const OriginKeeper_t *this, const OriginQuery_t *query)
 {
-    if (awaits_list(this, query)) {
+    gboolean asks_base = query->asks_all && !is_list_later(this, query);
+    if (awaits_list(this, query) || asks_base) {
         this->spec.links->check_list(this->spec.owner);
     }
 }
--- a/src/RelayOrigin.c
+++ b/src/RelayOrigin.c
@@ -250,6 +250,22 @@
     return FALSE;
 }
 
+/* While the list shows an upstream of the base, other routers take the base
+ * for the version of a stream that nobody knows, even if this router knows
+ * that the upstream leaves or has started again. */
+static gboolean
+may_leave_base(const RelayExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    const SoftwareVersions_t *versions = super->context->versions;
+    const char *service = super->target->str;
+    return !SoftwareVersions_isBaseListed(versions, service) ||
+           SoftwareVersions_findSole(
+               versions, service,
+               super->context->settings->relay.resume_window_ms,
+               Clock_nowMs());
+}
+
 /* Without an upstream of that version any other one is better than none. The
  * name outlives the placement. */
 static const char *
@@ -262,7 +278,7 @@
     }
     const char *held =
         OriginKeeper_findHeld(origins, service, does_any_run(this, ""));
-    if (held && !does_any_run(this, held)) {
+    if (held && !does_any_run(this, held) && may_leave_base(this)) {
         OriginKeeper_noteUnstated(origins, service);
         return NULL;
     }
--- a/src/SoftwareRecords.c
+++ b/src/SoftwareRecords.c
@@ -14,6 +14,8 @@
 /* Size of a hash key; longer names of services are truncated, in the same way
  * on all routers. */
 #define KEY_SIZE 128
+/* Starts that a record states: some stay listed when a hall fails. */
+#define RECORD_STARTS_MAX 64
 /* Versions that a record states; a service with more counts as one with
  * several unknown versions. */
 #define RECORD_VERSIONS_MAX 32
@@ -35,6 +37,7 @@
 
 typedef struct {
     GBytes *versions;
+    GArray *starts;   /* guint64 */
     gint64 repeat_ms; /* when it is written again; 0 for never */
 } Stored_t;
 
@@ -43,19 +46,10 @@
 {
     Stored_t *stored = data;
     g_bytes_unref(stored->versions);
+    g_array_unref(stored->starts);
     g_free(stored);
 }
 
-static void
-note_stored(const SoftwareRecords_t *this, const char *service,
-            GBytes *versions, gint64 repeat_ms)
-{
-    Stored_t *stored = g_new0(Stored_t, 1);
-    stored->versions = versions;
-    stored->repeat_ms = repeat_ms;
-    g_hash_table_replace(this->stored, g_strdup(service), stored);
-}
-
 /* Until the membership has converged each router would rank first. */
 static gboolean
 is_writer(const SoftwareRecords_t *this, const char *name)
@@ -89,6 +83,26 @@
     return pack(&versions);
 }
 
+static GArray *
+read_starts(const Wt__SoftwareRecord *record)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(guint64));
+    g_array_append_vals(out, record->starts,
+                        (guint)MIN(record->n_starts, RECORD_STARTS_MAX));
+    return out;
+}
+
+static void
+note_stored(const SoftwareRecords_t *this, const char *service,
+            const Wt__SoftwareRecord *record, gint64 repeat_ms)
+{
+    Stored_t *stored = g_new0(Stored_t, 1);
+    stored->versions = pack_versions(record);
+    stored->starts = read_starts(record);
+    stored->repeat_ms = repeat_ms;
+    g_hash_table_replace(this->stored, g_strdup(service), stored);
+}
+
 static void
 set_versions(Wt__SoftwareRecord *record, const GPtrArray *versions)
 {
@@ -98,12 +112,46 @@
     }
 }
 
+static void
+set_starts(Wt__SoftwareRecord *record, const GArray *starts)
+{
+    record->states_starts = TRUE;
+    record->n_starts = MIN(starts->len, RECORD_STARTS_MAX);
+    record->starts = (guint64 *)starts->data;
+}
+
+static gboolean
+has_start(const GArray *starts, guint64 start)
+{
+    for (guint i = 0; i < starts->len; i++) {
+        if (g_array_index(starts, guint64, i) == start) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Upstreams come and go: the record is written anew once few of those that it
+ * names are left. */
+static gboolean
+has_enough_starts(const Stored_t *stored, const GArray *starts)
+{
+    guint left = 0;
+    for (guint i = 0; i < starts->len; i++) {
+        left += has_start(stored->starts, g_array_index(starts, guint64, i))
+                    ? 1
+                    : 0;
+    }
+    return 2 * left >= MIN(starts->len, RECORD_STARTS_MAX);
+}
+
 static gboolean
 is_stored(const SoftwareRecords_t *this, const char *service,
-          const GBytes *versions)
+          const GBytes *versions, const GArray *starts)
 {
     const Stored_t *stored = g_hash_table_lookup(this->stored, service);
-    return stored && g_bytes_equal(stored->versions, versions);
+    return stored && g_bytes_equal(stored->versions, versions) &&
+           has_enough_starts(stored, starts);
 }
 
 /* The store may carry out an earlier write late, of this router or another
@@ -143,6 +191,7 @@
     Log_text("service", service);
     Log_number("versions", (gint64)record->n_software);
     Log_text("first", record->n_software > 0 ? record->software[0] : "");
+    Log_number("starts", (gint64)record->n_starts);
     Log_end();
 }
 
@@ -159,20 +208,22 @@
               const GPtrArray *serving)
 {
     Wt__SoftwareRecord record = WT__SOFTWARE_RECORD__INIT;
+    g_autoptr(GArray) starts = SoftwareVersions_listStarts(
+        this->spec.versions, service, Clock_nowMs());
     set_versions(&record, serving);
-    GBytes *versions = pack_versions(&record);
-    gboolean is_written = is_stored(this, service, versions);
+    set_starts(&record, starts);
+    g_autoptr(GBytes) versions = pack_versions(&record);
+    gboolean is_written = is_stored(this, service, versions, starts);
     if (is_written && !is_repeat_due(this, service)) {
-        g_bytes_unref(versions);
+        return;
     }
-    else if (is_writer(this, service)) {
+    if (is_writer(this, service)) {
         store(this, service, &record);
-        note_stored(this, service, versions,
+        note_stored(this, service, &record,
                     is_written ? 0 : next_repeat_ms(this));
     }
     else {
         g_hash_table_remove(this->stored, service);
-        g_bytes_unref(versions);
     }
 }
 
@@ -263,16 +314,30 @@
     check_services(this);
 }
 
+/* The first of all versions is not the base of those that joined the one that
+ * was left alone. */
+static const char *
+find_recorded_base(const Wt__SoftwareRecord *record)
+{
+    return record->n_software == 1 ? record->software[0] : record->first;
+}
+
 /* A record that is older than the copy that the store serves may not be the
- * last one that was written. */
+ * last one that was written. What this router has seen counts more. */
 static void
 note_base(const SoftwareRecords_t *this, const char *service,
           const Wt__SoftwareRecord *record)
 {
-    const char *only = record->n_software == 1 ? record->software[0] : "";
-    if (record->epoch == newest_epoch(this)) {
-        SoftwareVersions_noteBaseBefore(this->spec.versions, service,
-                                        *record->first ? record->first : only);
+    if (record->epoch != newest_epoch(this) ||
+        SoftwareVersions_findBase(this->spec.versions, service)) {
+        return;
+    }
+    SoftwareVersions_noteBaseBefore(this->spec.versions, service,
+                                    find_recorded_base(record));
+    if (record->states_starts) {
+        SoftwareVersions_noteBaseStarts(
+            this->spec.versions, service, record->starts,
+            MIN(record->n_starts, RECORD_STARTS_MAX));
     }
 }
 
@@ -288,7 +353,7 @@
                                     record->software[i], Clock_nowMs());
     }
     note_base(this, service, record);
-    note_stored(this, service, pack_versions(record), 0);
+    note_stored(this, service, record, 0);
 }
 
 static gboolean
--- a/src/SoftwareVersions.c
+++ b/src/SoftwareVersions.c
@@ -2,15 +2,23 @@
 
 #include <string.h>
 
+#include "BaseVersion.h"
 #include "Log.h"
 
 typedef struct {
     GRefString *service;
     GRefString *software;
-    guint upstreams; /* listed upstreams of this version */
+    guint upstreams;    /* listed upstreams of this version */
+    GHashTable *starts; /* &start of those that do not leave */
     gint64 ended_ms; /* when the last one was removed, while there is none */
 } Version_t;
 
+/* An upstream, or another target. */
+typedef struct {
+    Version_t *version;
+    guint64 start; /* 0 for none, see SoftwareVersions_noteStart() */
+} Listed_t;
+
 typedef struct {
     SoftwareVersionsMixed_t call;
     void *owner;
@@ -18,10 +26,10 @@
 
 struct SoftwareVersions {
     GHashTable *services;     /* name -> GPtrArray of Version_t */
-    GHashTable *upstreams;    /* name -> Version_t */
+    GHashTable *upstreams;    /* name -> Listed_t */
     GHashTable *mixed_before; /* names of services */
     GHashTable *known_before; /* names of services */
-    GHashTable *bases;        /* service -> name of a version */
+    GHashTable *bases;        /* service -> BaseVersion_t */
     GArray *callbacks;        /* Callback_t */
     gint64 window_ms;         /* see SoftwareVersions_setWindow() */
     gboolean is_learned;
@@ -35,6 +43,7 @@
     Version_t *version = data;
     g_ref_string_release(version->service);
     g_ref_string_release(version->software);
+    g_hash_table_destroy(version->starts);
     g_free(version);
 }
 
@@ -44,6 +53,12 @@
     g_ptr_array_unref(versions);
 }
 
+static void
+free_base(gpointer base)
+{
+    BaseVersion_destroy(base);
+}
+
 SoftwareVersions_t *
 SoftwareVersions_create(void)
 {
@@ -54,11 +69,11 @@
     this->known_before =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     this->bases =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_base);
     this->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_versions);
     this->upstreams =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return this;
 }
 
@@ -158,6 +173,8 @@
     remove_forgotten(versions, now_ms);
     version->service = g_ref_string_new_intern(service);
     version->software = g_ref_string_new_intern(software);
+    version->starts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     g_ptr_array_add(versions, version);
     return version;
 }
@@ -190,7 +207,8 @@
     if (*software == '\0' || g_hash_table_contains(this->bases, service)) {
         return;
     }
-    g_hash_table_insert(this->bases, g_strdup(service), g_strdup(software));
+    g_hash_table_insert(this->bases, g_strdup(service),
+                        BaseVersion_create(software, TRUE));
     if (get_versions(this, service)->len > 1) {
         call_mixed(this, service);
     }
@@ -202,10 +220,62 @@
     g_hash_table_remove_all(this->bases);
 }
 
+static BaseVersion_t *
+get_base(const SoftwareVersions_t *this, const char *service)
+{
+    return g_hash_table_lookup(this->bases, service);
+}
+
 const char *
 SoftwareVersions_findBase(const SoftwareVersions_t *this, const char *service)
 {
-    return g_hash_table_lookup(this->bases, service);
+    const BaseVersion_t *base = get_base(this, service);
+    return base ? BaseVersion_software(base) : NULL;
+}
+
+static const Version_t *
+find_base_version(const SoftwareVersions_t *this, const char *service)
+{
+    const char *base = SoftwareVersions_findBase(this, service);
+    const GPtrArray *versions = g_hash_table_lookup(this->services, service);
+    return base && versions ? find_version(versions, base) : NULL;
+}
+
+void
+SoftwareVersions_noteBaseStarts(SoftwareVersions_t *this, const char *service,
+                                const guint64 *starts, gsize count)
+{
+    BaseVersion_t *base = get_base(this, service);
+    const Version_t *version = find_base_version(this, service);
+    if (!base) {
+        return;
+    }
+    BaseVersion_setRecorded(base, starts, count);
+    if (!version) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer start = NULL;
+    g_hash_table_iter_init(&iter, version->starts);
+    while (g_hash_table_iter_next(&iter, &start, NULL)) {
+        BaseVersion_noteListed(base, *(const guint64 *)start);
+    }
+}
+
+gboolean
+SoftwareVersions_isBaseServed(const SoftwareVersions_t *this,
+                              const char *service)
+{
+    const BaseVersion_t *base = get_base(this, service);
+    return base && BaseVersion_isServed(base);
+}
+
+gboolean
+SoftwareVersions_isBaseListed(const SoftwareVersions_t *this,
+                              const char *service)
+{
+    const Version_t *version = find_base_version(this, service);
+    return version && g_hash_table_size(version->starts) > 0;
 }
 
 void
@@ -247,20 +317,91 @@
     }
 }
 
-/* To be called before the service gets another version. */
+/* Whether this router has seen all versions of the last @window_ms itself. */
+static gboolean
+has_seen_all(const SoftwareVersions_t *this, gint64 window_ms, gint64 now_ms)
+{
+    return this->since_ms > 0 && now_ms - this->since_ms >= window_ms;
+}
+
+/* Whether the only version of a service is known without the records, which
+ * do not state versions that joined while the store took none. */
+static gboolean
+is_seen_alone(const SoftwareVersions_t *this, gint64 now_ms)
+{
+    return this->is_first || has_seen_all(this, this->window_ms, now_ms);
+}
+
+static gboolean
+is_base_named(const SoftwareVersions_t *this, const char *service,
+              const char *software)
+{
+    const char *base = SoftwareVersions_findBase(this, service);
+    return base && strcmp(base, software) == 0;
+}
+
+/* To be called before the service gets another version. What is recorded of
+ * the base still counts if this router knows its version from there alone. */
 static void
 note_base(SoftwareVersions_t *this, const char *service, gint64 now_ms)
 {
     const char *only =
         SoftwareVersions_findOnly(this, service, this->window_ms, now_ms);
-    if (only) {
-        g_hash_table_replace(this->bases, g_strdup(service), g_strdup(only));
+    if (!only) {
+        return;
+    }
+    gboolean is_seen = is_seen_alone(this, now_ms);
+    if (is_seen || !is_base_named(this, service, only)) {
+        const Version_t *version =
+            find_version(g_hash_table_lookup(this->services, service), only);
+        gboolean is_listed = g_hash_table_size(version->starts) > 0;
+        g_hash_table_replace(this->bases, g_strdup(service),
+                             BaseVersion_create(only, is_seen && is_listed));
     }
 }
 
 static void
-release(const SoftwareVersions_t *this, Version_t *version, gint64 now_ms)
+log_base_ended(const Version_t *version)
 {
+    Log_begin(LOG_LEVEL_INFO, "software_base_ended");
+    Log_text("service", version->service);
+    Log_text("base", version->software);
+    Log_end();
+}
+
+static gboolean
+is_base(const SoftwareVersions_t *this, const Version_t *version)
+{
+    return is_base_named(this, version->service, version->software);
+}
+
+static void
+add_start(const SoftwareVersions_t *this, const Version_t *version,
+          guint64 start)
+{
+    g_hash_table_add(version->starts, g_memdup2(&start, sizeof(start)));
+    if (is_base(this, version)) {
+        BaseVersion_noteListed(get_base(this, version->service), start);
+    }
+}
+
+static void
+remove_start(const SoftwareVersions_t *this, const Version_t *version,
+             guint64 start)
+{
+    gboolean was_listed = g_hash_table_remove(version->starts, &start);
+    if (was_listed && g_hash_table_size(version->starts) == 0 &&
+        is_base(this, version)) {
+        BaseVersion_noteEnded(get_base(this, version->service));
+        log_base_ended(version);
+    }
+}
+
+static void
+release(const SoftwareVersions_t *this, const Listed_t *listed, gint64 now_ms)
+{
+    Version_t *version = listed->version;
+    remove_start(this, version, listed->start);
     version->upstreams--;
     if (version->upstreams > 0) {
         return;
@@ -286,15 +427,26 @@
     SoftwareVersions_putTarget(this, upstream, service, software, now_ms);
 }
 
+static void
+add_listed(const SoftwareVersions_t *this, const char *upstream,
+           Version_t *version)
+{
+    Listed_t *listed = g_new0(Listed_t, 1);
+    listed->version = version;
+    version->upstreams++;
+    g_hash_table_replace(this->upstreams, g_strdup(upstream), listed);
+}
+
 void
 SoftwareVersions_putTarget(SoftwareVersions_t *this, const char *upstream,
                            const char *service, const char *software,
                            gint64 now_ms)
 {
-    Version_t *old = g_hash_table_lookup(this->upstreams, upstream);
-    if (old && is_current(old, service, software)) {
+    const Listed_t *listed = g_hash_table_lookup(this->upstreams, upstream);
+    if (listed && is_current(listed->version, service, software)) {
         return;
     }
+    g_autofree Listed_t *old = g_memdup2(listed, sizeof(*listed));
     const GPtrArray *versions = get_versions(this, service);
     Version_t *version = find_version(versions, software);
     if (!version || version->upstreams == 0) {
@@ -305,8 +457,7 @@
         log_version("software_listed", version, versions->len);
     }
     gboolean gets_another = version->upstreams == 0 && versions->len > 1;
-    version->upstreams++;
-    g_hash_table_replace(this->upstreams, g_strdup(upstream), version);
+    add_listed(this, upstream, version);
     if (old) {
         release(this, old, now_ms);
     }
@@ -319,13 +470,29 @@
 SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
                         gint64 now_ms)
 {
-    Version_t *version = g_hash_table_lookup(this->upstreams, upstream);
-    if (version) {
+    const Listed_t *listed = g_hash_table_lookup(this->upstreams, upstream);
+    if (listed) {
+        release(this, listed, now_ms);
         g_hash_table_remove(this->upstreams, upstream);
-        release(this, version, now_ms);
     }
 }
 
+void
+SoftwareVersions_noteStart(SoftwareVersions_t *this, const char *upstream,
+                           guint64 start)
+{
+    Listed_t *listed = g_hash_table_lookup(this->upstreams, upstream);
+    if (!listed || listed->start == start) {
+        return;
+    }
+    guint64 former = listed->start;
+    listed->start = start;
+    if (start != 0) {
+        add_start(this, listed->version, start);
+    }
+    remove_start(this, listed->version, former);
+}
+
 gboolean
 SoftwareVersions_isKnown(const SoftwareVersions_t *this, const char *service,
                          gint64 window_ms, gint64 now_ms)
@@ -335,8 +502,7 @@
         (this->is_first ||
          g_hash_table_contains(this->known_before, service)) &&
         !g_hash_table_contains(this->mixed_before, service);
-    return is_recorded ||
-           (this->since_ms > 0 && now_ms - this->since_ms >= window_ms);
+    return is_recorded || has_seen_all(this, window_ms, now_ms);
 }
 
 static gboolean
@@ -408,3 +574,37 @@
     g_ptr_array_sort(out, compare_names);
     return out;
 }
+
+static const Version_t *
+find_sure_version(const SoftwareVersions_t *this, const char *service,
+                  gint64 now_ms)
+{
+    const char *only =
+        SoftwareVersions_findOnly(this, service, this->window_ms, now_ms);
+    if (only && is_seen_alone(this, now_ms)) {
+        return find_version(g_hash_table_lookup(this->services, service),
+                            only);
+    }
+    gboolean is_other = only && !is_base_named(this, service, only);
+    return !is_other && SoftwareVersions_isBaseServed(this, service)
+               ? find_base_version(this, service)
+               : NULL;
+}
+
+GArray *
+SoftwareVersions_listStarts(const SoftwareVersions_t *this,
+                            const char *service, gint64 now_ms)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(guint64));
+    const Version_t *version = find_sure_version(this, service, now_ms);
+    if (!version) {
+        return out;
+    }
+    GHashTableIter iter;
+    gpointer start = NULL;
+    g_hash_table_iter_init(&iter, version->starts);
+    while (g_hash_table_iter_next(&iter, &start, NULL)) {
+        g_array_append_vals(out, start, 1);
+    }
+    return out;
+}
--- a/src/SoftwareVersions.h
+++ b/src/SoftwareVersions.h
@@ -57,11 +57,19 @@
                                      gint64 now_ms);
 
 /** SoftwareVersions_noteBaseBefore() - a version was the only one of a service
- * until others joined or this router started; empty if that is not known */
+ * until others joined or this router started; empty if that is not known. It
+ * counts as served since then, unless starts of upstreams are noted */
 void SoftwareVersions_noteBaseBefore(SoftwareVersions_t *this,
                                      const char *service,
                                      const char *software);
 
+/** SoftwareVersions_noteBaseStarts() - starts of upstreams that served the
+ * base, see SoftwareVersions_listStarts(): unless the list shows one of them,
+ * it may have been without an upstream */
+void SoftwareVersions_noteBaseStarts(SoftwareVersions_t *this,
+                                     const char *service,
+                                     const guint64 *starts, gsize count);
+
 /** SoftwareVersions_clearBases() - what was recorded of versions may be lost:
  * no base is known until a service has had a single version again */
 void SoftwareVersions_clearBases(SoftwareVersions_t *this);
@@ -75,6 +83,17 @@
 const char *SoftwareVersions_findBase(const SoftwareVersions_t *this,
                                       const char *service);
 
+/** SoftwareVersions_isBaseServed() - whether the base has had a listed
+ * upstream since it was the only version, as far as this router knows of the
+ * list */
+gboolean SoftwareVersions_isBaseServed(const SoftwareVersions_t *this,
+                                       const char *service);
+
+/** SoftwareVersions_isBaseListed() - whether the list shows an upstream of the
+ * base that does not leave */
+gboolean SoftwareVersions_isBaseListed(const SoftwareVersions_t *this,
+                                       const char *service);
+
 /** SoftwareVersions_noteFirstStart() - no router ran before: a service of
  * which nothing was noted has served nobody */
 void SoftwareVersions_noteFirstStart(SoftwareVersions_t *this);
@@ -108,6 +127,11 @@
 void SoftwareVersions_remove(SoftwareVersions_t *this, const char *upstream,
                              gint64 now_ms);
 
+/** SoftwareVersions_noteStart() - which start of a listed upstream its entry
+ * states, the same number at all routers; 0 if it leaves */
+void SoftwareVersions_noteStart(SoftwareVersions_t *this, const char *upstream,
+                                guint64 start);
+
 /** SoftwareVersions_isKnown() - whether all versions are known that served a
  * service within the last @window_ms */
 gboolean SoftwareVersions_isKnown(const SoftwareVersions_t *this,
@@ -148,4 +172,14 @@
                                         const char *service, gint64 window_ms,
                                         gint64 now_ms);
 
+/**
+ * SoftwareVersions_listStarts() - the listed upstreams that show, while one of
+ * them stays listed, that the base of a service, or its only version, is
+ * served without a pause
+ *
+ * Return: guint64; empty if this router does not know
+ */
+GArray *SoftwareVersions_listStarts(const SoftwareVersions_t *this,
+                                    const char *service, gint64 now_ms);
+
 #endif
--- a/src/UpstreamListing.c
+++ b/src/UpstreamListing.c
@@ -285,6 +285,15 @@
     Log_end();
 }
 
+/* An upstream that leaves begins no streams. */
+static guint64
+start_of(const Upstream_t *upstream, const ListedUpstream_t *entry)
+{
+    return entry->leaving ? 0
+                          : Upstream_hashIncarnation(
+                                upstream, ListedUpstream_incarnation(entry));
+}
+
 static void
 apply_software(const UpstreamListing_t *this, Upstream_t *upstream,
                const ListedUpstream_t *entry)
@@ -296,6 +305,8 @@
         const GString *service = g_ptr_array_index(entry->spec.serves, 0);
         SoftwareVersions_put(this->spec.versions, upstream->name->str,
                              service->str, software, Clock_nowMs());
+        SoftwareVersions_noteStart(this->spec.versions, upstream->name->str,
+                                   start_of(upstream, entry));
     }
 }
 
--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -387,7 +387,8 @@
                      const GArray *processes)
 {
     const char *base = SoftwareVersions_findBase(this->versions, service);
-    if (!base || this->has_unreadable) {
+    if (!SoftwareVersions_isBaseServed(this->versions, service) ||
+        this->has_unreadable) {
         return NULL;
     }
     for (guint i = 0; i < this->uses->len; i++) {
--- a/src/VersionGate.h
+++ b/src/VersionGate.h
@@ -3,12 +3,14 @@
 /**
  * DOC: VersionGate
  *
- * Makes sure that a stream of which nobody knows began at the base version of
- * its service: the only one that served it before others joined
+ * Makes sure that a stream that nobody knows began at the base version of its
+ * service: the only one that served it before others joined
  * (SoftwareVersions_findBase()). A process of a router uses other versions for
  * streams only once its record on the platform's store states that it does
- * (OriginRecords.h). So a stream that no running process knows began at the
- * base, if each process that a record names still runs and would know it.
+ * (OriginRecords.h), or while the list shows no upstream of the base. So a
+ * stream that no running process knows began at the base, if each process that
+ * a record names still runs and would know it, and the base has had a listed
+ * upstream all the time (BaseVersion.h).
  */
 #include "SoftwareVersions.h"
 
@@ -18,7 +20,7 @@
  * @software: one of the versions
  * @base: base at that process; empty if it does not know it
  * @process: its number; 0 in records of builds that state none
- * @until_ms: of a former process: when its streams may no longer be continued,
+ * @until_ms: of a former process: until when its streams may be continued,
  *     monotonic
  */
 typedef struct {
@@ -57,7 +59,9 @@
                                  gboolean has_unknown, gint64 now_ms);
 
 /** VersionGate_noteUnstated() - streams begin at another version all the same,
- * as no upstream of the one that VersionGate_findHeld() returned is left */
+ * as the list shows no upstream of the one that VersionGate_findHeld()
+ * returned
+ */
 void VersionGate_noteUnstated(VersionGate_t *this, const char *service,
                               gint64 now_ms);
 
@@ -94,9 +98,9 @@
  * never */
 gint64 VersionGate_readMs(const VersionGate_t *this);
 
-/** VersionGate_isFresh() - whether this process has used several versions for
- * no longer than streams may be continued, so that a stream which it does not
- * know is none whose time is over */
+/** VersionGate_isFresh() - whether this process still knows each stream that
+ * it began while it used several versions: it has used them for the time for
+ * which streams may be continued, at most */
 gboolean VersionGate_isFresh(const VersionGate_t *this, const char *service,
                              gint64 now_ms);
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -5537,7 +5537,7 @@
   (ProtobufCMessageInit) wt__origin_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wt__software_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wt__software_record__field_descriptors[7] =
 {
   {
     "router",
@@ -5599,18 +5599,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wt__SoftwareRecord, n_starts),
+    offsetof(Wt__SoftwareRecord, starts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "states_starts",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wt__SoftwareRecord, states_starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wt__software_record__field_indices_by_name[] = {
   4,   /* field[4] = epoch */
   3,   /* field[3] = first */
   0,   /* field[0] = router */
   2,   /* field[2] = software */
+  5,   /* field[5] = starts */
+  6,   /* field[6] = states_starts */
   1,   /* field[1] = wall_ms */
 };
 static const ProtobufCIntRange wt__software_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wt__software_record__descriptor =
 {
@@ -5620,7 +5646,7 @@
   "Wt__SoftwareRecord",
   "wt",
   sizeof(Wt__SoftwareRecord),
-  5,
+  7,
   wt__software_record__field_descriptors,
   wt__software_record__field_indices_by_name,
   1,  wt__software_record__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -1131,10 +1131,20 @@
    * Epoch of the store when it was written.
    */
   uint64_t epoch;
+  /*
+   * Starts of upstreams: while one of them stays listed, the first, or only,
+   * version has been served without a pause.
+   */
+  size_t n_starts;
+  uint64_t *starts;
+  /*
+   * Whether starts are stated. False in records of builds before this field.
+   */
+  protobuf_c_boolean states_starts;
 };
 #define WT__SOFTWARE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wt__software_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/sessions/test_base_version.py
+++ b/tests/sessions/test_base_version.py
@@ -5,7 +5,7 @@
 
 from cluster import wait_for
 from test_software import (EVENTS, EVENTS_READ, RECORD_S, SINGLE, STREAMS,
-                           VERSIONS, SoftwareTest, versions_of)
+                           VERSIONS, SoftwareTest, pack_record, versions_of)
 
 # Of the streams that began at the only version: how many go on.
 SHARE_MIN = 1.0
@@ -20,8 +20,14 @@
         super().setUp()
         for router in self.routers:
             router.wait_event("software_records_read")
-        wait_for(lambda: self.fleet.store.records("keyed.software"),
-                 "the record of the versions")
+        wait_for(self.has_own_record, "the record of the versions")
+
+    # Records of builds before do not name starts of upstreams.
+    def has_own_record(self):
+        earlier = [pack_record(*record) for record in self.RECORDED.items()]
+        key = b"%cengines" % len("engines")
+        return any(record.startswith(key) and record not in earlier
+                   for record in self.fleet.store.records("keyed.software"))
 
     def replace_half(self):
         for engine in self.engines[:self.ENGINES_EACH // 2]:
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -31,10 +31,12 @@
 SINGLE = {"engines": "v1", ROUTE: "engines"}
 
 
-def pack_record(name, version):
-    """Returns a record of one version (software, in proto/peer.proto)."""
-    return b"%c%s\x1a%c%s" % (len(name), name.encode(), len(version),
-                              version.encode())
+def pack_record(name, versions):
+    """Returns a record of one version (software, in proto/peer.proto), which
+    may be followed by the first one (first)."""
+    packed = [b"%c%c%s" % (tag, len(version), version.encode())
+              for tag, version in zip(b"\x1a\x22", versions.split())]
+    return b"%c%s" % (len(name), name.encode()) + b"".join(packed)
 
 
 Begun = collections.namedtuple("Begun", "request_id prompt engine")
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -22,9 +22,10 @@
     guint number; /* its identity is this plus 1 */
     SoftwareVersions_t *versions;
     OriginKeeper_t *keeper;
-    gint64 tick_ms;   /* 0 for none */
-    gboolean is_down; /* receives and sends nothing */
-    gboolean is_old;  /* a build without the messages */
+    VersionGate_t *gate; /* NULL for none */
+    gint64 tick_ms;      /* 0 for none */
+    gboolean is_down;    /* receives and sends nothing */
+    gboolean is_old;     /* a build without the messages */
     gboolean has_old_list;
     gboolean is_cut_from_store;
     gboolean is_store_lost;
@@ -48,6 +49,7 @@
 static Counters_t *counters;
 static GRand *draws;
 static double loss;
+static gboolean has_gates;
 static gboolean is_second_stored; /* v2 is on the store's list */
 static guint sent;
 static gint64 now_ms;
@@ -144,6 +146,24 @@
     ((Router_t *)owner)->record_calls++;
 }
 
+/* The asker's own process is the only one that has used both versions. */
+static guint
+find_all(void *owner, guint64 *out, guint max)
+{
+    (void)owner;
+    (void)out;
+    (void)max;
+    return 0;
+}
+
+static void
+read_records(void *owner)
+{
+    const Router_t *this = owner;
+    VersionGate_beginRead(this->gate, now_ms);
+    VersionGate_endRead(this->gate);
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
@@ -154,6 +174,8 @@
     .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
+    .find_all = find_all,
+    .read_records = read_records,
 };
 
 static void
@@ -178,10 +200,13 @@
     if (is_learned) {
         learn_single_version(this);
     }
+    this->gate =
+        has_gates ? VersionGate_create(this->versions, WINDOW_MS) : NULL;
     OriginKeeperSpec_t spec = {
         .links = &links,
         .owner = this,
         .versions = this->versions,
+        .gate = this->gate,
         .counters = counters,
         .window_ms = WINDOW_MS,
     };
@@ -194,6 +219,7 @@
 stop_router(guint number)
 {
     OriginKeeper_destroy(routers[number].keeper);
+    g_clear_pointer(&routers[number].gate, VersionGate_destroy);
     SoftwareVersions_destroy(routers[number].versions);
 }
 
@@ -776,6 +802,34 @@
 }
 END_TEST
 
+/* A router that had just read that the base had no upstream left could be lost
+ * before the others read that. */
+START_TEST(a_base_is_taken_only_from_a_list_later_than_the_request)
+{
+    has_gates = TRUE;
+    begin_fleet(1);
+    Router_t *asker = &routers[0];
+    RequestDigest_t key = digest(1);
+    OriginAnswer_t answer;
+    Outcome_t outcome = {FALSE};
+    SoftwareVersions_setWindow(asker->versions, WINDOW_MS);
+    SoftwareVersions_noteBaseBefore(asker->versions, "s", "v1");
+    list_second_version();
+    asker->leaves_reads = TRUE;
+    ck_assert_ptr_nonnull(OriginKeeper_ask(asker->keeper, &key, "s", FALSE,
+                                           &answer, on_asked, &outcome));
+    pass_time(500);
+    ck_assert(!outcome.is_answered);
+    receive_list(asker, now_ms);
+    pass_time(20);
+    ck_assert_str_eq(OriginSource_name(outcome.source), "base");
+    ck_assert_str_eq(outcome.software, "v1");
+    g_free(outcome.software);
+    end_fleet();
+    has_gates = FALSE;
+}
+END_TEST
+
 START_TEST(callers_that_come_at_once_share_a_read)
 {
     begin_fleet(1);
@@ -1029,6 +1083,7 @@
              without_the_store_routers_that_just_started_abstain,
              routers_that_are_cut_off_together_do_not_decide,
              a_router_that_leaves_reads_to_others_waits_for_the_list,
+             a_base_is_taken_only_from_a_list_later_than_the_request,
              callers_that_come_at_once_share_a_read,
              a_stream_of_an_unknown_version_is_told,
              lists_of_different_age_never_give_a_wrong_version,
--- a/tests/test_SoftwareRecords.c
+++ b/tests/test_SoftwareRecords.c
@@ -310,6 +310,94 @@
 }
 END_TEST
 
+/* Field 4, a string of two bytes; fields 6 and 7, one start. */
+#define RECORD_FIRST_V1 "\x22\x02v1"
+#define RECORD_START                                                          \
+    "\x32\x08"                                                                \
+    "AAAAAAAA"                                                                \
+    "\x38\x01"
+#define START G_GUINT64_CONSTANT(0x4141414141414141)
+
+static void
+put_start(const char *upstream, const char *software, guint64 start)
+{
+    put(upstream, software);
+    SoftwareVersions_noteStart(versions, upstream, start);
+}
+
+static void
+await_starts(guint count)
+{
+    FakeSource_answerPut(&source, 0);
+    gsize size = 0;
+    const guint8 *bytes = g_bytes_get_data(source.put_value, &size);
+    Wt__SoftwareRecord *record =
+        wt__software_record__unpack(NULL, size, bytes);
+    ck_assert(record->states_starts);
+    ck_assert_uint_eq(record->n_starts, count);
+    wt__software_record__free_unpacked(record, NULL);
+}
+
+/* Upstreams that are replaced one by one would all be missing in the record.
+ */
+START_TEST(the_record_names_upstreams_that_serve)
+{
+    begin();
+    put_start("a", "v1", 5);
+    answer_read("s", RECORD_V1);
+    await_starts(1);
+    put_start("b", "v1", 6);
+    put_start("c", "v1", 7);
+    await_starts(3);
+    end();
+}
+END_TEST
+
+/* Until the window is over this router does not know whether another version
+ * was used meanwhile. */
+START_TEST(the_record_names_no_upstream_that_shows_nothing)
+{
+    begin();
+    put_start("a", "v1", 5);
+    SoftwareRecords_scheduleRead(records, TRUE);
+    answer_read("s", RECORD_V1 RECORD_START);
+    gint64 read_ms = Clock_nowMs();
+    await_starts(1);
+    ck_assert_int_ge(Clock_nowMs() - read_ms, WINDOW_MS - 50);
+    end();
+}
+END_TEST
+
+/* A version that came back counted as the base without a pause. */
+START_TEST(a_base_is_served_if_an_upstream_of_the_record_is_listed)
+{
+    begin();
+    put_start("a", "v1", 5);
+    put_start("b", "v2", 6);
+    SoftwareRecords_scheduleRead(records, TRUE);
+    answer_read("s", RECORD_V1 RECORD_START);
+    ck_assert_str_eq(SoftwareVersions_findBase(versions, "s"), "v1");
+    ck_assert(!SoftwareVersions_isBaseServed(versions, "s"));
+    put_start("c", "v1", START);
+    ck_assert(SoftwareVersions_isBaseServed(versions, "s"));
+    end();
+}
+END_TEST
+
+/* The first version, which another one had replaced, passed for the base once
+ * it came back. */
+START_TEST(the_only_version_of_a_record_is_the_base)
+{
+    begin();
+    put("a", "v2");
+    put("b", "v1");
+    SoftwareRecords_scheduleRead(records, TRUE);
+    answer_read("s", RECORD_V2 RECORD_FIRST_V1);
+    ck_assert_str_eq(SoftwareVersions_findBase(versions, "s"), "v2");
+    end();
+}
+END_TEST
+
 TESTING_MAIN("SoftwareRecords",
              a_service_with_the_record_of_its_version_had_no_other,
              a_service_without_a_record_may_have_had_several,
@@ -323,4 +411,8 @@
              each_change_of_the_versions_is_written,
              a_changed_record_is_written_once_more,
              the_record_is_written_when_the_store_came_back_older,
-             nothing_is_written_before_the_record_is_read)
+             nothing_is_written_before_the_record_is_read,
+             the_record_names_upstreams_that_serve,
+             the_record_names_no_upstream_that_shows_nothing,
+             a_base_is_served_if_an_upstream_of_the_record_is_listed,
+             the_only_version_of_a_record_is_the_base)
--- a/tests/test_SoftwareVersions.c
+++ b/tests/test_SoftwareVersions.c
@@ -214,6 +214,32 @@
 }
 END_TEST
 
+/* A version that joined while the only one had no upstream was used. */
+START_TEST(a_base_without_an_upstream_at_the_join_is_not_served)
+{
+    SoftwareVersions_t *this = create(FALSE);
+    SoftwareVersions_setWindow(this, WINDOW_MS);
+    SoftwareVersions_noteFirstStart(this);
+    SoftwareVersions_learn(this);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    SoftwareVersions_noteStart(this, "a", 5);
+    SoftwareVersions_put(this, "b", "s", "v2", 2);
+    ck_assert(SoftwareVersions_isBaseServed(this, "s"));
+    SoftwareVersions_destroy(this);
+    this = create(FALSE);
+    SoftwareVersions_setWindow(this, WINDOW_MS);
+    SoftwareVersions_noteFirstStart(this);
+    SoftwareVersions_learn(this);
+    SoftwareVersions_put(this, "a", "s", "v1", 1);
+    SoftwareVersions_noteStart(this, "a", 5);
+    SoftwareVersions_remove(this, "a", 2);
+    SoftwareVersions_put(this, "b", "s", "v2", 3);
+    ck_assert_str_eq(SoftwareVersions_findBase(this, "s"), "v1");
+    ck_assert(!SoftwareVersions_isBaseServed(this, "s"));
+    SoftwareVersions_destroy(this);
+}
+END_TEST
+
 TESTING_MAIN("SoftwareVersions",
              a_service_that_had_one_version_before_is_known_at_once,
              a_version_that_served_before_counts_for_the_window,
@@ -226,4 +252,5 @@
              an_upstream_that_starts_again_with_other_software_changes_version,
              a_version_that_comes_back_makes_the_service_mixed_again,
              versions_of_other_services_do_not_count,
-             versions_that_ended_long_ago_are_forgotten)
+             versions_that_ended_long_ago_are_forgotten,
+             a_base_without_an_upstream_at_the_join_is_not_served)
--- a/tests/test_VersionGate.c
+++ b/tests/test_VersionGate.c
@@ -178,6 +178,59 @@
 }
 END_TEST
 
+/* Streams that began at another version while the base had no upstream were
+ * taken for ones of the base once it had one again. */
+START_TEST(a_base_that_had_no_upstream_meanwhile_leaves_it_unknown)
+{
+    create();
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    ck_assert_str_eq(find_base(0), "v1");
+    ck_assert(SoftwareVersions_isBaseListed(versions, "s"));
+    SoftwareVersions_remove(versions, "a", 3);
+    ck_assert(!SoftwareVersions_isBaseListed(versions, "s"));
+    ck_assert_ptr_null(find_base(0));
+    SoftwareVersions_put(versions, "a", "s", "v1", 4);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    ck_assert(SoftwareVersions_isBaseListed(versions, "s"));
+    ck_assert_ptr_null(find_base(0));
+    destroy();
+}
+END_TEST
+
+/* The same after a restart, where the record names the upstreams that served
+ * while there was one version. */
+START_TEST(a_base_without_a_recorded_upstream_leaves_it_unknown)
+{
+    guint64 recorded[] = {5, 6};
+    create();
+    SoftwareVersions_noteBaseStarts(versions, "s", recorded, 2);
+    SoftwareVersions_noteStart(versions, "a", 7);
+    join(2);
+    ck_assert_ptr_null(find_base(0));
+    SoftwareVersions_put(versions, "c", "s", "v1", 3);
+    SoftwareVersions_noteStart(versions, "c", 6);
+    ck_assert_str_eq(find_base(0), "v1");
+    destroy();
+}
+END_TEST
+
+START_TEST(a_base_whose_upstreams_are_replaced_one_by_one_is_known)
+{
+    create();
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    SoftwareVersions_noteStart(versions, "a", 6);
+    SoftwareVersions_put(versions, "c", "s", "v1", 3);
+    SoftwareVersions_noteStart(versions, "c", 7);
+    SoftwareVersions_noteStart(versions, "a", 0);
+    ck_assert_str_eq(find_base(0), "v1");
+    SoftwareVersions_noteStart(versions, "c", 0);
+    ck_assert_ptr_null(find_base(0));
+    destroy();
+}
+END_TEST
+
 START_TEST(another_base_or_an_unreadable_record_leaves_it_unknown)
 {
     create();
@@ -254,6 +307,9 @@
              a_statement_ends_when_its_removal_is_written,
              a_version_that_joins_another_base_is_held_again,
              the_base_follows_if_all_that_used_others_reply,
+             a_base_that_had_no_upstream_meanwhile_leaves_it_unknown,
+             a_base_without_a_recorded_upstream_leaves_it_unknown,
+             a_base_whose_upstreams_are_replaced_one_by_one_is_known,
              another_base_or_an_unreadable_record_leaves_it_unknown,
              what_builds_without_statements_began_counts,
              a_gap_or_an_older_store_leaves_no_base,
