Requests that were never sent go to another router before the path is known to be lost

Another router could have served them within their deadlines.

Cause: only requests that came after the verdict were forwarded; those that the router had taken were refused once no upstream was left, and those that came in between found all upstreams doubted.

Now such a request is forwarded in place of the refusal no_upstream if nothing of it was sent and the path is lost, in doubt, or no upstream has answered since its last attempt began (RelayLateForward); and in place of another attempt if the path is lost meanwhile. A connection that fails puts the path in doubt at once, not at the next look of the prober. Its charge is returned before, a request that another router forwarded stays, and what may have run stays. Without another router the refusal is as before.

--- a/src/Context.h
+++ b/src/Context.h
@@ -121,7 +121,7 @@
     AnswerTimes_t *answer_times;
     EstimateError_t *estimate_error;
     GroupPartitions_t *partitions;
-    const UpstreamPath_t *path;
+    UpstreamPath_t *path;
     ForwardPeers_t *forward_peers;
     struct LoadShare *load_share;
     StreamMover_t *mover;
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -203,9 +203,21 @@
     arm_deadline(this);
 }
 
+void
+Exchange_forward(Exchange_t *this)
+{
+    end_exchange(this, "forwarded", RUN_NOT);
+    this->class->forward(this);
+}
+
 void
 Exchange_refuseWith(Exchange_t *this, const RefusalNotice_t *notice)
 {
+    if (notice->run == RUN_NOT && this->class->may_forward &&
+        this->class->may_forward(this, notice->refusal)) {
+        Exchange_forward(this);
+        return;
+    }
     Context_countRefusal(this->context, notice->refusal, notice->run,
                          this->id->str, this->target->str,
                          this->customer_class->str, notice->detail);
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -69,9 +69,13 @@
 void Exchange_place(Exchange_t *this);
 
 /** Exchange_refuseWith() - answer with a refusal that may carry a retry delay,
- * and end the exchange */
+ * and end the exchange; forwards the request in its place if @may_forward */
 void Exchange_refuseWith(Exchange_t *this, const RefusalNotice_t *notice);
 
+/** Exchange_forward() - end the exchange of a request that has not run, and
+ * give the request to another router */
+void Exchange_forward(Exchange_t *this);
+
 /** Exchange_noteAttempt() - record that an attempt at an upstream starts */
 void Exchange_noteAttempt(Exchange_t *this, Upstream_t *upstream,
                           const char *reason);
--- a/src/ExchangeState.h
+++ b/src/ExchangeState.h
@@ -22,6 +22,10 @@
  * @drop: close the current attempt; returns whether its request may have been
  *     sent
  * @refuse: send a refusal, unless the caller has left
+ * @may_forward: whether another router is to serve a request that has not run
+ *     and would be refused here; may be NULL
+ * @forward: give the request to another router, as the exchange has ended
+ *     without an answer; NULL if @may_forward is
  * @add_recovery_input: set the members of the recovery input that the derived
  *     type knows; may be NULL
  * @resume: request the remainder of the stream from the same upstream; may be
@@ -35,6 +39,8 @@
     void (*place)(Exchange_t *this);
     gboolean (*drop)(Exchange_t *this);
     void (*refuse)(Exchange_t *this, const RefusalNotice_t *notice);
+    gboolean (*may_forward)(const Exchange_t *this, Refusal_t refusal);
+    void (*forward)(Exchange_t *this);
     void (*add_recovery_input)(const Exchange_t *this, RecoveryInput_t *input);
     void (*resume)(Exchange_t *this);
     void (*abandon)(Exchange_t *this);
--- a/src/LogReport.c
+++ b/src/LogReport.c
@@ -177,8 +177,9 @@
 note_done(Report_t *this, const char *text)
 {
     gint64 stamp_us = 0;
-    if (!LogLine_readStamp(text, &stamp_us)) {
-        return;
+    if (!LogLine_readStamp(text, &stamp_us) ||
+        LogLine_hasPair(text, " outcome=forwarded")) {
+        return; /* as the other router has a line of it */
     }
     gint64 started_us = stamp_us - LogLine_number(text, " us=", 0);
     g_autofree char *route = LogLine_value(text, " route=");
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -111,6 +111,20 @@
     return this;
 }
 
+void
+RelayAnswer_setOwner(RelayAnswer_t *this, const RelayAnswerEvents_t *events,
+                     void *owner)
+{
+    this->events = events;
+    this->owner = owner;
+}
+
+gboolean
+RelayAnswer_isForRouter(const RelayAnswer_t *this)
+{
+    return this->is_for_router;
+}
+
 static void
 count_output(RelayAnswer_t *this, gsize bytes)
 {
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -60,6 +60,14 @@
                                   const RelayAnswerEvents_t *events,
                                   void *owner);
 
+/** RelayAnswer_setOwner() - let another owner have the callbacks */
+void RelayAnswer_setOwner(RelayAnswer_t *this,
+                          const RelayAnswerEvents_t *events, void *owner);
+
+/** RelayAnswer_isForRouter() - whether another router has forwarded the
+ * request */
+gboolean RelayAnswer_isForRouter(const RelayAnswer_t *this);
+
 /** RelayAnswer_destroy() - free the answer; closes the caller's connection if
  * the answer has not ended */
 void RelayAnswer_destroy(RelayAnswer_t *this);
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -8,6 +8,7 @@
 #include "Log.h"
 #include "RelayDispatch.h"
 #include "RelayExchangeState.h"
+#include "RelayLateForward.h"
 #include "RelayMove.h"
 #include "RelayOrigin.h"
 #include "RelayRun.h"
@@ -65,7 +66,9 @@
     if (this->query) {
         Dispatch_cancelQuery(this->query);
     }
-    RelayAnswer_destroy(this->answer);
+    if (this->answer) {
+        RelayAnswer_destroy(this->answer);
+    }
     this->form->caller->clear_request(&this->request);
     g_bytes_unref(this->request_body);
     if (this->event_pipe) {
@@ -82,7 +85,10 @@
 place(Exchange_t *super)
 {
     RelayExchange_t *this = (RelayExchange_t *)super;
-    if (RelayOrigin_resolve(this)) {
+    if (RelayLateForward_isDue(this)) {
+        Exchange_forward(super);
+    }
+    else if (RelayOrigin_resolve(this)) {
         RelayDispatch_place(this);
     }
 }
@@ -115,6 +121,19 @@
                        notice->detail);
 }
 
+static gboolean
+may_forward(const Exchange_t *super, Refusal_t refusal)
+{
+    return RelayLateForward_mayReplace((const RelayExchange_t *)super,
+                                       refusal);
+}
+
+static void
+forward(Exchange_t *super)
+{
+    RelayLateForward_start((RelayExchange_t *)super);
+}
+
 static guint64
 forwarded_events(const RelayExchange_t *this)
 {
@@ -175,6 +194,8 @@
     .place = place,
     .drop = drop,
     .refuse = refuse,
+    .may_forward = may_forward,
+    .forward = forward,
     .add_recovery_input = add_recovery_input,
     .log_end = log_end,
 };
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -78,7 +78,7 @@
  * @customer: customer in @config, or NULL
  * @request: the parsed head
  * @request_body: the caller's body
- * @answer: answer to the caller
+ * @answer: answer to the caller; NULL after the request was forwarded
  * @run_events: callbacks about the attempts
  * @attempt: attempt under way, or NULL
  * @feedback: observations about the attempt's upstream
@@ -97,6 +97,7 @@
  * @last_event_us: when the last event was forwarded, monotonic; 0 for none yet
  * @max_pause_us: longest time between two events
  * @not_run_attempts: number of attempts that did not run
+ * @is_unsent: nothing was sent to the upstream of the last attempt
  * @is_stream: the answer under way is a stream
  * @is_whole: the caller was sent the whole answer
  * @has_upstream_error: @answer_body is an upstream's error answer that may be
@@ -131,6 +132,7 @@
     gint64 last_event_us;
     gint64 max_pause_us;
     guint not_run_attempts;
+    gboolean is_unsent;
     gboolean is_stream;
     gboolean is_whole;
     gboolean has_upstream_error;
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -234,10 +234,12 @@
     Log_end();
 }
 
+/* The path is in doubt from now on, not only from the first probe on. */
 static void
 note_unreachable(const RelayFeedback_t *this, const char *reason)
 {
     if (Upstream_noteUnreachable(this->upstream)) {
+        UpstreamPath_noteFailure(this->context->path, Clock_nowMs());
         log_suspicion(this, reason);
     }
 }
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -21,7 +21,6 @@
 
 typedef struct {
     Context_t *context;
-    RelayRequest_t request;
     GString *id;
     GBytes *body;
     RelayAnswer_t *answer;
@@ -43,7 +42,6 @@
 RelayForward_destroy(RelayForward_t *this)
 {
     RelayAnswer_destroy(this->answer);
-    this->context->form->caller->clear_request(&this->request);
     g_string_free(this->id, TRUE);
     g_bytes_unref(this->body);
     AnswerBuffer_destroy(this->answer_body);
@@ -340,36 +338,70 @@
     .drained = on_drained,
 };
 
-void
-RelayForward_start(Context_t *context, const RelayForwardSpec_t *spec)
+static RelayForward_t *
+create(Context_t *context, const char *id, gint64 deadline_ms,
+       gboolean is_repeatable)
 {
+    const LimitsSection_t *limits = &context->settings->limits;
     RelayForward_t *this = g_new0(RelayForward_t, 1);
-    gint64 wait_ms =
-        Context_waitMs(context, spec->request->wait_ms, spec->limit_ms);
     this->context = context;
-    this->request = *spec->request;
-    this->idle_max_ms = spec->is_repeatable
-                            ? context->settings->limits.idle_time_ms
-                            : context->settings->limits.once_idle_time_ms;
-    this->id = g_string_new(spec->request->id);
-    this->body = RequestIntake_takeBody(spec->http);
+    this->idle_max_ms =
+        is_repeatable ? limits->idle_time_ms : limits->once_idle_time_ms;
+    this->id = g_string_new(id);
     this->answer_body = AnswerBuffer_create(&context->answer_bytes);
     this->started_us = Clock_nowUs();
-    this->deadline_ms = Clock_nowMs() + wait_ms;
+    this->deadline_ms = deadline_ms;
     this->deadline = Clock_timer(context->base, on_deadline, this);
     this->reaper = Clock_timer(context->base, on_reap, this);
-    RelayAnswerSpec_t answer = {
-        .request = spec->http,
+    return this;
+}
+
+static RelayAnswer_t *
+create_answer(RelayForward_t *this, struct evhttp_request *http)
+{
+    Context_t *context = this->context;
+    const LimitsSection_t *limits = &context->settings->limits;
+    RelayAnswerSpec_t spec = {
+        .request = http,
         .id = this->id->str,
         .id_header = context->form->caller->id_header,
-        .buffer_max = (gsize)context->settings->limits.stream_buffer,
+        .buffer_max = (gsize)limits->stream_buffer,
         .buffered_total = &context->output_bytes,
-        .buffered_total_max = (gsize)context->settings->limits.answers_max,
+        .buffered_total_max = (gsize)limits->answers_max,
     };
-    this->answer =
-        RelayAnswer_create(context->base, &answer, &answer_events, this);
-    context->open_requests++;
-    OpenRequests_add(context->open, this, on_router_ends);
-    Clock_arm(this->deadline, wait_ms + ANSWER_MARGIN_MS);
+    return RelayAnswer_create(context->base, &spec, &answer_events, this);
+}
+
+static void
+begin(RelayForward_t *this)
+{
+    this->context->open_requests++;
+    OpenRequests_add(this->context->open, this, on_router_ends);
+    Clock_arm(this->deadline,
+              this->deadline_ms - Clock_nowMs() + ANSWER_MARGIN_MS);
     try_next(this);
 }
+
+void
+RelayForward_start(Context_t *context, const RelayForwardSpec_t *spec)
+{
+    RelayRequest_t request = *spec->request;
+    gint64 wait_ms = Context_waitMs(context, request.wait_ms, spec->limit_ms);
+    RelayForward_t *this = create(context, request.id, Clock_nowMs() + wait_ms,
+                                  spec->is_repeatable);
+    this->body = RequestIntake_takeBody(spec->http);
+    this->answer = create_answer(this, spec->http);
+    context->form->caller->clear_request(&request);
+    begin(this);
+}
+
+void
+RelayForward_takeOver(Context_t *context, const RelayTakeOverSpec_t *spec)
+{
+    RelayForward_t *this =
+        create(context, spec->id, spec->deadline_ms, spec->is_repeatable);
+    this->body = g_bytes_ref(spec->body);
+    this->answer = spec->answer;
+    RelayAnswer_setOwner(this->answer, &answer_events, this);
+    begin(this);
+}
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -154,6 +154,7 @@
     if (end == ATTEMPT_NOT_RUN && head) {
         RelayFeedback_noteRefusal(&this->feedback, head);
     }
+    this->is_unsent = end == ATTEMPT_NOT_SENT;
     if (end == ATTEMPT_NOT_RUN || Recovery_isUnsent(end)) {
         this->not_run_attempts++;
     }
--- a/tests/sessions/test_forwarding.py
+++ b/tests/sessions/test_forwarding.py
@@ -357,6 +357,62 @@
         self.assertEqual(getattr(answer, "status", answer), 200)
 
 
+class TakenBeforeLossTest(ForwardedTest):
+    # Requests that come until the path is known to be lost are served, and
+    # those that may run once run once.
+    def assert_served(self, cut):
+        cut(self.links["r0"])
+        calls, threads = {}, []
+
+        def one(request_id, path):
+            calls[request_id] = path, self.call(
+                "r0", path, wait_ms=5000, X_Request_Id=request_id)
+        for number in range(30):
+            path = ("/write/x", "/read/x", "/ask/once/x")[number % 3]
+            threads.append(threading.Thread(
+                target=one, args=("loss%d" % number, path)))
+            threads[-1].start()
+            time.sleep(PAUSE_S)
+        for thread in threads:
+            thread.join()
+        statuses = [getattr(answer, "status", answer)
+                    for _, answer in calls.values()]
+        self.assertEqual(set(statuses), {200}, statuses)
+        for request_id in calls:
+            self.assertEqual(self.runs(request_id), 1)
+
+    def test_silent_links(self):
+        self.assert_served(Links.cut_silently)
+
+    def test_refused_links(self):
+        self.assert_served(Links.refuse_new)
+
+    # Calls whose only upstream has ended are soon refused here, as the others
+    # answer.
+    def test_a_dead_upstream_is_no_lost_path(self):
+        self.plain.close()
+        statuses = []
+        for _ in range(20):
+            self.call("r0", "/ask/x")
+            statuses.append(self.call("r0", "/write/x").status)
+            time.sleep(PAUSE_S)
+        self.assertEqual(set(statuses[5:]), {503}, statuses)
+        forwards = self.routers["r0"].events("request_forwarded")
+        self.assertLessEqual(len(forwards), 5)
+
+    # A request that was charged here and served by another router counts once.
+    def test_a_limit_counts_a_request_once(self):
+        self.fleet.config(customers=[
+            {"name": "a", "api_keys": ["key-a"], "rate_per_s": 0.001,
+             "burst": 10}])
+        time.sleep(2)
+        self.links["r0"].cut_silently()
+        statuses = [self.call("r0", "/read/x", wait_ms=2500).status
+                    for _ in range(20)]
+        self.assertEqual(set(statuses), {200, 429})
+        self.assertEqual(statuses.count(200), 2)
+
+
 class LimitTest(ForwardedTest):
     def count_served(self, name):
         self.fleet.config(customers=[
--- a/tests/test_LogReport.c
+++ b/tests/test_LogReport.c
@@ -92,6 +92,17 @@
          "customer=core outcome=overloaded rank=10 late=no events=2\n" DONE
          "customer=core outcome=whole rank=10 late=pause events=2\n";
 
+/* The other router has a line of it. */
+START_TEST(requests_given_to_another_router_are_not_counted)
+{
+    g_autofree char *text = g_strconcat(
+        refused_text, DONE "customer=beta outcome=forwarded rank=10\n", NULL);
+    g_autofree char *expected = create_report(refused_text, NULL);
+    g_autofree char *report = create_report(text, NULL);
+    ck_assert_str_eq(report, expected);
+}
+END_TEST
+
 START_TEST(refusals_are_counted_by_rank)
 {
     g_autofree char *report = create_report(refused_text, NULL);
@@ -147,6 +158,7 @@
 TESTING_MAIN("LogReport", requests_are_counted_by_outcome,
              request_counts_in_the_second_of_its_start,
              supply_table_lists_placed_requests, refusals_are_counted_by_rank,
+             requests_given_to_another_router_are_not_counted,
              the_customers_that_were_refused_most_come_first,
              only_ten_customers_are_listed,
              lines_without_rank_and_customer_are_counted,
--- a/tests/test_RelayFeedback.c
+++ b/tests/test_RelayFeedback.c
@@ -10,6 +10,7 @@
 static Settings_t settings;
 static Context_t context;
 static Upstream_t *upstream;
+static UpstreamSet_t *upstreams;
 static RelayFeedback_t feedback;
 
 static void
@@ -25,7 +26,9 @@
     g_string_free(spec.region, TRUE);
     g_ptr_array_unref(spec.serves);
     settings = (Settings_t){.relay = {.probe_silent = probe_silent}};
-    context = (Context_t){.settings = &settings};
+    upstreams = UpstreamSet_create(base, 0);
+    context = (Context_t){.settings = &settings,
+                          .path = UpstreamPath_create(upstreams)};
     feedback = (RelayFeedback_t){.context = &context,
                                  .upstream = upstream,
                                  .origin = NoticeOrigin_begin(upstream, "q")};
@@ -35,6 +38,8 @@
 end(void)
 {
     Upstream_unref(upstream);
+    UpstreamPath_destroy(context.path);
+    UpstreamSet_destroy(upstreams);
     event_base_free(base);
 }
 
@@ -108,7 +113,18 @@
 }
 END_TEST
 
-TESTING_MAIN("RelayFeedback",
+/* Requests were refused between a failure and the first probe. */
+START_TEST(a_lost_connection_puts_the_path_in_doubt_at_once)
+{
+    begin(TRUE);
+    ck_assert(!UpstreamPath_isInDoubt(context.path));
+    RelayFeedback_noteReachability(&feedback, ATTEMPT_NOT_SENT);
+    ck_assert(UpstreamPath_isInDoubt(context.path));
+    end();
+}
+END_TEST
+
+TESTING_MAIN("RelayFeedback", a_lost_connection_puts_the_path_in_doubt_at_once,
              a_silent_upstream_stays_in_use_while_it_is_probed,
              a_silent_upstream_is_not_used_without_the_setting,
              an_upstream_that_answered_a_moment_ago_is_not_probed,
