A forwarded request that waits at a router which stops is served by another one

Cause: only refusals on arrival said that another router may serve the request; one made when the request was to be sent, or at the end of the stop, came from its exchange, which did not say so, and was passed on.

Now a refusal for the stop that answers another router and states that the request has not run says so too (RelayAnswer). The forwarding router takes the header as the statement that it has not run, as before, so that nothing is sent twice that may have run.

--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -339,6 +339,14 @@
                        this->status, NULL, body, TRUE);
 }
 
+/* Another router has the time that this one lacks. */
+static gboolean
+may_try_another(const RelayAnswer_t *this, Refusal_t refusal, RunState_t run)
+{
+    return this->is_for_router && run == RUN_NOT &&
+           refusal == REFUSAL_STOPPING;
+}
+
 void
 RelayAnswer_refuse(RelayAnswer_t *this, Refusal_t refusal, RunState_t run,
                    const char *detail)
@@ -356,8 +364,9 @@
         evhttp_find_header(output_headers(this), "Connection") != NULL;
     struct evhttp_request *request = CallerWatch_detach(this->watch);
     evhttp_clear_headers(evhttp_request_get_output_headers(request));
-    RelayRefusal_t params = {refusal, run, detail, this->retry_after_ms,
-                             closing};
+    RelayRefusal_t params = {refusal, run,
+                             detail,  this->retry_after_ms,
+                             closing, may_try_another(this, refusal, run)};
     Relay_refuse(request, this->id_header, this->id->str, &params);
 }
 
@@ -423,6 +432,9 @@
     if (params->closing) {
         evhttp_add_header(headers, "Connection", "close");
     }
+    if (params->try_another) {
+        evhttp_add_header(headers, RELAY_TRY_ANOTHER, "1");
+    }
     if (spec->retry_after_ms > 0 && params->run == RUN_NOT) {
         add_retry_after(headers, params->retry_after_ms > 0
                                      ? params->retry_after_ms
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -152,6 +152,8 @@
  * @detail: text about this case, or NULL
  * @retry_after_ms: value of Retry-After; 0 for the default of the reason
  * @closing: close the connection after this answer
+ * @try_another: tell the router that forwarded the request that another one
+ *     may serve it
  */
 typedef struct {
     Refusal_t refusal;
@@ -159,6 +161,7 @@
     const char *detail;
     guint retry_after_ms;
     gboolean closing;
+    gboolean try_another;
 } RelayRefusal_t;
 
 /**
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -78,11 +78,9 @@
                                           : "none",
                          "none", detail);
     RequestIntake_dropBody(admission->http);
-    RelayRefusal_t params = {refusal, RUN_NOT, detail, 0, context->stopping};
-    if (admission->forwarded_by && may_try_another(refusal)) {
-        evhttp_add_header(evhttp_request_get_output_headers(admission->http),
-                          RELAY_TRY_ANOTHER, "1");
-    }
+    gboolean try_another = admission->forwarded_by && may_try_another(refusal);
+    RelayRefusal_t params = {refusal, RUN_NOT,           detail,
+                             0,       context->stopping, try_another};
     Relay_refuse(admission->http, form->id_header, id, &params);
     form->clear_request(&admission->request);
 }
--- a/tests/sessions/test_stop_forwards.py
+++ b/tests/sessions/test_stop_forwards.py
@@ -20,7 +20,8 @@
 class StopForwardTest(ForwardedTest):
     def start_router(self, name, **more):
         super().start_router(name, stop_grace="%ds" % GRACE_S,
-                             stop_limit="%ds" % LIMIT_S, **more)
+                             stop_limit="%ds" % LIMIT_S, backoff="100ms",
+                             **more)
 
     def setUp(self):
         super().setUp()
@@ -150,6 +151,29 @@
         self.assertEqual(self.count(200), len(self.answers))
         self.assert_end("r1")
 
+    def test_a_forwarded_call_that_waits_for_room_at_a_stop_goes_elsewhere(
+            self):
+        """It was answered 503 although the other router could serve it."""
+        self.plain.pause_s = SECONDS
+        for name in ("r1", "r2"):
+            for _ in range(WARM_UPS):
+                self.begin(name, "/write/x")
+        self.join()
+        self.lose("r0")
+        self.plain.shed = True
+        for _ in range(8):
+            self.begin("r0", "/write/x")
+            time.sleep(0.02)
+        stopped = self.stop("r1")
+        time.sleep(max(0, stopped + LATE_S - time.monotonic()))
+        self.plain.shed = False
+        self.assert_kept()
+        reasons = [event["reason"] for event
+                   in self.routers["r1"].events("request_refused")]
+        self.assertIn("stopping", reasons)
+        self.assertEqual(self.count(200), len(self.answers))
+        self.assert_end("r1")
+
     def test_a_call_that_would_outlast_the_forwarding_router_is_not_sent(
             self):
         """It was forwarded, run, and answered 502."""
--- a/tests/test_RelayAnswer.c
+++ b/tests/test_RelayAnswer.c
@@ -7,9 +7,13 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "RelayForm.h"
 #include "ReplyClient.h"
 
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+#define FORWARDED                                                             \
+    "GET / HTTP/1.1\r\nHost: h\r\n" RELAY_FORWARDED_BY                        \
+    ": r1\r\nConnection: close\r\n\r\n"
 #define BODY "0123456789"
 #define BODY_BYTES "10"
 
@@ -39,15 +43,21 @@
 }
 
 static void
-set_up(void)
+set_up_with(const char *request)
 {
     answer = NULL;
-    ReplyClient_connect(REQUEST, create_answer);
+    ReplyClient_connect(request, create_answer);
     while (!answer) {
         event_base_loop(ReplyClient_base(), EVLOOP_ONCE);
     }
 }
 
+static void
+set_up(void)
+{
+    set_up_with(REQUEST);
+}
+
 static void
 set_head(int status, BodyFraming_t framing)
 {
@@ -138,6 +148,28 @@
 }
 END_TEST
 
+static gboolean
+is_told_to_try_another(const char *request, Refusal_t refusal, RunState_t run)
+{
+    set_up_with(request);
+    RelayAnswer_refuse(answer, refusal, run, NULL);
+    ck_assert_int_eq(read_all(), 0);
+    gboolean is_told = ReplyClient_hasReceived(RELAY_TRY_ANOTHER);
+    ReplyClient_close();
+    return is_told;
+}
+
+/* Its caller got 503 although another router could have served it. */
+START_TEST(router_is_told_that_another_may_serve_what_outlasts_a_stop)
+{
+    ck_assert(is_told_to_try_another(FORWARDED, REFUSAL_STOPPING, RUN_NOT));
+    ck_assert(!is_told_to_try_another(FORWARDED, REFUSAL_STOPPING, RUN_MAYBE));
+    ck_assert(
+        !is_told_to_try_another(FORWARDED, REFUSAL_NO_UPSTREAM, RUN_NOT));
+    ck_assert(!is_told_to_try_another(REQUEST, REFUSAL_STOPPING, RUN_NOT));
+}
+END_TEST
+
 START_TEST(stream_that_has_not_ended_is_broken_off)
 {
     set_up();
@@ -155,6 +187,7 @@
 END_TEST
 
 TESTING_MAIN("RelayAnswer", whole_answer_is_sent,
+             router_is_told_that_another_may_serve_what_outlasts_a_stop,
              answer_that_has_not_ended_is_refused,
              answer_shorter_than_stated_is_refused,
              answer_that_replaces_a_whole_error_is_refused_until_it_ends,
