--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -60,6 +60,14 @@
                                   const RelayAnswerEvents_t *events,
                                   void *owner);
 
+/** RelayAnswer_setOwner() - let another owner have the callbacks */
+void RelayAnswer_setOwner(RelayAnswer_t *this,
+                          const RelayAnswerEvents_t *events, void *owner);
+
+/** RelayAnswer_isForRouter() - whether another router has forwarded the
+ * request */
+gboolean RelayAnswer_isForRouter(const RelayAnswer_t *this);
+
 /** RelayAnswer_destroy() - free the answer; closes the caller's connection if
  * the answer has not ended */
 void RelayAnswer_destroy(RelayAnswer_t *this);
@@ -144,6 +152,8 @@
  * @detail: text about this case, or NULL
  * @retry_after_ms: value of Retry-After; 0 for the default of the reason
  * @closing: close the connection after this answer
+ * @try_another: tell the router that forwarded the request that another one
+ *     may serve it
  */
 typedef struct {
     Refusal_t refusal;
@@ -151,6 +161,7 @@
     const char *detail;
     guint retry_after_ms;
     gboolean closing;
+    gboolean try_another;
 } RelayRefusal_t;
 
 /**
