AskedRouters: which routers a question goes to, and which have replied, in a module of its own

OriginKeeper kept the routers that are asked for a stream in an array of its query, from which a router that replied was removed, with one count of sends for all of them. So none could be added while the query was open, as it would have been sent nothing or the others a third time. Each router has its own sends and time now, and its start beside its address.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -6,8 +6,8 @@
 
 /* A lost datagram is sent again once within ORIGIN_ASK_TIMEOUT_MS. */
 #define ASK_REPEAT_MS 80
-#define SENDS 2
-/* Interval at which queries are checked until the store was read. */
+/* Interval at which queries are checked until the store was read, and for
+ * routers that are newly known. */
 #define LEARN_CHECK_MS 10
 /* How long a query waits for the end of the list: until the router that reads
  * for the others has read again. */
@@ -31,18 +31,14 @@
     RequestDigest_t digest;
     GRefString *service;
     gboolean may_change;
-    guint64 owners[ORIGIN_ROUTERS_MAX]; /* and witnesses that have not
-                                           replied */
-    guint open;                         /* number of @owners */
-    guint asked;                        /* initial value of @open */
-    guint replies;
+    AskedRouters_t *asked; /* owners and witnesses, or all */
+    guint owners_max;
     gboolean asks_all;    /* the stream may have begun at the base */
     GArray *processes;    /* guint64, that would know the stream */
     GRefString *only;     /* version that routers take for the only one */
     guint votes;          /* routers that do */
     gboolean is_disputed; /* others know of another version */
-    guint sends_left;
-    gint64 send_ms; /* when it is sent, or repeated */
+    gint64 send_ms;       /* when it is sent first */
     gint64 asked_ms;
     gint64 expires_ms;
     gboolean has_waited; /* the list no longer matters */
@@ -55,6 +51,8 @@
     StreamOrigins_t *origins;
     GHashTable *queries; /* &ticket -> OriginQuery_t */
     guint64 ticket;
+    AskedRouter_t known[ORIGIN_ROUTERS_MAX]; /* at the last tick */
+    guint known_count;
     gboolean is_restored;
 };
 
@@ -78,6 +76,7 @@
 {
     OriginQuery_t *query = data;
     g_ref_string_release(query->service);
+    AskedRouters_destroy(query->asked);
     g_array_unref(query->processes);
     if (query->only) {
         g_ref_string_release(query->only);
@@ -483,8 +482,10 @@
 }
 
 static void
-send_query(const OriginKeeper_t *this, const OriginQuery_t *query)
+send_query(const OriginKeeper_t *this, const OriginQuery_t *query,
+           gint64 now_ms)
 {
+    guint64 due[ASKED_ROUTERS_MAX];
     Wt__OriginAsk ask = WT__ORIGIN_ASK__INIT;
     Wt__PeerMessage message = WT__PEER_MESSAGE__INIT;
     ask.ticket = query->ticket;
@@ -493,8 +494,9 @@
     ask.service = query->service;
     message.body_case = WT__PEER_MESSAGE__BODY_ORIGIN_ASK;
     message.origin_ask = &ask;
-    for (guint i = 0; i < query->open; i++) {
-        send_message(this, query->owners[i], &message);
+    guint count_due = AskedRouters_takeDue(query->asked, now_ms, due);
+    for (guint i = 0; i < count_due; i++) {
+        send_message(this, due[i], &message);
         count(this, "origin_messages_total", 1);
     }
 }
@@ -575,7 +577,8 @@
 static gboolean
 agree_most(const OriginQuery_t *query, const char *sole)
 {
-    return query->votes > 0 && 2 * (query->votes + 1) > query->asked + 1 &&
+    guint asked = AskedRouters_count(query->asked);
+    return query->votes > 0 && 2 * (query->votes + 1) > asked + 1 &&
            agree_others(query, sole);
 }
 
@@ -599,7 +602,9 @@
 fill_unknown(const OriginKeeper_t *this, const OriginQuery_t *query,
              OriginAnswer_t *out)
 {
-    *out = (OriginAnswer_t){.replies = query->replies};
+    *out = (OriginAnswer_t){
+        .replies = AskedRouters_countReplies(query->asked),
+    };
     if (fill_known(this, &query->digest, Clock_nowMs(), out)) {
         return;
     }
@@ -635,11 +640,11 @@
         find_listed_only(this, query->service)) {
         return TRUE;
     }
+    gboolean is_open = AskedRouters_countOpen(query->asked) > 0;
     if (query->asks_all) {
-        return query->open == 0 && find_base(this, query);
+        return !is_open && find_base(this, query);
     }
-    return query->open == 0 &&
-           (!awaits_list(this, query) || is_store_lost(this));
+    return !is_open && (!awaits_list(this, query) || is_store_lost(this));
 }
 
 /* Owners that were not asked yet, as the list might have sufficed, are asked
@@ -652,7 +657,8 @@
         return;
     }
     query->expires_ms = MIN(query->expires_ms, now_ms + ORIGIN_ASK_TIMEOUT_MS);
-    query->send_ms = query->sends_left == SENDS ? now_ms : query->send_ms;
+    query->send_ms = MIN(query->send_ms, now_ms);
+    AskedRouters_hurry(query->asked, now_ms);
 }
 
 static void
@@ -662,10 +668,8 @@
         (!awaits_list(this, query) || is_store_lost(this))) {
         end_list_wait(query, now_ms);
     }
-    if (query->sends_left > 0 && now_ms >= query->send_ms) {
-        query->sends_left--;
-        query->send_ms = now_ms + ASK_REPEAT_MS;
-        send_query(this, query);
+    if (now_ms >= AskedRouters_dueMs(query->asked)) {
+        send_query(this, query, now_ms);
     }
 }
 
@@ -673,12 +677,28 @@
 schedule_query(const OriginKeeper_t *this, const OriginQuery_t *query,
                gint64 now_ms)
 {
-    gint64 due_ms = query->sends_left > 0 ? query->send_ms : query->expires_ms;
+    gint64 due_ms = MIN(AskedRouters_dueMs(query->asked), query->expires_ms);
     gboolean is_waiting =
         !is_learned(this) || awaits_list(this, query) || query->asks_all;
     schedule_tick(this, is_waiting ? LEARN_CHECK_MS : due_ms - now_ms);
 }
 
+/* Returns whether one of them was not asked yet. */
+static gboolean
+ask_owners(const OriginKeeper_t *this, const OriginQuery_t *query,
+           gint64 now_ms)
+{
+    guint64 owners[WITNESSES];
+    gboolean has_new = FALSE;
+    guint found = find_others(this, &query->digest, owners, query->owners_max);
+    for (guint i = 0; i < found; i++) {
+        AskedRouter_t owner = {.router = owners[i]};
+        has_new |= AskedRouters_add(query->asked, &owner,
+                                    MAX(query->send_ms, now_ms));
+    }
+    return has_new;
+}
+
 /* While the list names a single version owners are asked only if its end is
  * not known soon. */
 static OriginQuery_t *
@@ -692,15 +712,14 @@
     query->may_change = may_change;
     query->processes = g_array_new(FALSE, FALSE, sizeof(guint64));
     gboolean is_sole = !may_change && find_sole(this, service);
-    query->open = find_others(this, digest, query->owners,
-                              is_sole ? WITNESSES : ORIGIN_OWNERS);
-    query->asked = query->open;
-    query->sends_left = query->open > 0 ? SENDS : 0;
+    query->owners_max = is_sole ? WITNESSES : ORIGIN_OWNERS;
+    query->asked = AskedRouters_create(ASK_REPEAT_MS);
     query->asked_ms = now_ms;
     gboolean is_sure = !may_change && OriginKeeper_findOnly(this, service);
     query->expires_ms = now_ms + LIST_TIMEOUT_MS;
     query->send_ms =
         is_sure ? query->expires_ms - ORIGIN_ASK_TIMEOUT_MS : now_ms;
+    ask_owners(this, query, now_ms);
     return query;
 }
 
@@ -727,25 +746,45 @@
     g_array_append_val(query->processes, process);
 }
 
+static guint
+find_all(const OriginKeeper_t *this, AskedRouter_t *out)
+{
+    return this->spec.links->find_all(this->spec.owner, out,
+                                      ORIGIN_ROUTERS_MAX);
+}
+
+/* Routers that have started again may have asked or answered as a process that
+ * is gone, and must not count twice. Returns whether one was not asked yet. */
+static gboolean
+ask_each(OriginQuery_t *query, const AskedRouter_t *routers, guint count,
+         gint64 now_ms)
+{
+    guint before = AskedRouters_count(query->asked);
+    guint added = 0;
+    for (guint i = 0; i < count; i++) {
+        added += AskedRouters_add(query->asked, &routers[i], now_ms) ? 1 : 0;
+    }
+    if (added > AskedRouters_count(query->asked) - before) {
+        query->is_disputed = TRUE;
+    }
+    return added > 0;
+}
+
 /* The owners are asked again with the others: each of them tells whether it
  * would know the stream. */
 static void
 ask_all(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
 {
-    guint64 all[ORIGIN_ROUTERS_MAX];
-    guint found =
-        this->spec.links->find_all(this->spec.owner, all, ORIGIN_ROUTERS_MAX);
+    AskedRouter_t all[ORIGIN_ROUTERS_MAX];
+    guint found = find_all(this, all);
     if (found > ORIGIN_ROUTERS_MAX) {
         return;
     }
-    memcpy(query->owners, all, found * sizeof(all[0]));
+    AskedRouters_clear(query->asked);
     query->asks_all = TRUE;
-    query->open = found;
-    query->asked = found;
-    query->replies = 0;
-    query->sends_left = found > 0 ? SENDS : 0;
     query->send_ms = now_ms;
     query->expires_ms = now_ms + ORIGIN_ASK_ALL_TIMEOUT_MS;
+    ask_each(query, all, found, now_ms);
     add_own_process(this, query);
 }
 
@@ -905,20 +944,6 @@
     count(this, "origin_messages_total", 1);
 }
 
-/* Returns FALSE if the router is no owner or has replied already. */
-static gboolean
-note_reply(OriginQuery_t *query, guint64 from)
-{
-    for (guint i = 0; i < query->open; i++) {
-        if (query->owners[i] == from) {
-            query->owners[i] = query->owners[--query->open];
-            query->replies++;
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
 static void
 note_only(OriginQuery_t *query, const Wt__OriginAnswer *answer)
 {
@@ -950,7 +975,7 @@
                guint64 from)
 {
     OriginQuery_t *query = g_hash_table_lookup(this->queries, &answer->ticket);
-    if (!query || !note_reply(query, from)) {
+    if (!query || !AskedRouters_noteReply(query->asked, from)) {
         return;
     }
     if (answer->verdict == WT__ORIGIN_VERDICT__ORIGIN_KNOWN) {
@@ -958,7 +983,7 @@
             .source = ORIGIN_FROM_OWNER,
             .service = answer->service,
             .software = answer->software,
-            .replies = query->replies,
+            .replies = AskedRouters_countReplies(query->asked),
         };
         finish_query(this, query, &known);
         return;
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -19,6 +19,7 @@
  * the stream began before other versions joined (VersionGate.h): it is never
  * guessed.
  */
+#include "AskedRouters.h"
 #include "Counters.h"
 #include "RequestDigest.h"
 #include "SoftwareVersions.h"
@@ -32,7 +33,7 @@
 
 /** Routers, without this one, that are all asked for a stream that may have
  * begun before other versions joined; with more such streams are unknown */
-#define ORIGIN_ROUTERS_MAX 63
+#define ORIGIN_ROUTERS_MAX ASKED_ROUTERS_MAX
 
 /** Identity of this router among the owners */
 #define ORIGIN_SELF 0
@@ -78,7 +79,7 @@
     gboolean (*is_store_lost)(void *owner);
     void (*learn)(void *owner, gboolean is_urgent);
     void (*record)(void *owner);
-    guint (*find_all)(void *owner, guint64 *out, guint max);
+    guint (*find_all)(void *owner, AskedRouter_t *out, guint max);
     void (*read_records)(void *owner);
 } OriginLinksClass_t;
 
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -97,12 +97,14 @@
 }
 
 static guint
-find_all(void *owner, guint64 *out, guint max)
+find_all(void *owner, AskedRouter_t *out, guint max)
 {
     const OriginPeers_t *this = owner;
     const GPtrArray *members = Membership_members(this->spec.membership);
     for (guint i = 0; i < MIN(members->len, max); i++) {
-        out[i] = PeerIdentity_ofMember(g_ptr_array_index(members, i));
+        const Member_t *member = g_ptr_array_index(members, i);
+        out[i].router = PeerIdentity_ofMember(member);
+        out[i].start = member->incarnation;
     }
     return members->len;
 }
