Routers that join while a continued stream waits are asked for it too

The router asked the members that it knew as the request came. A process that had stated its use of both versions joined after that and was never asked, so that the base could not be inferred, and the request was refused after 0.8 s although the answer was one datagram away. Members whose address was not known yet (a link tells the name first) counted as asked, and so did a router whose former process was gone.

Each check of open queries, every 10 ms while all are asked and 50 ms otherwise, compares the known routers with those of the last one; if they differ, each open query asks the ones that it has not asked yet, or that have started again, at most twice each. Its limit stays as it was: a router that joins and does not answer holds no request, and with nobody joining nothing is sent or waited for beyond what was. A router that started again does not vote twice on a single version.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "Log.h"
 
 /* A lost datagram is sent again once within ORIGIN_ASK_TIMEOUT_MS. */
 #define ASK_REPEAT_MS 80
-/* Interval at which queries are checked until the store was read, and for
- * routers that are newly known. */
+/* Interval at which queries are checked until the store was read. */
 #define LEARN_CHECK_MS 10
+/* Interval at which other queries are checked for routers that have joined. */
+#define JOIN_CHECK_MS 50
 /* How long a query waits for the end of the list: until the router that reads
  * for the others has read again. */
 #define LIST_TIMEOUT_MS 1000
@@ -680,7 +682,8 @@
     gint64 due_ms = MIN(AskedRouters_dueMs(query->asked), query->expires_ms);
     gboolean is_waiting =
         !is_learned(this) || awaits_list(this, query) || query->asks_all;
-    schedule_tick(this, is_waiting ? LEARN_CHECK_MS : due_ms - now_ms);
+    gint64 check_ms = is_waiting ? LEARN_CHECK_MS : JOIN_CHECK_MS;
+    schedule_tick(this, MIN(due_ms - now_ms, check_ms));
 }
 
 /* Returns whether one of them was not asked yet. */
@@ -753,8 +756,8 @@
                                       ORIGIN_ROUTERS_MAX);
 }
 
-/* Routers that have started again may have asked or answered as a process that
- * is gone, and must not count twice. Returns whether one was not asked yet. */
+/* A router that has started again may have voted already, which must not count
+ * twice. Returns whether one was not asked yet. */
 static gboolean
 ask_each(OriginQuery_t *query, const AskedRouter_t *routers, guint count,
          gint64 now_ms)
@@ -1013,6 +1016,59 @@
     }
 }
 
+/* Returns whether other routers are known than at the last tick. */
+static gboolean
+note_known(OriginKeeper_t *this)
+{
+    AskedRouter_t all[ORIGIN_ROUTERS_MAX];
+    guint found = find_all(this, all);
+    gsize size = MIN(found, ORIGIN_ROUTERS_MAX) * sizeof(all[0]);
+    if (found == this->known_count && memcmp(all, this->known, size) == 0) {
+        return FALSE;
+    }
+    memcpy(this->known, all, size);
+    this->known_count = found;
+    return TRUE;
+}
+
+static gboolean
+ask_joined(const OriginKeeper_t *this, OriginQuery_t *query, gint64 now_ms)
+{
+    guint known = MIN(this->known_count, ORIGIN_ROUTERS_MAX);
+    return query->asks_all ? ask_each(query, this->known, known, now_ms)
+                           : ask_owners(this, query, now_ms);
+}
+
+static void
+log_joined(const OriginKeeper_t *this, guint asking)
+{
+    Log_begin(LOG_LEVEL_INFO, "origin_joined_asked");
+    Log_number("queries", asking);
+    Log_number("members", this->known_count);
+    Log_end();
+    count(this, "origin_joined_asked_total", asking);
+}
+
+/* A process that knows the stream, or whose statement shows what began it, may
+ * become known only after the query began. */
+static void
+ask_all_joined(OriginKeeper_t *this, gint64 now_ms)
+{
+    GHashTableIter iter;
+    gpointer query = NULL;
+    guint asking = 0;
+    if (g_hash_table_size(this->queries) == 0 || !note_known(this)) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, this->queries);
+    while (g_hash_table_iter_next(&iter, NULL, &query)) {
+        asking += ask_joined(this, query, now_ms) ? 1 : 0;
+    }
+    if (asking > 0) {
+        log_joined(this, asking);
+    }
+}
+
 /* Collects first: the callback of a query may ask or cancel others. */
 static void
 expire_queries(OriginKeeper_t *this, gint64 now_ms)
@@ -1020,6 +1076,7 @@
     GHashTableIter iter;
     gpointer query = NULL;
     g_autoptr(GArray) expired = g_array_new(FALSE, FALSE, sizeof(guint64));
+    ask_all_joined(this, now_ms);
     g_hash_table_iter_init(&iter, this->queries);
     while (g_hash_table_iter_next(&iter, NULL, &query)) {
         const OriginQuery_t *open = query;
--- a/src/OriginKeeper.h
+++ b/src/OriginKeeper.h
@@ -39,7 +39,7 @@
 #define ORIGIN_SELF 0
 
 /** How long all routers are asked, in ms, while they read what the others
- * state */
+ * state; those that join meanwhile are asked as well */
 #define ORIGIN_ASK_ALL_TIMEOUT_MS 800
 
 /** How long owners are asked before the version counts as unknown, in ms: ten
@@ -63,8 +63,8 @@
  * started, see SoftwareVersions_learn(), and the streams that routers began
  * before; @is_urgent: a caller waits
  * @record: the streams that OriginKeeper_forEachRecorded() finds have changed
- * @find_all: finds all other routers, at most @max; returns their number, or
- *     more than @max
+ * @find_all: finds all other routers whose addresses are known, at most @max;
+ *     returns their number, or more than @max
  * @read_records: has the records of all routers read again soon; called until
  *     they are
  */
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -96,17 +96,25 @@
     OriginRecords_scheduleWrite(this->spec.records);
 }
 
+/* The address of a router that has just connected is told after its name. */
 static guint
 find_all(void *owner, AskedRouter_t *out, guint max)
 {
     const OriginPeers_t *this = owner;
     const GPtrArray *members = Membership_members(this->spec.membership);
-    for (guint i = 0; i < MIN(members->len, max); i++) {
+    guint found = 0;
+    for (guint i = 0; i < members->len; i++) {
         const Member_t *member = g_ptr_array_index(members, i);
-        out[i].router = PeerIdentity_ofMember(member);
-        out[i].start = member->incarnation;
+        if (member->address.port == 0) {
+            continue;
+        }
+        if (found < max) {
+            out[found].router = PeerIdentity_ofMember(member);
+            out[found].start = member->incarnation;
+        }
+        found++;
     }
-    return members->len;
+    return found;
 }
 
 static void
--- a/tests/sessions/test_base_version.py
+++ b/tests/sessions/test_base_version.py
@@ -2,6 +2,7 @@
 import json
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from cluster import wait_for
 from test_software import (EVENTS, EVENTS_READ, RECORD_S, SINGLE, STREAMS,
@@ -9,6 +10,9 @@
 
 # Of the streams that began at the only version: how many go on.
 SHARE_MIN = 1.0
+INTERVAL_S = 0.08
+# How long a request waits at least for a router that joins.
+WAITS_S = 0.5
 
 
 class BaseVersionTest(SoftwareTest):
@@ -112,6 +116,63 @@
                          "resume_unknown")
 
 
+class JoiningRouterTest(BaseVersionTest):
+    """Two routers of a fleet that was restarted do not know each other yet."""
+
+    BEGUN = 30
+
+    def restart_apart(self):
+        """Returns two routers, the second of which uses both versions."""
+        for router in self.routers:
+            router.kill()
+        self.replace_half()
+        for name in ("r1", "r2"):
+            self.routers = []
+            router = self.start_router(name)
+            self.await_engines(router)
+            yield router
+        self.begin_at(router, VERSIONS[1])
+        router.wait_event("software_stated")
+
+    def continue_at(self, router, stream):
+        """Returns when it began, when it ended, and the answer."""
+        started = time.monotonic()
+        answer = self.fleet.ask(router, "/ask/x", Resumes=stream.request_id,
+                                Last_Event_Id=str(EVENTS_READ - 1),
+                                X_Prompt_Prefix=stream.prompt)
+        self.assertLessEqual(versions_of(answer.body), {stream.engine.piece})
+        return started, time.monotonic(), answer
+
+    def has_joined(self, router, name):
+        return name in {event["member"]
+                        for event in router.events("member_joined")}
+
+    # Streams were refused whose callers came to the first one just before it
+    # knew of the second one.
+    def test_streams_go_on_that_wait_as_a_router_joins(self):
+        begun = self.begin_streams(self.routers[0])
+        begun += [self.begin(self.routers[0])
+                  for _ in range(self.BEGUN - len(begun))]
+        self.routers = list(self.restart_apart())
+        first = self.routers[0]
+        with ThreadPoolExecutor(self.BEGUN) as pool:
+            answers = []
+            launched = pool.submit(self.start_router, "r3")
+            for stream in begun:
+                answers.append(pool.submit(self.continue_at, first, stream))
+                if self.has_joined(first, "r2"):
+                    break
+                time.sleep(INTERVAL_S)
+            joined = time.monotonic()
+            launched.result()
+        waited = [answer for began, ended, answer in
+                  (answer.result() for answer in answers)
+                  if joined - WAITS_S < began and joined < ended]
+        self.assertTrue(waited)
+        for answer in waited:
+            self.assertEqual(answer.status, 200, answer.body)
+
+
 class UnrecordedJoinTest(BaseVersionTest):
     """A version joins while the store takes no record of it."""
 
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -20,11 +20,14 @@
 
 typedef struct {
     guint number; /* its identity is this plus 1 */
+    guint64 start;
     SoftwareVersions_t *versions;
+    VersionGate_t *gate; /* NULL for none */
     OriginKeeper_t *keeper;
-    gint64 tick_ms;   /* 0 for none */
-    gboolean is_down; /* receives and sends nothing */
-    gboolean is_old;  /* a build without the messages */
+    gint64 tick_ms;      /* 0 for none */
+    gboolean is_down;    /* receives and sends nothing */
+    gboolean is_old;     /* a build without the messages */
+    gboolean is_unknown; /* to the others, until it joins */
     gboolean has_old_list;
     gboolean is_cut_from_store;
     gboolean is_store_lost;
@@ -74,11 +77,14 @@
 {
     const Router_t *this = owner;
     guint first = RequestDigest_hash(key) % ROUTERS;
-    for (guint i = 0; i < max; i++) {
+    guint found = 0;
+    for (guint i = 0; i < ROUTERS && found < max; i++) {
         guint number = (first + i) % ROUTERS;
-        out[i] = number == this->number ? ORIGIN_SELF : number + 1;
+        if (!routers[number].is_unknown) {
+            out[found++] = number == this->number ? ORIGIN_SELF : number + 1;
+        }
     }
-    return max;
+    return found;
 }
 
 static void
@@ -144,6 +150,39 @@
     ((Router_t *)owner)->record_calls++;
 }
 
+static guint
+find_all(void *owner, AskedRouter_t *out, guint max)
+{
+    const Router_t *this = owner;
+    guint found = 0;
+    for (guint i = 0; i < ROUTERS && found < max; i++) {
+        if (i != this->number && !routers[i].is_unknown) {
+            out[found++] = (AskedRouter_t){i + 1, routers[i].start};
+        }
+    }
+    return found;
+}
+
+/* All routers that have a gate state that they use the second version. */
+static void
+read_records(void *owner)
+{
+    const Router_t *this = owner;
+    VersionGate_beginRead(this->gate, now_ms);
+    for (guint i = 0; i < ROUTERS; i++) {
+        if (routers[i].gate) {
+            VersionUse_t use = {
+                .service = (char *)"s",
+                .software = (char *)"v2",
+                .base = (char *)"v1",
+                .process = VersionGate_process(routers[i].gate),
+            };
+            VersionGate_read(this->gate, &use);
+        }
+    }
+    VersionGate_endRead(this->gate);
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
@@ -154,6 +193,8 @@
     .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
+    .find_all = find_all,
+    .read_records = read_records,
 };
 
 static void
@@ -170,18 +211,13 @@
 }
 
 static void
-start_router(guint number, gboolean is_learned)
+create_keeper(Router_t *this)
 {
-    Router_t *this = &routers[number];
-    *this = (Router_t){.number = number};
-    this->versions = SoftwareVersions_create();
-    if (is_learned) {
-        learn_single_version(this);
-    }
     OriginKeeperSpec_t spec = {
         .links = &links,
         .owner = this,
         .versions = this->versions,
+        .gate = this->gate,
         .counters = counters,
         .window_ms = WINDOW_MS,
     };
@@ -190,11 +226,43 @@
     list_engine(this, "e1", "v1");
 }
 
+static void
+start_router(guint number, gboolean is_learned)
+{
+    Router_t *this = &routers[number];
+    *this = (Router_t){.number = number, .start = now_ms};
+    this->versions = SoftwareVersions_create();
+    if (is_learned) {
+        learn_single_version(this);
+    }
+    create_keeper(this);
+}
+
 static void
 stop_router(guint number)
 {
     OriginKeeper_destroy(routers[number].keeper);
     SoftwareVersions_destroy(routers[number].versions);
+    if (routers[number].gate) {
+        VersionGate_destroy(routers[number].gate);
+    }
+}
+
+/* Starts again a router that knows the version that served alone before the
+ * second one joined. */
+static void
+restart_with_base(guint number)
+{
+    Router_t *this = &routers[number];
+    stop_router(number);
+    *this = (Router_t){.number = number, .start = now_ms};
+    this->versions = SoftwareVersions_create();
+    SoftwareVersions_setWindow(this->versions, WINDOW_MS);
+    SoftwareVersions_noteBaseBefore(this->versions, "s", "v1");
+    learn_single_version(this);
+    this->gate = VersionGate_create(this->versions, WINDOW_MS);
+    create_keeper(this);
+    list_engine(this, "e2", "v2");
 }
 
 static void
@@ -953,6 +1021,160 @@
 }
 END_TEST
 
+static void
+begin_fleet_with_base(void)
+{
+    begin_fleet(1);
+    for (guint i = 0; i < ROUTERS; i++) {
+        restart_with_base(i);
+    }
+    pass_time(STEP_MS);
+    sent = 0;
+}
+
+static void
+begin_asking(guint router, guint number, Outcome_t *outcome)
+{
+    RequestDigest_t key = digest(number);
+    OriginAnswer_t answer;
+    ck_assert_ptr_nonnull(OriginKeeper_ask(routers[router].keeper, &key, "s",
+                                           FALSE, &answer, on_asked, outcome));
+}
+
+static void
+check_outcome(Outcome_t *outcome, const char *expected)
+{
+    ck_assert(outcome->is_answered);
+    ck_assert_str_eq(outcome->software ? outcome->software : "none", expected);
+    g_free(outcome->software);
+}
+
+START_TEST(a_stream_of_the_base_is_known_at_once_if_all_are_known)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    begin_asking(0, 1, &outcome);
+    pass_time(3 * STEP_MS);
+    check_outcome(&outcome, "v1");
+    ck_assert_int_eq(outcome.source, ORIGIN_FROM_BASE);
+    ck_assert_uint_eq(sent, 2 * (ROUTERS - 1));
+    end_fleet();
+}
+END_TEST
+
+/* After a restart of all routers, streams that were continued at one of them
+ * before it knew of all others were refused. */
+START_TEST(a_router_that_joins_during_a_query_is_asked)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    routers[5].is_unknown = TRUE;
+    begin_asking(0, 1, &outcome);
+    pass_time(600);
+    ck_assert(!outcome.is_answered);
+    routers[5].is_unknown = FALSE;
+    pass_time(30);
+    check_outcome(&outcome, "v1");
+    ck_assert_int_eq(outcome.source, ORIGIN_FROM_BASE);
+    end_fleet();
+}
+END_TEST
+
+/* What was sent to it before went to a process that was gone. */
+START_TEST(a_router_that_starts_again_during_a_query_is_asked_again)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    routers[5].is_down = TRUE;
+    begin_asking(0, 1, &outcome);
+    pass_time(600);
+    ck_assert(!outcome.is_answered);
+    routers[5].is_down = FALSE;
+    routers[5].start = now_ms;
+    pass_time(30);
+    check_outcome(&outcome, "v1");
+    end_fleet();
+}
+END_TEST
+
+START_TEST(routers_that_join_are_each_asked_once)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    for (guint i = 1; i < ROUTERS; i++) {
+        routers[i].is_unknown = TRUE;
+    }
+    begin_asking(0, 1, &outcome);
+    for (guint i = 1; i < ROUTERS; i++) {
+        ck_assert(!outcome.is_answered);
+        pass_time(100);
+        routers[i].is_unknown = FALSE;
+    }
+    pass_time(30);
+    check_outcome(&outcome, "v1");
+    ck_assert_uint_eq(sent, 2 * (ROUTERS - 1));
+    end_fleet();
+}
+END_TEST
+
+START_TEST(a_router_that_joins_and_does_not_answer_holds_no_query)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    routers[5].is_unknown = TRUE;
+    routers[5].is_down = TRUE;
+    begin_asking(0, 1, &outcome);
+    pass_time(ORIGIN_ASK_ALL_TIMEOUT_MS - 50);
+    routers[5].is_unknown = FALSE;
+    pass_time(50 + 2 * STEP_MS);
+    check_outcome(&outcome, "none");
+    ck_assert_uint_eq(sent, 2 * (ROUTERS - 2) + 1);
+    end_fleet();
+}
+END_TEST
+
+/* A router that joins may have begun the stream. */
+START_TEST(a_router_that_joins_and_knows_the_stream_decides)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    guint number = 1;
+    routers[5].is_unknown = TRUE;
+    routers[4].is_down = TRUE;
+    begin_asking(0, number, &outcome);
+    pass_time(300);
+    RequestDigest_t key = digest(number);
+    OriginKeeper_restore(routers[5].keeper, &key, "s", "v2", TRUE);
+    routers[5].is_unknown = FALSE;
+    pass_time(30);
+    check_outcome(&outcome, "v2");
+    ck_assert_int_eq(outcome.source, ORIGIN_FROM_OWNER);
+    end_fleet();
+}
+END_TEST
+
+/* A router that had just started asked those that it knew for owners. */
+START_TEST(an_owner_that_becomes_known_during_a_query_is_asked)
+{
+    begin_fleet(1);
+    list_second_version();
+    guint number = 5;
+    Outcome_t outcome = {FALSE};
+    begin_stream(stranger_of(number, 2), number, "v2");
+    pass_time(SETTLE_MS);
+    restart_router(owner_of(number, 0));
+    routers[owner_of(number, 1)].is_down = TRUE;
+    routers[owner_of(number, 2)].is_unknown = TRUE;
+    begin_asking(stranger_of(number, 1), number, &outcome);
+    pass_time(90);
+    ck_assert(!outcome.is_answered);
+    routers[owner_of(number, 2)].is_unknown = FALSE;
+    pass_time(70);
+    check_outcome(&outcome, "v2");
+    end_fleet();
+}
+END_TEST
+
 static void
 receive_origin(const RequestDigest_t *key, gsize size, const char *service,
                const char *software, guint32 left_ms)
@@ -1037,5 +1259,12 @@
              an_unknown_stream_of_several_services_is_not_continued,
              a_cancelled_query_is_not_answered,
              losses_and_restarts_never_give_a_wrong_version,
+             a_stream_of_the_base_is_known_at_once_if_all_are_known,
+             a_router_that_joins_during_a_query_is_asked,
+             a_router_that_starts_again_during_a_query_is_asked_again,
+             routers_that_join_are_each_asked_once,
+             a_router_that_joins_and_does_not_answer_holds_no_query,
+             a_router_that_joins_and_knows_the_stream_decides,
+             an_owner_that_becomes_known_during_a_query_is_asked,
              malformed_streams_are_ignored,
              a_flood_of_streams_does_not_grow_the_table)
