The question for an engine's start is repeated once within its limit

A stream that was continued left a sound engine and was sent once more, 2 s later with the sessions' connect_timeout, as the answer to the question for that engine's start was lost or late. StartProof asked once, over a connection of its own, and took its end for an engine that does not name its start.

It asks once more as that connection breaks, or as half of the time has passed without an answer, within the same limit; the first answer counts and ends the other question. A later connection leads to the same start or a later one, so that what the answer proves is unchanged. Each repetition is a line, upstream_start_asked_again.

--- a/src/StartProof.h
+++ b/src/StartProof.h
@@ -11,7 +11,8 @@
  * A connection that was opened once the start was known leads to that start or
  * to a later one. If the engine, asked after that, states the start, then it
  * has not started again, and the connection leads to the entry's process for
- * as long as it is open.
+ * as long as it is open. A question that is lost, or not answered in half of
+ * the time, is asked once more.
  */
 #include "OrderForm.h"
 #include "Upstream.h"
@@ -20,7 +21,7 @@
  * struct StartProofSpec_t - parameters of StartProof_ask()
  * @upstream: the engine
  * @form: path and format of the engine's state
- * @timeout_ms: timeout of the question
+ * @timeout_ms: timeout of the question and its repetition together
  */
 typedef struct {
     Upstream_t *upstream;
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -557,6 +557,39 @@
         self.assertLessEqual(versions_of(answer.body), {engine.piece})
 
 
+class LostOnce:
+    """The first to wait gets no answer until the end of the test."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.rest = threading.Event()
+
+    def wait(self, limit):
+        if self.lock.acquire(blocking=False):
+            self.rest.wait(limit)
+
+
+class LostQuestionTest(SoftwareTest):
+    # A stream that was continued left an engine, and ran once more, as the
+    # answer to the question for that engine's start was lost.
+    def test_stream_goes_on_at_an_engine_that_is_asked_again(self):
+        begun = self.begin(self.routers[0])
+        other, = [engine for engine in self.engines
+                  if engine.piece == begun.engine.piece
+                  and engine is not begun.engine]
+        time.sleep(RECORD_S)
+        router = self.start_router("r4")
+        self.await_engines(router)
+        other.probed = LostOnce()
+        self.addCleanup(other.probed.rest.set)
+        requests = len(other.seen)
+        self.assert_goes_on(router, begun)
+        self.assertEqual(len(other.seen), requests + 1)
+        self.assertEqual(
+            {event["upstream"] for event in
+             router.events("upstream_start_asked_again")}, {other.name})
+
+
 class RestartedSingleVersionTest(SoftwareTest):
     SOFTWARE = VERSIONS[:1]
     RECORDED = SINGLE
