Lines of requests and answers are read as the standard has them

Callers and upstreams saw: an upstream ran a request that a strict reader of the same bytes does not see, and a caller got an answer of another length than the upstream's head states to such a reader.

Cause: evhttp ends a line at a bare line feed and at a zero byte, joins lines that begin with a blank, takes what stands after further blanks of a request line for the target or the version, and leaves trailers that state a length unread. A body of a method that it has no name for is not read as one but as the next request: the 405 was followed by its answer. Chunks in HTTP/1.0 were read. The class of: a lenient reading of the framing, before the router's own checks, which look at the fields that evhttp has made.

Change: LineCheck reads the bytes of heads and trailers before evhttp does, for callers (RequestFraming: 400 and the connection closed, nothing behind it is read), for attempts, services and the store (HeadCheck: a bad answer). A method without a name counts as one without a body. attempt_ended tells broken_framing in place of broken_chunks, as it holds for the head, too. Refusals that are written before evhttp has read the request linger, so that their callers get them whatever they send on: 400 as before, and 408 and 431.

Tests changed: heads of bare line feeds were sound ones in test_RequestFraming, test_HeadCheck and test_held_bytes, which the standard lets no receiver take for certain; they are refused now, which new cases show, and the old ones send sound lines, as many as before.

Why it holds: no byte reaches evhttp that the check has not seen, and a connection with a malformed line carries nothing more.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -78,7 +78,7 @@
         end_attempt(this, ATTEMPT_OVERSIZED, NULL);
         return;
     }
-    if (AttemptConnection_hasBrokenChunks(connection)) {
+    if (AttemptConnection_hasBrokenFraming(connection)) {
         end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
         return;
     }
@@ -164,7 +164,7 @@
         return;
     }
     this->connection.last_received_ms = Clock_nowMs();
-    if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+    if (AttemptConnection_hasBrokenFraming(&this->connection)) {
         end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
         return;
     }
@@ -263,7 +263,7 @@
                     NULL);
         return;
     }
-    if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+    if (AttemptConnection_hasBrokenFraming(&this->connection)) {
         end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
         return;
     }
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -52,6 +52,18 @@
     Clock_arm(this->timeout_timer, 0);
 }
 
+/* As end_oversized(). */
+static void
+end_dropped(AttemptConnection_t *this)
+{
+    if (HeadCheck_isBroken(&this->head)) {
+        Clock_arm(this->timeout_timer, 0);
+    }
+    else {
+        end_oversized(this);
+    }
+}
+
 /* As end_oversized(). */
 static void
 check_chunks(AttemptConnection_t *this, struct evbuffer *buffer, gsize added)
@@ -63,7 +75,7 @@
     if (rest > 0) {
         HeadCheck_addTrailers(&this->head);
         if (HeadCheck_drops(&this->head, buffer, rest)) {
-            end_oversized(this);
+            end_dropped(this);
         }
     }
 }
@@ -75,17 +87,17 @@
          void *data)
 {
     AttemptConnection_t *this = data;
+    gboolean was_broken = AttemptConnection_hasBrokenFraming(this);
     gboolean is_dropped = HeadCheck_drops(&this->head, buffer, info->n_added);
-    if (this->input_oversized || ChunkCheck_isBroken(&this->chunks) ||
-        this->closed) {
+    if (this->input_oversized || was_broken || this->closed) {
         return; /* rearming it with each read would keep it from firing */
     }
     if (is_dropped) {
-        end_oversized(this);
+        end_dropped(this);
         return;
     }
     check_chunks(this, buffer, info->n_added);
-    if (this->input_oversized) {
+    if (this->input_oversized || HeadCheck_isBroken(&this->head)) {
         return;
     }
     gsize length = evbuffer_get_length(buffer);
@@ -125,9 +137,10 @@
 }
 
 gboolean
-AttemptConnection_hasBrokenChunks(const AttemptConnection_t *this)
+AttemptConnection_hasBrokenFraming(const AttemptConnection_t *this)
 {
-    return ChunkCheck_isBroken(&this->chunks);
+    return ChunkCheck_isBroken(&this->chunks) ||
+           HeadCheck_isBroken(&this->head);
 }
 
 /* Keeps evhttp from writing the request. The connection is freed in a later
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -44,7 +44,7 @@
  * @input_total: counts unparsed input, together with that of others; or NULL
  * @input_total_max: maximum of @input_total, in bytes
  * @on_timeout: the timeout timer expired, @input_oversized or @withdrawn of
- *     AttemptConnection_t was set, or AttemptConnection_hasBrokenChunks()
+ *     AttemptConnection_t was set, or AttemptConnection_hasBrokenFraming()
  * holds
  * @on_reap: calls AttemptConnection_clear() and frees the attempt
  * @attempt: argument of both callbacks
@@ -168,10 +168,10 @@
 BodyFraming_t AttemptConnection_receiveBody(AttemptConnection_t *this,
                                             struct evhttp_request *request);
 
-/** AttemptConnection_hasBrokenChunks() - whether the framing of the body is
- * broken, so that evhttp may misread its end; the timeout timer expires at
- * once */
-gboolean AttemptConnection_hasBrokenChunks(const AttemptConnection_t *this);
+/** AttemptConnection_hasBrokenFraming() - whether a line of a head or the
+ * framing of the body is broken, so that evhttp may misread the answer; the
+ * timeout timer expires at once */
+gboolean AttemptConnection_hasBrokenFraming(const AttemptConnection_t *this);
 
 /** AttemptConnection_remainingMs() - time until the current timeout; 0 or less
  * once it has expired */
--- a/src/BodyFraming.c
+++ b/src/BodyFraming.c
@@ -4,9 +4,14 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "LineCheck.h"
+
 #define LENGTH_HEADER "Content-Length"
 #define CODING_HEADER "Transfer-Encoding"
 #define STATUS_CONTINUE 100
+#define METHODS_WITH_BODY                                                     \
+    (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |  \
+     EVHTTP_REQ_OPTIONS | EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH)
 
 const char *
 BodyFraming_name(BodyFraming_t framing)
@@ -89,12 +94,11 @@
     return BODY_CLOSE_DELIMITED;
 }
 
-/* RFC 9110, section 5.6.2 */
 static gboolean
 is_token(const char *name)
 {
     const char *at = name;
-    while (g_ascii_isalnum(*at) || (*at && strchr("!#$%&'*+-.^_`|~", *at))) {
+    while (LineCheck_isToken(*at)) {
         at++;
     }
     return at != name && *at == '\0';
@@ -113,11 +117,12 @@
     return TRUE;
 }
 
-/* evhttp reads none after such a head, but the next request. */
+/* After other heads, those of unknown methods too, evhttp reads none, but the
+ * next request. */
 static gboolean
 never_has_body(enum evhttp_cmd_type method)
 {
-    return method == EVHTTP_REQ_HEAD || method == EVHTTP_REQ_TRACE;
+    return (method & METHODS_WITH_BODY) == 0;
 }
 
 static gboolean
--- a/src/BodyFraming.h
+++ b/src/BodyFraming.h
@@ -50,7 +50,7 @@
  * So it is with a length beside a coding, more than one of either, a length
  * that is no number, a coding other than chunks, or a header whose name is no
  * token and may be one of these to others. So it is as well with a body of
- * HEAD or TRACE. What follows such a head must not be read.
+ * HEAD, TRACE or an unknown method. What follows such a head must not be read.
  */
 gboolean BodyFraming_isAmbiguousRequest(enum evhttp_cmd_type method,
                                         const struct evkeyvalq *headers);
--- a/src/HeadCheck.c
+++ b/src/HeadCheck.c
@@ -23,6 +23,9 @@
 static void
 feed_byte(HeadCheck_t *this, char byte)
 {
+    LineCheck_feed(&this->syntax,
+                   this->is_first_line_read ? LINE_OF_FIELD : LINE_OF_STATUS,
+                   byte);
     if (byte == '\n') {
         end_line(this);
         return;
@@ -44,10 +47,16 @@
     this->line_bytes = 0;
 }
 
+static gboolean
+is_refused(const HeadCheck_t *this)
+{
+    return HeadCheck_isTooLong(this) || HeadCheck_isBroken(this);
+}
+
 static gboolean
 is_under_way(const HeadCheck_t *this)
 {
-    return !this->is_ended && !HeadCheck_isTooLong(this);
+    return !this->is_ended && !is_refused(this);
 }
 
 static void
@@ -81,10 +90,16 @@
 HeadCheck_drops(HeadCheck_t *this, struct evbuffer *buffer, gsize length)
 {
     HeadCheck_feedTail(this, buffer, length);
-    if (HeadCheck_isTooLong(this) && length > 0) {
+    if (is_refused(this) && length > 0) {
         evbuffer_drain(buffer, evbuffer_get_length(buffer));
     }
-    return HeadCheck_isTooLong(this);
+    return is_refused(this);
+}
+
+gboolean
+HeadCheck_isBroken(const HeadCheck_t *this)
+{
+    return LineCheck_isBroken(&this->syntax);
 }
 
 gboolean
--- a/src/HeadCheck.h
+++ b/src/HeadCheck.h
@@ -3,14 +3,16 @@
 /**
  * DOC: HeadCheck
  *
- * Counts the lines of an answer's heads, interim ones and trailers included.
- * evhttp keeps each field in three allocations and limits only their text, so
- * that a head of empty fields takes a hundred times its size. The check sees
- * the bytes before evhttp reads them.
+ * Checks the lines of an answer's heads, interim ones and trailers included
+ * (see LineCheck.h), and counts them. evhttp keeps each field in three
+ * allocations and limits only their text, so that a head of empty fields takes
+ * a hundred times its size. The check sees the bytes before evhttp reads them.
  */
 #include <event2/buffer.h>
 #include <glib.h>
 
+#include "LineCheck.h"
+
 /** HEAD_LINES_MAX - most lines of all heads and of the trailers */
 #define HEAD_LINES_MAX 256
 
@@ -21,6 +23,7 @@
  * @is_first_line_read: a line of the head under way was received
  * @is_interim: the head under way is that of an interim answer
  * @is_ended: the last head was received
+ * @syntax: check of the lines
  */
 typedef struct {
     guint lines;
@@ -28,6 +31,7 @@
     gboolean is_first_line_read;
     gboolean is_interim;
     gboolean is_ended;
+    LineCheck_t syntax;
 } HeadCheck_t;
 
 /**
@@ -44,7 +48,7 @@
 
 /**
  * HeadCheck_drops() - as HeadCheck_feedTail(); drops the input of a head with
- * too many lines, so that evhttp doesn't keep its fields
+ * too many lines or a malformed one, so that evhttp doesn't read its fields
  *
  * Return: whether it was dropped; the connection must be closed
  */
@@ -55,4 +59,7 @@
  */
 gboolean HeadCheck_isTooLong(const HeadCheck_t *this);
 
+/** HeadCheck_isBroken() - whether a line was malformed */
+gboolean HeadCheck_isBroken(const HeadCheck_t *this);
+
 #endif
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -149,10 +149,17 @@
     finish(this, NULL, error);
 }
 
+static gboolean
+has_broken_framing(const HttpCall_t *this)
+{
+    return ChunkCheck_isBroken(&this->chunks) ||
+           HeadCheck_isBroken(&this->head);
+}
+
 static void
 fail_broken(HttpCall_t *this)
 {
-    fail(this, WT_ERROR_BAD_ANSWER, "the answer's chunks are broken");
+    fail(this, WT_ERROR_BAD_ANSWER, "the answer's framing is broken");
 }
 
 static void
@@ -164,7 +171,7 @@
     if (this->is_too_long) {
         fail(this, WT_ERROR_BAD_ANSWER, "the answer is too long");
     }
-    else if (ChunkCheck_isBroken(&this->chunks)) {
+    else if (has_broken_framing(this)) {
         fail_broken(this);
     }
     else if (this->sent) {
@@ -215,11 +222,22 @@
     }
 }
 
+/* As check_length(); only the first broken byte sets the timer. */
+static void
+drop_broken_head(HttpCall_t *this, struct evbuffer *buffer, gsize added)
+{
+    gboolean was_broken = HeadCheck_isBroken(&this->head);
+    (void)HeadCheck_drops(&this->head, buffer, added);
+    if (this->done && !was_broken && HeadCheck_isBroken(&this->head)) {
+        Clock_arm(this->deadline, 0);
+    }
+}
+
 /* As check_length(). */
 static void
 check_chunks(HttpCall_t *this, struct evbuffer *buffer, gsize added)
 {
-    if (!this->done || ChunkCheck_isBroken(&this->chunks)) {
+    if (!this->done || has_broken_framing(this)) {
         return;
     }
     gsize rest = ChunkCheck_feedTail(&this->chunks, buffer, added);
@@ -228,7 +246,7 @@
     }
     if (rest > 0) {
         HeadCheck_addTrailers(&this->head);
-        (void)HeadCheck_drops(&this->head, buffer, rest);
+        drop_broken_head(this, buffer, rest);
         check_length(this);
     }
 }
@@ -244,7 +262,7 @@
         this->received_bytes += info->n_added;
         total_bytes += info->n_added;
         this->received_ms = Clock_nowMs();
-        (void)HeadCheck_drops(&this->head, buffer, info->n_added);
+        drop_broken_head(this, buffer, info->n_added);
         check_length(this);
         check_chunks(this, buffer, info->n_added);
     }
@@ -308,7 +326,7 @@
                         : "not connected");
         return;
     }
-    if (ChunkCheck_isBroken(&this->chunks)) {
+    if (has_broken_framing(this)) {
         fail_broken(this);
         return;
     }
--- /dev/null
+++ b/src/LineCheck.c
@@ -0,0 +1,116 @@
+#include "LineCheck.h"
+
+#include <string.h>
+
+/* Between a method, a target and a version. */
+#define REQUEST_BLANKS 2
+
+gboolean
+LineCheck_isToken(char byte)
+{
+    return g_ascii_isalnum(byte) || (byte && strchr("!#$%&'*+-.^_`|~", byte));
+}
+
+static LineState_t
+read_text(LineCheck_t *this, LineKind_t kind, char byte)
+{
+    (void)this;
+    (void)kind;
+    switch (byte) {
+    case '\r':
+        return LINE_END;
+    case '\n':
+    case '\0':
+        return LINE_BROKEN;
+    default:
+        return LINE_TEXT;
+    }
+}
+
+static LineState_t
+read_name(LineCheck_t *this, LineKind_t kind, char byte)
+{
+    (void)this;
+    (void)kind;
+    if (byte == ':') {
+        return LINE_TEXT;
+    }
+    return LineCheck_isToken(byte) ? LINE_NAME : LINE_BROKEN;
+}
+
+static LineState_t
+read_begin(LineCheck_t *this, LineKind_t kind, char byte)
+{
+    this->blanks = 0;
+    this->is_after_blank = FALSE;
+    if (byte == '\r') {
+        return LINE_END;
+    }
+    if (kind == LINE_OF_STATUS) {
+        return read_text(this, kind, byte);
+    }
+    if (!LineCheck_isToken(byte)) {
+        return LINE_BROKEN;
+    }
+    return kind == LINE_OF_REQUEST ? LINE_TEXT : LINE_NAME;
+}
+
+static LineState_t
+read_end(LineCheck_t *this, LineKind_t kind, char byte)
+{
+    (void)this;
+    (void)kind;
+    return byte == '\n' ? LINE_BEGIN : LINE_BROKEN;
+}
+
+static LineState_t (*const readers[])(LineCheck_t *this, LineKind_t kind,
+                                      char byte) = {
+    [LINE_BEGIN] = read_begin,
+    [LINE_NAME] = read_name,
+    [LINE_TEXT] = read_text,
+    [LINE_END] = read_end,
+};
+
+static gboolean
+may_end_word(const LineCheck_t *this, gboolean is_end)
+{
+    return !this->is_after_blank && (this->blanks == REQUEST_BLANKS) == is_end;
+}
+
+/* A blank too many would be a part of the target or of the version. */
+static void
+check_request_line(LineCheck_t *this, char byte)
+{
+    gboolean is_blank = byte == ' ';
+    gboolean is_end = this->state == LINE_END;
+    gboolean is_sound =
+        this->blanks > 0 ? byte != '\t' : LineCheck_isToken(byte);
+    if (is_blank || is_end) {
+        is_sound = may_end_word(this, is_end);
+    }
+    this->blanks += is_blank ? 1 : 0;
+    this->is_after_blank = is_blank;
+    if (!is_sound) {
+        this->state = LINE_BROKEN;
+    }
+}
+
+void
+LineCheck_feed(LineCheck_t *this, LineKind_t kind, char byte)
+{
+    LineState_t before = this->state;
+    if (before == LINE_BROKEN) {
+        return;
+    }
+    this->state = readers[before](this, kind, byte);
+    if (kind == LINE_OF_REQUEST &&
+        (before == LINE_TEXT || this->state == LINE_TEXT)) {
+        check_request_line(this, byte);
+    }
+}
+
+gboolean
+LineCheck_isBroken(const LineCheck_t *this)
+{
+    return this->state == LINE_BROKEN;
+}
--- /dev/null
+++ b/src/LineCheck.h
@@ -0,0 +1,69 @@
+#ifndef HEADER_LineCheck
+#define HEADER_LineCheck
+/**
+ * DOC: LineCheck
+ *
+ * Checks the lines of heads and trailers (RFC 9112, sections 2.2, 3 and 5).
+ * evhttp ends a line at a bare line feed and at a zero byte, and joins lines
+ * that begin with a blank, so that it reads other fields than a strict reader.
+ * The check sees the bytes before evhttp reads them.
+ */
+#include <glib.h>
+
+/**
+ * enum LineState_t - what the next byte of a line belongs to
+ * @LINE_BEGIN: the beginning of a line
+ * @LINE_NAME: the name of a field
+ * @LINE_TEXT: the value of a field, or a request or status line
+ * @LINE_END: the line feed
+ * @LINE_BROKEN: the line is malformed
+ */
+typedef enum {
+    LINE_BEGIN,
+    LINE_NAME,
+    LINE_TEXT,
+    LINE_END,
+    LINE_BROKEN,
+} LineState_t;
+
+/**
+ * enum LineKind_t - kind of a line
+ * @LINE_OF_REQUEST: a method, a target and a version
+ * @LINE_OF_STATUS: the first line of an answer
+ * @LINE_OF_FIELD: a field
+ */
+typedef enum {
+    LINE_OF_REQUEST,
+    LINE_OF_STATUS,
+    LINE_OF_FIELD,
+} LineKind_t;
+
+/**
+ * struct LineCheck_t - the check of one line after the other; all zero before
+ * the first one
+ * @state: what the next byte belongs to
+ * @blanks: blanks so far in a request line
+ * @is_after_blank: the last byte of a request line was a blank
+ */
+typedef struct {
+    LineState_t state;
+    guint blanks;
+    gboolean is_after_blank;
+} LineCheck_t;
+
+/** LineCheck_isToken() - whether a byte may stand in the name of a field
+ * (RFC 9110, section 5.6.2) */
+gboolean LineCheck_isToken(char byte);
+
+/**
+ * LineCheck_feed() - check the next byte
+ * @kind: of the line that the byte belongs to
+ *
+ * An empty line is sound.
+ */
+void LineCheck_feed(LineCheck_t *this, LineKind_t kind, char byte);
+
+/** LineCheck_isBroken() - whether a line was malformed */
+gboolean LineCheck_isBroken(const LineCheck_t *this);
+
+#endif
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -90,7 +90,8 @@
     Log_number("unproven", this->has_head && this->head.is_unproven);
     Log_number("matches_request",
                this->has_head && this->head.matches_request);
-    Log_number("broken_chunks", AttemptConnection_hasBrokenChunks(connection));
+    Log_number("broken_framing",
+               AttemptConnection_hasBrokenFraming(connection));
     Log_number("connection", (gint64)PooledConnection_number(pooled));
     Log_number("requests", PooledConnection_countRequests(pooled));
     Log_end();
@@ -172,7 +173,7 @@
         receive_end(this, ATTEMPT_OVERSIZED);
         return;
     }
-    if (AttemptConnection_hasBrokenChunks(connection)) {
+    if (AttemptConnection_hasBrokenFraming(connection)) {
         receive_end(this, ATTEMPT_BAD_ANSWER);
         return;
     }
@@ -287,7 +288,7 @@
     if (!this->has_head) {
         return;
     }
-    if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+    if (AttemptConnection_hasBrokenFraming(&this->connection)) {
         receive_end(this, ATTEMPT_BAD_ANSWER);
         return;
     }
@@ -375,7 +376,7 @@
 is_reusable(const RelayAttempt_t *this)
 {
     return BodyFraming_endsBeforeConnection(this->head.framing) &&
-           !AttemptConnection_hasBrokenChunks(&this->connection) &&
+           !AttemptConnection_hasBrokenFraming(&this->connection) &&
            !has_trailing_bytes(this);
 }
 
@@ -396,7 +397,7 @@
         receive_end(this,
                     this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
     }
-    else if (AttemptConnection_hasBrokenChunks(&this->connection)) {
+    else if (AttemptConnection_hasBrokenFraming(&this->connection)) {
         receive_end(this, ATTEMPT_BAD_ANSWER);
     }
     else {
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -4,11 +4,13 @@
 
 #include "ChunkCheck.h"
 #include "HeadCheck.h"
+#include "LineCheck.h"
 
 /* Longer than the lines that matter, without blanks. */
 #define LINE_MAX_BYTES 64
 #define CHUNKED_LINE "transfer-encoding:chunked"
 #define LENGTH_PREFIX "content-length:"
+#define CODING_PREFIX "transfer-encoding:"
 
 typedef enum {
     PART_HEAD,
@@ -30,6 +32,8 @@
     guint64 left;    /* of this length */
     guint64 chunked; /* bytes of chunks so far */
     ChunkCheck_t chunks;
+    LineCheck_t syntax;
+    gboolean has_late_framing; /* a trailer tells how the body ends */
 };
 
 static void
@@ -56,9 +60,13 @@
     }
 }
 
+/* Empty lines before a request don't count. */
 static void
-read_method(RequestFraming_t *this)
+read_first_line(RequestFraming_t *this)
 {
+    if (this->line_bytes == 0) {
+        return;
+    }
     this->has_no_body = g_str_has_prefix(this->line, "HEAD ") ||
                         g_str_has_prefix(this->line, "TRACE ");
     this->is_first_line = FALSE;
@@ -81,6 +89,19 @@
     }
 }
 
+static gboolean
+has_prefix(const RequestFraming_t *this, const char *prefix)
+{
+    return g_ascii_strncasecmp(this->line, prefix, strlen(prefix)) == 0;
+}
+
+static void
+read_trailer(RequestFraming_t *this)
+{
+    this->has_late_framing =
+        has_prefix(this, LENGTH_PREFIX) || has_prefix(this, CODING_PREFIX);
+}
+
 static void
 end_line(RequestFraming_t *this)
 {
@@ -91,12 +112,15 @@
         if (is_empty) {
             begin_head(this);
         }
+        else {
+            read_trailer(this);
+        }
     }
     else if (is_empty && !this->is_first_line) {
         begin_body(this);
     }
     else if (this->is_first_line) {
-        read_method(this);
+        read_first_line(this);
     }
     else {
         read_header(this);
@@ -113,9 +137,21 @@
     return byte != '\r' && (!is_blank || this->is_first_line);
 }
 
+static void
+check_byte(RequestFraming_t *this, char byte)
+{
+    gboolean is_request_line = this->is_first_line && this->part == PART_HEAD;
+    LineCheck_feed(&this->syntax,
+                   is_request_line ? LINE_OF_REQUEST : LINE_OF_FIELD, byte);
+}
+
 static void
 read_line_byte(RequestFraming_t *this, char byte)
 {
+    check_byte(this, byte);
+    if (LineCheck_isBroken(&this->syntax)) {
+        return;
+    }
     if (byte == '\n') {
         end_line(this);
     }
@@ -135,7 +171,7 @@
 {
     const char *end = memchr(bytes, '\n', length);
     gsize size = end ? (gsize)(end - bytes) + 1 : length;
-    for (gsize i = 0; i < size; i++) {
+    for (gsize i = 0; i < size && !LineCheck_isBroken(&this->syntax); i++) {
         read_line_byte(this, bytes[i]);
     }
     return size;
@@ -182,10 +218,17 @@
     }
 }
 
+gboolean
+RequestFraming_hasBrokenLine(const RequestFraming_t *this)
+{
+    return LineCheck_isBroken(&this->syntax) || this->has_late_framing;
+}
+
 gboolean
 RequestFraming_isBroken(const RequestFraming_t *this)
 {
-    return ChunkCheck_isBroken(&this->chunks);
+    return ChunkCheck_isBroken(&this->chunks) ||
+           RequestFraming_hasBrokenLine(this);
 }
 
 gboolean
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -3,10 +3,10 @@
 /**
  * DOC: RequestFraming
  *
- * Checks the chunks of callers' requests before evhttp reads them (see
- * ChunkCheck.h). As evhttp hands out a request only once its body has ended,
- * the check follows the heads of a connection's requests by itself, as far as
- * they tell where a body ends.
+ * Checks the lines and chunks of callers' requests before evhttp reads them
+ * (see LineCheck.h and ChunkCheck.h). As evhttp hands out a request only once
+ * its body has ended, the check follows the heads of a connection's requests
+ * by itself, as far as they tell where a body ends.
  */
 #include <glib.h>
 
@@ -23,9 +23,13 @@
 void RequestFraming_feed(RequestFraming_t *this, const char *bytes,
                          gsize length);
 
-/** RequestFraming_isBroken() - whether chunks are broken */
+/** RequestFraming_isBroken() - whether chunks or lines are broken */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
 
+/** RequestFraming_hasBrokenLine() - whether a line of a head or of trailers is
+ * malformed, or a trailer names the framing. evhttp may wait for more. */
+gboolean RequestFraming_hasBrokenLine(const RequestFraming_t *this);
+
 /** RequestFraming_lines() - lines of the head and the trailers so far */
 guint RequestFraming_lines(const RequestFraming_t *this);
 
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 
@@ -215,14 +216,16 @@
     g_string_free(body, TRUE);
 }
 
+/* evhttp frees the connection after this, and LingeringClose sees afterwards
+ * that it wrote its last answer. */
 static void
 refuse(Connection_t *this, Refusal_t refusal)
 {
     this->is_abandoned = TRUE;
     this->is_refused = TRUE;
     log_refusal(this, Refusal_spec(refusal)->code);
-    write_refusal(this, refusal);
     end_connection(this);
+    write_refusal(this, refusal);
 }
 
 /* How long the request has been arriving, without the time for which this
@@ -253,7 +256,10 @@
     if (this->is_abandoned) {
         return;
     }
-    if (RequestFraming_hasTooManyLines(this->framing)) {
+    if (RequestFraming_hasBrokenLine(this->framing)) {
+        refuse(this, REFUSAL_BAD_HEADER);
+    }
+    else if (RequestFraming_hasTooManyLines(this->framing)) {
         refuse(this, REFUSAL_TOO_MANY_FIELDS);
     }
     else if (is_too_slow(this, added)) {
@@ -321,11 +327,24 @@
                        : NULL;
 }
 
+/* HTTP/1.0 has no codings, so that its readers take what follows the head for
+ * the body (RFC 9112, section 6.1). */
+static gboolean
+has_unknown_coding(struct evhttp_request *request)
+{
+    gboolean knows_codings =
+        request->major > 1 || (request->major == 1 && request->minor > 0);
+    return !knows_codings &&
+           evhttp_find_header(evhttp_request_get_input_headers(request),
+                              "Transfer-Encoding") != NULL;
+}
+
 gboolean
 RequestIntake_isAmbiguous(struct evhttp_request *request)
 {
     const Connection_t *connection = find_connection(request);
-    return BodyFraming_isAmbiguousRequest(
+    return has_unknown_coding(request) ||
+           BodyFraming_isAmbiguousRequest(
                evhttp_request_get_command(request),
                evhttp_request_get_input_headers(request)) ||
            (connection && RequestFraming_isBroken(connection->framing));
--- a/tests/sessions/test_framing.py
+++ b/tests/sessions/test_framing.py
@@ -39,6 +39,41 @@
     b"Transfer-Encoding: identity\r\n chunked",
     b"Content-Length: 0\r\n " + SIZE,
 ]
+# Lines that a lenient reader takes for others than a strict one (RFC 9112,
+# sections 2.2, 5.1 and 5.2).
+MALFORMED = [
+    b"X-Note: a\rb",
+    b"X-Note: a\rContent-Length: " + SIZE,
+    b"X-Note: a\nContent-Length: " + SIZE,
+    b"X-Note: a\n\r\nContent-Length: " + SIZE,
+    b"Content-Length: " + SIZE + b"\n",
+    b"Content-Length: 0\r",
+    b"Transfer-\rEncoding: chunked",
+    b"Transfer-Encoding:\rchunked",
+    b"X-Note: a\r\n b",
+    b"X-Note: a\r\n\tContent-Length: " + SIZE,
+    b" Content-Length: " + SIZE,
+    b"Content-Length: " + SIZE + b"\0",
+    b"X-Note: a\0b",
+    b"X-Note",
+    b"Content-Length " + SIZE,
+    b": a",
+    b"X Note: a",
+    b"X-Note : a",
+]
+# Request lines that are not a method, a target and a version.
+FIRST_LINES = [
+    b"POST /write/x", b"POST  /write/x HTTP/1.1", b"POST /write/x  HTTP/1.1",
+    b"POST /write/x HTTP/1.1 ", b"POST /write/x y HTTP/1.1",
+    b"POST\t/write/x\tHTTP/1.1", b"POST /write/x HTTP/1.1\rX-Note: a",
+    b" POST /write/x HTTP/1.1", b"POST /write/x\0 HTTP/1.1",
+]
+# They come too late to tell where the body ends.
+TRAILERS = [
+    b"Content-Length: " + SIZE, b"Transfer-Encoding: chunked",
+    b"X-Note: a\r\n b", b"X-Note: a\nX-Note: b", b"X-Note : a",
+    b"X-Note: a\r\nContent-Length: 0",
+]
 CHUNKED = b"0\r\n\r\n"
 # What follows a first chunk.
 BROKEN_CHUNKS = [
@@ -51,14 +86,21 @@
 ]
 # The second one is evhttp's own.
 REFUSED = (b"HTTP/1.1 400 ", b"HTTP/1.1 413 ")
+HEAD = (b"POST /write/x HTTP/1.1\r\nHost: shop.example\r\n"
+        b"X-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\nApi-Key: key-a\r\n"
+        b"%s\r\n\r\n")
+LATER_S = 0.2
 
 
-def receive(port, data, silence_s=1.0):
+def receive(port, data, silence_s=1.0, later=None):
     """Returns what comes until the end, or until a silence."""
     received = b""
     with socket.create_connection(("127.0.0.1", port)) as link:
         link.settimeout(silence_s)
         link.sendall(data)
+        if later:
+            time.sleep(LATER_S)
+            link.sendall(later)
         try:
             while True:
                 part = link.recv(65536)
@@ -96,6 +138,59 @@
                 self.assertTrue(closed, framing)
         self.assertEqual(self.plain.seen, [])
 
+    def assert_refused(self, head, rest, version=b"HTTP/1.1 "):
+        received, closed = receive(self.router.port, head + rest)
+        self.assertTrue(received.startswith(version + b"4"), (head, received))
+        self.assertIn(received[9:13], (b"400 ", b"413 "), (head, received))
+        self.assertEqual(received.count(b"HTTP/1."), 1, head)
+        self.assertTrue(closed, head)
+
+    # Line ends, folds and names were read as evhttp reads them.
+    def test_malformed_lines(self):
+        for line in MALFORMED:
+            for body in (b"", INNER, CHUNKED + INNER):
+                self.assert_refused(HEAD % (b"outer", line), body)
+        self.assertEqual(self.plain.seen, [])
+
+    def test_malformed_first_lines(self):
+        for line in FIRST_LINES:
+            self.assert_refused(
+                b"%s\r\nHost: shop.example\r\nX-Request-Id: outer\r\n"
+                b"X-Deadline-Ms: 3000\r\nApi-Key: key-a\r\n"
+                b"Content-Length: 0\r\n\r\n" % line, INNER)
+        self.assertEqual(self.plain.seen, [])
+
+    def test_trailers_that_name_framing(self):
+        for trailer in TRAILERS:
+            received, closed = self.send(
+                b"Transfer-Encoding: chunked",
+                b"5\r\nhello\r\n0\r\n%s\r\n\r\n" % trailer + INNER)
+            self.assertTrue(received.startswith(REFUSED), (trailer, received))
+            self.assertEqual(received.count(b"HTTP/1.1 "), 1, trailer)
+            self.assertTrue(closed, trailer)
+        self.assertEqual(self.plain.seen, [])
+
+    # HTTP/1.0 knows no codings.
+    def test_chunks_of_the_older_version(self):
+        self.assert_refused(
+            b"POST /write/x HTTP/1.0\r\nHost: shop.example\r\n"
+            b"X-Request-Id: outer\r\nX-Deadline-Ms: 3000\r\n"
+            b"Api-Key: key-a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            CHUNKED + INNER, b"HTTP/1.0 ")
+        self.assertEqual(self.plain.seen, [])
+
+    # The refusal must not stand where the answer of the first one is due.
+    def test_a_malformed_request_behind_one_that_runs(self):
+        self.plain.pause_s = 0.5
+        request = HEAD % (b"first", b"Content-Length: 0")
+        received, closed = receive(
+            self.router.port, request, 2.0,
+            HEAD % (b"second", b"X-Note: a\nContent-Length: 0"))
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+        self.assertIn(b"X-Request-Id: first", received)
+        self.assertTrue(closed)
+        self.assertEqual(len(self.plain.seen), 1)
+
     def test_sound_heads(self):
         for framing, body in ((b"Content-Length: " + SIZE, INNER),
                               (b"content-length:" + SIZE, INNER),
@@ -138,6 +233,12 @@
         for method in (b"REPORT", b"PROPFIND", b"post", b"X"):
             received, _ = self.send(b"Content-Length: 0", b"", method)
             self.assertTrue(received.startswith(b"HTTP/1.1 405 "), received)
+            # Its body was read as the next request.
+            received, closed = self.send(b"Content-Length: " + SIZE, INNER,
+                                         method)
+            self.assertTrue(received.startswith(REFUSED), received)
+            self.assertEqual(received.count(b"HTTP/1.1 "), 1, received)
+            self.assertTrue(closed)
         time.sleep(0.1)
         self.assertEqual(self.plain.seen, [])
 
@@ -151,7 +252,7 @@
         router = cluster.start()
         inner = (b"GET /v1/models HTTP/1.1\r\nHost: x\r\n"
                  b"Authorization: Bearer acme-key\r\n\r\n")
-        for framing in AMBIGUOUS:
+        for framing in AMBIGUOUS + MALFORMED:
             received, closed = receive(router.port, (
                 b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
                 b"Authorization: Bearer acme-key\r\n%s\r\n\r\n" % framing)
--- a/tests/sessions/test_held_bytes.py
+++ b/tests/sessions/test_held_bytes.py
@@ -62,7 +62,7 @@
     # A field of a byte cost a hundred.
     def test_callers_with_many_short_fields(self):
         callers = [begin_request(self.router, self.REQUEST % number
-                                 + b":\n" * FIELDS)
+                                 + b"A:\r\n" * FIELDS)
                    for number in range(self.CALLERS)]
         time.sleep(0.5)
         self.assert_flat()
@@ -79,7 +79,7 @@
             for _ in range(self.CALLERS):
                 caller = socket.create_connection(("127.0.0.1", port))
                 caller.settimeout(5)
-                caller.sendall(b"GET / HTTP/1.1\r\n" + b":\n" * FIELDS)
+                caller.sendall(b"GET / HTTP/1.1\r\n" + b"A:\r\n" * FIELDS)
                 callers.append(caller)
             for caller in callers:
                 self.assertIn(b"HTTP/1.1 431", caller.recv(4096))
@@ -89,7 +89,7 @@
     def test_callers_with_many_short_trailers(self):
         callers = [begin_request(self.router, self.REQUEST % number
                                  + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
-                                 + b":\n" * FIELDS)
+                                 + b"A:\r\n" * FIELDS)
                    for number in range(self.CALLERS)]
         time.sleep(0.5)
         self.assert_flat()
@@ -116,7 +116,7 @@
     def test_answers_with_many_short_fields(self):
         statuses = self.ask_many(lambda call, request_id: call.wfile.write(
             b"HTTP/1.1 200 x\r\nX-Request-Id: %s\r\nX-Server-Seal: s\r\n"
-            % request_id + b":\n" * FIELDS))
+            % request_id + b"A:\r\n" * FIELDS))
         self.assertLessEqual(statuses, {502})
 
 
@@ -137,7 +137,7 @@
             arrivals.append(time.monotonic())
             call.wfile.write(b"HTTP/1.1 200 x\r\n" + prelude)
             for _ in range(1 << 10):
-                call.wfile.write(b":\n" * 8192)
+                call.wfile.write(b"A:\r\n" * 4096)
 
         fleet.store.handle = send_fields
         end = time.monotonic() + 2
--- a/tests/sessions/test_whole_answers.py
+++ b/tests/sessions/test_whole_answers.py
@@ -7,7 +7,7 @@
 from fleet import Fleet, Server, Upstream
 from test_close_delimited import receive
 from test_forwarding import ForwardedTest as Forwarded
-from test_framing import BROKEN_CHUNKS
+from test_framing import AMBIGUOUS, BROKEN_CHUNKS, MALFORMED
 from test_framing import receive as receive_bytes
 
 SOUND_CHUNKS = [b"0\r\n", b"000\r\n", b"05\r\nworld\r\n0\r\n",
@@ -98,35 +98,118 @@
                                  (path, rest, answer))
 
 
+# Heads of answers of which a lenient reader sees other fields than a strict
+# one.
+SOUND_LINE = b"Content-Length: %d" % len(EVENT)
+HEADS = [line + b"\r\n" + SOUND_LINE
+         for line in MALFORMED] + AMBIGUOUS
+
+
+class HeadUpstream(Upstream):
+    """Answers with `line` in the head."""
+
+    line = None
+    first = b"HTTP/1.1 200 x\r\n"
+
+    def serve(self, call, body):
+        self.seen.append(dict(call.headers))
+        call.wfile.write(
+            self.first + b"X-Request-Id: %s\r\nX-Server-Seal: s\r\n"
+            b"X-Weight-Versions: 1\r\n%s\r\n\r\n%s"
+            % (call.headers["X-Request-Id"].encode(), self.line, EVENT))
+
+
+class HeadLinesTest(unittest.TestCase):
+    """The head of an answer was read as evhttp reads it, so that a caller got
+    an answer of another length than its upstream gave."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.upstreams = [
+            self.fleet.add(HeadUpstream(self.fleet.store, "p1", "plain")),
+            self.fleet.add(HeadUpstream(self.fleet.store, "e1", "engines",
+                                        "m"))]
+        self.router = self.fleet.start(eject_failures="1000")
+
+    def status(self, path, line, first=HeadUpstream.first):
+        for upstream in self.upstreams:
+            upstream.line = line
+            upstream.first = first
+        return self.fleet.ask(self.router, path, wait_ms=2000).status
+
+    def assert_refused(self, line, first=HeadUpstream.first):
+        """An upstream that is in use gives each of these answers."""
+        for path in PATHS:
+            wait_for(lambda path=path: self.status(path, SOUND_LINE) == 200,
+                     "a sound answer")
+            seen = sum(len(upstream.seen) for upstream in self.upstreams)
+            status = self.status(path, line, first)
+            self.assertIn(status, (502, 503), (line, first))
+            self.assertGreater(
+                sum(len(upstream.seen) for upstream in self.upstreams), seen,
+                (line, first))
+
+    def test_malformed_lines(self):
+        for line in HEADS:
+            self.assert_refused(line)
+
+    def test_malformed_first_lines(self):
+        for first in (b"HTTP/1.1 200 x\n", b"HTTP/1.1 200 x\rX-Note: a\r\n",
+                      b"HTTP/1.1 200 x\r\n X-Note: a\r\n",
+                      b"HTTP/1.1 200\0 x\r\n",
+                      b"HTTP/1.1 100 x\r\nX-Note: a\n\r\n"
+                      b"HTTP/1.1 200 x\r\n"):
+            self.assert_refused(SOUND_LINE, first)
+
+    def test_sound_lines(self):
+        for line in (b"X-Note: a\r\nContent-Length: %d", b"X-Note:\r\n"
+                     b"content-length:%d", b"X_Note: \xff\t\r\n"
+                     b"Content-Length:  %d "):
+            for path in PATHS:
+                self.assertEqual(self.status(path, line % len(EVENT)), 200,
+                                 line)
+
+
 class NativeService(Server):
     rest = None
+    head = b"Transfer-Encoding: chunked"
 
     def handle(self, call):
         call.body()
         call.wfile.write(b"HTTP/1.1 200 x\r\nX-Attempt-Id: %s\r\n"
-                         b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
-                         % call.headers.get("X-Attempt-Id", "").encode()
-                         + self.rest + b"\r\n")
+                         b"%s\r\n\r\n5\r\nhello\r\n"
+                         % (call.headers.get("X-Attempt-Id", "").encode(),
+                            self.head) + self.rest + b"\r\n")
 
 
 class NativeBrokenChunksTest(unittest.TestCase):
     """As BrokenChunksTest, for plain services of the native interface."""
 
-    def test_broken_chunks(self):
+    def setUp(self):
         cluster = Cluster()
         self.addCleanup(cluster.close)
-        service = NativeService()
-        self.addCleanup(service.close)
-        cluster.declare_upstream("s1", service.address, "ledger", "service")
-        router = cluster.start(eject_failures="1000")
+        self.service = NativeService()
+        self.addCleanup(self.service.close)
+        cluster.declare_upstream("s1", self.service.address, "ledger",
+                                 "service")
+        self.router = cluster.start(eject_failures="1000")
+
+    def ask(self, rest):
+        self.service.rest = rest
+        return self.router.complete(
+            {}, path="/v1/services/ledger/x",
+            **{"Idempotency-Key": uuid7(), "X-Request-Deadline-Ms": "1000"})
+
+    def test_broken_chunks(self):
         for rest, statuses in [(rest, {502, 503}) for rest in BROKEN_CHUNKS] \
                 + [(SOUND_CHUNKS[0], {200})]:
-            service.rest = rest
-            answer = router.complete(
-                {}, path="/v1/services/ledger/x",
-                **{"Idempotency-Key": uuid7(),
-                   "X-Request-Deadline-Ms": "1000"})
-            self.assertIn(answer.status, statuses, rest)
+            self.assertIn(self.ask(rest).status, statuses, rest)
+
+    def test_malformed_lines(self):
+        for line in MALFORMED:
+            self.service.head = line + b"\r\nTransfer-Encoding: chunked"
+            self.assertIn(self.ask(SOUND_CHUNKS[0]).status, (502, 503), line)
 
 
 def refuse_to_continue(engine):
--- a/tests/test_BodyFraming.c
+++ b/tests/test_BodyFraming.c
@@ -115,10 +115,12 @@
 }
 END_TEST
 
+#define UNKNOWN (1 << 15) /* as evhttp has it */
+
 START_TEST(requests_of_methods_without_a_body_state_none)
 {
-    static const enum evhttp_cmd_type methods[] = {EVHTTP_REQ_HEAD,
-                                                   EVHTTP_REQ_TRACE};
+    static const enum evhttp_cmd_type methods[] = {
+        EVHTTP_REQ_HEAD, EVHTTP_REQ_TRACE, (enum evhttp_cmd_type)UNKNOWN};
     for (gsize i = 0; i < G_N_ELEMENTS(methods); i++) {
         ck_assert(!AMBIGUOUS_FOR(methods[i], "Host", "x"));
         ck_assert(!AMBIGUOUS_FOR(methods[i], "Content-Length", "00"));
--- a/tests/test_HeadCheck.c
+++ b/tests/test_HeadCheck.c
@@ -35,7 +35,7 @@
 {
     ck_assert_lines("HTTP/1.1 200 OK\r\nA: 1\r\n", FALSE, 2);
     ck_assert_lines("HTTP/1.1 200 OK\r\nA: 1\r\n\r\nx\ny\n", TRUE, 3);
-    ck_assert_lines("HTTP/1.1 200 OK\n:\n\nx\n", TRUE, 3);
+    ck_assert_lines("HTTP/1.1 200 OK\r\nA:\r\n\r\nx\n", TRUE, 3);
     ck_assert_lines("\r\nHTTP/1.1 200 OK\r\n\r\nx\n", TRUE, 3);
 }
 END_TEST
@@ -54,11 +54,11 @@
     struct evbuffer *buffer = evbuffer_new();
     HeadCheck_t check = {0};
     for (guint i = 0; i < HEAD_LINES_MAX; i++) {
-        evbuffer_add(buffer, ":\n", 2);
-        ck_assert(!HeadCheck_drops(&check, buffer, 2));
+        evbuffer_add(buffer, "A:\r\n", 4);
+        ck_assert(!HeadCheck_drops(&check, buffer, 4));
     }
-    evbuffer_add(buffer, ":\n:\n", 4);
-    ck_assert(HeadCheck_drops(&check, buffer, 4));
+    evbuffer_add(buffer, "A:\r\nA:\r\n", 8);
+    ck_assert(HeadCheck_drops(&check, buffer, 8));
     ck_assert_uint_eq(evbuffer_get_length(buffer), 0);
     evbuffer_add(buffer, "x", 1);
     ck_assert(HeadCheck_drops(&check, buffer, 1));
@@ -67,6 +67,25 @@
 }
 END_TEST
 
+START_TEST(input_of_a_malformed_head_is_dropped)
+{
+    static const char *const heads[] = {
+        "HTTP/1.1 200 OK\n", "HTTP/1.1 200 OK\r\nA: 1\r\n B: 2\r\n",
+        "HTTP/1.1 200 OK\r\nA : 1\r\n", "HTTP/1.1 200 OK\r\nA: 1\rB: 2\r\n",
+        "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 x\r\nA\r\n"};
+    for (gsize i = 0; i < G_N_ELEMENTS(heads); i++) {
+        struct evbuffer *buffer = evbuffer_new();
+        HeadCheck_t check = {0};
+        evbuffer_add(buffer, heads[i], strlen(heads[i]));
+        ck_assert(HeadCheck_drops(&check, buffer, strlen(heads[i])));
+        ck_assert(HeadCheck_isBroken(&check));
+        ck_assert(!HeadCheck_isTooLong(&check));
+        ck_assert_uint_eq(evbuffer_get_length(buffer), 0);
+        evbuffer_free(buffer);
+    }
+}
+END_TEST
+
 START_TEST(trailers_count_with_the_head)
 {
     struct evbuffer *buffer = evbuffer_new();
@@ -83,4 +102,5 @@
 TESTING_MAIN("HeadCheck", lines_count_up_to_the_blank_one,
              heads_after_an_interim_one_count_as_well,
              input_of_a_head_with_too_many_lines_is_dropped,
+             input_of_a_malformed_head_is_dropped,
              trailers_count_with_the_head)
--- /dev/null
+++ b/tests/test_LineCheck.c
@@ -0,0 +1,74 @@
+#include "testing.h"
+
+#include <string.h>
+
+#include "LineCheck.h"
+
+static gboolean
+is_broken(LineKind_t kind, const char *bytes, gsize length)
+{
+    LineCheck_t check = {0};
+    for (gsize i = 0; i < length; i++) {
+        LineCheck_feed(&check, kind, bytes[i]);
+    }
+    return LineCheck_isBroken(&check);
+}
+
+#define BROKEN(kind, bytes) is_broken(kind, bytes, sizeof(bytes) - 1)
+
+START_TEST(sound_lines)
+{
+    ck_assert(!BROKEN(LINE_OF_REQUEST, "GET / HTTP/1.1\r\n"));
+    ck_assert(!BROKEN(LINE_OF_REQUEST, "\r\nM-SEARCH * HTTP/1.0\r\n"));
+    ck_assert(!BROKEN(LINE_OF_STATUS, "HTTP/1.1 200 All is well\r\n"));
+    ck_assert(!BROKEN(LINE_OF_STATUS, "HTTP/1.1 200\r\n"));
+    ck_assert(!BROKEN(LINE_OF_FIELD, "X_y: a\tb \xff\r\nZ:\r\n\r\n"));
+}
+END_TEST
+
+START_TEST(lines_end_with_both_characters)
+{
+    ck_assert(BROKEN(LINE_OF_FIELD, "X: a\n"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "\n"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X: a\rb"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X: a\r\r"));
+    ck_assert(BROKEN(LINE_OF_STATUS, "HTTP/1.1 200 x\n"));
+    ck_assert(BROKEN(LINE_OF_REQUEST, "GET / HTTP/1.1\n"));
+}
+END_TEST
+
+START_TEST(fields_begin_with_a_name_and_a_colon)
+{
+    ck_assert(BROKEN(LINE_OF_FIELD, " X: a"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X: a\r\n\tb"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X : a"));
+    ck_assert(BROKEN(LINE_OF_FIELD, ": a"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X\r\n"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X\0: a"));
+    ck_assert(BROKEN(LINE_OF_FIELD, "X: a\0b"));
+}
+END_TEST
+
+START_TEST(a_request_line_has_three_words)
+{
+    static const char *const lines[] = {
+        "GET /\r\n",
+        "GET  / HTTP/1.1\r\n",
+        "GET /  HTTP/1.1\r\n",
+        "GET / HTTP/1.1 \r\n",
+        "GET /a b HTTP/1.1\r\n",
+        "GET\t/\tHTTP/1.1\r\n",
+        " GET / HTTP/1.1\r\n",
+        "GET \r\n",
+        "G]T / HTTP/1.1\r\n",
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(lines); i++) {
+        ck_assert_msg(is_broken(LINE_OF_REQUEST, lines[i], strlen(lines[i])),
+                      "%s", lines[i]);
+    }
+}
+END_TEST
+
+TESTING_MAIN("LineCheck", sound_lines, lines_end_with_both_characters,
+             fields_begin_with_a_name_and_a_colon,
+             a_request_line_has_three_words)
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -9,6 +9,7 @@
 #define BODY "5\r\nhello\r\n"
 #define LAST "0\r\n\r\n"
 #define BROKEN "x\r\n"
+#define NEXT "GET / HTTP/1.1\r\n\r\n" /* no chunk */
 
 static void
 ck_assert_broken(const char *bytes, gboolean expected)
@@ -36,7 +37,9 @@
     ck_assert_broken(
         "HEAD / HTTP/1.1\r\nContent-Length: 0\r\n\r\n" CHUNKED LAST, FALSE);
     ck_assert_broken(
-        "POST / HTTP/1.1\ntransfer-encoding:Chunked\n\n" BODY LAST, FALSE);
+        "POST / HTTP/1.1\r\ntransfer-encoding:Chunked\r\n\r\n" BODY LAST,
+        FALSE);
+    ck_assert_broken("\r\n" CHUNKED LAST "\r\n" CHUNKED LAST, FALSE);
 }
 END_TEST
 
@@ -53,10 +56,24 @@
 }
 END_TEST
 
+START_TEST(malformed_lines_are_found_in_any_request)
+{
+    ck_assert_broken("POST / HTTP/1.1\ntransfer-encoding:Chunked\n\n" LAST,
+                     TRUE);
+    ck_assert_broken(CHUNKED LAST POST "\n" CHUNKED LAST, TRUE);
+    ck_assert_broken(CHUNKED LAST POST "X-Note: a\r\n b\r\n\r\n", TRUE);
+    ck_assert_broken(CHUNKED BODY "0\r\nX-Note : a\r\n\r\n", TRUE);
+    ck_assert_broken(CHUNKED BODY "0\r\nContent-Length: 5\r\n\r\n", TRUE);
+    ck_assert_broken(CHUNKED BODY "0\r\ntransfer-encoding: x\r\n\r\n", TRUE);
+    ck_assert_broken(POST "Content-Length: 4\r\n\r\n\n a\n" CHUNKED LAST,
+                     FALSE);
+}
+END_TEST
+
 START_TEST(bodies_without_chunks_are_not_checked)
 {
     ck_assert_broken(POST "Content-Length: 3\r\n\r\n" BROKEN, FALSE);
-    ck_assert_broken(POST "X-Note: chunked\r\n\r\n" BROKEN, FALSE);
+    ck_assert_broken(POST "X-Note: chunked\r\n\r\n" NEXT, FALSE);
 }
 END_TEST
 
@@ -64,11 +81,12 @@
 {
     g_autofree char *name = g_strnfill(300, 'n');
     g_autofree char *bytes =
-        g_strconcat(POST, name, ": chunked\r\n\r\n", BROKEN, NULL);
+        g_strconcat(POST, name, ": chunked\r\n\r\n", NEXT, NULL);
     ck_assert_broken(bytes, FALSE);
 }
 END_TEST
 
 TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
              broken_chunks_are_found_in_any_request,
+             malformed_lines_are_found_in_any_request,
              bodies_without_chunks_are_not_checked, long_lines_do_not_count)
