Fuzz target: what goes on of a caller's bytes has one reading

The target sends its bytes on one connection, in two parts, to evhttp with RequestIntake. A reader of its own, strict by RFC 9112, reads the same bytes: the requests passed on are its first ones, method, target and body; each one written to an upstream is read as one request again; none is left out unless the connection was closed.

--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -6,6 +6,7 @@
 
 const FuzzTarget_t fuzz_targets[] = {
     {"callerHead", Fuzz_callerHead},
+    {"requestFraming", Fuzz_requestFraming},
     {"upstreamHead", Fuzz_upstreamHead},
     {"bodyFraming", Fuzz_bodyFraming},
     {"engineHead", Fuzz_engineHead},
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -28,6 +28,7 @@
 void FuzzTargets_begin(void);
 
 int Fuzz_callerHead(const uint8_t *data, size_t size);
+int Fuzz_requestFraming(const uint8_t *data, size_t size);
 int Fuzz_upstreamHead(const uint8_t *data, size_t size);
 int Fuzz_bodyFraming(const uint8_t *data, size_t size);
 int Fuzz_engineHead(const uint8_t *data, size_t size);
