A body that waits too long for memory is refused

Callers saw: where bodies took the budget of a router for long, those of others waited until their callers gave up, without an answer.

Cause: a connection whose body has no room is read slowly, without a limit in time.

Shorter waits remain back pressure, in order, as before.

A body beyond max_body gets 413 by its head alone, also while others wait: a new test, which passes without a change.

Why it works: the limit is checked at the byte that such a connection is still read by each 50 ms, and the refusal goes the way of 408 and 431.

--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -108,6 +108,9 @@
     [REFUSAL_TOO_SLOW] = {"request_too_slow", "timeout_error",
                           "The request took too long to arrive.", 408, 0,
                           RUN_NOT},
+    [REFUSAL_NO_MEMORY] = {"no_memory", "overloaded_error",
+                           "The router has no memory for the body.", 503,
+                           10000, RUN_NOT},
     [REFUSAL_CONTROL_CHARACTER] = {"control_character",
                                    "invalid_request_error",
                                    "A header's value has a control "
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -19,6 +19,8 @@
  * its end is noticed. */
 #define PAUSED_TICK_US 50000
 #define PAUSED_BYTES 1
+/* Longest pause; the refusal asks its caller to stay away as long. */
+#define PAUSE_MAX_MS 10000
 /* Slowest rate of a request that takes longer than a pause may last. */
 #define BYTES_PER_SECOND_MIN 1024
 
@@ -205,13 +207,19 @@
     void *connection = NULL;
     struct evbuffer *output = bufferevent_get_output(this->stream);
     GString *body = Refusal_body(refusal, RUN_NOT, NULL);
+    guint retry_after_s = Refusal_spec(refusal)->retry_after_ms / 1000;
+    g_autofree char *retry_after =
+        retry_after_s > 0
+            ? g_strdup_printf("Retry-After: %u\r\n", retry_after_s)
+            : g_strdup("");
     bufferevent_getcb(this->stream, NULL, NULL, NULL, &connection);
     evbuffer_add_printf(output,
                         "HTTP/1.1 %d Refused\r\n"
                         "Content-Type: application/json\r\n"
                         "Content-Length: %" G_GSIZE_FORMAT "\r\n"
-                        "Connection: close\r\n\r\n%s",
-                        Refusal_spec(refusal)->status, body->len, body->str);
+                        "%sConnection: close\r\n\r\n%s",
+                        Refusal_spec(refusal)->status, body->len, retry_after,
+                        body->str);
     Http_flush(connection);
     g_string_free(body, TRUE);
 }
@@ -262,6 +270,10 @@
     else if (RequestFraming_hasTooManyLines(this->framing)) {
         refuse(this, REFUSAL_TOO_MANY_FIELDS);
     }
+    else if (this->paused_ms > 0 &&
+             Clock_nowMs() - this->paused_ms > PAUSE_MAX_MS) {
+        refuse(this, REFUSAL_NO_MEMORY);
+    }
     else if (is_too_slow(this, added)) {
         refuse(this, REFUSAL_TOO_SLOW);
     }
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -6,10 +6,10 @@
  * Watches what callers send before evhttp reads it: whether the framing of
  * their requests is sound (RequestFraming.h), and whether there is room for
  * their bodies (BodyBudget.h). A connection whose body has no room is read
- * slowly until there is, so that its caller waits and its end is noticed.
- * A request with a malformed line or too many lines, or one that takes too
- * long to arrive, is refused before evhttp has read it, and its connection is
- * closed.
+ * slowly until there is, so that its caller waits and its end is noticed;
+ * after a while its request is refused. A request with a malformed line or too
+ * many lines, or one that takes too long to arrive, is refused before evhttp
+ * has read it, and its connection is closed.
  */
 #include <event2/bufferevent.h>
 #include <event2/http.h>
--- a/tests/sessions/test_body_memory.py
+++ b/tests/sessions/test_body_memory.py
@@ -11,6 +11,8 @@
 BODY = b"x" * (1 << 20)
 CALLERS = 24
 MEMORY = 8 << 20
+WAIT_MAX_S = 10  # after which a body is refused
+HELD = 4  # bodies of BODY that fit and leave no room for another one
 HELD_S = 0.1  # time for which the upstream takes each request
 
 
@@ -103,16 +105,53 @@
             self.assert_whole(answers)
         self.assert_within_memory()
 
-    def begin_body(self, size):
+    def begin_body(self, size, sent=len(BODY) // 8):
         caller = socket.create_connection(("127.0.0.1", self.router.port))
         self.addCleanup(caller.close)
         caller.sendall(b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
                        b"X-Request-Id: slow%d\r\nApi-Key: key-a\r\n"
                        b"X-Deadline-Ms: 30000\r\nContent-Length: %d\r\n\r\n"
                        % (caller.getsockname()[1], size))
-        caller.sendall(BODY[:size // 8])
+        caller.sendall(BODY[:sent])
         return caller
 
+    # A caller waited until it gave up.
+    def test_bodies_that_wait_for_long_are_refused(self):
+        self.plain.pause_s = 1.5 * WAIT_MAX_S
+        with ThreadPoolExecutor(CALLERS) as pool:
+            first = [pool.submit(self.send, BODY) for _ in range(HELD)]
+            wait_for(lambda: len(self.plain.seen) == 1 + HELD,
+                     "the requests that fit")
+            started = time.monotonic()
+            for late in [pool.submit(self.send, BODY) for _ in range(4)]:
+                answer = late.result()
+                self.assertEqual(answer.status, 503, answer.body)
+                self.assertIn(b"no_memory", answer.body)
+                self.assertEqual(answer.headers["Retry-After"], "10")
+                self.assertGreater(time.monotonic() - started, WAIT_MAX_S)
+                self.assertLess(time.monotonic() - started, 1.5 * WAIT_MAX_S)
+            self.plain.pause_s = 0
+            self.assertEqual(self.send(b"x" * 600, key="key-b").status, 200)
+            self.assert_whole([answer.result() for answer in first])
+        self.assertEqual(len(self.plain.seen), 2 + HELD)
+        self.assert_whole([self.send(BODY)])
+
+    # A body beyond the bound is refused before a byte of it was sent.
+    def test_a_head_that_states_too_long_a_body_is_refused(self):
+        holders = [self.begin_body(len(BODY)) for _ in range(CALLERS)]
+        self.router.wait_event("body_waits")
+        for size in ((4 << 20) + 1, 1 << 40):
+            caller = self.begin_body(size, 0)
+            caller.settimeout(2)
+            answer = caller.recv(4096)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413 "), answer)
+            while answer:
+                answer = caller.recv(4096)
+        for holder in holders:
+            holder.close()
+        self.assertEqual(len(self.plain.seen), 1)
+        self.assert_whole([self.send(BODY)])
+
     # Callers that stop in the middle of a body must not hold up others.
     def test_bodies_that_stay_incomplete_hold_up_nobody(self):
         for _ in range(CALLERS):
