--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 
@@ -19,6 +20,8 @@
  * its end is noticed. */
 #define PAUSED_TICK_US 50000
 #define PAUSED_BYTES 1
+/* Longest pause; the refusal asks its caller to stay away as long. */
+#define PAUSE_MAX_MS 10000
 /* Slowest rate of a request that takes longer than a pause may last. */
 #define BYTES_PER_SECOND_MIN 1024
 
@@ -207,25 +210,33 @@
     void *connection = NULL;
     struct evbuffer *output = bufferevent_get_output(this->stream);
     GString *body = Refusal_body(refusal, RUN_NOT, NULL);
+    guint retry_after_s = Refusal_spec(refusal)->retry_after_ms / 1000;
+    g_autofree char *retry_after =
+        retry_after_s > 0
+            ? g_strdup_printf("Retry-After: %u\r\n", retry_after_s)
+            : g_strdup("");
     bufferevent_getcb(this->stream, NULL, NULL, NULL, &connection);
     evbuffer_add_printf(output,
                         "HTTP/1.1 %d Refused\r\n"
                         "Content-Type: application/json\r\n"
                         "Content-Length: %" G_GSIZE_FORMAT "\r\n"
-                        "Connection: close\r\n\r\n%s",
-                        Refusal_spec(refusal)->status, body->len, body->str);
+                        "%sConnection: close\r\n\r\n%s",
+                        Refusal_spec(refusal)->status, body->len, retry_after,
+                        body->str);
     Http_flush(connection);
     g_string_free(body, TRUE);
 }
 
+/* evhttp frees the connection after this, and LingeringClose sees afterwards
+ * that it wrote its last answer. */
 static void
 refuse(Connection_t *this, Refusal_t refusal)
 {
     this->is_abandoned = TRUE;
     this->is_refused = TRUE;
     log_refusal(this, Refusal_spec(refusal)->code);
-    write_refusal(this, refusal);
     end_connection(this);
+    write_refusal(this, refusal);
 }
 
 /* How long the request has been arriving, without the time for which this
@@ -256,9 +267,16 @@
     if (this->is_abandoned) {
         return;
     }
-    if (RequestFraming_hasTooManyLines(this->framing)) {
+    if (RequestFraming_hasBrokenLine(this->framing)) {
+        refuse(this, REFUSAL_BAD_HEADER);
+    }
+    else if (RequestFraming_hasTooManyLines(this->framing)) {
         refuse(this, REFUSAL_TOO_MANY_FIELDS);
     }
+    else if (this->paused_ms > 0 &&
+             Clock_nowMs() - this->paused_ms > PAUSE_MAX_MS) {
+        refuse(this, REFUSAL_NO_MEMORY);
+    }
     else if (is_too_slow(this, added)) {
         refuse(this, REFUSAL_TOO_SLOW);
     }
@@ -342,11 +360,24 @@
                        : NULL;
 }
 
+/* HTTP/1.0 has no codings, so that its readers take what follows the head for
+ * the body (RFC 9112, section 6.1). */
+static gboolean
+has_unknown_coding(struct evhttp_request *request)
+{
+    gboolean knows_codings =
+        request->major > 1 || (request->major == 1 && request->minor > 0);
+    return !knows_codings &&
+           evhttp_find_header(evhttp_request_get_input_headers(request),
+                              "Transfer-Encoding") != NULL;
+}
+
 gboolean
 RequestIntake_isAmbiguous(struct evhttp_request *request)
 {
     const Connection_t *connection = find_connection(request);
-    return BodyFraming_isAmbiguousRequest(
+    return has_unknown_coding(request) ||
+           BodyFraming_isAmbiguousRequest(
                evhttp_request_get_command(request),
                evhttp_request_get_input_headers(request)) ||
            (connection && RequestFraming_isBroken(connection->framing));
