A router that has just started waits for members that it does not know yet

A stream that its caller continued at a router just started, with two versions, was refused at once (resume_unknown, replies=0), though three running routers knew it: a link tells a router's name before its address, so that no owner could be asked 2 ms after all had joined, and a query without anybody left to ask ended.

While the router has had no time to learn of the others (Membership_isConverged: 300 ms without a newcomer, a second alone) such a query stays open for as long as owners are asked, 250 ms, is checked each 10 ms, and asks those that become known. A stream that the list or the base settles is answered as before, and at a settled router nothing changes.

--- a/src/OriginLinks.h
+++ b/src/OriginLinks.h
@@ -45,6 +45,7 @@
  * @record: the streams that OriginKeeper_forEachRecorded() finds have changed
  * @find_all: finds all other routers whose addresses are known, at most @max;
  *     returns their number, or more than @max
+ * @is_settled: returns whether this router has had time to learn of the others
  * @read_records: has the records of all routers read again soon; called until
  *     they are
  */
@@ -60,6 +61,7 @@
     void (*learn)(void *owner, gboolean is_urgent);
     void (*record)(void *owner);
     guint (*find_all)(void *owner, AskedRouter_t *out, guint max);
+    gboolean (*is_settled)(void *owner);
     void (*read_records)(void *owner);
 } OriginLinksClass_t;
 
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -117,6 +117,13 @@
     return found;
 }
 
+static gboolean
+is_settled(void *owner)
+{
+    const OriginPeers_t *this = owner;
+    return Membership_isConverged(this->spec.membership);
+}
+
 static void
 read_records(void *owner)
 {
@@ -135,6 +142,7 @@
     .learn = learn,
     .record = record,
     .find_all = find_all,
+    .is_settled = is_settled,
     .read_records = read_records,
 };
 
--- a/src/OriginQueries.c
+++ b/src/OriginQueries.c
@@ -171,6 +171,12 @@
     }
 }
 
+static gboolean
+is_settled(const OriginQueries_t *this)
+{
+    return this->links->class->is_settled(this->links->owner);
+}
+
 /* Nobody else is left to be asked. */
 static gboolean
 is_exhausted(const OriginQueries_t *this, const OriginQuery_t *query)
@@ -187,7 +193,7 @@
     if (query->asks_all) {
         return !is_open && find_base(this, query);
     }
-    return !is_open &&
+    return !is_open && is_settled(this) &&
            (!awaits_list(this, query) || OriginFacts_isStoreLost(this->facts));
 }
 
@@ -223,7 +229,8 @@
 {
     gint64 due_ms = MIN(AskedRouters_dueMs(query->asked), query->expires_ms);
     gboolean is_waiting = !OriginFacts_isLearned(this->facts) ||
-                          awaits_list(this, query) || query->asks_all;
+                          awaits_list(this, query) || query->asks_all ||
+                          !is_settled(this);
     gint64 check_ms = is_waiting ? LEARN_CHECK_MS : JOIN_CHECK_MS;
     this->links->class->schedule_tick(this->links->owner,
                                       MIN(due_ms - now_ms, check_ms));
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -189,6 +189,19 @@
             self.assert_goes_on(self.routers[2], stream)
 
 
+class StartedRouterTest(SoftwareTest):
+    STARTS = 6
+
+    # A router that had just started asked nobody for the stream, as it knew no
+    # address of the others yet.
+    def test_stream_goes_on_at_a_router_that_just_started(self):
+        for number in range(self.STARTS):
+            begun = self.begin(self.routers[0])
+            router = self.start_router("s%d" % number)
+            self.await_engines(router)
+            self.assert_goes_on(router, begun)
+
+
 class RestartTest(SoftwareTest):
     """All routers are killed at once while two versions serve."""
 
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -183,6 +183,13 @@
     VersionGate_endRead(this->gate);
 }
 
+static gboolean
+is_settled(void *owner)
+{
+    (void)owner;
+    return TRUE;
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
@@ -193,6 +200,7 @@
     .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
+    .is_settled = is_settled,
     .find_all = find_all,
     .read_records = read_records,
 };
--- a/tests/test_OriginQueries.c
+++ b/tests/test_OriginQueries.c
@@ -19,6 +19,7 @@
 static guint sent;
 static guint64 ticket; /* of the last question */
 static guint owners;
+static gboolean is_router_settled;
 static gint64 now_ms;
 static gint64 tick_ms;
 static guint answers;
@@ -86,6 +87,13 @@
     return FALSE;
 }
 
+static gboolean
+is_settled(void *owner)
+{
+    (void)owner;
+    return is_router_settled;
+}
+
 static const OriginLinksClass_t class = {
     .find_owners = find_owners,
     .send = send_message,
@@ -94,6 +102,7 @@
     .list_ms = list_ms,
     .is_store_lost = is_store_lost,
     .find_all = find_all,
+    .is_settled = is_settled,
 };
 
 static void
@@ -109,6 +118,7 @@
 {
     set_time(1000);
     owners = owner_count;
+    is_router_settled = TRUE;
     sent = 0;
     tick_ms = 0;
     answers = 0;
@@ -282,6 +292,54 @@
 }
 END_TEST
 
+/* A stream was refused at once at a router that had just started and knew no
+ * other one yet. */
+START_TEST(a_router_that_just_started_waits_for_owners_it_does_not_know)
+{
+    create(0);
+    is_router_settled = FALSE;
+    ck_assert_ptr_nonnull(ask(1));
+    pass_time(100);
+    ck_assert_uint_eq(answers, 0);
+    owners = 2;
+    pass_time(15);
+    ck_assert_uint_eq(sent, 2);
+    receive(OWNER, WT__ORIGIN_VERDICT__ORIGIN_KNOWN);
+    ck_assert_int_eq(source, ORIGIN_FROM_OWNER);
+    destroy();
+}
+END_TEST
+
+START_TEST(
+    a_router_that_just_started_waits_no_longer_than_until_it_has_settled)
+{
+    create(0);
+    is_router_settled = FALSE;
+    ask(1);
+    pass_time(100);
+    ck_assert_uint_eq(answers, 0);
+    is_router_settled = TRUE;
+    pass_time(15);
+    ck_assert_uint_eq(answers, 1);
+    ck_assert_int_eq(source, ORIGIN_FROM_NOBODY);
+    destroy();
+}
+END_TEST
+
+START_TEST(a_router_that_does_not_settle_keeps_to_the_limit)
+{
+    create(0);
+    is_router_settled = FALSE;
+    ask(1);
+    pass_time(ORIGIN_ASK_TIMEOUT_MS - STEP_MS);
+    ck_assert_uint_eq(answers, 0);
+    pass_time(2 * STEP_MS);
+    ck_assert_uint_eq(answers, 1);
+    ck_assert_int_eq(source, ORIGIN_FROM_NOBODY);
+    destroy();
+}
+END_TEST
+
 START_TEST(a_query_that_was_cancelled_is_not_answered)
 {
     create(3);
@@ -294,11 +352,15 @@
 }
 END_TEST
 
-TESTING_MAIN("OriginQueries", a_stream_that_is_remembered_is_asked_of_nobody,
-             a_router_without_others_answers_at_once,
-             the_first_owner_that_knows_the_stream_decides,
-             a_query_that_all_owners_answered_ends_at_once,
-             owners_that_do_not_answer_are_asked_twice_until_the_limit,
-             routers_that_were_not_asked_decide_nothing,
-             an_owner_that_joins_is_asked_and_the_limit_stays,
-             a_query_that_was_cancelled_is_not_answered)
+TESTING_MAIN(
+    "OriginQueries", a_stream_that_is_remembered_is_asked_of_nobody,
+    a_router_without_others_answers_at_once,
+    the_first_owner_that_knows_the_stream_decides,
+    a_query_that_all_owners_answered_ends_at_once,
+    owners_that_do_not_answer_are_asked_twice_until_the_limit,
+    routers_that_were_not_asked_decide_nothing,
+    an_owner_that_joins_is_asked_and_the_limit_stays,
+    a_router_that_just_started_waits_for_owners_it_does_not_know,
+    a_router_that_just_started_waits_no_longer_than_until_it_has_settled,
+    a_router_that_does_not_settle_keeps_to_the_limit,
+    a_query_that_was_cancelled_is_not_answered)
--- a/tests/test_OriginRecords.c
+++ b/tests/test_OriginRecords.c
@@ -88,6 +88,13 @@
     OriginRecords_scheduleWrite(records);
 }
 
+static gboolean
+is_settled(void *owner)
+{
+    (void)owner;
+    return TRUE;
+}
+
 static const OriginLinksClass_t links = {
     .find_owners = find_owners,
     .send = send_message,
@@ -98,6 +105,7 @@
     .is_store_lost = is_store_lost,
     .learn = learn,
     .record = record,
+    .is_settled = is_settled,
 };
 
 static void
