Whole answers that callers do not read share the bound of answers

An answer that had arrived and was handed to evhttp counted in no sum; each was held until read_timeout.

What arrives and what waits for callers now counts together against answers_max (AnswerRoom). Beyond it, answers of more than 16 KiB are left at their upstreams and go on in turn, one at a time at least, where those in arrival were ended as oversized before (502 for calls that had run); new calls are refused as not run (503 answers_unread, Retry-After) while callers hold more than half. Beyond that half, callers whose systems took no byte for 2 s are reset, the longest idle first (answer_unsent cause=no_room, answers_unsent_total). A caller that reads slowly keeps its answer: bytes that the kernel still holds are looked at, as the buffer itself moves only in large steps. Streams keep their own bound.

The limit of an answer's own size is answers_max if that is smaller, as it was in effect. On the native interface answers in arrival have no common bound.

--- a/src/AnswerBuffer.c
+++ b/src/AnswerBuffer.c
@@ -48,6 +48,12 @@
     return TRUE;
 }
 
+gsize
+AnswerBuffer_size(const AnswerBuffer_t *this)
+{
+    return this->size;
+}
+
 struct evbuffer *
 AnswerBuffer_content(AnswerBuffer_t *this)
 {
--- a/src/AnswerBuffer.h
+++ b/src/AnswerBuffer.h
@@ -39,6 +39,9 @@
 gboolean AnswerBuffer_add(AnswerBuffer_t *this, struct evbuffer *data,
                           const AnswerBufferLimits_t *limits);
 
+/** AnswerBuffer_size() - bytes added since the last AnswerBuffer_clear() */
+gsize AnswerBuffer_size(const AnswerBuffer_t *this);
+
 /** AnswerBuffer_clear() - drop the content */
 void AnswerBuffer_clear(AnswerBuffer_t *this);
 
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -329,6 +329,10 @@
         refuse(call, REFUSAL_UNKNOWN_SERVICE, NULL);
         return;
     }
+    if (AnswerRoom_isUsedUp(call->context->answer_room)) {
+        refuse(call, REFUSAL_ANSWERS_UNREAD, NULL);
+        return;
+    }
     if (!acquire_slot(call)) {
         return;
     }
--- a/src/Context.c
+++ b/src/Context.c
@@ -65,13 +65,14 @@
     Log_end();
 }
 
+/* The first of those that wait goes on beyond answers_max (AnswerRoom.h). */
 AnswerBufferLimits_t
 Context_answerLimits(const Context_t *this)
 {
     const LimitsSection_t *limits = &this->settings->limits;
     return (AnswerBufferLimits_t){
-        .size_max = (gsize)limits->answer_max,
-        .total_max = (gsize)limits->answers_max,
+        .size_max = (gsize)MIN(limits->answer_max, limits->answers_max),
+        .total_max = (gsize)limits->answers_max * 3 / 2,
     };
 }
 
--- a/src/Context.h
+++ b/src/Context.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "AnswerBuffer.h"
+#include "AnswerRoom.h"
 #include "AnswerTimes.h"
 #include "CacheStore.h"
 #include "Claims.h"
@@ -102,6 +103,7 @@
  * @open_requests: number of callers' open requests
  * @open: those requests
  * @answer_bytes: bytes of answers that are buffered until they are complete
+ * @answer_room: bounds these and whole answers that wait for their callers
  * @output_bytes: bytes of streams that wait for slow callers
  * @incarnation: incarnation of this process, which grows with each start
  */
@@ -150,6 +152,7 @@
     guint open_requests;
     OpenRequests_t *open;
     gsize answer_bytes;
+    AnswerRoom_t *answer_room;
     gsize output_bytes;
     guint64 incarnation;
 } Context_t;
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -2,7 +2,9 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include "Clock.h"
 #include "Log.h"
@@ -10,10 +12,18 @@
 
 typedef struct {
     GString *id;
-    gint64 since_ms; /* when evhttp got the last of it */
+    struct evhttp_connection *connection;
+    struct evbuffer_cb_entry *output_entry;
+    gint64 since_ms;    /* when evhttp got the last of it */
+    gint64 progress_ms; /* when the caller's system was seen to take bytes */
+    gsize bytes;        /* that wait in this process */
+    gsize left;         /* these and those in the kernel, at the last look */
+    gboolean is_given_up;
+    GList link;
 } Reply_t;
 
-static guint pending_count;
+static GQueue replies; /* Reply_t */
+static gsize pending_bytes;
 static Counters_t *reply_counters;
 
 void
@@ -22,18 +32,50 @@
     reply_counters = counters;
 }
 
+static struct bufferevent *
+stream_of(const Reply_t *this)
+{
+    return evhttp_connection_get_bufferevent(this->connection);
+}
+
+static void
+set_bytes(Reply_t *this, gsize bytes)
+{
+    pending_bytes = pending_bytes - this->bytes + bytes;
+    this->bytes = bytes;
+}
+
+static void
+on_output(struct evbuffer *output, const struct evbuffer_cb_info *info,
+          void *data)
+{
+    (void)info;
+    set_bytes(data, evbuffer_get_length(output));
+}
+
 static Reply_t *
-Reply_create(const char *id)
+Reply_create(struct evhttp_connection *connection, const char *id)
 {
     Reply_t *this = g_new0(Reply_t, 1);
     this->id = g_string_new(id ? id : "none");
+    this->connection = connection;
     this->since_ms = Clock_nowMs();
+    this->left = G_MAXSIZE;
+    this->link.data = this;
+    g_queue_push_tail_link(&replies, &this->link);
+    struct evbuffer *output = bufferevent_get_output(stream_of(this));
+    set_bytes(this, evbuffer_get_length(output));
+    this->output_entry = evbuffer_add_cb(output, on_output, this);
     return this;
 }
 
 static void
 Reply_destroy(Reply_t *this)
 {
+    evbuffer_remove_cb_entry(bufferevent_get_output(stream_of(this)),
+                             this->output_entry);
+    set_bytes(this, 0);
+    g_queue_unlink(&replies, &this->link);
     g_string_free(this->id, TRUE);
     g_free(this);
 }
@@ -48,21 +90,32 @@
            (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+static const char *
+unsent_cause(const Reply_t *this)
+{
+    if (this->is_given_up) {
+        return "no_room";
+    }
+    return has_caller_left(stream_of(this)) ? "caller_left" : "not_read";
+}
+
 /* Nothing is left of one that was broken off on purpose. */
 static void
-report_unsent(const Reply_t *this, struct evhttp_connection *connection)
+report_unsent(const Reply_t *this)
 {
-    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
-    const char *cause = has_caller_left(stream) ? "caller_left" : "not_read";
-    gsize left = evbuffer_get_length(bufferevent_get_output(stream));
-    if (left == 0) {
+    const char *cause = unsent_cause(this);
+    if (this->bytes == 0) {
         return;
     }
     Log_begin(LOG_LEVEL_WARNING, "answer_unsent");
     Log_text("request", this->id->str);
     Log_text("cause", cause);
-    Log_number("bytes", (gint64)left);
+    Log_number("bytes", (gint64)this->bytes);
     Log_number("ms", Clock_nowMs() - this->since_ms);
+    if (this->is_given_up) {
+        Log_number("idle_ms", Clock_nowMs() - this->progress_ms);
+        Log_number("pending_bytes", (gint64)pending_bytes);
+    }
     Log_end();
     if (reply_counters) {
         g_autofree char *labels = g_strdup_printf("cause=\"%s\"", cause);
@@ -74,9 +127,8 @@
 on_closed(struct evhttp_connection *connection, void *data)
 {
     Reply_t *this = data;
-    report_unsent(this, connection);
+    report_unsent(this);
     ResetOnClose_forget(connection);
-    pending_count--;
     Reply_destroy(this);
 }
 
@@ -87,7 +139,6 @@
         evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
-    pending_count--;
     Reply_destroy(data);
 }
 
@@ -99,8 +150,7 @@
     if (!connection) {
         return;
     }
-    Reply_t *reply = Reply_create(id);
-    pending_count++;
+    Reply_t *reply = Reply_create(connection, id);
     evhttp_connection_set_closecb(connection, on_closed, reply);
     evhttp_request_set_on_complete_cb(request, on_complete, reply);
 }
@@ -108,5 +158,68 @@
 guint
 PendingReply_count(void)
 {
-    return pending_count;
+    return replies.length;
+}
+
+gsize
+PendingReply_bytes(void)
+{
+    return pending_bytes;
+}
+
+static gsize
+count_left(const Reply_t *this)
+{
+    int in_kernel = 0;
+    if (ioctl(bufferevent_getfd(stream_of(this)), SIOCOUTQ, &in_kernel) != 0) {
+        in_kernel = 0;
+    }
+    return this->bytes + (gsize)in_kernel;
+}
+
+void
+PendingReply_noteProgress(gint64 now_ms)
+{
+    for (const GList *link = replies.head; link; link = link->next) {
+        Reply_t *reply = link->data;
+        gsize left = count_left(reply);
+        if (left != reply->left) {
+            reply->left = left;
+            reply->progress_ms = now_ms;
+        }
+    }
+}
+
+static Reply_t *
+find_longest_idle(void)
+{
+    Reply_t *found = NULL;
+    for (const GList *link = replies.head; link; link = link->next) {
+        Reply_t *reply = link->data;
+        if (reply->bytes > 0 && reply->left != G_MAXSIZE &&
+            (!found || reply->progress_ms < found->progress_ms)) {
+            found = reply;
+        }
+    }
+    return found;
+}
+
+/* Otherwise the kernel would keep what it has of the reply for a while. */
+static void
+reset(struct evhttp_connection *connection)
+{
+    ResetOnClose_add(connection);
+    ResetOnClose_close(connection);
+}
+
+gboolean
+PendingReply_giveUp(gint64 now_ms, gint64 idle_ms)
+{
+    Reply_t *reply = find_longest_idle();
+    if (!reply || now_ms - reply->progress_ms < idle_ms) {
+        return FALSE;
+    }
+    reply->is_given_up = TRUE;
+    reset(reply->connection);
+    return TRUE;
 }
--- a/src/PendingReply.h
+++ b/src/PendingReply.h
@@ -4,8 +4,8 @@
  * DOC: PendingReply
  *
  * Counts replies that were passed to evhttp and are not completely sent yet,
- * so that a stopping router does not truncate them. Tells in the log which of
- * them were not sent before their connections closed.
+ * and their bytes, so that a stopping router does not truncate them. Tells in
+ * the log which of them were not sent before their connections closed.
  */
 #include <event2/http.h>
 #include <glib.h>
@@ -31,4 +31,20 @@
 /** PendingReply_count() - number of replies that are not sent yet */
 guint PendingReply_count(void);
 
+/** PendingReply_bytes() - bytes of these replies that wait in this process */
+gsize PendingReply_bytes(void);
+
+/** PendingReply_noteProgress() - look which replies were received further
+ * since the last look */
+void PendingReply_noteProgress(gint64 now_ms);
+
+/**
+ * PendingReply_giveUp() - reset the connection of the reply that has been
+ * without progress for longest
+ * @idle_ms: only if that is as long as this
+ *
+ * Return: whether there was one
+ */
+gboolean PendingReply_giveUp(gint64 now_ms, gint64 idle_ms);
+
 #endif
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -149,6 +149,10 @@
                                         "as they began to answer prompts with "
                                         "a part of this one.",
                                         503, 600000, RUN_NOT},
+    [REFUSAL_ANSWERS_UNREAD] = {"answers_unread", "overloaded_error",
+                                "This router holds too many answers that "
+                                "their callers have not read yet.",
+                                503, 1000, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -64,7 +64,8 @@
 {
     return refusal == REFUSAL_NO_PATH || refusal == REFUSAL_STOPPING ||
            refusal == REFUSAL_NOT_CONFIGURED ||
-           refusal == REFUSAL_CONFIG_STALE || refusal == REFUSAL_OVERLOADED;
+           refusal == REFUSAL_CONFIG_STALE || refusal == REFUSAL_OVERLOADED ||
+           refusal == REFUSAL_ANSWERS_UNREAD;
 }
 
 static void
@@ -165,6 +166,18 @@
     return FALSE;
 }
 
+/* Streams stop at their own bounds. */
+static gboolean
+check_room(Admission_t *admission)
+{
+    if (admission->route->kind == ROUTE_STREAM ||
+        !AnswerRoom_isUsedUp(admission->context->answer_room)) {
+        return TRUE;
+    }
+    refuse_request(admission, REFUSAL_ANSWERS_UNREAD, NULL);
+    return FALSE;
+}
+
 static void
 forward_request(const Admission_t *admission)
 {
@@ -246,7 +259,8 @@
         return;
     }
     if (find_route(admission, config) && check_key(admission, config) &&
-        check_stop(admission) && check_path(admission)) {
+        check_stop(admission) && check_room(admission) &&
+        check_path(admission)) {
         start_exchange(admission, config);
     }
 }
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -71,6 +71,7 @@
     if (this->event_pipe) {
         EventPipe_destroy(this->event_pipe);
     }
+    AnswerWaiter_clear(&this->answer_waiter);
     AnswerBuffer_destroy(this->answer_body);
     evbuffer_free(this->outgoing);
     Exchange_clear(super);
@@ -195,9 +196,9 @@
 }
 
 static void
-on_caller_drained(void *owner)
+resume_attempt(void *owner)
 {
-    RelayExchange_t *this = owner;
+    const RelayExchange_t *this = owner;
     if (this->attempt) {
         RelayAttempt_setReadPaused(this->attempt, FALSE);
     }
@@ -222,7 +223,7 @@
 
 static const RelayAnswerEvents_t answer_events = {
     .caller_left = on_caller_left,
-    .drained = on_caller_drained,
+    .drained = resume_attempt,
 };
 
 /* The last part is the request's own or its session's. */
@@ -265,6 +266,8 @@
     this->customer = spec->customer;
     this->request = *spec->request;
     this->answer_body = AnswerBuffer_create(&context->answer_bytes);
+    AnswerWaiter_init(&this->answer_waiter, context->answer_room,
+                      resume_attempt, this);
     this->outgoing = evbuffer_new();
     if (spec->route->kind == ROUTE_STREAM) {
         this->event_pipe =
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -90,6 +90,7 @@
  *     request, plus 1; 0 if none was asked
  * @event_pipe: events of a stream; NULL for a route without streams
  * @answer_body: body of an answer that is not a stream, until it is complete
+ * @answer_waiter: waits while there is no room for it
  * @outgoing: events to be sent to the caller next
  * @origin: what the stream's upstreams must have in common
  * @framing: how the last attempt's answer marks its end
@@ -124,6 +125,7 @@
     guint next_group;
     EventPipe_t *event_pipe;
     AnswerBuffer_t *answer_body;
+    AnswerWaiter_t answer_waiter;
     struct evbuffer *outgoing;
     RelayOrigin_t origin;
     BodyFraming_t framing;
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -28,6 +28,7 @@
     RelayAttempt_t *attempt; /* under way, or NULL */
     ForwardPeer_t *peer;     /* of the last attempt, or NULL */
     AnswerBuffer_t *answer_body;
+    AnswerWaiter_t answer_waiter;
     gint64 idle_max_ms; /* of a connection to reuse */
     gboolean has_head;
     gboolean is_stream;
@@ -79,6 +80,7 @@
     if (this->attempt && this->peer) {
         this->peer->open--;
         RelayAttempt_cancel(this->attempt);
+        AnswerWaiter_clear(&this->answer_waiter);
         this->attempt = NULL;
     }
 }
@@ -179,6 +181,10 @@
                                this->peer->upstream->name->str);
         RelayAttempt_fail(this->attempt, ATTEMPT_OVERSIZED);
     }
+    else if (AnswerWaiter_mustWait(&this->answer_waiter,
+                                   AnswerBuffer_size(this->answer_body))) {
+        RelayAttempt_setReadPaused(this->attempt, TRUE);
+    }
 }
 
 static void
@@ -228,6 +234,7 @@
     (void)head;
     RelayForward_t *this = owner;
     this->attempt = NULL;
+    AnswerWaiter_clear(&this->answer_waiter);
     this->peer->open--;
     if (end == ATTEMPT_COMPLETE || end == ATTEMPT_CLOSED ||
         end == ATTEMPT_FAILED) {
@@ -326,7 +333,7 @@
 }
 
 static void
-on_drained(void *owner)
+resume_attempt(void *owner)
 {
     const RelayForward_t *this = owner;
     if (this->attempt) {
@@ -336,7 +343,7 @@
 
 static const RelayAnswerEvents_t answer_events = {
     .caller_left = on_caller_left,
-    .drained = on_drained,
+    .drained = resume_attempt,
 };
 
 void
@@ -353,6 +360,8 @@
     this->id = g_string_new(spec->request->id);
     this->body = RequestIntake_takeBody(spec->http);
     this->answer_body = AnswerBuffer_create(&context->answer_bytes);
+    AnswerWaiter_init(&this->answer_waiter, context->answer_room,
+                      resume_attempt, this);
     this->started_us = Clock_nowUs();
     this->deadline_ms = Clock_nowMs() + wait_ms;
     this->deadline = Clock_timer(context->base, on_deadline, this);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -84,6 +84,10 @@
     if (!AnswerBuffer_add(this->answer_body, data, &limits)) {
         RelayAttempt_fail(this->attempt, ATTEMPT_OVERSIZED);
     }
+    else if (AnswerWaiter_mustWait(&this->answer_waiter,
+                                   AnswerBuffer_size(this->answer_body))) {
+        RelayAttempt_setReadPaused(this->attempt, TRUE);
+    }
 }
 
 static void
@@ -227,6 +231,7 @@
         log_close_delimited(this, end);
     }
     notify_dispatcher(this, end);
+    AnswerWaiter_clear(&this->answer_waiter);
     this->attempt = NULL;
     this->has_upstream_error =
         end == ATTEMPT_FAILED && head && !head->is_unproven;
@@ -469,6 +474,7 @@
     RelayExchange_endTicket(this);
     RelayFeedback_clearPending(&this->feedback);
     RelayAttempt_cancel(this->attempt);
+    AnswerWaiter_clear(&this->answer_waiter);
     this->attempt = NULL;
     return sent;
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -123,6 +123,9 @@
     context->traces = Traces_create();
     context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
+    context->answer_room =
+        AnswerRoom_create(context->base, &context->answer_bytes,
+                          (gsize)settings->limits.answers_max);
     context->incarnation = (guint64)Clock_wallMs();
 }
 
@@ -533,6 +536,7 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_body_budget(this);
+    AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
     set_server_limits(this, this->callers);
     if (this->operators) {
         set_server_limits(this, this->operators);
@@ -625,6 +629,7 @@
     Context_t *context = &this->context;
     Traces_destroy(context->traces);
     OpenRequests_destroy(context->open);
+    AnswerRoom_destroy(context->answer_room);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
     CustomerLimits_destroy(context->limits);
