AnswerRoom ticks only while answers wait or callers hold more than half

A router woke up each 50 ms, idle or not. The timer runs from the first answer that waits, or the first call refused for want of room, until neither holds. test_AnswerRoom (6) and two runs of test_unread_answers (6) pass.

--- a/src/AnswerRoom.c
+++ b/src/AnswerRoom.c
@@ -101,7 +101,18 @@
     AnswerRoom_t *this = data;
     give_up_stalled(this);
     resume_waiting(this);
-    Clock_arm(this->timer, TICK_MS);
+    if (this->waiting.length > 0 || is_mostly_pending(this)) {
+        Clock_arm(this->timer, TICK_MS);
+    }
+}
+
+/* Ticks while somebody waits for room. */
+static void
+begin_ticks(const AnswerRoom_t *this)
+{
+    if (!evtimer_pending(this->timer, NULL)) {
+        Clock_arm(this->timer, TICK_MS);
+    }
 }
 
 AnswerRoom_t *
@@ -111,7 +122,6 @@
     this->arriving = arriving;
     this->max = max;
     this->timer = Clock_timer(base, on_tick, this);
-    Clock_arm(this->timer, TICK_MS);
     return this;
 }
 
@@ -132,7 +142,12 @@
 gboolean
 AnswerRoom_isUsedUp(const AnswerRoom_t *this)
 {
-    return held_bytes(this) > this->max && is_mostly_pending(this);
+    gboolean is_used_up =
+        held_bytes(this) > this->max && is_mostly_pending(this);
+    if (is_used_up) {
+        begin_ticks(this);
+    }
+    return is_used_up;
 }
 
 void
@@ -164,6 +179,7 @@
     }
     this->is_waiting = TRUE;
     g_queue_push_tail_link(&this->room->waiting, &this->link);
+    begin_ticks(this->room);
     if (this->room->waiting.length == 1) {
         log_step(this->room, "answers_wait");
     }
