Calls of a service that this router does not reach go to a router that does

Callers of a router whose new connections to upstreams are refused got 503 (not run) for all calls of one service for as long as other upstreams answered on connections that live on: up to a third of the calls of two such routers.

Cause: not evidence against equal requests, as was suspected. A write after a pause of more than once_idle_time, as under load, needs a new connection. It is refused, the only upstream of the service is taken out of use and its idle connections are closed; but the path counts as working, as engines answer, so that nothing is forwarded.

Now a request that has not run and finds no upstream is forwarded too if this router itself has not reached an upstream of its service. A router that does not reach it either says that of the service alone, so that it keeps getting other requests; after three such answers, or without another router, the request is refused, and calls of the service are not forwarded for a second, as it most likely has no upstream any more.

Evidence: test_refused_links_to_one_service_leave_callers_served failed on the code before (118 of 176 calls got 503) and passes.

--- a/src/ForwardPeers.c
+++ b/src/ForwardPeers.c
@@ -10,12 +10,16 @@
 #define REFUSED_AVOID_MS 500
 /* A router that is not reached costs the caller a timeout. */
 #define UNREACHABLE_AVOID_MS 1500
+/* Calls of a service whose upstreams have ended are forwarded in vain once in
+ * this time. */
+#define UNSERVED_MS 1000
 
 struct ForwardPeers {
     struct event_base *base;
     const Membership_t *membership;
     guint idle_max;
-    GHashTable *peers; /* address -> ForwardPeer_t */
+    GHashTable *peers;    /* address -> ForwardPeer_t */
+    GHashTable *unserved; /* service -> gint64, until when */
 };
 
 static void
@@ -36,6 +40,8 @@
     this->idle_max = idle_max;
     this->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_peer);
+    this->unserved =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return this;
 }
 
@@ -43,6 +49,7 @@
 ForwardPeers_destroy(ForwardPeers_t *this)
 {
     g_hash_table_destroy(this->peers);
+    g_hash_table_destroy(this->unserved);
     g_free(this);
 }
 
@@ -97,8 +104,15 @@
            strcmp(best->upstream->hall->str, hall) != 0;
 }
 
+static gboolean
+was_tried(const GPtrArray *tried, const ForwardPeer_t *peer)
+{
+    return tried && g_ptr_array_find((GPtrArray *)tried, peer, NULL);
+}
+
 ForwardPeer_t *
-ForwardPeers_choose(ForwardPeers_t *this, gint64 now_ms)
+ForwardPeers_choose(ForwardPeers_t *this, const GPtrArray *tried,
+                    gint64 now_ms)
 {
     const GPtrArray *members = Membership_members(this->membership);
     guint first = members->len > 0 ? Random_below(members->len) : 0;
@@ -110,13 +124,39 @@
             continue;
         }
         ForwardPeer_t *peer = find_or_create(this, member);
-        if (now_ms >= peer->avoid_until_ms && is_better(this, peer, best)) {
+        if (now_ms >= peer->avoid_until_ms && !was_tried(tried, peer) &&
+            is_better(this, peer, best)) {
             best = peer;
         }
     }
     return best;
 }
 
+static gboolean
+is_over(gpointer service, gpointer until_ms, gpointer now_ms)
+{
+    (void)service;
+    return *(const gint64 *)until_ms <= *(const gint64 *)now_ms;
+}
+
+void
+ForwardPeers_noteUnserved(ForwardPeers_t *this, const char *service,
+                          gint64 now_ms)
+{
+    gint64 *until_ms = g_new(gint64, 1);
+    *until_ms = now_ms + UNSERVED_MS;
+    g_hash_table_foreach_remove(this->unserved, is_over, &now_ms);
+    g_hash_table_replace(this->unserved, g_strdup(service), until_ms);
+}
+
+gboolean
+ForwardPeers_isUnserved(const ForwardPeers_t *this, const char *service,
+                        gint64 now_ms)
+{
+    const gint64 *until_ms = g_hash_table_lookup(this->unserved, service);
+    return until_ms && now_ms < *until_ms;
+}
+
 static void
 avoid(ForwardPeer_t *peer, gint64 until_ms)
 {
--- a/src/ForwardPeers.h
+++ b/src/ForwardPeers.h
@@ -38,8 +38,19 @@
 void ForwardPeers_destroy(ForwardPeers_t *this);
 
 /** ForwardPeers_choose() - choose a router for one request; NULL if there is
- * none. Valid as long as this object. */
-ForwardPeer_t *ForwardPeers_choose(ForwardPeers_t *this, gint64 now_ms);
+ * none. Valid as long as this object.
+ * @tried: ForwardPeer_t * that the request is not sent to again; or NULL */
+ForwardPeer_t *ForwardPeers_choose(ForwardPeers_t *this,
+                                   const GPtrArray *tried, gint64 now_ms);
+
+/** ForwardPeers_noteUnserved() - record that other routers reach no upstream
+ * of a service either */
+void ForwardPeers_noteUnserved(ForwardPeers_t *this, const char *service,
+                               gint64 now_ms);
+
+/** ForwardPeers_isUnserved() - whether that was so a moment ago */
+gboolean ForwardPeers_isUnserved(const ForwardPeers_t *this,
+                                 const char *service, gint64 now_ms);
 
 /** ForwardPeers_noteRefusal() - record that a router could not serve a request
  * and said so */
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -39,6 +39,7 @@
     gboolean is_for_router; /* the caller is another router */
     gboolean is_end_proven; /* the upstream marks the end of its answer */
     gboolean needs_proof;
+    gboolean is_service_unreached;
     gboolean head_sent;
     gboolean full;
 };
@@ -339,12 +340,25 @@
                        this->status, NULL, body, TRUE);
 }
 
-/* Another router has the time that this one lacks. */
-static gboolean
-may_try_another(const RelayAnswer_t *this, Refusal_t refusal, RunState_t run)
+void
+RelayAnswer_setServiceUnreached(RelayAnswer_t *this)
 {
-    return this->is_for_router && run == RUN_NOT &&
-           refusal == REFUSAL_STOPPING;
+    this->is_service_unreached = TRUE;
+}
+
+/* Another router may have the time, or the links, that this one lacks. */
+static const char *
+find_refused(const RelayAnswer_t *this, Refusal_t refusal, RunState_t run)
+{
+    if (!this->is_for_router || run != RUN_NOT) {
+        return NULL;
+    }
+    if (refusal == REFUSAL_STOPPING) {
+        return RELAY_REFUSES_ALL;
+    }
+    return refusal == REFUSAL_NO_UPSTREAM && this->is_service_unreached
+               ? RELAY_REFUSES_SERVICE
+               : NULL;
 }
 
 void
@@ -366,7 +380,7 @@
     evhttp_clear_headers(evhttp_request_get_output_headers(request));
     RelayRefusal_t params = {refusal, run,
                              detail,  this->retry_after_ms,
-                             closing, may_try_another(this, refusal, run)};
+                             closing, find_refused(this, refusal, run)};
     Relay_refuse(request, this->id_header, this->id->str, &params);
 }
 
@@ -432,8 +446,8 @@
     if (params->closing) {
         evhttp_add_header(headers, "Connection", "close");
     }
-    if (params->try_another) {
-        evhttp_add_header(headers, RELAY_TRY_ANOTHER, "1");
+    if (params->refuses) {
+        evhttp_add_header(headers, RELAY_TRY_ANOTHER, params->refuses);
     }
     if (spec->retry_after_ms > 0 && params->run == RUN_NOT) {
         add_retry_after(headers, params->retry_after_ms > 0
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -128,6 +128,11 @@
  * ms; the default of the refusal's reason applies otherwise */
 void RelayAnswer_setRetryAfter(RelayAnswer_t *this, guint retry_after_ms);
 
+/** RelayAnswer_setServiceUnreached() - note that this router does not reach
+ * the upstreams of the request's service, so that a later refusal for the lack
+ * of one tells another router so */
+void RelayAnswer_setServiceUnreached(RelayAnswer_t *this);
+
 /** RelayAnswer_refuse() - answer with a refusal, or close the connection if
  * the head was sent already */
 void RelayAnswer_refuse(RelayAnswer_t *this, Refusal_t refusal, RunState_t run,
@@ -152,8 +157,8 @@
  * @detail: text about this case, or NULL
  * @retry_after_ms: value of Retry-After; 0 for the default of the reason
  * @closing: close the connection after this answer
- * @try_another: tell the router that forwarded the request that another one
- *     may serve it
+ * @refuses: value of RELAY_TRY_ANOTHER, which tells the router that forwarded
+ *     the request that another one may serve it; or NULL
  */
 typedef struct {
     Refusal_t refusal;
@@ -161,7 +166,7 @@
     const char *detail;
     guint retry_after_ms;
     gboolean closing;
-    gboolean try_another;
+    const char *refuses;
 } RelayRefusal_t;
 
 /**
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -78,9 +78,11 @@
                                           : "none",
                          "none", detail);
     RequestIntake_dropBody(admission->http);
-    gboolean try_another = admission->forwarded_by && may_try_another(refusal);
+    const char *refuses = admission->forwarded_by && may_try_another(refusal)
+                              ? RELAY_REFUSES_ALL
+                              : NULL;
     RelayRefusal_t params = {refusal, RUN_NOT,           detail,
-                             0,       context->stopping, try_another};
+                             0,       context->stopping, refuses};
     Relay_refuse(admission->http, form->id_header, id, &params);
     form->clear_request(&admission->request);
 }
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -117,6 +117,10 @@
     if (notice->retry_after_ms > 0) {
         RelayAnswer_setRetryAfter(this->answer, notice->retry_after_ms);
     }
+    if (notice->refusal == REFUSAL_NO_UPSTREAM &&
+        RelayLateForward_isServiceUnreached(this)) {
+        RelayAnswer_setServiceUnreached(this->answer);
+    }
     RelayAnswer_refuse(this->answer, notice->refusal, notice->run,
                        notice->detail);
 }
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -25,6 +25,10 @@
 /** Header of a refusal of a forwarded request that another router may serve,
  * which has not run */
 #define RELAY_TRY_ANOTHER "Wheattiller-Try-Another"
+/** Its value: the router can serve no request now */
+#define RELAY_REFUSES_ALL "1"
+/** Its value: the router reaches no upstream of the request's service */
+#define RELAY_REFUSES_SERVICE "service"
 /** Header of an answer to another router: only the end of a connection marked
  * the end of the upstream's answer */
 #define RELAY_CLOSE_DELIMITED "Wheattiller-Close-Delimited"
@@ -140,6 +144,8 @@
  * @matches_request: the head carries the request's id
  * @has_signature: the head carries the upstream's signature
  * @not_run: the upstream states that it did not run the request
+ * @refuses_service: it is a router, and reaches no upstream of the request's
+ *     service
  * @is_unproven: callers take the status as a statement that the request did
  *     not run, but the upstream does not state it
  * @is_contradictory: the head states that the request did not run, but its
@@ -156,6 +162,7 @@
     gboolean matches_request;
     gboolean has_signature;
     gboolean not_run;
+    gboolean refuses_service;
     gboolean is_unproven;
     gboolean is_contradictory;
     gboolean other_instance;
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -12,6 +12,8 @@
 
 /* Number of routers that one request is offered to. */
 #define TRIES_MAX 8
+/* Number of routers that do not reach its service. */
+#define SERVICE_TRIES_MAX 3
 /* How long after the caller's deadline the other router's answer, which keeps
  * that deadline, may still arrive. */
 #define ANSWER_MARGIN_MS 100
@@ -22,6 +24,8 @@
 typedef struct {
     Context_t *context;
     GString *id;
+    GString *service; /* NULL if it was not placed here */
+    GPtrArray *tried; /* routers that do not reach its service */
     GBytes *body;
     RelayAnswer_t *answer;
     RelayAttempt_t *attempt; /* under way, or NULL */
@@ -43,6 +47,10 @@
 {
     RelayAnswer_destroy(this->answer);
     g_string_free(this->id, TRUE);
+    if (this->service) {
+        g_string_free(this->service, TRUE);
+    }
+    g_ptr_array_unref(this->tried);
     g_bytes_unref(this->body);
     AnswerBuffer_destroy(this->answer_body);
     event_free(this->deadline);
@@ -220,10 +228,21 @@
 
 static void try_next(RelayForward_t *this);
 
+/* A router that does not reach one service may serve others. */
+static void
+note_refusal(RelayForward_t *this, const RelayHead_t *head)
+{
+    if (head && head->refuses_service) {
+        g_ptr_array_add(this->tried, this->peer);
+    }
+    else {
+        ForwardPeers_noteRefusal(this->peer, Clock_nowMs());
+    }
+}
+
 static void
 on_ended(void *owner, AttemptEnd_t end, const RelayHead_t *head)
 {
-    (void)head;
     RelayForward_t *this = owner;
     this->attempt = NULL;
     this->peer->open--;
@@ -232,7 +251,7 @@
         pass_on(this);
     }
     else if (end == ATTEMPT_NOT_RUN) {
-        ForwardPeers_noteRefusal(this->peer, Clock_nowMs());
+        note_refusal(this, head);
         try_next(this);
     }
     else if (Recovery_isUnsent(end)) {
@@ -302,15 +321,28 @@
         RelayAttempt_start(this->context->base, &spec, &attempt_events, this);
 }
 
+static void
+refuse_unserved(RelayForward_t *this)
+{
+    gboolean is_of_service = this->tried->len > 0;
+    if (is_of_service && this->service) {
+        ForwardPeers_noteUnserved(this->context->forward_peers,
+                                  this->service->str, Clock_nowMs());
+    }
+    refuse(this, is_of_service ? REFUSAL_NO_UPSTREAM : REFUSAL_NO_PATH,
+           RUN_NOT);
+}
+
 static void
 try_next(RelayForward_t *this)
 {
-    this->peer =
-        this->tries < TRIES_MAX
-            ? ForwardPeers_choose(this->context->forward_peers, Clock_nowMs())
-            : NULL;
+    gboolean may_try =
+        this->tries < TRIES_MAX && this->tried->len < SERVICE_TRIES_MAX;
+    this->peer = may_try ? ForwardPeers_choose(this->context->forward_peers,
+                                               this->tried, Clock_nowMs())
+                         : NULL;
     if (!this->peer) {
-        refuse(this, REFUSAL_NO_PATH, RUN_NOT);
+        refuse_unserved(this);
         return;
     }
     this->tries++;
@@ -348,6 +380,7 @@
     this->idle_max_ms =
         is_repeatable ? limits->idle_time_ms : limits->once_idle_time_ms;
     this->id = g_string_new(id);
+    this->tried = g_ptr_array_new();
     this->answer_body = AnswerBuffer_create(&context->answer_bytes);
     this->started_us = Clock_nowUs();
     this->deadline_ms = deadline_ms;
@@ -401,6 +434,7 @@
     RelayForward_t *this =
         create(context, spec->id, spec->deadline_ms, spec->is_repeatable);
     this->body = g_bytes_ref(spec->body);
+    this->service = g_string_new(spec->service);
     this->answer = spec->answer;
     RelayAnswer_setOwner(this->answer, &answer_events, this);
     begin(this);
--- a/src/RelayForward.h
+++ b/src/RelayForward.h
@@ -30,6 +30,7 @@
 /**
  * struct RelayTakeOverSpec_t - a request that was to be served here
  * @id: its id
+ * @service: name of its service
  * @answer: the answer to its caller, of which nothing was sent; the forward
  *     takes ownership
  * @body: the caller's body
@@ -38,6 +39,7 @@
  */
 typedef struct {
     const char *id;
+    const char *service;
     RelayAnswer_t *answer;
     GBytes *body;
     gboolean is_repeatable;
--- a/src/RelayLateForward.c
+++ b/src/RelayLateForward.c
@@ -7,9 +7,10 @@
 gboolean
 RelayLateForward_decide(const LateForwardInput_t *input)
 {
-    gboolean is_path_doubtful = input->is_path_lost ||
-                                input->is_path_in_doubt ||
-                                (input->is_unsent && !input->has_path_worked);
+    gboolean is_path_doubtful =
+        input->is_path_lost || input->is_path_in_doubt ||
+        (input->is_unsent && !input->has_path_worked) ||
+        (input->is_service_unreached && !input->is_unserved);
     return input->run == RUN_NOT && !input->is_from_router &&
            input->left_ms > 0 && is_path_doubtful;
 }
@@ -24,6 +25,22 @@
     return started_us / CLOCK_US_PER_MS;
 }
 
+/* A peer's word is not enough: then the upstream has most likely ended. */
+gboolean
+RelayLateForward_isServiceUnreached(const RelayExchange_t *exchange)
+{
+    const Exchange_t *super = &exchange->super;
+    const GPtrArray *serving = UpstreamSet_findServing(
+        super->context->upstreams, ROLE_SERVICE, super->target->str);
+    for (guint i = 0; i < serving->len; i++) {
+        const Upstream_t *upstream = g_ptr_array_index(serving, i);
+        if (upstream->suspect && !upstream->suspected_by_peer) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 static LateForwardInput_t
 build_input(const RelayExchange_t *exchange)
 {
@@ -37,6 +54,9 @@
         .is_path_in_doubt = UpstreamPath_isInDoubt(path),
         .has_path_worked =
             UpstreamPath_hasWorkedSince(path, attempt_ms(super)),
+        .is_service_unreached = RelayLateForward_isServiceUnreached(exchange),
+        .is_unserved = ForwardPeers_isUnserved(
+            super->context->forward_peers, super->target->str, Clock_nowMs()),
         .left_ms = super->deadline_ms - Clock_nowMs(),
     };
 }
@@ -51,6 +71,7 @@
     Log_number("path_lost", input->is_path_lost);
     Log_number("path_in_doubt", input->is_path_in_doubt);
     Log_number("path_worked", input->has_path_worked);
+    Log_number("service_unreached", input->is_service_unreached);
     Log_number("left_ms", input->left_ms);
     Log_end();
 }
@@ -59,7 +80,7 @@
 static gboolean
 has_peer(const RelayExchange_t *exchange)
 {
-    return ForwardPeers_choose(exchange->super.context->forward_peers,
+    return ForwardPeers_choose(exchange->super.context->forward_peers, NULL,
                                Clock_nowMs()) != NULL;
 }
 
@@ -94,6 +115,7 @@
     const Exchange_t *super = &exchange->super;
     RelayTakeOverSpec_t spec = {
         .id = super->id->str,
+        .service = super->target->str,
         .answer = g_steal_pointer(&exchange->answer),
         .body = exchange->request_body,
         .is_repeatable = super->repeatable,
--- a/src/RelayLateForward.h
+++ b/src/RelayLateForward.h
@@ -4,8 +4,8 @@
  * DOC: RelayLateForward
  *
  * Forwards a request that this router took before it knew that it has no path
- * to upstreams (RelayForward.h), if it is certain that it has not run and
- * nothing shows that there is a path.
+ * to upstreams, or none to those of the request's service (RelayForward.h), if
+ * it is certain that it has not run and nothing shows that there is a path.
  */
 #include "RelayExchangeState.h"
 
@@ -17,6 +17,9 @@
  * @is_path_lost: this router reaches no upstream
  * @is_path_in_doubt: no upstream has answered since one failed
  * @has_path_worked: another upstream has answered during the last attempt
+ * @is_service_unreached: this router itself has not reached an upstream of the
+ *     request's service
+ * @is_unserved: other routers have not either, a moment ago
  * @left_ms: time until the caller's deadline
  */
 typedef struct {
@@ -26,6 +29,8 @@
     gboolean is_path_lost;
     gboolean is_path_in_doubt;
     gboolean has_path_worked;
+    gboolean is_service_unreached;
+    gboolean is_unserved;
     gint64 left_ms;
 } LateForwardInput_t;
 
@@ -42,6 +47,10 @@
 gboolean RelayLateForward_mayReplace(const RelayExchange_t *exchange,
                                      Refusal_t refusal);
 
+/** RelayLateForward_isServiceUnreached() - whether this router itself has not
+ * reached an upstream of the request's service */
+gboolean RelayLateForward_isServiceUnreached(const RelayExchange_t *exchange);
+
 /** RelayLateForward_start() - forward the request; the forward takes its
  * answer and body, and the exchange must have ended */
 void RelayLateForward_start(RelayExchange_t *exchange);
--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -359,6 +359,14 @@
     def test_refused_links_leave_callers_served(self):
         self.assert_served(Links.refuse_new, 2)
 
+    # Calls of a service whose connections had ended were refused for as long as
+    # upstreams of another one answered on theirs.
+    def test_refused_links_to_one_service_leave_callers_served(self):
+        def cut(links):
+            links.refuse_new()
+            self.plain.more_headers = {"Connection": "close"}
+        self.assert_served(cut, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -311,6 +311,19 @@
 }
 END_TEST
 
+START_TEST(router_that_refuses_a_service_may_serve_others)
+{
+    RelayHead_t all =
+        read_peer_head(503, RELAY_TRY_ANOTHER, RELAY_REFUSES_ALL);
+    RelayHead_t service =
+        read_peer_head(503, RELAY_TRY_ANOTHER, RELAY_REFUSES_SERVICE);
+    ck_assert(all.not_run && !all.refuses_service);
+    ck_assert(service.not_run && service.refuses_service);
+    ck_assert(!read_peer_head(503, NULL, NULL).not_run);
+    ck_assert(!read_head(503, RELAY_TRY_ANOTHER, "service").not_run);
+}
+END_TEST
+
 START_TEST(only_this_router_says_that_it_forwards)
 {
     struct evkeyvalq caller;
@@ -475,6 +488,7 @@
 
 TESTING_MAIN("Fleet", start_in_the_far_future_is_unknown,
              only_this_router_says_that_it_forwards,
+             router_that_refuses_a_service_may_serve_others,
              customer_limits_are_decoded, configuration_is_decoded,
              invalid_configuration_is_a_typed_error, list_entry_is_decoded,
              malformed_list_entry_is_rejected, framed_records_are_restored,
--- a/tests/test_ForwardPeers.c
+++ b/tests/test_ForwardPeers.c
@@ -33,7 +33,7 @@
 {
     begin();
     for (guint i = 0; i < 3 * (ROUTERS - 1); i++) {
-        ForwardPeer_t *peer = ForwardPeers_choose(peers, now_ms);
+        ForwardPeer_t *peer = ForwardPeers_choose(peers, NULL, now_ms);
         ck_assert_ptr_nonnull(peer);
         peer->open++;
         ck_assert_uint_le(peer->open, i / (ROUTERS - 1) + 1);
@@ -45,7 +45,7 @@
 START_TEST(a_router_is_reached_where_it_listens_for_callers)
 {
     begin();
-    const ForwardPeer_t *peer = ForwardPeers_choose(peers, now_ms);
+    const ForwardPeer_t *peer = ForwardPeers_choose(peers, NULL, now_ms);
     const char *name = peer->upstream->name->str;
     guint index = (guint)(name[strlen(name) - 1] - '0');
     ck_assert_str_eq(peer->upstream->address.host, "127.0.0.1");
@@ -58,10 +58,11 @@
 {
     begin();
     for (guint i = 0; i < ROUTERS - 1; i++) {
-        ForwardPeers_noteRefusal(ForwardPeers_choose(peers, now_ms), now_ms);
+        ForwardPeers_noteRefusal(ForwardPeers_choose(peers, NULL, now_ms),
+                                 now_ms);
     }
-    ck_assert_ptr_null(ForwardPeers_choose(peers, now_ms));
-    ck_assert_ptr_nonnull(ForwardPeers_choose(peers, now_ms + LONG_MS));
+    ck_assert_ptr_null(ForwardPeers_choose(peers, NULL, now_ms));
+    ck_assert_ptr_nonnull(ForwardPeers_choose(peers, NULL, now_ms + LONG_MS));
     end();
 }
 END_TEST
@@ -69,13 +70,14 @@
 START_TEST(unreachable_routers_are_left_out_for_longer)
 {
     begin();
-    ForwardPeer_t *refusing = ForwardPeers_choose(peers, now_ms);
+    ForwardPeer_t *refusing = ForwardPeers_choose(peers, NULL, now_ms);
     ForwardPeers_noteRefusal(refusing, now_ms);
     for (guint i = 1; i < ROUTERS - 1; i++) {
-        ForwardPeers_noteUnreachable(ForwardPeers_choose(peers, now_ms),
+        ForwardPeers_noteUnreachable(ForwardPeers_choose(peers, NULL, now_ms),
                                      now_ms);
     }
-    ck_assert_ptr_eq(ForwardPeers_choose(peers, now_ms + 1000), refusing);
+    ck_assert_ptr_eq(ForwardPeers_choose(peers, NULL, now_ms + 1000),
+                     refusing);
     end();
 }
 END_TEST
@@ -89,12 +91,43 @@
         member->leaving = i % 2 == 0;
         member->callers.port = i % 2 == 0 ? member->callers.port : 0;
     }
-    ck_assert_ptr_null(ForwardPeers_choose(peers, now_ms));
+    ck_assert_ptr_null(ForwardPeers_choose(peers, NULL, now_ms));
     end();
 }
 END_TEST
 
-TESTING_MAIN("ForwardPeers", requests_spread_over_the_other_routers,
+START_TEST(a_router_is_not_tried_twice)
+{
+    g_autoptr(GPtrArray) tried = g_ptr_array_new();
+    begin();
+    for (guint i = 0; i < ROUTERS - 1; i++) {
+        ForwardPeer_t *peer = ForwardPeers_choose(peers, tried, now_ms);
+        ck_assert_ptr_nonnull(peer);
+        ck_assert(!g_ptr_array_find(tried, peer, NULL));
+        g_ptr_array_add(tried, peer);
+    }
+    ck_assert_ptr_null(ForwardPeers_choose(peers, tried, now_ms));
+    ck_assert_ptr_nonnull(ForwardPeers_choose(peers, NULL, now_ms));
+    end();
+}
+END_TEST
+
+START_TEST(a_service_that_no_router_serves_is_known_for_a_moment)
+{
+    begin();
+    ForwardPeers_noteUnserved(peers, "s", now_ms);
+    ck_assert(ForwardPeers_isUnserved(peers, "s", now_ms));
+    ck_assert(!ForwardPeers_isUnserved(peers, "t", now_ms));
+    ck_assert(!ForwardPeers_isUnserved(peers, "s", now_ms + LONG_MS));
+    ForwardPeers_noteUnserved(peers, "t", now_ms + LONG_MS);
+    ck_assert(!ForwardPeers_isUnserved(peers, "s", now_ms));
+    end();
+}
+END_TEST
+
+TESTING_MAIN("ForwardPeers", a_router_is_not_tried_twice,
+             a_service_that_no_router_serves_is_known_for_a_moment,
+             requests_spread_over_the_other_routers,
              a_router_is_reached_where_it_listens_for_callers,
              routers_that_could_not_serve_are_left_out_for_a_moment,
              unreachable_routers_are_left_out_for_longer,
--- a/tests/test_RelayAnswer.c
+++ b/tests/test_RelayAnswer.c
@@ -170,6 +170,30 @@
 }
 END_TEST
 
+static gboolean
+is_told_of_service(const char *request, Refusal_t refusal, gboolean unreached)
+{
+    set_up_with(request);
+    if (unreached) {
+        RelayAnswer_setServiceUnreached(answer);
+    }
+    RelayAnswer_refuse(answer, refusal, RUN_NOT, NULL);
+    ck_assert_int_eq(read_all(), 0);
+    gboolean is_told = ReplyClient_hasReceived(
+        RELAY_TRY_ANOTHER ": " RELAY_REFUSES_SERVICE "\r\n");
+    ReplyClient_close();
+    return is_told;
+}
+
+START_TEST(router_is_told_of_a_service_that_is_not_reached_here)
+{
+    ck_assert(is_told_of_service(FORWARDED, REFUSAL_NO_UPSTREAM, TRUE));
+    ck_assert(!is_told_of_service(FORWARDED, REFUSAL_NO_UPSTREAM, FALSE));
+    ck_assert(!is_told_of_service(FORWARDED, REFUSAL_OVERLOADED, TRUE));
+    ck_assert(!is_told_of_service(REQUEST, REFUSAL_NO_UPSTREAM, TRUE));
+}
+END_TEST
+
 START_TEST(stream_that_has_not_ended_is_broken_off)
 {
     set_up();
@@ -187,6 +211,7 @@
 END_TEST
 
 TESTING_MAIN("RelayAnswer", whole_answer_is_sent,
+             router_is_told_of_a_service_that_is_not_reached_here,
              router_is_told_that_another_may_serve_what_outlasts_a_stop,
              answer_that_has_not_ended_is_refused,
              answer_shorter_than_stated_is_refused,
--- a/tests/test_RelayLateForward.c
+++ b/tests/test_RelayLateForward.c
@@ -61,6 +61,19 @@
 }
 END_TEST
 
+/* Its calls were refused as long as upstreams of another service answered. */
+START_TEST(request_of_a_service_that_is_not_reached_goes_to_another_router)
+{
+    LateForwardInput_t input = unsent_request();
+    input.is_unsent = FALSE;
+    input.has_path_worked = TRUE;
+    input.is_service_unreached = TRUE;
+    ck_assert(RelayLateForward_decide(&input));
+    input.is_unserved = TRUE;
+    ck_assert(!RelayLateForward_decide(&input));
+}
+END_TEST
+
 START_TEST(request_whose_time_is_over_stays)
 {
     LateForwardInput_t input = unsent_request();
@@ -75,4 +88,5 @@
              forwarded_request_is_not_forwarded_again,
              request_stays_while_other_upstreams_answer,
              request_without_an_attempt_goes_once_the_path_is_doubtful,
+             request_of_a_service_that_is_not_reached_goes_to_another_router,
              request_whose_time_is_over_stays)
