Callers of native calls that leave are noticed while their calls run

Callers of the native interface that left kept an upstream's place, and their customer's, until the answer came; one that only closed its sending side got the whole answer of a call that was given up on the other interface.

Cause: ServiceExchange learned of the end from evhttp alone, which does not read while a request is processed. It has a CallerWatch now. A call that may run once and was sent goes on to its end and its key counts as run; any other is cancelled, and its line is request_refused caller_left, may_have_run.

--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -4,6 +4,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include "Answer.h"
+#include "CallerWatch.h"
 #include "Clock.h"
 #include "EngineHttp.h"
 #include "Errors.h"
@@ -14,7 +15,7 @@
 
 typedef struct {
     Exchange_t super;
-    struct evhttp_request *request; /* NULL if answered or the caller left */
+    CallerWatch_t *watch;
     GString *path;
     GString *content_type;
     GString *key;
@@ -29,6 +30,7 @@
 destroy(Exchange_t *super)
 {
     ServiceExchange_t *this = (ServiceExchange_t *)super;
+    CallerWatch_destroy(this->watch);
     g_string_free(this->path, TRUE);
     g_string_free(this->content_type, TRUE);
     g_string_free(this->key, TRUE);
@@ -37,32 +39,6 @@
     g_free(this);
 }
 
-static struct evhttp_request *
-detach_request(ServiceExchange_t *this)
-{
-    struct evhttp_request *request = this->request;
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request);
-    if (connection) {
-        evhttp_connection_set_closecb(connection, NULL, NULL);
-    }
-    this->request = NULL;
-    return request;
-}
-
-/* The call to the upstream continues, so that its outcome is known and
- * counted. */
-static void
-on_caller_left(struct evhttp_connection *connection, void *data)
-{
-    (void)connection;
-    ServiceExchange_t *this = data;
-    struct evhttp_request *request = detach_request(this);
-    if (!evhttp_request_get_connection(request)) {
-        evhttp_send_reply_end(request);
-    }
-}
-
 static void
 cancel_call(ServiceExchange_t *this)
 {
@@ -95,9 +71,23 @@
 refuse(Exchange_t *super, const RefusalNotice_t *notice)
 {
     ServiceExchange_t *this = (ServiceExchange_t *)super;
-    if (this->request) {
-        Http_refuse(detach_request(this), super->id->str, notice);
+    if (CallerWatch_request(this->watch)) {
+        Http_refuse(CallerWatch_detach(this->watch), super->id->str, notice);
+    }
+}
+
+/* A call that may run only once and was sent continues without its caller, so
+ * that its outcome is known and counted. */
+static void
+on_caller_left(void *owner)
+{
+    ServiceExchange_t *this = owner;
+    Exchange_t *super = &this->super;
+    if (super->over ||
+        (this->call && !super->repeatable && HttpCall_wasSent(this->call))) {
+        return;
     }
+    Exchange_noteCallerLeft(super, 0);
 }
 
 static void
@@ -114,8 +104,8 @@
 send_answer(ServiceExchange_t *this, const HttpAnswer_t *answer,
             AttemptEnd_t end)
 {
-    if (this->request) {
-        struct evhttp_request *request = detach_request(this);
+    if (CallerWatch_request(this->watch)) {
+        struct evhttp_request *request = CallerWatch_detach(this->watch);
         struct evkeyvalq *out = evhttp_request_get_output_headers(request);
         copy_header(answer, out, "Content-Type");
         copy_header(answer, out, "Retry-After");
@@ -308,7 +298,8 @@
         .body = this->body,
     };
     Exchange_init(&this->super, &class, context, &base);
-    this->request = spec->request;
+    this->watch =
+        CallerWatch_create(context->base, spec->request, on_caller_left, this);
     this->path = g_string_new(spec->path);
     this->content_type =
         g_string_new(content_type ? content_type : "application/octet-stream");
@@ -321,8 +312,6 @@
 ServiceExchange_start(Context_t *context, const ServiceExchangeSpec_t *spec)
 {
     ServiceExchange_t *this = create(context, spec);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(spec->request),
-                                  on_caller_left, this);
     Exchange_begin(&this->super);
     RateRequest_t rate =
         Caller_makeRateRequest(spec->caller, this->super.customer->str, 0);
--- a/tests/sessions/test_leaving_callers.py
+++ b/tests/sessions/test_leaving_callers.py
@@ -7,10 +7,17 @@
 import uuid
 
 from answers import request_bytes
-from cluster import wait_for
+from cluster import Cluster, uuid7, wait_for
 from fleet import Fleet
 
 
+def processor_s(router):
+    """Returns the processor time that a router has used."""
+    with open("/proc/%d/stat" % router.process.pid) as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class LeavingTest(unittest.TestCase):
     PATHS = ("/read/x", "/write/x", "/ask/x", "/ask/once/x")
 
@@ -70,10 +77,7 @@
             self.leave(path, lambda caller: None)
 
     def used_s(self):
-        """Returns the processor time that the router has used."""
-        with open("/proc/%d/stat" % self.router.process.pid) as file:
-            fields = file.read().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return processor_s(self.router)
 
     @staticmethod
     def reset(caller):
@@ -128,5 +132,82 @@
             self.assertEqual(self.runs(second), 0, path)
 
 
+class NativeTest(unittest.TestCase):
+    """Calls of services on the native interface."""
+
+    RUN_MS = 2000
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.services = {name: self.cluster.service("s-" + name, name,
+                                                    delay_ms=self.RUN_MS)
+                         for name in ("notes", "ledger")}
+        self.router = self.cluster.start()
+
+    def begin(self, name, key=None):
+        key = key or uuid7()
+        caller = socket.create_connection(("127.0.0.1", self.router.port))
+        self.addCleanup(caller.close)
+        caller.settimeout(5)
+        caller.sendall(b"POST /v1/services/%s/x HTTP/1.1\r\nHost: h\r\n"
+                       b"Authorization: Bearer acme-key\r\n"
+                       b"Idempotency-Key: %s\r\nContent-Length: 1\r\n\r\nx"
+                       % (name.encode(), key.encode()))
+        wait_for(lambda: self.services[name].call("GET", "/records").get(key),
+                 "a run")
+        return caller
+
+    def wait_line(self, event, wait_s):
+        began = time.monotonic()
+        line, = wait_for(lambda: self.router.events(event), event)
+        self.assertLess(time.monotonic() - began, wait_s)
+        return line
+
+    def check(self, end):
+        """One that may be given up frees its place, the other one goes on."""
+        with self.begin("notes") as caller:
+            end(caller)
+        line = self.wait_line("request_refused", 1)
+        self.assertEqual(line["reason"].strip('"'), "caller_left")
+        self.assertEqual(line["run"].strip('"'), "may_have_run")
+        key = uuid7()
+        with self.begin("ledger", key) as caller:
+            end(caller)
+        time.sleep(0.5)
+        self.assertEqual(len(self.router.events("request_refused")), 1)
+        wait_for(lambda: len(self.router.events("request_done")) == 2, "ends")
+        done = self.router.events("request_done")[1]
+        self.assertEqual(done["outcome"].strip('"'), "whole")
+        self.assertGreater(int(done["us"]), (self.RUN_MS - 500) * 1000)
+        answer = self.router.complete({}, path="/v1/services/ledger/x",
+                                      Idempotency_Key=key)
+        self.assertEqual(answer.error()["code"], "already_ran")
+
+    # Nothing told that they had left.
+    def test_callers_that_close(self):
+        self.check(lambda caller: None)
+
+    def test_callers_that_close_their_sending_side(self):
+        def end(caller):
+            caller.shutdown(socket.SHUT_WR)
+            try:
+                self.assertEqual(caller.recv(1), b"")
+            except ConnectionResetError:
+                pass
+        self.check(end)
+
+    def test_callers_that_reset(self):
+        self.check(LeavingTest.reset)
+
+    def test_a_reset_does_not_keep_the_router_busy(self):
+        """It spun until the upstream had answered."""
+        with self.begin("ledger") as caller:
+            LeavingTest.reset(caller)
+        used_s = processor_s(self.router)
+        time.sleep(1)
+        self.assertLess(processor_s(self.router) - used_s, 0.5)
+
+
 if __name__ == "__main__":
     unittest.main()
