A caller that reads nothing of its stream is told from one that left

Operators saw `caller_left` for streams that the router itself had closed, as their callers had read nothing for read_timeout, and could not tell a caller's fault from a limit of theirs.

Cause: evhttp reports the end of a connection in the same way for both. At its end CallerWatch looks whether the caller had ended it; if not, the reason of request_refused, and the outcome of request_done and forward_done, is answer_not_read. Nothing else follows from it.

Evidence: test_slow_callers, all three tests failed before (caller_left); they pass in release and sanitizer builds. test_fleet (61) and test_streams (21) pass in the release build. Native streams share CallerWatch; no test makes one time out.

--- a/src/Answer.c
+++ b/src/Answer.c
@@ -47,10 +47,10 @@
 }
 
 static void
-on_caller_left(void *owner)
+on_caller_left(void *owner, Refusal_t reason)
 {
     const Answer_t *this = owner;
-    this->events->left(this->owner);
+    this->events->left(this->owner, reason);
 }
 
 static void
--- a/src/Answer.h
+++ b/src/Answer.h
@@ -17,11 +17,12 @@
 
 /**
  * struct AnswerEvents_t - callbacks to the owner of an answer
- * @left: the caller closed the connection; nothing can be written any more
+ * @left: the caller's connection has ended, see CallerLeft_t; nothing can be
+ *     written any more
  * @drained: the buffered output was sent, after Answer_isFull() was TRUE
  */
 typedef struct {
-    void (*left)(void *owner);
+    void (*left)(void *owner, Refusal_t reason);
     void (*drained)(void *owner);
 } AnswerEvents_t;
 
--- a/src/CallerWatch.c
+++ b/src/CallerWatch.c
@@ -58,24 +58,34 @@
     }
 }
 
+static gboolean
+has_left(evutil_socket_t fd)
+{
+    struct pollfd state = {.fd = fd, .events = POLLRDHUP};
+    return poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+/* evhttp closes a connection as well if it can't write for its timeout. */
+static Refusal_t
+reason_of(struct evhttp_connection *connection)
+{
+    evutil_socket_t fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    return has_left(fd) ? REFUSAL_CALLER_LEFT : REFUSAL_ANSWER_NOT_READ;
+}
+
 static void
 on_close(struct evhttp_connection *connection, void *data)
 {
     CallerWatch_t *this = data;
+    Refusal_t reason = reason_of(connection);
     struct evhttp_request *request = CallerWatch_detach(this);
     ResetOnClose_forget(connection);
     if (!evhttp_request_get_connection(request)) {
         evhttp_send_reply_end(request); /* only frees the request */
     }
-    this->left(this->owner);
-}
-
-static gboolean
-has_left(evutil_socket_t fd)
-{
-    struct pollfd state = {.fd = fd, .events = POLLRDHUP};
-    return poll(&state, 1, 0) > 0 &&
-           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    this->left(this->owner, reason);
 }
 
 static void on_closed(evutil_socket_t fd, short what, void *data);
@@ -99,7 +109,7 @@
     CallerWatch_t *this = data;
     if (has_left(fd)) {
         CallerWatch_closeConnection(this);
-        this->left(this->owner);
+        this->left(this->owner, REFUSAL_CALLER_LEFT);
     }
     else if (what & EV_READ) {
         look_at_times(this, fd);
--- a/src/CallerWatch.h
+++ b/src/CallerWatch.h
@@ -9,12 +9,17 @@
 #include <event2/http.h>
 #include <glib.h>
 
+#include "Refusal.h"
+
 /** struct CallerWatch_t - opaque */
 typedef struct CallerWatch CallerWatch_t;
 
-/** CallerLeft_t - called when the caller has disconnected; the request has
- * been freed before */
-typedef void (*CallerLeft_t)(void *owner);
+/**
+ * CallerLeft_t - called when the caller's connection has ended; the request
+ * has been freed before
+ * @reason: REFUSAL_CALLER_LEFT, or REFUSAL_ANSWER_NOT_READ if evhttp closed it
+ */
+typedef void (*CallerLeft_t)(void *owner, Refusal_t reason);
 
 /** CallerWatch_create() - start to watch the connection of @request */
 CallerWatch_t *CallerWatch_create(struct event_base *base,
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -555,17 +555,19 @@
     (void)what;
     Exchange_t *this = data;
     abandon_stream(this);
-    end_exchange(this, "caller_left", Exchange_runState(this));
+    end_exchange(this, Refusal_spec(this->left_reason)->code,
+                 Exchange_runState(this));
 }
 
 void
-Exchange_noteCallerLeft(Exchange_t *this, gint64 grace_ms)
+Exchange_noteCallerLeft(Exchange_t *this, Refusal_t reason, gint64 grace_ms)
 {
     this->caller_left = TRUE;
-    cancel_attempt(this, "caller_left");
-    Context_countRefusal(this->context, REFUSAL_CALLER_LEFT,
-                         Exchange_runState(this), this->id->str,
-                         this->target->str, this->customer_class->str, NULL);
+    this->left_reason = reason;
+    cancel_attempt(this, Refusal_spec(reason)->code);
+    Context_countRefusal(this->context, reason, Exchange_runState(this),
+                         this->id->str, this->target->str,
+                         this->customer_class->str, NULL);
     evtimer_del(this->deadline_timer);
     restart_next_timer(this, on_grace_expired, grace_ms);
 }
--- a/src/Exchange.h
+++ b/src/Exchange.h
@@ -128,11 +128,14 @@
                      const char *detail);
 
 /**
- * Exchange_noteCallerLeft() - cancel the attempt, as the caller disconnected
+ * Exchange_noteCallerLeft() - cancel the attempt, as the caller's connection
+ * has ended
+ * @reason: see CallerLeft_t
  * @grace_ms: delay after which the stream at the engine is abandoned and the
  *     exchange ends; the caller may resume the stream at any router until then
  */
-void Exchange_noteCallerLeft(Exchange_t *this, gint64 grace_ms);
+void Exchange_noteCallerLeft(Exchange_t *this, Refusal_t reason,
+                             gint64 grace_ms);
 
 /**
  * Exchange_noteCrashEvidence() - report the end of an attempt to the crash
--- a/src/ExchangeState.h
+++ b/src/ExchangeState.h
@@ -74,7 +74,8 @@
  * @sent: an attempt was sent and the upstream has not reported it as not run
  * @silence_counted: the current attempt is silent and was counted as a failure
  * @begun_noted: the crash guard knows that the answer under way has begun
- * @caller_left: the caller disconnected
+ * @caller_left: the caller's connection has ended
+ * @left_reason: why, if it has
  * @over: the exchange has ended; only its destruction follows
  */
 struct Exchange {
@@ -107,6 +108,7 @@
     gboolean silence_counted;
     gboolean begun_noted;
     gboolean caller_left;
+    Refusal_t left_reason;
     gboolean over;
 };
 
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -149,6 +149,10 @@
                                         "as they began to answer prompts with "
                                         "a part of this one.",
                                         503, 600000, RUN_NOT},
+    [REFUSAL_ANSWER_NOT_READ] = {"answer_not_read", "caller_error",
+                                 "The caller read nothing of its answer for "
+                                 "too long.",
+                                 499, 0, RUN_MAYBE},
     [REFUSAL_ANSWERS_UNREAD] = {"answers_unread", "overloaded_error",
                                 "This router holds too many answers that "
                                 "their callers have not read yet.",
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -83,10 +83,10 @@
 }
 
 static void
-on_caller_left(void *owner)
+on_caller_left(void *owner, Refusal_t reason)
 {
     const RelayAnswer_t *this = owner;
-    this->events->caller_left(this->owner);
+    this->events->caller_left(this->owner, reason);
 }
 
 RelayAnswer_t *
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -17,11 +17,11 @@
 
 /**
  * struct RelayAnswerEvents_t - callbacks to the owner of an answer
- * @caller_left: the caller closed the connection
+ * @caller_left: the caller's connection has ended, see CallerLeft_t
  * @drained: a slow caller has read the data that was buffered for it
  */
 typedef struct {
-    void (*caller_left)(void *owner);
+    void (*caller_left)(void *owner, Refusal_t reason);
     void (*drained)(void *owner);
 } RelayAnswerEvents_t;
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -183,7 +183,7 @@
 /* A request that may run only once and was sent continues without its caller,
  * so that its outcome becomes known. */
 static void
-on_caller_left(void *owner)
+on_caller_left(void *owner, Refusal_t reason)
 {
     RelayExchange_t *this = owner;
     Exchange_t *super = &this->super;
@@ -192,7 +192,7 @@
          RelayAttempt_wasSent(this->attempt))) {
         return;
     }
-    Exchange_noteCallerLeft(super, 0);
+    Exchange_noteCallerLeft(super, reason, 0);
 }
 
 static void
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -327,9 +327,9 @@
 }
 
 static void
-on_caller_left(void *owner)
+on_caller_left(void *owner, Refusal_t reason)
 {
-    finish(owner, "caller_left");
+    finish(owner, Refusal_spec(reason)->code);
 }
 
 static void
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -79,7 +79,7 @@
 /* A call that may run only once and was sent continues without its caller, so
  * that its outcome is known and counted. */
 static void
-on_caller_left(void *owner)
+on_caller_left(void *owner, Refusal_t reason)
 {
     ServiceExchange_t *this = owner;
     Exchange_t *super = &this->super;
@@ -87,7 +87,7 @@
         (this->call && !super->repeatable && HttpCall_wasSent(this->call))) {
         return;
     }
-    Exchange_noteCallerLeft(super, 0);
+    Exchange_noteCallerLeft(super, reason, 0);
 }
 
 static void
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -118,7 +118,7 @@
  * may resume it at any router. The engine ignores the cancel of this router if
  * the stream was resumed at another router. */
 static void
-on_caller_left(void *owner)
+on_caller_left(void *owner, Refusal_t reason)
 {
     StreamExchange_t *this = owner;
     Exchange_t *super = &this->super;
@@ -128,7 +128,7 @@
     gboolean may_resume =
         this->prompt && this->prompt->stream && this->stream.upstream;
     Exchange_noteCallerLeft(
-        super,
+        super, reason,
         may_resume ? super->context->settings->limits.resume_grace_ms : 0);
 }
 
--- a/tests/sessions/test_slow_callers.py
+++ b/tests/sessions/test_slow_callers.py
@@ -82,6 +82,14 @@
             self.assertGreater(int(line["bytes"]), 0)
         else:
             self.assertEqual(line["answer"].strip('"'), "none")
+            self.check_reason(request_id, line)
+
+    def check_reason(self, request_id, done):
+        """It could not be told from a caller that left."""
+        refused, = [line for line in self.router.events("request_refused")
+                    if line["request"].strip('"') == request_id]
+        self.assertEqual(refused["reason"].strip('"'), "answer_not_read")
+        self.assertEqual(done["outcome"].strip('"'), "answer_not_read")
 
     def test_answers_with_a_frame(self):
         """A part of an answer was counted as whole, without a line."""
