Tests fail where a preloaded library is missing

ld.so goes on without a library of LD_PRELOAD that does not exist: links were never cut, and tests of cut-off routers passed, in one run with a partial build. The path is checked now. test_suspension (2), test_leaving_callers, test_forwarding.CallTest (19 together) and test_slow_links.QuickSuccessionTest were run (release).

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -19,6 +19,15 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.path.join(ROOT, os.environ.get("WT_BUILD", "build"))
+
+
+def preloaded(name):
+    """Returns the path of a library for LD_PRELOAD, which is ignored without
+    an error if it does not exist."""
+    path = os.path.join(BUILD, name)
+    if not os.path.exists(path):
+        raise FileNotFoundError(path)
+    return path
 HANG_LIMIT = 60  # s
 OPERATOR_KEY = "operator-key"
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,7 +15,7 @@
 from urllib.parse import parse_qs, urlparse
 
 from cluster import (BUILD, OPERATOR_KEY, Process, assert_sound, key_hash,
-                     wait_for)
+                     preloaded, wait_for)
 
 HEARTBEAT_S = 0.2
 RATE_WINDOW_S = 0.1  # in which the store counts calls
@@ -720,7 +720,7 @@
         self.seconds = 0
         self.suspend(0)
         self.environment = {
-            "LD_PRELOAD": os.path.join(BUILD, "libsuspended_clock.so"),
+            "LD_PRELOAD": preloaded("libsuspended_clock.so"),
             "SUSPENDED_CLOCK": self.path,
             "ASAN_OPTIONS": "detect_leaks=1:verify_asan_link_order=0"}
 
--- a/tests/links.py
+++ b/tests/links.py
@@ -10,7 +10,7 @@
 import tempfile
 import threading
 
-from cluster import BUILD
+from cluster import preloaded
 
 BLOCK_BYTES = 65536
 RESET = struct.pack("ii", 1, 0)  # makes a close reset the connection
@@ -53,7 +53,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.path = os.path.join(self.folder.name, "links")
         self.environment = {
-            "LD_PRELOAD": os.path.join(BUILD, "libredirected_links.so"),
+            "LD_PRELOAD": preloaded("libredirected_links.so"),
             "REDIRECTED_LINKS": self.path,
             "ASAN_OPTIONS": "detect_leaks=1:verify_asan_link_order=0"}
         self.dead = DeadPorts()
--- a/tests/peerlinks.py
+++ b/tests/peerlinks.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from cluster import BUILD
+from cluster import preloaded
 
 BLOCK_BYTES = 8192
 # For which a link makes up, so that it has its rate also where the proxies are
@@ -51,7 +51,7 @@
         self.port = None  # of the router, for its peers
 
     def environment(self):
-        return {"LD_PRELOAD": os.path.join(BUILD, "libredirected_links.so"),
+        return {"LD_PRELOAD": preloaded("libredirected_links.so"),
                 "REDIRECTED_LINKS": self.path,
                 "ASAN_OPTIONS": "detect_leaks=1:verify_asan_link_order=0"}
 
