Room for bodies is shared by callers

Callers saw: the large bodies of one caller took the room of a router, and those of all others waited behind every one of them.

Cause: claims of bodies were granted in the order in which they came, whoever made them.

The next claim to be granted is now one of the caller with the fewest bytes, and of these the oldest; bytes in arrival and of requests that run count. A caller is told by its key, as the head states it: it is not known to be valid yet, so that a caller who makes up keys gets more shares until it is refused.

Why it works: a claim that waits precedes one of a caller that holds more, whatever their order, and what precedes holds back, so that no large one starves.

--- a/src/BodyBudget.c
+++ b/src/BodyBudget.c
@@ -11,10 +11,18 @@
     gsize used;
     GQueue waiting; /* BodyClaim_t, in the order in which they were made */
     GQueue granted; /* BodyClaim_t */
+    GHashTable *callers; /* Caller_t with claims, owned, by their ids */
 };
 
+typedef struct {
+    guint64 id;  /* the first member, as it is the key */
+    gsize bytes; /* granted */
+    guint claims;
+} Caller_t;
+
 struct BodyClaim {
     BodyBudget_t *budget;
+    Caller_t *caller;
     gsize bytes; /* granted */
     gint64 active_ms;
     gboolean is_in_arrival; /* may give way */
@@ -29,6 +37,8 @@
     this->max = max;
     g_queue_init(&this->waiting);
     g_queue_init(&this->granted);
+    this->callers =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     return this;
 }
 
@@ -38,10 +48,17 @@
     return g_rc_box_acquire(this);
 }
 
+static void
+clear(gpointer data)
+{
+    BodyBudget_t *this = data;
+    g_hash_table_destroy(this->callers);
+}
+
 void
 BodyBudget_unref(BodyBudget_t *this)
 {
-    g_rc_box_release(this);
+    g_rc_box_release_full(this, clear);
 }
 
 void
@@ -62,11 +79,34 @@
     return this->waiting.length;
 }
 
+static Caller_t *
+join_caller(BodyBudget_t *budget, guint64 id)
+{
+    Caller_t *caller = g_hash_table_lookup(budget->callers, &id);
+    if (!caller) {
+        caller = g_new0(Caller_t, 1);
+        caller->id = id;
+        g_hash_table_add(budget->callers, caller);
+    }
+    caller->claims++;
+    return caller;
+}
+
+static void
+leave_caller(BodyClaim_t *this)
+{
+    this->caller->claims--;
+    if (this->caller->claims == 0) {
+        g_hash_table_remove(this->budget->callers, this->caller);
+    }
+}
+
 BodyClaim_t *
 BodyClaim_create(BodyBudget_t *budget)
 {
     BodyClaim_t *this = g_new0(BodyClaim_t, 1);
     this->budget = BodyBudget_ref(budget);
+    this->caller = join_caller(budget, 0);
     this->waiting_link.data = this;
     this->granted_link.data = this;
     return this;
@@ -86,19 +126,46 @@
     }
 }
 
+static void
+change_bytes(BodyClaim_t *this, gsize bytes)
+{
+    this->budget->used = this->budget->used - this->bytes + bytes;
+    this->caller->bytes = this->caller->bytes - this->bytes + bytes;
+    this->bytes = bytes;
+}
+
 void
 BodyClaim_release(BodyClaim_t *this)
 {
     unlink_claim(&this->budget->waiting, &this->waiting_link);
     unlink_claim(&this->budget->granted, &this->granted_link);
-    this->budget->used -= this->bytes;
-    this->bytes = 0;
+    change_bytes(this, 0);
+}
+
+void
+BodyClaim_setCaller(BodyClaim_t *this, guint64 caller)
+{
+    gsize bytes = this->bytes;
+    if (this->caller->id == caller) {
+        return;
+    }
+    change_bytes(this, 0);
+    leave_caller(this);
+    this->caller = join_caller(this->budget, caller);
+    change_bytes(this, bytes);
+}
+
+guint64
+BodyClaim_caller(const BodyClaim_t *this)
+{
+    return this->caller->id;
 }
 
 void
 BodyClaim_destroy(BodyClaim_t *this)
 {
     BodyClaim_release(this);
+    leave_caller(this);
     BodyBudget_unref(this->budget);
     g_free(this);
 }
@@ -112,16 +179,31 @@
     return budget->max == 0 || others == 0 || others + bytes <= budget->max;
 }
 
+static gboolean
+precedes(const BodyClaim_t *this, gboolean is_older, const BodyClaim_t *other)
+{
+    gsize bytes = this->caller->bytes - this->bytes;
+    gsize others = other->caller->bytes - other->bytes;
+    if (this->caller == other->caller || bytes == others) {
+        return is_older;
+    }
+    return bytes < others;
+}
+
 static gboolean
 is_preceded(const BodyClaim_t *this, gint64 now_ms)
 {
     const GList *link = this->budget->waiting.head;
-    while (link && link->data != this) {
+    gboolean is_older = TRUE;
+    for (; link; link = link->next) {
         const BodyClaim_t *other = link->data;
-        if (now_ms - other->active_ms < PRECEDENCE_MS) {
+        if (other == this) {
+            is_older = FALSE;
+        }
+        else if (now_ms - other->active_ms < PRECEDENCE_MS &&
+                 precedes(other, is_older, this)) {
             return TRUE;
         }
-        link = link->next;
     }
     return FALSE;
 }
@@ -146,8 +228,7 @@
     if (!is_linked(&this->budget->granted, &this->granted_link)) {
         g_queue_push_tail_link(&this->budget->granted, &this->granted_link);
     }
-    this->budget->used = this->budget->used - this->bytes + bytes;
-    this->bytes = bytes;
+    change_bytes(this, bytes);
     this->is_in_arrival = FALSE;
 }
 
--- a/src/BodyBudget.h
+++ b/src/BodyBudget.h
@@ -5,8 +5,8 @@
  *
  * Bounds the bytes of requests' bodies that a router holds. A body claims its
  * bytes before it is read; where they don't fit, its connection is read later,
- * so that the caller waits. Claims are granted in the order in which they were
- * made. Short bodies need no claim.
+ * so that the caller waits. The next claim to be granted is one of the caller
+ * with the fewest bytes, and of these the oldest. Short bodies need no claim.
  */
 #include <glib.h>
 
@@ -59,6 +59,13 @@
  */
 gboolean BodyClaim_try(BodyClaim_t *this, gsize bytes, gint64 now_ms);
 
+/** BodyClaim_setCaller() - tell whose claim it is
+ * @caller: any number for each caller; 0 until it is told */
+void BodyClaim_setCaller(BodyClaim_t *this, guint64 caller);
+
+/** BodyClaim_caller() - the number last told */
+guint64 BodyClaim_caller(const BodyClaim_t *this);
+
 /** BodyClaim_noteProgress() - bytes of the body were received */
 void BodyClaim_noteProgress(BodyClaim_t *this, gint64 now_ms);
 
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -11,6 +11,9 @@
 #define CHUNKED_LINE "transfer-encoding:chunked"
 #define LENGTH_PREFIX "content-length:"
 #define CODING_PREFIX "transfer-encoding:"
+#define KEY_PREFIX "api-key:"
+#define AUTHORIZATION_PREFIX "authorization:"
+#define HASH_FACTOR G_GUINT64_CONSTANT(1099511628211) /* of FNV-1a */
 
 typedef enum {
     PART_HEAD,
@@ -24,6 +27,8 @@
     char line[LINE_MAX_BYTES]; /* the beginning of the line under way */
     gsize line_bytes;
     gboolean is_line_cut;
+    guint64 line_hash; /* of the whole line */
+    guint64 caller;
     gboolean is_first_line;
     guint lines;          /* of the head, and of the trailers */
     gboolean has_no_body; /* whatever its head states */
@@ -72,29 +77,32 @@
     this->is_first_line = FALSE;
 }
 
+static gboolean
+has_prefix(const RequestFraming_t *this, const char *prefix)
+{
+    return g_ascii_strncasecmp(this->line, prefix, strlen(prefix)) == 0;
+}
+
 static void
 read_header(RequestFraming_t *this)
 {
+    if (has_prefix(this, KEY_PREFIX) ||
+        has_prefix(this, AUTHORIZATION_PREFIX)) {
+        this->caller = this->line_hash;
+    }
     if (this->is_line_cut) {
         return;
     }
     if (g_ascii_strcasecmp(this->line, CHUNKED_LINE) == 0) {
         this->is_chunked = TRUE;
     }
-    else if (g_ascii_strncasecmp(this->line, LENGTH_PREFIX,
-                                 strlen(LENGTH_PREFIX)) == 0) {
+    else if (has_prefix(this, LENGTH_PREFIX)) {
         this->length =
             g_ascii_strtoull(this->line + strlen(LENGTH_PREFIX), NULL, 10);
         this->left = this->length;
     }
 }
 
-static gboolean
-has_prefix(const RequestFraming_t *this, const char *prefix)
-{
-    return g_ascii_strncasecmp(this->line, prefix, strlen(prefix)) == 0;
-}
-
 static void
 read_trailer(RequestFraming_t *this)
 {
@@ -126,6 +134,7 @@
         read_header(this);
     }
     this->line_bytes = 0;
+    this->line_hash = 0;
     this->is_line_cut = FALSE;
 }
 
@@ -145,6 +154,18 @@
                    is_request_line ? LINE_OF_REQUEST : LINE_OF_FIELD, byte);
 }
 
+static void
+keep_byte(RequestFraming_t *this, char byte)
+{
+    this->line_hash = (this->line_hash ^ (guchar)byte) * HASH_FACTOR;
+    if (this->line_bytes < LINE_MAX_BYTES - 1) {
+        this->line[this->line_bytes++] = byte;
+    }
+    else {
+        this->is_line_cut = TRUE;
+    }
+}
+
 static void
 read_line_byte(RequestFraming_t *this, char byte)
 {
@@ -158,11 +179,8 @@
     else if (!is_kept(this, byte)) {
         return;
     }
-    else if (this->line_bytes < LINE_MAX_BYTES - 1) {
-        this->line[this->line_bytes++] = byte;
-    }
     else {
-        this->is_line_cut = TRUE;
+        keep_byte(this, byte);
     }
 }
 
@@ -256,6 +274,12 @@
     return this->lines > HEAD_LINES_MAX;
 }
 
+guint64
+RequestFraming_caller(const RequestFraming_t *this)
+{
+    return this->caller;
+}
+
 gboolean
 RequestFraming_isChunked(const RequestFraming_t *this)
 {
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -43,6 +43,11 @@
 /** RequestFraming_isInHead() - whether a head has begun and not ended */
 gboolean RequestFraming_isInHead(const RequestFraming_t *this);
 
+/** RequestFraming_caller() - number made of the key that the head under way,
+ * or that of the body under way, states; 0 for none. Nothing is known yet of
+ * whether the key is valid. */
+guint64 RequestFraming_caller(const RequestFraming_t *this);
+
 /** RequestFraming_isChunked() - whether the body under way has chunks */
 gboolean RequestFraming_isChunked(const RequestFraming_t *this);
 
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -159,6 +159,9 @@
     if (RequestFraming_isInHead(this->framing)) {
         BodyClaim_release(this->claim);
     }
+    if (bytes > 0) {
+        BodyClaim_setCaller(this->claim, RequestFraming_caller(this->framing));
+    }
     BodyClaim_noteProgress(this->claim, now_ms);
     if (BodyClaim_try(this->claim, bytes, now_ms)) {
         resume_reading(this, bytes);
@@ -372,11 +375,12 @@
 }
 
 static GBytes *
-own_body(void *bytes, gsize length, BodyBudget_t *budget)
+own_body(void *bytes, gsize length, const Connection_t *connection)
 {
     TakenBody_t *body = g_new0(TakenBody_t, 1);
     body->bytes = bytes;
-    body->claim = BodyClaim_create(budget);
+    body->claim = BodyClaim_create(connection->limits->budget);
+    BodyClaim_setCaller(body->claim, BodyClaim_caller(connection->claim));
     BodyClaim_setBytes(body->claim, length);
     return g_bytes_new_with_free_func(bytes, length, free_taken, body);
 }
@@ -396,7 +400,7 @@
         return g_bytes_new_take(bytes, length);
     }
     BodyClaim_release(connection->claim);
-    return own_body(bytes, length, connection->limits->budget);
+    return own_body(bytes, length, connection);
 }
 
 void
--- a/tests/sessions/test_body_memory.py
+++ b/tests/sessions/test_body_memory.py
@@ -136,6 +136,20 @@
         self.assertEqual(len(self.plain.seen), 2 + HELD)
         self.assert_whole([self.send(BODY)])
 
+    # The bodies of one caller took the room of others, who waited behind all
+    # of them.
+    def test_large_bodies_of_one_caller_do_not_hold_up_another_one(self):
+        self.plain.pause_s = 0.4
+        with ThreadPoolExecutor(CALLERS) as pool:
+            large = [pool.submit(self.send, BODY) for _ in range(CALLERS)]
+            self.router.wait_event("body_waits", CALLERS // 2)
+            started = time.monotonic()
+            self.assert_whole([self.send(BODY, key="key-b")])
+            took_s = time.monotonic() - started
+            self.assert_whole([answer.result() for answer in large])
+        self.assertLess(took_s, (time.monotonic() - started) / 2)
+        self.assertLess(took_s, 3 * self.plain.pause_s + 0.5)
+
     # A body beyond the bound is refused before a byte of it was sent.
     def test_a_head_that_states_too_long_a_body_is_refused(self):
         holders = [self.begin_body(len(BODY)) for _ in range(CALLERS)]
--- a/tests/test_BodyBudget.c
+++ b/tests/test_BodyBudget.c
@@ -56,6 +56,65 @@
 }
 END_TEST
 
+static void
+set_callers(guint64 first, guint64 second, guint64 third, guint64 fourth)
+{
+    BodyClaim_setCaller(claims[0], first);
+    BodyClaim_setCaller(claims[1], second);
+    BodyClaim_setCaller(claims[2], third);
+    BodyClaim_setCaller(claims[3], fourth);
+}
+
+/* The bodies of one caller took the room of all others. */
+START_TEST(the_caller_with_the_fewest_bytes_is_next)
+{
+    begin(ROOM);
+    set_callers(1, 1, 1, 2);
+    ck_assert(BodyClaim_try(claims[0], 500, 0));
+    ck_assert(BodyClaim_try(claims[1], 500, 0));
+    ck_assert(!BodyClaim_try(claims[2], 500, 0));
+    ck_assert(!BodyClaim_try(claims[3], 500, 1));
+    BodyClaim_release(claims[0]);
+    ck_assert(!BodyClaim_try(claims[2], 500, 10));
+    ck_assert(BodyClaim_try(claims[3], 500, 20));
+    BodyClaim_release(claims[1]);
+    ck_assert(BodyClaim_try(claims[2], 500, 30));
+    end();
+}
+END_TEST
+
+START_TEST(received_bodies_count_for_their_callers)
+{
+    begin(ROOM);
+    set_callers(1, 2, 1, 2);
+    BodyClaim_setBytes(claims[0], 400);
+    BodyClaim_setBytes(claims[1], 300);
+    ck_assert(!BodyClaim_try(claims[2], 400, 0));
+    ck_assert(!BodyClaim_try(claims[3], 400, 0));
+    BodyClaim_setBytes(claims[0], 301);
+    BodyClaim_setBytes(claims[1], 299);
+    ck_assert(!BodyClaim_try(claims[2], 400, 10));
+    ck_assert(BodyClaim_try(claims[3], 400, 10));
+    end();
+}
+END_TEST
+
+START_TEST(a_claim_takes_its_bytes_to_another_caller)
+{
+    begin(ROOM);
+    set_callers(1, 2, 1, 2);
+    BodyClaim_setBytes(claims[0], 600);
+    BodyClaim_setCaller(claims[0], 2);
+    ck_assert_uint_eq(BodyClaim_caller(claims[0]), 2);
+    ck_assert(!BodyClaim_try(claims[3], 500, 0));
+    ck_assert(!BodyClaim_try(claims[2], 500, 1));
+    BodyClaim_setBytes(claims[0], 500);
+    ck_assert(!BodyClaim_try(claims[3], 500, 10));
+    ck_assert(BodyClaim_try(claims[2], 500, 10));
+    end();
+}
+END_TEST
+
 /* Its connection may have been closed. */
 START_TEST(a_claim_that_no_longer_tries_does_not_hold_up_others)
 {
@@ -147,6 +206,7 @@
         for (guint j = 0; j < G_N_ELEMENTS(claims); j++) {
             BodyClaim_noteProgress(claims[j], at_ms);
         }
+        BodyClaim_setCaller(claims[i], g_rand_int_range(draws, 0, 3));
         if (g_rand_boolean(draws)) {
             BodyClaim_release(claims[i]);
             granted[i] = 0;
@@ -168,6 +228,9 @@
 
 TESTING_MAIN("BodyBudget", bodies_are_admitted_while_there_is_room,
              bodies_are_admitted_in_order,
+             the_caller_with_the_fewest_bytes_is_next,
+             received_bodies_count_for_their_callers,
+             a_claim_takes_its_bytes_to_another_caller,
              a_claim_that_no_longer_tries_does_not_hold_up_others,
              a_body_without_progress_gives_way, a_body_that_was_received_stays,
              a_body_beyond_the_budget_is_admitted_alone, a_claim_may_grow,
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -77,6 +77,34 @@
 }
 END_TEST
 
+static guint64
+read_caller(const char *bytes)
+{
+    RequestFraming_t *framing = RequestFraming_create();
+    RequestFraming_feed(framing, bytes, strlen(bytes));
+    guint64 caller = RequestFraming_caller(framing);
+    RequestFraming_destroy(framing);
+    return caller;
+}
+
+START_TEST(the_key_tells_callers_apart)
+{
+    g_autofree char *name = g_strnfill(100, 'n');
+    g_autofree char *one =
+        g_strconcat(POST "Authorization: Bearer ", name, "1\r\n", NULL);
+    g_autofree char *other =
+        g_strconcat(POST "Authorization: Bearer ", name, "2\r\n", NULL);
+    ck_assert(read_caller(POST "Api-Key: a\r\n") ==
+              read_caller(POST "Api-Key:  a\r\nX: 1\r\nContent-Length: 9\r\n"
+                               "\r\nx"));
+    ck_assert(read_caller(POST "Api-Key: a\r\n") !=
+              read_caller(POST "Api-Key: b\r\n"));
+    ck_assert(read_caller(one) != read_caller(other));
+    ck_assert(read_caller(POST) == 0);
+    ck_assert(read_caller(POST "Api-Key: a\r\n\r\nGET / HTTP/1.1\r\n") == 0);
+}
+END_TEST
+
 START_TEST(long_lines_do_not_count)
 {
     g_autofree char *name = g_strnfill(300, 'n');
@@ -89,4 +117,5 @@
 TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
              broken_chunks_are_found_in_any_request,
              malformed_lines_are_found_in_any_request,
+             the_key_tells_callers_apart,
              bodies_without_chunks_are_not_checked, long_lines_do_not_count)
