--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -14,6 +14,9 @@
 #define LENGTH_PREFIX "content-length:"
 #define PROOF_PREFIX RELAY_FORWARD_PROOF ":"
 #define CODING_PREFIX "transfer-encoding:"
+#define KEY_PREFIX "api-key:"
+#define AUTHORIZATION_PREFIX "authorization:"
+#define HASH_FACTOR G_GUINT64_CONSTANT(1099511628211) /* of FNV-1a */
 
 typedef enum {
     PART_HEAD,
@@ -29,6 +32,8 @@
     char line[LINE_MAX_BYTES]; /* the beginning of the line under way */
     gsize line_bytes;
     gboolean is_line_cut;
+    guint64 line_hash; /* of the whole line */
+    guint64 caller;
     gboolean is_first_line;
     guint lines;          /* of the head, and of the trailers */
     gboolean has_no_body; /* whatever its head states */
@@ -88,6 +93,10 @@
 static void
 read_header(RequestFraming_t *this)
 {
+    if (has_prefix(this, KEY_PREFIX) ||
+        has_prefix(this, AUTHORIZATION_PREFIX)) {
+        this->caller = this->line_hash;
+    }
     if (this->is_line_cut) {
         return;
     }
@@ -136,6 +145,7 @@
         read_header(this);
     }
     this->line_bytes = 0;
+    this->line_hash = 0;
     this->is_line_cut = FALSE;
 }
 
@@ -155,6 +165,18 @@
                    is_request_line ? LINE_OF_REQUEST : LINE_OF_FIELD, byte);
 }
 
+static void
+keep_byte(RequestFraming_t *this, char byte)
+{
+    this->line_hash = (this->line_hash ^ (guchar)byte) * HASH_FACTOR;
+    if (this->line_bytes < LINE_MAX_BYTES - 1) {
+        this->line[this->line_bytes++] = byte;
+    }
+    else {
+        this->is_line_cut = TRUE;
+    }
+}
+
 static void
 read_line_byte(RequestFraming_t *this, char byte)
 {
@@ -168,11 +190,8 @@
     else if (!is_kept(this, byte)) {
         return;
     }
-    else if (this->line_bytes < LINE_MAX_BYTES - 1) {
-        this->line[this->line_bytes++] = byte;
-    }
     else {
-        this->is_line_cut = TRUE;
+        keep_byte(this, byte);
     }
 }
 
@@ -279,6 +298,12 @@
     return this->lines > HEAD_LINES_MAX + added;
 }
 
+guint64
+RequestFraming_caller(const RequestFraming_t *this)
+{
+    return this->caller;
+}
+
 gboolean
 RequestFraming_isChunked(const RequestFraming_t *this)
 {
