Tests: a link is back only once its orders were given up

It waits for the line of each order and for the reset, which is as strict: bytes that wait in a kernel are delivered whenever the link comes back.

--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -35,6 +35,8 @@
 ENOUGH_CALLS = 50
 CALL_LIMIT_MS = 4000
 # Time in which bytes that wait in kernels are delivered.
+# The connection of an order is reset right after its line.
+RESET_S = 0.1
 DELIVERY_S = 0.5
 
 
@@ -202,7 +204,9 @@
         links, router = self.links["r0"], self.routers["r0"]
         links.cut_at(b"POST /v1/order")
         self.declare_weights(2)
-        router.wait_event("order_unanswered")
+        wait_for(lambda: 0 < len(router.events("order_sent"))
+                 <= len(router.events("order_unanswered")), "orders given up")
+        time.sleep(RESET_S)
         links.heal()
         self.wait_weights(2)
         time.sleep(DELIVERY_S)
