A refused body that waited is read to its end

Callers saw a broken connection in place of the 503 for a body that had waited too long: the connection went on being read by a byte each 50 ms, so that it was closed with the rest unread.

The limit of the pause is lifted before the refusal is written.

--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -234,6 +234,7 @@
 {
     this->is_abandoned = TRUE;
     this->is_refused = TRUE;
+    bufferevent_set_rate_limit(this->stream, NULL); /* of a pause */
     log_refusal(this, Refusal_spec(refusal)->code);
     end_connection(this);
     write_refusal(this, refusal);
--- a/tests/sessions/test_body_memory.py
+++ b/tests/sessions/test_body_memory.py
@@ -123,7 +123,8 @@
             wait_for(lambda: len(self.plain.seen) == 1 + HELD,
                      "the requests that fit")
             started = time.monotonic()
-            for late in [pool.submit(self.send, BODY) for _ in range(4)]:
+            # More than the kernel takes of a connection that nobody reads.
+            for late in [pool.submit(self.send, 3 * BODY) for _ in range(4)]:
                 answer = late.result()
                 self.assertEqual(answer.status, 503, answer.body)
                 self.assertIn(b"no_memory", answer.body)
