A request that an upstream has refused is forwarded only if the path is lost

The answer of an upstream of the service is the proof that there is a path. test_RelayLateForward has the case, which failed before.

--- a/src/RelayLateForward.c
+++ b/src/RelayLateForward.c
@@ -8,11 +8,12 @@
 RelayLateForward_decide(const LateForwardInput_t *input)
 {
     gboolean is_path_doubtful =
-        input->is_path_lost || input->is_path_in_doubt ||
+        input->is_path_in_doubt ||
         (input->is_unsent && !input->has_path_worked) ||
         (input->is_service_unreached && !input->is_unserved);
     return input->run == RUN_NOT && !input->is_from_router &&
-           input->left_ms > 0 && is_path_doubtful;
+           input->left_ms > 0 &&
+           (input->is_path_lost || (is_path_doubtful && !input->is_answered));
 }
 
 static gint64
@@ -50,6 +51,7 @@
         .run = Exchange_runState(super),
         .is_from_router = RelayAnswer_isForRouter(exchange->answer),
         .is_unsent = exchange->is_unsent,
+        .is_answered = super->attempts > 0 && !exchange->is_unsent,
         .is_path_lost = UpstreamPath_isLost(path),
         .is_path_in_doubt = UpstreamPath_isInDoubt(path),
         .has_path_worked =
@@ -68,6 +70,7 @@
     Log_text("request", exchange->super.id->str);
     Log_number("attempts", exchange->super.attempts);
     Log_number("unsent", input->is_unsent);
+    Log_number("answered", input->is_answered);
     Log_number("path_lost", input->is_path_lost);
     Log_number("path_in_doubt", input->is_path_in_doubt);
     Log_number("path_worked", input->has_path_worked);
--- a/src/RelayLateForward.h
+++ b/src/RelayLateForward.h
@@ -14,6 +14,7 @@
  * @run: whether the request has run
  * @is_from_router: another router has forwarded it to this one
  * @is_unsent: nothing was sent to the upstream of its last attempt
+ * @is_answered: the upstream of its last attempt answered that it did not run
  * @is_path_lost: this router reaches no upstream
  * @is_path_in_doubt: no upstream has answered since one failed
  * @has_path_worked: another upstream has answered during the last attempt
@@ -26,6 +27,7 @@
     RunState_t run;
     gboolean is_from_router;
     gboolean is_unsent;
+    gboolean is_answered;
     gboolean is_path_lost;
     gboolean is_path_in_doubt;
     gboolean has_path_worked;
--- a/tests/test_RelayLateForward.c
+++ b/tests/test_RelayLateForward.c
@@ -74,6 +74,23 @@
 }
 END_TEST
 
+/* A stream went to a router that knew less of its engines, and got 502 in
+ * place of 503. */
+START_TEST(request_that_an_upstream_refused_stays_while_there_is_a_path)
+{
+    LateForwardInput_t input = {
+        .run = RUN_NOT,
+        .is_answered = TRUE,
+        .is_path_in_doubt = TRUE,
+        .is_service_unreached = TRUE,
+        .left_ms = 1000,
+    };
+    ck_assert(!RelayLateForward_decide(&input));
+    input.is_path_lost = TRUE;
+    ck_assert(RelayLateForward_decide(&input));
+}
+END_TEST
+
 START_TEST(request_whose_time_is_over_stays)
 {
     LateForwardInput_t input = unsent_request();
@@ -89,4 +106,5 @@
              request_stays_while_other_upstreams_answer,
              request_without_an_attempt_goes_once_the_path_is_doubtful,
              request_of_a_service_that_is_not_reached_goes_to_another_router,
+             request_that_an_upstream_refused_stays_while_there_is_a_path,
              request_whose_time_is_over_stays)
