--- a/src/AnswerRoom.c
+++ b/src/AnswerRoom.c
@@ -118,7 +118,10 @@
 void
 AnswerRoom_destroy(AnswerRoom_t *this)
 {
-    g_assert(this->waiting.length == 0);
+    while (this->waiting.length > 0) {
+        AnswerWaiter_t *waiter = g_queue_pop_head_link(&this->waiting)->data;
+        waiter->is_waiting = FALSE;
+    }
     event_free(this->timer);
     g_free(this);
 }
--- a/src/AnswerRoom.h
+++ b/src/AnswerRoom.h
@@ -46,7 +46,8 @@
 AnswerRoom_t *AnswerRoom_create(struct event_base *base, const gsize *arriving,
                                 gsize max);
 
-/** AnswerRoom_destroy() - free the room; no answer may wait any more */
+/** AnswerRoom_destroy() - free the room; answers that wait are not resumed,
+ * and their waiters must not be used again */
 void AnswerRoom_destroy(AnswerRoom_t *this);
 
 /** AnswerRoom_setMax() - change @max of AnswerRoom_create() */
