--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -57,6 +57,10 @@
 DOUBLED_AFTER_S = 0.08
 # A caller's pause after a refusal, so that most requests are served.
 REFUSAL_PAUSE_S = 0.1
+# Bodies of calls and reads of which two take the budget of a router.
+LARGE_BODY = b"x" * (1 << 20)
+LARGE_SHARE = 0.3
+MEMORY = "4MiB"
 # The only faults that may cut a stream before its end.
 CUTTING_FAULTS = ("cut_stream", "kill", "deadly")
 # How often a poison request is sent, the maximum pause between two sends, and
@@ -181,7 +185,7 @@
                   if i != index]
         return self.fleet.router(
             "r%d" % index, config_max_age="1s", connect_timeout="300ms",
-            refuse_late="yes", token_timeout=TOKEN_TIMEOUT,
+            refuse_late="yes", token_timeout=TOKEN_TIMEOUT, memory=MEMORY,
             partition_engines="yes" if self.partitioned else "no",
             probe_silent="yes" if self.partitioned else "no",
             environment=self.links[index].environment_with(
@@ -247,6 +251,9 @@
         urgent = ["/ask/urgent/x"] * 2 * self.partitioned
         path = path or rng.choice(["/ask/x", "/ask/once/x", "/write/x",
                                    "/read/x"] + urgent)
+        if path in ("/write/x", "/read/x") and rng.random() < LARGE_SHARE:
+            sent = LARGE_BODY
+            self.count("large bodies")
         name = "s%d" % number
         key = rng.choice(["key-a", "key-b", "key-r"])
         status, body, whole, wait_s, framed = 0, b"", False, 0, True
@@ -279,7 +286,7 @@
                          name)
         may_be_cut = self.may_be_cut(framed, cutting_changes)
         self.check_answer(path, name, status, body, whole and not may_be_cut,
-                          framed)
+                          framed, len(sent))
         if path == "/ask/x" and status == 200 and not whole:
             self.continue_stream(rng, name, key, body)
         return wait_s
@@ -304,7 +311,7 @@
         with ThreadPoolExecutor(BURST) as pool:
             list(pool.map(send, range(first, first + BURST)))
 
-    def check_answer(self, path, name, status, body, whole, framed):
+    def check_answer(self, path, name, status, body, whole, framed, sent):
         self.count("%s %s" % (path, status if whole else "cut"))
         if status == 200 and not framed:
             self.count("without a frame: " + ("ended" if whole else "reset"))
@@ -317,9 +324,10 @@
         if path.startswith("/ask"):
             good = self.is_of_one_version(body, whole)
         elif whole and framed:
-            good = body == b"POST %s 1 bytes" % path.encode()
+            good = body == b"POST %s %d bytes" % (path.encode(), sent)
         else:
-            good = (b"POST %s 1 bytes" % path.encode()).startswith(body)
+            good = (b"POST %s %d bytes" % (path.encode(), sent)).startswith(
+                body)
         if not good:
             self.violate("%s of %s: %r" % (path, name, body[:200]), name)
 
