The header that tells callers apart is the form's

RequestFraming named the platform's header for keys itself, which only platform/ is to know. The callers' form has it now (key_header), and the native interface its own.

--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -97,6 +97,7 @@
  * @clear_request: free what @read_request allocated
  * @ready_path: path of the load balancer's readiness check
  * @id_header: response header that carries the request id
+ * @key_header: request header that carries the caller's key
  * @rules: rules for the headers of a request
  */
 typedef struct {
@@ -105,6 +106,7 @@
     void (*clear_request)(RelayRequest_t *request);
     const char *ready_path;
     const char *id_header;
+    const char *key_header;
     HeaderRules_t rules;
 } RelayCallerForm_t;
 
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -14,8 +14,6 @@
 #define LENGTH_PREFIX "content-length:"
 #define PROOF_PREFIX RELAY_FORWARD_PROOF ":"
 #define CODING_PREFIX "transfer-encoding:"
-#define KEY_PREFIX "api-key:"
-#define AUTHORIZATION_PREFIX "authorization:"
 #define HASH_FACTOR G_GUINT64_CONSTANT(1099511628211) /* of FNV-1a */
 
 typedef enum {
@@ -27,6 +25,7 @@
 
 struct RequestFraming {
     const char *proof;
+    const char *key_header;
     gboolean is_from_router;
     Part_t part;
     char line[LINE_MAX_BYTES]; /* the beginning of the line under way */
@@ -50,6 +49,7 @@
 begin_head(RequestFraming_t *this)
 {
     *this = (RequestFraming_t){.proof = this->proof,
+                               .key_header = this->key_header,
                                .is_from_router = this->is_from_router,
                                .is_first_line = TRUE};
 }
@@ -90,11 +90,17 @@
     return g_ascii_strncasecmp(this->line, prefix, strlen(prefix)) == 0;
 }
 
+static gboolean
+has_key(const RequestFraming_t *this)
+{
+    return this->key_header && has_prefix(this, this->key_header) &&
+           this->line[strlen(this->key_header)] == ':';
+}
+
 static void
 read_header(RequestFraming_t *this)
 {
-    if (has_prefix(this, KEY_PREFIX) ||
-        has_prefix(this, AUTHORIZATION_PREFIX)) {
+    if (has_key(this)) {
         this->caller = this->line_hash;
     }
     if (this->is_line_cut) {
@@ -330,10 +336,11 @@
 }
 
 RequestFraming_t *
-RequestFraming_create(const char *proof)
+RequestFraming_create(const char *proof, const char *key_header)
 {
     RequestFraming_t *this = g_new0(RequestFraming_t, 1);
     this->proof = proof;
+    this->key_header = key_header;
     begin_head(this);
     return this;
 }
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -14,9 +14,11 @@
 typedef struct RequestFraming RequestFraming_t;
 
 /** RequestFraming_create() - begin with a connection
- * @proof: proves that another router sends it (ForwardProof.h); must outlive
- *     the object */
-RequestFraming_t *RequestFraming_create(const char *proof);
+ * @proof: proves that another router sends it (ForwardProof.h), or NULL
+ * @key_header: header that tells callers apart, or NULL; both must outlive the
+ *     object */
+RequestFraming_t *RequestFraming_create(const char *proof,
+                                        const char *key_header);
 
 /** RequestFraming_destroy() - free it */
 void RequestFraming_destroy(RequestFraming_t *this);
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -336,7 +336,8 @@
     Connection_t *this = g_new0(Connection_t, 1);
     this->limits = limits;
     this->stream = stream;
-    this->framing = RequestFraming_create(limits->forward_proof);
+    this->framing =
+        RequestFraming_create(limits->forward_proof, limits->key_header);
     this->max_header = limits->max_header;
     this->claim = BodyClaim_create(limits->budget);
     if (!connections) {
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -23,6 +23,7 @@
  * @max_body: largest body, which a body of unknown length claims
  * @max_header: longest head of a caller; RELAY_ADDED_BYTES more for another
  *     router
+ * @key_header: header that carries a caller's key, or NULL
  * @forward_proof: proves that another router sends a request
  * @read_timeout_ms: how long a head may take, and a body beyond a second for
  *     each KiB; 0 for no limit
@@ -32,6 +33,7 @@
     BodyBudget_t *budget;
     gsize max_body;
     gsize max_header;
+    const char *key_header;
     const char *forward_proof;
     gint64 read_timeout_ms;
     Counters_t *counters;
--- a/src/Router.c
+++ b/src/Router.c
@@ -297,6 +297,9 @@
     this->intake.max_body = (gsize)limits->max_body;
     this->intake.max_header = (gsize)limits->max_header;
     this->intake.forward_proof = this->context.forward_proof;
+    this->intake.key_header = this->context.form
+                                  ? this->context.form->caller->key_header
+                                  : "Authorization";
     this->intake.counters = this->context.counters;
     this->intake.read_timeout_ms = limits->read_timeout_ms;
 }
