--- a/src/AnswerRoom.c
+++ b/src/AnswerRoom.c
@@ -47,8 +47,9 @@
 static void
 log_step(const AnswerRoom_t *this, const char *event)
 {
+    gint64 arriving = (gint64)(*this->arriving);
     Log_begin(LOG_LEVEL_INFO, event);
-    Log_number("arriving_bytes", (gint64) * this->arriving);
+    Log_number("arriving_bytes", arriving);
     Log_number("pending_bytes", (gint64)PendingReply_bytes());
     Log_number("answers_max", (gint64)this->max);
     Log_number("waiting", this->waiting.length);
--- a/src/OriginQueries.h
+++ b/src/OriginQueries.h
@@ -43,7 +43,7 @@
                                  OriginAnswer_t *out, OriginAsked_t done,
                                  void *owner);
 
-/** OriginQueries_cancel() - the answer is no longer wanted */
+/** OriginQueries_cancel() - nobody waits for the answer any more */
 void OriginQueries_cancel(OriginQueries_t *this, OriginQuery_t *query);
 
 /** OriginQueries_receive() - handle the answer of another router */
