--- a/src/Log.c
+++ b/src/Log.c
@@ -22,7 +22,8 @@
 static gint64 budget_bytes_per_s; /* 0 for no limit */
 static gint64 allowance;          /* bytes that may be written now */
 static gint64 refilled_ms;
-static guint dropped_lines;
+static guint dropped_lines; /* since the last log_lines_left_out */
+static guint64 dropped_total;
 
 void
 Log_open(const char *name, LogLevel_t max_level)
@@ -101,6 +102,19 @@
     }
 }
 
+static void
+drop_line(void)
+{
+    dropped_lines++;
+    dropped_total++;
+}
+
+guint64
+Log_droppedTotal(void)
+{
+    return dropped_total;
+}
+
 void
 Log_begin(LogLevel_t level, const char *event)
 {
@@ -166,14 +180,14 @@
     }
     g_string_append_c(line, '\n');
     if (!charge_allowance(line->len)) {
-        dropped_lines++;
+        drop_line();
         return;
     }
     if (dropped_lines > 0) {
         log_dropped_lines();
     }
     if (!write_nonblocking(line->str, line->len)) {
-        dropped_lines++;
+        drop_line();
     }
 }
 
--- a/src/Log.h
+++ b/src/Log.h
@@ -7,10 +7,10 @@
  * A line is built with Log_begin(), any number of Log_text() and
  * Log_number(), and Log_end(). Prompts, keys and tokens are never logged.
  *
- * Writing never blocks. A line is dropped if the pipe is full or if it exceeds
- * the budget of bytes per second; a quarter of the budget is reserved for
- * warnings and errors. The number of dropped lines is logged as soon as a line
- * can be written again.
+ * Writing never blocks. A line is dropped if the pipe is full, if its file
+ * can't grow, or if it exceeds the budget of bytes per second; a quarter of
+ * the budget is reserved for warnings and errors. The number of dropped lines
+ * is logged as soon as a line can be written again.
  */
 #include <glib.h>
 
@@ -59,6 +59,9 @@
  */
 void Log_end(void);
 
+/** Log_droppedTotal() - number of lines dropped since the start */
+guint64 Log_droppedTotal(void);
+
 /**
  * Log_error() - write a complete line for a GError
  */
--- a/src/OperatorApi.c
+++ b/src/OperatorApi.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "HttpReply.h"
+#include "Log.h"
 #include "OperatorCommands.h"
 #include "OperatorQueries.h"
 
@@ -145,6 +146,7 @@
     append_counter("open_requests", context->open_requests, body);
     append_counter("config_fold_offset",
                    ConfigStore_foldOffset(context->config), body);
+    append_counter("log_lines_left_out_total", Log_droppedTotal(), body);
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "text/plain; version=0.0.4");
     HttpReply_sendBody(request, NULL, HTTP_OK, "OK", body, TRUE);
