Connections that a router opens leave their local ports to listeners

Callers saw: a router that was killed or restarted did not come back, as its start ended for an address in use, again and again. Cause: the system picks the local port of each outgoing connection, and picks ports that nobody listens on at the moment, among them that of a router which is just down. Without SO_REUSEADDR on that connection no other process can listen there until it ends, and for a minute more: kept connections between routers, to upstreams and to the store last for hours.

Ports that other programs' connections hold are not covered by this; a start waits for those.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -6,6 +6,7 @@
 #include "Clock.h"
 #include "DescriptorReserve.h"
 #include "HttpCall.h"
+#include "OutgoingSocket.h"
 
 /* Bytes that one read may add beyond the largest event, framing included. */
 #define INPUT_MARGIN 65536
@@ -229,6 +230,7 @@
         end_soon(this);
     }
     this->starting = FALSE;
+    OutgoingSocket_shareAddress(AttemptConnection_bufferevent(this));
     if (this->on_socket && has_socket(this)) {
         this->on_socket(this->attempt);
     }
--- a/src/ConnectTest.c
+++ b/src/ConnectTest.c
@@ -6,6 +6,7 @@
 
 #include "Clock.h"
 #include "DescriptorReserve.h"
+#include "OutgoingSocket.h"
 
 struct ConnectTest {
     struct bufferevent *bev;
@@ -53,5 +54,6 @@
         bufferevent_trigger_event(this->bev, BEV_EVENT_ERROR,
                                   BEV_TRIG_DEFER_CALLBACKS);
     }
+    OutgoingSocket_shareAddress(this->bev);
     return this;
 }
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -11,6 +11,7 @@
 #include "DescriptorReserve.h"
 #include "Errors.h"
 #include "HeadCheck.h"
+#include "OutgoingSocket.h"
 
 /* Longer answers are long. */
 #define LONG_ANSWER_BYTES 16384
@@ -400,6 +401,7 @@
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
     }
+    OutgoingSocket_shareAddress(bev);
     this->starting = FALSE;
     return this;
 }
--- /dev/null
+++ b/src/OutgoingSocket.c
@@ -0,0 +1,13 @@
+#include "OutgoingSocket.h"
+
+#include <sys/socket.h>
+
+void
+OutgoingSocket_shareAddress(struct bufferevent *bev)
+{
+    int on = 1;
+    evutil_socket_t fd = bufferevent_getfd(bev);
+    if (fd >= 0) {
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    }
+}
--- /dev/null
+++ b/src/OutgoingSocket.h
@@ -0,0 +1,19 @@
+#ifndef HEADER_OutgoingSocket
+#define HEADER_OutgoingSocket
+/**
+ * DOC: OutgoingSocket
+ *
+ * The local port of a connection that a router opens is chosen by the system
+ * and may be one that another process on its host listens on whenever it runs.
+ * While the connection lasts, and for a minute after it, that process could
+ * not start.
+ */
+#include <event2/bufferevent.h>
+
+/**
+ * OutgoingSocket_shareAddress() - let others listen at the local address
+ * @bev: has called connect(); nothing happens if that failed
+ */
+void OutgoingSocket_shareAddress(struct bufferevent *bev);
+
+#endif
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -9,6 +9,7 @@
 #include "Clock.h"
 #include "DescriptorReserve.h"
 #include "LinkClock.h"
+#include "OutgoingSocket.h"
 #include "PeerMac.h"
 
 #define HEADER_BYTES (sizeof(guint32) + PEER_MAC_BYTES)
@@ -298,6 +299,7 @@
         bufferevent_trigger_event(this->stream, BEV_EVENT_ERROR,
                                   BEV_TRIG_DEFER_CALLBACKS);
     }
+    OutgoingSocket_shareAddress(this->stream);
     int on = 1;
     setsockopt(bufferevent_getfd(this->stream), IPPROTO_TCP, TCP_NODELAY, &on,
                sizeof(on));
