Nothing of a router runs as its modules are freed

Callers saw nothing of it: all requests had been answered. But the process ended with SIGABRT or SIGSEGV in place of 0, which its supervisor counts as a failure.

The event loop runs twice more as the modules are freed, so that closed connections free themselves. Signals and timers of the router itself were still armed then: a SIGHUP that was caught before, but not handled yet, applied the settings to freed listeners, and a timer for the operators' address that was due listened anew and added to a freed list.

--- a/src/Router.c
+++ b/src/Router.c
@@ -581,6 +581,27 @@
     event_add(this->on_hup, NULL);
 }
 
+/* The loop runs again as the modules are freed, when a signal that it has
+ * caught, or a timer that is due, would use what is gone. */
+static void
+free_events(Router_t *this)
+{
+    StopSignals_hold();
+    event_free(this->on_term);
+    event_free(this->on_int);
+    event_free(this->on_hup);
+    event_free(this->stop_timer);
+    if (this->operators_timer) {
+        event_free(this->operators_timer);
+    }
+    if (this->hold) {
+        AcceptHold_destroy(this->hold);
+    }
+    if (this->closing) {
+        ListenerDrain_destroy(this->closing);
+    }
+}
+
 /* Runs the loop once after closing the listeners, so that callers' open
  * requests end while the modules that they use still exist. A request that is
  * processed later would use freed modules. */
@@ -645,13 +666,6 @@
     UpstreamSet_destroy(context->upstreams);
     ConfigStore_destroy(context->config);
     Counters_destroy(context->counters);
-    event_free(this->on_term);
-    event_free(this->on_int);
-    event_free(this->on_hup);
-    event_free(this->stop_timer);
-    if (this->operators_timer) {
-        event_free(this->operators_timer);
-    }
 }
 
 static void
@@ -709,13 +723,7 @@
         event_base_dispatch(this.context.base);
         log_lifecycle(&this, "router_stopped");
     }
-    StopSignals_hold();
-    if (this.hold) {
-        AcceptHold_destroy(this.hold);
-    }
-    if (this.closing) {
-        ListenerDrain_destroy(this.closing);
-    }
+    free_events(&this);
     free_listeners(&this);
     if (started) {
         free_platform(&this);
--- a/tests/sessions/test_last_turn.py
+++ b/tests/sessions/test_last_turn.py
@@ -53,5 +53,67 @@
         self.assertEqual(self.router.process.returncode, 0)
 
 
+class FrozenStop(test_fleet.FleetTest):
+    """A router that is frozen as it stops, until its stop is over, so that
+    what is due meanwhile is found in its last turn of the event loop."""
+
+    LIMIT_S = 0.5
+
+    def start(self, **settings):
+        self.fleet.plain("p1")
+        return self.fleet.start(stop_grace="100ms",
+                                stop_limit="%dms" % (self.LIMIT_S * 1000),
+                                **settings)
+
+    def stop_frozen(self, router, *signals):
+        router.signal(signal.SIGTERM)
+        router.wait_event("router_stopping")
+        router.signal(signal.SIGSTOP)
+        time.sleep(2 * self.LIMIT_S)
+        for number in signals:
+            router.signal(number)
+        router.signal(signal.SIGCONT)
+        self.assertEqual(router.process.wait(60), 0)
+        self.assertEqual(router.faults(), [])
+        router.wait_event("router_stopped")
+
+
+class LastSignalTest(FrozenStop):
+    # A reload used listeners that were freed.
+    def test_a_reload_as_it_ends_meets_no_freed_listeners(self):
+        router = self.start()
+        self.stop_frozen(router, signal.SIGHUP)
+        self.assertEqual(router.events("settings_reloaded"), [])
+
+    def test_stop_signals_as_it_ends_change_nothing(self):
+        router = self.start()
+        self.stop_frozen(router, signal.SIGTERM, signal.SIGINT)
+        self.assertEqual(len(router.events("router_stopping")), 1)
+
+
+class LastOperatorsTest(FrozenStop):
+    """A router whose address for operators is in use until it ends."""
+
+    # Listening on the address used a list of listeners that was freed.
+    def test_an_address_that_is_free_as_it_ends_is_not_used(self):
+        busy = socket.socket()
+        self.addCleanup(busy.close)
+        busy.bind(("127.0.0.1", 0))
+        busy.listen(1)
+        address = "127.0.0.1:%d" % busy.getsockname()[1]
+        router = self.start()
+        router.stop()
+        with open(router.path) as file:
+            text = file.read()
+        with open(router.path, "w") as file:
+            file.write(text.replace("operator_listen = 127.0.0.1:0",
+                                    "operator_listen = " + address))
+        router = self.fleet.start_again(router)
+        self.assertEqual(router.operator_port, 0)
+        busy.close()
+        self.stop_frozen(router)
+        self.assertEqual(router.events("operators_available"), [])
+
+
 if __name__ == "__main__":
     unittest.main()
