A failed event loop is no orderly end

Callers saw their connections closed without an answer, and the supervisor saw the exit code 0 of a router that had been stopped.

What event_base_dispatch() returns was not looked at, so that a loop which the system refuses to serve (epoll_wait() fails with anything but EINTR) ended the router like a stop: router_stopped, code 0.

The loop has ended in an orderly way only if the router was told to stop and broke it off itself.

--- a/src/Router.c
+++ b/src/Router.c
@@ -695,6 +695,20 @@
     return base;
 }
 
+/* The loop ends by itself if the system no longer tells it of events. */
+static gboolean
+run_loop(const Router_t *this, GError **error)
+{
+    int result = event_base_dispatch(this->context.base);
+    if (this->context.stopping && event_base_got_break(this->context.base)) {
+        log_lifecycle(this, "router_stopped");
+        return TRUE;
+    }
+    g_set_error(error, WT_ERROR, WT_ERROR_EVENT_LOOP,
+                "the event loop ended by itself (%d)", result);
+    return FALSE;
+}
+
 gboolean
 Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
@@ -707,6 +721,7 @@
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
     create_signals(&this);
+    gboolean ended = FALSE;
     gboolean started =
         create_listeners(&this, error) && create_peers(&this, error);
     if (started) {
@@ -720,8 +735,7 @@
         this.closing = ListenerDrain_create(this.context.base, this.callers);
         log_lifecycle(&this, "router_started");
         StopSignals_release();
-        event_base_dispatch(this.context.base);
-        log_lifecycle(&this, "router_stopped");
+        ended = run_loop(&this, error);
     }
     free_events(&this);
     free_listeners(&this);
@@ -732,5 +746,5 @@
     free_intake(&this);
     DescriptorReserve_clear();
     event_base_free(this.context.base);
-    return started;
+    return ended;
 }
--- a/src/Router.h
+++ b/src/Router.h
@@ -15,9 +15,10 @@
  * Router_run() - run a router until SIGTERM or SIGINT
  * @settings: reloaded on SIGHUP
  * @form: form of the platform named in @settings; NULL for the native one
- * @error: WT_ERROR_LISTEN
+ * @error: WT_ERROR_LISTEN, WT_ERROR_EVENT_LOOP
  *
- * Return: FALSE if the router could not start
+ * Return: FALSE if the router could not start, or its event loop ended without
+ *     a stop
  */
 gboolean Router_run(Settings_t *settings, const PlatformForm_t *form,
                     GError **error);
