Memory that the system does not allow is not given to bodies

Callers saw their connections cut without an answer, and then refused: the router had ended by itself, with SIGTRAP and one line of GLib.

Bodies of requests and answers may use what the settings say. If the system allows less (RLIMIT_AS, RLIMIT_DATA: ulimit -v, LimitAS=), the allocation for a body fails, for which GLib ends the process. Nothing compared the two.

The settings are lowered to what is left of these limits as the router starts, and again at each reload, with a line; the budget of bodies follows from that, so that further bodies wait in their callers' connections as they do for the memory of the settings.

--- a/src/Router.c
+++ b/src/Router.c
@@ -20,6 +20,7 @@
 #include "ListenRetry.h"
 #include "ListenerDrain.h"
 #include "Log.h"
+#include "MemoryLimit.h"
 #include "NativeParts.h"
 #include "OperatorApi.h"
 #include "PendingReply.h"
@@ -56,6 +57,7 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     struct evhttp *callers;
+    gint64 memory_room;       /* as it started */
     IntakeLimits_t intake;    /* of callers' bodies */
     AcceptHold_t *hold;       /* NULL on the native platform */
     GPtrArray *pauses;        /* AcceptPause_t */
@@ -536,6 +538,7 @@
 apply_settings(Router_t *this)
 {
     const LimitsSection_t *limits = &this->settings->limits;
+    MemoryLimit_fit(&this->settings->limits, this->memory_room);
     Log_setBudget(limits->log_budget);
     Log_setLevel((LogLevel_t)limits->log_level);
     UpstreamSet_setIdleMax(this->context.upstreams,
@@ -718,6 +721,8 @@
     this.context.base = create_base();
     LingeringClose_init(this.context.base);
     DescriptorReserve_init(this.context.base);
+    this.memory_room = MemoryLimit_room();
+    MemoryLimit_fit(&settings->limits, this.memory_room);
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
     create_signals(&this);
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -335,8 +335,10 @@
      KEY_LIVE},
     {"memory", KEY_SIZE, FALSE, "96MiB", 0, G_GINT64_CONSTANT(1) << 40, NULL,
      L(memory),
-     "Memory that the process may use. 65 % of it is for bodies of requests; "
-     "further ones are read once there is room. 0 for no limit.",
+     "Memory that the process may use, or what the system's limits of its "
+     "address space and data leave if that is less. 65 % of it is for bodies "
+     "of requests; further ones are read once there is room. 0 for no limit "
+     "but the system's.",
      KEY_LIVE},
     {"log_budget", KEY_SIZE, FALSE, "64KiB", 0, 1 << 30, NULL, L(log_budget),
      "Bytes of log lines written per second, averaged over four seconds; a "
