Connections that come while a router is held up are made

Callers waited a second or more for a connection, or were refused, when more than 128 of them came while a router did not accept: paused, held up by its machine, or before it knew a configuration.

evhttp asks for an accept queue of 128, and so does libevent for the listener of routers. The kernel drops the first segment of a connection beyond that without a word, and the caller's system tries again after 1, 3 and 7 s.

The queue is 4,096 long, which net.core.somaxconn may lower.

--- a/src/ListenRetry.h
+++ b/src/ListenRetry.h
@@ -14,6 +14,10 @@
  * is no longer than this. */
 #define LISTEN_WAIT_MAX_MS 10000
 
+/** Connections that the kernel makes while the router does not accept; the
+ * kernel's own limit, net.core.somaxconn, may be lower. */
+#define LISTEN_BACKLOG 4096
+
 /**
  * struct ListenRetry_t - parameters
  * @setting: name of the setting that holds the address, for log lines
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -419,7 +419,7 @@
         PeerDatagrams_toSockaddr(&this->spec.settings->peers.listen);
     this->listener = evconnlistener_new_bind(
         this->base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        -1, (struct sockaddr *)&address, sizeof(address));
+        LISTEN_BACKLOG, (struct sockaddr *)&address, sizeof(address));
     return this->listener != NULL;
 }
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -1,5 +1,6 @@
 #include "Router.h"
 
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -320,12 +321,27 @@
     evhttp_set_default_content_type(server, NULL);
 }
 
+/* Connections beyond the 128 that evhttp asks for would be made a second later
+ * or not at all, while the router does not accept for a moment. */
+static void
+widen_backlog(struct evhttp_bound_socket *bound)
+{
+    if (listen(evhttp_bound_socket_get_fd(bound), LISTEN_BACKLOG) != 0) {
+        Log_begin(LOG_LEVEL_WARNING, "backlog_not_widened");
+        Log_text("error", g_strerror(errno));
+        Log_end();
+    }
+}
+
 static gboolean
 bind_server(void *owner)
 {
     Binding_t *this = owner;
     this->bound = evhttp_bind_socket_with_handle(
         this->server, this->address->host, this->address->port);
+    if (this->bound) {
+        widen_backlog(this->bound);
+    }
     return this->bound != NULL;
 }
 
