--- a/src/Router.c
+++ b/src/Router.c
@@ -1,5 +1,6 @@
 #include "Router.h"
 
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -20,6 +21,7 @@
 #include "ListenRetry.h"
 #include "ListenerDrain.h"
 #include "Log.h"
+#include "MemoryLimit.h"
 #include "NativeParts.h"
 #include "OperatorApi.h"
 #include "PendingReply.h"
@@ -56,6 +58,7 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     struct evhttp *callers;
+    gint64 memory_room;       /* as it started */
     IntakeLimits_t intake;    /* of callers' bodies */
     AcceptHold_t *hold;       /* NULL on the native platform */
     GPtrArray *pauses;        /* AcceptPause_t */
@@ -318,12 +321,27 @@
     evhttp_set_default_content_type(server, NULL);
 }
 
+/* Connections beyond the 128 that evhttp asks for would be made a second later
+ * or not at all, while the router does not accept for a moment. */
+static void
+widen_backlog(struct evhttp_bound_socket *bound)
+{
+    if (listen(evhttp_bound_socket_get_fd(bound), LISTEN_BACKLOG) != 0) {
+        Log_begin(LOG_LEVEL_WARNING, "backlog_not_widened");
+        Log_text("error", g_strerror(errno));
+        Log_end();
+    }
+}
+
 static gboolean
 bind_server(void *owner)
 {
     Binding_t *this = owner;
     this->bound = evhttp_bind_socket_with_handle(
         this->server, this->address->host, this->address->port);
+    if (this->bound) {
+        widen_backlog(this->bound);
+    }
     return this->bound != NULL;
 }
 
@@ -536,6 +554,7 @@
 apply_settings(Router_t *this)
 {
     const LimitsSection_t *limits = &this->settings->limits;
+    MemoryLimit_fit(&this->settings->limits, this->memory_room);
     Log_setBudget(limits->log_budget);
     Log_setLevel((LogLevel_t)limits->log_level);
     UpstreamSet_setIdleMax(this->context.upstreams,
@@ -581,6 +600,27 @@
     event_add(this->on_hup, NULL);
 }
 
+/* The loop runs again as the modules are freed, when a signal that it has
+ * caught, or a timer that is due, would use what is gone. */
+static void
+free_events(Router_t *this)
+{
+    StopSignals_hold();
+    event_free(this->on_term);
+    event_free(this->on_int);
+    event_free(this->on_hup);
+    event_free(this->stop_timer);
+    if (this->operators_timer) {
+        event_free(this->operators_timer);
+    }
+    if (this->hold) {
+        AcceptHold_destroy(this->hold);
+    }
+    if (this->closing) {
+        ListenerDrain_destroy(this->closing);
+    }
+}
+
 /* Runs the loop once after closing the listeners, so that callers' open
  * requests end while the modules that they use still exist. A request that is
  * processed later would use freed modules. */
@@ -645,13 +685,6 @@
     UpstreamSet_destroy(context->upstreams);
     ConfigStore_destroy(context->config);
     Counters_destroy(context->counters);
-    event_free(this->on_term);
-    event_free(this->on_int);
-    event_free(this->on_hup);
-    event_free(this->stop_timer);
-    if (this->operators_timer) {
-        event_free(this->operators_timer);
-    }
 }
 
 static void
@@ -681,6 +714,20 @@
     return base;
 }
 
+/* The loop ends by itself if the system no longer tells it of events. */
+static gboolean
+run_loop(const Router_t *this, GError **error)
+{
+    int result = event_base_dispatch(this->context.base);
+    if (this->context.stopping && event_base_got_break(this->context.base)) {
+        log_lifecycle(this, "router_stopped");
+        return TRUE;
+    }
+    g_set_error(error, WT_ERROR, WT_ERROR_EVENT_LOOP,
+                "the event loop ended by itself (%d)", result);
+    return FALSE;
+}
+
 gboolean
 Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
@@ -690,9 +737,12 @@
     this.context.base = create_base();
     LingeringClose_init(this.context.base);
     DescriptorReserve_init(this.context.base);
+    this.memory_room = MemoryLimit_room();
+    MemoryLimit_fit(&settings->limits, this.memory_room);
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
     create_signals(&this);
+    gboolean ended = FALSE;
     gboolean started =
         create_listeners(&this, error) && create_peers(&this, error);
     if (started) {
@@ -706,16 +756,9 @@
         this.closing = ListenerDrain_create(this.context.base, this.callers);
         log_lifecycle(&this, "router_started");
         StopSignals_release();
-        event_base_dispatch(this.context.base);
-        log_lifecycle(&this, "router_stopped");
-    }
-    StopSignals_hold();
-    if (this.hold) {
-        AcceptHold_destroy(this.hold);
-    }
-    if (this.closing) {
-        ListenerDrain_destroy(this.closing);
+        ended = run_loop(&this, error);
     }
+    free_events(&this);
     free_listeners(&this);
     if (started) {
         free_platform(&this);
@@ -724,5 +767,5 @@
     free_intake(&this);
     DescriptorReserve_clear();
     event_base_free(this.context.base);
-    return started;
+    return ended;
 }
