A start waits for its address as long as it is in use

What callers saw: a router that was started while another process held one of its ports for longer than ten seconds ended with exit code 1, and so did each one that a supervisor started after it. While it waited for ready_listen or peers.listen, callers could connect to listen, which was open by then; their requests were not read, and their connections reset as it ended.

Cause: ListenRetry gave up after a fixed time, and blocked for every listener but that for operators, after the one for callers was open. The socket for datagrams was tried once and never again.

Why the fix works: listen alone is waited for, with nothing else open, until it can be bound or the router is told to stop. LateListener opens the others on the event loop; until then the router has links that it opens itself, and chooses upstreams alone. Errors that can't pass end the start as before.

--- a/src/Context.h
+++ b/src/Context.h
@@ -79,8 +79,7 @@
  * @config: the declarations in force
  * @config_log: log of the declarations; NULL if the platform's form has routes
  * @membership: the other routers
- * @datagrams: datagrams to the other routers; NULL if the port is not
- *     available
+ * @datagrams: datagrams to the other routers
  * @claims: claims of keys; NULL if the platform's form has routes
  * @upstreams: declared or listed upstreams
  * @policy: policy by which engines are chosen
--- a/src/Diagnostics.c
+++ b/src/Diagnostics.c
@@ -1,5 +1,6 @@
 #include "Diagnostics.h"
 
+#include <errno.h>
 #include <event2/event.h>
 #include <glib.h>
 #include <signal.h>
@@ -31,13 +32,16 @@
     Log_end();
 }
 
+/* libevent's callers read errno after a message. */
 static void
 on_libevent(int severity, const char *text)
 {
+    int code = errno;
     log_message(severity >= EVENT_LOG_ERR    ? LOG_LEVEL_ERROR
                 : severity == EVENT_LOG_WARN ? LOG_LEVEL_WARNING
                                              : LOG_LEVEL_DEBUG,
                 "libevent", text);
+    errno = code;
 }
 
 /* Called after the message, for errors that libevent can't recover from. */
--- a/src/Dispatch.c
+++ b/src/Dispatch.c
@@ -499,6 +499,9 @@
 {
     char group[GROUP_NAME_SIZE];
     guint number = placement->group > 0 ? placement->group - 1 : choice->group;
+    if (!PeerDatagrams_isOpen(this->spec.datagrams)) {
+        return NULL;
+    }
     g_snprintf(group, sizeof(group), "%.*s/%u", GROUP_TARGET_MAX,
                placement->target, number);
     return Membership_findReachableOwner(this->spec.membership, group,
--- a/src/ListenRetry.c
+++ b/src/ListenRetry.c
@@ -9,21 +9,6 @@
 
 #define RETRY_INTERVAL_US 20000
 
-gboolean
-ListenRetry_tryOnce(const ListenRetry_t *this, GError **error)
-{
-    errno = 0;
-    if (this->open(this->owner)) {
-        return TRUE;
-    }
-    int code = errno;
-    g_set_error(error, WT_ERROR, WT_ERROR_LISTEN,
-                "%s: can't listen on %s:%u: %s", this->setting,
-                this->address->host, this->address->port, g_strerror(code));
-    errno = code;
-    return FALSE;
-}
-
 /* The machine may be out of sockets for a moment, or not have its address yet.
  */
 static gboolean
@@ -34,37 +19,81 @@
 }
 
 static void
-log_wait(const char *event, const ListenRetry_t *this, gint64 waited_ms)
+set_error(const ListenRetry_t *this, int code, GError **error)
 {
-    Log_begin(LOG_LEVEL_WARNING, event);
+    g_set_error(error, WT_ERROR, WT_ERROR_LISTEN,
+                "%s: can't listen on %s:%u: %s", this->setting,
+                this->address->host, this->address->port, g_strerror(code));
+}
+
+static void
+log_wait(const char *event, const ListenRetry_t *this, gint64 waited_ms,
+         int code)
+{
+    Log_begin(code ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, event);
     Log_text("setting", this->setting);
     Log_text("host", this->address->host);
     Log_number("port", this->address->port);
     Log_number("waited_ms", waited_ms);
+    if (code) {
+        Log_text("error", g_strerror(code));
+    }
     Log_end();
 }
 
+static void
+note_failure(const ListenRetry_t *this, ListenWait_t *wait, int code)
+{
+    gint64 now_ms = Clock_nowMs();
+    gboolean is_first = wait->began_ms == 0;
+    if (is_first) {
+        wait->began_ms = now_ms;
+    }
+    if (is_first || now_ms - wait->logged_ms >= LISTEN_LOG_INTERVAL_MS) {
+        wait->logged_ms = now_ms;
+        log_wait("listen_waits", this, now_ms - wait->began_ms, code);
+    }
+}
+
+gboolean
+ListenRetry_tryOnce(const ListenRetry_t *this, ListenWait_t *wait,
+                    GError **error)
+{
+    errno = 0;
+    if (this->open(this->owner)) {
+        if (wait->began_ms > 0) {
+            log_wait("listen_succeeded", this, Clock_nowMs() - wait->began_ms,
+                     0);
+        }
+        return TRUE;
+    }
+    int code = errno;
+    if (may_pass(code)) {
+        note_failure(this, wait, code);
+    }
+    else {
+        set_error(this, code, error);
+    }
+    errno = code;
+    return FALSE;
+}
+
 gboolean
 ListenRetry_run(const ListenRetry_t *this, GError **error)
 {
-    gint64 started_ms = Clock_nowMs();
-    gint64 waited_ms = 0;
-    gboolean waits = FALSE;
-    while (!ListenRetry_tryOnce(this, error)) {
-        if (!may_pass(errno) || waited_ms >= LISTEN_WAIT_MAX_MS ||
-            StopSignals_arePending()) {
+    ListenWait_t wait = {0};
+    GError *lasting = NULL;
+    while (!ListenRetry_tryOnce(this, &wait, &lasting)) {
+        int code = errno;
+        if (lasting) {
+            g_propagate_error(error, lasting);
             return FALSE;
         }
-        g_clear_error(error);
-        if (!waits) {
-            log_wait("listen_waits", this, 0);
-            waits = TRUE;
+        if (StopSignals_arePending()) {
+            set_error(this, code, error);
+            return FALSE;
         }
         g_usleep(RETRY_INTERVAL_US);
-        waited_ms = Clock_nowMs() - started_ms;
-    }
-    if (waits) {
-        log_wait("listen_succeeded", this, waited_ms);
     }
     return TRUE;
 }
--- a/src/ListenRetry.h
+++ b/src/ListenRetry.h
@@ -3,16 +3,16 @@
 /**
  * DOC: ListenRetry
  *
- * Opens a listening socket, and waits a bounded time for an address that is in
- * use. A supervisor may start a router while the one before is still ending.
+ * Opens a socket with an address of the settings. The address may be in use
+ * for a while, for example while the router before is still ending, so that an
+ * error that may pass is no reason to give up.
  */
 #include <glib.h>
 
 #include "Settings.h"
 
-/** Longest wait for one address. Covers the stop of a router whose stop_limit
- * is no longer than this. */
-#define LISTEN_WAIT_MAX_MS 10000
+/** Interval between log lines while an address can't be bound. */
+#define LISTEN_LOG_INTERVAL_MS 10000
 
 /**
  * struct ListenRetry_t - parameters
@@ -28,15 +28,29 @@
     void *owner;
 } ListenRetry_t;
 
+/**
+ * struct ListenWait_t - wait for one address, zero at first
+ * @began_ms: when the first attempt failed; 0 if none has
+ * @logged_ms: when the wait was last logged
+ */
+typedef struct {
+    gint64 began_ms;
+    gint64 logged_ms;
+} ListenWait_t;
+
 /**
  * ListenRetry_run() - call @open until it succeeds
  *
- * Blocks. Gives up at once if the address can't be bound at all, and early if
- * the router is told to stop.
+ * Blocks. Gives up only if the error can't pass, or if the router is told to
+ * stop.
  */
 gboolean ListenRetry_run(const ListenRetry_t *this, GError **error);
 
-/** ListenRetry_tryOnce() - call @open once */
-gboolean ListenRetry_tryOnce(const ListenRetry_t *this, GError **error);
+/**
+ * ListenRetry_tryOnce() - call @open once and log the begin and end of a wait
+ * @error: set only if the error can't pass
+ */
+gboolean ListenRetry_tryOnce(const ListenRetry_t *this, ListenWait_t *wait,
+                             GError **error);
 
 #endif
--- a/src/Membership.c
+++ b/src/Membership.c
@@ -8,12 +8,13 @@
 #include "AcceptPause.h"
 #include "Clock.h"
 #include "Gossip.h"
-#include "ListenRetry.h"
+#include "LateListener.h"
 #include "Log.h"
 #include "MemberQueries.h"
 #include "PeerDatagrams.h"
 #include "Random.h"
 
+#define LISTEN_SETTING "peers.listen"
 #define HEARTBEAT_MS 1000
 #define SEED_RETRY_MS 1000
 /* A router that was not seen for this number of heartbeats is removed. */
@@ -63,11 +64,11 @@
     Gossip_t *gossip;
     GPtrArray *seeds;        /* Seed_t */
     GPtrArray *unidentified; /* PeerLink_t without a received hello */
-    struct evconnlistener *listener;
+    LateListener_t *late;
+    struct evconnlistener *listener; /* NULL until the address is available */
     AcceptPause_t *pause;
     struct event *tick;
     GBytes *key;
-    guint16 port;
     gint64 heartbeat_sent_ms;
     gint64 seeds_tried_ms;
     gint64 started_ms;
@@ -417,33 +418,34 @@
     Membership_t *this = owner;
     struct sockaddr_in address =
         PeerDatagrams_toSockaddr(&this->spec.settings->peers.listen);
+    struct sockaddr_in bound = {0};
+    socklen_t size = sizeof(bound);
     this->listener = evconnlistener_new_bind(
         this->base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         -1, (struct sockaddr *)&address, sizeof(address));
-    return this->listener != NULL;
+    if (!this->listener) {
+        return FALSE;
+    }
+    this->pause =
+        AcceptPause_create(this->base, this->listener, LISTEN_SETTING);
+    getsockname(evconnlistener_get_fd(this->listener),
+                (struct sockaddr *)&bound, &size);
+    this->table->self.address.port = ntohs(bound.sin_port);
+    return TRUE;
 }
 
+/* Without the listener, links are opened from this side alone. */
 static gboolean
 start_listening(Membership_t *this, GError **error)
 {
     const Address_t *address = &this->spec.settings->peers.listen;
-    struct sockaddr_in bound = {0};
-    socklen_t size = sizeof(bound);
-    ListenRetry_t retry = {.setting = "peers.listen",
+    ListenRetry_t retry = {.setting = LISTEN_SETTING,
                            .address = address,
                            .open = open_listener,
                            .owner = this};
-    if (!ListenRetry_run(&retry, error)) {
-        return FALSE;
-    }
-    this->pause =
-        AcceptPause_create(this->base, this->listener, retry.setting);
-    getsockname(evconnlistener_get_fd(this->listener),
-                (struct sockaddr *)&bound, &size);
-    this->port = ntohs(bound.sin_port);
     this->table->self.address = *address;
-    this->table->self.address.port = this->port;
-    return TRUE;
+    this->late = LateListener_create(this->base, &retry, error);
+    return this->late != NULL;
 }
 
 /* Derives the key for messages between peers from the sealing key, so that
@@ -497,6 +499,9 @@
 void
 Membership_destroy(Membership_t *this)
 {
+    if (this->late) {
+        LateListener_destroy(this->late);
+    }
     if (this->listener) {
         AcceptPause_destroy(this->pause);
         evconnlistener_free(this->listener);
@@ -516,7 +521,7 @@
 guint16
 Membership_port(const Membership_t *this)
 {
-    return this->port;
+    return this->table->self.address.port;
 }
 
 void
--- a/src/OriginPeers.c
+++ b/src/OriginPeers.c
@@ -37,9 +37,7 @@
 {
     const OriginPeers_t *this = owner;
     struct sockaddr_in address = PeerIdentity_address(router);
-    if (this->spec.datagrams) {
-        PeerDatagrams_send(this->spec.datagrams, &address, message);
-    }
+    PeerDatagrams_send(this->spec.datagrams, &address, message);
 }
 
 static void
@@ -180,9 +178,7 @@
     };
     this->keeper = OriginKeeper_create(&keeper);
     OriginRecords_setKeeper(spec->records, this->keeper);
-    if (spec->datagrams) {
-        PeerDatagrams_addHandler(spec->datagrams, on_message, this);
-    }
+    PeerDatagrams_addHandler(spec->datagrams, on_message, this);
     return this;
 }
 
--- a/src/PeerDatagrams.c
+++ b/src/PeerDatagrams.c
@@ -1,10 +1,10 @@
 #include "PeerDatagrams.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "Errors.h"
 #include "PeerMac.h"
 
 /* Fits into one packet on any link between routers. */
@@ -18,7 +18,8 @@
 } Handler_t;
 
 struct PeerDatagrams {
-    evutil_socket_t fd;
+    struct event_base *base;
+    evutil_socket_t fd; /* -1 while there is no socket */
     struct event *readable;
     GBytes *key;
     GArray *handlers; /* Handler_t */
@@ -82,6 +83,7 @@
     }
 }
 
+/* Returns -1 with errno set if the port can't be bound. */
 static evutil_socket_t
 open_socket(const Address_t *listen)
 {
@@ -90,33 +92,44 @@
     if (fd >= 0 && (evutil_make_socket_nonblocking(fd) != 0 ||
                     bind(fd, (struct sockaddr *)&socket_address,
                          sizeof(socket_address)) != 0)) {
+        int code = errno;
         close(fd);
+        errno = code;
         fd = -1;
     }
     return fd;
 }
 
 PeerDatagrams_t *
-PeerDatagrams_create(struct event_base *base, const Address_t *listen,
-                     GBytes *key, GError **error)
+PeerDatagrams_create(struct event_base *base, GBytes *key)
 {
-    evutil_socket_t fd = open_socket(listen);
-    if (fd < 0) {
-        g_set_error(error, WT_ERROR, WT_ERROR_LISTEN,
-                    "can't open a datagram socket on %s:%u: %s", listen->host,
-                    listen->port, g_strerror(errno));
-        return NULL;
-    }
     PeerDatagrams_t *this = g_new0(PeerDatagrams_t, 1);
-    this->fd = fd;
+    this->base = base;
+    this->fd = -1;
     this->key = g_bytes_ref(key);
     this->handlers = g_array_new(FALSE, FALSE, sizeof(Handler_t));
-    this->readable =
-        event_new(base, fd, EV_READ | EV_PERSIST, on_readable, this);
-    event_add(this->readable, NULL);
     return this;
 }
 
+gboolean
+PeerDatagrams_open(PeerDatagrams_t *this, const Address_t *listen)
+{
+    this->fd = open_socket(listen);
+    if (this->fd < 0) {
+        return FALSE;
+    }
+    this->readable = event_new(this->base, this->fd, EV_READ | EV_PERSIST,
+                               on_readable, this);
+    event_add(this->readable, NULL);
+    return TRUE;
+}
+
+gboolean
+PeerDatagrams_isOpen(const PeerDatagrams_t *this)
+{
+    return this->fd >= 0;
+}
+
 void
 PeerDatagrams_addHandler(PeerDatagrams_t *this, PeerDatagramHandler_t handler,
                          void *owner)
@@ -128,8 +141,10 @@
 void
 PeerDatagrams_destroy(PeerDatagrams_t *this)
 {
-    event_free(this->readable);
-    close(this->fd);
+    if (this->fd >= 0) {
+        event_free(this->readable);
+        close(this->fd);
+    }
     g_bytes_unref(this->key);
     g_array_unref(this->handlers);
     g_free(this);
@@ -141,7 +156,7 @@
 {
     guint8 bytes[DATAGRAM_MAX_BYTES];
     gsize size = wt__peer_message__get_packed_size(message);
-    if (size > DATAGRAM_MAX_BYTES - PEER_MAC_BYTES) {
+    if (this->fd < 0 || size > DATAGRAM_MAX_BYTES - PEER_MAC_BYTES) {
         return;
     }
     wt__peer_message__pack(message, bytes + PEER_MAC_BYTES);
--- a/src/PeerDatagrams.h
+++ b/src/PeerDatagrams.h
@@ -22,15 +22,21 @@
                                       const struct sockaddr_in *from);
 
 /**
- * PeerDatagrams_create() - open a socket and receive datagrams
- * @listen: address and port to bind
+ * PeerDatagrams_create() - create without a socket; what is sent is dropped
  * @key: key that all routers share
+ */
+PeerDatagrams_t *PeerDatagrams_create(struct event_base *base, GBytes *key);
+
+/**
+ * PeerDatagrams_open() - open the socket and receive datagrams
+ * @listen: address and port to bind
  *
- * Return: NULL if the port can't be bound
+ * Return: FALSE with errno set if the port can't be bound; may be repeated
  */
-PeerDatagrams_t *PeerDatagrams_create(struct event_base *base,
-                                      const Address_t *listen, GBytes *key,
-                                      GError **error);
+gboolean PeerDatagrams_open(PeerDatagrams_t *this, const Address_t *listen);
+
+/** PeerDatagrams_isOpen() - whether there is a socket */
+gboolean PeerDatagrams_isOpen(const PeerDatagrams_t *this);
 
 /**
  * PeerDatagrams_addHandler() - add a handler, which gets all messages
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -316,8 +316,6 @@
     context->origins = OriginPeers_keeper(this->origins);
 }
 
-/* Without datagrams there is no dispatcher, and each router chooses upstreams
- * by itself. */
 static Dispatch_t *
 create_dispatch(const Context_t *context)
 {
@@ -331,7 +329,7 @@
         .prefer = fill_model_inputs,
         .owner = context,
     };
-    return context->datagrams ? Dispatch_create(context->base, &spec) : NULL;
+    return Dispatch_create(context->base, &spec);
 }
 
 RelayParts_t *
--- a/src/Router.c
+++ b/src/Router.c
@@ -1,5 +1,6 @@
 #include "Router.h"
 
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -16,8 +17,8 @@
 #include "DescriptorReserve.h"
 #include "EngineHttp.h"
 #include "Errors.h"
+#include "LateListener.h"
 #include "LingeringClose.h"
-#include "ListenRetry.h"
 #include "ListenerDrain.h"
 #include "Log.h"
 #include "NativeParts.h"
@@ -35,7 +36,6 @@
 #include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
-#define OPERATORS_RETRY_MS 1000
 /* Time before the end at which requests still open are answered, so that their
  * callers get the answers. */
 #define LAST_ANSWERS_MS 200
@@ -49,42 +49,38 @@
  */
 #define ALL_METHODS G_MAXUINT16
 
+typedef struct Router Router_t;
+
 typedef struct {
+    Router_t *router;
+    const char *setting;
+    const Address_t *address;
+    void (*handle)(struct evhttp_request *request, void *context);
+    struct evhttp *server; /* NULL until it listens */
+    guint16 port;
+    LateListener_t *late; /* NULL if the router can't do without */
+} HttpListener_t;
+
+struct Router {
     Settings_t *settings;
     Context_t context;
     NativeParts_t *native; /* NULL if requests are relayed */
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
-    struct evhttp *callers;
+    HttpListener_t callers;
+    HttpListener_t operators;
+    HttpListener_t readiness;
+    LateListener_t *datagrams;
     IntakeLimits_t intake;    /* of callers' bodies */
     AcceptHold_t *hold;       /* NULL on the native platform */
     GPtrArray *pauses;        /* AcceptPause_t */
     ListenerDrain_t *closing; /* closes the listener for callers at the end */
-    struct evhttp *operators;
-    struct evhttp *readiness;
-    guint16 port;
-    guint16 operator_port;
-    guint16 ready_port;
     struct event *on_term;
     struct event *on_int;
     struct event *on_hup;
     struct event *stop_timer;
-    struct event *operators_timer; /* NULL if operators were served at once */
     gint64 stop_began_ms;
-} Router_t;
-
-typedef struct {
-    const char *setting;
-    const Address_t *address;
-    void (*handle)(struct evhttp_request *request, void *context);
-    gboolean (*listen)(const ListenRetry_t *retry, GError **error);
-} HttpListener_t;
-
-typedef struct {
-    struct evhttp *server;
-    const Address_t *address;
-    struct evhttp_bound_socket *bound;
-} Binding_t;
+};
 
 static void
 on_config_changed(void *data)
@@ -169,7 +165,7 @@
     const Address_t *listen = &this->settings->router.listen;
     gboolean is_any = strcmp(listen->host, "0.0.0.0") == 0;
     Address_t address = is_any ? this->settings->peers.listen : *listen;
-    address.port = this->context.form ? this->port : 0;
+    address.port = this->context.form ? this->callers.port : 0;
     return address;
 }
 
@@ -197,8 +193,6 @@
     return Membership_countActive(owner);
 }
 
-/* A router without a datagram socket can't query the keepers of limits, so it
- * enforces a share of each limit. */
 static void
 create_rate_limits(Router_t *this)
 {
@@ -211,8 +205,7 @@
         .fleet_size = context->fleet_size,
         .seeds = this->settings->peers.seeds,
     };
-    if (!context->datagrams ||
-        this->settings->router.customer_limits == LIMITS_SHARE) {
+    if (this->settings->router.customer_limits == LIMITS_SHARE) {
         context->rates = RateShare_create(count_routers, context->membership);
         return;
     }
@@ -246,20 +239,41 @@
         RateLimits_destroy(this->context.rates);
     }
     FleetSize_destroy(this->context.fleet_size);
-    if (this->context.datagrams) {
-        PeerDatagrams_destroy(this->context.datagrams);
+    if (this->datagrams) {
+        LateListener_destroy(this->datagrams);
+    }
+    PeerDatagrams_destroy(this->context.datagrams);
+}
+
+/* The port is that of the listener for peers, which the system may not have
+ * chosen yet. */
+static gboolean
+open_datagrams(void *owner)
+{
+    const Context_t *context = owner;
+    const Address_t *address = Membership_address(context->membership);
+    if (address->port == 0) {
+        errno = EADDRNOTAVAIL;
+        return FALSE;
     }
+    return PeerDatagrams_open(context->datagrams, address);
 }
 
+/* Without a datagram socket this router chooses upstreams alone, and enforces
+ * a share of each limit as nobody answers it. */
 static void
 create_datagrams(Router_t *this)
 {
     Context_t *context = &this->context;
     g_autoptr(GError) error = NULL;
+    ListenRetry_t retry = {.setting = "peers.listen (datagrams)",
+                           .address = &this->settings->peers.listen,
+                           .open = open_datagrams,
+                           .owner = context};
     context->datagrams = PeerDatagrams_create(
-        context->base, Membership_address(context->membership),
-        Membership_key(context->membership), &error);
-    if (!context->datagrams) {
+        context->base, Membership_key(context->membership));
+    this->datagrams = LateListener_create(context->base, &retry, &error);
+    if (!this->datagrams) {
         Log_error("datagrams_unavailable", error);
     }
 }
@@ -318,15 +332,6 @@
     evhttp_set_default_content_type(server, NULL);
 }
 
-static gboolean
-bind_server(void *owner)
-{
-    Binding_t *this = owner;
-    this->bound = evhttp_bind_socket_with_handle(
-        this->server, this->address->host, this->address->port);
-    return this->bound != NULL;
-}
-
 static struct bufferevent *
 create_connection(struct event_base *base, void *data)
 {
@@ -337,45 +342,65 @@
     return bev;
 }
 
-static struct evhttp *
-listen_on(Router_t *this, const HttpListener_t *spec, guint16 *port,
-          GError **error)
-{
-    struct evhttp *server = evhttp_new(this->context.base);
-    Binding_t binding = {.server = server, .address = spec->address};
-    ListenRetry_t retry = {.setting = spec->setting,
-                           .address = spec->address,
-                           .open = bind_server,
-                           .owner = &binding};
-    evhttp_set_gencb(server, spec->handle, &this->context);
-    set_server_limits(this, server);
-    evhttp_set_bevcb(server, create_connection, &this->intake);
-    if (!spec->listen(&retry, error)) {
+static void
+note_bound(HttpListener_t *this, struct evhttp *server,
+           struct evhttp_bound_socket *bound)
+{
+    Router_t *router = this->router;
+    this->server = server;
+    this->port = get_bound_port(bound);
+    g_ptr_array_add(router->pauses,
+                    AcceptPause_create(router->context.base,
+                                       evhttp_bound_socket_get_listener(bound),
+                                       this->setting));
+}
+
+static gboolean
+open_http(void *owner)
+{
+    HttpListener_t *this = owner;
+    Router_t *router = this->router;
+    struct evhttp *server = evhttp_new(router->context.base);
+    evhttp_set_gencb(server, this->handle, &router->context);
+    set_server_limits(router, server);
+    evhttp_set_bevcb(server, create_connection, &router->intake);
+    struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(
+        server, this->address->host, this->address->port);
+    if (!bound) {
+        int code = errno;
         evhttp_free(server);
-        return NULL;
+        errno = code;
+        return FALSE;
     }
-    *port = get_bound_port(binding.bound);
-    g_ptr_array_add(
-        this->pauses,
-        AcceptPause_create(this->context.base,
-                           evhttp_bound_socket_get_listener(binding.bound),
-                           spec->setting));
-    return server;
+    note_bound(this, server, bound);
+    return TRUE;
+}
+
+static ListenRetry_t
+make_retry(HttpListener_t *listener)
+{
+    return (ListenRetry_t){.setting = listener->setting,
+                           .address = listener->address,
+                           .open = open_http,
+                           .owner = listener};
 }
 
+/* Waits for the address while nothing else is open, so that nobody connects to
+ * a router that does not answer yet. */
 static gboolean
 create_callers(Router_t *this, GError **error)
 {
-    HttpListener_t spec = {.setting = "listen",
-                           .address = &this->settings->router.listen,
-                           .handle = this->context.form ? RelayApi_handle
-                                                        : CallerApi_handle,
-                           .listen = ListenRetry_run};
-    this->callers = listen_on(this, &spec, &this->port, error);
-    if (!this->callers) {
+    this->callers = (HttpListener_t){
+        .router = this,
+        .setting = "listen",
+        .address = &this->settings->router.listen,
+        .handle = this->context.form ? RelayApi_handle : CallerApi_handle,
+    };
+    ListenRetry_t retry = make_retry(&this->callers);
+    if (!ListenRetry_run(&retry, error)) {
         return FALSE;
     }
-    evhttp_set_allowed_methods(this->callers, ALL_METHODS);
+    evhttp_set_allowed_methods(this->callers.server, ALL_METHODS);
     set_body_budget(this);
     return TRUE;
 }
@@ -383,47 +408,38 @@
 static gboolean
 create_readiness(Router_t *this, GError **error)
 {
-    HttpListener_t spec = {.setting = "ready_listen",
-                           .address = &this->settings->router.ready_listen,
-                           .handle = RelayApi_handleReady,
-                           .listen = ListenRetry_run};
-    if (!this->context.form || spec.address->host[0] == '\0') {
+    HttpListener_t *listener = &this->readiness;
+    *listener = (HttpListener_t){
+        .router = this,
+        .setting = "ready_listen",
+        .address = &this->settings->router.ready_listen,
+        .handle = RelayApi_handleReady,
+    };
+    if (!this->context.form || listener->address->host[0] == '\0') {
         return TRUE;
     }
-    this->readiness = listen_on(this, &spec, &this->ready_port, error);
-    return this->readiness != NULL;
+    ListenRetry_t retry = make_retry(listener);
+    listener->late = LateListener_create(this->context.base, &retry, error);
+    return listener->late != NULL;
 }
 
-/* Callers are served without the operators' interface, so the router starts
- * and tries again later if the address is in use. */
-static gboolean
+/* Not even a wrong address keeps the router from serving callers. */
+static void
 create_operators(Router_t *this)
 {
     g_autoptr(GError) error = NULL;
-    HttpListener_t spec = {.setting = "operator_listen",
-                           .address = &this->settings->router.operator_listen,
-                           .handle = OperatorApi_handle,
-                           .listen = ListenRetry_tryOnce};
-    this->operators = listen_on(this, &spec, &this->operator_port, &error);
-    if (!this->operators && !this->operators_timer) {
+    HttpListener_t *listener = &this->operators;
+    *listener = (HttpListener_t){
+        .router = this,
+        .setting = "operator_listen",
+        .address = &this->settings->router.operator_listen,
+        .handle = OperatorApi_handle,
+    };
+    ListenRetry_t retry = make_retry(listener);
+    listener->late = LateListener_create(this->context.base, &retry, &error);
+    if (!listener->late) {
         Log_error("operators_unavailable", error);
     }
-    return this->operators != NULL;
-}
-
-static void
-on_operators_timer(evutil_socket_t fd, short what, void *data)
-{
-    (void)fd;
-    (void)what;
-    Router_t *this = data;
-    if (!create_operators(this)) {
-        Clock_arm(this->operators_timer, OPERATORS_RETRY_MS);
-        return;
-    }
-    Log_begin(LOG_LEVEL_INFO, "operators_available");
-    Log_number("operator_port", this->operator_port);
-    Log_end();
 }
 
 static gboolean
@@ -432,11 +448,7 @@
     if (!create_callers(this, error) || !create_readiness(this, error)) {
         return FALSE;
     }
-    if (!create_operators(this)) {
-        this->operators_timer =
-            Clock_timer(this->context.base, on_operators_timer, this);
-        Clock_arm(this->operators_timer, OPERATORS_RETRY_MS);
-    }
+    create_operators(this);
     return TRUE;
 }
 
@@ -460,7 +472,8 @@
 create_accept_hold(Router_t *this)
 {
     AcceptHoldSpec_t spec = {.is_known = can_serve, .owner = &this->context};
-    evhttp_foreach_bound_socket(this->callers, get_listener, &spec.listener);
+    evhttp_foreach_bound_socket(this->callers.server, get_listener,
+                                &spec.listener);
     this->hold = AcceptHold_create(this->context.base, &spec);
 }
 
@@ -544,12 +557,12 @@
                           (guint)limits->retry_allowance);
     set_body_budget(this);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
-    set_server_limits(this, this->callers);
-    if (this->operators) {
-        set_server_limits(this, this->operators);
-    }
-    if (this->readiness) {
-        set_server_limits(this, this->readiness);
+    HttpListener_t *listeners[] = {&this->callers, &this->operators,
+                                   &this->readiness};
+    for (gsize i = 0; i < G_N_ELEMENTS(listeners); i++) {
+        if (listeners[i]->server) {
+            set_server_limits(this, listeners[i]->server);
+        }
     }
     if (this->relay) {
         RelayParts_reload(this->relay);
@@ -581,6 +594,17 @@
     event_add(this->on_hup, NULL);
 }
 
+static void
+free_listener(HttpListener_t *listener)
+{
+    if (listener->late) {
+        LateListener_destroy(listener->late);
+    }
+    if (listener->server) {
+        evhttp_free(listener->server);
+    }
+}
+
 /* Runs the loop once after closing the listeners, so that callers' open
  * requests end while the modules that they use still exist. A request that is
  * processed later would use freed modules. */
@@ -588,16 +612,12 @@
 free_listeners(Router_t *this)
 {
     g_ptr_array_unref(this->pauses);
-    if (this->callers) {
+    if (this->callers.server) {
         ResetOnClose_resetAll();
-        evhttp_free(this->callers);
-    }
-    if (this->operators) {
-        evhttp_free(this->operators);
-    }
-    if (this->readiness) {
-        evhttp_free(this->readiness);
     }
+    free_listener(&this->callers);
+    free_listener(&this->operators);
+    free_listener(&this->readiness);
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
     PendingReply_setCounters(NULL);
     LingeringClose_clear();
@@ -649,9 +669,6 @@
     event_free(this->on_int);
     event_free(this->on_hup);
     event_free(this->stop_timer);
-    if (this->operators_timer) {
-        event_free(this->operators_timer);
-    }
 }
 
 static void
@@ -660,10 +677,10 @@
     Log_begin(LOG_LEVEL_INFO, event);
     Log_text("router", this->settings->router.name->str);
     Log_text("hall", this->settings->router.hall->str);
-    Log_number("port", this->port);
-    Log_number("operator_port", this->operator_port);
-    if (this->readiness) {
-        Log_number("ready_port", this->ready_port);
+    Log_number("port", this->callers.port);
+    Log_number("operator_port", this->operators.port);
+    if (this->readiness.late) {
+        Log_number("ready_port", this->readiness.port);
     }
     Log_number("peer_port", Membership_port(this->context.membership));
     Log_end();
@@ -703,7 +720,8 @@
         if (this.relay) {
             create_accept_hold(&this);
         }
-        this.closing = ListenerDrain_create(this.context.base, this.callers);
+        this.closing =
+            ListenerDrain_create(this.context.base, this.callers.server);
         log_lifecycle(&this, "router_started");
         StopSignals_release();
         event_base_dispatch(this.context.base);
