A reload of the settings never blocks, and a cut file is read again

What callers saw: a router that got SIGHUP while its settings file was a pipe answered nobody any more; one of some MB, or one that was no text, cost them half a second to all of the time. A file that was read while it was being written was refused and stayed out of force.

Cause: the file is read and parsed on the event loop, whatever it is and however large; each line of a file that is no text is a fault with memory and a log line of its own. A refused reload was not repeated.

Why the fix works: TextFile opens without waiting for a writer, refuses what is no regular file and what is larger than 256 KiB, and IniFile stops after 100 faults. A refused file is looked at each 100 ms for ten seconds and read again if it has changed.

--- a/src/IniFile.c
+++ b/src/IniFile.c
@@ -6,6 +6,8 @@
 
 /* Separates section and key in the line index. Names in an INI file can't
  * contain a newline. */
+/* A file that is not text has a fault in each line. */
+#define PROBLEMS_MAX 100
 #define INDEX_SEPARATOR "\n"
 
 struct IniFile {
@@ -61,8 +63,14 @@
 {
     g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
     g_autofree char *section = NULL;
+    guint problems_max = problems->len + PROBLEMS_MAX;
     for (guint i = 0; lines[i]; i++) {
         char *line = g_strstrip(lines[i]);
+        if (problems->len >= problems_max) {
+            Problems_add(problems, PROBLEM_SYNTAX, this->path, i + 1, section,
+                         NULL, "too many faults; not checked from here on");
+            return;
+        }
         if (*line == '\0' || *line == '#' || *line == ';') {
             continue;
         }
@@ -118,16 +126,10 @@
 }
 
 IniFile_t *
-IniFile_create(const char *path, GPtrArray *problems)
+IniFile_parse(const char *path, const char *text, gsize length,
+              GPtrArray *problems)
 {
     g_autoptr(GError) error = NULL;
-    g_autofree char *text = NULL;
-    gsize length = 0;
-    if (!g_file_get_contents(path, &text, &length, &error)) {
-        Problems_add(problems, PROBLEM_UNREADABLE, path, 0, NULL, NULL,
-                     error->message);
-        return NULL;
-    }
     IniFile_t *this = g_new0(IniFile_t, 1);
     this->path = g_strdup(path);
     this->keys = g_key_file_new();
@@ -145,6 +147,20 @@
     return this;
 }
 
+IniFile_t *
+IniFile_create(const char *path, GPtrArray *problems)
+{
+    g_autoptr(GError) error = NULL;
+    g_autofree char *text = NULL;
+    gsize length = 0;
+    if (!g_file_get_contents(path, &text, &length, &error)) {
+        Problems_add(problems, PROBLEM_UNREADABLE, path, 0, NULL, NULL,
+                     error->message);
+        return NULL;
+    }
+    return IniFile_parse(path, text, length, problems);
+}
+
 void
 IniFile_destroy(IniFile_t *this)
 {
--- a/src/IniFile.h
+++ b/src/IniFile.h
@@ -21,6 +21,16 @@
  */
 IniFile_t *IniFile_create(const char *path, GPtrArray *problems);
 
+/**
+ * IniFile_parse() - parse a text that was read from a file
+ * @path: of the file, for @problems
+ * @length: of @text, which may contain NUL bytes and ends with one
+ *
+ * Return: the file, even if some lines are faulty
+ */
+IniFile_t *IniFile_parse(const char *path, const char *text, gsize length,
+                         GPtrArray *problems);
+
 /**
  * IniFile_destroy() - free the file
  */
--- a/src/Router.c
+++ b/src/Router.c
@@ -78,6 +78,7 @@
     struct event *on_term;
     struct event *on_int;
     struct event *on_hup;
+    SettingsReload_t *reload; /* NULL once the modules are being freed */
     struct event *stop_timer;
     gint64 stop_began_ms;
 };
@@ -546,8 +547,9 @@
 
 /* Passes the reloaded values to the modules that hold copies of them. */
 static void
-apply_settings(Router_t *this)
+apply_settings(void *owner)
 {
+    Router_t *this = owner;
     const LimitsSection_t *limits = &this->settings->limits;
     Log_setBudget(limits->log_budget);
     Log_setLevel((LogLevel_t)limits->log_level);
@@ -576,8 +578,8 @@
     (void)fd;
     (void)what;
     Router_t *this = data;
-    if (SettingsReload_run(this->settings)) {
-        apply_settings(this);
+    if (this->reload) {
+        SettingsReload_run(this->reload);
     }
 }
 
@@ -590,6 +592,8 @@
     this->on_int = evsignal_new(base, SIGINT, on_stop_signal, this);
     event_add(this->on_term, NULL);
     this->on_hup = evsignal_new(base, SIGHUP, on_reload_signal, this);
+    this->reload =
+        SettingsReload_create(base, this->settings, apply_settings, this);
     event_add(this->on_int, NULL);
     event_add(this->on_hup, NULL);
 }
@@ -728,6 +732,7 @@
         log_lifecycle(&this, "router_stopped");
     }
     StopSignals_hold();
+    SettingsReload_destroy(g_steal_pointer(&this.reload));
     if (this.hold) {
         AcceptHold_destroy(this.hold);
     }
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -6,6 +6,7 @@
 #include "IniFile.h"
 #include "Log.h"
 #include "Problem.h"
+#include "TextFile.h"
 
 #define HOUR_MS 3600000
 /* With a shorter time there is no room for the margins of a stop. */
@@ -15,6 +16,8 @@
 #define STOP_GRACE_PERCENT 35
 /* Time between the end of the router and the kill. */
 #define STOP_MARGIN_MS 200
+/* A larger file is refused, as callers wait while it is read. */
+#define SETTINGS_FILE_MAX ((gsize)256 * 1024)
 #define KEY_BYTES 32
 
 #define R(member) offsetof(RouterSection_t, member)
@@ -432,11 +435,26 @@
     }
 }
 
-Settings_t *
-Settings_create(const char *path, GPtrArray *problems)
+static IniFile_t *
+read_file(const char *path, TextFileKind_t kind, GPtrArray *problems)
+{
+    gsize length = 0;
+    g_autoptr(GError) error = NULL;
+    g_autofree char *text =
+        TextFile_read(path, kind, SETTINGS_FILE_MAX, &length, &error);
+    if (!text) {
+        Problems_add(problems, PROBLEM_UNREADABLE, path, 0, NULL, NULL,
+                     error->message);
+        return NULL;
+    }
+    return IniFile_parse(path, text, length, problems);
+}
+
+static Settings_t *
+load(const char *path, TextFileKind_t kind, GPtrArray *problems)
 {
     guint problems_before = problems->len;
-    IniFile_t *ini = IniFile_create(path, problems);
+    IniFile_t *ini = read_file(path, kind, problems);
     if (!ini) {
         return NULL;
     }
@@ -461,11 +479,18 @@
     return this;
 }
 
+Settings_t *
+Settings_create(const char *path, GPtrArray *problems)
+{
+    return load(path, TEXT_FILE_ANY, problems);
+}
+
+/* Runs on the event loop, which must not wait for a writer. */
 gboolean
 Settings_reload(Settings_t *this, GPtrArray *problems,
                 RestartSettingHandler_t on_restart_key, void *data)
 {
-    Settings_t *updated = Settings_create(this->path->str, problems);
+    Settings_t *updated = load(this->path->str, TEXT_FILE_REGULAR, problems);
     if (!updated) {
         return FALSE;
     }
--- a/src/SettingsReload.c
+++ b/src/SettingsReload.c
@@ -1,7 +1,20 @@
 #include "SettingsReload.h"
 
+#include "Clock.h"
 #include "Log.h"
 #include "Problem.h"
+#include "TextFile.h"
+
+#define LOOK_INTERVAL_MS 100
+
+struct SettingsReload {
+    Settings_t *settings;
+    SettingsTaken_t taken;
+    void *owner;
+    struct event *timer;
+    FileStamp_t stamp; /* of the file that was rejected */
+    gint64 watch_ends_ms;
+};
 
 static void
 log_restart_setting(const char *section, const char *key, void *data)
@@ -30,8 +43,8 @@
     }
 }
 
-gboolean
-SettingsReload_run(Settings_t *settings)
+static gboolean
+reload(Settings_t *settings)
 {
     g_autoptr(GPtrArray) problems = Problems_create();
     guint restart_keys = 0;
@@ -46,3 +59,50 @@
     Log_end();
     return applied;
 }
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    SettingsReload_t *this = data;
+    FileStamp_t now = TextFile_stamp(this->settings->path->str);
+    if (now.exists && !TextFile_isSame(&now, &this->stamp)) {
+        SettingsReload_run(this);
+    }
+    else if (Clock_nowMs() < this->watch_ends_ms) {
+        Clock_arm(this->timer, LOOK_INTERVAL_MS);
+    }
+}
+
+SettingsReload_t *
+SettingsReload_create(struct event_base *base, Settings_t *settings,
+                      SettingsTaken_t taken, void *owner)
+{
+    SettingsReload_t *this = g_new0(SettingsReload_t, 1);
+    this->settings = settings;
+    this->taken = taken;
+    this->owner = owner;
+    this->timer = Clock_timer(base, on_timer, this);
+    return this;
+}
+
+void
+SettingsReload_run(SettingsReload_t *this)
+{
+    this->stamp = TextFile_stamp(this->settings->path->str);
+    if (reload(this->settings)) {
+        event_del(this->timer);
+        this->taken(this->owner);
+        return;
+    }
+    this->watch_ends_ms = Clock_nowMs() + RELOAD_WATCH_MS;
+    Clock_arm(this->timer, LOOK_INTERVAL_MS);
+}
+
+void
+SettingsReload_destroy(SettingsReload_t *this)
+{
+    event_free(this->timer);
+    g_free(this);
+}
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -112,6 +112,56 @@
         router.wait_event("router_stopped")
 
 
+class SettingsTest(StartCase):
+    def setUp(self):
+        super().setUp()
+        self.path = self.write_settings()
+        with open(self.path) as file:
+            self.text = file.read()
+
+    def write(self, text):
+        """Replaces the file as a whole, so that no other text is seen."""
+        with open(self.path + ".new", "w") as file:
+            file.write(text)
+        os.replace(self.path + ".new", self.path)
+
+    def reload(self, router):
+        before = len(router.events("settings_reloaded"))
+        router.signal(signal.SIGHUP)
+        return router.wait_event("settings_reloaded", before + 1)[-1]
+
+    def assert_refused(self, router):
+        self.assertEqual(self.reload(router)["outcome"], "refused")
+        self.assertEqual(
+            router.wait_event("setting_at_fault")[-1]["reason"], "unreadable")
+        self.assert_serves(router)
+
+    # A router that was told to read a pipe again waited for its writer.
+    def test_a_reload_does_not_wait_for_the_writer_of_a_pipe(self):
+        router = self.launch(self.path)
+        self.assert_serves(router)
+        os.remove(self.path)
+        os.mkfifo(self.path)
+        self.assert_refused(router)
+
+    # Callers waited while a large file was read.
+    def test_a_reload_refuses_a_large_file(self):
+        router = self.launch(self.path)
+        self.assert_serves(router)
+        self.write(self.text + "# more\n" * 100000)
+        self.assert_refused(router)
+
+    # A file that was read while it was written was not read again.
+    def test_a_reload_of_a_cut_file_is_repeated_once_it_is_whole(self):
+        router = self.launch(self.path)
+        self.assert_serves(router)
+        self.write(self.text[:len(self.text) // 2])
+        self.assertEqual(self.reload(router)["outcome"], "refused")
+        self.write(self.text)
+        again = router.wait_event("settings_reloaded", 2)[1]
+        self.assertEqual(again["outcome"], "taken")
+
+
 class BusyAddress:
     """Occupies a port that the system chooses."""
 
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -55,6 +55,17 @@
     ck_assert_str_eq(problem->key->str, key);
 }
 
+START_TEST(faults_of_a_file_that_is_no_text_are_bounded)
+{
+    g_autoptr(GString) text = g_string_new(VALID);
+    for (guint i = 0; i < 10000; i++) {
+        g_string_append(text, "=\n");
+    }
+    g_autoptr(GPtrArray) problems = find_problems(text->str);
+    ck_assert_uint_eq(problems->len, 101);
+}
+END_TEST
+
 START_TEST(each_hall_needs_a_region)
 {
     assert_problem("[router]\nhalls = a,b\nhall_regions = r\n" VALID_REST,
@@ -439,6 +450,7 @@
 
 TESTING_MAIN(
     "Settings", each_hall_needs_a_region,
+    faults_of_a_file_that_is_no_text_are_bounded,
     valid_settings_have_values_and_defaults, each_fault_has_its_kind_and_line,
     fractional_and_empty_numbers_are_accepted,
     number_fault_reports_key_value_and_range,
