A start waits for settings that are missing or being written

What callers saw: nothing of a router whose settings were placed a moment after it was started, or were empty or cut at that moment: it ended with exit code 1, which counts as a failed start.

Cause: the file was read once, and any fault in it ended the process at once.

A signal to stop ends the wait.

--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -15,6 +15,7 @@
 #include "Problem.h"
 #include "Router.h"
 #include "Settings.h"
+#include "SettingsStart.h"
 #include "StopSignals.h"
 
 #define VERSION "0.1.0"
@@ -191,16 +192,6 @@
     return 0;
 }
 
-static void
-print_problems(const GPtrArray *problems)
-{
-    for (guint i = 0; i < problems->len; i++) {
-        GString *text = Problem_format(g_ptr_array_index(problems, i));
-        fprintf(stderr, "%s\n", text->str);
-        g_string_free(text, TRUE);
-    }
-}
-
 /* Returns NULL for the native platform. */
 static const PlatformForm_t *
 find_platform_form(const Arguments_t *arguments, const Settings_t *settings)
@@ -215,15 +206,14 @@
         fputs("wheattiller: router needs --settings\n", stderr);
         return EXIT_USAGE;
     }
+    LogLevel_t level = arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO;
     StopSignals_hold();
-    g_autoptr(GPtrArray) problems = Problems_create();
-    Settings_t *settings = Settings_create(arguments->settings, problems);
-    print_problems(problems);
+    Log_open("wheattiller", level);
+    Settings_t *settings = SettingsStart_run(arguments->settings);
     if (!settings) {
         return EXIT_INVALID;
     }
-    Log_open(settings->router.name->str,
-             arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO);
+    Log_open(settings->router.name->str, level);
     Diagnostics_start(settings->router.name->str);
     Log_setBudget(settings->limits.log_budget);
     Log_setLevel((LogLevel_t)settings->limits.log_level);
@@ -276,7 +266,7 @@
     GPtrArray *objects =
         Declarations_load((char **)declarations->pdata, problems);
     g_ptr_array_unref(objects);
-    print_problems(problems);
+    Problems_print(problems);
     return problems->len > 0 ? EXIT_INVALID : EXIT_OK;
 }
 
--- a/src/Problem.c
+++ b/src/Problem.c
@@ -1,5 +1,7 @@
 #include "Problem.h"
 
+#include <stdio.h>
+
 static const char *const kind_names[] = {
     [PROBLEM_UNREADABLE] = "unreadable",
     [PROBLEM_SYNTAX] = "syntax",
@@ -70,3 +72,13 @@
     }
     return text;
 }
+
+void
+Problems_print(const GPtrArray *problems)
+{
+    for (guint i = 0; i < problems->len; i++) {
+        GString *text = Problem_format(g_ptr_array_index(problems, i));
+        fprintf(stderr, "%s\n", text->str);
+        g_string_free(text, TRUE);
+    }
+}
--- a/src/Problem.h
+++ b/src/Problem.h
@@ -68,4 +68,7 @@
  */
 GString *Problem_format(const Problem_t *this);
 
+/** Problems_print() - print each one on standard error */
+void Problems_print(const GPtrArray *problems);
+
 #endif
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -113,6 +113,8 @@
 
 
 class SettingsTest(StartCase):
+    LONG_S = 3600
+
     def setUp(self):
         super().setUp()
         self.path = self.write_settings()
@@ -125,6 +127,42 @@
             file.write(text)
         os.replace(self.path + ".new", self.path)
 
+    def start_at_fault(self, environment=None):
+        router = self.launch(self.path, environment)
+        router.wait_event("settings_wait")
+        return router
+
+    # A router whose settings were placed a moment later, or were being
+    # written, ended at once.
+    def test_a_start_waits_for_its_settings(self):
+        os.remove(self.path)
+        router = self.start_at_fault()
+        self.write("")
+        router.wait_event("settings_wait", 2)
+        self.write(self.text[:len(self.text) // 2])
+        router.wait_event("settings_wait", 3)
+        self.write(self.text)
+        self.assert_serves(router)
+        self.assertEqual(len(router.events("settings_read")), 1)
+
+    def test_a_start_tells_what_is_at_fault_and_gives_up(self):
+        clock = SuspendableClock(self.fleet.folder.name)
+        self.write(self.text.replace("hall = ", "haul = "))
+        router = self.start_at_fault(clock.environment)
+        for kind in ("unknown_key", "missing_key"):
+            self.assertTrue([line for line in router.lines if kind in line])
+        clock.suspend(self.LONG_S)
+        self.assertEqual(router.process.wait(60), 1)
+        router.wait_event("settings_unusable")
+
+    def test_a_start_that_waits_for_its_settings_can_be_stopped(self):
+        os.remove(self.path)
+        router = self.start_at_fault()
+        begun = time.monotonic()
+        router.signal(signal.SIGTERM)
+        self.assertEqual(router.process.wait(60), 1)
+        self.assertLess(time.monotonic() - begun, STOP_LIMIT_S)
+
     def reload(self, router):
         before = len(router.events("settings_reloaded"))
         router.signal(signal.SIGHUP)
