A start without free descriptors waits for some

What callers saw: a router that was started while the process, or the whole instance, had no descriptors left ended by SIGABRT.

Cause: libevent ends the process if it can't open the pipe for signals.

The new test failed before (descriptors_awaited never came), and passes, also under sanitizers.

Why the fix works: what the event loop needs is tried out before it is created, and waited for as an address is, until the router is told to stop.

--- a/src/DescriptorReserve.h
+++ b/src/DescriptorReserve.h
@@ -14,6 +14,16 @@
 /** Descriptors kept; fewer where the system allows few. */
 #define DESCRIPTOR_RESERVE_MAX 32
 
+/**
+ * DescriptorReserve_await() - wait until that many descriptors can be opened
+ * @error: WT_ERROR_DESCRIPTORS
+ *
+ * Blocks. For what ends the process if it gets none.
+ *
+ * Return: FALSE if the router is told to stop
+ */
+gboolean DescriptorReserve_await(guint wanted, GError **error);
+
 /** DescriptorReserve_init() - open the reserve; once per process */
 void DescriptorReserve_init(struct event_base *base);
 
--- a/src/Errors.h
+++ b/src/Errors.h
@@ -27,6 +27,7 @@
  * @WT_ERROR_BAD_TOKEN: a resume token is forged, damaged or uses other keys
  * @WT_ERROR_BAD_BODY: a request body is malformed
  * @WT_ERROR_LISTEN: listening on an address failed
+ * @WT_ERROR_DESCRIPTORS: the process can open no more files or sockets
  */
 typedef enum {
     WT_ERROR_FILE_UNREADABLE,
@@ -42,6 +43,7 @@
     WT_ERROR_BAD_TOKEN,
     WT_ERROR_BAD_BODY,
     WT_ERROR_LISTEN,
+    WT_ERROR_DESCRIPTORS,
 } ErrorKind_t;
 
 /**
--- a/src/Router.c
+++ b/src/Router.c
@@ -36,6 +36,8 @@
 #include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
+/* libevent ends the process if it can't open the pipe for signals. */
+#define LOOP_DESCRIPTORS 4
 /* Time before the end at which requests still open are answered, so that their
  * callers get the answers. */
 #define LAST_ANSWERS_MS 200
@@ -706,6 +708,9 @@
 Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
     Router_t this = {.settings = settings};
+    if (!DescriptorReserve_await(LOOP_DESCRIPTORS, error)) {
+        return FALSE;
+    }
     this.context.form = form;
     Random_seed((guint32)settings->router.seed);
     this.context.base = create_base();
--- a/src/Router.h
+++ b/src/Router.h
@@ -15,7 +15,7 @@
  * Router_run() - run a router until SIGTERM or SIGINT
  * @settings: reloaded on SIGHUP
  * @form: form of the platform named in @settings; NULL for the native one
- * @error: WT_ERROR_LISTEN
+ * @error: WT_ERROR_LISTEN, WT_ERROR_DESCRIPTORS
  *
  * Return: FALSE if the router could not start
  */
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -491,6 +491,17 @@
                 each.close()
         self.assert_serves(router)
 
+    # A router that was started without a free descriptor ended by SIGABRT.
+    def test_a_start_without_descriptors_waits_for_some(self):
+        router = self.launch(self.write_settings(), prefix=(
+            "sh", "-c", 'ulimit -S -n 5; exec "$@"', "sh"))
+        line = router.wait_event("descriptors_awaited")[0]
+        self.assertEqual(line["error"].strip('"'), os.strerror(errno.EMFILE))
+        self.assertIsNone(router.process.poll())
+        resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
+                         (self.DESCRIPTORS, 4096))
+        self.assert_serves(router)
+
     # Callers took all descriptors, and none was left for an upstream.
     def test_requests_that_were_read_reach_an_upstream(self):
         router = self.fleet.start()
