--- a/src/Errors.h
+++ b/src/Errors.h
@@ -28,6 +28,7 @@
  * @WT_ERROR_BAD_BODY: a request body is malformed
  * @WT_ERROR_LISTEN: listening on an address failed
  * @WT_ERROR_EVENT_LOOP: the event loop ended without being told to
+ * @WT_ERROR_DESCRIPTORS: the process can open no more files or sockets
  */
 typedef enum {
     WT_ERROR_FILE_UNREADABLE,
@@ -44,6 +45,7 @@
     WT_ERROR_BAD_BODY,
     WT_ERROR_LISTEN,
     WT_ERROR_EVENT_LOOP,
+    WT_ERROR_DESCRIPTORS,
 } ErrorKind_t;
 
 /**
--- a/src/Router.h
+++ b/src/Router.h
@@ -15,7 +15,7 @@
  * Router_run() - run a router until SIGTERM or SIGINT
  * @settings: reloaded on SIGHUP
  * @form: form of the platform named in @settings; NULL for the native one
- * @error: WT_ERROR_LISTEN, WT_ERROR_EVENT_LOOP
+ * @error: WT_ERROR_LISTEN, WT_ERROR_DESCRIPTORS, WT_ERROR_EVENT_LOOP
  *
  * Return: FALSE if the router could not start, or its event loop ended without
  *     a stop
