A caller that is being answered owes no bytes: no read timeout meanwhile

Callers saw streams broken off in the middle while their engine was silent for read_timeout (idle_timeout_ms of the configuration, if that is longer), and long calls broken off after that time although they were read all along; the log had answer_not_read and answer_unsent cause=not_read. To callers of HTTP/1.0 such a stream ended in an orderly way, so that it looked whole.

Cause: evhttp enables reading on a connection as soon as it writes to it, and its timeout for reading then runs while no byte of the caller is due. It ends such connections by a shutdown. The limits of the route and of the deadline were not asked.

The timeout for reading stops with the watch of a request's caller, or with its reply, and starts again when the reply has been written, before evhttp awaits the next request. A caller that reads nothing is still closed, by the timeout for writing, and a connection at rest as before.

--- a/src/CallerWatch.c
+++ b/src/CallerWatch.c
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <poll.h>
 
+#include "HttpCall.h"
 #include "ResetOnClose.h"
 
 /* Interval between looks at a connection with bytes that wait. */
@@ -136,6 +137,7 @@
     this->left = left;
     this->owner = owner;
     evhttp_connection_set_closecb(connection, on_close, this);
+    Http_stopReadTimeout(connection);
     evutil_socket_t fd =
         bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
     watch_end(this, base, fd);
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/bufferevent_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -51,6 +52,23 @@
                sizeof(on));
 }
 
+void
+Http_stopReadTimeout(struct evhttp_connection *connection)
+{
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(connection);
+    struct timeval write = bev->timeout_write;
+    bufferevent_set_timeouts(bev, NULL, &write);
+}
+
+/* evhttp has one timeout for both directions. */
+void
+Http_startReadTimeout(struct evhttp_connection *connection)
+{
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(connection);
+    struct timeval both = bev->timeout_write;
+    bufferevent_set_timeouts(bev, &both, &both);
+}
+
 void
 Http_flush(struct evhttp_connection *connection)
 {
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -102,6 +102,18 @@
 /** Http_setNoDelay() - set TCP_NODELAY on a connection */
 void Http_setNoDelay(struct evhttp_connection *connection);
 
+/**
+ * Http_stopReadTimeout() - a caller that is being answered owes no bytes
+ *
+ * evhttp reads as soon as it writes, so that its timeout would close the
+ * connection of a caller to which it has nothing to send for a while, or that
+ * takes long to read an answer.
+ */
+void Http_stopReadTimeout(struct evhttp_connection *connection);
+
+/** Http_startReadTimeout() - the next request is awaited */
+void Http_startReadTimeout(struct evhttp_connection *connection);
+
 /** Http_abort() - free a connection whose request is given up; what was not
  * delivered of the request is never delivered */
 void Http_abort(struct evhttp_connection *connection);
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -7,6 +7,7 @@
 #include <sys/ioctl.h>
 
 #include "Clock.h"
+#include "HttpCall.h"
 #include "Log.h"
 #include "ResetOnClose.h"
 
@@ -139,6 +140,7 @@
         evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
+    Http_startReadTimeout(connection);
     Reply_destroy(data);
 }
 
@@ -151,6 +153,7 @@
         return;
     }
     Reply_t *reply = Reply_create(connection, id);
+    Http_stopReadTimeout(connection);
     evhttp_connection_set_closecb(connection, on_closed, reply);
     evhttp_request_set_on_complete_cb(request, on_complete, reply);
 }
--- a/tests/sessions/test_slow_callers.py
+++ b/tests/sessions/test_slow_callers.py
@@ -1,15 +1,19 @@
-"""Callers that stop reading, whose connections the router closes in the end."""
+"""Callers that stop reading, whose connections the router closes in the end,
+and those that read on, whose connections it keeps."""
 import socket
 import time
 import unittest
 import uuid
 
-from answers import request_bytes
+from answers import Connection, request_bytes
 from cluster import wait_for
 from fleet import Fleet, Upstream
 
 LONG = 6000000  # bytes, more than the kernel's buffers hold
 STOPPED_S = 2.5  # longer than the router waits for a caller to read
+SILENT_S = 1.8  # longer than it waits for a caller to send
+STEADY_BYTES_PER_S = 3000000  # at which LONG takes longer than that, too
+EVENTS = 4
 
 
 class LongAnswers(Upstream):
@@ -106,5 +110,67 @@
         self.check("1.0")
 
 
+class PausingEngine(Upstream):
+    """Is silent in the middle of its streams."""
+
+    def stream(self, call, headers):
+        call.head(200, {"Transfer_Encoding": "chunked"}, **headers)
+        for number in range(EVENTS):
+            if number == EVENTS // 2:
+                time.sleep(SILENT_S)
+            self.write_part(call, True, b"id: %d\ndata: x\n\n" % number)
+        call.wfile.write(b"0\r\n\r\n")
+
+
+class ReadingCallerTest(unittest.TestCase):
+    """A caller that has read all there is owes nothing, yet evhttp waited
+    for its next bytes as soon as a part of its answer was written."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.add(LongAnswers(self.fleet.store, "p1", "plain"))
+        self.fleet.add(PausingEngine(self.fleet.store, "e1", "engines", "m"))
+        self.fleet.config(limits={"idle_timeout_ms": 1000})
+        self.router = self.fleet.start(read_timeout="1s",
+                                       token_timeout="20s")
+
+    def connect(self, rate=None):
+        connection = Connection(self.router.port, rate)
+        self.addCleanup(connection.close)
+        return connection
+
+    def ask(self, connection, path, version="1.1"):
+        request_id = uuid.uuid4().hex
+        connection.socket.sendall(request_bytes(
+            "POST", path, request_id, b"x", wait_ms=19000, version=version))
+        return connection.read_answer(request_id, "POST")
+
+    def check_stream(self, version):
+        for path in ("/ask/x", "/ask/once/x"):
+            answer = self.ask(self.connect(), path, version)
+            self.assertTrue(answer.is_whole, path)
+            self.assertEqual(answer.body.count(b"id: "), EVENTS, path)
+
+    def test_streams_of_a_silent_engine(self):
+        """They were broken off after read_timeout, as not read."""
+        self.check_stream("1.1")
+
+    def test_streams_of_a_silent_engine_to_callers_of_http_1_0(self):
+        """They ended after read_timeout as whole ones do."""
+        self.check_stream("1.0")
+
+    def test_a_long_answer_that_is_read_slowly(self):
+        """It was broken off after read_timeout, whatever was read."""
+        answer = self.ask(self.connect(STEADY_BYTES_PER_S), "/read/x")
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(len(answer.body), LONG)
+
+    def test_a_connection_at_rest_is_closed_all_the_same(self):
+        connection = self.connect()
+        self.assertTrue(self.ask(connection, "/ask/x").is_whole)
+        self.assertEqual(connection.socket.recv(1), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
