A stop waits for the rest of requests that are arriving

Cause: the end of a stop asked for requests that had been read whole, for replies that wait and for the last connections, and not for what had come in part.

Evidence: test_a_request_that_arrives_as_the_router_could_end_is_answered, a body of 50 bytes, one each 50 ms; on the code before the caller gets no byte of an answer.

RequestIntake knows which requests are under way and when their last bytes came; a stop that could end looks whether there are any (stop_awaits_requests) and goes on until they are whole, and answered with 503, or nothing came for a second. The limit of the stop holds as before, and a request that does not go on keeps no router.

--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -24,6 +24,9 @@
 #define PAUSE_MAX_MS 10000
 /* Slowest rate of a request that takes longer than a pause may last. */
 #define BYTES_PER_SECOND_MIN 1024
+/* Longest pause between two parts of a request that still counts as arriving.
+ */
+#define ARRIVAL_PAUSE_MS 1000
 
 typedef struct {
     struct bufferevent *stream;
@@ -34,6 +37,7 @@
     gboolean is_head_longer; /* as it may come from another router */
     gint64 paused_ms; /* since when the connection is paused; 0 if not */
     gint64 began_ms;  /* of the request that is arriving; 0 if none is */
+    gint64 last_ms;   /* of the last bytes */
     gsize received;   /* bytes of it */
     gboolean is_abandoned;
     gboolean is_refused; /* what it sends is dropped */
@@ -310,6 +314,7 @@
     if (info->n_added == 0) {
         return;
     }
+    this->last_ms = Clock_nowMs();
     if (!this->is_abandoned) {
         feed(this, buffer, info->n_added);
         set_head_limit(this);
@@ -348,6 +353,30 @@
     evbuffer_add_cb(bufferevent_get_input(stream), on_input, this);
 }
 
+/* Of a connection that was closed nothing more comes. */
+static gboolean
+is_arriving(const Connection_t *this, gint64 now_ms)
+{
+    return !this->is_abandoned && RequestFraming_isUnderWay(this->framing) &&
+           now_ms - this->last_ms < ARRIVAL_PAUSE_MS;
+}
+
+guint
+RequestIntake_countArriving(gint64 now_ms)
+{
+    GHashTableIter iter;
+    gpointer connection = NULL;
+    guint count = 0;
+    if (!connections) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iter, connections);
+    while (g_hash_table_iter_next(&iter, NULL, &connection)) {
+        count += is_arriving(connection, now_ms) ? 1 : 0;
+    }
+    return count;
+}
+
 void
 RequestIntake_clear(void)
 {
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -43,6 +43,10 @@
  */
 void RequestIntake_clear(void);
 
+/** RequestIntake_countArriving() - requests of which a part has come, and the
+ * last bytes a short while ago; some of them may have been given up since */
+guint RequestIntake_countArriving(gint64 now_ms);
+
 /** RequestIntake_watch() - watch a connection that a server accepts */
 void RequestIntake_watch(struct bufferevent *stream,
                          const IntakeLimits_t *limits);
--- a/src/Router.c
+++ b/src/Router.c
@@ -71,6 +71,7 @@
     struct event *stop_timer;
     struct event *operators_timer; /* NULL if operators were served at once */
     gint64 stop_began_ms;
+    guint awaited; /* requests that arrive, when the stop could end */
 } Router_t;
 
 typedef struct {
@@ -477,6 +478,22 @@
            (claims == 0 || elapsed_ms >= claims_limit_ms);
 }
 
+/* Whether the stop waits for the rest of requests, which would otherwise be
+ * lost with their connections. */
+static gboolean
+awaits_requests(Router_t *this)
+{
+    guint arriving = RequestIntake_countArriving(Clock_nowMs());
+    if (arriving != this->awaited) {
+        this->awaited = arriving;
+        Log_begin(LOG_LEVEL_INFO, "stop_awaits_requests");
+        Log_number("arriving", arriving);
+        Log_number("stopping_ms", Clock_nowMs() - this->stop_began_ms);
+        Log_end();
+    }
+    return arriving > 0;
+}
+
 static void
 on_stop_timer(evutil_socket_t fd, short what, void *data)
 {
@@ -499,7 +516,7 @@
         OpenRequests_endAll(this->context.open);
     }
     if ((drained && ListenerDrain_isOver(this->closing) &&
-         LingeringClose_count() == 0) ||
+         LingeringClose_count() == 0 && !awaits_requests(this)) ||
         left_ms <= 0) {
         event_base_loopbreak(this->context.base);
         return;
--- a/tests/sessions/test_stop.py
+++ b/tests/sessions/test_stop.py
@@ -11,6 +11,8 @@
 HEAD = ("POST /write/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-a\r\n"
         "X-Request-Id: %s\r\nX-Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n")
 STOP_GRACE_S = 0.3  # of the routers that fleet.py starts
+PARTS = 50  # of a request that takes longer than the shortest stop
+PART_PAUSE_S = 0.05
 FINE = (b"HTTP/1.1 200 ", b"HTTP/1.1 503 ")
 REVOKED = b"HTTP/1.1 401 "
 
@@ -155,6 +157,37 @@
         self.assertEqual(connection.recv(1), b"")
         self.assert_end()
 
+    def send_slowly(self, connection, text):
+        try:
+            for byte in text:
+                connection.sendall(bytes([byte]))
+                time.sleep(PART_PAUSE_S)
+        except OSError:
+            pass
+
+    def test_a_request_that_arrives_as_the_router_could_end_is_answered(self):
+        """Its connection was reset in the middle of its body, long before the
+        limit of the stop."""
+        connection = self.connect()
+        text = request("id").replace(b"Length: 1", b"Length: %d" % PARTS)
+        connection.sendall(text)
+        self.stop()
+        self.send_slowly(connection, (PARTS - 1) * b"x")
+        answer = read_answer(connection)
+        self.assertEqual(answer[:13], b"HTTP/1.1 503 ")
+        self.assertTrue(is_whole(answer))
+        self.assert_end()
+        self.assertEqual(self.service.seen, [])
+        self.assertTrue(self.router.events("stop_awaits_requests"))
+
+    def test_a_request_that_does_not_go_on_does_not_keep_the_router(self):
+        """What has come of it was long ago when the router could end."""
+        connection = self.connect()
+        connection.sendall(request("id")[:-1])
+        self.stop()
+        self.assert_end()
+        self.assertEqual(read_answer(connection), b"")
+
     def start_with_limit(self):
         router = self.fleet.router("r2", stop_limit="1s")
         wait_for(lambda: self.fleet.is_ready(router), "ready")
