A router states its use of a version that joined once others recorded their streams

Callers whose streams began while one version served got resume_unknown after all routers were killed just after a second version had joined. Cause: the first router that read of the version stated its use in its record some milliseconds later, while the others had recorded nothing: they had not read the list, or waited for the first read of all records, which began up to 0.9 s after the join. With the router that had stated its use gone, each stream that no record names may have begun at either version.

Now a router states its use a second after it saw the join, and all read the records soon after they start, so that each can write as soon as a version joins. It states it at once where nothing is to be gained: another process stated its use, the base is not listed, or this process has used others as it knew no base.

--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -22,6 +22,11 @@
  * time for a slow answer and one repeated read. */
 #define LIST_READ_MARGIN_MS 600
 
+/* How long routers record what they began at the only version of a service,
+ * before one of them uses others: the list reaches each of them within
+ * LIST_READ_MARGIN_MS, and a record is written 200 ms later at most. */
+#define VERSION_HOLD_MS 1000
+
 /* A peer's suspicion is ignored if the upstream has answered this router
  * within this time. */
 #define LIVENESS_MAX_AGE_MS 300
@@ -291,6 +296,7 @@
     this->software = SoftwareRecords_create(context->base, &software);
     this->gate = VersionGate_create(context->versions,
                                     context->settings->relay.resume_window_ms);
+    VersionGate_setHold(this->gate, VERSION_HOLD_MS);
     OriginRecordsSpec_t records = {
         .source = this->records,
         .topic = form->origin_topic,
@@ -314,6 +320,7 @@
     };
     this->origins = OriginPeers_create(context->base, &spec);
     context->origins = OriginPeers_keeper(this->origins);
+    OriginRecords_scheduleRead(this->origin_records, FALSE);
 }
 
 /* Without datagrams there is no dispatcher, and each router chooses upstreams
--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -12,14 +12,18 @@
 typedef struct {
     char *written_base; /* in the last write; NULL for none */
     char *base;         /* in the last write that was acknowledged, or NULL */
+    char *stated_base;  /* in a statement of another process, or NULL */
     gint64 opened_ms;   /* since when other versions are used, monotonic */
-    gint64 held_ms;     /* since when streams are held; 0 for never */
+    gint64 joined_ms; /* since when there are several; 0 while there is one */
+    gint64 held_ms;   /* since when streams are held; 0 for never */
     gboolean is_used_unstated;
+    gboolean is_used; /* this process may have used others than the base */
 } Gate_t;
 
 struct VersionGate {
     const SoftwareVersions_t *versions;
     gint64 window_ms;
+    gint64 hold_ms;
     guint64 process;
     GHashTable *gates;   /* service -> Gate_t */
     GPtrArray *carried;  /* VersionUse_t of former processes */
@@ -47,6 +51,7 @@
     Gate_t *gate = data;
     g_free(gate->written_base);
     g_free(gate->base);
+    g_free(gate->stated_base);
     g_free(gate);
 }
 
@@ -107,6 +112,12 @@
     this->window_ms = window_ms;
 }
 
+void
+VersionGate_setHold(VersionGate_t *this, gint64 hold_ms)
+{
+    this->hold_ms = hold_ms;
+}
+
 guint64
 VersionGate_process(const VersionGate_t *this)
 {
@@ -150,6 +161,36 @@
     return gate->base && strcmp(gate->base, base) == 0;
 }
 
+/* What others stated counts for the versions that serve side by side now. */
+static void
+note_serving(const VersionGate_t *this, const char *service, guint versions,
+             gint64 now_ms)
+{
+    Gate_t *gate = g_hash_table_lookup(this->gates, service);
+    if (gate && versions < 2) {
+        gate->joined_ms = 0;
+        gate->is_used = FALSE;
+        g_clear_pointer(&gate->stated_base, g_free);
+    }
+    else if (versions > 1) {
+        gate = get_gate(this, service);
+        gate->joined_ms = gate->joined_ms > 0 ? gate->joined_ms : now_ms;
+    }
+}
+
+/* Whether this process may state that it uses others beside the base. Streams
+ * that other routers began at the base count as unknown as soon as one process
+ * stated it and is gone, so that it leaves them time to record these. */
+static gboolean
+may_state(const VersionGate_t *this, const char *service, const Gate_t *gate,
+          const char *base, gint64 now_ms)
+{
+    gboolean is_stated = g_strcmp0(gate->stated_base, base) == 0;
+    return gate->is_used || is_stated ||
+           !SoftwareVersions_isBaseListed(this->versions, service) ||
+           now_ms - gate->joined_ms >= this->hold_ms;
+}
+
 static void
 note_held(Gate_t *gate, const char *service, const char *base, gint64 now_ms)
 {
@@ -163,15 +204,17 @@
 VersionGate_findHeld(VersionGate_t *this, const char *service,
                      gboolean has_unknown, gint64 now_ms)
 {
-    const char *base = SoftwareVersions_findBase(this->versions, service);
-    if (!base) {
-        return NULL;
-    }
     g_autoptr(GPtrArray) serving = list_serving(this, service, now_ms);
+    const char *base = SoftwareVersions_findBase(this->versions, service);
+    note_serving(this, service, serving->len, now_ms);
     if (serving->len < 2 && !has_unknown) {
         return NULL;
     }
     Gate_t *gate = get_gate(this, service);
+    if (!base) {
+        gate->is_used = TRUE;
+        return NULL;
+    }
     if (is_open(gate, base)) {
         return NULL;
     }
@@ -189,6 +232,7 @@
         return;
     }
     gate->is_used_unstated = TRUE;
+    gate->is_used = TRUE;
     log_gate("software_used_unstated", service, base ? base : "",
              gate->held_ms > 0 ? now_ms - gate->held_ms : 0);
 }
@@ -207,10 +251,15 @@
     g_autoptr(GPtrArray) serving =
         list_serving(this, service, listing->now_ms);
     const char *base = SoftwareVersions_findBase(this->versions, service);
+    note_serving(this, service, serving->len, listing->now_ms);
     if (serving->len < 2) {
         return;
     }
     Gate_t *gate = get_gate(this, service);
+    if (base && !may_state(this, service, gate, base, listing->now_ms)) {
+        return;
+    }
+    gate->is_used = TRUE;
     g_free(gate->written_base);
     gate->written_base = g_strdup(base ? base : "");
     for (guint i = 0; i < serving->len; i++) {
@@ -297,6 +346,18 @@
     }
 }
 
+/* A statement names the base beside the versions that joined it. */
+static void
+note_stated(const VersionGate_t *this, const VersionUse_t *use)
+{
+    if (use->process != 0 && use->process != this->process &&
+        strcmp(use->software, use->base) != 0) {
+        Gate_t *gate = get_gate(this, use->service);
+        g_free(gate->stated_base);
+        gate->stated_base = g_strdup(use->base);
+    }
+}
+
 void
 VersionGate_carry(VersionGate_t *this, const VersionUse_t *use, gint64 now_ms)
 {
@@ -322,6 +383,7 @@
 void
 VersionGate_read(VersionGate_t *this, const VersionUse_t *use)
 {
+    note_stated(this, use);
     g_ptr_array_add(this->new_uses, copy_use(use));
 }
 
--- a/src/VersionGate.h
+++ b/src/VersionGate.h
@@ -10,7 +10,8 @@
  * (OriginRecords.h), or while the list shows no upstream of the base. So a
  * stream that no running process knows began at the base, if each process that
  * a record names still runs and would know it, and the base has had a listed
- * upstream all the time (BaseVersion.h).
+ * upstream all the time (BaseVersion.h). A process states its use only once
+ * the others have had the time to record what they began at the base.
  */
 #include "SoftwareVersions.h"
 
@@ -45,6 +46,11 @@
 /** VersionGate_setWindow() - change how long streams may be continued */
 void VersionGate_setWindow(VersionGate_t *this, gint64 window_ms);
 
+/** VersionGate_setHold() - change how long after another version joined its
+ * use may be stated, unless other processes stated theirs or the list shows no
+ * upstream of the base; 0 at first */
+void VersionGate_setHold(VersionGate_t *this, gint64 hold_ms);
+
 /** VersionGate_process() - number of this process, never 0 */
 guint64 VersionGate_process(const VersionGate_t *this);
 
--- a/tests/sessions/test_base_version.py
+++ b/tests/sessions/test_base_version.py
@@ -1,5 +1,6 @@
 """Streams that began before a second software version joined."""
 import json
+import signal
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
@@ -13,6 +14,8 @@
 INTERVAL_S = 0.08
 # How long a request waits at least for a router that joins.
 WAITS_S = 0.5
+# Less than the time after which a router uses a version that joined.
+KILLED_S = 0.5
 
 
 class BaseVersionTest(SoftwareTest):
@@ -179,6 +182,36 @@
             self.assertEqual(answer.status, 200, answer.body)
 
 
+class KilledAtJoinTest(BaseVersionTest):
+    """All routers are killed just after a version has joined, of which some
+    routers have not read yet."""
+
+    def join(self):
+        self.engines += [self.engine(VERSIONS[1])
+                         for _ in range(self.ENGINES_EACH)]
+
+    def begin_until_stated(self, router, limit_s):
+        end = time.monotonic() + limit_s
+        while not router.events("software_stated"):
+            if time.monotonic() > end:
+                return
+            self.begin(router)
+
+    # What one router stated made the streams of all others unknown, which had
+    # recorded nothing.
+    def test_streams_go_on_of_routers_that_did_not_know_the_version(self):
+        first, *others = self.routers
+        begun = [stream for router in others
+                 for stream in self.begin_streams(router)]
+        for router in others:
+            router.signal(signal.SIGSTOP)
+        self.join()
+        self.await_engines(first)
+        self.begin_until_stated(first, KILLED_S)
+        self.restart_all()
+        self.assertEqual(self.continue_streams(begun), len(begun))
+
+
 class UnrecordedJoinTest(BaseVersionTest):
     """A version joins while the store takes no record of it."""
 
--- a/tests/test_VersionGate.c
+++ b/tests/test_VersionGate.c
@@ -5,6 +5,7 @@
 #include "testing.h"
 
 #define WINDOW_MS 30000
+#define HOLD_MS 1000
 #define OTHER 77
 
 static SoftwareVersions_t *versions;
@@ -298,6 +299,89 @@
 }
 END_TEST
 
+/* What one router stated made the streams of others unknown that had not
+ * recorded them yet. */
+START_TEST(a_use_is_stated_once_others_had_time_to_record)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, 2), "v1");
+    gint64 due_ms = 2 + HOLD_MS;
+    ck_assert_uint_eq(write_uses(due_ms - 1), 0);
+    VersionGate_noteWritten(gate, due_ms - 1);
+    ck_assert_str_eq(VersionGate_findHeld(gate, "s", FALSE, due_ms), "v1");
+    ck_assert_uint_eq(write_uses(due_ms), 2);
+    VersionGate_noteWritten(gate, due_ms);
+    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", FALSE, due_ms));
+    destroy();
+}
+END_TEST
+
+START_TEST(a_use_is_stated_at_once_if_the_base_is_not_listed)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    ck_assert_uint_eq(write_uses(2), 0);
+    SoftwareVersions_remove(versions, "a", 3);
+    ck_assert_uint_eq(write_uses(3), 2);
+    destroy();
+}
+END_TEST
+
+START_TEST(a_use_is_stated_at_once_if_others_stated_theirs)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    read_use("v1", "v1", OTHER);
+    ck_assert_uint_eq(write_uses(2), 0);
+    read_use("v0", "v2", OTHER);
+    ck_assert_uint_eq(write_uses(2), 0);
+    read_use("v1", "v2", OTHER);
+    ck_assert_uint_eq(write_uses(2), 2);
+    destroy();
+}
+END_TEST
+
+/* What was stated counts while the versions serve, not for a later join. */
+START_TEST(a_statement_of_others_ends_with_the_join)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    read_use("v1", "v2", OTHER);
+    SoftwareVersions_remove(versions, "b", 3);
+    gint64 later_ms = 4 + WINDOW_MS;
+    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", FALSE, later_ms));
+    join(later_ms);
+    ck_assert_uint_eq(write_uses(later_ms), 0);
+    ck_assert_uint_eq(write_uses(later_ms + HOLD_MS), 2);
+    destroy();
+}
+END_TEST
+
+/* The base became known only later, and the record lost its statement. */
+START_TEST(a_use_before_the_base_was_known_stays_stated)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_clearBases(versions);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    SoftwareVersions_putTarget(versions, "b", "s", "v2", 2);
+    SoftwareVersions_clearBases(versions);
+    ck_assert_ptr_null(VersionGate_findHeld(gate, "s", FALSE, 2));
+    SoftwareVersions_noteBaseBefore(versions, "s", "v1");
+    ck_assert_uint_eq(write_uses(3), 2);
+    destroy();
+}
+END_TEST
+
 TESTING_MAIN("VersionGate",
              nothing_is_held_or_written_while_one_version_serves,
              streams_keep_to_the_base_until_the_record_is_acknowledged,
@@ -314,4 +398,9 @@
              what_builds_without_statements_began_counts,
              a_gap_or_an_older_store_leaves_no_base,
              what_a_former_process_stated_is_stated_for_the_window,
-             streams_whose_time_is_over_are_told_from_others)
+             streams_whose_time_is_over_are_told_from_others,
+             a_use_is_stated_once_others_had_time_to_record,
+             a_use_is_stated_at_once_if_the_base_is_not_listed,
+             a_use_is_stated_at_once_if_others_stated_theirs,
+             a_statement_of_others_ends_with_the_join,
+             a_use_before_the_base_was_known_stays_stated)
