A stream's version does not count as gone before the list was read

Callers that continued a stream at a router which had just started, while the store did not answer yet, got software_gone: only a new request can be served. They gave up streams that could go on some hundred milliseconds later. Cause: without a list the router shows no upstream of any version, which it took for the end of the stream's version, that owners or records had told it.

Such a request is refused as no_upstream, as new ones are, until a part of the list was read; the caller may come back.

--- a/src/ExchangeCapacity.c
+++ b/src/ExchangeCapacity.c
@@ -2,6 +2,7 @@
 
 #include "Clock.h"
 #include "Random.h"
+#include "UpstreamListing.h"
 
 /* Minimum delay before the next choice after limits or backoffs have excluded
  * all upstreams. */
@@ -160,10 +161,17 @@
                     detail);
 }
 
+/* Before the list was read nothing tells which versions serve. */
+static gboolean
+is_list_known(const Exchange_t *this)
+{
+    return UpstreamListing_isKnown(this->context->listing);
+}
+
 void
 ExchangeCapacity_refuse(Exchange_t *this, const Placement_t *placement)
 {
-    if (!Policy_hasSoftware(placement)) {
+    if (!Policy_hasSoftware(placement) && is_list_known(this)) {
         refuse_software_gone(this, placement);
         return;
     }
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -145,6 +145,7 @@
         self.refuse_first = 0  # number of next calls that get 429
         self.turned_away = 0  # calls answered with 429
         self.refused_topics = ()  # topics of writes that get 503
+        self.unread_topics = ()  # topics of reads that get 503
         self.key_errors = "replace"  # how lists show keys that are no text
         super().__init__()
 
@@ -226,6 +227,9 @@
         elif (url.path == "/v1/log-append"
               and query["topic"] in self.refused_topics):
             self.answer(call, 503)
+        elif (url.path != "/v1/log-append"
+              and query["topic"] in self.unread_topics):
+            self.answer(call, 503)
         elif url.path == "/v1/log-append":
             records = []
             while body:
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -315,6 +315,40 @@
             self.assert_refused(self.routers[1], stream, "software_gone")
 
 
+class UnreadListTest(SoftwareTest):
+    """All routers restart, and the store does not tell them the list yet."""
+
+    TOPIC = "keyed.servers"
+
+    def restart_without_list(self):
+        for router in self.routers:
+            router.kill()
+        self.routers.clear()
+        self.fleet.store.unread_topics = (self.TOPIC,)
+        for number in range(self.ROUTERS):
+            self.routers.append(self.start_router("r%d" % (number + 1)))
+        for router in self.routers:
+            router.wait_event("config_in_force")
+            router.wait_event("origins_restored")
+
+    # A router that had read no list told callers that the version had ended,
+    # which then gave up a stream that could go on.
+    def test_streams_are_refused_until_it_is_read_and_go_on_then(self):
+        begun = self.begin_streams(self.routers[0])
+        time.sleep(RECORD_S)
+        self.restart_without_list()
+        for stream in begun:
+            answer = self.go_on(self.routers[1], stream)
+            self.assertEqual(answer.status, 503, answer.body)
+            self.assertEqual(json.loads(answer.body)["error"]["code"],
+                             "no_upstream")
+        self.fleet.store.unread_topics = ()
+        for router in self.routers:
+            self.await_engines(router)
+        for stream in begun:
+            self.assert_goes_on(self.routers[1], stream)
+
+
 class ReplacedVersionTest(SoftwareTest):
     """One version replaces the other while no router runs."""
 
