A request that is lost at an engine that works goes on elsewhere

What callers saw: a stream that may go on waited without an event until its caller gave up or its deadline passed, beside engines that were free.

Cause: an engine that is silent for a request and answers its probe counts as busy, and the request waits for it. But the connection may be dead while the engine works, or the engine may have dropped the request. The class: the state of one request is taken from that of its upstream.

Why this holds: the report that answers the probe lists the requests that the engine runs, with the events made, and how many wait. A request is lost if the report, newer than its last byte by more than reports lag, neither lists it nor any that wait, or counts more events than came. Only then, and only if it may be sent again, it goes on elsewhere by the existing ways. Engines whose reports list nothing are waited for as before.

--- a/src/OrderForm.h
+++ b/src/OrderForm.h
@@ -18,6 +18,9 @@
  * @loading: whether the engine is changing its weights
  * @sequence: number of orders accepted so far; 0 if the format has none
  * @queued: number of requests that the engine has not started
+ * @runs: table of the caller, or NULL; gets the ids of the requests that run,
+ *     and the number of events made for each as GUINT_TO_POINTER()
+ * @lists_runs: whether the state lists the requests that run
  */
 typedef struct {
     guint64 incarnation;
@@ -25,6 +28,8 @@
     gboolean loading;
     guint64 sequence;
     guint queued;
+    GHashTable *runs;
+    gboolean lists_runs;
 } EngineState_t;
 
 /**
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -105,6 +105,7 @@
  *     forwarded
  * @keep_reason: why the attempt under way is kept although its upstream is
  *     silent; REFUSAL_COUNT for none
+ * @is_lost: the attempt's engine has said that nothing more comes of it
  * @next_hedge_ms: earliest time of the next hedged attempt, monotonic
  */
 struct RelayExchange {
@@ -139,6 +140,7 @@
     gboolean is_whole;
     gboolean has_upstream_error;
     Refusal_t keep_reason;
+    gboolean is_lost;
     gint64 next_hedge_ms;
 };
 
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -279,3 +279,12 @@
     note_silent(this);
     return this->upstream->unanswered > 0;
 }
+
+void
+RelayFeedback_askRuns(const RelayFeedback_t *this)
+{
+    if (this->context->settings->relay.probe_silent &&
+        EngineRuns_mayAsk(this->upstream->runs, Clock_nowMs())) {
+        Upstream_noteSilent(this->upstream);
+    }
+}
--- a/src/RelayFeedback.h
+++ b/src/RelayFeedback.h
@@ -92,4 +92,8 @@
  */
 gboolean RelayFeedback_noteSilence(const RelayFeedback_t *this);
 
+/** RelayFeedback_askRuns() - with the setting probe_silent, have the upstream
+ * probed for the requests that it runs, unless it was a short while ago */
+void RelayFeedback_askRuns(const RelayFeedback_t *this);
+
 #endif
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -297,9 +297,58 @@
                CLOCK_US_PER_MS;
 }
 
-/* A silent upstream is given up only if a probe was unanswered as well and the
- * request may be sent to another upstream. A busy upstream is waited for, as
- * the request would lose its place in the queue. */
+static void
+note_lost(RelayExchange_t *this, gint64 since_ms)
+{
+    const Exchange_t *super = &this->super;
+    if (this->is_lost) {
+        return;
+    }
+    this->is_lost = TRUE;
+    Log_begin(LOG_LEVEL_INFO, "attempt_lost");
+    Log_text("request", super->id->str);
+    Log_text("upstream", super->upstream->name->str);
+    Log_number("events", (gint64)EventPipe_countPassed(this->event_pipe));
+    Log_number("silent_ms", Clock_nowMs() - since_ms);
+    Log_number("left_ms", super->deadline_ms - Clock_nowMs());
+    Log_end();
+    Counters_add(super->context->counters, "attempts_lost_total", NULL, 1);
+}
+
+/* The engine counts the events of a stream that its caller continues from an
+ * unknown one on. */
+static guint64
+count_events(const RelayExchange_t *this)
+{
+    return this->request.last_event_id
+               ? G_MAXUINT64
+               : EventPipe_countPassed(this->event_pipe);
+}
+
+/* An engine that works may have nothing more for a request, see EngineRuns. */
+static gboolean
+is_lost(RelayExchange_t *this)
+{
+    const Exchange_t *super = &this->super;
+    gint64 sent_us = super->started_us + super->attempt_trace->started_us;
+    gint64 since_ms = MAX(sent_us, this->last_event_us) / CLOCK_US_PER_MS;
+    if (!this->event_pipe || !this->route->by_prefix ||
+        !Exchange_mayRetry(super)) {
+        return FALSE;
+    }
+    if (EngineRuns_isLost(super->upstream->runs, super->id->str,
+                          count_events(this), since_ms)) {
+        note_lost(this, since_ms);
+        return TRUE;
+    }
+    RelayFeedback_askRuns(&this->feedback);
+    return FALSE;
+}
+
+/* A silent upstream is given up only if a probe was unanswered as well, or it
+ * has nothing more for the request, which may be sent to another upstream. A
+ * busy upstream is waited for, as the request would lose its place in the
+ * queue. */
 static SilenceAction_t
 on_silent(void *owner)
 {
@@ -316,8 +365,9 @@
     if (awaits_first_token && has_time_left(super)) {
         return SILENCE_WAIT;
     }
-    gboolean may_move = RelayFeedback_noteSilence(&this->feedback) &&
-                        Exchange_mayRetry(super) && may_retry(this);
+    gboolean is_over =
+        RelayFeedback_noteSilence(&this->feedback) || is_lost(this);
+    gboolean may_move = is_over && Exchange_mayRetry(super) && may_retry(this);
     return may_move && !this->run_events->hedge(this) ? SILENCE_GIVE_UP
                                                       : SILENCE_WAIT;
 }
@@ -448,6 +498,7 @@
                          destination->choice.reason);
     super->attempt_trace->candidates = destination->choice.candidates;
     this->keep_reason = REFUSAL_COUNT;
+    this->is_lost = FALSE;
     RelayFeedback_begin(&this->feedback, super->context, super->id->str,
                         destination);
     this->attempt = RelayRun_send(this, destination, &attempt_events, this);
@@ -462,6 +513,7 @@
     EventPipe_restart(this->event_pipe);
     Exchange_noteAttempt(super, feedback->upstream, reason);
     this->keep_reason = REFUSAL_COUNT;
+    this->is_lost = FALSE;
     super->attempt_trace->started_us = started_us - super->started_us;
     this->is_stream = TRUE;
     this->feedback = *feedback;
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -35,6 +35,7 @@
     this->weights = g_string_new(NULL);
     this->software = g_string_new(NULL);
     this->prefill_us_per_token = INITIAL_PREFILL_US_PER_TOKEN;
+    this->runs = EngineRuns_create();
     this->base = base;
     this->idle_max = idle_max;
     this->references = 1;
@@ -77,6 +78,7 @@
     g_string_free(this->region, TRUE);
     g_string_free(this->weights, TRUE);
     g_string_free(this->software, TRUE);
+    EngineRuns_destroy(this->runs);
     g_ptr_array_unref(this->serves);
     g_free(this);
 }
@@ -119,6 +121,7 @@
 reset_incarnation_state(Upstream_t *this)
 {
     EngineMemory_clear(&this->memory);
+    EngineRuns_clear(this->runs);
     close_idle_connections(this);
     this->leaving = FALSE;
     this->leaving_ms = 0;
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -14,6 +14,7 @@
 #include "Declarations.h"
 #include "EngineBacklog.h"
 #include "EngineMemory.h"
+#include "EngineRuns.h"
 #include "PooledConnection.h"
 #include "TransferLink.h"
 #include "UpstreamBackoff.h"
@@ -77,6 +78,7 @@
  * @limit: limit of the requests from all routers together
  * @backoff: backoff that it asked of this router
  * @memory: turnover of its cache
+ * @runs: requests that it runs, by its own word
  * @link: link over which cached prefixes are copied to and from it
  * @base: event base of its connections
  * @waiters: UpstreamWaiter_t of the requests that are assigned to it
@@ -135,6 +137,7 @@
     UpstreamLimit_t limit;
     UpstreamBackoff_t backoff;
     EngineMemory_t memory;
+    EngineRuns_t *runs;
     TransferLink_t link;
 
     struct event_base *base;
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -37,6 +37,7 @@
     NoticeOrigin_t origin;
     HttpCall_t *call; /* NULL during a pause */
     gint64 next_ms;
+    gint64 asked_ms;       /* when the last probe was sent */
     gint64 failed_ms;      /* when the probe became needed */
     gint64 peers_until_ms; /* until then only other routers probe */
     guint probe_count;
@@ -117,16 +118,33 @@
 /* The upstream may have started again since the entry of the list that this
  * router knows, with other software. */
 static void
-note_incarnation(const Probe_t *probe, const HttpAnswer_t *answer)
+note_state(const Probe_t *probe, const EngineState_t *state)
 {
-    const UpstreamProberSpec_t *spec = &probe->owner->spec;
     Upstream_t *upstream = probe->upstream;
-    EngineState_t state = {.weights = g_string_new(NULL)};
-    if (spec->read_state && probe->is_of_engine &&
-        spec->read_state(answer, &state) && state.incarnation > 0 &&
-        Upstream_noteIncarnation(upstream, state.incarnation, Clock_nowMs())) {
+    if (state->incarnation > 0 &&
+        Upstream_noteIncarnation(upstream, state->incarnation,
+                                 Clock_nowMs())) {
         log_probe(probe, "upstream_reborn", "answered");
     }
+    if (state->lists_runs) {
+        EngineRuns_replace(upstream->runs, g_hash_table_ref(state->runs),
+                           state->queued, probe->asked_ms);
+    }
+}
+
+static void
+read_state(const Probe_t *probe, const HttpAnswer_t *answer)
+{
+    const UpstreamProberSpec_t *spec = &probe->owner->spec;
+    EngineState_t state = {
+        .weights = g_string_new(NULL),
+        .runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+    };
+    if (spec->read_state && probe->is_of_engine &&
+        spec->read_state(answer, &state)) {
+        note_state(probe, &state);
+    }
+    g_hash_table_unref(state.runs);
     g_string_free(state.weights, TRUE);
 }
 
@@ -138,7 +156,7 @@
         Counters_add(spec->counters, "upstream_silent_but_alive_total", NULL,
                      1);
     }
-    note_incarnation(probe, answer);
+    read_state(probe, answer);
     Upstream_noteReachable(probe->upstream, Clock_nowMs());
     UpstreamNotices_applyAnswer(spec->notices, &probe->origin, answer);
     broadcast_reachable(probe);
@@ -202,6 +220,7 @@
         .accepts_close_delimited = TRUE,
     };
     probe->probe_count++;
+    probe->asked_ms = Clock_nowMs();
     probe->is_of_silent = probe->upstream->probe_wanted;
     probe->is_of_engine = path == this->spec.state_path;
     probe->origin = NoticeOrigin_begin(probe->upstream, NULL);
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -486,7 +486,56 @@
 }
 END_TEST
 
+static void
+read_runs(const char *runs, EngineState_t *out)
+{
+    g_autofree char *text =
+        g_strdup_printf("{\"models\":[{\"version\":2}],\"runs\":%s}", runs);
+    HttpAnswer_t answer = {
+        .status = 200, .body = text, .length = strlen(text)};
+    *out = (EngineState_t){
+        .weights = g_string_new(NULL),
+        .runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+    };
+    ck_assert(Fleet_form.orders->read_state(&answer, out));
+}
+
+static void
+clear_state(EngineState_t *state)
+{
+    g_hash_table_unref(state->runs);
+    g_string_free(state->weights, TRUE);
+}
+
+START_TEST(report_lists_the_requests_that_run)
+{
+    EngineState_t state;
+    read_runs("[[\"a\",300,4,5],[\"b\",10,-1,0],[\"c\"],7,[8,1,1,1]]", &state);
+    ck_assert(state.lists_runs);
+    ck_assert_uint_eq(g_hash_table_size(state.runs), 3);
+    ck_assert_uint_eq(GPOINTER_TO_UINT(g_hash_table_lookup(state.runs, "a")),
+                      4);
+    ck_assert_uint_eq(GPOINTER_TO_UINT(g_hash_table_lookup(state.runs, "b")),
+                      0);
+    clear_state(&state);
+}
+END_TEST
+
+START_TEST(report_without_a_list_of_runs_says_nothing_of_them)
+{
+    static const char *const others[] = {"null", "{}", "3"};
+    for (gsize i = 0; i < G_N_ELEMENTS(others); i++) {
+        EngineState_t state;
+        read_runs(others[i], &state);
+        ck_assert(!state.lists_runs);
+        clear_state(&state);
+    }
+}
+END_TEST
+
 TESTING_MAIN("Fleet", start_in_the_far_future_is_unknown,
+             report_lists_the_requests_that_run,
+             report_without_a_list_of_runs_says_nothing_of_them,
              only_this_router_says_that_it_forwards,
              router_that_refuses_a_service_may_serve_others,
              customer_limits_are_decoded, configuration_is_decoded,
