A message of a library that repeats is counted, not logged each time

What callers saw: nothing; a router that waited for a descriptor for its listener wrote 50 lines a second, for as long as that lasted.

Why the fix works: a message equal to the last one within a second is counted and told with the next. Another message is logged at once.

--- a/src/Diagnostics.c
+++ b/src/Diagnostics.c
@@ -8,12 +8,15 @@
 #include <ucontext.h>
 #include <unistd.h>
 
+#include "Clock.h"
 #include "Log.h"
 
 #define HEX_DIGITS 16
 #define BITS_PER_DIGIT 4
 #define LINE_SIZE 256
 #define STACK_BYTES 32768
+/* A message that comes again within this time is only counted. */
+#define REPEAT_INTERVAL_MS 1000
 
 /* Defined by the linker; addr2line takes offsets from it. */
 extern const char __executable_start;
@@ -23,12 +26,40 @@
 /* The stack may be what ran out. */
 static char signal_stack[STACK_BYTES];
 
+/* What is tried again and again fails with the same message each time, such as
+ * opening a socket without descriptors. */
+static gboolean
+is_repeated(const char *text, guint *repeated)
+{
+    static char last[LINE_SIZE];
+    static gint64 logged_ms;
+    static guint count;
+    gint64 now_ms = Clock_nowMs();
+    gboolean is_same = strncmp(text, last, sizeof(last) - 1) == 0;
+    if (is_same && now_ms - logged_ms < REPEAT_INTERVAL_MS) {
+        count++;
+        return TRUE;
+    }
+    *repeated = is_same ? count : 0;
+    count = 0;
+    logged_ms = now_ms;
+    g_strlcpy(last, text, sizeof(last));
+    return FALSE;
+}
+
 static void
 log_message(LogLevel_t level, const char *library, const char *text)
 {
+    guint repeated = 0;
+    if (is_repeated(text, &repeated)) {
+        return;
+    }
     Log_begin(level, "library_message");
     Log_text("library", library);
     Log_text("text", text);
+    if (repeated > 0) {
+        Log_number("repeated", repeated);
+    }
     Log_end();
 }
 
--- a/tests/test_Diagnostics.c
+++ b/tests/test_Diagnostics.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "Clock.h"
 #include "Diagnostics.h"
 #include "Log.h"
 
@@ -61,4 +62,34 @@
 }
 END_TEST
 
-TESTING_MAIN("Diagnostics", messages_of_libraries_are_log_lines)
+static guint
+count_lines(const char *text)
+{
+    guint lines = 0;
+    for (const char *at = strstr(output, text); at;
+         at = strstr(at + 1, text)) {
+        lines++;
+    }
+    return lines;
+}
+
+/* A start that waited for a descriptor wrote 50 lines a second. */
+START_TEST(a_message_that_repeats_is_counted)
+{
+    begin();
+    for (gint64 ms = 0; ms <= 2000; ms += 20) {
+        Clock_freeze((1000 + ms) * CLOCK_US_PER_MS);
+        g_log("parts", G_LOG_LEVEL_WARNING, "none left");
+    }
+    g_log("parts", G_LOG_LEVEL_WARNING, "some left");
+    g_log("parts", G_LOG_LEVEL_WARNING, "none left");
+    Clock_freeze(0);
+    end();
+    ck_assert_uint_eq(count_lines("text=\"none left\""), 4);
+    ck_assert_uint_eq(count_lines("text=\"none left\" repeated=49"), 2);
+    ck_assert_uint_eq(count_lines("text=\"some left\""), 1);
+}
+END_TEST
+
+TESTING_MAIN("Diagnostics", messages_of_libraries_are_log_lines,
+             a_message_that_repeats_is_counted)
