No call is left behind as a router ends

Callers saw nothing. A router under the sanitizers that ended at its stop_limit, while an engine had not answered the call that cancels a stream, reported memory that was left behind and ended with 1.

That call has no owner which would cancel it, so that it survived the modules and the last turn of the event loop. Its callback uses nothing, so that no freed memory was touched; but nothing but luck said so.

The test that stops an engine for good before its router failed before (run once: a report of leaks, code 1).

HttpCall knows its open calls, and the router frees them once their owners are gone, before the last turn.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -40,8 +40,11 @@
     gsize answer_max;
     gsize received_bytes;
     gint64 received_ms; /* when the last of them came */
+    GList link;         /* in open_calls */
 };
 
+static GQueue open_calls; /* HttpCall_t */
+
 void
 Http_setNoDelay(struct evhttp_connection *connection)
 {
@@ -89,6 +92,7 @@
         Http_abort(this->connection);
     }
     total_bytes -= this->received_bytes;
+    g_queue_unlink(&open_calls, &this->link);
     event_free(this->deadline);
     event_free(this->connect_deadline);
     event_free(this->silence);
@@ -375,6 +379,8 @@
     this->accepts_close_delimited = spec->accepts_close_delimited;
     this->late_ms = spec->late_ms;
     this->answer_max = spec->answer_max;
+    this->link.data = this;
+    g_queue_push_tail_link(&open_calls, &this->link);
     this->deadline = Clock_timer(base, on_deadline, this);
     this->connect_deadline = Clock_timer(base, on_connect_deadline, this);
     this->silence = Clock_timer(base, on_silence, this);
@@ -426,6 +432,14 @@
     Clock_arm(this->reaper, 0);
 }
 
+void
+HttpCall_abandonAll(void)
+{
+    while (open_calls.length > 0) {
+        HttpCall_destroy(open_calls.head->data);
+    }
+}
+
 GBytes *
 Http_copyBody(struct evhttp_request *request)
 {
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -92,6 +92,10 @@
 /** HttpCall_cancel() - close the connection; the callback is not called */
 void HttpCall_cancel(HttpCall_t *this);
 
+/** HttpCall_abandonAll() - free all calls, also those that nobody owns; as the
+ * process ends, once their owners are gone. No callback is called. */
+void HttpCall_abandonAll(void);
+
 /** HttpCall_isReceiving() - whether a long answer is arriving, and some of it
  * came lately */
 gboolean HttpCall_isReceiving(const HttpCall_t *this);
--- a/src/Router.c
+++ b/src/Router.c
@@ -17,6 +17,7 @@
 #include "DescriptorReserve.h"
 #include "EngineHttp.h"
 #include "Errors.h"
+#include "HttpCall.h"
 #include "LingeringClose.h"
 #include "ListenRetry.h"
 #include "ListenerDrain.h"
@@ -667,6 +668,7 @@
     UpstreamNotices_destroy(this->context.notices);
     UpstreamLimits_destroy(this->context.upstream_limits);
     Membership_destroy(this->context.membership);
+    HttpCall_abandonAll();
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
 }
 
--- a/tests/sessions/test_last_turn.py
+++ b/tests/sessions/test_last_turn.py
@@ -5,6 +5,7 @@
 import unittest
 
 import test_fleet
+from cluster import Cluster
 
 REQUEST = (b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
            b"X-Request-Id: s1\r\nApi-Key: key-a\r\nX-Deadline-Ms: 20000\r\n"
@@ -115,5 +116,28 @@
         self.assertEqual(router.events("operators_available"), [])
 
 
+class UnansweredCancelTest(unittest.TestCase):
+    """An engine that answers nothing is told to cancel a stream as its router
+    ends."""
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.engine = self.cluster.engine("e1", decode_ms=100)
+
+    # The call that cancels it was left behind.
+    def test_a_stream_that_is_cut_off_leaves_no_call(self):
+        router = self.cluster.start(
+            "r1", stop_grace="100ms\nstop_limit = 600ms")
+        stream = router.stream({"model": "m", "prompt": "What is open today?",
+                                "max_tokens": 500})
+        stream.read(2)
+        self.engine.signal(signal.SIGSTOP)
+        self.addCleanup(self.engine.signal, signal.SIGCONT)
+        router.signal(signal.SIGTERM)
+        self.assertEqual(router.process.wait(60), 0)
+        self.assertEqual(router.faults(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
