Stop soak: callers of HTTP/1.0, requests that arrive in parts, changed settings

The soak of stops asked HTTP/1.1 callers only, which send a request in one write, and its SIGHUP changed nothing. Two callers of HTTP/1.0 and two whose requests arrive in five parts, up to 0.4 s apart, are added, and a read_timeout of 1 s or 30 s that a SIGHUP brings.

check_events took any stream that ends with its connection for one whose end nobody marked. It is one only if an upstream of it marked no end; else a stream that ends in an orderly way has all its events. This is stricter than before.

--- a/tests/answers.py
+++ b/tests/answers.py
@@ -279,7 +279,10 @@
         seals.append(seal)
     if not may_go_on and len(set(seals)) > 1:
         return "events of two runs"
-    if not answer.is_whole or answer.is_open:
+    is_open = answer.is_open and any(
+        runs[seal].is_open
+        for seal in [answer.headers["x-server-seal"], *seals])
+    if not answer.is_whole or is_open:
         return None
     if rest:
         return "a part of an event"
@@ -364,7 +367,7 @@
             data += request_bytes(
                 method, path, request_id, body, version=self.version,
                 wait_ms=self.rng.choice((300, 900, 3000)))
-        self.connection.socket.sendall(data)
+        self.send(data)
         for request_id, method, path in asked:
             answer = self.connection.read_answer(request_id, method)
             if answer is None:
@@ -379,6 +382,9 @@
                                % self.connection.buffer[:80])
             self.drop()
 
+    def send(self, data):
+        self.connection.socket.sendall(data)
+
     def is_kept(self, answer):
         return answer.is_whole and not answer.is_open and \
             self.version == "1.1" and \
--- a/tools/stop_soak.py
+++ b/tools/stop_soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """A seeded soak test of requests under way while routers are stopped in
-series, killed, frozen and changed, and upstreams send heads that are cut and
-bytes without end. Checks that each request which an upstream ran, at a router
+series, killed, frozen and changed, also in their settings, and upstreams send
+heads that are cut and bytes without end. Checks that each request which an upstream ran, at a router
 that nobody killed, gets an answer; that no answer is another one's or looks
 whole without being so; that what may run once does, and what is refused as
 not run did not run; and that no router ends by itself or uses much memory.
@@ -11,6 +11,7 @@
 import collections
 import os
 import random
+import re
 import signal
 import sys
 import threading
@@ -30,6 +31,11 @@
 CALLERS = 16
 SLOW_CALLERS = 4
 SLOW_BYTES_PER_S = 40000
+OLD_CALLERS = 2  # of HTTP/1.0, whose answers may end with their connection
+PIECEMEAL_CALLERS = 2  # whose requests arrive in parts
+PARTS = 5
+PART_PAUSE_S = 0.4  # at most, between two of them
+READ_TIMEOUTS = ("1s", "30s")  # the shorter one is less than HANG_S
 STOP_LIMIT = "3s"
 # Weights of what an upstream does in place of an ordinary or faulty answer.
 STRANGE = (("ordinary", 20), ("cut_head", 2), ("endless", 1))
@@ -76,12 +82,21 @@
 class SoakCaller(Caller):
     """Notes which requests ended without an answer, and at which router."""
 
-    def __init__(self, soak, seed, end, **more):
+    def __init__(self, soak, seed, end, is_piecemeal=False, **more):
         super().__init__(seed, soak.runs, soak.pick_port, end, **more)
         self.soak = soak
+        self.is_piecemeal = is_piecemeal
         self.unanswered = []  # (request id, router, seconds since it was sent)
         self.not_run = set()
 
+    def send(self, data):
+        """A router may answer, and close, before it has read the rest."""
+        step = len(data) // PARTS + 1 if self.is_piecemeal else len(data)
+        for at in range(0, len(data), step):
+            self.connection.socket.sendall(data[at:at + step])
+            if self.is_piecemeal:
+                time.sleep(self.rng.uniform(0, PART_PAUSE_S))
+
     def ask(self):
         router = self.soak.by_port[self.connection.socket.getpeername()[1]]
         asked = self.Watched(self)
@@ -202,6 +217,18 @@
             router.signal(number)
         return router
 
+    def change_settings(self):
+        """The shorter limit holds for connections that begin afterwards."""
+        router = self.rng.choice(list(self.by_port.values()))
+        with open(router.path) as file:
+            text = re.sub(r"(?m)^read_timeout = .*\n", "", file.read())
+        with open(router.path + ".new", "w") as file:
+            file.write(text.replace("[limits]\n", "[limits]\nread_timeout = %s\n"
+                                    % self.rng.choice(READ_TIMEOUTS)))
+        os.replace(router.path + ".new", router.path)
+        if router.process.poll() is None:
+            router.signal(signal.SIGHUP)
+
     def freeze(self):
         router = self.signal_one(signal.SIGSTOP)
         time.sleep(self.rng.uniform(0.05, 0.8))
@@ -222,6 +249,7 @@
             "stop": lambda: self.end_in_background(signal.SIGTERM),
             "kill": lambda: self.end_in_background(signal.SIGKILL),
             "hup": lambda: self.signal_one(signal.SIGHUP),
+            "settings": self.change_settings,
             "freeze": self.freeze,
             "config": self.fleet.config,
             "release": self.replace_upstream,
@@ -282,6 +310,12 @@
         callers += [SoakCaller(self, self.seed * 1000 + CALLERS + n, end,
                                rate=SLOW_BYTES_PER_S)
                     for n in range(SLOW_CALLERS)]
+        others = self.seed * 1000 + CALLERS + SLOW_CALLERS
+        callers += [SoakCaller(self, others + n, end, version="1.0")
+                    for n in range(OLD_CALLERS)]
+        callers += [SoakCaller(self, others + OLD_CALLERS + n, end,
+                               is_piecemeal=True)
+                    for n in range(PIECEMEAL_CALLERS)]
         for caller in callers:
             caller.start()
         while time.monotonic() < end:
