A router that has not read the records yet waits for them before a stream is unknown

Callers that continued their streams got resume_unknown from routers that had just started and were ready, while the store answered late: what began the streams stood in the records on the store, which were still being read. Cause: a query ended 0.25 s after the owners were asked, whether or not the records were read, and callers give up at resume_unknown. New streams began meanwhile.

Such a query now waits for the records for up to a second, the time for which others wait for the list, unless what the others replied suffices.

--- a/src/OriginQueries.c
+++ b/src/OriginQueries.c
@@ -14,6 +14,8 @@
 /* How long a query waits for the end of the list: until the router that reads
  * for the others has read again. */
 #define LIST_TIMEOUT_MS 1000
+/* How long a query waits at a router that has not read the records yet. */
+#define LEARN_TIMEOUT_MS 1000
 
 struct OriginQuery {
     guint64 ticket;
@@ -223,11 +225,32 @@
     }
 }
 
+/* Whether a query that has expired waits for the records all the same, which
+ * may state what began the stream. */
+static gboolean
+awaits_records(const OriginQueries_t *this, const OriginQuery_t *query,
+               gint64 now_ms)
+{
+    return !OriginFacts_isLearned(this->facts) && !find_only(this, query) &&
+           now_ms - query->asked_ms < LEARN_TIMEOUT_MS;
+}
+
+static gboolean
+is_over(const OriginQueries_t *this, const OriginQuery_t *query, gint64 now_ms)
+{
+    gboolean has_expired =
+        now_ms >= query->expires_ms && !awaits_records(this, query, now_ms);
+    return has_expired || is_exhausted(this, query);
+}
+
 static void
 schedule_query(const OriginQueries_t *this, const OriginQuery_t *query,
                gint64 now_ms)
 {
-    gint64 due_ms = MIN(AskedRouters_dueMs(query->asked), query->expires_ms);
+    gint64 expires_ms = query->expires_ms > now_ms
+                            ? query->expires_ms
+                            : query->asked_ms + LEARN_TIMEOUT_MS;
+    gint64 due_ms = MIN(AskedRouters_dueMs(query->asked), expires_ms);
     gboolean is_waiting = !OriginFacts_isLearned(this->facts) ||
                           awaits_list(this, query) || query->asks_all ||
                           !is_settled(this);
@@ -525,7 +548,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &query)) {
         const OriginQuery_t *open = query;
         check_base(this, query, now_ms);
-        if (now_ms >= open->expires_ms || is_exhausted(this, open)) {
+        if (is_over(this, open, now_ms)) {
             g_array_append_val(expired, open->ticket);
         }
         else {
--- a/tests/sessions/test_software.py
+++ b/tests/sessions/test_software.py
@@ -241,6 +241,33 @@
             self.assertIn(b"resume_unknown", answer.body)
 
 
+class SlowStoreTest(SoftwareTest):
+    """All routers restart while the store answers late."""
+
+    LIST_S = 0.5  # longer than a router waits for owners
+
+    # A router that was ready refused streams for as long as it had not read
+    # the records that state what began them.
+    def test_streams_go_on_once_the_records_were_read(self):
+        begun = self.begin_streams(self.routers[0])
+        time.sleep(RECORD_S)
+
+        def slow_down():
+            self.fleet.store.list_s = self.LIST_S
+
+        self.restart_all(slow_down)
+        with ThreadPoolExecutor(len(begun)) as pool:
+            answers = [pool.submit(
+                self.fleet.ask, self.routers[number % self.ROUTERS], "/ask/x",
+                Resumes=stream.request_id, X_Prompt_Prefix=stream.prompt,
+                Last_Event_Id=str(EVENTS_READ - 1))
+                for number, stream in enumerate(begun)]
+        for stream, answer in zip(begun, answers):
+            self.assertEqual(answer.result().status, 200, answer.result().body)
+            self.assertEqual(versions_of(answer.result().body),
+                             {stream.engine.piece})
+
+
 class RefusalTest(SoftwareTest):
     """Streams that can't go on are refused at once, before anything runs."""
 
