An answer behind "100 Continue" is read though its connection ends

What callers saw: 502 for a request that its upstream had answered. A call that may run once had run, and the caller could not know.

Cause: evhttp reads on behind "100 Continue" in a later turn of the loop. Where the final answer came in the same segment and the upstream closed behind it, the end of the connection was seen first, and the answer that lay in the buffer was thrown away. The class: input is looked at only after the state of its connection.

Why this works: whole heads of "100 Continue" at the start of the input are dropped before evhttp reads it, so that it finds the final head in its first turn. They count against the limit of interim answers as before. Other interim answers are not touched.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -6,6 +6,7 @@
 #include "Clock.h"
 #include "DescriptorReserve.h"
 #include "HttpCall.h"
+#include "InterimHeads.h"
 
 /* Bytes that one read may add beyond the largest event, framing included. */
 #define INPUT_MARGIN 65536
@@ -83,6 +84,26 @@
     }
 }
 
+static void
+count_interim(AttemptConnection_t *this, guint count)
+{
+    this->interim_answers += count;
+    if (this->interim_answers > INTERIM_ANSWERS_MAX &&
+        !this->input_oversized) {
+        end_oversized(this);
+    }
+}
+
+/* A head that arrives in pieces is left to evhttp. */
+static void
+drop_interim_heads(AttemptConnection_t *this, struct evbuffer *buffer)
+{
+    if (!this->is_head_begun) {
+        count_interim(this, InterimHeads_drop(buffer));
+        this->is_head_begun = evbuffer_get_length(buffer) > 0;
+    }
+}
+
 /* evhttp passes a chunk on only once it is complete, so an endless chunk would
  * fill the input buffer without limit. */
 static void
@@ -99,7 +120,9 @@
         end_dropped(this);
         return;
     }
-    check_chunks(this, buffer, info->n_added);
+    drop_interim_heads(this, buffer);
+    check_chunks(this, buffer,
+                 MIN(info->n_added, evbuffer_get_length(buffer)));
     if (this->input_oversized || HeadCheck_isBroken(&this->head)) {
         return;
     }
@@ -117,11 +140,7 @@
     if (!BodyFraming_skipInterim(request)) {
         return FALSE;
     }
-    this->interim_answers++;
-    if (this->interim_answers > INTERIM_ANSWERS_MAX &&
-        !this->input_oversized) {
-        end_oversized(this);
-    }
+    count_interim(this, 1);
     return TRUE;
 }
 
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -92,6 +92,7 @@
  * @head: the check of the answer's heads
  * @chunks: the check of the body's chunks
  * @interim_answers: number of interim answers received
+ * @is_head_begun: evhttp may have read a part of the head under way
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
  * @starting: AttemptConnection_send() has not returned
@@ -129,6 +130,7 @@
     HeadCheck_t head;
     ChunkCheck_t chunks;
     guint interim_answers;
+    gboolean is_head_begun;
     gint64 last_received_ms;
     gboolean starting;
     gboolean sent;
