HttpCall reads an answer behind "100 Continue" though its connection ends

What callers saw: native calls to plain services ended as 502 where the upstream sent "100 Continue" and the answer at once and closed.

Why this works: whole heads of "100 Continue" at the start of the input are dropped before evhttp reads it. The lines of all heads are counted and limited before that, as they were.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -12,6 +12,7 @@
 #include "DescriptorReserve.h"
 #include "Errors.h"
 #include "HeadCheck.h"
+#include "InterimHeads.h"
 #include "OutgoingSocket.h"
 
 /* Longer answers are long. */
@@ -41,8 +42,9 @@
     ChunkCheck_t chunks;
     gsize answer_max;
     gsize received_bytes;
-    gint64 received_ms; /* when the last of them came */
-    GList link;         /* in open_calls */
+    gboolean is_head_begun; /* evhttp may have read a part of a head */
+    gint64 received_ms;     /* when the last of them came */
+    GList link;             /* in open_calls */
 };
 
 static GQueue open_calls; /* HttpCall_t */
@@ -275,6 +277,16 @@
     }
 }
 
+/* A head that arrives in pieces is left to evhttp. */
+static void
+drop_interim_heads(HttpCall_t *this, struct evbuffer *buffer)
+{
+    if (!this->is_head_begun) {
+        (void)InterimHeads_drop(buffer);
+        this->is_head_begun = evbuffer_get_length(buffer) > 0;
+    }
+}
+
 /* An answer that arrives slowly is not late: a repeated call would compete
  * with it for the same link. */
 static void
@@ -288,7 +300,9 @@
         this->received_ms = Clock_nowMs();
         drop_broken_head(this, buffer, info->n_added);
         check_length(this);
-        check_chunks(this, buffer, info->n_added);
+        drop_interim_heads(this, buffer);
+        check_chunks(this, buffer,
+                     MIN(info->n_added, evbuffer_get_length(buffer)));
     }
     if (info->n_added > 0 && this->done && this->late_ms > 0) {
         Clock_arm(this->silence, this->late_ms);
