An engine that carries out an order is not asked which requests it lost

By reading: a report while an order is in progress may list a request that waits for its end neither as run nor as waiting, so that it would be taken for lost and sent again.

--- a/src/IniFile.c
+++ b/src/IniFile.c
@@ -4,10 +4,10 @@
 
 #include "Problem.h"
 
-/* Separates section and key in the line index. Names in an INI file can't
- * contain a newline. */
 /* A file that is not text has a fault in each line. */
 #define PROBLEMS_MAX 100
+/* Separates section and key in the line index. Names in an INI file can't
+ * contain a newline. */
 #define INDEX_SEPARATOR "\n"
 
 struct IniFile {
--- a/src/UpstreamProber.c
+++ b/src/UpstreamProber.c
@@ -126,7 +126,8 @@
                                  Clock_nowMs())) {
         log_probe(probe, "upstream_reborn", "answered");
     }
-    if (state->lists_runs) {
+    /* What waits for an order to end may stand in neither list. */
+    if (state->lists_runs && !state->loading) {
         EngineRuns_replace(upstream->runs, g_hash_table_ref(state->runs),
                            state->queued, probe->asked_ms);
     }
