--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -266,6 +266,8 @@
     VersionGate_noteUnstated(this->spec.gate, service, Clock_nowMs());
 }
 
+/* The stream is recorded as soon as another version joins if the records were
+ * read before. */
 void
 OriginKeeper_begin(OriginKeeper_t *this, const RequestDigest_t *digest,
                    const char *service, const char *software,
@@ -279,10 +281,10 @@
     entry->is_live = TRUE;
     entry->is_restored = FALSE;
     const char *only = OriginKeeper_findOnly(this, service);
+    OriginFacts_learn(this->facts, FALSE);
     if (!may_change && only && strcmp(only, software) == 0) {
         return;
     }
-    OriginFacts_learn(this->facts, FALSE);
     Telling_t telling = begin_telling(this, service);
     add_to_batches(&telling, entry);
     finish_telling(&telling);
--- a/src/RelayParts.c
+++ b/src/RelayParts.c
@@ -320,7 +320,6 @@
     };
     this->origins = OriginPeers_create(context->base, &spec);
     context->origins = OriginPeers_keeper(this->origins);
-    OriginRecords_scheduleRead(this->origin_records, FALSE);
 }
 
 /* Without datagrams there is no dispatcher, and each router chooses upstreams
