--- a/tests/continued.py
+++ b/tests/continued.py
@@ -12,6 +12,7 @@
 RETRY_LIMIT_S = 6
 # Counted only: a stream may go on at older weights than it had (KNOWN-RED.txt).
 KNOWN_FAULTS = {"weights back"}
+UNANSWERED = ("no router", "connection")
 FINAL = ("resume_unknown", "software_gone")
 CONNECTION_ERRORS = (OSError, http.client.HTTPException)
 
@@ -30,6 +31,7 @@
         self.faults = set()
         self.weights = 0
         self.leave_at = rng.randrange(1, length) if leaves else length + 1
+        self.is_answered = False  # a try to go on got an answer
 
     def is_whole(self):
         return len(self.events) >= self.length
@@ -73,13 +75,52 @@
         response.close()
 
 
+class Shares:
+    """Of new requests and of those that go on, how many get events. A service
+    that refuses far more of the latter loses what it began."""
+
+    TAKEN_MIN = 12  # in a span; fewer are left to chance
+    SPAN_S = 4
+
+    def __init__(self):
+        self.answers = []  # (time, whether it goes on, whether it got events)
+
+    def add(self, goes_on, got_events):
+        self.answers.append((time.monotonic(), goes_on, got_events))
+
+    @staticmethod
+    def count(answers, goes_on):
+        """Returns how many got events, and how many there are."""
+        found = [got for _, other, got in answers if other == goes_on]
+        return sum(found), len(found)
+
+    def find_lost(self):
+        """Returns the spans with less than half of the share of new ones:
+        their beginnings and the counts of both kinds."""
+        spans, answers = [], sorted(self.answers)
+        first = 0
+        for last, answer in enumerate(answers):
+            while answer[0] - answers[first][0] > self.SPAN_S:
+                first += 1
+            span = answers[first:last + 1]
+            kept, taken = self.count(span, True)
+            begun, new = self.count(span, False)
+            if (taken >= self.TAKEN_MIN and new
+                    and 2 * kept * new < begun * taken):
+                spans.append((span[0][0], kept, taken, begun, new))
+        return spans
+
+
 class Callers:
-    """`find_router` returns one that is up, or None; `faulty`
-    are the streams with faults."""
+    """`find_router` returns one that is up, or None; `may_go_on` tells whether
+    engines of the version of a stream serve; `faulty` are the streams with
+    faults."""
 
-    def __init__(self, fleet, find_router):
+    def __init__(self, fleet, find_router, may_go_on=lambda piece: True):
         self.fleet = fleet
         self.find_router = find_router
+        self.may_go_on = may_go_on
+        self.shares = Shares()
         self.lock = threading.Lock()
         self.counts = Counter()
         self.faulty = []
@@ -113,6 +154,16 @@
 
     def send(self, stream):
         """Returns the code of a refusal, or how the request ended."""
+        goes_on = bool(stream.events)
+        counts = not goes_on or self.may_go_on(stream.events[0])
+        code = self.request(stream)
+        if counts and not stream.is_answered and code not in UNANSWERED:
+            stream.is_answered = goes_on
+            with self.lock:
+                self.shares.add(goes_on, code == "got events")
+        return code
+
+    def request(self, stream):
         stream.tries += 1
         name = "%s-%d" % (stream.name, stream.tries)
         headers = {"X_Request_Id": name,
--- a/tools/order_soak.py
+++ b/tools/order_soak.py
@@ -27,12 +27,7 @@
 from fleet import (BREAKS, Fleet, PacedEngine, find_free_port,  # noqa: E402
                    fix_ports, route)
 
-ROUTERS, ENGINES_EACH = 6, 3
 VERSIONS = ("v1", "v2", "v3")
-SERVICES = ("engines", "others")
-EVENTS = 20
-STREAM_S = 1 / 40  # between the beginnings of two streams
-LEAVING = 0.4  # share of the callers that lose their connection midway
 FAULT_PAUSE_S = (0.1, 1.2)  # between the beginnings of faults; they overlap
 # The settings that are shipped for this platform.
 SETTINGS = dict(
@@ -44,6 +39,13 @@
 
 
 class Soak:
+    ROUTERS, ENGINES_EACH = 6, 3
+    SERVICES = ("engines", "others")
+    ENGINE = PacedEngine
+    EVENTS = 20
+    STREAM_S = 1 / 40  # between the beginnings of two streams
+    LEAVING = 0.4  # share of the callers that lose their connection midway
+
     def __init__(self, seed, same_names):
         self.rng = random.Random(seed)
         self.seed = seed
@@ -51,37 +53,47 @@
         self.fleet = Fleet()
         self.store = self.fleet.store
         self.store_lock = threading.Lock()
-        self.callers = Callers(self.fleet, self.find_router)
+        self.callers = Callers(self.fleet, self.find_router, self.serves)
         self.count = self.callers.count
         self.timeline = []  # times and names of faults
         self.finished = False
         self.numbers, self.weights = 0, 1
-        self.target = SERVICES[0]
+        self.target = self.SERVICES[0]
         self.engines = []
-        for service in SERVICES:
+        self.prepare()
+        for service in self.SERVICES:
             self.add_engines(service, VERSIONS[0])
         self.write_config()
         self.copies = [self.store.copy()]
-        self.busy = [threading.Lock() for _ in range(ROUTERS)]
+        self.busy = [threading.Lock() for _ in range(self.ROUTERS)]
         self.proxies = [FaultProxy(int(self.store.address.split(":")[1]))
-                        for _ in range(ROUTERS)]
-        ports = [find_free_port(self.rng) for _ in range(ROUTERS)]
-        self.routers = [self.create_router(i, ports) for i in range(ROUTERS)]
+                        for _ in range(self.ROUTERS)]
+        ports = [find_free_port(self.rng) for _ in range(self.ROUTERS)]
+        self.routers = [self.create_router(i, ports)
+                        for i in range(self.ROUTERS)]
         self.up = set()
-        for index in range(ROUTERS):
+        for index in range(self.ROUTERS):
             self.start_router(index)
         for router in self.routers:
             wait_for(lambda: self.fleet.is_ready(router), "ready")
-            router.wait_event("member_joined", ROUTERS - 1)
+            router.wait_event("member_joined", self.ROUTERS - 1)
 
     def find_router(self, rng):
         up = sorted(self.up)
         return self.routers[rng.choice(up)] if up else None
 
+    def prepare(self):
+        """Fills the store before anything starts."""
+
+    def serves(self, piece):
+        """Whether two engines serve with the version of a stream."""
+        return sum(piece == "%s/%s" % (engine.own_service, engine.software)
+                   and not engine.dead for engine in list(self.engines)) > 1
+
     def run_stream(self, number):
         rng = random.Random("%d stream %d" % (self.seed, number))
         self.callers.run_stream(
-            Stream(number, rng, EVENTS, rng.random() < LEAVING))
+            Stream(number, rng, self.EVENTS, rng.random() < self.LEAVING))
 
     def create_router(self, index, ports):
         """Writes the settings of a router at ports of its own."""
@@ -99,25 +111,25 @@
         self.routers[index] = self.fleet.start_again(self.routers[index])
         self.up.add(index)
 
-    def add_engines(self, service, software):
-        for _ in range(ENGINES_EACH):
+    def add_engines(self, service, software, count=None):
+        for _ in range(count or self.ENGINES_EACH):
             self.numbers += 1
-            self.engines.append(self.fleet.add(PacedEngine(
+            self.engines.append(self.fleet.add(self.ENGINE(
                 self.store, "e%d" % self.numbers, service, software,
-                weights=self.weights, pieces=EVENTS,
+                weights=self.weights, pieces=self.EVENTS,
                 port=find_free_port(self.rng))))
 
     def write_config(self, _=None):
         self.fleet.config(
             version=self.fleet.version + self.rng.randint(1, 3),
             routes=[route("asks", "/ask/", "stream", self.target,
-                          resumable=True)], more_engines=SERVICES[1:])
+                          resumable=True)], more_engines=self.SERVICES[1:])
 
     # Faults, each in a thread of its own.
 
     def kill(self, rng):
-        count = rng.choice((ROUTERS, rng.randint(1, ROUTERS - 1)))
-        held = [i for i in rng.sample(range(ROUTERS), count)
+        count = rng.choice((self.ROUTERS, rng.randint(1, self.ROUTERS - 1)))
+        held = [i for i in rng.sample(range(self.ROUTERS), count)
                 if self.busy[i].acquire(blocking=False)]
         self.up -= set(held)
         for index in held:
@@ -136,7 +148,7 @@
             self.busy[index].release()
 
     def stop_in_turn(self, rng):
-        for index in rng.sample(range(ROUTERS), rng.randint(1, 3)):
+        for index in rng.sample(range(self.ROUTERS), rng.randint(1, 3)):
             with self.busy[index]:
                 self.up.discard(index)
                 self.routers[index].signal(signal.SIGTERM)
@@ -144,7 +156,7 @@
                 self.start_router(index)
 
     def freeze(self, rng):
-        index = rng.randrange(ROUTERS)
+        index = rng.randrange(self.ROUTERS)
         with self.busy[index]:
             self.routers[index].signal(signal.SIGSTOP)
             time.sleep(rng.uniform(0.3, 4))
@@ -163,7 +175,7 @@
 
     def replace_version(self, rng):
         """Another version replaces that of a service, or joins it."""
-        service = rng.choice(SERVICES + (self.target,) * 2)
+        service = rng.choice(self.SERVICES + (self.target,) * 2)
         chosen = [e for e in self.engines if e.service == service]
         software = rng.choice([v for v in VERSIONS if not chosen
                                or v != chosen[0].software])
@@ -192,7 +204,7 @@
         engine = rng.choice(self.engines)
         engine.break_off = rng.choice(sorted(BREAKS))
         engine.cut_pause_s = rng.choice((0, 0.02))
-        engine.cut_after = rng.randrange(EVENTS)
+        engine.cut_after = rng.randrange(self.EVENTS)
         time.sleep(rng.uniform(0.2, 1.5))
         engine.cut_after = None
 
@@ -202,7 +214,7 @@
                        {"model": "m", "version": self.weights})
 
     def move_route(self, rng):
-        self.target = rng.choice(SERVICES)
+        self.target = rng.choice(self.SERVICES)
         self.write_config()
 
     def disturb_store(self, rng):
@@ -270,15 +282,26 @@
                 for line in filter(wanted.search, list(router.lines)):
                     print(line)
 
+    def print_lost(self):
+        """Prints the worst span in which streams were refused that new ones
+        would have begun beside."""
+        lost = self.callers.shares.find_lost()
+        self.callers.counts["lost spans"] = len(lost)
+        if lost:
+            began, kept, taken, begun, new = min(
+                lost, key=lambda span: span[1] / span[2])
+            print("lost: %d of %d went on, %d of %d began, from %.1f s" % (
+                kept, taken, begun, new, began - self.began))
+
     def run(self, seconds):
         """Returns whether no caller and no router saw a fault."""
         faults = threading.Thread(target=self.inject_faults)
         faults.start()
-        began = time.monotonic()
+        began = self.began = time.monotonic()
         runs = []
         with ThreadPoolExecutor(400) as pool:
-            for number in range(int(seconds / STREAM_S)):
-                due = began + number * STREAM_S
+            for number in range(int(seconds / self.STREAM_S)):
+                due = began + number * self.STREAM_S
                 time.sleep(max(due - time.monotonic(), 0))
                 runs.append(pool.submit(self.run_stream, number))
             self.finished = True
@@ -287,6 +310,7 @@
             run.result()
         kept = self.are_configs_kept()
         self.print_faulty()
+        self.print_lost()
         self.fleet.close()
         print("seed %d: %s" % (self.seed, ", ".join(
             "%s %d" % pair
