--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -16,12 +16,16 @@
 
 from cluster import (BUILD, OPERATOR_KEY, Process, assert_sound, key_hash,
                      preloaded, wait_for)
+from memory import MemoryWatch, parse_size
 
 HEARTBEAT_S = 0.2
 RATE_WINDOW_S = 0.1  # in which the store counts calls
 READ_MAX_KB = 1024  # of an answer to a read that names no maximum
 PORTS = (12000, 32000)  # that the system gives to no connection
 PART_S = 0.05  # between the parts of an answer that arrives slowly
+MEMORY = "96MiB"  # of the settings, unless they name another one
+MEMORY_MIN = 24 << 20  # that a router uses at times whatever its settings say
+MEASURES_MEMORY = "asan" not in BUILD  # sanitizers need more than the router
 # What an upstream writes of the event, or the body, in which it breaks off.
 BREAKS = {
     "inside_event": lambda event: event[:len(event) // 2],
@@ -775,6 +779,7 @@
         self.routers = []
         self.version = 0
         self.numbers = 0
+        self.memory = MemoryWatch()
 
     def add(self, part):
         self.parts.append(part)
@@ -856,8 +861,17 @@
                          environment)
         router.path = path
         self.routers.append(router)
+        if MEASURES_MEMORY:
+            self.memory.add(router.process, self.memory_of(path))
         return router
 
+    @staticmethod
+    def memory_of(path):
+        """Returns the bytes that a router of these settings may use."""
+        with open(path) as file:
+            found = re.search(r"^memory = (\S+)$", file.read(), re.MULTILINE)
+        return max(parse_size(found[1] if found else MEMORY), MEMORY_MIN)
+
     def start_again(self, router):
         """Starts another process with the settings of one that has ended."""
         return self.await_start(self.run_router(router.path))
@@ -918,7 +932,9 @@
         for part in self.parts:
             part.close()
         self.folder.cleanup()
+        self.memory.stop()
         assert_sound(self.routers)
+        assert not self.memory.excesses(), self.memory.excesses()
 
 
 def route(name, path, kind, service, **more):
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,14 +1,21 @@
-"""What a router holds in memory: its resident pages, and the bytes that the
-kernel holds for its sockets. A machine that enforces its memory counts both."""
+"""What routers hold in memory: their resident pages, and the bytes that the
+kernel holds for their sockets. A machine that enforces its memory counts
+both."""
 import os
 import threading
-import time
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+UNITS = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 LISTENING = "0A"  # its queue counts connections
 INTERVAL_S = 0.05
 
 
+def parse_size(text):
+    """Returns the bytes of a size as settings write it."""
+    number = text.rstrip("BKMGi")
+    return int(number) * UNITS[text[len(number):]]
+
+
 def socket_inodes(pid):
     inodes = set()
     folder = "/proc/%d/fd" % pid
@@ -22,21 +29,18 @@
     return inodes
 
 
-def kernel_bytes(pid):
-    """Returns the bytes that arrived and were not read, and those that were
-    written and not acknowledged, of all TCP sockets of the process."""
-    inodes = socket_inodes(pid)
-    unread = unsent = 0
-    with open("/proc/%d/net/tcp" % pid) as file:
+def read_queues():
+    """Returns (bytes that arrived and were not read, bytes that were written
+    and not acknowledged) of each TCP socket of the machine, by inode."""
+    queues = {}
+    with open("/proc/self/net/tcp") as file:
         next(file)  # the heading
         for line in file:
             fields = line.split()
-            state, queues, inode = fields[3], fields[4], fields[9]
-            if inode in inodes and state != LISTENING:
-                sent, received = queues.split(":")
-                unsent += int(sent, 16)
-                unread += int(received, 16)
-    return unread, unsent
+            if fields[3] != LISTENING:
+                unsent, unread = fields[4].split(":")
+                queues[fields[9]] = (int(unread, 16), int(unsent, 16))
+    return queues
 
 
 def resident_bytes(pid):
@@ -45,11 +49,14 @@
 
 
 class Use:
-    """Bytes in use at one moment."""
+    """Bytes in use by a process at one moment."""
 
-    def __init__(self, pid):
+    def __init__(self, pid, queues):
         self.resident = resident_bytes(pid)
-        self.unread, self.unsent = kernel_bytes(pid)
+        held = [queues[inode] for inode in socket_inodes(pid)
+                if inode in queues]
+        self.unread = sum(unread for unread, _ in held)
+        self.unsent = sum(unsent for _, unsent in held)
         self.total = self.resident + self.unread + self.unsent
 
     def __str__(self):
@@ -58,35 +65,73 @@
                     self.total, self.resident, self.unread, self.unsent)))
 
 
-class MemoryWatch(threading.Thread):
-    """Samples a process until it ends or stop() is called. With
-    `kill_above`, ends the process above so many bytes, as its machine would;
-    `is_over` tells so."""
+class Watched:
+    """A process, the most that it used, and whether that was too much."""
 
-    def __init__(self, process, kill_above=None):
-        super().__init__(daemon=True)
+    def __init__(self, process, limit, kills):
         self.process = process
-        self.kill_above = kill_above
+        self.limit = limit
+        self.kills = kills
         self.peak = None
         self.is_over = False
+
+    def look(self, queues):
+        """Returns whether the process still runs."""
+        try:
+            use = Use(self.process.pid, queues)
+        except (OSError, IndexError):
+            return False
+        if self.peak is None or use.total > self.peak.total:
+            self.peak = use
+        if use.total > self.limit:
+            self.is_over = True
+            if self.kills:
+                self.process.kill()
+        return not (self.is_over and self.kills)
+
+
+class MemoryWatch(threading.Thread):
+    """Samples processes until stop() is called."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.lock = threading.Lock()
+        self.running = []
+        self.watched = []
         self.stopped = threading.Event()
-        self.start()
+
+    def add(self, process, limit, kills=False):
+        """Watches a process that may use `limit` bytes; `kills` ends it
+        above, as its machine would."""
+        watched = Watched(process, limit, kills)
+        with self.lock:
+            self.watched.append(watched)
+            self.running.append(watched)
+            if not self.is_alive():
+                self.start()
+        return watched
 
     def run(self):
         while not self.stopped.wait(INTERVAL_S):
-            try:
-                use = Use(self.process.pid)
-            except (OSError, IndexError):  # the process has ended
-                return
-            if self.peak is None or use.total > self.peak.total:
-                self.peak = use
-            if self.kill_above and use.total > self.kill_above:
-                self.is_over = True
-                self.process.kill()
-                return
+            queues = read_queues()
+            with self.lock:
+                running = list(self.running)
+            ended = [each for each in running if not each.look(queues)]
+            with self.lock:
+                self.running = [each for each in self.running
+                                if each not in ended]
 
     def stop(self):
-        """Returns the most that was in use."""
         self.stopped.set()
-        self.join()
-        return self.peak
+        if self.is_alive():
+            self.join()
+
+    def most(self):
+        """Returns the most that one of the processes used, or None."""
+        peaks = [each.peak for each in self.watched if each.peak]
+        return max(peaks, key=lambda use: use.total, default=None)
+
+    def excesses(self):
+        """Returns a line for each process that used too much."""
+        return ["%s; limit %.0f MB" % (each.peak, each.limit / 2**20)
+                for each in self.watched if each.is_over]
--- a/tests/sessions/test_memory_use.py
+++ b/tests/sessions/test_memory_use.py
@@ -27,7 +27,10 @@
         self.fleet.plain("p1")
         self.router = self.fleet.start(memory="%dMiB" % MEMORY_MB,
                                        read_timeout="60s")
-        self.watch = MemoryWatch(self.router.process, MEMORY_MB << 20)
+        self.watch = MemoryWatch()
+        self.addCleanup(self.watch.stop)
+        self.watched = self.watch.add(self.router.process, MEMORY_MB << 20,
+                                      kills=True)
 
     def send(self, number, size):
         caller = socket.create_connection(("127.0.0.1", self.router.port))
@@ -52,8 +55,8 @@
             thread.start()
         for thread in threads:
             thread.join()
-        peak = self.watch.stop()
-        self.assertFalse(self.watch.is_over, str(peak))
+        self.watch.stop()
+        self.assertFalse(self.watched.is_over, str(self.watched.peak))
         self.assertEqual(self.fleet.ask(self.router, "/write/x").status, 200)
         self.assertIn(b"HTTP/1.1 200", answers)
 
