MemoryUse: what the process uses of its memory

Bodies, answers and streams have bounds of their own, and nothing knows the sum: with each of them full, with full tables and with what the kernel holds for sockets, a router exceeds what its machine lets it use (docs/incidents/routers-over-their-memory.md). This is the place that knows it; nobody asks it yet.

--- a/src/Context.h
+++ b/src/Context.h
@@ -27,6 +27,7 @@
 #include "ForwardPeers.h"
 #include "ForwardProof.h"
 #include "Membership.h"
+#include "MemoryUse.h"
 #include "ModelVersions.h"
 #include "OpenRequests.h"
 #include "OriginKeeper.h"
@@ -104,6 +105,7 @@
  * @open: those requests
  * @answer_bytes: bytes of answers that are buffered until they are complete
  * @answer_room: bounds these and whole answers that wait for their callers
+ * @memory: what the process uses of its memory
  * @output_bytes: bytes of streams that wait for slow callers
  * @incarnation: incarnation of this process, which grows with each start
  * @forward_proof: proves requests that this router forwards (ForwardProof.h)
@@ -154,6 +156,7 @@
     OpenRequests_t *open;
     gsize answer_bytes;
     AnswerRoom_t *answer_room;
+    MemoryUse_t *memory;
     gsize output_bytes;
     guint64 incarnation;
     char forward_proof[FORWARD_PROOF_LENGTH + 1];
--- /dev/null
+++ b/src/MemoryUse.c
@@ -0,0 +1,110 @@
+#include "MemoryUse.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "Log.h"
+
+/* The kernel's count costs a system call. */
+#define MEASURE_MS 20
+/* What is taken between two measurements, and by those who don't ask. */
+#define RESERVE_PERCENT 10
+#define TIGHT_PERCENT 70
+#define FULL_PERCENT 85
+#define STATM_MAX 128
+
+struct MemoryUse {
+    int statm; /* descriptor, or -1 */
+    gsize page_bytes;
+    gsize max;
+    gsize added;
+    gsize resident;
+    gint64 measured_ms; /* 0 if never */
+};
+
+MemoryUse_t *
+MemoryUse_create(gsize max)
+{
+    MemoryUse_t *this = g_new0(MemoryUse_t, 1);
+    this->max = max;
+    this->page_bytes = (gsize)sysconf(_SC_PAGESIZE);
+    this->statm = open("/proc/self/statm", O_RDONLY | O_CLOEXEC);
+    if (this->statm < 0) {
+        Log_begin(LOG_LEVEL_WARNING, "memory_not_measured");
+        Log_text("error", g_strerror(errno));
+        Log_end();
+    }
+    return this;
+}
+
+void
+MemoryUse_destroy(MemoryUse_t *this)
+{
+    if (this->statm >= 0) {
+        close(this->statm);
+    }
+    g_free(this);
+}
+
+void
+MemoryUse_setMax(MemoryUse_t *this, gsize max)
+{
+    this->max = max;
+}
+
+void
+MemoryUse_add(MemoryUse_t *this, gssize bytes)
+{
+    this->added += (gsize)bytes;
+}
+
+/* The last figure stays if there is no newer one. */
+static void
+measure(MemoryUse_t *this)
+{
+    char text[STATM_MAX];
+    unsigned long long pages = 0;
+    ssize_t length =
+        this->statm >= 0 ? pread(this->statm, text, sizeof(text) - 1, 0) : -1;
+    if (length <= 0) {
+        return;
+    }
+    text[length] = '\0';
+    if (sscanf(text, "%*u %llu", &pages) == 1) {
+        this->resident = (gsize)pages * this->page_bytes;
+    }
+}
+
+gsize
+MemoryUse_used(MemoryUse_t *this, gint64 now_ms)
+{
+    if (this->measured_ms == 0 || now_ms - this->measured_ms >= MEASURE_MS) {
+        measure(this);
+        this->measured_ms = now_ms;
+    }
+    return this->resident + this->added;
+}
+
+gsize
+MemoryUse_room(MemoryUse_t *this, gint64 now_ms)
+{
+    gsize most = this->max / 100 * (100 - RESERVE_PERCENT);
+    gsize used = MemoryUse_used(this, now_ms);
+    if (this->max == 0) {
+        return G_MAXSIZE;
+    }
+    return most > used ? most - used : 0;
+}
+
+MemoryLevel_t
+MemoryUse_level(MemoryUse_t *this, gint64 now_ms)
+{
+    gsize used = MemoryUse_used(this, now_ms);
+    gsize percent = this->max / 100;
+    if (this->max == 0 || used <= percent * TIGHT_PERCENT) {
+        return MEMORY_EASY;
+    }
+    return used <= percent * FULL_PERCENT ? MEMORY_TIGHT : MEMORY_FULL;
+}
--- a/src/Router.c
+++ b/src/Router.c
@@ -127,6 +127,7 @@
     context->traces = Traces_create();
     context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
+    context->memory = MemoryUse_create((gsize)settings->limits.memory);
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
                           (gsize)settings->limits.answers_max);
@@ -594,6 +595,7 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_body_budget(this);
+    MemoryUse_setMax(this->context.memory, (gsize)limits->memory);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
     HttpListener_t *listeners[] = {&this->callers, &this->operators,
                                    &this->readiness};
@@ -717,6 +719,7 @@
     Traces_destroy(context->traces);
     OpenRequests_destroy(context->open);
     AnswerRoom_destroy(context->answer_room);
+    MemoryUse_destroy(context->memory);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
     CustomerLimits_destroy(context->limits);
