--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	platform/*.[ch] standins/*.[ch] bench/*.[ch] tests/*.[ch] tests/fuzz/*.[ch]))
 
 .PHONY: demo test install format lint bench generate packages build \
-	build-asan reference slopes soak \
+	build-asan reference slopes soak memory-soak \
 	check-deploy fleet-soak order-soak stop-soak fuzz replay
 
 # Installs only what is missing, so that it needs no network when all is there.
@@ -86,6 +86,11 @@
 stop-soak: build
 	@python3 tools/stop_soak.py $(SEED) $(DURATION)
 
+# Callers that make a router hold bytes, beside a machine that enforces its
+# memory.
+memory-soak: build
+	@python3 tools/memory_soak.py $(SEED) $(DURATION)
+
 # One target of tests/fuzz/targets.c under libFuzzer, which learns from what
 # its inputs reach; `make test` runs all of them without it.
 TARGET ?= callerHead
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -68,15 +68,14 @@
 class Watched:
     """A process, the most that it used, and whether that was too much."""
 
-    def __init__(self, process, limit, kills):
+    def __init__(self, process, limit):
         self.process = process
         self.limit = limit
-        self.kills = kills
         self.peak = None
         self.is_over = False
 
-    def look(self, queues):
-        """Returns whether the process still runs."""
+    def look(self, queues, kills):
+        """Returns whether the process is to be watched further."""
         try:
             use = Use(self.process.pid, queues)
         except (OSError, IndexError):
@@ -85,25 +84,27 @@
             self.peak = use
         if use.total > self.limit:
             self.is_over = True
-            if self.kills:
+            if kills:
                 self.process.kill()
-        return not (self.is_over and self.kills)
+                return False
+        return True
 
 
 class MemoryWatch(threading.Thread):
-    """Samples processes until stop() is called."""
+    """Samples processes until stop() is called. With `kills`, ends those that
+    use too much, as their machine would."""
 
-    def __init__(self):
+    def __init__(self, kills=False):
         super().__init__(daemon=True)
+        self.kills = kills
         self.lock = threading.Lock()
         self.running = []
         self.watched = []
         self.stopped = threading.Event()
 
-    def add(self, process, limit, kills=False):
-        """Watches a process that may use `limit` bytes; `kills` ends it
-        above, as its machine would."""
-        watched = Watched(process, limit, kills)
+    def add(self, process, limit):
+        """Watches a process that may use `limit` bytes."""
+        watched = Watched(process, limit)
         with self.lock:
             self.watched.append(watched)
             self.running.append(watched)
@@ -116,7 +117,7 @@
             queues = read_queues()
             with self.lock:
                 running = list(self.running)
-            ended = [each for each in running if not each.look(queues)]
+            ended = [each for each in running if not each.look(queues, self.kills)]
             with self.lock:
                 self.running = [each for each in self.running
                                 if each not in ended]
--- a/tests/sessions/test_memory_use.py
+++ b/tests/sessions/test_memory_use.py
@@ -27,10 +27,9 @@
         self.fleet.plain("p1")
         self.router = self.fleet.start(memory="%dMiB" % MEMORY_MB,
                                        read_timeout="60s")
-        self.watch = MemoryWatch()
+        self.watch = MemoryWatch(kills=True)
         self.addCleanup(self.watch.stop)
-        self.watched = self.watch.add(self.router.process, MEMORY_MB << 20,
-                                      kills=True)
+        self.watched = self.watch.add(self.router.process, MEMORY_MB << 20)
 
     def send(self, number, size):
         caller = socket.create_connection(("127.0.0.1", self.router.port))
