A stop accepts on after a pause for want of descriptors

Callers behind others that held all descriptors got no answer at a stop: their connections waited in the accept queue and were reset at its limit. Cause: AcceptPause was freed as ListenerDrain began, which may be while it had disabled the listener, so that nothing enabled it again.

--- a/src/ListenerDrain.c
+++ b/src/ListenerDrain.c
@@ -27,6 +27,7 @@
 struct ListenerDrain {
     struct evhttp *server;
     struct evhttp_bound_socket *bound; /* NULL once it is closed */
+    AcceptPause_t *pause;              /* as long as @bound */
     struct event *timer;
     gboolean is_begun;
     gboolean is_over;
@@ -76,6 +77,7 @@
         Clock_arm(this->timer, QUEUE_CHECK_MS);
     }
     else {
+        AcceptPause_destroy(g_steal_pointer(&this->pause));
         evhttp_del_accept_socket(this->server, this->bound);
         this->bound = NULL;
         Log_begin(LOG_LEVEL_INFO, "listener_closed");
@@ -92,10 +94,12 @@
 }
 
 ListenerDrain_t *
-ListenerDrain_create(struct event_base *base, struct evhttp *server)
+ListenerDrain_create(struct event_base *base, struct evhttp *server,
+                     AcceptPause_t *pause)
 {
     ListenerDrain_t *this = g_new0(ListenerDrain_t, 1);
     this->server = server;
+    this->pause = pause;
     evhttp_foreach_bound_socket(server, get_bound, &this->bound);
     this->timer = Clock_timer(base, on_timer, this);
     return this;
@@ -104,6 +108,9 @@
 void
 ListenerDrain_destroy(ListenerDrain_t *this)
 {
+    if (this->pause) {
+        AcceptPause_destroy(this->pause);
+    }
     event_free(this->timer);
     g_free(this);
 }
--- a/src/ListenerDrain.h
+++ b/src/ListenerDrain.h
@@ -12,18 +12,27 @@
 #include <event2/http.h>
 #include <glib.h>
 
+#include "AcceptPause.h"
+
 /** Time from the beginning to the end, unless the queue can't be emptied. */
 #define LISTENER_DRAIN_MS 600
 
 /** struct ListenerDrain_t - opaque */
 typedef struct ListenerDrain ListenerDrain_t;
 
-/** ListenerDrain_create() - prepare to close the only listener of @server,
- * which must outlive the result */
+/**
+ * ListenerDrain_create() - prepare to close the only listener of a server
+ * @server: must outlive the result
+ * @pause: of the listener, freed with it, so that the listener goes on after a
+ *         pause until then
+ */
 ListenerDrain_t *ListenerDrain_create(struct event_base *base,
-                                      struct evhttp *server);
+                                      struct evhttp *server,
+                                      AcceptPause_t *pause);
 
-/** ListenerDrain_destroy() - free it; the listener stays as it is */
+/** ListenerDrain_destroy() - free it and the pause; the listener stays as it
+ * is
+ */
 void ListenerDrain_destroy(ListenerDrain_t *this);
 
 /** ListenerDrain_begin() - begin to close the listener; may be called again
--- a/src/Router.c
+++ b/src/Router.c
@@ -63,6 +63,7 @@
     struct evhttp *server; /* NULL until it listens */
     guint16 port;
     LateListener_t *late; /* NULL if the router can't do without */
+    AcceptPause_t *pause; /* NULL until it listens, and once given away */
 } HttpListener_t;
 
 struct Router {
@@ -78,7 +79,6 @@
     LateListener_t *datagrams;
     IntakeLimits_t intake;    /* of callers' bodies */
     AcceptHold_t *hold;       /* NULL on the native platform */
-    GPtrArray *pauses;        /* AcceptPause_t */
     ListenerDrain_t *closing; /* closes the listener for callers at the end */
     struct event *on_term;
     struct event *on_int;
@@ -101,16 +101,9 @@
     Log_end();
 }
 
-static void
-free_pause(gpointer pause)
-{
-    AcceptPause_destroy(pause);
-}
-
 static void
 create_parts(Router_t *this)
 {
-    this->pauses = g_ptr_array_new_with_free_func(free_pause);
     const Settings_t *settings = this->settings;
     Context_t *context = &this->context;
     context->settings = settings;
@@ -369,10 +362,9 @@
     Router_t *router = this->router;
     this->server = server;
     this->port = get_bound_port(bound);
-    g_ptr_array_add(router->pauses,
-                    AcceptPause_create(router->context.base,
-                                       evhttp_bound_socket_get_listener(bound),
-                                       this->setting));
+    this->pause = AcceptPause_create(router->context.base,
+                                     evhttp_bound_socket_get_listener(bound),
+                                     this->setting);
 }
 
 static gboolean
@@ -540,8 +532,6 @@
     gint64 left_ms = Settings_stopLimitMs(settings) - elapsed_ms;
     this->context.stop_ends_ms = Clock_nowMs() + left_ms - LAST_ANSWERS_MS;
     if (drained || left_ms <= LISTENER_DRAIN_MS + LAST_ANSWERS_MS) {
-        /* They refer to the listener, which is closed soon. */
-        g_ptr_array_set_size(this->pauses, 0);
         ListenerDrain_begin(this->closing);
     }
     if (left_ms <= LAST_ANSWERS_MS) {
@@ -661,6 +651,9 @@
     if (listener->late) {
         LateListener_destroy(listener->late);
     }
+    if (listener->pause) {
+        AcceptPause_destroy(listener->pause);
+    }
     if (listener->server) {
         evhttp_free(listener->server);
     }
@@ -672,7 +665,6 @@
 static void
 free_listeners(Router_t *this)
 {
-    g_ptr_array_unref(this->pauses);
     if (this->callers.server) {
         ResetOnClose_resetAll();
     }
@@ -800,7 +792,8 @@
             create_accept_hold(&this);
         }
         this.closing =
-            ListenerDrain_create(this.context.base, this.callers.server);
+            ListenerDrain_create(this.context.base, this.callers.server,
+                                 g_steal_pointer(&this.callers.pause));
         log_lifecycle(&this, "router_started");
         StopSignals_release();
         ended = run_loop(&this, error);
--- /dev/null
+++ b/tests/sessions/test_idle_callers.py
@@ -0,0 +1,55 @@
+"""Callers that wait while idle ones hold the router's descriptors."""
+import resource
+import signal
+import time
+import unittest
+import uuid
+
+from answers import Connection, request_bytes
+
+import test_fleet
+
+DESCRIPTORS = 128
+STOP_LIMIT_S = 6
+
+
+class IdleCallersTest(test_fleet.FleetTest):
+    def setUp(self):
+        super().setUp()
+        self.upstream = self.fleet.plain("p1")
+        self.router = self.fleet.start(stop_limit="%ds" % STOP_LIMIT_S,
+                                       stop_grace="1s")
+        resource.prlimit(self.router.process.pid, resource.RLIMIT_NOFILE,
+                         (DESCRIPTORS, DESCRIPTORS))
+
+    def connect(self):
+        connection = Connection(self.router.port)
+        self.addCleanup(connection.close)
+        return connection
+
+    def send(self, connection, path="/write/x"):
+        request_id = uuid.uuid4().hex
+        connection.socket.sendall(request_bytes("POST", path, request_id,
+                                                b"x", wait_ms=14000))
+        return connection, request_id
+
+    def statuses(self, sent):
+        answers = [connection.read_answer(request_id, "POST")
+                   for connection, request_id in sent]
+        return [answer and answer.status for answer in answers]
+
+    # All requests in the accept queue were reset at the stop's limit.
+    def test_requests_behind_running_ones_end_at_a_stop(self):
+        self.upstream.pause_s = 1.2
+        running = [self.send(self.connect()) for _ in range(DESCRIPTORS)]
+        self.router.wait_event("accept_paused")
+        began = time.monotonic()
+        self.router.signal(signal.SIGTERM)
+        statuses = self.statuses(running)
+        self.assertNotIn(None, statuses)
+        self.router.process.wait(15)
+        self.assertLess(time.monotonic() - began, STOP_LIMIT_S - 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
