Idle callers give up descriptors to those that wait

Requests behind idle callers that held all descriptors waited until these left, and at a stop all of them were reset at its limit. Cause: nothing closed a caller's connection for want of descriptors. IdleCallers knows the connections on which nothing has arrived since the last answer; when accept() fails for want of descriptors, the longest idle ones are closed, as many as wait in the accept queue and the reserve lacks.

--- a/src/AcceptPause.c
+++ b/src/AcceptPause.c
@@ -2,8 +2,12 @@
 
 #include <errno.h>
 #include <glib.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "Clock.h"
+#include "DescriptorReserve.h"
+#include "IdleCallers.h"
 #include "Log.h"
 
 #define LOG_INTERVAL_MS 1000
@@ -46,6 +50,30 @@
     this->pauses = 0;
 }
 
+/* Of a listener the system states the length of the accept queue in this
+ * field. */
+static guint
+count_queued(struct evconnlistener *listener)
+{
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+    if (getsockopt(evconnlistener_get_fd(listener), IPPROTO_TCP, TCP_INFO,
+                   &info, &size) != 0) {
+        return 0;
+    }
+    return info.tcpi_unacked;
+}
+
+/* The reserve takes what is free before the listener does. */
+static void
+free_descriptors(struct evconnlistener *listener, int code)
+{
+    if (code == EMFILE || code == ENFILE) {
+        guint queued = MAX(count_queued(listener), 1);
+        (void)IdleCallers_close(queued + DescriptorReserve_missing());
+    }
+}
+
 static void
 on_error(struct evconnlistener *listener, void *data)
 {
@@ -55,6 +83,7 @@
     evconnlistener_disable(listener);
     Clock_arm(this->timer, ACCEPT_PAUSE_MS);
     log_pause(this, code);
+    free_descriptors(listener, code);
 }
 
 AcceptPause_t *
--- a/src/AcceptPause.h
+++ b/src/AcceptPause.h
@@ -6,7 +6,7 @@
  * Stops accepting connections for a moment after accept() has failed, for
  * example for want of descriptors. The connection stays in the kernel's queue,
  * so the listener would fail again at once and the event loop would do nothing
- * else.
+ * else. Idle callers give up descriptors for the connections that wait.
  */
 #include <event2/event.h>
 #include <event2/listener.h>
--- a/src/DescriptorReserve.c
+++ b/src/DescriptorReserve.c
@@ -166,3 +166,9 @@
 {
     return count < target;
 }
+
+guint
+DescriptorReserve_missing(void)
+{
+    return target - count;
+}
--- a/src/DescriptorReserve.h
+++ b/src/DescriptorReserve.h
@@ -44,4 +44,8 @@
  * that connections should not be kept for later requests */
 gboolean DescriptorReserve_isShort(void);
 
+/** DescriptorReserve_missing() - number of descriptors that the reserve lacks
+ */
+guint DescriptorReserve_missing(void);
+
 #endif
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -8,6 +8,7 @@
 
 #include "Clock.h"
 #include "HttpCall.h"
+#include "IdleCallers.h"
 #include "Log.h"
 #include "ResetOnClose.h"
 
@@ -142,6 +143,7 @@
     ResetOnClose_remove(connection);
     Http_startReadTimeout(connection);
     Reply_destroy(data);
+    IdleCallers_add(connection);
 }
 
 void
--- a/src/Router.c
+++ b/src/Router.c
@@ -18,6 +18,7 @@
 #include "EngineHttp.h"
 #include "Errors.h"
 #include "HttpCall.h"
+#include "IdleCallers.h"
 #include "LateListener.h"
 #include "LingeringClose.h"
 #include "ListenerDrain.h"
@@ -352,6 +353,7 @@
         bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     RequestIntake_watch(bev, data);
     LingeringClose_watch(bev);
+    IdleCallers_watchNew(bev);
     return bev;
 }
 
@@ -673,6 +675,7 @@
     free_listener(&this->readiness);
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
     PendingReply_setCounters(NULL);
+    IdleCallers_clear();
     LingeringClose_clear();
 }
 
@@ -779,6 +782,7 @@
     MemoryLimit_fit(&settings->limits, this.memory_room);
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
+    IdleCallers_init(this.context.base, this.context.counters);
     create_signals(&this);
     gboolean ended = FALSE;
     gboolean started =
--- a/tests/sessions/test_idle_callers.py
+++ b/tests/sessions/test_idle_callers.py
@@ -10,6 +10,8 @@
 import test_fleet
 
 DESCRIPTORS = 128
+IDLE = 200
+WAITING = 40
 STOP_LIMIT_S = 6
 
 
@@ -38,7 +40,44 @@
                    for connection, request_id in sent]
         return [answer and answer.status for answer in answers]
 
+    def hold_all(self):
+        """Lets idle callers hold all descriptors, some after an answer."""
+        kept = [self.connect() for _ in range(10)]
+        self.assertEqual(set(self.statuses([self.send(each)
+                                            for each in kept])), {200})
+        idle = [self.connect() for _ in range(IDLE)]
+        self.router.wait_event("accept_paused")
+        return kept + idle
+
+    # Requests waited until idle callers left, or their own left.
+    def test_requests_behind_idle_callers_are_served_at_once(self):
+        self.hold_all()
+        began = time.monotonic()
+        sent = [self.send(self.connect()) for _ in range(WAITING)]
+        self.assertEqual(self.statuses(sent), WAITING * [200])
+        self.assertLess(time.monotonic() - began, 3)
+        self.router.wait_event("idle_callers_closed")
+
+    # A caller whose next request had arrived was not told apart from others.
+    def test_a_request_that_has_arrived_is_read(self):
+        kept = self.hold_all()[:10]
+        self.router.signal(signal.SIGSTOP)
+        sent = [self.send(each) for each in kept]
+        time.sleep(0.2)
+        self.router.signal(signal.SIGCONT)
+        self.assertEqual(self.statuses(sent), len(kept) * [200])
+
     # All requests in the accept queue were reset at the stop's limit.
+    def test_requests_behind_idle_callers_end_at_a_stop(self):
+        self.hold_all()
+        sent = [self.send(self.connect()) for _ in range(WAITING)]
+        began = time.monotonic()
+        self.router.signal(signal.SIGTERM)
+        self.assertEqual(self.statuses(sent), WAITING * [200])
+        self.router.process.wait(15)
+        self.assertLess(time.monotonic() - began, STOP_LIMIT_S - 1)
+
+    # The same, behind requests that run longer than the grace period.
     def test_requests_behind_running_ones_end_at_a_stop(self):
         self.upstream.pause_s = 1.2
         running = [self.send(self.connect()) for _ in range(DESCRIPTORS)]
