Bodies that pause keep their claim; what arrives fits in memory

Callers that stopped before the end of a body took a router above its memory, and the machine that ended it took all other requests with it.

Cause: a claim without progress for 500 ms was given back, as RequestIntake did not learn of closed connections, while the bytes stayed; heads and short bodies were bounded by nothing in sum; accepted sockets took up to 32 MB each; no place compared the sum with the memory.

A stalled claim keeps the bytes that have come. Too many waiting bodies are refused at once. Listeners take 32 KiB into the kernel for a connection. A reference on the stream while a request arrives shows that evhttp freed it.

--- a/src/BodyBudget.c
+++ b/src/BodyBudget.c
@@ -2,13 +2,20 @@
 
 /* A claim that waits precedes later ones if it tried within this time. */
 #define PRECEDENCE_MS 200
-/* Time without progress after which a body in arrival gives way. Its
- * connection may have been closed, which is not reported. */
+/* Time without progress after which a body in arrival keeps the bytes that
+ * have come, and claims the others again. */
 #define STALL_MS 500
+/* Bytes that the kernel holds of a body that waits, about. */
+#define WAITING_BYTES ((gsize)32 << 10)
+/* Of the budget, for what the kernel holds. */
+#define WAITING_PARTS 6
+#define WAITING_MIN 64
 
 struct BodyBudget {
     gsize max;
     gsize used;
+    gsize room;     /* of the process, for bytes that are still to come */
+    gsize held;     /* of granted claims, bytes that have come */
     GQueue waiting; /* BodyClaim_t, in the order in which they were made */
     GQueue granted; /* BodyClaim_t */
     GHashTable *callers; /* Caller_t with claims, owned, by their ids */
@@ -24,6 +31,7 @@
     BodyBudget_t *budget;
     Caller_t *caller;
     gsize bytes; /* granted */
+    gsize held;  /* of these, bytes that have come */
     gint64 active_ms;
     gboolean is_in_arrival; /* may give way */
     GList waiting_link;
@@ -35,6 +43,7 @@
 {
     BodyBudget_t *this = g_rc_box_new0(BodyBudget_t);
     this->max = max;
+    this->room = G_MAXSIZE;
     g_queue_init(&this->waiting);
     g_queue_init(&this->granted);
     this->callers =
@@ -67,6 +76,19 @@
     this->max = max;
 }
 
+void
+BodyBudget_setRoom(BodyBudget_t *this, gsize room)
+{
+    this->room = room;
+}
+
+gboolean
+BodyBudget_isCrowded(const BodyBudget_t *this)
+{
+    gsize most = this->max / WAITING_PARTS / WAITING_BYTES;
+    return this->max > 0 && this->waiting.length >= MAX(most, WAITING_MIN);
+}
+
 gsize
 BodyBudget_used(const BodyBudget_t *this)
 {
@@ -126,9 +148,17 @@
     }
 }
 
+static void
+change_held(BodyClaim_t *this, gsize held)
+{
+    this->budget->held = this->budget->held - this->held + held;
+    this->held = held;
+}
+
 static void
 change_bytes(BodyClaim_t *this, gsize bytes)
 {
+    change_held(this, MIN(this->held, bytes));
     this->budget->used = this->budget->used - this->bytes + bytes;
     this->caller->bytes = this->caller->bytes - this->bytes + bytes;
     this->bytes = bytes;
@@ -145,14 +175,13 @@
 void
 BodyClaim_setCaller(BodyClaim_t *this, guint64 caller)
 {
-    gsize bytes = this->bytes;
     if (this->caller->id == caller) {
         return;
     }
-    change_bytes(this, 0);
+    this->caller->bytes -= this->bytes;
     leave_caller(this);
     this->caller = join_caller(this->budget, caller);
-    change_bytes(this, bytes);
+    this->caller->bytes += this->bytes;
 }
 
 guint64
@@ -176,7 +205,12 @@
 {
     const BodyBudget_t *budget = this->budget;
     gsize others = budget->used - this->bytes;
-    return budget->max == 0 || others == 0 || others + bytes <= budget->max;
+    gsize coming = others - (budget->held - this->held);
+    if (others == 0) {
+        return TRUE;
+    }
+    return (budget->max == 0 || others + bytes <= budget->max) &&
+           coming + (bytes - this->held) <= budget->room;
 }
 
 static gboolean
@@ -209,14 +243,25 @@
 }
 
 static void
-release_stalled(BodyBudget_t *budget, gint64 now_ms)
+keep_held(BodyClaim_t *this)
+{
+    if (this->held == 0) {
+        BodyClaim_release(this);
+    }
+    else if (this->held < this->bytes) {
+        change_bytes(this, this->held);
+    }
+}
+
+static void
+shrink_stalled(BodyBudget_t *budget, gint64 now_ms)
 {
     GList *link = budget->granted.head;
     while (link) {
         BodyClaim_t *claim = link->data;
         link = link->next;
         if (claim->is_in_arrival && now_ms - claim->active_ms > STALL_MS) {
-            BodyClaim_release(claim);
+            keep_held(claim);
         }
     }
 }
@@ -229,13 +274,16 @@
         g_queue_push_tail_link(&this->budget->granted, &this->granted_link);
     }
     change_bytes(this, bytes);
+    change_held(this, bytes);
     this->is_in_arrival = FALSE;
 }
 
 static void
 grant(BodyClaim_t *this, gsize bytes)
 {
+    gsize held = this->held;
     BodyClaim_setBytes(this, bytes);
+    change_held(this, held);
     this->is_in_arrival = TRUE;
 }
 
@@ -247,7 +295,7 @@
     if (bytes <= this->bytes) {
         return TRUE;
     }
-    release_stalled(budget, now_ms);
+    shrink_stalled(budget, now_ms);
     if (fits(this, bytes) && !is_preceded(this, now_ms)) {
         grant(this, bytes);
         return TRUE;
@@ -264,8 +312,20 @@
     this->active_ms = now_ms;
 }
 
+void
+BodyClaim_setHeld(BodyClaim_t *this, gsize held)
+{
+    change_held(this, MIN(held, this->bytes));
+}
+
 gboolean
 BodyClaim_isGranted(const BodyClaim_t *this)
 {
     return this->bytes > 0;
 }
+
+gsize
+BodyClaim_bytes(const BodyClaim_t *this)
+{
+    return this->bytes;
+}
--- a/src/BodyBudget.h
+++ b/src/BodyBudget.h
@@ -7,6 +7,9 @@
  * bytes before it is read; where they don't fit, its connection is read later,
  * so that the caller waits. The next claim to be granted is one of the caller
  * with the fewest bytes, and of these the oldest. Short bodies need no claim.
+ * A body that stops in the middle keeps the bytes that have come, and claims
+ * the others again. Bytes that are still to come must fit in what is left of
+ * the memory of the process as well.
  */
 #include <glib.h>
 
@@ -34,6 +37,14 @@
  * remain */
 void BodyBudget_setMax(BodyBudget_t *this, gsize max);
 
+/** BodyBudget_setRoom() - tell what is left of the memory of the process, for
+ * all bytes that were granted and have not come */
+void BodyBudget_setRoom(BodyBudget_t *this, gsize room);
+
+/** BodyBudget_isCrowded() - whether so many claims wait that a further one
+ * should be refused, as the kernel holds a part of each body */
+gboolean BodyBudget_isCrowded(const BodyBudget_t *this);
+
 /** BodyBudget_used() - bytes of all granted claims */
 gsize BodyBudget_used(const BodyBudget_t *this);
 
@@ -52,8 +63,8 @@
  *     grow is granted at once
  *
  * A claim that waits has to try again often: one that has not done so for a
- * while no longer precedes others, and a granted one whose connection shows no
- * sign of life gives way while others wait.
+ * while no longer precedes others, and a granted one without progress is
+ * reduced to its bytes that have come while others wait.
  *
  * Return: whether the claim is granted
  */
@@ -69,6 +80,9 @@
 /** BodyClaim_noteProgress() - bytes of the body were received */
 void BodyClaim_noteProgress(BodyClaim_t *this, gint64 now_ms);
 
+/** BodyClaim_setHeld() - tell how many of the claim's bytes have come */
+void BodyClaim_setHeld(BodyClaim_t *this, gsize held);
+
 /** BodyClaim_release() - give the claim's bytes back */
 void BodyClaim_release(BodyClaim_t *this);
 
@@ -79,4 +93,7 @@
 /** BodyClaim_isGranted() - whether the claim has bytes */
 gboolean BodyClaim_isGranted(const BodyClaim_t *this);
 
+/** BodyClaim_bytes() - bytes of the claim */
+gsize BodyClaim_bytes(const BodyClaim_t *this);
+
 #endif
--- /dev/null
+++ b/src/IntakeSocket.c
@@ -0,0 +1,53 @@
+#include "IntakeSocket.h"
+
+#include <event2/buffer.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+
+#include "HttpCall.h"
+
+gsize
+IntakeSocket_unread(struct bufferevent *stream)
+{
+    int unread = 0;
+    return ioctl(bufferevent_getfd(stream), FIONREAD, &unread) == 0
+               ? (gsize)unread
+               : 0;
+}
+
+gboolean
+IntakeSocket_hasCallerLeft(struct bufferevent *stream, guint64 missing)
+{
+    evutil_socket_t fd = bufferevent_getfd(stream);
+    struct pollfd state = {.fd = fd, .events = POLLRDHUP};
+    if (poll(&state, 1, 0) <= 0 ||
+        (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+        return FALSE;
+    }
+    return (guint64)IntakeSocket_unread(stream) < missing;
+}
+
+/* evhttp answers what it has not read whole with a page of its own, so the
+ * refusal is written in its place. */
+void
+IntakeSocket_writeRefusal(struct bufferevent *stream, Refusal_t refusal)
+{
+    void *connection = NULL;
+    struct evbuffer *output = bufferevent_get_output(stream);
+    GString *body = Refusal_body(refusal, RUN_NOT, NULL);
+    guint retry_after_s = Refusal_spec(refusal)->retry_after_ms / 1000;
+    g_autofree char *retry_after =
+        retry_after_s > 0
+            ? g_strdup_printf("Retry-After: %u\r\n", retry_after_s)
+            : g_strdup("");
+    bufferevent_getcb(stream, NULL, NULL, NULL, &connection);
+    evbuffer_add_printf(output,
+                        "HTTP/1.1 %d Refused\r\n"
+                        "Content-Type: application/json\r\n"
+                        "Content-Length: %" G_GSIZE_FORMAT "\r\n"
+                        "%sConnection: close\r\n\r\n%s",
+                        Refusal_spec(refusal)->status, body->len, retry_after,
+                        body->str);
+    Http_flush(connection);
+    g_string_free(body, TRUE);
+}
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -9,6 +9,7 @@
 #include "Clock.h"
 #include "HttpCall.h"
 #include "Log.h"
+#include "RequestIntake.h"
 #include "ResetOnClose.h"
 
 typedef struct {
@@ -141,6 +142,7 @@
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
     Http_startReadTimeout(connection);
+    RequestIntake_noteAnswered(request);
     Reply_destroy(data);
 }
 
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -3,12 +3,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
-#include <poll.h>
-#include <sys/ioctl.h>
 
 #include "BodyFraming.h"
 #include "Clock.h"
-#include "HttpCall.h"
+#include "IntakeSocket.h"
 #include "Log.h"
 #include "Refusal.h"
 #include "RelayForm.h"
@@ -24,21 +22,29 @@
 #define PAUSE_MAX_MS 10000
 /* Slowest rate of a request that takes longer than a pause may last. */
 #define BYTES_PER_SECOND_MIN 1024
+/* What evhttp keeps of a line of a head beside its bytes, about. */
+#define LINE_BYTES 128
+/* Bytes of a request that are read whatever memory is left. */
+#define SMALL_BYTES 2048
 /* Longest pause between two parts of a request that still counts as arriving.
  */
 #define ARRIVAL_PAUSE_MS 1000
 
 typedef struct {
-    struct bufferevent *stream;
+    struct bufferevent *stream; /* with a reference while a request arrives */
+    void *connection;           /* struct evhttp_connection, once known */
     const IntakeLimits_t *limits;
+    Arrival_t arrival;
     RequestFraming_t *framing;
     BodyClaim_t *claim;
     gsize max_header; /* of the settings as the connection was accepted */
     gboolean is_head_longer; /* as it may come from another router */
-    gint64 paused_ms; /* since when the connection is paused; 0 if not */
-    gint64 began_ms;  /* of the request that is arriving; 0 if none is */
-    gint64 last_ms;   /* of the last bytes */
-    gsize received;   /* bytes of it */
+    gint64 paused_ms;     /* since when the connection is paused; 0 if not */
+    gint64 began_ms;      /* of the request that is arriving; 0 if none is */
+    gint64 last_ms;       /* of the last bytes */
+    gsize received;       /* bytes of it */
+    gsize unread;         /* bytes that the kernel holds while it is paused */
+    gboolean is_answered; /* no earlier request waits for its answer */
     gboolean is_abandoned;
     gboolean is_refused; /* what it sends is dropped */
 } Connection_t;
@@ -49,9 +55,9 @@
     BodyClaim_t *claim;
 } TakenBody_t;
 
-/* By struct bufferevent, not owned. The entry of a closed connection remains
- * until its address is used again, so that there are no more of them than
- * connections were open at the same time. */
+/* By struct bufferevent, not owned. The entry of a connection that was closed
+ * between two requests remains until its address is used again, so that there
+ * are no more of them than connections were open at the same time. */
 static GHashTable *connections;
 
 static struct ev_token_bucket_cfg *
@@ -80,6 +86,13 @@
     Log_end();
 }
 
+static void
+count_unread(Connection_t *this, gsize unread)
+{
+    MemoryUse_add(this->limits->memory, (gssize)unread - (gssize)this->unread);
+    this->unread = unread;
+}
+
 /* libevent subtracts the bytes being read from the new limit. */
 static void
 pause_reading(Connection_t *this, gsize bytes, gsize added)
@@ -90,6 +103,7 @@
         bufferevent_set_rate_limit(this->stream, paused_rate());
         bufferevent_decrement_read_limit(this->stream, -(ev_ssize_t)added);
     }
+    count_unread(this, IntakeSocket_unread(this->stream));
 }
 
 static void
@@ -99,6 +113,7 @@
         log_wait(this, "body_admitted", bytes);
         this->began_ms += Clock_nowMs() - this->paused_ms;
         this->paused_ms = 0;
+        count_unread(this, 0);
         bufferevent_set_rate_limit(this->stream, NULL);
     }
 }
@@ -118,20 +133,13 @@
     return COPIES_IN_ARRIVAL * (gsize)MIN(expected, most);
 }
 
-/* evhttp does not report the end of a connection that it closes, so that the
- * claim would remain for a while. */
-static gboolean
-has_caller_left(const Connection_t *this)
+static void
+leave_arrivals(Connection_t *this)
 {
-    evutil_socket_t fd = bufferevent_getfd(this->stream);
-    struct pollfd state = {.fd = fd, .events = POLLRDHUP};
-    int held = 0;
-    if (poll(&state, 1, 0) <= 0 ||
-        (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
-        return FALSE;
+    if (this->arrival.arrivals) {
+        Arrival_remove(&this->arrival);
+        bufferevent_decref(this->stream);
     }
-    return ioctl(fd, FIONREAD, &held) == 0 &&
-           (guint64)held < RequestFraming_missingBody(this->framing);
 }
 
 /* Ends the connection as evhttp does once it reads the end. */
@@ -139,6 +147,8 @@
 end_connection(Connection_t *this)
 {
     BodyClaim_release(this->claim);
+    count_unread(this, 0);
+    leave_arrivals(this);
     bufferevent_trigger_event(this->stream, BEV_EVENT_READING | BEV_EVENT_EOF,
                               BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -151,33 +161,6 @@
     end_connection(this);
 }
 
-static void
-update_claim(Connection_t *this, gsize added)
-{
-    gint64 now_ms = Clock_nowMs();
-    gsize bytes = claimed_bytes(this);
-    if (this->is_abandoned) {
-        return;
-    }
-    if (bytes > 0 && has_caller_left(this)) {
-        abandon(this, bytes);
-        return;
-    }
-    if (RequestFraming_isInHead(this->framing)) {
-        BodyClaim_release(this->claim);
-    }
-    if (bytes > 0) {
-        BodyClaim_setCaller(this->claim, RequestFraming_caller(this->framing));
-    }
-    BodyClaim_noteProgress(this->claim, now_ms);
-    if (BodyClaim_try(this->claim, bytes, now_ms)) {
-        resume_reading(this, bytes);
-    }
-    else {
-        pause_reading(this, bytes, added);
-    }
-}
-
 static void
 feed(Connection_t *this, struct evbuffer *buffer, gsize added)
 {
@@ -195,98 +178,134 @@
 }
 
 static void
-log_refusal(const Connection_t *this, const char *reason)
+log_refusal(const Connection_t *this, const char *reason, const char *cause)
 {
-    g_autofree char *labels = g_strdup_printf("reason=\"%s\"", reason);
+    g_autofree char *labels = g_strdup_printf("reason=\"%s\"", cause);
     Log_begin(LOG_LEVEL_WARNING, "request_excessive");
     Log_text("reason", reason);
+    Log_text("cause", cause);
     Log_number("lines", RequestFraming_lines(this->framing));
     Log_number("bytes", (gint64)this->received);
     Log_number("ms", Clock_nowMs() - this->began_ms);
+    Log_number("idle_ms", Clock_nowMs() - this->last_ms);
+    Log_number("memory_used",
+               (gint64)MemoryUse_used(this->limits->memory, Clock_nowMs()));
     Log_number("read_timeout_ms", this->limits->read_timeout_ms);
     Log_end();
     Counters_add(this->limits->counters, "requests_excessive_total", labels,
                  1);
 }
 
-/* evhttp answers what it has not read whole with a page of its own, so the
- * refusal is written in its place. */
-static void
-write_refusal(const Connection_t *this, Refusal_t refusal)
-{
-    void *connection = NULL;
-    struct evbuffer *output = bufferevent_get_output(this->stream);
-    GString *body = Refusal_body(refusal, RUN_NOT, NULL);
-    guint retry_after_s = Refusal_spec(refusal)->retry_after_ms / 1000;
-    g_autofree char *retry_after =
-        retry_after_s > 0
-            ? g_strdup_printf("Retry-After: %u\r\n", retry_after_s)
-            : g_strdup("");
-    bufferevent_getcb(this->stream, NULL, NULL, NULL, &connection);
-    evbuffer_add_printf(output,
-                        "HTTP/1.1 %d Refused\r\n"
-                        "Content-Type: application/json\r\n"
-                        "Content-Length: %" G_GSIZE_FORMAT "\r\n"
-                        "%sConnection: close\r\n\r\n%s",
-                        Refusal_spec(refusal)->status, body->len, retry_after,
-                        body->str);
-    Http_flush(connection);
-    g_string_free(body, TRUE);
-}
-
 /* evhttp frees the connection after this, and LingeringClose sees afterwards
  * that it wrote its last answer. */
 static void
-refuse(Connection_t *this, Refusal_t refusal)
+refuse(Connection_t *this, Refusal_t refusal, const char *cause)
 {
+    const char *reason = Refusal_spec(refusal)->code;
     this->is_abandoned = TRUE;
     this->is_refused = TRUE;
     bufferevent_set_rate_limit(this->stream, NULL); /* of a pause */
-    log_refusal(this, Refusal_spec(refusal)->code);
+    log_refusal(this, reason, cause ? cause : reason);
     end_connection(this);
-    write_refusal(this, refusal);
+    IntakeSocket_writeRefusal(this->stream, refusal);
+}
+
+static gboolean
+try_claim(Connection_t *this, gsize bytes, gint64 now_ms)
+{
+    if (bytes > 0) {
+        BodyBudget_setRoom(this->limits->budget,
+                           MemoryUse_room(this->limits->memory, now_ms));
+    }
+    gboolean is_granted = BodyClaim_try(this->claim, bytes, now_ms);
+    BodyClaim_setHeld(this->claim, this->received);
+    return is_granted;
+}
+
+static void
+update_claim(Connection_t *this, gsize added)
+{
+    gint64 now_ms = Clock_nowMs();
+    gsize bytes = claimed_bytes(this);
+    if (this->is_abandoned) {
+        return;
+    }
+    if (bytes > 0 &&
+        IntakeSocket_hasCallerLeft(
+            this->stream, RequestFraming_missingBody(this->framing))) {
+        abandon(this, bytes);
+        return;
+    }
+    if (RequestFraming_isInHead(this->framing)) {
+        BodyClaim_release(this->claim);
+    }
+    if (bytes > 0) {
+        BodyClaim_setCaller(this->claim, RequestFraming_caller(this->framing));
+    }
+    BodyClaim_noteProgress(this->claim, now_ms);
+    if (try_claim(this, bytes, now_ms)) {
+        resume_reading(this, bytes);
+    }
+    else if (this->paused_ms == 0 && this->is_answered &&
+             BodyBudget_isCrowded(this->limits->budget)) {
+        refuse(this, REFUSAL_NO_MEMORY, "bodies_waiting");
+    }
+    else {
+        pause_reading(this, bytes, added);
+    }
 }
 
 /* How long the request has been arriving, without the time for which this
  * router did not read. */
 static gboolean
-is_too_slow(Connection_t *this, gsize added)
+is_too_slow(const Connection_t *this)
 {
     gint64 now_ms = Clock_nowMs();
     gint64 limit_ms = this->limits->read_timeout_ms;
-    if (!RequestFraming_isUnderWay(this->framing)) {
-        this->began_ms = 0;
-        return FALSE;
-    }
-    if (this->began_ms == 0) {
-        this->began_ms = now_ms;
-        this->received = 0;
-    }
-    this->received += added;
-    return limit_ms > 0 && this->paused_ms == 0 &&
+    return this->began_ms > 0 && limit_ms > 0 && this->paused_ms == 0 &&
            now_ms - this->began_ms >
                limit_ms +
                    (gint64)(this->received * 1000 / BYTES_PER_SECOND_MIN);
 }
 
+static gsize
+used_bytes(const Connection_t *this)
+{
+    return this->received +
+           (gsize)RequestFraming_lines(this->framing) * LINE_BYTES;
+}
+
+/* Bytes for which there was room still come. */
+static gboolean
+is_too_much(const Connection_t *this)
+{
+    return this->began_ms > 0 && this->is_answered &&
+           !BodyClaim_isGranted(this->claim) &&
+           used_bytes(this) > SMALL_BYTES &&
+           MemoryUse_level(this->limits->memory, Clock_nowMs()) == MEMORY_FULL;
+}
+
 static void
-check_excess(Connection_t *this, gsize added)
+check_excess(Connection_t *this)
 {
     if (this->is_abandoned) {
         return;
     }
     if (RequestFraming_hasBrokenLine(this->framing)) {
-        refuse(this, REFUSAL_BAD_HEADER);
+        refuse(this, REFUSAL_BAD_HEADER, NULL);
     }
     else if (RequestFraming_hasTooManyLines(this->framing)) {
-        refuse(this, REFUSAL_TOO_MANY_FIELDS);
+        refuse(this, REFUSAL_TOO_MANY_FIELDS, NULL);
     }
     else if (this->paused_ms > 0 &&
              Clock_nowMs() - this->paused_ms > PAUSE_MAX_MS) {
-        refuse(this, REFUSAL_NO_MEMORY);
+        refuse(this, REFUSAL_NO_MEMORY, NULL);
+    }
+    else if (is_too_slow(this)) {
+        refuse(this, REFUSAL_TOO_SLOW, NULL);
     }
-    else if (is_too_slow(this, added)) {
-        refuse(this, REFUSAL_TOO_SLOW);
+    else if (is_too_much(this)) {
+        refuse(this, REFUSAL_NO_MEMORY, "memory_full");
     }
 }
 
@@ -306,6 +325,48 @@
         (ev_ssize_t)(this->max_header + (is_longer ? RELAY_ADDED_BYTES : 0)));
 }
 
+/* evhttp does not tell that it frees a connection. The reference keeps the
+ * address of the stream from being used for another one before that is seen.
+ */
+static void
+note_arrival(Connection_t *this)
+{
+    if (!this->arrival.arrivals) {
+        bufferevent_incref(this->stream);
+        bufferevent_getcb(this->stream, NULL, NULL, NULL, &this->connection);
+    }
+    Arrival_note(&this->arrival, this->limits->arrivals, this->last_ms);
+    this->arrival.bytes = used_bytes(this);
+    this->arrival.room = BodyClaim_bytes(this->claim);
+}
+
+static void
+begin_input(Connection_t *this, gsize added)
+{
+    this->last_ms = Clock_nowMs();
+    if (!RequestFraming_isUnderWay(this->framing)) {
+        this->began_ms = 0;
+        this->received = 0;
+        return;
+    }
+    if (this->began_ms == 0) {
+        this->began_ms = this->last_ms;
+        this->received = 0;
+    }
+    this->received += added;
+}
+
+static void
+end_input(Connection_t *this)
+{
+    if (this->began_ms > 0 && !this->is_abandoned) {
+        note_arrival(this);
+    }
+    else {
+        leave_arrivals(this);
+    }
+}
+
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *data)
@@ -314,12 +375,13 @@
     if (info->n_added == 0) {
         return;
     }
-    this->last_ms = Clock_nowMs();
     if (!this->is_abandoned) {
         feed(this, buffer, info->n_added);
+        begin_input(this, info->n_added);
         set_head_limit(this);
         update_claim(this, info->n_added);
-        check_excess(this, info->n_added);
+        check_excess(this);
+        end_input(this);
     }
     if (this->is_refused) {
         evbuffer_drain(buffer, evbuffer_get_length(buffer));
@@ -330,6 +392,12 @@
 free_connection(gpointer data)
 {
     Connection_t *this = data;
+    if (this->arrival.arrivals) {
+        evbuffer_remove_cb(bufferevent_get_input(this->stream), on_input,
+                           this);
+    }
+    leave_arrivals(this);
+    count_unread(this, 0);
     RequestFraming_destroy(this->framing);
     BodyClaim_destroy(this->claim);
     g_free(this);
@@ -341,6 +409,8 @@
     Connection_t *this = g_new0(Connection_t, 1);
     this->limits = limits;
     this->stream = stream;
+    this->arrival.owner = this;
+    this->is_answered = TRUE;
     this->framing =
         RequestFraming_create(limits->forward_proof, limits->key_header);
     this->max_header = limits->max_header;
@@ -353,6 +423,50 @@
     evbuffer_add_cb(bufferevent_get_input(stream), on_input, this);
 }
 
+/* LingeringClose may have set callbacks of its own since. */
+static gboolean
+is_gone(void *owner)
+{
+    Connection_t *this = owner;
+    void *connection = NULL;
+    bufferevent_getcb(this->stream, NULL, NULL, NULL, &connection);
+    if (connection == this->connection) {
+        return FALSE;
+    }
+    g_hash_table_remove(connections, this->stream);
+    return TRUE;
+}
+
+static const char *const causes[] = {
+    [ARRIVAL_SHORT] = "memory_short",
+    [ARRIVAL_AWAITED] = "body_stalled",
+};
+
+static gboolean
+give_way(void *owner, ArrivalCause_t cause)
+{
+    Connection_t *this = owner;
+    struct evbuffer *input = bufferevent_get_input(this->stream);
+    if (this->is_abandoned || !this->is_answered) {
+        return FALSE;
+    }
+    refuse(this, REFUSAL_NO_MEMORY, causes[cause]);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return TRUE;
+}
+
+void
+RequestIntake_begin(struct event_base *base, IntakeLimits_t *limits)
+{
+    ArrivalsSpec_t spec = {
+        .memory = limits->memory,
+        .budget = limits->budget,
+        .is_gone = is_gone,
+        .give_way = give_way,
+    };
+    limits->arrivals = Arrivals_create(base, &spec);
+}
+
 /* Of a connection that was closed nothing more comes. */
 static gboolean
 is_arriving(const Connection_t *this, gint64 now_ms)
@@ -409,7 +523,10 @@
 gboolean
 RequestIntake_isAmbiguous(struct evhttp_request *request)
 {
-    const Connection_t *connection = find_connection(request);
+    Connection_t *connection = find_connection(request);
+    if (connection) {
+        connection->is_answered = FALSE;
+    }
     return has_unknown_coding(request) ||
            BodyFraming_isAmbiguousRequest(
                evhttp_request_get_command(request),
@@ -417,6 +534,15 @@
            (connection && RequestFraming_isBroken(connection->framing));
 }
 
+void
+RequestIntake_noteAnswered(struct evhttp_request *request)
+{
+    Connection_t *connection = find_connection(request);
+    if (connection) {
+        connection->is_answered = TRUE;
+    }
+}
+
 static void
 free_taken(gpointer data)
 {
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -7,19 +7,25 @@
  * their requests is sound (RequestFraming.h), and whether there is room for
  * their bodies (BodyBudget.h). A connection whose body has no room is read
  * slowly until there is, so that its caller waits and its end is noticed;
- * after a while its request is refused. A request with a malformed line or too
+ * after a while its request is refused. While memory is short, requests that
+ * have stopped are refused (Arrivals.h), and those that grow where nothing is
+ * left. A request with a malformed line or too
  * many lines, or one that takes too long to arrive, is refused before evhttp
  * has read it, and its connection is closed.
  */
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 
+#include "Arrivals.h"
 #include "BodyBudget.h"
 #include "Counters.h"
+#include "MemoryUse.h"
 
 /**
  * struct IntakeLimits_t - limits of bodies; must outlive the server
  * @budget: of all bodies
+ * @memory: of the process
+ * @arrivals: from RequestIntake_begin()
  * @max_body: largest body, which a body of unknown length claims
  * @max_header: longest head of a caller; RELAY_ADDED_BYTES more for another
  *     router
@@ -31,6 +37,8 @@
  */
 typedef struct {
     BodyBudget_t *budget;
+    MemoryUse_t *memory;
+    Arrivals_t *arrivals;
     gsize max_body;
     gsize max_header;
     const char *key_header;
@@ -39,6 +47,10 @@
     Counters_t *counters;
 } IntakeLimits_t;
 
+/** RequestIntake_begin() - before connections are watched
+ * @limits: with @memory and @budget */
+void RequestIntake_begin(struct event_base *base, IntakeLimits_t *limits);
+
 /** RequestIntake_clear() - forget all connections, which must have been freed
  */
 void RequestIntake_clear(void);
@@ -60,6 +72,9 @@
  */
 gboolean RequestIntake_isAmbiguous(struct evhttp_request *request);
 
+/** RequestIntake_noteAnswered() - the answer to a request was sent */
+void RequestIntake_noteAnswered(struct evhttp_request *request);
+
 /**
  * RequestIntake_takeBody() - move the body out of a request
  *
--- a/src/Router.c
+++ b/src/Router.c
@@ -49,6 +49,8 @@
 /* Share of the memory that bodies of requests may use; the rest is for all
  * else. */
 #define BODY_PERCENT 65
+/* Of a connection, what the kernel holds before it is read. */
+#define UNREAD_BYTES (32 << 10)
 /* Allows unknown HTTP methods too, as the API answers them with a typed error.
  */
 #define ALL_METHODS G_MAXUINT16
@@ -72,6 +74,7 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     gint64 memory_room;    /* as it started */
+    gsize memory_own;      /* in use as it started */
     HttpListener_t callers;
     HttpListener_t operators;
     HttpListener_t readiness;
@@ -127,7 +130,8 @@
     context->traces = Traces_create();
     context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
-    context->memory = MemoryUse_create((gsize)settings->limits.memory);
+    context->memory = MemoryUse_create(0);
+    this->memory_own = MemoryUse_used(context->memory, Clock_nowMs());
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
                           (gsize)settings->limits.answers_max);
@@ -314,8 +318,12 @@
     gsize max = (gsize)limits->memory * BODY_PERCENT / 100;
     if (!this->intake.budget) {
         this->intake.budget = BodyBudget_create(max);
+        this->intake.memory = this->context.memory;
+        RequestIntake_begin(this->context.base, &this->intake);
     }
     BodyBudget_setMax(this->intake.budget, max);
+    MemoryUse_setMax(this->context.memory,
+                     MemoryUse_fit((gsize)limits->memory, this->memory_own));
     this->intake.max_body = (gsize)limits->max_body;
     this->intake.max_header = (gsize)limits->max_header;
     this->intake.forward_proof = this->context.forward_proof;
@@ -352,6 +360,19 @@
     }
 }
 
+/* Accepted connections have it from the first byte on. */
+static void
+bound_unread(struct evhttp_bound_socket *bound)
+{
+    int bytes = UNREAD_BYTES;
+    if (setsockopt(evhttp_bound_socket_get_fd(bound), SOL_SOCKET, SO_RCVBUF,
+                   &bytes, sizeof(bytes)) != 0) {
+        Log_begin(LOG_LEVEL_WARNING, "unread_not_bounded");
+        Log_text("error", g_strerror(errno));
+        Log_end();
+    }
+}
+
 static struct bufferevent *
 create_connection(struct event_base *base, void *data)
 {
@@ -393,6 +414,7 @@
         return FALSE;
     }
     widen_backlog(bound);
+    bound_unread(bound);
     note_bound(this, server, bound);
     return TRUE;
 }
@@ -595,7 +617,6 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_body_budget(this);
-    MemoryUse_setMax(this->context.memory, (gsize)limits->memory);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
     HttpListener_t *listeners[] = {&this->callers, &this->operators,
                                    &this->readiness};
@@ -679,6 +700,9 @@
     free_listener(&this->callers);
     free_listener(&this->operators);
     free_listener(&this->readiness);
+    if (this->intake.arrivals) {
+        Arrivals_dropGone(this->intake.arrivals);
+    }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
     PendingReply_setCounters(NULL);
     LingeringClose_clear();
@@ -688,6 +712,7 @@
 free_intake(Router_t *this)
 {
     RequestIntake_clear();
+    g_clear_pointer(&this->intake.arrivals, Arrivals_destroy);
     if (this->intake.budget) {
         BodyBudget_unref(this->intake.budget);
     }
@@ -810,8 +835,8 @@
     if (started) {
         free_platform(&this);
     }
-    free_parts(&this);
     free_intake(&this);
+    free_parts(&this);
     DescriptorReserve_clear();
     event_base_free(this.context.base);
     return ended;
--- a/tests/fuzz/requests.c
+++ b/tests/fuzz/requests.c
@@ -358,8 +358,10 @@
 {
     side.base = event_base_new();
     side.limits = (IntakeLimits_t){.budget = BodyBudget_create(0),
+                                   .memory = MemoryUse_create(0),
                                    .max_body = BODY_MAX,
                                    .counters = Counters_create()};
+    RequestIntake_begin(side.base, &side.limits);
     struct evhttp *server = evhttp_new(side.base);
     evhttp_set_allowed_methods(server, G_MAXUINT16);
     evhttp_set_max_body_size(server, BODY_MAX);
--- a/tests/test_BodyBudget.c
+++ b/tests/test_BodyBudget.c
@@ -142,6 +142,62 @@
 }
 END_TEST
 
+/* A body that paused gave its claim back, and its bytes stayed. */
+START_TEST(a_body_that_stops_keeps_the_bytes_that_have_come)
+{
+    begin(ROOM);
+    ck_assert(BodyClaim_try(claims[0], 900, 0));
+    BodyClaim_setHeld(claims[0], 400);
+    ck_assert(!BodyClaim_try(claims[1], 700, 600));
+    ck_assert_uint_eq(BodyClaim_bytes(claims[0]), 400);
+    ck_assert(BodyClaim_try(claims[2], 600, 900));
+    ck_assert_uint_eq(BodyBudget_used(budget), ROOM);
+    ck_assert(!BodyClaim_try(claims[0], 900, 1000));
+    BodyClaim_release(claims[2]);
+    BodyClaim_release(claims[1]);
+    ck_assert(BodyClaim_try(claims[0], 900, 1100));
+    ck_assert_uint_eq(BodyBudget_used(budget), 900);
+    end();
+}
+END_TEST
+
+START_TEST(bytes_to_come_must_fit_in_the_memory_that_is_left)
+{
+    begin(ROOM);
+    BodyBudget_setRoom(budget, 500);
+    ck_assert(BodyClaim_try(claims[0], 400, 0));
+    ck_assert(!BodyClaim_try(claims[1], 200, 0));
+    BodyClaim_setHeld(claims[0], 300);
+    ck_assert(BodyClaim_try(claims[1], 200, 10));
+    BodyBudget_setRoom(budget, 0);
+    ck_assert(!BodyClaim_try(claims[2], 1, 20));
+    BodyClaim_release(claims[0]);
+    BodyClaim_release(claims[1]);
+    ck_assert(BodyClaim_try(claims[2], 200, 30));
+    end();
+}
+END_TEST
+
+/* The kernel held a part of each body that waited. */
+START_TEST(only_so_many_claims_wait)
+{
+    enum { CLAIMS = 65 };
+    BodyClaim_t *more[CLAIMS];
+    begin(ROOM);
+    ck_assert(BodyClaim_try(claims[0], ROOM, 0));
+    for (guint i = 0; i < CLAIMS; i++) {
+        ck_assert_int_eq(BodyBudget_isCrowded(budget), i == CLAIMS - 1);
+        more[i] = BodyClaim_create(budget);
+        ck_assert(!BodyClaim_try(more[i], ROOM, 0));
+    }
+    for (guint i = 0; i < CLAIMS; i++) {
+        BodyClaim_destroy(more[i]);
+    }
+    ck_assert(!BodyBudget_isCrowded(budget));
+    end();
+}
+END_TEST
+
 START_TEST(a_body_that_was_received_stays)
 {
     begin(ROOM);
@@ -232,7 +288,10 @@
              received_bodies_count_for_their_callers,
              a_claim_takes_its_bytes_to_another_caller,
              a_claim_that_no_longer_tries_does_not_hold_up_others,
-             a_body_without_progress_gives_way, a_body_that_was_received_stays,
+             a_body_without_progress_gives_way,
+             a_body_that_stops_keeps_the_bytes_that_have_come,
+             bytes_to_come_must_fit_in_the_memory_that_is_left,
+             only_so_many_claims_wait, a_body_that_was_received_stays,
              a_body_beyond_the_budget_is_admitted_alone, a_claim_may_grow,
              without_a_limit_all_bodies_are_admitted,
              random_calls_keep_the_sum)
--- a/tests/test_MemoryUse.c
+++ b/tests/test_MemoryUse.c
@@ -64,7 +64,50 @@
 }
 END_TEST
 
+START_TEST(the_excess_is_what_is_not_easy)
+{
+    MemoryUse_t *use = MemoryUse_create(0);
+    MemoryUse_add(use, (gssize)(100 * MIB));
+    ck_assert_uint_eq(MemoryUse_excess(use, 1), 0);
+    MemoryUse_setMax(use, 100 * MIB);
+    ck_assert_uint_ge(MemoryUse_excess(use, 1), 30 * MIB);
+    MemoryUse_add(use, -(gssize)(90 * MIB));
+    ck_assert_uint_eq(MemoryUse_excess(use, 1), 0);
+    MemoryUse_destroy(use);
+}
+END_TEST
+
+START_TEST(freed_pages_are_given_back)
+{
+    enum { PARTS = 4096 };
+    char *parts[PARTS];
+    MemoryUse_t *use = MemoryUse_create(0);
+    for (guint i = 0; i < PARTS; i++) {
+        parts[i] = g_malloc(8192);
+        memset(parts[i], 1, 8192);
+    }
+    gsize before = MemoryUse_used(use, LATER_MS);
+    for (guint i = 0; i < PARTS - 1; i++) {
+        g_free(parts[i]);
+    }
+    MemoryUse_trim(use, 2 * LATER_MS);
+    ck_assert_uint_lt(MemoryUse_used(use, 2 * LATER_MS), before - 16 * MIB);
+    g_free(parts[PARTS - 1]);
+    MemoryUse_destroy(use);
+}
+END_TEST
+
+START_TEST(a_limit_that_the_program_fills_is_not_kept)
+{
+    ck_assert_uint_eq(MemoryUse_fit(0, MIB), 0);
+    ck_assert_uint_eq(MemoryUse_fit(4 * MIB, MIB), 4 * MIB);
+    ck_assert_uint_eq(MemoryUse_fit(4 * MIB, MIB + 1), 0);
+}
+END_TEST
+
 TESTING_MAIN("MemoryUse", pages_in_use_are_counted,
              bytes_of_others_are_counted,
              room_is_what_is_left_without_the_reserve,
-             the_level_follows_the_use)
+             the_level_follows_the_use, the_excess_is_what_is_not_easy,
+             freed_pages_are_given_back,
+             a_limit_that_the_program_fills_is_not_kept)
