--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -10,6 +10,7 @@
 #include "HttpCall.h"
 #include "IdleCallers.h"
 #include "Log.h"
+#include "RequestIntake.h"
 #include "ResetOnClose.h"
 
 typedef struct {
@@ -142,6 +143,7 @@
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
     Http_startReadTimeout(connection);
+    RequestIntake_noteAnswered(request);
     Reply_destroy(data);
     IdleCallers_add(connection);
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -50,6 +50,8 @@
 /* Share of the memory that bodies of requests may use; the rest is for all
  * else. */
 #define BODY_PERCENT 65
+/* Of a connection, what the kernel holds before it is read. */
+#define UNREAD_BYTES (32 << 10)
 /* Allows unknown HTTP methods too, as the API answers them with a typed error.
  */
 #define ALL_METHODS G_MAXUINT16
@@ -74,6 +76,7 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     gint64 memory_room;    /* as it started */
+    gsize memory_own;      /* in use as it started */
     HttpListener_t callers;
     HttpListener_t operators;
     HttpListener_t readiness;
@@ -121,7 +124,8 @@
     context->traces = Traces_create();
     context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
-    context->memory = MemoryUse_create((gsize)settings->limits.memory);
+    context->memory = MemoryUse_create(0);
+    this->memory_own = MemoryUse_used(context->memory, Clock_nowMs());
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
                           (gsize)settings->limits.answers_max);
@@ -308,8 +312,12 @@
     gsize max = (gsize)limits->memory * BODY_PERCENT / 100;
     if (!this->intake.budget) {
         this->intake.budget = BodyBudget_create(max);
+        this->intake.memory = this->context.memory;
+        RequestIntake_begin(this->context.base, &this->intake);
     }
     BodyBudget_setMax(this->intake.budget, max);
+    MemoryUse_setMax(this->context.memory,
+                     MemoryUse_fit((gsize)limits->memory, this->memory_own));
     this->intake.max_body = (gsize)limits->max_body;
     this->intake.max_header = (gsize)limits->max_header;
     this->intake.forward_proof = this->context.forward_proof;
@@ -346,6 +354,19 @@
     }
 }
 
+/* Accepted connections have it from the first byte on. */
+static void
+bound_unread(struct evhttp_bound_socket *bound)
+{
+    int bytes = UNREAD_BYTES;
+    if (setsockopt(evhttp_bound_socket_get_fd(bound), SOL_SOCKET, SO_RCVBUF,
+                   &bytes, sizeof(bytes)) != 0) {
+        Log_begin(LOG_LEVEL_WARNING, "unread_not_bounded");
+        Log_text("error", g_strerror(errno));
+        Log_end();
+    }
+}
+
 static struct bufferevent *
 create_connection(struct event_base *base, void *data)
 {
@@ -387,6 +408,7 @@
         return FALSE;
     }
     widen_backlog(bound);
+    bound_unread(bound);
     note_bound(this, server, bound);
     return TRUE;
 }
@@ -587,7 +609,6 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_body_budget(this);
-    MemoryUse_setMax(this->context.memory, (gsize)limits->memory);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
     HttpListener_t *listeners[] = {&this->callers, &this->operators,
                                    &this->readiness};
@@ -673,6 +694,9 @@
     free_listener(&this->callers);
     free_listener(&this->operators);
     free_listener(&this->readiness);
+    if (this->intake.arrivals) {
+        Arrivals_dropGone(this->intake.arrivals);
+    }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
     PendingReply_setCounters(NULL);
     IdleCallers_clear();
@@ -683,6 +707,7 @@
 free_intake(Router_t *this)
 {
     RequestIntake_clear();
+    g_clear_pointer(&this->intake.arrivals, Arrivals_destroy);
     if (this->intake.budget) {
         BodyBudget_unref(this->intake.budget);
     }
@@ -807,8 +832,8 @@
     if (started) {
         free_platform(&this);
     }
-    free_parts(&this);
     free_intake(&this);
+    free_parts(&this);
     DescriptorReserve_clear();
     event_base_free(this.context.base);
     return ended;
