Bytes in the kernel are bounded, counted, and freed when memory is short

Callers lost their requests with their router: a machine that enforces memory counts what the kernel holds for the router's sockets, and callers that read nothing of streams and answers, or upstreams that read nothing of bodies, made that hundreds of megabytes. Cause: SO_SNDBUF was set for callers of the native interface only, and to stream_buffer for each of hundreds; sockets to upstreams, to the store and between routers grew to 32 and 4 MB; nothing counted these bytes or gave up a stream whose caller reads nothing.

SocketBuffers bounds both buffers of each socket (of callers' already at the listener, and the smaller the more callers are answered). SocketUse looks at the sockets in turn, adds what the kernel holds to MemoryUse, and resets callers that have read nothing for 3 s while memory is tight, or 0.5 s while it is full, the longest first. MemoryUse keeps no limit that the program alone would exceed (sanitizers).

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -249,7 +249,8 @@
         end_soon(this);
     }
     this->starting = FALSE;
-    OutgoingSocket_shareAddress(AttemptConnection_bufferevent(this));
+    OutgoingSocket_prepare(AttemptConnection_bufferevent(this),
+                           SOCKET_UPSTREAM);
     if (this->on_socket && has_socket(this)) {
         this->on_socket(this->attempt);
     }
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -5,7 +5,6 @@
 #include <event2/keyvalq_struct.h>
 #include <sodium.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "Answer.h"
 #include "Clock.h"
@@ -429,21 +428,16 @@
     }
 }
 
-/* SO_SNDBUF is set because the kernel would otherwise buffer megabytes for a
- * caller that does not read. The read watermark is set together with evhttp's
- * size limits: a body larger than the watermark and smaller than the limits
- * would never be read. */
+/* The read watermark is set together with evhttp's size limits: a body larger
+ * than the watermark and smaller than the limits would never be read. */
 static void
 prepare_connection(const Call_t *call)
 {
     struct evhttp_connection *connection =
         evhttp_request_get_connection(call->http);
     const LimitsSection_t *limits = &call->context->settings->limits;
-    int size = (int)limits->stream_buffer;
     Http_setNoDelay(connection);
-    setsockopt(
-        bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
-        SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+    Context_prepareCaller(call->context, connection);
     evhttp_connection_set_max_headers_size(connection, limits->max_header);
     evhttp_connection_set_max_body_size(connection, limits->max_body);
     bufferevent_setwatermark(
--- a/src/CallerWatch.c
+++ b/src/CallerWatch.c
@@ -6,6 +6,7 @@
 
 #include "HttpCall.h"
 #include "ResetOnClose.h"
+#include "SocketUse.h"
 
 /* Interval between looks at a connection with bytes that wait. */
 #define LOOK_US 100000
@@ -69,18 +70,18 @@
 
 /* evhttp closes a connection as well if it can't write for its timeout. */
 static Refusal_t
-reason_of(struct evhttp_connection *connection)
+reason_of(evutil_socket_t fd)
 {
-    evutil_socket_t fd =
-        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    return has_left(fd) ? REFUSAL_CALLER_LEFT : REFUSAL_ANSWER_NOT_READ;
+    return has_left(fd) && !SocketUse_isGivenUp(fd) ? REFUSAL_CALLER_LEFT
+                                                    : REFUSAL_ANSWER_NOT_READ;
 }
 
 static void
 on_close(struct evhttp_connection *connection, void *data)
 {
     CallerWatch_t *this = data;
-    Refusal_t reason = reason_of(connection);
+    Refusal_t reason = reason_of(
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
     struct evhttp_request *request = CallerWatch_detach(this);
     ResetOnClose_forget(connection);
     if (!evhttp_request_get_connection(request)) {
@@ -109,8 +110,9 @@
 {
     CallerWatch_t *this = data;
     if (has_left(fd)) {
+        Refusal_t reason = reason_of(fd);
         CallerWatch_closeConnection(this);
-        this->left(this->owner, REFUSAL_CALLER_LEFT);
+        this->left(this->owner, reason);
     }
     else if (what & EV_READ) {
         look_at_times(this, fd);
--- a/src/Context.c
+++ b/src/Context.c
@@ -1,6 +1,10 @@
 #include "Context.h"
 
+#include <event2/bufferevent.h>
+
 #include "Log.h"
+#include "PendingReply.h"
+#include "SocketBuffers.h"
 
 RateRequest_t
 Caller_makeRateRequest(const Caller_t *caller, const char *customer,
@@ -84,3 +88,17 @@
     }
     return limit_ms > 0 ? MIN(wait_ms, limit_ms) : wait_ms;
 }
+
+void
+Context_prepareCaller(const Context_t *this,
+                      struct evhttp_connection *connection)
+{
+    const LimitsSection_t *limits = &this->settings->limits;
+    CallerShare_t share = {
+        .memory = (gsize)limits->memory,
+        .callers = this->open_requests + PendingReply_count() + 1,
+        .most = (gsize)limits->stream_buffer,
+    };
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    SocketBuffers_limitCaller(bufferevent_getfd(stream), &share);
+}
--- a/src/Context.h
+++ b/src/Context.h
@@ -7,6 +7,7 @@
  * owns the parts.
  */
 #include <event2/event.h>
+#include <event2/http.h>
 #include <glib.h>
 
 #include "AnswerBuffer.h"
@@ -209,6 +210,11 @@
                           const char *request, const char *target,
                           const char *customer_class, const char *detail);
 
+/** Context_prepareCaller() - bound and count what the kernel holds for a
+ * caller that has sent a request */
+void Context_prepareCaller(const Context_t *this,
+                           struct evhttp_connection *connection);
+
 /** Context_countOversized() - count and log an event of a stream, or an answer
  * that is no stream, that is too large */
 void Context_countOversized(Context_t *this, const char *request,
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -439,7 +439,7 @@
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
     }
-    OutgoingSocket_shareAddress(bev);
+    OutgoingSocket_prepare(bev, SOCKET_CALL);
     this->starting = FALSE;
     return this;
 }
--- a/src/MemoryUse.c
+++ b/src/MemoryUse.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -14,6 +15,10 @@
 #define TIGHT_PERCENT 70
 #define FULL_PERCENT 85
 #define STATM_MAX 128
+/* Giving pages back costs a walk through the heap. */
+#define TRIM_MS 250
+/* Part of its memory that the program may need for itself. */
+#define OWN_PARTS 4
 
 struct MemoryUse {
     int statm; /* descriptor, or -1 */
@@ -22,6 +27,7 @@
     gsize added;
     gsize resident;
     gint64 measured_ms; /* 0 if never */
+    gint64 trimmed_ms;
 };
 
 MemoryUse_t *
@@ -87,6 +93,37 @@
     return this->resident + this->added;
 }
 
+gsize
+MemoryUse_fit(gsize max, gsize own)
+{
+    if (max == 0 || own <= max / OWN_PARTS) {
+        return max;
+    }
+    Log_begin(LOG_LEVEL_WARNING, "memory_not_kept");
+    Log_number("memory", (gint64)max);
+    Log_number("own", (gint64)own);
+    Log_end();
+    return 0;
+}
+
+void
+MemoryUse_trim(MemoryUse_t *this, gint64 now_ms)
+{
+    if (now_ms - this->trimmed_ms >= TRIM_MS) {
+        malloc_trim(0);
+        this->trimmed_ms = now_ms;
+        this->measured_ms = 0;
+    }
+}
+
+gsize
+MemoryUse_excess(MemoryUse_t *this, gint64 now_ms)
+{
+    gsize easy = this->max / 100 * TIGHT_PERCENT;
+    gsize used = MemoryUse_used(this, now_ms);
+    return this->max > 0 && used > easy ? used - easy : 0;
+}
+
 gsize
 MemoryUse_room(MemoryUse_t *this, gint64 now_ms)
 {
--- a/src/MemoryUse.h
+++ b/src/MemoryUse.h
@@ -35,6 +35,16 @@
 /** MemoryUse_setMax() - change @max of MemoryUse_create() */
 void MemoryUse_setMax(MemoryUse_t *this, gsize max);
 
+/**
+ * MemoryUse_fit() - the limit that can be kept
+ * @max: bytes that the settings name
+ * @own: bytes that the process used before it served requests
+ *
+ * Return: 0 for none, if @own is more than a quarter of @max; a log line tells
+ * of it
+ */
+gsize MemoryUse_fit(gsize max, gsize own);
+
 /** MemoryUse_add() - count bytes that are not resident pages
  * @bytes: more than before; negative for fewer */
 void MemoryUse_add(MemoryUse_t *this, gssize bytes);
@@ -46,6 +56,13 @@
  * asks nobody; G_MAXSIZE without a limit */
 gsize MemoryUse_room(MemoryUse_t *this, gint64 now_ms);
 
+/** MemoryUse_excess() - bytes in use beyond those of MEMORY_EASY */
+gsize MemoryUse_excess(MemoryUse_t *this, gint64 now_ms);
+
+/** MemoryUse_trim() - give freed pages back to the system, unless that was
+ * done a short while ago */
+void MemoryUse_trim(MemoryUse_t *this, gint64 now_ms);
+
 /** MemoryUse_level() - how much of the memory is used */
 MemoryLevel_t MemoryUse_level(MemoryUse_t *this, gint64 now_ms);
 
--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -279,6 +279,7 @@
 {
     int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    SocketBuffers_limit(fd, SOCKET_PEER);
     limit_unsent(fd);
     return create_link(base, fd, key, events, owner);
 }
@@ -299,7 +300,7 @@
         bufferevent_trigger_event(this->stream, BEV_EVENT_ERROR,
                                   BEV_TRIG_DEFER_CALLBACKS);
     }
-    OutgoingSocket_shareAddress(this->stream);
+    OutgoingSocket_prepare(this->stream, SOCKET_PEER);
     int on = 1;
     setsockopt(bufferevent_getfd(this->stream), IPPROTO_TCP, TCP_NODELAY, &on,
                sizeof(on));
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -10,6 +10,7 @@
 #include "HttpCall.h"
 #include "Log.h"
 #include "ResetOnClose.h"
+#include "SocketUse.h"
 
 typedef struct {
     GString *id;
@@ -94,7 +95,8 @@
 static const char *
 unsent_cause(const Reply_t *this)
 {
-    if (this->is_given_up) {
+    if (this->is_given_up ||
+        SocketUse_isGivenUp(bufferevent_getfd(stream_of(this)))) {
         return "no_room";
     }
     return has_caller_left(stream_of(this)) ? "caller_left" : "not_read";
@@ -141,6 +143,7 @@
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
     Http_startReadTimeout(connection);
+    SocketUse_noteAnswered(bufferevent_getfd(stream_of(data)));
     Reply_destroy(data);
 }
 
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -358,6 +358,7 @@
     admission.forwarded_by = find_forwarder(data, request);
     close_if_ambiguous(&admission);
     Http_setNoDelay(connection);
+    Context_prepareCaller(data, connection);
     extend_idle_time(data, connection);
     Counters_add(admission.context->counters, "requests_total", NULL, 1);
     gboolean is_read = admission.context->form->caller->read_request(
--- a/src/Router.c
+++ b/src/Router.c
@@ -35,6 +35,8 @@
 #include "RequestIntake.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
+#include "SocketBuffers.h"
+#include "SocketUse.h"
 #include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
@@ -72,6 +74,7 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     gint64 memory_room;    /* as it started */
+    gsize memory_own;      /* in use as it started */
     HttpListener_t callers;
     HttpListener_t operators;
     HttpListener_t readiness;
@@ -127,7 +130,9 @@
     context->traces = Traces_create();
     context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
-    context->memory = MemoryUse_create((gsize)settings->limits.memory);
+    context->memory = MemoryUse_create(0);
+    this->memory_own = MemoryUse_used(context->memory, Clock_nowMs());
+    SocketUse_init(context->base, context->memory, context->counters);
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
                           (gsize)settings->limits.answers_max);
@@ -316,6 +321,8 @@
         this->intake.budget = BodyBudget_create(max);
     }
     BodyBudget_setMax(this->intake.budget, max);
+    MemoryUse_setMax(this->context.memory,
+                     MemoryUse_fit((gsize)limits->memory, this->memory_own));
     this->intake.max_body = (gsize)limits->max_body;
     this->intake.max_header = (gsize)limits->max_header;
     this->intake.forward_proof = this->context.forward_proof;
@@ -393,6 +400,7 @@
         return FALSE;
     }
     widen_backlog(bound);
+    SocketBuffers_limit(evhttp_bound_socket_get_fd(bound), SOCKET_CALLER);
     note_bound(this, server, bound);
     return TRUE;
 }
@@ -595,7 +603,6 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_body_budget(this);
-    MemoryUse_setMax(this->context.memory, (gsize)limits->memory);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
     HttpListener_t *listeners[] = {&this->callers, &this->operators,
                                    &this->readiness};
@@ -719,6 +726,7 @@
     Traces_destroy(context->traces);
     OpenRequests_destroy(context->open);
     AnswerRoom_destroy(context->answer_room);
+    SocketUse_clear();
     MemoryUse_destroy(context->memory);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
