No long work begins, and streams buffer less, while memory is full

A router whose bodies fill their 65 % was ended by its machine, with all its requests, when callers began streams beside them and did not read: each stream may keep 256 KiB until their sum passes answers_max, whatever else is in use, and pages that were freed stayed with the process: the C library's limit grows with the largest block freed, so that bodies come from the heap from then on.

Streams buffer 16 KiB at 70 % of the memory and nothing at 85 %, when new ones are refused as not run (503 memory_full, Retry-After 1; another router may take one that was forwarded). Blocks from 64 KiB on have pages of their own, and free pages are given back before callers are given up.

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -227,6 +227,10 @@
         start_resume(call, chat, token);
         return;
     }
+    if (Context_isMemoryFull(call->context)) {
+        refuse(call, REFUSAL_MEMORY_FULL, NULL);
+        return;
+    }
     Prompt_t *prompt = read_prompt(call, chat);
     if (!prompt) {
         return;
--- a/src/Context.c
+++ b/src/Context.c
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 
+#include "Clock.h"
 #include "Log.h"
 #include "PendingReply.h"
 #include "SocketBuffers.h"
@@ -102,3 +103,9 @@
     struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
     SocketBuffers_limitCaller(bufferevent_getfd(stream), &share);
 }
+
+gboolean
+Context_isMemoryFull(const Context_t *this)
+{
+    return MemoryUse_level(this->memory, Clock_nowMs()) == MEMORY_FULL;
+}
--- a/src/Context.h
+++ b/src/Context.h
@@ -215,6 +215,9 @@
 void Context_prepareCaller(const Context_t *this,
                            struct evhttp_connection *connection);
 
+/** Context_isMemoryFull() - whether no long work may begin */
+gboolean Context_isMemoryFull(const Context_t *this);
+
 /** Context_countOversized() - count and log an event of a stream, or an answer
  * that is no stream, that is too large */
 void Context_countOversized(Context_t *this, const char *request,
--- a/src/Refusal.c
+++ b/src/Refusal.c
@@ -160,6 +160,9 @@
                                 "This router holds too many answers that "
                                 "their callers have not read yet.",
                                 503, 1000, RUN_NOT},
+    [REFUSAL_MEMORY_FULL] = {"memory_full", "overloaded_error",
+                             "The router has no memory for another stream.",
+                             503, 1000, RUN_NOT},
 };
 
 const RefusalSpec_t *
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "CallerWatch.h"
+#include "Clock.h"
 #include "HttpCall.h"
 #include "HttpReply.h"
 #include "Log.h"
@@ -30,6 +31,7 @@
     gsize counted; /* part of @buffered_total, as of the last write */
     gsize *buffered_total;
     gsize buffered_total_max;
+    MemoryUse_t *memory;
     int status; /* from RelayAnswer_setHead(), 0 before */
     guint retry_after_ms;
     gint64 stated_bytes; /* length of the upstream's body, or NO_LENGTH */
@@ -102,6 +104,7 @@
     this->buffer_max = spec->buffer_max;
     this->buffered_total = spec->buffered_total;
     this->buffered_total_max = spec->buffered_total_max;
+    this->memory = spec->memory;
     this->stated_bytes = NO_LENGTH;
     this->is_end_proven = TRUE;
     this->is_for_router =
@@ -248,15 +251,27 @@
     return evbuffer_get_length(bufferevent_get_output(stream));
 }
 
-static gboolean
-has_room(const RelayAnswer_t *this, gsize buffered)
+static gsize
+free_bytes(const RelayAnswer_t *this)
 {
+    MemoryLevel_t level = this->memory
+                              ? MemoryUse_level(this->memory, Clock_nowMs())
+                              : MEMORY_EASY;
     gboolean is_shared_used_up =
         this->buffered_total &&
         *this->buffered_total > this->buffered_total_max;
-    return buffered <= (is_shared_used_up
-                            ? MIN(this->buffer_max, ANSWER_OUTPUT_FREE_MAX)
-                            : this->buffer_max);
+    if (level == MEMORY_FULL) {
+        return 0;
+    }
+    return is_shared_used_up || level == MEMORY_TIGHT
+               ? MIN(this->buffer_max, ANSWER_OUTPUT_FREE_MAX)
+               : this->buffer_max;
+}
+
+static gboolean
+has_room(const RelayAnswer_t *this, gsize buffered)
+{
+    return buffered == 0 || buffered <= free_bytes(this);
 }
 
 void
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -13,6 +13,7 @@
 #include <event2/http.h>
 
 #include "BodyFraming.h"
+#include "MemoryUse.h"
 #include "Refusal.h"
 
 /**
@@ -36,6 +37,8 @@
  *     outlive the answer; or NULL
  * @buffered_total_max: bytes of @buffered_total from which
  *     ANSWER_OUTPUT_FREE_MAX takes the place of @buffer_max
+ * @memory: while it is tight, ANSWER_OUTPUT_FREE_MAX as well, and nothing
+ * while it is full; or NULL
  */
 typedef struct {
     struct evhttp_request *request;
@@ -44,6 +47,7 @@
     gsize buffer_max;
     gsize *buffered_total;
     gsize buffered_total_max;
+    MemoryUse_t *memory;
 } RelayAnswerSpec_t;
 
 /** ANSWER_OUTPUT_FREE_MAX - bytes for a slow caller for which there is always
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -65,7 +65,7 @@
     return refusal == REFUSAL_NO_PATH || refusal == REFUSAL_STOPPING ||
            refusal == REFUSAL_NOT_CONFIGURED ||
            refusal == REFUSAL_CONFIG_STALE || refusal == REFUSAL_OVERLOADED ||
-           refusal == REFUSAL_ANSWERS_UNREAD;
+           refusal == REFUSAL_ANSWERS_UNREAD || refusal == REFUSAL_MEMORY_FULL;
 }
 
 static void
@@ -166,15 +166,27 @@
     return FALSE;
 }
 
-/* Streams stop at their own bounds. */
+/* Streams that run stop at their own bounds; a new one takes memory for long.
+ */
+static gboolean
+has_room(const Admission_t *admission)
+{
+    const Context_t *context = admission->context;
+    return admission->route->kind == ROUTE_STREAM
+               ? !Context_isMemoryFull(context)
+               : !AnswerRoom_isUsedUp(context->answer_room);
+}
+
 static gboolean
 check_room(Admission_t *admission)
 {
-    if (admission->route->kind == ROUTE_STREAM ||
-        !AnswerRoom_isUsedUp(admission->context->answer_room)) {
+    gboolean is_stream = admission->route->kind == ROUTE_STREAM;
+    if (has_room(admission)) {
         return TRUE;
     }
-    refuse_request(admission, REFUSAL_ANSWERS_UNREAD, NULL);
+    refuse_request(admission,
+                   is_stream ? REFUSAL_MEMORY_FULL : REFUSAL_ANSWERS_UNREAD,
+                   NULL);
     return FALSE;
 }
 
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -336,6 +336,7 @@
         .buffer_max = (gsize)context->settings->limits.stream_buffer,
         .buffered_total = &context->output_bytes,
         .buffered_total_max = (gsize)context->settings->limits.answers_max,
+        .memory = context->memory,
     };
     this->answer =
         RelayAnswer_create(context->base, &answer, &answer_events, this);
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -410,6 +410,7 @@
         .buffer_max = (gsize)limits->stream_buffer,
         .buffered_total = &context->output_bytes,
         .buffered_total_max = (gsize)limits->answers_max,
+        .memory = context->memory,
     };
     return RelayAnswer_create(context->base, &spec, &answer_events, this);
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -11,6 +11,7 @@
 
 #include "AcceptHold.h"
 #include "AcceptPause.h"
+#include "Allocator.h"
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
@@ -783,6 +784,7 @@
 Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
     Router_t this = {.settings = settings};
+    Allocator_init();
     if (!DescriptorReserve_await(LOOP_DESCRIPTORS, error)) {
         return FALSE;
     }
--- a/src/Settings.c
+++ b/src/Settings.c
@@ -287,7 +287,7 @@
      L(stream_buffer),
      "Bytes buffered for a slow caller in the router, and as many in the "
      "kernel, up to 64 KiB, before the router pauses reading from the "
-     "upstream.",
+     "upstream. Fewer while memory is short.",
      KEY_LIVE},
     {"event_max", KEY_SIZE, FALSE, "1MiB", 1024, 1 << 28, NULL, L(event_max),
      "Largest event of a stream, or largest frame that carries events; a "
--- a/src/SocketUse.c
+++ b/src/SocketUse.c
@@ -159,9 +159,13 @@
     set_held(this, 0, 0);
 }
 
+/* Pages that are free again may be all that is missing. */
 static void
 give_up_stalled(gint64 now_ms)
 {
+    if (MemoryUse_level(memory_use, now_ms) == MEMORY_FULL) {
+        MemoryUse_trim(memory_use, now_ms);
+    }
     for (guint count = 0; count < RESETS_MAX; count++) {
         MemoryLevel_t level = MemoryUse_level(memory_use, now_ms);
         evutil_socket_t fd = level == MEMORY_EASY ? -1 : find_longest_idle();
--- a/tests/sessions/test_memory_answers.py
+++ b/tests/sessions/test_memory_answers.py
@@ -7,7 +7,7 @@
 import unittest
 
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
-from fleet import Fleet, Upstream  # noqa: E402
+from fleet import ROUTES, Fleet, Upstream, route  # noqa: E402
 from memory import MemoryWatch  # noqa: E402
 
 MEMORY_MB = 110
@@ -21,6 +21,7 @@
 ANSWERS = 150
 BODIES = 66
 BODY_BYTES = 1000000
+LONG_ROUTES = 8000
 SECONDS = 3
 
 
@@ -117,6 +118,21 @@
         self.begin_bodies()
         self.assert_within_memory(others={200, 503})
 
+    def test_streams_beside_bodies(self):
+        self.set_pauses(answer_s=SECONDS)
+        self.begin_bodies()
+        self.begin(b"/ask/once/x", STREAMS)
+        self.assert_within_memory()
+
+    def test_long_configuration_beside_both(self):
+        self.set_pauses(answer_s=SECONDS)
+        self.begin_bodies()
+        self.begin(b"/ask/once/x", STREAMS)
+        self.fleet.config(routes=ROUTES + [
+            route("r%d" % number, "/n%d/" % number, "idempotent", "plain")
+            for number in range(LONG_ROUTES)])
+        self.assert_within_memory()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_RelayAnswer.c
+++ b/tests/test_RelayAnswer.c
@@ -3,6 +3,7 @@
 
 #include "RelayAnswer.h"
 
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -17,7 +18,11 @@
 #define BODY "0123456789"
 #define BODY_BYTES "10"
 
+#define BUFFER_MAX 65536
+#define PIECE_BYTES 4096
+
 static RelayAnswer_t *answer;
+static MemoryUse_t *memory;
 
 static void
 on_event(void *owner)
@@ -44,7 +49,8 @@
         .request = request,
         .id = "r",
         .id_header = "X-Id",
-        .buffer_max = 65536,
+        .buffer_max = BUFFER_MAX,
+        .memory = memory,
     };
     answer = RelayAnswer_create(ReplyClient_base(), &spec, &events, NULL);
 }
@@ -217,7 +223,44 @@
 }
 END_TEST
 
-TESTING_MAIN("RelayAnswer", whole_answer_is_sent,
+/* Returns the bytes that wait in the process when it must be read no further.
+ */
+static gsize
+buffer_until_full(guint percent_used)
+{
+    gsize used = MemoryUse_used(memory, g_get_monotonic_time() / 1000);
+    MemoryUse_setMax(memory, used * 100 / percent_used);
+    char piece[PIECE_BYTES] = {0};
+    struct evbuffer *data = evbuffer_new();
+    set_up();
+    set_head(HTTP_OK, BODY_CHUNKED);
+    while (!RelayAnswer_isFull(answer)) {
+        evbuffer_add(data, piece, sizeof(piece));
+        RelayAnswer_sendData(answer, data);
+    }
+    struct bufferevent *stream =
+        evhttp_connection_get_bufferevent(ReplyClient_serverSide());
+    gsize waiting = evbuffer_get_length(bufferevent_get_output(stream));
+    evbuffer_free(data);
+    RelayAnswer_destroy(answer);
+    ReplyClient_close();
+    return waiting;
+}
+
+START_TEST(streams_buffer_less_while_memory_is_short)
+{
+    memory = MemoryUse_create(0);
+    ck_assert_uint_gt(buffer_until_full(50), BUFFER_MAX);
+    gsize tight = buffer_until_full(77);
+    ck_assert_uint_gt(tight, ANSWER_OUTPUT_FREE_MAX);
+    ck_assert_uint_lt(tight, ANSWER_OUTPUT_FREE_MAX + 2 * PIECE_BYTES);
+    ck_assert_uint_lt(buffer_until_full(95), 2 * PIECE_BYTES);
+    MemoryUse_destroy(g_steal_pointer(&memory));
+}
+END_TEST
+
+TESTING_MAIN("RelayAnswer", streams_buffer_less_while_memory_is_short,
+             whole_answer_is_sent,
              router_is_told_of_a_service_that_is_not_reached_here,
              router_is_told_that_another_may_serve_what_outlasts_a_stop,
              answer_that_has_not_ended_is_refused,
