--- a/src/Router.c
+++ b/src/Router.c
@@ -11,6 +11,7 @@
 
 #include "AcceptHold.h"
 #include "AcceptPause.h"
+#include "Allocator.h"
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
@@ -36,6 +37,8 @@
 #include "RequestIntake.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
+#include "SocketBuffers.h"
+#include "SocketUse.h"
 #include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
@@ -50,8 +53,6 @@
 /* Share of the memory that bodies of requests may use; the rest is for all
  * else. */
 #define BODY_PERCENT 65
-/* Of a connection, what the kernel holds before it is read. */
-#define UNREAD_BYTES (32 << 10)
 /* Allows unknown HTTP methods too, as the API answers them with a typed error.
  */
 #define ALL_METHODS G_MAXUINT16
@@ -126,6 +127,7 @@
     context->deferred_calls = DeferredCalls_create(context->base);
     context->memory = MemoryUse_create(0);
     this->memory_own = MemoryUse_used(context->memory, Clock_nowMs());
+    SocketUse_init(context->base, context->memory, context->counters);
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
                           (gsize)settings->limits.answers_max);
@@ -354,19 +356,6 @@
     }
 }
 
-/* Accepted connections have it from the first byte on. */
-static void
-bound_unread(struct evhttp_bound_socket *bound)
-{
-    int bytes = UNREAD_BYTES;
-    if (setsockopt(evhttp_bound_socket_get_fd(bound), SOL_SOCKET, SO_RCVBUF,
-                   &bytes, sizeof(bytes)) != 0) {
-        Log_begin(LOG_LEVEL_WARNING, "unread_not_bounded");
-        Log_text("error", g_strerror(errno));
-        Log_end();
-    }
-}
-
 static struct bufferevent *
 create_connection(struct event_base *base, void *data)
 {
@@ -408,7 +397,7 @@
         return FALSE;
     }
     widen_backlog(bound);
-    bound_unread(bound);
+    SocketBuffers_limit(evhttp_bound_socket_get_fd(bound), SOCKET_CALLER);
     note_bound(this, server, bound);
     return TRUE;
 }
@@ -739,6 +728,7 @@
     Traces_destroy(context->traces);
     OpenRequests_destroy(context->open);
     AnswerRoom_destroy(context->answer_room);
+    SocketUse_clear();
     MemoryUse_destroy(context->memory);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
@@ -795,6 +785,7 @@
 Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
     Router_t this = {.settings = settings};
+    Allocator_init();
     if (!DescriptorReserve_await(LOOP_DESCRIPTORS, error)) {
         return FALSE;
     }
