The platform's variable names the settings

Callers saw a router that did not start, or one that started with the settings of another router of its instance: deploy/system.toml named /etc/wheattiller/settings.yaml, and nothing read WHEATTILLER_BOOT, which holds the path on the users' platform.

--- a/src/CommandLine.c
+++ b/src/CommandLine.c
@@ -15,6 +15,7 @@
 #include "Problem.h"
 #include "Router.h"
 #include "Settings.h"
+#include "SettingsPath.h"
 #include "SettingsStart.h"
 #include "StopSignals.h"
 
@@ -24,6 +25,7 @@
 
 enum {
     OPTION_SETTINGS = 's',
+    OPTION_DEFAULT_SETTINGS = 'd',
     OPTION_ROUTER = 'r',
     OPTION_KEY_FILE = 'k',
     OPTION_OUTPUT = 'o',
@@ -36,6 +38,7 @@
 typedef struct {
     const PlatformForm_t *const *forms;
     char *settings;
+    char *default_settings;
     gboolean verbose;
     ClientOptions_t client;
     GPtrArray *args;
@@ -53,7 +56,7 @@
 static const char usage_doc[] =
     "A router for language-model traffic with long shared prompts."
     "\vCommands:\n"
-    "  router --settings FILE   run a router\n"
+    "  router                   run a router\n"
     "  check FILE...            check settings and declarations offline\n"
     "  plan FILE...             show what apply would change\n"
     "  apply FILE...            put declarations in force\n"
@@ -79,6 +82,8 @@
 
 static const struct argp_option options[] = {
     {"settings", OPTION_SETTINGS, "FILE", 0, "Settings of the router", 0},
+    {"default-settings", OPTION_DEFAULT_SETTINGS, "FILE", 0,
+     "The same, unless --settings or the platform's variable names them", 0},
     {"verbose", OPTION_VERBOSE, NULL, 0, "Log at debug level", 0},
     {"router", OPTION_ROUTER, "IP:PORT", 0,
      "A router's operator interface; may be repeated", 0},
@@ -159,6 +164,9 @@
     case OPTION_SETTINGS:
         arguments->settings = value;
         break;
+    case OPTION_DEFAULT_SETTINGS:
+        arguments->default_settings = value;
+        break;
     case OPTION_VERBOSE:
         arguments->verbose = TRUE;
         break;
@@ -199,17 +207,54 @@
     return arguments->forms[settings->platform.form];
 }
 
+/* The settings name the platform, so that the variables of all of them may
+ * name the settings. */
+static GPtrArray *
+list_settings_variables(const Arguments_t *arguments)
+{
+    GPtrArray *names = g_ptr_array_new();
+    for (gsize i = 0; i <= PLATFORM_FLEET; i++) {
+        const PlatformForm_t *form = arguments->forms[i];
+        if (form && form->settings_variable) {
+            g_ptr_array_add(names, (gpointer)form->settings_variable);
+        }
+    }
+    g_ptr_array_add(names, NULL);
+    return names;
+}
+
+/* Returns NULL with a line on standard error if nothing names the file. */
+static const char *
+choose_settings(const Arguments_t *arguments)
+{
+    g_autoptr(GPtrArray) names = list_settings_variables(arguments);
+    SettingsPath_t choice = {
+        .option = arguments->settings,
+        .variables = (const char *const *)names->pdata,
+        .fallback = arguments->default_settings,
+    };
+    const char *path = SettingsPath_choose(&choice);
+    if (!path) {
+        g_autofree char *list = g_strjoinv(", ", (char **)names->pdata);
+        fprintf(stderr,
+                "wheattiller: router needs --settings, --default-settings or "
+                "a variable with the path of its settings: %s\n",
+                list);
+    }
+    return path;
+}
+
 static ExitCode_t
 run_router(Arguments_t *arguments)
 {
-    if (!arguments->settings) {
-        fputs("wheattiller: router needs --settings\n", stderr);
-        return EXIT_USAGE;
-    }
     LogLevel_t level = arguments->verbose ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO;
     StopSignals_hold();
     Log_open("wheattiller", level);
-    Settings_t *settings = SettingsStart_run(arguments->settings);
+    const char *path = choose_settings(arguments);
+    if (!path) {
+        return EXIT_USAGE;
+    }
+    Settings_t *settings = SettingsStart_run(path);
     if (!settings) {
         return EXIT_INVALID;
     }
--- a/src/PlatformForm.h
+++ b/src/PlatformForm.h
@@ -20,6 +20,8 @@
 /**
  * struct PlatformForm_t - one platform
  * @name: name of the form in the settings
+ * @settings_variable: variable of the environment in which the platform names
+ *     the settings file; NULL if it has none
  * @create_log: creates a client of the platform's log
  * @create_records: creates a client of the platform's keyed topics
  * @decode_config: decodes a complete configuration; NULL with an error
@@ -43,6 +45,7 @@
  */
 typedef struct PlatformForm {
     const char *name;
+    const char *settings_variable;
     LogClient_t *(*create_log)(struct event_base *base,
                                const Address_t *address, gint64 timeout_ms,
                                StoreEpoch_t *epoch);
--- a/tools/check_deploy.py
+++ b/tools/check_deploy.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Checks what the users' platform needs from this repository: the deploy
-file's build command works in a clean checkout, the filled settings template
-is valid, and the platform's names occur only in platform/."""
+file's build command works in a clean checkout, its program reads the settings
+that the platform's variable names, the filled settings template is valid, and
+the platform's names occur only in platform/."""
 import os
 import re
 import subprocess
@@ -57,7 +58,9 @@
     r"x-server-seal|x-not-executed|x-expect-instance|x-token-usage|"
     r"x-prompt-prefix|x-kv-|x-tenant|api-key:|log-append|log-newest|"
     r"keyed\.|traffic_split|cold_left_ms|kv_store_addr|/v1/report|"
-    r"/v1/order\b")
+    r"/v1/order\b|wheattiller_boot")
+SETTINGS_VARIABLE = "WHEATTILLER_BOOT"
+SETTINGS_PATH = "/etc/wheattiller/settings.yaml"
 
 
 def expand_section(match):
@@ -108,6 +111,28 @@
     return os.path.join(folder, program)
 
 
+def check_path_of_settings(program, folder):
+    """The deploy file's command reads what the variable names, and without it
+    the usual path."""
+    with open(os.path.join(folder, "deploy", "system.toml")) as file:
+        words = re.search(r'^run = "(.*)"$', file.read(), re.M)[1].split()
+    elsewhere = os.path.join(folder, "elsewhere.ini")
+    for value, path in ((elsewhere, elsewhere), ("", SETTINGS_PATH),
+                        (None, SETTINGS_PATH)):
+        environment = {"PATH": os.environ["PATH"]}
+        if value is not None:
+            environment[SETTINGS_VARIABLE] = value
+        router = subprocess.Popen([program] + words[1:], env=environment,
+                                  text=True, stdout=subprocess.PIPE,
+                                  stderr=subprocess.STDOUT)
+        line = router.stdout.readline()
+        router.kill()
+        router.communicate()
+        if "event=settings_named" not in line or "path=%s " % path not in line:
+            raise SystemExit("%s = %r: the settings are read elsewhere:\n%s"
+                             % (SETTINGS_VARIABLE, value, line))
+
+
 def find_key(template, field):
     return re.search(r"^(\w+) = .*\{\{%s\}\}" % re.escape(field), template,
                      re.M)[1]
@@ -142,6 +167,7 @@
     check_platform_names()
     with tempfile.TemporaryDirectory() as folder:
         program = check_build(folder)
+        check_path_of_settings(program, folder)
         check_template(program, folder)
     print("deploy file, template and names: good")
     return 0
