A long body that its upstream reads late is answered

A call whose body did not fit in its upstream's buffers, and which the upstream read 2.5 s later, got 502 (may have run), and the upstream counted as failed. Cause: TCP_USER_TIMEOUT of 1 s ends a connection whose window is closed too, though the other end answers each probe. SendWatch looks at TCP_INFO until all is acknowledged: data in flight or a probe without an answer for a second is a dead end; a closed window is none.

--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -8,11 +8,8 @@
 #include "AttemptConnection.h"
 #include "Clock.h"
 #include "Log.h"
+#include "SendWatch.h"
 
-/* TCP_USER_TIMEOUT: an upstream that lost power or its network link closes no
- * connection, so unacknowledged data ends it after this time. Long enough for
- * several round trips within a region and one retransmission. */
-#define UNACKNOWLEDGED_MAX_MS 1000
 /* TCP keepalive of a connection without traffic. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
@@ -50,6 +47,7 @@
     struct evbuffer *held; /* body received while it is open */
     AttemptEnd_t held_end; /* if the body ended meanwhile */
     gboolean has_held_end;
+    SendWatch_t *sending; /* NULL if the connection had no socket */
 };
 
 static void
@@ -59,6 +57,9 @@
     evutil_socket_t fd =
         bufferevent_getfd(AttemptConnection_bufferevent(connection));
     connection->reusable = connection->reusable && fd >= 0;
+    if (this->sending) {
+        SendWatch_destroy(this->sending);
+    }
     AttemptConnection_clear(connection);
     evbuffer_free(this->held);
     g_string_free(this->request_id, TRUE);
@@ -426,9 +427,8 @@
 
 /* Setting them again on a reused connection is harmless. */
 static void
-set_socket_options(void *data)
+set_socket_options(const RelayAttempt_t *this)
 {
-    const RelayAttempt_t *this = data;
     evutil_socket_t fd =
         bufferevent_getfd(AttemptConnection_bufferevent(&this->connection));
     set_socket_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -436,8 +436,30 @@
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES_MAX);
-    set_socket_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                      UNACKNOWLEDGED_MAX_MS);
+}
+
+/* As a connection that was reset. */
+static void
+on_dead(void *owner)
+{
+    RelayAttempt_t *this = owner;
+    receive_end(this, this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
+}
+
+/* An upstream that lost power or its network link closes no connection. */
+static void
+on_socket(void *data)
+{
+    RelayAttempt_t *this = data;
+    SendWatchSpec_t spec = {
+        .bev = AttemptConnection_bufferevent(&this->connection),
+        .request_id = this->request_id->str,
+        .upstream = this->connection.upstream->name->str,
+        .dead = on_dead,
+        .owner = this,
+    };
+    set_socket_options(this);
+    this->sending = SendWatch_create(this->base, &spec);
 }
 
 static void
@@ -488,7 +510,7 @@
         .input_total_max = spec->input_total_max,
         .on_timeout = on_timeout,
         .on_reap = on_reap,
-        .on_socket = set_socket_options,
+        .on_socket = on_socket,
         .attempt = this,
     };
     this->form = spec->form;
