An upstream that closes its connections unannounced is served on others

Calls to an upstream that closed each connection behind its answer got 502 (may have run) and then 503, though none of the failed ones had run. Cause: the next request was sent on the connection that was being closed. The pool took it for kept, and looked at no end that the event loop had not met. A connection is used again once one of its upstream has stayed open for 50 ms after an answer, until one is closed sooner; one that is ending is left out.

--- a/src/PooledConnection.c
+++ b/src/PooledConnection.c
@@ -1,8 +1,12 @@
 #include "PooledConnection.h"
 
+#include <event2/bufferevent.h>
+#include <poll.h>
 #include <string.h>
 #include <xxhash.h>
 
+#include "Clock.h"
+
 struct PooledConnection {
     struct evhttp_connection *evhttp;
     GArray *carried; /* guint64, hashes of the ids of requests */
@@ -10,6 +14,7 @@
     guint64 start; /* incarnation at its other end, 0 if not proved */
     guint requests;
     gint64 idle_since_ms;
+    gint64 closed_ms; /* by its other end, 0 if it is open or in use */
 };
 
 static guint64 last_number;
@@ -27,6 +32,7 @@
     (void)evhttp;
     PooledConnection_t *this = data;
     this->start = 0;
+    this->closed_ms = Clock_nowMs();
 }
 
 PooledConnection_t *
@@ -73,6 +79,7 @@
 PooledConnection_addRequest(PooledConnection_t *this, const char *id)
 {
     this->requests++;
+    this->closed_ms = 0;
     if (id) {
         guint64 hash = hash_id(id);
         g_array_append_val(this->carried, hash);
@@ -119,6 +126,7 @@
 PooledConnection_setIdle(PooledConnection_t *this, gint64 now_ms)
 {
     this->idle_since_ms = now_ms;
+    this->closed_ms = 0;
 }
 
 gint64
@@ -126,3 +134,30 @@
 {
     return now_ms - this->idle_since_ms;
 }
+
+static evutil_socket_t
+socket_of(const PooledConnection_t *this)
+{
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(this->evhttp));
+}
+
+gboolean
+PooledConnection_isEnding(const PooledConnection_t *this)
+{
+    struct pollfd state = {.fd = socket_of(this), .events = POLLRDHUP};
+    return state.fd >= 0 && poll(&state, 1, 0) > 0;
+}
+
+gboolean
+PooledConnection_isOpen(const PooledConnection_t *this)
+{
+    return socket_of(this) >= 0 && !PooledConnection_isEnding(this);
+}
+
+gboolean
+PooledConnection_wasClosedWithin(const PooledConnection_t *this,
+                                 gint64 limit_ms)
+{
+    return this->closed_ms > 0 &&
+           this->closed_ms - this->idle_since_ms < limit_ms;
+}
--- a/src/PooledConnection.h
+++ b/src/PooledConnection.h
@@ -75,4 +75,17 @@
 /** PooledConnection_idleMs() - for how long it has been idle */
 gint64 PooledConnection_idleMs(const PooledConnection_t *this, gint64 now_ms);
 
+/** PooledConnection_isOpen() - whether it has a socket whose other end has not
+ * closed it; evhttp opens one without a socket anew */
+gboolean PooledConnection_isOpen(const PooledConnection_t *this);
+
+/** PooledConnection_isEnding() - whether its other end has closed it, which
+ * evhttp has not seen yet, so that it must not be used */
+gboolean PooledConnection_isEnding(const PooledConnection_t *this);
+
+/** PooledConnection_wasClosedWithin() - whether its other end closed it in so
+ * many milliseconds after its last answer */
+gboolean PooledConnection_wasClosedWithin(const PooledConnection_t *this,
+                                          gint64 limit_ms);
+
 #endif
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -15,6 +15,8 @@
 /* Weight of a new observation in the learned run time. The average covers
  * about 20 requests, as short and long ones come mixed. */
 #define RUN_GAIN 0.05
+/* Idle time after which a connection counts as kept by the other end. */
+#define KEPT_PROOF_MS 50
 /* Time after a suspicion was sent or received in which further reports of it
  * are dropped. */
 #define SUSPICION_REPORT_INTERVAL_MS 3000
@@ -406,6 +408,40 @@
     return TRUE;
 }
 
+static gboolean
+proves_keeping(const PooledConnection_t *connection, gint64 now_ms)
+{
+    return PooledConnection_idleMs(connection, now_ms) >= KEPT_PROOF_MS &&
+           PooledConnection_isOpen(connection);
+}
+
+/* An upstream may close connections behind an answer without saying so. A
+ * request that is sent meanwhile fails, and nothing shows that it did not run.
+ */
+static void
+learn_keeping(Upstream_t *this, gint64 now_ms)
+{
+    const PooledConnection_t *last = g_queue_peek_tail(&this->idle);
+    const PooledConnection_t *first = g_queue_peek_head(&this->idle);
+    if (last && PooledConnection_wasClosedWithin(last, KEPT_PROOF_MS)) {
+        this->keeps_connections = FALSE;
+    }
+    else if (first && !this->keeps_connections) {
+        this->keeps_connections = proves_keeping(first, now_ms);
+    }
+}
+
+static gboolean
+is_usable(const Upstream_t *this, const PooledConnection_t *connection,
+          gint64 now_ms)
+{
+    if (PooledConnection_isEnding(connection)) {
+        return FALSE;
+    }
+    return this->keeps_connections || !PooledConnection_isOpen(connection) ||
+           PooledConnection_idleMs(connection, now_ms) >= KEPT_PROOF_MS;
+}
+
 /* The most recently used connection that has not carried the request. */
 static GList *
 find_idle(const Upstream_t *this, gint64 idle_max_ms, const char *request_id,
@@ -415,7 +451,8 @@
         if (PooledConnection_idleMs(link->data, now_ms) > idle_max_ms) {
             return NULL;
         }
-        if (!PooledConnection_hasCarried(link->data, request_id)) {
+        if (!PooledConnection_hasCarried(link->data, request_id) &&
+            is_usable(this, link->data, now_ms)) {
             return link;
         }
     }
@@ -426,6 +463,7 @@
 Upstream_takeConnection(Upstream_t *this, gint64 idle_max_ms,
                         const char *request_id, gint64 now_ms)
 {
+    learn_keeping(this, now_ms);
     GList *link = find_idle(this, idle_max_ms, request_id, now_ms);
     if (!link) {
         return PooledConnection_create(this->base, &this->address);
--- a/tests/sessions/test_interim_answers.py
+++ b/tests/sessions/test_interim_answers.py
@@ -1,4 +1,5 @@
 """Answers of upstreams behind "100 Continue"."""
+import time
 import unittest
 
 from fleet import Upstream
@@ -39,6 +40,42 @@
         pass
 
 
+class ClosingUpstream(Upstream):
+    """Closes its connections a moment behind each answer, unannounced."""
+
+    PAUSE_S = 0.002
+
+    def run(self, call, body, request_id):
+        super().run(call, body, request_id)
+        call.wfile.flush()
+        time.sleep(self.PAUSE_S)
+        call.close_connection = True
+
+
+class UnannouncedCloseTest(test_fleet.FleetTest):
+    def test_no_request_meets_the_close(self):
+        """The next request was sent on a connection that its upstream was
+        about to close, and refused as one that may have run."""
+        upstream = self.fleet.add(ClosingUpstream(self.fleet.store, "p0",
+                                                  "plain"))
+        router = self.fleet.start()
+        self.wait_listed(router, 1)
+        for path in ("/write/x", "/read/x"):
+            statuses = [self.fleet.ask(router, path).status
+                        for _ in range(4 * CALLS)]
+            self.assertEqual(statuses, 4 * CALLS * [200])
+        self.assertEqual(len(upstream.seen), 8 * CALLS)
+
+    def test_kept_connections_are_used_again(self):
+        upstream = self.fleet.plain("p0")
+        router = self.fleet.start()
+        self.fleet.ask(router, "/write/x")
+        time.sleep(0.1)
+        for _ in range(4 * CALLS):
+            self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        self.assertLess(len(upstream.callers), 4)
+
+
 class InterimAnswerTest(test_fleet.FleetTest):
     """Callers got 502 for requests that had been answered: the end of the
     connection was seen before the answer."""
