Requests that wait behind another one are answered at a stop

Of four requests sent at once on a kept connection, three got no answer when the router was told to stop while the first one ran, or before it was refused. Cause: each answer at a stop ends its connection (Connection: close), also when a next request has been received or waits unread; it was dropped. HttpReply_closeAfter leaves the connection open as long as one waits. test_pipelined_stops failed before (1 of 4 answered, in both cases) and passes: the last answer ends the connection, and the router ends with 0.

--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -1,11 +1,37 @@
 #include "HttpReply.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
+#include <sys/ioctl.h>
 
 #include "PendingReply.h"
 #include "ResetOnClose.h"
 
+static gboolean
+has_next_request(struct evhttp_request *request)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    int unread = 0;
+    if (!connection) {
+        return FALSE; /* the caller has left */
+    }
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    return evbuffer_get_length(bufferevent_get_input(stream)) > 0 ||
+           (ioctl(bufferevent_getfd(stream), FIONREAD, &unread) == 0 &&
+            unread > 0);
+}
+
+void
+HttpReply_closeAfter(struct evhttp_request *request)
+{
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+    if (!evhttp_find_header(out, "Connection") && !has_next_request(request)) {
+        evhttp_add_header(out, "Connection", "close");
+    }
+}
+
 static gboolean
 can_read_chunks(const struct evhttp_request *request)
 {
--- a/src/HttpReply.h
+++ b/src/HttpReply.h
@@ -12,6 +12,15 @@
 #include <event2/http.h>
 #include <glib.h>
 
+/**
+ * HttpReply_closeAfter() - close the connection behind a reply that was not
+ * started
+ *
+ * No effect if a next request waits on the connection, which would get no
+ * answer.
+ */
+void HttpReply_closeAfter(struct evhttp_request *request);
+
 /**
  * HttpReply_startStream() - send the head of a stream
  * @is_end_proven: the end of the stream will be that of a complete answer
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -162,9 +162,8 @@
 void
 RelayAnswer_setClosing(RelayAnswer_t *this)
 {
-    struct evkeyvalq *out = output_headers(this);
-    if (!this->head_sent && !evhttp_find_header(out, "Connection")) {
-        evhttp_add_header(out, "Connection", "close");
+    if (!this->head_sent) {
+        HttpReply_closeAfter(RelayAnswer_request(this));
     }
 }
 
@@ -444,7 +443,7 @@
         evhttp_add_header(headers, id_header, id);
     }
     if (params->closing) {
-        evhttp_add_header(headers, "Connection", "close");
+        HttpReply_closeAfter(request);
     }
     if (params->refuses) {
         evhttp_add_header(headers, RELAY_TRY_ANOTHER, params->refuses);
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -84,8 +84,8 @@
  * this status: any until the head was sent, then only the same one */
 gboolean RelayAnswer_mayContinueWith(const RelayAnswer_t *this, int status);
 
-/** RelayAnswer_setClosing() - close the caller's connection after this answer;
- * no effect once the head was sent */
+/** RelayAnswer_setClosing() - close the caller's connection after this answer,
+ * as HttpReply_closeAfter(); no effect once the head was sent */
 void RelayAnswer_setClosing(RelayAnswer_t *this);
 
 /**
--- /dev/null
+++ b/tests/sessions/test_pipelined_stops.py
@@ -0,0 +1,54 @@
+"""Requests that wait behind another one of their connection at a stop."""
+import signal
+import time
+import unittest
+import uuid
+
+from answers import Connection, request_bytes
+
+import test_fleet
+
+PIPELINED = 4
+
+
+class PipelinedStopTest(test_fleet.FleetTest):
+    def check(self, path):
+        """They were dropped, as the first answer ended the connection."""
+        upstream = self.fleet.plain("p1")
+        upstream.pause_s = 0.5
+        router = self.fleet.start(stop_grace="2s", stop_limit="8s")
+        connection = Connection(router.port)
+        self.addCleanup(connection.close)
+        names = [uuid.uuid4().hex for _ in range(PIPELINED)]
+        connection.socket.sendall(b"".join(
+            request_bytes("POST", path, name, b"x" * 10, wait_ms=6000)
+            for name in names))
+        time.sleep(0.2)
+        router.signal(signal.SIGTERM)
+        answers = [connection.read_answer(name, "POST") for name in names]
+        self.assertEqual([answer and answer.status for answer in answers],
+                         PIPELINED * [200])
+        self.assertEqual([answer.headers.get("connection")
+                          for answer in answers],
+                         (PIPELINED - 1) * [None] + ["close"])
+        self.assertEqual(router.process.wait(10), 0)
+
+    def test_calls_are_answered(self):
+        self.check("/write/x")
+
+    def test_unknown_paths_are_refused(self):
+        router = self.fleet.start(stop_grace="2s", stop_limit="8s")
+        router.signal(signal.SIGTERM)
+        router.wait_event("router_stopping")
+        connection = Connection(router.port)
+        self.addCleanup(connection.close)
+        names = [uuid.uuid4().hex for _ in range(PIPELINED)]
+        connection.socket.sendall(b"".join(
+            request_bytes("POST", "/nowhere", name) for name in names))
+        answers = [connection.read_answer(name, "POST") for name in names]
+        self.assertEqual([answer and answer.status for answer in answers],
+                         PIPELINED * [404])
+
+
+if __name__ == "__main__":
+    unittest.main()
