An idle caller's request that has arrived is read, whatever its limit

Requests that callers had sent on idle connections while their router stood still were not read if the connection's idle limit had passed meanwhile; the connection was closed instead. Cause: as a stopped process goes on, epoll_wait() returns EINTR, and libevent runs timers before it polls: evhttp's read timeout ended the connection.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -75,6 +75,14 @@
     bufferevent_set_timeouts(bev, &both, &both);
 }
 
+gint64
+Http_timeoutMs(struct evhttp_connection *connection)
+{
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(connection);
+    return (gint64)bev->timeout_write.tv_sec * 1000 +
+           bev->timeout_write.tv_usec / 1000;
+}
+
 void
 Http_flush(struct evhttp_connection *connection)
 {
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -118,6 +118,10 @@
 /** Http_startReadTimeout() - the next request is awaited */
 void Http_startReadTimeout(struct evhttp_connection *connection);
 
+/** Http_timeoutMs() - the connection's timeout, also while it is not used for
+ * reading; 0 for none */
+gint64 Http_timeoutMs(struct evhttp_connection *connection);
+
 /** Http_abort() - free a connection whose request is given up; what was not
  * delivered of the request is never delivered */
 void Http_abort(struct evhttp_connection *connection);
--- a/src/IdleCallers.c
+++ b/src/IdleCallers.c
@@ -8,10 +8,14 @@
 #include "Log.h"
 
 #define LOG_INTERVAL_MS 1000
+/* Interval of looks at a connection whose limit has passed and whose next
+ * request waits to be read. */
+#define UNREAD_CHECK_MS 100
 
 typedef struct {
     struct evhttp_connection *connection;
     struct evbuffer_cb_entry *input_entry;
+    struct event *limit;
     gint64 since_ms;
     GList link;
 } Idle_t;
@@ -37,6 +41,7 @@
                              this->input_entry);
     evhttp_connection_set_closecb(this->connection, NULL, NULL);
     g_queue_unlink(&idle, &this->link);
+    event_free(this->limit);
     g_free(this);
 }
 
@@ -52,8 +57,10 @@
          void *data)
 {
     (void)input;
+    Idle_t *this = data;
     if (info->n_added > 0) {
-        Idle_destroy(data);
+        Http_startReadTimeout(this->connection);
+        Idle_destroy(this);
     }
 }
 
@@ -65,6 +72,33 @@
            unread > 0;
 }
 
+/* A process that was stopped finds the limit passed before it reads what has
+ * arrived meanwhile. evhttp's own timeout would end such a connection. */
+static void
+on_limit(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    Idle_t *this = data;
+    if (has_unread(this)) {
+        Clock_arm(this->limit, UNREAD_CHECK_MS);
+    }
+    else {
+        evhttp_connection_free(this->connection);
+    }
+}
+
+static void
+arm_limit(Idle_t *this)
+{
+    gint64 limit_ms = Http_timeoutMs(this->connection);
+    this->limit = Clock_timer(base, on_limit, this);
+    Http_stopReadTimeout(this->connection);
+    if (limit_ms > 0) {
+        Clock_arm(this->limit, limit_ms);
+    }
+}
+
 void
 IdleCallers_add(struct evhttp_connection *connection)
 {
@@ -80,6 +114,7 @@
     this->input_entry = evbuffer_add_cb(input, on_input, this);
     evhttp_connection_set_closecb(connection, on_closed, this);
     g_queue_push_tail_link(&idle, &this->link);
+    arm_limit(this);
 }
 
 /* A freed bufferevent has no callbacks, one of evhttp always has some. */
--- a/tests/sessions/test_idle_callers.py
+++ b/tests/sessions/test_idle_callers.py
@@ -90,5 +90,51 @@
         self.assertLess(time.monotonic() - began, STOP_LIMIT_S - 1)
 
 
+class IdleLimitTest(test_fleet.FleetTest):
+    LIMIT_S = 1
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.plain("p1")
+        self.fleet.config(limits={"idle_timeout_ms": 1000 * self.LIMIT_S})
+        self.router = self.fleet.start(read_timeout="%ds" % self.LIMIT_S)
+
+    def ask(self, connection):
+        request_id = uuid.uuid4().hex
+        connection.socket.sendall(request_bytes("GET", "/read/x", request_id,
+                                                wait_ms=5000))
+        return connection, request_id
+
+    def status(self, connection, request_id):
+        answer = connection.read_answer(request_id, "GET")
+        return answer and answer.status
+
+    # A router that was stopped past the limit closed connections unread.
+    def test_a_request_that_has_arrived_meanwhile_is_read(self):
+        connections = [Connection(self.router.port) for _ in range(10)]
+        for each in connections:
+            self.addCleanup(each.close)
+        for each in connections[:5]:
+            self.assertEqual(self.status(*self.ask(each)), 200)
+        time.sleep(self.LIMIT_S / 2)
+        self.router.signal(signal.SIGSTOP)
+        sent = [self.ask(each) for each in connections]
+        time.sleep(self.LIMIT_S)
+        self.router.signal(signal.SIGCONT)
+        self.assertEqual([self.status(*each) for each in sent],
+                         len(sent) * [200])
+
+    def test_a_connection_is_closed_at_its_limit(self):
+        connections = [Connection(self.router.port) for _ in range(4)]
+        for each in connections:
+            self.addCleanup(each.close)
+        for each in connections[:2]:
+            self.assertEqual(self.status(*self.ask(each)), 200)
+        began = time.monotonic()
+        for each in connections:
+            self.assertEqual(each.socket.recv(1), b"")
+        self.assertLess(time.monotonic() - began, self.LIMIT_S + 1)
+
+
 if __name__ == "__main__":
     unittest.main()
