Fuzz targets link again beside IdleCallers

AcceptPause refers to IdleCallers, and that to functions of HttpCall that FakeHttp did not stand in for, so that test_Fuzz got two definitions of the others and was not built. The stand-ins do nothing, as no connection of the targets is idle. test_Fuzz: 21 of 21.

--- a/tests/fuzz/FakeHttp.c
+++ b/tests/fuzz/FakeHttp.c
@@ -54,3 +54,22 @@
 {
     (void)connection;
 }
+
+void
+Http_startReadTimeout(struct evhttp_connection *connection)
+{
+    (void)connection;
+}
+
+void
+Http_stopReadTimeout(struct evhttp_connection *connection)
+{
+    (void)connection;
+}
+
+gint64
+Http_timeoutMs(struct evhttp_connection *connection)
+{
+    (void)connection;
+    return 0;
+}
