A stop does not end before what idle callers sent has been read

Requests that had arrived on kept connections as a stop ended, while its router was held up, were not read: the connection was closed without an answer. Cause: the timer of the stop may run before the loop polls, and looked only at requests of which a part had been read.

--- a/src/IdleCallers.c
+++ b/src/IdleCallers.c
@@ -220,6 +220,17 @@
     return count;
 }
 
+gboolean
+IdleCallers_haveUnread(void)
+{
+    for (const GList *link = idle.head; link; link = link->next) {
+        if (has_unread(link->data)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 guint
 IdleCallers_count(void)
 {
--- a/src/IdleCallers.h
+++ b/src/IdleCallers.h
@@ -42,6 +42,10 @@
  */
 guint IdleCallers_close(guint wanted);
 
+/** IdleCallers_haveUnread() - whether the next request of one of them waits
+ * unread in the kernel */
+gboolean IdleCallers_haveUnread(void);
+
 /** IdleCallers_count() - number of idle connections */
 guint IdleCallers_count(void);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -541,7 +541,8 @@
         OpenRequests_endAll(this->context.open);
     }
     if ((drained && ListenerDrain_isOver(this->closing) &&
-         LingeringClose_count() == 0 && !awaits_requests(this)) ||
+         LingeringClose_count() == 0 && !awaits_requests(this) &&
+         !IdleCallers_haveUnread()) ||
         left_ms <= 0) {
         event_base_loopbreak(this->context.base);
         return;
--- a/tests/sessions/test_last_turn.py
+++ b/tests/sessions/test_last_turn.py
@@ -3,6 +3,7 @@
 import socket
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 import test_fleet
 from cluster import Cluster
@@ -43,6 +44,52 @@
         self.assertEqual(router.faults(), [])
 
 
+class LastMomentTest(test_fleet.FleetTest):
+    """Requests that arrive as a stop ends, while the router stands still."""
+
+    ROUTERS = 8
+    FIRST_REQUEST_S = 0.5  # from the close of the listener to the end
+    CHECK_S = 0.05  # between two looks whether the stop is over
+
+    def freeze_at_the_end(self, number):
+        router = self.fleet.router("r%d" % number)
+        connections = [socket.create_connection(("127.0.0.1", router.port))
+                       for _ in range(3)]
+        router.signal(signal.SIGTERM)
+        router.wait_event("listener_closed")
+        time.sleep(self.FIRST_REQUEST_S - self.CHECK_S
+                   + 2 * number * self.CHECK_S / self.ROUTERS)
+        if router.process.poll() is None:
+            router.signal(signal.SIGSTOP)
+        time.sleep(0.1)  # what it has logged is read
+        if router.events("router_stopped"):
+            router.signal(signal.SIGCONT)
+            return []
+        for connection in connections:
+            connection.sendall(REQUEST)
+        time.sleep(0.3)
+        router.signal(signal.SIGCONT)
+        return [self.read(connection) for connection in connections]
+
+    @staticmethod
+    def read(connection):
+        try:
+            return connection.recv(65536)[:12]
+        except OSError:
+            return b""
+        finally:
+            connection.close()
+
+    def test_requests_on_idle_connections_are_answered(self):
+        self.fleet.plain("p1")
+        self.fleet.config()
+        with ThreadPoolExecutor(self.ROUTERS) as pool:
+            answers = list(pool.map(self.freeze_at_the_end,
+                                    range(self.ROUTERS)))
+        self.assertEqual({each for one in answers for each in one},
+                         {b"HTTP/1.1 503"})
+
+
 class StopLimitTest(test_fleet.StreamTest):
     """A stream is still open when the stop_limit of its router expires."""
 
