--- a/tests/sessions/test_pipelined_stops.py
+++ b/tests/sessions/test_pipelined_stops.py
@@ -36,6 +36,23 @@
     def test_calls_are_answered(self):
         self.check("/write/x")
 
+    def test_requests_behind_one_that_outlasts_the_stop_are_refused(self):
+        upstream = self.fleet.plain("p1")
+        upstream.pause_s = 6
+        router = self.fleet.start(stop_grace="500ms", stop_limit="2s")
+        connection = Connection(router.port)
+        self.addCleanup(connection.close)
+        names = [uuid.uuid4().hex for _ in range(PIPELINED)]
+        connection.socket.sendall(b"".join(
+            request_bytes("POST", "/write/x", name, b"x", wait_ms=9000)
+            for name in names))
+        time.sleep(0.2)
+        router.signal(signal.SIGTERM)
+        answers = [connection.read_answer(name, "POST") for name in names]
+        self.assertEqual([answer and answer.status for answer in answers],
+                         [502] + (PIPELINED - 1) * [503])
+        self.assertEqual(router.process.wait(10), 0)
+
     def test_unknown_paths_are_refused(self):
         router = self.fleet.start(stop_grace="2s", stop_limit="8s")
         router.signal(signal.SIGTERM)
