A stream that nothing can tell is refused at once

Cause: the router waited for statements of others that it began at the base, though its own former process, which is gone, had stated its use of both versions, or though it had itself used several for longer than resume_window: no reply can show the base. Evidence: test_OriginKeeper.a_base_that_a_former_process_left_is_not_waited_for and test_base_version.LostUseTest failed before (no answer after 0.25 s; 0.82 s, bound 0.6). Why it works: the query still asks all routers, which may know the stream itself, but ends as without a base once all have replied, or 0.25 s after it was sent.

--- a/src/OriginFacts.c
+++ b/src/OriginFacts.c
@@ -154,6 +154,13 @@
            !OriginFacts_findSole(this, service);
 }
 
+gboolean
+OriginFacts_isBaseLost(const OriginFacts_t *this, const char *service)
+{
+    return !OriginFacts_wouldKnow(this, service) ||
+           VersionGate_isUsedBefore(this->spec.gate, service, Clock_nowMs());
+}
+
 gboolean
 OriginFacts_areRecordsLater(const OriginFacts_t *this, gint64 came_ms)
 {
--- a/src/OriginFacts.h
+++ b/src/OriginFacts.h
@@ -137,6 +137,11 @@
  * may have begun at the base alone */
 gboolean OriginFacts_mayBeBase(const OriginFacts_t *this, const char *service);
 
+/** OriginFacts_isBaseLost() - whether no reply of another router can show that
+ * a stream of a service began at the base */
+gboolean OriginFacts_isBaseLost(const OriginFacts_t *this,
+                                const char *service);
+
 /** OriginFacts_areRecordsLater() - whether the records of all routers were
  * read later than a caller came */
 gboolean OriginFacts_areRecordsLater(const OriginFacts_t *this,
--- a/src/OriginQueries.c
+++ b/src/OriginQueries.c
@@ -24,12 +24,13 @@
     gboolean may_change;
     AskedRouters_t *asked; /* owners and witnesses, or all */
     guint owners_max;
-    gboolean asks_all;    /* the stream may have begun at the base */
-    GArray *processes;    /* guint64, that would know the stream */
-    GRefString *only;     /* version that routers take for the only one */
-    guint votes;          /* routers that do */
-    gboolean is_disputed; /* others know of another version */
-    gint64 send_ms;       /* when it is sent first */
+    gboolean asks_all;     /* the stream may have begun at the base */
+    gboolean is_base_lost; /* no reply can show that it did */
+    GArray *processes;     /* guint64, that would know the stream */
+    GRefString *only;      /* version that routers take for the only one */
+    guint votes;           /* routers that do */
+    gboolean is_disputed;  /* others know of another version */
+    gint64 send_ms;        /* when it is sent first */
     gint64 asked_ms;
     gint64 expires_ms;
     gboolean has_waited; /* the list no longer matters */
@@ -192,7 +193,7 @@
         return TRUE;
     }
     gboolean is_open = AskedRouters_countOpen(query->asked) > 0;
-    if (query->asks_all) {
+    if (query->asks_all && !query->is_base_lost) {
         return !is_open && find_base(this, query);
     }
     return !is_open && is_settled(this) &&
@@ -361,6 +362,20 @@
     add_own_process(this, query);
 }
 
+/* Only a router that knows the stream can tell then. */
+static void
+note_base_lost(const OriginQueries_t *this, OriginQuery_t *query)
+{
+    if (query->is_base_lost || awaits_list(this, query) ||
+        !OriginFacts_isLearned(this->facts) ||
+        !OriginFacts_isBaseLost(this->facts, query->service)) {
+        return;
+    }
+    query->is_base_lost = TRUE;
+    query->expires_ms =
+        MIN(query->expires_ms, query->send_ms + ORIGIN_ASK_TIMEOUT_MS);
+}
+
 /* Until the records of versions were read the base may not be known. */
 static void
 check_base(const OriginQueries_t *this, OriginQuery_t *query, gint64 now_ms)
@@ -373,6 +388,9 @@
         !OriginFacts_areRecordsLater(this->facts, query->asked_ms)) {
         this->links->class->read_records(this->links->owner);
     }
+    if (query->asks_all) {
+        note_base_lost(this, query);
+    }
 }
 
 OriginQuery_t *
--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -372,6 +372,19 @@
     return this->carried->len > 0;
 }
 
+gboolean
+VersionGate_isUsedBefore(const VersionGate_t *this, const char *service,
+                         gint64 now_ms)
+{
+    for (guint i = 0; i < this->carried->len; i++) {
+        const VersionUse_t *use = g_ptr_array_index(this->carried, i);
+        if (now_ms < use->until_ms && strcmp(use->service, service) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 void
 VersionGate_beginRead(VersionGate_t *this, gint64 now_ms)
 {
--- a/src/VersionGate.h
+++ b/src/VersionGate.h
@@ -87,6 +87,12 @@
 /** VersionGate_hasCarried() - whether there was a former process that did */
 gboolean VersionGate_hasCarried(const VersionGate_t *this);
 
+/** VersionGate_isUsedBefore() - whether the record still states that a former
+ * process of this router used several versions of a service: it is gone and
+ * cannot tell what it began */
+gboolean VersionGate_isUsedBefore(const VersionGate_t *this,
+                                  const char *service, gint64 now_ms);
+
 /** VersionGate_beginRead() - the records of all routers are read from now on
  */
 void VersionGate_beginRead(VersionGate_t *this, gint64 now_ms);
--- a/tests/sessions/test_base_version.py
+++ b/tests/sessions/test_base_version.py
@@ -125,6 +125,32 @@
                          "resume_unknown")
 
 
+class LostUseTest(BaseVersionTest):
+    """All routers had used both versions before they were lost."""
+
+    REFUSED_S = 0.6
+
+    def use_both(self):
+        self.restart_all(self.replace_half)
+        for router in self.routers:
+            self.begin_at(router, VERSIONS[1])
+            router.wait_event("software_stated")
+
+    # They waited 0.8 s for routers that could not tell, and came again.
+    def test_streams_that_nobody_can_tell_are_refused_at_once(self):
+        begun = self.begin(self.routers[0])
+        self.use_both()
+        self.restart_all()
+        time.sleep(RECORD_S)
+        for router in self.routers:
+            started = time.monotonic()
+            answer = self.fleet.ask(router, "/ask/x", Resumes="unknown-id",
+                                    Last_Event_Id=str(EVENTS_READ - 1),
+                                    X_Prompt_Prefix=begun.prompt)
+            self.assertEqual(answer.status, 503, answer.body)
+            self.assertLess(time.monotonic() - started, self.REFUSED_S)
+
+
 class JoiningRouterTest(BaseVersionTest):
     """Two routers of a fleet that was restarted do not know each other yet."""
 
--- a/tests/test_OriginKeeper.c
+++ b/tests/test_OriginKeeper.c
@@ -1160,6 +1160,23 @@
 }
 END_TEST
 
+/* Streams that nothing could tell any more were refused after 0.8 s. */
+START_TEST(a_base_that_a_former_process_left_is_not_waited_for)
+{
+    begin_fleet_with_base();
+    Outcome_t outcome = {FALSE};
+    VersionUse_t use = {
+        .service = "s", .software = "v2", .base = "v1", .process = 99};
+    VersionGate_carry(routers[0].gate, &use, now_ms);
+    VersionGate_read(routers[0].gate, &use);
+    routers[5].is_down = TRUE;
+    begin_asking(0, 1, &outcome);
+    pass_time(ORIGIN_ASK_TIMEOUT_MS + 2 * STEP_MS);
+    check_outcome(&outcome, "none");
+    end_fleet();
+}
+END_TEST
+
 /* A router that joins may have begun the stream. */
 START_TEST(a_router_that_joins_and_knows_the_stream_decides)
 {
@@ -1292,6 +1309,7 @@
              a_router_that_starts_again_during_a_query_is_asked_again,
              routers_that_join_are_each_asked_once,
              a_router_that_joins_and_does_not_answer_holds_no_query,
+             a_base_that_a_former_process_left_is_not_waited_for,
              a_router_that_joins_and_knows_the_stream_decides,
              an_owner_that_becomes_known_during_a_query_is_asked,
              malformed_streams_are_ignored,
