test_idle_callers: the router stands still before descriptors run out

test_a_request_that_has_arrived_is_read failed once beside builds (load 36): its kept connections, the longest idle ones, were closed before their requests were sent, as they may be. The router is paused first now, so that requests and the want of descriptors are there when it goes on. As strict: without the look for unread requests it fails.

--- a/tests/sessions/test_idle_callers.py
+++ b/tests/sessions/test_idle_callers.py
@@ -60,12 +60,17 @@
 
     # A caller whose next request had arrived was not told apart from others.
     def test_a_request_that_has_arrived_is_read(self):
-        kept = self.hold_all()[:10]
+        kept = [self.connect() for _ in range(10)]
+        self.assertEqual(set(self.statuses([self.send(each)
+                                            for each in kept])), {200})
         self.router.signal(signal.SIGSTOP)
+        idle = [self.connect() for _ in range(IDLE)]
         sent = [self.send(each) for each in kept]
         time.sleep(0.2)
         self.router.signal(signal.SIGCONT)
         self.assertEqual(self.statuses(sent), len(kept) * [200])
+        self.router.wait_event("idle_callers_closed")
+        self.assertEqual(len(idle), IDLE)
 
     # All requests in the accept queue were reset at the stop's limit.
     def test_requests_behind_idle_callers_end_at_a_stop(self):
