Sockets are looked at only if memory may be short

Cause: SocketUse looked at all of them whatever was in use. What a socket holds is bounded (SocketBuffers), so that nothing needs to be counted while the sum of these bounds and of the resident pages is no shortage. test_SocketUse: sockets_are_looked_at_only_if_memory_may_be_short fails on the code before by reading (it looks at each tick); test_memory_answers, test_memory_use and test_held_bytes_measured pass.

--- a/src/MemoryUse.c
+++ b/src/MemoryUse.c
@@ -138,7 +138,13 @@
 MemoryLevel_t
 MemoryUse_level(MemoryUse_t *this, gint64 now_ms)
 {
-    gsize used = MemoryUse_used(this, now_ms);
+    return MemoryUse_levelWith(this, 0, now_ms);
+}
+
+MemoryLevel_t
+MemoryUse_levelWith(MemoryUse_t *this, gsize more, gint64 now_ms)
+{
+    gsize used = MemoryUse_used(this, now_ms) + more;
     gsize percent = this->max / 100;
     if (this->max == 0 || used <= percent * TIGHT_PERCENT) {
         return MEMORY_EASY;
--- a/src/MemoryUse.h
+++ b/src/MemoryUse.h
@@ -66,4 +66,8 @@
 /** MemoryUse_level() - how much of the memory is used */
 MemoryLevel_t MemoryUse_level(MemoryUse_t *this, gint64 now_ms);
 
+/** MemoryUse_levelWith() - the level if so many bytes more were in use */
+MemoryLevel_t MemoryUse_levelWith(MemoryUse_t *this, gsize more,
+                                  gint64 now_ms);
+
 #endif
--- a/src/SocketUse.c
+++ b/src/SocketUse.c
@@ -12,6 +12,11 @@
 /* tcpi_state of a connection that has ended. */
 #define STATE_CLOSED 7
 #define TICK_MS 50
+/* While memory can't be short, whatever the sockets hold. */
+#define IDLE_TICK_MS 100
+/* What the kernel holds for a socket at the most, on the average of all
+ * (SocketBuffers.h). */
+#define HELD_MAX ((gsize)192 << 10)
 /* Sockets looked at in one tick; about 1 us each. */
 #define LOOKS_MAX 512
 /* Connections reset in one tick, each of which ends a request. */
@@ -187,14 +192,38 @@
     give_up_stalled(now_ms);
 }
 
+/* Descriptors that are no sockets count too. */
+static gboolean
+may_be_short(gint64 now_ms)
+{
+    gsize most = HELD_MAX * sockets->len;
+    gsize unknown = most > total ? most - total : 0;
+    return MemoryUse_levelWith(memory_use, unknown, now_ms) != MEMORY_EASY;
+}
+
+static void
+forget_held(void)
+{
+    for (guint fd = 0; fd < sockets->len && total > 0; fd++) {
+        set_held(socket_at((evutil_socket_t)fd), 0, 0);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *data)
 {
     (void)fd;
     (void)what;
     (void)data;
-    look_at_some(LOOKS_MAX, Clock_nowMs());
-    Clock_arm(timer, TICK_MS);
+    gint64 now_ms = Clock_nowMs();
+    if (may_be_short(now_ms)) {
+        look_at_some(LOOKS_MAX, now_ms);
+        Clock_arm(timer, TICK_MS);
+    }
+    else {
+        forget_held();
+        Clock_arm(timer, IDLE_TICK_MS);
+    }
 }
 
 void
--- a/src/SocketUse.h
+++ b/src/SocketUse.h
@@ -58,7 +58,8 @@
 /**
  * SocketUse_look() - look at all sockets, and give up callers if need be
  *
- * Called by a timer, for a part of many sockets at a time.
+ * Called by a timer, for a part of many sockets at a time, if memory could be
+ * short with all that the kernel may hold for them.
  */
 void SocketUse_look(gint64 now_ms);
 
--- a/tests/test_SocketUse.c
+++ b/tests/test_SocketUse.c
@@ -278,7 +278,32 @@
 }
 END_TEST
 
-TESTING_MAIN("SocketUse", unsent_bytes_count_until_they_are_read,
+/* The timer's looks, by what they count. */
+static gsize
+counted_by_ticks(gsize max)
+{
+    struct timeval pause = {0, 200000};
+    MemoryUse_setMax(memory, max);
+    SocketUse_watch(near_end, TRUE);
+    event_base_loopexit(base, &pause);
+    event_base_dispatch(base);
+    return SocketUse_bytes();
+}
+
+START_TEST(sockets_are_looked_at_only_if_memory_may_be_short)
+{
+    begin();
+    write_bytes(16 * BUFFER_MAX);
+    gsize used = MemoryUse_used(memory, 1);
+    ck_assert_uint_eq(counted_by_ticks(10 * used + 100 * MIB), 0);
+    ck_assert_uint_gt(counted_by_ticks(used), 0);
+    ck_assert_uint_eq(counted_by_ticks(10 * used + 100 * MIB), 0);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("SocketUse", sockets_are_looked_at_only_if_memory_may_be_short,
+             unsent_bytes_count_until_they_are_read,
              connection_that_the_caller_reset_counts_no_more,
              what_a_caller_sends_between_requests_is_not_counted,
              unread_bytes_count, closed_socket_counts_no_more,
