--- a/tools/memory_soak.py
+++ b/tools/memory_soak.py
@@ -27,6 +27,7 @@
 ROUTERS = 2
 MEMORY_MB = 110
 DESCRIPTORS = 4100  # of a router
+CONNECTIONS = 20000  # of all waves together
 SOUND_CALLERS = 6
 SOUND_PAUSE_S = 0.05
 WAIT_MS = 5000
@@ -271,8 +272,15 @@
         return 1 if self.violations else 0
 
 
+def allow_many_connections():
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = CONNECTIONS if most == resource.RLIM_INFINITY else min(
+        CONNECTIONS, most)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
+
+
 def main():
-    resource.setrlimit(resource.RLIMIT_NOFILE, (20000, 20000))
+    allow_many_connections()
     status = Soak(int(sys.argv[1]), float(sys.argv[2])).run()
     sys.stdout.flush()
     os._exit(status)
