Idle callers give up descriptors that requests under way lack

Cause: the reserve of descriptors waits until some are free, and nothing freed those of idle callers unless a connection waited in the accept queue.

--- a/src/DescriptorReserve.c
+++ b/src/DescriptorReserve.c
@@ -7,6 +7,7 @@
 
 #include "Clock.h"
 #include "Errors.h"
+#include "IdleCallers.h"
 #include "Log.h"
 #include "StopSignals.h"
 
@@ -36,6 +37,7 @@
     while (count < target) {
         int fd = open_spare();
         if (fd < 0) {
+            (void)IdleCallers_close(target - count);
             Clock_arm(fill_timer, FILL_INTERVAL_MS);
             return;
         }
--- a/src/DescriptorReserve.h
+++ b/src/DescriptorReserve.h
@@ -6,7 +6,8 @@
  * Keeps some descriptors of the process from callers, who would take all that
  * the system allows, for connections to upstreams, peers and the store. A
  * router that reads a request and has no descriptor left for it could only
- * refuse it, and would take its upstream for unreachable.
+ * refuse it, and would take its upstream for unreachable. Idle callers give up
+ * descriptors for the reserve.
  */
 #include <event2/event.h>
 #include <glib.h>
--- a/tests/sessions/test_idle_callers.py
+++ b/tests/sessions/test_idle_callers.py
@@ -1,4 +1,5 @@
 """Callers that wait while idle ones hold the router's descriptors."""
+import os
 import resource
 import signal
 import time
@@ -12,6 +13,8 @@
 DESCRIPTORS = 128
 IDLE = 200
 WAITING = 40
+BUSY = 45  # more than the router keeps descriptors for
+RUN_S = 1.5
 STOP_LIMIT_S = 6
 
 
@@ -58,6 +61,18 @@
         self.assertLess(time.monotonic() - began, 3)
         self.router.wait_event("idle_callers_closed")
 
+    # Requests that were read waited for each other's connections, while idle
+    # callers held what they lacked.
+    def test_requests_that_were_read_get_descriptors_of_idle_callers(self):
+        held = len(os.listdir("/proc/%d/fd" % self.router.process.pid))
+        callers = [self.connect() for _ in range(DESCRIPTORS - held - 2)]
+        time.sleep(0.3)
+        self.upstream.pause_s = RUN_S
+        began = time.monotonic()
+        sent = [self.send(each) for each in callers[-BUSY:]]
+        self.assertEqual(self.statuses(sent), BUSY * [200])
+        self.assertLess(time.monotonic() - began, 2 * RUN_S)
+
     # A caller whose next request had arrived was not told apart from others.
     def test_a_request_that_has_arrived_is_read(self):
         kept = self.hold_all()[:10]
