--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -10,7 +10,9 @@
 #include "HttpCall.h"
 #include "IdleCallers.h"
 #include "Log.h"
+#include "RequestIntake.h"
 #include "ResetOnClose.h"
+#include "SocketUse.h"
 
 typedef struct {
     GString *id;
@@ -95,7 +97,8 @@
 static const char *
 unsent_cause(const Reply_t *this)
 {
-    if (this->is_given_up) {
+    if (this->is_given_up ||
+        SocketUse_isGivenUp(bufferevent_getfd(stream_of(this)))) {
         return "no_room";
     }
     return has_caller_left(stream_of(this)) ? "caller_left" : "not_read";
@@ -142,6 +145,8 @@
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
     Http_startReadTimeout(connection);
+    RequestIntake_noteAnswered(request);
+    SocketUse_noteAnswered(bufferevent_getfd(stream_of(data)));
     Reply_destroy(data);
     IdleCallers_add(connection);
 }
--- a/src/Router.c
+++ b/src/Router.c
@@ -11,6 +11,7 @@
 
 #include "AcceptHold.h"
 #include "AcceptPause.h"
+#include "Allocator.h"
 #include "CallerApi.h"
 #include "Clock.h"
 #include "Context.h"
@@ -36,6 +37,8 @@
 #include "RequestIntake.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
+#include "SocketBuffers.h"
+#include "SocketUse.h"
 #include "StopSignals.h"
 
 #define STOP_CHECK_MS 50
@@ -74,6 +77,7 @@
     RelayParts_t *relay;   /* NULL on the native platform */
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     gint64 memory_room;    /* as it started */
+    gsize memory_own;      /* in use as it started */
     HttpListener_t callers;
     HttpListener_t operators;
     HttpListener_t readiness;
@@ -121,7 +125,9 @@
     context->traces = Traces_create();
     context->open = OpenRequests_create();
     context->deferred_calls = DeferredCalls_create(context->base);
-    context->memory = MemoryUse_create((gsize)settings->limits.memory);
+    context->memory = MemoryUse_create(0);
+    this->memory_own = MemoryUse_used(context->memory, Clock_nowMs());
+    SocketUse_init(context->base, context->memory, context->counters);
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
                           (gsize)settings->limits.answers_max);
@@ -308,8 +314,12 @@
     gsize max = (gsize)limits->memory * BODY_PERCENT / 100;
     if (!this->intake.budget) {
         this->intake.budget = BodyBudget_create(max);
+        this->intake.memory = this->context.memory;
+        RequestIntake_begin(this->context.base, &this->intake);
     }
     BodyBudget_setMax(this->intake.budget, max);
+    MemoryUse_setMax(this->context.memory,
+                     MemoryUse_fit((gsize)limits->memory, this->memory_own));
     this->intake.max_body = (gsize)limits->max_body;
     this->intake.max_header = (gsize)limits->max_header;
     this->intake.forward_proof = this->context.forward_proof;
@@ -387,6 +397,7 @@
         return FALSE;
     }
     widen_backlog(bound);
+    SocketBuffers_limit(evhttp_bound_socket_get_fd(bound), SOCKET_CALLER);
     note_bound(this, server, bound);
     return TRUE;
 }
@@ -588,7 +599,6 @@
     RetryBudget_setLimits(this->context.budget, (guint)limits->retry_percent,
                           (guint)limits->retry_allowance);
     set_body_budget(this);
-    MemoryUse_setMax(this->context.memory, (gsize)limits->memory);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
     HttpListener_t *listeners[] = {&this->callers, &this->operators,
                                    &this->readiness};
@@ -674,6 +684,9 @@
     free_listener(&this->callers);
     free_listener(&this->operators);
     free_listener(&this->readiness);
+    if (this->intake.arrivals) {
+        Arrivals_dropGone(this->intake.arrivals);
+    }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
     PendingReply_setCounters(NULL);
     IdleCallers_clear();
@@ -684,6 +697,7 @@
 free_intake(Router_t *this)
 {
     RequestIntake_clear();
+    g_clear_pointer(&this->intake.arrivals, Arrivals_destroy);
     if (this->intake.budget) {
         BodyBudget_unref(this->intake.budget);
     }
@@ -715,6 +729,7 @@
     Traces_destroy(context->traces);
     OpenRequests_destroy(context->open);
     AnswerRoom_destroy(context->answer_room);
+    SocketUse_clear();
     MemoryUse_destroy(context->memory);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
@@ -771,6 +786,7 @@
 Router_run(Settings_t *settings, const PlatformForm_t *form, GError **error)
 {
     Router_t this = {.settings = settings};
+    Allocator_init();
     if (!DescriptorReserve_await(LOOP_DESCRIPTORS, error)) {
         return FALSE;
     }
@@ -808,8 +824,8 @@
     if (started) {
         free_platform(&this);
     }
-    free_parts(&this);
     free_intake(&this);
+    free_parts(&this);
     DescriptorReserve_clear();
     event_base_free(this.context.base);
     return ended;
