DescriptorReserve is told where descriptors can be freed

It called IdleCallers, which calls HttpCall, which calls DescriptorReserve: a circle of includes that make lint refuses. The router hands it the function now. test_idle_callers and test_DescriptorReserve pass as before.

--- a/src/DescriptorReserve.c
+++ b/src/DescriptorReserve.c
@@ -7,7 +7,6 @@
 
 #include "Clock.h"
 #include "Errors.h"
-#include "IdleCallers.h"
 #include "Log.h"
 #include "StopSignals.h"
 
@@ -24,6 +23,7 @@
 static guint target;
 static struct event *fill_timer;
 static gint64 logged_ms;
+static DescriptorSource_t source; /* or NULL */
 
 static int
 open_spare(void)
@@ -31,13 +31,21 @@
     return open("/dev/null", O_RDONLY | O_CLOEXEC);
 }
 
+static void
+free_others(guint wanted)
+{
+    if (source) {
+        (void)source(wanted);
+    }
+}
+
 static void
 fill(void)
 {
     while (count < target) {
         int fd = open_spare();
         if (fd < 0) {
-            (void)IdleCallers_close(target - count);
+            free_others(target - count);
             Clock_arm(fill_timer, FILL_INTERVAL_MS);
             return;
         }
@@ -121,9 +129,16 @@
     fill();
 }
 
+void
+DescriptorReserve_setSource(DescriptorSource_t others)
+{
+    source = others;
+}
+
 void
 DescriptorReserve_clear(void)
 {
+    source = NULL;
     while (count > 0) {
         close(kept[--count]);
     }
--- a/src/DescriptorReserve.h
+++ b/src/DescriptorReserve.h
@@ -28,6 +28,19 @@
 /** DescriptorReserve_init() - open the reserve; once per process */
 void DescriptorReserve_init(struct event_base *base);
 
+/**
+ * DescriptorSource_t - free descriptors that are used for less
+ * @wanted: number of descriptors
+ *
+ * Return: number of those freed
+ */
+typedef guint (*DescriptorSource_t)(guint wanted);
+
+/** DescriptorReserve_setSource() - where the reserve takes descriptors from if
+ * none is free
+ * @source: may be NULL */
+void DescriptorReserve_setSource(DescriptorSource_t source);
+
 /** DescriptorReserve_clear() - close the reserve */
 void DescriptorReserve_clear(void);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -689,6 +689,7 @@
     }
     event_base_loop(this->context.base, EVLOOP_NONBLOCK);
     PendingReply_setCounters(NULL);
+    DescriptorReserve_setSource(NULL);
     IdleCallers_clear();
     LingeringClose_clear();
 }
@@ -800,6 +801,7 @@
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
     IdleCallers_init(this.context.base, this.context.counters);
+    DescriptorReserve_setSource(IdleCallers_close);
     create_signals(&this);
     gboolean ended = FALSE;
     gboolean started =
