What the kernel may hold of requests that arrive counts as memory

Thousands of callers that sent a part of a request took a router over its memory in one burst: what the kernel took of them at once (52 MB, 14 KB each of 3,700) came on top of what was resident, and reading it changes nothing of the sum.

Cause: listeners let the kernel take 32 KiB of a connection, and only what was seen unread counted. A connection takes 8 KiB now until its body has room, and each request that arrives without room counts for as much from its first byte, so that 70 and 82 % of the memory are reached before the bytes come.

Bodies that were received moved to BodyBudget unchanged.

--- a/src/BodyBudget.c
+++ b/src/BodyBudget.c
@@ -6,9 +6,9 @@
  * have come, and claims the others again. */
 #define STALL_MS 500
 /* Bytes that the kernel holds of a body that waits, about. */
-#define WAITING_BYTES ((gsize)32 << 10)
+#define WAITING_BYTES ((gsize)8 << 10)
 /* Of the budget, for what the kernel holds. */
-#define WAITING_PARTS 6
+#define WAITING_PARTS 24
 #define WAITING_MIN 64
 
 struct BodyBudget {
@@ -21,6 +21,12 @@
     GHashTable *callers; /* Caller_t with claims, owned, by their ids */
 };
 
+/* Of a body that was received. */
+typedef struct {
+    void *bytes;
+    BodyClaim_t *claim;
+} OwnedBody_t;
+
 typedef struct {
     guint64 id;  /* the first member, as it is the key */
     gsize bytes; /* granted */
@@ -329,3 +335,23 @@
 {
     return this->bytes;
 }
+
+static void
+free_owned(gpointer data)
+{
+    OwnedBody_t *body = data;
+    BodyClaim_destroy(body->claim);
+    g_free(body->bytes);
+    g_free(body);
+}
+
+GBytes *
+BodyBudget_own(BodyBudget_t *this, guint64 caller, void *bytes, gsize length)
+{
+    OwnedBody_t *body = g_new0(OwnedBody_t, 1);
+    body->bytes = bytes;
+    body->claim = BodyClaim_create(this);
+    BodyClaim_setCaller(body->claim, caller);
+    BodyClaim_setBytes(body->claim, length);
+    return g_bytes_new_with_free_func(bytes, length, free_owned, body);
+}
--- a/src/BodyBudget.h
+++ b/src/BodyBudget.h
@@ -45,6 +45,14 @@
  * should be refused, as the kernel holds a part of each body */
 gboolean BodyBudget_isCrowded(const BodyBudget_t *this);
 
+/**
+ * BodyBudget_own() - a body that was received, whatever room is left
+ * @caller: as in BodyClaim_setCaller()
+ * @bytes: taken over; they count until the result is freed
+ */
+GBytes *BodyBudget_own(BodyBudget_t *this, guint64 caller, void *bytes,
+                       gsize length);
+
 /** BodyBudget_used() - bytes of all granted claims */
 gsize BodyBudget_used(const BodyBudget_t *this);
 
--- a/src/IntakeSocket.c
+++ b/src/IntakeSocket.c
@@ -1,11 +1,27 @@
 #include "IntakeSocket.h"
 
 #include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include "HttpCall.h"
 
+/* A connection that began with less does not scale its window. */
+#define WINDOW_BYTES 65535
+
+void
+IntakeSocket_widen(struct bufferevent *stream)
+{
+    evutil_socket_t fd = bufferevent_getfd(stream);
+    int window = WINDOW_BYTES;
+    int buffer = 2 * WINDOW_BYTES;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+    setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &window, sizeof(window));
+}
+
 gsize
 IntakeSocket_unread(struct bufferevent *stream)
 {
--- a/src/IntakeSocket.h
+++ b/src/IntakeSocket.h
@@ -12,6 +12,14 @@
 
 #include "Refusal.h"
 
+/** Bytes of a connection that the kernel takes before they are read, at first;
+ * set on listeners, whose connections inherit it */
+#define INTAKE_UNREAD_MAX (8 << 10)
+
+/** IntakeSocket_widen() - let the kernel take more of a request than at first,
+ * if it can */
+void IntakeSocket_widen(struct bufferevent *stream);
+
 /** IntakeSocket_unread() - bytes that have come and were not read */
 gsize IntakeSocket_unread(struct bufferevent *stream);
 
--- a/src/MemoryUse.c
+++ b/src/MemoryUse.c
@@ -13,7 +13,7 @@
 /* What is taken between two measurements, and by those who don't ask. */
 #define RESERVE_PERCENT 10
 #define TIGHT_PERCENT 70
-#define FULL_PERCENT 85
+#define FULL_PERCENT 82
 #define STATM_MAX 128
 /* Giving pages back costs a walk through the heap. */
 #define TRIM_MS 250
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -43,18 +43,13 @@
     gint64 began_ms;      /* of the request that is arriving; 0 if none is */
     gint64 last_ms;       /* of the last bytes */
     gsize received;       /* bytes of it */
-    gsize unread;         /* bytes that the kernel holds while it is paused */
+    gsize unread;         /* bytes of it that the kernel may hold */
     gboolean is_answered; /* no earlier request waits for its answer */
+    gboolean is_widened;  /* the kernel takes more of it unread */
     gboolean is_abandoned;
     gboolean is_refused; /* what it sends is dropped */
 } Connection_t;
 
-/* Of a body that was taken. */
-typedef struct {
-    void *bytes;
-    BodyClaim_t *claim;
-} TakenBody_t;
-
 /* By struct bufferevent, not owned. The entry of a connection that was closed
  * between two requests remains until its address is used again, so that there
  * are no more of them than connections were open at the same time. */
@@ -103,7 +98,6 @@
         bufferevent_set_rate_limit(this->stream, paused_rate());
         bufferevent_decrement_read_limit(this->stream, -(ev_ssize_t)added);
     }
-    count_unread(this, IntakeSocket_unread(this->stream));
 }
 
 static void
@@ -113,7 +107,6 @@
         log_wait(this, "body_admitted", bytes);
         this->began_ms += Clock_nowMs() - this->paused_ms;
         this->paused_ms = 0;
-        count_unread(this, 0);
         bufferevent_set_rate_limit(this->stream, NULL);
     }
 }
@@ -138,6 +131,7 @@
 {
     if (this->arrival.arrivals) {
         Arrival_remove(&this->arrival);
+        count_unread(this, 0);
         bufferevent_decref(this->stream);
     }
 }
@@ -147,7 +141,6 @@
 end_connection(Connection_t *this)
 {
     BodyClaim_release(this->claim);
-    count_unread(this, 0);
     leave_arrivals(this);
     bufferevent_trigger_event(this->stream, BEV_EVENT_READING | BEV_EVENT_EOF,
                               BEV_TRIG_DEFER_CALLBACKS);
@@ -244,6 +237,10 @@
     }
     BodyClaim_noteProgress(this->claim, now_ms);
     if (try_claim(this, bytes, now_ms)) {
+        if (bytes > 0 && !this->is_widened) {
+            this->is_widened = TRUE;
+            IntakeSocket_widen(this->stream);
+        }
         resume_reading(this, bytes);
     }
     else if (this->paused_ms == 0 && this->is_answered &&
@@ -325,6 +322,18 @@
         (ev_ssize_t)(this->max_header + (is_longer ? RELAY_ADDED_BYTES : 0)));
 }
 
+/* For the bytes of a claim there is room. */
+static gsize
+unread_max(const Connection_t *this)
+{
+    guint64 missing = RequestFraming_missingBody(this->framing);
+    if (BodyClaim_isGranted(this->claim)) {
+        return 0;
+    }
+    return missing > 0 ? (gsize)MIN(missing, INTAKE_UNREAD_MAX)
+                       : INTAKE_UNREAD_MAX;
+}
+
 /* evhttp does not tell that it frees a connection. The reference keeps the
  * address of the stream from being used for another one before that is seen.
  */
@@ -336,7 +345,8 @@
         bufferevent_getcb(this->stream, NULL, NULL, NULL, &this->connection);
     }
     Arrival_note(&this->arrival, this->limits->arrivals, this->last_ms);
-    this->arrival.bytes = used_bytes(this);
+    count_unread(this, unread_max(this));
+    this->arrival.bytes = used_bytes(this) + this->unread;
     this->arrival.room = BodyClaim_bytes(this->claim);
 }
 
@@ -397,7 +407,6 @@
                            this);
     }
     leave_arrivals(this);
-    count_unread(this, 0);
     RequestFraming_destroy(this->framing);
     BodyClaim_destroy(this->claim);
     g_free(this);
@@ -543,26 +552,6 @@
     }
 }
 
-static void
-free_taken(gpointer data)
-{
-    TakenBody_t *body = data;
-    BodyClaim_destroy(body->claim);
-    g_free(body->bytes);
-    g_free(body);
-}
-
-static GBytes *
-own_body(void *bytes, gsize length, const Connection_t *connection)
-{
-    TakenBody_t *body = g_new0(TakenBody_t, 1);
-    body->bytes = bytes;
-    body->claim = BodyClaim_create(connection->limits->budget);
-    BodyClaim_setCaller(body->claim, BodyClaim_caller(connection->claim));
-    BodyClaim_setBytes(body->claim, length);
-    return g_bytes_new_with_free_func(bytes, length, free_taken, body);
-}
-
 GBytes *
 RequestIntake_takeBody(struct evhttp_request *request)
 {
@@ -578,7 +567,8 @@
         return g_bytes_new_take(bytes, length);
     }
     BodyClaim_release(connection->claim);
-    return own_body(bytes, length, connection);
+    return BodyBudget_own(connection->limits->budget,
+                          BodyClaim_caller(connection->claim), bytes, length);
 }
 
 void
--- a/src/Router.c
+++ b/src/Router.c
@@ -18,6 +18,7 @@
 #include "EngineHttp.h"
 #include "Errors.h"
 #include "HttpCall.h"
+#include "IntakeSocket.h"
 #include "LateListener.h"
 #include "LingeringClose.h"
 #include "ListenerDrain.h"
@@ -49,8 +50,6 @@
 /* Share of the memory that bodies of requests may use; the rest is for all
  * else. */
 #define BODY_PERCENT 65
-/* Of a connection, what the kernel holds before it is read. */
-#define UNREAD_BYTES (32 << 10)
 /* Allows unknown HTTP methods too, as the API answers them with a typed error.
  */
 #define ALL_METHODS G_MAXUINT16
@@ -364,7 +363,7 @@
 static void
 bound_unread(struct evhttp_bound_socket *bound)
 {
-    int bytes = UNREAD_BYTES;
+    int bytes = INTAKE_UNREAD_MAX;
     if (setsockopt(evhttp_bound_socket_get_fd(bound), SOL_SOCKET, SO_RCVBUF,
                    &bytes, sizeof(bytes)) != 0) {
         Log_begin(LOG_LEVEL_WARNING, "unread_not_bounded");
