Log: a date for any time of day

Callers saw their connections end with the process, and none of its starts succeeded: where the time of day was no date of the years 1 to 9999, as a jump of a simulated clock made it, g_date_time_new_now_utc() gave NULL, and the critical message about that was logged by the same code, which GLib ends with SIGABRT ("recursed"). A machine's own kernel accepts no such time, so that this explains no end on those. The clock is taken into the years 1970 to 9999 before it becomes a date.

--- a/src/Log.c
+++ b/src/Log.c
@@ -12,6 +12,10 @@
 /* 1/RESERVED_DIVISOR of the full allowance is reserved for warnings and
  * errors. */
 #define RESERVED_DIVISOR 4
+/* Of the clock; a date outside of the years 1970 to 9999 would be no date to
+ * GLib, or have no four digits. */
+#define TIME_MIN_MS G_GINT64_CONSTANT(0)
+#define TIME_MAX_MS G_GINT64_CONSTANT(253402300799999)
 
 static GString *line;
 static char process_name[64] = "wheattiller";
@@ -126,11 +130,11 @@
     if (!line) {
         line = g_string_sized_new(256);
     }
-    GDateTime *now = g_date_time_new_now_utc();
+    gint64 now_ms = CLAMP(Clock_wallMs(), TIME_MIN_MS, TIME_MAX_MS);
+    GDateTime *now = g_date_time_new_from_unix_utc(now_ms / 1000);
     g_autofree char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
     g_string_printf(line, "<%d>%s.%03dZ %s[%d]: event=%s", (int)level, stamp,
-                    g_date_time_get_microsecond(now) / 1000, process_name,
-                    (int)getpid(), event);
+                    (int)(now_ms % 1000), process_name, (int)getpid(), event);
     g_date_time_unref(now);
 }
 
