The fault of a long name tells the length

Operators whose settings gave a router a name of more than 64 characters saw "expected letters, digits, '-', '_' or '.'" for a name of such letters alone, while no start succeeded. The detail left out the length that is checked. The detail states what KeyTable checks.

--- a/src/Declarations.c
+++ b/src/Declarations.c
@@ -179,11 +179,11 @@
     this->fields = fields;
     this->spec = g_malloc0(sections[kind].size);
     if (!KeyTable_isValidName(name)) {
-        Problems_add(
-            problems, PROBLEM_BAD_NAME,
-            place.ini ? IniFile_path(place.ini) : "-",
-            place.ini ? IniFile_line(place.ini, place.section, NULL) : 0,
-            place.section, NULL, "expected letters, digits, '-', '_' or '.'");
+        Problems_add(problems, PROBLEM_BAD_NAME,
+                     place.ini ? IniFile_path(place.ini) : "-",
+                     place.ini ? IniFile_line(place.ini, place.section, NULL)
+                               : 0,
+                     place.section, NULL, KEY_NAME_EXPECTED);
     }
     KeyTable_fill(&sections[kind], fields, place, this->spec, problems);
     check_stop_time(this, place, problems);
--- a/src/KeyTable.c
+++ b/src/KeyTable.c
@@ -68,8 +68,7 @@
 parse_name(Parse_t *parse)
 {
     if (!KeyTable_isValidName(parse->value)) {
-        return set_fault(parse, PROBLEM_BAD_NAME,
-                         "expected letters, digits, '-', '_' or '.'");
+        return set_fault(parse, PROBLEM_BAD_NAME, KEY_NAME_EXPECTED);
     }
     return parse_text(parse);
 }
--- a/src/KeyTable.h
+++ b/src/KeyTable.h
@@ -9,6 +9,9 @@
  */
 #include <glib.h>
 
+/** Detail of PROBLEM_BAD_NAME; see KeyTable_isValidName(). */
+#define KEY_NAME_EXPECTED "expected 1 to 64 letters, digits, '-', '_' or '.'"
+
 /**
  * enum KeyType_t - text form of a value; C type in the section's struct
  * @KEY_TEXT: any text; GString *
--- a/tests/test_Settings.c
+++ b/tests/test_Settings.c
@@ -448,6 +448,19 @@
 }
 END_TEST
 
+/* The fault of a long name told its letters alone. */
+START_TEST(fault_of_a_long_name_tells_the_length)
+{
+    g_autofree char *name = g_strnfill(255, 'n');
+    g_autofree char *text = g_strconcat("[router]\nname = ", name, "\n",
+                                        strstr(VALID_REST, "hall"), NULL);
+    assert_problem(text, PROBLEM_BAD_NAME, 2, "router", "name");
+    g_autoptr(GPtrArray) problems = find_problems(text);
+    const Problem_t *problem = g_ptr_array_index(problems, 0);
+    ck_assert_ptr_nonnull(strstr(problem->detail->str, "1 to 64 letters"));
+}
+END_TEST
+
 TESTING_MAIN(
     "Settings", each_hall_needs_a_region,
     faults_of_a_file_that_is_no_text_are_bounded,
@@ -459,6 +472,7 @@
     dangling_references_are_reported, bad_section_names_and_times_are_reported,
     reference_names_every_section,
     reload_applies_live_keys_and_reports_the_others,
-    a_stop_ends_before_the_kill, without_a_kill_the_stop_is_as_set,
-    a_kill_that_leaves_no_time_is_a_fault, reload_of_same_file_reports_no_key,
-    reload_of_invalid_file_changes_nothing, file_with_nul_byte_is_reported)
+    fault_of_a_long_name_tells_the_length, a_stop_ends_before_the_kill,
+    without_a_kill_the_stop_is_as_set, a_kill_that_leaves_no_time_is_a_fault,
+    reload_of_same_file_reports_no_key, reload_of_invalid_file_changes_nothing,
+    file_with_nul_byte_is_reported)
