Callers are looked at again before they are given up

While memory was short, a caller that read all the time was reset if the router had thousands of sockets: 512 are looked at in a tick, and all were judged by their last look, 519 ms ago and more. The same look could belong to another connection with the same descriptor. The one to be given up is looked at first now.

--- a/src/SocketUse.c
+++ b/src/SocketUse.c
@@ -164,21 +164,39 @@
     set_held(this, 0, 0);
 }
 
+static gboolean
+is_stalled(evutil_socket_t fd, MemoryLevel_t level, gint64 now_ms)
+{
+    return now_ms - socket_at(fd)->progress_ms >= stall_limit(level);
+}
+
+/* The last look may be some ticks old, or one at another connection with the
+ * same descriptor. */
+static void
+check_again(evutil_socket_t fd, MemoryLevel_t level, gint64 now_ms)
+{
+    const Socket_t *this = socket_at(fd);
+    look_at(fd, now_ms);
+    if (this->is_watched && this->unsent >= SOCKET_HELD_MIN &&
+        is_stalled(fd, level, now_ms)) {
+        give_up(fd, level, now_ms);
+    }
+}
+
 /* Pages that are free again may be all that is missing. */
 static void
 give_up_stalled(gint64 now_ms)
 {
-    if (MemoryUse_level(memory_use, now_ms) == MEMORY_FULL) {
+    if (MemoryUse_level(memory_use, now_ms) != MEMORY_EASY) {
         MemoryUse_trim(memory_use, now_ms);
     }
     for (guint count = 0; count < RESETS_MAX; count++) {
         MemoryLevel_t level = MemoryUse_level(memory_use, now_ms);
         evutil_socket_t fd = level == MEMORY_EASY ? -1 : find_longest_idle();
-        if (fd < 0 ||
-            now_ms - socket_at(fd)->progress_ms < stall_limit(level)) {
+        if (fd < 0 || !is_stalled(fd, level, now_ms)) {
             return;
         }
-        give_up(fd, level, now_ms);
+        check_again(fd, level, now_ms);
     }
 }
 
--- a/tests/test_SocketUse.c
+++ b/tests/test_SocketUse.c
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -302,7 +303,47 @@
 }
 END_TEST
 
-TESTING_MAIN("SocketUse", sockets_are_looked_at_only_if_memory_may_be_short,
+static void
+pass_bytes(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    (void)data;
+    char bytes[16 * BUFFER_MAX] = {0};
+    while (recv(far_end, bytes, sizeof(bytes), MSG_DONTWAIT) > 0) {
+    }
+    (void)!write(near_end, bytes, sizeof(bytes));
+}
+
+/* Callers among thousands of sockets were judged by looks that were too old.
+ */
+START_TEST(caller_that_reads_is_kept_whatever_its_descriptor)
+{
+    enum { DESCRIPTOR = 8000, MS = 2500 };
+    struct timeval interval = {0, 10000};
+    struct timeval length = {MS / 1000, MS % 1000 * 1000};
+    struct rlimit limit;
+    begin();
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = MIN(limit.rlim_max, DESCRIPTOR + 1);
+    setrlimit(RLIMIT_NOFILE, &limit);
+    int fd = fcntl(near_end, F_DUPFD, (int)limit.rlim_cur - 1);
+    ck_assert_int_ge(fd, 0);
+    SocketUse_watch(fd, TRUE);
+    MemoryUse_setMax(memory, MemoryUse_used(memory, 1));
+    struct event *work = event_new(base, -1, EV_PERSIST, pass_bytes, NULL);
+    event_add(work, &interval);
+    event_base_loopexit(base, &length);
+    event_base_dispatch(base);
+    ck_assert(!SocketUse_isGivenUp(fd));
+    event_free(work);
+    close(fd);
+    end();
+}
+END_TEST
+
+TESTING_MAIN("SocketUse", caller_that_reads_is_kept_whatever_its_descriptor,
+             sockets_are_looked_at_only_if_memory_may_be_short,
              unsent_bytes_count_until_they_are_read,
              connection_that_the_caller_reset_counts_no_more,
              what_a_caller_sends_between_requests_is_not_counted,
