--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -332,6 +332,10 @@
         refuse(call, REFUSAL_UNKNOWN_SERVICE, NULL);
         return;
     }
+    if (Context_isMemoryUsedUp(call->context)) {
+        refuse(call, REFUSAL_MEMORY_FULL, NULL);
+        return;
+    }
     if (AnswerRoom_isUsedUp(call->context->answer_room)) {
         refuse(call, REFUSAL_ANSWERS_UNREAD, NULL);
         return;
--- a/src/Context.c
+++ b/src/Context.c
@@ -104,6 +104,12 @@
     SocketBuffers_limitCaller(bufferevent_getfd(stream), &share);
 }
 
+gboolean
+Context_isMemoryUsedUp(const Context_t *this)
+{
+    return MemoryUse_room(this->memory, Clock_nowMs()) == 0;
+}
+
 gboolean
 Context_isMemoryFull(const Context_t *this)
 {
--- a/src/Context.h
+++ b/src/Context.h
@@ -218,6 +218,9 @@
 /** Context_isMemoryFull() - whether no long work may begin */
 gboolean Context_isMemoryFull(const Context_t *this);
 
+/** Context_isMemoryUsedUp() - whether nothing may begin */
+gboolean Context_isMemoryUsedUp(const Context_t *this);
+
 /** Context_countOversized() - count and log an event of a stream, or an answer
  * that is no stream, that is too large */
 void Context_countOversized(Context_t *this, const char *request,
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -167,27 +167,28 @@
 }
 
 /* Streams that run stop at their own bounds; a new one takes memory for long.
- */
+ * A call takes little for a short time. */
 static gboolean
-has_room(const Admission_t *admission)
+has_memory(const Admission_t *admission)
 {
-    const Context_t *context = admission->context;
     return admission->route->kind == ROUTE_STREAM
-               ? !Context_isMemoryFull(context)
-               : !AnswerRoom_isUsedUp(context->answer_room);
+               ? !Context_isMemoryFull(admission->context)
+               : !Context_isMemoryUsedUp(admission->context);
 }
 
 static gboolean
 check_room(Admission_t *admission)
 {
     gboolean is_stream = admission->route->kind == ROUTE_STREAM;
-    if (has_room(admission)) {
-        return TRUE;
+    if (!has_memory(admission)) {
+        refuse_request(admission, REFUSAL_MEMORY_FULL, NULL);
+        return FALSE;
     }
-    refuse_request(admission,
-                   is_stream ? REFUSAL_MEMORY_FULL : REFUSAL_ANSWERS_UNREAD,
-                   NULL);
-    return FALSE;
+    if (!is_stream && AnswerRoom_isUsedUp(admission->context->answer_room)) {
+        refuse_request(admission, REFUSAL_ANSWERS_UNREAD, NULL);
+        return FALSE;
+    }
+    return TRUE;
 }
 
 static void
