--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,12 +1,15 @@
 """What routers hold in memory: their resident pages, and the bytes that the
 kernel holds for their sockets. A machine that enforces its memory counts
 both."""
+import collections
 import os
 import threading
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 UNITS = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 LISTENING = "0A"  # its queue counts connections
+ESTABLISHED = "01"
+NO_INODE = "0"  # of a connection that was not accepted, or has ended
 INTERVAL_S = 0.05
 
 
@@ -29,18 +32,33 @@
     return inodes
 
 
-def read_queues():
-    """Returns (bytes that arrived and were not read, bytes that were written
-    and not acknowledged) of each TCP socket of the machine, by inode."""
-    queues = {}
-    with open("/proc/self/net/tcp") as file:
-        next(file)  # the heading
-        for line in file:
-            fields = line.split()
-            if fields[3] != LISTENING:
-                unsent, unread = fields[4].split(":")
-                queues[fields[9]] = (int(unread, 16), int(unsent, 16))
-    return queues
+class Queues:
+    """What the kernel holds for the TCP sockets of the machine: (bytes that
+    arrived and were not read, bytes that were written and not acknowledged)."""
+
+    def __init__(self):
+        self.by_inode = {}
+        self.unaccepted = collections.defaultdict(int)  # unread, by address
+        self.listening = {}  # address by inode
+        with open("/proc/self/net/tcp") as file:
+            next(file)  # the heading
+            for line in file:
+                self.add(*line.split()[1:10])
+
+    def add(self, local, _, state, queue, *more):
+        unsent, unread = (int(part, 16) for part in queue.split(":"))
+        inode = more[-1]
+        if state == LISTENING:
+            self.listening[inode] = local
+        elif inode != NO_INODE:
+            self.by_inode[inode] = (unread, unsent)
+        elif state == ESTABLISHED:
+            self.unaccepted[local] += unread
+
+    def of(self, inode):
+        if inode in self.listening:
+            return self.unaccepted[self.listening[inode]], 0
+        return self.by_inode.get(inode, (0, 0))
 
 
 def resident_bytes(pid):
@@ -53,8 +71,7 @@
 
     def __init__(self, pid, queues):
         self.resident = resident_bytes(pid)
-        held = [queues[inode] for inode in socket_inodes(pid)
-                if inode in queues]
+        held = [queues.of(inode) for inode in socket_inodes(pid)]
         self.unread = sum(unread for unread, _ in held)
         self.unsent = sum(unsent for _, unsent in held)
         self.total = self.resident + self.unread + self.unsent
@@ -114,7 +131,7 @@
 
     def run(self):
         while not self.stopped.wait(INTERVAL_S):
-            queues = read_queues()
+            queues = Queues()
             with self.lock:
                 running = list(self.running)
             ended = [each for each in running if not each.look(queues, self.kills)]
--- a/tests/sessions/test_memory_arrivals.py
+++ b/tests/sessions/test_memory_arrivals.py
@@ -104,6 +104,14 @@
         self.router.process.send_signal(signal.SIGCONT)
         self.assert_within_memory()
 
+    # Connections that were not accepted yet took as much each as accepted ones.
+    def test_connections_that_wait_in_the_accept_queue(self):
+        self.router.process.send_signal(signal.SIGSTOP)
+        self.begin(3700, LENGTH % 100000 + b"x" * 30000)
+        self.send_on(0.5)
+        self.router.process.send_signal(signal.SIGCONT)
+        self.assert_within_memory()
+
 
 if __name__ == "__main__":
     unittest.main()
