HttpListener: the router's listeners are a module of their own

Router.c had grown to 835 lines, of which a hundred opened addresses, set the limits of evhttp's servers and freed them. HttpListener has that now, as an opaque type; Router.c creates three of them.

--- a/src/Router.c
+++ b/src/Router.c
@@ -1,16 +1,10 @@
 #include "Router.h"
 
-#include <errno.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "AcceptHold.h"
-#include "AcceptPause.h"
 #include "Allocator.h"
 #include "CallerApi.h"
 #include "Clock.h"
@@ -19,6 +13,7 @@
 #include "EngineHttp.h"
 #include "Errors.h"
 #include "HttpCall.h"
+#include "HttpListener.h"
 #include "IdleCallers.h"
 #include "LateListener.h"
 #include "LingeringClose.h"
@@ -37,7 +32,6 @@
 #include "RequestIntake.h"
 #include "ResetOnClose.h"
 #include "SettingsReload.h"
-#include "SocketBuffers.h"
 #include "SocketUse.h"
 #include "StopSignals.h"
 
@@ -59,17 +53,6 @@
 
 typedef struct Router Router_t;
 
-typedef struct {
-    Router_t *router;
-    const char *setting;
-    const Address_t *address;
-    void (*handle)(struct evhttp_request *request, void *context);
-    struct evhttp *server; /* NULL until it listens */
-    guint16 port;
-    LateListener_t *late; /* NULL if the router can't do without */
-    AcceptPause_t *pause; /* NULL until it listens, and once given away */
-} HttpListener_t;
-
 struct Router {
     Settings_t *settings;
     Context_t context;
@@ -78,9 +61,9 @@
     RatePeers_t *rates;    /* NULL if each router enforces a share of limits */
     gint64 memory_room;    /* as it started */
     gsize memory_own;      /* in use as it started */
-    HttpListener_t callers;
-    HttpListener_t operators;
-    HttpListener_t readiness;
+    HttpListener_t *callers;
+    HttpListener_t *operators;
+    HttpListener_t *readiness;
     LateListener_t *datagrams;
     IntakeLimits_t intake;    /* of callers' bodies */
     AcceptHold_t *hold;       /* NULL on the native platform */
@@ -173,7 +156,7 @@
     const Address_t *listen = &this->settings->router.listen;
     gboolean is_any = strcmp(listen->host, "0.0.0.0") == 0;
     Address_t address = is_any ? this->settings->peers.listen : *listen;
-    address.port = this->context.form ? this->callers.port : 0;
+    address.port = this->context.form ? HttpListener_port(this->callers) : 0;
     return address;
 }
 
@@ -296,17 +279,6 @@
     this->native = NativeParts_create(&this->context);
 }
 
-/* Returns the actual port, as the system chooses one for port 0. */
-static guint16
-get_bound_port(struct evhttp_bound_socket *bound)
-{
-    struct sockaddr_in address = {0};
-    socklen_t size = sizeof(address);
-    getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&address,
-                &size);
-    return ntohs(address.sin_port);
-}
-
 static void
 set_body_budget(Router_t *this)
 {
@@ -330,161 +302,76 @@
     this->intake.read_timeout_ms = limits->read_timeout_ms;
 }
 
-/* Applies to new connections only; open ones keep their limits. */
-static void
-set_server_limits(const Router_t *this, struct evhttp *server)
+static HttpListener_t *
+create_listener(Router_t *this, const char *setting, const Address_t *address,
+                HttpHandler_t handle)
 {
-    const LimitsSection_t *limits = &this->settings->limits;
-    struct timeval timeout = {limits->read_timeout_ms / 1000,
-                              (limits->read_timeout_ms % 1000) * 1000};
-    evhttp_set_max_headers_size(server, limits->max_header);
-    evhttp_set_max_body_size(server, limits->max_body);
-    evhttp_set_timeout_tv(server, &timeout);
-    /* An upstream's answer without one has none. */
-    evhttp_set_default_content_type(server, NULL);
-}
-
-/* Connections beyond the 128 that evhttp asks for would be made a second later
- * or not at all, while the router does not accept for a moment. */
-static void
-widen_backlog(struct evhttp_bound_socket *bound)
-{
-    if (listen(evhttp_bound_socket_get_fd(bound), LISTEN_BACKLOG) != 0) {
-        Log_begin(LOG_LEVEL_WARNING, "backlog_not_widened");
-        Log_text("error", g_strerror(errno));
-        Log_end();
-    }
-}
-
-static struct bufferevent *
-create_connection(struct event_base *base, void *data)
-{
-    struct bufferevent *bev =
-        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    RequestIntake_watch(bev, data);
-    LingeringClose_watch(bev);
-    IdleCallers_watchNew(bev);
-    return bev;
-}
-
-static void
-note_bound(HttpListener_t *this, struct evhttp *server,
-           struct evhttp_bound_socket *bound)
-{
-    Router_t *router = this->router;
-    this->server = server;
-    this->port = get_bound_port(bound);
-    this->pause = AcceptPause_create(router->context.base,
-                                     evhttp_bound_socket_get_listener(bound),
-                                     this->setting);
-}
-
-static gboolean
-open_http(void *owner)
-{
-    HttpListener_t *this = owner;
-    Router_t *router = this->router;
-    struct evhttp *server = evhttp_new(router->context.base);
-    evhttp_set_gencb(server, this->handle, &router->context);
-    set_server_limits(router, server);
-    evhttp_set_bevcb(server, create_connection, &router->intake);
-    struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(
-        server, this->address->host, this->address->port);
-    if (!bound) {
-        int code = errno;
-        evhttp_free(server);
-        errno = code;
-        return FALSE;
-    }
-    widen_backlog(bound);
-    SocketBuffers_limit(evhttp_bound_socket_get_fd(bound), SOCKET_CALLER);
-    note_bound(this, server, bound);
-    return TRUE;
-}
-
-static ListenRetry_t
-make_retry(HttpListener_t *listener)
-{
-    return (ListenRetry_t){.setting = listener->setting,
-                           .address = listener->address,
-                           .open = open_http,
-                           .owner = listener};
+    HttpListenerSpec_t spec = {.context = &this->context,
+                               .intake = &this->intake,
+                               .setting = setting,
+                               .address = address,
+                               .handle = handle};
+    return HttpListener_create(&spec);
 }
 
 /* Waits for the address while nothing else is open, so that nobody connects to
  * a router that does not answer yet. */
 static gboolean
-create_callers(Router_t *this, GError **error)
+open_callers(Router_t *this, GError **error)
 {
-    this->callers = (HttpListener_t){
-        .router = this,
-        .setting = "listen",
-        .address = &this->settings->router.listen,
-        .handle = this->context.form ? RelayApi_handle : CallerApi_handle,
-    };
-    ListenRetry_t retry = make_retry(&this->callers);
-    if (!ListenRetry_run(&retry, error)) {
+    if (!HttpListener_open(this->callers, error)) {
         return FALSE;
     }
-    evhttp_set_allowed_methods(this->callers.server, ALL_METHODS);
+    evhttp_set_allowed_methods(HttpListener_server(this->callers),
+                               ALL_METHODS);
     set_body_budget(this);
     return TRUE;
 }
 
 static gboolean
-create_readiness(Router_t *this, GError **error)
-{
-    HttpListener_t *listener = &this->readiness;
-    *listener = (HttpListener_t){
-        .router = this,
-        .setting = "ready_listen",
-        .address = &this->settings->router.ready_listen,
-        .handle = RelayApi_handleReady,
-    };
-    if (!this->context.form || listener->address->host[0] == '\0') {
+open_readiness(const Router_t *this, GError **error)
+{
+    const Address_t *address = &this->settings->router.ready_listen;
+    if (!this->context.form || address->host[0] == '\0') {
         return TRUE;
     }
-    ListenRetry_t retry = make_retry(listener);
-    listener->late = LateListener_create(this->context.base, &retry, error);
-    return listener->late != NULL;
+    return HttpListener_openLate(this->readiness, error);
 }
 
 /* Not even a wrong address keeps the router from serving callers. */
 static void
-create_operators(Router_t *this)
+open_operators(const Router_t *this)
 {
     g_autoptr(GError) error = NULL;
-    HttpListener_t *listener = &this->operators;
-    *listener = (HttpListener_t){
-        .router = this,
-        .setting = "operator_listen",
-        .address = &this->settings->router.operator_listen,
-        .handle = OperatorApi_handle,
-    };
-    ListenRetry_t retry = make_retry(listener);
-    listener->late = LateListener_create(this->context.base, &retry, &error);
-    if (!listener->late) {
+    if (!HttpListener_openLate(this->operators, &error)) {
         Log_error("operators_unavailable", error);
     }
 }
 
+static void
+create_listeners(Router_t *this)
+{
+    const RouterSection_t *section = &this->settings->router;
+    this->callers = create_listener(this, "listen", &section->listen,
+                                    this->context.form ? RelayApi_handle
+                                                       : CallerApi_handle);
+    this->readiness = create_listener(
+        this, "ready_listen", &section->ready_listen, RelayApi_handleReady);
+    this->operators =
+        create_listener(this, "operator_listen", &section->operator_listen,
+                        OperatorApi_handle);
+}
+
 static gboolean
-create_listeners(Router_t *this, GError **error)
+open_listeners(Router_t *this, GError **error)
 {
-    if (!create_callers(this, error) || !create_readiness(this, error)) {
+    if (!open_callers(this, error) || !open_readiness(this, error)) {
         return FALSE;
     }
-    create_operators(this);
+    open_operators(this);
     return TRUE;
 }
 
-static void
-get_listener(struct evhttp_bound_socket *bound, void *data)
-{
-    struct evconnlistener **listener = data;
-    *listener = evhttp_bound_socket_get_listener(bound);
-}
-
 static gboolean
 can_serve(const void *owner)
 {
@@ -497,9 +384,9 @@
 static void
 create_accept_hold(Router_t *this)
 {
-    AcceptHoldSpec_t spec = {.is_known = can_serve, .owner = &this->context};
-    evhttp_foreach_bound_socket(this->callers.server, get_listener,
-                                &spec.listener);
+    AcceptHoldSpec_t spec = {.is_known = can_serve,
+                             .owner = &this->context,
+                             .listener = HttpListener_socket(this->callers)};
     this->hold = AcceptHold_create(this->context.base, &spec);
 }
 
@@ -601,13 +488,9 @@
                           (guint)limits->retry_allowance);
     set_body_budget(this);
     AnswerRoom_setMax(this->context.answer_room, (gsize)limits->answers_max);
-    HttpListener_t *listeners[] = {&this->callers, &this->operators,
-                                   &this->readiness};
-    for (gsize i = 0; i < G_N_ELEMENTS(listeners); i++) {
-        if (listeners[i]->server) {
-            set_server_limits(this, listeners[i]->server);
-        }
-    }
+    HttpListener_applyLimits(this->callers);
+    HttpListener_applyLimits(this->operators);
+    HttpListener_applyLimits(this->readiness);
     if (this->relay) {
         RelayParts_reload(this->relay);
     }
@@ -659,32 +542,18 @@
     }
 }
 
-static void
-free_listener(HttpListener_t *listener)
-{
-    if (listener->late) {
-        LateListener_destroy(listener->late);
-    }
-    if (listener->pause) {
-        AcceptPause_destroy(listener->pause);
-    }
-    if (listener->server) {
-        evhttp_free(listener->server);
-    }
-}
-
 /* Runs the loop once after closing the listeners, so that callers' open
  * requests end while the modules that they use still exist. A request that is
  * processed later would use freed modules. */
 static void
 free_listeners(Router_t *this)
 {
-    if (this->callers.server) {
+    if (HttpListener_server(this->callers)) {
         ResetOnClose_resetAll();
     }
-    free_listener(&this->callers);
-    free_listener(&this->operators);
-    free_listener(&this->readiness);
+    HttpListener_destroy(this->callers);
+    HttpListener_destroy(this->operators);
+    HttpListener_destroy(this->readiness);
     if (this->intake.arrivals) {
         Arrivals_dropGone(this->intake.arrivals);
     }
@@ -749,10 +618,10 @@
     Log_begin(LOG_LEVEL_INFO, event);
     Log_text("router", this->settings->router.name->str);
     Log_text("hall", this->settings->router.hall->str);
-    Log_number("port", this->callers.port);
-    Log_number("operator_port", this->operators.port);
-    if (this->readiness.late) {
-        Log_number("ready_port", this->readiness.port);
+    Log_number("port", HttpListener_port(this->callers));
+    Log_number("operator_port", HttpListener_port(this->operators));
+    if (HttpListener_isLate(this->readiness)) {
+        Log_number("ready_port", HttpListener_port(this->readiness));
     }
     Log_number("peer_port", Membership_port(this->context.membership));
     Log_end();
@@ -804,9 +673,10 @@
     IdleCallers_init(this.context.base, this.context.counters);
     DescriptorReserve_setSource(IdleCallers_close);
     create_signals(&this);
+    create_listeners(&this);
     gboolean ended = FALSE;
     gboolean started =
-        create_listeners(&this, error) && create_peers(&this, error);
+        open_listeners(&this, error) && create_peers(&this, error);
     if (started) {
         create_datagrams(&this);
         create_rate_limits(&this);
@@ -815,9 +685,9 @@
         if (this.relay) {
             create_accept_hold(&this);
         }
-        this.closing =
-            ListenerDrain_create(this.context.base, this.callers.server,
-                                 g_steal_pointer(&this.callers.pause));
+        this.closing = ListenerDrain_create(
+            this.context.base, HttpListener_server(this.callers),
+            HttpListener_takePause(this.callers));
         log_lifecycle(&this, "router_started");
         StopSignals_release();
         ended = run_loop(&this, error);
