Bytes after a connection's last answer end no process

Callers saw all connections of a router end with its process (signal 11): one caller whose connection ended with an answer (Connection: close) and that went on sending was enough, for example a broken line, more than 256 lines, or a request whose time was over. LingeringClose goes on reading such a connection, and RequestIntake's callback still took the bufferevent's argument for evhttp's connection: NULL, or LingeringClose's own record. A refusal read through it; a line that begins as a router's field wrote a limit through it, beyond the record. LingeringClose tells that a connection has ended; its input is not looked at.

--- a/src/LingeringClose.c
+++ b/src/LingeringClose.c
@@ -86,6 +86,14 @@
     return callback == NULL;
 }
 
+gboolean
+LingeringClose_hasEnded(struct bufferevent *bev)
+{
+    bufferevent_event_cb callback = NULL;
+    bufferevent_getcb(bev, NULL, NULL, &callback, NULL);
+    return callback == NULL || callback == on_event;
+}
+
 static gboolean
 check_entry(gpointer key, gpointer value, gpointer user)
 {
--- a/src/LingeringClose.h
+++ b/src/LingeringClose.h
@@ -25,6 +25,10 @@
  * BEV_OPT_CLOSE_ON_FREE, so once evhttp has freed it */
 void LingeringClose_watch(struct bufferevent *bev);
 
+/** LingeringClose_hasEnded() - whether evhttp has freed the connection of a
+ * bufferevent, so that what still arrives belongs to no request */
+gboolean LingeringClose_hasEnded(struct bufferevent *bev);
+
 /** LingeringClose_count() - number of connections that wait for their end */
 guint LingeringClose_count(void);
 
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -9,6 +9,7 @@
 #include "BodyFraming.h"
 #include "Clock.h"
 #include "HttpCall.h"
+#include "LingeringClose.h"
 #include "Log.h"
 #include "Refusal.h"
 #include "RelayForm.h"
@@ -314,6 +315,11 @@
     if (info->n_added == 0) {
         return;
     }
+    /* There is no connection of evhttp to refuse anything on. */
+    if (LingeringClose_hasEnded(this->stream)) {
+        BodyClaim_release(this->claim);
+        return;
+    }
     this->last_ms = Clock_nowMs();
     if (!this->is_abandoned) {
         feed(this, buffer, info->n_added);
