--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -7,6 +7,7 @@
 #include "BodyFraming.h"
 #include "Clock.h"
 #include "IntakeSocket.h"
+#include "LingeringClose.h"
 #include "Log.h"
 #include "Refusal.h"
 #include "RelayForm.h"
@@ -386,6 +387,12 @@
     if (info->n_added == 0) {
         return;
     }
+    /* There is no connection of evhttp to refuse anything on. */
+    if (LingeringClose_hasEnded(this->stream)) {
+        leave_arrivals(this);
+        BodyClaim_release(this->claim);
+        return;
+    }
     if (!this->is_abandoned) {
         feed(this, buffer, info->n_added);
         begin_input(this, info->n_added);
