DescriptorReserve is told who gives up descriptors

Router hands IdleCallers_close() to DescriptorReserve as a function. check_design passes; test_idle_callers and test_starts.DescriptorTest pass (10 of 10), test_DescriptorReserve 4 of 4.

--- a/src/DescriptorReserve.c
+++ b/src/DescriptorReserve.c
@@ -7,7 +7,6 @@
 
 #include "Clock.h"
 #include "Errors.h"
-#include "IdleCallers.h"
 #include "Log.h"
 #include "StopSignals.h"
 
@@ -24,6 +23,7 @@
 static guint target;
 static struct event *fill_timer;
 static gint64 logged_ms;
+static DescriptorGiveUp_t give_up; /* or NULL */
 
 static int
 open_spare(void)
@@ -37,7 +37,9 @@
     while (count < target) {
         int fd = open_spare();
         if (fd < 0) {
-            (void)IdleCallers_close(target - count);
+            if (give_up) {
+                (void)give_up(target - count);
+            }
             Clock_arm(fill_timer, FILL_INTERVAL_MS);
             return;
         }
@@ -129,9 +131,16 @@
     }
     target = 0;
     logged_ms = 0;
+    give_up = NULL;
     g_clear_pointer(&fill_timer, event_free);
 }
 
+void
+DescriptorReserve_setGiveUp(DescriptorGiveUp_t function)
+{
+    give_up = function;
+}
+
 static void
 log_use(void)
 {
--- a/src/DescriptorReserve.h
+++ b/src/DescriptorReserve.h
@@ -28,6 +28,17 @@
 /** DescriptorReserve_init() - open the reserve; once per process */
 void DescriptorReserve_init(struct event_base *base);
 
+/**
+ * DescriptorGiveUp_t - called while the reserve can't be filled
+ * @wanted: descriptors that it lacks
+ *
+ * Return: number of descriptors that were closed for it
+ */
+typedef guint (*DescriptorGiveUp_t)(guint wanted);
+
+/** DescriptorReserve_setGiveUp() - until DescriptorReserve_clear() */
+void DescriptorReserve_setGiveUp(DescriptorGiveUp_t function);
+
 /** DescriptorReserve_clear() - close the reserve */
 void DescriptorReserve_clear(void);
 
--- a/src/Router.c
+++ b/src/Router.c
@@ -801,6 +801,7 @@
     create_parts(&this);
     PendingReply_setCounters(this.context.counters);
     IdleCallers_init(this.context.base, this.context.counters);
+    DescriptorReserve_setGiveUp(IdleCallers_close);
     create_signals(&this);
     gboolean ended = FALSE;
     gboolean started =
