--- a/src/DescriptorReserve.c
+++ b/src/DescriptorReserve.c
@@ -23,7 +23,7 @@
 static guint target;
 static struct event *fill_timer;
 static gint64 logged_ms;
-static DescriptorGiveUp_t give_up; /* or NULL */
+static DescriptorSource_t source; /* or NULL */
 
 static int
 open_spare(void)
@@ -31,15 +31,21 @@
     return open("/dev/null", O_RDONLY | O_CLOEXEC);
 }
 
+static void
+free_others(guint wanted)
+{
+    if (source) {
+        (void)source(wanted);
+    }
+}
+
 static void
 fill(void)
 {
     while (count < target) {
         int fd = open_spare();
         if (fd < 0) {
-            if (give_up) {
-                (void)give_up(target - count);
-            }
+            free_others(target - count);
             Clock_arm(fill_timer, FILL_INTERVAL_MS);
             return;
         }
@@ -123,24 +129,24 @@
     fill();
 }
 
+void
+DescriptorReserve_setSource(DescriptorSource_t others)
+{
+    source = others;
+}
+
 void
 DescriptorReserve_clear(void)
 {
+    source = NULL;
     while (count > 0) {
         close(kept[--count]);
     }
     target = 0;
     logged_ms = 0;
-    give_up = NULL;
     g_clear_pointer(&fill_timer, event_free);
 }
 
-void
-DescriptorReserve_setGiveUp(DescriptorGiveUp_t function)
-{
-    give_up = function;
-}
-
 static void
 log_use(void)
 {
--- a/src/DescriptorReserve.h
+++ b/src/DescriptorReserve.h
@@ -29,15 +29,17 @@
 void DescriptorReserve_init(struct event_base *base);
 
 /**
- * DescriptorGiveUp_t - called while the reserve can't be filled
- * @wanted: descriptors that it lacks
+ * DescriptorSource_t - free descriptors that are used for less
+ * @wanted: number of descriptors
  *
- * Return: number of descriptors that were closed for it
+ * Return: number of those freed
  */
-typedef guint (*DescriptorGiveUp_t)(guint wanted);
+typedef guint (*DescriptorSource_t)(guint wanted);
 
-/** DescriptorReserve_setGiveUp() - until DescriptorReserve_clear() */
-void DescriptorReserve_setGiveUp(DescriptorGiveUp_t function);
+/** DescriptorReserve_setSource() - where the reserve takes descriptors from if
+ * none is free
+ * @source: may be NULL */
+void DescriptorReserve_setSource(DescriptorSource_t source);
 
 /** DescriptorReserve_clear() - close the reserve */
 void DescriptorReserve_clear(void);
--- a/src/IntakeSocket.h
+++ b/src/IntakeSocket.h
@@ -12,6 +12,10 @@
 
 #include "Refusal.h"
 
+/** IntakeSocket_widen() - let the kernel take more of a request than at first,
+ * if it can */
+void IntakeSocket_widen(struct bufferevent *stream);
+
 /** IntakeSocket_unread() - bytes that have come and were not read */
 gsize IntakeSocket_unread(struct bufferevent *stream);
 
--- a/src/SocketBuffers.c
+++ b/src/SocketBuffers.c
@@ -5,8 +5,6 @@
 #include "SocketUse.h"
 
 #define KIB 1024
-/* Of a connection that may wait for room unread. */
-#define UNREAD_MAX ((gsize)32 * KIB)
 /* For a full link with some milliseconds of delay. */
 #define SENDING_MAX ((gsize)64 * KIB)
 #define SENDING_MIN ((gsize)4 * KIB)
@@ -21,7 +19,7 @@
 } Sizes_t;
 
 static const Sizes_t sizes[] = {
-    [SOCKET_CALLER] = {UNREAD_MAX, SENDING_MAX},
+    [SOCKET_CALLER] = {SOCKET_UNREAD_MAX, SENDING_MAX},
     [SOCKET_UPSTREAM] = {64 * KIB, 64 * KIB},
     [SOCKET_CALL] = {512 * KIB, 128 * KIB},
     [SOCKET_PEER] = {128 * KIB, 128 * KIB},
--- a/src/SocketBuffers.h
+++ b/src/SocketBuffers.h
@@ -10,6 +10,10 @@
 #include <event2/util.h>
 #include <glib.h>
 
+/** SOCKET_UNREAD_MAX - bytes of a caller's connection that the kernel takes
+ * before they are read, until its body has room */
+#define SOCKET_UNREAD_MAX (8 << 10)
+
 /**
  * enum SocketKind_t - who is at the other end
  * @SOCKET_CALLER: callers; also for their listener, whose sockets inherit it
