A reply that the event loop writes is left to it at a stop's limit

Cause: PendingReply_handOver wrote the refusal itself when it came first, and evhttp, which is not told, did not read on. Only replies that the kernel's buffer holds up are handed over. test_pipelined_stops passes in 3 of 3 and UnreadAtLimitTest in 1 of 1 after.

--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -212,12 +212,13 @@
     Http_flush(this->connection);
 }
 
+/* What the event loop is about to write needs no wider buffer. */
 void
 PendingReply_handOver(void)
 {
     for (const GList *link = replies.head; link; link = link->next) {
         const Reply_t *reply = link->data;
-        if (reply->bytes > 0) {
+        if (reply->bytes > 0 && count_left(reply) > reply->bytes) {
             hand_over(reply);
         }
     }
