--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -16,7 +16,7 @@
  * about 20 requests, as short and long ones come mixed. */
 #define RUN_GAIN 0.05
 /* Idle time after which a connection counts as kept by the other end. */
-#define KEPT_PROOF_MS 50
+#define KEPT_PROOF_MS 200
 /* Time after a suspicion was sent or received in which further reports of it
  * are dropped. */
 #define SUSPICION_REPORT_INTERVAL_MS 3000
