--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -419,15 +419,15 @@
  * request that is sent meanwhile fails, and nothing shows that it did not run.
  */
 static void
-learn_keeping(Upstream_t *this, gint64 now_ms)
+learn_closing(Upstream_t *this, gint64 now_ms)
 {
     const PooledConnection_t *last = g_queue_peek_tail(&this->idle);
     const PooledConnection_t *first = g_queue_peek_head(&this->idle);
     if (last && PooledConnection_wasClosedWithin(last, KEPT_PROOF_MS)) {
-        this->keeps_connections = FALSE;
+        this->closes_connections = TRUE;
     }
-    else if (first && !this->keeps_connections) {
-        this->keeps_connections = proves_keeping(first, now_ms);
+    else if (first && proves_keeping(first, now_ms)) {
+        this->closes_connections = FALSE;
     }
 }
 
@@ -438,7 +438,7 @@
     if (PooledConnection_isEnding(connection)) {
         return FALSE;
     }
-    return this->keeps_connections || !PooledConnection_isOpen(connection) ||
+    return !this->closes_connections || !PooledConnection_isOpen(connection) ||
            PooledConnection_idleMs(connection, now_ms) >= KEPT_PROOF_MS;
 }
 
@@ -463,7 +463,7 @@
 Upstream_takeConnection(Upstream_t *this, gint64 idle_max_ms,
                         const char *request_id, gint64 now_ms)
 {
-    learn_keeping(this, now_ms);
+    learn_closing(this, now_ms);
     GList *link = find_idle(this, idle_max_ms, request_id, now_ms);
     if (!link) {
         return PooledConnection_create(this->base, &this->address);
