--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -84,8 +84,8 @@
  * @waiters: UpstreamWaiter_t of the requests that are assigned to it
  * @idle: PooledConnection_t, the most recently used one at the tail
  * @idle_max: maximum number of idle connections
- * @closes_connections: its last idle connection was closed behind an answer, so
- *     that the next ones are used once they have been idle for a while
+ * @closes_connections: its last idle connection was closed behind an answer,
+ * so that the next ones are used once they have been idle for a while
  * @references: reference count
  */
 typedef struct {
