ChunkCheck overwrites extensions of chunks with blanks

What was seen: a router whose store answers in chunks with extensions is never ready, and nobody is served; an upstream that does so costs its callers a 502 and is avoided; a caller that does so gets the library's page with 413. RFC 9112, section 7.1.1, has a recipient ignore extensions that it does not know.

Cause: evhttp takes a chunk's size for a number that a blank or the line's end follows, so that ';' is an error to it. ChunkCheck accepted extensions, and passed them on to evhttp.

Why it works: the check sees all bytes before evhttp does, and evhttp skips blanks behind a size. Lengths do not change. Extensions of more than 4 KiB are broken framing, as section 7.1.1 asks for a limit.

--- a/src/ChunkCheck.c
+++ b/src/ChunkCheck.c
@@ -2,6 +2,8 @@
 
 /* A size must fit the signed 64 bits of evhttp. */
 #define SIZE_DIGIT_MAX (G_MAXINT64 >> 4)
+/* Longest extension of a chunk, in bytes. */
+#define EXTENSION_MAX 4096
 
 static ChunkState_t
 read_digit(ChunkCheck_t *this, char byte)
@@ -22,6 +24,7 @@
     case '\t':
         return CHUNK_BLANK;
     case ';':
+        this->extension = 1;
         return CHUNK_EXTENSION;
     case '\r':
         return CHUNK_SIZE_END;
@@ -40,8 +43,7 @@
 static ChunkState_t
 read_extension(ChunkCheck_t *this, char byte)
 {
-    (void)this;
-    if (byte == '\n') {
+    if (byte == '\n' || ++this->extension > EXTENSION_MAX) {
         return CHUNK_BROKEN;
     }
     return byte == '\r' ? CHUNK_SIZE_END : CHUNK_EXTENSION;
@@ -104,14 +106,23 @@
     return skipped;
 }
 
+static void
+read_byte(ChunkCheck_t *this, char *byte)
+{
+    this->state = readers[this->state](this, *byte);
+    if (this->state == CHUNK_EXTENSION) {
+        *byte = ' ';
+    }
+}
+
 gsize
-ChunkCheck_feed(ChunkCheck_t *this, const char *bytes, gsize length)
+ChunkCheck_feed(ChunkCheck_t *this, char *bytes, gsize length)
 {
     gsize at = 0;
     while (is_under_way(this) && at < length) {
         at += skip_data(this, length - at);
         if (at < length) {
-            this->state = readers[this->state](this, bytes[at]);
+            read_byte(this, &bytes[at]);
             at++;
         }
     }
--- a/src/ChunkCheck.h
+++ b/src/ChunkCheck.h
@@ -7,7 +7,8 @@
  * evhttp reads a chunk's size like a C number and skips empty lines before it,
  * so that a blank, a sign or the rest of a chunk that is longer than its size
  * may pass for the last chunk, and a truncated body for a complete one. The
- * check sees the bytes before evhttp reads them.
+ * check sees the bytes before evhttp reads them. It overwrites extensions of
+ * chunks, which evhttp takes for an error, with blanks, which it skips.
  */
 #include <event2/buffer.h>
 #include <glib.h>
@@ -44,10 +45,12 @@
  * struct ChunkCheck_t - the check of one body; all zero before it begins
  * @state: what the next byte belongs to
  * @left: the size read so far, then the bytes of the chunk that are to come
+ * @extension: bytes of the last extension
  */
 typedef struct {
     ChunkState_t state;
     guint64 left;
+    guint extension;
 } ChunkCheck_t;
 
 /** ChunkCheck_begin() - begin with a body */
@@ -56,6 +59,7 @@
 /**
  * ChunkCheck_feedTail() - check what was received last; does nothing unless a
  * body is under way
+ * @buffer: with memory of its own
  * @length: number of bytes at the end of @buffer
  *
  * Return: number of these bytes that follow the end of the last chunk's line,
@@ -70,7 +74,7 @@
  * Return: number of bytes that belong to the body, up to the end of the last
  * chunk's line or to the byte that broke the framing
  */
-gsize ChunkCheck_feed(ChunkCheck_t *this, const char *bytes, gsize length);
+gsize ChunkCheck_feed(ChunkCheck_t *this, char *bytes, gsize length);
 
 /** ChunkCheck_isEnded() - whether the last chunk was received */
 gboolean ChunkCheck_isEnded(const ChunkCheck_t *this);
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -202,7 +202,7 @@
 }
 
 static gsize
-read_line(RequestFraming_t *this, const char *bytes, gsize length)
+read_line(RequestFraming_t *this, char *bytes, gsize length)
 {
     const char *end = memchr(bytes, '\n', length);
     gsize size = end ? (gsize)(end - bytes) + 1 : length;
@@ -213,7 +213,7 @@
 }
 
 static gsize
-read_body(RequestFraming_t *this, const char *bytes, gsize length)
+read_body(RequestFraming_t *this, char *bytes, gsize length)
 {
     (void)bytes;
     gsize size = (gsize)MIN(this->left, (guint64)length);
@@ -225,7 +225,7 @@
 }
 
 static gsize
-read_chunks(RequestFraming_t *this, const char *bytes, gsize length)
+read_chunks(RequestFraming_t *this, char *bytes, gsize length)
 {
     gsize size = ChunkCheck_feed(&this->chunks, bytes, length);
     this->chunked += size;
@@ -235,7 +235,7 @@
     return size;
 }
 
-static gsize (*const readers[])(RequestFraming_t *this, const char *bytes,
+static gsize (*const readers[])(RequestFraming_t *this, char *bytes,
                                 gsize length) = {
     [PART_HEAD] = read_line,
     [PART_LENGTH] = read_body,
@@ -244,7 +244,7 @@
 };
 
 void
-RequestFraming_feed(RequestFraming_t *this, const char *bytes, gsize length)
+RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length)
 {
     gsize at = 0;
     while (at < length && !RequestFraming_isBroken(this) &&
--- a/tests/test_ChunkCheck.c
+++ b/tests/test_ChunkCheck.c
@@ -14,7 +14,7 @@
     ChunkCheck_begin(&check);
     for (gsize at = 0; at < length; at += step) {
         gsize added = MIN(step, length - at);
-        evbuffer_add_reference(buffer, bytes + at, added, NULL, NULL);
+        evbuffer_add(buffer, bytes + at, added);
         ChunkCheck_feedTail(&check, buffer, added);
     }
     evbuffer_free(buffer);
@@ -95,10 +95,34 @@
 }
 END_TEST
 
+START_TEST(extensions_become_blanks)
+{
+    char bytes[] = "3;a\r\nx;y\r\n1 ;b=\"c;d\"\r\n;\r\n0;e\r\n;\r\n";
+    ChunkCheck_t check = {0};
+    ChunkCheck_begin(&check);
+    gsize length = ChunkCheck_feed(&check, bytes, strlen(bytes));
+    ck_assert(ChunkCheck_isEnded(&check));
+    ck_assert_str_eq(bytes + length, ";\r\n");
+    ck_assert_str_eq(bytes, "3  \r\nx;y\r\n1         \r\n;\r\n0  \r\n;\r\n");
+}
+END_TEST
+
+START_TEST(a_long_extension_is_broken)
+{
+    g_autofree char *allowed = g_strnfill(4000, 'x');
+    g_autofree char *longer = g_strnfill(5000, 'x');
+    g_autofree char *sound = g_strconcat("1;", allowed, "\r\n", NULL);
+    g_autofree char *broken = g_strconcat("1;", longer, "\r\n", NULL);
+    ck_assert_int_eq(check_in_parts(sound, 100), CHUNK_DATA);
+    ck_assert_int_eq(check_in_parts(broken, 100), CHUNK_BROKEN);
+}
+END_TEST
+
 START_TEST(nothing_is_checked_without_a_body)
 {
     ChunkCheck_t check = {0};
-    ChunkCheck_feed(&check, "x", 1);
+    char bytes[] = "x";
+    ChunkCheck_feed(&check, bytes, 1);
     ck_assert(!ChunkCheck_isBroken(&check));
 }
 END_TEST
@@ -107,4 +131,5 @@
              a_body_that_goes_on_is_neither,
              what_evhttp_takes_for_a_last_chunk_is_broken,
              a_chunk_that_is_longer_or_shorter_than_its_size_is_broken,
+             extensions_become_blanks, a_long_extension_is_broken,
              nothing_is_checked_without_a_body)
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -15,6 +15,13 @@
 #define PROOF_LINE "Wheattiller-Forward-Proof: " PROOF "\r\n"
 #define NEXT "GET / HTTP/1.1\r\n\r\n" /* no chunk */
 
+static void
+feed(RequestFraming_t *framing, const char *bytes, gsize length)
+{
+    g_autofree char *copy = g_strndup(bytes, length);
+    RequestFraming_feed(framing, copy, length);
+}
+
 static void
 ck_assert_broken(const char *bytes, gboolean expected)
 {
@@ -22,7 +29,7 @@
     for (gsize step = 1; step <= length; step++) {
         RequestFraming_t *framing = RequestFraming_create(PROOF, NULL);
         for (gsize at = 0; at < length; at += step) {
-            RequestFraming_feed(framing, bytes + at, MIN(step, length - at));
+            feed(framing, bytes + at, MIN(step, length - at));
         }
         ck_assert_msg(RequestFraming_isBroken(framing) == expected,
                       "%s in parts of %zu", bytes, step);
@@ -85,7 +92,7 @@
 read_caller(const char *bytes)
 {
     RequestFraming_t *framing = RequestFraming_create(NULL, "Api-Key");
-    RequestFraming_feed(framing, bytes, strlen(bytes));
+    feed(framing, bytes, strlen(bytes));
     guint64 caller = RequestFraming_caller(framing);
     RequestFraming_destroy(framing);
     return caller;
@@ -121,7 +128,7 @@
 may_be_from_router(const char *bytes)
 {
     RequestFraming_t *framing = RequestFraming_create(PROOF, NULL);
-    RequestFraming_feed(framing, bytes, strlen(bytes));
+    feed(framing, bytes, strlen(bytes));
     gboolean result = RequestFraming_mayBeFromRouter(framing);
     RequestFraming_destroy(framing);
     return result;
@@ -171,10 +178,10 @@
 has_too_many_lines(const char *proof_line, guint lines)
 {
     RequestFraming_t *framing = RequestFraming_create(PROOF, NULL);
-    RequestFraming_feed(framing, "GET / HTTP/1.1\r\n", 16);
-    RequestFraming_feed(framing, proof_line, strlen(proof_line));
+    feed(framing, "GET / HTTP/1.1\r\n", 16);
+    feed(framing, proof_line, strlen(proof_line));
     while (RequestFraming_lines(framing) < lines) {
-        RequestFraming_feed(framing, "A: 1\r\n", 6);
+        feed(framing, "A: 1\r\n", 6);
     }
     gboolean result = RequestFraming_hasTooManyLines(framing);
     RequestFraming_destroy(framing);
