Refusals reach callers who are still sending

Cause: a connection that is closed with unread bytes is reset by the kernel, and the caller loses the answer. LingeringClose reads on for this, but it looked once whether evhttp had freed the connection; with more than 32 that end in a turn the event loop puts off the others, and these were closed at once. It also read on for one second, whatever came.

Change: it looks in the following turns too, reads on for a second after the last bytes, five if a part of the request is missing, and nine at the most. Connections that only wait for their end are closed first when descriptors are short, once they had the second of before.

--- a/src/IdleCallers.c
+++ b/src/IdleCallers.c
@@ -5,6 +5,7 @@
 
 #include "Clock.h"
 #include "HttpCall.h"
+#include "LingeringClose.h"
 #include "Log.h"
 
 #define LOG_INTERVAL_MS 1000
@@ -200,7 +201,7 @@
 {
     gint64 now_ms = Clock_nowMs();
     gint64 idle_ms = 0; /* of the one closed last, which is the shortest */
-    guint count = 0;
+    guint count = LingeringClose_closeOldest(wanted);
     GList *next = NULL;
     for (GList *link = idle.head; link && count < wanted; link = next) {
         Idle_t *this = link->data;
--- a/src/IdleCallers.h
+++ b/src/IdleCallers.h
@@ -6,7 +6,8 @@
  * Callers' connections on which nothing has arrived since they were accepted
  * or their last answer was sent. They are closed when they have been idle for
  * the timeout of their connection, and the longest idle ones as soon as the
- * process lacks descriptors for others. A connection whose next request waits
+ * process lacks descriptors for others, after those that only wait for their
+ * end (see LingeringClose.h). A connection whose next request waits
  * unread in the kernel is never closed.
  */
 #include <event2/bufferevent.h>
--- a/src/LingeringClose.c
+++ b/src/LingeringClose.c
@@ -4,21 +4,40 @@
 
 #include "Clock.h"
 
-/* Time for a caller to read the answer and to close its end. */
-#define LINGER_MS 1000
+/* Time after the last bytes for a caller to read the answer and to close its
+ * end. */
+#define QUIET_MS 1000
+/* The same for a caller of whose request a part is missing. */
+#define PAUSE_MS 5000
+/* Longest time that a caller is read from, as the rest of a large body may
+ * take. */
+#define LINGER_MAX_MS 9000
+/* Turns of the event loop in which evhttp may free a connection that it has
+ * ended: the event loop puts off some of many deferred callbacks. */
+#define LOOKS 3
 
 /** struct Ending_t - a connection that evhttp has freed */
 typedef struct {
     struct bufferevent *bev; /* the last reference */
     struct event *limit;
+    gint64 begin_ms;
+    gint64 quiet_ms; /* that it may be silent for */
+    GList link;      /* in @endings */
 } Ending_t;
 
+/** struct Written_t - a connection all of whose output was sent a short time
+ * ago */
+typedef struct {
+    guint looks;         /* that are left */
+    gboolean is_partial; /* a part of its request has not come */
+} Written_t;
+
 static struct event_base *base;
-/* struct bufferevent, with a reference each: all output was sent in this turn
- * of the event loop. */
+/* struct bufferevent, with a reference each -> Written_t, owned */
 static GHashTable *written;
-static GHashTable *endings; /* Ending_t, owned */
+static GQueue endings;      /* Ending_t, owned, the oldest first */
 static struct event *check; /* of @written, after evhttp handled the same */
+static struct event *later; /* the same in the next turn */
 
 static void
 drop_input(struct bufferevent *bev)
@@ -28,9 +47,9 @@
 }
 
 static void
-destroy_ending(gpointer data)
+destroy_ending(Ending_t *ending)
 {
-    Ending_t *ending = data;
+    g_queue_unlink(&endings, &ending->link);
     event_free(ending->limit);
     bufferevent_disable(ending->bev, EV_READ | EV_WRITE);
     bufferevent_setcb(ending->bev, NULL, NULL, NULL, NULL);
@@ -41,8 +60,10 @@
 static void
 on_rest(struct bufferevent *bev, void *data)
 {
-    (void)data;
+    const Ending_t *ending = data;
+    gint64 left_ms = ending->begin_ms + LINGER_MAX_MS - Clock_nowMs();
     drop_input(bev);
+    Clock_arm(ending->limit, CLAMP(left_ms, 0, ending->quiet_ms));
 }
 
 static void
@@ -50,7 +71,7 @@
 {
     (void)bev;
     (void)what;
-    g_hash_table_remove(endings, data);
+    destroy_ending(data);
 }
 
 static void
@@ -58,18 +79,21 @@
 {
     (void)fd;
     (void)what;
-    g_hash_table_remove(endings, data);
+    destroy_ending(data);
 }
 
 /* evhttp has ended the sending direction already. */
 static void
-linger(struct bufferevent *bev)
+linger(struct bufferevent *bev, gboolean is_partial)
 {
     Ending_t *ending = g_new0(Ending_t, 1);
     ending->bev = bev;
+    ending->begin_ms = Clock_nowMs();
+    ending->quiet_ms = is_partial ? PAUSE_MS : QUIET_MS;
     ending->limit = Clock_timer(base, on_limit, ending);
-    Clock_arm(ending->limit, LINGER_MS);
-    g_hash_table_add(endings, ending);
+    Clock_arm(ending->limit, ending->quiet_ms);
+    ending->link.data = ending;
+    g_queue_push_tail_link(&endings, &ending->link);
     drop_input(bev);
     bufferevent_setcb(bev, on_rest, NULL, on_event, ending);
     bufferevent_set_timeouts(bev, NULL, NULL);
@@ -97,11 +121,14 @@
 static gboolean
 check_entry(gpointer key, gpointer value, gpointer user)
 {
-    (void)value;
     (void)user;
     struct bufferevent *bev = key;
+    Written_t *entry = value;
+    if (!is_freed(bev) && --entry->looks > 0) {
+        return FALSE;
+    }
     if (is_freed(bev) && bufferevent_getfd(bev) >= 0) {
-        linger(bev);
+        linger(bev, entry->is_partial);
     }
     else {
         bufferevent_decref(bev);
@@ -116,36 +143,62 @@
     (void)what;
     (void)data;
     g_hash_table_foreach_remove(written, check_entry, NULL);
+    if (g_hash_table_size(written) > 0) {
+        Clock_arm(later, 0);
+    }
+}
+
+static Written_t *
+note_written(struct bufferevent *bev)
+{
+    Written_t *entry = g_hash_table_lookup(written, bev);
+    if (!entry) {
+        entry = g_new0(Written_t, 1);
+        g_hash_table_insert(written, bev, entry);
+        bufferevent_incref(bev);
+    }
+    entry->looks = LOOKS;
+    event_active(check, EV_TIMEOUT, 0);
+    return entry;
 }
 
 static void
 on_output(struct evbuffer *output, const struct evbuffer_cb_info *info,
           void *data)
 {
-    if (info->n_deleted > 0 && evbuffer_get_length(output) == 0 &&
-        g_hash_table_add(written, data)) {
-        bufferevent_incref(data);
-        event_active(check, EV_TIMEOUT, 0);
+    if (info->n_deleted > 0 && evbuffer_get_length(output) == 0) {
+        (void)note_written(data);
     }
 }
 
+void
+LingeringClose_expectRest(struct bufferevent *bev)
+{
+    note_written(bev)->is_partial = TRUE;
+}
+
 void
 LingeringClose_init(struct event_base *event_base)
 {
     base = event_base;
-    written = g_hash_table_new(g_direct_hash, g_direct_equal);
-    endings = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-                                    destroy_ending, NULL);
+    written =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     check = event_new(base, -1, 0, on_check, NULL);
+    later = Clock_timer(base, on_check, NULL);
 }
 
 void
 LingeringClose_clear(void)
 {
-    on_check(-1, 0, NULL);
-    g_hash_table_destroy(endings);
+    for (guint look = 0; look < LOOKS; look++) {
+        on_check(-1, 0, NULL);
+    }
+    while (endings.length > 0) {
+        destroy_ending(endings.head->data);
+    }
     g_hash_table_destroy(written);
     event_free(check);
+    event_free(later);
 }
 
 void
@@ -154,8 +207,24 @@
     evbuffer_add_cb(bufferevent_get_output(bev), on_output, bev);
 }
 
+guint
+LingeringClose_closeOldest(guint wanted)
+{
+    gint64 before_ms = Clock_nowMs() - QUIET_MS;
+    guint count = 0;
+    while (count < wanted && endings.length > 0) {
+        Ending_t *oldest = endings.head->data;
+        if (oldest->begin_ms > before_ms) {
+            break;
+        }
+        destroy_ending(oldest);
+        count++;
+    }
+    return count;
+}
+
 guint
 LingeringClose_count(void)
 {
-    return g_hash_table_size(endings);
+    return endings.length;
 }
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -203,6 +203,7 @@
     log_refusal(this, reason, cause ? cause : reason);
     end_connection(this);
     IntakeSocket_writeRefusal(this->stream, refusal);
+    LingeringClose_expectRest(this->stream);
 }
 
 static gboolean
--- a/tests/sessions/test_idle_callers.py
+++ b/tests/sessions/test_idle_callers.py
@@ -15,6 +15,8 @@
 WAITING = 40
 BUSY = 45  # more than the router keeps descriptors for
 RUN_S = 1.5
+LINGER_S = 1.2  # in which a refused caller may read its refusal
+BROKEN_HEAD = b"POST /write/x HTTP/1.1\nHost: shop.example\r\n"
 STOP_LIMIT_S = 6
 
 
@@ -73,6 +75,27 @@
         self.assertEqual(self.statuses(sent), BUSY * [200])
         self.assertLess(time.monotonic() - began, 2 * RUN_S)
 
+    # Connections that wait for their end held the descriptors.
+    def test_requests_behind_refused_callers_that_send_on_are_served(self):
+        refused = [self.connect() for _ in range(IDLE)]
+        for each in refused:
+            each.socket.sendall(BROKEN_HEAD)
+        self.router.wait_event("accept_paused")
+        time.sleep(LINGER_S)
+        began = time.monotonic()
+        sent = [self.send(self.connect()) for _ in range(WAITING)]
+        for each in refused:
+            self.send_on(each)
+        self.assertEqual(self.statuses(sent), WAITING * [200])
+        self.assertLess(time.monotonic() - began, 3)
+
+    @staticmethod
+    def send_on(connection):
+        try:
+            connection.socket.sendall(b"x")
+        except OSError:
+            pass  # closed for another caller
+
     # A caller whose next request had arrived was not told apart from others.
     def test_a_request_that_has_arrived_is_read(self):
         kept = [self.connect() for _ in range(10)]
--- a/tests/sessions/test_last_answers.py
+++ b/tests/sessions/test_last_answers.py
@@ -10,8 +10,14 @@
 
 REST = b"z" * 3000000  # more than the kernel's buffers hold
 LONG_ANSWER = b"y" * 600000
+BROKEN_HEAD = b"POST /read/x HTTP/1.1\nHost: shop.example\r\n"
 SECOND_HALF_S = 0.2
 READ_LATER_S = 0.5
+AT_ONCE = 150  # more than the event loop ends in one turn
+PART_BYTES = 100000
+PARTS = 16
+PART_S = 0.25
+PAUSE_S = 3
 
 
 class LongAnswers(Upstream):
@@ -98,6 +104,40 @@
             self.assertIn(b"not_run", refusal)
         self.assertEqual(router.process.wait(60), 0)
 
+    def test_callers_that_are_refused_at_once_get_whole_answers(self):
+        """Connections beyond the first 32 of a turn were reset."""
+        router = self.start()
+        connections = [self.connect(router) for _ in range(AT_ONCE)]
+        router.signal(signal.SIGSTOP)
+        for connection in connections:
+            connection.sendall(BROKEN_HEAD + REST[:PART_BYTES])
+        router.signal(signal.SIGCONT)
+        time.sleep(SECOND_HALF_S)
+        for connection in connections:
+            connection.sendall(REST[:PART_BYTES])
+        for connection in connections:
+            self.assert_refused(read_answer(connection), 400)
+
+    def test_a_caller_that_sends_on_for_long_gets_its_refusal(self):
+        """The connection was reset a second after the refusal."""
+        router = self.start()
+        connection = self.connect(router)
+        connection.sendall(BROKEN_HEAD)
+        for _ in range(PARTS):
+            connection.sendall(REST[:PART_BYTES])
+            time.sleep(PART_S)
+        self.assert_refused(read_answer(connection), 400)
+
+    def test_a_caller_that_pauses_gets_its_refusal(self):
+        """As before, between two parts of a body."""
+        router = self.start()
+        connection = self.connect(router)
+        connection.sendall(BROKEN_HEAD + REST[:PART_BYTES])
+        time.sleep(PAUSE_S)
+        connection.sendall(REST)
+        time.sleep(READ_LATER_S)
+        self.assert_refused(read_answer(connection), 400)
+
     def test_a_caller_that_does_not_close_is_closed(self):
         router = self.start()
         connection = self.connect(router)
