Callers that close their sending side get their answers

What callers saw: a caller that closed its sending side (shutdown(SHUT_WR)) behind a whole request had its connection closed without an answer, also where the upstream answered at once and the request had been passed on.

Cause: CallerWatch took the end of the input for that of the caller, as the kernel shows the same for both. Besides, evhttp reads while it writes, and frees a connection at the end of its input with all that it has not written.

Change: CallerProof sends such a caller bytes that HTTP allows there (100 Continue to HTTP/1.1 before the head, leading zeros of the next chunk's size in a stream) and takes it for gone when its system answers with a reset; they are sent again 200 ms later, as a caller may close then without any further sign. InputHold keeps evhttp from reading a connection until the answer was sent.

--- a/src/Answer.c
+++ b/src/Answer.c
@@ -10,6 +10,7 @@
 #include "HttpReply.h"
 #include "Json.h"
 #include "PendingReply.h"
+#include "ResetOnClose.h"
 
 typedef struct {
     void (*token)(Answer_t *this, const char *text, gsize length,
@@ -327,6 +328,8 @@
         evhttp_send_reply_end(request);
         return;
     }
+    /* The event ends a chunk. */
+    ResetOnClose_remove(evhttp_request_get_connection(request));
     PendingReply_watch(request, this->id->str);
     evhttp_send_reply_chunk_with_cb(request, this->chunk, on_error_event_sent,
                                     NULL);
--- a/src/CallerWatch.c
+++ b/src/CallerWatch.c
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <poll.h>
 
+#include "CallerProof.h"
 #include "HttpCall.h"
 #include "ResetOnClose.h"
 #include "SocketUse.h"
@@ -14,6 +15,7 @@
 struct CallerWatch {
     struct evhttp_request *request; /* NULL after it ended or was detached */
     struct event *closed_event;     /* fires when the caller may have left */
+    CallerProof_t *proof;           /* NULL until its input has ended */
     CallerLeft_t left;
     void *owner;
 };
@@ -42,6 +44,7 @@
         event_free(this->closed_event);
         this->closed_event = NULL;
     }
+    g_clear_pointer(&this->proof, CallerProof_destroy);
     this->request = NULL;
     return request;
 }
@@ -61,19 +64,19 @@
 }
 
 static gboolean
-has_left(evutil_socket_t fd)
+has_ended_input(evutil_socket_t fd)
 {
     struct pollfd state = {.fd = fd, .events = POLLRDHUP};
-    return poll(&state, 1, 0) > 0 &&
-           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return poll(&state, 1, 0) > 0 && (state.revents & POLLRDHUP) != 0;
 }
 
 /* evhttp closes a connection as well if it can't write for its timeout. */
 static Refusal_t
 reason_of(evutil_socket_t fd)
 {
-    return has_left(fd) && !SocketUse_isGivenUp(fd) ? REFUSAL_CALLER_LEFT
-                                                    : REFUSAL_ANSWER_NOT_READ;
+    return CallerProof_isReset(fd) && !SocketUse_isGivenUp(fd)
+               ? REFUSAL_CALLER_LEFT
+               : REFUSAL_ANSWER_NOT_READ;
 }
 
 static void
@@ -105,14 +108,34 @@
     event_add(this->closed_event, &interval);
 }
 
+static void
+on_gone(void *owner)
+{
+    CallerWatch_t *this = owner;
+    Refusal_t reason = reason_of(bufferevent_getfd(
+        evhttp_connection_get_bufferevent(CallerWatch_connection(this))));
+    CallerWatch_closeConnection(this);
+    this->left(this->owner, reason);
+}
+
+static void
+begin_proof(CallerWatch_t *this)
+{
+    struct event_base *base = event_get_base(this->closed_event);
+    event_free(this->closed_event);
+    this->closed_event = NULL;
+    this->proof = CallerProof_create(base, this->request, on_gone, this);
+}
+
 static void
 on_closed(evutil_socket_t fd, short what, void *data)
 {
     CallerWatch_t *this = data;
-    if (has_left(fd)) {
-        Refusal_t reason = reason_of(fd);
-        CallerWatch_closeConnection(this);
-        this->left(this->owner, reason);
+    if (CallerProof_isReset(fd)) {
+        on_gone(this);
+    }
+    else if (has_ended_input(fd)) {
+        begin_proof(this);
     }
     else if (what & EV_READ) {
         look_at_times(this, fd);
--- a/src/CallerWatch.h
+++ b/src/CallerWatch.h
@@ -4,7 +4,8 @@
  * DOC: CallerWatch
  *
  * Watches the connection of a caller while its request is processed, so that
- * the request can be cancelled as soon as the caller disconnects.
+ * the request can be cancelled as soon as the caller disconnects. A caller
+ * that has only closed its sending side is still there (CallerProof.h).
  */
 #include <event2/http.h>
 #include <glib.h>
--- a/src/LingeringClose.c
+++ b/src/LingeringClose.c
@@ -73,6 +73,7 @@
     drop_input(bev);
     bufferevent_setcb(bev, on_rest, NULL, on_event, ending);
     bufferevent_set_timeouts(bev, NULL, NULL);
+    bufferevent_set_rate_limit(bev, NULL);
     bufferevent_setwatermark(bev, EV_READ, 0, 0);
     bufferevent_enable(bev, EV_READ);
 }
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -3,13 +3,14 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <linux/sockios.h>
-#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "CallerProof.h"
 #include "Clock.h"
 #include "HttpCall.h"
 #include "IdleCallers.h"
+#include "InputHold.h"
 #include "Log.h"
 #include "RequestIntake.h"
 #include "ResetOnClose.h"
@@ -85,24 +86,15 @@
     g_free(this);
 }
 
-/* Otherwise the caller read nothing for the time that evhttp waits. */
-static gboolean
-has_caller_left(struct bufferevent *stream)
-{
-    struct pollfd state = {.fd = bufferevent_getfd(stream),
-                           .events = POLLRDHUP};
-    return poll(&state, 1, 0) > 0 &&
-           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 static const char *
 unsent_cause(const Reply_t *this)
 {
-    if (this->is_given_up ||
-        SocketUse_isGivenUp(bufferevent_getfd(stream_of(this)))) {
+    evutil_socket_t fd = bufferevent_getfd(stream_of(this));
+    if (this->is_given_up || SocketUse_isGivenUp(fd)) {
         return "no_room";
     }
-    return has_caller_left(stream_of(this)) ? "caller_left" : "not_read";
+    /* Otherwise the caller read nothing for the time that evhttp waits. */
+    return CallerProof_isReset(fd) ? "caller_left" : "not_read";
 }
 
 /* Nothing is left of one that was broken off on purpose. */
@@ -145,6 +137,7 @@
         evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, NULL, NULL);
     ResetOnClose_remove(connection);
+    InputHold_end(connection);
     Http_startReadTimeout(connection);
     RequestIntake_noteAnswered(request);
     SocketUse_noteAnswered(bufferevent_getfd(stream_of(data)));
--- a/tests/ReplyClient.c
+++ b/tests/ReplyClient.c
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "InputHold.h"
+
 static struct event_base *base;
 static struct evhttp *http;
 static struct evhttp_connection *server_side;
@@ -18,6 +20,7 @@
 {
     (void)data;
     server_side = evhttp_request_get_connection(request);
+    InputHold_begin(request);
     handle(request);
 }
 
@@ -60,6 +63,27 @@
     return 1;
 }
 
+void
+ReplyClient_endInput(void)
+{
+    g_assert(shutdown(client, SHUT_WR) == 0);
+}
+
+void
+ReplyClient_leave(void)
+{
+    close(client);
+    client = -1;
+}
+
+void
+ReplyClient_run(guint ms)
+{
+    struct timeval time = {ms / 1000, (ms % 1000) * 1000};
+    event_base_loopexit(base, &time);
+    event_base_dispatch(base);
+}
+
 const GString *
 ReplyClient_received(void)
 {
@@ -87,7 +111,9 @@
 void
 ReplyClient_close(void)
 {
-    close(client);
+    if (client >= 0) {
+        close(client);
+    }
     evhttp_free(http);
     event_base_free(base);
     g_string_free(received, TRUE);
--- a/tests/ReplyClient.h
+++ b/tests/ReplyClient.h
@@ -22,6 +22,15 @@
  */
 int ReplyClient_readUntil(gsize count);
 
+/** ReplyClient_endInput() - close the sending side */
+void ReplyClient_endInput(void);
+
+/** ReplyClient_leave() - close the connection */
+void ReplyClient_leave(void);
+
+/** ReplyClient_run() - run the server for @ms */
+void ReplyClient_run(guint ms);
+
 /** ReplyClient_received() - what has been received */
 const GString *ReplyClient_received(void);
 
