--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -6,7 +6,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
-from cluster import BUILD, Cluster, key_hash  # noqa: E402
+from cluster import BUILD, HOST, Cluster, key_hash  # noqa: E402
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 LOAD_TIMEOUT_S = 600
@@ -48,7 +48,7 @@
 def start_load_tool(targets, **options):
     arguments = [os.path.join(BUILD, "wt-load")]
     for target in targets:
-        arguments += ["--target", "127.0.0.1:%d" % target.port]
+        arguments += ["--target", "%s:%d" % (HOST, target.port)]
     for name, value in options.items():
         arguments.append("--" + name.replace("_", "-"))
         if value is not True:
--- a/standins/EngineStandin.c
+++ b/standins/EngineStandin.c
@@ -108,7 +108,11 @@
 };
 
 static const TextOption_t texts[] = {
-    {"name", &name}, {"models", &models}, {"weights", &first_weights}};
+    {"name", &name},
+    {"models", &models},
+    {"weights", &first_weights},
+    {"host", &Server_host},
+};
 
 static gint64
 now_ms(void)
--- a/standins/InstancesStandin.c
+++ b/standins/InstancesStandin.c
@@ -18,6 +18,8 @@
 static const Parameter_t parameters[] = {
     {"port", &port}, {"lag_ms", &lag_ms}, {"down", &down}};
 
+static const TextOption_t texts[] = {{"host", &Server_host}};
+
 static void
 publish_entry(void *data)
 {
@@ -64,7 +66,8 @@
 int
 InstancesStandin_run(int argc, char **argv)
 {
-    Options_parse(argc, argv, parameters, G_N_ELEMENTS(parameters), NULL, 0);
+    Options_parse(argc, argv, parameters, G_N_ELEMENTS(parameters), texts,
+                  G_N_ELEMENTS(texts));
     instances = json_object();
     Server_listen(&server, (guint16)port, handle, NULL);
     Server_run(&server);
--- a/standins/LogStandin.c
+++ b/standins/LogStandin.c
@@ -67,6 +67,8 @@
     {"read_bytes", &read_bytes},
 };
 
+static const TextOption_t texts[] = {{"host", &Server_host}};
+
 static void
 free_bytes(gpointer bytes)
 {
@@ -353,7 +355,8 @@
 int
 LogStandin_run(int argc, char **argv)
 {
-    Options_parse(argc, argv, parameters, G_N_ELEMENTS(parameters), NULL, 0);
+    Options_parse(argc, argv, parameters, G_N_ELEMENTS(parameters), texts,
+                  G_N_ELEMENTS(texts));
     streams = g_hash_table_new(g_str_hash, g_str_equal);
     Server_listen(&server, (guint16)port, handle, NULL);
     Server_run(&server);
--- a/standins/Server.c
+++ b/standins/Server.c
@@ -18,6 +18,8 @@
     void *data;
 } DelayedCall_t;
 
+const char *Server_host = "127.0.0.1";
+
 void
 Server_listen(Server_t *this, guint16 port,
               void (*handle)(struct evhttp_request *, void *), void *data)
@@ -32,9 +34,9 @@
     evhttp_set_max_body_size(this->http, MAX_BODY_BYTES);
     evhttp_set_timeout(this->http, IDLE_TIMEOUT_S);
     struct evhttp_bound_socket *bound =
-        evhttp_bind_socket_with_handle(this->http, "127.0.0.1", port);
+        evhttp_bind_socket_with_handle(this->http, Server_host, port);
     if (!bound) {
-        fprintf(stderr, "can't listen on port %u\n", port);
+        fprintf(stderr, "can't listen on %s:%u\n", Server_host, port);
         exit(1);
     }
     struct sockaddr_in address = {0};
--- a/standins/Server.h
+++ b/standins/Server.h
@@ -26,7 +26,7 @@
  * struct Server_t - a running stand-in
  * @base: event loop
  * @http: HTTP server
- * @port: port on 127.0.0.1
+ * @port: port on Server_host
  */
 typedef struct {
     struct event_base *base;
@@ -54,7 +54,10 @@
  * Server_reply() calls it; a streamed answer has to. */
 void Server_addNotices(struct evhttp_request *request, int status);
 
-/** Server_listen() - listen on 127.0.0.1; port 0 selects a free port;
+/** Server_host - loopback address to listen on, which the command line sets */
+extern const char *Server_host;
+
+/** Server_listen() - listen on Server_host; port 0 selects a free port;
  * exits with 1 if the port can't be bound */
 void Server_listen(Server_t *this, guint16 port,
                    void (*handle)(struct evhttp_request *, void *),
--- a/standins/ServiceStandin.c
+++ b/standins/ServiceStandin.c
@@ -39,7 +39,7 @@
     {"asked", &received_calls},
 };
 
-static const TextOption_t texts[] = {{"name", &name}};
+static const TextOption_t texts[] = {{"name", &name}, {"host", &Server_host}};
 
 static const char *
 input_header(struct evhttp_request *request, const char *key)
--- a/tests/FakeRouters.c
+++ b/tests/FakeRouters.c
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include "Clock.h"
+#include "PeerDatagrams.h"
+#include "testing.h"
 
 #define KEY_BYTES 32
 #define PORT_ATTEMPTS_MAX 100
@@ -38,12 +40,20 @@
     g_ptr_array_add(this->received, copy_message(message));
 }
 
+static Address_t
+own_address(void)
+{
+    Address_t address = {{0}, 0};
+    g_strlcpy(address.host, OwnHost_get(), sizeof(address.host));
+    return address;
+}
+
 /* Finds a port that is free for both TCP and UDP. */
 static gboolean
 find_free_port(Address_t *out)
 {
-    struct sockaddr_in place = {.sin_family = AF_INET,
-                                .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    Address_t address = own_address();
+    struct sockaddr_in place = PeerDatagrams_toSockaddr(&address);
     socklen_t size = sizeof(place);
     int stream = socket(AF_INET, SOCK_STREAM, 0);
     int datagrams = socket(AF_INET, SOCK_DGRAM, 0);
@@ -53,7 +63,8 @@
         bind(datagrams, (struct sockaddr *)&place, size) == 0;
     close(stream);
     close(datagrams);
-    *out = (Address_t){"127.0.0.1", ntohs(place.sin_port)};
+    address.port = ntohs(place.sin_port);
+    *out = address;
     return found;
 }
 
@@ -81,7 +92,7 @@
     settings->router.hall = g_string_new("h");
     settings->keys.seal = g_bytes_new(key, sizeof(key));
     /* A port chosen before it is bound may be taken by another process. */
-    settings->peers.listen = (Address_t){"127.0.0.1", 0};
+    settings->peers.listen = own_address();
     settings->peers.gossip_budget = budget;
     settings->peers.mesh_routers = mesh_routers;
     router->received = g_ptr_array_new_with_free_func(free_message);
--- a/tests/ReplyClient.c
+++ b/tests/ReplyClient.c
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "testing.h"
+
 static struct event_base *base;
 static struct evhttp *http;
 static struct evhttp_connection *server_side;
@@ -32,7 +34,7 @@
     http = evhttp_new(base);
     evhttp_set_gencb(http, on_request, NULL);
     struct evhttp_bound_socket *bound =
-        evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+        evhttp_bind_socket_with_handle(http, OwnHost_get(), 0);
     getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&address,
                 &size);
     client = socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 
+from cluster import HOST
 from fleet import Upstream
 
 SIZES = (0, 1, 10, 3000, 70000, 300000)
@@ -160,7 +161,7 @@
         if rate:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.socket.settimeout(15)
-        self.socket.connect(("127.0.0.1", port))
+        self.socket.connect((HOST, port))
         self.rate = rate
         self.buffer = b""
         self.is_ended = False  # in an orderly way
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -21,6 +21,16 @@
 BUILD = os.path.join(ROOT, os.environ.get("WT_BUILD", "build"))
 
 
+def find_own_address():
+    """Returns a loopback address that no other process on this machine has, so
+    that a port that is free again leads to no other run."""
+    pid = os.getpid()  # of 22 bits at most
+    return "127.%d.%d.%d" % (64 + (pid >> 16), pid >> 8 & 255, pid & 255)
+
+
+HOST = find_own_address()
+
+
 def preloaded(name):
     """Returns the path of a library for LD_PRELOAD, which is ignored without
     an error if it does not exist."""
@@ -118,14 +128,15 @@
 
 
 class StandIn(Process):
-    def __init__(self, role, port=0, **options):
+    def __init__(self, role, port=0, host=HOST, **options):
         arguments = [os.path.join(BUILD, "wt-standin"), role,
-                     "--port", str(port)]
+                     "--host", host, "--port", str(port)]
         for name, value in options.items():
             arguments += ["--" + name, str(value)]
         super().__init__(arguments)
         self.port = wait_for(self._printed_port, "port of stand-in " + role)
-        self.address = "127.0.0.1:%d" % self.port
+        self.host = host
+        self.address = "%s:%d" % (host, self.port)
 
     def _printed_port(self):
         for line in list(self.lines):
@@ -134,7 +145,8 @@
         return None
 
     def call(self, method, path, body=None):
-        return request(self.port, method, path, body).json()
+        return request(self.port, method, path, body,
+                       host=self.host).json()
 
     def control(self, **parameters):
         return self.call("POST", "/control", parameters)
@@ -156,9 +168,9 @@
         return self.json()["error"]
 
 
-def request(port, method, path, body=None, headers=None, timeout=HANG_LIMIT):
-    connection = http.client.HTTPConnection("127.0.0.1", port,
-                                            timeout=timeout)
+def request(port, method, path, body=None, headers=None, timeout=HANG_LIMIT,
+            host=HOST):
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
     if body is not None and not isinstance(body, (bytes, str)):
         body = json.dumps(body)
     try:
@@ -174,15 +186,15 @@
     """A streamed answer, read event by event."""
 
     def __init__(self, port, path, body, headers, method="POST",
-                 receive_buffer=None):
-        self.connection = http.client.HTTPConnection("127.0.0.1", port,
+                 receive_buffer=None, host=HOST):
+        self.connection = http.client.HTTPConnection(host, port,
                                                      timeout=HANG_LIMIT)
         if receive_buffer:
             sock = socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                              receive_buffer)
             sock.settimeout(HANG_LIMIT)
-            sock.connect(("127.0.0.1", port))
+            sock.connect((host, port))
             self.connection.sock = sock
         text = json.dumps(body) if body is not None else None
         self.connection.request(method, path, text, headers)
@@ -262,13 +274,13 @@
         self.name = name
         values = {
             "router": {"name": name, "hall": hall, "region": "region-a",
-                       "listen": "127.0.0.1:0",
-                       "operator_listen": "127.0.0.1:0",
+                       "listen": HOST + ":0",
+                       "operator_listen": HOST + ":0",
                        "stop_grace": "200ms", "seed": "1",
                        "policy": "prefix"},
-            "keys": {"seal": "11" * 32, "salt": "22" * 32,
+            "keys": {"seal": cluster.seal, "salt": "22" * 32,
                      "operator_hash": key_hash(OPERATOR_KEY)},
-            "peers": {"listen": "127.0.0.1:0",
+            "peers": {"listen": HOST + ":0",
                       "seeds": ", ".join(cluster.peers)},
             "platform": {"log": cluster.log_address,
                          "instances": cluster.instances.address,
@@ -301,7 +313,7 @@
         started = self.wait_event("router_started")[0]
         self.port = int(started["port"])
         self.operator_port = int(started["operator_port"])
-        self.peer_address = "127.0.0.1:" + started["peer_port"]
+        self.peer_address = "%s:%s" % (HOST, started["peer_port"])
         cluster.peers.append(self.peer_address)
 
     def wait_ready(self):
@@ -373,6 +385,7 @@
 
     def __init__(self):
         self.folder = tempfile.mkdtemp(prefix="wt-")
+        self.seal = os.urandom(32).hex()
         self.processes = []
         self.peers = []
         self.log = self.add(StandIn("log"))
@@ -411,7 +424,7 @@
     def command(self, *arguments, routers=(), environment=None):
         env = dict(os.environ, WHEATTILLER_KEY=OPERATOR_KEY,
                    WHEATTILLER_ROUTERS=",".join(
-                       "127.0.0.1:%d" % r.operator_port for r in routers))
+                       "%s:%d" % (HOST, r.operator_port) for r in routers))
         env.update(environment or {})
         return subprocess.run(
             [os.path.join(BUILD, "wheattiller"), *arguments], env=env,
--- a/tests/faultproxy.py
+++ b/tests/faultproxy.py
@@ -5,6 +5,8 @@
 import asyncio
 import threading
 
+from cluster import HOST
+
 BLOCK_BYTES = 65536
 
 
@@ -45,12 +47,12 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
         self._started.wait()
-        self.address = "127.0.0.1:%d" % self.port
+        self.address = "%s:%d" % (HOST, self.port)
 
     def _run(self):
         asyncio.set_event_loop(self._loop)
         server = self._loop.run_until_complete(
-            asyncio.start_server(self._serve, "127.0.0.1", 0))
+            asyncio.start_server(self._serve, HOST, 0))
         self.port = server.sockets[0].getsockname()[1]
         self._started.set()
         self._loop.run_forever()
@@ -96,7 +98,7 @@
             return
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target_port)
+                HOST, self.target_port)
         except OSError:
             writer.close()
             return
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,6 +7,7 @@
 import random
 import re
 import socket
+import socketserver
 import struct
 import tempfile
 import threading
@@ -14,8 +15,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
-from cluster import (BUILD, OPERATOR_KEY, Process, assert_sound, key_hash,
-                     preloaded, wait_for)
+from cluster import (BUILD, HOST, OPERATOR_KEY, Process, assert_sound,
+                     key_hash, preloaded, wait_for)
 from memory import MemoryWatch, parse_size
 
 HEARTBEAT_S = 0.2
@@ -41,7 +42,7 @@
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                 with socket.socket(socket.AF_INET, kind) as bound:
-                    bound.bind(("127.0.0.1", port))
+                    bound.bind((HOST, port))
             return port
         except OSError:
             pass
@@ -50,8 +51,8 @@
 def fix_ports(path, rng):
     """Gives a router of these settings the same ports at each start."""
     with open(path) as file:
-        text = re.sub(r"127\.0\.0\.1:0\b", lambda _: "127.0.0.1:%d"
-                      % find_free_port(rng), file.read())
+        text = re.sub(re.escape(HOST) + r":0\b", lambda _: "%s:%d"
+                      % (HOST, find_free_port(rng)), file.read())
     with open(path, "w") as file:
         file.write(text)
 
@@ -115,11 +116,16 @@
             daemon_threads = True
             request_queue_size = 128
 
+            def server_bind(self):
+                """As of the base class, without a name for the address."""
+                socketserver.TCPServer.server_bind(self)
+                self.server_name, self.server_port = self.server_address
+
             def handle_error(self, request, client_address):
                 pass
-        self.http = Quiet(("127.0.0.1", self.port), Handler)
+        self.http = Quiet((HOST, self.port), Handler)
         self.http.owner = self
-        self.address = "127.0.0.1:%d" % self.http.server_port
+        self.address = "%s:%d" % (HOST, self.http.server_port)
         self.thread = threading.Thread(
             target=self.http.serve_forever, args=(0.05,), daemon=True)
         self.thread.start()
@@ -774,6 +780,7 @@
 
     def __init__(self):
         self.folder = tempfile.TemporaryDirectory()
+        self.seal = os.urandom(32).hex()
         self.store = Store()
         self.parts = [self.store]
         self.routers = []
@@ -828,7 +835,7 @@
                stop_grace="300ms", **settings):
         """Starts a router's process without waiting for anything; `prefix`
         is a command that runs it."""
-        values = {"peers": dict({"listen": "127.0.0.1:0"}, **dict(peers)),
+        values = {"peers": dict({"listen": HOST + ":0"}, **dict(peers)),
                   "relay": {"config_max_age": "60s", "reader_wait": "100ms",
                             "config_wait": "100ms", "leaving_limit": "800ms",
                             "listing_return": "600ms",
@@ -845,7 +852,8 @@
         path = os.path.join(self.folder.name, name + ".ini")
         with open(path, "w") as file:
             address = store_address or self.store.address
-            file.write(SETTINGS % (name, stop_grace, stop_limit,
+            file.write(SETTINGS % (name, HOST, HOST, HOST, stop_grace,
+                                   stop_limit, self.seal,
                                    key_hash(OPERATOR_KEY), address, address,
                                    load_percent, fencing, log_timeout))
             for section, keys in values.items():
@@ -881,7 +889,7 @@
         router.port = int(started["port"])
         router.ready_port = int(started["ready_port"])
         router.operator_port = int(started["operator_port"])
-        router.peer_address = "127.0.0.1:" + started["peer_port"]
+        router.peer_address = "%s:%s" % (HOST, started["peer_port"])
         return router
 
     def start(self, **settings):
@@ -897,7 +905,7 @@
         return self.get(router.ready_port, "/v1/ready").status == 200
 
     def get(self, port, path):
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=60)
+        connection = http.client.HTTPConnection(HOST, port, timeout=60)
         connection.request("GET", path)
         response = connection.getresponse()
         answer = Answer(response, response.read())
@@ -917,7 +925,7 @@
                          "X-Prompt-Prefix": "ab:100,cd:100,%x:100"
                                             % self.numbers})
         sent.update({k.replace("_", "-"): v for k, v in headers.items()})
-        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+        connection = http.client.HTTPConnection(HOST, router.port,
                                                 timeout=60)
         connection.request(method, path, body, sent)
         return connection.getresponse()
@@ -962,15 +970,15 @@
 name = %s
 hall = hall-a
 region = region-a
-listen = 127.0.0.1:0
-ready_listen = 127.0.0.1:0
-operator_listen = 127.0.0.1:0
+listen = %s:0
+ready_listen = %s:0
+operator_listen = %s:0
 policy = home
 stop_grace = %s
 stop_limit = %s
 seed = 1
 [keys]
-seal = 1111111111111111111111111111111111111111111111111111111111111111
+seal = %s
 salt = 2222222222222222222222222222222222222222222222222222222222222222
 operator_hash = %s
 [platform]
--- a/tests/links.py
+++ b/tests/links.py
@@ -10,7 +10,7 @@
 import tempfile
 import threading
 
-from cluster import preloaded
+from cluster import HOST, preloaded
 
 BLOCK_BYTES = 65536
 RESET = struct.pack("ii", 1, 0)  # makes a close reset the connection
@@ -29,13 +29,13 @@
         for _ in range(FILLERS):
             filler = socket.socket()
             filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.hanging))
+            filler.connect_ex((HOST, self.hanging))
             self.sockets.append(filler)
         self.refusing = self._bind().getsockname()[1]
 
     def _bind(self):
         bound = socket.socket()
-        bound.bind(("127.0.0.1", 0))
+        bound.bind((HOST, 0))
         self.sockets.append(bound)
         return bound
 
@@ -105,7 +105,7 @@
         for target in targets:
             server = await asyncio.start_server(
                 lambda reader, writer, target=target:
-                    self._serve(reader, writer, target), "127.0.0.1", 0)
+                    self._serve(reader, writer, target), HOST, 0)
             self.servers.append(server)
             ports[target] = server.sockets[0].getsockname()[1]
         return ports
@@ -116,7 +116,7 @@
         try:
             await self.passing.wait()
             to_reader, to_writer = await asyncio.open_connection(
-                "127.0.0.1", target)
+                HOST, target)
             self.writers.add(to_writer)
             writers.add(to_writer)
             await asyncio.gather(self._forward(reader, writer, to_writer),
--- a/tests/peerlinks.py
+++ b/tests/peerlinks.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from cluster import preloaded
+from cluster import HOST, preloaded
 
 BLOCK_BYTES = 8192
 # For which a link makes up, so that it has its rate also where the proxies are
@@ -90,7 +90,7 @@
         for other in self.links:
             self._add_proxy(link, other.port, other)
         link.write()
-        seeds = {"seeds": "127.0.0.1:%d" % other.port
+        seeds = {"seeds": "%s:%d" % (HOST, other.port)
                  for other in self.links[:1]}
         router = fleet.start(name=name, environment=link.environment(),
                              peers={**(peers or {}), **seeds}, **settings)
@@ -106,7 +106,7 @@
         if that is None."""
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        listener.bind(("127.0.0.1", 0))
+        listener.bind((HOST, 0))
         link.ports[target] = listener.getsockname()[1]
         self.servers.append(self._call(asyncio.start_server(
             lambda reader, writer: self._serve(reader, writer, target, link,
@@ -118,7 +118,7 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                               BUFFER_BYTES)
         connection.setblocking(False)
-        await self.loop.sock_connect(connection, ("127.0.0.1", target))
+        await self.loop.sock_connect(connection, (HOST, target))
         return await asyncio.open_connection(sock=connection,
                                              limit=BLOCK_BYTES)
 
--- a/tests/sessions/test_after_the_end.py
+++ b/tests/sessions/test_after_the_end.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from cluster import HOST
 from fleet import Fleet
 
 HEAD = (b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-a\r\n"
@@ -24,7 +25,7 @@
         self.router = self.fleet.start(read_timeout="1s")
 
     def send_afterwards(self, number, more, pause_s):
-        with socket.create_connection(("127.0.0.1", self.router.port)) as link:
+        with socket.create_connection((HOST, self.router.port)) as link:
             link.settimeout(60)
             link.sendall(HEAD % number + b"Connection: close\r\n\r\n")
             answer = b""
--- a/tests/sessions/test_attempts.py
+++ b/tests/sessions/test_attempts.py
@@ -6,7 +6,7 @@
 import unittest
 
 import test_fleet
-from cluster import Cluster, places, wait_for
+from cluster import HOST, Cluster, places, wait_for
 from test_fleet import EVENTS, Gate
 
 REQUEST = (b"POST /ask/x HTTP/1.1\r\nHost: shop.example\r\n"
@@ -48,7 +48,7 @@
             engine.stream = self.refuse_resumes(engine.stream)
         router = self.fleet.start()
         self.wait_listed(router, 2)
-        with socket.create_connection(("127.0.0.1", router.port)) as sock:
+        with socket.create_connection((HOST, router.port)) as sock:
             sock.sendall(REQUEST)
             received = read_all(sock, 10)
         self.assertIn(b"piece-2", received)
@@ -177,7 +177,7 @@
         sock = socket.socket()
         self.addCleanup(sock.close)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-        sock.connect(("127.0.0.1", router.port))
+        sock.connect((HOST, router.port))
         sock.sendall(REQUEST)
         return sock
 
--- a/tests/sessions/test_backlog.py
+++ b/tests/sessions/test_backlog.py
@@ -4,7 +4,7 @@
 import socket
 import unittest
 
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import Fleet
 
 CONNECTIONS = 400
@@ -26,7 +26,7 @@
         connection = socket.socket()
         self.addCleanup(connection.close)
         connection.setblocking(False)
-        self.assertIn(connection.connect_ex(("127.0.0.1", port)),
+        self.assertIn(connection.connect_ex((HOST, port)),
                       (0, errno.EINPROGRESS))
         return connection
 
--- a/tests/sessions/test_bad_input.py
+++ b/tests/sessions/test_bad_input.py
@@ -9,7 +9,7 @@
 import unittest
 
 import test_fleet
-from cluster import Answer, Cluster, HANG_LIMIT, uuid7, wait_for
+from cluster import HANG_LIMIT, HOST, Answer, Cluster, uuid7, wait_for
 from fleet import Fleet, Server, Upstream
 
 EVENT_MAX = 65536
@@ -399,7 +399,7 @@
         router = self.cluster.start(max_body="400KiB", log_poll="1s")
         body = json.dumps({"model": "m", "prompt": "x" * 300000,
                            "max_tokens": 2})
-        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+        connection = http.client.HTTPConnection(HOST, router.port,
                                                 timeout=HANG_LIMIT)
         self.addCleanup(connection.close)
 
@@ -423,7 +423,7 @@
 
 def send_with(port, path, headers):
     """Sends a request with these headers, in order and with duplicates."""
-    connection = http.client.HTTPConnection("127.0.0.1", port,
+    connection = http.client.HTTPConnection(HOST, port,
                                             timeout=HANG_LIMIT)
     connection.putrequest("POST", path, skip_host=True,
                           skip_accept_encoding=True)
--- a/tests/sessions/test_body_memory.py
+++ b/tests/sessions/test_body_memory.py
@@ -5,7 +5,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from cluster import BUILD, wait_for
+from cluster import BUILD, HOST, wait_for
 from fleet import Answer, Fleet
 
 BODY = b"x" * (1 << 20)
@@ -63,7 +63,7 @@
             for at in range(0, len(BODY), 1 << 16):
                 yield BODY[at:at + (1 << 16)]
 
-        connection = http.client.HTTPConnection("127.0.0.1", self.router.port,
+        connection = http.client.HTTPConnection(HOST, self.router.port,
                                                 timeout=60)
         connection.request("POST", "/read/x", chunks(), {
             "Host": "shop.example", "X-Request-Id": "chunked%d" % number,
@@ -90,7 +90,7 @@
     def test_kept_connections_are_used_for_one_body_after_the_other(self):
         def send_three(number):
             connection = http.client.HTTPConnection(
-                "127.0.0.1", self.router.port, timeout=60)
+                HOST, self.router.port, timeout=60)
             answers = []
             for turn in range(3):
                 connection.request("POST", "/read/x", BODY, {
@@ -106,7 +106,7 @@
         self.assert_within_memory()
 
     def begin_body(self, size, sent=len(BODY) // 8):
-        caller = socket.create_connection(("127.0.0.1", self.router.port))
+        caller = socket.create_connection((HOST, self.router.port))
         self.addCleanup(caller.close)
         caller.sendall(b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
                        b"X-Request-Id: slow%d\r\nApi-Key: key-a\r\n"
--- a/tests/sessions/test_close_delimited.py
+++ b/tests/sessions/test_close_delimited.py
@@ -7,7 +7,7 @@
 import threading
 import unittest
 
-from cluster import Cluster, uuid7, wait_for
+from cluster import HOST, Cluster, uuid7, wait_for
 from fleet import BREAKS, Fleet, is_framed, read_parts
 from links import Links
 from test_cut_off import CutOffTest
@@ -214,7 +214,7 @@
     """Callers of HTTP/1.0, to whom all streams are close-delimited."""
 
     def ask_1_0(self, path, *lines):
-        raw = socket.create_connection(("127.0.0.1", self.router.port))
+        raw = socket.create_connection((HOST, self.router.port))
         raw.settimeout(20)
         self.fleet.numbers += 1
         head = ["POST %s HTTP/1.0" % path, "Host: shop.example",
@@ -346,7 +346,7 @@
         self.router = self.cluster.start()
 
     def call(self):
-        connection = http.client.HTTPConnection("127.0.0.1", self.router.port)
+        connection = http.client.HTTPConnection(HOST, self.router.port)
         connection.request("POST", "/v1/services/ledger/renew", b"{}",
                            {"Authorization": "Bearer acme-key",
                             "Idempotency-Key": uuid7()})
--- a/tests/sessions/test_crashes.py
+++ b/tests/sessions/test_crashes.py
@@ -19,7 +19,7 @@
 import time
 import unittest
 
-from cluster import BUILD, OPERATOR_KEY, wait_for
+from cluster import BUILD, HOST, OPERATOR_KEY, wait_for
 from fleet import Fleet
 
 # Engines that a request may crash before it is quarantined.
@@ -82,7 +82,7 @@
         return subprocess.run(
             [os.path.join(BUILD, "wheattiller"), *arguments,
              "--output", "json",
-             "--router", "127.0.0.1:%d" % router.operator_port],
+             "--router", "%s:%d" % (HOST, router.operator_port)],
             env=dict(os.environ, WHEATTILLER_KEY=OPERATOR_KEY),
             capture_output=True, text=True)
 
--- a/tests/sessions/test_cut_heads.py
+++ b/tests/sessions/test_cut_heads.py
@@ -16,7 +16,7 @@
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import Fleet, Upstream
 from links import Links
 from test_close_delimited import receive
@@ -152,7 +152,7 @@
         self.target = target
         self.cut = set()  # names of the requests whose answers were cut
         self.lengths = []  # of the parts of answers that were passed on
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server((HOST, 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -172,7 +172,7 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             with connection, socket.create_connection(
-                    ("127.0.0.1", self.target)) as other:
+                    (HOST, self.target)) as other:
                 while self.pass_request(connection, other):
                     pass
         except OSError:
--- a/tests/sessions/test_cut_native.py
+++ b/tests/sessions/test_cut_native.py
@@ -13,7 +13,7 @@
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
-from cluster import Cluster, places, uuid7, wait_for
+from cluster import HOST, Cluster, places, uuid7, wait_for
 from fleet import ROUTES, Fleet, Server, route
 from test_close_delimited import receive
 
@@ -96,7 +96,7 @@
                                          retry_allowance="100000")
 
     def ask(self, name, cut, body):
-        connection = http.client.HTTPConnection("127.0.0.1", self.router.port,
+        connection = http.client.HTTPConnection(HOST, self.router.port,
                                                 timeout=10)
         try:
             connection.request(
@@ -184,8 +184,8 @@
         self.seen = seen  # prompts, by any proxy
         self.lengths = []
         self.cuts = 0
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.listener = socket.create_server((HOST, 0))
+        self.address = "%s:%d" % (HOST, self.listener.getsockname()[1])
         threading.Thread(target=self.accept, daemon=True).start()
 
     def close(self):
@@ -203,7 +203,7 @@
     def serve(self, connection):
         try:
             with connection, socket.create_connection(
-                    ("127.0.0.1", self.target)) as other:
+                    (HOST, self.target)) as other:
                 self.pass_on(connection, other)
         except OSError:
             pass
--- a/tests/sessions/test_engine_restarts.py
+++ b/tests/sessions/test_engine_restarts.py
@@ -6,7 +6,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from cluster import wait_for
+from cluster import HOST, wait_for
 from continued import Callers, Stream
 from fleet import Fleet, PacedEngine, find_free_port, fix_ports, route
 
@@ -56,7 +56,7 @@
 
     def create_router(self, index, ports):
         """Writes the settings of a router at ports of its own."""
-        peers = ["127.0.0.1:%d" % port for port in ports]
+        peers = ["%s:%d" % (HOST, port) for port in ports]
         router = self.fleet.launch(
             "r%d" % index, log_timeout="1s", fencing="true", load_percent=20,
             peers={"listen": peers.pop(index), "seeds": ",".join(peers)},
--- a/tests/sessions/test_fleet.py
+++ b/tests/sessions/test_fleet.py
@@ -10,7 +10,7 @@
 import time
 import unittest
 
-from cluster import BUILD, OPERATOR_KEY, ROOT, wait_for
+from cluster import BUILD, HOST, OPERATOR_KEY, ROOT, wait_for
 from faultproxy import FaultProxy
 from fleet import CUSTOMERS, Answer, Fleet
 
@@ -112,7 +112,7 @@
     def test_a_length_beside_chunks_is_refused(self):
         plain = self.fleet.plain("p1")
         router = self.fleet.start()
-        with socket.create_connection(("127.0.0.1", router.port)) as raw:
+        with socket.create_connection((HOST, router.port)) as raw:
             raw.sendall(b"POST /write/x HTTP/1.1\r\nHost: shop.example\r\n"
                         b"X-Request-Id: s1\r\nApi-Key: key-a\r\n"
                         b"Content-Length: 5\r\n"
@@ -263,7 +263,7 @@
         engine = self.fleet.engine("e1")
         engine.gate = threading.Event()
         router = self.fleet.start()
-        with socket.create_connection(("127.0.0.1", router.port)) as raw:
+        with socket.create_connection((HOST, router.port)) as raw:
             raw.sendall(b"POST /ask/x HTTP/1.1\r\nHost: shop.example\r\n"
                         b"X-Request-Id: left\r\nApi-Key: key-a\r\n"
                         b"X-Model: m\r\nContent-Length: 0\r\n\r\n")
@@ -801,8 +801,8 @@
         path, port = router.path, router.port
         router.kill()
         with open(path) as file:
-            text = file.read().replace("listen = 127.0.0.1:0",
-                                       "listen = 127.0.0.1:%d" % port, 1)
+            text = file.read().replace("listen = %s:0" % HOST,
+                                       "listen = %s:%d" % (HOST, port), 1)
         with open(path, "w") as file:
             file.write(text)
         unread = subprocess.Popen(
@@ -1001,7 +1001,7 @@
 
     def call(self, router, method, body=b""):
         connection = http.client.HTTPConnection(
-            "127.0.0.1", router.operator_port, timeout=10)
+            HOST, router.operator_port, timeout=10)
         connection.request("POST", "/rpc/" + method, body,
                            {"Authorization": "Bearer " + OPERATOR_KEY})
         response = connection.getresponse()
--- a/tests/sessions/test_fleet_dispatchers.py
+++ b/tests/sessions/test_fleet_dispatchers.py
@@ -9,7 +9,7 @@
 import zlib
 
 import fleet as stand_ins
-from cluster import OPERATOR_KEY, wait_for
+from cluster import HOST, OPERATOR_KEY, wait_for
 from fleet import Fleet, route
 
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (i, i) for i in range(5))
@@ -152,7 +152,7 @@
     def count(self, router, name):
         """Returns the sum of a router's counters of a name."""
         connection = http.client.HTTPConnection(
-            "127.0.0.1", router.operator_port, timeout=60)
+            HOST, router.operator_port, timeout=60)
         connection.request("GET", "/metrics", headers={
             "Authorization": "Bearer " + OPERATOR_KEY})
         text = connection.getresponse().read().decode()
--- a/tests/sessions/test_fleet_losses.py
+++ b/tests/sessions/test_fleet_losses.py
@@ -11,7 +11,7 @@
 from urllib.parse import parse_qs, urlparse
 
 import fleet as stand_ins
-from cluster import wait_for
+from cluster import HOST, wait_for
 from faultproxy import FaultProxy
 from fleet import CUSTOMERS, Fleet, MortalEngine
 
@@ -582,7 +582,7 @@
     def test_a_call_whose_caller_left_before_its_router_died_runs_once(self):
         opened = self.hold_calls()
         with socket.create_connection(
-                ("127.0.0.1", self.first.port)) as raw:
+                (HOST, self.first.port)) as raw:
             raw.sendall(b"POST /write/x HTTP/1.1\r\nHost: shop.example\r\n"
                         b"X-Request-Id: left\r\nApi-Key: key-a\r\n"
                         b"Content-Length: 0\r\n\r\n")
--- a/tests/sessions/test_forwarding.py
+++ b/tests/sessions/test_forwarding.py
@@ -11,7 +11,7 @@
 import unittest
 import uuid
 
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import Fleet, Upstream
 from links import Links
 from test_cut_off import CutOffTest as Base
@@ -113,7 +113,7 @@
         raw = socket.socket()
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         raw.settimeout(20)
-        raw.connect(("127.0.0.1", self.routers["r0"].port))
+        raw.connect((HOST, self.routers["r0"].port))
         raw.sendall(b"POST /ask/x HTTP/1.1\r\nHost: shop.example\r\n"
                     b"X-Request-Id: slow1\r\nX-Deadline-Ms: 19000\r\n"
                     b"Api-Key: key-a\r\nX-Model: m\r\n"
@@ -538,7 +538,7 @@
                 raw.settimeout(chance.choice([0.001, 0.02, 0.2, 3]))
                 path = chance.choice(["/ask/x", "/read/x", "/write/x"])
                 try:
-                    raw.connect(("127.0.0.1", self.routers["r0"].port))
+                    raw.connect((HOST, self.routers["r0"].port))
                     raw.sendall(
                         b"POST %s HTTP/1.1\r\nHost: shop.example\r\n"
                         b"X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"
--- a/tests/sessions/test_framing.py
+++ b/tests/sessions/test_framing.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from cluster import Cluster
+from cluster import HOST, Cluster
 from fleet import Fleet
 
 INNER = (b"POST /write/inside HTTP/1.1\r\nHost: shop.example\r\n"
@@ -95,7 +95,7 @@
 def receive(port, data, silence_s=1.0, later=None):
     """Returns what comes until the end, or until a silence."""
     received = b""
-    with socket.create_connection(("127.0.0.1", port)) as link:
+    with socket.create_connection((HOST, port)) as link:
         link.settimeout(silence_s)
         link.sendall(data)
         if later:
--- a/tests/sessions/test_held_bytes.py
+++ b/tests/sessions/test_held_bytes.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 
-from cluster import BUILD, wait_for
+from cluster import BUILD, HOST, wait_for
 from fleet import ROUTES, Fleet, route
 from test_bad_input import peak_memory
 
@@ -19,7 +19,7 @@
 
 
 def begin_request(router, head):
-    caller = socket.create_connection(("127.0.0.1", router.port))
+    caller = socket.create_connection((HOST, router.port))
     caller.settimeout(5)
     caller.sendall(head)
     return caller
@@ -77,7 +77,7 @@
         for port in (self.router.ready_port, self.router.operator_port):
             callers = []
             for _ in range(self.CALLERS):
-                caller = socket.create_connection(("127.0.0.1", port))
+                caller = socket.create_connection((HOST, port))
                 caller.settimeout(5)
                 caller.sendall(b"GET / HTTP/1.1\r\n" + b"A:\r\n" * FIELDS)
                 callers.append(caller)
@@ -294,7 +294,7 @@
         caller = socket.socket()
         self.addCleanup(caller.close)
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        caller.connect(("127.0.0.1", router.port))
+        caller.connect((HOST, router.port))
         caller.sendall(self.REQUEST % (number, number))
 
     # Each had a buffer, and all buffers more than the machine's memory.
--- a/tests/sessions/test_last_answers.py
+++ b/tests/sessions/test_last_answers.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+from cluster import HOST
 from fleet import Fleet, Upstream
 from test_stop import read_answer, request
 
@@ -26,7 +27,7 @@
         self.addCleanup(self.fleet.close)
 
     def connect(self, router):
-        connection = socket.create_connection(("127.0.0.1", router.port),
+        connection = socket.create_connection((HOST, router.port),
                                               timeout=60)
         self.addCleanup(connection.close)
         return connection
--- a/tests/sessions/test_last_turn.py
+++ b/tests/sessions/test_last_turn.py
@@ -6,7 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import test_fleet
-from cluster import Cluster
+from cluster import HOST, Cluster
 
 REQUEST = (b"POST /read/x HTTP/1.1\r\nHost: shop.example\r\n"
            b"X-Request-Id: s1\r\nApi-Key: key-a\r\nX-Deadline-Ms: 20000\r\n"
@@ -27,7 +27,7 @@
     def test_requests_that_come_as_it_ends_meet_no_freed_parts(self):
         self.fleet.plain("p1")
         router = self.fleet.start()
-        connections = [socket.create_connection(("127.0.0.1", router.port))
+        connections = [socket.create_connection((HOST, router.port))
                 for i in range(CONNECTIONS)]
         for connection in connections:
             self.addCleanup(connection.close)
@@ -53,7 +53,7 @@
 
     def freeze_at_the_end(self, number):
         router = self.fleet.router("r%d" % number)
-        connections = [socket.create_connection(("127.0.0.1", router.port))
+        connections = [socket.create_connection((HOST, router.port))
                        for _ in range(3)]
         router.signal(signal.SIGTERM)
         router.wait_event("listener_closed")
@@ -146,15 +146,15 @@
     def test_an_address_that_is_free_as_it_ends_is_not_used(self):
         busy = socket.socket()
         self.addCleanup(busy.close)
-        busy.bind(("127.0.0.1", 0))
+        busy.bind((HOST, 0))
         busy.listen(1)
-        address = "127.0.0.1:%d" % busy.getsockname()[1]
+        address = "%s:%d" % (HOST, busy.getsockname()[1])
         router = self.start()
         router.stop()
         with open(router.path) as file:
             text = file.read()
         with open(router.path, "w") as file:
-            file.write(text.replace("operator_listen = 127.0.0.1:0",
+            file.write(text.replace("operator_listen = %s:0" % HOST,
                                     "operator_listen = " + address))
         router = self.fleet.start_again(router)
         self.assertEqual(router.operator_port, 0)
--- a/tests/sessions/test_leaving_callers.py
+++ b/tests/sessions/test_leaving_callers.py
@@ -7,7 +7,7 @@
 import uuid
 
 from answers import request_bytes
-from cluster import Cluster, uuid7, wait_for
+from cluster import HOST, Cluster, uuid7, wait_for
 from fleet import Fleet
 
 
@@ -36,7 +36,7 @@
     def leave(self, path, end, behind=b""):
         """Ends a connection while its request runs."""
         request_id = uuid.uuid4().hex
-        with socket.create_connection(("127.0.0.1",
+        with socket.create_connection((HOST,
                                        self.router.port)) as caller:
             caller.settimeout(5)
             caller.sendall(request_bytes("POST", path, request_id, b"x",
@@ -98,7 +98,7 @@
         """It spun until the upstream had answered."""
         self.upstreams[0].pause_s = 2
         request_id = uuid.uuid4().hex
-        with socket.create_connection(("127.0.0.1",
+        with socket.create_connection((HOST,
                                        self.router.port)) as caller:
             caller.sendall(request_bytes("POST", "/write/x", request_id, b"x"))
             wait_for(lambda: self.runs(request_id), "a run")
@@ -147,7 +147,7 @@
 
     def begin(self, name, key=None):
         key = key or uuid7()
-        caller = socket.create_connection(("127.0.0.1", self.router.port))
+        caller = socket.create_connection((HOST, self.router.port))
         self.addCleanup(caller.close)
         caller.settimeout(5)
         caller.sendall(b"POST /v1/services/%s/x HTTP/1.1\r\nHost: h\r\n"
--- a/tests/sessions/test_malformed.py
+++ b/tests/sessions/test_malformed.py
@@ -5,7 +5,7 @@
 import threading
 import unittest
 
-from cluster import Cluster, HANG_LIMIT
+from cluster import HANG_LIMIT, HOST, Cluster
 
 SEED = 20261
 REQUESTS = 10000
@@ -127,7 +127,7 @@
 def send(port, data):
     """Returns all bytes received until the router closes the connection."""
     received = b""
-    with socket.create_connection(("127.0.0.1", port),
+    with socket.create_connection((HOST, port),
                                   timeout=HANG_LIMIT) as connection:
         try:
             connection.sendall(data)
--- a/tests/sessions/test_memory_answers.py
+++ b/tests/sessions/test_memory_answers.py
@@ -7,6 +7,7 @@
 import unittest
 
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
+from cluster import HOST
 from fleet import ROUTES, Fleet, Upstream, route  # noqa: E402
 from memory import MemoryWatch  # noqa: E402
 
@@ -67,7 +68,7 @@
         caller = socket.socket()
         self.addCleanup(caller.close)
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        caller.connect(("127.0.0.1", self.router.port))
+        caller.connect((HOST, self.router.port))
         return caller
 
     def begin(self, path, count):
--- a/tests/sessions/test_memory_arrivals.py
+++ b/tests/sessions/test_memory_arrivals.py
@@ -8,6 +8,7 @@
 import unittest
 
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
+from cluster import HOST
 from fleet import Fleet  # noqa: E402
 from memory import MemoryWatch  # noqa: E402
 
@@ -23,7 +24,7 @@
     """A caller that sends as far as the router takes the bytes."""
 
     def __init__(self, port, data):
-        self.socket = socket.create_connection(("127.0.0.1", port))
+        self.socket = socket.create_connection((HOST, port))
         self.socket.setblocking(False)
         self.left = memoryview(data)
 
--- a/tests/sessions/test_memory_use.py
+++ b/tests/sessions/test_memory_use.py
@@ -7,6 +7,7 @@
 import unittest
 
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
+from cluster import HOST
 from fleet import Fleet  # noqa: E402
 from memory import MemoryWatch  # noqa: E402
 
@@ -32,7 +33,7 @@
         self.watched = self.watch.add(self.router.process, MEMORY_MB << 20)
 
     def send(self, number, size):
-        caller = socket.create_connection(("127.0.0.1", self.router.port))
+        caller = socket.create_connection((HOST, self.router.port))
         with caller:
             caller.settimeout(20)
             try:
--- a/tests/sessions/test_peers.py
+++ b/tests/sessions/test_peers.py
@@ -210,7 +210,7 @@
 
     def test_router_with_another_seal_key_is_not_admitted(self):
         one = self.cluster.start("r1")
-        text = open(one.path).read().replace("seal = 11", "seal = 12")
+        text = open(one.path).read().replace(self.cluster.seal, "12" * 32)
         path = self.cluster.write("r9.ini", text.replace(
             "name = r1", "name = r9").replace(
                 "seeds = ", "seeds = " + one.peer_address))
--- a/tests/sessions/test_slow_callers.py
+++ b/tests/sessions/test_slow_callers.py
@@ -6,7 +6,7 @@
 import uuid
 
 from answers import Connection, request_bytes
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import Fleet, Upstream
 
 LONG = 6000000  # bytes, more than the kernel's buffers hold
@@ -52,7 +52,7 @@
         with socket.socket() as caller:
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             caller.settimeout(20)
-            caller.connect(("127.0.0.1", self.router.port))
+            caller.connect((HOST, self.router.port))
             caller.sendall(request_bytes("POST", path, request_id, b"x",
                                          wait_ms=19000, version=version))
             time.sleep(STOPPED_S)
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -11,7 +11,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from cluster import BUILD, Process, wait_for
+from cluster import BUILD, HOST, Process, wait_for
 from fleet import Fleet, SuspendableClock
 
 WATCHED_S = 0.2
@@ -222,11 +222,11 @@
 
     def __init__(self, kind=socket.SOCK_STREAM):
         self.socket = socket.socket(type=kind)
-        self.socket.bind(("127.0.0.1", 0))
+        self.socket.bind((HOST, 0))
         if kind == socket.SOCK_STREAM:
             self.socket.listen(1)
         self.port = self.socket.getsockname()[1]
-        self.address = "127.0.0.1:%d" % self.port
+        self.address = "%s:%d" % (HOST, self.port)
 
     def release(self):
         self.socket.close()
@@ -349,7 +349,7 @@
         self.wait_line(router, "listen_succeeded", setting)
         with socket.socket(type=socket.SOCK_DGRAM) as other:
             with self.assertRaises(OSError) as raised:
-                other.bind(("127.0.0.1", busy.port))
+                other.bind((HOST, busy.port))
         self.assertEqual(raised.exception.errno, errno.EADDRINUSE)
 
     # A second router must not share the callers of the first.
@@ -358,8 +358,8 @@
         first = self.launch(path)
         self.assert_serves(first)
         second = self.launch(self.write_settings(
-            router_listen="127.0.0.1:%d" % first.port,
-            router_ready_listen="127.0.0.1:%d" % first.ready_port,
+            router_listen="%s:%d" % (HOST, first.port),
+            router_ready_listen="%s:%d" % (HOST, first.ready_port),
             peers_listen=first.peer_address))
         second.wait_event("listen_waits")
         for _ in range(self.ASKS):
@@ -384,9 +384,9 @@
         first = self.launch(path)
         self.assert_serves(first)
         path = self.write_settings(
-            router_listen="127.0.0.1:%d" % first.port,
-            router_ready_listen="127.0.0.1:%d" % first.ready_port,
-            router_operator_listen="127.0.0.1:%d" % first.operator_port,
+            router_listen="%s:%d" % (HOST, first.port),
+            router_ready_listen="%s:%d" % (HOST, first.ready_port),
+            router_operator_listen="%s:%d" % (HOST, first.operator_port),
             peers_listen=first.peer_address)
         first.signal(signal.SIGTERM)
         self.assert_serves(self.launch(path))
@@ -431,7 +431,7 @@
         self.fleet.engine("e1")
         router = self.fleet.start()
         used = len(os.listdir("/proc/%d/fd" % router.process.pid))
-        connection = http.client.HTTPConnection("127.0.0.1", router.port,
+        connection = http.client.HTTPConnection(HOST, router.port,
                                                 timeout=60)
         connection.connect()
         wait_for(lambda: len(os.listdir(
@@ -484,7 +484,7 @@
                          (self.DESCRIPTORS, self.DESCRIPTORS))
         for port in (router.port, router.ready_port, router.operator_port,
                      int(router.peer_address.rpartition(":")[2])):
-            connections = self.open_connections(("127.0.0.1", port))
+            connections = self.open_connections((HOST, port))
             self.check_idle(router)
             router.wait_event("accept_paused")
             for each in connections:
--- a/tests/sessions/test_stop.py
+++ b/tests/sessions/test_stop.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import ROUTES, Fleet
 
 HEAD = ("POST /write/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-a\r\n"
@@ -56,7 +56,7 @@
 
     def connect(self):
         connection = socket.create_connection(
-            ("127.0.0.1", self.router.port), timeout=60)
+            (HOST, self.router.port), timeout=60)
         self.addCleanup(connection.close)
         return connection
 
@@ -75,7 +75,7 @@
     def send(self, name):
         """Sends a request on a connection of its own."""
         connection = socket.create_connection(
-            ("127.0.0.1", self.router.port), timeout=60)
+            (HOST, self.router.port), timeout=60)
         try:
             connection.sendall(request(name))
         except OSError:
@@ -238,7 +238,7 @@
     def call(self, caller):
         """Calls on a kept connection until the end."""
         number = 0
-        with socket.create_connection(("127.0.0.1", self.router.port),
+        with socket.create_connection((HOST, self.router.port),
                                       timeout=60) as connection:
             while not self.is_over.is_set():
                 number += 1
--- a/tests/sessions/test_stop_exits.py
+++ b/tests/sessions/test_stop_exits.py
@@ -8,7 +8,7 @@
 import time
 import unittest
 
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import ROUTES, Fleet, PacedEngine, Upstream, read_parts
 from test_stop import is_whole, read_answer, request
 
@@ -345,7 +345,7 @@
 
     def connect(self):
         connection = socket.create_connection(
-            ("127.0.0.1", self.router.port), timeout=60)
+            (HOST, self.router.port), timeout=60)
         self.addCleanup(connection.close)
         return connection
 
@@ -420,7 +420,7 @@
         connection = socket.socket()
         self.addCleanup(connection.close)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        connection.connect(("127.0.0.1", self.router.port))
+        connection.connect((HOST, self.router.port))
         connection.sendall(request("slow"))
         self.router.wait_event("request_done")
         self.stop()
--- a/tests/sessions/test_streams.py
+++ b/tests/sessions/test_streams.py
@@ -4,7 +4,7 @@
 import threading
 import unittest
 
-from cluster import (BASE_DECLARATIONS, Cluster, places, request, uuid7,
+from cluster import (BASE_DECLARATIONS, HOST, Cluster, places, request, uuid7,
                      wait_for)
 from faultproxy import FaultProxy
 
@@ -195,7 +195,7 @@
         router = self.cluster.start(resume_grace="0s")
         text = ('{"model":"m","prompt":"half","max_tokens":5000,'
                 '"stream":true}')
-        with socket.create_connection(("127.0.0.1", router.port)) as sock:
+        with socket.create_connection((HOST, router.port)) as sock:
             sock.sendall(("POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
                           "Authorization: Bearer acme-key\r\n"
                           "Content-Length: %d\r\n\r\n%s"
@@ -212,7 +212,7 @@
         router = self.cluster.start(read_timeout="200ms")
         for part in (b"POST /v1/comp", b"POST /v1/completions HTTP/1.1\r\n"
                      b"Content-Length: 100\r\n\r\n{"):
-            with socket.create_connection(("127.0.0.1", router.port)) as sock:
+            with socket.create_connection((HOST, router.port)) as sock:
                 sock.sendall(part)
                 while sock.recv(65536):
                     pass
--- a/tests/sessions/test_unread_answers.py
+++ b/tests/sessions/test_unread_answers.py
@@ -6,7 +6,7 @@
 import uuid
 
 from answers import request_bytes
-from cluster import wait_for
+from cluster import HOST, wait_for
 from fleet import Fleet, Upstream
 from test_bad_input import peak_memory
 from test_held_bytes import GROWTH_MAX, measures_memory
@@ -40,7 +40,7 @@
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
         caller.settimeout(30)
-        caller.connect(("127.0.0.1", self.router.port))
+        caller.connect((HOST, self.router.port))
         return caller
 
     def begin(self, path="/write/x", size=SIZE):
--- a/tests/test_IdleCallers.c
+++ b/tests/test_IdleCallers.c
@@ -58,7 +58,7 @@
     evhttp_set_bevcb(this->server, create_connection, NULL);
     evhttp_set_gencb(this->server, on_request, NULL);
     struct evhttp_bound_socket *bound =
-        evhttp_bind_socket_with_handle(this->server, "127.0.0.1", 0);
+        evhttp_bind_socket_with_handle(this->server, OwnHost_get(), 0);
     getsockname(evhttp_bound_socket_get_fd(bound),
                 (struct sockaddr *)&this->address, &size);
     for (int i = 0; i < CALLERS; i++) {
--- a/tests/test_PeerDatagrams.c
+++ b/tests/test_PeerDatagrams.c
@@ -35,7 +35,8 @@
 static Address_t
 free_address(void)
 {
-    Address_t address = {"127.0.0.1", 0};
+    Address_t address = {{0}, 0};
+    g_strlcpy(address.host, OwnHost_get(), sizeof(address.host));
     struct sockaddr_in socket_address = PeerDatagrams_toSockaddr(&address);
     socklen_t size = sizeof(socket_address);
     int fd = socket(AF_INET, SOCK_DGRAM, 0);
--- a/tests/test_StartProof.c
+++ b/tests/test_StartProof.c
@@ -75,16 +75,17 @@
     base = event_base_new();
     server = evhttp_new(base);
     struct evhttp_bound_socket *socket =
-        evhttp_bind_socket_with_handle(server, "127.0.0.1", 0);
+        evhttp_bind_socket_with_handle(server, OwnHost_get(), 0);
     ck_assert_ptr_nonnull(socket);
     getsockname(evhttp_bound_socket_get_fd(socket), (struct sockaddr *)&bound,
                 &size);
     evhttp_set_gencb(server, react, NULL);
-    UpstreamSpec_t spec = {.address = {"127.0.0.1", ntohs(bound.sin_port)},
+    UpstreamSpec_t spec = {.address = {.port = ntohs(bound.sin_port)},
                            .hall = g_string_new("h"),
                            .region = g_string_new("r"),
                            .serves = g_ptr_array_new(),
                            .slots = 4};
+    g_strlcpy(spec.address.host, OwnHost_get(), sizeof(spec.address.host));
     upstream = Upstream_create(base, "e1", &spec, 2);
     g_string_free(spec.hall, TRUE);
     g_string_free(spec.region, TRUE);
--- a/tests/testing.h
+++ b/tests/testing.h
@@ -9,6 +9,21 @@
 #include <glib.h>
 #include <sodium.h>
 #include <stdlib.h>
+#include <unistd.h>
+
+#define OWN_HOST_SIZE sizeof("127.255.255.255")
+
+/** OwnHost_get() - loopback address that no other process on this machine has,
+ * so that a port that is free again leads to no other run */
+static inline const char *
+OwnHost_get(void)
+{
+    static char host[OWN_HOST_SIZE];
+    guint pid = (guint)getpid(); /* of 22 bits at most */
+    g_snprintf(host, sizeof(host), "127.%u.%u.%u", 64 + (pid >> 16),
+               pid >> 8 & 255, pid & 255);
+    return host;
+}
 
 /** TESTING_MAIN() - define a main function that runs the given tests */
 #define TESTING_MAIN(name, ...)                                               \
--- a/tools/body_load.py
+++ b/tools/body_load.py
@@ -17,6 +17,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
+from cluster import HOST  # noqa: E402
 from fleet import Fleet, Upstream  # noqa: E402
 
 BODY = b"x" * (4 << 20)
@@ -88,7 +89,7 @@
     def client(self, index):
         kind = index % 10
         rng = random.Random(index)
-        link = http.client.HTTPConnection("127.0.0.1", self.router.port,
+        link = http.client.HTTPConnection(HOST, self.router.port,
                                           timeout=60)
         while time.monotonic() < self.end:
             name, body, path = "large", BODY, "/write/x"
--- a/tools/memory_soak.py
+++ b/tools/memory_soak.py
@@ -22,6 +22,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
+from cluster import HOST  # noqa: E402
 from fleet import ROUTES, Fleet, Upstream, route  # noqa: E402
 
 ROUTERS = 2
@@ -78,7 +79,7 @@
         caller = socket.socket()
         if not reads:
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        caller.connect(("127.0.0.1", self.port))
+        caller.connect((HOST, self.port))
         caller.setblocking(False)
         self.callers.append(caller)
         return caller
@@ -171,7 +172,7 @@
         return response.status
 
     def run(self):
-        link = http.client.HTTPConnection("127.0.0.1", self.port,
+        link = http.client.HTTPConnection(HOST, self.port,
                                           timeout=2 * WAIT_MS / 1000)
         while time.monotonic() < self.soak.end:
             try:
--- a/tools/order_soak.py
+++ b/tools/order_soak.py
@@ -21,7 +21,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tests"))
-from cluster import wait_for  # noqa: E402
+from cluster import HOST, wait_for  # noqa: E402
 from continued import Callers, Stream  # noqa: E402
 from faultproxy import FaultProxy  # noqa: E402
 from fleet import (BREAKS, Fleet, PacedEngine, find_free_port,  # noqa: E402
@@ -97,7 +97,7 @@
 
     def create_router(self, index, ports):
         """Writes the settings of a router at ports of its own."""
-        peers = ["127.0.0.1:%d" % port for port in ports]
+        peers = ["%s:%d" % (HOST, port) for port in ports]
         router = self.fleet.launch(
             "r%d" % index, store_address=self.proxies[index].address,
             log_timeout="1s", fencing="true", load_percent=20,
