test_StartProof: its event loop goes by an exact clock

Seen: questions_that_are_both_lost_end_at_the_limit failed now and then, also without other load: the end was told 597 or 598 ms after the question, and the test demands 600.

Cause: without EVENT_BASE_FLAG_PRECISE_TIMER, libevent goes by a clock of the kernel that is behind by up to a tick (4 ms), so that timers end that much early, while the test measures by the exact one.

The bound stays at 600 ms. The router's own loop still ends a timeout up to a tick early, which no promise forbids.

--- a/tests/test_StartProof.c
+++ b/tests/test_StartProof.c
@@ -67,12 +67,24 @@
     evbuffer_free(body);
 }
 
+/* Other timers go by a clock that is behind by up to a tick of the kernel, and
+ * end that much early. */
+static struct event_base *
+create_precise_base(void)
+{
+    struct event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    struct event_base *created = event_base_new_with_config(config);
+    event_config_free(config);
+    return created;
+}
+
 static void
 create(Reaction_t first, Reaction_t second)
 {
     struct sockaddr_in bound;
     socklen_t size = sizeof(bound);
-    base = event_base_new();
+    base = create_precise_base();
     server = evhttp_new(base);
     struct evhttp_bound_socket *socket =
         evhttp_bind_socket_with_handle(server, OwnHost_get(), 0);
