test_interim_answers: answers and ends of connections come at once

Seen: InterimAnswerTest.test_several and test_the_connection_ends failed now and then in the sanitizer build beside load, with 502 (may have run).

Cause: they are about an answer whose connection ends with it. The stand-in closed a moment later, without a word; beside load that moment was long enough for the router to send the next call on the connection, which is another matter (UnannouncedCloseTest, listed in KNOWN-RED.txt).

The kernel now holds the answer back (TCP_CORK) until the stand-in has ended its sending side, so that both arrive in one segment, as the test means it.

--- a/tests/sessions/test_interim_answers.py
+++ b/tests/sessions/test_interim_answers.py
@@ -1,4 +1,5 @@
 """Answers of upstreams behind "100 Continue"."""
+import socket
 import time
 import unittest
 
@@ -24,11 +25,20 @@
     def run(self, call, body, request_id):
         wfile, call.wfile = call.wfile, Collector(self.interim)
         super().run(call, body, request_id)
+        if self.ends:
+            hold_back(call.connection)
         wfile.write(call.wfile.written)
         call.wfile = wfile
+        if self.ends:
+            call.connection.shutdown(socket.SHUT_WR)
         call.close_connection = self.ends
 
 
+def hold_back(connection):
+    """Has the kernel send what is written next together with the end."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+
+
 class Collector:
     def __init__(self, written):
         self.written = written
