--- a/tests/sessions/test_streams.py
+++ b/tests/sessions/test_streams.py
@@ -4,7 +4,7 @@
 import threading
 import unittest
 
-from cluster import (BASE_DECLARATIONS, Cluster, places, request, uuid7,
+from cluster import (BASE_DECLARATIONS, HOST, Cluster, places, request, uuid7,
                      wait_for)
 from faultproxy import FaultProxy
 
@@ -203,7 +203,7 @@
     def test_caller_that_half_closes_gets_the_whole_stream(self):
         engine = self.cluster.engine("e1", decode_ms=20)
         router = self.cluster.start(resume_grace="0s")
-        with socket.create_connection(("127.0.0.1", router.port)) as sock:
+        with socket.create_connection((HOST, router.port)) as sock:
             self.begin_half_closed(sock, 100)
             received = b""
             while part := sock.recv(65536):
@@ -217,7 +217,7 @@
     def test_caller_that_closes_after_its_sending_side_is_noticed(self):
         engine = self.cluster.engine("e1", decode_ms=20)
         router = self.cluster.start(resume_grace="0s")
-        with socket.create_connection(("127.0.0.1", router.port)) as sock:
+        with socket.create_connection((HOST, router.port)) as sock:
             self.begin_half_closed(sock, 5000)
         wait_for(lambda: engine.state()["cancelled"] == 1, "the cancellation")
         self.assertEqual(router.count("open_requests"), 0)
@@ -227,7 +227,7 @@
         router = self.cluster.start(read_timeout="200ms")
         for part in (b"POST /v1/comp", b"POST /v1/completions HTTP/1.1\r\n"
                      b"Content-Length: 100\r\n\r\n{"):
-            with socket.create_connection(("127.0.0.1", router.port)) as sock:
+            with socket.create_connection((HOST, router.port)) as sock:
                 sock.sendall(part)
                 while sock.recv(65536):
                     pass
