Half-closed streams that break off, and answers that are not read: tests

A reader may take the zero that CallerProof sends between two chunks, followed by the end of the connection, for the last chunk, so that a broken stream would look whole. It is reset instead, also when the router is killed; nothing but module tests showed it. Unread streams of half-closed callers are given up as those of others, as unread calls were tested to be.

--- a/tests/sessions/test_half_closed.py
+++ b/tests/sessions/test_half_closed.py
@@ -29,6 +29,8 @@
         self.long_answers = False
         self.event_s = 0
         self.events = EVENTS
+        self.padding = b""
+        self.cuts = False  # break off a stream behind its first event
         super().__init__(*arguments, **more)
 
     def work(self, call, request_id, seconds):
@@ -58,8 +60,12 @@
     def stream(self, call, headers):
         call.head(200, {"Transfer_Encoding": "chunked"}, **headers)
         for number in range(self.events):
-            self.write_part(call, True, b"id: %d\ndata: e\n\n" % number)
+            self.write_part(call, True, b"id: %d\ndata: e%s\n\n"
+                            % (number, self.padding))
             self.work(call, call.headers["X-Request-Id"], self.event_s)
+            if self.cuts:
+                call.cut()
+                return
         call.wfile.write(b"0\r\n\r\n")
 
 
@@ -279,14 +285,44 @@
 
     def test_answers_that_are_not_read(self):
         """They are given up as those of other callers."""
-        self.set_all(long_answers=True)
-        caller, request_id = self.begin("/read/x")
+        self.set_all(long_answers=True, events=LONG // 60000,
+                     padding=60000 * b"y")
+        for path, event, reason in (
+                ("/read/x", "answer_unsent", ("cause", "not_read")),
+                ("/ask/x", "request_refused", ("reason", "answer_not_read"))):
+            began = time.monotonic()
+            caller, request_id = self.begin(path)
+            caller.end_input()
+            line, = wait_for(lambda: self.router.events(event), path, 10)
+            self.assertEqual(line["request"].strip('"'), request_id)
+            self.assertEqual(line[reason[0]].strip('"'), reason[1])
+            self.assertGreater(time.monotonic() - began, UNREAD_S - 0.2)
+
+    def begin_silent_stream(self):
+        """The last byte received is none of the stream's own."""
+        caller, _ = self.begin("/ask/once/x")
+        while b"data: e" not in caller.buffer:
+            caller.receive()
         caller.end_input()
-        line, = wait_for(lambda: self.router.events("answer_unsent"),
-                         "the limit", 10)
-        self.assertEqual(line["request"].strip('"'), request_id)
-        self.assertEqual(line["cause"].strip('"'), "not_read")
-        self.assertGreater(int(line["ms"]), 1000 * UNREAD_S - 200)
+        while not caller.buffer.endswith(b"\n\r\n0"):
+            caller.receive()
+        return caller
+
+    def assert_reset(self, caller):
+        with self.assertRaises(ConnectionResetError):
+            while True:
+                caller.receive()
+
+    def test_a_broken_silent_stream_does_not_look_whole(self):
+        """A reader may take a zero at the end of input for the last chunk."""
+        self.set_all(event_s=SLOW_S, cuts=True)
+        self.assert_reset(self.begin_silent_stream())
+
+    def test_a_killed_router_leaves_no_stream_that_looks_whole(self):
+        self.set_all(event_s=SLOW_S)
+        caller = self.begin_silent_stream()
+        self.router.process.kill()
+        self.assert_reset(caller)
 
     def test_nothing_is_spent_on_waiting(self):
         """The end of input can be read all the time."""
