InterimHeads drops every interim head, also one that comes in pieces

What was seen: an upstream that sends 103 or 102 before its answer costs its caller a 502 (answer_mismatch, status=103), and a router whose store does so is never ready. RFC 9110, section 15.2, has a client take any number of interim answers before the final one.

Cause: evhttp reads on behind 100 alone and takes another interim head for the answer. InterimHeads dropped whole heads of 100 only, and left a head that came in pieces to evhttp, which then reads the answer in a later turn of the loop and may see the end of the connection first.

Why it works: what may become an interim head is kept back until it is one, so that evhttp sees the final head first. A head of more than 16 KiB is left to evhttp, which has a limit; AttemptConnection counts heads, and HeadCheck their lines, as before.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -6,7 +6,6 @@
 #include "Clock.h"
 #include "DescriptorReserve.h"
 #include "HttpCall.h"
-#include "InterimHeads.h"
 #include "OutgoingSocket.h"
 
 /* Bytes that one read may add beyond the largest event, framing included. */
@@ -95,16 +94,6 @@
     }
 }
 
-/* A head that arrives in pieces is left to evhttp. */
-static void
-drop_interim_heads(AttemptConnection_t *this, struct evbuffer *buffer)
-{
-    if (!this->is_head_begun) {
-        count_interim(this, InterimHeads_drop(buffer));
-        this->is_head_begun = evbuffer_get_length(buffer) > 0;
-    }
-}
-
 /* evhttp passes a chunk on only once it is complete, so an endless chunk would
  * fill the input buffer without limit. */
 static void
@@ -112,6 +101,9 @@
          void *data)
 {
     AttemptConnection_t *this = data;
+    if (InterimHeads_isMoving(&this->interim)) {
+        return;
+    }
     gboolean was_broken = AttemptConnection_hasBrokenFraming(this);
     gboolean is_dropped = HeadCheck_drops(&this->head, buffer, info->n_added);
     if (this->input_oversized || was_broken || this->closed) {
@@ -121,7 +113,9 @@
         end_dropped(this);
         return;
     }
-    drop_interim_heads(this, buffer);
+    if (info->n_added > 0) {
+        count_interim(this, InterimHeads_drop(&this->interim, buffer));
+    }
     check_chunks(this, buffer,
                  MIN(info->n_added, evbuffer_get_length(buffer)));
     if (this->input_oversized || HeadCheck_isBroken(&this->head)) {
@@ -365,6 +359,7 @@
         bufferevent_get_input(AttemptConnection_bufferevent(this));
     evbuffer_remove_cb_entry(output, this->output_watch);
     evbuffer_remove_cb_entry(input, this->input_watch);
+    InterimHeads_clear(&this->interim);
     count_input(this, 0);
     if (this->unsent) {
         evhttp_request_free(this->unsent);
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -15,6 +15,7 @@
 #include "BodyFraming.h"
 #include "ChunkCheck.h"
 #include "HeadCheck.h"
+#include "InterimHeads.h"
 #include "Upstream.h"
 
 /**
@@ -91,8 +92,8 @@
  * @input_counted: this connection's part of @input_total
  * @head: the check of the answer's heads
  * @chunks: the check of the body's chunks
+ * @interim: the interim heads in front of the answer
  * @interim_answers: number of interim answers received
- * @is_head_begun: evhttp may have read a part of the head under way
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
  * @starting: AttemptConnection_send() has not returned
@@ -129,8 +130,8 @@
     gsize input_counted;
     HeadCheck_t head;
     ChunkCheck_t chunks;
+    InterimHeads_t interim;
     guint interim_answers;
-    gboolean is_head_begun;
     gint64 last_received_ms;
     gboolean starting;
     gboolean sent;
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -42,9 +42,9 @@
     ChunkCheck_t chunks;
     gsize answer_max;
     gsize received_bytes;
-    gboolean is_head_begun; /* evhttp may have read a part of a head */
-    gint64 received_ms;     /* when the last of them came */
-    GList link;             /* in open_calls */
+    InterimHeads_t interim;
+    gint64 received_ms; /* when the last of them came */
+    GList link;         /* in open_calls */
 };
 
 static GQueue open_calls; /* HttpCall_t */
@@ -120,6 +120,7 @@
     else {
         Http_abort(this->connection);
     }
+    InterimHeads_clear(&this->interim);
     total_bytes -= this->received_bytes;
     g_queue_unlink(&open_calls, &this->link);
     event_free(this->deadline);
@@ -285,16 +286,6 @@
     }
 }
 
-/* A head that arrives in pieces is left to evhttp. */
-static void
-drop_interim_heads(HttpCall_t *this, struct evbuffer *buffer)
-{
-    if (!this->is_head_begun) {
-        (void)InterimHeads_drop(buffer);
-        this->is_head_begun = evbuffer_get_length(buffer) > 0;
-    }
-}
-
 /* An answer that arrives slowly is not late: a repeated call would compete
  * with it for the same link. */
 static void
@@ -302,13 +293,16 @@
          void *data)
 {
     HttpCall_t *this = data;
+    if (InterimHeads_isMoving(&this->interim)) {
+        return;
+    }
     if (info->n_added > 0) {
         this->received_bytes += info->n_added;
         total_bytes += info->n_added;
         this->received_ms = Clock_nowMs();
         drop_broken_head(this, buffer, info->n_added);
         check_length(this);
-        drop_interim_heads(this, buffer);
+        (void)InterimHeads_drop(&this->interim, buffer);
         check_chunks(this, buffer,
                      MIN(info->n_added, evbuffer_get_length(buffer)));
     }
--- a/src/InterimHeads.c
+++ b/src/InterimHeads.c
@@ -2,37 +2,111 @@
 
 #include <string.h>
 
-/* Of "HTTP/1.1 100 Continue". */
-#define VERSION "HTTP/1."
-#define VERSION_LENGTH (sizeof(VERSION) - 1)
-#define STATUS " 100 "
-#define STATUS_LENGTH (sizeof(STATUS) - 1)
+/* Each 0 stands for a digit, the blank at the end for that or the line's end.
+ */
+#define START "HTTP/1.0 100 "
+#define START_LENGTH (sizeof(START) - 1)
+#define STATUS_OFFSET 9
+#define STATUS_LENGTH 3
+#define SWITCHING "101"
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_LENGTH (sizeof(HEAD_END) - 1)
+/* A longer one is left to evhttp, which has a limit for it. */
+#define KEPT_MAX 16384
 
 static gboolean
-begins_interim(struct evbuffer *input)
+matches(char byte, gsize at)
 {
-    /* One byte is the minor version. */
-    char start[VERSION_LENGTH + 1 + STATUS_LENGTH];
-    return evbuffer_copyout(input, start, sizeof(start)) ==
-               (ev_ssize_t)sizeof(start) &&
-           memcmp(start, VERSION, VERSION_LENGTH) == 0 &&
-           memcmp(start + VERSION_LENGTH + 1, STATUS, STATUS_LENGTH) == 0;
+    if (at == START_LENGTH - 1) {
+        return byte == ' ' || byte == '\r';
+    }
+    return START[at] == '0' ? g_ascii_isdigit(byte) : byte == START[at];
+}
+
+static gboolean
+is_start(const char *bytes, gsize length)
+{
+    for (gsize at = 0; at < length; at++) {
+        if (!matches(bytes[at], at)) {
+            return FALSE;
+        }
+    }
+    return length < STATUS_OFFSET + STATUS_LENGTH ||
+           memcmp(bytes + STATUS_OFFSET, SWITCHING, STATUS_LENGTH) != 0;
+}
+
+/* Whether the input begins as an interim head does, as far as it came. */
+static gboolean
+may_begin_interim(struct evbuffer *input)
+{
+    char start[START_LENGTH];
+    ev_ssize_t length = evbuffer_copyout(input, start, sizeof(start));
+    return length > 0 && is_start(start, (gsize)length);
+}
+
+static gboolean
+drop_first(struct evbuffer *input)
+{
+    struct evbuffer_ptr end =
+        evbuffer_search(input, HEAD_END, HEAD_END_LENGTH, NULL);
+    if (!may_begin_interim(input) || end.pos < 0) {
+        return FALSE;
+    }
+    evbuffer_drain(input, (size_t)end.pos + HEAD_END_LENGTH);
+    return TRUE;
+}
+
+static void
+put_back(InterimHeads_t *this, struct evbuffer *input)
+{
+    if (this->kept) {
+        evbuffer_prepend_buffer(input, this->kept);
+    }
+}
+
+static void
+keep_back(InterimHeads_t *this, struct evbuffer *input)
+{
+    if (!this->kept) {
+        this->kept = evbuffer_new();
+    }
+    evbuffer_add_buffer(this->kept, input);
 }
 
 guint
-InterimHeads_drop(struct evbuffer *input)
+InterimHeads_drop(InterimHeads_t *this, struct evbuffer *input)
 {
     guint dropped = 0;
-    while (begins_interim(input)) {
-        struct evbuffer_ptr end =
-            evbuffer_search(input, HEAD_END, HEAD_END_LENGTH, NULL);
-        if (end.pos < 0) {
-            break;
-        }
-        evbuffer_drain(input, (size_t)end.pos + HEAD_END_LENGTH);
+    if (this->is_over) {
+        return 0;
+    }
+    this->is_moving = TRUE;
+    put_back(this, input);
+    while (drop_first(input)) {
         dropped++;
     }
+    gsize length = evbuffer_get_length(input);
+    if (may_begin_interim(input) && length <= KEPT_MAX) {
+        keep_back(this, input);
+    }
+    else {
+        this->is_over = length > 0;
+    }
+    this->is_moving = FALSE;
     return dropped;
 }
+
+gboolean
+InterimHeads_isMoving(const InterimHeads_t *this)
+{
+    return this->is_moving;
+}
+
+void
+InterimHeads_clear(InterimHeads_t *this)
+{
+    if (this->kept) {
+        evbuffer_free(this->kept);
+        this->kept = NULL;
+    }
+}
