Answers: blanks are no part of values; what is refused is named

What was seen: an upstream with a tab or blanks around its Content-Length costs its callers a 502, and a router whose store does so is never ready, although RFC 9110, section 5.5, leaves blanks and tabs around a value out of it. A router that refuses a store's answer tells that the connection closed, or that the end is "not marked or ambiguous", whatever the fault was.

Cause: evhttp skips blanks in front of a value, and not tabs, and takes a length with one for none. The reasons were one text for all faults, and evhttp ends a call of itself where it can't read a length, before that text.

Why it works: BodyFraming_receive takes the blanks away before the framing, evhttp and the readers of a head use the values; RelayAttempt reads its head after that. The same length twice, or in a list, stays refused: test_framing's table, played against answers, and test_BodyFraming demand it, and RFC 9112, section 6.3, allows it. Each fault has a reason of its own in attempt_ended and in the errors of calls. A call ends at once where its answer is ambiguous.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -145,7 +145,7 @@
 {
     struct evbuffer *input =
         bufferevent_get_input(AttemptConnection_bufferevent(this));
-    BodyFraming_t framing = BodyFraming_receive(request);
+    BodyFraming_t framing = BodyFraming_receive(request, &this->framing_fault);
     if (framing == BODY_CHUNKED) {
         ChunkCheck_begin(&this->chunks);
         check_chunks(this, input, evbuffer_get_length(input));
@@ -160,6 +160,18 @@
            HeadCheck_isBroken(&this->head);
 }
 
+const char *
+AttemptConnection_framingFault(const AttemptConnection_t *this)
+{
+    const char *fault = HeadCheck_fault(&this->head);
+    if (!fault) {
+        fault = ChunkCheck_isBroken(&this->chunks)
+                    ? "the framing of the answer's chunks is broken"
+                    : this->framing_fault;
+    }
+    return fault;
+}
+
 /* Keeps evhttp from writing the request. The connection is freed in a later
  * loop iteration and may be established by then, although the request counts
  * as not sent and may be running at another upstream. */
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -94,6 +94,7 @@
  * @chunks: the check of the body's chunks
  * @interim: the interim heads in front of the answer
  * @interim_answers: number of interim answers received
+ * @framing_fault: why the framing of the answer is ambiguous, or NULL
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
  * @starting: AttemptConnection_send() has not returned
@@ -132,6 +133,7 @@
     ChunkCheck_t chunks;
     InterimHeads_t interim;
     guint interim_answers;
+    const char *framing_fault;
     gint64 last_received_ms;
     gboolean starting;
     gboolean sent;
@@ -182,7 +184,7 @@
 
 /**
  * AttemptConnection_receiveBody() - as BodyFraming_receive(); checks the
- * chunks of the body from now on
+ * chunks of the body from now on. Must be called before headers are read.
  */
 BodyFraming_t AttemptConnection_receiveBody(AttemptConnection_t *this,
                                             struct evhttp_request *request);
@@ -192,6 +194,10 @@
  * timeout timer expires at once */
 gboolean AttemptConnection_hasBrokenFraming(const AttemptConnection_t *this);
 
+/** AttemptConnection_framingFault() - why the head, the chunks or their
+ * framing were refused, as a phrase for logs; or NULL */
+const char *AttemptConnection_framingFault(const AttemptConnection_t *this);
+
 /** AttemptConnection_remainingMs() - time until the current timeout; 0 or less
  * once it has expired */
 gint64 AttemptConnection_remainingMs(const AttemptConnection_t *this);
--- a/src/BodyFraming.c
+++ b/src/BodyFraming.c
@@ -9,6 +9,8 @@
 #define LENGTH_HEADER "Content-Length"
 #define CODING_HEADER "Transfer-Encoding"
 #define STATUS_CONTINUE 100
+#define STATUS_SWITCHING 101
+#define BLANKS " \t"
 #define METHODS_WITH_BODY                                                     \
     (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |  \
      EVHTTP_REQ_OPTIONS | EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH)
@@ -67,31 +69,74 @@
            g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT64, &length, NULL);
 }
 
-BodyFraming_t
-BodyFraming_read(enum evhttp_cmd_type method, int status,
-                 const struct evkeyvalq *headers)
+static const char *
+find_status_fault(int status)
+{
+    if (status >= HTTP_OK) {
+        return NULL;
+    }
+    return status == STATUS_SWITCHING ? "the answer switches protocols"
+                                      : "an interim answer is too long";
+}
+
+static const char *
+find_coding_fault(guint codings, const char *coding)
+{
+    if (codings > 1) {
+        return "the answer has several transfer codings";
+    }
+    return codings == 0 || g_ascii_strcasecmp(coding, "chunked") == 0
+               ? NULL
+               : "the answer's transfer coding is not chunked";
+}
+
+static const char *
+find_length_fault(guint lengths, const char *length)
+{
+    if (lengths > 1) {
+        return "the answer states several lengths";
+    }
+    return lengths == 0 || is_length(length)
+               ? NULL
+               : "the answer's length is no number";
+}
+
+const char *
+BodyFraming_findFault(enum evhttp_cmd_type method, int status,
+                      const struct evkeyvalq *headers)
 {
     const char *coding = NULL;
     const char *length = NULL;
     guint codings = count_values(headers, CODING_HEADER, &coding);
     guint lengths = count_values(headers, LENGTH_HEADER, &length);
-    if (status < HTTP_OK) {
-        return BODY_AMBIGUOUS;
+    const char *fault = find_status_fault(status);
+    if (fault || has_no_body(method, status)) {
+        return fault;
     }
-    if (has_no_body(method, status)) {
-        return BODY_EMPTY;
+    if (codings > 0 && lengths > 0) {
+        return "the answer states a length beside a transfer coding";
     }
-    if (codings + lengths > 1) {
+    fault = find_coding_fault(codings, coding);
+    return fault ? fault : find_length_fault(lengths, length);
+}
+
+BodyFraming_t
+BodyFraming_read(enum evhttp_cmd_type method, int status,
+                 const struct evkeyvalq *headers)
+{
+    const char *value = NULL;
+    if (BodyFraming_findFault(method, status, headers)) {
         return BODY_AMBIGUOUS;
     }
-    if (codings == 1) {
-        return g_ascii_strcasecmp(coding, "chunked") == 0 ? BODY_CHUNKED
-                                                          : BODY_AMBIGUOUS;
+    if (has_no_body(method, status)) {
+        return BODY_EMPTY;
     }
-    if (lengths == 1) {
-        return is_length(length) ? BODY_LENGTH : BODY_AMBIGUOUS;
+    if (count_values(headers, CODING_HEADER, &value) > 0) {
+        return BODY_CHUNKED;
     }
-    return BODY_CLOSE_DELIMITED;
+    return count_values(headers, LENGTH_HEADER, &value) > 0
+               ? BODY_LENGTH
+               : BODY_CLOSE_DELIMITED;
 }
 
 static gboolean
@@ -151,15 +196,40 @@
     return lengths == 1 && !is_length(length);
 }
 
+static void
+trim(char *value)
+{
+    size_t begin = strspn(value, BLANKS);
+    size_t length = strlen(value);
+    while (length > begin && strchr(BLANKS, value[length - 1])) {
+        length--;
+    }
+    memmove(value, value + begin, length - begin);
+    value[length - begin] = '\0';
+}
+
+/* evhttp leaves tabs in front of values, and the blanks of folds. */
+static void
+trim_values(struct evkeyvalq *headers)
+{
+    struct evkeyval *header = NULL;
+    TAILQ_FOREACH(header, headers, next)
+    {
+        trim(header->value);
+    }
+}
+
 /* evhttp takes an answer without a length for one without a body if it has a
  * Connection header other than "close". */
 BodyFraming_t
-BodyFraming_receive(struct evhttp_request *request)
+BodyFraming_receive(struct evhttp_request *request, const char **fault)
 {
     struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    BodyFraming_t framing =
-        BodyFraming_read(evhttp_request_get_command(request),
-                         evhttp_request_get_response_code(request), headers);
+    enum evhttp_cmd_type method = evhttp_request_get_command(request);
+    int status = evhttp_request_get_response_code(request);
+    trim_values(headers);
+    *fault = BodyFraming_findFault(method, status, headers);
+    BodyFraming_t framing = BodyFraming_read(method, status, headers);
     if (framing == BODY_CLOSE_DELIMITED) {
         evhttp_remove_header(headers, "Connection");
     }
--- a/src/BodyFraming.h
+++ b/src/BodyFraming.h
@@ -43,6 +43,14 @@
 BodyFraming_t BodyFraming_read(enum evhttp_cmd_type method, int status,
                                const struct evkeyvalq *headers);
 
+/**
+ * BodyFraming_findFault() - why the framing of an answer is ambiguous
+ *
+ * Return: a phrase for logs; NULL if it is not
+ */
+const char *BodyFraming_findFault(enum evhttp_cmd_type method, int status,
+                                  const struct evkeyvalq *headers);
+
 /**
  * BodyFraming_isAmbiguousRequest() - whether receivers of a request may
  * disagree on where its body ends
@@ -58,10 +66,13 @@
 /**
  * BodyFraming_receive() - read the framing of an answer whose head has just
  * been received, and have evhttp receive its body accordingly
+ * @fault: gets what BodyFraming_findFault() returns
  *
- * Must be called from the request's header callback.
+ * Takes the blanks and tabs around the values of all headers away (RFC 9110,
+ * section 5.5). Must be called from the request's header callback.
  */
-BodyFraming_t BodyFraming_receive(struct evhttp_request *request);
+BodyFraming_t BodyFraming_receive(struct evhttp_request *request,
+                                  const char **fault);
 
 /**
  * BodyFraming_skipInterim() - whether the head that has just been received is
--- a/src/HeadCheck.c
+++ b/src/HeadCheck.c
@@ -102,6 +102,21 @@
     return LineCheck_isBroken(&this->syntax);
 }
 
+const char *
+HeadCheck_fault(const HeadCheck_t *this)
+{
+    switch (this->syntax.broken_by) {
+    case LINE_FAULT_NONE:
+        return NULL;
+    case LINE_FAULT_LINE_FEED:
+        return "a line of the answer's head ends in a bare line feed";
+    case LINE_FAULT_FOLD:
+        return "a field of the answer's head is folded";
+    default:
+        return "a line of the answer's head is malformed";
+    }
+}
+
 gboolean
 HeadCheck_isTooLong(const HeadCheck_t *this)
 {
--- a/src/HeadCheck.h
+++ b/src/HeadCheck.h
@@ -62,4 +62,7 @@
 /** HeadCheck_isBroken() - whether a line was malformed */
 gboolean HeadCheck_isBroken(const HeadCheck_t *this);
 
+/** HeadCheck_fault() - what was malformed, as a phrase for logs; or NULL */
+const char *HeadCheck_fault(const HeadCheck_t *this);
+
 #endif
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -43,8 +43,9 @@
     gsize answer_max;
     gsize received_bytes;
     InterimHeads_t interim;
-    gint64 received_ms; /* when the last of them came */
-    GList link;         /* in open_calls */
+    const char *framing_fault; /* of the head, or NULL */
+    gint64 received_ms;        /* when the last of them came */
+    GList link;                /* in open_calls */
 };
 
 static GQueue open_calls; /* HttpCall_t */
@@ -191,10 +192,22 @@
            HeadCheck_isBroken(&this->head);
 }
 
+static gboolean
+is_misframed(const HttpCall_t *this)
+{
+    return has_broken_framing(this) || this->framing_fault;
+}
+
 static void
-fail_broken(HttpCall_t *this)
+fail_misframed(HttpCall_t *this)
 {
-    fail(this, WT_ERROR_BAD_ANSWER, "the answer's framing is broken");
+    const char *fault = HeadCheck_fault(&this->head);
+    if (!fault) {
+        fault = this->framing_fault
+                    ? this->framing_fault
+                    : "the framing of the answer's chunks is broken";
+    }
+    fail(this, WT_ERROR_BAD_ANSWER, fault);
 }
 
 static void
@@ -206,8 +219,8 @@
     if (this->is_too_long) {
         fail(this, WT_ERROR_BAD_ANSWER, "the answer is too long");
     }
-    else if (has_broken_framing(this)) {
-        fail_broken(this);
+    else if (is_misframed(this)) {
+        fail_misframed(this);
     }
     else if (this->sent) {
         fail(this, WT_ERROR_TIMEOUT, "no answer in time");
@@ -332,7 +345,10 @@
     if (BodyFraming_skipInterim(request)) {
         return 0;
     }
-    this->framing = BodyFraming_receive(request);
+    this->framing = BodyFraming_receive(request, &this->framing_fault);
+    if (this->framing_fault && this->done) {
+        Clock_arm(this->deadline, 0);
+    }
     if (this->framing == BODY_CHUNKED) {
         ChunkCheck_begin(&this->chunks);
         check_chunks(this, input, evbuffer_get_length(input));
@@ -360,19 +376,18 @@
         Clock_arm(this->deadline, 0);
         return;
     }
+    if (is_misframed(this)) {
+        fail_misframed(this);
+        return;
+    }
     if (status == 0) {
         fail(this, this->sent ? WT_ERROR_CUT : WT_ERROR_CONNECT,
              this->sent ? "the connection closed before the answer ended"
                         : "not connected");
         return;
     }
-    if (has_broken_framing(this)) {
-        fail_broken(this);
-        return;
-    }
     if (!is_acceptable(this)) {
-        fail(this, WT_ERROR_BAD_ANSWER,
-             "the end of the answer is not marked or ambiguous");
+        fail(this, WT_ERROR_BAD_ANSWER, "the end of the answer is not marked");
         return;
     }
     struct evbuffer *body = evhttp_request_get_input_buffer(request);
--- a/src/LineCheck.c
+++ b/src/LineCheck.c
@@ -38,6 +38,12 @@
     return LineCheck_isToken(byte) ? LINE_NAME : LINE_BROKEN;
 }
 
+static gboolean
+is_blank(char byte)
+{
+    return byte == ' ' || byte == '\t';
+}
+
 static LineState_t
 read_begin(LineCheck_t *this, LineKind_t kind, char byte)
 {
@@ -81,20 +87,30 @@
 static void
 check_request_line(LineCheck_t *this, char byte)
 {
-    gboolean is_blank = byte == ' ';
+    gboolean is_space = byte == ' ';
     gboolean is_end = this->state == LINE_END;
     gboolean is_sound =
         this->blanks > 0 ? byte != '\t' : LineCheck_isToken(byte);
-    if (is_blank || is_end) {
+    if (is_space || is_end) {
         is_sound = may_end_word(this, is_end);
     }
-    this->blanks += is_blank ? 1 : 0;
-    this->is_after_blank = is_blank;
+    this->blanks += is_space ? 1 : 0;
+    this->is_after_blank = is_space;
     if (!is_sound) {
         this->state = LINE_BROKEN;
     }
 }
 
+static LineFault_t
+fault_of(LineState_t before, char byte)
+{
+    if (byte == '\n') {
+        return LINE_FAULT_LINE_FEED;
+    }
+    return before == LINE_BEGIN && is_blank(byte) ? LINE_FAULT_FOLD
+                                                  : LINE_FAULT_OTHER;
+}
+
 void
 LineCheck_feed(LineCheck_t *this, LineKind_t kind, char byte)
 {
@@ -107,6 +123,9 @@
         (before == LINE_TEXT || this->state == LINE_TEXT)) {
         check_request_line(this, byte);
     }
+    if (this->state == LINE_BROKEN) {
+        this->broken_by = fault_of(before, byte);
+    }
 }
 
 gboolean
--- a/src/LineCheck.h
+++ b/src/LineCheck.h
@@ -38,17 +38,33 @@
     LINE_OF_FIELD,
 } LineKind_t;
 
+/**
+ * enum LineFault_t - why a line is malformed
+ * @LINE_FAULT_NONE: it is sound
+ * @LINE_FAULT_LINE_FEED: a line feed without a carriage return
+ * @LINE_FAULT_FOLD: it begins with a blank, as the next line of a field does
+ * @LINE_FAULT_OTHER: another byte that may not stand there
+ */
+typedef enum {
+    LINE_FAULT_NONE,
+    LINE_FAULT_LINE_FEED,
+    LINE_FAULT_FOLD,
+    LINE_FAULT_OTHER,
+} LineFault_t;
+
 /**
  * struct LineCheck_t - the check of one line after the other; all zero before
  * the first one
  * @state: what the next byte belongs to
  * @blanks: blanks so far in a request line
  * @is_after_blank: the last byte of a request line was a blank
+ * @broken_by: what was malformed
  */
 typedef struct {
     LineState_t state;
     guint blanks;
     gboolean is_after_blank;
+    LineFault_t broken_by;
 } LineCheck_t;
 
 /** LineCheck_isToken() - whether a byte may stand in the name of a field
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -93,6 +93,9 @@
                this->has_head && this->head.matches_request);
     Log_number("broken_framing",
                AttemptConnection_hasBrokenFraming(connection));
+    if (AttemptConnection_framingFault(connection)) {
+        Log_text("reason", AttemptConnection_framingFault(connection));
+    }
     Log_number("connection", (gint64)PooledConnection_number(pooled));
     Log_number("requests", PooledConnection_countRequests(pooled));
     Log_end();
@@ -347,13 +350,14 @@
     this->connection.last_received_ms = Clock_nowMs();
     Upstream_noteReachable(this->connection.upstream,
                            this->connection.last_received_ms);
+    BodyFraming_t framing =
+        AttemptConnection_receiveBody(&this->connection, request);
     this->form->read_head(evhttp_request_get_response_code(request), headers,
                           this->request_id->str,
                           this->connection.upstream->name->str, &this->head);
     this->weights = g_strdup(this->head.weights);
     this->head.weights = this->weights;
-    this->head.framing =
-        AttemptConnection_receiveBody(&this->connection, request);
+    this->head.framing = framing;
     this->expected_end = classify_head(&this->head, headers);
     this->has_head = TRUE;
     if (this->head.matches_request) {
--- a/tests/test_BodyFraming.c
+++ b/tests/test_BodyFraming.c
@@ -2,6 +2,7 @@
 
 #include "BodyFraming.h"
 
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <sys/queue.h>
 
@@ -81,6 +82,80 @@
 }
 END_TEST
 
+static const char *
+find_fault(int status, const char *const *lines)
+{
+    struct evkeyvalq headers;
+    TAILQ_INIT(&headers);
+    for (; *lines; lines += 2) {
+        evhttp_add_header(&headers, lines[0], lines[1]);
+    }
+    const char *fault =
+        BodyFraming_findFault(EVHTTP_REQ_POST, status, &headers);
+    evhttp_clear_headers(&headers);
+    return fault;
+}
+
+#define FAULT(status, ...)                                                    \
+    find_fault(status, (const char *const[]){__VA_ARGS__, NULL})
+
+/* A log line told no more than that the end was not marked or ambiguous. */
+START_TEST(faults_of_the_framing_are_told_apart)
+{
+    const char *const faults[] = {
+        FAULT(101, "Upgrade", "x"),
+        FAULT(103, "Link", "x"),
+        FAULT(200, "Content-Length", "3", "Transfer-Encoding", "chunked"),
+        FAULT(200, "Content-Length", "3", "Content-Length", "3"),
+        FAULT(200, "Content-Length", "3, 3"),
+        FAULT(200, "Transfer-Encoding", "gzip, chunked"),
+        FAULT(200, "Transfer-Encoding", "chunked", "Transfer-Encoding",
+              "chunked"),
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(faults); i++) {
+        ck_assert(faults[i]);
+        for (gsize j = 0; j < i; j++) {
+            ck_assert_str_ne(faults[i], faults[j]);
+        }
+    }
+    ck_assert(!FAULT(200, "Content-Length", "3"));
+    ck_assert(!FAULT(200, "Transfer-Encoding", "chunked"));
+    ck_assert(!FAULT(200, "Connection", "close"));
+    ck_assert(!FAULT(204, "Content-Length", "x"));
+}
+END_TEST
+
+/* evhttp took a length behind a tab for none. */
+START_TEST(blanks_and_tabs_are_no_part_of_values)
+{
+    static const struct {
+        const char *name, *value, *read;
+        BodyFraming_t framing;
+    } cases[] = {
+        {"Content-Length", "\t3", "3", BODY_LENGTH},
+        {"Content-Length", " \t 3\t \t", "3", BODY_LENGTH},
+        {"Content-Length", " \t ", "", BODY_AMBIGUOUS},
+        {"Content-Length", "3 3", "3 3", BODY_AMBIGUOUS},
+        {"Content-Length", "\v3", "\v3", BODY_AMBIGUOUS},
+        {"Transfer-Encoding", "\tchunked ", "chunked", BODY_CHUNKED},
+        {"X-Note", "\ta\tb\t", "a\tb", BODY_CLOSE_DELIMITED},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const char *fault = NULL;
+        struct evhttp_request *request = evhttp_request_new(NULL, NULL);
+        struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+        request->response_code = 200;
+        evhttp_add_header(headers, cases[i].name, cases[i].value);
+        ck_assert_int_eq(BodyFraming_receive(request, &fault),
+                         cases[i].framing);
+        ck_assert_str_eq(evhttp_find_header(headers, cases[i].name),
+                         cases[i].read);
+        ck_assert((fault != NULL) == (cases[i].framing == BODY_AMBIGUOUS));
+        evhttp_request_free(request);
+    }
+}
+END_TEST
+
 static gboolean
 is_ambiguous_request(enum evhttp_cmd_type method, const char *const *lines)
 {
@@ -138,4 +213,6 @@
              without_either_the_connection_marks_the_end,
              answers_without_a_body_need_no_mark,
              contradictory_or_unreadable_lengths_are_ambiguous,
-             interim_answers_are_no_final_ones)
+             interim_answers_are_no_final_ones,
+             faults_of_the_framing_are_told_apart,
+             blanks_and_tabs_are_no_part_of_values)
--- a/tests/test_HeadCheck.c
+++ b/tests/test_HeadCheck.c
@@ -86,6 +86,25 @@
 }
 END_TEST
 
+START_TEST(faults_are_told_apart)
+{
+    static const char *const heads[][2] = {
+        {"HTTP/1.1 200 OK\r\n\r\n", NULL},
+        {"HTTP/1.1 200 OK\n", "bare line feed"},
+        {"HTTP/1.1 200 OK\r\nA: 1\n", "bare line feed"},
+        {"HTTP/1.1 200 OK\r\nA: 1\r\n b\r\n", "folded"},
+        {"HTTP/1.1 200 OK\r\nA : 1\r\n", "malformed"},
+        {"HTTP/1.1 200 OK\r\nA: 1\rB: 2\r\n", "malformed"},
+    };
+    for (gsize i = 0; i < G_N_ELEMENTS(heads); i++) {
+        HeadCheck_t check = check_in_parts(heads[i][0], 1);
+        const char *fault = HeadCheck_fault(&check);
+        ck_assert((fault == NULL) == (heads[i][1] == NULL));
+        ck_assert(!fault || strstr(fault, heads[i][1]));
+    }
+}
+END_TEST
+
 START_TEST(trailers_count_with_the_head)
 {
     struct evbuffer *buffer = evbuffer_new();
@@ -103,4 +122,4 @@
              heads_after_an_interim_one_count_as_well,
              input_of_a_head_with_too_many_lines_is_dropped,
              input_of_a_malformed_head_is_dropped,
-             trailers_count_with_the_head)
+             faults_are_told_apart, trailers_count_with_the_head)
