A router's own calls take folded fields

What was seen: a router whose store folds a field of its head over two lines is never ready. RFC 9112, section 5.2, has a user agent replace the fold by blanks; only a server, a proxy or a gateway may refuse it.

Cause: HeadCheck refused any line that begins with a blank, as requests and relayed answers must not leave open how a fold is read.

Evidence: test_answer_forms.StoreTest on the code before: not ready with each of the four folded forms, at once on the code after. folds_are_taken_where_asked_for can't be built there; it plays folds in parts of every size, and those behind a status line, an interim head or a bare line feed.

Why it works: evhttp joins the lines with one blank, and BodyFraming_receive takes the blanks around the value away, so that only the check has to allow the line. It does so behind a field of the same head or trailers; anything else would be joined with what came before. Upstreams' answers, relayed or of native services, are refused as before (test_whole_answers demands it); the upstream is not blamed for it.

--- a/src/HeadCheck.c
+++ b/src/HeadCheck.c
@@ -9,6 +9,7 @@
     gboolean is_empty = this->line_bytes == 0;
     this->lines++;
     this->line_bytes = 0;
+    this->has_field = !is_empty && this->is_first_line_read;
     if (!is_empty) {
         this->is_first_line_read = TRUE;
         return;
@@ -20,12 +21,20 @@
     }
 }
 
+static LineKind_t
+kind_of_line(const HeadCheck_t *this)
+{
+    if (!this->is_first_line_read) {
+        return LINE_OF_STATUS;
+    }
+    return this->takes_folds && this->has_field ? LINE_OF_FOLDABLE
+                                                : LINE_OF_FIELD;
+}
+
 static void
 feed_byte(HeadCheck_t *this, char byte)
 {
-    LineCheck_feed(&this->syntax,
-                   this->is_first_line_read ? LINE_OF_FIELD : LINE_OF_STATUS,
-                   byte);
+    LineCheck_feed(&this->syntax, kind_of_line(this), byte);
     if (byte == '\n') {
         end_line(this);
         return;
@@ -44,6 +53,7 @@
 {
     this->is_ended = FALSE;
     this->is_first_line_read = TRUE;
+    this->has_field = FALSE;
     this->line_bytes = 0;
 }
 
--- a/src/HeadCheck.h
+++ b/src/HeadCheck.h
@@ -23,6 +23,9 @@
  * @is_first_line_read: a line of the head under way was received
  * @is_interim: the head under way is that of an interim answer
  * @is_ended: the last head was received
+ * @takes_folds: a field may go on in the next line, which evhttp joins with a
+ *     blank (RFC 9112, section 5.2); set by the owner
+ * @has_field: a field of the head or of the trailers was received
  * @syntax: check of the lines
  */
 typedef struct {
@@ -31,6 +34,8 @@
     gboolean is_first_line_read;
     gboolean is_interim;
     gboolean is_ended;
+    gboolean takes_folds;
+    gboolean has_field;
     LineCheck_t syntax;
 } HeadCheck_t;
 
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -429,6 +429,7 @@
     this->accepts_close_delimited = spec->accepts_close_delimited;
     this->late_ms = spec->late_ms;
     this->answer_max = spec->answer_max;
+    this->head.takes_folds = !spec->refuses_folds;
     this->link.data = this;
     g_queue_push_tail_link(&open_calls, &this->link);
     this->deadline = Clock_timer(base, on_deadline, this);
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -39,7 +39,10 @@
  * @connect_timeout_ms: timeout of the connection setup; 0 for @timeout_ms
  * @late_ms: silence after which the callback gets WT_ERROR_LATE; 0 for never
  * @answer_max: longest answer in bytes, its head and framing included
- * @accepts_close_delimited: accept an answer that may be truncated
+ * @refuses_folds: refuse an answer with a folded field, as a gateway may (RFC
+ *     9112, section 5.2)
+ * @accepts_close_delimited: accept an answer that may be truncated, as the
+ *     caller can tell that from its content, or needs no more than its head
  */
 typedef struct {
     const Address_t *address;
@@ -51,6 +54,7 @@
     gint64 connect_timeout_ms;
     gint64 late_ms;
     gsize answer_max;
+    gboolean refuses_folds;
     gboolean accepts_close_delimited;
 } HttpCallSpec_t;
 
--- a/src/LineCheck.c
+++ b/src/LineCheck.c
@@ -52,7 +52,8 @@
     if (byte == '\r') {
         return LINE_END;
     }
-    if (kind == LINE_OF_STATUS) {
+    if (kind == LINE_OF_STATUS ||
+        (kind == LINE_OF_FOLDABLE && is_blank(byte))) {
         return read_text(this, kind, byte);
     }
     if (!LineCheck_isToken(byte)) {
--- a/src/LineCheck.h
+++ b/src/LineCheck.h
@@ -31,11 +31,13 @@
  * @LINE_OF_REQUEST: a method, a target and a version
  * @LINE_OF_STATUS: the first line of an answer
  * @LINE_OF_FIELD: a field
+ * @LINE_OF_FOLDABLE: a field, or the next line of the field before it
  */
 typedef enum {
     LINE_OF_REQUEST,
     LINE_OF_STATUS,
     LINE_OF_FIELD,
+    LINE_OF_FOLDABLE,
 } LineKind_t;
 
 /**
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -218,6 +218,7 @@
         .answer_max = (gsize)super->context->settings->limits.answer_max,
         .connect_timeout_ms =
             super->context->settings->limits.connect_timeout_ms,
+        .refuses_folds = TRUE,
         .accepts_close_delimited = TRUE,
     };
     Exchange_noteAttempt(super, upstream, reason);
