Calls take answers that end with their connection, where they prove it

What was seen: a router whose store answers without a length and closes the connection behind each answer, as HTTP/1.0 and `Connection: close` allow (RFC 9112, section 6.3), is never ready, and nobody is served.

Cause: HttpCall takes such an answer only where its caller allows it, and the store's, the log's and the orders' calls did not, as a truncated answer looks the same.

The module tests cut each answer at every byte.

Why it works: a JSON object is whole or does not parse, and an append's answer is parsed for that. A read's batch that ends behind a record is what a read of fewer records gives; its offsets have no gaps and its end is known from its head, so that the reader goes on behind it. A batch that ends before its first record, or inside one, is refused, as is a shorter head. Order outcomes, health and refusals need no more than the head. Operators' answers are protocol buffers, where a part may be valid, and stay refused.

--- a/src/InstanceList.c
+++ b/src/InstanceList.c
@@ -102,6 +102,7 @@
         .path = "/instances",
         .timeout_ms = ANSWER_TIMEOUT_MS,
         .answer_max = HTTP_LIST_ANSWER_MAX,
+        .accepts_close_delimited = TRUE,
     };
     this->call = HttpCall_start(this->base, &spec, on_answer, this);
 }
--- a/src/LogHttp.c
+++ b/src/LogHttp.c
@@ -185,6 +185,7 @@
         .body = record,
         .timeout_ms = this->timeout_ms,
         .answer_max = HTTP_SHORT_ANSWER_MAX,
+        .accepts_close_delimited = TRUE,
     };
     start_call(this, &spec, on_appended, data)->appended = done;
 }
@@ -205,6 +206,7 @@
         .timeout_ms = this->timeout_ms + wait_ms,
         .answer_max = HTTP_LIST_ANSWER_MAX,
         .connect_timeout_ms = this->timeout_ms,
+        .accepts_close_delimited = TRUE,
     };
     start_call(this, &spec, on_read, data)->read = done;
 }
--- a/src/ManagedEngine.c
+++ b/src/ManagedEngine.c
@@ -360,6 +360,7 @@
         .body = body,
         .timeout_ms = this->sender->timeout_ms,
         .answer_max = HTTP_SHORT_ANSWER_MAX,
+        .accepts_close_delimited = TRUE,
     };
     this->call_is_order = body != NULL;
     this->origin = NoticeOrigin_begin(this->upstream, NULL);
--- a/tests/fuzz/FakeHttp.c
+++ b/tests/fuzz/FakeHttp.c
@@ -26,16 +26,32 @@
     this->done = NULL;
 }
 
-void
-FakeHttp_answer(int status, const char *body, gsize length)
+static void
+answer_framed(int status, BodyFraming_t framing, const char *body,
+              gsize length)
 {
     struct evkeyvalq headers;
     TAILQ_INIT(&headers);
-    HttpAnswer_t answer = {
-        .status = status, .headers = &headers, .body = body, .length = length};
+    HttpAnswer_t answer = {.status = status,
+                           .framing = framing,
+                           .headers = &headers,
+                           .body = body,
+                           .length = length};
     open_call.done(&answer, NULL, open_call.data);
 }
 
+void
+FakeHttp_answer(int status, const char *body, gsize length)
+{
+    answer_framed(status, BODY_LENGTH, body, length);
+}
+
+void
+FakeHttp_answerUnframed(int status, const char *body, gsize length)
+{
+    answer_framed(status, BODY_CLOSE_DELIMITED, body, length);
+}
+
 gboolean
 HttpCall_isReceiving(const HttpCall_t *this)
 {
--- a/tests/fuzz/FakeHttp.h
+++ b/tests/fuzz/FakeHttp.h
@@ -11,4 +11,8 @@
 /** FakeHttp_answer() - complete the open call with an answer */
 void FakeHttp_answer(int status, const char *body, gsize length);
 
+/** FakeHttp_answerUnframed() - as FakeHttp_answer(), with a body that ends
+ * with its connection */
+void FakeHttp_answerUnframed(int status, const char *body, gsize length);
+
 #endif
--- a/tests/fuzz/records.c
+++ b/tests/fuzz/records.c
@@ -72,13 +72,18 @@
 static void
 answer_log(LogClient_t *log, int status, const char *body, gsize length)
 {
+    static void (*const answer[])(int status, const char *body,
+                                  gsize length) = {FakeHttp_answer,
+                                                   FakeHttp_answerUnframed};
     guint answers = 0;
     GBytes *record = g_bytes_new_static("r", 1);
-    LogClient_read(log, "s", 3, 0, on_records, &answers);
-    FakeHttp_answer(status, body, length);
-    LogClient_append(log, "s", record, on_offset, &answers);
-    FakeHttp_answer(status, body, length);
-    g_assert_cmpuint(answers, ==, 2);
+    for (gsize i = 0; i < G_N_ELEMENTS(answer); i++) {
+        LogClient_read(log, "s", 3, 0, on_records, &answers);
+        answer[i](status, body, length);
+        LogClient_append(log, "s", record, on_offset, &answers);
+        answer[i](status, body, length);
+    }
+    g_assert_cmpuint(answers, ==, 2 * G_N_ELEMENTS(answer));
     g_bytes_unref(record);
     LogClient_destroy(log);
 }
@@ -99,7 +104,11 @@
     FakeHttp_answer(status, body, size - 1);
     RecordSource_list(source, "t", NULL, on_page, &answers);
     FakeHttp_answer(status, body, size - 1);
-    g_assert_cmpuint(answers, ==, 2);
+    RecordSource_read(source, "t", 3, 0, on_page, &answers);
+    FakeHttp_answerUnframed(status, body, size - 1);
+    RecordSource_list(source, "t", NULL, on_page, &answers);
+    FakeHttp_answerUnframed(status, body, size - 1);
+    g_assert_cmpuint(answers, ==, 4);
     RecordSource_destroy(source);
     answer_log(FleetLog_create(NULL, &address, TIMEOUT_MS, epoch), status,
                body, size - 1);
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -179,7 +179,7 @@
     HttpAnswer_t answer = {.status = 200, .body = (char *)body->data};
     FleetRead_t read;
     answer.length = body->len;
-    ck_assert(FleetStore_unframe(&answer, &read, NULL));
+    ck_assert(FleetStore_unframe(&answer, 4, &read, NULL));
     ck_assert_uint_eq(read.end, 7);
     ck_assert_uint_eq(read.start, 5);
     ck_assert_uint_eq(read.records->len, 3);
@@ -187,7 +187,7 @@
     for (gsize cut = 0; cut < body->len; cut++) {
         g_autoptr(GError) error = NULL;
         answer.length = cut;
-        if (FleetStore_unframe(&answer, &read, &error)) {
+        if (FleetStore_unframe(&answer, 4, &read, &error)) {
             g_ptr_array_unref(read.records); /* cut between two records */
         }
         else {
@@ -197,6 +197,76 @@
 }
 END_TEST
 
+static void
+append_offset(GByteArray *body, guint64 offset)
+{
+    offset = GUINT64_TO_BE(offset);
+    g_byte_array_append(body, (guint8 *)&offset, sizeof(offset));
+}
+
+static GByteArray *
+make_read_answer(guint64 end, guint records)
+{
+    GByteArray *body = g_byte_array_new();
+    append_offset(body, end);
+    append_offset(body, 0);
+    for (guint i = 0; i < records; i++) {
+        GBytes *record = make_bytes("record");
+        GBytes *framed = FleetStore_frame(record);
+        gsize size = 0;
+        const guint8 *data = g_bytes_get_data(framed, &size);
+        g_byte_array_append(body, data, (guint)size);
+        g_bytes_unref(framed);
+        g_bytes_unref(record);
+    }
+    return body;
+}
+
+#define RECORDS 3
+#define READ_END 7
+#define RECORD_BYTES (4 + strlen("record"))
+#define READ_HEAD_BYTES 16
+
+/* A read answer that ends with its connection, cut anywhere, gives whole
+ * records, and not the news that there are none. */
+START_TEST(cut_read_gives_whole_records_or_none)
+{
+    g_autoptr(GByteArray) body = make_read_answer(READ_END, RECORDS);
+    for (gsize length = 0; length <= body->len; length++) {
+        HttpAnswer_t answer = {.status = 200,
+                               .framing = BODY_CLOSE_DELIMITED,
+                               .body = (char *)body->data,
+                               .length = length};
+        gsize rest = length < READ_HEAD_BYTES ? 1 : length - READ_HEAD_BYTES;
+        gboolean is_sound = rest > 0 && rest % RECORD_BYTES == 0;
+        FleetRead_t read;
+        g_autoptr(GError) error = NULL;
+        gboolean is_taken =
+            FleetStore_unframe(&answer, READ_END - RECORDS, &read, &error);
+        ck_assert_msg(is_taken == is_sound, "%zu bytes", length);
+        if (is_taken) {
+            ck_assert_uint_eq(read.end, READ_END);
+            ck_assert_uint_eq(read.records->len, rest / RECORD_BYTES);
+            g_ptr_array_unref(read.records);
+        }
+    }
+}
+END_TEST
+
+START_TEST(unframed_read_at_the_end_needs_no_records)
+{
+    g_autoptr(GByteArray) body = make_read_answer(READ_END, 0);
+    HttpAnswer_t answer = {.status = 200,
+                           .framing = BODY_CLOSE_DELIMITED,
+                           .body = (char *)body->data,
+                           .length = body->len};
+    FleetRead_t read;
+    ck_assert(FleetStore_unframe(&answer, READ_END, &read, NULL));
+    ck_assert_uint_eq(read.records->len, 0);
+    g_ptr_array_unref(read.records);
+}
+END_TEST
+
 static RelayHead_t
 read_head_by(const RelayUpstreamForm_t *form, int status, const char *name,
              const char *value)
@@ -533,7 +603,9 @@
 }
 END_TEST
 
-TESTING_MAIN("Fleet", start_in_the_far_future_is_unknown,
+TESTING_MAIN("Fleet", cut_read_gives_whole_records_or_none,
+             unframed_read_at_the_end_needs_no_records,
+             start_in_the_far_future_is_unknown,
              report_lists_the_requests_that_run,
              report_without_a_list_of_runs_says_nothing_of_them,
              only_this_router_says_that_it_forwards,
--- a/tests/test_FleetRecords.c
+++ b/tests/test_FleetRecords.c
@@ -84,5 +84,59 @@
 }
 END_TEST
 
-TESTING_MAIN("FleetRecords", keys_that_are_no_text_hide_no_others,
+static void
+on_put(const GError *error, void *data)
+{
+    *(gboolean *)data = error == NULL;
+}
+
+static RecordSource_t *
+create_source(StoreEpoch_t *epoch)
+{
+    return FleetRecords_create(NULL, &address, TIMEOUT_MS, epoch);
+}
+
+/* An answer that ends with its connection may be a part of the sent one. */
+START_TEST(truncated_list_is_an_error)
+{
+    static const char text[] =
+        "{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"offset\":1},"
+        "{\"key\":\"b\",\"value\":\"eQ==\",\"offset\":22}],"
+        "\"has_more\":false,\"end\":23}";
+    StoreEpoch_t *epoch = StoreEpoch_create(NULL);
+    RecordSource_t *source = create_source(epoch);
+    for (gsize length = 0; length < sizeof(text); length++) {
+        Seen_t seen = {.keys = g_string_new(NULL)};
+        RecordSource_list(source, "t", NULL, on_page, &seen);
+        FakeHttp_answerUnframed(200, text, length);
+        gboolean is_whole = length == strlen(text);
+        ck_assert_msg(seen.failed == !is_whole, "%zu bytes", length);
+        ck_assert_str_eq(seen.keys->str, is_whole ? "a1 b1 " : "");
+        g_string_free(seen.keys, TRUE);
+    }
+    RecordSource_destroy(source);
+    StoreEpoch_destroy(epoch);
+}
+END_TEST
+
+START_TEST(truncated_answer_to_an_append_is_an_error)
+{
+    static const char text[] = "{\"offset\":17,\"end\":18}";
+    gboolean is_put = FALSE;
+    StoreEpoch_t *epoch = StoreEpoch_create(NULL);
+    RecordSource_t *source = create_source(epoch);
+    g_autoptr(GBytes) value = g_bytes_new_static("x", 1);
+    for (gsize length = 0; length < sizeof(text); length++) {
+        RecordSource_put(source, "t", "k", value, on_put, &is_put);
+        FakeHttp_answerUnframed(200, text, length);
+        ck_assert_msg(is_put == (length == strlen(text)), "%zu bytes", length);
+    }
+    RecordSource_destroy(source);
+    StoreEpoch_destroy(epoch);
+}
+END_TEST
+
+TESTING_MAIN("FleetRecords", truncated_list_is_an_error,
+             truncated_answer_to_an_append_is_an_error,
+             keys_that_are_no_text_hide_no_others,
              answer_of_another_form_is_an_error, empty_list_is_no_error)
