A router that can't read its store says which call fails, why and since when

What was seen: a router that is never ready, as its store frames answers in a way that is refused, tells topic_lost once at its start, and then crash_records_unread, which names neither the call nor, for some faults, the reason ("the connection closed before the answer ended").

Cause: RecordFollower told the first failure only, without the call, and HttpCall did not ask evhttp why it had ended a call.

Why it works: topic_unread repeats the line after 1, 2, 4 s and so on, each minute at last, so that it stays among the newest lines and is bounded. evhttp tells that it can't read a head or a framing (here: a length beside a coding, two codings, an empty first line, before BodyFraming sees the head).

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -356,6 +356,16 @@
     return 0;
 }
 
+/* Called before on_answer(). */
+static void
+on_error(enum evhttp_request_error error, void *data)
+{
+    HttpCall_t *this = data;
+    if (error == EVREQ_HTTP_INVALID_HEADER && !this->framing_fault) {
+        this->framing_fault = "the answer's head or framing can't be read";
+    }
+}
+
 static gboolean
 is_acceptable(const HttpCall_t *this)
 {
@@ -444,6 +454,7 @@
     evbuffer_add_cb(bufferevent_get_input(bev), on_input, this);
     struct evhttp_request *request = evhttp_request_new(on_answer, this);
     evhttp_request_set_header_cb(request, on_headers);
+    evhttp_request_set_error_cb(request, on_error);
     fill_request(request, spec);
     Clock_arm(this->deadline, spec->timeout_ms);
     if (spec->connect_timeout_ms > 0) {
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -27,6 +27,10 @@
  * paths to them differ. An unchanged end is reported again only if it is newer
  * by at least this. */
 #define END_ADVANCE_MIN_MS 200
+/* A topic that can't be read is told again after this time, and each time
+ * after as long again, up to a maximum. */
+#define TOLD_AGAIN_MS 1000
+#define TOLD_AGAIN_MAX_MS 60000
 /* Keys of a topic that are logged as invalid. */
 #define INVALID_KEYS_MAX 64
 
@@ -64,6 +68,8 @@
     gint64 current_ms;  /* when the end was last known; 0 for never */
     guint failures;     /* consecutive failed calls */
     gint64 failed_ms;   /* time of the last failure */
+    gint64 lost_ms;     /* time of the first of these failures */
+    gint64 told_ms;     /* when the log last told of them */
     gboolean timed_out; /* one of these failures was a timeout */
     gboolean is_outage; /* one of these calls can't be answered any more */
 };
@@ -253,6 +259,27 @@
     }
 }
 
+static void
+log_failure(RecordFollower_t *this, const char *event, const GError *error)
+{
+    this->told_ms = this->failed_ms;
+    Log_begin(LOG_LEVEL_WARNING, event);
+    Log_text("topic", this->topic->str);
+    Log_text("call", this->listing ? "list" : "read");
+    Log_text("reason", error->message);
+    Log_number("lost_ms", this->failed_ms - this->lost_ms);
+    Log_number("failures", this->failures);
+    Log_end();
+}
+
+static gboolean
+is_to_be_told_again(const RecordFollower_t *this)
+{
+    gint64 pause_ms =
+        CLAMP(this->told_ms - this->lost_ms, TOLD_AGAIN_MS, TOLD_AGAIN_MAX_MS);
+    return this->failed_ms - this->told_ms >= pause_ms;
+}
+
 static void
 note_failed(RecordFollower_t *this, const GError *error)
 {
@@ -263,14 +290,15 @@
     this->is_outage = this->is_outage || !is_late;
     this->failed_ms = Clock_nowMs();
     if (this->failures == 1) {
-        Log_begin(LOG_LEVEL_WARNING, "topic_lost");
-        Log_text("topic", this->topic->str);
-        Log_text("reason", error->message);
-        Log_end();
+        this->lost_ms = this->failed_ms;
+        log_failure(this, "topic_lost", error);
         if (this->events->lost) {
             this->events->lost(this->owner, error);
         }
     }
+    else if (is_to_be_told_again(this)) {
+        log_failure(this, "topic_unread", error);
+    }
     guint doublings = MIN(this->failures - 1, RETRY_DOUBLINGS_MAX);
     gint64 min_ms = this->retry_max_ms / RETRY_MIN_DIVISOR;
     gint64 mean_ms =
--- a/tests/sessions/test_answer_forms.py
+++ b/tests/sessions/test_answer_forms.py
@@ -85,10 +85,26 @@
             router = self.watch(fleet, form, WATCH_S)
             if fleet.is_ready(router):
                 return form.name, "ready"
-            return None
+            return self.check_reasons(form, router)
         finally:
             fleet.close()
 
+    @staticmethod
+    def check_reasons(form, router):
+        """The log tells more than once what can't be read, by which call and
+        why, and no line that its connection closed."""
+        lines = router.events("topic_lost") + router.events("topic_unread")
+        calls = {(line["topic"], line["call"], "closed" in line["reason"])
+                 for line in lines}
+        if calls != {("keyed.op", "list", False),
+                     ("keyed.servers", "list", False)}:
+            return form.name, calls
+        again = [int(line["lost_ms"]) for line
+                 in router.events("topic_unread")]
+        if not again or min(again) < 1000:
+            return form.name, again
+        return None
+
     def test_sound_forms(self):
         self.check_all(self.check_sound, SOUND + FOLDED)
 
