Fuzzing covers the bytes of answers before evhttp reads them

What was seen: the checks that overwrite, drop or keep back bytes of an answer (ChunkCheck, HeadCheck, InterimHeads) had no fuzz target, and the store's parsers none for answers whose end their connection marks.

Cause: the targets began where evhttp had read a head.

What it does: the bytes arrive at once and in parts of a drawn size.

--- a/tests/fuzz/heads.c
+++ b/tests/fuzz/heads.c
@@ -134,6 +134,9 @@
     int status = (int)g_ascii_strtoull(first, NULL, 10) % 1000;
     BodyFraming_t framing =
         BodyFraming_read(EVHTTP_REQ_POST, status, &headers);
+    g_assert(
+        (framing == BODY_AMBIGUOUS) ==
+        (BodyFraming_findFault(EVHTTP_REQ_POST, status, &headers) != NULL));
     const char *length = evhttp_find_header(&headers, "Content-Length");
     const char *coding = evhttp_find_header(&headers, "Transfer-Encoding");
     g_assert(framing != BODY_LENGTH ||
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -9,6 +9,7 @@
     {"requestFraming", Fuzz_requestFraming},
     {"upstreamHead", Fuzz_upstreamHead},
     {"bodyFraming", Fuzz_bodyFraming},
+    {"answerBytes", Fuzz_answerBytes},
     {"engineHead", Fuzz_engineHead},
     {"engineEvents", Fuzz_engineEvents},
     {"eventPipe", Fuzz_eventPipe},
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -31,6 +31,7 @@
 int Fuzz_requestFraming(const uint8_t *data, size_t size);
 int Fuzz_upstreamHead(const uint8_t *data, size_t size);
 int Fuzz_bodyFraming(const uint8_t *data, size_t size);
+int Fuzz_answerBytes(const uint8_t *data, size_t size);
 int Fuzz_engineHead(const uint8_t *data, size_t size);
 int Fuzz_engineEvents(const uint8_t *data, size_t size);
 int Fuzz_eventPipe(const uint8_t *data, size_t size);
