An upstream whose answer can't be read is not doubted

What was seen: an upstream that answers with a length beside chunks, two codings or an empty line in front is avoided after its answer, so that the next request is refused with 503 where it is the only one, and the log tells end=cut.

Cause: evhttp ends such a request of itself, and the attempt took that for a connection that was cut, as that of a process that dies is. The fault was known to evhttp only.

Evidence: test_answer_forms.UpstreamTest.test_refused_forms asks for no upstream_doubted and a reason for each refusal; it fails on the code before (12 lines of doubt, reason=cut), and passes after.

Why it works: evhttp's error callback, which comes before the end, tells that the answer could not be read; the attempt ends as a bad answer with the reason. The request may have run, and is answered with 502, as before.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -248,6 +248,14 @@
     }
 }
 
+/* Called before on_done(). */
+static void
+on_error(enum evhttp_request_error error, void *data)
+{
+    Attempt_t *this = data;
+    AttemptConnection_noteError(&this->connection, error);
+}
+
 static void
 on_done(struct evhttp_request *request, void *data)
 {
@@ -257,16 +265,16 @@
         AttemptConnection_failsToStart(&this->connection)) {
         return;
     }
+    if (AttemptConnection_hasBrokenFraming(&this->connection)) {
+        end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
+        return;
+    }
     if (status == 0) {
         end_attempt(this,
                     this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT,
                     NULL);
         return;
     }
-    if (AttemptConnection_hasBrokenFraming(&this->connection)) {
-        end_attempt(this, ATTEMPT_BAD_ANSWER, NULL);
-        return;
-    }
     this->connection.reusable =
         (status != HTTP_OK || this->complete) &&
         BodyFraming_endsBeforeConnection(this->framing);
@@ -282,6 +290,7 @@
 {
     struct evhttp_request *request = evhttp_request_new(on_done, this);
     evhttp_request_set_header_cb(request, on_headers);
+    evhttp_request_set_error_cb(request, on_error);
     evhttp_request_set_chunked_cb(request, on_chunk);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host",
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -153,10 +153,17 @@
     return framing;
 }
 
+void
+AttemptConnection_noteError(AttemptConnection_t *this,
+                            enum evhttp_request_error error)
+{
+    this->is_unreadable = error == EVREQ_HTTP_INVALID_HEADER;
+}
+
 gboolean
 AttemptConnection_hasBrokenFraming(const AttemptConnection_t *this)
 {
-    return ChunkCheck_isBroken(&this->chunks) ||
+    return this->is_unreadable || ChunkCheck_isBroken(&this->chunks) ||
            HeadCheck_isBroken(&this->head);
 }
 
@@ -164,12 +171,13 @@
 AttemptConnection_framingFault(const AttemptConnection_t *this)
 {
     const char *fault = HeadCheck_fault(&this->head);
-    if (!fault) {
-        fault = ChunkCheck_isBroken(&this->chunks)
-                    ? "the framing of the answer's chunks is broken"
-                    : this->framing_fault;
+    if (!fault && ChunkCheck_isBroken(&this->chunks)) {
+        fault = "the framing of the answer's chunks is broken";
+    }
+    if (!fault && this->is_unreadable) {
+        fault = "the answer's head or framing can't be read";
     }
-    return fault;
+    return fault ? fault : this->framing_fault;
 }
 
 /* Keeps evhttp from writing the request. The connection is freed in a later
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -95,6 +95,7 @@
  * @interim: the interim heads in front of the answer
  * @interim_answers: number of interim answers received
  * @framing_fault: why the framing of the answer is ambiguous, or NULL
+ * @is_unreadable: evhttp could not read the answer
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
  * @starting: AttemptConnection_send() has not returned
@@ -134,6 +135,7 @@
     InterimHeads_t interim;
     guint interim_answers;
     const char *framing_fault;
+    gboolean is_unreadable;
     gint64 last_received_ms;
     gboolean starting;
     gboolean sent;
@@ -189,6 +191,11 @@
 BodyFraming_t AttemptConnection_receiveBody(AttemptConnection_t *this,
                                             struct evhttp_request *request);
 
+/** AttemptConnection_noteError() - must be called from the request's error
+ * callback; an answer that evhttp can't read has broken framing */
+void AttemptConnection_noteError(AttemptConnection_t *this,
+                                 enum evhttp_request_error error);
+
 /** AttemptConnection_hasBrokenFraming() - whether a line of a head or the
  * framing of the body is broken, so that evhttp may misread the answer; the
  * timeout timer expires at once */
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -397,6 +397,14 @@
            !has_trailing_bytes(this);
 }
 
+/* Called before on_done(). */
+static void
+on_error(enum evhttp_request_error error, void *data)
+{
+    RelayAttempt_t *this = data;
+    AttemptConnection_noteError(&this->connection, error);
+}
+
 static void
 on_done(struct evhttp_request *request, void *data)
 {
@@ -410,13 +418,13 @@
         this->connection.reusable = status != 0 && is_reusable(this);
         end_attempt(this, ATTEMPT_NOT_RUN);
     }
+    else if (AttemptConnection_hasBrokenFraming(&this->connection)) {
+        receive_end(this, ATTEMPT_BAD_ANSWER);
+    }
     else if (status == 0 || !this->has_head) {
         receive_end(this,
                     this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
     }
-    else if (AttemptConnection_hasBrokenFraming(&this->connection)) {
-        receive_end(this, ATTEMPT_BAD_ANSWER);
-    }
     else {
         this->connection.reusable = is_reusable(this);
         receive_end(this, this->expected_end);
@@ -480,6 +488,7 @@
     struct evhttp_request *request = evhttp_request_new(on_done, this);
     struct evkeyvalq *out = evhttp_request_get_output_headers(request);
     evhttp_request_set_header_cb(request, on_headers);
+    evhttp_request_set_error_cb(request, on_error);
     evhttp_request_set_chunked_cb(request, on_chunk);
     this->form->write_head(evhttp_request_get_input_headers(spec->request),
                            spec->order, out);
--- a/tests/sessions/test_answer_forms.py
+++ b/tests/sessions/test_answer_forms.py
@@ -205,7 +205,7 @@
         self.assertLessEqual({attempt["end"] for attempt in
                               self.router.events("attempt_ended")},
                              {"closed"})
-        for event in ("attempt_failed", "upstream_suspected",
+        for event in ("attempt_failed", "upstream_doubted",
                       "upstream_ejected"):
             self.assertEqual(self.router.events(event), [])
 
@@ -221,6 +221,12 @@
                 wait_for(lambda path=path: self.ask(path)[0] == 200,
                          "a sound answer")
         self.assertEqual(faults, [])
+        # Nobody is doubted, and each refusal has a reason.
+        self.assertEqual([attempt for attempt in
+                          self.router.events("attempt_ended")
+                          if attempt["end"] == "cut" or "reason" not in
+                          attempt and attempt["end"] != "oversized"], [])
+        self.assertEqual(self.router.events("upstream_doubted"), [])
 
     # The upstream was doubted for good: the probe's answer was refused.
     def test_answers_to_probes(self):
