test_not_run: the answer behind an interim one is the one that counts

What was seen: test_interim_answer fails since any interim answer is skipped: 200 in place of 502 to a call whose upstream sends 102 with a mark that it did not run, and then the whole 200.

Cause: the test asked for what the code did, which took 102 for the answer. RFC 9110, section 15.2, has a client read on to the final answer; the one here is whole and the request's own, and has no mark.

Why it is as strict: the fault that the test is for is a mark that counts where it may not, so that the call is sent again. Each case still asks for exactly one run. 102 and 103 with the mark get the final answer's 200; 101, behind which no other answer follows, 502, and so does a final 200 with the mark behind a 102.

--- a/tests/sessions/test_not_run.py
+++ b/tests/sessions/test_not_run.py
@@ -235,10 +235,25 @@
         redirection = (self.WHOLE % self.MARK).replace(b"200 OK", b"302 x")
         self.assertEqual(self.call(redirection), 502)
 
+    def check_interim(self, first, status):
+        interim = (b"HTTP/1.1 %s\r\nX-Request-Id: ID\r\n%s\r\n"
+                   % (first, self.MARK))
+        self.assertEqual(self.call(interim, self.WHOLE % b""), status)
+
+    # The final answer counts, whose head has no mark.
     def test_interim_answer(self):
-        interim = (b"HTTP/1.1 102 Processing\r\nX-Request-Id: ID\r\n%s\r\n"
-                   % self.MARK)
-        self.assertEqual(self.call(interim, self.WHOLE % b""), 502)
+        self.check_interim(b"102 Processing", 200)
+
+    def test_early_hints(self):
+        self.check_interim(b"103 Early Hints", 200)
+
+    # No other answer follows on the connection.
+    def test_switching_protocols(self):
+        self.check_interim(b"101 Switching Protocols", 502)
+
+    def test_mark_behind_an_interim_answer(self):
+        interim = b"HTTP/1.1 102 Processing\r\nX-Request-Id: ID\r\n\r\n"
+        self.assertEqual(self.call(interim, self.WHOLE % self.MARK), 502)
 
     def test_continue(self):
         interim = (b"HTTP/1.1 100 Continue\r\nX-Request-Id: other\r\n%s\r\n"
