test_answer_forms plays the forms against native services as well

What was seen: callers of native services get 502 for sound answers: blanks or tabs around values, interim answers other than 100. They go through HttpCall, as the store's answers do, but as a gateway's do: a fold is refused.

Engines' streams of the native interface have the reader of upstreams' connections (AttemptConnection), and are not played here.

--- a/tests/sessions/test_answer_forms.py
+++ b/tests/sessions/test_answer_forms.py
@@ -6,8 +6,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import forms
-from cluster import wait_for
-from fleet import CUSTOMERS, Fleet, read_parts
+from cluster import Cluster, uuid7, wait_for
+from fleet import CUSTOMERS, Fleet, Server, read_parts
 from forms import FOLDED, REFUSED, SOUND, FormedStore, FormedUpstream
 
 STORES_AT_ONCE = 6
@@ -267,5 +267,48 @@
             self.assertEqual(router.events(event), [])
 
 
+class ServiceServer(Server):
+    def handle(self, call):
+        call.body()
+        call.reply(200, b"hello", X_Attempt_Id=call.headers.get(
+            "X-Attempt-Id", ""))
+
+
+class FormedService(forms.FormedReply, ServiceServer):
+    pass
+
+
+class NativeServiceTest(unittest.TestCase):
+    """As UpstreamTest, for plain services of the native interface."""
+
+    def setUp(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.close)
+        self.service = FormedService()
+        self.addCleanup(self.service.close)
+        cluster.declare_upstream("s1", self.service.address, "ledger",
+                                 "service")
+        self.router = cluster.start(eject_failures="1000")
+
+    def ask(self, form):
+        self.service.form = form
+        answer = self.router.complete(
+            {}, path="/v1/services/ledger/x",
+            **{"Idempotency-Key": uuid7(), "X-Request-Deadline-Ms": "2000"})
+        return answer.status, answer.body
+
+    def test_sound_forms(self):
+        answers = [(form.name, self.ask(form)) for form in SOUND]
+        self.assertEqual([answer for answer in answers
+                          if answer[1] != (200, b"hello")], [])
+
+    def test_refused_forms(self):
+        statuses = [(form.name, self.ask(form)[0])
+                    for form in REFUSED + FOLDED]
+        self.assertEqual([status for status in statuses
+                          if status[1] not in (502, 503)], [])
+        self.assertEqual(self.ask(SOUND[0]), (200, b"hello"))
+
+
 if __name__ == "__main__":
     unittest.main()
