--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -15,6 +15,7 @@
 #include "BodyFraming.h"
 #include "ChunkCheck.h"
 #include "HeadCheck.h"
+#include "InterimHeads.h"
 #include "Upstream.h"
 
 /**
@@ -91,8 +92,10 @@
  * @input_counted: this connection's part of @input_total
  * @head: the check of the answer's heads
  * @chunks: the check of the body's chunks
+ * @interim: the interim heads in front of the answer
  * @interim_answers: number of interim answers received
- * @is_head_begun: evhttp may have read a part of the head under way
+ * @framing_fault: why the framing of the answer is ambiguous, or NULL
+ * @is_unreadable: evhttp could not read the answer
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
  * @starting: AttemptConnection_send() has not returned
@@ -129,8 +132,10 @@
     gsize input_counted;
     HeadCheck_t head;
     ChunkCheck_t chunks;
+    InterimHeads_t interim;
     guint interim_answers;
-    gboolean is_head_begun;
+    const char *framing_fault;
+    gboolean is_unreadable;
     gint64 last_received_ms;
     gboolean starting;
     gboolean sent;
@@ -181,16 +186,25 @@
 
 /**
  * AttemptConnection_receiveBody() - as BodyFraming_receive(); checks the
- * chunks of the body from now on
+ * chunks of the body from now on. Must be called before headers are read.
  */
 BodyFraming_t AttemptConnection_receiveBody(AttemptConnection_t *this,
                                             struct evhttp_request *request);
 
+/** AttemptConnection_noteError() - must be called from the request's error
+ * callback; an answer that evhttp can't read has broken framing */
+void AttemptConnection_noteError(AttemptConnection_t *this,
+                                 enum evhttp_request_error error);
+
 /** AttemptConnection_hasBrokenFraming() - whether a line of a head or the
  * framing of the body is broken, so that evhttp may misread the answer; the
  * timeout timer expires at once */
 gboolean AttemptConnection_hasBrokenFraming(const AttemptConnection_t *this);
 
+/** AttemptConnection_framingFault() - why the head, the chunks or their
+ * framing were refused, as a phrase for logs; or NULL */
+const char *AttemptConnection_framingFault(const AttemptConnection_t *this);
+
 /** AttemptConnection_remainingMs() - time until the current timeout; 0 or less
  * once it has expired */
 gint64 AttemptConnection_remainingMs(const AttemptConnection_t *this);
