test_request_forms: one table of the forms of a request

Forms of requests were tested here and there, each against one reader, so that legal ones that no test had were refused or got another answer. tests/request_forms.py lists forms, each with what arrives at the upstream (method, target, body) or the refusal that it must get; test_request_forms plays all of them against a plain route and a stream route, whole and a byte at a time, and looks for the log line of each refusal. The stand-ins of tests/fleet.py take any method now and can keep what arrived.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,6 +11,7 @@
 import tempfile
 import threading
 import time
+from collections import namedtuple
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
@@ -102,7 +103,10 @@
             self.close_connection = True
         self.answering = False
 
-    do_POST = do_HEAD = do_TRACE = do_GET
+    def __getattr__(self, name):
+        if name.startswith("do_"):
+            return self.do_GET  # whatever the method
+        raise AttributeError(name)
 
 
 class Server:
@@ -305,6 +309,9 @@
                     epoch)
 
 
+Received = namedtuple("Received", "method target headers body")
+
+
 class Upstream(Server):
     """An engine or a plain service, whose attributes switch faults on."""
 
@@ -321,6 +328,7 @@
         self.sequence = 0
         self.pieces = pieces
         self.seen = []      # headers of each request that ran
+        self.received = None  # a list takes each one that ran as Received
         self.callers = set()  # ports that requests came from
         self.orders = []
         self.shed = False   # refuse requests as not run
@@ -442,6 +450,9 @@
         else:
             self.callers.add(call.client_address[1])
             self.seen.append(dict(call.headers, **{":path": call.path}))
+            if self.received is not None:
+                self.received.append(Received(
+                    call.command, call.path, call.headers.items(), body))
             self.run(call, body, request_id)
 
     def refuse(self, call, request_id):
--- /dev/null
+++ b/tests/request_forms.py
@@ -0,0 +1,109 @@
+"""Forms that a request may have (RFC 9110, RFC 9112), and what becomes of each:
+it is passed on unaltered, or refused by a typed error."""
+from dataclasses import dataclass
+
+HOST = b"Host: shop.example\r\n"
+KEY = b"Api-Key: key-a\r\n"
+CLOSE = b"Connection: close\r\n"
+ONE = b"Content-Length: 1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+LAST = b"0\r\n\r\n"
+
+
+@dataclass
+class Form:
+    """One form; `%s` in its line stands for a path of the route.
+
+    `passed` is what arrives at the upstream: method, target (a `%s` as well)
+    and body. `refused` is the status and the code of the refusal. Without
+    either the form must get any answer of ours."""
+    name: str
+    line: bytes = b"POST %s HTTP/1.1\r\n"
+    before: bytes = b""
+    host: bytes = HOST
+    key: bytes = KEY
+    fields: bytes = ONE
+    end: bytes = b"\r\n"
+    body: bytes = b"x"
+    connection: bytes = CLOSE
+    passed: tuple = ()
+    refused: tuple = ()
+
+    def write(self, path, request_id, more=b""):
+        """Returns the bytes of a request to a route."""
+        line = self.line % path if b"%s" in self.line else self.line
+        return (self.before + line + self.host + self.key
+                + b"X-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n" % request_id
+                + more + self.connection + self.fields + self.end + self.body)
+
+    def arrives(self, path):
+        """Returns method, target and body as the upstream gets them."""
+        method, target, body = self.passed
+        target = target % path if b"%s" in target else target
+        return method.decode(), target.decode(), body
+
+
+def sound(name, method=b"POST", target=b"%s", arrives=b"x", **more):
+    return Form(name, passed=(method, target, arrives), **more)
+
+
+def bad(name, status=400, code="bad_header", **more):
+    return Form(name, refused=(status, code), **more)
+
+
+def call(method, **more):
+    """A request without a body."""
+    return sound("method " + method.decode(), method, arrives=b"",
+                 line=method + b" %s HTTP/1.1\r\n", fields=b"", body=b"",
+                 **more)
+
+
+PLAIN = [
+    sound("length"),
+    sound("no blank behind the colon", fields=b"content-length:1\r\n"),
+    sound("no value", fields=b"X-Empty:\r\n" + ONE),
+    sound("no body", fields=b"Content-Length: 0\r\n", body=b"", arrives=b""),
+    sound("leading zeros", fields=b"Content-Length: 0001\r\n"),
+    sound("query", line=b"POST %s?a=/b?c&d=%%20 HTTP/1.1\r\n",
+          target=b"%s?a=/b?c&d=%%20"),
+    sound("empty query", line=b"POST %s? HTTP/1.1\r\n", target=b"%s?"),
+    sound("marks in the path", line=b"POST %s/%%41%%2f;a=b HTTP/1.1\r\n",
+          target=b"%s/%%41%%2f;a=b"),
+    sound("long target", line=b"POST %s/" + b"y" * 4000 + b" HTTP/1.1\r\n",
+          target=b"%s/" + b"y" * 4000),
+    sound("port of the host", host=b"Host: shop.example:8080\r\n"),
+    sound("case of the host", host=b"host: Shop.EXAMPLE\r\n"),
+    sound("close in another case", connection=b"Connection: Close\r\n"),
+    sound("older version", line=b"POST %s HTTP/1.0\r\n", connection=b""),
+    sound("100 is waited for", fields=b"Expect: 100-Continue\r\n" + ONE),
+]
+CHUNKS = [
+    sound("chunks", fields=CHUNKED, body=b"1\r\nx\r\n" + LAST),
+    sound("coding in another case", fields=b"TRANSFER-encoding:CHUNKED\r\n",
+          body=b"001\r\nx\r\n00\r\n\r\n"),
+    sound("extensions", fields=CHUNKED,
+          body=b"1;a=b\r\nx\r\n0;c=\"d;e\"\r\n\r\n"),
+    sound("trailers", fields=CHUNKED,
+          body=b"1\r\nx\r\n0\r\nX-Trailer: a\r\n\r\n"),
+    sound("no chunk but the last", fields=CHUNKED, body=LAST, arrives=b""),
+]
+METHODS = [call(method) for method in
+           (b"GET", b"HEAD", b"PUT", b"DELETE", b"OPTIONS", b"PATCH",
+            b"TRACE")] + [
+    sound("body of " + method.decode(), method,
+          line=method + b" %s HTTP/1.1\r\n")
+    for method in (b"GET", b"PUT", b"DELETE", b"OPTIONS", b"PATCH")]
+# Forms that readers take for different requests.
+AMBIGUOUS = [
+    bad("two lengths", fields=ONE + b"Content-Length: 2\r\n"),
+    bad("a length twice", fields=ONE + ONE),
+    bad("a coding other than chunks", fields=b"Transfer-Encoding: gzip\r\n"),
+    bad("a coding before chunks",
+        fields=b"Transfer-Encoding: gzip, chunked\r\n",
+        body=b"1\r\nx\r\n" + LAST),
+    bad("a fold", fields=b"X-A: b\r\n c\r\n" + ONE),
+    bad("bare line feeds", fields=b"X-A: b\n" + ONE),
+    bad("a blank before the colon", fields=b"X-A : b\r\n" + ONE),
+    bad("no host", host=b""),
+]
+FORMS = [PLAIN, CHUNKS, METHODS, AMBIGUOUS]
--- /dev/null
+++ b/tests/sessions/test_request_forms.py
@@ -0,0 +1,117 @@
+"""Plays the forms of a request against a router's listeners."""
+import json
+import socket
+import time
+import unittest
+
+import request_forms
+from cluster import wait_for
+from fleet import Fleet
+
+BYTE_PAUSE_S = 0.0001
+STREAM = (b"X-Model: m\r\nX-Token-Usage: 300,10\r\n"
+          b"X-Prompt-Prefix: ab:100,cd:100,%x:100\r\n")
+REFUSALS = ("request_refused", "request_excessive", "request_unreadable")
+
+
+def send(link, data, is_slow):
+    step = 1 if is_slow else len(data)
+    try:
+        for at in range(0, len(data), step):
+            link.sendall(data[at:at + step])
+            if is_slow:
+                time.sleep(BYTE_PAUSE_S)
+    except OSError:
+        pass  # refused before all was sent
+
+
+def exchange(port, data, is_slow=False, limit_s=5):
+    """Returns what comes until the router closes the connection."""
+    received = b""
+    with socket.create_connection(("127.0.0.1", port)) as link:
+        link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link.settimeout(limit_s)
+        send(link, data, is_slow)
+        while True:
+            part = link.recv(65536)
+            if not part:
+                return received
+            received += part
+
+
+def without_interim(received):
+    while received.startswith(b"HTTP/1.1 100 "):
+        received = received.partition(b"\r\n\r\n")[2]
+    return received
+
+
+class RelayedFormsTest(unittest.TestCase):
+    """What callers send on routes."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.engine = self.fleet.engine("e1")
+        self.plain = self.fleet.plain("p1")
+        for upstream in (self.engine, self.plain):
+            upstream.received = []
+        self.router = self.fleet.start(max_body="64KiB", max_header="16KiB")
+        self.places = [(b"/write/x", b"", self.plain),
+                       (b"/ask/x", STREAM, self.engine)]
+        self.number = 0
+
+    def count_refusals(self, code):
+        return sum(line.get("reason") == code for name in REFUSALS
+                   for line in self.router.events(name))
+
+    def assert_passed(self, form, path, upstream, received):
+        self.assertRegex(received[:13], b"HTTP/1.. 200 ", form.name)
+        self.assertEqual(received.count(b"HTTP/1."), 1, form.name)
+        self.assertEqual(len(upstream.received), 1, form.name)
+        got = upstream.received[0]
+        self.assertEqual((got.method, got.target, got.body),
+                         form.arrives(path), form.name)
+        names = [name.lower() for name, _ in got.headers]
+        self.assertEqual(names.count("host"), 1, form.name)
+        self.assertEqual(dict(got.headers)["X-Request-Id"],
+                         "id%d" % self.number, form.name)
+        return got
+
+    def assert_refused(self, form, upstream, received, before):
+        status, code = form.refused
+        self.assertRegex(received[:13], b"HTTP/1.. %d " % status, form.name)
+        self.assertEqual(received.count(b"HTTP/1."), 1, form.name)
+        body = received.partition(b"\r\n\r\n")[2]
+        if not form.line.startswith(b"HEAD"):
+            error = json.loads(body)["error"]
+            self.assertEqual((error["code"], error["run"]), (code, "not_run"),
+                             form.name)
+        self.assertEqual(upstream.received, [], form.name)
+        wait_for(lambda: self.count_refusals(code) > before,
+                 "line of " + form.name)
+
+    def play(self, form, is_slow):
+        for path, more, upstream in self.places:
+            self.number += 1
+            upstream.received.clear()
+            code = form.refused[1] if form.refused else None
+            before = self.count_refusals(code)
+            if more:
+                more = more % self.number
+            received = without_interim(exchange(
+                self.router.port,
+                form.write(path, b"id%d" % self.number, more), is_slow))
+            if form.refused:
+                self.assert_refused(form, upstream, received, before)
+            else:
+                self.assert_passed(form, path, upstream, received)
+
+    def test_forms(self):
+        for form in sum(request_forms.FORMS, []):
+            for is_slow in (False, True):
+                with self.subTest(form=form.name, is_slow=is_slow):
+                    self.play(form, is_slow)
+
+
+if __name__ == "__main__":
+    unittest.main()
