RequestFraming leaves out empty lines before a request

What callers saw: a request with an empty line before it got 400 as evhttp's page (RFC 9112, section 2.2: a server should ignore it), and so did the next request of a kept connection where the caller sends a line end behind a body. Cause: evhttp takes an empty line for a broken request line. Now the bytes that come are checked and what is left of them put in the place of what came, before evhttp reads them; bodies are not touched. A bare line feed or carriage return before a request is refused as before.

--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -72,7 +72,6 @@
     }
 }
 
-/* Empty lines before a request don't count. */
 static void
 read_first_line(RequestFraming_t *this)
 {
@@ -243,14 +242,37 @@
     [PART_TRAILERS] = read_line,
 };
 
-void
+static gsize
+move_bytes(char *bytes, gsize to, gsize from, gsize count)
+{
+    if (to != from) {
+        memmove(bytes + to, bytes + from, count);
+    }
+    return count;
+}
+
+static gboolean
+is_between_requests(const RequestFraming_t *this)
+{
+    return !RequestFraming_isUnderWay(this) && !RequestFraming_isBroken(this);
+}
+
+/* Empty lines before a request are left out. */
+gsize
 RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length)
 {
     gsize at = 0;
+    gsize kept = 0;
     while (at < length && !RequestFraming_isBroken(this) &&
            !RequestFraming_hasTooManyLines(this)) {
-        at += readers[this->part](this, bytes + at, length - at);
+        gboolean was_between = is_between_requests(this);
+        gsize size = readers[this->part](this, bytes + at, length - at);
+        if (!was_between || !is_between_requests(this)) {
+            kept += move_bytes(bytes, kept, at, size);
+        }
+        at += size;
     }
+    return kept + move_bytes(bytes, kept, at, length - at);
 }
 
 gboolean
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -23,9 +23,15 @@
 /** RequestFraming_destroy() - free it */
 void RequestFraming_destroy(RequestFraming_t *this);
 
-/** RequestFraming_feed() - check the next bytes of the connection; overwrites
- * extensions of chunks (see ChunkCheck.h) */
-void RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length);
+/**
+ * RequestFraming_feed() - check the next bytes of the connection
+ *
+ * Overwrites extensions of chunks (see ChunkCheck.h), and leaves out empty
+ * lines before a request, which evhttp takes for an error.
+ *
+ * Return: number of bytes that are left of @bytes
+ */
+gsize RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length);
 
 /** RequestFraming_isBroken() - whether chunks or lines are broken */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -49,7 +49,8 @@
     gboolean is_answered; /* no earlier request waits for its answer */
     gboolean is_widened;  /* the kernel takes more of it unread */
     gboolean is_abandoned;
-    gboolean is_refused; /* what it sends is dropped */
+    gboolean is_refused;   /* what it sends is dropped */
+    gboolean is_replacing; /* what is added to its buffer was checked */
 } Connection_t;
 
 /* By struct bufferevent, not owned. The entry of a connection that was closed
@@ -156,19 +157,42 @@
     end_connection(this);
 }
 
+/* Puts parts in the place of the last bytes, which they are parts of. */
+static void
+replace_tail(struct evbuffer *buffer, gsize length,
+             const struct evbuffer_iovec *parts, int count)
+{
+    struct evbuffer *sound = evbuffer_new();
+    evbuffer_remove_buffer(buffer, sound,
+                           evbuffer_get_length(buffer) - length);
+    for (int i = 0; i < count; i++) {
+        evbuffer_add(sound, parts[i].iov_base, parts[i].iov_len);
+    }
+    evbuffer_drain(buffer, length);
+    evbuffer_add_buffer(buffer, sound);
+    evbuffer_free(sound);
+}
+
 static void
 feed(Connection_t *this, struct evbuffer *buffer, gsize added)
 {
     struct evbuffer_ptr at;
-    struct evbuffer_iovec part;
+    gsize left = 0;
     evbuffer_ptr_set(buffer, &at, evbuffer_get_length(buffer) - added,
                      EVBUFFER_PTR_SET);
-    while (evbuffer_peek(buffer, -1, &at, &part, 1) > 0) {
-        RequestFraming_feed(this->framing, part.iov_base, part.iov_len);
-        if (evbuffer_ptr_set(buffer, &at, part.iov_len, EVBUFFER_PTR_ADD) !=
-            0) {
-            return;
-        }
+    int count = evbuffer_peek(buffer, -1, &at, NULL, 0);
+    g_autofree struct evbuffer_iovec *parts =
+        g_new(struct evbuffer_iovec, count);
+    evbuffer_peek(buffer, -1, &at, parts, count);
+    for (int i = 0; i < count; i++) {
+        parts[i].iov_len = RequestFraming_feed(
+            this->framing, parts[i].iov_base, parts[i].iov_len);
+        left += parts[i].iov_len;
+    }
+    if (left < added) {
+        this->is_replacing = TRUE;
+        replace_tail(buffer, added, parts, count);
+        this->is_replacing = FALSE;
     }
 }
 
@@ -384,7 +408,7 @@
          void *data)
 {
     Connection_t *this = data;
-    if (info->n_added == 0) {
+    if (info->n_added == 0 || this->is_replacing) {
         return;
     }
     /* There is no connection of evhttp to refuse anything on. */
--- a/tests/request_forms.py
+++ b/tests/request_forms.py
@@ -106,4 +106,11 @@
     bad("a blank before the colon", fields=b"X-A : b\r\n" + ONE),
     bad("no host", host=b""),
 ]
-FORMS = [PLAIN, CHUNKS, METHODS, AMBIGUOUS]
+EMPTY_LINES = [
+    sound("an empty line first", before=b"\r\n"),
+    sound("empty lines first", before=b"\r\n" * 9),
+    sound("an empty line behind", body=b"x\r\n"),
+    bad("a bare line feed first", before=b"\n"),
+    bad("a bare carriage return first", before=b"\r"),
+]
+FORMS = [PLAIN, CHUNKS, METHODS, AMBIGUOUS, EMPTY_LINES]
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -112,6 +112,25 @@
                 with self.subTest(form=form.name, is_slow=is_slow):
                     self.play(form, is_slow)
 
+    # The next request of a kept connection got 400 and the library's page.
+    def test_empty_lines_between_requests_of_a_connection(self):
+        first = request_forms.Form("first", connection=b"")
+        last = request_forms.Form("last")
+        for gap in (b"", b"\r\n", b"\r\n\r\n"):
+            for is_slow in (False, True):
+                self.plain.received.clear()
+                data = b"".join(
+                    form.write(b"/write/x", request_id) + gap
+                    for form, request_id in ((first, b"i1"), (first, b"i2"),
+                                             (last, b"i3")))
+                received = exchange(self.router.port, data, is_slow)
+                self.assertEqual(received.count(b"HTTP/1.1 200 "), 3, gap)
+                self.assertEqual(received.count(b"HTTP/1.1 "), 3, gap)
+                self.assertEqual(
+                    [(got.method, got.target, got.body)
+                     for got in self.plain.received],
+                    [("POST", "/write/x", b"x")] * 3)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -54,6 +54,38 @@
 }
 END_TEST
 
+static void
+ck_assert_left(const char *bytes, const char *expected)
+{
+    gsize length = strlen(bytes);
+    for (gsize step = 1; step <= length; step++) {
+        g_autoptr(GString) left = g_string_new(NULL);
+        RequestFraming_t *framing = RequestFraming_create(NULL, NULL);
+        for (gsize at = 0; at < length; at += step) {
+            gsize size = MIN(step, length - at);
+            g_autofree char *copy = g_strndup(bytes + at, size);
+            size = RequestFraming_feed(framing, copy, size);
+            g_string_append_len(left, copy, (gssize)size);
+        }
+        ck_assert_str_eq(left->str, expected);
+        RequestFraming_destroy(framing);
+    }
+}
+
+START_TEST(empty_lines_between_requests_are_left_out)
+{
+    ck_assert_left("\r\n", "");
+    ck_assert_left("\r\n\r\n" NEXT "\r\n" NEXT "\r\n", NEXT NEXT);
+    ck_assert_left(POST "Content-Length: 4\r\n\r\n\r\n\r\n\r\n" NEXT,
+                   POST "Content-Length: 4\r\n\r\n\r\n\r\n" NEXT);
+    ck_assert_left(CHUNKED "4\r\n\r\n\r\n\r\n" LAST "\r\n" NEXT,
+                   CHUNKED "4\r\n\r\n\r\n\r\n" LAST NEXT);
+    ck_assert_broken("\n" NEXT, TRUE);
+    ck_assert_broken("\r" NEXT, TRUE);
+    ck_assert_broken("\r\n\n" NEXT, TRUE);
+}
+END_TEST
+
 START_TEST(broken_chunks_are_found_in_any_request)
 {
     ck_assert_broken(CHUNKED BROKEN, TRUE);
@@ -202,6 +234,7 @@
 END_TEST
 
 TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
+             empty_lines_between_requests_are_left_out,
              broken_chunks_are_found_in_any_request,
              malformed_lines_are_found_in_any_request,
              the_key_tells_callers_apart,
