RequestHead: targets in absolute form are taken for what they name

What callers saw: a request whose target has the absolute form, as in "POST http://shop.example/write/x", got 404 unknown_path at callers' routes, at the operators' listener and at the readiness one (a server must accept the form, RFC 9112, section 3.2.2). Cause: the target was compared with paths as it came. Now its authority takes the place of the Host header, for the route as well as for the upstream, and the rest goes on in origin form, before any handler sees the request. What has no host or names a user stays as it is, which is no path of any route (404, not run); a request of HTTP/1.1 without a Host header stays refused. Evidence: test_request_forms, five forms and the other listeners failed before (plain build); all pass on the plain and the sanitizer build.

--- a/src/HttpListener.c
+++ b/src/HttpListener.c
@@ -10,6 +10,7 @@
 #include "LingeringClose.h"
 #include "ListenRetry.h"
 #include "Log.h"
+#include "RequestHead.h"
 #include "SocketBuffers.h"
 
 struct HttpListener {
@@ -106,13 +107,21 @@
     SocketBuffers_limit(fd, SOCKET_CALLER);
 }
 
+static void
+on_request(struct evhttp_request *request, void *data)
+{
+    const HttpListener_t *this = data;
+    RequestHead_normalize(request);
+    this->spec.handle(request, this->spec.context);
+}
+
 static gboolean
 open_server(void *owner)
 {
     HttpListener_t *this = owner;
     const HttpListenerSpec_t *spec = &this->spec;
     struct evhttp *server = evhttp_new(spec->context->base);
-    evhttp_set_gencb(server, spec->handle, spec->context);
+    evhttp_set_gencb(server, on_request, this);
     set_limits(this, server);
     evhttp_set_bevcb(server, create_connection, this);
     struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(
--- a/src/HttpListener.h
+++ b/src/HttpListener.h
@@ -6,7 +6,8 @@
  * An address at which the router answers HTTP requests: evhttp's server with
  * what it does not do by itself. Its accept queue is long, what the kernel
  * takes of a connection is bounded, and requests are watched as they arrive
- * (RequestIntake.h, LingeringClose.h, IdleCallers.h).
+ * (RequestIntake.h, LingeringClose.h, IdleCallers.h). Handlers get heads in
+ * their usual form (RequestHead.h).
  */
 #include <event2/http.h>
 #include <event2/listener.h>
--- /dev/null
+++ b/src/RequestHead.c
@@ -0,0 +1,60 @@
+#include "RequestHead.h"
+
+#include <event2/http_struct.h>
+#include <glib.h>
+#include <string.h>
+
+#define HOST_HEADER "Host"
+
+static const char *const schemes[] = {"http://", "https://"};
+
+/* Returns what follows the scheme of an absolute form, or NULL. */
+static char *
+find_authority(char *target)
+{
+    for (gsize i = 0; i < G_N_ELEMENTS(schemes); i++) {
+        gsize length = strlen(schemes[i]);
+        if (g_ascii_strncasecmp(target, schemes[i], length) == 0) {
+            return target + length;
+        }
+    }
+    return NULL;
+}
+
+/* One without a Host header is malformed, whatever its target. */
+static void
+replace_host(struct evhttp_request *request, const char *authority,
+             gsize length)
+{
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    g_autofree char *host = g_strndup(authority, length);
+    if (evhttp_find_header(headers, HOST_HEADER)) {
+        evhttp_remove_header(headers, HOST_HEADER);
+        evhttp_add_header(headers, HOST_HEADER, host);
+    }
+}
+
+/* The target gets shorter, so that it stays where it is. */
+static void
+replace_target(struct evhttp_request *request, const char *path)
+{
+    gboolean has_slash = *path == '/';
+    gboolean is_server = *path == '\0' && request->type == EVHTTP_REQ_OPTIONS;
+    memmove(request->uri + (has_slash ? 0 : 1), path, strlen(path) + 1);
+    if (!has_slash) {
+        request->uri[0] = is_server ? '*' : '/';
+    }
+}
+
+void
+RequestHead_normalize(struct evhttp_request *request)
+{
+    char *authority = find_authority(request->uri);
+    gsize length = authority ? strcspn(authority, "/?#") : 0;
+    if (length == 0 || memchr(authority, '@', length)) {
+        return;
+    }
+    replace_host(request, authority, length);
+    replace_target(request, authority + length);
+    request->flags &= ~EVHTTP_PROXY_REQUEST;
+}
--- a/tests/request_forms.py
+++ b/tests/request_forms.py
@@ -113,4 +113,35 @@
     bad("a bare line feed first", before=b"\n"),
     bad("a bare carriage return first", before=b"\r"),
 ]
-FORMS = [PLAIN, CHUNKS, METHODS, AMBIGUOUS, EMPTY_LINES]
+ABSOLUTE = [
+    sound("absolute", line=b"POST http://shop.example%s HTTP/1.1\r\n"),
+    sound("absolute in another case",
+          line=b"POST HTTP://SHOP.example:80%s?a=b HTTP/1.1\r\n",
+          target=b"%s?a=b"),
+    sound("absolute of another scheme",
+          line=b"POST https://shop.example%s HTTP/1.1\r\n"),
+    sound("absolute beside another host", host=b"Host: other.example\r\n",
+          line=b"POST http://shop.example%s HTTP/1.1\r\n"),
+    sound("absolute of the older version", connection=b"",
+          line=b"POST http://shop.example%s HTTP/1.0\r\n"),
+    bad("absolute of another host", 404, "unknown_path",
+        line=b"POST http://other.example%s HTTP/1.1\r\n"),
+    bad("absolute without a path", 404, "unknown_path",
+        line=b"POST http://shop.example HTTP/1.1\r\n"),
+    bad("absolute with a query alone", 404, "unknown_path",
+        line=b"POST http://shop.example?a=b HTTP/1.1\r\n"),
+    bad("absolute without a host", 404, "unknown_path",
+        line=b"POST http://%s HTTP/1.1\r\n"),
+    bad("absolute with a user", 404, "unknown_path",
+        line=b"POST http://a@shop.example%s HTTP/1.1\r\n"),
+    bad("absolute of a scheme unknown", 404, "unknown_path",
+        line=b"POST ftp://shop.example%s HTTP/1.1\r\n"),
+    bad("absolute without a host header", host=b"",
+        line=b"POST http://shop.example%s HTTP/1.1\r\n"),
+    bad("the server itself", 404, "unknown_path", fields=b"", body=b"",
+        line=b"OPTIONS * HTTP/1.1\r\n"),
+]
+FORMS = [PLAIN, CHUNKS, METHODS, AMBIGUOUS, EMPTY_LINES, ABSOLUTE]
+# What may come before a GET, and the form of its target.
+GETS = [(b"", b"%s"), (b"\r\n", b"%s"), (b"", b"http://any%s"),
+        (b"", b"HTTP://any:80%s")]
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -71,11 +71,11 @@
         got = upstream.received[0]
         self.assertEqual((got.method, got.target, got.body),
                          form.arrives(path), form.name)
-        names = [name.lower() for name, _ in got.headers]
-        self.assertEqual(names.count("host"), 1, form.name)
+        hosts = [value.lower().partition(":")[0]
+                 for name, value in got.headers if name.lower() == "host"]
+        self.assertEqual(hosts, ["shop.example"], form.name)
         self.assertEqual(dict(got.headers)["X-Request-Id"],
                          "id%d" % self.number, form.name)
-        return got
 
     def assert_refused(self, form, upstream, received, before):
         status, code = form.refused
@@ -132,5 +132,27 @@
                     [("POST", "/write/x", b"x")] * 3)
 
 
+class OtherListenersTest(unittest.TestCase):
+    """What operators and the platform send."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.engine("e1")
+        self.router = self.fleet.start()
+
+    def test_lines(self):
+        for port, path in ((self.router.ready_port, b"/v1/ready"),
+                           (self.router.operator_port, b"/metrics")):
+            for before, target in request_forms.GETS:
+                for is_slow in (False, True):
+                    received = exchange(
+                        port, before + b"GET " + target % path
+                        + b" HTTP/1.1\r\nHost: \t any\t\r\n"
+                        b"Connection: close\r\n\r\n", is_slow)
+                    self.assertTrue(received.startswith(b"HTTP/1.1 200 "),
+                                    (target % path, received))
+
+
 if __name__ == "__main__":
     unittest.main()
