Methods that evhttp has no name for are passed on as they came

What callers saw: PROPFIND, QUERY or any other method that evhttp has no name for got 405 on each route, although routes name no methods and the platform's page says that methods are not altered; a body with such a method got 400. CONNECT was passed on, and its connection never closed. Cause: evhttp keeps no word that it does not know, reads no body behind one and can't send one. Now RequestIntake gives evhttp such a request as a POST beside a header that no caller may send (400), before evhttp reads it. The type is unknown again once it was read, so that only who asks for the word treats it as anything; AttemptConnection puts it in the place of POST as the request line is written. The native interface refuses it as before (405), other listeners with 501. CONNECT is refused on routes (405): nothing tells where a tunnel ends.

--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <string.h>
 
 #include "Clock.h"
 #include "DescriptorReserve.h"
@@ -15,17 +16,33 @@
 #define INTERIM_ANSWERS_MAX 16
 /* Interval of the tries to connect while there is no descriptor. */
 #define DESCRIPTOR_WAIT_MS 10
+/* As evhttp writes EVHTTP_REQ_POST. */
+#define SENT_METHOD "POST"
+
+/* Neither end of a connection's output may be changed by others than libevent,
+ * unless it is told. */
+static void
+write_method(AttemptConnection_t *this, struct evbuffer *buffer)
+{
+    if (!this->unnamed) {
+        return;
+    }
+    evbuffer_unfreeze(buffer, TRUE);
+    evbuffer_drain(buffer, strlen(SENT_METHOD));
+    evbuffer_prepend(buffer, this->unnamed, strlen(this->unnamed));
+    evbuffer_freeze(buffer, TRUE);
+}
 
 /* evhttp writes the request into the output buffer only once the connection is
- * established. */
+ * established, its first line at first. */
 static void
 on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
           void *data)
 {
-    (void)buffer;
     AttemptConnection_t *this = data;
     if (info->n_added > 0 && !this->sent) {
         this->sent = TRUE;
+        write_method(this, buffer);
         this->last_received_ms = Clock_nowMs();
         Clock_arm(this->timeout_timer, this->timeouts.first_ms);
     }
@@ -277,6 +294,12 @@
     send_or_wait(data);
 }
 
+void
+AttemptConnection_setMethod(AttemptConnection_t *this, const char *unnamed)
+{
+    this->unnamed = g_strdup(unnamed);
+}
+
 void
 AttemptConnection_send(AttemptConnection_t *this,
                        struct evhttp_request *request,
@@ -369,6 +392,7 @@
     if (this->unsent) {
         evhttp_request_free(this->unsent);
     }
+    g_free(this->unnamed);
     g_free(this->uri);
     if (!this->reusable) {
         Http_abort(PooledConnection_release(this->pooled));
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -87,6 +87,7 @@
  * @attempt: as in the specification
  * @unsent: the request, until there is a descriptor for its connection; owned
  * @method: of the request
+ * @unnamed: the method to send in place of EVHTTP_REQ_POST, or NULL
  * @uri: of the request
  * @input_counted: this connection's part of @input_total
  * @head: the check of the answer's heads
@@ -125,6 +126,7 @@
     void *attempt;
     struct evhttp_request *unsent;
     enum evhttp_cmd_type method;
+    char *unnamed;
     char *uri;
     gsize input_counted;
     HeadCheck_t head;
@@ -146,6 +148,11 @@
 void AttemptConnection_init(AttemptConnection_t *this, struct event_base *base,
                             const AttemptConnectionSpec_t *spec);
 
+/** AttemptConnection_setMethod() - a method that evhttp has no name for, which
+ * is sent in place of EVHTTP_REQ_POST; or NULL */
+void AttemptConnection_setMethod(AttemptConnection_t *this,
+                                 const char *unnamed);
+
 /**
  * AttemptConnection_send() - send the request
  *
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -13,6 +13,7 @@
 #include "HttpReply.h"
 #include "Json.h"
 #include "Random.h"
+#include "RequestHead.h"
 #include "RequestIntake.h"
 #include "ServiceExchange.h"
 #include "StreamExchange.h"
@@ -324,6 +325,10 @@
 static void
 handle_service(Call_t *call)
 {
+    if (evhttp_request_get_command(call->http) == METHOD_UNNAMED) {
+        refuse(call, REFUSAL_BAD_METHOD, NULL);
+        return;
+    }
     const char *name = call->path + strlen(SERVICES_PATH);
     const char *slash = strchr(name, '/');
     g_autofree char *service =
--- a/src/HttpListener.c
+++ b/src/HttpListener.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -112,6 +113,10 @@
 {
     const HttpListener_t *this = data;
     RequestHead_normalize(request);
+    if (request->type == METHOD_UNNAMED && !this->spec.takes_unnamed) {
+        evhttp_send_error(request, HTTP_NOTIMPLEMENTED, NULL);
+        return;
+    }
     this->spec.handle(request, this->spec.context);
 }
 
--- a/src/HttpListener.h
+++ b/src/HttpListener.h
@@ -27,6 +27,7 @@
  * @setting: name of the setting that has the address, for log lines
  * @address: to listen at
  * @handle: called for each request
+ * @takes_unnamed: also for those of the type METHOD_UNNAMED (RequestHead.h)
  *
  * All of it must outlive the listener.
  */
@@ -36,6 +37,7 @@
     const char *setting;
     const Address_t *address;
     HttpHandler_t handle;
+    gboolean takes_unnamed;
 } HttpListenerSpec_t;
 
 /** struct HttpListener_t - opaque */
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -11,12 +11,13 @@
 #include "RelayExchange.h"
 #include "RelayForward.h"
 #include "RelayStop.h"
+#include "RequestHead.h"
 #include "RequestIntake.h"
 
-#define KNOWN_METHODS                                                         \
+#define PASSED_METHODS                                                        \
     (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |    \
      EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |              \
-     EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH)
+     EVHTTP_REQ_PATCH)
 
 /* State of one request during admission. */
 typedef struct {
@@ -301,11 +302,14 @@
     return !admission->is_ambiguous;
 }
 
-/* evhttp can't send a method that it has no name for. */
+/* Nothing tells where what is sent through a tunnel ends. */
 static gboolean
 check_method(Admission_t *admission)
 {
-    if (evhttp_request_get_command(admission->http) & KNOWN_METHODS) {
+    struct evhttp_request *http = admission->http;
+    const char *unnamed = RequestHead_unnamedMethod(http);
+    if ((evhttp_request_get_command(http) & PASSED_METHODS) ||
+        (unnamed && strcmp(unnamed, "CONNECT") != 0)) {
         return TRUE;
     }
     refuse_request(admission, REFUSAL_BAD_METHOD, NULL);
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -8,6 +8,7 @@
 #include "AttemptConnection.h"
 #include "Clock.h"
 #include "Log.h"
+#include "RequestHead.h"
 #include "SendWatch.h"
 
 /* TCP keepalive of a connection without traffic. */
@@ -524,8 +525,10 @@
     this->connect_ms = spec->connect_ms;
     this->request_id = g_string_new(spec->request_id);
     AttemptConnection_init(&this->connection, base, &connection);
+    AttemptConnection_setMethod(&this->connection,
+                                RequestHead_unnamedMethod(spec->request));
     AttemptConnection_send(&this->connection, build_request(this, spec),
-                           evhttp_request_get_command(spec->request),
+                           RequestHead_methodToSend(spec->request),
                            evhttp_request_get_uri(spec->request));
     return this;
 }
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -33,6 +33,10 @@
  * the end of the upstream's answer */
 #define RELAY_CLOSE_DELIMITED "Wheattiller-Close-Delimited"
 
+/** Header in which RequestIntake hands on a method that evhttp has no name for
+ */
+#define RELAY_METHOD "Wheattiller-Method"
+
 /** Longest request id that is accepted, in bytes */
 #define RELAY_ID_MAX 128
 
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -12,10 +12,16 @@
 #define LINE_MAX_BYTES 64
 #define CHUNKED_LINE "transfer-encoding:chunked"
 #define LENGTH_PREFIX "content-length:"
+#define METHOD_PREFIX RELAY_METHOD ":"
 #define PROOF_PREFIX RELAY_FORWARD_PROOF ":"
 #define CODING_PREFIX "transfer-encoding:"
 #define HASH_FACTOR G_GUINT64_CONSTANT(1099511628211) /* of FNV-1a */
 
+/* Of evhttp, which never ends the connection of a CONNECT. */
+static const char *const named_methods[] = {
+    "GET", "POST", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE", "PATCH", NULL,
+};
+
 typedef enum {
     PART_HEAD,
     PART_LENGTH,
@@ -27,6 +33,9 @@
     const char *proof;
     const char *key_header;
     gboolean is_from_router;
+    GQueue *unnamed;  /* UnnamedMethod_t, each with the offset of its word */
+    gsize checked;    /* bytes so far that are left */
+    gsize line_begin; /* offset of the request line */
     Part_t part;
     char line[LINE_MAX_BYTES]; /* the beginning of the line under way */
     gsize line_bytes;
@@ -43,6 +52,7 @@
     ChunkCheck_t chunks;
     LineCheck_t syntax;
     gboolean has_late_framing; /* a trailer tells how the body ends */
+    gboolean has_method;       /* a field that only a router sets */
 };
 
 static void
@@ -51,6 +61,8 @@
     *this = (RequestFraming_t){.proof = this->proof,
                                .key_header = this->key_header,
                                .is_from_router = this->is_from_router,
+                               .unnamed = this->unnamed,
+                               .checked = this->checked,
                                .is_first_line = TRUE};
 }
 
@@ -72,12 +84,34 @@
     }
 }
 
+static void
+note_unnamed(RequestFraming_t *this, gsize length)
+{
+    UnnamedMethod_t *method = g_new(UnnamedMethod_t, 1);
+    *method = (UnnamedMethod_t){.word = g_strndup(this->line, length),
+                                .distance = this->line_begin};
+    g_queue_push_tail(this->unnamed, method);
+}
+
+/* Longer methods than what is kept of a line stay as they are. */
+static void
+read_method(RequestFraming_t *this)
+{
+    const char *end = strchr(this->line, ' ');
+    g_autofree char *word =
+        end ? g_strndup(this->line, (gsize)(end - this->line)) : NULL;
+    if (word && !g_strv_contains(named_methods, word)) {
+        note_unnamed(this, strlen(word));
+    }
+}
+
 static void
 read_first_line(RequestFraming_t *this)
 {
     if (this->line_bytes == 0) {
         return;
     }
+    read_method(this);
     this->has_no_body = g_str_has_prefix(this->line, "HEAD ") ||
                         g_str_has_prefix(this->line, "TRACE ");
     this->is_first_line = FALSE;
@@ -99,6 +133,9 @@
 static void
 read_header(RequestFraming_t *this)
 {
+    if (has_prefix(this, METHOD_PREFIX)) {
+        this->has_method = TRUE;
+    }
     if (has_key(this)) {
         this->caller = this->line_hash;
     }
@@ -266,19 +303,36 @@
     while (at < length && !RequestFraming_isBroken(this) &&
            !RequestFraming_hasTooManyLines(this)) {
         gboolean was_between = is_between_requests(this);
+        if (was_between) {
+            this->line_begin = this->checked + kept;
+        }
         gsize size = readers[this->part](this, bytes + at, length - at);
         if (!was_between || !is_between_requests(this)) {
             kept += move_bytes(bytes, kept, at, size);
         }
         at += size;
     }
-    return kept + move_bytes(bytes, kept, at, length - at);
+    kept += move_bytes(bytes, kept, at, length - at);
+    this->checked += kept;
+    return kept;
+}
+
+gboolean
+RequestFraming_takeUnnamed(RequestFraming_t *this, UnnamedMethod_t *out)
+{
+    g_autofree UnnamedMethod_t *method = g_queue_pop_head(this->unnamed);
+    if (method) {
+        *out =
+            (UnnamedMethod_t){method->word, this->checked - method->distance};
+    }
+    return method != NULL;
 }
 
 gboolean
 RequestFraming_hasBrokenLine(const RequestFraming_t *this)
 {
-    return LineCheck_isBroken(&this->syntax) || this->has_late_framing;
+    return LineCheck_isBroken(&this->syntax) || this->has_late_framing ||
+           this->has_method;
 }
 
 gboolean
@@ -363,12 +417,22 @@
     RequestFraming_t *this = g_new0(RequestFraming_t, 1);
     this->proof = proof;
     this->key_header = key_header;
+    this->unnamed = g_queue_new();
     begin_head(this);
     return this;
 }
 
+static void
+free_unnamed(gpointer data)
+{
+    UnnamedMethod_t *method = data;
+    g_free(method->word);
+    g_free(method);
+}
+
 void
 RequestFraming_destroy(RequestFraming_t *this)
 {
+    g_queue_free_full(this->unnamed, free_unnamed);
     g_free(this);
 }
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -13,6 +13,17 @@
 /** struct RequestFraming_t - opaque; the requests of one connection */
 typedef struct RequestFraming RequestFraming_t;
 
+/**
+ * struct UnnamedMethod_t - a method that evhttp has no name for
+ * @word: the method
+ * @distance: bytes from its beginning to the end of what was checked and is
+ *     left
+ */
+typedef struct {
+    char *word;
+    gsize distance;
+} UnnamedMethod_t;
+
 /** RequestFraming_create() - begin with a connection
  * @proof: proves that another router sends it (ForwardProof.h), or NULL
  * @key_header: header that tells callers apart, or NULL; both must outlive the
@@ -33,11 +44,22 @@
  */
 gsize RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length);
 
+/**
+ * RequestFraming_takeUnnamed() - take the next unnamed method of the request
+ * lines that have ended
+ * @out: its word must be freed
+ *
+ * Return: FALSE if there is none
+ */
+gboolean RequestFraming_takeUnnamed(RequestFraming_t *this,
+                                    UnnamedMethod_t *out);
+
 /** RequestFraming_isBroken() - whether chunks or lines are broken */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
 
 /** RequestFraming_hasBrokenLine() - whether a line of a head or of trailers is
- * malformed, or a trailer names the framing. evhttp may wait for more. */
+ * malformed, a trailer names the framing, or a field names a method. evhttp
+ * may wait for more. */
 gboolean RequestFraming_hasBrokenLine(const RequestFraming_t *this);
 
 /** RequestFraming_lines() - lines of the head and the trailers so far */
--- a/src/RequestHead.c
+++ b/src/RequestHead.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "RelayForm.h"
+
 #define HOST_HEADER "Host"
 
 static const char *const schemes[] = {"http://", "https://"};
@@ -46,8 +48,28 @@
     }
 }
 
-void
-RequestHead_normalize(struct evhttp_request *request)
+static const char *
+find_method(struct evhttp_request *request)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(request),
+                              RELAY_METHOD);
+}
+
+const char *
+RequestHead_unnamedMethod(struct evhttp_request *request)
+{
+    return request->type == METHOD_UNNAMED ? find_method(request) : NULL;
+}
+
+enum evhttp_cmd_type
+RequestHead_methodToSend(struct evhttp_request *request)
+{
+    return RequestHead_unnamedMethod(request) ? EVHTTP_REQ_POST
+                                              : request->type;
+}
+
+static void
+make_origin_form(struct evhttp_request *request)
 {
     char *authority = find_authority(request->uri);
     gsize length = authority ? strcspn(authority, "/?#") : 0;
@@ -58,3 +80,12 @@
     replace_target(request, authority + length);
     request->flags &= ~EVHTTP_PROXY_REQUEST;
 }
+
+void
+RequestHead_normalize(struct evhttp_request *request)
+{
+    if (find_method(request)) {
+        request->type = METHOD_UNNAMED;
+    }
+    make_origin_form(request);
+}
--- a/src/RequestHead.h
+++ b/src/RequestHead.h
@@ -5,10 +5,15 @@
  *
  * Brings the head of a request that evhttp has read into the one form that the
  * handlers of requests know: a target in absolute form becomes one in origin
- * form (RFC 9112, section 3.2).
+ * form (RFC 9112, section 3.2), and a method that RequestIntake has replaced
+ * is known again.
  */
 #include <event2/http.h>
 
+/** METHOD_UNNAMED - type of requests whose method evhttp has no name for; the
+ * value that evhttp gives them */
+#define METHOD_UNNAMED ((enum evhttp_cmd_type)(1 << 15))
+
 /**
  * RequestHead_normalize() - bring the head of a request into its usual form
  *
@@ -17,4 +22,12 @@
  */
 void RequestHead_normalize(struct evhttp_request *request);
 
+/** RequestHead_unnamedMethod() - the method of a request of the type
+ * METHOD_UNNAMED; NULL if it is unknown, or of another type */
+const char *RequestHead_unnamedMethod(struct evhttp_request *request);
+
+/** RequestHead_methodToSend() - the type as which evhttp can pass a request
+ * on; its unnamed method is then put in place of the type's */
+enum evhttp_cmd_type RequestHead_methodToSend(struct evhttp_request *request);
+
 #endif
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -3,6 +3,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "BodyFraming.h"
 #include "Clock.h"
@@ -12,6 +14,7 @@
 #include "Refusal.h"
 #include "RelayForm.h"
 #include "RequestFraming.h"
+#include "RequestHead.h"
 #include "SocketBuffers.h"
 
 /* Copies of a body while it is moved out of its request. */
@@ -173,6 +176,34 @@
     evbuffer_free(sound);
 }
 
+/* evhttp reads no body behind a method that it has no name for. */
+static void
+replace_method(struct evbuffer *buffer, const UnnamedMethod_t *method)
+{
+    struct evbuffer *sound = evbuffer_new();
+    gsize length = 0;
+    evbuffer_remove_buffer(buffer, sound,
+                           evbuffer_get_length(buffer) - method->distance);
+    evbuffer_drain(buffer, strlen(method->word));
+    char *line = evbuffer_readln(buffer, &length, EVBUFFER_EOL_CRLF_STRICT);
+    evbuffer_add_printf(sound, "POST%s\r\n" RELAY_METHOD ": %s\r\n", line,
+                        method->word);
+    evbuffer_add_buffer(sound, buffer);
+    evbuffer_add_buffer(buffer, sound);
+    evbuffer_free(sound);
+    free(line);
+}
+
+static void
+replace_methods(Connection_t *this, struct evbuffer *buffer)
+{
+    UnnamedMethod_t method;
+    while (RequestFraming_takeUnnamed(this->framing, &method)) {
+        replace_method(buffer, &method);
+        g_free(method.word);
+    }
+}
+
 static void
 feed(Connection_t *this, struct evbuffer *buffer, gsize added)
 {
@@ -189,11 +220,12 @@
             this->framing, parts[i].iov_base, parts[i].iov_len);
         left += parts[i].iov_len;
     }
+    this->is_replacing = TRUE;
     if (left < added) {
-        this->is_replacing = TRUE;
         replace_tail(buffer, added, parts, count);
-        this->is_replacing = FALSE;
     }
+    replace_methods(this, buffer);
+    this->is_replacing = FALSE;
 }
 
 static void
@@ -570,7 +602,7 @@
     }
     return has_unknown_coding(request) ||
            BodyFraming_isAmbiguousRequest(
-               evhttp_request_get_command(request),
+               RequestHead_methodToSend(request),
                evhttp_request_get_input_headers(request)) ||
            (connection && RequestFraming_isBroken(connection->framing));
 }
--- a/src/RequestIntake.h
+++ b/src/RequestIntake.h
@@ -5,7 +5,7 @@
  *
  * Watches what callers send before evhttp reads it: whether the framing of
  * their requests is sound (RequestFraming.h), without empty lines between
- * them, and whether there is room for
+ * them and with methods that evhttp reads, and whether there is room for
  * their bodies (BodyBudget.h). A connection whose body has no room is read
  * slowly until there is, so that its caller waits and its end is noticed;
  * after a while its request is refused. While memory is short, requests that
--- a/src/Router.c
+++ b/src/Router.c
@@ -310,7 +310,9 @@
                                .intake = &this->intake,
                                .setting = setting,
                                .address = address,
-                               .handle = handle};
+                               .handle = handle,
+                               .takes_unnamed =
+                                   address == &this->settings->router.listen};
     return HttpListener_create(&spec);
 }
 
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -5,7 +5,7 @@
 import unittest
 
 import request_forms
-from cluster import wait_for
+from cluster import Cluster, wait_for
 from fleet import Fleet
 
 BYTE_PAUSE_S = 0.0001
@@ -112,6 +112,22 @@
                 with self.subTest(form=form.name, is_slow=is_slow):
                     self.play(form, is_slow)
 
+    # Requests that follow each other must not get each other's methods.
+    def test_methods_of_a_connection(self):
+        methods = [b"POST", b"FOO", b"X", b"PUT", b"PROPFIND", b"GET"]
+        for is_slow in (False, True):
+            self.plain.received.clear()
+            data = b"".join(
+                request_forms.Form(
+                    "one", line=method + b" %s HTTP/1.1\r\n",
+                    connection=b"" if method != b"GET" else
+                    request_forms.CLOSE).write(b"/write/x", b"i" + method)
+                for method in methods)
+            received = exchange(self.router.port, data, is_slow)
+            self.assertEqual(received.count(b"HTTP/1.1 200 "), len(methods))
+            self.assertEqual([got.method.encode()
+                              for got in self.plain.received], methods)
+
     # The next request of a kept connection got 400 and the library's page.
     def test_empty_lines_between_requests_of_a_connection(self):
         first = request_forms.Form("first", connection=b"")
@@ -153,6 +169,47 @@
                     self.assertTrue(received.startswith(b"HTTP/1.1 200 "),
                                     (target % path, received))
 
+    # They take no method that the library has no name for.
+    def test_methods(self):
+        for port, path in ((self.router.ready_port, b"/v1/ready"),
+                           (self.router.operator_port, b"/metrics")):
+            received = exchange(
+                port, b"FOO %s HTTP/1.1\r\nHost: any\r\n\r\n" % path)
+            self.assertTrue(received.startswith(b"HTTP/1.1 501 "), received)
+
+
+class NativeFormsTest(unittest.TestCase):
+    """As RelayedFormsTest, on the native interface."""
+
+    HEAD = (b"Host: x\r\nAuthorization: Bearer acme-key\r\n"
+            b"Connection: close\r\n\r\n")
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.router = self.cluster.start()
+
+    def test_lines(self):
+        for before, target in request_forms.GETS:
+            for is_slow in (False, True):
+                received = exchange(
+                    self.router.port, before + b"GET " + target % b"/v1/models"
+                    + b" HTTP/1.1\r\n" + self.HEAD, is_slow)
+                self.assertTrue(received.startswith(b"HTTP/1.1 200 "),
+                                (target, received))
+
+    # A method that the library has no name for became another word.
+    def test_unknown_methods(self):
+        for method in (b"FOO", b"PROPFIND", b"post", b"CONNECT"):
+            for path in (b"/v1/completions", b"/v1/services/ledger/x"):
+                received = exchange(
+                    self.router.port,
+                    b"%s %s HTTP/1.1\r\n" % (method, path) + self.HEAD)
+                self.assertTrue(received.startswith(b"HTTP/1.1 405 "),
+                                (method, path, received))
+                error = json.loads(received.partition(b"\r\n\r\n")[2])
+                self.assertEqual(error["error"]["run"], "not_run")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -86,6 +86,44 @@
 }
 END_TEST
 
+static void
+ck_assert_unnamed(const char *bytes, gsize step, const char *word,
+                  const char *from)
+{
+    gsize length = strlen(bytes);
+    UnnamedMethod_t method = {0};
+    RequestFraming_t *framing = RequestFraming_create(NULL, NULL);
+    for (gsize at = 0; at < length; at += step) {
+        feed(framing, bytes + at, MIN(step, length - at));
+    }
+    ck_assert(RequestFraming_takeUnnamed(framing, &method) == (word != NULL));
+    ck_assert_pstr_eq(method.word, word);
+    ck_assert_uint_eq(method.distance, word ? strlen(from) : 0);
+    ck_assert(!RequestFraming_takeUnnamed(framing, &method));
+    g_free(method.word);
+    RequestFraming_destroy(framing);
+}
+
+START_TEST(methods_without_a_name_are_told)
+{
+    const char *unnamed = "FOO / HTTP/1.1\r\n\r\n" NEXT;
+    for (gsize step = 1; step <= strlen(NEXT "\r\n") * 2; step++) {
+        ck_assert_unnamed(NEXT NEXT, step, NULL, NULL);
+        ck_assert_unnamed("FOO / HTTP/1.1", step, NULL, NULL);
+        ck_assert_unnamed("FOO / HTTP/1.1\r\n\r\n" NEXT, step, "FOO", unnamed);
+        ck_assert_unnamed(NEXT "\r\nFOO / HTTP/1.1\r\n\r\n" NEXT, step, "FOO",
+                          unnamed);
+        ck_assert_unnamed("GETS / HTTP/1.1\r\n", step, "GETS",
+                          "GETS / HTTP/1.1\r\n");
+        ck_assert_unnamed("get / HTTP/1.1\r\n", step, "get",
+                          "get / HTTP/1.1\r\n");
+        ck_assert_unnamed("CONNECT / HTTP/1.1\r\n", step, "CONNECT",
+                          "CONNECT / HTTP/1.1\r\n");
+    }
+    ck_assert_broken(POST RELAY_METHOD ": a\r\n", TRUE);
+}
+END_TEST
+
 START_TEST(broken_chunks_are_found_in_any_request)
 {
     ck_assert_broken(CHUNKED BROKEN, TRUE);
@@ -235,6 +273,7 @@
 
 TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
              empty_lines_between_requests_are_left_out,
+             methods_without_a_name_are_told,
              broken_chunks_are_found_in_any_request,
              malformed_lines_are_found_in_any_request,
              the_key_tells_callers_apart,
