RequestFraming: a tab before a value is not a part of it

What callers saw: with a tab before the value of Content-Length or Transfer-Encoding a request got 400, before Host 404, before Api-Key or Authorization 401, before an expectation 417 as evhttp's page, and a Connection: close was not honoured. Cause: evhttp skips spaces before a value and blanks behind it, but no tabs before it (RFC 9110, section 5.5: neither belongs to the value). A tab there is now overwritten with a space before evhttp reads it, in heads and trailers alike; no byte is added or removed. Blanks inside a coding are refused as before.

--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -40,7 +40,8 @@
     char line[LINE_MAX_BYTES]; /* the beginning of the line under way */
     gsize line_bytes;
     gboolean is_line_cut;
-    guint64 line_hash; /* of the whole line */
+    gboolean is_before_value; /* behind the colon of a field */
+    guint64 line_hash;        /* of the whole line */
     guint64 caller;
     gboolean is_first_line;
     guint lines;          /* of the head, and of the trailers */
@@ -199,6 +200,21 @@
     return byte != '\r' && (!is_blank || this->is_first_line);
 }
 
+/* evhttp skips only spaces before a value. */
+static void
+blank_tab(RequestFraming_t *this, LineState_t before, char *byte)
+{
+    if (before == LINE_NAME && this->syntax.state == LINE_TEXT) {
+        this->is_before_value = TRUE;
+    }
+    else if (this->is_before_value && *byte == '\t') {
+        *byte = ' ';
+    }
+    else if (*byte != ' ') {
+        this->is_before_value = FALSE;
+    }
+}
+
 static void
 check_byte(RequestFraming_t *this, char byte)
 {
@@ -220,20 +236,19 @@
 }
 
 static void
-read_line_byte(RequestFraming_t *this, char byte)
+read_line_byte(RequestFraming_t *this, char *byte)
 {
-    check_byte(this, byte);
+    LineState_t before = this->syntax.state;
+    check_byte(this, *byte);
     if (LineCheck_isBroken(&this->syntax)) {
         return;
     }
-    if (byte == '\n') {
+    blank_tab(this, before, byte);
+    if (*byte == '\n') {
         end_line(this);
     }
-    else if (!is_kept(this, byte)) {
-        return;
-    }
-    else {
-        keep_byte(this, byte);
+    else if (is_kept(this, *byte)) {
+        keep_byte(this, *byte);
     }
 }
 
@@ -243,7 +258,7 @@
     const char *end = memchr(bytes, '\n', length);
     gsize size = end ? (gsize)(end - bytes) + 1 : length;
     for (gsize i = 0; i < size && !LineCheck_isBroken(&this->syntax); i++) {
-        read_line_byte(this, bytes[i]);
+        read_line_byte(this, &bytes[i]);
     }
     return size;
 }
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -37,8 +37,9 @@
 /**
  * RequestFraming_feed() - check the next bytes of the connection
  *
- * Overwrites extensions of chunks (see ChunkCheck.h), and leaves out empty
- * lines before a request, which evhttp takes for an error.
+ * Overwrites extensions of chunks (see ChunkCheck.h) and tabs before the value
+ * of a field, which evhttp takes for a part of it, and leaves out empty lines
+ * before a request, which it takes for an error.
  *
  * Return: number of bytes that are left of @bytes
  */
--- a/tests/request_forms.py
+++ b/tests/request_forms.py
@@ -159,7 +159,20 @@
     bad("the server itself", 404, "unknown_path", fields=b"", body=b"",
         line=b"OPTIONS * HTTP/1.1\r\n"),
 ]
-FORMS = [PLAIN, CHUNKS, METHODS, UNNAMED_METHODS, AMBIGUOUS, EMPTY_LINES, ABSOLUTE]
+TABS = [
+    sound("blanks around a length", fields=b"Content-Length: \t 1 \t\r\n"),
+    sound("blanks around a coding", body=b"1\r\nx\r\n" + LAST,
+          fields=b"Transfer-Encoding:\t \tchunked\t \t\r\n"),
+    sound("blanks around a host", host=b"Host:\tshop.example \t\r\n"),
+    sound("blanks around a key", key=b"Api-Key:\t\tkey-a\t\t\r\n"),
+    sound("blanks around a connection", connection=b"Connection:\tclose\t\r\n"),
+    sound("blanks around an expectation",
+          fields=b"Expect:\t100-continue\t\r\n" + ONE),
+    sound("blanks alone", fields=b"X-Empty: \t \t\r\n" + ONE),
+    bad("a blank inside a coding", fields=b"Transfer-Encoding: chun\tked\r\n"),
+]
+FORMS = [PLAIN, CHUNKS, METHODS, UNNAMED_METHODS, AMBIGUOUS, EMPTY_LINES, ABSOLUTE,
+         TABS]
 # What may come before a GET, and the form of its target.
 GETS = [(b"", b"%s"), (b"\r\n", b"%s"), (b"", b"http://any%s"),
         (b"", b"HTTP://any:80%s")]
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -181,7 +181,7 @@
 class NativeFormsTest(unittest.TestCase):
     """As RelayedFormsTest, on the native interface."""
 
-    HEAD = (b"Host: x\r\nAuthorization: Bearer acme-key\r\n"
+    HEAD = (b"Host: x\r\nAuthorization: \t Bearer acme-key \t\r\n"
             b"Connection: close\r\n\r\n")
 
     def setUp(self):
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -86,6 +86,19 @@
 }
 END_TEST
 
+START_TEST(tabs_before_values_become_spaces)
+{
+    ck_assert_left(POST "A:\t b\t c\t\r\n\r\n\t",
+                   POST "A:  b\t c\t\r\n\r\n\t");
+    ck_assert_left(POST "A: \t:\tb\r\n\r\n", POST "A:  :\tb\r\n\r\n");
+    ck_assert_left(POST "A:\t\r\nB: a\tb\r\n\r\n",
+                   POST "A: \r\nB: a\tb\r\n\r\n");
+    ck_assert_left(POST "Content-Length: 3\r\n\r\n:\tx",
+                   POST "Content-Length: 3\r\n\r\n:\tx");
+    ck_assert_left(CHUNKED "0\r\nA:\tb\r\n\r\n", CHUNKED "0\r\nA: b\r\n\r\n");
+}
+END_TEST
+
 static void
 ck_assert_unnamed(const char *bytes, gsize step, const char *word,
                   const char *from)
@@ -273,7 +286,7 @@
 
 TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
              empty_lines_between_requests_are_left_out,
-             methods_without_a_name_are_told,
+             tabs_before_values_become_spaces, methods_without_a_name_are_told,
              broken_chunks_are_found_in_any_request,
              malformed_lines_are_found_in_any_request,
              the_key_tells_callers_apart,
