RequestHead: a close is honoured wherever a Connection field asks for it

What callers saw: after a request with "Connection: foo, close", "Upgrade, close" or a close in a second Connection field the connection stayed open, so that a caller that waits for its end waited for the idle limit (RFC 9110, section 7.6.1: the field is a list, and lists may be split into fields). Cause: evhttp looks at the whole value of the first field alone. Now a field with "close" alone is put before the others. The head of an answer without a length drops all Connection fields of the request, of which evhttp would answer any that says keep-alive.

--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -44,10 +44,11 @@
 static void
 start_close_delimited(struct evhttp_request *request, int status)
 {
+    struct evkeyvalq *in = evhttp_request_get_input_headers(request);
     struct evkeyvalq *out = evhttp_request_get_output_headers(request);
     enum evhttp_cmd_type method = request->type;
-    evhttp_remove_header(evhttp_request_get_input_headers(request),
-                         "Connection");
+    while (evhttp_remove_header(in, "Connection") == 0) {
+    }
     evhttp_remove_header(out, "Connection");
     evhttp_add_header(out, "Connection", "close");
     ResetOnClose_add(evhttp_request_get_connection(request));
--- a/src/RequestHead.c
+++ b/src/RequestHead.c
@@ -1,11 +1,15 @@
 #include "RequestHead.h"
 
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "RelayForm.h"
 
 #define HOST_HEADER "Host"
+#define CONNECTION_HEADER "Connection"
+#define CLOSE_OPTION "close"
 #define HTTP_MAJOR 1
 #define HTTP_MINOR 1
 
@@ -82,6 +86,54 @@
     request->flags &= ~EVHTTP_PROXY_REQUEST;
 }
 
+static gboolean
+has_option(const char *value, const char *option)
+{
+    g_auto(GStrv) options = g_strsplit(value, ",", -1);
+    for (char **at = options; *at; at++) {
+        if (g_ascii_strcasecmp(g_strstrip(*at), option) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Returns the values of all Connection fields; @closes is set if one has the
+ * option "close". */
+static GPtrArray *
+read_connection(const struct evkeyvalq *headers, gboolean *closes)
+{
+    GPtrArray *values = g_ptr_array_new_with_free_func(g_free);
+    const struct evkeyval *header = NULL;
+    *closes = FALSE;
+    TAILQ_FOREACH(header, headers, next)
+    {
+        if (g_ascii_strcasecmp(header->key, CONNECTION_HEADER) == 0) {
+            g_ptr_array_add(values, g_strdup(header->value));
+            *closes = *closes || has_option(header->value, CLOSE_OPTION);
+        }
+    }
+    return values;
+}
+
+/* evhttp knows the option only as the whole value of the first field. */
+static void
+put_close_first(struct evkeyvalq *headers)
+{
+    gboolean closes = FALSE;
+    g_autoptr(GPtrArray) values = read_connection(headers, &closes);
+    if (!closes) {
+        return;
+    }
+    while (evhttp_remove_header(headers, CONNECTION_HEADER) == 0) {
+    }
+    evhttp_add_header(headers, CONNECTION_HEADER, CLOSE_OPTION);
+    for (guint i = 0; i < values->len; i++) {
+        evhttp_add_header(headers, CONNECTION_HEADER,
+                          g_ptr_array_index(values, i));
+    }
+}
+
 void
 RequestHead_normalize(struct evhttp_request *request)
 {
@@ -89,6 +141,7 @@
         request->type = METHOD_UNNAMED;
     }
     request->minor = MIN(request->minor, HTTP_MINOR);
+    put_close_first(evhttp_request_get_input_headers(request));
     make_origin_form(request);
 }
 
--- a/src/RequestHead.h
+++ b/src/RequestHead.h
@@ -7,6 +7,7 @@
  * handlers of requests know: a target in absolute form becomes one in origin
  * form (RFC 9112, section 3.2), and a method that RequestIntake has replaced
  * is known again. Later versions of HTTP/1 are answered as HTTP/1.1.
+ * A connection closes behind its answer wherever the request asks for it.
  */
 #include <event2/http.h>
 #include <glib.h>
--- a/tests/request_forms.py
+++ b/tests/request_forms.py
@@ -203,8 +203,21 @@
     bad("the first version", line=b"POST %s HTTP/0.9\r\n"),
     sound("a later one of the version", line=b"POST %s HTTP/1.2\r\n"),
 ]
+# Each asks for a close behind the answer.
+CLOSES = [
+    sound("close at the end of a list", connection=b"Connection: foo, close\r\n"),
+    sound("close at the head of a list", connection=b"Connection: CLOSE ,foo\r\n"),
+    sound("close beside an upgrade",
+          connection=b"Connection: Upgrade, close\r\nUpgrade: h2c\r\n"),
+    sound("close in the second field",
+          connection=b"Connection: keep-alive\r\nconnection: close\r\n"),
+    sound("close in the third field", connection=b"Connection:\r\n"
+          b"Connection: ,\t,\r\nConnection: keep-alive,,\tclose\r\n"),
+    sound("close of the older version", line=b"POST %s HTTP/1.0\r\n",
+          connection=b"Connection: keep-alive, close\r\n"),
+]
 FORMS = [PLAIN, CHUNKS, METHODS, UNNAMED_METHODS, AMBIGUOUS, EMPTY_LINES, ABSOLUTE,
-         TABS, UNREADABLE]
+         TABS, UNREADABLE, CLOSES]
 # What may come before a GET, and the form of its target.
 GETS = [(b"", b"%s"), (b"\r\n", b"%s"), (b"", b"http://any%s"),
         (b"", b"HTTP://any:80%s")]
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -136,6 +136,17 @@
             self.assertEqual([got.method.encode()
                               for got in self.plain.received], methods)
 
+    # What only looks like it must not close the connection.
+    def test_a_connection_is_kept(self):
+        for fields in (b"", b"Connection: keep-alive\r\n",
+                       b"Connection: closed, not-close\r\n",
+                       b"Connection: foo\r\nX-Connection: close\r\n"):
+            first = request_forms.Form("first", connection=fields)
+            data = first.write(b"/write/x", b"i1")
+            data += request_forms.Form("last").write(b"/write/x", b"i2")
+            received = exchange(self.router.port, data)
+            self.assertEqual(received.count(b"HTTP/1.1 200 "), 2, fields)
+
     # The next request of a kept connection got 400 and the library's page.
     def test_empty_lines_between_requests_of_a_connection(self):
         first = request_forms.Form("first", connection=b"")
