Requests with two Host fields are refused

What callers saw: a request with two Host fields was served by the first one's route, and the upstream got both, so that it might read the other (RFC 9112, section 3.2: a server must answer 400). Cause: Host was not among the headers that may stand once. It is now, on routes and on the native interface (400 header_twice, not run), also beside a target in absolute form, whose authority takes the place of the first.

--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -26,7 +26,7 @@
  * lower watermark than the largest request would stall that request. */
 #define INPUT_MARGIN_BYTES 65536
 
-static const char *const single_headers[] = {"Authorization",
+static const char *const single_headers[] = {"Host", "Authorization",
                                              "Idempotency-Key", NULL};
 static const char *const printable_headers[] = {"Idempotency-Key",
                                                 "X-Request-Id", NULL};
--- a/tests/request_forms.py
+++ b/tests/request_forms.py
@@ -123,6 +123,10 @@
     bad("bare line feeds", fields=b"X-A: b\n" + ONE),
     bad("a blank before the colon", fields=b"X-A : b\r\n" + ONE),
     bad("no host", host=b""),
+    bad("two hosts", code="header_twice", host=HOST + b"host: other.example\r\n"),
+    bad("a host twice", code="header_twice", host=HOST + HOST),
+    bad("two hosts beside an absolute form", code="header_twice",
+        host=HOST + HOST, line=b"POST http://shop.example%s HTTP/1.1\r\n"),
 ]
 EMPTY_LINES = [
     sound("an empty line first", before=b"\r\n"),
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -232,6 +232,11 @@
                     b"%s %s HTTP/1.1\r\n" % (method, path) + self.HEAD)
                 assert_typed(self, received, 405, "bad_method")
 
+    def test_two_hosts(self):
+        received = exchange(self.router.port, b"GET /v1/models HTTP/1.1\r\n"
+                            b"Host: y\r\n" + self.HEAD)
+        assert_typed(self, received, 400, "header_twice")
+
     # The library's own pages do not tell whether a request ran.
     def test_unreadable_requests(self):
         for data, status, code in request_forms.UNREADABLE_GETS:
