The stand-ins of tests/fleet.py send no body to HEAD

What was seen: test_request_forms failed once in a sanitizer run with 502 to HEAD and 503 to the next calls. Cause: the stand-in sent a body behind its head, which no answer to HEAD has; where it came before the router had put the connection away, these were bytes of no answer, and the upstream was doubted, rightly.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -498,6 +498,8 @@
                                       call.path.encode(), len(body))
         framing = {"Content_Length": str(len(answer))}
         call.head(self.status, framing if self.framed else None, **headers)
+        if call.command == "HEAD":
+            return
         if self.break_off:
             call.close_connection = True
             answer = answer[:len(answer) // 2]
@@ -513,6 +515,8 @@
         framed = self.framed
         call.head(200, {"Transfer_Encoding": "chunked"} if framed
                   else None, **headers)
+        if call.command == "HEAD":
+            return
         last = int(call.headers.get("Last-Event-Id", -1))
         sent = 0
         for event_id in range(last + 1, self.pieces):
