test_forwarding: a forwarded request keeps a method without a name

A request whose method evhttp has no name for is given to evhttp under another word and gets its own back as it is written. That this also holds on the way through a second router, which reads it the same way, was known by reading only. The test asks for the word, the target and the length of the body at the upstream, with a body and without one, and that the header that carries the word inside a router is not passed on.

--- a/tests/sessions/test_forwarding.py
+++ b/tests/sessions/test_forwarding.py
@@ -242,6 +242,17 @@
         self.assertEqual((answer.status, answer.body),
                          (200, b"GET /read/x?q=1 0 bytes"))
 
+    # A method that the library has no name for became another word.
+    def test_method_without_a_name(self):
+        self.lose("r0", cut=Links.cut_with_resets)
+        for body in (None, b"xyz"):
+            answer = self.call("r0", "/write/x?q=1", body, "PROPFIND",
+                               wait_ms=3000)
+            self.assertEqual((answer.status, answer.body),
+                             (200, b"PROPFIND /write/x?q=1 %d bytes"
+                              % len(body or b"")))
+        self.assertNotIn("Wheattiller-Method", self.plain.seen[-1])
+
     # HEAD has no body, and its connection stays usable.
     def test_head(self):
         import fleet
