--- a/src/HttpListener.c
+++ b/src/HttpListener.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -11,6 +12,7 @@
 #include "LingeringClose.h"
 #include "ListenRetry.h"
 #include "Log.h"
+#include "RequestHead.h"
 #include "SocketBuffers.h"
 
 struct HttpListener {
@@ -112,6 +114,16 @@
 {
     const HttpListener_t *this = data;
     InputHold_begin(request);
+    RequestHead_normalize(request);
+    if (!RequestHead_hasVersion(request)) {
+        evhttp_send_error(request, HTTP_BADREQUEST, NULL);
+        return;
+    }
+    if (request->type == METHOD_UNNAMED && !this->spec.takes_unnamed) {
+        evhttp_send_error(request, HTTP_NOTIMPLEMENTED, NULL);
+        return;
+    }
+    RequestIntake_noteTaken(request);
     this->spec.handle(request, this->spec.context);
 }
 
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -12,10 +12,16 @@
 #define LINE_MAX_BYTES 64
 #define CHUNKED_LINE "transfer-encoding:chunked"
 #define LENGTH_PREFIX "content-length:"
+#define METHOD_PREFIX RELAY_METHOD ":"
 #define PROOF_PREFIX RELAY_FORWARD_PROOF ":"
 #define CODING_PREFIX "transfer-encoding:"
 #define HASH_FACTOR G_GUINT64_CONSTANT(1099511628211) /* of FNV-1a */
 
+/* Of evhttp, which never ends the connection of a CONNECT. */
+static const char *const named_methods[] = {
+    "GET", "POST", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE", "PATCH", NULL,
+};
+
 typedef enum {
     PART_HEAD,
     PART_LENGTH,
@@ -27,13 +33,19 @@
     const char *proof;
     const char *key_header;
     gboolean is_from_router;
+    GQueue *unnamed;  /* UnnamedMethod_t, each with the offset of its word */
+    gsize checked;    /* bytes so far that are left */
+    gsize line_begin; /* offset of the request line */
     Part_t part;
     char line[LINE_MAX_BYTES]; /* the beginning of the line under way */
     gsize line_bytes;
     gboolean is_line_cut;
-    guint64 line_hash; /* of the whole line */
+    gboolean is_before_value; /* behind the colon of a field */
+    guint64 line_hash;        /* of the whole line */
     guint64 caller;
     gboolean is_first_line;
+    gsize head_bytes;
+    gsize last_head_bytes;
     guint lines;          /* of the head, and of the trailers */
     gboolean has_no_body; /* whatever its head states */
     gboolean is_chunked;
@@ -43,6 +55,7 @@
     ChunkCheck_t chunks;
     LineCheck_t syntax;
     gboolean has_late_framing; /* a trailer tells how the body ends */
+    gboolean has_method;       /* a field that only a router sets */
 };
 
 static void
@@ -51,6 +64,9 @@
     *this = (RequestFraming_t){.proof = this->proof,
                                .key_header = this->key_header,
                                .is_from_router = this->is_from_router,
+                               .unnamed = this->unnamed,
+                               .checked = this->checked,
+                               .last_head_bytes = this->head_bytes,
                                .is_first_line = TRUE};
 }
 
@@ -72,13 +88,34 @@
     }
 }
 
-/* Empty lines before a request don't count. */
+static void
+note_unnamed(RequestFraming_t *this, gsize length)
+{
+    UnnamedMethod_t *method = g_new(UnnamedMethod_t, 1);
+    *method = (UnnamedMethod_t){.word = g_strndup(this->line, length),
+                                .distance = this->line_begin};
+    g_queue_push_tail(this->unnamed, method);
+}
+
+/* Longer methods than what is kept of a line stay as they are. */
+static void
+read_method(RequestFraming_t *this)
+{
+    const char *end = strchr(this->line, ' ');
+    g_autofree char *word =
+        end ? g_strndup(this->line, (gsize)(end - this->line)) : NULL;
+    if (word && !g_strv_contains(named_methods, word)) {
+        note_unnamed(this, strlen(word));
+    }
+}
+
 static void
 read_first_line(RequestFraming_t *this)
 {
     if (this->line_bytes == 0) {
         return;
     }
+    read_method(this);
     this->has_no_body = g_str_has_prefix(this->line, "HEAD ") ||
                         g_str_has_prefix(this->line, "TRACE ");
     this->is_first_line = FALSE;
@@ -100,6 +137,9 @@
 static void
 read_header(RequestFraming_t *this)
 {
+    if (has_prefix(this, METHOD_PREFIX)) {
+        this->has_method = TRUE;
+    }
     if (has_key(this)) {
         this->caller = this->line_hash;
     }
@@ -163,6 +203,21 @@
     return byte != '\r' && (!is_blank || this->is_first_line);
 }
 
+/* evhttp skips only spaces before a value. */
+static void
+blank_tab(RequestFraming_t *this, LineState_t before, char *byte)
+{
+    if (before == LINE_NAME && this->syntax.state == LINE_TEXT) {
+        this->is_before_value = TRUE;
+    }
+    else if (this->is_before_value && *byte == '\t') {
+        *byte = ' ';
+    }
+    else if (*byte != ' ') {
+        this->is_before_value = FALSE;
+    }
+}
+
 static void
 check_byte(RequestFraming_t *this, char byte)
 {
@@ -184,20 +239,27 @@
 }
 
 static void
-read_line_byte(RequestFraming_t *this, char byte)
+count_head(RequestFraming_t *this, char byte)
 {
-    check_byte(this, byte);
+    gboolean is_end = byte == '\r' || byte == '\n';
+    this->head_bytes += this->part == PART_HEAD && !is_end ? 1 : 0;
+}
+
+static void
+read_line_byte(RequestFraming_t *this, char *byte)
+{
+    LineState_t before = this->syntax.state;
+    check_byte(this, *byte);
     if (LineCheck_isBroken(&this->syntax)) {
         return;
     }
-    if (byte == '\n') {
+    blank_tab(this, before, byte);
+    count_head(this, *byte);
+    if (*byte == '\n') {
         end_line(this);
     }
-    else if (!is_kept(this, byte)) {
-        return;
-    }
-    else {
-        keep_byte(this, byte);
+    else if (is_kept(this, *byte)) {
+        keep_byte(this, *byte);
     }
 }
 
@@ -207,7 +269,7 @@
     const char *end = memchr(bytes, '\n', length);
     gsize size = end ? (gsize)(end - bytes) + 1 : length;
     for (gsize i = 0; i < size && !LineCheck_isBroken(&this->syntax); i++) {
-        read_line_byte(this, bytes[i]);
+        read_line_byte(this, &bytes[i]);
     }
     return size;
 }
@@ -243,20 +305,60 @@
     [PART_TRAILERS] = read_line,
 };
 
-void
+static gsize
+move_bytes(char *bytes, gsize to, gsize from, gsize count)
+{
+    if (to != from) {
+        memmove(bytes + to, bytes + from, count);
+    }
+    return count;
+}
+
+static gboolean
+is_between_requests(const RequestFraming_t *this)
+{
+    return !RequestFraming_isUnderWay(this) && !RequestFraming_isBroken(this);
+}
+
+/* Empty lines before a request are left out. */
+gsize
 RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length)
 {
     gsize at = 0;
+    gsize kept = 0;
     while (at < length && !RequestFraming_isBroken(this) &&
            !RequestFraming_hasTooManyLines(this)) {
-        at += readers[this->part](this, bytes + at, length - at);
+        gboolean was_between = is_between_requests(this);
+        if (was_between) {
+            this->line_begin = this->checked + kept;
+        }
+        gsize size = readers[this->part](this, bytes + at, length - at);
+        if (!was_between || !is_between_requests(this)) {
+            kept += move_bytes(bytes, kept, at, size);
+        }
+        at += size;
+    }
+    kept += move_bytes(bytes, kept, at, length - at);
+    this->checked += kept;
+    return kept;
+}
+
+gboolean
+RequestFraming_takeUnnamed(RequestFraming_t *this, UnnamedMethod_t *out)
+{
+    g_autofree UnnamedMethod_t *method = g_queue_pop_head(this->unnamed);
+    if (method) {
+        *out =
+            (UnnamedMethod_t){method->word, this->checked - method->distance};
     }
+    return method != NULL;
 }
 
 gboolean
 RequestFraming_hasBrokenLine(const RequestFraming_t *this)
 {
-    return LineCheck_isBroken(&this->syntax) || this->has_late_framing;
+    return LineCheck_isBroken(&this->syntax) || this->has_late_framing ||
+           this->has_method;
 }
 
 gboolean
@@ -273,6 +375,18 @@
            (this->line_bytes > 0 || !this->is_first_line);
 }
 
+gsize
+RequestFraming_headBytes(const RequestFraming_t *this)
+{
+    return this->head_bytes > 0 ? this->head_bytes : this->last_head_bytes;
+}
+
+gsize
+RequestFraming_bytes(const RequestFraming_t *this)
+{
+    return this->checked - this->line_begin;
+}
+
 guint
 RequestFraming_lines(const RequestFraming_t *this)
 {
@@ -341,12 +455,22 @@
     RequestFraming_t *this = g_new0(RequestFraming_t, 1);
     this->proof = proof;
     this->key_header = key_header;
+    this->unnamed = g_queue_new();
     begin_head(this);
     return this;
 }
 
+static void
+free_unnamed(gpointer data)
+{
+    UnnamedMethod_t *method = data;
+    g_free(method->word);
+    g_free(method);
+}
+
 void
 RequestFraming_destroy(RequestFraming_t *this)
 {
+    g_queue_free_full(this->unnamed, free_unnamed);
     g_free(this);
 }
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -13,6 +13,17 @@
 /** struct RequestFraming_t - opaque; the requests of one connection */
 typedef struct RequestFraming RequestFraming_t;
 
+/**
+ * struct UnnamedMethod_t - a method that evhttp has no name for
+ * @word: the method
+ * @distance: bytes from its beginning to the end of what was checked and is
+ *     left
+ */
+typedef struct {
+    char *word;
+    gsize distance;
+} UnnamedMethod_t;
+
 /** RequestFraming_create() - begin with a connection
  * @proof: proves that another router sends it (ForwardProof.h), or NULL
  * @key_header: header that tells callers apart, or NULL; both must outlive the
@@ -23,17 +34,43 @@
 /** RequestFraming_destroy() - free it */
 void RequestFraming_destroy(RequestFraming_t *this);
 
-/** RequestFraming_feed() - check the next bytes of the connection; overwrites
- * extensions of chunks (see ChunkCheck.h) */
-void RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length);
+/**
+ * RequestFraming_feed() - check the next bytes of the connection
+ *
+ * Overwrites extensions of chunks (see ChunkCheck.h) and tabs before the value
+ * of a field, which evhttp takes for a part of it, and leaves out empty lines
+ * before a request, which it takes for an error.
+ *
+ * Return: number of bytes that are left of @bytes
+ */
+gsize RequestFraming_feed(RequestFraming_t *this, char *bytes, gsize length);
+
+/**
+ * RequestFraming_takeUnnamed() - take the next unnamed method of the request
+ * lines that have ended
+ * @out: its word must be freed
+ *
+ * Return: FALSE if there is none
+ */
+gboolean RequestFraming_takeUnnamed(RequestFraming_t *this,
+                                    UnnamedMethod_t *out);
 
 /** RequestFraming_isBroken() - whether chunks or lines are broken */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
 
 /** RequestFraming_hasBrokenLine() - whether a line of a head or of trailers is
- * malformed, or a trailer names the framing. evhttp may wait for more. */
+ * malformed, a trailer names the framing, or a field names a method. evhttp
+ * may wait for more. */
 gboolean RequestFraming_hasBrokenLine(const RequestFraming_t *this);
 
+/** RequestFraming_headBytes() - bytes of the head under way, or else of the
+ * last one, without its line ends */
+gsize RequestFraming_headBytes(const RequestFraming_t *this);
+
+/** RequestFraming_bytes() - bytes of the request under way that are left so
+ * far, its body included */
+gsize RequestFraming_bytes(const RequestFraming_t *this);
+
 /** RequestFraming_lines() - lines of the head and the trailers so far */
 guint RequestFraming_lines(const RequestFraming_t *this);
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+from collections import namedtuple
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
@@ -103,7 +104,10 @@
             self.close_connection = True
         self.answering = False
 
-    do_POST = do_HEAD = do_TRACE = do_GET
+    def __getattr__(self, name):
+        if name.startswith("do_"):
+            return self.do_GET  # whatever the method
+        raise AttributeError(name)
 
 
 class Server:
@@ -311,6 +315,9 @@
                     epoch)
 
 
+Received = namedtuple("Received", "method target headers body")
+
+
 class Upstream(Server):
     """An engine or a plain service, whose attributes switch faults on."""
 
@@ -327,6 +334,7 @@
         self.sequence = 0
         self.pieces = pieces
         self.seen = []      # headers of each request that ran
+        self.received = None  # a list takes each one that ran as Received
         self.callers = set()  # ports that requests came from
         self.orders = []
         self.shed = False   # refuse requests as not run
@@ -448,6 +456,9 @@
         else:
             self.callers.add(call.client_address[1])
             self.seen.append(dict(call.headers, **{":path": call.path}))
+            if self.received is not None:
+                self.received.append(Received(
+                    call.command, call.path, call.headers.items(), body))
             self.run(call, body, request_id)
 
     def refuse(self, call, request_id):
@@ -493,6 +504,8 @@
                                       call.path.encode(), len(body))
         framing = {"Content_Length": str(len(answer))}
         call.head(self.status, framing if self.framed else None, **headers)
+        if call.command == "HEAD":
+            return
         if self.break_off:
             call.close_connection = True
             answer = answer[:len(answer) // 2]
@@ -508,6 +521,8 @@
         framed = self.framed
         call.head(200, {"Transfer_Encoding": "chunked"} if framed
                   else None, **headers)
+        if call.command == "HEAD":
+            return
         last = int(call.headers.get("Last-Event-Id", -1))
         sent = 0
         for event_id in range(last + 1, self.pieces):
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -54,6 +54,106 @@
 }
 END_TEST
 
+static void
+ck_assert_left(const char *bytes, const char *expected)
+{
+    gsize length = strlen(bytes);
+    for (gsize step = 1; step <= length; step++) {
+        g_autoptr(GString) left = g_string_new(NULL);
+        RequestFraming_t *framing = RequestFraming_create(NULL, NULL);
+        for (gsize at = 0; at < length; at += step) {
+            gsize size = MIN(step, length - at);
+            g_autofree char *copy = g_strndup(bytes + at, size);
+            size = RequestFraming_feed(framing, copy, size);
+            g_string_append_len(left, copy, (gssize)size);
+        }
+        ck_assert_str_eq(left->str, expected);
+        RequestFraming_destroy(framing);
+    }
+}
+
+START_TEST(empty_lines_between_requests_are_left_out)
+{
+    ck_assert_left("\r\n", "");
+    ck_assert_left("\r\n\r\n" NEXT "\r\n" NEXT "\r\n", NEXT NEXT);
+    ck_assert_left(POST "Content-Length: 4\r\n\r\n\r\n\r\n\r\n" NEXT,
+                   POST "Content-Length: 4\r\n\r\n\r\n\r\n" NEXT);
+    ck_assert_left(CHUNKED "4\r\n\r\n\r\n\r\n" LAST "\r\n" NEXT,
+                   CHUNKED "4\r\n\r\n\r\n\r\n" LAST NEXT);
+    ck_assert_broken("\n" NEXT, TRUE);
+    ck_assert_broken("\r" NEXT, TRUE);
+    ck_assert_broken("\r\n\n" NEXT, TRUE);
+}
+END_TEST
+
+START_TEST(bytes_of_heads_and_requests_are_counted)
+{
+    RequestFraming_t *framing = RequestFraming_create(NULL, NULL);
+    const char *parts[] = {"\r\nGET / HTTP/1.1\r\n", "A: 1\r\n\r\n",
+                           "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx"};
+    feed(framing, parts[0], strlen(parts[0]));
+    ck_assert_uint_eq(RequestFraming_headBytes(framing), 14);
+    ck_assert_uint_eq(RequestFraming_bytes(framing), 16);
+    feed(framing, parts[1], strlen(parts[1]));
+    ck_assert_uint_eq(RequestFraming_headBytes(framing), 18);
+    feed(framing, parts[2], strlen(parts[2]));
+    ck_assert_uint_eq(RequestFraming_headBytes(framing), 32);
+    ck_assert_uint_eq(RequestFraming_bytes(framing), strlen(parts[2]));
+    RequestFraming_destroy(framing);
+}
+END_TEST
+
+START_TEST(tabs_before_values_become_spaces)
+{
+    ck_assert_left(POST "A:\t b\t c\t\r\n\r\n\t",
+                   POST "A:  b\t c\t\r\n\r\n\t");
+    ck_assert_left(POST "A: \t:\tb\r\n\r\n", POST "A:  :\tb\r\n\r\n");
+    ck_assert_left(POST "A:\t\r\nB: a\tb\r\n\r\n",
+                   POST "A: \r\nB: a\tb\r\n\r\n");
+    ck_assert_left(POST "Content-Length: 3\r\n\r\n:\tx",
+                   POST "Content-Length: 3\r\n\r\n:\tx");
+    ck_assert_left(CHUNKED "0\r\nA:\tb\r\n\r\n", CHUNKED "0\r\nA: b\r\n\r\n");
+}
+END_TEST
+
+static void
+ck_assert_unnamed(const char *bytes, gsize step, const char *word,
+                  const char *from)
+{
+    gsize length = strlen(bytes);
+    UnnamedMethod_t method = {0};
+    RequestFraming_t *framing = RequestFraming_create(NULL, NULL);
+    for (gsize at = 0; at < length; at += step) {
+        feed(framing, bytes + at, MIN(step, length - at));
+    }
+    ck_assert(RequestFraming_takeUnnamed(framing, &method) == (word != NULL));
+    ck_assert_pstr_eq(method.word, word);
+    ck_assert_uint_eq(method.distance, word ? strlen(from) : 0);
+    ck_assert(!RequestFraming_takeUnnamed(framing, &method));
+    g_free(method.word);
+    RequestFraming_destroy(framing);
+}
+
+START_TEST(methods_without_a_name_are_told)
+{
+    const char *unnamed = "FOO / HTTP/1.1\r\n\r\n" NEXT;
+    for (gsize step = 1; step <= strlen(NEXT "\r\n") * 2; step++) {
+        ck_assert_unnamed(NEXT NEXT, step, NULL, NULL);
+        ck_assert_unnamed("FOO / HTTP/1.1", step, NULL, NULL);
+        ck_assert_unnamed("FOO / HTTP/1.1\r\n\r\n" NEXT, step, "FOO", unnamed);
+        ck_assert_unnamed(NEXT "\r\nFOO / HTTP/1.1\r\n\r\n" NEXT, step, "FOO",
+                          unnamed);
+        ck_assert_unnamed("GETS / HTTP/1.1\r\n", step, "GETS",
+                          "GETS / HTTP/1.1\r\n");
+        ck_assert_unnamed("get / HTTP/1.1\r\n", step, "get",
+                          "get / HTTP/1.1\r\n");
+        ck_assert_unnamed("CONNECT / HTTP/1.1\r\n", step, "CONNECT",
+                          "CONNECT / HTTP/1.1\r\n");
+    }
+    ck_assert_broken(POST RELAY_METHOD ": a\r\n", TRUE);
+}
+END_TEST
+
 START_TEST(broken_chunks_are_found_in_any_request)
 {
     ck_assert_broken(CHUNKED BROKEN, TRUE);
@@ -201,12 +301,13 @@
 }
 END_TEST
 
-TESTING_MAIN("RequestFraming", sound_requests_follow_each_other,
-             broken_chunks_are_found_in_any_request,
-             malformed_lines_are_found_in_any_request,
-             the_key_tells_callers_apart,
-             bodies_without_chunks_are_not_checked, long_lines_do_not_count,
-             connection_with_the_proof_is_another_routers,
-             connection_without_the_proof_is_a_callers,
-             line_that_may_become_the_proof_is_awaited,
-             only_routers_may_add_lines)
+TESTING_MAIN(
+    "RequestFraming", sound_requests_follow_each_other,
+    empty_lines_between_requests_are_left_out,
+    tabs_before_values_become_spaces, bytes_of_heads_and_requests_are_counted,
+    methods_without_a_name_are_told, broken_chunks_are_found_in_any_request,
+    malformed_lines_are_found_in_any_request, the_key_tells_callers_apart,
+    bodies_without_chunks_are_not_checked, long_lines_do_not_count,
+    connection_with_the_proof_is_another_routers,
+    connection_without_the_proof_is_a_callers,
+    line_that_may_become_the_proof_is_awaited, only_routers_may_add_lines)
