--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -6,6 +6,7 @@
 
 import request_forms
 from cluster import Cluster, wait_for
+from cluster import HOST
 from fleet import Fleet
 
 SLOW_PARTS = 2000  # at the most, else a byte each
@@ -29,7 +30,7 @@
 def exchange(port, data, is_slow=False, limit_s=5):
     """Returns what comes until the router closes the connection."""
     received = b""
-    with socket.create_connection(("127.0.0.1", port)) as link:
+    with socket.create_connection((HOST, port)) as link:
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         link.settimeout(limit_s)
         send(link, data, is_slow)
