--- a/tests/links.py
+++ b/tests/links.py
@@ -114,7 +114,9 @@
         writers = {writer}
         self.writers.add(writer)
         try:
-            await self.passing.wait()
+            if not self.passing.is_set():
+                await self.passing.wait()
+                self._check_reset(writer)
             to_reader, to_writer = await asyncio.open_connection(
                 HOST, target)
             self.writers.add(to_writer)
