ChunkCheck: a tab behind a chunk's size, and a bound of the size's line

RFC 9112, 7.1.1, allows blanks in front of an extension. Any number of zeros or blanks was read: 24 MB of one connection.

Cause: evhttp takes a size for a number that a space or the line's end follows; only the bytes of extensions were overwritten, and only these were bounded.

Evidence: tabs_behind_a_size_become_spaces, a_long_line_of_a_size_is_broken and the new rows of tests/forms.py and request_forms.py fail on the code before (413 in place of 200), pass since.

--- a/src/ChunkCheck.c
+++ b/src/ChunkCheck.c
@@ -2,8 +2,8 @@
 
 /* A size must fit the signed 64 bits of evhttp. */
 #define SIZE_DIGIT_MAX (G_MAXINT64 >> 4)
-/* Longest extension of a chunk, in bytes. */
-#define EXTENSION_MAX 4096
+/* Longest line of a size with its extensions, in bytes. */
+#define LINE_MAX_BYTES 4096
 
 static ChunkState_t
 read_digit(ChunkCheck_t *this, char byte)
@@ -24,7 +24,6 @@
     case '\t':
         return CHUNK_BLANK;
     case ';':
-        this->extension = 1;
         return CHUNK_EXTENSION;
     case '\r':
         return CHUNK_SIZE_END;
@@ -43,7 +42,8 @@
 static ChunkState_t
 read_extension(ChunkCheck_t *this, char byte)
 {
-    if (byte == '\n' || ++this->extension > EXTENSION_MAX) {
+    (void)this;
+    if (byte == '\n') {
         return CHUNK_BROKEN;
     }
     return byte == '\r' ? CHUNK_SIZE_END : CHUNK_EXTENSION;
@@ -106,13 +106,26 @@
     return skipped;
 }
 
+static gboolean
+is_in_line(const ChunkCheck_t *this)
+{
+    return this->state == CHUNK_SIZE || this->state == CHUNK_BLANK ||
+           this->state == CHUNK_EXTENSION;
+}
+
 static void
 read_byte(ChunkCheck_t *this, char *byte)
 {
     this->state = readers[this->state](this, *byte);
-    if (this->state == CHUNK_EXTENSION) {
+    if (this->state == CHUNK_BLANK || this->state == CHUNK_EXTENSION) {
         *byte = ' ';
     }
+    if (!is_in_line(this)) {
+        this->line_bytes = 0;
+    }
+    else if (++this->line_bytes > LINE_MAX_BYTES) {
+        this->state = CHUNK_BROKEN;
+    }
 }
 
 gsize
--- a/src/ChunkCheck.h
+++ b/src/ChunkCheck.h
@@ -7,8 +7,9 @@
  * evhttp reads a chunk's size like a C number and skips empty lines before it,
  * so that a blank, a sign or the rest of a chunk that is longer than its size
  * may pass for the last chunk, and a truncated body for a complete one. The
- * check sees the bytes before evhttp reads them. It overwrites extensions of
- * chunks, which evhttp takes for an error, with blanks, which it skips.
+ * check sees the bytes before evhttp reads them. It overwrites tabs behind a
+ * size and extensions, which evhttp takes for an error, with spaces, which it
+ * skips.
  */
 #include <event2/buffer.h>
 #include <glib.h>
@@ -45,12 +46,12 @@
  * struct ChunkCheck_t - the check of one body; all zero before it begins
  * @state: what the next byte belongs to
  * @left: the size read so far, then the bytes of the chunk that are to come
- * @extension: bytes of the last extension
+ * @line_bytes: bytes so far of the line of a size
  */
 typedef struct {
     ChunkState_t state;
     guint64 left;
-    guint extension;
+    guint line_bytes;
 } ChunkCheck_t;
 
 /** ChunkCheck_begin() - begin with a body */
--- a/tests/forms.py
+++ b/tests/forms.py
@@ -124,6 +124,8 @@
     sound("chunk extensions", in_chunks(extension=b";a=b")),
     sound("quoted extensions", in_chunks(extension=b';a="b;c\\"d"; e')),
     sound("blanks before extensions", in_chunks(extension=b" \t;a = b")),
+    sound("a tab before extensions", in_chunks(extension=b"\t;a=b")),
+    sound("a tab behind sizes", in_chunks(extension=b"\t")),
     sound("trailers", in_chunks(trailers=b"X-Sum: 1\r\nX-Empty:\r\n")),
     sound("last chunk of zeros", in_chunks(last=b"0000")),
     sound("end of the connection",
--- a/tests/request_forms.py
+++ b/tests/request_forms.py
@@ -83,6 +83,8 @@
           body=b"001\r\nx\r\n00\r\n\r\n"),
     sound("extensions", fields=CHUNKED,
           body=b"1;a=b\r\nx\r\n0;c=\"d;e\"\r\n\r\n"),
+    sound("a tab behind a size", fields=CHUNKED,
+          body=b"1\t\r\nx\r\n0\t;a\r\n\r\n"),
     sound("trailers", fields=CHUNKED,
           body=b"1\r\nx\r\n0\r\nX-Trailer: a\r\n\r\n"),
     sound("no chunk but the last", fields=CHUNKED, body=LAST, arrives=b""),
--- a/tests/test_ChunkCheck.c
+++ b/tests/test_ChunkCheck.c
@@ -107,6 +107,29 @@
 }
 END_TEST
 
+/* evhttp takes a tab behind a size for an error. */
+START_TEST(tabs_behind_a_size_become_spaces)
+{
+    char bytes[] = "3\t;a\r\nx\ty\r\n0 \t\r\n";
+    ChunkCheck_t check = {0};
+    ChunkCheck_begin(&check);
+    ChunkCheck_feed(&check, bytes, strlen(bytes));
+    ck_assert(ChunkCheck_isEnded(&check));
+    ck_assert_str_eq(bytes, "3   \r\nx\ty\r\n0  \r\n");
+}
+END_TEST
+
+START_TEST(a_long_line_of_a_size_is_broken)
+{
+    g_autofree char *zeros = g_strnfill(5000, '0');
+    g_autofree char *blanks = g_strnfill(5000, ' ');
+    g_autofree char *size = g_strconcat(zeros, "1\r\n", NULL);
+    g_autofree char *blank = g_strconcat("1", blanks, "\r\n", NULL);
+    ck_assert_int_eq(check_in_parts(size, 100), CHUNK_BROKEN);
+    ck_assert_int_eq(check_in_parts(blank, 100), CHUNK_BROKEN);
+}
+END_TEST
+
 START_TEST(a_long_extension_is_broken)
 {
     g_autofree char *allowed = g_strnfill(4000, 'x');
@@ -131,5 +154,6 @@
              a_body_that_goes_on_is_neither,
              what_evhttp_takes_for_a_last_chunk_is_broken,
              a_chunk_that_is_longer_or_shorter_than_its_size_is_broken,
-             extensions_become_blanks, a_long_extension_is_broken,
+             extensions_become_blanks, tabs_behind_a_size_become_spaces,
+             a_long_line_of_a_size_is_broken, a_long_extension_is_broken,
              nothing_is_checked_without_a_body)
