RequestFraming reads lengths of any number of digits, or refuses them

What was seen (by one who had not seen the work): with 70 zeros in front of its length, a body passed for further requests with the check, so that a caller's own Wheattiller-Method reached an upstream, and bytes of a body were changed.

Cause: a line is kept up to 64 bytes, and one that is cut was left out, so that the check saw no body where evhttp reads one.

Evidence: long_lengths_are_read_or_broken fails on the code before.

Why it works: leading zeros take no room, so that any length that fits its number is read; a cut line that tells how the body ends is refused with 400 and the connection ends, so that nothing behind it is read.

--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -55,6 +55,7 @@
     ChunkCheck_t chunks;
     LineCheck_t syntax;
     gboolean has_late_framing; /* a trailer tells how the body ends */
+    gboolean has_cut_framing;  /* as does a line that is too long */
     gboolean has_method;       /* a field that only a router sets */
 };
 
@@ -134,6 +135,13 @@
            this->line[strlen(this->key_header)] == ':';
 }
 
+/* Whether the line tells where the body ends. */
+static gboolean
+tells_end(const RequestFraming_t *this)
+{
+    return has_prefix(this, LENGTH_PREFIX) || has_prefix(this, CODING_PREFIX);
+}
+
 static void
 read_header(RequestFraming_t *this)
 {
@@ -144,6 +152,7 @@
         this->caller = this->line_hash;
     }
     if (this->is_line_cut) {
+        this->has_cut_framing = this->has_cut_framing || tells_end(this);
         return;
     }
     if (this->proof && has_prefix(this, PROOF_PREFIX) &&
@@ -163,8 +172,7 @@
 static void
 read_trailer(RequestFraming_t *this)
 {
-    this->has_late_framing =
-        has_prefix(this, LENGTH_PREFIX) || has_prefix(this, CODING_PREFIX);
+    this->has_late_framing = tells_end(this);
 }
 
 static void
@@ -226,11 +234,23 @@
                    is_request_line ? LINE_OF_REQUEST : LINE_OF_FIELD, byte);
 }
 
+static gboolean
+is_leading_zero(const RequestFraming_t *this, char byte)
+{
+    gsize length = strlen(LENGTH_PREFIX);
+    return g_ascii_isdigit(byte) && this->line_bytes == length + 1 &&
+           this->line[length] == '0' && has_prefix(this, LENGTH_PREFIX);
+}
+
+/* Of a length any number of zeros may come first. */
 static void
 keep_byte(RequestFraming_t *this, char byte)
 {
     this->line_hash = (this->line_hash ^ (guchar)byte) * HASH_FACTOR;
-    if (this->line_bytes < LINE_MAX_BYTES - 1) {
+    if (is_leading_zero(this, byte)) {
+        this->line[this->line_bytes - 1] = byte;
+    }
+    else if (this->line_bytes < LINE_MAX_BYTES - 1) {
         this->line[this->line_bytes++] = byte;
     }
     else {
@@ -358,7 +378,7 @@
 RequestFraming_hasBrokenLine(const RequestFraming_t *this)
 {
     return LineCheck_isBroken(&this->syntax) || this->has_late_framing ||
-           this->has_method;
+           this->has_cut_framing || this->has_method;
 }
 
 gboolean
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -181,6 +181,23 @@
 }
 END_TEST
 
+/* evhttp reads a length of any number of digits. */
+START_TEST(long_lengths_are_read_or_broken)
+{
+    g_autofree char *zeros = g_strnfill(100, '0');
+    g_autofree char *nines = g_strnfill(100, '9');
+    g_autofree char *sound = g_strconcat(POST "Content-Length: ", zeros,
+                                         "3\r\n\r\n" BROKEN NEXT, NULL);
+    g_autofree char *unread =
+        g_strconcat(POST "Content-Length: ", nines, "\r\n\r\n", NULL);
+    g_autofree char *coding =
+        g_strconcat(POST "Transfer-Encoding: ", nines, "\r\n\r\n", NULL);
+    ck_assert_broken(sound, FALSE);
+    ck_assert_broken(unread, TRUE);
+    ck_assert_broken(coding, TRUE);
+}
+END_TEST
+
 START_TEST(bodies_without_chunks_are_not_checked)
 {
     ck_assert_broken(POST "Content-Length: 3\r\n\r\n" BROKEN, FALSE);
@@ -307,7 +324,7 @@
     tabs_before_values_become_spaces, bytes_of_heads_and_requests_are_counted,
     methods_without_a_name_are_told, broken_chunks_are_found_in_any_request,
     malformed_lines_are_found_in_any_request, the_key_tells_callers_apart,
-    bodies_without_chunks_are_not_checked, long_lines_do_not_count,
-    connection_with_the_proof_is_another_routers,
+    long_lengths_are_read_or_broken, bodies_without_chunks_are_not_checked,
+    long_lines_do_not_count, connection_with_the_proof_is_another_routers,
     connection_without_the_proof_is_a_callers,
     line_that_may_become_the_proof_is_awaited, only_routers_may_add_lines)
