Connections are read on behind replies that no module watches

Cause: InputHold_begin() and RequestIntake_noteTaken() each set the callback of a request's completion, and the second one, which replaces the first, did not end the hold.

Evidence: test_checks_of_readiness_on_kept_connections fails on the code before (timed out), passes since.

Why it works: whoever replaces the callback ends the hold, as InputHold.h asks and PendingReply does.

--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -9,6 +9,7 @@
 #include "BodyFraming.h"
 #include "Clock.h"
 #include "ErrorPage.h"
+#include "InputHold.h"
 #include "IntakeSocket.h"
 #include "LingeringClose.h"
 #include "Log.h"
@@ -657,6 +658,7 @@
 on_complete(struct evhttp_request *request, void *data)
 {
     (void)data;
+    InputHold_end(evhttp_request_get_connection(request));
     RequestIntake_noteAnswered(request);
 }
 
--- a/tests/sessions/test_request_forms.py
+++ b/tests/sessions/test_request_forms.py
@@ -1,16 +1,18 @@
 """Plays the forms of a request against a router's listeners."""
+import http.client
 import json
+import os
 import socket
 import time
 import unittest
 
 import request_forms
-from cluster import Cluster, wait_for
-from cluster import HOST
+from cluster import HOST, Cluster, wait_for
 from fleet import Fleet
 
 SLOW_PARTS = 2000  # at the most, else a byte each
 BYTE_PAUSE_S = 0.0001
+CHECKS = 40
 STREAM = (b"X-Model: m\r\nX-Token-Usage: 300,10\r\n"
           b"X-Prompt-Prefix: ab:100,cd:100,%x:100\r\n")
 REFUSALS = ("request_refused", "request_excessive", "request_unreadable")
@@ -189,6 +191,30 @@
                     self.assertTrue(received.startswith(b"HTTP/1.1 200 "),
                                     (target % path, received))
 
+    # A kept connection was not read again, nor ever closed.
+    def test_checks_of_readiness_on_kept_connections(self):
+        for port, path in ((self.router.ready_port, "/v1/ready"),
+                           (self.router.ready_port, "/none"),
+                           (self.router.operator_port, "/metrics")):
+            link = http.client.HTTPConnection(HOST, port, timeout=5)
+            for _ in range(3):
+                link.request("GET", path)
+                response = link.getresponse()
+                response.read()
+                self.assertIn(response.status, (200, 404))
+            link.close()
+        before = self.count_descriptors()
+        for _ in range(CHECKS):
+            link = http.client.HTTPConnection(HOST, self.router.ready_port)
+            link.request("GET", "/v1/ready")
+            link.getresponse().read()
+            link.close()
+        wait_for(lambda: self.count_descriptors() < before + CHECKS // 2,
+                 "the end of the connections", limit=10)
+
+    def count_descriptors(self):
+        return len(os.listdir("/proc/%d/fd" % self.router.process.pid))
+
     # They take no method that the library has no name for.
     def test_methods(self):
         for port, path in ((self.router.ready_port, b"/v1/ready"),
