A request that waited unread is not too slow

Cause: since connections are not read while a request is answered, the time of that request counted as that in which the next one arrived.

Evidence: test_a_request_that_waited_unread_is_not_too_slow: 408 on the code before, 200 since.

Why it works: the clock of a request that had begun to arrive starts again when the router reads on.

--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -672,12 +672,22 @@
     }
 }
 
+/* Of a next request nothing was read meanwhile. */
+static void
+restart_clock(Connection_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    this->began_ms = this->began_ms > 0 ? now_ms : 0;
+    this->paused_ms = this->paused_ms > 0 ? now_ms : 0;
+}
+
 void
 RequestIntake_noteAnswered(struct evhttp_request *request)
 {
     Connection_t *connection = find_connection(request);
     if (connection) {
         connection->is_answered = TRUE;
+        restart_clock(connection);
     }
 }
 
--- a/tests/sessions/test_pipelined_stops.py
+++ b/tests/sessions/test_pipelined_stops.py
@@ -53,6 +53,27 @@
                          [502] + (PIPELINED - 1) * [503])
         self.assertEqual(router.process.wait(10), 0)
 
+    def test_a_request_that_waited_unread_is_not_too_slow(self):
+        """The time of the request before it counted as its own."""
+        upstream = self.fleet.plain("p1")
+        upstream.pause_s = 3
+        router = self.fleet.start(read_timeout="1s")
+        connection = Connection(router.port)
+        self.addCleanup(connection.close)
+        first, second = uuid.uuid4().hex, uuid.uuid4().hex
+        last = request_bytes("POST", "/write/x", second, b"x" * 5000,
+                             wait_ms=9000)
+        connection.socket.sendall(request_bytes(
+            "POST", "/write/x", first, b"x", wait_ms=9000) + last[:20])
+        time.sleep(0.2)
+        connection.socket.sendall(last[20:500])
+        answer = connection.read_answer(first, "POST")
+        self.assertEqual(answer and answer.status, 200)
+        time.sleep(0.2)
+        connection.socket.sendall(last[500:])
+        answer = connection.read_answer(second, "POST")
+        self.assertEqual(answer and answer.status, 200)
+
     def test_unknown_paths_are_refused(self):
         router = self.fleet.start(stop_grace="2s", stop_limit="8s")
         router.signal(signal.SIGTERM)
