Answers are passed on as they arrive while callers hold the room for them

Cause: an answer was read from its upstream to its end whatever its caller took, so that each slow caller held its megabyte, and once callers held answers_max all new calls were refused, whoever asked and whatever memory was left.

Why it works: while the room is used up and callers hold more than half of it, an answer goes to its caller as it arrives, with the length that its upstream states, and its upstream is read no further while 16 KiB wait for the caller (RelayBody). Such an answer that breaks off, or is larger than answer_max, ends its connection, as no other attempt can take its place; otherwise answers are held whole as before. Callers that take none of it for 2 s are given up as before (PendingReply counts these bytes as well). New calls are refused only while memory is full too, or has no bound.

test_unread_answers.test_new_calls asked for the refusal with memory left, which is the fault. It asks for the same refusal of a router without a bound of its memory now, and a new case asks that all calls are served where memory is not short. On the native interface and in answers that come over another router nothing changes but the refusal.

--- a/src/AnswerRoom.c
+++ b/src/AnswerRoom.c
@@ -57,10 +57,9 @@
 }
 
 static void
-resume_next(AnswerRoom_t *this)
+resume_waiter(AnswerRoom_t *this, AnswerWaiter_t *waiter)
 {
-    GList *link = g_queue_pop_head_link(&this->waiting);
-    AnswerWaiter_t *waiter = link->data;
+    g_queue_unlink(&this->waiting, &waiter->link);
     waiter->is_waiting = FALSE;
     if (this->waiting.length == 0) {
         log_step(this, "answers_resumed");
@@ -68,9 +67,39 @@
     waiter->resume(waiter->owner);
 }
 
+static void
+resume_next(AnswerRoom_t *this)
+{
+    resume_waiter(this, this->waiting.head->data);
+}
+
+/* The next one may have ended by the time it is looked at. */
+static AnswerWaiter_t *
+find_passable(const AnswerRoom_t *this)
+{
+    for (const GList *link = this->waiting.head; link; link = link->next) {
+        AnswerWaiter_t *waiter = link->data;
+        if (waiter->may_pass) {
+            return waiter;
+        }
+    }
+    return NULL;
+}
+
+/* Each holds less then. */
+static void
+resume_passable(AnswerRoom_t *this)
+{
+    AnswerWaiter_t *waiter = NULL;
+    while (is_mostly_pending(this) && (waiter = find_passable(this))) {
+        resume_waiter(this, waiter);
+    }
+}
+
 static void
 resume_waiting(AnswerRoom_t *this)
 {
+    resume_passable(this);
     for (gsize added = 0; this->waiting.length > 0 && !is_full(this, added);
          added += STEP_BYTES) {
         resume_next(this);
@@ -175,6 +204,12 @@
     }
 }
 
+static gboolean
+is_short(const AnswerRoom_t *room, gsize received)
+{
+    return received > ANSWER_ROOM_FREE_MAX && is_full(room, 0);
+}
+
 static void
 wait(AnswerWaiter_t *this)
 {
@@ -193,8 +228,7 @@
 AnswerWaiter_mustWait(AnswerWaiter_t *this, gsize received)
 {
     AnswerRoom_t *room = this->room;
-    if (received <= ANSWER_ROOM_FREE_MAX || !is_full(room, 0) ||
-        room->first == this) {
+    if (!is_short(room, received) || room->first == this) {
         return FALSE;
     }
     if (needs_first(room)) {
@@ -204,3 +238,15 @@
     wait(this);
     return TRUE;
 }
+
+gboolean
+AnswerWaiter_mustPass(const AnswerWaiter_t *this, gsize received)
+{
+    const AnswerRoom_t *room = this->room;
+    gboolean must_pass =
+        this->may_pass && is_short(room, received) && is_mostly_pending(room);
+    if (must_pass) {
+        begin_ticks(room);
+    }
+    return must_pass;
+}
--- a/src/AnswerRoom.h
+++ b/src/AnswerRoom.h
@@ -6,9 +6,10 @@
  * Bounds the bytes of whole answers that a router holds: those that arrive,
  * and those that wait for their callers (PendingReply.h). While they exceed
  * the bound, or those that arrive a half of it, answers are left at their
- * upstreams and read on in turn; new calls are refused while they exceed it
- * and callers hold more than half. Beyond that half, callers that have read
- * nothing for a while are given up, the longest first.
+ * upstreams and read on in turn. If callers hold more than half of it then,
+ * answers that may be are passed on as they arrive instead, so that each holds
+ * little. Beyond that half, callers that have read nothing for a while are
+ * given up, the longest first.
  */
 #include <event2/event.h>
 #include <glib.h>
@@ -27,12 +28,15 @@
  * struct AnswerWaiter_t - an answer that may have to wait
  * @resume: called when it may go on
  * @owner: passed to @resume
+ * @may_pass: the answer may be passed on before it is complete; set by the
+ *     owner
  *
  * The other fields are private.
  */
 typedef struct {
     void (*resume)(void *owner);
     void *owner;
+    gboolean may_pass;
     AnswerRoom_t *room;
     GList link;
     gboolean is_waiting;
@@ -53,8 +57,8 @@
 /** AnswerRoom_setMax() - change @max of AnswerRoom_create() */
 void AnswerRoom_setMax(AnswerRoom_t *this, gsize max);
 
-/** AnswerRoom_isUsedUp() - whether callers hold so much that no new call may
- * begin */
+/** AnswerRoom_isUsedUp() - whether callers hold all of the room; while memory
+ * is short as well, no new call may begin */
 gboolean AnswerRoom_isUsedUp(const AnswerRoom_t *this);
 
 /** AnswerWaiter_init() - prepare an answer that does not wait */
@@ -73,4 +77,8 @@
  */
 gboolean AnswerWaiter_mustWait(AnswerWaiter_t *this, gsize received);
 
+/** AnswerWaiter_mustPass() - whether what was received of an answer is to be
+ * passed on now, as callers hold the room; before AnswerWaiter_mustWait() */
+gboolean AnswerWaiter_mustPass(const AnswerWaiter_t *this, gsize received);
+
 #endif
--- a/src/CallerApi.c
+++ b/src/CallerApi.c
@@ -336,7 +336,7 @@
         refuse(call, REFUSAL_MEMORY_FULL, NULL);
         return;
     }
-    if (AnswerRoom_isUsedUp(call->context->answer_room)) {
+    if (Context_areAnswersUnread(call->context)) {
         refuse(call, REFUSAL_ANSWERS_UNREAD, NULL);
         return;
     }
--- a/src/Context.c
+++ b/src/Context.c
@@ -110,6 +110,15 @@
     return MemoryUse_room(this->memory, Clock_nowMs()) == 0;
 }
 
+/* Without a limit of the memory, the room for answers is the only bound. */
+gboolean
+Context_areAnswersUnread(const Context_t *this)
+{
+    gboolean is_bounded = this->settings->limits.memory > 0;
+    return (!is_bounded || Context_isMemoryFull(this)) &&
+           AnswerRoom_isUsedUp(this->answer_room);
+}
+
 gboolean
 Context_isMemoryFull(const Context_t *this)
 {
--- a/src/Context.h
+++ b/src/Context.h
@@ -215,6 +215,10 @@
 void Context_prepareCaller(const Context_t *this,
                            struct evhttp_connection *connection);
 
+/** Context_areAnswersUnread() - whether callers hold so many bytes of answers
+ * that no new call may begin */
+gboolean Context_areAnswersUnread(const Context_t *this);
+
 /** Context_isMemoryFull() - whether no long work may begin */
 gboolean Context_isMemoryFull(const Context_t *this);
 
--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -69,10 +69,27 @@
     }
 }
 
+/* evhttp adds a length for HTTP/1.1 only, and to a whole body. */
+static void
+add_length(struct evhttp_request *request, gsize length)
+{
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+    g_autofree char *text = g_strdup_printf("%" G_GSIZE_FORMAT, length);
+    evhttp_add_header(out, "Content-Length", text);
+}
+
+void
+HttpReply_startBody(struct evhttp_request *request, int status, gsize length)
+{
+    add_length(request, length);
+    evhttp_send_reply_start(request, status, NULL);
+}
+
 gboolean
 HttpReply_isCloseDelimited(const struct evhttp_request *request)
 {
-    return !request->chunked;
+    return !request->chunked &&
+           !evhttp_find_header(request->output_headers, "Content-Length");
 }
 
 void
@@ -82,15 +99,6 @@
     evhttp_send_reply_end(request);
 }
 
-/* evhttp adds a length for HTTP/1.1 only. */
-static void
-add_length(struct evhttp_request *request, gsize length)
-{
-    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
-    g_autofree char *text = g_strdup_printf("%" G_GSIZE_FORMAT, length);
-    evhttp_add_header(out, "Content-Length", text);
-}
-
 /* evhttp would send it, and the caller take it for the next answer. */
 static void
 drop_needless_body(const struct evhttp_request *request, struct evbuffer *body)
--- a/src/HttpReply.h
+++ b/src/HttpReply.h
@@ -28,6 +28,13 @@
 void HttpReply_startStream(struct evhttp_request *request, int status,
                            gboolean is_end_proven);
 
+/** HttpReply_startBody() - send the head of a reply whose body follows in
+ * parts, as those of a stream
+ * @length: of the body; a reply that ends sooner is not complete
+ */
+void HttpReply_startBody(struct evhttp_request *request, int status,
+                         gsize length);
+
 /** HttpReply_isCloseDelimited() - whether only the end of the connection will
  * mark the end of a stream that was started */
 gboolean HttpReply_isCloseDelimited(const struct evhttp_request *request);
--- a/src/PendingReply.c
+++ b/src/PendingReply.c
@@ -15,19 +15,22 @@
 #include "ResetOnClose.h"
 #include "SocketUse.h"
 
-typedef struct {
+typedef struct PassedReply {
     GString *id;
     struct evhttp_connection *connection;
+    struct bufferevent *stream; /* of @connection */
     struct evbuffer_cb_entry *output_entry;
     gint64 since_ms;    /* when evhttp got the last of it */
     gint64 progress_ms; /* when the caller's system was seen to take bytes */
     gsize bytes;        /* that wait in this process */
     gsize left;         /* these and those in the kernel, at the last look */
     gboolean is_given_up;
+    gboolean is_in_parts;
     GList link;
 } Reply_t;
 
 static GQueue replies; /* Reply_t */
+static guint parts;    /* those of them that are in parts */
 static gsize pending_bytes;
 static Counters_t *reply_counters;
 
@@ -40,7 +43,7 @@
 static struct bufferevent *
 stream_of(const Reply_t *this)
 {
-    return evhttp_connection_get_bufferevent(this->connection);
+    return this->stream;
 }
 
 static void
@@ -64,6 +67,7 @@
     Reply_t *this = g_new0(Reply_t, 1);
     this->id = g_string_new(id ? id : "none");
     this->connection = connection;
+    this->stream = evhttp_connection_get_bufferevent(connection);
     this->since_ms = Clock_nowMs();
     this->left = G_MAXSIZE;
     this->link.data = this;
@@ -80,6 +84,7 @@
     evbuffer_remove_cb_entry(bufferevent_get_output(stream_of(this)),
                              this->output_entry);
     set_bytes(this, 0);
+    parts -= this->is_in_parts ? 1 : 0;
     g_queue_unlink(&replies, &this->link);
     g_string_free(this->id, TRUE);
     g_free(this);
@@ -166,10 +171,28 @@
     evhttp_request_set_on_complete_cb(request, on_complete, reply);
 }
 
+PassedReply_t *
+PendingReply_beginParts(struct evhttp_connection *connection, const char *id)
+{
+    Reply_t *reply = Reply_create(connection, id);
+    reply->is_in_parts = TRUE;
+    bufferevent_incref(reply->stream); /* which may be closed before */
+    parts++;
+    return reply;
+}
+
+void
+PendingReply_endParts(PassedReply_t *passed)
+{
+    struct bufferevent *stream = passed->stream;
+    Reply_destroy(passed);
+    bufferevent_decref(stream);
+}
+
 guint
 PendingReply_count(void)
 {
-    return replies.length;
+    return replies.length - parts;
 }
 
 gsize
@@ -254,6 +277,9 @@
         return FALSE;
     }
     reply->is_given_up = TRUE;
+    if (reply->is_in_parts) { /* its owner learns of the end */
+        report_unsent(reply);
+    }
     reset(reply->connection);
     return TRUE;
 }
--- a/src/PendingReply.h
+++ b/src/PendingReply.h
@@ -4,8 +4,9 @@
  * DOC: PendingReply
  *
  * Counts replies that were passed to evhttp and are not completely sent yet,
- * and their bytes, so that a stopping router does not truncate them. Tells in
- * the log which of them were not sent before their connections closed.
+ * and their bytes, so that a stopping router does not truncate them. Counts
+ * the bytes of replies as well that are passed to evhttp as they arrive. Tells
+ * in the log which of them were not sent before their connections closed.
  */
 #include <event2/http.h>
 #include <glib.h>
@@ -28,6 +29,22 @@
  */
 void PendingReply_watch(struct evhttp_request *request, const char *id);
 
+/** struct PassedReply_t - a reply that is passed to evhttp in parts; opaque */
+typedef struct PassedReply PassedReply_t;
+
+/**
+ * PendingReply_beginParts() - count a reply of which the rest is still to come
+ * @id: as for PendingReply_watch()
+ *
+ * Return: to be given to PendingReply_endParts() before the rest is passed,
+ * and once the connection closes
+ */
+PassedReply_t *PendingReply_beginParts(struct evhttp_connection *connection,
+                                       const char *id);
+
+/** PendingReply_endParts() - no longer count it here */
+void PendingReply_endParts(PassedReply_t *passed);
+
 /** PendingReply_count() - number of replies that are not sent yet */
 guint PendingReply_count(void);
 
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -9,6 +9,7 @@
 #include "HttpCall.h"
 #include "HttpReply.h"
 #include "Log.h"
+#include "PendingReply.h"
 #include "RelayForm.h"
 
 #define NO_LENGTH (-1)
@@ -31,6 +32,7 @@
     gsize counted; /* part of @buffered_total, as of the last write */
     gsize *buffered_total;
     gsize buffered_total_max;
+    PassedReply_t *passed; /* if it is sent in parts, until the last one */
     MemoryUse_t *memory;
     int status; /* from RelayAnswer_setHead(), 0 before */
     guint retry_after_ms;
@@ -42,6 +44,7 @@
     gboolean is_end_proven; /* the upstream marks the end of its answer */
     gboolean needs_proof;
     gboolean is_service_unreached;
+    gboolean states_length; /* of a body that is sent in parts */
     gboolean head_sent;
     gboolean full;
 };
@@ -85,10 +88,28 @@
     return evhttp_request_get_output_headers(RelayAnswer_request(this));
 }
 
+static void
+count_output(RelayAnswer_t *this, gsize bytes)
+{
+    if (this->buffered_total) {
+        *this->buffered_total = *this->buffered_total - this->counted + bytes;
+        this->counted = bytes;
+    }
+}
+
+static void
+end_parts(RelayAnswer_t *this)
+{
+    if (this->passed) {
+        PendingReply_endParts(g_steal_pointer(&this->passed));
+    }
+}
+
 static void
 on_caller_left(void *owner, Refusal_t reason)
 {
-    const RelayAnswer_t *this = owner;
+    RelayAnswer_t *this = owner;
+    end_parts(this);
     this->events->caller_left(this->owner, reason);
 }
 
@@ -129,19 +150,11 @@
     return this->is_for_router;
 }
 
-static void
-count_output(RelayAnswer_t *this, gsize bytes)
-{
-    if (this->buffered_total) {
-        *this->buffered_total = *this->buffered_total - this->counted + bytes;
-        this->counted = bytes;
-    }
-}
-
 void
 RelayAnswer_destroy(RelayAnswer_t *this)
 {
     count_output(this, 0);
+    end_parts(this);
     if (RelayAnswer_request(this)) {
         CallerWatch_closeConnection(this->watch);
     }
@@ -225,12 +238,27 @@
     if (this->is_for_router && !this->is_end_proven) {
         evhttp_add_header(output_headers(this), RELAY_CLOSE_DELIMITED, "1");
     }
-    HttpReply_startStream(request, this->status,
-                          this->is_end_proven || this->is_for_router);
+    if (this->states_length && this->stated_bytes != NO_LENGTH) {
+        HttpReply_startBody(request, this->status, (gsize)this->stated_bytes);
+    }
+    else {
+        HttpReply_startStream(request, this->status,
+                              this->is_end_proven || this->is_for_router);
+    }
     this->needs_proof =
         this->is_end_proven && !HttpReply_isCloseDelimited(request);
 }
 
+void
+RelayAnswer_beginParts(RelayAnswer_t *this)
+{
+    this->states_length = TRUE;
+    this->buffer_max = MIN(this->buffer_max, ANSWER_OUTPUT_FREE_MAX);
+    this->buffered_total = NULL; /* counted there */
+    this->passed = PendingReply_beginParts(CallerWatch_connection(this->watch),
+                                           this->id->str);
+}
+
 static void
 on_drained(struct evhttp_connection *connection, void *data)
 {
@@ -309,28 +337,37 @@
     RelayAnswer_refuse(this, REFUSAL_UPSTREAM_FAILED, RUN_MAYBE, NULL);
 }
 
+static gboolean
+has_stated_length(const RelayAnswer_t *this, gsize length)
+{
+    return this->stated_bytes == NO_LENGTH ||
+           this->stated_bytes == (gint64)length;
+}
+
+/* Parts that were sent must be all that the head states. */
+static gboolean
+has_sent_all(const RelayAnswer_t *this)
+{
+    return !this->states_length ||
+           has_stated_length(this, (gsize)this->sent_bytes);
+}
+
 void
 RelayAnswer_finishStream(RelayAnswer_t *this)
 {
     if (!RelayAnswer_request(this)) {
         return;
     }
-    if (!this->is_received) {
+    if (!this->is_received || !has_sent_all(this)) {
         refuse_incomplete(this, (gsize)this->sent_bytes);
         return;
     }
     send_head(this);
+    end_parts(this);
     this->end = END_WHOLE;
     HttpReply_endStream(CallerWatch_detach(this->watch), this->id->str);
 }
 
-static gboolean
-has_stated_length(const RelayAnswer_t *this, gsize length)
-{
-    return this->stated_bytes == NO_LENGTH ||
-           this->stated_bytes == (gint64)length;
-}
-
 void
 RelayAnswer_sendComplete(RelayAnswer_t *this, struct evbuffer *body)
 {
@@ -384,6 +421,7 @@
     }
     if (this->head_sent) {
         this->end = END_BROKEN;
+        end_parts(this);
         CallerWatch_closeConnection(this->watch);
         return;
     }
--- a/src/RelayAnswer.h
+++ b/src/RelayAnswer.h
@@ -116,6 +116,14 @@
  * not sent yet */
 void RelayAnswer_sendData(RelayAnswer_t *this, struct evbuffer *data);
 
+/**
+ * RelayAnswer_beginParts() - have the body of a complete answer sent in parts
+ *
+ * Before the first of them. The head states the upstream's length, and a slow
+ * caller gets ANSWER_OUTPUT_FREE_MAX in place of @buffer_max.
+ */
+void RelayAnswer_beginParts(RelayAnswer_t *this);
+
 /** RelayAnswer_finishStream() - end a stream as its upstream did; breaks it
  * off without RelayAnswer_setReceived() */
 void RelayAnswer_finishStream(RelayAnswer_t *this);
--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -184,7 +184,7 @@
         refuse_request(admission, REFUSAL_MEMORY_FULL, NULL);
         return FALSE;
     }
-    if (!is_stream && AnswerRoom_isUsedUp(admission->context->answer_room)) {
+    if (!is_stream && Context_areAnswersUnread(admission->context)) {
         refuse_request(admission, REFUSAL_ANSWERS_UNREAD, NULL);
         return FALSE;
     }
--- a/src/RelayExchange.c
+++ b/src/RelayExchange.c
@@ -6,6 +6,7 @@
 #include "ExchangeCapacity.h"
 #include "HttpCall.h"
 #include "Log.h"
+#include "RelayBody.h"
 #include "RelayDispatch.h"
 #include "RelayExchangeState.h"
 #include "RelayLateForward.h"
@@ -149,7 +150,8 @@
 add_recovery_input(const Exchange_t *super, RecoveryInput_t *input)
 {
     const RelayExchange_t *this = (const RelayExchange_t *)super;
-    input->tokens = forwarded_events(this);
+    input->tokens = this->is_in_parts ? 1 : forwarded_events(this);
+    input->repeatable = input->repeatable && !this->is_in_parts;
     input->attempts -= MIN(this->not_run_attempts, UNCOUNTED_ATTEMPTS_MAX);
 }
 
@@ -215,6 +217,7 @@
     if (super->over ||
         (this->attempt && !this->event_pipe && !super->repeatable &&
          RelayAttempt_wasSent(this->attempt))) {
+        RelayBody_noteCallerLeft(this);
         return;
     }
     Exchange_noteCallerLeft(super, reason, 0);
@@ -223,10 +226,8 @@
 static void
 resume_attempt(void *owner)
 {
-    const RelayExchange_t *this = owner;
-    if (this->attempt) {
-        RelayAttempt_setReadPaused(this->attempt, FALSE);
-    }
+    RelayExchange_t *this = owner;
+    RelayBody_resume(this);
 }
 
 /* Other routers know the version before the caller gets the event. */
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -100,6 +100,9 @@
  * @not_run_attempts: number of attempts that did not run
  * @is_unsent: nothing was sent to the upstream of the last attempt
  * @is_stream: the answer under way is a stream
+ * @is_in_parts: the answer under way is no stream, and is passed on as it
+ *     arrives (RelayBody.h), so that no other can take its place
+ * @part_bytes: bytes of the body that were received by then and since
  * @is_whole: the caller was sent the whole answer
  * @has_upstream_error: @answer_body is an upstream's error answer that may be
  *     forwarded
@@ -137,6 +140,8 @@
     guint not_run_attempts;
     gboolean is_unsent;
     gboolean is_stream;
+    gboolean is_in_parts;
+    gsize part_bytes;
     gboolean is_whole;
     gboolean has_upstream_error;
     Refusal_t keep_reason;
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -4,6 +4,7 @@
 
 #include "Clock.h"
 #include "Log.h"
+#include "RelayBody.h"
 
 static void
 on_answered(void *owner, const RelayHead_t *head)
@@ -20,7 +21,7 @@
     this->is_stream = this->event_pipe && head->status < HTTP_MOVEPERM &&
                       RelayAnswer_mayContinueWith(this->answer, head->status);
     this->framing = head->framing;
-    AnswerBuffer_clear(this->answer_body);
+    RelayBody_begin(this, head);
     this->has_upstream_error = FALSE; /* it was in answer_body */
     if (head->status < HTTP_INTERNAL ||
         !RelayAnswer_isHeadSent(this->answer)) {
@@ -77,25 +78,12 @@
     }
 }
 
-static void
-buffer_data(RelayExchange_t *this, struct evbuffer *data)
-{
-    AnswerBufferLimits_t limits = Context_answerLimits(this->super.context);
-    if (!AnswerBuffer_add(this->answer_body, data, &limits)) {
-        RelayAttempt_fail(this->attempt, ATTEMPT_OVERSIZED);
-    }
-    else if (AnswerWaiter_mustWait(&this->answer_waiter,
-                                   AnswerBuffer_size(this->answer_body))) {
-        RelayAttempt_setReadPaused(this->attempt, TRUE);
-    }
-}
-
 static void
 on_data(void *owner, struct evbuffer *data)
 {
     RelayExchange_t *this = owner;
     if (!this->is_stream) {
-        buffer_data(this, data);
+        RelayBody_receive(this, data);
         return;
     }
     if (EventPipe_feed(this->event_pipe, data, this->outgoing) > 0) {
@@ -107,12 +95,12 @@
 }
 
 /* An answer of several attempts says less of its route than of what ended the
- * first ones. */
+ * first ones, and one in parts less than of its caller. */
 static void
 note_answer_time(const RelayExchange_t *this)
 {
     const Exchange_t *super = &this->super;
-    if (super->attempts == 1) {
+    if (super->attempts == 1 && !this->is_in_parts) {
         AnswerTimes_note(super->context->answer_times, this->route->name->str,
                          this->request.answer_tokens,
                          Clock_nowUs() - super->started_us -
@@ -136,8 +124,7 @@
         RelayAnswer_finishStream(this->answer);
     }
     else {
-        RelayAnswer_sendComplete(this->answer,
-                                 AnswerBuffer_content(this->answer_body));
+        RelayBody_finish(this);
     }
     Exchange_finish(&this->super, end);
 }
@@ -172,7 +159,8 @@
 static AttemptEnd_t
 adjust_end(const RelayExchange_t *this, AttemptEnd_t end)
 {
-    gboolean fits = this->is_stream || !RelayAnswer_isHeadSent(this->answer);
+    gboolean fits = this->is_stream || this->is_in_parts ||
+                    !RelayAnswer_isHeadSent(this->answer);
     gboolean is_answer = end == ATTEMPT_COMPLETE || end == ATTEMPT_CLOSED;
     if (end == ATTEMPT_CLOSED && this->is_stream &&
         EventPipe_isInsideEvent(this->event_pipe)) {
@@ -354,6 +342,9 @@
 {
     RelayExchange_t *this = owner;
     const Exchange_t *super = &this->super;
+    if (this->is_in_parts) {
+        return SILENCE_WAIT;
+    }
     gboolean awaits_first_token = this->event_pipe && this->route->by_prefix &&
                                   RelayAnswer_request(this->answer) &&
                                   super->attempt_trace->first_token_us == 0;
--- a/tests/sessions/test_unread_answers.py
+++ b/tests/sessions/test_unread_answers.py
@@ -30,9 +30,13 @@
         self.addCleanup(self.fleet.close)
         self.plain = self.fleet.add(LargeAnswers(self.fleet.store, "p1",
                                                  "plain"))
-        self.router = self.fleet.start(answers_max="8MiB",
-                                       eject_failures="1000")
-        self.assertEqual(self.fleet.ask(self.router, "/write/x").status, 200)
+        self.router = self.start()
+
+    def start(self, **settings):
+        router = self.fleet.start(**{"answers_max": "8MiB",
+                                     "eject_failures": "1000", **settings})
+        self.assertEqual(self.fleet.ask(router, "/write/x").status, 200)
+        return router
 
     def connect(self):
         caller = socket.socket()
@@ -129,8 +133,21 @@
         callers = [self.begin() for _ in range(50)]
         self.assertEqual(self.read_all(callers), [(200, SIZE)] * 50)
 
-    # New calls are refused while callers hold all of the room.
+    # They were refused while callers held all of the room.
+    def test_new_calls_while_memory_is_not_short(self):
+        for _ in range(60):
+            self.begin()
+        end = time.monotonic() + 4
+        while time.monotonic() < end:
+            self.assertEqual(self.fleet.ask(self.router, "/write/x").status,
+                             200)
+        self.assertGreater(len(self.router.events("answer_unsent")), 0)
+        self.assertEqual(self.router.events("request_refused"), [])
+
+    # New calls are refused while callers hold all of the room, and the memory
+    # has no bound of its own.
     def test_new_calls(self):
+        self.router = self.start(name="r2", memory="0B", answers_max="4MiB")
         for _ in range(60):
             self.begin()
         answer = wait_for(lambda: [
--- a/tests/test_AnswerRoom.c
+++ b/tests/test_AnswerRoom.c
@@ -144,6 +144,33 @@
 }
 END_TEST
 
+START_TEST(answers_that_may_be_passed_on_wait_for_no_caller)
+{
+    connect_unread();
+    waiters[0].may_pass = TRUE;
+    ck_assert(!AnswerWaiter_mustPass(&waiters[0], ANSWER_ROOM_FREE_MAX));
+    ck_assert(AnswerWaiter_mustPass(&waiters[0], ANSWER_ROOM_FREE_MAX + 1));
+    ck_assert(!AnswerWaiter_mustPass(&waiters[1], ROOM));
+    ck_assert(AnswerWaiter_mustWait(&waiters[1], ROOM));
+    ck_assert(AnswerWaiter_mustWait(&waiters[0], ROOM));
+    run(200);
+    ck_assert_uint_eq(resumed[0], 1);
+    ck_assert_uint_eq(resumed[1], 0);
+    end();
+}
+END_TEST
+
+START_TEST(answers_are_not_passed_on_for_each_other)
+{
+    ReplyClient_connect(request, send_nothing);
+    begin();
+    arriving = ROOM + 1;
+    waiters[0].may_pass = TRUE;
+    ck_assert(!AnswerWaiter_mustPass(&waiters[0], ROOM));
+    end();
+}
+END_TEST
+
 START_TEST(caller_that_reads_slowly_is_kept)
 {
     connect_unread();
@@ -184,4 +211,6 @@
              one_of_those_that_arrive_goes_on_and_the_others_follow_in_turn,
              short_answers_never_wait, caller_that_reads_nothing_gives_way,
              caller_that_reads_slowly_is_kept, room_ends_while_answers_wait,
-             nobody_is_given_up_while_there_is_room)
+             nobody_is_given_up_while_there_is_room,
+             answers_that_may_be_passed_on_wait_for_no_caller,
+             answers_are_not_passed_on_for_each_other)
