--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -215,7 +215,8 @@
         # A stand-in that is held up carries out an order that it answers late.
         self.assertLessEqual(received,
                              len(router.events("order_sent")) - given_up)
-        self.assertGreaterEqual(received, len(router.events("order_answered")))
+        self.assertGreaterEqual(received,
+                                len(router.events("order_answered")))
 
 
 class SuspicionTest(CutOffTest):
