--- a/src/Context.c
+++ b/src/Context.c
@@ -110,6 +110,16 @@
     return MemoryUse_room(this->memory, Clock_nowMs()) == 0;
 }
 
+/* Without a limit of the memory, the room for answers is the only bound. */
+gboolean
+Context_areAnswersUnread(const Context_t *this)
+{
+    gboolean is_bounded = this->settings->limits.memory > 0;
+    gboolean is_short =
+        MemoryUse_level(this->memory, Clock_nowMs()) != MEMORY_EASY;
+    return (!is_bounded || is_short) && AnswerRoom_isUsedUp(this->answer_room);
+}
+
 gboolean
 Context_isMemoryFull(const Context_t *this)
 {
