test_Fuzz: closes what refusals leave open

The program now begins LingeringClose as a router does, and runs on until no connection waits for its end before it forgets all connections.

--- a/tests/fuzz/requests.c
+++ b/tests/fuzz/requests.c
@@ -12,11 +12,13 @@
 #include <unistd.h>
 
 #include "FleetRelay.h"
+#include "LingeringClose.h"
 #include "RequestHead.h"
 #include "RequestIntake.h"
 #include "targets.h"
 
 #define BODY_MAX 65536
+#define END_TURNS 8
 #define TURNS_PER_REQUEST 4 /* of the event loop */
 
 static const struct {
@@ -391,6 +393,7 @@
                                    .memory = MemoryUse_create(0),
                                    .max_body = BODY_MAX,
                                    .counters = Counters_create()};
+    LingeringClose_init(side.base);
     RequestIntake_begin(side.base, &side.limits);
     struct evhttp *server = evhttp_new(side.base);
     evhttp_set_allowed_methods(server, G_MAXUINT16);
@@ -456,6 +459,16 @@
     }
 }
 
+/* What is refused is freed some turns after the caller has closed. */
+static void
+end_connection(void)
+{
+    for (guint turn = 0; turn < END_TURNS || LingeringClose_count() > 0;
+         turn++) {
+        event_base_loop(side.base, EVLOOP_NONBLOCK);
+    }
+}
+
 /* The first byte tells where the other bytes are split. */
 int
 Fuzz_requestFraming(const uint8_t *data, size_t size)
@@ -479,7 +492,7 @@
     while (run_side(fd)) {
     }
     close(fd);
-    event_base_loop(side.base, EVLOOP_NONBLOCK);
+    end_connection();
     check_passed(expected, is_open);
     g_ptr_array_unref(side.passed);
     RequestIntake_clear();
