test_moves: waits for the line that it reads

Cause, by reading: the test looks at the router's lines as soon as its caller's connection has ended, and a thread of the test reads them; nothing makes the line arrive first. That the line came later was not seen, as no lines are kept.

It waits for a line now and asks for the same one outcome and no other.

--- a/tests/sessions/test_moves.py
+++ b/tests/sessions/test_moves.py
@@ -311,7 +311,7 @@
         self.fleet.ask = lambda router, path: ask(router, path, wait_ms=5000)
         self.start_hedge()
         self.reader.join()
-        done = self.router.events("request_done")
+        done = self.router.wait_event("request_done")
         self.assertEqual([d["outcome"] for d in done], ["deadline_passed"])
 
     def test_the_router_stops(self):
