--- a/src/PendingReply.h
+++ b/src/PendingReply.h
@@ -42,7 +42,7 @@
 PassedReply_t *PendingReply_beginParts(struct evhttp_connection *connection,
                                        const char *id);
 
-/** PendingReply_endParts() - no longer count it here */
+/** PendingReply_endParts() - stop counting it */
 void PendingReply_endParts(PassedReply_t *passed);
 
 /** PendingReply_count() - number of replies that are not sent yet */
