Streams of the base go on beside a router that continued one of another version

Callers whose streams began while one version served got 503 (resume_unknown), each after 0.8 s, once routers had restarted and a second version served: 12 of 24 in test_base_version.HalfReplacedTest.test_streams_that_live_routers_began, in 5 of 18 sanitizer runs, three at once, and in the whole run on.

Cause: a router that continues a stream of another version lists it in its record, without a statement that it uses several versions as long as it may not state one. Records of that form are those of builds that state nothing, of which it is not known what they began (VersionGate_findBase). In each of the five runs one router of three had stated nothing (software_stated), and another had stated an empty base behind one that named it: the last statement read took the place of the one that would have let the third state its own.

Ruled out: messages of other runs (each process has its own address); a base that was not listed all the time (no software_base_ended).

A stream that begins or goes on at another version than the base counts as a use, so that the record that lists it states it; a statement without a base hides no other. Two cases of test_VersionGate failed before (0 statements in place of 2).

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -280,6 +280,9 @@
     entry->is_own = TRUE;
     entry->is_live = TRUE;
     entry->is_restored = FALSE;
+    if (this->spec.gate) {
+        VersionGate_noteBegun(this->spec.gate, service, software);
+    }
     const char *only = OriginKeeper_findOnly(this, service);
     OriginFacts_learn(this->facts, FALSE);
     if (!may_change && only && strcmp(only, software) == 0) {
--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -237,6 +237,18 @@
              gate->held_ms > 0 ? now_ms - gate->held_ms : 0);
 }
 
+/* Records that list its streams without a statement pass for those of builds
+ * that state nothing. */
+void
+VersionGate_noteBegun(const VersionGate_t *this, const char *service,
+                      const char *software)
+{
+    const char *base = SoftwareVersions_findBase(this->versions, service);
+    if (base && strcmp(base, software) != 0) {
+        get_gate(this, service)->is_used = TRUE;
+    }
+}
+
 typedef struct {
     VersionGate_t *gate;
     GPtrArray *out;
@@ -346,12 +358,13 @@
     }
 }
 
-/* A statement names the base beside the versions that joined it. */
+/* A statement names the base, if its process knows it, beside the versions
+ * that joined it. */
 static void
 note_stated(const VersionGate_t *this, const VersionUse_t *use)
 {
     if (use->process != 0 && use->process != this->process &&
-        strcmp(use->software, use->base) != 0) {
+        *use->base != '\0' && strcmp(use->software, use->base) != 0) {
         Gate_t *gate = get_gate(this, use->service);
         g_free(gate->stated_base);
         gate->stated_base = g_strdup(use->base);
--- a/src/VersionGate.h
+++ b/src/VersionGate.h
@@ -71,6 +71,13 @@
 void VersionGate_noteUnstated(VersionGate_t *this, const char *service,
                               gint64 now_ms);
 
+/** VersionGate_noteBegun() - a stream has begun, or goes on, at this process;
+ * a version other than the base counts as used from now on
+ * @software: empty if it is not known
+ */
+void VersionGate_noteBegun(const VersionGate_t *this, const char *service,
+                           const char *software);
+
 /** VersionGate_list() - the VersionUse_t that belong into the record of this
  * router: of this process, and of former ones whose streams may be continued;
  * they count as being written */
--- a/tests/test_VersionGate.c
+++ b/tests/test_VersionGate.c
@@ -348,6 +348,35 @@
 }
 END_TEST
 
+/* The process that stated no base hid the others, and nothing was stated. */
+START_TEST(a_statement_without_a_base_hides_no_other)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    read_use("v1", "v2", OTHER);
+    read_use("", "v2", OTHER + 1);
+    ck_assert_uint_eq(write_uses(2), 2);
+    destroy();
+}
+END_TEST
+
+/* Its record listed the stream without a statement. */
+START_TEST(a_stream_that_goes_on_at_another_version_is_a_use)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    VersionGate_noteBegun(gate, "s", "v1");
+    ck_assert_uint_eq(write_uses(2), 0);
+    VersionGate_noteBegun(gate, "s", "v2");
+    ck_assert_uint_eq(write_uses(2), 2);
+    destroy();
+}
+END_TEST
+
 /* What was stated counts while the versions serve, not for a later join. */
 START_TEST(a_statement_of_others_ends_with_the_join)
 {
@@ -402,5 +431,7 @@
              a_use_is_stated_once_others_had_time_to_record,
              a_use_is_stated_at_once_if_the_base_is_not_listed,
              a_use_is_stated_at_once_if_others_stated_theirs,
+             a_statement_without_a_base_hides_no_other,
+             a_stream_that_goes_on_at_another_version_is_a_use,
              a_statement_of_others_ends_with_the_join,
              a_use_before_the_base_was_known_stays_stated)
