--- a/tests/sessions/test_stop_exits.py
+++ b/tests/sessions/test_stop_exits.py
@@ -244,6 +244,7 @@
     RATE_PER_S = 40
     LONGEST_S = 3.5
     SEED = 1
+    SERVED_FIRST = 10
     SERVED = 60
 
     def setUp(self):
@@ -273,12 +274,13 @@
 
     def load_beside(self, seconds):
         """Begins tries for some time, of which the first second, or on a busy
-        machine as long as it takes for some answers, has passed already."""
+        machine as long as it takes for some answers, has passed already. They
+        are less than what each test asks for in the end."""
         self.load_end = math.inf
         loader = threading.Thread(target=self.load, daemon=True)
         loader.start()
         time.sleep(1)
-        wait_for(lambda: self.count_served() > NoGraceTest.SERVED, "answers")
+        wait_for(lambda: self.count_served() > self.SERVED_FIRST, "answers")
         self.load_end = time.monotonic() + seconds - 1
         return loader
 
