The last answer of a kept HTTP/1.0 connection says "close" alone

Cause: evhttp answers a keep-alive of such a request by a field of its own, whatever the reply says. Only replies that end with their connection dropped the field of the request. Now one function does it for all, also where the head leaves open where its body ends.

--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -23,12 +23,24 @@
             unread > 0);
 }
 
+/* evhttp would answer a Connection field of the request by another one. */
+void
+HttpReply_close(struct evhttp_request *request)
+{
+    struct evkeyvalq *in = evhttp_request_get_input_headers(request);
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+    while (evhttp_remove_header(in, "Connection") == 0) {
+    }
+    evhttp_remove_header(out, "Connection");
+    evhttp_add_header(out, "Connection", "close");
+}
+
 void
 HttpReply_closeAfter(struct evhttp_request *request)
 {
     struct evkeyvalq *out = evhttp_request_get_output_headers(request);
     if (!evhttp_find_header(out, "Connection") && !has_next_request(request)) {
-        evhttp_add_header(out, "Connection", "close");
+        HttpReply_close(request);
     }
 }
 
@@ -39,18 +51,13 @@
 }
 
 /* evhttp adds chunks, or for HTTP/1.0 a length of 0, unless the request is a
- * HEAD. A Connection header of the request would be answered by another one.
+ * HEAD.
  */
 static void
 start_close_delimited(struct evhttp_request *request, int status)
 {
-    struct evkeyvalq *in = evhttp_request_get_input_headers(request);
-    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
     enum evhttp_cmd_type method = request->type;
-    while (evhttp_remove_header(in, "Connection") == 0) {
-    }
-    evhttp_remove_header(out, "Connection");
-    evhttp_add_header(out, "Connection", "close");
+    HttpReply_close(request);
     ResetOnClose_add(evhttp_request_get_connection(request));
     request->type = EVHTTP_REQ_HEAD;
     evhttp_send_reply_start(request, status, NULL);
--- a/src/HttpReply.h
+++ b/src/HttpReply.h
@@ -12,6 +12,10 @@
 #include <event2/http.h>
 #include <glib.h>
 
+/** HttpReply_close() - close the connection behind a reply that was not
+ * started, whatever waits on it */
+void HttpReply_close(struct evhttp_request *request);
+
 /**
  * HttpReply_closeAfter() - close the connection behind a reply that was not
  * started
--- a/tests/sessions/test_pipelined_stops.py
+++ b/tests/sessions/test_pipelined_stops.py
@@ -87,6 +87,25 @@
         self.assertEqual([answer and answer.status for answer in answers],
                          PIPELINED * [404])
 
+    def test_a_kept_http_1_0_connection_is_not_promised_to_stay(self):
+        """The last answer said both "close" and "keep-alive"."""
+        self.fleet.plain("p1").pause_s = 0.5
+        router = self.fleet.start(stop_grace="2s", stop_limit="8s")
+        connection = Connection(router.port)
+        self.addCleanup(connection.close)
+        name = uuid.uuid4().hex
+        connection.socket.sendall(request_bytes(
+            "GET", "/read/x", name, wait_ms=6000, version="1.0").replace(
+            b"\r\n", b"\r\nConnection: keep-alive\r\n", 1))
+        time.sleep(0.2)
+        router.signal(signal.SIGTERM)
+        head = bytearray()
+        while not head.endswith(b"\r\n\r\n"):
+            head += connection.take(1)
+        fields = [line for line in bytes(head).lower().split(b"\r\n")
+                  if line.startswith(b"connection:")]
+        self.assertEqual(fields, [b"connection: close"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_HttpReply.c
+++ b/tests/test_HttpReply.c
@@ -123,8 +123,49 @@
 }
 END_TEST
 
+static void
+send_last_body(struct evhttp_request *request)
+{
+    HttpReply_closeAfter(request);
+    send_body(request);
+}
+
+static void
+send_body_and_close(struct evhttp_request *request)
+{
+    HttpReply_close(request);
+    send_body(request);
+}
+
+/* A caller took "Connection: close" and "keep-alive" in one head for either.
+ */
+static void
+check_close(const char *request, void (*handle)(struct evhttp_request *))
+{
+    ReplyClient_connect(request, handle);
+    ck_assert_int_eq(ReplyClient_readUntil(G_MAXSIZE), 0);
+    const char *head = ReplyClient_received()->str;
+    const char *first = strstr(head, "Connection: ");
+    ck_assert_ptr_nonnull(first);
+    ck_assert(g_str_has_prefix(first, "Connection: close\r\n"));
+    ck_assert_ptr_null(strstr(first + 1, "Connection: "));
+    ck_assert(ReplyClient_hasReceived("Content-Length: 4\r\n"));
+    ck_assert(g_str_has_suffix(head, "\r\n\r\nbody"));
+    ReplyClient_close();
+}
+
+START_TEST(last_reply_of_a_kept_http_1_0_connection_only_says_close)
+{
+    check_close(request_1_0, send_last_body);
+    check_close(request_1_0, send_body_and_close);
+    check_close(request_1_1, send_last_body);
+    check_close(request_1_1, send_body_and_close);
+}
+END_TEST
+
 TESTING_MAIN("HttpReply", reply_without_a_frame_ends_with_its_connection,
              reply_that_breaks_off_is_reset,
              all_open_replies_are_reset_at_once, proven_stream_has_chunks,
              stream_for_http_1_0_ends_with_its_connection,
-             body_for_http_1_0_has_a_length)
+             body_for_http_1_0_has_a_length,
+             last_reply_of_a_kept_http_1_0_connection_only_says_close)
