A request that is refused as it is read waits for its turn

Callers that send several requests on a connection got one refusal, "not run", for a malformed next request, and no answer to the one before it, if the end of that one came in the same read: RequestIntake refused at the first broken line, too many lines, or a body without room, and dropped all that evhttp had not read yet.

Such a request is now cut out of the input, with a line in its place that evhttp refuses once it has answered the requests before; that page becomes the refusal. Refusals for room, time or memory wait until the request is due. InputRewrite, split from RequestIntake, holds what changes the input; it counts the bytes that a method's line adds, without which a request counted as one behind others.

--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -57,6 +57,9 @@
     gboolean has_late_framing; /* a trailer tells how the body ends */
     gboolean has_cut_framing;  /* as does a line that is too long */
     gboolean has_method;       /* a field that only a router sets */
+    guint lengths;             /* fields that state one */
+    guint codings;
+    gboolean has_unclear_end; /* readers may disagree on where a body ends */
 };
 
 static void
@@ -71,12 +74,23 @@
                                .is_first_line = TRUE};
 }
 
+/* What follows is no request to all readers (RFC 9112, section 6.3). */
+static gboolean
+is_end_unclear(const RequestFraming_t *this)
+{
+    return this->lengths + this->codings > 1 ||
+           (this->codings > 0 && !this->is_chunked);
+}
+
 static void
 begin_body(RequestFraming_t *this)
 {
     if (this->has_no_body) {
         begin_head(this);
     }
+    else if (is_end_unclear(this)) {
+        this->has_unclear_end = TRUE;
+    }
     else if (this->is_chunked) {
         this->part = PART_CHUNKS;
         ChunkCheck_begin(&this->chunks);
@@ -148,6 +162,8 @@
     if (has_prefix(this, METHOD_PREFIX)) {
         this->has_method = TRUE;
     }
+    this->lengths += has_prefix(this, LENGTH_PREFIX) ? 1 : 0;
+    this->codings += has_prefix(this, CODING_PREFIX) ? 1 : 0;
     if (has_key(this)) {
         this->caller = this->line_hash;
     }
@@ -374,6 +390,20 @@
     return method != NULL;
 }
 
+/* Those that wait stand behind the method. */
+void
+RequestFraming_noteAdded(RequestFraming_t *this, const UnnamedMethod_t *method,
+                         gsize added)
+{
+    gsize begin = this->checked - method->distance;
+    for (GList *link = this->unnamed->head; link; link = link->next) {
+        UnnamedMethod_t *waiting = link->data;
+        waiting->distance += added;
+    }
+    this->line_begin += this->line_begin > begin ? added : 0;
+    this->checked += added;
+}
+
 gboolean
 RequestFraming_hasBrokenLine(const RequestFraming_t *this)
 {
@@ -381,10 +411,16 @@
            this->has_cut_framing || this->has_method;
 }
 
+gboolean
+RequestFraming_hasUnclearEnd(const RequestFraming_t *this)
+{
+    return this->has_unclear_end;
+}
+
 gboolean
 RequestFraming_isBroken(const RequestFraming_t *this)
 {
-    return ChunkCheck_isBroken(&this->chunks) ||
+    return ChunkCheck_isBroken(&this->chunks) || this->has_unclear_end ||
            RequestFraming_hasBrokenLine(this);
 }
 
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -55,7 +55,15 @@
 gboolean RequestFraming_takeUnnamed(RequestFraming_t *this,
                                     UnnamedMethod_t *out);
 
-/** RequestFraming_isBroken() - whether chunks or lines are broken */
+/**
+ * RequestFraming_noteAdded() - bytes were put behind a method in place of it
+ * @added: by how many the bytes that are left have grown
+ */
+void RequestFraming_noteAdded(RequestFraming_t *this,
+                              const UnnamedMethod_t *method, gsize added);
+
+/** RequestFraming_isBroken() - whether chunks or lines are broken, or a body
+ * has no clear end */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
 
 /** RequestFraming_hasBrokenLine() - whether a line of a head or of trailers is
@@ -63,6 +71,11 @@
  * may wait for more. */
 gboolean RequestFraming_hasBrokenLine(const RequestFraming_t *this);
 
+/** RequestFraming_hasUnclearEnd() - whether a head has several lengths or
+ * codings, or another coding than chunks, so that what follows may belong to
+ * its body or not */
+gboolean RequestFraming_hasUnclearEnd(const RequestFraming_t *this);
+
 /** RequestFraming_headBytes() - bytes of the head under way, or else of the
  * last one, without its line ends */
 gsize RequestFraming_headBytes(const RequestFraming_t *this);
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -10,6 +10,7 @@
 #include "Clock.h"
 #include "ErrorPage.h"
 #include "InputHold.h"
+#include "InputRewrite.h"
 #include "IntakeSocket.h"
 #include "LingeringClose.h"
 #include "Log.h"
@@ -54,8 +55,11 @@
     gboolean is_answered; /* no earlier request waits for its answer */
     gboolean is_widened;  /* the kernel takes more of it unread */
     gboolean is_abandoned;
-    gboolean is_refused;   /* what it sends from now on is dropped */
-    gboolean is_replacing; /* what is added to its buffer was checked */
+    gboolean is_refused;      /* what it sends from now on is dropped */
+    gboolean is_replacing;    /* what is added to its buffer was checked */
+    gboolean is_next_refused; /* once the requests before were answered */
+    Refusal_t next_refusal;
+    const char *next_cause;
 } Connection_t;
 
 /* By struct bufferevent, not owned. The entry of a connection that was closed
@@ -162,71 +166,11 @@
     end_connection(this);
 }
 
-/* Puts parts in the place of the last bytes, which they are parts of. */
-static void
-replace_tail(struct evbuffer *buffer, gsize length,
-             const struct evbuffer_iovec *parts, int count)
-{
-    struct evbuffer *sound = evbuffer_new();
-    evbuffer_remove_buffer(buffer, sound,
-                           evbuffer_get_length(buffer) - length);
-    for (int i = 0; i < count; i++) {
-        evbuffer_add(sound, parts[i].iov_base, parts[i].iov_len);
-    }
-    evbuffer_drain(buffer, length);
-    evbuffer_add_buffer(buffer, sound);
-    evbuffer_free(sound);
-}
-
-/* evhttp reads no body behind a method that it has no name for. */
-static void
-replace_method(struct evbuffer *buffer, const UnnamedMethod_t *method)
-{
-    struct evbuffer *sound = evbuffer_new();
-    gsize length = 0;
-    evbuffer_remove_buffer(buffer, sound,
-                           evbuffer_get_length(buffer) - method->distance);
-    evbuffer_drain(buffer, strlen(method->word));
-    char *line = evbuffer_readln(buffer, &length, EVBUFFER_EOL_CRLF_STRICT);
-    evbuffer_add_printf(sound, "POST%s\r\n" RELAY_METHOD ": %s\r\n", line,
-                        method->word);
-    evbuffer_add_buffer(sound, buffer);
-    evbuffer_add_buffer(buffer, sound);
-    evbuffer_free(sound);
-    free(line);
-}
-
-static void
-replace_methods(Connection_t *this, struct evbuffer *buffer)
-{
-    UnnamedMethod_t method;
-    while (RequestFraming_takeUnnamed(this->framing, &method)) {
-        replace_method(buffer, &method);
-        g_free(method.word);
-    }
-}
-
 static void
 feed(Connection_t *this, struct evbuffer *buffer, gsize added)
 {
-    struct evbuffer_ptr at;
-    gsize left = 0;
-    evbuffer_ptr_set(buffer, &at, evbuffer_get_length(buffer) - added,
-                     EVBUFFER_PTR_SET);
-    int count = evbuffer_peek(buffer, -1, &at, NULL, 0);
-    g_autofree struct evbuffer_iovec *parts =
-        g_new(struct evbuffer_iovec, count);
-    evbuffer_peek(buffer, -1, &at, parts, count);
-    for (int i = 0; i < count; i++) {
-        parts[i].iov_len = RequestFraming_feed(
-            this->framing, parts[i].iov_base, parts[i].iov_len);
-        left += parts[i].iov_len;
-    }
     this->is_replacing = TRUE;
-    if (left < added) {
-        replace_tail(buffer, added, parts, count);
-    }
-    replace_methods(this, buffer);
+    InputRewrite_feed(buffer, this->framing, added);
     this->is_replacing = FALSE;
 }
 
@@ -264,6 +208,41 @@
     LingeringClose_expectRest(this->stream);
 }
 
+/* Otherwise a refusal would stand in the place of the answer to an earlier
+ * request, or inside it. */
+static gboolean
+is_due(const Connection_t *this)
+{
+    return this->is_answered &&
+           evbuffer_get_length(bufferevent_get_input(this->stream)) <=
+               RequestFraming_bytes(this->framing);
+}
+
+/* What follows it is dropped. */
+static void
+refuse_next(Connection_t *this, Refusal_t refusal, const char *cause)
+{
+    this->is_next_refused = TRUE;
+    this->next_refusal = refusal;
+    this->next_cause = cause;
+    BodyClaim_release(this->claim);
+    this->is_replacing = TRUE;
+    InputRewrite_refuseLast(bufferevent_get_input(this->stream),
+                            this->framing);
+    this->is_replacing = FALSE;
+}
+
+static void
+refuse_in_turn(Connection_t *this, Refusal_t refusal, const char *cause)
+{
+    if (is_due(this)) {
+        refuse(this, refusal, cause);
+    }
+    else {
+        refuse_next(this, refusal, cause);
+    }
+}
+
 static gboolean
 try_claim(Connection_t *this, gsize bytes, gint64 now_ms)
 {
@@ -284,7 +263,7 @@
     if (this->is_abandoned) {
         return;
     }
-    if (bytes > 0 &&
+    if (bytes > 0 && is_due(this) &&
         IntakeSocket_hasCallerLeft(
             this->stream, RequestFraming_missingBody(this->framing))) {
         abandon(this, bytes);
@@ -304,7 +283,7 @@
         }
         resume_reading(this, bytes);
     }
-    else if (this->paused_ms == 0 && this->is_answered &&
+    else if (this->paused_ms == 0 && is_due(this) &&
              BodyBudget_isCrowded(this->limits->budget)) {
         refuse(this, REFUSAL_NO_MEMORY, "bodies_waiting");
     }
@@ -337,22 +316,11 @@
 static gboolean
 is_too_much(const Connection_t *this)
 {
-    return this->began_ms > 0 && this->is_answered &&
-           !BodyClaim_isGranted(this->claim) &&
+    return this->began_ms > 0 && !BodyClaim_isGranted(this->claim) &&
            used_bytes(this) > SMALL_BYTES &&
            MemoryUse_level(this->limits->memory, Clock_nowMs()) == MEMORY_FULL;
 }
 
-/* Otherwise a refusal would stand in the place of the answer to an earlier
- * request, or inside it; evhttp refuses the request once it is due. */
-static gboolean
-is_due(const Connection_t *this)
-{
-    return this->is_answered &&
-           evbuffer_get_length(bufferevent_get_input(this->stream)) <=
-               RequestFraming_bytes(this->framing);
-}
-
 /* evhttp refuses a longer head like a malformed one. */
 static gboolean
 is_head_too_long(const Connection_t *this)
@@ -362,26 +330,39 @@
     return RequestFraming_headBytes(this->framing) > limit;
 }
 
+/* Of a request that evhttp must not read. */
 static void
-check_excess(Connection_t *this)
+check_form(Connection_t *this)
 {
-    if (this->is_abandoned) {
-        return;
-    }
     if (RequestFraming_hasBrokenLine(this->framing)) {
-        refuse(this, REFUSAL_BAD_HEADER, NULL);
+        refuse_in_turn(this, REFUSAL_BAD_HEADER, NULL);
+    }
+    else if (RequestFraming_hasUnclearEnd(this->framing)) {
+        refuse_in_turn(this, REFUSAL_BAD_HEADER, "unclear_end");
     }
-    else if (RequestFraming_isBroken(this->framing) && is_due(this)) {
-        refuse(this, REFUSAL_BAD_HEADER, "broken_chunks");
+    else if (RequestFraming_isBroken(this->framing)) {
+        refuse_in_turn(this, REFUSAL_BAD_HEADER, "broken_chunks");
     }
-    else if (is_head_too_long(this) && is_due(this)) {
-        refuse(this, REFUSAL_HEAD_TOO_LONG, NULL);
+    else if (is_head_too_long(this)) {
+        refuse_in_turn(this, REFUSAL_HEAD_TOO_LONG, NULL);
     }
     else if (RequestFraming_hasTooManyLines(this->framing)) {
-        refuse(this, REFUSAL_TOO_MANY_FIELDS, NULL);
+        refuse_in_turn(this, REFUSAL_TOO_MANY_FIELDS, NULL);
     }
-    else if (this->paused_ms > 0 &&
-             Clock_nowMs() - this->paused_ms > PAUSE_MAX_MS) {
+}
+
+static gboolean
+is_paused_too_long(const Connection_t *this)
+{
+    return this->paused_ms > 0 &&
+           Clock_nowMs() - this->paused_ms > PAUSE_MAX_MS;
+}
+
+/* Of a request behind others it is looked at again once it is due. */
+static void
+check_excess(Connection_t *this)
+{
+    if (is_paused_too_long(this)) {
         refuse(this, REFUSAL_NO_MEMORY, NULL);
     }
     else if (is_too_slow(this)) {
@@ -392,6 +373,17 @@
     }
 }
 
+static void
+check_request(Connection_t *this)
+{
+    if (!this->is_abandoned) {
+        check_form(this);
+    }
+    if (!this->is_abandoned && !this->is_next_refused && is_due(this)) {
+        check_excess(this);
+    }
+}
+
 /* The limit is set before evhttp reads what was received last. */
 static void
 set_head_limit(Connection_t *this)
@@ -455,7 +447,7 @@
 static void
 end_input(Connection_t *this)
 {
-    if (this->began_ms > 0 && !this->is_abandoned) {
+    if (this->began_ms > 0 && !this->is_abandoned && !this->is_next_refused) {
         note_arrival(this);
     }
     else {
@@ -463,6 +455,25 @@
     }
 }
 
+static void
+read_input(Connection_t *this, struct evbuffer *buffer, gsize added)
+{
+    feed(this, buffer, added);
+    begin_input(this, added);
+    set_head_limit(this);
+    update_claim(this, added);
+    check_request(this);
+    end_input(this);
+}
+
+static void
+drop_last(Connection_t *this, struct evbuffer *buffer, gsize added)
+{
+    this->is_replacing = TRUE;
+    InputRewrite_dropLast(buffer, added);
+    this->is_replacing = FALSE;
+}
+
 static void
 on_input(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
          void *data)
@@ -477,19 +488,39 @@
         BodyClaim_release(this->claim);
         return;
     }
-    if (!this->is_abandoned) {
-        feed(this, buffer, info->n_added);
-        begin_input(this, info->n_added);
-        set_head_limit(this);
-        update_claim(this, info->n_added);
-        check_excess(this);
-        end_input(this);
+    if (this->is_next_refused) {
+        drop_last(this, buffer, info->n_added);
+    }
+    else if (!this->is_abandoned) {
+        read_input(this, buffer, info->n_added);
     }
     if (this->is_refused) {
         evbuffer_drain(buffer, evbuffer_get_length(buffer));
     }
 }
 
+/* Before that, evhttp has not read the line in the place of the request. */
+static gboolean
+is_of_refused_next(const Connection_t *this)
+{
+    return this->is_next_refused &&
+           evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
+}
+
+static void
+replace_page(Connection_t *this, Refusal_t refusal)
+{
+    const char *cause = NULL;
+    if (is_of_refused_next(this)) {
+        refusal = this->next_refusal;
+        cause = this->next_cause;
+    }
+    const char *reason = Refusal_spec(refusal)->code;
+    this->is_refused = TRUE;
+    log_refusal(this, reason, cause ? cause : reason);
+    IntakeSocket_replaceOutput(this->stream, refusal);
+}
+
 /* evhttp writes a page at once, and closes the connection behind it. */
 static void
 on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
@@ -499,10 +530,7 @@
     Refusal_t refusal = REFUSAL_BAD_HEADER;
     if (info->n_added > 0 && this->is_answered && !this->is_refused &&
         ErrorPage_read(buffer, &refusal)) {
-        const char *reason = Refusal_spec(refusal)->code;
-        this->is_refused = TRUE;
-        log_refusal(this, reason, reason);
-        IntakeSocket_replaceOutput(this->stream, refusal);
+        replace_page(this, refusal);
     }
 }
 
@@ -567,7 +595,7 @@
 {
     Connection_t *this = owner;
     struct evbuffer *input = bufferevent_get_input(this->stream);
-    if (this->is_abandoned || !this->is_answered) {
+    if (this->is_abandoned || this->is_next_refused || !is_due(this)) {
         return FALSE;
     }
     refuse(this, REFUSAL_NO_MEMORY, causes[cause]);
@@ -591,7 +619,8 @@
 static gboolean
 is_arriving(const Connection_t *this, gint64 now_ms)
 {
-    return !this->is_abandoned && RequestFraming_isUnderWay(this->framing) &&
+    return !this->is_abandoned && !this->is_next_refused &&
+           RequestFraming_isUnderWay(this->framing) &&
            now_ms - this->last_ms < ARRIVAL_PAUSE_MS;
 }
 
@@ -651,7 +680,8 @@
            BodyFraming_isAmbiguousRequest(
                RequestHead_methodToSend(request),
                evhttp_request_get_input_headers(request)) ||
-           (connection && RequestFraming_isBroken(connection->framing));
+           (connection && !connection->is_next_refused &&
+            RequestFraming_isBroken(connection->framing));
 }
 
 static void
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -181,6 +181,35 @@
 }
 END_TEST
 
+/* What followed was taken for the next request, which evhttp took for a part
+ * of the body. */
+START_TEST(bodies_without_a_clear_end_are_broken)
+{
+    const char *length = "Content-Length: 5\r\n";
+    const char *coding = "Transfer-Encoding: chunked\r\n";
+    const char *other = "Transfer-Encoding: identity\r\n";
+    const char *pairs[][2] = {{length, "Content-Length: 0\r\n"},
+                              {length, length},
+                              {length, coding},
+                              {coding, length},
+                              {coding, coding},
+                              {coding, other},
+                              {length, other},
+                              {other, ""}};
+    for (guint i = 0; i < G_N_ELEMENTS(pairs); i++) {
+        g_autofree char *post =
+            g_strconcat(POST, pairs[i][0], pairs[i][1], "\r\n", NULL);
+        g_autofree char *head = g_strconcat("HEAD / HTTP/1.1\r\n", pairs[i][0],
+                                            pairs[i][1], "\r\n", NULL);
+        ck_assert_broken(post, TRUE);
+        ck_assert_broken(head, FALSE);
+    }
+    ck_assert_broken(POST "Content-Length: 5\r\n\r\nhello" CHUNKED LAST,
+                     FALSE);
+    ck_assert_broken(CHUNKED LAST POST "Content-Length: 0\r\n\r\n", FALSE);
+}
+END_TEST
+
 /* evhttp reads a length of any number of digits. */
 START_TEST(long_lengths_are_read_or_broken)
 {
@@ -324,7 +353,8 @@
     tabs_before_values_become_spaces, bytes_of_heads_and_requests_are_counted,
     methods_without_a_name_are_told, broken_chunks_are_found_in_any_request,
     malformed_lines_are_found_in_any_request, the_key_tells_callers_apart,
-    long_lengths_are_read_or_broken, bodies_without_chunks_are_not_checked,
-    long_lines_do_not_count, connection_with_the_proof_is_another_routers,
+    long_lengths_are_read_or_broken, bodies_without_a_clear_end_are_broken,
+    bodies_without_chunks_are_not_checked, long_lines_do_not_count,
+    connection_with_the_proof_is_another_routers,
     connection_without_the_proof_is_a_callers,
     line_that_may_become_the_proof_is_awaited, only_routers_may_add_lines)
