Bodies of any method reach plain services of the native interface

Plain services got calls with GET, DELETE, OPTIONS and PATCH without their bodies and answered them with 200. evhttp writes a body with any method, but its length with POST and PUT only, so that the upstream read none; HttpCall left the length to it. It states the length itself now, as RelayAttempt did.

test_listener_forms plays the table of request forms against services and against requests for tokens. What differs from routes: the native interface knows no hosts, so that targets in absolute form of any host pass.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -412,6 +412,21 @@
     finish(this, &answer, NULL);
 }
 
+/* evhttp sends a body with any method but adds its length for some methods
+ * only. */
+static void
+add_body(struct evhttp_request *request, GBytes *body)
+{
+    gsize length = 0;
+    const void *bytes = g_bytes_get_data(body, &length);
+    if (length > 0) {
+        g_autofree char *text = g_strdup_printf("%" G_GSIZE_FORMAT, length);
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "Content-Length", text);
+        evbuffer_add(evhttp_request_get_output_buffer(request), bytes, length);
+    }
+}
+
 static void
 fill_request(struct evhttp_request *request, const HttpCallSpec_t *spec)
 {
@@ -422,9 +437,7 @@
         evhttp_add_header(headers, at->name, at->value);
     }
     if (spec->body) {
-        gsize length = 0;
-        const void *bytes = g_bytes_get_data(spec->body, &length);
-        evbuffer_add(evhttp_request_get_output_buffer(request), bytes, length);
+        add_body(request, spec->body);
     }
 }
 
