A coding with a blank inside is one the router does not know

A request with "Transfer-Encoding: chun<tab>ked" got 200 on the listeners of operators and of readiness, and what followed it was read by two rules: RequestFraming keeps lines without their blanks and took the coding for chunks, evhttp for none, so that it read no body. RequestFraming takes a value that a blank splits for another coding now; such a head has no clear end and is refused. Callers' listeners refused it before by what evhttp had read.

It also keeps where the last request began once that has ended: the bytes of a request counted from the beginning of the connection between requests. No case of test_broken_next shows that one, as evhttp reads 4 KiB at once; a head of 6,000 bytes with a limit of 4 KiB is added to its table.

--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -41,6 +41,8 @@
     gsize line_bytes;
     gboolean is_line_cut;
     gboolean is_before_value; /* behind the colon of a field */
+    gboolean is_after_blank;  /* inside a value */
+    gboolean is_value_split;  /* by a blank */
     guint64 line_hash;        /* of the whole line */
     guint64 caller;
     gboolean is_first_line;
@@ -70,6 +72,7 @@
                                .is_from_router = this->is_from_router,
                                .unnamed = this->unnamed,
                                .checked = this->checked,
+                               .line_begin = this->line_begin,
                                .last_head_bytes = this->head_bytes,
                                .is_first_line = TRUE};
 }
@@ -175,7 +178,8 @@
         ForwardProof_isValid(this->proof, this->line + strlen(PROOF_PREFIX))) {
         this->is_from_router = TRUE;
     }
-    if (g_ascii_strcasecmp(this->line, CHUNKED_LINE) == 0) {
+    if (g_ascii_strcasecmp(this->line, CHUNKED_LINE) == 0 &&
+        !this->is_value_split) {
         this->is_chunked = TRUE;
     }
     else if (has_prefix(this, LENGTH_PREFIX)) {
@@ -217,6 +221,8 @@
     this->line_bytes = 0;
     this->line_hash = 0;
     this->is_line_cut = FALSE;
+    this->is_after_blank = FALSE;
+    this->is_value_split = FALSE;
 }
 
 /* The method ends with a blank; elsewhere blanks are left out. */
@@ -242,6 +248,21 @@
     }
 }
 
+/* The line is kept without its blanks. */
+static void
+note_blank(RequestFraming_t *this, char byte)
+{
+    if (this->syntax.state != LINE_TEXT || this->is_before_value) {
+        return;
+    }
+    if (byte == ' ' || byte == '\t') {
+        this->is_after_blank = TRUE;
+    }
+    else {
+        this->is_value_split = this->is_value_split || this->is_after_blank;
+    }
+}
+
 static void
 check_byte(RequestFraming_t *this, char byte)
 {
@@ -290,6 +311,7 @@
         return;
     }
     blank_tab(this, before, byte);
+    note_blank(this, *byte);
     count_head(this, *byte);
     if (*byte == '\n') {
         end_line(this);
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -80,8 +80,8 @@
  * last one, without its line ends */
 gsize RequestFraming_headBytes(const RequestFraming_t *this);
 
-/** RequestFraming_bytes() - bytes of the request under way that are left so
- * far, its body included */
+/** RequestFraming_bytes() - bytes of the request under way, or else of the
+ * last one, that are left so far, its body included */
 gsize RequestFraming_bytes(const RequestFraming_t *this);
 
 /** RequestFraming_lines() - lines of the head and the trailers so far */
--- a/tests/sessions/test_broken_next.py
+++ b/tests/sessions/test_broken_next.py
@@ -29,6 +29,8 @@
      "bad_header"),
     ("a long head", POST + b"X-A: " + b"y" * 40000 + b"\r\n\r\n", 431,
      "head_too_long"),
+    ("a long head in one read", POST + b"X-A: " + b"y" * 6000 + b"\r\n\r\n",
+     431, "head_too_long"),
     ("a long part of a head", POST + b"X-A: " + b"y" * 40000, 431,
      "head_too_long"),
     ("no number", POST + b"Content-Length: one\r\n\r\n", 400, "bad_header"),
@@ -54,7 +56,7 @@
         self.addCleanup(self.fleet.close)
         self.upstream = self.fleet.add(
             LongUpstream(self.fleet.store, "p1", "plain"))
-        self.router = self.fleet.start(max_header="16KiB")
+        self.router = self.fleet.start(max_header="4KiB")
 
     def runs(self, request_id):
         return sum(seen["X-Request-Id"] == request_id
--- a/tests/sessions/test_listener_forms.py
+++ b/tests/sessions/test_listener_forms.py
@@ -1,11 +1,12 @@
-"""Plays the forms of a request against the native interface."""
+"""Plays the forms of a request against the native interface and against the
+listeners that take no requests of callers."""
 import dataclasses
 import json
 import unittest
 
 import request_forms
-from cluster import Cluster, uuid7
-from fleet import Received, Server
+from cluster import OPERATOR_KEY, Cluster, uuid7
+from fleet import Fleet, Received, Server
 from test_request_forms import exchange, without_interim
 
 FORMS = sum(request_forms.FORMS, [])
@@ -16,6 +17,13 @@
             "absolute without a host header")
 NO_PATH = "a tunnel to an authority"
 UNNAMED = [form.name for form in request_forms.UNNAMED_METHODS if form.passed]
+# What listeners that take no requests of callers do not look at.
+UNSEEN = HOSTLESS + (
+    "two hosts", "a host twice", "two hosts beside an absolute form",
+    "a tunnel", NO_PATH, "a long method")
+# Methods that only callers' listeners take.
+NO_OPERATORS = (b"OPTIONS", b"PATCH", b"TRACE")
+PAGE = b"<HTML>"
 
 
 def error_of(received):
@@ -140,5 +148,86 @@
                     self.play(form, is_slow)
 
 
+class OtherListenersTest(unittest.TestCase):
+    """What operators and the platform send."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.engine("e1")
+        self.router = self.fleet.start(max_body="64KiB", max_header="16KiB")
+
+    def assert_sound(self, form, received):
+        unnamed = form.name in UNNAMED or form.passed[0] in NO_OPERATORS
+        status = b"501" if unnamed else b"(200|404)"
+        self.assertRegex(received[:13], b"HTTP/1.[01] %s " % status)
+
+    def assert_refused(self, form, received):
+        self.assertRegex(received[:13], b"HTTP/1.. [45]")
+        if form.refused[1] != "unknown_path" and \
+                not form.line.startswith(b"HEAD"):
+            error = error_of(received)
+            self.assertEqual((error["code"], error["run"]),
+                             (form.refused[1], "not_run"))
+
+    def play(self, port, path, form, is_slow):
+        received = without_interim(exchange(
+            port, form.write(path, b"id"), is_slow))
+        self.assertEqual(received.count(b"HTTP/1."), 1, received)
+        self.assertNotIn(PAGE, received)
+        if form.passed:
+            self.assert_sound(form, received)
+        elif form.name not in UNSEEN:
+            self.assert_refused(form, received)
+
+    def test_forms(self):
+        for port, path in ((self.router.ready_port, b"/v1/ready"),
+                           (self.router.operator_port, b"/metrics")):
+            for form in FORMS:
+                for is_slow in (False, True):
+                    with self.subTest(path=path, form=form.name,
+                                      is_slow=is_slow):
+                        self.play(port, path, form, is_slow)
+
+
+class OperatorFormsTest(unittest.TestCase):
+    """Calls of operators. The body of the table is none of their messages,
+    and an empty one is."""
+
+    PATH = b"/rpc/OperatorQuery/Counters"
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.router = self.cluster.start(max_body="64KiB", max_header="16KiB")
+
+    def expected(self, form):
+        method, target, body = form.passed
+        if form.name in UNNAMED or method in NO_OPERATORS:
+            return b"501"
+        if target.partition(b"?")[0] != b"%s":
+            return b"404"
+        return b"400" if body else b"200"
+
+    def play(self, form, is_slow):
+        own = dataclasses.replace(
+            form, key=form.key.replace(b"Api-Key", b"Authorization")
+            .replace(b"key-a", b"Bearer " + OPERATOR_KEY.encode()))
+        received = without_interim(exchange(
+            self.router.operator_port, own.write(self.PATH, b"id"), is_slow))
+        self.assertEqual(received.count(b"HTTP/1."), 1, received)
+        self.assertNotIn(PAGE, received)
+        if form.passed:
+            self.assertEqual(received[9:12], self.expected(form))
+        elif form.name not in UNSEEN:
+            self.assertRegex(received[9:12], b"4..|501")
+
+    def test_forms(self):
+        for form in FORMS:
+            for is_slow in (False, True):
+                with self.subTest(form=form.name, is_slow=is_slow):
+                    self.play(form, is_slow)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_RequestFraming.c
+++ b/tests/test_RequestFraming.c
@@ -99,6 +99,8 @@
     feed(framing, parts[2], strlen(parts[2]));
     ck_assert_uint_eq(RequestFraming_headBytes(framing), 32);
     ck_assert_uint_eq(RequestFraming_bytes(framing), strlen(parts[2]));
+    feed(framing, "y", 1);
+    ck_assert_uint_eq(RequestFraming_bytes(framing), strlen(parts[2]) + 1);
     RequestFraming_destroy(framing);
 }
 END_TEST
@@ -204,6 +206,10 @@
         ck_assert_broken(post, TRUE);
         ck_assert_broken(head, FALSE);
     }
+    ck_assert_broken(POST "Transfer-Encoding: chun\tked\r\n\r\n", TRUE);
+    ck_assert_broken(POST "Transfer-Encoding: chunked a\r\n\r\n", TRUE);
+    ck_assert_broken(POST "Transfer-Encoding: \t chunked \t\r\n\r\n" LAST,
+                     FALSE);
     ck_assert_broken(POST "Content-Length: 5\r\n\r\nhello" CHUNKED LAST,
                      FALSE);
     ck_assert_broken(CHUNKED LAST POST "Content-Length: 0\r\n\r\n", FALSE);
