--- a/tests/sessions/test_cut_off.py
+++ b/tests/sessions/test_cut_off.py
@@ -41,11 +41,12 @@
 
 
 class CutOffTest(unittest.TestCase):
+    FLEET = Fleet
     ROUTERS = 4
     ENGINES = 3
 
     def setUp(self):
-        self.fleet = Fleet()
+        self.fleet = self.FLEET()
         self.addCleanup(self.fleet.close)
         self.engines = [self.fleet.engine("e%d" % n)
                         for n in range(self.ENGINES)]
