A request meets the end of a used connection once at most, and dooms no upstream

Calls to an upstream that closes its connections behind its answers, unannounced, got 502 (may have run) once, and 503 (no_upstream) from then on until a probe: [200, 502, 503, 503, ...] in test_interim_answers.UnannouncedCloseTest.

Two causes: - A cut of a connection made its upstream doubted (RelayFeedback, reason=cut), also where it had only closed a connection that was used before. Such a cut, before any byte of an answer and within a second of the request, is an end of its own now (ATTEMPT_STALE): the upstream is probed and stays in use, and a request that may run again goes on a new connection at once, within the budget and the attempts. For requests that end upstreams it counts as before. - A request that may run only once was sent on a connection just answered on. ConnectionKeeping has it wait until one of the upstream stayed open for 200 ms; one request tries then, and its answer proves for the upstream's start that connections are kept. Other requests use a connection at once, and prove it sooner.

The case that was listed is as strict as before (its upstream's pause is an attribute); new ones are a close after 20 ms and 300 ms, reads first, and no doubt. Cases of test_RelayFeedback and test_Recovery name the new end. test_Upstream passes the new argument, its checks are the same.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -270,9 +270,7 @@
         return;
     }
     if (status == 0) {
-        end_attempt(this,
-                    this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT,
-                    NULL);
+        end_attempt(this, AttemptConnection_cutEnd(&this->connection), NULL);
         return;
     }
     this->connection.reusable =
--- a/src/AttemptConnection.c
+++ b/src/AttemptConnection.c
@@ -15,6 +15,9 @@
 #define INTERIM_ANSWERS_MAX 16
 /* Interval of the tries to connect while there is no descriptor. */
 #define DESCRIPTOR_WAIT_MS 10
+/* An upstream that closes a connection behind an answer has done so within
+ * this time of the next request; one that fails later was at work on it. */
+#define STALE_MAX_MS 1000
 /* As evhttp writes EVHTTP_REQ_POST. */
 #define SENT_METHOD "POST"
 
@@ -111,6 +114,15 @@
     }
 }
 
+static void
+note_input(AttemptConnection_t *this)
+{
+    if (!this->has_input && this->is_reused && this->sent) {
+        ConnectionKeeping_noteAnswer(&this->upstream->keeping);
+    }
+    this->has_input = TRUE;
+}
+
 /* evhttp passes a chunk on only once it is complete, so an endless chunk would
  * fill the input buffer without limit. */
 static void
@@ -131,6 +143,7 @@
         return;
     }
     if (info->n_added > 0) {
+        note_input(this);
         count_interim(this, InterimHeads_drop(&this->interim, buffer));
     }
     check_chunks(this, buffer,
@@ -237,9 +250,13 @@
     this->descriptor_timer = Clock_timer(base, on_descriptor_timer, this);
     this->timeout_timer = Clock_timer(base, spec->on_timeout, spec->attempt);
     this->reaper = Clock_timer(base, spec->on_reap, spec->attempt);
-    this->pooled =
-        Upstream_takeConnection(this->upstream, spec->idle_max_ms,
-                                spec->request_id, this->last_received_ms);
+    this->pooled = Upstream_takeConnection(this->upstream, spec->idle_max_ms,
+                                           spec->request_id, spec->is_once,
+                                           this->last_received_ms);
+    this->taken_ms = this->last_received_ms;
+    this->is_reused = PooledConnection_hasSocket(this->pooled);
+    this->is_trial = this->is_reused &&
+                     ConnectionKeeping_beginTrial(&this->upstream->keeping);
     this->evhttp = PooledConnection_evhttp(this->pooled);
     PooledConnection_addRequest(this->pooled, spec->request_id);
     evhttp_connection_set_max_headers_size(this->evhttp,
@@ -358,6 +375,23 @@
     return this->has_data ? this->timeouts.pause_ms : this->timeouts.first_ms;
 }
 
+AttemptEnd_t
+AttemptConnection_cutEnd(AttemptConnection_t *this)
+{
+    gint64 now_ms = Clock_nowMs();
+    if (!this->sent) {
+        return ATTEMPT_NOT_SENT;
+    }
+    if (!this->is_reused || this->has_input ||
+        now_ms - this->taken_ms >= STALE_MAX_MS) {
+        return ATTEMPT_CUT;
+    }
+    ConnectionKeeping_noteClosed(
+        &this->upstream->keeping,
+        PooledConnection_idleMs(this->pooled, now_ms));
+    return ATTEMPT_STALE;
+}
+
 gint64
 AttemptConnection_remainingMs(const AttemptConnection_t *this)
 {
@@ -393,6 +427,14 @@
     return TRUE;
 }
 
+static void
+end_trial(AttemptConnection_t *this)
+{
+    if (this->is_trial) {
+        ConnectionKeeping_endTrial(&this->upstream->keeping);
+    }
+}
+
 void
 AttemptConnection_clear(AttemptConnection_t *this)
 {
@@ -403,6 +445,7 @@
     evbuffer_remove_cb_entry(output, this->output_watch);
     evbuffer_remove_cb_entry(input, this->input_watch);
     InterimHeads_clear(&this->interim);
+    end_trial(this);
     count_input(this, 0);
     if (this->unsent) {
         evhttp_request_free(this->unsent);
--- a/src/AttemptConnection.h
+++ b/src/AttemptConnection.h
@@ -16,6 +16,7 @@
 #include "ChunkCheck.h"
 #include "HeadCheck.h"
 #include "InterimHeads.h"
+#include "Recovery.h"
 #include "Upstream.h"
 
 /**
@@ -36,6 +37,7 @@
  * @request_id: id by which an answer is known to belong to the request, or
  *     NULL if each attempt has an id of its own
  * @idle_max_ms: as for Upstream_takeConnection()
+ * @is_once: as for Upstream_takeConnection()
  * @is_new_work: the request must not be sent once the upstream takes no new
  *     work
  * @timeouts: timeouts of the attempt
@@ -56,6 +58,7 @@
     Upstream_t *upstream;
     const char *request_id;
     gint64 idle_max_ms;
+    gboolean is_once;
     gboolean is_new_work;
     AttemptTimeouts_t timeouts;
     gsize piece_max;
@@ -99,6 +102,10 @@
  * @is_unreadable: evhttp could not read the answer
  * @last_received_ms: monotonic time from which the current timeout counts; the
  *     attempt sets it when data arrives
+ * @taken_ms: when the connection was taken
+ * @is_reused: it was open by then
+ * @is_trial: it shows whether the upstream keeps its connections
+ * @has_input: a byte of an answer has arrived
  * @starting: AttemptConnection_send() has not returned
  * @sent: the request may have been written
  * @has_data: the first data arrived
@@ -139,6 +146,10 @@
     const char *framing_fault;
     gboolean is_unreadable;
     gint64 last_received_ms;
+    gint64 taken_ms;
+    gboolean is_reused;
+    gboolean is_trial;
+    gboolean has_input;
     gboolean starting;
     gboolean sent;
     gboolean has_data;
@@ -212,6 +223,17 @@
  * framing were refused, as a phrase for logs; or NULL */
 const char *AttemptConnection_framingFault(const AttemptConnection_t *this);
 
+/**
+ * AttemptConnection_cutEnd() - how the attempt ended if its connection did
+ *
+ * The upstream may have closed a connection that was used before while the
+ * request was on its way. If no byte of an answer came, that says nothing of
+ * the upstream's state.
+ *
+ * Return: ATTEMPT_NOT_SENT, ATTEMPT_STALE or ATTEMPT_CUT
+ */
+AttemptEnd_t AttemptConnection_cutEnd(AttemptConnection_t *this);
+
 /** AttemptConnection_remainingMs() - time until the current timeout; 0 or less
  * once it has expired */
 gint64 AttemptConnection_remainingMs(const AttemptConnection_t *this);
--- a/src/Exchange.c
+++ b/src/Exchange.c
@@ -320,8 +320,9 @@
 {
     return end != ATTEMPT_COMPLETE && end != ATTEMPT_CLOSED &&
            end != ATTEMPT_NOT_RUN && end != ATTEMPT_REJECTED &&
-           end != ATTEMPT_TAKEN_BACK && end != ATTEMPT_WITHDRAWN &&
-           end != ATTEMPT_MOVED && end != ATTEMPT_OTHER_START;
+           end != ATTEMPT_STALE && end != ATTEMPT_TAKEN_BACK &&
+           end != ATTEMPT_WITHDRAWN && end != ATTEMPT_MOVED &&
+           end != ATTEMPT_OTHER_START;
 }
 
 static void
@@ -363,18 +364,18 @@
                            AttemptEnd_t end, gint64 began_ms)
 {
     CrashGuard_t *crashes = this->context->crashes;
+    gboolean is_lost = end == ATTEMPT_CUT || end == ATTEMPT_STALE;
     AttemptLoss_t loss = {
         .request = this->id->str,
         .upstream = upstream,
         .sent_ms = sent_ms(this),
-        .connection_lost = end == ATTEMPT_CUT,
+        .connection_lost = is_lost,
         .began_ms = began_ms,
     };
     if (end == ATTEMPT_NOT_SENT) {
         CrashGuard_noteConnectFailed(crashes, upstream);
     }
-    else if (this->request_hashes &&
-             (end == ATTEMPT_CUT || end == ATTEMPT_SILENT)) {
+    else if (this->request_hashes && (is_lost || end == ATTEMPT_SILENT)) {
         CrashGuard_noteLostAttempt(crashes, this->request_hashes, &loss);
     }
 }
--- a/src/PooledConnection.c
+++ b/src/PooledConnection.c
@@ -149,15 +149,20 @@
 }
 
 gboolean
-PooledConnection_isOpen(const PooledConnection_t *this)
+PooledConnection_hasSocket(const PooledConnection_t *this)
 {
-    return socket_of(this) >= 0 && !PooledConnection_isEnding(this);
+    return socket_of(this) >= 0;
 }
 
 gboolean
-PooledConnection_wasClosedWithin(const PooledConnection_t *this,
-                                 gint64 limit_ms)
+PooledConnection_isOpen(const PooledConnection_t *this)
+{
+    return PooledConnection_hasSocket(this) &&
+           !PooledConnection_isEnding(this);
+}
+
+gint64
+PooledConnection_closedAfterMs(const PooledConnection_t *this)
 {
-    return this->closed_ms > 0 &&
-           this->closed_ms - this->idle_since_ms < limit_ms;
+    return this->closed_ms > 0 ? this->closed_ms - this->idle_since_ms : -1;
 }
--- a/src/PooledConnection.h
+++ b/src/PooledConnection.h
@@ -75,17 +75,20 @@
 /** PooledConnection_idleMs() - for how long it has been idle */
 gint64 PooledConnection_idleMs(const PooledConnection_t *this, gint64 now_ms);
 
+/** PooledConnection_hasSocket() - whether it has a socket; evhttp opens one
+ * without a socket anew */
+gboolean PooledConnection_hasSocket(const PooledConnection_t *this);
+
 /** PooledConnection_isOpen() - whether it has a socket whose other end has not
- * closed it; evhttp opens one without a socket anew */
+ * closed it */
 gboolean PooledConnection_isOpen(const PooledConnection_t *this);
 
 /** PooledConnection_isEnding() - whether its other end has closed it, which
  * evhttp has not seen yet, so that it must not be used */
 gboolean PooledConnection_isEnding(const PooledConnection_t *this);
 
-/** PooledConnection_wasClosedWithin() - whether its other end closed it in so
- * many milliseconds after its last answer */
-gboolean PooledConnection_wasClosedWithin(const PooledConnection_t *this,
-                                          gint64 limit_ms);
+/** PooledConnection_closedAfterMs() - time after its last answer at which its
+ * other end closed it, or -1 if it has not */
+gint64 PooledConnection_closedAfterMs(const PooledConnection_t *this);
 
 #endif
--- a/src/Recovery.c
+++ b/src/Recovery.c
@@ -14,6 +14,7 @@
         [ATTEMPT_REJECTED] = "rejected",
         [ATTEMPT_FAILED] = "failed",
         [ATTEMPT_CUT] = "cut",
+        [ATTEMPT_STALE] = "stale",
         [ATTEMPT_SILENT] = "silent",
         [ATTEMPT_MISMATCH] = "mismatch",
         [ATTEMPT_BAD_ANSWER] = "bad_answer",
@@ -64,6 +65,7 @@
         [ATTEMPT_REJECTED] = REFUSAL_UPSTREAM_REFUSED,
         [ATTEMPT_FAILED] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_CUT] = REFUSAL_UPSTREAM_FAILED,
+        [ATTEMPT_STALE] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_CLOSED] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_SILENT] = REFUSAL_UPSTREAM_FAILED,
         [ATTEMPT_MISMATCH] = REFUSAL_ANSWER_MISMATCH,
@@ -97,8 +99,9 @@
     if (input->was_resume && !input->progressed && input->repeatable) {
         return FALSE;
     }
-    gboolean interrupted =
-        input->end == ATTEMPT_CUT || input->end == ATTEMPT_SILENT;
+    gboolean interrupted = input->end == ATTEMPT_CUT ||
+                           input->end == ATTEMPT_STALE ||
+                           input->end == ATTEMPT_SILENT;
     return interrupted && input->stream_known && input->resumes < RESUMES_MAX;
 }
 
--- a/src/Recovery.h
+++ b/src/Recovery.h
@@ -19,6 +19,9 @@
  * @ATTEMPT_REJECTED: the upstream answered that the request is invalid
  * @ATTEMPT_FAILED: the upstream failed; it may have run the request
  * @ATTEMPT_CUT: the connection ended before the end mark
+ * @ATTEMPT_STALE: as ATTEMPT_CUT, but before any byte of an answer, on a
+ *     connection that was used before; the upstream may have closed it before
+ *     it got the request
  * @ATTEMPT_CLOSED: the connection ended, and nothing else marks the end of the
  *     answer, which may be complete or not
  * @ATTEMPT_SILENT: no data came from the upstream within the timeout
@@ -41,6 +44,7 @@
     ATTEMPT_REJECTED,
     ATTEMPT_FAILED,
     ATTEMPT_CUT,
+    ATTEMPT_STALE,
     ATTEMPT_CLOSED,
     ATTEMPT_SILENT,
     ATTEMPT_MISMATCH,
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -423,8 +423,7 @@
         receive_end(this, ATTEMPT_BAD_ANSWER);
     }
     else if (status == 0 || !this->has_head) {
-        receive_end(this,
-                    this->connection.sent ? ATTEMPT_CUT : ATTEMPT_NOT_SENT);
+        receive_end(this, AttemptConnection_cutEnd(&this->connection));
     }
     else {
         this->connection.reusable = is_reusable(this);
@@ -516,6 +515,7 @@
         .upstream = spec->upstream,
         .request_id = spec->request_id,
         .idle_max_ms = spec->idle_max_ms,
+        .is_once = spec->is_once,
         .is_new_work = TRUE,
         .timeouts = {spec->connect_ms, spec->first_ms, spec->pause_ms},
         .piece_max = spec->piece_max,
--- a/src/RelayAttempt.h
+++ b/src/RelayAttempt.h
@@ -70,6 +70,7 @@
  * @needs_start: end the attempt if it is not proved to be the known start;
  *     one that states another start ends it in any case
  * @idle_max_ms: longest idle time of a pooled connection that may be reused
+ * @is_once: the request may run only once
  * @connect_ms: timeout for the connection
  * @first_ms: timeout for the first byte of the body
  * @pause_ms: timeout between further data of the body
@@ -88,6 +89,7 @@
     const OrderForm_t *start_form;
     gboolean needs_start;
     gint64 idle_max_ms;
+    gboolean is_once;
     gint64 connect_ms;
     gint64 first_ms;
     gint64 pause_ms;
--- a/src/RelayExchangeState.h
+++ b/src/RelayExchangeState.h
@@ -99,6 +99,7 @@
  * @max_pause_us: longest time between two events
  * @not_run_attempts: number of attempts that did not run
  * @is_unsent: nothing was sent to the upstream of the last attempt
+ * @was_stale: the last attempt met the end of a connection used before
  * @is_stream: the answer under way is a stream
  * @is_in_parts: the answer under way is no stream, and is passed on as it
  *     arrives (RelayBody.h), so that no other can take its place
@@ -139,6 +140,7 @@
     gint64 max_pause_us;
     guint not_run_attempts;
     gboolean is_unsent;
+    gboolean was_stale;
     gboolean is_stream;
     gboolean is_in_parts;
     gsize part_bytes;
--- a/src/RelayFeedback.c
+++ b/src/RelayFeedback.c
@@ -258,13 +258,17 @@
 }
 
 /* A failed connection, or one that breaks before the answer is complete, makes
- * the upstream suspected, so that it gets no further work for now. */
+ * the upstream suspected, so that it gets no further work for now. One that
+ * the upstream may have closed before the request came only has it probed. */
 void
 RelayFeedback_noteReachability(const RelayFeedback_t *this, AttemptEnd_t end)
 {
     if (end == ATTEMPT_NOT_SENT || end == ATTEMPT_CUT) {
         note_unreachable(this, Recovery_endName(end));
     }
+    else if (end == ATTEMPT_STALE) {
+        Upstream_noteSilent(this->upstream);
+    }
     else if (end == ATTEMPT_SILENT) {
         note_silent(this);
     }
--- a/src/RelayForward.c
+++ b/src/RelayForward.c
@@ -33,6 +33,7 @@
     AnswerBuffer_t *answer_body;
     AnswerWaiter_t answer_waiter;
     gint64 idle_max_ms; /* of a connection to reuse */
+    gboolean is_once;
     gboolean has_head;
     gboolean is_stream;
     gboolean over;
@@ -319,6 +320,7 @@
         .input_total = &this->context->answer_bytes,
         .input_total_max = (gsize)limits->answers_max,
         .idle_max_ms = this->idle_max_ms,
+        .is_once = this->is_once,
         .connect_ms = MIN(limits->connect_timeout_ms, CONNECT_MAX_MS),
         .first_ms = left_ms + ANSWER_MARGIN_MS,
         .pause_ms = left_ms + ANSWER_MARGIN_MS,
@@ -386,6 +388,7 @@
     this->context = context;
     this->idle_max_ms =
         is_repeatable ? limits->idle_time_ms : limits->once_idle_time_ms;
+    this->is_once = !is_repeatable;
     this->id = g_string_new(id);
     this->tried = g_ptr_array_new();
     this->answer_body = AnswerBuffer_create(&context->answer_bytes);
--- a/src/RelayRun.c
+++ b/src/RelayRun.c
@@ -146,6 +146,7 @@
         RelayFeedback_noteRefusal(&this->feedback, head);
     }
     this->is_unsent = end == ATTEMPT_NOT_SENT;
+    this->was_stale = end == ATTEMPT_STALE;
     if (end == ATTEMPT_NOT_RUN || Recovery_isUnsent(end)) {
         this->not_run_attempts++;
     }
@@ -389,11 +390,15 @@
 
 /* A request that may run only once uses a connection that was idle for a short
  * while only, or a new one: if the upstream has closed an idle connection, it
- * would remain unknown whether the request ran. */
+ * would remain unknown whether the request ran. One that met the end of a
+ * connection uses a new one. */
 static gint64
 select_idle_limit(const RelayExchange_t *this)
 {
     const LimitsSection_t *limits = &this->super.context->settings->limits;
+    if (this->was_stale) {
+        return UPSTREAM_NO_IDLE;
+    }
     return this->super.repeatable ? limits->idle_time_ms
                                   : limits->once_idle_time_ms;
 }
@@ -474,6 +479,7 @@
         .start_form = select_start_form(this, destination),
         .needs_start = this->origin.software != NULL,
         .idle_max_ms = select_idle_limit(this),
+        .is_once = !super->repeatable,
         .connect_ms = MIN(limits->connect_timeout_ms, left_ms),
         .first_ms = first_data_timeout_ms(this, destination->choice.upstream),
         .pause_ms = limits->token_timeout_ms,
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -26,6 +26,7 @@
 
     StreamHandle_t stream;
     guint resumes;
+    gboolean was_stale; /* the last attempt met the end of its connection */
 
     GString *text;        /* text sent by this exchange, if repeatable */
     guint64 start_offset; /* tokens that the caller had before */
@@ -266,6 +267,7 @@
         note_refusal(super, refusal);
     }
     this->attempt = NULL;
+    this->was_stale = end == ATTEMPT_STALE;
     clear_pending_tokens(this);
     Exchange_noteAttemptEnd(super, end);
     if (refusal && refusal->incarnation != 0) {
@@ -321,7 +323,7 @@
         .first_index = this->start_offset + this->tokens,
         .event_max = (gsize)limits->event_max,
         .head_max = (gsize)limits->max_header,
-        .fresh = !super->repeatable,
+        .fresh = !super->repeatable || this->was_stale,
         .is_resume = this->is_resume,
         .connect_ms = limits->connect_timeout_ms,
         .first_token_ms = limits->first_token_timeout_ms,
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -15,8 +15,6 @@
 /* Weight of a new observation in the learned run time. The average covers
  * about 20 requests, as short and long ones come mixed. */
 #define RUN_GAIN 0.05
-/* Idle time after which a connection counts as kept by the other end. */
-#define KEPT_PROOF_MS 200
 /* Time after a suspicion was sent or received in which further reports of it
  * are dropped. */
 #define SUSPICION_REPORT_INTERVAL_MS 3000
@@ -68,6 +66,14 @@
     }
 }
 
+static void
+close_witness(Upstream_t *this)
+{
+    if (this->witness) {
+        PooledConnection_destroy(g_steal_pointer(&this->witness));
+    }
+}
+
 void
 Upstream_unref(Upstream_t *this)
 {
@@ -75,6 +81,7 @@
         return;
     }
     close_idle_connections(this);
+    close_witness(this);
     g_string_free(this->name, TRUE);
     g_string_free(this->hall, TRUE);
     g_string_free(this->region, TRUE);
@@ -125,6 +132,8 @@
     EngineMemory_clear(&this->memory);
     EngineRuns_clear(this->runs);
     close_idle_connections(this);
+    close_witness(this);
+    ConnectionKeeping_clear(&this->keeping);
     this->leaving = FALSE;
     this->leaving_ms = 0;
     this->replaced = FALSE;
@@ -408,69 +417,122 @@
     return TRUE;
 }
 
-static gboolean
-proves_keeping(const PooledConnection_t *connection, gint64 now_ms)
+static void
+learn_closing(Upstream_t *this, const PooledConnection_t *connection)
 {
-    return PooledConnection_idleMs(connection, now_ms) >= KEPT_PROOF_MS &&
-           PooledConnection_isOpen(connection);
+    gint64 after_ms = PooledConnection_closedAfterMs(connection);
+    if (after_ms >= 0) {
+        ConnectionKeeping_noteClosed(&this->keeping, after_ms);
+    }
 }
 
-/* An upstream may close connections behind an answer without saying so. A
- * request that is sent meanwhile fails, and nothing shows that it did not run.
- */
+/* The witness has been idle for longer than connections that became idle while
+ * it was one. */
 static void
-learn_closing(Upstream_t *this, gint64 now_ms)
+release_witness(Upstream_t *this)
 {
-    const PooledConnection_t *last = g_queue_peek_tail(&this->idle);
-    const PooledConnection_t *first = g_queue_peek_head(&this->idle);
-    if (last && PooledConnection_wasClosedWithin(last, KEPT_PROOF_MS)) {
-        this->closes_connections = TRUE;
+    g_queue_push_head(&this->idle, g_steal_pointer(&this->witness));
+}
+
+static void
+check_witness(Upstream_t *this, gint64 now_ms)
+{
+    const PooledConnection_t *witness = this->witness;
+    if (!witness) {
+        return;
     }
-    else if (first && proves_keeping(first, now_ms)) {
-        this->closes_connections = FALSE;
+    learn_closing(this, witness);
+    if (!PooledConnection_isOpen(witness) ||
+        ConnectionKeeping_noteOpen(&this->keeping,
+                                   PooledConnection_idleMs(witness, now_ms))) {
+        release_witness(this);
+    }
+}
+
+static void
+learn_keeping(Upstream_t *this, gint64 now_ms)
+{
+    const PooledConnection_t *last = g_queue_peek_tail(&this->idle);
+    if (last) {
+        learn_closing(this, last);
     }
+    check_witness(this, now_ms);
 }
 
 static gboolean
 is_usable(const Upstream_t *this, const PooledConnection_t *connection,
-          gint64 now_ms)
+          gboolean is_once)
 {
-    if (PooledConnection_isEnding(connection)) {
-        return FALSE;
+    if (!PooledConnection_hasSocket(connection)) {
+        return TRUE;
     }
-    return !this->closes_connections || !PooledConnection_isOpen(connection) ||
-           PooledConnection_idleMs(connection, now_ms) >= KEPT_PROOF_MS;
+    return ConnectionKeeping_allows(&this->keeping, is_once) &&
+           !PooledConnection_isEnding(connection);
+}
+
+static gboolean
+may_reuse(const Upstream_t *this, const PooledConnection_t *connection,
+          gint64 idle_max_ms, const char *request_id, gboolean is_once,
+          gint64 now_ms)
+{
+    return PooledConnection_idleMs(connection, now_ms) <= idle_max_ms &&
+           !PooledConnection_hasCarried(connection, request_id) &&
+           is_usable(this, connection, is_once);
 }
 
 /* The most recently used connection that has not carried the request. */
 static GList *
 find_idle(const Upstream_t *this, gint64 idle_max_ms, const char *request_id,
-          gint64 now_ms)
+          gboolean is_once, gint64 now_ms)
 {
     for (GList *link = this->idle.tail; link; link = link->prev) {
         if (PooledConnection_idleMs(link->data, now_ms) > idle_max_ms) {
             return NULL;
         }
-        if (!PooledConnection_hasCarried(link->data, request_id) &&
-            is_usable(this, link->data, now_ms)) {
+        if (may_reuse(this, link->data, idle_max_ms, request_id, is_once,
+                      now_ms)) {
             return link;
         }
     }
     return NULL;
 }
 
+/* A request that may run again proves sooner than a wait that connections are
+ * kept. */
+static PooledConnection_t *
+take_witness(Upstream_t *this, gint64 idle_max_ms, const char *request_id,
+             gboolean is_once, gint64 now_ms)
+{
+    if (this->witness && may_reuse(this, this->witness, idle_max_ms,
+                                   request_id, is_once, now_ms)) {
+        return g_steal_pointer(&this->witness);
+    }
+    return NULL;
+}
+
 PooledConnection_t *
 Upstream_takeConnection(Upstream_t *this, gint64 idle_max_ms,
-                        const char *request_id, gint64 now_ms)
+                        const char *request_id, gboolean is_once,
+                        gint64 now_ms)
 {
-    learn_closing(this, now_ms);
-    GList *link = find_idle(this, idle_max_ms, request_id, now_ms);
-    if (!link) {
-        return PooledConnection_create(this->base, &this->address);
+    learn_keeping(this, now_ms);
+    GList *link = find_idle(this, idle_max_ms, request_id, is_once, now_ms);
+    PooledConnection_t *connection =
+        link ? link->data
+             : take_witness(this, idle_max_ms, request_id, is_once, now_ms);
+    if (link) {
+        g_queue_delete_link(&this->idle, link);
     }
-    PooledConnection_t *connection = link->data;
-    g_queue_delete_link(&this->idle, link);
-    return connection;
+    return connection ? connection
+                      : PooledConnection_create(this->base, &this->address);
+}
+
+static gboolean
+is_warm(const PooledConnection_t *connection, gint64 idle_max_ms,
+        gint64 now_ms)
+{
+    return connection &&
+           PooledConnection_idleMs(connection, now_ms) <= idle_max_ms;
 }
 
 gboolean
@@ -478,7 +540,8 @@
                            gint64 now_ms)
 {
     const PooledConnection_t *idle = g_queue_peek_tail((GQueue *)&this->idle);
-    return idle && PooledConnection_idleMs(idle, now_ms) <= idle_max_ms;
+    return is_warm(idle, idle_max_ms, now_ms) ||
+           is_warm(this->witness, idle_max_ms, now_ms);
 }
 
 gboolean
@@ -492,6 +555,13 @@
 Upstream_poolConnection(Upstream_t *this, PooledConnection_t *connection,
                         gint64 now_ms)
 {
+    gboolean is_wanted =
+        !this->witness && ConnectionKeeping_needsWitness(&this->keeping);
     PooledConnection_setIdle(connection, now_ms);
-    g_queue_push_tail(&this->idle, connection);
+    if (is_wanted && PooledConnection_isOpen(connection)) {
+        this->witness = connection;
+    }
+    else {
+        g_queue_push_tail(&this->idle, connection);
+    }
 }
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -11,6 +11,7 @@
 #include <event2/http.h>
 #include <glib.h>
 
+#include "ConnectionKeeping.h"
 #include "Declarations.h"
 #include "EngineBacklog.h"
 #include "EngineMemory.h"
@@ -84,8 +85,9 @@
  * @waiters: UpstreamWaiter_t of the requests that are assigned to it
  * @idle: PooledConnection_t, the most recently used one at the tail
  * @idle_max: maximum number of idle connections
- * @closes_connections: its last idle connection was closed behind an answer,
- * so that the next ones are used once they have been idle for a while
+ * @witness: an idle connection that requests which may run only once leave
+ *     alone until it has stayed open for a while or is closed, or NULL
+ * @keeping: whether it keeps its connections
  * @references: reference count
  */
 typedef struct {
@@ -146,7 +148,8 @@
     GQueue waiters;
     GQueue idle;
     guint idle_max;
-    gboolean closes_connections;
+    PooledConnection_t *witness;
+    ConnectionKeeping_t keeping;
     guint references;
 } Upstream_t;
 
@@ -390,12 +393,13 @@
  * @idle_max_ms: longest idle time of a connection to reuse
  * @request_id: a connection that has carried a request with this id is not
  *     reused; NULL if any may be
+ * @is_once: the request may run only once
  * @now_ms: monotonic
  */
 PooledConnection_t *Upstream_takeConnection(Upstream_t *this,
                                             gint64 idle_max_ms,
                                             const char *request_id,
-                                            gint64 now_ms);
+                                            gboolean is_once, gint64 now_ms);
 
 /**
  * Upstream_poolConnection() - put a connection into the pool of idle ones
--- a/tests/sessions/test_interim_answers.py
+++ b/tests/sessions/test_interim_answers.py
@@ -53,28 +53,62 @@
 class ClosingUpstream(Upstream):
     """Closes its connections a moment behind each answer, unannounced."""
 
-    PAUSE_S = 0.002
+    close_s = 0.002
 
     def run(self, call, body, request_id):
         super().run(call, body, request_id)
         call.wfile.flush()
-        time.sleep(self.PAUSE_S)
+        time.sleep(self.close_s)
         call.close_connection = True
 
 
 class UnannouncedCloseTest(test_fleet.FleetTest):
+    def start_closing(self, close_s):
+        self.upstream = self.fleet.add(ClosingUpstream(self.fleet.store, "p0",
+                                                       "plain"))
+        self.upstream.close_s = close_s
+        self.router = self.fleet.start()
+        self.wait_listed(self.router, 1)
+
+    def ask_all(self, *paths):
+        for path in paths:
+            statuses = [self.fleet.ask(self.router, path).status
+                        for _ in range(4 * CALLS)]
+            self.assertEqual(statuses, 4 * CALLS * [200], path)
+        self.assertEqual(len(self.upstream.seen), 4 * CALLS * len(paths))
+
     def test_no_request_meets_the_close(self):
         """The next request was sent on a connection that its upstream was
         about to close, and refused as one that may have run."""
-        upstream = self.fleet.add(ClosingUpstream(self.fleet.store, "p0",
-                                                  "plain"))
-        router = self.fleet.start()
-        self.wait_listed(router, 1)
-        for path in ("/write/x", "/read/x"):
-            statuses = [self.fleet.ask(router, path).status
-                        for _ in range(4 * CALLS)]
-            self.assertEqual(statuses, 4 * CALLS * [200])
-        self.assertEqual(len(upstream.seen), 8 * CALLS)
+        self.start_closing(0.002)
+        self.ask_all("/write/x", "/read/x")
+
+    def test_no_request_meets_a_later_close(self):
+        """As above, where requests come more often than connections end."""
+        self.start_closing(0.02)
+        self.ask_all("/write/x", "/read/x")
+
+    def test_a_read_that_meets_the_close_is_sent_again(self):
+        """The only upstream was doubted for the end of a connection that was
+        used before, and calls were refused until it was probed."""
+        for close_s in (0.002, 0.02, 0.3):
+            with self.subTest(close_s=close_s):
+                self.start_closing(close_s)
+                self.ask_all("/read/x", "/write/x")
+                self.assertEqual(self.router.events("upstream_doubted"), [])
+                self.router.stop()
+                self.upstream.unlist()
+
+    def test_one_request_at_most_meets_a_close_that_comes_late(self):
+        """All that were sent on used connections were refused."""
+        self.start_closing(0.3)
+        end = time.monotonic() + 1.5
+        statuses = []
+        while time.monotonic() < end:
+            statuses.append(self.fleet.ask(self.router, "/write/x").status)
+        self.assertLessEqual(statuses.count(502), 1)
+        self.assertEqual(set(statuses) - {502}, {200})
+        self.assertEqual(self.router.events("upstream_doubted"), [])
 
     def test_kept_connections_are_used_again(self):
         upstream = self.fleet.plain("p0")
--- a/tests/test_Recovery.c
+++ b/tests/test_Recovery.c
@@ -30,9 +30,9 @@
 
 START_TEST(sent_request_that_is_not_repeatable_is_refused_as_maybe_run)
 {
-    static const AttemptEnd_t ends[] = {ATTEMPT_FAILED, ATTEMPT_CUT,
-                                        ATTEMPT_SILENT, ATTEMPT_MISMATCH,
-                                        ATTEMPT_BAD_ANSWER};
+    static const AttemptEnd_t ends[] = {ATTEMPT_FAILED,   ATTEMPT_CUT,
+                                        ATTEMPT_STALE,    ATTEMPT_SILENT,
+                                        ATTEMPT_MISMATCH, ATTEMPT_BAD_ANSWER};
     for (gsize i = 0; i < G_N_ELEMENTS(ends); i++) {
         RecoveryInput_t input = make_input(ends[i]);
         input.sent = TRUE;
@@ -43,6 +43,17 @@
 }
 END_TEST
 
+START_TEST(request_that_met_the_end_of_a_connection_is_sent_again)
+{
+    RecoveryInput_t input = make_input(ATTEMPT_STALE);
+    input.sent = TRUE;
+    input.repeatable = TRUE;
+    ck_assert_int_eq(Recovery_decide(&input).action, RECOVERY_RETRY);
+    input.budget = FALSE;
+    ck_assert_int_eq(Recovery_decide(&input).action, RECOVERY_GIVE_UP);
+}
+END_TEST
+
 START_TEST(answer_of_unknown_end_is_repeated_like_one_that_was_cut)
 {
     RecoveryInput_t input = make_input(ATTEMPT_CLOSED);
@@ -155,7 +166,9 @@
 }
 END_TEST
 
-TESTING_MAIN("Recovery", complete_answer_needs_no_action,
+TESTING_MAIN("Recovery",
+             request_that_met_the_end_of_a_connection_is_sent_again,
+             complete_answer_needs_no_action,
              unsent_request_is_retried_even_if_not_repeatable,
              sent_request_that_is_not_repeatable_is_refused_as_maybe_run,
              answer_of_unknown_end_is_repeated_like_one_that_was_cut,
--- a/tests/test_RelayFeedback.c
+++ b/tests/test_RelayFeedback.c
@@ -113,6 +113,18 @@
 }
 END_TEST
 
+/* The only upstream was not used for the end of an idle connection. */
+START_TEST(the_end_of_a_used_connection_only_asks_for_a_probe)
+{
+    begin(FALSE);
+    RelayFeedback_noteReachability(&feedback, ATTEMPT_STALE);
+    ck_assert(is_usable());
+    ck_assert(upstream->probe_wanted);
+    ck_assert(!UpstreamPath_isInDoubt(context.path));
+    end();
+}
+END_TEST
+
 /* Requests were refused between a failure and the first probe. */
 START_TEST(a_lost_connection_puts_the_path_in_doubt_at_once)
 {
@@ -124,7 +136,9 @@
 }
 END_TEST
 
-TESTING_MAIN("RelayFeedback", a_lost_connection_puts_the_path_in_doubt_at_once,
+TESTING_MAIN("RelayFeedback",
+             the_end_of_a_used_connection_only_asks_for_a_probe,
+             a_lost_connection_puts_the_path_in_doubt_at_once,
              a_silent_upstream_stays_in_use_while_it_is_probed,
              a_silent_upstream_is_not_used_without_the_setting,
              an_upstream_that_answered_a_moment_ago_is_not_probed,
--- a/tests/test_Upstream.c
+++ b/tests/test_Upstream.c
@@ -134,7 +134,7 @@
     begin();
     ck_assert(!Upstream_hasWarmConnection(upstream, 1000, NOW_MS));
     PooledConnection_t *connection =
-        Upstream_takeConnection(upstream, 0, NULL, NOW_MS);
+        Upstream_takeConnection(upstream, 0, NULL, FALSE, NOW_MS);
     Upstream_poolConnection(upstream, connection, NOW_MS);
     ck_assert(Upstream_hasWarmConnection(upstream, 1000, NOW_MS + 1000));
     ck_assert(!Upstream_hasWarmConnection(upstream, 1000, NOW_MS + 1001));
@@ -147,8 +147,8 @@
 static void
 pool_connection(const char *request_id, gint64 now_ms)
 {
-    PooledConnection_t *connection =
-        Upstream_takeConnection(upstream, UPSTREAM_NO_IDLE, NULL, now_ms);
+    PooledConnection_t *connection = Upstream_takeConnection(
+        upstream, UPSTREAM_NO_IDLE, NULL, FALSE, now_ms);
     PooledConnection_addRequest(connection, request_id);
     Upstream_poolConnection(upstream, connection, now_ms);
 }
@@ -157,7 +157,7 @@
 take_number(const char *request_id, gint64 idle_max_ms)
 {
     PooledConnection_t *connection = Upstream_takeConnection(
-        upstream, idle_max_ms, request_id, NOW_MS + 10);
+        upstream, idle_max_ms, request_id, FALSE, NOW_MS + 10);
     guint64 number = PooledConnection_number(connection);
     Upstream_poolConnection(upstream, connection, NOW_MS + 10);
     return number;
@@ -176,10 +176,10 @@
     ck_assert(take_number("c", 100) == second);
     ck_assert(take_number("b", 5) == first);
     PooledConnection_t *connection =
-        Upstream_takeConnection(upstream, 100, "b", NOW_MS + 20);
+        Upstream_takeConnection(upstream, 100, "b", FALSE, NOW_MS + 20);
     ck_assert(PooledConnection_number(connection) == first);
     PooledConnection_t *other =
-        Upstream_takeConnection(upstream, 100, "b", NOW_MS + 20);
+        Upstream_takeConnection(upstream, 100, "b", FALSE, NOW_MS + 20);
     ck_assert_uint_eq(PooledConnection_countRequests(other), 0);
     PooledConnection_destroy(connection);
     PooledConnection_destroy(other);
