Headers that a Connection field names stay on their connection

Callers' and upstreams' headers that a Connection field of the message names went on to the other side (RFC 9110, 7.6.1). They are removed as a message is read (ConnectionOptions), in both directions and before a request goes to another router. What routers rely on or set stays whatever a Connection field names, and so do fields that frame or describe the body: a caller could otherwise take the id, the key or the deadline out of its own request as others see it.

--- a/src/RelayApi.c
+++ b/src/RelayApi.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "Clock.h"
+#include "ConnectionOptions.h"
 #include "HttpCall.h"
 #include "Log.h"
 #include "PlatformForm.h"
@@ -372,6 +373,8 @@
     struct evhttp_connection *connection =
         evhttp_request_get_connection(request);
     g_autoptr(GError) error = NULL;
+    ConnectionOptions_strip(evhttp_request_get_input_headers(request),
+                            admission.context->form->caller->kept_headers);
     admission.forwarded_by = find_forwarder(data, request);
     close_if_ambiguous(&admission);
     Http_setNoDelay(connection);
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -7,6 +7,7 @@
 
 #include "AttemptConnection.h"
 #include "Clock.h"
+#include "ConnectionOptions.h"
 #include "Log.h"
 #include "RequestHead.h"
 #include "SendWatch.h"
@@ -351,6 +352,7 @@
     this->connection.last_received_ms = Clock_nowMs();
     Upstream_noteReachable(this->connection.upstream,
                            this->connection.last_received_ms);
+    ConnectionOptions_strip(headers, this->form->kept_headers);
     BodyFraming_t framing =
         AttemptConnection_receiveBody(&this->connection, request);
     this->form->read_head(evhttp_request_get_response_code(request), headers,
--- a/src/RelayForm.h
+++ b/src/RelayForm.h
@@ -103,6 +103,8 @@
  * @id_header: response header that carries the request id
  * @key_header: request header that carries the caller's key
  * @rules: rules for the headers of a request
+ * @kept_headers: of a request, which are read and passed on whatever its
+ *     Connection field names; ended by NULL
  */
 typedef struct {
     gboolean (*read_request)(struct evhttp_request *http, RelayRequest_t *out,
@@ -112,6 +114,7 @@
     const char *id_header;
     const char *key_header;
     HeaderRules_t rules;
+    const char *const *kept_headers;
 } RelayCallerForm_t;
 
 /**
@@ -183,6 +186,8 @@
  * @write_head: write the head for an upstream from the caller's headers and
  *     the order
  * @read_head: parse the head of an answer
+ * @kept_headers: of answers, which are passed on whatever their Connection
+ *     field names; ended by NULL
  */
 typedef struct {
     UpstreamNoticeForm_t notices;
@@ -191,6 +196,7 @@
     void (*read_head)(int status, const struct evkeyvalq *headers,
                       const char *request_id, const char *instance,
                       RelayHead_t *out);
+    const char *const *kept_headers;
 } RelayUpstreamForm_t;
 
 #endif
