A half-closed caller gets four interim answers at the most

A caller that closed its sending side behind its request got an interim answer each 200 ms until its answer came; readers that bound their number give up an answer to a request that ran. Four are sent now, each twice as late after the one before as that one was, and a reset is still looked for.

No existing test was changed.

--- a/src/CallerProof.c
+++ b/src/CallerProof.c
@@ -16,7 +16,11 @@
 #define LEADING_ZERO "0"
 /* Of a chunk's size; readers take at least 16 digits. */
 #define ZEROS_MAX 8
-/* Between two proofs, so that a later end is seen well within 500 ms. */
+/* Of one request; some readers take five, of which one may answer an Expect
+ * header. */
+#define INTERIM_MAX 4
+/* Between two proofs, so that a later end is seen well within 500 ms; doubled
+ * between interim answers, which are few. */
 #define PROOF_INTERVAL_MS 200
 /* Between looks at what became of a proof, doubled each time: a stream that
  * its caller takes up elsewhere must not be recovered here meanwhile. */
@@ -33,6 +37,7 @@
     gint64 sent_ms; /* when the last proof was sent */
     gint64 look_ms; /* until the next look */
     guint zeros;    /* in front of the next chunk */
+    guint interims; /* so far */
 };
 
 static struct bufferevent *
@@ -72,13 +77,13 @@
            (request->major > 1 || (request->major == 1 && request->minor > 0));
 }
 
-/* Returns NULL where no byte may be sent: to a caller of HTTP/1.0, and within
- * a body that ends with its connection. */
+/* Returns NULL where no byte may be sent: to a caller of HTTP/1.0, within a
+ * body that ends with its connection, and beyond what readers take. */
 static const char *
 choose_proof(const CallerProof_t *this)
 {
     if (takes_interim_answers(this->request)) {
-        return INTERIM_ANSWER;
+        return this->interims < INTERIM_MAX ? INTERIM_ANSWER : NULL;
     }
     return this->request->kind == EVHTTP_RESPONSE && this->request->chunked &&
                    this->zeros < ZEROS_MAX
@@ -104,6 +109,9 @@
     if (proof[0] == LEADING_ZERO[0]) {
         note_zero(this);
     }
+    else {
+        this->interims++;
+    }
     sent = send(bufferevent_getfd(stream_of(this)), proof, length,
                 MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent > 0 && (gsize)sent < length) {
@@ -111,6 +119,15 @@
     }
 }
 
+static gint64
+interval_ms(const CallerProof_t *this, const char *proof)
+{
+    gboolean is_interim = proof[0] != LEADING_ZERO[0];
+    return is_interim && this->interims > 0
+               ? (gint64)PROOF_INTERVAL_MS << (this->interims - 1)
+               : PROOF_INTERVAL_MS;
+}
+
 static gint64
 next_look_ms(CallerProof_t *this)
 {
@@ -121,8 +138,8 @@
         this->look_ms = MIN(2 * this->look_ms, LOOK_MAX_MS);
         return this->look_ms;
     }
-    if (this->sent_ms > 0 && age_ms < PROOF_INTERVAL_MS) {
-        return PROOF_INTERVAL_MS - age_ms;
+    if (this->sent_ms > 0 && age_ms < interval_ms(this, proof)) {
+        return MIN(interval_ms(this, proof) - age_ms, PROOF_INTERVAL_MS);
     }
     send_proof(this, proof);
     this->sent_ms = now_ms;
--- a/src/CallerProof.h
+++ b/src/CallerProof.h
@@ -8,7 +8,8 @@
  * that has left answers bytes with a reset, and that of the other takes them.
  * Before the head of an answer the bytes are an interim answer (RFC 9110,
  * section 15.2), between two chunks a leading zero of the next chunk's size.
- * They are sent again at times, as a caller may leave later.
+ * They are sent again at times, as a caller may leave later, but only as often
+ * as readers take them.
  */
 #include <event2/event.h>
 #include <event2/http.h>
--- a/tests/sessions/test_half_closed.py
+++ b/tests/sessions/test_half_closed.py
@@ -19,6 +19,8 @@
 LEFT_S = 0.5  # within which work for a caller that has left ends
 LONG = 3000000  # bytes, more than the kernel's buffers hold
 UNREAD_S = 1
+LONG_S = 4
+INTERIM_MAX = 4
 
 
 class SlowUpstream(Upstream):
@@ -173,6 +175,18 @@
         for path in PATHS:
             self.check(path, interim=True)
 
+    def test_interim_answers_are_few(self):
+        """Readers that bound their number gave up; some take five, of which
+        one may answer an Expect header."""
+        self.set_all(pause_s=LONG_S)
+        begun = []
+        for path in PATHS:
+            begun.append((path, *self.begin(path)))
+            begun[-1][1].end_input()
+        for path, caller, request_id in begun:
+            self.assert_answered(caller, request_id, path, True)
+            self.assertLessEqual(caller.interim, INTERIM_MAX, path)
+
     def test_slow_streams(self):
         self.set_all(event_s=SLOW_S)
         for path in PATHS[2:]:
--- a/tests/test_CallerProof.c
+++ b/tests/test_CallerProof.c
@@ -18,6 +18,9 @@
 #define GONE_MS 500
 /* What is left of it for what the work takes to end. */
 #define NOTICED_MS 300
+#define LONG_WAIT_MS 4000
+/* Of one request, beside that of its Expect header. */
+#define INTERIM_MAX 4
 
 static struct evhttp_request *open_request;
 static CallerProof_t *proof;
@@ -142,6 +145,38 @@
 }
 END_TEST
 
+/* Readers that bound their number gave up. */
+START_TEST(interim_answers_are_few)
+{
+    connect_caller(REQUEST);
+    ReplyClient_endInput();
+    begin();
+    ReplyClient_run(LONG_WAIT_MS);
+    ck_assert_uint_eq(gone, 0);
+    g_clear_pointer(&proof, CallerProof_destroy);
+    send_answer();
+    ck_assert_int_eq(ReplyClient_readUntil(G_MAXSIZE), 0);
+    ck_assert_uint_ge(count(INTERIM), 2);
+    ck_assert_uint_le(count(INTERIM), INTERIM_MAX);
+    ck_assert(g_str_has_suffix(ReplyClient_received()->str, "\r\n\r\nwhole"));
+    end();
+}
+END_TEST
+
+/* A reset is no proof of ours, and is seen without one. */
+START_TEST(reset_is_noticed_once_no_more_is_sent)
+{
+    connect_caller(REQUEST);
+    ReplyClient_endInput();
+    begin();
+    ReplyClient_run(LONG_WAIT_MS);
+    ReplyClient_leave();
+    ReplyClient_run(NOTICED_MS);
+    ck_assert_uint_eq(gone, 1);
+    end();
+}
+END_TEST
+
 START_TEST(caller_that_has_left_is_noticed)
 {
     static const char *const requests[] = {REQUEST, OLD_REQUEST};
@@ -303,6 +338,7 @@
 
 TESTING_MAIN("CallerProof", evhttp_may_notice_first,
              caller_that_waits_gets_its_answer_behind_interim_ones,
+             interim_answers_are_few, reset_is_noticed_once_no_more_is_sent,
              caller_that_has_left_is_noticed,
              caller_that_leaves_later_is_noticed,
              caller_that_leaves_a_silent_stream_is_noticed,
