What upstreams send is held unread for less than a window

Callers of small calls got 503 memory_full beside streams that nobody reads and full bodies. At that moment a router of 110 MiB used 103 to 107 MB, of which the kernel held 15 to 19 MB (caller_given_up, kernel_bytes), most of it what engines had sent for streams that were paused: 11.1 MB unread beside 1.6 unsent, as of /proc/net/tcp.

Cause: SO_RCVBUF of 64 KiB towards upstreams. That an older kernel, or arm64, fills half is likely and was not measured.

With 32 KiB it is 64 KiB at the most, which serves a full link with some milliseconds of delay. 16 and 8 KiB were tried and not taken: over loopback an answer of 100,000 bytes took 44 ms and 1.3 s in place of 1.5 ms, as a window below one segment waits for timers.

--- a/src/SocketBuffers.c
+++ b/src/SocketBuffers.c
@@ -18,9 +18,10 @@
     int send;
 } Sizes_t;
 
+/* The kernel may fill all that it doubles. */
 static const Sizes_t sizes[] = {
     [SOCKET_CALLER] = {SOCKET_UNREAD_MAX, SENDING_MAX},
-    [SOCKET_UPSTREAM] = {64 * KIB, 64 * KIB},
+    [SOCKET_UPSTREAM] = {32 * KIB, 64 * KIB},
     [SOCKET_CALL] = {512 * KIB, 128 * KIB},
     [SOCKET_PEER] = {128 * KIB, 128 * KIB},
 };
--- a/tests/sessions/test_memory_answers.py
+++ b/tests/sessions/test_memory_answers.py
@@ -9,7 +9,7 @@
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
 from cluster import HOST
 from fleet import ROUTES, Fleet, Upstream, route  # noqa: E402
-from memory import MemoryWatch  # noqa: E402
+from memory import MemoryWatch, Queues, Use  # noqa: E402
 
 MEMORY_MB = 110
 LONG_ANSWER = b"y" * (1 << 20)
@@ -19,6 +19,9 @@
         b"Content-Length: %d\r\n\r\n")
 ENGINES = 4
 STREAMS = 250
+FEW_STREAMS = 60
+UNREAD_MAX = 65535  # a window without scaling
+SETTLE_S = 1.5
 ANSWERS = 150
 BODIES = 66
 BODY_BYTES = 1000000
@@ -109,6 +112,14 @@
         self.begin(b"/ask/once/x", STREAMS)
         self.assert_within_memory()
 
+    # The kernel held up to 117 KB unread for each.
+    def test_what_upstreams_of_unread_streams_send(self):
+        self.begin(b"/ask/once/x", FEW_STREAMS)
+        time.sleep(SETTLE_S)
+        use = Use(self.router.process.pid, Queues())
+        self.assertLessEqual(use.unread, FEW_STREAMS * UNREAD_MAX, str(use))
+        self.assert_within_memory()
+
     def test_answers(self):
         self.begin(b"/read/long", ANSWERS)
         self.assert_within_memory(others={200, 503})
