Calls are refused for memory only after what is idle was given back

A call was refused (503 memory_full) while pages that were free again stayed with the process: in a run of test_long_configuration_beside_both 99.7 MB were resident from 02.574 to 02.784, although some 100 callers who read nothing were given up meanwhile (caller_given_up), and calls were refused at 02.580 and 02.644; another was refused 1 ms after config_in_force, before the next look at the sockets found callers that had read nothing for 513 ms.

Cause: pages were given back each 250 ms at the most, and callers given up by a timer alone, which a long turn of the event loop delays.

While memory is full, pages are given back each 50 ms, and before a call is refused for memory, the sockets are looked at, at most each 20 ms, so that those who read nothing go first.

--- a/src/Context.c
+++ b/src/Context.c
@@ -6,6 +6,7 @@
 #include "Log.h"
 #include "PendingReply.h"
 #include "SocketBuffers.h"
+#include "SocketUse.h"
 
 RateRequest_t
 Caller_makeRateRequest(const Caller_t *caller, const char *customer,
@@ -104,10 +105,17 @@
     SocketBuffers_limitCaller(bufferevent_getfd(stream), &share);
 }
 
+/* A call takes little for a short time: before it is refused, who reads
+ * nothing is given up, and what was freed is given back. */
 gboolean
 Context_isMemoryUsedUp(const Context_t *this)
 {
-    return MemoryUse_room(this->memory, Clock_nowMs()) == 0;
+    gint64 now_ms = Clock_nowMs();
+    if (MemoryUse_room(this->memory, now_ms) > 0) {
+        return FALSE;
+    }
+    SocketUse_makeRoom(now_ms);
+    return MemoryUse_room(this->memory, now_ms) == 0;
 }
 
 /* Without a limit of the memory, the room for answers is the only bound. */
--- a/src/MemoryUse.c
+++ b/src/MemoryUse.c
@@ -17,6 +17,8 @@
 #define STATM_MAX 128
 /* Giving pages back costs a walk through the heap. */
 #define TRIM_MS 250
+/* While calls may be refused for want of them. */
+#define TRIM_FULL_MS 50
 /* Part of its memory that the program may need for itself. */
 #define OWN_PARTS 4
 
@@ -122,10 +124,17 @@
     return 0;
 }
 
+static gint64
+trim_interval(MemoryUse_t *this, gint64 now_ms)
+{
+    return MemoryUse_level(this, now_ms) == MEMORY_FULL ? TRIM_FULL_MS
+                                                        : TRIM_MS;
+}
+
 void
 MemoryUse_trim(MemoryUse_t *this, gint64 now_ms)
 {
-    if (now_ms - this->trimmed_ms >= TRIM_MS) {
+    if (now_ms - this->trimmed_ms >= trim_interval(this, now_ms)) {
         malloc_trim(0);
         this->trimmed_ms = now_ms;
         this->measured_ms = 0;
--- a/src/SocketUse.c
+++ b/src/SocketUse.c
@@ -19,6 +19,8 @@
 #define HELD_MAX ((gsize)192 << 10)
 /* Sockets looked at in one tick; about 1 us each. */
 #define LOOKS_MAX 512
+/* Interval of the looks at all sockets while calls would be refused. */
+#define ROOM_LOOK_MS 20
 /* Connections reset in one tick, each of which ends a request. */
 #define RESETS_MAX 32
 
@@ -34,8 +36,9 @@
     gboolean is_given_up;
 } Socket_t;
 
-static GArray *sockets; /* Socket_t; NULL before SocketUse_init() */
-static guint next;      /* to look at */
+static GArray *sockets;  /* Socket_t; NULL before SocketUse_init() */
+static guint next;       /* to look at */
+static gint64 looked_ms; /* at all, for room */
 static gsize total;
 static struct event *timer;
 static MemoryUse_t *memory_use;
@@ -254,6 +257,7 @@
     timer = Clock_timer(base, on_tick, NULL);
     total = 0;
     next = 0;
+    looked_ms = 0;
 }
 
 void
@@ -327,3 +331,12 @@
 {
     look_at_some(sockets->len, now_ms);
 }
+
+void
+SocketUse_makeRoom(gint64 now_ms)
+{
+    if (sockets && now_ms - looked_ms >= ROOM_LOOK_MS) {
+        looked_ms = now_ms;
+        SocketUse_look(now_ms);
+    }
+}
--- a/src/SocketUse.h
+++ b/src/SocketUse.h
@@ -63,4 +63,8 @@
  */
 void SocketUse_look(gint64 now_ms);
 
+/** SocketUse_makeRoom() - SocketUse_look(), unless that was done a short while
+ * ago; before a call is refused for want of memory */
+void SocketUse_makeRoom(gint64 now_ms);
+
 #endif
--- a/tests/test_MemoryUse.c
+++ b/tests/test_MemoryUse.c
@@ -5,6 +5,9 @@
 
 #include "testing.h"
 
+#define PARTS 4096
+#define PART_BYTES 8192
+#define SOON_MS 100
 #define MIB ((gsize)1 << 20)
 #define LATER_MS 1000
 
@@ -77,19 +80,31 @@
 }
 END_TEST
 
-START_TEST(freed_pages_are_given_back)
+static void
+fill_parts(char **parts)
 {
-    enum { PARTS = 4096 };
-    char *parts[PARTS];
-    MemoryUse_t *use = MemoryUse_create(0);
     for (guint i = 0; i < PARTS; i++) {
-        parts[i] = g_malloc(8192);
-        memset(parts[i], 1, 8192);
+        parts[i] = g_malloc(PART_BYTES);
+        memset(parts[i], 1, PART_BYTES);
     }
-    gsize before = MemoryUse_used(use, LATER_MS);
+}
+
+/* The last one keeps the pages below it in the heap. */
+static void
+free_most_parts(char **parts)
+{
     for (guint i = 0; i < PARTS - 1; i++) {
         g_free(parts[i]);
     }
+}
+
+START_TEST(freed_pages_are_given_back)
+{
+    char *parts[PARTS];
+    MemoryUse_t *use = MemoryUse_create(0);
+    fill_parts(parts);
+    gsize before = MemoryUse_used(use, LATER_MS);
+    free_most_parts(parts);
     MemoryUse_trim(use, 2 * LATER_MS);
     gsize after = MemoryUse_used(use, 2 * LATER_MS);
     ck_assert_uint_lt(after, before - 16 * MIB);
@@ -98,6 +113,23 @@
 }
 END_TEST
 
+START_TEST(freed_pages_are_given_back_soon_while_memory_is_full)
+{
+    char *parts[PARTS];
+    MemoryUse_t *use = MemoryUse_create(0);
+    fill_parts(parts);
+    MemoryUse_trim(use, LATER_MS);
+    gsize before = MemoryUse_used(use, LATER_MS + SOON_MS);
+    MemoryUse_setMax(use, before);
+    free_most_parts(parts);
+    MemoryUse_trim(use, LATER_MS + SOON_MS);
+    gsize after = MemoryUse_used(use, LATER_MS + SOON_MS);
+    ck_assert_uint_lt(after, before - 16 * MIB);
+    g_free(parts[PARTS - 1]);
+    MemoryUse_destroy(use);
+}
+END_TEST
+
 /* A sanitizer keeps freed memory, which no refusal makes room for. */
 START_TEST(memory_that_was_freed_is_not_in_use)
 {
@@ -128,5 +160,7 @@
              bytes_of_others_are_counted,
              room_is_what_is_left_without_the_reserve,
              the_level_follows_the_use, the_excess_is_what_is_not_easy,
-             freed_pages_are_given_back, memory_that_was_freed_is_not_in_use,
+             freed_pages_are_given_back,
+             freed_pages_are_given_back_soon_while_memory_is_full,
+             memory_that_was_freed_is_not_in_use,
              a_limit_that_the_program_fills_is_not_kept)
--- a/tests/test_SocketUse.c
+++ b/tests/test_SocketUse.c
@@ -203,6 +203,35 @@
 }
 END_TEST
 
+START_TEST(who_reads_nothing_is_given_up_before_a_call_is_refused)
+{
+    begin();
+    gint64 now_ms = g_get_monotonic_time() / 1000;
+    SocketUse_watch(near_end, TRUE);
+    write_bytes(100000);
+    SocketUse_look(now_ms);
+    set_percent_used(95, now_ms + SOCKET_STALL_FULL_MS);
+    SocketUse_makeRoom(now_ms + SOCKET_STALL_FULL_MS);
+    ck_assert(SocketUse_isGivenUp(near_end));
+    end();
+}
+END_TEST
+
+START_TEST(sockets_are_not_looked_at_for_each_call)
+{
+    begin();
+    gint64 now_ms = g_get_monotonic_time() / 1000;
+    SocketUse_watch(near_end, TRUE);
+    SocketUse_makeRoom(now_ms);
+    write_bytes(100000);
+    SocketUse_makeRoom(now_ms + 1);
+    ck_assert_uint_eq(SocketUse_bytes(), 0);
+    SocketUse_makeRoom(now_ms + 100);
+    ck_assert_uint_gt(SocketUse_bytes(), 0);
+    end();
+}
+END_TEST
+
 START_TEST(caller_that_reads_is_kept)
 {
     begin();
@@ -350,6 +379,8 @@
              unread_bytes_count, closed_socket_counts_no_more,
              caller_that_reads_nothing_is_given_up_while_memory_is_tight,
              it_is_given_up_sooner_when_memory_is_full,
+             who_reads_nothing_is_given_up_before_a_call_is_refused,
+             sockets_are_not_looked_at_for_each_call,
              caller_that_reads_is_kept, upstream_that_reads_nothing_is_kept,
              caller_for_whom_little_waits_is_kept,
              many_callers_get_little_each)
