Readers of the store pause where it answers at once without a record

What was seen: a router whose store answers reads at once in place of holding them, withholds records or says again and again that they are gone, asked it as fast as it answered: 330 calls a second and topic, 0.11 and 0.12 of a core with a store of the tests, and 896 lines topic_listed_anew in 2.5 s. A faster store takes as much more of the processor. Cause: followers, leases and the logs of configuration and claims ask again at once, as they rely on the store's holding a read. They paused after failed calls only. Now they pause as after those (100 to 800 ms) behind more than three such answers in a row; a record, or a read that was held, ends it. A list of a log that gets no further fails. Not shown: that a store of the users does so.

--- a/src/ClaimShard.c
+++ b/src/ClaimShard.c
@@ -6,6 +6,7 @@
 #include "Errors.h"
 #include "Log.h"
 #include "Random.h"
+#include "ReadPace.h"
 
 /* Mean delay before a failed read is repeated. */
 #define RETRY_MS 300
@@ -37,6 +38,7 @@
     char stream[32];
     ClaimIndex_t *index;
     gint64 poll_ms;
+    ReadPace_t pace;
     gint64 retain_ms;
     guint64 fold_offset;
     gint64 covered_from_ms; /* 0 for the stream's start */
@@ -215,6 +217,17 @@
     return TRUE;
 }
 
+static void
+read_after_pause(ClaimShard_t *this, gboolean was_useful)
+{
+    gint64 pause_ms = ReadPace_pauseMs(&this->pace, was_useful, Clock_nowMs());
+    if (pause_ms > 0) {
+        Clock_arm(this->read_timer, pause_ms);
+        return;
+    }
+    read_next(this);
+}
+
 static void
 fold_records(ClaimShard_t *this, const LogRecords_t *records)
 {
@@ -225,7 +238,8 @@
     expire_claims(this);
     complete_folded(this);
     append_batch(this);
-    read_next(this);
+    gboolean is_end = this->caught_up && this->pace.wait_ms == 0;
+    read_after_pause(this, records->records->len > 0 || is_end);
 }
 
 static void
@@ -233,12 +247,12 @@
 {
     ClaimShard_t *this = data;
     if (records && !accept_epoch(this, records->epoch)) {
-        read_next(this);
+        read_after_pause(this, FALSE);
         return;
     }
     if (records && error) {
         restart_fold(this, records->start);
-        read_next(this);
+        read_after_pause(this, FALSE);
         return;
     }
     if (!records) {
@@ -252,8 +266,10 @@
 static void
 read_next(ClaimShard_t *this)
 {
-    LogClient_read(this->log, this->stream, this->fold_offset,
-                   this->caught_up ? this->poll_ms : 0, on_read, this);
+    gint64 wait_ms = this->caught_up ? this->poll_ms : 0;
+    ReadPace_noteSent(&this->pace, wait_ms, Clock_nowMs());
+    LogClient_read(this->log, this->stream, this->fold_offset, wait_ms,
+                   on_read, this);
 }
 
 static void
--- a/src/ConfigLog.c
+++ b/src/ConfigLog.c
@@ -4,6 +4,7 @@
 #include "Errors.h"
 #include "Log.h"
 #include "Random.h"
+#include "ReadPace.h"
 
 struct ConfigLog {
     struct event_base *base;
@@ -11,6 +12,7 @@
     ConfigStore_t *store;
     ConfigLogLimits_t limits;
     struct event *retry;
+    ReadPace_t pace;
     GPtrArray *waiting; /* Command_t whose records were not folded yet */
     gboolean reachable;
     gboolean lost_records;
@@ -240,6 +242,17 @@
     Clock_arm(this->retry, half + Random_below((guint32)half + 1));
 }
 
+static void
+read_after_pause(ConfigLog_t *this, gboolean was_useful)
+{
+    gint64 pause_ms = ReadPace_pauseMs(&this->pace, was_useful, Clock_nowMs());
+    if (pause_ms > 0) {
+        Clock_arm(this->retry, pause_ms);
+        return;
+    }
+    read_next(this);
+}
+
 static void
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
@@ -247,7 +260,7 @@
     this->read_open = FALSE;
     if (records && error) {
         begin_snapshot_search(this, records->start);
-        read_next(this);
+        read_after_pause(this, FALSE);
         return;
     }
     if (!records) {
@@ -264,7 +277,7 @@
     }
     fold_records(this, records);
     complete_folded_commands(this);
-    read_next(this);
+    read_after_pause(this, records->records->len > 0);
 }
 
 static guint64
@@ -282,6 +295,7 @@
         return;
     }
     this->read_open = TRUE;
+    ReadPace_noteSent(&this->pace, this->limits.poll_ms, Clock_nowMs());
     LogClient_read(this->log, CONFIG_STREAM, next_offset(this),
                    this->limits.poll_ms, on_read, this);
 }
--- a/src/KeyedLog.c
+++ b/src/KeyedLog.c
@@ -135,7 +135,7 @@
 static void
 on_list_error(Call_t *call, const LogRecords_t *log, const GError *error)
 {
-    if (log) {
+    if (log && log->start != call->next.offset) {
         call->next = (StorePosition_t){log->epoch, log->start};
         read_next(call);
         return;
@@ -144,6 +144,15 @@
     remove_call(call);
 }
 
+static void
+fail_list(Call_t *call, const char *reason)
+{
+    g_autoptr(GError) error =
+        g_error_new_literal(WT_ERROR, WT_ERROR_BAD_ANSWER, reason);
+    call->done(NULL, error, call->data);
+    remove_call(call);
+}
+
 /* The log came back older while it was listed. Records of two epochs must not
  * be mixed, so the list starts again. */
 static void
@@ -170,6 +179,9 @@
     if (call->next.offset >= log->head) {
         finish_list(call);
     }
+    else if (log->records->len == 0) {
+        fail_list(call, "the log withholds records");
+    }
     else {
         read_next(call);
     }
--- a/src/Lease.c
+++ b/src/Lease.c
@@ -6,6 +6,7 @@
 #include "LeaseTable.h"
 #include "Log.h"
 #include "Random.h"
+#include "ReadPace.h"
 #include "StoreCalls.h"
 
 #define STREAM "leases"
@@ -38,7 +39,8 @@
     guint64 epoch;     /* of the log that the folded records are from */
     gint64 epoch_ms;   /* when that epoch became known, 0 before the first */
     guint failures;    /* consecutive failed reads */
-    gint64 delay_ms;   /* extra wait before taking an expired lease */
+    ReadPace_t pace;
+    gint64 delay_ms;        /* extra wait before taking an expired lease */
     guint64 current_number; /* of the current lease, of any holder */
     gint64 current_seen_ms; /* when the current lease was first read */
     gint64 last_record_ms;  /* when this epoch's last record was read, or 0 */
@@ -223,17 +225,28 @@
     return TRUE;
 }
 
+static void
+read_after_pause(Lease_t *this, gboolean was_useful)
+{
+    gint64 pause_ms = ReadPace_pauseMs(&this->pace, was_useful, Clock_nowMs());
+    if (pause_ms > 0) {
+        Clock_arm(this->retry, pause_ms);
+        return;
+    }
+    read_next(this);
+}
+
 static void
 on_read(const LogRecords_t *records, const GError *error, void *data)
 {
     Lease_t *this = data;
     if (records && !check_epoch(this, records->epoch)) {
-        read_next(this);
+        read_after_pause(this, FALSE);
         return;
     }
     if (records && error) {
         restart_fold(this, records->start);
-        read_next(this);
+        read_after_pause(this, FALSE);
         return;
     }
     if (!records) {
@@ -243,7 +256,8 @@
     this->failures = 0;
     fold_records(this, records);
     this->caught_up = this->fold_offset >= records->head;
-    read_next(this);
+    gboolean is_end = this->caught_up && this->pace.wait_ms == 0;
+    read_after_pause(this, records->records->len > 0 || is_end);
 }
 
 static StoreCause_t
@@ -266,8 +280,10 @@
         return;
     }
     StoreCalls_note(this->spec.counters, STREAM, read_cause(this));
-    LogClient_read(this->spec.log, STREAM, this->fold_offset,
-                   this->caught_up ? this->spec.poll_ms : 0, on_read, this);
+    gint64 wait_ms = this->caught_up ? this->spec.poll_ms : 0;
+    ReadPace_noteSent(&this->pace, wait_ms, Clock_nowMs());
+    LogClient_read(this->spec.log, STREAM, this->fold_offset, wait_ms, on_read,
+                   this);
 }
 
 static void
--- a/src/RecordFollower.c
+++ b/src/RecordFollower.c
@@ -6,6 +6,7 @@
 #include "Errors.h"
 #include "Log.h"
 #include "Random.h"
+#include "ReadPace.h"
 
 /* Mean pause after the first failure, doubled with each further failure up to
  * a maximum: routers that all start at once must not exceed the rate of the
@@ -67,6 +68,7 @@
     guint failed_checks;                /* consecutive failed checks */
     gint64 current_ms;  /* when the end was last known; 0 for never */
     guint failures;     /* consecutive failed calls */
+    ReadPace_t pace;    /* of reads, and of lists begun anew */
     gint64 failed_ms;   /* time of the last failure */
     gint64 lost_ms;     /* time of the first of these failures */
     gint64 told_ms;     /* when the log last told of them */
@@ -332,9 +334,10 @@
 }
 
 static void
-schedule_next_call(RecordFollower_t *this, gboolean at_end)
+schedule_next_call(RecordFollower_t *this, gboolean at_end, gint64 pace_ms)
 {
-    Clock_arm(this->timer, at_end ? pause_left_ms(this) : 0);
+    gint64 pause_ms = at_end ? pause_left_ms(this) : 0;
+    Clock_arm(this->timer, MAX(pause_ms, pace_ms));
 }
 
 static void
@@ -349,6 +352,11 @@
         this->events->expired(this->owner);
     }
     begin_list(this);
+    gint64 pace_ms = ReadPace_pauseMs(&this->pace, FALSE, Clock_nowMs());
+    if (pace_ms > 0) {
+        Clock_arm(this->timer, pace_ms);
+        return;
+    }
     call_store(this);
 }
 
@@ -393,11 +401,22 @@
     note_failed(this, error);
 }
 
+static void
+apply_followed_page(RecordFollower_t *this, const KeyedPage_t *page,
+                    gint64 sent_ms)
+{
+    gboolean at_end = apply_read_page(this, page, sent_ms);
+    gboolean is_end = at_end && this->pace.wait_ms == 0;
+    gint64 pace_ms = ReadPace_pauseMs(
+        &this->pace, page->records->len > 0 || is_end, Clock_nowMs());
+    schedule_next_call(this, at_end, pace_ms);
+}
+
 static void
 apply_page(RecordFollower_t *this, const KeyedPage_t *page, gint64 sent_ms)
 {
     if (!this->listing) {
-        schedule_next_call(this, apply_read_page(this, page, sent_ms));
+        apply_followed_page(this, page, sent_ms);
         return;
     }
     apply_list_page(this, page);
@@ -405,7 +424,7 @@
     if (at_end) {
         note_current(this, sent_ms);
     }
-    schedule_next_call(this, at_end);
+    schedule_next_call(this, at_end, 0);
 }
 
 static FollowerCall_t *
@@ -521,6 +540,7 @@
     this->current_call = call;
     if (this->listing) {
         const GString *after = this->after->len > 0 ? this->after : NULL;
+        ReadPace_noteSent(&this->pace, 0, call->sent_ms);
         RecordSource_list(this->spec.source, this->topic->str, after, on_page,
                           call);
         return;
@@ -530,6 +550,7 @@
     gint64 age_ms = call->sent_ms - this->current_ms;
     gboolean at_once = this->failures > 0 || age_ms > 2 * this->spec.wait_ms;
     gint64 wait_ms = at_once ? 0 : this->spec.wait_ms;
+    ReadPace_noteSent(&this->pace, wait_ms, call->sent_ms);
     RecordSource_read(this->spec.source, this->topic->str, this->next.offset,
                       wait_ms, on_page, call);
 }
--- a/tests/sessions/test_store_calls.py
+++ b/tests/sessions/test_store_calls.py
@@ -2,11 +2,13 @@
 
 One router reads the store for all; the others must not repeat its reads.
 """
+import struct
 import time
 import unittest
+from unittest import mock
 
 from cluster import wait_for
-from fleet import Fleet
+from fleet import Fleet, Store
 
 FEW_ROUTERS = 6
 MANY_ROUTERS = 18
@@ -20,6 +22,16 @@
 # and a followed lease is read once per 0.6 s.
 READS_PER_S = 3 / 0.5 + 1 / 0.6
 EXTRA_CALLS = 12
+# Answers to all calls: the end and the first offset of a topic, or its first
+# offset as what was asked for is gone.
+HASTY_ANSWERS = {"nothing": (200, struct.pack(">QQ", 0, 0)),
+                 "withheld": (200, struct.pack(">QQ", 1 << 40, 0)),
+                 "gone": (410, {"first": 0})}
+SETTLE_S = 2  # until all readers pause
+HASTY_S = 2
+# A reader pauses for 100 ms or more, as after a call that failed; there are
+# six: configuration, upstreams, leases, crashes, software and fleet.
+HASTY_CALLS_PER_S = 6 * 10
 
 
 class StoreCallsTest(unittest.TestCase):
@@ -86,5 +98,63 @@
         self.check(MANY_ROUTERS)
 
 
+
+class HastyStore(Store):
+    """Answers each call at once, without a record, while `hasty` names a form
+    of such an answer."""
+
+    def __init__(self):
+        self.hasty = None
+        self.hasty_calls = 0
+        super().__init__()
+
+    def handle(self, call):
+        if not self.hasty:
+            super().handle(call)
+            return
+        call.body()
+        self.hasty_calls += 1
+        status, body = HASTY_ANSWERS[self.hasty]
+        self.answer(call, status, body)
+
+
+class HastyStoreTest(unittest.TestCase):
+    """A router asked again as fast as the store answered: 300 times a second
+    and topic, and told so in as many lines."""
+
+    def check(self, form):
+        with mock.patch("fleet.Store", HastyStore):
+            fleet = Fleet()
+        self.addCleanup(fleet.close)
+        fleet.plain("p1")
+        router = fleet.start(config_wait="8s")
+        store = fleet.store
+        store.hasty = form
+        with store.lock:
+            store.lock.notify_all()
+        time.sleep(SETTLE_S)
+        before, lines = store.hasty_calls, len(router.lines)
+        time.sleep(HASTY_S)
+        calls = store.hasty_calls - before
+        self.assertGreater(calls, 0)
+        self.assertLessEqual(calls, HASTY_S * HASTY_CALLS_PER_S)
+        self.assertLessEqual(len(router.lines) - lines,
+                             HASTY_S * 2 * HASTY_CALLS_PER_S)
+        store.hasty = None
+        fleet.config()
+        wait_for(lambda: str(fleet.version) in [
+            e["version"] for e in router.events("config_in_force")],
+            "the configuration after it", CHANGE_S)
+
+    def test_reads_that_are_not_held(self):
+        self.check("nothing")
+
+    def test_records_that_are_gone_again_and_again(self):
+        self.check("gone")
+
+    def test_records_that_are_withheld(self):
+        self.check("withheld")
+
+
 if __name__ == "__main__":
     unittest.main()
