test_bad_input: waits for the line of an event that is too large

By reading, the line comes through a pipe, and the case read it as soon as the answer was whole; the other cases of the class wait for theirs.

--- a/tests/sessions/test_bad_input.py
+++ b/tests/sessions/test_bad_input.py
@@ -123,7 +123,7 @@
             engine.only_first_of = engines
         router = self.fleet.start(event_max="%dB" % EVENT_MAX)
         self.assertEqual(self.fleet.ask(router, "/ask/x").body, WHOLE)
-        self.assertEqual(len(router.events("event_oversized")), 1)
+        self.assertEqual(len(router.wait_event("event_oversized")), 1)
         self.assertEqual(sum(len(engine.seen) for engine in engines), 2)
 
     def test_a_large_event_below_the_bound_passes(self):
