FakeRouters: time is what the test's process ran and asked to wait

Seen: test_ListExchange.burst_of_entries_is_read_from_the_store_by_few_routers failed in a sanitizer run beside load: 298 reads of the store, bound 240.

Cause: the test. All simulated routers live in its process, and their clocks go on while the machine runs others. Peers' pages are then late by the routers' clocks, all of them at once, and more routers read the store. That stalls over 50 ms do not count in FakeRouters_run() helped that call alone: timeouts and ages within the routers, and FakeRouters_await(), still had the machine's time.

Evidence: sanitizer build, 10 at once beside four busy processes and others (load 45 on 8 cores): 3 of 10 failed on the code before (247, 272 and 312 reads), in this case. Of test_FreshnessRelay, stopped for 0.1 to 0.35 s after each 0.05 to 0.25 s, 1 of 6 runs failed before, in what_a_reader_receives_is_relayed_until_it_is_old.

ProcessClock takes the place of clock_gettime() in these programs, libraries included: the monotonic clocks advance by the process's processor time and by waits as long as they were asked for. No bound changes, and the exception for stalls in FakeRouters_run() goes.

After: 0 of 20 sanitizer runs of test_ListExchange, 20 at once beside four busy processes (load 41), 0 of 6 of test_Membership beside them, and 0 of 8 stopped runs of test_FreshnessRelay. The 13 programs that use FakeRouters pass in both builds. A first form read the clock twice and could step back, so that test_ListExchange left a link unfreed in 3 of 38 sanitizer runs; this one does not.

--- a/tests/FakeRouters.c
+++ b/tests/FakeRouters.c
@@ -6,14 +6,13 @@
 
 #include "Clock.h"
 #include "PeerDatagrams.h"
+#include "ProcessClock.h"
 #include "testing.h"
 
 #define KEY_BYTES 32
 #define PORT_ATTEMPTS_MAX 100
 /* Bytes per second; enough for all facts of a test. */
 #define GOSSIP_BUDGET 1000000
-#define STEP_MS 10
-#define STALL_MIN_MS 50
 
 static void
 free_message(gpointer message)
@@ -142,6 +141,7 @@
 FakeRouters_start(FakeRouters_t *this, guint count, gint64 mesh_routers,
                   guint seeds, gint64 budget)
 {
+    ProcessClock_start();
     *this = (FakeRouters_t){.base = event_base_new(), .count = count};
     this->upstreams = UpstreamSet_create(this->base, 0);
     this->counters = Counters_create();
@@ -199,31 +199,13 @@
     }
 }
 
-static void
-on_step(evutil_socket_t fd, short what, void *data)
-{
-    (void)fd;
-    (void)what;
-    (void)data;
-}
-
-/* The loop wakes up every STEP_MS, so that what it takes longer than
- * STALL_MIN_MS is a stall of the process, in which no timer of a router runs.
- * It does not count. */
 void
 FakeRouters_run(FakeRouters_t *this, gint64 ms)
 {
-    struct timeval interval = {.tv_usec = STEP_MS * CLOCK_US_PER_MS};
-    struct event *step = event_new(this->base, -1, EV_PERSIST, on_step, NULL);
-    gint64 before_ms = Clock_nowMs();
-    event_add(step, &interval);
-    for (gint64 left_ms = ms; left_ms > 0;) {
+    gint64 end_ms = Clock_nowMs() + ms;
+    while (Clock_nowMs() < end_ms) {
         event_base_loop(this->base, EVLOOP_ONCE);
-        gint64 now_ms = Clock_nowMs();
-        left_ms -= MIN(now_ms - before_ms, STALL_MIN_MS);
-        before_ms = now_ms;
     }
-    event_free(step);
 }
 
 static const Wt__PeerMessage *
--- a/tests/FakeRouters.h
+++ b/tests/FakeRouters.h
@@ -78,7 +78,8 @@
                        gboolean (*condition)(const FakeRouters_t *this));
 
 /** FakeRouters_run() - run the event loop for @ms milliseconds, to check
- * that something does not happen; stalls of the process do not count */
+ * that something does not happen; stalls of the process do not count
+ * (ProcessClock.h) */
 void FakeRouters_run(FakeRouters_t *this, gint64 ms);
 
 /** FakeRouters_find() - the newest message of a kind that a router received,
