ProcessClock: waits before its start do not count

What a test had waited before it started the clock was counted as time that it asked for later, so that one stall behind the start could count as time (by reading; nothing was seen).

--- a/tests/ProcessClock.c
+++ b/tests/ProcessClock.c
@@ -10,7 +10,8 @@
 #define NS_PER_S 1000000000
 #define NS_PER_MS 1000000
 
-/* These take the place of the C library's for the whole process. */
+/* These take the place of the C library's for the whole process, also in
+ * programs that never start the clock. */
 int clock_gettime(clockid_t clock, struct timespec *out);
 int clock_nanosleep(clockid_t clock, int flags, const struct timespec *time,
                     struct timespec *left);
@@ -56,6 +57,7 @@
         is_started = TRUE;
         real_before_ns = read_ns(CLOCK_BOOTTIME);
         run_before_ns = read_ns(CLOCK_PROCESS_CPUTIME_ID);
+        waited_ns = 0;
     }
 }
 
