test_CrashEvidence: stalls of the process are no time

Seen: upstream_is_tested_where_no_other_part_probes_it failed once, 0 crashes in place of 1, as all module programs ran, six at once, beside load.

Cause: the test. It runs the event loop for 60 ms, three intervals of checks, of the machine's time; while its process does not run, the end of the loop and the checks fall due together.

Evidence: with the process stopped for 0.05 to 0.2 s after each 5 to 40 ms, 24 at once, 6 of 24 runs failed before, in this case, and 0 of 24 do with the test's process clock (ProcessClock), which this changes to.

--- a/tests/test_CrashEvidence.c
+++ b/tests/test_CrashEvidence.c
@@ -5,6 +5,7 @@
 
 #include "Clock.h"
 #include "FakeRouters.h"
+#include "ProcessClock.h"
 #include "testing.h"
 
 /* Three check intervals. */
@@ -32,6 +33,7 @@
 static void
 begin(void)
 {
+    ProcessClock_start();
     UpstreamSpec_t spec = {.hall = g_string_new("a"),
                            .region = g_string_new("r"),
                            .serves = g_ptr_array_new(),
