A stream counts as a use of a version only while several versions serve

After an upgrade of a service the former version stays its base until another one joins, so that each new stream counted as a use of several versions, and the next join was stated at once, before other routers had the time to record their streams of the base. Had the process ended within that second, callers of those streams would have got resume_unknown; none was seen. Statements of two bases hid each other in the same way as one without a base had: the last one read took the place of the others.

A use counts while several versions serve; all bases that others state are kept. Two cases of test_VersionGate failed before (2 statements in place of 0, and 0 in place of 2). After: test_VersionGate, test_OriginKeeper, test_OriginRecords, 12 of 12 runs of HalfReplacedTest.test_streams_that_live_routers_began, four at once, and test_base_version pass.

--- a/src/OriginKeeper.c
+++ b/src/OriginKeeper.c
@@ -281,7 +281,7 @@
     entry->is_live = TRUE;
     entry->is_restored = FALSE;
     if (this->spec.gate) {
-        VersionGate_noteBegun(this->spec.gate, service, software);
+        VersionGate_noteBegun(this->spec.gate, service, software, now_ms);
     }
     const char *only = OriginKeeper_findOnly(this, service);
     OriginFacts_learn(this->facts, FALSE);
--- a/src/VersionGate.c
+++ b/src/VersionGate.c
@@ -12,8 +12,8 @@
 typedef struct {
     char *written_base; /* in the last write; NULL for none */
     char *base;         /* in the last write that was acknowledged, or NULL */
-    char *stated_base;  /* in a statement of another process, or NULL */
-    gint64 opened_ms;   /* since when other versions are used, monotonic */
+    GHashTable *stated_bases; /* in statements of other processes */
+    gint64 opened_ms; /* since when other versions are used, monotonic */
     gint64 joined_ms; /* since when there are several; 0 while there is one */
     gint64 held_ms;   /* since when streams are held; 0 for never */
     gboolean is_used_unstated;
@@ -51,7 +51,7 @@
     Gate_t *gate = data;
     g_free(gate->written_base);
     g_free(gate->base);
-    g_free(gate->stated_base);
+    g_hash_table_destroy(gate->stated_bases);
     g_free(gate);
 }
 
@@ -130,6 +130,8 @@
     Gate_t *gate = g_hash_table_lookup(this->gates, service);
     if (!gate) {
         gate = g_new0(Gate_t, 1);
+        gate->stated_bases =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         g_hash_table_insert(this->gates, g_strdup(service), gate);
     }
     return gate;
@@ -170,7 +172,7 @@
     if (gate && versions < 2) {
         gate->joined_ms = 0;
         gate->is_used = FALSE;
-        g_clear_pointer(&gate->stated_base, g_free);
+        g_hash_table_remove_all(gate->stated_bases);
     }
     else if (versions > 1) {
         gate = get_gate(this, service);
@@ -185,7 +187,7 @@
 may_state(const VersionGate_t *this, const char *service, const Gate_t *gate,
           const char *base, gint64 now_ms)
 {
-    gboolean is_stated = g_strcmp0(gate->stated_base, base) == 0;
+    gboolean is_stated = g_hash_table_contains(gate->stated_bases, base);
     return gate->is_used || is_stated ||
            !SoftwareVersions_isBaseListed(this->versions, service) ||
            now_ms - gate->joined_ms >= this->hold_ms;
@@ -241,10 +243,14 @@
  * that state nothing. */
 void
 VersionGate_noteBegun(const VersionGate_t *this, const char *service,
-                      const char *software)
+                      const char *software, gint64 now_ms)
 {
     const char *base = SoftwareVersions_findBase(this->versions, service);
-    if (base && strcmp(base, software) != 0) {
+    if (!base || strcmp(base, software) == 0) {
+        return;
+    }
+    g_autoptr(GPtrArray) serving = list_serving(this, service, now_ms);
+    if (serving->len > 1) {
         get_gate(this, service)->is_used = TRUE;
     }
 }
@@ -365,9 +371,8 @@
 {
     if (use->process != 0 && use->process != this->process &&
         *use->base != '\0' && strcmp(use->software, use->base) != 0) {
-        Gate_t *gate = get_gate(this, use->service);
-        g_free(gate->stated_base);
-        gate->stated_base = g_strdup(use->base);
+        g_hash_table_add(get_gate(this, use->service)->stated_bases,
+                         g_strdup(use->base));
     }
 }
 
--- a/src/VersionGate.h
+++ b/src/VersionGate.h
@@ -72,11 +72,12 @@
                               gint64 now_ms);
 
 /** VersionGate_noteBegun() - a stream has begun, or goes on, at this process;
- * a version other than the base counts as used from now on
+ * while several versions serve, one other than the base counts as used from
+ * now on
  * @software: empty if it is not known
  */
 void VersionGate_noteBegun(const VersionGate_t *this, const char *service,
-                           const char *software);
+                           const char *software, gint64 now_ms);
 
 /** VersionGate_list() - the VersionUse_t that belong into the record of this
  * router: of this process, and of former ones whose streams may be continued;
--- a/tests/test_VersionGate.c
+++ b/tests/test_VersionGate.c
@@ -362,6 +362,33 @@
 }
 END_TEST
 
+START_TEST(a_statement_of_another_base_hides_no_other)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    join(2);
+    read_use("v1", "v2", OTHER);
+    read_use("v0", "v2", OTHER + 1);
+    ck_assert_uint_eq(write_uses(2), 2);
+    destroy();
+}
+END_TEST
+
+/* What had begun after an upgrade made the next join stated at once. */
+START_TEST(a_stream_that_begins_while_one_version_serves_is_no_use)
+{
+    create();
+    VersionGate_setHold(gate, HOLD_MS);
+    SoftwareVersions_noteStart(versions, "a", 5);
+    VersionGate_noteBegun(gate, "s", "v2", 2);
+    VersionGate_noteBegun(gate, "s", "", 2);
+    join(2);
+    ck_assert_uint_eq(write_uses(2), 0);
+    destroy();
+}
+END_TEST
+
 /* Its record listed the stream without a statement. */
 START_TEST(a_stream_that_goes_on_at_another_version_is_a_use)
 {
@@ -369,9 +396,9 @@
     VersionGate_setHold(gate, HOLD_MS);
     SoftwareVersions_noteStart(versions, "a", 5);
     join(2);
-    VersionGate_noteBegun(gate, "s", "v1");
+    VersionGate_noteBegun(gate, "s", "v1", 2);
     ck_assert_uint_eq(write_uses(2), 0);
-    VersionGate_noteBegun(gate, "s", "v2");
+    VersionGate_noteBegun(gate, "s", "v2", 2);
     ck_assert_uint_eq(write_uses(2), 2);
     destroy();
 }
@@ -432,6 +459,8 @@
              a_use_is_stated_at_once_if_the_base_is_not_listed,
              a_use_is_stated_at_once_if_others_stated_theirs,
              a_statement_without_a_base_hides_no_other,
+             a_statement_of_another_base_hides_no_other,
+             a_stream_that_begins_while_one_version_serves_is_no_use,
              a_stream_that_goes_on_at_another_version_is_a_use,
              a_statement_of_others_ends_with_the_join,
              a_use_before_the_base_was_known_stays_stated)
