Bodies that are not read are no requests on any listener

On the listeners of operators and of readiness a HEAD with a length or with chunks, and chunks of HTTP/1.0, were answered, and what followed the head as a request of its own: two answers to one request, such as 200 and 200 on /v1/ready. Callers' listeners refuse such heads.

Cause: what receivers may disagree on was asked in the handlers of callers' requests only (RequestIntake_isAmbiguous). HttpListener asks it for all other listeners. The question no longer changes the connection, which RequestIntake_noteTaken() does in any case.

--- a/src/HttpListener.c
+++ b/src/HttpListener.c
@@ -119,6 +119,10 @@
         evhttp_send_error(request, HTTP_BADREQUEST, NULL);
         return;
     }
+    if (!this->spec.takes_unnamed && RequestIntake_isAmbiguous(request)) {
+        evhttp_send_error(request, HTTP_BADREQUEST, NULL);
+        return;
+    }
     if (request->type == METHOD_UNNAMED && !this->spec.takes_unnamed) {
         evhttp_send_error(request, HTTP_NOTIMPLEMENTED, NULL);
         return;
--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -672,10 +672,7 @@
 gboolean
 RequestIntake_isAmbiguous(struct evhttp_request *request)
 {
-    Connection_t *connection = find_connection(request);
-    if (connection) {
-        connection->is_answered = FALSE;
-    }
+    const Connection_t *connection = find_connection(request);
     return has_unknown_coding(request) ||
            BodyFraming_isAmbiguousRequest(
                RequestHead_methodToSend(request),
--- a/tests/sessions/test_listener_forms.py
+++ b/tests/sessions/test_listener_forms.py
@@ -21,6 +21,19 @@
 UNSEEN = HOSTLESS + (
     "two hosts", "a host twice", "two hosts beside an absolute form",
     "a tunnel", NO_PATH, "a long method")
+# Bodies whose content is a request, where evhttp reads none.
+NEXT = b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+UNREAD_BODIES = {
+    "HEAD with a length": b"HEAD %s HTTP/1.1\r\nHost: x\r\n"
+                          b"Content-Length: " + b"%d" % len(NEXT)
+                          + b"\r\n\r\n" + NEXT,
+    "HEAD with chunks": b"HEAD %s HTTP/1.1\r\nHost: x\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n" + NEXT,
+    "chunks of HTTP/1.0": b"GET %s HTTP/1.0\r\nHost: x\r\n"
+                          b"Connection: keep-alive\r\n"
+                          b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                          + NEXT,
+}
 # Methods that only callers' listeners take.
 NO_OPERATORS = (b"OPTIONS", b"PATCH", b"TRACE")
 PAGE = b"<HTML>"
@@ -190,6 +203,17 @@
                         self.play(port, path, form, is_slow)
 
 
+    # What followed a head was answered as a request of its own.
+    def test_bodies_that_are_not_read(self):
+        for port, path in ((self.router.ready_port, b"/v1/ready"),
+                           (self.router.operator_port, b"/metrics")):
+            for name, data in UNREAD_BODIES.items():
+                with self.subTest(path=path, form=name):
+                    received = exchange(port, data % path)
+                    self.assertEqual(received.count(b"HTTP/1."), 1, received)
+                    self.assertRegex(received[:13], b"HTTP/1.. 400 ")
+
+
 class OperatorFormsTest(unittest.TestCase):
     """Calls of operators. The body of the table is none of their messages,
     and an empty one is."""
