Names in Upstream, ConnectionKeeping and ReadPace that say what they hold

The idle connection that shows whether an upstream keeps its connections is a sample; answers without use are counted as such. No change of behaviour: the module tests of the three pass.

--- a/src/ConnectionKeeping.c
+++ b/src/ConnectionKeeping.c
@@ -36,7 +36,7 @@
 }
 
 gboolean
-ConnectionKeeping_needsWitness(const ConnectionKeeping_t *this)
+ConnectionKeeping_needsSample(const ConnectionKeeping_t *this)
 {
     return !this->is_proved && !this->stayed_open;
 }
--- a/src/ConnectionKeeping.h
+++ b/src/ConnectionKeeping.h
@@ -56,9 +56,9 @@
  */
 gboolean ConnectionKeeping_noteOpen(ConnectionKeeping_t *this, gint64 idle_ms);
 
-/** ConnectionKeeping_needsWitness() - whether a connection should be left idle
+/** ConnectionKeeping_needsSample() - whether a connection should be left idle
  * to see whether it stays open */
-gboolean ConnectionKeeping_needsWitness(const ConnectionKeeping_t *this);
+gboolean ConnectionKeeping_needsSample(const ConnectionKeeping_t *this);
 
 /** ConnectionKeeping_allows() - whether a request may use an open connection;
  * @is_once: it may run only once */
--- a/src/ReadPace.c
+++ b/src/ReadPace.c
@@ -23,13 +23,13 @@
 ReadPace_pauseMs(ReadPace_t *this, gboolean was_useful, gint64 now_ms)
 {
     if (was_useful || was_held(this, now_ms)) {
-        this->in_vain = 0;
+        this->useless = 0;
         return 0;
     }
-    this->in_vain++;
-    if (this->in_vain <= READ_PACE_FREE) {
+    this->useless++;
+    if (this->useless <= READ_PACE_FREE) {
         return 0;
     }
-    guint doublings = MIN(this->in_vain - READ_PACE_FREE - 1, DOUBLINGS_MAX);
+    guint doublings = MIN(this->useless - READ_PACE_FREE - 1, DOUBLINGS_MAX);
     return MIN((gint64)READ_PACE_MIN_MS << doublings, READ_PACE_MAX_MS);
 }
--- a/src/ReadPace.h
+++ b/src/ReadPace.h
@@ -22,12 +22,12 @@
  * struct ReadPace_t - the present call and those before it; zero at first
  * @sent_ms: monotonic time of the call
  * @wait_ms: how long the store may hold it
- * @in_vain: answers in a row that were of no use
+ * @useless: answers in a row that were of no use
  */
 typedef struct {
     gint64 sent_ms;
     gint64 wait_ms;
-    guint in_vain;
+    guint useless;
 } ReadPace_t;
 
 /** ReadPace_noteSent() - a call is sent */
--- a/src/Upstream.c
+++ b/src/Upstream.c
@@ -67,10 +67,10 @@
 }
 
 static void
-close_witness(Upstream_t *this)
+close_sample(Upstream_t *this)
 {
-    if (this->witness) {
-        PooledConnection_destroy(g_steal_pointer(&this->witness));
+    if (this->sample) {
+        PooledConnection_destroy(g_steal_pointer(&this->sample));
     }
 }
 
@@ -81,7 +81,7 @@
         return;
     }
     close_idle_connections(this);
-    close_witness(this);
+    close_sample(this);
     g_string_free(this->name, TRUE);
     g_string_free(this->hall, TRUE);
     g_string_free(this->region, TRUE);
@@ -132,7 +132,7 @@
     EngineMemory_clear(&this->memory);
     EngineRuns_clear(this->runs);
     close_idle_connections(this);
-    close_witness(this);
+    close_sample(this);
     ConnectionKeeping_clear(&this->keeping);
     this->leaving = FALSE;
     this->leaving_ms = 0;
@@ -426,26 +426,26 @@
     }
 }
 
-/* The witness has been idle for longer than connections that became idle while
+/* The sample has been idle for longer than connections that became idle while
  * it was one. */
 static void
-release_witness(Upstream_t *this)
+release_sample(Upstream_t *this)
 {
-    g_queue_push_head(&this->idle, g_steal_pointer(&this->witness));
+    g_queue_push_head(&this->idle, g_steal_pointer(&this->sample));
 }
 
 static void
-check_witness(Upstream_t *this, gint64 now_ms)
+check_sample(Upstream_t *this, gint64 now_ms)
 {
-    const PooledConnection_t *witness = this->witness;
-    if (!witness) {
+    const PooledConnection_t *sample = this->sample;
+    if (!sample) {
         return;
     }
-    learn_closing(this, witness);
-    if (!PooledConnection_isOpen(witness) ||
+    learn_closing(this, sample);
+    if (!PooledConnection_isOpen(sample) ||
         ConnectionKeeping_noteOpen(&this->keeping,
-                                   PooledConnection_idleMs(witness, now_ms))) {
-        release_witness(this);
+                                   PooledConnection_idleMs(sample, now_ms))) {
+        release_sample(this);
     }
 }
 
@@ -456,7 +456,7 @@
     if (last) {
         learn_closing(this, last);
     }
-    check_witness(this, now_ms);
+    check_sample(this, now_ms);
 }
 
 static gboolean
@@ -500,12 +500,12 @@
 /* A request that may run again proves sooner than a wait that connections are
  * kept. */
 static PooledConnection_t *
-take_witness(Upstream_t *this, gint64 idle_max_ms, const char *request_id,
-             gboolean is_once, gint64 now_ms)
+take_sample(Upstream_t *this, gint64 idle_max_ms, const char *request_id,
+            gboolean is_once, gint64 now_ms)
 {
-    if (this->witness && may_reuse(this, this->witness, idle_max_ms,
-                                   request_id, is_once, now_ms)) {
-        return g_steal_pointer(&this->witness);
+    if (this->sample && may_reuse(this, this->sample, idle_max_ms, request_id,
+                                  is_once, now_ms)) {
+        return g_steal_pointer(&this->sample);
     }
     return NULL;
 }
@@ -519,7 +519,7 @@
     GList *link = find_idle(this, idle_max_ms, request_id, is_once, now_ms);
     PooledConnection_t *connection =
         link ? link->data
-             : take_witness(this, idle_max_ms, request_id, is_once, now_ms);
+             : take_sample(this, idle_max_ms, request_id, is_once, now_ms);
     if (link) {
         g_queue_delete_link(&this->idle, link);
     }
@@ -541,7 +541,7 @@
 {
     const PooledConnection_t *idle = g_queue_peek_tail((GQueue *)&this->idle);
     return is_warm(idle, idle_max_ms, now_ms) ||
-           is_warm(this->witness, idle_max_ms, now_ms);
+           is_warm(this->sample, idle_max_ms, now_ms);
 }
 
 gboolean
@@ -556,10 +556,10 @@
                         gint64 now_ms)
 {
     gboolean is_wanted =
-        !this->witness && ConnectionKeeping_needsWitness(&this->keeping);
+        !this->sample && ConnectionKeeping_needsSample(&this->keeping);
     PooledConnection_setIdle(connection, now_ms);
     if (is_wanted && PooledConnection_isOpen(connection)) {
-        this->witness = connection;
+        this->sample = connection;
     }
     else {
         g_queue_push_tail(&this->idle, connection);
--- a/src/Upstream.h
+++ b/src/Upstream.h
@@ -85,7 +85,7 @@
  * @waiters: UpstreamWaiter_t of the requests that are assigned to it
  * @idle: PooledConnection_t, the most recently used one at the tail
  * @idle_max: maximum number of idle connections
- * @witness: an idle connection that requests which may run only once leave
+ * @sample: an idle connection that requests which may run only once leave
  *     alone until it has stayed open for a while or is closed, or NULL
  * @keeping: whether it keeps its connections
  * @references: reference count
@@ -148,7 +148,7 @@
     GQueue waiters;
     GQueue idle;
     guint idle_max;
-    PooledConnection_t *witness;
+    PooledConnection_t *sample;
     ConnectionKeeping_t keeping;
     guint references;
 } Upstream_t;
--- a/tests/test_ConnectionKeeping.c
+++ b/tests/test_ConnectionKeeping.c
@@ -12,10 +12,10 @@
     ck_assert(!ConnectionKeeping_allows(&keeping, once));
     ck_assert(!ConnectionKeeping_noteOpen(&keeping, KEEPING_IDLE_MS - 1));
     ck_assert(!ConnectionKeeping_allows(&keeping, once));
-    ck_assert(ConnectionKeeping_needsWitness(&keeping));
+    ck_assert(ConnectionKeeping_needsSample(&keeping));
     ck_assert(ConnectionKeeping_noteOpen(&keeping, KEEPING_IDLE_MS));
     ck_assert(ConnectionKeeping_allows(&keeping, once));
-    ck_assert(!ConnectionKeeping_needsWitness(&keeping));
+    ck_assert(!ConnectionKeeping_needsSample(&keeping));
 }
 END_TEST
 
@@ -78,7 +78,7 @@
     ConnectionKeeping_noteClosed(&keeping, 20);
     ck_assert(ConnectionKeeping_allows(&keeping, any));
     ck_assert(ConnectionKeeping_allows(&keeping, once));
-    ck_assert(!ConnectionKeeping_needsWitness(&keeping));
+    ck_assert(!ConnectionKeeping_needsSample(&keeping));
     ConnectionKeeping_clear(&keeping);
     ck_assert(!ConnectionKeeping_allows(&keeping, once));
 }
