Answers that arrive in small pieces take little more memory than their bytes

Callers saw: a plain upstream that sends an endless body, a few bytes at a time, ends the router that called it; the calls of others are refused as memory_full and then end with the process, and the next process is full within seconds.

Cause: libevent reads into blocks of a kilobyte or more, evhttp hands each read on in its block, and AnswerBuffer moved the blocks and counted the bytes. 4 bytes took 1,024, and a read of a page took two, so that no bound was ever met.

The fix copies what was read to the end of the buffer, where it fills the last block.

--- a/src/AnswerBuffer.c
+++ b/src/AnswerBuffer.c
@@ -1,5 +1,7 @@
 #include "AnswerBuffer.h"
 
+#include "Buffers.h"
+
 struct AnswerBuffer {
     struct evbuffer *content;
     gsize size; /* counted in @total */
@@ -42,7 +44,7 @@
         (!is_short && *this->total + added > limits->total_max)) {
         return FALSE;
     }
-    evbuffer_add_buffer(this->content, data);
+    Buffers_append(this->content, data);
     this->size = size;
     *this->total += added;
     return TRUE;
