Streams that arrive in small pieces take little more memory than their bytes

Callers saw: an engine that sends one event without an end, a few bytes at a time, ends the router that called it, and the calls of others with it.

EventPipe, the data of a move, what is held until a start is proved, and the events of the native interface kept a block of a kilobyte for each read, and bounded the bytes.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -4,6 +4,7 @@
 
 #include "AttemptConnection.h"
 #include "BodyFraming.h"
+#include "Buffers.h"
 #include "Clock.h"
 #include "HttpCall.h"
 #include "SseParser.h"
@@ -172,7 +173,7 @@
         store_refusal_body(this, input);
         return;
     }
-    evbuffer_add_buffer(this->unparsed, input);
+    Buffers_append(this->unparsed, input);
     if (!SseParser_feed(this->parser, this->unparsed) &&
         !this->connection.closed && !this->complete) {
         end_attempt(this, this->has_fault ? this->fault : ATTEMPT_OVERSIZED,
--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "Buffers.h"
+
 /* Start of the line that holds the id of an event. */
 #define ID_FIELD "id:"
 
@@ -163,7 +165,7 @@
 {
     guint count = 0;
     gsize length = 0;
-    evbuffer_add_buffer(this->partial, in);
+    Buffers_append(this->partial, in);
     while (!this->is_too_large &&
            (length = EventPipe_firstEventLength(this->partial)) > 0 &&
            length <= this->event_max) {
--- a/src/RelayAttempt.c
+++ b/src/RelayAttempt.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "AttemptConnection.h"
+#include "Buffers.h"
 #include "Clock.h"
 #include "ConnectionOptions.h"
 #include "Log.h"
@@ -280,7 +281,7 @@
 receive_data(RelayAttempt_t *this, struct evbuffer *input)
 {
     if (this->proof) {
-        evbuffer_add_buffer(this->held, input);
+        Buffers_append(this->held, input);
         if (evbuffer_get_length(this->held) > HELD_MAX) {
             RelayAttempt_setReadPaused(this, TRUE);
         }
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 
+#include "Buffers.h"
 #include "Clock.h"
 #include "Log.h"
 #include "RelayDispatch.h"
@@ -187,7 +188,7 @@
 on_data(void *owner, struct evbuffer *data)
 {
     RelayMove_t *this = owner;
-    evbuffer_add_buffer(this->data, data);
+    Buffers_append(this->data, data);
     gsize event = EventPipe_firstEventLength(this->data);
     gsize size = event > 0 ? event : evbuffer_get_length(this->data);
     if (size > (gsize)get_context(this)->settings->limits.event_max) {
--- a/tests/sessions/test_small_pieces.py
+++ b/tests/sessions/test_small_pieces.py
@@ -1,5 +1,5 @@
 """Routers whose machine ends them above the memory of their settings, and
-upstreams that send bodies without end, a few bytes at a time."""
+upstreams that send without end, a few bytes at a time."""
 import os
 import socket
 import threading
@@ -14,30 +14,44 @@
 CALLERS = 60
 SECONDS = 3
 WAIT_MS = 1000 * SECONDS
-PIECE = b"xxxx"
 PAUSE_S = 0.001
+BODY_PIECE = b"xxxx"
 ENDS = {  # what tells the end of a body
     "length": b"Content-Length: 10000000000\r\n\r\n",
     "connection": b"Connection: close\r\n\r\n",
 }
 
 
+EVENT_PIECES = {
+    "chunks": b"4\r\nxxxx\r\n",
+    "lines": b"4\r\nx:x\n\r\n",
+}
+
+
 class Trickle(threading.Thread):
     """Sends a piece to each of its connections, again and again."""
 
     def __init__(self):
         super().__init__(daemon=True)
+        self.piece = BODY_PIECE
         self.connections = set()
         self.stopped = threading.Event()
 
     def send(self, connection):
         try:
-            connection.send(PIECE, socket.MSG_DONTWAIT)
+            connection.send(self.piece, socket.MSG_DONTWAIT)
         except BlockingIOError:
             pass
         except OSError:
             self.connections.discard(connection)
 
+    def serve(self, call):
+        """Sends to a caller until it closes."""
+        self.connections.add(call.connection)
+        while call.connection in self.connections:
+            time.sleep(0.05)
+        call.close_connection = True
+
     def run(self):
         while not self.stopped.wait(PAUSE_S):
             for connection in list(self.connections):
@@ -53,23 +67,29 @@
         call.wfile.write(b"HTTP/1.1 200 x\r\n" + b"".join(
             b"%s: %s\r\n" % (name.replace("_", "-").encode(), value.encode())
             for name, value in headers.items()) + ENDS[self.end])
-        self.trickle.connections.add(call.connection)
-        while call.connection in self.trickle.connections:
-            time.sleep(0.05)
-        call.close_connection = True
+        self.trickle.serve(call)
 
 
-class EndlessBodyTest(unittest.TestCase):
+class TricklingEngine(Upstream):
+    trickle = None
+
+    def stream(self, call, headers):
+        call.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        call.head(200, {"Transfer_Encoding": "chunked"}, **headers)
+        self.trickle.serve(call)
+
+
+class TrickleTest(unittest.TestCase):
+    """Sound calls beside endless ones."""
+
     def setUp(self):
         self.fleet = Fleet()
         self.addCleanup(self.fleet.close)
         self.trickle = Trickle()
         self.trickle.start()
         self.addCleanup(self.trickle.stopped.set)
-        self.upstream = self.fleet.add(TricklingUpstream(
-            self.fleet.store, "p1", "plain"))
+        self.add_upstreams()
         self.upstream.trickle = self.trickle
-        self.fleet.engine("e1")
         self.router = self.fleet.start(
             memory="%dMiB" % MEMORY_MB, token_timeout="20s",
             first_token_timeout="20s", eject_failures="1000")
@@ -79,12 +99,11 @@
 
     def call(self):
         try:
-            self.fleet.ask(self.router, "/write/x", wait_ms=WAIT_MS)
+            self.fleet.ask(self.router, self.PATH, wait_ms=WAIT_MS)
         except OSError:  # the router has ended
             pass
 
-    def check(self, end):
-        self.upstream.end = end
+    def check(self):
         callers = [threading.Thread(target=self.call, daemon=True)
                    for _ in range(CALLERS)]
         for caller in callers:
@@ -92,18 +111,50 @@
         stop = time.monotonic() + SECONDS
         statuses = []
         while time.monotonic() < stop and not self.watched.is_over:
-            statuses.append(self.fleet.ask(self.router, "/ask/once/x").status)
+            statuses.append(self.fleet.ask(self.router,
+                                           self.SOUND_PATH).status)
             time.sleep(0.05)
         self.watch.stop()
         self.assertFalse(self.watched.is_over, str(self.watched.peak))
         self.assertEqual(set(statuses), {200})
 
+
+class BodyTest(TrickleTest):
+    """Bodies of a plain service."""
+
+    PATH, SOUND_PATH = "/write/x", "/ask/once/x"
+
+    def add_upstreams(self):
+        self.upstream = self.fleet.add(TricklingUpstream(
+            self.fleet.store, "p1", "plain"))
+        self.fleet.engine("e1")
+
     # Each piece was held in a block of a kilobyte.
     def test_with_a_length(self):
-        self.check("length")
+        self.check()
 
     def test_up_to_the_end_of_the_connection(self):
-        self.check("connection")
+        self.upstream.end = "connection"
+        self.check()
+
+
+class EventTest(TrickleTest):
+    """One event of a stream."""
+
+    PATH, SOUND_PATH = "/ask/once/x", "/read/x"
+
+    def add_upstreams(self):
+        self.upstream = self.fleet.add(TricklingEngine(
+            self.fleet.store, "e1", "engines", "m"))
+        self.fleet.plain("p1")
+
+    def test_in_chunks(self):
+        self.trickle.piece = EVENT_PIECES["chunks"]
+        self.check()
+
+    def test_of_lines(self):
+        self.trickle.piece = EVENT_PIECES["lines"]
+        self.check()
 
 
 if __name__ == "__main__":
