EventPipe: bytes that hold no end of an event are searched once

Cause: each piece searched all of the event for its end again.

The search begins where the last one ended, less the bytes in which a separator may have begun.

--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -10,6 +10,7 @@
 struct EventPipe {
     gsize event_max;
     struct evbuffer *partial; /* start of an incomplete event */
+    gsize searched; /* bytes of @partial that hold no end of an event */
     GString *last_id;
     gsize counted; /* part of @total */
     gsize *total;  /* or NULL */
@@ -50,6 +51,7 @@
 drop_partial(EventPipe_t *this)
 {
     evbuffer_drain(this->partial, evbuffer_get_length(this->partial));
+    this->searched = 0;
     count_partial(this);
 }
 
@@ -62,15 +64,33 @@
     g_free(this);
 }
 
+/* A separator may begin in bytes that were searched. */
+static struct evbuffer_ptr
+find_from(struct evbuffer *bytes, gsize searched, const char *separator)
+{
+    gsize length = strlen(separator);
+    struct evbuffer_ptr start;
+    gsize from = searched >= length ? searched - (length - 1) : 0;
+    if (evbuffer_ptr_set(bytes, &start, from, EVBUFFER_PTR_SET) != 0) {
+        return (struct evbuffer_ptr){.pos = -1};
+    }
+    return evbuffer_search(bytes, separator, length, &start);
+}
+
 gsize
-EventPipe_firstEventLength(struct evbuffer *bytes)
+EventPipe_firstEventLength(struct evbuffer *bytes, gsize *searched)
 {
-    struct evbuffer_ptr plain = evbuffer_search(bytes, "\n\n", 2, NULL);
-    struct evbuffer_ptr returns = evbuffer_search(bytes, "\r\n\r\n", 4, NULL);
+    struct evbuffer_ptr plain = find_from(bytes, *searched, "\n\n");
+    struct evbuffer_ptr returns = find_from(bytes, *searched, "\r\n\r\n");
+    gsize length = 0;
     if (returns.pos >= 0 && (plain.pos < 0 || returns.pos < plain.pos)) {
-        return (gsize)returns.pos + 4;
+        length = (gsize)returns.pos + 4;
+    }
+    else if (plain.pos >= 0) {
+        length = (gsize)plain.pos + 2;
     }
-    return plain.pos >= 0 ? (gsize)plain.pos + 2 : 0;
+    *searched = length > 0 ? 0 : evbuffer_get_length(bytes);
+    return length;
 }
 
 /* Returns the value of the id line without surrounding white space, or NULL.
@@ -167,7 +187,8 @@
     gsize length = 0;
     Buffers_append(this->partial, in);
     while (!this->is_too_large &&
-           (length = EventPipe_firstEventLength(this->partial)) > 0 &&
+           (length = EventPipe_firstEventLength(this->partial,
+                                                &this->searched)) > 0 &&
            length <= this->event_max) {
         count += pass_event(this, length, out) ? 1 : 0;
     }
@@ -196,6 +217,7 @@
 EventPipe_flush(EventPipe_t *this, struct evbuffer *out)
 {
     evbuffer_add_buffer(out, this->partial);
+    this->searched = 0;
     count_partial(this);
 }
 
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -35,9 +35,15 @@
 /** EventPipe_destroy() - free the pipe */
 void EventPipe_destroy(EventPipe_t *this);
 
-/** EventPipe_firstEventLength() - length in bytes of the event at the start of
- * @bytes; 0 if that event is incomplete */
-gsize EventPipe_firstEventLength(struct evbuffer *bytes);
+/**
+ * EventPipe_firstEventLength() - length in bytes of the event at the start of
+ * a buffer
+ * @searched: bytes of the buffer that were searched before, and hold no end of
+ *     an event; updated
+ *
+ * Return: 0 if that event is incomplete
+ */
+gsize EventPipe_firstEventLength(struct evbuffer *bytes, gsize *searched);
 
 /**
  * EventPipe_feed() - pass the complete events of the input
--- a/src/RelayMove.c
+++ b/src/RelayMove.c
@@ -48,6 +48,7 @@
     Upstream_t *upstream; /* of @attempt; one reference and in_flight */
     gint64 started_us;
     struct evbuffer *data; /* body that @attempt has received */
+    gsize searched;        /* bytes of @data that hold no end of an event */
     struct event *timeout;
 };
 
@@ -189,7 +190,7 @@
 {
     RelayMove_t *this = owner;
     Buffers_append(this->data, data);
-    gsize event = EventPipe_firstEventLength(this->data);
+    gsize event = EventPipe_firstEventLength(this->data, &this->searched);
     gsize size = event > 0 ? event : evbuffer_get_length(this->data);
     if (size > (gsize)get_context(this)->settings->limits.event_max) {
         cancel_oversized(this);
--- a/tests/fuzz/streams.c
+++ b/tests/fuzz/streams.c
@@ -74,10 +74,11 @@
 {
     size_t passed = evbuffer_get_length(out);
     struct evbuffer *remainder = evbuffer_new();
+    gsize searched = 0;
     g_assert_cmpuint(passed, <=, size);
     g_assert(passed == 0 || data[passed - 1] == '\n');
     evbuffer_add(remainder, data + passed, size - passed);
-    g_assert(EventPipe_firstEventLength(remainder) == 0);
+    g_assert(EventPipe_firstEventLength(remainder, &searched) == 0);
     evbuffer_free(remainder);
 }
 
--- a/tests/test_EventPipe.c
+++ b/tests/test_EventPipe.c
@@ -3,8 +3,10 @@
 #include "EventPipe.h"
 
 #include <string.h>
+#include <time.h>
 
 #define EVENT_MAX 64
+#define LONG_EVENT_MAX ((gsize)256 << 10)
 
 static EventPipe_t *event_pipe;
 static struct evbuffer *in;
@@ -186,6 +188,40 @@
 }
 END_TEST
 
+/* Each piece was searched with all that came before it, for tens of seconds.
+ */
+START_TEST(a_long_event_in_small_pieces_takes_little_processor_time)
+{
+    event_pipe = EventPipe_create(LONG_EVENT_MAX);
+    in = evbuffer_new();
+    out = evbuffer_new();
+    clock_t began = clock();
+    for (gsize size = 0; size < LONG_EVENT_MAX; size += strlen("x:x\n")) {
+        ck_assert_uint_eq(feed("x:x\n"), 0);
+    }
+    ck_assert_int_lt((clock() - began) / CLOCKS_PER_SEC, 1);
+    ck_assert(!EventPipe_isEventTooLarge(event_pipe));
+    tear_down();
+}
+END_TEST
+
+/* The end of an event that arrives in parts. */
+START_TEST(the_end_of_an_event_is_found_behind_searched_bytes)
+{
+    const char *ends[] = {"\n\n", "\r\n\r\n"};
+    for (gsize i = 0; i < G_N_ELEMENTS(ends); i++) {
+        set_up();
+        feed("data: a");
+        for (const char *at = ends[i]; *at; at++) {
+            char byte[] = {*at, '\0'};
+            ck_assert_uint_eq(feed(byte), at[1] == '\0' ? 1 : 0);
+        }
+        ck_assert_uint_eq(EventPipe_pendingBytes(event_pipe), 0);
+        tear_down();
+    }
+}
+END_TEST
+
 TESTING_MAIN("EventPipe", only_complete_events_pass,
              an_event_is_incomplete_without_its_blank_line,
              output_does_not_depend_on_input_chunks,
@@ -195,4 +231,6 @@
              too_large_event_received_at_once_does_not_pass,
              event_of_the_maximum_size_passes,
              stream_continues_on_another_upstream_after_a_too_large_event,
-             only_numeric_ids_identify_duplicates)
+             only_numeric_ids_identify_duplicates,
+             a_long_event_in_small_pieces_takes_little_processor_time,
+             the_end_of_an_event_is_found_behind_searched_bytes)
