MemoryReport: refusals for want of memory tell what holds it

A router whose memory was full refused requests as memory_full and told nothing of what filled it, so that its log could not tell bytes that no bound counts from sums of bounds, or from what the kernel holds. One line a second at most now has the process's own pages and what each part counts.

--- a/src/Context.c
+++ b/src/Context.c
@@ -115,7 +115,11 @@
         return FALSE;
     }
     SocketUse_makeRoom(now_ms);
-    return MemoryUse_room(this->memory, now_ms) == 0;
+    gboolean is_used_up = MemoryUse_room(this->memory, now_ms) == 0;
+    if (is_used_up) {
+        MemoryReport_noteRefusal(this->memory_report, now_ms);
+    }
+    return is_used_up;
 }
 
 /* Without a limit of the memory, the room for answers is the only bound. */
@@ -131,5 +135,10 @@
 gboolean
 Context_isMemoryFull(const Context_t *this)
 {
-    return MemoryUse_level(this->memory, Clock_nowMs()) == MEMORY_FULL;
+    gint64 now_ms = Clock_nowMs();
+    gboolean is_full = MemoryUse_level(this->memory, now_ms) == MEMORY_FULL;
+    if (is_full) {
+        MemoryReport_noteRefusal(this->memory_report, now_ms);
+    }
+    return is_full;
 }
--- a/src/Context.h
+++ b/src/Context.h
@@ -28,6 +28,7 @@
 #include "ForwardPeers.h"
 #include "ForwardProof.h"
 #include "Membership.h"
+#include "MemoryReport.h"
 #include "MemoryUse.h"
 #include "ModelVersions.h"
 #include "OpenRequests.h"
@@ -107,6 +108,7 @@
  * @answer_bytes: bytes of answers that are buffered until they are complete
  * @answer_room: bounds these and whole answers that wait for their callers
  * @memory: what the process uses of its memory
+ * @memory_report: tells what holds it
  * @output_bytes: bytes of streams that wait for slow callers
  * @incarnation: incarnation of this process, which grows with each start
  * @forward_proof: proves requests that this router forwards (ForwardProof.h)
@@ -158,6 +160,7 @@
     gsize answer_bytes;
     AnswerRoom_t *answer_room;
     MemoryUse_t *memory;
+    MemoryReport_t *memory_report;
     gsize output_bytes;
     guint64 incarnation;
     char forward_proof[FORWARD_PROOF_LENGTH + 1];
--- a/src/MemoryUse.c
+++ b/src/MemoryUse.c
@@ -111,6 +111,18 @@
     return this->own + this->added;
 }
 
+gsize
+MemoryUse_own(const MemoryUse_t *this)
+{
+    return this->own;
+}
+
+gsize
+MemoryUse_max(const MemoryUse_t *this)
+{
+    return this->max;
+}
+
 gsize
 MemoryUse_fit(gsize max, gsize own)
 {
--- a/src/MemoryUse.h
+++ b/src/MemoryUse.h
@@ -54,6 +54,13 @@
 /** MemoryUse_used() - bytes in use, measured some milliseconds ago at most */
 gsize MemoryUse_used(MemoryUse_t *this, gint64 now_ms);
 
+/** MemoryUse_own() - of MemoryUse_used(), what was not counted by other
+ * modules, as of the last measurement */
+gsize MemoryUse_own(const MemoryUse_t *this);
+
+/** MemoryUse_max() - the limit in force; 0 for none */
+gsize MemoryUse_max(const MemoryUse_t *this);
+
 /** MemoryUse_room() - bytes that may still be taken, less a reserve for what
  * asks nobody; G_MAXSIZE without a limit */
 gsize MemoryUse_room(MemoryUse_t *this, gint64 now_ms);
--- a/src/Router.c
+++ b/src/Router.c
@@ -65,6 +65,7 @@
     HttpListener_t *operators;
     HttpListener_t *readiness;
     LateListener_t *datagrams;
+    MemoryParts_t memory_parts;
     IntakeLimits_t intake;    /* of callers' bodies */
     AcceptHold_t *hold;       /* NULL on the native platform */
     ListenerDrain_t *closing; /* closes the listener for callers at the end */
@@ -110,6 +111,12 @@
     context->deferred_calls = DeferredCalls_create(context->base);
     context->memory = MemoryUse_create(0);
     this->memory_own = MemoryUse_used(context->memory, Clock_nowMs());
+    this->memory_parts = (MemoryParts_t){
+        .memory = context->memory,
+        .answers = &context->answer_bytes,
+        .streams = &context->output_bytes,
+    };
+    context->memory_report = MemoryReport_create(&this->memory_parts);
     SocketUse_init(context->base, context->memory, context->counters);
     context->answer_room =
         AnswerRoom_create(context->base, &context->answer_bytes,
@@ -286,6 +293,7 @@
     gsize max = (gsize)limits->memory * BODY_PERCENT / 100;
     if (!this->intake.budget) {
         this->intake.budget = BodyBudget_create(max);
+        this->memory_parts.bodies = this->intake.budget;
         this->intake.memory = this->context.memory;
         RequestIntake_begin(this->context.base, &this->intake);
     }
@@ -603,6 +611,7 @@
     OpenRequests_destroy(context->open);
     AnswerRoom_destroy(context->answer_room);
     SocketUse_clear();
+    MemoryReport_destroy(context->memory_report);
     MemoryUse_destroy(context->memory);
     DeferredCalls_destroy(context->deferred_calls);
     RetryBudget_destroy(context->budget);
