Answers to a router's own calls take little more memory than their bytes

Callers saw: a router asks a faulty upstream or store for a state, a report or a list, gets a body a few bytes at a time, and may run out of memory within its bounds of 64 KiB and 16 MiB an answer.

Cause: without a callback for the parts of a body evhttp gathers it itself, and keeps each read of a body up to the end of its connection in a block of a kilobyte.

The count of allocated bytes of test_Buffers moved to a header, as it is.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "Buffers.h"
 #include "ChunkCheck.h"
 #include "Clock.h"
 #include "DescriptorReserve.h"
@@ -43,6 +44,7 @@
     gsize answer_max;
     gsize received_bytes;
     InterimHeads_t interim;
+    struct evbuffer *body;
     const char *framing_fault; /* of the head, or NULL */
     gint64 received_ms;        /* when the last of them came */
     GList link;                /* in open_calls */
@@ -122,6 +124,7 @@
         Http_abort(this->connection);
     }
     InterimHeads_clear(&this->interim);
+    evbuffer_free(this->body);
     total_bytes -= this->received_bytes;
     g_queue_unlink(&open_calls, &this->link);
     event_free(this->deadline);
@@ -356,6 +359,16 @@
     return 0;
 }
 
+/* evhttp would keep each read in a block of its own. */
+static void
+on_body(struct evhttp_request *request, void *data)
+{
+    HttpCall_t *this = data;
+    if (this->done && !this->is_too_long) {
+        Buffers_append(this->body, evhttp_request_get_input_buffer(request));
+    }
+}
+
 /* Called before on_answer(). */
 static void
 on_error(enum evhttp_request_error error, void *data)
@@ -400,13 +413,12 @@
         fail(this, WT_ERROR_BAD_ANSWER, "the end of the answer is not marked");
         return;
     }
-    struct evbuffer *body = evhttp_request_get_input_buffer(request);
-    gsize length = evbuffer_get_length(body);
+    gsize length = evbuffer_get_length(this->body);
     HttpAnswer_t answer = {
         .status = status,
         .framing = this->framing,
         .headers = evhttp_request_get_input_headers(request),
-        .body = length > 0 ? (char *)evbuffer_pullup(body, -1) : "",
+        .body = length > 0 ? (char *)evbuffer_pullup(this->body, -1) : "",
         .length = length,
     };
     finish(this, &answer, NULL);
@@ -453,6 +465,7 @@
     this->late_ms = spec->late_ms;
     this->answer_max = spec->answer_max;
     this->head.takes_folds = !spec->refuses_folds;
+    this->body = evbuffer_new();
     this->link.data = this;
     g_queue_push_tail_link(&open_calls, &this->link);
     this->deadline = Clock_timer(base, on_deadline, this);
@@ -467,6 +480,7 @@
     evbuffer_add_cb(bufferevent_get_input(bev), on_input, this);
     struct evhttp_request *request = evhttp_request_new(on_answer, this);
     evhttp_request_set_header_cb(request, on_headers);
+    evhttp_request_set_chunked_cb(request, on_body);
     evhttp_request_set_error_cb(request, on_error);
     fill_request(request, spec);
     Clock_arm(this->deadline, spec->timeout_ms);
--- a/tests/test_Buffers.c
+++ b/tests/test_Buffers.c
@@ -1,7 +1,6 @@
 #include "testing.h"
 
-#include <malloc.h>
-
+#include "AllocatedBytes.h"
 #include "Buffers.h"
 
 #define PIECE "four"
@@ -10,20 +9,6 @@
 #define READS 200
 #define LONG_BYTES ((gsize)300 << 10)
 
-/* Of a sanitizer's allocator; NULL without one. */
-extern size_t __sanitizer_get_current_allocated_bytes(void)
-    __attribute__((weak));
-
-static gsize
-allocated_bytes(void)
-{
-    if (__sanitizer_get_current_allocated_bytes) {
-        return __sanitizer_get_current_allocated_bytes();
-    }
-    struct mallinfo2 info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 /* As libevent reads from a socket, into a block of its own. */
 static void
 append_piece(struct evbuffer *to, const char *bytes, gsize length)
@@ -38,12 +23,12 @@
 static gsize
 append_all(struct evbuffer *to, const char *bytes, gsize length, guint count)
 {
-    gsize before = allocated_bytes();
+    gsize before = AllocatedBytes_now();
     for (guint i = 0; i < count; i++) {
         append_piece(to, bytes, length);
     }
     ck_assert_uint_eq(evbuffer_get_length(to), length * count);
-    return allocated_bytes() - before;
+    return AllocatedBytes_now() - before;
 }
 
 START_TEST(small_pieces_take_little_more_than_their_bytes)
--- a/tests/test_HttpCall.c
+++ b/tests/test_HttpCall.c
@@ -1,8 +1,12 @@
 #include "testing.h"
 
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "AllocatedBytes.h"
 #include "Clock.h"
 #include "Errors.h"
 #include "FullBacklog.h"
@@ -17,6 +21,9 @@
 /* The kernel refuses connections to the broadcast address at once. */
 #define NOWHERE "255.255.255.255"
 #define NOWHERE_PORT 9
+#define BODY_PIECES 10000
+#define PIECES_TIMEOUT_MS 60000
+#define HELD_MAX (2 * HTTP_SHORT_ANSWER_MAX)
 
 static struct event_base *base;
 static FullBacklog_t backlog;
@@ -144,6 +151,163 @@
 }
 END_TEST
 
-TESTING_MAIN("HttpCall", request_is_not_sent_after_its_call_ended_as_not_sent,
+/* A server that sends a piece in each turn of the loop, which reads it in the
+ * next one. */
+typedef struct {
+    struct evconnlistener *listener;
+    struct event *turn;
+    Address_t address;
+    const char *head;
+    const char *piece;
+    const char *end;
+    guint pieces;
+    int socket;
+    gsize held; /* the most that was allocated */
+} PieceServer_t;
+
+static void
+send_text(int socket, const char *text)
+{
+    gssize length = (gssize)strlen(text);
+    ck_assert_int_eq(send(socket, text, (size_t)length, MSG_NOSIGNAL), length);
+}
+
+static void
+read_request(PieceServer_t *this)
+{
+    char request[1024];
+    if (recv(this->socket, request, sizeof(request), 0) > 0) {
+        send_text(this->socket, this->head);
+        this->head = NULL;
+    }
+}
+
+static void
+on_turn(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    PieceServer_t *this = data;
+    if (this->head) {
+        read_request(this);
+        Clock_arm(this->turn, 0);
+        return;
+    }
+    if (this->pieces == 0) {
+        send_text(this->socket, this->end);
+        close(this->socket);
+        return;
+    }
+    this->held = MAX(this->held, AllocatedBytes_now());
+    this->pieces--;
+    send_text(this->socket, this->piece);
+    Clock_arm(this->turn, 0);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *peer, int length, void *data)
+{
+    (void)listener;
+    (void)peer;
+    (void)length;
+    PieceServer_t *this = data;
+    int on = 1;
+    this->socket = fd;
+    evutil_make_socket_nonblocking(fd);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    Clock_arm(this->turn, 0);
+}
+
+static void
+PieceServer_listen(PieceServer_t *this)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+    this->listener =
+        evconnlistener_new_bind(base, on_accept, this, LEV_OPT_CLOSE_ON_FREE,
+                                1, (struct sockaddr *)&address, (int)size);
+    ck_assert_ptr_nonnull(this->listener);
+    getsockname(evconnlistener_get_fd(this->listener),
+                (struct sockaddr *)&address, &size);
+    this->address = (Address_t){"127.0.0.1", ntohs(address.sin_port)};
+    this->turn = Clock_timer(base, on_turn, this);
+}
+
+static void
+PieceServer_close(const PieceServer_t *this)
+{
+    evconnlistener_free(this->listener);
+    event_free(this->turn);
+}
+
+static void
+on_whole_answer(const HttpAnswer_t *answer, const GError *error, void *data)
+{
+    GString *body = data;
+    ck_assert_msg(answer != NULL, "%s", error ? error->message : "");
+    g_string_append_len(body, answer->body, (gssize)answer->length);
+    event_base_loopexit(base, NULL);
+}
+
+/* Returns the most that was held meanwhile. */
+static gsize
+receive(PieceServer_t *server, GString *body)
+{
+    base = event_base_new();
+    PieceServer_listen(server);
+    HttpCallSpec_t spec = {
+        .address = &server->address,
+        .method = EVHTTP_REQ_GET,
+        .path = "/x",
+        .answer_max = HTTP_LIST_ANSWER_MAX,
+        .timeout_ms = PIECES_TIMEOUT_MS,
+        .accepts_close_delimited = TRUE,
+    };
+    gsize before = AllocatedBytes_now();
+    server->held = before;
+    HttpCall_start(base, &spec, on_whole_answer, body);
+    event_base_dispatch(base);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    PieceServer_close(server);
+    event_base_free(base);
+    return server->held - before;
+}
+
+/* A faulty upstream's answers in small pieces took a router's memory: each
+ * read was held in a block of a kilobyte. */
+START_TEST(answers_in_small_pieces_take_little_more_than_their_bytes)
+{
+    static const struct {
+        const char *head;
+        const char *piece;
+        const char *end;
+    } forms[] = {
+        {"HTTP/1.1 200 OK\r\n\r\n", "four", ""},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n", "four", ""},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "4\r\nfour\r\n", "0\r\n\r\n"},
+    };
+    g_autoptr(GString) expected = g_string_new(NULL);
+    for (guint i = 0; i < BODY_PIECES; i++) {
+        g_string_append(expected, "four");
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(forms); i++) {
+        g_autoptr(GString) body = g_string_new(NULL);
+        PieceServer_t server = {.head = forms[i].head,
+                                .piece = forms[i].piece,
+                                .end = forms[i].end,
+                                .pieces = BODY_PIECES};
+        gsize held = receive(&server, body);
+        ck_assert_str_eq(body->str, expected->str);
+        ck_assert_msg(held <= HELD_MAX, "form %u: %zu", i, held);
+    }
+}
+END_TEST
+
+TESTING_MAIN("HttpCall",
+             answers_in_small_pieces_take_little_more_than_their_bytes,
+             request_is_not_sent_after_its_call_ended_as_not_sent,
              call_whose_connection_fails_at_once_ends_after_its_start,
              callback_comes_after_the_start)
