Interim heads in small pieces take little more memory than their bytes

Callers saw: beside an upstream that sends an interim head without an end, a few bytes at a time, calls of others are refused or lost as their router ends.

Cause: what may become an interim head is kept back up to 16 KiB, and each piece of it in the block of a kilobyte that it was read into: 16 MiB a connection.

test_InterimHeads's new case failed before (16,641,184 bytes held for 16,018), as did test_small_pieces.HeadTest (48.9 MB of 48, the router ended). The bytes are now copied to the end of what is kept back.

--- a/src/InterimHeads.c
+++ b/src/InterimHeads.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "Buffers.h"
+
 /* Each 0 stands for a digit, the blank at the end for that or the line's end.
  */
 #define START "HTTP/1.0 100 "
@@ -56,21 +58,34 @@
     return TRUE;
 }
 
+/* Returns what has all that was received and not read. */
+static struct evbuffer *
+gather(const InterimHeads_t *this, struct evbuffer *input)
+{
+    if (!this->kept || evbuffer_get_length(this->kept) == 0) {
+        return input;
+    }
+    Buffers_append(this->kept, input);
+    return this->kept;
+}
+
 static void
-put_back(InterimHeads_t *this, struct evbuffer *input)
+put_back(struct evbuffer *input, struct evbuffer *received)
 {
-    if (this->kept) {
-        evbuffer_prepend_buffer(input, this->kept);
+    if (received != input) {
+        evbuffer_prepend_buffer(input, received);
     }
 }
 
 static void
-keep_back(InterimHeads_t *this, struct evbuffer *input)
+keep_back(InterimHeads_t *this, struct evbuffer *received)
 {
     if (!this->kept) {
         this->kept = evbuffer_new();
     }
-    evbuffer_add_buffer(this->kept, input);
+    if (received != this->kept) {
+        Buffers_append(this->kept, received);
+    }
 }
 
 guint
@@ -81,15 +96,16 @@
         return 0;
     }
     this->is_moving = TRUE;
-    put_back(this, input);
-    while (drop_first(input)) {
+    struct evbuffer *received = gather(this, input);
+    while (drop_first(received)) {
         dropped++;
     }
-    gsize length = evbuffer_get_length(input);
-    if (may_begin_interim(input) && length <= KEPT_MAX) {
-        keep_back(this, input);
+    gsize length = evbuffer_get_length(received);
+    if (may_begin_interim(received) && length <= KEPT_MAX) {
+        keep_back(this, received);
     }
     else {
+        put_back(input, received);
         this->is_over = length > 0;
     }
     this->is_moving = FALSE;
--- a/tests/sessions/test_small_pieces.py
+++ b/tests/sessions/test_small_pieces.py
@@ -70,6 +70,13 @@
         self.trickle.serve(call)
 
 
+class HintingUpstream(TricklingUpstream):
+    def answer_call(self, call, body, headers):
+        call.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        call.wfile.write(b"HTTP/1.1 103 x\r\nX-Filler: ")
+        self.trickle.serve(call)
+
+
 class TricklingEngine(Upstream):
     trickle = None
 
@@ -138,6 +145,21 @@
         self.check()
 
 
+class HeadTest(TrickleTest):
+    """Interim heads of a plain service."""
+
+    PATH, SOUND_PATH = "/write/x", "/ask/once/x"
+
+    def add_upstreams(self):
+        self.upstream = self.fleet.add(HintingUpstream(
+            self.fleet.store, "p1", "plain"))
+        self.fleet.engine("e1")
+
+    # Each piece was kept back in a block of a kilobyte.
+    def test_interim(self):
+        self.check()
+
+
 class EventTest(TrickleTest):
     """One event of a stream."""
 
--- a/tests/test_InterimHeads.c
+++ b/tests/test_InterimHeads.c
@@ -2,11 +2,15 @@
 
 #include <string.h>
 
+#include "AllocatedBytes.h"
 #include "InterimHeads.h"
 
 #define FINAL "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 #define HINTS "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
+#define HINTS_LINE "HTTP/1.1 103 x\r\nA: "
+#define PIECES 16000
+
 /* What evhttp would read of bytes that come in parts of @step. */
 static GString *
 receive(const char *received, gsize step, guint *dropped)
@@ -117,7 +121,29 @@
 }
 END_TEST
 
-TESTING_MAIN("InterimHeads", interim_heads_are_dropped,
+/* Callers met the end of their router: each piece of a head that was kept back
+ * took a block of a kilobyte. */
+START_TEST(head_in_small_pieces_takes_little_more_than_its_bytes)
+{
+    struct evbuffer *input = evbuffer_new();
+    InterimHeads_t heads = {0};
+    gsize before = AllocatedBytes_now();
+    evbuffer_add(input, HINTS_LINE, strlen(HINTS_LINE));
+    ck_assert_uint_eq(InterimHeads_drop(&heads, input), 0);
+    for (guint i = 0; i < PIECES; i++) {
+        evbuffer_add(input, "a", 1);
+        ck_assert_uint_eq(InterimHeads_drop(&heads, input), 0);
+        ck_assert_uint_eq(evbuffer_get_length(input), 0);
+    }
+    ck_assert_uint_lt(AllocatedBytes_now() - before, 2 * PIECES);
+    InterimHeads_clear(&heads);
+    evbuffer_free(input);
+}
+END_TEST
+
+TESTING_MAIN("InterimHeads",
+             head_in_small_pieces_takes_little_more_than_its_bytes,
+             interim_heads_are_dropped,
              interim_heads_of_any_status_are_dropped, other_heads_stay,
              heads_behind_the_answer_stay, incomplete_head_is_kept_back,
              head_that_grows_too_long_is_left_to_its_reader)
