The kernel holds no more of an answer than its call may take

Callers saw: beside a faulty upstream that sends without end, calls of others may be refused as memory_full while their router waits for its processor, or be lost as it ends.

Cause: each call of the router's own let the kernel take half a megabyte before it is read, which it doubles, also where 64 KiB are accepted at the most: a hundred proofs of a start are 100 MB. So did trials of a connection, which are never read, and each call of a service of the native interface.

Two new cases failed with the buffer of before: test_HttpCall (978,255 bytes taken for a call of 65,536, with the loop standing still) and test_SocketBuffers (1,037,700 unread, bound 65,535). Short calls, and those of which hundreds may be under way, have the receive buffer of an upstream's connection; lists and records keep theirs.

--- a/src/ConnectTest.c
+++ b/src/ConnectTest.c
@@ -54,6 +54,6 @@
         bufferevent_trigger_event(this->bev, BEV_EVENT_ERROR,
                                   BEV_TRIG_DEFER_CALLBACKS);
     }
-    OutgoingSocket_prepare(this->bev, SOCKET_CALL);
+    OutgoingSocket_prepare(this->bev, SOCKET_SHORT_CALL);
     return this;
 }
--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -453,6 +453,13 @@
     }
 }
 
+static SocketKind_t
+socket_kind(const HttpCallSpec_t *spec)
+{
+    gboolean is_short = spec->answer_max <= HTTP_SHORT_ANSWER_MAX;
+    return is_short || spec->is_one_of_many ? SOCKET_SHORT_CALL : SOCKET_CALL;
+}
+
 HttpCall_t *
 HttpCall_start(struct event_base *base, const HttpCallSpec_t *spec,
                HttpCallDone_t done, void *data)
@@ -495,7 +502,7 @@
                             spec->path) != 0) {
         Clock_arm(this->deadline, 0);
     }
-    OutgoingSocket_prepare(bev, SOCKET_CALL);
+    OutgoingSocket_prepare(bev, socket_kind(spec));
     this->starting = FALSE;
     return this;
 }
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -39,6 +39,8 @@
  * @connect_timeout_ms: timeout of the connection setup; 0 for @timeout_ms
  * @late_ms: silence after which the callback gets WT_ERROR_LATE; 0 for never
  * @answer_max: longest answer in bytes, its head and framing included
+ * @is_one_of_many: of hundreds that may be under way, so that the kernel is to
+ *     hold little of each answer, however long
  * @refuses_folds: refuse an answer with a folded field, as a gateway may (RFC
  *     9112, section 5.2)
  * @accepts_close_delimited: accept an answer that may be truncated, as the
@@ -54,6 +56,7 @@
     gint64 connect_timeout_ms;
     gint64 late_ms;
     gsize answer_max;
+    gboolean is_one_of_many;
     gboolean refuses_folds;
     gboolean accepts_close_delimited;
 } HttpCallSpec_t;
--- a/src/ServiceExchange.c
+++ b/src/ServiceExchange.c
@@ -216,6 +216,7 @@
         .body = this->body,
         .timeout_ms = call_timeout_ms(super),
         .answer_max = (gsize)super->context->settings->limits.answer_max,
+        .is_one_of_many = TRUE,
         .connect_timeout_ms =
             super->context->settings->limits.connect_timeout_ms,
         .refuses_folds = TRUE,
--- a/src/SocketBuffers.c
+++ b/src/SocketBuffers.c
@@ -23,6 +23,7 @@
     [SOCKET_CALLER] = {SOCKET_UNREAD_MAX, SENDING_MAX},
     [SOCKET_UPSTREAM] = {32 * KIB, 64 * KIB},
     [SOCKET_CALL] = {512 * KIB, 128 * KIB},
+    [SOCKET_SHORT_CALL] = {32 * KIB, 128 * KIB},
     [SOCKET_PEER] = {128 * KIB, 128 * KIB},
 };
 
--- a/src/SocketBuffers.h
+++ b/src/SocketBuffers.h
@@ -18,13 +18,17 @@
  * enum SocketKind_t - who is at the other end
  * @SOCKET_CALLER: callers; also for their listener, whose sockets inherit it
  * @SOCKET_UPSTREAM: an upstream, whose answer may be left unread for a while
- * @SOCKET_CALL: a call whose answer is always read, such as the store's
+ * @SOCKET_CALL: a call whose answer is always read, such as the store's; few
+ *     at a time
+ * @SOCKET_SHORT_CALL: a call whose answer is short or of which many are under
+ *     way; also a connection that is never read
  * @SOCKET_PEER: another router
  */
 typedef enum {
     SOCKET_CALLER,
     SOCKET_UPSTREAM,
     SOCKET_CALL,
+    SOCKET_SHORT_CALL,
     SOCKET_PEER,
 } SocketKind_t;
 
--- a/tests/test_HttpCall.c
+++ b/tests/test_HttpCall.c
@@ -1,8 +1,11 @@
 #include "testing.h"
 
 #include <event2/listener.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +25,8 @@
 #define NOWHERE "255.255.255.255"
 #define NOWHERE_PORT 9
 #define BODY_PIECES 10000
+#define SETTLE_TURNS 20
+#define SETTLE_TURN_US 10000
 #define PIECES_TIMEOUT_MS 60000
 #define HELD_MAX (2 * HTTP_SHORT_ANSWER_MAX)
 
@@ -306,7 +311,61 @@
 }
 END_TEST
 
+/* What the kernel takes for a process that waits for its processor. */
+static gsize
+bytes_taken(int socket)
+{
+    char bytes[4096] = {0};
+    gssize written = 0;
+    gsize total = 0;
+    int unsent = 0;
+    evutil_make_socket_nonblocking(socket);
+    for (guint i = 0; i < SETTLE_TURNS; i++) {
+        while ((written = send(socket, bytes, sizeof(bytes), 0)) > 0) {
+            total += (gsize)written;
+        }
+        g_usleep(SETTLE_TURN_US);
+    }
+    ck_assert_int_eq(ioctl(socket, SIOCOUTQ, &unsent), 0);
+    return total - (gsize)unsent;
+}
+
+/* Each of a hundred questions to an upstream that sent without end took a
+ * megabyte in the kernel. */
+START_TEST(kernel_takes_no_more_of_an_answer_than_its_call_may_take)
+{
+    gboolean is_many[] = {FALSE, TRUE};
+    for (guint i = 0; i < G_N_ELEMENTS(is_many); i++) {
+        PieceServer_t server = {0};
+        base = event_base_new();
+        PieceServer_listen(&server);
+        HttpCallSpec_t spec = {
+            .address = &server.address,
+            .method = EVHTTP_REQ_GET,
+            .path = "/x",
+            .answer_max =
+                is_many[i] ? HTTP_LIST_ANSWER_MAX : HTTP_SHORT_ANSWER_MAX,
+            .is_one_of_many = is_many[i],
+            .timeout_ms = TIMEOUT_MS,
+        };
+        HttpCall_t *call = HttpCall_start(base, &spec, NULL, NULL);
+        evutil_socket_t listener = evconnlistener_get_fd(server.listener);
+        struct pollfd wait = {.fd = listener, .events = POLLIN};
+        ck_assert_int_eq(poll(&wait, 1, TIMEOUT_MS), 1);
+        int accepted = accept(listener, NULL, NULL);
+        gsize taken = bytes_taken(accepted);
+        ck_assert_msg(taken <= HTTP_SHORT_ANSWER_MAX, "%zu", taken);
+        close(accepted);
+        HttpCall_cancel(call);
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        PieceServer_close(&server);
+        event_base_free(base);
+    }
+}
+END_TEST
+
 TESTING_MAIN("HttpCall",
+             kernel_takes_no_more_of_an_answer_than_its_call_may_take,
              answers_in_small_pieces_take_little_more_than_their_bytes,
              request_is_not_sent_after_its_call_ended_as_not_sent,
              call_whose_connection_fails_at_once_ends_after_its_start,
--- a/tests/test_SocketBuffers.c
+++ b/tests/test_SocketBuffers.c
@@ -61,14 +61,26 @@
     return unread;
 }
 
-START_TEST(an_upstream_that_is_not_read_is_held_little)
+static void
+assert_held_little(SocketKind_t kind)
 {
-    connect_pair(SOCKET_UPSTREAM);
+    connect_pair(kind);
     write_all_that_fits();
     ck_assert_int_gt(unread_bytes(), 0);
     ck_assert_int_le(unread_bytes(), UNREAD_MAX);
     close_pair();
 }
+
+START_TEST(an_upstream_that_is_not_read_is_held_little)
+{
+    assert_held_little(SOCKET_UPSTREAM);
+}
+END_TEST
+
+START_TEST(a_short_call_that_is_not_read_is_held_little)
+{
+    assert_held_little(SOCKET_SHORT_CALL);
+}
 END_TEST
 
 START_TEST(a_socket_that_is_missing_changes_nothing)
@@ -78,4 +90,5 @@
 END_TEST
 
 TESTING_MAIN("SocketBuffers", an_upstream_that_is_not_read_is_held_little,
+             a_short_call_that_is_not_read_is_held_little,
              a_socket_that_is_missing_changes_nothing)
