Bodies whose reads end with the data of a chunk take little more memory than their bytes

Callers saw: beside 200 callers that send bodies in chunks of a byte, each read ending with a chunk's data, requests of others are refused as memory_full.

Cause: evhttp moves the whole block of a read, a kilobyte or more, to the body if the data of a chunk ends it, and the bounds of bodies count its bytes.

test_small_pieces.RequestTest failed before (503 to sound calls in 3 s), and so did the first new case of test_InputRewrite by its nature. The fix puts a line end behind such data, so that evhttp copies it to the end of the body; evhttp skips empty lines there, and it counts as received, so that a refused request is still dropped whole.

--- a/src/ChunkCheck.c
+++ b/src/ChunkCheck.c
@@ -175,6 +175,12 @@
     return this->state == CHUNK_ENDED;
 }
 
+gboolean
+ChunkCheck_isBehindData(const ChunkCheck_t *this)
+{
+    return this->state == CHUNK_DATA_CR;
+}
+
 gboolean
 ChunkCheck_isBroken(const ChunkCheck_t *this)
 {
--- a/src/ChunkCheck.h
+++ b/src/ChunkCheck.h
@@ -80,6 +80,10 @@
 /** ChunkCheck_isEnded() - whether the last chunk was received */
 gboolean ChunkCheck_isEnded(const ChunkCheck_t *this);
 
+/** ChunkCheck_isBehindData() - whether the last byte ended the data of a chunk
+ */
+gboolean ChunkCheck_isBehindData(const ChunkCheck_t *this);
+
 /** ChunkCheck_isBroken() - whether a byte broke the framing */
 gboolean ChunkCheck_isBroken(const ChunkCheck_t *this);
 
--- a/src/InputRewrite.c
+++ b/src/InputRewrite.c
@@ -7,6 +7,7 @@
 
 /* evhttp wants three words. */
 #define REFUSED_LINE "refused\r\n"
+#define LINE_END "\r\n"
 
 /* Puts parts in the place of the last bytes, which they are parts of. */
 static void
@@ -55,6 +56,17 @@
     }
 }
 
+/* evhttp copies data that something follows, and skips empty lines behind it.
+ */
+static void
+follow_data(struct evbuffer *buffer, RequestFraming_t *framing)
+{
+    if (RequestFraming_isBehindData(framing)) {
+        evbuffer_add(buffer, LINE_END, strlen(LINE_END));
+        RequestFraming_noteAppended(framing, strlen(LINE_END));
+    }
+}
+
 void
 InputRewrite_feed(struct evbuffer *buffer, RequestFraming_t *framing,
                   gsize added)
@@ -76,6 +88,7 @@
         replace_tail(buffer, added, parts, count);
     }
     replace_methods(buffer, framing);
+    follow_data(buffer, framing);
 }
 
 void
--- a/src/InputRewrite.h
+++ b/src/InputRewrite.h
@@ -6,7 +6,9 @@
  * Changes what a connection received last before evhttp reads it, to what
  * RequestFraming leaves of it: without empty lines before a request, with
  * methods that evhttp has a name for, and without a request that is refused
- * while others of the connection have not been answered.
+ * while others of the connection have not been answered. The data of a chunk
+ * never ends the input: evhttp would move the whole block of a read to the
+ * body, for a byte of data or more.
  */
 #include <event2/buffer.h>
 #include <glib.h>
--- a/src/RequestFraming.c
+++ b/src/RequestFraming.c
@@ -426,6 +426,18 @@
     this->checked += added;
 }
 
+gboolean
+RequestFraming_isBehindData(const RequestFraming_t *this)
+{
+    return this->part == PART_CHUNKS && ChunkCheck_isBehindData(&this->chunks);
+}
+
+void
+RequestFraming_noteAppended(RequestFraming_t *this, gsize added)
+{
+    this->checked += added;
+}
+
 gboolean
 RequestFraming_hasBrokenLine(const RequestFraming_t *this)
 {
--- a/src/RequestFraming.h
+++ b/src/RequestFraming.h
@@ -62,6 +62,13 @@
 void RequestFraming_noteAdded(RequestFraming_t *this,
                               const UnnamedMethod_t *method, gsize added);
 
+/** RequestFraming_isBehindData() - whether the last byte ended the data of a
+ * chunk */
+gboolean RequestFraming_isBehindData(const RequestFraming_t *this);
+
+/** RequestFraming_noteAppended() - bytes were put behind what was checked */
+void RequestFraming_noteAppended(RequestFraming_t *this, gsize added);
+
 /** RequestFraming_isBroken() - whether chunks or lines are broken, or a body
  * has no clear end */
 gboolean RequestFraming_isBroken(const RequestFraming_t *this);
--- a/tests/sessions/test_small_pieces.py
+++ b/tests/sessions/test_small_pieces.py
@@ -7,7 +7,7 @@
 import unittest
 
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
-from fleet import Fleet, Upstream  # noqa: E402
+from fleet import HOST, Fleet, Upstream  # noqa: E402
 from memory import MemoryWatch  # noqa: E402
 
 MEMORY_MB = 48
@@ -179,5 +179,31 @@
         self.check()
 
 
+class RequestTest(TrickleTest):
+    """Bodies of callers."""
+
+    PATH, SOUND_PATH = "/write/x", "/ask/once/x"
+    HEAD = (b"POST /write/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Request-Id: %d\r\nApi-Key: key-b\r\nX-Deadline-Ms: 8000\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n1\r\nx")
+
+    def add_upstreams(self):
+        self.upstream = self.fleet.plain("p1")
+        self.fleet.engine("e1")
+
+    def call(self):
+        connection = socket.create_connection((HOST, self.router.port))
+        self.addCleanup(connection.close)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sendall(self.HEAD % connection.fileno())
+        self.trickle.connections.add(connection)
+
+    # Each read was held in its block of a kilobyte.
+    def test_reads_that_end_with_the_bytes_of_a_chunk(self):
+        self.trickle.piece = b"\r\n1\r\nx"
+        self.check()
+        self.assertEqual(len(self.trickle.connections), CALLERS)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_InputRewrite.c
+++ b/tests/test_InputRewrite.c
@@ -10,6 +10,7 @@
 #define NAMED "POST / HTTP/1.1\r\nWheattiller-Method: FOO\r\nHost: h\r\n"
 #define LENGTH "Content-Length: 1\r\n\r\nx"
 #define BROKEN "X-A: b\n\r\n"
+#define CHUNKED "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define REFUSED "refused\r\n"
 
 static struct evbuffer *buffer;
@@ -70,6 +71,43 @@
     }
 }
 
+/* Its block of a kilobyte became a part of the body. */
+START_TEST(data_of_a_chunk_does_not_end_the_input)
+{
+    setup();
+    receive(CHUNKED "1\r\nx", strlen(CHUNKED "1\r\nx"));
+    ck_assert_input(CHUNKED "1\r\nx\r\n");
+    drain_all();
+    receive("\r\n2\r\ny", strlen("\r\n2\r\ny"));
+    ck_assert_input("\r\n2\r\ny");
+    receive("z", 1);
+    ck_assert_input("\r\n2\r\nyz\r\n");
+    drain_all();
+    receive("\r\n0\r\n\r\n", strlen("\r\n0\r\n\r\n"));
+    ck_assert_input("\r\n0\r\n\r\n");
+    ck_assert(!RequestFraming_isUnderWay(framing));
+    teardown();
+}
+END_TEST
+
+/* Whatever part of it was received last. */
+START_TEST(a_request_with_chunks_is_refused_whole)
+{
+    static const char bytes[] = FIRST CHUNKED "1\r\nx\r\n2\r\nyz\r\n";
+    for (gsize length = strlen(FIRST) + 1; length < sizeof(bytes); length++) {
+        for (gsize step = 1; step <= length; step++) {
+            setup();
+            for (gsize at = 0; at < length; at += step) {
+                receive(bytes + at, MIN(step, length - at));
+            }
+            InputRewrite_refuseLast(buffer, framing);
+            ck_assert_input(FIRST REFUSED);
+            teardown();
+        }
+    }
+}
+END_TEST
+
 START_TEST(what_is_sound_stays_without_empty_lines)
 {
     setup();
@@ -131,8 +169,10 @@
 }
 END_TEST
 
-TESTING_MAIN("InputRewrite", what_is_sound_stays_without_empty_lines,
-             methods_get_a_name, the_last_bytes_are_dropped,
+TESTING_MAIN("InputRewrite", data_of_a_chunk_does_not_end_the_input,
+             a_request_with_chunks_is_refused_whole,
+             what_is_sound_stays_without_empty_lines, methods_get_a_name,
+             the_last_bytes_are_dropped,
              only_the_request_under_way_is_replaced,
              a_request_of_another_method_is_replaced_whole,
              bytes_of_a_request_count_what_was_put_in)
