Small events that wait for their caller take little more memory than their bytes

Callers saw: streams of small events whose callers read them slowly or not at all are given up for want of memory, far below stream_buffer for each.

Cause: evhttp moves the block that holds a part to its connection's output, where stream_buffer counts the bytes.

Parts behind others that wait are copied to the end of the output, with the frame that evhttp gives them; the callback of the part that filled the buffer stays with evhttp.

--- a/src/HttpReply.c
+++ b/src/HttpReply.c
@@ -5,6 +5,7 @@
 #include <event2/http_struct.h>
 #include <sys/ioctl.h>
 
+#include "Buffers.h"
 #include "PendingReply.h"
 #include "ResetOnClose.h"
 
@@ -100,6 +101,37 @@
            !evhttp_find_header(request->output_headers, "Content-Length");
 }
 
+/* As evhttp decides it. */
+static gboolean
+has_body(const struct evhttp_request *request)
+{
+    int status = request->response_code;
+    return request->type != EVHTTP_REQ_HEAD &&
+           request->type != EVHTTP_REQ_CONNECT && status >= HTTP_OK &&
+           status != HTTP_NOCONTENT && status != HTTP_NOTMODIFIED;
+}
+
+gboolean
+HttpReply_appendPart(struct evhttp_request *request, struct evbuffer *part)
+{
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(
+        evhttp_request_get_connection(request));
+    struct evbuffer *output = bufferevent_get_output(stream);
+    gsize length = evbuffer_get_length(part);
+    if (length == 0 || evbuffer_get_length(output) == 0 ||
+        !has_body(request)) {
+        return FALSE;
+    }
+    if (request->chunked) {
+        evbuffer_add_printf(output, "%" G_GSIZE_MODIFIER "x\r\n", length);
+    }
+    Buffers_append(output, part);
+    if (request->chunked) {
+        evbuffer_add(output, "\r\n", 2);
+    }
+    return TRUE;
+}
+
 void
 HttpReply_endStream(struct evhttp_request *request, const char *id)
 {
--- a/src/HttpReply.h
+++ b/src/HttpReply.h
@@ -43,6 +43,19 @@
  * mark the end of a stream that was started */
 gboolean HttpReply_isCloseDelimited(const struct evhttp_request *request);
 
+/**
+ * HttpReply_appendPart() - add a part of an answer behind others that wait for
+ * their caller, where it takes little more memory than its bytes; evhttp would
+ * move the blocks that hold it
+ *
+ * The callback of the last part that evhttp was given stays.
+ *
+ * Return: FALSE if no part waits, or an answer of this kind has no body;
+ * evhttp must be given the part then
+ */
+gboolean HttpReply_appendPart(struct evhttp_request *request,
+                              struct evbuffer *part);
+
 /**
  * HttpReply_endStream() - end a stream in an orderly way
  * @id: of the request in the log, or NULL
--- a/src/RelayAnswer.c
+++ b/src/RelayAnswer.c
@@ -301,6 +301,26 @@
     return buffered == 0 || buffered <= free_bytes(this);
 }
 
+/* evhttp keeps the callback of the last chunk only: a chunk without one would
+ * drop on_drained, and the stream would stay paused. */
+static void
+send_part(RelayAnswer_t *this, struct evbuffer *data)
+{
+    struct evhttp_request *request = RelayAnswer_request(this);
+    struct evhttp_connection *connection = CallerWatch_connection(this->watch);
+    gboolean was_full = this->full;
+    this->full = was_full || !has_room(this, buffered_bytes(connection));
+    if (this->full == was_full && HttpReply_appendPart(request, data)) {
+        return;
+    }
+    if (this->full) {
+        evhttp_send_reply_chunk_with_cb(request, data, on_drained, this);
+    }
+    else {
+        evhttp_send_reply_chunk(request, data);
+    }
+}
+
 void
 RelayAnswer_sendData(RelayAnswer_t *this, struct evbuffer *data)
 {
@@ -310,17 +330,10 @@
     }
     send_head(this);
     this->sent_bytes += (gint64)evbuffer_get_length(data);
-    /* evhttp keeps the callback of the last chunk only: a chunk without one
-     * would drop on_drained, and the stream would stay paused. */
-    if (this->full || !has_room(this, buffered_bytes(connection))) {
-        this->full = TRUE;
-        evhttp_send_reply_chunk_with_cb(RelayAnswer_request(this), data,
-                                        on_drained, this);
-        count_output(this, buffered_bytes(connection));
-        return;
+    send_part(this, data);
+    if (!this->full) {
+        Http_flush(connection);
     }
-    evhttp_send_reply_chunk(RelayAnswer_request(this), data);
-    Http_flush(connection);
     count_output(this, buffered_bytes(connection));
 }
 
--- a/tests/sessions/test_small_pieces.py
+++ b/tests/sessions/test_small_pieces.py
@@ -5,15 +5,16 @@
 import threading
 import time
 import unittest
+import uuid
 
 os.environ["WT_BUILD"] = "build"  # sanitizers need more memory
+from answers import request_bytes  # noqa: E402
 from fleet import HOST, Fleet, Upstream  # noqa: E402
 from memory import MemoryWatch  # noqa: E402
 
 MEMORY_MB = 48
 CALLERS = 60
 SECONDS = 3
-WAIT_MS = 1000 * SECONDS
 PAUSE_S = 0.001
 BODY_PIECE = b"xxxx"
 ENDS = {  # what tells the end of a body
@@ -89,6 +90,8 @@
 class TrickleTest(unittest.TestCase):
     """Sound calls beside endless ones."""
 
+    seconds = SECONDS
+
     def setUp(self):
         self.fleet = Fleet()
         self.addCleanup(self.fleet.close)
@@ -106,7 +109,7 @@
 
     def call(self):
         try:
-            self.fleet.ask(self.router, self.PATH, wait_ms=WAIT_MS)
+            self.fleet.ask(self.router, self.PATH, wait_ms=1000 * self.seconds)
         except OSError:  # the router has ended
             pass
 
@@ -115,7 +118,7 @@
                    for _ in range(CALLERS)]
         for caller in callers:
             caller.start()
-        stop = time.monotonic() + SECONDS
+        stop = time.monotonic() + self.seconds
         statuses = []
         while time.monotonic() < stop and not self.watched.is_over:
             statuses.append(self.fleet.ask(self.router,
@@ -179,6 +182,33 @@
         self.check()
 
 
+class UnreadEventsTest(TrickleTest):
+    """Events of streams that their callers do not read."""
+
+    PATH, SOUND_PATH = "/ask/once/x", "/read/x"
+    seconds = 6
+
+    def add_upstreams(self):
+        self.upstream = self.fleet.add(TricklingEngine(
+            self.fleet.store, "e1", "engines", "m"))
+        self.fleet.plain("p1")
+        self.trickle.piece = b"64\r\ndata: %s\n\n\r\n" % (b"x" * 92)
+
+    def call(self):
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect((HOST, self.router.port))
+        caller.sendall(request_bytes("POST", self.PATH, uuid.uuid4().hex,
+                                     b"x", wait_ms=1000 * self.seconds))
+
+    # Each event was held in a block of a kilobyte, and their callers were
+    # given up for want of memory.
+    def test_events_that_nobody_reads(self):
+        self.check()
+        self.assertEqual(self.router.events("caller_given_up"), [])
+
+
 class RequestTest(TrickleTest):
     """Bodies of callers."""
 
--- a/tests/test_HttpReply.c
+++ b/tests/test_HttpReply.c
@@ -4,6 +4,7 @@
 #include "HttpReply.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <string.h>
 
 #include "ReplyClient.h"
@@ -123,6 +124,99 @@
 }
 END_TEST
 
+#define PARTS 1000
+
+/* Returns how many of them were added behind what waits. */
+static guint
+append_parts(struct evhttp_request *request)
+{
+    struct evbuffer *part = evbuffer_new();
+    guint appended = 0;
+    for (guint i = 0; i < PARTS; i++) {
+        evbuffer_add(part, EVENT, strlen(EVENT));
+        appended += HttpReply_appendPart(request, part) ? 1 : 0;
+    }
+    evbuffer_free(part);
+    return appended;
+}
+
+/* The blocks that hold what waits, without the first one. */
+static gsize
+waiting_blocks(struct evhttp_request *request)
+{
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(
+        evhttp_request_get_connection(request));
+    struct evbuffer *output = bufferevent_get_output(stream);
+    return (gsize)evbuffer_peek(output, -1, NULL, NULL, 0) - 1;
+}
+
+static void
+stream_parts(struct evhttp_request *request)
+{
+    send_event(request, TRUE);
+    ck_assert_uint_eq(append_parts(request), PARTS);
+    ck_assert_uint_lt(waiting_blocks(request), PARTS / 10);
+    HttpReply_endStream(request, NULL);
+}
+
+static void
+stream_parts_without_an_end(struct evhttp_request *request)
+{
+    send_event(request, FALSE);
+    ck_assert_uint_eq(append_parts(request), PARTS);
+    HttpReply_endStream(request, NULL);
+}
+
+static void
+stream_nothing(struct evhttp_request *request)
+{
+    HttpReply_startStream(request, HTTP_NOCONTENT, TRUE);
+    ck_assert_uint_eq(append_parts(request), 0);
+    HttpReply_endStream(request, NULL);
+}
+
+static guint
+count_received(const char *text)
+{
+    g_auto(GStrv) parts = g_strsplit(ReplyClient_received()->str, text, -1);
+    return g_strv_length(parts) - 1;
+}
+
+/* Each was held in its own block. */
+START_TEST(parts_that_wait_share_their_blocks)
+{
+    ReplyClient_connect(request_1_1, stream_parts);
+    ck_assert_int_eq(ReplyClient_readUntil(strlen("HTTP/1.1 200")), 1);
+    while (!g_str_has_suffix(ReplyClient_received()->str, "0\r\n\r\n")) {
+        ck_assert_int_eq(
+            ReplyClient_readUntil(ReplyClient_received()->len + 1), 1);
+    }
+    ck_assert_uint_eq(count_received("9\r\n" EVENT "\r\n"), 1 + PARTS);
+    ReplyClient_close();
+}
+END_TEST
+
+START_TEST(parts_without_a_frame_have_no_chunks)
+{
+    ReplyClient_connect(request_1_1, stream_parts_without_an_end);
+    ck_assert_int_eq(ReplyClient_readUntil(G_MAXSIZE), 0);
+    ck_assert_uint_eq(count_received(EVENT), 1 + PARTS);
+    ck_assert(!ReplyClient_hasReceived("9\r\n"));
+    ReplyClient_close();
+}
+END_TEST
+
+START_TEST(answers_without_a_body_get_no_parts)
+{
+    ReplyClient_connect("GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
+                        stream_nothing);
+    ck_assert_int_eq(ReplyClient_readUntil(G_MAXSIZE), 0);
+    ck_assert(g_str_has_suffix(ReplyClient_received()->str, "\r\n\r\n"));
+    ck_assert(!ReplyClient_hasReceived(EVENT));
+    ReplyClient_close();
+}
+END_TEST
+
 static void
 send_last_body(struct evhttp_request *request)
 {
@@ -163,7 +257,10 @@
 }
 END_TEST
 
-TESTING_MAIN("HttpReply", reply_without_a_frame_ends_with_its_connection,
+TESTING_MAIN("HttpReply", parts_that_wait_share_their_blocks,
+             parts_without_a_frame_have_no_chunks,
+             answers_without_a_body_get_no_parts,
+             reply_without_a_frame_ends_with_its_connection,
              reply_that_breaks_off_is_reset,
              all_open_replies_are_reset_at_once, proven_stream_has_chunks,
              stream_for_http_1_0_ends_with_its_connection,
