--- a/src/Allocator.h
+++ b/src/Allocator.h
@@ -14,11 +14,11 @@
 void Allocator_init(void);
 
 /**
- * Allocator_giveBack() - give free pages back after a long text was parsed
+ * Allocator_giveBack() - give free pages back after a long text was read
  * @bytes: of that text; nothing happens if they are few
  *
- * Its tree takes many times as much memory in small blocks, whose pages stay
- * with the process otherwise.
+ * What is made of it, and what that replaces, takes many times as much memory
+ * in small blocks, whose pages stay with the process otherwise.
  */
 void Allocator_giveBack(gsize bytes);
 
--- a/src/Json.c
+++ b/src/Json.c
@@ -51,9 +51,8 @@
     g_string_append_c(out, '"');
 }
 
-/* Returns the index of the first byte behind the string at @at. */
-static size_t
-skip_string(const char *data, size_t length, size_t at)
+size_t
+Json_skipString(const char *data, size_t length, size_t at)
 {
     for (at++; at < length && data[at] != '"'; at++) {
         at += data[at] == '\\' ? 1 : 0;
@@ -64,12 +63,12 @@
 /* jansson parses and frees nested values by recursion, and a level takes some
  * 150 bytes of the stack. */
 static gboolean
-is_too_deep(const char *data, size_t length)
+is_too_deep(const char *data, size_t length, guint depth_max)
 {
     guint depth = 0;
-    for (size_t at = 0; at < length && depth <= JSON_DEPTH_MAX;) {
+    for (size_t at = 0; at < length && depth <= depth_max;) {
         if (data[at] == '"') {
-            at = skip_string(data, length, at);
+            at = Json_skipString(data, length, at);
             continue;
         }
         if (data[at] == '[' || data[at] == '{') {
@@ -80,28 +79,35 @@
         }
         at++;
     }
-    return depth > JSON_DEPTH_MAX;
+    return depth > depth_max;
 }
 
 static json_t *
-parse_object(const char *data, size_t length, size_t flags, GError **error)
+parse_value(const char *data, size_t length, guint depth_max, size_t flags,
+            GError **error)
 {
-    if (is_too_deep(data, length)) {
+    if (is_too_deep(data, length, depth_max)) {
         g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY,
                     "values are nested more than %d levels deep",
                     JSON_DEPTH_MAX);
         return NULL;
     }
     json_error_t parse_error;
-    json_t *root =
+    json_t *value =
         json_loadb(data, length, JSON_REJECT_DUPLICATES | flags, &parse_error);
-    if (!root) {
+    if (!value) {
         g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY,
                     "line %d, column %d: %s", parse_error.line,
                     parse_error.column, parse_error.text);
-        return NULL;
     }
-    if (!json_is_object(root)) {
+    return value;
+}
+
+static json_t *
+parse_object(const char *data, size_t length, size_t flags, GError **error)
+{
+    json_t *root = parse_value(data, length, JSON_DEPTH_MAX, flags, error);
+    if (root && !json_is_object(root)) {
         json_decref(root);
         g_set_error_literal(error, WT_ERROR, WT_ERROR_BAD_BODY,
                             "the body is not an object");
@@ -110,6 +116,13 @@
     return root;
 }
 
+json_t *
+Json_parseValue(const char *data, size_t length, guint depth_max,
+                GError **error)
+{
+    return parse_value(data, length, depth_max, JSON_DECODE_ANY, error);
+}
+
 json_t *
 Json_parse(const char *data, size_t length, GError **error)
 {
--- a/src/Json.h
+++ b/src/Json.h
@@ -34,6 +34,26 @@
  */
 json_t *Json_parse(const char *data, size_t length, GError **error);
 
+/**
+ * Json_parseValue() - parse a text that is one JSON value of any type
+ * @length: bytes of @data
+ * @depth_max: levels of nested values that are parsed
+ * @error: as of Json_parse()
+ *
+ * Return: a new reference, or NULL
+ */
+json_t *Json_parseValue(const char *data, size_t length, guint depth_max,
+                        GError **error);
+
+/**
+ * Json_skipString() - where a string in a JSON text ends
+ * @at: index of its first quote
+ *
+ * Return: the index of the first byte behind it, from @length on if it has no
+ * end
+ */
+size_t Json_skipString(const char *data, size_t length, size_t at);
+
 /**
  * Json_parseRepaired() - parse a text that is one JSON object, in which other
  * programs may have written some of the strings
--- a/src/RouteVersions.c
+++ b/src/RouteVersions.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "Allocator.h"
 #include "Clock.h"
 #include "Log.h"
 
@@ -230,8 +231,10 @@
     (void)what;
     RouteVersions_t *this = data;
     KeyedRecord_t *record = g_queue_pop_head(this->waiting);
+    gsize bytes = record->value ? g_bytes_get_size(record->value) : 0;
     apply_record(this, record);
     KeyedRecord_free(record);
+    Allocator_giveBack(bytes);
     if (!g_queue_is_empty(this->waiting)) {
         Clock_arm(this->apply, 0);
     }
--- a/tests/test_Fleet.c
+++ b/tests/test_Fleet.c
@@ -52,9 +52,22 @@
 }
 END_TEST
 
+/* Also in lists that are not read. */
 START_TEST(invalid_configuration_is_a_typed_error)
 {
-    static const char *const texts[] = {"", "[]", "{\"routes\":[]}", "{"};
+    static const char *const texts[] = {
+        "",
+        "[]",
+        "{\"routes\":[]}",
+        "{",
+        "{\"version\":1,\"routes\":[{}",
+        "{\"version\":1,\"routes\":[{},]}",
+        "{\"version\":1,\"routes\":[{}}]}",
+        "{\"version\":1,\"routes\":[{} {}]}",
+        "{\"version\":1,\"routes\":[{\"name\":\"a\",\"name\":\"b\"}]}",
+        "{\"version\":1,\"routes\":[],\"routes\":[]}",
+        "{\"version\":1,\"others\":[1,x]}",
+    };
     for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
         g_autoptr(GError) error = NULL;
         GBytes *value = make_bytes(texts[i]);
@@ -65,6 +78,71 @@
 }
 END_TEST
 
+#define LONG_ROUTES 8000
+
+/* Sanitizers have an allocator of their own, which keeps what is freed. */
+#ifdef __SANITIZE_ADDRESS__
+#define MEASURES_MEMORY 0
+#else
+#define MEASURES_MEMORY 1
+#endif
+
+static GBytes *
+make_long_configuration(void)
+{
+    GString *text = g_string_new("{\"version\":1,\"routes\":[");
+    for (guint i = 0; i < LONG_ROUTES; i++) {
+        g_string_append_printf(
+            text,
+            "%s{\"name\": \"r%u\", \"hostname\": \"h\", \"path_prefix\": "
+            "\"/n%u/\", \"kind\": \"idempotent\", \"timeout_ms\": 20000, "
+            "\"target_latency_ms\": 500, \"priority\": 1, \"service\": "
+            "\"plain\", \"max_attempts\": 2, \"public\": false, \"sticky\": "
+            "false, \"resumable\": false, \"gap_aim_ms\": 500}",
+            i > 0 ? ", " : "", i, i);
+    }
+    g_string_append(text, "]}");
+    return g_string_free_to_bytes(text);
+}
+
+/* Returns a size of this process in bytes. */
+static gsize
+read_size(const char *name)
+{
+    g_autofree char *status = NULL;
+    ck_assert(g_file_get_contents("/proc/self/status", &status, NULL, NULL));
+    const char *line = strstr(status, name);
+    ck_assert_ptr_nonnull(line);
+    return (gsize)g_ascii_strtoull(line + strlen(name), NULL, 10) * 1024;
+}
+
+static void
+reset_peak(void)
+{
+    FILE *file = fopen("/proc/self/clear_refs", "w");
+    ck_assert_ptr_nonnull(file);
+    ck_assert_int_ge(fputs("5", file), 0);
+    ck_assert_int_eq(fclose(file), 0);
+}
+
+/* A tree of the whole text took 24 MB for 2, and so ended routers whose memory
+ * callers had filled. */
+START_TEST(reading_a_long_configuration_takes_no_more_than_its_text)
+{
+    GBytes *value = make_long_configuration();
+    reset_peak();
+    RouteConfig_t *config = Fleet_form.decode_config(value, NULL);
+    gsize peak = read_size("VmHWM:");
+    gsize left = read_size("VmRSS:");
+    ck_assert_ptr_nonnull(config);
+    ck_assert_uint_eq(config->routes->len, LONG_ROUTES);
+    gsize most = MEASURES_MEMORY ? g_bytes_get_size(value) : G_MAXSIZE - left;
+    ck_assert_uint_le(peak, left + most);
+    RouteConfig_unref(config);
+    g_bytes_unref(value);
+}
+END_TEST
+
 START_TEST(list_entry_is_decoded)
 {
     ListedUpstream_t entry;
@@ -611,9 +689,10 @@
              only_this_router_says_that_it_forwards,
              router_that_refuses_a_service_may_serve_others,
              customer_limits_are_decoded, configuration_is_decoded,
-             invalid_configuration_is_a_typed_error, list_entry_is_decoded,
-             malformed_list_entry_is_rejected, framed_records_are_restored,
-             only_explicit_marks_count_as_not_run,
+             invalid_configuration_is_a_typed_error,
+             reading_a_long_configuration_takes_no_more_than_its_text,
+             list_entry_is_decoded, malformed_list_entry_is_rejected,
+             framed_records_are_restored, only_explicit_marks_count_as_not_run,
              statuses_that_promise_need_a_proof,
              a_mark_counts_on_refusals_only,
              callers_cannot_set_internal_headers,
