Status lines that name no status are refused at every reader of answers

Callers got an upstream's answer whose status line names no status as it came (600, 999, 2000, 65736), or as a sound 200 (0200, +200, 200OK, , HTTP/0.9). So did routers from their own calls: an order was "taken", a probe showed an upstream as reachable, a refusal counted as not run, the operator client reported a success.

Cause: evhttp reads the status with atoi(), which takes signs, zeros, values that overflow and anything behind the digits, and refuses 0 only. LineCheck took any text for a status line.

LineCheck now takes HTTP/1.0 or HTTP/1.1, a blank, three digits from 100 to 599, and the end or a blank and a reason (RFC 9112, section 4; RFC 9110, section 15), before evhttp sees the line. Both kinds of calls use it (AttemptConnection, HttpCall), so that there is one place for all readers. The caller gets 502, repeatable work a second attempt; nothing in such an answer is believed, so that it is no proof that the request did not run; the connection is closed, and the reason in the log is "the answer's status line is malformed".

--- a/src/HeadCheck.c
+++ b/src/HeadCheck.c
@@ -122,6 +122,8 @@
         return "a line of the answer's head ends in a bare line feed";
     case LINE_FAULT_FOLD:
         return "a field of the answer's head is folded";
+    case LINE_FAULT_STATUS:
+        return "the answer's status line is malformed";
     default:
         return "a line of the answer's head is malformed";
     }
--- a/src/LineCheck.c
+++ b/src/LineCheck.c
@@ -4,6 +4,11 @@
 
 /* Between a method, a target and a version. */
 #define REQUEST_BLANKS 2
+/* What a status line begins with; the parts that vary are x. */
+#define STATUS_START "HTTP/1.x xxx "
+#define MINOR_OFFSET 7
+#define STATUS_OFFSET 9
+#define STATUS_END 12
 
 gboolean
 LineCheck_isToken(char byte)
@@ -49,6 +54,7 @@
 {
     this->blanks = 0;
     this->is_after_blank = FALSE;
+    this->status_bytes = 0;
     if (byte == '\r') {
         return LINE_END;
     }
@@ -102,12 +108,57 @@
     }
 }
 
+/* Statuses of 600 and above are invalid (RFC 9110, section 15). */
+static gboolean
+fits_status_line(guint at, char byte)
+{
+    switch (at) {
+    case MINOR_OFFSET:
+        return byte == '0' || byte == '1';
+    case STATUS_OFFSET:
+        return byte >= '1' && byte <= '5';
+    case STATUS_OFFSET + 1:
+    case STATUS_OFFSET + 2:
+        return g_ascii_isdigit(byte);
+    default:
+        return at > STATUS_END || byte == STATUS_START[at];
+    }
+}
+
+static void
+check_status_line(LineCheck_t *this, char byte)
+{
+    gboolean is_sound = this->state == LINE_END
+                            ? this->status_bytes >= STATUS_END
+                            : fits_status_line(this->status_bytes, byte);
+    if (this->status_bytes <= STATUS_END) {
+        this->status_bytes++;
+    }
+    if (!is_sound) {
+        this->state = LINE_BROKEN;
+    }
+}
+
+static void
+check_words(LineCheck_t *this, LineKind_t kind, char byte)
+{
+    if (kind == LINE_OF_REQUEST) {
+        check_request_line(this, byte);
+    }
+    else if (kind == LINE_OF_STATUS && this->state != LINE_BROKEN) {
+        check_status_line(this, byte);
+    }
+}
+
 static LineFault_t
-fault_of(LineState_t before, char byte)
+fault_of(LineState_t before, LineKind_t kind, char byte)
 {
     if (byte == '\n') {
         return LINE_FAULT_LINE_FEED;
     }
+    if (kind == LINE_OF_STATUS && before != LINE_END) {
+        return LINE_FAULT_STATUS;
+    }
     return before == LINE_BEGIN && is_blank(byte) ? LINE_FAULT_FOLD
                                                   : LINE_FAULT_OTHER;
 }
@@ -120,12 +171,11 @@
         return;
     }
     this->state = readers[before](this, kind, byte);
-    if (kind == LINE_OF_REQUEST &&
-        (before == LINE_TEXT || this->state == LINE_TEXT)) {
-        check_request_line(this, byte);
+    if (before == LINE_TEXT || this->state == LINE_TEXT) {
+        check_words(this, kind, byte);
     }
     if (this->state == LINE_BROKEN) {
-        this->broken_by = fault_of(before, byte);
+        this->broken_by = fault_of(before, kind, byte);
     }
 }
 
--- a/src/LineCheck.h
+++ b/src/LineCheck.h
@@ -3,9 +3,11 @@
 /**
  * DOC: LineCheck
  *
- * Checks the lines of heads and trailers (RFC 9112, sections 2.2, 3 and 5).
+ * Checks the lines of heads and trailers (RFC 9112, sections 2.2, 3, 4 and 5).
  * evhttp ends a line at a bare line feed and at a zero byte, and joins lines
  * that begin with a blank, so that it reads other fields than a strict reader.
+ * It reads a status as a number of any length, sign and value, and takes what
+ * follows the number for the reason.
  * The check sees the bytes before evhttp reads them.
  */
 #include <glib.h>
@@ -29,7 +31,8 @@
 /**
  * enum LineKind_t - kind of a line
  * @LINE_OF_REQUEST: a method, a target and a version
- * @LINE_OF_STATUS: the first line of an answer
+ * @LINE_OF_STATUS: a version, HTTP/1.0 or HTTP/1.1, three digits from 100 to
+ *     599, and a reason or none
  * @LINE_OF_FIELD: a field
  * @LINE_OF_FOLDABLE: a field, or the next line of the field before it
  */
@@ -45,12 +48,14 @@
  * @LINE_FAULT_NONE: it is sound
  * @LINE_FAULT_LINE_FEED: a line feed without a carriage return
  * @LINE_FAULT_FOLD: it begins with a blank, as the next line of a field does
+ * @LINE_FAULT_STATUS: it states no status
  * @LINE_FAULT_OTHER: another byte that may not stand there
  */
 typedef enum {
     LINE_FAULT_NONE,
     LINE_FAULT_LINE_FEED,
     LINE_FAULT_FOLD,
+    LINE_FAULT_STATUS,
     LINE_FAULT_OTHER,
 } LineFault_t;
 
@@ -60,12 +65,14 @@
  * @state: what the next byte belongs to
  * @blanks: blanks so far in a request line
  * @is_after_blank: the last byte of a request line was a blank
+ * @status_bytes: bytes of a status line so far, its reason not included
  * @broken_by: what was malformed
  */
 typedef struct {
     LineState_t state;
     guint blanks;
     gboolean is_after_blank;
+    guint status_bytes;
     LineFault_t broken_by;
 } LineCheck_t;
 
--- a/tests/faultproxy.py
+++ b/tests/faultproxy.py
@@ -25,6 +25,7 @@
     throttle: bytes per second of an answer
     duplicate: send the first block of an answer twice
     swap: exchange the answers of two connections
+    status_line: bytes that take the place of the first line of each answer
     """
 
     def __init__(self, target_port):
@@ -38,6 +39,7 @@
         self.throttle = 0
         self.duplicate = 0
         self.swap = 0
+        self.status_line = None
         self.injected = 0
         self.connections = 0
         self._waiting = None
@@ -149,12 +151,19 @@
                 writer.close()
                 upstream_writer.transport.abort()
                 return
+            block = self._replace_status_line(block)
             writer.write(block)
             self._sent[own_writer] += len(block)
             await writer.drain()
             block = await upstream.read(BLOCK_BYTES)
         writer.close()
 
+    def _replace_status_line(self, block):
+        if self.status_line is None or not block.startswith(b"HTTP/1.1 "):
+            return block
+        self.injected += 1
+        return self.status_line + block[block.index(b"\r\n"):]
+
     async def _swap_writers(self, writer):
         """Returns the writer of the other connection, waiting until there is
         one."""
--- a/tests/fuzz/answers.c
+++ b/tests/fuzz/answers.c
@@ -104,6 +104,21 @@
     }
 }
 
+/* Whether the first line, if all of it came, states a status. */
+static gboolean
+has_status(const uint8_t *data, gsize size)
+{
+    g_autoptr(GByteArray) text = g_byte_array_new();
+    g_byte_array_append(text, data, (guint)size);
+    g_byte_array_append(text, (const guint8 *)"", 1);
+    const char *line = (const char *)text->data;
+    const char *end = strstr(line, "\r\n");
+    g_autofree char *first = end ? g_strndup(line, (gsize)(end - line)) : NULL;
+    return !first || !*first ||
+           g_regex_match_simple("^HTTP/1\\.[01] [1-5][0-9]{2}( |$)", first,
+                                G_REGEX_RAW, 0);
+}
+
 /* The first byte tells the size of the parts, and whether folds are taken. */
 int
 Fuzz_answerBytes(const uint8_t *data, size_t size)
@@ -117,6 +132,8 @@
     Seen_t parts = receive(data + 1, size - 1, step, takes_folds);
     check_read(&whole, data + 1, size - 1);
     assert_same(&whole, &parts);
+    g_assert(HeadCheck_isBroken(&whole.head) ||
+             has_status(data + 1, size - 1));
     clear(&whole);
     clear(&parts);
     return 0;
