DescriptorTest: the requests that take all descriptors arrive at once

test_requests_that_were_read_reach_an_upstream failed in a whole run beside load: "never came: descriptors_short", with all 384 answers 200. Cause: the test's own callers. 64 threads connected one after the other, and where that took longer than the answers, the router never had 64 descriptors in use, so that nothing was shown about a shortage. The router is stopped until 64 requests wait at its socket, and then finds all of them; as many requests as before, in six rounds of 64, the same statuses and the same line. Fleet.send() sends without reading the answer.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -927,9 +927,9 @@
         connection.close()
         return answer
 
-    def request(self, router, path, body=b"x", method="POST", key="key-a",
-                wait_ms=20000, **headers):
-        """Sends a request and returns its response with the body unread."""
+    def send(self, router, path, body=b"x", method="POST", key="key-a",
+             wait_ms=20000, **headers):
+        """Sends a request and returns its connection."""
         self.numbers += 1
         sent = {"Host": "shop.example", "X-Request-Id": "id%d" % self.numbers,
                 "X-Deadline-Ms": str(wait_ms)}
@@ -943,7 +943,11 @@
         connection = http.client.HTTPConnection(HOST, router.port,
                                                 timeout=60)
         connection.request(method, path, body, sent)
-        return connection.getresponse()
+        return connection
+
+    def request(self, *arguments, **more):
+        """Sends a request and returns its response with the body unread."""
+        return self.send(*arguments, **more).getresponse()
 
     def ask(self, *arguments, **more):
         response = self.request(*arguments, **more)
--- a/tests/sessions/test_starts.py
+++ b/tests/sessions/test_starts.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from cluster import BUILD, HOST, Process, wait_for
-from fleet import Fleet, SuspendableClock
+from fleet import Answer, Fleet, SuspendableClock
 
 WATCHED_S = 0.2
 STOP_LIMIT_S = 3
@@ -502,17 +502,30 @@
                          (self.DESCRIPTORS, 4096))
         self.assert_serves(router)
 
+    def ask_at_once(self, router, path):
+        """Sends a request on each of more connections than the router can
+        accept, which finds all of them at once, and returns the answers."""
+        router.signal(signal.SIGSTOP)
+        try:
+            connections = [self.fleet.send(router, path, wait_ms=8000)
+                           for _ in range(self.DESCRIPTORS)]
+        finally:
+            router.signal(signal.SIGCONT)
+        answers = []
+        for connection in connections:
+            response = connection.getresponse()
+            answers.append(Answer(response, response.read()))
+            connection.close()
+        return answers
+
     # Callers took all descriptors, and none was left for an upstream.
     def test_requests_that_were_read_reach_an_upstream(self):
         router = self.fleet.start()
         self.assert_serves(router)
         resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE,
                          (self.DESCRIPTORS, self.DESCRIPTORS))
-        for path in ("/read/x", "/write/x"):
-            with ThreadPoolExecutor(self.DESCRIPTORS) as pool:
-                answers = list(pool.map(
-                    lambda _: self.fleet.ask(router, path, wait_ms=8000),
-                    range(3 * self.DESCRIPTORS)))
+        for path in 3 * ("/read/x", "/write/x"):
+            answers = self.ask_at_once(router, path)
             self.assertEqual({answer.status for answer in answers}, {200})
         router.wait_event("descriptors_short")
 
