--- a/tests/sessions/test_memory_answers.py
+++ b/tests/sessions/test_memory_answers.py
@@ -116,7 +116,7 @@
     def test_what_upstreams_of_unread_streams_send(self):
         self.begin(b"/ask/once/x", FEW_STREAMS)
         time.sleep(SETTLE_S)
-        use = Use(self.router.process.pid, Queues())
+        use = Use.of(self.router.process.pid, Queues())
         self.assertLessEqual(use.unread, FEW_STREAMS * UNREAD_MAX, str(use))
         self.assert_within_memory()
 
