Heads of answers to a router's own calls have a length of their own

Callers saw: beside a store that sends a line of a head without end, calls wait for their router's processor.

Cause: lists and reads of the store may be 16 MiB long, their heads as well, and evhttp searches all of an incomplete line for its end again with each read.

Heads and trailers are bounded by 64 KiB; trailers that exceed it are a bad answer, too.

--- a/src/HttpCall.c
+++ b/src/HttpCall.c
@@ -374,9 +374,15 @@
 on_error(enum evhttp_request_error error, void *data)
 {
     HttpCall_t *this = data;
-    if (error == EVREQ_HTTP_INVALID_HEADER && !this->framing_fault) {
+    if (this->framing_fault) {
+        return;
+    }
+    if (error == EVREQ_HTTP_INVALID_HEADER) {
         this->framing_fault = "the answer's head or framing can't be read";
     }
+    else if (error == EVREQ_HTTP_DATA_TOO_LONG) {
+        this->framing_fault = "the answer's trailers are too long";
+    }
 }
 
 static gboolean
@@ -481,6 +487,8 @@
     this->reaper = Clock_timer(base, on_reap, this);
     this->connection = evhttp_connection_base_new(
         base, NULL, spec->address->host, spec->address->port);
+    evhttp_connection_set_max_headers_size(this->connection,
+                                           HTTP_ANSWER_HEAD_MAX);
     struct bufferevent *bev =
         evhttp_connection_get_bufferevent(this->connection);
     evbuffer_add_cb(bufferevent_get_output(bev), on_output, this);
--- a/src/HttpCall.h
+++ b/src/HttpCall.h
@@ -21,6 +21,10 @@
  * while others use them up */
 #define HTTP_LIST_ANSWER_MAX ((gsize)16 << 20)
 
+/** Longest head of an answer, or its trailers, however long its body may be:
+ * evhttp searches all of a line for its end again with each read */
+#define HTTP_ANSWER_HEAD_MAX ((gsize)64 << 10)
+
 /** struct HttpHeader_t - one header; a list of headers ends with a NULL name
  */
 typedef struct {
--- a/tests/test_HttpCall.c
+++ b/tests/test_HttpCall.c
@@ -1,5 +1,6 @@
 #include "testing.h"
 
+#include <errno.h>
 #include <event2/listener.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -27,6 +28,9 @@
 #define BODY_PIECES 10000
 #define SETTLE_TURNS 20
 #define SETTLE_TURN_US 10000
+/* Eight times the longest head. */
+#define LINE_PIECE_BYTES 1024
+#define LINE_PIECES (8 * HTTP_ANSWER_HEAD_MAX / LINE_PIECE_BYTES)
 #define PIECES_TIMEOUT_MS 60000
 #define HELD_MAX (2 * HTTP_SHORT_ANSWER_MAX)
 
@@ -170,11 +174,14 @@
     gsize held; /* the most that was allocated */
 } PieceServer_t;
 
-static void
+/* Returns FALSE once the call has closed. */
+static gboolean
 send_text(int socket, const char *text)
 {
     gssize length = (gssize)strlen(text);
-    ck_assert_int_eq(send(socket, text, (size_t)length, MSG_NOSIGNAL), length);
+    gssize sent = send(socket, text, (size_t)length, MSG_NOSIGNAL);
+    ck_assert(sent == length || errno == EPIPE || errno == ECONNRESET);
+    return sent == length;
 }
 
 static void
@@ -182,7 +189,7 @@
 {
     char request[1024];
     if (recv(this->socket, request, sizeof(request), 0) > 0) {
-        send_text(this->socket, this->head);
+        (void)send_text(this->socket, this->head);
         this->head = NULL;
     }
 }
@@ -198,14 +205,14 @@
         Clock_arm(this->turn, 0);
         return;
     }
-    if (this->pieces == 0) {
-        send_text(this->socket, this->end);
+    gboolean is_over = this->pieces == 0;
+    if (!send_text(this->socket, is_over ? this->end : this->piece) ||
+        is_over) {
         close(this->socket);
         return;
     }
     this->held = MAX(this->held, AllocatedBytes_now());
     this->pieces--;
-    send_text(this->socket, this->piece);
     Clock_arm(this->turn, 0);
 }
 
@@ -258,7 +265,7 @@
 
 /* Returns the most that was held meanwhile. */
 static gsize
-receive(PieceServer_t *server, GString *body)
+receive(PieceServer_t *server, HttpCallDone_t done, GString *body)
 {
     base = event_base_new();
     PieceServer_listen(server);
@@ -272,7 +279,7 @@
     };
     gsize before = AllocatedBytes_now();
     server->held = before;
-    HttpCall_start(base, &spec, on_whole_answer, body);
+    HttpCall_start(base, &spec, done, body);
     event_base_dispatch(base);
     event_base_loop(base, EVLOOP_NONBLOCK);
     PieceServer_close(server);
@@ -304,13 +311,44 @@
                                 .piece = forms[i].piece,
                                 .end = forms[i].end,
                                 .pieces = BODY_PIECES};
-        gsize held = receive(&server, body);
+        gsize held = receive(&server, on_whole_answer, body);
         ck_assert_str_eq(body->str, expected->str);
         ck_assert_msg(held <= HELD_MAX, "form %u: %zu", i, held);
     }
 }
 END_TEST
 
+static void
+on_long_line(const HttpAnswer_t *answer, const GError *error, void *data)
+{
+    (void)data;
+    ck_assert(!answer);
+    ck_assert_int_eq(error->code, WT_ERROR_BAD_ANSWER);
+    event_base_loopexit(base, NULL);
+}
+
+/* A line of a head was taken up to the longest list, and all of it searched
+ * again with each read, for most of the processor. */
+START_TEST(line_without_end_is_refused_early)
+{
+    g_autofree char *piece = g_strnfill(LINE_PIECE_BYTES, 'x');
+    const char *heads[] = {
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200 OK\r\nA: ",
+        "HTTP/1.1 103 x\r\nA: ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+    };
+    for (guint i = 0; i < G_N_ELEMENTS(heads); i++) {
+        PieceServer_t server = {.head = heads[i],
+                                .piece = piece,
+                                .end = "",
+                                .pieces = LINE_PIECES};
+        (void)receive(&server, on_long_line, NULL);
+        ck_assert_uint_gt(server.pieces, LINE_PIECES / 2);
+    }
+}
+END_TEST
+
 /* What the kernel takes for a process that waits for its processor. */
 static gsize
 bytes_taken(int socket)
@@ -364,7 +402,7 @@
 }
 END_TEST
 
-TESTING_MAIN("HttpCall",
+TESTING_MAIN("HttpCall", line_without_end_is_refused_early,
              kernel_takes_no_more_of_an_answer_than_its_call_may_take,
              answers_in_small_pieces_take_little_more_than_their_bytes,
              request_is_not_sent_after_its_call_ended_as_not_sent,
