ChunkCheck: the place of a long chunk's bytes isn't looked for

Callers saw: beside a store or an upstream that sends one chunk without end, calls wait for their router's processor.

Cause: the check finds the place of each read from the beginning of the buffer, which evhttp lets grow up to the end of the chunk.

Bytes that are all data of a chunk are counted, wherever they are.

--- a/src/ChunkCheck.c
+++ b/src/ChunkCheck.c
@@ -142,6 +142,18 @@
     return at;
 }
 
+/* Whether they are data, so that their place in the buffer, which is found
+ * from its beginning, doesn't matter. */
+static gboolean
+skips_all(ChunkCheck_t *this, gsize length)
+{
+    if (this->state != CHUNK_DATA || this->left <= length) {
+        return FALSE;
+    }
+    this->left -= length;
+    return TRUE;
+}
+
 gsize
 ChunkCheck_feedTail(ChunkCheck_t *this, struct evbuffer *buffer, gsize length)
 {
@@ -149,7 +161,7 @@
     struct evbuffer_ptr at;
     struct evbuffer_iovec part;
     gsize fed = 0;
-    if (!is_under_way(this) || length == 0) {
+    if (!is_under_way(this) || length == 0 || skips_all(this, length)) {
         return 0;
     }
     evbuffer_ptr_set(buffer, &at, size - length, EVBUFFER_PTR_SET);
--- a/tests/test_ChunkCheck.c
+++ b/tests/test_ChunkCheck.c
@@ -1,9 +1,14 @@
 #include "testing.h"
 
 #include <string.h>
+#include <time.h>
 
 #include "ChunkCheck.h"
 
+#define CHUNK_HEAD "fffffff\r\n"
+#define PIECES 60000
+#define PIECE_BYTES 64
+
 /* Feeds the bytes in parts of @step, as they may arrive. */
 static ChunkState_t
 check_in_parts(const char *bytes, gsize step)
@@ -150,7 +155,29 @@
 }
 END_TEST
 
-TESTING_MAIN("ChunkCheck", a_sound_body_ends_with_its_last_chunk,
+/* The place of each piece was looked for from the chunk's beginning. */
+START_TEST(a_long_chunk_in_small_pieces_takes_little_processor_time)
+{
+    static const char piece[PIECE_BYTES];
+    struct evbuffer *buffer = evbuffer_new();
+    ChunkCheck_t check = {0};
+    clock_t began = clock();
+    ChunkCheck_begin(&check);
+    evbuffer_add(buffer, CHUNK_HEAD, strlen(CHUNK_HEAD));
+    ChunkCheck_feedTail(&check, buffer, strlen(CHUNK_HEAD));
+    for (guint i = 0; i < PIECES; i++) {
+        evbuffer_add_reference(buffer, piece, PIECE_BYTES, NULL, NULL);
+        ck_assert_uint_eq(ChunkCheck_feedTail(&check, buffer, PIECE_BYTES), 0);
+    }
+    ck_assert_int_lt((clock() - began) / CLOCKS_PER_SEC, 1);
+    ck_assert_uint_eq(check.left, 0xfffffff - PIECES * PIECE_BYTES);
+    evbuffer_free(buffer);
+}
+END_TEST
+
+TESTING_MAIN("ChunkCheck",
+             a_long_chunk_in_small_pieces_takes_little_processor_time,
+             a_sound_body_ends_with_its_last_chunk,
              a_body_that_goes_on_is_neither,
              what_evhttp_takes_for_a_last_chunk_is_broken,
              a_chunk_that_is_longer_or_shorter_than_its_size_is_broken,
