PeerLink: who has not proved to know the key can't have a long frame held

Callers saw: nothing yet; by reading, whoever reaches the port of routers has up to 32 MiB of a frame held by each connection before its code is checked, and as much again to check it.

Cause: the bound of a frame was the same before and after the first proof.

test_PeerLink.long_frame_of_an_unproved_peer_closes_the_link failed before (the link stayed open). The first message of a link, a hello, may have 16 KiB.

--- a/src/PeerLink.c
+++ b/src/PeerLink.c
@@ -23,6 +23,9 @@
 /* Bytes of a piece, 7 ms of a link of 10 Mbit/s. The next one is queued when
  * fewer bytes wait in the output; the kernel keeps no more of them either. */
 #define PIECE_BYTES 8192
+/* Largest first message, before which nobody has proved to know the key; a
+ * hello has some hundred bytes. */
+#define FIRST_FRAME_MAX 16384
 
 struct PeerLink {
     struct bufferevent *stream;
@@ -31,6 +34,7 @@
     const PeerLinkEvents_t *events; /* NULL after the link is closed */
     void *owner;
     gboolean outgoing;
+    gboolean is_proved; /* the peer knows the key */
     gint64 received_ms; /* when bytes were last received; 0 for never */
     gint64 sent_ms; /* when bytes were last sent, or the output last began */
     LinkClock_t clock;
@@ -124,6 +128,7 @@
     if (!PeerMac_verify(this->key, payload, size, frame + sizeof(guint32))) {
         return FALSE;
     }
+    this->is_proved = TRUE;
     Wt__PeerMessage *message = wt__peer_message__unpack(NULL, size, payload);
     if (!message) {
         return FALSE;
@@ -139,6 +144,12 @@
     return is_valid;
 }
 
+static gsize
+frame_max(const PeerLink_t *this)
+{
+    return this->is_proved ? PEER_FRAME_MAX : FIRST_FRAME_MAX;
+}
+
 static void
 on_read(struct bufferevent *stream, void *data)
 {
@@ -152,7 +163,7 @@
             return;
         }
         size = ntohl(size);
-        if (size > PEER_FRAME_MAX) {
+        if (size > frame_max(this)) {
             close_and_notify(this);
             return;
         }
--- a/src/PeerLink.h
+++ b/src/PeerLink.h
@@ -6,6 +6,7 @@
  * A TCP connection between two routers. A frame consists of a length, a
  * message authentication code and a PeerMessage. A frame with a wrong code
  * closes the link, so that only holders of the routers' key can send messages.
+ * Until the first one was received, only a short one is waited for.
  *
  * A long message is sent in pieces, and only few of its bytes wait in the
  * connection at a time: a short message that is sent later, such as one with
