Answer: events that wait for their caller share their blocks

Callers saw: nothing yet; on the native interface each iteration's events of a stream that its caller reads slowly take a kilobyte, where stream_buffer counts some 150 bytes.

Cause: as for the platform's streams: evhttp moves blocks to the output.

--- a/src/Answer.c
+++ b/src/Answer.c
@@ -38,6 +38,7 @@
     gint64 created_s;
     gboolean started;
     gboolean full;
+    gboolean awaits_drain; /* evhttp will call on_drained() */
 };
 
 static struct bufferevent *
@@ -59,6 +60,7 @@
 {
     (void)connection;
     Answer_t *this = data;
+    this->awaits_drain = FALSE;
     if (this->full) {
         this->full = FALSE;
         this->events->drained(this->owner);
@@ -91,6 +93,25 @@
     }
 }
 
+/* evhttp keeps the callback of the last chunk only. */
+static void
+send_chunk(Answer_t *this)
+{
+    struct evhttp_request *request = CallerWatch_request(this->watch);
+    if (this->full == this->awaits_drain &&
+        HttpReply_appendPart(request, this->chunk)) {
+        return;
+    }
+    this->awaits_drain = this->full;
+    if (this->full) {
+        evhttp_send_reply_chunk_with_cb(request, this->chunk, on_drained,
+                                        this);
+    }
+    else {
+        evhttp_send_reply_chunk(request, this->chunk);
+    }
+}
+
 /* Sends all events of this loop iteration as one chunk. */
 static void
 flush_events(Answer_t *this)
@@ -98,12 +119,11 @@
     struct evhttp_connection *connection = CallerWatch_connection(this->watch);
     evbuffer_add(this->chunk, this->out->str, this->out->len);
     g_string_truncate(this->out, 0);
-    if (this->full) {
-        evhttp_send_reply_chunk_with_cb(CallerWatch_request(this->watch),
-                                        this->chunk, on_drained, this);
+    if (!connection) {
+        return;
     }
-    else if (connection) {
-        evhttp_send_reply_chunk(CallerWatch_request(this->watch), this->chunk);
+    send_chunk(this);
+    if (!this->full) {
         Http_flush(connection);
     }
 }
