Bodies behind a request without its answer are refused where too many wait

A caller whose body came behind a request that was not answered yet was held for 5 to 10 s and then refused, where one that came alone was refused at once; and the bound of bodies that wait did not hold for it.

Cause: RequestIntake asked BodyBudget_isCrowded() only of a request that is due, as a refusal in the place of an earlier answer would be wrong. It is now refused in its turn, as malformed ones are (InputRewrite). A request that is refused in its turn is checked no further, as its bytes were replaced.

--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -283,9 +283,9 @@
         }
         resume_reading(this, bytes);
     }
-    else if (this->paused_ms == 0 && is_due(this) &&
+    else if (this->paused_ms == 0 &&
              BodyBudget_isCrowded(this->limits->budget)) {
-        refuse(this, REFUSAL_NO_MEMORY, "bodies_waiting");
+        refuse_in_turn(this, REFUSAL_NO_MEMORY, "bodies_waiting");
     }
     else {
         pause_reading(this, bytes, added);
@@ -376,7 +376,7 @@
 static void
 check_request(Connection_t *this)
 {
-    if (!this->is_abandoned) {
+    if (!this->is_abandoned && !this->is_next_refused) {
         check_form(this);
     }
     if (!this->is_abandoned && !this->is_next_refused && is_due(this)) {
--- a/tests/sessions/test_body_memory.py
+++ b/tests/sessions/test_body_memory.py
@@ -1,10 +1,12 @@
 """Bodies of requests that would take a router over its memory."""
 import http.client
+import json
 import socket
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from answers import Connection, request_bytes
 from cluster import BUILD, HOST, wait_for
 from fleet import Answer, Fleet
 
@@ -13,6 +15,8 @@
 MEMORY = 8 << 20
 WAIT_MAX_S = 10  # after which a body is refused
 HELD = 4  # bodies of BODY that fit and leave no room for another one
+WAITING = 70  # more bodies than may wait
+AT_ONCE_S = 1
 HELD_S = 0.1  # time for which the upstream takes each request
 
 
@@ -137,6 +141,46 @@
         self.assertEqual(len(self.plain.seen), 2 + HELD)
         self.assert_whole([self.send(BODY)])
 
+    def crowd(self, pool):
+        """Has as many bodies wait as may; one more is refused."""
+        self.plain.pause_s = WAIT_MAX_S
+        for _ in range(HELD):
+            pool.submit(self.send, BODY)
+        wait_for(lambda: len(self.plain.seen) == 1 + HELD,
+                 "the requests that fit")
+        self.plain.pause_s = HELD_S
+        for _ in range(WAITING):
+            self.begin_body(len(BODY), 1000)
+        wait_for(lambda: any(refused["cause"] == "bodies_waiting" for refused
+                             in self.router.events("request_excessive")),
+                 "a refusal")
+
+    # They were held for up to 10 s, beside any number of others.
+    def test_bodies_behind_others_are_refused_where_too_many_wait(self):
+        with ThreadPoolExecutor(CALLERS) as pool:
+            self.crowd(pool)
+            before = len(self.router.events("body_waits"))
+            connection = Connection(self.router.port)
+            self.addCleanup(connection.close)
+            head, _ = request_bytes("POST", "/read/x", "next").split(b"\r\nCo")
+            connection.socket.sendall(
+                request_bytes("POST", "/read/x", "first", b"x", wait_ms=9000)
+                + head + b"\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+                + BODY[:1000])
+            self.assertEqual(connection.read_answer("first", "POST").status,
+                             200)
+            answered = time.monotonic()
+            connection.socket.sendall(BODY[1000:])
+            refusal = connection.read_answer("next", "POST")
+            self.assertLess(time.monotonic() - answered, AT_ONCE_S)
+        self.assertEqual(refusal.status, 503)
+        error = json.loads(refusal.body)["error"]
+        self.assertEqual((error["code"], error["run"]),
+                         ("no_memory", "not_run"))
+        self.assertEqual(len(self.router.events("body_waits")), before)
+        self.assertNotIn("next", [seen["X-Request-Id"]
+                                  for seen in self.plain.seen])
+
     # The bodies of one caller took the room of others, who waited behind all
     # of them.
     def test_large_bodies_of_one_caller_do_not_hold_up_another_one(self):
