Callers that pause within a body refused behind others read the refusal

A caller whose body was refused behind another request, and that paused for more than a second before it sent the rest, met a reset in place of the 503.

Cause: LingeringClose reads on for 1 s after the last bytes, and for 5 s where it is told that a part of the request is missing; RequestIntake told it only where the request was due, and not as the page of one refused in its turn is replaced.

--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -514,6 +514,7 @@
     if (is_of_refused_next(this)) {
         refusal = this->next_refusal;
         cause = this->next_cause;
+        LingeringClose_expectRest(this->stream);
     }
     const char *reason = Refusal_spec(refusal)->code;
     this->is_refused = TRUE;
--- a/tests/sessions/test_body_memory.py
+++ b/tests/sessions/test_body_memory.py
@@ -17,6 +17,7 @@
 HELD = 4  # bodies of BODY that fit and leave no room for another one
 WAITING = 70  # more bodies than may wait
 AT_ONCE_S = 1
+BODY_PAUSE_S = 2  # of a caller that sends on
 HELD_S = 0.1  # time for which the upstream takes each request
 
 
@@ -155,31 +156,51 @@
                              in self.router.events("request_excessive")),
                  "a refusal")
 
+    def send_behind(self, size):
+        """Begins a body behind a request that waits for its answer, which is
+        read."""
+        connection = Connection(self.router.port)
+        self.addCleanup(connection.close)
+        head, _ = request_bytes("POST", "/read/x", "next").split(b"\r\nCo")
+        connection.socket.sendall(
+            request_bytes("POST", "/read/x", "first", b"x", wait_ms=9000)
+            + head + b"\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+            + BODY[:size])
+        self.assertEqual(connection.read_answer("first", "POST").status, 200)
+        return connection
+
+    def assert_refused(self, connection):
+        refusal = connection.read_answer("next", "POST")
+        self.assertIsNotNone(refusal)
+        self.assertEqual(refusal.status, 503)
+        error = json.loads(refusal.body)["error"]
+        self.assertEqual((error["code"], error["run"]),
+                         ("no_memory", "not_run"))
+        self.assertNotIn("next", [seen["X-Request-Id"]
+                                  for seen in self.plain.seen])
+
     # They were held for up to 10 s, beside any number of others.
     def test_bodies_behind_others_are_refused_where_too_many_wait(self):
         with ThreadPoolExecutor(CALLERS) as pool:
             self.crowd(pool)
             before = len(self.router.events("body_waits"))
-            connection = Connection(self.router.port)
-            self.addCleanup(connection.close)
-            head, _ = request_bytes("POST", "/read/x", "next").split(b"\r\nCo")
-            connection.socket.sendall(
-                request_bytes("POST", "/read/x", "first", b"x", wait_ms=9000)
-                + head + b"\r\nContent-Length: %d\r\n\r\n" % len(BODY)
-                + BODY[:1000])
-            self.assertEqual(connection.read_answer("first", "POST").status,
-                             200)
+            connection = self.send_behind(1000)
             answered = time.monotonic()
             connection.socket.sendall(BODY[1000:])
-            refusal = connection.read_answer("next", "POST")
+            self.assert_refused(connection)
             self.assertLess(time.monotonic() - answered, AT_ONCE_S)
-        self.assertEqual(refusal.status, 503)
-        error = json.loads(refusal.body)["error"]
-        self.assertEqual((error["code"], error["run"]),
-                         ("no_memory", "not_run"))
         self.assertEqual(len(self.router.events("body_waits")), before)
-        self.assertNotIn("next", [seen["X-Request-Id"]
-                                  for seen in self.plain.seen])
+
+    # Their callers saw a reset in place of the refusal.
+    def test_callers_that_pause_within_a_refused_body_read_the_refusal(self):
+        with ThreadPoolExecutor(CALLERS) as pool:
+            self.crowd(pool)
+            connection = self.send_behind(1000)
+            time.sleep(BODY_PAUSE_S)
+            for at in range(1000, len(BODY), 1 << 17):
+                connection.socket.sendall(BODY[at:at + (1 << 17)])
+                time.sleep(0.05)
+            self.assert_refused(connection)
 
     # The bodies of one caller took the room of others, who waited behind all
     # of them.
