--- a/src/RequestIntake.c
+++ b/src/RequestIntake.c
@@ -283,9 +283,9 @@
         }
         resume_reading(this, bytes);
     }
-    else if (this->paused_ms == 0 && is_due(this) &&
+    else if (this->paused_ms == 0 &&
              BodyBudget_isCrowded(this->limits->budget)) {
-        refuse(this, REFUSAL_NO_MEMORY, "bodies_waiting");
+        refuse_in_turn(this, REFUSAL_NO_MEMORY, "bodies_waiting");
     }
     else {
         pause_reading(this, bytes, added);
@@ -376,7 +376,7 @@
 static void
 check_request(Connection_t *this)
 {
-    if (!this->is_abandoned) {
+    if (!this->is_abandoned && !this->is_next_refused) {
         check_form(this);
     }
     if (!this->is_abandoned && !this->is_next_refused && is_due(this)) {
@@ -514,6 +514,7 @@
     if (is_of_refused_next(this)) {
         refusal = this->next_refusal;
         cause = this->next_cause;
+        LingeringClose_expectRest(this->stream);
     }
     const char *reason = Refusal_spec(refusal)->code;
     this->is_refused = TRUE;
