test_cut_heads: the proxy notes what it passes on before its caller can have it

ForwardedTest.test_cuts_between_routers ended once with "max() arg is an empty sequence" (1 of 4 runs, load up to 27 on 8 cores): the proxy sent an answer and noted its length and its cut afterwards, so that the caller could read the whole answer, and the test look, before that. It notes both before it sends. What the test asks for is the same, and a cut that was not yet noted no longer passes as "whole".

--- a/tests/sessions/test_cut_heads.py
+++ b/tests/sessions/test_cut_heads.py
@@ -210,13 +210,15 @@
             part = other.recv(65536)
             is_cut = sent + len(part) > cut.at
             part = part[:cut.at - sent] if is_cut else part
-            for piece in [part] if cut.pieces == "one" else \
-                    [part[at:at + 1] for at in range(len(part))]:
-                connection.sendall(piece)
             sent += len(part)
+            # Before its caller can have it.
             self.lengths.append(sent)
             if is_cut:
                 self.cut.add(name)
+            for piece in [part] if cut.pieces == "one" else \
+                    [part[at:at + 1] for at in range(len(part))]:
+                connection.sendall(piece)
+            if is_cut:
                 if cut.end == "rst":
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                           struct.pack("ii", 1, 0))
