--- a/tools/memory_soak.py
+++ b/tools/memory_soak.py
@@ -255,6 +255,10 @@
         if served < SERVED_SHARE:
             self.violate("%.2f of the sound calls served" % served)
 
+    def end_routers(self):
+        for router in self.routers:
+            router.process.kill()
+
     def run(self):
         callers = [SoundCaller(self, self.routers[n % ROUTERS])
                    for n in range(SOUND_CALLERS)]
@@ -282,7 +286,9 @@
 
 def main():
     allow_many_connections()
-    status = Soak(int(sys.argv[1]), float(sys.argv[2])).run()
+    soak = Soak(int(sys.argv[1]), float(sys.argv[2]))
+    status = soak.run()
+    soak.end_routers()
     sys.stdout.flush()
     os._exit(status)
 
