FreshnessRelay: a late tick does not cost the news of the next one

While a reader receives a long record it tells its peers so at each tick, and so it does with a newer end of the records; after a tick that ran late, the next one told nothing, and the peers heard after 400 ms in place of 200. Cause: a tick is armed at 200 ms after the loop's iteration began, its time is read later, after the callbacks before it. The tick after a late one therefore comes less than 200 ms later, and news had to be newer by a whole tick. Now half a tick is enough.

--- a/src/FreshnessRelay.c
+++ b/src/FreshnessRelay.c
@@ -9,12 +9,15 @@
 #define READER_COUNT 3
 /* Key by which routers are ranked for the choice of the readers. */
 #define RANK_KEY "freshness"
-/* Interval of the ticks and minimum interval between two broadcasts. An update
- * that comes later than that after the last broadcast is passed on at once. If
- * it waited for the tick at each of the five or six links between two of 1,000
- * routers, it would exceed the age at which each router asks the store itself.
- */
+/* Interval of the ticks and minimum interval between a broadcast and one that
+ * does not wait for the tick. An update that comes later than that after the
+ * last broadcast is passed on at once. If it waited for the tick at each of
+ * the five or six links between two of 1,000 routers, it would exceed the age
+ * at which each router asks the store itself. */
 #define TICK_MS 200
+/* What is newer than the last broadcast by this much is told. It is less than
+ * a tick, since the tick after a late one comes sooner. */
+#define NEWS_MIN_MS (TICK_MS / 2)
 /* A tick that is later than this shows that the event loop or the process has
  * stalled. A loop that is merely busy is late by less. */
 #define STALL_MS 300
@@ -83,9 +86,9 @@
 static gboolean
 has_news(const FreshnessRelay_t *this)
 {
-    return this->at_ms >= this->broadcast_at_ms + TICK_MS ||
+    return this->at_ms >= this->broadcast_at_ms + NEWS_MIN_MS ||
            (this->at_ms > 0 &&
-            this->receiving_ms >= this->told_receiving_ms + TICK_MS);
+            this->receiving_ms >= this->told_receiving_ms + NEWS_MIN_MS);
 }
 
 /* In a full mesh the readers reach every router, so no other router needs to
--- a/tests/test_FreshnessRelay.c
+++ b/tests/test_FreshnessRelay.c
@@ -18,6 +18,8 @@
 #define UPDATES_PER_TICK 4
 /* Longer than an iteration of a busy event loop. */
 #define STALL_MS 800
+/* Time that another callback takes before a tick. */
+#define BUSY_MS 50
 /* An age far above that of any other update. */
 #define OLD_MS 10000
 /* Version of the configuration in force. */
@@ -278,6 +280,36 @@
 }
 END_TEST
 
+static void
+on_busy(evutil_socket_t fd, short what, void *data)
+{
+    (void)fd;
+    (void)what;
+    (void)data;
+    gint64 end_ms = Clock_nowMs() + BUSY_MS;
+    while (Clock_nowMs() < end_ms) {
+    }
+}
+
+/* The tick after one that ran late came less than a tick later, and told the
+ * peers nothing. */
+START_TEST(peers_are_told_at_the_tick_after_a_late_one)
+{
+    FakeRouters_init(&routers, 2, NO_MESH);
+    FakeRouters_run(&routers, TICK_MS);
+    struct event *busy = Clock_timer(routers.base, on_busy, NULL);
+    has_records = TRUE;
+    receives = TRUE;
+    Clock_arm(busy, TICK_MS);
+    relay = create(0);
+    note_end(7, Clock_nowMs());
+    FakeRouters_run(&routers, 2 * TICK_MS + BUSY_MS);
+    ck_assert_uint_eq(count_received(1), 2);
+    event_free(busy);
+    end();
+}
+END_TEST
+
 static void
 receive_receiving(guint32 receiving_age_ms)
 {
@@ -371,6 +403,7 @@
              update_is_relayed_without_waiting_for_the_tick,
              updates_are_relayed_at_most_once_per_tick,
              peers_are_told_while_a_long_answer_is_arriving,
+             peers_are_told_at_the_tick_after_a_late_one,
              what_a_reader_receives_is_relayed_until_it_is_old,
              nothing_is_broadcast_before_an_end_is_known,
              three_routers_are_readers_and_in_a_mesh_only_they_broadcast)
