test_native_limits: bounds allow for what a limit saves up and owes

test_engines_get_what_they_take failed beside load with 6 requests in place of 6.2 in 4 s, at a limit of 2 a second. Cause: the test's span. A limit of 2 a second saves up one request and may owe one (TokenBucket), so that 4 s may hold 6 requests while the router gives the upstream all it takes. The least expected, a tenth and one request below the limit, is asked for after 10 s, where it is 17; after 4 s the most is still 11, and 23 after 10 s. The same for services.

--- a/tests/sessions/test_native_limits.py
+++ b/tests/sessions/test_native_limits.py
@@ -5,6 +5,10 @@
 from cluster import Cluster
 from pressing import press_in_turn
 
+# The count of a limit varies by two requests between two times, the one that a
+# limit saves up and the one that it may owe. The least that is expected after
+# both spans allows for one of them and a tenth of the limit.
+SPANS_S = (4, 6)
 BODY = {"model": "m", "prompt": "What is open today?", "max_tokens": 3}
 
 
@@ -17,18 +21,25 @@
         self.cluster = Cluster()
         self.addCleanup(self.cluster.close)
 
+    def check_use(self, send, count):
+        """Presses against a limit of two requests a second."""
+        before = count()
+        pressed_s = 0
+        for span_s in SPANS_S:
+            pressed_s += span_s
+            self.assertEqual(set(press_in_turn(span_s, send)), {200})
+            received = count() - before
+            self.assertLessEqual(received, 2 * pressed_s + 3)
+        self.assertGreaterEqual(received, 0.9 * 2 * pressed_s - 1)
+
     def test_engines_get_what_they_take(self):
         first = self.cluster.engine("e1")
         self.cluster.engine("e2")
         routers = self.cluster.start("r1", "r2")
         first.control(limit_milli=2000)
         press_in_turn(1, lambda n: complete(routers[n % 2], n))
-        before = first.state()["asked"]
-        statuses = press_in_turn(4, lambda n: complete(routers[n % 2], n))
-        received = first.state()["asked"] - before
-        self.assertEqual(set(statuses), {200})
-        self.assertLessEqual(received, 2 * 4 + 3)
-        self.assertGreaterEqual(received, 0.9 * 2 * 4 - 1)
+        self.check_use(lambda n: complete(routers[n % 2], n),
+                       lambda: first.state()["asked"])
         first.control(limit_milli=-1)
         press_in_turn(1.5, lambda n: complete(routers[n % 2], n))
         before = first.state()["asked"]
@@ -63,12 +74,7 @@
                 {}, path="/v1/services/notes/x")
         first.control(limit_milli=2000)
         press_in_turn(1, send)
-        before = self.count_requests(first)
-        statuses = press_in_turn(4, send)
-        received = self.count_requests(first) - before
-        self.assertEqual(set(statuses), {200})
-        self.assertLessEqual(received, 2 * 4 + 3)
-        self.assertGreaterEqual(received, 0.9 * 2 * 4 - 1)
+        self.check_use(send, lambda: self.count_requests(first))
 
     def count_requests(self, service):
         return sum(service.call("GET", "/records").values())
