--- a/tests/test_JsonParts.c
+++ b/tests/test_JsonParts.c
@@ -177,8 +177,29 @@
 }
 END_TEST
 
+static gboolean
+is_list_read(const char *text, gsize length)
+{
+    JsonParts_t *parts = JsonParts_create(text, length, NULL);
+    gboolean is_read =
+        parts && JsonParts_readList(parts, "a", NULL, NULL, NULL);
+    if (parts) {
+        JsonParts_destroy(parts);
+    }
+    return is_read;
+}
+
+START_TEST(a_zero_byte_is_no_blank)
+{
+    static const char text[] = "{\"a\":[\0]}";
+    json_t *whole = Json_parse(text, sizeof(text) - 1, NULL);
+    ck_assert_ptr_null(whole);
+    ck_assert(!is_list_read(text, sizeof(text) - 1));
+}
+END_TEST
+
 TESTING_MAIN("JsonParts", values_are_read_in_their_order,
              members_without_values_are_empty, other_members_are_in_the_root,
              malformed_texts_are_errors,
              texts_are_read_in_parts_if_they_are_read_as_a_whole,
-             values_nested_too_deep_are_an_error)
+             values_nested_too_deep_are_an_error, a_zero_byte_is_no_blank)
