JsonParts: a zero byte is no blank

A configuration whose list holds a zero byte in place of values was read as one with an empty list, where the same text is refused when it is read whole.

Cause: strchr() finds the zero byte that ends its string. test_JsonParts.a_zero_byte_is_no_blank failed before, and passes.

--- a/src/JsonParts.c
+++ b/src/JsonParts.c
@@ -6,6 +6,7 @@
 
 /* Levels of the object and of a list, in which a value is nested. */
 #define OUTER_LEVELS 2
+#define BLANKS " \t\r\n"
 
 typedef struct {
     gsize start; /* behind the '[' */
@@ -156,7 +157,7 @@
 static gboolean
 is_blank(const JsonParts_t *this, gsize start, gsize end)
 {
-    while (start < end && strchr(" \t\r\n", this->text[start])) {
+    while (start < end && memchr(BLANKS, this->text[start], strlen(BLANKS))) {
         start++;
     }
     return start == end;
