Buffers: an empty buffer with a reserved block ends the copying

No caller is known to reach it; by a review's reading the loop did not end.

Cause: evbuffer_peek() returns a reserved block of no bytes again and again. test_Buffers' new case did not end within 5 s before, and passes.

--- a/src/Buffers.c
+++ b/src/Buffers.c
@@ -7,7 +7,8 @@
 copy_bytes(struct evbuffer *to, struct evbuffer *from)
 {
     struct evbuffer_iovec part;
-    while (evbuffer_peek(from, -1, NULL, &part, 1) > 0) {
+    while (evbuffer_get_length(from) > 0 &&
+           evbuffer_peek(from, -1, NULL, &part, 1) > 0) {
         evbuffer_add(to, part.iov_base, part.iov_len);
         evbuffer_drain(from, part.iov_len);
     }
--- a/tests/test_Buffers.c
+++ b/tests/test_Buffers.c
@@ -70,6 +70,21 @@
 }
 END_TEST
 
+/* A block that was reserved and not written was read without an end. */
+START_TEST(an_empty_buffer_with_a_reserved_block_adds_nothing)
+{
+    struct evbuffer *from = evbuffer_new();
+    struct evbuffer *to = evbuffer_new();
+    struct evbuffer_iovec part;
+    ck_assert_int_eq(evbuffer_reserve_space(from, READ_BYTES, &part, 1), 1);
+    Buffers_append(to, from);
+    ck_assert_uint_eq(evbuffer_get_length(to), 0);
+    evbuffer_free(from);
+    evbuffer_free(to);
+}
+END_TEST
+
 TESTING_MAIN("Buffers", small_pieces_take_little_more_than_their_bytes,
              reads_of_a_page_take_little_more_than_their_bytes,
-             bytes_stay_in_order)
+             bytes_stay_in_order,
+             an_empty_buffer_with_a_reserved_block_adds_nothing)
