The text of a native stream is counted, and bounded as an answer is

Callers saw: a native engine that streams tokens without end to one caller ends the router, and with it the requests of others.

Cause: the text of a whole answer, and that of a stream that may be repeated, is kept until the end, in no bound.

test_native_endless.test_tokens_of_a_whole_answer and test_tokens_of_a_stream failed before (124.9 and 113 MB of 110, the router ended) and pass. Each copy of a token's text counts as the bytes of answers that arrive do (answer_max, answers_max); a stream without room for one ends its attempt as oversized.

--- a/src/Attempt.c
+++ b/src/Attempt.c
@@ -341,6 +341,12 @@
     AttemptConnection_close(&this->connection);
 }
 
+void
+Attempt_fail(Attempt_t *this, AttemptEnd_t end)
+{
+    end_attempt(this, end, NULL);
+}
+
 void
 Attempt_pauseReading(Attempt_t *this)
 {
--- a/src/Attempt.h
+++ b/src/Attempt.h
@@ -77,6 +77,10 @@
 /** Attempt_cancel() - end the attempt without further callbacks */
 void Attempt_cancel(Attempt_t *this);
 
+/** Attempt_fail() - end the attempt because its owner found a fault in the
+ * answer; calls @ended */
+void Attempt_fail(Attempt_t *this, AttemptEnd_t end);
+
 /** Attempt_pauseReading() - stop reading from the engine */
 void Attempt_pauseReading(Attempt_t *this);
 
--- a/src/StreamExchange.c
+++ b/src/StreamExchange.c
@@ -29,6 +29,8 @@
     gboolean was_stale; /* the last attempt met the end of its connection */
 
     GString *text;        /* text sent by this exchange, if repeatable */
+    guint copies;         /* of each token's text that are kept to the end */
+    gsize kept_bytes;     /* counted in the context's answer_bytes */
     guint64 start_offset; /* tokens that the caller had before */
     guint64 tokens;
     guint prompt_tokens;
@@ -47,6 +49,7 @@
         ResumePoint_destroy(this->resume_point);
     }
     StreamHandle_clear(&this->stream);
+    super->context->answer_bytes -= this->kept_bytes;
     g_string_free(this->text, TRUE);
     Exchange_clear(super);
     g_free(this);
@@ -217,10 +220,32 @@
     }
 }
 
+/* Counts the text of a token; returns FALSE if there is no room for it. */
+static gboolean
+take_room(StreamExchange_t *this, gsize length)
+{
+    Context_t *context = this->super.context;
+    AnswerBufferLimits_t limits = Context_answerLimits(context);
+    gsize added = length * this->copies;
+    gsize kept = this->kept_bytes + added;
+    gboolean is_short = kept <= ANSWER_BUFFER_FREE_MAX;
+    if (kept > limits.size_max ||
+        (!is_short && context->answer_bytes + added > limits.total_max)) {
+        return FALSE;
+    }
+    context->answer_bytes += added;
+    this->kept_bytes = kept;
+    return TRUE;
+}
+
 static void
 on_token(void *owner, const EngineToken_t *token)
 {
     StreamExchange_t *this = owner;
+    if (!take_room(this, token->length)) {
+        Attempt_fail(this->attempt, ATTEMPT_OVERSIZED);
+        return;
+    }
     note_first_token(this);
     Exchange_noteProgress(&this->super);
     this->tokens++;
@@ -497,6 +522,8 @@
     this->prompt = spec->prompt;
     this->resume_point = spec->resume;
     this->text = g_string_new(NULL);
+    this->copies += base.repeatable ? 1 : 0;
+    this->copies += spec->prompt && !spec->prompt->stream ? 1 : 0;
     return this;
 }
 
