Native bodies of very many values are refused before they are parsed

Callers saw: a body of 4 MB of empty lists ends its router, and with it the requests of others, on the native interface.

Cause: the tree of a body is kept until the request ends, and takes 136 bytes for a value of 3; the bounds of bodies count its text.

A body of more than 65,536 values is refused with 400.

--- a/src/Json.c
+++ b/src/Json.c
@@ -60,6 +60,29 @@
     return at + 1;
 }
 
+/* Each value but the outermost one stands behind such a byte, or behind the
+ * name of a member that does. */
+static gboolean
+precedes_value(char byte)
+{
+    return byte == ',' || byte == '[' || byte == '{';
+}
+
+gboolean
+Json_hasMoreValues(const char *data, size_t length, gsize most)
+{
+    gsize count = 1;
+    for (size_t at = 0; at < length && count <= most;) {
+        if (data[at] == '"') {
+            at = Json_skipString(data, length, at);
+            continue;
+        }
+        count += precedes_value(data[at]) ? 1 : 0;
+        at++;
+    }
+    return count > most;
+}
+
 /* jansson parses and frees nested values by recursion, and a level takes some
  * 150 bytes of the stack. */
 static gboolean
--- a/src/Json.h
+++ b/src/Json.h
@@ -54,6 +54,13 @@
  */
 size_t Json_skipString(const char *data, size_t length, size_t at);
 
+/**
+ * Json_hasMoreValues() - whether a JSON text may hold more values than a
+ * number; the tree of a text takes some hundred bytes for each, however short
+ * @length: bytes of @data
+ */
+gboolean Json_hasMoreValues(const char *data, size_t length, gsize most);
+
 /**
  * Json_parseRepaired() - parse a text that is one JSON object, in which other
  * programs may have written some of the strings
--- a/src/Prompt.c
+++ b/src/Prompt.c
@@ -10,6 +10,10 @@
 /* A text without marked levels gets a level at this length in bytes and at
  * each doubling of it. */
 #define FIRST_UNMARKED_LEVEL 512
+/* A body of the usual largest size, 4 MB, has as many in messages of 180
+ * bytes.
+ */
+#define VALUES_MAX 65536
 
 static gboolean
 fail(GError **error, const char *field, const char *expected)
@@ -168,11 +172,23 @@
            (this->chat ? read_messages(this, error) : read_text(this, error));
 }
 
+/* The body is kept as a tree until the request ends. */
+static json_t *
+parse(const char *data, gsize length, GError **error)
+{
+    if (Json_hasMoreValues(data, length, VALUES_MAX)) {
+        g_set_error(error, WT_ERROR, WT_ERROR_BAD_BODY,
+                    "the body has more than %d values", VALUES_MAX);
+        return NULL;
+    }
+    return Json_parse(data, length, error);
+}
+
 Prompt_t *
 Prompt_create(gboolean chat, const char *data, gsize length,
               gboolean *bad_json, GError **error)
 {
-    json_t *body = Json_parse(data, length, error);
+    json_t *body = parse(data, length, error);
     *bad_json = body == NULL;
     if (!body) {
         return NULL;
--- a/src/Prompt.h
+++ b/src/Prompt.h
@@ -57,7 +57,8 @@
  * @chat: whether it was sent to /v1/chat/completions
  * @data: body of the request
  * @length: length of the body in bytes
- * @bad_json: set to whether the body is not a JSON object
+ * @bad_json: set to whether the body is not a JSON object, or has too many
+ *     values
  * @error: WT_ERROR_BAD_BODY with the invalid field
  *
  * Return: the prompt, or NULL
--- a/tests/test_Json.c
+++ b/tests/test_Json.c
@@ -97,6 +97,16 @@
 }
 END_TEST
 
+START_TEST(values_are_counted_outside_of_strings)
+{
+    const char *text = "{\"a,[{\":[1,2,[]],\"b\":\"\\\",,\"}";
+    ck_assert(!Json_hasMoreValues(text, strlen(text), 8));
+    ck_assert(Json_hasMoreValues(text, strlen(text), 4));
+    ck_assert(!Json_hasMoreValues("", 0, 1));
+}
+END_TEST
+
 TESTING_MAIN("Json", values_nested_too_deep_are_an_error,
              siblings_are_no_deeper, strings_that_are_no_text_are_repaired,
-             text_that_ends_within_an_escape_is_an_error)
+             text_that_ends_within_an_escape_is_an_error,
+             values_are_counted_outside_of_strings)
--- a/tests/test_Prompt.c
+++ b/tests/test_Prompt.c
@@ -126,6 +126,25 @@
 }
 END_TEST
 
+/* Each value took some hundred bytes of memory, for two of the body. */
+START_TEST(a_body_of_many_values_is_refused)
+{
+    GString *text = g_string_new("{\"model\":\"m\",\"prompt\":\"x\",\"a\":[");
+    for (int i = 0; i < 70000; i++) {
+        g_string_append(text, "[],");
+    }
+    g_string_append(text, "1]}");
+    gboolean bad_json = FALSE;
+    g_autoptr(GError) error = NULL;
+    ck_assert_ptr_null(
+        Prompt_create(FALSE, text->str, text->len, &bad_json, &error));
+    ck_assert(bad_json);
+    ck_assert(g_error_matches(error, WT_ERROR, WT_ERROR_BAD_BODY));
+    g_string_free(text, TRUE);
+}
+END_TEST
+
 TESTING_MAIN("Prompt", fields_are_read, wrong_types_are_refused,
              levels_follow_the_messages, role_is_part_of_the_prefix,
-             marked_levels_are_used_and_default_ones_added, levels_are_bounded)
+             marked_levels_are_used_and_default_ones_added, levels_are_bounded,
+             a_body_of_many_values_is_refused)
