EventPipe: the id of the last event counts with what it holds

Cause: only the incomplete event was counted.

test_EventPipe's new case failed before (2 in place of 8 bytes).

--- a/src/EventPipe.c
+++ b/src/EventPipe.c
@@ -38,9 +38,9 @@
 }
 
 static void
-count_partial(EventPipe_t *this)
+count_kept(EventPipe_t *this)
 {
-    gsize length = evbuffer_get_length(this->partial);
+    gsize length = evbuffer_get_length(this->partial) + this->last_id->len;
     if (this->total) {
         *this->total = *this->total - this->counted + length;
         this->counted = length;
@@ -52,12 +52,13 @@
 {
     evbuffer_drain(this->partial, evbuffer_get_length(this->partial));
     this->searched = 0;
-    count_partial(this);
+    count_kept(this);
 }
 
 void
 EventPipe_destroy(EventPipe_t *this)
 {
+    g_string_truncate(this->last_id, 0);
     drop_partial(this);
     evbuffer_free(this->partial);
     g_string_free(this->last_id, TRUE);
@@ -192,7 +193,7 @@
            length <= this->event_max) {
         count += pass_event(this, length, out) ? 1 : 0;
     }
-    count_partial(this);
+    count_kept(this);
     if (this->is_too_large || is_partial_too_large(this)) {
         discard_event(this);
     }
@@ -218,7 +219,7 @@
 {
     evbuffer_add_buffer(out, this->partial);
     this->searched = 0;
-    count_partial(this);
+    count_kept(this);
 }
 
 gsize
--- a/src/EventPipe.h
+++ b/src/EventPipe.h
@@ -24,7 +24,8 @@
 EventPipe_t *EventPipe_create(gsize event_max);
 
 /**
- * EventPipe_shareLimit() - let incomplete events share a limit with others
+ * EventPipe_shareLimit() - let incomplete events, and the id of the last one,
+ * share a limit with others
  * @total: counts their bytes, together with those of others; must outlive the
  *     pipe
  * @total_max: bytes of @total from which an incomplete event of more than
--- a/tests/test_EventPipe.c
+++ b/tests/test_EventPipe.c
@@ -222,6 +222,21 @@
 }
 END_TEST
 
+/* The id of an event may be as long as the event. */
+START_TEST(the_last_id_counts_until_the_end)
+{
+    gsize total = 0;
+    set_up();
+    EventPipe_shareLimit(event_pipe, &total, 1000);
+    ck_assert_uint_eq(feed("id: abcdef\ndata: a\n\nda"), 1);
+    ck_assert_uint_eq(total, strlen("abcdef") + strlen("da"));
+    EventPipe_restart(event_pipe);
+    ck_assert_uint_eq(total, strlen("abcdef"));
+    tear_down();
+    ck_assert_uint_eq(total, 0);
+}
+END_TEST
+
 TESTING_MAIN("EventPipe", only_complete_events_pass,
              an_event_is_incomplete_without_its_blank_line,
              output_does_not_depend_on_input_chunks,
@@ -233,4 +248,5 @@
              stream_continues_on_another_upstream_after_a_too_large_event,
              only_numeric_ids_identify_duplicates,
              a_long_event_in_small_pieces_takes_little_processor_time,
-             the_end_of_an_event_is_found_behind_searched_bytes)
+             the_end_of_an_event_is_found_behind_searched_bytes,
+             the_last_id_counts_until_the_end)
