--- a/src/JsonParts.c
+++ b/src/JsonParts.c
@@ -6,7 +6,6 @@
 
 /* Levels of the object and of a list, in which a value is nested. */
 #define OUTER_LEVELS 2
-#define BLANKS " \t\r\n"
 
 typedef struct {
     gsize start; /* behind the '[' */
@@ -154,10 +153,16 @@
     return this->root;
 }
 
+static gboolean
+is_blank_byte(char byte)
+{
+    return byte == ' ' || byte == '\t' || byte == '\r' || byte == '\n';
+}
+
 static gboolean
 is_blank(const JsonParts_t *this, gsize start, gsize end)
 {
-    while (start < end && memchr(BLANKS, this->text[start], strlen(BLANKS))) {
+    while (start < end && is_blank_byte(this->text[start])) {
         start++;
     }
     return start == end;
