--- a/src/SocketBuffers.c
+++ b/src/SocketBuffers.c
@@ -20,7 +20,7 @@
 
 /* The kernel may fill all that it doubles. */
 static const Sizes_t sizes[] = {
-    [SOCKET_CALLER] = {SOCKET_UNREAD_MAX / 2, SENDING_MAX},
+    [SOCKET_CALLER] = {SOCKET_UNREAD_MAX, SENDING_MAX},
     [SOCKET_UPSTREAM] = {32 * KIB, 64 * KIB},
     [SOCKET_CALL] = {512 * KIB, 128 * KIB},
     [SOCKET_SHORT_CALL] = {32 * KIB, 128 * KIB},
