test_small_pieces: endless bodies in chunks of one byte

Callers saw: beside upstreams that send chunks of one byte as fast as they are taken, calls of others are refused and lost as their router ends, again and again.

Cause: that of small pieces: each chunk was held in a block of a kilobyte, however many came in one read, so that no pause between pieces is needed.

--- a/tests/sessions/test_small_pieces.py
+++ b/tests/sessions/test_small_pieces.py
@@ -14,8 +14,8 @@
 
 MEMORY_MB = 48
 CALLERS = 60
-# The pieces of a test make 2 MB at the most, and the machine decides how many
-# of them come.
+# The bytes of a test's pieces make 9 MB at the most, and the machine decides how
+# many of them come.
 GROWTH_MAX = 16 << 20
 SECONDS = 3
 PAUSE_S = 0.001
@@ -23,7 +23,9 @@
 ENDS = {  # what tells the end of a body
     "length": b"Content-Length: 10000000000\r\n\r\n",
     "connection": b"Connection: close\r\n\r\n",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n",
 }
+SMALL_CHUNKS = b"1\r\nx\r\n" * 50
 
 
 EVENT_PIECES = {
@@ -153,6 +155,12 @@
         self.upstream.end = "connection"
         self.check()
 
+    # Each chunk was held in a block of a kilobyte, however many came at once.
+    def test_in_small_chunks(self):
+        self.upstream.end = "chunks"
+        self.trickle.piece = SMALL_CHUNKS
+        self.check()
+
 
 class HeadTest(TrickleTest):
     """Interim heads of a plain service."""
